Workspace, the vocabulary of events and actions, reasons and outcomes

Cause: nothing exists yet. Change: three crates with one-way dependencies; the core's identifiers, time, reasons, outcomes, events and actions. Conclusion: the parts of the core can be written against one vocabulary.

--- /dev/null
+++ b/crates/bench/src/main.rs
@@ -0,0 +1,2 @@
+//! The bench binary.
+fn main() {}
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,37 @@
+//! Every decision of oriolemux, as deterministic state machines.
+//!
+//! # The story
+//!
+//! A process of oriolemux (an *instance*) stands between callers and crowded
+//! endpoints. It accepts a request, learns from the [`catalogue`] what the
+//! request may take, asks the *home* of a cell of endpoints for a grant, runs
+//! one generation at the granted endpoint and delivers it. This crate holds
+//! the decisions of that path and none of its input or output: there is no
+//! clock, no socket, no thread, no runtime and no global here. Time and
+//! randomness come in as arguments, effects go out as [`Action`]s, and the
+//! order of iteration never depends on a hash seed. The same code therefore
+//! runs behind real sockets, in a test that replays a failure event by event,
+//! and in an experiment in virtual time.
+//!
+//! The shell (the `oriolemux` crate) feeds a [`Node`] with [`Event`]s and
+//! carries out its [`Action`]s. Tokens never pass through the node: each
+//! stream owns a small machine of its own in [`delivery`].
+//!
+//! See `docs/design/` for why each part is as it is.
+
+pub mod event;
+pub mod ids;
+pub mod note;
+pub mod outcome;
+pub mod peer;
+pub mod reason;
+pub mod time;
+
+pub use event::{Action, Event};
+pub use ids::{
+    AttemptId, CellKey, ClassKey, EndpointKey, EntryKey, Incarnation, InstanceKey, ModelKey,
+    RequestId, WorkspaceKey,
+};
+pub use outcome::{NotRun, Ran, Verdict};
+pub use reason::{Outcome, Reason};
+pub use time::Time;
--- /dev/null
+++ b/crates/oriolemux/src/main.rs
@@ -0,0 +1,2 @@
+//! The oriolemux binary.
+fn main() {}
