Bench: one command line that delegates each command to a module

Cause: stand-ins, experiments and the demo are each a command of one binary, and start real processes by executing their own file again. Conclusion: other parts can add their commands.

--- /dev/null
+++ b/crates/bench/src/load.rs
@@ -0,0 +1,1 @@
+//! A caller that records what it got, byte for byte.
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -1,2 +1,46 @@
-//! The bench binary.
-fn main() {}
+//! The command line of the bench: one binary with all stand-ins, experiments
+//! and a `node` command that runs the product itself, so that every experiment
+//! can start real processes by executing its own file again.
+
+use clap::{Parser, Subcommand};
+use oriolemux_bench::{demo, faults, node, proxy, standins};
+use std::process::ExitCode;
+
+/// Stand-ins, load and experiments for oriolemux.
+#[derive(Debug, Parser)]
+#[command(name = "oriolemux-bench", version)]
+struct Cli {
+    #[command(subcommand)]
+    command: Command,
+}
+
+/// What to run. Stand-ins print `listening ADDR` and run until they are killed.
+#[derive(Debug, Subcommand)]
+enum Command {
+    /// Run a stand-in for a model engine.
+    Engine(standins::engine::EngineArgs),
+    /// Run a stand-in for a plain service.
+    Service(standins::service::ServiceArgs),
+    /// Run a stand-in for the platform's configuration service.
+    Platform(standins::platform::PlatformArgs),
+    /// Run the fault-injecting TCP proxy.
+    Proxy(proxy::ProxyArgs),
+    /// Run the product's own command line with the arguments that follow.
+    Node(node::NodeArgs),
+    /// Start a small fleet, send it short and long requests, and explain each route.
+    Demo(demo::DemoArgs),
+    /// Run each failure alone and in pairs, and check every promise from outside.
+    Faults(faults::FaultsArgs),
+}
+
+fn main() -> ExitCode {
+    match Cli::parse().command {
+        Command::Engine(args) => standins::engine::run(args),
+        Command::Service(args) => standins::service::run(args),
+        Command::Platform(args) => standins::platform::run(args),
+        Command::Proxy(args) => proxy::run(args),
+        Command::Node(args) => node::run(args),
+        Command::Demo(args) => demo::run(args),
+        Command::Faults(args) => faults::run(args),
+    }
+}
