Findings about written files, collected with their place

Cause: settings and catalogue are both written by people, who need every mistake at once with line and column, and the nearest known name.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -20,6 +20,7 @@
 //! See `docs/design/` for why each part is as it is.
 
 pub mod event;
+pub mod findings;
 pub mod ids;
 pub mod note;
 pub mod outcome;
