Callers: the port between request tasks and the node task

A request's task needs orders from the one task that owns the node, and the node must never wait for a slow caller.

--- a/crates/oriolemux/src/lib.rs
+++ b/crates/oriolemux/src/lib.rs
@@ -1,1 +1,3 @@
 //! Shell.
+
+pub mod callers;
