A model engine in virtual time

Cause: experiments and the stand-in engine need one description of an engine that batches continuously, fills its KV memory mid-decode, preempts with recompute, honours priorities, caches prefixes and reports its load late.

--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -3,9 +3,11 @@
 //! [`standins`] take the place of model engines, plain services and the
 //! platform, and record what they truly ran. [`load`] is a caller that records
 //! what it got, byte for byte. [`demo`] and [`faults`] start all of them, and
-//! instances of the product, as real processes.
+//! instances of the product, as real processes. [`engine_model`] is a model
+//! engine in virtual time, behind both the stand-ins and the experiments.
 
 pub mod demo;
+pub mod engine_model;
 pub mod faults;
 pub mod load;
 pub mod node;
