A cell's decisions: the interface, with a simple policy behind it

Cause: the node and the experiment in virtual time both need the decisions of a cell, and need their shape before their depth. Change: requests, endpoints, decisions with their record, the messages between entry and home, and a cell that grants by deadline and free memory. Not yet: lengths are a constant, nothing is learned, services and prefixes are not told apart.

--- /dev/null
+++ b/crates/core/src/cell/config.rs
@@ -0,0 +1,89 @@
+//! Constants of a cell's policy.
+//!
+//! `docs/design/admission.md` names the sweep that each constant came from.
+
+use core::time::Duration;
+
+/// Horizons, in generated tokens, at which a cell looks at each endpoint's memory.
+pub const HORIZONS: [u32; 4] = [64, 256, 1024, 4096];
+
+/// Settings of a cell, with defaults that suit a crowded engine.
+#[derive(Clone, Debug, PartialEq)]
+pub struct CellConfig {
+    /// Standard deviations of memory kept free at first, before preemptions steer it.
+    pub sigma_start: f64,
+    /// Share of an endpoint's memory that work of more urgency than others may use alone.
+    pub urgent_share: f64,
+    /// The least urgent class that counts as urgent.
+    pub urgent_urgency: u8,
+    /// KV tokens assumed at an endpoint that has not reported yet.
+    pub unreported_kv_tokens: u64,
+    /// Requests at once at an endpoint that has not reported yet.
+    pub unreported_slots: u32,
+    /// The most requests that one cell queues.
+    pub max_queued: usize,
+    /// How often an endpoint's memory is forecast anew.
+    pub refresh_interval: Duration,
+}
+
+impl Default for CellConfig {
+    fn default() -> Self {
+        CellConfig {
+            sigma_start: 2.0,
+            urgent_share: 0.06,
+            urgent_urgency: 0,
+            unreported_kv_tokens: 16_384,
+            unreported_slots: 4,
+            max_queued: 10_000,
+            refresh_interval: Duration::from_millis(250),
+        }
+    }
+}
+
+impl CellConfig {
+    /// Returns a builder that starts from the defaults.
+    pub fn builder() -> CellConfigBuilder {
+        CellConfigBuilder {
+            cfg: CellConfig::default(),
+        }
+    }
+}
+
+/// Builds a [`CellConfig`].
+#[derive(Clone, Debug)]
+pub struct CellConfigBuilder {
+    cfg: CellConfig,
+}
+
+macro_rules! setters {
+    ($($(#[$doc:meta])* $name:ident: $ty:ty;)*) => {
+        impl CellConfigBuilder {
+            $($(#[$doc])* pub fn $name(mut self, value: $ty) -> Self {
+                self.cfg.$name = value;
+                self
+            })*
+
+            /// Returns the settings.
+            pub fn build(self) -> CellConfig {
+                self.cfg
+            }
+        }
+    };
+}
+
+setters! {
+    /// Sets [`CellConfig::sigma_start`].
+    sigma_start: f64;
+    /// Sets [`CellConfig::urgent_share`].
+    urgent_share: f64;
+    /// Sets [`CellConfig::urgent_urgency`].
+    urgent_urgency: u8;
+    /// Sets [`CellConfig::unreported_kv_tokens`].
+    unreported_kv_tokens: u64;
+    /// Sets [`CellConfig::unreported_slots`].
+    unreported_slots: u32;
+    /// Sets [`CellConfig::max_queued`].
+    max_queued: usize;
+    /// Sets [`CellConfig::refresh_interval`].
+    refresh_interval: Duration;
+}
--- /dev/null
+++ b/crates/core/src/cell/message.rs
@@ -0,0 +1,223 @@
+//! Messages between an entry instance and the home of a cell.
+//!
+//! They name a request by its sequence number only: the link's authenticated
+//! peer gives the instance and its incarnation. They carry durations and never
+//! points in time, because two processes share no clock.
+
+use crate::cell::decision::GrantRecord;
+use crate::cell::request::{CellRequest, ClassRules, EndKind, Requirement, Running};
+use crate::event::PeerId;
+use crate::ids::{CellKey, EndpointKey, EntryKey, RequestId, WorkspaceKey};
+use crate::reason::Reason;
+use crate::time::Time;
+use core::time::Duration;
+use serde::{Deserialize, Serialize};
+
+/// The most prefix hashes that an ask carries; the longest prefixes are kept.
+pub const MAX_PREFIX_HASHES: usize = 8;
+
+/// A message between an entry instance and the home of a cell.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum CellMessage {
+    /// Entry to home: a request asks for a grant.
+    Ask(Box<Ask>),
+    /// Home to entry: the request may run.
+    Grant(Box<Grant>),
+    /// Home to entry: the request is refused.
+    Refused(Box<Refused>),
+    /// Entry to home: checkpoints that running requests passed.
+    Progress(Vec<Checkpoint>),
+    /// Entry to home: requests that ended.
+    Ended(Vec<Ended>),
+    /// Entry to home: requests whose callers left or that moved elsewhere.
+    Withdraw(Vec<u64>),
+    /// Entry to home: what runs at a cell's endpoints, after the home changed.
+    Retell {
+        /// The cell.
+        cell: CellKey,
+        /// What runs.
+        running: Vec<Told>,
+    },
+}
+
+/// A request that asks for a grant.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Ask {
+    /// The cell that is asked.
+    pub cell: CellKey,
+    /// The request's sequence number at the sender.
+    pub seq: u64,
+    /// See [`CellRequest::entry`].
+    pub entry: EntryKey,
+    /// See [`CellRequest::workspace`].
+    pub workspace: WorkspaceKey,
+    /// See [`CellRequest::class`].
+    pub class: ClassRules,
+    /// How long the request has waited already, in milliseconds.
+    pub waited_ms: u32,
+    /// See [`CellRequest::prompt_tokens`].
+    pub prompt_tokens: u32,
+    /// See [`CellRequest::max_tokens`].
+    pub max_tokens: u32,
+    /// See [`CellRequest::already`].
+    pub already: u32,
+    /// See [`CellRequest::needs`].
+    pub needs: Requirement,
+    /// See [`CellRequest::prefix`]; at most [`MAX_PREFIX_HASHES`].
+    pub prefix: Vec<u64>,
+    /// See [`CellRequest::exclude`].
+    pub exclude: Vec<EndpointKey>,
+}
+
+impl Ask {
+    /// Returns the ask that stands for `req` at `now`.
+    pub fn from_request(cell: CellKey, req: &CellRequest, now: Time) -> Ask {
+        let skip = req.prefix.len().saturating_sub(MAX_PREFIX_HASHES);
+        Ask {
+            cell,
+            seq: req.id.seq,
+            entry: req.entry,
+            workspace: req.workspace,
+            class: req.class,
+            waited_ms: millis(now.since(req.arrived)),
+            prompt_tokens: req.prompt_tokens,
+            max_tokens: req.max_tokens,
+            already: req.already,
+            needs: req.needs,
+            prefix: req.prefix[skip..].to_vec(),
+            exclude: req.exclude.clone(),
+        }
+    }
+
+    /// Returns the request as the home sees it, when `from` sent this at `now`.
+    pub fn into_request(self, from: PeerId, now: Time) -> CellRequest {
+        let waited = Duration::from_millis(self.waited_ms.into()).as_micros() as u64;
+        CellRequest {
+            id: request_id(from, self.seq),
+            entry: self.entry,
+            workspace: self.workspace,
+            class: self.class,
+            arrived: Time::from_micros(now.as_micros().saturating_sub(waited)),
+            prompt_tokens: self.prompt_tokens,
+            max_tokens: self.max_tokens,
+            prefix: self.prefix,
+            exclude: self.exclude,
+            already: self.already,
+            needs: self.needs,
+        }
+    }
+}
+
+/// A grant.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Grant {
+    /// The request's sequence number at the receiver.
+    pub seq: u64,
+    /// Where it may run.
+    pub endpoint: EndpointKey,
+    /// The engine's priority; 0 is the most urgent.
+    pub priority: u8,
+    /// Why.
+    pub record: GrantRecord,
+}
+
+/// A refusal.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Refused {
+    /// The request's sequence number at the receiver.
+    pub seq: u64,
+    /// Why.
+    pub reason: Reason,
+    /// When it is worth coming back, in milliseconds.
+    pub retry_after_ms: u32,
+    /// How long it would have waited, in milliseconds.
+    pub predicted_wait_ms: u32,
+    /// What was predicted and what was free.
+    pub record: GrantRecord,
+}
+
+/// A checkpoint that a running request passed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Checkpoint {
+    /// The request's sequence number at the sender.
+    pub seq: u64,
+    /// Tokens generated so far.
+    pub tokens: u32,
+}
+
+/// A request that ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Ended {
+    /// The request's sequence number at the sender.
+    pub seq: u64,
+    /// Tokens generated.
+    pub tokens: u32,
+    /// How it ended.
+    pub end: EndKind,
+}
+
+/// A running request, as its entry tells a new home.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Told {
+    /// The request's sequence number at the sender.
+    pub seq: u64,
+    /// See [`Running::endpoint`].
+    pub endpoint: EndpointKey,
+    /// See [`Running::entry`].
+    pub entry: EntryKey,
+    /// See [`Running::workspace`].
+    pub workspace: WorkspaceKey,
+    /// See [`Running::class`].
+    pub class: ClassRules,
+    /// See [`Running::prompt_tokens`].
+    pub prompt_tokens: u32,
+    /// See [`Running::max_tokens`].
+    pub max_tokens: u32,
+    /// See [`Running::tokens`].
+    pub tokens: u32,
+}
+
+impl Told {
+    /// Returns the running request as the home sees it, when `from` sent this.
+    pub fn into_running(self, from: PeerId) -> Running {
+        Running {
+            id: request_id(from, self.seq),
+            endpoint: self.endpoint,
+            entry: self.entry,
+            workspace: self.workspace,
+            class: self.class,
+            prompt_tokens: self.prompt_tokens,
+            max_tokens: self.max_tokens,
+            tokens: self.tokens,
+        }
+    }
+}
+
+impl From<&Running> for Told {
+    fn from(running: &Running) -> Told {
+        Told {
+            seq: running.id.seq,
+            endpoint: running.endpoint,
+            entry: running.entry,
+            workspace: running.workspace,
+            class: running.class,
+            prompt_tokens: running.prompt_tokens,
+            max_tokens: running.max_tokens,
+            tokens: running.tokens,
+        }
+    }
+}
+
+/// Returns the id of the request that `from` counts as `seq`.
+pub fn request_id(from: PeerId, seq: u64) -> RequestId {
+    RequestId {
+        instance: from.instance,
+        incarnation: from.incarnation,
+        seq,
+    }
+}
+
+/// Returns `duration` in whole milliseconds, capped at what a message carries.
+pub fn millis(duration: Duration) -> u32 {
+    u32::try_from(duration.as_millis()).unwrap_or(u32::MAX)
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -19,6 +19,7 @@
 //!
 //! See `docs/design/` for why each part is as it is.
 
+pub mod cell;
 pub mod event;
 pub mod findings;
 pub mod ids;
