Delivery of one request's stream as a pure machine

Cause: nothing decided yet which token of which attempt a caller may get. Change: core::delivery::Delivery takes what an endpoint's connection brings and answers each input with one Step: deliver, hold, discard, resume at the same endpoint, close, or complete, and what to report to the node. Ids and indices must match; a connection that brings anything else is closed and the generation resumed a bounded number of times; a replay elsewhere is compared byte for byte; a refusal counts as proof only in answer to the send itself.

--- /dev/null
+++ b/crates/core/src/delivery/attempt.rs
@@ -0,0 +1,110 @@
+//! What is known of the attempt that runs.
+
+use super::token_log::Cursor;
+use super::{FIRST_CHECKPOINT, MAX_RESUMES, MAX_RESUMES_WITHOUT_TOKEN, RESUME_DELAY};
+use crate::event::{AttemptMode, AttemptUpdate, DeliveryMode, Dispatch};
+use crate::ids::AttemptId;
+use crate::reason::Reason;
+use core::time::Duration;
+
+/// One attempt, from its send to its end.
+#[derive(Debug)]
+pub(super) struct Attempt {
+    pub id: AttemptId,
+    /// The id as the endpoint must echo it, so that a token costs one comparison.
+    pub id_text: String,
+    pub delivery: DeliveryMode,
+    /// The index that the next token must have.
+    pub expected: u32,
+    /// Tokens before this index are compared with what the caller holds.
+    pub verify_until: u32,
+    pub cursor: Cursor,
+    /// No generation is longer than asked for; bounds the token log.
+    pub max_tokens: u32,
+    /// The endpoint answered the send with something other than a refusal.
+    pub answered: bool,
+    /// Duplicates since the last new token.
+    pub duplicates: u32,
+    /// An earlier attempt of the request may have run.
+    pub ran_before: bool,
+    resumable: bool,
+    resumes: u32,
+    resumes_without_token: u32,
+    next_checkpoint: u32,
+}
+
+impl Attempt {
+    pub fn new(dispatch: &Dispatch, ran_before: bool) -> Self {
+        let verify_until = match dispatch.mode {
+            AttemptMode::Fresh => 0,
+            AttemptMode::Replay { delivered } => delivered,
+        };
+        Attempt {
+            id: dispatch.attempt,
+            id_text: dispatch.attempt.to_string(),
+            delivery: dispatch.delivery,
+            expected: 0,
+            verify_until,
+            cursor: Cursor::default(),
+            max_tokens: dispatch.max_tokens,
+            answered: false,
+            duplicates: 0,
+            ran_before,
+            resumable: !dispatch.model.is_empty(),
+            resumes: 0,
+            resumes_without_token: 0,
+            next_checkpoint: FIRST_CHECKPOINT,
+        }
+    }
+
+    /// Returns whether the send itself has had no answer yet, so that the next
+    /// answer is about the send and not about a resumption.
+    pub fn is_unanswered(&self) -> bool {
+        !self.answered && self.resumes == 0
+    }
+
+    /// Counts a new token and returns what to report of it.
+    #[inline]
+    pub fn received_token(&mut self) -> Option<AttemptUpdate> {
+        self.expected += 1;
+        self.duplicates = 0;
+        self.resumes_without_token = 0;
+        if self.expected == 1 {
+            return Some(AttemptUpdate::FirstToken);
+        }
+        if self.expected == self.next_checkpoint {
+            self.next_checkpoint = self.next_checkpoint.saturating_mul(2);
+            return Some(AttemptUpdate::Progress {
+                tokens: self.expected,
+            });
+        }
+        None
+    }
+
+    /// Takes one of the resumptions that are left and returns how long to wait first.
+    pub fn take_resume(&mut self) -> Option<Duration> {
+        let spent =
+            self.resumes >= MAX_RESUMES || self.resumes_without_token >= MAX_RESUMES_WITHOUT_TOKEN;
+        if !self.resumable || spent {
+            return None;
+        }
+        let delay = match self.resumes_without_token {
+            0 => Duration::ZERO,
+            _ => RESUME_DELAY,
+        };
+        self.resumes += 1;
+        self.resumes_without_token += 1;
+        self.duplicates = 0;
+        Some(delay)
+    }
+
+    /// Returns why an input with the id `id` does not belong to this attempt.
+    pub fn foreign_id(&self, id: &str) -> Reason {
+        match id.parse::<AttemptId>() {
+            Ok(other) if other.request == self.id.request && other.number < self.id.number => {
+                Reason::LateAnswer
+            }
+            _ => Reason::WrongAttempt,
+        }
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -20,6 +20,7 @@
 //! See `docs/design/` for why each part is as it is.
 
 pub mod cell;
+pub mod delivery;
 pub mod event;
 pub mod findings;
 pub mod ids;
@@ -29,6 +30,7 @@
 pub mod reason;
 pub mod time;
 
+pub use delivery::Delivery;
 pub use event::{Action, Event};
 pub use ids::{
     AttemptId, CellKey, ClassKey, EndpointKey, EntryKey, Incarnation, InstanceKey, ModelKey,
