--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -14,3 +14,4 @@
 pub mod process;
 pub mod proxy;
 pub mod standins;
+pub mod workload;
