Settings from one described table, and the command line's frame

Cause: nothing could be started or checked. Change: one table makes the settings' types, defaults, ranges, reader and docs/SETTINGS.md; every finding is reported together with its place; secrets come from files only. serve, check and version with exit codes; serve::run is a stub with the errors that the exit codes need.

--- a/crates/core/src/findings.rs
+++ b/crates/core/src/findings.rs
@@ -226,12 +226,17 @@
         self.findings.iter()
     }
 
+    /// Puts the findings in the order of their places.
+    pub fn sort(&mut self) {
+        self.findings.sort_by_key(|finding| finding.place);
+    }
+
     /// Returns `value` if there are no findings, else the findings in the order of their places.
     pub fn into_result<T>(mut self, value: T) -> Result<T, Findings> {
         if self.is_empty() {
             return Ok(value);
         }
-        self.findings.sort_by_key(|finding| finding.place);
+        self.sort();
         Err(self)
     }
 }
--- /dev/null
+++ b/crates/oriolemux/src/cli.rs
@@ -0,0 +1,109 @@
+//! The command line.
+//!
+//! Every command has output for people and, with `--json`, for programs, and
+//! ends with an [`ExitStatus`] that tells apart what a script has to tell apart.
+
+mod check;
+mod exit;
+mod serve;
+
+pub use exit::ExitStatus;
+
+use clap::{Args, Parser, Subcommand};
+use std::ffi::OsString;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+const AFTER_HELP: &str = "\
+Exit codes:
+  0  done
+  1  findings in a checked file
+  2  wrong command line
+  3  the instance could not start
+  4  a part of the instance failed for good
+  5  the instance was told to stop at once, and cut off what was running
+  6  the operators' listener could not be reached
+  7  the operators' listener refused the key
+  8  the instance does not know what was asked for";
+
+/// Serves text generations of unknown length on crowded engines.
+#[derive(Debug, Parser)]
+#[command(name = "oriolemux", after_help = AFTER_HELP, disable_version_flag = true)]
+struct Cli {
+    /// Print JSON for programs instead of text for people.
+    #[arg(long, global = true)]
+    json: bool,
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Debug, Subcommand)]
+enum Command {
+    /// Run one instance until it is told to stop (SIGTERM; a second signal stops it at once).
+    Serve(ServeArgs),
+    /// Check the text of settings and catalogue files and report every finding.
+    Check(CheckArgs),
+    /// Print the version.
+    Version,
+}
+
+#[derive(Debug, Args)]
+struct ServeArgs {
+    /// The settings file of the instance.
+    #[arg(long, value_name = "FILE")]
+    settings: PathBuf,
+    /// Check the settings and the files with secrets as a start would, and exit.
+    #[arg(long)]
+    check: bool,
+}
+
+#[derive(Debug, Args)]
+struct CheckArgs {
+    /// The files. What each holds is told from its tables.
+    #[arg(required = true, value_name = "FILE")]
+    files: Vec<PathBuf>,
+}
+
+/// How a command prints what it has to say.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Output {
+    Human,
+    Json,
+}
+
+/// Runs the command line `args`, whose first item is the program's name.
+pub fn main_with(args: impl IntoIterator<Item = OsString>) -> ExitCode {
+    run(args).into()
+}
+
+fn run(args: impl IntoIterator<Item = OsString>) -> ExitStatus {
+    let cli = match Cli::try_parse_from(args) {
+        Ok(cli) => cli,
+        Err(error) => {
+            // Nothing is left to tell if the terminal itself is gone.
+            let _ = error.print();
+            return match error.use_stderr() {
+                true => ExitStatus::Usage,
+                false => ExitStatus::Done,
+            };
+        }
+    };
+    let output = match cli.json {
+        true => Output::Json,
+        false => Output::Human,
+    };
+    match cli.command {
+        Command::Serve(args) => serve::run(&args, output),
+        Command::Check(args) => check::run(&args, output),
+        Command::Version => version(output),
+    }
+}
+
+fn version(output: Output) -> ExitStatus {
+    let version = env!("CARGO_PKG_VERSION");
+    match output {
+        Output::Human => println!("oriolemux {version}"),
+        Output::Json => println!("{}", serde_json::json!({ "version": version })),
+    }
+    ExitStatus::Done
+}
--- a/crates/oriolemux/src/lib.rs
+++ b/crates/oriolemux/src/lib.rs
@@ -1,3 +1,13 @@
-//! Shell.
+//! The oriolemux process: sockets, settings, logs and metrics around the decisions.
+//!
+//! # The story
+//!
+//! The decisions live in `oriolemux_core` and know no clock and no socket. This
+//! crate is the shell around them. [`cli`] reads the command line; `serve` loads
+//! the [`settings`] and hands them to [`serve::run`], which starts the listeners
+//! and the node under a supervisor tree and feeds the node until it is told to stop.
 
 pub mod callers;
+pub mod cli;
+pub mod serve;
+pub mod settings;
--- /dev/null
+++ b/crates/oriolemux/src/settings.rs
@@ -0,0 +1,118 @@
+//! The settings of one instance, read from a TOML file and checked.
+//!
+//! `docs/SETTINGS.md` describes every setting. It is generated from the table
+//! in [`table`], which also makes the types, the defaults, the ranges and the
+//! reader, so that none of them can differ from the others.
+//!
+//! A mistake does not end the reading: all findings are reported together with
+//! line and column. Secrets never stand in the file; it names files that hold them.
+
+mod docs;
+mod reader;
+mod secret;
+mod spec;
+mod table;
+mod value;
+
+pub use docs::render as render_docs;
+pub use secret::{Secret, SecretFile, Secrets};
+pub use spec::Description;
+pub use table::{
+    CallersSettings, EndpointsSettings, LimitsSettings, LogsSettings, OperatorsSettings,
+    PeersSettings, PlatformSettings, SectionDescription, Settings, StopSettings,
+    SupervisorSettings,
+};
+pub use value::{LogFormat, LogLevel, Millis};
+
+use oriolemux_core::findings::{Findings, Place, Problem};
+use reader::SectionReader;
+use std::net::SocketAddr;
+use std::path::Path;
+
+impl Settings {
+    /// Reads and checks the settings file at `path`.
+    ///
+    /// The files that hold secrets are not opened; [`Secrets::read`] does that.
+    ///
+    /// # Errors
+    ///
+    /// Returns every finding with its place.
+    pub fn load(path: impl AsRef<Path>) -> Result<Self, Findings> {
+        let path = path.as_ref();
+        let file = path.display().to_string();
+        match std::fs::read_to_string(path) {
+            Ok(text) => Self::parse(&file, &text),
+            Err(error) => {
+                let message = error.to_string();
+                let mut findings = Findings::new(file);
+                findings.push(Place::START, Problem::Unreadable { message });
+                Err(findings)
+            }
+        }
+    }
+
+    /// Checks the text of the settings file named `file`.
+    ///
+    /// Relative paths in the text are taken from the directory of `file`.
+    ///
+    /// # Errors
+    ///
+    /// Returns every finding with its place.
+    pub fn parse(file: &str, text: &str) -> Result<Self, Findings> {
+        let mut findings = Findings::new(file);
+        let document = match toml_edit::Document::parse(text) {
+            Ok(document) => document,
+            Err(error) => {
+                let message = error.message().to_owned();
+                findings.push_span(text, error.span(), Problem::Syntax { message });
+                return Err(findings);
+            }
+        };
+        let base = Path::new(file).parent().unwrap_or(Path::new(""));
+        let mut root = SectionReader::root(document.as_table(), text, base, &mut findings);
+        let Some(settings) = Self::read(&mut root) else {
+            findings.sort();
+            return Err(findings);
+        };
+        check_listeners(&settings, document.as_table(), text, &mut findings);
+        findings.into_result(settings)
+    }
+}
+
+/// Two listeners on one address would fail only when the second one binds, long after
+/// the file was checked; so they are told apart here.
+fn check_listeners(
+    settings: &Settings,
+    root: &toml_edit::Table,
+    text: &str,
+    findings: &mut Findings,
+) {
+    let listeners = [
+        ("callers", settings.callers.listen),
+        ("peers", settings.peers.listen),
+        ("operators", settings.operators.listen),
+    ];
+    for (index, &(section, address)) in listeners.iter().enumerate() {
+        let earlier = listeners[..index]
+            .iter()
+            .find(|&&(_, other)| collide(address, other));
+        if let Some((other, _)) = earlier {
+            let item = root.get(section).and_then(|item| item.get("listen"));
+            findings.push_span(
+                text,
+                item.and_then(toml_edit::Item::span),
+                Problem::Invalid {
+                    key: format!("{section}.listen"),
+                    why: format!("is the address of `{other}.listen`"),
+                },
+            );
+        }
+    }
+}
+
+/// Port 0 asks the operating system for any free port, so two of those never collide.
+fn collide(a: SocketAddr, b: SocketAddr) -> bool {
+    a.port() != 0
+        && a.port() == b.port()
+        && (a.ip() == b.ip() || a.ip().is_unspecified() || b.ip().is_unspecified())
+}
--- /dev/null
+++ b/crates/oriolemux/src/settings/reader.rs
@@ -0,0 +1,146 @@
+//! Reads the tables of a settings file and collects what is wrong with them.
+
+use super::spec::{Absent, Spec};
+use super::value::{Value, ValueContext};
+use core::ops::Range;
+use oriolemux_core::findings::{Findings, Place, Problem, nearest};
+use std::path::Path;
+use toml_edit::{Item, Table, TableLike};
+
+/// Keys under which people write a secret itself.
+const SECRET_KEYS: &[&str] = &["secret", "key", "password", "token"];
+
+/// Reads one table.
+pub(super) struct SectionReader<'a> {
+    /// The section's name; empty for the root.
+    section: &'static str,
+    /// The table, if the file has it.
+    table: Option<&'a dyn TableLike>,
+    /// Where the table stands, for what is missing from it.
+    span: Option<Range<usize>>,
+    text: &'a str,
+    base: &'a Path,
+    findings: &'a mut Findings,
+}
+
+impl<'a> SectionReader<'a> {
+    /// Reads the root of a document.
+    pub(super) fn root(
+        table: &'a Table,
+        text: &'a str,
+        base: &'a Path,
+        findings: &'a mut Findings,
+    ) -> Self {
+        SectionReader {
+            section: "",
+            table: Some(table),
+            span: None,
+            text,
+            base,
+            findings,
+        }
+    }
+
+    /// Reads the section `name` of the root. A section that is not there is read as an empty one.
+    pub(super) fn section(&mut self, name: &'static str) -> SectionReader<'_> {
+        let item = self.table.and_then(|table| table.get(name));
+        let table = item.and_then(Item::as_table_like);
+        if let (Some(item), None) = (item, table) {
+            let problem = Problem::WrongType {
+                key: name.to_owned(),
+                expected: "a table",
+                found: item.type_name(),
+            };
+            self.findings.push_span(self.text, item.span(), problem);
+        }
+        SectionReader {
+            section: name,
+            table,
+            span: item.and_then(Item::span),
+            text: self.text,
+            base: self.base,
+            findings: self.findings,
+        }
+    }
+
+    /// Reads one setting. `None` means that a finding was pushed.
+    pub(super) fn field<T: Value>(&mut self, field: &str, spec: Spec<T>) -> Option<T> {
+        let key = self.full_key(field);
+        let Some(item) = self.table.and_then(|table| table.get(field)) else {
+            return self.absent(key, spec);
+        };
+        let place = item
+            .span()
+            .map_or(Place::START, |span| Place::of_offset(self.text, span.start));
+        let cx = ValueContext {
+            key: &key,
+            place,
+            base: self.base,
+            range: spec.range,
+        };
+        match T::read(item, &cx) {
+            Ok(value) => Some(value),
+            Err(problem) => {
+                self.findings.push(place, problem);
+                None
+            }
+        }
+    }
+
+    /// Pushes a finding for each key that is not `known`.
+    pub(super) fn refuse_unknown(&mut self, known: &[&str]) {
+        let Some(table) = self.table else { return };
+        for (name, item) in table.iter() {
+            if known.contains(&name) {
+                continue;
+            }
+            let span = table
+                .get_key_value(name)
+                .and_then(|(key, _)| key.span())
+                .or_else(|| item.span());
+            let problem = self.unknown_key(name, known);
+            self.findings.push_span(self.text, span, problem);
+        }
+    }
+
+    fn absent<T>(&mut self, key: String, spec: Spec<T>) -> Option<T> {
+        match spec.absent {
+            Absent::Default(value) => Some(value),
+            Absent::Refused => {
+                let problem = Problem::MissingKey { key };
+                self.findings
+                    .push_span(self.text, self.span.clone(), problem);
+                None
+            }
+        }
+    }
+
+    fn unknown_key(&self, name: &str, known: &[&str]) -> Problem {
+        let key = self.full_key(name);
+        let file_key = known.iter().find(|known| known.ends_with("_file"));
+        match file_key {
+            Some(file_key) if SECRET_KEYS.contains(&name) => Problem::Invalid {
+                key,
+                why: format!(
+                    "must not stand in the settings; write it to a file and name that in `{file_key}`"
+                ),
+            },
+            _ => Problem::UnknownKey {
+                key,
+                nearest: nearest(name, known.iter().copied()).map(str::to_owned),
+            },
+        }
+    }
+
+    /// Returns the name of the file that is read.
+    pub(super) fn file(&self) -> &str {
+        self.findings.file()
+    }
+
+    fn full_key(&self, field: &str) -> String {
+        match self.section {
+            "" => field.to_owned(),
+            section => format!("{section}.{field}"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/oriolemux/src/settings/table.rs
@@ -0,0 +1,229 @@
+//! The table of settings: names, types, defaults, ranges and meanings.
+
+use super::reader::SectionReader;
+use super::secret::SecretFile;
+use super::spec::{Description, default, describe, required};
+use super::value::{LogFormat, LogLevel, Millis};
+use std::net::SocketAddr;
+
+/// Makes the types, the reader and the descriptions of the settings.
+///
+/// A row is `name: type = rules;` below the sentences that the docs show.
+macro_rules! settings {
+    (
+        root { $($(#[doc = $root_doc:literal])* $root_field:ident: $root_ty:ty = $root_spec:expr;)* }
+        $(
+            $(#[doc = $section_doc:literal])*
+            $section:ident: $Section:ident {
+                $($(#[doc = $doc:literal])* $field:ident: $ty:ty = $spec:expr;)*
+            }
+        )*
+    ) => {
+        /// The settings of one instance.
+        #[derive(Clone, Debug)]
+        pub struct Settings {
+            /// The file that the settings came from, as it was named.
+            pub file: String,
+            $($(#[doc = $root_doc])* pub $root_field: $root_ty,)*
+            $($(#[doc = $section_doc])* pub $section: $Section,)*
+        }
+
+        impl Settings {
+            /// Reads all tables; `None` means that findings were pushed.
+            pub(super) fn read(root: &mut SectionReader<'_>) -> Option<Self> {
+                root.refuse_unknown(&[$(stringify!($root_field),)* $(stringify!($section),)*]);
+                $(let $root_field = root.field(stringify!($root_field), $root_spec);)*
+                $(let $section = $Section::read(&mut root.section(stringify!($section)));)*
+                Some(Settings {
+                    file: root.file().to_owned(),
+                    $($root_field: $root_field?,)*
+                    $($section: $section?,)*
+                })
+            }
+
+            /// Describes every setting, in the order of the table.
+            pub fn describe() -> Vec<SectionDescription> {
+                vec![
+                    SectionDescription {
+                        name: "",
+                        doc: String::new(),
+                        settings: vec![$({
+                            let spec: super::spec::Spec<$root_ty> = $root_spec;
+                            describe("", stringify!($root_field), &[$($root_doc),*], &spec)
+                        },)*],
+                    },
+                    $($Section::describe(),)*
+                ]
+            }
+        }
+
+        $(
+            $(#[doc = $section_doc])*
+            #[derive(Clone, Debug)]
+            pub struct $Section {
+                $($(#[doc = $doc])* pub $field: $ty,)*
+            }
+
+            impl $Section {
+                fn read(section: &mut SectionReader<'_>) -> Option<Self> {
+                    section.refuse_unknown(&[$(stringify!($field),)*]);
+                    $(let $field = section.field(stringify!($field), $spec);)*
+                    Some($Section { $($field: $field?,)* })
+                }
+
+                fn describe() -> SectionDescription {
+                    SectionDescription {
+                        name: stringify!($section),
+                        doc: [$($section_doc),*].map(str::trim).join(" "),
+                        settings: vec![$({
+                            let spec: super::spec::Spec<$ty> = $spec;
+                            describe(stringify!($section), stringify!($field), &[$($doc),*], &spec)
+                        },)*],
+                    }
+                }
+            }
+        )*
+    };
+}
+
+/// A section of the settings as the docs show it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SectionDescription {
+    /// The section's name; empty for the keys above all sections.
+    pub name: &'static str,
+    /// What the section is about.
+    pub doc: String,
+    /// Its settings.
+    pub settings: Vec<Description>,
+}
+
+const DAY_MS: i64 = 24 * 60 * 60 * 1000;
+const MIB: usize = 1024 * 1024;
+
+settings! {
+    root {
+        /// The instance's name, as the platform's list of instances publishes it.
+        name: String = required();
+        /// The data centre that the instance stands in, as the list publishes it.
+        data_centre: String = required();
+    }
+
+    /// The listener for callers.
+    callers: CallersSettings {
+        /// Address and port on which callers are served.
+        listen: SocketAddr = required();
+        /// The most connections at once; further ones are closed at once.
+        max_connections: u32 = default(4096).range(1, 1_000_000);
+        /// The most requests that are held at once, running or waiting;
+        /// further ones are refused with the reason `instance_full`.
+        max_requests: u32 = default(4096).range(1, 1_000_000);
+        /// The largest request body in bytes.
+        max_body_bytes: usize = default(MIB).range(1024, 64 * MIB as i64);
+        /// The largest request head in bytes.
+        max_header_bytes: usize = default(16 * 1024).range(8192, 1024 * 1024);
+        /// A request must have arrived whole within this time.
+        read_timeout_ms: Millis = default(Millis(10_000)).range(100, DAY_MS);
+        /// A caller that takes nothing for this long counts as gone.
+        write_timeout_ms: Millis = default(Millis(60_000)).range(100, DAY_MS);
+        /// An idle connection is closed after this time.
+        idle_timeout_ms: Millis = default(Millis(75_000)).range(100, DAY_MS);
+    }
+
+    /// The links between instances.
+    peers: PeersSettings {
+        /// Address and port on which other instances connect.
+        listen: SocketAddr = required();
+        /// A file with the secret that instances prove to each other. It is the same on all.
+        secret_file: SecretFile = required();
+        /// The largest frame in bytes; a larger one ends the link.
+        max_frame_bytes: usize = default(256 * 1024).range(4096, 16 * MIB as i64);
+        /// The most frames that wait for one link; further ones are dropped and counted.
+        max_queued_frames: u32 = default(1024).range(1, 1_000_000);
+        /// A connection must be made and authenticated within this time.
+        connect_timeout_ms: Millis = default(Millis(1_000)).range(10, 60_000);
+        /// A heartbeat is sent on a link after so long without other traffic.
+        heartbeat_ms: Millis = default(Millis(1_000)).range(10, 60_000);
+        /// A link that was silent for this long is closed.
+        silence_timeout_ms: Millis = default(Millis(4_000)).range(20, 600_000);
+        /// The first pause before a lost link is made again; it doubles up to
+        /// `reconnect_max_ms`, with jitter.
+        reconnect_min_ms: Millis = default(Millis(100)).range(1, 60_000);
+        /// The longest pause before a lost link is made again.
+        reconnect_max_ms: Millis = default(Millis(3_000)).range(1, 600_000);
+    }
+
+    /// The listener for operators.
+    operators: OperatorsSettings {
+        /// Address and port on which operators are served.
+        listen: SocketAddr = required();
+        /// A file with the key that operators send as bearer token.
+        key_file: SecretFile = required();
+    }
+
+    /// The platform's configuration service.
+    platform: PlatformSettings {
+        /// Addresses and ports of the service; the next one is tried when one fails.
+        addresses: Vec<SocketAddr> = required();
+        /// A read must be answered within this time.
+        read_timeout_ms: Millis = default(Millis(2_000)).range(10, 60_000);
+        /// A watch must be answered within this time, which must be longer than
+        /// the service holds a watch open.
+        watch_timeout_ms: Millis = default(Millis(30_000)).range(10, 600_000);
+        /// The largest value in bytes.
+        max_value_bytes: usize = default(MIB).range(1024, 64 * MIB as i64);
+        /// The first pause after a failed read; it doubles up to `retry_max_ms`, with jitter.
+        retry_min_ms: Millis = default(Millis(200)).range(1, 60_000);
+        /// The longest pause after a failed read.
+        retry_max_ms: Millis = default(Millis(5_000)).range(1, 600_000);
+    }
+
+    /// The connections to endpoints.
+    endpoints: EndpointsSettings {
+        /// A connection must be made within this time.
+        connect_timeout_ms: Millis = default(Millis(1_000)).range(10, 60_000);
+        /// An endpoint that sends nothing for this long counts as stalled.
+        stall_timeout_ms: Millis = default(Millis(5_000)).range(10, DAY_MS);
+        /// Load reports and cache events must be answered within this time.
+        report_timeout_ms: Millis = default(Millis(1_000)).range(10, 60_000);
+        /// The largest event of an answer in bytes; a larger one is garbage.
+        max_event_bytes: usize = default(64 * 1024).range(1024, 16 * MIB as i64);
+        /// The largest answer of a plain service in bytes.
+        max_answer_bytes: usize = default(4 * MIB).range(1024, 256 * MIB as i64);
+        /// Idle connections that are kept for each endpoint.
+        max_idle_connections: u32 = default(64).range(0, 100_000);
+    }
+
+    /// What is logged, to standard error.
+    logs: LogsSettings {
+        /// How lines look.
+        format: LogFormat = default(LogFormat::Human);
+        /// The least severe level that is logged. `debug` adds a line for each refusal and retry.
+        level: LogLevel = default(LogLevel::Info);
+    }
+
+    /// Bounds of the instance's own making; what a workspace may take stands in the catalogue.
+    limits: LimitsSettings {
+        /// Retries allowed as a share of recent requests, in percent.
+        retry_budget_pct: u32 = default(10).range(0, 100);
+        /// Decision records that are kept for `explain`.
+        explain_records: u32 = default(4096).range(16, 1_000_000);
+        /// What must be decided on a fresh list of instances is refused with the
+        /// reason `list_stale` when the list was not confirmed for this long.
+        list_max_age_ms: Millis = default(Millis(60_000)).range(100, DAY_MS);
+    }
+
+    /// The planned stop. Running streams are always finished, however long they take.
+    stop: StopSettings {
+        /// How long new requests are still taken after readiness was withdrawn, so that
+        /// the balancer has noticed before the first one is refused.
+        notice_ms: Millis = default(Millis(2_000)).range(0, 600_000);
+    }
+
+    /// The supervisor of the instance's parts.
+    supervisor: SupervisorSettings {
+        /// A part that fails more often than this within `restart_window_ms` ends the process.
+        max_restarts: u32 = default(5).range(0, 1000);
+        /// The window in which restarts are counted.
+        restart_window_ms: Millis = default(Millis(30_000)).range(100, DAY_MS);
+    }
+}
--- /dev/null
+++ b/crates/oriolemux/tests/settings_reading.rs
@@ -0,0 +1,181 @@
+//! Settings are read whole, and every mistake is reported with its place.
+
+use oriolemux::settings::{LogFormat, LogLevel, Millis, Secret, Secrets, Settings};
+use rstest::rstest;
+
+/// The least that settings must say.
+const LEAST: &str = r#"
+name = "chaguanas-1"
+data_centre = "chaguanas"
+
+[callers]
+listen = "127.0.0.1:8080"
+
+[peers]
+listen = "127.0.0.1:8081"
+secret_file = "peers.secret"
+
+[operators]
+listen = "127.0.0.1:8082"
+key_file = "operators.key"
+
+[platform]
+addresses = ["127.0.0.1:9000", "127.0.0.1:9001"]
+"#;
+
+/// Returns the findings of `text` as lines without the file's name.
+fn findings_of(text: &str) -> Vec<String> {
+    match Settings::parse("settings.toml", text) {
+        Ok(_) => Vec::new(),
+        Err(findings) => findings
+            .iter()
+            .map(|finding| format!("{}: {}", finding.place, finding.problem))
+            .collect(),
+    }
+}
+
+#[test]
+fn least_settings_take_defaults() {
+    let settings = Settings::parse("dir/settings.toml", LEAST).expect("no findings");
+
+    assert_eq!(settings.name, "chaguanas-1");
+    assert_eq!(settings.platform.addresses.len(), 2);
+    assert_eq!(settings.callers.max_connections, 4096);
+    assert_eq!(settings.endpoints.connect_timeout_ms, Millis(1_000));
+    assert_eq!(settings.logs.format, LogFormat::Human);
+    assert_eq!(settings.logs.level, LogLevel::Info);
+    assert_eq!(
+        settings.peers.secret_file.path(),
+        std::path::Path::new("dir/peers.secret")
+    );
+}
+
+#[test]
+fn five_mistakes_are_five_findings_with_places() {
+    let text = r#"name = "chaguanas-1"
+data_center = "chaguanas"
+
+[callers]
+listen = "localhost:8080"
+max_connections = 0
+
+[peers]
+listen = "127.0.0.1:8081"
+secret = "do not tell"
+secret_file = "peers.secret"
+
+[operators]
+listen = "127.0.0.1:8082"
+key_file = "operators.key"
+
+[platform]
+addresses = ["127.0.0.1:9000"]
+"#;
+
+    let findings = findings_of(text);
+
+    assert_eq!(
+        findings,
+        [
+            "1:1: missing key `data_centre`",
+            "2:1: unknown key `data_center`; did you mean `data_centre`?",
+            "5:10: `callers.listen` must be an IP address and a port, such as 10.0.0.7:8080; \
+             names are not resolved",
+            "6:19: `callers.max_connections` must be between 1 and 1000000",
+            "10:1: `peers.secret` must not stand in the settings; write it to a file and name \
+             that in `secret_file`",
+        ]
+    );
+}
+
+#[rstest]
+#[case::syntax("name = \n", "invalid TOML")]
+#[case::section_is_a_value("callers = 3", "`callers` must be a table, found integer")]
+#[case::unknown_section("[operator]\n", "unknown key `operator`; did you mean `operators`?")]
+#[case::no_address(
+    "[platform]\naddresses = []",
+    "`platform.addresses` must name at least one address"
+)]
+#[case::one_bad_address(
+    "[platform]\naddresses = [\"10.0.0.1\"]",
+    "`platform.addresses` must be an IP address and a port"
+)]
+#[case::address_of_wrong_type(
+    "[platform]\naddresses = [1]",
+    "`platform.addresses` must be an array of strings, found integer"
+)]
+#[case::wrong_type(
+    "[callers]\nmax_connections = \"many\"",
+    "`callers.max_connections` must be an integer, found string"
+)]
+#[case::negative(
+    "[stop]\nnotice_ms = -1",
+    "`stop.notice_ms` must be between 0 and 600000"
+)]
+#[case::level(
+    "[logs]\nlevel = \"inf\"",
+    "`logs.level` must be one of error, warn, info, debug, trace; did you mean `info`?"
+)]
+#[case::empty_name("name = \" \"", "`name` must not be empty")]
+#[case::missing_section("name = \"a\"", "missing key `operators.key_file`")]
+fn mistake_is_found(#[case] text: &str, #[case] expected: &str) {
+    let findings = findings_of(text);
+
+    assert!(
+        findings.iter().any(|finding| finding.contains(expected)),
+        "{expected} not in {findings:#?}"
+    );
+}
+
+#[rstest]
+#[case::same_address("127.0.0.1:8080", true)]
+#[case::any_address("0.0.0.0:8080", true)]
+#[case::other_address("127.0.0.2:8080", false)]
+#[case::any_port("127.0.0.1:0", false)]
+fn two_listeners_on_one_address_are_found(#[case] peers: &str, #[case] found: bool) {
+    let text = LEAST.replace("127.0.0.1:8081", peers);
+
+    let findings = findings_of(&text);
+
+    let expected = "9:10: `peers.listen` is the address of `callers.listen`";
+    assert_eq!(
+        findings.contains(&expected.to_owned()),
+        found,
+        "{findings:?}"
+    );
+}
+
+#[test]
+fn unreadable_file_is_a_finding() {
+    let error = Settings::load("/nonexistent/settings.toml").expect_err("no such file");
+
+    assert!(
+        error
+            .to_string()
+            .starts_with("/nonexistent/settings.toml:1:1: cannot read")
+    );
+}
+
+#[test]
+fn secrets_come_from_files_and_are_never_shown() {
+    let dir = tempfile::tempdir().expect("a directory");
+    let file = dir.path().join("settings.toml");
+    std::fs::write(&file, LEAST).expect("settings written");
+    std::fs::write(dir.path().join("peers.secret"), "0123456789abcdef\n").expect("secret written");
+    std::fs::write(dir.path().join("operators.key"), "short").expect("key written");
+    let settings = Settings::load(&file).expect("no findings");
+
+    let findings = Secrets::read(&settings).expect_err("the operators' key is too short");
+
+    assert_eq!(findings.len(), 1);
+    assert!(
+        findings
+            .to_string()
+            .contains("14:12: `operators.key_file` names")
+    );
+    std::fs::write(dir.path().join("operators.key"), "fedcba9876543210").expect("key written");
+    let secrets = Secrets::read(&settings).expect("both are long enough");
+    assert!(secrets.peers.matches(b"0123456789abcdef"));
+    assert!(!secrets.operators.matches(b"fedcba987654321"));
+    assert_eq!(format!("{:?}", Secret::new("hidden")), "Secret(..)");
+}
