"Not run" only where the types have proof

Cause: NotRun could be built anywhere by naming a state; nothing tied the claim to the attempt, and a request of several attempts had no one place where the claim was made. Change: Unsent becomes Sent at the send and neither can be copied; proof comes from giving an Unsent up, from a connection that was never made, or from a Refusal, which only Refusal::parse makes from the endpoint's own words. RequestOutcome holds a request's attempts and gives the final Verdict; Verdict::not_accepted is for refusals before a request was accepted. Ruled out: a status of 503 alone as proof (proxies and crashed engines answer it too); a refusal in answer to a resumption.

--- a/crates/core/src/delivery.rs
+++ b/crates/core/src/delivery.rs
@@ -15,7 +15,7 @@
 
 use crate::event::{AttemptMode, AttemptUpdate, DeliveryMode, Dispatch};
 use crate::ids::AttemptId;
-use crate::outcome::{NotRun, Ran};
+use crate::outcome::{NotRun, Ran, Refusal, Sent, Unsent};
 use crate::reason::Reason;
 use crate::time::Time;
 use attempt::Attempt;
@@ -162,18 +162,23 @@
     /// clock read at that moment: a process that was paused since the decision
     /// finds out here and sends nothing. A report is about `dispatch`'s attempt.
     pub fn start(&mut self, dispatch: &Dispatch, now: Time) -> Step {
+        let unsent = Unsent::new();
         if let Some(reason) = self.start_refusal(dispatch) {
-            return self.not_started(reason);
+            return self.not_started(reason, unsent);
         }
         if now >= dispatch.send_before {
-            return self.not_started(Reason::PausedTooLong);
+            return self.not_started(Reason::PausedTooLong, unsent);
         }
         if self.delivered == 0 {
             self.log.clear();
         }
         self.log
             .set_kept(dispatch.idempotent || dispatch.delivery == DeliveryMode::Whole);
-        self.attempt = Some(Attempt::new(dispatch, self.may_have_run));
+        self.attempt = Some(Attempt::new(
+            dispatch,
+            unsent.mark_sent(),
+            self.may_have_run,
+        ));
         self.last_number = dispatch.attempt.number;
         self.may_have_run = true;
         Step::act(Act::Send)
@@ -195,12 +200,12 @@
         (delivered != self.delivered).then_some(Reason::Internal)
     }
 
-    fn not_started(&self, reason: Reason) -> Step {
+    fn not_started(&self, reason: Reason, unsent: Unsent) -> Step {
         Step {
             act: Act::Idle,
             report: Some(AttemptUpdate::Failed {
                 reason,
-                ran: Ran::No(NotRun::never_sent()),
+                ran: Ran::No(unsent.give_up()),
                 delivered: self.delivered,
                 retry_after: None,
             }),
@@ -212,32 +217,34 @@
     /// Only for a failure in which the shell knows that no byte of the request
     /// left; anything else is [`Delivery::on_link_failure`].
     pub fn on_connect_failed(&mut self) -> Step {
-        match &self.attempt {
-            Some(attempt) if attempt.is_unanswered() => {
-                self.fail_not_run(Reason::ConnectFailed, NotRun::never_sent(), None)
-            }
-            _ => self.interrupt(Reason::ConnectFailed),
+        match self.take_unanswered() {
+            Some(sent) => self.fail_not_run(Reason::ConnectFailed, sent.never_connected(), None),
+            None => self.interrupt(Reason::ConnectFailed),
         }
     }
 
-    /// The endpoint's answer to the send itself was a definite refusal.
+    /// The endpoint answered with a definite refusal.
     ///
     /// What goes wrong otherwise: a refusal in answer to a *resumption* says
     /// nothing about the send before it, and taking it as "not run" would run
     /// work twice. Only the first answer counts.
-    pub fn on_refused(&mut self, reason: Reason, retry_after: Option<Duration>) -> Step {
-        match &self.attempt {
-            Some(attempt) if attempt.is_unanswered() => {
-                self.fail_not_run(reason, NotRun::refused_by_endpoint(), retry_after)
-            }
-            _ => self.interrupt(Reason::EndpointError),
-        }
+    pub fn on_refused(&mut self, refusal: &Refusal) -> Step {
+        let Some(sent) = self.take_unanswered() else {
+            return self.interrupt(Reason::EndpointError);
+        };
+        let (reason, proof) = sent.refused(refusal);
+        self.fail_not_run(reason, proof, refusal.retry_after())
+    }
+
+    /// Takes the state of a send that has had no answer, if nothing else was asked since.
+    fn take_unanswered(&mut self) -> Option<Sent> {
+        self.attempt.as_mut()?.unanswered.take()
     }
 
     /// The endpoint answered the send with a stream or a body.
     pub fn on_answered(&mut self) {
         if let Some(attempt) = &mut self.attempt {
-            attempt.answered = true;
+            attempt.unanswered = None;
         }
     }
 
@@ -252,7 +259,7 @@
         let Some(attempt) = &mut self.attempt else {
             return Step::act(Act::Discard(Reason::LateAnswer));
         };
-        attempt.answered = true;
+        attempt.unanswered = None;
         if id != attempt.id_text {
             let reason = attempt.foreign_id(id);
             return self.interrupt(reason);
@@ -312,7 +319,7 @@
         let Some(attempt) = &mut self.attempt else {
             return Step::act(Act::Discard(Reason::LateAnswer));
         };
-        attempt.answered = true;
+        attempt.unanswered = None;
         if id != attempt.id_text {
             let reason = attempt.foreign_id(id);
             return self.interrupt(reason);
@@ -335,7 +342,7 @@
         let Some(attempt) = &mut self.attempt else {
             return Step::act(Act::Discard(Reason::LateAnswer));
         };
-        attempt.answered = true;
+        attempt.unanswered = None;
         if id != attempt.id_text {
             let reason = attempt.foreign_id(id);
             return self.interrupt(reason);
--- a/crates/core/src/delivery/attempt.rs
+++ b/crates/core/src/delivery/attempt.rs
@@ -4,6 +4,7 @@
 use super::{FIRST_CHECKPOINT, MAX_RESUMES, MAX_RESUMES_WITHOUT_TOKEN, RESUME_DELAY};
 use crate::event::{AttemptMode, AttemptUpdate, DeliveryMode, Dispatch};
 use crate::ids::AttemptId;
+use crate::outcome::Sent;
 use crate::reason::Reason;
 use core::time::Duration;
 
@@ -21,8 +22,9 @@
     pub cursor: Cursor,
     /// No generation is longer than asked for; bounds the token log.
     pub max_tokens: u32,
-    /// The endpoint answered the send with something other than a refusal.
-    pub answered: bool,
+    /// The state of the send until its first answer. It is gone as soon as
+    /// anything arrived or a resumption was asked for, and proof with it.
+    pub unanswered: Option<Sent>,
     /// Duplicates since the last new token.
     pub duplicates: u32,
     /// An earlier attempt of the request may have run.
@@ -34,7 +36,7 @@
 }
 
 impl Attempt {
-    pub fn new(dispatch: &Dispatch, ran_before: bool) -> Self {
+    pub fn new(dispatch: &Dispatch, sent: Sent, ran_before: bool) -> Self {
         let verify_until = match dispatch.mode {
             AttemptMode::Fresh => 0,
             AttemptMode::Replay { delivered } => delivered,
@@ -47,7 +49,7 @@
             verify_until,
             cursor: Cursor::default(),
             max_tokens: dispatch.max_tokens,
-            answered: false,
+            unanswered: Some(sent),
             duplicates: 0,
             ran_before,
             resumable: !dispatch.model.is_empty(),
@@ -57,12 +59,6 @@
         }
     }
 
-    /// Returns whether the send itself has had no answer yet, so that the next
-    /// answer is about the send and not about a resumption.
-    pub fn is_unanswered(&self) -> bool {
-        !self.answered && self.resumes == 0
-    }
-
     /// Counts a new token and returns what to report of it.
     #[inline]
     pub fn received_token(&mut self) -> Option<AttemptUpdate> {
@@ -92,6 +88,7 @@
             0 => Duration::ZERO,
             _ => RESUME_DELAY,
         };
+        self.unanswered = None;
         self.resumes += 1;
         self.resumes_without_token += 1;
         self.duplicates = 0;
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -36,6 +36,6 @@
     AttemptId, CellKey, ClassKey, EndpointKey, EntryKey, Incarnation, InstanceKey, ModelKey,
     RequestId, WorkspaceKey,
 };
-pub use outcome::{NotRun, Ran, Verdict};
+pub use outcome::{NotRun, Ran, RequestOutcome, Verdict};
 pub use reason::{Outcome, Reason};
 pub use time::Time;
--- a/crates/core/src/outcome.rs
+++ b/crates/core/src/outcome.rs
@@ -1,29 +1,33 @@
 //! What may be said about a request that did not end well.
 //!
+//! "Not run" is a promise: a caller that hears it sells the shirt again. The
+//! types here make the wrong claim hard to write. A claim about one attempt
+//! starts from an [`Unsent`], which becomes a [`Sent`] at the send; from there
+//! proof comes only from the endpoint's own [`Refusal`] or from a connection
+//! that was never made. A claim about a request goes through its
+//! [`RequestOutcome`], which says "not run" only if every attempt has proof.
+//!
 //! See `docs/GUARANTEES.md`.
 
+mod attempt;
+mod refusal;
+mod request;
+
+pub use attempt::{Sent, Unsent};
+pub use refusal::Refusal;
+pub use request::RequestOutcome;
+
 use crate::reason::{Outcome, Reason};
 use core::time::Duration;
+use serde::{Deserialize, Serialize};
 
-/// Proof that a request ran nowhere.
+/// Proof that one attempt ran nowhere.
 ///
-/// It is built only by the constructors below, each of which names a state in
-/// which nothing can have run, so that a wrong "not run" is hard to write.
+/// Only [`Unsent`] and [`Sent`] make one, each from a state in which nothing
+/// can have run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct NotRun(());
 
-impl NotRun {
-    /// No attempt of the request was ever handed to an endpoint connection.
-    pub const fn never_sent() -> Self {
-        NotRun(())
-    }
-
-    /// The endpoint itself refused definitely.
-    pub const fn refused_by_endpoint() -> Self {
-        NotRun(())
-    }
-}
-
 /// What is known about whether an attempt ran.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Ran {
@@ -33,6 +37,23 @@
     Maybe,
 }
 
+/// How a request ended that ran, or may have run, under the same ticket or key.
+///
+/// There is no "not run" here: a request that truly did not run frees its
+/// ticket or key instead.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Earlier {
+    /// It may or may not have run.
+    Unknown,
+    /// Its first tokens were delivered, then no more came.
+    Partial {
+        /// How many.
+        delivered: u32,
+    },
+    /// It ran and its whole answer was delivered.
+    Complete,
+}
+
 /// The final answer to a caller whose request did not end well.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Verdict {
@@ -43,32 +64,44 @@
 }
 
 impl Verdict {
-    /// The request ran nowhere.
-    pub const fn not_run(_proof: NotRun, reason: Reason, retry_after: Option<Duration>) -> Self {
-        Verdict {
-            outcome: Outcome::NotRun,
-            reason,
-            retry_after,
-            delivered: 0,
-        }
+    /// A request that was refused before it was accepted: it has no
+    /// [`RequestOutcome`] and no attempt.
+    ///
+    /// Once a request was accepted, only [`RequestOutcome::finish`] may say
+    /// "not run".
+    pub fn not_accepted(reason: Reason, retry_after: Option<Duration>) -> Self {
+        Self::new(Outcome::NotRun, reason, retry_after, 0)
     }
 
     /// The request may have run; nothing was delivered.
     pub const fn unknown(reason: Reason) -> Self {
-        Verdict {
-            outcome: Outcome::Unknown,
-            reason,
-            retry_after: None,
-            delivered: 0,
-        }
+        Self::new(Outcome::Unknown, reason, None, 0)
     }
 
     /// The first `delivered` tokens of one generation stand, and no more will come.
     pub const fn partial(reason: Reason, delivered: u32) -> Self {
+        Self::new(Outcome::Partial, reason, None, delivered)
+    }
+
+    /// A request with the same ticket or key came before; this one did not run again.
+    pub const fn repeated(reason: Reason, earlier: Earlier) -> Self {
+        match earlier {
+            Earlier::Unknown => Self::unknown(reason),
+            Earlier::Partial { delivered } => Self::partial(reason, delivered),
+            Earlier::Complete => Self::new(Outcome::Complete, reason, None, 0),
+        }
+    }
+
+    const fn new(
+        outcome: Outcome,
+        reason: Reason,
+        retry_after: Option<Duration>,
+        delivered: u32,
+    ) -> Self {
         Verdict {
-            outcome: Outcome::Partial,
+            outcome,
             reason,
-            retry_after: None,
+            retry_after,
             delivered,
         }
     }
--- /dev/null
+++ b/crates/core/src/outcome/request.rs
@@ -0,0 +1,72 @@
+//! What may be said about a request, over all of its attempts.
+
+use super::{NotRun, Ran, Verdict};
+use crate::ids::AttemptId;
+use crate::reason::{Outcome, Reason};
+use core::time::Duration;
+
+/// What is known about whether an accepted request ran.
+///
+/// The node keeps one for each request and asks it for the final answer.
+/// Invariant: once [`RequestOutcome::may_have_run`] holds with no attempt
+/// open, it holds for good.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct RequestOutcome {
+    /// The attempt that was dispatched and has not ended.
+    open: Option<AttemptId>,
+    /// An attempt ended without proof.
+    unproven: bool,
+}
+
+impl RequestOutcome {
+    /// Returns the state of a request that was accepted and not dispatched.
+    pub const fn new() -> Self {
+        RequestOutcome {
+            open: None,
+            unproven: false,
+        }
+    }
+
+    /// An attempt is handed to the shell. From here on it counts as run until
+    /// its own end says otherwise.
+    pub fn on_dispatch(&mut self, attempt: AttemptId) {
+        debug_assert!(self.open.is_none(), "two attempts of one request");
+        self.unproven |= self.open.is_some();
+        self.open = Some(attempt);
+    }
+
+    /// An attempt ended. A report about any attempt but the open one changes
+    /// nothing: proof for an old attempt says nothing about the one that runs.
+    pub fn on_ended(&mut self, attempt: AttemptId, ran: Ran) {
+        if self.open != Some(attempt) {
+            return;
+        }
+        self.open = None;
+        self.unproven |= ran == Ran::Maybe;
+    }
+
+    /// The request, under its ticket or key, may have run in another process.
+    pub fn on_held_elsewhere(&mut self) {
+        self.unproven = true;
+    }
+
+    /// Returns whether any attempt may have run.
+    pub fn may_have_run(&self) -> bool {
+        self.unproven || self.open.is_some()
+    }
+
+    /// Returns proof that the request ran nowhere, if there is any.
+    pub fn proof(&self) -> Option<NotRun> {
+        (!self.may_have_run()).then_some(NotRun(()))
+    }
+
+    /// Returns the final answer: the strongest claim that the attempts bear out.
+    pub fn finish(&self, reason: Reason, retry_after: Option<Duration>, delivered: u32) -> Verdict {
+        let outcome = match (delivered, self.proof()) {
+            (1.., _) => Outcome::Partial,
+            (0, Some(_proof)) => Outcome::NotRun,
+            (0, None) => Outcome::Unknown,
+        };
+        Verdict::new(outcome, reason, retry_after, delivered)
+    }
+}
--- a/crates/core/src/reason.rs
+++ b/crates/core/src/reason.rs
@@ -127,6 +127,8 @@
     EndpointRefused = "endpoint_refused", 503, Failure;
     /// The endpoint is leaving and refused.
     EndpointLeaving = "endpoint_leaving", 503, Failure;
+    /// The endpoint does not hold the model, version or adapter and refused.
+    EndpointNotLoaded = "endpoint_not_loaded", 503, Failure;
     /// The connection to the endpoint broke.
     ConnectionLost = "connection_lost", 502, Failure;
     /// The endpoint sent nothing for longer than the stall limit.
--- a/crates/core/tests/delivery_stream.rs
+++ b/crates/core/tests/delivery_stream.rs
@@ -5,6 +5,7 @@
     Act, Delivery, EndMark, MAX_DUPLICATES, MAX_RESUMES_WITHOUT_TOKEN, ResumeAnswer, Step,
 };
 use oriolemux_core::event::{AttemptMode, AttemptUpdate, DeliveryMode, Dispatch, EndpointTarget};
+use oriolemux_core::outcome::Refusal;
 use oriolemux_core::{
     AttemptId, EndpointKey, Incarnation, InstanceKey, Ran, Reason, RequestId, Time,
 };
@@ -64,6 +65,11 @@
         .collect()
 }
 
+fn refusal(reason: &str) -> Refusal {
+    let body = format!(r#"{{"error":{{"reason":"{reason}","outcome":"not_run"}}}}"#);
+    Refusal::parse(503, Some("1"), body.as_bytes()).unwrap()
+}
+
 fn end(index: u32) -> EndMark {
     EndMark {
         index,
@@ -215,7 +221,7 @@
     let mut delivery = sent(&dispatch(1, AttemptMode::Fresh));
     delivery.on_link_failure();
 
-    let first = delivery.on_refused(Reason::EndpointRefused, None);
+    let first = delivery.on_refused(&refusal("busy"));
     let second = delivery.on_connect_failed();
 
     assert!(matches!(first.act, Act::Resume { after: None, .. }));
@@ -225,7 +231,7 @@
 #[rstest]
 #[case::connect(|d: &mut Delivery| d.on_connect_failed(), Reason::ConnectFailed)]
 #[case::refused(
-    |d: &mut Delivery| d.on_refused(Reason::EndpointLeaving, Some(Duration::from_secs(1))),
+    |d: &mut Delivery| d.on_refused(&refusal("leaving")),
     Reason::EndpointLeaving
 )]
 fn proof_of_not_run_comes_from_the_first_answer(
@@ -285,7 +291,7 @@
         ..dispatch(number, AttemptMode::Fresh)
     };
     let mut delivery = sent(&once(1));
-    delivery.on_refused(Reason::EndpointRefused, None);
+    delivery.on_refused(&refusal("busy"));
 
     let step = delivery.start(&once(2), NOW);
 
--- /dev/null
+++ b/crates/core/tests/outcome_claims.rs
@@ -0,0 +1,147 @@
+//! What may be claimed about a request, attempt by attempt.
+
+use core::time::Duration;
+use oriolemux_core::outcome::{Earlier, Refusal};
+use oriolemux_core::{
+    AttemptId, Incarnation, InstanceKey, Outcome, Ran, Reason, RequestId, RequestOutcome, Verdict,
+};
+use rstest::rstest;
+
+fn attempt(number: u32) -> AttemptId {
+    let request = RequestId {
+        instance: InstanceKey::of("arima-1"),
+        incarnation: Incarnation(7),
+        seq: 1,
+    };
+    AttemptId { request, number }
+}
+
+/// Proof of one attempt, from a request that was never dispatched.
+fn proof() -> Ran {
+    Ran::No(RequestOutcome::new().proof().unwrap())
+}
+
+fn outcome_after(ends: &[Ran]) -> RequestOutcome {
+    let mut outcome = RequestOutcome::new();
+    for (number, &ran) in (1..).zip(ends) {
+        outcome.on_dispatch(attempt(number));
+        outcome.on_ended(attempt(number), ran);
+    }
+    outcome
+}
+
+#[rstest]
+#[case::never_dispatched(&[], 0, Outcome::NotRun)]
+#[case::one_proof(&[proof()], 0, Outcome::NotRun)]
+#[case::two_proofs(&[proof(), proof()], 0, Outcome::NotRun)]
+#[case::first_unproven(&[Ran::Maybe, proof()], 0, Outcome::Unknown)]
+#[case::last_unproven(&[proof(), Ran::Maybe], 0, Outcome::Unknown)]
+#[case::tokens_stand(&[Ran::Maybe, proof()], 3, Outcome::Partial)]
+fn claims_not_run_only_if_every_attempt_has_proof(
+    #[case] ends: &[Ran],
+    #[case] delivered: u32,
+    #[case] expected: Outcome,
+) {
+    let outcome = outcome_after(ends);
+
+    let verdict = outcome.finish(Reason::RetryBudget, Some(Duration::from_secs(2)), delivered);
+
+    assert_eq!(verdict.outcome(), expected);
+    assert_eq!(verdict.retry_after(), Some(Duration::from_secs(2)));
+}
+
+// Symptom: "not run" is said while the work runs.
+// Sequence: an attempt is dispatched, and the process is told to stop at once.
+// Cause: the attempt has not ended, so nothing is known of it.
+#[test]
+fn an_open_attempt_may_have_run() {
+    let mut outcome = RequestOutcome::new();
+    outcome.on_dispatch(attempt(1));
+
+    let verdict = outcome.finish(Reason::StoppedNow, None, 0);
+
+    assert_eq!(verdict.outcome(), Outcome::Unknown);
+}
+
+// Symptom: "not run" is said while the second attempt runs.
+// Sequence: attempt 1 ends, attempt 2 is dispatched, and attempt 1's report
+//   arrives again.
+// Cause: proof for one attempt says nothing about another.
+#[test]
+fn proof_for_an_old_attempt_changes_nothing() {
+    let mut outcome = outcome_after(&[proof()]);
+    outcome.on_dispatch(attempt(2));
+
+    outcome.on_ended(attempt(1), proof());
+
+    assert!(outcome.may_have_run());
+}
+
+#[test]
+fn work_held_by_another_process_may_have_run() {
+    let mut outcome = RequestOutcome::new();
+
+    outcome.on_held_elsewhere();
+
+    let verdict = outcome.finish(Reason::HolderGone, None, 0);
+    assert_eq!(verdict.outcome(), Outcome::Unknown);
+}
+
+#[rstest]
+#[case(Earlier::Unknown, Outcome::Unknown, 0)]
+#[case(Earlier::Partial { delivered: 7 }, Outcome::Partial, 7)]
+#[case(Earlier::Complete, Outcome::Complete, 0)]
+fn a_repeat_is_answered_with_what_became_of_the_first(
+    #[case] earlier: Earlier,
+    #[case] outcome: Outcome,
+    #[case] delivered: u32,
+) {
+    let verdict = Verdict::repeated(Reason::AlreadyRan, earlier);
+
+    assert_eq!(
+        (verdict.outcome(), verdict.delivered()),
+        (outcome, delivered)
+    );
+}
+
+// Symptom: "not run" is said after an engine crashed half-way.
+// Sequence: a proxy before the engine answers 503 with its own page.
+// Cause: a status alone says nothing about whether the engine ran.
+#[rstest]
+#[case::busy(
+    429,
+    r#"{"error":{"reason":"busy","outcome":"not_run"}}"#,
+    Some(Reason::EndpointRefused)
+)]
+#[case::leaving(
+    503,
+    r#"{"error":{"reason":"leaving","outcome":"not_run"}}"#,
+    Some(Reason::EndpointLeaving)
+)]
+#[case::not_loaded(
+    503,
+    r#"{"error":{"reason":"not_loaded","outcome":"not_run"}}"#,
+    Some(Reason::EndpointNotLoaded)
+)]
+#[case::escaped(
+    503,
+    r#"{"error":{"reason":"b\u0075sy","outcome":"not\u005frun"}}"#,
+    Some(Reason::EndpointRefused)
+)]
+#[case::no_outcome(503, r#"{"error":{"reason":"busy"}}"#, None)]
+#[case::unknown(503, r#"{"error":{"reason":"busy","outcome":"unknown"}}"#, None)]
+#[case::page(503, "<html>busy</html>", None)]
+#[case::other_status(500, r#"{"error":{"reason":"busy","outcome":"not_run"}}"#, None)]
+#[case::success(200, r#"{"error":{"reason":"busy","outcome":"not_run"}}"#, None)]
+fn only_the_endpoints_own_words_are_a_refusal(
+    #[case] status: u16,
+    #[case] body: &str,
+    #[case] expected: Option<Reason>,
+) {
+    let refusal = Refusal::parse(status, Some("3"), body.as_bytes());
+
+    assert_eq!(refusal.map(|r| r.reason()), expected);
+    if let Some(refusal) = refusal {
+        assert_eq!(refusal.retry_after(), Some(Duration::from_secs(3)));
+    }
+}
