Which failed attempts are retried, within a budget

Cause: a failed attempt had no rule for what follows it; unbounded retries multiply a surge of failures. Change: core::retry decides from the request's outcome (proof or not), what the caller holds, the attempts so far and the caller's patience: fresh retry, verified replay, or the final answer with a time to come back. Retries stay ten in a hundred of the last ten seconds' requests, with a floor of ten; back-off doubles from 50 ms to 2 s with jitter over its upper half. A leaving endpoint's refusal draws nothing.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod outcome;
 pub mod peer;
 pub mod reason;
+pub mod retry;
 pub mod time;
 
 pub use delivery::Delivery;
--- /dev/null
+++ b/crates/core/tests/retry_decisions.rs
@@ -0,0 +1,210 @@
+//! Which failed attempts are followed by another one.
+
+use core::time::Duration;
+use oriolemux_core::retry::{
+    BUDGET_WINDOW_SECS, FIRST_BACK_OFF, Failure, MAX_ATTEMPTS, MAX_BACK_OFF, RETRIES_AT_LEAST,
+    RetryBudget, RetryDecision, back_off, decide,
+};
+use oriolemux_core::{
+    AttemptId, Incarnation, InstanceKey, Outcome, Ran, Reason, RequestId, RequestOutcome, Time,
+};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use rstest::rstest;
+
+const NOW: Time = Time::from_secs(1_000);
+
+fn rng() -> SmallRng {
+    SmallRng::seed_from_u64(5)
+}
+
+fn proven() -> RequestOutcome {
+    RequestOutcome::new()
+}
+
+fn unproven() -> RequestOutcome {
+    let request = RequestId {
+        instance: InstanceKey::of("arima-1"),
+        incarnation: Incarnation(7),
+        seq: 1,
+    };
+    let attempt = AttemptId { request, number: 1 };
+    let mut outcome = RequestOutcome::new();
+    outcome.on_dispatch(attempt);
+    outcome.on_ended(attempt, Ran::Maybe);
+    outcome
+}
+
+fn failure(outcome: &RequestOutcome) -> Failure<'_> {
+    Failure {
+        reason: Reason::ConnectionLost,
+        outcome,
+        idempotent: true,
+        delivered: 0,
+        attempts: 1,
+        patience: Duration::from_secs(10),
+        retry_after: None,
+    }
+}
+
+fn decided(failure: &Failure<'_>) -> RetryDecision {
+    decide(failure, &mut RetryBudget::new(), NOW, &mut rng())
+}
+
+fn outcome_of(decision: &RetryDecision) -> Option<Outcome> {
+    match decision {
+        RetryDecision::Finish(verdict) => Some(verdict.outcome()),
+        _ => None,
+    }
+}
+
+#[rstest]
+#[case::idempotent_unproven(true, unproven(), true)]
+#[case::idempotent_proven(true, proven(), true)]
+#[case::once_proven(false, proven(), true)]
+#[case::once_unproven(false, unproven(), false)]
+fn repeats_only_what_may_be_repeated(
+    #[case] idempotent: bool,
+    #[case] outcome: RequestOutcome,
+    #[case] repeats: bool,
+) {
+    let failure = Failure {
+        idempotent,
+        ..failure(&outcome)
+    };
+
+    let decision = decided(&failure);
+
+    assert_eq!(matches!(decision, RetryDecision::Retry { .. }), repeats);
+    if !repeats {
+        assert_eq!(outcome_of(&decision), Some(Outcome::Unknown));
+    }
+}
+
+#[test]
+fn a_caller_that_holds_tokens_gets_a_replay() {
+    let outcome = unproven();
+    let failure = Failure {
+        delivered: 9,
+        ..failure(&outcome)
+    };
+
+    assert!(matches!(decided(&failure), RetryDecision::Replay { .. }));
+}
+
+#[rstest]
+#[case::diverged(Reason::ReplayDiverged, 1, Duration::from_secs(10))]
+#[case::caller_gone(Reason::CallerGone, 1, Duration::from_secs(10))]
+#[case::too_many_attempts(Reason::ConnectionLost, MAX_ATTEMPTS, Duration::from_secs(10))]
+#[case::no_patience_left(Reason::ConnectionLost, 1, Duration::ZERO)]
+fn ends_where_another_attempt_cannot_help(
+    #[case] reason: Reason,
+    #[case] attempts: u32,
+    #[case] patience: Duration,
+) {
+    let outcome = unproven();
+    let failure = Failure {
+        reason,
+        attempts,
+        patience,
+        ..failure(&outcome)
+    };
+
+    let RetryDecision::Finish(verdict) = decided(&failure) else {
+        panic!("went on");
+    };
+
+    assert_eq!(
+        (verdict.reason(), verdict.outcome()),
+        (reason, Outcome::Unknown)
+    );
+}
+
+#[test]
+fn says_when_to_come_back_only_if_the_work_may_be_repeated() {
+    let outcome = unproven();
+    let told = |idempotent| {
+        let failure = Failure {
+            idempotent,
+            attempts: MAX_ATTEMPTS,
+            retry_after: Some(Duration::from_secs(30)),
+            ..failure(&outcome)
+        };
+        match decided(&failure) {
+            RetryDecision::Finish(verdict) => verdict.retry_after(),
+            other => panic!("went on: {other:?}"),
+        }
+    };
+
+    assert_eq!(told(true), Some(Duration::from_secs(30)));
+    assert_eq!(told(false), None);
+}
+
+// Symptom: an engine that slows down at the top of the hour is met with several
+//   times the load, and never recovers.
+// Sequence: every request fails once, and every failure is retried.
+// Cause: retries that grow with failures instead of with requests.
+#[test]
+fn retries_stay_a_share_of_the_recent_requests() {
+    let mut budget = RetryBudget::new();
+    for _ in 0..1_000 {
+        budget.on_request(NOW);
+    }
+
+    let taken = (0..1_000).filter(|_| budget.take(NOW)).count();
+
+    assert_eq!(taken, 100);
+    let outcome = unproven();
+    let decision = decide(&failure(&outcome), &mut budget, NOW, &mut rng());
+    let RetryDecision::Finish(verdict) = decision else {
+        panic!("went on");
+    };
+    assert_eq!(verdict.reason(), Reason::RetryBudget);
+}
+
+#[test]
+fn a_quiet_instance_still_retries_and_the_window_moves_on() {
+    let mut budget = RetryBudget::new();
+    let taken = (0..100).filter(|_| budget.take(NOW)).count() as u64;
+    let later = NOW + Duration::from_secs(BUDGET_WINDOW_SECS as u64);
+
+    let taken_later = (0..100).filter(|_| budget.take(later)).count() as u64;
+
+    assert_eq!((taken, taken_later), (RETRIES_AT_LEAST, RETRIES_AT_LEAST));
+}
+
+#[test]
+fn a_clock_that_stands_still_or_jumps_keeps_the_budget_sound() {
+    let mut budget = RetryBudget::new();
+    for secs in [5, 5, 900, 899, 901, 1_000_000] {
+        budget.on_request(Time::from_secs(secs));
+        assert!(budget.take(Time::from_secs(secs)));
+    }
+}
+
+#[test]
+fn a_leaving_endpoint_draws_nothing_from_the_budget() {
+    let mut budget = RetryBudget::new();
+    while budget.take(NOW) {}
+    let outcome = proven();
+    let failure = Failure {
+        reason: Reason::EndpointLeaving,
+        idempotent: false,
+        ..failure(&outcome)
+    };
+
+    let decision = decide(&failure, &mut budget, NOW, &mut rng());
+
+    assert!(matches!(decision, RetryDecision::Retry { .. }));
+}
+
+#[test]
+fn back_off_doubles_within_its_bounds_and_spreads() {
+    let mut rng = rng();
+    for attempts in 1..40 {
+        let longest = (FIRST_BACK_OFF * (1 << (attempts - 1).min(10))).min(MAX_BACK_OFF);
+        let drawn: Vec<_> = (0..50).map(|_| back_off(attempts, &mut rng)).collect();
+        assert!(drawn.iter().all(|d| (longest / 2..=longest).contains(d)));
+        assert!(drawn.iter().any(|d| *d != drawn[0]));
+    }
+}
