Catalogue: index and shards read, verified and resolved to dense entities

Cause: nothing said yet what callers may ask for and within which limits. Change: an index (classes, models, services, entries, a digest per shard) and shards (workspaces by the digest of their bearer key) are read in three steps: parser, verifier, resolver. Conclusion: each step is a pure function of the bytes, so that every instance gives the same verdict.

--- /dev/null
+++ b/crates/core/src/catalogue/verify.rs
@@ -0,0 +1,249 @@
+//! The verifier: whether source tables may stand as they are written.
+//!
+//! It is apart from the parser so that each can be read, and wrong, alone. It
+//! never stops at the first finding, and it is a pure function of the tables:
+//! every instance gives the same verdict on the same bytes.
+
+mod fields;
+mod references;
+
+use super::MAX_SHARDS;
+use super::digest::{Digest, shard_of};
+use super::finding::{FindingKind, Findings, Place, Quoted};
+use super::resolve::{DELIVERY_STREAM, DELIVERY_WHOLE};
+use super::source::{
+    ClassSource, EntryLimitsSource, EntrySource, Field, Given, IndexSource, ModelSource,
+    ServiceSource, ShardSource, WorkspaceLimitsSource, WorkspaceSource,
+};
+use fields::Fields;
+use references::Names;
+use std::collections::BTreeMap;
+
+/// The longest wait that a class may ask for: a day, in milliseconds.
+const MAX_WAIT_MS: i64 = 24 * 60 * 60 * 1_000;
+/// The most requests that a limit may allow at once.
+const MAX_CONCURRENT: i64 = 1_000_000;
+/// The most tokens a minute that a limit may allow.
+const MAX_TOKENS_PER_MINUTE: i64 = 1_000_000_000_000;
+/// The most tokens of one prompt or one output.
+const MAX_TOKENS: i64 = 16_777_216;
+/// The most replicas of one model in one data centre.
+const MAX_REPLICAS: i64 = 100_000;
+/// The most bearer keys of one workspace: one in use, one to change to, some spare.
+const MAX_KEYS: usize = 16;
+/// The most entries that one workspace may name.
+const MAX_ENTRIES: usize = 4_096;
+/// The most adapters of one model.
+const MAX_ADAPTERS: usize = 4_096;
+
+/// Verifies an index.
+pub fn index(source: &IndexSource, findings: &mut Findings) {
+    let mut fields = Fields::new("the index", Place::START, findings);
+    fields.integer("revision", &source.revision, 1, i64::MAX);
+    shard_digests(&source.shards, findings);
+    for class in &source.classes {
+        verify_class(class, findings);
+    }
+    for model in &source.models {
+        verify_model(model, findings);
+    }
+    for service in &source.services {
+        verify_service(service, findings);
+    }
+    let names = references::collect(source, findings);
+    for entry in &source.entries {
+        verify_entry(entry, &names, findings);
+    }
+}
+
+/// Verifies shard `number` of `count`.
+pub fn shard(source: &ShardSource, number: u32, count: u32, findings: &mut Findings) {
+    let mut names = BTreeMap::new();
+    let mut holders = BTreeMap::new();
+    for workspace in &source.workspaces {
+        verify_workspace(workspace, findings);
+        references::unique("workspace", &workspace.name, &mut names, findings);
+        verify_keys(workspace, &mut holders, findings);
+        verify_shard_number(workspace, number, count, findings);
+    }
+}
+
+fn shard_digests(shards: &Field<Vec<Given<String>>>, findings: &mut Findings) {
+    let mut fields = Fields::new("the index", Place::START, findings);
+    fields.list("shards", shards, MAX_SHARDS);
+    for digest in shards.given().into_iter().flat_map(|given| &given.value) {
+        fields.digest("shards", digest);
+    }
+}
+
+fn verify_class(class: &ClassSource, findings: &mut Findings) {
+    let mut fields = Fields::new("[[class]]", class.place, findings);
+    fields.name("name", &class.name);
+    fields.integer("urgency", &class.urgency, 0, i64::from(u8::MAX));
+    fields.present("idempotent", &class.idempotent);
+    fields.integer("wait_target_ms", &class.wait_target_ms, 1, MAX_WAIT_MS);
+    fields.integer("longest_wait_ms", &class.longest_wait_ms, 1, MAX_WAIT_MS);
+    fields.one_of(
+        "delivery",
+        &class.delivery,
+        &[DELIVERY_STREAM, DELIVERY_WHOLE],
+    );
+    fields.optional_probability("preemption_risk", &class.preemption_risk);
+    wait_order(class, findings);
+}
+
+fn wait_order(class: &ClassSource, findings: &mut Findings) {
+    let (Some(target), Some(longest)) =
+        (class.wait_target_ms.given(), class.longest_wait_ms.given())
+    else {
+        return;
+    };
+    if target.value > longest.value {
+        let kind = FindingKind::TargetBeyondLongest {
+            target: target.value,
+            longest: longest.value,
+        };
+        findings.push(target.place, kind);
+    }
+}
+
+fn verify_model(model: &ModelSource, findings: &mut Findings) {
+    let mut fields = Fields::new("[[model]]", model.place, findings);
+    fields.path("name", &model.name);
+    fields.path("version", &model.version);
+    fields.optional_list("adapters", &model.adapters, MAX_ADAPTERS);
+    fields.optional_integer("replicas", &model.replicas, 1, MAX_REPLICAS);
+    let mut seen = BTreeMap::new();
+    for adapter in model
+        .adapters
+        .given()
+        .into_iter()
+        .flat_map(|given| &given.value)
+    {
+        Fields::new("[[model]]", model.place, findings).path_text("adapters", adapter);
+        references::unique_text("adapter", adapter, &mut seen, findings);
+    }
+}
+
+fn verify_service(service: &ServiceSource, findings: &mut Findings) {
+    Fields::new("[[service]]", service.place, findings).path("name", &service.name);
+}
+
+fn verify_entry(entry: &EntrySource, names: &Names<'_>, findings: &mut Findings) {
+    let mut fields = Fields::new("[[entry]]", entry.place, findings);
+    fields.name("name", &entry.name);
+    fields.label("owner", &entry.owner);
+    fields.present("class", &entry.class);
+    fields.present("limits", &entry.limits);
+    references::class_of(entry, names, findings);
+    references::target_of(entry, names, findings);
+    if let Some(limits) = entry.limits.given() {
+        let is_service = !matches!(entry.service, Field::Absent);
+        verify_entry_limits(limits, is_service, findings);
+    }
+}
+
+fn verify_entry_limits(
+    limits: &Given<EntryLimitsSource>,
+    is_service: bool,
+    findings: &mut Findings,
+) {
+    let source = &limits.value;
+    let mut fields = Fields::new("limits of [[entry]]", limits.place, findings);
+    fields.integer("concurrent", &source.concurrent, 1, MAX_CONCURRENT);
+    fields.integer("queue", &source.queue, 1, MAX_CONCURRENT);
+    let tokens = [
+        (
+            "tokens_per_minute",
+            &source.tokens_per_minute,
+            MAX_TOKENS_PER_MINUTE,
+        ),
+        ("prompt_tokens", &source.prompt_tokens, MAX_TOKENS),
+        ("output_tokens", &source.output_tokens, MAX_TOKENS),
+    ];
+    for (key, field, high) in tokens {
+        if is_service {
+            fields.optional_integer(key, field, 1, high);
+        } else {
+            fields.integer(key, field, 1, high);
+        }
+    }
+}
+
+fn verify_workspace(workspace: &WorkspaceSource, findings: &mut Findings) {
+    let mut fields = Fields::new("[[workspace]]", workspace.place, findings);
+    fields.name("name", &workspace.name);
+    fields.list("key_sha256", &workspace.key_sha256, MAX_KEYS);
+    fields.list("entries", &workspace.entries, MAX_ENTRIES);
+    fields.present("limits", &workspace.limits);
+    let mut seen = BTreeMap::new();
+    for entry in workspace
+        .entries
+        .given()
+        .into_iter()
+        .flat_map(|given| &given.value)
+    {
+        references::unique_text("entry", entry, &mut seen, findings);
+    }
+    if let Some(limits) = workspace.limits.given() {
+        verify_workspace_limits(limits, findings);
+    }
+}
+
+fn verify_workspace_limits(limits: &Given<WorkspaceLimitsSource>, findings: &mut Findings) {
+    let source = &limits.value;
+    let mut fields = Fields::new("limits of [[workspace]]", limits.place, findings);
+    fields.integer("concurrent", &source.concurrent, 1, MAX_CONCURRENT);
+    let key = "tokens_per_minute";
+    fields.integer(key, &source.tokens_per_minute, 1, MAX_TOKENS_PER_MINUTE);
+}
+
+/// A key digest's first holder: the workspace's name and the digest's place.
+type Holders = BTreeMap<Digest, (Quoted, Place)>;
+
+fn verify_keys(workspace: &WorkspaceSource, holders: &mut Holders, findings: &mut Findings) {
+    let name = Quoted::new(&workspace.name.value_or_default());
+    for key in workspace
+        .key_sha256
+        .given()
+        .into_iter()
+        .flat_map(|given| &given.value)
+    {
+        Fields::new("[[workspace]]", workspace.place, findings).digest("key_sha256", key);
+        let Some(digest) = Digest::from_hex(&key.value) else {
+            continue;
+        };
+        if let Some((holder, first)) = holders.get(&digest) {
+            let kind = FindingKind::SharedDigest {
+                workspace: holder.clone(),
+                first: *first,
+            };
+            findings.push(key.place, kind);
+            continue;
+        }
+        holders.insert(digest, (name.clone(), key.place));
+    }
+}
+
+/// Reports keys that stand in the wrong shard, where no lookup would find them.
+fn verify_shard_number(
+    workspace: &WorkspaceSource,
+    here: u32,
+    count: u32,
+    findings: &mut Findings,
+) {
+    for key in workspace
+        .key_sha256
+        .given()
+        .into_iter()
+        .flat_map(|given| &given.value)
+    {
+        let Some(digest) = Digest::from_hex(&key.value) else {
+            continue;
+        };
+        let right = shard_of(&digest.0, count);
+        if right != here {
+            findings.push(key.place, FindingKind::WrongShard { right, count, here });
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/catalogue/verify/fields.rs
@@ -0,0 +1,201 @@
+//! Checks of single fields.
+
+use crate::catalogue::digest::Digest;
+use crate::catalogue::finding::{FindingKind, Findings, Place, Quoted};
+use crate::catalogue::source::{Field, Given};
+
+/// The most characters of a name.
+const MAX_NAME_CHARS: usize = 64;
+/// The most characters of an owner.
+const MAX_LABEL_CHARS: usize = 128;
+
+/// Checks the fields of one table.
+#[derive(Debug)]
+pub struct Fields<'a> {
+    table: &'static str,
+    place: Place,
+    findings: &'a mut Findings,
+}
+
+impl<'a> Fields<'a> {
+    /// Returns a checker for the table that starts at `place`.
+    pub fn new(table: &'static str, place: Place, findings: &'a mut Findings) -> Self {
+        Fields {
+            table,
+            place,
+            findings,
+        }
+    }
+
+    /// Requires the field to be there.
+    pub fn present<T>(&mut self, key: &'static str, field: &Field<T>) {
+        if matches!(field, Field::Absent) {
+            let kind = FindingKind::MissingKey {
+                key,
+                table: self.table,
+            };
+            self.findings.push(self.place, kind);
+        }
+    }
+
+    /// Requires an integer from `low` to `high`.
+    pub fn integer(&mut self, key: &'static str, field: &Field<i64>, low: i64, high: i64) {
+        self.present(key, field);
+        self.optional_integer(key, field, low, high);
+    }
+
+    /// Requires an integer from `low` to `high`, if the field is there.
+    pub fn optional_integer(&mut self, key: &'static str, field: &Field<i64>, low: i64, high: i64) {
+        let Some(given) = field.given() else {
+            return;
+        };
+        if !(low..=high).contains(&given.value) {
+            let kind = FindingKind::OutOfRange {
+                key,
+                found: given.value,
+                low,
+                high,
+            };
+            self.findings.push(given.place, kind);
+        }
+    }
+
+    /// Requires a number strictly between 0 and 1, if the field is there.
+    pub fn optional_probability(&mut self, key: &'static str, field: &Field<f64>) {
+        let Some(given) = field.given() else {
+            return;
+        };
+        if !(given.value > 0.0 && given.value < 1.0) {
+            let kind = FindingKind::BadProbability {
+                key,
+                found: Quoted::new(&given.value.to_string()),
+            };
+            self.findings.push(given.place, kind);
+        }
+    }
+
+    /// Requires one of the `allowed` words.
+    pub fn one_of(&mut self, key: &'static str, field: &Field<String>, allowed: &[&'static str]) {
+        self.present(key, field);
+        let Some(given) = field.given() else {
+            return;
+        };
+        if !allowed.contains(&given.value.as_str()) {
+            let kind = FindingKind::NotOneOf {
+                key,
+                found: Quoted::new(&given.value),
+                allowed: allowed.join(", "),
+            };
+            self.findings.push(given.place, kind);
+        }
+    }
+
+    /// Requires a name that may stand in a URL and in a metric's label.
+    pub fn name(&mut self, key: &'static str, field: &Field<String>) {
+        self.present(key, field);
+        let allowed = "ASCII letters, digits, `.`, `_` and `-`";
+        self.chars(key, field, MAX_NAME_CHARS, allowed, is_name_char);
+    }
+
+    /// Requires a name that may hold slashes, as names of models do.
+    pub fn path(&mut self, key: &'static str, field: &Field<String>) {
+        self.present(key, field);
+        if let Some(given) = field.given() {
+            self.path_text(key, given);
+        }
+    }
+
+    /// Requires `given` to be a name that may hold slashes.
+    pub fn path_text(&mut self, key: &'static str, given: &Given<String>) {
+        let allowed = "ASCII letters, digits, `.`, `_`, `-`, `:` and `/`";
+        self.given_chars(key, given, MAX_NAME_CHARS, allowed, |c| {
+            is_name_char(c) || matches!(c, '/' | ':')
+        });
+    }
+
+    /// Requires printable text.
+    pub fn label(&mut self, key: &'static str, field: &Field<String>) {
+        self.present(key, field);
+        let allowed = "printable characters";
+        self.chars(key, field, MAX_LABEL_CHARS, allowed, |c| !c.is_control());
+    }
+
+    /// Requires a list of 1 to `limit` items.
+    pub fn list<T>(&mut self, key: &'static str, field: &Field<Vec<T>>, limit: usize) {
+        self.present(key, field);
+        if let Some(given) = field.given().filter(|given| given.value.is_empty()) {
+            self.findings
+                .push(given.place, FindingKind::EmptyList { key });
+        }
+        self.optional_list(key, field, limit);
+    }
+
+    /// Requires a list of at most `limit` items, if the field is there.
+    pub fn optional_list<T>(&mut self, key: &'static str, field: &Field<Vec<T>>, limit: usize) {
+        let Some(given) = field.given() else {
+            return;
+        };
+        let found = given.value.len();
+        if found > limit {
+            self.findings
+                .push(given.place, FindingKind::TooMany { key, found, limit });
+        }
+    }
+
+    /// Requires a digest in hexadecimal.
+    pub fn digest(&mut self, key: &'static str, given: &Given<String>) {
+        if Digest::from_hex(&given.value).is_none() {
+            let kind = FindingKind::BadDigest {
+                key,
+                found: Quoted::new(&given.value),
+            };
+            self.findings.push(given.place, kind);
+        }
+    }
+
+    /// Requires the field to be away, in an entry that names a service.
+    pub fn model_only<T>(&mut self, key: &'static str, field: &Field<T>) {
+        if let Some(given) = field.given() {
+            self.findings
+                .push(given.place, FindingKind::ModelOnly { key });
+        }
+    }
+
+    fn chars(
+        &mut self,
+        key: &'static str,
+        field: &Field<String>,
+        limit: usize,
+        allowed: &'static str,
+        is_allowed: fn(char) -> bool,
+    ) {
+        if let Some(given) = field.given() {
+            self.given_chars(key, given, limit, allowed, is_allowed);
+        }
+    }
+
+    fn given_chars(
+        &mut self,
+        key: &'static str,
+        given: &Given<String>,
+        limit: usize,
+        allowed: &'static str,
+        is_allowed: fn(char) -> bool,
+    ) {
+        let chars = given.value.chars().count();
+        if (1..=limit).contains(&chars) && given.value.chars().all(is_allowed) {
+            return;
+        }
+        let kind = FindingKind::BadName {
+            key,
+            found: Quoted::new(&given.value),
+            limit,
+            allowed,
+        };
+        self.findings.push(given.place, kind);
+    }
+}
+
+fn is_name_char(c: char) -> bool {
+    c.is_ascii_alphanumeric() || matches!(c, '.' | '_' | '-')
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -19,6 +19,7 @@
 //!
 //! See `docs/design/` for why each part is as it is.
 
+pub mod catalogue;
 pub mod cell;
 pub mod delivery;
 pub mod event;
