Membership: the published list, cells, homes, news of leaving

Cause: every decision maker needs a home that all instances compute alike from a list that lags, without shared state or coordination.

Change: rendezvous hashing over the usable instances; the published list as typed records with changes between revisions; cells as a pure function of the list; links on demand; suspicion, news of leaving and doubted lists.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -25,11 +25,13 @@
 pub mod event;
 pub mod findings;
 pub mod ids;
+pub mod membership;
 pub mod note;
 pub mod outcome;
 pub mod peer;
 pub mod reason;
 pub mod retry;
+pub mod rendezvous;
 pub mod time;
 
 pub use delivery::Delivery;
--- /dev/null
+++ b/crates/core/src/membership.rs
@@ -0,0 +1,322 @@
+//! Who is there: instances, endpoints, and the home of each thing.
+//!
+//! The platform publishes a list that lags. What peers and endpoints say is
+//! put on top of it: an endpoint that refuses because it is leaving, an
+//! instance that says so itself, a link that broke. Decisions are soft: two
+//! instances may see the fleet differently for a while, and each mechanism
+//! built on a home says what happens then (`docs/design/placement.md`).
+//!
+//! [`Membership`] is one state machine of a node. Its methods take the time
+//! and push [`MembershipAction`]s; `docs/design/membership.md` gives the rules.
+
+mod cells;
+mod delta;
+mod doubt;
+mod homes;
+mod links;
+mod list;
+mod message;
+mod news;
+mod reads;
+mod view;
+
+pub use cells::{CELL_ENDPOINTS, CellPlan, plan_cells};
+pub use delta::{ListDelta, apply_delta, list_delta};
+pub use homes::EndpointState;
+pub use list::{
+    EndpointKind, EndpointRecord, FencingSupport, InstanceList, InstanceRecord, ListedState,
+};
+pub use message::MembershipMessage;
+pub use view::{
+    Cell, CellId, DataCentreId, Endpoint, EndpointId, HOME_RANKS, Instance, InstanceId, View,
+};
+
+use crate::event::{PeerId, PeerTarget};
+use crate::ids::{EndpointKey, Incarnation, InstanceKey};
+use crate::note::Note;
+use crate::time::Time;
+use core::time::Duration;
+use doubt::Doubt;
+use indexmap::IndexMap;
+use links::Life;
+use news::EndpointNotice;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use reads::Reads;
+use std::collections::VecDeque;
+
+/// A link that has been down for so long makes its instance suspected. Shorter
+/// breaks are healed by the first reconnect and should not move homes.
+pub const SUSPECT_AFTER: Duration = Duration::from_millis(250);
+
+/// Lives that are remembered as replaced, for each instance.
+const REPLACED_LIVES: usize = 4;
+
+/// Earlier lists that are kept to compute changes for peers.
+const LIST_HISTORY: usize = 16;
+
+/// How the process takes part.
+#[derive(Clone, Debug)]
+pub struct MembershipConfig {
+    /// The name under which the platform publishes this instance.
+    pub name: String,
+    /// The life of this process.
+    pub incarnation: Incarnation,
+    /// The data centre of this instance, from its settings.
+    pub data_centre: String,
+    /// The most endpoints of one cell.
+    pub cell_endpoints: usize,
+    /// Seed of the jitter.
+    pub seed: u64,
+}
+
+impl MembershipConfig {
+    /// Returns a configuration with the usual size of a cell.
+    pub fn new(name: &str, incarnation: Incarnation, data_centre: &str, seed: u64) -> Self {
+        MembershipConfig {
+            name: name.to_owned(),
+            incarnation,
+            data_centre: data_centre.to_owned(),
+            cell_endpoints: CELL_ENDPOINTS,
+            seed,
+        }
+    }
+}
+
+/// What other parts of the node may have to react to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum MembershipChange {
+    /// A list came into force. Entities are new; homes may have moved.
+    List {
+        /// Its revision.
+        revision: u64,
+    },
+    /// Homes may have moved because an instance came, went or is suspected.
+    Homes,
+    /// An instance is there as a new life; what the earlier one held is void.
+    InstanceReplaced {
+        /// Which instance.
+        instance: InstanceKey,
+        /// The life that is over.
+        was: Incarnation,
+    },
+    /// An instance is leaving, dead or unreachable from here.
+    InstanceGone {
+        /// Which instance.
+        instance: InstanceKey,
+    },
+    /// An endpoint is to get nothing new.
+    EndpointLeaving {
+        /// Which endpoint.
+        endpoint: EndpointKey,
+    },
+    /// An endpoint that was leaving is there again.
+    EndpointBack {
+        /// Which endpoint.
+        endpoint: EndpointKey,
+    },
+}
+
+/// What membership asks of the node.
+#[derive(Clone, Debug, PartialEq)]
+pub enum MembershipAction {
+    /// Tell a peer something.
+    Send {
+        /// Whom.
+        to: InstanceKey,
+        /// What.
+        message: MembershipMessage,
+    },
+    /// Read the list once.
+    ReadList,
+    /// Watch the list for a higher revision; answered once.
+    WatchList {
+        /// The revision that is held.
+        above: u64,
+    },
+    /// Dial exactly these peers.
+    Links(Vec<PeerTarget>),
+    /// Tell operators.
+    Note(Note),
+    /// Something changed that other parts may react to.
+    Changed(MembershipChange),
+}
+
+/// Who is there, as this process believes.
+///
+/// After every method the caller should ask [`Membership::next_wake`] and call
+/// [`Membership::tick`] at that time.
+#[derive(Clone, Debug)]
+pub struct Membership {
+    me: InstanceKey,
+    cfg: MembershipConfig,
+    rng: SmallRng,
+    view: View,
+    /// Earlier lists, oldest first, for changes asked for by peers.
+    history: VecDeque<InstanceList>,
+    /// What is known of instances beyond the list; also of some not in it yet.
+    lives: IndexMap<InstanceKey, Life>,
+    /// Endpoints that said that they are leaving while the list calls them live.
+    notices: IndexMap<EndpointKey, EndpointNotice>,
+    doubt: Option<Doubt>,
+    reads: Reads,
+    /// Peers that were asked to be dialled last, to tell a change.
+    dialled: Vec<InstanceKey>,
+    stopping: bool,
+}
+
+impl Membership {
+    /// Creates the state of a process that knows nothing yet.
+    pub fn new(cfg: MembershipConfig) -> Self {
+        Membership {
+            me: InstanceKey::of(&cfg.name),
+            rng: SmallRng::seed_from_u64(cfg.seed),
+            cfg,
+            view: View::default(),
+            history: VecDeque::new(),
+            lives: IndexMap::new(),
+            notices: IndexMap::new(),
+            doubt: None,
+            reads: Reads::default(),
+            dialled: Vec::new(),
+            stopping: false,
+        }
+    }
+
+    /// Returns the key of this instance.
+    pub fn me(&self) -> InstanceKey {
+        self.me
+    }
+
+    /// Returns the list in force.
+    pub fn view(&self) -> &View {
+        &self.view
+    }
+
+    /// Starts to read the list.
+    pub fn start(&mut self, now: Time, _out: &mut Vec<MembershipAction>) {
+        let delay = self.jitter(reads::START_SPREAD);
+        self.reads.begin_after(now, delay);
+    }
+
+    /// Announces that this instance is leaving and stops being a home.
+    pub fn stop(&mut self, now: Time, out: &mut Vec<MembershipAction>) {
+        if self.stopping {
+            return;
+        }
+        self.stopping = true;
+        self.tell_own_leaving(now, out);
+        self.refresh(now, out);
+        out.push(MembershipAction::Changed(MembershipChange::Homes));
+    }
+
+    /// Returns when [`Membership::tick`] is due.
+    pub fn next_wake(&self) -> Time {
+        self.next_read()
+            .min(self.next_suspicion())
+            .min(self.next_link_expiry())
+            .min(self.doubt_due())
+    }
+
+    /// Does whatever is due.
+    pub fn tick(&mut self, now: Time, out: &mut Vec<MembershipAction>) {
+        self.tick_reads(now, out);
+        self.tick_suspicions(now, out);
+        self.tick_doubt(now, out);
+        self.refresh_links(now, out);
+    }
+
+    /// A peer message arrived.
+    pub fn message(
+        &mut self,
+        now: Time,
+        from: PeerId,
+        message: MembershipMessage,
+        out: &mut Vec<MembershipAction>,
+    ) {
+        match message {
+            MembershipMessage::EndpointLeaving {
+                endpoint,
+                list_revision,
+            } => self.news_of_endpoint(now, endpoint, list_revision, Some(from), out),
+            MembershipMessage::InstanceLife {
+                instance,
+                incarnation,
+                leaving,
+            } => self.news_of_instance(now, instance, incarnation, leaving, Some(from), out),
+            MembershipMessage::ListNotice { revision } => {
+                self.peer_revision(now, from, revision, out);
+            }
+            MembershipMessage::ListPull { have } => self.answer_pull(now, from, have, out),
+            MembershipMessage::Delta(delta) => self.pulled_delta(now, from, &delta, out),
+            MembershipMessage::Whole(list) => self.pulled_list(now, *list, out),
+        }
+    }
+
+    fn send(
+        &mut self,
+        now: Time,
+        to: InstanceKey,
+        message: MembershipMessage,
+        out: &mut Vec<MembershipAction>,
+    ) {
+        self.touch_link(now, to, out);
+        out.push(MembershipAction::Send { to, message });
+    }
+
+    /// Puts a list in force and works out what changed.
+    fn accept_list(&mut self, now: Time, list: InstanceList, out: &mut Vec<MembershipAction>) {
+        let revision = list.revision;
+        let before = core::mem::take(&mut self.view);
+        self.view = View::build(list, self.cfg.cell_endpoints, &before);
+        self.doubt = None;
+        self.drop_stale_notices(out);
+        self.prune_lives();
+        self.say_what_left(&before, out);
+        if before.revision() > 0 {
+            self.history.push_back(before.list);
+        }
+        while self.history.len() > LIST_HISTORY {
+            self.history.pop_front();
+        }
+        out.push(MembershipAction::Note(Note::ListAccepted { revision }));
+        self.refresh(now, out);
+        out.push(MembershipAction::Changed(MembershipChange::List {
+            revision,
+        }));
+        self.push_notice(now, revision, out);
+    }
+
+    /// Tells which instances and endpoints the new list no longer offers.
+    fn say_what_left(&self, before: &View, out: &mut Vec<MembershipAction>) {
+        let live = |state: ListedState| state == ListedState::Live;
+        for old in before.instances().filter(|it| live(it.record.state)) {
+            let new = self.view.instance(old.key);
+            if !new.is_some_and(|it| live(it.record.state)) {
+                say_instance_gone(old.key, out);
+            }
+        }
+        for old in before.endpoints().filter(|it| live(it.record.state)) {
+            let new = self.view.endpoint(old.key);
+            if !new.is_some_and(|it| live(it.record.state)) {
+                out.push(MembershipAction::Note(Note::EndpointLeaving(old.key)));
+                let change = MembershipChange::EndpointLeaving { endpoint: old.key };
+                out.push(MembershipAction::Changed(change));
+            }
+        }
+    }
+
+    /// Recomputes what follows from the list, the lives and the notices.
+    fn refresh(&mut self, now: Time, out: &mut Vec<MembershipAction>) {
+        self.refresh_usable();
+        self.refresh_homes();
+        self.refresh_reads(now);
+        self.refresh_links(now, out);
+    }
+}
+
+fn say_instance_gone(instance: InstanceKey, out: &mut Vec<MembershipAction>) {
+    out.push(MembershipAction::Note(Note::InstanceGone(instance)));
+    let change = MembershipChange::InstanceGone { instance };
+    out.push(MembershipAction::Changed(change));
+}
--- /dev/null
+++ b/crates/core/src/membership/doubt.rs
@@ -0,0 +1,177 @@
+//! Lists that name far too little are not believed at once.
+//!
+//! A list that is empty or half-written looks exactly like the loss of most of
+//! the fleet. Believing it would move every home and close every endpoint in
+//! one step, while keeping the old list costs little: what is truly gone shows
+//! itself by broken links and refusals.
+
+use super::links::Link;
+use super::list::{InstanceList, ListedState};
+use super::{Membership, MembershipAction, View};
+use crate::ids::InstanceKey;
+use crate::note::Note;
+use crate::time::Time;
+use core::time::Duration;
+
+/// A later revision confirms a doubted list only after so long, so that a
+/// writer that publishes a list in pieces does not confirm itself.
+pub const DOUBT_CONFIRM: Duration = Duration::from_secs(10);
+
+/// A doubted list that nothing contradicts is believed after so long.
+pub const DOUBT_LIMIT: Duration = Duration::from_secs(300);
+
+/// A list that is held back.
+#[derive(Clone, Debug)]
+pub(super) struct Doubt {
+    list: InstanceList,
+    since: Time,
+    /// Instances that it no longer names.
+    vanished: Vec<InstanceKey>,
+}
+
+/// What links to vanished instances say.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Evidence {
+    /// At least one is there.
+    Alive,
+    /// All that were linked are down.
+    Dead,
+    /// None was linked.
+    Unknown,
+}
+
+impl Membership {
+    /// Takes in a list from the platform or from a peer.
+    ///
+    /// Returns whether its revision is at least the one in force.
+    pub(super) fn consider_list(
+        &mut self,
+        now: Time,
+        mut list: InstanceList,
+        out: &mut Vec<MembershipAction>,
+    ) -> bool {
+        if list.revision < self.view.revision() {
+            return false;
+        }
+        if list.revision == self.view.revision() {
+            return true;
+        }
+        list.normalise();
+        if !loses_most(&self.view, &list) {
+            self.accept_list(now, list, out);
+            return true;
+        }
+        self.doubt_list(now, list, out);
+        true
+    }
+
+    fn doubt_list(&mut self, now: Time, list: InstanceList, out: &mut Vec<MembershipAction>) {
+        let vanished = vanished_instances(&self.view, &list);
+        let Some(doubt) = &mut self.doubt else {
+            out.push(MembershipAction::Note(Note::ListDoubted {
+                named: count(list.instances.len()),
+                known: count(self.view.list().instances.len()),
+            }));
+            self.doubt = Some(Doubt {
+                list,
+                since: now,
+                vanished,
+            });
+            return;
+        };
+        if list.revision <= doubt.list.revision {
+            return;
+        }
+        doubt.list = list;
+        doubt.vanished = vanished;
+        let confirmed = now >= doubt.since + DOUBT_CONFIRM;
+        if confirmed && !doubt.list.instances.is_empty() {
+            self.believe_doubted(now, out);
+        }
+    }
+
+    fn believe_doubted(&mut self, now: Time, out: &mut Vec<MembershipAction>) {
+        if let Some(doubt) = self.doubt.take() {
+            self.accept_list(now, doubt.list, out);
+        }
+    }
+
+    /// Returns the highest revision seen, also of a list that is doubted.
+    pub(super) fn seen_revision(&self) -> u64 {
+        let doubted = self.doubt.as_ref().map_or(0, |it| it.list.revision);
+        self.view.revision().max(doubted)
+    }
+
+    pub(super) fn doubt_due(&self) -> Time {
+        let Some(doubt) = &self.doubt else {
+            return Time::NEVER;
+        };
+        if doubt.list.instances.is_empty() {
+            return Time::NEVER;
+        }
+        match self.evidence(doubt) {
+            Evidence::Alive => Time::NEVER,
+            Evidence::Dead => doubt.since + DOUBT_CONFIRM,
+            Evidence::Unknown => doubt.since + DOUBT_LIMIT,
+        }
+    }
+
+    pub(super) fn tick_doubt(&mut self, now: Time, out: &mut Vec<MembershipAction>) {
+        if self.doubt_due() <= now {
+            self.believe_doubted(now, out);
+        }
+    }
+
+    fn evidence(&self, doubt: &Doubt) -> Evidence {
+        let mut evidence = Evidence::Unknown;
+        for life in doubt.vanished.iter().filter_map(|it| self.lives.get(it)) {
+            match life.link {
+                Link::Up => return Evidence::Alive,
+                Link::Down { .. } => evidence = Evidence::Dead,
+                Link::Unknown => {}
+            }
+        }
+        evidence
+    }
+}
+
+fn count(len: usize) -> u32 {
+    u32::try_from(len).unwrap_or(u32::MAX)
+}
+
+fn vanished_instances(view: &View, list: &InstanceList) -> Vec<InstanceKey> {
+    let named: Vec<InstanceKey> = list.instances.iter().map(|it| it.key()).collect();
+    let live = view
+        .instances()
+        .filter(|it| it.record.state == ListedState::Live);
+    live.map(|it| it.key)
+        .filter(|it| !named.contains(it))
+        .collect()
+}
+
+/// Returns whether more than half of the live instances or of the live
+/// endpoints are missing, without ever having been called leaving.
+fn loses_most(view: &View, list: &InstanceList) -> bool {
+    let known = view
+        .instances()
+        .filter(|it| it.record.state == ListedState::Live);
+    let lost = vanished_instances(view, list).len();
+    if lost * 2 > known.count() {
+        return true;
+    }
+    let known = view
+        .endpoints()
+        .filter(|it| it.record.state == ListedState::Live);
+    let named = |name: &str| {
+        let found = list
+            .endpoints
+            .binary_search_by(|it| it.name.as_str().cmp(name));
+        found.is_ok()
+    };
+    let (mut all, mut lost) = (0, 0);
+    for endpoint in known {
+        all += 1;
+        lost += usize::from(!named(&endpoint.record.name));
+    }
+    lost * 2 > all
+}
--- /dev/null
+++ b/crates/core/src/membership/homes.rs
@@ -0,0 +1,155 @@
+//! Who is home for what, and what may be used.
+
+use super::list::ListedState;
+use super::view::{Cell, CellId, Endpoint, HOME_RANKS};
+use super::{DataCentreId, Life, Membership};
+use crate::ids::{CellKey, EndpointKey, InstanceKey, WorkspaceKey, stable_hash};
+use crate::rendezvous::{self, Candidate};
+
+/// What may be sent to an endpoint, as far as membership knows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EndpointState {
+    /// The list does not name it.
+    Unknown,
+    /// It takes new work.
+    Live,
+    /// It takes nothing new; what runs there goes on.
+    Leaving,
+}
+
+impl Membership {
+    /// Marks which instances may be homes.
+    ///
+    /// While the list names nobody usable, for example before the first list
+    /// names this instance, nobody is home and nothing is decided on a guess.
+    pub(super) fn refresh_usable(&mut self) {
+        let me = self.me;
+        let stopping = self.stopping;
+        for instance in self.view.instances.values_mut() {
+            let listed = instance.record.state == ListedState::Live;
+            let there = if instance.key == me {
+                !stopping
+            } else {
+                self.lives.get(&instance.key).is_none_or(Life::may_be_home)
+            };
+            instance.usable = listed && there;
+        }
+    }
+
+    /// Ranks the homes of every cell anew.
+    pub(super) fn refresh_homes(&mut self) {
+        let cells: Vec<CellId> = self.view.cells.keys().collect();
+        let mut homes = Vec::with_capacity(HOME_RANKS);
+        for id in cells {
+            let Cell {
+                plan, data_centre, ..
+            } = &self.view.cells[id];
+            let near = Some(*data_centre);
+            rendezvous::rank(plan.key.0, self.candidates(near), HOME_RANKS, &mut homes);
+            self.view.cells[id].homes.clone_from(&homes);
+        }
+    }
+
+    fn candidates(&self, near: Option<DataCentreId>) -> impl Iterator<Item = Candidate> + '_ {
+        let usable = self.view.instances.values().filter(|it| it.usable);
+        usable.map(move |it| Candidate {
+            instance: it.key,
+            near: near == Some(it.data_centre),
+        })
+    }
+
+    /// Returns the instances that may be homes.
+    pub fn live_instances(&self) -> impl Iterator<Item = InstanceKey> + '_ {
+        self.candidates(None).map(|it| it.instance)
+    }
+
+    /// Returns how many instances may be homes, and at least one.
+    pub fn live_count(&self) -> u32 {
+        let count = self.candidates(None).count();
+        u32::try_from(count).unwrap_or(u32::MAX).max(1)
+    }
+
+    /// Returns the home of a cell.
+    pub fn home_of_cell(&self, cell: CellKey) -> Option<InstanceKey> {
+        self.homes_of_cell(cell).first().copied()
+    }
+
+    /// Returns the home of a cell and those that follow in rank.
+    pub fn homes_of_cell(&self, cell: CellKey) -> &[InstanceKey] {
+        self.view.cell(cell).map_or(&[], |it| it.homes.as_slice())
+    }
+
+    /// Returns whether this instance is the home of a cell.
+    pub fn is_home_of_cell(&self, cell: CellKey) -> bool {
+        self.home_of_cell(cell) == Some(self.me)
+    }
+
+    /// Returns the cells that this instance is home for.
+    pub fn own_cells(&self) -> impl Iterator<Item = &Cell> {
+        let me = self.me;
+        let cells = self.view.cells();
+        cells.filter(move |it| it.homes.first() == Some(&me))
+    }
+
+    /// Returns the home of a workspace's limits.
+    pub fn home_of_workspace(&self, workspace: WorkspaceKey) -> Option<InstanceKey> {
+        rendezvous::first(
+            stable_hash(&[b"limits", &workspace.0.to_le_bytes()]),
+            self.candidates(None),
+        )
+    }
+
+    /// Returns the home of any other stable key, such as an idempotency key.
+    pub fn home_of_key(&self, key: u64) -> Option<InstanceKey> {
+        rendezvous::first(key, self.candidates(None))
+    }
+
+    /// Fills `buf` with the first `limit` usable instances for `key`, the home first.
+    pub fn ranked_homes(&self, key: u64, limit: usize, buf: &mut Vec<InstanceKey>) {
+        rendezvous::rank(key, self.candidates(None), limit, buf);
+    }
+
+    /// Returns the endpoints of a cell, whatever their state.
+    pub fn endpoints_of_cell(&self, cell: CellKey) -> &[EndpointKey] {
+        let cell = self.view.cell(cell);
+        cell.map_or(&[], |it| it.plan.endpoints.as_slice())
+    }
+
+    /// Returns the cells that serve `name`, those of `from` first.
+    ///
+    /// Distances between other data centres are not published; their order is
+    /// stable and differs from one `from` to the next, so that the overflow of
+    /// several data centres does not meet in one.
+    pub fn cells_serving(&self, name: &str, from: Option<DataCentreId>) -> Vec<&Cell> {
+        let spread = |cell: &Cell| {
+            let from = from.map_or(0, |it| u64::from(it.as_u32()) + 1);
+            rendezvous::score(cell.plan.key.0, from)
+        };
+        let cells = self.view.cells();
+        let mut found: Vec<&Cell> = cells.filter(|it| serves(it, name)).collect();
+        found.sort_by_key(|it| (Some(it.data_centre) != from, spread(it)));
+        found
+    }
+
+    /// Returns the data centre of this instance, if the list knows it.
+    pub fn own_data_centre(&self) -> Option<DataCentreId> {
+        self.view.find_data_centre(&self.cfg.data_centre)
+    }
+
+    /// Returns whether an endpoint takes new work.
+    pub fn endpoint_state(&self, key: EndpointKey) -> EndpointState {
+        match self.view.endpoint(key) {
+            None => EndpointState::Unknown,
+            Some(endpoint) if self.takes_work(endpoint) => EndpointState::Live,
+            Some(_) => EndpointState::Leaving,
+        }
+    }
+
+    fn takes_work(&self, endpoint: &Endpoint) -> bool {
+        endpoint.record.state == ListedState::Live && !self.notices.contains_key(&endpoint.key)
+    }
+}
+
+fn serves(cell: &Cell, name: &str) -> bool {
+    cell.plan.serves.iter().any(|it| it == name)
+}
--- /dev/null
+++ b/crates/core/src/membership/links.rs
@@ -0,0 +1,318 @@
+//! Links to peers, lives of instances, and suspicion.
+//!
+//! Links exist on demand: to the watchers of the own data centre, to whoever
+//! was sent something lately, and to suspected instances, so that a recovery
+//! is noticed. At 390 instances this keeps a handful of links per process
+//! instead of 389.
+
+use super::{
+    InstanceKey, Membership, MembershipAction, MembershipChange, REPLACED_LIVES, SUSPECT_AFTER,
+    say_instance_gone,
+};
+use crate::event::{PeerId, PeerTarget};
+use crate::ids::Incarnation;
+use crate::rendezvous;
+use crate::time::Time;
+use core::time::Duration;
+
+/// A link that carried nothing for so long is given up.
+pub const LINK_IDLE: Duration = Duration::from_secs(60);
+
+/// Instances beyond the list whose life is remembered.
+const STRANGERS: usize = 256;
+
+/// What is known of the link to an instance.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(super) enum Link {
+    /// Never tried, or closed because it was idle.
+    #[default]
+    Unknown,
+    /// Up.
+    Up,
+    /// Broken, and whether for long enough to be suspected.
+    Down {
+        /// Since when.
+        since: Time,
+        /// Whether homes have moved away from it.
+        suspected: bool,
+    },
+}
+
+/// What is known of one instance beyond the list.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Life {
+    /// The life that authenticated itself last.
+    pub incarnation: Option<Incarnation>,
+    /// Lives that were replaced. A paused process of an earlier life that
+    /// wakes up and connects must not pass for the present one.
+    pub replaced: Vec<Incarnation>,
+    /// The life that is known to leave, also if it never linked to us.
+    pub leaving: Option<Incarnation>,
+    /// The link.
+    pub link: Link,
+    /// When something was sent or asked to be sent.
+    pub touched: Option<Time>,
+}
+
+impl Life {
+    /// Returns whether the present life said that it is leaving.
+    pub fn is_leaving(&self) -> bool {
+        match (self.leaving, self.incarnation) {
+            (Some(leaving), Some(present)) => leaving == present,
+            (leaving, None) => leaving.is_some(),
+            (None, Some(_)) => false,
+        }
+    }
+
+    /// Returns whether decisions may be left to it.
+    pub fn may_be_home(&self) -> bool {
+        !self.is_leaving() && !self.is_suspected()
+    }
+
+    pub fn is_suspected(&self) -> bool {
+        matches!(
+            self.link,
+            Link::Down {
+                suspected: true,
+                ..
+            }
+        )
+    }
+
+    /// Makes `incarnation` the present life; returns the one that it replaces.
+    pub fn replace(&mut self, incarnation: Incarnation) -> Option<Incarnation> {
+        let was = self.incarnation.replace(incarnation);
+        let was = was.filter(|&it| it != incarnation)?;
+        self.replaced.push(was);
+        if self.replaced.len() > REPLACED_LIVES {
+            self.replaced.remove(0);
+        }
+        Some(was)
+    }
+}
+
+impl Membership {
+    /// A link to a peer is up.
+    pub fn peer_up(&mut self, now: Time, peer: PeerId, out: &mut Vec<MembershipAction>) {
+        if !self.is_known_or_room(peer.instance) {
+            return;
+        }
+        let life = self.lives.entry(peer.instance).or_default();
+        if life.replaced.contains(&peer.incarnation) {
+            return;
+        }
+        let was_home = life.may_be_home();
+        let was_leaving = life.leaving.filter(|&it| it != peer.incarnation);
+        life.link = Link::Up;
+        life.touched.get_or_insert(now);
+        if let Some(was) = life.replace(peer.incarnation) {
+            out.push(MembershipAction::Changed(
+                MembershipChange::InstanceReplaced {
+                    instance: peer.instance,
+                    was,
+                },
+            ));
+        }
+        let is_home = life.may_be_home();
+        if was_leaving.is_some() {
+            self.news_of_instance(now, peer.instance, peer.incarnation, false, None, out);
+        }
+        if was_home != is_home {
+            self.refresh(now, out);
+            out.push(MembershipAction::Changed(MembershipChange::Homes));
+        }
+        self.tell_newcomer(now, peer.instance, out);
+    }
+
+    /// The link to a peer broke, or could not be made.
+    ///
+    /// The shell reports this for failures only, not for links closed because
+    /// they were idle; an incarnation of 0 means that none is known.
+    pub fn peer_down(&mut self, now: Time, peer: PeerId, out: &mut Vec<MembershipAction>) {
+        let Some(life) = self.lives.get_mut(&peer.instance) else {
+            return;
+        };
+        let unknown = peer.incarnation == Incarnation(0);
+        if !unknown && life.incarnation != Some(peer.incarnation) {
+            return;
+        }
+        if !matches!(life.link, Link::Down { .. }) {
+            life.link = Link::Down {
+                since: now,
+                suspected: false,
+            };
+        }
+        self.refresh_links(now, out);
+    }
+
+    /// The link to a peer was closed because it was idle.
+    pub fn peer_idle(&mut self, peer: PeerId) {
+        if let Some(life) = self.lives.get_mut(&peer.instance)
+            && life.incarnation == Some(peer.incarnation)
+            && life.link == Link::Up
+        {
+            life.link = Link::Unknown;
+        }
+    }
+
+    /// Returns whether `peer` is the present life of its instance.
+    ///
+    /// Messages of any other life are dropped by the node.
+    pub fn is_present_life(&self, peer: PeerId) -> bool {
+        let life = self.lives.get(&peer.instance);
+        life.is_some_and(|it| it.incarnation == Some(peer.incarnation))
+    }
+
+    /// Returns the present life of an instance, if it is known.
+    pub fn incarnation(&self, instance: InstanceKey) -> Option<Incarnation> {
+        if instance == self.me {
+            return Some(self.cfg.incarnation);
+        }
+        self.lives.get(&instance)?.incarnation
+    }
+
+    /// Returns whether the link to an instance is up.
+    pub fn is_linked(&self, instance: InstanceKey) -> bool {
+        let life = self.lives.get(&instance);
+        life.is_some_and(|it| it.link == Link::Up)
+    }
+
+    /// Keeps a link to `to`, because something is about to be sent there.
+    pub fn touch_link(&mut self, now: Time, to: InstanceKey, out: &mut Vec<MembershipAction>) {
+        if to == self.me || !self.is_known_or_room(to) {
+            return;
+        }
+        self.lives.entry(to).or_default().touched = Some(now);
+        if self.dialled.binary_search(&to).is_err() {
+            self.refresh_links(now, out);
+        }
+    }
+
+    fn is_known_or_room(&self, instance: InstanceKey) -> bool {
+        let known = self.lives.contains_key(&instance) || self.view.instance(instance).is_some();
+        known || self.lives.len() < self.view.instances.len() + STRANGERS
+    }
+
+    /// Asks for links to be dialled anew if the set changed.
+    pub(super) fn refresh_links(&mut self, now: Time, out: &mut Vec<MembershipAction>) {
+        self.forget_idle(now);
+        let mut wanted = self.wanted_links();
+        wanted.sort_unstable();
+        wanted.dedup();
+        if wanted == self.dialled {
+            return;
+        }
+        let targets: Vec<PeerTarget> = wanted
+            .iter()
+            .filter_map(|&it| self.view.peer_target(it))
+            .collect();
+        self.dialled = wanted;
+        out.push(MembershipAction::Links(targets));
+    }
+
+    fn forget_idle(&mut self, now: Time) {
+        for life in self.lives.values_mut() {
+            life.touched = life.touched.filter(|&it| now < it + LINK_IDLE);
+        }
+    }
+
+    fn wanted_links(&self) -> Vec<InstanceKey> {
+        let mut wanted = self.watcher_links();
+        for (&key, life) in &self.lives {
+            let recent = life.touched.is_some();
+            let listed = self.view.instance(key).is_some();
+            if key != self.me && listed && (recent || matches!(life.link, Link::Down { .. })) {
+                wanted.push(key);
+            }
+        }
+        wanted
+    }
+
+    pub(super) fn next_link_expiry(&self) -> Time {
+        let touched = self.lives.values().filter_map(|it| it.touched);
+        touched.min().map_or(Time::NEVER, |it| it + LINK_IDLE)
+    }
+
+    pub(super) fn next_suspicion(&self) -> Time {
+        let due = self.lives.values().filter_map(|life| match life.link {
+            Link::Down {
+                since,
+                suspected: false,
+            } => Some(since + SUSPECT_AFTER),
+            _ => None,
+        });
+        due.min().unwrap_or(Time::NEVER)
+    }
+
+    /// Moves homes away from instances whose link stayed down.
+    pub(super) fn tick_suspicions(&mut self, now: Time, out: &mut Vec<MembershipAction>) {
+        let mut gone = Vec::new();
+        for (&key, life) in &mut self.lives {
+            if let Link::Down { since, suspected } = &mut life.link
+                && !*suspected
+                && *since + SUSPECT_AFTER <= now
+            {
+                *suspected = true;
+                gone.push(key);
+            }
+        }
+        if gone.is_empty() {
+            return;
+        }
+        for key in gone {
+            say_instance_gone(key, out);
+        }
+        self.refresh(now, out);
+        out.push(MembershipAction::Changed(MembershipChange::Homes));
+    }
+
+    /// Forgets lives of instances that are neither listed nor linked.
+    pub(super) fn prune_lives(&mut self) {
+        let view = &self.view;
+        self.lives
+            .retain(|&key, life| view.instance(key).is_some() || life.link == Link::Up);
+    }
+
+    /// Returns the watchers of the own data centre in order of rank.
+    pub(super) fn own_watchers(&self) -> Vec<InstanceKey> {
+        self.watchers_of(&self.cfg.data_centre)
+    }
+
+    pub(super) fn watchers_of(&self, data_centre: &str) -> Vec<InstanceKey> {
+        let mut watchers = Vec::with_capacity(super::reads::WATCHERS);
+        let Some(id) = self.view.find_data_centre(data_centre) else {
+            return watchers;
+        };
+        let key = crate::ids::stable_hash(&[b"watcher", data_centre.as_bytes()]);
+        let here = self.view.instances.values();
+        let usable = here.filter(|it| it.usable && it.data_centre == id);
+        let candidates = usable.map(|it| rendezvous::Candidate::anywhere(it.key));
+        rendezvous::rank(key, candidates, super::reads::WATCHERS, &mut watchers);
+        watchers
+    }
+
+    /// Returns whether this instance holds the platform's watches for its data centre.
+    pub fn is_watcher(&self) -> bool {
+        self.own_watchers().contains(&self.me)
+    }
+
+    /// Returns the first watcher of each other data centre.
+    pub(super) fn foreign_watchers(&self) -> Vec<InstanceKey> {
+        let names = self.view.data_centre_names();
+        let others = names.filter(|&it| it != self.cfg.data_centre);
+        others
+            .filter_map(|it| self.watchers_of(it).first().copied())
+            .collect()
+    }
+
+    /// Returns the links that carry news: to the own watchers, and between
+    /// watchers of different data centres.
+    fn watcher_links(&self) -> Vec<InstanceKey> {
+        let mut wanted = self.own_watchers();
+        if wanted.contains(&self.me) {
+            wanted.extend(self.foreign_watchers());
+        }
+        wanted.retain(|&it| it != self.me);
+        wanted
+    }
+}
--- /dev/null
+++ b/crates/core/src/membership/news.rs
@@ -0,0 +1,266 @@
+//! News of endpoints and instances that leave.
+//!
+//! Whoever learns it first tells the watchers of its data centre and the homes
+//! that decide; watchers pass it on to everyone. Each instance passes a piece
+//! of news on only when it is new to it, so it cannot circle.
+
+use super::{
+    EndpointKey, Incarnation, InstanceKey, ListedState, Membership, MembershipAction,
+    MembershipChange, MembershipMessage, say_instance_gone,
+};
+use crate::event::PeerId;
+use crate::note::Note;
+use crate::time::Time;
+use core::time::Duration;
+
+/// How long an endpoint's own word that it is leaving outweighs its reports.
+/// Reports lag, so one that does not say "leaving" may be older than the news.
+pub const LEAVING_HOLD: Duration = Duration::from_secs(30);
+
+/// News kept for endpoints that the list in force does not name yet.
+const NOTICES_AHEAD: usize = 256;
+
+/// What is known of an endpoint that is leaving while the list calls it live.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct EndpointNotice {
+    /// When it was heard last.
+    pub heard: Time,
+    /// The list revision at the instance that learnt it first.
+    pub list_revision: u64,
+}
+
+impl Membership {
+    /// An endpoint refused because it is leaving.
+    pub fn endpoint_refused_leaving(
+        &mut self,
+        now: Time,
+        endpoint: EndpointKey,
+        out: &mut Vec<MembershipAction>,
+    ) {
+        self.news_of_endpoint(now, endpoint, self.view.revision(), None, out);
+    }
+
+    /// An endpoint reported its load and whether it is leaving.
+    pub fn endpoint_reported(
+        &mut self,
+        now: Time,
+        endpoint: EndpointKey,
+        leaving: bool,
+        out: &mut Vec<MembershipAction>,
+    ) {
+        if leaving {
+            self.endpoint_refused_leaving(now, endpoint, out);
+            return;
+        }
+        let Some(notice) = self.notices.get(&endpoint) else {
+            return;
+        };
+        if now < notice.heard + LEAVING_HOLD {
+            return;
+        }
+        self.notices.shift_remove(&endpoint);
+        let change = MembershipChange::EndpointBack { endpoint };
+        out.push(MembershipAction::Changed(change));
+    }
+
+    pub(super) fn news_of_endpoint(
+        &mut self,
+        now: Time,
+        endpoint: EndpointKey,
+        list_revision: u64,
+        source: Option<PeerId>,
+        out: &mut Vec<MembershipAction>,
+    ) {
+        let Some(known) = self.view.endpoint(endpoint) else {
+            self.keep_for_later(now, endpoint, list_revision);
+            return;
+        };
+        let about_earlier_life = source.is_some() && list_revision <= known.not_live_at;
+        if known.record.state == ListedState::Leaving || about_earlier_life {
+            return;
+        }
+        let notice = EndpointNotice {
+            heard: now,
+            list_revision,
+        };
+        if self.notices.insert(endpoint, notice).is_some() {
+            return;
+        }
+        out.push(MembershipAction::Note(Note::EndpointLeaving(endpoint)));
+        let change = MembershipChange::EndpointLeaving { endpoint };
+        out.push(MembershipAction::Changed(change));
+        let message = MembershipMessage::EndpointLeaving {
+            endpoint,
+            list_revision,
+        };
+        let deciders = match source {
+            None => self.deciders_for(endpoint),
+            Some(_) => Vec::new(),
+        };
+        self.spread(now, &message, source, deciders, out);
+    }
+
+    /// Keeps news of an endpoint that a later list will name.
+    fn keep_for_later(&mut self, now: Time, endpoint: EndpointKey, list_revision: u64) {
+        let ahead = list_revision > self.view.revision();
+        if ahead && self.notices.len() < self.view.endpoints.len() + NOTICES_AHEAD {
+            let notice = EndpointNotice {
+                heard: now,
+                list_revision,
+            };
+            self.notices.insert(endpoint, notice);
+        }
+    }
+
+    /// Returns the instances that may be handing out this endpoint now.
+    fn deciders_for(&self, endpoint: EndpointKey) -> Vec<InstanceKey> {
+        let cell = self.view.endpoint(endpoint).map(|it| it.cell);
+        cell.map_or_else(Vec::new, |cell| self.homes_of_cell(cell).to_vec())
+    }
+
+    pub(super) fn news_of_instance(
+        &mut self,
+        now: Time,
+        instance: InstanceKey,
+        incarnation: Incarnation,
+        leaving: bool,
+        source: Option<PeerId>,
+        out: &mut Vec<MembershipAction>,
+    ) {
+        if instance == self.me || self.view.instance(instance).is_none() {
+            return;
+        }
+        let life = self.lives.entry(instance).or_default();
+        let was_leaving = life.is_leaving();
+        let about_earlier_life = life.replaced.contains(&incarnation)
+            || life.incarnation.is_some_and(|it| it != incarnation);
+        if about_earlier_life {
+            return;
+        }
+        let is_news = match leaving {
+            true => life.leaving != Some(incarnation),
+            false => life.leaving.is_some_and(|it| it != incarnation),
+        };
+        if !is_news {
+            return;
+        }
+        life.leaving = leaving.then_some(incarnation);
+        let is_leaving = life.is_leaving();
+        if is_leaving && !was_leaving {
+            say_instance_gone(instance, out);
+        }
+        let message = MembershipMessage::InstanceLife {
+            instance,
+            incarnation,
+            leaving,
+        };
+        self.spread(now, &message, source, Vec::new(), out);
+        if is_leaving != was_leaving {
+            self.refresh(now, out);
+            out.push(MembershipAction::Changed(MembershipChange::Homes));
+        }
+    }
+
+    /// Tells everybody reachable that this instance is leaving.
+    pub(super) fn tell_own_leaving(&mut self, now: Time, out: &mut Vec<MembershipAction>) {
+        let message = MembershipMessage::InstanceLife {
+            instance: self.me,
+            incarnation: self.cfg.incarnation,
+            leaving: true,
+        };
+        let linked = self.lives.keys().copied();
+        let linked: Vec<InstanceKey> = linked.filter(|&it| self.is_linked(it)).collect();
+        self.spread(now, &message, None, linked, out);
+    }
+
+    /// Passes news on: to `extra`, and along the watchers.
+    fn spread(
+        &mut self,
+        now: Time,
+        message: &MembershipMessage,
+        source: Option<PeerId>,
+        mut extra: Vec<InstanceKey>,
+        out: &mut Vec<MembershipAction>,
+    ) {
+        let watchers = self.own_watchers();
+        let from = source.map(|it| it.instance);
+        if source.is_none() {
+            extra.extend(&watchers);
+        }
+        // Another watcher of this data centre tells the same instances itself.
+        let told_by_watcher = from.is_some_and(|it| watchers.contains(&it));
+        if watchers.contains(&self.me) && !told_by_watcher {
+            extra.extend(self.own_data_centre_instances());
+            extra.extend(self.foreign_watchers());
+        }
+        extra.sort_unstable();
+        extra.dedup();
+        extra.retain(|&it| it != self.me && Some(it) != from);
+        for to in extra {
+            self.send(now, to, message.clone(), out);
+        }
+    }
+
+    pub(super) fn own_data_centre_instances(&self) -> Vec<InstanceKey> {
+        let own = self.own_data_centre();
+        let here = self
+            .view
+            .instances()
+            .filter(|it| Some(it.data_centre) == own);
+        here.filter(|it| it.usable).map(|it| it.key).collect()
+    }
+
+    /// Repeats what leaves to a peer whose link has just come up.
+    ///
+    /// News sent while a link was down is lost; without this an instance on
+    /// the other side of a healed partition would go on using the endpoint.
+    pub(super) fn tell_newcomer(
+        &mut self,
+        now: Time,
+        to: InstanceKey,
+        out: &mut Vec<MembershipAction>,
+    ) {
+        if self.view.revision() > 0 {
+            let revision = self.view.revision();
+            self.send(now, to, MembershipMessage::ListNotice { revision }, out);
+        }
+        let endpoints = self.notices.iter();
+        let mut news: Vec<MembershipMessage> = endpoints
+            .map(|(&endpoint, notice)| MembershipMessage::EndpointLeaving {
+                endpoint,
+                list_revision: notice.list_revision,
+            })
+            .collect();
+        let lives = self.lives.iter().filter(|(key, _)| **key != to);
+        news.extend(lives.filter_map(|(&instance, life)| {
+            let incarnation = life.leaving.filter(|_| life.is_leaving())?;
+            Some(MembershipMessage::InstanceLife {
+                instance,
+                incarnation,
+                leaving: true,
+            })
+        }));
+        for message in news {
+            self.send(now, to, message, out);
+        }
+    }
+
+    /// Drops notices that the list has caught up with.
+    pub(super) fn drop_stale_notices(&mut self, out: &mut Vec<MembershipAction>) {
+        let view = &self.view;
+        self.notices.retain(|&endpoint, notice| {
+            let Some(known) = view.endpoint(endpoint) else {
+                return notice.list_revision > view.revision();
+            };
+            if known.record.state == ListedState::Leaving {
+                return false;
+            }
+            let came_back = notice.list_revision <= known.not_live_at;
+            if came_back {
+                let change = MembershipChange::EndpointBack { endpoint };
+                out.push(MembershipAction::Changed(change));
+            }
+            !came_back
+        });
+    }
+}
--- /dev/null
+++ b/crates/core/src/membership/reads.rs
@@ -0,0 +1,294 @@
+//! Reading the list: from the platform by a few, from peers by the rest.
+//!
+//! The platform answers about two thousand reads a second for all readers
+//! together. Only [`WATCHERS`] instances of each data centre watch it; the
+//! others hear of a new revision from them, and read the platform themselves
+//! seldom, as a safety net.
+
+use super::delta::{ListDelta, apply_delta, list_delta};
+use super::list::InstanceList;
+use super::{InstanceKey, Membership, MembershipAction, MembershipMessage};
+use crate::event::PeerId;
+use crate::note::Note;
+use crate::time::Time;
+use core::time::Duration;
+use rand::Rng;
+
+/// Instances of a data centre that hold a watch; a second covers the first's loss.
+pub const WATCHERS: usize = 2;
+
+/// First reads of a fleet that starts at once are spread over so long.
+pub const START_SPREAD: Duration = Duration::from_millis(1000);
+
+/// An instance that holds no watch reads the platform so often.
+const READ_FALLBACK: Duration = Duration::from_secs(300);
+
+/// The shortest time between two watches, should the platform answer at once.
+const WATCH_GAP: Duration = Duration::from_millis(100);
+
+/// A read or watch that was not answered by then has failed.
+const ANSWER_LIMIT: Duration = Duration::from_secs(60);
+
+/// The first wait after a failure; doubles up to [`RETRY_MOST`].
+const RETRY_FIRST: Duration = Duration::from_millis(250);
+
+/// The longest wait after a failure.
+const RETRY_MOST: Duration = Duration::from_secs(10);
+
+/// A peer that does not answer a pull by then may be asked again.
+const PULL_LIMIT: Duration = Duration::from_secs(2);
+
+/// A list that was not confirmed for so long is reported, and again after as long.
+pub const LIST_STALE: Duration = Duration::from_secs(600);
+
+/// What is known about reads of the platform.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Reads {
+    /// When to read or watch next.
+    due: Option<Time>,
+    /// When the read that is out was sent.
+    read: Option<Time>,
+    /// When the watch that is out was sent.
+    watch: Option<Time>,
+    /// Failures in a row.
+    failures: u32,
+    /// The list in force was current at this time.
+    fresh_at: Option<Time>,
+    /// When to report that the list is stale.
+    stale_due: Option<Time>,
+    /// When a peer was asked for changes.
+    pulled: Option<Time>,
+    /// The highest revision that a peer said it holds.
+    told: u64,
+}
+
+impl Reads {
+    pub fn begin_after(&mut self, now: Time, delay: Duration) {
+        self.due = Some(now + delay);
+        self.stale_due = Some(now + LIST_STALE);
+    }
+
+    fn oldest_out(&self) -> Option<Time> {
+        self.read.into_iter().chain(self.watch).min()
+    }
+
+    fn clear_out(&mut self) {
+        self.read = None;
+        self.watch = None;
+    }
+}
+
+impl Membership {
+    pub(super) fn jitter(&mut self, most: Duration) -> Duration {
+        most.mul_f64(self.rng.random_range(0.0..1.0))
+    }
+
+    pub(super) fn next_read(&self) -> Time {
+        let lost = self.reads.oldest_out().map(|it| it + ANSWER_LIMIT);
+        let due = if self.reads.watch.is_some() {
+            None
+        } else {
+            self.reads.due
+        };
+        let stale = self.reads.stale_due;
+        let all = lost.into_iter().chain(due).chain(stale);
+        all.min().unwrap_or(Time::NEVER)
+    }
+
+    pub(super) fn tick_reads(&mut self, now: Time, out: &mut Vec<MembershipAction>) {
+        let oldest = self.reads.oldest_out();
+        if oldest.is_some_and(|it| it + ANSWER_LIMIT <= now) {
+            self.list_failed(now, out);
+        }
+        if self.reads.due.is_some_and(|it| it <= now) && self.reads.watch.is_none() {
+            self.reads.due = None;
+            self.ask_platform(now, out);
+        }
+        if self.reads.stale_due.is_some_and(|it| it <= now) {
+            self.reads.stale_due = Some(now + LIST_STALE);
+            let since = self.reads.fresh_at.unwrap_or(Time::ZERO);
+            let age_secs = now.since(since).as_secs();
+            out.push(MembershipAction::Note(Note::ListStale { age_secs }));
+        }
+    }
+
+    fn ask_platform(&mut self, now: Time, out: &mut Vec<MembershipAction>) {
+        if self.view.revision() > 0 && self.is_watcher() {
+            self.reads.watch = Some(now);
+            let above = self.seen_revision();
+            out.push(MembershipAction::WatchList { above });
+        } else if self.reads.read.is_none() {
+            self.reads.read = Some(now);
+            out.push(MembershipAction::ReadList);
+        }
+    }
+
+    /// Asks for a read of the list now, because an order depends on it.
+    pub fn want_fresh(&mut self, now: Time, out: &mut Vec<MembershipAction>) {
+        if self.reads.read.is_none() {
+            self.reads.read = Some(now);
+            out.push(MembershipAction::ReadList);
+        }
+    }
+
+    /// The platform answered with a list.
+    pub fn list(&mut self, now: Time, list: InstanceList, out: &mut Vec<MembershipAction>) {
+        let revision = list.revision;
+        let asked_at = self.reads.oldest_out().unwrap_or(now);
+        self.reads.clear_out();
+        self.platform_answered(out);
+        self.consider_list(now, list, out);
+        // A service that serves an old revision must not make the list look fresh.
+        let current = revision == self.view.revision() && revision >= self.reads.told;
+        if current {
+            self.confirm(now, asked_at);
+        }
+        self.schedule_next(now);
+    }
+
+    /// The platform answered that there is nothing newer.
+    pub fn list_unchanged(&mut self, now: Time, out: &mut Vec<MembershipAction>) {
+        let asked_at = self.reads.watch.take().unwrap_or(now);
+        self.platform_answered(out);
+        if self.doubt.is_none() && self.view.revision() >= self.reads.told {
+            self.confirm(now, asked_at);
+        }
+        self.schedule_next(now);
+    }
+
+    /// The platform did not answer, or with something that is not a list.
+    pub fn list_failed(&mut self, now: Time, out: &mut Vec<MembershipAction>) {
+        self.reads.clear_out();
+        if self.reads.failures == 0 {
+            out.push(MembershipAction::Note(Note::PlatformDown));
+        }
+        let doubled = RETRY_FIRST * (1 << self.reads.failures.min(6));
+        self.reads.failures = self.reads.failures.saturating_add(1);
+        let most = doubled.min(RETRY_MOST);
+        let delay = most / 2 + self.jitter(most / 2);
+        self.reads.due = Some(now + delay);
+    }
+
+    fn platform_answered(&mut self, out: &mut Vec<MembershipAction>) {
+        if self.reads.failures > 0 {
+            out.push(MembershipAction::Note(Note::PlatformUp));
+        }
+        self.reads.failures = 0;
+    }
+
+    fn confirm(&mut self, now: Time, asked_at: Time) {
+        self.reads.fresh_at = self.reads.fresh_at.max(Some(asked_at));
+        self.reads.stale_due = Some(now + LIST_STALE);
+    }
+
+    fn schedule_next(&mut self, now: Time) {
+        let delay = if self.is_watcher() {
+            WATCH_GAP
+        } else {
+            READ_FALLBACK / 2 + self.jitter(READ_FALLBACK)
+        };
+        self.reads.due = Some(now + delay);
+    }
+
+    /// Takes over the watch as soon as this instance ranks for it.
+    pub(super) fn refresh_reads(&mut self, now: Time) {
+        let idle = self.reads.watch.is_none() && self.reads.failures == 0;
+        if idle && self.reads.due.is_some() && self.is_watcher() {
+            let soon = now + WATCH_GAP;
+            self.reads.due = self.reads.due.min(Some(soon));
+        }
+    }
+
+    /// Returns for how long the list in force has not been confirmed by the
+    /// platform, counted from when the confirming call was sent.
+    pub fn list_age(&self, now: Time) -> Option<Duration> {
+        self.reads.fresh_at.map(|it| now.since(it))
+    }
+
+    /// A peer said which revision of the list it holds.
+    pub fn peer_revision(
+        &mut self,
+        now: Time,
+        from: PeerId,
+        revision: u64,
+        out: &mut Vec<MembershipAction>,
+    ) {
+        self.reads.told = self.reads.told.max(revision);
+        if revision <= self.seen_revision() {
+            return;
+        }
+        if self.reads.pulled.is_some_and(|it| now < it + PULL_LIMIT) {
+            return;
+        }
+        self.pull(now, from.instance, self.view.revision(), out);
+    }
+
+    fn pull(&mut self, now: Time, from: InstanceKey, have: u64, out: &mut Vec<MembershipAction>) {
+        self.reads.pulled = Some(now);
+        self.send(now, from, MembershipMessage::ListPull { have }, out);
+    }
+
+    pub(super) fn answer_pull(
+        &mut self,
+        now: Time,
+        from: PeerId,
+        have: u64,
+        out: &mut Vec<MembershipAction>,
+    ) {
+        if have >= self.view.revision() {
+            return;
+        }
+        let base = self.history.iter().find(|it| it.revision == have);
+        let message = match base {
+            Some(base) => MembershipMessage::Delta(Box::new(list_delta(base, self.view.list()))),
+            None => MembershipMessage::Whole(Box::new(self.view.list().clone())),
+        };
+        self.send(now, from.instance, message, out);
+    }
+
+    pub(super) fn pulled_delta(
+        &mut self,
+        now: Time,
+        from: PeerId,
+        delta: &ListDelta,
+        out: &mut Vec<MembershipAction>,
+    ) {
+        if delta.to <= self.view.revision() {
+            return;
+        }
+        match apply_delta(self.view.list(), delta) {
+            Some(list) => self.pulled_list(now, list, out),
+            None => self.pull(now, from.instance, 0, out),
+        }
+    }
+
+    pub(super) fn pulled_list(
+        &mut self,
+        now: Time,
+        list: InstanceList,
+        out: &mut Vec<MembershipAction>,
+    ) {
+        self.reads.pulled = None;
+        self.consider_list(now, list, out);
+    }
+
+    /// Tells the instances that count on this one about a new list.
+    pub(super) fn push_notice(
+        &mut self,
+        now: Time,
+        revision: u64,
+        out: &mut Vec<MembershipAction>,
+    ) {
+        let mut told = self.own_watchers();
+        if told.contains(&self.me) {
+            told.extend(self.own_data_centre_instances());
+            told.extend(self.foreign_watchers());
+        }
+        told.sort_unstable();
+        told.dedup();
+        told.retain(|&it| it != self.me);
+        for to in told {
+            self.send(now, to, MembershipMessage::ListNotice { revision }, out);
+        }
+    }
+}
--- a/crates/core/src/note.rs
+++ b/crates/core/src/note.rs
@@ -55,6 +55,11 @@
         /// Its revision.
         revision: u64,
     },
+    /// The list in force has not been confirmed for long; serving goes on with it.
+    ListStale {
+        /// For how many seconds.
+        age_secs: u64,
+    },
     /// A catalogue revision is in force.
     CatalogueAccepted {
         /// Its revision.
--- a/crates/core/src/peer.rs
+++ b/crates/core/src/peer.rs
@@ -23,4 +23,6 @@
 pub enum PeerMessage {
     /// Keeps a link alive while there is traffic to protect.
     Heartbeat,
+    /// Who is there.
+    Membership(crate::membership::MembershipMessage),
 }
