--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -30,8 +30,8 @@
 pub mod outcome;
 pub mod peer;
 pub mod reason;
-pub mod retry;
 pub mod rendezvous;
+pub mod retry;
 pub mod time;
 
 pub use delivery::Delivery;
