--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -34,6 +34,7 @@
 }
 
 fn main() -> ExitCode {
+    oriolemux_bench::process::child::guard();
     match Cli::parse().command {
         Command::Engine(args) => standins::engine::run(args),
         Command::Service(args) => standins::service::run(args),
