An exhaustive search over one request's histories of faults

Cause: the claims of delivery, outcome and retry were shown case by case only. Five rules broken on purpose are each noticed.

--- /dev/null
+++ b/crates/core/tests/outcome_model/world.rs
@@ -0,0 +1,517 @@
+//! One entry, two endpoints and the messages between them, one choice at a time.
+
+use core::time::Duration;
+use oriolemux_core::delivery::{Act, Delivery, EndMark, ResumeAnswer, Step};
+use oriolemux_core::event::{AttemptMode, AttemptUpdate, DeliveryMode, Dispatch, EndpointTarget};
+use oriolemux_core::outcome::Refusal;
+use oriolemux_core::retry::{Failure, RetryBudget, RetryDecision, decide};
+use oriolemux_core::{
+    AttemptId, EndpointKey, Incarnation, InstanceKey, Outcome, Ran, Reason, RequestId,
+    RequestOutcome, Time, Verdict,
+};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+/// Tokens of every generation.
+const TOKENS: u32 = 3;
+const NOW: Time = Time::from_secs(100);
+const SEND_BEFORE: Time = Time::from_secs(101);
+const AFTER_PAUSE: Time = Time::from_secs(160);
+
+/// A rule that is broken on purpose, to show that the search would notice.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mutant {
+    None,
+    RefusedResumeCountsAsProof,
+    RepeatsUnprovenWork,
+    SkipsReplayComparison,
+    TrustsAnyId,
+    ForgetsEarlierAttempts,
+}
+
+#[derive(Clone, Copy, Debug)]
+pub struct Config {
+    pub idempotent: bool,
+    pub delivery: DeliveryMode,
+    /// Whether the second endpoint generates the same text as the first.
+    pub same_text: bool,
+    /// Faults in one history; any pair of failures needs two.
+    pub max_faults: u32,
+    pub mutant: Mutant,
+}
+
+/// What happens next. Those marked with a fault use up the history's faults.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Choice {
+    Start,
+    StartAfterPause,
+    Connect,
+    ConnectFails,
+    Arrive,
+    ArriveRefused,
+    ArriveError,
+    CutLost,
+    CutLate,
+    Stall,
+    Next,
+    Duplicate,
+    Crossed,
+    EarlierAttempt,
+    Gap,
+    Truncate,
+    EndpointCrash,
+    LateArrival(usize),
+    StopNow,
+    EntryCrash,
+}
+
+impl Choice {
+    fn is_fault(self) -> bool {
+        use Choice::*;
+        !matches!(self, Start | Connect | Arrive | Next | LateArrival(_))
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Ask {
+    Send,
+    Resume { from: u32 },
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Stage {
+    Connecting,
+    InFlight,
+    Streaming { next: u32 },
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Conn {
+    endpoint: usize,
+    attempt: u32,
+    ask: Ask,
+    stage: Stage,
+}
+
+/// A generation that an endpoint ran; it stays in the record after a crash.
+#[derive(Clone, Debug)]
+struct Generation {
+    endpoint: usize,
+    attempt: u32,
+    made: u32,
+    lost: bool,
+}
+
+#[derive(Debug)]
+pub struct World {
+    config: Config,
+    faults: u32,
+    delivery: Delivery,
+    outcome: RequestOutcome,
+    attempts: u32,
+    pending: Option<AttemptMode>,
+    conn: Option<Conn>,
+    /// Sends in flight on connections that the entry gave up.
+    late: Vec<(usize, u32)>,
+    generations: Vec<Generation>,
+    received: Vec<Vec<u8>>,
+    told: Option<Verdict>,
+    complete: bool,
+    entry_gone: bool,
+}
+
+fn attempt_id(number: u32) -> AttemptId {
+    let request = RequestId {
+        instance: InstanceKey::of("arima-1"),
+        incarnation: Incarnation(7),
+        seq: 1,
+    };
+    AttemptId { request, number }
+}
+
+fn endpoint_of(attempt: u32) -> usize {
+    (attempt as usize + 1) % 2
+}
+
+fn busy() -> Refusal {
+    let body = br#"{"error":{"reason":"busy","outcome":"not_run"}}"#;
+    Refusal::parse(503, None, body).expect("a definite refusal")
+}
+
+impl World {
+    pub fn new(config: Config) -> Self {
+        let mut world = World {
+            config,
+            faults: 0,
+            delivery: Delivery::new(),
+            outcome: RequestOutcome::new(),
+            attempts: 0,
+            pending: None,
+            conn: None,
+            late: Vec::new(),
+            generations: Vec::new(),
+            received: Vec::new(),
+            told: None,
+            complete: false,
+            entry_gone: false,
+        };
+        world.dispatch(AttemptMode::Fresh);
+        world
+    }
+
+    /// The node orders an attempt; the stream task has not started it yet.
+    fn dispatch(&mut self, mode: AttemptMode) {
+        self.attempts += 1;
+        if self.config.mutant == Mutant::ForgetsEarlierAttempts {
+            self.outcome = RequestOutcome::new();
+        }
+        self.outcome.on_dispatch(attempt_id(self.attempts));
+        self.pending = Some(mode);
+    }
+
+    fn believes_idempotent(&self) -> bool {
+        self.config.idempotent || self.config.mutant == Mutant::RepeatsUnprovenWork
+    }
+
+    fn order(&self, mode: AttemptMode) -> Dispatch {
+        Dispatch {
+            attempt: attempt_id(self.attempts),
+            endpoint: EndpointTarget {
+                key: EndpointKey(endpoint_of(self.attempts) as u64),
+                name: String::new(),
+                address: "127.0.0.1:1".parse().expect("an address"),
+            },
+            model: "tailor".into(),
+            adapter: None,
+            priority: 0,
+            max_tokens: TOKENS,
+            delivery: self.config.delivery,
+            idempotent: self.believes_idempotent(),
+            mode,
+            send_before: SEND_BEFORE,
+            stall_limit: Duration::from_secs(5),
+        }
+    }
+
+    fn text(&self, endpoint: usize, index: u32) -> Vec<u8> {
+        let differs = index == 1 && endpoint == 1 && !self.config.same_text;
+        format!("t{index}{}", if differs { "'" } else { "" }).into_bytes()
+    }
+
+    pub fn choices(&self) -> Vec<Choice> {
+        use Choice::*;
+        let mut choices: Vec<_> = (0..self.late.len()).map(LateArrival).collect();
+        if !self.entry_gone && self.told.is_none() && !self.complete {
+            choices.extend([StopNow, EntryCrash]);
+            if self.pending.is_some() {
+                choices.extend([Start, StartAfterPause]);
+            }
+            choices.extend_from_slice(match self.conn.map(|conn| conn.stage) {
+                None => &[],
+                Some(Stage::Connecting) => &[Connect, ConnectFails],
+                Some(Stage::InFlight) => &[
+                    Arrive,
+                    ArriveRefused,
+                    ArriveError,
+                    CutLost,
+                    CutLate,
+                    Stall,
+                    EndpointCrash,
+                ],
+                Some(Stage::Streaming { .. }) => &[
+                    Next,
+                    Duplicate,
+                    Crossed,
+                    EarlierAttempt,
+                    Gap,
+                    Truncate,
+                    CutLost,
+                    Stall,
+                    ArriveError,
+                    EndpointCrash,
+                ],
+            });
+        }
+        choices.retain(|choice| self.faults < self.config.max_faults || !choice.is_fault());
+        choices
+    }
+
+    pub fn apply(&mut self, choice: Choice) {
+        self.faults += u32::from(choice.is_fault());
+        match choice {
+            Choice::Start => self.start(NOW),
+            Choice::StartAfterPause => self.start(AFTER_PAUSE),
+            Choice::LateArrival(at) => {
+                let (endpoint, attempt) = self.late.remove(at);
+                self.run(endpoint, attempt);
+            }
+            Choice::StopNow => {
+                self.delivery.cancel();
+                let delivered = self.received.len() as u32;
+                self.told = Some(self.outcome.finish(Reason::StoppedNow, None, delivered));
+                self.give_up_conn();
+                self.pending = None;
+            }
+            Choice::EntryCrash => {
+                self.entry_gone = true;
+                self.give_up_conn();
+                self.pending = None;
+            }
+            _ => self.on_conn(choice),
+        }
+    }
+
+    fn start(&mut self, now: Time) {
+        let mode = self.pending.take().expect("an order");
+        let step = self.delivery.start(&self.order(mode), now);
+        if step.act == Act::Send {
+            self.conn = Some(Conn {
+                endpoint: endpoint_of(self.attempts),
+                attempt: self.attempts,
+                ask: Ask::Send,
+                stage: Stage::Connecting,
+            });
+        }
+        self.carry_out(step, &[]);
+    }
+
+    fn on_conn(&mut self, choice: Choice) {
+        let conn = self.conn.expect("a connection");
+        match (choice, conn.stage) {
+            (Choice::Connect, _) => self.set_stage(Stage::InFlight),
+            (Choice::ConnectFails, _) => {
+                let step = self.delivery.on_connect_failed();
+                self.carry_out(step, &[]);
+            }
+            (Choice::Arrive, _) => self.arrive(conn),
+            (Choice::ArriveRefused, _) => self.refuse(conn),
+            (Choice::ArriveError, _) => {
+                let step = self.delivery.on_endpoint_error();
+                self.carry_out(step, &[]);
+            }
+            (Choice::CutLost, _) => {
+                let step = self.delivery.on_link_failure();
+                self.carry_out(step, &[]);
+            }
+            (Choice::CutLate, _) => {
+                self.give_up_conn();
+                let step = self.delivery.on_link_failure();
+                self.carry_out(step, &[]);
+            }
+            (Choice::Stall, _) => {
+                self.give_up_conn();
+                let step = self.delivery.on_stall();
+                self.carry_out(step, &[]);
+            }
+            (Choice::EndpointCrash, _) => {
+                for generation in &mut self.generations {
+                    generation.lost |= generation.endpoint == conn.endpoint;
+                }
+                let step = self.delivery.on_link_failure();
+                self.carry_out(step, &[]);
+            }
+            (_, Stage::Streaming { next }) => self.stream(choice, conn, next),
+            other => unreachable!("{other:?}"),
+        }
+    }
+
+    fn set_stage(&mut self, stage: Stage) {
+        self.conn.as_mut().expect("a connection").stage = stage;
+    }
+
+    /// Forgets the connection; a send that is still in flight may arrive later.
+    fn give_up_conn(&mut self) {
+        if let Some(conn) = self.conn.take()
+            && conn.ask == Ask::Send
+            && conn.stage == Stage::InFlight
+        {
+            self.late.push((conn.endpoint, conn.attempt));
+        }
+    }
+
+    fn run(&mut self, endpoint: usize, attempt: u32) {
+        self.generations.push(Generation {
+            endpoint,
+            attempt,
+            made: 0,
+            lost: false,
+        });
+    }
+
+    fn arrive(&mut self, conn: Conn) {
+        let held = |g: &Generation| g.attempt == conn.attempt && !g.lost;
+        match conn.ask {
+            Ask::Send => {
+                self.run(conn.endpoint, conn.attempt);
+                self.delivery.on_answered();
+                self.set_stage(Stage::Streaming { next: 0 });
+            }
+            Ask::Resume { from } if self.generations.iter().any(held) => {
+                let step = self.delivery.on_resume_answer(ResumeAnswer::Ok);
+                self.set_stage(Stage::Streaming { next: from });
+                self.carry_out(step, &[]);
+            }
+            Ask::Resume { .. } => {
+                let step = self.delivery.on_resume_answer(ResumeAnswer::Lost);
+                self.carry_out(step, &[]);
+            }
+        }
+    }
+
+    fn refuse(&mut self, conn: Conn) {
+        let broken = self.config.mutant == Mutant::RefusedResumeCountsAsProof;
+        if broken && conn.ask != Ask::Send {
+            self.delivery.cancel();
+            self.conn = None;
+            let proof = RequestOutcome::new().proof().expect("nothing dispatched");
+            return self.failed(Reason::EndpointRefused, Ran::No(proof));
+        }
+        let step = self.delivery.on_refused(&busy());
+        self.carry_out(step, &[]);
+    }
+
+    fn stream(&mut self, choice: Choice, conn: Conn, next: u32) {
+        let id = attempt_id(conn.attempt).to_string();
+        match choice {
+            Choice::Next if next == TOKENS => {
+                let mark = EndMark {
+                    index: TOKENS,
+                    completion_tokens: Some(TOKENS),
+                    prompt_tokens: None,
+                };
+                let step = self.delivery.on_end(&id, mark);
+                self.carry_out(step, &[]);
+            }
+            Choice::Next => {
+                self.made(conn.attempt, next + 1);
+                self.set_stage(Stage::Streaming { next: next + 1 });
+                self.token(&id, next, self.text(conn.endpoint, next));
+            }
+            Choice::Duplicate => {
+                let index = next.saturating_sub(1);
+                self.made(conn.attempt, index + 1);
+                self.token(&id, index, self.text(conn.endpoint, index));
+            }
+            Choice::Gap => {
+                self.made(conn.attempt, TOKENS);
+                self.token(&id, next + 1, self.text(conn.endpoint, next + 1));
+            }
+            Choice::Crossed => self.foreign("r-1-2-3.1", &id, next, b"crossed".to_vec()),
+            Choice::EarlierAttempt => {
+                let earlier = conn.attempt.saturating_sub(1);
+                let text = self.text(endpoint_of(earlier), next);
+                self.foreign(&attempt_id(earlier).to_string(), &id, next, text);
+            }
+            Choice::Truncate => {
+                let step = self.delivery.on_closed();
+                self.carry_out(step, &[]);
+            }
+            other => unreachable!("{other:?}"),
+        }
+    }
+
+    fn made(&mut self, attempt: u32, tokens: u32) {
+        let running = |g: &&mut Generation| g.attempt == attempt && !g.lost;
+        if let Some(generation) = self.generations.iter_mut().find(running) {
+            generation.made = generation.made.max(tokens.min(TOKENS));
+        }
+    }
+
+    fn foreign(&mut self, id: &str, own: &str, index: u32, text: Vec<u8>) {
+        let trusts = self.config.mutant == Mutant::TrustsAnyId;
+        self.token(if trusts { own } else { id }, index, text);
+    }
+
+    fn token(&mut self, id: &str, index: u32, mut text: Vec<u8>) {
+        if self.config.mutant == Mutant::SkipsReplayComparison
+            && let Some(held) = self.received.get(index as usize)
+        {
+            text.clone_from(held);
+        }
+        let step = self.delivery.on_token(id, index, &text);
+        self.carry_out(step, &text);
+    }
+
+    /// What the shell does with a step.
+    fn carry_out(&mut self, step: Step, text: &[u8]) {
+        match step.act {
+            Act::Deliver => self.received.push(text.to_vec()),
+            Act::Resume { after, .. } => {
+                self.conn = Some(Conn {
+                    endpoint: endpoint_of(self.attempts),
+                    attempt: self.attempts,
+                    ask: Ask::Resume {
+                        from: after.map_or(0, |index| index + 1),
+                    },
+                    stage: Stage::Connecting,
+                });
+            }
+            Act::Close { .. } => self.conn = None,
+            Act::Complete => {
+                self.received
+                    .extend(self.delivery.held().map(<[u8]>::to_vec));
+                self.delivery.on_held_delivered();
+                self.conn = None;
+                self.complete = true;
+            }
+            Act::Idle | Act::Send | Act::Hold | Act::Discard(_) => {}
+        }
+        if let Some(AttemptUpdate::Failed { reason, ran, .. }) = step.report {
+            self.failed(reason, ran);
+        }
+    }
+
+    /// What the node does with a failed attempt.
+    fn failed(&mut self, reason: Reason, ran: Ran) {
+        self.outcome.on_ended(attempt_id(self.attempts), ran);
+        let failure = Failure {
+            reason,
+            outcome: &self.outcome,
+            idempotent: self.believes_idempotent(),
+            delivered: self.delivery.delivered(),
+            attempts: self.attempts,
+            patience: Duration::from_secs(60),
+            retry_after: None,
+        };
+        let mut rng = SmallRng::seed_from_u64(1);
+        match decide(&failure, &mut RetryBudget::new(), NOW, &mut rng) {
+            RetryDecision::Retry { .. } => self.dispatch(AttemptMode::Fresh),
+            RetryDecision::Replay { .. } => {
+                let delivered = self.delivery.delivered();
+                self.dispatch(AttemptMode::Replay { delivered });
+            }
+            RetryDecision::Finish(verdict) => self.told = Some(verdict),
+        }
+    }
+
+    /// Returns the promise that this state breaks, if any.
+    pub fn violation(&self) -> Option<&'static str> {
+        let ran = self.generations.len();
+        let told = self.told.as_ref().map(Verdict::outcome);
+        if told == Some(Outcome::NotRun) && ran > 0 {
+            return Some("false not_run");
+        }
+        if !self.config.idempotent && ran > 1 {
+            return Some("ran twice");
+        }
+        if !self.received.is_empty() && !self.generations.iter().any(|g| self.is_prefix_of(g)) {
+            return Some("tokens not from one generation");
+        }
+        if self.complete && self.received.len() as u32 != TOKENS {
+            return Some("complete without the whole answer");
+        }
+        let stands = self.told.as_ref().map_or(0, Verdict::delivered);
+        if self.told.is_some() && stands as usize != self.received.len() {
+            return Some("wrong number of tokens said to stand");
+        }
+        let ended = self.entry_gone || self.complete || self.told.is_some();
+        (self.choices().is_empty() && !ended).then_some("no answer")
+    }
+
+    fn is_prefix_of(&self, generation: &Generation) -> bool {
+        self.received.len() as u32 <= generation.made
+            && (0..)
+                .zip(&self.received)
+                .all(|(index, text)| *text == self.text(generation.endpoint, index))
+    }
+}
