--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -22,11 +22,15 @@
 
 pub use cells::{CELL_ENDPOINTS, CellPlan, plan_cells};
 pub use delta::{ListDelta, apply_delta, list_delta};
+pub use doubt::{DOUBT_CONFIRM, DOUBT_LIMIT};
 pub use homes::EndpointState;
+pub use links::LINK_IDLE;
 pub use list::{
     EndpointKind, EndpointRecord, FencingSupport, InstanceList, InstanceRecord, ListedState,
 };
 pub use message::MembershipMessage;
+pub use news::LEAVING_HOLD;
+pub use reads::{LIST_STALE, START_SPREAD, WATCHERS};
 pub use view::{
     Cell, CellId, DataCentreId, Endpoint, EndpointId, HOME_RANKS, Instance, InstanceId, View,
 };
--- a/crates/core/src/membership/links.rs
+++ b/crates/core/src/membership/links.rs
@@ -177,6 +177,11 @@
         life.is_some_and(|it| it.link == Link::Up)
     }
 
+    /// Returns the instances that are to be dialled, sorted by key.
+    pub fn dialled(&self) -> &[InstanceKey] {
+        &self.dialled
+    }
+
     /// Keeps a link to `to`, because something is about to be sent there.
     pub fn touch_link(&mut self, now: Time, to: InstanceKey, out: &mut Vec<MembershipAction>) {
         if to == self.me || !self.is_known_or_room(to) {
