The stand-in engine runs the same engine model as the experiments; `node` runs the product

Cause: batching and preemption stood twice, once in the stand-in and once in the experiments' model. Change: the stand-in drives the model with scaled real time and keeps only what HTTP needs: text, listeners, grace, faults. What an engine has accepted counts as run from that moment, since nobody outside could know that it did not. `node` hands its arguments to the product's command line. Conclusion: one model of an engine.

--- a/crates/bench/src/node.rs
+++ b/crates/bench/src/node.rs
@@ -3,6 +3,9 @@
 use std::ffi::OsString;
 use std::process::ExitCode;
 
+/// The program's name as the product's command line shows it.
+const PROGRAM: &str = "oriolemux";
+
 /// Arguments of `oriolemux-bench node`.
 #[derive(Debug, clap::Args)]
 pub struct NodeArgs {
@@ -12,7 +15,7 @@
 }
 
 /// Runs the product with the arguments given.
-pub fn run(_args: NodeArgs) -> ExitCode {
-    eprintln!("oriolemux-bench: the product's command line is not there yet");
-    ExitCode::FAILURE
+pub fn run(args: NodeArgs) -> ExitCode {
+    let program = OsString::from(PROGRAM);
+    oriolemux::cli::main_with(std::iter::once(program).chain(args.args))
 }
--- a/crates/bench/src/standins/engine.rs
+++ b/crates/bench/src/standins/engine.rs
@@ -2,7 +2,7 @@
 //! preemption, resumption, cancellation, lagging load reports and orders, with
 //! faults that can be asked for at run time.
 
-pub mod batch;
+pub mod admission;
 pub mod cache;
 pub mod fault;
 pub mod generation;
--- a/crates/bench/src/standins/engine/cache.rs
+++ b/crates/bench/src/standins/engine/cache.rs
@@ -1,16 +1,16 @@
 //! Cache events: which blocks of prompt prefixes the engine holds.
 //!
-//! Events are handed out in batches that end a while ago (late), and only the
-//! latest ones are kept (gaps), as real engines do.
+//! Only the latest events are kept, so a slow reader meets gaps, as with real
+//! engines.
 
 use oriolemux_core::ids::stable_hash;
 use serde::Serialize;
 use std::collections::VecDeque;
 
-/// Bytes of prompt in a block.
+/// Bytes of prompt in a block: [`BLOCK_TOKENS`] tokens.
 pub const BLOCK_BYTES: usize = 256;
-/// Blocks that are held; the oldest is evicted for a new one.
-const HELD_BLOCKS: usize = 512;
+/// Tokens of prompt in a block.
+pub const BLOCK_TOKENS: u32 = 64;
 /// Events that are kept for readers; older ones are a gap.
 const KEPT_EVENTS: usize = 256;
 
@@ -27,38 +27,25 @@
     pub evicted: Vec<u64>,
 }
 
-/// The blocks of an engine and the events about them.
-#[derive(Debug, Default)]
-pub struct Cache {
-    held: VecDeque<u64>,
-    events: VecDeque<(u64, Change)>,
-    next: u64,
-}
-
+/// A change of what the cache holds.
 #[derive(Clone, Copy, Debug)]
-enum Change {
+pub enum Change {
+    /// A block is held from now on.
     Stored(u64),
+    /// A block is no longer held.
     Evicted(u64),
 }
 
-impl Cache {
-    /// Stores the leading blocks of `prompt`.
-    pub fn store(&mut self, model: &str, prompt: &str) {
-        for hash in blocks(model, prompt) {
-            if self.held.contains(&hash) {
-                continue;
-            }
-            self.held.push_back(hash);
-            self.push(Change::Stored(hash));
-            if self.held.len() > HELD_BLOCKS
-                && let Some(old) = self.held.pop_front()
-            {
-                self.push(Change::Evicted(old));
-            }
-        }
-    }
+/// The latest changes.
+#[derive(Debug, Default)]
+pub struct CacheLog {
+    events: VecDeque<(u64, Change)>,
+    next: u64,
+}
 
-    fn push(&mut self, change: Change) {
+impl CacheLog {
+    /// Adds a change.
+    pub fn push(&mut self, change: Change) {
         self.events.push_back((self.next, change));
         self.next += 1;
         if self.events.len() > KEPT_EVENTS {
@@ -66,7 +53,7 @@
         }
     }
 
-    /// Returns the events after sequence number `after`.
+    /// Returns the changes from sequence number `after` on.
     pub fn events_after(&self, after: u64) -> CacheEvents {
         let oldest = self.events.front().map_or(self.next, |(seq, _)| *seq);
         let mut batch = CacheEvents {
@@ -85,8 +72,8 @@
 }
 
 /// Returns the hashes of the leading whole blocks of `prompt`; each covers all before it.
-pub fn blocks(model: &str, prompt: &str) -> impl Iterator<Item = u64> {
+pub fn blocks(model: &str, prompt: &str) -> Vec<u64> {
     let bytes = prompt.as_bytes();
-    let whole = bytes.len() / BLOCK_BYTES;
-    (1..=whole).map(move |n| stable_hash(&[model.as_bytes(), &bytes[..n * BLOCK_BYTES]]))
+    let hash = |n| stable_hash(&[model.as_bytes(), &bytes[..n * BLOCK_BYTES]]);
+    (1..=bytes.len() / BLOCK_BYTES).map(hash).collect()
 }
--- a/crates/bench/src/standins/engine/generation.rs
+++ b/crates/bench/src/standins/engine/generation.rs
@@ -9,24 +9,19 @@
 pub struct Generation {
     /// The attempt's id.
     pub attempt: String,
+    /// Its name inside the engine model.
+    pub job: u64,
     /// The seed of its text.
     pub seed: u64,
-    /// The priority; 0 is the most urgent.
-    pub priority: u8,
     /// Tokens of the prompt.
     pub prompt_tokens: u32,
     /// Tokens of the whole answer.
     pub length: u32,
-    /// Whether the answer ends because the caller's limit was reached.
+    /// Whether the answer ends because a limit was reached.
     pub cut_by_limit: bool,
     /// Tokens generated so far.
     pub generated: u32,
-    /// Tokens that are still to be computed before the next one can be
-    /// generated: the prompt, and after a preemption the generated ones as well.
-    pub prefill_left: u32,
-    /// Whether it was in a batch before.
-    pub started: bool,
-    /// When no further token will come.
+    /// When it became certain that no further token will come.
     pub ended_at: Option<Instant>,
     /// Connections that read it.
     pub listeners: u32,
@@ -35,11 +30,6 @@
 }
 
 impl Generation {
-    /// Returns the tokens of KV memory that it holds while it runs.
-    pub fn kv_tokens(&self) -> u64 {
-        u64::from(self.prompt_tokens) + u64::from(self.generated)
-    }
-
     /// Returns whether the last token was generated.
     pub fn is_whole(&self) -> bool {
         self.generated == self.length
--- a/crates/bench/src/standins/engine/options.rs
+++ b/crates/bench/src/standins/engine/options.rs
@@ -1,5 +1,6 @@
 //! Options of the stand-in engine.
 
+use crate::engine_model::EngineConfig;
 use crate::standins::http::ANY_PORT;
 use crate::standins::text::Sampling;
 use std::net::SocketAddr;
@@ -25,11 +26,17 @@
     #[arg(long, default_value_t = 64)]
     pub max_running: u32,
     /// Time of one decoding step, in milliseconds, before scaling.
-    #[arg(long, default_value_t = 30.0)]
+    #[arg(long, default_value_t = 20.0)]
     pub step_ms: f64,
-    /// Tokens of prompt that are computed in one step.
-    #[arg(long, default_value_t = 2_048)]
-    pub prefill_tokens: u32,
+    /// Time that each running generation adds to a step, in microseconds, before scaling.
+    #[arg(long, default_value_t = 250)]
+    pub per_running_us: u64,
+    /// Time that each token of a prompt takes, in microseconds, before scaling.
+    #[arg(long, default_value_t = 40)]
+    pub prefill_us: u64,
+    /// Blocks of prompt prefixes that the cache holds.
+    #[arg(long, default_value_t = 512)]
+    pub cache_blocks: u32,
     /// Runs this many times faster than the times above say.
     #[arg(long, default_value_t = 1.0)]
     pub time_scale: f64,
@@ -57,9 +64,24 @@
 }
 
 impl EngineArgs {
-    /// Returns the time of one decoding step after scaling.
-    pub fn step(&self) -> Duration {
-        Duration::from_secs_f64(self.step_ms / 1_000.0 / self.time_scale)
+    /// Returns how the model of the engine behaves.
+    pub fn model_config(&self) -> EngineConfig {
+        let base = Duration::from_secs_f64(self.step_ms / 1_000.0);
+        let per_running = Duration::from_micros(self.per_running_us);
+        let lag = Duration::from_millis(self.lag_ms.into()).mul_f64(self.time_scale);
+        let cfg = EngineConfig::default();
+        let blocks = self.kv_tokens / u64::from(cfg.block_tokens);
+        cfg.with_kv_blocks(u32::try_from(blocks).unwrap_or(u32::MAX).max(1))
+            .with_max_running(self.max_running)
+            .with_cache_blocks(self.cache_blocks)
+            .with_report_lag(lag)
+            .with_step_time(base, per_running)
+            .with_prefill_time(Duration::from_micros(self.prefill_us))
+    }
+
+    /// Returns the tokens of KV memory, in whole blocks.
+    pub fn kv_tokens(&self) -> u32 {
+        self.model_config().kv_tokens()
     }
 }
 
--- a/crates/bench/src/standins/engine/routes.rs
+++ b/crates/bench/src/standins/engine/routes.rs
@@ -1,9 +1,10 @@
 //! The engine's routes.
 
+use super::admission::{self, Admission, CompletionRequest};
 use super::fault::FaultRule;
 use super::options::EngineArgs;
 use super::orders::{Order, OrderKind};
-use super::state::{Admission, CompletionRequest, Engine};
+use super::state::Engine;
 use super::stream::{self, Start};
 use crate::standins::http;
 use crate::standins::journal::{Ending, Fact};
@@ -15,7 +16,7 @@
 use std::io;
 use std::process::ExitCode;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// Serves an engine until the process is killed.
 pub async fn serve(args: EngineArgs) -> io::Result<ExitCode> {
@@ -23,6 +24,8 @@
     let engine = Arc::new(Engine::new(args)?);
     let decoding = Arc::clone(&engine);
     tokio::spawn(async move { decoding.decode().await });
+    let sweeping = Arc::clone(&engine);
+    tokio::spawn(async move { sweeping.sweep().await });
     let cuts = engine.cuts.clone();
     http::serve(listen, cuts, app(engine)).await
 }
@@ -51,9 +54,11 @@
     Data(engine): Data<&Arc<Engine>>,
 ) -> poem::Result<Response> {
     let remote = http::remote(http).map_err(InternalServerError)?;
-    let admission = engine.lock().arrive(&engine.args, &req);
+    let admission = admission::arrive(&mut engine.lock(), &engine.args, engine.now(), &req);
+    engine.arrived();
     Ok(match admission {
         Admission::Refused(reason) => http::refuse(reason),
+        Admission::TooLarge => StatusCode::BAD_REQUEST.into_response(),
         Admission::Hidden => StatusCode::INTERNAL_SERVER_ERROR.into_response(),
         Admission::Taken(fault) => {
             let from = Start {
@@ -80,7 +85,7 @@
         .map_or(0, |index| index.saturating_add(1));
     let found = {
         let mut state = engine.lock();
-        let found = state.batch.held.contains_key(&attempt);
+        let found = state.held.contains_key(&attempt);
         state.journal.push(Fact::Resumed {
             attempt: attempt.clone(),
             from,
@@ -103,14 +108,14 @@
 #[handler]
 fn delete_completion(Path(attempt): Path<String>, Data(engine): Data<&Arc<Engine>>) -> StatusCode {
     let mut state = engine.lock();
-    state.end(&attempt, Ending::Cancelled, Instant::now());
-    state.batch.held.shift_remove(&attempt);
+    state.end(&attempt, Ending::Cancelled, engine.now());
     StatusCode::NO_CONTENT
 }
 
 #[handler]
 fn get_load(Data(engine): Data<&Arc<Engine>>) -> Response {
-    http::json(StatusCode::OK, &engine.lock().lagging_report())
+    let report = engine.lock().lagging_report(&engine.args, engine.now());
+    http::json(StatusCode::OK, &report)
 }
 
 /// Where a reader of cache events goes on.
--- a/crates/bench/src/standins/engine/state.rs
+++ b/crates/bench/src/standins/engine/state.rs
@@ -1,54 +1,24 @@
 //! The engine's state, shared by its routes and its decoding loop.
 
-use super::batch::{Batch, Room};
-use super::cache::Cache;
-use super::fault::{self, Fault, FaultRule};
+use super::cache::{CacheLog, Change};
+use super::fault::FaultRule;
 use super::generation::Generation;
 use super::options::EngineArgs;
 use super::orders::Holdings;
+use crate::engine_model::{EngineEvent, EngineModel};
 use crate::standins::cuts::Cuts;
-use crate::standins::http::Refusal;
 use crate::standins::journal::{Ending, Fact, Journal};
-use crate::standins::text;
+use indexmap::IndexMap;
 use oriolemux_core::event::LoadReport;
-use serde::Deserialize;
-use std::collections::VecDeque;
+use oriolemux_core::time::Time;
+use std::collections::BTreeMap;
 use std::io;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
-/// A completion as an instance asks for it.
-#[derive(Clone, Debug, Deserialize)]
-pub struct CompletionRequest {
-    /// The model.
-    pub model: String,
-    /// The adapter, if any.
-    #[serde(default)]
-    pub adapter: Option<String>,
-    /// The prompt.
-    pub prompt: String,
-    /// The most tokens to generate.
-    pub max_tokens: u32,
-    /// The priority; 0 is the most urgent.
-    #[serde(default)]
-    pub priority: u8,
-    /// The request's id.
-    pub request_id: String,
-    /// The attempt's id.
-    pub attempt_id: String,
-}
-
-/// What becomes of a completion that was asked for.
-#[derive(Debug)]
-pub enum Admission {
-    /// It is refused definitely.
-    Refused(Refusal),
-    /// It runs, but the answer is an error that says nothing about it.
-    Hidden,
-    /// It runs; the fault, if any, will strike its stream.
-    Taken(Option<FaultRule>),
-}
+/// How often generations that nobody hears or needs any more are looked for.
+const SWEEP_INTERVAL: Duration = Duration::from_millis(20);
 
 /// A running engine.
 #[derive(Debug)]
@@ -58,16 +28,24 @@
     /// Connections that break.
     pub cuts: Cuts,
     state: Mutex<State>,
+    begun: Instant,
     steps: watch::Sender<u64>,
+    arrivals: Notify,
 }
 
 /// What changes while the engine runs.
 #[derive(Debug)]
 pub struct State {
-    /// Generations.
-    pub batch: Batch,
-    /// Prefix blocks.
-    pub cache: Cache,
+    /// The scheduler and its memory.
+    pub model: EngineModel,
+    /// Every generation whose text is held, by attempt.
+    pub held: IndexMap<String, Generation>,
+    /// The attempts of the model's jobs.
+    pub attempts: BTreeMap<u64, String>,
+    /// The last job's name.
+    pub next_job: u64,
+    /// Prefix blocks stored and evicted.
+    pub cache: CacheLog,
     /// Models and role.
     pub holdings: Holdings,
     /// Faults that are still to strike.
@@ -76,27 +54,30 @@
     pub leaving: bool,
     /// What happened.
     pub journal: Journal,
-    reports: VecDeque<(Instant, LoadReport)>,
 }
 
 impl Engine {
     /// Creates an engine that holds what its options say.
     pub fn new(args: EngineArgs) -> io::Result<Self> {
         let state = State {
-            batch: Batch::default(),
-            cache: Cache::default(),
+            model: EngineModel::new(args.model_config()),
+            held: IndexMap::new(),
+            attempts: BTreeMap::new(),
+            next_job: 0,
+            cache: CacheLog::default(),
             holdings: Holdings::from_options(&args.models, &args.adapters),
             faults: Vec::new(),
             leaving: false,
             journal: Journal::open(args.journal.as_deref())?,
-            reports: VecDeque::new(),
         };
         let (steps, _) = watch::channel(0);
         Ok(Engine {
             args,
             cuts: Cuts::default(),
             state: Mutex::new(state),
+            begun: Instant::now(),
             steps,
+            arrivals: Notify::new(),
         })
     }
 
@@ -110,111 +91,87 @@
         self.steps.subscribe()
     }
 
+    /// Returns the model's time, which runs faster by the time scale.
+    pub fn now(&self) -> Time {
+        Time::ZERO + self.begun.elapsed().mul_f64(self.args.time_scale)
+    }
+
+    /// Tells the decoding loop that there may be something to do.
+    pub fn arrived(&self) {
+        self.arrivals.notify_one();
+    }
+
     /// Decodes for ever, one step after the other.
     pub async fn decode(&self) {
-        let mut ticks = tokio::time::interval(self.args.step());
-        ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        let mut events = Vec::new();
         loop {
-            ticks.tick().await;
-            self.lock().step(&self.args);
+            let next = {
+                let mut state = self.lock();
+                let next = state.model.step(self.now(), &mut events);
+                state.apply(&mut events);
+                next
+            };
             self.steps.send_modify(|step| *step += 1);
+            let idle = self.arrivals.notified();
+            match next {
+                None => idle.await,
+                Some(at) => tokio::time::sleep(self.real(at.since(self.now()))).await,
+            }
+        }
+    }
+
+    fn real(&self, virtual_time: Duration) -> Duration {
+        virtual_time.div_f64(self.args.time_scale)
+    }
+
+    /// Drops for ever what nobody hears or needs any more.
+    pub async fn sweep(&self) {
+        let mut ticks = tokio::time::interval(SWEEP_INTERVAL);
+        loop {
+            ticks.tick().await;
+            self.lock().drop_unheard(&self.args, self.now());
         }
     }
 }
 
 impl State {
-    /// Takes a completion in or refuses it.
-    pub fn arrive(&mut self, args: &EngineArgs, req: &CompletionRequest) -> Admission {
-        let attempt = req.attempt_id.clone();
-        self.journal.push(Fact::Arrived {
-            attempt: attempt.clone(),
-            request: req.request_id.clone(),
-            prompt: req.prompt.clone(),
-            priority: req.priority,
-        });
-        if let Some(reason) = self.refusal(req) {
-            self.journal.push(Fact::Refused { attempt, reason });
-            return Admission::Refused(reason);
-        }
-        if self.batch.held.contains_key(&attempt) {
-            // The arrival stays in the journal, where a checker sees the repeat.
-            return Admission::Hidden;
+    fn apply(&mut self, events: &mut Vec<EngineEvent>) {
+        for event in events.drain(..) {
+            match event {
+                EngineEvent::Token { id, .. } => self.token(id),
+                EngineEvent::Finished { id, .. } => self.finished(id),
+                EngineEvent::Preempted { id, .. } => self.preempted(id),
+                EngineEvent::CacheStored { hash } => self.cache.push(Change::Stored(hash)),
+                EngineEvent::CacheEvicted { hash } => self.cache.push(Change::Evicted(hash)),
+            }
         }
-        self.batch.add(new_generation(args, req));
-        self.cache.store(&req.model, &req.prompt);
-        if self.take_fault(req, |f| f == Fault::ServerError).is_some() {
-            return Admission::Hidden;
-        }
-        Admission::Taken(self.take_fault(req, |fault| !fault.is_refusal()))
     }
 
-    fn refusal(&mut self, req: &CompletionRequest) -> Option<Refusal> {
-        if self.leaving
-            || self
-                .take_fault(req, |f| f == Fault::RefuseLeaving)
-                .is_some()
-        {
-            return Some(Refusal::Leaving);
-        }
-        if self.take_fault(req, |f| f == Fault::RefuseBusy).is_some() {
-            return Some(Refusal::Busy);
+    fn token(&mut self, job: u64) {
+        let attempt = self.attempts.get(&job);
+        if let Some(generation) = attempt.and_then(|attempt| self.held.get_mut(attempt)) {
+            generation.generated += 1;
+            debug_assert!(generation.generated <= generation.length);
         }
-        let loaded = self.holdings.serves(&req.model, req.adapter.as_deref());
-        (!loaded).then_some(Refusal::NotLoaded)
     }
 
-    fn take_fault(
-        &mut self,
-        req: &CompletionRequest,
-        wanted: impl Fn(Fault) -> bool,
-    ) -> Option<FaultRule> {
-        let rule = fault::take(&mut self.faults, &req.prompt, wanted)?;
-        self.journal.push(Fact::Fault {
-            attempt: req.attempt_id.clone(),
-            fault: format!("{:?}", rule.fault),
-        });
-        Some(rule)
+    fn finished(&mut self, job: u64) {
+        if let Some(attempt) = self.attempts.remove(&job) {
+            self.mark_ended(&attempt, Ending::Whole);
+        }
     }
 
-    /// Runs one decoding step and drops what nobody waits for.
-    pub fn step(&mut self, args: &EngineArgs) {
-        let now = Instant::now();
-        let step = self.batch.step(Room {
-            kv_tokens: args.kv_tokens,
-            max_running: args.max_running,
-            prefill_tokens: args.prefill_tokens,
-        });
-        for attempt in step.started {
-            let Some(generation) = self.batch.held.get(&attempt) else {
-                continue;
-            };
-            self.journal.push(Fact::Started {
-                attempt,
-                seed: generation.seed,
-                length: generation.length,
-            });
-        }
-        for attempt in step.preempted {
+    fn preempted(&mut self, job: u64) {
+        if let Some(attempt) = self.attempts.get(&job).cloned() {
             self.journal.push(Fact::Preempted { attempt });
         }
-        for attempt in step.ended {
-            self.end(&attempt, Ending::Whole, now);
-        }
-        self.abandon(args, now);
-        self.forget(args, now);
-        self.report(args, now);
     }
 
-    /// Ends a generation that still runs or waits.
-    pub fn end(&mut self, attempt: &str, how: Ending, now: Instant) {
-        self.batch.stop(attempt);
-        let Some(generation) = self.batch.held.get_mut(attempt) else {
+    fn mark_ended(&mut self, attempt: &str, how: Ending) {
+        let Some(generation) = self.held.get_mut(attempt) else {
             return;
         };
-        if generation.ended_at.is_some() {
-            return;
-        }
-        generation.ended_at = Some(now);
+        generation.ended_at = Some(Instant::now());
         self.journal.push(Fact::Ended {
             attempt: attempt.to_owned(),
             tokens: generation.generated,
@@ -222,72 +179,45 @@
         });
     }
 
-    /// Ends generations that nobody has listened to for the whole grace.
-    fn abandon(&mut self, args: &EngineArgs, now: Instant) {
-        let grace = Duration::from_millis(args.grace_ms);
-        let abandoned = self.batch.held.values().filter(|generation| {
-            let unheard = generation.unheard_since;
-            generation.ended_at.is_none() && unheard.is_some_and(|since| now - since > grace)
-        });
-        let attempts: Vec<String> = abandoned.map(|g| g.attempt.clone()).collect();
-        for attempt in attempts {
-            self.end(&attempt, Ending::Abandoned, now);
-            self.batch.held.shift_remove(&attempt);
+    /// Ends a generation that may still run, and drops its text.
+    pub fn end(&mut self, attempt: &str, how: Ending, now: Time) {
+        let Some(generation) = self.held.get(attempt) else {
+            return;
+        };
+        if generation.ended_at.is_none() {
+            let job = generation.job;
+            self.model.cancel(now, job);
+            self.attempts.remove(&job);
+            self.mark_ended(attempt, how);
         }
+        self.held.shift_remove(attempt);
     }
 
-    /// Drops text that was finished long ago.
-    fn forget(&mut self, args: &EngineArgs, now: Instant) {
+    fn drop_unheard(&mut self, args: &EngineArgs, now: Time) {
+        let grace = Duration::from_millis(args.grace_ms);
         let keep = Duration::from_millis(args.keep_ms);
-        self.batch.held.retain(|_, generation| {
-            generation.listeners > 0 || generation.ended_at.is_none_or(|at| now - at <= keep)
-        });
+        let is_over = |generation: &&Generation| {
+            let unheard = generation.unheard_since.map(|since| since.elapsed());
+            match generation.ended_at {
+                None => unheard.is_some_and(|time| time > grace),
+                Some(at) => unheard.is_some() && at.elapsed() > keep,
+            }
+        };
+        let over = self.held.values().filter(is_over);
+        let attempts: Vec<String> = over.map(|generation| generation.attempt.clone()).collect();
+        for attempt in attempts {
+            self.end(&attempt, Ending::Abandoned, now);
+        }
     }
 
-    fn report(&mut self, args: &EngineArgs, now: Instant) {
-        let report = LoadReport {
+    /// Returns the load as it was a while ago.
+    pub fn lagging_report(&mut self, args: &EngineArgs, now: Time) -> LoadReport {
+        LoadReport {
             lag_ms: args.lag_ms,
-            running: self.batch.running(),
-            waiting: self.batch.waiting(),
-            kv_tokens_total: args.kv_tokens,
-            kv_tokens_used: self.batch.kv_used(),
-            max_running: args.max_running,
-            preemptions: self.batch.preemptions,
             models: self.holdings.models.clone(),
             leaving: self.leaving,
             fencing: self.holdings.highest,
-        };
-        self.reports.push_back((now, report));
-        let lag = Duration::from_millis(args.lag_ms.into());
-        while self.reports.len() > 1 && now - self.reports[1].0 >= lag {
-            self.reports.pop_front();
+            ..self.model.report(now)
         }
     }
-
-    /// Returns the load as it was a while ago.
-    pub fn lagging_report(&self) -> LoadReport {
-        self.reports
-            .front()
-            .map_or_else(LoadReport::default, |(_, report)| report.clone())
-    }
-}
-
-fn new_generation(args: &EngineArgs, req: &CompletionRequest) -> Generation {
-    let seed = args.sampling.seed(&req.model, &req.prompt, &req.attempt_id);
-    let natural = text::natural_length(seed, &req.prompt).max(1);
-    let length = natural.min(req.max_tokens.max(1));
-    Generation {
-        attempt: req.attempt_id.clone(),
-        seed,
-        priority: req.priority,
-        prompt_tokens: text::prompt_tokens(&req.prompt),
-        length,
-        cut_by_limit: natural > length,
-        generated: 0,
-        prefill_left: 0,
-        started: false,
-        ended_at: None,
-        listeners: 0,
-        unheard_since: Some(Instant::now()),
-    }
 }
--- a/crates/bench/src/standins/engine/stream.rs
+++ b/crates/bench/src/standins/engine/stream.rs
@@ -33,7 +33,7 @@
 
 impl Listener {
     fn new(engine: Arc<Engine>, attempt: &str) -> Self {
-        if let Some(generation) = engine.lock().batch.held.get_mut(attempt) {
+        if let Some(generation) = engine.lock().held.get_mut(attempt) {
             generation.listeners += 1;
             generation.unheard_since = None;
         }
@@ -47,7 +47,7 @@
 impl Drop for Listener {
     fn drop(&mut self) {
         let mut state = self.engine.lock();
-        if let Some(generation) = state.batch.held.get_mut(&self.attempt) {
+        if let Some(generation) = state.held.get_mut(&self.attempt) {
             generation.listeners = generation.listeners.saturating_sub(1);
             if generation.listeners == 0 {
                 generation.unheard_since = Some(Instant::now());
@@ -134,7 +134,7 @@
     fn ready(&mut self) -> Option<Vec<u8>> {
         let engine = Arc::clone(&self.listener.engine);
         let mut state = engine.lock();
-        let Some(generation) = state.batch.held.get(&self.listener.attempt) else {
+        let Some(generation) = state.held.get(&self.listener.attempt) else {
             // Cancelled or dropped while this connection was open.
             self.phase = Phase::Cut;
             return None;
@@ -162,8 +162,7 @@
             self.phase = Phase::Cut;
         }
         if struck == Some(Fault::Lose) {
-            state.end(&self.listener.attempt, Ending::Cancelled, Instant::now());
-            state.batch.held.shift_remove(&self.listener.attempt);
+            state.end(&self.listener.attempt, Ending::Cancelled, engine.now());
         }
         if struck == Some(Fault::DuplicateToken) || struck == Some(Fault::ReorderedToken) {
             self.next += 1;
--- a/crates/bench/src/standins/journal.rs
+++ b/crates/bench/src/standins/journal.rs
@@ -42,8 +42,9 @@
         /// Why.
         reason: super::http::Refusal,
     },
-    /// The attempt began to run.
-    Started {
+    /// The attempt was taken in. From here on it counts as run, because nobody
+    /// outside the endpoint could know that it did not.
+    Accepted {
         /// Which attempt.
         attempt: String,
         /// The text seed that its tokens come from.
--- a/crates/bench/src/standins/service/state.rs
+++ b/crates/bench/src/standins/service/state.rs
@@ -151,7 +151,7 @@
     pub fn start(&mut self, attempt: &str) {
         self.waiting -= 1;
         self.running += 1;
-        self.journal.push(Fact::Started {
+        self.journal.push(Fact::Accepted {
             attempt: attempt.to_owned(),
             seed: 0,
             length: 1,
--- a/crates/bench/tests/standins.rs
+++ b/crates/bench/tests/standins.rs
@@ -208,7 +208,7 @@
     assert!(
         !record
             .iter()
-            .any(|entry| matches!(entry.fact, Fact::Started { .. }))
+            .any(|entry| matches!(entry.fact, Fact::Accepted { .. }))
     );
 }
 
@@ -241,7 +241,7 @@
 
 #[tokio::test]
 async fn memory_that_fills_preempts_the_least_urgent_and_it_still_ends_whole() {
-    let engine = engine(&["--kv-tokens", "60", "--max-running", "4"]);
+    let engine = engine(&["--kv-tokens", "64", "--max-running", "4"]);
     let urgent = completion("a.1", "#len=40");
     let mut idle = completion("b.1", "other #len=40");
     idle["priority"] = json!(9);
@@ -305,7 +305,7 @@
     let record = admin.record(service.address).await.expect("a record");
     let started = record
         .iter()
-        .filter(|entry| matches!(entry.fact, Fact::Started { .. }));
+        .filter(|entry| matches!(entry.fact, Fact::Accepted { .. }));
     assert_eq!(started.count(), 1);
 }
 
