--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -223,6 +223,8 @@
     PeerUp(PeerId),
     /// The link to a peer is gone.
     PeerDown(PeerId),
+    /// The link to a peer was closed because it was idle.
+    PeerIdle(PeerId),
     /// The platform's service answered a read or a watch.
     Value {
         /// Which value.
@@ -232,6 +234,11 @@
         /// The bytes.
         bytes: Vec<u8>,
     },
+    /// The platform answered a watch: nothing is newer.
+    ValueUnchanged {
+        /// Which value.
+        name: ValueName,
+    },
     /// The platform's service could not be read.
     ValueFailed {
         /// Which value.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod findings;
 pub mod ids;
 pub mod membership;
+pub mod node;
 pub mod note;
 pub mod outcome;
 pub mod peer;
@@ -40,6 +41,7 @@
     AttemptId, CellKey, ClassKey, EndpointKey, EntryKey, Incarnation, InstanceKey, ModelKey,
     RequestId, WorkspaceKey,
 };
+pub use node::{Node, NodeConfig};
 pub use outcome::{NotRun, Ran, RequestOutcome, Verdict};
 pub use reason::{Outcome, Reason};
 pub use time::Time;
--- /dev/null
+++ b/crates/core/src/node.rs
@@ -0,0 +1,297 @@
+//! A whole node: every part of the core behind one event and one action type.
+//!
+//! [`Node::handle`] takes one [`Event`] and the time, and appends the
+//! [`Action`]s that follow. A node plays every role at once: it is the *entry*
+//! for the requests of its own callers, and the *home* of the cells, workspaces
+//! and keys that rank it first. The roles talk in messages also when both are
+//! this process (`loopback`), so that there is one path to test.
+//!
+//! | module | its job |
+//! | --- | --- |
+//! | `judge` | holds an arrival against the catalogue |
+//! | `ask` | finds a cell, asks its home, takes its answer |
+//! | `attempt` | dispatches, follows and repeats attempts |
+//! | `home` | the cells that this node decides for |
+//! | `fleet` | what changes when instances and endpoints come and go |
+//! | `platform` | values read from the platform |
+//! | `stop` | planned stop |
+
+mod ask;
+mod attempt;
+mod fleet;
+mod home;
+mod judge;
+mod platform;
+mod request;
+mod snapshot;
+mod stop;
+mod timers;
+
+pub use snapshot::{NodeSnapshot, RequestCounts};
+
+use crate::cell::message::Checkpoint;
+use crate::event::{Action, Event, PeerId};
+use crate::ids::{Incarnation, InstanceKey};
+use crate::membership::{Membership, MembershipAction, MembershipConfig};
+use crate::note::Note;
+use crate::peer::{PeerEnvelope, PeerMessage};
+use crate::reason::{Outcome, Reason};
+use crate::retry::RetryBudget;
+use crate::time::Time;
+use core::time::Duration;
+use home::Homes;
+use platform::Holdings;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use request::Request;
+use std::collections::{BTreeMap, VecDeque};
+use stop::Door;
+use timers::{TimerKind, Timers};
+
+/// How a node takes part.
+#[derive(Clone, Debug)]
+pub struct NodeConfig {
+    /// The name under which the platform publishes this instance.
+    pub name: String,
+    /// The life of this process, drawn at random.
+    pub incarnation: Incarnation,
+    /// The data centre of this instance.
+    pub data_centre: String,
+    /// Seed of all jitter.
+    pub seed: u64,
+    /// Silence of an endpoint that counts as a stall.
+    pub stall_limit: Duration,
+    /// How long new requests are still taken after a planned stop began, so
+    /// that the balancer can notice it.
+    pub stop_grace: Duration,
+    /// The most requests of own callers at once.
+    pub max_requests: usize,
+}
+
+impl NodeConfig {
+    /// Returns a configuration with the usual limits.
+    pub fn new(name: &str, incarnation: Incarnation, data_centre: &str, seed: u64) -> Self {
+        NodeConfig {
+            name: name.to_owned(),
+            incarnation,
+            data_centre: data_centre.to_owned(),
+            seed,
+            stall_limit: Duration::from_secs(10),
+            stop_grace: Duration::from_secs(3),
+            max_requests: 20_000,
+        }
+    }
+}
+
+/// All decisions of one process.
+///
+/// Invariant: between two calls of [`Node::handle`], `loopback` and `out` are
+/// empty and no cell has a decision due.
+pub struct Node {
+    cfg: NodeConfig,
+    me: PeerId,
+    /// The time of the event that is being handled.
+    now: Time,
+    rng: SmallRng,
+    membership: Membership,
+    holdings: Holdings,
+    requests: BTreeMap<u64, Request>,
+    homes: Homes,
+    budget: RetryBudget,
+    /// Checkpoints that wait to be sent, by home.
+    progress: BTreeMap<InstanceKey, Vec<Checkpoint>>,
+    timers: Timers,
+    door: Door,
+    loopback: VecDeque<PeerMessage>,
+    out: Vec<Action>,
+    /// Reused buffer for what membership asks.
+    asked: Vec<MembershipAction>,
+}
+
+impl Node {
+    /// Creates a node that knows nothing yet. Call [`Node::start`] next.
+    pub fn new(cfg: NodeConfig) -> Self {
+        let me = PeerId {
+            instance: InstanceKey::of(&cfg.name),
+            incarnation: cfg.incarnation,
+        };
+        let members = MembershipConfig::new(&cfg.name, cfg.incarnation, &cfg.data_centre, cfg.seed);
+        Node {
+            me,
+            now: Time::ZERO,
+            rng: SmallRng::seed_from_u64(cfg.seed),
+            membership: Membership::new(members),
+            holdings: Holdings::default(),
+            requests: BTreeMap::new(),
+            homes: Homes::default(),
+            budget: RetryBudget::new(),
+            progress: BTreeMap::new(),
+            timers: Timers::default(),
+            door: Door::Open,
+            loopback: VecDeque::new(),
+            out: Vec::new(),
+            asked: Vec::new(),
+            cfg,
+        }
+    }
+
+    /// Starts to read the list and the catalogue.
+    pub fn start(&mut self, now: Time, actions: &mut Vec<Action>) {
+        self.now = now;
+        let mut asked = core::mem::take(&mut self.asked);
+        self.membership.start(now, &mut asked);
+        self.asked = asked;
+        self.start_holdings();
+        self.settle(actions);
+    }
+
+    /// Takes one event in and appends what follows to `actions`.
+    pub fn handle(&mut self, now: Time, event: Event, actions: &mut Vec<Action>) {
+        debug_assert!(self.loopback.is_empty() && self.out.is_empty());
+        self.now = now;
+        self.take_in(event);
+        self.settle(actions);
+    }
+
+    /// Returns which process this is.
+    pub fn me(&self) -> PeerId {
+        self.me
+    }
+
+    /// Returns what every message to a peer carries besides its content.
+    pub fn envelope(&self, messages: Vec<PeerMessage>) -> PeerEnvelope {
+        PeerEnvelope {
+            catalogue_revision: self.holdings.revision(),
+            list_revision: self.membership.view().revision(),
+            messages,
+        }
+    }
+
+    fn take_in(&mut self, event: Event) {
+        match event {
+            Event::Request(arrival) => self.on_arrival(*arrival),
+            Event::CallerGone(id) => self.on_caller_gone(id),
+            Event::Attempt { attempt, update } => self.on_attempt(attempt, update),
+            Event::Peer { from, envelope } => self.on_envelope(from, envelope),
+            Event::PeerUp(peer) => self.on_peer_up(peer),
+            Event::PeerDown(peer) => self.on_peer_down(peer),
+            Event::PeerIdle(peer) => self.membership.peer_idle(peer),
+            Event::Value {
+                name,
+                revision,
+                bytes,
+            } => self.on_value(name, revision, &bytes),
+            Event::ValueUnchanged { name } => self.on_value_unchanged(name),
+            Event::ValueFailed { name } => self.on_value_failed(name),
+            Event::Load { endpoint, report } => self.on_load(endpoint, &report),
+            Event::LoadFailed { endpoint } => self.on_load_failed(endpoint),
+            Event::Cache {
+                endpoint,
+                gap,
+                stored,
+                evicted,
+            } => self.on_cache(endpoint, gap, &stored, &evicted),
+            Event::OrderDone { .. } => {}
+            Event::Wake => {}
+            Event::Stop => self.on_stop(),
+        }
+    }
+
+    /// Works until nothing is left to do at this time.
+    fn settle(&mut self, actions: &mut Vec<Action>) {
+        self.run_timers();
+        loop {
+            self.carry_out_membership();
+            if let Some(message) = self.loopback.pop_front() {
+                self.on_message(self.me, message);
+                continue;
+            }
+            if !self.poll_cells() && self.asked.is_empty() && self.loopback.is_empty() {
+                break;
+            }
+        }
+        self.finish_stop();
+        let wake = self.next_wake();
+        actions.append(&mut self.out);
+        actions.push(Action::WakeAt(wake));
+    }
+
+    fn next_wake(&self) -> Time {
+        let parts = [
+            self.timers.next(),
+            self.membership.next_wake(),
+            self.homes.next_poll(),
+        ];
+        parts.into_iter().min().unwrap_or(Time::NEVER)
+    }
+
+    fn run_timers(&mut self) {
+        if self.membership.next_wake() <= self.now {
+            let mut asked = core::mem::take(&mut self.asked);
+            self.membership.tick(self.now, &mut asked);
+            self.asked = asked;
+        }
+        while let Some(kind) = self.timers.take_due(self.now) {
+            match kind {
+                TimerKind::Request(seq) => self.on_request_timer(seq),
+                TimerKind::PollLoad(endpoint) => self.poll_load(endpoint),
+                TimerKind::FlushProgress => self.flush_progress(),
+                TimerKind::ForgetHolder(instance, incarnation) => {
+                    self.forget_holder_if_down(instance, incarnation);
+                }
+                TimerKind::CloseDoor => self.close_door(),
+            }
+        }
+    }
+
+    fn on_envelope(&mut self, from: PeerId, envelope: PeerEnvelope) {
+        if !self.membership.is_present_life(from) {
+            // A message of a life that was replaced: the process was paused and
+            // does not know. Its requests are void, so nothing of it may count.
+            self.note(Note::Discarded {
+                reason: Reason::LateAnswer,
+            });
+            return;
+        }
+        self.on_peer_revisions(from, &envelope);
+        for message in envelope.messages {
+            self.on_message(from, message);
+        }
+    }
+
+    fn on_message(&mut self, from: PeerId, message: PeerMessage) {
+        match message {
+            PeerMessage::Heartbeat => {}
+            PeerMessage::Membership(message) => {
+                let mut asked = core::mem::take(&mut self.asked);
+                self.membership.message(self.now, from, message, &mut asked);
+                self.asked = asked;
+            }
+            PeerMessage::Cell(message) => self.on_cell_message(from, message),
+        }
+    }
+
+    /// Sends a message, to this node itself if `to` is its own key.
+    fn send(&mut self, to: InstanceKey, message: PeerMessage) {
+        if to == self.me.instance {
+            self.loopback.push_back(message);
+            return;
+        }
+        let mut asked = core::mem::take(&mut self.asked);
+        self.membership.touch_link(self.now, to, &mut asked);
+        self.asked = asked;
+        self.out.push(Action::Send { to, message });
+    }
+
+    fn note(&mut self, note: Note) {
+        self.out.push(Action::Note(note));
+    }
+
+    /// Tells operators how a request ended that did not end well.
+    fn note_verdict(&mut self, request: crate::ids::RequestId, outcome: Outcome, reason: Reason) {
+        self.note(match outcome {
+            Outcome::NotRun => Note::Refused { request, reason },
+            _ => Note::Failed { request, reason },
+        });
+    }
+}
--- /dev/null
+++ b/crates/core/src/node/ask.rs
@@ -0,0 +1,268 @@
+//! Finds a cell for a request, asks the cell's home, takes its answer.
+//!
+//! A request is first offered to every cell that serves it, nearest first, on
+//! condition that it starts within its class's wait target. Only when all have
+//! refused is the longest wait accepted, at the cell that promised the
+//! shortest. So one crowded cell does not keep a request that another could
+//! start at once. See `docs/design/placement.md`.
+
+use super::Node;
+use super::request::{Refusal, Request, Stage};
+use super::timers::TimerKind;
+use crate::cell::message::{Ask, Grant, Refused};
+use crate::cell::{CellMessage, EndKind};
+use crate::event::PeerId;
+use crate::ids::{CellKey, InstanceKey, RequestId};
+use crate::membership::EndpointState;
+use crate::peer::PeerMessage;
+use crate::reason::Reason;
+use core::time::Duration;
+use rand::Rng;
+
+/// How long past the class's longest wait a home may be silent before the
+/// request is given up. The home refuses in time by itself; this only catches
+/// a home that is linked but does not work.
+const HOME_GRACE: Duration = Duration::from_secs(1);
+
+/// Refusals that mean "not here, now", so that another cell may do.
+fn is_local(reason: Reason) -> bool {
+    matches!(
+        reason,
+        Reason::WaitTooLong
+            | Reason::WaitExpired
+            | Reason::QueueFull
+            | Reason::NoEndpoint
+            | Reason::HomeSilent
+    )
+}
+
+impl Node {
+    /// Starts to look for a place.
+    pub(super) fn begin_asking(&mut self, seq: u64) {
+        let Some(request) = self.requests.get_mut(&seq) else {
+            return;
+        };
+        let at = request.arrived + request.longest_wait() + HOME_GRACE;
+        self.timers.set(at, TimerKind::Request(seq));
+        self.ask_next_cell(seq);
+    }
+
+    /// Asks the next cell that has not refused yet, or gives up.
+    pub(super) fn ask_next_cell(&mut self, seq: u64) {
+        let Some(request) = self.requests.get(&seq) else {
+            return;
+        };
+        let cell = match self.fresh_cell(request) {
+            Some(cell) => cell,
+            None if request.accepts_longer_wait || request.refusals.is_empty() => {
+                return self.refuse_by_cells(seq);
+            }
+            None => match self.shortest_wait(request) {
+                Some(cell) => cell,
+                None => return self.refuse_by_cells(seq),
+            },
+        };
+        self.ask_cell(seq, cell);
+    }
+
+    /// Returns the nearest cell that has not refused the request in this round.
+    fn fresh_cell(&self, request: &Request) -> Option<CellKey> {
+        let facts = request.facts.as_ref()?;
+        let own = self.membership.own_data_centre();
+        let name = facts.view().target.name().to_owned();
+        let cells = self.membership.cells_serving(&name, own);
+        let fresh = |cell: CellKey| !request.refusals.iter().any(|it| it.cell == cell);
+        let mut open = cells.iter().filter(|it| fresh(it.plan.key)).peekable();
+        let nearest = open.peek()?.data_centre;
+        let level: Vec<CellKey> = open
+            .take_while(|it| it.data_centre == nearest)
+            .map(|it| it.plan.key)
+            .collect();
+        // Cells of one data centre are alike; starting at a different one for
+        // each request spreads the load without any exchange of figures.
+        let pick = crate::rendezvous::score(request.id().seq, self.me.instance.0);
+        level.get((pick % level.len() as u64) as usize).copied()
+    }
+
+    /// Returns the cell that promised the shortest wait, if any promised one
+    /// that the request accepts.
+    fn shortest_wait(&self, request: &Request) -> Option<CellKey> {
+        let queues = request.refusals.iter().filter(|it| {
+            matches!(it.reason, Reason::WaitTooLong | Reason::WaitExpired)
+                && it.predicted_wait <= request.longest_wait()
+        });
+        queues.min_by_key(|it| it.predicted_wait).map(|it| it.cell)
+    }
+
+    fn ask_cell(&mut self, seq: u64, cell: CellKey) {
+        let Some(home) = self.membership.home_of_cell(cell) else {
+            return self.refuse(seq, Reason::NoEndpoint);
+        };
+        let now = self.now;
+        let Some(request) = self.requests.get_mut(&seq) else {
+            return;
+        };
+        request.accepts_longer_wait |= request.refusals.iter().any(|it| it.cell == cell);
+        request.stage = Stage::Asking { cell, home };
+        let Some(facts) = &request.facts else {
+            debug_assert!(false, "a request is judged before it asks");
+            return;
+        };
+        let ask = Ask::from_request(cell, &request.to_cell_request(facts), now);
+        self.send(home, PeerMessage::Cell(CellMessage::Ask(Box::new(ask))));
+    }
+
+    /// A home grants a place.
+    pub(super) fn on_grant(&mut self, from: PeerId, grant: &Grant) {
+        let Some(request) = self.requests.get(&grant.seq) else {
+            return self.withdraw_at(from.instance, grant.seq);
+        };
+        let Stage::Asking { cell, home } = request.stage else {
+            // A home that was asked earlier grants late. Its lease would hold
+            // memory that nobody uses.
+            if !matches!(request.stage, Stage::Running { home, .. } if home == from.instance) {
+                self.withdraw_at(from.instance, grant.seq);
+            }
+            return;
+        };
+        if home != from.instance {
+            return self.withdraw_at(from.instance, grant.seq);
+        }
+        let in_cell = self.membership.endpoints_of_cell(cell);
+        let is_known = in_cell.contains(&grant.endpoint);
+        let state = self.membership.endpoint_state(grant.endpoint);
+        if !is_known || state != EndpointState::Live {
+            // The home has not heard yet that the endpoint is leaving; this
+            // node has. Asking again without it keeps the promise.
+            if let Some(request) = self.requests.get_mut(&grant.seq) {
+                request.exclude.push(grant.endpoint);
+            }
+            return self.ask_cell(grant.seq, cell);
+        }
+        self.dispatch(grant.seq, cell, home, grant);
+    }
+
+    /// A home refuses.
+    pub(super) fn on_refused(&mut self, from: PeerId, refused: &Refused) {
+        let Some(request) = self.requests.get_mut(&refused.seq) else {
+            return;
+        };
+        let Stage::Asking { cell, home } = request.stage else {
+            return;
+        };
+        if home != from.instance {
+            return;
+        }
+        request.refusals.retain(|it| it.cell != cell);
+        request.refusals.push(Refusal {
+            cell,
+            reason: refused.reason,
+            retry_after: Duration::from_millis(refused.retry_after_ms.into()),
+            predicted_wait: Duration::from_millis(refused.predicted_wait_ms.into()),
+        });
+        match is_local(refused.reason) {
+            true => self.ask_next_cell(refused.seq),
+            false => self.refuse_by_cells(refused.seq),
+        }
+    }
+
+    /// Asks again wherever the home that was asked is no longer the home.
+    pub(super) fn re_ask_moved(&mut self) {
+        let mut moved: Vec<(u64, CellKey, InstanceKey)> = Vec::new();
+        for (&seq, request) in &self.requests {
+            if let Stage::Asking { cell, home } = request.stage
+                && self.membership.home_of_cell(cell) != Some(home)
+            {
+                moved.push((seq, cell, home));
+            }
+        }
+        for (seq, cell, old) in moved {
+            if self.membership.is_linked(old) {
+                self.withdraw_at(old, seq);
+            }
+            match self.membership.view().cell(cell) {
+                Some(_) => self.ask_cell(seq, cell),
+                None => self.ask_next_cell(seq),
+            }
+        }
+    }
+
+    /// Asks again whatever was asked of `home`, which has forgotten it or may
+    /// never have heard it.
+    pub(super) fn re_ask_at(&mut self, home: InstanceKey) {
+        let asked = self
+            .requests
+            .iter()
+            .filter_map(|(&seq, it)| match it.stage {
+                Stage::Asking { cell, home: at } if at == home => Some((seq, cell)),
+                _ => None,
+            });
+        for (seq, cell) in asked.collect::<Vec<_>>() {
+            self.ask_cell(seq, cell);
+        }
+    }
+
+    pub(super) fn withdraw_at(&mut self, home: InstanceKey, seq: u64) {
+        let message = CellMessage::Withdraw(vec![seq]);
+        self.send(home, PeerMessage::Cell(message));
+    }
+
+    /// The time set for a request has come.
+    pub(super) fn on_request_timer(&mut self, seq: u64) {
+        let Some(request) = self.requests.get(&seq) else {
+            return;
+        };
+        let over = self.now >= request.arrived + request.longest_wait() + HOME_GRACE;
+        match request.stage {
+            Stage::Judging if self.now >= request.arrived + super::judge::JUDGE_LIMIT => {
+                self.refuse(seq, Reason::NoCatalogue);
+            }
+            Stage::Asking { .. } if over && request.delivered == 0 => {
+                self.refuse(seq, Reason::HomeSilent);
+            }
+            Stage::BackingOff { until } if self.now >= until => self.ask_next_cell(seq),
+            _ => {}
+        }
+    }
+
+    /// Every cell refused: says why, and when it is worth coming back.
+    fn refuse_by_cells(&mut self, seq: u64) {
+        let Some(request) = self.requests.get(&seq) else {
+            return;
+        };
+        let best = request.refusals.iter().min_by_key(|it| it.retry_after);
+        match best.copied() {
+            Some(best) => self.finish(seq, best.reason, Some(best.retry_after)),
+            None => self.refuse(seq, Reason::NoEndpoint),
+        }
+    }
+
+    /// Ends a request with the strongest claim that its attempts bear out.
+    pub(super) fn refuse(&mut self, seq: u64, reason: Reason) {
+        use crate::reason::ReasonGroup;
+        let retry_after = match reason.group() {
+            ReasonGroup::Limit | ReasonGroup::Failure => {
+                Some(Duration::from_millis(self.rng.random_range(1_000..3_000)))
+            }
+            ReasonGroup::Input | ReasonGroup::Discard => None,
+        };
+        self.finish(seq, reason, retry_after);
+    }
+
+    /// Takes a request's place back at its home and forgets it.
+    pub(super) fn leave_home(&mut self, id: RequestId, stage: Stage, tokens: u32, end: EndKind) {
+        match stage {
+            Stage::Asking { home, .. } => self.withdraw_at(home, id.seq),
+            Stage::Running { home, .. } => {
+                let ended = crate::cell::message::Ended {
+                    seq: id.seq,
+                    tokens,
+                    end,
+                };
+                let message = CellMessage::Ended(vec![ended]);
+                self.send(home, PeerMessage::Cell(message));
+            }
+            Stage::Judging | Stage::BackingOff { .. } => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/node/attempt.rs
@@ -0,0 +1,270 @@
+//! Dispatches, follows and repeats attempts.
+
+use super::Node;
+use super::request::Stage;
+use super::timers::TimerKind;
+use crate::cell::message::{Checkpoint, Grant};
+use crate::cell::{CellMessage, EndKind};
+use crate::event::{Action, AttemptMode, AttemptUpdate, Dispatch};
+use crate::ids::{AttemptId, CellKey, InstanceKey, RequestId};
+use crate::note::Note;
+use crate::outcome::{Ran, Verdict};
+use crate::peer::PeerMessage;
+use crate::reason::Reason;
+use crate::retry::{self, Failure, RetryDecision};
+use core::time::Duration;
+
+/// How long after the grant an attempt may still be sent. A process that was
+/// paused in between must ask again, because the home may have given the
+/// memory away and the endpoint may have left.
+const SEND_LIMIT: Duration = Duration::from_secs(2);
+
+/// How long checkpoints are gathered before they are sent in one message.
+const PROGRESS_GATHER: Duration = Duration::from_millis(250);
+
+/// An attempt that ended without a whole answer.
+#[derive(Clone, Copy, Debug)]
+struct FailedAttempt {
+    attempt: AttemptId,
+    reason: Reason,
+    ran: Ran,
+    delivered: u32,
+    retry_after: Option<Duration>,
+}
+
+impl Node {
+    /// Orders the attempt that a home granted.
+    pub(super) fn dispatch(&mut self, seq: u64, cell: CellKey, home: InstanceKey, grant: &Grant) {
+        let Some(endpoint) = self.membership.view().endpoint_target(grant.endpoint) else {
+            return self.refuse(seq, Reason::NoEndpoint);
+        };
+        let stall_limit = self.cfg.stall_limit;
+        let send_before = self.now + SEND_LIMIT;
+        let Some(request) = self.requests.get_mut(&seq) else {
+            return;
+        };
+        let Some(facts) = &request.facts else {
+            debug_assert!(false, "a request is judged before it runs");
+            return;
+        };
+        request.attempts += 1;
+        let attempt = AttemptId {
+            request: request.arrival.id,
+            number: request.attempts,
+        };
+        let view = facts.view();
+        let (model, adapter) = match view.target {
+            crate::catalogue::TargetView::Model { model, adapter } => {
+                (model.name.clone(), adapter.map(str::to_owned))
+            }
+            crate::catalogue::TargetView::Service(_) => (String::new(), None),
+        };
+        let mode = match request.delivered {
+            0 => AttemptMode::Fresh,
+            delivered => AttemptMode::Replay { delivered },
+        };
+        let order = Dispatch {
+            attempt,
+            endpoint,
+            model,
+            adapter,
+            priority: grant.priority,
+            max_tokens: facts.max_tokens,
+            delivery: view.class.delivery,
+            idempotent: view.class.idempotent,
+            mode,
+            send_before,
+            stall_limit,
+        };
+        request.outcome.on_dispatch(attempt);
+        request.refusals.clear();
+        request.stage = Stage::Running {
+            cell,
+            home,
+            endpoint: grant.endpoint,
+            attempt,
+            tokens: 0,
+        };
+        self.out.push(Action::Dispatch(Box::new(order)));
+    }
+
+    /// Something became of an attempt.
+    pub(super) fn on_attempt(&mut self, attempt: AttemptId, update: AttemptUpdate) {
+        let seq = attempt.request.seq;
+        let Some(request) = self.requests.get(&seq) else {
+            return;
+        };
+        let Stage::Running {
+            attempt: current, ..
+        } = request.stage
+        else {
+            return;
+        };
+        if current != attempt {
+            return self.note(Note::Discarded {
+                reason: Reason::LateAnswer,
+            });
+        }
+        match update {
+            AttemptUpdate::FirstToken => {}
+            AttemptUpdate::Progress { tokens } => self.on_progress(seq, tokens),
+            AttemptUpdate::Complete {
+                tokens,
+                prompt_tokens,
+            } => self.on_complete(seq, attempt, tokens, prompt_tokens),
+            AttemptUpdate::Failed {
+                reason,
+                ran,
+                delivered,
+                retry_after,
+            } => self.on_failed(FailedAttempt {
+                attempt,
+                reason,
+                ran,
+                delivered,
+                retry_after,
+            }),
+        }
+    }
+
+    fn on_progress(&mut self, seq: u64, reported: u32) {
+        let Some(request) = self.requests.get_mut(&seq) else {
+            return;
+        };
+        let Stage::Running { home, tokens, .. } = &mut request.stage else {
+            return;
+        };
+        *tokens = reported;
+        let checkpoint = Checkpoint {
+            seq,
+            tokens: reported,
+        };
+        if self.progress.is_empty() {
+            let at = self.now + PROGRESS_GATHER;
+            self.timers.set(at, TimerKind::FlushProgress);
+        }
+        self.progress.entry(*home).or_default().push(checkpoint);
+    }
+
+    /// Sends the checkpoints that were gathered.
+    pub(super) fn flush_progress(&mut self) {
+        for (home, checkpoints) in core::mem::take(&mut self.progress) {
+            let message = CellMessage::Progress(checkpoints);
+            self.send(home, PeerMessage::Cell(message));
+        }
+    }
+
+    fn on_complete(
+        &mut self,
+        seq: u64,
+        attempt: AttemptId,
+        tokens: u32,
+        prompt_tokens: Option<u32>,
+    ) {
+        let Some(mut request) = self.requests.remove(&seq) else {
+            return;
+        };
+        request.outcome.on_ended(attempt, Ran::Maybe);
+        let end = EndKind::Complete { prompt_tokens };
+        self.leave_home(request.id(), request.stage, tokens, end);
+    }
+
+    fn on_failed(&mut self, failed: FailedAttempt) {
+        let seq = failed.attempt.request.seq;
+        let Some(request) = self.requests.get_mut(&seq) else {
+            return;
+        };
+        let stage = request.stage;
+        let Stage::Running {
+            endpoint, tokens, ..
+        } = stage
+        else {
+            return;
+        };
+        request.outcome.on_ended(failed.attempt, failed.ran);
+        request.delivered = request.delivered.max(failed.delivered);
+        request.exclude.push(endpoint);
+        let id = request.id();
+        self.leave_home(id, stage, tokens, EndKind::Failed(failed.reason));
+        if failed.reason == Reason::EndpointLeaving {
+            self.with_membership(|membership, now, out| {
+                membership.endpoint_refused_leaving(now, endpoint, out);
+            });
+        }
+        self.decide_retry(seq, &failed);
+    }
+
+    fn decide_retry(&mut self, seq: u64, failed: &FailedAttempt) {
+        let Some(request) = self.requests.get_mut(&seq) else {
+            return;
+        };
+        let waited = self.now.since(request.arrived);
+        let patience = match request.delivered {
+            0 => request.longest_wait().saturating_sub(waited),
+            // The caller holds a part of the answer and waits for the rest.
+            _ => request.longest_wait(),
+        };
+        let idempotent = request.facts.as_ref().is_some_and(|it| it.class.idempotent);
+        let failure = Failure {
+            reason: failed.reason,
+            outcome: &request.outcome,
+            idempotent,
+            delivered: request.delivered,
+            attempts: request.attempts,
+            patience,
+            retry_after: failed.retry_after,
+        };
+        let decision = retry::decide(&failure, &mut self.budget, self.now, &mut self.rng);
+        match decision {
+            RetryDecision::Retry { after } | RetryDecision::Replay { after } => {
+                let until = self.now + after;
+                request.stage = Stage::BackingOff { until };
+                let request = request.id();
+                self.timers.set(until, TimerKind::Request(seq));
+                self.note(Note::Retried {
+                    request,
+                    reason: failed.reason,
+                });
+            }
+            RetryDecision::Finish(verdict) => {
+                request.stage = Stage::BackingOff { until: self.now };
+                self.answer(seq, verdict);
+            }
+        }
+    }
+
+    /// The caller went away; the stream task has already cancelled the attempt.
+    pub(super) fn on_caller_gone(&mut self, id: RequestId) {
+        let Some(request) = self.requests.remove(&id.seq) else {
+            return;
+        };
+        let tokens = match request.stage {
+            Stage::Running { tokens, .. } => tokens,
+            _ => 0,
+        };
+        self.leave_home(id, request.stage, tokens, EndKind::Cancelled);
+    }
+
+    /// Ends a request with the strongest claim that its attempts bear out.
+    pub(super) fn finish(&mut self, seq: u64, reason: Reason, retry_after: Option<Duration>) {
+        let Some(request) = self.requests.get(&seq) else {
+            return;
+        };
+        let delivered = request.delivered;
+        let verdict = request.outcome.finish(reason, retry_after, delivered);
+        self.answer(seq, verdict);
+    }
+
+    /// Gives the caller its final answer and forgets the request.
+    fn answer(&mut self, seq: u64, verdict: Verdict) {
+        let Some(request) = self.requests.remove(&seq) else {
+            return;
+        };
+        self.leave_home(request.id(), request.stage, 0, EndKind::Cancelled);
+        self.note_verdict(request.id(), verdict.outcome(), verdict.reason());
+        self.out.push(Action::Finish {
+            request: request.id(),
+            verdict,
+        });
+    }
+}
--- /dev/null
+++ b/crates/core/src/node/fleet.rs
@@ -0,0 +1,126 @@
+//! What changes when instances and endpoints come and go.
+
+use super::Node;
+use super::home::HOLDER_LEASE;
+use super::request::Stage;
+use super::timers::TimerKind;
+use crate::cell::CellMessage;
+use crate::cell::message::Told;
+use crate::event::{Action, PeerId, ValueName};
+use crate::ids::{CellKey, InstanceKey};
+use crate::membership::{Membership, MembershipAction, MembershipChange};
+use crate::peer::{PeerEnvelope, PeerMessage};
+use crate::time::Time;
+use std::collections::BTreeSet;
+
+impl Node {
+    /// Calls a method of membership and keeps what it asks for.
+    pub(super) fn with_membership(
+        &mut self,
+        call: impl FnOnce(&mut Membership, Time, &mut Vec<MembershipAction>),
+    ) {
+        call(&mut self.membership, self.now, &mut self.asked);
+    }
+
+    /// Carries out what membership asked for.
+    pub(super) fn carry_out_membership(&mut self) {
+        while !self.asked.is_empty() {
+            for action in core::mem::take(&mut self.asked) {
+                match action {
+                    MembershipAction::Send { to, message } => {
+                        let message = PeerMessage::Membership(message);
+                        self.out.push(Action::Send { to, message });
+                    }
+                    MembershipAction::ReadList => {
+                        self.out.push(Action::Read(ValueName::Instances));
+                    }
+                    MembershipAction::WatchList { above } => self.out.push(Action::Watch {
+                        name: ValueName::Instances,
+                        above,
+                    }),
+                    MembershipAction::Links(targets) => self.out.push(Action::Links(targets)),
+                    MembershipAction::Note(note) => self.note(note),
+                    MembershipAction::Changed(change) => self.on_change(change),
+                }
+            }
+        }
+    }
+
+    fn on_change(&mut self, change: MembershipChange) {
+        match change {
+            MembershipChange::List { .. } | MembershipChange::Homes => {
+                self.refresh_cells();
+                self.re_ask_moved();
+                self.retell_moved();
+            }
+            MembershipChange::InstanceReplaced { instance, was } => {
+                self.forget_holder(instance, was);
+            }
+            MembershipChange::InstanceGone { .. } => {}
+            MembershipChange::EndpointLeaving { endpoint }
+            | MembershipChange::EndpointBack { endpoint } => self.refresh_endpoint(endpoint),
+        }
+    }
+
+    /// A link to a peer is up: what either side knew of the other may be lost.
+    pub(super) fn on_peer_up(&mut self, peer: PeerId) {
+        self.with_membership(|membership, now, out| membership.peer_up(now, peer, out));
+        self.carry_out_membership();
+        self.retell_to(peer.instance);
+        self.re_ask_at(peer.instance);
+    }
+
+    /// The link to a peer is gone.
+    pub(super) fn on_peer_down(&mut self, peer: PeerId) {
+        self.with_membership(|membership, now, out| membership.peer_down(now, peer, out));
+        let forget = TimerKind::ForgetHolder(peer.instance, peer.incarnation);
+        self.timers.set(self.now + HOLDER_LEASE, forget);
+    }
+
+    /// Every message of a peer says which revisions it knows.
+    pub(super) fn on_peer_revisions(&mut self, from: PeerId, envelope: &PeerEnvelope) {
+        let revision = envelope.list_revision;
+        self.with_membership(|membership, now, out| {
+            membership.peer_revision(now, from, revision, out);
+        });
+    }
+
+    /// Tells new homes what runs in their cells.
+    fn retell_moved(&mut self) {
+        let mut moved: BTreeSet<(InstanceKey, CellKey)> = BTreeSet::new();
+        for request in self.requests.values_mut() {
+            if let Stage::Running { cell, home, .. } = &mut request.stage
+                && let Some(now_home) = self.membership.home_of_cell(*cell)
+                && now_home != *home
+            {
+                *home = now_home;
+                moved.insert((now_home, *cell));
+            }
+        }
+        for (home, cell) in moved {
+            self.retell(home, cell);
+        }
+    }
+
+    /// Tells a home everything that runs in its cells.
+    fn retell_to(&mut self, home: InstanceKey) {
+        let running = self.requests.values();
+        let cells: BTreeSet<CellKey> = running
+            .filter_map(|it| match it.stage {
+                Stage::Running { cell, home: at, .. } if at == home => Some(cell),
+                _ => None,
+            })
+            .collect();
+        for cell in cells {
+            self.retell(home, cell);
+        }
+    }
+
+    fn retell(&mut self, home: InstanceKey, cell: CellKey) {
+        let running = self.requests.values();
+        let running = running.filter_map(|it| it.to_running(cell));
+        let running: Vec<Told> = running.map(|it| Told::from(&it)).collect();
+        let message = CellMessage::Retell { cell, running };
+        self.send(home, PeerMessage::Cell(message));
+    }
+}
--- /dev/null
+++ b/crates/core/src/node/home.rs
@@ -0,0 +1,381 @@
+//! The cells that this node decides for.
+//!
+//! A node serves a cell as soon as somebody asks it to, also when its own list
+//! ranks another instance first: two homes over-commit, which shows in the
+//! endpoints' reports, while a refusal would fail requests during every change.
+
+use super::Node;
+use super::timers::TimerKind;
+use crate::cell::message::{Grant, Refused, millis, request_id};
+use crate::cell::{
+    Cell, CellConfig, CellDecision, CellMessage, Distance, EndpointInfo, EndpointKind,
+    EndpointState,
+};
+use crate::event::{Action, LoadReport, PeerId};
+use crate::ids::{CellKey, EndpointKey, Incarnation, InstanceKey, RequestId};
+use crate::membership;
+use crate::peer::PeerMessage;
+use crate::reason::Reason;
+use crate::time::Time;
+use core::time::Duration;
+use rand::Rng;
+use std::collections::BTreeMap;
+
+/// How often a home asks each endpoint of its cells for its load.
+pub(super) const POLL_INTERVAL: Duration = Duration::from_millis(500);
+
+/// How long the leases of a life are kept after its link went down. Its
+/// generations go on running at the endpoints meanwhile, so that forgetting
+/// them at once would over-commit with every short break.
+pub(super) const HOLDER_LEASE: Duration = Duration::from_secs(10);
+
+/// When a caller is told to come back whose cell this node does not know.
+const COME_BACK: Duration = Duration::from_secs(1);
+
+/// One cell that this node decides for.
+pub(super) struct HomeCell {
+    /// The decisions.
+    pub cell: Cell,
+    /// Its endpoints, as told to the cell.
+    pub endpoints: Vec<EndpointKey>,
+    /// When the cell wants to be polled next.
+    next_poll: Time,
+}
+
+/// All cells that this node decides for.
+///
+/// Invariant: `placed` names only cells in `cells`.
+#[derive(Default)]
+pub(super) struct Homes {
+    /// The cells.
+    pub cells: BTreeMap<CellKey, HomeCell>,
+    /// Which cell a request is queued or running in.
+    placed: BTreeMap<RequestId, CellKey>,
+    /// Reused buffer.
+    decisions: Vec<CellDecision>,
+}
+
+impl Homes {
+    /// Returns when the first cell wants to be polled.
+    pub fn next_poll(&self) -> Time {
+        let polls = self.cells.values().map(|it| it.next_poll);
+        polls.min().unwrap_or(Time::NEVER)
+    }
+
+    fn cell_of(&mut self, id: RequestId) -> Option<&mut HomeCell> {
+        let cell = self.placed.get(&id)?;
+        let home = self.cells.get_mut(cell)?;
+        home.next_poll = Time::ZERO;
+        Some(home)
+    }
+
+    fn cell_with(&mut self, endpoint: EndpointKey) -> Option<&mut HomeCell> {
+        let mut cells = self.cells.values_mut();
+        let home = cells.find(|it| it.endpoints.contains(&endpoint))?;
+        home.next_poll = Time::ZERO;
+        Some(home)
+    }
+
+    /// Takes a request out of whatever cell it is in.
+    fn withdraw(&mut self, now: Time, id: RequestId) {
+        if let Some(home) = self.cell_of(id) {
+            home.cell.withdraw(now, id);
+        }
+        self.placed.remove(&id);
+    }
+
+    fn forget_holder(&mut self, now: Time, instance: InstanceKey, incarnation: Incarnation) {
+        for home in self.cells.values_mut() {
+            home.cell.forget_holder(now, instance, incarnation);
+            home.next_poll = Time::ZERO;
+        }
+        self.placed
+            .retain(|id, _| (id.instance, id.incarnation) != (instance, incarnation));
+    }
+}
+
+impl Node {
+    /// A message between an entry and a home arrived, in either role.
+    pub(super) fn on_cell_message(&mut self, from: PeerId, message: CellMessage) {
+        match message {
+            CellMessage::Ask(ask) => {
+                let cell = ask.cell;
+                let seq = ask.seq;
+                if !self.ensure_cell(cell) {
+                    return self.refuse_unknown_cell(from, seq);
+                }
+                let req = (*ask).into_request(from, self.now);
+                self.homes.withdraw(self.now, req.id);
+                if let Some(home) = self.homes.cells.get_mut(&cell) {
+                    self.homes.placed.insert(req.id, cell);
+                    home.cell.submit(self.now, req);
+                    home.next_poll = Time::ZERO;
+                }
+            }
+            CellMessage::Grant(grant) => self.on_grant(from, &grant),
+            CellMessage::Refused(refused) => self.on_refused(from, &refused),
+            CellMessage::Progress(checkpoints) => {
+                for checkpoint in checkpoints {
+                    let id = request_id(from, checkpoint.seq);
+                    if let Some(home) = self.homes.cell_of(id) {
+                        home.cell.progress(self.now, id, checkpoint.tokens);
+                    }
+                }
+            }
+            CellMessage::Ended(ended) => {
+                for end in ended {
+                    let id = request_id(from, end.seq);
+                    if let Some(home) = self.homes.cell_of(id) {
+                        home.cell.ended(self.now, id, end.tokens, end.end);
+                    }
+                    self.homes.placed.remove(&id);
+                }
+            }
+            CellMessage::Withdraw(seqs) => {
+                for seq in seqs {
+                    self.homes.withdraw(self.now, request_id(from, seq));
+                }
+            }
+            CellMessage::Retell { cell, running } => self.on_retell(from, cell, running),
+        }
+    }
+
+    /// An entry tells everything that it runs in a cell.
+    fn on_retell(&mut self, from: PeerId, cell: CellKey, told: Vec<crate::cell::message::Told>) {
+        if !self.ensure_cell(cell) {
+            return;
+        }
+        // What the entry does not name has ended while no link was up. Left in
+        // place, its lease would hold memory for ever.
+        let held = self.homes.placed.iter();
+        let held = held.filter(|(id, at)| {
+            (id.instance, id.incarnation) == (from.instance, from.incarnation) && **at == cell
+        });
+        for id in held.map(|(id, _)| *id).collect::<Vec<_>>() {
+            self.homes.withdraw(self.now, id);
+        }
+        for told in told {
+            let running = told.into_running(from);
+            if let Some(home) = self.homes.cells.get_mut(&cell) {
+                self.homes.placed.insert(running.id, cell);
+                home.cell.adopt(self.now, running);
+                home.next_poll = Time::ZERO;
+            }
+        }
+    }
+
+    fn refuse_unknown_cell(&mut self, from: PeerId, seq: u64) {
+        let refused = Refused {
+            seq,
+            reason: Reason::NoEndpoint,
+            retry_after_ms: millis(COME_BACK),
+            predicted_wait_ms: 0,
+            record: Default::default(),
+        };
+        let message = CellMessage::Refused(Box::new(refused));
+        self.send(from.instance, PeerMessage::Cell(message));
+    }
+
+    /// Makes sure that the node decides for a cell, if its list knows the cell.
+    fn ensure_cell(&mut self, key: CellKey) -> bool {
+        if self.homes.cells.contains_key(&key) {
+            return true;
+        }
+        if self.membership.view().cell(key).is_none() {
+            return false;
+        }
+        let seed = self.rng.random();
+        let home = HomeCell {
+            cell: Cell::new(CellConfig::default(), seed),
+            endpoints: Vec::new(),
+            next_poll: Time::ZERO,
+        };
+        self.homes.cells.insert(key, home);
+        self.refresh_cell(key);
+        true
+    }
+
+    /// Brings the cells in line with the list and the homes.
+    pub(super) fn refresh_cells(&mut self) {
+        let own: Vec<CellKey> = self.membership.own_cells().map(|it| it.plan.key).collect();
+        for key in &own {
+            self.ensure_cell(*key);
+        }
+        let keys: Vec<CellKey> = self.homes.cells.keys().copied().collect();
+        for key in keys {
+            let in_use = self.homes.placed.values().any(|it| *it == key);
+            if own.contains(&key) || (in_use && self.membership.view().cell(key).is_some()) {
+                self.refresh_cell(key);
+            } else {
+                self.homes.cells.remove(&key);
+                self.homes.placed.retain(|_, it| *it != key);
+            }
+        }
+    }
+
+    /// Tells a cell which endpoints it has and in what state they are.
+    pub(super) fn refresh_cell(&mut self, key: CellKey) {
+        let infos: Vec<EndpointInfo> = self
+            .membership
+            .endpoints_of_cell(key)
+            .iter()
+            .filter_map(|&endpoint| self.endpoint_info(endpoint))
+            .collect();
+        let Some(home) = self.homes.cells.get_mut(&key) else {
+            return;
+        };
+        let endpoints: Vec<EndpointKey> = infos.iter().map(|it| it.key).collect();
+        for gone in home.endpoints.iter().filter(|it| !endpoints.contains(it)) {
+            home.cell.remove_endpoint(self.now, *gone);
+        }
+        let new: Vec<EndpointKey> = endpoints
+            .iter()
+            .copied()
+            .filter(|it| !home.endpoints.contains(it))
+            .collect();
+        for info in infos {
+            home.cell.set_endpoint(self.now, info);
+        }
+        home.endpoints = endpoints;
+        home.next_poll = Time::ZERO;
+        for endpoint in new {
+            self.timers.set(self.now, TimerKind::PollLoad(endpoint));
+        }
+    }
+
+    /// Tells the cell of an endpoint that the endpoint's state changed.
+    pub(super) fn refresh_endpoint(&mut self, key: EndpointKey) {
+        let Some(info) = self.endpoint_info(key) else {
+            return;
+        };
+        let now = self.now;
+        if let Some(home) = self.homes.cell_with(key) {
+            home.cell.set_endpoint(now, info);
+        }
+    }
+
+    fn endpoint_info(&self, key: EndpointKey) -> Option<EndpointInfo> {
+        let endpoint = self.membership.view().endpoint(key)?;
+        let kind = match endpoint.record.kind {
+            membership::EndpointKind::Model => EndpointKind::Model,
+            membership::EndpointKind::Service => EndpointKind::Service,
+        };
+        let state = match self.membership.endpoint_state(key) {
+            membership::EndpointState::Live => EndpointState::Live,
+            _ => EndpointState::Leaving,
+        };
+        Some(EndpointInfo {
+            key,
+            kind,
+            distance: Distance::Near,
+            state,
+        })
+    }
+
+    /// Asks an endpoint of an own cell for its load, and again later.
+    pub(super) fn poll_load(&mut self, endpoint: EndpointKey) {
+        if self.homes.cell_with(endpoint).is_none() {
+            return;
+        }
+        let Some(target) = self.membership.view().endpoint_target(endpoint) else {
+            return;
+        };
+        self.out.push(Action::PollLoad(target));
+        let spread = self.rng.random_range(90..=110);
+        let next = self.now + POLL_INTERVAL * spread / 100;
+        self.timers.set(next, TimerKind::PollLoad(endpoint));
+    }
+
+    /// An endpoint reported its load.
+    pub(super) fn on_load(&mut self, endpoint: EndpointKey, report: &LoadReport) {
+        let now = self.now;
+        if let Some(home) = self.homes.cell_with(endpoint) {
+            home.cell.report(now, endpoint, report);
+        }
+        let leaving = report.leaving;
+        self.with_membership(|membership, now, out| {
+            membership.endpoint_reported(now, endpoint, leaving, out);
+        });
+    }
+
+    /// An endpoint could not be asked for its load.
+    pub(super) fn on_load_failed(&mut self, _endpoint: EndpointKey) {}
+
+    /// An endpoint told which prefix blocks it holds.
+    pub(super) fn on_cache(
+        &mut self,
+        endpoint: EndpointKey,
+        gap: bool,
+        stored: &[u64],
+        evicted: &[u64],
+    ) {
+        let now = self.now;
+        if let Some(home) = self.homes.cell_with(endpoint) {
+            home.cell.cache(now, endpoint, gap, stored, evicted);
+        }
+    }
+
+    /// Ends the leases of a life that is over.
+    pub(super) fn forget_holder(&mut self, instance: InstanceKey, incarnation: Incarnation) {
+        self.homes.forget_holder(self.now, instance, incarnation);
+    }
+
+    /// Ends the leases of a life whose link has stayed down.
+    pub(super) fn forget_holder_if_down(&mut self, instance: InstanceKey, life: Incarnation) {
+        if !self.membership.is_linked(instance) {
+            self.forget_holder(instance, life);
+        }
+    }
+
+    /// Polls the cells that are due; returns whether any was.
+    pub(super) fn poll_cells(&mut self) -> bool {
+        let mut decisions = core::mem::take(&mut self.homes.decisions);
+        let mut any = false;
+        for home in self.homes.cells.values_mut() {
+            if home.next_poll <= self.now {
+                any = true;
+                let next = home.cell.poll(self.now, &mut decisions);
+                home.next_poll = next.max(self.now + Duration::from_millis(1));
+            }
+        }
+        for decision in decisions.drain(..) {
+            self.tell_decision(decision);
+        }
+        self.homes.decisions = decisions;
+        any
+    }
+
+    fn tell_decision(&mut self, decision: CellDecision) {
+        let id = decision.id();
+        let message = match decision {
+            CellDecision::Grant {
+                endpoint,
+                priority,
+                record,
+                ..
+            } => CellMessage::Grant(Box::new(Grant {
+                seq: id.seq,
+                endpoint,
+                priority,
+                record,
+            })),
+            CellDecision::Refuse {
+                reason,
+                retry_after,
+                predicted_wait,
+                record,
+                ..
+            } => {
+                self.homes.placed.remove(&id);
+                CellMessage::Refused(Box::new(Refused {
+                    seq: id.seq,
+                    reason,
+                    retry_after_ms: millis(retry_after),
+                    predicted_wait_ms: millis(predicted_wait),
+                    record,
+                }))
+            }
+        };
+        self.send(id.instance, PeerMessage::Cell(message));
+    }
+}
--- /dev/null
+++ b/crates/core/src/node/judge.rs
@@ -0,0 +1,159 @@
+//! Holds an arrival against the catalogue.
+
+use super::Node;
+use super::platform::Lookup;
+use super::request::{Facts, Request, Stage};
+use super::stop::Door;
+use super::timers::TimerKind;
+use crate::catalogue::{EntryView, TargetView, Workspace};
+use crate::cell::{ClassRules, Requirement};
+use crate::event::{Action, RequestArrival, Work};
+use crate::outcome::Verdict;
+use crate::reason::Reason;
+use core::time::Duration;
+
+/// How long an arrival waits for the shard that may hold its workspace.
+pub(super) const JUDGE_LIMIT: Duration = Duration::from_secs(5);
+
+/// When a caller is told to come back who met an instance that is not ready.
+const COME_BACK: Duration = Duration::from_secs(1);
+
+/// Tokens that a request asks for if it names no limit and the entry has none.
+const DEFAULT_MAX_TOKENS: u32 = 1_024;
+
+impl Node {
+    /// Takes a new request in, or refuses it.
+    pub(super) fn on_arrival(&mut self, arrival: RequestArrival) {
+        debug_assert!(!self.requests.contains_key(&arrival.id.seq));
+        if let Err(reason) = self.may_enter() {
+            let verdict = Verdict::not_accepted(reason, Some(COME_BACK));
+            self.note_verdict(arrival.id, verdict.outcome(), reason);
+            self.out.push(Action::Finish {
+                request: arrival.id,
+                verdict,
+            });
+            return;
+        }
+        let seq = arrival.id.seq;
+        self.budget.on_request(self.now);
+        self.requests.insert(seq, Request::new(arrival, self.now));
+        self.timers
+            .set(self.now + JUDGE_LIMIT, TimerKind::Request(seq));
+        self.judge(seq);
+    }
+
+    fn may_enter(&self) -> Result<(), Reason> {
+        if self.door == Door::Closed {
+            return Err(Reason::Stopping);
+        }
+        if self.requests.len() >= self.cfg.max_requests {
+            return Err(Reason::InstanceFull);
+        }
+        match self.holdings.catalogue() {
+            Some(_) => Ok(()),
+            None => Err(Reason::NoCatalogue),
+        }
+    }
+
+    /// Judges a request, unless the shard that it needs is still on its way.
+    pub(super) fn judge(&mut self, seq: u64) {
+        let Some(request) = self.requests.get(&seq) else {
+            return;
+        };
+        let digest = request.arrival.key_digest;
+        let workspace = match self.holdings.workspace(&digest) {
+            Lookup::Found(workspace) => workspace,
+            Lookup::Unknown => return self.refuse(seq, Reason::BadKey),
+            Lookup::Pending(shard) => return self.fetch_shard(shard),
+        };
+        match self.facts(seq, &workspace) {
+            Ok(facts) => {
+                if let Some(request) = self.requests.get_mut(&seq) {
+                    request.facts = Some(facts);
+                }
+                self.begin_asking(seq);
+            }
+            Err(reason) => self.refuse(seq, reason),
+        }
+    }
+
+    /// Judges every request that waited for a shard.
+    pub(super) fn judge_waiting(&mut self) {
+        let waiting = self.requests.iter();
+        let waiting = waiting.filter(|(_, it)| it.stage == Stage::Judging);
+        let waiting: Vec<u64> = waiting.map(|(&seq, _)| seq).collect();
+        for seq in waiting {
+            self.judge(seq);
+        }
+    }
+
+    fn facts(&self, seq: u64, workspace: &Workspace) -> Result<Facts, Reason> {
+        let catalogue = self.holdings.catalogue().ok_or(Reason::NoCatalogue)?;
+        let arrival = &self.requests[&seq].arrival;
+        let view = catalogue
+            .entry(&arrival.entry)
+            .ok_or(Reason::UnknownEntry)?;
+        if !workspace.allows(view.entry.key) {
+            return Err(Reason::EntryForbidden);
+        }
+        let (prompt_tokens, max_tokens) = tokens_of(&arrival.work, &view)?;
+        Ok(Facts {
+            entry: view.id,
+            workspace: workspace.key,
+            class: class_rules(&view),
+            needs: requirement(&view),
+            prompt_tokens,
+            max_tokens,
+            catalogue: catalogue.clone(),
+        })
+    }
+}
+
+/// Returns the prompt's tokens and the most tokens to generate.
+fn tokens_of(work: &Work, view: &EntryView<'_>) -> Result<(u32, u32), Reason> {
+    match (work, view.target.is_service()) {
+        (Work::Call, true) => Ok((0, 0)),
+        (
+            Work::Completion {
+                prompt_tokens,
+                max_tokens,
+                ..
+            },
+            false,
+        ) => {
+            let limits = &view.entry.limits;
+            if *prompt_tokens > limits.prompt_tokens {
+                return Err(Reason::PromptTooLong);
+            }
+            let most = match limits.output_tokens {
+                0 => DEFAULT_MAX_TOKENS,
+                limit => limit,
+            };
+            Ok((*prompt_tokens, max_tokens.unwrap_or(most).min(most)))
+        }
+        _ => Err(Reason::BadRequest),
+    }
+}
+
+/// Returns the class as the home of a cell needs it.
+fn class_rules(view: &EntryView<'_>) -> ClassRules {
+    let class = view.class;
+    ClassRules {
+        key: class.key,
+        urgency: class.urgency,
+        wait_target: class.wait_target,
+        longest_wait: class.longest_wait,
+        idempotent: class.idempotent,
+        preemption_risk: class.preemption_risk as f32,
+    }
+}
+
+/// Returns what an endpoint must hold to serve the entry.
+fn requirement(view: &EntryView<'_>) -> Requirement {
+    match view.target {
+        TargetView::Model { model, adapter } => {
+            Requirement::new(&model.name, Some(&model.version), adapter)
+        }
+        TargetView::Service(_) => Requirement::ANY,
+    }
+}
--- /dev/null
+++ b/crates/core/src/node/request.rs
@@ -0,0 +1,190 @@
+//! A request of one of this process's own callers.
+
+use crate::catalogue::{Catalogue, EntryId, EntryView};
+use crate::cell::{CellRequest, ClassRules, Requirement, Running};
+use crate::event::RequestArrival;
+use crate::ids::{AttemptId, CellKey, EndpointKey, InstanceKey, RequestId, WorkspaceKey};
+use crate::outcome::RequestOutcome;
+use crate::reason::Reason;
+use crate::time::Time;
+use core::time::Duration;
+use std::sync::Arc;
+
+/// Where a request stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Stage {
+    /// The shard that may hold its workspace is being fetched.
+    Judging,
+    /// A home was asked for a grant.
+    Asking {
+        /// The cell.
+        cell: CellKey,
+        /// The instance that was asked.
+        home: InstanceKey,
+    },
+    /// Waits before it asks again.
+    BackingOff {
+        /// Until when.
+        until: Time,
+    },
+    /// An attempt runs.
+    Running {
+        /// The cell.
+        cell: CellKey,
+        /// The instance that is told about its progress.
+        home: InstanceKey,
+        /// Where it runs.
+        endpoint: EndpointKey,
+        /// The attempt.
+        attempt: AttemptId,
+        /// Tokens of this attempt, as reported last.
+        tokens: u32,
+    },
+}
+
+/// A cell whose home refused, and what it said.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Refusal {
+    /// The cell.
+    pub cell: CellKey,
+    /// Why.
+    pub reason: Reason,
+    /// When it is worth coming back.
+    pub retry_after: Duration,
+    /// How long the request would have waited there.
+    pub predicted_wait: Duration,
+}
+
+/// What the catalogue says about a request; fixed when it is accepted, so that
+/// it is judged by one revision from start to end.
+#[derive(Clone, Debug)]
+pub(super) struct Facts {
+    /// The revision that the request is judged by.
+    pub catalogue: Arc<Catalogue>,
+    /// The entry.
+    pub entry: EntryId,
+    /// The workspace.
+    pub workspace: WorkspaceKey,
+    /// The class, as the cell's home needs it.
+    pub class: ClassRules,
+    /// What an endpoint must hold.
+    pub needs: Requirement,
+    /// Tokens of the prompt; 0 for a plain service.
+    pub prompt_tokens: u32,
+    /// The most tokens to generate; 0 for a plain service.
+    pub max_tokens: u32,
+}
+
+impl Facts {
+    /// Returns the entry with its class and target.
+    pub fn view(&self) -> EntryView<'_> {
+        self.catalogue.view(self.entry)
+    }
+}
+
+/// A request of one of this process's own callers.
+#[derive(Debug)]
+pub(super) struct Request {
+    /// What the caller asked for.
+    pub arrival: RequestArrival,
+    /// When it arrived.
+    pub arrived: Time,
+    /// What the catalogue says; `None` only in [`Stage::Judging`].
+    pub facts: Option<Facts>,
+    /// Where it stands.
+    pub stage: Stage,
+    /// What is known about whether it ran.
+    pub outcome: RequestOutcome,
+    /// Attempts so far.
+    pub attempts: u32,
+    /// Tokens that the caller holds.
+    pub delivered: u32,
+    /// Endpoints where it failed.
+    pub exclude: Vec<EndpointKey>,
+    /// Homes that refused it since the last attempt.
+    pub refusals: Vec<Refusal>,
+    /// Every cell refused to start it within the class's wait target; now a
+    /// longer wait is asked for.
+    pub accepts_longer_wait: bool,
+}
+
+impl Request {
+    /// Returns a request that nothing was decided about.
+    pub fn new(arrival: RequestArrival, now: Time) -> Self {
+        Request {
+            arrival,
+            arrived: now,
+            facts: None,
+            stage: Stage::Judging,
+            outcome: RequestOutcome::new(),
+            attempts: 0,
+            delivered: 0,
+            exclude: Vec::new(),
+            refusals: Vec::new(),
+            accepts_longer_wait: false,
+        }
+    }
+
+    /// Returns the request's name.
+    pub fn id(&self) -> RequestId {
+        self.arrival.id
+    }
+
+    /// Returns the longest that the request may wait for a start, from its arrival.
+    pub fn longest_wait(&self) -> Duration {
+        let class = self.facts.as_ref().map(|it| it.class.longest_wait);
+        let class = class.unwrap_or(super::judge::JUDGE_LIMIT);
+        self.arrival.patience.map_or(class, |it| it.min(class))
+    }
+
+    /// Returns what the home of a cell is asked.
+    pub fn to_cell_request(&self, facts: &Facts) -> CellRequest {
+        let mut class = facts.class;
+        class.longest_wait = if self.accepts_longer_wait {
+            self.longest_wait()
+        } else {
+            self.longest_wait().min(class.wait_target)
+        };
+        let prefix = match &self.arrival.work {
+            crate::event::Work::Completion { prefix, .. } => prefix.clone(),
+            crate::event::Work::Call => Vec::new(),
+        };
+        CellRequest {
+            id: self.id(),
+            entry: facts.view().entry.key,
+            workspace: facts.workspace,
+            class,
+            arrived: self.arrived,
+            prompt_tokens: facts.prompt_tokens,
+            max_tokens: facts.max_tokens,
+            prefix,
+            exclude: self.exclude.clone(),
+            already: self.delivered,
+            needs: facts.needs,
+        }
+    }
+
+    /// Returns what a new home is told, if the request runs in `cell`.
+    pub fn to_running(&self, in_cell: CellKey) -> Option<Running> {
+        let facts = self.facts.as_ref()?;
+        let Stage::Running {
+            cell,
+            endpoint,
+            tokens,
+            ..
+        } = self.stage
+        else {
+            return None;
+        };
+        (cell == in_cell).then(|| Running {
+            id: self.id(),
+            endpoint,
+            entry: facts.view().entry.key,
+            workspace: facts.workspace,
+            class: facts.class,
+            prompt_tokens: facts.prompt_tokens,
+            max_tokens: facts.max_tokens,
+            tokens,
+        })
+    }
+}
--- /dev/null
+++ b/crates/core/src/node/snapshot.rs
@@ -0,0 +1,79 @@
+//! What a node shows to operators.
+
+use super::Node;
+use super::request::Stage;
+use crate::cell::CellSnapshot;
+use crate::ids::CellKey;
+use core::time::Duration;
+
+/// How many requests of own callers stand where.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct RequestCounts {
+    /// Wait for the catalogue.
+    pub judging: u32,
+    /// Wait for a grant, or before asking again.
+    pub waiting: u32,
+    /// Run at an endpoint.
+    pub running: u32,
+}
+
+/// What a node shows to operators.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct NodeSnapshot {
+    /// Whether new requests are welcome: a catalogue and a list are in force
+    /// and no stop has begun.
+    pub ready: bool,
+    /// Whether a planned stop has begun.
+    pub stopping: bool,
+    /// The catalogue revision in force; 0 for none.
+    pub catalogue_revision: u64,
+    /// The list revision in force; 0 for none.
+    pub list_revision: u64,
+    /// Since when the list has not been confirmed; `None` before the first.
+    pub list_age: Option<Duration>,
+    /// Instances that may be homes.
+    pub live_instances: u32,
+    /// Requests of own callers.
+    pub requests: RequestCounts,
+    /// The cells that this node decides for.
+    pub cells: Vec<(CellKey, CellSnapshot)>,
+}
+
+impl Node {
+    /// Returns whether new requests are welcome.
+    pub fn is_ready(&self) -> bool {
+        let has_list = self.membership.view().revision() > 0;
+        has_list && self.holdings.catalogue().is_some() && !self.is_stopping()
+    }
+
+    /// Returns what operators see.
+    pub fn snapshot(&self) -> NodeSnapshot {
+        NodeSnapshot {
+            ready: self.is_ready(),
+            stopping: self.is_stopping(),
+            catalogue_revision: self.holdings.revision(),
+            list_revision: self.membership.view().revision(),
+            list_age: self.membership.list_age(self.now),
+            live_instances: self.membership.live_count(),
+            requests: self.request_counts(),
+            cells: self.cell_snapshots(),
+        }
+    }
+
+    fn request_counts(&self) -> RequestCounts {
+        let mut counts = RequestCounts::default();
+        for request in self.requests.values() {
+            match request.stage {
+                Stage::Judging => counts.judging += 1,
+                Stage::Asking { .. } | Stage::BackingOff { .. } => counts.waiting += 1,
+                Stage::Running { .. } => counts.running += 1,
+            }
+        }
+        counts
+    }
+
+    fn cell_snapshots(&self) -> Vec<(CellKey, CellSnapshot)> {
+        let cells = self.homes.cells.iter();
+        cells.map(|(&key, it)| (key, it.cell.snapshot())).collect()
+    }
+}
--- a/crates/core/src/peer.rs
+++ b/crates/core/src/peer.rs
@@ -25,4 +25,6 @@
     Heartbeat,
     /// Who is there.
     Membership(crate::membership::MembershipMessage),
+    /// Between an entry and the home of a cell.
+    Cell(crate::cell::CellMessage),
 }
