Catalogue: one type of findings, and the check of files before publication

Cause: findings of settings and of the catalogue were two types that said the same, and only instances could verify a catalogue. Change: the catalogue reports through the common findings, which now list a bounded number and count the rest. check_files verifies index and shards together: digests, shard numbers and the entries that workspaces name. Golden files hold the findings with their places. Conclusion: a file with five mistakes gives five findings, each with its place.

--- a/crates/core/src/catalogue.rs
+++ b/crates/core/src/catalogue.rs
@@ -10,32 +10,36 @@
 //! function of the bytes, so that every instance gives the same verdict:
 //!
 //! 1. [`parse`] turns bytes into [`source`] tables, with a place for each field;
-//! 2. [`verify`] checks the source tables and collects every [`Finding`];
+//! 2. [`verify`] checks the source tables and collects every finding;
 //! 3. [`resolve`] turns verified tables into the dense [`Catalogue`] or [`Shard`];
 //!
-//! `oriolemux check` does all of it over files.
+//! [`check`] does it over files, for `oriolemux check`.
 //!
 //! `docs/CATALOGUE.md` is the operators' reference, `docs/design/catalogue.md`
 //! says why it is so.
 
+pub mod check;
 pub mod digest;
 pub mod document;
-pub mod finding;
 pub mod model;
 pub mod parse;
+pub mod problem;
 pub mod resolve;
 pub mod shard;
 pub mod source;
 pub mod verify;
 
 pub use digest::{Digest, shard_of};
-pub use finding::{Finding, FindingKind, Findings, Place};
 pub use model::{
     Catalogue, Class, ClassId, Entry, EntryId, EntryLimits, EntryView, Model, ModelId, Service,
     ServiceId, Target, TargetView,
 };
+pub use problem::Problem;
 pub use shard::{Shard, Workspace, WorkspaceId, WorkspaceLimits};
 
+use crate::event::ValueName;
+use crate::findings::Findings;
+
 /// The most bytes of one published value. The platform holds no larger value,
 /// so a larger one is damaged or hostile.
 pub const MAX_VALUE_BYTES: usize = 1 << 20;
@@ -50,13 +54,12 @@
 ///
 /// Returns all [`Findings`] of the index if there is at least one.
 pub fn parse_index(bytes: &[u8]) -> Result<Catalogue, Findings> {
-    let mut findings = Findings::default();
-    let source = parse::index(bytes, &mut findings);
-    let Some(source) = source else {
+    let mut findings = Findings::new(ValueName::CatalogueIndex.to_string());
+    let Some(source) = parse::index(bytes, &mut findings) else {
         return Err(findings);
     };
     verify::index(&source, &mut findings);
-    findings.into_result()?;
+    let source = findings.into_result(source)?;
     Ok(resolve::index(&source, Digest::of(bytes)))
 }
 
@@ -72,12 +75,12 @@
 ///
 /// Returns all [`Findings`] of the shard if there is at least one.
 pub fn parse_shard(bytes: &[u8], number: u32, count: u32) -> Result<Shard, Findings> {
-    let mut findings = Findings::default();
-    let source = parse::shard(bytes, &mut findings);
-    let Some(source) = source else {
+    let mut findings = Findings::new(ValueName::CatalogueShard(number).to_string());
+    let Some(source) = parse::shard(bytes, &mut findings) else {
         return Err(findings);
     };
-    verify::shard(&source, number, count, &mut findings);
-    findings.into_result()?;
+    let position = verify::ShardPosition { number, count };
+    verify::shard(&source, Some(position), &mut findings);
+    let source = findings.into_result(source)?;
     Ok(resolve::shard(&source, number))
 }
--- /dev/null
+++ b/crates/core/src/catalogue/check.rs
@@ -0,0 +1,176 @@
+//! The whole check of files before they are published, for `oriolemux check`.
+//!
+//! Besides what every instance verifies by itself, it asks what can only be
+//! asked of index and shards together: whether the digests match and whether
+//! the entries that workspaces name exist.
+
+use super::digest::Digest;
+use super::problem::{Problem as CatalogueProblem, nearest_of, quoted};
+use super::source::{IndexSource, ShardSource};
+use super::verify::ShardPosition;
+use super::{parse, verify};
+use crate::findings::{Findings, Place, Problem};
+use std::collections::BTreeSet;
+
+/// A file as it was read.
+#[derive(Clone, Copy, Debug)]
+pub struct CheckFile<'a> {
+    /// Its name, as findings show it.
+    pub name: &'a str,
+    /// What it holds.
+    pub bytes: &'a [u8],
+}
+
+/// What part of a catalogue a file holds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FileKind {
+    /// The index.
+    Index,
+    /// A shard.
+    Shard,
+}
+
+impl FileKind {
+    /// Returns what the file holds, or `None` if it is no part of a catalogue.
+    ///
+    /// The content decides; where it is broken, the file's name does.
+    pub fn of(file: CheckFile<'_>) -> Option<Self> {
+        let text = core::str::from_utf8(file.bytes).ok();
+        let document = text.and_then(|text| toml_edit::Document::parse(text).ok());
+        let Some(document) = document else {
+            return kind_by_name(file.name);
+        };
+        let has = |key: &&str| document.contains_key(key);
+        if parse::SHARD_KEYS.iter().any(has) {
+            return Some(FileKind::Shard);
+        }
+        if parse::INDEX_KEYS.iter().any(has) {
+            return Some(FileKind::Index);
+        }
+        kind_by_name(file.name)
+    }
+}
+
+fn kind_by_name(name: &str) -> Option<FileKind> {
+    if name.contains("catalogue-shard") {
+        return Some(FileKind::Shard);
+    }
+    name.contains("catalogue-index").then_some(FileKind::Index)
+}
+
+/// An index that was read, for the checks that need it.
+struct CheckedIndex {
+    source: IndexSource,
+    digests: Vec<Option<Digest>>,
+}
+
+/// Checks the files of one catalogue together, and returns those with findings
+/// in the order given.
+///
+/// Shards are checked against the first index among the files; without one,
+/// only what a shard says by itself is checked. Files that are no part of a
+/// catalogue are checked as an index: ask [`FileKind::of`] first.
+pub fn check_files(files: &[CheckFile<'_>]) -> Vec<Findings> {
+    let kinds: Vec<FileKind> = files
+        .iter()
+        .map(|file| FileKind::of(*file).unwrap_or(FileKind::Index))
+        .collect();
+    let indexed = kinds.iter().position(|kind| *kind == FileKind::Index);
+    let index = indexed.and_then(|at| read_index(files[at].bytes));
+    let checked = files.iter().zip(&kinds).map(|(file, kind)| match kind {
+        FileKind::Index => check_index(*file),
+        FileKind::Shard => check_shard(*file, index.as_ref()),
+    });
+    checked.filter_map(Result::err).collect()
+}
+
+fn check_index(file: CheckFile<'_>) -> Result<(), Findings> {
+    let mut findings = Findings::new(file.name);
+    if let Some(source) = parse::index(file.bytes, &mut findings) {
+        verify::index(&source, &mut findings);
+    }
+    findings.into_result(())
+}
+
+fn read_index(bytes: &[u8]) -> Option<CheckedIndex> {
+    let mut ignored = Findings::new("");
+    let source = parse::index(bytes, &mut ignored)?;
+    let shards = source.shards.given().map(|given| given.value.as_slice());
+    let digests = shards
+        .unwrap_or_default()
+        .iter()
+        .map(|text| Digest::from_hex(&text.value))
+        .collect();
+    Some(CheckedIndex { source, digests })
+}
+
+fn check_shard(file: CheckFile<'_>, index: Option<&CheckedIndex>) -> Result<(), Findings> {
+    let mut findings = Findings::new(file.name);
+    let position = index.and_then(|index| position(file, index, &mut findings));
+    if let Some(source) = parse::shard(file.bytes, &mut findings) {
+        verify::shard(&source, position, &mut findings);
+        if let Some(index) = index {
+            entries_exist(&source, &index.source, &mut findings);
+        }
+    }
+    findings.into_result(())
+}
+
+/// Returns which shard the file is, by its name or else by its digest, and
+/// reports a digest that the index does not list.
+fn position(
+    file: CheckFile<'_>,
+    index: &CheckedIndex,
+    findings: &mut Findings,
+) -> Option<ShardPosition> {
+    let found = Digest::of(file.bytes);
+    let count = index.digests.len() as u32;
+    let Some(number) = number_in(file.name) else {
+        let mut digests = index.digests.iter();
+        let number = digests.position(|digest| *digest == Some(found))? as u32;
+        return Some(ShardPosition { number, count });
+    };
+    let Some(listed) = index.digests.get(number as usize) else {
+        let problem = CatalogueProblem::NoSuchShard {
+            shard: number,
+            count,
+        };
+        findings.push(Place::START, Problem::Catalogue(problem));
+        return None;
+    };
+    if listed.is_some_and(|listed| listed != found) {
+        let problem = CatalogueProblem::DigestMismatch {
+            shard: number,
+            found: found.to_string(),
+        };
+        findings.push(Place::START, Problem::Catalogue(problem));
+    }
+    Some(ShardPosition { number, count })
+}
+
+/// Returns the number in a name such as `savannah/catalogue-shard-12.toml`.
+fn number_in(name: &str) -> Option<u32> {
+    let (_, tail) = name.rsplit_once("shard-")?;
+    let digits = tail.split(|c: char| !c.is_ascii_digit()).next()?;
+    digits.parse().ok()
+}
+
+fn entries_exist(shard: &ShardSource, index: &IndexSource, findings: &mut Findings) {
+    let names = index.entries.iter().filter_map(|entry| entry.name.given());
+    let known: BTreeSet<&str> = names.map(|name| name.value.as_str()).collect();
+    let named = shard
+        .workspaces
+        .iter()
+        .filter_map(|workspace| workspace.entries.given());
+    for entry in named.flat_map(|entries| &entries.value) {
+        if known.contains(entry.value.as_str()) {
+            continue;
+        }
+        let problem = Problem::UnknownName {
+            what: "entry",
+            name: quoted(&entry.value),
+            nearest: nearest_of(&entry.value, known.iter().copied()),
+        };
+        findings.push(entry.place, problem);
+    }
+}
--- a/crates/core/src/catalogue/document.rs
+++ b/crates/core/src/catalogue/document.rs
@@ -1,8 +1,9 @@
 //! Typed reading of a TOML document, with a place for every value.
 
-use super::finding::{FindingKind, Findings, Nearest, Place, Quoted};
+use super::MAX_VALUE_BYTES;
+use super::problem::{Problem as CatalogueProblem, nearest_of, quoted};
 use super::source::{Field, Given};
-use super::{MAX_VALUE_BYTES, finding};
+use crate::findings::{Findings, Place, Problem};
 use core::ops::Range;
 use toml_edit::{Array, Document, Item, TableLike, Value};
 
@@ -50,11 +51,11 @@
 /// Reads the document's text, or reports why there is none.
 pub fn text<'a>(bytes: &'a [u8], findings: &mut Findings) -> Option<&'a str> {
     if bytes.len() > MAX_VALUE_BYTES {
-        let kind = FindingKind::TooLarge {
+        let problem = CatalogueProblem::TooLarge {
             bytes: bytes.len(),
             limit: MAX_VALUE_BYTES,
         };
-        findings.push(Place::START, kind);
+        findings.push(Place::START, Problem::Catalogue(problem));
         return None;
     }
     match core::str::from_utf8(bytes) {
@@ -62,7 +63,7 @@
         Err(error) => {
             let valid = core::str::from_utf8(&bytes[..error.valid_up_to()]).unwrap_or_default();
             let place = LineMap::new(valid).place(valid.len());
-            findings.push(place, FindingKind::NotUtf8);
+            findings.push(place, Problem::Catalogue(CatalogueProblem::NotUtf8));
             None
         }
     }
@@ -81,10 +82,10 @@
         Ok(document) => Some(document),
         Err(error) => {
             let offset = error.span().map_or(0, |span| span.start);
-            let kind = FindingKind::Syntax {
-                message: error.message().to_owned(),
+            let problem = Problem::Syntax {
+                message: quoted(error.message()),
             };
-            findings.push(lines.place(offset), kind);
+            findings.push(lines.place(offset), problem);
             None
         }
     }
@@ -95,17 +96,32 @@
 pub struct TableRef<'t> {
     /// The table.
     pub table: &'t dyn TableLike,
-    /// What findings call it.
+    /// What findings call it; empty for the root.
     pub name: &'static str,
     /// Where it starts.
     pub place: Place,
 }
 
+impl TableRef<'_> {
+    /// Returns `key` as findings name it, after the name of its table.
+    fn full_key(&self, key: &str) -> String {
+        full_key(self.name, key)
+    }
+}
+
+/// Returns `key` as findings name it, after the name of its table.
+pub fn full_key(table: &str, key: &str) -> String {
+    if table.is_empty() {
+        return key.to_owned();
+    }
+    format!("{table}.{key}")
+}
+
 /// Reads typed fields and reports those of the wrong type.
 #[derive(Debug)]
 pub struct Reader<'a> {
     lines: &'a LineMap<'a>,
-    findings: &'a mut finding::Findings,
+    findings: &'a mut Findings,
 }
 
 impl<'a> Reader<'a> {
@@ -147,9 +163,14 @@
         };
         let place = self.place(item.span(), table.place);
         let Some(array) = item.as_array() else {
-            return self.wrong_type(place, key, "an array of strings", item.type_name());
+            return self.wrong_type(
+                place,
+                table.full_key(key),
+                "an array of strings",
+                item.type_name(),
+            );
         };
-        match self.items(array, key, place) {
+        match self.items(array, table, key) {
             Some(value) => Field::Given(Given { value, place }),
             None => Field::Unreadable,
         }
@@ -158,12 +179,12 @@
     fn items(
         &mut self,
         array: &Array,
+        table: TableRef<'_>,
         key: &'static str,
-        outer: Place,
     ) -> Option<Vec<Given<String>>> {
         let mut items = Vec::with_capacity(array.len());
         for value in array {
-            let place = self.place(value.span(), outer);
+            let place = self.place(value.span(), table.place);
             match value {
                 Value::String(text) => items.push(Given {
                     value: text.value().clone(),
@@ -171,7 +192,7 @@
                 }),
                 other => {
                     let found = other.type_name();
-                    self.wrong_type::<()>(place, key, "an array of strings", found);
+                    self.wrong_type::<()>(place, table.full_key(key), "an array of strings", found);
                 }
             }
         }
@@ -198,18 +219,13 @@
                 };
                 Field::Given(Given { value, place })
             }
-            None => self.wrong_type(place, key, "a table", item.type_name()),
+            None => self.wrong_type(place, table.full_key(key), "a table", item.type_name()),
         }
     }
 
     /// Reads an array of tables; an absent one is empty.
-    pub fn tables<'t>(
-        &mut self,
-        table: TableRef<'t>,
-        key: &'static str,
-        name: &'static str,
-    ) -> Vec<TableRef<'t>> {
-        let Some(item) = table.table.get(key) else {
+    pub fn tables<'t>(&mut self, table: TableRef<'t>, name: &'static str) -> Vec<TableRef<'t>> {
+        let Some(item) = table.table.get(name) else {
             return Vec::new();
         };
         if let Some(tables) = item.as_array_of_tables() {
@@ -227,7 +243,12 @@
             return self.table_refs(places, name, table.place);
         }
         let place = self.place(item.span(), table.place);
-        self.wrong_type::<()>(place, key, "an array of tables", item.type_name());
+        self.wrong_type::<()>(
+            place,
+            table.full_key(name),
+            "an array of tables",
+            item.type_name(),
+        );
         Vec::new()
     }
 
@@ -254,12 +275,11 @@
             }
             let key_span = table.table.key(key).and_then(|key| key.span());
             let place = self.place(key_span.or_else(|| item.span()), table.place);
-            let kind = FindingKind::UnknownKey {
-                key: Quoted::new(key),
-                table: table.name,
-                nearest: Nearest::find(key, known.iter().copied()),
+            let problem = Problem::UnknownKey {
+                key: table.full_key(&quoted(key)),
+                nearest: nearest_of(key, known.iter().copied()),
             };
-            self.findings.push(place, kind);
+            self.findings.push(place, problem);
         }
     }
 
@@ -276,23 +296,23 @@
         let place = self.place(item.span(), table.place);
         match read(item) {
             Some(value) => Field::Given(Given { value, place }),
-            None => self.wrong_type(place, key, expected, item.type_name()),
+            None => self.wrong_type(place, table.full_key(key), expected, item.type_name()),
         }
     }
 
     fn wrong_type<T>(
         &mut self,
         place: Place,
-        key: &'static str,
+        key: String,
         expected: &'static str,
         found: &'static str,
     ) -> Field<T> {
-        let kind = FindingKind::WrongType {
+        let problem = Problem::WrongType {
             key,
             expected,
             found,
         };
-        self.findings.push(place, kind);
+        self.findings.push(place, problem);
         Field::Unreadable
     }
 
--- a/crates/core/src/catalogue/parse.rs
+++ b/crates/core/src/catalogue/parse.rs
@@ -1,13 +1,15 @@
 //! From bytes to source tables.
 
 use super::document::{LineMap, Reader, TableRef, parse, text};
-use super::finding::{Findings, Place};
 use super::source::{
     ClassSource, EntryLimitsSource, EntrySource, Field, Given, IndexSource, ModelSource,
     ServiceSource, ShardSource, WorkspaceLimitsSource, WorkspaceSource,
 };
+use crate::findings::{Findings, Place};
 
-const INDEX_KEYS: &[&str] = &["revision", "shards", "class", "model", "service", "entry"];
+/// The keys of an index.
+pub(super) const INDEX_KEYS: &[&str] =
+    &["revision", "shards", "class", "model", "service", "entry"];
 const CLASS_KEYS: &[&str] = &[
     "name",
     "urgency",
@@ -29,23 +31,23 @@
     "prompt_tokens",
     "output_tokens",
 ];
-const SHARD_KEYS: &[&str] = &["workspace"];
+/// The keys of a shard.
+pub(super) const SHARD_KEYS: &[&str] = &["workspace"];
 const WORKSPACE_KEYS: &[&str] = &["name", "key_sha256", "entries", "limits"];
 const WORKSPACE_LIMIT_KEYS: &[&str] = &["concurrent", "tokens_per_minute"];
 
 /// Parses an index. Returns `None` if the bytes are no TOML document at all.
 pub fn index(bytes: &[u8], findings: &mut Findings) -> Option<IndexSource> {
-    document(bytes, "the index", findings, index_source)
+    document(bytes, findings, index_source)
 }
 
 /// Parses a shard. Returns `None` if the bytes are no TOML document at all.
 pub fn shard(bytes: &[u8], findings: &mut Findings) -> Option<ShardSource> {
-    document(bytes, "the shard", findings, shard_source)
+    document(bytes, findings, shard_source)
 }
 
 fn document<T>(
     bytes: &[u8],
-    name: &'static str,
     findings: &mut Findings,
     read: impl FnOnce(&mut Reader<'_>, TableRef<'_>) -> T,
 ) -> Option<T> {
@@ -54,7 +56,7 @@
     let document = parse(text, &lines, findings)?;
     let root = TableRef {
         table: document.as_table(),
-        name,
+        name: "",
         place: Place::START,
     };
     Some(read(&mut Reader::new(&lines, findings), root))
@@ -65,28 +67,27 @@
     IndexSource {
         revision: reader.integer(root, "revision"),
         shards: reader.strings(root, "shards"),
-        classes: each(reader, root, "class", "[[class]]", class),
-        models: each(reader, root, "model", "[[model]]", model),
-        services: each(reader, root, "service", "[[service]]", service),
-        entries: each(reader, root, "entry", "[[entry]]", entry),
+        classes: each(reader, root, "class", class),
+        models: each(reader, root, "model", model),
+        services: each(reader, root, "service", service),
+        entries: each(reader, root, "entry", entry),
     }
 }
 
 fn shard_source(reader: &mut Reader<'_>, root: TableRef<'_>) -> ShardSource {
     reader.reject_unknown(root, SHARD_KEYS);
     ShardSource {
-        workspaces: each(reader, root, "workspace", "[[workspace]]", workspace),
+        workspaces: each(reader, root, "workspace", workspace),
     }
 }
 
 fn each<T>(
     reader: &mut Reader<'_>,
     root: TableRef<'_>,
-    key: &'static str,
     name: &'static str,
     read: fn(&mut Reader<'_>, TableRef<'_>) -> T,
 ) -> Vec<T> {
-    let tables = reader.tables(root, key, name);
+    let tables = reader.tables(root, name);
     tables
         .into_iter()
         .map(|table| read(reader, table))
@@ -137,7 +138,7 @@
         version: reader.string(table, "version"),
         adapter: reader.string(table, "adapter"),
         service: reader.string(table, "service"),
-        limits: inner(reader, table, "limits of [[entry]]", entry_limits),
+        limits: inner(reader, table, "entry.limits", entry_limits),
     }
 }
 
@@ -148,7 +149,7 @@
         name: reader.string(table, "name"),
         key_sha256: reader.strings(table, "key_sha256"),
         entries: reader.strings(table, "entries"),
-        limits: inner(reader, table, "limits of [[workspace]]", workspace_limits),
+        limits: inner(reader, table, "workspace.limits", workspace_limits),
     }
 }
 
--- a/crates/core/src/catalogue/source.rs
+++ b/crates/core/src/catalogue/source.rs
@@ -3,7 +3,7 @@
 //! They stand between the parser and the verifier. The parser says what was
 //! written, and only the verifier says whether it may stand so.
 
-use super::finding::Place;
+use crate::findings::Place;
 
 /// One field of a table as the parser found it.
 #[derive(Clone, Debug, Default, PartialEq)]
--- a/crates/core/src/catalogue/verify.rs
+++ b/crates/core/src/catalogue/verify.rs
@@ -9,12 +9,13 @@
 
 use super::MAX_SHARDS;
 use super::digest::{Digest, shard_of};
-use super::finding::{FindingKind, Findings, Place, Quoted};
+use super::problem::{Problem as CatalogueProblem, quoted};
 use super::resolve::{DELIVERY_STREAM, DELIVERY_WHOLE};
 use super::source::{
     ClassSource, EntryLimitsSource, EntrySource, Field, Given, IndexSource, ModelSource,
     ServiceSource, ShardSource, WorkspaceLimitsSource, WorkspaceSource,
 };
+use crate::findings::{Findings, Place, Problem};
 use fields::Fields;
 use references::Names;
 use std::collections::BTreeMap;
@@ -38,7 +39,7 @@
 
 /// Verifies an index.
 pub fn index(source: &IndexSource, findings: &mut Findings) {
-    let mut fields = Fields::new("the index", Place::START, findings);
+    let mut fields = Fields::new("", Place::START, findings);
     fields.integer("revision", &source.revision, 1, i64::MAX);
     shard_digests(&source.shards, findings);
     for class in &source.classes {
@@ -56,20 +57,32 @@
     }
 }
 
-/// Verifies shard `number` of `count`.
-pub fn shard(source: &ShardSource, number: u32, count: u32, findings: &mut Findings) {
+/// Which shard of how many.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ShardPosition {
+    /// The shard's number, from 0.
+    pub number: u32,
+    /// Shards in all.
+    pub count: u32,
+}
+
+/// Verifies a shard. Without its position, it is not checked whether the keys
+/// stand in the right shard.
+pub fn shard(source: &ShardSource, position: Option<ShardPosition>, findings: &mut Findings) {
     let mut names = BTreeMap::new();
     let mut holders = BTreeMap::new();
     for workspace in &source.workspaces {
         verify_workspace(workspace, findings);
         references::unique("workspace", &workspace.name, &mut names, findings);
         verify_keys(workspace, &mut holders, findings);
-        verify_shard_number(workspace, number, count, findings);
+        if let Some(position) = position {
+            verify_position(workspace, position, findings);
+        }
     }
 }
 
 fn shard_digests(shards: &Field<Vec<Given<String>>>, findings: &mut Findings) {
-    let mut fields = Fields::new("the index", Place::START, findings);
+    let mut fields = Fields::new("", Place::START, findings);
     fields.list("shards", shards, MAX_SHARDS);
     for digest in shards.given().into_iter().flat_map(|given| &given.value) {
         fields.digest("shards", digest);
@@ -77,7 +90,7 @@
 }
 
 fn verify_class(class: &ClassSource, findings: &mut Findings) {
-    let mut fields = Fields::new("[[class]]", class.place, findings);
+    let mut fields = Fields::new("class", class.place, findings);
     fields.name("name", &class.name);
     fields.integer("urgency", &class.urgency, 0, i64::from(u8::MAX));
     fields.present("idempotent", &class.idempotent);
@@ -99,16 +112,16 @@
         return;
     };
     if target.value > longest.value {
-        let kind = FindingKind::TargetBeyondLongest {
-            target: target.value,
-            longest: longest.value,
+        let problem = CatalogueProblem::TargetBeyondLongest {
+            target_ms: target.value,
+            longest_ms: longest.value,
         };
-        findings.push(target.place, kind);
+        findings.push(target.place, Problem::Catalogue(problem));
     }
 }
 
 fn verify_model(model: &ModelSource, findings: &mut Findings) {
-    let mut fields = Fields::new("[[model]]", model.place, findings);
+    let mut fields = Fields::new("model", model.place, findings);
     fields.path("name", &model.name);
     fields.path("version", &model.version);
     fields.optional_list("adapters", &model.adapters, MAX_ADAPTERS);
@@ -120,17 +133,17 @@
         .into_iter()
         .flat_map(|given| &given.value)
     {
-        Fields::new("[[model]]", model.place, findings).path_text("adapters", adapter);
+        Fields::new("model", model.place, findings).path_text("adapters", adapter);
         references::unique_text("adapter", adapter, &mut seen, findings);
     }
 }
 
 fn verify_service(service: &ServiceSource, findings: &mut Findings) {
-    Fields::new("[[service]]", service.place, findings).path("name", &service.name);
+    Fields::new("service", service.place, findings).path("name", &service.name);
 }
 
 fn verify_entry(entry: &EntrySource, names: &Names<'_>, findings: &mut Findings) {
-    let mut fields = Fields::new("[[entry]]", entry.place, findings);
+    let mut fields = Fields::new("entry", entry.place, findings);
     fields.name("name", &entry.name);
     fields.label("owner", &entry.owner);
     fields.present("class", &entry.class);
@@ -149,7 +162,7 @@
     findings: &mut Findings,
 ) {
     let source = &limits.value;
-    let mut fields = Fields::new("limits of [[entry]]", limits.place, findings);
+    let mut fields = Fields::new("entry.limits", limits.place, findings);
     fields.integer("concurrent", &source.concurrent, 1, MAX_CONCURRENT);
     fields.integer("queue", &source.queue, 1, MAX_CONCURRENT);
     let tokens = [
@@ -171,7 +184,7 @@
 }
 
 fn verify_workspace(workspace: &WorkspaceSource, findings: &mut Findings) {
-    let mut fields = Fields::new("[[workspace]]", workspace.place, findings);
+    let mut fields = Fields::new("workspace", workspace.place, findings);
     fields.name("name", &workspace.name);
     fields.list("key_sha256", &workspace.key_sha256, MAX_KEYS);
     fields.list("entries", &workspace.entries, MAX_ENTRIES);
@@ -192,33 +205,33 @@
 
 fn verify_workspace_limits(limits: &Given<WorkspaceLimitsSource>, findings: &mut Findings) {
     let source = &limits.value;
-    let mut fields = Fields::new("limits of [[workspace]]", limits.place, findings);
+    let mut fields = Fields::new("workspace.limits", limits.place, findings);
     fields.integer("concurrent", &source.concurrent, 1, MAX_CONCURRENT);
     let key = "tokens_per_minute";
     fields.integer(key, &source.tokens_per_minute, 1, MAX_TOKENS_PER_MINUTE);
 }
 
 /// A key digest's first holder: the workspace's name and the digest's place.
-type Holders = BTreeMap<Digest, (Quoted, Place)>;
+type Holders = BTreeMap<Digest, (String, Place)>;
 
 fn verify_keys(workspace: &WorkspaceSource, holders: &mut Holders, findings: &mut Findings) {
-    let name = Quoted::new(&workspace.name.value_or_default());
+    let name = quoted(&workspace.name.value_or_default());
     for key in workspace
         .key_sha256
         .given()
         .into_iter()
         .flat_map(|given| &given.value)
     {
-        Fields::new("[[workspace]]", workspace.place, findings).digest("key_sha256", key);
+        Fields::new("workspace", workspace.place, findings).digest("key_sha256", key);
         let Some(digest) = Digest::from_hex(&key.value) else {
             continue;
         };
         if let Some((holder, first)) = holders.get(&digest) {
-            let kind = FindingKind::SharedDigest {
+            let problem = CatalogueProblem::SharedDigest {
                 workspace: holder.clone(),
                 first: *first,
             };
-            findings.push(key.place, kind);
+            findings.push(key.place, Problem::Catalogue(problem));
             continue;
         }
         holders.insert(digest, (name.clone(), key.place));
@@ -226,12 +239,11 @@
 }
 
 /// Reports keys that stand in the wrong shard, where no lookup would find them.
-fn verify_shard_number(
-    workspace: &WorkspaceSource,
-    here: u32,
-    count: u32,
-    findings: &mut Findings,
-) {
+fn verify_position(workspace: &WorkspaceSource, position: ShardPosition, findings: &mut Findings) {
+    let ShardPosition {
+        number: here,
+        count,
+    } = position;
     for key in workspace
         .key_sha256
         .given()
@@ -243,7 +255,8 @@
         };
         let right = shard_of(&digest.0, count);
         if right != here {
-            findings.push(key.place, FindingKind::WrongShard { right, count, here });
+            let problem = CatalogueProblem::WrongShard { here, right, count };
+            findings.push(key.place, Problem::Catalogue(problem));
         }
     }
 }
--- a/crates/core/src/catalogue/verify/fields.rs
+++ b/crates/core/src/catalogue/verify/fields.rs
@@ -1,8 +1,10 @@
 //! Checks of single fields.
 
 use crate::catalogue::digest::Digest;
-use crate::catalogue::finding::{FindingKind, Findings, Place, Quoted};
+use crate::catalogue::document::full_key;
+use crate::catalogue::problem::Problem as CatalogueProblem;
 use crate::catalogue::source::{Field, Given};
+use crate::findings::{Findings, Place, Problem};
 
 /// The most characters of a name.
 const MAX_NAME_CHARS: usize = 64;
@@ -30,11 +32,8 @@
     /// Requires the field to be there.
     pub fn present<T>(&mut self, key: &'static str, field: &Field<T>) {
         if matches!(field, Field::Absent) {
-            let kind = FindingKind::MissingKey {
-                key,
-                table: self.table,
-            };
-            self.findings.push(self.place, kind);
+            let key = self.key(key);
+            self.findings.push(self.place, Problem::MissingKey { key });
         }
     }
 
@@ -50,13 +49,12 @@
             return;
         };
         if !(low..=high).contains(&given.value) {
-            let kind = FindingKind::OutOfRange {
-                key,
-                found: given.value,
-                low,
-                high,
+            let problem = Problem::OutOfRange {
+                key: self.key(key),
+                min: low,
+                max: high,
             };
-            self.findings.push(given.place, kind);
+            self.findings.push(given.place, problem);
         }
     }
 
@@ -66,11 +64,8 @@
             return;
         };
         if !(given.value > 0.0 && given.value < 1.0) {
-            let kind = FindingKind::BadProbability {
-                key,
-                found: Quoted::new(&given.value.to_string()),
-            };
-            self.findings.push(given.place, kind);
+            let key = self.key(key);
+            self.push(given.place, CatalogueProblem::BadProbability { key });
         }
     }
 
@@ -81,12 +76,11 @@
             return;
         };
         if !allowed.contains(&given.value.as_str()) {
-            let kind = FindingKind::NotOneOf {
-                key,
-                found: Quoted::new(&given.value),
+            let problem = CatalogueProblem::NotOneOf {
+                key: self.key(key),
                 allowed: allowed.join(", "),
             };
-            self.findings.push(given.place, kind);
+            self.push(given.place, problem);
         }
     }
 
@@ -124,8 +118,8 @@
     pub fn list<T>(&mut self, key: &'static str, field: &Field<Vec<T>>, limit: usize) {
         self.present(key, field);
         if let Some(given) = field.given().filter(|given| given.value.is_empty()) {
-            self.findings
-                .push(given.place, FindingKind::EmptyList { key });
+            let key = self.key(key);
+            self.push(given.place, CatalogueProblem::EmptyList { key });
         }
         self.optional_list(key, field, limit);
     }
@@ -137,27 +131,24 @@
         };
         let found = given.value.len();
         if found > limit {
-            self.findings
-                .push(given.place, FindingKind::TooMany { key, found, limit });
+            let key = self.key(key);
+            self.push(given.place, CatalogueProblem::TooMany { key, found, limit });
         }
     }
 
     /// Requires a digest in hexadecimal.
     pub fn digest(&mut self, key: &'static str, given: &Given<String>) {
         if Digest::from_hex(&given.value).is_none() {
-            let kind = FindingKind::BadDigest {
-                key,
-                found: Quoted::new(&given.value),
-            };
-            self.findings.push(given.place, kind);
+            let key = self.key(key);
+            self.push(given.place, CatalogueProblem::BadDigest { key });
         }
     }
 
     /// Requires the field to be away, in an entry that names a service.
     pub fn model_only<T>(&mut self, key: &'static str, field: &Field<T>) {
         if let Some(given) = field.given() {
-            self.findings
-                .push(given.place, FindingKind::ModelOnly { key });
+            let key = self.key(key);
+            self.push(given.place, CatalogueProblem::ModelOnly { key });
         }
     }
 
@@ -186,13 +177,20 @@
         if (1..=limit).contains(&chars) && given.value.chars().all(is_allowed) {
             return;
         }
-        let kind = FindingKind::BadName {
-            key,
-            found: Quoted::new(&given.value),
+        let problem = CatalogueProblem::BadName {
+            key: self.key(key),
             limit,
             allowed,
         };
-        self.findings.push(given.place, kind);
+        self.push(given.place, problem);
+    }
+
+    fn key(&self, key: &str) -> String {
+        full_key(self.table, key)
+    }
+
+    fn push(&mut self, place: Place, problem: CatalogueProblem) {
+        self.findings.push(place, Problem::Catalogue(problem));
     }
 }
 
--- a/crates/core/src/catalogue/verify/references.rs
+++ b/crates/core/src/catalogue/verify/references.rs
@@ -1,8 +1,9 @@
 //! Checks of names: unique where they are defined, defined where they are used.
 
 use super::fields::Fields;
-use crate::catalogue::finding::{FindingKind, Findings, Nearest, Place, Quoted};
+use crate::catalogue::problem::{Problem as CatalogueProblem, nearest_of, quoted};
 use crate::catalogue::source::{EntrySource, Field, Given, IndexSource, ModelSource};
+use crate::findings::{Findings, Place, Problem};
 use std::collections::BTreeMap;
 
 /// Where each name was defined first.
@@ -43,12 +44,12 @@
     let versions = names.models.entry(&name.value).or_default();
     match versions.get(version.value.as_str()) {
         Some(first) => {
-            let kind = FindingKind::Duplicate {
-                kind: "model",
-                name: Quoted::new(&format!("{} {}", name.value, version.value)),
+            let problem = CatalogueProblem::Duplicate {
+                what: "model",
+                name: quoted(&format!("{} {}", name.value, version.value)),
                 first: first.place,
             };
-            findings.push(name.place, kind);
+            findings.push(name.place, Problem::Catalogue(problem));
         }
         None => {
             versions.insert(&version.value, model);
@@ -58,31 +59,31 @@
 
 /// Reports `name` if it was defined before, else remembers it.
 pub fn unique<'s>(
-    kind: &'static str,
+    what: &'static str,
     name: &'s Field<String>,
     places: &mut Places<'s>,
     findings: &mut Findings,
 ) {
     if let Some(given) = name.given() {
-        unique_text(kind, given, places, findings);
+        unique_text(what, given, places, findings);
     }
 }
 
 /// Reports `name` if it was defined before, else remembers it.
 pub fn unique_text<'s>(
-    kind: &'static str,
+    what: &'static str,
     name: &'s Given<String>,
     places: &mut Places<'s>,
     findings: &mut Findings,
 ) {
     match places.get(name.value.as_str()) {
         Some(first) => {
-            let kind = FindingKind::Duplicate {
-                kind,
-                name: Quoted::new(&name.value),
+            let problem = CatalogueProblem::Duplicate {
+                what,
+                name: quoted(&name.value),
                 first: *first,
             };
-            findings.push(name.place, kind);
+            findings.push(name.place, Problem::Catalogue(problem));
         }
         None => {
             places.insert(&name.value, name.place);
@@ -102,7 +103,8 @@
     let names_model = !matches!(entry.model, Field::Absent);
     let names_service = !matches!(entry.service, Field::Absent);
     if names_model == names_service {
-        findings.push(entry.place, FindingKind::NoSingleTarget);
+        let problem = CatalogueProblem::NoSingleTarget;
+        findings.push(entry.place, Problem::Catalogue(problem));
         return;
     }
     if names_service {
@@ -117,7 +119,7 @@
     if let Some(service) = entry.service.given() {
         known("service", service, names.services.keys().copied(), findings);
     }
-    let mut fields = Fields::new("[[entry]]", entry.place, findings);
+    let mut fields = Fields::new("entry", entry.place, findings);
     fields.model_only("version", &entry.version);
     fields.model_only("adapter", &entry.adapter);
 }
@@ -143,8 +145,9 @@
 ) -> Option<&'s ModelSource> {
     let Some(version) = entry.version.given() else {
         if versions.len() > 1 && matches!(entry.version, Field::Absent) {
-            let name = Quoted::new(&name.value);
-            findings.push(entry.place, FindingKind::AmbiguousVersion { name });
+            let name = quoted(&name.value);
+            let problem = CatalogueProblem::AmbiguousVersion { name };
+            findings.push(entry.place, Problem::Catalogue(problem));
             return None;
         }
         return versions.values().next().copied();
@@ -167,31 +170,31 @@
 }
 
 fn known<'s>(
-    kind: &'static str,
+    what: &'static str,
     name: &Given<String>,
     existing: impl Iterator<Item = &'s str> + Clone,
     findings: &mut Findings,
 ) {
     if !existing.clone().any(|known| known == name.value) {
-        unknown(kind, name, existing, findings);
+        unknown(what, name, existing, findings);
     }
 }
 
 fn unknown<'s>(
-    kind: &'static str,
+    what: &'static str,
     name: &Given<String>,
     existing: impl Iterator<Item = &'s str>,
     findings: &mut Findings,
 ) {
     let nearest = if findings.is_full() {
-        Nearest(None)
+        None
     } else {
-        Nearest::find(&name.value, existing)
+        nearest_of(&name.value, existing)
     };
-    let kind = FindingKind::UnknownReference {
-        kind,
-        name: Quoted::new(&name.value),
+    let problem = Problem::UnknownName {
+        what,
+        name: quoted(&name.value),
         nearest,
     };
-    findings.push(name.place, kind);
+    findings.push(name.place, problem);
 }
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -198,6 +198,17 @@
     CatalogueShard(u32),
 }
 
+impl core::fmt::Display for ValueName {
+    /// Writes the name under which the platform publishes the value.
+    fn fmt(&self, f: &mut core::fmt::Formatter<'_>) -> core::fmt::Result {
+        match self {
+            ValueName::Instances => f.write_str("instances"),
+            ValueName::CatalogueIndex => f.write_str("catalogue-index"),
+            ValueName::CatalogueShard(number) => write!(f, "catalogue-shard-{number}"),
+        }
+    }
+}
+
 /// What a node is told.
 #[derive(Clone, Debug)]
 pub enum Event {
--- a/crates/core/src/findings.rs
+++ b/crates/core/src/findings.rs
@@ -4,10 +4,15 @@
 //! it pushes each one to [`Findings`] with the place where it stands and goes
 //! on, so that the author mends all of them in one round.
 
+use crate::catalogue;
 use core::fmt;
 use core::ops::Range;
 use serde::Serialize;
 
+/// The most findings listed for one file; the rest is only counted. A hostile
+/// file of a megabyte could otherwise hold hundreds of thousands.
+pub const MAX_LISTED: usize = 256;
+
 /// Similarity below which a known name is not offered for an unknown one.
 const NEAREST_MIN_SIMILARITY: f64 = 0.72;
 
@@ -115,6 +120,9 @@
         /// Why the value is wrong, as the end of a sentence that starts with the key.
         why: String,
     },
+    /// Something that only a catalogue can get wrong.
+    #[serde(untagged)]
+    Catalogue(catalogue::Problem),
 }
 
 impl fmt::Display for Problem {
@@ -147,6 +155,7 @@
                 write!(f, "{what} `{name}` is defined twice")
             }
             Problem::Invalid { key, why } => write!(f, "`{key}` {why}"),
+            Problem::Catalogue(problem) => problem.fmt(f),
         }
     }
 }
@@ -177,6 +186,8 @@
 pub struct Findings {
     file: String,
     findings: Vec<Finding>,
+    /// Findings beyond [`MAX_LISTED`].
+    unlisted: usize,
 }
 
 impl Findings {
@@ -185,6 +196,7 @@
         Findings {
             file: file.into(),
             findings: Vec::new(),
+            unlisted: 0,
         }
     }
 
@@ -193,9 +205,13 @@
         &self.file
     }
 
-    /// Adds a finding at a place.
+    /// Adds a finding at a place, or only counts it once [`MAX_LISTED`] are listed.
     pub fn push(&mut self, place: Place, problem: Problem) {
-        self.findings.push(Finding { place, problem });
+        if self.is_full() {
+            self.unlisted += 1;
+        } else {
+            self.findings.push(Finding { place, problem });
+        }
     }
 
     /// Adds a finding at the start of a span of `text`, as `toml_edit` reports
@@ -208,12 +224,25 @@
     /// Moves all findings of `other`, which must be about the same file, to this collection.
     pub fn append(&mut self, mut other: Findings) {
         debug_assert_eq!(self.file, other.file);
-        self.findings.append(&mut other.findings);
+        for finding in other.findings.drain(..) {
+            self.push(finding.place, finding.problem);
+        }
+        self.unlisted += other.unlisted;
     }
 
-    /// Returns how many findings there are.
+    /// Returns how many findings there are, listed or only counted.
     pub fn len(&self) -> usize {
-        self.findings.len()
+        self.findings.len() + self.unlisted
+    }
+
+    /// Returns how many findings were counted but not listed.
+    pub fn unlisted(&self) -> usize {
+        self.unlisted
+    }
+
+    /// Returns whether further findings are only counted.
+    pub fn is_full(&self) -> bool {
+        self.findings.len() >= MAX_LISTED
     }
 
     /// Returns whether there are none.
@@ -221,7 +250,7 @@
         self.findings.is_empty()
     }
 
-    /// Returns the findings.
+    /// Returns the listed findings.
     pub fn iter(&self) -> core::slice::Iter<'_, Finding> {
         self.findings.iter()
     }
@@ -249,6 +278,9 @@
             }
             write!(f, "{}:{}: {}", self.file, finding.place, finding.problem)?;
         }
+        if self.unlisted > 0 {
+            write!(f, "\n{}: and {} more", self.file, self.unlisted)?;
+        }
         Ok(())
     }
 }
--- /dev/null
+++ b/crates/core/tests/catalogue_check.rs
@@ -0,0 +1,159 @@
+//! Golden findings: each file of `tests/catalogue` beside what is expected of it.
+
+use oriolemux_core::catalogue::check::{CheckFile, FileKind, check_files};
+use oriolemux_core::catalogue::{Digest, Problem as CatalogueProblem};
+use oriolemux_core::findings::{Finding, Place, Problem};
+use rstest::rstest;
+use std::fs;
+use std::path::{Path, PathBuf};
+
+/// Set to write the expected files anew; the difference is then reviewed.
+const BLESS: &str = "ORIOLEMUX_BLESS";
+
+fn golden(name: &str) -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR"))
+        .join("tests/catalogue")
+        .join(name)
+}
+
+fn findings_of(files: &[CheckFile<'_>]) -> String {
+    let checked = check_files(files);
+    checked
+        .iter()
+        .map(|findings| format!("{findings}\n"))
+        .collect()
+}
+
+#[rstest]
+#[case("five-mistakes")]
+#[case("types")]
+#[case("references")]
+#[case("syntax")]
+#[case("catalogue-shard-0")]
+fn findings_are_as_expected(#[case] name: &str) {
+    let file = format!("{name}.toml");
+    let expected = golden(&format!("{name}.expected"));
+    let bytes = fs::read(golden(&file)).unwrap();
+
+    let found = findings_of(&[CheckFile {
+        name: &file,
+        bytes: &bytes,
+    }]);
+
+    if std::env::var_os(BLESS).is_some() {
+        fs::write(&expected, &found).unwrap();
+    }
+    assert_eq!(found, fs::read_to_string(&expected).unwrap());
+}
+
+#[test]
+fn five_mistakes_are_five_findings_with_five_places() {
+    let bytes = fs::read(golden("five-mistakes.toml")).unwrap();
+
+    let checked = check_files(&[CheckFile {
+        name: "five-mistakes.toml",
+        bytes: &bytes,
+    }]);
+
+    let places: Vec<Place> = checked[0].iter().map(|finding| finding.place).collect();
+    assert_eq!(checked[0].len(), 5);
+    assert!(places.is_sorted());
+    assert!(places.iter().all(|place| place.line > 1));
+}
+
+fn index_listing(shard: &[u8]) -> String {
+    format!(
+        "revision = 1\nshards = [\"{}\"]\n[[class]]\nname = \"c\"\nurgency = 1\nidempotent = true\n\
+         wait_target_ms = 1\nlongest_wait_ms = 1\ndelivery = \"whole\"\n[[service]]\nname = \"s\"\n\
+         [[entry]]\nname = \"stock\"\nowner = \"o\"\nclass = \"c\"\nservice = \"s\"\n\
+         limits = {{ concurrent = 1, queue = 1 }}\n",
+        Digest::of(shard)
+    )
+}
+
+fn shard_using(entry: &str) -> String {
+    format!(
+        "[[workspace]]\nname = \"w\"\nkey_sha256 = [\"{}\"]\nentries = [\"{entry}\"]\n\
+         limits = {{ concurrent = 1, tokens_per_minute = 1 }}\n",
+        Digest::of(b"key")
+    )
+}
+
+fn check_pair(index: &str, shard: &str) -> Vec<Finding> {
+    let files = [
+        CheckFile {
+            name: "catalogue-index.toml",
+            bytes: index.as_bytes(),
+        },
+        CheckFile {
+            name: "catalogue-shard-0.toml",
+            bytes: shard.as_bytes(),
+        },
+    ];
+    let checked = check_files(&files);
+    checked
+        .iter()
+        .flat_map(|findings| findings.iter().cloned())
+        .collect()
+}
+
+#[test]
+fn index_and_shard_that_belong_together_pass() {
+    let shard = shard_using("stock");
+
+    assert_eq!(check_pair(&index_listing(shard.as_bytes()), &shard), []);
+}
+
+#[test]
+fn shard_that_the_index_does_not_list_is_found() {
+    let shard = shard_using("stock");
+
+    let found = check_pair(&index_listing(b"an older shard"), &shard);
+
+    let expected = CatalogueProblem::DigestMismatch {
+        shard: 0,
+        found: Digest::of(shard.as_bytes()).to_string(),
+    };
+    assert_eq!(found.len(), 1);
+    assert_eq!(found[0].problem, Problem::Catalogue(expected));
+}
+
+#[test]
+fn entry_that_no_index_has_is_found_with_the_nearest() {
+    let shard = shard_using("stok");
+
+    let found = check_pair(&index_listing(shard.as_bytes()), &shard);
+
+    let expected = Problem::UnknownName {
+        what: "entry",
+        name: "stok".to_owned(),
+        nearest: Some("stock".to_owned()),
+    };
+    let place = Place {
+        line: 4,
+        column: 12,
+    };
+    assert_eq!(
+        found,
+        [Finding {
+            place,
+            problem: expected
+        }]
+    );
+}
+
+#[rstest]
+#[case("a.toml", "[[workspace]]\n", Some(FileKind::Shard))]
+#[case("a.toml", "revision = 1\n", Some(FileKind::Index))]
+#[case("catalogue-index.toml", "revision = \n", Some(FileKind::Index))]
+#[case("catalogue-shard-9.toml", "[[work", Some(FileKind::Shard))]
+#[case("settings.toml", "[listen]\n", None)]
+fn kind_of_file_follows_content_then_name(
+    #[case] name: &str,
+    #[case] text: &str,
+    #[case] expected: Option<FileKind>,
+) {
+    let bytes = text.as_bytes();
+
+    assert_eq!(FileKind::of(CheckFile { name, bytes }), expected);
+}
--- a/crates/core/tests/catalogue_read.rs
+++ b/crates/core/tests/catalogue_read.rs
@@ -2,9 +2,11 @@
 
 use core::time::Duration;
 use oriolemux_core::catalogue::{
-    Digest, FindingKind, MAX_VALUE_BYTES, TargetView, parse_index, parse_shard, shard_of,
+    Digest, MAX_VALUE_BYTES, Problem as CatalogueProblem, TargetView, parse_index, parse_shard,
+    shard_of,
 };
 use oriolemux_core::event::DeliveryMode;
+use oriolemux_core::findings::Problem;
 use oriolemux_core::ids::EntryKey;
 
 const INDEX: &str = r#"
@@ -126,13 +128,13 @@
 
     let findings = parse_shard(shard_text(&["key"]).as_bytes(), wrong, 2).unwrap_err();
 
-    let kinds: Vec<_> = findings.iter().map(|finding| &finding.kind).collect();
-    let expected = FindingKind::WrongShard {
+    let problems: Vec<_> = findings.iter().map(|finding| &finding.problem).collect();
+    let expected = CatalogueProblem::WrongShard {
+        here: wrong,
         right,
         count: 2,
-        here: wrong,
     };
-    assert_eq!(kinds, [&expected]);
+    assert_eq!(problems, [&Problem::Catalogue(expected)]);
 }
 
 #[test]
