--- a/crates/oriolemux/src/cli.rs
+++ b/crates/oriolemux/src/cli.rs
@@ -5,12 +5,14 @@
 
 mod check;
 mod exit;
+mod report;
 mod serve;
 
 pub use exit::ExitStatus;
 
 use clap::{Args, Parser, Subcommand};
 use std::ffi::OsString;
+use std::io::Write;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -102,8 +104,21 @@
 fn version(output: Output) -> ExitStatus {
     let version = env!("CARGO_PKG_VERSION");
     match output {
-        Output::Human => println!("oriolemux {version}"),
-        Output::Json => println!("{}", serde_json::json!({ "version": version })),
+        Output::Human => print_line(format_args!("oriolemux {version}")),
+        Output::Json => print_json(&serde_json::json!({ "version": version })),
     }
     ExitStatus::Done
 }
+
+/// Prints a line on standard output. Whoever reads it may stop early, as `head` does;
+/// that is no failure of the command.
+fn print_line(line: impl std::fmt::Display) {
+    let _ = writeln!(std::io::stdout(), "{line}");
+}
+
+fn print_json(value: &impl serde::Serialize) {
+    match serde_json::to_string(value) {
+        Ok(text) => print_line(text),
+        Err(error) => eprintln!("oriolemux: cannot print JSON: {error}"),
+    }
+}
--- a/crates/oriolemux/src/cli/check.rs
+++ b/crates/oriolemux/src/cli/check.rs
@@ -1,56 +1,57 @@
-//! `oriolemux check`, and how findings are printed.
+//! `oriolemux check`: settings and catalogues, checked as an instance would.
 
+use super::report::Report;
 use super::{CheckArgs, ExitStatus, Output};
 use crate::settings::Settings;
-use oriolemux_core::findings::Findings;
-use serde::Serialize;
+use oriolemux_core::catalogue::check::{CheckFile, FileKind, check_files};
+use oriolemux_core::findings::{Findings, Place, Problem};
 use std::path::Path;
 
+/// A file that was read.
+struct InputFile {
+    name: String,
+    bytes: Vec<u8>,
+}
+
 pub(super) fn run(args: &CheckArgs, output: Output) -> ExitStatus {
-    let findings: Vec<Findings> = args
+    let mut report = Report::of_files(args.files.len());
+    let inputs: Vec<InputFile> = args
         .files
         .iter()
-        .filter_map(|file| check_file(file).err())
+        .filter_map(|path| read(path, &mut report))
         .collect();
-    report(&findings, args.files.len(), output)
-}
-
-fn check_file(file: &Path) -> Result<(), Findings> {
-    Settings::load(file).map(|_| ())
-}
-
-#[derive(Serialize)]
-struct Report<'a> {
-    files: usize,
-    findings: usize,
-    by_file: &'a [Findings],
-}
-
-/// Prints the findings of the files that have any.
-pub(super) fn report(by_file: &[Findings], files: usize, output: Output) -> ExitStatus {
-    let findings = by_file.iter().map(Findings::len).sum();
-    match output {
-        Output::Json => print_json(&Report {
-            files,
-            findings,
-            by_file,
-        }),
-        Output::Human => {
-            for findings in by_file {
-                println!("{findings}");
-            }
-            println!("{files} file(s) checked, {findings} finding(s)");
+    let files = inputs.iter().map(|input| CheckFile {
+        name: &input.name,
+        bytes: &input.bytes,
+    });
+    let (catalogue, settings): (Vec<_>, Vec<_>) =
+        files.partition(|file| FileKind::of(*file).is_some());
+    for file in settings {
+        if let Err(findings) = check_settings(file) {
+            report.add(findings);
         }
     }
-    match findings {
-        0 => ExitStatus::Done,
-        _ => ExitStatus::Findings,
+    for findings in check_files(&catalogue) {
+        report.add(findings);
     }
+    report.print(output)
 }
 
-fn print_json(value: &impl Serialize) {
-    match serde_json::to_string(value) {
-        Ok(text) => println!("{text}"),
-        Err(error) => eprintln!("oriolemux: cannot print JSON: {error}"),
+fn read(path: &Path, report: &mut Report) -> Option<InputFile> {
+    let name = path.display().to_string();
+    match std::fs::read(path) {
+        Ok(bytes) => Some(InputFile { name, bytes }),
+        Err(error) => {
+            let message = error.to_string();
+            let mut findings = Findings::new(name);
+            findings.push(Place::START, Problem::Unreadable { message });
+            report.add(findings);
+            None
+        }
     }
 }
+
+fn check_settings(file: CheckFile<'_>) -> Result<(), Findings> {
+    let text = String::from_utf8_lossy(file.bytes);
+    Settings::parse(file.name, &text).map(|_| ())
+}
--- a/crates/oriolemux/src/cli/serve.rs
+++ b/crates/oriolemux/src/cli/serve.rs
@@ -1,22 +1,25 @@
 //! `oriolemux serve`.
 
-use super::{ExitStatus, Output, ServeArgs, check};
+use super::report::Report;
+use super::{ExitStatus, Output, ServeArgs};
 use crate::events::{self, ShellNote};
 use crate::serve::{self, ServeError};
 use crate::settings::{Secrets, Settings};
 use crate::{logs, metrics};
+use oriolemux_core::findings::Findings;
 use std::fmt::Display;
 
 pub(super) fn run(args: &ServeArgs, output: Output) -> ExitStatus {
-    let settings = match Settings::load(&args.settings) {
+    let settings = match checked_settings(args) {
         Ok(settings) => settings,
-        Err(findings) => return check::report(&[findings], 1, output),
+        Err(findings) => {
+            let mut report = Report::of_files(1);
+            report.add(findings);
+            return report.print(output);
+        }
     };
     if args.check {
-        return match Secrets::read(&settings) {
-            Ok(_) => check::report(&[], 1, output),
-            Err(findings) => check::report(&[findings], 1, output),
-        };
+        return Report::of_files(1).print(output);
     }
     start(settings).unwrap_or_else(|(error, status)| {
         eprintln!("oriolemux: {error}");
@@ -24,6 +27,16 @@
     })
 }
 
+/// Reads the settings, and for `--check` the files with secrets too. A start reads those
+/// itself, because it needs what they hold.
+fn checked_settings(args: &ServeArgs) -> Result<Settings, Findings> {
+    let settings = Settings::load(&args.settings)?;
+    if args.check {
+        Secrets::read(&settings)?;
+    }
+    Ok(settings)
+}
+
 /// Starts what the whole process shares, then runs the instance.
 fn start(settings: Settings) -> Result<ExitStatus, (String, ExitStatus)> {
     let cannot_start = |error: &dyn Display| (error.to_string(), ExitStatus::CannotStart);
