Callers, endpoints and relay: one completion end to end over sockets

A caller's completion, streamed or as one object, goes through a poem server to the node's port, is sent once to the endpoint that the node names, and its tokens pass the delivery machine of the core before they are written.

The body of every request to an endpoint is a stream of one piece, which the HTTP client asks for only when a connection stands. At that moment the clock is read (a paused process sends nothing late) and the body is marked as handed over, so that 'not run' is told exactly when it never left.

--- a/crates/core/src/delivery.rs
+++ b/crates/core/src/delivery.rs
@@ -217,9 +217,22 @@
     /// Only for a failure in which the shell knows that no byte of the request
     /// left; anything else is [`Delivery::on_link_failure`].
     pub fn on_connect_failed(&mut self) -> Step {
+        self.never_left(Reason::ConnectFailed)
+    }
+
+    /// The time for the send had passed when the connection stood, so that the
+    /// request was never sent.
+    ///
+    /// Only for a failure in which the shell knows that no byte of the
+    /// request's body left; anything else is [`Delivery::on_link_failure`].
+    pub fn on_too_late(&mut self) -> Step {
+        self.never_left(Reason::PausedTooLong)
+    }
+
+    fn never_left(&mut self, reason: Reason) -> Step {
         match self.take_unanswered() {
-            Some(sent) => self.fail_not_run(Reason::ConnectFailed, sent.never_connected(), None),
-            None => self.interrupt(Reason::ConnectFailed),
+            Some(sent) => self.fail_not_run(reason, sent.never_connected(), None),
+            None => self.interrupt(reason),
         }
     }
 
--- /dev/null
+++ b/crates/oriolemux/src/callers/completion.rs
@@ -0,0 +1,164 @@
+//! The body of a completion request.
+
+use super::prefix::prefix_hashes;
+use crate::endpoints::CompletionBody;
+use oriolemux_core::event::Work;
+use serde::Deserialize;
+use serde_json::{Map, Value};
+
+/// Bytes of prompt that are counted as one token when the caller does not say
+/// how many tokens the prompt has. The engine's own count corrects it later.
+pub const BYTES_PER_TOKEN: usize = 4;
+
+/// Sampling parameters that are passed on to the engine as they are.
+const SAMPLING: &[&str] = &[
+    "frequency_penalty",
+    "logit_bias",
+    "presence_penalty",
+    "seed",
+    "stop",
+    "temperature",
+    "top_p",
+    "user",
+];
+
+/// Fields that would change the shape of the answer, with the one value that
+/// is accepted for compatibility.
+const SHAPE: &[(&str, u64)] = &[("n", 1), ("best_of", 1)];
+
+/// A completion request that was understood.
+#[derive(Clone, Debug)]
+pub struct CompletionCall {
+    /// The entry.
+    pub entry: String,
+    /// Whether the caller wants tokens as they come.
+    pub stream: bool,
+    /// The most tokens that the caller wants, if it said so.
+    pub max_tokens: Option<u32>,
+    /// What goes to the engine as it is.
+    pub body: CompletionBody,
+}
+
+/// Why a completion request was not understood.
+#[derive(Debug, displaydoc::Display, thiserror::Error)]
+pub enum CompletionError {
+    /// the body is not valid UTF-8 from byte {at} on
+    NotUtf8 {
+        /// The first byte that is not.
+        at: usize,
+    },
+    /// {0}
+    NotJson(serde_json::Error),
+    /// unknown field `{name}`
+    UnknownField {
+        /// Its name.
+        name: String,
+    },
+    /// `{name}` must be {accepted}
+    Unsupported {
+        /// The field's name.
+        name: &'static str,
+        /// The one value that is accepted.
+        accepted: u64,
+    },
+    /// `max_tokens` must be at least 1
+    NoTokens,
+    /// `prompt` must be one string
+    ManyPrompts,
+}
+
+#[derive(Deserialize)]
+struct Fields {
+    model: String,
+    prompt: Prompt,
+    max_tokens: Option<u32>,
+    stream: Option<bool>,
+    #[serde(flatten)]
+    rest: Map<String, Value>,
+}
+
+#[derive(Deserialize)]
+#[serde(untagged)]
+enum Prompt {
+    One(String),
+    Many(Vec<String>),
+}
+
+impl CompletionCall {
+    /// Reads a body.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the body is not UTF-8, not JSON, or asks for something that
+    /// could not be given as asked.
+    pub fn parse(body: &[u8]) -> Result<Self, CompletionError> {
+        let text = std::str::from_utf8(body).map_err(|err| CompletionError::NotUtf8 {
+            at: err.valid_up_to(),
+        })?;
+        let fields: Fields = serde_json::from_str(text).map_err(CompletionError::NotJson)?;
+        if fields.max_tokens == Some(0) {
+            return Err(CompletionError::NoTokens);
+        }
+        Ok(CompletionCall {
+            entry: fields.model,
+            stream: fields.stream.unwrap_or(false),
+            max_tokens: fields.max_tokens,
+            body: CompletionBody {
+                prompt: one_prompt(fields.prompt)?,
+                sampling: read_sampling(fields.rest)?,
+            },
+        })
+    }
+
+    /// Returns the work as the node sees it.
+    pub fn work(&self, declared_prompt_tokens: Option<u32>) -> Work {
+        let prompt = &self.body.prompt;
+        Work::Completion {
+            prompt_tokens: declared_prompt_tokens.unwrap_or_else(|| estimate_tokens(prompt)),
+            max_tokens: self.max_tokens,
+            stream: self.stream,
+            prefix: prefix_hashes(prompt.as_bytes()),
+        }
+    }
+}
+
+fn one_prompt(prompt: Prompt) -> Result<String, CompletionError> {
+    match prompt {
+        Prompt::One(prompt) => Ok(prompt),
+        Prompt::Many(prompts) => match <[String; 1]>::try_from(prompts) {
+            Ok([prompt]) => Ok(prompt),
+            Err(_) => Err(CompletionError::ManyPrompts),
+        },
+    }
+}
+
+/// Keeps the sampling parameters. A field that is neither known nor harmless
+/// is refused: dropping it silently would answer a different question.
+fn read_sampling(fields: Map<String, Value>) -> Result<Map<String, Value>, CompletionError> {
+    const HARMLESS: &str = "stream_options";
+    let mut sampling = Map::new();
+    for (name, value) in fields {
+        if value.is_null() || name == HARMLESS {
+            continue;
+        }
+        if SAMPLING.contains(&name.as_str()) {
+            sampling.insert(name, value);
+            continue;
+        }
+        let Some((name, accepted)) = SHAPE.iter().find(|(shape, _)| *shape == name) else {
+            return Err(CompletionError::UnknownField { name });
+        };
+        if value.as_u64() != Some(*accepted) {
+            return Err(CompletionError::Unsupported {
+                name,
+                accepted: *accepted,
+            });
+        }
+    }
+    Ok(sampling)
+}
+
+fn estimate_tokens(prompt: &str) -> u32 {
+    let tokens = prompt.len().div_ceil(BYTES_PER_TOKEN).max(1);
+    u32::try_from(tokens).unwrap_or(u32::MAX)
+}
--- /dev/null
+++ b/crates/oriolemux/src/callers/routes.rs
@@ -0,0 +1,62 @@
+//! What callers can ask for, by path.
+
+mod completions;
+mod models;
+mod services;
+mod tickets;
+
+use super::body::BodyLimits;
+use super::errors::ErrorAnswer;
+use super::port::NodePort;
+use crate::endpoints::EndpointProtocol;
+use core::time::Duration;
+use http::StatusCode;
+use oriolemux_core::Reason;
+use poem::{Endpoint, Request, Response, Route, get, post};
+use std::sync::Arc;
+
+/// What serving a request takes.
+#[derive(Clone, Debug)]
+pub struct CallerCx<E> {
+    /// The way to the node.
+    pub port: NodePort,
+    /// How endpoints are spoken to.
+    pub protocol: E,
+    /// How large and slow a body may be.
+    pub body: BodyLimits,
+    /// How long a caller may take nothing of a stream.
+    pub write_timeout: Duration,
+}
+
+/// Returns the endpoint of all callers' paths.
+pub fn routes<E: EndpointProtocol>(cx: CallerCx<E>) -> impl Endpoint<Output = Response> {
+    let cx = Arc::new(cx);
+    Route::new()
+        .at(
+            "/v1/completions",
+            post(completions::Completions(Arc::clone(&cx))),
+        )
+        .at("/v1/models", get(models::Models(Arc::clone(&cx))))
+        .at(
+            "/v1/services/:entry",
+            post(services::Services(Arc::clone(&cx))),
+        )
+        .at("/v1/tickets", post(tickets::Tickets(Arc::clone(&cx))))
+        .at("/*path", NoSuchPath(cx))
+}
+
+/// Answers paths that do not exist.
+struct NoSuchPath<E>(Arc<CallerCx<E>>);
+
+impl<E: EndpointProtocol> Endpoint for NoSuchPath<E> {
+    type Output = Response;
+
+    async fn call(&self, req: Request) -> poem::Result<Response> {
+        let id = self.0.port.draw_id();
+        let error = ErrorAnswer::not_submitted(id, Reason::BadRequest)
+            .with_detail(format!("there is no path {}", req.uri().path()));
+        let mut response = error.into_response();
+        response.set_status(StatusCode::NOT_FOUND);
+        Ok(response)
+    }
+}
--- /dev/null
+++ b/crates/oriolemux/src/callers/server.rs
@@ -0,0 +1,115 @@
+//! The server that callers connect to.
+
+use super::accept::BoundedAcceptor;
+use super::body::BodyLimits;
+use super::port::NodePort;
+use super::routes;
+use crate::endpoints::EndpointProtocol;
+use core::future::Future;
+use core::time::Duration;
+use poem::Server;
+use std::io;
+use tokio::net::TcpListener;
+
+/// Settings of the callers' side, with safe defaults.
+#[derive(Clone, Debug)]
+pub struct CallerServerBuilder<E> {
+    port: NodePort,
+    protocol: E,
+    body: BodyLimits,
+    max_connections: usize,
+    write_timeout: Duration,
+    idle_timeout: Duration,
+}
+
+impl<E: EndpointProtocol> CallerServerBuilder<E> {
+    /// Sets the most bytes of a body; 1 MiB unless set.
+    #[must_use]
+    pub fn max_body_bytes(mut self, bytes: usize) -> Self {
+        self.body.bytes = bytes;
+        self
+    }
+
+    /// Sets the longest time for a body to arrive; 30 s unless set.
+    #[must_use]
+    pub fn body_timeout(mut self, timeout: Duration) -> Self {
+        self.body.time = timeout;
+        self
+    }
+
+    /// Sets the most connections at a time; 4,096 unless set.
+    #[must_use]
+    pub fn max_connections(mut self, connections: usize) -> Self {
+        self.max_connections = connections;
+        self
+    }
+
+    /// Sets how long a caller may take nothing of a stream before it counts as
+    /// gone; 60 s unless set.
+    #[must_use]
+    pub fn write_timeout(mut self, timeout: Duration) -> Self {
+        self.write_timeout = timeout;
+        self
+    }
+
+    /// Sets how long a connection may be idle between requests; 75 s unless set.
+    #[must_use]
+    pub fn idle_timeout(mut self, timeout: Duration) -> Self {
+        self.idle_timeout = timeout;
+        self
+    }
+
+    /// Returns the server.
+    pub fn build(self) -> CallerServer<E> {
+        CallerServer { settings: self }
+    }
+}
+
+/// Serves callers.
+#[derive(Clone, Debug)]
+pub struct CallerServer<E> {
+    settings: CallerServerBuilder<E>,
+}
+
+impl<E: EndpointProtocol> CallerServer<E> {
+    /// Begins a server that hands requests to `port` and reaches endpoints by `protocol`.
+    pub fn builder(port: NodePort, protocol: E) -> CallerServerBuilder<E> {
+        CallerServerBuilder {
+            port,
+            protocol,
+            body: BodyLimits {
+                bytes: 1 << 20,
+                time: Duration::from_secs(30),
+            },
+            max_connections: 4_096,
+            write_timeout: Duration::from_secs(60),
+            idle_timeout: Duration::from_secs(75),
+        }
+    }
+
+    /// Serves until `stop` resolves, then finishes every request in flight,
+    /// however long it takes.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the listener cannot be used.
+    pub async fn serve(
+        self,
+        listener: TcpListener,
+        stop: impl Future<Output = ()>,
+    ) -> io::Result<()> {
+        let settings = self.settings;
+        let acceptor = BoundedAcceptor::new(listener, settings.max_connections)?;
+        let cx = routes::CallerCx {
+            port: settings.port,
+            protocol: settings.protocol,
+            body: settings.body,
+            write_timeout: settings.write_timeout,
+        };
+        let app = routes::routes(cx);
+        Server::new_with_acceptor(acceptor)
+            .idle_timeout(settings.idle_timeout)
+            .run_with_graceful_shutdown(app, stop, None)
+            .await
+    }
+}
--- /dev/null
+++ b/crates/oriolemux/src/callers/submit.rs
@@ -0,0 +1,207 @@
+//! Hands a request to the node and answers with what its relay brings.
+
+use super::auth::key_digest;
+use super::errors::{ErrorAnswer, REQUEST_HEADER};
+use super::port::NodeGone;
+use super::routes::CallerCx;
+use crate::endpoints::{EndpointProtocol, WorkBody};
+use crate::relay::Relay;
+use crate::relay::caller::{AnswerForm, Caller, Piece, Reply};
+use crate::relay::chunk::ChunkWriter;
+use bytes::Bytes;
+use core::str::FromStr;
+use core::time::Duration;
+use futures_util::stream;
+use http::header::{CACHE_CONTROL, CONTENT_TYPE};
+use http::{HeaderMap, HeaderValue};
+use oriolemux_core::event::{RequestArrival, Work};
+use oriolemux_core::ids::stable_hash;
+use oriolemux_core::{Reason, RequestId};
+use poem::{Body, Response};
+use std::io;
+use tokio::sync::{mpsc, oneshot};
+
+/// The caller's key for a request that must not run twice.
+const IDEMPOTENCY_KEY: &str = "idempotency-key";
+/// The ticket that the caller drew for this request.
+const TICKET: &str = "oriolemux-ticket";
+/// Tokens of the prompt as the caller counted them.
+const PROMPT_TOKENS: &str = "oriolemux-prompt-tokens";
+/// How long the caller is willing to wait, in milliseconds.
+const PATIENCE_MS: &str = "oriolemux-patience-ms";
+
+/// The longest idempotency key, in bytes.
+const MAX_IDEMPOTENCY_KEY: usize = 256;
+
+/// What a request's headers say.
+#[derive(Clone, Debug)]
+pub struct Headers {
+    /// SHA-256 of the caller's bearer key.
+    pub key_digest: [u8; 32],
+    /// The caller's idempotency key, if it sent one.
+    pub idempotency_key: Option<String>,
+    /// The ticket that the caller drew earlier, if it sent one.
+    pub ticket: Option<RequestId>,
+    /// Tokens of the prompt as the caller counted them, if it said so.
+    pub prompt_tokens: Option<u32>,
+    /// How long the caller is willing to wait, if it said so.
+    pub patience: Option<Duration>,
+}
+
+impl Headers {
+    /// Reads the headers of the request `id`.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the answer for the caller if the bearer key is missing or a
+    /// header has a wrong value.
+    pub fn read(id: RequestId, headers: &HeaderMap) -> Result<Self, ErrorAnswer> {
+        let key_digest =
+            key_digest(headers).ok_or_else(|| ErrorAnswer::not_submitted(id, Reason::BadKey))?;
+        let patience = parse(id, headers, PATIENCE_MS, Reason::BadRequest)?;
+        Ok(Headers {
+            key_digest,
+            idempotency_key: read_idempotency_key(id, headers)?,
+            ticket: parse(id, headers, TICKET, Reason::BadTicket)?,
+            prompt_tokens: parse(id, headers, PROMPT_TOKENS, Reason::BadRequest)?,
+            patience: patience.map(Duration::from_millis),
+        })
+    }
+}
+
+fn read_idempotency_key(id: RequestId, headers: &HeaderMap) -> Result<Option<String>, ErrorAnswer> {
+    let key: Option<String> = parse(id, headers, IDEMPOTENCY_KEY, Reason::BadRequest)?;
+    match key {
+        Some(key) if key.is_empty() || key.len() > MAX_IDEMPOTENCY_KEY => {
+            Err(wrong_header(id, IDEMPOTENCY_KEY, Reason::BadRequest))
+        }
+        key => Ok(key),
+    }
+}
+
+/// Parses a header. A value that is there but wrong is an error: a caller that
+/// sent a key or a ticket relies on it.
+fn parse<T: FromStr>(
+    id: RequestId,
+    headers: &HeaderMap,
+    name: &'static str,
+    reason: Reason,
+) -> Result<Option<T>, ErrorAnswer> {
+    let Some(value) = headers.get(name) else {
+        return Ok(None);
+    };
+    let value = value
+        .to_str()
+        .ok()
+        .and_then(|text| text.trim().parse().ok());
+    value
+        .map(Some)
+        .ok_or_else(|| wrong_header(id, name, reason))
+}
+
+fn wrong_header(id: RequestId, name: &str, reason: Reason) -> ErrorAnswer {
+    ErrorAnswer::not_submitted(id, reason).with_detail(format!("the header `{name}` is not valid"))
+}
+
+/// A request that was read and is ready for the node.
+#[derive(Debug)]
+pub struct Submission {
+    /// The request.
+    pub id: RequestId,
+    /// What its headers say.
+    pub headers: Headers,
+    /// The entry's name, as the caller wrote it.
+    pub entry: String,
+    /// What the node needs to know of the work.
+    pub work: Work,
+    /// The body as it came, to tell a repeat from a reuse of a key.
+    pub body_bytes: Vec<u8>,
+    /// What goes to the endpoint.
+    pub body: WorkBody,
+    /// The form of the answer.
+    pub form: AnswerForm,
+}
+
+impl Submission {
+    fn arrival(&self) -> RequestArrival {
+        RequestArrival {
+            id: self.id,
+            key_digest: self.headers.key_digest,
+            entry: self.entry.clone(),
+            work: self.work.clone(),
+            idempotency_key: self.headers.idempotency_key.clone(),
+            ticket: self.headers.ticket,
+            body_hash: stable_hash(&[&self.body_bytes]),
+            patience: self.headers.patience,
+        }
+    }
+}
+
+/// Runs a request and returns its answer, of which a stream goes on after this
+/// returns.
+pub async fn submit<E: EndpointProtocol>(cx: &CallerCx<E>, submission: Submission) -> Response {
+    let id = submission.id;
+    let arrival = Box::new(submission.arrival());
+    let orders = match cx.port.submit(arrival).await {
+        Ok(orders) => orders,
+        Err(NodeGone) => return ErrorAnswer::not_submitted(id, Reason::Stopping).into_response(),
+    };
+    let (head, reply) = oneshot::channel();
+    let chunks = ChunkWriter::new(id, &submission.entry);
+    let caller = Caller::new(submission.form, chunks, head, cx.write_timeout);
+    let port = cx.port.clone();
+    let protocol = cx.protocol.clone();
+    let relay = Relay::new(id, protocol, port, submission.body, orders, caller);
+    tokio::spawn(relay.run());
+    match reply.await {
+        Ok(reply) => into_response(id, reply),
+        Err(_) => lost_relay(id),
+    }
+}
+
+/// The relay ended without an answer, which only a panic does; whether the
+/// request ran is then not known here.
+fn lost_relay(id: RequestId) -> Response {
+    let verdict = oriolemux_core::Verdict::unknown(Reason::Internal);
+    ErrorAnswer::of_verdict(id, &verdict).into_response()
+}
+
+fn into_response(id: RequestId, reply: Reply) -> Response {
+    let builder = Response::builder().header(REQUEST_HEADER, id.to_string());
+    match reply {
+        Reply::Stream(pieces) => builder
+            .header(CONTENT_TYPE, "text/event-stream")
+            .header(CACHE_CONTROL, "no-cache")
+            .body(stream_body(pieces)),
+        Reply::Whole { content_type, body } => {
+            let octets = HeaderValue::from_static("application/octet-stream");
+            builder
+                .header(CONTENT_TYPE, content_type.unwrap_or(octets))
+                .body(body)
+        }
+        Reply::Error(error) => error.into_response(),
+    }
+}
+
+/// What goes wrong without the error at the end: a relay that panics would
+/// leave a stream that looks whole to a lenient client. With it the server
+/// breaks the connection instead of ending the body.
+fn stream_body(mut pieces: mpsc::Receiver<Piece>) -> Body {
+    let mut ended = false;
+    Body::from_bytes_stream(stream::poll_fn(move |cx| {
+        if ended {
+            return core::task::Poll::Ready(None);
+        }
+        pieces.poll_recv(cx).map(|piece| match piece {
+            Some(Piece::Part(bytes)) => Some(Ok::<Bytes, io::Error>(bytes)),
+            Some(Piece::Last(bytes)) => {
+                ended = true;
+                Some(Ok(bytes))
+            }
+            None => {
+                ended = true;
+                Some(Err(io::Error::other("the relay ended early")))
+            }
+        })
+    }))
+}
--- /dev/null
+++ b/crates/oriolemux/src/endpoints/polls.rs
@@ -0,0 +1,107 @@
+//! Polls of load and cache events, and orders, for the node task.
+
+use super::EndpointProtocol;
+use crate::callers::port::{Clock, NodeGone, NodePort};
+use oriolemux_core::event::{EndpointTarget, OrderKind, OrderResult};
+use oriolemux_core::{EndpointKey, Event, Time};
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+/// Carries out [`oriolemux_core::Action::PollLoad`] and
+/// [`oriolemux_core::Action::Order`].
+///
+/// It remembers how far each endpoint's cache events were read. Plain services
+/// answer 404 to cache events, which counts as no news.
+#[derive(Clone, Debug)]
+pub struct Polls<E> {
+    protocol: E,
+    cursors: Arc<Mutex<BTreeMap<EndpointKey, u64>>>,
+}
+
+impl<E: EndpointProtocol> Polls<E> {
+    /// Polls through `protocol`.
+    pub fn new(protocol: E) -> Self {
+        Polls {
+            protocol,
+            cursors: Arc::default(),
+        }
+    }
+
+    /// Asks an endpoint for its load, then for its cache events, and tells the node.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the node task has ended.
+    pub async fn poll(&self, endpoint: &EndpointTarget, port: &NodePort) -> Result<(), NodeGone> {
+        let key = endpoint.key;
+        match self.protocol.load(endpoint).await {
+            Ok(report) => {
+                let endpoint = key;
+                port.event(Event::Load { endpoint, report }).await?;
+            }
+            Err(_) => return port.event(Event::LoadFailed { endpoint: key }).await,
+        }
+        self.poll_cache(endpoint, port).await
+    }
+
+    async fn poll_cache(&self, endpoint: &EndpointTarget, port: &NodePort) -> Result<(), NodeGone> {
+        let key = endpoint.key;
+        let after = self.cursors().get(&key).copied().unwrap_or(0);
+        let Ok(batch) = self.protocol.cache_events(endpoint, after).await else {
+            return Ok(());
+        };
+        // A number that fell back means that the endpoint restarted with an
+        // empty cache. Without this check its old blocks would be believed
+        // in until it had counted up to the old number.
+        let restarted = batch.next < after;
+        self.cursors().insert(key, batch.next);
+        let gap = batch.gap || restarted;
+        if !gap && batch.stored.is_empty() && batch.evicted.is_empty() {
+            return Ok(());
+        }
+        let event = Event::Cache {
+            endpoint: key,
+            gap,
+            stored: batch.stored,
+            evicted: batch.evicted,
+        };
+        port.event(event).await
+    }
+
+    /// Gives an order, unless it is too late, and tells the node what became of it.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the node task has ended.
+    pub async fn order(
+        &self,
+        endpoint: &EndpointTarget,
+        fencing: u64,
+        kind: &OrderKind,
+        send_before: Time,
+        port: &NodePort,
+    ) -> Result<(), NodeGone> {
+        let result = if is_late(port.clock(), send_before) {
+            OrderResult::Failed
+        } else {
+            self.protocol.order(endpoint, fencing, kind).await
+        };
+        let endpoint = endpoint.key;
+        let event = Event::OrderDone {
+            endpoint,
+            fencing,
+            result,
+        };
+        port.event(event).await
+    }
+
+    fn cursors(&self) -> MutexGuard<'_, BTreeMap<EndpointKey, u64>> {
+        self.cursors.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// A process that was paused between the node's decision and this point would
+/// give an order whose lease has passed to another home.
+fn is_late(clock: Clock, send_before: Time) -> bool {
+    clock.now() > send_before
+}
--- a/crates/oriolemux/src/lib.rs
+++ b/crates/oriolemux/src/lib.rs
@@ -9,8 +9,10 @@
 
 pub mod callers;
 pub mod cli;
+pub mod endpoints;
 pub mod events;
 pub mod logs;
 pub mod metrics;
+pub mod relay;
 pub mod serve;
 pub mod settings;
--- a/crates/oriolemux/src/metrics.rs
+++ b/crates/oriolemux/src/metrics.rs
@@ -53,6 +53,8 @@
         Refusals = "oriolemux_refusals_total";
         /// Attempts that ended early and were followed by another.
         Retries = "oriolemux_retries_total";
+        /// Streams that broke and were asked for again at the same endpoint.
+        Resumes = "oriolemux_resumes_total";
         /// Requests that failed after they may have run.
         Failures = "oriolemux_failures_total";
         /// Answers and parts of answers that were dropped because they did not belong.
@@ -131,7 +133,9 @@
         let group = reason.group();
         match self {
             ReasonCounter::Refusals => group != ReasonGroup::Discard,
-            ReasonCounter::Retries | ReasonCounter::Failures => group == ReasonGroup::Failure,
+            ReasonCounter::Retries | ReasonCounter::Resumes | ReasonCounter::Failures => {
+                group == ReasonGroup::Failure
+            }
             ReasonCounter::Discards => group == ReasonGroup::Discard,
         }
     }
--- /dev/null
+++ b/crates/oriolemux/src/relay.rs
@@ -0,0 +1,135 @@
+//! Runs one request: from the node's orders to the caller's last byte.
+//!
+//! Each request has a task of its own, the [`Relay`]. It holds both
+//! connections, so tokens never pass through the node task. What may be handed
+//! to the caller is decided by [`Delivery`], a pure machine of the core; the
+//! relay only moves bytes and reports. See `docs/design/relay.md`.
+
+pub mod caller;
+pub mod chunk;
+pub mod events;
+
+mod attempt;
+mod interrupt;
+
+use crate::callers::errors::ErrorAnswer;
+use crate::callers::port::{NodeGone, NodePort, RequestOrder};
+use crate::endpoints::{EndpointProtocol, WorkBody};
+use attempt::AttemptEnd;
+use caller::Caller;
+use interrupt::{Ends, Interrupt};
+use oriolemux_core::delivery::Delivery;
+use oriolemux_core::event::AttemptUpdate;
+use oriolemux_core::outcome::RequestOutcome;
+use oriolemux_core::{AttemptId, Event, Reason, RequestId, Verdict};
+use tokio::sync::mpsc;
+
+/// One request that was submitted to the node.
+#[derive(Debug)]
+pub struct Relay<E> {
+    request: RequestId,
+    protocol: E,
+    port: NodePort,
+    work: WorkBody,
+    delivery: Delivery,
+    ends: Ends,
+    /// What this task itself knows about whether the request ran.
+    outcome: RequestOutcome,
+}
+
+impl<E: EndpointProtocol> Relay<E> {
+    /// Prepares to run `request`.
+    pub fn new(
+        request: RequestId,
+        protocol: E,
+        port: NodePort,
+        work: WorkBody,
+        orders: mpsc::Receiver<RequestOrder>,
+        caller: Caller,
+    ) -> Self {
+        Relay {
+            request,
+            protocol,
+            port,
+            work,
+            delivery: Delivery::new(),
+            ends: Ends { orders, caller },
+            outcome: RequestOutcome::new(),
+        }
+    }
+
+    /// Runs the request to its end.
+    pub async fn run(mut self) {
+        // The node task ends only with the process; whatever could still be
+        // told to it is lost then, and the caller has been answered.
+        let _ = self.run_orders().await;
+    }
+
+    async fn run_orders(&mut self) -> Result<(), NodeGone> {
+        loop {
+            let order = tokio::select! {
+                biased;
+                order = self.ends.orders.recv() => order,
+                _gone = self.ends.caller.gone() => return self.tell_caller_gone().await,
+            };
+            match order {
+                Some(RequestOrder::Dispatch(dispatch)) => {
+                    match self.run_attempt(&dispatch).await? {
+                        AttemptEnd::Over => {}
+                        AttemptEnd::Answered => return Ok(()),
+                        AttemptEnd::Interrupted(interrupt) => {
+                            if self.on_interrupt(interrupt).await? {
+                                return Ok(());
+                            }
+                        }
+                    }
+                }
+                Some(RequestOrder::Cancel) => {}
+                Some(RequestOrder::Finish(verdict)) => return self.finish(&verdict).await,
+                None => return self.finish_without_node().await,
+            }
+        }
+    }
+
+    /// Returns whether the request is over.
+    async fn on_interrupt(&mut self, interrupt: Interrupt) -> Result<bool, NodeGone> {
+        match interrupt {
+            Interrupt::Cancelled => return Ok(false),
+            Interrupt::CallerGone => self.tell_caller_gone().await?,
+            Interrupt::Finished(verdict) => self.finish(&verdict).await?,
+            Interrupt::NodeGone => self.finish_without_node().await?,
+        }
+        Ok(true)
+    }
+
+    async fn tell_caller_gone(&mut self) -> Result<(), NodeGone> {
+        self.port.event(Event::CallerGone(self.request)).await
+    }
+
+    async fn finish(&mut self, verdict: &Verdict) -> Result<(), NodeGone> {
+        let error = ErrorAnswer::of_verdict(self.request, verdict);
+        match self.ends.caller.fail(error).await {
+            Ok(()) => Ok(()),
+            Err(caller::CallerGone) => self.tell_caller_gone().await,
+        }
+    }
+
+    /// The node task has ended without a verdict. What is said here leans only
+    /// on what this task itself sent, which is all that was sent.
+    async fn finish_without_node(&mut self) -> Result<(), NodeGone> {
+        let delivered = self.delivery.delivered();
+        let verdict = self.outcome.finish(Reason::Internal, None, delivered);
+        self.finish(&verdict).await
+    }
+
+    async fn report(
+        &mut self,
+        attempt: AttemptId,
+        update: Option<AttemptUpdate>,
+    ) -> Result<(), NodeGone> {
+        match update {
+            Some(update) => self.port.attempt(attempt, update).await,
+            None => Ok(()),
+        }
+    }
+}
--- /dev/null
+++ b/crates/oriolemux/src/relay/attempt.rs
@@ -0,0 +1,167 @@
+//! Runs one attempt of a request at one endpoint.
+
+mod call;
+mod stream;
+
+use super::Relay;
+use super::interrupt::Interrupt;
+use crate::callers::port::NodeGone;
+use crate::endpoints::{EndpointFailure, EndpointProtocol, WorkBody};
+use crate::metrics::ReasonCounter;
+use oriolemux_core::Reason;
+use oriolemux_core::delivery::{Act, Step};
+use oriolemux_core::event::{AttemptUpdate, Dispatch};
+
+/// How an attempt ended.
+#[derive(Debug)]
+pub(super) enum AttemptEnd {
+    /// It was reported to the node, which decides what follows.
+    Over,
+    /// The caller has its whole answer.
+    Answered,
+    /// It was ended from outside.
+    Interrupted(Interrupt),
+}
+
+/// What follows a step of the delivery.
+#[derive(Debug)]
+enum Next {
+    /// Go on reading.
+    Read,
+    /// Ask the endpoint for the rest on a new connection.
+    Resume {
+        after: Option<u32>,
+        delay: core::time::Duration,
+    },
+    /// The attempt is over.
+    End,
+}
+
+impl<E: EndpointProtocol> Relay<E> {
+    /// Runs an attempt and reports what becomes of it.
+    pub(super) async fn run_attempt(
+        &mut self,
+        dispatch: &Dispatch,
+    ) -> Result<AttemptEnd, NodeGone> {
+        let step = self.delivery.start(dispatch, self.port.clock().now());
+        if step.act != Act::Send {
+            self.report(dispatch.attempt, step.report).await?;
+            return Ok(AttemptEnd::Over);
+        }
+        self.outcome.on_dispatch(dispatch.attempt);
+        let opened = self
+            .ends
+            .watch(self.protocol.start(dispatch, &self.work))
+            .await;
+        let answer = match opened {
+            Err(interrupt) => return Ok(self.interrupted(dispatch, interrupt).await),
+            Ok(Err(failure)) => {
+                let step = self.on_failure(&failure);
+                return self.follow(dispatch, step).await;
+            }
+            Ok(Ok(answer)) => answer,
+        };
+        match &self.work {
+            WorkBody::Completion(_) => self.run_stream(dispatch, answer).await,
+            WorkBody::Call(_) => self.run_call(dispatch, answer).await,
+        }
+    }
+
+    /// Tells the delivery that the exchange did not begin or broke off.
+    fn on_failure(&mut self, failure: &EndpointFailure) -> Step {
+        match failure {
+            EndpointFailure::NotConnected => self.delivery.on_connect_failed(),
+            EndpointFailure::TooLate => self.delivery.on_too_late(),
+            EndpointFailure::Refused(refusal) => self.delivery.on_refused(refusal),
+            EndpointFailure::Broken(reason) => self.on_broken(*reason),
+        }
+    }
+
+    fn on_broken(&mut self, reason: Reason) -> Step {
+        match reason {
+            Reason::Stalled => self.delivery.on_stall(),
+            Reason::Garbage => self.delivery.on_garbage(),
+            Reason::EndpointError => self.delivery.on_endpoint_error(),
+            _ => self.delivery.on_link_failure(),
+        }
+    }
+
+    /// Follows a step that came before any answer: the generation may run, so
+    /// it is resumed if the delivery says so.
+    async fn follow(&mut self, dispatch: &Dispatch, step: Step) -> Result<AttemptEnd, NodeGone> {
+        match self.apply(dispatch, step).await? {
+            Next::Read | Next::End => Ok(AttemptEnd::Over),
+            Next::Resume { after, delay } => self.resume_stream(dispatch, after, delay).await,
+        }
+    }
+
+    /// Carries out an act that is not about a single token, and reports.
+    async fn apply(&mut self, dispatch: &Dispatch, step: Step) -> Result<Next, NodeGone> {
+        let next = match step.act {
+            Act::Idle | Act::Send | Act::Deliver | Act::Hold => Next::Read,
+            Act::Discard(reason) => {
+                count_discarded(reason);
+                Next::Read
+            }
+            Act::Resume {
+                after,
+                delay,
+                reason,
+            } => {
+                ReasonCounter::Resumes.add(reason);
+                self.distrust_after(reason);
+                Next::Resume { after, delay }
+            }
+            Act::Close { cancel } => {
+                if cancel {
+                    self.cancel_at_endpoint(dispatch);
+                }
+                Next::End
+            }
+            Act::Complete => Next::End,
+        };
+        if let Some(AttemptUpdate::Failed { reason, ran, .. }) = &step.report {
+            self.outcome.on_ended(dispatch.attempt, *ran);
+            self.distrust_after(*reason);
+        }
+        self.report(dispatch.attempt, step.report).await?;
+        Ok(next)
+    }
+
+    /// Ends the attempt because of something outside of it.
+    async fn interrupted(&mut self, dispatch: &Dispatch, interrupt: Interrupt) -> AttemptEnd {
+        let step = match interrupt {
+            // The node learns of it by `Event::CallerGone`, not by a report.
+            Interrupt::CallerGone => self.delivery.on_caller_gone(),
+            _ => self.delivery.cancel(),
+        };
+        if let Act::Close { cancel: true } = step.act {
+            self.cancel_at_endpoint(dispatch);
+        }
+        AttemptEnd::Interrupted(interrupt)
+    }
+
+    /// Frees the generation's memory at the endpoint, without making the
+    /// request wait for it.
+    fn cancel_at_endpoint(&self, dispatch: &Dispatch) {
+        if let WorkBody::Call(_) = self.work {
+            return;
+        }
+        let protocol = self.protocol.clone();
+        let endpoint = dispatch.endpoint.clone();
+        let attempt = dispatch.attempt;
+        tokio::spawn(async move { protocol.cancel(&endpoint, attempt).await });
+    }
+
+    /// An endpoint that answers for another attempt has mixed up its
+    /// connections; an idle one may hold the rest of somebody else's answer.
+    fn distrust_after(&self, reason: Reason) {
+        if reason == Reason::WrongAttempt {
+            self.protocol.distrust_idle_connections();
+        }
+    }
+}
+
+fn count_discarded(reason: Reason) {
+    ReasonCounter::Discards.add(reason);
+}
--- /dev/null
+++ b/crates/oriolemux/src/relay/attempt/stream.rs
@@ -0,0 +1,347 @@
+//! A generation: its stream, and its resumption when the stream breaks.
+
+use super::{AttemptEnd, Interrupt, Next, count_discarded};
+use crate::callers::port::NodeGone;
+use crate::endpoints::{Answer, AnswerBody, EndpointFailure, EndpointProtocol, ResumePoint};
+use crate::relay::Relay;
+use crate::relay::events::{EngineEvent, EventReader, FinishReason, Garbage, Usage};
+use bytes::Bytes;
+use core::pin::Pin;
+use core::time::Duration;
+use oriolemux_core::Reason;
+use oriolemux_core::delivery::{Act, EndMark, ResumeAnswer, Step};
+use oriolemux_core::event::Dispatch;
+use tokio::time::{Instant, Sleep, timeout};
+
+/// How much may wait for the caller before it is flushed, although more tokens
+/// are at hand.
+const FLUSH_BYTES: usize = 64 * 1024;
+
+/// How long the few bytes after the end mark are waited for, so that the
+/// connection can be used again.
+const DRAIN_LIMIT: Duration = Duration::from_millis(50);
+
+/// The end mark that completed the answer.
+#[derive(Clone, Copy, Debug)]
+struct Ending {
+    finish: FinishReason,
+    usage: Usage,
+}
+
+/// Why reading stopped.
+enum Stop {
+    /// The delivery wants something other than more bytes.
+    Step(Step),
+    /// The answer is complete.
+    Complete(Step, Ending),
+    Interrupt(Interrupt),
+    NodeGone,
+}
+
+impl From<Interrupt> for Stop {
+    fn from(interrupt: Interrupt) -> Self {
+        Stop::Interrupt(interrupt)
+    }
+}
+
+impl From<NodeGone> for Stop {
+    fn from(NodeGone: NodeGone) -> Self {
+        Stop::NodeGone
+    }
+}
+
+/// Finds out when an endpoint has been silent for too long.
+///
+/// The timer is moved only when it fires, because moving it at every token
+/// costs more than reading the clock.
+struct StallTimer {
+    limit: Duration,
+    heard: Instant,
+    sleep: Pin<Box<Sleep>>,
+}
+
+impl StallTimer {
+    fn new(limit: Duration) -> Self {
+        let heard = Instant::now();
+        StallTimer {
+            limit,
+            heard,
+            sleep: Box::pin(tokio::time::sleep_until(heard + limit)),
+        }
+    }
+
+    fn heard_now(&mut self) {
+        self.heard = Instant::now();
+    }
+
+    async fn silent(&mut self) {
+        loop {
+            self.sleep.as_mut().await;
+            let due = self.heard + self.limit;
+            if Instant::now() >= due {
+                return;
+            }
+            self.sleep.as_mut().reset(due);
+        }
+    }
+}
+
+/// Waits for the next piece of an answer, up to the stall limit.
+async fn next_chunk<B: AnswerBody>(
+    body: &mut B,
+    stall: &mut StallTimer,
+) -> Result<Option<Bytes>, EndpointFailure> {
+    let chunk = tokio::select! {
+        biased;
+        chunk = body.chunk() => chunk,
+        () = stall.silent() => Err(EndpointFailure::Broken(Reason::Stalled)),
+    };
+    stall.heard_now();
+    chunk
+}
+
+impl<E: EndpointProtocol> Relay<E> {
+    /// Reads a generation's stream, and the streams that resume it, to the end.
+    pub(super) async fn run_stream(
+        &mut self,
+        dispatch: &Dispatch,
+        answer: Answer<E::Body>,
+    ) -> Result<AttemptEnd, NodeGone> {
+        self.delivery.on_answered();
+        let mut reader = EventReader::new(&dispatch.attempt.to_string());
+        let mut answer = answer;
+        loop {
+            let stop = self.read_stream(dispatch, &mut answer, &mut reader).await;
+            let step = match stop {
+                Stop::Step(step) => step,
+                Stop::Complete(step, ending) => {
+                    return self.complete(dispatch, step, ending, answer.body).await;
+                }
+                Stop::Interrupt(interrupt) => {
+                    return Ok(self.interrupted(dispatch, interrupt).await);
+                }
+                Stop::NodeGone => return Err(NodeGone),
+            };
+            drop(answer);
+            reader.clear();
+            answer = match self.apply(dispatch, step).await? {
+                Next::Read | Next::End => return Ok(AttemptEnd::Over),
+                Next::Resume { after, delay } => match self.reopen(dispatch, after, delay).await? {
+                    Ok(answer) => answer,
+                    Err(end) => return Ok(end),
+                },
+            };
+        }
+    }
+
+    /// Resumes a generation whose stream never began.
+    pub(super) async fn resume_stream(
+        &mut self,
+        dispatch: &Dispatch,
+        after: Option<u32>,
+        delay: Duration,
+    ) -> Result<AttemptEnd, NodeGone> {
+        match self.reopen(dispatch, after, delay).await? {
+            Ok(answer) => self.run_stream(dispatch, answer).await,
+            Err(end) => Ok(end),
+        }
+    }
+
+    /// Asks the same endpoint for the rest until it answers or the delivery gives up.
+    async fn reopen(
+        &mut self,
+        dispatch: &Dispatch,
+        after: Option<u32>,
+        delay: Duration,
+    ) -> Result<Result<Answer<E::Body>, AttemptEnd>, NodeGone> {
+        let (mut after, mut delay) = (after, delay);
+        loop {
+            let point = ResumePoint {
+                attempt: dispatch.attempt,
+                last_index: after,
+            };
+            let ask = async {
+                tokio::time::sleep(delay).await;
+                let limit = dispatch.stall_limit;
+                self.protocol.resume(&dispatch.endpoint, point, limit).await
+            };
+            let step = match self.ends.watch(ask).await {
+                Err(interrupt) => return Ok(Err(self.interrupted(dispatch, interrupt).await)),
+                Ok(Ok(answer)) => {
+                    self.delivery.on_resume_answer(ResumeAnswer::Ok);
+                    return Ok(Ok(answer));
+                }
+                Ok(Err(EndpointFailure::Broken(Reason::GenerationLost))) => {
+                    self.delivery.on_resume_answer(ResumeAnswer::Lost)
+                }
+                Ok(Err(failure)) => self.on_failure(&failure),
+            };
+            match self.apply(dispatch, step).await? {
+                Next::Read | Next::End => return Ok(Err(AttemptEnd::Over)),
+                Next::Resume { after: a, delay: d } => (after, delay) = (a, d),
+            }
+        }
+    }
+
+    /// Reads until the delivery wants something other than more bytes.
+    async fn read_stream(
+        &mut self,
+        dispatch: &Dispatch,
+        answer: &mut Answer<E::Body>,
+        reader: &mut EventReader,
+    ) -> Stop {
+        if !is_event_stream(answer) {
+            return Stop::Step(self.delivery.on_garbage());
+        }
+        let mut stall = StallTimer::new(dispatch.stall_limit);
+        loop {
+            let next = next_chunk(&mut answer.body, &mut stall);
+            let chunk = match self.ends.watch(next).await {
+                Err(interrupt) => return interrupt.into(),
+                Ok(chunk) => chunk,
+            };
+            if let Err(stop) = self
+                .take_chunks(dispatch, chunk, &mut answer.body, reader)
+                .await
+            {
+                return self.flush_before(stop).await;
+            }
+            if let Err(interrupt) = self.ends.flush().await {
+                return interrupt.into();
+            }
+            stall.heard_now();
+        }
+    }
+
+    /// Flushes what was delivered before a stop: the delivery counts it as
+    /// held by the caller. The end of the answer brings it along by itself.
+    async fn flush_before(&mut self, stop: Stop) -> Stop {
+        if let Stop::Complete(..) = stop {
+            return stop;
+        }
+        match self.ends.flush().await {
+            Ok(()) => stop,
+            Err(interrupt) => interrupt.into(),
+        }
+    }
+
+    /// Takes a chunk and all that is at hand after it, so that they leave in one write.
+    async fn take_chunks(
+        &mut self,
+        dispatch: &Dispatch,
+        first: Result<Option<Bytes>, EndpointFailure>,
+        body: &mut E::Body,
+        reader: &mut EventReader,
+    ) -> Result<(), Stop> {
+        let mut chunk = first;
+        loop {
+            match chunk {
+                Ok(Some(bytes)) => reader.push(&bytes),
+                Ok(None) => return Err(Stop::Step(self.delivery.on_closed())),
+                Err(failure) => return Err(Stop::Step(self.on_failure(&failure))),
+            }
+            self.take_events(dispatch, reader).await?;
+            if self.ends.caller.waiting() >= FLUSH_BYTES {
+                return Ok(());
+            }
+            match body.ready_chunk() {
+                Some(next) => chunk = next,
+                None => return Ok(()),
+            }
+        }
+    }
+
+    async fn take_events(
+        &mut self,
+        dispatch: &Dispatch,
+        reader: &mut EventReader,
+    ) -> Result<(), Stop> {
+        loop {
+            let event = match reader.next_event() {
+                Ok(Some(event)) => event,
+                Ok(None) => return Ok(()),
+                Err(Garbage) => return Err(Stop::Step(self.delivery.on_garbage())),
+            };
+            let step = match event {
+                EngineEvent::Token {
+                    attempt,
+                    index,
+                    text,
+                } => {
+                    let step = self.delivery.on_token(&attempt, index, &text);
+                    if step.act == Act::Deliver {
+                        self.ends.caller.token(index, &text);
+                    }
+                    step
+                }
+                EngineEvent::End {
+                    attempt,
+                    index,
+                    finish,
+                    usage,
+                } => {
+                    let step = self.delivery.on_end(&attempt, end_mark(index, usage));
+                    if step.act == Act::Complete {
+                        let usage = usage.unwrap_or_default();
+                        return Err(Stop::Complete(step, Ending { finish, usage }));
+                    }
+                    step
+                }
+                EngineEvent::Failed => self.delivery.on_endpoint_error(),
+                EngineEvent::Nothing => continue,
+            };
+            match step.act {
+                Act::Deliver | Act::Hold => {}
+                Act::Discard(reason) => count_discarded(reason),
+                _ => return Err(Stop::Step(step)),
+            }
+            if step.report.is_some() {
+                self.report(dispatch.attempt, step.report).await?;
+            }
+        }
+    }
+
+    /// Hands on the end of the answer and reports it.
+    async fn complete(
+        &mut self,
+        dispatch: &Dispatch,
+        step: Step,
+        ending: Ending,
+        body: E::Body,
+    ) -> Result<AttemptEnd, NodeGone> {
+        let first = self.delivery.delivered();
+        for (index, text) in (first..).zip(self.delivery.held()) {
+            self.ends.caller.token(index, text);
+        }
+        self.delivery.on_held_delivered();
+        let ended = self.ends.caller.end(ending.finish, ending.usage).await;
+        self.report(dispatch.attempt, step.report).await?;
+        if ended.is_err() {
+            return Ok(AttemptEnd::Interrupted(Interrupt::CallerGone));
+        }
+        drain(body).await;
+        Ok(AttemptEnd::Answered)
+    }
+}
+
+fn end_mark(index: u32, usage: Option<Usage>) -> EndMark {
+    EndMark {
+        index,
+        completion_tokens: usage.map(|usage| usage.completion_tokens),
+        prompt_tokens: usage.map(|usage| usage.prompt_tokens),
+    }
+}
+
+fn is_event_stream<B>(answer: &Answer<B>) -> bool {
+    const EVENT_STREAM: &str = "text/event-stream";
+    let content_type = answer.content_type.as_ref();
+    let content_type = content_type.and_then(|value| value.to_str().ok());
+    content_type.is_some_and(|text| text.trim_start().starts_with(EVENT_STREAM))
+}
+
+/// Reads what follows the end mark. An unread rest would make the client close
+/// the connection instead of keeping it for the next request.
+async fn drain<B: AnswerBody>(mut body: B) {
+    let rest = async { while let Ok(Some(_)) = body.chunk().await {} };
+    let _ = timeout(DRAIN_LIMIT, rest).await;
+}
--- /dev/null
+++ b/crates/oriolemux/src/relay/caller.rs
@@ -0,0 +1,208 @@
+//! The caller's end of a request: what was answered, and whether anyone listens.
+
+use super::chunk::ChunkWriter;
+use super::events::{FinishReason, Usage};
+use crate::callers::errors::ErrorAnswer;
+use bytes::Bytes;
+use core::time::Duration;
+use http::HeaderValue;
+use tokio::sync::{mpsc, oneshot};
+
+/// How many written pieces wait for a caller that reads slowly.
+///
+/// One piece is written by the server while the next is filled; more would
+/// only be memory. When both are full, nothing is read from the endpoint.
+const PIECES: usize = 1;
+
+/// A piece of a streamed answer.
+#[derive(Debug)]
+pub enum Piece {
+    /// More follows.
+    Part(Bytes),
+    /// The answer ends with this. Without it the server breaks the connection,
+    /// so that a caller never takes a cut answer for a whole one.
+    Last(Bytes),
+}
+
+/// How the answer begins, and for all but a stream the whole answer.
+#[derive(Debug)]
+pub enum Reply {
+    /// A stream of events.
+    Stream(mpsc::Receiver<Piece>),
+    /// A whole answer.
+    Whole {
+        /// Its content type, if it has one.
+        content_type: Option<HeaderValue>,
+        /// Its bytes.
+        body: Bytes,
+    },
+    /// A refusal or failure.
+    Error(ErrorAnswer),
+}
+
+/// The form in which a caller takes its answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AnswerForm {
+    /// Events as the tokens come.
+    Events,
+    /// One JSON object.
+    Json,
+    /// A service's bytes as they are.
+    Bytes,
+}
+
+/// Nobody listens any more.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CallerGone;
+
+/// Writes one request's answer.
+///
+/// Invariant: `head` is taken when the answer begins; after that `pieces` is
+/// set if, and only if, the answer is a stream.
+#[derive(Debug)]
+pub struct Caller {
+    form: AnswerForm,
+    chunks: ChunkWriter,
+    head: Option<oneshot::Sender<Reply>>,
+    pieces: Option<mpsc::Sender<Piece>>,
+    out: Vec<u8>,
+    write_timeout: Duration,
+}
+
+impl Caller {
+    /// Answers through `head` in the form `form`.
+    ///
+    /// A caller that takes no byte for `write_timeout` counts as gone.
+    pub fn new(
+        form: AnswerForm,
+        chunks: ChunkWriter,
+        head: oneshot::Sender<Reply>,
+        write_timeout: Duration,
+    ) -> Self {
+        Caller {
+            form,
+            chunks,
+            head: Some(head),
+            pieces: None,
+            out: Vec::new(),
+            write_timeout,
+        }
+    }
+
+    /// Waits until nobody listens any more.
+    pub async fn gone(&mut self) -> CallerGone {
+        match (&mut self.head, &self.pieces) {
+            (Some(head), _) => head.closed().await,
+            (None, Some(pieces)) => pieces.closed().await,
+            (None, None) => {}
+        }
+        CallerGone
+    }
+
+    /// Adds a token; it leaves with the next [`Caller::flush`].
+    #[inline]
+    pub fn token(&mut self, index: u32, text: &[u8]) {
+        match self.form {
+            AnswerForm::Events => self.chunks.token(&mut self.out, index, text),
+            AnswerForm::Json | AnswerForm::Bytes => self.out.extend_from_slice(text),
+        }
+    }
+
+    /// Returns how many bytes wait to be flushed.
+    pub fn waiting(&self) -> usize {
+        match self.form {
+            AnswerForm::Events => self.out.len(),
+            AnswerForm::Json | AnswerForm::Bytes => 0,
+        }
+    }
+
+    /// Hands what waits to the server; waits as long as the caller is slow.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the caller left or took nothing for the write timeout.
+    pub async fn flush(&mut self) -> Result<(), CallerGone> {
+        if self.waiting() == 0 {
+            return Ok(());
+        }
+        let part = Bytes::from(core::mem::take(&mut self.out));
+        self.send(Piece::Part(part)).await
+    }
+
+    /// Ends a whole answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the caller left or took nothing for the write timeout.
+    pub async fn end(&mut self, finish: FinishReason, usage: Usage) -> Result<(), CallerGone> {
+        if self.form == AnswerForm::Events {
+            self.chunks.end(&mut self.out, finish, usage);
+            let last = Bytes::from(core::mem::take(&mut self.out));
+            return self.send(Piece::Last(last)).await;
+        }
+        let text = core::mem::take(&mut self.out);
+        let mut body = Vec::new();
+        self.chunks.answer(&mut body, &text, finish, usage);
+        self.reply(Reply::Whole {
+            content_type: Some(HeaderValue::from_static("application/json")),
+            body: body.into(),
+        })
+    }
+
+    /// Gives a service's answer as it is.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the caller left.
+    pub fn answer(
+        &mut self,
+        content_type: Option<HeaderValue>,
+        body: Bytes,
+    ) -> Result<(), CallerGone> {
+        self.reply(Reply::Whole { content_type, body })
+    }
+
+    /// Gives the final answer of a request that did not end well: as the whole
+    /// answer, or as the last event of a stream that has begun.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the caller left or took nothing for the write timeout.
+    pub async fn fail(&mut self, error: ErrorAnswer) -> Result<(), CallerGone> {
+        if self.head.is_some() {
+            return self.reply(Reply::Error(error));
+        }
+        error.write_event(&mut self.out);
+        let last = Bytes::from(core::mem::take(&mut self.out));
+        self.send(Piece::Last(last)).await
+    }
+
+    fn reply(&mut self, reply: Reply) -> Result<(), CallerGone> {
+        let head = self.head.take().ok_or(CallerGone)?;
+        head.send(reply).map_err(|_| CallerGone)
+    }
+
+    async fn send(&mut self, piece: Piece) -> Result<(), CallerGone> {
+        self.begin_stream()?;
+        let pieces = self.pieces.as_ref().ok_or(CallerGone)?;
+        let Err(back) = pieces.try_send(piece) else {
+            return Ok(());
+        };
+        let piece = match back {
+            mpsc::error::TrySendError::Full(piece) => piece,
+            mpsc::error::TrySendError::Closed(_) => return Err(CallerGone),
+        };
+        let sent = pieces.send_timeout(piece, self.write_timeout).await;
+        sent.map_err(|_| CallerGone)
+    }
+
+    fn begin_stream(&mut self) -> Result<(), CallerGone> {
+        if self.pieces.is_some() {
+            return Ok(());
+        }
+        let (pieces, rx) = mpsc::channel(PIECES);
+        self.reply(Reply::Stream(rx))?;
+        self.pieces = Some(pieces);
+        Ok(())
+    }
+}
