Policies side by side in virtual time

Cause: whether the cell's decisions are worth anything can only be said against other policies on the same requests.

--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod faults;
 pub mod load;
 pub mod node;
+pub mod policy;
 pub mod process;
 pub mod proxy;
 pub mod standins;
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -3,7 +3,7 @@
 //! can start real processes by executing its own file again.
 
 use clap::{Parser, Subcommand};
-use oriolemux_bench::{demo, faults, node, proxy, standins};
+use oriolemux_bench::{demo, faults, node, policy, proxy, standins};
 use std::process::ExitCode;
 
 /// Stand-ins, load and experiments for oriolemux.
@@ -31,6 +31,8 @@
     Demo(demo::DemoArgs),
     /// Run each failure alone and in pairs, and check every promise from outside.
     Faults(faults::FaultsArgs),
+    /// Compare policies of placement side by side in virtual time.
+    Policy(policy::PolicyArgs),
 }
 
 fn main() -> ExitCode {
@@ -43,5 +45,6 @@
         Command::Node(args) => node::run(args),
         Command::Demo(args) => demo::run(args),
         Command::Faults(args) => faults::run(args),
+        Command::Policy(args) => policy::run(args),
     }
 }
