The operators' listener and the commands that ask it

Cause: nobody could ask a running instance anything. Change: health, readiness, metrics, status, explain and drain on a listener with an address and key of its own, compared in constant time; health asks the node task, readiness does not, so that a stop is seen also when the task is busy. status, explain and drain as commands, as text or JSON, with exit codes. Samples of histograms are folded every 5 s, else they pile up unscraped.

--- a/crates/oriolemux/src/cli.rs
+++ b/crates/oriolemux/src/cli.rs
@@ -4,13 +4,16 @@
 //! ends with an [`ExitStatus`] that tells apart what a script has to tell apart.
 
 mod check;
+mod client;
 mod exit;
+mod operate;
 mod report;
 mod serve;
 
 pub use exit::ExitStatus;
 
 use clap::{Args, Parser, Subcommand};
+use oriolemux_core::RequestId;
 use std::ffi::OsString;
 use std::io::Write;
 use std::path::PathBuf;
@@ -45,6 +48,12 @@
     Serve(ServeArgs),
     /// Check the text of settings and catalogue files and report every finding.
     Check(CheckArgs),
+    /// Print the state of a running instance.
+    Status(client::Target),
+    /// Print why a request went as it did.
+    Explain(ExplainArgs),
+    /// Begin the planned stop of a running instance, as SIGTERM does.
+    Drain(client::Target),
     /// Print the version.
     Version,
 }
@@ -66,6 +75,14 @@
     files: Vec<PathBuf>,
 }
 
+#[derive(Debug, Args)]
+struct ExplainArgs {
+    /// The request's id, from the header `Oriolemux-Request` of its answer.
+    request: RequestId,
+    #[command(flatten)]
+    target: client::Target,
+}
+
 /// How a command prints what it has to say.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Output {
@@ -97,6 +114,9 @@
     match cli.command {
         Command::Serve(args) => serve::run(&args, output),
         Command::Check(args) => check::run(&args, output),
+        Command::Status(target) => operate::status(&target, output),
+        Command::Explain(args) => operate::explain(&args.target, args.request, output),
+        Command::Drain(target) => operate::drain(&target, output),
         Command::Version => version(output),
     }
 }
--- /dev/null
+++ b/crates/oriolemux/src/cli/client.rs
@@ -0,0 +1,159 @@
+//! Asks the operators' listener of a running instance.
+
+use super::ExitStatus;
+use crate::settings::{Secret, Settings};
+use core::time::Duration;
+use oriolemux_core::findings::Findings;
+use reqwest::{Method, Response, StatusCode};
+use serde::Deserialize;
+use serde::de::DeserializeOwned;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+/// The longest wait for an answer; the instance gives up on its own part sooner.
+const TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Which instance to ask.
+#[derive(Debug, clap::Args)]
+pub(super) struct Target {
+    /// The settings file of the instance, which names its operators' address and key file.
+    #[arg(long, value_name = "FILE", required_unless_present_all = ["address", "key_file"])]
+    settings: Option<PathBuf>,
+    /// The operators' address of the instance; goes before the settings.
+    #[arg(long, value_name = "IP:PORT")]
+    address: Option<SocketAddr>,
+    /// The file with the operators' key; goes before the settings.
+    #[arg(long, value_name = "FILE")]
+    key_file: Option<PathBuf>,
+}
+
+/// Why there is no answer.
+#[derive(Debug, displaydoc::Display, thiserror::Error)]
+pub(super) enum ClientError {
+    /// {0}
+    Settings(#[source] Findings),
+    /// cannot read the key file {path}: {source}
+    Key {
+        /// The file.
+        path: String,
+        /// What the operating system said.
+        source: std::io::Error,
+    },
+    /// cannot reach the operators' listener at {address}: {source}
+    Unreachable {
+        /// Its address.
+        address: SocketAddr,
+        /// What went wrong.
+        source: reqwest::Error,
+    },
+    /// cannot start the runtime: {0}
+    Runtime(#[source] std::io::Error),
+    /// the operators' listener at {0} refused the key
+    KeyRefused(SocketAddr),
+    /// {0}
+    NotFound(String),
+    /// the instance cannot answer: {0}
+    NoAnswer(String),
+}
+
+impl ClientError {
+    /// Returns the exit status that tells a script the kind of failure.
+    pub(super) const fn exit_status(&self) -> ExitStatus {
+        match self {
+            ClientError::Settings(_) | ClientError::Key { .. } => ExitStatus::Findings,
+            ClientError::Unreachable { .. }
+            | ClientError::Runtime(_)
+            | ClientError::NoAnswer(_) => ExitStatus::Unreachable,
+            ClientError::KeyRefused(_) => ExitStatus::KeyRefused,
+            ClientError::NotFound(_) => ExitStatus::NotFound,
+        }
+    }
+}
+
+/// Asks one instance.
+pub(super) struct Client {
+    address: SocketAddr,
+    key: Secret,
+}
+
+impl Client {
+    /// Finds out the address and the key of the instance.
+    pub(super) fn new(target: &Target) -> Result<Self, ClientError> {
+        let settings = target.settings.as_ref().map(Settings::load);
+        let settings = settings.transpose().map_err(ClientError::Settings)?;
+        let operators = settings.as_ref().map(|settings| &settings.operators);
+        let address = target.address.or(operators.map(|it| it.listen));
+        let key_file = operators.map(|it| it.key_file.path().to_owned());
+        let key_file = target.key_file.clone().or(key_file);
+        let (Some(address), Some(path)) = (address, key_file) else {
+            unreachable!("the command line asks for the settings or for both");
+        };
+        let key = std::fs::read(&path).map_err(|source| ClientError::Key {
+            path: path.display().to_string(),
+            source,
+        })?;
+        Ok(Client {
+            address,
+            key: Secret::new(key.trim_ascii()),
+        })
+    }
+
+    /// Sends one request and reads its JSON answer.
+    pub(super) fn ask<T: DeserializeOwned>(
+        &self,
+        method: Method,
+        path: &str,
+    ) -> Result<T, ClientError> {
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()
+            .map_err(ClientError::Runtime)?;
+        runtime.block_on(async {
+            let answer = self.send(method, path).await;
+            let answer = answer.map_err(|source| self.unreachable(source))?;
+            self.read(answer).await
+        })
+    }
+
+    async fn send(&self, method: Method, path: &str) -> reqwest::Result<Response> {
+        let url = format!("http://{}{path}", self.address);
+        reqwest::Client::builder()
+            .timeout(TIMEOUT)
+            .no_proxy()
+            .build()?
+            .request(method, url)
+            .bearer_auth(String::from_utf8_lossy(self.key.as_bytes()))
+            .send()
+            .await
+    }
+
+    async fn read<T: DeserializeOwned>(&self, answer: Response) -> Result<T, ClientError> {
+        let status = answer.status();
+        if status.is_success() {
+            let value = answer.json().await;
+            return value.map_err(|source| self.unreachable(source));
+        }
+        let error = answer.json::<ErrorBody>().await;
+        let message = error.map_or_else(|_| status.to_string(), |body| body.error.message);
+        Err(match status {
+            StatusCode::UNAUTHORIZED => ClientError::KeyRefused(self.address),
+            StatusCode::NOT_FOUND | StatusCode::BAD_REQUEST => ClientError::NotFound(message),
+            _ => ClientError::NoAnswer(message),
+        })
+    }
+
+    fn unreachable(&self, source: reqwest::Error) -> ClientError {
+        let address = self.address;
+        ClientError::Unreachable { address, source }
+    }
+}
+
+#[derive(Deserialize)]
+struct ErrorBody {
+    error: ErrorDetail,
+}
+
+#[derive(Deserialize)]
+struct ErrorDetail {
+    message: String,
+}
--- a/crates/oriolemux/src/lib.rs
+++ b/crates/oriolemux/src/lib.rs
@@ -13,6 +13,8 @@
 pub mod events;
 pub mod logs;
 pub mod metrics;
+pub mod operators;
 pub mod relay;
 pub mod serve;
 pub mod settings;
+pub mod status;
--- /dev/null
+++ b/crates/oriolemux/src/operators.rs
@@ -0,0 +1,13 @@
+//! The operators' listener: health, readiness, metrics, status, explain, drain.
+//!
+//! It has an address and a key of its own, so that callers can neither reach
+//! nor guess it. `/healthz` and `/readyz` need no key, because the balancer has
+//! none; they say nothing but yes or no. See `docs/OPERATIONS.md`.
+
+mod auth;
+mod port;
+mod routes;
+mod server;
+
+pub use port::{OperatorPort, OperatorQuery, QueryError};
+pub use server::{OperatorServer, bind};
--- /dev/null
+++ b/crates/oriolemux/src/operators/server.rs
@@ -0,0 +1,74 @@
+//! Serves operators on a listener of their own.
+
+use super::port::OperatorPort;
+use super::routes::routes;
+use crate::metrics;
+use crate::settings::Secret;
+use core::time::Duration;
+use poem::Server;
+use poem::listener::TcpAcceptor;
+use std::io;
+use std::net::{SocketAddr, TcpListener};
+
+/// An idle connection is closed after this time.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(75);
+/// A request that is still answered when the listener stops gets this long.
+const STOP_TIMEOUT: Duration = Duration::from_secs(2);
+/// How often samples are folded into histograms; see [`metrics::upkeep`].
+const UPKEEP_INTERVAL: Duration = Duration::from_secs(5);
+
+/// Binds the operators' address.
+///
+/// # Errors
+///
+/// Fails if the address is in use or not of this machine.
+pub fn bind(address: SocketAddr) -> io::Result<TcpListener> {
+    let listener = TcpListener::bind(address)?;
+    listener.set_nonblocking(true)?;
+    Ok(listener)
+}
+
+/// Serves operators. It can be run again on the same listener if a run failed.
+#[derive(Debug)]
+pub struct OperatorServer {
+    listener: TcpListener,
+    port: OperatorPort,
+    key: Secret,
+}
+
+impl OperatorServer {
+    /// Serves on `listener` those who have `key`.
+    pub fn new(listener: TcpListener, port: OperatorPort, key: Secret) -> Self {
+        OperatorServer {
+            listener,
+            port,
+            key,
+        }
+    }
+
+    /// Serves until `stop` resolves. The listener should be the last to stop, so
+    /// that operators can watch the others do it.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the listener cannot be used.
+    pub async fn run(&self, stop: impl Future<Output = ()>) -> io::Result<()> {
+        let acceptor = TcpAcceptor::from_std(self.listener.try_clone()?)?;
+        let app = routes(self.port.clone(), self.key.clone());
+        let server = Server::new_with_acceptor(acceptor)
+            .idle_timeout(IDLE_TIMEOUT)
+            .run_with_graceful_shutdown(app, stop, Some(STOP_TIMEOUT));
+        tokio::select! {
+            served = server => served,
+            () = keep_up_metrics() => Ok(()),
+        }
+    }
+}
+
+async fn keep_up_metrics() {
+    let mut ticks = tokio::time::interval(UPKEEP_INTERVAL);
+    loop {
+        ticks.tick().await;
+        metrics::upkeep();
+    }
+}
--- /dev/null
+++ b/crates/oriolemux/src/status.rs
@@ -0,0 +1,163 @@
+//! What an instance tells operators about itself.
+//!
+//! The operators' listener sends these as JSON, and `oriolemux status` and
+//! `oriolemux explain` show them as text; both ends share the types, so that
+//! neither can drift from the other. All durations are in milliseconds.
+
+use serde::{Deserialize, Serialize};
+
+/// Whether the balancer may send requests here.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Readiness {
+    /// No: no catalogue or no list of instances is in force yet.
+    #[default]
+    Starting,
+    /// Yes.
+    Ready,
+    /// No: a stop was asked for.
+    Stopping,
+}
+
+impl Readiness {
+    /// Returns the name used in answers.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Readiness::Starting => "starting",
+            Readiness::Ready => "ready",
+            Readiness::Stopping => "stopping",
+        }
+    }
+}
+
+/// The state of an instance.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct NodeStatus {
+    /// The instance's published name.
+    pub instance: String,
+    /// Its data centre.
+    pub data_centre: String,
+    /// This life of it, in hexadecimal.
+    pub incarnation: String,
+    /// The version of the program.
+    pub version: String,
+    /// Since when the process runs.
+    pub uptime_ms: u64,
+    /// Whether the balancer may send requests here.
+    pub readiness: Readiness,
+    /// The catalogue.
+    pub catalogue: CatalogueStatus,
+    /// The list of instances and endpoints.
+    pub list: ListStatus,
+    /// Requests that this instance accepted.
+    pub requests: RequestsStatus,
+    /// Links to other instances.
+    pub links: Vec<LinkStatus>,
+    /// The cells that this instance decides for.
+    pub cells: Vec<CellStatus>,
+}
+
+/// The catalogue in force, and the one that was rejected last.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CatalogueStatus {
+    /// The revision in force; 0 for none.
+    pub revision: u64,
+    /// The rejected revision, if a newer one than that in force was rejected.
+    pub rejected: Option<RejectedCatalogue>,
+}
+
+/// A catalogue revision that was rejected whole.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RejectedCatalogue {
+    /// The revision.
+    pub revision: u64,
+    /// Every finding, as `value:line:column: problem`.
+    pub findings: Vec<String>,
+}
+
+/// The list of instances and endpoints in force.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ListStatus {
+    /// The revision in force; 0 for none.
+    pub revision: u64,
+    /// Since when the list was not confirmed; `None` before the first.
+    pub age_ms: Option<u64>,
+    /// Instances that may be homes.
+    pub live_instances: u32,
+}
+
+/// How many requests stand where.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RequestsStatus {
+    /// Wait for their part of the catalogue.
+    pub judging: u32,
+    /// Wait for a grant.
+    pub waiting: u32,
+    /// Run at an endpoint.
+    pub running: u32,
+}
+
+/// A link to another instance.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LinkStatus {
+    /// The peer's published name.
+    pub peer: String,
+    /// Whether the link is up.
+    pub up: bool,
+}
+
+/// A cell that this instance decides for.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct CellStatus {
+    /// The cell's key.
+    pub cell: String,
+    /// Requests that wait.
+    pub queued: u32,
+    /// Requests that run.
+    pub running: u32,
+    /// How long the request that has waited longest has waited.
+    pub oldest_wait_ms: u64,
+    /// The cell's endpoints.
+    pub endpoints: Vec<EndpointStatus>,
+}
+
+/// An endpoint of a cell.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EndpointStatus {
+    /// The endpoint's published name, or its key if the name is not known.
+    pub endpoint: String,
+    /// It is leaving and gets no new work.
+    pub leaving: bool,
+    /// It was ejected on evidence and gets no new work but probes.
+    pub ejected: bool,
+    /// Requests that run there under this cell's grants.
+    pub running: u32,
+    /// KV tokens (or calls, for a service) in all.
+    pub total: u64,
+    /// KV tokens counted with for this cell's requests.
+    pub counted: u64,
+    /// KV tokens that others hold there.
+    pub foreign: u64,
+    /// KV tokens (or calls) that may still be granted.
+    pub free: u64,
+}
+
+/// Why a request went as it did.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Explanation {
+    /// The request's id.
+    pub request: String,
+    /// What was decided, in order.
+    pub steps: Vec<ExplanationStep>,
+}
+
+/// One decision about a request.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ExplanationStep {
+    /// Time since the request arrived.
+    pub at_ms: u64,
+    /// The decision's stable name, for example `granted`.
+    pub step: String,
+    /// What it was decided from, for people.
+    pub detail: String,
+}
