--- /dev/null
+++ b/crates/bench/src/fleet/plan.rs
@@ -0,0 +1,84 @@
+//! What a fleet consists of.
+
+/// What a fleet consists of. Build it with [`Plan::default`] and the `with_` methods.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    pub(super) instances: usize,
+    pub(super) engines: usize,
+    pub(super) services: usize,
+    pub(super) views: usize,
+    pub(super) proxied: bool,
+    pub(super) engine_args: Vec<String>,
+    pub(super) service_args: Vec<String>,
+    pub(super) settings: String,
+}
+
+impl Default for Plan {
+    /// One instance before one engine, without proxies.
+    fn default() -> Self {
+        Plan {
+            instances: 1,
+            engines: 1,
+            services: 0,
+            views: 1,
+            proxied: false,
+            engine_args: Vec::new(),
+            service_args: Vec::new(),
+            settings: String::new(),
+        }
+    }
+}
+
+impl Plan {
+    /// Sets how many instances there are.
+    pub fn with_instances(mut self, instances: usize) -> Self {
+        self.instances = instances;
+        self
+    }
+
+    /// Sets how many model engines there are.
+    pub fn with_engines(mut self, engines: usize) -> Self {
+        self.engines = engines;
+        self
+    }
+
+    /// Sets how many plain services there are.
+    pub fn with_services(mut self, services: usize) -> Self {
+        self.services = services;
+        self
+    }
+
+    /// Splits the instances over two views, which can be parted.
+    pub fn with_two_views(mut self) -> Self {
+        self.views = 2;
+        self.proxied()
+    }
+
+    /// Puts a proxy into every connection.
+    pub fn proxied(mut self) -> Self {
+        self.proxied = true;
+        self
+    }
+
+    /// Adds options of every engine, as one line of arguments.
+    pub fn with_engine_args(mut self, args: &str) -> Self {
+        self.engine_args.extend(words(args));
+        self
+    }
+
+    /// Adds options of every service, as one line of arguments.
+    pub fn with_service_args(mut self, args: &str) -> Self {
+        self.service_args.extend(words(args));
+        self
+    }
+
+    /// Adds lines of TOML after the settings of every instance.
+    pub fn with_settings(mut self, toml: &str) -> Self {
+        self.settings.push_str(toml);
+        self
+    }
+}
+
+fn words(args: &str) -> impl Iterator<Item = String> {
+    args.split_whitespace().map(str::to_owned)
+}
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod demo;
 pub mod engine_model;
 pub mod faults;
+pub mod fleet;
 pub mod load;
 pub mod node;
 pub mod policy;
