Measure what a decision of a cell costs

Cause: the cost of decisions must grow no worse than logarithmically with the queue and the endpoints, and nothing measured it. Change: `oriolemux-bench decide` fills one cell until requests queue, keeps it there and prints nanoseconds per decision at 10 to 1,000 queued and 10 to 2,400 endpoints, with the worst growth against a logarithm.

--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -3,7 +3,7 @@
 //! can start real processes by executing its own file again.
 
 use clap::{Parser, Subcommand};
-use oriolemux_bench::{demo, faults, node, policy, proxy, standins};
+use oriolemux_bench::{decide, demo, faults, node, policy, proxy, standins};
 use std::process::ExitCode;
 
 /// Stand-ins, load and experiments for oriolemux.
@@ -33,6 +33,8 @@
     Faults(faults::FaultsArgs),
     /// Compare policies of placement side by side in virtual time.
     Policy(policy::PolicyArgs),
+    /// Measure what a decision costs, by queued requests and endpoints.
+    Decide(decide::DecideArgs),
 }
 
 fn main() -> ExitCode {
@@ -46,5 +48,6 @@
         Command::Demo(args) => demo::run(args),
         Command::Faults(args) => faults::run(args),
         Command::Policy(args) => policy::run(args),
+        Command::Decide(args) => decide::run(args),
     }
 }
