--- a/crates/core/src/cell.rs
+++ b/crates/core/src/cell.rs
@@ -6,15 +6,29 @@
 //! progress at doubling checkpoints and the end. The state is soft: a new home
 //! rebuilds it from load reports and from what entries tell ([`Cell::adopt`]).
 //!
+//! # The story of a poll
+//!
+//! [`Cell::poll`] forecasts the memory of the endpoints that are due
+//! ([`crate::memory`]), grants from the queue in the order of deadlines until
+//! nothing more fits (`place`), and refuses what cannot start in time
+//! (`refuse`). Its cost grows with the logarithm of queue and endpoints.
+//!
 //! See `docs/design/admission.md` and `docs/design/routing.md`.
 
 pub mod config;
 pub mod decision;
+mod drain;
+mod endpoint;
+mod index;
 pub mod message;
+mod place;
+mod refuse;
 pub mod request;
+mod risk;
 pub mod snapshot;
 
-pub use config::{CellConfig, CellConfigBuilder, HORIZONS};
+pub use crate::memory::HORIZONS;
+pub use config::{CellConfig, CellConfigBuilder};
 pub use decision::{Alternative, CellDecision, GrantRecord, Lost, MAX_ALTERNATIVES};
 pub use message::CellMessage;
 pub use request::{
@@ -24,72 +38,162 @@
 pub use snapshot::{CellSnapshot, EndpointSnapshot};
 
 use crate::event::LoadReport;
-use crate::ids::{EndpointKey, Incarnation, InstanceKey, RequestId};
+use crate::ids::{ClassKey, EndpointKey, Incarnation, InstanceKey, RequestId};
+use crate::length::buckets::bucket_of;
+use crate::length::{LengthModel, LengthNode};
+use crate::memory::{ClassIx, Demand, Forecast, Held};
+use crate::queue::{LaneKey, Queue, Waiting};
 use crate::reason::Reason;
+use crate::routing::prefix::{EndpointIx, PrefixMap};
 use crate::time::Time;
-use core::time::Duration;
-use std::collections::BTreeMap;
+use cranelift_entity::PrimaryMap;
+use drain::Drain;
+use endpoint::Endpoint;
+use index::RoomIndex;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use risk::ClassRisk;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Generated tokens at the first checkpoint; each later one doubles it.
 pub const FIRST_CHECKPOINT: u32 = 64;
+/// Endpoints that are forecast anew in one poll at most, so that one poll stays short.
+const REFRESH_BATCH: usize = 16;
 
 /// Returns whether a running request tells its home that it has generated `tokens`.
 pub fn is_checkpoint(tokens: u32) -> bool {
     tokens >= FIRST_CHECKPOINT && tokens.is_power_of_two()
 }
 
-/// An endpoint as the cell sees it.
-#[derive(Clone, Debug)]
-struct Endpoint {
-    info: EndpointInfo,
-    report: Option<LoadReport>,
-    counted: u64,
-    running: u32,
+/// Returns the first checkpoint after `tokens`.
+pub fn next_checkpoint(tokens: u32) -> u32 {
+    match tokens < FIRST_CHECKPOINT {
+        true => FIRST_CHECKPOINT,
+        false => (tokens / 2 + 1).next_power_of_two().saturating_mul(2),
+    }
+}
+
+/// A class as this cell has come to know it.
+#[derive(Clone, Copy, Debug)]
+struct ClassState {
+    risk: ClassRisk,
 }
 
-/// A running request as the cell sees it.
+/// Where a granted request runs.
 #[derive(Clone, Copy, Debug)]
 struct Lease {
-    endpoint: EndpointKey,
-    counted: u64,
+    endpoint: EndpointIx,
+    /// Tokens of the prompt as declared.
+    declared: u32,
 }
 
 /// The decision maker of one cell.
+///
+/// Invariants: a request is in the queue, or has a lease, or is unknown; the
+/// ledger of an endpoint holds exactly the requests with a lease there; each
+/// hold is noted at the endpoint and at the request.
 pub struct Cell {
     cfg: CellConfig,
-    endpoints: BTreeMap<EndpointKey, Endpoint>,
-    queue: BTreeMap<(Time, RequestId), CellRequest>,
-    queued: BTreeMap<RequestId, Time>,
-    running: BTreeMap<RequestId, Lease>,
+    rng: SmallRng,
+    endpoints: PrimaryMap<EndpointIx, Endpoint>,
+    by_key: BTreeMap<EndpointKey, EndpointIx>,
+    vacant: Vec<EndpointIx>,
+    due: BTreeSet<(Time, EndpointIx)>,
+    index: RoomIndex,
+    prefixes: PrefixMap,
+    lengths: LengthModel,
+    classes: PrimaryMap<ClassIx, ClassState>,
+    class_by_key: BTreeMap<ClassKey, ClassIx>,
+    queue: Queue,
+    leases: BTreeMap<RequestId, Lease>,
+    /// One for work that is not urgent, one for urgent work.
+    drains: [Drain; 2],
+    /// Requests that came since the last poll.
+    fresh: Vec<RequestId>,
+    /// Whether anything changed since requests were last placed.
+    is_dirty: bool,
+    /// When the cell was last polled.
+    polled: Time,
+    /// KV tokens of all live endpoints, and tokens a second of a generation.
+    supply: Supply,
+    blocked_lanes: Vec<LaneKey>,
+    seen: Vec<EndpointIx>,
 }
 
+/// What the live endpoints of a cell could do in all.
+#[derive(Clone, Copy, Debug, Default)]
+struct Supply {
+    at: Option<Time>,
+    work_per_s: f64,
+    largest: u64,
+    /// Whether each live endpoint has reported.
+    is_known: bool,
+}
+
+/// How often the supply is summed anew.
+const SUPPLY_INTERVAL: core::time::Duration = core::time::Duration::from_secs(1);
+/// Share of the supply that the queue is assumed to drain at first.
+const START_DRAIN_SHARE: f64 = 0.5;
+
 impl Cell {
     /// Returns a cell without endpoints. `seed` drives its jitter.
-    pub fn new(cfg: CellConfig, _seed: u64) -> Self {
+    pub fn new(cfg: CellConfig, seed: u64) -> Self {
+        let mut index = RoomIndex::default();
+        index.build(Requirement::ANY, core::iter::empty());
         Cell {
             cfg,
-            endpoints: BTreeMap::new(),
-            queue: BTreeMap::new(),
-            queued: BTreeMap::new(),
-            running: BTreeMap::new(),
+            rng: SmallRng::seed_from_u64(seed),
+            endpoints: PrimaryMap::new(),
+            by_key: BTreeMap::new(),
+            vacant: Vec::new(),
+            due: BTreeSet::new(),
+            index,
+            prefixes: PrefixMap::default(),
+            lengths: LengthModel::new(),
+            classes: PrimaryMap::new(),
+            class_by_key: BTreeMap::new(),
+            queue: Queue::default(),
+            leases: BTreeMap::new(),
+            drains: [Drain::default(); 2],
+            fresh: Vec::new(),
+            is_dirty: false,
+            polled: Time::ZERO,
+            supply: Supply::default(),
+            blocked_lanes: Vec::new(),
+            seen: Vec::new(),
         }
     }
 
     /// Adds an endpoint, or changes what is published about it.
-    pub fn set_endpoint(&mut self, _now: Time, info: EndpointInfo) {
-        let endpoint = self.endpoints.entry(info.key).or_insert(Endpoint {
-            info,
-            report: None,
-            counted: 0,
-            running: 0,
-        });
-        endpoint.info = info;
+    pub fn set_endpoint(&mut self, now: Time, info: EndpointInfo) {
+        let ix = match self.by_key.get(&info.key) {
+            Some(ix) => *ix,
+            None => self.add_endpoint(info),
+        };
+        self.endpoints[ix].info = info;
+        self.supply.at = None;
+        self.reindex(now, ix);
     }
 
     /// Removes an endpoint that is no longer published.
-    pub fn remove_endpoint(&mut self, _now: Time, key: EndpointKey) {
-        self.endpoints.remove(&key);
-        self.running.retain(|_, lease| lease.endpoint != key);
+    ///
+    /// What runs there goes on; this cell only stops to count it.
+    pub fn remove_endpoint(&mut self, now: Time, key: EndpointKey) {
+        let Some(ix) = self.by_key.remove(&key) else {
+            return;
+        };
+        let held = self.endpoints[ix].ledger.held();
+        for id in held.iter().map(|held| held.id).collect::<Vec<_>>() {
+            self.end_lease(now, id);
+        }
+        if let Some(id) = self.endpoints[ix].held_for {
+            self.release_hold(id);
+        }
+        self.unindex(ix);
+        self.due.remove(&(self.endpoints[ix].due, ix));
+        self.prefixes.forget(ix);
+        self.vacant.push(ix);
+        self.supply.at = None;
     }
 
     /// Takes a request into the queue; [`Cell::poll`] tells what becomes of it.
@@ -98,65 +202,160 @@
     /// ask (after a failed attempt, or after a lost grant) holds no room twice.
     pub fn submit(&mut self, now: Time, req: CellRequest) {
         self.withdraw(now, req.id);
-        let deadline = req.arrived + req.class.wait_target;
-        self.queued.insert(req.id, deadline);
-        self.queue.insert((deadline, req.id), req);
+        let class = self.class_ix(&req.class);
+        let node = self
+            .lengths
+            .acquire(req.class.key, req.entry, req.workspace);
+        let urgent = req.class.urgency <= self.cfg.urgent_urgency;
+        let demand = self.demand(&req, node);
+        let curve = self.lengths.curve(node);
+        let counted = Forecast::of(demand, 0, curve).peak(self.cfg.sigma_start);
+        let target = req.class.wait_target;
+        let waiting = Waiting {
+            class,
+            node,
+            lane: LaneKey::new(urgent, req.needs, counted as u32),
+            deadline: req.arrived + target,
+            hold_from: req.arrived + target.mul_f64(self.cfg.hold_share),
+            hold: None,
+            review: req.arrived + req.class.longest_wait,
+            work: curve.work(demand.prompt, demand.cap),
+            req,
+        };
+        self.fresh.push(waiting.req.id);
+        self.queue.push(waiting);
+        self.is_dirty = true;
     }
 
     /// Learns that a running request has generated `tokens`.
-    pub fn progress(&mut self, _now: Time, _id: RequestId, _tokens: u32) {}
+    pub fn progress(&mut self, now: Time, id: RequestId, tokens: u32) {
+        let Some(lease) = self.leases.get(&id) else {
+            return;
+        };
+        let endpoint = &mut self.endpoints[lease.endpoint];
+        endpoint.ledger.progress(now, id, tokens);
+        endpoint.health.succeeded(now);
+    }
 
     /// Learns that a granted request ended with `tokens` generated.
-    pub fn ended(&mut self, now: Time, id: RequestId, _tokens: u32, _end: EndKind) {
-        self.withdraw(now, id);
+    pub fn ended(&mut self, now: Time, id: RequestId, tokens: u32, end: EndKind) {
+        let Some(lease) = self.leases.get(&id).copied() else {
+            self.withdraw(now, id);
+            return;
+        };
+        let running = self.endpoints[lease.endpoint].ledger.held().len() as u32;
+        let Some(held) = self.end_lease(now, id) else {
+            return;
+        };
+        match end {
+            EndKind::Complete { prompt_tokens } => {
+                self.learn_length(&held, tokens);
+                if let Some(counted) = prompt_tokens {
+                    self.lengths
+                        .prompt_counted(held.node, lease.declared, counted);
+                }
+                self.classes[held.class].risk.completed();
+                let endpoint = &mut self.endpoints[lease.endpoint];
+                endpoint.health.succeeded(now);
+                endpoint.calls.completed(now.since(held.granted), running);
+            }
+            EndKind::Cancelled => self.learn_censored(&held, tokens),
+            EndKind::Failed(reason) => {
+                self.learn_censored(&held, tokens);
+                self.learn_failure(now, lease.endpoint, reason);
+            }
+        }
+        self.reindex(now, lease.endpoint);
     }
 
     /// Forgets a request, queued or running: its caller left or it moved elsewhere.
-    pub fn withdraw(&mut self, _now: Time, id: RequestId) {
-        if let Some(deadline) = self.queued.remove(&id) {
-            self.queue.remove(&(deadline, id));
+    pub fn withdraw(&mut self, now: Time, id: RequestId) {
+        if self.queue.get(id).is_some() {
+            let waiting = self.take_waiting(id);
+            self.lengths.release(waiting.node);
         }
-        if let Some(lease) = self.running.remove(&id)
-            && let Some(endpoint) = self.endpoints.get_mut(&lease.endpoint)
-        {
-            endpoint.counted -= lease.counted;
-            endpoint.running -= 1;
+        if let Some(lease) = self.leases.get(&id).copied() {
+            self.endpoints[lease.endpoint].health.probe_withdrawn();
+            self.end_lease(now, id);
         }
     }
 
     /// Takes over a request that runs under an earlier home's grant.
     pub fn adopt(&mut self, now: Time, running: Running) {
         self.withdraw(now, running.id);
-        let counted = u64::from(running.prompt_tokens + running.tokens);
-        self.lease(running.id, running.endpoint, counted);
+        let Some(ix) = self.by_key.get(&running.endpoint).copied() else {
+            return;
+        };
+        let class = self.class_ix(&running.class);
+        let node = self
+            .lengths
+            .acquire(running.class.key, running.entry, running.workspace);
+        let demand = Demand {
+            prompt: self.lengths.corrected_prompt(node, running.prompt_tokens),
+            cap: running.max_tokens,
+            floor: 0,
+        };
+        let curve = self.lengths.curve(node);
+        let held = Held {
+            id: running.id,
+            class,
+            urgent: running.class.urgency <= self.cfg.urgent_urgency,
+            node,
+            demand,
+            told: running.tokens,
+            told_at: now,
+            granted: now,
+            passed: bucket_of(running.tokens + 1),
+            forecast: Forecast::of(demand, running.tokens, curve),
+        };
+        self.lease(now, ix, held, running.prompt_tokens);
     }
 
     /// Ends every lease of one life of an instance, because it is dead.
     pub fn forget_holder(&mut self, now: Time, instance: InstanceKey, incarnation: Incarnation) {
-        let held = |id: &RequestId| id.instance == instance && id.incarnation == incarnation;
-        let queued = self.queued.keys().copied().filter(held);
-        let running = self.running.keys().copied().filter(held);
-        for id in queued.chain(running).collect::<Vec<_>>() {
+        let id = |seq| RequestId {
+            instance,
+            incarnation,
+            seq,
+        };
+        let range = id(0)..=id(u64::MAX);
+        let queued = self.queue.ids(range.clone());
+        let leased = self.leases.range(range).map(|(id, _)| *id);
+        for id in queued.chain(leased).collect::<Vec<_>>() {
             self.withdraw(now, id);
         }
     }
 
     /// Takes in an endpoint's load report.
-    pub fn report(&mut self, _now: Time, endpoint: EndpointKey, report: &LoadReport) {
-        if let Some(endpoint) = self.endpoints.get_mut(&endpoint) {
-            endpoint.report = Some(report.clone());
+    pub fn report(&mut self, now: Time, endpoint: EndpointKey, report: &LoadReport) {
+        let Some(ix) = self.by_key.get(&endpoint).copied() else {
+            return;
+        };
+        self.unindex(ix);
+        let was_known = self.endpoints[ix].reported.is_some();
+        let preempted = self.endpoints[ix].report(now, report);
+        if preempted > 0 {
+            self.learn_preemptions(ix, preempted);
         }
+        if !was_known {
+            self.supply.at = None;
+        }
+        self.endpoints[ix].refresh(now, &mut self.lengths);
+        self.reindex(now, ix);
     }
 
     /// Takes in an endpoint's cache events; `gap` says that some were lost.
     pub fn cache(
         &mut self,
         _now: Time,
-        _endpoint: EndpointKey,
-        _gap: bool,
-        _stored: &[u64],
-        _evicted: &[u64],
+        endpoint: EndpointKey,
+        gap: bool,
+        stored: &[u64],
+        evicted: &[u64],
     ) {
+        if let Some(ix) = self.by_key.get(&endpoint) {
+            self.prefixes.events(*ix, gap, stored, evicted);
+        }
     }
 
     /// Takes every decision that is due, and returns when to poll next.
@@ -164,77 +363,279 @@
     /// It should also be polled after every other call; decisions are
     /// appended to `out` in the order in which they were taken.
     pub fn poll(&mut self, now: Time, out: &mut Vec<CellDecision>) -> Time {
-        let order: Vec<_> = self.queue.keys().copied().collect();
-        for (deadline, id) in order {
-            let req = &self.queue[&(deadline, id)];
-            if now.since(req.arrived) > req.class.longest_wait {
-                self.withdraw(now, id);
-                out.push(CellDecision::Refuse {
-                    id,
-                    reason: Reason::WaitExpired,
-                    retry_after: Duration::from_secs(1),
-                    predicted_wait: Duration::ZERO,
-                    record: GrantRecord::default(),
-                });
-                continue;
-            }
-            let needed = u64::from(req.prompt_tokens) + u64::from(req.max_tokens.min(512));
-            let Some(key) = self.roomiest(needed) else {
-                break;
-            };
-            let priority = req.class.urgency;
-            self.withdraw(now, id);
-            self.lease(id, key, needed);
-            out.push(CellDecision::Grant {
-                id,
-                endpoint: key,
-                priority,
-                record: GrantRecord::default(),
-            });
+        self.polled = now;
+        self.sum_supply(now);
+        self.refresh_due(now);
+        if self.is_dirty {
+            self.is_dirty = false;
+            place::place_waiting(self, now, out);
         }
-        match self.queue.is_empty() {
-            true => Time::NEVER,
-            false => now + self.cfg.refresh_interval,
+        for urgent in [false, true] {
+            let backlogged = self.queue.work(urgent) > 0.0;
+            self.drains[usize::from(urgent)].roll(now, backlogged);
         }
+        refuse::judge_fresh(self, now, out);
+        refuse::review_due(self, now, out);
+        self.next_poll()
     }
 
-    /// Returns what operators see of the cell.
+    /// Returns what operators see of the cell, as of the last poll.
     pub fn snapshot(&self) -> CellSnapshot {
+        let now = self.polled;
+        let oldest = self.queue.oldest_arrival();
         CellSnapshot {
             queued: self.queue.len() as u32,
-            running: self.running.len() as u32,
-            oldest_wait: Duration::ZERO,
-            endpoints: Vec::new(),
-        }
-    }
-
-    fn lease(&mut self, id: RequestId, key: EndpointKey, counted: u64) {
-        if let Some(endpoint) = self.endpoints.get_mut(&key) {
-            endpoint.counted += counted;
-            endpoint.running += 1;
-            self.running.insert(
-                id,
-                Lease {
-                    endpoint: key,
-                    counted,
-                },
-            );
-        }
-    }
-
-    fn roomiest(&self, needed: u64) -> Option<EndpointKey> {
-        self.endpoints
-            .values()
-            .filter(|endpoint| endpoint.info.state == EndpointState::Live)
-            .map(|endpoint| {
-                let total = match &endpoint.report {
-                    Some(report) => report.kv_tokens_total,
-                    None => self.cfg.unreported_kv_tokens,
-                };
-                (total.saturating_sub(endpoint.counted), endpoint.info.key)
+            running: self.leases.len() as u32,
+            oldest_wait: oldest.map_or_else(Default::default, |at| now.since(at)),
+            length_drifts: self.lengths.drifts(),
+            endpoints: self
+                .by_key
+                .values()
+                .map(|ix| self.endpoints[*ix].snapshot(now, &self.cfg))
+                .collect(),
+        }
+    }
+
+    fn add_endpoint(&mut self, info: EndpointInfo) -> EndpointIx {
+        let endpoint = Endpoint::new(info, &self.cfg);
+        let ix = match self.vacant.pop() {
+            Some(ix) => {
+                self.endpoints[ix] = endpoint;
+                ix
+            }
+            None => self.endpoints.push(endpoint),
+        };
+        self.by_key.insert(info.key, ix);
+        ix
+    }
+
+    fn class_ix(&mut self, rules: &ClassRules) -> ClassIx {
+        let classes = &mut self.classes;
+        let start = self.cfg.sigma_start;
+        *self.class_by_key.entry(rules.key).or_insert_with(|| {
+            let risk = ClassRisk::new(start, rules.preemption_risk.into());
+            classes.push(ClassState { risk })
+        })
+    }
+
+    fn demand(&self, req: &CellRequest, node: LengthNode) -> Demand {
+        Demand {
+            prompt: self.lengths.corrected_prompt(node, req.prompt_tokens),
+            cap: req.max_tokens,
+            floor: req.already,
+        }
+    }
+
+    fn describe(&mut self, now: Time, waiting: &Waiting) -> GrantRecord {
+        place::describe(self, now, waiting)
+    }
+
+    /// Takes a request out of the queue; its length node stays held.
+    fn take_waiting(&mut self, id: RequestId) -> Waiting {
+        self.release_hold(id);
+        let waiting = self.queue.remove(id);
+        waiting.expect("the request is in the queue")
+    }
+
+    fn release_hold(&mut self, id: RequestId) {
+        let hold = self.queue.get(id).and_then(|waiting| waiting.hold);
+        if let Some(ix) = hold {
+            self.endpoints[ix].held_for = None;
+            self.queue.set_hold(id, None);
+            self.is_dirty = true;
+        }
+    }
+
+    fn lease(&mut self, now: Time, ix: EndpointIx, held: Held, declared: u32) {
+        let lease = Lease {
+            endpoint: ix,
+            declared,
+        };
+        self.leases.insert(held.id, lease);
+        let endpoint = &mut self.endpoints[ix];
+        endpoint.ledger.add(held);
+        endpoint.foreign.sample(now, &endpoint.ledger);
+        endpoint.health.granted(now);
+        self.reindex(now, ix);
+    }
+
+    fn end_lease(&mut self, now: Time, id: RequestId) -> Option<Held> {
+        let lease = self.leases.remove(&id)?;
+        let endpoint = &mut self.endpoints[lease.endpoint];
+        let held = endpoint.ledger.remove(id)?;
+        endpoint.foreign.sample(now, &endpoint.ledger);
+        self.lengths.release(held.node);
+        self.reindex(now, lease.endpoint);
+        Some(held)
+    }
+
+    fn learn_length(&mut self, held: &Held, tokens: u32) {
+        if tokens >= held.demand.cap {
+            self.learn_censored(held, tokens);
+            return;
+        }
+        self.lengths.ended(held.node, held.passed, tokens);
+    }
+
+    /// Learns from an answer that was cut off: it would have been longer.
+    fn learn_censored(&mut self, held: &Held, tokens: u32) {
+        self.lengths
+            .survived(held.node, held.passed, bucket_of(tokens));
+    }
+
+    fn learn_failure(&mut self, now: Time, ix: EndpointIx, reason: Reason) {
+        let endpoint = &mut self.endpoints[ix];
+        endpoint.calls.failed();
+        if reason == Reason::EndpointLeaving {
+            endpoint.said_leaving = true;
+        }
+        if endpoint.health.failed(now, reason) {
+            self.prefixes.forget(ix);
+        }
+    }
+
+    /// Spreads preemptions over the classes that ran where they happened.
+    fn learn_preemptions(&mut self, ix: EndpointIx, count: u64) {
+        let held = self.endpoints[ix].ledger.held();
+        let share = count as f64 / held.len().max(1) as f64;
+        for held in held {
+            self.classes[held.class].risk.preempted(share);
+        }
+    }
+
+    /// Forecasts an endpoint anew if its figures are older than the interval.
+    fn freshen(&mut self, now: Time, ix: EndpointIx) {
+        let age = now.since(self.endpoints[ix].refreshed);
+        if age >= self.cfg.refresh_interval {
+            self.endpoints[ix].refresh(now, &mut self.lengths);
+            self.reindex(now, ix);
+        }
+    }
+
+    fn refresh_due(&mut self, now: Time) {
+        for _ in 0..REFRESH_BATCH {
+            match self.due.first().copied() {
+                Some((at, ix)) if at <= now => {
+                    self.endpoints[ix].refresh(now, &mut self.lengths);
+                    self.reindex(now, ix);
+                }
+                _ => return,
+            }
+        }
+    }
+
+    /// Brings an endpoint's place in the indices up to date.
+    fn reindex(&mut self, now: Time, ix: EndpointIx) {
+        let endpoint = &mut self.endpoints[ix];
+        let room = (!endpoint.is_leaving()).then(|| endpoint.room(now, &self.cfg));
+        let due = match endpoint.is_moving(now) {
+            true => now + self.cfg.refresh_interval,
+            false => Time::NEVER,
+        };
+        let (from, before) = (endpoint.indexed, endpoint.due);
+        endpoint.indexed = room;
+        endpoint.due = due;
+        if from != room {
+            let endpoint = &self.endpoints[ix];
+            self.index
+                .set(ix, from, room, |needs| endpoint.holds(needs));
+        }
+        self.due.remove(&(before, ix));
+        if due != Time::NEVER {
+            self.due.insert((due, ix));
+        }
+        self.is_dirty = true;
+    }
+
+    fn unindex(&mut self, ix: EndpointIx) {
+        let from = self.endpoints[ix].indexed.take();
+        self.index.set(ix, from, None, |_| true);
+    }
+
+    fn next_poll(&self) -> Time {
+        let refresh = self.due.first().map_or(Time::NEVER, |(at, _)| *at);
+        let review = self.queue.next_review().map_or(Time::NEVER, |(at, _)| at);
+        refresh.min(review)
+    }
+
+    fn sum_supply(&mut self, now: Time) {
+        let is_current = self
+            .supply
+            .at
+            .is_some_and(|at| now.since(at) < SUPPLY_INTERVAL);
+        if is_current {
+            return;
+        }
+        let mut supply = Supply {
+            at: Some(now),
+            work_per_s: 0.0,
+            largest: 0,
+            is_known: true,
+        };
+        for ix in self.by_key.values() {
+            let endpoint = &self.endpoints[*ix];
+            if endpoint.is_leaving() {
+                continue;
+            }
+            supply.work_per_s += endpoint.capacity(now) * endpoint.ledger.rate();
+            supply.largest = supply.largest.max(endpoint.total);
+            supply.is_known &= endpoint.reported.is_some();
+        }
+        self.supply = supply;
+    }
+
+    /// Returns the work that the queue of an urgency drains a second.
+    fn drain_rate(&self, urgent: bool) -> f64 {
+        let supply = self.supply.work_per_s;
+        let share = match urgent {
+            true => self.cfg.urgent_share.max(FLOOR_URGENT_DRAIN_SHARE),
+            false => START_DRAIN_SHARE,
+        };
+        self.drains[usize::from(urgent)].rate(supply, supply * share)
+    }
+
+    /// Returns whether some endpoint that is not leaving could ever take the request.
+    fn is_served(&self, req: &CellRequest) -> bool {
+        let holding = self.index.len(req.needs);
+        if holding > req.exclude.len() {
+            return true;
+        }
+        let excluded = |ix| req.exclude.contains(&self.endpoints[ix].info.key);
+        !self.index.roomiest(req.needs).all(excluded)
+    }
+
+    fn can_ever_fit(&self, req: &CellRequest) -> bool {
+        let is_model = self.supply.largest > 0;
+        !is_model || !self.supply.is_known || u64::from(req.prompt_tokens) < self.supply.largest
+    }
+
+    fn ensure_indexed(&mut self, needs: Requirement) {
+        if self.index.has(needs) {
+            return;
+        }
+        let endpoints = &self.endpoints;
+        let holding = self.by_key.values().copied();
+        let holding = holding.filter(|ix| endpoints[*ix].holds(needs));
+        let rooms = holding.filter_map(|ix| endpoints[ix].indexed.map(|room| (room, ix)));
+        self.index.build(needs, rooms);
+    }
+
+    /// Returns a few endpoints with the reason why each did not take a request.
+    fn sample_alternatives(&self, now: Time, req: &CellRequest) -> Vec<Alternative> {
+        let sample = self.by_key.values().take(MAX_ALTERNATIVES);
+        sample
+            .map(|ix| {
+                let endpoint = &self.endpoints[*ix];
+                let barred = endpoint.bars(now, req);
+                Alternative {
+                    endpoint: endpoint.info.key,
+                    lost: barred.unwrap_or_else(|| endpoint.why_no_room(now, req.id)),
+                    free: endpoint.indexed.unwrap_or(0),
+                }
             })
-            .max()
-            .filter(|(free, _)| *free >= needed)
-            .map(|(_, key)| key)
+            .collect()
     }
 }
+
+/// Share of the supply that urgent work is assumed to drain at first, at least.
+const FLOOR_URGENT_DRAIN_SHARE: f64 = 0.1;
--- a/crates/core/src/cell/config.rs
+++ b/crates/core/src/cell/config.rs
@@ -4,9 +4,6 @@
 
 use core::time::Duration;
 
-/// Horizons, in generated tokens, at which a cell looks at each endpoint's memory.
-pub const HORIZONS: [u32; 4] = [64, 256, 1024, 4096];
-
 /// Settings of a cell, with defaults that suit a crowded engine.
 #[derive(Clone, Debug, PartialEq)]
 pub struct CellConfig {
@@ -16,6 +13,8 @@
     pub urgent_share: f64,
     /// The least urgent class that counts as urgent.
     pub urgent_urgency: u8,
+    /// Share of its wait target that a request waits before room is held for it.
+    pub hold_share: f64,
     /// KV tokens assumed at an endpoint that has not reported yet.
     pub unreported_kv_tokens: u64,
     /// Requests at once at an endpoint that has not reported yet.
@@ -32,6 +31,7 @@
             sigma_start: 2.0,
             urgent_share: 0.06,
             urgent_urgency: 0,
+            hold_share: 1.0,
             unreported_kv_tokens: 16_384,
             unreported_slots: 4,
             max_queued: 10_000,
@@ -78,6 +78,8 @@
     urgent_share: f64;
     /// Sets [`CellConfig::urgent_urgency`].
     urgent_urgency: u8;
+    /// Sets [`CellConfig::hold_share`].
+    hold_share: f64;
     /// Sets [`CellConfig::unreported_kv_tokens`].
     unreported_kv_tokens: u64;
     /// Sets [`CellConfig::unreported_slots`].
--- /dev/null
+++ b/crates/core/src/cell/refuse.rs
@@ -0,0 +1,114 @@
+//! Refusing: at once when a request cannot start in time, never silently.
+
+use crate::cell::Cell;
+use crate::cell::decision::CellDecision;
+use crate::ids::RequestId;
+use crate::queue::Waiting;
+use crate::reason::Reason;
+use crate::time::Time;
+use core::time::Duration;
+use rand::Rng;
+
+/// The shortest time after which coming back is worth it.
+const LEAST_RETRY_AFTER: Duration = Duration::from_secs(1);
+/// The longest time that a caller is asked to stay away.
+const MOST_RETRY_AFTER: Duration = Duration::from_secs(300);
+/// When to come back if nothing serves the request at present.
+const NO_ENDPOINT_RETRY_AFTER: Duration = Duration::from_secs(10);
+/// Share of the longest wait after which a waiting request is judged again.
+const REVIEW_SHARE: f64 = 0.5;
+
+/// Judges requests that came since the last poll and were not placed.
+pub(super) fn judge_fresh(cell: &mut Cell, now: Time, out: &mut Vec<CellDecision>) {
+    let fresh = core::mem::take(&mut cell.fresh);
+    for &id in &fresh {
+        judge(cell, now, id, out);
+    }
+    cell.fresh = fresh;
+    cell.fresh.clear();
+}
+
+/// Judges requests whose review is due.
+pub(super) fn review_due(cell: &mut Cell, now: Time, out: &mut Vec<CellDecision>) {
+    while let Some((at, id)) = cell.queue.next_review()
+        && at <= now
+    {
+        judge(cell, now, id, out);
+    }
+}
+
+/// Refuses a request if it cannot start in time, else sets its next review.
+fn judge(cell: &mut Cell, now: Time, id: RequestId, out: &mut Vec<CellDecision>) {
+    let Some(needs) = cell.queue.get(id).map(|waiting| waiting.req.needs) else {
+        return;
+    };
+    cell.ensure_indexed(needs);
+    let Some(waiting) = cell.queue.get(id) else {
+        return;
+    };
+    let expires = waiting.req.arrived + waiting.req.class.longest_wait;
+    let wait = predicted_wait(cell, waiting);
+    let reason = match () {
+        () if now >= expires => Some(Reason::WaitExpired),
+        () if !cell.is_served(&waiting.req) => Some(Reason::NoEndpoint),
+        () if !cell.can_ever_fit(&waiting.req) => Some(Reason::PromptTooLong),
+        () if cell.queue.len() > cell.cfg.max_queued => Some(Reason::QueueFull),
+        () if now + wait > expires => Some(Reason::WaitTooLong),
+        () => None,
+    };
+    match reason {
+        Some(reason) => out.push(refuse(cell, now, id, reason, wait)),
+        None => {
+            let left = expires.since(now).mul_f64(REVIEW_SHARE);
+            let next = now + left.max(Duration::from_millis(100));
+            cell.queue.review_at(id, next.min(expires));
+        }
+    }
+}
+
+/// Returns how long a request will probably wait from now on.
+pub(super) fn predicted_wait(cell: &Cell, waiting: &Waiting) -> Duration {
+    let urgent = waiting.lane.urgent;
+    let ahead = cell.queue.work_before(urgent, waiting.deadline) - waiting.work;
+    let rate = cell.drain_rate(urgent);
+    if ahead <= 0.0 || rate <= 0.0 {
+        return Duration::ZERO;
+    }
+    Duration::from_secs_f64((ahead / rate).min(1e6))
+}
+
+fn refuse(
+    cell: &mut Cell,
+    now: Time,
+    id: RequestId,
+    reason: Reason,
+    wait: Duration,
+) -> CellDecision {
+    let waiting = cell.take_waiting(id);
+    let mut record = cell.describe(now, &waiting);
+    record.alternatives = cell.sample_alternatives(now, &waiting.req);
+    let retry_after = retry_after(cell, &waiting, reason);
+    cell.lengths.release(waiting.node);
+    CellDecision::Refuse {
+        id,
+        reason,
+        retry_after,
+        predicted_wait: wait,
+        record,
+    }
+}
+
+/// Returns when to come back: once what waits now will have drained, spread
+/// over as long again. Equal answers to callers who were refused together
+/// would bring them back together.
+fn retry_after(cell: &mut Cell, waiting: &Waiting, reason: Reason) -> Duration {
+    let urgent = waiting.lane.urgent;
+    let rate = cell.drain_rate(urgent);
+    let drained = match reason {
+        Reason::NoEndpoint | Reason::PromptTooLong => NO_ENDPOINT_RETRY_AFTER,
+        _ if rate > 0.0 => Duration::from_secs_f64((cell.queue.work(urgent) / rate).min(1e6)),
+        _ => NO_ENDPOINT_RETRY_AFTER,
+    };
+    let base = drained.clamp(LEAST_RETRY_AFTER, MOST_RETRY_AFTER / 2);
+    base.mul_f64(1.0 + cell.rng.random::<f64>())
+}
--- a/crates/core/src/cell/snapshot.rs
+++ b/crates/core/src/cell/snapshot.rs
@@ -12,6 +12,8 @@
     pub running: u32,
     /// How long the request that has waited longest has waited.
     pub oldest_wait: Duration,
+    /// How often the lengths of an entry were found to have drifted.
+    pub length_drifts: u64,
     /// Each endpoint, in the order of keys.
     pub endpoints: Vec<EndpointSnapshot>,
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -25,14 +25,18 @@
 pub mod event;
 pub mod findings;
 pub mod ids;
+pub mod length;
 pub mod membership;
+pub mod memory;
 pub mod node;
 pub mod note;
 pub mod outcome;
 pub mod peer;
+pub mod queue;
 pub mod reason;
 pub mod rendezvous;
 pub mod retry;
+pub mod routing;
 pub mod time;
 
 pub use delivery::Delivery;
--- /dev/null
+++ b/crates/core/src/queue.rs
@@ -0,0 +1,176 @@
+//! Requests that wait, in the order of their deadlines.
+//!
+//! A deadline is arrival plus the class's wait target, so a request ages by
+//! itself: whatever arrives later than the target after it comes behind it.
+//! Requests of one urgency, size and requirement share a *lane*. A lane's head
+//! that fits nowhere holds up its lane only, so that short work goes into the
+//! gaps that long work leaves; how long it may do so is bounded by the hold in
+//! [`crate::cell`]. See `docs/design/admission.md`.
+
+pub mod backlog;
+
+use crate::cell::{CellRequest, Requirement};
+use crate::ids::RequestId;
+use crate::length::LengthNode;
+use crate::memory::ClassIx;
+use crate::routing::prefix::EndpointIx;
+use crate::time::Time;
+use backlog::Backlog;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Bounds between the size classes of lanes, in tokens that a request is counted with.
+const SIZE_BOUNDS: [u32; 3] = [512, 2_048, 8_192];
+
+/// Requests that compete for the same kind of room.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct LaneKey {
+    /// Whether the work is urgent.
+    pub urgent: bool,
+    /// What the endpoint must hold.
+    pub needs: Requirement,
+    /// The size class; 0 is the smallest.
+    pub size: u8,
+}
+
+impl LaneKey {
+    /// Returns the lane of a request that is counted with `tokens`.
+    pub fn new(urgent: bool, needs: Requirement, tokens: u32) -> LaneKey {
+        let size = SIZE_BOUNDS.iter().filter(|bound| tokens >= **bound).count();
+        LaneKey {
+            urgent,
+            needs,
+            size: size as u8,
+        }
+    }
+}
+
+/// A request that waits.
+#[derive(Clone, Debug)]
+pub struct Waiting {
+    /// The request.
+    pub req: CellRequest,
+    /// Its class.
+    pub class: ClassIx,
+    /// Where its length is estimated; held in the length model.
+    pub node: LengthNode,
+    /// Its lane.
+    pub lane: LaneKey,
+    /// When it should start.
+    pub deadline: Time,
+    /// When the room of an endpoint is held for it, if it has not started by then.
+    pub hold_from: Time,
+    /// The endpoint whose room is held for it.
+    pub hold: Option<EndpointIx>,
+    /// When it is looked at next, if it has not started by then.
+    pub review: Time,
+    /// What it takes from an engine in all, in token-tokens.
+    pub work: f64,
+}
+
+/// Requests in order of deadline.
+///
+/// Invariants: every waiting request is in exactly one lane, in `reviews` and
+/// in the backlog of its urgency; no lane is empty.
+#[derive(Clone, Debug, Default)]
+pub struct Queue {
+    waiting: BTreeMap<RequestId, Waiting>,
+    lanes: BTreeMap<LaneKey, BTreeSet<(Time, RequestId)>>,
+    reviews: BTreeSet<(Time, RequestId)>,
+    arrivals: BTreeSet<(Time, RequestId)>,
+    backlogs: [Backlog; 2],
+}
+
+impl Queue {
+    /// Adds a request that is not in the queue.
+    pub fn push(&mut self, waiting: Waiting) {
+        let id = waiting.req.id;
+        debug_assert!(!self.waiting.contains_key(&id));
+        let lane = self.lanes.entry(waiting.lane).or_default();
+        lane.insert((waiting.deadline, id));
+        self.reviews.insert((waiting.review, id));
+        self.arrivals.insert((waiting.req.arrived, id));
+        self.backlogs[usize::from(waiting.lane.urgent)].add(waiting.deadline, waiting.work);
+        self.waiting.insert(id, waiting);
+    }
+
+    /// Removes and returns a request.
+    pub fn remove(&mut self, id: RequestId) -> Option<Waiting> {
+        let waiting = self.waiting.remove(&id)?;
+        if let Some(lane) = self.lanes.get_mut(&waiting.lane) {
+            lane.remove(&(waiting.deadline, id));
+            if lane.is_empty() {
+                self.lanes.remove(&waiting.lane);
+            }
+        }
+        self.reviews.remove(&(waiting.review, id));
+        self.arrivals.remove(&(waiting.req.arrived, id));
+        self.backlogs[usize::from(waiting.lane.urgent)].sub(waiting.deadline, waiting.work);
+        Some(waiting)
+    }
+
+    /// Returns a request.
+    pub fn get(&self, id: RequestId) -> Option<&Waiting> {
+        self.waiting.get(&id)
+    }
+
+    /// Returns how many requests wait.
+    pub fn len(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Returns whether no request waits.
+    pub fn is_empty(&self) -> bool {
+        self.waiting.is_empty()
+    }
+
+    /// Returns when the request that arrived first did so.
+    pub fn oldest_arrival(&self) -> Option<Time> {
+        self.arrivals.first().map(|(arrived, _)| *arrived)
+    }
+
+    /// Returns the head with the earliest deadline among lanes not in `blocked`.
+    pub fn head(&self, blocked: &[LaneKey]) -> Option<(LaneKey, RequestId)> {
+        let open = self.lanes.iter().filter(|(key, _)| !blocked.contains(key));
+        let heads = open.filter_map(|(key, lane)| lane.first().map(|head| (*head, *key)));
+        heads.min().map(|((_, id), key)| (key, id))
+    }
+
+    /// Returns the request whose review is due first, and when that is.
+    pub fn next_review(&self) -> Option<(Time, RequestId)> {
+        self.reviews.first().copied()
+    }
+
+    /// Sets when a request is looked at next.
+    pub fn review_at(&mut self, id: RequestId, review: Time) {
+        if let Some(waiting) = self.waiting.get_mut(&id) {
+            self.reviews.remove(&(waiting.review, id));
+            waiting.review = review;
+            self.reviews.insert((review, id));
+        }
+    }
+
+    /// Sets the endpoint whose room is held for a request.
+    pub fn set_hold(&mut self, id: RequestId, hold: Option<EndpointIx>) {
+        if let Some(waiting) = self.waiting.get_mut(&id) {
+            waiting.hold = hold;
+        }
+    }
+
+    /// Returns the work that is due no later than `deadline`, in token-tokens.
+    pub fn work_before(&self, urgent: bool, deadline: Time) -> f64 {
+        self.backlogs[usize::from(urgent)].before(deadline)
+    }
+
+    /// Returns the work of all requests of an urgency, in token-tokens.
+    pub fn work(&self, urgent: bool) -> f64 {
+        self.backlogs[usize::from(urgent)].total()
+    }
+
+    /// Returns the ids of the requests in `range`.
+    pub fn ids(
+        &self,
+        range: core::ops::RangeInclusive<RequestId>,
+    ) -> impl Iterator<Item = RequestId> {
+        self.waiting.range(range).map(|(id, _)| *id)
+    }
+}
--- /dev/null
+++ b/crates/core/src/routing/prefix.rs
@@ -0,0 +1,169 @@
+//! Which endpoints are believed to hold which prompt prefixes.
+//!
+//! Engines tell by cache events that come late and with gaps. So a belief has
+//! a strength: a block that an event reported is believed, one that a grant
+//! will have put there is expected for a while, and after a gap everything
+//! older is doubted until it is seen again. A wrong belief costs one prefill.
+
+use crate::time::Time;
+use core::time::Duration;
+use cranelift_entity::entity_impl;
+use std::collections::{BTreeMap, VecDeque};
+
+/// An endpoint, as one cell counts it.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct EndpointIx(u32);
+entity_impl!(EndpointIx, "endpoint");
+
+/// How long a block is expected after a grant, without an event that confirms it.
+const EXPECTED_FOR: Duration = Duration::from_secs(20);
+/// Share of belief in a block that was reported before a gap in the events.
+const DOUBTED: f64 = 0.5;
+/// Share of belief in a block that a grant should have put there.
+const EXPECTED: f64 = 0.8;
+/// The most blocks remembered for one endpoint; the oldest go first.
+const MAX_BLOCKS: usize = 4_096;
+/// The most endpoints returned as holders of one prefix.
+pub const MAX_HOLDERS: usize = 4;
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Belief {
+    Reported { epoch: u32 },
+    Expected { until: Time },
+}
+
+#[derive(Clone, Debug, Default)]
+struct Cached {
+    blocks: BTreeMap<u64, Belief>,
+    /// Blocks in the order in which they were learned; may name blocks that are gone.
+    order: VecDeque<u64>,
+    /// Counts the gaps in the endpoint's events.
+    epoch: u32,
+}
+
+/// A prefix that an endpoint is believed to hold.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Match {
+    /// Leading blocks of the prompt.
+    pub blocks: u32,
+    /// Share of belief, from 0 to 1.
+    pub belief: f64,
+}
+
+/// Beliefs about the prefix caches of a cell's endpoints.
+///
+/// Invariant: `holders[block]` lists exactly the endpoints whose `blocks` name it.
+#[derive(Clone, Debug, Default)]
+pub struct PrefixMap {
+    endpoints: BTreeMap<EndpointIx, Cached>,
+    holders: BTreeMap<u64, Vec<EndpointIx>>,
+}
+
+impl PrefixMap {
+    /// Takes in an endpoint's cache events.
+    pub fn events(&mut self, endpoint: EndpointIx, gap: bool, stored: &[u64], evicted: &[u64]) {
+        let cached = self.endpoints.entry(endpoint).or_default();
+        // Events lost in the gap may have been evictions. Without doubt, prompts
+        // would go on being sent to an endpoint that dropped their prefix long ago.
+        cached.epoch += u32::from(gap);
+        let epoch = cached.epoch;
+        for &block in evicted {
+            self.drop_block(endpoint, block);
+        }
+        for &block in stored {
+            self.put(endpoint, block, Belief::Reported { epoch });
+        }
+    }
+
+    /// Notes that a prompt with these blocks was granted to an endpoint.
+    pub fn granted(&mut self, now: Time, endpoint: EndpointIx, prefix: &[u64]) {
+        let until = now + EXPECTED_FOR;
+        for &block in prefix {
+            let known = self.endpoints.get(&endpoint);
+            let known = known.and_then(|cached| cached.blocks.get(&block));
+            if !matches!(known, Some(Belief::Reported { .. })) {
+                self.put(endpoint, block, Belief::Expected { until });
+            }
+        }
+    }
+
+    /// Forgets everything about an endpoint, because it restarted or is gone.
+    pub fn forget(&mut self, endpoint: EndpointIx) {
+        let Some(cached) = self.endpoints.remove(&endpoint) else {
+            return;
+        };
+        for block in cached.blocks.keys() {
+            remove_holder(&mut self.holders, *block, endpoint);
+        }
+    }
+
+    /// Returns endpoints that may hold the longest part of a prompt, at most [`MAX_HOLDERS`].
+    pub fn holders(&self, prefix: &[u64]) -> &[EndpointIx] {
+        let known = prefix
+            .iter()
+            .rev()
+            .find_map(|block| self.holders.get(block));
+        let holders = known.map_or(&[][..], Vec::as_slice);
+        &holders[holders.len().saturating_sub(MAX_HOLDERS)..]
+    }
+
+    /// Returns how much of a prompt an endpoint is believed to hold.
+    ///
+    /// Hashes are chained, so the longest known one implies those before it.
+    pub fn matched(&self, now: Time, endpoint: EndpointIx, prefix: &[u64]) -> Match {
+        let none = Match {
+            blocks: 0,
+            belief: 0.0,
+        };
+        let Some(cached) = self.endpoints.get(&endpoint) else {
+            return none;
+        };
+        for (at, block) in prefix.iter().enumerate().rev() {
+            let belief = match cached.blocks.get(block) {
+                Some(Belief::Reported { epoch }) if *epoch == cached.epoch => 1.0,
+                Some(Belief::Reported { .. }) => DOUBTED,
+                Some(Belief::Expected { until }) if now <= *until => EXPECTED,
+                _ => continue,
+            };
+            let blocks = at as u32 + 1;
+            return Match { blocks, belief };
+        }
+        none
+    }
+
+    fn put(&mut self, endpoint: EndpointIx, block: u64, belief: Belief) {
+        let cached = self.endpoints.entry(endpoint).or_default();
+        if cached.blocks.insert(block, belief).is_some() {
+            return;
+        }
+        cached.order.push_back(block);
+        self.holders.entry(block).or_default().push(endpoint);
+        self.trim(endpoint);
+    }
+
+    fn trim(&mut self, endpoint: EndpointIx) {
+        while let Some(cached) = self.endpoints.get_mut(&endpoint)
+            && cached.order.len() > MAX_BLOCKS
+            && let Some(oldest) = cached.order.pop_front()
+        {
+            self.drop_block(endpoint, oldest);
+        }
+    }
+
+    fn drop_block(&mut self, endpoint: EndpointIx, block: u64) {
+        if let Some(cached) = self.endpoints.get_mut(&endpoint)
+            && cached.blocks.remove(&block).is_some()
+        {
+            remove_holder(&mut self.holders, block, endpoint);
+        }
+    }
+}
+
+fn remove_holder(holders: &mut BTreeMap<u64, Vec<EndpointIx>>, block: u64, endpoint: EndpointIx) {
+    if let Some(list) = holders.get_mut(&block) {
+        list.retain(|holder| *holder != endpoint);
+        if list.is_empty() {
+            holders.remove(&block);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/tests/cell_basics.rs
@@ -0,0 +1,337 @@
+//! A cell grants what fits, refuses what waited too long and forgets what ended.
+
+use core::time::Duration;
+use oriolemux_core::cell::*;
+use oriolemux_core::event::{LoadReport, LoadedModel};
+use oriolemux_core::*;
+use rstest::rstest;
+
+fn id(seq: u64) -> RequestId {
+    RequestId {
+        instance: InstanceKey::of("entry-1"),
+        incarnation: Incarnation(7),
+        seq,
+    }
+}
+
+fn plans() -> ClassRules {
+    ClassRules::new(
+        ClassKey::of("plans"),
+        2,
+        Duration::from_secs(20),
+        Duration::from_secs(60),
+    )
+}
+
+fn request(seq: u64, arrived: Time) -> CellRequest {
+    CellRequest {
+        id: id(seq),
+        entry: EntryKey::of("tailoring-plan"),
+        workspace: WorkspaceKey::of("arima-secondary"),
+        class: plans(),
+        arrived,
+        prompt_tokens: 500,
+        max_tokens: 8_000,
+        prefix: Vec::new(),
+        exclude: Vec::new(),
+        already: 0,
+        needs: Requirement::ANY,
+    }
+}
+
+fn engine(n: u32) -> EndpointKey {
+    EndpointKey::of(&format!("engine-{n}"))
+}
+
+fn load(kv_tokens_total: u64) -> LoadReport {
+    LoadReport {
+        kv_tokens_total,
+        max_running: 64,
+        ..LoadReport::default()
+    }
+}
+
+fn cell_with(engines: u32, kv_tokens_total: u64) -> Cell {
+    let mut cell = Cell::new(CellConfig::default(), 1);
+    for n in 1..=engines {
+        let info = EndpointInfo::near(engine(n), EndpointKind::Model);
+        cell.set_endpoint(Time::ZERO, info);
+        cell.report(Time::ZERO, engine(n), &load(kv_tokens_total));
+    }
+    cell
+}
+
+fn poll(cell: &mut Cell, now: Time) -> Vec<CellDecision> {
+    let mut out = Vec::new();
+    cell.poll(now, &mut out);
+    out
+}
+
+fn refusal(out: &[CellDecision]) -> Reason {
+    match out {
+        [CellDecision::Refuse { reason, .. }] => *reason,
+        other => panic!("one refusal was expected, not {other:?}"),
+    }
+}
+
+fn grants(out: &[CellDecision]) -> Vec<EndpointKey> {
+    out.iter()
+        .map(|decision| match decision {
+            CellDecision::Grant { endpoint, .. } => *endpoint,
+            other => panic!("a grant was expected, not {other:?}"),
+        })
+        .collect()
+}
+
+#[test]
+fn a_request_that_fits_is_granted_at_once() {
+    let mut cell = cell_with(1, 100_000);
+
+    cell.submit(Time::ZERO, request(1, Time::ZERO));
+    let out = poll(&mut cell, Time::ZERO);
+
+    assert_eq!(grants(&out), [engine(1)]);
+    assert_eq!(out[0].id(), id(1));
+}
+
+#[test]
+fn a_request_without_a_live_endpoint_is_refused_at_once() {
+    let mut cell = Cell::new(CellConfig::default(), 1);
+
+    cell.submit(Time::ZERO, request(1, Time::ZERO));
+
+    let out = poll(&mut cell, Time::ZERO);
+    assert_eq!(refusal(&out), Reason::NoEndpoint);
+}
+
+#[test]
+fn a_request_that_waited_too_long_is_refused() {
+    let mut cell = cell_with(1, 100_000);
+
+    cell.submit(Time::from_secs(61), request(1, Time::ZERO));
+    cell.set_endpoint(
+        Time::from_secs(61),
+        EndpointInfo {
+            state: EndpointState::Leaving,
+            ..EndpointInfo::near(engine(1), EndpointKind::Model)
+        },
+    );
+
+    let out = poll(&mut cell, Time::from_secs(61));
+    assert_eq!(refusal(&out), Reason::WaitExpired);
+}
+
+#[test]
+fn a_prompt_that_no_engine_can_hold_is_refused_at_once() {
+    let mut cell = cell_with(2, 400);
+
+    cell.submit(Time::ZERO, request(1, Time::ZERO));
+
+    let out = poll(&mut cell, Time::ZERO);
+    assert_eq!(refusal(&out), Reason::PromptTooLong);
+}
+
+#[test]
+fn a_leaving_endpoint_gets_nothing_new() {
+    let mut cell = cell_with(2, 100_000);
+    let report = LoadReport {
+        leaving: true,
+        ..load(100_000)
+    };
+
+    cell.report(Time::ZERO, engine(1), &report);
+    for seq in 1..=4 {
+        cell.submit(Time::ZERO, request(seq, Time::ZERO));
+    }
+
+    let granted = grants(&poll(&mut cell, Time::ZERO));
+    assert_eq!(granted, [engine(2); 4]);
+}
+
+#[test]
+fn what_a_dead_entry_held_is_free_again() {
+    let mut cell = cell_with(1, 100_000);
+    cell.submit(Time::ZERO, request(1, Time::ZERO));
+    poll(&mut cell, Time::ZERO);
+
+    cell.forget_holder(Time::ZERO, InstanceKey::of("entry-1"), Incarnation(7));
+
+    assert_eq!(cell.snapshot().running, 0);
+    assert_eq!(cell.snapshot().endpoints[0].counted, 0);
+}
+
+#[test]
+fn a_request_submitted_twice_holds_room_once() {
+    let mut cell = cell_with(1, 100_000);
+    cell.submit(Time::ZERO, request(1, Time::ZERO));
+    poll(&mut cell, Time::ZERO);
+
+    cell.submit(Time::ZERO, request(1, Time::ZERO));
+    poll(&mut cell, Time::ZERO);
+
+    assert_eq!(cell.snapshot().running, 1);
+    assert_eq!(cell.snapshot().endpoints[0].running, 1);
+}
+
+#[test]
+fn an_excluded_endpoint_is_passed_over_and_the_record_says_so() {
+    let mut cell = cell_with(2, 100_000);
+    let req = CellRequest {
+        exclude: vec![engine(1)],
+        ..request(1, Time::ZERO)
+    };
+
+    cell.submit(Time::ZERO, req);
+    let out = poll(&mut cell, Time::ZERO);
+
+    assert_eq!(grants(&out), [engine(2)]);
+    let CellDecision::Grant { record, .. } = &out[0] else {
+        unreachable!()
+    };
+    let lost = record.alternatives.iter().find(|a| a.endpoint == engine(1));
+    assert!(lost.is_none_or(|a| a.lost == Lost::Excluded));
+}
+
+#[rstest]
+#[case::model(None, None, Some(2))]
+#[case::version(Some("v2"), None, Some(2))]
+#[case::adapter(Some("v2"), Some("crests"), Some(2))]
+#[case::other_version(Some("v1"), None, None)]
+fn a_request_goes_where_its_model_is_loaded(
+    #[case] version: Option<&str>,
+    #[case] adapter: Option<&str>,
+    #[case] expected: Option<u32>,
+) {
+    let mut cell = cell_with(2, 100_000);
+    let model = LoadedModel {
+        name: "tailor".to_owned(),
+        version: "v2".to_owned(),
+        adapters: vec!["crests".to_owned()],
+    };
+    let report = LoadReport {
+        models: vec![model],
+        ..load(100_000)
+    };
+    cell.report(Time::ZERO, engine(2), &report);
+
+    let req = CellRequest {
+        needs: Requirement::new("tailor", version, adapter),
+        ..request(1, Time::ZERO)
+    };
+    cell.submit(Time::ZERO, req);
+
+    let out = poll(&mut cell, Time::ZERO);
+    match expected {
+        Some(n) => assert_eq!(grants(&out), [engine(n)]),
+        None => assert_eq!(refusal(&out), Reason::NoEndpoint),
+    }
+}
+
+#[test]
+fn load_that_others_put_on_an_engine_is_counted() {
+    let mut cell = cell_with(2, 100_000);
+    let busy = LoadReport {
+        running: 20,
+        kv_tokens_used: 90_000,
+        ..load(100_000)
+    };
+    for second in 1..10 {
+        cell.report(Time::from_secs(second), engine(1), &busy);
+        cell.report(Time::from_secs(second), engine(2), &load(100_000));
+    }
+
+    let now = Time::from_secs(10);
+    for seq in 1..=4 {
+        cell.submit(now, request(seq, now));
+    }
+
+    assert_eq!(grants(&poll(&mut cell, now)), [engine(2); 4]);
+    assert!(cell.snapshot().endpoints.iter().any(|e| e.foreign > 80_000));
+}
+
+#[test]
+fn what_an_entry_retells_is_counted_by_a_new_home() {
+    let mut cell = cell_with(1, 100_000);
+    let running = Running {
+        id: id(9),
+        endpoint: engine(1),
+        entry: EntryKey::of("tailoring-plan"),
+        workspace: WorkspaceKey::of("arima-secondary"),
+        class: plans(),
+        prompt_tokens: 1_000,
+        max_tokens: 8_000,
+        tokens: 2_048,
+    };
+
+    cell.adopt(Time::ZERO, running);
+
+    let snapshot = cell.snapshot();
+    assert_eq!(snapshot.running, 1);
+    assert!(snapshot.endpoints[0].counted >= 3_048);
+}
+
+#[test]
+fn a_prompt_goes_where_its_prefix_is_held() {
+    let mut cell = cell_with(4, 100_000);
+    cell.cache(Time::ZERO, engine(3), false, &[11, 12, 13], &[]);
+
+    let req = CellRequest {
+        prefix: vec![11, 12, 13],
+        prompt_tokens: 2_000,
+        ..request(1, Time::ZERO)
+    };
+    cell.submit(Time::ZERO, req);
+
+    assert_eq!(grants(&poll(&mut cell, Time::ZERO)), [engine(3)]);
+}
+
+#[test]
+fn an_endpoint_that_keeps_failing_is_ejected_and_probed_back() {
+    // Symptom: a dead engine draws every request, because it looks idle.
+    // Sequence: attempts there fail one after the other; each frees its room.
+    // Cause: routing by room alone counts a failure as an end like any other.
+    let mut cell = cell_with(2, 100_000);
+    let mut failed = 0;
+    for second in 0..4 {
+        let now = Time::from_secs(second);
+        for (granted, endpoint) in run_eight(&mut cell, now) {
+            let end = match endpoint == engine(1) {
+                true => EndKind::Failed(Reason::ConnectFailed),
+                false => COMPLETE,
+            };
+            failed += u32::from(endpoint == engine(1));
+            cell.ended(now, granted, 10, end);
+        }
+    }
+
+    assert!(
+        failed <= 8,
+        "{failed} requests were sent to the dead engine"
+    );
+    assert!(cell.snapshot().endpoints.iter().any(|e| e.ejected));
+
+    let later = Time::from_secs(30);
+    poll(&mut cell, later);
+    let granted = run_eight(&mut cell, later);
+    let probes = granted.iter().filter(|(_, at)| *at == engine(1)).count();
+    for (id, _) in granted {
+        cell.ended(later, id, 10, COMPLETE);
+    }
+
+    assert_eq!(probes, 1);
+    assert!(cell.snapshot().endpoints.iter().all(|e| !e.ejected));
+}
+
+const COMPLETE: EndKind = EndKind::Complete {
+    prompt_tokens: None,
+};
+
+/// Submits eight requests at once and returns where each may run.
+fn run_eight(cell: &mut Cell, now: Time) -> Vec<(RequestId, EndpointKey)> {
+    for n in 0..8 {
+        cell.submit(now, request(now.as_micros() + n, now));
+    }
+    let out = poll(cell, now);
+    let ids = out.iter().map(CellDecision::id);
+    ids.zip(grants(&out)).collect()
+}
