--- a/crates/oriolemux/src/lib.rs
+++ b/crates/oriolemux/src/lib.rs
@@ -18,3 +18,4 @@
 pub mod serve;
 pub mod settings;
 pub mod status;
+pub mod supervisor;
