--- a/crates/bench/src/fleet/operators.rs
+++ b/crates/bench/src/fleet/operators.rs
@@ -28,7 +28,7 @@
 
     /// Returns whether the instance says that it serves.
     pub async fn is_ready(&self, instance: SocketAddr) -> bool {
-        let response = self.get(instance, "ready").await;
+        let response = self.get(instance, "readyz").await;
         response.is_ok_and(|response| response.status().is_success())
     }
 
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -6,6 +6,7 @@
 //! instances of the product, as real processes. [`engine_model`] is a model
 //! engine in virtual time, behind both the stand-ins and the experiments.
 
+pub mod checker;
 pub mod decide;
 pub mod demo;
 pub mod engine_model;
--- a/crates/bench/src/standins/engine/admission.rs
+++ b/crates/bench/src/standins/engine/admission.rs
@@ -1,6 +1,5 @@
 //! What becomes of a completion that arrives.
 
-use super::cache;
 use super::fault::{self, Fault, FaultRule};
 use super::generation::Generation;
 use super::options::EngineArgs;
@@ -9,6 +8,7 @@
 use crate::standins::http::Refusal;
 use crate::standins::journal::Fact;
 use crate::standins::text;
+use oriolemux::callers::prefix::prefix_hashes;
 use oriolemux_core::time::Time;
 use serde::Deserialize;
 use std::time::Instant;
@@ -115,7 +115,7 @@
     let job = Job {
         id: generation.job,
         prompt_tokens: generation.prompt_tokens,
-        prefix: cache::blocks(&req.model, &req.prompt),
+        prefix: prefix_hashes(req.prompt.as_bytes()),
         output_tokens: generation.length,
         priority: req.priority,
     };
--- a/crates/bench/src/standins/engine/cache.rs
+++ b/crates/bench/src/standins/engine/cache.rs
@@ -3,14 +3,9 @@
 //! Only the latest events are kept, so a slow reader meets gaps, as with real
 //! engines.
 
-use oriolemux_core::ids::stable_hash;
 use serde::Serialize;
 use std::collections::VecDeque;
 
-/// Bytes of prompt in a block: [`BLOCK_TOKENS`] tokens.
-pub const BLOCK_BYTES: usize = 256;
-/// Tokens of prompt in a block.
-pub const BLOCK_TOKENS: u32 = 64;
 /// Events that are kept for readers; older ones are a gap.
 const KEPT_EVENTS: usize = 256;
 
@@ -70,10 +65,3 @@
         batch
     }
 }
-
-/// Returns the hashes of the leading whole blocks of `prompt`; each covers all before it.
-pub fn blocks(model: &str, prompt: &str) -> Vec<u64> {
-    let bytes = prompt.as_bytes();
-    let hash = |n| stable_hash(&[model.as_bytes(), &bytes[..n * BLOCK_BYTES]]);
-    (1..=bytes.len() / BLOCK_BYTES).map(hash).collect()
-}
