--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod cell;
 pub mod delivery;
 pub mod event;
+pub mod explain;
 pub mod findings;
 pub mod ids;
 pub mod keys;
--- a/crates/core/src/outcome/request.rs
+++ b/crates/core/src/outcome/request.rs
@@ -8,14 +8,16 @@
 /// What is known about whether an accepted request ran.
 ///
 /// The node keeps one for each request and asks it for the final answer.
-/// Invariant: once [`RequestOutcome::may_have_run`] holds with no attempt
-/// open, it holds for good.
+/// Invariant: once an attempt ended without proof,
+/// [`RequestOutcome::may_have_run`] holds for good.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct RequestOutcome {
     /// The attempt that was dispatched and has not ended.
     open: Option<AttemptId>,
     /// An attempt ended without proof.
     unproven: bool,
+    /// The request carries a ticket or key that was not granted to it (yet).
+    unclaimed: bool,
 }
 
 impl RequestOutcome {
@@ -24,9 +26,29 @@
         RequestOutcome {
             open: None,
             unproven: false,
+            unclaimed: false,
         }
     }
 
+    /// Returns the state of a request under a ticket or key, before its claim
+    /// is granted.
+    ///
+    /// What goes wrong otherwise: it may be the repeat of a request that ran
+    /// while its answer was lost. If the repeat is refused for any other
+    /// reason and told "not run", its caller believes that of both.
+    pub const fn under_name() -> Self {
+        RequestOutcome {
+            open: None,
+            unproven: false,
+            unclaimed: true,
+        }
+    }
+
+    /// The claim is granted: no earlier request under the name ran.
+    pub fn on_claim_granted(&mut self) {
+        self.unclaimed = false;
+    }
+
     /// An attempt is handed to the shell. From here on it counts as run until
     /// its own end says otherwise.
     pub fn on_dispatch(&mut self, attempt: AttemptId) {
@@ -45,14 +67,10 @@
         self.unproven |= ran == Ran::Maybe;
     }
 
-    /// The request, under its ticket or key, may have run in another process.
-    pub fn on_held_elsewhere(&mut self) {
-        self.unproven = true;
-    }
-
-    /// Returns whether any attempt may have run.
+    /// Returns whether any attempt, or an earlier request under the same ticket
+    /// or key, may have run.
     pub fn may_have_run(&self) -> bool {
-        self.unproven || self.open.is_some()
+        self.unproven || self.unclaimed || self.open.is_some()
     }
 
     /// Returns proof that the request ran nowhere, if there is any.
