Links between instances: authenticated, bounded, on demand

Cause: homes, news and catalogue revisions need a way between instances that a stranger cannot use, that fails within a bound, and that costs nothing while it is idle.

Change: one HTTP/2 connection for each pair that talks, dialled on demand. Mutual proof of the secret over fixed-size messages before HTTP/2 begins; both names, lives, nonces and the version are bound. Frames of bincode with a bound on their length, on what they may claim and on the number of messages. Heartbeats only while there is traffic. A replaced life stays out; when both sides dial at once the smaller key's connection stays.

Ruled out: a reset as the only sign of failure (a frozen peer sends none), and closing an unwanted link without the end of the stream (the peer takes it for a failure and moves homes).

--- a/crates/oriolemux/src/lib.rs
+++ b/crates/oriolemux/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod logs;
 pub mod metrics;
 pub mod operators;
+pub mod peers;
 pub mod relay;
 pub mod serve;
 pub mod settings;
--- /dev/null
+++ b/crates/oriolemux/src/peers/accept.rs
@@ -0,0 +1,63 @@
+//! Accepting peers.
+
+use super::dial::{Role, run_link};
+use super::table::Shared;
+use super::{Rejection, auth};
+use crate::metrics::Counter;
+use core::time::Duration;
+use std::sync::Arc;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Semaphore;
+use tokio::time::{sleep, timeout};
+
+/// Pause after the operating system refused to accept, for example because
+/// there are no file descriptors left; without it the loop would spin.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
+
+/// Accepts peers until the process stops.
+pub(super) async fn accept_peers(shared: Arc<Shared>, listener: TcpListener) {
+    let closing = shared.closing().clone();
+    let _ = closing
+        .run_until_cancelled(accept_loop(shared, listener))
+        .await;
+}
+
+async fn accept_loop(shared: Arc<Shared>, listener: TcpListener) {
+    let strangers = Arc::new(Semaphore::new(shared.cfg().max_unauthenticated));
+    loop {
+        let Ok((io, _)) = listener.accept().await else {
+            sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        // Whoever connects and says nothing holds a place until the limit of
+        // time; further strangers are refused, peers that are linked stay.
+        let Ok(place) = Arc::clone(&strangers).try_acquire_owned() else {
+            Counter::ConnectionsRefused.add(1);
+            shared.rejected(Rejection::TooMany);
+            continue;
+        };
+        let shared = Arc::clone(&shared);
+        let tasks = shared.tasks().clone();
+        tasks.spawn(async move {
+            match serve_peer(&shared, io, place).await {
+                Ok(()) | Err(Rejection::Duplicate) => {}
+                Err(why) => shared.rejected(why),
+            }
+        });
+    }
+}
+
+async fn serve_peer(
+    shared: &Arc<Shared>,
+    mut io: TcpStream,
+    place: tokio::sync::OwnedSemaphorePermit,
+) -> Result<(), Rejection> {
+    let _ = io.set_nodelay(true);
+    let limit = shared.cfg().connect_timeout;
+    let accepted = timeout(limit, auth::accept(&mut io, shared.cfg())).await;
+    let peer = accepted.unwrap_or(Err(Rejection::TooSlow))?;
+    drop(place);
+    let registration = shared.register(peer, peer.instance).await?;
+    run_link(shared, registration, io, Role::Accepted).await;
+    Ok(())
+}
--- /dev/null
+++ b/crates/oriolemux/src/peers/dial.rs
@@ -0,0 +1,166 @@
+//! Dialling peers, with pauses that grow and differ.
+
+use super::link::{LinkContext, LinkEnd, Traffic, close_when_idle, run_accepted, run_dialled};
+use super::table::{DialState, Registration, Shared};
+use super::{PeersConfig, Rejection, auth};
+use core::time::Duration;
+use oriolemux_core::event::{PeerId, PeerTarget};
+use oriolemux_core::ids::InstanceKey;
+use rand::Rng;
+use std::sync::Arc;
+use tokio::net::TcpStream;
+use tokio::time::{Instant, sleep, timeout};
+
+/// Keeps a link to a peer for as long as it is wanted.
+pub(super) async fn keep_dialled(shared: Arc<Shared>, key: InstanceKey) {
+    let stop = shared.stop().clone();
+    let _ = stop.run_until_cancelled(dial_loop(shared, key)).await;
+}
+
+async fn dial_loop(shared: Arc<Shared>, key: InstanceKey) {
+    let mut backoff = Backoff::new(shared.cfg());
+    loop {
+        match shared.dial_state(key) {
+            DialState::Unwanted => return,
+            DialState::Linked(changed) => {
+                let changed = changed.notified();
+                tokio::pin!(changed);
+                changed.as_mut().enable();
+                if matches!(shared.dial_state(key), DialState::Linked(_)) {
+                    changed.await;
+                }
+            }
+            DialState::Dial(target) => {
+                let began = Instant::now();
+                if dial_once(&shared, &target).await.is_err() {
+                    shared.unreachable(key).await;
+                }
+                backoff.pause(began.elapsed()).await;
+            }
+        }
+    }
+}
+
+/// Dials a peer and runs the link until it ends.
+async fn dial_once(shared: &Arc<Shared>, target: &PeerTarget) -> Result<(), Rejection> {
+    let limit = shared.cfg().connect_timeout;
+    let connected = timeout(limit, connect(shared.cfg(), target)).await;
+    let connected = connected.unwrap_or(Err(Rejection::TooSlow));
+    let (io, peer) = connected.inspect_err(|&why| report(shared, why))?;
+    let dialler = shared.cfg().id().instance;
+    let registration = match shared.register(peer, dialler).await {
+        Ok(registration) => registration,
+        // The link that was kept is watched by the caller.
+        Err(Rejection::Duplicate) => return Ok(()),
+        Err(why) => {
+            shared.rejected(why);
+            return Err(why);
+        }
+    };
+    run_link(shared, registration, io, Role::Dialled).await;
+    Ok(())
+}
+
+/// A peer that is down is no news beyond [`super::PeerEvent::Down`].
+fn report(shared: &Shared, why: Rejection) {
+    if !matches!(why, Rejection::Closed | Rejection::TooSlow) {
+        shared.rejected(why);
+    }
+}
+
+async fn connect(cfg: &PeersConfig, target: &PeerTarget) -> Result<(TcpStream, PeerId), Rejection> {
+    let io = TcpStream::connect(target.address).await;
+    let mut io = io.map_err(|_| Rejection::Closed)?;
+    let _ = io.set_nodelay(true);
+    let peer = auth::dial(&mut io, cfg, target.key).await?;
+    Ok((io, peer))
+}
+
+/// Which side of a connection this process is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Role {
+    Dialled,
+    Accepted,
+}
+
+/// Runs a link in a task of its own, so that a fault in it ends the link only.
+pub(super) async fn run_link(
+    shared: &Arc<Shared>,
+    registration: Registration,
+    io: TcpStream,
+    role: Role,
+) {
+    let registration = Arc::new(registration);
+    let task = {
+        let shared = Arc::clone(shared);
+        let registration = Arc::clone(&registration);
+        tokio::spawn(async move { drive_link(&shared, &registration, io, role).await })
+    };
+    let end = task.await.unwrap_or(LinkEnd::Broken(super::Break::Lost));
+    shared.ended(&registration, end).await;
+}
+
+async fn drive_link(
+    shared: &Shared,
+    registration: &Registration,
+    io: TcpStream,
+    role: Role,
+) -> LinkEnd {
+    let cx = LinkContext {
+        cfg: shared.cfg(),
+        peer: registration.peer,
+        queue: &registration.queue,
+        events: shared.events(),
+        drain: &registration.drain,
+        retired: &registration.retired,
+        traffic: Traffic::new(),
+    };
+    let run = async {
+        match role {
+            Role::Dialled => run_dialled(io, &cx).await,
+            Role::Accepted => run_accepted(io, &cx).await,
+        }
+    };
+    let key = registration.peer.instance;
+    let idle = async {
+        match role {
+            Role::Dialled => close_when_idle(&cx, || shared.is_wanted(key)).await,
+            Role::Accepted => core::future::pending().await,
+        }
+    };
+    tokio::select! {
+        end = run => end,
+        () = idle => LinkEnd::Closed,
+        () = registration.cut.cancelled() => LinkEnd::Closed,
+        () = shared.stop().cancelled() => LinkEnd::Closed,
+    }
+}
+
+/// Pauses between attempts: doubling, and jittered so that peers that lost
+/// the same instance do not come back to it in step.
+struct Backoff {
+    first: Duration,
+    longest: Duration,
+    next: Duration,
+}
+
+impl Backoff {
+    fn new(cfg: &PeersConfig) -> Self {
+        let (first, longest) = cfg.reconnect;
+        Backoff {
+            first,
+            longest,
+            next: first,
+        }
+    }
+
+    async fn pause(&mut self, lasted: Duration) {
+        if lasted > self.longest {
+            self.next = self.first;
+        }
+        let share = rand::rng().random_range(0.5..1.0);
+        let pause = self.next.mul_f64(share);
+        self.next = (self.next * 2).min(self.longest);
+        sleep(pause).await;
+    }
+}
--- /dev/null
+++ b/crates/oriolemux/src/peers/table.rs
@@ -0,0 +1,398 @@
+//! Which links exist and which are wanted.
+
+use super::link::LinkEnd;
+use super::queue::Queue;
+use super::{PeerEvent, PeersConfig, Rejection};
+use core::time::Duration;
+use oriolemux_core::event::{PeerId, PeerTarget};
+use oriolemux_core::ids::{Incarnation, InstanceKey};
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use tokio::sync::{Notify, mpsc};
+use tokio::time::{Instant, timeout};
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+/// Two connections made within this time were dialled by both sides at once.
+/// A second one that comes later means that its dialler has lost the first.
+const SIMULTANEOUS: Duration = Duration::from_secs(2);
+
+/// Lives of an instance that are remembered as replaced.
+const REPLACED_LIVES: usize = 4;
+
+/// How long a shutdown waits for links to send what is queued.
+const SHUTDOWN_LIMIT: Duration = Duration::from_secs(3);
+
+/// A link that is up.
+#[derive(Debug)]
+struct Live {
+    peer: PeerId,
+    dialler: InstanceKey,
+    since: Instant,
+    drain: CancellationToken,
+    retired: CancellationToken,
+    cut: CancellationToken,
+    serial: u64,
+}
+
+/// What is known of one peer.
+#[derive(Debug)]
+struct Entry {
+    target: Option<PeerTarget>,
+    dialling: bool,
+    queue: Arc<Queue>,
+    live: Option<Live>,
+    replaced: Vec<Incarnation>,
+    changed: Arc<Notify>,
+}
+
+impl Entry {
+    fn new(cfg: &PeersConfig) -> Self {
+        Entry {
+            target: None,
+            dialling: false,
+            queue: Arc::new(Queue::new(cfg.max_queued_frames)),
+            live: None,
+            replaced: Vec::new(),
+            changed: Arc::default(),
+        }
+    }
+
+    fn remember_replaced(&mut self, was: Incarnation) {
+        self.replaced.push(was);
+        if self.replaced.len() > REPLACED_LIVES {
+            self.replaced.remove(0);
+        }
+    }
+}
+
+/// A link that may now be run.
+#[derive(Debug)]
+pub(super) struct Registration {
+    pub peer: PeerId,
+    pub queue: Arc<Queue>,
+    /// Cancelled to send what waits and close the link in order.
+    pub drain: CancellationToken,
+    /// Cancelled when another connection takes over what waits.
+    pub retired: CancellationToken,
+    /// Cancelled to drop the link at once.
+    pub cut: CancellationToken,
+    serial: u64,
+}
+
+/// What a dialling task finds.
+#[derive(Debug)]
+pub(super) enum DialState {
+    /// The link is not wanted any more; the task ends.
+    Unwanted,
+    /// There is a link; the task waits for a change.
+    Linked(Arc<Notify>),
+    /// The peer is to be dialled.
+    Dial(PeerTarget),
+}
+
+#[derive(Debug, Default)]
+struct Table {
+    entries: BTreeMap<InstanceKey, Entry>,
+    serial: u64,
+}
+
+/// What all tasks of the links share.
+#[derive(Debug)]
+pub(super) struct Shared {
+    cfg: PeersConfig,
+    events: mpsc::Sender<PeerEvent>,
+    table: Mutex<Table>,
+    /// Held while a change of a link is made and told, so that the node hears
+    /// of changes in the order in which they happened.
+    order: tokio::sync::Mutex<()>,
+    /// Cancelled when no new link is taken any more.
+    closing: CancellationToken,
+    stop: CancellationToken,
+    tasks: TaskTracker,
+}
+
+impl Shared {
+    pub fn new(cfg: PeersConfig, events: mpsc::Sender<PeerEvent>) -> Self {
+        Shared {
+            cfg,
+            events,
+            table: Mutex::default(),
+            order: tokio::sync::Mutex::default(),
+            closing: CancellationToken::new(),
+            stop: CancellationToken::new(),
+            tasks: TaskTracker::new(),
+        }
+    }
+
+    pub fn cfg(&self) -> &PeersConfig {
+        &self.cfg
+    }
+
+    pub fn events(&self) -> &mpsc::Sender<PeerEvent> {
+        &self.events
+    }
+
+    pub fn tasks(&self) -> &TaskTracker {
+        &self.tasks
+    }
+
+    /// Cancelled when no new link is taken any more.
+    pub fn closing(&self) -> &CancellationToken {
+        &self.closing
+    }
+
+    /// Cancelled when the process stops.
+    pub fn stop(&self) -> &CancellationToken {
+        &self.stop
+    }
+
+    fn table(&self) -> MutexGuard<'_, Table> {
+        self.table.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Notes the wanted links; returns those that need a dialling task.
+    pub fn set_targets(&self, targets: Vec<PeerTarget>) -> Vec<InstanceKey> {
+        let mut table = self.table();
+        let mut wanted: BTreeMap<InstanceKey, PeerTarget> =
+            targets.into_iter().map(|it| (it.key, it)).collect();
+        wanted.remove(&self.cfg.id.instance);
+        for (key, entry) in &mut table.entries {
+            let target = wanted.remove(key);
+            if entry.target != target {
+                entry.target = target;
+                entry.changed.notify_waiters();
+            }
+        }
+        for (key, target) in wanted {
+            let mut entry = Entry::new(&self.cfg);
+            entry.target = Some(target);
+            table.entries.insert(key, entry);
+        }
+        let idle = table.entries.iter_mut();
+        let idle = idle.filter(|(_, it)| it.target.is_some() && !it.dialling);
+        idle.map(|(&key, entry)| {
+            entry.dialling = true;
+            key
+        })
+        .collect()
+    }
+
+    /// Returns the queue of a peer that is linked or is to be.
+    pub fn queue(&self, key: InstanceKey) -> Option<Arc<Queue>> {
+        let table = self.table();
+        let entry = table.entries.get(&key)?;
+        let usable = entry.live.is_some() || entry.target.is_some();
+        usable.then(|| Arc::clone(&entry.queue))
+    }
+
+    pub fn links(&self) -> usize {
+        let table = self.table();
+        table
+            .entries
+            .values()
+            .filter(|it| it.live.is_some())
+            .count()
+    }
+
+    pub fn is_wanted(&self, key: InstanceKey) -> bool {
+        let table = self.table();
+        table
+            .entries
+            .get(&key)
+            .is_some_and(|it| it.target.is_some())
+    }
+
+    /// Returns what a dialling task is to do now.
+    pub fn dial_state(&self, key: InstanceKey) -> DialState {
+        let mut table = self.table();
+        let Some(entry) = table.entries.get_mut(&key) else {
+            return DialState::Unwanted;
+        };
+        let Some(target) = &entry.target else {
+            entry.dialling = false;
+            table.forget_unused(key);
+            return DialState::Unwanted;
+        };
+        match &entry.live {
+            Some(_) => DialState::Linked(Arc::clone(&entry.changed)),
+            None => DialState::Dial(target.clone()),
+        }
+    }
+
+    /// Takes an authenticated connection as the link to its peer.
+    pub async fn register(
+        &self,
+        peer: PeerId,
+        dialler: InstanceKey,
+    ) -> Result<Registration, Rejection> {
+        let _order = self.order.lock().await;
+        if self.closing.is_cancelled() {
+            return Err(Rejection::Closed);
+        }
+        let (registration, told) = self.table().register(&self.cfg, peer, dialler)?;
+        for event in told {
+            let _ = self.events.send(event).await;
+        }
+        Ok(registration)
+    }
+
+    /// Notes that a link has ended.
+    pub async fn ended(&self, registration: &Registration, end: LinkEnd) {
+        let _order = self.order.lock().await;
+        if !self.table().remove(registration) {
+            return;
+        }
+        let event = match end {
+            LinkEnd::Closed => PeerEvent::Idle(registration.peer),
+            LinkEnd::Broken(_) => PeerEvent::Down(registration.peer),
+        };
+        let _ = self.events.send(event).await;
+    }
+
+    /// Tells the node that a peer could not be reached.
+    pub async fn unreachable(&self, instance: InstanceKey) {
+        let _order = self.order.lock().await;
+        if !self.table().drop_unsent(instance) {
+            return;
+        }
+        let peer = PeerId {
+            instance,
+            incarnation: Incarnation(0),
+        };
+        let _ = self.events.send(PeerEvent::Down(peer)).await;
+    }
+
+    /// Tells the node that a connection was not taken, if it has time for that.
+    pub fn rejected(&self, rejection: Rejection) {
+        let _ = self.events.try_send(PeerEvent::Rejected(rejection));
+    }
+
+    pub async fn shutdown(&self) {
+        self.closing.cancel();
+        for entry in self.table().entries.values_mut() {
+            entry.target = None;
+            entry.changed.notify_waiters();
+            if let Some(live) = &entry.live {
+                live.drain.cancel();
+            }
+        }
+        let drained = async {
+            while self.links() > 0 {
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+        };
+        let _ = timeout(SHUTDOWN_LIMIT, drained).await;
+        self.stop.cancel();
+        self.tasks.close();
+        let _ = timeout(SHUTDOWN_LIMIT, self.tasks.wait()).await;
+    }
+}
+
+impl Table {
+    fn register(
+        &mut self,
+        cfg: &PeersConfig,
+        peer: PeerId,
+        dialler: InstanceKey,
+    ) -> Result<(Registration, Vec<PeerEvent>), Rejection> {
+        let entry = self.entries.entry(peer.instance);
+        let entry = entry.or_insert_with(|| Entry::new(cfg));
+        if entry.replaced.contains(&peer.incarnation) {
+            return Err(Rejection::ReplacedLife);
+        }
+        let told = entry.make_room(peer, dialler)?;
+        self.serial += 1;
+        let live = Live {
+            peer,
+            dialler,
+            since: Instant::now(),
+            drain: CancellationToken::new(),
+            retired: CancellationToken::new(),
+            cut: CancellationToken::new(),
+            serial: self.serial,
+        };
+        let registration = Registration {
+            peer,
+            queue: Arc::clone(&entry.queue),
+            drain: live.drain.clone(),
+            retired: live.retired.clone(),
+            cut: live.cut.clone(),
+            serial: live.serial,
+        };
+        entry.live = Some(live);
+        entry.changed.notify_waiters();
+        Ok((registration, told))
+    }
+
+    /// Removes a link unless another one took its place; returns whether it did.
+    fn remove(&mut self, registration: &Registration) -> bool {
+        let key = registration.peer.instance;
+        let Some(entry) = self.entries.get_mut(&key) else {
+            return false;
+        };
+        let ended = entry.live.take_if(|it| it.serial == registration.serial);
+        let Some(live) = ended else {
+            return false;
+        };
+        // A link that ends at once lost to one that both sides prefer; what
+        // waits goes over that one.
+        if live.since.elapsed() > SIMULTANEOUS {
+            entry.queue.clear();
+        }
+        entry.changed.notify_waiters();
+        self.forget_unused(key);
+        true
+    }
+
+    /// Drops what waits for a peer that is not linked; returns whether it is not.
+    fn drop_unsent(&mut self, key: InstanceKey) -> bool {
+        let Some(entry) = self.entries.get(&key) else {
+            return false;
+        };
+        if entry.live.is_some() {
+            return false;
+        }
+        entry.queue.clear();
+        true
+    }
+
+    /// Forgets a peer that nobody dials. The lives that it replaced are kept
+    /// while there are any, for a frozen process may come back.
+    fn forget_unused(&mut self, key: InstanceKey) {
+        let unused = self.entries.get(&key).is_some_and(|it| {
+            it.live.is_none() && it.target.is_none() && !it.dialling && it.replaced.is_empty()
+        });
+        if unused {
+            self.entries.remove(&key);
+        }
+    }
+}
+
+impl Entry {
+    /// Decides whether a new connection takes the place of the present link;
+    /// returns what the node is to be told.
+    fn make_room(
+        &mut self,
+        peer: PeerId,
+        dialler: InstanceKey,
+    ) -> Result<Vec<PeerEvent>, Rejection> {
+        let Some(live) = &self.live else {
+            return Ok(vec![PeerEvent::Up(peer)]);
+        };
+        let was = live.peer;
+        if was.incarnation != peer.incarnation {
+            live.cut.cancel();
+            self.queue.clear();
+            self.remember_replaced(was.incarnation);
+            return Ok(vec![PeerEvent::Down(was), PeerEvent::Up(peer)]);
+        }
+        // Both sides dialled at once: both keep the connection of the smaller
+        // key, or each would close the one that the other kept.
+        if live.since.elapsed() < SIMULTANEOUS && dialler > live.dialler {
+            return Err(Rejection::Duplicate);
+        }
+        live.retired.cancel();
+        Ok(Vec::new())
+    }
+}
--- /dev/null
+++ b/crates/oriolemux/tests/peers_codec.rs
@@ -0,0 +1,186 @@
+//! Frames: whatever arrives, decoding neither panics nor allocates beyond its bound.
+
+use oriolemux::peers::{CodecError, FrameDecoder, encode_frame};
+use oriolemux_core::ids::{EndpointKey, Incarnation, InstanceKey};
+use oriolemux_core::membership::{
+    EndpointKind, EndpointRecord, FencingSupport, InstanceList, InstanceRecord, ListedState,
+    MembershipMessage,
+};
+use oriolemux_core::peer::{MAX_MESSAGES, PeerEnvelope, PeerMessage};
+use proptest::collection::vec;
+use proptest::prelude::*;
+
+const MAX_FRAME: usize = 64 * 1024;
+
+fn any_list() -> impl Strategy<Value = InstanceList> {
+    let instances = vec(("[a-z]{0,9}", any::<u16>()), 0..5);
+    let endpoints = vec(("[a-z]{0,9}", vec("[a-z]{0,5}", 0..3)), 0..5);
+    (any::<u64>(), instances, endpoints).prop_map(|(revision, instances, endpoints)| {
+        let address = |port| std::net::SocketAddr::from(([127, 0, 0, 1], port));
+        let instances = instances.into_iter().map(|(name, port)| InstanceRecord {
+            name,
+            address: address(port),
+            peer_address: address(port),
+            data_centre: "dc".to_owned(),
+            state: ListedState::Live,
+        });
+        let endpoints = endpoints.into_iter().map(|(name, serves)| EndpointRecord {
+            name,
+            address: address(1),
+            data_centre: "dc".to_owned(),
+            kind: EndpointKind::Service,
+            serves,
+            fencing: FencingSupport::Ignored,
+            state: ListedState::Leaving,
+        });
+        InstanceList {
+            revision,
+            instances: instances.collect(),
+            endpoints: endpoints.collect(),
+        }
+    })
+}
+
+fn any_message() -> impl Strategy<Value = PeerMessage> {
+    let membership = prop_oneof![
+        (any::<u64>(), any::<u64>()).prop_map(|(endpoint, list_revision)| {
+            MembershipMessage::EndpointLeaving {
+                endpoint: EndpointKey(endpoint),
+                list_revision,
+            }
+        }),
+        (any::<u64>(), any::<u64>(), any::<bool>()).prop_map(|(instance, life, leaving)| {
+            MembershipMessage::InstanceLife {
+                instance: InstanceKey(instance),
+                incarnation: Incarnation(life),
+                leaving,
+            }
+        }),
+        any_list().prop_map(|it| MembershipMessage::Whole(Box::new(it))),
+    ];
+    prop_oneof![
+        Just(PeerMessage::Heartbeat),
+        membership.prop_map(PeerMessage::Membership)
+    ]
+}
+
+fn any_envelope() -> impl Strategy<Value = PeerEnvelope> {
+    (any::<u64>(), any::<u64>(), vec(any_message(), 0..6)).prop_map(
+        |(catalogue_revision, list_revision, messages)| PeerEnvelope {
+            catalogue_revision,
+            list_revision,
+            messages,
+        },
+    )
+}
+
+fn heartbeats(count: usize) -> PeerEnvelope {
+    PeerEnvelope {
+        catalogue_revision: 1,
+        list_revision: 2,
+        messages: vec![PeerMessage::Heartbeat; count],
+    }
+}
+
+fn decode_all(decoder: &mut FrameDecoder) -> Result<Vec<PeerEnvelope>, CodecError> {
+    let mut all = Vec::new();
+    while let Some(envelope) = decoder.next_envelope()? {
+        all.push(envelope);
+    }
+    Ok(all)
+}
+
+proptest! {
+    #[test]
+    fn envelopes_come_back_however_the_stream_is_cut(
+        envelopes in vec(any_envelope(), 0..6),
+        cuts in vec(1_usize..200, 1..40),
+    ) {
+        let frames = envelopes.iter().map(|it| encode_frame(it, MAX_FRAME).unwrap());
+        let stream: Vec<u8> = frames.flatten().collect();
+        let mut decoder = FrameDecoder::new(MAX_FRAME);
+        let mut decoded = Vec::new();
+        let (mut at, mut cuts) = (0, cuts.iter().cycle());
+        while at < stream.len() {
+            let end = (at + cuts.next().unwrap()).min(stream.len());
+            decoder.push(&stream[at..end]);
+            decoded.extend(decode_all(&mut decoder).unwrap());
+            at = end;
+        }
+        prop_assert!(decoder.is_between_frames());
+        prop_assert_eq!(decoded, envelopes);
+    }
+
+    #[test]
+    fn arbitrary_bytes_never_panic(bytes in vec(any::<u8>(), 0..2000)) {
+        let mut decoder = FrameDecoder::new(MAX_FRAME);
+        decoder.push(&bytes);
+        let _ = decode_all(&mut decoder);
+    }
+
+    #[test]
+    fn a_damaged_frame_never_panics(
+        envelope in any_envelope(),
+        damage in vec((any::<prop::sample::Index>(), any::<u8>()), 1..8),
+    ) {
+        let mut frame = encode_frame(&envelope, MAX_FRAME).unwrap().to_vec();
+        for (at, byte) in damage {
+            let at = at.index(frame.len());
+            frame[at] = byte;
+        }
+        let mut decoder = FrameDecoder::new(MAX_FRAME);
+        decoder.push(&frame);
+        let _ = decode_all(&mut decoder);
+    }
+
+    #[test]
+    fn a_frame_that_is_cut_short_is_not_complete(envelope in any_envelope(), cut in any::<prop::sample::Index>()) {
+        let frame = encode_frame(&envelope, MAX_FRAME).unwrap();
+        let mut decoder = FrameDecoder::new(MAX_FRAME);
+        let part = &frame[..cut.index(frame.len())];
+        decoder.push(part);
+        prop_assert_eq!(decoder.next_envelope(), Ok(None));
+        prop_assert_eq!(decoder.is_between_frames(), part.is_empty());
+    }
+}
+
+#[test]
+fn a_length_above_the_limit_is_refused_before_anything_is_stored() {
+    let mut decoder = FrameDecoder::new(MAX_FRAME);
+    decoder.push(&(MAX_FRAME as u32 + 1).to_be_bytes());
+    let most = MAX_FRAME;
+    let length = most + 1;
+    assert_eq!(
+        decoder.next_envelope(),
+        Err(CodecError::TooLong { length, most })
+    );
+}
+
+#[test]
+fn an_envelope_above_the_limit_is_not_encoded() {
+    let result = encode_frame(&heartbeats(100), 50);
+    assert!(matches!(result, Err(CodecError::TooLong { most: 50, .. })));
+}
+
+#[test]
+fn more_messages_than_allowed_are_refused() {
+    // Symptom: a frame of one megabyte took a hundred megabytes.
+    // Sequence: a peer sends a million messages of one byte each.
+    // Cause: only the bytes of a frame were bounded, not what they unfold to.
+    for (count, is_taken) in [(MAX_MESSAGES, true), (MAX_MESSAGES + 1, false)] {
+        let frame = encode_frame(&heartbeats(count), MAX_FRAME).unwrap();
+        let mut decoder = FrameDecoder::new(MAX_FRAME);
+        decoder.push(&frame);
+        assert_eq!(decoder.next_envelope().is_ok(), is_taken, "{count}");
+    }
+}
+
+#[test]
+fn bytes_after_the_envelope_are_refused() {
+    let mut frame = encode_frame(&heartbeats(1), MAX_FRAME).unwrap().to_vec();
+    frame.push(0);
+    frame[3] += 1;
+    let mut decoder = FrameDecoder::new(MAX_FRAME);
+    decoder.push(&frame);
+    assert_eq!(decoder.next_envelope(), Err(CodecError::TrailingBytes));
+}
--- /dev/null
+++ b/crates/oriolemux/tests/peers_links.rs
@@ -0,0 +1,346 @@
+//! Links between instances over real sockets, and what breaks them.
+
+#[path = "fixtures/peers.rs"]
+mod fixture;
+
+use fixture::{LIMIT, Proxy, SECRET, config, envelope, start, target};
+use oriolemux::peers::{PeerEvent, Rejection, SendOutcome, common_version};
+use oriolemux::settings::Secret;
+use oriolemux_core::event::PeerId;
+use oriolemux_core::ids::{Incarnation, InstanceKey};
+use rstest::rstest;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::{sleep, timeout};
+
+fn unknown_life(name: &str) -> PeerId {
+    PeerId {
+        instance: InstanceKey::of(name),
+        incarnation: Incarnation(0),
+    }
+}
+
+#[tokio::test]
+async fn frames_go_both_ways_in_order() {
+    let mut a = start(config("a", 1)).await;
+    let mut b = start(config("b", 7)).await;
+    a.dial("b", b.handle.local_addr());
+    assert_eq!(a.next().await, PeerEvent::Up(b.id));
+    assert_eq!(b.next().await, PeerEvent::Up(a.id));
+    for number in 0..200 {
+        assert_eq!(
+            a.handle.send(b.id.instance, &envelope(number)),
+            SendOutcome::Queued
+        );
+        assert_eq!(
+            b.handle.send(a.id.instance, &envelope(number)),
+            SendOutcome::Queued
+        );
+    }
+    for number in 0..200 {
+        assert_eq!(a.next().await, PeerEvent::Envelope(b.id, envelope(number)));
+        assert_eq!(b.next().await, PeerEvent::Envelope(a.id, envelope(number)));
+    }
+    assert_eq!((a.handle.links(), b.handle.links()), (1, 1));
+}
+
+#[tokio::test]
+async fn what_was_sent_before_the_link_was_up_arrives() {
+    let a = start(config("a", 1)).await;
+    let mut b = start(config("b", 1)).await;
+    a.dial("b", b.handle.local_addr());
+    assert_eq!(
+        a.handle.send(b.id.instance, &envelope(5)),
+        SendOutcome::Queued
+    );
+    b.until_number(5).await;
+}
+
+#[tokio::test]
+async fn nothing_is_sent_without_a_link() {
+    let a = start(config("a", 1)).await;
+    let outcome = a.handle.send(InstanceKey::of("b"), &envelope(1));
+    assert_eq!(outcome, SendOutcome::NoLink);
+}
+
+#[tokio::test]
+async fn a_wrong_secret_gets_no_link() {
+    // Symptom: a process with an old secret took part in decisions.
+    // Sequence: the secret is changed; one instance is not restarted.
+    // Cause: peers were told apart by address only.
+    let mut a = start(config("a", 1)).await;
+    let wrong = oriolemux::peers::PeersConfig::new(
+        "127.0.0.1:0".parse().unwrap(),
+        "b",
+        Incarnation(1),
+        Secret::new(*b"another secret, as long"),
+    );
+    let mut b = start(wrong).await;
+    b.dial("a", a.handle.local_addr());
+    assert_eq!(a.next().await, PeerEvent::Rejected(Rejection::WrongSecret));
+    assert_eq!(b.next().await, PeerEvent::Down(unknown_life("a")));
+    a.dial("b", b.handle.local_addr());
+    a.until(|it| *it == PeerEvent::Down(unknown_life("b")))
+        .await;
+    assert_eq!((a.handle.links(), b.handle.links()), (0, 0));
+}
+
+#[rstest]
+#[case::http(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n".repeat(10))]
+#[case::preface(b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n".repeat(10))]
+#[case::zeros(vec![0; 500])]
+#[tokio::test]
+async fn a_stranger_gets_not_one_byte(#[case] bytes: Vec<u8>) {
+    let mut a = start(config("a", 1)).await;
+    let mut stranger = TcpStream::connect(a.handle.local_addr()).await.unwrap();
+    stranger.write_all(&bytes).await.unwrap();
+    let mut got = Vec::new();
+    let _ = timeout(LIMIT, stranger.read_to_end(&mut got))
+        .await
+        .unwrap();
+    assert_eq!(got, b"");
+    assert_eq!(a.next().await, PeerEvent::Rejected(Rejection::NotAPeer));
+}
+
+#[tokio::test]
+async fn a_silent_stranger_is_closed_and_does_not_keep_peers_out() {
+    // Symptom: no instance could link to one that a port scan had touched.
+    // Sequence: connections are opened and nothing is ever said on them.
+    // Cause: a connection that was not authenticated could stay for ever.
+    let cfg = config("a", 1).connect_timeout(Duration::from_millis(100));
+    let mut a = start(cfg).await;
+    let address = a.handle.local_addr();
+    let mut strangers = Vec::new();
+    for _ in 0..70 {
+        strangers.push(TcpStream::connect(address).await.unwrap());
+    }
+    a.until(|it| *it == PeerEvent::Rejected(Rejection::TooSlow))
+        .await;
+    let b = start(config("b", 1)).await;
+    b.dial("a", address);
+    a.until(|it| *it == PeerEvent::Up(b.id)).await;
+}
+
+#[tokio::test]
+async fn another_instance_at_the_address_is_not_taken_for_the_wanted_one() {
+    // Symptom: messages for one instance were obeyed by another.
+    // Sequence: an address is given to a new instance; the list lags.
+    // Cause: whoever answered at the address was believed to be the one listed.
+    let mut a = start(config("a", 1)).await;
+    let mut b = start(config("b", 1)).await;
+    a.dial("c", b.handle.local_addr());
+    assert_eq!(
+        b.next().await,
+        PeerEvent::Rejected(Rejection::WrongInstance)
+    );
+    assert_eq!(a.next().await, PeerEvent::Down(unknown_life("c")));
+}
+
+#[tokio::test]
+async fn a_link_cut_within_a_frame_breaks_and_is_made_again() {
+    // Symptom: a peer waited for the rest of a frame that never came.
+    // Sequence: the connection is reset in the middle of a frame.
+    // Cause: the end of the stream was not told from the end of a frame.
+    let mut a = start(config("a", 1)).await;
+    let mut b = start(config("b", 1)).await;
+    let proxy = Proxy::start(b.handle.local_addr()).await;
+    a.dial("b", proxy.address);
+    assert_eq!(b.next().await, PeerEvent::Up(a.id));
+    a.handle.send(b.id.instance, &envelope(1));
+    b.until_number(1).await;
+    proxy.cut_after(700);
+    let mut large = envelope(2);
+    large.messages = vec![oriolemux_core::peer::PeerMessage::Heartbeat; 3000];
+    a.handle.send(b.id.instance, &large);
+    b.until(|it| *it == PeerEvent::Down(a.id)).await;
+    a.until(|it| *it == PeerEvent::Down(b.id)).await;
+    proxy.cut_after(usize::MAX);
+    b.until(|it| *it == PeerEvent::Up(a.id)).await;
+    a.handle.send(b.id.instance, &envelope(3));
+    b.until_number(3).await;
+}
+
+#[tokio::test]
+async fn a_stalled_link_is_given_up_within_a_bound() {
+    // Symptom: grants were asked of a frozen home for fifteen minutes.
+    // Sequence: SIGSTOP, or a path that drops every packet; no reset comes.
+    // Cause: only an error of the connection counted as a failure.
+    let quick = |name| {
+        config(name, 1)
+            .heartbeat(Duration::from_millis(20))
+            .silence_timeout(Duration::from_millis(200))
+    };
+    let mut a = start(quick("a")).await;
+    let mut b = start(quick("b")).await;
+    let proxy = Proxy::start(b.handle.local_addr()).await;
+    a.dial("b", proxy.address);
+    a.until(|it| *it == PeerEvent::Up(b.id)).await;
+    b.until(|it| *it == PeerEvent::Up(a.id)).await;
+    sleep(Duration::from_millis(400)).await;
+    proxy.stall(true);
+    a.handle.send(b.id.instance, &envelope(1));
+    assert_eq!(a.next().await, PeerEvent::Down(b.id));
+    proxy.stall(false);
+    a.until(|it| *it == PeerEvent::Up(b.id)).await;
+}
+
+#[tokio::test]
+async fn an_idle_link_carries_no_heartbeats() {
+    let quick = |name| {
+        config(name, 1)
+            .heartbeat(Duration::from_millis(10))
+            .silence_timeout(Duration::from_millis(50))
+    };
+    let mut a = start(quick("a")).await;
+    let b = start(quick("b")).await;
+    let proxy = Proxy::start(b.handle.local_addr()).await;
+    a.dial("b", proxy.address);
+    a.until(|it| *it == PeerEvent::Up(b.id)).await;
+    sleep(Duration::from_millis(300)).await;
+    let before = proxy.bytes.load(Ordering::SeqCst);
+    sleep(Duration::from_millis(300)).await;
+    assert_eq!(proxy.bytes.load(Ordering::SeqCst), before);
+    a.handle.send(b.id.instance, &envelope(1));
+    sleep(Duration::from_millis(40)).await;
+    assert!(
+        proxy.bytes.load(Ordering::SeqCst) > before,
+        "traffic is protected again"
+    );
+}
+
+#[tokio::test]
+async fn an_unwanted_idle_link_is_closed_without_alarm() {
+    // Symptom: every link that was closed for lack of use moved homes for a moment.
+    // Sequence: a link is not needed any more; its dialler closes it.
+    // Cause: the peer could not tell an orderly end from a failure.
+    let quick = |name| config(name, 1).idle_timeout(Duration::from_millis(100));
+    let mut a = start(quick("a")).await;
+    let mut b = start(quick("b")).await;
+    a.dial("b", b.handle.local_addr());
+    a.until(|it| *it == PeerEvent::Up(b.id)).await;
+    assert_eq!(b.next().await, PeerEvent::Up(a.id));
+    a.handle.set_links(Vec::new());
+    assert_eq!(a.next().await, PeerEvent::Idle(b.id));
+    assert_eq!(b.next().await, PeerEvent::Idle(a.id));
+}
+
+#[tokio::test]
+async fn a_restarted_instance_is_up_as_a_new_life_and_the_old_one_stays_out() {
+    // Symptom: a process that had been replaced pushed its successor off the link.
+    // Sequence: an instance freezes, is restarted elsewhere, then wakes.
+    // Cause: the newest connection won, whoever made it.
+    let mut a = start(config("a", 1)).await;
+    let address = a.handle.local_addr();
+    let mut old = start(config("b", 1)).await;
+    old.dial("a", address);
+    assert_eq!(a.next().await, PeerEvent::Up(old.id));
+    let new = start(config("b", 2)).await;
+    new.dial("a", address);
+    assert_eq!(a.next().await, PeerEvent::Down(old.id));
+    assert_eq!(a.next().await, PeerEvent::Up(new.id));
+    a.until(|it| *it == PeerEvent::Rejected(Rejection::ReplacedLife))
+        .await;
+    old.until(|it| matches!(it, PeerEvent::Down(_) | PeerEvent::Idle(_)))
+        .await;
+    new.handle.send(a.id.instance, &envelope(4));
+    a.until_number(4).await;
+    assert_eq!(a.handle.links(), 1);
+}
+
+#[tokio::test]
+async fn a_peer_that_is_away_is_found_when_it_comes() {
+    let mut a = start(config("a", 1)).await;
+    let first = start(config("b", 1)).await;
+    let address = first.handle.local_addr();
+    first.handle.shutdown().await;
+    drop(first);
+    a.dial("b", address);
+    assert_eq!(a.next().await, PeerEvent::Down(unknown_life("b")));
+    let any_port =
+        oriolemux::peers::PeersConfig::new(address, "b", Incarnation(2), Secret::new(SECRET));
+    let b = start(any_port).await;
+    a.until(|it| *it == PeerEvent::Up(b.id)).await;
+}
+
+#[tokio::test]
+async fn two_that_dial_at_once_end_with_one_link() {
+    // Symptom: two instances closed each other's connection over and over.
+    // Sequence: both dial at the same moment; each prefers the connection that
+    // the other drops.
+    // Cause: nothing decided which of the two connections stays.
+    for round in 0..20 {
+        let mut a = start(config("a", round + 1)).await;
+        let mut b = start(config("b", round + 1)).await;
+        a.dial("b", b.handle.local_addr());
+        b.dial("a", a.handle.local_addr());
+        a.until(|it| *it == PeerEvent::Up(b.id)).await;
+        b.until(|it| *it == PeerEvent::Up(a.id)).await;
+        sleep(Duration::from_millis(20)).await;
+        for number in 1..20 {
+            a.handle.send(b.id.instance, &envelope(number));
+            b.handle.send(a.id.instance, &envelope(number));
+            sleep(Duration::from_millis(1)).await;
+        }
+        a.until_number(19).await;
+        b.until_number(19).await;
+        assert_eq!((a.handle.links(), b.handle.links()), (1, 1));
+        a.handle.shutdown().await;
+        b.handle.shutdown().await;
+    }
+}
+
+#[tokio::test]
+async fn a_queue_for_a_peer_that_takes_nothing_is_bounded() {
+    // Symptom: one dead link filled the memory of a process.
+    // Sequence: a peer accepts the connection and never reads.
+    // Cause: frames waited without a bound.
+    let a = start(config("a", 1).max_queued_frames(10)).await;
+    let nobody = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = nobody.local_addr().unwrap();
+    a.handle.set_links(vec![target("b", address)]);
+    let key = InstanceKey::of("b");
+    let outcomes: Vec<_> = (0..12).map(|i| a.handle.send(key, &envelope(i))).collect();
+    assert_eq!(outcomes[9], SendOutcome::Queued);
+    assert_eq!(outcomes[10..], [SendOutcome::Displaced; 2]);
+}
+
+#[tokio::test]
+async fn a_frame_that_is_too_long_is_refused_where_it_is_sent() {
+    let a = start(config("a", 1).max_frame(100)).await;
+    a.handle
+        .set_links(vec![target("b", "127.0.0.1:1".parse().unwrap())]);
+    let mut long = envelope(1);
+    long.messages = vec![oriolemux_core::peer::PeerMessage::Heartbeat; 200];
+    let outcome = a.handle.send(InstanceKey::of("b"), &long);
+    assert_eq!(outcome, SendOutcome::TooLong);
+}
+
+#[tokio::test]
+async fn what_waits_is_sent_before_a_shutdown() {
+    let mut a = start(config("a", 1)).await;
+    let mut b = start(config("b", 1)).await;
+    a.dial("b", b.handle.local_addr());
+    a.until(|it| *it == PeerEvent::Up(b.id)).await;
+    for number in 0..50 {
+        a.handle.send(b.id.instance, &envelope(number));
+    }
+    a.handle.shutdown().await;
+    b.until_number(49).await;
+    b.until(|it| *it == PeerEvent::Idle(a.id)).await;
+}
+
+#[rstest]
+#[case((1, 1), (1, 1), Some(1))]
+#[case((1, 3), (2, 5), Some(3))]
+#[case((2, 5), (1, 3), Some(3))]
+#[case((1, 1), (2, 2), None)]
+#[case((4, 4), (1, 2), None)]
+fn the_highest_common_version_is_spoken(
+    #[case] ours: (u16, u16),
+    #[case] theirs: (u16, u16),
+    #[case] common: Option<u16>,
+) {
+    assert_eq!(common_version(ours, theirs), common);
+}
