--- a/crates/oriolemux/src/status.rs
+++ b/crates/oriolemux/src/status.rs
@@ -4,6 +4,7 @@
 //! `oriolemux explain` show them as text; both ends share the types, so that
 //! neither can drift from the other. All durations are in milliseconds.
 
+use oriolemux_core::explain::Line;
 use serde::{Deserialize, Serialize};
 
 /// Whether the balancer may send requests here.
@@ -143,21 +144,10 @@
 }
 
 /// Why a request went as it did.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Explanation {
     /// The request's id.
     pub request: String,
     /// What was decided, in order.
-    pub steps: Vec<ExplanationStep>,
-}
-
-/// One decision about a request.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ExplanationStep {
-    /// Time since the request arrived.
-    pub at_ms: u64,
-    /// The decision's stable name, for example `granted`.
-    pub step: String,
-    /// What it was decided from, for people.
-    pub detail: String,
+    pub steps: Vec<Line>,
 }
--- a/crates/oriolemux/tests/operators_listener.rs
+++ b/crates/oriolemux/tests/operators_listener.rs
@@ -2,7 +2,8 @@
 
 use oriolemux::operators::{OperatorPort, OperatorQuery, OperatorServer, bind};
 use oriolemux::settings::Secret;
-use oriolemux::status::{Explanation, ExplanationStep, NodeStatus, Readiness};
+use oriolemux::status::{Explanation, NodeStatus, Readiness};
+use oriolemux_core::explain::Line;
 use rstest::rstest;
 use std::net::SocketAddr;
 use std::process::{Command, Output};
@@ -48,7 +49,7 @@
 }
 
 fn explain(id: &str) -> Option<Explanation> {
-    let step = ExplanationStep {
+    let step = Line {
         at_ms: 12,
         step: "granted".to_owned(),
         detail: "endpoint arima-2 had the most room".to_owned(),
