The experiment asks cells as the node does

Cause: the harness moved waiting requests after half the wait target, which no instance does; an instance asks each cell for a start within the wait target and then the one that promised the shortest wait. Change: the policy `ours` follows that rule.

--- a/crates/bench/src/policy/ours.rs
+++ b/crates/bench/src/policy/ours.rs
@@ -1,8 +1,9 @@
 //! The product's own decisions: one [`Cell`] for the model in each data centre.
 //!
-//! An entry asks the cell of its own data centre first. When that refuses, or
-//! has not granted within the request's spill time, it asks the next one, as
-//! instances do.
+//! Cells are asked as instances ask them (`oriolemux_core::node`): first each, the
+//! nearest first, on condition that the request starts within its class's wait
+//! target; when all have refused, the one that promised the shortest wait, for the
+//! class's longest wait.
 
 use super::api::{Ask, CacheNews, Decision, Fleet, Policy};
 use crate::workload::ClassSpec;
@@ -16,23 +17,29 @@
     ClassKey, EndpointKey, EntryKey, Incarnation, InstanceKey, RequestId, WorkspaceKey,
 };
 use oriolemux_core::time::Time;
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, HashMap};
 
 /// Seed of the cells' jitter.
 const CELL_SEED: u64 = 1;
 /// A cell is not polled again sooner than this without news.
 const SHORTEST_WAKE: Duration = Duration::from_millis(1);
 
+/// A cell's refusal.
+#[derive(Clone, Copy)]
+struct Refusal {
+    cell: usize,
+    predicted_wait: Duration,
+}
+
 /// A request that waits or runs.
 struct Open {
     req: CellRequest,
+    /// What its class says at most; the request's own rules are stricter at first.
+    longest_wait: Duration,
     /// The cell that was asked last.
     cell: usize,
-    /// Cells that refused.
-    refusals: usize,
-    /// When the next cell is asked.
-    spill_at: Time,
-    granted: bool,
+    /// Cells that refused in the first round.
+    refusals: Vec<Refusal>,
 }
 
 /// See the module.
@@ -42,7 +49,6 @@
     engine_of: BTreeMap<EndpointKey, usize>,
     endpoint_of: Vec<EndpointKey>,
     open: HashMap<u64, Open>,
-    spills: BTreeSet<(Time, u64)>,
     wakes: Vec<Time>,
     decided: Vec<CellDecision>,
 }
@@ -57,7 +63,6 @@
             engine_of: BTreeMap::new(),
             endpoint_of: Vec::new(),
             open: HashMap::new(),
-            spills: BTreeSet::new(),
             wakes: vec![Time::ZERO; data_centres],
             decided: Vec::new(),
         };
@@ -91,31 +96,11 @@
     fn ask_cell(&mut self, now: Time, id: u64, cell: usize) {
         if let Some(open) = self.open.get_mut(&id) {
             open.cell = cell;
-            open.spill_at = now + spill_after(&open.req);
-            self.spills.insert((open.spill_at, id));
             self.cells[cell].submit(now, open.req.clone());
             self.wakes[cell] = now;
         }
     }
 
-    /// Moves requests that have waited long to the next cell.
-    fn spill(&mut self, now: Time) {
-        while let Some(&(at, id)) = self.spills.first()
-            && at <= now
-        {
-            self.spills.pop_first();
-            let Some(open) = self.open.get(&id) else {
-                continue;
-            };
-            if open.granted || open.spill_at != at {
-                continue;
-            }
-            let (cell, req) = (open.cell, open.req.id);
-            self.cells[cell].withdraw(now, req);
-            self.ask_cell(now, id, (cell + 1) % self.cells.len());
-        }
-    }
-
     fn poll_cell(&mut self, now: Time, cell: usize, out: &mut Vec<Decision>) {
         let mut decided = core::mem::take(&mut self.decided);
         decided.clear();
@@ -129,46 +114,57 @@
                     priority,
                     ..
                 } => self.granted(id.seq - 1, *endpoint, *priority, out),
-                CellDecision::Refuse { id, .. } => self.refused(now, id.seq - 1, out),
+                CellDecision::Refuse {
+                    id, predicted_wait, ..
+                } => self.refused(now, id.seq - 1, *predicted_wait, out),
             }
         }
         self.decided = decided;
     }
 
     fn granted(&mut self, id: u64, endpoint: EndpointKey, priority: u8, out: &mut Vec<Decision>) {
-        if let Some(open) = self.open.get_mut(&id) {
-            open.granted = true;
-            out.push(Decision::Place {
-                id,
-                engine: self.engine_of[&endpoint],
-                priority,
-            });
-        }
+        out.push(Decision::Place {
+            id,
+            engine: self.engine_of[&endpoint],
+            priority,
+        });
     }
 
-    fn refused(&mut self, now: Time, id: u64, out: &mut Vec<Decision>) {
+    fn refused(&mut self, now: Time, id: u64, predicted_wait: Duration, out: &mut Vec<Decision>) {
+        let cells = self.cells.len();
         let Some(open) = self.open.get_mut(&id) else {
             return;
         };
-        open.refusals += 1;
-        if open.refusals < self.cells.len() {
-            let next = (open.cell + 1) % self.cells.len();
-            self.ask_cell(now, id, next);
-        } else {
+        open.refusals.push(Refusal {
+            cell: open.cell,
+            predicted_wait,
+        });
+        let next = match open.refusals.len() {
+            asked if asked < cells => Some((open.cell + 1) % cells),
+            asked if asked == cells => shortest_wait(open),
+            _ => None,
+        };
+        let Some(next) = next else {
             self.open.remove(&id);
             out.push(Decision::Refuse { id });
+            return;
+        };
+        if open.refusals.len() == cells {
+            open.req.class.longest_wait = open.longest_wait;
         }
+        self.ask_cell(now, id, next);
     }
 }
 
 impl Policy for Ours<'_> {
     fn arrive(&mut self, now: Time, ask: &Ask<'_>) {
+        let mut req = self.request(ask);
+        req.class.longest_wait = ask.class.longest_wait.min(ask.class.wait_target);
         let open = Open {
-            req: self.request(ask),
+            req,
+            longest_wait: ask.class.longest_wait,
             cell: ask.data_centre,
-            refusals: 0,
-            spill_at: Time::NEVER,
-            granted: false,
+            refusals: Vec::new(),
         };
         self.open.insert(ask.id, open);
         self.ask_cell(now, ask.id, ask.data_centre);
@@ -204,19 +200,22 @@
     }
 
     fn poll(&mut self, now: Time, out: &mut Vec<Decision>) -> Time {
-        self.spill(now);
         // A refusal of one cell becomes an ask of the next, which is then due.
         while let Some(cell) = self.wakes.iter().position(|wake| *wake <= now) {
             self.poll_cell(now, cell, out);
         }
-        let spill = self.spills.first().map_or(Time::NEVER, |(at, _)| *at);
-        self.wakes.iter().copied().fold(spill, Time::min)
+        self.wakes.iter().copied().fold(Time::NEVER, Time::min)
     }
 }
 
-/// Returns how long a request waits for one cell before the next is asked.
-fn spill_after(req: &CellRequest) -> Duration {
-    req.class.wait_target / 2
+/// Returns the cell that promised the shortest wait that the request accepts.
+fn shortest_wait(open: &Open) -> Option<usize> {
+    let accepted = open
+        .refusals
+        .iter()
+        .filter(|refusal| refusal.predicted_wait <= open.longest_wait);
+    let shortest = accepted.min_by_key(|refusal| refusal.predicted_wait);
+    shortest.map(|refusal| refusal.cell)
 }
 
 fn request_id(ask: &Ask<'_>) -> RequestId {
