--- a/crates/bench/src/fleet.rs
+++ b/crates/bench/src/fleet.rs
@@ -212,6 +212,15 @@
         Ok(())
     }
 
+    /// Publishes an index alone in every view, for example a broken one.
+    pub async fn publish_index(&self, index: String, revision: u64) -> Result<(), FleetError> {
+        for view in 0..self.views.len() {
+            self.write(view, "catalogue-index", index.clone(), revision)
+                .await?;
+        }
+        Ok(())
+    }
+
     /// Publishes a catalogue in one view, as it is.
     pub async fn write_catalogue(
         &self,
--- a/crates/bench/src/fleet/operators.rs
+++ b/crates/bench/src/fleet/operators.rs
@@ -1,5 +1,6 @@
 //! The operators' side of an instance, as experiments use it.
 
+use oriolemux::status::NodeStatus;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -38,6 +39,12 @@
         response.error_for_status()?.text().await
     }
 
+    /// Returns the state of the instance as it tells operators.
+    pub async fn status(&self, instance: SocketAddr) -> Result<NodeStatus, reqwest::Error> {
+        let response = self.get(instance, "status").await?;
+        response.error_for_status()?.json().await
+    }
+
     async fn get(
         &self,
         instance: SocketAddr,
--- a/crates/bench/src/fleet/route.rs
+++ b/crates/bench/src/fleet/route.rs
@@ -40,6 +40,11 @@
         }
     }
 
+    /// Returns what cuts all open connections, to be called from elsewhere.
+    pub fn cutter(&self) -> Option<impl Fn() + Send + Sync + use<>> {
+        self.proxy.as_ref().map(Proxy::cutter)
+    }
+
     /// Leads new connections to another process.
     pub fn retarget(&mut self, target: SocketAddr) {
         self.target = target;
--- a/crates/bench/src/load.rs
+++ b/crates/bench/src/load.rs
@@ -19,6 +19,8 @@
 const CONNECT_LIMIT: Duration = Duration::from_secs(5);
 /// The response header that names the request.
 const REQUEST_HEADER: &str = "Oriolemux-Request";
+/// What the record of a caller that went away says.
+const LEFT: &str = "the caller left";
 /// The end mark of a stream.
 const DONE: &str = "[DONE]";
 
@@ -48,6 +50,16 @@
 
     /// Sends a completion to `instance` and waits for its end.
     pub async fn complete(&self, instance: SocketAddr, call: &CompletionCall) -> Received {
+        self.complete_observed(instance, call, |_| {}).await
+    }
+
+    /// Sends a completion to `instance`, shows each token as it comes and waits for the end.
+    pub async fn complete_observed(
+        &self,
+        instance: SocketAddr,
+        call: &CompletionCall,
+        mut on_token: impl FnMut(&str),
+    ) -> Received {
         let mut http = self
             .http
             .post(format!("http://{instance}/v1/completions"))
@@ -65,7 +77,14 @@
                 if !response.status().is_success() {
                     refused(response).await
                 } else if call.stream {
-                    read_stream(response, &mut received, begun).await
+                    read_stream(
+                        response,
+                        &mut received,
+                        begun,
+                        call.leave_after,
+                        &mut on_token,
+                    )
+                    .await
                 } else {
                     read_whole(response, &mut received, begun).await
                 }
@@ -187,6 +206,8 @@
     mut response: reqwest::Response,
     received: &mut Received,
     begun: Instant,
+    leave_after: Option<u32>,
+    on_token: &mut impl FnMut(&str),
 ) -> CallerEnding {
     let mut parser = sse::Parser::default();
     let mut ending = None;
@@ -196,6 +217,10 @@
             Ok(None) => return ending.unwrap_or_else(|| broken(&"closed without an end")),
             Err(error) => return broken(&error),
         };
+        if leave_after.is_some_and(|tokens| received.tokens >= tokens) {
+            // Dropping the response closes the connection.
+            return broken(&LEFT);
+        }
         parser.push(&bytes);
         while let Some(event) = parser.next_event() {
             if event.data == DONE {
@@ -203,7 +228,7 @@
                     detail: "end mark without a finish reason".to_owned(),
                 });
             }
-            match read_event(&event, received, begun) {
+            match read_event(&event, received, begun, on_token) {
                 Ok(end) => ending = end.or(ending),
                 Err(end) => return end,
             }
@@ -216,6 +241,7 @@
     event: &sse::Event,
     received: &mut Received,
     begun: Instant,
+    on_token: &mut impl FnMut(&str),
 ) -> Result<Option<CallerEnding>, CallerEnding> {
     if event.event == "error" {
         let body: Option<ErrorBody> = serde_json::from_str(&event.data).ok();
@@ -232,6 +258,7 @@
         })?;
     if !chunk.text().is_empty() {
         received.token(chunk.text(), chunk.token_index, begun);
+        on_token(chunk.text());
     }
     received.note_id(&chunk.id);
     Ok(chunk.completed())
--- a/crates/bench/src/load/request.rs
+++ b/crates/bench/src/load/request.rs
@@ -19,6 +19,8 @@
     pub ticket: Option<String>,
     /// How long the caller is willing to wait, in milliseconds.
     pub patience_ms: Option<u64>,
+    /// The caller goes away after so many tokens of a stream.
+    pub leave_after: Option<u32>,
 }
 
 #[derive(Debug, Serialize)]
--- a/crates/bench/src/proxy.rs
+++ b/crates/bench/src/proxy.rs
@@ -83,7 +83,13 @@
 
     /// Cuts all open connections now.
     pub fn cut(&self) {
-        self.shared.cuts.send_modify(|count| *count += 1);
+        self.cutter()();
+    }
+
+    /// Returns what cuts all open connections, to be called from elsewhere.
+    pub fn cutter(&self) -> impl Fn() + Send + Sync + use<> {
+        let shared = Arc::clone(&self.shared);
+        move || shared.cuts.send_modify(|count| *count += 1)
     }
 }
 
--- a/crates/bench/src/standins/admin.rs
+++ b/crates/bench/src/standins/admin.rs
@@ -44,6 +44,12 @@
         self.send(self.http.post(url).json(rule)).await
     }
 
+    /// Takes back the faults that an engine has not yet shown.
+    pub async fn clear_engine_faults(&self, engine: SocketAddr) -> Result<(), AdminError> {
+        let url = format!("http://{engine}/admin/faults");
+        self.send(self.http.delete(url)).await
+    }
+
     /// Asks a service for a fault.
     pub async fn service_fault(
         &self,
--- a/crates/bench/src/standins/platform/routes.rs
+++ b/crates/bench/src/standins/platform/routes.rs
@@ -69,7 +69,7 @@
 async fn failure(platform: &Platform) -> Option<Response> {
     let mode = platform.lock().mode;
     match mode {
-        Mode::Well | Mode::Stale => None,
+        Mode::Well | Mode::Stale | Mode::Older => None,
         Mode::Slow { delay_ms } => {
             tokio::time::sleep(Duration::from_millis(delay_ms)).await;
             None
--- a/crates/bench/src/standins/platform/state.rs
+++ b/crates/bench/src/standins/platform/state.rs
@@ -27,6 +27,9 @@
     },
     /// Values are served as they were when this mode was set.
     Stale,
+    /// Each value is served as it was before its last write, as from a replica
+    /// that lags.
+    Older,
 }
 
 /// A value and its revision.
@@ -60,6 +63,7 @@
 #[derive(Debug, Default)]
 pub struct State {
     values: BTreeMap<String, Value>,
+    older: BTreeMap<String, Value>,
     stale: Option<BTreeMap<String, Value>>,
     /// How well it serves.
     pub mode: Mode,
@@ -97,7 +101,9 @@
         let next = self.values.get(name).map_or(1, |value| value.revision + 1);
         let revision = revision.unwrap_or(next);
         let value = Value { revision, bytes };
-        self.values.insert(name.to_owned(), value);
+        if let Some(before) = self.values.insert(name.to_owned(), value) {
+            self.older.insert(name.to_owned(), before);
+        }
         revision
     }
 
@@ -112,6 +118,10 @@
     /// Returns a value as readers see it now.
     pub fn read(&self, name: &str) -> Option<Value> {
         let values = self.stale.as_ref().unwrap_or(&self.values);
-        values.get(name).cloned()
+        let older = match self.mode {
+            Mode::Older => self.older.get(name),
+            _ => None,
+        };
+        older.or_else(|| values.get(name)).cloned()
     }
 }
