Gauges at the scrape, names in log lines, pauses and immediate stops told

Cause: gauges had no source, log lines of notes showed keys that no operator knows, and neither a pause nor a second signal left a line.

--- a/crates/oriolemux/src/events.rs
+++ b/crates/oriolemux/src/events.rs
@@ -16,8 +16,10 @@
 
 use crate::metrics::ReasonCounter;
 use log::kv::{self, Key, Source, Value, VisitSource};
+use oriolemux_core::explain::Names;
 use oriolemux_core::note::Note;
 use oriolemux_core::reason::{Reason, ReasonGroup};
+use oriolemux_core::{EndpointKey, InstanceKey};
 
 /// The log target of all numbered events.
 pub const TARGET: &str = "oriolemux::events";
@@ -25,8 +27,14 @@
 /// The key under which a log record carries the number of its event.
 pub const NUMBER_KEY: &str = "event";
 
-/// Logs and counts what the core noted.
+/// Logs and counts what the core noted, with keys in place of names.
 pub fn emit(note: &Note) {
+    emit_named(note, &NoNames);
+}
+
+/// Logs and counts what the core noted. Endpoints and instances are shown under the names
+/// that are known, because an operator looks for those in the list.
+pub fn emit_named(note: &Note, names: &impl Names) {
     match note {
         Note::Refused { request, reason } => {
             ReasonCounter::Refusals.add(*reason);
@@ -47,31 +55,40 @@
             ReasonCounter::Discards.add(*reason);
             record(LogEvent::AnswerDiscarded, &[display("reason", reason)]);
         }
-        _ => emit_state(note),
+        _ => emit_state(note, names),
     }
 }
 
 /// Logs and counts a note that is about the fleet and not about one request.
-fn emit_state(note: &Note) {
+fn emit_state(note: &Note, names: &impl Names) {
     match note {
         Note::Refused { .. }
         | Note::Retried { .. }
         | Note::Failed { .. }
         | Note::Discarded { .. } => debug_assert!(false, "a note about a request: {note:?}"),
         Note::EndpointLeaving(endpoint) => {
-            record(LogEvent::EndpointLeaving, &[display("endpoint", endpoint)]);
+            record(
+                LogEvent::EndpointLeaving,
+                &[display("endpoint", &endpoint_name(*endpoint, names))],
+            );
         }
         Note::EndpointEjected(endpoint) => {
-            record(LogEvent::EndpointEjected, &[display("endpoint", endpoint)]);
+            record(
+                LogEvent::EndpointEjected,
+                &[display("endpoint", &endpoint_name(*endpoint, names))],
+            );
         }
         Note::EndpointReadmitted(endpoint) => {
             record(
                 LogEvent::EndpointReadmitted,
-                &[display("endpoint", endpoint)],
+                &[display("endpoint", &endpoint_name(*endpoint, names))],
             );
         }
         Note::InstanceGone(instance) => {
-            record(LogEvent::InstanceGone, &[display("instance", instance)]);
+            record(
+                LogEvent::InstanceGone,
+                &[display("instance", &instance_name(*instance, names))],
+            );
         }
         Note::ListDoubted { named, known } => {
             let fields = [display("named", named), display("known", known)];
@@ -99,15 +116,42 @@
         Note::PlatformDown => record(LogEvent::PlatformDown, &[]),
         Note::PlatformUp => record(LogEvent::PlatformUp, &[]),
         Note::Ordered { endpoint, fencing } => {
-            let fields = [display("endpoint", endpoint), display("fencing", fencing)];
+            let endpoint = endpoint_name(*endpoint, names);
+            let fields = [display("endpoint", &endpoint), display("fencing", fencing)];
             record(LogEvent::EndpointOrdered, &fields);
         }
         Note::OrderHeld { endpoint } => {
-            record(LogEvent::OrderHeld, &[display("endpoint", endpoint)]);
+            record(
+                LogEvent::OrderHeld,
+                &[display("endpoint", &endpoint_name(*endpoint, names))],
+            );
         }
     }
 }
 
+/// Knows no name.
+struct NoNames;
+
+impl Names for NoNames {
+    fn endpoint(&self, _key: EndpointKey) -> Option<&str> {
+        None
+    }
+
+    fn instance(&self, _key: InstanceKey) -> Option<&str> {
+        None
+    }
+}
+
+fn endpoint_name(key: EndpointKey, names: &impl Names) -> String {
+    let name = names.endpoint(key);
+    name.map_or_else(|| key.to_string(), str::to_owned)
+}
+
+fn instance_name(key: InstanceKey, names: &impl Names) -> String {
+    let name = names.instance(key);
+    name.map_or_else(|| key.to_string(), str::to_owned)
+}
+
 /// Logs and counts what the shell noted.
 pub fn emit_shell(note: &ShellNote<'_>) {
     note.with_fields(record);
--- a/crates/oriolemux/src/events/shell_note.rs
+++ b/crates/oriolemux/src/events/shell_note.rs
@@ -35,10 +35,7 @@
     /// The planned stop is done.
     StopFinished,
     /// A second signal ended the process at once.
-    StoppedNow {
-        /// Requests that were cut off.
-        cut_off: usize,
-    },
+    StoppedNow,
     /// A part failed and is started again.
     PartRestarted {
         /// The part's name.
@@ -110,9 +107,7 @@
                 f(LogEvent::StopRequested, &[display("by", by)]);
             }
             ShellNote::StopFinished => f(LogEvent::StopFinished, &[]),
-            ShellNote::StoppedNow { cut_off } => {
-                f(LogEvent::StoppedNow, &[display("cut_off", cut_off)]);
-            }
+            ShellNote::StoppedNow => f(LogEvent::StoppedNow, &[]),
             ShellNote::PartRestarted { part, error } => {
                 let fields = [display("part", part), display("error", error)];
                 f(LogEvent::PartRestarted, &fields);
--- a/crates/oriolemux/src/operators.rs
+++ b/crates/oriolemux/src/operators.rs
@@ -5,6 +5,7 @@
 //! none; they say nothing but yes or no. See `docs/OPERATIONS.md`.
 
 mod auth;
+mod gauges;
 mod port;
 mod routes;
 mod server;
--- a/crates/oriolemux/src/operators/routes.rs
+++ b/crates/oriolemux/src/operators/routes.rs
@@ -1,6 +1,7 @@
 //! What operators may ask for.
 
 use super::auth::RequireKey;
+use super::gauges;
 use super::port::{OperatorPort, QueryError};
 use crate::metrics;
 use crate::settings::Secret;
@@ -92,7 +93,12 @@
 }
 
 #[handler]
-fn show_metrics() -> Response {
+async fn show_metrics(Data(port): Data<&OperatorPort>) -> Response {
+    // Gauges are of the moment of the scrape. Without an answer the last ones stay: counters
+    // still help to find out why the node task is silent.
+    if let Ok(status) = port.status().await {
+        gauges::show(&status);
+    }
     Response::builder()
         .content_type(METRICS_TYPE)
         .body(metrics::render())
--- a/crates/oriolemux/src/operators/server.rs
+++ b/crates/oriolemux/src/operators/server.rs
@@ -4,6 +4,7 @@
 use super::routes::routes;
 use crate::metrics;
 use crate::settings::Secret;
+use crate::supervisor::watch_for_pauses;
 use core::time::Duration;
 use poem::Server;
 use poem::listener::TcpAcceptor;
@@ -61,6 +62,7 @@
         tokio::select! {
             served = server => served,
             () = keep_up_metrics() => Ok(()),
+            () = watch_for_pauses() => Ok(()),
         }
     }
 }
--- a/crates/oriolemux/src/supervisor.rs
+++ b/crates/oriolemux/src/supervisor.rs
@@ -7,9 +7,11 @@
 //! long it takes. A supervisor may itself be a part of another one.
 
 mod part;
+mod pause;
 mod stop;
 
 pub use part::{PartError, PartFuture};
+pub use pause::watch_for_pauses;
 pub use stop::StopTokens;
 
 use crate::events::{self, ShellNote};
--- a/crates/oriolemux/src/supervisor/stop.rs
+++ b/crates/oriolemux/src/supervisor/stop.rs
@@ -52,7 +52,10 @@
         }
         match stop.planned.is_cancelled() {
             false => stop.request("signal"),
-            true => stop.now.cancel(),
+            true => {
+                events::emit_shell(&ShellNote::StoppedNow);
+                stop.now.cancel();
+            }
         }
     }
 }
