--- a/crates/oriolemux/src/callers.rs
+++ b/crates/oriolemux/src/callers.rs
@@ -11,6 +11,7 @@
 pub mod auth;
 pub mod body;
 pub mod completion;
+pub mod connections;
 pub mod errors;
 pub mod port;
 pub mod prefix;
--- a/crates/oriolemux/src/callers/accept.rs
+++ b/crates/oriolemux/src/callers/accept.rs
@@ -1,7 +1,11 @@
-//! Accepts callers' connections, bounded in number.
+//! Accepts callers' connections, bounded in number and in the time for a head.
 
-use core::pin::Pin;
-use core::task::{Context, Poll};
+mod stream;
+
+pub use stream::BoundedStream;
+
+use super::connections::Connections;
+use crate::metrics::Counter;
 use core::time::Duration;
 use http::uri::Scheme;
 use poem::listener::Acceptor;
@@ -9,102 +13,127 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::sync::Semaphore;
+use tokio::time::timeout;
 
 /// How long to wait after a failed accept. The usual cause is that no file
 /// descriptor is left; trying again at once would keep a core busy with it.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
-/// Accepts at most so many connections at a time.
-///
-/// A connection above the limit waits in the kernel's queue and is accepted
-/// when another one ends.
+/// How many connections above the limit are told so at a time; more are closed
+/// without a word.
+const MAX_REFUSALS: usize = 64;
+
+/// How long a refused connection is kept for its caller to read the refusal.
+const REFUSAL_LIMIT: Duration = Duration::from_secs(1);
+
+/// What a connection above the limit is told. It has no request id, because
+/// its request was never read.
+const REFUSAL: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\n\
+    content-type: application/json\r\nretry-after: 1\r\nconnection: close\r\n\
+    content-length: 166\r\n\r\n\
+    {\"error\":{\"message\":\"this instance holds as many connections as it may\",\
+    \"type\":\"overloaded_error\",\"reason\":\"instance_full\",\
+    \"outcome\":\"not_run\",\"retry_after_ms\":1000}}";
+
+/// Bounds of the listener.
+#[derive(Clone, Copy, Debug)]
+pub struct AcceptLimits {
+    /// The most connections at a time.
+    pub connections: usize,
+    /// The longest time from the first byte of a head to its last.
+    pub head: Duration,
+    /// The longest time in which the socket takes no byte.
+    pub write: Duration,
+}
+
+/// Accepts at most so many connections at a time, and tells the rest.
 #[derive(Debug)]
 pub struct BoundedAcceptor {
     listener: TcpListener,
     address: SocketAddr,
+    limits: AcceptLimits,
+    connections: Connections,
     permits: Arc<Semaphore>,
+    refusals: Arc<Semaphore>,
 }
 
 impl BoundedAcceptor {
-    /// Accepts from `listener` at most `max_connections` at a time.
+    /// Accepts from `listener` and notes open connections in `connections`.
     ///
     /// # Errors
     ///
     /// Fails if the listener has no address.
-    pub fn new(listener: TcpListener, max_connections: usize) -> io::Result<Self> {
+    pub fn new(
+        listener: TcpListener,
+        limits: AcceptLimits,
+        connections: Connections,
+    ) -> io::Result<Self> {
         let address = listener.local_addr()?;
         Ok(BoundedAcceptor {
             listener,
             address,
-            permits: Arc::new(Semaphore::new(max_connections)),
+            limits,
+            connections,
+            permits: Arc::new(Semaphore::new(limits.connections)),
+            refusals: Arc::new(Semaphore::new(MAX_REFUSALS)),
         })
     }
-}
-
-impl Acceptor for BoundedAcceptor {
-    type Io = BoundedStream;
-
-    fn local_addr(&self) -> Vec<LocalAddr> {
-        vec![LocalAddr(self.address.into())]
-    }
 
-    async fn accept(&mut self) -> io::Result<(BoundedStream, LocalAddr, RemoteAddr, Scheme)> {
-        let permits = Arc::clone(&self.permits);
-        let permit = permits.acquire_owned().await.map_err(io::Error::other)?;
-        let accepted = self.listener.accept().await;
-        let (stream, remote) = match accepted {
-            Ok(accepted) => accepted,
+    async fn accept_stream(&self) -> io::Result<(TcpStream, SocketAddr)> {
+        match self.listener.accept().await {
+            Ok(accepted) => Ok(accepted),
             Err(err) => {
                 tokio::time::sleep(ACCEPT_PAUSE).await;
-                return Err(err);
+                Err(err)
             }
-        };
-        // Without this a token waits in the kernel for the acknowledgement of
-        // the one before it.
-        stream.set_nodelay(true)?;
-        let stream = BoundedStream {
-            stream,
-            _permit: permit,
-        };
-        let local = LocalAddr(self.address.into());
-        Ok((stream, local, RemoteAddr(remote.into()), Scheme::HTTP))
+        }
     }
-}
 
-/// A connection that gives its place back when it ends.
-#[derive(Debug)]
-pub struct BoundedStream {
-    stream: TcpStream,
-    _permit: OwnedSemaphorePermit,
+    fn refuse(&self, stream: TcpStream) {
+        Counter::ConnectionsRefused.add(1);
+        if let Ok(permit) = Arc::clone(&self.refusals).try_acquire_owned() {
+            tokio::spawn(async move {
+                let _ = timeout(REFUSAL_LIMIT, tell_full(stream)).await;
+                drop(permit);
+            });
+        }
+    }
 }
 
-impl AsyncRead for BoundedStream {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(cx, buf)
-    }
+/// Reads what the caller sends before the connection is closed: the kernel
+/// drops an answer that was not read yet when unread bytes are thrown away.
+async fn tell_full(mut stream: TcpStream) -> io::Result<()> {
+    stream.write_all(REFUSAL).await?;
+    stream.shutdown().await?;
+    let mut unread = [0; 4096];
+    while stream.read(&mut unread).await? > 0 {}
+    Ok(())
 }
 
-impl AsyncWrite for BoundedStream {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
-    }
+impl Acceptor for BoundedAcceptor {
+    type Io = BoundedStream;
 
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
+    fn local_addr(&self) -> Vec<LocalAddr> {
+        vec![LocalAddr(self.address.into())]
     }
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
+    async fn accept(&mut self) -> io::Result<(BoundedStream, LocalAddr, RemoteAddr, Scheme)> {
+        loop {
+            let (stream, remote) = self.accept_stream().await?;
+            let Ok(permit) = Arc::clone(&self.permits).try_acquire_owned() else {
+                self.refuse(stream);
+                continue;
+            };
+            // Without this a token waits in the kernel for the acknowledgement
+            // of the one before it.
+            stream.set_nodelay(true)?;
+            let open = self.connections.add(remote);
+            let stream = BoundedStream::new(stream, open, permit, self.limits);
+            let local = LocalAddr(self.address.into());
+            return Ok((stream, local, RemoteAddr(remote.into()), Scheme::HTTP));
+        }
     }
 }
--- /dev/null
+++ b/crates/oriolemux/src/callers/accept/stream.rs
@@ -0,0 +1,173 @@
+//! A caller's connection, with its place in the limit and the time for a head.
+
+use super::AcceptLimits;
+use crate::callers::connections::OpenConnection;
+use core::future::Future;
+use core::pin::Pin;
+use core::task::{Context, Poll, ready};
+use std::io;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::sync::OwnedSemaphorePermit;
+use tokio::time::{Instant, Sleep};
+
+/// The end of a head.
+const HEAD_END: [u8; 4] = *b"\r\n\r\n";
+
+/// How an HTTP/2 connection begins. Its frames have no heads that end in an
+/// empty line, so they are left to the HTTP library's own limits.
+const HTTP2_PREFACE: &[u8] = b"PRI ";
+
+/// Where in an exchange the connection is, as far as its bytes tell.
+#[derive(Debug)]
+enum Phase {
+    /// Nothing was read since the last write.
+    Idle,
+    /// A head has begun and must end before the timer does.
+    ///
+    /// What goes wrong without the timer: a caller that sends one byte of a
+    /// head a minute holds its place in the limit for good, and a few hundred
+    /// of them shut everybody else out.
+    Head {
+        /// The last bytes read.
+        tail: [u8; 4],
+        timer: Pin<Box<Sleep>>,
+    },
+    /// A head was read; its request is somebody else's to bound.
+    Request,
+    /// The connection speaks HTTP/2.
+    Http2,
+}
+
+/// A caller's connection.
+#[derive(Debug)]
+pub struct BoundedStream {
+    stream: TcpStream,
+    open: OpenConnection,
+    phase: Phase,
+    /// Runs while the socket refuses bytes. Without it a caller that asked for
+    /// a large answer and never reads it keeps that answer in memory for good.
+    write_timer: Option<Pin<Box<Sleep>>>,
+    limits: AcceptLimits,
+    /// Dropped last, so that the place is free only when the connection is.
+    _permit: OwnedSemaphorePermit,
+}
+
+impl BoundedStream {
+    /// Wraps an accepted connection.
+    pub(super) fn new(
+        stream: TcpStream,
+        open: OpenConnection,
+        permit: OwnedSemaphorePermit,
+        limits: AcceptLimits,
+    ) -> Self {
+        BoundedStream {
+            stream,
+            open,
+            phase: Phase::Idle,
+            write_timer: None,
+            limits,
+            _permit: permit,
+        }
+    }
+
+    fn on_read(&mut self, bytes: &[u8]) {
+        if let Phase::Idle = self.phase
+            && !bytes.is_empty()
+        {
+            if bytes.starts_with(HTTP2_PREFACE) {
+                self.phase = Phase::Http2;
+                return;
+            }
+            self.phase = Phase::Head {
+                tail: [0; 4],
+                timer: Box::pin(tokio::time::sleep_until(Instant::now() + self.limits.head)),
+            };
+        }
+        if let Phase::Head { tail, .. } = &mut self.phase
+            && ends_head(tail, bytes)
+        {
+            self.phase = Phase::Request;
+        }
+    }
+
+    fn on_written(&mut self) {
+        if let Phase::Request = self.phase {
+            self.phase = Phase::Idle;
+        }
+    }
+
+    fn poll_head_timer(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let Phase::Head { timer, .. } = &mut self.phase else {
+            return Poll::Pending;
+        };
+        ready!(timer.as_mut().poll(cx));
+        Poll::Ready(Err(io::ErrorKind::TimedOut.into()))
+    }
+
+    fn poll_write_timer(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<usize>> {
+        let limit = self.limits.write;
+        let timer = self
+            .write_timer
+            .get_or_insert_with(|| Box::pin(tokio::time::sleep(limit)));
+        ready!(timer.as_mut().poll(cx));
+        Poll::Ready(Err(io::ErrorKind::TimedOut.into()))
+    }
+}
+
+/// Moves `tail` over `bytes` and returns whether a head ended in them.
+fn ends_head(tail: &mut [u8; 4], bytes: &[u8]) -> bool {
+    for &byte in bytes {
+        tail.rotate_left(1);
+        tail[3] = byte;
+        if *tail == HEAD_END {
+            return true;
+        }
+    }
+    false
+}
+
+impl AsyncRead for BoundedStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let has_room = buf.remaining() > 0;
+        let before = buf.filled().len();
+        let Poll::Ready(read) = Pin::new(&mut self.stream).poll_read(cx, buf) else {
+            return self.poll_head_timer(cx);
+        };
+        let bytes = &buf.filled()[before..];
+        if read.is_err() || (bytes.is_empty() && has_room) {
+            self.open.state().on_end();
+        }
+        self.on_read(bytes);
+        Poll::Ready(read)
+    }
+}
+
+impl AsyncWrite for BoundedStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut self.stream).poll_write(cx, buf);
+        self.open.state().on_write(&written);
+        if written.is_pending() {
+            return self.poll_write_timer(cx);
+        }
+        self.write_timer = None;
+        self.on_written();
+        written
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
--- a/crates/oriolemux/src/callers/completion.rs
+++ b/crates/oriolemux/src/callers/completion.rs
@@ -4,6 +4,7 @@
 use crate::endpoints::CompletionBody;
 use oriolemux_core::event::Work;
 use serde::Deserialize;
+use serde::de::DeserializeOwned;
 use serde_json::{Map, Value};
 
 /// Bytes of prompt that are counted as one token when the caller does not say
@@ -49,6 +50,18 @@
     },
     /// {0}
     NotJson(serde_json::Error),
+    /// the field `{name}` is missing
+    Missing {
+        /// Its name.
+        name: &'static str,
+    },
+    /// `{name}`: {error}
+    WrongType {
+        /// The field's name.
+        name: &'static str,
+        /// What was expected.
+        error: serde_json::Error,
+    },
     /// unknown field `{name}`
     UnknownField {
         /// Its name.
@@ -67,16 +80,6 @@
     ManyPrompts,
 }
 
-#[derive(Deserialize)]
-struct Fields {
-    model: String,
-    prompt: Prompt,
-    max_tokens: Option<u32>,
-    stream: Option<bool>,
-    #[serde(flatten)]
-    rest: Map<String, Value>,
-}
-
 #[derive(Deserialize)]
 #[serde(untagged)]
 enum Prompt {
@@ -95,17 +98,18 @@
         let text = std::str::from_utf8(body).map_err(|err| CompletionError::NotUtf8 {
             at: err.valid_up_to(),
         })?;
-        let fields: Fields = serde_json::from_str(text).map_err(CompletionError::NotJson)?;
-        if fields.max_tokens == Some(0) {
+        let mut fields = serde_json::from_str(text).map_err(CompletionError::NotJson)?;
+        let max_tokens = take(&mut fields, "max_tokens")?;
+        if max_tokens == Some(0) {
             return Err(CompletionError::NoTokens);
         }
         Ok(CompletionCall {
-            entry: fields.model,
-            stream: fields.stream.unwrap_or(false),
-            max_tokens: fields.max_tokens,
+            entry: take_required(&mut fields, "model")?,
+            stream: take(&mut fields, "stream")?.unwrap_or(false),
+            max_tokens,
             body: CompletionBody {
-                prompt: one_prompt(fields.prompt)?,
-                sampling: read_sampling(fields.rest)?,
+                prompt: one_prompt(take_required(&mut fields, "prompt")?)?,
+                sampling: read_sampling(fields)?,
             },
         })
     }
@@ -122,6 +126,22 @@
     }
 }
 
+/// Takes a field out of `fields`; one that is null counts as absent.
+fn take<T: DeserializeOwned>(
+    fields: &mut Map<String, Value>,
+    name: &'static str,
+) -> Result<Option<T>, CompletionError> {
+    let value = fields.remove(name).unwrap_or(Value::Null);
+    serde_json::from_value(value).map_err(|error| CompletionError::WrongType { name, error })
+}
+
+fn take_required<T: DeserializeOwned>(
+    fields: &mut Map<String, Value>,
+    name: &'static str,
+) -> Result<T, CompletionError> {
+    take(fields, name)?.ok_or(CompletionError::Missing { name })
+}
+
 fn one_prompt(prompt: Prompt) -> Result<String, CompletionError> {
     match prompt {
         Prompt::One(prompt) => Ok(prompt),
--- a/crates/oriolemux/src/callers/routes.rs
+++ b/crates/oriolemux/src/callers/routes.rs
@@ -6,6 +6,7 @@
 mod tickets;
 
 use super::body::BodyLimits;
+use super::connections::Connections;
 use super::errors::ErrorAnswer;
 use super::port::NodePort;
 use crate::endpoints::EndpointProtocol;
@@ -24,6 +25,8 @@
     pub protocol: E,
     /// How large and slow a body may be.
     pub body: BodyLimits,
+    /// The connections that requests come on.
+    pub connections: Connections,
     /// How long a caller may take nothing of a stream.
     pub write_timeout: Duration,
 }
--- a/crates/oriolemux/src/callers/routes/completions.rs
+++ b/crates/oriolemux/src/callers/routes/completions.rs
@@ -29,6 +29,7 @@
 
 async fn read<E>(cx: &CallerCx<E>, id: RequestId, req: Request) -> Result<Submission, ErrorAnswer> {
     let headers = Headers::read(id, req.headers())?;
+    let remote = req.remote_addr().as_socket_addr().copied();
     let (parts, body) = req.into_parts();
     let bytes = body::read(body, &parts.headers, cx.body)
         .await
@@ -49,5 +50,6 @@
         body_bytes: bytes,
         body: WorkBody::Completion(call.body),
         form,
+        remote,
     })
 }
--- a/crates/oriolemux/src/callers/routes/services.rs
+++ b/crates/oriolemux/src/callers/routes/services.rs
@@ -30,6 +30,7 @@
 
 async fn read<E>(cx: &CallerCx<E>, id: RequestId, req: Request) -> Result<Submission, ErrorAnswer> {
     let headers = Headers::read(id, req.headers())?;
+    let remote = req.remote_addr().as_socket_addr().copied();
     let entry = req.path_params::<String>().map_err(|err| {
         ErrorAnswer::not_submitted(id, Reason::BadRequest).with_detail(err.to_string())
     })?;
@@ -49,5 +50,6 @@
         body_bytes: bytes,
         body: WorkBody::Call(call),
         form: AnswerForm::Bytes,
+        remote,
     })
 }
--- a/crates/oriolemux/src/callers/server.rs
+++ b/crates/oriolemux/src/callers/server.rs
@@ -1,7 +1,8 @@
 //! The server that callers connect to.
 
-use super::accept::BoundedAcceptor;
+use super::accept::{AcceptLimits, BoundedAcceptor};
 use super::body::BodyLimits;
+use super::connections::Connections;
 use super::port::NodePort;
 use super::routes;
 use crate::endpoints::EndpointProtocol;
@@ -11,14 +12,16 @@
 use std::io;
 use tokio::net::TcpListener;
 
+/// The most requests at a time on one HTTP/2 connection.
+const MAX_HTTP2_STREAMS: u32 = 128;
+
 /// Settings of the callers' side, with safe defaults.
 #[derive(Clone, Debug)]
 pub struct CallerServerBuilder<E> {
     port: NodePort,
     protocol: E,
     body: BodyLimits,
-    max_connections: usize,
-    write_timeout: Duration,
+    accept: AcceptLimits,
     idle_timeout: Duration,
 }
 
@@ -40,15 +43,22 @@
     /// Sets the most connections at a time; 4,096 unless set.
     #[must_use]
     pub fn max_connections(mut self, connections: usize) -> Self {
-        self.max_connections = connections;
+        self.accept.connections = connections;
+        self
+    }
+
+    /// Sets the longest time from the first byte of a head to its last; 30 s unless set.
+    #[must_use]
+    pub fn head_timeout(mut self, timeout: Duration) -> Self {
+        self.accept.head = timeout;
         self
     }
 
-    /// Sets how long a caller may take nothing of a stream before it counts as
-    /// gone; 60 s unless set.
+    /// Sets how long a caller may take nothing of its answer before it counts
+    /// as gone; 60 s unless set.
     #[must_use]
     pub fn write_timeout(mut self, timeout: Duration) -> Self {
-        self.write_timeout = timeout;
+        self.accept.write = timeout;
         self
     }
 
@@ -81,8 +91,11 @@
                 bytes: 1 << 20,
                 time: Duration::from_secs(30),
             },
-            max_connections: 4_096,
-            write_timeout: Duration::from_secs(60),
+            accept: AcceptLimits {
+                connections: 4_096,
+                head: Duration::from_secs(30),
+                write: Duration::from_secs(60),
+            },
             idle_timeout: Duration::from_secs(75),
         }
     }
@@ -99,16 +112,19 @@
         stop: impl Future<Output = ()>,
     ) -> io::Result<()> {
         let settings = self.settings;
-        let acceptor = BoundedAcceptor::new(listener, settings.max_connections)?;
+        let connections = Connections::default();
+        let acceptor = BoundedAcceptor::new(listener, settings.accept, connections.clone())?;
         let cx = routes::CallerCx {
             port: settings.port,
             protocol: settings.protocol,
             body: settings.body,
-            write_timeout: settings.write_timeout,
+            connections,
+            write_timeout: settings.accept.write,
         };
         let app = routes::routes(cx);
         Server::new_with_acceptor(acceptor)
             .idle_timeout(settings.idle_timeout)
+            .http2_max_concurrent_streams(MAX_HTTP2_STREAMS)
             .run_with_graceful_shutdown(app, stop, None)
             .await
     }
--- a/crates/oriolemux/src/callers/submit.rs
+++ b/crates/oriolemux/src/callers/submit.rs
@@ -19,6 +19,7 @@
 use oriolemux_core::{Reason, RequestId};
 use poem::{Body, Response};
 use std::io;
+use std::net::SocketAddr;
 use tokio::sync::{mpsc, oneshot};
 
 /// The caller's key for a request that must not run twice.
@@ -120,6 +121,8 @@
     pub body: WorkBody,
     /// The form of the answer.
     pub form: AnswerForm,
+    /// Where the caller's connection comes from.
+    pub remote: Option<SocketAddr>,
 }
 
 impl Submission {
@@ -148,7 +151,8 @@
     };
     let (head, reply) = oneshot::channel();
     let chunks = ChunkWriter::new(id, &submission.entry);
-    let caller = Caller::new(submission.form, chunks, head, cx.write_timeout);
+    let connection = cx.connections.state(submission.remote.as_ref());
+    let caller = Caller::new(submission.form, chunks, head, connection, cx.write_timeout);
     let port = cx.port.clone();
     let protocol = cx.protocol.clone();
     let relay = Relay::new(id, protocol, port, submission.body, orders, caller);
--- a/crates/oriolemux/src/relay/caller.rs
+++ b/crates/oriolemux/src/relay/caller.rs
@@ -2,11 +2,15 @@
 
 use super::chunk::ChunkWriter;
 use super::events::{FinishReason, Usage};
+use crate::callers::connections::ConnectionState;
 use crate::callers::errors::ErrorAnswer;
 use bytes::Bytes;
 use core::time::Duration;
 use http::HeaderValue;
+use std::sync::Arc;
+use tokio::sync::mpsc::error::TrySendError;
 use tokio::sync::{mpsc, oneshot};
+use tokio::time::timeout;
 
 /// How many written pieces wait for a caller that reads slowly.
 ///
@@ -66,6 +70,7 @@
     head: Option<oneshot::Sender<Reply>>,
     pieces: Option<mpsc::Sender<Piece>>,
     out: Vec<u8>,
+    connection: Arc<ConnectionState>,
     write_timeout: Duration,
 }
 
@@ -77,6 +82,7 @@
         form: AnswerForm,
         chunks: ChunkWriter,
         head: oneshot::Sender<Reply>,
+        connection: Arc<ConnectionState>,
         write_timeout: Duration,
     ) -> Self {
         Caller {
@@ -85,18 +91,25 @@
             head: Some(head),
             pieces: None,
             out: Vec::new(),
+            connection,
             write_timeout,
         }
     }
 
     /// Waits until nobody listens any more.
     pub async fn gone(&mut self) -> CallerGone {
-        match (&mut self.head, &self.pieces) {
-            (Some(head), _) => head.closed().await,
-            (None, Some(pieces)) => pieces.closed().await,
-            (None, None) => {}
+        let unheard = async {
+            match (&mut self.head, &self.pieces) {
+                (Some(head), _) => head.closed().await,
+                (None, Some(pieces)) => pieces.closed().await,
+                (None, None) => {}
+            }
+        };
+        tokio::select! {
+            biased;
+            () = unheard => CallerGone,
+            () = self.connection.wait_left() => CallerGone,
         }
-        CallerGone
     }
 
     /// Adds a token; it leaves with the next [`Caller::flush`].
@@ -182,18 +195,22 @@
         head.send(reply).map_err(|_| CallerGone)
     }
 
-    async fn send(&mut self, piece: Piece) -> Result<(), CallerGone> {
+    async fn send(&mut self, mut piece: Piece) -> Result<(), CallerGone> {
         self.begin_stream()?;
         let pieces = self.pieces.as_ref().ok_or(CallerGone)?;
-        let Err(back) = pieces.try_send(piece) else {
-            return Ok(());
-        };
-        let piece = match back {
-            mpsc::error::TrySendError::Full(piece) => piece,
-            mpsc::error::TrySendError::Closed(_) => return Err(CallerGone),
+        if !self.connection.is_blocked() {
+            match pieces.try_send(piece) {
+                Ok(()) => return Ok(()),
+                Err(TrySendError::Closed(_)) => return Err(CallerGone),
+                Err(TrySendError::Full(back)) => piece = back,
+            }
+        }
+        let slow_send = async {
+            self.connection.wait_writable().await;
+            pieces.send(piece).await
         };
-        let sent = pieces.send_timeout(piece, self.write_timeout).await;
-        sent.map_err(|_| CallerGone)
+        let sent = timeout(self.write_timeout, slow_send).await;
+        sent.ok().and_then(Result::ok).ok_or(CallerGone)
     }
 
     fn begin_stream(&mut self) -> Result<(), CallerGone> {
--- /dev/null
+++ b/crates/oriolemux/tests/callers_errors.rs
@@ -0,0 +1,281 @@
+//! Bad input: each a clear error, and nothing sent to any endpoint.
+
+#[path = "relay_support/caller.rs"]
+mod caller;
+#[path = "relay_support/node.rs"]
+mod node;
+
+use caller::{body, completion, exchange, post, serve, serve_with};
+use node::FakeNode;
+use rstest::rstest;
+use serde_json::Value;
+use std::time::Duration;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+
+const KEY: &str = "authorization: Bearer wren\r\n";
+
+/// Returns status, reason and message of an error answer.
+fn error_of(answer: &str) -> (u16, String, String) {
+    let status = answer[9..12].parse().expect("a status");
+    let json: Value = serde_json::from_str(body(answer)).expect("a JSON error");
+    let error = &json["error"];
+    assert_eq!(error["outcome"], "not_run", "{answer}");
+    assert!(
+        answer.contains("content-type: application/json\r\n"),
+        "{answer}"
+    );
+    let text = |name: &str| error[name].as_str().expect(name).to_owned();
+    (status, text("reason"), text("message"))
+}
+
+#[rstest]
+#[case::not_json("{\"model\":", 400, "bad_request", "line 1 column 9")]
+#[case::no_model(
+    r#"{"prompt":"a"}"#,
+    400,
+    "bad_request",
+    "the field `model` is missing"
+)]
+#[case::no_prompt(
+    r#"{"model":"plans"}"#,
+    400,
+    "bad_request",
+    "the field `prompt` is missing"
+)]
+#[case::wrong_type(
+    r#"{"model":"plans","prompt":"a","stream":"yes"}"#,
+    400,
+    "bad_request",
+    "stream"
+)]
+#[case::negative_tokens(
+    r#"{"model":"plans","prompt":"a","max_tokens":-1}"#,
+    400,
+    "bad_request",
+    "max_tokens"
+)]
+#[case::no_tokens(
+    r#"{"model":"plans","prompt":"a","max_tokens":0}"#,
+    400,
+    "bad_request",
+    "max_tokens"
+)]
+#[case::unknown_field(
+    r#"{"model":"plans","prompt":"a","temprature":1}"#,
+    400,
+    "bad_request",
+    "temprature"
+)]
+#[case::two_answers(
+    r#"{"model":"plans","prompt":"a","n":2}"#,
+    400,
+    "bad_request",
+    "`n` must be 1"
+)]
+#[case::two_prompts(
+    r#"{"model":"plans","prompt":["a","b"]}"#,
+    400,
+    "bad_request",
+    "one string"
+)]
+#[tokio::test]
+async fn refuses_bodies_that_are_wrong(
+    #[case] request: &str,
+    #[case] status: u16,
+    #[case] reason: &str,
+    #[case] message: &str,
+) {
+    let node = FakeNode::start(vec![]);
+    let address = serve(&node).await;
+
+    let answer = exchange(address, completion(request)).await;
+
+    let error = error_of(&answer);
+    assert_eq!((error.0, error.1.as_str()), (status, reason));
+    assert!(error.2.contains(message), "{}", error.2);
+}
+
+#[rstest]
+#[case::no_key("", 401, "bad_key")]
+#[case::other_scheme("authorization: Basic d3Jlbg==\r\n", 401, "bad_key")]
+#[case::empty_key("authorization: Bearer \r\n", 401, "bad_key")]
+#[case::bad_ticket(
+    "oriolemux-ticket: 17\r\nauthorization: Bearer wren\r\n",
+    400,
+    "bad_ticket"
+)]
+#[case::bad_prompt_tokens(
+    "oriolemux-prompt-tokens: many\r\nauthorization: Bearer wren\r\n",
+    400,
+    "bad_request"
+)]
+#[case::bad_patience(
+    "oriolemux-patience-ms: -5\r\nauthorization: Bearer wren\r\n",
+    400,
+    "bad_request"
+)]
+#[case::empty_idempotency_key(
+    "idempotency-key: \r\nauthorization: Bearer wren\r\n",
+    400,
+    "bad_request"
+)]
+#[tokio::test]
+async fn refuses_headers_that_are_wrong(
+    #[case] headers: &str,
+    #[case] status: u16,
+    #[case] reason: &str,
+) {
+    let node = FakeNode::start(vec![]);
+    let address = serve(&node).await;
+
+    let request = post(
+        "/v1/completions",
+        headers,
+        r#"{"model":"plans","prompt":"a"}"#,
+    );
+    let answer = exchange(address, request).await;
+
+    let error = error_of(&answer);
+    assert_eq!((error.0, error.1.as_str()), (status, reason));
+}
+
+#[tokio::test]
+async fn refuses_invalid_utf8_with_its_place() {
+    let node = FakeNode::start(vec![]);
+    let address = serve(&node).await;
+
+    let mut request = completion("{\"model\":\"pl__s\"}").into_bytes();
+    let at = request.len() - 5;
+    request[at..at + 2].copy_from_slice(&[0xc3, 0x28]);
+    let answer = exchange(address, request).await;
+
+    let error = error_of(&answer);
+    assert_eq!((error.0, error.1.as_str()), (400, "bad_request"));
+    assert!(error.2.contains("UTF-8 from byte 12"), "{}", error.2);
+}
+
+#[tokio::test]
+async fn refuses_a_declared_body_above_the_limit_unread() {
+    let node = FakeNode::start(vec![]);
+    let address = serve_with(&node, |server| server.max_body_bytes(100)).await;
+
+    let request = format!(
+        "POST /v1/completions HTTP/1.1\r\nhost: o\r\n{KEY}connection: close\r\n\
+         content-length: 101\r\n\r\n"
+    );
+    let answer = exchange(address, request).await;
+
+    let error = error_of(&answer);
+    assert_eq!((error.0, error.1.as_str()), (413, "body_too_large"));
+    assert!(error.2.contains("100 bytes"), "{}", error.2);
+}
+
+#[tokio::test]
+async fn refuses_an_undeclared_body_above_the_limit() {
+    let node = FakeNode::start(vec![]);
+    let address = serve_with(&node, |server| server.max_body_bytes(100)).await;
+
+    let piece = format!("32\r\n{}\r\n", "x".repeat(0x32));
+    let request = format!(
+        "POST /v1/completions HTTP/1.1\r\nhost: o\r\n{KEY}connection: close\r\n\
+         transfer-encoding: chunked\r\n\r\n{piece}{piece}{piece}0\r\n\r\n"
+    );
+    let answer = exchange(address, request).await;
+
+    let error = error_of(&answer);
+    assert_eq!((error.0, error.1.as_str()), (413, "body_too_large"));
+}
+
+/// Symptom: instances ran out of connections while hardly any request came.
+/// Sequence: callers sent a head and a part of the body, then nothing.
+/// Cause: the body was waited for without a limit.
+#[tokio::test]
+async fn gives_up_on_a_body_that_does_not_arrive() {
+    let node = FakeNode::start(vec![]);
+    let limit = Duration::from_millis(50);
+    let address = serve_with(&node, |server| server.body_timeout(limit)).await;
+
+    let request = format!(
+        "POST /v1/completions HTTP/1.1\r\nhost: o\r\n{KEY}connection: close\r\n\
+         content-length: 50\r\n\r\n{{\"model\":"
+    );
+    let answer = exchange(address, request).await;
+
+    let error = error_of(&answer);
+    assert_eq!((error.0, error.1.as_str()), (400, "bad_request"));
+    assert!(error.2.contains("50ms"), "{}", error.2);
+}
+
+/// Symptom: instances ran out of connections while no request came at all.
+/// Sequence: callers sent one line of a head, then nothing.
+/// Cause: the HTTP server waits for the end of a head without a limit.
+#[tokio::test]
+async fn closes_a_connection_whose_head_does_not_end() {
+    let node = FakeNode::start(vec![]);
+    let limit = Duration::from_millis(50);
+    let address = serve_with(&node, |server| server.head_timeout(limit)).await;
+
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    stream
+        .write_all(b"POST /v1/completions HTTP/1.1\r\n")
+        .await
+        .unwrap();
+    let mut rest = Vec::new();
+    let read = tokio::io::AsyncReadExt::read_to_end(&mut stream, &mut rest);
+    let closed = tokio::time::timeout(caller::PATIENCE, read).await;
+
+    assert!(closed.is_ok(), "the server closes the connection");
+}
+
+#[tokio::test]
+async fn tells_a_connection_above_the_limit() {
+    let node = FakeNode::start(vec![]);
+    let address = serve_with(&node, |server| server.max_connections(1)).await;
+    let mut held = TcpStream::connect(address).await.unwrap();
+    let first_answer = keep_alive_exchange(&mut held).await;
+    assert!(first_answer.starts_with("HTTP/1.1 200"), "{first_answer}");
+
+    let answer = exchange(address, completion(r#"{"model":"plans","prompt":"a"}"#)).await;
+
+    let error = error_of(&answer);
+    assert_eq!((error.0, error.1.as_str()), (503, "instance_full"));
+    assert!(answer.contains("retry-after: 1\r\n"), "{answer}");
+    drop(held);
+}
+
+/// Sends one request on a connection that stays open and reads one read of its answer.
+async fn keep_alive_exchange(stream: &mut TcpStream) -> String {
+    let request = format!("GET /v1/models HTTP/1.1\r\nhost: o\r\n{KEY}\r\n");
+    stream.write_all(request.as_bytes()).await.unwrap();
+    let mut buf = [0; 4096];
+    let n = tokio::io::AsyncReadExt::read(stream, &mut buf)
+        .await
+        .unwrap();
+    String::from_utf8_lossy(&buf[..n]).into_owned()
+}
+
+#[tokio::test]
+async fn passes_on_the_nodes_refusal() {
+    let node = FakeNode::start(vec![]);
+    let address = serve(&node).await;
+
+    let answer = exchange(address, completion(r#"{"model":"plans","prompt":"a"}"#)).await;
+
+    let error = error_of(&answer);
+    assert_eq!((error.0, error.1.as_str()), (503, "no_endpoint"));
+    assert!(answer.contains("retry-after: 2\r\n"), "{answer}");
+    assert!(answer.contains("\"retry_after_ms\":1500"), "{answer}");
+    assert!(answer.contains("oriolemux-request: r-0000000000000001-0000000000000002-1\r\n"));
+}
+
+#[tokio::test]
+async fn says_that_a_path_does_not_exist() {
+    let node = FakeNode::start(vec![]);
+    let address = serve(&node).await;
+
+    let answer = exchange(address, post("/v1/chat", KEY, "{}")).await;
+
+    let error = error_of(&answer);
+    assert_eq!((error.0, error.1.as_str()), (404, "bad_request"));
+}
--- /dev/null
+++ b/crates/oriolemux/tests/callers_leaving.rs
@@ -0,0 +1,148 @@
+//! Callers that leave or read slowly.
+
+#[path = "relay_support/caller.rs"]
+mod caller;
+#[path = "relay_support/endpoint.rs"]
+mod endpoint;
+#[path = "relay_support/node.rs"]
+mod node;
+
+use caller::{PATIENCE, completion, serve, serve_with};
+use endpoint::{Answer, FakeEndpoint, Then, stream_head, token, whole};
+use node::{Decision, FakeNode, Told, attempt_id, plan};
+use rstest::rstest;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::timeout;
+
+const STREAM: &str = r#"{"model":"plans","prompt":"Draft a plan","stream":true}"#;
+const WHOLE: &str = r#"{"model":"plans","prompt":"Draft a plan"}"#;
+
+async fn wait_for_caller_gone(node: &mut FakeNode) {
+    while !matches!(node.told().await, Told::CallerGone) {}
+}
+
+/// Symptom: engines were full of generations that nobody read.
+/// Sequence: callers gave up and closed while their generation ran.
+/// Cause: a caller that leaves is seen only when the next write fails.
+#[rstest]
+#[case::streamed(STREAM)]
+#[case::as_one_object(WHOLE)]
+#[tokio::test]
+async fn cancels_the_generation_of_a_caller_that_leaves(#[case] request: &str) {
+    let one_token = Answer {
+        bytes: (stream_head() + &token(&attempt_id(1), 0, "one")).into_bytes(),
+        then: Then::Hang,
+    };
+    let gone = whole("204 No Content", "", "");
+    let mut endpoint = FakeEndpoint::start(vec![one_token, gone]).await;
+    let mut node = FakeNode::start(vec![Decision::Dispatch(plan(endpoint.address))]);
+    let address = serve(&node).await;
+
+    let mut caller = TcpStream::connect(address).await.unwrap();
+    caller
+        .write_all(completion(request).as_bytes())
+        .await
+        .unwrap();
+    endpoint.request().await;
+    drop(caller);
+
+    let cancel = timeout(PATIENCE, endpoint.request()).await.unwrap();
+    let expected = format!("DELETE /v1/completions/{} HTTP/1.1\r\n", attempt_id(1));
+    assert!(cancel.starts_with(&expected), "{cancel}");
+    timeout(PATIENCE, wait_for_caller_gone(&mut node))
+        .await
+        .unwrap();
+}
+
+#[tokio::test]
+async fn tells_the_node_of_a_caller_that_leaves_the_queue() {
+    let mut node = FakeNode::start(vec![Decision::Wait]);
+    let address = serve(&node).await;
+
+    let mut caller = TcpStream::connect(address).await.unwrap();
+    caller
+        .write_all(completion(STREAM).as_bytes())
+        .await
+        .unwrap();
+    assert!(matches!(node.told().await, Told::Arrival(_)));
+    drop(caller);
+
+    timeout(PATIENCE, wait_for_caller_gone(&mut node))
+        .await
+        .unwrap();
+}
+
+/// How much an endpoint could send before it was held back.
+async fn sent_until_blocked(stream: &mut TcpStream, most: usize) -> usize {
+    let mut sent = stream.write(stream_head().as_bytes()).await.unwrap();
+    let mut index = 0;
+    while sent < most {
+        let event = token(&attempt_id(1), index, &"x".repeat(1_000));
+        let write = stream.write_all(event.as_bytes());
+        if timeout(Duration::from_millis(500), write).await.is_err() {
+            return sent;
+        }
+        sent += event.len();
+        index += 1;
+    }
+    sent
+}
+
+/// Symptom: an instance's memory grew with the answers of a few callers.
+/// Sequence: callers stopped reading; their engines went on generating.
+/// Cause: tokens were taken from the endpoint faster than the caller took them.
+#[tokio::test]
+async fn holds_the_endpoint_back_when_the_caller_does_not_read() {
+    const MOST: usize = 64 << 20;
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let mut plan = plan(listener.local_addr().unwrap());
+    plan.stall_limit = PATIENCE;
+    let node = FakeNode::start(vec![Decision::Dispatch(plan)]);
+    let address = serve(&node).await;
+
+    let mut caller = TcpStream::connect(address).await.unwrap();
+    caller
+        .write_all(completion(STREAM).as_bytes())
+        .await
+        .unwrap();
+    let (mut endpoint, _) = listener.accept().await.unwrap();
+    let sent = sent_until_blocked(&mut endpoint, MOST).await;
+
+    assert!(sent < MOST, "the endpoint was never held back");
+}
+
+#[tokio::test]
+async fn gives_up_on_a_caller_that_reads_nothing() {
+    const MOST: usize = 64 << 20;
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let mut node = FakeNode::start(vec![Decision::Dispatch(plan(
+        listener.local_addr().unwrap(),
+    ))]);
+    let limit = Duration::from_millis(100);
+    let address = serve_with(&node, |server| server.write_timeout(limit)).await;
+
+    let mut caller = TcpStream::connect(address).await.unwrap();
+    caller
+        .write_all(completion(STREAM).as_bytes())
+        .await
+        .unwrap();
+    let (mut endpoint, _) = listener.accept().await.unwrap();
+    let sending = tokio::spawn(async move {
+        let sent = sent_until_blocked(&mut endpoint, MOST).await;
+        (endpoint, sent)
+    });
+
+    timeout(PATIENCE, wait_for_caller_gone(&mut node))
+        .await
+        .unwrap();
+    sending.abort();
+    let mut rest = Vec::new();
+    let end = timeout(PATIENCE, caller.read_to_end(&mut rest)).await;
+    assert!(end.is_ok(), "the connection is closed");
+    assert!(
+        !rest.ends_with(b"0\r\n\r\n"),
+        "a cut answer does not look whole"
+    );
+}
--- /dev/null
+++ b/crates/oriolemux/tests/endpoints_polls.rs
@@ -0,0 +1,219 @@
+//! Load, cache events and orders.
+
+#[path = "relay_support/endpoint.rs"]
+mod endpoint;
+
+use endpoint::{Answer, FakeEndpoint, Then, whole};
+use oriolemux::callers::port::{Clock, NodeInput, NodePort, RequestIds};
+use oriolemux::endpoints::{HttpProtocol, HttpSettings, Polls};
+use oriolemux_core::event::{EndpointTarget, OrderKind, OrderResult};
+use oriolemux_core::{EndpointKey, Event, Incarnation, InstanceKey, Time};
+use rstest::rstest;
+use std::time::Duration;
+use tokio::sync::mpsc;
+
+const LOAD: &str = r#"{"lag_ms":40,"running":3,"waiting":1,"kv_tokens_total":1000,
+    "kv_tokens_used":400,"max_running":8,"preemptions":2,
+    "models":[{"name":"wren-7b","version":"3","adapters":["islands"]}],
+    "leaving":false,"fencing":9}"#;
+
+struct Fixture {
+    polls: Polls<HttpProtocol>,
+    port: NodePort,
+    inputs: mpsc::Receiver<NodeInput>,
+}
+
+fn fixture() -> Fixture {
+    let clock = Clock::start();
+    let settings = HttpSettings {
+        control_timeout: Duration::from_millis(300),
+        ..HttpSettings::default()
+    };
+    let protocol = HttpProtocol::new(clock, settings).unwrap();
+    let ids = RequestIds::new(InstanceKey(1), Incarnation(2));
+    let (port, inputs) = NodePort::new(ids, clock);
+    Fixture {
+        polls: Polls::new(protocol),
+        port,
+        inputs,
+    }
+}
+
+impl Fixture {
+    fn events(&mut self) -> Vec<Event> {
+        let mut events = Vec::new();
+        while let Ok(NodeInput::Event(event)) = self.inputs.try_recv() {
+            events.push(event);
+        }
+        events
+    }
+
+    async fn poll(&mut self, endpoint: &FakeEndpoint) -> Vec<Event> {
+        self.polls
+            .poll(&target(endpoint), &self.port)
+            .await
+            .unwrap();
+        self.events()
+    }
+}
+
+fn target(endpoint: &FakeEndpoint) -> EndpointTarget {
+    EndpointTarget {
+        key: EndpointKey::of("worker-1"),
+        name: "worker-1".to_owned(),
+        address: endpoint.address,
+    }
+}
+
+fn json(body: &str) -> Answer {
+    whole("200 OK", "content-type: application/json\r\n", body)
+}
+
+fn cache(next: u64, gap: bool, stored: &str) -> Answer {
+    json(&format!(
+        r#"{{"next":{next},"gap":{gap},"stored":[{stored}],"evicted":[]}}"#
+    ))
+}
+
+#[tokio::test]
+async fn tells_load_and_cache_events() {
+    let endpoint = FakeEndpoint::start(vec![json(LOAD), cache(7, false, "1,2")]).await;
+
+    let events = fixture().poll(&endpoint).await;
+
+    let [Event::Load { report, .. }, Event::Cache { gap, stored, .. }] = &events[..] else {
+        panic!("load and cache events, not {events:?}");
+    };
+    assert_eq!((report.running, report.fencing), (3, 9));
+    assert_eq!(report.models[0].adapters, ["islands"]);
+    assert_eq!((gap, &stored[..]), (&false, &[1, 2][..]));
+}
+
+#[tokio::test]
+async fn asks_for_cache_events_after_the_last_ones() {
+    let script = vec![
+        json(LOAD),
+        cache(7, false, "1"),
+        json(LOAD),
+        cache(7, false, ""),
+    ];
+    let mut endpoint = FakeEndpoint::start(script).await;
+    let mut fixture = fixture();
+
+    fixture.poll(&endpoint).await;
+    let events = fixture.poll(&endpoint).await;
+
+    assert!(matches!(events[..], [Event::Load { .. }]), "{events:?}");
+    let mut asked = Vec::new();
+    for _ in 0..4 {
+        let request = endpoint.request().await;
+        asked.push(request.lines().next().unwrap().to_owned());
+    }
+    assert_eq!(asked[1], "GET /v1/cache-events?after=0 HTTP/1.1");
+    assert_eq!(asked[3], "GET /v1/cache-events?after=7 HTTP/1.1");
+}
+
+/// Symptom: requests followed a prefix to an endpoint that did not hold it.
+/// Sequence: the endpoint restarted with an empty cache and counted from 0.
+/// Cause: a number that fell back was not taken for a gap.
+#[tokio::test]
+async fn takes_a_number_that_fell_back_for_a_gap() {
+    let script = vec![
+        json(LOAD),
+        cache(70, false, "1"),
+        json(LOAD),
+        cache(2, false, "5"),
+    ];
+    let endpoint = FakeEndpoint::start(script).await;
+    let mut fixture = fixture();
+
+    fixture.poll(&endpoint).await;
+    let events = fixture.poll(&endpoint).await;
+
+    let [_, Event::Cache { gap, .. }] = &events[..] else {
+        panic!("cache events, not {events:?}");
+    };
+    assert!(*gap);
+}
+
+#[rstest]
+#[case::garbage(json("busy"))]
+#[case::status(whole("500 Internal Server Error", "", LOAD))]
+#[case::closed(Answer { bytes: Vec::new(), then: Then::Close })]
+#[case::silent(Answer { bytes: Vec::new(), then: Then::Hang })]
+#[case::endless(Answer { bytes: [&b"HTTP/1.1 200 OK\r\n\r\n"[..], &[b' '; 2 << 20]].concat(), then: Then::Hang })]
+#[tokio::test]
+async fn tells_that_the_load_could_not_be_read(#[case] answer: Answer) {
+    let endpoint = FakeEndpoint::start(vec![answer]).await;
+
+    let events = fixture().poll(&endpoint).await;
+
+    assert!(
+        matches!(events[..], [Event::LoadFailed { .. }]),
+        "{events:?}"
+    );
+}
+
+#[rstest]
+#[case::accepted(whole("202 Accepted", "", ""), OrderResult::Accepted)]
+#[case::fenced(whole("409 Conflict", "", r#"{"highest":12}"#), OrderResult::Fenced { highest: 12 })]
+#[case::conflict_without_number(whole("409 Conflict", "", ""), OrderResult::Failed)]
+#[case::failed(whole("500 Internal Server Error", "", ""), OrderResult::Failed)]
+#[case::lost(Answer { bytes: Vec::new(), then: Then::Close }, OrderResult::Failed)]
+#[tokio::test]
+async fn gives_an_order(#[case] answer: Answer, #[case] expected: OrderResult) {
+    let mut endpoint = FakeEndpoint::start(vec![answer]).await;
+    let mut fixture = fixture();
+    let kind = OrderKind::Load {
+        model: "wren-7b".to_owned(),
+        version: "3".to_owned(),
+        adapter: None,
+    };
+
+    let at = target(&endpoint);
+    let given = fixture
+        .polls
+        .order(&at, 11, &kind, Time::NEVER, &fixture.port);
+    given.await.unwrap();
+
+    let events = fixture.events();
+    let [
+        Event::OrderDone {
+            fencing: 11,
+            result,
+            ..
+        },
+    ] = &events[..]
+    else {
+        panic!("the end of the order, not {events:?}");
+    };
+    assert_eq!(*result, expected);
+    let request = endpoint.request().await;
+    let expected = r#"{"fencing":11,"kind":"load","model":"wren-7b","version":"3"}"#;
+    assert!(request.ends_with(expected), "{request}");
+}
+
+/// Symptom: two homes gave orders to one endpoint.
+/// Sequence: the old home decided, was paused, lost its lease, woke and sent.
+/// Cause: the lease was not checked again right before the send.
+#[tokio::test]
+async fn gives_no_order_after_its_time() {
+    let mut endpoint = FakeEndpoint::start(vec![]).await;
+    let mut fixture = fixture();
+    let kind = OrderKind::Role {
+        role: "decode".to_owned(),
+    };
+
+    let at = target(&endpoint);
+    let given = fixture
+        .polls
+        .order(&at, 11, &kind, Time::ZERO, &fixture.port);
+    given.await.unwrap();
+
+    let events = fixture.events();
+    let [Event::OrderDone { result, .. }] = &events[..] else {
+        panic!("the end of the order, not {events:?}");
+    };
+    assert_eq!(*result, OrderResult::Failed);
+    assert_eq!(endpoint.try_request(), None);
+}
--- /dev/null
+++ b/crates/oriolemux/tests/relay_bad_input.rs
@@ -0,0 +1,220 @@
+//! Endpoints that answer what they must not: each a typed error, nothing
+//! wrong handed on, and nothing lost that was right.
+
+#[path = "relay_support/caller.rs"]
+mod caller;
+#[path = "relay_support/endpoint.rs"]
+mod endpoint;
+#[path = "relay_support/node.rs"]
+mod node;
+
+use caller::{body, completion, exchange, serve};
+use endpoint::{Answer, FakeEndpoint, Then, end, generation, stream, stream_head, token, whole};
+use node::{Decision, FakeNode, attempt_id, plan};
+use oriolemux_core::event::AttemptUpdate;
+use oriolemux_core::outcome::Ran;
+use oriolemux_core::{Reason, Verdict};
+use rstest::rstest;
+use serde_json::Value;
+
+const REQUEST: &str = r#"{"model":"plans","prompt":"Draft a plan","stream":true}"#;
+
+/// An engine that no longer knows the generation.
+fn lost() -> Answer {
+    whole("404 Not Found", "", "")
+}
+
+fn attempt() -> String {
+    attempt_id(1)
+}
+
+/// Runs a request against an endpoint that answers by `script`, and returns
+/// the caller's answer and the last report on the attempt.
+async fn run(script: Vec<Answer>) -> (String, AttemptUpdate) {
+    let endpoint = FakeEndpoint::start(script).await;
+    let failed = Verdict::partial(Reason::GenerationLost, 1);
+    let script = vec![
+        Decision::Dispatch(plan(endpoint.address)),
+        Decision::Finish(failed),
+    ];
+    let mut node = FakeNode::start(script);
+    let address = serve(&node).await;
+    let answer = exchange(address, completion(REQUEST)).await;
+    (answer, node.last_update().await)
+}
+
+/// Returns the texts of the tokens that a caller received.
+fn texts(answer: &str) -> Vec<String> {
+    let data = body(answer)
+        .lines()
+        .filter_map(|line| line.strip_prefix("data: "));
+    let json = data.filter_map(|data| serde_json::from_str::<Value>(data).ok());
+    json.filter(|chunk| chunk["token_index"].is_u64())
+        .map(|chunk| chunk["choices"][0]["text"].as_str().unwrap().to_owned())
+        .collect()
+}
+
+#[rstest]
+#[case::not_an_event("what is this\n\n".to_owned())]
+#[case::broken_json(format!("data: {{\"id\":\"{}\",\n\n", attempt()))]
+#[case::no_index(format!("data: {{\"id\":\"{}\",\"text\":\"x\"}}\n\n", attempt()))]
+#[case::neither_token_nor_end(format!("data: {{\"id\":\"{}\",\"index\":1}}\n\n", attempt()))]
+#[case::both_token_and_end(format!(
+    "data: {{\"id\":\"{}\",\"index\":1,\"text\":\"x\",\"finish_reason\":\"stop\"}}\n\n", attempt()
+))]
+#[case::index_in_two_minds(format!(
+    "id: {0}:2\ndata: {{\"id\":\"{0}\",\"index\":1,\"text\":\"x\"}}\n\n", attempt()
+))]
+#[case::lone_surrogate(token(&attempt(), 1, "\\ud83d"))]
+#[case::raw_control_character(token(&attempt(), 1, "\u{1}"))]
+#[case::unknown_finish(format!(
+    "data: {{\"id\":\"{}\",\"index\":1,\"finish_reason\":\"bored\"}}\n\n", attempt()
+))]
+#[case::endless_event(format!("data: {}", "x".repeat(80_000)))]
+#[case::end_too_early(end(&attempt(), 0))]
+#[case::token_of_another_request(token("r-1-2-9.1", 1, "secret"))]
+#[case::end_of_another_request(end("r-1-2-9.1", 1))]
+#[case::gap(token(&attempt(), 2, "x"))]
+#[case::end_after_a_gap(end(&attempt(), 3))]
+#[case::half_an_event(token(&attempt(), 1, "half")[..20].to_owned())]
+#[case::no_end_mark(String::new())]
+#[case::only_done("data: [DONE]\n\n".to_owned())]
+#[tokio::test]
+async fn resumes_after_bad_bytes(#[case] bad: String) {
+    let first = token(&attempt(), 0, "one");
+    let rest = token(&attempt(), 1, "two") + &end(&attempt(), 2);
+
+    let (answer, update) = run(vec![stream(&(first + &bad)), stream(&rest)]).await;
+
+    assert_eq!(texts(&answer), ["one", "two"], "{answer}");
+    assert!(answer.ends_with("data: [DONE]\n\n"), "{answer}");
+    let complete = AttemptUpdate::Complete {
+        tokens: 2,
+        prompt_tokens: Some(3),
+    };
+    assert_eq!(update, complete);
+}
+
+#[tokio::test]
+async fn resumes_after_invalid_utf8() {
+    let mut bad = stream(&token(&attempt(), 0, "one"));
+    bad.bytes
+        .extend_from_slice(b"data: {\"text\":\"\xc3\x28\"}\n\n");
+    let rest = token(&attempt(), 1, "two") + &end(&attempt(), 2);
+
+    let (answer, _) = run(vec![bad, stream(&rest)]).await;
+
+    assert_eq!(texts(&answer), ["one", "two"], "{answer}");
+}
+
+#[tokio::test]
+async fn drops_duplicates() {
+    let events = token(&attempt(), 0, "one")
+        + &token(&attempt(), 0, "one")
+        + &token(&attempt(), 1, "two")
+        + &token(&attempt(), 0, "one")
+        + &end(&attempt(), 2);
+
+    let (answer, _) = run(vec![stream(&events)]).await;
+
+    assert_eq!(texts(&answer), ["one", "two"], "{answer}");
+}
+
+#[rstest]
+#[case::json("content-type: application/json\r\n")]
+#[case::none("")]
+#[tokio::test]
+async fn takes_no_token_from_another_content_type(#[case] headers: &str) {
+    let body = generation(&attempt(), &["one"]);
+
+    let (answer, update) = run(vec![whole("200 OK", headers, &body), lost()]).await;
+
+    assert_eq!(texts(&answer), Vec::<String>::new(), "{answer}");
+    let failed = AttemptUpdate::Failed {
+        reason: Reason::GenerationLost,
+        ran: Ran::Maybe,
+        delivered: 0,
+        retry_after: None,
+    };
+    assert_eq!(update, failed);
+}
+
+#[tokio::test]
+async fn ends_with_an_error_event_that_says_what_stands() {
+    let (answer, update) = run(vec![stream(&token(&attempt(), 0, "one")), lost()]).await;
+
+    assert_eq!(texts(&answer), ["one"]);
+    let (_, event) = body(&answer)
+        .split_once("event: error\ndata: ")
+        .expect("an error event");
+    let error: Value = serde_json::from_str(event.trim_end()).unwrap();
+    assert_eq!(error["error"]["outcome"], "partial");
+    assert_eq!(error["error"]["reason"], "generation_lost");
+    assert_eq!(error["error"]["delivered"], 1);
+    assert!(!answer.contains("[DONE]"), "{answer}");
+    let failed = AttemptUpdate::Failed {
+        reason: Reason::GenerationLost,
+        ran: Ran::Maybe,
+        delivered: 1,
+        retry_after: None,
+    };
+    assert_eq!(update, failed);
+}
+
+#[tokio::test]
+async fn reports_an_engine_that_says_it_failed() {
+    let events =
+        token(&attempt(), 0, "one") + "data: {\"error\":{\"message\":\"out of memory\"}}\n\n";
+
+    let (_, update) = run(vec![stream(&events)]).await;
+
+    let failed = AttemptUpdate::Failed {
+        reason: Reason::EndpointError,
+        ran: Ran::Maybe,
+        delivered: 1,
+        retry_after: None,
+    };
+    assert_eq!(update, failed);
+}
+
+/// Symptom: a caller waited for an answer for as long as its own patience.
+/// Sequence: the link to the endpoint stalled in the middle of a stream.
+/// Cause: a read without a limit; a stalled link looks like a slow engine.
+#[tokio::test]
+async fn resumes_when_the_endpoint_falls_silent() {
+    let mut silent = stream(&token(&attempt(), 0, "one"));
+    silent.then = Then::Hang;
+    let rest = token(&attempt(), 1, "two") + &end(&attempt(), 2);
+    let endpoint = FakeEndpoint::start(vec![silent, stream(&rest)]).await;
+    let mut plan = plan(endpoint.address);
+    plan.stall_limit = std::time::Duration::from_millis(200);
+    let node = FakeNode::start(vec![Decision::Dispatch(plan)]);
+    let address = serve(&node).await;
+
+    let answer = exchange(address, completion(REQUEST)).await;
+
+    assert_eq!(texts(&answer), ["one", "two"], "{answer}");
+}
+
+#[tokio::test]
+async fn asks_for_the_rest_by_the_last_index() {
+    let head = stream_head() + &token(&attempt(), 0, "one");
+    let cut = Answer {
+        bytes: head.into_bytes(),
+        then: Then::Close,
+    };
+    let rest = stream(&(token(&attempt(), 1, "two") + &end(&attempt(), 2)));
+    let mut endpoint = FakeEndpoint::start(vec![cut, rest]).await;
+    let node = FakeNode::start(vec![Decision::Dispatch(plan(endpoint.address))]);
+    let address = serve(&node).await;
+
+    exchange(address, completion(REQUEST)).await;
+
+    endpoint.request().await;
+    let resume = endpoint.request().await;
+    assert!(resume.starts_with(&format!("GET /v1/completions/{} HTTP/1.1\r\n", attempt())));
+    assert!(
+        resume.contains(&format!("last-event-id: {}:0\r\n", attempt())),
+        "{resume}"
+    );
+}
