--- /dev/null
+++ b/crates/core/tests/outcome_guarantees.rs
@@ -0,0 +1,38 @@
+//! docs/GUARANTEES.md names only tests that exist.
+
+use std::fs;
+use std::path::{Path, PathBuf};
+
+const CRATES: [&str; 3] = ["core", "oriolemux", "bench"];
+
+fn root() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../..")
+}
+
+/// The `file::test` names that stand in backticks on the page.
+fn named_tests(page: &str) -> Vec<(&str, &str)> {
+    page.split('`')
+        .skip(1)
+        .step_by(2)
+        .filter_map(|code| code.split_once("::"))
+        .filter(|(_, test)| !test.contains(char::is_uppercase))
+        .collect()
+}
+
+fn exists(file: &str, test: &str) -> bool {
+    CRATES.iter().any(|name| {
+        let path = root().join(format!("crates/{name}/tests/{file}.rs"));
+        fs::read_to_string(path).is_ok_and(|source| source.contains(&format!("fn {test}(")))
+    })
+}
+
+#[test]
+fn every_test_that_the_page_names_exists() {
+    let page = fs::read_to_string(root().join("docs/GUARANTEES.md")).unwrap();
+
+    let named = named_tests(&page);
+
+    let missing: Vec<_> = named.iter().filter(|(f, t)| !exists(f, t)).collect();
+    assert!(missing.is_empty(), "missing: {missing:?}");
+    assert!(named.len() > 20, "the page names only {}", named.len());
+}
