Settings are checked against each other

Cause: a heartbeat as long as the silence that ends a link, or a longest pause below the first, passed the check and failed in service. Change: relations are checked once each setting is right by itself, with the place of the key or of its section.

--- a/crates/oriolemux/src/settings.rs
+++ b/crates/oriolemux/src/settings.rs
@@ -9,6 +9,7 @@
 
 mod docs;
 mod reader;
+mod relations;
 mod secret;
 mod spec;
 mod table;
@@ -26,7 +27,6 @@
 
 use oriolemux_core::findings::{Findings, Place, Problem};
 use reader::SectionReader;
-use std::net::SocketAddr;
 use std::path::Path;
 
 impl Settings {
@@ -74,45 +74,7 @@
             findings.sort();
             return Err(findings);
         };
-        check_listeners(&settings, document.as_table(), text, &mut findings);
+        relations::check(&settings, document.as_table(), text, &mut findings);
         findings.into_result(settings)
     }
 }
-
-/// Two listeners on one address would fail only when the second one binds, long after
-/// the file was checked; so they are told apart here.
-fn check_listeners(
-    settings: &Settings,
-    root: &toml_edit::Table,
-    text: &str,
-    findings: &mut Findings,
-) {
-    let listeners = [
-        ("callers", settings.callers.listen),
-        ("peers", settings.peers.listen),
-        ("operators", settings.operators.listen),
-    ];
-    for (index, &(section, address)) in listeners.iter().enumerate() {
-        let earlier = listeners[..index]
-            .iter()
-            .find(|&&(_, other)| collide(address, other));
-        if let Some((other, _)) = earlier {
-            let item = root.get(section).and_then(|item| item.get("listen"));
-            findings.push_span(
-                text,
-                item.and_then(toml_edit::Item::span),
-                Problem::Invalid {
-                    key: format!("{section}.listen"),
-                    why: format!("is the address of `{other}.listen`"),
-                },
-            );
-        }
-    }
-}
-
-/// Port 0 asks the operating system for any free port, so two of those never collide.
-fn collide(a: SocketAddr, b: SocketAddr) -> bool {
-    a.port() != 0
-        && a.port() == b.port()
-        && (a.ip() == b.ip() || a.ip().is_unspecified() || b.ip().is_unspecified())
-}
--- /dev/null
+++ b/crates/oriolemux/src/settings/relations.rs
@@ -0,0 +1,103 @@
+//! Checks settings against each other, once each is right by itself.
+
+use super::{Millis, Settings};
+use core::ops::Range;
+use oriolemux_core::findings::{Findings, Problem};
+use std::net::SocketAddr;
+use toml_edit::{Item, Table};
+
+/// Checks all relations.
+pub(super) fn check(settings: &Settings, root: &Table, text: &str, findings: &mut Findings) {
+    let mut cx = RelationContext {
+        root,
+        text,
+        findings,
+    };
+    check_listeners(settings, &mut cx);
+    check_order(settings, &mut cx);
+}
+
+struct RelationContext<'a> {
+    root: &'a Table,
+    text: &'a str,
+    findings: &'a mut Findings,
+}
+
+impl RelationContext<'_> {
+    /// Pushes a finding at `section.key`, or at the section if the key has its default.
+    fn push(&mut self, section: &str, key: &str, why: String) {
+        let section_item = self.root.get(section);
+        let item = section_item.and_then(|section| section.get(key));
+        let span: Option<Range<usize>> = item.or(section_item).and_then(Item::span);
+        let key = format!("{section}.{key}");
+        let problem = Problem::Invalid { key, why };
+        self.findings.push_span(self.text, span, problem);
+    }
+}
+
+/// Two listeners on one address would fail only when the second one binds, long after
+/// the file was checked; so they are told apart here.
+fn check_listeners(settings: &Settings, cx: &mut RelationContext<'_>) {
+    let listeners = [
+        ("callers", settings.callers.listen),
+        ("peers", settings.peers.listen),
+        ("operators", settings.operators.listen),
+    ];
+    for (index, &(section, address)) in listeners.iter().enumerate() {
+        let mut earlier = listeners[..index].iter();
+        if let Some((other, _)) = earlier.find(|&&(_, other)| collide(address, other)) {
+            let why = format!("is the address of `{other}.listen`");
+            cx.push(section, "listen", why);
+        }
+    }
+}
+
+/// Port 0 asks the operating system for any free port, so two of those never collide.
+fn collide(a: SocketAddr, b: SocketAddr) -> bool {
+    a.port() != 0
+        && a.port() == b.port()
+        && (a.ip() == b.ip() || a.ip().is_unspecified() || b.ip().is_unspecified())
+}
+
+/// A setting that must not be less than another one of its section.
+struct AtLeast {
+    section: &'static str,
+    key: &'static str,
+    value: Millis,
+    floor_key: &'static str,
+    floor: Millis,
+}
+
+/// A heartbeat as long as the silence that ends a link would end every quiet link, seen as
+/// links that go up and down all the time.
+fn check_order(settings: &Settings, cx: &mut RelationContext<'_>) {
+    let (peers, platform) = (&settings.peers, &settings.platform);
+    let rules = [
+        AtLeast {
+            section: "peers",
+            key: "silence_timeout_ms",
+            value: peers.silence_timeout_ms,
+            floor_key: "heartbeat_ms",
+            floor: Millis(peers.heartbeat_ms.0.saturating_mul(2)),
+        },
+        AtLeast {
+            section: "peers",
+            key: "reconnect_max_ms",
+            value: peers.reconnect_max_ms,
+            floor_key: "reconnect_min_ms",
+            floor: peers.reconnect_min_ms,
+        },
+        AtLeast {
+            section: "platform",
+            key: "retry_max_ms",
+            value: platform.retry_max_ms,
+            floor_key: "retry_min_ms",
+            floor: platform.retry_min_ms,
+        },
+    ];
+    for rule in rules.iter().filter(|rule| rule.value < rule.floor) {
+        let (floor, floor_key) = (rule.floor.0, rule.floor_key);
+        let why = format!("must be at least {floor} because of `{floor_key}`");
+        cx.push(rule.section, rule.key, why);
+    }
+}
--- a/crates/oriolemux/tests/settings_reading.rs
+++ b/crates/oriolemux/tests/settings_reading.rs
@@ -145,6 +145,28 @@
     );
 }
 
+#[rstest]
+#[case::silence_at_its_line(
+    "silence_timeout_ms = 1999",
+    "11:22: `peers.silence_timeout_ms` must be at least 2000 because of `heartbeat_ms`"
+)]
+#[case::default_silence_at_its_section(
+    "heartbeat_ms = 2001",
+    "8:1: `peers.silence_timeout_ms` must be at least 4002 because of `heartbeat_ms`"
+)]
+#[case::reconnect(
+    "reconnect_max_ms = 99",
+    "11:20: `peers.reconnect_max_ms` must be at least 100 because of `reconnect_min_ms`"
+)]
+fn settings_that_contradict_each_other_are_found(#[case] line: &str, #[case] expected: &str) {
+    let secret = "secret_file = \"peers.secret\"";
+    let text = LEAST.replace(secret, &format!("{secret}\n{line}"));
+
+    let findings = findings_of(&text);
+
+    assert_eq!(findings, [expected]);
+}
+
 #[test]
 fn unreadable_file_is_a_finding() {
     let error = Settings::load("/nonexistent/settings.toml").expect_err("no such file");
