A request that ends before its claim is granted did not run

Cause: a caller that leaves while its claim is asked for ends the request as "unknown"; reported as such, the name would count as used though nothing ran. Change: a holder that was never granted reports "did not run", whatever its caller was told. Seen: the new case of tests/keys_failures.rs fails without the change (already_ran) and passes with it.

--- a/crates/core/src/keys/holder.rs
+++ b/crates/core/src/keys/holder.rs
@@ -242,9 +242,12 @@
         let Some(&holder) = self.holders.records.get(&request) else {
             return;
         };
-        if matches!(holder.phase, Phase::Over { .. }) {
-            return;
-        }
+        let state = match holder.phase {
+            // Never granted, so never sent, however little its caller is told.
+            Phase::Asking { .. } => HolderState::NotRun,
+            Phase::Held => state,
+            Phase::Over { .. } => return,
+        };
         self.holders.put(Holder {
             phase: Phase::Over {
                 state,
--- a/crates/core/tests/keys_failures.rs
+++ b/crates/core/tests/keys_failures.rs
@@ -248,6 +248,23 @@
     assert!(meanwhile.is_granted() || healed.is_granted());
 }
 
+// Symptom: a repeat is refused as "already ran" although nothing ever ran.
+// Sequence: a caller leaves while its request waits for the claim; the request
+//   ends as "unknown", and the home grants its claim a moment later.
+// Cause: what a caller is told in doubt is taken for what is known.
+#[test]
+fn a_request_that_ends_before_its_claim_is_granted_gives_it_back() {
+    let mut fleet = Fleet::settled(4);
+    let text = fleet.key_at(3);
+    fleet.cut(3, 0);
+    let left = fleet.ask(0, key(&text));
+    fleet.end(0, left, HolderState::Ended(Earlier::Unknown));
+
+    let repeat = fleet.answer(1, key(&text));
+
+    assert!(repeat.is_granted());
+}
+
 #[test]
 fn a_silent_home_means_unknown() {
     let mut fleet = Fleet::settled(4);
