Requests are measured and refusals before the node are counted

Cause: requests, completions, delivered tokens, first tokens, gaps and waits were in the table of metrics and stayed zero; a bad body or header was refused without a count, since only the node counted. Change: a meter goes with each request and records when it ends; a refusal of what was never handed to the node is counted where it is made.

--- a/crates/oriolemux/src/callers/errors.rs
+++ b/crates/oriolemux/src/callers/errors.rs
@@ -1,8 +1,10 @@
 //! Errors as callers see them.
 
+use crate::events;
 use core::time::Duration;
 use http::StatusCode;
 use http::header::{CONTENT_TYPE, RETRY_AFTER};
+use oriolemux_core::note::Note;
 use oriolemux_core::reason::ReasonGroup;
 use oriolemux_core::{Outcome, Reason, RequestId, Verdict};
 use poem::Response;
@@ -55,8 +57,10 @@
         }
     }
 
-    /// Refuses a request that was never handed to the node.
+    /// Refuses a request that was never handed to the node, and counts the refusal, which
+    /// the node cannot do.
     pub fn not_submitted(request: RequestId, reason: Reason) -> Self {
+        events::emit(&Note::Refused { request, reason });
         ErrorAnswer {
             request,
             reason,
--- a/crates/oriolemux/src/metrics.rs
+++ b/crates/oriolemux/src/metrics.rs
@@ -3,6 +3,10 @@
 //! The tables here are the only place that names metrics; `docs/EVENTS.md`
 //! lists them. Nothing is exported until [`install`] has been called.
 
+mod request;
+
+pub use request::RequestMeter;
+
 use crate::events::LogEvent;
 use ::metrics::Unit;
 use metrics_exporter_prometheus::{BuildError, Matcher, PrometheusBuilder, PrometheusHandle};
@@ -69,7 +73,7 @@
         Requests = "oriolemux_requests_total";
         /// Requests whose whole answer was delivered.
         Completed = "oriolemux_completed_total";
-        /// Tokens sent on to callers.
+        /// Tokens sent on to callers, added when the request ends.
         TokensDelivered = "oriolemux_tokens_delivered_total";
         /// Connections closed at once because the listener was full.
         ConnectionsRefused = "oriolemux_connections_refused_total";
--- a/crates/oriolemux/src/relay.rs
+++ b/crates/oriolemux/src/relay.rs
@@ -74,6 +74,7 @@
             };
             match order {
                 Some(RequestOrder::Dispatch(dispatch)) => {
+                    self.ends.caller.meter().granted();
                     match self.run_attempt(&dispatch).await? {
                         AttemptEnd::Over => {}
                         AttemptEnd::Answered => return Ok(()),
--- a/crates/oriolemux/src/relay/caller.rs
+++ b/crates/oriolemux/src/relay/caller.rs
@@ -4,6 +4,7 @@
 use super::events::{FinishReason, Usage};
 use crate::callers::connections::ConnectionState;
 use crate::callers::errors::ErrorAnswer;
+use crate::metrics::RequestMeter;
 use bytes::Bytes;
 use core::time::Duration;
 use http::HeaderValue;
@@ -72,6 +73,7 @@
     out: Vec<u8>,
     connection: Arc<ConnectionState>,
     write_timeout: Duration,
+    meter: RequestMeter,
 }
 
 impl Caller {
@@ -93,9 +95,15 @@
             out: Vec::new(),
             connection,
             write_timeout,
+            meter: RequestMeter::start(),
         }
     }
 
+    /// Returns what measures the request.
+    pub fn meter(&mut self) -> &mut RequestMeter {
+        &mut self.meter
+    }
+
     /// Waits until nobody listens any more.
     pub async fn gone(&mut self) -> CallerGone {
         let unheard = async {
@@ -115,6 +123,7 @@
     /// Adds a token; it leaves with the next [`Caller::flush`].
     #[inline]
     pub fn token(&mut self, index: u32, text: &[u8]) {
+        self.meter.token();
         match self.form {
             AnswerForm::Events => self.chunks.token(&mut self.out, index, text),
             AnswerForm::Json | AnswerForm::Bytes => self.out.extend_from_slice(text),
@@ -148,6 +157,12 @@
     ///
     /// Fails if the caller left or took nothing for the write timeout.
     pub async fn end(&mut self, finish: FinishReason, usage: Usage) -> Result<(), CallerGone> {
+        self.write_end(finish, usage).await?;
+        self.meter.completed();
+        Ok(())
+    }
+
+    async fn write_end(&mut self, finish: FinishReason, usage: Usage) -> Result<(), CallerGone> {
         if self.form == AnswerForm::Events {
             self.chunks.end(&mut self.out, finish, usage);
             let last = Bytes::from(core::mem::take(&mut self.out));
@@ -172,7 +187,9 @@
         content_type: Option<HeaderValue>,
         body: Bytes,
     ) -> Result<(), CallerGone> {
-        self.reply(Reply::Whole { content_type, body })
+        self.reply(Reply::Whole { content_type, body })?;
+        self.meter.completed();
+        Ok(())
     }
 
     /// Gives the final answer of a request that did not end well: as the whole
