--- a/crates/core/src/catalogue.rs
+++ b/crates/core/src/catalogue.rs
@@ -27,6 +27,7 @@
 pub mod resolve;
 pub mod shard;
 pub mod source;
+pub mod sync;
 pub mod verify;
 
 pub use digest::{Digest, shard_of};
--- /dev/null
+++ b/crates/core/src/catalogue/sync/candidate.rs
@@ -0,0 +1,325 @@
+//! What may come into force, and when it does.
+//!
+//! There are two candidates at most. One is *proposed* by the platform and
+//! needs all of its shards verified here. The other is *adopted* from a peer
+//! where it is in force, and needs only the shards in use here. Neither waits
+//! for the other: a proposal whose shards are not published yet must not hold
+//! back the revision that the rest of the fleet already uses.
+
+use super::message::{CatalogueMessage, ShardId};
+use super::status::RejectionCause;
+use super::{CatalogueSync, Former, Held, SyncAction, SyncChange, shard_id, shard_id_or_other};
+use crate::catalogue::{Catalogue, Digest, parse_index};
+use crate::findings::Findings;
+use crate::note::Note;
+use crate::time::Time;
+use core::time::Duration;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+/// An adopted revision waits no longer than this for the shards in use here;
+/// those that are missing then are fetched when they are needed.
+pub const ACCEPT_LIMIT: Duration = Duration::from_secs(3);
+
+/// Bytes of earlier indexes that are kept to send only what changed.
+const HISTORY_BYTES: usize = 256 * 1024;
+
+/// Where a candidate came from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Origin {
+    /// From the platform; no instance may have verified it yet.
+    Platform,
+    /// From a peer that has it in force, and so has verified it or has it from
+    /// an instance that did.
+    Peer,
+}
+
+/// A revision that is not in force yet.
+#[derive(Debug)]
+pub(super) struct Candidate {
+    pub held: Held,
+    /// Shards that must be verified first.
+    pub pending: BTreeSet<u32>,
+    /// When it became a candidate.
+    pub since: Time,
+}
+
+impl Candidate {
+    pub fn revision(&self) -> u64 {
+        self.held.catalogue.revision()
+    }
+
+    fn digest(&self) -> Digest {
+        self.held.catalogue.digest()
+    }
+
+    pub fn lists(&self, id: ShardId) -> bool {
+        shard_id_or_other(&self.held.catalogue, id.number) == id
+    }
+}
+
+/// The candidates.
+#[derive(Debug, Default)]
+pub(super) struct Candidates {
+    proposed: Option<Candidate>,
+    adopted: Option<Candidate>,
+}
+
+impl Candidates {
+    pub fn next_wake(&self) -> Time {
+        let adopted = self.adopted.as_ref();
+        adopted.map_or(Time::NEVER, |it| it.since + ACCEPT_LIMIT)
+    }
+
+    pub fn iter(&self) -> impl Iterator<Item = &Candidate> {
+        self.adopted.iter().chain(&self.proposed)
+    }
+
+    fn iter_mut(&mut self) -> impl Iterator<Item = &mut Candidate> {
+        self.adopted.iter_mut().chain(&mut self.proposed)
+    }
+
+    /// Returns whether one of them lists the shard.
+    pub fn list(&self, id: ShardId) -> bool {
+        self.iter().any(|candidate| candidate.lists(id))
+    }
+
+    /// Returns the adopted revision; 0 for none.
+    pub fn adopted_revision(&self) -> u64 {
+        self.adopted.as_ref().map_or(0, Candidate::revision)
+    }
+
+    /// Returns whether a candidate of this origin gives way to one of `revision`.
+    ///
+    /// The publisher may correct a proposal under the same revision, as long as
+    /// it is in force nowhere.
+    fn gives_way(&self, origin: Origin, revision: u64) -> bool {
+        match origin {
+            Origin::Platform => {
+                let proposed = self.proposed.as_ref();
+                proposed.is_none_or(|it| it.revision() <= revision)
+                    && self.adopted_revision() < revision
+            }
+            Origin::Peer => self.adopted_revision() < revision,
+        }
+    }
+
+    fn take_ready(&mut self, now: Time) -> Option<Candidate> {
+        let verified = |candidate: &mut Candidate| candidate.pending.is_empty();
+        let adopted = self
+            .adopted
+            .take_if(|it| it.pending.is_empty() || it.since + ACCEPT_LIMIT <= now);
+        adopted.or_else(|| self.proposed.take_if(verified))
+    }
+
+    fn drop_up_to(&mut self, revision: u64) {
+        self.adopted.take_if(|it| it.revision() <= revision);
+        self.proposed.take_if(|it| it.revision() <= revision);
+    }
+}
+
+impl CatalogueSync {
+    /// Considers an index that the platform or a peer gave.
+    pub(super) fn consider(
+        &mut self,
+        now: Time,
+        bytes: &[u8],
+        origin: Origin,
+        out: &mut Vec<SyncAction>,
+    ) {
+        let digest = Digest::of(bytes);
+        if self.catalogue().is_some_and(|it| it.digest() == digest) {
+            return;
+        }
+        if self.is_candidate(digest) {
+            return match origin {
+                Origin::Platform => {}
+                Origin::Peer => self.adopt_proposed(now, digest, out),
+            };
+        }
+        if self.rejected.contains(digest) {
+            return;
+        }
+        match parse_index(bytes) {
+            Ok(catalogue) => self.consider_valid(now, catalogue, bytes, origin, out),
+            Err(findings) => {
+                self.reject(digest, 0, RejectionCause::Findings(findings), out);
+            }
+        }
+    }
+
+    pub(super) fn is_candidate(&self, digest: Digest) -> bool {
+        self.candidates.iter().any(|it| it.digest() == digest)
+    }
+
+    fn consider_valid(
+        &mut self,
+        now: Time,
+        catalogue: Catalogue,
+        bytes: &[u8],
+        origin: Origin,
+        out: &mut Vec<SyncAction>,
+    ) {
+        let revision = catalogue.revision();
+        if revision < self.revision() {
+            self.counters.stale += 1;
+            out.push(SyncAction::Note(Note::CatalogueStale { revision }));
+            return;
+        }
+        if revision == self.revision() {
+            // Two indexes under one revision: whichever came first stays, or
+            // the catalogue would change without its revision saying so.
+            let cause = RejectionCause::RevisionReused;
+            return self.reject(catalogue.digest(), revision, cause, out);
+        }
+        if self.candidates.gives_way(origin, revision) {
+            let held = Held {
+                catalogue: Arc::new(catalogue),
+                bytes: bytes.into(),
+            };
+            self.put_up(now, held, origin, out);
+        }
+    }
+
+    fn put_up(&mut self, now: Time, held: Held, origin: Origin, out: &mut Vec<SyncAction>) {
+        let pending = self.missing_shards(now, &held.catalogue, origin);
+        let catalogue = held.catalogue.clone();
+        let candidate = Candidate {
+            held,
+            pending: pending.clone(),
+            since: now,
+        };
+        match origin {
+            Origin::Platform => self.candidates.proposed = Some(candidate),
+            Origin::Peer => self.candidates.adopted = Some(candidate),
+        }
+        self.prune_fetches();
+        let recent: BTreeSet<u32> = self.store.recent(now).collect();
+        for number in pending {
+            let id = shard_id(&catalogue, number);
+            if !self.candidates.list(id) {
+                // A shard that was at hand has just had it rejected.
+                break;
+            }
+            self.fetch_for_candidate(now, id, recent.contains(&number), out);
+        }
+        self.advance_fetches(now, out);
+        self.try_accept(now, out);
+    }
+
+    /// Returns the shards that must be verified before a catalogue of this
+    /// origin may come into force.
+    fn missing_shards(&self, now: Time, catalogue: &Catalogue, origin: Origin) -> BTreeSet<u32> {
+        let count = catalogue.shard_count();
+        let is_verified = |number: &u32| self.verified.contains(&shard_id(catalogue, *number));
+        let is_held = |number: &u32| self.store.contains(shard_id(catalogue, *number));
+        match origin {
+            Origin::Platform => (0..count).filter(|it| !is_verified(it)).collect(),
+            Origin::Peer => {
+                let recent = self.store.recent(now).filter(|it| *it < count);
+                recent.filter(|it| !is_held(it)).collect()
+            }
+        }
+    }
+
+    /// Takes a proposed revision for adopted that turned out to be in force at a peer.
+    pub(super) fn adopt_proposed(&mut self, now: Time, digest: Digest, out: &mut Vec<SyncAction>) {
+        let proposed = &mut self.candidates.proposed;
+        if let Some(candidate) = proposed.take_if(|it| it.digest() == digest) {
+            self.put_up(now, candidate.held, Origin::Peer, out);
+        }
+    }
+
+    /// A shard was verified.
+    pub(super) fn settle_pending(&mut self, id: ShardId) {
+        for candidate in self.candidates.iter_mut() {
+            if candidate.lists(id) {
+                candidate.pending.remove(&id.number);
+            }
+        }
+    }
+
+    pub(super) fn try_accept(&mut self, now: Time, out: &mut Vec<SyncAction>) {
+        while let Some(candidate) = self.candidates.take_ready(now) {
+            if candidate.revision() > self.revision() {
+                self.put_in_force(now, candidate.held, out);
+            }
+        }
+    }
+
+    fn put_in_force(&mut self, now: Time, held: Held, out: &mut Vec<SyncAction>) {
+        let catalogue = held.catalogue.clone();
+        if let Some(before) = self.in_force.replace(held) {
+            self.remember(before);
+        }
+        let revision = catalogue.revision();
+        self.candidates.drop_up_to(revision);
+        self.forget_unlisted();
+        self.settle_pulls();
+        out.push(SyncAction::Note(Note::CatalogueAccepted { revision }));
+        out.push(SyncAction::Changed(SyncChange::InForce { revision }));
+        let digest = catalogue.digest();
+        for to in self.roles.told() {
+            let message = CatalogueMessage::InForce { revision, digest };
+            out.push(SyncAction::Send { to, message });
+        }
+        self.advance_fetches(now, out);
+    }
+
+    /// Forgets what is known of shards that no catalogue lists any more.
+    fn forget_unlisted(&mut self) {
+        let in_force = self.catalogue().cloned();
+        let candidates = &self.candidates;
+        let is_listed = |id: ShardId| {
+            let in_force = in_force.as_ref();
+            in_force.is_some_and(|it| shard_id_or_other(it, id.number) == id) || candidates.list(id)
+        };
+        self.store.retain(is_listed);
+        self.verified.retain(|id| is_listed(*id));
+        self.prune_fetches();
+    }
+
+    fn remember(&mut self, before: Held) {
+        self.history.push_back(Former {
+            digest: before.catalogue.digest(),
+            bytes: before.bytes,
+        });
+        let mut bytes: usize = self.history.iter().map(|former| former.bytes.len()).sum();
+        while bytes > HISTORY_BYTES {
+            let oldest = self.history.pop_front();
+            bytes -= oldest.map_or(bytes, |former| former.bytes.len());
+        }
+    }
+
+    fn reject(
+        &mut self,
+        digest: Digest,
+        revision: u64,
+        cause: RejectionCause,
+        out: &mut Vec<SyncAction>,
+    ) {
+        self.counters.rejected += 1;
+        let findings = cause.findings();
+        self.rejected.insert(digest, revision, cause);
+        out.push(SyncAction::Note(Note::CatalogueRejected {
+            revision,
+            findings,
+        }));
+    }
+
+    /// Rejects the candidates that list a shard that is not valid.
+    pub(super) fn reject_listing(
+        &mut self,
+        id: ShardId,
+        findings: &Findings,
+        out: &mut Vec<SyncAction>,
+    ) {
+        let adopted = self.candidates.adopted.take_if(|it| it.lists(id));
+        let proposed = self.candidates.proposed.take_if(|it| it.lists(id));
+        for candidate in adopted.into_iter().chain(proposed) {
+            let cause = RejectionCause::Findings(findings.clone());
+            self.reject(candidate.digest(), candidate.revision(), cause, out);
+        }
+        self.prune_fetches();
+    }
+}
--- /dev/null
+++ b/crates/core/src/catalogue/sync/pull.rs
@@ -0,0 +1,330 @@
+//! Taking the index over from peers, and serving it to them.
+
+use super::candidate::Origin;
+use super::delta::{apply, diff};
+use super::message::{CatalogueMessage, Edit, Piece};
+use super::pieces::{Assembly, Progress, cut};
+use super::{CatalogueSync, Held, SyncAction};
+use crate::catalogue::Digest;
+use crate::event::PeerId;
+use crate::ids::InstanceKey;
+use crate::time::Time;
+use core::time::Duration;
+use rand::Rng;
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+/// Pulls that follow from one announcement are spread over so long.
+const PULL_SPREAD: Duration = Duration::from_millis(200);
+
+/// A peer that does not answer by then is given up for another.
+const PULL_LIMIT: Duration = Duration::from_millis(1_500);
+
+/// A node without any catalogue asks its watchers again after about so long.
+const ASK_AGAIN: Duration = Duration::from_secs(2);
+
+/// Peers that are remembered to hold a newer revision.
+const HOLDERS: usize = 4;
+
+/// What is being asked of whom.
+#[derive(Debug)]
+struct Pull {
+    from: InstanceKey,
+    assembly: Option<Assembly>,
+    until: Time,
+}
+
+/// Pulls of the index; at most one is out.
+#[derive(Debug)]
+pub(super) struct Pulls {
+    out: Option<Pull>,
+    /// Peers that hold a newer revision than the one in force, latest last.
+    holders: VecDeque<(InstanceKey, u64)>,
+    /// When to pull next.
+    due: Time,
+}
+
+impl Default for Pulls {
+    fn default() -> Self {
+        Pulls {
+            out: None,
+            holders: VecDeque::new(),
+            due: Time::NEVER,
+        }
+    }
+}
+
+impl Pulls {
+    pub fn next_wake(&self) -> Time {
+        self.out.as_ref().map_or(self.due, |pull| pull.until)
+    }
+
+    fn add_holder(&mut self, holder: InstanceKey, revision: u64) {
+        self.holders.retain(|(known, _)| *known != holder);
+        if self.holders.len() == HOLDERS {
+            self.holders.pop_front();
+        }
+        self.holders.push_back((holder, revision));
+    }
+}
+
+impl CatalogueSync {
+    /// A peer's message said which revision it has in force.
+    pub fn peer_revision(&mut self, now: Time, from: PeerId, revision: u64) {
+        let known = self.highest_known();
+        if revision <= known || self.rejected.has_revision(revision) {
+            return;
+        }
+        self.learn_holder(now, from.instance, revision);
+    }
+
+    /// A link to a peer is up. What was announced while it was down is lost, so
+    /// the announcement is repeated.
+    pub fn peer_up(&mut self, peer: PeerId, out: &mut Vec<SyncAction>) {
+        let Some(catalogue) = self.catalogue() else {
+            return;
+        };
+        let message = CatalogueMessage::InForce {
+            revision: catalogue.revision(),
+            digest: catalogue.digest(),
+        };
+        let to = peer.instance;
+        out.push(SyncAction::Send { to, message });
+    }
+
+    /// Returns the highest revision that is in force here or about to be.
+    fn highest_known(&self) -> u64 {
+        self.revision().max(self.candidates.adopted_revision())
+    }
+
+    pub(super) fn on_in_force(
+        &mut self,
+        now: Time,
+        from: InstanceKey,
+        revision: u64,
+        digest: Digest,
+        out: &mut Vec<SyncAction>,
+    ) {
+        if self.rejected.contains(digest) {
+            return;
+        }
+        if self.is_candidate(digest) {
+            return self.adopt_proposed(now, digest, out);
+        }
+        if revision > self.highest_known() {
+            self.learn_holder(now, from, revision);
+        }
+    }
+
+    fn learn_holder(&mut self, now: Time, holder: InstanceKey, revision: u64) {
+        self.pulls.add_holder(holder, revision);
+        if self.pulls.out.is_none() && self.pulls.due > now + PULL_SPREAD {
+            self.pulls.due = now + self.jitter(PULL_SPREAD);
+        }
+    }
+
+    /// Asks a watcher for the index, as a new instance does: the platform may be
+    /// stale, or have been down since before this process started.
+    pub(super) fn ask_for_index(&mut self, now: Time, out: &mut Vec<SyncAction>) {
+        if let Some(to) = self.choose_watcher() {
+            self.pull_from(now, to, out);
+        }
+    }
+
+    fn choose_watcher(&mut self) -> Option<InstanceKey> {
+        let me = self.roles.me;
+        let near = self.roles.watchers.iter().filter(|it| **it != me);
+        let near: Vec<InstanceKey> = near.copied().collect();
+        let from = if near.is_empty() {
+            &self.roles.far
+        } else {
+            &near
+        };
+        if from.is_empty() {
+            return None;
+        }
+        let at = self.rng.random_range(0..from.len());
+        from.get(at).copied()
+    }
+
+    fn pull_from(&mut self, now: Time, to: InstanceKey, out: &mut Vec<SyncAction>) {
+        self.pulls.out = Some(Pull {
+            from: to,
+            assembly: None,
+            until: now + PULL_LIMIT,
+        });
+        self.pulls.due = Time::NEVER;
+        let have = self.catalogue().map(|catalogue| catalogue.digest());
+        let message = CatalogueMessage::IndexWanted { have };
+        out.push(SyncAction::Send { to, message });
+    }
+
+    pub(super) fn tick_pulls(&mut self, now: Time, out: &mut Vec<SyncAction>) {
+        if let Some(pull) = self.pulls.out.take_if(|pull| pull.until <= now) {
+            self.pull_failed(now, pull.from);
+        }
+        if self.pulls.out.is_some() || self.pulls.due > now {
+            return;
+        }
+        self.pulls.due = Time::NEVER;
+        match self.pulls.holders.back().copied() {
+            Some((holder, _)) => self.pull_from(now, holder, out),
+            None if self.in_force.is_none() => self.ask_for_index(now, out),
+            None => {}
+        }
+    }
+
+    fn pull_failed(&mut self, now: Time, from: InstanceKey) {
+        self.pulls.out = None;
+        self.pulls.holders.retain(|(holder, _)| *holder != from);
+        if !self.pulls.holders.is_empty() {
+            self.pulls.due = now + self.jitter(PULL_SPREAD);
+        } else if self.in_force.is_none() {
+            self.pulls.due = now + ASK_AGAIN / 2 + self.jitter(ASK_AGAIN);
+        }
+    }
+
+    /// Forgets holders of revisions that are no longer newer than the one in force.
+    pub(super) fn settle_pulls(&mut self) {
+        let revision = self.revision();
+        self.pulls.holders.retain(|(_, held)| *held > revision);
+    }
+
+    pub(super) fn on_index_absent(&mut self, now: Time, from: InstanceKey) {
+        if self.is_pulled_from(from) {
+            self.pull_failed(now, from);
+        }
+    }
+
+    fn is_pulled_from(&self, from: InstanceKey) -> bool {
+        let pull = self.pulls.out.as_ref();
+        pull.is_some_and(|pull| pull.from == from)
+    }
+
+    pub(super) fn on_index_piece(
+        &mut self,
+        now: Time,
+        from: InstanceKey,
+        digest: Digest,
+        piece: &Piece,
+        out: &mut Vec<SyncAction>,
+    ) {
+        let Some(pull) = self.pulls.out.as_mut().filter(|pull| pull.from == from) else {
+            return;
+        };
+        let assembly = pull.assembly.get_or_insert_with(|| Assembly::new(digest));
+        if assembly.digest() != digest {
+            // The peer has put another revision in force since the last piece.
+            *assembly = Assembly::new(digest);
+        }
+        match assembly.add(piece) {
+            Progress::More(offset) => {
+                pull.until = now + PULL_LIMIT;
+                let message = CatalogueMessage::IndexMore { digest, offset };
+                out.push(SyncAction::Send { to: from, message });
+            }
+            Progress::Whole(bytes) => self.pulled(now, &bytes, out),
+            Progress::Wrong => self.pull_failed(now, from),
+        }
+    }
+
+    pub(super) fn on_index_delta(
+        &mut self,
+        now: Time,
+        from: InstanceKey,
+        base: Digest,
+        to: Digest,
+        edits: &[Edit],
+        out: &mut Vec<SyncAction>,
+    ) {
+        if !self.is_pulled_from(from) {
+            return;
+        }
+        let held = self.in_force.as_ref();
+        let held = held.filter(|held| held.catalogue.digest() == base);
+        let text = held.and_then(|held| core::str::from_utf8(&held.bytes).ok());
+        let new = text.and_then(|text| apply(text, edits));
+        match new {
+            Some(new) if Digest::of(new.as_bytes()) == to => {
+                self.pulled(now, new.as_bytes(), out);
+            }
+            _ => self.pull_failed(now, from),
+        }
+    }
+
+    fn pulled(&mut self, now: Time, bytes: &[u8], out: &mut Vec<SyncAction>) {
+        let from = self.pulls.out.take().map(|pull| pull.from);
+        self.pulls
+            .holders
+            .retain(|(holder, _)| Some(*holder) != from);
+        self.counters.index_pulls += 1;
+        self.consider(now, bytes, Origin::Peer, out);
+        let known = self.highest_known();
+        self.pulls.holders.retain(|(_, held)| *held > known);
+        if !self.pulls.holders.is_empty() {
+            self.pulls.due = now + self.jitter(PULL_SPREAD);
+        }
+    }
+
+    pub(super) fn answer_index(
+        &self,
+        to: InstanceKey,
+        have: Option<Digest>,
+        out: &mut Vec<SyncAction>,
+    ) {
+        let Some(held) = &self.in_force else {
+            let message = CatalogueMessage::IndexAbsent;
+            out.push(SyncAction::Send { to, message });
+            return;
+        };
+        let digest = held.catalogue.digest();
+        if have == Some(digest) {
+            let message = CatalogueMessage::IndexAbsent;
+            out.push(SyncAction::Send { to, message });
+            return;
+        }
+        match have.and_then(|have| self.changes_since(have, held)) {
+            Some(message) => out.push(SyncAction::Send { to, message }),
+            None => self.answer_index_piece(to, digest, 0, out),
+        }
+    }
+
+    fn changes_since(&self, have: Digest, held: &Held) -> Option<CatalogueMessage> {
+        let mut history = self.history.iter();
+        let base = history.find(|former| former.digest == have)?;
+        let old = core::str::from_utf8(&base.bytes).ok()?;
+        let new = core::str::from_utf8(&held.bytes).ok()?;
+        let edits = diff(old, new)?;
+        Some(CatalogueMessage::IndexDelta {
+            from: have,
+            to: held.catalogue.digest(),
+            edits,
+        })
+    }
+
+    pub(super) fn answer_index_piece(
+        &self,
+        to: InstanceKey,
+        digest: Digest,
+        offset: u32,
+        out: &mut Vec<SyncAction>,
+    ) {
+        let piece = self.index_bytes(digest).and_then(|it| cut(it, offset));
+        let message = match piece {
+            Some(piece) => CatalogueMessage::IndexPiece { digest, piece },
+            None => CatalogueMessage::IndexAbsent,
+        };
+        out.push(SyncAction::Send { to, message });
+    }
+
+    fn index_bytes(&self, digest: Digest) -> Option<&Arc<[u8]>> {
+        if let Some(held) = &self.in_force
+            && held.catalogue.digest() == digest
+        {
+            return Some(&held.bytes);
+        }
+        let mut history = self.history.iter();
+        let former = history.find(|former| former.digest == digest)?;
+        Some(&former.bytes)
+    }
+}
--- a/crates/core/src/membership/links.rs
+++ b/crates/core/src/membership/links.rs
@@ -279,7 +279,7 @@
     }
 
     /// Returns the watchers of the own data centre in order of rank.
-    pub(super) fn own_watchers(&self) -> Vec<InstanceKey> {
+    pub fn own_watchers(&self) -> Vec<InstanceKey> {
         self.watchers_of(&self.cfg.data_centre)
     }
 
@@ -302,7 +302,7 @@
     }
 
     /// Returns the first watcher of each other data centre.
-    pub(super) fn foreign_watchers(&self) -> Vec<InstanceKey> {
+    pub fn foreign_watchers(&self) -> Vec<InstanceKey> {
         let names = self.view.data_centre_names();
         let others = names.filter(|&it| it != self.cfg.data_centre);
         others
--- a/crates/core/src/membership/news.rs
+++ b/crates/core/src/membership/news.rs
@@ -201,7 +201,8 @@
         }
     }
 
-    pub(super) fn own_data_centre_instances(&self) -> Vec<InstanceKey> {
+    /// Returns the usable instances of the own data centre.
+    pub fn own_data_centre_instances(&self) -> Vec<InstanceKey> {
         let own = self.own_data_centre();
         let here = self
             .view
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -9,6 +9,7 @@
 //! | module | its job |
 //! | --- | --- |
 //! | `judge` | holds an arrival against the catalogue |
+//! | `claims` | asks for the claim of a ticket or idempotency key |
 //! | `ask` | finds a cell, asks its home, takes its answer |
 //! | `attempt` | dispatches, follows and repeats attempts |
 //! | `home` | the cells that this node decides for |
@@ -18,6 +19,7 @@
 
 mod ask;
 mod attempt;
+mod claims;
 mod fleet;
 mod home;
 mod judge;
@@ -29,9 +31,12 @@
 
 pub use snapshot::{NodeSnapshot, RequestCounts};
 
+use crate::catalogue::sync::{CatalogueSync, SyncAction, SyncConfig};
 use crate::cell::message::Checkpoint;
 use crate::event::{Action, Event, PeerId};
-use crate::ids::{Incarnation, InstanceKey};
+use crate::explain::{Explain, Step};
+use crate::ids::{Incarnation, InstanceKey, RequestId};
+use crate::keys::{Keys, KeysAction, KeysConfig};
 use crate::membership::{Membership, MembershipAction, MembershipConfig};
 use crate::note::Note;
 use crate::peer::{PeerEnvelope, PeerMessage};
@@ -40,7 +45,6 @@
 use crate::time::Time;
 use core::time::Duration;
 use home::Homes;
-use platform::Holdings;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use request::Request;
@@ -48,6 +52,9 @@
 use stop::Door;
 use timers::{TimerKind, Timers};
 
+/// Keeps the jitter of the catalogue apart from that of membership.
+const SYNC_SEED: u64 = 0x5359_4e43;
+
 /// How a node takes part.
 #[derive(Clone, Debug)]
 pub struct NodeConfig {
@@ -66,6 +73,8 @@
     pub stop_grace: Duration,
     /// The most requests of own callers at once.
     pub max_requests: usize,
+    /// Requests whose decisions are remembered for [`Node::explain`].
+    pub explain_records: usize,
 }
 
 impl NodeConfig {
@@ -79,6 +88,7 @@
             stall_limit: Duration::from_secs(10),
             stop_grace: Duration::from_secs(3),
             max_requests: 20_000,
+            explain_records: 4_096,
         }
     }
 }
@@ -94,12 +104,18 @@
     now: Time,
     rng: SmallRng,
     membership: Membership,
-    holdings: Holdings,
+    sync: CatalogueSync,
+    /// Reused buffer for what the synchronisation asks.
+    sync_asked: Vec<SyncAction>,
+    keys: Keys,
+    /// Reused buffer for what the keys ask.
+    keys_asked: Vec<KeysAction>,
     requests: BTreeMap<u64, Request>,
     homes: Homes,
     budget: RetryBudget,
     /// Checkpoints that wait to be sent, by home.
     progress: BTreeMap<InstanceKey, Vec<Checkpoint>>,
+    explain: Explain,
     timers: Timers,
     door: Door,
     loopback: VecDeque<PeerMessage>,
@@ -121,11 +137,15 @@
             now: Time::ZERO,
             rng: SmallRng::seed_from_u64(cfg.seed),
             membership: Membership::new(members),
-            holdings: Holdings::default(),
+            sync: CatalogueSync::new(SyncConfig::new(cfg.seed ^ SYNC_SEED)),
+            sync_asked: Vec::new(),
+            keys: Keys::new(me, KeysConfig::default()),
+            keys_asked: Vec::new(),
             requests: BTreeMap::new(),
             homes: Homes::default(),
             budget: RetryBudget::new(),
             progress: BTreeMap::new(),
+            explain: Explain::new(cfg.explain_records),
             timers: Timers::default(),
             door: Door::Open,
             loopback: VecDeque::new(),
@@ -138,10 +158,8 @@
     /// Starts to read the list and the catalogue.
     pub fn start(&mut self, now: Time, actions: &mut Vec<Action>) {
         self.now = now;
-        let mut asked = core::mem::take(&mut self.asked);
-        self.membership.start(now, &mut asked);
-        self.asked = asked;
-        self.start_holdings();
+        self.with_membership(|membership, now, out| membership.start(now, out));
+        self.sync.start(now);
         self.settle(actions);
     }
 
@@ -161,7 +179,7 @@
     /// Returns what every message to a peer carries besides its content.
     pub fn envelope(&self, messages: Vec<PeerMessage>) -> PeerEnvelope {
         PeerEnvelope {
-            catalogue_revision: self.holdings.revision(),
+            catalogue_revision: self.sync.revision(),
             list_revision: self.membership.view().revision(),
             messages,
         }
@@ -180,7 +198,7 @@
                 name,
                 revision,
                 bytes,
-            } => self.on_value(name, revision, &bytes),
+            } => self.on_value(name, revision, bytes),
             Event::ValueUnchanged { name } => self.on_value_unchanged(name),
             Event::ValueFailed { name } => self.on_value_failed(name),
             Event::Load { endpoint, report } => self.on_load(endpoint, &report),
@@ -202,11 +220,13 @@
         self.run_timers();
         loop {
             self.carry_out_membership();
+            self.carry_out_sync();
+            self.carry_out_keys();
             if let Some(message) = self.loopback.pop_front() {
                 self.on_message(self.me, message);
                 continue;
             }
-            if !self.poll_cells() && self.asked.is_empty() && self.loopback.is_empty() {
+            if !self.poll_cells() && self.is_quiet() {
                 break;
             }
         }
@@ -216,10 +236,19 @@
         actions.push(Action::WakeAt(wake));
     }
 
+    fn is_quiet(&self) -> bool {
+        self.asked.is_empty()
+            && self.sync_asked.is_empty()
+            && self.keys_asked.is_empty()
+            && self.loopback.is_empty()
+    }
+
     fn next_wake(&self) -> Time {
         let parts = [
             self.timers.next(),
             self.membership.next_wake(),
+            self.sync.next_wake(),
+            self.keys.next_wake(),
             self.homes.next_poll(),
         ];
         parts.into_iter().min().unwrap_or(Time::NEVER)
@@ -227,9 +256,14 @@
 
     fn run_timers(&mut self) {
         if self.membership.next_wake() <= self.now {
-            let mut asked = core::mem::take(&mut self.asked);
-            self.membership.tick(self.now, &mut asked);
-            self.asked = asked;
+            self.with_membership(|membership, now, out| membership.tick(now, out));
+        }
+        if self.sync.next_wake() <= self.now {
+            self.with_sync(|sync, now, out| sync.tick(now, out));
+        }
+        if self.keys.next_wake() <= self.now {
+            let list_age = self.membership.list_age(self.now);
+            self.with_keys(|keys, now, out| keys.tick(now, list_age, out));
         }
         while let Some(kind) = self.timers.take_due(self.now) {
             match kind {
@@ -263,13 +297,13 @@
         match message {
             PeerMessage::Heartbeat => {}
             PeerMessage::Membership(message) => {
-                let mut asked = core::mem::take(&mut self.asked);
-                self.membership.message(self.now, from, message, &mut asked);
-                self.asked = asked;
+                self.with_membership(|it, now, out| it.message(now, from, message, out));
+            }
+            PeerMessage::Catalogue(message) => {
+                self.with_sync(|sync, now, out| sync.message(now, from, message, out));
             }
+            PeerMessage::Keys(message) => self.on_keys_message(from, message),
             PeerMessage::Cell(message) => self.on_cell_message(from, message),
-            // Not composed yet: until then an asker hears nothing and says "unknown".
-            PeerMessage::Keys(_) => {}
         }
     }
 
@@ -279,9 +313,7 @@
             self.loopback.push_back(message);
             return;
         }
-        let mut asked = core::mem::take(&mut self.asked);
-        self.membership.touch_link(self.now, to, &mut asked);
-        self.asked = asked;
+        self.with_membership(|membership, now, out| membership.touch_link(now, to, out));
         self.out.push(Action::Send { to, message });
     }
 
@@ -289,8 +321,13 @@
         self.out.push(Action::Note(note));
     }
 
+    /// Writes down a decision about a request.
+    fn record(&mut self, id: RequestId, step: Step) {
+        self.explain.push(self.now, id, step);
+    }
+
     /// Tells operators how a request ended that did not end well.
-    fn note_verdict(&mut self, request: crate::ids::RequestId, outcome: Outcome, reason: Reason) {
+    fn note_verdict(&mut self, request: RequestId, outcome: Outcome, reason: Reason) {
         self.note(match outcome {
             Outcome::NotRun => Note::Refused { request, reason },
             _ => Note::Failed { request, reason },
--- a/crates/core/src/node/ask.rs
+++ b/crates/core/src/node/ask.rs
@@ -12,6 +12,7 @@
 use crate::cell::message::{Ask, Grant, Refused};
 use crate::cell::{CellMessage, EndKind};
 use crate::event::PeerId;
+use crate::explain::Step;
 use crate::ids::{CellKey, InstanceKey, RequestId};
 use crate::membership::EndpointState;
 use crate::peer::PeerMessage;
@@ -109,6 +110,8 @@
             return;
         };
         let ask = Ask::from_request(cell, &request.to_cell_request(facts), now);
+        let id = request.id();
+        self.record(id, Step::Asked { cell, home });
         self.send(home, PeerMessage::Cell(CellMessage::Ask(Box::new(ask))));
     }
 
@@ -160,6 +163,14 @@
             retry_after: Duration::from_millis(refused.retry_after_ms.into()),
             predicted_wait: Duration::from_millis(refused.predicted_wait_ms.into()),
         });
+        let step = Step::CellRefused {
+            cell,
+            reason: refused.reason,
+            predicted_wait: Duration::from_millis(refused.predicted_wait_ms.into()),
+            record: Box::new(refused.record.clone()),
+        };
+        let id = request.id();
+        self.record(id, step);
         match is_local(refused.reason) {
             true => self.ask_next_cell(refused.seq),
             false => self.refuse_by_cells(refused.seq),
@@ -262,7 +273,7 @@
                 let message = CellMessage::Ended(vec![ended]);
                 self.send(home, PeerMessage::Cell(message));
             }
-            Stage::Judging | Stage::BackingOff { .. } => {}
+            Stage::Judging | Stage::Claiming | Stage::BackingOff { .. } => {}
         }
     }
 }
--- a/crates/core/src/node/attempt.rs
+++ b/crates/core/src/node/attempt.rs
@@ -6,11 +6,12 @@
 use crate::cell::message::{Checkpoint, Grant};
 use crate::cell::{CellMessage, EndKind};
 use crate::event::{Action, AttemptMode, AttemptUpdate, Dispatch};
+use crate::explain::Step;
 use crate::ids::{AttemptId, CellKey, InstanceKey, RequestId};
 use crate::note::Note;
 use crate::outcome::{Ran, Verdict};
 use crate::peer::PeerMessage;
-use crate::reason::Reason;
+use crate::reason::{Outcome, Reason};
 use crate::retry::{self, Failure, RetryDecision};
 use core::time::Duration;
 
@@ -39,10 +40,10 @@
             return self.refuse(seq, Reason::NoEndpoint);
         };
         let stall_limit = self.cfg.stall_limit;
-        let send_before = self.now + SEND_LIMIT;
         let Some(request) = self.requests.get_mut(&seq) else {
             return;
         };
+        let send_before = (self.now + SEND_LIMIT).min(request.claim_until);
         let Some(facts) = &request.facts else {
             debug_assert!(false, "a request is judged before it runs");
             return;
@@ -76,6 +77,7 @@
             send_before,
             stall_limit,
         };
+        let id = request.id();
         request.outcome.on_dispatch(attempt);
         request.refusals.clear();
         request.stage = Stage::Running {
@@ -85,6 +87,21 @@
             attempt,
             tokens: 0,
         };
+        self.record(
+            id,
+            Step::Granted {
+                endpoint: grant.endpoint,
+                record: Box::new(grant.record.clone()),
+            },
+        );
+        self.record(
+            id,
+            Step::Dispatched {
+                attempt: attempt.number,
+                endpoint: grant.endpoint,
+                mode,
+            },
+        );
         self.out.push(Action::Dispatch(Box::new(order)));
     }
 
@@ -106,7 +123,13 @@
             });
         }
         match update {
-            AttemptUpdate::FirstToken => {}
+            AttemptUpdate::FirstToken => {
+                let attempt_number = attempt.number;
+                let step = Step::FirstToken {
+                    attempt: attempt_number,
+                };
+                self.record(attempt.request, step);
+            }
             AttemptUpdate::Progress { tokens } => self.on_progress(seq, tokens),
             AttemptUpdate::Complete {
                 tokens,
@@ -167,6 +190,15 @@
         request.outcome.on_ended(attempt, Ran::Maybe);
         let end = EndKind::Complete { prompt_tokens };
         self.leave_home(request.id(), request.stage, tokens, end);
+        self.record(
+            request.id(),
+            Step::Ended {
+                outcome: Outcome::Complete,
+                reason: None,
+                delivered: tokens,
+            },
+        );
+        self.end_claim(request.id(), None);
     }
 
     fn on_failed(&mut self, failed: FailedAttempt) {
@@ -185,6 +217,13 @@
         request.delivered = request.delivered.max(failed.delivered);
         request.exclude.push(endpoint);
         let id = request.id();
+        let step = Step::AttemptFailed {
+            attempt: failed.attempt.number,
+            reason: failed.reason,
+            proven_not_run: matches!(failed.ran, Ran::No(_)),
+            delivered: request.delivered,
+        };
+        self.record(id, step);
         self.leave_home(id, stage, tokens, EndKind::Failed(failed.reason));
         if failed.reason == Reason::EndpointLeaving {
             self.with_membership(|membership, now, out| {
@@ -219,7 +258,9 @@
             RetryDecision::Retry { after } | RetryDecision::Replay { after } => {
                 let until = self.now + after;
                 request.stage = Stage::BackingOff { until };
+                let replay = request.delivered > 0;
                 let request = request.id();
+                self.record(request, Step::RetryIn { after, replay });
                 self.timers.set(until, TimerKind::Request(seq));
                 self.note(Note::Retried {
                     request,
@@ -243,6 +284,16 @@
             _ => 0,
         };
         self.leave_home(id, request.stage, tokens, EndKind::Cancelled);
+        let verdict = request
+            .outcome
+            .finish(Reason::CallerGone, None, request.delivered);
+        let step = Step::Ended {
+            outcome: verdict.outcome(),
+            reason: Some(Reason::CallerGone),
+            delivered: request.delivered,
+        };
+        self.record(id, step);
+        self.end_claim(id, Some(&verdict));
     }
 
     /// Ends a request with the strongest claim that its attempts bear out.
@@ -256,11 +307,20 @@
     }
 
     /// Gives the caller its final answer and forgets the request.
-    fn answer(&mut self, seq: u64, verdict: Verdict) {
+    pub(super) fn answer(&mut self, seq: u64, verdict: Verdict) {
         let Some(request) = self.requests.remove(&seq) else {
             return;
         };
         self.leave_home(request.id(), request.stage, 0, EndKind::Cancelled);
+        self.end_claim(request.id(), Some(&verdict));
+        self.record(
+            request.id(),
+            Step::Ended {
+                outcome: verdict.outcome(),
+                reason: Some(verdict.reason()),
+                delivered: verdict.delivered(),
+            },
+        );
         self.note_verdict(request.id(), verdict.outcome(), verdict.reason());
         self.out.push(Action::Finish {
             request: request.id(),
--- /dev/null
+++ b/crates/core/src/node/claims.rs
@@ -0,0 +1,143 @@
+//! Requests that carry a ticket or an idempotency key.
+
+use super::Node;
+use super::request::Stage;
+use crate::catalogue::sync::Lookup;
+use crate::event::PeerId;
+use crate::explain::Step;
+use crate::ids::RequestId;
+use crate::keys::{Claim, ClaimId, HolderState, KeyHash, Keys, KeysAction, KeysMessage};
+use crate::membership::ListedState;
+use crate::outcome::Verdict;
+use crate::peer::PeerMessage;
+use crate::reason::Reason;
+use crate::time::Time;
+
+impl Node {
+    pub(super) fn with_keys(&mut self, call: impl FnOnce(&mut Keys, Time, &mut Vec<KeysAction>)) {
+        call(&mut self.keys, self.now, &mut self.keys_asked);
+    }
+
+    /// Carries out what the keys asked for.
+    pub(super) fn carry_out_keys(&mut self) {
+        while !self.keys_asked.is_empty() {
+            for action in core::mem::take(&mut self.keys_asked) {
+                match action {
+                    KeysAction::Send { to, message } => self.send(to, PeerMessage::Keys(message)),
+                    KeysAction::Granted {
+                        request,
+                        valid_until,
+                    } => self.on_claim_granted(request, valid_until),
+                    KeysAction::Refused { request, verdict } => {
+                        self.on_claim_refused(request, verdict);
+                    }
+                    KeysAction::WantFreshList => {
+                        self.with_membership(|it, now, out| it.want_fresh(now, out));
+                    }
+                }
+            }
+        }
+    }
+
+    pub(super) fn on_keys_message(&mut self, from: PeerId, message: KeysMessage) {
+        let list_age = self.membership.list_age(self.now);
+        self.with_keys(|keys, now, out| keys.message(now, list_age, from, message, out));
+    }
+
+    /// Asks for the request's claim if it carries a name; returns whether it does.
+    pub(super) fn begin_claim(&mut self, seq: u64) -> bool {
+        let Some(claim) = self.claim_of(seq) else {
+            return false;
+        };
+        if let Some(request) = self.requests.get_mut(&seq) {
+            request.stage = Stage::Claiming;
+        }
+        let issuer_life = match claim.id {
+            ClaimId::Ticket(ticket) => self.membership.incarnation(ticket.instance),
+            ClaimId::Key(_) => None,
+        };
+        let list_age = self.membership.list_age(self.now);
+        self.with_keys(|keys, now, out| keys.ask(now, list_age, claim, issuer_life, out));
+        true
+    }
+
+    fn claim_of(&self, seq: u64) -> Option<Claim> {
+        let request = self.requests.get(&seq)?;
+        let workspace = request.facts.as_ref()?.workspace;
+        let arrival = &request.arrival;
+        let key = arrival.idempotency_key.as_deref();
+        let id = match (arrival.ticket, key) {
+            (Some(ticket), _) => ClaimId::Ticket(ticket),
+            (None, Some(key)) => ClaimId::Key(KeyHash::of(workspace, key)),
+            (None, None) => return None,
+        };
+        Some(Claim {
+            id,
+            claimant: arrival.id,
+            workspace,
+            body_hash: arrival.body_hash,
+            list_revision: 0,
+        })
+    }
+
+    fn on_claim_granted(&mut self, id: RequestId, valid_until: Time) {
+        let Some(request) = self.requests.get_mut(&id.seq) else {
+            return;
+        };
+        if request.stage != Stage::Claiming {
+            return;
+        }
+        request.claim_until = valid_until;
+        self.record(id, Step::ClaimGranted);
+        self.begin_asking(id.seq);
+    }
+
+    fn on_claim_refused(&mut self, id: RequestId, verdict: Verdict) {
+        let Some(request) = self.requests.get_mut(&id.seq) else {
+            return;
+        };
+        if request.stage == Stage::Claiming {
+            self.answer(id.seq, verdict);
+        }
+    }
+
+    /// Tells the home of a request's claim how the request ended; `None` means
+    /// with a whole answer.
+    pub(super) fn end_claim(&mut self, id: RequestId, verdict: Option<&Verdict>) {
+        let state = HolderState::of(verdict);
+        self.with_keys(|keys, now, out| keys.ended(now, id, state, out));
+    }
+
+    /// Puts the list in force for the homes of keys.
+    pub(super) fn refresh_keys(&mut self) {
+        let view = self.membership.view();
+        let live = view
+            .instances()
+            .filter(|it| it.record.state == ListedState::Live);
+        let live: Vec<_> = live.map(|it| it.key).collect();
+        let revision = view.revision();
+        self.with_keys(|keys, now, out| keys.set_list(now, revision, live.into_iter(), out));
+    }
+
+    /// Issues a ticket to the holder of a key.
+    ///
+    /// # Errors
+    ///
+    /// Returns why no ticket is issued.
+    pub fn issue_ticket(
+        &mut self,
+        now: Time,
+        key_digest: &[u8; 32],
+        ticket: RequestId,
+    ) -> Result<RequestId, Reason> {
+        let workspace = match self.sync.lookup(now, key_digest) {
+            Lookup::Found(workspace) => workspace.key,
+            Lookup::Unknown => return Err(Reason::BadKey),
+            Lookup::Missing(_) | Lookup::Unavailable(_) | Lookup::NoCatalogue => {
+                return Err(Reason::NoCatalogue);
+            }
+        };
+        self.keys.issue_ticket(now, ticket, workspace)?;
+        Ok(ticket)
+    }
+}
--- a/crates/core/src/node/fleet.rs
+++ b/crates/core/src/node/fleet.rs
@@ -48,13 +48,14 @@
 
     fn on_change(&mut self, change: MembershipChange) {
         match change {
-            MembershipChange::List { .. } | MembershipChange::Homes => {
-                self.refresh_cells();
-                self.re_ask_moved();
-                self.retell_moved();
+            MembershipChange::List { .. } => {
+                self.refresh_keys();
+                self.on_homes_moved();
             }
+            MembershipChange::Homes => self.on_homes_moved(),
             MembershipChange::InstanceReplaced { instance, was } => {
                 self.forget_holder(instance, was);
+                self.with_keys(|keys, now, out| keys.life_over(now, instance, was, out));
             }
             MembershipChange::InstanceGone { .. } => {}
             MembershipChange::EndpointLeaving { endpoint }
@@ -62,9 +63,17 @@
         }
     }
 
+    fn on_homes_moved(&mut self) {
+        self.refresh_roles();
+        self.refresh_cells();
+        self.re_ask_moved();
+        self.retell_moved();
+    }
+
     /// A link to a peer is up: what either side knew of the other may be lost.
     pub(super) fn on_peer_up(&mut self, peer: PeerId) {
         self.with_membership(|membership, now, out| membership.peer_up(now, peer, out));
+        self.with_sync(|sync, _, out| sync.peer_up(peer, out));
         self.carry_out_membership();
         self.retell_to(peer.instance);
         self.re_ask_at(peer.instance);
@@ -83,6 +92,8 @@
         self.with_membership(|membership, now, out| {
             membership.peer_revision(now, from, revision, out);
         });
+        let revision = envelope.catalogue_revision;
+        self.with_sync(|sync, now, _| sync.peer_revision(now, from, revision));
     }
 
     /// Tells new homes what runs in their cells.
--- a/crates/core/src/node/judge.rs
+++ b/crates/core/src/node/judge.rs
@@ -1,13 +1,14 @@
 //! Holds an arrival against the catalogue.
 
 use super::Node;
-use super::platform::Lookup;
 use super::request::{Facts, Request, Stage};
 use super::stop::Door;
 use super::timers::TimerKind;
+use crate::catalogue::sync::Lookup;
 use crate::catalogue::{EntryView, TargetView, Workspace};
 use crate::cell::{ClassRules, Requirement};
 use crate::event::{Action, RequestArrival, Work};
+use crate::explain::Step;
 use crate::outcome::Verdict;
 use crate::reason::Reason;
 use core::time::Duration;
@@ -49,7 +50,7 @@
         if self.requests.len() >= self.cfg.max_requests {
             return Err(Reason::InstanceFull);
         }
-        match self.holdings.catalogue() {
+        match self.sync.catalogue() {
             Some(_) => Ok(()),
             None => Err(Reason::NoCatalogue),
         }
@@ -61,23 +62,45 @@
             return;
         };
         let digest = request.arrival.key_digest;
-        let workspace = match self.holdings.workspace(&digest) {
-            Lookup::Found(workspace) => workspace,
+        let workspace = match self.sync.lookup(self.now, &digest) {
+            Lookup::Found(workspace) => workspace.clone(),
             Lookup::Unknown => return self.refuse(seq, Reason::BadKey),
-            Lookup::Pending(shard) => return self.fetch_shard(shard),
+            Lookup::NoCatalogue | Lookup::Unavailable(_) => {
+                return self.refuse(seq, Reason::NoCatalogue);
+            }
+            Lookup::Missing(shard) => {
+                return self.with_sync(|sync, now, out| sync.want_shard(now, shard, out));
+            }
         };
         match self.facts(seq, &workspace) {
             Ok(facts) => {
+                self.record_accepted(seq, &facts);
                 if let Some(request) = self.requests.get_mut(&seq) {
                     request.facts = Some(facts);
                 }
-                self.begin_asking(seq);
+                if !self.begin_claim(seq) {
+                    self.begin_asking(seq);
+                }
             }
             Err(reason) => self.refuse(seq, reason),
         }
     }
 
-    /// Judges every request that waited for a shard.
+    fn record_accepted(&mut self, seq: u64, facts: &Facts) {
+        let Some(request) = self.requests.get(&seq) else {
+            return;
+        };
+        let step = Step::Accepted {
+            entry: request.arrival.entry.clone(),
+            catalogue_revision: facts.catalogue.revision(),
+            prompt_tokens: facts.prompt_tokens,
+            max_tokens: facts.max_tokens,
+        };
+        self.record(request.id(), step);
+    }
+
+    /// Judges every request that waits for a shard; those whose shard cannot
+    /// be had are refused by it.
     pub(super) fn judge_waiting(&mut self) {
         let waiting = self.requests.iter();
         let waiting = waiting.filter(|(_, it)| it.stage == Stage::Judging);
@@ -88,7 +111,7 @@
     }
 
     fn facts(&self, seq: u64, workspace: &Workspace) -> Result<Facts, Reason> {
-        let catalogue = self.holdings.catalogue().ok_or(Reason::NoCatalogue)?;
+        let catalogue = self.sync.catalogue().ok_or(Reason::NoCatalogue)?;
         let arrival = &self.requests[&seq].arrival;
         let view = catalogue
             .entry(&arrival.entry)
--- a/crates/core/src/node/platform.rs
+++ b/crates/core/src/node/platform.rs
@@ -1,74 +1,80 @@
-//! Values read from the platform.
+//! Values read from the platform, and the catalogue made of them.
 
 use super::Node;
-use crate::catalogue::{self, Catalogue, Digest, Shard, Workspace};
+use crate::catalogue::sync::{CatalogueSync, Lookup, Roles, SyncAction, SyncChange};
 use crate::event::{Action, ValueName};
 use crate::membership::InstanceList;
-use crate::note::Note;
-use std::collections::BTreeMap;
-use std::sync::Arc;
+use crate::peer::PeerMessage;
+use crate::reason::Reason;
+use crate::time::Time;
 
-/// Whether a workspace is known.
-pub(super) enum Lookup {
-    /// It is.
-    Found(Workspace),
-    /// No workspace holds this key.
-    Unknown,
-    /// The shard that may hold it is not here yet.
-    Pending(u32),
-}
-
-/// The catalogue that is in force and the shards that are held.
-#[derive(Default)]
-pub(super) struct Holdings {
-    in_force: Option<Arc<Catalogue>>,
-    shards: BTreeMap<u32, Shard>,
-    platform_revision: u64,
-}
-
-impl Holdings {
-    /// Returns the catalogue in force.
-    pub fn catalogue(&self) -> Option<&Arc<Catalogue>> {
-        self.in_force.as_ref()
+impl Node {
+    /// Calls a method of the catalogue's synchronisation and keeps what it asks for.
+    pub(super) fn with_sync(
+        &mut self,
+        call: impl FnOnce(&mut CatalogueSync, Time, &mut Vec<SyncAction>),
+    ) {
+        call(&mut self.sync, self.now, &mut self.sync_asked);
     }
 
-    /// Returns the revision in force; 0 for none.
-    pub fn revision(&self) -> u64 {
-        self.in_force.as_ref().map_or(0, |it| it.revision())
+    /// Carries out what the synchronisation asked for.
+    pub(super) fn carry_out_sync(&mut self) {
+        while !self.sync_asked.is_empty() {
+            for action in core::mem::take(&mut self.sync_asked) {
+                match action {
+                    SyncAction::Read(name) => self.out.push(Action::Read(name)),
+                    SyncAction::WatchIndex { above } => self.out.push(Action::Watch {
+                        name: ValueName::CatalogueIndex,
+                        above,
+                    }),
+                    SyncAction::Send { to, message } => {
+                        self.send(to, PeerMessage::Catalogue(message));
+                    }
+                    SyncAction::Note(note) => self.note(note),
+                    SyncAction::Changed(change) => self.on_sync_change(change),
+                }
+            }
+        }
     }
 
-    /// Finds the workspace that holds a key.
-    pub fn workspace(&self, digest: &[u8; 32]) -> Lookup {
-        let Some(catalogue) = &self.in_force else {
-            return Lookup::Unknown;
-        };
-        let number = catalogue.shard_of(digest);
-        match self.shards.get(&number) {
-            None => Lookup::Pending(number),
-            Some(shard) => match shard.workspace_by_digest(digest) {
-                Some(workspace) => Lookup::Found(workspace.clone()),
-                None => Lookup::Unknown,
-            },
+    fn on_sync_change(&mut self, change: SyncChange) {
+        match change {
+            SyncChange::InForce { .. } | SyncChange::ShardReady(_) | SyncChange::ShardFailed(_) => {
+                self.judge_waiting()
+            }
         }
     }
-}
 
-impl Node {
-    pub(super) fn start_holdings(&mut self) {
-        self.out.push(Action::Read(ValueName::CatalogueIndex));
+    /// Tells the synchronisation who watches and who keeps which shard.
+    pub(super) fn refresh_roles(&mut self) {
+        let roles = Roles::of(&self.membership);
+        self.with_sync(|sync, now, out| sync.set_roles(now, roles, out));
     }
 
-    pub(super) fn fetch_shard(&mut self, shard: u32) {
-        self.out
-            .push(Action::Read(ValueName::CatalogueShard(shard)));
+    /// Returns the entries that the holder of a key may use.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the question cannot be answered.
+    pub fn entries(&mut self, key_digest: &[u8; 32]) -> Result<Vec<String>, Reason> {
+        let workspace = match self.sync.lookup(self.now, key_digest) {
+            Lookup::Found(workspace) => workspace.clone(),
+            Lookup::Unknown => return Err(Reason::BadKey),
+            Lookup::Missing(_) | Lookup::Unavailable(_) | Lookup::NoCatalogue => {
+                return Err(Reason::NoCatalogue);
+            }
+        };
+        let catalogue = self.sync.catalogue().ok_or(Reason::NoCatalogue)?;
+        let entries = catalogue.entries();
+        let allowed = entries.filter(|it| workspace.allows(it.entry.key));
+        Ok(allowed.map(|it| it.entry.name.clone()).collect())
     }
 
     /// The platform answered a read or a watch.
-    pub(super) fn on_value(&mut self, name: ValueName, revision: u64, bytes: &[u8]) {
+    pub(super) fn on_value(&mut self, name: ValueName, revision: u64, bytes: Vec<u8>) {
         match name {
-            ValueName::Instances => self.on_list(bytes),
-            ValueName::CatalogueIndex => self.on_index(revision, bytes),
-            ValueName::CatalogueShard(number) => self.on_shard(number, bytes),
+            ValueName::Instances => self.on_list(&bytes),
+            _ => self.with_sync(|sync, now, out| sync.value(now, &name, revision, &bytes, out)),
         }
     }
 
@@ -78,7 +84,7 @@
             ValueName::Instances => {
                 self.with_membership(|membership, now, out| membership.list_unchanged(now, out));
             }
-            _ => self.watch_index(),
+            _ => self.with_sync(|sync, now, _| sync.unchanged(now, &name)),
         }
     }
 
@@ -86,7 +92,7 @@
     pub(super) fn on_value_failed(&mut self, name: ValueName) {
         match name {
             ValueName::Instances => self.on_list_failed(),
-            _ => self.watch_index(),
+            _ => self.with_sync(|sync, now, out| sync.failed(now, &name, out)),
         }
     }
 
@@ -100,43 +106,4 @@
             Err(_) => self.on_list_failed(),
         }
     }
-
-    fn watch_index(&mut self) {
-        self.out.push(Action::Watch {
-            name: ValueName::CatalogueIndex,
-            above: self.holdings.platform_revision,
-        });
-    }
-
-    fn on_index(&mut self, revision: u64, bytes: &[u8]) {
-        self.holdings.platform_revision = revision.max(self.holdings.platform_revision);
-        match catalogue::parse_index(bytes) {
-            Ok(index) if index.revision() > self.holdings.revision() => {
-                let revision = index.revision();
-                self.holdings.in_force = Some(Arc::new(index));
-                self.holdings.shards.clear();
-                self.note(Note::CatalogueAccepted { revision });
-            }
-            Ok(_) => {}
-            Err(findings) => self.note(Note::CatalogueRejected {
-                revision,
-                findings: findings.len() as u32,
-            }),
-        }
-        self.watch_index();
-    }
-
-    fn on_shard(&mut self, number: u32, bytes: &[u8]) {
-        let Some(catalogue) = &self.holdings.in_force else {
-            return;
-        };
-        let wanted = catalogue.shards().get(number as usize);
-        if wanted != Some(&Digest::of(bytes)) {
-            return;
-        }
-        if let Ok(shard) = catalogue::parse_shard(bytes, number, catalogue.shard_count()) {
-            self.holdings.shards.insert(number, shard);
-            self.judge_waiting();
-        }
-    }
 }
--- a/crates/core/src/node/request.rs
+++ b/crates/core/src/node/request.rs
@@ -15,6 +15,8 @@
 pub(super) enum Stage {
     /// The shard that may hold its workspace is being fetched.
     Judging,
+    /// The claim of its ticket or key was asked for.
+    Claiming,
     /// A home was asked for a grant.
     Asking {
         /// The cell.
@@ -91,6 +93,9 @@
     pub arrived: Time,
     /// What the catalogue says; `None` only in [`Stage::Judging`].
     pub facts: Option<Facts>,
+    /// Nothing may be sent for it after this point; bounds the claim of its
+    /// ticket or key.
+    pub claim_until: Time,
     /// Where it stands.
     pub stage: Stage,
     /// What is known about whether it ran.
@@ -115,6 +120,7 @@
             arrival,
             arrived: now,
             facts: None,
+            claim_until: Time::NEVER,
             stage: Stage::Judging,
             outcome: RequestOutcome::new(),
             attempts: 0,
--- a/crates/core/src/node/snapshot.rs
+++ b/crates/core/src/node/snapshot.rs
@@ -3,7 +3,9 @@
 use super::Node;
 use super::request::Stage;
 use crate::cell::CellSnapshot;
-use crate::ids::CellKey;
+use crate::explain::{Line, Names};
+use crate::ids::{CellKey, EndpointKey, InstanceKey, RequestId};
+use crate::membership::View;
 use core::time::Duration;
 
 /// How many requests of own callers stand where.
@@ -33,17 +35,32 @@
     pub list_age: Option<Duration>,
     /// Instances that may be homes.
     pub live_instances: u32,
+    /// Peers that were linked or are to be, and whether the link is up.
+    pub links: Vec<(String, bool)>,
     /// Requests of own callers.
     pub requests: RequestCounts,
     /// The cells that this node decides for.
     pub cells: Vec<(CellKey, CellSnapshot)>,
 }
 
+/// Names as the list in force publishes them.
+struct PublishedNames<'a>(&'a View);
+
+impl Names for PublishedNames<'_> {
+    fn endpoint(&self, key: EndpointKey) -> Option<&str> {
+        Some(&self.0.endpoint(key)?.record.name)
+    }
+
+    fn instance(&self, key: InstanceKey) -> Option<&str> {
+        Some(&self.0.instance(key)?.record.name)
+    }
+}
+
 impl Node {
     /// Returns whether new requests are welcome.
     pub fn is_ready(&self) -> bool {
         let has_list = self.membership.view().revision() > 0;
-        has_list && self.holdings.catalogue().is_some() && !self.is_stopping()
+        has_list && self.sync.catalogue().is_some() && !self.is_stopping()
     }
 
     /// Returns what operators see.
@@ -51,21 +68,44 @@
         NodeSnapshot {
             ready: self.is_ready(),
             stopping: self.is_stopping(),
-            catalogue_revision: self.holdings.revision(),
+            catalogue_revision: self.sync.revision(),
             list_revision: self.membership.view().revision(),
             list_age: self.membership.list_age(self.now),
             live_instances: self.membership.live_count(),
+            links: self.links(),
             requests: self.request_counts(),
             cells: self.cell_snapshots(),
         }
     }
 
+    /// Returns why a request went as it did, as text, if it is remembered.
+    pub fn explain(&self, id: RequestId) -> Option<Vec<Line>> {
+        let record = self.explain.record(id)?;
+        Some(record.lines(&PublishedNames(self.membership.view())))
+    }
+
+    /// Returns the published name of an endpoint.
+    pub fn endpoint_name(&self, key: EndpointKey) -> Option<&str> {
+        let endpoint = self.membership.view().endpoint(key)?;
+        Some(&endpoint.record.name)
+    }
+
+    fn links(&self) -> Vec<(String, bool)> {
+        let others = self.membership.view().instances();
+        let others = others.filter(|it| it.key != self.me.instance);
+        others
+            .map(|it| (it.record.name.clone(), self.membership.is_linked(it.key)))
+            .collect()
+    }
+
     fn request_counts(&self) -> RequestCounts {
         let mut counts = RequestCounts::default();
         for request in self.requests.values() {
             match request.stage {
                 Stage::Judging => counts.judging += 1,
-                Stage::Asking { .. } | Stage::BackingOff { .. } => counts.waiting += 1,
+                Stage::Claiming | Stage::Asking { .. } | Stage::BackingOff { .. } => {
+                    counts.waiting += 1
+                }
                 Stage::Running { .. } => counts.running += 1,
             }
         }
--- a/crates/core/src/peer.rs
+++ b/crates/core/src/peer.rs
@@ -63,6 +63,8 @@
     Heartbeat,
     /// Who is there.
     Membership(crate::membership::MembershipMessage),
+    /// The catalogue and its shards.
+    Catalogue(crate::catalogue::sync::CatalogueMessage),
     /// Between an entry and the home of a cell.
     Cell(crate::cell::CellMessage),
     /// Who may run under a ticket or key.
--- /dev/null
+++ b/crates/core/tests/node/path.rs
@@ -0,0 +1,35 @@
+//! The ordinary path of a request.
+
+use crate::world::World;
+use oriolemux_core::Outcome;
+use std::time::Duration;
+
+#[test]
+fn every_node_is_ready_and_runs_a_request_once() {
+    let mut world = World::new(3, 2);
+
+    for n in 0..3 {
+        assert!(world.seat(n).node.is_ready(), "node {n} is ready");
+        let id = world.request(n, "plan");
+        world.run_for(Duration::from_secs(1));
+
+        let dispatches = world.dispatches(id);
+        assert_eq!(dispatches.len(), 1, "node {n} dispatches once");
+        world.complete(dispatches[0].attempt);
+        world.run_for(Duration::from_secs(1));
+        assert_eq!(world.verdict(id), None);
+        assert_eq!(world.seat(n).node.snapshot().requests, Default::default());
+    }
+}
+
+#[test]
+fn an_unknown_entry_is_refused_and_not_run() {
+    let mut world = World::new(1, 1);
+
+    let id = world.request(0, "no-such-entry");
+    world.run_for(Duration::from_secs(1));
+
+    let verdict = world.verdict(id).expect("refused");
+    assert_eq!(verdict.outcome(), Outcome::NotRun);
+    assert_eq!(verdict.reason(), oriolemux_core::Reason::UnknownEntry);
+}
--- a/crates/oriolemux/src/lib.rs
+++ b/crates/oriolemux/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod events;
 pub mod logs;
 pub mod metrics;
+pub mod node_task;
 pub mod operators;
 pub mod peers;
 pub mod relay;
--- /dev/null
+++ b/crates/oriolemux/src/node_task/effects.rs
@@ -0,0 +1,134 @@
+//! What the node task asks of the outside.
+
+use crate::callers::port::NodePort;
+use crate::endpoints::{HttpProtocol, Polls};
+use crate::events;
+use crate::peers::PeersHandle;
+use oriolemux_core::event::{EndpointTarget, Event, OrderKind, PeerTarget, ValueName};
+use oriolemux_core::note::Note;
+use oriolemux_core::peer::PeerEnvelope;
+use oriolemux_core::{InstanceKey, Time};
+use std::net::SocketAddr;
+
+/// What the node task asks of the outside. Nothing here may wait; answers come
+/// back as events.
+pub trait Effects: Send + 'static {
+    /// Reads a value of the platform once.
+    fn read(&self, name: ValueName);
+    /// Watches a value of the platform for a revision above the one given.
+    fn watch(&self, name: ValueName, above: u64);
+    /// Asks an endpoint for its load and cache events.
+    fn poll_load(&self, endpoint: EndpointTarget);
+    /// Gives an order to an endpoint.
+    fn order(&self, endpoint: EndpointTarget, fencing: u64, kind: OrderKind, send_before: Time);
+    /// Keeps links to exactly these peers.
+    fn links(&self, peers: Vec<PeerTarget>);
+    /// Sends a frame to a peer; lost if there is no link.
+    fn send(&self, to: InstanceKey, envelope: PeerEnvelope);
+    /// Counts and logs something.
+    fn note(&self, note: &Note);
+}
+
+/// The effects of a running process.
+pub struct LiveEffects {
+    port: NodePort,
+    polls: Polls<HttpProtocol>,
+    platform: SocketAddr,
+    client: reqwest::Client,
+    peers: PeersHandle,
+}
+
+impl LiveEffects {
+    /// Puts the parts together.
+    pub fn new(
+        port: NodePort,
+        polls: Polls<HttpProtocol>,
+        platform: SocketAddr,
+        peers: PeersHandle,
+    ) -> Self {
+        LiveEffects {
+            port,
+            polls,
+            platform,
+            client: reqwest::Client::new(),
+            peers,
+        }
+    }
+
+    fn call(&self, name: ValueName, above: Option<u64>) {
+        let text = match &name {
+            ValueName::Instances => "instances".to_owned(),
+            ValueName::CatalogueIndex => "catalogue-index".to_owned(),
+            ValueName::CatalogueShard(n) => format!("catalogue-shard-{n}"),
+        };
+        let mut url = format!("http://{}/v1/values/{text}", self.platform);
+        if let Some(above) = above {
+            url.push_str(&format!("?above={above}"));
+        }
+        let request = self.client.get(url);
+        let port = self.port.clone();
+        tokio::spawn(async move {
+            let event = match request.send().await {
+                Ok(answer) if answer.status() == 200 => {
+                    let revision = answer.headers().get("x-revision");
+                    let revision = revision
+                        .and_then(|it| it.to_str().ok())
+                        .and_then(|it| it.parse().ok())
+                        .unwrap_or(0);
+                    match answer.bytes().await {
+                        Ok(bytes) => Event::Value {
+                            name,
+                            revision,
+                            bytes: bytes.to_vec(),
+                        },
+                        Err(_) => Event::ValueFailed { name },
+                    }
+                }
+                Ok(answer) if answer.status() == 204 => Event::ValueUnchanged { name },
+                _ => Event::ValueFailed { name },
+            };
+            let _ = port.event(event).await;
+        });
+    }
+}
+
+impl Effects for LiveEffects {
+    fn read(&self, name: ValueName) {
+        self.call(name, None);
+    }
+
+    fn watch(&self, name: ValueName, above: u64) {
+        self.call(name, Some(above));
+    }
+
+    fn poll_load(&self, endpoint: EndpointTarget) {
+        let (polls, port) = (self.polls.clone(), self.port.clone());
+        tokio::spawn(async move {
+            // An error means that the node task has ended; so does this one.
+            let _ = polls.poll(&endpoint, &port).await;
+        });
+    }
+
+    fn order(&self, endpoint: EndpointTarget, fencing: u64, kind: OrderKind, send_before: Time) {
+        let (polls, port) = (self.polls.clone(), self.port.clone());
+        tokio::spawn(async move {
+            let _ = polls
+                .order(&endpoint, fencing, &kind, send_before, &port)
+                .await;
+        });
+    }
+
+    fn links(&self, peers: Vec<PeerTarget>) {
+        self.peers.set_links(peers);
+    }
+
+    fn send(&self, to: InstanceKey, envelope: PeerEnvelope) {
+        // A frame that is not queued is lost like one on a broken link; the
+        // transport counts it and the node repeats what matters.
+        let _ = self.peers.send(to, &envelope);
+    }
+
+    fn note(&self, note: &Note) {
+        events::emit(note);
+    }
+}
--- /dev/null
+++ b/crates/oriolemux/src/node_task/view.rs
@@ -0,0 +1,115 @@
+//! What operators are shown of the node.
+
+use crate::status::{
+    CatalogueStatus, CellStatus, EndpointStatus, LinkStatus, ListStatus, NodeStatus, Readiness,
+    RequestsStatus,
+};
+use oriolemux_core::cell::{CellSnapshot, EndpointSnapshot};
+use oriolemux_core::node::NodeSnapshot;
+use oriolemux_core::{CellKey, EndpointKey, Node};
+use std::time::{Duration, Instant};
+
+/// What a process knows of itself besides the node's state.
+#[derive(Clone, Debug)]
+pub struct Identity {
+    /// The published name.
+    pub instance: String,
+    /// The data centre.
+    pub data_centre: String,
+    /// When the process started.
+    pub started: Instant,
+}
+
+/// Returns whether the balancer may send requests here.
+pub(super) fn readiness(node: &Node) -> Readiness {
+    if node.is_stopping() {
+        Readiness::Stopping
+    } else if node.is_ready() {
+        Readiness::Ready
+    } else {
+        Readiness::Starting
+    }
+}
+
+/// Returns the state of the instance.
+pub(super) fn status(node: &Node, identity: &Identity) -> NodeStatus {
+    let snapshot = node.snapshot();
+    NodeStatus {
+        instance: identity.instance.clone(),
+        data_centre: identity.data_centre.clone(),
+        incarnation: format!("{:016x}", node.me().incarnation.0),
+        version: env!("CARGO_PKG_VERSION").to_owned(),
+        uptime_ms: millis(identity.started.elapsed()),
+        readiness: readiness(node),
+        catalogue: catalogue(&snapshot),
+        list: ListStatus {
+            revision: snapshot.list_revision,
+            age_ms: snapshot.list_age.map(millis),
+            live_instances: snapshot.live_instances,
+        },
+        requests: RequestsStatus {
+            judging: snapshot.requests.judging,
+            waiting: snapshot.requests.waiting,
+            running: snapshot.requests.running,
+        },
+        links: links(&snapshot),
+        cells: snapshot
+            .cells
+            .iter()
+            .map(|(key, it)| cell(node, *key, it))
+            .collect(),
+    }
+}
+
+fn catalogue(snapshot: &NodeSnapshot) -> CatalogueStatus {
+    CatalogueStatus {
+        revision: snapshot.catalogue_revision,
+        rejected: None,
+    }
+}
+
+fn links(snapshot: &NodeSnapshot) -> Vec<LinkStatus> {
+    let links = snapshot.links.iter();
+    links
+        .map(|(peer, up)| LinkStatus {
+            peer: peer.clone(),
+            up: *up,
+        })
+        .collect()
+}
+
+fn cell(node: &Node, key: CellKey, snapshot: &CellSnapshot) -> CellStatus {
+    CellStatus {
+        cell: key.to_string(),
+        queued: snapshot.queued,
+        running: snapshot.running,
+        oldest_wait_ms: millis(snapshot.oldest_wait),
+        endpoints: snapshot
+            .endpoints
+            .iter()
+            .map(|it| endpoint(node, it))
+            .collect(),
+    }
+}
+
+fn endpoint(node: &Node, snapshot: &EndpointSnapshot) -> EndpointStatus {
+    EndpointStatus {
+        endpoint: endpoint_name(node, snapshot.key),
+        leaving: snapshot.leaving,
+        ejected: snapshot.ejected,
+        running: snapshot.running,
+        total: snapshot.total,
+        counted: snapshot.counted,
+        foreign: snapshot.foreign,
+        free: snapshot.free,
+    }
+}
+
+fn endpoint_name(node: &Node, key: EndpointKey) -> String {
+    let name = node.endpoint_name(key);
+    name.map_or_else(|| key.to_string(), str::to_owned)
+}
+
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/oriolemux/src/serve.rs
+++ b/crates/oriolemux/src/serve.rs
@@ -1,9 +1,31 @@
 //! Runs one instance until it is told to stop.
 
+use crate::callers::port::{Clock, NodePort, RequestIds};
+use crate::callers::server::CallerServer;
 use crate::cli::ExitStatus;
-use crate::settings::Settings;
+use crate::endpoints::http::SetUpError;
+use crate::endpoints::{HttpProtocol, HttpSettings, Polls};
+use crate::events::{self, ShellNote};
+use crate::node_task::{Identity, LiveEffects, NodeEnds, NodeTask};
+use crate::operators::{self, OperatorPort, OperatorServer};
+use crate::peers::{PeerEvent, Peers, PeersConfig, PeersHandle};
+use crate::settings::{Secret, Secrets, Settings};
+use crate::status::Readiness;
+use crate::supervisor::{Intensity, StopTokens, Supervisor, SupervisorError};
 use oriolemux_core::findings::Findings;
+use oriolemux_core::{Event, Incarnation, InstanceKey, Node, NodeConfig};
+use rand::Rng;
 use std::net::SocketAddr;
+use std::sync::Arc;
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, watch};
+use tokio::task::JoinError;
+
+/// The name of the node task in logs and errors.
+const NODE_PART: &str = "node";
+
+/// How many events of links wait for the node task before the links wait too.
+const PEER_EVENTS: usize = 1_024;
 
 /// Why an instance could not start, or ended before it was told to.
 #[derive(Debug, displaydoc::Display, thiserror::Error)]
@@ -21,6 +43,10 @@
     },
     /// the part `{0}` failed more often than its supervisor allows
     PartFailed(&'static str),
+    /// {0}
+    Client(SetUpError),
+    /// signals cannot be received: {0}
+    Signals(std::io::Error),
     /// stopped at once by a second signal
     StoppedNow,
 }
@@ -30,20 +56,268 @@
     pub const fn exit_status(&self) -> ExitStatus {
         match self {
             ServeError::Secrets(_) => ExitStatus::Findings,
-            ServeError::Listen { .. } => ExitStatus::CannotStart,
+            ServeError::Listen { .. } | ServeError::Client(_) | ServeError::Signals(_) => {
+                ExitStatus::CannotStart
+            }
             ServeError::PartFailed(_) => ExitStatus::PartFailed,
             ServeError::StoppedNow => ExitStatus::StoppedNow,
         }
     }
 }
 
+/// What all parts of one process share.
+struct Process {
+    settings: Settings,
+    incarnation: Incarnation,
+    stop: StopTokens,
+    port: NodePort,
+    protocol: HttpProtocol,
+}
+
+/// The listeners, bound before anything starts, so that a port that is in use
+/// ends the process at once and not in the middle of its work.
+struct Listeners {
+    callers: std::net::TcpListener,
+    operators: std::net::TcpListener,
+}
+
+impl Listeners {
+    fn bind(settings: &Settings) -> Result<Self, ServeError> {
+        let callers = settings.callers.listen;
+        let operators = settings.operators.listen;
+        Ok(Listeners {
+            callers: operators::bind(callers).map_err(listen_error("callers", callers))?,
+            operators: operators::bind(operators).map_err(listen_error("operators", operators))?,
+        })
+    }
+
+    fn announce(&self, peers: SocketAddr) {
+        let bound = [
+            ("callers", self.callers.local_addr()),
+            ("operators", self.operators.local_addr()),
+            ("peers", Ok(peers)),
+        ];
+        for (listener, address) in bound {
+            if let Ok(address) = address {
+                events::emit_shell(&ShellNote::Listening { listener, address });
+            }
+        }
+    }
+}
+
 /// Runs one instance until it is told to stop.
 ///
+/// The node task is the root of the supervisor tree: its state cannot be made
+/// again, so its end is the end of the process. The listeners below it are
+/// restarted by a [`Supervisor`]. A planned stop goes through the node first,
+/// which keeps the listeners open until its last request is answered.
+///
 /// # Errors
 ///
 /// Returns why the instance could not start, or ended before it was told to.
 pub async fn run(settings: Settings) -> Result<(), ServeError> {
-    let secrets = crate::settings::Secrets::read(&settings).map_err(ServeError::Secrets)?;
-    drop(secrets);
-    Ok(())
+    let secrets = Secrets::read(&settings).map_err(ServeError::Secrets)?;
+    let stop = StopTokens::new();
+    stop.listen_to_signals().map_err(ServeError::Signals)?;
+    let listeners = Listeners::bind(&settings)?;
+    let clock = Clock::start();
+    let incarnation = Incarnation(rand::rng().random());
+    let ids = RequestIds::new(InstanceKey::of(&settings.name), incarnation);
+    let (port, inputs) = NodePort::new(ids, clock);
+    let protocol =
+        HttpProtocol::new(clock, http_settings(&settings)).map_err(ServeError::Client)?;
+    let process = Process {
+        settings,
+        incarnation,
+        stop,
+        port,
+        protocol,
+    };
+    events::emit_shell(&ShellNote::Started {
+        instance: &process.settings.name,
+        incarnation,
+    });
+    let peers = process.start_peers(secrets.peers).await?;
+    listeners.announce(peers.local_addr());
+    let (readiness, ready) = watch::channel(Readiness::default());
+    let (operators, queries) = OperatorPort::new(ready);
+    let ends = NodeEnds {
+        clock,
+        inputs,
+        queries,
+        readiness,
+        stop: process.stop.clone(),
+    };
+    let node = process.node_task(ends, peers.clone());
+    let doors = process.doors(listeners, operators, secrets.operators);
+    let ended = process.run_to_the_end(node, doors).await;
+    peers.shutdown().await;
+    ended
+}
+
+impl Process {
+    /// Starts the links and passes on what they bring.
+    async fn start_peers(&self, secret: Secret) -> Result<PeersHandle, ServeError> {
+        let peers = &self.settings.peers;
+        let cfg = PeersConfig::new(peers.listen, &self.settings.name, self.incarnation, secret)
+            .max_frame(peers.max_frame_bytes)
+            .max_queued_frames(peers.max_queued_frames as usize)
+            .connect_timeout(peers.connect_timeout_ms.duration())
+            .heartbeat(peers.heartbeat_ms.duration())
+            .silence_timeout(peers.silence_timeout_ms.duration())
+            .reconnect(
+                peers.reconnect_min_ms.duration(),
+                peers.reconnect_max_ms.duration(),
+            );
+        let (tx, rx) = mpsc::channel(PEER_EVENTS);
+        let started = Peers::start(cfg, tx).await;
+        let handle = started.map_err(listen_error("peers", peers.listen))?;
+        tokio::spawn(pass_on_peer_events(rx, self.port.clone()));
+        Ok(handle)
+    }
+
+    fn node_task(&self, ends: NodeEnds, peers: PeersHandle) -> NodeTask<LiveEffects> {
+        let effects = LiveEffects::new(
+            self.port.clone(),
+            Polls::new(self.protocol.clone()),
+            self.settings.platform.addresses[0],
+            peers,
+        );
+        let identity = Identity {
+            instance: self.settings.name.clone(),
+            data_centre: self.settings.data_centre.clone(),
+            started: std::time::Instant::now(),
+        };
+        let node = Node::new(node_config(&self.settings, self.incarnation));
+        NodeTask::new(node, effects, identity, ends)
+    }
+
+    /// Returns the supervisor of the listeners. Operators are the last to stop,
+    /// so that they can watch the callers' side do it.
+    fn doors(&self, listeners: Listeners, port: OperatorPort, key: Secret) -> Supervisor {
+        let supervisor = &self.settings.supervisor;
+        let intensity = Intensity {
+            max_restarts: supervisor.max_restarts,
+            window: supervisor.restart_window_ms.duration(),
+        };
+        let operators = Arc::new(OperatorServer::new(listeners.operators, port, key));
+        let callers = Arc::new(listeners.callers);
+        let server = self.caller_server();
+        Supervisor::new(intensity)
+            .part("operators", move |stop| {
+                let operators = Arc::clone(&operators);
+                async move { Ok(operators.run(stop.cancelled_owned()).await?) }
+            })
+            .part("callers", move |stop| {
+                let (server, callers) = (server.clone(), Arc::clone(&callers));
+                async move {
+                    let listener = TcpListener::from_std(callers.try_clone()?)?;
+                    Ok(server.serve(listener, stop.cancelled_owned()).await?)
+                }
+            })
+    }
+
+    fn caller_server(&self) -> CallerServer<HttpProtocol> {
+        let callers = &self.settings.callers;
+        CallerServer::builder(self.port.clone(), self.protocol.clone())
+            .max_body_bytes(callers.max_body_bytes)
+            .body_timeout(callers.read_timeout_ms.duration())
+            .max_connections(callers.max_connections as usize)
+            .write_timeout(callers.write_timeout_ms.duration())
+            .idle_timeout(callers.idle_timeout_ms.duration())
+            .build()
+    }
+
+    async fn run_to_the_end(
+        &self,
+        node: NodeTask<LiveEffects>,
+        doors: Supervisor,
+    ) -> Result<(), ServeError> {
+        let closing = StopTokens::new();
+        let mut node = tokio::spawn(node.run());
+        let mut doors = core::pin::pin!(doors.run(&closing));
+        tokio::select! {
+            ended = &mut node => self.check_node_end(ended)?,
+            ended = &mut doors => return Err(door_error(ended)),
+            () = self.stop.now.cancelled() => return Err(ServeError::StoppedNow),
+        }
+        closing.planned.cancel();
+        tokio::select! {
+            ended = doors => ended.map_err(|error| door_error(Err(error)))?,
+            () = self.stop.now.cancelled() => return Err(ServeError::StoppedNow),
+        }
+        events::emit_shell(&ShellNote::StopFinished);
+        Ok(())
+    }
+
+    /// The node task ends only at a planned stop; anything else is a fault.
+    fn check_node_end(&self, ended: Result<(), JoinError>) -> Result<(), ServeError> {
+        let error = match ended {
+            Ok(()) if self.stop.planned.is_cancelled() => return Ok(()),
+            Ok(()) => "its inputs were closed".to_owned(),
+            Err(error) => error.to_string(),
+        };
+        events::emit_shell(&ShellNote::PartGivenUp {
+            part: NODE_PART,
+            error: &error,
+        });
+        Err(ServeError::PartFailed(NODE_PART))
+    }
+}
+
+/// Turns what the links bring into events for the node.
+async fn pass_on_peer_events(mut rx: mpsc::Receiver<PeerEvent>, port: NodePort) {
+    while let Some(event) = rx.recv().await {
+        let event = match event {
+            PeerEvent::Up(peer) => Event::PeerUp(peer),
+            PeerEvent::Down(peer) => Event::PeerDown(peer),
+            PeerEvent::Idle(peer) => Event::PeerIdle(peer),
+            PeerEvent::Envelope(from, envelope) => Event::Peer { from, envelope },
+            // The transport has counted and logged it.
+            PeerEvent::Rejected(_) => continue,
+        };
+        if port.event(event).await.is_err() {
+            return;
+        }
+    }
+}
+
+fn door_error(ended: Result<(), SupervisorError>) -> ServeError {
+    match ended {
+        Err(SupervisorError::PartGivenUp { part, .. }) => ServeError::PartFailed(part),
+        Err(SupervisorError::StoppedNow) => ServeError::StoppedNow,
+        Ok(()) => ServeError::PartFailed("doors"),
+    }
+}
+
+fn listen_error(
+    listener: &'static str,
+    address: SocketAddr,
+) -> impl FnOnce(std::io::Error) -> ServeError {
+    move |source| ServeError::Listen {
+        listener,
+        address,
+        source,
+    }
+}
+
+fn http_settings(settings: &Settings) -> HttpSettings {
+    HttpSettings {
+        connect_timeout: settings.endpoints.connect_timeout_ms.duration(),
+        control_timeout: settings.endpoints.report_timeout_ms.duration(),
+    }
+}
+
+fn node_config(settings: &Settings, incarnation: Incarnation) -> NodeConfig {
+    let mut cfg = NodeConfig::new(
+        &settings.name,
+        incarnation,
+        &settings.data_centre,
+        incarnation.0,
+    );
+    cfg.stop_grace = settings.stop.notice_ms.duration();
+    cfg.stall_limit = settings.endpoints.stall_timeout_ms.duration();
+    cfg.max_requests = settings.callers.max_requests as usize;
+    cfg.explain_records = settings.limits.explain_records as usize;
+    cfg
 }
