The shell read as a newcomer would

Cause: a start passed bare strings with codes around; only a port in use was logged as a failed start; a value in place of a section gave a finding for each key that it lacks; the operators' listener took any number of connections; links in doc comments could break unseen.

--- a/crates/oriolemux/src/cli/check.rs
+++ b/crates/oriolemux/src/cli/check.rs
@@ -42,16 +42,22 @@
     match std::fs::read(path) {
         Ok(bytes) => Some(InputFile { name, bytes }),
         Err(error) => {
-            let message = error.to_string();
-            let mut findings = Findings::new(name);
-            findings.push(Place::START, Problem::Unreadable { message });
-            report.add(findings);
+            report.add(unreadable(&name, &error));
             None
         }
     }
 }
 
 fn check_settings(file: CheckFile<'_>) -> Result<(), Findings> {
-    let text = String::from_utf8_lossy(file.bytes);
-    Settings::parse(file.name, &text).map(|_| ())
+    match std::str::from_utf8(file.bytes) {
+        Ok(text) => Settings::parse(file.name, text).map(|_| ()),
+        Err(error) => Err(unreadable(file.name, &error)),
+    }
+}
+
+fn unreadable(name: &str, error: &dyn std::error::Error) -> Findings {
+    let message = error.to_string();
+    let mut findings = Findings::new(name);
+    findings.push(Place::START, Problem::Unreadable { message });
+    findings
 }
--- a/crates/oriolemux/src/cli/serve.rs
+++ b/crates/oriolemux/src/cli/serve.rs
@@ -7,7 +7,6 @@
 use crate::settings::{Secrets, Settings};
 use crate::{logs, metrics};
 use oriolemux_core::findings::Findings;
-use std::fmt::Display;
 
 pub(super) fn run(args: &ServeArgs, output: Output) -> ExitStatus {
     let settings = match checked_settings(args) {
@@ -21,10 +20,37 @@
     if args.check {
         return Report::of_files(1).print(output);
     }
-    start(settings).unwrap_or_else(|(error, status)| {
-        eprintln!("oriolemux: {error}");
-        status
-    })
+    match start(settings) {
+        Ok(()) => ExitStatus::Done,
+        Err(error) => {
+            eprintln!("oriolemux: {error}");
+            error.exit_status()
+        }
+    }
+}
+
+/// Why the process did not start, or ended before it was told to.
+#[derive(Debug, displaydoc::Display, thiserror::Error)]
+enum StartError {
+    /// cannot start the logs: {0}
+    Logs(#[source] log::SetLoggerError),
+    /// cannot start the metrics: {0}
+    Metrics(#[source] metrics_exporter_prometheus::BuildError),
+    /// cannot start the runtime: {0}
+    Runtime(#[source] std::io::Error),
+    /// {0}
+    Serve(#[source] ServeError),
+}
+
+impl StartError {
+    const fn exit_status(&self) -> ExitStatus {
+        match self {
+            StartError::Serve(error) => error.exit_status(),
+            StartError::Logs(_) | StartError::Metrics(_) | StartError::Runtime(_) => {
+                ExitStatus::CannotStart
+            }
+        }
+    }
 }
 
 /// Reads the settings, and for `--check` the files with secrets too. A start reads those
@@ -38,23 +64,27 @@
 }
 
 /// Starts what the whole process shares, then runs the instance.
-fn start(settings: Settings) -> Result<ExitStatus, (String, ExitStatus)> {
-    let cannot_start = |error: &dyn Display| (error.to_string(), ExitStatus::CannotStart);
-    logs::install(&settings.logs).map_err(|error| cannot_start(&error))?;
-    metrics::install().map_err(|error| cannot_start(&error))?;
+fn start(settings: Settings) -> Result<(), StartError> {
+    logs::install(&settings.logs).map_err(StartError::Logs)?;
+    let result = run_instance(settings);
+    if let Err(error) = &result
+        && error.exit_status() == ExitStatus::CannotStart
+    {
+        let error = error.to_string();
+        events::emit_shell(&ShellNote::StartFailed { error: &error });
+    }
+    logs::flush();
+    result
+}
+
+fn run_instance(settings: Settings) -> Result<(), StartError> {
+    metrics::install().map_err(StartError::Metrics)?;
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .enable_all()
         .build()
-        .map_err(|error| cannot_start(&error))?;
+        .map_err(StartError::Runtime)?;
     let result = runtime.block_on(serve::run(settings));
     // A task that never yields must not keep a stopped process alive.
     runtime.shutdown_background();
-    if let Err(error @ ServeError::Listen { .. }) = &result {
-        let error = error.to_string();
-        events::emit_shell(&ShellNote::StartFailed { error: &error });
-    }
-    logs::flush();
-    result
-        .map(|()| ExitStatus::Done)
-        .map_err(|error| (error.to_string(), error.exit_status()))
+    result.map_err(StartError::Serve)
 }
--- a/crates/oriolemux/src/operators.rs
+++ b/crates/oriolemux/src/operators.rs
@@ -4,6 +4,7 @@
 //! nor guess it. `/healthz` and `/readyz` need no key, because the balancer has
 //! none; they say nothing but yes or no. See `docs/OPERATIONS.md`.
 
+mod accept;
 mod auth;
 mod gauges;
 mod port;
--- a/crates/oriolemux/src/operators/server.rs
+++ b/crates/oriolemux/src/operators/server.rs
@@ -1,5 +1,6 @@
 //! Serves operators on a listener of their own.
 
+use super::accept::OperatorAcceptor;
 use super::port::OperatorPort;
 use super::routes::routes;
 use crate::metrics;
@@ -7,12 +8,14 @@
 use crate::supervisor::watch_for_pauses;
 use core::time::Duration;
 use poem::Server;
-use poem::listener::TcpAcceptor;
 use std::io;
 use std::net::{SocketAddr, TcpListener};
 
-/// An idle connection is closed after this time.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(75);
+/// Operators, balancers and scrapers are few. Without a bound, whoever reaches the port could
+/// use up the process's file descriptors, and callers would be refused.
+const MAX_CONNECTIONS: usize = 64;
+/// An idle connection is closed after this time, so that silent ones cannot hold all places.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 /// A request that is still answered when the listener stops gets this long.
 const STOP_TIMEOUT: Duration = Duration::from_secs(2);
 /// How often samples are folded into histograms; see [`metrics::upkeep`].
@@ -54,7 +57,7 @@
     ///
     /// Fails if the listener cannot be used.
     pub async fn run(&self, stop: impl Future<Output = ()>) -> io::Result<()> {
-        let acceptor = TcpAcceptor::from_std(self.listener.try_clone()?)?;
+        let acceptor = OperatorAcceptor::new(self.listener.try_clone()?, MAX_CONNECTIONS)?;
         let app = routes(self.port.clone(), self.key.clone());
         let server = Server::new_with_acceptor(acceptor)
             .idle_timeout(IDLE_TIMEOUT)
--- a/crates/oriolemux/src/relay/events.rs
+++ b/crates/oriolemux/src/relay/events.rs
@@ -3,7 +3,7 @@
 //! A token event has one customary shape, byte for byte, and at the peak an
 //! instance reads hundreds of thousands of them a second. [`EventReader`]
 //! therefore compares with that shape first and copies nothing; whatever
-//! deviates from it in the least goes the long way through [`slow`], which
+//! deviates from it in the least goes the long way through `slow`, which
 //! reads server-sent events and JSON as their standards say. Both ways give
 //! the same event for the same bytes; a property test holds them equal.
 
--- a/crates/oriolemux/src/settings.rs
+++ b/crates/oriolemux/src/settings.rs
@@ -1,7 +1,7 @@
 //! The settings of one instance, read from a TOML file and checked.
 //!
 //! `docs/SETTINGS.md` describes every setting. It is generated from the table
-//! in [`table`], which also makes the types, the defaults, the ranges and the
+//! in `settings/table.rs`, which also makes the types, the defaults, the ranges and the
 //! reader, so that none of them can differ from the others.
 //!
 //! A mistake does not end the reading: all findings are reported together with
--- a/crates/oriolemux/src/settings/reader.rs
+++ b/crates/oriolemux/src/settings/reader.rs
@@ -18,6 +18,9 @@
     table: Option<&'a dyn TableLike>,
     /// Where the table stands, for what is missing from it.
     span: Option<Range<usize>>,
+    /// Something else stands in the table's place. That is one mistake, so what is missing
+    /// from the table is not reported as well.
+    is_replaced: bool,
     text: &'a str,
     base: &'a Path,
     findings: &'a mut Findings,
@@ -35,6 +38,7 @@
             section: "",
             table: Some(table),
             span: None,
+            is_replaced: false,
             text,
             base,
             findings,
@@ -57,6 +61,7 @@
             section: name,
             table,
             span: item.and_then(Item::span),
+            is_replaced: item.is_some() && table.is_none(),
             text: self.text,
             base: self.base,
             findings: self.findings,
@@ -69,9 +74,8 @@
         let Some(item) = self.table.and_then(|table| table.get(field)) else {
             return self.absent(key, spec);
         };
-        let place = item
-            .span()
-            .map_or(Place::START, |span| Place::of_offset(self.text, span.start));
+        let span = item.span();
+        let place = span.map_or(Place::START, |span| Place::of_offset(self.text, span.start));
         let cx = ValueContext {
             key: &key,
             place,
@@ -106,6 +110,7 @@
     fn absent<T>(&mut self, key: String, spec: Spec<T>) -> Option<T> {
         match spec.absent {
             Absent::Default(value) => Some(value),
+            Absent::Refused if self.is_replaced => None,
             Absent::Refused => {
                 let problem = Problem::MissingKey { key };
                 self.findings
--- a/crates/oriolemux/tests/settings_reading.rs
+++ b/crates/oriolemux/tests/settings_reading.rs
@@ -127,6 +127,16 @@
     );
 }
 
+#[test]
+fn value_in_place_of_a_section_is_one_finding() {
+    let section = "[callers]\nlisten = \"127.0.0.1:8080\"\n";
+    let text = format!("callers = 3\n{}", LEAST.replace(section, ""));
+
+    let findings = findings_of(&text);
+
+    assert_eq!(findings, ["1:11: `callers` must be a table, found integer"]);
+}
+
 #[rstest]
 #[case::same_address("127.0.0.1:8080", true)]
 #[case::any_address("0.0.0.0:8080", true)]
