--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -17,5 +17,6 @@
 pub mod policy;
 pub mod process;
 pub mod proxy;
+pub mod relay_bench;
 pub mod standins;
 pub mod workload;
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -3,7 +3,7 @@
 //! can start real processes by executing its own file again.
 
 use clap::{Parser, Subcommand};
-use oriolemux_bench::{decide, demo, faults, node, policy, proxy, standins};
+use oriolemux_bench::{decide, demo, faults, node, policy, proxy, relay_bench, standins};
 use std::process::ExitCode;
 
 /// Stand-ins, load and experiments for oriolemux.
@@ -35,6 +35,11 @@
     Policy(policy::PolicyArgs),
     /// Measure what a decision costs, by queued requests and endpoints.
     Decide(decide::DecideArgs),
+    /// Measure what relaying a token costs, in processor time and latency.
+    Relay(relay_bench::RelayArgs),
+    /// The relaying process of `relay`.
+    #[command(hide = true)]
+    RelayNode(relay_bench::RelayNodeArgs),
 }
 
 fn main() -> ExitCode {
@@ -49,5 +54,7 @@
         Command::Faults(args) => faults::run(args),
         Command::Policy(args) => policy::run(args),
         Command::Decide(args) => decide::run(args),
+        Command::Relay(args) => relay_bench::run(args),
+        Command::RelayNode(args) => relay_bench::run_node(args),
     }
 }
