--- a/crates/oriolemux/src/cli.rs
+++ b/crates/oriolemux/src/cli.rs
@@ -136,9 +136,15 @@
     let _ = writeln!(std::io::stdout(), "{line}");
 }
 
+/// Prints why a command failed. `eprintln!` would panic when standard error is closed, and
+/// the exit code that a script waits for would be lost with it.
+fn print_error(error: &dyn std::error::Error) {
+    let _ = writeln!(std::io::stderr(), "oriolemux: {error}");
+}
+
 fn print_json(value: &impl serde::Serialize) {
     match serde_json::to_string(value) {
         Ok(text) => print_line(text),
-        Err(error) => eprintln!("oriolemux: cannot print JSON: {error}"),
+        Err(error) => print_error(&error),
     }
 }
--- a/crates/oriolemux/src/cli/operate.rs
+++ b/crates/oriolemux/src/cli/operate.rs
@@ -1,7 +1,7 @@
 //! `oriolemux status`, `explain` and `drain`, which ask a running instance.
 
 use super::client::{Client, ClientError, Target};
-use super::{ExitStatus, Output, print_json, print_line};
+use super::{ExitStatus, Output, print_error, print_json, print_line};
 use crate::status::{Explanation, NodeStatus, Readiness};
 use oriolemux_core::RequestId;
 use reqwest::Method;
@@ -59,7 +59,7 @@
     match result {
         Ok(()) => ExitStatus::Done,
         Err(error) => {
-            eprintln!("oriolemux: {error}");
+            print_error(&error);
             error.exit_status()
         }
     }
--- a/crates/oriolemux/src/cli/serve.rs
+++ b/crates/oriolemux/src/cli/serve.rs
@@ -1,7 +1,7 @@
 //! `oriolemux serve`.
 
 use super::report::Report;
-use super::{ExitStatus, Output, ServeArgs};
+use super::{ExitStatus, Output, ServeArgs, print_error};
 use crate::events::{self, ShellNote};
 use crate::serve::{self, ServeError};
 use crate::settings::{Secrets, Settings};
@@ -23,7 +23,7 @@
     match start(settings) {
         Ok(()) => ExitStatus::Done,
         Err(error) => {
-            eprintln!("oriolemux: {error}");
+            print_error(&error);
             error.exit_status()
         }
     }
