The node holds limits of entries and workspaces, and replays long generations

Cause: limits were not in force; and a replay's wait was counted from the request's arrival, so that every home refused the replay of a generation that had run for longer than its class's longest wait. Change: a place in the limits is taken before a home is asked and given back at the one end that all requests go through; the wait of a replay begins when the generation was lost.

--- a/crates/core/src/explain/render.rs
+++ b/crates/core/src/explain/render.rs
@@ -66,6 +66,7 @@
              {prompt_tokens} prompt tokens, at most {max_tokens} generated"
         ),
         Step::ClaimGranted => "its ticket or key is its own".to_owned(),
+        Step::Admitted => "it holds a place in the limits of its entry and workspace".to_owned(),
         Step::ClaimRefused(refusal) => {
             let verdict = refusal.verdict();
             ended(
--- a/crates/core/src/explain/step.rs
+++ b/crates/core/src/explain/step.rs
@@ -25,6 +25,8 @@
     ClaimGranted,
     /// Its ticket or key was not granted to it.
     ClaimRefused(ClaimRefusal),
+    /// It holds its place in the limits of its entry and workspace.
+    Admitted,
     /// The home of a cell was asked for a grant.
     Asked {
         /// The cell.
@@ -100,6 +102,7 @@
             Step::Accepted { .. } => "accepted",
             Step::ClaimGranted => "claim_granted",
             Step::ClaimRefused(_) => "claim_refused",
+            Step::Admitted => "admitted",
             Step::Asked { .. } => "asked",
             Step::CellRefused { .. } => "cell_refused",
             Step::Granted { .. } => "granted",
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -11,6 +11,7 @@
 //! | `judge` | holds an arrival against the catalogue |
 //! | `claims` | asks for the claim of a ticket or idempotency key |
 //! | `ask` | finds a cell, asks its home, takes its answer |
+//! | `limits` | places in the limits of entries and workspaces |
 //! | `attempt` | dispatches, follows and repeats attempts |
 //! | `home` | the cells that this node decides for |
 //! | `fleet` | what changes when instances and endpoints come and go |
@@ -23,6 +24,7 @@
 mod fleet;
 mod home;
 mod judge;
+mod limits;
 mod platform;
 mod request;
 mod snapshot;
@@ -37,13 +39,13 @@
 use crate::explain::{Explain, Step};
 use crate::ids::{Incarnation, InstanceKey, RequestId};
 use crate::keys::{Keys, KeysAction, KeysConfig};
+use crate::limits::{Leases, LimitHome, LimitsAction};
 use crate::membership::{Membership, MembershipAction, MembershipConfig};
 use crate::note::Note;
 use crate::peer::{PeerEnvelope, PeerMessage};
 use crate::reason::{Outcome, Reason};
 use crate::retry::RetryBudget;
 use crate::time::Time;
-use claims::TicketDraw;
 use core::time::Duration;
 use home::Homes;
 use rand::SeedableRng;
@@ -111,9 +113,11 @@
     keys: Keys,
     /// Reused buffer for what the keys ask.
     keys_asked: Vec<KeysAction>,
+    leases: Leases,
+    limit_home: LimitHome,
+    /// Reused buffer for what the limits ask.
+    limits_asked: Vec<LimitsAction>,
     requests: BTreeMap<u64, Request>,
-    /// Tickets that wait for the shard that may hold their workspace.
-    draws: Vec<TicketDraw>,
     homes: Homes,
     budget: RetryBudget,
     /// Checkpoints that wait to be sent, by home.
@@ -144,8 +148,10 @@
             sync_asked: Vec::new(),
             keys: Keys::new(me, KeysConfig::default()),
             keys_asked: Vec::new(),
+            leases: Leases::new(),
+            limit_home: LimitHome::new(),
+            limits_asked: Vec::new(),
             requests: BTreeMap::new(),
-            draws: Vec::new(),
             homes: Homes::default(),
             budget: RetryBudget::new(),
             progress: BTreeMap::new(),
@@ -193,7 +199,6 @@
         match event {
             Event::Request(arrival) => self.on_arrival(*arrival),
             Event::CallerGone(id) => self.on_caller_gone(id),
-            Event::DrawTicket { key_digest, ticket } => self.on_draw_ticket(key_digest, ticket),
             Event::Attempt { attempt, update } => self.on_attempt(attempt, update),
             Event::Peer { from, envelope } => self.on_envelope(from, envelope),
             Event::PeerUp(peer) => self.on_peer_up(peer),
@@ -227,6 +232,7 @@
             self.carry_out_membership();
             self.carry_out_sync();
             self.carry_out_keys();
+            self.carry_out_limits();
             if let Some(message) = self.loopback.pop_front() {
                 self.on_message(self.me, message);
                 continue;
@@ -245,6 +251,7 @@
         self.asked.is_empty()
             && self.sync_asked.is_empty()
             && self.keys_asked.is_empty()
+            && self.limits_asked.is_empty()
             && self.loopback.is_empty()
     }
 
@@ -254,6 +261,7 @@
             self.membership.next_wake(),
             self.sync.next_wake(),
             self.keys.next_wake(),
+            self.limits_wake(),
             self.homes.next_poll(),
         ];
         parts.into_iter().min().unwrap_or(Time::NEVER)
@@ -270,10 +278,12 @@
             let list_age = self.membership.list_age(self.now);
             self.with_keys(|keys, now, out| keys.tick(now, list_age, out));
         }
+        if self.limits_wake() <= self.now {
+            self.tick_limits();
+        }
         while let Some(kind) = self.timers.take_due(self.now) {
             match kind {
                 TimerKind::Request(seq) => self.on_request_timer(seq),
-                TimerKind::Draws => self.judge_draws(),
                 TimerKind::PollLoad(endpoint) => self.poll_load(endpoint),
                 TimerKind::FlushProgress => self.flush_progress(),
                 TimerKind::ForgetHolder(instance, incarnation) => {
@@ -308,10 +318,9 @@
             PeerMessage::Catalogue(message) => {
                 self.with_sync(|sync, now, out| sync.message(now, from, message, out));
             }
+            PeerMessage::Limits(message) => self.on_limits_message(from, message),
             PeerMessage::Keys(message) => self.on_keys_message(from, message),
             PeerMessage::Cell(message) => self.on_cell_message(from, message),
-            // Not composed yet: until then an asker keeps to its equal part.
-            PeerMessage::Limits(_) => {}
         }
     }
 
--- a/crates/core/src/node/ask.rs
+++ b/crates/core/src/node/ask.rs
@@ -20,11 +20,6 @@
 use core::time::Duration;
 use rand::Rng;
 
-/// How long past the class's longest wait a home may be silent before the
-/// request is given up. The home refuses in time by itself; this only catches
-/// a home that is linked but does not work.
-const HOME_GRACE: Duration = Duration::from_secs(1);
-
 /// Refusals that mean "not here, now", so that another cell may do.
 fn is_local(reason: Reason) -> bool {
     matches!(
@@ -43,7 +38,7 @@
         let Some(request) = self.requests.get_mut(&seq) else {
             return;
         };
-        let at = request.arrived + request.longest_wait() + HOME_GRACE;
+        let at = request.gives_up_at();
         self.timers.set(at, TimerKind::Request(seq));
         self.ask_next_cell(seq);
     }
@@ -223,12 +218,12 @@
         let Some(request) = self.requests.get(&seq) else {
             return;
         };
-        let over = self.now >= request.arrived + request.longest_wait() + HOME_GRACE;
+        let over = self.now >= request.gives_up_at();
         match request.stage {
-            Stage::Judging if self.now >= request.arrived + super::judge::JUDGE_LIMIT => {
+            Stage::Judging if self.now >= request.waiting_since + super::judge::JUDGE_LIMIT => {
                 self.refuse(seq, Reason::NoCatalogue);
             }
-            Stage::Asking { .. } if over && request.delivered == 0 => {
+            Stage::Asking { .. } | Stage::Admitting if over => {
                 self.refuse(seq, Reason::HomeSilent);
             }
             Stage::BackingOff { until } if self.now >= until => self.ask_next_cell(seq),
@@ -273,7 +268,7 @@
                 let message = CellMessage::Ended(vec![ended]);
                 self.send(home, PeerMessage::Cell(message));
             }
-            Stage::Judging | Stage::Claiming | Stage::BackingOff { .. } => {}
+            Stage::Judging | Stage::Claiming | Stage::Admitting | Stage::BackingOff { .. } => {}
         }
     }
 }
--- a/crates/core/src/node/attempt.rs
+++ b/crates/core/src/node/attempt.rs
@@ -1,7 +1,7 @@
 //! Dispatches, follows and repeats attempts.
 
 use super::Node;
-use super::request::Stage;
+use super::request::{Request, Stage};
 use super::timers::TimerKind;
 use crate::cell::message::{Checkpoint, Grant};
 use crate::cell::{CellMessage, EndKind};
@@ -23,6 +23,16 @@
 /// How long checkpoints are gathered before they are sent in one message.
 const PROGRESS_GATHER: Duration = Duration::from_millis(250);
 
+/// How a request ended.
+struct Ending<'a> {
+    /// As its home sees it.
+    end: EndKind,
+    /// Tokens of its last attempt.
+    tokens: u32,
+    /// What the caller was told; `None` for a whole answer.
+    verdict: Option<&'a Verdict>,
+}
+
 /// An attempt that ended without a whole answer.
 #[derive(Clone, Copy, Debug)]
 struct FailedAttempt {
@@ -157,6 +167,7 @@
         let Stage::Running { home, tokens, .. } = &mut request.stage else {
             return;
         };
+        let new = reported.saturating_sub(*tokens);
         *tokens = reported;
         let checkpoint = Checkpoint {
             seq,
@@ -167,6 +178,7 @@
             self.timers.set(at, TimerKind::FlushProgress);
         }
         self.progress.entry(*home).or_default().push(checkpoint);
+        self.charge(seq, new);
     }
 
     /// Sends the checkpoints that were gathered.
@@ -188,17 +200,13 @@
             return;
         };
         request.outcome.on_ended(attempt, Ran::Maybe);
-        let end = EndKind::Complete { prompt_tokens };
-        self.leave_home(request.id(), request.stage, tokens, end);
-        self.record(
-            request.id(),
-            Step::Ended {
-                outcome: Outcome::Complete,
-                reason: None,
-                delivered: tokens,
-            },
-        );
-        self.end_claim(request.id(), None);
+        self.charge(seq, tokens.saturating_sub(request.stage.tokens()));
+        let end = Ending {
+            end: EndKind::Complete { prompt_tokens },
+            tokens,
+            verdict: None,
+        };
+        self.let_go(&request, end);
     }
 
     fn on_failed(&mut self, failed: FailedAttempt) {
@@ -237,12 +245,14 @@
         let Some(request) = self.requests.get_mut(&seq) else {
             return;
         };
-        let waited = self.now.since(request.arrived);
-        let patience = match request.delivered {
-            0 => request.longest_wait().saturating_sub(waited),
-            // The caller holds a part of the answer and waits for the rest.
-            _ => request.longest_wait(),
-        };
+        if request.delivered > 0 {
+            // The caller holds a part of the answer; its wait for the rest
+            // begins now. Counted from the arrival, every replay of a long
+            // answer would be refused for having waited too long.
+            request.waiting_since = self.now;
+        }
+        let waited = self.now.since(request.waiting_since);
+        let patience = request.longest_wait().saturating_sub(waited);
         let idempotent = request.facts.as_ref().is_some_and(|it| it.class.idempotent);
         let failure = Failure {
             reason: failed.reason,
@@ -258,10 +268,12 @@
             RetryDecision::Retry { after } | RetryDecision::Replay { after } => {
                 let until = self.now + after;
                 request.stage = Stage::BackingOff { until };
+                let give_up = request.gives_up_at();
                 let replay = request.delivered > 0;
                 let request = request.id();
                 self.record(request, Step::RetryIn { after, replay });
                 self.timers.set(until, TimerKind::Request(seq));
+                self.timers.set(give_up, TimerKind::Request(seq));
                 self.note(Note::Retried {
                     request,
                     reason: failed.reason,
@@ -279,21 +291,14 @@
         let Some(request) = self.requests.remove(&id.seq) else {
             return;
         };
-        let tokens = match request.stage {
-            Stage::Running { tokens, .. } => tokens,
-            _ => 0,
-        };
-        self.leave_home(id, request.stage, tokens, EndKind::Cancelled);
-        let verdict = request
-            .outcome
-            .finish(Reason::CallerGone, None, request.delivered);
-        let step = Step::Ended {
-            outcome: verdict.outcome(),
-            reason: Some(Reason::CallerGone),
-            delivered: request.delivered,
+        let outcome = &request.outcome;
+        let verdict = outcome.finish(Reason::CallerGone, None, request.delivered);
+        let end = Ending {
+            end: EndKind::Cancelled,
+            tokens: request.stage.tokens(),
+            verdict: Some(&verdict),
         };
-        self.record(id, step);
-        self.end_claim(id, Some(&verdict));
+        self.let_go(&request, end);
     }
 
     /// Ends a request with the strongest claim that its attempts bear out.
@@ -311,20 +316,31 @@
         let Some(request) = self.requests.remove(&seq) else {
             return;
         };
-        self.leave_home(request.id(), request.stage, 0, EndKind::Cancelled);
-        self.end_claim(request.id(), Some(&verdict));
-        self.record(
-            request.id(),
-            Step::Ended {
-                outcome: verdict.outcome(),
-                reason: Some(verdict.reason()),
-                delivered: verdict.delivered(),
-            },
-        );
+        let end = Ending {
+            end: EndKind::Cancelled,
+            tokens: request.stage.tokens(),
+            verdict: Some(&verdict),
+        };
+        self.let_go(&request, end);
         self.note_verdict(request.id(), verdict.outcome(), verdict.reason());
         self.out.push(Action::Finish {
             request: request.id(),
             verdict,
         });
     }
+
+    /// Gives back everything that a request held, once it is over.
+    fn let_go(&mut self, request: &Request, ending: Ending<'_>) {
+        let id = request.id();
+        self.leave_home(id, request.stage, ending.tokens, ending.end);
+        self.end_admission(id.seq);
+        self.end_claim(id, ending.verdict);
+        let verdict = ending.verdict;
+        let step = Step::Ended {
+            outcome: verdict.map_or(Outcome::Complete, Verdict::outcome),
+            reason: verdict.map(Verdict::reason),
+            delivered: verdict.map_or(ending.tokens, Verdict::delivered),
+        };
+        self.record(id, step);
+    }
 }
--- a/crates/core/src/node/fleet.rs
+++ b/crates/core/src/node/fleet.rs
@@ -55,6 +55,7 @@
             MembershipChange::Homes => self.on_homes_moved(),
             MembershipChange::InstanceReplaced { instance, was } => {
                 self.forget_holder(instance, was);
+                self.forget_leases(instance, was);
                 self.with_keys(|keys, now, out| keys.life_over(now, instance, was, out));
             }
             MembershipChange::InstanceGone { .. } => {}
@@ -65,6 +66,7 @@
 
     fn on_homes_moved(&mut self) {
         self.refresh_roles();
+        self.refresh_limits();
         self.refresh_cells();
         self.re_ask_moved();
         self.retell_moved();
--- /dev/null
+++ b/crates/core/src/node/limits.rs
@@ -0,0 +1,151 @@
+//! Limits of entries and workspaces, in both roles.
+
+use super::Node;
+use super::request::{Request, Stage};
+use crate::event::PeerId;
+use crate::explain::Step;
+use crate::ids::{Incarnation, InstanceKey};
+use crate::limits::{Allowance, Claim, Leases, LimitsAction, LimitsMessage};
+use crate::membership::Membership;
+use crate::peer::PeerMessage;
+use crate::time::Time;
+
+impl Node {
+    fn with_leases(
+        &mut self,
+        call: impl FnOnce(&mut Leases, Time, &Membership, &mut Vec<LimitsAction>),
+    ) {
+        call(
+            &mut self.leases,
+            self.now,
+            &self.membership,
+            &mut self.limits_asked,
+        );
+    }
+
+    /// Carries out what the limits asked for.
+    pub(super) fn carry_out_limits(&mut self) {
+        while !self.limits_asked.is_empty() {
+            for action in core::mem::take(&mut self.limits_asked) {
+                match action {
+                    LimitsAction::Send { to, message } => {
+                        self.send(to, PeerMessage::Limits(message));
+                    }
+                    LimitsAction::Admit { request } => self.on_admitted(request),
+                    LimitsAction::Refuse {
+                        request,
+                        reason,
+                        retry_after,
+                    } => {
+                        if self.is_admitting(request) {
+                            self.finish(request, reason, Some(retry_after));
+                        }
+                    }
+                }
+            }
+        }
+    }
+
+    pub(super) fn on_limits_message(&mut self, from: PeerId, message: LimitsMessage) {
+        match message {
+            LimitsMessage::Ask(ask) => {
+                let (now, out) = (self.now, &mut self.limits_asked);
+                self.limit_home.ask(now, from, &ask, out);
+            }
+            LimitsMessage::Lease(lease) => {
+                self.with_leases(|leases, now, fleet, out| leases.lease(now, &lease, fleet, out));
+            }
+        }
+    }
+
+    /// Takes a request's place in the limits of its entry and workspace; the
+    /// answer comes now or later.
+    pub(super) fn begin_admission(&mut self, seq: u64) {
+        let Some(request) = self.requests.get_mut(&seq) else {
+            return;
+        };
+        request.stage = Stage::Admitting;
+        let Some(claim) = claim_of(request) else {
+            debug_assert!(false, "a request is judged before it is limited");
+            return;
+        };
+        self.with_leases(|leases, now, fleet, out| leases.take(now, seq, claim, fleet, out));
+    }
+
+    fn is_admitting(&self, seq: u64) -> bool {
+        let request = self.requests.get(&seq);
+        request.is_some_and(|it| it.stage == Stage::Admitting)
+    }
+
+    fn on_admitted(&mut self, seq: u64) {
+        if self.is_admitting(seq) {
+            let id = self.requests[&seq].id();
+            self.record(id, Step::Admitted);
+            self.begin_asking(seq);
+        } else {
+            // The caller left in the same turn; its place must not stay taken.
+            self.end_admission(seq);
+        }
+    }
+
+    /// Gives a request's place in the limits back.
+    pub(super) fn end_admission(&mut self, seq: u64) {
+        self.with_leases(|leases, now, fleet, out| leases.end(now, seq, fleet, out));
+    }
+
+    /// Charges tokens that a request has generated.
+    pub(super) fn charge(&mut self, seq: u64, tokens: u32) {
+        if tokens > 0 {
+            self.with_leases(|it, now, fleet, out| it.charge(now, seq, tokens, fleet, out));
+        }
+    }
+
+    /// The homes of limits may have moved.
+    pub(super) fn refresh_limits(&mut self) {
+        let usable = self.membership.live_count();
+        let listed = self.membership.listed_count();
+        self.limit_home.set_fleet(usable, listed);
+        self.with_leases(|leases, now, fleet, out| leases.homes_moved(now, fleet, out));
+    }
+
+    /// A life of an instance is over; what it leased is free.
+    pub(super) fn forget_leases(&mut self, instance: InstanceKey, incarnation: Incarnation) {
+        self.limit_home.life_over(PeerId {
+            instance,
+            incarnation,
+        });
+    }
+
+    pub(super) fn tick_limits(&mut self) {
+        self.limit_home.tick(self.now);
+        self.with_leases(|leases, now, fleet, out| leases.tick(now, fleet, out));
+    }
+
+    pub(super) fn limits_wake(&self) -> Time {
+        self.limit_home.next_wake().min(self.leases.next_wake())
+    }
+}
+
+fn claim_of(request: &Request) -> Option<Claim> {
+    let facts = request.facts.as_ref()?;
+    let view = facts.view();
+    let revision = facts.catalogue.revision();
+    let limits = &view.entry.limits;
+    Some(Claim {
+        workspace: facts.workspace,
+        workspace_allows: Allowance {
+            concurrent: facts.workspace_limits.concurrent,
+            tokens_per_minute: facts.workspace_limits.tokens_per_minute,
+            revision,
+        },
+        entry: view.entry.key,
+        entry_allows: Allowance {
+            concurrent: limits.concurrent,
+            tokens_per_minute: limits.tokens_per_minute,
+            revision,
+        },
+        queue: limits.queue,
+        tokens: (!view.target.is_service()).then_some(facts.prompt_tokens),
+        until: request.waiting_since + request.longest_wait(),
+    })
+}
--- a/crates/core/src/node/request.rs
+++ b/crates/core/src/node/request.rs
@@ -1,6 +1,6 @@
 //! A request of one of this process's own callers.
 
-use crate::catalogue::{Catalogue, EntryId, EntryView};
+use crate::catalogue::{Catalogue, EntryId, EntryView, WorkspaceLimits};
 use crate::cell::{CellRequest, ClassRules, Requirement, Running};
 use crate::event::RequestArrival;
 use crate::ids::{AttemptId, CellKey, EndpointKey, InstanceKey, RequestId, WorkspaceKey};
@@ -17,6 +17,8 @@
     Judging,
     /// The claim of its ticket or key was asked for.
     Claiming,
+    /// A place in the limits of its entry and workspace was asked for.
+    Admitting,
     /// A home was asked for a grant.
     Asking {
         /// The cell.
@@ -44,6 +46,21 @@
     },
 }
 
+/// How long past the class's longest wait a home may be silent before the
+/// request is given up. The home refuses in time by itself; this only catches
+/// a home that is linked but does not work.
+const HOME_GRACE: Duration = Duration::from_secs(1);
+
+impl Stage {
+    /// Returns the tokens of the attempt that runs, as reported last.
+    pub fn tokens(&self) -> u32 {
+        match self {
+            Stage::Running { tokens, .. } => *tokens,
+            _ => 0,
+        }
+    }
+}
+
 /// A cell whose home refused, and what it said.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct Refusal {
@@ -67,6 +84,8 @@
     pub entry: EntryId,
     /// The workspace.
     pub workspace: WorkspaceKey,
+    /// What the workspace may take.
+    pub workspace_limits: WorkspaceLimits,
     /// The class, as the cell's home needs it.
     pub class: ClassRules,
     /// What an endpoint must hold.
@@ -89,8 +108,9 @@
 pub(super) struct Request {
     /// What the caller asked for.
     pub arrival: RequestArrival,
-    /// When it arrived.
-    pub arrived: Time,
+    /// Since when its caller waits for a start: its arrival, or the moment at
+    /// which the generation that it holds a part of was lost.
+    pub waiting_since: Time,
     /// What the catalogue says; `None` only in [`Stage::Judging`].
     pub facts: Option<Facts>,
     /// Nothing may be sent for it after this point; bounds the claim of its
@@ -116,14 +136,13 @@
 impl Request {
     /// Returns a request that nothing was decided about.
     pub fn new(arrival: RequestArrival, now: Time) -> Self {
-        let outcome = RequestOutcome::of_arrival(&arrival);
         Request {
             arrival,
-            arrived: now,
+            waiting_since: now,
             facts: None,
             claim_until: Time::NEVER,
             stage: Stage::Judging,
-            outcome,
+            outcome: RequestOutcome::new(),
             attempts: 0,
             delivered: 0,
             exclude: Vec::new(),
@@ -137,7 +156,12 @@
         self.arrival.id
     }
 
-    /// Returns the longest that the request may wait for a start, from its arrival.
+    /// Returns when the request is given up if it has not started.
+    pub fn gives_up_at(&self) -> Time {
+        self.waiting_since + self.longest_wait() + HOME_GRACE
+    }
+
+    /// Returns the longest that the request may wait for a start.
     pub fn longest_wait(&self) -> Duration {
         let class = self.facts.as_ref().map(|it| it.class.longest_wait);
         let class = class.unwrap_or(super::judge::JUDGE_LIMIT);
@@ -161,7 +185,7 @@
             entry: facts.view().entry.key,
             workspace: facts.workspace,
             class,
-            arrived: self.arrived,
+            arrived: self.waiting_since,
             prompt_tokens: facts.prompt_tokens,
             max_tokens: facts.max_tokens,
             prefix,
--- a/crates/core/src/node/snapshot.rs
+++ b/crates/core/src/node/snapshot.rs
@@ -103,9 +103,10 @@
         for request in self.requests.values() {
             match request.stage {
                 Stage::Judging => counts.judging += 1,
-                Stage::Claiming | Stage::Asking { .. } | Stage::BackingOff { .. } => {
-                    counts.waiting += 1
-                }
+                Stage::Claiming
+                | Stage::Admitting
+                | Stage::Asking { .. }
+                | Stage::BackingOff { .. } => counts.waiting += 1,
                 Stage::Running { .. } => counts.running += 1,
             }
         }
--- a/crates/core/tests/node/failures.rs
+++ b/crates/core/tests/node/failures.rs
@@ -1,7 +1,7 @@
 //! Failures in the middle of requests.
 
 use crate::world::World;
-use oriolemux_core::event::{AttemptUpdate, Event};
+use oriolemux_core::event::{AttemptMode, AttemptUpdate, Event};
 use oriolemux_core::{Incarnation, Outcome, Ran, Reason};
 use std::time::Duration;
 
@@ -172,3 +172,31 @@
 
     assert_eq!(world.dispatches(id).len(), 1);
 }
+
+/// Symptom: a plan that was nearly done ends as partial although another
+/// endpoint is free. Sequence: a generation runs for longer than its class's
+/// longest wait, then its endpoint dies. Cause: the wait for the replay is
+/// counted from the request's arrival, so that every home refuses it.
+#[test]
+fn a_long_generation_is_replayed_elsewhere() {
+    let mut world = World::new(2, 2);
+    let id = world.request(0, "plan");
+    world.run_for(Duration::from_secs(60));
+    let first = world.dispatches(id)[0].clone();
+
+    world.update(
+        first.attempt,
+        AttemptUpdate::Failed {
+            reason: Reason::GenerationLost,
+            ran: Ran::Maybe,
+            delivered: 900,
+            retry_after: None,
+        },
+    );
+    world.run_for(Duration::from_secs(5));
+
+    let dispatches = world.dispatches(id);
+    assert_eq!(dispatches.len(), 2, "{:?}", world.verdict(id));
+    assert_eq!(dispatches[1].mode, AttemptMode::Replay { delivered: 900 });
+    assert_ne!(dispatches[1].endpoint.key, first.endpoint.key);
+}
--- a/crates/core/tests/node/path.rs
+++ b/crates/core/tests/node/path.rs
@@ -33,3 +33,26 @@
     assert_eq!(verdict.outcome(), Outcome::NotRun);
     assert_eq!(verdict.reason(), oriolemux_core::Reason::UnknownEntry);
 }
+
+#[test]
+fn a_workspace_runs_no_more_at_once_than_its_limit_over_all_nodes() {
+    let mut world = World::new(3, 4);
+    world.workspace_concurrent = 3;
+    world.publish_catalogue(2);
+    world.run_for(Duration::from_secs(10));
+
+    let ids: Vec<_> = (0..12).map(|n| world.request(n % 3, "plan")).collect();
+    world.run_for(Duration::from_secs(5));
+    let running = |world: &World| {
+        let dispatched = ids.iter().filter(|&&id| !world.dispatches(id).is_empty());
+        dispatched.copied().collect::<Vec<_>>()
+    };
+
+    let first = running(&world);
+    assert!((1..=3).contains(&first.len()), "{} run", first.len());
+    for id in &first {
+        world.complete(world.dispatches(*id)[0].attempt);
+    }
+    world.run_for(Duration::from_secs(3));
+    assert!(running(&world).len() > first.len(), "places are given on");
+}
--- a/crates/core/tests/node/world.rs
+++ b/crates/core/tests/node/world.rs
@@ -21,14 +21,6 @@
 /// Tokens of KV memory of each fake endpoint.
 const KV_TOKENS: u64 = 100_000;
 
-/// What binds requests that must not both run.
-#[derive(Clone, Copy)]
-pub enum Name<'a> {
-    None,
-    Key(&'a str),
-    Ticket(RequestId),
-}
-
 /// Something that happens later.
 enum Later {
     Message {
@@ -55,7 +47,6 @@
     pub dispatched: Vec<Dispatch>,
     pub finished: Vec<(RequestId, Verdict)>,
     pub notes: Vec<Note>,
-    pub tickets: Vec<RequestId>,
 }
 
 /// A few nodes and what stands around them.
@@ -74,6 +65,8 @@
     pub leaving_endpoints: BTreeSet<EndpointKey>,
     watches: Vec<(InstanceKey, Incarnation, ValueName, u64)>,
     seqs: u64,
+    /// Requests that the workspace may run at once; in force with the next catalogue.
+    pub workspace_concurrent: u32,
 }
 
 impl World {
@@ -92,6 +85,7 @@
             leaving_endpoints: BTreeSet::new(),
             watches: Vec::new(),
             seqs: 0,
+            workspace_concurrent: 100,
         };
         world.publish_list(1, engines);
         world.publish_catalogue(1);
@@ -119,7 +113,6 @@
             dispatched: Vec::new(),
             finished: Vec::new(),
             notes: Vec::new(),
-            tickets: Vec::new(),
         };
         self.seats.insert(key, seat);
         self.carry_out(key, actions);
@@ -171,9 +164,10 @@
     /// Publishes a catalogue with one idempotent and one non-idempotent entry.
     pub fn publish_catalogue(&mut self, revision: u64) {
         let digest = hex(&Sha256::digest(KEY));
+        let concurrent = self.workspace_concurrent;
         let shard = format!(
             "[[workspace]]\nname = \"desk\"\nkey_sha256 = [\"{digest}\"]\n\
-             entries = [\"plan\", \"order\"]\nlimits = {{ concurrent = 100, tokens_per_minute = 1000000 }}\n"
+             entries = [\"plan\", \"order\"]\nlimits = {{ concurrent = {concurrent}, tokens_per_minute = 1000000 }}\n"
         );
         let limits = "limits = { concurrent = 100, tokens_per_minute = 1000000, queue = 100, \
                       prompt_tokens = 5000, output_tokens = 4000 }";
@@ -216,13 +210,13 @@
 
     /// Sends a request to node number `n` and returns its id.
     pub fn request(&mut self, n: usize, entry: &str) -> RequestId {
-        self.send(n, entry, Name::None)
-    }
-
-    /// Sends a request under a name to node number `n` and returns its id.
-    pub fn send(&mut self, n: usize, entry: &str, name: Name<'_>) -> RequestId {
         let key = self.key(n);
-        let id = self.draw_id(n);
+        self.seqs += 1;
+        let id = RequestId {
+            instance: key,
+            incarnation: self.seats[&key].node.me().incarnation,
+            seq: self.seqs,
+        };
         let arrival = RequestArrival {
             id,
             key_digest: Sha256::digest(KEY).into(),
@@ -233,14 +227,8 @@
                 stream: true,
                 prefix: Vec::new(),
             },
-            idempotency_key: match name {
-                Name::Key(key) => Some(key.to_owned()),
-                Name::None | Name::Ticket(_) => None,
-            },
-            ticket: match name {
-                Name::Ticket(ticket) => Some(ticket),
-                Name::None | Name::Key(_) => None,
-            },
+            idempotency_key: None,
+            ticket: None,
             body_hash: 7,
             patience: None,
         };
@@ -248,26 +236,6 @@
         id
     }
 
-    fn draw_id(&mut self, n: usize) -> RequestId {
-        let instance = self.key(n);
-        self.seqs += 1;
-        RequestId {
-            instance,
-            incarnation: self.seats[&instance].node.me().incarnation,
-            seq: self.seqs,
-        }
-    }
-
-    /// Draws a ticket at node number `n`, which issues it.
-    pub fn ticket(&mut self, n: usize) -> RequestId {
-        let ticket = self.draw_id(n);
-        let key_digest = Sha256::digest(KEY).into();
-        self.feed(self.key(n), Event::DrawTicket { key_digest, ticket });
-        self.run_for(Duration::from_millis(100));
-        assert!(self.seat(n).tickets.contains(&ticket), "a ticket is issued");
-        ticket
-    }
-
     /// Reports something about an attempt to the node that ordered it.
     pub fn update(&mut self, attempt: AttemptId, update: AttemptUpdate) {
         self.feed(attempt.request.instance, Event::Attempt { attempt, update });
@@ -514,10 +482,6 @@
             Action::Finish { request, verdict } => seat.finished.push((request, verdict)),
             Action::Links(targets) => seat.wants = targets.iter().map(|it| it.key).collect(),
             Action::WakeAt(at) => seat.wake = at,
-            Action::Ticket {
-                ticket,
-                result: Ok(()),
-            } => seat.tickets.push(ticket),
             Action::Note(note) => seat.notes.push(note),
             Action::Stopped => seat.stopped = true,
             _ => {}
--- a/crates/oriolemux/src/relay.rs
+++ b/crates/oriolemux/src/relay.rs
@@ -38,10 +38,9 @@
 }
 
 impl<E: EndpointProtocol> Relay<E> {
-    /// Prepares to run `request`, of which `outcome` is known so far.
+    /// Prepares to run `request`.
     pub fn new(
         request: RequestId,
-        outcome: RequestOutcome,
         protocol: E,
         port: NodePort,
         work: WorkBody,
@@ -55,7 +54,7 @@
             work,
             delivery: Delivery::new(),
             ends: Ends { orders, caller },
-            outcome,
+            outcome: RequestOutcome::new(),
         }
     }
 
@@ -75,8 +74,6 @@
             };
             match order {
                 Some(RequestOrder::Dispatch(dispatch)) => {
-                    // The node orders nothing before the claim is granted.
-                    self.outcome.on_claim_granted();
                     self.ends.caller.meter().granted();
                     match self.run_attempt(&dispatch).await? {
                         AttemptEnd::Over => {}
