--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -41,6 +41,14 @@
     pub patience: Option<Duration>,
 }
 
+impl RequestArrival {
+    /// Returns whether the request carries a ticket or key, so that an earlier
+    /// request under the same name may have run.
+    pub const fn has_name(&self) -> bool {
+        self.ticket.is_some() || self.idempotency_key.is_some()
+    }
+}
+
 /// The work of a request.
 #[derive(Clone, Debug)]
 pub enum Work {
@@ -216,6 +224,13 @@
     Request(Box<RequestArrival>),
     /// The caller of a request went away.
     CallerGone(RequestId),
+    /// A caller draws a ticket; answered with [`Action::Ticket`].
+    DrawTicket {
+        /// SHA-256 of the caller's bearer key.
+        key_digest: [u8; 32],
+        /// The id drawn for the ticket by the shell.
+        ticket: RequestId,
+    },
     /// Something became of an attempt.
     Attempt {
         /// The attempt.
@@ -349,6 +364,13 @@
         /// What to say.
         verdict: Verdict,
     },
+    /// Answer a caller that draws a ticket.
+    Ticket {
+        /// The ticket.
+        ticket: RequestId,
+        /// Whether it is issued, or why not.
+        result: Result<(), Reason>,
+    },
     /// Send a message to a peer. Lost if there is no link.
     Send {
         /// To whom.
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -46,6 +46,7 @@
 use crate::reason::{Outcome, Reason};
 use crate::retry::RetryBudget;
 use crate::time::Time;
+use claims::TicketDraw;
 use core::time::Duration;
 use home::Homes;
 use rand::SeedableRng;
@@ -118,6 +119,8 @@
     /// Reused buffer for what the limits ask.
     limits_asked: Vec<LimitsAction>,
     requests: BTreeMap<u64, Request>,
+    /// Tickets that wait for the shard that may hold their workspace.
+    draws: Vec<TicketDraw>,
     homes: Homes,
     budget: RetryBudget,
     /// Checkpoints that wait to be sent, by home.
@@ -152,6 +155,7 @@
             limit_home: LimitHome::new(),
             limits_asked: Vec::new(),
             requests: BTreeMap::new(),
+            draws: Vec::new(),
             homes: Homes::default(),
             budget: RetryBudget::new(),
             progress: BTreeMap::new(),
@@ -199,6 +203,7 @@
         match event {
             Event::Request(arrival) => self.on_arrival(*arrival),
             Event::CallerGone(id) => self.on_caller_gone(id),
+            Event::DrawTicket { key_digest, ticket } => self.on_draw_ticket(key_digest, ticket),
             Event::Attempt { attempt, update } => self.on_attempt(attempt, update),
             Event::Peer { from, envelope } => self.on_envelope(from, envelope),
             Event::PeerUp(peer) => self.on_peer_up(peer),
@@ -284,6 +289,7 @@
         while let Some(kind) = self.timers.take_due(self.now) {
             match kind {
                 TimerKind::Request(seq) => self.on_request_timer(seq),
+                TimerKind::Draws => self.judge_draws(),
                 TimerKind::PollLoad(endpoint) => self.poll_load(endpoint),
                 TimerKind::FlushProgress => self.flush_progress(),
                 TimerKind::ForgetHolder(instance, incarnation) => {
--- a/crates/core/src/node/claims.rs
+++ b/crates/core/src/node/claims.rs
@@ -1,9 +1,11 @@
 //! Requests that carry a ticket or an idempotency key.
 
 use super::Node;
+use super::judge::JUDGE_LIMIT;
 use super::request::Stage;
+use super::timers::TimerKind;
 use crate::catalogue::sync::Lookup;
-use crate::event::PeerId;
+use crate::event::{Action, PeerId};
 use crate::explain::Step;
 use crate::ids::RequestId;
 use crate::keys::{Claim, ClaimId, HolderState, KeyHash, Keys, KeysAction, KeysMessage};
@@ -13,6 +15,15 @@
 use crate::reason::Reason;
 use crate::time::Time;
 
+/// A ticket that is being drawn.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct TicketDraw {
+    ticket: RequestId,
+    key_digest: [u8; 32],
+    /// Until when the shard that may hold the workspace is waited for.
+    until: Time,
+}
+
 impl Node {
     pub(super) fn with_keys(&mut self, call: impl FnOnce(&mut Keys, Time, &mut Vec<KeysAction>)) {
         call(&mut self.keys, self.now, &mut self.keys_asked);
@@ -88,6 +99,7 @@
             return;
         }
         request.claim_until = valid_until;
+        request.outcome.on_claim_granted();
         self.record(id, Step::ClaimGranted);
         self.begin_admission(id.seq);
     }
@@ -119,25 +131,38 @@
         self.with_keys(|keys, now, out| keys.set_list(now, revision, live.into_iter(), out));
     }
 
-    /// Issues a ticket to the holder of a key.
-    ///
-    /// # Errors
-    ///
-    /// Returns why no ticket is issued.
-    pub fn issue_ticket(
-        &mut self,
-        now: Time,
-        key_digest: &[u8; 32],
-        ticket: RequestId,
-    ) -> Result<RequestId, Reason> {
-        let workspace = match self.sync.lookup(now, key_digest) {
-            Lookup::Found(workspace) => workspace.key,
-            Lookup::Unknown => return Err(Reason::BadKey),
-            Lookup::Missing(_) | Lookup::Unavailable(_) | Lookup::NoCatalogue => {
-                return Err(Reason::NoCatalogue);
-            }
-        };
-        self.keys.issue_ticket(now, ticket, workspace)?;
-        Ok(ticket)
+    /// A caller draws a ticket.
+    pub(super) fn on_draw_ticket(&mut self, key_digest: [u8; 32], ticket: RequestId) {
+        let until = self.now + JUDGE_LIMIT;
+        self.timers.set(until, TimerKind::Draws);
+        self.draws.push(TicketDraw {
+            ticket,
+            key_digest,
+            until,
+        });
+        self.judge_draws();
+    }
+
+    /// Answers every draw whose workspace is known, or can't be known in time.
+    pub(super) fn judge_draws(&mut self) {
+        for draw in core::mem::take(&mut self.draws) {
+            let workspace = match self.sync.lookup(self.now, &draw.key_digest) {
+                Lookup::Found(workspace) => Ok(workspace.key),
+                Lookup::Unknown => Err(Reason::BadKey),
+                Lookup::Missing(shard) if self.now < draw.until => {
+                    self.with_sync(|sync, now, out| sync.want_shard(now, shard, out));
+                    self.draws.push(draw);
+                    continue;
+                }
+                Lookup::Missing(_) | Lookup::Unavailable(_) | Lookup::NoCatalogue => {
+                    Err(Reason::NoCatalogue)
+                }
+            };
+            let now = self.now;
+            let issue = |key| self.keys.issue_ticket(now, draw.ticket, key);
+            let result = workspace.and_then(issue);
+            let ticket = draw.ticket;
+            self.out.push(Action::Ticket { ticket, result });
+        }
     }
 }
--- a/crates/core/src/node/judge.rs
+++ b/crates/core/src/node/judge.rs
@@ -9,7 +9,7 @@
 use crate::cell::{ClassRules, Requirement};
 use crate::event::{Action, RequestArrival, Work};
 use crate::explain::Step;
-use crate::outcome::Verdict;
+use crate::outcome::RequestOutcome;
 use crate::reason::Reason;
 use core::time::Duration;
 
@@ -27,7 +27,8 @@
     pub(super) fn on_arrival(&mut self, arrival: RequestArrival) {
         debug_assert!(!self.requests.contains_key(&arrival.id.seq));
         if let Err(reason) = self.may_enter() {
-            let verdict = Verdict::not_accepted(reason, Some(COME_BACK));
+            let outcome = RequestOutcome::of_arrival(&arrival);
+            let verdict = outcome.finish(reason, Some(COME_BACK), 0);
             self.note_verdict(arrival.id, verdict.outcome(), reason);
             self.out.push(Action::Finish {
                 request: arrival.id,
@@ -102,6 +103,7 @@
     /// Judges every request that waits for a shard; those whose shard cannot
     /// be had are refused by it.
     pub(super) fn judge_waiting(&mut self) {
+        self.judge_draws();
         let waiting = self.requests.iter();
         let waiting = waiting.filter(|(_, it)| it.stage == Stage::Judging);
         let waiting: Vec<u64> = waiting.map(|(&seq, _)| seq).collect();
--- a/crates/core/src/node/request.rs
+++ b/crates/core/src/node/request.rs
@@ -136,13 +136,14 @@
 impl Request {
     /// Returns a request that nothing was decided about.
     pub fn new(arrival: RequestArrival, now: Time) -> Self {
+        let outcome = RequestOutcome::of_arrival(&arrival);
         Request {
             arrival,
             waiting_since: now,
             facts: None,
             claim_until: Time::NEVER,
             stage: Stage::Judging,
-            outcome: RequestOutcome::new(),
+            outcome,
             attempts: 0,
             delivered: 0,
             exclude: Vec::new(),
--- a/crates/core/src/node/timers.rs
+++ b/crates/core/src/node/timers.rs
@@ -9,6 +9,8 @@
 pub(super) enum TimerKind {
     /// Look again at a request of this process.
     Request(u64),
+    /// Look again at the tickets that are being drawn.
+    Draws,
     /// Ask an endpoint of an own cell for its load.
     PollLoad(EndpointKey),
     /// Send the checkpoints that were gathered.
--- a/crates/core/src/outcome.rs
+++ b/crates/core/src/outcome.rs
@@ -64,11 +64,10 @@
 }
 
 impl Verdict {
-    /// A request that was refused before it was accepted: it has no
-    /// [`RequestOutcome`] and no attempt.
+    /// A request that was refused because no request like it can have run: its
+    /// name was taken for other work, or issued to somebody else.
     ///
-    /// Once a request was accepted, only [`RequestOutcome::finish`] may say
-    /// "not run".
+    /// For anything else only [`RequestOutcome::finish`] may say "not run".
     pub fn not_accepted(reason: Reason, retry_after: Option<Duration>) -> Self {
         Self::new(Outcome::NotRun, reason, retry_after, 0)
     }
--- a/crates/core/src/outcome/request.rs
+++ b/crates/core/src/outcome/request.rs
@@ -1,6 +1,7 @@
 //! What may be said about a request, over all of its attempts.
 
 use super::{NotRun, Ran, Verdict};
+use crate::event::RequestArrival;
 use crate::ids::AttemptId;
 use crate::reason::{Outcome, Reason};
 use core::time::Duration;
@@ -44,6 +45,14 @@
         }
     }
 
+    /// Returns the state of a request that just arrived.
+    pub const fn of_arrival(arrival: &RequestArrival) -> Self {
+        match arrival.has_name() {
+            true => Self::under_name(),
+            false => Self::new(),
+        }
+    }
+
     /// The claim is granted: no earlier request under the name ran.
     pub fn on_claim_granted(&mut self) {
         self.unclaimed = false;
--- a/crates/core/tests/node/main.rs
+++ b/crates/core/tests/node/main.rs
@@ -1,6 +1,7 @@
 //! Whole nodes in a small world: links that break, endpoints that leave,
 //! processes that are paused or replaced.
 
+mod claims;
 mod failures;
 mod path;
 mod world;
--- a/crates/oriolemux/src/callers/accept.rs
+++ b/crates/oriolemux/src/callers/accept.rs
@@ -30,13 +30,14 @@
 const REFUSAL_LIMIT: Duration = Duration::from_secs(1);
 
 /// What a connection above the limit is told. It has no request id, because
-/// its request was never read.
+/// its request was never read; and no "not run", because it may carry the key
+/// of a request that ran.
 const REFUSAL: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\n\
     content-type: application/json\r\nretry-after: 1\r\nconnection: close\r\n\
     content-length: 166\r\n\r\n\
     {\"error\":{\"message\":\"this instance holds as many connections as it may\",\
     \"type\":\"overloaded_error\",\"reason\":\"instance_full\",\
-    \"outcome\":\"not_run\",\"retry_after_ms\":1000}}";
+    \"outcome\":\"unknown\",\"retry_after_ms\":1000}}";
 
 /// Bounds of the listener.
 #[derive(Clone, Copy, Debug)]
--- a/crates/oriolemux/src/callers/errors.rs
+++ b/crates/oriolemux/src/callers/errors.rs
@@ -71,6 +71,13 @@
         }
     }
 
+    /// Takes "not run" back: the request may be the repeat of one that ran.
+    #[must_use]
+    pub fn of_unknown_outcome(mut self) -> Self {
+        self.outcome = Outcome::Unknown;
+        self
+    }
+
     /// Adds what exactly is wrong with the input.
     #[must_use]
     pub fn with_detail(mut self, detail: impl Into<String>) -> Self {
--- a/crates/oriolemux/src/callers/routes/completions.rs
+++ b/crates/oriolemux/src/callers/routes/completions.rs
@@ -33,7 +33,10 @@
     let (parts, body) = req.into_parts();
     let bytes = body::read(body, &parts.headers, cx.body)
         .await
-        .map_err(|err| ErrorAnswer::not_submitted(id, err.reason()).with_detail(err.to_string()))?;
+        .map_err(|err| {
+            let error = ErrorAnswer::not_submitted(id, err.reason());
+            headers.judge(error.with_detail(err.to_string()))
+        })?;
     let call = CompletionCall::parse(&bytes).map_err(|err| {
         ErrorAnswer::not_submitted(id, Reason::BadRequest).with_detail(err.to_string())
     })?;
--- a/crates/oriolemux/src/callers/routes/services.rs
+++ b/crates/oriolemux/src/callers/routes/services.rs
@@ -37,7 +37,10 @@
     let (parts, body) = req.into_parts();
     let bytes = body::read(body, &parts.headers, cx.body)
         .await
-        .map_err(|err| ErrorAnswer::not_submitted(id, err.reason()).with_detail(err.to_string()))?;
+        .map_err(|err| {
+            let error = ErrorAnswer::not_submitted(id, err.reason());
+            headers.judge(error.with_detail(err.to_string()))
+        })?;
     let call = CallBody {
         content_type: parts.headers.get(CONTENT_TYPE).cloned(),
         bytes: bytes.clone().into(),
--- a/crates/oriolemux/src/callers/submit.rs
+++ b/crates/oriolemux/src/callers/submit.rs
@@ -16,6 +16,7 @@
 use http::{HeaderMap, HeaderValue};
 use oriolemux_core::event::{RequestArrival, Work};
 use oriolemux_core::ids::stable_hash;
+use oriolemux_core::outcome::RequestOutcome;
 use oriolemux_core::{Reason, RequestId};
 use poem::{Body, Response};
 use std::io;
@@ -68,6 +69,19 @@
             patience: patience.map(Duration::from_millis),
         })
     }
+
+    /// Weakens the refusal of a request that was not read whole, or not taken
+    /// for a reason of this process's own.
+    ///
+    /// What goes wrong otherwise: the request is the repeat of one that ran
+    /// while its answer was lost. Told "not run", its caller believes that of
+    /// both. Under a ticket or key the outcome is therefore unknown.
+    pub fn judge(&self, error: ErrorAnswer) -> ErrorAnswer {
+        match self.ticket.is_some() || self.idempotency_key.is_some() {
+            true => error.of_unknown_outcome(),
+            false => error,
+        }
+    }
 }
 
 fn read_idempotency_key(id: RequestId, headers: &HeaderMap) -> Result<Option<String>, ErrorAnswer> {
@@ -115,7 +129,9 @@
     pub entry: String,
     /// What the node needs to know of the work.
     pub work: Work,
-    /// The body as it came, to tell a repeat from a reuse of a key.
+    /// The body as it came. With the entry it tells a repeat from a reuse of a
+    /// key: without the entry, a call of one service would be answered with the
+    /// outcome of a call of another.
     pub body_bytes: Vec<u8>,
     /// What goes to the endpoint.
     pub body: WorkBody,
@@ -134,7 +150,7 @@
             work: self.work.clone(),
             idempotency_key: self.headers.idempotency_key.clone(),
             ticket: self.headers.ticket,
-            body_hash: stable_hash(&[&self.body_bytes]),
+            body_hash: stable_hash(&[self.entry.as_bytes(), &self.body_bytes]),
             patience: self.headers.patience,
         }
     }
@@ -145,9 +161,13 @@
 pub async fn submit<E: EndpointProtocol>(cx: &CallerCx<E>, submission: Submission) -> Response {
     let id = submission.id;
     let arrival = Box::new(submission.arrival());
+    let outcome = RequestOutcome::of_arrival(&arrival);
     let orders = match cx.port.submit(arrival).await {
         Ok(orders) => orders,
-        Err(NodeGone) => return ErrorAnswer::not_submitted(id, Reason::Stopping).into_response(),
+        Err(NodeGone) => {
+            let error = ErrorAnswer::not_submitted(id, Reason::Stopping);
+            return submission.headers.judge(error).into_response();
+        }
     };
     let (head, reply) = oneshot::channel();
     let chunks = ChunkWriter::new(id, &submission.entry);
@@ -155,7 +175,7 @@
     let caller = Caller::new(submission.form, chunks, head, connection, cx.write_timeout);
     let port = cx.port.clone();
     let protocol = cx.protocol.clone();
-    let relay = Relay::new(id, protocol, port, submission.body, orders, caller);
+    let relay = Relay::new(id, outcome, protocol, port, submission.body, orders, caller);
     tokio::spawn(relay.run());
     match reply.await {
         Ok(reply) => into_response(id, reply),
--- a/crates/oriolemux/src/endpoints/http.rs
+++ b/crates/oriolemux/src/endpoints/http.rs
@@ -186,7 +186,7 @@
         match timeout(dispatch.stall_limit, request.send()).await {
             Ok(Ok(response)) => accept_answer(response, dispatch.stall_limit).await,
             Ok(Err(err)) => Err(classify_send_error(&guard, &err)),
-            Err(_) if guard.handed_over() => Err(EndpointFailure::Broken(Reason::Stalled)),
+            Err(_) if guard.give_up() => Err(EndpointFailure::Broken(Reason::Stalled)),
             Err(_) => Err(EndpointFailure::NotConnected),
         }
     }
@@ -318,7 +318,7 @@
     if guard.expired() {
         return EndpointFailure::TooLate;
     }
-    if !guard.handed_over() {
+    if !guard.give_up() {
         return EndpointFailure::NotConnected;
     }
     if err.is_connect() {
--- a/crates/oriolemux/src/endpoints/send_guard.rs
+++ b/crates/oriolemux/src/endpoints/send_guard.rs
@@ -20,6 +20,7 @@
 const WAITING: u8 = 0;
 const HANDED_OVER: u8 = 1;
 const EXPIRED: u8 = 2;
+const GIVEN_UP: u8 = 3;
 
 /// The body may no longer be sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, displaydoc::Display, thiserror::Error)]
@@ -59,19 +60,31 @@
     ///
     /// # Errors
     ///
-    /// Fails if it is too late; the body then never leaves.
+    /// Fails if it is too late or the send was given up; the body then never
+    /// leaves.
     pub fn hand_over(&self) -> Result<(), Expired> {
-        if self.clock.now() > self.send_before {
-            self.state.store(EXPIRED, Ordering::Release);
-            return Err(Expired);
+        let in_time = self.clock.now() <= self.send_before;
+        let next = if in_time { HANDED_OVER } else { EXPIRED };
+        match self.leave_waiting(next) {
+            HANDED_OVER => Ok(()),
+            _ => Err(Expired),
         }
-        self.state.store(HANDED_OVER, Ordering::Release);
-        Ok(())
     }
 
-    /// Returns whether the body may have left this process.
-    pub fn handed_over(&self) -> bool {
-        self.state.load(Ordering::Acquire) == HANDED_OVER
+    /// Gives the send up, unless the body was handed over; returns whether it
+    /// may have left this process.
+    ///
+    /// What goes wrong if the state is only read: a connection that stands a
+    /// moment later asks for the body, which leaves although "not run" was said.
+    pub fn give_up(&self) -> bool {
+        self.leave_waiting(GIVEN_UP) == HANDED_OVER
+    }
+
+    /// Moves on from waiting, once; returns the state that holds from then on.
+    fn leave_waiting(&self, next: u8) -> u8 {
+        let (acquire, release) = (Ordering::Acquire, Ordering::AcqRel);
+        let swapped = self.state.compare_exchange(WAITING, next, release, acquire);
+        swapped.map_or_else(|current| current, |_| next)
     }
 
     /// Returns whether it was too late when the connection stood.
--- a/crates/oriolemux/src/node_task.rs
+++ b/crates/oriolemux/src/node_task.rs
@@ -18,10 +18,10 @@
 use crate::supervisor::StopTokens;
 use oriolemux_core::event::{Action, AttemptUpdate, Event};
 use oriolemux_core::peer::PeerMessage;
-use oriolemux_core::{InstanceKey, Node, RequestId, Time};
+use oriolemux_core::{InstanceKey, Node, Reason, RequestId, Time};
 use std::collections::BTreeMap;
 use tokio::sync::mpsc::error::TrySendError;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{mpsc, oneshot, watch};
 
 /// The most inputs that are taken together before their effects are carried out.
 const BATCH: usize = 128;
@@ -52,6 +52,8 @@
     stop: StopTokens,
     /// Where the orders for each request go, by its sequence number.
     orders: BTreeMap<u64, mpsc::Sender<RequestOrder>>,
+    /// Who waits for which ticket, by its sequence number.
+    tickets: BTreeMap<u64, oneshot::Sender<Result<RequestId, Reason>>>,
     /// Messages of this turn, by peer.
     outbox: BTreeMap<InstanceKey, Vec<PeerMessage>>,
     /// Reused buffer.
@@ -73,6 +75,7 @@
             readiness: ends.readiness,
             stop: ends.stop,
             orders: BTreeMap::new(),
+            tickets: BTreeMap::new(),
             outbox: BTreeMap::new(),
             actions: Vec::new(),
             wake: Time::NEVER,
@@ -135,8 +138,9 @@
                 id,
                 reply,
             } => {
-                let ticket = self.node.issue_ticket(self.clock.now(), &key_digest, id);
-                let _ = reply.send(ticket);
+                self.tickets.insert(id.seq, reply);
+                let ticket = id;
+                self.handle(Event::DrawTicket { key_digest, ticket });
             }
         }
     }
@@ -188,6 +192,12 @@
                     self.order(request, RequestOrder::Finish(verdict));
                     self.orders.remove(&request.seq);
                 }
+                Action::Ticket { ticket, result } => {
+                    if let Some(reply) = self.tickets.remove(&ticket.seq) {
+                        // A caller that no longer waits is not a fault.
+                        let _ = reply.send(result.map(|()| ticket));
+                    }
+                }
                 Action::Send { to, message } => self.outbox.entry(to).or_default().push(message),
                 Action::Links(targets) => self.effects.links(targets),
                 Action::Read(name) => self.effects.read(name),
--- a/crates/oriolemux/src/relay.rs
+++ b/crates/oriolemux/src/relay.rs
@@ -38,9 +38,10 @@
 }
 
 impl<E: EndpointProtocol> Relay<E> {
-    /// Prepares to run `request`.
+    /// Prepares to run `request`, of which `outcome` is known so far.
     pub fn new(
         request: RequestId,
+        outcome: RequestOutcome,
         protocol: E,
         port: NodePort,
         work: WorkBody,
@@ -54,7 +55,7 @@
             work,
             delivery: Delivery::new(),
             ends: Ends { orders, caller },
-            outcome: RequestOutcome::new(),
+            outcome,
         }
     }
 
@@ -74,6 +75,8 @@
             };
             match order {
                 Some(RequestOrder::Dispatch(dispatch)) => {
+                    // The node orders nothing before the claim is granted.
+                    self.outcome.on_claim_granted();
                     self.ends.caller.meter().granted();
                     match self.run_attempt(&dispatch).await? {
                         AttemptEnd::Over => {}
--- a/crates/oriolemux/tests/relay_support/node.rs
+++ b/crates/oriolemux/tests/relay_support/node.rs
@@ -72,6 +72,14 @@
         FakeNode { port, told }
     }
 
+    /// A node whose task has ended.
+    pub fn ended() -> Self {
+        let ids = RequestIds::new(InstanceKey(1), Incarnation(2));
+        let (port, _) = NodePort::new(ids, Clock::start());
+        let (_, told) = mpsc::unbounded_channel();
+        FakeNode { port, told }
+    }
+
     /// Waits for what the node is told next.
     pub async fn told(&mut self) -> Told {
         self.told.recv().await.expect("the node runs")
