Times of claims are settings

Cause: the times by which keys are granted and forgotten were constants of two minutes, so that no test with real processes could reach a granted key, and operators could not trade memory against the wait after a restart.

Change: `[claims]` in the settings, passed through NodeConfig. What the times must hold between them (settle >= memory, settle > valid + list_fresh, valid at least twice the wait for an answer) is checked at the start and reported as findings with their place. Fleets of the bench may use short claims; those of `faults` do.

--- a/crates/bench/src/faults/scene.rs
+++ b/crates/bench/src/faults/scene.rs
@@ -98,7 +98,8 @@
             .with_two_views()
             .with_engine_args(ENGINE_ARGS)
             .with_service_args(SERVICE_ARGS)
-            .with_settings(SETTINGS);
+            .with_settings(SETTINGS)
+            .with_short_claims();
         let fleet = Fleet::start(plan, program).await?;
         Ok(Scene {
             balancer: Balancer::new(&fleet),
--- a/crates/bench/src/fleet/plan.rs
+++ b/crates/bench/src/fleet/plan.rs
@@ -1,5 +1,14 @@
 //! What a fleet consists of.
 
+/// Claims that settle within seconds, so that keys are granted soon after the
+/// start of a fleet, and a claim is void after a pause of seconds.
+const SHORT_CLAIMS: &str = "[claims]\nsettle_ms = 3000\nmemory_ms = 3000\nvalid_ms = 1900\n\
+    list_fresh_ms = 1000\n";
+
+/// How long after its start an instance with short claims grants no key that
+/// it knows nothing of.
+pub const SHORT_SETTLE: core::time::Duration = core::time::Duration::from_millis(3_000);
+
 /// What a fleet consists of. Build it with [`Plan::default`] and the `with_` methods.
 #[derive(Clone, Debug)]
 pub struct Plan {
@@ -72,6 +81,11 @@
         self
     }
 
+    /// Lets keys be granted [`SHORT_SETTLE`] after the start. Adds a section of settings.
+    pub fn with_short_claims(self) -> Self {
+        self.with_settings(SHORT_CLAIMS)
+    }
+
     /// Adds lines of TOML after the settings of every instance.
     pub fn with_settings(mut self, toml: &str) -> Self {
         self.settings.push_str(toml);
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -79,6 +79,8 @@
     pub max_requests: usize,
     /// Requests whose decisions are remembered for [`Node::explain`].
     pub explain_records: usize,
+    /// How claims of tickets and keys are timed.
+    pub keys: KeysConfig,
 }
 
 impl NodeConfig {
@@ -93,6 +95,7 @@
             stop_grace: Duration::from_secs(3),
             max_requests: 20_000,
             explain_records: 4_096,
+            keys: KeysConfig::default(),
         }
     }
 }
@@ -149,7 +152,7 @@
             membership: Membership::new(members),
             sync: CatalogueSync::new(SyncConfig::new(cfg.seed ^ SYNC_SEED)),
             sync_asked: Vec::new(),
-            keys: Keys::new(me, KeysConfig::default()),
+            keys: Keys::new(me, cfg.keys),
             keys_asked: Vec::new(),
             leases: Leases::new(),
             limit_home: LimitHome::new(),
--- a/crates/oriolemux/src/serve.rs
+++ b/crates/oriolemux/src/serve.rs
@@ -9,10 +9,11 @@
 use crate::node_task::{Identity, LiveEffects, NodeEnds, NodeTask};
 use crate::operators::{self, OperatorPort, OperatorServer};
 use crate::peers::{PeerEvent, Peers, PeersConfig, PeersHandle};
-use crate::settings::{Secret, Secrets, Settings};
+use crate::settings::{ClaimsSettings, Secret, Secrets, Settings};
 use crate::status::Readiness;
 use crate::supervisor::{Intensity, StopTokens, Supervisor, SupervisorError};
 use oriolemux_core::findings::Findings;
+use oriolemux_core::keys::KeysConfig;
 use oriolemux_core::{Event, Incarnation, InstanceKey, Node, NodeConfig};
 use rand::Rng;
 use std::net::SocketAddr;
@@ -308,6 +309,17 @@
     }
 }
 
+fn keys_config(claims: &ClaimsSettings) -> KeysConfig {
+    KeysConfig {
+        memory: claims.memory_ms.duration(),
+        settle: claims.settle_ms.duration(),
+        valid: claims.valid_ms.duration(),
+        list_fresh: claims.list_fresh_ms.duration(),
+        ask_limit: claims.ask_limit_ms.duration(),
+        ticket_life: claims.ticket_life_ms.duration(),
+    }
+}
+
 fn node_config(settings: &Settings, incarnation: Incarnation) -> NodeConfig {
     let mut cfg = NodeConfig::new(
         &settings.name,
@@ -319,5 +331,6 @@
     cfg.stall_limit = settings.endpoints.stall_timeout_ms.duration();
     cfg.max_requests = settings.callers.max_requests as usize;
     cfg.explain_records = settings.limits.explain_records as usize;
+    cfg.keys = keys_config(&settings.claims);
     cfg
 }
--- a/crates/oriolemux/src/settings.rs
+++ b/crates/oriolemux/src/settings.rs
@@ -19,8 +19,8 @@
 pub use secret::{Secret, SecretFile, Secrets};
 pub use spec::Description;
 pub use table::{
-    CallersSettings, EndpointsSettings, LimitsSettings, LogsSettings, OperatorsSettings,
-    PeersSettings, PlatformSettings, SectionDescription, Settings, StopSettings,
+    CallersSettings, ClaimsSettings, EndpointsSettings, LimitsSettings, LogsSettings,
+    OperatorsSettings, PeersSettings, PlatformSettings, SectionDescription, Settings, StopSettings,
     SupervisorSettings,
 };
 pub use value::{LogFormat, LogLevel, Millis};
--- a/crates/oriolemux/src/settings/relations.rs
+++ b/crates/oriolemux/src/settings/relations.rs
@@ -72,6 +72,8 @@
 /// links that go up and down all the time.
 fn check_order(settings: &Settings, cx: &mut RelationContext<'_>) {
     let (peers, platform) = (&settings.peers, &settings.platform);
+    let claims = &settings.claims;
+    let sent_late = claims.valid_ms.0.saturating_add(claims.list_fresh_ms.0);
     let rules = [
         AtLeast {
             section: "peers",
@@ -94,6 +96,30 @@
             floor_key: "retry_min_ms",
             floor: platform.retry_min_ms,
         },
+        // A new home that grants before the old one's outcomes are past their
+        // promise, or while a holder may still send, runs work twice.
+        AtLeast {
+            section: "claims",
+            key: "settle_ms",
+            value: claims.settle_ms,
+            floor_key: "memory_ms",
+            floor: claims.memory_ms,
+        },
+        AtLeast {
+            section: "claims",
+            key: "settle_ms",
+            value: claims.settle_ms,
+            floor_key: "valid_ms",
+            floor: Millis(sent_late.saturating_add(1)),
+        },
+        // A claim that is void when it is granted serves nobody.
+        AtLeast {
+            section: "claims",
+            key: "valid_ms",
+            value: claims.valid_ms,
+            floor_key: "ask_limit_ms",
+            floor: Millis(claims.ask_limit_ms.0.saturating_mul(2)),
+        },
     ];
     for rule in rules.iter().filter(|rule| rule.value < rule.floor) {
         let (floor, floor_key) = (rule.floor.0, rule.floor_key);
--- a/crates/oriolemux/src/settings/table.rs
+++ b/crates/oriolemux/src/settings/table.rs
@@ -212,6 +212,26 @@
         list_max_age_ms: Millis = default(Millis(60_000)).range(100, DAY_MS);
     }
 
+    /// Claims of tickets and idempotency keys, by which work that must not run twice is kept
+    /// from it. The values must be the same on every instance; docs/design/at-most-once.md
+    /// says what each protects.
+    claims: ClaimsSettings {
+        /// How long the outcome of a request under a key is remembered after its end. A repeat
+        /// that comes later runs as a new request.
+        memory_ms: Millis = default(Millis(120_000)).range(100, DAY_MS);
+        /// How long a key's new home grants no key that it knows nothing of; also after every
+        /// start. At least `memory_ms`, and more than `valid_ms` and `list_fresh_ms` together.
+        settle_ms: Millis = default(Millis(120_000)).range(100, DAY_MS);
+        /// How long after it was asked for a claim may be used for a send.
+        valid_ms: Millis = default(Millis(60_000)).range(100, DAY_MS);
+        /// A home grants keys only if the platform confirmed the list within this time.
+        list_fresh_ms: Millis = default(Millis(30_000)).range(50, DAY_MS);
+        /// How long a request waits for its claim.
+        ask_limit_ms: Millis = default(Millis(900)).range(50, 60_000);
+        /// How long a ticket may lie unused.
+        ticket_life_ms: Millis = default(Millis(600_000)).range(100, DAY_MS);
+    }
+
     /// The planned stop. Running streams are always finished, however long they take.
     stop: StopSettings {
         /// How long new requests are still taken after readiness was withdrawn, so that
--- a/crates/oriolemux/tests/settings_reading.rs
+++ b/crates/oriolemux/tests/settings_reading.rs
@@ -168,6 +168,18 @@
     "reconnect_max_ms = 99",
     "11:20: `peers.reconnect_max_ms` must be at least 100 because of `reconnect_min_ms`"
 )]
+#[case::settle_and_memory(
+    "[claims]\nmemory_ms = 120001",
+    "11:1: `claims.settle_ms` must be at least 120001 because of `memory_ms`"
+)]
+#[case::settle_and_sends(
+    "[claims]\nsettle_ms = 120000\nvalid_ms = 90000",
+    "12:13: `claims.settle_ms` must be at least 120001 because of `valid_ms`"
+)]
+#[case::valid_and_asking(
+    "[claims]\nvalid_ms = 1799",
+    "12:12: `claims.valid_ms` must be at least 1800 because of `ask_limit_ms`"
+)]
 fn settings_that_contradict_each_other_are_found(#[case] line: &str, #[case] expected: &str) {
     let secret = "secret_file = \"peers.secret\"";
     let text = LEAST.replace(secret, &format!("{secret}\n{line}"));
