--- a/crates/core/src/catalogue/sync/budget.rs
+++ b/crates/core/src/catalogue/sync/budget.rs
@@ -14,6 +14,10 @@
 /// Seconds of reads that may be saved up.
 const BURST_SECONDS: f64 = 2.0;
 
+/// The shortest wait for the next read. A wait that rounds to no time at all
+/// would be over before the bucket gains anything, and be asked for again for ever.
+const SHORTEST_WAIT: Duration = Duration::from_millis(1);
+
 /// A token bucket for reads.
 #[derive(Debug)]
 pub struct ReadBudget {
@@ -50,9 +54,8 @@
             self.tokens -= 1.0;
             return Ok(());
         }
-        Err(Duration::from_secs_f64(
-            (1.0 - self.tokens) / self.per_second,
-        ))
+        let wait = Duration::from_secs_f64((1.0 - self.tokens) / self.per_second);
+        Err(wait.max(SHORTEST_WAIT))
     }
 
     fn refill(&mut self, now: Time) {
--- /dev/null
+++ b/crates/core/tests/support/catalogue_fleet.rs
@@ -0,0 +1,501 @@
+//! A small fleet of sync machines in virtual time, with one platform.
+//!
+//! Messages take [`LATENCY`] and may be cut by a partition; the platform counts
+//! every call and may be down or stale. There is no engine and no request here.
+
+// Each file of tests uses another part of it.
+#![allow(dead_code)]
+
+use core::time::Duration;
+use oriolemux_core::Time;
+use oriolemux_core::catalogue::sync::{
+    CatalogueMessage, CatalogueSync, Roles, SyncAction, SyncChange, SyncConfig,
+};
+use oriolemux_core::catalogue::{Digest, shard_of};
+use oriolemux_core::event::{PeerId, ValueName};
+use oriolemux_core::ids::{Incarnation, InstanceKey};
+use oriolemux_core::note::Note;
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+/// One way between any two processes.
+pub const LATENCY: Duration = Duration::from_micros(1_500);
+/// How long the platform holds a watch.
+const WATCH_HOLD: Duration = Duration::from_secs(25);
+/// How long after its start an instance knows the list.
+const LIST_DELAY: Duration = Duration::from_millis(300);
+/// Watchers of a data centre.
+const WATCHERS: usize = 2;
+
+/// A published catalogue: index and shards.
+#[derive(Clone, Debug)]
+pub struct Publication {
+    pub index: Vec<u8>,
+    pub shards: Vec<Vec<u8>>,
+}
+
+/// The bearer key of workspace `number`.
+pub fn key_digest(number: usize) -> [u8; 32] {
+    Digest::of(format!("key {number}").as_bytes()).0
+}
+
+/// Builds a catalogue with workspaces over shards; `salt` changes the shard of
+/// workspace 0 only.
+pub fn publication(revision: u64, shards: u32, workspaces: usize, salt: u64) -> Publication {
+    let mut texts = vec![String::from("# a shard\n"); shards as usize];
+    for number in 0..workspaces {
+        let digest = key_digest(number);
+        let tokens = if number == 0 { 1_000 + salt } else { 1_000 };
+        texts[shard_of(&digest, shards) as usize] += &format!(
+            "[[workspace]]\nname = \"w{number}\"\nkey_sha256 = [\"{}\"]\nentries = [\"stock\"]\n\
+             limits = {{ concurrent = 1, tokens_per_minute = {tokens} }}\n",
+            Digest(digest)
+        );
+    }
+    let shards: Vec<Vec<u8>> = texts.into_iter().map(String::into_bytes).collect();
+    Publication {
+        index: index_of(revision, &shards).into_bytes(),
+        shards,
+    }
+}
+
+pub fn index_of(revision: u64, shards: &[Vec<u8>]) -> String {
+    let mut text = format!("revision = {revision}\nshards = [\n");
+    for shard in shards {
+        text += &format!("  \"{}\",\n", Digest::of(shard));
+    }
+    text += "]\n[[class]]\nname = \"c\"\nurgency = 1\nidempotent = true\nwait_target_ms = 1\n\
+             longest_wait_ms = 1\ndelivery = \"whole\"\n[[service]]\nname = \"s\"\n\
+             [[entry]]\nname = \"stock\"\nowner = \"o\"\nclass = \"c\"\nservice = \"s\"\n\
+             limits = { concurrent = 1, queue = 1 }\n";
+    text
+}
+
+/// The platform's service.
+#[derive(Default)]
+pub struct Platform {
+    pub up: bool,
+    index: (u64, Arc<[u8]>),
+    shards: BTreeMap<u32, Arc<[u8]>>,
+    /// Watches that wait: node, the node's life, revision, and until when.
+    waiting: Vec<(usize, u64, u64, Time)>,
+    /// When each call was made.
+    pub calls: Vec<Time>,
+}
+
+#[derive(Clone, Debug)]
+enum What {
+    Start,
+    Roles,
+    Message(usize, u64, CatalogueMessage),
+    Value(ValueName, u64, Arc<[u8]>),
+    Unchanged,
+    Failed(ValueName),
+    Call(ValueName, Option<u64>),
+}
+
+struct Instance {
+    key: InstanceKey,
+    data_centre: usize,
+    sync: CatalogueSync,
+    /// Counts restarts; events for an earlier life are dropped.
+    life: u64,
+    alive: bool,
+    started: bool,
+    pub notes: Vec<Note>,
+    pub changes: Vec<SyncChange>,
+    pub in_force_at: BTreeMap<u64, Time>,
+    /// Revisions in the order in which they came into force, over all lives.
+    highest: u64,
+}
+
+pub struct Fleet {
+    pub now: Time,
+    pub platform: Platform,
+    instances: Vec<Instance>,
+    data_centres: usize,
+    queue: BTreeMap<(Time, u64), (usize, u64, What)>,
+    wakes: BTreeSet<(Time, usize)>,
+    wake_of: Vec<Time>,
+    sequence: u64,
+    /// Pairs of groups that are cut off; the platform is in group 0.
+    pub cut: Option<fn(usize) -> bool>,
+    /// Bytes of messages sent by each instance.
+    pub sent_bytes: Vec<u64>,
+    /// Instances that the list still names although they are dead.
+    pub list_lags: bool,
+}
+
+impl Fleet {
+    /// Creates a fleet of which nothing runs yet.
+    pub fn new(size: usize, data_centres: usize) -> Self {
+        let mut fleet = Fleet {
+            now: Time::from_secs(1),
+            platform: Platform {
+                up: true,
+                ..Platform::default()
+            },
+            instances: Vec::new(),
+            data_centres,
+            queue: BTreeMap::new(),
+            wakes: BTreeSet::new(),
+            wake_of: vec![Time::NEVER; size],
+            sequence: 0,
+            cut: None,
+            sent_bytes: vec![0; size],
+            list_lags: false,
+        };
+        for number in 0..size {
+            fleet.instances.push(Instance {
+                key: InstanceKey::of(&format!("instance-{number}")),
+                data_centre: number % data_centres,
+                sync: CatalogueSync::new(SyncConfig::new(number as u64)),
+                life: 0,
+                alive: false,
+                started: false,
+                notes: Vec::new(),
+                changes: Vec::new(),
+                in_force_at: BTreeMap::new(),
+                highest: 0,
+            });
+        }
+        fleet
+    }
+
+    pub fn size(&self) -> usize {
+        self.instances.len()
+    }
+
+    pub fn publish(&mut self, publication: &Publication) {
+        for (number, shard) in publication.shards.iter().enumerate() {
+            self.publish_shard(number as u32, shard);
+        }
+        self.publish_index(&publication.index);
+    }
+
+    pub fn publish_shard(&mut self, number: u32, bytes: &[u8]) {
+        self.platform.shards.insert(number, bytes.into());
+    }
+
+    pub fn publish_index(&mut self, bytes: &[u8]) {
+        self.platform.index = (self.platform.index.0 + 1, bytes.into());
+        let waiting = core::mem::take(&mut self.platform.waiting);
+        for (node, life, above, until) in waiting {
+            if self.platform.index.0 > above {
+                self.answer(node, life, self.value(&ValueName::CatalogueIndex));
+            } else {
+                self.platform.waiting.push((node, life, above, until));
+            }
+        }
+    }
+
+    /// Sets the platform's own revision, as a service restored from a copy does.
+    pub fn restore_index(&mut self, platform_revision: u64, bytes: &[u8]) {
+        self.platform.index = (platform_revision, bytes.into());
+    }
+
+    /// Starts (or restarts) an instance as a new life that knows nothing.
+    pub fn start(&mut self, node: usize) {
+        let instance = &mut self.instances[node];
+        instance.life += 1;
+        let seed = instance.life * 1_000_003 + node as u64;
+        instance.sync = CatalogueSync::new(SyncConfig::new(seed));
+        instance.alive = true;
+        instance.started = false;
+        let life = instance.life;
+        self.push(self.now, node, life, What::Start);
+        self.push(self.now + LIST_DELAY, node, life, What::Roles);
+    }
+
+    pub fn start_all(&mut self) {
+        for node in 0..self.size() {
+            self.start(node);
+        }
+    }
+
+    pub fn kill(&mut self, node: usize) {
+        self.instances[node].alive = false;
+        if !self.list_lags {
+            self.tell_roles();
+        }
+    }
+
+    /// Tells every instance the list anew.
+    pub fn tell_roles(&mut self) {
+        for node in 0..self.size() {
+            let life = self.instances[node].life;
+            if self.instances[node].alive {
+                self.push(self.now + LIST_DELAY, node, life, What::Roles);
+            }
+        }
+    }
+
+    /// Reports every link as up again, as after a partition.
+    pub fn heal(&mut self) {
+        self.cut = None;
+        for node in 0..self.size() {
+            let peers = self.roles(node).watchers;
+            for peer in peers {
+                let peer = self.node_of(peer);
+                if peer != node {
+                    self.with(node, |sync, _, out| sync.peer_up(peer_id(peer), out));
+                    self.with(peer, |sync, _, out| sync.peer_up(peer_id(node), out));
+                }
+            }
+        }
+    }
+
+    /// Lets a node hear the revision of another, as with any message between them.
+    pub fn hear_of(&mut self, node: usize, other: usize) {
+        let revision = self.revision(other);
+        self.with(node, |sync, now, _| {
+            sync.peer_revision(now, peer_id(other), revision);
+        });
+    }
+
+    pub fn watchers(&self, data_centre: usize) -> Vec<usize> {
+        let here = self.instances.iter().enumerate();
+        let here = here.filter(|(_, it)| it.data_centre == data_centre);
+        let listed = here.filter(|(_, it)| it.alive || self.list_lags);
+        listed.map(|(node, _)| node).take(WATCHERS).collect()
+    }
+
+    fn roles(&self, node: usize) -> Roles {
+        let own = self.instances[node].data_centre;
+        let key = |node: usize| self.instances[node].key;
+        let listed = |node: &usize| self.instances[*node].alive || self.list_lags;
+        let all: Vec<usize> = (0..self.size()).filter(listed).collect();
+        let others = (0..self.data_centres).filter(|it| *it != own);
+        Roles {
+            me: key(node),
+            watchers: self.watchers(own).into_iter().map(key).collect(),
+            near: all
+                .iter()
+                .filter(|it| self.instances[**it].data_centre == own)
+                .map(|it| key(*it))
+                .collect(),
+            far: others
+                .filter_map(|it| self.watchers(it).first().map(|it| key(*it)))
+                .collect(),
+            all: all.into_iter().map(key).collect(),
+        }
+    }
+
+    fn node_of(&self, key: InstanceKey) -> usize {
+        let mut instances = self.instances.iter();
+        instances.position(|it| it.key == key).unwrap()
+    }
+
+    fn push(&mut self, at: Time, node: usize, life: u64, what: What) {
+        self.sequence += 1;
+        self.queue.insert((at, self.sequence), (node, life, what));
+    }
+
+    pub fn run_for(&mut self, duration: Duration) {
+        let end = self.now + duration;
+        self.run_until(end, |_| false);
+    }
+
+    /// Runs until `done`, or to `end`; returns whether `done` came first.
+    pub fn run_until(&mut self, end: Time, done: impl Fn(&Fleet) -> bool) -> bool {
+        loop {
+            if done(self) {
+                return true;
+            }
+            let event = self.queue.first_key_value().map(|((at, _), _)| *at);
+            let wake = self.wakes.first().map(|(at, _)| *at);
+            let next = event
+                .unwrap_or(Time::NEVER)
+                .min(wake.unwrap_or(Time::NEVER));
+            if next > end {
+                self.now = end;
+                return done(self);
+            }
+            self.now = self.now.max(next);
+            if event.is_some_and(|at| at <= next) {
+                let (_, (node, life, what)) = self.queue.pop_first().unwrap();
+                self.deliver(node, life, what);
+            } else {
+                let (_, node) = self.wakes.pop_first().unwrap();
+                self.wake_of[node] = Time::NEVER;
+                self.with(node, |sync, now, out| sync.tick(now, out));
+            }
+        }
+    }
+
+    fn deliver(&mut self, node: usize, life: u64, what: What) {
+        if let What::Call(name, above) = what {
+            return self.call(node, life, name, above);
+        }
+        let instance = &self.instances[node];
+        if !instance.alive || instance.life != life {
+            return;
+        }
+        match what {
+            What::Start => {
+                self.instances[node].started = true;
+                self.with(node, |sync, now, _| sync.start(now));
+            }
+            What::Roles => {
+                let roles = self.roles(node);
+                self.with(node, |sync, now, out| sync.set_roles(now, roles, out));
+            }
+            What::Message(from, revision, message) => {
+                let from = peer_id(from);
+                self.with(node, |sync, now, out| {
+                    sync.peer_revision(now, from, revision);
+                    sync.message(now, from, message, out);
+                });
+            }
+            What::Value(name, revision, bytes) => {
+                self.with(node, |sync, now, out| {
+                    sync.value(now, &name, revision, &bytes, out);
+                });
+            }
+            What::Unchanged => self.with(node, |sync, now, _| {
+                sync.unchanged(now, &ValueName::CatalogueIndex);
+            }),
+            What::Failed(name) => {
+                self.with(node, |sync, now, out| sync.failed(now, &name, out));
+            }
+            What::Call(..) => unreachable!("handled above"),
+        }
+    }
+
+    /// Calls a node and carries out what it asks for.
+    pub fn with(
+        &mut self,
+        node: usize,
+        call: impl FnOnce(&mut CatalogueSync, Time, &mut Vec<SyncAction>),
+    ) {
+        if !self.instances[node].alive {
+            return;
+        }
+        let mut out = Vec::new();
+        call(&mut self.instances[node].sync, self.now, &mut out);
+        let life = self.instances[node].life;
+        for action in out {
+            self.carry_out(node, life, action);
+        }
+        let wake = self.instances[node].sync.next_wake();
+        self.wakes.remove(&(self.wake_of[node], node));
+        self.wake_of[node] = wake;
+        if wake < Time::NEVER {
+            self.wakes.insert((wake.max(self.now), node));
+            self.wake_of[node] = wake.max(self.now);
+        }
+    }
+
+    fn carry_out(&mut self, node: usize, life: u64, action: SyncAction) {
+        match action {
+            SyncAction::Read(name) => {
+                self.push(self.now + LATENCY, node, life, What::Call(name, None));
+            }
+            SyncAction::WatchIndex { above } => {
+                let call = What::Call(ValueName::CatalogueIndex, Some(above));
+                self.push(self.now + LATENCY, node, life, call);
+            }
+            SyncAction::Send { to, message } => self.send(node, to, message),
+            SyncAction::Note(note) => self.instances[node].notes.push(note),
+            SyncAction::Changed(change) => {
+                if let SyncChange::InForce { revision } = change {
+                    let now = self.now;
+                    let instance = &mut self.instances[node];
+                    instance.in_force_at.entry(revision).or_insert(now);
+                    instance.highest = instance.highest.max(revision);
+                }
+                self.instances[node].changes.push(change);
+            }
+        }
+    }
+
+    fn send(&mut self, from: usize, to: InstanceKey, message: CatalogueMessage) {
+        let encoded = bincode::serde::encode_to_vec(&message, bincode::config::standard());
+        self.sent_bytes[from] += encoded.unwrap().len() as u64;
+        let to = self.node_of(to);
+        let is_cut = self.cut.is_some_and(|side| side(from) != side(to));
+        if is_cut || !self.instances[to].started {
+            return;
+        }
+        let life = self.instances[to].life;
+        let revision = self.instances[from].sync.revision();
+        let what = What::Message(from, revision, message);
+        self.push(self.now + LATENCY, to, life, what);
+    }
+
+    fn call(&mut self, node: usize, life: u64, name: ValueName, above: Option<u64>) {
+        self.platform.calls.push(self.now);
+        let reachable = self.cut.is_none_or(|side| !side(node));
+        if !self.platform.up || !reachable {
+            return self.answer(node, life, What::Failed(name));
+        }
+        match above {
+            Some(above) if self.platform.index.0 <= above => {
+                let until = self.now + WATCH_HOLD;
+                self.platform.waiting.push((node, life, above, until));
+                self.push(until, node, life, What::Unchanged);
+            }
+            _ => self.answer(node, life, self.value(&name)),
+        }
+    }
+
+    fn value(&self, name: &ValueName) -> What {
+        let (revision, bytes) = match name {
+            ValueName::CatalogueShard(number) => (1, self.platform.shards.get(number).cloned()),
+            _ => (self.platform.index.0, Some(self.platform.index.1.clone())),
+        };
+        match bytes {
+            Some(bytes) => What::Value(name.clone(), revision, bytes),
+            None => What::Failed(name.clone()),
+        }
+    }
+
+    fn answer(&mut self, node: usize, life: u64, what: What) {
+        self.push(self.now + LATENCY, node, life, what);
+    }
+
+    pub fn sync(&self, node: usize) -> &CatalogueSync {
+        &self.instances[node].sync
+    }
+
+    pub fn revision(&self, node: usize) -> u64 {
+        self.sync(node).revision()
+    }
+
+    /// Returns whether every live instance has this revision in force.
+    pub fn all_at(&self, revision: u64) -> bool {
+        let mut live = self.instances.iter().filter(|it| it.alive);
+        live.all(|it| it.sync.revision() == revision)
+    }
+
+    pub fn notes(&self, node: usize) -> &[Note] {
+        &self.instances[node].notes
+    }
+
+    pub fn changes(&self, node: usize) -> &[SyncChange] {
+        &self.instances[node].changes
+    }
+
+    /// Returns the most calls of the platform in any second since `start`.
+    pub fn peak_calls(&self, start: Time) -> usize {
+        let calls = &self.platform.calls;
+        let calls = &calls[calls.partition_point(|at| *at < start)..];
+        let second = Duration::from_secs(1);
+        let window = |(first, at): (usize, &Time)| {
+            calls[first..].partition_point(|other| *other < *at + second)
+        };
+        calls.iter().enumerate().map(window).max().unwrap_or(0)
+    }
+
+    pub fn calls_since(&self, start: Time) -> usize {
+        let calls = &self.platform.calls;
+        calls.len() - calls.partition_point(|at| *at < start)
+    }
+}
+
+fn peer_id(node: usize) -> PeerId {
+    PeerId {
+        instance: InstanceKey::of(&format!("instance-{node}")),
+        incarnation: Incarnation(node as u64),
+    }
+}
