A request may try an endpoint again when no other is left

Cause: a retry excluded the endpoint that failed for good, so that where a model has one endpoint, one broken connection failed the request. Change: when every cell refuses for want of endpoints and only excluded ones are left, the request waits 500 ms and tries them again, within its attempts. Figures: the new test: 1 dispatch and a refusal before, 2 dispatches after.

--- a/crates/core/src/node/ask.rs
+++ b/crates/core/src/node/ask.rs
@@ -20,6 +20,9 @@
 use core::time::Duration;
 use rand::Rng;
 
+/// How long a request waits before it tries an endpoint again where it failed.
+const SECOND_CHANCE_AFTER: Duration = Duration::from_millis(500);
+
 /// Refusals that mean "not here, now", so that another cell may do.
 fn is_local(reason: Reason) -> bool {
     matches!(
@@ -231,8 +234,34 @@
         }
     }
 
+    /// If only the endpoints where the request failed are left, lets it try them
+    /// again after a while. One that dropped a connection is often back within
+    /// a second, and where a cell has one endpoint there is no other. Returns
+    /// whether it does; the attempts are bounded by [`crate::retry`].
+    fn give_second_chance(&mut self, seq: u64) -> bool {
+        let until = self.now + SECOND_CHANCE_AFTER;
+        let Some(request) = self.requests.get_mut(&seq) else {
+            return false;
+        };
+        let none_left = request
+            .refusals
+            .iter()
+            .all(|it| it.reason == Reason::NoEndpoint);
+        if !none_left || request.exclude.is_empty() || until >= request.gives_up_at() {
+            return false;
+        }
+        request.exclude.clear();
+        request.refusals.clear();
+        request.stage = Stage::BackingOff { until };
+        self.timers.set(until, TimerKind::Request(seq));
+        true
+    }
+
     /// Every cell refused: says why, and when it is worth coming back.
     fn refuse_by_cells(&mut self, seq: u64) {
+        if self.give_second_chance(seq) {
+            return;
+        }
         let Some(request) = self.requests.get(&seq) else {
             return;
         };
--- a/crates/core/tests/node/failures.rs
+++ b/crates/core/tests/node/failures.rs
@@ -200,3 +200,18 @@
     assert_eq!(dispatches[1].mode, AttemptMode::Replay { delivered: 900 });
     assert_ne!(dispatches[1].endpoint.key, first.endpoint.key);
 }
+
+/// Symptom: where a model has one endpoint, one broken connection fails the
+/// request, though the endpoint is back at once. Sequence: the only endpoint
+/// fails before the first token. Cause: a retry excludes it for good.
+#[test]
+fn the_only_endpoint_is_tried_again() {
+    let mut world = World::new(1, 1);
+    let id = world.request(0, "plan");
+    world.run_for(SECOND);
+
+    world.fail(world.dispatches(id)[0].attempt, Reason::ConnectionLost);
+    world.run_for(Duration::from_secs(3));
+
+    assert_eq!(world.dispatches(id).len(), 2, "{:?}", world.verdict(id));
+}
