Settings without effect are gone

Cause: nine settings were described, checked and read by nobody; an operator who changed one would have waited for an effect. Change: they are removed from the table.

--- a/crates/oriolemux/src/settings/relations.rs
+++ b/crates/oriolemux/src/settings/relations.rs
@@ -71,7 +71,7 @@
 /// A heartbeat as long as the silence that ends a link would end every quiet link, seen as
 /// links that go up and down all the time.
 fn check_order(settings: &Settings, cx: &mut RelationContext<'_>) {
-    let (peers, platform) = (&settings.peers, &settings.platform);
+    let peers = &settings.peers;
     let claims = &settings.claims;
     let sent_late = claims.valid_ms.0.saturating_add(claims.list_fresh_ms.0);
     let rules = [
@@ -89,13 +89,6 @@
             floor_key: "reconnect_min_ms",
             floor: peers.reconnect_min_ms,
         },
-        AtLeast {
-            section: "platform",
-            key: "retry_max_ms",
-            value: platform.retry_max_ms,
-            floor_key: "retry_min_ms",
-            floor: platform.retry_min_ms,
-        },
         // A new home that grants before the old one's outcomes are past their
         // promise, or while a holder may still send, runs work twice.
         AtLeast {
--- a/crates/oriolemux/src/settings/table.rs
+++ b/crates/oriolemux/src/settings/table.rs
@@ -119,8 +119,6 @@
         max_requests: u32 = default(4096).range(1, 1_000_000);
         /// The largest request body in bytes.
         max_body_bytes: usize = default(MIB).range(1024, 64 * MIB as i64);
-        /// The largest request head in bytes.
-        max_header_bytes: usize = default(16 * 1024).range(8192, 1024 * 1024);
         /// A request must have arrived whole within this time.
         read_timeout_ms: Millis = default(Millis(10_000)).range(100, DAY_MS);
         /// A caller that takes nothing for this long counts as gone.
@@ -169,12 +167,6 @@
         /// A watch must be answered within this time, which must be longer than
         /// the service holds a watch open.
         watch_timeout_ms: Millis = default(Millis(30_000)).range(10, 600_000);
-        /// The largest value in bytes.
-        max_value_bytes: usize = default(MIB).range(1024, 64 * MIB as i64);
-        /// The first pause after a failed read; it doubles up to `retry_max_ms`, with jitter.
-        retry_min_ms: Millis = default(Millis(200)).range(1, 60_000);
-        /// The longest pause after a failed read.
-        retry_max_ms: Millis = default(Millis(5_000)).range(1, 600_000);
     }
 
     /// The connections to endpoints.
@@ -185,12 +177,6 @@
         stall_timeout_ms: Millis = default(Millis(5_000)).range(10, DAY_MS);
         /// Load reports and cache events must be answered within this time.
         report_timeout_ms: Millis = default(Millis(1_000)).range(10, 60_000);
-        /// The largest event of an answer in bytes; a larger one is garbage.
-        max_event_bytes: usize = default(64 * 1024).range(1024, 16 * MIB as i64);
-        /// The largest answer of a plain service in bytes.
-        max_answer_bytes: usize = default(4 * MIB).range(1024, 256 * MIB as i64);
-        /// Idle connections that are kept for each endpoint.
-        max_idle_connections: u32 = default(64).range(0, 100_000);
     }
 
     /// What is logged, to standard error.
@@ -201,15 +187,10 @@
         level: LogLevel = default(LogLevel::Info);
     }
 
-    /// Bounds of the instance's own making; what a workspace may take stands in the catalogue.
+    /// Bounds of the instance itself; what a workspace may take stands in the catalogue.
     limits: LimitsSettings {
-        /// Retries allowed as a share of recent requests, in percent.
-        retry_budget_pct: u32 = default(10).range(0, 100);
         /// Decision records that are kept for `explain`.
         explain_records: u32 = default(4096).range(16, 1_000_000);
-        /// What must be decided on a fresh list of instances is refused with the
-        /// reason `list_stale` when the list was not confirmed for this long.
-        list_max_age_ms: Millis = default(Millis(60_000)).range(100, DAY_MS);
     }
 
     /// Claims of tickets and idempotency keys, by which work that must not run twice is kept
