--- a/crates/core/src/node/snapshot.rs
+++ b/crates/core/src/node/snapshot.rs
@@ -81,7 +81,12 @@
     /// Returns why a request went as it did, as text, if it is remembered.
     pub fn explain(&self, id: RequestId) -> Option<Vec<Line>> {
         let record = self.explain.record(id)?;
-        Some(record.lines(&PublishedNames(self.membership.view())))
+        Some(record.lines(&self.names()))
+    }
+
+    /// Returns the names that the list in force publishes.
+    pub fn names(&self) -> impl Names {
+        PublishedNames(self.membership.view())
     }
 
     /// Returns the published name of an endpoint.
--- a/crates/oriolemux/src/node_task.rs
+++ b/crates/oriolemux/src/node_task.rs
@@ -210,7 +210,7 @@
                     send_before,
                 } => self.effects.order(endpoint, fencing, kind, send_before),
                 Action::WakeAt(at) => self.wake = at,
-                Action::Note(note) => self.effects.note(&note),
+                Action::Note(note) => self.effects.note(&note, &self.node.names()),
                 Action::Stopped => self.stopped = true,
             }
         }
--- a/crates/oriolemux/src/node_task/effects.rs
+++ b/crates/oriolemux/src/node_task/effects.rs
@@ -5,6 +5,7 @@
 use crate::events;
 use crate::peers::PeersHandle;
 use oriolemux_core::event::{EndpointTarget, Event, OrderKind, PeerTarget, ValueName};
+use oriolemux_core::explain::Names;
 use oriolemux_core::note::Note;
 use oriolemux_core::peer::PeerEnvelope;
 use oriolemux_core::{InstanceKey, Time};
@@ -25,8 +26,8 @@
     fn links(&self, peers: Vec<PeerTarget>);
     /// Sends a frame to a peer; lost if there is no link.
     fn send(&self, to: InstanceKey, envelope: PeerEnvelope);
-    /// Counts and logs something.
-    fn note(&self, note: &Note);
+    /// Counts and logs something, under the published names.
+    fn note(&self, note: &Note, names: &impl Names);
 }
 
 /// The effects of a running process.
@@ -128,7 +129,7 @@
         let _ = self.peers.send(to, &envelope);
     }
 
-    fn note(&self, note: &Note) {
-        events::emit(note);
+    fn note(&self, note: &Note, names: &impl Names) {
+        events::emit_named(note, names);
     }
 }
--- a/crates/oriolemux/src/settings/table.rs
+++ b/crates/oriolemux/src/settings/table.rs
@@ -112,7 +112,8 @@
     callers: CallersSettings {
         /// Address and port on which callers are served.
         listen: SocketAddr = required();
-        /// The most connections at once; further ones are closed at once.
+        /// The most connections at once; further ones are refused with the reason
+        /// `instance_full` and closed.
         max_connections: u32 = default(4096).range(1, 1_000_000);
         /// The most requests that are held at once, running or waiting;
         /// further ones are refused with the reason `instance_full`.
