Orders to endpoints, reconciled to the catalogue by one giver for each cell

Cause: endpoints hold models, versions and adapters that the catalogue asks for; two processes that order one endpoint contradict each other, and some endpoints obey whoever comes last.

Change: the giver is ranked over what the list calls live, whatever links say. Fencing numbers are the list's revision and a count, above the highest that the endpoint has seen, and never given on a revision below it. Every order needs a list confirmed in the last 10 s and a catalogue known to be current, and ends with that lease. Where the endpoint does not refuse a stale giver, or has forgotten what it saw, a new giver waits 45 s (lease, lag of the list, margin). What is missing is loaded first; what is not wanted goes only when unused. Givers share the weight store's rate; a cell loads at a quarter at once.

A read that the platform answers with the revision in force now confirms the list from when it was sent; before, the older watch's time was taken and no list was ever fresh enough while a watch was out.

Ten givers of a store that bears 30 loads a minute gave at most 310 in ten minutes.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod memory;
 pub mod node;
 pub mod note;
+pub mod orders;
 pub mod outcome;
 pub mod peer;
 pub mod queue;
--- a/crates/core/src/membership/homes.rs
+++ b/crates/core/src/membership/homes.rs
@@ -86,6 +86,21 @@
         self.view.cell(cell).map_or(&[], |it| it.homes.as_slice())
     }
 
+    /// Returns the instance that gives orders to a cell's endpoints.
+    ///
+    /// It ranks first among those that the list calls live, whatever links and
+    /// peers say of them; [`crate::orders`] says why.
+    pub fn giver_of_cell(&self, cell: CellKey) -> Option<InstanceKey> {
+        let near = self.view.cell(cell)?.data_centre;
+        let listed = self.view.instances();
+        let live = listed.filter(|it| it.record.state == ListedState::Live);
+        let candidates = live.map(|it| Candidate {
+            instance: it.key,
+            near: it.data_centre == near,
+        });
+        rendezvous::first(cell.0, candidates)
+    }
+
     /// Returns whether this instance is the home of a cell.
     pub fn is_home_of_cell(&self, cell: CellKey) -> bool {
         self.home_of_cell(cell) == Some(self.me)
--- a/crates/core/src/membership/reads.rs
+++ b/crates/core/src/membership/reads.rs
@@ -134,8 +134,7 @@
     /// The platform answered with a list.
     pub fn list(&mut self, now: Time, list: InstanceList, out: &mut Vec<MembershipAction>) {
         let revision = list.revision;
-        let asked_at = self.reads.oldest_out().unwrap_or(now);
-        self.reads.clear_out();
+        let asked_at = self.take_answered(now, revision);
         self.platform_answered(out);
         self.consider_list(now, list, out);
         // A service that serves an old revision must not make the list look fresh.
@@ -146,6 +145,21 @@
         self.schedule_next(now);
     }
 
+    /// Returns when the call was sent that is answered by a list of `revision`.
+    ///
+    /// A watch is answered by a higher revision only, so that the one in force
+    /// answers the read; for any other the older call is taken, to be safe.
+    fn take_answered(&mut self, now: Time, revision: u64) -> Time {
+        if revision == self.view.revision()
+            && let Some(read) = self.reads.read.take()
+        {
+            return read;
+        }
+        let asked_at = self.reads.oldest_out().unwrap_or(now);
+        self.reads.clear_out();
+        asked_at
+    }
+
     /// The platform answered that there is nothing newer.
     pub fn list_unchanged(&mut self, now: Time, out: &mut Vec<MembershipAction>) {
         let asked_at = self.reads.watch.take().unwrap_or(now);
@@ -205,6 +219,13 @@
         self.reads.fresh_at.map(|it| now.since(it))
     }
 
+    /// Returns when the call was sent that last confirmed the list in force;
+    /// `None` if a newer one is known to exist.
+    pub fn list_confirmed(&self) -> Option<Time> {
+        let is_newest = self.view.revision() >= self.reads.told && self.doubt.is_none();
+        self.reads.fresh_at.filter(|_| is_newest)
+    }
+
     /// A peer said which revision of the list it holds.
     pub fn peer_revision(
         &mut self,
--- /dev/null
+++ b/crates/core/src/orders/give.rs
@@ -0,0 +1,317 @@
+//! When an order may be given, and what becomes of it.
+
+use super::endpoint::{ANSWER_LIMIT, Ordered};
+use super::fence::{FENCE_REVISION_SHIFT, next_fence};
+use super::goals::EndpointGoal;
+use super::reconcile::takes_weights;
+use super::{GIVER_LEASE, OrdersAction};
+use crate::event::{LoadReport, LoadedModel, OrderKind, OrderResult};
+use crate::ids::{CellKey, EndpointKey};
+use crate::note::Note;
+use crate::time::Time;
+use core::time::Duration;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use std::collections::BTreeMap;
+
+/// An order is sent within this time or not at all.
+const SEND_LIMIT: Duration = Duration::from_secs(2);
+
+/// The part of a cell's endpoints that load at the same time at most.
+const LOADING_PART: u32 = 4;
+
+/// The list is asked for again at most so often for the sake of an order.
+const FRESHEN_EVERY: Duration = Duration::from_secs(2);
+
+/// How the giver of orders takes part.
+#[derive(Clone, Copy, Debug)]
+pub struct OrdersConfig {
+    /// Loads that the weight store bears in a minute, over all givers.
+    pub loads_per_minute: u32,
+    /// Seed of the jitter.
+    pub seed: u64,
+}
+
+impl Default for OrdersConfig {
+    fn default() -> Self {
+        OrdersConfig {
+            loads_per_minute: 30,
+            seed: 0,
+        }
+    }
+}
+
+/// What the giver knows about its own standing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Knowledge {
+    /// The revision of the list in force.
+    pub list_revision: u64,
+    /// When the call was sent that last confirmed that list; `None` if it was
+    /// never confirmed.
+    pub confirmed: Option<Time>,
+    /// Whether the catalogue in force is the newest that anybody has told of.
+    pub is_catalogue_current: bool,
+    /// How many instances give orders.
+    pub givers: u32,
+}
+
+impl Knowledge {
+    /// Returns until when orders may be given on it.
+    fn lease_end(&self) -> Time {
+        self.confirmed.map_or(Time::ZERO, |it| it + GIVER_LEASE)
+    }
+}
+
+/// Gives orders to the endpoints that this instance is the giver for.
+///
+/// Invariant: at most one order is out for an endpoint, and the numbers given
+/// to it only grow.
+#[derive(Clone, Debug)]
+pub struct Orders {
+    cfg: OrdersConfig,
+    rng: SmallRng,
+    endpoints: BTreeMap<EndpointKey, Ordered>,
+    /// The number used last.
+    last: u64,
+    /// When this giver may take weights again.
+    next_load: Option<Time>,
+    /// When the list was asked for last.
+    freshened: Option<Time>,
+    wake: Time,
+}
+
+impl Orders {
+    /// Creates a giver of no orders.
+    pub fn new(cfg: OrdersConfig) -> Self {
+        Orders {
+            cfg,
+            rng: SmallRng::seed_from_u64(cfg.seed),
+            endpoints: BTreeMap::new(),
+            last: 0,
+            next_load: None,
+            freshened: None,
+            wake: Time::NEVER,
+        }
+    }
+
+    /// Takes in the goals that follow from a new list, catalogue or notice.
+    pub fn set_goals(&mut self, now: Time, goals: Vec<EndpointGoal>) {
+        let mut before = core::mem::take(&mut self.endpoints);
+        for goal in goals {
+            let key = goal.endpoint.key;
+            let known = before.remove(&key);
+            let ordered = match known {
+                Some(known) => known.with_goal(goal),
+                None => Ordered::new(now, goal),
+            };
+            self.endpoints.insert(key, ordered);
+        }
+        self.wake = now;
+    }
+
+    /// Returns how many endpoints this instance gives orders to.
+    pub fn endpoints(&self) -> usize {
+        self.endpoints.len()
+    }
+
+    /// An endpoint reported what it holds.
+    pub fn report(&mut self, now: Time, endpoint: EndpointKey, report: &LoadReport) {
+        let Some(ordered) = self.endpoints.get_mut(&endpoint) else {
+            return;
+        };
+        let lag = u64::from(report.lag_ms) * 1_000;
+        let true_at = Time::from_micros(now.as_micros().saturating_sub(lag));
+        ordered.take_report(true_at, report);
+        self.wake = now;
+    }
+
+    /// An endpoint answered an order.
+    pub fn done(&mut self, now: Time, endpoint: EndpointKey, fencing: u64, result: OrderResult) {
+        let retry = self.rng.random_range(0.5..1.0);
+        let Some(ordered) = self.endpoints.get_mut(&endpoint) else {
+            return;
+        };
+        ordered.answered(now, fencing, result, retry);
+        self.wake = now;
+    }
+
+    /// Returns when [`Orders::tick`] is due.
+    pub fn next_wake(&self) -> Time {
+        self.wake
+    }
+
+    /// Gives whatever orders are due.
+    ///
+    /// `is_used` says whether a generation runs on a model of an endpoint.
+    pub fn tick(
+        &mut self,
+        now: Time,
+        knowledge: &Knowledge,
+        is_used: &impl Fn(EndpointKey, &LoadedModel) -> bool,
+        out: &mut Vec<OrdersAction>,
+    ) {
+        self.wake = Time::NEVER;
+        let mut loading = self.loading();
+        let keys: Vec<EndpointKey> = self.endpoints.keys().copied().collect();
+        for key in keys {
+            self.tick_endpoint(now, key, knowledge, is_used, &mut loading, out);
+        }
+    }
+
+    /// Returns how many endpoints of each cell load something.
+    fn loading(&self) -> BTreeMap<CellKey, u32> {
+        let mut loading = BTreeMap::new();
+        for ordered in self.endpoints.values().filter(|it| it.is_loading()) {
+            *loading.entry(ordered.goal.cell).or_default() += 1;
+        }
+        loading
+    }
+
+    fn tick_endpoint(
+        &mut self,
+        now: Time,
+        key: EndpointKey,
+        knowledge: &Knowledge,
+        is_used: &impl Fn(EndpointKey, &LoadedModel) -> bool,
+        loading: &mut BTreeMap<CellKey, u32>,
+        out: &mut Vec<OrdersAction>,
+    ) {
+        let retry = self.rng.random_range(0.5..1.0);
+        let Some(ordered) = self.endpoints.get_mut(&key) else {
+            return;
+        };
+        let wake = ordered.settle(now, retry);
+        self.wake = self.wake.min(wake);
+        let Some(kind) = ordered.next_change(is_used) else {
+            ordered.is_held = false;
+            return;
+        };
+        let cell = ordered.goal.cell;
+        let most = (ordered.goal.cell_size / LOADING_PART).max(1);
+        let in_cell = loading.entry(cell).or_default();
+        let is_load = takes_weights(&kind);
+        if is_load && *in_cell >= most {
+            return;
+        }
+        if let Err(hold) = self.may_order(now, key, knowledge, is_load) {
+            self.hold(now, key, hold, out);
+            return;
+        }
+        if self.give(now, key, kind, knowledge, out) && is_load {
+            *in_cell += 1;
+        }
+    }
+
+    /// Returns whether an order may be given now, or why not.
+    fn may_order(
+        &mut self,
+        now: Time,
+        key: EndpointKey,
+        knowledge: &Knowledge,
+        is_load: bool,
+    ) -> Result<(), Hold> {
+        if !knowledge.is_catalogue_current {
+            return Err(Hold::Until(now + FRESHEN_EVERY));
+        }
+        if now >= knowledge.lease_end() {
+            return Err(Hold::Stale);
+        }
+        let ordered = &self.endpoints[&key];
+        if now < ordered.safe_from() {
+            return Err(Hold::Until(ordered.safe_from()));
+        }
+        if ordered.highest >> FENCE_REVISION_SHIFT > knowledge.list_revision {
+            return Err(Hold::Stale);
+        }
+        match is_load {
+            true => self.may_load(now, knowledge.givers),
+            false => Ok(()),
+        }
+    }
+
+    /// Keeps to this giver's part of the weight store's rate.
+    ///
+    /// The first load waits for a random part of the pause, because a new
+    /// catalogue reaches all givers at once.
+    fn may_load(&mut self, now: Time, givers: u32) -> Result<(), Hold> {
+        let pause = self.load_pause(givers);
+        let rng = &mut self.rng;
+        let first = || now + pause.mul_f64(rng.random_range(0.0..1.0));
+        let next = *self.next_load.get_or_insert_with(first);
+        if now < next {
+            return Err(Hold::Until(next));
+        }
+        Ok(())
+    }
+
+    fn load_pause(&self, givers: u32) -> Duration {
+        Duration::from_secs(60) * givers.max(1) / self.cfg.loads_per_minute.max(1)
+    }
+
+    fn hold(&mut self, now: Time, key: EndpointKey, hold: Hold, out: &mut Vec<OrdersAction>) {
+        let until = match hold {
+            Hold::Until(until) => until,
+            Hold::Stale => {
+                let next = self.freshened.map_or(now, |it| it + FRESHEN_EVERY);
+                if next <= now {
+                    self.freshened = Some(now);
+                    out.push(OrdersAction::WantFreshList);
+                }
+                next.max(now + FRESHEN_EVERY)
+            }
+        };
+        self.wake = self.wake.min(until);
+        let Some(ordered) = self.endpoints.get_mut(&key) else {
+            return;
+        };
+        if !ordered.is_held {
+            ordered.is_held = true;
+            out.push(OrdersAction::Note(Note::OrderHeld { endpoint: key }));
+        }
+    }
+
+    fn give(
+        &mut self,
+        now: Time,
+        key: EndpointKey,
+        kind: OrderKind,
+        knowledge: &Knowledge,
+        out: &mut Vec<OrdersAction>,
+    ) -> bool {
+        let pause = self.load_pause(knowledge.givers);
+        let Some(ordered) = self.endpoints.get_mut(&key) else {
+            return false;
+        };
+        let revision = knowledge.list_revision;
+        let Some(fencing) = next_fence(revision, self.last, ordered.highest) else {
+            return false;
+        };
+        self.last = fencing;
+        if takes_weights(&kind) {
+            self.next_load = Some(now + pause);
+        }
+        ordered.is_held = false;
+        ordered.sent(now, fencing, kind.clone());
+        self.wake = self.wake.min(now + ANSWER_LIMIT);
+        out.push(OrdersAction::Give {
+            endpoint: ordered.goal.endpoint.clone(),
+            fencing,
+            kind,
+            send_before: (now + SEND_LIMIT).min(knowledge.lease_end()),
+        });
+        out.push(OrdersAction::Note(Note::Ordered {
+            endpoint: key,
+            fencing,
+        }));
+        true
+    }
+}
+
+/// Why an order is held back.
+#[derive(Clone, Copy, Debug)]
+enum Hold {
+    /// It may be given later, if nothing changes.
+    Until(Time),
+    /// The list has to be confirmed first.
+    Stale,
+}
--- /dev/null
+++ b/crates/core/tests/orders_failures.rs
@@ -0,0 +1,390 @@
+//! Orders to endpoints when givers differ, pause or know too little.
+
+#[path = "fixtures/orders.rs"]
+mod fixture;
+
+use fixture::{Engine, Giver, Sent, goal, loaded};
+use oriolemux_core::event::{OrderKind, OrderResult};
+use oriolemux_core::ids::EndpointKey;
+use oriolemux_core::membership::FencingSupport;
+use oriolemux_core::orders::{
+    FENCE_REVISION_SHIFT, GIVER_LEASE, HAND_OVER_WAIT, next_change, next_fence,
+};
+use oriolemux_core::time::Time;
+use proptest::prelude::*;
+use rstest::rstest;
+use std::time::Duration;
+
+const T: Time = Time::from_secs(1_000);
+const CHECKED: FencingSupport = FencingSupport::Checked;
+const IGNORED: FencingSupport = FencingSupport::Ignored;
+const UNCHECKED: FencingSupport = FencingSupport::Unchecked;
+
+fn e1() -> EndpointKey {
+    EndpointKey::of("e1")
+}
+
+fn engines(fencing: FencingSupport) -> Vec<(EndpointKey, Engine)> {
+    vec![(e1(), Engine::new(fencing))]
+}
+
+fn giver(now: Time, revision: u64, fencing: FencingSupport, version: &str) -> Giver {
+    Giver::new(now, revision, vec![goal("e1", fencing, &[("m", version)])])
+}
+
+/// Gives a report and returns the orders that follow.
+fn report_and_tick(giver: &mut Giver, now: Time, engine: &Engine) -> Vec<Sent> {
+    giver.orders.report(now, e1(), &engine.report());
+    giver.tick(now)
+}
+
+#[test]
+fn an_empty_endpoint_is_loaded_once() {
+    let mut engines = engines(CHECKED);
+    let mut now = T;
+    giver(T, 5, CHECKED, "1").run(&mut now, Duration::from_secs(60), &mut engines);
+    assert_eq!(engines[0].1.models, [loaded("m", "1")]);
+    assert_eq!(engines[0].1.done.len(), 1, "reconciliation is idempotent");
+    assert_eq!(engines[0].1.done[0].0 >> FENCE_REVISION_SHIFT, 5);
+}
+
+#[test]
+fn nothing_is_ordered_of_an_endpoint_that_has_not_reported() {
+    let sent = giver(T, 5, CHECKED, "1").tick(T + Duration::from_secs(100));
+    assert!(sent.is_empty());
+}
+
+#[test]
+fn a_new_version_is_loaded_before_the_old_one_goes_and_not_while_it_is_used() {
+    // Symptom: a plan was cut off in the middle by a change of version.
+    // Sequence: the catalogue asks for version 2 while a plan runs on 1.
+    // Cause: the old version was unloaded as soon as it was not wanted.
+    let mut engines = engines(CHECKED);
+    engines[0].1.models = vec![loaded("m", "1"), loaded("other", "7")];
+    let mut giver = giver(T, 5, CHECKED, "2");
+    giver.used = vec![loaded("m", "1")];
+    let mut now = T;
+    giver.run(&mut now, Duration::from_secs(30), &mut engines);
+    let held = &engines[0].1.models;
+    assert_eq!(
+        held,
+        &[loaded("m", "1"), loaded("other", "7"), loaded("m", "2")]
+    );
+    giver.used.clear();
+    giver.run(&mut now, Duration::from_secs(30), &mut engines);
+    let held = &engines[0].1.models;
+    assert_eq!(
+        held,
+        &[loaded("other", "7"), loaded("m", "2")],
+        "unmanaged ones stay"
+    );
+}
+
+#[test]
+fn an_adapter_is_loaded_after_its_model_and_an_unwanted_one_goes() {
+    let mut goal = goal("e1", CHECKED, &[("m", "1")]);
+    goal.models[0].adapters = vec!["a".to_owned()];
+    let mut held = loaded("m", "1");
+    held.adapters = vec!["b".to_owned()];
+    let adapter_of = |kind: Option<OrderKind>| match kind {
+        Some(OrderKind::Load { adapter, .. }) => ("load", adapter),
+        Some(OrderKind::Unload { adapter, .. }) => ("unload", adapter),
+        _ => ("none", None),
+    };
+    let unused = |_: &_| false;
+    assert_eq!(adapter_of(next_change(&goal, &[], unused)), ("load", None));
+    let change = next_change(&goal, &[held.clone()], unused);
+    assert_eq!(adapter_of(change), ("load", Some("a".to_owned())));
+    held.adapters.push("a".to_owned());
+    let change = next_change(&goal, &[held.clone()], unused);
+    assert_eq!(adapter_of(change), ("unload", Some("b".to_owned())));
+    held.adapters.remove(0);
+    assert_eq!(next_change(&goal, &[held], unused), None);
+}
+
+#[test]
+fn of_two_givers_the_one_with_the_later_list_wins_and_the_other_stops() {
+    // Symptom: an engine loaded and unloaded two versions in turn.
+    // Sequence: the giver moves; the old one holds an older list and catalogue.
+    // Cause: both went on ordering, each with numbers of its own.
+    let mut engine = Engine::new(CHECKED);
+    let mut old = giver(T, 5, CHECKED, "1");
+    let mut new = giver(T, 6, CHECKED, "2");
+    let order = report_and_tick(&mut new, T + Duration::from_secs(1), &engine);
+    assert_eq!(engine.obey(&order[0]), OrderResult::Accepted);
+    let order = report_and_tick(&mut old, T + Duration::from_secs(1), &Engine::new(CHECKED));
+    let refused = engine.obey(&order[0]);
+    assert!(matches!(refused, OrderResult::Fenced { .. }));
+    let now = T + Duration::from_secs(2);
+    old.orders.done(now, e1(), order[0].fencing, refused);
+    old.can_read = false;
+    assert!(old.tick(now).is_empty(), "a later list is known to exist");
+    assert_eq!((old.held, engine.models.len()), (1, 1));
+}
+
+#[rstest]
+#[case(IGNORED)]
+#[case(UNCHECKED)]
+fn a_new_giver_waits_out_the_old_ones_lease_where_the_endpoint_does_not_refuse(
+    #[case] fencing: FencingSupport,
+) {
+    // Symptom: an engine that ignores fencing ended with the old version.
+    // Sequence: the giver moves; the new one orders at once; an order of the
+    // old one, let go before it knew, arrives later.
+    // Cause: the endpoint obeys whoever comes last.
+    let engine = Engine::new(fencing);
+    let mut new = giver(T, 6, fencing, "2");
+    let just_before = T + (HAND_OVER_WAIT - Duration::from_millis(1));
+    assert!(report_and_tick(&mut new, just_before, &engine).is_empty());
+    assert_eq!(new.held, 1);
+    let order = report_and_tick(&mut new, T + HAND_OVER_WAIT, &engine);
+    assert_eq!(order.len(), 1);
+}
+
+#[rstest]
+#[case(CHECKED)]
+#[case(IGNORED)]
+fn a_giver_that_was_paused_sends_nothing_late(#[case] fencing: FencingSupport) {
+    // Symptom: an engine obeyed an order of a giver replaced a minute ago.
+    // Sequence: SIGSTOP between decision and send, SIGCONT a minute later.
+    // Cause: the order carried no end, and the lease was checked only before.
+    let engine = Engine::new(fencing);
+    let mut giver = giver(T, 5, fencing, "1");
+    giver.can_read = false;
+    let ready = T + HAND_OVER_WAIT;
+    giver.knowledge.confirmed = Some(ready);
+    let order = report_and_tick(&mut giver, ready + GIVER_LEASE / 2, &engine);
+    assert!(order[0].send_before <= ready + GIVER_LEASE);
+    let woken = ready + Duration::from_secs(60);
+    giver
+        .orders
+        .done(woken, e1(), order[0].fencing, OrderResult::Failed);
+    let later = woken + Duration::from_secs(5);
+    assert!(report_and_tick(&mut giver, later, &engine).is_empty());
+}
+
+#[test]
+fn nothing_is_ordered_on_a_list_that_is_not_confirmed() {
+    // Symptom: models were moved by an instance that was not the giver any more.
+    // Sequence: the platform is down for an hour; the list in force is old.
+    // Cause: the list was taken as true because nothing newer had come.
+    let engine = Engine::new(CHECKED);
+    let mut giver = giver(T, 5, CHECKED, "1");
+    giver.can_read = false;
+    let hour = T + Duration::from_secs(3600);
+    assert!(report_and_tick(&mut giver, hour, &engine).is_empty());
+    assert_eq!(giver.held, 1);
+    giver.can_read = true;
+    let later = hour + Duration::from_secs(10);
+    assert_eq!(report_and_tick(&mut giver, later, &engine).len(), 1);
+}
+
+#[test]
+fn nothing_is_ordered_on_a_catalogue_that_is_known_to_be_old() {
+    let engine = Engine::new(CHECKED);
+    let mut giver = giver(T, 5, CHECKED, "1");
+    giver.knowledge.is_catalogue_current = false;
+    let now = T + Duration::from_secs(1);
+    assert!(report_and_tick(&mut giver, now, &engine).is_empty());
+    giver.knowledge.is_catalogue_current = true;
+    assert_eq!(report_and_tick(&mut giver, now, &engine).len(), 1);
+}
+
+#[test]
+fn a_restarted_giver_orders_above_its_earlier_numbers() {
+    // Symptom: a restarted giver was refused by every engine for good.
+    // Sequence: it restarts under the same list and counts from one again; the
+    // reports lag and do not show its earlier numbers.
+    // Cause: the count is kept in memory only.
+    let mut engine = Engine::new(CHECKED);
+    engine.highest = (5 << FENCE_REVISION_SHIFT) + 40;
+    let mut giver = giver(T, 5, CHECKED, "1");
+    let now = T + Duration::from_secs(1);
+    let order = report_and_tick(&mut giver, now, &Engine::new(CHECKED));
+    let refused = engine.obey(&order[0]);
+    assert!(matches!(refused, OrderResult::Fenced { .. }));
+    giver.orders.done(now, e1(), order[0].fencing, refused);
+    let order = giver.tick(now + Duration::from_secs(1));
+    assert_eq!(engine.obey(&order[0]), OrderResult::Accepted);
+}
+
+#[test]
+fn an_endpoint_restarted_with_an_empty_memory_is_loaded_again() {
+    // Symptom: an engine stayed empty for ten minutes after a restart.
+    // Sequence: it accepts a load, dies, and comes back with nothing, also
+    // without the number that it had seen.
+    // Cause: the giver waited for the effect of an order that was forgotten.
+    let mut engines = engines(CHECKED);
+    let mut giver = giver(T, 5, CHECKED, "1");
+    let mut now = T;
+    giver.run(&mut now, Duration::from_secs(10), &mut engines);
+    engines[0].1.restart();
+    giver.run(&mut now, Duration::from_secs(5), &mut engines);
+    assert!(
+        engines[0].1.models.is_empty(),
+        "an earlier giver might still be obeyed"
+    );
+    giver.run(&mut now, HAND_OVER_WAIT, &mut engines);
+    assert_eq!(engines[0].1.models, [loaded("m", "1")]);
+    let numbers: Vec<u64> = engines[0].1.done.iter().map(|it| it.0).collect();
+    assert!(numbers.is_sorted());
+}
+
+#[test]
+fn an_order_that_was_accepted_is_not_repeated_for_a_report_that_lags() {
+    // Symptom: an engine was told to load the same model over and over.
+    // Sequence: a load takes minutes; reports show the model only afterwards.
+    // Cause: each report without the model led to another order.
+    let engine = Engine::new(CHECKED);
+    let mut giver = giver(T, 5, CHECKED, "1");
+    let mut now = T + Duration::from_secs(1);
+    let order = report_and_tick(&mut giver, now, &engine);
+    giver
+        .orders
+        .done(now, e1(), order[0].fencing, OrderResult::Accepted);
+    let mut seen = engine.clone();
+    seen.highest = order[0].fencing;
+    for _ in 0..120 {
+        now += Duration::from_secs(1);
+        assert!(report_and_tick(&mut giver, now, &seen).is_empty());
+    }
+}
+
+#[test]
+fn a_failed_order_is_repeated_with_growing_pauses_and_new_numbers() {
+    let engine = Engine::new(CHECKED);
+    let mut giver = giver(T, 5, CHECKED, "1");
+    let (mut now, mut at, mut numbers) = (T, Vec::new(), Vec::new());
+    while now < T + Duration::from_secs(120) {
+        now += Duration::from_millis(250);
+        for order in report_and_tick(&mut giver, now, &engine) {
+            at.push(now);
+            numbers.push(order.fencing);
+            giver
+                .orders
+                .done(now, e1(), order.fencing, OrderResult::Failed);
+        }
+    }
+    assert!((6..12).contains(&at.len()), "{at:?}");
+    assert!(numbers.windows(2).all(|it| it[0] < it[1]));
+}
+
+#[test]
+fn a_cell_loads_at_a_quarter_of_its_endpoints_at_once() {
+    let names: Vec<String> = (0..8).map(|i| format!("e{i}")).collect();
+    let goals = names.iter().map(|name| {
+        let mut goal = goal(name, CHECKED, &[("m", "2")]);
+        goal.cell_size = 8;
+        goal
+    });
+    let mut giver = Giver::new(T, 5, goals.collect());
+    let now = T + Duration::from_secs(1);
+    let engine = Engine::new(CHECKED);
+    let mut at_once = 0;
+    for step in 0..100 {
+        let now = now + Duration::from_millis(step * 20);
+        for name in &names {
+            let key = EndpointKey::of(name);
+            giver.orders.report(now, key, &engine.report());
+        }
+        at_once += giver.tick(now).len();
+    }
+    assert_eq!(at_once, 2);
+}
+
+#[test]
+fn givers_share_the_rate_of_the_weight_store() {
+    // Symptom: the weight store refused everybody after a change of version.
+    // Sequence: a new version reaches all givers at once; each loads at the
+    // whole rate.
+    // Cause: the rate was kept by each giver for itself.
+    let (givers, rate, minutes) = (10_u32, 30_u32, 10_u64);
+    let mut loads = 0;
+    for seed in 0..givers {
+        let names: Vec<String> = (0..40).map(|i| format!("e{i}")).collect();
+        let goals: Vec<_> = names
+            .iter()
+            .map(|name| {
+                let mut goal = goal(name, CHECKED, &[("m", "2")]);
+                goal.cell_size = 400;
+                goal
+            })
+            .collect();
+        let cfg = oriolemux_core::orders::OrdersConfig {
+            loads_per_minute: rate,
+            seed: u64::from(seed),
+        };
+        let mut giver = Giver::new(T, 5, goals.clone());
+        giver.orders = oriolemux_core::orders::Orders::new(cfg);
+        giver.orders.set_goals(T, goals);
+        giver.knowledge.givers = givers;
+        let mut engines: Vec<_> = names
+            .iter()
+            .map(|it| (EndpointKey::of(it), Engine::new(CHECKED)))
+            .collect();
+        let mut now = T;
+        giver.run(&mut now, Duration::from_secs(60 * minutes), &mut engines);
+        loads += engines.iter().map(|it| it.1.done.len()).sum::<usize>();
+    }
+    let most = u64::from(rate) * minutes + u64::from(givers);
+    assert!(loads as u64 <= most, "{loads} loads");
+    assert!(loads as u64 >= most * 8 / 10, "{loads} loads of {most}");
+}
+
+#[test]
+fn a_giver_that_is_replaced_forgets_its_endpoints() {
+    let mut giver = giver(T, 5, UNCHECKED, "1");
+    giver.orders.set_goals(T, Vec::new());
+    giver.knowledge.list_revision = 6;
+    let engine = Engine::new(UNCHECKED);
+    let later = T + HAND_OVER_WAIT;
+    assert!(report_and_tick(&mut giver, later, &engine).is_empty());
+    let goals = vec![goal("e1", UNCHECKED, &[("m", "1")])];
+    giver.orders.set_goals(later, goals);
+    assert!(
+        report_and_tick(&mut giver, later, &engine).is_empty(),
+        "it waits anew"
+    );
+}
+
+proptest! {
+    #[test]
+    fn numbers_grow_and_keep_to_the_revision(
+        revision in 1_u64..1000, last in any::<u32>(), highest in 0_u64..(1100 << 32),
+    ) {
+        let last = (revision << FENCE_REVISION_SHIFT) + u64::from(last);
+        match next_fence(revision, last, highest) {
+            Some(next) => {
+                prop_assert!(next > last && next > highest);
+                prop_assert_eq!(next >> FENCE_REVISION_SHIFT, revision);
+            }
+            None => prop_assert!(
+                highest >> FENCE_REVISION_SHIFT > revision
+                    || last.max(highest) as u32 == u32::MAX
+            ),
+        }
+    }
+
+    /// Two givers, any lists, any order of arrival: a checked endpoint never
+    /// goes back from the later giver's order to the earlier one's.
+    #[test]
+    fn a_checked_endpoint_never_obeys_the_earlier_list_after_the_later(
+        arrivals in proptest::collection::vec(any::<bool>(), 1..40),
+    ) {
+        let mut engine = Engine::new(CHECKED);
+        let mut givers = [giver(T, 5, CHECKED, "1"), giver(T, 6, CHECKED, "2")];
+        let mut now = T;
+        let mut seen_later = false;
+        for later in arrivals {
+            now += Duration::from_secs(1);
+            let giver = &mut givers[usize::from(later)];
+            for order in report_and_tick(giver, now, &engine.clone()) {
+                let result = engine.obey(&order);
+                let obeyed = result == OrderResult::Accepted;
+                prop_assert!(later || !obeyed || !seen_later);
+                seen_later |= later && obeyed;
+                giver.orders.done(now, e1(), order.fencing, result);
+            }
+        }
+    }
+}
