The platform is called through one small trait, with every wait and size bounded

Cause: the node task called the service by a bare client: no timeout, a body of any size, a missing revision taken for 0, and only the first of the addresses. Change: trait Platform and PlatformClient: timeouts for reads and watches, at most one byte more than a value may have, no redirect, no retry behind the core's back, the next address after a failure; calls are counted. The limits come from the settings.

--- a/crates/oriolemux/src/lib.rs
+++ b/crates/oriolemux/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod node_task;
 pub mod operators;
 pub mod peers;
+pub mod platform;
 pub mod relay;
 pub mod serve;
 pub mod settings;
--- a/crates/oriolemux/src/node_task/effects.rs
+++ b/crates/oriolemux/src/node_task/effects.rs
@@ -4,12 +4,12 @@
 use crate::endpoints::{HttpProtocol, Polls};
 use crate::events;
 use crate::peers::PeersHandle;
-use oriolemux_core::event::{EndpointTarget, Event, OrderKind, PeerTarget, ValueName};
+use crate::platform::{self, PlatformClient};
+use oriolemux_core::event::{EndpointTarget, OrderKind, PeerTarget, ValueName};
 use oriolemux_core::explain::Names;
 use oriolemux_core::note::Note;
 use oriolemux_core::peer::PeerEnvelope;
 use oriolemux_core::{InstanceKey, Time};
-use std::net::SocketAddr;
 
 /// What the node task asks of the outside. Nothing here may wait; answers come
 /// back as events.
@@ -34,8 +34,7 @@
 pub struct LiveEffects {
     port: NodePort,
     polls: Polls<HttpProtocol>,
-    platform: SocketAddr,
-    client: reqwest::Client,
+    platform: PlatformClient,
     peers: PeersHandle,
 }
 
@@ -44,51 +43,22 @@
     pub fn new(
         port: NodePort,
         polls: Polls<HttpProtocol>,
-        platform: SocketAddr,
+        platform: PlatformClient,
         peers: PeersHandle,
     ) -> Self {
         LiveEffects {
             port,
             polls,
             platform,
-            client: reqwest::Client::new(),
             peers,
         }
     }
 
     fn call(&self, name: ValueName, above: Option<u64>) {
-        let text = match &name {
-            ValueName::Instances => "instances".to_owned(),
-            ValueName::CatalogueIndex => "catalogue-index".to_owned(),
-            ValueName::CatalogueShard(n) => format!("catalogue-shard-{n}"),
-        };
-        let mut url = format!("http://{}/v1/values/{text}", self.platform);
-        if let Some(above) = above {
-            url.push_str(&format!("?above={above}"));
-        }
-        let request = self.client.get(url);
-        let port = self.port.clone();
+        let (platform, port) = (self.platform.clone(), self.port.clone());
         tokio::spawn(async move {
-            let event = match request.send().await {
-                Ok(answer) if answer.status() == 200 => {
-                    let revision = answer.headers().get("x-revision");
-                    let revision = revision
-                        .and_then(|it| it.to_str().ok())
-                        .and_then(|it| it.parse().ok())
-                        .unwrap_or(0);
-                    match answer.bytes().await {
-                        Ok(bytes) => Event::Value {
-                            name,
-                            revision,
-                            bytes: bytes.to_vec(),
-                        },
-                        Err(_) => Event::ValueFailed { name },
-                    }
-                }
-                Ok(answer) if answer.status() == 204 => Event::ValueUnchanged { name },
-                _ => Event::ValueFailed { name },
-            };
-            let _ = port.event(event).await;
+            // An error means that the node task has ended; so does this one.
+            let _ = platform::call(&platform, name, above, &port).await;
         });
     }
 }
--- a/crates/oriolemux/src/serve.rs
+++ b/crates/oriolemux/src/serve.rs
@@ -9,6 +9,7 @@
 use crate::node_task::{Identity, LiveEffects, NodeEnds, NodeTask};
 use crate::operators::{self, OperatorPort, OperatorServer};
 use crate::peers::{PeerEvent, Peers, PeersConfig, PeersHandle};
+use crate::platform::{self, PlatformClient, PlatformLimits};
 use crate::settings::{ClaimsSettings, Secret, Secrets, Settings};
 use crate::status::Readiness;
 use crate::supervisor::{Intensity, StopTokens, Supervisor, SupervisorError};
@@ -46,6 +47,8 @@
     PartFailed(&'static str),
     /// {0}
     Client(SetUpError),
+    /// {0}
+    Platform(platform::SetUpError),
     /// signals cannot be received: {0}
     Signals(std::io::Error),
     /// stopped at once by a second signal
@@ -57,9 +60,10 @@
     pub const fn exit_status(&self) -> ExitStatus {
         match self {
             ServeError::Secrets(_) => ExitStatus::Findings,
-            ServeError::Listen { .. } | ServeError::Client(_) | ServeError::Signals(_) => {
-                ExitStatus::CannotStart
-            }
+            ServeError::Listen { .. }
+            | ServeError::Client(_)
+            | ServeError::Platform(_)
+            | ServeError::Signals(_) => ExitStatus::CannotStart,
             ServeError::PartFailed(_) => ExitStatus::PartFailed,
             ServeError::StoppedNow => ExitStatus::StoppedNow,
         }
@@ -73,6 +77,7 @@
     stop: StopTokens,
     port: NodePort,
     protocol: HttpProtocol,
+    platform: PlatformClient,
 }
 
 /// The listeners, bound before anything starts, so that a port that is in use
@@ -127,12 +132,14 @@
     let (port, inputs) = NodePort::new(ids, clock);
     let protocol =
         HttpProtocol::new(clock, http_settings(&settings)).map_err(ServeError::Client)?;
+    let platform = platform_client(&settings).map_err(ServeError::Platform)?;
     let process = Process {
         settings,
         incarnation,
         stop,
         port,
         protocol,
+        platform,
     };
     events::emit_shell(&ShellNote::Started {
         instance: &process.settings.name,
@@ -181,7 +188,7 @@
         let effects = LiveEffects::new(
             self.port.clone(),
             Polls::new(self.protocol.clone()),
-            self.settings.platform.addresses[0],
+            self.platform.clone(),
             peers,
         );
         let identity = Identity {
@@ -305,6 +312,15 @@
     }
 }
 
+fn platform_client(settings: &Settings) -> Result<PlatformClient, platform::SetUpError> {
+    let platform = &settings.platform;
+    let limits = PlatformLimits {
+        read_timeout: platform.read_timeout_ms.duration(),
+        watch_timeout: platform.watch_timeout_ms.duration(),
+    };
+    PlatformClient::new(&platform.addresses, limits)
+}
+
 fn http_settings(settings: &Settings) -> HttpSettings {
     HttpSettings {
         connect_timeout: settings.endpoints.connect_timeout_ms.duration(),
