--- a/crates/bench/src/demo/screen.rs
+++ b/crates/bench/src/demo/screen.rs
@@ -74,6 +74,12 @@
                 received.first_token_us.unwrap_or_default() / 1_000,
                 received.lasted_us / 1_000
             ),
+            CallerEnding::Error {
+                reason,
+                outcome,
+                retry_after_ms: Some(millis),
+                ..
+            } => format!("refused: {reason}, outcome {outcome}, come back in {millis} ms"),
             CallerEnding::Error {
                 reason, outcome, ..
             } => format!("error {reason}, outcome {outcome}"),
--- a/crates/bench/src/faults.rs
+++ b/crates/bench/src/faults.rs
@@ -49,6 +49,9 @@
     /// Cases that run at the same time.
     #[arg(long, default_value_t = 2)]
     pub jobs: usize,
+    /// Also print the reasons of typed errors, by kind of request.
+    #[arg(long)]
+    pub reasons: bool,
     /// Keep the files of cases with violations.
     #[arg(long)]
     pub keep: bool,
@@ -111,7 +114,7 @@
             (index, case, outcome)
         });
     }
-    let mut report = report::Report::default();
+    let mut report = report::Report::new(args.reasons);
     report.print_head();
     while let Some(done) = running.join_next().await {
         let (index, case, outcome) = done.map_err(io::Error::other)?;
--- a/crates/bench/src/faults/case.rs
+++ b/crates/bench/src/faults/case.rs
@@ -4,7 +4,7 @@
 use super::collect;
 use super::heal::{self, heal};
 use super::inject::inject;
-use super::scene::{INSTANCES, Scene, Sightings};
+use super::scene::{INSTANCES, SETTLE, Scene, Sightings};
 use super::surge;
 use crate::checker::{Evidence, PlannedStop, Violation, check};
 use crate::fleet::FleetError;
@@ -76,6 +76,7 @@
 
 async fn run_in(scene: &mut Scene, case: &Case) -> Result<(Evidence, Vec<Violation>), CaseError> {
     let sightings = scene.watch_revisions();
+    tokio::time::sleep(SETTLE).await;
     let longest = case.faults.iter().map(|fault| fault.hold()).max();
     let lasting = STRIKE_AT + SECOND_AFTER + longest.unwrap_or_default() + AFTERMATH;
     let balancer = scene.balancer.clone();
--- a/crates/bench/src/faults/scene.rs
+++ b/crates/bench/src/faults/scene.rs
@@ -2,6 +2,7 @@
 
 use super::CaseError;
 use crate::checker::{LeavingNotice, Outage, PlannedStop, RevisionSeen};
+use crate::fleet::plan::SHORT_SETTLE;
 use crate::fleet::{Fleet, Plan};
 use crate::standins::journal::now_us;
 use std::net::SocketAddr;
@@ -21,9 +22,14 @@
     "--kv-tokens 4096 --max-running 32 --step-ms 4 --per-running-us 20 --prefill-us 4 --lag-ms 100";
 /// Options of the services.
 const SERVICE_ARGS: &str = "--call-ms 10";
-/// Shorter timeouts than in production, so that a case takes seconds.
+/// Options of the platforms: short watches, which confirm the list often.
+const PLATFORM_ARGS: &str = "--watch-ms 300";
+/// Shorter timeouts than in production, in the same proportions, so that a case takes seconds.
 const SETTINGS: &str = "[endpoints]\nstall_timeout_ms = 800\nconnect_timeout_ms = 500\n\
-    report_timeout_ms = 400\n";
+    report_timeout_ms = 400\n\n\
+    [stop]\nnotice_ms = 300\n\n";
+/// How long the homes of keys need after the start until they grant.
+pub const SETTLE: Duration = SHORT_SETTLE.saturating_add(Duration::from_millis(200));
 /// How often the instances' catalogue revisions are looked at.
 const SIGHT_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -98,6 +104,7 @@
             .with_two_views()
             .with_engine_args(ENGINE_ARGS)
             .with_service_args(SERVICE_ARGS)
+            .with_platform_args(PLATFORM_ARGS)
             .with_settings(SETTINGS)
             .with_short_claims();
         let fleet = Fleet::start(plan, program).await?;
--- a/crates/bench/src/fleet.rs
+++ b/crates/bench/src/fleet.rs
@@ -35,21 +35,21 @@
     Admin(#[from] AdminError),
     /// the fleet's directory or ports: {0}
     Io(#[from] io::Error),
-    /// {name} was not ready within {seconds} s; its log is {log}
+    /// {name} was not ready within {seconds} s; its last words: {last_words}
     NotReady {
         /// The instance's name.
         name: String,
         /// How long it was waited for.
         seconds: u64,
-        /// Its log file.
-        log: PathBuf,
+        /// The end of its log, since the log goes with the fleet's directory.
+        last_words: String,
     },
-    /// {name} ended by itself; its log is {log}
+    /// {name} ended by itself; its last words: {last_words}
     Ended {
         /// The instance's name.
         name: String,
-        /// Its log file.
-        log: PathBuf,
+        /// The end of its log, since the log goes with the fleet's directory.
+        last_words: String,
     },
 }
 
@@ -155,14 +155,14 @@
             if instance.child.ended().is_some() {
                 return Err(FleetError::Ended {
                     name: instance.name.clone(),
-                    log: instance.child.log().to_owned(),
+                    last_words: instance.child.last_words(),
                 });
             }
             if tokio::time::Instant::now() >= deadline {
                 return Err(FleetError::NotReady {
                     name: instance.name.clone(),
                     seconds: READY_LIMIT.as_secs(),
-                    log: instance.child.log().to_owned(),
+                    last_words: instance.child.last_words(),
                 });
             }
             tokio::time::sleep(READY_POLL).await;
--- a/crates/bench/src/fleet/plan.rs
+++ b/crates/bench/src/fleet/plan.rs
@@ -19,6 +19,7 @@
     pub(super) proxied: bool,
     pub(super) engine_args: Vec<String>,
     pub(super) service_args: Vec<String>,
+    pub(super) platform_args: Vec<String>,
     pub(super) settings: String,
 }
 
@@ -33,6 +34,7 @@
             proxied: false,
             engine_args: Vec::new(),
             service_args: Vec::new(),
+            platform_args: Vec::new(),
             settings: String::new(),
         }
     }
@@ -86,6 +88,12 @@
         self.with_settings(SHORT_CLAIMS)
     }
 
+    /// Adds options of every platform, as one line of arguments.
+    pub fn with_platform_args(mut self, args: &str) -> Self {
+        self.platform_args.extend(words(args));
+        self
+    }
+
     /// Adds lines of TOML after the settings of every instance.
     pub fn with_settings(mut self, toml: &str) -> Self {
         self.settings.push_str(toml);
--- a/crates/bench/src/fleet/start.rs
+++ b/crates/bench/src/fleet/start.rs
@@ -184,7 +184,9 @@
 ) -> Result<View, FleetError> {
     let name = format!("platform-{}", view + 1);
     let log = dir.join(format!("{name}.log"));
-    let (child, platform) = Child::start_listening(&name, program, ["platform"], &log)?;
+    let mut args = vec!["platform".to_owned()];
+    args.extend(plan.platform_args.clone());
+    let (child, platform) = Child::start_listening(&name, program, args, &log)?;
     let mut to_endpoints = Vec::new();
     for endpoint in endpoints {
         to_endpoints.push(Route::new(endpoint.address, plan.proxied).await?);
--- a/crates/bench/src/process/child.rs
+++ b/crates/bench/src/process/child.rs
@@ -16,6 +16,9 @@
 /// How often a child is asked whether it has ended.
 const EXIT_POLL: Duration = Duration::from_millis(10);
 
+/// Lines of a child's log that are told when it failed.
+const LAST_LINES: usize = 8;
+
 /// Set for children: they end when their standard input does.
 ///
 /// The parent holds the other end of that pipe, so a parent that is killed
@@ -166,6 +169,13 @@
         &self.log
     }
 
+    /// Returns the last lines of what the child printed.
+    pub fn last_words(&self) -> String {
+        let text = std::fs::read_to_string(&self.log).unwrap_or_default();
+        let lines: Vec<&str> = text.lines().collect();
+        lines[lines.len().saturating_sub(LAST_LINES)..].join(" | ")
+    }
+
     /// Returns the process id.
     pub fn pid(&self) -> u32 {
         self.process.id()
--- a/crates/bench/tests/checker.rs
+++ b/crates/bench/tests/checker.rs
@@ -225,6 +225,40 @@
     assert_eq!(promises(&evidence), [Promise::Tokens]);
 }
 
+/// A repeat under the key of the partial request, told that so many tokens stand.
+fn repeat_of_partial(evidence: &mut Evidence, delivered: u32) {
+    evidence.callers[PARTIAL].key = Some("k".to_owned());
+    let mut repeat = failed("r-q", "p", "", "");
+    repeat.key = Some("k".to_owned());
+    repeat.received.ending = error("already_ran", "partial", delivered);
+    evidence.callers.push(repeat);
+}
+
+#[rstest]
+#[case::what_the_first_submission_holds(3, &[])]
+#[case::another_count(2, &[Promise::Tokens])]
+fn a_repeat_is_told_what_the_first_submission_holds(
+    #[case] delivered: u32,
+    #[case] expected: &[Promise],
+) {
+    let mut evidence = sound();
+    repeat_of_partial(&mut evidence, delivered);
+    assert_eq!(promises(&evidence), expected);
+}
+
+#[rstest]
+#[case::the_first_submission_has_the_answer(WHOLE_A, &[])]
+#[case::no_submission_has_the_answer(PARTIAL, &[Promise::Accounted])]
+fn a_repeat_is_told_complete_only_if_it_is(#[case] first: usize, #[case] expected: &[Promise]) {
+    let mut evidence = sound();
+    evidence.callers[first].key = Some("k".to_owned());
+    let prompt = evidence.callers[first].received.prompt.clone();
+    let mut repeat = failed("r-q", &prompt, "already_ran", "complete");
+    repeat.key = Some("k".to_owned());
+    evidence.callers.push(repeat);
+    assert_eq!(promises(&evidence), expected);
+}
+
 #[rstest]
 #[case::texts_exchanged(|e: &mut Evidence| {
     let a = e.callers[WHOLE_A].received.text.clone();
