Relay: a burst of tokens leaves in one write

Cause: the HTTP client hands on one chunk at a time and reads the next only when asked, so each token of a backlog left in a write of its own (strace: one send a token, a send being the largest single cost in the profile). Change: the relay asks, gives the client's task one turn, and looks again before it writes. A caller's leaving is one flag and one waker instead of three notifications registered anew at each token, and the idle timer is ours: the server library's ran a task of its own at every token written.

--- a/crates/oriolemux/src/callers/accept.rs
+++ b/crates/oriolemux/src/callers/accept.rs
@@ -48,6 +48,8 @@
     pub head: Duration,
     /// The longest time in which the socket takes no byte.
     pub write: Duration,
+    /// The longest time between two requests.
+    pub idle: Duration,
 }
 
 /// Accepts at most so many connections at a time, and tells the rest.
--- a/crates/oriolemux/src/callers/accept/stream.rs
+++ b/crates/oriolemux/src/callers/accept/stream.rs
@@ -48,6 +48,9 @@
     /// Runs while the socket refuses bytes. Without it a caller that asked for
     /// a large answer and never reads it keeps that answer in memory for good.
     write_timer: Option<Pin<Box<Sleep>>>,
+    /// Runs while nothing is read. The server library has such a timer too, but
+    /// starts it anew, through a task of its own, with every token written.
+    idle_timer: Option<Pin<Box<Sleep>>>,
     limits: AcceptLimits,
     /// Dropped last, so that the place is free only when the connection is.
     _permit: OwnedSemaphorePermit,
@@ -66,6 +69,7 @@
             open,
             phase: Phase::Idle,
             write_timer: None,
+            idle_timer: None,
             limits,
             _permit: permit,
         }
@@ -97,12 +101,23 @@
         }
     }
 
-    fn poll_head_timer(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        let Phase::Head { timer, .. } = &mut self.phase else {
-            return Poll::Pending;
-        };
-        ready!(timer.as_mut().poll(cx));
-        Poll::Ready(Err(io::ErrorKind::TimedOut.into()))
+    fn poll_read_timers(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if let Phase::Head { timer, .. } = &mut self.phase {
+            ready!(timer.as_mut().poll(cx));
+            return Poll::Ready(Err(io::ErrorKind::TimedOut.into()));
+        }
+        let limit = self.limits.idle;
+        let timer = self
+            .idle_timer
+            .get_or_insert_with(|| Box::pin(tokio::time::sleep(limit)));
+        while timer.as_mut().poll(cx).is_ready() {
+            if self.open.state().is_idle() {
+                // Read as the end of the caller's bytes, on which the server closes.
+                return Poll::Ready(Ok(()));
+            }
+            timer.as_mut().reset(Instant::now() + limit);
+        }
+        Poll::Pending
     }
 
     fn poll_write_timer(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<usize>> {
@@ -136,8 +151,9 @@
         let has_room = buf.remaining() > 0;
         let before = buf.filled().len();
         let Poll::Ready(read) = Pin::new(&mut self.stream).poll_read(cx, buf) else {
-            return self.poll_head_timer(cx);
+            return self.poll_read_timers(cx);
         };
+        self.idle_timer = None;
         let bytes = &buf.filled()[before..];
         if read.is_err() || (bytes.is_empty() && has_room) {
             self.open.state().on_end();
--- a/crates/oriolemux/src/callers/connections.rs
+++ b/crates/oriolemux/src/callers/connections.rs
@@ -1,4 +1,8 @@
-//! The callers' connections that are open, and which of them are slow.
+//! The callers' connections that are open, and what their sockets tell.
+
+mod departure;
+
+pub use departure::Departure;
 
 use crate::metrics::Gauge;
 use core::task::Poll;
@@ -23,8 +27,15 @@
 pub struct ConnectionState {
     blocked: AtomicBool,
     writable: Notify,
-    left: AtomicBool,
-    leaves: Notify,
+    requests: Mutex<Requests>,
+}
+
+/// The requests of one connection that are not answered; more than one only
+/// over HTTP/2.
+#[derive(Debug, Default)]
+struct Requests {
+    ended: bool,
+    open: Vec<Arc<Departure>>,
 }
 
 impl ConnectionState {
@@ -38,8 +49,31 @@
 
     /// Notes that the caller closed, or that the connection broke.
     pub fn on_end(&self) {
-        self.left.store(true, Ordering::Release);
-        self.leaves.notify_waiters();
+        let mut requests = self.requests();
+        requests.ended = true;
+        for departure in &requests.open {
+            departure.signal();
+        }
+    }
+
+    /// Returns whether no request waits for its answer.
+    pub fn is_idle(&self) -> bool {
+        self.requests().open.is_empty()
+    }
+
+    /// Notes a request, until what is returned is dropped.
+    pub fn listen(self: &Arc<Self>) -> Listening {
+        let departure = Arc::new(Departure::default());
+        let mut requests = self.requests();
+        if requests.ended {
+            departure.signal();
+        }
+        requests.open.push(Arc::clone(&departure));
+        drop(requests);
+        Listening {
+            connection: Arc::clone(self),
+            departure,
+        }
     }
 
     fn unblock(&self) {
@@ -65,15 +99,38 @@
         }
     }
 
-    /// Waits until the caller has closed or the connection has broken.
-    pub async fn wait_left(&self) {
-        loop {
-            let leaves = self.leaves.notified();
-            if self.left.load(Ordering::Acquire) {
-                return;
-            }
-            leaves.await;
-        }
+    fn requests(&self) -> MutexGuard<'_, Requests> {
+        self.requests.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// A request whose caller listens; held by whoever writes the answer.
+#[derive(Debug)]
+pub struct Listening {
+    connection: Arc<ConnectionState>,
+    departure: Arc<Departure>,
+}
+
+impl Listening {
+    /// Returns the connection.
+    pub fn connection(&self) -> &Arc<ConnectionState> {
+        &self.connection
+    }
+
+    /// Returns the signal that the caller left.
+    pub fn departure(&self) -> &Arc<Departure> {
+        &self.departure
+    }
+}
+
+impl Drop for Listening {
+    fn drop(&mut self) {
+        // The server gave the answer up, or has written it.
+        self.departure.signal();
+        let mut requests = self.connection.requests();
+        requests
+            .open
+            .retain(|open| !Arc::ptr_eq(open, &self.departure));
     }
 }
 
--- a/crates/oriolemux/src/callers/server.rs
+++ b/crates/oriolemux/src/callers/server.rs
@@ -22,7 +22,6 @@
     protocol: E,
     body: BodyLimits,
     accept: AcceptLimits,
-    idle_timeout: Duration,
 }
 
 impl<E: EndpointProtocol> CallerServerBuilder<E> {
@@ -65,7 +64,7 @@
     /// Sets how long a connection may be idle between requests; 75 s unless set.
     #[must_use]
     pub fn idle_timeout(mut self, timeout: Duration) -> Self {
-        self.idle_timeout = timeout;
+        self.accept.idle = timeout;
         self
     }
 
@@ -95,8 +94,8 @@
                 connections: 4_096,
                 head: Duration::from_secs(30),
                 write: Duration::from_secs(60),
+                idle: Duration::from_secs(75),
             },
-            idle_timeout: Duration::from_secs(75),
         }
     }
 
@@ -123,7 +122,6 @@
         };
         let app = routes::routes(cx);
         Server::new_with_acceptor(acceptor)
-            .idle_timeout(settings.idle_timeout)
             .http2_max_concurrent_streams(MAX_HTTP2_STREAMS)
             .run_with_graceful_shutdown(app, stop, None)
             .await
--- a/crates/oriolemux/src/callers/submit.rs
+++ b/crates/oriolemux/src/callers/submit.rs
@@ -1,6 +1,7 @@
 //! Hands a request to the node and answers with what its relay brings.
 
 use super::auth::key_digest;
+use super::connections::Listening;
 use super::errors::{ErrorAnswer, REQUEST_HEADER};
 use super::port::NodeGone;
 use super::routes::CallerCx;
@@ -172,13 +173,14 @@
     let (head, reply) = oneshot::channel();
     let chunks = ChunkWriter::new(id, &submission.entry);
     let connection = cx.connections.state(submission.remote.as_ref());
-    let caller = Caller::new(submission.form, chunks, head, connection, cx.write_timeout);
+    let listening = connection.listen();
+    let caller = Caller::new(submission.form, chunks, head, &listening, cx.write_timeout);
     let port = cx.port.clone();
     let protocol = cx.protocol.clone();
     let relay = Relay::new(id, outcome, protocol, port, submission.body, orders, caller);
     tokio::spawn(relay.run());
     match reply.await {
-        Ok(reply) => into_response(id, reply),
+        Ok(reply) => into_response(id, reply, listening),
         Err(_) => lost_relay(id),
     }
 }
@@ -190,13 +192,13 @@
     ErrorAnswer::of_verdict(id, &verdict).into_response()
 }
 
-fn into_response(id: RequestId, reply: Reply) -> Response {
+fn into_response(id: RequestId, reply: Reply, listening: Listening) -> Response {
     let builder = Response::builder().header(REQUEST_HEADER, id.to_string());
     match reply {
         Reply::Stream(pieces) => builder
             .header(CONTENT_TYPE, "text/event-stream")
             .header(CACHE_CONTROL, "no-cache")
-            .body(stream_body(pieces)),
+            .body(stream_body(pieces, listening)),
         Reply::Whole { content_type, body } => {
             let octets = HeaderValue::from_static("application/octet-stream");
             builder
@@ -210,9 +212,11 @@
 /// What goes wrong without the error at the end: a relay that panics would
 /// leave a stream that looks whole to a lenient client. With it the server
 /// breaks the connection instead of ending the body.
-fn stream_body(mut pieces: mpsc::Receiver<Piece>) -> Body {
+fn stream_body(mut pieces: mpsc::Receiver<Piece>, listening: Listening) -> Body {
     let mut ended = false;
     Body::from_bytes_stream(stream::poll_fn(move |cx| {
+        // Moved in, so that the relay learns when the server drops the body.
+        let _listening = &listening;
         if ended {
             return core::task::Poll::Ready(None);
         }
--- a/crates/oriolemux/src/relay/attempt/stream.rs
+++ b/crates/oriolemux/src/relay/attempt/stream.rs
@@ -7,6 +7,7 @@
 use crate::relay::events::{EngineEvent, EventReader, FinishReason, Garbage, Usage};
 use bytes::Bytes;
 use core::pin::Pin;
+use core::task::Poll;
 use core::time::Duration;
 use oriolemux_core::Reason;
 use oriolemux_core::delivery::{Act, EndMark, ResumeAnswer, Step};
@@ -100,6 +101,31 @@
     chunk
 }
 
+/// Returns the next piece of an answer if it has arrived.
+///
+/// The HTTP client hands on one piece, however small, and reads the next one
+/// only when it is asked for it. So it is asked, and its task gets one turn.
+/// Without that turn a burst of a hundred tokens would leave in a hundred
+/// writes, and a write costs more than all the rest.
+async fn chunk_at_hand<B: AnswerBody>(
+    body: &mut B,
+) -> Option<Result<Option<Bytes>, EndpointFailure>> {
+    if let Some(chunk) = body.ready_chunk() {
+        return Some(chunk);
+    }
+    let mut had_turn = false;
+    core::future::poll_fn(|cx| {
+        if core::mem::replace(&mut had_turn, true) {
+            return Poll::Ready(());
+        }
+        // Not tokio's own yield, which looks at all sockets first.
+        cx.waker().wake_by_ref();
+        Poll::Pending
+    })
+    .await;
+    body.ready_chunk()
+}
+
 impl<E: EndpointProtocol> Relay<E> {
     /// Reads a generation's stream, and the streams that resume it, to the end.
     pub(super) async fn run_stream(
@@ -209,7 +235,6 @@
             if let Err(interrupt) = self.ends.flush().await {
                 return interrupt.into();
             }
-            stall.heard_now();
         }
     }
 
@@ -244,7 +269,7 @@
             if self.ends.caller.waiting() >= FLUSH_BYTES {
                 return Ok(());
             }
-            match body.ready_chunk() {
+            match chunk_at_hand(body).await {
                 Some(next) => chunk = next,
                 None => return Ok(()),
             }
--- a/crates/oriolemux/src/relay/caller.rs
+++ b/crates/oriolemux/src/relay/caller.rs
@@ -2,7 +2,7 @@
 
 use super::chunk::ChunkWriter;
 use super::events::{FinishReason, Usage};
-use crate::callers::connections::ConnectionState;
+use crate::callers::connections::{ConnectionState, Departure, Listening};
 use crate::callers::errors::ErrorAnswer;
 use crate::metrics::RequestMeter;
 use bytes::Bytes;
@@ -72,6 +72,7 @@
     pieces: Option<mpsc::Sender<Piece>>,
     out: Vec<u8>,
     connection: Arc<ConnectionState>,
+    departure: Arc<Departure>,
     write_timeout: Duration,
     meter: RequestMeter,
 }
@@ -84,7 +85,7 @@
         form: AnswerForm,
         chunks: ChunkWriter,
         head: oneshot::Sender<Reply>,
-        connection: Arc<ConnectionState>,
+        listening: &Listening,
         write_timeout: Duration,
     ) -> Self {
         Caller {
@@ -93,7 +94,8 @@
             head: Some(head),
             pieces: None,
             out: Vec::new(),
-            connection,
+            connection: Arc::clone(listening.connection()),
+            departure: Arc::clone(listening.departure()),
             write_timeout,
             meter: RequestMeter::start(),
         }
@@ -105,19 +107,9 @@
     }
 
     /// Waits until nobody listens any more.
-    pub async fn gone(&mut self) -> CallerGone {
-        let unheard = async {
-            match (&mut self.head, &self.pieces) {
-                (Some(head), _) => head.closed().await,
-                (None, Some(pieces)) => pieces.closed().await,
-                (None, None) => {}
-            }
-        };
-        tokio::select! {
-            biased;
-            () = unheard => CallerGone,
-            () = self.connection.wait_left() => CallerGone,
-        }
+    pub async fn gone(&self) -> CallerGone {
+        self.departure.wait().await;
+        CallerGone
     }
 
     /// Adds a token; it leaves with the next [`Caller::flush`].
--- a/crates/oriolemux/src/relay/interrupt.rs
+++ b/crates/oriolemux/src/relay/interrupt.rs
@@ -29,13 +29,15 @@
 }
 
 impl Ends {
-    /// Waits for `work`, unless the caller leaves or the node ends the attempt first.
+    /// Waits for `work`, unless the caller leaves or the node ends the attempt
+    /// first. Both are looked at before the work: an endpoint that always has
+    /// more to read must not keep the node's orders waiting.
     pub async fn watch<F: Future>(&mut self, work: F) -> Result<F::Output, Interrupt> {
         tokio::select! {
             biased;
-            output = work => Ok(output),
             order = self.orders.recv() => Err(interrupt_of(order)),
             _gone = self.caller.gone() => Err(Interrupt::CallerGone),
+            output = work => Ok(output),
         }
     }
 
