A grant that arrives after its home moved is told to the new home

Cause: an entry whose claim was being asked for when the list changed took a late grant of the old home, ran the request and told the new home nothing: holders are told on when the list changes, and then it held nothing yet. The random histories missed it because their answers arrive at once.

Change: a grant from another process than the home in force is reported to the home, until it is noted.

Before: the new test is granted the key a second time.

--- a/crates/core/src/keys.rs
+++ b/crates/core/src/keys.rs
@@ -242,7 +242,9 @@
             }
             // Someone speaks for a request of another process; nobody does.
             KeysMessage::Take(_) | KeysMessage::Report { .. } => {}
-            KeysMessage::Taken { claimant, .. } => self.taken(now, claimant, out),
+            KeysMessage::Taken { claimant, .. } => {
+                self.taken(now, from.instance, claimant, out);
+            }
             KeysMessage::Used {
                 claimant, refusal, ..
             } => self.used(now, claimant, refusal, out),
--- a/crates/core/src/keys/holder.rs
+++ b/crates/core/src/keys/holder.rs
@@ -169,13 +169,19 @@
             return out.push(KeysAction::Send { to, message });
         }
         match self.grant(now, list_age, &claim, out) {
-            Ok(()) => self.taken(now, request, out),
+            Ok(()) => self.taken(now, to, request, out),
             Err(refusal) => self.used(now, request, refusal, out),
         }
     }
 
-    /// The home granted the claim.
-    pub(super) fn taken(&mut self, now: Time, request: RequestId, out: &mut Vec<KeysAction>) {
+    /// The home `from` granted the claim.
+    pub(super) fn taken(
+        &mut self,
+        now: Time,
+        from: InstanceKey,
+        request: RequestId,
+        out: &mut Vec<KeysAction>,
+    ) {
         let Some(&holder) = self.holders.records.get(&request) else {
             return;
         };
@@ -191,6 +197,12 @@
                     request,
                     valid_until,
                 });
+                if holder.home != from {
+                    // The home moved while the grant was on its way, and was
+                    // told nothing then: this process held nothing yet. Left
+                    // untold, the new home would grant the key once settled.
+                    self.report(now, request, out);
+                }
             }
             // The grant came after the request was answered: give it back.
             Phase::Over { .. } => self.report(now, request, out),
--- a/crates/core/tests/keys_failures.rs
+++ b/crates/core/tests/keys_failures.rs
@@ -6,7 +6,7 @@
 
 use core::time::Duration;
 use fleet::{Answer, Fleet, key};
-use oriolemux_core::keys::HolderState;
+use oriolemux_core::keys::{HolderState, KeysMessage};
 use oriolemux_core::outcome::Earlier;
 use oriolemux_core::{Outcome, Reason, RequestId, Time};
 use proptest::prelude::*;
@@ -49,6 +49,34 @@
     );
 }
 
+// Symptom: a shirt is sold twice, minutes apart, while the first sale still runs.
+// Sequence: the home grants a key; while its answer is on the way the list
+//   names another home; the entry notes the move, then takes the late grant.
+// Cause: the entry told the new home nothing, because it held nothing when the
+//   list changed; the new home settles and grants the key.
+#[test]
+fn a_grant_that_arrives_after_its_home_moved_is_told_to_the_new_home() {
+    let mut fleet = Fleet::settled(4);
+    let text = fleet.key_at(3);
+    fleet.cut(3, 0);
+    let first = fleet.ask(0, key(&text));
+    let old_home = fleet.id(3);
+    fleet.publish(2, &[0, 1, 2]);
+    fleet.heal();
+    let late = KeysMessage::Taken {
+        id: key(&text),
+        claimant: first,
+    };
+    fleet.inject(0, old_home, late);
+    assert!(fleet.answer_of(first).unwrap().is_granted());
+
+    fleet.pass(fleet.cfg.settle);
+    let repeat = fleet.answer(1, key(&text));
+
+    let already_running = (Reason::AlreadyRunning, Outcome::Unknown);
+    assert_eq!(repeat.refusal(), already_running);
+}
+
 #[test]
 fn a_key_is_free_again_if_its_request_truly_did_not_run() {
     let mut fleet = Fleet::settled(4);
