At most once over whole nodes: repeats, deaths, partitions, pauses, stops

Cause: claims were tested between bare key tables; nothing showed that the node, with membership, links and the list around them, keeps the promise.

Found on the way: a request whose claim was granted after its time went through limits and cell, was refused by the send four times over and told "not run", although a repeat could have run meanwhile; now it is refused at once and told "unknown". A long answer of repeatable work under a key could not be replayed once its claim was a minute old; the claim's time no longer bounds work that may run twice, nor tickets, which only their issuer grants.

Tests: the small world can pause and wake a node and leave one out of the list.

--- a/crates/core/src/keys/holder.rs
+++ b/crates/core/src/keys/holder.rs
@@ -192,7 +192,11 @@
                     wake: Time::NEVER,
                     ..holder
                 });
-                let valid_until = holder.asked_at + self.cfg.valid;
+                let valid_until = match holder.claim.id {
+                    // Its issuer grants it to nobody else, however late it is.
+                    ClaimId::Ticket(_) => Time::NEVER,
+                    ClaimId::Key(_) => holder.asked_at + self.cfg.valid,
+                };
                 out.push(KeysAction::Granted {
                     request,
                     valid_until,
--- a/crates/core/src/node/attempt.rs
+++ b/crates/core/src/node/attempt.rs
@@ -53,6 +53,10 @@
         let Some(request) = self.requests.get_mut(&seq) else {
             return;
         };
+        if self.now >= request.claim_until {
+            request.outcome.on_claim_void();
+            return self.refuse(seq, Reason::PausedTooLong);
+        }
         let send_before = (self.now + SEND_LIMIT).min(request.claim_until);
         let Some(facts) = &request.facts else {
             debug_assert!(false, "a request is judged before it runs");
--- a/crates/core/src/node/claims.rs
+++ b/crates/core/src/node/claims.rs
@@ -98,7 +98,15 @@
         if request.stage != Stage::Claiming {
             return;
         }
-        request.claim_until = valid_until;
+        if self.now >= valid_until {
+            // This process was paused with the grant in its socket. Another
+            // request may hold the name by now, so nothing is said of it.
+            return self.refuse(id.seq, Reason::PausedTooLong);
+        }
+        let idempotent = request.facts.as_ref().is_some_and(|it| it.class.idempotent);
+        if !idempotent {
+            request.claim_until = valid_until;
+        }
         request.outcome.on_claim_granted();
         self.record(id, Step::ClaimGranted);
         self.begin_admission(id.seq);
--- a/crates/core/src/node/request.rs
+++ b/crates/core/src/node/request.rs
@@ -113,8 +113,9 @@
     pub waiting_since: Time,
     /// What the catalogue says; `None` only in [`Stage::Judging`].
     pub facts: Option<Facts>,
-    /// Nothing may be sent for it after this point; bounds the claim of its
-    /// ticket or key.
+    /// Nothing may be sent for it after this point, when its claim is void.
+    /// Work that may run twice has no such point: a long answer is replayed
+    /// elsewhere long after its claim was asked for.
     pub claim_until: Time,
     /// Where it stands.
     pub stage: Stage,
--- a/crates/core/src/outcome/request.rs
+++ b/crates/core/src/outcome/request.rs
@@ -58,6 +58,12 @@
         self.unclaimed = false;
     }
 
+    /// The claim is void: another request under the name may have been granted
+    /// it since, and have run.
+    pub fn on_claim_void(&mut self) {
+        self.unclaimed = true;
+    }
+
     /// An attempt is handed to the shell. From here on it counts as run until
     /// its own end says otherwise.
     pub fn on_dispatch(&mut self, attempt: AttemptId) {
--- a/crates/core/tests/node/claims.rs
+++ b/crates/core/tests/node/claims.rs
@@ -1,8 +1,8 @@
 //! At most once, over whole nodes: repeats under one ticket or key.
 
 use crate::world::{Name, World};
-use oriolemux_core::event::Event;
-use oriolemux_core::{Outcome, Reason};
+use oriolemux_core::event::{AttemptUpdate, Event};
+use oriolemux_core::{Incarnation, Outcome, Ran, Reason, RequestId};
 use rstest::rstest;
 use std::time::Duration;
 
@@ -63,3 +63,313 @@
         assert_eq!(verdict.outcome(), Outcome::NotRun);
     }
 }
+
+/// A world in which the homes of keys have settled.
+fn settled(nodes: usize) -> World {
+    let mut world = World::new(nodes, 2);
+    world.run_for(SETTLED);
+    world
+}
+
+fn told(world: &World, id: RequestId) -> (Reason, Outcome) {
+    let verdict = world.verdict(id).expect("answered");
+    (verdict.reason(), verdict.outcome())
+}
+
+/// Which kind of name a case uses.
+#[derive(Clone, Copy)]
+enum Kind {
+    Key,
+    Ticket,
+}
+
+/// A name granted by node 2; a key needs a home that has settled.
+struct Granted {
+    key: String,
+    ticket: RequestId,
+    kind: Kind,
+}
+
+impl Granted {
+    fn by(world: &mut World, n: usize, kind: Kind) -> Self {
+        Granted {
+            key: world.key_at(n, (n + 1) % 4),
+            ticket: world.ticket(n),
+            kind,
+        }
+    }
+
+    fn name(&self) -> Name<'_> {
+        match self.kind {
+            Kind::Key => Name::Key(&self.key),
+            Kind::Ticket => Name::Ticket(self.ticket),
+        }
+    }
+}
+
+/// Symptom: a shirt is sold twice. Sequence: a caller times out and repeats
+/// its order, and the balancer hands the repeat to another entry, at the same
+/// moment or later. Cause: two entries that know nothing of each other.
+#[rstest]
+fn a_repeat_elsewhere_runs_nothing(
+    #[values(Kind::Key, Kind::Ticket)] kind: Kind,
+    #[values(false, true)] at_once: bool,
+) {
+    let mut world = settled(4);
+    let granted = Granted::by(&mut world, 2, kind);
+
+    let first = world.send(0, "order", granted.name());
+    if !at_once {
+        world.run_for(SECOND);
+    }
+    let second = world.send(1, "order", granted.name());
+    world.run_for(SECOND);
+
+    assert_eq!(world.runs(&[first, second]), 1);
+    let (ran, other) = match world.dispatches(first).is_empty() {
+        true => (second, first),
+        false => (first, second),
+    };
+    let running = (Reason::AlreadyRunning, Outcome::Unknown);
+    assert_eq!(told(&world, other), running);
+    world.complete(world.dispatches(ran)[0].attempt);
+    world.run_for(SECOND);
+    let third = world.send(3, "order", granted.name());
+    world.run_for(SECOND * 2);
+    let complete = (Reason::AlreadyRan, Outcome::Complete);
+    assert_eq!(told(&world, third), complete);
+    assert_eq!(world.runs(&[first, second, third]), 1);
+}
+
+/// Symptom: a repeat is told "not run" or runs again, though the first may have
+/// run. Sequence: an entry sends an order and its process dies; the repeat
+/// reaches another entry, and again for minutes. Cause: nobody is left who
+/// knows what became of it. `restarted`: a new life under the old name knows as
+/// little.
+#[rstest]
+fn a_repeat_after_its_holder_died_is_unknown(
+    #[values(Kind::Key, Kind::Ticket)] kind: Kind,
+    #[values(false, true)] restarted: bool,
+) {
+    let mut world = settled(4);
+    let granted = Granted::by(&mut world, 2, kind);
+    let first = world.send(0, "order", granted.name());
+    world.run_for(SECOND);
+    assert_eq!(world.runs(&[first]), 1);
+
+    world.kill(0);
+    if restarted {
+        world.run_for(SECOND);
+        world.heal();
+        world.start_node(0, Incarnation(77));
+    }
+
+    let mut reasons = Vec::new();
+    for _ in 0..10 {
+        world.run_for(SECOND * 10);
+        let repeat = world.send(1, "order", granted.name());
+        world.run_for(SECOND);
+        let (reason, outcome) = told(&world, repeat);
+        assert_eq!((outcome, world.runs(&[repeat])), (Outcome::Unknown, 0));
+        reasons.push(reason);
+    }
+    let expected = match restarted {
+        true => Reason::HolderGone,
+        // Nobody can tell a dead holder from one that is cut off.
+        false => Reason::AlreadyRunning,
+    };
+    assert!(reasons.iter().all(|it| *it == expected), "{reasons:?}");
+}
+
+/// Symptom: both sides of a partition run one order, or a caller is told "not
+/// run" by one side while the other runs it. Sequence: entry 0 is cut off from
+/// the process that grants the name; the same order is sent to both sides.
+/// Cause: a side that cannot ask decides by itself.
+#[rstest]
+#[case::key(Kind::Key, &[Reason::HomeSilent])]
+#[case::ticket(Kind::Ticket, &[Reason::HomeSilent])]
+fn an_entry_that_cannot_ask_runs_nothing(#[case] kind: Kind, #[case] reasons: &[Reason]) {
+    let mut world = settled(4);
+    let granted = Granted::by(&mut world, 2, kind);
+    world.isolate(0);
+
+    let mut sent = Vec::new();
+    for _ in 0..20 {
+        world.run_for(SECOND * 10);
+        let cut_off = world.send(0, "order", granted.name());
+        world.run_for(SECOND * 2);
+        let (reason, outcome) = told(&world, cut_off);
+        assert!(reasons.contains(&reason), "{reason}");
+        assert_eq!(outcome, Outcome::Unknown);
+        sent.push(cut_off);
+    }
+    let other_side = world.send(1, "order", granted.name());
+    world.run_for(SECOND);
+    sent.push(other_side);
+    assert_eq!(world.runs(&sent), 1);
+    world.heal();
+    world.run_for(SECOND * 5);
+    let healed = world.send(0, "order", granted.name());
+    world.run_for(SECOND);
+
+    assert_eq!(told(&world, healed).0, Reason::AlreadyRunning);
+    assert_eq!(world.runs(&sent), 1);
+}
+
+/// Symptom: an order under a ticket runs twice. Sequence: the ticket's issuer
+/// is restarted under the same name and address before or after the ticket was
+/// used. Cause: the new life takes the ticket for one that it has not granted.
+#[rstest]
+fn a_restarted_issuer_grants_no_ticket_of_its_former_life(#[values(false, true)] used: bool) {
+    let mut world = settled(3);
+    let ticket = world.ticket(2);
+    let mut sent = Vec::new();
+    if used {
+        sent.push(world.send(0, "order", Name::Ticket(ticket)));
+        world.run_for(SECOND);
+    }
+    world.kill(2);
+    world.run_for(SECOND);
+    world.heal();
+    world.start_node(2, Incarnation(77));
+
+    for n in [0, 1, 2, 0, 1, 2] {
+        world.run_for(SECOND * 3);
+        let repeat = world.send(n, "order", Name::Ticket(ticket));
+        world.run_for(SECOND * 2);
+        assert_eq!(told(&world, repeat), (Reason::HolderGone, Outcome::Unknown));
+        sent.push(repeat);
+    }
+
+    assert_eq!(world.runs(&sent), usize::from(used));
+}
+
+/// Symptom: a shirt is sold twice, minutes apart. Sequence: an entry asks for
+/// the claim of a key and is paused with the grant in its socket; the key's
+/// home leaves the list, the next one settles and grants the key to a repeat;
+/// the entry wakes and takes the grant. Cause: a claim that is still believed
+/// after its time.
+#[test]
+fn an_entry_that_wakes_with_an_old_grant_sends_nothing() {
+    let mut world = settled(4);
+    let key = world.key_at(2, 3);
+    let warm_up = world.key_at(2, 1);
+    for n in 0..4 {
+        // Links are up and the list is fresh, so that the grant comes at once.
+        world.send(n, "plan", Name::Key(&warm_up));
+        world.run_for(SECOND);
+    }
+    let first = world.send(0, "order", Name::Key(&key));
+    world.pause(0);
+    world.run_for(SECOND * 4);
+    world.drop_links(0);
+    world.kill(2);
+    world.unlisted.insert(2);
+    world.publish_list(2, 2);
+    world.run_for(SETTLED);
+    let repeat = world.send(1, "order", Name::Key(&key));
+    world.run_for(SECOND);
+    assert_eq!(world.runs(&[repeat]), 1);
+
+    world.resume(0);
+    world.run_for(SECOND * 30);
+
+    assert_eq!(world.runs(&[first]), 0);
+    let paused = (Reason::PausedTooLong, Outcome::Unknown);
+    assert_eq!(told(&world, first), paused);
+    let third = world.send(3, "order", Name::Key(&key));
+    world.run_for(SECOND);
+    let running = (Reason::AlreadyRunning, Outcome::Unknown);
+    assert_eq!(told(&world, third), running);
+}
+
+/// Symptom: a rolling restart makes an order run twice, or keys are refused
+/// for good after it. Sequence: the home of a key is stopped as planned while
+/// an order under the key runs elsewhere, and leaves the list. Cause: its
+/// successor knows nothing of the key, or never feels sure of it.
+#[test]
+fn a_planned_stop_of_a_keys_home_forgets_no_claim() {
+    let mut world = settled(4);
+    let key = world.key_at(2, 3);
+    let first = world.send(0, "order", Name::Key(&key));
+    world.run_for(SECOND);
+
+    world.feed(world.key(2), Event::Stop);
+    world.run_for(SECOND * 10);
+    assert!(world.seat(2).stopped, "nothing runs there");
+    world.kill(2);
+    let mut sent = vec![first];
+    for round in 0..20 {
+        if round == 3 {
+            world.unlisted.insert(2);
+            world.publish_list(2, 2);
+        }
+        world.run_for(SECOND * 10);
+        let repeat = world.send(1, "order", Name::Key(&key));
+        world.run_for(SECOND);
+        assert_eq!(told(&world, repeat).1, Outcome::Unknown);
+        sent.push(repeat);
+    }
+
+    assert_eq!(world.runs(&sent), 1);
+    let last = *sent.last().expect("sent above");
+    assert_eq!(told(&world, last).0, Reason::AlreadyRunning);
+    let fresh = world.send(1, "order", Name::Key(&format!("{key}-b")));
+    world.run_for(SECOND);
+    assert_eq!(world.runs(&[fresh]), 1);
+}
+
+/// Symptom: a plan that its caller named by a key breaks off when its engine
+/// dies, although others are free. Sequence: it has been streamed for minutes;
+/// its claim was asked for before that. Cause: the claim's time, which keeps
+/// work from running twice, is held against work that may.
+#[test]
+fn a_long_answer_under_a_key_is_replayed_elsewhere() {
+    let mut world = settled(4);
+    let key = world.key_at(2, 3);
+    let id = world.send(0, "plan", Name::Key(&key));
+    world.run_for(SECOND * 90);
+    let first = world.dispatches(id)[0].attempt;
+
+    world.update(
+        first,
+        AttemptUpdate::Failed {
+            reason: Reason::ConnectionLost,
+            ran: Ran::Maybe,
+            delivered: 500,
+            retry_after: None,
+        },
+    );
+    world.run_for(SECOND * 2);
+
+    let dispatches = world.dispatches(id);
+    assert_eq!(dispatches.len(), 2);
+    assert!(dispatches[1].send_before > world.now);
+}
+
+/// Symptom: a shirt is sold twice. Sequence: an entry sends an order under a
+/// key and dies together with the key's home (one rack); the list drops the
+/// home; the repeat reaches the next home. Cause: nobody is left who knows of
+/// the order, and the next home takes the key for a new one.
+#[test]
+fn a_key_whose_home_and_holder_are_gone_is_unknown_for_its_time() {
+    let mut world = settled(4);
+    let key = world.key_at(2, 3);
+    let first = world.send(0, "order", Name::Key(&key));
+    world.run_for(SECOND);
+    assert_eq!(world.runs(&[first]), 1);
+
+    world.kill(0);
+    world.kill(2);
+    world.unlisted.extend([0, 2]);
+    world.publish_list(2, 2);
+
+    for _ in 0..9 {
+        world.run_for(SECOND * 11);
+        let repeat = world.send(1, "order", Name::Key(&key));
+        world.run_for(SECOND);
+        let unsure = (Reason::KeyHomeUnsure, Outcome::Unknown);
+        assert_eq!(told(&world, repeat), unsure);
+        assert_eq!(world.runs(&[repeat]), 0);
+    }
+}
--- a/crates/core/tests/node/world.rs
+++ b/crates/core/tests/node/world.rs
@@ -4,11 +4,13 @@
     Action, AttemptUpdate, Dispatch, Event, LoadReport, LoadedModel, PeerId, RequestArrival,
     ValueName, Work,
 };
+use oriolemux_core::keys::KeyHash;
 use oriolemux_core::node::{Node, NodeConfig};
 use oriolemux_core::note::Note;
 use oriolemux_core::peer::{PeerEnvelope, PeerMessage};
+use oriolemux_core::rendezvous::{self, Candidate};
 use oriolemux_core::{
-    AttemptId, EndpointKey, Incarnation, InstanceKey, Ran, RequestId, Time, Verdict,
+    AttemptId, EndpointKey, Incarnation, InstanceKey, Ran, RequestId, Time, Verdict, WorkspaceKey,
 };
 use sha2::{Digest, Sha256};
 use std::collections::{BTreeMap, BTreeSet};
@@ -49,6 +51,8 @@
     pub node: Node,
     pub wake: Time,
     pub paused: bool,
+    /// What waits for a paused node, in order.
+    inbox: Vec<Event>,
     pub dead: bool,
     pub wants: BTreeSet<InstanceKey>,
     pub stopped: bool,
@@ -72,6 +76,8 @@
     values: BTreeMap<ValueName, (u64, Vec<u8>)>,
     pub platform_down: bool,
     pub leaving_endpoints: BTreeSet<EndpointKey>,
+    /// Nodes that the next published list leaves out.
+    pub unlisted: BTreeSet<usize>,
     watches: Vec<(InstanceKey, Incarnation, ValueName, u64)>,
     seqs: u64,
     /// Requests that the workspace may run at once; in force with the next catalogue.
@@ -92,6 +98,7 @@
             values: BTreeMap::new(),
             platform_down: false,
             leaving_endpoints: BTreeSet::new(),
+            unlisted: BTreeSet::new(),
             watches: Vec::new(),
             seqs: 0,
             workspace_concurrent: 100,
@@ -116,6 +123,7 @@
             node,
             wake: Time::NEVER,
             paused: false,
+            inbox: Vec::new(),
             dead: false,
             wants: BTreeSet::new(),
             stopped: false,
@@ -144,6 +152,7 @@
             .names
             .iter()
             .enumerate()
+            .filter(|(n, _)| !self.unlisted.contains(n))
             .map(|(n, name)| {
                 serde_json::json!({
                     "name": name, "address": format!("127.0.0.1:{}", 1000 + n),
@@ -252,6 +261,26 @@
         id
     }
 
+    /// Returns a key whose home is node number `n`, by a list of all nodes,
+    /// and node number `next` by a list without `n`.
+    pub fn key_at(&self, n: usize, next: usize) -> String {
+        let all = self.names.iter().map(|it| InstanceKey::of(it));
+        let all: Vec<_> = all.map(Candidate::anywhere).collect();
+        let mut ranked = Vec::new();
+        let mut ranks = |key: &str| {
+            let hash = KeyHash::of(WorkspaceKey::of("desk"), key);
+            rendezvous::rank(hash.rank_key(), all.iter().copied(), 2, &mut ranked);
+            ranked == [self.key(n), self.key(next)]
+        };
+        let mut keys = (0..).map(|i| format!("order-{i}"));
+        keys.find(|key| ranks(key)).expect("a key")
+    }
+
+    /// Returns the dispatches of all `requests` that may be sent now or were.
+    pub fn runs(&self, requests: &[RequestId]) -> usize {
+        requests.iter().map(|&id| self.dispatches(id).len()).sum()
+    }
+
     fn draw_id(&mut self, n: usize) -> RequestId {
         let instance = self.key(n);
         self.seqs += 1;
@@ -320,6 +349,10 @@
         if seat.dead {
             return;
         }
+        if seat.paused {
+            seat.inbox.push(event);
+            return;
+        }
         let mut actions = Vec::new();
         seat.node.handle(now, event, &mut actions);
         self.carry_out(to, actions);
@@ -364,16 +397,39 @@
         self.cut.clear();
     }
 
-    /// Ends the process of node number `n` without warning.
-    pub fn kill(&mut self, n: usize) {
+    /// Pauses node number `n`: its sockets stay open, and what arrives waits.
+    pub fn pause(&mut self, n: usize) {
         let me = self.key(n);
-        if let Some(seat) = self.seats.get_mut(&me) {
-            seat.dead = true;
+        self.seats.get_mut(&me).expect("a node").paused = true;
+    }
+
+    /// Wakes node number `n`, which finds what has waited for it.
+    pub fn resume(&mut self, n: usize) {
+        let me = self.key(n);
+        let seat = self.seats.get_mut(&me).expect("a node");
+        seat.paused = false;
+        for event in std::mem::take(&mut seat.inbox) {
+            self.feed(me, event);
         }
+        self.feed(me, Event::Wake);
+    }
+
+    /// Breaks every link of node number `n`, as its peers do after some silence.
+    pub fn drop_links(&mut self, n: usize) {
+        let me = self.key(n);
         let others: Vec<InstanceKey> = self.seats.keys().copied().collect();
         for other in others {
             self.drop_link(me, other);
         }
+    }
+
+    /// Ends the process of node number `n` without warning.
+    pub fn kill(&mut self, n: usize) {
+        let me = self.key(n);
+        if let Some(seat) = self.seats.get_mut(&me) {
+            seat.dead = true;
+        }
+        self.drop_links(n);
         let cut: Vec<_> = self.seats.keys().map(|other| pair(me, *other)).collect();
         self.cut.extend(cut);
     }
