The node gives orders to endpoints

Cause: orders existed as decisions that nobody carried out. Change: goals follow list, notices and catalogue; a giver polls the endpoints it orders even where another instance is home; a version counts as used while a grant, a told request or foreign load may run on it; the weight store's rate is a setting.

--- a/crates/core/src/catalogue/sync/pull.rs
+++ b/crates/core/src/catalogue/sync/pull.rs
@@ -78,6 +78,16 @@
         self.learn_holder(now, from.instance, revision);
     }
 
+    /// Returns whether the catalogue in force is the newest that anybody has
+    /// told of.
+    pub fn is_current(&self) -> bool {
+        let in_force = self.revision();
+        let told = self.pulls.holders.iter();
+        in_force > 0
+            && self.candidates.iter().next().is_none()
+            && told.map(|(_, revision)| *revision).all(|it| it <= in_force)
+    }
+
     /// A link to a peer is up. What was announced while it was down is lost, so
     /// the announcement is repeated.
     pub fn peer_up(&mut self, peer: PeerId, out: &mut Vec<SyncAction>) {
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -14,6 +14,7 @@
 //! | `limits` | places in the limits of entries and workspaces |
 //! | `attempt` | dispatches, follows and repeats attempts |
 //! | `home` | the cells that this node decides for |
+//! | `orders` | orders to endpoints about what they hold |
 //! | `fleet` | what changes when instances and endpoints come and go |
 //! | `platform` | values read from the platform |
 //! | `stop` | planned stop |
@@ -25,6 +26,7 @@
 mod home;
 mod judge;
 mod limits;
+mod orders;
 mod platform;
 mod request;
 mod snapshot;
@@ -42,6 +44,7 @@
 use crate::limits::{Leases, LimitHome, LimitsAction};
 use crate::membership::{Membership, MembershipAction, MembershipConfig};
 use crate::note::Note;
+use crate::orders::{Orders, OrdersConfig};
 use crate::peer::{PeerEnvelope, PeerMessage};
 use crate::reason::{Outcome, Reason};
 use crate::retry::RetryBudget;
@@ -59,6 +62,9 @@
 /// Keeps the jitter of the catalogue apart from that of membership.
 const SYNC_SEED: u64 = 0x5359_4e43;
 
+/// Keeps the jitter of orders apart from that of membership.
+const ORDERS_SEED: u64 = 0x4f52_4452;
+
 /// How a node takes part.
 #[derive(Clone, Debug)]
 pub struct NodeConfig {
@@ -81,6 +87,8 @@
     pub explain_records: usize,
     /// How claims of tickets and keys are timed.
     pub keys: KeysConfig,
+    /// Loads that the weight store bears in a minute, over all instances.
+    pub loads_per_minute: u32,
 }
 
 impl NodeConfig {
@@ -96,6 +104,7 @@
             max_requests: 20_000,
             explain_records: 4_096,
             keys: KeysConfig::default(),
+            loads_per_minute: OrdersConfig::default().loads_per_minute,
         }
     }
 }
@@ -125,6 +134,9 @@
     /// Tickets that wait for the shard that may hold their workspace.
     draws: Vec<TicketDraw>,
     homes: Homes,
+    orders: Orders,
+    /// When orders were looked at last.
+    orders_looked: Time,
     budget: RetryBudget,
     /// Checkpoints that wait to be sent, by home.
     progress: BTreeMap<InstanceKey, Vec<Checkpoint>>,
@@ -160,6 +172,11 @@
             requests: BTreeMap::new(),
             draws: Vec::new(),
             homes: Homes::default(),
+            orders: Orders::new(OrdersConfig {
+                seed: cfg.seed ^ ORDERS_SEED,
+                loads_per_minute: cfg.loads_per_minute,
+            }),
+            orders_looked: Time::ZERO,
             budget: RetryBudget::new(),
             progress: BTreeMap::new(),
             explain: Explain::new(cfg.explain_records),
@@ -227,7 +244,11 @@
                 stored,
                 evicted,
             } => self.on_cache(endpoint, gap, &stored, &evicted),
-            Event::OrderDone { .. } => {}
+            Event::OrderDone {
+                endpoint,
+                fencing,
+                result,
+            } => self.on_order_done(endpoint, fencing, result),
             Event::Wake => {}
             Event::Stop => self.on_stop(),
         }
@@ -236,6 +257,7 @@
     /// Works until nothing is left to do at this time.
     fn settle(&mut self, actions: &mut Vec<Action>) {
         self.run_timers();
+        self.tick_orders();
         loop {
             self.carry_out_membership();
             self.carry_out_sync();
@@ -270,6 +292,7 @@
             self.sync.next_wake(),
             self.keys.next_wake(),
             self.limits_wake(),
+            self.orders_wake(),
             self.homes.next_poll(),
         ];
         parts.into_iter().min().unwrap_or(Time::NEVER)
--- a/crates/core/src/node/fleet.rs
+++ b/crates/core/src/node/fleet.rs
@@ -50,6 +50,7 @@
         match change {
             MembershipChange::List { .. } => {
                 self.refresh_keys();
+                self.refresh_goals();
                 self.on_homes_moved();
             }
             MembershipChange::Homes => self.on_homes_moved(),
@@ -60,7 +61,10 @@
             }
             MembershipChange::InstanceGone { .. } => {}
             MembershipChange::EndpointLeaving { endpoint }
-            | MembershipChange::EndpointBack { endpoint } => self.refresh_endpoint(endpoint),
+            | MembershipChange::EndpointBack { endpoint } => {
+                self.refresh_endpoint(endpoint);
+                self.refresh_goals();
+            }
         }
     }
 
--- a/crates/core/src/node/home.rs
+++ b/crates/core/src/node/home.rs
@@ -9,9 +9,9 @@
 use crate::cell::message::{Grant, Refused, millis, request_id};
 use crate::cell::{
     Cell, CellConfig, CellDecision, CellMessage, Distance, EndpointInfo, EndpointKind,
-    EndpointState,
+    EndpointState, Requirement,
 };
-use crate::event::{Action, LoadReport, PeerId};
+use crate::event::{Action, LoadReport, LoadedModel, PeerId};
 use crate::ids::{CellKey, EndpointKey, Incarnation, InstanceKey, RequestId};
 use crate::membership;
 use crate::peer::PeerMessage;
@@ -19,7 +19,7 @@
 use crate::time::Time;
 use core::time::Duration;
 use rand::Rng;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// How often a home asks each endpoint of its cells for its load.
 pub(super) const POLL_INTERVAL: Duration = Duration::from_millis(500);
@@ -42,6 +42,16 @@
     next_poll: Time,
 }
 
+/// Where a request stands at its home.
+#[derive(Clone, Copy, Debug)]
+struct Placement {
+    cell: CellKey,
+    /// Where it runs; `None` while it is queued.
+    endpoint: Option<EndpointKey>,
+    /// What it needs there; [`Requirement::ANY`] if it is not known.
+    needs: Requirement,
+}
+
 /// All cells that this node decides for.
 ///
 /// Invariant: `placed` names only cells in `cells`.
@@ -49,8 +59,12 @@
 pub(super) struct Homes {
     /// The cells.
     pub cells: BTreeMap<CellKey, HomeCell>,
-    /// Which cell a request is queued or running in.
-    placed: BTreeMap<RequestId, CellKey>,
+    /// Where each request is queued or runs.
+    placed: BTreeMap<RequestId, Placement>,
+    /// Endpoints whose next poll is scheduled.
+    polled: BTreeSet<EndpointKey>,
+    /// What endpoints said last that they run, by anybody's grant.
+    reported: BTreeMap<EndpointKey, u32>,
     /// Reused buffer.
     decisions: Vec<CellDecision>,
 }
@@ -63,8 +77,8 @@
     }
 
     fn cell_of(&mut self, id: RequestId) -> Option<&mut HomeCell> {
-        let cell = self.placed.get(&id)?;
-        let home = self.cells.get_mut(cell)?;
+        let placement = self.placed.get(&id)?;
+        let home = self.cells.get_mut(&placement.cell)?;
         home.next_poll = Time::ZERO;
         Some(home)
     }
@@ -76,6 +90,32 @@
         Some(home)
     }
 
+    /// Returns whether an endpoint is in one of the cells.
+    fn has(&self, endpoint: EndpointKey) -> bool {
+        let mut cells = self.cells.values();
+        cells.any(|it| it.endpoints.contains(&endpoint))
+    }
+
+    /// Returns whether a generation may run on a model of an endpoint.
+    ///
+    /// A model that is unloaded under a generation cuts it off. So whatever is
+    /// not known for certain counts as use: a grant of another home, which
+    /// shows only in the endpoint's report, and a request that was told by its
+    /// entry after a change of home.
+    pub fn may_use(&self, endpoint: EndpointKey, model: &LoadedModel) -> bool {
+        let reported = self.reported.get(&endpoint);
+        let placed = self.placed.values();
+        let here = placed.filter(|it| it.endpoint == Some(endpoint));
+        let mut known = 0;
+        for placement in here {
+            known += 1;
+            if placement.needs == Requirement::ANY || needs_model(placement.needs, model) {
+                return true;
+            }
+        }
+        reported.is_none_or(|&running| running > known)
+    }
+
     /// Takes a request out of whatever cell it is in.
     fn withdraw(&mut self, now: Time, id: RequestId) {
         if let Some(home) = self.cell_of(id) {
@@ -94,6 +134,14 @@
     }
 }
 
+fn needs_model(needs: Requirement, model: &LoadedModel) -> bool {
+    let version = Some(model.version.as_str());
+    let plain = Requirement::new(&model.name, version, None);
+    let adapters = model.adapters.iter();
+    let mut adapted = adapters.map(|it| Requirement::new(&model.name, version, Some(it)));
+    needs == plain || adapted.any(|it| it == needs)
+}
+
 impl Node {
     /// A message between an entry and a home arrived, in either role.
     pub(super) fn on_cell_message(&mut self, from: PeerId, message: CellMessage) {
@@ -107,7 +155,12 @@
                 let req = (*ask).into_request(from, self.now);
                 self.homes.withdraw(self.now, req.id);
                 if let Some(home) = self.homes.cells.get_mut(&cell) {
-                    self.homes.placed.insert(req.id, cell);
+                    let placement = Placement {
+                        cell,
+                        endpoint: None,
+                        needs: req.needs,
+                    };
+                    self.homes.placed.insert(req.id, placement);
                     home.cell.submit(self.now, req);
                     home.next_poll = Time::ZERO;
                 }
@@ -149,7 +202,7 @@
         // place, its lease would hold memory for ever.
         let held = self.homes.placed.iter();
         let held = held.filter(|(id, at)| {
-            (id.instance, id.incarnation) == (from.instance, from.incarnation) && **at == cell
+            (id.instance, id.incarnation) == (from.instance, from.incarnation) && at.cell == cell
         });
         for id in held.map(|(id, _)| *id).collect::<Vec<_>>() {
             self.homes.withdraw(self.now, id);
@@ -157,7 +210,12 @@
         for told in told {
             let running = told.into_running(from);
             if let Some(home) = self.homes.cells.get_mut(&cell) {
-                self.homes.placed.insert(running.id, cell);
+                let placement = Placement {
+                    cell,
+                    endpoint: Some(running.endpoint),
+                    needs: Requirement::ANY,
+                };
+                self.homes.placed.insert(running.id, placement);
                 home.cell.adopt(self.now, running);
                 home.next_poll = Time::ZERO;
             }
@@ -203,12 +261,12 @@
         }
         let keys: Vec<CellKey> = self.homes.cells.keys().copied().collect();
         for key in keys {
-            let in_use = self.homes.placed.values().any(|it| *it == key);
+            let in_use = self.homes.placed.values().any(|it| it.cell == key);
             if own.contains(&key) || (in_use && self.membership.view().cell(key).is_some()) {
                 self.refresh_cell(key);
             } else {
                 self.homes.cells.remove(&key);
-                self.homes.placed.retain(|_, it| *it != key);
+                self.homes.placed.retain(|_, it| it.cell != key);
             }
         }
     }
@@ -239,7 +297,7 @@
         home.endpoints = endpoints;
         home.next_poll = Time::ZERO;
         for endpoint in new {
-            self.timers.set(self.now, TimerKind::PollLoad(endpoint));
+            self.begin_polls(endpoint);
         }
     }
 
@@ -272,12 +330,23 @@
         })
     }
 
-    /// Asks an endpoint of an own cell for its load, and again later.
+    /// Asks an endpoint for its load from now on, as long as this node decides
+    /// for it or gives it orders.
+    pub(super) fn begin_polls(&mut self, endpoint: EndpointKey) {
+        if self.homes.polled.insert(endpoint) {
+            self.timers.set(self.now, TimerKind::PollLoad(endpoint));
+        }
+    }
+
+    /// Asks an endpoint for its load, and again later.
     pub(super) fn poll_load(&mut self, endpoint: EndpointKey) {
-        if self.homes.cell_with(endpoint).is_none() {
+        if !self.homes.has(endpoint) && !self.orders.is_giver_of(endpoint) {
+            self.homes.polled.remove(&endpoint);
+            self.homes.reported.remove(&endpoint);
             return;
         }
         let Some(target) = self.membership.view().endpoint_target(endpoint) else {
+            self.homes.polled.remove(&endpoint);
             return;
         };
         self.out.push(Action::PollLoad(target));
@@ -292,6 +361,8 @@
         if let Some(home) = self.homes.cell_with(endpoint) {
             home.cell.report(now, endpoint, report);
         }
+        self.homes.reported.insert(endpoint, report.running);
+        self.orders.report(now, endpoint, report);
         let leaving = report.leaving;
         self.with_membership(|membership, now, out| {
             membership.endpoint_reported(now, endpoint, leaving, out);
@@ -353,12 +424,17 @@
                 priority,
                 record,
                 ..
-            } => CellMessage::Grant(Box::new(Grant {
-                seq: id.seq,
-                endpoint,
-                priority,
-                record,
-            })),
+            } => {
+                if let Some(placement) = self.homes.placed.get_mut(&id) {
+                    placement.endpoint = Some(endpoint);
+                }
+                CellMessage::Grant(Box::new(Grant {
+                    seq: id.seq,
+                    endpoint,
+                    priority,
+                    record,
+                }))
+            }
             CellDecision::Refuse {
                 reason,
                 retry_after,
--- /dev/null
+++ b/crates/core/src/node/orders.rs
@@ -0,0 +1,82 @@
+//! Orders to the endpoints that this node is the giver for.
+
+use super::Node;
+use crate::event::{Action, OrderResult};
+use crate::ids::EndpointKey;
+use crate::orders::{Knowledge, OrdersAction, count_givers, plan_goals};
+use crate::time::Time;
+use core::time::Duration;
+
+/// The least time between two looks at what is to be ordered. Orders take
+/// seconds to minutes; nothing is gained by looking more often.
+const LOOK_GAP: Duration = Duration::from_millis(100);
+
+impl Node {
+    /// The list, a notice or the catalogue changed what endpoints should hold.
+    pub(super) fn refresh_goals(&mut self) {
+        let Some(catalogue) = self.sync.catalogue() else {
+            return;
+        };
+        let goals = plan_goals(&self.membership, catalogue);
+        let keys: Vec<EndpointKey> = goals.iter().map(|it| it.endpoint.key).collect();
+        self.orders.set_goals(self.now, goals);
+        for key in keys {
+            self.begin_polls(key);
+        }
+    }
+
+    pub(super) fn on_order_done(&mut self, key: EndpointKey, fencing: u64, result: OrderResult) {
+        self.orders.done(self.now, key, fencing, result);
+    }
+
+    /// Gives the orders that are due.
+    pub(super) fn tick_orders(&mut self) {
+        if self.orders_wake() > self.now {
+            return;
+        }
+        self.orders_looked = self.now;
+        let knowledge = self.knowledge();
+        let mut out = Vec::new();
+        let homes = &self.homes;
+        let is_used = |key, model: &_| homes.may_use(key, model);
+        self.orders.tick(self.now, &knowledge, &is_used, &mut out);
+        for action in out {
+            match action {
+                OrdersAction::Give {
+                    endpoint,
+                    fencing,
+                    kind,
+                    send_before,
+                } => self.out.push(Action::Order {
+                    endpoint,
+                    fencing,
+                    kind,
+                    send_before,
+                }),
+                OrdersAction::WantFreshList => {
+                    self.with_membership(|it, now, out| it.want_fresh(now, out));
+                }
+                OrdersAction::Note(note) => self.note(note),
+            }
+        }
+    }
+
+    pub(super) fn orders_wake(&self) -> Time {
+        let wake = self.orders.next_wake();
+        wake.max(self.orders_looked + LOOK_GAP)
+    }
+
+    fn knowledge(&self) -> Knowledge {
+        let age = self.membership.list_age(self.now);
+        let confirmed = age.map(|age| {
+            let age = u64::try_from(age.as_micros()).unwrap_or(u64::MAX);
+            Time::from_micros(self.now.as_micros().saturating_sub(age))
+        });
+        Knowledge {
+            list_revision: self.membership.view().revision(),
+            confirmed,
+            is_catalogue_current: self.sync.is_current(),
+            givers: count_givers(&self.membership),
+        }
+    }
+}
--- a/crates/core/src/node/platform.rs
+++ b/crates/core/src/node/platform.rs
@@ -39,9 +39,11 @@
 
     fn on_sync_change(&mut self, change: SyncChange) {
         match change {
-            SyncChange::InForce { .. } | SyncChange::ShardReady(_) | SyncChange::ShardFailed(_) => {
-                self.judge_waiting()
+            SyncChange::InForce { .. } => {
+                self.judge_waiting();
+                self.refresh_goals();
             }
+            SyncChange::ShardReady(_) | SyncChange::ShardFailed(_) => self.judge_waiting(),
         }
     }
 
--- a/crates/core/src/orders/give.rs
+++ b/crates/core/src/orders/give.rs
@@ -109,6 +109,11 @@
         self.wake = now;
     }
 
+    /// Returns whether this instance gives orders to an endpoint.
+    pub fn is_giver_of(&self, endpoint: EndpointKey) -> bool {
+        self.endpoints.contains_key(&endpoint)
+    }
+
     /// Returns how many endpoints this instance gives orders to.
     pub fn endpoints(&self) -> usize {
         self.endpoints.len()
--- a/crates/core/tests/node/main.rs
+++ b/crates/core/tests/node/main.rs
@@ -3,5 +3,6 @@
 
 mod claims;
 mod failures;
+mod orders;
 mod path;
 mod world;
--- a/crates/core/tests/node/world.rs
+++ b/crates/core/tests/node/world.rs
@@ -1,8 +1,8 @@
 //! A few nodes, links between them, one platform and fake endpoints, in virtual time.
 
 use oriolemux_core::event::{
-    Action, AttemptUpdate, Dispatch, Event, LoadReport, LoadedModel, PeerId, RequestArrival,
-    ValueName, Work,
+    Action, AttemptUpdate, Dispatch, Event, LoadReport, LoadedModel, OrderKind, OrderResult,
+    PeerId, RequestArrival, ValueName, Work,
 };
 use oriolemux_core::keys::KeyHash;
 use oriolemux_core::node::{Node, NodeConfig};
@@ -62,6 +62,15 @@
     pub tickets: Vec<RequestId>,
 }
 
+/// An order as a fake engine received it.
+pub struct GivenOrder {
+    pub at: Time,
+    pub giver: InstanceKey,
+    pub endpoint: EndpointKey,
+    pub fencing: u64,
+    pub kind: OrderKind,
+}
+
 /// A few nodes and what stands around them.
 pub struct World {
     pub now: Time,
@@ -80,6 +89,12 @@
     pub unlisted: BTreeSet<usize>,
     watches: Vec<(InstanceKey, Incarnation, ValueName, u64)>,
     seqs: u64,
+    /// The version that the catalogue asks for; in force with the next one.
+    pub model_version: u32,
+    /// What the fake engines hold.
+    pub loaded: BTreeMap<EndpointKey, Vec<LoadedModel>>,
+    /// Orders that were given: by whom, to whom, with which number, what.
+    pub orders: Vec<GivenOrder>,
     /// Requests that the workspace may run at once; in force with the next catalogue.
     pub workspace_concurrent: u32,
 }
@@ -102,6 +117,9 @@
             watches: Vec::new(),
             seqs: 0,
             workspace_concurrent: 100,
+            model_version: 1,
+            loaded: BTreeMap::new(),
+            orders: Vec::new(),
         };
         world.publish_list(1, engines);
         world.publish_catalogue(1);
@@ -203,8 +221,9 @@
             )
         };
         let index = format!(
-            "revision = {revision}\nshards = [\"{}\"]\n[[model]]\nname = \"loom\"\nversion = \"1\"\n{}{}{}{}",
+            "revision = {revision}\nshards = [\"{}\"]\n[[model]]\nname = \"loom\"\nversion = \"{}\"\nreplicas = 8\n{}{}{}{}",
             hex(&Sha256::digest(&shard)),
+            self.model_version,
             class("repeatable", true),
             class("once", false),
             entry("plan", "repeatable"),
@@ -560,6 +579,12 @@
                     };
                     self.schedule(HOP, later);
                 }
+                Action::Order {
+                    endpoint,
+                    fencing,
+                    kind,
+                    ..
+                } => self.take_order(me, endpoint.key, fencing, kind),
                 other => self.carry_out_own(me, other),
             }
         }
@@ -584,21 +609,67 @@
         }
     }
 
+    /// Carries an order out at once, as an engine does that ignores fencing.
+    fn take_order(
+        &mut self,
+        giver: InstanceKey,
+        endpoint: EndpointKey,
+        fencing: u64,
+        kind: OrderKind,
+    ) {
+        let models = self
+            .loaded
+            .entry(endpoint)
+            .or_insert_with(|| vec![loom("1")]);
+        match &kind {
+            OrderKind::Load { version, .. } => models.push(loom(version)),
+            OrderKind::Unload { version, .. } => models.retain(|it| it.version != *version),
+            OrderKind::Role { .. } => {}
+        }
+        self.orders.push(GivenOrder {
+            at: self.now,
+            giver,
+            endpoint,
+            fencing,
+            kind,
+        });
+        let event = Event::OrderDone {
+            endpoint,
+            fencing,
+            result: OrderResult::Accepted,
+        };
+        let incarnation = self.seats[&giver].node.me().incarnation;
+        let later = Later::Event {
+            to: giver,
+            incarnation,
+            event,
+        };
+        self.schedule(HOP, later);
+    }
+
     fn load_of(&self, endpoint: EndpointKey) -> LoadReport {
         LoadReport {
             kv_tokens_total: KV_TOKENS,
             max_running: 64,
-            models: vec![LoadedModel {
-                name: "loom".to_owned(),
-                version: "1".to_owned(),
-                adapters: Vec::new(),
-            }],
+            models: match self.loaded.get(&endpoint) {
+                Some(models) => models.clone(),
+                None => vec![loom("1")],
+            },
             leaving: self.leaving_endpoints.contains(&endpoint),
             ..LoadReport::default()
         }
     }
 }
 
+/// Returns a version of the only model.
+pub fn loom(version: &str) -> LoadedModel {
+    LoadedModel {
+        name: "loom".to_owned(),
+        version: version.to_owned(),
+        adapters: Vec::new(),
+    }
+}
+
 fn pair(a: InstanceKey, b: InstanceKey) -> (InstanceKey, InstanceKey) {
     (a.min(b), a.max(b))
 }
--- a/crates/oriolemux/src/serve.rs
+++ b/crates/oriolemux/src/serve.rs
@@ -349,6 +349,7 @@
     cfg.stop_grace = settings.stop.notice_ms.duration();
     cfg.stall_limit = settings.endpoints.stall_timeout_ms.duration();
     cfg.max_requests = settings.callers.max_requests as usize;
+    cfg.loads_per_minute = settings.limits.loads_per_minute;
     cfg.explain_records = settings.limits.explain_records as usize;
     cfg.keys = keys_config(&settings.claims);
     cfg
--- a/crates/oriolemux/src/settings/table.rs
+++ b/crates/oriolemux/src/settings/table.rs
@@ -190,6 +190,9 @@
 
     /// Bounds of the instance itself; what a workspace may take stands in the catalogue.
     limits: LimitsSettings {
+        /// Loads of models, versions and adapters that the weight store bears in a minute.
+        /// It is the same on all instances, which share it.
+        loads_per_minute: u32 = default(30).range(1, 100_000);
         /// Decision records that are kept for `explain`.
         explain_records: u32 = default(4096).range(16, 1_000_000);
     }
