A rejected catalogue is shown with its revision and findings

Cause: status showed no rejection at all, and a rejected index was reported as revision 0 although the revision it states can be read. Change: status names the revision that the rejected index states and every finding with its place, until a later revision is in force; event 502 carries that revision. What keeps peers from being asked for a revision is told apart from it, so an index that is mended under the same revision still spreads.

--- a/crates/core/src/catalogue.rs
+++ b/crates/core/src/catalogue.rs
@@ -64,6 +64,15 @@
     Ok(resolve::index(&source, Digest::of(bytes)))
 }
 
+/// Returns the revision that an index states, whatever else is wrong with it, or 0 if none
+/// can be read. Operators know a rejected index by it.
+pub fn stated_revision(bytes: &[u8]) -> u64 {
+    let mut ignored = Findings::new(ValueName::CatalogueIndex.to_string());
+    let source = parse::index(bytes, &mut ignored);
+    let revision = source.map_or(0, |source| source.revision.value_or_default());
+    u64::try_from(revision).unwrap_or(0)
+}
+
 /// Reads and verifies shard `number` of a catalogue with `count` shards, or
 /// returns every finding.
 ///
--- a/crates/core/src/catalogue/sync/candidate.rs
+++ b/crates/core/src/catalogue/sync/candidate.rs
@@ -7,9 +7,9 @@
 //! back the revision that the rest of the fleet already uses.
 
 use super::message::{CatalogueMessage, ShardId};
-use super::status::RejectionCause;
+use super::status::{Rejection, RejectionCause};
 use super::{CatalogueSync, Former, Held, SyncAction, SyncChange, shard_id, shard_id_or_other};
-use crate::catalogue::{Catalogue, Digest, parse_index};
+use crate::catalogue::{Catalogue, Digest, parse_index, stated_revision};
 use crate::findings::Findings;
 use crate::note::Note;
 use crate::time::Time;
@@ -143,7 +143,13 @@
         match parse_index(bytes) {
             Ok(catalogue) => self.consider_valid(now, catalogue, bytes, origin, out),
             Err(findings) => {
-                self.reject(digest, 0, RejectionCause::Findings(findings), out);
+                let rejection = Rejection {
+                    revision: stated_revision(bytes),
+                    digest,
+                    cause: RejectionCause::Findings(findings),
+                };
+                // Another index of this revision may be good, and peers may have it.
+                self.reject(rejection, None, out);
             }
         }
     }
@@ -169,8 +175,12 @@
         if revision == self.revision() {
             // Two indexes under one revision: whichever came first stays, or
             // the catalogue would change without its revision saying so.
-            let cause = RejectionCause::RevisionReused;
-            return self.reject(catalogue.digest(), revision, cause, out);
+            let rejection = Rejection {
+                revision,
+                digest: catalogue.digest(),
+                cause: RejectionCause::RevisionReused,
+            };
+            return self.reject(rejection, Some(revision), out);
         }
         if self.candidates.gives_way(origin, revision) {
             let held = Held {
@@ -291,20 +301,14 @@
         }
     }
 
-    fn reject(
-        &mut self,
-        digest: Digest,
-        revision: u64,
-        cause: RejectionCause,
-        out: &mut Vec<SyncAction>,
-    ) {
+    /// Notes a rejection. Peers are not asked for a catalogue of the revision `barred`.
+    fn reject(&mut self, rejection: Rejection, barred: Option<u64>, out: &mut Vec<SyncAction>) {
         self.counters.rejected += 1;
-        let findings = cause.findings();
-        self.rejected.insert(digest, revision, cause);
         out.push(SyncAction::Note(Note::CatalogueRejected {
-            revision,
-            findings,
+            revision: rejection.revision,
+            findings: rejection.cause.findings(),
         }));
+        self.rejected.insert(rejection, barred);
     }
 
     /// Rejects the candidates that list a shard that is not valid.
@@ -317,8 +321,13 @@
         let adopted = self.candidates.adopted.take_if(|it| it.lists(id));
         let proposed = self.candidates.proposed.take_if(|it| it.lists(id));
         for candidate in adopted.into_iter().chain(proposed) {
-            let cause = RejectionCause::Findings(findings.clone());
-            self.reject(candidate.digest(), candidate.revision(), cause, out);
+            let revision = candidate.revision();
+            let rejection = Rejection {
+                revision,
+                digest: candidate.digest(),
+                cause: RejectionCause::Findings(findings.clone()),
+            };
+            self.reject(rejection, Some(revision), out);
         }
         self.prune_fetches();
     }
--- a/crates/core/src/catalogue/sync/pull.rs
+++ b/crates/core/src/catalogue/sync/pull.rs
@@ -72,7 +72,7 @@
     /// A peer's message said which revision it has in force.
     pub fn peer_revision(&mut self, now: Time, from: PeerId, revision: u64) {
         let known = self.highest_known();
-        if revision <= known || self.rejected.has_revision(revision) {
+        if revision <= known || self.rejected.bars(revision) {
             return;
         }
         self.learn_holder(now, from.instance, revision);
--- a/crates/core/src/catalogue/sync/status.rs
+++ b/crates/core/src/catalogue/sync/status.rs
@@ -58,7 +58,7 @@
 /// An index that was rejected.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Rejection {
-    /// Its revision; 0 if it could not be read.
+    /// The revision that it states; 0 if none can be read.
     pub revision: u64,
     /// The digest of its bytes.
     pub digest: Digest,
@@ -69,7 +69,7 @@
 /// The rejected indexes; only the last one keeps its findings.
 #[derive(Debug, Default)]
 pub(super) struct Rejected {
-    digests: VecDeque<(Digest, u64)>,
+    digests: VecDeque<(Digest, Option<u64>)>,
     last: Option<Rejection>,
 }
 
@@ -78,21 +78,19 @@
         self.digests.iter().any(|(known, _)| *known == digest)
     }
 
-    /// Returns whether an index of this revision was rejected.
-    pub fn has_revision(&self, revision: u64) -> bool {
-        self.digests.iter().any(|(_, known)| *known == revision)
+    /// Returns whether peers are not to be asked for a catalogue of this revision.
+    pub fn bars(&self, revision: u64) -> bool {
+        let mut barred = self.digests.iter().map(|(_, barred)| *barred);
+        barred.any(|it| it == Some(revision))
     }
 
-    pub fn insert(&mut self, digest: Digest, revision: u64, cause: RejectionCause) {
+    /// Remembers a rejection, and the revision that is not worth asking peers for.
+    pub fn insert(&mut self, rejection: Rejection, barred: Option<u64>) {
         if self.digests.len() == REMEMBERED {
             self.digests.pop_front();
         }
-        self.digests.push_back((digest, revision));
-        self.last = Some(Rejection {
-            revision,
-            digest,
-            cause,
-        });
+        self.digests.push_back((rejection.digest, barred));
+        self.last = Some(rejection);
     }
 }
 
@@ -122,6 +120,11 @@
 }
 
 impl CatalogueSync {
+    /// Returns the last rejection, whether or not a good revision came after it.
+    pub fn rejection(&self) -> Option<&Rejection> {
+        self.rejected.last.as_ref()
+    }
+
     /// Returns what operators are shown.
     pub fn status(&self, now: Time) -> SyncStatus {
         let candidate = self.candidates.iter().max_by_key(|it| it.revision());
--- a/crates/core/src/node/snapshot.rs
+++ b/crates/core/src/node/snapshot.rs
@@ -2,6 +2,7 @@
 
 use super::Node;
 use super::request::Stage;
+use crate::catalogue::sync::Rejection;
 use crate::cell::CellSnapshot;
 use crate::explain::{Line, Names};
 use crate::ids::{CellKey, EndpointKey, InstanceKey, RequestId};
@@ -29,6 +30,8 @@
     pub stopping: bool,
     /// The catalogue revision in force; 0 for none.
     pub catalogue_revision: u64,
+    /// The catalogue that was rejected last.
+    pub rejection: Option<Rejection>,
     /// The list revision in force; 0 for none.
     pub list_revision: u64,
     /// Since when the list has not been confirmed; `None` before the first.
@@ -69,6 +72,7 @@
             ready: self.is_ready(),
             stopping: self.is_stopping(),
             catalogue_revision: self.sync.revision(),
+            rejection: self.sync.rejection().cloned(),
             list_revision: self.membership.view().revision(),
             list_age: self.membership.list_age(self.now),
             live_instances: self.membership.live_count(),
--- a/crates/oriolemux/src/node_task/view.rs
+++ b/crates/oriolemux/src/node_task/view.rs
@@ -2,8 +2,9 @@
 
 use crate::status::{
     CatalogueStatus, CellStatus, EndpointStatus, LinkStatus, ListStatus, NodeStatus, Readiness,
-    RequestsStatus,
+    RejectedCatalogue, RequestsStatus,
 };
+use oriolemux_core::catalogue::sync::{Rejection, RejectionCause};
 use oriolemux_core::cell::{CellSnapshot, EndpointSnapshot};
 use oriolemux_core::node::NodeSnapshot;
 use oriolemux_core::{CellKey, EndpointKey, Node};
@@ -62,9 +63,33 @@
 }
 
 fn catalogue(snapshot: &NodeSnapshot) -> CatalogueStatus {
+    let in_force = snapshot.catalogue_revision;
+    let rejection = snapshot.rejection.as_ref();
     CatalogueStatus {
-        revision: snapshot.catalogue_revision,
-        rejected: None,
+        revision: in_force,
+        rejected: rejection
+            .filter(|it| is_news(it, in_force))
+            .map(|it| RejectedCatalogue {
+                revision: it.revision,
+                findings: findings(&it.cause),
+            }),
+    }
+}
+
+/// A rejection stays on show until a later revision is in force. One that could not be read
+/// has no revision, so it is always shown.
+fn is_news(rejection: &Rejection, in_force: u64) -> bool {
+    rejection.revision == 0 || rejection.revision >= in_force
+}
+
+fn findings(cause: &RejectionCause) -> Vec<String> {
+    match cause {
+        RejectionCause::Findings(findings) => {
+            findings.to_string().lines().map(str::to_owned).collect()
+        }
+        RejectionCause::RevisionReused => {
+            vec!["another catalogue of this revision is in force".to_owned()]
+        }
     }
 }
 
