Refused connections are counted; long envelopes go as several frames

Cause: connections on the peers' port that are not taken had no counter of their own; and an envelope of more messages than a frame may hold would have been sent and then taken for malformed, which breaks the link.

Change: oriolemux_peer_connections_refused_total. What does not fit one frame goes as several. A pull of the list that no peer answers is followed by a read of the platform.

--- a/crates/core/src/membership/reads.rs
+++ b/crates/core/src/membership/reads.rs
@@ -238,8 +238,11 @@
         if revision <= self.seen_revision() {
             return;
         }
-        if self.reads.pulled.is_some_and(|it| now < it + PULL_LIMIT) {
-            return;
+        match self.reads.pulled {
+            Some(at) if now < at + PULL_LIMIT => return,
+            // The peer has gone, or the list is too long for its frames.
+            Some(_) => self.want_fresh(now, out),
+            None => {}
         }
         self.pull(now, from.instance, self.view.revision(), out);
     }
--- a/crates/core/tests/membership_failures.rs
+++ b/crates/core/tests/membership_failures.rs
@@ -396,6 +396,30 @@
     }
 }
 
+#[test]
+fn a_pull_that_is_not_answered_is_followed_by_a_read() {
+    // Symptom: one instance kept an old list although every peer told of a newer.
+    // Sequence: the peer that is asked for the changes cannot send them.
+    // Cause: only peers were asked, again and again.
+    let list = fleet(1, 6, 2);
+    let mut member = member("i0-000", &list);
+    let reads = |out: &[MembershipAction]| out.contains(&MembershipAction::ReadList);
+    let pulls = |out: &[MembershipAction]| {
+        let pull = MembershipMessage::ListPull { have: 1 };
+        out.iter()
+            .any(|it| matches!(it, MembershipAction::Send { message, .. } if *message == pull))
+    };
+    let told = |member: &mut Membership, now| {
+        actions(|out| member.peer_revision(now, peer("i0-001", 1), 5, out))
+    };
+    let out = told(&mut member, T);
+    assert!(pulls(&out) && !reads(&out));
+    let out = told(&mut member, T + Duration::from_secs(1));
+    assert!(!pulls(&out) && !reads(&out));
+    let out = told(&mut member, T + Duration::from_secs(3));
+    assert!(pulls(&out) && reads(&out));
+}
+
 #[test]
 fn the_next_in_rank_takes_over_the_watch() {
     // Symptom: a data centre heard of no list change after one instance died.
--- a/crates/oriolemux/src/metrics.rs
+++ b/crates/oriolemux/src/metrics.rs
@@ -83,6 +83,8 @@
         PeerBytesReceived = "oriolemux_peer_bytes_received_total";
         /// Frames dropped because a link's queue was full.
         PeerFramesDropped = "oriolemux_peer_frames_dropped_total";
+        /// Connections on the peers' port that were not taken as links.
+        PeerConnectionsRefused = "oriolemux_peer_connections_refused_total";
         /// Calls of the platform's service; a waiting watch counts as one.
         PlatformCalls = "oriolemux_platform_calls_total";
         /// Log lines dropped because there were more than 100 of one event in a second, or
--- a/crates/oriolemux/src/peers.rs
+++ b/crates/oriolemux/src/peers.rs
@@ -21,7 +21,7 @@
 mod table;
 
 pub use auth::{VERSION_MAX, VERSION_MIN, common_version};
-pub use codec::{CodecError, FrameDecoder, encode_frame};
+pub use codec::{CodecError, FrameDecoder, encode_frame, encode_frames};
 pub use link::Break;
 pub use queue::QUEUE_BYTES;
 
@@ -185,7 +185,7 @@
     Displaced,
     /// There is no link, and none was asked for.
     NoLink,
-    /// It is longer than a frame may be.
+    /// A message of it is longer than a frame may be; the others wait.
     TooLong,
 }
 
@@ -233,21 +233,27 @@
         }
     }
 
-    /// Queues a frame for a peer; never waits.
+    /// Queues an envelope for a peer; never waits.
+    ///
+    /// It goes as several frames if it is too long for one.
     pub fn send(&self, to: InstanceKey, envelope: &PeerEnvelope) -> SendOutcome {
         let Some(queue) = self.shared.queue(to) else {
             return SendOutcome::NoLink;
         };
-        let Ok(frame) = encode_frame(envelope, self.shared.cfg().max_frame) else {
-            Counter::PeerFramesDropped.add(1);
-            return SendOutcome::TooLong;
-        };
-        match queue.push(frame) {
-            Queued::Kept => SendOutcome::Queued,
-            Queued::Displaced(n) => {
-                Counter::PeerFramesDropped.add(n as u64);
-                SendOutcome::Displaced
-            }
+        let mut frames = Vec::with_capacity(1);
+        let too_long = encode_frames(envelope, self.shared.cfg().max_frame, &mut frames);
+        let mut dropped = too_long;
+        for frame in frames {
+            dropped += match queue.push(frame) {
+                Queued::Kept => 0,
+                Queued::Displaced(n) => n,
+            };
+        }
+        Counter::PeerFramesDropped.add(dropped as u64);
+        match (too_long, dropped) {
+            (0, 0) => SendOutcome::Queued,
+            (0, _) => SendOutcome::Displaced,
+            _ => SendOutcome::TooLong,
         }
     }
 
--- a/crates/oriolemux/src/peers/accept.rs
+++ b/crates/oriolemux/src/peers/accept.rs
@@ -32,8 +32,7 @@
         // Whoever connects and says nothing holds a place until the limit of
         // time; further strangers are refused, peers that are linked stay.
         let Ok(place) = Arc::clone(&strangers).try_acquire_owned() else {
-            Counter::ConnectionsRefused.add(1);
-            shared.rejected(Rejection::TooMany);
+            refused(&shared, Rejection::TooMany);
             continue;
         };
         let shared = Arc::clone(&shared);
@@ -41,12 +40,17 @@
         tasks.spawn(async move {
             match serve_peer(&shared, io, place).await {
                 Ok(()) | Err(Rejection::Duplicate) => {}
-                Err(why) => shared.rejected(why),
+                Err(why) => refused(&shared, why),
             }
         });
     }
 }
 
+fn refused(shared: &Shared, why: Rejection) {
+    Counter::PeerConnectionsRefused.add(1);
+    shared.rejected(why);
+}
+
 async fn serve_peer(
     shared: &Arc<Shared>,
     mut io: TcpStream,
--- a/crates/oriolemux/src/peers/codec.rs
+++ b/crates/oriolemux/src/peers/codec.rs
@@ -6,7 +6,7 @@
 //! stored, and bincode's own limit bounds what a short frame may claim to hold.
 
 use bytes::{Buf, BufMut, Bytes, BytesMut};
-use oriolemux_core::peer::PeerEnvelope;
+use oriolemux_core::peer::{MAX_MESSAGES, PeerEnvelope};
 
 /// Bytes of a frame's length.
 const LENGTH_BYTES: usize = 4;
@@ -56,6 +56,28 @@
     Ok(frame.freeze())
 }
 
+/// Encodes an envelope as one frame, or as several if its messages are too many
+/// or too long for one; returns how many messages are too long for any frame.
+pub fn encode_frames(envelope: &PeerEnvelope, max_frame: usize, frames: &mut Vec<Bytes>) -> usize {
+    let count = envelope.messages.len();
+    if count <= MAX_MESSAGES
+        && let Ok(frame) = encode_frame(envelope, max_frame)
+    {
+        frames.push(frame);
+        return 0;
+    }
+    if count <= 1 {
+        return 1;
+    }
+    let (first, second) = envelope.messages.split_at(count / 2);
+    let halves = [first, second].map(|messages| PeerEnvelope {
+        messages: messages.to_vec(),
+        ..*envelope
+    });
+    let too_long = halves.iter().map(|it| encode_frames(it, max_frame, frames));
+    too_long.sum()
+}
+
 /// Cuts a stream of bytes into envelopes.
 ///
 /// Invariant: `buf` holds at most one incomplete frame and what arrived with it.
--- a/crates/oriolemux/tests/peers_codec.rs
+++ b/crates/oriolemux/tests/peers_codec.rs
@@ -1,6 +1,6 @@
 //! Frames: whatever arrives, decoding neither panics nor allocates beyond its bound.
 
-use oriolemux::peers::{CodecError, FrameDecoder, encode_frame};
+use oriolemux::peers::{CodecError, FrameDecoder, encode_frame, encode_frames};
 use oriolemux_core::ids::{EndpointKey, Incarnation, InstanceKey};
 use oriolemux_core::membership::{
     EndpointKind, EndpointRecord, FencingSupport, InstanceList, InstanceRecord, ListedState,
@@ -162,6 +162,23 @@
     assert!(matches!(result, Err(CodecError::TooLong { most: 50, .. })));
 }
 
+#[test]
+fn an_envelope_too_long_for_one_frame_goes_as_several() {
+    // Symptom: a link broke each time a home told everything to a new one.
+    // Sequence: more messages to one peer in one turn than a frame may hold.
+    // Cause: what was sent was not held to the bound of what is taken.
+    for (count, max_frame) in [(2 * MAX_MESSAGES + 5, MAX_FRAME), (300, 100)] {
+        let mut frames = Vec::new();
+        assert_eq!(encode_frames(&heartbeats(count), max_frame, &mut frames), 0);
+        let mut decoder = FrameDecoder::new(max_frame);
+        frames.iter().for_each(|it| decoder.push(it));
+        let all = decode_all(&mut decoder).unwrap();
+        let messages: usize = all.iter().map(|it| it.messages.len()).sum();
+        assert_eq!(messages, count);
+        assert!(all.iter().all(|it| it.catalogue_revision == 1));
+    }
+}
+
 #[test]
 fn more_messages_than_allowed_are_refused() {
     // Symptom: a frame of one megabyte took a hundred megabytes.
