Admission by the chance to run when memory is short; lanes and drains by class

Cause: (1) with mean plus z deviations at every horizon, a few survivors of a heavy tail kept a third of an engine's memory empty while hundreds waited for work that would end long before that horizon. (2) Between the horizons 256 and 1,024 a cohort that started at the hour turn peaked unseen. (3) Waits were predicted from all work with an earlier deadline, so that sizing lists, which slip into gaps, were refused behind plans; and a drain measured over 2 s was near zero right after the surge. Change: the chance that a generation still runs at a point and memory is short then is held below a risk that preemptions steer; eight horizons; lanes, backlogs and drains by class, measured over 20 s.

--- a/crates/core/src/cell.rs
+++ b/crates/core/src/cell.rs
@@ -77,6 +77,7 @@
 #[derive(Clone, Copy, Debug)]
 struct ClassState {
     risk: ClassRisk,
+    drain: Drain,
 }
 
 /// Where a granted request runs.
@@ -106,8 +107,6 @@
     class_by_key: BTreeMap<ClassKey, ClassIx>,
     queue: Queue,
     leases: BTreeMap<RequestId, Lease>,
-    /// One for work that is not urgent, one for urgent work.
-    drains: [Drain; 2],
     /// Requests that came since the last poll.
     fresh: Vec<RequestId>,
     /// Whether anything changed since requests were last placed.
@@ -132,8 +131,6 @@
 
 /// How often the supply is summed anew.
 const SUPPLY_INTERVAL: core::time::Duration = core::time::Duration::from_secs(1);
-/// Share of the supply that the queue is assumed to drain at first.
-const START_DRAIN_SHARE: f64 = 0.5;
 
 impl Cell {
     /// Returns a cell without endpoints. `seed` drives its jitter.
@@ -154,7 +151,6 @@
             class_by_key: BTreeMap::new(),
             queue: Queue::default(),
             leases: BTreeMap::new(),
-            drains: [Drain::default(); 2],
             fresh: Vec::new(),
             is_dirty: false,
             polled: Time::ZERO,
@@ -209,12 +205,12 @@
         let urgent = req.class.urgency <= self.cfg.urgent_urgency;
         let demand = self.demand(&req, node);
         let curve = self.lengths.curve(node);
-        let counted = Forecast::of(demand, 0, curve).peak(self.cfg.sigma_start);
+        let counted = Forecast::of(demand, 0, curve).peak(0.0);
         let target = req.class.wait_target;
         let waiting = Waiting {
-            class,
+            urgent,
             node,
-            lane: LaneKey::new(urgent, req.needs, counted as u32),
+            lane: LaneKey::new(class, req.needs, counted as u32),
             deadline: req.arrived + target,
             hold_from: req.arrived + target.mul_f64(self.cfg.hold_share),
             hold: None,
@@ -370,9 +366,8 @@
             self.is_dirty = false;
             place::place_waiting(self, now, out);
         }
-        for urgent in [false, true] {
-            let backlogged = self.queue.work(urgent) > 0.0;
-            self.drains[usize::from(urgent)].roll(now, backlogged);
+        for (class, state) in &mut self.classes {
+            state.drain.roll(now, self.queue.work(class) > 0.0);
         }
         refuse::judge_fresh(self, now, out);
         refuse::review_due(self, now, out);
@@ -411,10 +406,13 @@
 
     fn class_ix(&mut self, rules: &ClassRules) -> ClassIx {
         let classes = &mut self.classes;
-        let start = self.cfg.sigma_start;
+        let start = self.cfg.risk_start;
         *self.class_by_key.entry(rules.key).or_insert_with(|| {
             let risk = ClassRisk::new(start, rules.preemption_risk.into());
-            classes.push(ClassState { risk })
+            classes.push(ClassState {
+                risk,
+                drain: Drain::default(),
+            })
         })
     }
 
@@ -584,14 +582,9 @@
         self.supply = supply;
     }
 
-    /// Returns the work that the queue of an urgency drains a second.
-    fn drain_rate(&self, urgent: bool) -> f64 {
-        let supply = self.supply.work_per_s;
-        let share = match urgent {
-            true => self.cfg.urgent_share.max(FLOOR_URGENT_DRAIN_SHARE),
-            false => START_DRAIN_SHARE,
-        };
-        self.drains[usize::from(urgent)].rate(supply, supply * share)
+    /// Returns the work of a class that the queue drains a second.
+    fn drain_rate(&self, class: ClassIx) -> f64 {
+        self.classes[class].drain.rate(self.supply.work_per_s)
     }
 
     /// Returns whether some endpoint that is not leaving could ever take the request.
@@ -636,6 +629,3 @@
             .collect()
     }
 }
-
-/// Share of the supply that urgent work is assumed to drain at first, at least.
-const FLOOR_URGENT_DRAIN_SHARE: f64 = 0.1;
--- a/crates/core/src/cell/config.rs
+++ b/crates/core/src/cell/config.rs
@@ -7,8 +7,9 @@
 /// Settings of a cell, with defaults that suit a crowded engine.
 #[derive(Clone, Debug, PartialEq)]
 pub struct CellConfig {
-    /// Standard deviations of memory kept free at first, before preemptions steer it.
-    pub sigma_start: f64,
+    /// Chance, from 0 to 1, that a generation may run when memory is short;
+    /// preemptions steer it from here.
+    pub risk_start: f64,
     /// Share of an endpoint's memory that work of more urgency than others may use alone.
     pub urgent_share: f64,
     /// The least urgent class that counts as urgent.
@@ -28,7 +29,7 @@
 impl Default for CellConfig {
     fn default() -> Self {
         CellConfig {
-            sigma_start: 2.0,
+            risk_start: 0.01,
             urgent_share: 0.06,
             urgent_urgency: 0,
             hold_share: 1.0,
@@ -72,8 +73,8 @@
 }
 
 setters! {
-    /// Sets [`CellConfig::sigma_start`].
-    sigma_start: f64;
+    /// Sets [`CellConfig::risk_start`].
+    risk_start: f64;
     /// Sets [`CellConfig::urgent_share`].
     urgent_share: f64;
     /// Sets [`CellConfig::urgent_urgency`].
--- a/crates/core/src/cell/drain.rs
+++ b/crates/core/src/cell/drain.rs
@@ -4,12 +4,15 @@
 use core::time::Duration;
 
 /// Time over which grants are summed.
-const WINDOW: Duration = Duration::from_secs(2);
+const WINDOW: Duration = Duration::from_secs(20);
 /// Weight of one window in the rate.
 const GAIN: f64 = 0.25;
-/// The least rate believed, as a share of what the engines could do: a window
-/// without a grant says little when the grants are few and large.
-const FLOOR_SHARE: f64 = 0.1;
+/// The rate assumed before one was measured, as a share of what the engines could do.
+const START_SHARE: f64 = 0.5;
+/// The least rate believed, as a share of what the engines could do. Right
+/// after an hour turn everything that runs is young and little is granted for
+/// half a minute; taken at its word, that would refuse work which starts in time.
+const FLOOR_SHARE: f64 = 0.4;
 
 /// Work granted a second while work was waiting, in token-tokens a second.
 #[derive(Clone, Copy, Debug, Default)]
@@ -45,9 +48,11 @@
         self.backlogged = backlogged;
     }
 
-    /// Returns the work drained a second, where the engines could do
-    /// `capacity` and `start` is assumed before anything was measured.
-    pub fn rate(&self, capacity: f64, start: f64) -> f64 {
-        self.rate.unwrap_or(start).max(capacity * FLOOR_SHARE)
+    /// Returns the work drained a second, where the engines could do `supply`.
+    pub fn rate(&self, supply: f64) -> f64 {
+        match self.rate {
+            Some(rate) => rate.max(supply * FLOOR_SHARE),
+            None => supply * START_SHARE,
+        }
     }
 }
--- a/crates/core/src/cell/endpoint.rs
+++ b/crates/core/src/cell/endpoint.rs
@@ -7,7 +7,7 @@
 use crate::event::LoadReport;
 use crate::ids::RequestId;
 use crate::length::LengthModel;
-use crate::memory::{Forecast, Foreign, Ledger};
+use crate::memory::{Forecast, Foreign, Ledger, Margins};
 use crate::routing::concurrency::ConcurrencyLimit;
 use crate::routing::health::Health;
 use crate::time::Time;
@@ -16,6 +16,8 @@
 /// An endpoint whose last report is older than this is given only half of its
 /// capacity: it may be gone, or fuller than it last said.
 const REPORT_STALE: Duration = Duration::from_secs(10);
+/// Standard deviations of memory that endpoints are ranked with.
+const RANKING_SIGMAS: f64 = 1.0;
 /// Share of its capacity that an endpoint with a stale report is given.
 const STALE_SHARE: f64 = 0.5;
 
@@ -62,7 +64,7 @@
 pub(super) struct Measure<'a> {
     pub id: RequestId,
     pub urgent: bool,
-    pub sigmas: f64,
+    pub margins: &'a Margins,
     pub forecast: &'a Forecast,
 }
 
@@ -188,7 +190,7 @@
             return self.free_calls(now);
         }
         let usable = self.capacity(now) * (1.0 - cfg.urgent_share);
-        let peak = self.ledger.sum().peak(cfg.sigma_start) + self.foreign.tokens();
+        let peak = self.ledger.sum().peak(RANKING_SIGMAS) + self.foreign.tokens();
         (usable - peak).max(0.0) as u32
     }
 
@@ -213,8 +215,8 @@
         let usable = capacity * (1.0 - reserve);
         let foreign = self.foreign.tokens();
         let sum = self.ledger.sum();
-        let with = sum.peak_with(measure.forecast, measure.sigmas) + foreign;
-        let before = sum.peak(measure.sigmas) + foreign;
+        let with = measure.margins.peak(sum) + foreign;
+        let before = sum.peak(RANKING_SIGMAS) + foreign;
         let fits = match self.is_idle() {
             // Alone it may take what it likes: nothing else is preempted for it.
             true => measure.forecast.now() < self.total as f64,
@@ -223,7 +225,9 @@
         Fit {
             fits: fits && self.respects_hold(now, cfg, measure),
             free: (usable - before).max(0.0) as u32,
-            free_share: ((usable - with) / capacity.max(1.0)).clamp(-1.0, 1.0),
+            free_share: ((usable - sum.peak_with(measure.forecast, RANKING_SIGMAS) - foreign)
+                / capacity.max(1.0))
+            .clamp(-1.0, 1.0),
         }
     }
 
--- a/crates/core/src/cell/place.rs
+++ b/crates/core/src/cell/place.rs
@@ -5,7 +5,7 @@
 use crate::cell::endpoint::{Endpoint, Fit, Measure};
 use crate::cell::request::Distance;
 use crate::ids::RequestId;
-use crate::memory::{Demand, Forecast, Held};
+use crate::memory::{Demand, Forecast, Held, Margins};
 use crate::queue::Waiting;
 use crate::routing::Merits;
 use crate::routing::prefix::EndpointIx;
@@ -47,7 +47,7 @@
     id: RequestId,
     demand: Demand,
     forecast: Forecast,
-    sigmas: f64,
+    margins: Margins,
     seen: Vec<EndpointIx>,
     best: Option<(EndpointIx, Scored)>,
     lost: Vec<Alternative>,
@@ -64,13 +64,14 @@
     fn new(cell: &mut Cell, id: RequestId) -> Option<Search> {
         let waiting = cell.queue.get(id)?;
         let demand = cell.demand(&waiting.req, waiting.node);
-        let sigmas = cell.classes[waiting.class].risk.sigmas();
+        let risk = cell.classes[waiting.lane.class].risk.accepted();
         let curve = cell.lengths.curve(waiting.node);
+        let forecast = Forecast::of(demand, 0, curve);
         Some(Search {
             id,
             demand,
-            forecast: Forecast::of(demand, 0, curve),
-            sigmas,
+            forecast,
+            margins: Margins::of(&forecast, risk),
             seen: core::mem::take(&mut cell.seen),
             best: None,
             lost: Vec::new(),
@@ -125,8 +126,8 @@
         }
         let measure = Measure {
             id: self.id,
-            urgent: waiting.lane.urgent,
-            sigmas: self.sigmas,
+            urgent: waiting.urgent,
+            margins: &self.margins,
             forecast: &self.forecast,
         };
         let fit = endpoint.fit(now, &cell.cfg, measure);
@@ -192,14 +193,14 @@
         record.free = best.fit.free;
         record.prefix_blocks = best.prefix_blocks;
     }
-    record.needed = search.forecast.peak(search.sigmas) as u32;
+    record.needed = search.forecast.peak(0.0) as u32;
     record.alternatives = search.lost;
-    cell.drains[usize::from(waiting.lane.urgent)].granted(waiting.work);
+    cell.classes[waiting.lane.class].drain.granted(waiting.work);
     cell.prefixes.granted(now, ix, &waiting.req.prefix);
     let held = Held {
         id,
-        class: waiting.class,
-        urgent: waiting.lane.urgent,
+        class: waiting.lane.class,
+        urgent: waiting.urgent,
         node: waiting.node,
         demand: search.demand,
         told: 0,
@@ -242,7 +243,7 @@
     };
     let free = |ix: &EndpointIx| {
         let endpoint = &cell.endpoints[*ix];
-        let has_reserve = waiting.lane.urgent && endpoint.reserve_takes(now, &cell.cfg, forecast);
+        let has_reserve = waiting.urgent && endpoint.reserve_takes(now, &cell.cfg, forecast);
         let is_barred = endpoint.bars(now, &waiting.req).is_some();
         endpoint.held_for.is_none() && !has_reserve && !is_barred
     };
--- a/crates/core/src/cell/refuse.rs
+++ b/crates/core/src/cell/refuse.rs
@@ -68,9 +68,9 @@
 
 /// Returns how long a request will probably wait from now on.
 pub(super) fn predicted_wait(cell: &Cell, waiting: &Waiting) -> Duration {
-    let urgent = waiting.lane.urgent;
-    let ahead = cell.queue.work_before(urgent, waiting.deadline) - waiting.work;
-    let rate = cell.drain_rate(urgent);
+    let class = waiting.lane.class;
+    let ahead = cell.queue.work_before(class, waiting.deadline) - waiting.work;
+    let rate = cell.drain_rate(class);
     if ahead <= 0.0 || rate <= 0.0 {
         return Duration::ZERO;
     }
@@ -102,11 +102,11 @@
 /// over as long again. Equal answers to callers who were refused together
 /// would bring them back together.
 fn retry_after(cell: &mut Cell, waiting: &Waiting, reason: Reason) -> Duration {
-    let urgent = waiting.lane.urgent;
-    let rate = cell.drain_rate(urgent);
+    let class = waiting.lane.class;
+    let rate = cell.drain_rate(class);
     let drained = match reason {
         Reason::NoEndpoint | Reason::PromptTooLong => NO_ENDPOINT_RETRY_AFTER,
-        _ if rate > 0.0 => Duration::from_secs_f64((cell.queue.work(urgent) / rate).min(1e6)),
+        _ if rate > 0.0 => Duration::from_secs_f64((cell.queue.work(class) / rate).min(1e6)),
         _ => NO_ENDPOINT_RETRY_AFTER,
     };
     let base = drained.clamp(LEAST_RETRY_AFTER, MOST_RETRY_AFTER / 2);
--- a/crates/core/src/cell/request.rs
+++ b/crates/core/src/cell/request.rs
@@ -8,7 +8,7 @@
 
 /// Preemptions per completed request that a class accepts when the catalogue
 /// does not say; a ratio.
-pub const DEFAULT_PREEMPTION_RISK: f32 = 0.01;
+pub const DEFAULT_PREEMPTION_RISK: f32 = 0.0005;
 
 /// What a class of the catalogue says about its work.
 ///
--- a/crates/core/src/cell/risk.rs
+++ b/crates/core/src/cell/risk.rs
@@ -1,41 +1,43 @@
-//! How many standard deviations of memory each class keeps free.
+//! How likely each class may find memory short.
 //!
-//! The right margin depends on how far the lengths of a class are independent
+//! The right risk depends on how far the lengths of a class are independent
 //! and how well they are known, which nobody can say ahead. So it is steered:
-//! a preemption raises it, each completion lowers it a little, and where the
+//! a preemption lowers it, each completion raises it a little, and where the
 //! two balance the class has as many preemptions as it accepts.
 
-/// Raise by one preemption, in standard deviations.
-const RAISE: f64 = 0.25;
-/// Bounds of the margin, in standard deviations.
-const BOUNDS: (f64, f64) = (1.0, 6.0);
+/// Share of the risk that stays after one preemption.
+const LOWER: f64 = 0.7;
+/// Bounds of the risk.
+const BOUNDS: (f64, f64) = (1e-5, 0.1);
 
-/// The margin of one class.
+/// The accepted risk of one class.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct ClassRisk {
-    sigmas: f64,
+    accepted: f64,
+    /// Preemptions per completed request that the class accepts.
     target: f64,
 }
 
 impl ClassRisk {
-    /// Returns a margin that starts at `sigmas` and settles where there are
+    /// Returns a risk that starts at `accepted` and settles where there are
     /// `target` preemptions per completed request.
-    pub fn new(sigmas: f64, target: f64) -> ClassRisk {
-        ClassRisk { sigmas, target }
+    pub fn new(accepted: f64, target: f64) -> ClassRisk {
+        ClassRisk { accepted, target }
     }
 
     /// Takes in `count` preemptions, or a share of one.
     pub fn preempted(&mut self, count: f64) {
-        self.sigmas = (self.sigmas + RAISE * count).min(BOUNDS.1);
+        self.accepted = (self.accepted * LOWER.powf(count)).max(BOUNDS.0);
     }
 
     /// Takes in a completion.
     pub fn completed(&mut self) {
-        self.sigmas = (self.sigmas - RAISE * self.target).max(BOUNDS.0);
+        self.accepted = (self.accepted * LOWER.powf(-self.target)).min(BOUNDS.1);
     }
 
-    /// Returns the margin, in standard deviations.
-    pub fn sigmas(&self) -> f64 {
-        self.sigmas
+    /// Returns the accepted chance, from 0 to 1, that a generation runs when
+    /// memory is short.
+    pub fn accepted(&self) -> f64 {
+        self.accepted
     }
 }
--- a/crates/core/src/memory.rs
+++ b/crates/core/src/memory.rs
@@ -2,8 +2,8 @@
 //!
 //! A generation of prompt `p` and age `a` holds `p + a` tokens until it ends.
 //! For each of a few horizons the ledger keeps the mean and the variance of
-//! what is held then, summed over everything that runs. Admission asks whether
-//! mean and a few standard deviations still fit with one more. See
+//! what is held then, summed over everything that runs. Admission asks how
+//! likely one more would run when memory is short ([`Margins`]). See
 //! `docs/design/admission.md`.
 
 use crate::ids::RequestId;
@@ -15,7 +15,10 @@
 use cranelift_entity::entity_impl;
 
 /// Horizons, in generated tokens from now, at which memory is forecast.
-pub const HORIZONS: [u32; 4] = [64, 256, 1024, 4096];
+///
+/// With fewer, a cohort that started together at the turn of the hour peaks
+/// unseen between two of them.
+pub const HORIZONS: [u32; 8] = [64, 128, 256, 512, 1024, 2048, 4096, 8192];
 
 /// Points of a forecast: now, and each horizon.
 pub const POINTS: usize = 1 + HORIZONS.len();
@@ -110,6 +113,75 @@
     }
 }
 
+/// What one more generation asks of an endpoint at each point.
+///
+/// A generation is to blame for a preemption only while it runs itself. So the
+/// chance that it still runs at a point *and* memory is short then is held
+/// below the accepted risk: the less likely it runs that long, the smaller the
+/// margin it must leave to the uncertainty of what runs already.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Margins {
+    points: [Option<Margin>; POINTS],
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Margin {
+    /// Tokens that the generation holds if it still runs.
+    size: f64,
+    /// Standard deviations of what runs already that must stay free.
+    sigmas: f64,
+}
+
+impl Margins {
+    /// Returns the margins of one generation, for an accepted risk from 0 to 1.
+    pub fn of(forecast: &Forecast, risk: f64) -> Margins {
+        let mut margins = Margins::default();
+        for point in 0..POINTS {
+            let (mean, var) = (forecast.mean[point], forecast.var[point]);
+            let square = mean * mean + var;
+            if square <= 0.0 {
+                continue;
+            }
+            // Mean and variance of one generation are p·s and p(1-p)·s².
+            let alive = mean * mean / square;
+            if alive > risk {
+                margins.points[point] = Some(Margin {
+                    size: square / mean,
+                    sigmas: upper_quantile(risk / alive),
+                });
+            }
+        }
+        margins
+    }
+
+    /// Returns the highest that memory may come to, margins included, when the
+    /// generation joins what `sum` forecasts.
+    pub fn peak(&self, sum: &Forecast) -> f64 {
+        let mut peak: f64 = 0.0;
+        for (point, margin) in self.points.iter().enumerate() {
+            if let Some(Margin { size, sigmas }) = margin {
+                let held = sum.mean[point] + sigmas * sum.var[point].sqrt();
+                peak = peak.max(held + size);
+            }
+        }
+        peak
+    }
+}
+
+/// Returns the point that a standard normal variable exceeds with probability
+/// `q`, or 0 for `q` of a half and more.
+///
+/// The rational approximation is Abramowitz and Stegun's 26.2.23, within 4.5e-4.
+fn upper_quantile(q: f64) -> f64 {
+    if q >= 0.5 {
+        return 0.0;
+    }
+    let t = (-2.0 * q.ln()).sqrt();
+    let above = 2.515_517 + t * (0.802_853 + t * 0.010_328);
+    let below = 1.0 + t * (1.432_788 + t * (0.189_269 + t * 0.001_308));
+    t - above / below
+}
+
 /// A generation that runs at an endpoint.
 #[derive(Clone, Copy, Debug)]
 pub struct Held {
--- a/crates/core/src/queue.rs
+++ b/crates/core/src/queue.rs
@@ -2,7 +2,7 @@
 //!
 //! A deadline is arrival plus the class's wait target, so a request ages by
 //! itself: whatever arrives later than the target after it comes behind it.
-//! Requests of one urgency, size and requirement share a *lane*. A lane's head
+//! Requests of one class, size and requirement share a *lane*. A lane's head
 //! that fits nowhere holds up its lane only, so that short work goes into the
 //! gaps that long work leaves; how long it may do so is bounded by the hold in
 //! [`crate::cell`]. See `docs/design/admission.md`.
@@ -16,6 +16,7 @@
 use crate::routing::prefix::EndpointIx;
 use crate::time::Time;
 use backlog::Backlog;
+use cranelift_entity::SecondaryMap;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Bounds between the size classes of lanes, in tokens that a request is counted with.
@@ -24,8 +25,8 @@
 /// Requests that compete for the same kind of room.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct LaneKey {
-    /// Whether the work is urgent.
-    pub urgent: bool,
+    /// The class.
+    pub class: ClassIx,
     /// What the endpoint must hold.
     pub needs: Requirement,
     /// The size class; 0 is the smallest.
@@ -34,10 +35,10 @@
 
 impl LaneKey {
     /// Returns the lane of a request that is counted with `tokens`.
-    pub fn new(urgent: bool, needs: Requirement, tokens: u32) -> LaneKey {
+    pub fn new(class: ClassIx, needs: Requirement, tokens: u32) -> LaneKey {
         let size = SIZE_BOUNDS.iter().filter(|bound| tokens >= **bound).count();
         LaneKey {
-            urgent,
+            class,
             needs,
             size: size as u8,
         }
@@ -49,8 +50,8 @@
 pub struct Waiting {
     /// The request.
     pub req: CellRequest,
-    /// Its class.
-    pub class: ClassIx,
+    /// Whether it counts as urgent.
+    pub urgent: bool,
     /// Where its length is estimated; held in the length model.
     pub node: LengthNode,
     /// Its lane.
@@ -70,14 +71,14 @@
 /// Requests in order of deadline.
 ///
 /// Invariants: every waiting request is in exactly one lane, in `reviews` and
-/// in the backlog of its urgency; no lane is empty.
+/// in the backlog of its class; no lane is empty.
 #[derive(Clone, Debug, Default)]
 pub struct Queue {
     waiting: BTreeMap<RequestId, Waiting>,
     lanes: BTreeMap<LaneKey, BTreeSet<(Time, RequestId)>>,
     reviews: BTreeSet<(Time, RequestId)>,
     arrivals: BTreeSet<(Time, RequestId)>,
-    backlogs: [Backlog; 2],
+    backlogs: SecondaryMap<ClassIx, Backlog>,
 }
 
 impl Queue {
@@ -89,7 +90,7 @@
         lane.insert((waiting.deadline, id));
         self.reviews.insert((waiting.review, id));
         self.arrivals.insert((waiting.req.arrived, id));
-        self.backlogs[usize::from(waiting.lane.urgent)].add(waiting.deadline, waiting.work);
+        self.backlogs[waiting.lane.class].add(waiting.deadline, waiting.work);
         self.waiting.insert(id, waiting);
     }
 
@@ -104,7 +105,7 @@
         }
         self.reviews.remove(&(waiting.review, id));
         self.arrivals.remove(&(waiting.req.arrived, id));
-        self.backlogs[usize::from(waiting.lane.urgent)].sub(waiting.deadline, waiting.work);
+        self.backlogs[waiting.lane.class].sub(waiting.deadline, waiting.work);
         Some(waiting)
     }
 
@@ -156,14 +157,14 @@
         }
     }
 
-    /// Returns the work that is due no later than `deadline`, in token-tokens.
-    pub fn work_before(&self, urgent: bool, deadline: Time) -> f64 {
-        self.backlogs[usize::from(urgent)].before(deadline)
+    /// Returns a class's work that is due no later than `deadline`, in token-tokens.
+    pub fn work_before(&self, class: ClassIx, deadline: Time) -> f64 {
+        self.backlogs[class].before(deadline)
     }
 
-    /// Returns the work of all requests of an urgency, in token-tokens.
-    pub fn work(&self, urgent: bool) -> f64 {
-        self.backlogs[usize::from(urgent)].total()
+    /// Returns the work of all requests of a class, in token-tokens.
+    pub fn work(&self, class: ClassIx) -> f64 {
+        self.backlogs[class].total()
     }
 
     /// Returns the ids of the requests in `range`.
