A bad catalogue changes nothing at whole nodes, and is shown

Cause: no test of whole nodes showed it. Change: the test. Figures: three nodes keep revision 1 and serve; a watcher shows the rejection. Conclusion: none.

--- a/crates/core/tests/node/failures.rs
+++ b/crates/core/tests/node/failures.rs
@@ -1,7 +1,7 @@
 //! Failures in the middle of requests.
 
 use crate::world::World;
-use oriolemux_core::event::{AttemptMode, AttemptUpdate, Event};
+use oriolemux_core::event::{AttemptMode, AttemptUpdate, Event, ValueName};
 use oriolemux_core::{Incarnation, Outcome, Ran, Reason};
 use std::time::Duration;
 
@@ -215,3 +215,24 @@
 
     assert_eq!(world.dispatches(id).len(), 2, "{:?}", world.verdict(id));
 }
+
+/// Symptom: a mistake in the catalogue takes the service down, or is silently
+/// left out. Sequence: an index with a mistake is published. Cause: parts of it
+/// come into force, or nobody is told that it did not.
+#[test]
+fn a_bad_catalogue_changes_nothing_and_is_shown() {
+    let mut world = World::new(3, 1);
+
+    let bad = b"revision = 2\nshards = []\n[[entry]]\nname = \"plan\"\n";
+    world.publish(ValueName::CatalogueIndex, 2, bad.to_vec());
+    world.run_for(Duration::from_secs(30));
+
+    let shown = (0..3).filter(|&n| world.seat(n).node.snapshot().rejection.is_some());
+    assert!(shown.count() > 0, "at least the watchers show it");
+    for n in 0..3 {
+        assert_eq!(world.seat(n).node.snapshot().catalogue_revision, 1);
+        let id = world.request(n, "plan");
+        world.run_for(SECOND);
+        assert_eq!(world.dispatches(id).len(), 1);
+    }
+}
