Status names what a cell serves and where

Cause: a cell was shown by its key, which no operator can look up. Change: status carries what the cell's endpoints serve and their data centre.

--- a/crates/core/src/node/snapshot.rs
+++ b/crates/core/src/node/snapshot.rs
@@ -6,7 +6,7 @@
 use crate::cell::CellSnapshot;
 use crate::explain::{Line, Names};
 use crate::ids::{CellKey, EndpointKey, InstanceKey, RequestId};
-use crate::membership::View;
+use crate::membership::{CellPlan, View};
 use core::time::Duration;
 
 /// How many requests of own callers stand where.
@@ -99,6 +99,12 @@
         Some(&endpoint.record.name)
     }
 
+    /// Returns what the list in force makes of a cell.
+    pub fn cell_plan(&self, key: CellKey) -> Option<&CellPlan> {
+        let cell = self.membership.view().cell(key)?;
+        Some(&cell.plan)
+    }
+
     /// Returns whether the link to a peer is up.
     pub fn is_linked(&self, peer: InstanceKey) -> bool {
         self.membership.is_linked(peer)
--- a/crates/oriolemux/src/cli/operate/text.rs
+++ b/crates/oriolemux/src/cli/operate/text.rs
@@ -56,8 +56,12 @@
 }
 
 fn print_cell(cell: &CellStatus) {
+    let name = match cell.serves.is_empty() {
+        true => "a cell that the list no longer makes".to_owned(),
+        false => format!("{} in {}", cell.serves.join(" and "), cell.data_centre),
+    };
     print_line(format_args!(
-        "{}: {} running, {} queued, oldest wait {}",
+        "{name} ({}): {} running, {} queued, oldest wait {}",
         cell.cell,
         cell.running,
         cell.queued,
--- a/crates/oriolemux/src/node_task/view.rs
+++ b/crates/oriolemux/src/node_task/view.rs
@@ -104,8 +104,11 @@
 }
 
 fn cell(node: &Node, key: CellKey, snapshot: &CellSnapshot) -> CellStatus {
+    let plan = node.cell_plan(key);
     CellStatus {
         cell: key.to_string(),
+        serves: plan.map_or_else(Vec::new, |plan| plan.serves.clone()),
+        data_centre: plan.map_or_else(String::new, |plan| plan.data_centre.clone()),
         queued: snapshot.queued,
         running: snapshot.running,
         oldest_wait_ms: millis(snapshot.oldest_wait),
--- a/crates/oriolemux/src/status.rs
+++ b/crates/oriolemux/src/status.rs
@@ -112,6 +112,10 @@
 pub struct CellStatus {
     /// The cell's key.
     pub cell: String,
+    /// What its endpoints serve; empty if the list no longer makes this cell.
+    pub serves: Vec<String>,
+    /// Its data centre; empty if the list no longer makes this cell.
+    pub data_centre: String,
     /// Requests that wait.
     pub queued: u32,
     /// Requests that run.
