--- a/crates/bench/src/fleet/start.rs
+++ b/crates/bench/src/fleet/start.rs
@@ -12,10 +12,28 @@
 use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 
+/// How often a fleet is started anew because one of its ports was taken.
+const START_TRIES: u32 = 5;
+
 impl Fleet {
     /// Starts everything that `plan` names, with `program` for every process,
     /// and waits until every instance serves.
+    ///
+    /// Instances must know their ports before they start, so that a free one
+    /// is found, left and bound again by the instance. On a busy machine
+    /// another process takes it in between now and then; the instance ends and
+    /// says so, and everything is started again.
     pub async fn start(plan: Plan, program: &Path) -> Result<Self, FleetError> {
+        for _ in 1..START_TRIES {
+            match Self::start_once(plan.clone(), program).await {
+                Err(error) if is_port_taken(&error) => {}
+                started => return started,
+            }
+        }
+        Self::start_once(plan, program).await
+    }
+
+    async fn start_once(plan: Plan, program: &Path) -> Result<Self, FleetError> {
         let dir = tempfile::Builder::new().prefix("oriolemux-").tempdir()?;
         write_secrets(dir.path())?;
         let endpoints = start_endpoints(&plan, program, dir.path())?;
@@ -111,6 +129,11 @@
     }
 }
 
+fn is_port_taken(error: &FleetError) -> bool {
+    const IN_USE: &str = "Address already in use";
+    matches!(error, FleetError::Ended { last_words, .. } if last_words.contains(IN_USE))
+}
+
 struct PlannedInstance {
     name: String,
     callers: SocketAddr,
