Watchers do not dial those that dialled them; sizes of messages are held

Cause: a watcher that tells its data centre of a new list asked for a link to each of its 38 peers, although these keep links to it.

Change: a link that the other side dialled serves both ways.

--- a/crates/core/src/membership/links.rs
+++ b/crates/core/src/membership/links.rs
@@ -104,7 +104,6 @@
         let was_home = life.may_be_home();
         let was_leaving = life.leaving.filter(|&it| it != peer.incarnation);
         life.link = Link::Up;
-        life.touched.get_or_insert(now);
         if let Some(was) = life.replace(peer.incarnation) {
             out.push(MembershipAction::Changed(
                 MembershipChange::InstanceReplaced {
@@ -183,12 +182,19 @@
     }
 
     /// Keeps a link to `to`, because something is about to be sent there.
+    ///
+    /// A link that `to` dialled serves as well, and `to` keeps it while there
+    /// is traffic; a watcher would otherwise dial its whole data centre.
     pub fn touch_link(&mut self, now: Time, to: InstanceKey, out: &mut Vec<MembershipAction>) {
         if to == self.me || !self.is_known_or_room(to) {
             return;
         }
+        let is_dialled = self.dialled.binary_search(&to).is_ok();
+        if self.is_linked(to) && !is_dialled {
+            return;
+        }
         self.lives.entry(to).or_default().touched = Some(now);
-        if self.dialled.binary_search(&to).is_err() {
+        if !is_dialled {
             self.refresh_links(now, out);
         }
     }
