--- a/crates/core/src/node/platform.rs
+++ b/crates/core/src/node/platform.rs
@@ -62,9 +62,12 @@
         let workspace = match self.sync.lookup(self.now, key_digest) {
             Lookup::Found(workspace) => workspace.clone(),
             Lookup::Unknown => return Err(Reason::BadKey),
-            Lookup::Missing(_) | Lookup::Unavailable(_) | Lookup::NoCatalogue => {
+            Lookup::Missing(shard) => {
+                // The caller is told to come back, and finds the shard then.
+                self.with_sync(|sync, now, out| sync.want_shard(now, shard, out));
                 return Err(Reason::NoCatalogue);
             }
+            Lookup::Unavailable(_) | Lookup::NoCatalogue => return Err(Reason::NoCatalogue),
         };
         let catalogue = self.sync.catalogue().ok_or(Reason::NoCatalogue)?;
         let entries = catalogue.entries();
--- a/crates/core/tests/catalogue_sync.rs
+++ b/crates/core/tests/catalogue_sync.rs
@@ -254,6 +254,7 @@
 #[test]
 fn dead_watchers_that_the_list_still_names_are_covered() {
     let mut fleet = running_fleet();
+    fleet.run_for(secs(300));
     fleet.list_lags = true;
     for watcher in fleet.watchers(0) {
         fleet.kill(watcher);
--- a/crates/core/tests/support/catalogue_fleet.rs
+++ b/crates/core/tests/support/catalogue_fleet.rs
@@ -102,11 +102,12 @@
     life: u64,
     alive: bool,
     started: bool,
-    pub notes: Vec<Note>,
-    pub changes: Vec<SyncChange>,
-    pub in_force_at: BTreeMap<u64, Time>,
-    /// Revisions in the order in which they came into force, over all lives.
-    highest: u64,
+    notes: Vec<Note>,
+    changes: Vec<SyncChange>,
+    /// Every revision that came into force here, in any life.
+    in_force: BTreeSet<u64>,
+    /// The revision that came into force last, in this life.
+    last: u64,
 }
 
 pub struct Fleet {
@@ -155,8 +156,8 @@
                 started: false,
                 notes: Vec::new(),
                 changes: Vec::new(),
-                in_force_at: BTreeMap::new(),
-                highest: 0,
+                in_force: BTreeSet::new(),
+                last: 0,
             });
         }
         fleet
@@ -202,6 +203,7 @@
         instance.sync = CatalogueSync::new(SyncConfig::new(seed));
         instance.alive = true;
         instance.started = false;
+        instance.last = 0;
         let life = instance.life;
         self.push(self.now, node, life, What::Start);
         self.push(self.now + LIST_DELAY, node, life, What::Roles);
@@ -399,10 +401,10 @@
             SyncAction::Note(note) => self.instances[node].notes.push(note),
             SyncAction::Changed(change) => {
                 if let SyncChange::InForce { revision } = change {
-                    let now = self.now;
                     let instance = &mut self.instances[node];
-                    instance.in_force_at.entry(revision).or_insert(now);
-                    instance.highest = instance.highest.max(revision);
+                    assert!(revision > instance.last, "instance {node} reverted");
+                    instance.last = revision;
+                    instance.in_force.insert(revision);
                 }
                 self.instances[node].changes.push(change);
             }
@@ -468,6 +470,16 @@
         live.all(|it| it.sync.revision() == revision)
     }
 
+    /// Returns whether this revision was ever in force anywhere.
+    pub fn was_in_force(&self, revision: u64) -> bool {
+        let mut instances = self.instances.iter();
+        instances.any(|it| it.in_force.contains(&revision))
+    }
+
+    pub fn is_alive(&self, node: usize) -> bool {
+        self.instances[node].alive
+    }
+
     pub fn notes(&self, node: usize) -> &[Note] {
         &self.instances[node].notes
     }
