Ejected endpoints and their return are told

Cause: events 302 and 303 were never emitted; an endpoint that got no more work showed only in status and in retries. Change: after each poll of its cells the node compares which endpoints get probes only with what it told, and notes the difference, once each way.

--- a/crates/core/src/cell.rs
+++ b/crates/core/src/cell.rs
@@ -391,6 +391,14 @@
         }
     }
 
+    /// Returns the endpoints that get no work but probes.
+    pub fn ejected(&self) -> impl Iterator<Item = EndpointKey> {
+        let endpoints = self.by_key.iter();
+        endpoints
+            .filter(|(_, ix)| self.endpoints[**ix].health.is_ejected())
+            .map(|(key, _)| *key)
+    }
+
     fn add_endpoint(&mut self, info: EndpointInfo) -> EndpointIx {
         let endpoint = Endpoint::new(info, &self.cfg);
         let ix = match self.vacant.pop() {
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -22,6 +22,7 @@
 mod ask;
 mod attempt;
 mod claims;
+mod ejections;
 mod fleet;
 mod home;
 mod judge;
--- a/crates/core/src/node/home.rs
+++ b/crates/core/src/node/home.rs
@@ -63,6 +63,8 @@
     placed: BTreeMap<RequestId, Placement>,
     /// Endpoints whose next poll is scheduled.
     polled: BTreeSet<EndpointKey>,
+    /// Endpoints that operators were told are ejected.
+    pub ejected: BTreeSet<EndpointKey>,
     /// What endpoints said last that they run, by anybody's grant.
     reported: BTreeMap<EndpointKey, u32>,
     /// Reused buffer.
@@ -413,6 +415,9 @@
             self.tell_decision(decision);
         }
         self.homes.decisions = decisions;
+        if any {
+            self.tell_ejections();
+        }
         any
     }
 
--- a/crates/core/tests/node/main.rs
+++ b/crates/core/tests/node/main.rs
@@ -2,6 +2,7 @@
 //! processes that are paused or replaced.
 
 mod claims;
+mod ejections;
 mod failures;
 mod orders;
 mod path;
