Fault runs heal the service, take ports that stay free, and meet random sampling

One case of 42 could not start: between its choice and the start of the instance, an outgoing connection took the port. Change: DELETE of faults at the service; ports below those for outgoing connections; half of the cases sample at random, so that a replay elsewhere differs; `--keep` keeps all cases.

--- a/crates/bench/src/faults.rs
+++ b/crates/bench/src/faults.rs
@@ -18,6 +18,7 @@
 pub use kind::Fault;
 
 use crate::process::block_on;
+use crate::standins::text::Sampling;
 use rand::rngs::SmallRng;
 use rand::seq::SliceRandom;
 use rand::{Rng, SeedableRng};
@@ -52,7 +53,7 @@
     /// Also print the reasons of typed errors, by kind of request.
     #[arg(long)]
     pub reasons: bool,
-    /// Keep the files of cases with violations.
+    /// Keep settings, logs and journals of all cases.
     #[arg(long)]
     pub keep: bool,
 }
@@ -82,7 +83,9 @@
     pub seed: u64,
     /// How many requests are sent.
     pub requests: usize,
-    /// Keep the files if a promise is broken.
+    /// How the engines sample.
+    pub sampling: Sampling,
+    /// Keep the files.
     pub keep: bool,
     /// The program that every process runs.
     pub program: PathBuf,
@@ -142,6 +145,10 @@
         faults,
         seed: rng.random(),
         requests,
+        sampling: match rng.random_bool(0.5) {
+            true => Sampling::Greedy,
+            false => Sampling::Random,
+        },
         keep: args.keep,
         program: program.to_owned(),
     });
--- a/crates/bench/src/faults/case.rs
+++ b/crates/bench/src/faults/case.rs
@@ -58,13 +58,9 @@
 /// Runs one case from the start of its fleet to its check.
 pub async fn run_case(case: &Case) -> Result<CaseOutcome, CaseError> {
     let begun = Instant::now();
-    let mut scene = Scene::start(&case.program).await?;
+    let mut scene = Scene::start(&case.program, case.sampling).await?;
     let result = run_in(&mut scene, case).await;
-    let failed = match &result {
-        Ok((_, violations)) => !violations.is_empty(),
-        Err(_) => true,
-    };
-    let files = (case.keep && failed).then(|| scene.fleet.keep_dir().to_owned());
+    let files = case.keep.then(|| scene.fleet.keep_dir().to_owned());
     let (evidence, violations) = result?;
     Ok(CaseOutcome {
         evidence,
--- a/crates/bench/src/faults/heal.rs
+++ b/crates/bench/src/faults/heal.rs
@@ -35,8 +35,10 @@
         | Fault::ReorderedTokens
         | Fault::CutStreams
         | Fault::LostGenerations => {
-            let address = scene.fleet.endpoints[slot].address;
-            scene.fleet.admin.clear_engine_faults(address).await?;
+            clear_faults(scene, slot).await?;
+        }
+        Fault::ServiceLosesAnswers | Fault::ServiceCrosses | Fault::ServiceStalls => {
+            clear_faults(scene, SERVICE).await?;
         }
         Fault::LinkStalls | Fault::LinkCutMidFrame | Fault::LinkSlow | Fault::AnswersLost => {
             for view in &scene.fleet.views {
@@ -70,16 +72,16 @@
             scene.fleet.catalogue.revision += 1;
             scene.fleet.publish_catalogue().await?;
         }
-        Fault::ServiceLosesAnswers
-        | Fault::ServiceCrosses
-        | Fault::ServiceStalls
-        | Fault::InstanceRestarted
-        | Fault::FleetRestarts
-        | Fault::CatalogueRaces => {}
+        Fault::InstanceRestarted | Fault::FleetRestarts | Fault::CatalogueRaces => {}
     }
     Ok(())
 }
 
+async fn clear_faults(scene: &Scene, endpoint: usize) -> Result<(), CaseError> {
+    let address = scene.fleet.endpoints[endpoint].address;
+    Ok(scene.fleet.admin.clear_faults(address).await?)
+}
+
 fn restart_endpoint(scene: &mut Scene, index: usize) -> Result<(), CaseError> {
     let program = scene.program.clone();
     Ok(scene.fleet.restart_endpoint(index, &program)?)
--- a/crates/bench/src/faults/scene.rs
+++ b/crates/bench/src/faults/scene.rs
@@ -5,6 +5,7 @@
 use crate::fleet::plan::SHORT_SETTLE;
 use crate::fleet::{Fleet, Plan};
 use crate::standins::journal::now_us;
+use crate::standins::text::Sampling;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -96,13 +97,21 @@
 
 impl Scene {
     /// Starts the fleet of a case.
-    pub async fn start(program: &Path) -> Result<Self, CaseError> {
+    ///
+    /// With random sampling a replay elsewhere differs from what was delivered,
+    /// with greedy sampling it does not; both must be met.
+    pub async fn start(program: &Path, sampling: Sampling) -> Result<Self, CaseError> {
+        let sampling = match sampling {
+            Sampling::Greedy => "--sampling greedy",
+            Sampling::Random => "--sampling random",
+        };
         let plan = Plan::default()
             .with_instances(INSTANCES)
             .with_engines(ENGINES)
             .with_services(1)
             .with_two_views()
             .with_engine_args(ENGINE_ARGS)
+            .with_engine_args(sampling)
             .with_service_args(SERVICE_ARGS)
             .with_platform_args(PLATFORM_ARGS)
             .with_settings(SETTINGS)
--- a/crates/bench/src/fleet/start.rs
+++ b/crates/bench/src/fleet/start.rs
@@ -8,6 +8,7 @@
 use super::{Endpoint, Fleet, FleetError, Instance, View};
 use crate::process::child::Child;
 use crate::standins::admin::Admin;
+use rand::Rng;
 use std::io;
 use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
@@ -235,17 +236,29 @@
     Ok(Child::start(name, program, args, &log)?)
 }
 
+/// Ports that are tried for instances: below those that the system gives to
+/// outgoing connections, any of which could take a port between its choice and
+/// the start of the instance.
+const PORTS: std::ops::Range<u16> = 12_000..32_000;
+
 /// Finds free addresses.
 ///
 /// They must be known before the instance starts, because the list publishes
 /// them, and must stay the same when it starts again.
 fn free_addresses<const N: usize>() -> io::Result<[SocketAddr; N]> {
+    let mut rng = rand::rng();
     let mut held = Vec::new();
+    while held.len() < N {
+        let port = rng.random_range(PORTS);
+        match TcpListener::bind(("127.0.0.1", port)) {
+            Ok(listener) => held.push(listener),
+            Err(error) if error.kind() == io::ErrorKind::AddrInUse => {}
+            Err(error) => return Err(error),
+        }
+    }
     let mut addresses = [SocketAddr::from(([127, 0, 0, 1], 0)); N];
-    for address in &mut addresses {
-        let listener = TcpListener::bind(*address)?;
+    for (address, listener) in addresses.iter_mut().zip(&held) {
         *address = listener.local_addr()?;
-        held.push(listener);
     }
     Ok(addresses)
 }
--- a/crates/bench/src/standins/admin.rs
+++ b/crates/bench/src/standins/admin.rs
@@ -44,9 +44,9 @@
         self.send(self.http.post(url).json(rule)).await
     }
 
-    /// Takes back the faults that an engine has not yet shown.
-    pub async fn clear_engine_faults(&self, engine: SocketAddr) -> Result<(), AdminError> {
-        let url = format!("http://{engine}/admin/faults");
+    /// Takes back the faults that an endpoint has not yet shown.
+    pub async fn clear_faults(&self, endpoint: SocketAddr) -> Result<(), AdminError> {
+        let url = format!("http://{endpoint}/admin/faults");
         self.send(self.http.delete(url)).await
     }
 
--- a/crates/bench/src/standins/service/routes.rs
+++ b/crates/bench/src/standins/service/routes.rs
@@ -31,7 +31,7 @@
         .at("/v1/call", post(post_call))
         .at("/v1/load", get(get_load))
         .at("/admin/record", get(get_record))
-        .at("/admin/faults", post(post_fault))
+        .at("/admin/faults", post(post_fault).delete(delete_faults))
         .at("/admin/leaving", put(put_leaving).delete(delete_leaving))
         .data(Arc::clone(&service));
     http::serve(listen, service.cuts.clone(), app).await
@@ -108,6 +108,12 @@
     StatusCode::NO_CONTENT
 }
 
+#[handler]
+fn delete_faults(Data(service): Data<&Arc<Service>>) -> StatusCode {
+    service.lock().faults.clear();
+    StatusCode::NO_CONTENT
+}
+
 #[handler]
 fn put_leaving(Data(service): Data<&Arc<Service>>) -> StatusCode {
     set_leaving(service, true)
