A revision that only others accept is not pulled in a loop

Cause: a rejected index no longer barred its revision, so that a mended one under the same revision may spread; but then every message of a peer that has the rejected one in force, as in an upgrade, started another pull. Ruled out: barring the revision by the rejection, which held back the mended one. Change: a pull that brought nothing pauses pulls on account of messages that name that revision, for a minute, or for 2 s if the peer did not answer. An announcement with another digest is followed at once, as before.

--- a/crates/core/src/catalogue/sync/candidate.rs
+++ b/crates/core/src/catalogue/sync/candidate.rs
@@ -148,8 +148,7 @@
                     digest,
                     cause: RejectionCause::Findings(findings),
                 };
-                // Another index of this revision may be good, and peers may have it.
-                self.reject(rejection, None, out);
+                self.reject(rejection, out);
             }
         }
     }
@@ -180,7 +179,7 @@
                 digest: catalogue.digest(),
                 cause: RejectionCause::RevisionReused,
             };
-            return self.reject(rejection, Some(revision), out);
+            return self.reject(rejection, out);
         }
         if self.candidates.gives_way(origin, revision) {
             let held = Held {
@@ -301,14 +300,13 @@
         }
     }
 
-    /// Notes a rejection. Peers are not asked for a catalogue of the revision `barred`.
-    fn reject(&mut self, rejection: Rejection, barred: Option<u64>, out: &mut Vec<SyncAction>) {
+    fn reject(&mut self, rejection: Rejection, out: &mut Vec<SyncAction>) {
         self.counters.rejected += 1;
         out.push(SyncAction::Note(Note::CatalogueRejected {
             revision: rejection.revision,
             findings: rejection.cause.findings(),
         }));
-        self.rejected.insert(rejection, barred);
+        self.rejected.insert(rejection);
     }
 
     /// Rejects the candidates that list a shard that is not valid.
@@ -327,7 +325,7 @@
                 digest: candidate.digest(),
                 cause: RejectionCause::Findings(findings.clone()),
             };
-            self.reject(rejection, Some(revision), out);
+            self.reject(rejection, out);
         }
         self.prune_fetches();
     }
--- a/crates/core/src/catalogue/sync/pull.rs
+++ b/crates/core/src/catalogue/sync/pull.rs
@@ -23,6 +23,15 @@
 /// A node without any catalogue asks its watchers again after about so long.
 const ASK_AGAIN: Duration = Duration::from_secs(2);
 
+/// A revision that was pulled and did not come into force is not asked for again
+/// for so long. During an upgrade, newer instances may have an index in force
+/// that this one rejects, and each of their messages names its revision.
+const FRUITLESS_PAUSE: Duration = Duration::from_secs(60);
+
+/// A revision that a peer named and then did not give is not asked for again for
+/// so long, whoever else names it.
+const FAILED_PAUSE: Duration = Duration::from_secs(2);
+
 /// Peers that are remembered to hold a newer revision.
 const HOLDERS: usize = 4;
 
@@ -42,6 +51,9 @@
     holders: VecDeque<(InstanceKey, u64)>,
     /// When to pull next.
     due: Time,
+    /// A revision that was pulled to no avail, and until when it is not asked
+    /// for because a message names it.
+    fruitless: Option<(u64, Time)>,
 }
 
 impl Default for Pulls {
@@ -50,6 +62,7 @@
             out: None,
             holders: VecDeque::new(),
             due: Time::NEVER,
+            fruitless: None,
         }
     }
 }
@@ -59,6 +72,18 @@
         self.out.as_ref().map_or(self.due, |pull| pull.until)
     }
 
+    fn is_fruitless(&self, now: Time, revision: u64) -> bool {
+        let fruitless = self.fruitless;
+        fruitless.is_some_and(|(pulled, until)| revision <= pulled && now < until)
+    }
+
+    /// Forgets a holder; returns the revision that it was said to hold.
+    fn take_holder(&mut self, holder: InstanceKey) -> u64 {
+        let at = self.holders.iter().position(|(it, _)| *it == holder);
+        let held = at.and_then(|at| self.holders.remove(at));
+        held.map_or(0, |(_, revision)| revision)
+    }
+
     fn add_holder(&mut self, holder: InstanceKey, revision: u64) {
         self.holders.retain(|(known, _)| *known != holder);
         if self.holders.len() == HOLDERS {
@@ -72,7 +97,7 @@
     /// A peer's message said which revision it has in force.
     pub fn peer_revision(&mut self, now: Time, from: PeerId, revision: u64) {
         let known = self.highest_known();
-        if revision <= known || self.rejected.bars(revision) {
+        if revision <= known || self.pulls.is_fruitless(now, revision) {
             return;
         }
         self.learn_holder(now, from.instance, revision);
@@ -186,7 +211,10 @@
 
     fn pull_failed(&mut self, now: Time, from: InstanceKey) {
         self.pulls.out = None;
-        self.pulls.holders.retain(|(holder, _)| *holder != from);
+        let told = self.pulls.take_holder(from);
+        if told > 0 {
+            self.pulls.fruitless = Some((told, now + FAILED_PAUSE));
+        }
         if !self.pulls.holders.is_empty() {
             self.pulls.due = now + self.jitter(PULL_SPREAD);
         } else if self.in_force.is_none() {
@@ -263,13 +291,14 @@
     }
 
     fn pulled(&mut self, now: Time, bytes: &[u8], out: &mut Vec<SyncAction>) {
-        let from = self.pulls.out.take().map(|pull| pull.from);
-        self.pulls
-            .holders
-            .retain(|(holder, _)| Some(*holder) != from);
+        let pull = self.pulls.out.take();
+        let told = pull.map_or(0, |pull| self.pulls.take_holder(pull.from));
         self.counters.index_pulls += 1;
         self.consider(now, bytes, Origin::Peer, out);
         let known = self.highest_known();
+        if known < told {
+            self.pulls.fruitless = Some((told, now + FRUITLESS_PAUSE));
+        }
         self.pulls.holders.retain(|(_, held)| *held > known);
         if !self.pulls.holders.is_empty() {
             self.pulls.due = now + self.jitter(PULL_SPREAD);
--- a/crates/core/src/catalogue/sync/status.rs
+++ b/crates/core/src/catalogue/sync/status.rs
@@ -69,27 +69,20 @@
 /// The rejected indexes; only the last one keeps its findings.
 #[derive(Debug, Default)]
 pub(super) struct Rejected {
-    digests: VecDeque<(Digest, Option<u64>)>,
+    digests: VecDeque<Digest>,
     last: Option<Rejection>,
 }
 
 impl Rejected {
     pub fn contains(&self, digest: Digest) -> bool {
-        self.digests.iter().any(|(known, _)| *known == digest)
+        self.digests.contains(&digest)
     }
 
-    /// Returns whether peers are not to be asked for a catalogue of this revision.
-    pub fn bars(&self, revision: u64) -> bool {
-        let mut barred = self.digests.iter().map(|(_, barred)| *barred);
-        barred.any(|it| it == Some(revision))
-    }
-
-    /// Remembers a rejection, and the revision that is not worth asking peers for.
-    pub fn insert(&mut self, rejection: Rejection, barred: Option<u64>) {
+    pub fn insert(&mut self, rejection: Rejection) {
         if self.digests.len() == REMEMBERED {
             self.digests.pop_front();
         }
-        self.digests.push_back((rejection.digest, barred));
+        self.digests.push_back(rejection.digest);
         self.last = Some(rejection);
     }
 }
--- a/crates/core/tests/catalogue_sync.rs
+++ b/crates/core/tests/catalogue_sync.rs
@@ -5,8 +5,10 @@
 
 use catalogue_fleet::{Fleet, Publication, index_of, key_digest, publication};
 use core::time::Duration;
-use oriolemux_core::catalogue::shard_of;
-use oriolemux_core::catalogue::sync::{Lookup, RejectionCause, SyncChange};
+use oriolemux_core::catalogue::sync::{
+    CatalogueMessage, Lookup, Piece, RejectionCause, SyncChange,
+};
+use oriolemux_core::catalogue::{Digest, shard_of};
 use oriolemux_core::note::Note;
 
 const SHARDS: u32 = 8;
@@ -265,6 +267,42 @@
     assert!(reach(&mut fleet, 6, secs(200)));
 }
 
+// Symptom: an instance takes the index over from its peers again and again.
+// Sequence: during an upgrade, newer instances have revision 6 in force, with a
+// key in it that this older one does not know; every message of theirs names 6.
+// Cause: a revision above the own one is asked for each time it is named, also
+// after the answer was rejected.
+#[test]
+fn revision_that_only_others_accept_is_not_pulled_in_a_loop() {
+    let mut fleet = running_fleet();
+    let text = String::from_utf8(catalogue(6).index).unwrap();
+    let newer = text.replace("urgency", "colour = 3\nurgency").into_bytes();
+    let digest = Digest::of(&newer);
+    fleet.list_lags = true;
+    fleet.kill(0);
+    let start = fleet.index_requests(4);
+
+    for _ in 0..200 {
+        fleet.hear_of_revision(4, 0, 6);
+        fleet.run_for(Duration::from_millis(300));
+        fleet.with(4, |sync, now, out| {
+            let piece = Piece {
+                offset: 0,
+                total: newer.len() as u32,
+                bytes: newer.clone(),
+            };
+            let message = CatalogueMessage::IndexPiece { digest, piece };
+            sync.message(now, catalogue_fleet::peer_id(0), message, out);
+        });
+    }
+
+    assert_eq!(fleet.revision(4), 5);
+    let requests = fleet.index_requests(4) - start;
+    assert!((1..=4).contains(&requests), "{requests} in a minute");
+    fleet.publish(&catalogue(7));
+    assert!(reach(&mut fleet, 7, secs(5)));
+}
+
 #[test]
 fn same_revision_with_other_content_is_rejected() {
     let mut fleet = running_fleet();
--- a/crates/core/tests/support/catalogue_fleet.rs
+++ b/crates/core/tests/support/catalogue_fleet.rs
@@ -104,6 +104,7 @@
     started: bool,
     notes: Vec<Note>,
     changes: Vec<SyncChange>,
+    index_requests: usize,
     /// Every revision that came into force here, in any life.
     in_force: BTreeSet<u64>,
     /// The revision that came into force last, in this life.
@@ -156,6 +157,7 @@
                 started: false,
                 notes: Vec::new(),
                 changes: Vec::new(),
+                index_requests: 0,
                 in_force: BTreeSet::new(),
                 last: 0,
             });
@@ -249,12 +251,21 @@
 
     /// Lets a node hear the revision of another, as with any message between them.
     pub fn hear_of(&mut self, node: usize, other: usize) {
-        let revision = self.revision(other);
+        self.hear_of_revision(node, other, self.revision(other));
+    }
+
+    /// Lets a node hear a revision from another.
+    pub fn hear_of_revision(&mut self, node: usize, other: usize, revision: u64) {
         self.with(node, |sync, now, _| {
             sync.peer_revision(now, peer_id(other), revision);
         });
     }
 
+    /// Returns how often a node asked a peer for the index.
+    pub fn index_requests(&self, node: usize) -> usize {
+        self.instances[node].index_requests
+    }
+
     pub fn watchers(&self, data_centre: usize) -> Vec<usize> {
         let here = self.instances.iter().enumerate();
         let here = here.filter(|(_, it)| it.data_centre == data_centre);
@@ -412,6 +423,9 @@
     }
 
     fn send(&mut self, from: usize, to: InstanceKey, message: CatalogueMessage) {
+        if let CatalogueMessage::IndexWanted { .. } = message {
+            self.instances[from].index_requests += 1;
+        }
         let encoded = bincode::serde::encode_to_vec(&message, bincode::config::standard());
         self.sent_bytes[from] += encoded.unwrap().len() as u64;
         let to = self.node_of(to);
@@ -505,7 +519,7 @@
     }
 }
 
-fn peer_id(node: usize) -> PeerId {
+pub fn peer_id(node: usize) -> PeerId {
     PeerId {
         instance: InstanceKey::of(&format!("instance-{node}")),
         incarnation: Incarnation(node as u64),
