--- a/crates/core/src/limits/leases.rs
+++ b/crates/core/src/limits/leases.rs
@@ -225,7 +225,8 @@
         while let Some(request) = self.parked.overdue(now) {
             self.refuse(now, request, out);
         }
-        let keys: Vec<LimitKey> = self.shares.keys().copied().collect();
+        let due = self.shares.values().filter(|it| it.next_wake() <= now);
+        let keys: Vec<LimitKey> = due.map(|it| it.key).collect();
         self.ask_homes(now, &keys, fleet, out);
         self.admit_waiting(now, out);
         self.shares.retain(|_, it| !it.is_idle(now));
