--- a/crates/core/tests/catalogue_size.rs
+++ b/crates/core/tests/catalogue_size.rs
@@ -6,6 +6,7 @@
 
 use catalogue_fleet::{Fleet, Publication, index_of, key_digest, publication};
 use core::time::Duration;
+use oriolemux_core::catalogue::sync::diff;
 use oriolemux_core::catalogue::{parse_index, parse_shard, shard_of};
 use std::time::Instant;
 
@@ -111,6 +112,19 @@
     );
 }
 
+#[test]
+fn change_of_one_shard_takes_few_bytes_of_the_index() {
+    let old = String::from_utf8(publication(1, SHARDS, WORKSPACES, 0).index).unwrap();
+    let new = String::from_utf8(publication(2, SHARDS, WORKSPACES, 1).index).unwrap();
+
+    let edits = diff(&old, &new).unwrap();
+
+    let encoded = bincode::serde::encode_to_vec(&edits, bincode::config::standard());
+    let bytes = encoded.unwrap().len();
+    println!("index of {} bytes changes by {bytes} bytes", new.len());
+    assert!(bytes < 200, "{bytes} bytes");
+}
+
 #[test]
 fn all_workspaces_fit_the_memory_for_shards() {
     let published = publication(1, SHARDS, ALL_WORKSPACES, 0);
