--- a/crates/core/src/reason.rs
+++ b/crates/core/src/reason.rs
@@ -135,8 +135,6 @@
     NoCatalogue = "no_catalogue", 503, Limit;
     /// The home of an idempotency key changed recently, or cannot be reached.
     KeyHomeUnsure = "key_home_unsure", 503, Limit;
-    /// The list of instances is too old to decide on.
-    ListStale = "list_stale", 503, Limit;
 
     /// No connection to the endpoint could be made.
     ConnectFailed = "connect_failed", 502, Failure;
