--- a/crates/oriolemux/src/cli/serve.rs
+++ b/crates/oriolemux/src/cli/serve.rs
@@ -79,6 +79,8 @@
 
 fn run_instance(settings: Settings) -> Result<(), StartError> {
     metrics::install().map_err(StartError::Metrics)?;
+    let file = &settings.file;
+    events::emit_shell(&ShellNote::SettingsRead { file });
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .enable_all()
         .build()
--- a/crates/oriolemux/src/events/shell_note.rs
+++ b/crates/oriolemux/src/events/shell_note.rs
@@ -15,6 +15,11 @@
         /// This life of it.
         incarnation: Incarnation,
     },
+    /// The settings were read and have no findings.
+    SettingsRead {
+        /// Their file.
+        file: &'a str,
+    },
     /// A listener accepts connections.
     Listening {
         /// For whom, for example `callers`.
@@ -95,6 +100,9 @@
                 ];
                 f(LogEvent::Started, &fields);
             }
+            ShellNote::SettingsRead { file } => {
+                f(LogEvent::SettingsRead, &[display("file", file)]);
+            }
             ShellNote::Listening { listener, address } => {
                 let fields = [display("listener", listener), display("address", address)];
                 f(LogEvent::Listening, &fields);
--- a/crates/oriolemux/src/events/table.rs
+++ b/crates/oriolemux/src/events/table.rs
@@ -63,6 +63,8 @@
     PartGivenUp = 108, "part_given_up", Error;
     /// The process was paused; what it was about to do is checked again before it is done.
     Paused = 109, "paused", Warn;
+    /// The settings were read and have no findings; the line names their file.
+    SettingsRead = 110, "settings_read", Info;
 
     /// A request was refused because of what the caller sent.
     InputRefused = 201, "request_refused_input", Debug;
