A new instance hears its peers before it believes the platform

Symptom: an instance that restarted began with an older revision than the fleet had. Cause: it asked one watcher of its data centre; when both had restarted, each asked the other, and the stale service's answer came into force first. A question sent before the link was up was lost, and the platform answered meanwhile. Change: a new instance asks the watchers of its data centre and one of each other, half a second each and 1.5 s in all, before a proposal of the platform may come into force; a question is repeated when the link to its peer comes up. Before and after: both watchers of a data centre restarted with a stale service: revision 5 and then 6 came into force, now 6 alone.

--- a/crates/core/src/catalogue/sync.rs
+++ b/crates/core/src/catalogue/sync.rs
@@ -234,7 +234,7 @@
         self.budget.set_watcher(now, self.roles.is_watcher());
         self.reschedule_calls(now, first);
         if first {
-            self.ask_for_index(now, out);
+            self.ask_first(now, out);
         }
     }
 
@@ -284,7 +284,7 @@
             } => {
                 self.on_index_delta(now, from, base, to, &edits, out);
             }
-            CatalogueMessage::IndexAbsent => self.on_index_absent(now, from),
+            CatalogueMessage::IndexAbsent => self.on_index_absent(now, from, out),
             CatalogueMessage::ShardWanted { id, offset } => {
                 self.answer_shard(now, from, id, offset, out);
             }
--- a/crates/core/src/catalogue/sync/candidate.rs
+++ b/crates/core/src/catalogue/sync/candidate.rs
@@ -104,8 +104,8 @@
         }
     }
 
-    fn take_ready(&mut self, now: Time) -> Option<Candidate> {
-        let verified = |candidate: &mut Candidate| candidate.pending.is_empty();
+    fn take_ready(&mut self, now: Time, may_propose: bool) -> Option<Candidate> {
+        let verified = |it: &mut Candidate| may_propose && it.pending.is_empty();
         let adopted = self
             .adopted
             .take_if(|it| it.pending.is_empty() || it.since + ACCEPT_LIMIT <= now);
@@ -249,7 +249,10 @@
     }
 
     pub(super) fn try_accept(&mut self, now: Time, out: &mut Vec<SyncAction>) {
-        while let Some(candidate) = self.candidates.take_ready(now) {
+        // A new instance would otherwise begin with what a stale service says,
+        // and go back in time against the process that it replaces.
+        let may_propose = !self.pulls.is_asking_first();
+        while let Some(candidate) = self.candidates.take_ready(now, may_propose) {
             if candidate.revision() > self.revision() {
                 self.put_in_force(now, candidate.held, out);
             }
--- a/crates/core/src/catalogue/sync/pull.rs
+++ b/crates/core/src/catalogue/sync/pull.rs
@@ -20,6 +20,12 @@
 /// A peer that does not answer by then is given up for another.
 const PULL_LIMIT: Duration = Duration::from_millis(1_500);
 
+/// A new instance gives each peer that it asks first so long to answer.
+const FIRST_PULL_LIMIT: Duration = Duration::from_millis(500);
+
+/// A new instance waits no longer than this for the peers that it asks first.
+const FIRST_LIMIT: Duration = Duration::from_millis(1_500);
+
 /// A node without any catalogue asks its watchers again after about so long.
 const ASK_AGAIN: Duration = Duration::from_secs(2);
 
@@ -54,6 +60,10 @@
     /// A revision that was pulled to no avail, and until when it is not asked
     /// for because a message names it.
     fruitless: Option<(u64, Time)>,
+    /// Peers that a new instance has not asked yet, the next one last.
+    first: Vec<InstanceKey>,
+    /// Until when a new instance waits for what its peers know.
+    first_until: Option<Time>,
 }
 
 impl Default for Pulls {
@@ -63,13 +73,26 @@
             holders: VecDeque::new(),
             due: Time::NEVER,
             fruitless: None,
+            first: Vec::new(),
+            first_until: None,
         }
     }
 }
 
 impl Pulls {
     pub fn next_wake(&self) -> Time {
-        self.out.as_ref().map_or(self.due, |pull| pull.until)
+        let pull = self.out.as_ref().map_or(self.due, |pull| pull.until);
+        pull.min(self.first_until.unwrap_or(Time::NEVER))
+    }
+
+    /// Returns whether a new instance still asks what its peers know.
+    pub fn is_asking_first(&self) -> bool {
+        self.first_until.is_some()
+    }
+
+    fn end_first(&mut self) {
+        self.first.clear();
+        self.first_until = None;
     }
 
     fn is_fruitless(&self, now: Time, revision: u64) -> bool {
@@ -113,17 +136,20 @@
             && told.map(|(_, revision)| *revision).all(|it| it <= in_force)
     }
 
-    /// A link to a peer is up. What was announced while it was down is lost, so
-    /// the announcement is repeated.
-    pub fn peer_up(&mut self, peer: PeerId, out: &mut Vec<SyncAction>) {
+    /// A link to a peer is up. What was sent while it was down is lost, so the
+    /// announcement is repeated, and a new instance's question too.
+    pub fn peer_up(&mut self, now: Time, peer: PeerId, out: &mut Vec<SyncAction>) {
+        let to = peer.instance;
         let Some(catalogue) = self.catalogue() else {
+            if self.is_pulled_from(to) {
+                self.pull_from(now, to, out);
+            }
             return;
         };
         let message = CatalogueMessage::InForce {
             revision: catalogue.revision(),
             digest: catalogue.digest(),
         };
-        let to = peer.instance;
         out.push(SyncAction::Send { to, message });
     }
 
@@ -158,9 +184,36 @@
         }
     }
 
-    /// Asks a watcher for the index, as a new instance does: the platform may be
-    /// stale, or have been down since before this process started.
-    pub(super) fn ask_for_index(&mut self, now: Time, out: &mut Vec<SyncAction>) {
+    /// Asks the watchers what is in force, as a new instance does before it
+    /// believes the platform, which may be stale or have been down since before
+    /// the process started. A watcher of each other data centre is asked too,
+    /// because the own ones may have restarted together with this instance.
+    pub(super) fn ask_first(&mut self, now: Time, out: &mut Vec<SyncAction>) {
+        let me = self.roles.me;
+        let mut first = self.roles.far.clone();
+        first.extend(self.roles.watchers.iter().filter(|it| **it != me));
+        if first.is_empty() || self.in_force.is_some() {
+            return;
+        }
+        self.pulls.first = first;
+        self.pulls.first_until = Some(now + FIRST_LIMIT);
+        self.ask_next_first(now, out);
+    }
+
+    /// Asks the next of the first peers, or ends the wait for them.
+    fn ask_next_first(&mut self, now: Time, out: &mut Vec<SyncAction>) {
+        match self.pulls.first.pop() {
+            Some(peer) => self.pull_from(now, peer, out),
+            None => {
+                self.pulls.end_first();
+                self.pulls.due = now + ASK_AGAIN / 2 + self.jitter(ASK_AGAIN);
+                self.try_accept(now, out);
+            }
+        }
+    }
+
+    /// Asks any watcher for the index.
+    fn ask_for_index(&mut self, now: Time, out: &mut Vec<SyncAction>) {
         if let Some(to) = self.choose_watcher() {
             self.pull_from(now, to, out);
         }
@@ -183,10 +236,14 @@
     }
 
     fn pull_from(&mut self, now: Time, to: InstanceKey, out: &mut Vec<SyncAction>) {
+        let limit = match self.pulls.is_asking_first() {
+            true => FIRST_PULL_LIMIT,
+            false => PULL_LIMIT,
+        };
         self.pulls.out = Some(Pull {
             from: to,
             assembly: None,
-            until: now + PULL_LIMIT,
+            until: now + limit,
         });
         self.pulls.due = Time::NEVER;
         let have = self.catalogue().map(|catalogue| catalogue.digest());
@@ -196,7 +253,11 @@
 
     pub(super) fn tick_pulls(&mut self, now: Time, out: &mut Vec<SyncAction>) {
         if let Some(pull) = self.pulls.out.take_if(|pull| pull.until <= now) {
-            self.pull_failed(now, pull.from);
+            self.pull_failed(now, pull.from, out);
+        }
+        if self.pulls.first_until.is_some_and(|until| until <= now) {
+            self.pulls.end_first();
+            self.try_accept(now, out);
         }
         if self.pulls.out.is_some() || self.pulls.due > now {
             return;
@@ -209,7 +270,7 @@
         }
     }
 
-    fn pull_failed(&mut self, now: Time, from: InstanceKey) {
+    fn pull_failed(&mut self, now: Time, from: InstanceKey, out: &mut Vec<SyncAction>) {
         self.pulls.out = None;
         let told = self.pulls.take_holder(from);
         if told > 0 {
@@ -217,6 +278,8 @@
         }
         if !self.pulls.holders.is_empty() {
             self.pulls.due = now + self.jitter(PULL_SPREAD);
+        } else if self.pulls.is_asking_first() {
+            self.ask_next_first(now, out);
         } else if self.in_force.is_none() {
             self.pulls.due = now + ASK_AGAIN / 2 + self.jitter(ASK_AGAIN);
         }
@@ -228,9 +291,14 @@
         self.pulls.holders.retain(|(_, held)| *held > revision);
     }
 
-    pub(super) fn on_index_absent(&mut self, now: Time, from: InstanceKey) {
+    pub(super) fn on_index_absent(
+        &mut self,
+        now: Time,
+        from: InstanceKey,
+        out: &mut Vec<SyncAction>,
+    ) {
         if self.is_pulled_from(from) {
-            self.pull_failed(now, from);
+            self.pull_failed(now, from, out);
         }
     }
 
@@ -262,7 +330,7 @@
                 out.push(SyncAction::Send { to: from, message });
             }
             Progress::Whole(bytes) => self.pulled(now, &bytes, out),
-            Progress::Wrong => self.pull_failed(now, from),
+            Progress::Wrong => self.pull_failed(now, from, out),
         }
     }
 
@@ -286,7 +354,7 @@
             Some(new) if Digest::of(new.as_bytes()) == to => {
                 self.pulled(now, new.as_bytes(), out);
             }
-            _ => self.pull_failed(now, from),
+            _ => self.pull_failed(now, from, out),
         }
     }
 
@@ -294,6 +362,7 @@
         let pull = self.pulls.out.take();
         let told = pull.map_or(0, |pull| self.pulls.take_holder(pull.from));
         self.counters.index_pulls += 1;
+        self.pulls.end_first();
         self.consider(now, bytes, Origin::Peer, out);
         let known = self.highest_known();
         if known < told {
--- a/crates/core/src/node/fleet.rs
+++ b/crates/core/src/node/fleet.rs
@@ -79,7 +79,7 @@
     /// A link to a peer is up: what either side knew of the other may be lost.
     pub(super) fn on_peer_up(&mut self, peer: PeerId) {
         self.with_membership(|membership, now, out| membership.peer_up(now, peer, out));
-        self.with_sync(|sync, _, out| sync.peer_up(peer, out));
+        self.with_sync(|sync, now, out| sync.peer_up(now, peer, out));
         self.carry_out_membership();
         self.retell_to(peer.instance);
         self.re_ask_at(peer.instance);
--- a/crates/core/tests/catalogue_sync.rs
+++ b/crates/core/tests/catalogue_sync.rs
@@ -50,7 +50,8 @@
 // Symptom: a restarted instance judges requests by an older revision than its peers.
 // Sequence: revision 6 is in force; the platform's service falls back to an old
 // copy with revision 5; one instance restarts and reads it.
-// Cause: only the platform is asked, which may be stale, and not the peers.
+// Cause: only the platform is asked, which may be stale, and not the peers; or
+// the platform's answer comes into force because it is there first.
 #[test]
 fn restart_of_one_with_a_stale_service_takes_the_peers_revision() {
     let mut fleet = running_fleet();
@@ -58,15 +59,38 @@
     assert!(reach(&mut fleet, 6, secs(3)));
     fleet.restore_index(1, &catalogue(5).index);
 
-    for node in [0, 11] {
+    for node in [0, 3, 11] {
+        let before = fleet.changes(node).len();
         fleet.start(node);
         fleet.run_for(secs(20));
 
-        assert_eq!(fleet.revision(node), 6);
+        let changes = &fleet.changes(node)[before..];
+        assert_eq!(changes, [SyncChange::InForce { revision: 6 }]);
     }
     assert!(fleet.all_at(6));
 }
 
+// Symptom: two instances that restart together serve by an older revision.
+// Sequence: as above, but both watchers of a data centre restart at once.
+// Cause: each asks the other, which knows nothing either, and nobody else.
+#[test]
+fn restart_of_both_watchers_with_a_stale_service_takes_the_peers_revision() {
+    let mut fleet = running_fleet();
+    fleet.publish(&catalogue(6));
+    assert!(reach(&mut fleet, 6, secs(3)));
+    fleet.restore_index(1, &catalogue(5).index);
+    let watchers = fleet.watchers(1);
+    let before: Vec<usize> = watchers.iter().map(|it| fleet.changes(*it).len()).collect();
+
+    watchers.iter().for_each(|it| fleet.start(*it));
+    fleet.run_for(secs(20));
+
+    for (watcher, before) in watchers.into_iter().zip(before) {
+        let changes = &fleet.changes(watcher)[before..];
+        assert_eq!(changes, [SyncChange::InForce { revision: 6 }]);
+    }
+}
+
 // Symptom: the catalogue in force goes back to an earlier revision.
 // Sequence: the service is restored from a copy with revision 5 under a new
 // platform revision, and answers every watch with it.
--- a/crates/core/tests/support/catalogue_fleet.rs
+++ b/crates/core/tests/support/catalogue_fleet.rs
@@ -242,8 +242,8 @@
             for peer in peers {
                 let peer = self.node_of(peer);
                 if peer != node {
-                    self.with(node, |sync, _, out| sync.peer_up(peer_id(peer), out));
-                    self.with(peer, |sync, _, out| sync.peer_up(peer_id(node), out));
+                    self.with(node, |sync, now, out| sync.peer_up(now, peer_id(peer), out));
+                    self.with(peer, |sync, now, out| sync.peer_up(now, peer_id(node), out));
                 }
             }
         }
