News reaches leaving instances; spread counted at 390 instances

Cause: a watcher told only usable instances. One that leaves finishes its streams for as long as they take, and heard of no change meanwhile until it read the platform itself. Found by counting who knows what at 390 instances.

Change: watchers tell everybody of their data centre that they can reach. The giver of orders takes a list that a peer knows to be old for not confirmed at once, not only after its lease. An overheard handshake is shown to be worth nothing.

--- a/crates/core/src/membership/news.rs
+++ b/crates/core/src/membership/news.rs
@@ -5,7 +5,7 @@
 //! of news on only when it is new to it, so it cannot circle.
 
 use super::{
-    EndpointKey, Incarnation, InstanceKey, ListedState, Membership, MembershipAction,
+    EndpointKey, Incarnation, InstanceKey, Life, ListedState, Membership, MembershipAction,
     MembershipChange, MembershipMessage, say_instance_gone,
 };
 use crate::event::PeerId;
@@ -201,14 +201,17 @@
         }
     }
 
-    /// Returns the usable instances of the own data centre.
+    /// Returns the instances of the own data centre that can be reached, as far
+    /// as is known. One that leaves is among them: it finishes what it runs and
+    /// has to know what changes meanwhile.
     pub fn own_data_centre_instances(&self) -> Vec<InstanceKey> {
         let own = self.own_data_centre();
-        let here = self
-            .view
-            .instances()
-            .filter(|it| Some(it.data_centre) == own);
-        here.filter(|it| it.usable).map(|it| it.key).collect()
+        let is_suspected = |key| self.lives.get(&key).is_some_and(Life::is_suspected);
+        let here = self.view.instances();
+        let here = here.filter(|it| Some(it.data_centre) == own);
+        here.map(|it| it.key)
+            .filter(|&key| !is_suspected(key))
+            .collect()
     }
 
     /// Repeats what leaves to a peer whose link has just come up.
--- a/crates/core/src/node/orders.rs
+++ b/crates/core/src/node/orders.rs
@@ -67,14 +67,9 @@
     }
 
     fn knowledge(&self) -> Knowledge {
-        let age = self.membership.list_age(self.now);
-        let confirmed = age.map(|age| {
-            let age = u64::try_from(age.as_micros()).unwrap_or(u64::MAX);
-            Time::from_micros(self.now.as_micros().saturating_sub(age))
-        });
         Knowledge {
             list_revision: self.membership.view().revision(),
-            confirmed,
+            confirmed: self.membership.list_confirmed(),
             is_catalogue_current: self.sync.is_current(),
             givers: count_givers(&self.membership),
         }
--- a/crates/core/src/rendezvous.rs
+++ b/crates/core/src/rendezvous.rs
@@ -32,6 +32,9 @@
 /// The order of candidates for one key; the greatest ranks first.
 type Rank = (bool, u64, Reverse<InstanceKey>);
 
+/// Candidates that are usually asked for at most.
+const SMALL_LIMIT: usize = 8;
+
 /// Returns how strongly `node` is drawn to `key`.
 ///
 /// Both are already hashes of names, so a finaliser that mixes their
@@ -63,8 +66,17 @@
     limit: usize,
     buf: &mut Vec<InstanceKey>,
 ) {
-    let mut ranked: Vec<Rank> = candidates.map(|it| rank_of(key, it)).collect();
-    ranked.sort_unstable_by_key(|&rank| Reverse(rank));
+    let mut best: Vec<Rank> = Vec::with_capacity(limit.min(SMALL_LIMIT) + 1);
+    for rank in candidates.map(|it| rank_of(key, it)) {
+        // Homes of all cells are ranked anew when an instance comes or goes;
+        // sorting all candidates for the sake of a few would be most of that.
+        if best.len() == limit && best.last().is_none_or(|it| *it >= rank) {
+            continue;
+        }
+        let at = best.partition_point(|it| *it > rank);
+        best.insert(at, rank);
+        best.truncate(limit);
+    }
     buf.clear();
-    buf.extend(ranked.iter().take(limit).map(|rank| rank.2.0));
+    buf.extend(best.iter().map(|rank| rank.2.0));
 }
--- a/crates/oriolemux/tests/peers_links.rs
+++ b/crates/oriolemux/tests/peers_links.rs
@@ -104,6 +104,30 @@
     assert_eq!(a.next().await, PeerEvent::Rejected(Rejection::NotAPeer));
 }
 
+#[tokio::test]
+async fn a_handshake_that_was_overheard_is_worth_nothing() {
+    // Symptom: a stranger that had recorded a connection got a link.
+    // Sequence: it sends what a peer sent when it was authenticated.
+    // Cause: what a peer proves does not change from one connection to the next.
+    let a = start(config("a", 1)).await;
+    let mut b = start(config("b", 1)).await;
+    let proxy = Proxy::start(b.handle.local_addr()).await;
+    a.dial("b", proxy.address);
+    b.until(|it| *it == PeerEvent::Up(a.id)).await;
+    let (hello, proof) = (68, 32);
+    let heard = proxy.heard.lock().unwrap()[..hello + proof].to_vec();
+    let mut stranger = TcpStream::connect(b.handle.local_addr()).await.unwrap();
+    stranger.write_all(&heard).await.unwrap();
+    let mut got = Vec::new();
+    let _ = timeout(LIMIT, stranger.read_to_end(&mut got))
+        .await
+        .unwrap();
+    assert_eq!(got.len(), 34, "a version and a nonce");
+    b.until(|it| *it == PeerEvent::Rejected(Rejection::WrongSecret))
+        .await;
+    assert_eq!(b.handle.links(), 1);
+}
+
 #[tokio::test]
 async fn a_silent_stranger_is_closed_and_does_not_keep_peers_out() {
     // Symptom: no instance could link to one that a port scan had touched.
