An order leaves in time or not at all, also when its connection stands late

Cause: the time was checked before the connection was made. A process paused in between, or an endpoint that accepts late, let an order out after its giver had been replaced; where the endpoint does not refuse it, it was obeyed.

Before: gives_no_order_on_a_connection_that_stood_too_late hears the order 600 ms after a limit of 300 ms. After: it hears none; the body passes the guard that already holds back dispatches, which reads the clock when the connection asks for it. Ruled out: a shorter connect timeout, which bounds the endpoint's delay but not a pause.

--- a/crates/oriolemux/src/endpoints.rs
+++ b/crates/oriolemux/src/endpoints.rs
@@ -22,7 +22,7 @@
 use core::time::Duration;
 use oriolemux_core::event::{Dispatch, EndpointTarget, LoadReport, OrderKind, OrderResult};
 use oriolemux_core::outcome::Refusal;
-use oriolemux_core::{AttemptId, Reason};
+use oriolemux_core::{AttemptId, Reason, Time};
 
 /// A caller's work, kept until the request is over because a retry sends it again.
 #[derive(Clone, Debug)]
@@ -178,11 +178,15 @@
     ) -> impl Future<Output = Result<CacheBatch, EndpointFailure>> + Send;
 
     /// Gives an order.
+    ///
+    /// The clock is read when the connection stands; after `send_before`
+    /// nothing is sent.
     fn order(
         &self,
         endpoint: &EndpointTarget,
         fencing: u64,
         kind: &OrderKind,
+        send_before: Time,
     ) -> impl Future<Output = OrderResult> + Send;
 
     /// An answer on some connection belonged to another attempt: no idle
--- a/crates/oriolemux/src/endpoints/http.rs
+++ b/crates/oriolemux/src/endpoints/http.rs
@@ -13,7 +13,7 @@
 use http::{HeaderValue, StatusCode};
 use oriolemux_core::event::{Dispatch, EndpointTarget, LoadReport, OrderKind, OrderResult};
 use oriolemux_core::outcome::Refusal;
-use oriolemux_core::{AttemptId, Reason};
+use oriolemux_core::{AttemptId, Reason, Time};
 use reqwest::{Client, RequestBuilder, Response};
 use serde::de::DeserializeOwned;
 use std::sync::{Arc, PoisonError, RwLock};
@@ -244,15 +244,19 @@
         endpoint: &EndpointTarget,
         fencing: u64,
         kind: &OrderKind,
+        send_before: Time,
     ) -> OrderResult {
         // An order is fenced or guarded by a lease, but never worth a hidden
         // second send, so it takes a connection of its own.
+        let bytes = Bytes::from(wire::order_request(fencing, kind));
+        let guard = SendGuard::new(self.clock, send_before);
         let request = self
             .clients
             .single
             .post(url(endpoint, "/v1/orders"))
             .header(CONTENT_TYPE, "application/json")
-            .body(wire::order_request(fencing, kind));
+            .header(CONTENT_LENGTH, bytes.len())
+            .body(guard.body(bytes));
         match self.control(request).await {
             Ok((status, _)) if status.is_success() => OrderResult::Accepted,
             Ok((StatusCode::CONFLICT, body)) => match serde_json::from_slice(&body) {
--- a/crates/oriolemux/src/endpoints/polls.rs
+++ b/crates/oriolemux/src/endpoints/polls.rs
@@ -1,8 +1,8 @@
 //! Polls of load and cache events, and orders, for the node task.
 
 use super::EndpointProtocol;
-use crate::callers::port::{Clock, NodeGone, NodePort};
-use oriolemux_core::event::{EndpointTarget, OrderKind, OrderResult};
+use crate::callers::port::{NodeGone, NodePort};
+use oriolemux_core::event::{EndpointTarget, OrderKind};
 use oriolemux_core::{EndpointKey, Event, Time};
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -81,11 +81,8 @@
         send_before: Time,
         port: &NodePort,
     ) -> Result<(), NodeGone> {
-        let result = if is_late(port.clock(), send_before) {
-            OrderResult::Failed
-        } else {
-            self.protocol.order(endpoint, fencing, kind).await
-        };
+        let given = self.protocol.order(endpoint, fencing, kind, send_before);
+        let result = given.await;
         let endpoint = endpoint.key;
         let event = Event::OrderDone {
             endpoint,
@@ -99,9 +96,3 @@
         self.cursors.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
-
-/// A process that was paused between the node's decision and this point would
-/// give an order whose lease has passed to another home.
-fn is_late(clock: Clock, send_before: Time) -> bool {
-    clock.now() > send_before
-}
--- a/crates/oriolemux/tests/endpoints_polls.rs
+++ b/crates/oriolemux/tests/endpoints_polls.rs
@@ -10,6 +10,8 @@
 use oriolemux_core::{EndpointKey, Event, Incarnation, InstanceKey, Time};
 use rstest::rstest;
 use std::time::Duration;
+use tokio::io::AsyncReadExt;
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::sync::mpsc;
 
 const LOAD: &str = r#"{"lag_ms":40,"running":3,"waiting":1,"kv_tokens_total":1000,
@@ -24,10 +26,14 @@
 }
 
 fn fixture() -> Fixture {
+    patient_fixture(Duration::from_millis(300))
+}
+
+fn patient_fixture(control_timeout: Duration) -> Fixture {
     let clock = Clock::start();
     let settings = HttpSettings {
-        control_timeout: Duration::from_millis(300),
-        ..HttpSettings::default()
+        control_timeout,
+        connect_timeout: control_timeout,
     };
     let protocol = HttpProtocol::new(clock, settings).unwrap();
     let ids = RequestIds::new(InstanceKey(1), Incarnation(2));
@@ -217,3 +223,58 @@
     assert_eq!(*result, OrderResult::Failed);
     assert_eq!(endpoint.try_request(), None);
 }
+
+/// Symptom: an engine obeyed an order of a giver that had been replaced.
+/// Sequence: the order was in time when it was let go; the connection then
+/// stood only after seconds, because the endpoint accepted none meanwhile.
+/// Cause: the time was checked before the connection was made, not when the
+/// order left.
+#[tokio::test]
+async fn gives_no_order_on_a_connection_that_stood_too_late() {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let address = socket.local_addr().unwrap();
+    let listener = socket.listen(1).unwrap();
+    let fillers: Vec<_> = (0..4)
+        .map(|_| tokio::spawn(TcpStream::connect(address)))
+        .collect();
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    let mut fixture = patient_fixture(Duration::from_secs(10));
+    let at = EndpointTarget {
+        key: EndpointKey::of("full"),
+        name: "full".to_owned(),
+        address,
+    };
+    let kind = OrderKind::Role {
+        role: "decode".to_owned(),
+    };
+    let send_before = fixture.port.clock().now() + Duration::from_millis(300);
+    let given = fixture
+        .polls
+        .order(&at, 11, &kind, send_before, &fixture.port);
+
+    let accepting = async {
+        tokio::time::sleep(Duration::from_millis(600)).await;
+        let mut heard = Vec::new();
+        while let Ok(Ok((mut stream, _))) =
+            tokio::time::timeout(Duration::from_secs(3), listener.accept()).await
+        {
+            let mut buf = [0; 4096];
+            let read = tokio::time::timeout(Duration::from_millis(500), stream.read(&mut buf));
+            if let Ok(Ok(n)) = read.await {
+                heard.extend_from_slice(&buf[..n]);
+            }
+        }
+        String::from_utf8_lossy(&heard).into_owned()
+    };
+    let (given, heard) = tokio::join!(given, accepting);
+
+    given.unwrap();
+    drop(fillers);
+    assert!(!heard.contains("fencing"), "{heard}");
+    let events = fixture.events();
+    let [Event::OrderDone { result, .. }] = &events[..] else {
+        panic!("the end of the order, not {events:?}");
+    };
+    assert_eq!(*result, OrderResult::Failed);
+}
