A catalogue that waits for its shards is told; serving stands apart from taking

Cause: a publisher that fails between two writes left a revision waiting, and no event said so; the modules that take over also served. Change: event 506, once for a proposal that has waited for 10 s; sync/serve.rs. After: the test of an index before its shard finds the event once at a watcher.

--- a/crates/core/src/catalogue/sync.rs
+++ b/crates/core/src/catalogue/sync.rs
@@ -13,6 +13,7 @@
 //! | `platform` | reads and watches the index, within a budget |
 //! | `pull` | takes the index over from peers |
 //! | `fetch` | gets shards from keepers or the platform |
+//! | `serve` | gives the index and shards to peers that ask |
 //! | `store` | what is held of the shards |
 //! | `roles` | who watches, who keeps which shard |
 //! | `pieces`, `delta` | values on their way between peers |
@@ -26,6 +27,7 @@
 mod platform;
 mod pull;
 mod roles;
+mod serve;
 mod status;
 mod store;
 
@@ -254,7 +256,7 @@
         self.tick_calls(now, out);
         self.tick_pulls(now, out);
         self.tick_fetches(now, out);
-        self.try_accept(now, out);
+        self.tick_candidates(now, out);
     }
 
     /// A peer message arrived.
--- a/crates/core/src/catalogue/sync/candidate.rs
+++ b/crates/core/src/catalogue/sync/candidate.rs
@@ -21,6 +21,10 @@
 /// those that are missing then are fetched when they are needed.
 pub const ACCEPT_LIMIT: Duration = Duration::from_secs(3);
 
+/// A proposal that waits for its shards for so long is reported: the publisher
+/// may have failed between two writes, and nothing else would say so.
+pub const WAITING_LIMIT: Duration = Duration::from_secs(10);
+
 /// Bytes of earlier indexes that are kept to send only what changed.
 const HISTORY_BYTES: usize = 256 * 1024;
 
@@ -42,6 +46,8 @@
     pub pending: BTreeSet<u32>,
     /// When it became a candidate.
     pub since: Time,
+    /// Whether operators were told that it waits.
+    told: bool,
 }
 
 impl Candidate {
@@ -68,7 +74,10 @@
 impl Candidates {
     pub fn next_wake(&self) -> Time {
         let adopted = self.adopted.as_ref();
-        adopted.map_or(Time::NEVER, |it| it.since + ACCEPT_LIMIT)
+        let accept = adopted.map_or(Time::NEVER, |it| it.since + ACCEPT_LIMIT);
+        let untold = self.proposed.as_ref().filter(|it| !it.told);
+        let tell = untold.map_or(Time::NEVER, |it| it.since + WAITING_LIMIT);
+        accept.min(tell)
     }
 
     pub fn iter(&self) -> impl Iterator<Item = &Candidate> {
@@ -197,6 +206,7 @@
             held,
             pending: pending.clone(),
             since: now,
+            told: false,
         };
         match origin {
             Origin::Platform => self.candidates.proposed = Some(candidate),
@@ -248,6 +258,20 @@
         }
     }
 
+    pub(super) fn tick_candidates(&mut self, now: Time, out: &mut Vec<SyncAction>) {
+        self.try_accept(now, out);
+        let Some(waiting) = &mut self.candidates.proposed else {
+            return;
+        };
+        if !waiting.told && waiting.since + WAITING_LIMIT <= now {
+            waiting.told = true;
+            out.push(SyncAction::Note(Note::CatalogueWaiting {
+                revision: waiting.revision(),
+                shards: waiting.pending.len() as u32,
+            }));
+        }
+    }
+
     pub(super) fn try_accept(&mut self, now: Time, out: &mut Vec<SyncAction>) {
         // A new instance would otherwise begin with what a stale service says,
         // and go back in time against the process that it replaces.
--- a/crates/core/src/catalogue/sync/fetch.rs
+++ b/crates/core/src/catalogue/sync/fetch.rs
@@ -1,10 +1,11 @@
 //! Getting shards: from keepers, else from the platform.
 
 use super::message::{CatalogueMessage, Piece, ShardId};
-use super::pieces::{Assembly, Progress, cut};
+use super::pieces::{Assembly, Progress};
 use super::roles::Source;
+use super::serve::send_piece;
 use super::{CatalogueSync, SyncAction, SyncChange, shard_id, shard_id_or_other};
-use crate::catalogue::{Digest, MAX_SHARDS, parse_shard};
+use crate::catalogue::{Digest, parse_shard};
 use crate::event::ValueName;
 use crate::ids::InstanceKey;
 use crate::time::Time;
@@ -14,12 +15,6 @@
 /// Shards that are asked for at once.
 const MAX_ACTIVE: usize = 16;
 
-/// Shards that are fetched only because peers asked, at once.
-const MAX_FOR_PEERS: usize = 64;
-
-/// Peers that wait for one shard here. One more is told to ask elsewhere.
-const MAX_ASKERS: usize = 512;
-
 /// A peer that does not send a piece by then is given up for the next source.
 const PEER_LIMIT: Duration = Duration::from_millis(1_500);
 
@@ -40,7 +35,7 @@
 const REFUSE: Duration = Duration::from_secs(1);
 
 #[derive(Debug)]
-enum Step {
+pub(super) enum Step {
     /// Waits for one of [`MAX_ACTIVE`] places.
     Queued,
     /// A peer was asked.
@@ -56,13 +51,13 @@
 }
 
 #[derive(Debug)]
-struct Fetch {
+pub(super) struct Fetch {
     /// Whether the candidate needs the shard verified.
-    verify: bool,
+    pub verify: bool,
     /// Whether requests need the shard.
-    hold: bool,
+    pub hold: bool,
     /// Peers that wait for it.
-    askers: Vec<InstanceKey>,
+    pub askers: Vec<InstanceKey>,
     sources: Vec<Source>,
     /// The source to try next.
     next: usize,
@@ -77,6 +72,11 @@
         matches!(self.step, Step::Asking { .. } | Step::Reading { .. })
     }
 
+    /// Returns whether the shard was asked for at this peer.
+    pub fn asks(&self, peer: InstanceKey) -> bool {
+        matches!(self.step, Step::Asking { from, .. } if from == peer)
+    }
+
     fn due(&self) -> Time {
         let step = match self.step {
             Step::Queued => Time::NEVER,
@@ -93,7 +93,7 @@
 /// The fetches that are not done.
 #[derive(Debug, Default)]
 pub(super) struct Fetches {
-    open: BTreeMap<ShardId, Fetch>,
+    pub open: BTreeMap<ShardId, Fetch>,
     /// Until when a shard is not asked for again.
     refused: BTreeMap<u32, Time>,
 }
@@ -153,7 +153,7 @@
         }
     }
 
-    fn fetch(&mut self, now: Time, id: ShardId) -> &mut Fetch {
+    pub(super) fn fetch(&mut self, now: Time, id: ShardId) -> &mut Fetch {
         let roles = &self.roles;
         self.fetches.open.entry(id).or_insert_with(|| Fetch {
             verify: false,
@@ -443,56 +443,4 @@
             }
         }
     }
-
-    pub(super) fn answer_shard(
-        &mut self,
-        now: Time,
-        to: InstanceKey,
-        id: ShardId,
-        offset: u32,
-        out: &mut Vec<SyncAction>,
-    ) {
-        if let Some(bytes) = self.kept.get(id) {
-            return send_piece(to, id, bytes, offset, out);
-        }
-        if !self.may_fetch_for(to, id) {
-            let message = CatalogueMessage::ShardAbsent { id };
-            out.push(SyncAction::Send { to, message });
-            return;
-        }
-        let fetch = self.fetch(now, id);
-        if !fetch.askers.contains(&to) {
-            fetch.askers.push(to);
-        }
-        self.advance_fetches(now, out);
-    }
-
-    /// Returns whether this instance gets a shard that it does not hold for a peer.
-    fn may_fetch_for(&self, asker: InstanceKey, id: ShardId) -> bool {
-        let sound = id.number < id.count && id.count as usize <= MAX_SHARDS;
-        if !sound || !self.roles.keeps(id) {
-            return false;
-        }
-        match self.fetches.open.get(&id) {
-            Some(fetch) => {
-                // Two instances that take each other for the reader would wait
-                // for each other until both give up.
-                let waits = matches!(fetch.step, Step::Asking { from, .. } if from == asker);
-                !waits && fetch.askers.len() < MAX_ASKERS
-            }
-            None => {
-                let open = self.fetches.open.values();
-                let for_peers = open.filter(|fetch| !fetch.verify && !fetch.hold);
-                for_peers.count() < MAX_FOR_PEERS
-            }
-        }
-    }
-}
-
-fn send_piece(to: InstanceKey, id: ShardId, bytes: &[u8], offset: u32, out: &mut Vec<SyncAction>) {
-    let message = match cut(bytes, offset) {
-        Some(piece) => CatalogueMessage::ShardPiece { id, piece },
-        None => CatalogueMessage::ShardAbsent { id },
-    };
-    out.push(SyncAction::Send { to, message });
 }
--- a/crates/core/src/catalogue/sync/pull.rs
+++ b/crates/core/src/catalogue/sync/pull.rs
@@ -1,10 +1,10 @@
-//! Taking the index over from peers, and serving it to them.
+//! Taking the index over from peers.
 
 use super::candidate::Origin;
-use super::delta::{apply, diff};
+use super::delta::apply;
 use super::message::{CatalogueMessage, Edit, Piece};
-use super::pieces::{Assembly, Progress, cut};
-use super::{CatalogueSync, Held, SyncAction};
+use super::pieces::{Assembly, Progress};
+use super::{CatalogueSync, SyncAction};
 use crate::catalogue::Digest;
 use crate::event::PeerId;
 use crate::ids::InstanceKey;
@@ -12,7 +12,6 @@
 use core::time::Duration;
 use rand::Rng;
 use std::collections::VecDeque;
-use std::sync::Arc;
 
 /// Pulls that follow from one announcement are spread over so long.
 const PULL_SPREAD: Duration = Duration::from_millis(200);
@@ -373,66 +372,4 @@
             self.pulls.due = now + self.jitter(PULL_SPREAD);
         }
     }
-
-    pub(super) fn answer_index(
-        &self,
-        to: InstanceKey,
-        have: Option<Digest>,
-        out: &mut Vec<SyncAction>,
-    ) {
-        let Some(held) = &self.in_force else {
-            let message = CatalogueMessage::IndexAbsent;
-            out.push(SyncAction::Send { to, message });
-            return;
-        };
-        let digest = held.catalogue.digest();
-        if have == Some(digest) {
-            let message = CatalogueMessage::IndexAbsent;
-            out.push(SyncAction::Send { to, message });
-            return;
-        }
-        match have.and_then(|have| self.changes_since(have, held)) {
-            Some(message) => out.push(SyncAction::Send { to, message }),
-            None => self.answer_index_piece(to, digest, 0, out),
-        }
-    }
-
-    fn changes_since(&self, have: Digest, held: &Held) -> Option<CatalogueMessage> {
-        let mut history = self.history.iter();
-        let base = history.find(|former| former.digest == have)?;
-        let old = core::str::from_utf8(&base.bytes).ok()?;
-        let new = core::str::from_utf8(&held.bytes).ok()?;
-        let edits = diff(old, new)?;
-        Some(CatalogueMessage::IndexDelta {
-            from: have,
-            to: held.catalogue.digest(),
-            edits,
-        })
-    }
-
-    pub(super) fn answer_index_piece(
-        &self,
-        to: InstanceKey,
-        digest: Digest,
-        offset: u32,
-        out: &mut Vec<SyncAction>,
-    ) {
-        let piece = self.index_bytes(digest).and_then(|it| cut(it, offset));
-        let message = match piece {
-            Some(piece) => CatalogueMessage::IndexPiece { digest, piece },
-            None => CatalogueMessage::IndexAbsent,
-        };
-        out.push(SyncAction::Send { to, message });
-    }
-
-    fn index_bytes(&self, digest: Digest) -> Option<&Arc<[u8]>> {
-        if let Some(held) = &self.in_force
-            && held.catalogue.digest() == digest
-        {
-            return Some(&held.bytes);
-        }
-        let mut history = self.history.iter();
-        let former = history.find(|former| former.digest == digest)?;
-        Some(&former.bytes)
-    }
 }
--- a/crates/core/src/note.rs
+++ b/crates/core/src/note.rs
@@ -77,6 +77,13 @@
         /// The revision that arrived.
         revision: u64,
     },
+    /// A catalogue revision waits for shards that are not published.
+    CatalogueWaiting {
+        /// The revision that waits.
+        revision: u64,
+        /// How many shards are missing.
+        shards: u32,
+    },
     /// The platform's service does not answer.
     PlatformDown,
     /// The platform's service answers again.
--- a/crates/core/tests/catalogue_check.rs
+++ b/crates/core/tests/catalogue_check.rs
@@ -8,7 +8,7 @@
 use std::path::{Path, PathBuf};
 
 /// Set to write the expected files anew; the difference is then reviewed.
-const BLESS: &str = "ORIOLEMUX_BLESS";
+const RENEW: &str = "ORIOLEMUX_RENEW";
 
 fn golden(name: &str) -> PathBuf {
     Path::new(env!("CARGO_MANIFEST_DIR"))
@@ -40,7 +40,7 @@
         bytes: &bytes,
     }]);
 
-    if std::env::var_os(BLESS).is_some() {
+    if std::env::var_os(RENEW).is_some() {
         fs::write(&expected, &found).unwrap();
     }
     assert_eq!(found, fs::read_to_string(&expected).unwrap());
--- a/crates/core/tests/catalogue_sync.rs
+++ b/crates/core/tests/catalogue_sync.rs
@@ -250,6 +250,12 @@
     let watcher = fleet.watchers(0)[0];
     let status = fleet.sync(watcher).status(fleet.now);
     assert_eq!((status.candidate, status.pending_shards), (Some(6), 1));
+    let waiting = Note::CatalogueWaiting {
+        revision: 6,
+        shards: 1,
+    };
+    let told = fleet.notes(watcher).iter().filter(|it| **it == waiting);
+    assert_eq!(told.count(), 1);
     fleet.publish(&next);
 
     assert!(reach(&mut fleet, 6, secs(8)));
--- a/crates/oriolemux/src/events.rs
+++ b/crates/oriolemux/src/events.rs
@@ -114,6 +114,10 @@
         Note::CatalogueStale { revision } => {
             record(LogEvent::CatalogueStale, &[display("revision", revision)]);
         }
+        Note::CatalogueWaiting { revision, shards } => {
+            let fields = [display("revision", revision), display("shards", shards)];
+            record(LogEvent::CatalogueWaiting, &fields);
+        }
         Note::PlatformDown => record(LogEvent::PlatformDown, &[]),
         Note::PlatformUp => record(LogEvent::PlatformUp, &[]),
         Note::Ordered { endpoint, fencing } => {
--- a/crates/oriolemux/src/events/table.rs
+++ b/crates/oriolemux/src/events/table.rs
@@ -113,6 +113,8 @@
     PlatformDown = 504, "platform_down", Warn;
     /// The platform's service answers again.
     PlatformUp = 505, "platform_up", Info;
+    /// A catalogue waits for shards that are not published; the one before serves on.
+    CatalogueWaiting = 506, "catalogue_waiting", Warn;
 
     /// A link to another instance is up.
     PeerUp = 601, "peer_up", Debug;
