The check finds a workspace whose rights differ between its shards

Cause: a workspace whose keys belong to several shards stands in each of them, and nothing compared the records; its rights then depended on the key that was used. Change: check_files compares entries and limits over all shards that it is given.

--- a/crates/core/src/catalogue/check.rs
+++ b/crates/core/src/catalogue/check.rs
@@ -1,16 +1,17 @@
 //! The whole check of files before they are published, for `oriolemux check`.
 //!
 //! Besides what every instance verifies by itself, it asks what can only be
-//! asked of index and shards together: whether the digests match and whether
-//! the entries that workspaces name exist.
+//! asked of index and shards together: whether the digests match, whether the
+//! entries that workspaces name exist, and whether a workspace has the same
+//! rights in each of its shards.
 
 use super::digest::Digest;
 use super::problem::{Problem as CatalogueProblem, nearest_of, quoted};
-use super::source::{IndexSource, ShardSource};
+use super::source::{IndexSource, ShardSource, WorkspaceSource};
 use super::verify::ShardPosition;
 use super::{parse, verify};
 use crate::findings::{Findings, Place, Problem};
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// A file as it was read.
 #[derive(Clone, Copy, Debug)]
@@ -58,6 +59,58 @@
     name.contains("catalogue-index").then_some(FileKind::Index)
 }
 
+/// What a workspace may use and take, without the places where it says so.
+#[derive(Debug, PartialEq, Eq)]
+struct Rights {
+    entries: BTreeSet<String>,
+    concurrent: i64,
+    tokens_per_minute: i64,
+}
+
+impl Rights {
+    fn of(source: &WorkspaceSource) -> Self {
+        let entries = source.entries.value_or_default();
+        let limits = source.limits.value_or_default();
+        Rights {
+            entries: entries.into_iter().map(|entry| entry.value).collect(),
+            concurrent: limits.concurrent.value_or_default(),
+            tokens_per_minute: limits.tokens_per_minute.value_or_default(),
+        }
+    }
+}
+
+/// The workspaces of the shards checked so far, with the file of each.
+///
+/// A workspace whose keys belong to several shards stands in each of them. If
+/// the records differ, its rights depend on the key that a caller happens to
+/// use, and its limits on the shard that its home has read.
+#[derive(Debug, Default)]
+struct KnownWorkspaces(BTreeMap<String, (String, Rights)>);
+
+impl KnownWorkspaces {
+    fn compare(&mut self, file: &str, shard: &ShardSource, findings: &mut Findings) {
+        for workspace in &shard.workspaces {
+            let Some(name) = workspace.name.given() else {
+                continue;
+            };
+            let rights = Rights::of(workspace);
+            let Some((first, known)) = self.0.get(&name.value) else {
+                let record = (file.to_owned(), rights);
+                self.0.insert(name.value.clone(), record);
+                continue;
+            };
+            // Twice in one file is the verifier's finding.
+            if *known != rights && first != file {
+                let problem = CatalogueProblem::WorkspaceDiffers {
+                    workspace: quoted(&name.value),
+                    other: first.clone(),
+                };
+                findings.push(name.place, Problem::Catalogue(problem));
+            }
+        }
+    }
+}
+
 /// An index that was read, for the checks that need it.
 struct CheckedIndex {
     source: IndexSource,
@@ -77,9 +130,10 @@
         .collect();
     let indexed = kinds.iter().position(|kind| *kind == FileKind::Index);
     let index = indexed.and_then(|at| read_index(files[at].bytes));
+    let mut known = KnownWorkspaces::default();
     let checked = files.iter().zip(&kinds).map(|(file, kind)| match kind {
         FileKind::Index => check_index(*file),
-        FileKind::Shard => check_shard(*file, index.as_ref()),
+        FileKind::Shard => check_shard(*file, index.as_ref(), &mut known),
     });
     checked.filter_map(Result::err).collect()
 }
@@ -104,7 +158,11 @@
     Some(CheckedIndex { source, digests })
 }
 
-fn check_shard(file: CheckFile<'_>, index: Option<&CheckedIndex>) -> Result<(), Findings> {
+fn check_shard(
+    file: CheckFile<'_>,
+    index: Option<&CheckedIndex>,
+    known: &mut KnownWorkspaces,
+) -> Result<(), Findings> {
     let mut findings = Findings::new(file.name);
     let position = index.and_then(|index| position(file, index, &mut findings));
     if let Some(source) = parse::shard(file.bytes, &mut findings) {
@@ -112,6 +170,7 @@
         if let Some(index) = index {
             entries_exist(&source, &index.source, &mut findings);
         }
+        known.compare(file.name, &source, &mut findings);
     }
     findings.into_result(())
 }
--- a/crates/core/src/catalogue/problem.rs
+++ b/crates/core/src/catalogue/problem.rs
@@ -131,6 +131,13 @@
         /// Shards in all.
         count: u32,
     },
+    /// A workspace has other entries or limits in another shard.
+    WorkspaceDiffers {
+        /// The workspace.
+        workspace: String,
+        /// The file of the other shard.
+        other: String,
+    },
     /// A shard's bytes do not have the digest that the index lists.
     DigestMismatch {
         /// The shard's number.
@@ -205,6 +212,10 @@
                 f,
                 "this key belongs to shard {right} of {count}, not to shard {here}"
             ),
+            Problem::WorkspaceDiffers { workspace, other } => write!(
+                f,
+                "workspace `{workspace}` has other entries or limits in {other}"
+            ),
             Problem::DigestMismatch { shard, found } => write!(
                 f,
                 "shard {shard} has the digest {found}, which is not the one that the index lists"
--- a/crates/core/tests/catalogue_check.rs
+++ b/crates/core/tests/catalogue_check.rs
@@ -79,16 +79,15 @@
     )
 }
 
+fn file<'a>(name: &'a str, text: &'a str) -> CheckFile<'a> {
+    let bytes = text.as_bytes();
+    CheckFile { name, bytes }
+}
+
 fn check_pair(index: &str, shard: &str) -> Vec<Finding> {
     let files = [
-        CheckFile {
-            name: "catalogue-index.toml",
-            bytes: index.as_bytes(),
-        },
-        CheckFile {
-            name: "catalogue-shard-0.toml",
-            bytes: shard.as_bytes(),
-        },
+        file("catalogue-index.toml", index),
+        file("catalogue-shard-0.toml", shard),
     ];
     let checked = check_files(&files);
     checked
@@ -142,6 +141,38 @@
     );
 }
 
+fn shard_with(key: &str, concurrent: u32) -> String {
+    format!(
+        "[[workspace]]\nname = \"w\"\nkey_sha256 = [\"{}\"]\nentries = [\"stock\"]\n\
+         limits = {{ concurrent = {concurrent}, tokens_per_minute = 1 }}\n",
+        Digest::of(key.as_bytes())
+    )
+}
+
+#[rstest]
+#[case::equal(1, 1, 0)]
+#[case::different(1, 2, 1)]
+fn workspace_must_have_the_same_rights_in_all_shards(
+    #[case] first: u32,
+    #[case] second: u32,
+    #[case] expected: usize,
+) {
+    let (first, second) = (shard_with("old", first), shard_with("new", second));
+
+    let checked = check_files(&[
+        file("catalogue-shard-0.toml", &first),
+        file("catalogue-shard-1.toml", &second),
+    ]);
+
+    let findings: Vec<String> = checked.iter().map(ToString::to_string).collect();
+    assert_eq!(findings.len(), expected, "{findings:?}");
+    assert!(
+        findings
+            .iter()
+            .all(|it| it.contains("catalogue-shard-1.toml:2:8: workspace `w`"))
+    );
+}
+
 #[rstest]
 #[case("a.toml", "[[workspace]]\n", Some(FileKind::Shard))]
 #[case("a.toml", "revision = 1\n", Some(FileKind::Index))]
