A planned stop leaves the ends of its claims behind

Cause: a stopping process ended with its last answer, before the home of that request's claim had heard of the end. Repeats heard "already running, unknown" for an hour about an order that was answered whole. It also issued tickets that ended with it, and so condemned every request under them to "unknown".

Change: the process stays until the ends are noted, 2 s at most; a process that is stopping refuses to draw tickets. The reason already_running says what is known: that no end was heard. A stream whose end could not be handed to its caller is no longer reported as complete.

Before: a_planned_stop_leaves_the_ends_of_its_claims_behind is told already_running, unknown. After: already_ran, complete. Not shown: the stream's end that meets a caller who left in the same moment; read only.

--- a/crates/core/src/keys.rs
+++ b/crates/core/src/keys.rs
@@ -173,6 +173,11 @@
         (self.table.len(), self.holders.len())
     }
 
+    /// Returns whether the end of a claim was reported and not noted yet.
+    pub fn has_unnoted_ends(&self) -> bool {
+        self.holders.has_unnoted_ends()
+    }
+
     /// Issues a ticket with the id that the shell drew.
     pub fn issue_ticket(
         &mut self,
--- a/crates/core/src/keys/holder.rs
+++ b/crates/core/src/keys/holder.rs
@@ -89,6 +89,13 @@
         }
     }
 
+    /// Returns whether an end was reported and not noted yet.
+    pub fn has_unnoted_ends(&self) -> bool {
+        let unnoted =
+            |it: &Holder| matches!(it.phase, Phase::Over { until, .. } if it.wake < until);
+        self.records.values().any(unnoted)
+    }
+
     /// The home noted what was reported, so that it need not be repeated. The
     /// holder stays, also one that did not run: a grant that was delayed on the
     /// way is then given back, and its name is not held for nothing.
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -146,6 +146,8 @@
     explain: Explain,
     timers: Timers,
     door: Door,
+    /// When a stopping process had answered its last request.
+    last_answer: Option<Time>,
     loopback: VecDeque<PeerMessage>,
     out: Vec<Action>,
     /// Reused buffer for what membership asks.
@@ -185,6 +187,7 @@
             explain: Explain::new(cfg.explain_records),
             timers: Timers::default(),
             door: Door::Open,
+            last_answer: None,
             loopback: VecDeque::new(),
             out: Vec::new(),
             asked: Vec::new(),
--- a/crates/core/src/node/claims.rs
+++ b/crates/core/src/node/claims.rs
@@ -141,6 +141,12 @@
 
     /// A caller draws a ticket.
     pub(super) fn on_draw_ticket(&mut self, key_digest: [u8; 32], ticket: RequestId) {
+        if self.is_stopping() {
+            // It would be lost with the process, and with it every request
+            // that names it, for its caller cannot draw another for the order.
+            let result = Err(Reason::Stopping);
+            return self.out.push(Action::Ticket { ticket, result });
+        }
         let until = self.now + JUDGE_LIMIT;
         self.timers.set(until, TimerKind::Draws);
         self.draws.push(TicketDraw {
--- a/crates/core/src/node/stop.rs
+++ b/crates/core/src/node/stop.rs
@@ -3,6 +3,11 @@
 use super::Node;
 use super::timers::TimerKind;
 use crate::event::Action;
+use core::time::Duration;
+
+/// How long a process that has answered its last request stays to hear that
+/// the ends of its claims were noted.
+const CLAIMS_LIMIT: Duration = Duration::from_secs(2);
 
 /// Whether new requests are taken.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -33,11 +38,22 @@
         self.door = Door::Closed;
     }
 
-    /// Says that the process may end once the last request is answered.
+    /// Says that the process may end once the last request is answered and
+    /// the ends of its claims are noted where they were granted.
+    ///
+    /// What goes wrong otherwise: the word of the last request's end is lost
+    /// with the process. Its caller's repeat hears "already running, unknown"
+    /// for an hour, although the answer was whole and nothing failed.
     pub(super) fn finish_stop(&mut self) {
-        if self.door == Door::Closed && self.requests.is_empty() {
-            self.out.push(Action::Stopped);
+        if self.door != Door::Closed || !self.requests.is_empty() {
+            return;
+        }
+        let last_answer = *self.last_answer.get_or_insert(self.now);
+        let until = last_answer + CLAIMS_LIMIT;
+        if self.now < until && self.keys.has_unnoted_ends() {
+            return self.timers.set(until, TimerKind::CloseDoor);
         }
+        self.out.push(Action::Stopped);
     }
 
     /// Returns whether a planned stop has begun.
--- a/crates/core/src/reason.rs
+++ b/crates/core/src/reason.rs
@@ -162,7 +162,7 @@
     HolderGone = "holder_gone", 409, Failure;
     /// The home did not answer in time.
     HomeSilent = "home_silent", 503, Failure;
-    /// The request with this key or ticket is still running.
+    /// The request with this key or ticket has not been heard to end.
     AlreadyRunning = "already_running", 409, Failure;
     /// The request with this key or ticket already ran.
     AlreadyRan = "already_ran", 409, Failure;
--- a/crates/core/tests/node/claims.rs
+++ b/crates/core/tests/node/claims.rs
@@ -373,3 +373,48 @@
         assert_eq!(world.runs(&[repeat]), 0);
     }
 }
+
+/// Symptom: after a rolling restart a caller's repeat hears "already running"
+/// about an order whose whole answer was delivered. Sequence: an entry that is
+/// stopping answers its last request and ends at once. Cause: the word of the
+/// claim's end was still on its way.
+#[rstest]
+fn a_planned_stop_leaves_the_ends_of_its_claims_behind(
+    #[values(Kind::Key, Kind::Ticket)] kind: Kind,
+) {
+    let mut world = settled(4);
+    let granted = Granted::by(&mut world, 2, kind);
+    let id = world.send(0, "order", granted.name());
+    world.run_for(SECOND);
+    let attempt = world.dispatches(id)[0].attempt;
+    world.feed(world.key(0), Event::Stop);
+    world.run_for(SECOND * 10);
+
+    world.complete(attempt);
+    for _ in 0..10_000 {
+        if world.seat(0).stopped {
+            break;
+        }
+        world.run_for(SECOND / 1_000);
+    }
+    assert!(world.seat(0).stopped);
+    world.kill(0);
+    let repeat = world.send(1, "order", granted.name());
+    world.run_for(SECOND * 3);
+
+    let complete = (Reason::AlreadyRan, Outcome::Complete);
+    assert_eq!(told(&world, repeat), complete);
+}
+
+/// Symptom: a caller's order can never be placed: each send under its ticket
+/// hears "holder gone". Sequence: the ticket was drawn at an instance that was
+/// about to end its planned stop. Cause: it still issued tickets.
+#[test]
+fn an_instance_that_is_stopping_issues_no_ticket() {
+    let mut world = World::new(2, 1);
+
+    world.feed(world.key(0), Event::Stop);
+
+    assert_eq!(world.try_ticket(0), None);
+    assert!(world.try_ticket(1).is_some());
+}
--- a/crates/oriolemux/src/relay/attempt/stream.rs
+++ b/crates/oriolemux/src/relay/attempt/stream.rs
@@ -339,11 +339,18 @@
             self.ends.caller.token(index, text);
         }
         self.delivery.on_held_delivered();
-        let ended = self.ends.caller.end(ending.finish, ending.usage).await;
-        self.report(dispatch.attempt, step.report).await?;
-        if ended.is_err() {
+        if self
+            .ends
+            .caller
+            .end(ending.finish, ending.usage)
+            .await
+            .is_err()
+        {
+            // Not reported as complete: a repeat under the same name would be
+            // told that the answer was handed over, and it was not.
             return Ok(AttemptEnd::Interrupted(Interrupt::CallerGone));
         }
+        self.report(dispatch.attempt, step.report).await?;
         drain(body).await;
         Ok(AttemptEnd::Answered)
     }
