A limit that hundreds want more of does not keep its home busy

Cause: a wish that was not met was repeated each 250 ms by every instance, and holders above their share were told so each 250 ms. At 390 instances that is 1,560 asks a second at the home of one used-up limit.

Change: the home says when to ask again, 20 ms for each instance that uses the limit and at least 250 ms; a holder is told once of each lower share.

Ruled out: pushing places when they become free, which needs a second kind of lease and an acknowledgement.

--- a/crates/core/src/limits/home.rs
+++ b/crates/core/src/limits/home.rs
@@ -22,6 +22,11 @@
 /// would run up to twice of it.
 const MEETING_TIME: Duration = Duration::from_secs(1);
 
+/// For each instance that uses a limit, so much is added to the pause after
+/// which a wish that was not met is repeated. Hundreds of instances that want
+/// more of a limit that is used up would otherwise keep its home busy.
+const AGAIN_FOR_EACH: Duration = Duration::from_millis(20);
+
 /// The least tokens that are worth telling a waiting instance about.
 const TOKENS_WORTH_WAITING: u64 = 1;
 
@@ -33,6 +38,8 @@
     wants: u32,
     expires: Time,
     seq: u32,
+    /// The share that it was asked to come down to since it last asked.
+    told: Option<u32>,
 }
 
 /// One limit.
@@ -214,6 +221,7 @@
                 wants: ask.wants.max(ask.holds),
                 expires: now + LEASE_TIME,
                 seq: ask.seq,
+                told: None,
             };
             self.holdings.insert(from, holding);
         }
@@ -225,10 +233,17 @@
             tokens,
             ttl_ms: u32::try_from(LEASE_TIME.as_millis()).unwrap_or(u32::MAX),
             tokens_wait_ms: u32::try_from(wait.as_millis()).unwrap_or(u32::MAX),
+            again_ms: self.again_ms(),
             unasked: false,
         }
     }
 
+    fn again_ms(&self) -> u32 {
+        let holders = u32::try_from(self.holdings.len()).unwrap_or(u32::MAX);
+        let pause = AGAIN_FOR_EACH.saturating_mul(holders);
+        u32::try_from(pause.as_millis()).unwrap_or(u32::MAX)
+    }
+
     fn most_at_first(&self, now: Time, total: u32, (_, listed): (u32, u32)) -> u32 {
         if now >= self.met + MEETING_TIME || listed == 0 {
             return total;
@@ -284,9 +299,12 @@
             return;
         }
         self.took_back = now;
-        for (&peer, holding) in self.holdings.iter().filter(|(it, _)| **it != from) {
+        let others = self.holdings.iter_mut().filter(|(it, _)| **it != from);
+        for (peer, holding) in others {
             let share = fair.share(holding.wants);
-            if holding.slots > share {
+            let is_told = holding.told.is_some_and(|it| it <= share);
+            if holding.slots > share && !is_told {
+                holding.told = Some(share);
                 let lease = LimitLease {
                     key: ask.key,
                     seq: holding.seq,
@@ -294,6 +312,7 @@
                     tokens: 0,
                     ttl_ms: 0,
                     tokens_wait_ms: 0,
+                    again_ms: 0,
                     unasked: true,
                 };
                 out.push(send_lease(peer.instance, lease));
--- a/crates/core/src/limits/message.rs
+++ b/crates/core/src/limits/message.rs
@@ -52,6 +52,8 @@
     pub ttl_ms: u32,
     /// When there will be tokens again, if fewer were leased than wanted; else 0.
     pub tokens_wait_ms: u32,
+    /// A wish that was not met is worth repeating after so long.
+    pub again_ms: u32,
     /// The home takes back some unasked; nothing else is changed by it.
     pub unasked: bool,
 }
--- a/crates/core/src/limits/share.rs
+++ b/crates/core/src/limits/share.rs
@@ -25,7 +25,7 @@
 /// need not wait for an answer: one, and a quarter of those in use.
 const SPARE_PART: u32 = 4;
 
-/// A wish for more that could not be met is repeated so often.
+/// A wish for more that could not be met is repeated at most so often.
 const WANT_EVERY: Duration = Duration::from_millis(250);
 
 /// Tokens are asked for to last so long at the rate of late.
@@ -374,7 +374,8 @@
         self.is_short = lacks_places || lease.slots >= self.allowance.concurrent;
         self.not_before = now;
         if lacks_places || lacks_tokens {
-            let at = now + WANT_EVERY;
+            let again = Duration::from_millis(u64::from(lease.again_ms));
+            let at = now + again.max(WANT_EVERY);
             self.not_before = if lacks_places {
                 at
             } else {
--- a/crates/core/tests/limits_leases.rs
+++ b/crates/core/tests/limits_leases.rs
@@ -330,6 +330,28 @@
     );
 }
 
+#[test]
+fn a_limit_that_hundreds_want_more_of_does_not_keep_its_home_busy() {
+    // Symptom: the home of one workspace's limits was busy with asks alone.
+    // Sequence: a large workspace uses up its limit at every instance at once.
+    // Cause: each instance repeated its wish as often as if it were the only one.
+    let mut world = World::new(120);
+    for member in 0..120 {
+        for _ in 0..5 {
+            let claim = world.claim(workspace("ws", 240, 0), entry(10_000), 60_000);
+            world.take(member, claim);
+        }
+    }
+    world.run(Duration::from_secs(10));
+    world.asks = 0;
+    world.leases = 0;
+    world.run(Duration::from_secs(10));
+    assert_eq!(world.running(), 240);
+    println!("{} asks, {} leases in 10 s", world.asks, world.leases);
+    assert!(world.asks < 1_000, "{} asks", world.asks);
+    assert!(world.leases < 1_100, "{} leases", world.leases);
+}
+
 #[rstest]
 #[case(10, &[5, 3], &[5, 3], 2)]
 #[case(10, &[8, 8], &[5, 5], 0)]
