Checkpoints every 1,024 tokens; ages between bounds; a waiting engine gets nothing new

Cause: a generation of 15,000 tokens had told its age last at 8,192. Its guessed age ran into the caller's limit, so it counted as about to end, and its memory was granted to a dozen others, all of which were then short. A preempted generation waited tens of seconds behind what was granted after it.

--- a/crates/bench/src/decide.rs
+++ b/crates/bench/src/decide.rs
@@ -9,7 +9,7 @@
 use core::time::Duration;
 use oriolemux_core::cell::{
     Cell, CellConfig, CellDecision, CellRequest, ClassRules, EndKind, EndpointInfo, EndpointKind,
-    FIRST_CHECKPOINT, Requirement,
+    FIRST_CHECKPOINT, Requirement, next_checkpoint,
 };
 use oriolemux_core::event::LoadReport;
 use oriolemux_core::ids::{
@@ -174,7 +174,7 @@
         let mut checkpoint = FIRST_CHECKPOINT;
         while checkpoint <= tokens {
             self.cell.progress(self.now, id, checkpoint);
-            checkpoint *= 2;
+            checkpoint = next_checkpoint(checkpoint);
         }
         let end = EndKind::Complete {
             prompt_tokens: None,
--- a/crates/core/src/cell.rs
+++ b/crates/core/src/cell.rs
@@ -3,7 +3,7 @@
 //! The home of a cell holds its queue, admits requests against the endpoints'
 //! memory and says where each runs. Tokens never pass through it: the entry
 //! instance that holds the caller's connection talks to the endpoint, reports
-//! progress at doubling checkpoints and the end. The state is soft: a new home
+//! progress at checkpoints ([`is_checkpoint`]) and the end. The state is soft: a new home
 //! rebuilds it from load reports and from what entries tell ([`Cell::adopt`]).
 //!
 //! # The story of a poll
@@ -41,7 +41,7 @@
 use crate::ids::{ClassKey, EndpointKey, Incarnation, InstanceKey, RequestId};
 use crate::length::buckets::bucket_of;
 use crate::length::{LengthModel, LengthNode};
-use crate::memory::{ClassIx, Demand, Forecast, Held};
+use crate::memory::{Age, ClassIx, Demand, Forecast, Held};
 use crate::queue::{LaneKey, Queue, Waiting};
 use crate::reason::Reason;
 use crate::routing::prefix::{EndpointIx, PrefixMap};
@@ -55,21 +55,31 @@
 use risk::ClassRisk;
 use std::collections::{BTreeMap, BTreeSet};
 
-/// Generated tokens at the first checkpoint; each later one doubles it.
+/// Generated tokens at the first checkpoint; each later one doubles it, up to
+/// [`CHECKPOINT_STEP`].
 pub const FIRST_CHECKPOINT: u32 = 64;
+/// Generated tokens from one checkpoint to the next, once so many are reached.
+///
+/// Doubling without end, the age of a generation of 15,000 tokens was a guess
+/// from a report that was two minutes old; a guess past the caller's limit
+/// counted it as about to end, and its memory was given away.
+pub const CHECKPOINT_STEP: u32 = 1_024;
 /// Endpoints that are forecast anew in one poll at most, so that one poll stays short.
 const REFRESH_BATCH: usize = 16;
 
 /// Returns whether a running request tells its home that it has generated `tokens`.
 pub fn is_checkpoint(tokens: u32) -> bool {
-    tokens >= FIRST_CHECKPOINT && tokens.is_power_of_two()
+    match tokens < CHECKPOINT_STEP {
+        true => tokens >= FIRST_CHECKPOINT && tokens.is_power_of_two(),
+        false => tokens.is_multiple_of(CHECKPOINT_STEP),
+    }
 }
 
 /// Returns the first checkpoint after `tokens`.
 pub fn next_checkpoint(tokens: u32) -> u32 {
-    match tokens < FIRST_CHECKPOINT {
-        true => FIRST_CHECKPOINT,
-        false => (tokens / 2 + 1).next_power_of_two().saturating_mul(2),
+    match tokens < CHECKPOINT_STEP {
+        true => (tokens + 1).next_power_of_two().max(FIRST_CHECKPOINT),
+        false => (tokens / CHECKPOINT_STEP + 1).saturating_mul(CHECKPOINT_STEP),
     }
 }
 
@@ -205,7 +215,7 @@
         let urgent = req.class.urgency <= self.cfg.urgent_urgency;
         let demand = self.demand(&req, node);
         let curve = self.lengths.curve(node);
-        let counted = Forecast::of(demand, 0, curve).peak(0.0);
+        let counted = Forecast::of(demand, Age::default(), curve).peak(0.0);
         let target = req.class.wait_target;
         let waiting = Waiting {
             urgent,
@@ -302,7 +312,7 @@
             told_at: now,
             granted: now,
             passed: bucket_of(running.tokens + 1),
-            forecast: Forecast::of(demand, running.tokens, curve),
+            forecast: Forecast::of(demand, Age::exactly(running.tokens), curve),
         };
         self.lease(now, ix, held, running.prompt_tokens);
     }
--- a/crates/core/src/cell/endpoint.rs
+++ b/crates/core/src/cell/endpoint.rs
@@ -16,6 +16,10 @@
 /// An endpoint whose last report is older than this is given only half of its
 /// capacity: it may be gone, or fuller than it last said.
 const REPORT_STALE: Duration = Duration::from_secs(10);
+/// Reports in a row with work waiting inside the engine, after which it gets
+/// nothing new but urgent work. A preempted generation waits there for memory,
+/// and whatever is added keeps it waiting.
+const WAITING_REPORTS: u32 = 2;
 /// Standard deviations of memory that endpoints are ranked with.
 const RANKING_SIGMAS: f64 = 1.0;
 /// Share of its capacity that an endpoint with a stale report is given.
@@ -35,6 +39,8 @@
     pub holdings: Option<Vec<Requirement>>,
     pub said_leaving: bool,
     pub preemptions: Option<u64>,
+    /// Reports in a row that showed work waiting inside the engine.
+    pub waiting: u32,
     pub ledger: Ledger,
     pub foreign: Foreign,
     pub health: Health,
@@ -78,6 +84,7 @@
             holdings: None,
             said_leaving: false,
             preemptions: None,
+            waiting: 0,
             ledger: Ledger::default(),
             foreign: Foreign::default(),
             health: Health::default(),
@@ -117,6 +124,11 @@
         let count = report.running + report.waiting;
         self.foreign
             .report(taken, report.kv_tokens_used, count, report.kv_tokens_total);
+        self.waiting = if report.waiting > 0 {
+            self.waiting + 1
+        } else {
+            0
+        };
         let before = self.preemptions.replace(report.preemptions);
         // A counter that fell belongs to a restarted engine.
         before.map_or(0, |before| report.preemptions.saturating_sub(before))
@@ -220,7 +232,11 @@
         let fits = match self.is_idle() {
             // Alone it may take what it likes: nothing else is preempted for it.
             true => measure.forecast.now() < self.total as f64,
-            false => with <= usable && self.has_slot(now, reserve),
+            false => {
+                with <= usable
+                    && self.has_slot(now, reserve)
+                    && (measure.urgent || self.waiting < WAITING_REPORTS)
+            }
         };
         Fit {
             fits: fits && self.respects_hold(now, cfg, measure),
--- a/crates/core/src/cell/place.rs
+++ b/crates/core/src/cell/place.rs
@@ -5,7 +5,7 @@
 use crate::cell::endpoint::{Endpoint, Fit, Measure};
 use crate::cell::request::Distance;
 use crate::ids::RequestId;
-use crate::memory::{Demand, Forecast, Held, Margins};
+use crate::memory::{Age, Demand, Forecast, Held, Margins};
 use crate::queue::Waiting;
 use crate::routing::Merits;
 use crate::routing::prefix::EndpointIx;
@@ -66,7 +66,7 @@
         let demand = cell.demand(&waiting.req, waiting.node);
         let risk = cell.classes[waiting.lane.class].risk.accepted();
         let curve = cell.lengths.curve(waiting.node);
-        let forecast = Forecast::of(demand, 0, curve);
+        let forecast = Forecast::of(demand, Age::default(), curve);
         Some(Search {
             id,
             demand,
--- a/crates/core/src/cell/risk.rs
+++ b/crates/core/src/cell/risk.rs
@@ -6,7 +6,7 @@
 //! two balance the class has as many preemptions as it accepts.
 
 /// Share of the risk that stays after one preemption.
-const LOWER: f64 = 0.7;
+const LOWER: f64 = 0.8;
 /// Bounds of the risk.
 const BOUNDS: (f64, f64) = (1e-5, 0.1);
 
--- a/crates/core/src/delivery.rs
+++ b/crates/core/src/delivery.rs
@@ -33,9 +33,6 @@
 /// How many duplicates in a row a connection may bring before it counts as garbage.
 pub const MAX_DUPLICATES: u32 = 4_096;
 
-/// How many tokens have been received when progress is first reported.
-pub const FIRST_CHECKPOINT: u32 = 64;
-
 /// What the shell does with an input.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Act {
--- a/crates/core/src/delivery/attempt.rs
+++ b/crates/core/src/delivery/attempt.rs
@@ -1,7 +1,8 @@
 //! What is known of the attempt that runs.
 
 use super::token_log::Cursor;
-use super::{FIRST_CHECKPOINT, MAX_RESUMES, MAX_RESUMES_WITHOUT_TOKEN, RESUME_DELAY};
+use super::{MAX_RESUMES, MAX_RESUMES_WITHOUT_TOKEN, RESUME_DELAY};
+use crate::cell::next_checkpoint;
 use crate::event::{AttemptMode, AttemptUpdate, DeliveryMode, Dispatch};
 use crate::ids::AttemptId;
 use crate::outcome::Sent;
@@ -55,7 +56,7 @@
             resumable: !dispatch.model.is_empty(),
             resumes: 0,
             resumes_without_token: 0,
-            next_checkpoint: FIRST_CHECKPOINT,
+            next_checkpoint: next_checkpoint(0),
         }
     }
 
@@ -69,7 +70,7 @@
             return Some(AttemptUpdate::FirstToken);
         }
         if self.expected == self.next_checkpoint {
-            self.next_checkpoint = self.next_checkpoint.saturating_mul(2);
+            self.next_checkpoint = next_checkpoint(self.expected);
             return Some(AttemptUpdate::Progress {
                 tokens: self.expected,
             });
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -134,7 +134,8 @@
 pub enum AttemptUpdate {
     /// The endpoint sent the first token or answer byte.
     FirstToken,
-    /// So many tokens have been received; reported at doubling checkpoints.
+    /// So many tokens have been received; reported at each checkpoint
+    /// ([`crate::cell::is_checkpoint`]).
     Progress {
         /// Tokens received from the endpoint in this attempt.
         tokens: u32,
--- a/crates/core/src/memory.rs
+++ b/crates/core/src/memory.rs
@@ -27,6 +27,9 @@
 const START_RATE: f64 = 30.0;
 /// Weight of one timed checkpoint in an endpoint's token rate.
 const RATE_GAIN: f64 = 0.2;
+/// Share of the estimated tokens since the last checkpoint that are certain:
+/// a generation slows down when others join it.
+const RATE_DOUBT: f64 = 0.85;
 /// Tokens that a generation takes on average in its last, half empty KV block.
 const BLOCK_SLACK: u32 = 8;
 
@@ -46,6 +49,25 @@
     pub floor: u32,
 }
 
+/// How many tokens a generation has made, between two bounds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Age {
+    /// At least about so many.
+    pub low: u32,
+    /// At most about so many.
+    pub high: u32,
+}
+
+impl Age {
+    /// Returns the age of a generation known to have made `tokens`.
+    pub fn exactly(tokens: u32) -> Age {
+        Age {
+            low: tokens,
+            high: tokens,
+        }
+    }
+}
+
 /// Mean and variance of the memory held at each point, in tokens.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Forecast {
@@ -54,21 +76,24 @@
 }
 
 impl Forecast {
-    /// Forecasts one generation that has made `age` tokens.
-    pub fn of(demand: Demand, age: u32, curve: &Curve) -> Forecast {
+    /// Forecasts one generation that has made between `age.low` and `age.high` tokens.
+    ///
+    /// The low age says when it ends, the high one what it holds: both err on
+    /// the side of too much memory.
+    pub fn of(demand: Demand, age: Age, curve: &Curve) -> Forecast {
         let mut forecast = Forecast::default();
         let base = demand.prompt + BLOCK_SLACK;
-        forecast.mean[0] = f64::from(base + age);
-        let known = age.max(demand.floor);
+        forecast.mean[0] = f64::from(base + age.high);
+        let known = age.low.max(demand.floor);
         let alive = curve.survival(known);
         for (point, horizon) in HORIZONS.iter().enumerate() {
-            let then = age + horizon;
+            let then = age.low + horizon;
             let p = match then {
                 _ if then >= demand.cap => 0.0,
                 _ if then <= known => 1.0,
                 _ => (curve.survival(then) / alive).min(1.0),
             };
-            let size = f64::from(base + then);
+            let size = f64::from(base + age.high + horizon);
             forecast.mean[point + 1] = p * size;
             forecast.var[point + 1] = p * (1.0 - p) * size * size;
         }
@@ -208,14 +233,20 @@
 }
 
 impl Held {
-    /// Returns the tokens it has probably made at `now`.
+    /// Returns how many tokens it has probably made at `now`.
     ///
-    /// It is capped just below the next checkpoint, whose report would have come.
-    fn age(&self, now: Time, rate: f64) -> u32 {
+    /// That is capped just below the next checkpoint, whose report would have come.
+    fn age(&self, now: Time, rate: f64) -> Age {
         let more = now.since(self.told_at).as_secs_f64() * rate;
-        let next = crate::cell::next_checkpoint(self.told);
-        let age = self.told.saturating_add(more as u32);
-        age.min(next - 1).min(self.demand.cap)
+        let last = crate::cell::next_checkpoint(self.told) - 1;
+        let after = |more: f64| {
+            let age = self.told.saturating_add(more as u32);
+            age.min(last).min(self.demand.cap)
+        };
+        Age {
+            low: after(more * RATE_DOUBT),
+            high: after(more),
+        }
     }
 }
 
@@ -291,7 +322,7 @@
         self.urgent_now = 0.0;
         for held in &mut self.held {
             let age = held.age(now, self.rate);
-            let passed = bucket_of(age + 1);
+            let passed = bucket_of(age.low + 1);
             if passed > held.passed {
                 lengths.survived(held.node, held.passed, passed);
                 held.passed = passed;
