A frame between instances must be able to carry a piece of the catalogue

Cause: max_frame_bytes could be set to 4 KiB, while pieces of the catalogue have 32 KiB: every piece would have ended its link. Change: the least value is 64 KiB; the default of 256 KiB stays.

--- a/crates/oriolemux/src/settings/table.rs
+++ b/crates/oriolemux/src/settings/table.rs
@@ -134,8 +134,9 @@
         listen: SocketAddr = required();
         /// A file with the secret that instances prove to each other. It is the same on all.
         secret_file: SecretFile = required();
-        /// The largest frame in bytes; a larger one ends the link.
-        max_frame_bytes: usize = default(256 * 1024).range(4096, 16 * MIB as i64);
+        /// The largest frame in bytes; a larger one ends the link. Pieces of the
+        /// catalogue have 32 KiB, so that smaller frames could not carry them.
+        max_frame_bytes: usize = default(256 * 1024).range(64 * 1024, 16 * MIB as i64);
         /// The most frames that wait for one link; further ones are dropped and counted.
         max_queued_frames: u32 = default(1024).range(1, 1_000_000);
         /// A connection must be made and authenticated within this time.
