--- a/crates/core/src/catalogue/sync/delta.rs
+++ b/crates/core/src/catalogue/sync/delta.rs
@@ -1,8 +1,8 @@
 //! What changed from one index to the next, in lines.
 //!
 //! Hundreds of changes a day go to every instance, and most touch two lines of
-//! an index of tens of kilobytes: the revision and one digest. Sent whole, the
-//! index would take about half of the bytes that an instance may spend on control.
+//! an index of tens of kilobytes: the revision and one digest. Sent whole, they
+//! would cost a watcher more than a kilobyte a second (`docs/design/catalogue.md`).
 
 use super::message::{Edit, PIECE_BYTES};
 use crate::catalogue::MAX_VALUE_BYTES;
