--- /dev/null
+++ b/crates/oriolemux/tests/relay_events.rs
@@ -0,0 +1,161 @@
+//! The reader of an engine's events: the quick way and the standard way give
+//! the same, whatever pieces the bytes come in.
+
+use oriolemux::relay::events::{EngineEvent, EventReader, FinishReason, Garbage, Usage};
+use proptest::prelude::*;
+use rstest::rstest;
+use std::borrow::Cow;
+
+const ATTEMPT: &str = "r-0000000000000001-0000000000000002-1.1";
+
+/// Reads `bytes` in pieces that end at `cuts`.
+fn read(
+    reader: &mut EventReader,
+    bytes: &[u8],
+    cuts: &[usize],
+) -> Result<Vec<EngineEvent<'static>>, Garbage> {
+    let mut cuts: Vec<usize> = cuts.iter().map(|cut| cut % (bytes.len() + 1)).collect();
+    cuts.push(bytes.len());
+    cuts.sort_unstable();
+    let mut events = Vec::new();
+    let mut start = 0;
+    for cut in cuts {
+        reader.push(&bytes[start..cut]);
+        start = cut;
+        while let Some(event) = reader.next_event()? {
+            events.push(owned(event));
+        }
+    }
+    Ok(events)
+}
+
+fn owned(event: EngineEvent<'_>) -> EngineEvent<'static> {
+    match event {
+        EngineEvent::Token {
+            attempt,
+            index,
+            text,
+        } => EngineEvent::Token {
+            attempt: Cow::Owned(attempt.into_owned()),
+            index,
+            text: Cow::Owned(text.into_owned()),
+        },
+        EngineEvent::End {
+            attempt,
+            index,
+            finish,
+            usage,
+        } => EngineEvent::End {
+            attempt: Cow::Owned(attempt.into_owned()),
+            index,
+            finish,
+            usage,
+        },
+        EngineEvent::Failed => EngineEvent::Failed,
+        EngineEvent::Nothing => EngineEvent::Nothing,
+    }
+}
+
+/// A reader for this attempt, which tries the quick way first, and one that
+/// never meets its attempt and goes the standard way.
+fn readers() -> [EventReader; 2] {
+    [EventReader::new(ATTEMPT), EventReader::new("another")]
+}
+
+fn token_event(index: u32, text: &str) -> String {
+    let text = serde_json::to_string(text).unwrap();
+    format!(
+        "id: {ATTEMPT}:{index}\ndata: {{\"id\":\"{ATTEMPT}\",\"index\":{index},\"text\":{text}}}\n\n"
+    )
+}
+
+/// Text with whatever a careless reader would break.
+fn any_text() -> impl Strategy<Value = String> {
+    proptest::string::string_regex("([a-z \"\\\\\n\r\t\u{1}/{}]|é|ش|🧵|\u{2028}){0,12}").unwrap()
+}
+
+proptest! {
+    #[test]
+    fn both_ways_give_the_same_in_any_pieces(
+        texts in proptest::collection::vec(any_text(), 0..8),
+        cuts in proptest::collection::vec(0usize..4_096, 0..12),
+    ) {
+        let mut bytes = String::new();
+        for (index, text) in (0..).zip(&texts) {
+            bytes += &token_event(index, text);
+        }
+        let [mut quick, mut standard] = readers();
+
+        let quick = read(&mut quick, bytes.as_bytes(), &cuts).unwrap();
+        let standard = read(&mut standard, bytes.as_bytes(), &[]).unwrap();
+
+        prop_assert_eq!(&quick, &standard);
+        prop_assert_eq!(quick.len(), texts.len());
+        for (event, text) in quick.iter().zip(&texts) {
+            let EngineEvent::Token { text: raw, .. } = event else {
+                panic!("a token");
+            };
+            let json = format!("\"{}\"", std::str::from_utf8(raw).unwrap());
+            prop_assert_eq!(&serde_json::from_str::<String>(&json).unwrap(), text);
+        }
+    }
+
+    /// One byte changed anywhere: the quick way accepts nothing that the
+    /// standard way refuses, and reads nothing differently.
+    #[test]
+    fn both_ways_agree_about_damaged_bytes(
+        text in any_text(),
+        at in 0usize..4_096,
+        byte in any::<u8>(),
+    ) {
+        let mut bytes = token_event(3, &text).into_bytes();
+        let at = at % bytes.len();
+        bytes[at] = byte;
+        let [mut quick, mut standard] = readers();
+
+        let quick = read(&mut quick, &bytes, &[]);
+        let standard = read(&mut standard, &bytes, &[]);
+
+        prop_assert_eq!(quick, standard);
+    }
+
+    #[test]
+    fn no_bytes_panic(bytes in proptest::collection::vec(any::<u8>(), 0..512)) {
+        let [mut quick, mut standard] = readers();
+
+        let _ = read(&mut quick, &bytes, &[]);
+        let _ = read(&mut standard, &bytes, &[]);
+    }
+}
+
+#[rstest]
+#[case::keep_alive(": still here\n\n", EngineEvent::Nothing)]
+#[case::done("data: [DONE]\n\n", EngineEvent::Nothing)]
+#[case::carriage_returns("data: [DONE]\r\n\r\n", EngineEvent::Nothing)]
+#[case::failed("data: {\"error\":{}}\n\n", EngineEvent::Failed)]
+#[case::spaced("data:{ \"id\": \"a\", \"index\": 1, \"text\": \"x\\u0041\" }\n\n", EngineEvent::Token {
+    attempt: Cow::Borrowed("a"), index: 1, text: Cow::Borrowed(b"xA"),
+})]
+#[case::end("data: {\"id\":\"a\",\"index\":1,\"finish_reason\":\"length\",\"usage\":{\"prompt_tokens\":2,\"completion_tokens\":1}}\n\n", EngineEvent::End {
+    attempt: Cow::Borrowed("a"), index: 1, finish: FinishReason::Length,
+    usage: Some(Usage { prompt_tokens: 2, completion_tokens: 1 }),
+})]
+fn reads_what_the_standards_allow(#[case] bytes: &str, #[case] expected: EngineEvent<'static>) {
+    let [mut reader, _] = readers();
+
+    let events = read(&mut reader, bytes.as_bytes(), &[]).unwrap();
+
+    assert_eq!(events, [expected]);
+}
+
+#[test]
+fn forgets_half_an_event_when_the_stream_goes_on_elsewhere() {
+    let [mut reader, _] = readers();
+    let event = token_event(0, "one");
+
+    reader.push(&event.as_bytes()[..event.len() / 2]);
+    reader.clear();
+    let events = read(&mut reader, event.as_bytes(), &[]).unwrap();
+
+    assert_eq!(events.len(), 1);
+}
