--- a/crates/bench/src/relay_bench.rs
+++ b/crates/bench/src/relay_bench.rs
@@ -20,16 +20,18 @@
 mod cpu;
 mod engine;
 mod node;
+mod relaying;
 mod report;
 
 pub use node::RelayNodeArgs;
 
-use crate::process::child::{Child, ChildError};
+use crate::fleet::FleetError;
+use crate::process::child::ChildError;
 use client::PacedResult;
 use cpu::CpuClock;
 use engine::{EngineServer, Pace};
+use relaying::Relaying;
 use report::Report;
-use std::net::SocketAddr;
 use std::path::Path;
 use std::process::ExitCode;
 use std::time::Duration;
@@ -43,9 +45,12 @@
     /// Streams at a time in the saturated phase.
     #[arg(long, default_value_t = 16)]
     streams: usize,
-    /// Tokens of each saturated stream.
-    #[arg(long, default_value_t = 100_000)]
+    /// Tokens of each saturated stream; the catalogue allows 1,000.
+    #[arg(long, default_value_t = 1_000)]
     tokens: u32,
+    /// Saturated streams in a row.
+    #[arg(long, default_value_t = 100)]
+    requests: u32,
     /// Streams straight to the engines, and as many through the instance, in the
     /// paced phase. 37 is what an instance holds at the design's peak: 450,000
     /// tokens a second over 390 instances, one token every 32 ms.
@@ -57,9 +62,14 @@
     /// Tokens of each paced stream.
     #[arg(long, default_value_t = 300)]
     paced_tokens: u32,
-    /// Threads of the instance.
+    /// Measure the relay alone: a process with callers' side, relay and
+    /// endpoints' side as shipped, but a node that gives each request to the
+    /// next engine. Otherwise a whole instance is measured.
+    #[arg(long)]
+    bare: bool,
+    /// Threads of the bare process.
     #[arg(long, default_value_t = 1)]
-    node_threads: usize,
+    bare_threads: usize,
 }
 
 /// Why the measurement failed.
@@ -67,6 +77,8 @@
 pub enum RelayBenchError {
     /// {0}
     Child(#[from] ChildError),
+    /// {0}
+    Fleet(#[from] FleetError),
     /// input or output failed: {0}
     Io(#[from] std::io::Error),
     /// a stream ended after {got} of {expected} tokens
@@ -114,30 +126,16 @@
     cpu: Duration,
 }
 
-fn start_node(
-    args: &RelayArgs,
-    engines: &[SocketAddr],
-    dir: &Path,
-) -> Result<(Child, SocketAddr), RelayBenchError> {
-    let mut child_args = vec![
-        "relay-node".to_owned(),
-        "--threads".to_owned(),
-        args.node_threads.to_string(),
-    ];
-    child_args.extend(engines.iter().map(SocketAddr::to_string));
-    let program = std::env::current_exe()?;
-    let log = dir.join("node.log");
-    Ok(Child::start_listening("node", &program, child_args, &log)?)
-}
-
 async fn measure_saturated(args: &RelayArgs, dir: &Path) -> Result<Saturated, RelayBenchError> {
     let engine = EngineServer::start(Pace::Saturated, args.tokens).await?;
-    let (node, address) = start_node(args, &[engine.address()], dir)?;
-    let cpu = CpuClock::of(node.pid())?;
+    let relay = Relaying::start(args, &[engine.address()], dir).await?;
+    // The first requests open connections and fill caches.
+    client::read_saturated(relay.address(), args.streams, 1, args.tokens).await?;
+    let cpu = CpuClock::of(relay.pid())?;
     let start = std::time::Instant::now();
-    client::read_saturated(address, args.streams, args.tokens).await?;
+    client::read_saturated(relay.address(), args.streams, args.requests, args.tokens).await?;
     Ok(Saturated {
-        tokens: args.streams as u64 * u64::from(args.tokens),
+        tokens: args.streams as u64 * u64::from(args.requests) * u64::from(args.tokens),
         cpu: cpu.elapsed()?,
         wall: start.elapsed(),
     })
@@ -154,10 +152,10 @@
         engines.push(EngineServer::start(pace, args.paced_tokens).await?);
     }
     let addresses: Vec<_> = engines.iter().map(EngineServer::address).collect();
-    let (node, address) = start_node(args, &addresses, dir)?;
-    let cpu = CpuClock::of(node.pid())?;
+    let relay = Relaying::start(args, &addresses, dir).await?;
+    let cpu = CpuClock::of(relay.pid())?;
+    let through = [relay.address()];
     let direct = client::read_paced(&addresses, args.paced_streams, args.paced_tokens);
-    let through = [address];
     let relayed = client::read_paced(&through, args.paced_streams, args.paced_tokens);
     let (direct, relayed) = tokio::try_join!(direct, relayed)?;
     Ok(Paced {
--- a/crates/bench/src/relay_bench/client.rs
+++ b/crates/bench/src/relay_bench/client.rs
@@ -2,6 +2,7 @@
 
 use super::RelayBenchError;
 use super::engine::now_micros;
+use crate::fleet::catalogue::{PLAN, SCHOOL_KEY};
 use hdrhistogram::Histogram;
 use std::net::SocketAddr;
 use tokio::io::{self, AsyncReadExt, AsyncWriteExt};
@@ -41,15 +42,21 @@
     }
 }
 
-/// Reads `streams` streams of `tokens` tokens at once, as fast as they come.
+/// Reads `streams` streams at once as fast as they come, `requests` times in a row.
 pub async fn read_saturated(
     address: SocketAddr,
     streams: usize,
+    requests: u32,
     tokens: u32,
 ) -> Result<(), RelayBenchError> {
     let mut readers = JoinSet::new();
     for _ in 0..streams {
-        readers.spawn(read_counting(address, tokens));
+        readers.spawn(async move {
+            for _ in 0..requests {
+                read_counting(address, tokens).await?;
+            }
+            Ok::<(), RelayBenchError>(())
+        });
     }
     while let Some(read) = readers.join_next().await {
         read.map_err(io::Error::other)??;
@@ -125,9 +132,9 @@
 
 /// Sends a request for a stream.
 async fn ask(address: SocketAddr) -> io::Result<TcpStream> {
-    let body = r#"{"model":"plans","prompt":"Draft a plan","max_tokens":10000000,"stream":true}"#;
+    let body = format!(r#"{{"model":"{PLAN}","prompt":"Draft a plan","stream":true}}"#);
     let request = format!(
-        "POST /v1/completions HTTP/1.1\r\nhost: bench\r\nauthorization: Bearer bench\r\n\
+        "POST /v1/completions HTTP/1.1\r\nhost: bench\r\nauthorization: Bearer {SCHOOL_KEY}\r\n\
          content-type: application/json\r\nconnection: close\r\ncontent-length: {}\r\n\r\n{body}",
         body.len()
     );
--- a/crates/bench/src/relay_bench/engine.rs
+++ b/crates/bench/src/relay_bench/engine.rs
@@ -1,5 +1,7 @@
 //! A bare engine: answers every completion with customary token events.
 
+use crate::fleet::list::MODEL;
+use oriolemux_core::event::{LoadReport, LoadedModel};
 use serde_json::Value;
 use std::io::Write;
 use std::net::SocketAddr;
@@ -67,23 +69,60 @@
 
 async fn serve(mut stream: TcpStream, pace: Pace, tokens: u32) -> io::Result<()> {
     stream.set_nodelay(true)?;
-    while let Some(attempt) = read_attempt(&mut stream).await? {
-        let head = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\
-                    transfer-encoding: chunked\r\n\r\n";
-        stream.write_all(head.as_bytes()).await?;
-        match pace {
-            Pace::Saturated => write_saturated(&mut stream, &attempt, tokens).await?,
-            Pace::Steps { every, offset } => {
-                write_steps(&mut stream, &attempt, tokens, every, offset).await?;
+    let mut unread = Vec::new();
+    while let Some(request) = read_request(&mut stream, &mut unread).await? {
+        match request {
+            Request::Completion { attempt } => {
+                write_generation(&mut stream, &attempt, pace, tokens).await?;
             }
+            Request::Load => write_whole(&mut stream, "200 OK", &load_report()).await?,
+            Request::Other => write_whole(&mut stream, "404 Not Found", "").await?,
         }
-        let mut out = Vec::new();
-        write_end(&mut out, &attempt, tokens);
-        stream.write_all(&out).await?;
     }
     Ok(())
 }
 
+/// Says that there is room for everything, so that only the relay is measured.
+fn load_report() -> String {
+    let report = LoadReport {
+        kv_tokens_total: 1_000_000_000,
+        max_running: 100_000,
+        models: vec![LoadedModel {
+            name: MODEL.to_owned(),
+            version: "1".to_owned(),
+            adapters: Vec::new(),
+        }],
+        ..LoadReport::default()
+    };
+    serde_json::to_string(&report).unwrap_or_default()
+}
+
+async fn write_whole(stream: &mut TcpStream, status: &str, body: &str) -> io::Result<()> {
+    let len = body.len();
+    let answer = format!("HTTP/1.1 {status}\r\ncontent-length: {len}\r\n\r\n{body}");
+    stream.write_all(answer.as_bytes()).await
+}
+
+async fn write_generation(
+    stream: &mut TcpStream,
+    attempt: &str,
+    pace: Pace,
+    tokens: u32,
+) -> io::Result<()> {
+    let head = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\
+                transfer-encoding: chunked\r\n\r\n";
+    stream.write_all(head.as_bytes()).await?;
+    match pace {
+        Pace::Saturated => write_saturated(stream, attempt, tokens).await?,
+        Pace::Steps { every, offset } => {
+            write_steps(stream, attempt, tokens, every, offset).await?;
+        }
+    }
+    let mut out = Vec::new();
+    write_end(&mut out, attempt, tokens);
+    stream.write_all(&out).await
+}
+
 async fn write_saturated(stream: &mut TcpStream, attempt: &str, tokens: u32) -> io::Result<()> {
     let mut out = Vec::new();
     for index in 0..tokens {
@@ -140,26 +179,48 @@
     write!(out, "{:x}\r\n{event}\r\n", event.len()).expect("a vector takes all bytes");
 }
 
-/// Reads a request and returns its attempt id; `None` at the end of the connection.
-async fn read_attempt(stream: &mut TcpStream) -> io::Result<Option<String>> {
-    let mut bytes = Vec::new();
+/// What the engine is asked for.
+#[derive(Debug)]
+enum Request {
+    Completion { attempt: String },
+    Load,
+    Other,
+}
+
+/// Reads a request; `None` at the end of the connection.
+async fn read_request(stream: &mut TcpStream, unread: &mut Vec<u8>) -> io::Result<Option<Request>> {
     loop {
-        if let Some(body) = body_of(&bytes) {
-            let json: Value = serde_json::from_slice(body)?;
-            let attempt = json["attempt_id"].as_str().unwrap_or("direct");
-            return Ok(Some(attempt.to_owned()));
+        if let Some((request, used)) = parse_request(unread) {
+            unread.drain(..used);
+            return Ok(Some(request));
         }
-        if stream.read_buf(&mut bytes).await? == 0 {
+        if stream.read_buf(unread).await? == 0 {
             return Ok(None);
         }
     }
 }
 
-/// Returns the body if the request is whole.
-fn body_of(request: &[u8]) -> Option<&[u8]> {
-    let text = std::str::from_utf8(request).ok()?;
-    let (head, body) = text.split_once("\r\n\r\n")?;
+/// Returns the request at the start of `bytes` and its length, if it is whole.
+fn parse_request(bytes: &[u8]) -> Option<(Request, usize)> {
+    let text = std::str::from_utf8(bytes).ok()?;
+    let (head, rest) = text.split_once("\r\n\r\n")?;
     let mut lines = head.lines();
-    let len = lines.find_map(|line| line.strip_prefix("content-length: "))?;
-    (body.len() >= len.parse().ok()?).then_some(body.as_bytes())
+    let first = lines.next()?;
+    let len = lines.find_map(|line| line.strip_prefix("content-length: "));
+    let len: usize = len.map_or(Some(0), |len| len.parse().ok())?;
+    let body = rest.get(..len)?;
+    let request = match first {
+        "POST /v1/completions HTTP/1.1" => Request::Completion {
+            attempt: attempt_of(body),
+        },
+        "GET /v1/load HTTP/1.1" => Request::Load,
+        _ => Request::Other,
+    };
+    Some((request, text.len() - rest.len() + len))
+}
+
+/// A caller straight at the engine names no attempt.
+fn attempt_of(body: &str) -> String {
+    let json: Value = serde_json::from_str(body).unwrap_or_default();
+    json["attempt_id"].as_str().unwrap_or("direct").to_owned()
 }
