A lost cancellation is sent again; idle connections close, waiting ones stay

Cancelling twice is harmless, so a DELETE that is lost with a kept connection goes out once more on a new one. The bound on idle connections is tested from both sides.

--- a/crates/oriolemux/src/endpoints/http.rs
+++ b/crates/oriolemux/src/endpoints/http.rs
@@ -220,10 +220,17 @@
     }
 
     async fn cancel(&self, endpoint: &EndpointTarget, attempt: AttemptId) -> bool {
-        let path = format!("/v1/completions/{attempt}");
-        let request = self.pooled().delete(url(endpoint, &path));
-        let answer = self.control(request).await;
-        answer.is_ok_and(|(status, _)| status.is_success())
+        let url = url(endpoint, &format!("/v1/completions/{attempt}"));
+        // Ending a generation twice is harmless, so a kept connection that
+        // turns out to be closed costs a second try and not a generation that
+        // runs on for nobody.
+        for client in [self.pooled(), self.clients.single.clone()] {
+            match self.control(client.delete(&url)).await {
+                Ok((status, _)) => return status.is_success(),
+                Err(_) => continue,
+            }
+        }
+        false
     }
 
     async fn load(&self, endpoint: &EndpointTarget) -> Result<LoadReport, EndpointFailure> {
--- a/crates/oriolemux/tests/callers_leaving.rs
+++ b/crates/oriolemux/tests/callers_leaving.rs
@@ -56,6 +56,74 @@
         .unwrap();
 }
 
+/// Symptom: a generation ran on although its caller had left.
+/// Sequence: the endpoint closed the kept connection on which the cancellation
+/// was sent.
+/// Cause: a cancellation that was lost with its connection was not sent again.
+#[tokio::test]
+async fn cancels_again_if_the_connection_was_closed() {
+    let one_token = Answer {
+        bytes: (stream_head() + &token(&attempt_id(1), 0, "one")).into_bytes(),
+        then: Then::Hang,
+    };
+    let closed = Answer {
+        bytes: Vec::new(),
+        then: Then::Close,
+    };
+    let gone = whole("204 No Content", "", "");
+    let mut endpoint = FakeEndpoint::start(vec![one_token, closed, gone]).await;
+    let node = FakeNode::start(vec![Decision::Dispatch(plan(endpoint.address))]);
+    let address = serve(&node).await;
+
+    let mut caller = TcpStream::connect(address).await.unwrap();
+    let request = completion(STREAM);
+    caller.write_all(request.as_bytes()).await.unwrap();
+    endpoint.request().await;
+    drop(caller);
+
+    for _ in 0..2 {
+        let cancel = timeout(PATIENCE, endpoint.request()).await.unwrap();
+        assert!(cancel.starts_with("DELETE "), "{cancel}");
+    }
+}
+
+#[rstest]
+#[case::before_a_request("")]
+#[case::after_a_request("GET /v1/models HTTP/1.1\r\nhost: o\r\nauthorization: Bearer wren\r\n\r\n")]
+#[tokio::test]
+async fn closes_a_connection_that_is_idle(#[case] request: &str) {
+    let node = FakeNode::start(vec![]);
+    let limit = Duration::from_millis(50);
+    let address = serve_with(&node, |server| server.idle_timeout(limit)).await;
+
+    let mut caller = TcpStream::connect(address).await.unwrap();
+    caller.write_all(request.as_bytes()).await.unwrap();
+    let mut answer = Vec::new();
+    let end = timeout(PATIENCE, caller.read_to_end(&mut answer)).await;
+
+    assert!(end.is_ok(), "the connection is closed");
+    assert_eq!(answer.starts_with(b"HTTP/1.1 200"), !request.is_empty());
+}
+
+/// Symptom: callers of long queues lost their place.
+/// Sequence: a request waited longer than a connection may be idle.
+/// Cause: a connection without bytes was taken for one without a request.
+#[tokio::test]
+async fn keeps_a_silent_connection_whose_request_waits() {
+    let mut node = FakeNode::start(vec![Decision::Wait]);
+    let limit = Duration::from_millis(20);
+    let address = serve_with(&node, |server| server.idle_timeout(limit)).await;
+
+    let mut caller = TcpStream::connect(address).await.unwrap();
+    let request = completion(STREAM);
+    caller.write_all(request.as_bytes()).await.unwrap();
+    assert!(matches!(node.told().await, Told::Arrival(_)));
+    let mut byte = [0; 1];
+    let read = timeout(limit * 10, caller.read(&mut byte)).await;
+
+    assert!(read.is_err(), "the connection stays open");
+}
+
 #[tokio::test]
 async fn tells_the_node_of_a_caller_that_leaves_the_queue() {
     let mut node = FakeNode::start(vec![Decision::Wait]);
