A log that nobody reads stalls nobody: shown with a real process

Cause: that lines go through a thread of their own was argued and not shown. Change: a test fills a pipe of 4 KiB that is not read and then asks the instance.

--- a/crates/oriolemux/tests/cli_serve.rs
+++ b/crates/oriolemux/tests/cli_serve.rs
@@ -1,15 +1,21 @@
 //! A real process starts, is asked, and stops.
 
+use nix::fcntl::{FcntlArg, fcntl};
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
-use std::fmt::Write;
-use std::io::{BufRead, BufReader};
-use std::net::{SocketAddr, TcpListener};
+use std::fmt::Write as _;
+use std::io::{BufRead, BufReader, Read, Write as _};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::Path;
 use std::process::{Child, ChildStderr, Command, ExitStatus, Stdio};
 
 const KEY: &str = "an operators' key";
 
+/// The least that a pipe holds: one page.
+const SMALL_PIPE: i32 = 4096;
+/// Refusals whose log lines fill the small pipe several times.
+const REFUSALS: usize = 90;
+
 /// Writes settings whose listeners take any free port. No platform answers.
 fn write_settings(dir: &Path, callers: &str, notice_ms: u32) {
     let nobody = TcpListener::bind("127.0.0.1:0").expect("a free port");
@@ -28,7 +34,7 @@
     )
     .expect("written");
     writeln!(text, "[platform]\naddresses = [\"{platform}\"]").expect("written");
-    writeln!(text, "[logs]\nformat = \"json\"").expect("written");
+    writeln!(text, "[logs]\nformat = \"json\"\nlevel = \"debug\"").expect("written");
     writeln!(text, "[stop]\nnotice_ms = {notice_ms}").expect("written");
     std::fs::write(dir.join("settings.toml"), text).expect("settings written");
     std::fs::write(dir.join("secret"), "a secret of all instances").expect("secret written");
@@ -47,6 +53,7 @@
     child: Child,
     /// What is left of the log; `None` once nobody reads it any more.
     logs: Option<BufReader<ChildStderr>>,
+    callers: SocketAddr,
     operators: SocketAddr,
 }
 
@@ -60,17 +67,13 @@
             .spawn()
             .expect("the binary runs");
         let mut logs = BufReader::new(child.stderr.take().expect("piped"));
-        let operators = loop {
-            let line = wait_for(&mut logs, "listening");
-            if line["listener"] == "operators" {
-                let address = line["address"].as_str().expect("an address");
-                break address.parse().expect("an address");
-            }
-        };
+        let callers = wait_for_listener(&mut logs, "callers");
+        let operators = wait_for_listener(&mut logs, "operators");
         Instance {
             dir,
             child,
             logs: Some(logs),
+            callers,
             operators,
         }
     }
@@ -108,6 +111,27 @@
     }
 }
 
+/// Reads log lines until the listener is told, and returns its address.
+fn wait_for_listener(logs: &mut impl BufRead, listener: &str) -> SocketAddr {
+    loop {
+        let line = wait_for(logs, "listening");
+        if line["listener"] == listener {
+            let address = line["address"].as_str().expect("an address");
+            return address.parse().expect("an address");
+        }
+    }
+}
+
+/// Asks a caller's question without a key, and returns whether it was refused as it should be.
+fn is_refused(callers: SocketAddr) -> bool {
+    let mut connection = TcpStream::connect(callers).expect("connected");
+    let question = "GET /v1/models HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n";
+    connection.write_all(question.as_bytes()).expect("sent");
+    let mut answer = String::new();
+    connection.read_to_string(&mut answer).expect("answered");
+    answer.starts_with("HTTP/1.1 401")
+}
+
 /// Reads log lines until one has the message; fails at the end of the log.
 fn wait_for(logs: &mut impl BufRead, message: &str) -> serde_json::Value {
     let mut seen = String::new();
@@ -196,6 +220,27 @@
     assert_eq!(instance.end().code(), Some(0));
 }
 
+#[test]
+fn standard_error_that_nobody_reads_stalls_nobody() {
+    // Symptom: every stream of an instance stalls at once. Sequence: whoever reads standard
+    // error hangs; the pipe fills; the next line is logged. Cause: the thread that logs waits
+    // for room in the pipe.
+    let mut instance = Instance::start(0);
+    let logs = instance.logs.as_ref().expect("still read").get_ref();
+    fcntl(logs, FcntlArg::F_SETPIPE_SZ(SMALL_PIPE)).expect("a small pipe");
+
+    let refused = (0..REFUSALS)
+        .filter(|_| is_refused(instance.callers))
+        .count();
+    let status = instance.ask(&["status"]);
+
+    assert_eq!(refused, REFUSALS);
+    assert_eq!(status.status.code(), Some(0));
+    instance.signal();
+    assert_eq!(instance.wait_for("stop_finished")["event"], 105);
+    assert_eq!(instance.end().code(), Some(0));
+}
+
 #[test]
 fn closed_standard_error_does_not_hide_the_exit_code() {
     let taken = TcpListener::bind("127.0.0.1:0").expect("a free port");
