--- a/crates/bench/src/checker/evidence.rs
+++ b/crates/bench/src/checker/evidence.rs
@@ -10,6 +10,9 @@
     pub endpoints: Vec<EndpointRecord>,
     /// What callers got.
     pub callers: Vec<CallerRecord>,
+    /// For how long after the end of a request under a bare key a repeat must
+    /// not run (`docs/GUARANTEES.md`).
+    pub key_memory_us: u64,
     /// When endpoints were first said to be leaving.
     pub leaving: Vec<LeavingNotice>,
     /// Planned stops of instances.
@@ -52,6 +55,8 @@
     pub whole: bool,
     /// The idempotency key or ticket that it shares with other records.
     pub key: Option<String>,
+    /// Whether that is a bare key, which is remembered for a time, and not a ticket.
+    pub is_bare_key: bool,
     /// The instance that it asked.
     pub instance: String,
     /// When it asked.
--- a/crates/bench/src/faults/collect.rs
+++ b/crates/bench/src/faults/collect.rs
@@ -3,6 +3,8 @@
 use super::CaseError;
 use super::scene::Scene;
 use crate::checker::{CallerRecord, EndpointRecord, Evidence, RevisionSeen};
+use crate::fleet::plan::SHORT_MEMORY;
+use crate::load::micros;
 use crate::standins::journal;
 
 /// Gathers the evidence of a case from journals and notes.
@@ -22,6 +24,7 @@
     Ok(Evidence {
         endpoints,
         callers,
+        key_memory_us: micros(SHORT_MEMORY),
         leaving: notes.leaving,
         stops: notes.stops,
         outages: notes.outages,
--- a/crates/bench/src/faults/kind.rs
+++ b/crates/bench/src/faults/kind.rs
@@ -133,6 +133,9 @@
 
 /// How long a failure lasts.
 const HOLD: Duration = Duration::from_millis(2_000);
+/// How long processes are paused and instances parted: longer than claims of
+/// keys are valid and new homes of keys wait, so that both sides act.
+const HOLD_APART: Duration = Duration::from_millis(6_000);
 /// How long an endpoint is leaving: longer than work may still arrive.
 const HOLD_LEAVING: Duration = Duration::from_millis(8_000);
 
@@ -143,6 +146,7 @@
             Fault::EngineLeaves | Fault::EngineListedLeaving | Fault::EngineReclaimed => {
                 HOLD_LEAVING
             }
+            Fault::InstancePaused | Fault::HalvesParted | Fault::OneWayPartition => HOLD_APART,
             _ => HOLD,
         }
     }
--- a/crates/bench/src/faults/report.rs
+++ b/crates/bench/src/faults/report.rs
@@ -92,6 +92,10 @@
             for (reason, count) in reasons(&outcome.evidence.callers) {
                 println!("      {count:>5} x {reason}");
             }
+            outcome
+                .slowest
+                .iter()
+                .for_each(|line| println!("      {line}"));
         }
         if let Some(files) = &outcome.files {
             println!("      files are in {}", files.display());
--- a/crates/bench/src/fleet/plan.rs
+++ b/crates/bench/src/fleet/plan.rs
@@ -9,6 +9,10 @@
 /// it knows nothing of.
 pub const SHORT_SETTLE: core::time::Duration = core::time::Duration::from_millis(3_000);
 
+/// How long after its end an instance with short claims remembers the outcome
+/// of a request under a key.
+pub const SHORT_MEMORY: core::time::Duration = core::time::Duration::from_millis(3_000);
+
 /// What a fleet consists of. Build it with [`Plan::default`] and the `with_` methods.
 #[derive(Clone, Debug)]
 pub struct Plan {
--- a/crates/bench/src/load/received.rs
+++ b/crates/bench/src/load/received.rs
@@ -4,6 +4,9 @@
 use serde::{Deserialize, Serialize};
 use std::time::Instant;
 
+/// What the record of a caller that went away says.
+pub(super) const LEFT: &str = "the caller left";
+
 /// What a caller got for one request.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Received {
@@ -94,6 +97,11 @@
         matches!(self.ending, CallerEnding::Complete { .. })
     }
 
+    /// Returns whether the caller itself went away.
+    pub fn left(&self) -> bool {
+        matches!(&self.ending, CallerEnding::Broken { detail, .. } if detail == LEFT)
+    }
+
     /// Returns the outcome of a typed error, if one came.
     pub fn outcome(&self) -> Option<&str> {
         match &self.ending {
--- a/crates/bench/tests/checker.rs
+++ b/crates/bench/tests/checker.rs
@@ -7,7 +7,7 @@
     RevisionSeen, Work, check,
 };
 use oriolemux_bench::load::{CallerEnding, Received};
-use oriolemux_bench::standins::journal::{Entry, Fact};
+use oriolemux_bench::standins::journal::{Ending, Entry, Fact};
 use oriolemux_bench::standins::text::{self, Sampling};
 use rstest::rstest;
 
@@ -79,6 +79,7 @@
         idempotent: true,
         whole: false,
         key: None,
+        is_bare_key: false,
         instance: "entry-1".to_owned(),
         sent_us: SECOND,
         ended_us: 3 * SECOND,
@@ -155,6 +156,7 @@
             call("r-s", "s", "answer to s"),
             answered("r-t", "r-t.2", "t"),
         ],
+        key_memory_us: 3 * SECOND,
         leaving: vec![LeavingNotice {
             endpoint: "engine-1".to_owned(),
             from_us: 2 * SECOND,
@@ -315,6 +317,35 @@
     assert_eq!(promises(&evidence), [Promise::AtMostOnce]);
 }
 
+/// Runs the call of the sound evidence again, at `at_us` after an end at two seconds.
+fn run_again(evidence: &mut Evidence, at_us: u64, is_bare_key: bool) {
+    evidence.callers[CALL].key = Some("k".to_owned());
+    evidence.callers[CALL].is_bare_key = is_bare_key;
+    let ended = Fact::Ended {
+        attempt: "r-s.1".to_owned(),
+        tokens: 1,
+        how: Ending::Whole,
+    };
+    evidence.endpoints[1].entries.push(entry(2 * SECOND, ended));
+    evidence.endpoints[1]
+        .entries
+        .extend(ran(at_us, "r-u", "r-u.1", "s"));
+}
+
+#[rstest]
+#[case::a_key_that_is_remembered(4 * SECOND, true, &[Promise::AtMostOnce])]
+#[case::a_key_that_is_forgotten(6 * SECOND, true, &[])]
+#[case::a_ticket_is_never_forgotten(6 * SECOND, false, &[Promise::AtMostOnce])]
+fn a_key_holds_as_long_as_it_is_promised(
+    #[case] at_us: u64,
+    #[case] is_bare_key: bool,
+    #[case] expected: &[Promise],
+) {
+    let mut evidence = sound();
+    run_again(&mut evidence, at_us, is_bare_key);
+    assert_eq!(promises(&evidence), expected);
+}
+
 #[rstest]
 #[case::work_arrives_late(7 * SECOND, None, &[Promise::Leaving])]
 #[case::work_arrives_within_the_grace(6 * SECOND, None, &[])]
