--- a/crates/oriolemux/tests/cli_serve.rs
+++ b/crates/oriolemux/tests/cli_serve.rs
@@ -3,6 +3,7 @@
 use nix::fcntl::{FcntlArg, fcntl};
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
+use rstest::rstest;
 use std::fmt::Write as _;
 use std::io::{BufRead, BufReader, Read, Write as _};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -158,6 +159,29 @@
     assert_eq!(instance.end().code(), Some(0));
 }
 
+#[rstest]
+#[case::nothing_sent("")]
+#[case::half_a_head("POST /v1/completions HTTP/1.1\r\nhost: a\r\n")]
+#[case::half_a_body("POST /v1/completions HTTP/1.1\r\nhost: a\r\ncontent-length: 9\r\n\r\n{")]
+fn connection_without_a_request_does_not_hold_up_a_stop(#[case] sent: &str) {
+    // Symptom: a planned stop never ends although nothing runs. Sequence: a caller connects,
+    // sends nothing or half a request, and stays; the stop begins. Cause: the listener waits
+    // for each connection to close, as it must for those that carry a stream.
+    let mut instance = Instance::start(0);
+    let addresses = [instance.callers, instance.operators];
+    let connections = addresses.map(|address| {
+        let mut connection = TcpStream::connect(address).expect("connected");
+        connection.write_all(sent.as_bytes()).expect("sent");
+        connection
+    });
+
+    instance.signal();
+
+    instance.wait_for("stop_finished");
+    assert_eq!(instance.end().code(), Some(0));
+    drop(connections);
+}
+
 #[test]
 fn second_signal_stops_at_once() {
     let a_minute = 60_000;
