Membership and leases know when they are due without looking at every link and limit

Cause: a node asks all its parts for their next timer after every event, and both looked at everything they hold: links twice and doubts, every limit once.

Change: each keeps a time before which nothing is due. It may lie too early, never too late; the tick works it out anew. What a request needs of the limits is a module of its own.

Shown by: the tests of membership, limits and node pass unchanged.

--- a/crates/core/src/limits.rs
+++ b/crates/core/src/limits.rs
@@ -13,6 +13,7 @@
 //! older leases last, and an equal part for every instance without a home.
 
 mod bucket;
+mod claim;
 mod fair;
 mod home;
 mod leases;
@@ -21,9 +22,10 @@
 mod share;
 
 pub use bucket::TokenBucket;
+pub use claim::Claim;
 pub use fair::FairLevel;
 pub use home::LimitHome;
-pub use leases::{Claim, LeaseCounts, Leases};
+pub use leases::{LeaseCounts, Leases};
 pub use message::{LimitAsk, LimitLease, LimitsMessage};
 
 use crate::ids::{EntryKey, InstanceKey, WorkspaceKey, stable_hash};
--- a/crates/core/src/limits/leases.rs
+++ b/crates/core/src/limits/leases.rs
@@ -1,10 +1,11 @@
 //! The instance's side of limits: admits requests against its leases.
 
+use super::claim::{Claim, Pair, keys_of};
 use super::message::LimitLease;
-use super::parked::{Pair, Parked, Waiting};
+use super::parked::{Parked, Waiting};
 use super::share::Share;
-use super::{Allowance, LimitFleet, LimitKey, LimitsAction, LimitsMessage};
-use crate::ids::{EntryKey, WorkspaceKey};
+use super::{LimitFleet, LimitKey, LimitsAction, LimitsMessage};
+use crate::ids::EntryKey;
 use crate::reason::Reason;
 use crate::time::Time;
 use core::time::Duration;
@@ -13,39 +14,6 @@
 /// The least time after which a refused caller is told to come back.
 const LEAST_RETRY: Duration = Duration::from_millis(100);
 
-/// What a request needs of the limits.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Claim {
-    /// Its workspace.
-    pub workspace: WorkspaceKey,
-    /// The workspace's limits.
-    pub workspace_allows: Allowance,
-    /// Its entry.
-    pub entry: EntryKey,
-    /// The entry's limits.
-    pub entry_allows: Allowance,
-    /// Requests that may wait for the entry, over all instances.
-    pub queue: u32,
-    /// Tokens of the prompt; `None` if limits of tokens do not apply.
-    pub tokens: Option<u32>,
-    /// The request is refused if it holds no place by then.
-    pub until: Time,
-}
-
-impl Claim {
-    pub(super) fn pair(&self) -> Pair {
-        (self.entry, self.workspace)
-    }
-
-    fn keys(&self) -> [LimitKey; 2] {
-        keys_of(self.pair())
-    }
-}
-
-fn keys_of((entry, workspace): Pair) -> [LimitKey; 2] {
-    [LimitKey::Workspace(workspace), LimitKey::Entry(entry)]
-}
-
 /// A request that holds a place.
 #[derive(Clone, Copy, Debug)]
 struct Admitted {
@@ -78,12 +46,27 @@
 ///
 /// Invariant: a request waits or is admitted, not both; `in_use` and `parked`
 /// of a share count the requests of `admitted` and `parked` with its key.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Leases {
     shares: BTreeMap<LimitKey, Share>,
     admitted: BTreeMap<u64, Admitted>,
     parked: Parked,
     instances: u32,
+    /// Nothing is due for a share before this. It may lie too early, never too
+    /// late, so that it need not be worked out anew with every event.
+    shares_due: Time,
+}
+
+impl Default for Leases {
+    fn default() -> Self {
+        Leases {
+            shares: BTreeMap::new(),
+            admitted: BTreeMap::new(),
+            parked: Parked::default(),
+            instances: 1,
+            shares_due: Time::NEVER,
+        }
+    }
 }
 
 impl Leases {
@@ -215,8 +198,7 @@
 
     /// Returns when [`Leases::tick`] is due.
     pub fn next_wake(&self) -> Time {
-        let shares = self.shares.values().map(Share::next_wake).min();
-        shares.unwrap_or(Time::NEVER).min(self.parked.next_due())
+        self.shares_due.min(self.parked.next_due())
     }
 
     /// Renews leases, repeats asks and refuses what waited for too long.
@@ -225,11 +207,19 @@
         while let Some(request) = self.parked.overdue(now) {
             self.refuse(now, request, out);
         }
+        if now >= self.shares_due {
+            self.tick_shares(now, fleet, out);
+        }
+    }
+
+    fn tick_shares(&mut self, now: Time, fleet: &impl LimitFleet, out: &mut Vec<LimitsAction>) {
         let due = self.shares.values().filter(|it| it.next_wake() <= now);
         let keys: Vec<LimitKey> = due.map(|it| it.key).collect();
         self.ask_homes(now, &keys, fleet, out);
         self.admit_waiting(now, out);
         self.shares.retain(|_, it| !it.is_idle(now));
+        let due = self.shares.values().map(Share::next_wake);
+        self.shares_due = due.min().unwrap_or(Time::NEVER);
     }
 
     fn meet(&mut self, now: Time, claim: &Claim) {
@@ -474,7 +464,8 @@
             let message = LimitsMessage::Ask(ask);
             out.push(LimitsAction::Send { to, message });
         }
-        if self.shares.get(&key).is_some_and(Share::is_alone) && !was_alone {
+        self.shares_due = self.shares_due.min(share.next_wake());
+        if share.is_alone() && !was_alone {
             self.admit_waiting(now, out);
         }
     }
--- a/crates/core/src/limits/parked.rs
+++ b/crates/core/src/limits/parked.rs
@@ -1,13 +1,10 @@
 //! Requests that wait for a place.
 
-use super::leases::Claim;
-use crate::ids::{EntryKey, WorkspaceKey};
+use super::claim::{Claim, Pair};
+use crate::ids::EntryKey;
 use crate::time::Time;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-/// Requests of one workspace for one entry; they wait for the same limits.
-pub(super) type Pair = (EntryKey, WorkspaceKey);
-
 /// A request that waits.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Waiting {
--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -166,6 +166,9 @@
     reads: Reads,
     /// Peers that were asked to be dialled last, to tell a change.
     dialled: Vec<InstanceKey>,
+    /// Nothing is due for a link before this. It may lie too early, never too
+    /// late, so that it need not be worked out anew with every message.
+    links_due: Time,
     stopping: bool,
 }
 
@@ -183,6 +186,7 @@
             doubt: None,
             reads: Reads::default(),
             dialled: Vec::new(),
+            links_due: Time::NEVER,
             stopping: false,
         }
     }
@@ -216,18 +220,14 @@
 
     /// Returns when [`Membership::tick`] is due.
     pub fn next_wake(&self) -> Time {
-        self.next_read()
-            .min(self.next_suspicion())
-            .min(self.next_link_expiry())
-            .min(self.doubt_due())
+        self.next_read().min(self.links_due).min(self.doubt_due())
     }
 
     /// Does whatever is due.
     pub fn tick(&mut self, now: Time, out: &mut Vec<MembershipAction>) {
         self.tick_reads(now, out);
-        self.tick_suspicions(now, out);
+        self.tick_links(now, out);
         self.tick_doubt(now, out);
-        self.refresh_links(now, out);
     }
 
     /// A peer message arrived.
--- a/crates/core/src/membership/links.rs
+++ b/crates/core/src/membership/links.rs
@@ -69,6 +69,18 @@
         !self.is_leaving() && !self.is_suspected()
     }
 
+    /// Returns when something is to be done about its link.
+    fn due(&self) -> Time {
+        let idle = self.touched.map_or(Time::NEVER, |it| it + LINK_IDLE);
+        match self.link {
+            Link::Down {
+                since,
+                suspected: false,
+            } => idle.min(since + SUSPECT_AFTER),
+            _ => idle,
+        }
+    }
+
     pub fn is_suspected(&self) -> bool {
         matches!(
             self.link,
@@ -140,6 +152,7 @@
                 since: now,
                 suspected: false,
             };
+            self.links_due = self.links_due.min(now + SUSPECT_AFTER);
         }
         self.refresh_links(now, out);
     }
@@ -194,6 +207,7 @@
             return;
         }
         self.lives.entry(to).or_default().touched = Some(now);
+        self.links_due = self.links_due.min(now + LINK_IDLE);
         if !is_dialled {
             self.refresh_links(now, out);
         }
@@ -239,24 +253,19 @@
         wanted
     }
 
-    pub(super) fn next_link_expiry(&self) -> Time {
-        let touched = self.lives.values().filter_map(|it| it.touched);
-        touched.min().map_or(Time::NEVER, |it| it + LINK_IDLE)
-    }
-
-    pub(super) fn next_suspicion(&self) -> Time {
-        let due = self.lives.values().filter_map(|life| match life.link {
-            Link::Down {
-                since,
-                suspected: false,
-            } => Some(since + SUSPECT_AFTER),
-            _ => None,
-        });
-        due.min().unwrap_or(Time::NEVER)
+    /// Does what is due for links: suspects, and gives up idle ones.
+    pub(super) fn tick_links(&mut self, now: Time, out: &mut Vec<MembershipAction>) {
+        if now < self.links_due {
+            return;
+        }
+        self.tick_suspicions(now, out);
+        self.refresh_links(now, out);
+        let due = self.lives.values().map(Life::due);
+        self.links_due = due.min().unwrap_or(Time::NEVER);
     }
 
     /// Moves homes away from instances whose link stayed down.
-    pub(super) fn tick_suspicions(&mut self, now: Time, out: &mut Vec<MembershipAction>) {
+    fn tick_suspicions(&mut self, now: Time, out: &mut Vec<MembershipAction>) {
         let mut gone = Vec::new();
         for (&key, life) in &mut self.lives {
             if let Link::Down { since, suspected } = &mut life.link
