Claims around frozen processes and stalled links, between real processes

Cause: process_claims killed instances only. Now the process that grants a name is frozen and wakes with claims of requests that were answered meanwhile, and all links between instances stall while copies reach all of them. One run, one whole answer, a truthful word to the rest.

Ruled out as a bed for the second: a fleet of two views. The test stalls every link instead.

--- a/crates/bench/tests/process_claims.rs
+++ b/crates/bench/tests/process_claims.rs
@@ -1,9 +1,11 @@
 //! At most once between real processes: what the services' journals say ran,
 //! against what the callers were told.
 
+use nix::sys::signal::Signal;
 use oriolemux_bench::fleet::catalogue::{LOOKUP, SALE, SCHOOL_KEY};
 use oriolemux_bench::fleet::{Fleet, Plan};
 use oriolemux_bench::load::{CallRequest, Caller, CallerEnding, Received};
+use oriolemux_bench::proxy::Rules;
 use oriolemux_bench::standins::journal::{self, Fact};
 use oriolemux_bench::standins::service::{ServiceFault, ServiceRule};
 use oriolemux_core::keys::KeyHash;
@@ -25,12 +27,19 @@
     Path::new(env!("CARGO_BIN_EXE_oriolemux-bench"))
 }
 
-async fn fleet() -> Fleet {
-    let plan = Plan::default()
+fn plan() -> Plan {
+    Plan::default()
         .with_instances(4)
         .with_services(2)
         .with_service_args(SERVICE_ARGS)
-        .with_short_claims();
+        .with_short_claims()
+}
+
+async fn fleet() -> Fleet {
+    started(plan()).await
+}
+
+async fn started(plan: Plan) -> Fleet {
     let mut fleet = Fleet::start(plan, program()).await.expect("starts");
     fleet.all_ready().await.expect("every instance serves");
     fleet
@@ -112,13 +121,18 @@
         if matches!(reason.as_str(), "key_home_unsure" | "home_silent"))
 }
 
+/// Sends the call to all `instances` at once.
+async fn send_to(fleet: &Fleet, instances: &[usize], call: &CallRequest) -> Vec<Received> {
+    let sends = instances.iter().map(|&n| send(fleet, n, call));
+    futures_util::future::join_all(sends).await
+}
+
 /// Sends the call to all `instances` at once, and again for as long as no
 /// answer decides on its name, as a caller that is told "unknown" does.
 async fn send_at_once(fleet: &Fleet, instances: &[usize], call: &CallRequest) -> Vec<Received> {
     let deadline = Instant::now() + PATIENCE;
     loop {
-        let sends = instances.iter().map(|&n| send(fleet, n, call));
-        let answers = futures_util::future::join_all(sends).await;
+        let answers = send_to(fleet, instances, call).await;
         if !answers.iter().all(is_unsure) {
             return answers;
         }
@@ -225,6 +239,85 @@
     assert_eq!(runs(&fleet, &call.body), 1);
 }
 
+/// Symptom: one shirt is sold twice. Sequence: the process that grants the
+/// name is frozen; copies of the order are refused, then it wakes and finds
+/// their claims in its sockets, while further copies arrive. Cause: a grant to
+/// a request that was answered long ago, beside one to a copy that runs.
+#[rstest]
+#[case::key(false)]
+#[case::ticket(true)]
+#[tokio::test(flavor = "multi_thread")]
+async fn copies_around_a_frozen_granter_run_once(#[case] by_ticket: bool) {
+    let fleet = fleet().await;
+    let name = match by_ticket {
+        true => draw(&fleet, 1).await,
+        false => settled_key(&fleet).await,
+    };
+    let call = sale("one shirt", &name);
+    let granter = &fleet.instances[1].child;
+    granter.signal(Signal::SIGSTOP).expect("is frozen");
+
+    let frozen = send_to(&fleet, &[0, 2, 3], &call).await;
+
+    for copy in &frozen {
+        assert_eq!(told(copy).1, "unknown", "{copy:?}");
+    }
+    assert_eq!(runs(&fleet, &call.body), 0);
+    granter.signal(Signal::SIGCONT).expect("wakes");
+    let deadline = Instant::now() + PATIENCE;
+    let mut whole = 0;
+    while whole == 0 {
+        let answers = send_to(&fleet, &[0, 2, 3], &call).await;
+        whole += answers.iter().filter(|it| it.is_complete()).count();
+        for copy in answers.iter().filter(|it| !it.is_complete()) {
+            let truthful = matches!(told(copy), (_, "unknown") | ("already_ran", "complete"));
+            assert!(truthful, "{copy:?}");
+        }
+        assert!(runs(&fleet, &call.body) <= 1, "{answers:?}");
+        assert!(Instant::now() < deadline, "never granted: {answers:?}");
+    }
+    assert_eq!((whole, runs(&fleet, &call.body)), (1, 1));
+}
+
+/// Symptom: both sides of a partition sell one shirt. Sequence: all links
+/// between instances stall; copies of one order reach all of them, before and
+/// after the stall is noticed. Cause: an instance that cannot ask the one that
+/// grants the name decides by itself.
+#[rstest]
+#[case::key(false)]
+#[case::ticket(true)]
+#[tokio::test(flavor = "multi_thread")]
+async fn copies_in_a_fleet_without_links_run_once(#[case] by_ticket: bool) {
+    let fleet = started(plan().proxied()).await;
+    let name = match by_ticket {
+        true => draw(&fleet, 1).await,
+        false => settled_key(&fleet).await,
+    };
+    let call = sale("one shirt", &name);
+    set_links(&fleet, Rules::STALLED);
+
+    for _ in 0..3 {
+        for copy in send_to(&fleet, &[0, 2, 3], &call).await {
+            assert_eq!(told(&copy).1, "unknown", "{copy:?}");
+        }
+    }
+    assert_eq!(runs(&fleet, &call.body), 0);
+    let granted = send_at_once(&fleet, &[1, 3, 0, 2], &call).await;
+
+    let whole = granted.iter().filter(|it| it.is_complete()).count();
+    assert_eq!((whole, runs(&fleet, &call.body)), (1, 1), "{granted:?}");
+    set_links(&fleet, Rules::default());
+    let healed = send_to(&fleet, &[0, 2, 3], &call).await;
+    assert!(!healed.iter().any(Received::is_complete), "{healed:?}");
+    assert_eq!(runs(&fleet, &call.body), 1);
+}
+
+/// Sets what the links between instances do.
+fn set_links(fleet: &Fleet, rules: Rules) {
+    let routes = fleet.views.iter().flat_map(|view| &view.to_instances);
+    routes.for_each(|route| route.set(rules));
+}
+
 /// Returns an unused key whose home is instance 1 and grants keys.
 async fn settled_key(fleet: &Fleet) -> Name {
     let mut keys = (0..).map(|n| format!("order-{n}"));
