A burst after quiet gets its places at once

Cause: a home leased equal parts for the first second of every account it met. That is needed only while leases of an earlier home may last; an account that was forgotten because it was idle, as before each turn of the hour, was held back for up to a second too.

Before: of six requests that arrive together at one instance of six, one was admitted at once.

--- a/crates/core/src/limits/home.rs
+++ b/crates/core/src/limits/home.rs
@@ -16,10 +16,10 @@
 /// Accounts that nobody holds anything of are dropped so often.
 const SWEEP_EVERY: Duration = Duration::from_secs(10);
 
-/// A home that has just met a limit leases each asker an equal part at most for
-/// so long. Others may hold leases of an earlier home, of which they tell the
-/// new one within this time; leasing the whole limit to whoever asks first
-/// would run up to twice of it.
+/// A home that meets a limit soon after homes moved leases each asker an equal
+/// part at most for so long. Others may hold leases of an earlier home, of
+/// which they tell the new one within this time; leasing the whole limit to
+/// whoever asks first would run up to twice of it.
 const MEETING_TIME: Duration = Duration::from_secs(1);
 
 /// For each instance that uses a limit, so much is added to the pause after
@@ -52,7 +52,8 @@
     allowance: Allowance,
     holdings: BTreeMap<PeerId, Holding>,
     bucket: TokenBucket,
-    met: Time,
+    /// Until when each asker gets an equal part at most.
+    meeting_until: Time,
     took_back: Time,
 }
 
@@ -63,6 +64,9 @@
     sweep_due: Option<Time>,
     /// Usable and listed instances; see [`LimitHome::set_fleet`].
     fleet: (u32, u32),
+    /// When homes moved last. Leases of earlier homes have ended
+    /// [`LEASE_TIME`] later.
+    moved: Option<Time>,
 }
 
 impl LimitHome {
@@ -75,8 +79,11 @@
     ///
     /// A home that cannot reach some leaves them their part: on the other side
     /// of a partition they have a home of their own, which gives out the rest.
-    pub fn set_fleet(&mut self, usable: u32, listed: u32) {
+    ///
+    /// To be called whenever homes may have moved.
+    pub fn set_fleet(&mut self, now: Time, usable: u32, listed: u32) {
         self.fleet = (usable, listed);
+        self.moved = Some(now);
     }
 
     /// Returns how many limits are in use here.
@@ -94,7 +101,8 @@
     pub fn ask(&mut self, now: Time, from: PeerId, ask: &LimitAsk, out: &mut Vec<LimitsAction>) {
         let fleet = self.fleet;
         let account = self.accounts.entry(ask.key);
-        let account = account.or_insert_with(|| Account::new(now, ask.allowance));
+        let others_may_hold = self.moved.is_some_and(|it| now < it + LEASE_TIME);
+        let account = account.or_insert_with(|| Account::new(now, ask.allowance, others_may_hold));
         account.learn(now, ask.allowance);
         account.expire(now);
         if account.is_overtaken(from, ask) {
@@ -151,12 +159,16 @@
 }
 
 impl Account {
-    fn new(now: Time, allowance: Allowance) -> Self {
+    fn new(now: Time, allowance: Allowance, others_may_hold: bool) -> Self {
+        let meeting_until = match others_may_hold {
+            true => now + MEETING_TIME,
+            false => Time::ZERO,
+        };
         Account {
             allowance,
             holdings: BTreeMap::new(),
             bucket: TokenBucket::new(now, allowance.tokens_per_minute),
-            met: now,
+            meeting_until,
             took_back: Time::ZERO,
         }
     }
@@ -245,7 +257,7 @@
     }
 
     fn most_at_first(&self, now: Time, total: u32, (_, listed): (u32, u32)) -> u32 {
-        if now >= self.met + MEETING_TIME || listed == 0 {
+        if now >= self.meeting_until || listed == 0 {
             return total;
         }
         total.div_ceil(listed)
--- a/crates/core/src/node/limits.rs
+++ b/crates/core/src/node/limits.rs
@@ -104,7 +104,7 @@
     pub(super) fn refresh_limits(&mut self) {
         let usable = self.membership.live_count();
         let listed = self.membership.listed_count();
-        self.limit_home.set_fleet(usable, listed);
+        self.limit_home.set_fleet(self.now, usable, listed);
         self.with_leases(|leases, now, fleet, out| leases.homes_moved(now, fleet, out));
     }
 
--- a/crates/core/tests/limits_leases.rs
+++ b/crates/core/tests/limits_leases.rs
@@ -7,9 +7,13 @@
 use oriolemux_core::ids::Incarnation;
 use oriolemux_core::limits::{Allowance, FairLevel, LEASE_TIME};
 use oriolemux_core::reason::Reason;
+use oriolemux_core::time::Time;
 use rstest::rstest;
 use std::time::Duration;
 
+/// When the world begins.
+const T: Time = Time::from_secs(1);
+
 const RTT: Duration = Duration::from_millis(10);
 
 /// An entry that allows `concurrent` requests and any number of tokens.
@@ -44,6 +48,32 @@
     assert_eq!(world.members[1].admitted, [first, second]);
 }
 
+#[test]
+fn a_burst_after_quiet_gets_its_places_at_once() {
+    // Symptom: the first verdicts of the hour waited for a second.
+    // Sequence: a workspace is idle until the hour turns; its home has
+    // forgotten it and meets it anew.
+    // Cause: each new account was held to equal parts, as if homes had moved.
+    let mut world = World::new(6);
+    let burst = |world: &mut World| {
+        for _ in 0..6 {
+            let claim = world.claim(workspace("ws", 6, 0), entry(100), 60_000);
+            world.take(1, claim);
+        }
+        world.run(3 * RTT);
+        world.members[1].admitted.len()
+    };
+    assert_eq!(burst(&mut world), 1, "homes have just moved");
+    world.run(Duration::from_secs(2));
+    assert_eq!(world.members[1].admitted.len(), 6);
+    for request in world.members[1].admitted.clone() {
+        world.end(1, request);
+    }
+    world.run(Duration::from_secs(100));
+    assert_eq!(world.members[0].home.accounts(), 0);
+    assert_eq!(burst(&mut world), 6);
+}
+
 #[test]
 fn leases_follow_demand_up_to_the_limit() {
     let mut world = World::new(3);
@@ -215,8 +245,8 @@
         world.set_home(member, Some(2));
     }
     if know {
-        world.members[0].home.set_fleet(2, 6);
-        world.members[2].home.set_fleet(4, 6);
+        world.members[0].home.set_fleet(T, 2, 6);
+        world.members[2].home.set_fleet(T, 4, 6);
     }
     take_everywhere(&mut world, 30, "ws", 12, entry(100));
     world.run(Duration::from_secs(3));
