Givers of orders are counted once for each list

Cause: every look at what is to be ordered ranked each instance for each cell, 390 by 120 at the planned size, up to ten times a second and with nearly every event of a quiet node. Found by the slopes that follow: a request cost its home 14 us before the orders were composed and 796 us after, a load report 0.9 us and 450 us. Ruled out: the cell (unchanged) and the list (taken in once in the run). Change: the count follows from the list alone and is kept with its revision. After: 21 us and 1.4 us on the same machine. Conclusion: what a node does on its own ticks belongs among the slopes.

--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -140,6 +140,8 @@
     orders: Orders,
     /// When orders were looked at last.
     orders_looked: Time,
+    /// How many instances give orders, counted once for each list.
+    givers: orders::GiverCount,
     budget: RetryBudget,
     /// Checkpoints that wait to be sent, by home.
     progress: BTreeMap<InstanceKey, Vec<Checkpoint>>,
@@ -182,6 +184,7 @@
                 loads_per_minute: cfg.loads_per_minute,
             }),
             orders_looked: Time::ZERO,
+            givers: orders::GiverCount::default(),
             budget: RetryBudget::new(),
             progress: BTreeMap::new(),
             explain: Explain::new(cfg.explain_records),
--- a/crates/core/src/node/orders.rs
+++ b/crates/core/src/node/orders.rs
@@ -11,6 +11,23 @@
 /// seconds to minutes; nothing is gained by looking more often.
 const LOOK_GAP: Duration = Duration::from_millis(100);
 
+/// How many instances give orders under one revision of the list.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct GiverCount {
+    list_revision: u64,
+    givers: u32,
+}
+
+impl Default for GiverCount {
+    /// Without a list this node counts itself.
+    fn default() -> Self {
+        GiverCount {
+            list_revision: 0,
+            givers: 1,
+        }
+    }
+}
+
 impl Node {
     /// The list, a notice or the catalogue changed what endpoints should hold.
     pub(super) fn refresh_goals(&mut self) {
@@ -66,12 +83,21 @@
         wake.max(self.orders_looked + LOOK_GAP)
     }
 
-    fn knowledge(&self) -> Knowledge {
+    fn knowledge(&mut self) -> Knowledge {
+        let list_revision = self.membership.view().revision();
+        // Ranking every instance for every cell takes half a millisecond in a
+        // fleet of 390, and the answer follows from the list alone.
+        if self.givers.list_revision != list_revision {
+            self.givers = GiverCount {
+                list_revision,
+                givers: count_givers(&self.membership),
+            };
+        }
         Knowledge {
-            list_revision: self.membership.view().revision(),
+            list_revision,
             confirmed: self.membership.list_confirmed(),
             is_catalogue_current: self.sync.is_current(),
-            givers: count_givers(&self.membership),
+            givers: self.givers.givers,
         }
     }
 }
