Slopes of control, and the page of capacity computed from them

Cause: what control takes of a node at 390 instances, 600 workers and 48,000 workspaces was not known. Change: `oriolemux-bench slopes` measures processor time, memory and bytes by driver (requests at their entry and home, load polls, links, lists, indexes, shards, memory of each, real processes at rest, the spread of a revision), fits a line through at least four points of each and works out the busiest and the median node. docs/CAPACITY.md has its tables from docs/capacity/slopes.json, and a test computes them again. `oriolemux-bench report` draws policies and slopes.

--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -18,5 +18,7 @@
 pub mod process;
 pub mod proxy;
 pub mod relay_bench;
+pub mod report;
+pub mod slopes;
 pub mod standins;
 pub mod workload;
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -3,7 +3,9 @@
 //! can start real processes by executing its own file again.
 
 use clap::{Parser, Subcommand};
-use oriolemux_bench::{decide, demo, faults, node, policy, proxy, relay_bench, standins};
+use oriolemux_bench::{
+    decide, demo, faults, node, policy, proxy, relay_bench, report, slopes, standins,
+};
 use std::process::ExitCode;
 
 /// Stand-ins, load and experiments for oriolemux.
@@ -33,6 +35,10 @@
     Faults(faults::FaultsArgs),
     /// Compare policies of placement side by side in virtual time.
     Policy(policy::PolicyArgs),
+    /// Draw one page of plots from what the experiments wrote.
+    Report(report::ReportArgs),
+    /// Measure how control costs grow with each driver.
+    Slopes(slopes::SlopesArgs),
     /// Measure what a decision costs, by queued requests and endpoints.
     Decide(decide::DecideArgs),
     /// Measure what relaying a token costs, in processor time and latency.
@@ -56,5 +62,7 @@
         Command::Decide(args) => decide::run(args),
         Command::Relay(args) => relay_bench::run(args),
         Command::RelayNode(args) => relay_bench::run_node(args),
+        Command::Slopes(args) => slopes::run(args),
+        Command::Report(args) => report::run(args),
     }
 }
--- a/crates/bench/src/policy.rs
+++ b/crates/bench/src/policy.rs
@@ -24,7 +24,7 @@
 use baselines::{FirstCome, LeastOutstanding, Priorities, Room, RoundRobin};
 use clap::Args;
 use oriolemux_core::cell::CellConfig;
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::sync::Mutex;
@@ -63,7 +63,7 @@
 }
 
 /// A policy of the comparison.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum PolicyKind {
     /// The next engine in turn, without admission.
@@ -126,7 +126,7 @@
 }
 
 /// One run: a mix under a policy.
-#[derive(Clone, Debug, PartialEq, Serialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Run {
     /// The mix's name.
     pub mix: String,
@@ -191,8 +191,8 @@
         let figures = Figures {
             seed: args.seed,
             turns,
-            comparison: &comparison,
-            runs: &runs,
+            comparison: comparison.clone(),
+            runs,
         };
         let json = serde_json::to_string_pretty(&figures).expect("figures are plain data");
         if let Err(err) = std::fs::write(path, json) {
@@ -208,12 +208,16 @@
 }
 
 /// What `--out` writes.
-#[derive(Serialize)]
-struct Figures<'a> {
-    seed: u64,
-    turns: u32,
-    comparison: &'a Comparison,
-    runs: &'a [Run],
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Figures {
+    /// Seed of the arrivals and lengths.
+    pub seed: u64,
+    /// Hour turns.
+    pub turns: u32,
+    /// The product against the others.
+    pub comparison: Comparison,
+    /// Every run.
+    pub runs: Vec<Run>,
 }
 
 /// Runs every workload under every policy, in the order of workloads, then policies.
--- a/crates/bench/src/policy/compare.rs
+++ b/crates/bench/src/policy/compare.rs
@@ -1,7 +1,7 @@
 //! The product against the baselines and the oracle.
 
 use super::{PolicyKind, Run, Summary};
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 
 /// A baseline counts for stall and preemptions only if its goodput reaches this
 /// part of the best baseline's: holding requests back until their targets are
@@ -17,7 +17,7 @@
 pub const PREEMPTION_FLOOR: f64 = 1.0;
 
 /// The ratios of one mix, or the worst of each over all mixes.
-#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Ratios {
     /// Stall between tokens over that of the best qualifying baseline.
     pub stall_ratio: f64,
@@ -46,7 +46,7 @@
 }
 
 /// The ratios of each mix and the worst over them.
-#[derive(Clone, Debug, PartialEq, Serialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Comparison {
     /// The worst of each ratio over the mixes.
     pub worst: Ratios,
@@ -55,7 +55,7 @@
 }
 
 /// The ratios of one mix.
-#[derive(Clone, Debug, PartialEq, Serialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct MixComparison {
     /// The mix's name.
     pub mix: String,
--- a/crates/bench/src/policy/measure.rs
+++ b/crates/bench/src/policy/measure.rs
@@ -4,7 +4,7 @@
 use core::time::Duration;
 use hdrhistogram::Histogram;
 use oriolemux_core::time::Time;
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 
 /// Longest time that histograms tell apart, in microseconds.
 const LONGEST_US: u64 = 4 * 3_600 * 1_000_000;
@@ -54,10 +54,10 @@
 }
 
 /// The measures of one class.
-#[derive(Clone, Debug, PartialEq, Serialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ClassSummary {
     /// The class's name.
-    pub class: &'static str,
+    pub class: String,
     /// Requests that arrived.
     pub arrived: u64,
     /// Requests that were refused.
@@ -89,7 +89,7 @@
 }
 
 /// The measures of one run.
-#[derive(Clone, Debug, PartialEq, Serialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Summary {
     /// Each class, the most urgent first.
     pub classes: Vec<ClassSummary>,
@@ -236,7 +236,7 @@
 
     fn summary(&self) -> ClassSummary {
         ClassSummary {
-            class: self.spec.name,
+            class: self.spec.name.to_owned(),
             arrived: self.arrived,
             refused: self.refused,
             complete: self.complete,
