Failures strike twice in the pairs; the stand-in's stream in smaller steps

Change: `--pairs` also lets each failure strike two engines or two instances; a case whose stand-ins showed the failure to no request says so. The stream of the stand-in engine is written by one function for tokens and one for the end.

--- a/crates/bench/src/faults.rs
+++ b/crates/bench/src/faults.rs
@@ -35,7 +35,7 @@
     /// Seeds everything that is drawn: lengths, order, targets and pairs.
     #[arg(long, default_value_t = 1)]
     pub seed: u64,
-    /// Also run pairs of failures: each failure with two others.
+    /// Also run pairs of failures: each failure on two targets, and with two others.
     #[arg(long)]
     pub pairs: bool,
     /// Run a few failures with few requests.
@@ -159,11 +159,14 @@
     all.filter(wanted).collect()
 }
 
-/// Pairs each failure with a few others that can be told apart from it.
+/// Pairs each failure with itself on another target, and with a few others.
 fn pairs(faults: &[Fault], rng: &mut SmallRng) -> Vec<Vec<Fault>> {
     let mut pairs: Vec<Vec<Fault>> = Vec::new();
     for &first in faults {
-        let mut others: Vec<Fault> = faults.to_vec();
+        if first.goes_with(first) {
+            pairs.push(vec![first, first]);
+        }
+        let mut others: Vec<Fault> = faults.iter().copied().filter(|it| *it != first).collect();
         others.shuffle(rng);
         let fits = |second: &Fault| {
             let known = pairs.iter().any(|pair| pair[..] == [*second, first]);
--- a/crates/bench/src/faults/kind.rs
+++ b/crates/bench/src/faults/kind.rs
@@ -151,9 +151,30 @@
         }
     }
 
+    /// Returns whether a stand-in shows the failure to single requests, and notes each.
+    pub const fn is_shown_by_endpoint(self) -> bool {
+        matches!(
+            self,
+            Fault::EngineStalls
+                | Fault::EngineBusy
+                | Fault::EngineErrors
+                | Fault::GarbageAnswers
+                | Fault::HalfFrames
+                | Fault::TruncatedAnswers
+                | Fault::CrossedAnswers
+                | Fault::DuplicateTokens
+                | Fault::ReorderedTokens
+                | Fault::CutStreams
+                | Fault::LostGenerations
+                | Fault::ServiceLosesAnswers
+                | Fault::ServiceCrosses
+                | Fault::ServiceStalls
+        )
+    }
+
     /// Returns whether both failures together can be told from one of them.
     ///
-    /// Left out: a failure with itself; two failures that set the same switch of
+    /// A failure goes with itself where it can strike two targets. Left out: two failures that set the same switch of
     /// the platform or publish the same value; news that only the list tells
     /// while the list cannot be read; and a restart of all instances while the
     /// service is stale, after which nobody is left who knew better.
@@ -161,7 +182,7 @@
         use Target::{Catalogue, Fleet, Instance, List, Platform};
         let published = |target| matches!(target, List | Catalogue | Platform);
         match (self.target(), other.target()) {
-            _ if self == other => false,
+            (a, _) if self == other => matches!(a, Target::Engine | Instance),
             (a, b) if published(a) && published(b) => false,
             (Instance | Fleet, Instance | Fleet) => {
                 // One of them restarts what the other one pauses or parts.
--- a/crates/bench/src/faults/report.rs
+++ b/crates/bench/src/faults/report.rs
@@ -2,8 +2,9 @@
 
 use super::Case;
 use super::case::{CaseError, CaseOutcome};
-use crate::checker::{CallerRecord, Promise, Violation};
+use crate::checker::{CallerRecord, Evidence, Promise, Violation};
 use crate::load::CallerEnding;
+use crate::standins::journal::Fact;
 use std::collections::BTreeMap;
 use std::process::ExitCode;
 
@@ -46,7 +47,7 @@
     pub fn add(&mut self, index: usize, case: &Case, outcome: Result<CaseOutcome, CaseError>) {
         let name = format!("{:>3} {}", index + 1, case.name());
         match outcome {
-            Ok(outcome) => self.add_outcome(&name, &outcome),
+            Ok(outcome) => self.add_outcome(&name, case, &outcome),
             Err(error) => {
                 println!("{name:NAME_WIDTH$} could not be run: {error}");
                 self.failed_to_run.push(name);
@@ -68,7 +69,7 @@
         )
     }
 
-    fn add_outcome(&mut self, name: &str, outcome: &CaseOutcome) {
+    fn add_outcome(&mut self, name: &str, case: &Case, outcome: &CaseOutcome) {
         self.cases += 1;
         self.requests += outcome.evidence.callers.len();
         let cells: Vec<String> = Promise::ALL
@@ -88,14 +89,17 @@
         for violation in outcome.violations.iter().take(SHOWN_VIOLATIONS) {
             println!("      {violation}");
         }
+        let struck = struck(&outcome.evidence);
+        if struck == 0 && case.faults.iter().any(|fault| fault.is_shown_by_endpoint()) {
+            println!("      the failure struck no request");
+        }
         if self.show_reasons {
             for (reason, count) in reasons(&outcome.evidence.callers) {
                 println!("      {count:>5} x {reason}");
             }
-            outcome
-                .slowest
-                .iter()
-                .for_each(|line| println!("      {line}"));
+            for line in &outcome.slowest {
+                println!("      {line}");
+            }
         }
         if let Some(files) = &outcome.files {
             println!("      files are in {}", files.display());
@@ -137,6 +141,13 @@
     reasons
 }
 
+/// Returns how many attempts stand-ins showed a failure to.
+fn struck(evidence: &Evidence) -> usize {
+    let entries = evidence.endpoints.iter().flat_map(|it| &it.entries);
+    let faults = entries.filter(|entry| matches!(entry.fact, Fact::Fault { .. }));
+    faults.count()
+}
+
 fn count(violations: &[Violation], promise: Promise) -> usize {
     let of_promise = violations.iter().filter(|found| found.promise == promise);
     of_promise.count()
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -2,9 +2,11 @@
 //!
 //! [`standins`] take the place of model engines, plain services and the
 //! platform, and record what they truly ran. [`load`] is a caller that records
-//! what it got, byte for byte. [`demo`] and [`faults`] start all of them, and
-//! instances of the product, as real processes. [`engine_model`] is a model
-//! engine in virtual time, behind both the stand-ins and the experiments.
+//! what it got, byte for byte. A [`fleet`] is all of them, and instances of the
+//! product, as real processes, with a [`proxy`] in every connection if wanted.
+//! [`demo`] shows one at work; [`faults`] lets failures strike one and hands
+//! what was recorded to the [`checker`]. [`engine_model`] is a model engine in
+//! virtual time, behind both the stand-ins and the experiments.
 
 pub mod checker;
 pub mod decide;
--- a/crates/bench/src/standins/engine/stream.rs
+++ b/crates/bench/src/standins/engine/stream.rs
@@ -140,34 +140,42 @@
             return None;
         };
         let mut buf = Vec::new();
-        let mut struck = None;
-        while self.next < generation.generated && struck.is_none() {
-            struck = self.strike(self.next);
-            match struck {
-                Some(fault) => self.phase = broken_token(fault, generation, self.next, &mut buf),
-                None => {
-                    push_token(&mut buf, generation, &generation.attempt, self.next);
-                    self.next += 1;
+        match self.push_tokens(generation, &mut buf) {
+            Some(fault) => {
+                self.phase = broken_token(fault, generation, self.next, &mut buf);
+                self.next += tokens_used(fault);
+                if fault == Fault::Lose {
+                    state.end(&self.listener.attempt, Ending::Cancelled, engine.now());
                 }
             }
+            None => self.push_end(generation, &mut buf),
         }
-        let over = self.next == generation.length && struck.is_none();
-        if over {
+        (!buf.is_empty()).then_some(buf)
+    }
+
+    /// Writes the tokens that are there; stops at one that a fault strikes.
+    fn push_tokens(&mut self, generation: &Generation, buf: &mut Vec<u8>) -> Option<Fault> {
+        while self.next < generation.generated {
+            let struck = self.strike(self.next);
+            if struck.is_some() {
+                return struck;
+            }
+            push_token(buf, generation, &generation.attempt, self.next);
+            self.next += 1;
+        }
+        None
+    }
+
+    /// Ends the stream if no further token will come.
+    fn push_end(&mut self, generation: &Generation, buf: &mut Vec<u8>) {
+        if self.next >= generation.length {
             self.phase = Phase::Closed;
-            let silent_end = self.strike_at_end();
-            if !silent_end {
-                push_end(&mut buf, generation);
+            if !self.strike_at_end() {
+                push_end(buf, generation);
             }
         } else if generation.ended_at.is_some() && !generation.is_whole() {
             self.phase = Phase::Cut;
         }
-        if struck == Some(Fault::Lose) {
-            state.end(&self.listener.attempt, Ending::Cancelled, engine.now());
-        }
-        if struck == Some(Fault::DuplicateToken) || struck == Some(Fault::ReorderedToken) {
-            self.next += 1;
-        }
-        (!buf.is_empty()).then_some(buf)
     }
 
     /// Returns the fault that strikes at token `index`, once.
@@ -186,6 +194,14 @@
     }
 }
 
+/// Returns how many tokens the faulty bytes stand for; the others come after them.
+const fn tokens_used(fault: Fault) -> u32 {
+    match fault {
+        Fault::DuplicateToken | Fault::ReorderedToken => 1,
+        _ => 0,
+    }
+}
+
 /// Writes what `fault` makes of token `index`, and says how the stream goes on.
 fn broken_token(fault: Fault, generation: &Generation, index: u32, buf: &mut Vec<u8>) -> Phase {
     match fault {
