Bench: an hour turn through real processes, and past them

Cause: policies were compared in virtual time only. Change: oriolemux-bench surge sends a part of a mix through six instances to stand-in engines, then straight to the same engines in turn.

--- a/crates/bench/src/fleet.rs
+++ b/crates/bench/src/fleet.rs
@@ -169,6 +169,28 @@
         }
     }
 
+    /// Waits until a catalogue revision is in force at every instance.
+    pub async fn catalogue_in_force(&mut self, revision: u64) -> Result<(), FleetError> {
+        let deadline = tokio::time::Instant::now() + READY_LIMIT;
+        for instance in &self.instances {
+            loop {
+                let status = self.operators.status(instance.operators).await;
+                if status.is_ok_and(|it| it.catalogue.revision == revision) {
+                    break;
+                }
+                if tokio::time::Instant::now() >= deadline {
+                    return Err(FleetError::NotReady {
+                        name: instance.name.clone(),
+                        seconds: READY_LIMIT.as_secs(),
+                        last_words: instance.child.last_words(),
+                    });
+                }
+                tokio::time::sleep(READY_POLL).await;
+            }
+        }
+        Ok(())
+    }
+
     /// Waits until every instance serves.
     pub async fn all_ready(&mut self) -> Result<(), FleetError> {
         for index in 0..self.instances.len() {
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -23,4 +23,5 @@
 pub mod report;
 pub mod slopes;
 pub mod standins;
+pub mod surge;
 pub mod workload;
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -4,7 +4,7 @@
 
 use clap::{Parser, Subcommand};
 use oriolemux_bench::{
-    decide, demo, faults, node, policy, proxy, relay_bench, report, slopes, standins,
+    decide, demo, faults, node, policy, proxy, relay_bench, report, slopes, standins, surge,
 };
 use std::process::ExitCode;
 
@@ -39,6 +39,8 @@
     Report(report::ReportArgs),
     /// Measure how control costs grow with each driver.
     Slopes(slopes::SlopesArgs),
+    /// Send an hour turn through real processes, and past them.
+    Surge(surge::SurgeArgs),
     /// Measure what a decision costs, by queued requests and endpoints.
     Decide(decide::DecideArgs),
     /// Measure what relaying a token costs, in processor time and latency.
@@ -59,6 +61,7 @@
         Command::Demo(args) => demo::run(args),
         Command::Faults(args) => faults::run(args),
         Command::Policy(args) => policy::run(args),
+        Command::Surge(args) => surge::run(args),
         Command::Decide(args) => decide::run(args),
         Command::Relay(args) => relay_bench::run(args),
         Command::RelayNode(args) => relay_bench::run_node(args),
