The test of a frozen granter waits until it is frozen

SIGSTOP is asynchronous: the process still answers until each of its threads has taken it.

Change: the test waits until /proc shows every thread as stopped. It asks for as much as before.

--- a/crates/bench/tests/process_claims.rs
+++ b/crates/bench/tests/process_claims.rs
@@ -255,7 +255,8 @@
     };
     let call = sale("one shirt", &name);
     let granter = &fleet.instances[1].child;
-    granter.signal(Signal::SIGSTOP).expect("is frozen");
+    granter.signal(Signal::SIGSTOP).expect("is told to freeze");
+    until_frozen(granter.pid()).await;
 
     let frozen = send_to(&fleet, &[0, 2, 3], &call).await;
 
@@ -279,6 +280,27 @@
     assert_eq!((whole, runs(&fleet, &call.body)), (1, 1));
 }
 
+/// Waits until no thread of a process runs any more. On a busy machine that
+/// is a while after the signal, and until then the process answers.
+async fn until_frozen(pid: u32) {
+    let deadline = Instant::now() + PATIENCE;
+    while !is_frozen(pid).expect("the process is there") {
+        assert!(Instant::now() < deadline, "it never froze");
+        sleep(Duration::from_millis(1)).await;
+    }
+}
+
+fn is_frozen(pid: u32) -> std::io::Result<bool> {
+    for thread in std::fs::read_dir(format!("/proc/{pid}/task"))? {
+        let status = std::fs::read_to_string(thread?.path().join("status"))?;
+        let state = status.lines().find(|it| it.starts_with("State:"));
+        if !state.is_some_and(|it| it.contains("T (stopped)")) {
+            return Ok(false);
+        }
+    }
+    Ok(true)
+}
+
 /// Symptom: both sides of a partition sell one shirt. Sequence: all links
 /// between instances stall; copies of one order reach all of them, before and
 /// after the stall is noticed. Cause: an instance that cannot ask the one that
