--- a/crates/oriolemux/tests/events_docs.rs
+++ b/crates/oriolemux/tests/events_docs.rs
@@ -31,3 +31,23 @@
     assert!(numbers.is_sorted_by(|a, b| a < b), "{numbers:?}");
     assert_eq!(names.len(), numbers.len());
 }
+
+/// Returns the numbers that stand in brackets in a text, as pages name events.
+fn named_events(text: &str) -> BTreeSet<u32> {
+    let brackets = text.split('[').skip(1);
+    brackets
+        .filter_map(|rest| rest.split_once(']'))
+        .filter_map(|(inside, _)| inside.parse().ok())
+        .collect()
+}
+
+#[test]
+fn operators_page_names_all_events_and_no_others() {
+    let page = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../../docs/OPERATIONS.md");
+    let text = std::fs::read_to_string(page).expect("docs/OPERATIONS.md");
+
+    let named = named_events(&text);
+
+    let known: BTreeSet<u32> = LogEvent::ALL.iter().map(|event| event.number()).collect();
+    assert_eq!(named, known);
+}
