--- a/crates/oriolemux/src/relay/attempt.rs
+++ b/crates/oriolemux/src/relay/attempt.rs
@@ -1,6 +1,7 @@
 //! Runs one attempt of a request at one endpoint.
 
 mod call;
+mod chunks;
 mod stream;
 
 use super::Relay;
--- a/crates/oriolemux/src/relay/attempt/stream.rs
+++ b/crates/oriolemux/src/relay/attempt/stream.rs
@@ -1,27 +1,21 @@
 //! A generation: its stream, and its resumption when the stream breaks.
 
+use super::chunks::{StallTimer, chunk_at_hand, drain, next_chunk};
 use super::{AttemptEnd, Interrupt, Next, count_discarded};
 use crate::callers::port::NodeGone;
-use crate::endpoints::{Answer, AnswerBody, EndpointFailure, EndpointProtocol, ResumePoint};
+use crate::endpoints::{Answer, EndpointFailure, EndpointProtocol, ResumePoint};
 use crate::relay::Relay;
 use crate::relay::events::{EngineEvent, EventReader, FinishReason, Garbage, Usage};
 use bytes::Bytes;
-use core::pin::Pin;
-use core::task::Poll;
 use core::time::Duration;
 use oriolemux_core::Reason;
 use oriolemux_core::delivery::{Act, EndMark, ResumeAnswer, Step};
 use oriolemux_core::event::Dispatch;
-use tokio::time::{Instant, Sleep, timeout};
 
 /// How much may wait for the caller before it is flushed, although more tokens
 /// are at hand.
 const FLUSH_BYTES: usize = 64 * 1024;
 
-/// How long the few bytes after the end mark are waited for, so that the
-/// connection can be used again.
-const DRAIN_LIMIT: Duration = Duration::from_millis(50);
-
 /// The end mark that completed the answer.
 #[derive(Clone, Copy, Debug)]
 struct Ending {
@@ -51,81 +45,6 @@
     }
 }
 
-/// Finds out when an endpoint has been silent for too long.
-///
-/// The timer is moved only when it fires, because moving it at every token
-/// costs more than reading the clock.
-struct StallTimer {
-    limit: Duration,
-    heard: Instant,
-    sleep: Pin<Box<Sleep>>,
-}
-
-impl StallTimer {
-    fn new(limit: Duration) -> Self {
-        let heard = Instant::now();
-        StallTimer {
-            limit,
-            heard,
-            sleep: Box::pin(tokio::time::sleep_until(heard + limit)),
-        }
-    }
-
-    fn heard_now(&mut self) {
-        self.heard = Instant::now();
-    }
-
-    async fn silent(&mut self) {
-        loop {
-            self.sleep.as_mut().await;
-            let due = self.heard + self.limit;
-            if Instant::now() >= due {
-                return;
-            }
-            self.sleep.as_mut().reset(due);
-        }
-    }
-}
-
-/// Waits for the next piece of an answer, up to the stall limit.
-async fn next_chunk<B: AnswerBody>(
-    body: &mut B,
-    stall: &mut StallTimer,
-) -> Result<Option<Bytes>, EndpointFailure> {
-    let chunk = tokio::select! {
-        biased;
-        chunk = body.chunk() => chunk,
-        () = stall.silent() => Err(EndpointFailure::Broken(Reason::Stalled)),
-    };
-    stall.heard_now();
-    chunk
-}
-
-/// Returns the next piece of an answer if it has arrived.
-///
-/// The HTTP client hands on one piece, however small, and reads the next one
-/// only when it is asked for it. So it is asked, and its task gets one turn.
-/// Without that turn a burst of a hundred tokens would leave in a hundred
-/// writes, and a write costs more than all the rest.
-async fn chunk_at_hand<B: AnswerBody>(
-    body: &mut B,
-) -> Option<Result<Option<Bytes>, EndpointFailure>> {
-    if let Some(chunk) = body.ready_chunk() {
-        return Some(chunk);
-    }
-    let mut had_turn = false;
-    core::future::poll_fn(|cx| {
-        if core::mem::replace(&mut had_turn, true) {
-            return Poll::Ready(());
-        }
-        // Not tokio's own yield, which looks at all sockets first.
-        cx.waker().wake_by_ref();
-        Poll::Pending
-    })
-    .await;
-    body.ready_chunk()
-}
-
 impl<E: EndpointProtocol> Relay<E> {
     /// Reads a generation's stream, and the streams that resume it, to the end.
     pub(super) async fn run_stream(
@@ -370,10 +289,3 @@
     let content_type = content_type.and_then(|value| value.to_str().ok());
     content_type.is_some_and(|text| text.trim_start().starts_with(EVENT_STREAM))
 }
-
-/// Reads what follows the end mark. An unread rest would make the client close
-/// the connection instead of keeping it for the next request.
-async fn drain<B: AnswerBody>(mut body: B) {
-    let rest = async { while let Ok(Some(_)) = body.chunk().await {} };
-    let _ = timeout(DRAIN_LIMIT, rest).await;
-}
