Explanations name what a cell serves and where

Cause: a cell was named by its key, which nobody can look up. Change: the names of the list in force describe cells too; the key stays beside.

--- a/crates/core/src/explain/render.rs
+++ b/crates/core/src/explain/render.rs
@@ -3,7 +3,7 @@
 use super::{Record, Step, Timed};
 use crate::cell::{GrantRecord, Lost};
 use crate::event::AttemptMode;
-use crate::ids::{EndpointKey, InstanceKey};
+use crate::ids::{CellKey, EndpointKey, InstanceKey};
 use crate::reason::{Outcome, Reason};
 use core::fmt::{self, Display, Write};
 use core::time::Duration;
@@ -15,6 +15,11 @@
     fn endpoint(&self, key: EndpointKey) -> Option<&str>;
     /// Returns the name of an instance, if it is still known.
     fn instance(&self, key: InstanceKey) -> Option<&str>;
+    /// Returns what a cell serves and where, if the list still makes it.
+    fn cell(&self, key: CellKey) -> Option<String> {
+        let _ = key;
+        None
+    }
 }
 
 /// One step as text.
@@ -76,7 +81,8 @@
             )
         }
         Step::Asked { cell, home } => {
-            format!("{cell}, home {}", Instance(*home, names))
+            let (cell, home) = (Cell(*cell, names), Instance(*home, names));
+            format!("{cell}, home {home}")
         }
         Step::CellRefused {
             cell,
@@ -84,7 +90,8 @@
             predicted_wait,
             record,
         } => format!(
-            "{cell}: {reason}, predicted wait {}; {}",
+            "{}: {reason}, predicted wait {}; {}",
+            Cell(*cell, names),
             Millis(*predicted_wait),
             Figures(record, names)
         ),
@@ -168,6 +175,18 @@
     }
 }
 
+/// A cell under its description, with the key that logs and status show.
+struct Cell<'a, N>(CellKey, &'a N);
+
+impl<N: Names> Display for Cell<'_, N> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.1.cell(self.0) {
+            Some(name) => write!(f, "{name} ({})", self.0),
+            None => self.0.fmt(f),
+        }
+    }
+}
+
 struct Millis(Duration);
 
 impl Display for Millis {
--- a/crates/core/src/node/snapshot.rs
+++ b/crates/core/src/node/snapshot.rs
@@ -57,6 +57,12 @@
     fn instance(&self, key: InstanceKey) -> Option<&str> {
         Some(&self.0.instance(key)?.record.name)
     }
+
+    fn cell(&self, key: CellKey) -> Option<String> {
+        let plan = &self.0.cell(key)?.plan;
+        let serves = plan.serves.join(" and ");
+        Some(format!("{serves} in {}", plan.data_centre))
+    }
 }
 
 impl Node {
