--- /dev/null
+++ b/crates/core/tests/keys_histories.rs
@@ -0,0 +1,187 @@
+//! Random histories of one idempotency key.
+
+#[path = "keys_support/fleet.rs"]
+#[allow(dead_code, reason = "each test file uses a part of it")]
+mod fleet;
+
+use core::time::Duration;
+use fleet::{Fleet, key};
+use oriolemux_core::keys::HolderState;
+use oriolemux_core::outcome::Earlier;
+use oriolemux_core::{RequestId, Time};
+use proptest::prelude::*;
+use std::collections::BTreeSet;
+
+const DONE: HolderState = HolderState::Ended(Earlier::Complete);
+const ALL: [usize; 4] = [0, 1, 2, 3];
+
+/// One step of a random history.
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    Ask(usize),
+    /// Ends the oldest request that runs: whether it ran.
+    End(bool),
+    Cut(usize, usize),
+    Heal,
+    Restart(usize),
+    /// The list names the process no longer, or again.
+    Relist(usize),
+    PassSecs(u64),
+    PassMillis(u64),
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let step = prop_oneof![
+        6 => (0..4usize).prop_map(Step::Ask),
+        2 => any::<bool>().prop_map(Step::End),
+        2 => (0..4usize, 0..4usize).prop_map(|(a, b)| Step::Cut(a, b)),
+        2 => Just(Step::Heal),
+        1 => (0..4usize).prop_map(Step::Restart),
+        2 => (0..4usize).prop_map(Step::Relist),
+        2 => (1..40u64).prop_map(Step::PassSecs),
+        2 => (1..2_000u64).prop_map(Step::PassMillis),
+    ];
+    prop::collection::vec(step, 1..60)
+}
+
+/// A random history of one key, and what is known from outside.
+struct History {
+    fleet: Fleet,
+    revision: u64,
+    live: BTreeSet<usize>,
+    asked: Vec<(RequestId, usize)>,
+    /// Requests that were granted, with the time of their end.
+    granted: Vec<(RequestId, Option<Time>)>,
+    not_run: BTreeSet<RequestId>,
+    cut_since: Option<Time>,
+}
+
+/// No cut of the histories lasts longer; see `docs/design/at-most-once.md`.
+const LONGEST_CUT: Duration = Duration::from_secs(60);
+
+impl History {
+    fn new() -> Self {
+        History {
+            fleet: Fleet::settled(4),
+            revision: 1,
+            live: ALL.into_iter().collect(),
+            asked: Vec::new(),
+            granted: Vec::new(),
+            not_run: BTreeSet::new(),
+            cut_since: None,
+        }
+    }
+
+    fn apply(&mut self, step: Step) {
+        match step {
+            Step::Ask(n) => {
+                let request = self.fleet.ask(n, key("order-1"));
+                self.asked.push((request, n));
+            }
+            Step::End(ran) => self.end(ran),
+            Step::Cut(a, b) => {
+                self.fleet.cut(a, b);
+                self.cut_since.get_or_insert(self.fleet.now);
+            }
+            Step::Heal => self.heal(),
+            Step::Restart(n) => self.restart(n),
+            Step::Relist(n) => self.relist(n),
+            Step::PassSecs(secs) => self.pass(Duration::from_secs(secs)),
+            Step::PassMillis(millis) => self.pass(Duration::from_millis(millis)),
+        }
+    }
+
+    fn heal(&mut self) {
+        self.fleet.heal();
+        self.cut_since = None;
+    }
+
+    fn pass(&mut self, time: Duration) {
+        let now = self.fleet.now;
+        if self
+            .cut_since
+            .is_some_and(|since| now + time > since + LONGEST_CUT)
+        {
+            self.heal();
+        }
+        self.fleet.pass(time);
+    }
+
+    fn end(&mut self, ran: bool) {
+        let now = self.fleet.now;
+        let Some((request, ended)) = self.granted.iter_mut().find(|it| it.1.is_none()) else {
+            return;
+        };
+        *ended = Some(now);
+        let request = *request;
+        if !ran {
+            self.not_run.insert(request);
+        }
+        let state = if ran { DONE } else { HolderState::NotRun };
+        let &(_, at) = self.asked.iter().find(|it| it.0 == request).unwrap();
+        self.fleet.end(at, request, state);
+    }
+
+    /// Everything that the process held ends with it.
+    fn restart(&mut self, n: usize) {
+        let now = self.fleet.now;
+        let old = self.fleet.id(n);
+        for (request, ended) in &mut self.granted {
+            if request.instance == old.instance && ended.is_none() {
+                *ended = Some(now);
+            }
+        }
+        let live: Vec<_> = self.live.iter().copied().collect();
+        self.fleet.restart(n, self.revision, &live);
+    }
+
+    fn relist(&mut self, n: usize) {
+        if !self.live.remove(&n) {
+            self.live.insert(n);
+        }
+        self.revision += 1;
+        let live: Vec<_> = self.live.iter().copied().collect();
+        self.fleet.publish(self.revision, &live);
+        self.fleet.deliver();
+    }
+
+    /// Returns a grant that came while an earlier request ran, or was still to
+    /// be remembered.
+    fn second_run(&mut self) -> Option<RequestId> {
+        let now = self.fleet.now;
+        let memory = self.fleet.cfg.memory;
+        for &(request, _) in &self.asked {
+            let known = self.granted.iter().any(|it| it.0 == request);
+            let answer = self.fleet.answer_of(request);
+            if known || !answer.is_some_and(|it| it.is_granted()) {
+                continue;
+            }
+            let earlier = self
+                .granted
+                .iter()
+                .filter(|it| !self.not_run.contains(&it.0));
+            let mut ends = earlier.map(|it| it.1);
+            if ends.any(|end| end.is_none_or(|end| now < end + memory)) {
+                return Some(request);
+            }
+            self.granted.push((request, None));
+        }
+        None
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 2_000, failure_persistence: None, ..ProptestConfig::default() })]
+
+    // Under any history of restarts, changes of the list, lost messages and
+    // cuts of up to a minute, a key is granted to a second request only after
+    // the first truly did not run, or was to be remembered no longer.
+    #[test]
+    fn no_history_runs_a_key_twice(steps in steps()) {
+        let mut history = History::new();
+        for step in steps {
+            history.apply(step);
+            prop_assert_eq!(history.second_run(), None);
+        }
+    }
+}
--- a/crates/core/tests/node/histories.rs
+++ b/crates/core/tests/node/histories.rs
@@ -1,6 +1,8 @@
 //! Random histories of whole nodes: nothing runs twice, no "not run" is false,
 //! and every request ends once.
 
+mod steps;
+
 use crate::world::{Name, World};
 use oriolemux_core::event::{AttemptUpdate, Event};
 use oriolemux_core::keys::KeysConfig;
@@ -10,7 +12,9 @@
 use proptest::prelude::*;
 use std::collections::BTreeMap;
 use std::time::Duration;
+use steps::{How, Step, steps};
 
+/// Nodes of the world.
 const NODES: usize = 4;
 const ENGINES: usize = 3;
 const KEYS: [&str; 3] = ["order-1", "order-2", "order-3"];
@@ -34,68 +38,6 @@
     }
 }
 
-/// One step of a history.
-#[derive(Clone, Copy, Debug)]
-enum Step {
-    /// A request at a node: repeatable, or not and under which name.
-    Plan(usize),
-    Order(usize, Option<usize>),
-    /// One of the attempts that run ends so.
-    Answer(usize, How),
-    /// The caller of one of the requests leaves.
-    Leave(usize),
-    Kill(usize),
-    Restart(usize),
-    Stop(usize),
-    Part(usize, usize),
-    Isolate(usize),
-    Heal,
-    Pause(usize),
-    Platform(bool),
-    Relist(usize),
-    PassMillis(u64),
-}
-
-/// What becomes of an attempt.
-#[derive(Clone, Copy, Debug)]
-enum How {
-    Whole,
-    Lost,
-    LostAfterTokens,
-    Refused,
-    Progress,
-}
-
-fn steps() -> impl Strategy<Value = Vec<Step>> {
-    let node = 0..NODES;
-    // The first three names are keys, the rest tickets.
-    let name = prop::option::weighted(0.8, 0..KEYS.len() + 2);
-    let how = prop_oneof![
-        2 => Just(How::Whole),
-        2 => Just(How::Lost),
-        1 => Just(How::LostAfterTokens),
-        2 => Just(How::Refused),
-        1 => Just(How::Progress),
-    ];
-    let step = prop_oneof![
-        2 => node.clone().prop_map(Step::Plan),
-        8 => (node.clone(), name).prop_map(|(n, name)| Step::Order(n, name)),
-        5 => (any::<usize>(), how).prop_map(|(pick, how)| Step::Answer(pick, how)),
-        1 => any::<usize>().prop_map(Step::Leave),
-        1 => node.clone().prop_map(Step::Kill),
-        1 => node.clone().prop_map(Step::Restart),
-        1 => node.clone().prop_map(Step::Stop),
-        1 => (node.clone(), node.clone()).prop_map(|(a, b)| Step::Part(a, b)),
-        1 => node.clone().prop_map(Step::Isolate),
-        1 => Just(Step::Heal),
-        1 => node.clone().prop_map(Step::Pause),
-        1 => any::<bool>().prop_map(Step::Platform),
-        1 => node.prop_map(Step::Relist),
-        8 => (1..4_000u64).prop_map(Step::PassMillis),
-    ];
-    prop::collection::vec(step, 1..60)
-}
-
 /// What binds orders that must not both run.
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Bound {
