--- a/crates/bench/src/relay_bench/cpu.rs
+++ b/crates/bench/src/relay_bench/cpu.rs
@@ -23,9 +23,11 @@
         Ok(CpuClock { pid, start })
     }
 
-    /// Returns the processor time taken since the start.
+    /// Returns the processor time taken since the start; at least one tick,
+    /// because the kernel tells no less.
     pub fn elapsed(&self) -> io::Result<Duration> {
-        Ok(cpu_time(self.pid)?.saturating_sub(self.start))
+        let tick = Duration::from_millis(1_000 / TICKS_PER_SECOND);
+        Ok(cpu_time(self.pid)?.saturating_sub(self.start).max(tick))
     }
 }
 
