--- a/crates/bench/src/faults/kind.rs
+++ b/crates/bench/src/faults/kind.rs
@@ -194,6 +194,10 @@
             (Platform, Fleet | Instance) | (Fleet | Instance, Platform) => {
                 self != Fault::FleetRestarts && other != Fault::FleetRestarts
             }
+            // A service that is dead shows nothing else.
+            (Target::Service, Target::Service) => {
+                self != Fault::ServiceDies && other != Fault::ServiceDies
+            }
             _ => true,
         }
     }
