--- a/crates/core/src/cell.rs
+++ b/crates/core/src/cell.rs
@@ -21,12 +21,15 @@
 mod drain;
 mod endpoint;
 mod index;
+mod learn;
 pub mod message;
 mod place;
+mod refresh;
 mod refuse;
 pub mod request;
 mod risk;
 pub mod snapshot;
+mod supply;
 
 pub use crate::memory::HORIZONS;
 pub use config::{CellConfig, CellConfigBuilder};
@@ -44,7 +47,6 @@
 use crate::length::{LengthModel, LengthNode};
 use crate::memory::{Age, ClassIx, Demand, Forecast, Held};
 use crate::queue::{LaneKey, Queue, Waiting};
-use crate::reason::Reason;
 use crate::routing::prefix::{EndpointIx, PrefixMap};
 use crate::time::Time;
 use cranelift_entity::PrimaryMap;
@@ -55,6 +57,7 @@
 use rand::rngs::SmallRng;
 use risk::ClassRisk;
 use std::collections::{BTreeMap, BTreeSet};
+use supply::Supply;
 
 /// Generated tokens at the first checkpoint; each later one doubles it, up to
 /// [`CHECKPOINT_STEP`].
@@ -65,9 +68,6 @@
 /// from a report that was two minutes old; a guess past the caller's limit
 /// counted it as about to end, and its memory was given away.
 pub const CHECKPOINT_STEP: u32 = 1_024;
-/// Endpoints that are forecast anew in one poll at most, so that one poll stays short.
-const REFRESH_BATCH: usize = 16;
-
 /// Returns whether a running request tells its home that it has generated `tokens`.
 pub fn is_checkpoint(tokens: u32) -> bool {
     match tokens < CHECKPOINT_STEP {
@@ -132,19 +132,6 @@
     seen: Vec<EndpointIx>,
 }
 
-/// What the live endpoints of a cell could do in all.
-#[derive(Clone, Copy, Debug, Default)]
-struct Supply {
-    at: Option<Time>,
-    work_per_s: f64,
-    largest: u64,
-    /// Whether each live endpoint has reported.
-    is_known: bool,
-}
-
-/// How often the supply is summed anew.
-const SUPPLY_INTERVAL: core::time::Duration = core::time::Duration::from_secs(1);
-
 impl Cell {
     /// Returns a cell without endpoints. `seed` drives its jitter.
     pub fn new(cfg: CellConfig, seed: u64) -> Self {
@@ -490,138 +477,12 @@
         Some(held)
     }
 
-    fn learn_length(&mut self, held: &Held, tokens: u32) {
-        if tokens >= held.demand.cap {
-            self.learn_censored(held, tokens);
-            return;
-        }
-        self.lengths.ended(held.node, held.passed, tokens);
-    }
-
-    /// Learns from an answer that was cut off: it would have been longer.
-    fn learn_censored(&mut self, held: &Held, tokens: u32) {
-        self.lengths
-            .survived(held.node, held.passed, bucket_of(tokens));
-    }
-
-    fn learn_failure(&mut self, now: Time, ix: EndpointIx, reason: Reason) {
-        let endpoint = &mut self.endpoints[ix];
-        endpoint.calls.failed();
-        if reason == Reason::EndpointLeaving {
-            endpoint.said_leaving = true;
-        }
-        if endpoint.health.failed(now, reason) {
-            self.prefixes.forget(ix);
-        }
-    }
-
-    /// Starts the accepted risks anew when lengths have drifted: preemptions
-    /// that came of outdated lengths say nothing about the new ones. Without
-    /// this, memory was kept half empty for an hour after a drift.
-    fn forgive_drift(&mut self) {
-        if self.lengths.drifts() != self.drifts {
-            self.drifts = self.lengths.drifts();
-            for class in self.classes.values_mut() {
-                class.risk.forgive(self.cfg.risk_start);
-            }
-        }
-    }
-
-    /// Spreads preemptions over the classes that ran where they happened.
-    fn learn_preemptions(&mut self, ix: EndpointIx, count: u64) {
-        let held = self.endpoints[ix].ledger.held();
-        let share = count as f64 / held.len().max(1) as f64;
-        for held in held {
-            self.classes[held.class].risk.preempted(share);
-        }
-    }
-
-    /// Forecasts an endpoint anew if its figures are older than the interval.
-    fn freshen(&mut self, now: Time, ix: EndpointIx) {
-        let age = now.since(self.endpoints[ix].refreshed);
-        if age >= self.cfg.refresh_interval {
-            self.endpoints[ix].refresh(now, &mut self.lengths);
-            self.reindex(now, ix);
-        }
-    }
-
-    fn refresh_due(&mut self, now: Time) {
-        for _ in 0..REFRESH_BATCH {
-            match self.due.first().copied() {
-                Some((at, ix)) if at <= now => {
-                    self.endpoints[ix].refresh(now, &mut self.lengths);
-                    self.reindex(now, ix);
-                }
-                _ => return,
-            }
-        }
-    }
-
-    /// Brings an endpoint's place in the indices up to date.
-    fn reindex(&mut self, now: Time, ix: EndpointIx) {
-        let endpoint = &mut self.endpoints[ix];
-        let room = (!endpoint.is_leaving()).then(|| endpoint.room(now, &self.cfg));
-        let due = match endpoint.is_moving(now) {
-            true => now + self.cfg.refresh_interval,
-            false => Time::NEVER,
-        };
-        let (from, before) = (endpoint.indexed, endpoint.due);
-        endpoint.indexed = room;
-        endpoint.due = due;
-        if from != room {
-            let endpoint = &self.endpoints[ix];
-            self.index
-                .set(ix, from, room, |needs| endpoint.holds(needs));
-        }
-        self.due.remove(&(before, ix));
-        if due != Time::NEVER {
-            self.due.insert((due, ix));
-        }
-        self.is_dirty = true;
-    }
-
-    fn unindex(&mut self, ix: EndpointIx) {
-        let from = self.endpoints[ix].indexed.take();
-        self.index.set(ix, from, None, |_| true);
-    }
-
     fn next_poll(&self) -> Time {
         let refresh = self.due.first().map_or(Time::NEVER, |(at, _)| *at);
         let review = self.queue.next_review().map_or(Time::NEVER, |(at, _)| at);
         refresh.min(review)
     }
 
-    fn sum_supply(&mut self, now: Time) {
-        let is_current = self
-            .supply
-            .at
-            .is_some_and(|at| now.since(at) < SUPPLY_INTERVAL);
-        if is_current {
-            return;
-        }
-        let mut supply = Supply {
-            at: Some(now),
-            work_per_s: 0.0,
-            largest: 0,
-            is_known: true,
-        };
-        for ix in self.by_key.values() {
-            let endpoint = &self.endpoints[*ix];
-            if endpoint.is_leaving() {
-                continue;
-            }
-            supply.work_per_s += endpoint.capacity(now) * endpoint.ledger.rate();
-            supply.largest = supply.largest.max(endpoint.total);
-            supply.is_known &= endpoint.reported.is_some();
-        }
-        self.supply = supply;
-    }
-
-    /// Returns the work of a class that the queue drains a second.
-    fn drain_rate(&self, class: ClassIx) -> f64 {
-        self.classes[class].drain.rate(self.supply.work_per_s)
-    }
-
     /// Returns whether some endpoint that is not leaving could ever take the request.
     fn is_served(&self, req: &CellRequest) -> bool {
         let holding = self.index.len(req.needs);
@@ -632,22 +493,6 @@
         !self.index.roomiest(req.needs).all(excluded)
     }
 
-    fn can_ever_fit(&self, req: &CellRequest) -> bool {
-        let is_model = self.supply.largest > 0;
-        !is_model || !self.supply.is_known || u64::from(req.prompt_tokens) < self.supply.largest
-    }
-
-    fn ensure_indexed(&mut self, needs: Requirement) {
-        if self.index.has(needs) {
-            return;
-        }
-        let endpoints = &self.endpoints;
-        let holding = self.by_key.values().copied();
-        let holding = holding.filter(|ix| endpoints[*ix].holds(needs));
-        let rooms = holding.filter_map(|ix| endpoints[ix].indexed.map(|room| (room, ix)));
-        self.index.build(needs, rooms);
-    }
-
     /// Returns a few endpoints with the reason why each did not take a request.
     fn sample_alternatives(&self, now: Time, req: &CellRequest) -> Vec<Alternative> {
         let sample = self.by_key.values().take(MAX_ALTERNATIVES);
--- /dev/null
+++ b/crates/core/src/cell/learn.rs
@@ -0,0 +1,56 @@
+//! What a cell learns from ends, failures and preemptions.
+
+use super::Cell;
+use crate::length::buckets::bucket_of;
+use crate::memory::Held;
+use crate::reason::Reason;
+use crate::routing::prefix::EndpointIx;
+use crate::time::Time;
+
+impl Cell {
+    pub(super) fn learn_length(&mut self, held: &Held, tokens: u32) {
+        if tokens >= held.demand.cap {
+            self.learn_censored(held, tokens);
+            return;
+        }
+        self.lengths.ended(held.node, held.passed, tokens);
+    }
+
+    /// Learns from an answer that was cut off: it would have been longer.
+    pub(super) fn learn_censored(&mut self, held: &Held, tokens: u32) {
+        self.lengths
+            .survived(held.node, held.passed, bucket_of(tokens));
+    }
+
+    pub(super) fn learn_failure(&mut self, now: Time, ix: EndpointIx, reason: Reason) {
+        let endpoint = &mut self.endpoints[ix];
+        endpoint.calls.failed();
+        if reason == Reason::EndpointLeaving {
+            endpoint.said_leaving = true;
+        }
+        if endpoint.health.failed(now, reason) {
+            self.prefixes.forget(ix);
+        }
+    }
+
+    /// Starts the accepted risks anew when lengths have drifted: preemptions
+    /// that came of outdated lengths say nothing about the new ones. Without
+    /// this, memory was kept half empty for an hour after a drift.
+    pub(super) fn forgive_drift(&mut self) {
+        if self.lengths.drifts() != self.drifts {
+            self.drifts = self.lengths.drifts();
+            for class in self.classes.values_mut() {
+                class.risk.forgive(self.cfg.risk_start);
+            }
+        }
+    }
+
+    /// Spreads preemptions over the classes that ran where they happened.
+    pub(super) fn learn_preemptions(&mut self, ix: EndpointIx, count: u64) {
+        let held = self.endpoints[ix].ledger.held();
+        let share = count as f64 / held.len().max(1) as f64;
+        for held in held {
+            self.classes[held.class].risk.preempted(share);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/cell/refresh.rs
@@ -0,0 +1,71 @@
+//! Keeping forecasts and the index of rooms up to date.
+
+use super::Cell;
+use super::request::Requirement;
+use crate::routing::prefix::EndpointIx;
+use crate::time::Time;
+
+/// Endpoints that are forecast anew in one poll at most, so that one poll stays short.
+const REFRESH_BATCH: usize = 16;
+
+impl Cell {
+    /// Forecasts an endpoint anew if its figures are older than the interval.
+    pub(super) fn freshen(&mut self, now: Time, ix: EndpointIx) {
+        let age = now.since(self.endpoints[ix].refreshed);
+        if age >= self.cfg.refresh_interval {
+            self.endpoints[ix].refresh(now, &mut self.lengths);
+            self.reindex(now, ix);
+        }
+    }
+
+    pub(super) fn refresh_due(&mut self, now: Time) {
+        for _ in 0..REFRESH_BATCH {
+            match self.due.first().copied() {
+                Some((at, ix)) if at <= now => {
+                    self.endpoints[ix].refresh(now, &mut self.lengths);
+                    self.reindex(now, ix);
+                }
+                _ => return,
+            }
+        }
+    }
+
+    /// Brings an endpoint's place in the indices up to date.
+    pub(super) fn reindex(&mut self, now: Time, ix: EndpointIx) {
+        let endpoint = &mut self.endpoints[ix];
+        let room = (!endpoint.is_leaving()).then(|| endpoint.room(now, &self.cfg));
+        let due = match endpoint.is_moving(now) {
+            true => now + self.cfg.refresh_interval,
+            false => Time::NEVER,
+        };
+        let (from, before) = (endpoint.indexed, endpoint.due);
+        endpoint.indexed = room;
+        endpoint.due = due;
+        if from != room {
+            let endpoint = &self.endpoints[ix];
+            self.index
+                .set(ix, from, room, |needs| endpoint.holds(needs));
+        }
+        self.due.remove(&(before, ix));
+        if due != Time::NEVER {
+            self.due.insert((due, ix));
+        }
+        self.is_dirty = true;
+    }
+
+    pub(super) fn unindex(&mut self, ix: EndpointIx) {
+        let from = self.endpoints[ix].indexed.take();
+        self.index.set(ix, from, None, |_| true);
+    }
+
+    pub(super) fn ensure_indexed(&mut self, needs: Requirement) {
+        if self.index.has(needs) {
+            return;
+        }
+        let endpoints = &self.endpoints;
+        let holding = self.by_key.values().copied();
+        let holding = holding.filter(|ix| endpoints[*ix].holds(needs));
+        let rooms = holding.filter_map(|ix| endpoints[ix].indexed.map(|room| (room, ix)));
+        self.index.build(needs, rooms);
+    }
+}
