The limit of a plain service no longer rises with the latency it causes

Cause: the usual latency was learned upwards under load too, so each rise of the limit became the next usual. Change: upwards only while lightly used, or after the limit came down to the least, until the usual latency is learned anew. After: the limit stays within 0.8 to 3.5 times what the service takes well over 50,000 calls, and a service five times slower for good gets its calls back. Tests of prefix beliefs after gaps beside it.

--- a/crates/core/src/routing/concurrency.rs
+++ b/crates/core/src/routing/concurrency.rs
@@ -8,6 +8,11 @@
 
 /// Calls at once before anything is known.
 const START: f64 = 4.0;
+/// Calls at once below which a service counts as lightly loaded; the gradient
+/// brings the limit down to [`START`] at most.
+const LIGHT: f64 = 5.0;
+/// Share of the latest latency at which the usual one counts as learned anew.
+const RELEARNED: f64 = 0.9;
 /// The fewest calls at once.
 const LEAST: f64 = 1.0;
 /// The most calls at once that are ever learned.
@@ -33,6 +38,8 @@
     limit: f64,
     short: f64,
     long: f64,
+    /// The usual latency is being learned anew.
+    is_relearning: bool,
 }
 
 impl Default for ConcurrencyLimit {
@@ -41,6 +48,7 @@
             limit: START,
             short: 0.0,
             long: 0.0,
+            is_relearning: false,
         }
     }
 }
@@ -54,12 +62,18 @@
             self.long = latency;
         }
         self.short += SHORT_GAIN * (latency - self.short);
-        // The usual latency is learned slowly upwards and at once downwards, so
-        // that a long overload does not pass for the new usual.
-        self.long += LONG_GAIN * (latency - self.long);
+        let is_used = f64::from(running) >= USED_SHARE * self.limit;
+        // Under load the usual latency is learned downwards only: were the
+        // latency of a queue learned as usual, the limit would rise with it
+        // without end. Once that has brought the limit down to the least, the
+        // service may have become slower for good, and the usual is learned anew.
+        self.is_relearning |= self.limit < LIGHT;
+        if !is_used || self.is_relearning {
+            self.long += LONG_GAIN * (latency - self.long);
+        }
+        self.is_relearning &= self.long < RELEARNED * self.short;
         self.long = self.long.min(self.short);
         let gradient = (TOLERANCE * self.long / self.short).clamp(LEAST_GRADIENT, 1.0);
-        let is_used = f64::from(running) >= USED_SHARE * self.limit;
         if gradient == 1.0 && !is_used {
             return;
         }
--- /dev/null
+++ b/crates/core/tests/cell_services.rs
@@ -0,0 +1,121 @@
+//! Plain services: calls at once are learned from latency; prefixes are doubted after gaps.
+
+use core::time::Duration;
+use oriolemux_core::Time;
+use oriolemux_core::routing::concurrency::ConcurrencyLimit;
+use oriolemux_core::routing::prefix::{EndpointIx, PrefixMap};
+use rstest::rstest;
+
+const USUAL: Duration = Duration::from_millis(20);
+
+/// Completes `calls` calls of a service that takes `capacity` calls at once
+/// in `time` each and queues the rest, with as many running as the limit allows.
+fn run(limit: &mut ConcurrencyLimit, time: Duration, capacity: f64, calls: u32) {
+    for _ in 0..calls {
+        let running = limit.limit();
+        let queueing = (f64::from(running) / capacity).max(1.0);
+        limit.completed(time.mul_f64(queueing), running);
+    }
+}
+
+#[rstest]
+#[case::small(8.0)]
+#[case::large(60.0)]
+fn the_limit_settles_near_what_a_service_takes_well(#[case] capacity: f64) {
+    // Symptom: a service is sent hundreds of calls at once and answers none in time.
+    // Sequence: the limit rises by a little, latency follows, and is learned as usual.
+    // Cause: the usual latency was learned upwards under load too.
+    let mut limit = ConcurrencyLimit::default();
+
+    run(&mut limit, USUAL, capacity, 50_000);
+
+    let settled = f64::from(limit.limit());
+    assert!(settled >= 0.8 * capacity, "{settled} of {capacity}");
+    assert!(settled <= 3.5 * capacity, "{settled} of {capacity}");
+}
+
+#[test]
+fn a_service_that_became_slower_for_good_gets_its_calls_back() {
+    let mut limit = ConcurrencyLimit::default();
+    run(&mut limit, USUAL, 40.0, 2_000);
+
+    run(&mut limit, USUAL * 5, 40.0, 10_000);
+
+    assert!(limit.limit() >= 30, "{}", limit.limit());
+}
+
+#[test]
+fn failures_shrink_the_limit_at_once_but_never_to_none() {
+    let mut limit = ConcurrencyLimit::default();
+    run(&mut limit, USUAL, 40.0, 2_000);
+    let before = limit.limit();
+
+    for _ in 0..5 {
+        limit.failed();
+    }
+    let after = limit.limit();
+    for _ in 0..100 {
+        limit.failed();
+    }
+
+    assert!(after * 2 < before, "{before} to {after}");
+    assert_eq!(limit.limit(), 1);
+}
+
+#[test]
+fn a_limit_that_is_not_used_does_not_grow() {
+    let mut limit = ConcurrencyLimit::default();
+    let before = limit.limit();
+
+    for _ in 0..1_000 {
+        limit.completed(Duration::from_millis(20), 1);
+    }
+
+    assert_eq!(limit.limit(), before);
+}
+
+#[test]
+fn a_gap_in_the_events_brings_doubt_until_the_block_is_seen_again() {
+    // Symptom: prompts go on being sent to an engine that dropped their prefix.
+    // Sequence: the eviction's event is lost in a gap.
+    // Cause: what was reported before the gap was believed as before.
+    let engine = EndpointIx::from_u32(0);
+    let mut map = PrefixMap::default();
+    map.events(engine, false, &[1, 2], &[]);
+    let sure = map.matched(Time::ZERO, engine, &[1, 2, 3]);
+
+    map.events(engine, true, &[], &[]);
+    let doubted = map.matched(Time::ZERO, engine, &[1, 2, 3]);
+    map.events(engine, false, &[2], &[]);
+    let seen_again = map.matched(Time::ZERO, engine, &[1, 2, 3]);
+
+    assert_eq!((sure.blocks, sure.belief), (2, 1.0));
+    assert!(doubted.belief < sure.belief);
+    assert_eq!(seen_again.belief, 1.0);
+}
+
+#[test]
+fn a_block_that_no_event_confirmed_is_not_expected_for_ever() {
+    let engine = EndpointIx::from_u32(0);
+    let mut map = PrefixMap::default();
+
+    map.granted(Time::ZERO, engine, &[7]);
+
+    assert_eq!(map.matched(Time::from_secs(1), engine, &[7]).blocks, 1);
+    assert_eq!(map.matched(Time::from_secs(60), engine, &[7]).blocks, 0);
+}
+
+#[test]
+fn an_evicted_block_and_a_forgotten_endpoint_have_no_holders() {
+    let (a, b) = (EndpointIx::from_u32(0), EndpointIx::from_u32(1));
+    let mut map = PrefixMap::default();
+    map.events(a, false, &[1], &[]);
+    map.events(b, false, &[1], &[]);
+
+    map.events(a, false, &[], &[1]);
+    let after_eviction = map.holders(&[1]).to_vec();
+    map.forget(b);
+
+    assert_eq!(after_eviction, [b]);
+    assert!(map.holders(&[1]).is_empty());
+}
