--- a/crates/oriolemux/tests/docs_links.rs
+++ b/crates/oriolemux/tests/docs_links.rs
@@ -1,19 +1,37 @@
-//! Links of pages lead to pages and files that exist.
+//! Links of pages, and pages that doc comments name, lead to what exists.
 
 use std::path::{Path, PathBuf};
 
-/// Where pages stand, from the root of the repository.
-const ROOTS: &[&str] = &["README.md", "DEVELOPERS.md", "docs", "examples"];
+/// Where pages and sources stand, from the root of the repository.
+const ROOTS: &[&str] = &["README.md", "DEVELOPERS.md", "docs", "examples", "crates"];
 
-/// Returns all pages at or below `path`.
-fn pages_below(path: &Path) -> Vec<PathBuf> {
+fn root() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../..")
+}
+
+/// Returns all files at or below `path` that have the extension.
+fn files_below(path: &Path, extension: &str) -> Vec<PathBuf> {
     if path.is_dir() {
         let entries = std::fs::read_dir(path).expect("a directory");
         let paths = entries.map(|entry| entry.expect("an entry").path());
-        return paths.flat_map(|path| pages_below(&path)).collect();
+        return paths
+            .flat_map(|path| files_below(&path, extension))
+            .collect();
     }
-    let is_page = path.extension().is_some_and(|it| it == "md");
-    is_page.then(|| path.to_owned()).into_iter().collect()
+    let is_wanted = path.extension().is_some_and(|it| it == extension);
+    is_wanted.then(|| path.to_owned()).into_iter().collect()
+}
+
+fn files(extension: &str) -> impl Iterator<Item = PathBuf> {
+    let roots = ROOTS.iter().map(|name| root().join(name));
+    roots.flat_map(move |path| files_below(&path, extension))
+}
+
+/// Returns the pages that a text names by their path from the root.
+fn named_pages(text: &str) -> impl Iterator<Item = &str> {
+    let is_path = |c: char| c.is_ascii_alphanumeric() || "/_-.".contains(c);
+    let words = text.split(move |c: char| !is_path(c));
+    words.filter(|word| word.starts_with("docs/") && word.ends_with(".md"))
 }
 
 /// Returns the targets of the links of a page, without anchors and without links elsewhere.
@@ -27,11 +45,9 @@
 
 #[test]
 fn links_of_pages_lead_somewhere() {
-    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../..");
-    let pages = ROOTS.iter().flat_map(|name| pages_below(&root.join(name)));
     let mut broken = Vec::new();
 
-    for page in pages {
+    for page in files("md") {
         let text = std::fs::read_to_string(&page).expect("a page");
         let dir = page.parent().expect("a directory");
         for target in link_targets(&text) {
@@ -43,3 +59,19 @@
 
     assert!(broken.is_empty(), "{broken:#?}");
 }
+
+#[test]
+fn named_pages_exist() {
+    let mut missing = Vec::new();
+
+    for file in files("rs").chain(files("md")) {
+        let text = std::fs::read_to_string(&file).expect("a file");
+        for page in named_pages(&text) {
+            if !root().join(page).exists() {
+                missing.push(format!("{}: {page}", file.display()));
+            }
+        }
+    }
+
+    assert!(missing.is_empty(), "{missing:#?}");
+}
