--- a/crates/core/src/cell.rs
+++ b/crates/core/src/cell.rs
@@ -15,6 +15,7 @@
 //!
 //! See `docs/design/admission.md` and `docs/design/routing.md`.
 
+pub mod checkpoint;
 mod codec;
 pub mod config;
 pub mod decision;
@@ -32,6 +33,7 @@
 mod supply;
 
 pub use crate::memory::HORIZONS;
+pub use checkpoint::{CHECKPOINT_STEP, FIRST_CHECKPOINT, is_checkpoint, next_checkpoint};
 pub use config::{CellConfig, CellConfigBuilder};
 pub use decision::{Alternative, CellDecision, GrantRecord, Lost, MAX_ALTERNATIVES};
 pub use message::CellMessage;
@@ -59,31 +61,6 @@
 use std::collections::{BTreeMap, BTreeSet};
 use supply::Supply;
 
-/// Generated tokens at the first checkpoint; each later one doubles it, up to
-/// [`CHECKPOINT_STEP`].
-pub const FIRST_CHECKPOINT: u32 = 64;
-/// Generated tokens from one checkpoint to the next, once so many are reached.
-///
-/// Doubling without end, the age of a generation of 15,000 tokens was a guess
-/// from a report that was two minutes old; a guess past the caller's limit
-/// counted it as about to end, and its memory was given away.
-pub const CHECKPOINT_STEP: u32 = 1_024;
-/// Returns whether a running request tells its home that it has generated `tokens`.
-pub fn is_checkpoint(tokens: u32) -> bool {
-    match tokens < CHECKPOINT_STEP {
-        true => tokens >= FIRST_CHECKPOINT && tokens.is_power_of_two(),
-        false => tokens.is_multiple_of(CHECKPOINT_STEP),
-    }
-}
-
-/// Returns the first checkpoint after `tokens`.
-pub fn next_checkpoint(tokens: u32) -> u32 {
-    match tokens < CHECKPOINT_STEP {
-        true => (tokens + 1).next_power_of_two().max(FIRST_CHECKPOINT),
-        false => (tokens / CHECKPOINT_STEP + 1).saturating_mul(CHECKPOINT_STEP),
-    }
-}
-
 /// A class as this cell has come to know it.
 #[derive(Clone, Copy, Debug)]
 struct ClassState {
