A link that takes another's place is told to the node

Symptom: during a one-way partition requests are asked of a home once, wait for the whole longest wait (21 and 31 s) and end `home_silent`, not run, long after the partition healed. Sequence: only one direction stalls; one side closes the link and dials again, the other side still holds the old link as live. The new connection takes its place, and what was written into the old one never arrives. Neither Down nor Up is told, so nothing is asked or retold again. Cause: a connection of the same life replaced a live link silently (`Entry::make_room`). Ruled out: a home that forgets the ask; the asker's record shows one ask and no answer. Change: the node is told Up again, on which it retells what runs and asks again; both are idempotent. A test at the level of links is still to be written.

--- a/crates/oriolemux/src/peers/table.rs
+++ b/crates/oriolemux/src/peers/table.rs
@@ -393,6 +393,9 @@
             return Err(Rejection::Duplicate);
         }
         live.retired.cancel();
-        Ok(Vec::new())
+        // What was written into the old connection may never arrive: where only
+        // one direction stalls, this side sees no end of it. Unless the node is
+        // told, requests asked for over it wait for an answer until they expire.
+        Ok(vec![PeerEvent::Up(peer)])
     }
 }
