Relay: a flush that is given up keeps its tokens

Cause: tokens were taken out before there was room for them; when the node ended the request while a slow caller was waited for, they were dropped though they counted as delivered. They are now taken once there is room. The test failed before (the piece never came) and passes now.

--- a/crates/oriolemux/src/relay/caller.rs
+++ b/crates/oriolemux/src/relay/caller.rs
@@ -139,8 +139,18 @@
         if self.waiting() == 0 {
             return Ok(());
         }
-        let part = Bytes::from(core::mem::take(&mut self.out));
-        self.send(Piece::Part(part)).await
+        self.begin_stream()?;
+        let pieces = self.pieces.as_ref().ok_or(CallerGone)?;
+        // The tokens are taken only once there is room: they count as
+        // delivered, and a wait that is given up must not lose them.
+        let wait = async {
+            self.connection.wait_writable().await;
+            pieces.reserve().await
+        };
+        let room = timeout(self.write_timeout, wait).await;
+        let room = room.ok().and_then(Result::ok).ok_or(CallerGone)?;
+        room.send(Piece::Part(Bytes::from(core::mem::take(&mut self.out))));
+        Ok(())
     }
 
     /// Ends a whole answer.
--- /dev/null
+++ b/crates/oriolemux/tests/relay_caller.rs
@@ -0,0 +1,57 @@
+//! What the caller's end of a relay keeps when a wait is given up.
+
+use futures_util::FutureExt;
+use oriolemux::callers::connections::{ConnectionState, Listening};
+use oriolemux::relay::caller::{AnswerForm, Caller, Piece, Reply};
+use oriolemux::relay::chunk::ChunkWriter;
+use oriolemux_core::{Incarnation, InstanceKey, RequestId};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::{mpsc, oneshot};
+
+fn caller(listening: &Listening) -> (Caller, oneshot::Receiver<Reply>) {
+    let request = RequestId {
+        instance: InstanceKey(1),
+        incarnation: Incarnation(2),
+        seq: 1,
+    };
+    let (head, reply) = oneshot::channel();
+    let chunks = ChunkWriter::new(request, "plans");
+    let limit = Duration::from_secs(30);
+    let caller = Caller::new(AnswerForm::Events, chunks, head, listening, limit);
+    (caller, reply)
+}
+
+async fn next_text(pieces: &mut mpsc::Receiver<Piece>) -> String {
+    let received = tokio::time::timeout(Duration::from_secs(30), pieces.recv()).await;
+    let Ok(Some(Piece::Part(bytes))) = received else {
+        panic!("a part of the stream");
+    };
+    String::from_utf8(bytes.to_vec()).unwrap()
+}
+
+/// Symptom: a caller was told that 60 tokens stand, and held 40.
+/// Sequence: the caller read slowly, so that tokens waited to be handed over;
+/// the node ended the request meanwhile; the error followed, the tokens did not.
+/// Cause: giving up the wait dropped the piece that waited, although its
+/// tokens counted as delivered.
+#[tokio::test]
+async fn keeps_a_piece_whose_hand_over_is_given_up() {
+    let listening = Arc::new(ConnectionState::default()).listen();
+    let (mut caller, reply) = caller(&listening);
+    caller.token(0, b"one");
+    caller.flush().await.unwrap();
+    let Ok(Reply::Stream(mut pieces)) = reply.await else {
+        panic!("a stream");
+    };
+
+    caller.token(1, b"two");
+    let given_up = caller.flush().now_or_never();
+    assert!(given_up.is_none(), "the first piece still waits");
+    let first = next_text(&mut pieces).await;
+    caller.flush().await.unwrap();
+    let second = next_text(&mut pieces).await;
+
+    assert!(first.contains("\"text\":\"one\""), "{first}");
+    assert!(second.contains("\"text\":\"two\""), "{second}");
+}
