--- a/crates/core/src/membership/cells.rs
+++ b/crates/core/src/membership/cells.rs
@@ -15,7 +15,7 @@
 ///
 /// Larger cells pool memory better; smaller ones spread the homes' work. The
 /// size is argued for in `docs/design/placement.md`.
-pub const CELL_ENDPOINTS: usize = 8;
+pub const CELL_ENDPOINTS: usize = 4;
 
 /// One cell as computed from the list.
 ///
--- a/crates/core/src/membership/homes.rs
+++ b/crates/core/src/membership/homes.rs
@@ -1,10 +1,11 @@
 //! Who is home for what, and what may be used.
 
 use super::list::ListedState;
-use super::view::{Cell, CellId, Endpoint, HOME_RANKS};
+use super::view::{Cell, Endpoint, HOME_RANKS, Instance};
 use super::{DataCentreId, Life, Membership};
 use crate::ids::{CellKey, EndpointKey, InstanceKey};
 use crate::rendezvous::{self, Candidate};
+use std::collections::BTreeMap;
 
 /// What may be sent to an endpoint, as far as membership knows.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -36,17 +37,59 @@
         }
     }
 
-    /// Ranks the homes of every cell anew.
+    /// Ranks the homes and the givers of every cell anew.
     pub(super) fn refresh_homes(&mut self) {
-        let cells: Vec<CellId> = self.view.cells.keys().collect();
-        let mut homes = Vec::with_capacity(HOME_RANKS);
-        for id in cells {
-            let Cell {
-                plan, data_centre, ..
-            } = &self.view.cells[id];
-            let near = Some(*data_centre);
-            rendezvous::rank(plan.key.0, self.candidates(near), HOME_RANKS, &mut homes);
-            self.view.cells[id].homes.clone_from(&homes);
+        let homes = self.assign_cells(|it| it.usable);
+        let givers = self.assign_cells(|it| it.record.state == ListedState::Live);
+        for ((cell, homes), givers) in self.view.cells.values_mut().zip(homes).zip(givers) {
+            cell.homes = homes;
+            cell.giver = givers.first().copied();
+        }
+    }
+
+    /// Ranks the instances that `may` decide for each cell, in the order of the cells.
+    ///
+    /// The first in rank is not always the home: an instance that has its even
+    /// part of its data centre's cells is passed over. Plain rendezvous hashing
+    /// gave one instance several cells while most had none, and with them
+    /// several times the polls and messages that a node may spend.
+    fn assign_cells(&self, may: impl Fn(&Instance) -> bool) -> Vec<Vec<InstanceKey>> {
+        let instances: Vec<&Instance> = self.view.instances.values().filter(|it| may(it)).collect();
+        let mut taken: BTreeMap<InstanceKey, usize> = BTreeMap::new();
+        let mut ranked = Vec::new();
+        let mut assigned = Vec::with_capacity(self.view.cells.len());
+        for cell in self.view.cells.values() {
+            let near = |it: &Instance| it.data_centre == cell.data_centre;
+            let candidates = instances.iter().map(|it| Candidate {
+                instance: it.key,
+                near: near(it),
+            });
+            rendezvous::rank(cell.plan.key.0, candidates, instances.len(), &mut ranked);
+            let here = instances.iter().filter(|it| near(it)).count();
+            let part = self.even_part(cell.data_centre, here, instances.len());
+            let has_room = |it: &InstanceKey| taken.get(it).copied().unwrap_or(0) < part;
+            let home = ranked.iter().position(has_room).unwrap_or(0);
+            if home < ranked.len() {
+                let home = ranked.remove(home);
+                *taken.entry(home).or_default() += 1;
+                ranked.insert(0, home);
+            }
+            ranked.truncate(HOME_RANKS);
+            assigned.push(ranked.clone());
+        }
+        assigned
+    }
+
+    /// Returns how many cells each of `here` instances of a data centre takes;
+    /// without any there, how many each of `all` takes.
+    fn even_part(&self, data_centre: DataCentreId, here: usize, all: usize) -> usize {
+        let cells = self.view.cells.values();
+        match here {
+            0 => cells.count().div_ceil(all.max(1)),
+            _ => cells
+                .filter(|it| it.data_centre == data_centre)
+                .count()
+                .div_ceil(here),
         }
     }
 
@@ -91,14 +134,7 @@
     /// It ranks first among those that the list calls live, whatever links and
     /// peers say of them; [`crate::orders`] says why.
     pub fn giver_of_cell(&self, cell: CellKey) -> Option<InstanceKey> {
-        let near = self.view.cell(cell)?.data_centre;
-        let listed = self.view.instances();
-        let live = listed.filter(|it| it.record.state == ListedState::Live);
-        let candidates = live.map(|it| Candidate {
-            instance: it.key,
-            near: it.data_centre == near,
-        });
-        rendezvous::first(cell.0, candidates)
+        self.view.cell(cell)?.giver
     }
 
     /// Returns whether this instance is the home of a cell.
--- a/crates/core/src/membership/view.rs
+++ b/crates/core/src/membership/view.rs
@@ -68,6 +68,8 @@
     pub data_centre: DataCentreId,
     /// Usable instances in order of rank, the home first; at most [`HOME_RANKS`].
     pub homes: Vec<InstanceKey>,
+    /// The instance that gives orders to its endpoints.
+    pub giver: Option<InstanceKey>,
 }
 
 /// How many instances in rank order are kept for each cell: the home and those
@@ -130,6 +132,7 @@
             plan,
             data_centre,
             homes: Vec::new(),
+            giver: None,
         });
         self.cell_ids.insert(key, id);
     }
--- a/crates/core/src/node/home.rs
+++ b/crates/core/src/node/home.rs
@@ -22,7 +22,10 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 /// How often a home asks each endpoint of its cells for its load.
-pub(super) const POLL_INTERVAL: Duration = Duration::from_millis(500);
+///
+/// Between two reports the home knows what it granted itself; a report corrects
+/// it and shows what others run. `docs/CAPACITY.md` says what polls cost.
+pub const POLL_INTERVAL: Duration = Duration::from_secs(1);
 
 /// How long the leases of a life are kept after its link went down. Its
 /// generations go on running at the endpoints meanwhile, so that forgetting
--- a/crates/oriolemux/src/endpoints/polls.rs
+++ b/crates/oriolemux/src/endpoints/polls.rs
@@ -7,6 +7,19 @@
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
+/// Cache events are asked for with every so many polls of load. They come late
+/// and with gaps in any case, and each ask costs as many bytes as a report.
+pub const POLLS_PER_CACHE: u32 = 4;
+
+/// How far an endpoint's cache events were read.
+#[derive(Clone, Copy, Debug, Default)]
+struct Cursor {
+    /// The number to ask for events after.
+    after: u64,
+    /// Polls of load since the last ask; 0 asks with the next poll.
+    polls: u32,
+}
+
 /// Carries out [`oriolemux_core::Action::PollLoad`] and
 /// [`oriolemux_core::Action::Order`].
 ///
@@ -15,7 +28,7 @@
 #[derive(Clone, Debug)]
 pub struct Polls<E> {
     protocol: E,
-    cursors: Arc<Mutex<BTreeMap<EndpointKey, u64>>>,
+    cursors: Arc<Mutex<BTreeMap<EndpointKey, Cursor>>>,
 }
 
 impl<E: EndpointProtocol> Polls<E> {
@@ -27,7 +40,8 @@
         }
     }
 
-    /// Asks an endpoint for its load, then for its cache events, and tells the node.
+    /// Asks an endpoint for its load, and now and then for its cache events, and
+    /// tells the node.
     ///
     /// # Errors
     ///
@@ -41,12 +55,24 @@
             }
             Err(_) => return port.event(Event::LoadFailed { endpoint: key }).await,
         }
-        self.poll_cache(endpoint, port).await
+        match self.is_cache_due(key) {
+            true => self.poll_cache(endpoint, port).await,
+            false => Ok(()),
+        }
+    }
+
+    /// Counts a poll; returns whether cache events are asked for with it.
+    fn is_cache_due(&self, key: EndpointKey) -> bool {
+        let mut cursors = self.cursors();
+        let cursor = cursors.entry(key).or_default();
+        let is_due = cursor.polls == 0;
+        cursor.polls = (cursor.polls + 1) % POLLS_PER_CACHE;
+        is_due
     }
 
     async fn poll_cache(&self, endpoint: &EndpointTarget, port: &NodePort) -> Result<(), NodeGone> {
         let key = endpoint.key;
-        let after = self.cursors().get(&key).copied().unwrap_or(0);
+        let after = self.cursors().entry(key).or_default().after;
         let Ok(batch) = self.protocol.cache_events(endpoint, after).await else {
             return Ok(());
         };
@@ -54,7 +80,7 @@
         // empty cache. Without this check its old blocks would be believed
         // in until it had counted up to the old number.
         let restarted = batch.next < after;
-        self.cursors().insert(key, batch.next);
+        self.cursors().entry(key).or_default().after = batch.next;
         let gap = batch.gap || restarted;
         if !gap && batch.stored.is_empty() && batch.evicted.is_empty() {
             return Ok(());
@@ -92,7 +118,7 @@
         port.event(event).await
     }
 
-    fn cursors(&self) -> MutexGuard<'_, BTreeMap<EndpointKey, u64>> {
+    fn cursors(&self) -> MutexGuard<'_, BTreeMap<EndpointKey, Cursor>> {
         self.cursors.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/crates/oriolemux/src/peers.rs
+++ b/crates/oriolemux/src/peers.rs
@@ -72,7 +72,7 @@
             max_queued_frames: 1024,
             max_unauthenticated: 64,
             connect_timeout: Duration::from_secs(1),
-            heartbeat: Duration::from_secs(1),
+            heartbeat: Duration::from_secs(2),
             silence_timeout: Duration::from_secs(4),
             idle_timeout: Duration::from_secs(20),
             reconnect: (Duration::from_millis(100), Duration::from_secs(3)),
--- a/crates/oriolemux/src/settings/table.rs
+++ b/crates/oriolemux/src/settings/table.rs
@@ -142,7 +142,7 @@
         /// A connection must be made and authenticated within this time.
         connect_timeout_ms: Millis = default(Millis(1_000)).range(10, 60_000);
         /// A heartbeat is sent on a link after so long without other traffic.
-        heartbeat_ms: Millis = default(Millis(1_000)).range(10, 60_000);
+        heartbeat_ms: Millis = default(Millis(2_000)).range(10, 60_000);
         /// A link that was silent for this long is closed.
         silence_timeout_ms: Millis = default(Millis(4_000)).range(20, 600_000);
         /// The first pause before a lost link is made again; it doubles up to
