A link in a doc comment says which of two things it means

Cause: cargo doc with warnings denied failed on [capacity], a module and a function. Change: mod@capacity. Figures: cargo doc fails before, passes after. Conclusion: kept.

--- a/crates/bench/src/slopes.rs
+++ b/crates/bench/src/slopes.rs
@@ -3,7 +3,7 @@
 //! The decisions are measured alone, with the sizes of the real messages, on
 //! one node of a fleet of the planned size; the driver plays everybody else.
 //! Each slope has at least four points, and its error is printed. What the
-//! slopes come to at a size is worked out in [`capacity`], from which
+//! slopes come to at a size is worked out in [`mod@capacity`], from which
 //! `docs/CAPACITY.md` has its tables.
 
 pub mod capacity;
