--- /dev/null
+++ b/crates/core/src/gateway/bulletin.rs
@@ -0,0 +1,139 @@
+//! What instances tell each other.
+//!
+//! A bulletin is one datagram with the sender's whole present state of what
+//! others need: who it is, whom it knows, how far it has read the store, which
+//! endpoints it knows to leave, and what it runs where. Because it is the whole
+//! state and not a change of it, a lost or doubled datagram does no harm and the
+//! next one heals everything; `docs/design/platform.md` says why datagrams.
+
+use crate::ids::{EndpointKey, Incarnation};
+use crate::time::Time;
+use core::time::Duration;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::net::SocketAddrV4;
+
+/// The version of this format; bulletins of another are ignored.
+pub const BULLETIN_VERSION: u8 = 1;
+
+/// A peer that was silent for so long counts as gone. Bulletins come at least
+/// every [`super::state::BULLETIN_INTERVAL`]; six of them may be lost in a row.
+pub const PEER_SILENCE: Duration = Duration::from_millis(1_500);
+
+/// A peer that was silent for so long is forgotten and no longer told anything.
+const PEER_FORGET: Duration = Duration::from_secs(60);
+
+/// The most peers that one bulletin names, so that it fits one datagram.
+pub const MAX_NAMED: usize = 64;
+
+/// What one instance runs at one endpoint.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Used {
+    /// Requests sent and not ended.
+    pub running: u16,
+    /// Requests of these that were not answered with a first byte.
+    pub starting: u16,
+    /// Tokens of memory that generations take or are expected to take.
+    pub tokens: u32,
+    /// Tokens of memory that standing copies take.
+    pub copied: u32,
+}
+
+/// One datagram between instances.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Bulletin {
+    /// [`BULLETIN_VERSION`].
+    pub version: u8,
+    /// Tells deployments apart that share a network.
+    pub deployment: u64,
+    /// The sender's life.
+    pub incarnation: Incarnation,
+    /// Where the sender answers peers.
+    pub address: SocketAddrV4,
+    /// The store's revision up to which the sender knows everything.
+    pub revision: u64,
+    /// Whether the sender is stopping.
+    pub stopping: bool,
+    /// Peers that the sender heard lately.
+    pub peers: Vec<SocketAddrV4>,
+    /// Endpoints that the sender knows to leave.
+    pub leaving: Vec<EndpointKey>,
+    /// What the sender runs where.
+    pub used: Vec<(EndpointKey, Used)>,
+}
+
+/// What is known of one peer.
+#[derive(Clone, Debug)]
+pub struct Peer {
+    /// Its life, once it was heard.
+    pub incarnation: Option<Incarnation>,
+    /// When it was heard last.
+    pub heard: Option<Time>,
+    /// When its address was learnt.
+    pub learnt: Time,
+    /// The revision that it knows.
+    pub revision: u64,
+    /// Whether it is stopping.
+    pub stopping: bool,
+    /// What it runs where.
+    pub used: BTreeMap<EndpointKey, Used>,
+}
+
+/// All peers, by the address at which they answer.
+#[derive(Clone, Debug, Default)]
+pub struct PeerTable {
+    peers: BTreeMap<SocketAddrV4, Peer>,
+}
+
+impl PeerTable {
+    /// Notes an address at which a peer may answer.
+    pub fn learn(&mut self, now: Time, address: SocketAddrV4) {
+        self.peers.entry(address).or_insert(Peer {
+            incarnation: None,
+            heard: None,
+            learnt: now,
+            revision: 0,
+            stopping: false,
+            used: BTreeMap::new(),
+        });
+    }
+
+    /// Takes a bulletin in, apart from what it says about endpoints that leave.
+    pub fn hear(&mut self, now: Time, bulletin: &Bulletin) {
+        self.learn(now, bulletin.address);
+        for &address in bulletin.peers.iter().take(MAX_NAMED) {
+            self.learn(now, address);
+        }
+        if let Some(peer) = self.peers.get_mut(&bulletin.address) {
+            peer.incarnation = Some(bulletin.incarnation);
+            peer.heard = Some(now);
+            peer.revision = bulletin.revision;
+            peer.stopping = bulletin.stopping;
+            peer.used = bulletin.used.iter().copied().collect();
+        }
+    }
+
+    /// Forgets peers that were silent for long, unless `keep` names them.
+    pub fn forget_silent(&mut self, now: Time, keep: &[SocketAddrV4]) {
+        self.peers.retain(|address, peer| {
+            let last = peer.heard.unwrap_or(peer.learnt);
+            now.since(last) < PEER_FORGET || keep.contains(address)
+        });
+    }
+
+    /// Returns the addresses of all peers that are to be told.
+    pub fn addresses(&self) -> impl Iterator<Item = SocketAddrV4> {
+        self.peers.keys().copied()
+    }
+
+    /// Returns the peers that were heard lately.
+    pub fn live(&self, now: Time) -> impl Iterator<Item = (SocketAddrV4, &Peer)> {
+        let peers = self.peers.iter();
+        peers
+            .filter(move |(_, peer)| {
+                let heard = peer.heard;
+                heard.is_some_and(|heard| now.since(heard) < PEER_SILENCE)
+            })
+            .map(|(address, peer)| (*address, peer))
+    }
+}
--- /dev/null
+++ b/crates/core/src/gateway/choose.rs
@@ -0,0 +1,201 @@
+//! The endpoint for a request, and the one that holds its standing copy.
+//!
+//! Every instance chooses by itself, from its own use and from what peers told
+//! some tens of milliseconds ago (`docs/design/platform.md`, "Local choice").
+//! An engine is chosen by the memory and the prompts that wait before it, a
+//! plain endpoint by its queue.
+
+use super::bulletin::{PeerTable, Used};
+use super::catalogue::EngineLimits;
+use super::endpoints::{Endpoint, EndpointState, EndpointTable};
+use super::usage::UsageTable;
+use crate::ids::EndpointKey;
+use crate::time::Time;
+
+/// The share of an engine's memory that is given away. What generations take is
+/// an estimate; an engine that runs out preempts one and reads its prompt again.
+const MEMORY_SHARE: f64 = 0.92;
+
+/// A prompt that waits to be read delays a new one by about 200 ms, as much as
+/// ten running generations slow it down.
+const STARTING_COST: f64 = 10.0;
+
+/// The cost of a full memory, in running generations.
+const MEMORY_COST: f64 = 12.0;
+
+/// The cost of another data centre at an engine, in running generations: some
+/// milliseconds and the bytes that cross.
+const AWAY_COST: f64 = 0.5;
+
+/// The cost of another data centre at a plain endpoint, in requests: a round
+/// trip of some 3 ms against calls of some 15 ms and more.
+const AWAY_PLAIN_COST: f64 = 0.5;
+
+/// The cost of an engine that has just started and is still slow.
+const COLD_COST: f64 = 8.0;
+
+/// The cost of an entry that may have vanished for good.
+const LAPSED_COST: f64 = 30.0;
+
+/// The cost of an endpoint at which all requests fail, in requests.
+const FAILURE_COST: f64 = 20.0;
+
+/// Prompts that may wait before one engine; more would wait as well here, where
+/// they can still go elsewhere. Four prompts of 3,000 tokens take some 0.9 s.
+const MAX_STARTING: u16 = 4;
+
+/// What a request needs at an endpoint.
+#[derive(Clone, Copy, Debug)]
+pub struct Demand<'a> {
+    /// The service.
+    pub service: &'a str,
+    /// What its engines bear, if they are engines.
+    pub engine: Option<EngineLimits>,
+    /// Tokens of memory that the request is expected to take.
+    pub tokens: u32,
+    /// Endpoints that are not to be chosen, because they were tried.
+    pub exclude: &'a [EndpointKey],
+    /// The data centre of this instance.
+    pub data_centre: &'a str,
+}
+
+/// The tables that a choice looks at.
+#[derive(Clone, Copy, Debug)]
+pub struct World<'a> {
+    /// The time.
+    pub now: Time,
+    /// All endpoints.
+    pub endpoints: &'a EndpointTable,
+    /// What runs where.
+    pub usage: &'a UsageTable,
+    /// What peers run.
+    pub peers: &'a PeerTable,
+}
+
+/// Why there is no endpoint for a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NoPlace {
+    /// There is none, or all that there are fail or leave.
+    NoEndpoint,
+    /// All are full.
+    Full,
+}
+
+/// Returns the endpoint with the least cost. `jitter` draws a number below one
+/// for each candidate, so that instances with the same view part at a tie.
+///
+/// # Errors
+///
+/// Returns why there is none.
+pub fn choose(
+    world: World<'_>,
+    demand: &Demand<'_>,
+    mut jitter: impl FnMut() -> f64,
+) -> Result<EndpointKey, NoPlace> {
+    let mut best: Option<(f64, EndpointKey)> = None;
+    let mut full = false;
+    for endpoint in candidates(world, demand) {
+        let used = world.usage.of(world.now, endpoint.key, world.peers);
+        let cost = match demand.engine {
+            Some(limits) if !fits(used, demand.tokens, limits) || used.starting >= MAX_STARTING => {
+                full = true;
+                continue;
+            }
+            Some(limits) => engine_cost(used, limits),
+            None => plain_cost(world, endpoint, used),
+        };
+        let away = match demand.engine {
+            Some(_) => AWAY_COST,
+            None => AWAY_PLAIN_COST,
+        };
+        let cost = cost + state_cost(world.now, endpoint, demand, away) + 0.1 * jitter();
+        if best.is_none_or(|(least, _)| cost < least) {
+            best = Some((cost, endpoint.key));
+        }
+    }
+    match best {
+        Some((_, key)) => Ok(key),
+        None if full => Err(NoPlace::Full),
+        None => Err(NoPlace::NoEndpoint),
+    }
+}
+
+/// Returns the engine with the most room for a copy of a generation that runs at `source`.
+pub fn choose_copy(
+    world: World<'_>,
+    demand: &Demand<'_>,
+    source: &Endpoint,
+) -> Option<EndpointKey> {
+    let limits = demand.engine?;
+    let mut best: Option<(f64, EndpointKey)> = None;
+    for endpoint in candidates(world, demand) {
+        let used = world.usage.of(world.now, endpoint.key, world.peers);
+        if endpoint.key == source.key || !fits(used, demand.tokens, limits) {
+            continue;
+        }
+        let away = endpoint.record.data_centre != source.record.data_centre;
+        let cost = engine_cost(used, limits) + if away { AWAY_COST } else { 0.0 };
+        if best.is_none_or(|(least, _)| cost < least) {
+            best = Some((cost, endpoint.key));
+        }
+    }
+    best.map(|(_, key)| key)
+}
+
+/// Returns the endpoints that may be chosen; those that failed lately only if
+/// there are no others.
+fn candidates<'a>(
+    world: World<'a>,
+    demand: &'a Demand<'a>,
+) -> impl Iterator<Item = &'a Endpoint> + 'a {
+    let fitting = move |endpoint: &&Endpoint| {
+        endpoint.takes_work()
+            && endpoint.record.service == demand.service
+            && !demand.exclude.contains(&endpoint.key)
+    };
+    let trusted = move |endpoint: &&Endpoint| !endpoint.is_ejected(world.now);
+    let any_trusted = world
+        .endpoints
+        .iter()
+        .filter(fitting)
+        .any(|endpoint| trusted(&endpoint));
+    world
+        .endpoints
+        .iter()
+        .filter(fitting)
+        .filter(move |endpoint| !any_trusted || trusted(endpoint))
+}
+
+fn fits(used: Used, tokens: u32, limits: EngineLimits) -> bool {
+    let room = f64::from(limits.memory_tokens) * MEMORY_SHARE;
+    let taken = f64::from(used.tokens) + f64::from(used.copied);
+    let empty = used.running == 0;
+    u32::from(used.running) < limits.slots && (empty || taken + f64::from(tokens) <= room)
+}
+
+fn engine_cost(used: Used, limits: EngineLimits) -> f64 {
+    let taken = f64::from(used.tokens) + f64::from(used.copied);
+    let memory = taken / f64::from(limits.memory_tokens.max(1));
+    f64::from(used.running) + STARTING_COST * f64::from(used.starting) + MEMORY_COST * memory
+}
+
+fn plain_cost(world: World<'_>, endpoint: &Endpoint, used: Used) -> f64 {
+    let counted = f64::from(used.running);
+    let told = world.usage.told_lately(world.now, endpoint.key);
+    let told = told.map_or(0.0, |load| f64::from(load.running + load.waiting));
+    counted.max(told)
+}
+
+fn state_cost(now: Time, endpoint: &Endpoint, demand: &Demand<'_>, away: f64) -> f64 {
+    let mut cost = FAILURE_COST * endpoint.failure_share();
+    if endpoint.record.data_centre != demand.data_centre {
+        cost += away;
+    }
+    if now < endpoint.cold_until {
+        cost += COLD_COST;
+    }
+    if let EndpointState::Lapsed { .. } = endpoint.state {
+        cost += LAPSED_COST;
+    }
+    cost
+}
--- /dev/null
+++ b/crates/core/src/gateway/endpoints.rs
@@ -0,0 +1,249 @@
+//! Which endpoints exist, which of them leave, and which are not trusted.
+//!
+//! An endpoint is one life of a process of a service; its published name is
+//! never used again. That makes leaving final: whoever hears of it first, from
+//! the store, a peer or the endpoint itself, is right for good.
+
+use crate::ids::EndpointKey;
+use crate::time::Time;
+use core::time::Duration;
+use std::collections::BTreeMap;
+use std::net::SocketAddrV4;
+
+/// How long an entry that vanished around an outage of the store may come back.
+/// The publisher promises about two seconds.
+pub const LAPSE_GRACE: Duration = Duration::from_millis(2_200);
+
+/// How long an endpoint that left is remembered, so that news of it that travels
+/// slowly does not bring it back.
+const REMEMBER_GONE: Duration = Duration::from_secs(60);
+
+/// Failures in a row after which an endpoint is passed over. One failure may be
+/// the request's; three in a row are rarely.
+const EJECT_AFTER: u32 = 3;
+
+/// The first time for which an endpoint is passed over; it doubles with each
+/// further failure.
+const EJECT_FIRST: Duration = Duration::from_millis(500);
+
+/// The longest time for which an endpoint is passed over.
+const EJECT_LONGEST: Duration = Duration::from_secs(4);
+
+/// The weight of the newest result in the share of failures.
+const FAILURE_WEIGHT: f64 = 0.1;
+
+/// What is published about an endpoint.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EndpointRecord {
+    /// The published name, which names this life.
+    pub name: String,
+    /// The service.
+    pub service: String,
+    /// Where it is reached.
+    pub address: SocketAddrV4,
+    /// Its data centre.
+    pub data_centre: String,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Whether it says that it is leaving.
+    pub leaving: bool,
+    /// For how long it will be slow after its start.
+    pub cold: Duration,
+}
+
+/// Whether an endpoint takes new work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EndpointState {
+    /// It does.
+    Serving,
+    /// Its entry vanished around an outage of the store; it may come back.
+    Lapsed {
+        /// Since when.
+        since: Time,
+    },
+    /// It takes nothing new, for good.
+    Leaving {
+        /// Since when that is known.
+        since: Time,
+    },
+}
+
+/// An endpoint as this instance believes it to be.
+#[derive(Clone, Debug)]
+pub struct Endpoint {
+    /// Its key.
+    pub key: EndpointKey,
+    /// What was published last.
+    pub record: EndpointRecord,
+    /// Whether it takes new work.
+    pub state: EndpointState,
+    /// Until when it is slow after its start.
+    pub cold_until: Time,
+    /// Failures since the last success.
+    failures: u32,
+    /// It is passed over until then.
+    ejected_until: Time,
+    /// Share of requests that failed lately, from 0 to 1.
+    failure_share: f64,
+}
+
+impl Endpoint {
+    /// Returns whether new work may be sent to it.
+    pub fn takes_work(&self) -> bool {
+        !matches!(self.state, EndpointState::Leaving { .. })
+    }
+
+    /// Returns whether it is passed over because it failed.
+    pub fn is_ejected(&self, now: Time) -> bool {
+        now < self.ejected_until
+    }
+
+    /// Returns the share of requests that failed lately, from 0 to 1.
+    pub fn failure_share(&self) -> f64 {
+        self.failure_share
+    }
+
+    /// Returns since when it is known to leave.
+    pub fn leaving_since(&self) -> Option<Time> {
+        match self.state {
+            EndpointState::Leaving { since } => Some(since),
+            _ => None,
+        }
+    }
+}
+
+/// All endpoints known.
+#[derive(Clone, Debug, Default)]
+pub struct EndpointTable {
+    endpoints: BTreeMap<EndpointKey, Endpoint>,
+    /// Endpoints that are known to leave and of which nothing else is known.
+    left: BTreeMap<EndpointKey, Time>,
+}
+
+impl EndpointTable {
+    /// Takes in what was published; returns whether the endpoint began to leave.
+    pub fn publish(&mut self, now: Time, record: EndpointRecord) -> bool {
+        let key = EndpointKey::of(&record.name);
+        let leaving = record.leaving || self.left.contains_key(&key);
+        let cold_until = now + record.cold;
+        let endpoint = self.endpoints.entry(key).or_insert_with(|| Endpoint {
+            key,
+            record: record.clone(),
+            state: EndpointState::Serving,
+            cold_until,
+            failures: 0,
+            ejected_until: Time::ZERO,
+            failure_share: 0.0,
+        });
+        endpoint.record = record;
+        endpoint.cold_until = cold_until;
+        if leaving {
+            return self.leave(now, key);
+        }
+        if let EndpointState::Lapsed { .. } = endpoint.state {
+            endpoint.state = EndpointState::Serving;
+        }
+        false
+    }
+
+    /// Takes in that an entry vanished. Around an outage of the store
+    /// (`unsettled`) it may come back.
+    ///
+    /// Returns whether the endpoint began to leave.
+    pub fn vanish(&mut self, now: Time, name: &str, unsettled: bool) -> bool {
+        let key = EndpointKey::of(name);
+        match self.endpoints.get_mut(&key) {
+            Some(endpoint) if unsettled && endpoint.state == EndpointState::Serving => {
+                endpoint.state = EndpointState::Lapsed { since: now };
+                false
+            }
+            Some(_) => self.leave(now, key),
+            None => {
+                self.left.insert(key, now);
+                false
+            }
+        }
+    }
+
+    /// Notes that an endpoint leaves; returns whether that is news.
+    pub fn leave(&mut self, now: Time, key: EndpointKey) -> bool {
+        self.left.entry(key).or_insert(now);
+        let Some(endpoint) = self.endpoints.get_mut(&key) else {
+            return false;
+        };
+        if !endpoint.takes_work() {
+            return false;
+        }
+        endpoint.state = EndpointState::Leaving { since: now };
+        true
+    }
+
+    /// Ends the time that lapsed entries had to come back, unless the store is still
+    /// unsettled, and forgets who left long ago.
+    ///
+    /// Returns the endpoints that began to leave.
+    pub fn tick(&mut self, now: Time, unsettled: bool) -> Vec<EndpointKey> {
+        let lapsed = |endpoint: &&Endpoint| match endpoint.state {
+            EndpointState::Lapsed { since } => !unsettled && now.since(since) >= LAPSE_GRACE,
+            _ => false,
+        };
+        let gone: Vec<EndpointKey> = self
+            .endpoints
+            .values()
+            .filter(lapsed)
+            .map(|it| it.key)
+            .collect();
+        for &key in &gone {
+            self.leave(now, key);
+        }
+        self.left
+            .retain(|_, since| now.since(*since) < REMEMBER_GONE);
+        let left = &self.left;
+        self.endpoints
+            .retain(|key, endpoint| endpoint.takes_work() || left.contains_key(key));
+        gone
+    }
+
+    /// Returns an endpoint.
+    pub fn get(&self, key: EndpointKey) -> Option<&Endpoint> {
+        self.endpoints.get(&key)
+    }
+
+    /// Returns all endpoints.
+    pub fn iter(&self) -> impl Iterator<Item = &Endpoint> {
+        self.endpoints.values()
+    }
+
+    /// Returns the endpoints that are known to leave.
+    pub fn leaving(&self) -> impl Iterator<Item = EndpointKey> {
+        self.left.keys().copied()
+    }
+
+    /// Notes that a request went well.
+    pub fn on_success(&mut self, key: EndpointKey) {
+        if let Some(endpoint) = self.endpoints.get_mut(&key) {
+            endpoint.failures = 0;
+            endpoint.ejected_until = Time::ZERO;
+            endpoint.failure_share *= 1.0 - FAILURE_WEIGHT;
+        }
+    }
+
+    /// Notes that a request failed at the endpoint; returns whether it is now passed over.
+    ///
+    /// What goes wrong without it: an endpoint that fails at once is always the
+    /// least loaded one, and so draws all requests to itself.
+    pub fn on_failure(&mut self, now: Time, key: EndpointKey) -> bool {
+        let Some(endpoint) = self.endpoints.get_mut(&key) else {
+            return false;
+        };
+        endpoint.failures = endpoint.failures.saturating_add(1);
+        endpoint.failure_share += (1.0 - endpoint.failure_share) * FAILURE_WEIGHT;
+        if endpoint.failures < EJECT_AFTER {
+            return false;
+        }
+        let doublings = (endpoint.failures - EJECT_AFTER).min(8);
+        let time = (EJECT_FIRST * (1 << doublings)).min(EJECT_LONGEST);
+        endpoint.ejected_until = now + time;
+        true
+    }
+}
--- /dev/null
+++ b/crates/core/src/gateway/reader.rs
@@ -0,0 +1,128 @@
+//! When to read and watch the store.
+//!
+//! One read of everything, then one watch after the other from where the last
+//! one ended. A call that fails is followed by a pause that grows, with jitter,
+//! so that a store that comes back is not met by all instances at once.
+
+use crate::time::Time;
+use core::time::Duration;
+
+/// How long the store may hold a watch. A connection may fall silent for good
+/// without a reset; this bounds how long an instance can be blind because of it.
+pub const WATCH_WAIT: Duration = Duration::from_millis(2_000);
+
+/// How much later than [`WATCH_WAIT`] an answer may come before the call is given up.
+pub const ANSWER_SLACK: Duration = Duration::from_millis(700);
+
+/// The first pause after a failure.
+const FIRST_PAUSE: Duration = Duration::from_millis(100);
+
+/// The longest pause after failures. A quarter of the tightest bound within which
+/// a change must be in force.
+const LONGEST_PAUSE: Duration = Duration::from_millis(500);
+
+/// How long after an outage entries of the store are still incomplete: the
+/// publisher promises about two seconds.
+const SETTLE: Duration = Duration::from_millis(2_500);
+
+/// What to do next.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// Read everything.
+    Read,
+    /// Wait for what comes after the revision known.
+    Watch,
+    /// Wait before the next call.
+    Pause(Duration),
+}
+
+/// How a call failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CallFailure {
+    /// The store answered that it cannot serve the call now.
+    Refused,
+    /// There was no answer.
+    NoAnswer,
+    /// The history that a watch asked for is gone.
+    HistoryGone,
+}
+
+/// The state of the calls to the store.
+#[derive(Clone, Copy, Debug)]
+pub struct StoreReader {
+    needs_read: bool,
+    failures: u32,
+    pause_until: Time,
+    recovered: Option<Time>,
+}
+
+impl StoreReader {
+    /// Returns a reader that has read nothing.
+    pub fn new() -> Self {
+        StoreReader {
+            needs_read: true,
+            failures: 0,
+            pause_until: Time::ZERO,
+            recovered: None,
+        }
+    }
+
+    /// Returns what to do now.
+    pub fn next(&self, now: Time) -> Step {
+        if now < self.pause_until {
+            return Step::Pause(self.pause_until.since(now));
+        }
+        match self.needs_read {
+            true => Step::Read,
+            false => Step::Watch,
+        }
+    }
+
+    /// Notes that everything was read.
+    pub fn on_read(&mut self, now: Time) {
+        self.needs_read = false;
+        self.on_answer(now);
+    }
+
+    /// Notes that a call was answered; returns whether the store was away before.
+    pub fn on_answer(&mut self, now: Time) -> bool {
+        let was_away = self.failures > 0;
+        if was_away {
+            self.recovered = Some(now);
+        }
+        self.failures = 0;
+        was_away
+    }
+
+    /// Notes that a call failed; `draw` is uniform below one. Returns whether the
+    /// store was there before.
+    pub fn on_failure(&mut self, now: Time, failure: CallFailure, draw: f64) -> bool {
+        if failure == CallFailure::HistoryGone {
+            self.needs_read = true;
+            return false;
+        }
+        let was_there = self.failures == 0;
+        let doublings = self.failures.min(8);
+        self.failures = self.failures.saturating_add(1);
+        let pause = (FIRST_PAUSE * (1 << doublings)).min(LONGEST_PAUSE);
+        self.pause_until = now + pause.mul_f64(0.5 + draw);
+        was_there
+    }
+
+    /// Returns whether the store is away.
+    pub fn is_away(&self) -> bool {
+        self.failures > 0
+    }
+
+    /// Returns whether entries that are missing may be back soon: the store is
+    /// away, or was until a moment ago.
+    pub fn is_unsettled(&self, now: Time) -> bool {
+        self.is_away() || self.recovered.is_some_and(|at| now.since(at) < SETTLE)
+    }
+}
+
+impl Default for StoreReader {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- /dev/null
+++ b/crates/core/src/gateway/state.rs
@@ -0,0 +1,324 @@
+//! All decisions about HTTP entries of one instance, behind one type.
+
+use super::budget::{BudgetConfig, SharedBudget};
+use super::bulletin::{BULLETIN_VERSION, Bulletin, MAX_NAMED, PeerTable};
+use super::catalogue::{Catalogue, CatalogueFinding, CatalogueSource};
+use super::choose::{self, Demand, NoPlace, World};
+use super::endpoints::{Endpoint, EndpointRecord, EndpointTable};
+use super::reader::StoreReader;
+use super::replica::Replica;
+use super::usage::{ToldLoad, UsageTable};
+use crate::ids::{EndpointKey, Incarnation};
+use crate::time::Time;
+use core::time::Duration;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use std::collections::BTreeMap;
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+
+/// The longest time between two bulletins. A peer's use of endpoints is told at
+/// once when it changes much; this is what keeps a peer from counting as gone.
+pub const BULLETIN_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Changes within this time go into one bulletin.
+pub const BULLETIN_DELAY: Duration = Duration::from_millis(10);
+
+/// A peer's revision above the own one is believed to be missing here after this time.
+const BEHIND_AFTER: Duration = Duration::from_millis(150);
+
+/// The weight of the newest length in what is learnt of an entry.
+const LENGTH_WEIGHT: f64 = 0.05;
+
+/// How an instance takes part.
+#[derive(Clone, Debug)]
+pub struct GatewayConfig {
+    /// This life.
+    pub incarnation: Incarnation,
+    /// The data centre of this instance.
+    pub data_centre: String,
+    /// Where this instance answers peers.
+    pub address: SocketAddrV4,
+    /// Tells deployments apart that share a network.
+    pub deployment: u64,
+    /// Addresses at which peers may answer, to begin with.
+    pub seeds: Vec<SocketAddrV4>,
+    /// The fleet's bound of repeats.
+    pub budget: BudgetConfig,
+}
+
+/// Where a request goes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Place {
+    /// The endpoint.
+    pub key: EndpointKey,
+    /// Its published name, which the endpoint checks.
+    pub name: String,
+    /// Where it is reached.
+    pub address: SocketAddrV4,
+}
+
+impl Place {
+    fn of(endpoint: &Endpoint) -> Self {
+        Place {
+            key: endpoint.key,
+            name: endpoint.record.name.clone(),
+            address: endpoint.record.address,
+        }
+    }
+}
+
+/// All decisions about HTTP entries of one instance.
+pub struct Gateway {
+    cfg: GatewayConfig,
+    rng: SmallRng,
+    /// What the store published.
+    pub replica: Replica,
+    /// When to call the store.
+    pub reader: StoreReader,
+    /// All endpoints.
+    pub endpoints: EndpointTable,
+    /// What runs where.
+    pub usage: UsageTable,
+    /// All peers.
+    pub peers: PeerTable,
+    /// Repeats that may be spent.
+    pub budget: SharedBudget,
+    catalogue: Option<Arc<Catalogue>>,
+    /// Output tokens of generations, by the entry's name.
+    lengths: BTreeMap<String, f64>,
+    stopping: bool,
+    behind_since: Option<Time>,
+}
+
+impl Gateway {
+    /// Returns an instance that knows nothing but its seeds.
+    pub fn new(now: Time, cfg: GatewayConfig) -> Self {
+        let mut peers = PeerTable::default();
+        for &seed in cfg.seeds.iter().filter(|&&seed| seed != cfg.address) {
+            peers.learn(now, seed);
+        }
+        Gateway {
+            rng: SmallRng::seed_from_u64(cfg.incarnation.0),
+            replica: Replica::default(),
+            reader: StoreReader::new(),
+            endpoints: EndpointTable::default(),
+            usage: UsageTable::default(),
+            peers,
+            budget: SharedBudget::new(cfg.budget),
+            catalogue: None,
+            lengths: BTreeMap::new(),
+            stopping: false,
+            behind_since: None,
+            cfg,
+        }
+    }
+
+    /// Returns the catalogue in force. A request keeps the one that it was judged by.
+    pub fn catalogue(&self) -> Option<&Arc<Catalogue>> {
+        self.catalogue.as_ref()
+    }
+
+    /// Puts a catalogue in force if it is without findings and newer.
+    ///
+    /// Returns whether it is now in force.
+    ///
+    /// # Errors
+    ///
+    /// Returns every finding; the catalogue in force stays.
+    pub fn publish_catalogue(
+        &mut self,
+        source: CatalogueSource,
+    ) -> Result<bool, Vec<CatalogueFinding>> {
+        let in_force = self.catalogue.as_ref().map_or(0, |it| it.version());
+        if self.catalogue.is_some() && source.version <= in_force {
+            return Ok(false);
+        }
+        self.catalogue = Some(Arc::new(Catalogue::compile(source)?));
+        Ok(true)
+    }
+
+    /// Takes in what was published about an endpoint; returns whether it began to leave.
+    pub fn publish_endpoint(&mut self, now: Time, record: EndpointRecord) -> bool {
+        self.endpoints.publish(now, record)
+    }
+
+    /// Takes in that an endpoint's entry vanished; returns whether it began to leave.
+    pub fn endpoint_vanished(&mut self, now: Time, name: &str) -> bool {
+        let unsettled = self.reader.is_unsettled(now);
+        self.endpoints.vanish(now, name, unsettled)
+    }
+
+    /// Does what is due by time alone.
+    ///
+    /// Returns the endpoints that began to leave.
+    pub fn tick(&mut self, now: Time) -> Vec<EndpointKey> {
+        self.peers.forget_silent(now, &self.cfg.seeds);
+        let unsettled = self.reader.is_unsettled(now);
+        self.endpoints.tick(now, unsettled)
+    }
+
+    /// Returns the data centre of this instance.
+    pub fn data_centre(&self) -> &str {
+        &self.cfg.data_centre
+    }
+
+    /// Returns whether callers can be served.
+    pub fn is_ready(&self) -> bool {
+        self.catalogue.is_some() && !self.stopping
+    }
+
+    /// Begins the planned stop.
+    pub fn stop(&mut self) {
+        self.stopping = true;
+    }
+
+    /// Returns whether the planned stop has begun.
+    pub fn is_stopping(&self) -> bool {
+        self.stopping
+    }
+
+    /// Returns how many instances take callers, this one included.
+    pub fn instances(&self, now: Time) -> usize {
+        1 + self.peers.live(now).count()
+    }
+
+    /// Draws a number that is uniform below one.
+    pub fn draw(&mut self) -> f64 {
+        self.rng.random()
+    }
+
+    /// Chooses the endpoint for a request.
+    ///
+    /// # Errors
+    ///
+    /// Returns why there is none.
+    pub fn place(&mut self, now: Time, demand: &Demand<'_>) -> Result<Place, NoPlace> {
+        let world = World {
+            now,
+            endpoints: &self.endpoints,
+            usage: &self.usage,
+            peers: &self.peers,
+        };
+        let rng = &mut self.rng;
+        let key = choose::choose(world, demand, || rng.random())?;
+        let endpoint = self.endpoints.get(key).ok_or(NoPlace::NoEndpoint)?;
+        Ok(Place::of(endpoint))
+    }
+
+    /// Chooses where the standing copy of a generation at `source` is kept.
+    pub fn copy_place(&self, now: Time, demand: &Demand<'_>, source: EndpointKey) -> Option<Place> {
+        let world = World {
+            now,
+            endpoints: &self.endpoints,
+            usage: &self.usage,
+            peers: &self.peers,
+        };
+        let source = self.endpoints.get(source)?;
+        let key = choose::choose_copy(world, demand, source)?;
+        self.endpoints.get(key).map(Place::of)
+    }
+
+    /// Returns since when an endpoint is known to leave.
+    pub fn leaving_since(&self, key: EndpointKey) -> Option<Time> {
+        self.endpoints.get(key)?.leaving_since()
+    }
+
+    /// Returns whether an endpoint is there and takes work.
+    pub fn takes_work(&self, key: EndpointKey) -> bool {
+        self.endpoints.get(key).is_some_and(Endpoint::takes_work)
+    }
+
+    /// Notes a load that an endpoint told.
+    pub fn told(&mut self, now: Time, key: EndpointKey, load: ToldLoad) {
+        self.usage.told(now, key, load);
+    }
+
+    /// Returns how many output tokens a generation of an entry is expected to have.
+    ///
+    /// A caller's hint is right in the middle and far off at times, so it counts
+    /// as much as what earlier generations showed.
+    pub fn expected_tokens(&self, entry: &str, max: u32, hint: Option<u32>) -> u32 {
+        let learnt = self.lengths.get(entry).copied();
+        let max = f64::from(max.max(1));
+        let expected = match (learnt, hint.map(f64::from)) {
+            (Some(learnt), Some(hint)) => 0.5 * (learnt + hint),
+            (Some(learnt), None) => learnt,
+            (None, Some(hint)) => hint,
+            (None, None) => 0.5 * max,
+        };
+        expected.clamp(1.0, max) as u32
+    }
+
+    /// Learns the length of a generation that ended by itself.
+    pub fn learn_length(&mut self, entry: &str, tokens: u32) {
+        let tokens = f64::from(tokens);
+        match self.lengths.get_mut(entry) {
+            Some(mean) => *mean += (tokens - *mean) * LENGTH_WEIGHT,
+            None => {
+                self.lengths.insert(entry.to_owned(), tokens);
+            }
+        }
+    }
+
+    /// Returns what peers are to be told.
+    pub fn bulletin(&self, now: Time) -> Bulletin {
+        let live = self.peers.live(now).map(|(address, _)| address);
+        Bulletin {
+            version: BULLETIN_VERSION,
+            deployment: self.cfg.deployment,
+            incarnation: self.cfg.incarnation,
+            address: self.cfg.address,
+            revision: self.replica.revision(),
+            stopping: self.stopping,
+            peers: live.take(MAX_NAMED).collect(),
+            leaving: self.endpoints.leaving().collect(),
+            used: self.usage.own().collect(),
+        }
+    }
+
+    /// Takes in what a peer told. Returns the endpoints that began to leave.
+    pub fn hear(&mut self, now: Time, bulletin: &Bulletin) -> Vec<EndpointKey> {
+        let foreign = bulletin.version != BULLETIN_VERSION
+            || bulletin.deployment != self.cfg.deployment
+            || bulletin.address == self.cfg.address;
+        if foreign {
+            return Vec::new();
+        }
+        self.peers.hear(now, bulletin);
+        self.note_behind(now);
+        let leaving = bulletin.leaving.iter().copied();
+        leaving
+            .filter(|&key| self.endpoints.leave(now, key))
+            .collect()
+    }
+
+    /// Returns a peer that knows more of the store than this instance has come to
+    /// know within the usual delay, and so can tell what was missed.
+    pub fn better_informed(&self, now: Time) -> Option<SocketAddrV4> {
+        let since = self.behind_since?;
+        if now.since(since) < BEHIND_AFTER {
+            return None;
+        }
+        let peers = self.peers.live(now);
+        let best = peers.max_by_key(|(_, peer)| peer.revision)?;
+        (best.1.revision > self.replica.revision()).then_some(best.0)
+    }
+
+    /// Notes whether a peer knows more of the store than this instance.
+    pub fn note_behind(&mut self, now: Time) {
+        let own = self.replica.revision();
+        let behind = self.peers.live(now).any(|(_, peer)| peer.revision > own);
+        match (behind, self.behind_since) {
+            (true, None) => self.behind_since = Some(now),
+            (false, Some(_)) => self.behind_since = None,
+            _ => {}
+        }
+    }
+
+    /// Starts the wait for news anew, after the store or a peer was asked.
+    pub fn asked_for_news(&mut self, now: Time) {
+        self.behind_since = None;
+        self.note_behind(now);
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod event;
 pub mod explain;
 pub mod findings;
+pub mod gateway;
 pub mod ids;
 pub mod keys;
 pub mod length;
--- /dev/null
+++ b/crates/gateway/src/answer.rs
@@ -0,0 +1,109 @@
+//! The gateway's own answers to callers.
+
+use bytes::Bytes;
+use core::convert::Infallible;
+use core::time::Duration;
+use http::{Response, StatusCode, header};
+use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt, Full};
+
+/// The body of an answer, whole or streamed. It fails when a stream is broken
+/// off, so that the connection ends without the mark of a complete answer.
+pub type AnswerBody = UnsyncBoxBody<Bytes, BrokenOff>;
+
+/// A stream ended before its end.
+#[derive(Clone, Copy, Debug, displaydoc::Display, thiserror::Error)]
+/// the generation broke off
+pub struct BrokenOff;
+
+/// The part of the caller's remaining time after which it may be asked to come
+/// back. Callers honour up to a third; a quarter leaves room for what passes on
+/// the way.
+const RETRY_SHARE: f64 = 0.25;
+
+/// The soonest that a caller is asked to come back.
+const RETRY_MIN: Duration = Duration::from_millis(50);
+
+/// The latest that a caller is asked to come back: an engine's queue turns over in
+/// about as long.
+const RETRY_MAX: Duration = Duration::from_secs(1);
+
+/// Why the gateway answers itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, displaydoc::Display)]
+pub enum Reason {
+    /// no_catalogue
+    NoCatalogue,
+    /// no_entry
+    NoEntry,
+    /// unknown_key
+    UnknownKey,
+    /// body_too_large
+    BodyTooLarge,
+    /// body_broken
+    BodyBroken,
+    /// no_endpoint
+    NoEndpoint,
+    /// endpoints_full
+    EndpointsFull,
+    /// wait_too_long
+    WaitTooLong,
+    /// not_run_at_endpoint
+    NotRunAtEndpoint,
+    /// no_connection
+    NoConnection,
+    /// stopping
+    Stopping,
+    /// answer_lost
+    AnswerLost,
+    /// answer_foreign
+    AnswerForeign,
+    /// timeout
+    Timeout,
+}
+
+impl Reason {
+    /// Returns the status. 429 and 503 promise that the request did not run.
+    pub const fn status(self) -> StatusCode {
+        match self {
+            Reason::NoEntry => StatusCode::NOT_FOUND,
+            Reason::UnknownKey => StatusCode::UNAUTHORIZED,
+            Reason::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Reason::BodyBroken => StatusCode::BAD_REQUEST,
+            Reason::NoCatalogue
+            | Reason::NoEndpoint
+            | Reason::EndpointsFull
+            | Reason::WaitTooLong
+            | Reason::NotRunAtEndpoint
+            | Reason::NoConnection
+            | Reason::Stopping => StatusCode::SERVICE_UNAVAILABLE,
+            Reason::AnswerLost | Reason::AnswerForeign => StatusCode::BAD_GATEWAY,
+            Reason::Timeout => StatusCode::GATEWAY_TIMEOUT,
+        }
+    }
+}
+
+/// Returns the answer for `reason` to a caller that waits for `left` more.
+pub fn refuse(reason: Reason, left: Duration) -> Response<AnswerBody> {
+    let status = reason.status();
+    let mut answer = Response::builder().status(status);
+    if status == StatusCode::SERVICE_UNAVAILABLE {
+        let seconds = left
+            .mul_f64(RETRY_SHARE)
+            .clamp(RETRY_MIN, RETRY_MAX)
+            .min(left.mul_f64(RETRY_SHARE))
+            .as_secs_f64();
+        answer = answer.header(header::RETRY_AFTER, format!("{seconds:.3}"));
+    }
+    let body = format!("{{\"error\":\"{reason}\"}}\n");
+    answer
+        .header(header::CONTENT_TYPE, "application/json")
+        .body(whole(body.into()))
+        .unwrap_or_else(|_| Response::new(whole(Bytes::new())))
+}
+
+/// Returns a body that is complete.
+pub fn whole(bytes: Bytes) -> AnswerBody {
+    Full::new(bytes)
+        .map_err(|never: Infallible| match never {})
+        .boxed_unsync()
+}
--- /dev/null
+++ b/crates/gateway/src/call.rs
@@ -0,0 +1,257 @@
+//! Calls of plain services: forwarded, and answered whole.
+//!
+//! The answer is read to its end before the caller gets any of it. A call that
+//! may be repeated can so be repeated after an answer that broke off in the
+//! middle, and nothing that is half an answer ever reaches a caller.
+
+use crate::answer::{AnswerBody, Reason, refuse, whole};
+use crate::job::Job;
+use crate::link::LinkError;
+use crate::ports::{SendHead, WholeAnswer, Wire};
+use core::time::Duration;
+use http::Response;
+use http_body_util::{BodyExt, Limited};
+use oriolemux_core::gateway::Repeat;
+use oriolemux_core::gateway::choose::NoPlace;
+use oriolemux_core::gateway::state::Place;
+use oriolemux_core::ids::EndpointKey;
+use std::time::Instant;
+
+/// The largest answer of a plain service that is held.
+const MAX_ANSWER: usize = 16 * 1024 * 1024;
+
+/// How many times the target the first attempt of an idempotent call may take. An
+/// endpoint that hangs is given up then, while there is time for another one.
+const FIRST_ATTEMPT_TARGETS: f64 = 3.0;
+
+/// A repeat with less time left than this would only be work in vain.
+const MIN_LEFT: Duration = Duration::from_millis(30);
+
+/// Sends beyond the entry's attempts that may follow a definite refusal, which ran
+/// nothing.
+const MAX_REFUSED_SENDS: usize = 2;
+
+/// What became of one attempt.
+enum Attempt {
+    /// The endpoint answered.
+    Answer(WholeAnswer),
+    /// The endpoint did not run the call.
+    NotRun,
+    /// No connection could be made.
+    NoConnection,
+    /// The connection or the answer broke; the call may have run.
+    Lost,
+    /// The answer was another request's; the call may have run.
+    Foreign,
+    /// The time was over.
+    Timeout,
+}
+
+/// Serves a call.
+pub async fn serve<W: Wire>(job: &Job<W>) -> Response<AnswerBody> {
+    let mut calls = Calls {
+        job,
+        tried: Vec::new(),
+        runs: 0,
+        refused: 0,
+    };
+    loop {
+        let (place, in_use) = match job.place(0, &calls.tried) {
+            Ok(chosen) => chosen,
+            Err(why) => return calls.no_place(why),
+        };
+        let attempt = calls.attempt(&place).await;
+        drop(in_use);
+        calls.note(place.key, &attempt);
+        let repeat = calls.may_repeat(&attempt);
+        log::debug!(event = 603, attempt = job.name(), endpoint = place.name.as_str(),
+            entry = job.entry().name.as_str(), repeat = repeat,
+            what = attempt.word(), ms = job.arrived.elapsed().as_millis() as u64; "call_attempt");
+        if !repeat {
+            return calls.finish(attempt, &place);
+        }
+        calls.tried.push(place.key);
+    }
+}
+
+impl Attempt {
+    fn word(&self) -> &'static str {
+        match self {
+            Attempt::Answer(answer) if answer.status.is_server_error() => "failed",
+            Attempt::Answer(_) => "answered",
+            Attempt::NotRun => "not_run",
+            Attempt::NoConnection => "no_connection",
+            Attempt::Lost => "lost",
+            Attempt::Foreign => "foreign",
+            Attempt::Timeout => "timeout",
+        }
+    }
+}
+
+/// The attempts of one call.
+struct Calls<'a, W> {
+    job: &'a Job<W>,
+    tried: Vec<EndpointKey>,
+    /// Attempts that may have run.
+    runs: u32,
+    /// Attempts that were refused or never sent.
+    refused: usize,
+}
+
+impl<W: Wire> Calls<'_, W> {
+    fn is_idempotent(&self) -> bool {
+        self.job.entry().repeat == Repeat::Idempotent
+    }
+
+    async fn attempt(&self, place: &Place) -> Attempt {
+        let limit = self.limit();
+        match tokio::time::timeout(limit, self.exchange(place)).await {
+            Ok(attempt) => attempt,
+            Err(_) => Attempt::Timeout,
+        }
+    }
+
+    /// Returns how long this attempt may take.
+    fn limit(&self) -> Duration {
+        let left = self.job.left();
+        let entry = self.job.entry();
+        let last = self.runs + 1 >= entry.max_attempts;
+        if last || !self.is_idempotent() {
+            return left;
+        }
+        entry.target.mul_f64(FIRST_ATTEMPT_TARGETS).min(left)
+    }
+
+    async fn exchange(&self, place: &Place) -> Attempt {
+        let job = self.job;
+        let send = SendHead {
+            deadline: job.left(),
+            endpoint: &place.name,
+            workspace: job.workspace_name(),
+            ..SendHead::default()
+        };
+        let (_link, answer) = match job.send(place, &send).await {
+            Ok(sent) => sent,
+            Err(error) if error.never_sent() => return Attempt::NoConnection,
+            Err(error) => return self.lost(&error),
+        };
+        let (parts, body) = answer.into_parts();
+        let attempt = job.head.attempt.as_deref();
+        let head = job
+            .cx
+            .wire
+            .answer_head(parts.status, &parts.headers, attempt);
+        if head.foreign {
+            return Attempt::Foreign;
+        }
+        if let Some(load) = head.load {
+            job.cx.state().told(job.cx.now(), place.key, load);
+        }
+        if head.replaced {
+            let now = job.cx.now();
+            if job.cx.state().endpoints.leave(now, place.key) {
+                job.cx.tell_leaving(&[place.key]);
+            }
+        }
+        if head.not_run {
+            return Attempt::NotRun;
+        }
+        match Limited::new(body, MAX_ANSWER).collect().await {
+            Ok(body) => Attempt::Answer(WholeAnswer {
+                status: parts.status,
+                headers: parts.headers,
+                body: body.to_bytes(),
+            }),
+            Err(error) => {
+                log::debug!("an answer of {} broke: {error}", place.name);
+                Attempt::Lost
+            }
+        }
+    }
+
+    fn lost(&self, error: &LinkError) -> Attempt {
+        log::debug!("a call was lost: {error}");
+        Attempt::Lost
+    }
+
+    fn note(&mut self, endpoint: EndpointKey, attempt: &Attempt) {
+        let now = self.job.cx.now();
+        let mut state = self.job.cx.state();
+        match attempt {
+            Attempt::Answer(_) => state.endpoints.on_success(endpoint),
+            Attempt::NotRun => {}
+            Attempt::NoConnection | Attempt::Lost | Attempt::Foreign | Attempt::Timeout => {
+                if state.endpoints.on_failure(now, endpoint) {
+                    log::info!(event = 604, endpoint:% = endpoint; "endpoint_passed_over");
+                }
+            }
+        }
+        drop(state);
+        match attempt {
+            Attempt::NotRun | Attempt::NoConnection => self.refused += 1,
+            _ => self.runs += 1,
+        }
+    }
+
+    /// Returns whether the call is sent once more, and spends a repeat if so.
+    fn may_repeat(&self, attempt: &Attempt) -> bool {
+        let job = self.job;
+        if job.left() < MIN_LEFT {
+            return false;
+        }
+        let allowed = match attempt {
+            Attempt::NotRun | Attempt::NoConnection => self.refused <= MAX_REFUSED_SENDS,
+            Attempt::Answer(answer) if !answer.status.is_server_error() => false,
+            Attempt::Answer(_) | Attempt::Lost | Attempt::Foreign | Attempt::Timeout => {
+                self.is_idempotent() && self.runs < job.entry().max_attempts
+            }
+        };
+        if !allowed {
+            return false;
+        }
+        let now = job.cx.now();
+        let mut state = job.cx.state();
+        let instances = state.instances(now);
+        state.budget.spend(now, &job.service, instances)
+    }
+
+    fn no_place(&self, why: NoPlace) -> Response<AnswerBody> {
+        let reason = match (self.runs, why) {
+            (0, NoPlace::NoEndpoint) => Reason::NoEndpoint,
+            (0, NoPlace::Full) => Reason::EndpointsFull,
+            _ => Reason::AnswerLost,
+        };
+        self.refuse(reason)
+    }
+
+    fn finish(&self, attempt: Attempt, place: &Place) -> Response<AnswerBody> {
+        let reason = match attempt {
+            Attempt::Answer(answer) => return self.pass_on(answer),
+            // An earlier attempt may have run, so that "not run" would be untrue.
+            Attempt::NotRun | Attempt::NoConnection if self.runs > 0 => Reason::AnswerLost,
+            Attempt::NotRun => Reason::NotRunAtEndpoint,
+            Attempt::NoConnection => Reason::NoConnection,
+            Attempt::Lost => Reason::AnswerLost,
+            Attempt::Foreign => Reason::AnswerForeign,
+            Attempt::Timeout => Reason::Timeout,
+        };
+        log::info!(event = 605, attempt = self.job.name(), entry = self.job.entry().name.as_str(),
+            endpoint = place.name.as_str(), reason:% = reason,
+            ms = self.job.arrived.elapsed().as_millis() as u64; "call_failed");
+        self.refuse(reason)
+    }
+
+    fn refuse(&self, reason: Reason) -> Response<AnswerBody> {
+        let patience = self.job.head.deadline.unwrap_or(self.job.entry().timeout);
+        let left = (self.job.arrived + patience).saturating_duration_since(Instant::now());
+        refuse(reason, left)
+    }
+
+    fn pass_on(&self, answer: WholeAnswer) -> Response<AnswerBody> {
+        let mut response = Response::new(whole(answer.body));
+        *response.status_mut() = answer.status;
+        *response.headers_mut() = answer.headers;
+        self.job.cx.wire.strip_answer(response.headers_mut());
+        response
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/cx.rs
@@ -0,0 +1,145 @@
+//! What all tasks of the gateway share.
+
+use crate::ports::Wire;
+use core::time::Duration;
+use oriolemux_core::gateway::Gateway;
+use oriolemux_core::ids::EndpointKey;
+use oriolemux_core::time::Time;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Instant;
+use tokio::sync::Notify;
+use tokio_util::sync::CancellationToken;
+
+/// The monotonic clock of the process.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock(Instant);
+
+impl Clock {
+    /// Starts the clock.
+    pub fn start() -> Self {
+        Clock(Instant::now())
+    }
+
+    /// Returns the time since the start.
+    pub fn now(self) -> Time {
+        let micros = self.0.elapsed().as_micros();
+        Time::from_micros(u64::try_from(micros).unwrap_or(u64::MAX))
+    }
+}
+
+/// Bounds of the sockets.
+#[derive(Clone, Copy, Debug)]
+pub struct GatewayLimits {
+    /// A connection to an endpoint must be made within this time.
+    pub connect: Duration,
+    /// The most connections of callers.
+    pub connections: usize,
+}
+
+/// What all tasks of the gateway share.
+pub struct Cx<W> {
+    /// The names and formats of the platform.
+    pub wire: W,
+    /// The clock.
+    pub clock: Clock,
+    /// Bounds of the sockets.
+    pub limits: GatewayLimits,
+    /// Told when places may have become free or endpoints have changed.
+    pub changed: Notify,
+    /// Told when endpoints began to leave.
+    pub departures: Notify,
+    /// Told when peers should hear of something soon.
+    pub dirty: Notify,
+    /// Told when a peer knows more of the store.
+    pub behind: Notify,
+    /// Cancelled when the planned stop begins.
+    pub stopping: CancellationToken,
+    /// Cancelled when callers' idle connections are to be closed.
+    pub closing: CancellationToken,
+    state: Mutex<Gateway>,
+    open_requests: AtomicUsize,
+    open_connections: AtomicUsize,
+}
+
+impl<W: Wire> Cx<W> {
+    /// Puts the decisions behind what all tasks share.
+    pub fn new(wire: W, clock: Clock, limits: GatewayLimits, state: Gateway) -> Arc<Self> {
+        Arc::new(Cx {
+            wire,
+            clock,
+            limits,
+            changed: Notify::new(),
+            departures: Notify::new(),
+            dirty: Notify::new(),
+            behind: Notify::new(),
+            stopping: CancellationToken::new(),
+            closing: CancellationToken::new(),
+            state: Mutex::new(state),
+            open_requests: AtomicUsize::new(0),
+            open_connections: AtomicUsize::new(0),
+        })
+    }
+
+    /// Returns the decisions. Never hold them across an await.
+    pub fn state(&self) -> MutexGuard<'_, Gateway> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns the time.
+    pub fn now(&self) -> Time {
+        self.clock.now()
+    }
+
+    /// Counts a request until what is returned is dropped.
+    pub fn open_request(self: &Arc<Self>) -> OpenGuard<W> {
+        self.open_requests.fetch_add(1, Ordering::Relaxed);
+        OpenGuard {
+            cx: Arc::clone(self),
+            connection: false,
+        }
+    }
+
+    /// Counts a caller's connection until what is returned is dropped; nothing if there are too many.
+    pub fn open_connection(self: &Arc<Self>) -> Option<OpenGuard<W>> {
+        let open = self.open_connections.fetch_add(1, Ordering::Relaxed);
+        let guard = OpenGuard {
+            cx: Arc::clone(self),
+            connection: true,
+        };
+        (open < self.limits.connections).then_some(guard)
+    }
+
+    /// Returns how many requests are not answered to their end.
+    pub fn open_requests(&self) -> usize {
+        self.open_requests.load(Ordering::Relaxed)
+    }
+
+    /// Tells those who wait, and peers, that endpoints began to leave.
+    pub fn tell_leaving(&self, endpoints: &[EndpointKey]) {
+        for endpoint in endpoints {
+            log::info!(event = 601, endpoint:% = endpoint; "endpoint_leaving");
+        }
+        if !endpoints.is_empty() {
+            self.changed.notify_waiters();
+            self.departures.notify_waiters();
+            self.dirty.notify_one();
+        }
+    }
+}
+
+/// A request or connection that is open.
+pub struct OpenGuard<W> {
+    cx: Arc<Cx<W>>,
+    connection: bool,
+}
+
+impl<W> Drop for OpenGuard<W> {
+    fn drop(&mut self) {
+        let count = match self.connection {
+            true => &self.cx.open_connections,
+            false => &self.cx.open_requests,
+        };
+        count.fetch_sub(1, Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/front.rs
@@ -0,0 +1,131 @@
+//! The callers' side: takes requests and judges them by the catalogue in force.
+
+mod connection;
+
+pub use connection::serve;
+
+use crate::answer::{AnswerBody, Reason, refuse};
+use crate::cx::Cx;
+use crate::job::Job;
+use crate::ports::{CallerHead, EngineCalls, Wire};
+use crate::{call, stream};
+use bytes::Bytes;
+use core::time::Duration;
+use http::{Request, Response, Uri, header};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use oriolemux_core::gateway::Repeat;
+use oriolemux_core::gateway::catalogue::{Catalogue, EntryId, Judgement, WorkspaceId};
+use std::sync::Arc;
+use std::time::Instant;
+
+/// The time that a caller is assumed to wait if nothing is known of it.
+const UNKNOWN_PATIENCE: Duration = Duration::from_secs(1);
+
+/// Serves one request.
+async fn handle<W: Wire, E: EngineCalls>(
+    cx: Arc<Cx<W>>,
+    engines: E,
+    req: Request<Incoming>,
+) -> Response<AnswerBody> {
+    let arrived = Instant::now();
+    let head = cx.wire.caller_head(req.headers());
+    let patience = head.deadline.unwrap_or(UNKNOWN_PATIENCE);
+    let attempt = head.attempt.clone();
+    let refused = |reason: Reason| {
+        let attempt = attempt.as_deref().unwrap_or("-");
+        log::info!(event = 602, attempt = attempt, reason:% = reason; "refused_at_front");
+        refuse(reason, patience)
+    };
+    let Some(catalogue) = cx.state().catalogue().cloned() else {
+        return refused(Reason::NoCatalogue);
+    };
+    let host = host_of(&req);
+    match catalogue.judge(host, req.uri().path(), head.key_digest.as_ref()) {
+        Judgement::NoEntry => refused(Reason::NoEntry),
+        Judgement::UnknownKey => refused(Reason::UnknownKey),
+        Judgement::Serve { entry, workspace } => {
+            let judged = Judged {
+                catalogue,
+                entry,
+                workspace,
+                head,
+                arrived,
+            };
+            match read(cx, judged, req).await {
+                Ok(job) => run(job, engines).await,
+                Err(reason) => refused(reason),
+            }
+        }
+    }
+}
+
+/// A request's head with its judgement.
+struct Judged {
+    catalogue: Arc<Catalogue>,
+    entry: EntryId,
+    workspace: Option<WorkspaceId>,
+    head: CallerHead,
+    arrived: Instant,
+}
+
+fn host_of(req: &Request<Incoming>) -> &str {
+    let named = req.headers().get(header::HOST);
+    let named = named.and_then(|host| host.to_str().ok());
+    named.or(req.uri().host()).unwrap_or("")
+}
+
+/// Reads the body whole. A request is sent on only when all of it is here, so
+/// that a caller that stalls in the middle of it holds no place at an endpoint.
+async fn read<W: Wire>(
+    cx: Arc<Cx<W>>,
+    judged: Judged,
+    req: Request<Incoming>,
+) -> Result<Job<W>, Reason> {
+    let entry = judged.catalogue.entry(judged.entry);
+    let patience = judged.head.deadline.unwrap_or(entry.timeout);
+    let ends = judged.arrived + patience.min(entry.timeout);
+    let (parts, body) = req.into_parts();
+    let limit = judged.catalogue.limits().max_body_bytes;
+    let collected = tokio::time::timeout_at(ends.into(), Limited::new(body, limit).collect()).await;
+    let body: Bytes = match collected {
+        Ok(Ok(body)) => body.to_bytes(),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => return Err(Reason::BodyTooLarge),
+        Ok(Err(_)) => return Err(Reason::BodyBroken),
+        Err(_) => return Err(Reason::WaitTooLong),
+    };
+    let now = cx.now();
+    let mut state = cx.state();
+    let draw = state.draw();
+    let service = judged.catalogue.draw_service(judged.entry, draw);
+    let service = judged.catalogue.service(service).name.clone();
+    state.budget.on_request(now, &service);
+    drop(state);
+    Ok(Job {
+        cx,
+        catalogue: judged.catalogue,
+        entry: judged.entry,
+        workspace: judged.workspace,
+        service,
+        head: judged.head,
+        method: parts.method,
+        uri: origin_form(parts.uri),
+        headers: parts.headers,
+        body,
+        arrived: judged.arrived,
+        ends,
+    })
+}
+
+/// Returns path and query alone, as an endpoint expects them.
+fn origin_form(uri: Uri) -> Uri {
+    let path = uri.into_parts().path_and_query;
+    path.map(Uri::from).unwrap_or_default()
+}
+
+async fn run<W: Wire, E: EngineCalls>(job: Job<W>, engines: E) -> Response<AnswerBody> {
+    match job.entry().repeat {
+        Repeat::Stream => stream::serve(job, engines).await,
+        Repeat::Idempotent | Repeat::Once => call::serve(&job).await,
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/front/connection.rs
@@ -0,0 +1,244 @@
+//! Connections of callers: how long they may be idle, and how they are closed.
+
+use super::handle;
+use crate::cx::Cx;
+use crate::ports::{EngineCalls, Wire};
+use core::convert::Infallible;
+use core::pin::Pin;
+use core::task::{Context, Poll};
+use http::{HeaderValue, header};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use oriolemux_core::gateway::catalogue::CallerLimits;
+use std::io;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Instant;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::{TcpListener, TcpStream};
+use tokio_util::task::TaskTracker;
+
+/// The pause after an accept that failed, for example for lack of descriptors.
+const ACCEPT_PAUSE: core::time::Duration = core::time::Duration::from_millis(20);
+
+/// Takes connections until the listener is dropped with the task.
+pub async fn serve<W: Wire, E: EngineCalls>(
+    cx: Arc<Cx<W>>,
+    engines: E,
+    listener: Arc<TcpListener>,
+    tasks: TaskTracker,
+) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tasks.spawn(serve_connection(Arc::clone(&cx), engines.clone(), stream));
+            }
+            Err(error) => {
+                log::warn!("cannot accept a caller: {error}");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve_connection<W: Wire, E: EngineCalls>(cx: Arc<Cx<W>>, engines: E, stream: TcpStream) {
+    let Some(_open) = cx.open_connection() else {
+        log::warn!("too many connections of callers; one is closed");
+        return;
+    };
+    if let Err(error) = stream.set_nodelay(true) {
+        log::debug!("a caller's connection keeps its delay: {error}");
+    }
+    let activity = Arc::new(Activity::new());
+    let limits = cx
+        .state()
+        .catalogue()
+        .map(|it| it.limits())
+        .unwrap_or_default();
+    let io = TokioIo::new(WatchedStream {
+        stream,
+        activity: Arc::clone(&activity),
+    });
+    let service = service_fn(|req| {
+        let answer = handle(Arc::clone(&cx), engines.clone(), req);
+        let (activity, cx) = (Arc::clone(&activity), Arc::clone(&cx));
+        async move {
+            let open = cx.open_request();
+            activity.begin_request();
+            let mut answer = answer.await;
+            activity.end_request();
+            if cx.stopping.is_cancelled() {
+                let close = HeaderValue::from_static("close");
+                answer.headers_mut().insert(header::CONNECTION, close);
+            }
+            drop(open);
+            Ok::<_, Infallible>(answer)
+        }
+    });
+    let mut builder = http1::Builder::new();
+    builder.max_buf_size(limits.max_head_bytes.max(MIN_BUFFER));
+    let mut connection = core::pin::pin!(builder.serve_connection(io, service));
+    let mut closing = false;
+    loop {
+        let check = activity.next_check(limits);
+        tokio::select! {
+            ended = connection.as_mut() => {
+                if let Err(error) = ended {
+                    log::debug!("a caller's connection broke: {error}");
+                }
+                return;
+            }
+            () = cx.closing.cancelled(), if !closing => {
+                closing = true;
+                connection.as_mut().graceful_shutdown();
+            }
+            () = tokio::time::sleep_until(check.into()) => match activity.verdict(limits) {
+                Verdict::Keep => {}
+                Verdict::Idle => connection.as_mut().graceful_shutdown(),
+                Verdict::SlowHead => return,
+            }
+        }
+    }
+}
+
+/// The HTTP library asks for at least this much buffer.
+const MIN_BUFFER: usize = 8 * 1024;
+
+/// What a connection does.
+#[derive(Debug)]
+struct Activity {
+    state: Mutex<ActivityState>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct ActivityState {
+    /// Whether a request is being answered.
+    busy: bool,
+    /// When the last answer's head was ready, or the connection was made.
+    idle_since: Instant,
+    /// When the first byte of a head came that is not complete.
+    head_since: Option<Instant>,
+}
+
+enum Verdict {
+    Keep,
+    Idle,
+    SlowHead,
+}
+
+impl Activity {
+    fn new() -> Self {
+        Activity {
+            state: Mutex::new(ActivityState {
+                busy: false,
+                idle_since: Instant::now(),
+                head_since: None,
+            }),
+        }
+    }
+
+    fn state(&self) -> MutexGuard<'_, ActivityState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn on_bytes(&self) {
+        let mut state = self.state();
+        if !state.busy && state.head_since.is_none() {
+            state.head_since = Some(Instant::now());
+        }
+    }
+
+    fn on_written(&self) {
+        self.state().idle_since = Instant::now();
+    }
+
+    fn begin_request(&self) {
+        let mut state = self.state();
+        state.busy = true;
+        state.head_since = None;
+    }
+
+    fn end_request(&self) {
+        let mut state = self.state();
+        state.busy = false;
+        state.idle_since = Instant::now();
+    }
+
+    fn next_check(&self, limits: CallerLimits) -> Instant {
+        let state = *self.state();
+        match (state.busy, state.head_since) {
+            (true, _) => Instant::now() + limits.idle_timeout,
+            (false, Some(since)) => since + limits.head_timeout,
+            (false, None) => state.idle_since + limits.idle_timeout,
+        }
+    }
+
+    fn verdict(&self, limits: CallerLimits) -> Verdict {
+        let state = *self.state();
+        match (state.busy, state.head_since) {
+            (true, _) => Verdict::Keep,
+            (false, Some(since)) if since.elapsed() >= limits.head_timeout => Verdict::SlowHead,
+            (false, None) if state.idle_since.elapsed() >= limits.idle_timeout => Verdict::Idle,
+            _ => Verdict::Keep,
+        }
+    }
+}
+
+/// A caller's stream whose bytes are noted.
+struct WatchedStream {
+    stream: TcpStream,
+    activity: Arc<Activity>,
+}
+
+impl AsyncRead for WatchedStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        let read = Pin::new(&mut self.stream).poll_read(cx, buf);
+        if buf.filled().len() > before {
+            self.activity.on_bytes();
+        }
+        read
+    }
+}
+
+impl AsyncWrite for WatchedStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut self.stream).poll_write(cx, buf);
+        if let Poll::Ready(Ok(_)) = written {
+            self.activity.on_written();
+        }
+        written
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        if let Poll::Ready(Ok(_)) = written {
+            self.activity.on_written();
+        }
+        written
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/job.rs
@@ -0,0 +1,219 @@
+//! One request of a caller, judged and read.
+
+use crate::cx::Cx;
+use crate::link::{Link, LinkError};
+use crate::ports::{CallerHead, SendHead, Wire};
+use bytes::Bytes;
+use core::time::Duration;
+use http::{HeaderMap, Method, Request, Response, Uri, header};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use oriolemux_core::gateway::catalogue::{Catalogue, EngineLimits, HttpEntry, WorkspaceId};
+use oriolemux_core::gateway::choose::NoPlace;
+use oriolemux_core::gateway::state::Place;
+use oriolemux_core::gateway::{Demand, EntryId};
+use oriolemux_core::ids::EndpointKey;
+use std::sync::Arc;
+use std::time::Instant;
+
+/// A request that was judged by one catalogue and read whole.
+pub struct Job<W> {
+    /// What all tasks share.
+    pub cx: Arc<Cx<W>>,
+    /// The catalogue that the request is judged by, to its end.
+    pub catalogue: Arc<Catalogue>,
+    /// Its entry.
+    pub entry: EntryId,
+    /// Its workspace.
+    pub workspace: Option<WorkspaceId>,
+    /// The service's name.
+    pub service: String,
+    /// What the caller's headers say.
+    pub head: CallerHead,
+    /// The method.
+    pub method: Method,
+    /// Path and query.
+    pub uri: Uri,
+    /// The caller's headers.
+    pub headers: HeaderMap,
+    /// The body.
+    pub body: Bytes,
+    /// When the request's head was read.
+    pub arrived: Instant,
+    /// When its time is over.
+    pub ends: Instant,
+}
+
+impl<W: Wire> Job<W> {
+    /// Returns the entry.
+    pub fn entry(&self) -> &HttpEntry {
+        self.catalogue.entry(self.entry)
+    }
+
+    /// Returns the caller's name of the attempt, for logs.
+    pub fn name(&self) -> &str {
+        self.head.attempt.as_deref().unwrap_or("-")
+    }
+
+    /// Returns the time that is left.
+    pub fn left(&self) -> Duration {
+        self.ends.saturating_duration_since(Instant::now())
+    }
+
+    /// Returns what the service's engines bear, if they are engines.
+    pub fn engine(&self) -> Option<EngineLimits> {
+        let mut services = self.catalogue.services();
+        services.find(|it| it.name == self.service)?.engine
+    }
+
+    /// Chooses an endpoint and counts the request there until [`InUse`] is dropped.
+    ///
+    /// # Errors
+    ///
+    /// Returns why there is none.
+    pub fn place(
+        &self,
+        tokens: u32,
+        exclude: &[EndpointKey],
+    ) -> Result<(Place, InUse<W>), NoPlace> {
+        let now = self.cx.now();
+        let mut state = self.cx.state();
+        let data_centre = state.data_centre().to_owned();
+        let demand = Demand {
+            service: &self.service,
+            engine: self.engine(),
+            tokens,
+            exclude,
+            data_centre: &data_centre,
+        };
+        let place = state.place(now, &demand)?;
+        state.usage.begin(place.key, tokens);
+        drop(state);
+        if tokens > 0 {
+            self.cx.dirty.notify_one();
+        }
+        let in_use = InUse {
+            cx: Arc::clone(&self.cx),
+            endpoint: place.key,
+            tokens,
+            answered: false,
+        };
+        Ok((place, in_use))
+    }
+
+    /// Returns the request as an endpoint is sent it.
+    pub fn request(&self, send: &SendHead<'_>) -> Request<Full<Bytes>> {
+        let mut req = Request::new(Full::new(self.body.clone()));
+        *req.method_mut() = self.method.clone();
+        *req.uri_mut() = self.uri.clone();
+        *req.headers_mut() = self.cx.wire.endpoint_headers(&self.headers, send);
+        let bodiless = self.body.is_empty() && !self.headers.contains_key(header::CONTENT_LENGTH);
+        if !bodiless {
+            let length = header::HeaderValue::from(self.body.len());
+            req.headers_mut().insert(header::CONTENT_LENGTH, length);
+        }
+        req
+    }
+
+    /// Returns the name of the caller's workspace.
+    pub fn workspace_name(&self) -> Option<&str> {
+        let id = self.workspace?;
+        Some(&self.catalogue.workspace(id).name)
+    }
+
+    /// Returns the rank of the request; a workspace's goes before its entry's.
+    pub fn priority(&self) -> u8 {
+        let workspace = self.workspace.map(|id| self.catalogue.workspace(id));
+        let own = workspace.and_then(|workspace| workspace.priority);
+        own.unwrap_or(self.entry().priority)
+    }
+
+    /// Connects to `place` and sends the request there.
+    ///
+    /// # Errors
+    ///
+    /// Returns how the connection failed.
+    pub async fn send(
+        &self,
+        place: &Place,
+        send: &SendHead<'_>,
+    ) -> Result<(Link, Response<Incoming>), LinkError> {
+        let limit = self.cx.limits.connect.min(self.left());
+        let mut link = Link::connect(place.address, limit).await?;
+        let answer = link.send(self.request(send)).await?;
+        Ok((link, answer))
+    }
+}
+
+/// Counts a request at an endpoint until it is dropped.
+pub struct InUse<W: Wire> {
+    cx: Arc<Cx<W>>,
+    endpoint: EndpointKey,
+    tokens: u32,
+    answered: bool,
+}
+
+impl<W: Wire> InUse<W> {
+    /// Takes over a request that was counted already.
+    pub fn counted(cx: &Arc<Cx<W>>, endpoint: EndpointKey, tokens: u32) -> Self {
+        InUse {
+            cx: Arc::clone(cx),
+            endpoint,
+            tokens,
+            answered: false,
+        }
+    }
+
+    /// Notes the first byte of the answer.
+    pub fn first_byte(&mut self) {
+        if !self.answered {
+            self.answered = true;
+            self.cx.state().usage.first_byte(self.endpoint);
+            self.tell();
+        }
+    }
+
+    /// Plain calls are told with the next bulletin that is due anyway: they are over
+    /// before a peer could use the news.
+    fn tell(&self) {
+        if self.tokens > 0 {
+            self.cx.changed.notify_waiters();
+            self.cx.dirty.notify_one();
+        }
+    }
+}
+
+impl<W: Wire> Drop for InUse<W> {
+    fn drop(&mut self) {
+        let mut state = self.cx.state();
+        state.usage.end(self.endpoint, self.tokens, self.answered);
+        drop(state);
+        self.tell();
+    }
+}
+
+/// Counts a standing copy at an endpoint until it is dropped.
+pub struct CopyInUse<W: Wire> {
+    cx: Arc<Cx<W>>,
+    endpoint: EndpointKey,
+    tokens: u32,
+}
+
+impl<W: Wire> CopyInUse<W> {
+    /// Counts a copy of `tokens` at `endpoint`.
+    pub fn begin(cx: &Arc<Cx<W>>, endpoint: EndpointKey, tokens: u32) -> Self {
+        cx.state().usage.begin_copy(endpoint, tokens);
+        CopyInUse {
+            cx: Arc::clone(cx),
+            endpoint,
+            tokens,
+        }
+    }
+}
+
+impl<W: Wire> Drop for CopyInUse<W> {
+    fn drop(&mut self) {
+        self.cx.state().usage.end_copy(self.endpoint, self.tokens);
+        self.cx.dirty.notify_one();
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,32 @@
+//! The sockets around HTTP entries.
+//!
+//! # The story
+//!
+//! The decisions live in [`oriolemux_core::gateway`]; this crate gives them
+//! callers, endpoints, peers and a store. [`front`] takes callers' requests and
+//! judges them by the catalogue in force. [`call`] forwards a call and returns
+//! its answer whole. [`stream`] finds a place for a generation and [`relay`]
+//! passes its events on, and carries it to another engine when its own leaves.
+//! [`news`] tells peers what they need, [`store`] keeps up with what is published,
+//! and [`run`] starts all of it and ends it in order.
+//!
+//! Names and formats of the platform are behind the traits of [`ports`]; the
+//! `platform` crate implements them.
+
+pub mod answer;
+pub mod call;
+pub mod cx;
+pub mod events;
+pub mod front;
+pub mod job;
+pub mod link;
+pub mod news;
+pub mod ports;
+pub mod readiness;
+pub mod relay;
+pub mod run;
+pub mod store;
+pub mod stream;
+
+pub use cx::{Clock, Cx, GatewayLimits};
+pub use run::{RunConfig, RunError, run};
--- /dev/null
+++ b/crates/gateway/src/news.rs
@@ -0,0 +1,176 @@
+//! What instances tell each other: bulletins by datagram, records on request.
+//!
+//! Bulletins go to every peer known, at once when something changed and at least
+//! every [`BULLETIN_INTERVAL`]. A peer that missed what the store published reads
+//! it over TCP on the same port, in one answer.
+
+use crate::cx::Cx;
+use crate::link::connect_socket;
+use crate::ports::Wire;
+use bincode::config::{Configuration, Limit, standard};
+use oriolemux_core::gateway::state::{BULLETIN_DELAY, BULLETIN_INTERVAL};
+use oriolemux_core::gateway::{Bulletin, Record};
+use serde::{Deserialize, Serialize};
+use std::io;
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream, UdpSocket};
+use tokio::time::{Instant, sleep_until, timeout};
+
+/// The largest datagram that is sent and read. More would be cut into fragments,
+/// of which each may be lost.
+const MAX_DATAGRAM: usize = 16 * 1024;
+
+/// The largest answer of a peer: a store of the size that is designed for, twice.
+const MAX_TOLD: usize = 64 * 1024 * 1024;
+
+/// How long a peer may take to read what it asked for.
+const TELL_LIMIT: core::time::Duration = core::time::Duration::from_secs(3);
+
+/// Everything that one instance knows of the store.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Told {
+    /// The revision up to which it is complete.
+    pub revision: u64,
+    /// The records.
+    pub records: Vec<Record>,
+}
+
+/// Why a peer could not be asked.
+#[derive(Debug, displaydoc::Display, thiserror::Error)]
+pub enum FetchError {
+    /// the connection failed: {0}
+    Connection(#[from] io::Error),
+    /// the answer cannot be read: {0}
+    Format(#[from] bincode::error::DecodeError),
+}
+
+fn told_format()
+-> Configuration<bincode::config::LittleEndian, bincode::config::Varint, Limit<MAX_TOLD>> {
+    standard().with_limit::<MAX_TOLD>()
+}
+
+fn datagram_format()
+-> Configuration<bincode::config::LittleEndian, bincode::config::Varint, Limit<MAX_DATAGRAM>> {
+    standard().with_limit::<MAX_DATAGRAM>()
+}
+
+/// Tells peers, for good.
+pub async fn tell<W: Wire>(cx: Arc<Cx<W>>, socket: Arc<UdpSocket>) {
+    let mut buf = Vec::new();
+    loop {
+        let due = Instant::now() + BULLETIN_INTERVAL;
+        tokio::select! {
+            () = sleep_until(due) => {}
+            () = cx.dirty.notified() => tokio::time::sleep(BULLETIN_DELAY).await,
+        }
+        let now = cx.now();
+        let (bulletin, peers) = {
+            let mut state = cx.state();
+            let left = state.tick(now);
+            if state.better_informed(now).is_some() {
+                cx.behind.notify_one();
+            }
+            let bulletin = state.bulletin(now);
+            let peers: Vec<SocketAddrV4> = state.peers.addresses().collect();
+            drop(state);
+            cx.tell_leaving(&left);
+            (bulletin, peers)
+        };
+        buf.clear();
+        if let Err(error) =
+            bincode::serde::encode_into_std_write(&bulletin, &mut buf, datagram_format())
+        {
+            log::error!("a bulletin cannot be written: {error}");
+            continue;
+        }
+        for peer in peers {
+            if let Err(error) = socket.send_to(&buf, peer).await {
+                log::debug!("peer {peer} cannot be told: {error}");
+            }
+        }
+    }
+}
+
+/// Hears peers, for good.
+pub async fn hear<W: Wire>(cx: Arc<Cx<W>>, socket: Arc<UdpSocket>) {
+    let mut buf = vec![0; MAX_DATAGRAM];
+    loop {
+        let (length, from) = match socket.recv_from(&mut buf).await {
+            Ok(received) => received,
+            Err(error) => {
+                log::debug!("no datagram: {error}");
+                continue;
+            }
+        };
+        let decoded =
+            bincode::serde::decode_from_slice::<Bulletin, _>(&buf[..length], datagram_format());
+        let bulletin = match decoded {
+            Ok((bulletin, _)) => bulletin,
+            Err(error) => {
+                log::debug!("a datagram from {from} is no bulletin: {error}");
+                continue;
+            }
+        };
+        let now = cx.now();
+        let mut state = cx.state();
+        let left = state.hear(now, &bulletin);
+        let behind = state.better_informed(now).is_some();
+        drop(state);
+        cx.tell_leaving(&left);
+        if behind {
+            cx.behind.notify_one();
+        }
+        cx.changed.notify_waiters();
+    }
+}
+
+/// Answers peers that ask what was published, for good.
+pub async fn answer<W: Wire>(cx: Arc<Cx<W>>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, from)) => {
+                let cx = Arc::clone(&cx);
+                tokio::spawn(async move {
+                    match timeout(TELL_LIMIT, tell_all(&cx, stream)).await {
+                        Ok(Ok(())) => {}
+                        Ok(Err(error)) => log::debug!("{from} was not told: {error}"),
+                        Err(_) => log::debug!("{from} did not read what it asked for"),
+                    }
+                });
+            }
+            Err(error) => {
+                log::warn!("cannot accept a peer: {error}");
+                tokio::time::sleep(BULLETIN_DELAY).await;
+            }
+        }
+    }
+}
+
+async fn tell_all<W: Wire>(cx: &Cx<W>, mut stream: TcpStream) -> io::Result<()> {
+    let told = {
+        let state = cx.state();
+        Told {
+            revision: state.replica.revision(),
+            records: state.replica.records().cloned().collect(),
+        }
+    };
+    let bytes = bincode::serde::encode_to_vec(&told, told_format()).map_err(io::Error::other)?;
+    drop(told);
+    stream.write_all(&bytes).await?;
+    stream.shutdown().await
+}
+
+/// Asks a peer for everything that it knows of the store.
+///
+/// # Errors
+///
+/// Fails if the peer cannot be reached or its answer cannot be read.
+pub async fn fetch(peer: SocketAddrV4) -> Result<Told, FetchError> {
+    let stream = connect_socket(peer).await?;
+    let mut bytes = Vec::new();
+    stream.take(MAX_TOLD as u64).read_to_end(&mut bytes).await?;
+    let (told, _) = bincode::serde::decode_from_slice(&bytes, told_format())?;
+    Ok(told)
+}
--- /dev/null
+++ b/crates/gateway/src/ports.rs
@@ -0,0 +1,196 @@
+//! What the platform must provide: two small traits and the types they speak in.
+//!
+//! An implementation translates and calls; it decides nothing, repeats nothing
+//! and keeps no state beyond a connection.
+
+use bytes::Bytes;
+use core::future::Future;
+use core::time::Duration;
+use http::{HeaderMap, StatusCode};
+use oriolemux_core::gateway::endpoints::EndpointRecord;
+use oriolemux_core::gateway::reader::CallFailure;
+use oriolemux_core::gateway::usage::ToldLoad;
+use oriolemux_core::gateway::{CatalogueSource, Record};
+use std::net::SocketAddrV4;
+
+/// What the headers of a caller's request say.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct CallerHead {
+    /// The caller's name of this attempt, which endpoints echo.
+    pub attempt: Option<String>,
+    /// How long the caller waits.
+    pub deadline: Option<Duration>,
+    /// SHA-256 of the key, if there is one.
+    pub key_digest: Option<[u8; 32]>,
+    /// Tokens of the prompt of a generation.
+    pub prompt_tokens: u32,
+    /// The most tokens that the caller wants generated.
+    pub max_tokens: u32,
+    /// How many tokens the caller expects.
+    pub expected_tokens: Option<u32>,
+}
+
+/// A generation that goes on where a copy of its memory is kept.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Resume<'a> {
+    /// The engine that keeps the memory.
+    pub keeper: SocketAddrV4,
+    /// The name of the copy at that engine.
+    pub handle: &'a str,
+    /// The last event that the caller holds.
+    pub last_event: u64,
+}
+
+/// What an endpoint is told besides the caller's request.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct SendHead<'a> {
+    /// The time that is left.
+    pub deadline: Duration,
+    /// The endpoint's name; another one at its address refuses.
+    pub endpoint: &'a str,
+    /// The workspace of the caller.
+    pub workspace: Option<&'a str>,
+    /// The rank of a generation; 0 is the most urgent.
+    pub priority: Option<u8>,
+    /// Where a standing copy of a generation's memory is kept.
+    pub copy_to: Option<SocketAddrV4>,
+    /// Set if the request goes on with a generation.
+    pub resume: Option<Resume<'a>>,
+}
+
+/// What the head of an endpoint's answer says.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct AnswerHead {
+    /// The endpoint says that the request did not run.
+    pub not_run: bool,
+    /// The endpoint is not the one that was expected.
+    pub replaced: bool,
+    /// The attempt that the answer names is another one.
+    pub foreign: bool,
+    /// How full the endpoint says it is.
+    pub load: Option<ToldLoad>,
+}
+
+/// A part of all records of the store.
+#[derive(Clone, Debug, Default)]
+pub struct Page {
+    /// The records.
+    pub records: Vec<Record>,
+    /// The key after which the next page begins, if there is one.
+    pub next: Option<String>,
+    /// The store's revision when the page was read.
+    pub revision: u64,
+}
+
+/// What has changed in the store.
+#[derive(Clone, Debug, Default)]
+pub struct Changes {
+    /// The records as they were written or removed.
+    pub records: Vec<Record>,
+    /// The revision up to which these are all changes.
+    pub revision: u64,
+}
+
+/// What a record means.
+#[derive(Clone, Debug)]
+pub enum Published {
+    /// The catalogue.
+    Catalogue(CatalogueSource),
+    /// An endpoint.
+    Endpoint(EndpointRecord),
+    /// An endpoint's entry vanished.
+    EndpointGone(String),
+    /// Something that does not concern this product.
+    Other,
+    /// It cannot be read.
+    Unreadable(String),
+}
+
+/// The names and formats of requests, answers and records.
+pub trait Wire: Clone + Send + Sync + 'static {
+    /// Reads what a caller's headers say.
+    fn caller_head(&self, headers: &HeaderMap) -> CallerHead;
+
+    /// Returns the headers for an endpoint: the caller's, less those that concern
+    /// one connection and those that are the system's to set, and the system's.
+    fn endpoint_headers(&self, caller: &HeaderMap, send: &SendHead<'_>) -> HeaderMap;
+
+    /// Reads what the head of an answer to `attempt` says.
+    fn answer_head(
+        &self,
+        status: StatusCode,
+        headers: &HeaderMap,
+        attempt: Option<&str>,
+    ) -> AnswerHead;
+
+    /// Removes the headers of an answer that concern one connection.
+    fn strip_answer(&self, headers: &mut HeaderMap);
+
+    /// Reads a record.
+    fn decode(&self, record: &Record) -> Published;
+}
+
+/// The store, which can only be read.
+pub trait Store: Clone + Send + Sync + 'static {
+    /// Reads one page of all records.
+    fn page(
+        &self,
+        after: Option<&str>,
+        limit: Duration,
+    ) -> impl Future<Output = Result<Page, CallFailure>> + Send;
+
+    /// Waits at most `wait` for changes above `after`.
+    fn watch(
+        &self,
+        after: u64,
+        wait: Duration,
+        limit: Duration,
+    ) -> impl Future<Output = Result<Changes, CallFailure>> + Send;
+}
+
+/// What became of the call that moves a running generation's memory.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Moved {
+    /// The copy is complete.
+    Done {
+        /// Its name.
+        handle: String,
+    },
+    /// There is no room at the target, or it cannot be reached. A generation that
+    /// was stopped for the move can go on at its source under this name.
+    NoRoom {
+        /// The name at the source, if the generation was stopped.
+        handle: Option<String>,
+    },
+    /// The engine does not run the generation, at least not yet.
+    NotRunning,
+    /// Another call for the generation is in progress.
+    Busy,
+    /// There was no answer that can be read.
+    NoAnswer,
+}
+
+/// The calls to engines besides the requests of callers.
+pub trait EngineCalls: Clone + Send + Sync + 'static {
+    /// Copies a running generation's memory from `source` to `target`, and stops it
+    /// first if `stop` is set.
+    fn move_run(
+        &self,
+        source: SocketAddrV4,
+        attempt: &str,
+        target: SocketAddrV4,
+        stop: bool,
+        limit: Duration,
+    ) -> impl Future<Output = Moved> + Send;
+}
+
+/// A whole answer.
+#[derive(Clone, Debug)]
+pub struct WholeAnswer {
+    /// The status.
+    pub status: StatusCode,
+    /// The headers.
+    pub headers: HeaderMap,
+    /// The body.
+    pub body: Bytes,
+}
--- /dev/null
+++ b/crates/gateway/src/relay.rs
@@ -0,0 +1,579 @@
+//! One generation from its engine to its caller, across engines if need be.
+//!
+//! # What is kept
+//!
+//! - Whole events only, with numbers that follow each other without a gap. What
+//!   a second engine sends again is dropped; a gap ends the stream.
+//! - One engine at work: the connection to the old engine is closed before the
+//!   generation is asked for elsewhere.
+//! - A generation goes on only from its own memory, never from its beginning:
+//!   two generations of one prompt differ.
+//!
+//! `docs/design/relocation.md` weighs when a generation leaves its engine.
+
+use crate::answer::{AnswerBody, BrokenOff, Reason, refuse};
+use crate::cx::Cx;
+use crate::events::{Event, EventSplitter};
+use crate::job::{CopyInUse, InUse, Job};
+use crate::link::{Link, LinkError};
+use crate::ports::{EngineCalls, Moved, Resume, SendHead, WholeAnswer, Wire};
+use crate::stream::Piece;
+use core::time::Duration;
+use http::{HeaderMap, Response, StatusCode};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use oriolemux_core::gateway::Demand;
+use oriolemux_core::gateway::state::Place;
+use std::net::SocketAddrV4;
+use std::time::Instant;
+use tokio::sync::{mpsc, oneshot};
+
+/// How long after the notice a generation leaves its engine. Many end by then, and
+/// those that began shortly before it have a copy by then; an engine goes 1.5 s
+/// after its notice at the soonest.
+const LEAVE_AFTER: Duration = Duration::from_millis(1_100);
+
+/// An engine that sent events and is then silent for this long is given up. A
+/// generation that was preempted is read in again in less.
+const SILENCE: Duration = Duration::from_millis(1_200);
+
+/// Generations expected to be shorter than this have no standing copy: they end
+/// within the notice of an engine that leaves.
+const COPY_MIN_TOKENS: u32 = 64;
+
+/// How long the last part of a move may take.
+const MOVE_LIMIT: Duration = Duration::from_millis(1_000);
+
+/// How many engines one generation may go through.
+const MAX_MOVES: u32 = 8;
+
+/// The largest answer that is no stream.
+const MAX_ANSWER: usize = 1024 * 1024;
+
+/// How a generation began.
+pub enum Started<W> {
+    /// Events come.
+    Streaming {
+        /// The status.
+        status: StatusCode,
+        /// The headers.
+        headers: HeaderMap,
+    },
+    /// The engine gave a final answer without events.
+    Answer(WholeAnswer),
+    /// The gateway gave a final answer.
+    Refused(Response<AnswerBody>),
+    /// The engine did not run it.
+    NotRun(Box<Job<W>>),
+}
+
+/// Where a copy of the generation's memory is kept.
+struct StandingCopy<W: Wire> {
+    place: Place,
+    _in_use: CopyInUse<W>,
+}
+
+/// One generation.
+pub struct Relay<W: Wire, E> {
+    job: Job<W>,
+    engines: E,
+    source: Place,
+    in_use: InUse<W>,
+    tokens: u32,
+    copy: Option<StandingCopy<W>>,
+    splitter: EventSplitter,
+    last_event: Option<u64>,
+    events: u64,
+    moves: u32,
+    tx: mpsc::Sender<Piece>,
+}
+
+/// The open connection that events come on.
+struct Upstream {
+    _link: Link,
+    body: Incoming,
+    heard: Instant,
+}
+
+/// Why the relay stopped to read from an engine.
+enum Pause {
+    /// The stream came to its end.
+    End,
+    /// The caller left.
+    CallerGone,
+    /// The engine leaves and it is time to go.
+    Leave,
+    /// The connection broke, the engine fell silent or sent what is no stream.
+    Broken,
+    /// Time is over.
+    Timeout,
+    /// An event is missing.
+    Gap,
+}
+
+impl<W: Wire, E: EngineCalls> Relay<W, E> {
+    /// Makes the relay of a generation that is to be sent to `source`.
+    pub fn new(
+        job: Job<W>,
+        engines: E,
+        source: Place,
+        in_use: InUse<W>,
+        tokens: u32,
+        tx: mpsc::Sender<Piece>,
+    ) -> Self {
+        Relay {
+            job,
+            engines,
+            source,
+            in_use,
+            tokens,
+            copy: None,
+            splitter: EventSplitter::default(),
+            last_event: None,
+            events: 0,
+            moves: 0,
+            tx,
+        }
+    }
+
+    /// Runs the relay as a task; it ends when the caller leaves.
+    pub fn spawn(self) -> oneshot::Receiver<Started<W>> {
+        let (started, rx) = oneshot::channel();
+        tokio::spawn(async move {
+            let _open = self.job.cx.open_request();
+            self.run(started).await;
+        });
+        rx
+    }
+
+    async fn run(mut self, mut started: oneshot::Sender<Started<W>>) {
+        let begun = tokio::select! {
+            begun = self.begin() => begun,
+            () = started.closed() => {
+                self.log_end("caller_left_early");
+                return;
+            }
+        };
+        let upstream = match begun {
+            Begun::Stream {
+                upstream,
+                status,
+                headers,
+            } => {
+                // A caller that left meanwhile is noticed by its closed channel.
+                let _ = started.send(Started::Streaming { status, headers });
+                upstream
+            }
+            Begun::Ended(answer) => {
+                let _ = started.send(Started::Answer(answer));
+                return;
+            }
+            Begun::NotRun => {
+                let _ = started.send(Started::NotRun(Box::new(self.job)));
+                return;
+            }
+            Begun::Failed(reason) => {
+                self.log_end(&reason.to_string());
+                let _ = started.send(Started::Refused(refuse(reason, self.job.left())));
+                return;
+            }
+        };
+        self.follow(upstream).await;
+    }
+
+    /// Sends the request and waits for the head of its answer.
+    async fn begin(&mut self) -> Begun {
+        self.choose_copy();
+        let limit = self.job.left();
+        let sent = tokio::time::timeout(limit, self.send(None)).await;
+        let (link, answer) = match sent {
+            Err(_) => return Begun::Failed(Reason::Timeout),
+            Ok(Err(error)) if error.never_sent() => {
+                self.note_failure();
+                return Begun::NotRun;
+            }
+            Ok(Err(error)) => {
+                log::debug!("a generation was lost before its first event: {error}");
+                self.note_failure();
+                return Begun::Failed(Reason::AnswerLost);
+            }
+            Ok(Ok(sent)) => sent,
+        };
+        self.read_head(link, answer).await
+    }
+
+    async fn read_head(&mut self, link: Link, answer: Response<Incoming>) -> Begun {
+        let (parts, body) = answer.into_parts();
+        let attempt = self.job.head.attempt.as_deref();
+        let wire = &self.job.cx.wire;
+        let head = wire.answer_head(parts.status, &parts.headers, attempt);
+        if head.foreign {
+            return Begun::Failed(Reason::AnswerForeign);
+        }
+        if head.replaced {
+            self.note_replaced();
+        }
+        if head.not_run {
+            return Begun::NotRun;
+        }
+        let mut headers = parts.headers;
+        wire.strip_answer(&mut headers);
+        if parts.status.is_success() {
+            return Begun::Stream {
+                upstream: Upstream {
+                    _link: link,
+                    body,
+                    heard: Instant::now(),
+                },
+                status: parts.status,
+                headers,
+            };
+        }
+        let collected = Limited::new(body, MAX_ANSWER).collect();
+        match tokio::time::timeout(self.job.left(), collected).await {
+            Ok(Ok(body)) => Begun::Ended(WholeAnswer {
+                status: parts.status,
+                headers,
+                body: body.to_bytes(),
+            }),
+            _ => Begun::Failed(Reason::AnswerLost),
+        }
+    }
+
+    /// Passes events on until the stream ends, moving to other engines on the way.
+    async fn follow(mut self, mut upstream: Upstream) {
+        loop {
+            let pause = self.pass_events(&mut upstream).await;
+            let next = match pause {
+                Pause::End => {
+                    self.finish();
+                    return;
+                }
+                Pause::CallerGone => {
+                    self.log_end("caller_left");
+                    return;
+                }
+                Pause::Timeout => return self.break_off("timeout").await,
+                Pause::Gap => return self.break_off("event_missing").await,
+                Pause::Leave => self.leave(upstream).await,
+                Pause::Broken => {
+                    drop(upstream);
+                    self.note_failure();
+                    self.go_on_from_copy().await
+                }
+            };
+            match next {
+                Some(next) => upstream = next,
+                None => return self.break_off("no_copy").await,
+            }
+        }
+    }
+
+    async fn pass_events(&mut self, upstream: &mut Upstream) -> Pause {
+        loop {
+            while let Some(event) = self.splitter.next_event() {
+                if let Some(pause) = self.pass_on(event).await {
+                    return pause;
+                }
+            }
+            let cx = &self.job.cx;
+            let mut departures = core::pin::pin!(cx.departures.notified());
+            departures.as_mut().enable();
+            let leave_at = self.leave_at();
+            let silent_at = self.silent_at(upstream);
+            tokio::select! {
+                frame = upstream.body.frame() => match frame {
+                    Some(Ok(frame)) => {
+                        upstream.heard = Instant::now();
+                        let data = frame.into_data().unwrap_or_default();
+                        if !self.splitter.push(&data) {
+                            return Pause::Broken;
+                        }
+                    }
+                    Some(Err(error)) => {
+                        log::debug!("a generation's connection broke: {error}");
+                        return Pause::Broken;
+                    }
+                    None if self.splitter.has_rest() => return Pause::Broken,
+                    None => return Pause::End,
+                },
+                () = self.tx.closed() => return Pause::CallerGone,
+                () = tokio::time::sleep_until(self.job.ends.into()) => return Pause::Timeout,
+                () = sleep_until(leave_at) => return Pause::Leave,
+                () = sleep_until(silent_at) => return Pause::Broken,
+                () = departures => {}
+            }
+        }
+    }
+
+    /// Passes one event on, unless the caller holds it already.
+    async fn pass_on(&mut self, event: Event) -> Option<Pause> {
+        if let (Some(id), Some(last)) = (event.id, self.last_event) {
+            if id <= last {
+                return None;
+            }
+            if id > last + 1 {
+                return Some(Pause::Gap);
+            }
+        }
+        self.in_use.first_byte();
+        self.events += 1;
+        self.last_event = event.id.or(self.last_event);
+        match self.tx.send(Ok(event.bytes)).await {
+            Ok(()) => None,
+            Err(_) => Some(Pause::CallerGone),
+        }
+    }
+
+    /// Returns when the generation leaves its engine, if that engine is leaving.
+    fn leave_at(&self) -> Option<Instant> {
+        if self.last_event.is_none() || self.moves >= MAX_MOVES {
+            return None;
+        }
+        let cx = &self.job.cx;
+        let since = cx.state().leaving_since(self.source.key)?;
+        let waited = cx.now().since(since);
+        Some(Instant::now() + LEAVE_AFTER.saturating_sub(waited))
+    }
+
+    fn silent_at(&self, upstream: &Upstream) -> Option<Instant> {
+        self.last_event?;
+        Some(upstream.heard + SILENCE)
+    }
+
+    /// Leaves an engine that is still there.
+    async fn leave(&mut self, upstream: Upstream) -> Option<Upstream> {
+        if self.copy_is_usable() {
+            drop(upstream);
+            return self.go_on_from_copy().await;
+        }
+        let target = self.another_place()?;
+        let attempt = self.job.name().to_owned();
+        let limit = MOVE_LIMIT.min(self.job.left());
+        let source = self.source.address;
+        let moved = self
+            .engines
+            .move_run(source, &attempt, target.address, true, limit)
+            .await;
+        drop(upstream);
+        self.splitter.clear();
+        log::info!(event = 607, attempt = attempt.as_str(), from = self.source.name.as_str(),
+            to = target.name.as_str(), how = format!("{moved:?}").as_str(), event_id = self.last_event;
+            "generation_moved");
+        match moved {
+            Moved::Done { handle } => self.go_on(target, source, &handle).await,
+            Moved::NoRoom {
+                handle: Some(handle),
+            } => {
+                let source = self.source.clone();
+                self.go_on(source.clone(), source.address, &handle).await
+            }
+            Moved::NoRoom { handle: None } | Moved::NotRunning | Moved::Busy | Moved::NoAnswer => {
+                None
+            }
+        }
+    }
+
+    fn copy_is_usable(&self) -> bool {
+        let copy = self.copy.as_ref();
+        copy.is_some_and(|copy| self.job.cx.state().takes_work(copy.place.key))
+    }
+
+    /// Goes on where the standing copy is kept.
+    async fn go_on_from_copy(&mut self) -> Option<Upstream> {
+        self.splitter.clear();
+        let copy = self.copy.take()?;
+        let attempt = self.job.name().to_owned();
+        let address = copy.place.address;
+        log::info!(event = 608, attempt = attempt.as_str(), from = self.source.name.as_str(),
+            to = copy.place.name.as_str(), event_id = self.last_event; "generation_goes_on_from_copy");
+        self.go_on(copy.place.clone(), address, &attempt).await
+    }
+
+    /// Asks `target` to go on with the generation whose memory `keeper` holds.
+    async fn go_on(
+        &mut self,
+        target: Place,
+        keeper: SocketAddrV4,
+        handle: &str,
+    ) -> Option<Upstream> {
+        self.moves += 1;
+        self.note_repeat();
+        self.move_use(target);
+        self.choose_copy();
+        let resume = Resume {
+            keeper,
+            handle,
+            last_event: self.last_event.unwrap_or(0),
+        };
+        let limit = self.job.left();
+        let sent = tokio::time::timeout(limit, self.send(Some(resume))).await;
+        let (link, answer) = match sent {
+            Ok(Ok(sent)) => sent,
+            Ok(Err(error)) => {
+                log::debug!("a generation could not go on: {error}");
+                return None;
+            }
+            Err(_) => return None,
+        };
+        match self.read_head(link, answer).await {
+            Begun::Stream { upstream, .. } => Some(upstream),
+            Begun::Ended(answer) => self.cannot_go_on(answer.status.as_str()),
+            Begun::NotRun => self.cannot_go_on("not_run"),
+            Begun::Failed(reason) => self.cannot_go_on(&reason.to_string()),
+        }
+    }
+
+    fn cannot_go_on(&self, why: &str) -> Option<Upstream> {
+        log::info!(event = 609, attempt = self.job.name(), endpoint = self.source.name.as_str(),
+            why = why; "generation_cannot_go_on");
+        None
+    }
+
+    /// Counts the generation at its new engine.
+    fn move_use(&mut self, target: Place) {
+        let cx = &self.job.cx;
+        cx.state().usage.begin(target.key, self.tokens);
+        self.in_use = InUse::counted(cx, target.key, self.tokens);
+        self.source = target;
+    }
+
+    fn choose_copy(&mut self) {
+        self.copy = None;
+        let Some(engine) = self.job.engine() else {
+            return;
+        };
+        let head = &self.job.head;
+        let entry = &self.job.entry().name;
+        let cx = &self.job.cx;
+        let state = cx.state();
+        let output = state.expected_tokens(entry, head.max_tokens, head.expected_tokens);
+        if !engine.standing_copies || output < COPY_MIN_TOKENS {
+            return;
+        }
+        let data_centre = state.data_centre().to_owned();
+        let demand = self.demand(&data_centre);
+        let now = cx.now();
+        let place = state.copy_place(now, &demand, self.source.key);
+        drop(state);
+        self.copy = place.map(|place| StandingCopy {
+            _in_use: CopyInUse::begin(cx, place.key, self.tokens),
+            place,
+        });
+    }
+
+    /// Returns another engine with room.
+    fn another_place(&self) -> Option<Place> {
+        let cx = &self.job.cx;
+        let now = cx.now();
+        let state = cx.state();
+        let data_centre = state.data_centre().to_owned();
+        state.copy_place(now, &self.demand(&data_centre), self.source.key)
+    }
+
+    fn demand<'a>(&'a self, data_centre: &'a str) -> Demand<'a> {
+        Demand {
+            service: &self.job.service,
+            engine: self.job.engine(),
+            tokens: self.tokens,
+            exclude: &[],
+            data_centre,
+        }
+    }
+
+    async fn send(
+        &self,
+        resume: Option<Resume<'_>>,
+    ) -> Result<(Link, Response<Incoming>), LinkError> {
+        let send = SendHead {
+            deadline: self.job.left(),
+            endpoint: &self.source.name,
+            workspace: self.job.workspace_name(),
+            priority: Some(self.job.priority()),
+            copy_to: self.copy.as_ref().map(|copy| copy.place.address),
+            resume,
+        };
+        self.job.send(&self.source, &send).await
+    }
+
+    fn note_repeat(&self) {
+        let cx: &Cx<W> = &self.job.cx;
+        let now = cx.now();
+        cx.state().budget.note_repeat(now, &self.job.service);
+    }
+
+    fn note_failure(&self) {
+        let cx = &self.job.cx;
+        let now = cx.now();
+        if cx.state().endpoints.on_failure(now, self.source.key) {
+            log::info!(event = 604, endpoint = self.source.name.as_str(); "endpoint_passed_over");
+        }
+    }
+
+    fn note_replaced(&self) {
+        let cx = &self.job.cx;
+        let now = cx.now();
+        if cx.state().endpoints.leave(now, self.source.key) {
+            cx.tell_leaving(&[self.source.key]);
+        }
+    }
+
+    fn finish(&mut self) {
+        let cx = &self.job.cx;
+        let mut state = cx.state();
+        state.endpoints.on_success(self.source.key);
+        // Events hold several tokens each, and only their number is known here; the
+        // scale is the same for all generations of an entry.
+        let tokens = u32::try_from(self.events).unwrap_or(u32::MAX);
+        state.learn_length(
+            &self.job.entry().name,
+            tokens.saturating_mul(TOKENS_PER_EVENT),
+        );
+        drop(state);
+        self.log_end("complete");
+    }
+
+    /// Ends the caller's stream without the mark of a complete one.
+    async fn break_off(&mut self, why: &str) {
+        self.log_end(why);
+        // A caller that left meanwhile needs no end.
+        let _ = self.tx.send(Err(BrokenOff)).await;
+    }
+
+    fn log_end(&self, how: &str) {
+        let level = match how {
+            "complete" | "caller_left" | "caller_left_early" => log::Level::Debug,
+            _ => log::Level::Info,
+        };
+        log::log!(level, event = 610, attempt = self.job.name(), entry = self.job.entry().name.as_str(),
+            endpoint = self.source.name.as_str(), events = self.events, moves = self.moves,
+            ms = self.job.arrived.elapsed().as_millis() as u64, how = how; "generation_ended");
+    }
+}
+
+/// Tokens that an engine puts into one event.
+const TOKENS_PER_EVENT: u32 = 4;
+
+/// How a request to an engine began.
+enum Begun {
+    /// Events come.
+    Stream {
+        upstream: Upstream,
+        status: StatusCode,
+        headers: HeaderMap,
+    },
+    /// A final answer without events.
+    Ended(WholeAnswer),
+    /// The engine did not run it.
+    NotRun,
+    /// It failed.
+    Failed(Reason),
+}
+
+/// Waits until `at`; for good if there is no such time.
+async fn sleep_until(at: Option<Instant>) {
+    match at {
+        Some(at) => tokio::time::sleep_until(at.into()).await,
+        None => core::future::pending().await,
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/store.rs
@@ -0,0 +1,184 @@
+//! Keeps up with what is published.
+//!
+//! The core says when to read and watch ([`StoreReader`]); here are the calls and
+//! what follows from their answers. While the store does not answer this
+//! instance, or its watch hears nothing, a peer that knows more is asked.
+//!
+//! [`StoreReader`]: oriolemux_core::gateway::reader::StoreReader
+
+use crate::cx::Cx;
+use crate::news;
+use crate::ports::{Published, Store, Wire};
+use core::time::Duration;
+use oriolemux_core::gateway::Record;
+use oriolemux_core::gateway::reader::{ANSWER_SLACK, CallFailure, Step, WATCH_WAIT};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+/// How long one page may take. A store that is slow takes up to some hundred
+/// milliseconds.
+const PAGE_LIMIT: Duration = Duration::from_millis(1_500);
+
+/// How long a peer may take to tell what it knows.
+const PEER_LIMIT: Duration = Duration::from_millis(1_000);
+
+/// Reads and watches the store for good.
+pub async fn keep_up<W: Wire, S: Store>(cx: Arc<Cx<W>>, store: S) {
+    loop {
+        let step = cx.state().reader.next(cx.now());
+        match step {
+            Step::Pause(pause) => {
+                tokio::select! {
+                    () = tokio::time::sleep(pause) => {}
+                    () = cx.behind.notified() => ask_peer(&cx).await,
+                }
+            }
+            Step::Read => {
+                let result = read_all(&cx, &store).await;
+                note(&cx, result);
+            }
+            Step::Watch => watch(&cx, &store).await,
+        }
+    }
+}
+
+async fn read_all<W: Wire, S: Store>(cx: &Cx<W>, store: &S) -> Result<(), CallFailure> {
+    let mut seen = BTreeMap::new();
+    let mut after: Option<String> = None;
+    let mut began = None;
+    loop {
+        let page = store.page(after.as_deref(), PAGE_LIMIT).await?;
+        // Pages are no snapshot: what was written after the first one may be missing
+        // from the others, so that only the first page's revision is certain.
+        let began = *began.get_or_insert(page.revision);
+        for record in &page.records {
+            seen.insert(record.key.clone(), ());
+        }
+        apply(cx, page.records);
+        match page.next {
+            Some(next) => after = Some(next),
+            None => {
+                let missing = cx.state().replica.missing_from(&seen, began);
+                apply(cx, missing);
+                let now = cx.now();
+                let mut state = cx.state();
+                state.replica.reached(began);
+                state.reader.on_read(now);
+                state.note_behind(now);
+                return Ok(());
+            }
+        }
+    }
+}
+
+async fn watch<W: Wire, S: Store>(cx: &Cx<W>, store: &S) {
+    let after = cx.state().replica.revision();
+    let watch = store.watch(after, WATCH_WAIT, WATCH_WAIT + ANSWER_SLACK);
+    tokio::select! {
+        result = watch => {
+            let result = result.map(|changes| {
+                apply(cx, changes.records);
+                let now = cx.now();
+                let mut state = cx.state();
+                state.replica.reached(changes.revision);
+                state.note_behind(now);
+            });
+            note(cx, result);
+        }
+        // A peer knows more than this watch has told: the connection may have
+        // fallen silent. The peer is asked, and the next watch begins anew.
+        () = cx.behind.notified() => ask_peer(cx).await,
+    }
+}
+
+/// Takes the result of a call into account.
+fn note<W: Wire>(cx: &Cx<W>, result: Result<(), CallFailure>) {
+    let now = cx.now();
+    let mut state = cx.state();
+    match result {
+        Ok(()) => {
+            if state.reader.on_answer(now) {
+                log::info!(event = 611, revision = state.replica.revision(); "store_regained");
+            }
+        }
+        Err(failure) => {
+            let draw = state.draw();
+            if state.reader.on_failure(now, failure, draw) {
+                let failure = format!("{failure:?}");
+                log::warn!(event = 612, failure = failure.as_str(),
+                    revision = state.replica.revision(); "store_lost");
+            }
+        }
+    }
+}
+
+async fn ask_peer<W: Wire>(cx: &Cx<W>) {
+    let now = cx.now();
+    let Some(peer) = cx.state().better_informed(now) else {
+        return;
+    };
+    let asked = tokio::time::timeout(PEER_LIMIT, news::fetch(peer)).await;
+    match asked {
+        Ok(Ok(told)) => {
+            log::info!(event = 613, peer:% = peer, revision = told.revision,
+                records = told.records.len(); "told_by_peer");
+            apply(cx, told.records);
+            cx.state().replica.reached(told.revision);
+        }
+        Ok(Err(error)) => log::warn!("peer {peer} could not be asked: {error}"),
+        Err(_) => log::warn!("peer {peer} did not answer in time"),
+    }
+    cx.state().asked_for_news(cx.now());
+}
+
+/// Takes records in and does what follows from those that are news.
+pub fn apply<W: Wire>(cx: &Cx<W>, records: Vec<Record>) {
+    let mut left = Vec::new();
+    let mut changed = false;
+    for record in records {
+        if !cx.state().replica.apply(record.clone()) {
+            continue;
+        }
+        changed = true;
+        let now = cx.now();
+        match cx.wire.decode(&record) {
+            Published::Catalogue(source) => put_in_force(cx, source),
+            Published::Endpoint(endpoint) => {
+                let key = oriolemux_core::EndpointKey::of(&endpoint.name);
+                if cx.state().publish_endpoint(now, endpoint) {
+                    left.push(key);
+                }
+            }
+            Published::EndpointGone(name) => {
+                if cx.state().endpoint_vanished(now, &name) {
+                    left.push(oriolemux_core::EndpointKey::of(&name));
+                }
+            }
+            Published::Other => {}
+            Published::Unreadable(why) => {
+                log::warn!(event = 614, key = record.key.as_str(), revision = record.revision,
+                    why = why.as_str(); "record_unreadable");
+            }
+        }
+    }
+    cx.tell_leaving(&left);
+    if changed {
+        cx.changed.notify_waiters();
+    }
+}
+
+fn put_in_force<W: Wire>(cx: &Cx<W>, source: oriolemux_core::gateway::CatalogueSource) {
+    let version = source.version;
+    let published = cx.state().publish_catalogue(source);
+    match published {
+        Ok(true) => log::info!(event = 615, version = version; "catalogue_in_force"),
+        Ok(false) => log::debug!(event = 616, version = version; "catalogue_older"),
+        Err(findings) => {
+            for finding in findings {
+                let finding = finding.to_string();
+                log::warn!(event = 617, version = version, finding = finding.as_str();
+                    "catalogue_rejected");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/stream.rs
@@ -0,0 +1,189 @@
+//! Generations: finding a place, and the way of their events to the caller.
+//!
+//! A generation waits here and not at an engine until an engine has room, since
+//! what waits here can still go to any engine. It is sent with a standing copy
+//! where that pays, and its [`relay`](crate::relay) then has it to its end.
+
+use crate::answer::{AnswerBody, BrokenOff, Reason, refuse};
+use crate::job::{InUse, Job};
+use crate::ports::{EngineCalls, WholeAnswer, Wire};
+use crate::relay::{Relay, Started};
+use bytes::Bytes;
+use core::pin::Pin;
+use core::task::{Context, Poll};
+use core::time::Duration;
+use http::{HeaderMap, Response, StatusCode, header};
+use http_body::Frame;
+use http_body_util::BodyExt;
+use oriolemux_core::gateway::choose::NoPlace;
+use oriolemux_core::gateway::state::Place;
+use oriolemux_core::ids::EndpointKey;
+use std::time::Instant;
+use tokio::sync::mpsc;
+
+/// Pieces of a stream that wait for the caller's connection.
+const PIECES: usize = 64;
+
+/// How often a request that waits for room looks again without being told to.
+const LOOK_AGAIN: Duration = Duration::from_millis(50);
+
+/// How many times the target a generation waits for room. Later it could only be
+/// late, and the caller knows better what to do with its time.
+const WAIT_TARGETS: f64 = 1.0;
+
+/// The share of the expected output that counts as memory when a place is chosen:
+/// a generation takes its prompt from the start and its output only at the end.
+const OUTPUT_SHARE: f64 = 0.6;
+
+/// What goes to the caller's connection.
+pub type Piece = Result<Bytes, BrokenOff>;
+
+/// Serves a generation.
+pub async fn serve<W: Wire, E: EngineCalls>(job: Job<W>, engines: E) -> Response<AnswerBody> {
+    let mut tried = Vec::new();
+    let tokens = expected_memory(&job);
+    let mut job = job;
+    loop {
+        let (place, in_use) = match wait_for_place(&job, tokens, &tried).await {
+            Ok(chosen) => chosen,
+            Err(reason) => return give_up(&job, reason),
+        };
+        let key = place.key;
+        match start(job, engines.clone(), place, in_use, tokens).await {
+            Start::Streaming(answer) => return answer,
+            Start::Ended(answer) => return answer,
+            Start::NotRun(returned) => {
+                job = *returned;
+                tried.push(key);
+                if tried.len() > MAX_REFUSED_SENDS || !spend(&job) {
+                    return give_up(&job, Reason::NotRunAtEndpoint);
+                }
+            }
+            Start::Lost => return Response::new(crate::answer::whole(Bytes::new())),
+        }
+    }
+}
+
+/// Engines that may refuse a generation, which ran nothing, before its caller is told.
+const MAX_REFUSED_SENDS: usize = 3;
+
+/// How a generation began.
+enum Start<W> {
+    /// Events come.
+    Streaming(Response<AnswerBody>),
+    /// There was a final answer without events.
+    Ended(Response<AnswerBody>),
+    /// The engine did not run it.
+    NotRun(Box<Job<W>>),
+    /// The relay ended without a word, which only a fault of it can cause.
+    Lost,
+}
+
+async fn start<W: Wire, E: EngineCalls>(
+    job: Job<W>,
+    engines: E,
+    place: Place,
+    in_use: InUse<W>,
+    tokens: u32,
+) -> Start<W> {
+    let (tx, rx) = mpsc::channel(PIECES);
+    let relay = Relay::new(job, engines, place, in_use, tokens, tx);
+    let started = relay.spawn();
+    match started.await {
+        Ok(Started::Streaming { status, headers }) => {
+            Start::Streaming(streamed(status, headers, rx))
+        }
+        Ok(Started::Answer(answer)) => Start::Ended(pass_on(answer)),
+        Ok(Started::Refused(answer)) => Start::Ended(answer),
+        Ok(Started::NotRun(job)) => Start::NotRun(job),
+        Err(_) => Start::Lost,
+    }
+}
+
+fn streamed(
+    status: StatusCode,
+    mut headers: HeaderMap,
+    pieces: mpsc::Receiver<Piece>,
+) -> Response<AnswerBody> {
+    // The length of what an engine sent says nothing when another goes on.
+    headers.remove(header::CONTENT_LENGTH);
+    let mut response = Response::new(PieceBody { pieces }.boxed_unsync());
+    *response.status_mut() = status;
+    *response.headers_mut() = headers;
+    response
+}
+
+fn pass_on(answer: WholeAnswer) -> Response<AnswerBody> {
+    let mut response = Response::new(crate::answer::whole(answer.body));
+    *response.status_mut() = answer.status;
+    *response.headers_mut() = answer.headers;
+    response
+}
+
+/// Returns how much memory the generation is expected to take.
+fn expected_memory<W: Wire>(job: &Job<W>) -> u32 {
+    let head = &job.head;
+    let entry = &job.entry().name;
+    let state = job.cx.state();
+    let output = state.expected_tokens(entry, head.max_tokens, head.expected_tokens);
+    let output = (f64::from(output) * OUTPUT_SHARE) as u32;
+    head.prompt_tokens.saturating_add(output).max(1)
+}
+
+async fn wait_for_place<W: Wire>(
+    job: &Job<W>,
+    tokens: u32,
+    tried: &[EndpointKey],
+) -> Result<(Place, InUse<W>), Reason> {
+    let limit = job.entry().target.mul_f64(WAIT_TARGETS);
+    let until = (job.arrived + limit).min(job.ends);
+    loop {
+        let mut changed = core::pin::pin!(job.cx.changed.notified());
+        changed.as_mut().enable();
+        let why = match job.place(tokens, tried) {
+            Ok(chosen) => return Ok(chosen),
+            Err(why) => why,
+        };
+        if Instant::now() >= until {
+            return Err(match why {
+                NoPlace::Full => Reason::EndpointsFull,
+                NoPlace::NoEndpoint => Reason::NoEndpoint,
+            });
+        }
+        // Time that is over is not told by anybody, so the wait is bounded.
+        let _ = tokio::time::timeout(LOOK_AGAIN, changed).await;
+    }
+}
+
+fn spend<W: Wire>(job: &Job<W>) -> bool {
+    let now = job.cx.now();
+    let mut state = job.cx.state();
+    let instances = state.instances(now);
+    state.budget.spend(now, &job.service, instances)
+}
+
+fn give_up<W: Wire>(job: &Job<W>, reason: Reason) -> Response<AnswerBody> {
+    log::info!(event = 606, attempt = job.name(), entry = job.entry().name.as_str(),
+        reason:% = reason, ms = job.arrived.elapsed().as_millis() as u64; "generation_refused");
+    let patience = job.head.deadline.unwrap_or(job.entry().timeout);
+    refuse(reason, patience.saturating_sub(job.arrived.elapsed()))
+}
+
+/// The body of a streamed answer. When the caller leaves, it is dropped, and the
+/// relay learns of it by its closed channel.
+struct PieceBody {
+    pieces: mpsc::Receiver<Piece>,
+}
+
+impl http_body::Body for PieceBody {
+    type Data = Bytes;
+    type Error = BrokenOff;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BrokenOff>>> {
+        let piece = core::task::ready!(self.pieces.poll_recv(cx));
+        Poll::Ready(piece.map(|piece| piece.map(Frame::data)))
+    }
+}
--- a/crates/oriolemux/src/cli.rs
+++ b/crates/oriolemux/src/cli.rs
@@ -6,6 +6,7 @@
 mod check;
 mod client;
 mod exit;
+mod gateway;
 mod operate;
 mod report;
 mod serve;
@@ -46,6 +47,8 @@
 enum Command {
     /// Run one instance until it is told to stop (SIGTERM; a second signal stops it at once).
     Serve(ServeArgs),
+    /// Run one instance for HTTP entries on the users' platform until it is told to stop.
+    Gateway(GatewayArgs),
     /// Check the text of settings and catalogue files and report every finding.
     Check(CheckArgs),
     /// Print the state of a running instance.
@@ -68,6 +71,16 @@
     check: bool,
 }
 
+#[derive(Debug, Args)]
+struct GatewayArgs {
+    /// The settings file of the instance. The platform names it in the environment.
+    #[arg(long, value_name = "FILE", env = "ORIOLEMUX_CONFIG")]
+    settings: PathBuf,
+    /// Check the settings and exit.
+    #[arg(long)]
+    check: bool,
+}
+
 #[derive(Debug, Args)]
 struct CheckArgs {
     /// The files. What each holds is told from its tables.
@@ -113,6 +126,7 @@
     };
     match cli.command {
         Command::Serve(args) => serve::run(&args, output),
+        Command::Gateway(args) => gateway::run(&args, output),
         Command::Check(args) => check::run(&args, output),
         Command::Status(target) => operate::status(&target, output),
         Command::Explain(args) => operate::explain(&args.target, args.request, output),
--- /dev/null
+++ b/crates/oriolemux/src/cli/gateway.rs
@@ -0,0 +1,172 @@
+//! `oriolemux gateway`.
+
+use super::report::Report;
+use super::{ExitStatus, GatewayArgs, Output, print_error};
+use crate::events::{self, ShellNote};
+use crate::logs::{self, LogTarget};
+use crate::settings::{GatewaySettings, RepeatsSettings};
+use crate::supervisor::StopTokens;
+use oriolemux_core::Incarnation;
+use oriolemux_core::gateway::GatewayConfig;
+use oriolemux_core::gateway::budget::BudgetConfig;
+use oriolemux_core::ids::stable_hash;
+use oriolemux_gateway::{GatewayLimits, RunConfig, RunError};
+use oriolemux_platform::{EngineClient, PlatformWire, StoreClient};
+use rand::Rng;
+use std::net::{SocketAddr, SocketAddrV4};
+use tokio::signal::unix::{SignalKind, signal};
+
+pub(super) fn run(args: &GatewayArgs, output: Output) -> ExitStatus {
+    let settings = match GatewaySettings::load(&args.settings) {
+        Ok(settings) => settings,
+        Err(findings) => {
+            let mut report = Report::of_files(1);
+            report.add(findings);
+            return report.print(output);
+        }
+    };
+    if args.check {
+        return Report::of_files(1).print(output);
+    }
+    match start(&settings) {
+        Ok(()) => ExitStatus::Done,
+        Err(error) => {
+            let text = error.to_string();
+            events::emit_shell(&ShellNote::StartFailed { error: &text });
+            logs::flush();
+            print_error(&error);
+            error.exit_status()
+        }
+    }
+}
+
+/// Why the process did not start, or ended before it was told to.
+#[derive(Debug, displaydoc::Display, thiserror::Error)]
+enum StartError {
+    /// cannot start the logs: {0}
+    Logs(#[source] log::SetLoggerError),
+    /// cannot start the runtime: {0}
+    Runtime(#[source] std::io::Error),
+    /// signals cannot be received: {0}
+    Signals(#[source] std::io::Error),
+    /// {0}
+    Run(#[source] RunError),
+    /// stopped at once by a second signal
+    StoppedNow,
+}
+
+impl StartError {
+    const fn exit_status(&self) -> ExitStatus {
+        match self {
+            StartError::Run(RunError::PartEnded) => ExitStatus::PartFailed,
+            StartError::StoppedNow => ExitStatus::StoppedNow,
+            _ => ExitStatus::CannotStart,
+        }
+    }
+}
+
+/// One thread serves an instance: the processor of one is a part of a core, and a
+/// second thread would only cost memory and wake-ups.
+fn start(settings: &GatewaySettings) -> Result<(), StartError> {
+    let logs = &settings.logs;
+    let target = LogTarget {
+        output: logs.output,
+        format: logs.format,
+        level: logs.level,
+    };
+    logs::install(target).map_err(StartError::Logs)?;
+    let file = &settings.file;
+    events::emit_shell(&ShellNote::SettingsRead { file });
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(StartError::Runtime)?;
+    let result = runtime.block_on(serve(settings));
+    runtime.shutdown_background();
+    logs::flush();
+    result
+}
+
+async fn serve(settings: &GatewaySettings) -> Result<(), StartError> {
+    let incarnation = Incarnation(rand::rng().random());
+    let instance = &settings.name;
+    events::emit_shell(&ShellNote::Started {
+        instance,
+        incarnation,
+    });
+    let stop = StopTokens::new();
+    stop.listen_to_signals().map_err(StartError::Signals)?;
+    let hangup = signal(SignalKind::hangup()).map_err(StartError::Signals)?;
+    tokio::spawn(note_hangups(hangup, settings.file.clone()));
+    let store = StoreClient::new(settings.store.address);
+    let run = oriolemux_gateway::run(
+        run_config(settings, incarnation),
+        PlatformWire,
+        store,
+        EngineClient,
+        stop.planned.clone(),
+    );
+    tokio::select! {
+        ended = run => ended.map_err(StartError::Run)?,
+        () = stop.now.cancelled() => return Err(StartError::StoppedNow),
+    }
+    events::emit_shell(&ShellNote::StopFinished);
+    Ok(())
+}
+
+/// Reads the settings anew at each SIGHUP and says what came of it. Addresses and
+/// bounds hold for the life of a process, so that nothing that runs is disturbed;
+/// a file with findings would keep the next start from serving, and is told now.
+async fn note_hangups(mut hangup: tokio::signal::unix::Signal, file: String) {
+    while hangup.recv().await.is_some() {
+        match GatewaySettings::load(&file) {
+            Ok(_) => events::emit_shell(&ShellNote::SettingsRead { file: &file }),
+            Err(findings) => {
+                let findings = findings.to_string();
+                log::warn!("the settings have findings and stay as they were: {findings}");
+            }
+        }
+    }
+}
+
+fn run_config(settings: &GatewaySettings, incarnation: Incarnation) -> RunConfig {
+    RunConfig {
+        front: settings.callers.listen,
+        readiness: settings.readiness.listen,
+        peers: settings.peers.listen,
+        limits: GatewayLimits {
+            connect: settings.endpoints.connect_timeout_ms.duration(),
+            connections: settings.callers.max_connections as usize,
+        },
+        notice: settings.stop.notice_ms.duration(),
+        grace: settings.stop.grace_secs.0,
+        config: GatewayConfig {
+            incarnation,
+            data_centre: settings.data_centre.clone(),
+            address: settings.peers.listen,
+            deployment: stable_hash(&[settings.peers.deployment.as_bytes()]),
+            seeds: seeds(settings),
+            budget: budget(&settings.repeats),
+        },
+    }
+}
+
+/// Seeds name any listener of an instance; peers are heard on the same port everywhere.
+fn seeds(settings: &GatewaySettings) -> Vec<SocketAddrV4> {
+    let port = settings.peers.listen.port();
+    let seeds = settings.peers.seeds.iter();
+    seeds
+        .filter_map(|seed| match seed {
+            SocketAddr::V4(seed) => Some(SocketAddrV4::new(*seed.ip(), port)),
+            SocketAddr::V6(_) => None,
+        })
+        .collect()
+}
+
+fn budget(repeats: &RepeatsSettings) -> BudgetConfig {
+    BudgetConfig {
+        ratio: repeats.ratio.0,
+        allowance: repeats.allowance.0,
+        window: repeats.window_secs.0,
+    }
+}
--- a/crates/oriolemux/src/logs.rs
+++ b/crates/oriolemux/src/logs.rs
@@ -1,43 +1,68 @@
-//! Log lines on standard error, for people or as JSON.
+//! Log lines on standard error or output, for people or as JSON.
 
 mod format;
 mod writer;
 
 pub use format::{format_human, format_json};
 
-use crate::settings::{LogFormat, LogsSettings};
+use crate::settings::{LogFormat, LogLevel, LogOutput, LogsSettings};
 use log::LevelFilter;
 use std::time::SystemTime;
 
 /// Libraries log at this level at most, unless all is asked for.
 const LIBRARIES: LevelFilter = LevelFilter::Warn;
 
-/// Starts to log as `settings` say.
+/// What is logged, and where to.
+#[derive(Clone, Copy, Debug)]
+pub struct LogTarget {
+    /// Where lines go.
+    pub output: LogOutput,
+    /// How lines look.
+    pub format: LogFormat,
+    /// The least severe level.
+    pub level: LogLevel,
+}
+
+impl From<&LogsSettings> for LogTarget {
+    fn from(settings: &LogsSettings) -> Self {
+        LogTarget {
+            output: LogOutput::Stderr,
+            format: settings.format,
+            level: settings.level,
+        }
+    }
+}
+
+/// Starts to log as `target` says.
 ///
 /// # Errors
 ///
 /// Fails if the process has a logger already.
-pub fn install(settings: &LogsSettings) -> Result<(), log::SetLoggerError> {
-    let own = settings.level.filter();
+pub fn install(target: impl Into<LogTarget>) -> Result<(), log::SetLoggerError> {
+    let target = target.into();
+    let own = target.level.filter();
     let libraries = match own {
         LevelFilter::Trace => LevelFilter::Trace,
         own => own.min(LIBRARIES),
     };
-    let format = match settings.format {
+    let format = match target.format {
         LogFormat::Human => format_human,
         LogFormat::Json => format_json,
     };
+    let lines = match target.output {
+        LogOutput::Stdout => writer::spawn(std::io::stdout()),
+        LogOutput::Stderr => writer::spawn(std::io::stderr()),
+    };
     fern::Dispatch::new()
         .level(libraries)
         .level_for("oriolemux", own)
         .level_for("oriolemux_core", own)
+        .level_for("oriolemux_gateway", own)
+        .level_for("oriolemux_platform", own)
         .format(move |out, _, record| {
             out.finish(format_args!("{}", format(SystemTime::now(), record)));
         })
-        .chain(fern::Output::writer(
-            Box::new(writer::spawn(std::io::stderr())),
-            "\n",
-        ))
+        .chain(fern::Output::writer(Box::new(lines), "\n"))
         .apply()
 }
 
--- a/crates/oriolemux/src/settings.rs
+++ b/crates/oriolemux/src/settings.rs
@@ -8,14 +8,17 @@
 //! line and column. Secrets never stand in the file; it names files that hold them.
 
 mod docs;
+mod gateway;
 mod reader;
 mod relations;
+mod rows;
 mod secret;
 mod spec;
 mod table;
 mod value;
 
 pub use docs::render as render_docs;
+pub use gateway::{GatewaySettings, RepeatsSettings};
 pub use secret::{Secret, SecretFile, Secrets};
 pub use spec::Description;
 pub use table::{
@@ -23,11 +26,12 @@
     OperatorsSettings, PeersSettings, PlatformSettings, SectionDescription, Settings, StopSettings,
     SupervisorSettings,
 };
-pub use value::{LogFormat, LogLevel, Millis};
+pub use value::{LogFormat, LogLevel, LogOutput, Millis, Number, Seconds};
 
 use oriolemux_core::findings::{Findings, Place, Problem};
 use reader::SectionReader;
 use std::path::Path;
+use toml_edit::Table;
 
 impl Settings {
     /// Reads and checks the settings file at `path`.
@@ -38,17 +42,7 @@
     ///
     /// Returns every finding with its place.
     pub fn load(path: impl AsRef<Path>) -> Result<Self, Findings> {
-        let path = path.as_ref();
-        let file = path.display().to_string();
-        match std::fs::read_to_string(path) {
-            Ok(text) => Self::parse(&file, &text),
-            Err(error) => {
-                let message = error.to_string();
-                let mut findings = Findings::new(file);
-                findings.push(Place::START, Problem::Unreadable { message });
-                Err(findings)
-            }
-        }
+        load(path.as_ref(), Self::parse)
     }
 
     /// Checks the text of the settings file named `file`.
@@ -59,22 +53,64 @@
     ///
     /// Returns every finding with its place.
     pub fn parse(file: &str, text: &str) -> Result<Self, Findings> {
-        let mut findings = Findings::new(file);
-        let document = match toml_edit::Document::parse(text) {
-            Ok(document) => document,
-            Err(error) => {
-                let message = error.message().to_owned();
-                findings.push_span(text, error.span(), Problem::Syntax { message });
-                return Err(findings);
-            }
-        };
-        let base = Path::new(file).parent().unwrap_or(Path::new(""));
-        let mut root = SectionReader::root(document.as_table(), text, base, &mut findings);
-        let Some(settings) = Self::read(&mut root) else {
-            findings.sort();
-            return Err(findings);
-        };
-        relations::check(&settings, document.as_table(), text, &mut findings);
-        findings.into_result(settings)
+        parse(file, text, Self::read, relations::check)
+    }
+}
+
+impl GatewaySettings {
+    /// Reads and checks the settings file at `path`.
+    ///
+    /// # Errors
+    ///
+    /// Returns every finding with its place.
+    pub fn load(path: impl AsRef<Path>) -> Result<Self, Findings> {
+        load(path.as_ref(), Self::parse)
     }
+
+    /// Checks the text of the settings file named `file`.
+    ///
+    /// # Errors
+    ///
+    /// Returns every finding with its place.
+    pub fn parse(file: &str, text: &str) -> Result<Self, Findings> {
+        parse(file, text, Self::read, relations::check_gateway)
+    }
+}
+
+fn load<T>(path: &Path, parse: fn(&str, &str) -> Result<T, Findings>) -> Result<T, Findings> {
+    let file = path.display().to_string();
+    match std::fs::read_to_string(path) {
+        Ok(text) => parse(&file, &text),
+        Err(error) => {
+            let message = error.to_string();
+            let mut findings = Findings::new(file);
+            findings.push(Place::START, Problem::Unreadable { message });
+            Err(findings)
+        }
+    }
+}
+
+fn parse<T>(
+    file: &str,
+    text: &str,
+    read: fn(&mut SectionReader<'_>) -> Option<T>,
+    check: fn(&T, &Table, &str, &mut Findings),
+) -> Result<T, Findings> {
+    let mut findings = Findings::new(file);
+    let document = match toml_edit::Document::parse(text) {
+        Ok(document) => document,
+        Err(error) => {
+            let message = error.message().to_owned();
+            findings.push_span(text, error.span(), Problem::Syntax { message });
+            return Err(findings);
+        }
+    };
+    let base = Path::new(file).parent().unwrap_or(Path::new(""));
+    let mut root = SectionReader::root(document.as_table(), text, base, &mut findings);
+    let Some(settings) = read(&mut root) else {
+        findings.sort();
+        return Err(findings);
+    };
+    check(&settings, document.as_table(), text, &mut findings);
+    findings.into_result(settings)
 }
--- a/crates/oriolemux/src/settings/docs.rs
+++ b/crates/oriolemux/src/settings/docs.rs
@@ -1,7 +1,7 @@
 //! Renders `docs/SETTINGS.md` from the table.
 
-use super::Settings;
 use super::spec::Description;
+use super::{GatewaySettings, SectionDescription, Settings};
 
 const HEAD: &str = "# Settings
 
@@ -17,13 +17,28 @@
 renew it, run the tests of `settings_docs` with `ORIOLEMUX_RENEW=1`.
 ";
 
+const GATEWAY_HEAD: &str = "
+## Instances for HTTP entries
+
+`oriolemux gateway --settings FILE` reads a file of its own. `deploy/gateway.toml` is the template
+from which the users' platform makes it; `oriolemux check FILE` tells the two kinds apart by the
+table `[store]`.
+";
+
 /// Returns the text of `docs/SETTINGS.md`.
 pub fn render() -> String {
     let mut page = String::from(HEAD);
-    for section in Settings::describe() {
+    write_sections(&mut page, "##", &Settings::describe());
+    page.push_str(GATEWAY_HEAD);
+    write_sections(&mut page, "###", &GatewaySettings::describe());
+    page
+}
+
+fn write_sections(page: &mut String, level: &str, sections: &[SectionDescription]) {
+    for section in sections {
         match section.name {
-            "" => page.push_str("\n## Above all sections\n\n"),
-            name => page.push_str(&format!("\n## `[{name}]`\n\n{}\n\n", section.doc)),
+            "" => page.push_str(&format!("\n{level} Above all sections\n\n")),
+            name => page.push_str(&format!("\n{level} `[{name}]`\n\n{}\n\n", section.doc)),
         }
         page.push_str(
             "| key | type | default | range | meaning |\n| --- | --- | --- | --- | --- |\n",
@@ -32,7 +47,6 @@
             page.push_str(&row(setting));
         }
     }
-    page
 }
 
 fn row(setting: &Description) -> String {
--- a/crates/oriolemux/src/settings/relations.rs
+++ b/crates/oriolemux/src/settings/relations.rs
@@ -1,6 +1,6 @@
 //! Checks settings against each other, once each is right by itself.
 
-use super::{Millis, Settings};
+use super::{GatewaySettings, Millis, Settings};
 use core::ops::Range;
 use oriolemux_core::findings::{Findings, Problem};
 use std::net::SocketAddr;
@@ -13,10 +13,40 @@
         text,
         findings,
     };
-    check_listeners(settings, &mut cx);
+    let listeners = [
+        ("callers", settings.callers.listen),
+        ("peers", settings.peers.listen),
+        ("operators", settings.operators.listen),
+    ];
+    check_listeners(&listeners, &mut cx);
     check_order(settings, &mut cx);
 }
 
+/// Checks the relations of an instance for HTTP entries.
+pub(super) fn check_gateway(
+    settings: &GatewaySettings,
+    root: &Table,
+    text: &str,
+    findings: &mut Findings,
+) {
+    let mut cx = RelationContext {
+        root,
+        text,
+        findings,
+    };
+    let listeners = [
+        ("callers", settings.callers.listen),
+        ("readiness", settings.readiness.listen),
+        ("peers", SocketAddr::V4(settings.peers.listen)),
+    ];
+    check_listeners(&listeners, &mut cx);
+    let notice = settings.stop.notice_ms.duration();
+    if notice > settings.stop.grace_secs.0 {
+        let why = "must not be longer than `grace_secs`".to_owned();
+        cx.push("stop", "notice_ms", why);
+    }
+}
+
 struct RelationContext<'a> {
     root: &'a Table,
     text: &'a str,
@@ -37,12 +67,7 @@
 
 /// Two listeners on one address would fail only when the second one binds, long after
 /// the file was checked; so they are told apart here.
-fn check_listeners(settings: &Settings, cx: &mut RelationContext<'_>) {
-    let listeners = [
-        ("callers", settings.callers.listen),
-        ("peers", settings.peers.listen),
-        ("operators", settings.operators.listen),
-    ];
+fn check_listeners(listeners: &[(&str, SocketAddr)], cx: &mut RelationContext<'_>) {
     for (index, &(section, address)) in listeners.iter().enumerate() {
         let mut earlier = listeners[..index].iter();
         if let Some((other, _)) = earlier.find(|&&(_, other)| collide(address, other)) {
--- a/crates/oriolemux/src/settings/table.rs
+++ b/crates/oriolemux/src/settings/table.rs
@@ -1,91 +1,11 @@
 //! The table of settings: names, types, defaults, ranges and meanings.
 
-use super::reader::SectionReader;
+use super::rows::settings;
 use super::secret::SecretFile;
-use super::spec::{Description, default, describe, required};
+use super::spec::{Description, default, required};
 use super::value::{LogFormat, LogLevel, Millis};
 use std::net::SocketAddr;
 
-/// Makes the types, the reader and the descriptions of the settings.
-///
-/// A row is `name: type = rules;` below the sentences that the docs show.
-macro_rules! settings {
-    (
-        root { $($(#[doc = $root_doc:literal])* $root_field:ident: $root_ty:ty = $root_spec:expr;)* }
-        $(
-            $(#[doc = $section_doc:literal])*
-            $section:ident: $Section:ident {
-                $($(#[doc = $doc:literal])* $field:ident: $ty:ty = $spec:expr;)*
-            }
-        )*
-    ) => {
-        /// The settings of one instance.
-        #[derive(Clone, Debug)]
-        pub struct Settings {
-            /// The file that the settings came from, as it was named.
-            pub file: String,
-            $($(#[doc = $root_doc])* pub $root_field: $root_ty,)*
-            $($(#[doc = $section_doc])* pub $section: $Section,)*
-        }
-
-        impl Settings {
-            /// Reads all tables; `None` means that findings were pushed.
-            pub(super) fn read(root: &mut SectionReader<'_>) -> Option<Self> {
-                root.refuse_unknown(&[$(stringify!($root_field),)* $(stringify!($section),)*]);
-                $(let $root_field = root.field(stringify!($root_field), $root_spec);)*
-                $(let $section = $Section::read(&mut root.section(stringify!($section)));)*
-                Some(Settings {
-                    file: root.file().to_owned(),
-                    $($root_field: $root_field?,)*
-                    $($section: $section?,)*
-                })
-            }
-
-            /// Describes every setting, in the order of the table.
-            pub fn describe() -> Vec<SectionDescription> {
-                vec![
-                    SectionDescription {
-                        name: "",
-                        doc: String::new(),
-                        settings: vec![$({
-                            let spec: super::spec::Spec<$root_ty> = $root_spec;
-                            describe("", stringify!($root_field), &[$($root_doc),*], &spec)
-                        },)*],
-                    },
-                    $($Section::describe(),)*
-                ]
-            }
-        }
-
-        $(
-            $(#[doc = $section_doc])*
-            #[derive(Clone, Debug)]
-            pub struct $Section {
-                $($(#[doc = $doc])* pub $field: $ty,)*
-            }
-
-            impl $Section {
-                fn read(section: &mut SectionReader<'_>) -> Option<Self> {
-                    section.refuse_unknown(&[$(stringify!($field),)*]);
-                    $(let $field = section.field(stringify!($field), $spec);)*
-                    Some($Section { $($field: $field?,)* })
-                }
-
-                fn describe() -> SectionDescription {
-                    SectionDescription {
-                        name: stringify!($section),
-                        doc: [$($section_doc),*].map(str::trim).join(" "),
-                        settings: vec![$({
-                            let spec: super::spec::Spec<$ty> = $spec;
-                            describe(stringify!($section), stringify!($field), &[$($doc),*], &spec)
-                        },)*],
-                    }
-                }
-            }
-        )*
-    };
-}
-
 /// A section of the settings as the docs show it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct SectionDescription {
@@ -101,7 +21,8 @@
 const MIB: usize = 1024 * 1024;
 
 settings! {
-    root {
+    /// The settings of one instance.
+    root Settings {
         /// The instance's name, as the platform's list of instances publishes it.
         name: String = required();
         /// The data centre that the instance stands in, as the list publishes it.
--- a/crates/oriolemux/src/settings/value.rs
+++ b/crates/oriolemux/src/settings/value.rs
@@ -3,7 +3,7 @@
 use super::secret::SecretFile;
 use oriolemux_core::findings::{Place, Problem, nearest};
 use serde::Serialize;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, SocketAddrV4};
 use std::path::Path;
 use std::time::Duration;
 use toml_edit::Item;
@@ -189,7 +189,7 @@
         let array = item
             .as_array()
             .ok_or_else(|| cx.wrong_type(EXPECTED, item))?;
-        if array.is_empty() {
+        if array.is_empty() && cx.range.is_none_or(|(min, _)| min > 0) {
             return Err(cx.invalid("must name at least one address"));
         }
         array
@@ -211,6 +211,62 @@
     }
 }
 
+impl Value for SocketAddrV4 {
+    const KIND: &'static str = "string, IPv4 address and port";
+
+    fn read(item: &Item, cx: &ValueContext<'_>) -> Result<Self, Problem> {
+        let text = cx.text(item)?;
+        text.parse()
+            .map_err(|_| cx.invalid("must be an IPv4 address and a port, such as 10.0.0.7:8080"))
+    }
+
+    fn to_toml(&self) -> String {
+        format!("\"{self}\"")
+    }
+}
+
+/// A number that is not negative.
+#[derive(Clone, Copy, Debug, PartialEq, PartialOrd, Serialize)]
+#[serde(transparent)]
+pub struct Number(pub f64);
+
+impl Value for Number {
+    const KIND: &'static str = "number";
+
+    fn read(item: &Item, cx: &ValueContext<'_>) -> Result<Self, Problem> {
+        let whole = item.as_integer().map(|value| value as f64);
+        let value = item.as_float().or(whole);
+        let value = value.ok_or_else(|| cx.wrong_type("a number", item))?;
+        if !value.is_finite() || value < 0.0 {
+            return Err(cx.invalid("must not be negative"));
+        }
+        Ok(Number(value))
+    }
+
+    fn to_toml(&self) -> String {
+        format!("{:?}", self.0)
+    }
+}
+
+/// A duration in seconds, which may have a fraction.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Seconds(pub Duration);
+
+impl Value for Seconds {
+    const KIND: &'static str = "number, seconds";
+
+    fn read(item: &Item, cx: &ValueContext<'_>) -> Result<Self, Problem> {
+        let Number(seconds) = Number::read(item, cx)?;
+        Duration::try_from_secs_f64(seconds)
+            .map(Seconds)
+            .map_err(|_| cx.invalid("is too long"))
+    }
+
+    fn to_toml(&self) -> String {
+        format!("{:?}", self.0.as_secs_f64())
+    }
+}
+
 impl Value for SecretFile {
     const KIND: &'static str = "string, path of a file";
 
@@ -251,6 +307,31 @@
     }
 }
 
+/// Where log lines go.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum LogOutput {
+    /// Standard output.
+    Stdout,
+    /// Standard error.
+    Stderr,
+}
+
+const LOG_OUTPUTS: &[(&str, LogOutput)] =
+    &[("stdout", LogOutput::Stdout), ("stderr", LogOutput::Stderr)];
+
+impl Value for LogOutput {
+    const KIND: &'static str = "string, `stdout` or `stderr`";
+
+    fn read(item: &Item, cx: &ValueContext<'_>) -> Result<Self, Problem> {
+        cx.one_of(item, LOG_OUTPUTS)
+    }
+
+    fn to_toml(&self) -> String {
+        name_of(*self, LOG_OUTPUTS)
+    }
+}
+
 /// The least severe level that is logged.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "snake_case")]
