A generation without a usable copy is copied ahead when notice comes, and stays until it is

Change: a copy ahead by a move while the run goes on, then the short last part; no copy, no leaving.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -25,8 +25,10 @@
 use oriolemux_core::gateway::Demand;
 use oriolemux_core::gateway::state::Place;
 use std::net::SocketAddrV4;
+use std::sync::Arc;
 use std::time::Instant;
 use tokio::sync::{mpsc, oneshot};
+use tokio::task::JoinHandle;
 
 /// How long after the notice a generation leaves its engine. Many end by then, and
 /// those that began shortly before it have a copy by then; an engine goes 1.5 s
@@ -41,8 +43,20 @@
 /// within the notice of an engine that leaves.
 const COPY_MIN_TOKENS: u32 = 64;
 
-/// How long the last part of a move may take.
-const MOVE_LIMIT: Duration = Duration::from_millis(1_000);
+/// How long the last part of a move may take. It is short, since most was copied
+/// before; a source that does not answer in time has gone.
+const LAST_PART_LIMIT: Duration = Duration::from_millis(800);
+
+/// How long a copy ahead of a move may take: moves queue on the links of both
+/// engines, and no notice is much longer.
+const AHEAD_LIMIT: Duration = Duration::from_millis(2_500);
+
+/// The pause before a copy ahead is tried again, for example because the
+/// generation had not begun.
+const AHEAD_PAUSE: Duration = Duration::from_millis(60);
+
+/// Copies ahead that one generation tries at one engine.
+const MAX_AHEAD: u32 = 12;
 
 /// How many engines one generation may go through.
 const MAX_MOVES: u32 = 8;
@@ -73,6 +87,20 @@
     _in_use: CopyInUse<W>,
 }
 
+/// A copy that is made while the generation still runs at an engine that leaves.
+struct CopyAhead<W: Wire> {
+    target: Place,
+    task: JoinHandle<Moved>,
+    complete: bool,
+    _in_use: CopyInUse<W>,
+}
+
+impl<W: Wire> Drop for CopyAhead<W> {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
 /// One generation.
 pub struct Relay<W: Wire, E> {
     job: Job<W>,
@@ -81,6 +109,11 @@
     in_use: InUse<W>,
     tokens: u32,
     copy: Option<StandingCopy<W>>,
+    ahead: Option<CopyAhead<W>>,
+    /// Copies ahead that were tried at the present engine.
+    ahead_tries: u32,
+    /// When the next copy ahead may be tried.
+    ahead_from: Instant,
     splitter: EventSplitter,
     last_event: Option<u64>,
     events: u64,
@@ -128,6 +161,9 @@
             in_use,
             tokens,
             copy: None,
+            ahead: None,
+            ahead_tries: 0,
+            ahead_from: Instant::now(),
             splitter: EventSplitter::default(),
             last_event: None,
             events: 0,
@@ -276,12 +312,15 @@
                     return pause;
                 }
             }
-            let cx = &self.job.cx;
+            let cx = Arc::clone(&self.job.cx);
             let mut departures = core::pin::pin!(cx.departures.notified());
             departures.as_mut().enable();
+            let ahead_at = self.ahead_at();
             let leave_at = self.leave_at();
             let silent_at = self.silent_at(upstream);
             tokio::select! {
+                moved = copied_ahead(&mut self.ahead) => self.on_copied_ahead(moved),
+                () = sleep_until(ahead_at) => self.copy_ahead(),
                 frame = upstream.body.frame() => match frame {
                     Some(Ok(frame)) => {
                         upstream.heard = Instant::now();
@@ -325,15 +364,67 @@
         }
     }
 
-    /// Returns when the generation leaves its engine, if that engine is leaving.
+    /// Returns when the generation leaves its engine, if that engine is leaving and a
+    /// copy to go on from is there.
     fn leave_at(&self) -> Option<Instant> {
-        if self.last_event.is_none() || self.moves >= MAX_MOVES {
+        let copied = self.ahead.as_ref().is_some_and(|ahead| ahead.complete);
+        if self.last_event.is_none() || !(copied || self.copy_is_usable()) {
+            return None;
+        }
+        let waited = self.source_leaves_for()?;
+        Some(Instant::now() + LEAVE_AFTER.saturating_sub(waited))
+    }
+
+    /// Returns for how long the engine is known to leave, if the generation may move.
+    fn source_leaves_for(&self) -> Option<Duration> {
+        if self.moves >= MAX_MOVES {
             return None;
         }
         let cx = &self.job.cx;
         let since = cx.state().leaving_since(self.source.key)?;
-        let waited = cx.now().since(since);
-        Some(Instant::now() + LEAVE_AFTER.saturating_sub(waited))
+        Some(cx.now().since(since))
+    }
+
+    /// Returns when a copy ahead is begun.
+    fn ahead_at(&self) -> Option<Instant> {
+        let has_copy = self.ahead.is_some() || self.copy_is_usable();
+        if has_copy || self.last_event.is_none() || self.ahead_tries >= MAX_AHEAD {
+            return None;
+        }
+        self.source_leaves_for()?;
+        Some(self.ahead_from)
+    }
+
+    /// Begins to copy the memory to another engine while the generation goes on.
+    fn copy_ahead(&mut self) {
+        self.ahead_from = Instant::now() + AHEAD_PAUSE;
+        let Some(target) = self.another_place() else {
+            return;
+        };
+        self.ahead_tries += 1;
+        let (engines, source) = (self.engines.clone(), self.source.address);
+        let (attempt, address) = (self.job.name().to_owned(), target.address);
+        let task = tokio::spawn(async move {
+            engines
+                .move_run(source, &attempt, address, false, AHEAD_LIMIT)
+                .await
+        });
+        self.ahead = Some(CopyAhead {
+            _in_use: CopyInUse::begin(&self.job.cx, target.key, self.tokens),
+            target,
+            task,
+            complete: false,
+        });
+    }
+
+    fn on_copied_ahead(&mut self, moved: Moved) {
+        let how = format!("{moved:?}");
+        log::info!(event = 619, attempt = self.job.name(), from = self.source.name.as_str(),
+            how = how.as_str(), event_id = self.last_event; "generation_copied_ahead");
+        match (&moved, &mut self.ahead) {
+            (Moved::Done { .. }, Some(ahead)) => ahead.complete = true,
+            _ => self.ahead = None,
+        }
     }
 
     fn silent_at(&self, upstream: &Upstream) -> Option<Instant> {
@@ -343,31 +434,28 @@
 
     /// Leaves an engine that is still there.
     async fn leave(&mut self, upstream: Upstream) -> Option<Upstream> {
-        if self.copy_is_usable() {
+        let Some(ahead) = self.ahead.take() else {
             drop(upstream);
             return self.go_on_from_copy().await;
-        }
-        let target = self.another_place()?;
+        };
+        let target = ahead.target.clone();
         let attempt = self.job.name().to_owned();
-        let limit = MOVE_LIMIT.min(self.job.left());
-        let source = self.source.address;
+        let limit = LAST_PART_LIMIT.min(self.job.left());
+        let source = self.source.clone();
         let moved = self
             .engines
-            .move_run(source, &attempt, target.address, true, limit)
+            .move_run(source.address, &attempt, target.address, true, limit)
             .await;
         drop(upstream);
         self.splitter.clear();
-        log::info!(event = 607, attempt = attempt.as_str(), from = self.source.name.as_str(),
+        log::info!(event = 607, attempt = attempt.as_str(), from = source.name.as_str(),
             to = target.name.as_str(), how = format!("{moved:?}").as_str(), event_id = self.last_event;
             "generation_moved");
         match moved {
-            Moved::Done { handle } => self.go_on(target, source, &handle).await,
+            Moved::Done { handle } => self.go_on(target, source.address, &handle).await,
             Moved::NoRoom {
                 handle: Some(handle),
-            } => {
-                let source = self.source.clone();
-                self.go_on(source.clone(), source.address, &handle).await
-            }
+            } => self.go_on(source.clone(), source.address, &handle).await,
             Moved::NoRoom { handle: None } | Moved::NotRunning | Moved::Busy | Moved::NoAnswer => {
                 None
             }
@@ -398,6 +486,8 @@
         handle: &str,
     ) -> Option<Upstream> {
         self.moves += 1;
+        self.ahead = None;
+        self.ahead_tries = 0;
         self.note_repeat();
         self.move_use(target);
         self.choose_copy();
@@ -570,6 +660,17 @@
     Failed(Reason),
 }
 
+/// Waits for the end of a copy ahead; for good if there is none that is under way.
+async fn copied_ahead<W: Wire>(ahead: &mut Option<CopyAhead<W>>) -> Moved {
+    match ahead {
+        Some(ahead) if !ahead.complete => {
+            let ended = (&mut ahead.task).await;
+            ended.unwrap_or(Moved::NoAnswer)
+        }
+        _ => core::future::pending().await,
+    }
+}
+
 /// Waits until `at`; for good if there is no such time.
 async fn sleep_until(at: Option<Instant>) {
     match at {
