--- a/crates/core/src/gateway/choose.rs
+++ b/crates/core/src/gateway/choose.rs
@@ -16,6 +16,11 @@
 /// an estimate; an engine that runs out preempts one and reads its prompt again.
 const MEMORY_SHARE: f64 = 0.92;
 
+/// The share of an engine's memory up to which standing copies are put there. What
+/// lies above is left to generations that run: a copy is of use only to those
+/// whose engine leaves, and those can be copied at the notice as well.
+const COPY_SHARE: f64 = 0.75;
+
 /// A prompt that waits to be read delays a new one by about 200 ms, as much as
 /// ten running generations slow it down.
 const STARTING_COST: f64 = 10.0;
@@ -97,7 +102,10 @@
     for endpoint in candidates(world, demand) {
         let used = world.usage.of(world.now, endpoint.key, world.peers);
         let cost = match demand.engine {
-            Some(limits) if !fits(used, demand.tokens, limits) || used.starting >= MAX_STARTING => {
+            Some(limits)
+                if !fits(used, demand.tokens, limits, MEMORY_SHARE)
+                    || used.starting >= MAX_STARTING =>
+            {
                 full = true;
                 continue;
             }
@@ -120,17 +128,31 @@
     }
 }
 
+/// What a copy is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CopyKind {
+    /// It is kept up to date as the generation grows, in case its engine leaves.
+    Standing,
+    /// Its engine leaves; the generation will go on from it.
+    Ahead,
+}
+
 /// Returns the engine with the most room for a copy of a generation that runs at `source`.
 pub fn choose_copy(
     world: World<'_>,
     demand: &Demand<'_>,
     source: &Endpoint,
+    kind: CopyKind,
 ) -> Option<EndpointKey> {
     let limits = demand.engine?;
+    let share = match kind {
+        CopyKind::Standing => COPY_SHARE,
+        CopyKind::Ahead => 1.0,
+    };
     let mut best: Option<(f64, EndpointKey)> = None;
     for endpoint in candidates(world, demand) {
         let used = world.usage.of(world.now, endpoint.key, world.peers);
-        if endpoint.key == source.key || !fits(used, demand.tokens, limits) {
+        if endpoint.key == source.key || !fits(used, demand.tokens, limits, share) {
             continue;
         }
         let away = endpoint.record.data_centre != source.record.data_centre;
@@ -166,8 +188,8 @@
         .filter(move |endpoint| !any_trusted || trusted(endpoint))
 }
 
-fn fits(used: Used, tokens: u32, limits: EngineLimits) -> bool {
-    let room = f64::from(limits.memory_tokens) * MEMORY_SHARE;
+fn fits(used: Used, tokens: u32, limits: EngineLimits, share: f64) -> bool {
+    let room = f64::from(limits.memory_tokens) * share;
     let taken = f64::from(used.tokens) + f64::from(used.copied);
     let empty = used.running == 0;
     u32::from(used.running) < limits.slots && (empty || taken + f64::from(tokens) <= room)
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -3,7 +3,7 @@
 use super::budget::{BudgetConfig, SharedBudget};
 use super::bulletin::{BULLETIN_VERSION, Bulletin, MAX_NAMED, PeerTable};
 use super::catalogue::{Catalogue, CatalogueFinding, CatalogueSource};
-use super::choose::{self, Demand, NoPlace, World};
+use super::choose::{self, CopyKind, Demand, NoPlace, World};
 use super::endpoints::{Endpoint, EndpointRecord, EndpointTable};
 use super::reader::StoreReader;
 use super::replica::Replica;
@@ -206,8 +206,14 @@
         Ok(Place::of(endpoint))
     }
 
-    /// Chooses where the standing copy of a generation at `source` is kept.
-    pub fn copy_place(&self, now: Time, demand: &Demand<'_>, source: EndpointKey) -> Option<Place> {
+    /// Chooses where a copy of a generation at `source` is kept.
+    pub fn copy_place(
+        &self,
+        now: Time,
+        demand: &Demand<'_>,
+        source: EndpointKey,
+        kind: CopyKind,
+    ) -> Option<Place> {
         let world = World {
             now,
             endpoints: &self.endpoints,
@@ -215,7 +221,7 @@
             peers: &self.peers,
         };
         let source = self.endpoints.get(source)?;
-        let key = choose::choose_copy(world, demand, source)?;
+        let key = choose::choose_copy(world, demand, source, kind)?;
         self.endpoints.get(key).map(Place::of)
     }
 
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -23,6 +23,7 @@
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use oriolemux_core::gateway::Demand;
+use oriolemux_core::gateway::choose::CopyKind;
 use oriolemux_core::gateway::state::Place;
 use std::net::SocketAddrV4;
 use std::sync::Arc;
@@ -544,7 +545,7 @@
         let data_centre = state.data_centre().to_owned();
         let demand = self.demand(&data_centre);
         let now = cx.now();
-        let place = state.copy_place(now, &demand, self.source.key);
+        let place = state.copy_place(now, &demand, self.source.key, CopyKind::Standing);
         drop(state);
         self.copy = place.map(|place| StandingCopy {
             _in_use: CopyInUse::begin(cx, place.key, self.tokens),
@@ -558,7 +559,12 @@
         let now = cx.now();
         let state = cx.state();
         let data_centre = state.data_centre().to_owned();
-        state.copy_place(now, &self.demand(&data_centre), self.source.key)
+        state.copy_place(
+            now,
+            &self.demand(&data_centre),
+            self.source.key,
+            CopyKind::Ahead,
+        )
     }
 
     fn demand<'a>(&'a self, data_centre: &'a str) -> Demand<'a> {
