--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -102,6 +102,24 @@
     }
 }
 
+/// How the events came, for those who ask later why a stream was late.
+#[derive(Clone, Copy, Debug, Default)]
+struct Pace {
+    first: Option<Instant>,
+    last: Option<Instant>,
+    longest_pause: Duration,
+}
+
+impl Pace {
+    fn on_event(&mut self, now: Instant) {
+        self.first.get_or_insert(now);
+        if let Some(last) = self.last {
+            self.longest_pause = self.longest_pause.max(now - last);
+        }
+        self.last = Some(now);
+    }
+}
+
 /// One generation.
 pub struct Relay<W: Wire, E> {
     job: Job<W>,
@@ -118,6 +136,7 @@
     splitter: EventSplitter,
     last_event: Option<u64>,
     events: u64,
+    pace: Pace,
     moves: u32,
     tx: mpsc::Sender<Piece>,
 }
@@ -168,6 +187,7 @@
             splitter: EventSplitter::default(),
             last_event: None,
             events: 0,
+            pace: Pace::default(),
             moves: 0,
             tx,
         }
@@ -358,6 +378,7 @@
         }
         self.in_use.first_byte();
         self.events += 1;
+        self.pace.on_event(Instant::now());
         self.last_event = event.id.or(self.last_event);
         match self.tx.send(Ok(event.bytes)).await {
             Ok(()) => None,
@@ -636,17 +657,36 @@
         let _ = self.tx.send(Err(BrokenOff)).await;
     }
 
+    /// Returns whether the first event or a pause took longer than is wanted.
+    fn is_late(&self) -> bool {
+        let entry = self.job.entry();
+        let first = self.pace.first.map(|first| first - self.job.arrived);
+        let slow = self.pace.longest_pause > entry.gap_target && !entry.gap_target.is_zero();
+        slow || first.is_none_or(|first| first > entry.target)
+    }
+
     fn log_end(&self, how: &str) {
+        let late = self.is_late();
         let level = match how {
+            "complete" if late => log::Level::Info,
             "complete" | "caller_left" | "caller_left_early" => log::Level::Debug,
             _ => log::Level::Info,
         };
+        let first = self
+            .pace
+            .first
+            .map(|first| millis(first - self.job.arrived));
         log::log!(level, event = 610, attempt = self.job.name(), entry = self.job.entry().name.as_str(),
-            endpoint = self.source.name.as_str(), events = self.events, moves = self.moves,
-            ms = self.job.arrived.elapsed().as_millis() as u64, how = how; "generation_ended");
+            endpoint = self.source.name.as_str(), events = self.events, moves = self.moves, late = late,
+            first_ms = first, pause_ms = millis(self.pace.longest_pause),
+            ms = millis(self.job.arrived.elapsed()), how = how; "generation_ended");
     }
 }
 
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
 /// Tokens that an engine puts into one event.
 const TOKENS_PER_EVENT: u32 = 4;
 
