A generation goes on from its copy ahead as it is; what the copy lacks is read anew

Cause: the last part of a move waited 250 to 570 ms behind other moves while its generation stood still, and one engine went before it was answered. Change: the copy ahead is brought up to date while the generation runs, and the generation goes on from it without a stop; LAST_PART is gone.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -44,9 +44,9 @@
 /// within the notice of an engine that leaves.
 const COPY_MIN_TOKENS: u32 = 64;
 
-/// How long the last part of a move may take. It is short, since most was copied
-/// before; a source that does not answer in time has gone.
-const LAST_PART_LIMIT: Duration = Duration::from_millis(800);
+/// How old a copy ahead may be before it is brought up to date. What it lacks is
+/// read anew where the generation goes on: some 40 tokens, or 3 ms, for this time.
+const REFRESH_AFTER: Duration = Duration::from_millis(300);
 
 /// How long a copy ahead of a move may take: moves queue on the links of both
 /// engines, and no notice is much longer.
@@ -91,14 +91,18 @@
 /// A copy that is made while the generation still runs at an engine that leaves.
 struct CopyAhead<W: Wire> {
     target: Place,
-    task: JoinHandle<Moved>,
-    complete: bool,
+    /// The call under way.
+    task: Option<JoinHandle<Moved>>,
+    /// The copy's name, once it is complete, and when it became so.
+    complete: Option<(String, Instant)>,
     _in_use: CopyInUse<W>,
 }
 
 impl<W: Wire> Drop for CopyAhead<W> {
     fn drop(&mut self) {
-        self.task.abort();
+        if let Some(task) = &self.task {
+            task.abort();
+        }
     }
 }
 
@@ -389,7 +393,8 @@
     /// Returns when the generation leaves its engine, if that engine is leaving and a
     /// copy to go on from is there.
     fn leave_at(&self) -> Option<Instant> {
-        let copied = self.ahead.as_ref().is_some_and(|ahead| ahead.complete);
+        let ahead = self.ahead.as_ref();
+        let copied = ahead.is_some_and(|ahead| ahead.complete.is_some());
         if self.last_event.is_none() || !(copied || self.copy_is_usable()) {
             return None;
         }
@@ -407,45 +412,64 @@
         Some(cx.now().since(since))
     }
 
-    /// Returns when a copy ahead is begun.
+    /// Returns when a copy ahead is begun, or brought up to date.
     fn ahead_at(&self) -> Option<Instant> {
-        let has_copy = self.ahead.is_some() || self.copy_is_usable();
-        if has_copy || self.last_event.is_none() || self.ahead_tries >= MAX_AHEAD {
+        if self.last_event.is_none() || self.ahead_tries >= MAX_AHEAD {
             return None;
         }
         self.source_leaves_for()?;
-        Some(self.ahead_from)
+        match &self.ahead {
+            None if self.copy_is_usable() => None,
+            None => Some(self.ahead_from),
+            Some(ahead) if ahead.task.is_some() => None,
+            Some(ahead) => {
+                let (_, since) = ahead.complete.as_ref()?;
+                Some(*since + REFRESH_AFTER)
+            }
+        }
     }
 
-    /// Begins to copy the memory to another engine while the generation goes on.
+    /// Copies the memory to another engine while the generation goes on, or brings
+    /// that copy up to date.
     fn copy_ahead(&mut self) {
         self.ahead_from = Instant::now() + AHEAD_PAUSE;
-        let Some(target) = self.another_place() else {
-            return;
-        };
+        if self.ahead.is_none() {
+            let Some(target) = self.another_place() else {
+                return;
+            };
+            self.ahead = Some(CopyAhead {
+                _in_use: CopyInUse::begin(&self.job.cx, target.key, self.tokens),
+                target,
+                task: None,
+                complete: None,
+            });
+        }
         self.ahead_tries += 1;
         let (engines, source) = (self.engines.clone(), self.source.address);
-        let (attempt, address) = (self.job.name().to_owned(), target.address);
-        let task = tokio::spawn(async move {
-            engines
-                .move_run(source, &attempt, address, false, AHEAD_LIMIT)
-                .await
-        });
-        self.ahead = Some(CopyAhead {
-            _in_use: CopyInUse::begin(&self.job.cx, target.key, self.tokens),
-            target,
-            task,
-            complete: false,
-        });
+        let attempt = self.job.name().to_owned();
+        if let Some(ahead) = &mut self.ahead {
+            let target = ahead.target.address;
+            ahead.task = Some(tokio::spawn(async move {
+                engines
+                    .move_run(source, &attempt, target, false, AHEAD_LIMIT)
+                    .await
+            }));
+        }
     }
 
     fn on_copied_ahead(&mut self, moved: Moved) {
         let how = format!("{moved:?}");
         log::info!(event = 619, attempt = self.job.name(), from = self.source.name.as_str(),
             how = how.as_str(), event_id = self.last_event; "generation_copied_ahead");
-        match (&moved, &mut self.ahead) {
-            (Moved::Done { .. }, Some(ahead)) => ahead.complete = true,
-            _ => self.ahead = None,
+        let Some(ahead) = &mut self.ahead else { return };
+        ahead.task = None;
+        match moved {
+            Moved::Done { handle } => ahead.complete = Some((handle, Instant::now())),
+            // A copy that was complete stays usable when it cannot be brought up to date.
+            _ => match &mut ahead.complete {
+                Some((_, since)) => *since = Instant::now(),
+                None => self.ahead = None,
+            },
         }
     }
 
@@ -454,34 +478,20 @@
         Some(upstream.heard + SILENCE)
     }
 
-    /// Leaves an engine that is still there.
+    /// Leaves an engine that is still there. Its connection is closed first: the
+    /// generation must not run at two engines.
     async fn leave(&mut self, upstream: Upstream) -> Option<Upstream> {
+        drop(upstream);
+        self.splitter.clear();
         let Some(ahead) = self.ahead.take() else {
-            drop(upstream);
             return self.go_on_from_copy().await;
         };
+        let (handle, _) = ahead.complete.as_ref()?;
         let target = ahead.target.clone();
-        let attempt = self.job.name().to_owned();
-        let limit = LAST_PART_LIMIT.min(self.job.left());
-        let source = self.source.clone();
-        let moved = self
-            .engines
-            .move_run(source.address, &attempt, target.address, true, limit)
-            .await;
-        drop(upstream);
-        self.splitter.clear();
-        log::info!(event = 607, attempt = attempt.as_str(), from = source.name.as_str(),
-            to = target.name.as_str(), how = format!("{moved:?}").as_str(), event_id = self.last_event;
-            "generation_moved");
-        match moved {
-            Moved::Done { handle } => self.go_on(target, source.address, &handle).await,
-            Moved::NoRoom {
-                handle: Some(handle),
-            } => self.go_on(source.clone(), source.address, &handle).await,
-            Moved::NoRoom { handle: None } | Moved::NotRunning | Moved::Busy | Moved::NoAnswer => {
-                None
-            }
-        }
+        log::info!(event = 607, attempt = self.job.name(), from = self.source.name.as_str(),
+            to = target.name.as_str(), event_id = self.last_event; "generation_goes_on_from_ahead");
+        let source = self.source.address;
+        self.go_on(target, source, handle).await
     }
 
     fn copy_is_usable(&self) -> bool {
@@ -709,10 +719,9 @@
 /// Waits for the end of a copy ahead; for good if there is none that is under way.
 async fn copied_ahead<W: Wire>(ahead: &mut Option<CopyAhead<W>>) -> Moved {
     match ahead {
-        Some(ahead) if !ahead.complete => {
-            let ended = (&mut ahead.task).await;
-            ended.unwrap_or(Moved::NoAnswer)
-        }
+        Some(CopyAhead {
+            task: Some(task), ..
+        }) => task.await.unwrap_or(Moved::NoAnswer),
         _ => core::future::pending().await,
     }
 }
