Copies ahead are spread by a draw; a generation leaves when no prompt waits at its target

Change: a wide draw between engines for copies ahead, the same data centre preferred; up to 0.4 s sooner if the target is quiet.

--- a/crates/core/src/gateway/choose.rs
+++ b/crates/core/src/gateway/choose.rs
@@ -38,6 +38,15 @@
 /// milliseconds and the bytes that cross.
 const AWAY_COST: f64 = 0.5;
 
+/// The cost of another data centre for a copy ahead, in running generations: it takes
+/// twice as long, and copies of one engine queue on its link while its notice runs.
+const AWAY_AHEAD_COST: f64 = 3.0;
+
+/// The width of the draw between engines for a copy ahead, in running generations.
+/// All generations of an engine that leaves choose in the same moment; without it
+/// they all go to the one engine that looked best and overfill it.
+const AHEAD_DRAW_WIDTH: f64 = 10.0;
+
 /// The cost of another data centre at a plain endpoint, in requests: a round
 /// trip of some 3 ms against calls of some 15 ms and more.
 const AWAY_PLAIN_COST: f64 = 0.5;
@@ -149,11 +158,12 @@
     demand: &Demand<'_>,
     source: &Endpoint,
     kind: CopyKind,
+    mut jitter: impl FnMut() -> f64,
 ) -> Option<EndpointKey> {
     let limits = demand.engine?;
-    let share = match kind {
-        CopyKind::Standing => COPY_SHARE,
-        CopyKind::Ahead => 1.0,
+    let (share, away_cost, draw_width) = match kind {
+        CopyKind::Standing => (COPY_SHARE, AWAY_COST, DRAW_WIDTH),
+        CopyKind::Ahead => (MEMORY_SHARE, AWAY_AHEAD_COST, AHEAD_DRAW_WIDTH),
     };
     let mut best: Option<(f64, EndpointKey)> = None;
     for endpoint in candidates(world, demand) {
@@ -162,7 +172,8 @@
             continue;
         }
         let away = endpoint.record.data_centre != source.record.data_centre;
-        let cost = engine_cost(used, limits) + if away { AWAY_COST } else { 0.0 };
+        let away = if away { away_cost } else { 0.0 };
+        let cost = engine_cost(used, limits) + away + draw_width * jitter();
         if best.is_none_or(|(least, _)| cost < least) {
             best = Some((cost, endpoint.key));
         }
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -205,7 +205,7 @@
 
     /// Chooses where a copy of a generation at `source` is kept.
     pub fn copy_place(
-        &self,
+        &mut self,
         now: Time,
         demand: &Demand<'_>,
         source: EndpointKey,
@@ -217,8 +217,9 @@
             usage: &self.usage,
             peers: &self.peers,
         };
+        let rng = &mut self.rng;
         let source = self.endpoints.get(source)?;
-        let key = choose::choose_copy(world, demand, source, kind)?;
+        let key = choose::choose_copy(world, demand, source, kind, || rng.random())?;
         self.endpoints.get(key).map(Place::of)
     }
 
@@ -227,6 +228,12 @@
         self.endpoints.get(key)?.leaving_since()
     }
 
+    /// Returns whether no prompt waits at an engine, as far as is known. A generation
+    /// that goes on there would wait behind it.
+    pub fn is_quiet(&self, now: Time, key: EndpointKey) -> bool {
+        self.usage.of(now, key, &self.peers).unread == 0
+    }
+
     /// Returns whether an endpoint is there and takes work.
     pub fn takes_work(&self, key: EndpointKey) -> bool {
         self.endpoints.get(key).is_some_and(Endpoint::takes_work)
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -37,6 +37,13 @@
 /// after its notice at the soonest.
 const LEAVE_AFTER: Duration = Duration::from_millis(1_100);
 
+/// How much sooner a generation may leave, if no prompt waits where it goes on: one
+/// that is read there at the same time delays it by its whole length.
+const LEAVE_EARLY: Duration = Duration::from_millis(400);
+
+/// How often a generation that may leave looks whether its target is quiet.
+const QUIET_LOOK: Duration = Duration::from_millis(20);
+
 /// An engine that sent events and is then silent for this long is given up. A
 /// generation that was preempted is read in again in less.
 const SILENCE: Duration = Duration::from_millis(1_200);
@@ -375,7 +382,11 @@
                 },
                 () = self.tx.closed() => return Pause::CallerGone,
                 () = tokio::time::sleep_until(self.job.ends.into()) => return Pause::Timeout,
-                () = sleep_until(leave_at) => return Pause::Leave,
+                () = sleep_until(leave_at) => {
+                    if self.must_leave() {
+                        return Pause::Leave;
+                    }
+                }
                 () = sleep_until(silent_at) => return Pause::Broken,
                 () = departures => {}
             }
@@ -406,13 +417,34 @@
     /// Returns when the generation leaves its engine, if that engine is leaving and a
     /// copy to go on from is there.
     fn leave_at(&self) -> Option<Instant> {
-        let ahead = self.ahead.as_ref();
-        let copied = ahead.is_some_and(|ahead| ahead.complete.is_some());
-        if self.last_event.is_none() || !(copied || self.copy_is_usable()) {
-            return None;
-        }
+        self.last_event?;
+        let target = self.target()?;
         let waited = self.source_leaves_for()?;
-        Some(Instant::now() + LEAVE_AFTER.saturating_sub(waited))
+        let now = Instant::now();
+        let latest = now + LEAVE_AFTER.saturating_sub(waited);
+        let earliest = latest.checked_sub(LEAVE_EARLY).unwrap_or(now);
+        if now < earliest {
+            return Some(earliest);
+        }
+        let cx = &self.job.cx;
+        match cx.state().is_quiet(cx.now(), target.key) {
+            true => Some(now),
+            false => Some(latest.min(now + QUIET_LOOK)),
+        }
+    }
+
+    /// Returns whether it is time to leave now.
+    fn must_leave(&self) -> bool {
+        self.leave_at().is_some_and(|at| at <= Instant::now())
+    }
+
+    /// Returns where the generation would go on.
+    fn target(&self) -> Option<&Place> {
+        match &self.ahead {
+            Some(ahead) if ahead.complete.is_some() => Some(&ahead.target),
+            _ if self.copy_is_usable() => self.copy.as_ref().map(|copy| &copy.place),
+            _ => None,
+        }
     }
 
     /// Returns for how long the engine is known to leave, if the generation may move.
@@ -496,7 +528,8 @@
     async fn leave(&mut self, upstream: Upstream) -> Option<Upstream> {
         drop(upstream);
         self.splitter.clear();
-        let Some(ahead) = self.ahead.take() else {
+        let ahead = self.ahead.take();
+        let Some(ahead) = ahead.filter(|ahead| ahead.complete.is_some()) else {
             return self.go_on_from_copy().await;
         };
         let (handle, _) = ahead.complete.as_ref()?;
@@ -578,7 +611,7 @@
             return;
         };
         let cx = &self.job.cx;
-        let state = cx.state();
+        let mut state = cx.state();
         if !engine.standing_copies || self.length.rest(self.made()) < COPY_MIN_TOKENS {
             return;
         }
@@ -597,7 +630,7 @@
     fn another_place(&self) -> Option<Place> {
         let cx = &self.job.cx;
         let now = cx.now();
-        let state = cx.state();
+        let mut state = cx.state();
         let data_centre = state.data_centre().to_owned();
         state.copy_place(
             now,
