A standing copy is believed 1.3 s after its generation's first event

Cause: the copies that were missing when a generation left belonged to young ones. Change: until then a copy ahead is made.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -56,6 +56,10 @@
 /// read anew where the generation goes on: some 40 tokens, or 3 ms, for this time.
 const REFRESH_AFTER: Duration = Duration::from_millis(300);
 
+/// How long after the first event a standing copy is believed to be there: the
+/// memory of the prompt takes some 0.4 s on the link, behind that of others.
+const COPY_SETTLES: Duration = Duration::from_millis(1_300);
+
 /// How long a copy ahead of a move may take: moves queue on the links of both
 /// engines, and no notice is much longer.
 const AHEAD_LIMIT: Duration = Duration::from_millis(2_500);
@@ -126,6 +130,10 @@
 }
 
 impl Pace {
+    fn since_first(&self) -> Option<Duration> {
+        Some(self.first?.elapsed())
+    }
+
     fn on_event(&mut self, now: Instant) {
         self.first.get_or_insert(now);
         if let Some(last) = self.last {
@@ -541,7 +549,11 @@
     }
 
     fn copy_is_usable(&self) -> bool {
-        let copy = self.copy.as_ref();
+        let settled = self
+            .pace
+            .since_first()
+            .is_some_and(|since| since >= COPY_SETTLES);
+        let copy = self.copy.as_ref().filter(|_| settled);
         copy.is_some_and(|copy| self.job.cx.state().takes_work(copy.place.key))
     }
 
