Copies ahead that are not used are freed

Cause: a generation that ended before it left kept its copy at the target for handle-ttl, and prompts waited for that memory.

--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -182,6 +182,15 @@
         stop: bool,
         limit: Duration,
     ) -> impl Future<Output = Moved> + Send;
+
+    /// Frees a copy that nobody will use, at both engines. Returns whether the engine
+    /// took the call.
+    fn free_copy(
+        &self,
+        source: SocketAddrV4,
+        handle: &str,
+        limit: Duration,
+    ) -> impl Future<Output = bool> + Send;
 }
 
 /// A whole answer.
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -64,6 +64,9 @@
 /// engines, and no notice is much longer.
 const AHEAD_LIMIT: Duration = Duration::from_millis(2_500);
 
+/// How long the call that frees a copy may take.
+const FREE_LIMIT: Duration = Duration::from_millis(500);
+
 /// The pause before a copy ahead is tried again, for example because the
 /// generation had not begun.
 const AHEAD_PAUSE: Duration = Duration::from_millis(60);
@@ -104,20 +107,43 @@
 }
 
 /// A copy that is made while the generation still runs at an engine that leaves.
-struct CopyAhead<W: Wire> {
+///
+/// Dropping it frees the copy. What goes wrong otherwise: a generation that ends
+/// before it leaves holds memory at an engine for seconds that nobody uses, seen as
+/// prompts that wait for room at engines with few generations.
+struct CopyAhead<W: Wire, E: EngineCalls> {
+    engines: E,
+    source: SocketAddrV4,
     target: Place,
     /// The call under way.
     task: Option<JoinHandle<Moved>>,
     /// The copy's name, once it is complete, and when it became so.
     complete: Option<(String, Instant)>,
+    /// Set once a generation goes on from it.
+    used: bool,
     _in_use: CopyInUse<W>,
 }
 
-impl<W: Wire> Drop for CopyAhead<W> {
+impl<W: Wire, E: EngineCalls> Drop for CopyAhead<W, E> {
     fn drop(&mut self) {
-        if let Some(task) = &self.task {
-            task.abort();
+        let (task, complete) = (self.task.take(), self.complete.take());
+        if self.used || (task.is_none() && complete.is_none()) {
+            return;
         }
+        let (engines, source) = (self.engines.clone(), self.source);
+        tokio::spawn(async move {
+            let moved = match task {
+                Some(task) => task.await.unwrap_or(Moved::NoAnswer),
+                None => Moved::NoAnswer,
+            };
+            let name = match moved {
+                Moved::Done { handle } => Some(handle),
+                _ => complete.map(|(handle, _)| handle),
+            };
+            if let Some(handle) = name {
+                engines.free_copy(source, &handle, FREE_LIMIT).await;
+            }
+        });
     }
 }
 
@@ -144,7 +170,7 @@
 }
 
 /// One generation.
-pub struct Relay<W: Wire, E> {
+pub struct Relay<W: Wire, E: EngineCalls> {
     job: Job<W>,
     engines: E,
     source: Place,
@@ -153,7 +179,7 @@
     /// The memory that the generation is counted with.
     tokens: u32,
     copy: Option<StandingCopy<W>>,
-    ahead: Option<CopyAhead<W>>,
+    ahead: Option<CopyAhead<W, E>>,
     /// Copies ahead that were tried at the present engine.
     ahead_tries: u32,
     /// When the next copy ahead may be tried.
@@ -491,10 +517,13 @@
                 return;
             };
             self.ahead = Some(CopyAhead {
+                engines: self.engines.clone(),
+                source: self.source.address,
                 _in_use: CopyInUse::begin(&self.job.cx, target.key, self.tokens),
                 target,
                 task: None,
                 complete: None,
+                used: false,
             });
         }
         self.ahead_tries += 1;
@@ -537,9 +566,10 @@
         drop(upstream);
         self.splitter.clear();
         let ahead = self.ahead.take();
-        let Some(ahead) = ahead.filter(|ahead| ahead.complete.is_some()) else {
+        let Some(mut ahead) = ahead.filter(|ahead| ahead.complete.is_some()) else {
             return self.go_on_from_copy().await;
         };
+        ahead.used = true;
         let (handle, _) = ahead.complete.as_ref()?;
         let target = ahead.target.clone();
         log::info!(event = 607, attempt = self.job.name(), from = self.source.name.as_str(),
@@ -775,7 +805,7 @@
 }
 
 /// Waits for the end of a copy ahead; for good if there is none that is under way.
-async fn copied_ahead<W: Wire>(ahead: &mut Option<CopyAhead<W>>) -> Moved {
+async fn copied_ahead<W: Wire, E: EngineCalls>(ahead: &mut Option<CopyAhead<W, E>>) -> Moved {
     match ahead {
         Some(CopyAhead {
             task: Some(task), ..
