Two instances watch the store for all; the others ask them for what is new

Change: the two first in rank watch; bulletins tell how far they are and since when the store answers them; the others ask a peer for the records above their revision, and watch themselves if no reader is answered.

--- a/crates/core/src/gateway/bulletin.rs
+++ b/crates/core/src/gateway/bulletin.rs
@@ -52,6 +52,8 @@
     pub address: SocketAddrV4,
     /// The store's revision up to which the sender knows everything.
     pub revision: u64,
+    /// Milliseconds since the store last answered the sender.
+    pub store_age_ms: u32,
     /// Whether the sender is stopping.
     pub stopping: bool,
     /// Peers that the sender heard lately.
@@ -73,6 +75,8 @@
     pub learnt: Time,
     /// The revision that it knows.
     pub revision: u64,
+    /// When the store last answered it, as far as it told.
+    pub store_heard: Option<Time>,
     /// Whether it is stopping.
     pub stopping: bool,
     /// What it runs where.
@@ -93,6 +97,7 @@
             heard: None,
             learnt: now,
             revision: 0,
+            store_heard: None,
             stopping: false,
             used: BTreeMap::new(),
         });
@@ -108,6 +113,7 @@
             peer.incarnation = Some(bulletin.incarnation);
             peer.heard = Some(now);
             peer.revision = bulletin.revision;
+            peer.store_heard = now.before(Duration::from_millis(bulletin.store_age_ms.into()));
             peer.stopping = bulletin.stopping;
             peer.used = bulletin.used.iter().copied().collect();
         }
--- a/crates/core/src/gateway/reader.rs
+++ b/crates/core/src/gateway/reader.rs
@@ -9,7 +9,19 @@
 
 /// How long the store may hold a watch. A connection may fall silent for good
 /// without a reset; this bounds how long an instance can be blind because of it.
-pub const WATCH_WAIT: Duration = Duration::from_millis(2_000);
+pub const WATCH_WAIT: Duration = Duration::from_millis(1_000);
+
+/// Instances that watch the store for all. Calls are paid for and limited, and do
+/// not become fewer when the fleet grows; two, so that one may fail unnoticed.
+pub const READERS: usize = 2;
+
+/// A reader to which the store has answered nothing for so long counts as cut off.
+/// A watch is answered after [`WATCH_WAIT`] at the latest; what is left of the two
+/// seconds within which changes must be in force suffices to read in its place.
+pub const READER_FRESH: Duration = Duration::from_millis(1_350);
+
+/// How often an instance that does not watch looks whether it must.
+const LISTEN_LOOK: Duration = Duration::from_millis(100);
 
 /// How much later than [`WATCH_WAIT`] an answer may come before the call is given up.
 pub const ANSWER_SLACK: Duration = Duration::from_millis(700);
@@ -34,6 +46,8 @@
     Watch,
     /// Wait before the next call.
     Pause(Duration),
+    /// Others watch; look again after this time.
+    Listen(Duration),
 }
 
 /// How a call failed.
@@ -54,6 +68,7 @@
     failures: u32,
     pause_until: Time,
     recovered: Option<Time>,
+    heard: Option<Time>,
 }
 
 impl StoreReader {
@@ -64,17 +79,19 @@
             failures: 0,
             pause_until: Time::ZERO,
             recovered: None,
+            heard: None,
         }
     }
 
-    /// Returns what to do now.
-    pub fn next(&self, now: Time) -> Step {
+    /// Returns what to do now; `watches` says whether this instance watches for all.
+    pub fn next(&self, now: Time, watches: bool) -> Step {
         if now < self.pause_until {
             return Step::Pause(self.pause_until.since(now));
         }
-        match self.needs_read {
-            true => Step::Read,
-            false => Step::Watch,
+        match (self.needs_read, watches) {
+            (true, _) => Step::Read,
+            (false, true) => Step::Watch,
+            (false, false) => Step::Listen(LISTEN_LOOK),
         }
     }
 
@@ -91,6 +108,7 @@
             self.recovered = Some(now);
         }
         self.failures = 0;
+        self.heard = Some(now);
         was_away
     }
 
@@ -109,6 +127,11 @@
         was_there
     }
 
+    /// Returns when the store last answered.
+    pub fn heard(&self) -> Option<Time> {
+        self.heard
+    }
+
     /// Returns whether the store is away.
     pub fn is_away(&self) -> bool {
         self.failures > 0
--- a/crates/core/src/gateway/replica.rs
+++ b/crates/core/src/gateway/replica.rs
@@ -23,12 +23,25 @@
     pub value: Option<Vec<u8>>,
 }
 
+/// What one instance tells another of the store.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct News {
+    /// The revision up to which the teller knows everything.
+    pub revision: u64,
+    /// Whether these are all records, so that a key that is missing is gone.
+    pub whole: bool,
+    /// The records, removals included.
+    pub records: Vec<Record>,
+}
+
 /// All records known.
 #[derive(Clone, Debug, Default)]
 pub struct Replica {
     records: BTreeMap<String, Record>,
     removed: usize,
     revision: u64,
+    /// From here on every change was seen, removals included.
+    complete_since: u64,
 }
 
 impl Replica {
@@ -42,9 +55,17 @@
         self.revision == 0
     }
 
-    /// Returns every record, removals included, to tell a peer.
-    pub fn records(&self) -> impl Iterator<Item = &Record> {
-        self.records.values()
+    /// Returns what a peer needs that knows everything up to `after`: the changes since,
+    /// if this replica saw all of them, and else everything.
+    pub fn news_for(&self, after: u64) -> News {
+        let whole = after < self.complete_since;
+        let floor = if whole { 0 } else { after };
+        let records = self.records.values();
+        News {
+            revision: self.revision,
+            whole,
+            records: records.filter(|it| it.revision > floor).cloned().collect(),
+        }
     }
 
     /// Takes a record in; returns whether it is news.
@@ -66,7 +87,13 @@
         self.revision = self.revision.max(revision);
     }
 
-    /// Ends a read of the whole store, which began at revision `began`.
+    /// Notes that everything was read, from revision `began` on.
+    pub fn read_whole(&mut self, began: u64) {
+        self.complete_since = self.complete_since.max(began);
+        self.reached(began);
+    }
+
+    /// Ends a read of everything, which began at revision `began`.
     ///
     /// Returns the removals that follow: keys that were written no later than
     /// `began` and that `seen` does not name are gone. A key written later may
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -1,15 +1,15 @@
 //! All decisions about HTTP entries of one instance, behind one type.
 
 use super::budget::{BudgetConfig, SharedBudget};
-use super::bulletin::{BULLETIN_VERSION, Bulletin, MAX_NAMED, PeerTable};
+use super::bulletin::{BULLETIN_VERSION, Bulletin, MAX_NAMED, Peer, PeerTable};
 use super::catalogue::{Catalogue, CatalogueFinding, CatalogueSource};
 use super::choose::{self, CopyKind, Demand, NoPlace, World};
 use super::endpoints::{Endpoint, EndpointRecord, EndpointTable};
 use super::lengths::LengthTable;
-use super::reader::StoreReader;
+use super::reader::{READER_FRESH, READERS, Step, StoreReader};
 use super::replica::Replica;
 use super::usage::{ToldLoad, UsageTable};
-use crate::ids::{EndpointKey, Incarnation};
+use crate::ids::{EndpointKey, Incarnation, stable_hash};
 use crate::time::Time;
 use core::time::Duration;
 use rand::rngs::SmallRng;
@@ -253,6 +253,7 @@
             incarnation: self.cfg.incarnation,
             address: self.cfg.address,
             revision: self.replica.revision(),
+            store_age_ms: self.store_age_ms(now),
             stopping: self.stopping,
             peers: live.take(MAX_NAMED).collect(),
             leaving: self.endpoints.leaving().collect(),
@@ -260,6 +261,40 @@
         }
     }
 
+    fn store_age_ms(&self, now: Time) -> u32 {
+        let age = self.reader.heard().map(|heard| now.since(heard));
+        age.map_or(u32::MAX, |age| {
+            u32::try_from(age.as_millis()).unwrap_or(u32::MAX)
+        })
+    }
+
+    /// Returns whether this instance watches the store for all: it ranks among the
+    /// first, or those that do so hear nothing from the store.
+    pub fn watches(&self, now: Time) -> bool {
+        let takes_part = |peer: &Peer| !peer.stopping;
+        let own = reader_rank(self.cfg.address);
+        let peers = self.peers.live(now).filter(|(_, peer)| takes_part(peer));
+        let ahead = peers
+            .filter(|(address, _)| reader_rank(*address) < own)
+            .count();
+        if ahead < READERS && !self.stopping {
+            return true;
+        }
+        let fresh = |peer: &Peer| {
+            let heard = peer.store_heard;
+            heard.is_some_and(|heard| now.since(heard) < READER_FRESH)
+        };
+        !self
+            .peers
+            .live(now)
+            .any(|(_, peer)| takes_part(peer) && fresh(peer))
+    }
+
+    /// Returns what to do about the store now.
+    pub fn next_step(&self, now: Time) -> Step {
+        self.reader.next(now, self.watches(now))
+    }
+
     /// Takes in what a peer told. Returns the endpoints that began to leave.
     pub fn hear(&mut self, now: Time, bulletin: &Bulletin) -> Vec<EndpointKey> {
         let foreign = bulletin.version != BULLETIN_VERSION
@@ -276,11 +311,11 @@
             .collect()
     }
 
-    /// Returns a peer that knows more of the store than this instance has come to
-    /// know within the usual delay, and so can tell what was missed.
+    /// Returns a peer that knows more of the store than this instance, and so can tell
+    /// what was missed. One that watches by itself is given the usual delay first.
     pub fn better_informed(&self, now: Time) -> Option<SocketAddrV4> {
         let since = self.behind_since?;
-        if now.since(since) < BEHIND_AFTER {
+        if now.since(since) < BEHIND_AFTER && self.watches(now) {
             return None;
         }
         let peers = self.peers.live(now);
@@ -305,3 +340,10 @@
         self.note_behind(now);
     }
 }
+
+/// Returns the rank of an instance among readers; the lowest reads first. A hash, so
+/// that the load does not follow the order of addresses.
+fn reader_rank(address: SocketAddrV4) -> (u64, SocketAddrV4) {
+    let bytes = address.to_string();
+    (stable_hash(&[b"reader", bytes.as_bytes()]), address)
+}
--- a/crates/core/src/time.rs
+++ b/crates/core/src/time.rs
@@ -50,6 +50,12 @@
         self.0 as f64 / 1e6
     }
 
+    /// Returns the point `d` before this one, or nothing if that lies before the origin.
+    pub fn before(self, d: Duration) -> Option<Time> {
+        let micros = u64::try_from(d.as_micros()).ok()?;
+        self.0.checked_sub(micros).map(Time)
+    }
+
     /// Returns the time passed since `earlier`, or zero if that lies ahead.
     pub fn since(self, earlier: Time) -> Duration {
         Duration::from_micros(self.0.saturating_sub(earlier.0))
--- a/crates/gateway/src/news.rs
+++ b/crates/gateway/src/news.rs
@@ -8,9 +8,9 @@
 use crate::link::connect_socket;
 use crate::ports::Wire;
 use bincode::config::{Configuration, Limit, standard};
+use oriolemux_core::gateway::Bulletin;
+use oriolemux_core::gateway::replica::News;
 use oriolemux_core::gateway::state::{BULLETIN_DELAY, BULLETIN_INTERVAL};
-use oriolemux_core::gateway::{Bulletin, Record};
-use serde::{Deserialize, Serialize};
 use std::io;
 use std::net::SocketAddrV4;
 use std::sync::Arc;
@@ -28,15 +28,6 @@
 /// How long a peer may take to read what it asked for.
 const TELL_LIMIT: core::time::Duration = core::time::Duration::from_secs(3);
 
-/// Everything that one instance knows of the store.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct Told {
-    /// The revision up to which it is complete.
-    pub revision: u64,
-    /// The records.
-    pub records: Vec<Record>,
-}
-
 /// Why a peer could not be asked.
 #[derive(Debug, displaydoc::Display, thiserror::Error)]
 pub enum FetchError {
@@ -149,28 +140,24 @@
 }
 
 async fn tell_all<W: Wire>(cx: &Cx<W>, mut stream: TcpStream) -> io::Result<()> {
-    let told = {
-        let state = cx.state();
-        Told {
-            revision: state.replica.revision(),
-            records: state.replica.records().cloned().collect(),
-        }
-    };
-    let bytes = bincode::serde::encode_to_vec(&told, told_format()).map_err(io::Error::other)?;
-    drop(told);
+    let after = stream.read_u64().await?;
+    let news = cx.state().replica.news_for(after);
+    let bytes = bincode::serde::encode_to_vec(&news, told_format()).map_err(io::Error::other)?;
+    drop(news);
     stream.write_all(&bytes).await?;
     stream.shutdown().await
 }
 
-/// Asks a peer for everything that it knows of the store.
+/// Asks a peer for what it knows of the store above revision `after`.
 ///
 /// # Errors
 ///
 /// Fails if the peer cannot be reached or its answer cannot be read.
-pub async fn fetch(peer: SocketAddrV4) -> Result<Told, FetchError> {
-    let stream = connect_socket(peer).await?;
+pub async fn fetch(peer: SocketAddrV4, after: u64) -> Result<News, FetchError> {
+    let mut stream = connect_socket(peer).await?;
+    stream.write_u64(after).await?;
     let mut bytes = Vec::new();
     stream.take(MAX_TOLD as u64).read_to_end(&mut bytes).await?;
-    let (told, _) = bincode::serde::decode_from_slice(&bytes, told_format())?;
-    Ok(told)
+    let (news, _) = bincode::serde::decode_from_slice(&bytes, told_format())?;
+    Ok(news)
 }
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -10,9 +10,10 @@
 use crate::news;
 use crate::ports::{Published, Store, Wire};
 use core::time::Duration;
-use oriolemux_core::gateway::Record;
 use oriolemux_core::gateway::reader::{ANSWER_SLACK, CallFailure, Step, WATCH_WAIT};
+use oriolemux_core::gateway::replica::{News, Record};
 use std::collections::BTreeMap;
+use std::net::SocketAddrV4;
 use std::sync::Arc;
 
 /// How long one page may take. A store that is slow takes up to some hundred
@@ -25,9 +26,9 @@
 /// Reads and watches the store for good.
 pub async fn keep_up<W: Wire, S: Store>(cx: Arc<Cx<W>>, store: S) {
     loop {
-        let step = cx.state().reader.next(cx.now());
+        let step = cx.state().next_step(cx.now());
         match step {
-            Step::Pause(pause) => {
+            Step::Pause(pause) | Step::Listen(pause) => {
                 tokio::select! {
                     () = tokio::time::sleep(pause) => {}
                     () = cx.behind.notified() => ask_peer(&cx).await,
@@ -62,7 +63,7 @@
                 apply(cx, missing);
                 let now = cx.now();
                 let mut state = cx.state();
-                state.replica.reached(began);
+                state.replica.read_whole(began);
                 state.reader.on_read(now);
                 state.note_behind(now);
                 return Ok(());
@@ -77,6 +78,9 @@
     tokio::select! {
         result = watch => {
             let result = result.map(|changes| {
+                if !changes.records.is_empty() {
+                    cx.dirty.notify_one();
+                }
                 apply(cx, changes.records);
                 let now = cx.now();
                 let mut state = cx.state();
@@ -114,23 +118,36 @@
 
 async fn ask_peer<W: Wire>(cx: &Cx<W>) {
     let now = cx.now();
-    let Some(peer) = cx.state().better_informed(now) else {
-        return;
+    let (peer, after) = {
+        let state = cx.state();
+        (state.better_informed(now), state.replica.revision())
     };
-    let asked = tokio::time::timeout(PEER_LIMIT, news::fetch(peer)).await;
-    match asked {
-        Ok(Ok(told)) => {
-            log::info!(event = 613, peer:% = peer, revision = told.revision,
-                records = told.records.len(); "told_by_peer");
-            apply(cx, told.records);
-            cx.state().replica.reached(told.revision);
-        }
+    let Some(peer) = peer else { return };
+    match tokio::time::timeout(PEER_LIMIT, news::fetch(peer, after)).await {
+        Ok(Ok(news)) => take_news(cx, peer, news),
         Ok(Err(error)) => log::warn!("peer {peer} could not be asked: {error}"),
         Err(_) => log::warn!("peer {peer} did not answer in time"),
     }
     cx.state().asked_for_news(cx.now());
 }
 
+fn take_news<W: Wire>(cx: &Cx<W>, peer: SocketAddrV4, news: News) {
+    log::info!(event = 613, peer:% = peer, revision = news.revision, whole = news.whole,
+        records = news.records.len(); "told_by_peer");
+    let seen: BTreeMap<String, ()> = match news.whole {
+        true => news.records.iter().map(|it| (it.key.clone(), ())).collect(),
+        false => BTreeMap::new(),
+    };
+    apply(cx, news.records);
+    if news.whole {
+        let missing = cx.state().replica.missing_from(&seen, news.revision);
+        apply(cx, missing);
+        cx.state().replica.read_whole(news.revision);
+    } else {
+        cx.state().replica.reached(news.revision);
+    }
+}
+
 /// Takes records in and does what follows from those that are news.
 pub fn apply<W: Wire>(cx: &Cx<W>, records: Vec<Record>) {
     let mut left = Vec::new();
