--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -56,7 +56,7 @@
 /// read anew where the generation goes on: some 40 tokens, or 3 ms, for this time.
 const REFRESH_AFTER: Duration = Duration::from_millis(300);
 
-/// How long after the first event a standing copy is believed to be there: the
+/// How long after an engine's first event a standing copy is believed to be there: the
 /// memory of the prompt takes some 0.4 s on the link, behind that of others.
 const COPY_SETTLES: Duration = Duration::from_millis(1_300);
 
@@ -156,10 +156,6 @@
 }
 
 impl Pace {
-    fn since_first(&self) -> Option<Duration> {
-        Some(self.first?.elapsed())
-    }
-
     fn on_event(&mut self, now: Instant) {
         self.first.get_or_insert(now);
         if let Some(last) = self.last {
@@ -187,6 +183,9 @@
     splitter: EventSplitter,
     last_event: Option<u64>,
     events: u64,
+    /// When the first event of the present engine came. Its standing copy began then,
+    /// also where the generation went on from another engine.
+    first_here: Option<Instant>,
     pace: Pace,
     /// How long the request waited here for room at an engine.
     waited: Duration,
@@ -243,6 +242,7 @@
             splitter: EventSplitter::default(),
             last_event: None,
             events: 0,
+            first_here: None,
             pace: Pace::default(),
             waited,
             moves: 0,
@@ -439,7 +439,9 @@
         }
         self.in_use.first_byte();
         self.events += 1;
-        self.pace.on_event(Instant::now());
+        let now = Instant::now();
+        self.first_here.get_or_insert(now);
+        self.pace.on_event(now);
         self.last_event = event.id.or(self.last_event);
         self.recount();
         match self.tx.send(Ok(event.bytes)).await {
@@ -580,9 +582,8 @@
 
     fn copy_is_usable(&self) -> bool {
         let settled = self
-            .pace
-            .since_first()
-            .is_some_and(|since| since >= COPY_SETTLES);
+            .first_here
+            .is_some_and(|first| first.elapsed() >= COPY_SETTLES);
         let copy = self.copy.as_ref().filter(|_| settled);
         copy.is_some_and(|copy| self.job.cx.state().takes_work(copy.place.key))
     }
@@ -608,6 +609,7 @@
         self.moves += 1;
         self.ahead = None;
         self.ahead_tries = 0;
+        self.first_here = None;
         self.note_repeat();
         self.move_use(target);
         self.choose_copy();
