--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -7,6 +7,7 @@
 use crate::answer::{AnswerBody, Reason, refuse, whole};
 use crate::job::Job;
 use crate::link::LinkError;
+use crate::note;
 use crate::ports::{SendHead, WholeAnswer, Wire};
 use core::time::Duration;
 use http::Response;
@@ -64,9 +65,15 @@
         drop(in_use);
         calls.note(place.key, &attempt);
         let repeat = calls.may_repeat(&attempt);
-        log::info!(event = 603, attempt = job.name(), endpoint = place.name.as_str(),
-            entry = job.entry().name.as_str(), repeat = repeat,
-            what = attempt.word(), ms = job.arrived.elapsed().as_millis() as u64; "call_attempt");
+        note!(
+            CallAttempt,
+            attempt = job.name(),
+            endpoint = place.name.as_str(),
+            entry = job.entry().name.as_str(),
+            repeat = repeat,
+            what = attempt.word(),
+            ms = job.arrived.elapsed().as_millis() as u64
+        );
         if !repeat {
             return calls.finish(attempt, &place);
         }
@@ -182,7 +189,7 @@
             Attempt::NotRun => {}
             Attempt::NoConnection | Attempt::Lost | Attempt::Foreign | Attempt::Timeout => {
                 if state.endpoints.on_failure(now, endpoint) {
-                    log::info!(event = 604, endpoint:% = endpoint; "endpoint_passed_over");
+                    note!(EndpointPassedOver, endpoint:% = endpoint);
                 }
             }
         }
@@ -235,9 +242,9 @@
             Attempt::Foreign => Reason::AnswerForeign,
             Attempt::Timeout => Reason::Timeout,
         };
-        log::info!(event = 605, attempt = self.job.name(), entry = self.job.entry().name.as_str(),
+        note!(CallFailed, attempt = self.job.name(), entry = self.job.entry().name.as_str(),
             endpoint = place.name.as_str(), reason:% = reason,
-            ms = self.job.arrived.elapsed().as_millis() as u64; "call_failed");
+            ms = self.job.arrived.elapsed().as_millis() as u64);
         self.refuse(reason)
     }
 
--- a/crates/gateway/src/cx.rs
+++ b/crates/gateway/src/cx.rs
@@ -1,5 +1,6 @@
 //! What all tasks of the gateway share.
 
+use crate::note;
 use crate::ports::Wire;
 use core::time::Duration;
 use oriolemux_core::gateway::Gateway;
@@ -118,7 +119,7 @@
     /// Tells those who wait, and peers, that endpoints began to leave.
     pub fn tell_leaving(&self, endpoints: &[EndpointKey]) {
         for endpoint in endpoints {
-            log::info!(event = 601, endpoint:% = endpoint; "endpoint_leaving");
+            note!(EndpointLeaving, endpoint:% = endpoint);
         }
         if !endpoints.is_empty() {
             self.changed.notify_waiters();
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -7,6 +7,7 @@
 use crate::answer::{AnswerBody, Reason, refuse};
 use crate::cx::Cx;
 use crate::job::Job;
+use crate::note;
 use crate::ports::{CallerHead, EngineCalls, Wire};
 use crate::{call, stream};
 use bytes::Bytes;
@@ -34,7 +35,7 @@
     let attempt = head.attempt.clone();
     let refused = |reason: Reason| {
         let attempt = attempt.as_deref().unwrap_or("-");
-        log::info!(event = 602, attempt = attempt, reason:% = reason; "refused_at_front");
+        note!(RefusedAtFront, attempt = attempt, reason:% = reason);
         refuse(reason, patience)
     };
     let Some(catalogue) = cx.state().catalogue().cloned() else {
--- a/crates/gateway/src/front/connection.rs
+++ b/crates/gateway/src/front/connection.rs
@@ -25,7 +25,7 @@
 pub async fn serve<W: Wire, E: EngineCalls>(
     cx: Arc<Cx<W>>,
     engines: E,
-    listener: Arc<TcpListener>,
+    listener: TcpListener,
     tasks: TaskTracker,
 ) {
     loop {
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -2,6 +2,7 @@
 
 use crate::cx::Cx;
 use crate::link::{Link, LinkError};
+use crate::note;
 use crate::ports::{CallerHead, SendHead, Wire};
 use bytes::Bytes;
 use core::time::Duration;
@@ -96,10 +97,18 @@
         };
         state.usage.begin(place.key, tokens, unread);
         drop(state);
-        log::info!(event = 620, attempt = self.name(), entry = self.entry().name.as_str(),
-            endpoint = place.name.as_str(), running = used.running, unread = used.unread,
-            tokens = used.tokens, copied = used.copied, need = tokens,
-            waited_ms = self.arrived.elapsed().as_millis() as u64; "placed");
+        note!(
+            Placed,
+            attempt = self.name(),
+            entry = self.entry().name.as_str(),
+            endpoint = place.name.as_str(),
+            running = used.running,
+            unread = used.unread,
+            tokens = used.tokens,
+            copied = used.copied,
+            need = tokens,
+            waited_ms = self.arrived.elapsed().as_millis() as u64
+        );
         if tokens > 0 {
             self.cx.dirty.notify_one();
         }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod job;
 pub mod link;
 pub mod news;
+pub mod notes;
 pub mod ports;
 pub mod readiness;
 pub mod relay;
@@ -29,4 +30,4 @@
 pub mod stream;
 
 pub use cx::{Clock, Cx, GatewayLimits};
-pub use run::{RunConfig, RunError, run};
+pub use run::{Bound, BoundAddresses, RunConfig, RunError};
--- /dev/null
+++ b/crates/gateway/src/notes.rs
@@ -0,0 +1,182 @@
+//! Numbered events of the gateway, and the lines that tell them.
+//!
+//! Every decision that touches a request or changes what the instance believes is
+//! one line with a number, the request's attempt id where there is one, and the
+//! inputs that decided it. The numbers stand in `docs/EVENTS.md`.
+//!
+//! Lines are bounded: of one event so many a second as its row says, so that a flood
+//! of one kind does not drown the rest. Rows of failed requests allow the most. What
+//! was left out is counted and told with the next line of the same event.
+
+use log::Level;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Mutex, PoisonError};
+use std::time::Instant;
+
+/// The log target of all numbered events, of the whole product.
+pub const TARGET: &str = "oriolemux::events";
+
+/// Lines a second of an event that happens to requests that go well.
+const USUAL: u32 = 200;
+
+/// Lines a second of an event that says why a request failed. An instance that
+/// fails more is explained by the first of them.
+const FAILURES: u32 = 1_000;
+
+macro_rules! events {
+    ($($(#[doc = $doc:literal])* $name:ident = $number:literal, $text:literal, $level:ident, $limit:expr;)*) => {
+        /// One kind of event. Numbers and names are stable.
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        pub enum GatewayEvent { $($(#[doc = $doc])* $name,)* }
+
+        impl GatewayEvent {
+            /// Every event, in the order of the numbers.
+            pub const ALL: &'static [GatewayEvent] = &[$(GatewayEvent::$name,)*];
+
+            /// Returns the number, which log lines carry as `event`.
+            pub const fn number(self) -> u32 {
+                match self { $(GatewayEvent::$name => $number,)* }
+            }
+
+            /// Returns the name, which is the message of the log line.
+            pub const fn name(self) -> &'static str {
+                match self { $(GatewayEvent::$name => $text,)* }
+            }
+
+            /// Returns the level at which it is logged.
+            pub const fn level(self) -> Level {
+                match self { $(GatewayEvent::$name => Level::$level,)* }
+            }
+
+            /// Returns how many lines a second are logged of it.
+            pub const fn limit(self) -> u32 {
+                match self { $(GatewayEvent::$name => $limit,)* }
+            }
+
+            /// Returns what it means, line by line.
+            pub const fn doc(self) -> &'static [&'static str] {
+                match self { $(GatewayEvent::$name => &[$($doc),*],)* }
+            }
+        }
+    };
+}
+
+events! {
+    /// A listener of the gateway accepts connections.
+    Listening = 600, "gateway_listening", Info, USUAL;
+    /// An endpoint takes nothing new, for good: it said so, its entry vanished, or a peer knew.
+    EndpointLeaving = 601, "endpoint_leaving", Info, USUAL;
+    /// A request was refused before an endpoint was looked for; the line names the reason.
+    RefusedAtFront = 602, "refused_at_front", Info, FAILURES;
+    /// An attempt of a call ended; the line says how, and whether it is repeated.
+    CallAttempt = 603, "call_attempt", Info, USUAL;
+    /// An endpoint failed several times in a row and is passed over for a while.
+    EndpointPassedOver = 604, "endpoint_passed_over", Info, USUAL;
+    /// A call failed; the line names the reason and the last endpoint.
+    CallFailed = 605, "call_failed", Info, FAILURES;
+    /// A generation was refused and did not run.
+    GenerationRefused = 606, "generation_refused", Info, FAILURES;
+    /// A generation left its engine and goes on from the copy made at the notice.
+    GoesOnFromAhead = 607, "generation_goes_on_from_ahead", Info, USUAL;
+    /// A generation goes on where its standing copy is kept.
+    GoesOnFromCopy = 608, "generation_goes_on_from_copy", Info, USUAL;
+    /// The engine that was to go on with a generation did not; the line says why.
+    CannotGoOn = 609, "generation_cannot_go_on", Info, FAILURES;
+    /// A generation ended; the line says how, how late, and through how many engines.
+    GenerationEnded = 610, "generation_ended", Info, FAILURES;
+    /// The store answers again.
+    StoreRegained = 611, "store_regained", Info, USUAL;
+    /// The store does not answer this instance; serving goes on with what is known.
+    StoreLost = 612, "store_lost", Warn, USUAL;
+    /// A peer told what it knows of the store.
+    ToldByPeer = 613, "told_by_peer", Info, USUAL;
+    /// A record of the store cannot be read; what was known before stays.
+    RecordUnreadable = 614, "record_unreadable", Warn, USUAL;
+    /// A catalogue is in force.
+    CatalogueInForce = 615, "catalogue_in_force", Info, USUAL;
+    /// A catalogue arrived that is not newer than the one in force; it was ignored.
+    CatalogueOlder = 616, "catalogue_older", Info, USUAL;
+    /// A catalogue has a finding; the one in force stays.
+    CatalogueRejected = 617, "catalogue_rejected", Warn, USUAL;
+    /// The grace of a planned stop was over before the last request was answered.
+    StoppedWithRequests = 618, "stopped_with_requests", Warn, USUAL;
+    /// A copy of a generation's memory was made, or was not, while its engine leaves.
+    CopiedAhead = 619, "generation_copied_ahead", Info, USUAL;
+    /// An endpoint was chosen; the line shows what was known of it.
+    Placed = 620, "placed", Info, USUAL;
+    /// A peer was heard for the first time in its present life.
+    PeerHeard = 621, "peer_heard", Info, USUAL;
+    /// A peer was silent for so long that it counts as gone.
+    PeerSilent = 622, "peer_silent", Info, USUAL;
+}
+
+/// Lines of one event within the present second.
+#[derive(Debug)]
+struct Window {
+    second: u64,
+    lines: u32,
+    left_out: u64,
+}
+
+/// What may be logged, for each event.
+struct Limiter {
+    started: Instant,
+    windows: Vec<Mutex<Window>>,
+    left_out: AtomicU64,
+}
+
+static LIMITER: std::sync::LazyLock<Limiter> = std::sync::LazyLock::new(|| Limiter {
+    started: Instant::now(),
+    windows: GatewayEvent::ALL
+        .iter()
+        .map(|_| {
+            Mutex::new(Window {
+                second: 0,
+                lines: 0,
+                left_out: 0,
+            })
+        })
+        .collect(),
+    left_out: AtomicU64::new(0),
+});
+
+/// Returns whether a line of `event` is logged, and if so how many were left out
+/// since the last one.
+pub fn admit(event: GatewayEvent) -> Option<u64> {
+    let limiter = &*LIMITER;
+    let second = limiter.started.elapsed().as_secs();
+    let window = &limiter.windows[event as usize];
+    let mut window = window.lock().unwrap_or_else(PoisonError::into_inner);
+    if window.second != second {
+        window.second = second;
+        window.lines = 0;
+    }
+    if window.lines >= event.limit() {
+        window.left_out += 1;
+        limiter.left_out.fetch_add(1, Ordering::Relaxed);
+        return None;
+    }
+    window.lines += 1;
+    Some(core::mem::take(&mut window.left_out))
+}
+
+/// Returns how many lines were left out since the start.
+pub fn lines_left_out() -> u64 {
+    LIMITER.left_out.load(Ordering::Relaxed)
+}
+
+/// Logs one line of a numbered event.
+#[macro_export]
+macro_rules! note {
+    ($event:ident $(, $($fields:tt)*)?) => {{
+        let event = $crate::notes::GatewayEvent::$event;
+        if let Some(left_out) = $crate::notes::admit(event) {
+            if left_out > 0 {
+                log::log!(target: $crate::notes::TARGET, event.level(),
+                    event = event.number(), left_out = left_out; "{}", event.name());
+            }
+            log::log!(target: $crate::notes::TARGET, event.level(),
+                event = event.number() $(, $($fields)*)?; "{}", event.name());
+        }
+    }};
+}
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -16,6 +16,7 @@
 use crate::events::{Event, EventSplitter};
 use crate::job::{CopyInUse, InUse, Job};
 use crate::link::{Link, LinkError};
+use crate::note;
 use crate::ports::{EngineCalls, Moved, Resume, SendHead, WholeAnswer, Wire};
 use crate::stream::Piece;
 use core::time::Duration;
@@ -543,8 +544,13 @@
 
     fn on_copied_ahead(&mut self, moved: Moved) {
         let how = format!("{moved:?}");
-        log::info!(event = 619, attempt = self.job.name(), from = self.source.name.as_str(),
-            how = how.as_str(), event_id = self.last_event; "generation_copied_ahead");
+        note!(
+            CopiedAhead,
+            attempt = self.job.name(),
+            from = self.source.name.as_str(),
+            how = how.as_str(),
+            event_id = self.last_event
+        );
         let Some(ahead) = &mut self.ahead else { return };
         ahead.task = None;
         match moved {
@@ -574,8 +580,13 @@
         ahead.used = true;
         let (handle, _) = ahead.complete.as_ref()?;
         let target = ahead.target.clone();
-        log::info!(event = 607, attempt = self.job.name(), from = self.source.name.as_str(),
-            to = target.name.as_str(), event_id = self.last_event; "generation_goes_on_from_ahead");
+        note!(
+            GoesOnFromAhead,
+            attempt = self.job.name(),
+            from = self.source.name.as_str(),
+            to = target.name.as_str(),
+            event_id = self.last_event
+        );
         let source = self.source.address;
         self.go_on(target, source, handle).await
     }
@@ -594,8 +605,13 @@
         let copy = self.copy.take()?;
         let attempt = self.job.name().to_owned();
         let address = copy.place.address;
-        log::info!(event = 608, attempt = attempt.as_str(), from = self.source.name.as_str(),
-            to = copy.place.name.as_str(), event_id = self.last_event; "generation_goes_on_from_copy");
+        note!(
+            GoesOnFromCopy,
+            attempt = attempt.as_str(),
+            from = self.source.name.as_str(),
+            to = copy.place.name.as_str(),
+            event_id = self.last_event
+        );
         self.go_on(copy.place.clone(), address, &attempt).await
     }
 
@@ -637,8 +653,12 @@
     }
 
     fn cannot_go_on(&self, why: &str) -> Option<Upstream> {
-        log::info!(event = 609, attempt = self.job.name(), endpoint = self.source.name.as_str(),
-            why = why; "generation_cannot_go_on");
+        note!(
+            CannotGoOn,
+            attempt = self.job.name(),
+            endpoint = self.source.name.as_str(),
+            why = why
+        );
         None
     }
 
@@ -719,7 +739,7 @@
         let cx = &self.job.cx;
         let now = cx.now();
         if cx.state().endpoints.on_failure(now, self.source.key) {
-            log::info!(event = 604, endpoint = self.source.name.as_str(); "endpoint_passed_over");
+            note!(EndpointPassedOver, endpoint = self.source.name.as_str());
         }
     }
 
@@ -775,11 +795,21 @@
         let first = self
             .pace
             .first
-            .map(|first| millis(first - self.job.arrived));
-        log::info!(event = 610, attempt = self.job.name(), entry = self.job.entry().name.as_str(),
-            endpoint = self.source.name.as_str(), events = self.events, moves = self.moves, late = late,
-            wait_ms = millis(self.waited), first_ms = first, pause_ms = millis(self.pace.longest_pause),
-            ms = millis(self.job.arrived.elapsed()), how = how; "generation_ended");
+            .map_or(0, |first| millis(first - self.job.arrived));
+        note!(
+            GenerationEnded,
+            attempt = self.job.name(),
+            entry = self.job.entry().name.as_str(),
+            endpoint = self.source.name.as_str(),
+            events = self.events,
+            moves = self.moves,
+            late = late,
+            wait_ms = millis(self.waited),
+            first_ms = first,
+            pause_ms = millis(self.pace.longest_pause),
+            ms = millis(self.job.arrived.elapsed()),
+            how = how
+        );
     }
 }
 
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -1,6 +1,7 @@
 //! Starts all parts of the gateway and ends them in order.
 
 use crate::cx::{Clock, Cx, GatewayLimits};
+use crate::note;
 use crate::ports::{EngineCalls, Store, Wire};
 use crate::{front, news, readiness, store};
 use core::time::Duration;
@@ -51,46 +52,103 @@
     PartEnded,
 }
 
-/// Runs an instance until `stop` is cancelled and the last request is answered.
-///
-/// # Errors
-///
-/// Fails if an address cannot be used or a part ends by itself.
-pub async fn run<W: Wire, S: Store, E: EngineCalls>(
-    settings: RunConfig,
-    wire: W,
-    store_client: S,
-    engines: E,
-    stop: CancellationToken,
-) -> Result<(), RunError> {
-    let clock = Clock::start();
-    let peers = SocketAddr::from(settings.peers);
-    let front_listener = Arc::new(listen("front", settings.front).await?);
-    let ready_listener = listen("readiness", settings.readiness).await?;
-    let peer_listener = listen("peers", peers).await?;
-    let socket = UdpSocket::bind(peers).await;
-    let socket = Arc::new(socket.map_err(|source| RunError::Listen {
-        listener: "peers",
-        address: peers,
-        source,
-    })?);
-    let state = Gateway::new(clock.now(), settings.config.clone());
-    let cx = Cx::new(wire, clock, settings.limits, state);
-    let callers = TaskTracker::new();
-    let mut parts = JoinSet::new();
-    parts.spawn(store::keep_up(Arc::clone(&cx), store_client));
-    parts.spawn(news::tell(Arc::clone(&cx), Arc::clone(&socket)));
-    parts.spawn(news::hear(Arc::clone(&cx), socket));
-    parts.spawn(news::answer(Arc::clone(&cx), peer_listener));
-    parts.spawn(readiness::serve(Arc::clone(&cx), ready_listener));
-    let front = front::serve(Arc::clone(&cx), engines, front_listener, callers.clone());
-    let door = parts.spawn(front);
-    tokio::select! {
-        () = stop.cancelled() => {}
-        _ = parts.join_next() => return Err(RunError::PartEnded),
+/// The listeners of an instance, bound before anything starts, so that an address
+/// that is in use ends the process at once. A port of 0 takes any free one.
+pub struct Bound {
+    front: TcpListener,
+    readiness: TcpListener,
+    peers: TcpListener,
+    socket: UdpSocket,
+    addresses: BoundAddresses,
+}
+
+/// Where an instance listens.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BoundAddresses {
+    /// For callers.
+    pub front: SocketAddr,
+    /// For the balancer.
+    pub readiness: SocketAddr,
+    /// For peers, over UDP and TCP.
+    pub peers: SocketAddrV4,
+}
+
+impl Bound {
+    /// Binds all listeners.
+    ///
+    /// # Errors
+    ///
+    /// Returns which address cannot be used.
+    pub async fn bind(settings: &RunConfig) -> Result<Self, RunError> {
+        let front = listen("front", settings.front).await?;
+        let readiness = listen("readiness", settings.readiness).await?;
+        let (peers, socket) = listen_to_peers(settings.peers).await?;
+        let addresses = BoundAddresses {
+            front: front.local_addr().unwrap_or(settings.front),
+            readiness: readiness.local_addr().unwrap_or(settings.readiness),
+            peers: local_v4(&peers).unwrap_or(settings.peers),
+        };
+        Ok(Bound {
+            front,
+            readiness,
+            peers,
+            socket,
+            addresses,
+        })
+    }
+
+    /// Returns where this instance listens.
+    pub fn addresses(&self) -> BoundAddresses {
+        self.addresses
+    }
+
+    fn announce(&self) {
+        let listeners = [
+            ("front", self.addresses.front),
+            ("readiness", self.addresses.readiness),
+            ("peers", SocketAddr::V4(self.addresses.peers)),
+        ];
+        for (listener, address) in listeners {
+            note!(Listening, listener = listener, address:% = address);
+        }
+    }
+
+    /// Runs the instance until `stop` is cancelled and the last request is answered.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a part ends by itself.
+    pub async fn run<W: Wire, S: Store, E: EngineCalls>(
+        self,
+        settings: RunConfig,
+        wire: W,
+        store_client: S,
+        engines: E,
+        stop: CancellationToken,
+    ) -> Result<(), RunError> {
+        self.announce();
+        let clock = Clock::start();
+        let mut config = settings.config.clone();
+        config.address = self.addresses.peers;
+        let state = Gateway::new(clock.now(), config);
+        let cx = Cx::new(wire, clock, settings.limits, state);
+        let callers = TaskTracker::new();
+        let socket = Arc::new(self.socket);
+        let mut parts = JoinSet::new();
+        parts.spawn(store::keep_up(Arc::clone(&cx), store_client));
+        parts.spawn(news::tell(Arc::clone(&cx), Arc::clone(&socket)));
+        parts.spawn(news::hear(Arc::clone(&cx), socket));
+        parts.spawn(news::answer(Arc::clone(&cx), self.peers));
+        parts.spawn(readiness::serve(Arc::clone(&cx), self.readiness));
+        let front = front::serve(Arc::clone(&cx), engines, self.front, callers.clone());
+        let door = parts.spawn(front);
+        tokio::select! {
+            () = stop.cancelled() => {}
+            _ = parts.join_next() => return Err(RunError::PartEnded),
+        }
+        end_in_order(&cx, &settings, &callers, &door).await;
+        Ok(())
     }
-    end_in_order(&cx, &settings, &callers, &door).await;
-    Ok(())
 }
 
 /// Stops without cutting anything off: readiness first, while callers that the
@@ -115,7 +173,7 @@
     }
     let left = settings.grace.saturating_sub(begun.elapsed());
     if tokio::time::timeout(left, callers.wait()).await.is_err() {
-        log::warn!(event = 618, requests = cx.open_requests(); "stopped_with_requests");
+        note!(StoppedWithRequests, requests = cx.open_requests());
     }
 }
 
@@ -127,3 +185,33 @@
         source,
     })
 }
+
+/// Ports that are tried until one is free for UDP and TCP alike.
+const PEER_PORT_TRIES: usize = 16;
+
+/// Binds the same port for datagrams and for connections of peers.
+async fn listen_to_peers(address: SocketAddrV4) -> Result<(TcpListener, UdpSocket), RunError> {
+    let mut tries = 0;
+    loop {
+        let listener = listen("peers", SocketAddr::V4(address)).await?;
+        let bound = local_v4(&listener).unwrap_or(address);
+        match UdpSocket::bind(SocketAddr::V4(bound)).await {
+            Ok(socket) => return Ok((listener, socket)),
+            Err(_) if address.port() == 0 && tries < PEER_PORT_TRIES => tries += 1,
+            Err(source) => {
+                return Err(RunError::Listen {
+                    listener: "peers",
+                    address: SocketAddr::V4(bound),
+                    source,
+                });
+            }
+        }
+    }
+}
+
+fn local_v4(listener: &TcpListener) -> Option<SocketAddrV4> {
+    match listener.local_addr() {
+        Ok(SocketAddr::V4(address)) => Some(address),
+        _ => None,
+    }
+}
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -8,6 +8,7 @@
 
 use crate::cx::Cx;
 use crate::news;
+use crate::note;
 use crate::ports::{Published, Store, Wire};
 use core::time::Duration;
 use oriolemux_core::gateway::reader::{ANSWER_SLACK, CallFailure, Step, WATCH_WAIT};
@@ -102,15 +103,18 @@
     match result {
         Ok(()) => {
             if state.reader.on_answer(now) {
-                log::info!(event = 611, revision = state.replica.revision(); "store_regained");
+                note!(StoreRegained, revision = state.replica.revision());
             }
         }
         Err(failure) => {
             let draw = state.draw();
             if state.reader.on_failure(now, failure, draw) {
                 let failure = format!("{failure:?}");
-                log::warn!(event = 612, failure = failure.as_str(),
-                    revision = state.replica.revision(); "store_lost");
+                note!(
+                    StoreLost,
+                    failure = failure.as_str(),
+                    revision = state.replica.revision()
+                );
             }
         }
     }
@@ -132,8 +136,8 @@
 }
 
 fn take_news<W: Wire>(cx: &Cx<W>, peer: SocketAddrV4, news: News) {
-    log::info!(event = 613, peer:% = peer, revision = news.revision, whole = news.whole,
-        records = news.records.len(); "told_by_peer");
+    note!(ToldByPeer, peer:% = peer, revision = news.revision, whole = news.whole,
+        records = news.records.len());
     let seen: BTreeMap<String, ()> = match news.whole {
         true => news.records.iter().map(|it| (it.key.clone(), ())).collect(),
         false => BTreeMap::new(),
@@ -173,8 +177,12 @@
             }
             Published::Other => {}
             Published::Unreadable(why) => {
-                log::warn!(event = 614, key = record.key.as_str(), revision = record.revision,
-                    why = why.as_str(); "record_unreadable");
+                note!(
+                    RecordUnreadable,
+                    key = record.key.as_str(),
+                    revision = record.revision,
+                    why = why.as_str()
+                );
             }
         }
     }
@@ -188,13 +196,16 @@
     let version = source.version;
     let published = cx.state().publish_catalogue(source);
     match published {
-        Ok(true) => log::info!(event = 615, version = version; "catalogue_in_force"),
-        Ok(false) => log::debug!(event = 616, version = version; "catalogue_older"),
+        Ok(true) => note!(CatalogueInForce, version = version),
+        Ok(false) => note!(CatalogueOlder, version = version),
         Err(findings) => {
             for finding in findings {
                 let finding = finding.to_string();
-                log::warn!(event = 617, version = version, finding = finding.as_str();
-                    "catalogue_rejected");
+                note!(
+                    CatalogueRejected,
+                    version = version,
+                    finding = finding.as_str()
+                );
             }
         }
     }
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -6,6 +6,7 @@
 
 use crate::answer::{AnswerBody, BrokenOff, Reason, refuse};
 use crate::job::{InUse, Job};
+use crate::note;
 use crate::ports::{EngineCalls, WholeAnswer, Wire};
 use crate::relay::{Relay, Started};
 use bytes::Bytes;
@@ -151,8 +152,8 @@
 }
 
 fn give_up<W: Wire>(job: &Job<W>, reason: Reason) -> Response<AnswerBody> {
-    log::info!(event = 606, attempt = job.name(), entry = job.entry().name.as_str(),
-        reason:% = reason, ms = job.arrived.elapsed().as_millis() as u64; "generation_refused");
+    note!(GenerationRefused, attempt = job.name(), entry = job.entry().name.as_str(),
+        reason:% = reason, ms = job.arrived.elapsed().as_millis() as u64);
     let patience = job.head.deadline.unwrap_or(job.entry().timeout);
     refuse(reason, patience.saturating_sub(job.arrived.elapsed()))
 }
--- a/crates/oriolemux/src/cli/gateway.rs
+++ b/crates/oriolemux/src/cli/gateway.rs
@@ -10,7 +10,7 @@
 use oriolemux_core::gateway::GatewayConfig;
 use oriolemux_core::gateway::budget::BudgetConfig;
 use oriolemux_core::ids::stable_hash;
-use oriolemux_gateway::{GatewayLimits, RunConfig, RunError};
+use oriolemux_gateway::{Bound, GatewayLimits, RunConfig, RunError};
 use oriolemux_platform::{EngineClient, PlatformWire, StoreClient};
 use rand::Rng;
 use std::net::{SocketAddr, SocketAddrV4};
@@ -99,8 +99,10 @@
     let hangup = signal(SignalKind::hangup()).map_err(StartError::Signals)?;
     tokio::spawn(note_hangups(hangup, settings.file.clone()));
     let store = StoreClient::new(settings.store.address);
-    let run = oriolemux_gateway::run(
-        run_config(settings, incarnation),
+    let config = run_config(settings, incarnation);
+    let bound = Bound::bind(&config).await.map_err(StartError::Run)?;
+    let run = bound.run(
+        config,
         PlatformWire,
         store,
         EngineClient,
--- a/crates/oriolemux/src/events/docs.rs
+++ b/crates/oriolemux/src/events/docs.rs
@@ -3,6 +3,7 @@
 use super::LogEvent;
 use crate::metrics::{Counter, Gauge, Histogram, ReasonCounter};
 use oriolemux_core::reason::Reason;
+use oriolemux_gateway::notes::GatewayEvent;
 
 const HEAD: &str = "# Events, reasons and metrics
 
@@ -22,6 +23,18 @@
 | --- | --- | --- | --- |
 ";
 
+const GATEWAY: &str = "
+## Events of instances for HTTP entries
+
+They come from `crates/gateway/src/notes.rs`. Of each event so many lines a second
+are logged; `left_out` on a line of its own says how many were not. The field
+`attempt` is the caller's own name of its attempt, so that a failed request is
+found by what its caller holds.
+
+| number | name | level | lines a second | meaning |
+| --- | --- | --- | --- | --- |
+";
+
 const REASONS: &str = "
 ## Reasons
 
@@ -55,6 +68,13 @@
             event.name()
         );
     }
+    page += GATEWAY;
+    for event in GatewayEvent::ALL {
+        let level = event.level().as_str().to_lowercase();
+        let doc = one_line(event.doc());
+        let (number, name, limit) = (event.number(), event.name(), event.limit());
+        page += &format!("| {number} | `{name}` | {level} | {limit} | {doc} |\n");
+    }
     page += REASONS;
     for reason in Reason::ALL {
         let group = reason.group().as_str();
--- a/crates/oriolemux/src/logs/format.rs
+++ b/crates/oriolemux/src/logs/format.rs
@@ -56,9 +56,10 @@
 
 impl<'kvs> VisitSource<'kvs> for JsonFields<'_> {
     fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), Error> {
-        let json = match value.to_u64() {
-            Some(number) => number.into(),
-            None => value.to_string().into(),
+        let json = match (value.to_u64(), value.to_bool()) {
+            (Some(number), _) => number.into(),
+            (None, Some(truth)) => truth.into(),
+            (None, None) => value.to_string().into(),
         };
         self.0.insert(key.as_str().to_owned(), json);
         Ok(())
--- a/crates/oriolemux/tests/events_docs.rs
+++ b/crates/oriolemux/tests/events_docs.rs
@@ -1,6 +1,7 @@
 //! `docs/EVENTS.md` says what the code does.
 
 use oriolemux::events::{LogEvent, render_docs};
+use oriolemux_gateway::notes::GatewayEvent;
 use std::collections::BTreeSet;
 use std::path::PathBuf;
 
@@ -25,8 +26,12 @@
 
 #[test]
 fn numbers_rise_and_names_are_unique() {
-    let numbers: Vec<u32> = LogEvent::ALL.iter().map(|event| event.number()).collect();
-    let names: BTreeSet<&str> = LogEvent::ALL.iter().map(|event| event.name()).collect();
+    let numbers = LogEvent::ALL.iter().map(|event| event.number());
+    let of_gateway = GatewayEvent::ALL.iter().map(|event| event.number());
+    let numbers: Vec<u32> = numbers.chain(of_gateway).collect();
+    let names = LogEvent::ALL.iter().map(|event| event.name());
+    let of_gateway = GatewayEvent::ALL.iter().map(|event| event.name());
+    let names: BTreeSet<&str> = names.chain(of_gateway).collect();
 
     assert!(numbers.is_sorted_by(|a, b| a < b), "{numbers:?}");
     assert_eq!(names.len(), numbers.len());
@@ -48,6 +53,8 @@
 
     let named = named_events(&text);
 
-    let known: BTreeSet<u32> = LogEvent::ALL.iter().map(|event| event.number()).collect();
+    let known = LogEvent::ALL.iter().map(|event| event.number());
+    let of_gateway = GatewayEvent::ALL.iter().map(|event| event.number());
+    let known: BTreeSet<u32> = known.chain(of_gateway).collect();
     assert_eq!(named, known);
 }
