--- /dev/null
+++ b/crates/core/tests/gateway_choose.rs
@@ -0,0 +1,190 @@
+//! Where requests, generations and their copies go.
+
+use core::time::Duration;
+use oriolemux_core::gateway::bulletin::{BULLETIN_VERSION, PeerTable, Used};
+use oriolemux_core::gateway::catalogue::EngineLimits;
+use oriolemux_core::gateway::choose::{CopyKind, NoPlace, World, choose, choose_copy};
+use oriolemux_core::gateway::endpoints::EndpointTable;
+use oriolemux_core::gateway::usage::UsageTable;
+use oriolemux_core::gateway::{Bulletin, Demand, EndpointRecord};
+use oriolemux_core::{EndpointKey, Incarnation, Time};
+
+const ENGINE: EngineLimits = EngineLimits {
+    slots: 24,
+    memory_tokens: 34_000,
+    standing_copies: true,
+};
+
+struct Tables {
+    endpoints: EndpointTable,
+    usage: UsageTable,
+    peers: PeerTable,
+}
+
+fn key(name: &str) -> EndpointKey {
+    EndpointKey::of(name)
+}
+
+/// Endpoints by name and data centre, all of one service.
+fn tables(endpoints: &[(&str, &str)]) -> Tables {
+    let mut table = EndpointTable::default();
+    for (name, data_centre) in endpoints {
+        let record = EndpointRecord {
+            name: (*name).to_owned(),
+            service: "model".to_owned(),
+            address: "10.0.0.1:80".parse().expect("an address"),
+            data_centre: (*data_centre).to_owned(),
+            slots: 24,
+            leaving: false,
+            cold: Duration::ZERO,
+        };
+        table.publish(Time::ZERO, record);
+    }
+    Tables {
+        endpoints: table,
+        usage: UsageTable::default(),
+        peers: PeerTable::default(),
+    }
+}
+
+impl Tables {
+    fn world(&self) -> World<'_> {
+        World {
+            now: Time::from_secs(10),
+            endpoints: &self.endpoints,
+            usage: &self.usage,
+            peers: &self.peers,
+        }
+    }
+}
+
+fn demand(tokens: u32, exclude: &[EndpointKey]) -> Demand<'_> {
+    Demand {
+        service: "model",
+        engine: Some(ENGINE),
+        tokens,
+        exclude,
+        data_centre: "north",
+    }
+}
+
+/// No draw, so that the cost alone decides.
+fn no_draw() -> f64 {
+    0.0
+}
+
+/// Symptom: two instances send long prompts to one engine while others idle. Cause:
+/// an instance counted only its own.
+#[test]
+fn what_peers_run_counts() {
+    let mut tables = tables(&[("e-1", "north"), ("e-2", "north")]);
+    let bulletin = Bulletin {
+        version: BULLETIN_VERSION,
+        deployment: 1,
+        incarnation: Incarnation(2),
+        address: "10.0.0.9:7200".parse().expect("an address"),
+        revision: 1,
+        store_age_ms: 0,
+        stopping: false,
+        peers: Vec::new(),
+        leaving: Vec::new(),
+        used: vec![(
+            key("e-1"),
+            Used {
+                running: 1,
+                unread: 3_000,
+                tokens: 3_000,
+                copied: 0,
+            },
+        )],
+    };
+    tables.peers.hear(Time::from_secs(10), &bulletin);
+
+    let chosen = choose(tables.world(), &demand(3_000, &[]), no_draw);
+
+    assert_eq!(chosen, Ok(key("e-2")));
+}
+
+#[test]
+fn the_own_data_centre_is_preferred_among_equals() {
+    let tables = tables(&[("e-1", "south"), ("e-2", "north")]);
+
+    assert_eq!(
+        choose(tables.world(), &demand(3_000, &[]), no_draw),
+        Ok(key("e-2"))
+    );
+}
+
+/// Symptom: engines preempt. Cause: memory was given away twice, to generations and
+/// to standing copies.
+#[test]
+fn copies_count_as_memory() {
+    let mut tables = tables(&[("e-1", "north")]);
+    tables.usage.begin(key("e-1"), 20_000, 0);
+    tables.usage.begin_copy(key("e-1"), 10_000);
+
+    assert_eq!(
+        choose(tables.world(), &demand(3_000, &[]), no_draw),
+        Err(NoPlace::Full)
+    );
+    tables.usage.end_copy(key("e-1"), 10_000);
+    assert_eq!(
+        choose(tables.world(), &demand(3_000, &[]), no_draw),
+        Ok(key("e-1"))
+    );
+}
+
+#[test]
+fn an_empty_engine_takes_what_would_never_fit() {
+    let tables = tables(&[("e-1", "north")]);
+
+    assert_eq!(
+        choose(tables.world(), &demand(50_000, &[]), no_draw),
+        Ok(key("e-1"))
+    );
+}
+
+#[test]
+fn endpoints_that_leave_or_were_tried_are_not_chosen() {
+    let mut tables = tables(&[("e-1", "north"), ("e-2", "north")]);
+    tables.endpoints.leave(Time::ZERO, key("e-1"));
+
+    let chosen = choose(tables.world(), &demand(3_000, &[key("e-2")]), no_draw);
+
+    assert_eq!(chosen, Err(NoPlace::NoEndpoint));
+}
+
+#[test]
+fn standing_copies_leave_room_that_copies_ahead_may_use() {
+    let mut tables = tables(&[("e-1", "north"), ("e-2", "north")]);
+    tables.usage.begin(key("e-2"), 25_000, 0);
+    let source = tables.endpoints.get(key("e-1")).expect("it is there");
+    let demand = demand(3_000, &[]);
+
+    let standing = choose_copy(tables.world(), &demand, source, CopyKind::Standing, no_draw);
+    let ahead = choose_copy(tables.world(), &demand, source, CopyKind::Ahead, no_draw);
+
+    assert_eq!(standing, None);
+    assert_eq!(ahead, Some(key("e-2")));
+}
+
+/// Symptom: generations stand still for two seconds after their engine left.
+/// Sequence: all of them go on at one engine. Cause: all chose the same one, in the
+/// same moment and with the same view.
+#[test]
+fn copies_ahead_of_one_engine_part() {
+    let names = ["e-1", "e-2", "e-3", "e-4", "e-5"];
+    let tables = tables(&names.map(|name| (name, "north")));
+    let source = tables.endpoints.get(key("e-1")).expect("it is there");
+    let demand = demand(3_000, &[]);
+    let mut draws = (0_u32..).map(|n| f64::from(n * 7 % 11) / 11.0);
+
+    let chosen: std::collections::BTreeSet<_> = (0..8)
+        .filter_map(|_| {
+            let draw = || draws.next().unwrap_or(0.0);
+            choose_copy(tables.world(), &demand, source, CopyKind::Ahead, draw)
+        })
+        .collect();
+
+    assert!(chosen.len() >= 3, "{chosen:?}");
+}
--- /dev/null
+++ b/crates/core/tests/gateway_reader.rs
@@ -0,0 +1,140 @@
+//! Who watches the store, when it is called, and what is known of its state.
+
+use core::time::Duration;
+use oriolemux_core::gateway::bulletin::{BULLETIN_VERSION, PEER_SILENCE};
+use oriolemux_core::gateway::reader::{CallFailure, READER_FRESH, READERS, Step};
+use oriolemux_core::gateway::{Bulletin, Gateway, GatewayConfig};
+use oriolemux_core::{Incarnation, Time};
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+fn address(number: u8) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, number), 7200)
+}
+
+fn gateway(number: u8) -> Gateway {
+    let cfg = GatewayConfig {
+        incarnation: Incarnation(number.into()),
+        data_centre: "north".to_owned(),
+        address: address(number),
+        deployment: 1,
+        seeds: Vec::new(),
+        budget: Default::default(),
+    };
+    Gateway::new(Time::ZERO, cfg)
+}
+
+fn bulletin(number: u8, store_age_ms: u32) -> Bulletin {
+    Bulletin {
+        version: BULLETIN_VERSION,
+        deployment: 1,
+        incarnation: Incarnation(number.into()),
+        address: address(number),
+        revision: 0,
+        store_age_ms,
+        stopping: false,
+        peers: Vec::new(),
+        leaving: Vec::new(),
+        used: Vec::new(),
+    }
+}
+
+/// Six instances that have all heard each other.
+fn fleet(now: Time, store_age_ms: u32) -> Vec<Gateway> {
+    let mut fleet: Vec<Gateway> = (1..=6).map(gateway).collect();
+    for (index, one) in fleet.iter_mut().enumerate() {
+        for number in (1..=6).filter(|&number| usize::from(number) != index + 1) {
+            one.hear(now, &bulletin(number, store_age_ms));
+        }
+    }
+    fleet
+}
+
+#[test]
+fn as_many_watch_as_are_meant_to() {
+    let now = Time::from_secs(5);
+
+    let watching = fleet(now, 0).iter().filter(|one| one.watches(now)).count();
+
+    assert_eq!(watching, READERS);
+}
+
+#[test]
+fn an_instance_that_knows_nobody_watches() {
+    assert!(gateway(1).watches(Time::from_secs(5)));
+}
+
+/// Symptom: nobody hears of a change. Sequence: the store turns both watchers away.
+/// Cause: the others relied on them without asking whether they hear anything.
+#[test]
+fn all_watch_if_the_watchers_are_not_answered() {
+    let now = Time::from_secs(5);
+    let silent = u32::try_from(READER_FRESH.as_millis()).expect("small") + 1;
+
+    let watching = fleet(now, silent)
+        .iter()
+        .filter(|one| one.watches(now))
+        .count();
+
+    assert_eq!(watching, 6);
+}
+
+#[test]
+fn all_watch_if_the_watchers_are_gone() {
+    let heard = Time::from_secs(5);
+    let now = heard + PEER_SILENCE;
+
+    let watching = fleet(heard, 0)
+        .iter()
+        .filter(|one| one.watches(now))
+        .count();
+
+    assert_eq!(watching, 6);
+}
+
+#[test]
+fn a_stranger_is_not_heard() {
+    let mut one = gateway(1);
+    let stranger = Bulletin {
+        deployment: 2,
+        ..bulletin(3, 0)
+    };
+
+    one.hear(Time::from_secs(1), &stranger);
+
+    assert_eq!(one.instances(Time::from_secs(1)), 1);
+}
+
+#[test]
+fn pauses_grow_and_end() {
+    let mut one = gateway(1);
+    let mut now = Time::from_secs(1);
+    assert_eq!(one.next_step(now), Step::Read);
+    let mut pauses = Vec::new();
+    for _ in 0..4 {
+        one.reader.on_failure(now, CallFailure::NoAnswer, 0.5);
+        let Step::Pause(pause) = one.next_step(now) else {
+            panic!("a pause follows a failure");
+        };
+        pauses.push(pause);
+        now += pause;
+    }
+
+    assert!(pauses.is_sorted(), "{pauses:?}");
+    assert!(pauses[3] <= Duration::from_millis(500));
+    assert!(one.reader.is_unsettled(now));
+    one.reader.on_read(now);
+    assert!(one.reader.is_unsettled(now), "entries may still be missing");
+    assert!(!one.reader.is_unsettled(now + Duration::from_secs(3)));
+}
+
+#[test]
+fn dropped_history_is_followed_by_a_whole_read_at_once() {
+    let mut one = gateway(1);
+    let now = Time::from_secs(1);
+    one.reader.on_read(now);
+    assert_eq!(one.next_step(now), Step::Watch);
+
+    one.reader.on_failure(now, CallFailure::HistoryGone, 0.5);
+
+    assert_eq!(one.next_step(now), Step::Read);
+}
