--- a/crates/oriolemux/src/cli/gateway.rs
+++ b/crates/oriolemux/src/cli/gateway.rs
@@ -124,8 +124,11 @@
         match GatewaySettings::load(&file) {
             Ok(_) => events::emit_shell(&ShellNote::SettingsRead { file: &file }),
             Err(findings) => {
-                let findings = findings.to_string();
-                log::warn!("the settings have findings and stay as they were: {findings}");
+                let findings = &findings.to_string();
+                events::emit_shell(&ShellNote::SettingsRejected {
+                    file: &file,
+                    findings,
+                });
             }
         }
     }
--- a/crates/oriolemux/src/events/shell_note.rs
+++ b/crates/oriolemux/src/events/shell_note.rs
@@ -20,6 +20,13 @@
         /// Their file.
         file: &'a str,
     },
+    /// Settings that were read anew have findings.
+    SettingsRejected {
+        /// Their file.
+        file: &'a str,
+        /// All findings.
+        findings: &'a str,
+    },
     /// A listener accepts connections.
     Listening {
         /// For whom, for example `callers`.
@@ -103,6 +110,10 @@
             ShellNote::SettingsRead { file } => {
                 f(LogEvent::SettingsRead, &[display("file", file)]);
             }
+            ShellNote::SettingsRejected { file, findings } => {
+                let fields = [display("file", file), display("findings", findings)];
+                f(LogEvent::SettingsRejected, &fields);
+            }
             ShellNote::Listening { listener, address } => {
                 let fields = [display("listener", listener), display("address", address)];
                 f(LogEvent::Listening, &fields);
--- a/crates/oriolemux/src/events/table.rs
+++ b/crates/oriolemux/src/events/table.rs
@@ -65,6 +65,8 @@
     Paused = 109, "paused", Warn;
     /// The settings were read and have no findings; the line names their file.
     SettingsRead = 110, "settings_read", Info;
+    /// Settings that were read anew have findings; what runs stays as it was.
+    SettingsRejected = 111, "settings_rejected", Warn;
 
     /// A request was refused because of what the caller sent.
     InputRefused = 201, "request_refused_input", Debug;
--- /dev/null
+++ b/crates/oriolemux/tests/gateway_process.rs
@@ -0,0 +1,194 @@
+//! Real processes of `oriolemux gateway` in front of the platform's stand-in, in
+//! both users' shapes.
+
+#[path = "gateway_support/process.rs"]
+mod process;
+
+use core::time::Duration;
+use http::StatusCode;
+use nix::sys::signal::Signal;
+use oriolemux_platform_standin::{Caller, Deployment, Engine, Engines, Service, readiness, until};
+use process::{Process, Reader, Settings, stale_seed};
+use rstest::rstest;
+
+/// One user's fleet, smaller: engines, plain services, instances in data centres.
+struct Shape {
+    engines: usize,
+    services: usize,
+    data_centres: [&'static str; 3],
+}
+
+const SAVANNAH_THREADS: Shape = Shape {
+    engines: 4,
+    services: 3,
+    data_centres: ["chaguanas", "arima", "san-juan"],
+};
+
+const QAFSA_LYRICWORKS: Shape = Shape {
+    engines: 3,
+    services: 3,
+    data_centres: ["tunis-lac", "tunis-charguia", "tunis-ariana"],
+};
+
+struct Fleet {
+    deployment: Deployment,
+    engines: Engines,
+    all: Vec<Engine>,
+    _services: Vec<Service>,
+    processes: Vec<Process>,
+    _dir: tempfile::TempDir,
+}
+
+async fn fleet(shape: &Shape) -> Fleet {
+    let deployment = Deployment::start().await;
+    let engines = Engines::new(60, Duration::from_millis(40));
+    let mut all = Vec::new();
+    for number in 0..shape.engines {
+        let engine = engines.start(&format!("e-{number}")).await;
+        deployment.add_engine(&engine, "ready");
+        all.push(engine);
+    }
+    let mut services = Vec::new();
+    for number in 0..shape.services {
+        let service = Service::start(&format!("s-{number}")).await;
+        deployment.add_service(&service, "ready");
+        services.push(service);
+    }
+    let dir = tempfile::tempdir().expect("a directory");
+    let mut processes = Vec::new();
+    for data_centre in shape.data_centres {
+        let settings = Settings {
+            name: &format!("edge-{data_centre}"),
+            data_centre,
+            store: deployment.store.address(),
+            seeds: vec![stale_seed()],
+        };
+        processes.push(Process::start(dir.path(), &settings, Reader::Follows));
+    }
+    for process in &processes {
+        until(|| async { readiness(process.readiness).await == StatusCode::OK }).await;
+    }
+    Fleet {
+        deployment,
+        engines,
+        all,
+        _services: services,
+        processes,
+        _dir: dir,
+    }
+}
+
+/// Every kind of request is served through real processes, while an engine leaves,
+/// an instance is killed and another one is stopped as planned.
+#[rstest]
+#[case::savannah_threads(&SAVANNAH_THREADS)]
+#[case::qafsa_lyricworks(&QAFSA_LYRICWORKS)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_fleet_serves_through_departures(#[case] shape: &'static Shape) {
+    let mut fleet = fleet(shape).await;
+    let fronts: Vec<_> = fleet
+        .processes
+        .iter()
+        .map(|process| process.front)
+        .collect();
+    let generations: Vec<_> = (0..4)
+        .map(|number| {
+            let front = fronts[number % 2];
+            let call = Caller::generation(&format!("g{number}"));
+            tokio::spawn(call.send_at(front))
+        })
+        .collect();
+    until(|| async { fleet.engines.running() == 4 }).await;
+
+    fleet.deployment.add_engine(&fleet.all[0], "draining");
+    fleet.processes[2].signal(Signal::SIGKILL);
+    fleet.processes[1].signal(Signal::SIGTERM);
+    for number in 0..6 {
+        let once = Caller::new(&format!("o{number}"), "/once/1")
+            .send_at(fronts[0])
+            .await;
+        let read = Caller::new(&format!("r{number}"), "/read/1")
+            .send_at(fronts[0])
+            .await;
+        assert_eq!((once.status, read.status), (StatusCode::OK, StatusCode::OK));
+    }
+
+    for (number, generation) in generations.into_iter().enumerate() {
+        let reply = generation.await.expect("no panic");
+        let whole: String = (1..=60)
+            .map(|event| Engines::event(&format!("g{number}"), event))
+            .collect();
+        assert!(reply.complete);
+        assert_eq!(reply.body, whole);
+    }
+    assert_eq!(fleet.engines.most_at_work(), 1);
+    assert!(
+        fleet.processes[1].wait().success(),
+        "the planned stop ends with 0"
+    );
+}
+
+/// Symptom: nobody can tell afterwards why a request failed. The line of its attempt
+/// names the reason.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_refused_request_is_found_by_its_attempt() {
+    let fleet = fleet(&QAFSA_LYRICWORKS).await;
+    let process = &fleet.processes[0];
+
+    let reply = Caller::new("attempt-77", "/nowhere/1")
+        .send_at(process.front)
+        .await;
+
+    assert_eq!(reply.status, StatusCode::NOT_FOUND);
+    until(|| async { !process.lines_of("refused_at_front").is_empty() }).await;
+    let line = &process.lines_of("refused_at_front")[0];
+    assert_eq!(line["attempt"], "attempt-77");
+    assert_eq!(line["reason"], "no_entry");
+    assert_eq!(line["event"], 602);
+}
+
+/// Symptom: a process that was told to read its settings anew does not start again
+/// later. Sequence: the file is spoilt, and SIGHUP is sent. The findings are said at
+/// once, and serving goes on.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn settings_with_findings_change_nothing_that_runs() {
+    let fleet = fleet(&QAFSA_LYRICWORKS).await;
+    let process = &fleet.processes[0];
+
+    process.spoil_settings("name = 7\n");
+    process.signal(Signal::SIGHUP);
+
+    let told = || process.lines_of("settings_rejected");
+    until(|| async { !told().is_empty() }).await;
+    let findings = told()[0]["findings"].as_str().unwrap_or("").to_owned();
+    assert!(findings.contains("data_centre"), "{findings}");
+    let reply = Caller::new("a1", "/once/1").send_at(process.front).await;
+    assert_eq!(reply.status, StatusCode::OK);
+}
+
+/// Symptom: every request of an instance stalls at once. Sequence: whoever reads its
+/// log stops reading, and the pipe fills. Cause: a line was written by the thread
+/// that serves. Lines are lost then, and requests are not.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_log_that_nobody_reads_holds_up_no_request() {
+    let deployment = Deployment::start().await;
+    let service = Service::start("s-1").await;
+    deployment.add_service(&service, "ready");
+    let dir = tempfile::tempdir().expect("a directory");
+    let settings = Settings {
+        name: "edge-1",
+        data_centre: "arima",
+        store: deployment.store.address(),
+        seeds: Vec::new(),
+    };
+    let process = Process::start(dir.path(), &settings, Reader::Stops);
+    until(|| async { readiness(process.readiness).await == StatusCode::OK }).await;
+
+    // Two lines of some 300 bytes a request, against a pipe of 64 KiB.
+    for number in 0..600 {
+        let reply = Caller::new(&format!("a{number}"), "/once/1")
+            .send_at(process.front)
+            .await;
+        assert_eq!(reply.status, StatusCode::OK, "request {number}");
+    }
+}
--- /dev/null
+++ b/crates/oriolemux/tests/gateway_support/process.rs
@@ -0,0 +1,153 @@
+//! A real process of `oriolemux gateway`.
+
+use nix::sys::signal::{Signal, kill};
+use nix::unistd::Pid;
+use std::collections::BTreeMap;
+use std::io::{BufRead, BufReader, Lines};
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+use std::path::{Path, PathBuf};
+use std::process::{Child, ChildStdout, Command, ExitStatus, Stdio};
+use std::sync::{Arc, Mutex, PoisonError};
+
+/// What a test sets of a process.
+pub struct Settings<'a> {
+    pub name: &'a str,
+    pub data_centre: &'a str,
+    pub store: SocketAddrV4,
+    pub seeds: Vec<SocketAddr>,
+}
+
+impl Settings<'_> {
+    fn text(&self) -> String {
+        let seeds: Vec<String> = self
+            .seeds
+            .iter()
+            .map(|seed| format!("\"{seed}\""))
+            .collect();
+        format!(
+            "name = \"{}\"\ndata_centre = \"{}\"\n\
+             [callers]\nlisten = \"127.0.0.1:0\"\n[readiness]\nlisten = \"127.0.0.1:0\"\n\
+             [peers]\nlisten = \"127.0.0.1:0\"\nseeds = [{}]\ndeployment = \"test\"\n\
+             [store]\naddress = \"{}\"\n[stop]\nnotice_ms = 200\ngrace_secs = 20\n",
+            self.name,
+            self.data_centre,
+            seeds.join(", "),
+            self.store
+        )
+    }
+}
+
+/// Whether somebody reads what the process logs.
+#[derive(Clone, Copy)]
+pub enum Reader {
+    /// Up to its end.
+    Follows,
+    /// Until it listens; the pipe stays open.
+    Stops,
+}
+
+/// A process, ended when it is dropped.
+pub struct Process {
+    child: Child,
+    file: PathBuf,
+    lines: Arc<Mutex<Vec<String>>>,
+    /// The pipe of a reader that stopped, held open.
+    _unread: Option<Lines<BufReader<ChildStdout>>>,
+    pub front: SocketAddr,
+    pub readiness: SocketAddr,
+}
+
+impl Process {
+    /// Starts a process in `dir` and waits until it says where it listens.
+    pub fn start(dir: &Path, settings: &Settings<'_>, reader: Reader) -> Process {
+        let file = dir.join(format!("{}.toml", settings.name));
+        std::fs::write(&file, settings.text()).expect("settings written");
+        let child = Command::new(env!("CARGO_BIN_EXE_oriolemux"))
+            .arg("gateway")
+            .env("ORIOLEMUX_CONFIG", &file)
+            .stdout(Stdio::piped())
+            .spawn();
+        let mut child = child.expect("a process");
+        let mut lines = BufReader::new(child.stdout.take().expect("piped")).lines();
+        let mut listeners = BTreeMap::new();
+        while listeners.len() < 3 {
+            let line = lines
+                .next()
+                .expect("it says where it listens")
+                .expect("text");
+            let line: serde_json::Value = serde_json::from_str(&line).expect("JSON");
+            if line["message"] == "gateway_listening" {
+                let address = line["address"].as_str().expect("an address");
+                let listener = line["listener"].as_str().expect("a name").to_owned();
+                listeners.insert(listener, address.parse().expect("IP and port"));
+            }
+        }
+        let kept = Arc::new(Mutex::new(Vec::new()));
+        let keep = Arc::clone(&kept);
+        let unread = match reader {
+            Reader::Stops => Some(lines),
+            Reader::Follows => {
+                std::thread::spawn(move || {
+                    for line in lines.map_while(Result::ok) {
+                        keep.lock()
+                            .unwrap_or_else(PoisonError::into_inner)
+                            .push(line);
+                    }
+                });
+                None
+            }
+        };
+        Process {
+            child,
+            file,
+            lines: kept,
+            _unread: unread,
+            front: listeners["front"],
+            readiness: listeners["readiness"],
+        }
+    }
+
+    /// Returns the lines that name `event`.
+    pub fn lines_of(&self, event: &str) -> Vec<serde_json::Value> {
+        let lines = self.lines.lock().unwrap_or_else(PoisonError::into_inner);
+        let lines = lines
+            .iter()
+            .filter_map(|line| serde_json::from_str(line).ok());
+        lines
+            .filter(|line: &serde_json::Value| line["message"] == event)
+            .collect()
+    }
+
+    /// Writes other text into the settings file.
+    pub fn spoil_settings(&self, text: &str) {
+        std::fs::write(&self.file, text).expect("settings written");
+    }
+
+    /// Sends a signal.
+    pub fn signal(&self, signal: Signal) {
+        let pid = i32::try_from(self.child.id()).expect("a pid");
+        kill(Pid::from_raw(pid), signal).expect("the process is there");
+    }
+
+    /// Waits until the process has ended.
+    pub fn wait(&mut self) -> ExitStatus {
+        self.child.wait().expect("the process was started")
+    }
+
+    fn end(&mut self) {
+        // It may have ended by itself, which is what some tests wait for.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.end();
+    }
+}
+
+/// An address that nobody answers at, as a stale seed has.
+pub fn stale_seed() -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::new(127, 0, 0, 9), 9))
+}
