--- a/crates/core/src/gateway/bulletin.rs
+++ b/crates/core/src/gateway/bulletin.rs
@@ -81,6 +81,8 @@
     pub stopping: bool,
     /// What it runs where.
     pub used: BTreeMap<EndpointKey, Used>,
+    /// Whether it counts as there, so that its coming and going is told once.
+    present: bool,
 }
 
 /// All peers, by the address at which they answer.
@@ -100,16 +102,21 @@
             store_heard: None,
             stopping: false,
             used: BTreeMap::new(),
+            present: false,
         });
     }
 
     /// Takes a bulletin in, apart from what it says about endpoints that leave.
-    pub fn hear(&mut self, now: Time, bulletin: &Bulletin) {
+    /// Returns whether the sender was not there before in this life.
+    pub fn hear(&mut self, now: Time, bulletin: &Bulletin) -> bool {
         self.learn(now, bulletin.address);
         for &address in bulletin.peers.iter().take(MAX_NAMED) {
             self.learn(now, address);
         }
+        let mut is_new = false;
         if let Some(peer) = self.peers.get_mut(&bulletin.address) {
+            is_new = !peer.present || peer.incarnation != Some(bulletin.incarnation);
+            peer.present = true;
             peer.incarnation = Some(bulletin.incarnation);
             peer.heard = Some(now);
             peer.revision = bulletin.revision;
@@ -117,6 +124,22 @@
             peer.stopping = bulletin.stopping;
             peer.used = bulletin.used.iter().copied().collect();
         }
+        is_new
+    }
+
+    /// Returns the peers that fell silent since the last call.
+    pub fn take_silent(&mut self, now: Time) -> Vec<SocketAddrV4> {
+        let mut silent = Vec::new();
+        for (address, peer) in &mut self.peers {
+            let heard = peer
+                .heard
+                .is_some_and(|heard| now.since(heard) < PEER_SILENCE);
+            if peer.present && !heard {
+                peer.present = false;
+                silent.push(*address);
+            }
+        }
+        silent
     }
 
     /// Forgets peers that were silent for long, unless `keep` names them.
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -44,6 +44,24 @@
     pub budget: BudgetConfig,
 }
 
+/// What changed by time alone.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Ticked {
+    /// Endpoints that began to leave.
+    pub leaving: Vec<EndpointKey>,
+    /// Peers that fell silent.
+    pub silent: Vec<SocketAddrV4>,
+}
+
+/// What a bulletin brought.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Heard {
+    /// Endpoints that began to leave.
+    pub leaving: Vec<EndpointKey>,
+    /// Whether the sender was not there before in this life.
+    pub is_new: bool,
+}
+
 /// Where a request goes.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Place {
@@ -146,13 +164,15 @@
         self.endpoints.vanish(now, name, unsettled)
     }
 
-    /// Does what is due by time alone.
-    ///
-    /// Returns the endpoints that began to leave.
-    pub fn tick(&mut self, now: Time) -> Vec<EndpointKey> {
+    /// Does what is due by time alone, and returns what changed.
+    pub fn tick(&mut self, now: Time) -> Ticked {
+        let silent = self.peers.take_silent(now);
         self.peers.forget_silent(now, &self.cfg.seeds);
         let unsettled = self.reader.is_unsettled(now);
-        self.endpoints.tick(now, unsettled)
+        Ticked {
+            leaving: self.endpoints.tick(now, unsettled),
+            silent,
+        }
     }
 
     /// Returns the data centre of this instance.
@@ -295,20 +315,23 @@
         self.reader.next(now, self.watches(now))
     }
 
-    /// Takes in what a peer told. Returns the endpoints that began to leave.
-    pub fn hear(&mut self, now: Time, bulletin: &Bulletin) -> Vec<EndpointKey> {
+    /// Takes in what a peer told.
+    pub fn hear(&mut self, now: Time, bulletin: &Bulletin) -> Heard {
         let foreign = bulletin.version != BULLETIN_VERSION
             || bulletin.deployment != self.cfg.deployment
             || bulletin.address == self.cfg.address;
         if foreign {
-            return Vec::new();
+            return Heard::default();
         }
-        self.peers.hear(now, bulletin);
+        let is_new = self.peers.hear(now, bulletin);
         self.note_behind(now);
         let leaving = bulletin.leaving.iter().copied();
-        leaving
-            .filter(|&key| self.endpoints.leave(now, key))
-            .collect()
+        Heard {
+            leaving: leaving
+                .filter(|&key| self.endpoints.leave(now, key))
+                .collect(),
+            is_new,
+        }
     }
 
     /// Returns a peer that knows more of the store than this instance, and so can tell
--- a/crates/gateway/src/news.rs
+++ b/crates/gateway/src/news.rs
@@ -6,6 +6,7 @@
 
 use crate::cx::Cx;
 use crate::link::connect_socket;
+use crate::note;
 use crate::ports::Wire;
 use bincode::config::{Configuration, Limit, standard};
 use oriolemux_core::gateway::Bulletin;
@@ -59,14 +60,17 @@
         let now = cx.now();
         let (bulletin, peers) = {
             let mut state = cx.state();
-            let left = state.tick(now);
+            let ticked = state.tick(now);
             if state.better_informed(now).is_some() {
                 cx.behind.notify_one();
             }
             let bulletin = state.bulletin(now);
             let peers: Vec<SocketAddrV4> = state.peers.addresses().collect();
             drop(state);
-            cx.tell_leaving(&left);
+            cx.tell_leaving(&ticked.leaving);
+            for peer in ticked.silent {
+                note!(PeerSilent, peer:% = peer);
+            }
             (bulletin, peers)
         };
         buf.clear();
@@ -106,10 +110,13 @@
         };
         let now = cx.now();
         let mut state = cx.state();
-        let left = state.hear(now, &bulletin);
+        let heard = state.hear(now, &bulletin);
         let behind = state.better_informed(now).is_some();
         drop(state);
-        cx.tell_leaving(&left);
+        cx.tell_leaving(&heard.leaving);
+        if heard.is_new {
+            note!(PeerHeard, peer:% = bulletin.address, incarnation = bulletin.incarnation.0);
+        }
         if behind {
             cx.behind.notify_one();
         }
