A planned stop keeps its door open until the last generation is passed on

Plans were taken that could not end in time. Change: the door closes with the process; a generation that is expected to outlast the stop is refused, not run, and goes to another instance at once.

--- a/crates/gateway/src/cx.rs
+++ b/crates/gateway/src/cx.rs
@@ -7,7 +7,7 @@
 use oriolemux_core::ids::EndpointKey;
 use oriolemux_core::time::Time;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Instant;
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
@@ -59,8 +59,20 @@
     /// Cancelled when callers' idle connections are to be closed.
     pub closing: CancellationToken,
     state: Mutex<Gateway>,
-    open_requests: AtomicUsize,
-    open_connections: AtomicUsize,
+    open: [AtomicUsize; 3],
+    /// When a planned stop must have ended.
+    stop_by: OnceLock<Instant>,
+}
+
+/// What is counted while it is open.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Open {
+    /// A caller's connection.
+    Connection,
+    /// A request, until the head of its answer is ready.
+    Request,
+    /// A generation, until its last event is passed on.
+    Generation,
 }
 
 impl<W: Wire> Cx<W> {
@@ -77,8 +89,8 @@
             stopping: CancellationToken::new(),
             closing: CancellationToken::new(),
             state: Mutex::new(state),
-            open_requests: AtomicUsize::new(0),
-            open_connections: AtomicUsize::new(0),
+            open: [const { AtomicUsize::new(0) }; 3],
+            stop_by: OnceLock::new(),
         })
     }
 
@@ -92,28 +104,38 @@
         self.clock.now()
     }
 
-    /// Counts a request until what is returned is dropped.
-    pub fn open_request(self: &Arc<Self>) -> OpenGuard<W> {
-        self.open_requests.fetch_add(1, Ordering::Relaxed);
+    /// Counts something until what is returned is dropped.
+    pub fn count(self: &Arc<Self>, what: Open) -> OpenGuard<W> {
+        self.open[what as usize].fetch_add(1, Ordering::Relaxed);
         OpenGuard {
             cx: Arc::clone(self),
-            connection: false,
+            what,
         }
     }
 
     /// Counts a caller's connection until what is returned is dropped; nothing if there are too many.
     pub fn open_connection(self: &Arc<Self>) -> Option<OpenGuard<W>> {
-        let open = self.open_connections.fetch_add(1, Ordering::Relaxed);
-        let guard = OpenGuard {
-            cx: Arc::clone(self),
-            connection: true,
-        };
-        (open < self.limits.connections).then_some(guard)
+        let guard = self.count(Open::Connection);
+        (self.open(Open::Connection) <= self.limits.connections).then_some(guard)
+    }
+
+    /// Returns how many are open.
+    pub fn open(&self, what: Open) -> usize {
+        self.open[what as usize].load(Ordering::Relaxed)
+    }
+
+    /// Begins a planned stop that must have ended after `grace`.
+    pub fn begin_stop(&self, grace: Duration) {
+        self.stop_by.get_or_init(|| Instant::now() + grace);
+        self.state().stop();
+        self.stopping.cancel();
+        self.dirty.notify_one();
     }
 
-    /// Returns how many requests are not answered to their end.
-    pub fn open_requests(&self) -> usize {
-        self.open_requests.load(Ordering::Relaxed)
+    /// Returns whether work that takes so long can end before a planned stop does.
+    pub fn can_finish(&self, work: Duration) -> bool {
+        let stop_by = self.stop_by.get();
+        stop_by.is_none_or(|&stop_by| Instant::now() + work <= stop_by)
     }
 
     /// Tells those who wait, and peers, that endpoints began to leave.
@@ -129,18 +151,14 @@
     }
 }
 
-/// A request or connection that is open.
+/// Something that is open.
 pub struct OpenGuard<W> {
     cx: Arc<Cx<W>>,
-    connection: bool,
+    what: Open,
 }
 
 impl<W> Drop for OpenGuard<W> {
     fn drop(&mut self) {
-        let count = match self.connection {
-            true => &self.cx.open_connections,
-            false => &self.cx.open_requests,
-        };
-        count.fetch_sub(1, Ordering::Relaxed);
+        self.cx.open[self.what as usize].fetch_sub(1, Ordering::Relaxed);
     }
 }
--- a/crates/gateway/src/front/connection.rs
+++ b/crates/gateway/src/front/connection.rs
@@ -1,7 +1,7 @@
 //! Connections of callers: how long they may be idle, and how they are closed.
 
 use super::handle;
-use crate::cx::Cx;
+use crate::cx::{Cx, Open};
 use crate::ports::{EngineCalls, Wire};
 use core::convert::Infallible;
 use core::pin::Pin;
@@ -63,7 +63,7 @@
         let answer = handle(Arc::clone(&cx), engines.clone(), req);
         let (activity, cx) = (Arc::clone(&activity), Arc::clone(&cx));
         async move {
-            let open = cx.open_request();
+            let open = cx.count(Open::Request);
             activity.begin_request();
             let mut answer = answer.await;
             activity.end_request();
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -12,7 +12,7 @@
 //! `docs/design/relocation.md` weighs when a generation leaves its engine.
 
 use crate::answer::{AnswerBody, BrokenOff, Reason, refuse};
-use crate::cx::Cx;
+use crate::cx::{Cx, Open};
 use crate::events::{Event, EventSplitter};
 use crate::job::{CopyInUse, InUse, Job};
 use crate::link::{Link, LinkError};
@@ -255,7 +255,7 @@
     pub fn spawn(self) -> oneshot::Receiver<Started<W>> {
         let (started, rx) = oneshot::channel();
         tokio::spawn(async move {
-            let _open = self.job.cx.open_request();
+            let _open = self.job.cx.count(Open::Generation);
             self.run(started).await;
         });
         rx
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -1,6 +1,6 @@
 //! Starts all parts of the gateway and ends them in order.
 
-use crate::cx::{Clock, Cx, GatewayLimits};
+use crate::cx::{Clock, Cx, GatewayLimits, Open};
 use crate::note;
 use crate::ports::{EngineCalls, Store, Wire};
 use crate::{front, news, readiness, store};
@@ -14,6 +14,10 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+/// How long before the end of a planned stop the last callers are taken. Calls are
+/// answered within it; what still runs then is cut off by the platform.
+const LAST_CALL: Duration = Duration::from_millis(500);
+
 /// How often a planned stop looks whether the last request is answered.
 const STOP_LOOK: Duration = Duration::from_millis(50);
 
@@ -151,9 +155,13 @@
     }
 }
 
-/// Stops without cutting anything off: readiness first, while callers that the
-/// balancer still sends are served; then the idle connections; then the process,
-/// once the last request is answered.
+/// Stops without cutting anything off: readiness first, while callers that come
+/// nevertheless are served; then, once the last generation is passed on, the door;
+/// then the idle connections.
+///
+/// The door stays open as long as the process does. What goes wrong otherwise: where
+/// several instances stop one after the other, the balancer sends callers to all of
+/// them, and a closed door is a caller without an answer.
 async fn end_in_order<W: Wire>(
     cx: &Arc<Cx<W>>,
     settings: &RunConfig,
@@ -161,19 +169,19 @@
     door: &AbortHandle,
 ) {
     let begun = Instant::now();
-    cx.state().stop();
-    cx.stopping.cancel();
-    cx.dirty.notify_one();
+    cx.begin_stop(settings.grace);
     sleep(settings.notice).await;
+    let last_call = settings.grace.saturating_sub(LAST_CALL);
+    while cx.open(Open::Generation) > 0 && begun.elapsed() < last_call {
+        sleep(STOP_LOOK).await;
+    }
     door.abort();
     cx.closing.cancel();
     callers.close();
-    while cx.open_requests() > 0 && begun.elapsed() < settings.grace {
-        sleep(STOP_LOOK).await;
-    }
     let left = settings.grace.saturating_sub(begun.elapsed());
     if tokio::time::timeout(left, callers.wait()).await.is_err() {
-        note!(StoppedWithRequests, requests = cx.open_requests());
+        let requests = cx.open(Open::Request) + cx.open(Open::Generation);
+        note!(StoppedWithRequests, requests = requests);
     }
 }
 
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -33,6 +33,10 @@
 /// late, and the caller knows better what to do with its time.
 const WAIT_TARGETS: f64 = 1.0;
 
+/// How long a token takes, as measured on engines with some five generations beside
+/// prompts that are read.
+const TOKEN_TIME: Duration = Duration::from_millis(10);
+
 /// What goes to the caller's connection.
 pub type Piece = Result<Bytes, BrokenOff>;
 
@@ -40,6 +44,10 @@
 pub async fn serve<W: Wire, E: EngineCalls>(job: Job<W>, engines: E) -> Response<AnswerBody> {
     let mut tried = Vec::new();
     let length = job.length();
+    let expected = TOKEN_TIME * length.rest(0);
+    if !job.cx.can_finish(expected) {
+        return give_up(&job, Reason::Stopping);
+    }
     let tokens = job.expected_memory(length, 0);
     let mut job = job;
     loop {
