--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -63,7 +63,7 @@
         };
         let attempt = calls.attempt(&place).await;
         drop(in_use);
-        calls.note(place.key, &attempt);
+        calls.note(&place, &attempt);
         let repeat = calls.may_repeat(&attempt);
         note!(
             CallAttempt,
@@ -181,19 +181,22 @@
         Attempt::Lost
     }
 
-    fn note(&mut self, endpoint: EndpointKey, attempt: &Attempt) {
-        let now = self.job.cx.now();
-        let mut state = self.job.cx.state();
-        match attempt {
-            Attempt::Answer(_) => state.endpoints.on_success(endpoint),
-            Attempt::NotRun => {}
+    fn note(&mut self, place: &Place, attempt: &Attempt) {
+        let cx = &self.job.cx;
+        let now = cx.now();
+        let passed_over = match attempt {
+            Attempt::Answer(_) => {
+                cx.state().endpoints.on_success(place.key);
+                false
+            }
+            Attempt::NotRun => false,
             Attempt::NoConnection | Attempt::Lost | Attempt::Foreign | Attempt::Timeout => {
-                if state.endpoints.on_failure(now, endpoint) {
-                    note!(EndpointPassedOver, endpoint:% = endpoint);
-                }
+                cx.state().endpoints.on_failure(now, place.key)
             }
+        };
+        if passed_over {
+            note!(EndpointPassedOver, endpoint = place.name.as_str());
         }
-        drop(state);
         match attempt {
             Attempt::NotRun | Attempt::NoConnection => self.refused += 1,
             _ => self.runs += 1,
--- a/crates/gateway/src/cx.rs
+++ b/crates/gateway/src/cx.rs
@@ -104,6 +104,13 @@
         self.clock.now()
     }
 
+    /// Returns the published name of an endpoint, for logs; its key if it is not known.
+    pub fn endpoint_name(&self, key: EndpointKey) -> String {
+        let state = self.state();
+        let known = state.endpoints.get(key);
+        known.map_or_else(|| key.to_string(), |endpoint| endpoint.record.name.clone())
+    }
+
     /// Counts something until what is returned is dropped.
     pub fn count(self: &Arc<Self>, what: Open) -> OpenGuard<W> {
         self.open[what as usize].fetch_add(1, Ordering::Relaxed);
@@ -140,8 +147,9 @@
 
     /// Tells those who wait, and peers, that endpoints began to leave.
     pub fn tell_leaving(&self, endpoints: &[EndpointKey]) {
-        for endpoint in endpoints {
-            note!(EndpointLeaving, endpoint:% = endpoint);
+        for &endpoint in endpoints {
+            let name = self.endpoint_name(endpoint);
+            note!(EndpointLeaving, endpoint = name.as_str());
         }
         if !endpoints.is_empty() {
             self.changed.notify_waiters();
