--- a/crates/gateway/src/notes.rs
+++ b/crates/gateway/src/notes.rs
@@ -63,51 +63,51 @@
 
 events! {
     /// A listener of the gateway accepts connections.
-    Listening = 600, "gateway_listening", Info, USUAL;
+    Listening = 800, "gateway_listening", Info, USUAL;
     /// An endpoint takes nothing new, for good: it said so, its entry vanished, or a peer knew.
-    EndpointLeaving = 601, "endpoint_leaving", Info, USUAL;
+    EndpointLeaving = 801, "endpoint_leaving", Info, USUAL;
     /// A request was refused before an endpoint was looked for; the line names the reason.
-    RefusedAtFront = 602, "refused_at_front", Info, FAILURES;
+    RefusedAtFront = 802, "refused_at_front", Info, FAILURES;
     /// An attempt of a call ended; the line says how, and whether it is repeated.
-    CallAttempt = 603, "call_attempt", Info, USUAL;
+    CallAttempt = 803, "call_attempt", Info, USUAL;
     /// An endpoint failed several times in a row and is passed over for a while.
-    EndpointPassedOver = 604, "endpoint_passed_over", Info, USUAL;
+    EndpointPassedOver = 804, "endpoint_passed_over", Info, USUAL;
     /// A call failed; the line names the reason and the last endpoint.
-    CallFailed = 605, "call_failed", Info, FAILURES;
+    CallFailed = 805, "call_failed", Info, FAILURES;
     /// A generation was refused and did not run.
-    GenerationRefused = 606, "generation_refused", Info, FAILURES;
+    GenerationRefused = 806, "generation_refused", Info, FAILURES;
     /// A generation left its engine and goes on from the copy made at the notice.
-    GoesOnFromAhead = 607, "generation_goes_on_from_ahead", Info, USUAL;
+    GoesOnFromAhead = 807, "generation_goes_on_from_ahead", Info, USUAL;
     /// A generation goes on where its standing copy is kept.
-    GoesOnFromCopy = 608, "generation_goes_on_from_copy", Info, USUAL;
+    GoesOnFromCopy = 808, "generation_goes_on_from_copy", Info, USUAL;
     /// The engine that was to go on with a generation did not; the line says why.
-    CannotGoOn = 609, "generation_cannot_go_on", Info, FAILURES;
+    CannotGoOn = 809, "generation_cannot_go_on", Info, FAILURES;
     /// A generation ended; the line says how, how late, and through how many engines.
-    GenerationEnded = 610, "generation_ended", Info, FAILURES;
+    GenerationEnded = 810, "generation_ended", Info, FAILURES;
     /// The store answers again.
-    StoreRegained = 611, "store_regained", Info, USUAL;
+    StoreRegained = 811, "store_regained", Info, USUAL;
     /// The store does not answer this instance; serving goes on with what is known.
-    StoreLost = 612, "store_lost", Warn, USUAL;
+    StoreLost = 812, "store_lost", Warn, USUAL;
     /// A peer told what it knows of the store.
-    ToldByPeer = 613, "told_by_peer", Info, USUAL;
+    ToldByPeer = 813, "told_by_peer", Info, USUAL;
     /// A record of the store cannot be read; what was known before stays.
-    RecordUnreadable = 614, "record_unreadable", Warn, USUAL;
+    RecordUnreadable = 814, "record_unreadable", Warn, USUAL;
     /// A catalogue is in force.
-    CatalogueInForce = 615, "catalogue_in_force", Info, USUAL;
+    CatalogueInForce = 815, "catalogue_in_force", Info, USUAL;
     /// A catalogue arrived that is not newer than the one in force; it was ignored.
-    CatalogueOlder = 616, "catalogue_older", Info, USUAL;
+    CatalogueOlder = 816, "catalogue_older", Info, USUAL;
     /// A catalogue has a finding; the one in force stays.
-    CatalogueRejected = 617, "catalogue_rejected", Warn, USUAL;
+    CatalogueRejected = 817, "catalogue_rejected", Warn, USUAL;
     /// The grace of a planned stop was over before the last request was answered.
-    StoppedWithRequests = 618, "stopped_with_requests", Warn, USUAL;
+    StoppedWithRequests = 818, "stopped_with_requests", Warn, USUAL;
     /// A copy of a generation's memory was made, or was not, while its engine leaves.
-    CopiedAhead = 619, "generation_copied_ahead", Info, USUAL;
+    CopiedAhead = 819, "generation_copied_ahead", Info, USUAL;
     /// An endpoint was chosen; the line shows what was known of it.
-    Placed = 620, "placed", Info, USUAL;
+    Placed = 820, "placed", Info, USUAL;
     /// A peer was heard for the first time in its present life.
-    PeerHeard = 621, "peer_heard", Info, USUAL;
+    PeerHeard = 821, "peer_heard", Info, USUAL;
     /// A peer was silent for so long that it counts as gone.
-    PeerSilent = 622, "peer_silent", Info, USUAL;
+    PeerSilent = 822, "peer_silent", Info, USUAL;
 }
 
 /// Lines of one event within the present second.
