--- a/crates/gateway/src/notes.rs
+++ b/crates/gateway/src/notes.rs
@@ -65,7 +65,7 @@
     /// A listener of the gateway accepts connections.
     Listening = 800, "gateway_listening", Info, USUAL;
     /// An endpoint takes nothing new, for good: it said so, its entry vanished, or a peer knew.
-    EndpointLeaving = 801, "endpoint_leaving", Info, USUAL;
+    EndpointLeaving = 801, "endpoint_departs", Info, USUAL;
     /// A request was refused before an endpoint was looked for; the line names the reason.
     RefusedAtFront = 802, "refused_at_front", Info, FAILURES;
     /// An attempt of a call ended; the line says how, and whether it is repeated.
@@ -97,7 +97,7 @@
     /// A catalogue arrived that is not newer than the one in force; it was ignored.
     CatalogueOlder = 816, "catalogue_older", Info, USUAL;
     /// A catalogue has a finding; the one in force stays.
-    CatalogueRejected = 817, "catalogue_rejected", Warn, USUAL;
+    CatalogueRejected = 817, "catalogue_refused", Warn, USUAL;
     /// The grace of a planned stop was over before the last request was answered.
     StoppedWithRequests = 818, "stopped_with_requests", Warn, USUAL;
     /// A copy of a generation's memory was made, or was not, while its engine leaves.
