--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -13,6 +13,7 @@
 //! | [`lengths`] | how long a generation will still be |
 //! | [`usage`] | what runs at each endpoint, own and told by peers |
 //! | [`choose`] | the endpoint for a request, and the one that holds its standing copy |
+//! | [`relocation`] | when a generation leaves its engine, and which events its caller gets |
 //! | [`budget`] | how many repeats this instance may spend |
 //! | [`bulletin`] | what instances tell each other |
 //! | [`reader`] | when to read and watch the store |
@@ -25,6 +26,7 @@
 pub mod endpoints;
 pub mod lengths;
 pub mod reader;
+pub mod relocation;
 pub mod replica;
 pub mod state;
 pub mod usage;
--- a/crates/core/src/gateway/budget.rs
+++ b/crates/core/src/gateway/budget.rs
@@ -59,6 +59,11 @@
         }
     }
 
+    /// Changes the fleet's bound; what was spent stays spent.
+    pub fn set_bound(&mut self, cfg: BudgetConfig) {
+        self.cfg = cfg;
+    }
+
     /// Notes a caller's request.
     pub fn on_request(&mut self, now: Time, service: &str) {
         let counts = Self::counts(&mut self.services, service);
--- /dev/null
+++ b/crates/core/src/gateway/relocation.rs
@@ -0,0 +1,269 @@
+//! When a generation leaves its engine, and which of its events its caller gets.
+//!
+//! [`Relocation`] is the state of one generation across engines. It is told what
+//! happens and asked what to do; the relay of the shell moves bytes and makes calls.
+//! `docs/design/relocation.md` weighs the ways.
+//!
+//! Invariants, which `crates/core/tests/gateway_relocation.rs` holds under random
+//! histories:
+//!
+//! - [`Step::Leave`] is returned only while a copy to go on from is there;
+//! - events are passed on with numbers that follow each other, each once;
+//! - a generation goes through at most [`MAX_MOVES`] further engines.
+
+use crate::time::Time;
+use core::time::Duration;
+
+/// How long after the notice a generation leaves its engine. Many end by then, and
+/// those that began shortly before it have a copy by then; an engine goes 1.5 s
+/// after its notice at the soonest.
+pub const LEAVE_AFTER: Duration = Duration::from_millis(1_100);
+
+/// How much sooner a generation may leave, if no prompt waits where it goes on: one
+/// that is read there at the same time delays it by its whole length.
+pub const LEAVE_EARLY: Duration = Duration::from_millis(400);
+
+/// How often a generation that may leave looks whether its target is quiet.
+const QUIET_LOOK: Duration = Duration::from_millis(20);
+
+/// An engine that sent events and is then silent for this long is given up. A
+/// generation that was preempted is read in again in less.
+pub const SILENCE: Duration = Duration::from_millis(1_200);
+
+/// How long after an engine's first event a standing copy is believed to be there: the
+/// memory of the prompt takes some 0.4 s on the link, behind that of others.
+pub const COPY_SETTLES: Duration = Duration::from_millis(1_300);
+
+/// How old a copy ahead may be before it is brought up to date. What it lacks is
+/// read anew where the generation goes on: some 40 tokens, or 3 ms, for this time.
+pub const REFRESH_AFTER: Duration = Duration::from_millis(300);
+
+/// The pause before a copy ahead is tried again, for example because the
+/// generation had not begun.
+const AHEAD_PAUSE: Duration = Duration::from_millis(60);
+
+/// Copies ahead that one generation tries at one engine.
+const MAX_AHEAD: u32 = 12;
+
+/// How many further engines one generation may go through.
+pub const MAX_MOVES: u32 = 8;
+
+/// Tokens that an engine puts into one event.
+const TOKENS_PER_EVENT: u32 = 4;
+
+/// What is to become of one event.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Delivery {
+    /// The caller gets it.
+    Pass,
+    /// The caller holds it already.
+    Again,
+    /// One before it is missing, so that the stream must end.
+    Gap,
+}
+
+/// Which copy a generation would go on from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum GoOnFrom {
+    /// The copy that was made since the notice.
+    Ahead,
+    /// The copy that its engine kept up to date.
+    Standing,
+}
+
+/// What is known of the engines at the moment.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct View {
+    /// For how long the present engine is known to leave.
+    pub leaves_for: Option<Duration>,
+    /// Whether the engine of the standing copy is there and takes work.
+    pub standing_takes_work: bool,
+    /// Whether no prompt waits where the generation would go on.
+    pub target_is_quiet: bool,
+}
+
+/// What to do now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// Begin a copy ahead, or bring it up to date.
+    CopyAhead,
+    /// Close the connection and go on from the copy.
+    Leave,
+    /// The engine has fallen silent: go on from the copy, if there is one.
+    GiveUp,
+    /// Nothing until this time, unless something happens before.
+    Wait(Time),
+}
+
+/// A copy that is made while the engine leaves.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct Ahead {
+    under_way: bool,
+    complete_since: Option<Time>,
+}
+
+/// One generation across engines.
+#[derive(Clone, Debug, Default)]
+pub struct Relocation {
+    last_event: Option<u64>,
+    events: u64,
+    /// When the first event of the present engine came. Its standing copy began then,
+    /// also where the generation went on from another engine.
+    first_here: Option<Time>,
+    heard: Time,
+    has_standing: bool,
+    ahead: Ahead,
+    ahead_tries: u32,
+    ahead_from: Time,
+    moves: u32,
+}
+
+impl Relocation {
+    /// Returns a generation that has not begun.
+    pub fn new() -> Self {
+        Relocation::default()
+    }
+
+    /// Returns the number of the last event that the caller holds.
+    pub fn last_event(&self) -> Option<u64> {
+        self.last_event
+    }
+
+    /// Returns how many events the caller holds.
+    pub fn events(&self) -> u64 {
+        self.events
+    }
+
+    /// Returns how often the generation went on at another engine.
+    pub fn moves(&self) -> u32 {
+        self.moves
+    }
+
+    /// Returns about how many tokens were made. Only the number of events is seen
+    /// here; the scale is the same for all generations.
+    pub fn tokens(&self) -> u32 {
+        let events = u32::try_from(self.events).unwrap_or(u32::MAX);
+        events.saturating_mul(TOKENS_PER_EVENT)
+    }
+
+    /// Takes in that bytes came from the engine.
+    pub fn on_bytes(&mut self, now: Time) {
+        self.heard = now;
+    }
+
+    /// Takes in one whole event, and says what is to become of it.
+    pub fn on_event(&mut self, now: Time, number: Option<u64>) -> Delivery {
+        if let (Some(number), Some(last)) = (number, self.last_event) {
+            if number <= last {
+                return Delivery::Again;
+            }
+            if number > last + 1 {
+                return Delivery::Gap;
+            }
+        }
+        self.first_here.get_or_insert(now);
+        self.events += 1;
+        self.last_event = number.or(self.last_event);
+        Delivery::Pass
+    }
+
+    /// Notes whether the present engine keeps a standing copy elsewhere.
+    pub fn set_standing(&mut self, has_standing: bool) {
+        self.has_standing = has_standing;
+    }
+
+    /// Notes that a copy ahead was begun.
+    pub fn ahead_begun(&mut self, now: Time) {
+        debug_assert!(!self.ahead.under_way, "two copies ahead at once");
+        self.ahead.under_way = true;
+        self.ahead_tries += 1;
+        self.ahead_from = now + AHEAD_PAUSE;
+    }
+
+    /// Notes that no engine has room for a copy ahead.
+    pub fn ahead_impossible(&mut self, now: Time) {
+        self.ahead_from = now + AHEAD_PAUSE;
+    }
+
+    /// Notes how a copy ahead ended; returns whether one is there. One that was
+    /// complete stays usable when it could not be brought up to date.
+    pub fn ahead_ended(&mut self, now: Time, complete: bool) -> bool {
+        self.ahead.under_way = false;
+        if complete || self.ahead.complete_since.is_some() {
+            self.ahead.complete_since = Some(now);
+        }
+        self.ahead.complete_since.is_some()
+    }
+
+    /// Notes that the generation is asked for at another engine.
+    pub fn moved(&mut self, now: Time) {
+        self.moves += 1;
+        self.first_here = None;
+        self.has_standing = false;
+        self.ahead = Ahead::default();
+        self.ahead_tries = 0;
+        self.heard = now;
+    }
+
+    /// Returns what the generation would go on from if it left now.
+    pub fn go_on_from(&self, now: Time, standing_takes_work: bool) -> Option<GoOnFrom> {
+        if self.ahead.complete_since.is_some() {
+            return Some(GoOnFrom::Ahead);
+        }
+        let first = self.first_here?;
+        let settled = now.since(first) >= COPY_SETTLES;
+        (self.has_standing && settled && standing_takes_work).then_some(GoOnFrom::Standing)
+    }
+
+    /// Returns what to do now.
+    pub fn next(&self, now: Time, view: &View) -> Step {
+        if self.last_event.is_none() {
+            return Step::Wait(Time::NEVER);
+        }
+        let mut wait = self.heard + SILENCE;
+        if wait <= now {
+            return Step::GiveUp;
+        }
+        let leaves_for = view.leaves_for.filter(|_| self.moves < MAX_MOVES);
+        let Some(leaves_for) = leaves_for else {
+            return Step::Wait(wait);
+        };
+        let from = self.go_on_from(now, view.standing_takes_work);
+        if from.is_some() {
+            let leave = self.leave_at(now, leaves_for, view.target_is_quiet);
+            if leave <= now {
+                return Step::Leave;
+            }
+            wait = wait.min(leave);
+        }
+        if let Some(copy) = self.copy_at(from) {
+            if copy <= now {
+                return Step::CopyAhead;
+            }
+            wait = wait.min(copy);
+        }
+        Step::Wait(wait)
+    }
+
+    fn leave_at(&self, now: Time, leaves_for: Duration, target_is_quiet: bool) -> Time {
+        let early = LEAVE_AFTER - LEAVE_EARLY;
+        if leaves_for < early {
+            return now + (early - leaves_for);
+        }
+        if target_is_quiet || leaves_for >= LEAVE_AFTER {
+            return now;
+        }
+        now + QUIET_LOOK.min(LEAVE_AFTER - leaves_for)
+    }
+
+    fn copy_at(&self, from: Option<GoOnFrom>) -> Option<Time> {
+        if self.ahead.under_way || self.ahead_tries >= MAX_AHEAD {
+            return None;
+        }
+        match (self.ahead.complete_since, from) {
+            (Some(since), _) => Some((since + REFRESH_AFTER).max(self.ahead_from)),
+            (None, Some(GoOnFrom::Standing)) => None,
+            (None, _) => Some(self.ahead_from),
+        }
+    }
+}
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -164,6 +164,15 @@
         self.endpoints.vanish(now, name, unsettled)
     }
 
+    /// Puts settings in force that may change while an instance runs.
+    pub fn reload(&mut self, now: Time, seeds: Vec<SocketAddrV4>, budget: BudgetConfig) {
+        for &seed in seeds.iter().filter(|&&seed| seed != self.cfg.address) {
+            self.peers.learn(now, seed);
+        }
+        self.cfg.seeds = seeds;
+        self.budget.set_bound(budget);
+    }
+
     /// Does what is due by time alone, and returns what changed.
     pub fn tick(&mut self, now: Time) -> Ticked {
         let silent = self.peers.take_silent(now);
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -7,6 +7,7 @@
 use crate::answer::{AnswerBody, Reason, refuse, whole};
 use crate::job::Job;
 use crate::link::LinkError;
+use crate::meters::{ByReason, Histogram};
 use crate::note;
 use crate::ports::{SendHead, WholeAnswer, Wire};
 use core::time::Duration;
@@ -74,6 +75,10 @@
             what = attempt.word(),
             ms = job.arrived.elapsed().as_millis() as u64
         );
+        ByReason::Attempts.add(attempt.word());
+        if repeat {
+            ByReason::Repeats.add(attempt.word());
+        }
         if !repeat {
             return calls.finish(attempt, &place);
         }
@@ -236,7 +241,10 @@
 
     fn finish(&self, attempt: Attempt, place: &Place) -> Response<AnswerBody> {
         let reason = match attempt {
-            Attempt::Answer(answer) => return self.pass_on(answer),
+            Attempt::Answer(answer) => {
+                Histogram::Call.record(self.job.arrived.elapsed());
+                return self.pass_on(answer);
+            }
             // An earlier attempt may have run, so that "not run" would be untrue.
             Attempt::NotRun | Attempt::NoConnection if self.runs > 0 => Reason::AnswerLost,
             Attempt::NotRun => Reason::NotRunAtEndpoint,
@@ -252,6 +260,7 @@
     }
 
     fn refuse(&self, reason: Reason) -> Response<AnswerBody> {
+        ByReason::Refused.add(&reason.to_string());
         let patience = self.job.head.deadline.unwrap_or(self.job.entry().timeout);
         let left = (self.job.arrived + patience).saturating_duration_since(Instant::now());
         refuse(reason, left)
--- a/crates/gateway/src/cx.rs
+++ b/crates/gateway/src/cx.rs
@@ -22,6 +22,14 @@
         Clock(Instant::now())
     }
 
+    /// Returns a point of the clock as an instant; nothing if it is never reached.
+    pub fn instant(self, at: Time) -> Option<Instant> {
+        if at == Time::NEVER {
+            return None;
+        }
+        self.0.checked_add(Duration::from_micros(at.as_micros()))
+    }
+
     /// Returns the time since the start.
     pub fn now(self) -> Time {
         let micros = self.0.elapsed().as_micros();
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -7,6 +7,7 @@
 use crate::answer::{AnswerBody, Reason, refuse};
 use crate::cx::Cx;
 use crate::job::Job;
+use crate::meters::ByReason;
 use crate::note;
 use crate::ports::{CallerHead, EngineCalls, Wire};
 use crate::{call, stream};
@@ -35,6 +36,7 @@
     let attempt = head.attempt.clone();
     let refused = |reason: Reason| {
         let attempt = attempt.as_deref().unwrap_or("-");
+        ByReason::Refused.add(&reason.to_string());
         note!(RefusedAtFront, attempt = attempt, reason:% = reason);
         refuse(reason, patience)
     };
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,7 +7,7 @@
 //! judges them by the catalogue in force. [`call`] forwards a call and returns
 //! its answer whole. [`stream`] finds a place for a generation and [`relay`]
 //! passes its events on, and carries it to another engine when its own leaves.
-//! [`news`] tells peers what they need, [`store`] keeps up with what is published,
+//! [`page`] answers the balancer and whoever collects [`meters`]. [`news`] tells peers what they need, [`store`] keeps up with what is published,
 //! and [`run`] starts all of it and ends it in order.
 //!
 //! Names and formats of the platform are behind the traits of [`ports`]; the
@@ -20,14 +20,15 @@
 pub mod front;
 pub mod job;
 pub mod link;
+pub mod meters;
 pub mod news;
 pub mod notes;
+pub mod page;
 pub mod ports;
-pub mod readiness;
 pub mod relay;
 pub mod run;
 pub mod store;
 pub mod stream;
 
 pub use cx::{Clock, Cx, GatewayLimits};
-pub use run::{Bound, BoundAddresses, RunConfig, RunError};
+pub use run::{Bound, BoundAddresses, Page, Reloaded, RunConfig, RunError};
--- /dev/null
+++ b/crates/gateway/src/meters.rs
@@ -0,0 +1,152 @@
+//! Counters, gauges and histograms of the gateway.
+//!
+//! The tables are the only place that names them; `docs/EVENTS.md` lists them.
+//! Without a recorder they cost next to nothing and go nowhere.
+
+use crate::cx::{Cx, Open};
+use crate::ports::Wire;
+use core::time::Duration;
+use oriolemux_core::gateway::EndpointState;
+
+/// Counts numbered events by name, those of the whole product.
+const EVENTS: &str = "oriolemux_events_total";
+
+macro_rules! meters {
+    ($(#[$enum_doc:meta])* $Enum:ident { $($(#[doc = $doc:literal])* $name:ident = $text:literal;)* }) => {
+        $(#[$enum_doc])*
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        pub enum $Enum { $($(#[doc = $doc])* $name,)* }
+
+        impl $Enum {
+            /// All of them.
+            pub const ALL: &'static [$Enum] = &[$($Enum::$name,)*];
+
+            /// Returns the name that is published.
+            pub const fn name(self) -> &'static str {
+                match self { $($Enum::$name => $text,)* }
+            }
+
+            /// Returns the meaning, line by line.
+            pub const fn doc(self) -> &'static [&'static str] {
+                match self { $($Enum::$name => &[$($doc),*],)* }
+            }
+        }
+    };
+}
+
+meters! {
+    /// A counter with the label `reason`.
+    ByReason {
+        /// Requests that the gateway answered itself.
+        Refused = "oriolemux_gateway_refusals_total";
+        /// Attempts of calls, by how they ended.
+        Attempts = "oriolemux_gateway_attempts_total";
+        /// Calls that were sent once more, by how the attempt before ended.
+        Repeats = "oriolemux_gateway_repeats_total";
+        /// Generations that were to go on at another engine: from a copy `ahead`, from a
+        /// `standing` one, or `failed`.
+        Relocations = "oriolemux_gateway_relocations_total";
+        /// Generations, by how they ended.
+        Generations = "oriolemux_gateway_generations_total";
+    }
+}
+
+meters! {
+    /// A gauge.
+    Gauge {
+        /// 1 while callers are taken, else 0.
+        Ready = "oriolemux_gateway_ready";
+        /// The version of the catalogue in force; 0 before the first.
+        CatalogueVersion = "oriolemux_gateway_catalogue_version";
+        /// The store's revision up to which everything is known.
+        StoreRevision = "oriolemux_gateway_store_revision";
+        /// Seconds since the store last answered this instance, if it ever did.
+        StoreAge = "oriolemux_gateway_store_age";
+        /// Endpoints that take work.
+        EndpointsServing = "oriolemux_gateway_endpoints_serving";
+        /// Endpoints whose entry vanished around an outage of the store.
+        EndpointsLapsed = "oriolemux_gateway_endpoints_lapsed";
+        /// Endpoints that leave.
+        EndpointsLeaving = "oriolemux_gateway_endpoints_leaving";
+        /// Peers that were heard lately.
+        Peers = "oriolemux_gateway_peers";
+        /// Connections of callers.
+        Connections = "oriolemux_gateway_connections";
+        /// Generations that are passed on.
+        Running = "oriolemux_gateway_generations_running";
+        /// Log lines that were above an event's bound, since the start.
+        LinesLeftOut = "oriolemux_gateway_log_lines_left_out";
+    }
+}
+
+meters! {
+    /// A histogram of seconds.
+    Histogram {
+        /// From a generation's arrival to its first event.
+        FirstEvent = "oriolemux_gateway_first_event_seconds";
+        /// The longest pause between two events of a generation.
+        LongestPause = "oriolemux_gateway_longest_pause_seconds";
+        /// How long a generation waited here for room at an engine.
+        Wait = "oriolemux_gateway_wait_seconds";
+        /// From a generation's arrival to its end.
+        Generation = "oriolemux_gateway_generation_seconds";
+        /// From a call's arrival to its answer.
+        Call = "oriolemux_gateway_call_seconds";
+    }
+}
+
+impl ByReason {
+    /// Counts one.
+    pub fn add(self, reason: &str) {
+        metrics::counter!(self.name(), "reason" => reason.to_owned()).increment(1);
+    }
+}
+
+impl Histogram {
+    /// Records a time.
+    pub fn record(self, time: Duration) {
+        metrics::histogram!(self.name()).record(time.as_secs_f64());
+    }
+}
+
+/// Counts a numbered event.
+pub fn count_event(name: &'static str) {
+    metrics::counter!(EVENTS, "event" => name).increment(1);
+}
+
+/// Shows what the instance believes at the moment.
+pub fn show<W: Wire>(cx: &Cx<W>) {
+    let now = cx.now();
+    let state = cx.state();
+    let endpoints = |wanted: fn(&EndpointState) -> bool| {
+        let all = state.endpoints.iter();
+        all.filter(|endpoint| wanted(&endpoint.state)).count() as f64
+    };
+    let version = state.catalogue().map_or(0, |catalogue| catalogue.version());
+    let age = state.reader.heard().map(|heard| now.since(heard));
+    let values = [
+        (Gauge::Ready, f64::from(u8::from(state.is_ready()))),
+        (Gauge::CatalogueVersion, version as f64),
+        (Gauge::StoreRevision, state.replica.revision() as f64),
+        (Gauge::StoreAge, age.unwrap_or_default().as_secs_f64()),
+        (
+            Gauge::EndpointsServing,
+            endpoints(|it| matches!(it, EndpointState::Serving)),
+        ),
+        (
+            Gauge::EndpointsLapsed,
+            endpoints(|it| matches!(it, EndpointState::Lapsed { .. })),
+        ),
+        (
+            Gauge::EndpointsLeaving,
+            endpoints(|it| matches!(it, EndpointState::Leaving { .. })),
+        ),
+        (Gauge::Peers, state.peers.live(now).count() as f64),
+        (Gauge::Connections, cx.open(Open::Connection) as f64),
+        (Gauge::Running, cx.open(Open::Generation) as f64),
+        (Gauge::LinesLeftOut, crate::notes::lines_left_out() as f64),
+    ];
+    for (gauge, value) in values {
+        metrics::gauge!(gauge.name()).set(value);
+    }
+}
--- a/crates/gateway/src/notes.rs
+++ b/crates/gateway/src/notes.rs
@@ -170,6 +170,7 @@
 macro_rules! note {
     ($event:ident $(, $($fields:tt)*)?) => {{
         let event = $crate::notes::GatewayEvent::$event;
+        $crate::meters::count_event(event.name());
         if let Some(left_out) = $crate::notes::admit(event) {
             if left_out > 0 {
                 log::log!(target: $crate::notes::TARGET, event.level(),
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -11,76 +11,42 @@
 //!
 //! `docs/design/relocation.md` weighs when a generation leaves its engine.
 
+mod ahead;
+mod pace;
+mod upstream;
+
 use crate::answer::{AnswerBody, BrokenOff, Reason, refuse};
 use crate::cx::{Cx, Open};
 use crate::events::{Event, EventSplitter};
 use crate::job::{CopyInUse, InUse, Job};
 use crate::link::{Link, LinkError};
+use crate::meters::{ByReason, Histogram};
 use crate::note;
 use crate::ports::{EngineCalls, Moved, Resume, SendHead, WholeAnswer, Wire};
 use crate::stream::Piece;
-use core::time::Duration;
+use ahead::{CopyAhead, StandingCopy};
 use http::{HeaderMap, Response, StatusCode};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use oriolemux_core::gateway::Demand;
 use oriolemux_core::gateway::choose::CopyKind;
 use oriolemux_core::gateway::lengths::Length;
+use oriolemux_core::gateway::relocation::{Delivery, GoOnFrom, Relocation, Step, View};
 use oriolemux_core::gateway::state::Place;
+use pace::Pace;
 use std::net::SocketAddrV4;
 use std::sync::Arc;
 use std::time::Instant;
 use tokio::sync::{mpsc, oneshot};
-use tokio::task::JoinHandle;
-
-/// How long after the notice a generation leaves its engine. Many end by then, and
-/// those that began shortly before it have a copy by then; an engine goes 1.5 s
-/// after its notice at the soonest.
-const LEAVE_AFTER: Duration = Duration::from_millis(1_100);
-
-/// How much sooner a generation may leave, if no prompt waits where it goes on: one
-/// that is read there at the same time delays it by its whole length.
-const LEAVE_EARLY: Duration = Duration::from_millis(400);
-
-/// How often a generation that may leave looks whether its target is quiet.
-const QUIET_LOOK: Duration = Duration::from_millis(20);
-
-/// An engine that sent events and is then silent for this long is given up. A
-/// generation that was preempted is read in again in less.
-const SILENCE: Duration = Duration::from_millis(1_200);
+use upstream::{Begun, Pause, Upstream, sleep_until};
 
 /// Generations expected to be shorter than this have no standing copy: they end
 /// within the notice of an engine that leaves.
 const COPY_MIN_TOKENS: u32 = 64;
 
-/// How old a copy ahead may be before it is brought up to date. What it lacks is
-/// read anew where the generation goes on: some 40 tokens, or 3 ms, for this time.
-const REFRESH_AFTER: Duration = Duration::from_millis(300);
-
-/// How long after an engine's first event a standing copy is believed to be there: the
-/// memory of the prompt takes some 0.4 s on the link, behind that of others.
-const COPY_SETTLES: Duration = Duration::from_millis(1_300);
-
-/// How long a copy ahead of a move may take: moves queue on the links of both
-/// engines, and no notice is much longer.
-const AHEAD_LIMIT: Duration = Duration::from_millis(2_500);
-
-/// How long the call that frees a copy may take.
-const FREE_LIMIT: Duration = Duration::from_millis(500);
-
-/// The pause before a copy ahead is tried again, for example because the
-/// generation had not begun.
-const AHEAD_PAUSE: Duration = Duration::from_millis(60);
-
-/// Copies ahead that one generation tries at one engine.
-const MAX_AHEAD: u32 = 12;
-
 /// Events after which a generation's memory is counted anew: about every half second.
 const RECOUNT_EVENTS: u64 = 16;
 
-/// How many engines one generation may go through.
-const MAX_MOVES: u32 = 8;
-
 /// The largest answer that is no stream.
 const MAX_ANSWER: usize = 1024 * 1024;
 
@@ -101,71 +67,6 @@
     NotRun(Box<Job<W>>),
 }
 
-/// Where a copy of the generation's memory is kept.
-struct StandingCopy<W: Wire> {
-    place: Place,
-    _in_use: CopyInUse<W>,
-}
-
-/// A copy that is made while the generation still runs at an engine that leaves.
-///
-/// Dropping it frees the copy. What goes wrong otherwise: a generation that ends
-/// before it leaves holds memory at an engine for seconds that nobody uses, seen as
-/// prompts that wait for room at engines with few generations.
-struct CopyAhead<W: Wire, E: EngineCalls> {
-    engines: E,
-    source: SocketAddrV4,
-    target: Place,
-    /// The call under way.
-    task: Option<JoinHandle<Moved>>,
-    /// The copy's name, once it is complete, and when it became so.
-    complete: Option<(String, Instant)>,
-    /// Set once a generation goes on from it.
-    used: bool,
-    _in_use: CopyInUse<W>,
-}
-
-impl<W: Wire, E: EngineCalls> Drop for CopyAhead<W, E> {
-    fn drop(&mut self) {
-        let (task, complete) = (self.task.take(), self.complete.take());
-        if self.used || (task.is_none() && complete.is_none()) {
-            return;
-        }
-        let (engines, source) = (self.engines.clone(), self.source);
-        tokio::spawn(async move {
-            let moved = match task {
-                Some(task) => task.await.unwrap_or(Moved::NoAnswer),
-                None => Moved::NoAnswer,
-            };
-            let name = match moved {
-                Moved::Done { handle } => Some(handle),
-                _ => complete.map(|(handle, _)| handle),
-            };
-            if let Some(handle) = name {
-                engines.free_copy(source, &handle, FREE_LIMIT).await;
-            }
-        });
-    }
-}
-
-/// How the events came, for those who ask later why a stream was late.
-#[derive(Clone, Copy, Debug, Default)]
-struct Pace {
-    first: Option<Instant>,
-    last: Option<Instant>,
-    longest_pause: Duration,
-}
-
-impl Pace {
-    fn on_event(&mut self, now: Instant) {
-        self.first.get_or_insert(now);
-        if let Some(last) = self.last {
-            self.longest_pause = self.longest_pause.max(now - last);
-        }
-        self.last = Some(now);
-    }
-}
-
 /// One generation.
 pub struct Relay<W: Wire, E: EngineCalls> {
     job: Job<W>,
@@ -175,48 +76,14 @@
     length: Length,
     /// The memory that the generation is counted with.
     tokens: u32,
-    copy: Option<StandingCopy<W>>,
+    state: Relocation,
+    standing: Option<StandingCopy<W>>,
     ahead: Option<CopyAhead<W, E>>,
-    /// Copies ahead that were tried at the present engine.
-    ahead_tries: u32,
-    /// When the next copy ahead may be tried.
-    ahead_from: Instant,
     splitter: EventSplitter,
-    last_event: Option<u64>,
-    events: u64,
-    /// When the first event of the present engine came. Its standing copy began then,
-    /// also where the generation went on from another engine.
-    first_here: Option<Instant>,
     pace: Pace,
-    /// How long the request waited here for room at an engine.
-    waited: Duration,
-    moves: u32,
     tx: mpsc::Sender<Piece>,
 }
 
-/// The open connection that events come on.
-struct Upstream {
-    _link: Link,
-    body: Incoming,
-    heard: Instant,
-}
-
-/// Why the relay stopped to read from an engine.
-enum Pause {
-    /// The stream came to its end.
-    End,
-    /// The caller left.
-    CallerGone,
-    /// The engine leaves and it is time to go.
-    Leave,
-    /// The connection broke, the engine fell silent or sent what is no stream.
-    Broken,
-    /// Time is over.
-    Timeout,
-    /// An event is missing.
-    Gap,
-}
-
 impl<W: Wire, E: EngineCalls> Relay<W, E> {
     /// Makes the relay of a generation that is to be sent to `source`.
     pub fn new(
@@ -228,7 +95,7 @@
         tx: mpsc::Sender<Piece>,
     ) -> Self {
         let tokens = job.expected_memory(length, 0);
-        let waited = job.arrived.elapsed();
+        let pace = Pace::new(job.arrived.elapsed());
         Relay {
             job,
             engines,
@@ -236,17 +103,11 @@
             in_use,
             length,
             tokens,
-            copy: None,
+            state: Relocation::new(),
+            standing: None,
             ahead: None,
-            ahead_tries: 0,
-            ahead_from: Instant::now(),
             splitter: EventSplitter::default(),
-            last_event: None,
-            events: 0,
-            first_here: None,
-            pace: Pace::default(),
-            waited,
-            moves: 0,
+            pace,
             tx,
         }
     }
@@ -296,25 +157,27 @@
         self.follow(upstream).await;
     }
 
-    /// Sends the request and waits for the head of its answer.
+    /// Sends the request and waits for the head of its answer. If its engine breaks
+    /// before that, the generation may go on from its standing copy: where that holds
+    /// nothing, it does not run there, and its outcome stays unknown.
     async fn begin(&mut self) -> Begun {
-        self.choose_copy();
+        self.choose_standing();
         let limit = self.job.left();
         let sent = tokio::time::timeout(limit, self.send(None)).await;
-        let (link, answer) = match sent {
+        let error = match sent {
             Err(_) => return Begun::Failed(Reason::Timeout),
-            Ok(Err(error)) if error.never_sent() => {
-                self.note_failure();
-                return Begun::NotRun;
-            }
-            Ok(Err(error)) => {
-                log::debug!("a generation was lost before its first event: {error}");
-                self.note_failure();
-                return Begun::Failed(Reason::AnswerLost);
-            }
-            Ok(Ok(sent)) => sent,
+            Ok(Ok((link, answer))) => return self.read_head(link, answer).await,
+            Ok(Err(error)) => error,
         };
-        self.read_head(link, answer).await
+        self.note_failure();
+        if error.never_sent() {
+            return Begun::NotRun;
+        }
+        log::debug!("a generation was lost before its first event: {error}");
+        match self.go_on_from_standing().await {
+            Some(begun @ Begun::Stream { .. }) => begun,
+            _ => Begun::Failed(Reason::AnswerLost),
+        }
     }
 
     async fn read_head(&mut self, link: Link, answer: Response<Incoming>) -> Begun {
@@ -335,11 +198,7 @@
         wire.strip_answer(&mut headers);
         if parts.status.is_success() {
             return Begun::Stream {
-                upstream: Upstream {
-                    _link: link,
-                    body,
-                    heard: Instant::now(),
-                },
+                upstream: Upstream { _link: link, body },
                 status: parts.status,
                 headers,
             };
@@ -370,16 +229,19 @@
                 }
                 Pause::Timeout => return self.break_off("timeout").await,
                 Pause::Gap => return self.break_off("event_missing").await,
-                Pause::Leave => self.leave(upstream).await,
+                Pause::Leave => {
+                    drop(upstream);
+                    self.leave().await
+                }
                 Pause::Broken => {
                     drop(upstream);
                     self.note_failure();
-                    self.go_on_from_copy().await
+                    self.leave().await
                 }
             };
             match next {
-                Some(next) => upstream = next,
-                None => return self.break_off("no_copy").await,
+                Some(Begun::Stream { upstream: next, .. }) => upstream = next,
+                _ => return self.break_off("no_copy").await,
             }
         }
     }
@@ -394,15 +256,20 @@
             let cx = Arc::clone(&self.job.cx);
             let mut departures = core::pin::pin!(cx.departures.notified());
             departures.as_mut().enable();
-            let ahead_at = self.ahead_at();
-            let leave_at = self.leave_at();
-            let silent_at = self.silent_at(upstream);
+            let wait = match self.next_step() {
+                Step::CopyAhead => {
+                    self.copy_ahead();
+                    continue;
+                }
+                Step::Leave => return Pause::Leave,
+                Step::GiveUp => return Pause::Broken,
+                Step::Wait(until) => cx.clock.instant(until),
+            };
             tokio::select! {
-                moved = copied_ahead(&mut self.ahead) => self.on_copied_ahead(moved),
-                () = sleep_until(ahead_at) => self.copy_ahead(),
+                moved = ahead::ended(&mut self.ahead) => self.on_copied_ahead(moved),
                 frame = upstream.body.frame() => match frame {
                     Some(Ok(frame)) => {
-                        upstream.heard = Instant::now();
+                        self.state.on_bytes(cx.now());
                         let data = frame.into_data().unwrap_or_default();
                         if !self.splitter.push(&data) {
                             return Pause::Broken;
@@ -417,128 +284,69 @@
                 },
                 () = self.tx.closed() => return Pause::CallerGone,
                 () = tokio::time::sleep_until(self.job.ends.into()) => return Pause::Timeout,
-                () = sleep_until(leave_at) => {
-                    if self.must_leave() {
-                        return Pause::Leave;
-                    }
-                }
-                () = sleep_until(silent_at) => return Pause::Broken,
+                () = sleep_until(wait) => {}
                 () = departures => {}
             }
         }
     }
 
-    /// Passes one event on, unless the caller holds it already.
+    /// Passes one event on, unless the caller holds it already. A caller that takes
+    /// nothing holds the generation up no longer than its time.
     async fn pass_on(&mut self, event: Event) -> Option<Pause> {
-        if let (Some(id), Some(last)) = (event.id, self.last_event) {
-            if id <= last {
-                return None;
-            }
-            if id > last + 1 {
-                return Some(Pause::Gap);
-            }
+        let now = self.job.cx.now();
+        match self.state.on_event(now, event.id) {
+            Delivery::Pass => {}
+            Delivery::Again => return None,
+            Delivery::Gap => return Some(Pause::Gap),
         }
         self.in_use.first_byte();
-        self.events += 1;
-        let now = Instant::now();
-        self.first_here.get_or_insert(now);
-        self.pace.on_event(now);
-        self.last_event = event.id.or(self.last_event);
+        self.pace.on_event(Instant::now());
         self.recount();
-        match self.tx.send(Ok(event.bytes)).await {
-            Ok(()) => None,
-            Err(_) => Some(Pause::CallerGone),
+        let sent = self.tx.send(Ok(event.bytes));
+        match tokio::time::timeout_at(self.job.ends.into(), sent).await {
+            Ok(Ok(())) => None,
+            Ok(Err(_)) => Some(Pause::CallerGone),
+            Err(_) => Some(Pause::Timeout),
         }
     }
 
-    /// Returns when the generation leaves its engine, if that engine is leaving and a
-    /// copy to go on from is there.
-    fn leave_at(&self) -> Option<Instant> {
-        self.last_event?;
-        let target = self.target()?;
-        let waited = self.source_leaves_for()?;
-        let now = Instant::now();
-        let latest = now + LEAVE_AFTER.saturating_sub(waited);
-        let earliest = latest.checked_sub(LEAVE_EARLY).unwrap_or(now);
-        if now < earliest {
-            return Some(earliest);
-        }
+    fn next_step(&self) -> Step {
         let cx = &self.job.cx;
-        match cx.state().is_quiet(cx.now(), target.key) {
-            true => Some(now),
-            false => Some(latest.min(now + QUIET_LOOK)),
-        }
-    }
-
-    /// Returns whether it is time to leave now.
-    fn must_leave(&self) -> bool {
-        self.leave_at().is_some_and(|at| at <= Instant::now())
-    }
-
-    /// Returns where the generation would go on.
-    fn target(&self) -> Option<&Place> {
-        match &self.ahead {
-            Some(ahead) if ahead.complete.is_some() => Some(&ahead.target),
-            _ if self.copy_is_usable() => self.copy.as_ref().map(|copy| &copy.place),
-            _ => None,
-        }
-    }
-
-    /// Returns for how long the engine is known to leave, if the generation may move.
-    fn source_leaves_for(&self) -> Option<Duration> {
-        if self.moves >= MAX_MOVES {
-            return None;
-        }
-        let cx = &self.job.cx;
-        let since = cx.state().leaving_since(self.source.key)?;
-        Some(cx.now().since(since))
-    }
-
-    /// Returns when a copy ahead is begun, or brought up to date.
-    fn ahead_at(&self) -> Option<Instant> {
-        if self.last_event.is_none() || self.ahead_tries >= MAX_AHEAD {
-            return None;
-        }
-        self.source_leaves_for()?;
-        match &self.ahead {
-            None if self.copy_is_usable() => None,
-            None => Some(self.ahead_from),
-            Some(ahead) if ahead.task.is_some() => None,
-            Some(ahead) => {
-                let (_, since) = ahead.complete.as_ref()?;
-                Some(*since + REFRESH_AFTER)
-            }
-        }
+        let now = cx.now();
+        let standing = self.standing.as_ref().map(|copy| copy.place.key);
+        let ahead = self.ahead.as_ref().map(|ahead| ahead.target.key);
+        let state = cx.state();
+        let standing_takes_work = standing.is_some_and(|key| state.takes_work(key));
+        let target = match self.state.go_on_from(now, standing_takes_work) {
+            Some(GoOnFrom::Ahead) => ahead,
+            Some(GoOnFrom::Standing) => standing,
+            None => None,
+        };
+        let leaving = state.leaving_since(self.source.key);
+        let view = View {
+            leaves_for: leaving.map(|since| now.since(since)),
+            standing_takes_work,
+            target_is_quiet: target.is_some_and(|key| state.is_quiet(now, key)),
+        };
+        self.state.next(now, &view)
     }
 
     /// Copies the memory to another engine while the generation goes on, or brings
     /// that copy up to date.
     fn copy_ahead(&mut self) {
-        self.ahead_from = Instant::now() + AHEAD_PAUSE;
+        let now = self.job.cx.now();
         if self.ahead.is_none() {
-            let Some(target) = self.another_place() else {
+            let Some(target) = self.another_place(CopyKind::Ahead) else {
+                self.state.ahead_impossible(now);
                 return;
             };
-            self.ahead = Some(CopyAhead {
-                engines: self.engines.clone(),
-                source: self.source.address,
-                _in_use: CopyInUse::begin(&self.job.cx, target.key, self.tokens),
-                target,
-                task: None,
-                complete: None,
-                used: false,
-            });
+            let in_use = CopyInUse::begin(&self.job.cx, target.key, self.tokens);
+            let engines = self.engines.clone();
+            self.ahead = Some(CopyAhead::new(engines, self.source.address, target, in_use));
         }
-        self.ahead_tries += 1;
-        let (engines, source) = (self.engines.clone(), self.source.address);
-        let attempt = self.job.name().to_owned();
         if let Some(ahead) = &mut self.ahead {
-            let target = ahead.target.address;
-            ahead.task = Some(tokio::spawn(async move {
-                engines
-                    .move_run(source, &attempt, target, false, AHEAD_LIMIT)
-                    .await
-            }));
+            ahead.begin(self.job.name());
+            self.state.ahead_begun(now);
         }
     }
 
@@ -549,159 +357,125 @@
             attempt = self.job.name(),
             from = self.source.name.as_str(),
             how = how.as_str(),
-            event_id = self.last_event
+            event_id = self.state.last_event()
         );
-        let Some(ahead) = &mut self.ahead else { return };
-        ahead.task = None;
-        match moved {
-            Moved::Done { handle } => ahead.complete = Some((handle, Instant::now())),
-            // A copy that was complete stays usable when it cannot be brought up to date.
-            _ => match &mut ahead.complete {
-                Some((_, since)) => *since = Instant::now(),
-                None => self.ahead = None,
-            },
+        let now = self.job.cx.now();
+        let complete = match (&mut self.ahead, moved) {
+            (Some(ahead), Moved::Done { handle }) => {
+                ahead.complete(handle);
+                true
+            }
+            _ => false,
+        };
+        if !self.state.ahead_ended(now, complete) {
+            self.ahead = None;
         }
     }
 
-    fn silent_at(&self, upstream: &Upstream) -> Option<Instant> {
-        self.last_event?;
-        Some(upstream.heard + SILENCE)
-    }
-
-    /// Leaves an engine that is still there. Its connection is closed first: the
+    /// Goes on at another engine. The connection to the present one is closed: the
     /// generation must not run at two engines.
-    async fn leave(&mut self, upstream: Upstream) -> Option<Upstream> {
-        drop(upstream);
-        self.splitter.clear();
+    async fn leave(&mut self) -> Option<Begun> {
         let ahead = self.ahead.take();
-        let Some(mut ahead) = ahead.filter(|ahead| ahead.complete.is_some()) else {
-            return self.go_on_from_copy().await;
+        let Some((target, handle)) = ahead.and_then(CopyAhead::take) else {
+            return self.go_on_from_standing().await;
         };
-        ahead.used = true;
-        let (handle, _) = ahead.complete.as_ref()?;
-        let target = ahead.target.clone();
+        ByReason::Relocations.add("ahead");
         note!(
             GoesOnFromAhead,
             attempt = self.job.name(),
             from = self.source.name.as_str(),
             to = target.name.as_str(),
-            event_id = self.last_event
+            event_id = self.state.last_event()
         );
         let source = self.source.address;
-        self.go_on(target, source, handle).await
+        Some(self.go_on(target, source, &handle).await)
     }
 
-    fn copy_is_usable(&self) -> bool {
-        let settled = self
-            .first_here
-            .is_some_and(|first| first.elapsed() >= COPY_SETTLES);
-        let copy = self.copy.as_ref().filter(|_| settled);
-        copy.is_some_and(|copy| self.job.cx.state().takes_work(copy.place.key))
-    }
-
-    /// Goes on where the standing copy is kept.
-    async fn go_on_from_copy(&mut self) -> Option<Upstream> {
-        self.splitter.clear();
-        let copy = self.copy.take()?;
+    /// Goes on where the standing copy is kept, if there is one.
+    async fn go_on_from_standing(&mut self) -> Option<Begun> {
+        let copy = self.standing.take()?;
         let attempt = self.job.name().to_owned();
         let address = copy.place.address;
+        ByReason::Relocations.add("standing");
         note!(
             GoesOnFromCopy,
             attempt = attempt.as_str(),
             from = self.source.name.as_str(),
             to = copy.place.name.as_str(),
-            event_id = self.last_event
+            event_id = self.state.last_event()
         );
-        self.go_on(copy.place.clone(), address, &attempt).await
+        Some(self.go_on(copy.place.clone(), address, &attempt).await)
     }
 
     /// Asks `target` to go on with the generation whose memory `keeper` holds.
-    async fn go_on(
-        &mut self,
-        target: Place,
-        keeper: SocketAddrV4,
-        handle: &str,
-    ) -> Option<Upstream> {
-        self.moves += 1;
-        self.ahead = None;
-        self.ahead_tries = 0;
-        self.first_here = None;
+    async fn go_on(&mut self, target: Place, keeper: SocketAddrV4, handle: &str) -> Begun {
+        self.splitter.clear();
+        self.state.moved(self.job.cx.now());
         self.note_repeat();
-        self.move_use(target);
-        self.choose_copy();
+        self.in_use = InUse::go_on(&self.job.cx, target.key, self.tokens);
+        self.source = target;
+        self.choose_standing();
         let resume = Resume {
             keeper,
             handle,
-            last_event: self.last_event.unwrap_or(0),
+            last_event: self.state.last_event().unwrap_or(0),
         };
         let limit = self.job.left();
         let sent = tokio::time::timeout(limit, self.send(Some(resume))).await;
-        let (link, answer) = match sent {
-            Ok(Ok(sent)) => sent,
+        let begun = match sent {
+            Ok(Ok((link, answer))) => self.read_head(link, answer).await,
             Ok(Err(error)) => {
                 log::debug!("a generation could not go on: {error}");
-                return None;
+                Begun::Failed(Reason::AnswerLost)
             }
-            Err(_) => return None,
+            Err(_) => Begun::Failed(Reason::Timeout),
         };
-        match self.read_head(link, answer).await {
-            Begun::Stream { upstream, .. } => Some(upstream),
+        match &begun {
+            Begun::Stream { .. } => {}
             Begun::Ended(answer) => self.cannot_go_on(answer.status.as_str()),
             Begun::NotRun => self.cannot_go_on("not_run"),
             Begun::Failed(reason) => self.cannot_go_on(&reason.to_string()),
         }
+        begun
     }
 
-    fn cannot_go_on(&self, why: &str) -> Option<Upstream> {
+    fn cannot_go_on(&self, why: &str) {
+        ByReason::Relocations.add("failed");
         note!(
             CannotGoOn,
             attempt = self.job.name(),
             endpoint = self.source.name.as_str(),
             why = why
         );
-        None
     }
 
-    /// Counts the generation at its new engine.
-    fn move_use(&mut self, target: Place) {
-        let cx = &self.job.cx;
-        self.in_use = InUse::go_on(cx, target.key, self.tokens);
-        self.source = target;
-    }
-
-    fn choose_copy(&mut self) {
-        self.copy = None;
-        let Some(engine) = self.job.engine() else {
-            return;
-        };
-        let cx = &self.job.cx;
-        let mut state = cx.state();
-        if !engine.standing_copies || self.length.rest(self.made()) < COPY_MIN_TOKENS {
-            return;
+    /// Chooses where the present engine keeps a standing copy, where one pays.
+    fn choose_standing(&mut self) {
+        self.standing = None;
+        let keeps_copies = self
+            .job
+            .engine()
+            .is_some_and(|engine| engine.standing_copies);
+        let is_long = self.length.rest(self.state.tokens()) >= COPY_MIN_TOKENS;
+        if keeps_copies && is_long {
+            let cx = &self.job.cx;
+            self.standing = self
+                .another_place(CopyKind::Standing)
+                .map(|place| StandingCopy {
+                    _in_use: CopyInUse::begin(cx, place.key, self.tokens),
+                    place,
+                });
         }
-        let data_centre = state.data_centre().to_owned();
-        let demand = self.demand(&data_centre);
-        let now = cx.now();
-        let place = state.copy_place(now, &demand, self.source.key, CopyKind::Standing);
-        drop(state);
-        self.copy = place.map(|place| StandingCopy {
-            _in_use: CopyInUse::begin(cx, place.key, self.tokens),
-            place,
-        });
+        self.state.set_standing(self.standing.is_some());
     }
 
-    /// Returns another engine with room.
-    fn another_place(&self) -> Option<Place> {
+    /// Returns another engine with room for a copy.
+    fn another_place(&self, kind: CopyKind) -> Option<Place> {
         let cx = &self.job.cx;
         let now = cx.now();
         let mut state = cx.state();
         let data_centre = state.data_centre().to_owned();
-        state.copy_place(
-            now,
-            &self.demand(&data_centre),
-            self.source.key,
-            CopyKind::Ahead,
-        )
+        state.copy_place(now, &self.demand(&data_centre), self.source.key, kind)
     }
 
     fn demand<'a>(&'a self, data_centre: &'a str) -> Demand<'a> {
@@ -723,7 +497,7 @@
             endpoint: &self.source.name,
             workspace: self.job.workspace_name(),
             priority: Some(self.job.priority()),
-            copy_to: self.copy.as_ref().map(|copy| copy.place.address),
+            copy_to: self.standing.as_ref().map(|copy| copy.place.address),
             resume,
         };
         self.job.send(&self.source, &send).await
@@ -751,17 +525,11 @@
         }
     }
 
-    /// Returns about how many tokens were made. Events hold several each, and only
-    /// their number is seen here; the scale is the same for all generations.
-    fn made(&self) -> u32 {
-        let events = u32::try_from(self.events).unwrap_or(u32::MAX);
-        events.saturating_mul(TOKENS_PER_EVENT)
-    }
-
     /// Counts the memory anew as the generation grows.
     fn recount(&mut self) {
-        if self.events.is_multiple_of(RECOUNT_EVENTS) {
-            self.tokens = self.job.expected_memory(self.length, self.made());
+        if self.state.events().is_multiple_of(RECOUNT_EVENTS) {
+            let made = self.state.tokens();
+            self.tokens = self.job.expected_memory(self.length, made);
             self.in_use.adjust(self.tokens);
         }
     }
@@ -770,7 +538,9 @@
         let cx = &self.job.cx;
         let mut state = cx.state();
         state.endpoints.on_success(self.source.key);
-        state.lengths.learn(&self.job.entry().name, self.made());
+        state
+            .lengths
+            .learn(&self.job.entry().name, self.state.tokens());
         drop(state);
         self.log_end("complete");
     }
@@ -782,74 +552,25 @@
         let _ = self.tx.send(Err(BrokenOff)).await;
     }
 
-    /// Returns whether the first event or a pause took longer than is wanted.
-    fn is_late(&self) -> bool {
-        let entry = self.job.entry();
-        let first = self.pace.first.map(|first| first - self.job.arrived);
-        let slow = self.pace.longest_pause > entry.gap_target && !entry.gap_target.is_zero();
-        slow || first.is_none_or(|first| first > entry.target)
-    }
-
     fn log_end(&self, how: &str) {
-        let late = self.is_late();
-        let first = self
-            .pace
-            .first
-            .map_or(0, |first| millis(first - self.job.arrived));
+        let entry = self.job.entry();
+        let seen = self.pace.seen(self.job.arrived);
+        seen.record();
+        ByReason::Generations.add(how);
+        Histogram::Generation.record(self.job.arrived.elapsed());
         note!(
             GenerationEnded,
             attempt = self.job.name(),
-            entry = self.job.entry().name.as_str(),
+            entry = entry.name.as_str(),
             endpoint = self.source.name.as_str(),
-            events = self.events,
-            moves = self.moves,
-            late = late,
-            wait_ms = millis(self.waited),
-            first_ms = first,
-            pause_ms = millis(self.pace.longest_pause),
-            ms = millis(self.job.arrived.elapsed()),
+            events = self.state.events(),
+            moves = self.state.moves(),
+            late = seen.is_late(entry),
+            wait_ms = seen.waited_ms,
+            first_ms = seen.first_ms,
+            pause_ms = seen.pause_ms,
+            ms = pace::millis(self.job.arrived.elapsed()),
             how = how
         );
     }
 }
-
-fn millis(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
-
-/// Tokens that an engine puts into one event.
-const TOKENS_PER_EVENT: u32 = 4;
-
-/// How a request to an engine began.
-enum Begun {
-    /// Events come.
-    Stream {
-        upstream: Upstream,
-        status: StatusCode,
-        headers: HeaderMap,
-    },
-    /// A final answer without events.
-    Ended(WholeAnswer),
-    /// The engine did not run it.
-    NotRun,
-    /// It failed.
-    Failed(Reason),
-}
-
-/// Waits for the end of a copy ahead; for good if there is none that is under way.
-async fn copied_ahead<W: Wire, E: EngineCalls>(ahead: &mut Option<CopyAhead<W, E>>) -> Moved {
-    match ahead {
-        Some(CopyAhead {
-            task: Some(task), ..
-        }) => task.await.unwrap_or(Moved::NoAnswer),
-        _ => core::future::pending().await,
-    }
-}
-
-/// Waits until `at`; for good if there is no such time.
-async fn sleep_until(at: Option<Instant>) {
-    match at {
-        Some(at) => tokio::time::sleep_until(at.into()).await,
-        None => core::future::pending().await,
-    }
-}
--- /dev/null
+++ b/crates/gateway/src/relay/ahead.rs
@@ -0,0 +1,118 @@
+//! The copies of one generation's memory at other engines.
+
+use crate::job::CopyInUse;
+use crate::ports::{EngineCalls, Moved, Wire};
+use core::time::Duration;
+use oriolemux_core::gateway::state::Place;
+use std::net::SocketAddrV4;
+use tokio::task::JoinHandle;
+
+/// How long a copy ahead may take: copies queue on the links of both engines, and
+/// no notice is much longer.
+const AHEAD_LIMIT: Duration = Duration::from_millis(2_500);
+
+/// How long the call that frees a copy may take.
+const FREE_LIMIT: Duration = Duration::from_millis(500);
+
+/// Where the engine of a generation keeps a copy up to date.
+pub(super) struct StandingCopy<W: Wire> {
+    pub(super) place: Place,
+    pub(super) _in_use: CopyInUse<W>,
+}
+
+/// A copy that is made while the generation still runs at an engine that leaves.
+///
+/// Dropping it frees the copy. What goes wrong otherwise: a generation that ends
+/// before it leaves holds memory at an engine for seconds that nobody uses, seen as
+/// prompts that wait for room at engines with few generations.
+pub(super) struct CopyAhead<W: Wire, E: EngineCalls> {
+    engines: E,
+    source: SocketAddrV4,
+    pub(super) target: Place,
+    /// The call under way.
+    task: Option<JoinHandle<Moved>>,
+    /// The copy's name at the source, once it is complete.
+    handle: Option<String>,
+    _in_use: CopyInUse<W>,
+}
+
+impl<W: Wire, E: EngineCalls> CopyAhead<W, E> {
+    /// Returns a copy from `source` to `target` that is not begun.
+    pub(super) fn new(
+        engines: E,
+        source: SocketAddrV4,
+        target: Place,
+        in_use: CopyInUse<W>,
+    ) -> Self {
+        CopyAhead {
+            engines,
+            source,
+            target,
+            task: None,
+            handle: None,
+            _in_use: in_use,
+        }
+    }
+
+    /// Begins the copy, or brings it up to date.
+    pub(super) fn begin(&mut self, attempt: &str) {
+        let (engines, source) = (self.engines.clone(), self.source);
+        let (attempt, target) = (attempt.to_owned(), self.target.address);
+        self.task = Some(tokio::spawn(async move {
+            engines
+                .move_run(source, &attempt, target, false, AHEAD_LIMIT)
+                .await
+        }));
+    }
+
+    /// Notes the name of a complete copy.
+    pub(super) fn complete(&mut self, handle: String) {
+        self.handle = Some(handle);
+    }
+
+    /// Gives the copy to whoever goes on from it; nothing if it is not complete.
+    pub(super) fn take(mut self) -> Option<(Place, String)> {
+        let handle = self.handle.take()?;
+        // A call that brings the copy up to date may end as it likes.
+        self.task = None;
+        Some((self.target.clone(), handle))
+    }
+}
+
+impl<W: Wire, E: EngineCalls> Drop for CopyAhead<W, E> {
+    fn drop(&mut self) {
+        let (task, handle) = (self.task.take(), self.handle.take());
+        if task.is_none() && handle.is_none() {
+            return;
+        }
+        let (engines, source) = (self.engines.clone(), self.source);
+        tokio::spawn(async move {
+            let moved = match task {
+                Some(task) => task.await.unwrap_or(Moved::NoAnswer),
+                None => Moved::NoAnswer,
+            };
+            let name = match moved {
+                Moved::Done { handle } => Some(handle),
+                _ => handle,
+            };
+            if let Some(name) = name {
+                engines.free_copy(source, &name, FREE_LIMIT).await;
+            }
+        });
+    }
+}
+
+/// Waits for the end of a copy that is under way; for good if there is none.
+pub(super) async fn ended<W: Wire, E: EngineCalls>(ahead: &mut Option<CopyAhead<W, E>>) -> Moved {
+    let Some(CopyAhead {
+        task: Some(task), ..
+    }) = ahead
+    else {
+        return core::future::pending().await;
+    };
+    let moved = task.await.unwrap_or(Moved::NoAnswer);
+    if let Some(ahead) = ahead {
+        ahead.task = None;
+    }
+    moved
+}
--- /dev/null
+++ b/crates/gateway/src/relay/pace.rs
@@ -0,0 +1,82 @@
+//! How the events of a generation came, for those who ask later why it was late.
+
+use crate::meters::Histogram;
+use core::time::Duration;
+use oriolemux_core::gateway::HttpEntry;
+use std::time::Instant;
+
+/// The times of one generation's events.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Pace {
+    /// How long the request waited here for room at an engine.
+    waited: Duration,
+    first: Option<Instant>,
+    last: Option<Instant>,
+    longest_pause: Duration,
+}
+
+impl Pace {
+    /// Returns the times of a generation that waited for so long.
+    pub(super) fn new(waited: Duration) -> Self {
+        Pace {
+            waited,
+            first: None,
+            last: None,
+            longest_pause: Duration::ZERO,
+        }
+    }
+
+    /// Notes an event that is passed on.
+    pub(super) fn on_event(&mut self, now: Instant) {
+        self.first.get_or_insert(now);
+        if let Some(last) = self.last {
+            self.longest_pause = self.longest_pause.max(now - last);
+        }
+        self.last = Some(now);
+    }
+
+    /// Returns what a caller that arrived then has seen.
+    pub(super) fn seen(&self, arrived: Instant) -> Seen {
+        let first = self.first.map(|first| first - arrived);
+        Seen {
+            waited_ms: millis(self.waited),
+            first_ms: first.map_or(0, millis),
+            pause_ms: millis(self.longest_pause),
+            first,
+            longest_pause: self.longest_pause,
+        }
+    }
+}
+
+/// What a caller has seen of a generation.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Seen {
+    pub(super) waited_ms: u64,
+    /// Milliseconds to the first event; 0 if there was none.
+    pub(super) first_ms: u64,
+    pub(super) pause_ms: u64,
+    first: Option<Duration>,
+    longest_pause: Duration,
+}
+
+impl Seen {
+    /// Records the times in histograms.
+    pub(super) fn record(&self) {
+        if let Some(first) = self.first {
+            Histogram::FirstEvent.record(first);
+            Histogram::LongestPause.record(self.longest_pause);
+        }
+        Histogram::Wait.record(Duration::from_millis(self.waited_ms));
+    }
+
+    /// Returns whether the first event or a pause took longer than is wanted.
+    pub(super) fn is_late(&self, entry: &HttpEntry) -> bool {
+        let slow = self.longest_pause > entry.gap_target && !entry.gap_target.is_zero();
+        slow || self.first.is_none_or(|first| first > entry.target)
+    }
+}
+
+/// Returns whole milliseconds.
+pub(super) fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/gateway/src/relay/upstream.rs
@@ -0,0 +1,54 @@
+//! The open end of an engine's answer, and how it begins and pauses.
+
+use crate::answer::Reason;
+use crate::link::Link;
+use crate::ports::WholeAnswer;
+use http::{HeaderMap, StatusCode};
+use hyper::body::Incoming;
+use std::time::Instant;
+
+/// The open connection that events come on.
+pub(super) struct Upstream {
+    pub(super) _link: Link,
+    pub(super) body: Incoming,
+}
+
+/// Why the relay stopped to read from an engine.
+pub(super) enum Pause {
+    /// The stream came to its end.
+    End,
+    /// The caller left.
+    CallerGone,
+    /// The engine leaves and it is time to go.
+    Leave,
+    /// The connection broke, the engine fell silent or sent what is no stream.
+    Broken,
+    /// Time is over.
+    Timeout,
+    /// An event is missing.
+    Gap,
+}
+
+/// How a request to an engine began.
+pub(super) enum Begun {
+    /// Events come.
+    Stream {
+        upstream: Upstream,
+        status: StatusCode,
+        headers: HeaderMap,
+    },
+    /// A final answer without events.
+    Ended(WholeAnswer),
+    /// The engine did not run it.
+    NotRun,
+    /// It failed.
+    Failed(Reason),
+}
+
+/// Waits until `at`; for good if there is no such time.
+pub(super) async fn sleep_until(at: Option<Instant>) {
+    match at {
+        Some(at) => tokio::time::sleep_until(at.into()).await,
+        None => core::future::pending().await,
+    }
+}
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -3,12 +3,14 @@
 use crate::cx::{Clock, Cx, GatewayLimits, Open};
 use crate::note;
 use crate::ports::{EngineCalls, Store, Wire};
-use crate::{front, news, readiness, store};
+use crate::{front, meters, news, page, store};
 use core::time::Duration;
+use oriolemux_core::gateway::budget::BudgetConfig;
 use oriolemux_core::gateway::{Gateway, GatewayConfig};
 use std::net::{SocketAddr, SocketAddrV4};
 use std::sync::Arc;
 use tokio::net::{TcpListener, UdpSocket};
+use tokio::sync::watch;
 use tokio::task::{AbortHandle, JoinSet};
 use tokio::time::{Instant, sleep};
 use tokio_util::sync::CancellationToken;
@@ -18,6 +20,19 @@
 /// answered within it; what still runs then is cut off by the platform.
 const LAST_CALL: Duration = Duration::from_millis(500);
 
+/// Puts settings in force that were read anew, for good.
+async fn follow_reloads<W: Wire>(cx: Arc<Cx<W>>, mut reloads: watch::Receiver<Option<Reloaded>>) {
+    while reloads.changed().await.is_ok() {
+        let reloaded = reloads.borrow_and_update().clone();
+        if let Some(Reloaded { seeds, budget }) = reloaded {
+            let now = cx.now();
+            cx.state().reload(now, seeds, budget);
+        }
+    }
+    // Whoever read settings has ended; what is in force stays.
+    core::future::pending().await
+}
+
 /// How often a planned stop looks whether the last request is answered.
 const STOP_LOOK: Duration = Duration::from_millis(50);
 
@@ -30,6 +45,8 @@
     pub readiness: SocketAddr,
     /// For peers, over UDP and TCP.
     pub peers: SocketAddrV4,
+    /// The page of metrics, if there is one.
+    pub metrics: Option<Page>,
     /// Bounds of the sockets.
     pub limits: GatewayLimits,
     /// How long callers are still taken after readiness was withdrawn.
@@ -40,6 +57,24 @@
     pub config: GatewayConfig,
 }
 
+/// A page that is rendered when it is asked for.
+#[derive(Clone, Copy, Debug)]
+pub struct Page {
+    /// Where it is served.
+    pub listen: SocketAddr,
+    /// Returns its text.
+    pub render: fn() -> String,
+}
+
+/// Settings that may change while an instance runs.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Reloaded {
+    /// Addresses at which peers may answer.
+    pub seeds: Vec<SocketAddrV4>,
+    /// The fleet's bound of repeats.
+    pub budget: BudgetConfig,
+}
+
 /// Why the gateway ended before it was told to.
 #[derive(Debug, displaydoc::Display, thiserror::Error)]
 pub enum RunError {
@@ -63,6 +98,7 @@
     readiness: TcpListener,
     peers: TcpListener,
     socket: UdpSocket,
+    metrics: Option<TcpListener>,
     addresses: BoundAddresses,
 }
 
@@ -87,6 +123,10 @@
         let front = listen("front", settings.front).await?;
         let readiness = listen("readiness", settings.readiness).await?;
         let (peers, socket) = listen_to_peers(settings.peers).await?;
+        let metrics = match settings.metrics {
+            Some(page) => Some(listen("metrics", page.listen).await?),
+            None => None,
+        };
         let addresses = BoundAddresses {
             front: front.local_addr().unwrap_or(settings.front),
             readiness: readiness.local_addr().unwrap_or(settings.readiness),
@@ -97,6 +137,7 @@
             readiness,
             peers,
             socket,
+            metrics,
             addresses,
         })
     }
@@ -128,6 +169,7 @@
         wire: W,
         store_client: S,
         engines: E,
+        reloads: watch::Receiver<Option<Reloaded>>,
         stop: CancellationToken,
     ) -> Result<(), RunError> {
         self.announce();
@@ -143,7 +185,16 @@
         parts.spawn(news::tell(Arc::clone(&cx), Arc::clone(&socket)));
         parts.spawn(news::hear(Arc::clone(&cx), socket));
         parts.spawn(news::answer(Arc::clone(&cx), self.peers));
-        parts.spawn(readiness::serve(Arc::clone(&cx), self.readiness));
+        let asked = Arc::clone(&cx);
+        parts.spawn(page::serve(self.readiness, move || page::readiness(&asked)));
+        if let (Some(listener), Some(shown)) = (self.metrics, settings.metrics) {
+            let collected = Arc::clone(&cx);
+            parts.spawn(page::serve(listener, move || {
+                meters::show(&collected);
+                page::text((shown.render)())
+            }));
+        }
+        parts.spawn(follow_reloads(Arc::clone(&cx), reloads));
         let front = front::serve(Arc::clone(&cx), engines, self.front, callers.clone());
         let door = parts.spawn(front);
         tokio::select! {
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -6,6 +6,7 @@
 
 use crate::answer::{AnswerBody, BrokenOff, Reason, refuse};
 use crate::job::{InUse, Job};
+use crate::meters::ByReason;
 use crate::note;
 use crate::ports::{EngineCalls, WholeAnswer, Wire};
 use crate::relay::{Relay, Started};
@@ -160,6 +161,7 @@
 }
 
 fn give_up<W: Wire>(job: &Job<W>, reason: Reason) -> Response<AnswerBody> {
+    ByReason::Refused.add(&reason.to_string());
     note!(GenerationRefused, attempt = job.name(), entry = job.entry().name.as_str(),
         reason:% = reason, ms = job.arrived.elapsed().as_millis() as u64);
     let patience = job.head.deadline.unwrap_or(job.entry().timeout);
--- a/crates/oriolemux/src/cli/gateway.rs
+++ b/crates/oriolemux/src/cli/gateway.rs
@@ -4,17 +4,20 @@
 use super::{ExitStatus, GatewayArgs, Output, print_error};
 use crate::events::{self, ShellNote};
 use crate::logs::{self, LogTarget};
+use crate::metrics;
 use crate::settings::{GatewaySettings, RepeatsSettings};
 use crate::supervisor::StopTokens;
+use core::time::Duration;
 use oriolemux_core::Incarnation;
 use oriolemux_core::gateway::GatewayConfig;
 use oriolemux_core::gateway::budget::BudgetConfig;
 use oriolemux_core::ids::stable_hash;
-use oriolemux_gateway::{Bound, GatewayLimits, RunConfig, RunError};
+use oriolemux_gateway::{Bound, GatewayLimits, Page, Reloaded, RunConfig, RunError};
 use oriolemux_platform::{EngineClient, PlatformWire, StoreClient};
 use rand::Rng;
 use std::net::{SocketAddr, SocketAddrV4};
 use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::watch;
 
 pub(super) fn run(args: &GatewayArgs, output: Output) -> ExitStatus {
     let settings = match GatewaySettings::load(&args.settings) {
@@ -47,6 +50,8 @@
     Logs(#[source] log::SetLoggerError),
     /// cannot start the runtime: {0}
     Runtime(#[source] std::io::Error),
+    /// cannot start the metrics: {0}
+    Metrics(#[source] metrics_exporter_prometheus::BuildError),
     /// signals cannot be received: {0}
     Signals(#[source] std::io::Error),
     /// {0}
@@ -97,7 +102,11 @@
     let stop = StopTokens::new();
     stop.listen_to_signals().map_err(StartError::Signals)?;
     let hangup = signal(SignalKind::hangup()).map_err(StartError::Signals)?;
-    tokio::spawn(note_hangups(hangup, settings.file.clone()));
+    let (reloaded, reloads) = watch::channel(None);
+    tokio::spawn(follow_settings(hangup, settings.file.clone(), reloaded));
+    if settings.metrics.enabled {
+        metrics::install().map_err(StartError::Metrics)?;
+    }
     let store = StoreClient::new(settings.store.address);
     let config = run_config(settings, incarnation);
     let bound = Bound::bind(&config).await.map_err(StartError::Run)?;
@@ -106,6 +115,7 @@
         PlatformWire,
         store,
         EngineClient,
+        reloads,
         stop.planned.clone(),
     );
     tokio::select! {
@@ -116,13 +126,41 @@
     Ok(())
 }
 
-/// Reads the settings anew at each SIGHUP and says what came of it. Addresses and
-/// bounds hold for the life of a process, so that nothing that runs is disturbed;
-/// a file with findings would keep the next start from serving, and is told now.
-async fn note_hangups(mut hangup: tokio::signal::unix::Signal, file: String) {
-    while hangup.recv().await.is_some() {
+/// How often the settings file is looked at, because it may change without a signal.
+const LOOK_AT_SETTINGS: Duration = Duration::from_secs(2);
+
+/// Reads the settings anew when they change or SIGHUP comes, and says what came of it.
+///
+/// Seeds and the bound of repeats take effect at once. Addresses hold for the life of
+/// a process, so that nothing that runs is disturbed. A file with findings changes
+/// nothing; it would keep the next start from serving, and is told now.
+async fn follow_settings(
+    mut hangup: tokio::signal::unix::Signal,
+    file: String,
+    reloaded: watch::Sender<Option<Reloaded>>,
+) {
+    let mut known = std::fs::read(&file).ok();
+    loop {
+        let asked = tokio::select! {
+            asked = hangup.recv() => match asked {
+                Some(()) => true,
+                None => return,
+            },
+            () = tokio::time::sleep(LOOK_AT_SETTINGS) => false,
+        };
+        let text = std::fs::read(&file).ok();
+        if !asked && text == known {
+            continue;
+        }
+        known = text;
         match GatewaySettings::load(&file) {
-            Ok(_) => events::emit_shell(&ShellNote::SettingsRead { file: &file }),
+            Ok(settings) => {
+                events::emit_shell(&ShellNote::SettingsRead { file: &file });
+                reloaded.send_replace(Some(Reloaded {
+                    seeds: seeds(&settings),
+                    budget: budget(&settings.repeats),
+                }));
+            }
             Err(findings) => {
                 let findings = &findings.to_string();
                 events::emit_shell(&ShellNote::SettingsRejected {
@@ -139,6 +177,10 @@
         front: settings.callers.listen,
         readiness: settings.readiness.listen,
         peers: settings.peers.listen,
+        metrics: settings.metrics.enabled.then_some(Page {
+            listen: settings.metrics.listen,
+            render: render_metrics,
+        }),
         limits: GatewayLimits {
             connect: settings.endpoints.connect_timeout_ms.duration(),
             connections: settings.callers.max_connections as usize,
@@ -156,6 +198,11 @@
     }
 }
 
+fn render_metrics() -> String {
+    metrics::upkeep();
+    metrics::render()
+}
+
 /// Seeds name any listener of an instance; peers are heard on the same port everywhere.
 fn seeds(settings: &GatewaySettings) -> Vec<SocketAddrV4> {
     let port = settings.peers.listen.port();
--- a/crates/oriolemux/src/events/docs.rs
+++ b/crates/oriolemux/src/events/docs.rs
@@ -3,6 +3,7 @@
 use super::LogEvent;
 use crate::metrics::{Counter, Gauge, Histogram, ReasonCounter};
 use oriolemux_core::reason::Reason;
+use oriolemux_gateway::meters::{self, ByReason};
 use oriolemux_gateway::notes::GatewayEvent;
 
 const HEAD: &str = "# Events, reasons and metrics
@@ -102,7 +103,24 @@
     let histograms = Histogram::ALL
         .iter()
         .map(|m| (m.name(), "histogram", one_line(m.doc())));
-    by_reason.chain(counters).chain(gauges).chain(histograms)
+    let gateway = ByReason::ALL
+        .iter()
+        .map(|m| (m.name(), "counter by `reason`", one_line(m.doc())))
+        .chain(
+            meters::Gauge::ALL
+                .iter()
+                .map(|m| (m.name(), "gauge", one_line(m.doc()))),
+        )
+        .chain(
+            meters::Histogram::ALL
+                .iter()
+                .map(|m| (m.name(), "histogram", one_line(m.doc()))),
+        );
+    by_reason
+        .chain(counters)
+        .chain(gauges)
+        .chain(histograms)
+        .chain(gateway)
 }
 
 fn one_line(lines: &[&str]) -> String {
--- a/crates/oriolemux/src/settings/gateway.rs
+++ b/crates/oriolemux/src/settings/gateway.rs
@@ -72,6 +72,14 @@
         grace_secs: Seconds = default(Seconds(Duration::from_secs(30)));
     }
 
+    /// The listener for whoever collects metrics. It has no key: keep it on a network of your own.
+    metrics: GatewayMetricsSettings {
+        /// Whether metrics are collected and served.
+        enabled: bool = default(false);
+        /// Address and port on which every path gives them, in the Prometheus text format.
+        listen: SocketAddr = default(SocketAddr::from(([127, 0, 0, 1], 9464)));
+    }
+
     /// What is logged.
     logs: GatewayLogsSettings {
         /// Where lines go.
--- a/crates/oriolemux/src/settings/value.rs
+++ b/crates/oriolemux/src/settings/value.rs
@@ -225,6 +225,19 @@
     }
 }
 
+impl Value for bool {
+    const KIND: &'static str = "boolean";
+
+    fn read(item: &Item, cx: &ValueContext<'_>) -> Result<Self, Problem> {
+        item.as_bool()
+            .ok_or_else(|| cx.wrong_type("a boolean", item))
+    }
+
+    fn to_toml(&self) -> String {
+        self.to_string()
+    }
+}
+
 /// A number that is not negative.
 #[derive(Clone, Copy, Debug, PartialEq, PartialOrd, Serialize)]
 #[serde(transparent)]
