Bulletins whose interval grows with the fleet, with fewer names in each

Change: an interval of 14 ms a peer between 0.2 and 2 s, told in the bulletin itself; those who watch the store stay at 0.2 s; 8 peers named, leaving endpoints for 10 s.

--- a/crates/core/src/gateway/bulletin.rs
+++ b/crates/core/src/gateway/bulletin.rs
@@ -16,15 +16,39 @@
 /// The version of this format; bulletins of another are ignored.
 pub const BULLETIN_VERSION: u8 = 1;
 
-/// A peer that was silent for so long counts as gone. Bulletins come at least
-/// every [`super::state::BULLETIN_INTERVAL`]; six of them may be lost in a row.
-pub const PEER_SILENCE: Duration = Duration::from_millis(1_500);
+/// Intervals of a peer's bulletins after which its silence counts as its going: six
+/// may be lost in a row.
+pub const SILENT_INTERVALS: u32 = 7;
+
+/// The shortest time between two bulletins that come without a change.
+pub const SHORTEST_INTERVAL: Duration = Duration::from_millis(200);
+
+/// The longest time between two bulletins that come without a change.
+const LONGEST_INTERVAL: Duration = Duration::from_secs(2);
+
+/// How much each peer adds to that time. Every instance tells every other, so that
+/// the traffic of one would grow with the fleet: with this it stays at some 70
+/// datagrams a second from 14 to 140 peers.
+const INTERVAL_OF_PEER: Duration = Duration::from_millis(14);
+
+/// How long the leaving of an endpoint is told; by then all peers have heard it from
+/// several sides, or from the store.
+pub const TELL_LEAVING: Duration = Duration::from_secs(10);
+
+/// Returns the time between two bulletins of an instance with so many peers.
+pub fn interval(peers: usize) -> Duration {
+    let peers = u32::try_from(peers).unwrap_or(u32::MAX);
+    INTERVAL_OF_PEER
+        .saturating_mul(peers)
+        .clamp(SHORTEST_INTERVAL, LONGEST_INTERVAL)
+}
 
 /// A peer that was silent for so long is forgotten and no longer told anything.
 const PEER_FORGET: Duration = Duration::from_secs(60);
 
-/// The most peers that one bulletin names, so that it fits one datagram.
-pub const MAX_NAMED: usize = 64;
+/// The most peers that one bulletin names. All are heard of within some rounds, since
+/// each bulletin names others.
+pub const MAX_NAMED: usize = 8;
 
 /// What one instance runs at one endpoint.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -52,6 +76,8 @@
     pub address: SocketAddrV4,
     /// The store's revision up to which the sender knows everything.
     pub revision: u64,
+    /// The next bulletin comes within so many milliseconds.
+    pub interval_ms: u32,
     /// Milliseconds since the store last answered the sender.
     pub store_age_ms: u32,
     /// Whether the sender is stopping.
@@ -71,6 +97,8 @@
     pub incarnation: Option<Incarnation>,
     /// When it was heard last.
     pub heard: Option<Time>,
+    /// The time between its bulletins.
+    pub interval: Duration,
     /// When its address was learnt.
     pub learnt: Time,
     /// The revision that it knows.
@@ -85,6 +113,14 @@
     present: bool,
 }
 
+impl Peer {
+    /// Returns whether the peer was heard lately, by the measure of its own interval.
+    pub fn is_live(&self, now: Time) -> bool {
+        let silence = self.interval * SILENT_INTERVALS;
+        self.heard.is_some_and(|heard| now.since(heard) < silence)
+    }
+}
+
 /// All peers, by the address at which they answer.
 #[derive(Clone, Debug, Default)]
 pub struct PeerTable {
@@ -97,6 +133,7 @@
         self.peers.entry(address).or_insert(Peer {
             incarnation: None,
             heard: None,
+            interval: SHORTEST_INTERVAL,
             learnt: now,
             revision: 0,
             store_heard: None,
@@ -119,6 +156,8 @@
             peer.present = true;
             peer.incarnation = Some(bulletin.incarnation);
             peer.heard = Some(now);
+            peer.interval = Duration::from_millis(bulletin.interval_ms.into())
+                .clamp(SHORTEST_INTERVAL, LONGEST_INTERVAL);
             peer.revision = bulletin.revision;
             peer.store_heard = now.before(Duration::from_millis(bulletin.store_age_ms.into()));
             peer.stopping = bulletin.stopping;
@@ -131,10 +170,7 @@
     pub fn take_silent(&mut self, now: Time) -> Vec<SocketAddrV4> {
         let mut silent = Vec::new();
         for (address, peer) in &mut self.peers {
-            let heard = peer
-                .heard
-                .is_some_and(|heard| now.since(heard) < PEER_SILENCE);
-            if peer.present && !heard {
+            if peer.present && !peer.is_live(now) {
                 peer.present = false;
                 silent.push(*address);
             }
@@ -155,14 +191,21 @@
         self.peers.keys().copied()
     }
 
+    /// Returns how many peers are told.
+    pub fn len(&self) -> usize {
+        self.peers.len()
+    }
+
+    /// Returns whether no peer is known.
+    pub fn is_empty(&self) -> bool {
+        self.peers.is_empty()
+    }
+
     /// Returns the peers that were heard lately.
     pub fn live(&self, now: Time) -> impl Iterator<Item = (SocketAddrV4, &Peer)> {
         let peers = self.peers.iter();
         peers
-            .filter(move |(_, peer)| {
-                let heard = peer.heard;
-                heard.is_some_and(|heard| now.since(heard) < PEER_SILENCE)
-            })
+            .filter(move |(_, peer)| peer.is_live(now))
             .map(|(address, peer)| (*address, peer))
     }
 }
--- a/crates/core/src/gateway/endpoints.rs
+++ b/crates/core/src/gateway/endpoints.rs
@@ -214,9 +214,11 @@
         self.endpoints.values()
     }
 
-    /// Returns the endpoints that are known to leave.
-    pub fn leaving(&self) -> impl Iterator<Item = EndpointKey> {
-        self.left.keys().copied()
+    /// Returns the endpoints that are known to leave for less than `time`.
+    pub fn leaving(&self, now: Time, time: Duration) -> impl Iterator<Item = EndpointKey> {
+        let left = self.left.iter();
+        left.filter(move |(_, since)| now.since(**since) < time)
+            .map(|(key, _)| *key)
     }
 
     /// Notes that a request went well.
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -1,7 +1,7 @@
 //! All decisions about HTTP entries of one instance, behind one type.
 
 use super::budget::{BudgetConfig, SharedBudget};
-use super::bulletin::{BULLETIN_VERSION, Bulletin, MAX_NAMED, Peer, PeerTable};
+use super::bulletin::{self, BULLETIN_VERSION, Bulletin, MAX_NAMED, Peer, PeerTable, TELL_LEAVING};
 use super::catalogue::{Catalogue, CatalogueFinding, CatalogueSource};
 use super::choose::{self, CopyKind, Demand, NoPlace, World};
 use super::endpoints::{Endpoint, EndpointRecord, EndpointTable};
@@ -13,14 +13,11 @@
 use crate::time::Time;
 use core::time::Duration;
 use rand::rngs::SmallRng;
+use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 use std::net::SocketAddrV4;
 use std::sync::Arc;
 
-/// The longest time between two bulletins. A peer's use of endpoints is told at
-/// once when it changes much; this is what keeps a peer from counting as gone.
-pub const BULLETIN_INTERVAL: Duration = Duration::from_millis(200);
-
 /// Changes within this time go into one bulletin.
 pub const BULLETIN_DELAY: Duration = Duration::from_millis(2);
 
@@ -273,9 +270,20 @@
         self.usage.told(now, key, load);
     }
 
+    /// Returns the time between two bulletins without a change. Those who watch the
+    /// store tell often, since others rely on them.
+    pub fn bulletin_interval(&self, now: Time) -> Duration {
+        match self.watches(now) {
+            true => bulletin::SHORTEST_INTERVAL,
+            false => bulletin::interval(self.peers.len()),
+        }
+    }
+
     /// Returns what peers are to be told.
-    pub fn bulletin(&self, now: Time) -> Bulletin {
-        let live = self.peers.live(now).map(|(address, _)| address);
+    pub fn bulletin(&mut self, now: Time) -> Bulletin {
+        let interval_ms = self.bulletin_interval(now).as_millis();
+        let live: Vec<SocketAddrV4> = self.peers.live(now).map(|(address, _)| address).collect();
+        let named = live.choose_multiple(&mut self.rng, MAX_NAMED);
         Bulletin {
             version: BULLETIN_VERSION,
             deployment: self.cfg.deployment,
@@ -284,8 +292,9 @@
             revision: self.replica.revision(),
             store_age_ms: self.store_age_ms(now),
             stopping: self.stopping,
-            peers: live.take(MAX_NAMED).collect(),
-            leaving: self.endpoints.leaving().collect(),
+            interval_ms: u32::try_from(interval_ms).unwrap_or(u32::MAX),
+            peers: named.copied().collect(),
+            leaving: self.endpoints.leaving(now, TELL_LEAVING).collect(),
             used: self.usage.own().collect(),
         }
     }
--- a/crates/core/tests/gateway_choose.rs
+++ b/crates/core/tests/gateway_choose.rs
@@ -84,6 +84,7 @@
         incarnation: Incarnation(2),
         address: "10.0.0.9:7200".parse().expect("an address"),
         revision: 1,
+        interval_ms: 200,
         store_age_ms: 0,
         stopping: false,
         peers: Vec::new(),
--- a/crates/core/tests/gateway_reader.rs
+++ b/crates/core/tests/gateway_reader.rs
@@ -1,7 +1,9 @@
 //! Who watches the store, when it is called, and what is known of its state.
 
 use core::time::Duration;
-use oriolemux_core::gateway::bulletin::{BULLETIN_VERSION, PEER_SILENCE};
+use oriolemux_core::gateway::bulletin::{
+    BULLETIN_VERSION, SHORTEST_INTERVAL, SILENT_INTERVALS, interval,
+};
 use oriolemux_core::gateway::reader::{CallFailure, READER_FRESH, READERS, Step};
 use oriolemux_core::gateway::{Bulletin, Gateway, GatewayConfig};
 use oriolemux_core::{Incarnation, Time};
@@ -30,6 +32,7 @@
         incarnation: Incarnation(number.into()),
         address: address(number),
         revision: 0,
+        interval_ms: 200,
         store_age_ms,
         stopping: false,
         peers: Vec::new(),
@@ -81,7 +84,7 @@
 #[test]
 fn all_watch_if_the_watchers_are_gone() {
     let heard = Time::from_secs(5);
-    let now = heard + PEER_SILENCE;
+    let now = heard + SHORTEST_INTERVAL * SILENT_INTERVALS;
 
     let watching = fleet(heard, 0)
         .iter()
@@ -138,3 +141,14 @@
 
     assert_eq!(one.next_step(now), Step::Read);
 }
+
+/// Symptom: the traffic of one instance grows with the fleet. Sequence: each tells
+/// every other several times a second.
+#[test]
+fn the_datagrams_of_one_instance_do_not_grow_with_the_fleet() {
+    let a_second = |peers: usize| peers as f64 / interval(peers).as_secs_f64();
+
+    assert!(a_second(5) <= 25.0);
+    assert!(a_second(75) <= 75.0);
+    assert!(a_second(140) <= 75.0);
+}
--- a/crates/gateway/src/news.rs
+++ b/crates/gateway/src/news.rs
@@ -1,7 +1,7 @@
 //! What instances tell each other: bulletins by datagram, records on request.
 //!
-//! Bulletins go to every peer known, at once when something changed and at least
-//! every [`BULLETIN_INTERVAL`]. A peer that missed what the store published reads
+//! Bulletins go to every peer known, at once when something changed, and else after
+//! an interval that grows with the number of peers. A peer that missed what the store published reads
 //! it over TCP on the same port, in one answer.
 
 use crate::cx::Cx;
@@ -11,7 +11,7 @@
 use bincode::config::{Configuration, Limit, standard};
 use oriolemux_core::gateway::Bulletin;
 use oriolemux_core::gateway::replica::News;
-use oriolemux_core::gateway::state::{BULLETIN_DELAY, BULLETIN_INTERVAL};
+use oriolemux_core::gateway::state::BULLETIN_DELAY;
 use std::io;
 use std::net::SocketAddrV4;
 use std::sync::Arc;
@@ -52,7 +52,8 @@
 pub async fn tell<W: Wire>(cx: Arc<Cx<W>>, socket: Arc<UdpSocket>) {
     let mut buf = Vec::new();
     loop {
-        let due = Instant::now() + BULLETIN_INTERVAL;
+        let interval = cx.state().bulletin_interval(cx.now());
+        let due = Instant::now() + interval;
         tokio::select! {
             () = sleep_until(due) => {}
             () = cx.dirty.notified() => tokio::time::sleep(BULLETIN_DELAY).await,
