A head that stalls is closed after its own bound

Cause: a connection was looked at when it had been idle for long; a head that began meanwhile woke nobody, and was closed after 15 s in place of 3. Found by a test of the front. Change: the connection is looked at every half bound of a head. Tests of chunks, of smuggled requests and of connections that serve several.

--- a/crates/gateway/src/front/connection.rs
+++ b/crates/gateway/src/front/connection.rs
@@ -101,6 +101,9 @@
     }
 }
 
+/// The least time between two looks, whatever the bounds are.
+const LEAST_PAUSE: core::time::Duration = core::time::Duration::from_millis(10);
+
 /// The HTTP library asks for at least this much buffer.
 const MIN_BUFFER: usize = 8 * 1024;
 
@@ -164,13 +167,19 @@
         state.idle_since = Instant::now();
     }
 
+    /// Returns when the connection is looked at next. The first byte of a head wakes
+    /// nobody, so that a head that stalls is noticed half a bound late at the most.
     fn next_check(&self, limits: CallerLimits) -> Instant {
         let state = *self.state();
-        match (state.busy, state.head_since) {
-            (true, _) => Instant::now() + limits.idle_timeout,
+        let now = Instant::now();
+        let bound = match (state.busy, state.head_since) {
+            (true, _) => now + limits.idle_timeout,
             (false, Some(since)) => since + limits.head_timeout,
             (false, None) => state.idle_since + limits.idle_timeout,
-        }
+        };
+        bound
+            .min(now + limits.head_timeout / 2)
+            .max(now + LEAST_PAUSE)
     }
 
     fn verdict(&self, limits: CallerLimits) -> Verdict {
