--- a/crates/bench/src/slopes/capacity.rs
+++ b/crates/bench/src/slopes/capacity.rs
@@ -6,11 +6,9 @@
 use core::time::Duration;
 use oriolemux_core::catalogue::sync::SyncConfig;
 use oriolemux_core::membership::WATCHERS;
+use oriolemux_core::node::POLL_INTERVAL;
 use serde::{Deserialize, Serialize};
 
-/// How often a home asks each of its endpoints for its load
-/// (`oriolemux_core::node`).
-const POLL_INTERVAL: Duration = Duration::from_secs(1);
 /// How long the platform holds a watch that has no news.
 const WATCH_TIME: Duration = Duration::from_secs(25);
 /// How often an instance without a watch reads each value as a safety net.
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -36,6 +36,7 @@
 mod stop;
 mod timers;
 
+pub use home::POLL_INTERVAL;
 pub use snapshot::{NodeSnapshot, RequestCounts};
 
 use crate::catalogue::sync::{CatalogueSync, SyncAction, SyncConfig};
--- a/crates/gateway/src/meters.rs
+++ b/crates/gateway/src/meters.rs
@@ -11,6 +11,8 @@
 /// Counts numbered events by name, those of the whole product.
 const EVENTS: &str = "oriolemux_events_total";
 
+/// Makes an enum of metrics from a table of names and meanings.
+#[macro_export]
 macro_rules! meters {
     ($(#[$enum_doc:meta])* $Enum:ident { $($(#[doc = $doc:literal])* $name:ident = $text:literal;)* }) => {
         $(#[$enum_doc])*
--- a/crates/oriolemux/src/callers/routes.rs
+++ b/crates/oriolemux/src/callers/routes.rs
@@ -4,6 +4,7 @@
 mod models;
 mod services;
 mod tickets;
+mod work;
 
 use super::body::BodyLimits;
 use super::connections::Connections;
@@ -15,6 +16,7 @@
 use oriolemux_core::Reason;
 use poem::{Endpoint, Request, Response, Route, get, post};
 use std::sync::Arc;
+use work::Work;
 
 /// What serving a request takes.
 #[derive(Clone, Debug)]
@@ -37,12 +39,12 @@
     Route::new()
         .at(
             "/v1/completions",
-            post(completions::Completions(Arc::clone(&cx))),
+            post(Work::<E, completions::Completions>::new(&cx)),
         )
         .at("/v1/models", get(models::Models(Arc::clone(&cx))))
         .at(
             "/v1/services/:entry",
-            post(services::Services(Arc::clone(&cx))),
+            post(Work::<E, services::Services>::new(&cx)),
         )
         .at("/v1/tickets", post(tickets::Tickets(Arc::clone(&cx))))
         .at("/*path", NoSuchPath(cx))
--- /dev/null
+++ b/crates/oriolemux/src/callers/routes/work.rs
@@ -0,0 +1,89 @@
+//! Requests for work, whatever their kind: read, submitted, answered.
+
+use super::CallerCx;
+use crate::callers::body;
+use crate::callers::errors::ErrorAnswer;
+use crate::callers::submit::{Headers, Submission, submit};
+use crate::endpoints::EndpointProtocol;
+use core::marker::PhantomData;
+use oriolemux_core::RequestId;
+use poem::{Endpoint, Request, Response};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// A request whose head and body were read within their bounds.
+pub(super) struct Received {
+    pub(super) id: RequestId,
+    /// What its headers ask for.
+    pub(super) headers: Headers,
+    /// The headers as they came.
+    pub(super) raw_headers: http::HeaderMap,
+    pub(super) bytes: Vec<u8>,
+    pub(super) remote: Option<SocketAddr>,
+}
+
+/// One kind of work.
+pub(super) trait Kind: Send + Sync + 'static {
+    /// What the path says.
+    type Path: Send;
+
+    /// Reads what the path says.
+    fn path(id: RequestId, req: &Request) -> Result<Self::Path, ErrorAnswer>;
+
+    /// Makes the work of a request.
+    fn submission(path: Self::Path, received: Received) -> Result<Submission, ErrorAnswer>;
+}
+
+/// Serves requests of one kind.
+pub(super) struct Work<E, K> {
+    cx: Arc<CallerCx<E>>,
+    kind: PhantomData<K>,
+}
+
+impl<E, K> Work<E, K> {
+    /// Returns the endpoint of a path.
+    pub(super) fn new(cx: &Arc<CallerCx<E>>) -> Self {
+        Work {
+            cx: Arc::clone(cx),
+            kind: PhantomData,
+        }
+    }
+}
+
+impl<E: EndpointProtocol, K: Kind> Endpoint for Work<E, K> {
+    type Output = Response;
+
+    async fn call(&self, req: Request) -> poem::Result<Response> {
+        let cx = &self.cx;
+        let id = cx.port.draw_id();
+        Ok(match read::<E, K>(cx, id, req).await {
+            Ok(submission) => submit(cx, submission).await,
+            Err(error) => error.into_response(),
+        })
+    }
+}
+
+async fn read<E, K: Kind>(
+    cx: &CallerCx<E>,
+    id: RequestId,
+    req: Request,
+) -> Result<Submission, ErrorAnswer> {
+    let headers = Headers::read(id, req.headers())?;
+    let remote = req.remote_addr().as_socket_addr().copied();
+    let path = K::path(id, &req)?;
+    let (parts, body) = req.into_parts();
+    let bytes = body::read(body, &parts.headers, cx.body)
+        .await
+        .map_err(|err| {
+            let error = ErrorAnswer::not_submitted(id, err.reason());
+            headers.judge(error.with_detail(err.to_string()))
+        })?;
+    let received = Received {
+        id,
+        headers,
+        raw_headers: parts.headers,
+        bytes,
+        remote,
+    };
+    K::submission(path, received)
+}
--- a/crates/oriolemux/src/metrics.rs
+++ b/crates/oriolemux/src/metrics.rs
@@ -11,6 +11,7 @@
 use ::metrics::Unit;
 use metrics_exporter_prometheus::{BuildError, Matcher, PrometheusBuilder, PrometheusHandle};
 use oriolemux_core::reason::{Reason, ReasonGroup};
+use oriolemux_gateway::meters;
 use std::sync::OnceLock;
 
 /// Counts log events by name.
@@ -24,33 +25,7 @@
     64.0, 128.0,
 ];
 
-macro_rules! metrics_table {
-    (
-        $(#[$enum_doc:meta])*
-        $Enum:ident { $($(#[doc = $doc:literal])* $name:ident = $text:literal;)* }
-    ) => {
-        $(#[$enum_doc])*
-        #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-        pub enum $Enum { $($(#[doc = $doc])* $name,)* }
-
-        impl $Enum {
-            /// All of them.
-            pub const ALL: &'static [$Enum] = &[$($Enum::$name,)*];
-
-            /// Returns the name that Prometheus sees.
-            pub const fn name(self) -> &'static str {
-                match self { $($Enum::$name => $text,)* }
-            }
-
-            /// Returns the meaning, line by line.
-            pub const fn doc(self) -> &'static [&'static str] {
-                match self { $($Enum::$name => &[$($doc),*],)* }
-            }
-        }
-    };
-}
-
-metrics_table! {
+meters! {
     /// A counter with the label `reason`.
     ReasonCounter {
         /// Requests refused before they ran.
@@ -66,7 +41,7 @@
     }
 }
 
-metrics_table! {
+meters! {
     /// A counter without labels.
     Counter {
         /// Requests that arrived on the callers' listener.
@@ -93,7 +68,7 @@
     }
 }
 
-metrics_table! {
+meters! {
     /// A gauge without labels.
     Gauge {
         /// Requests that wait for a grant at this instance's cells.
@@ -115,7 +90,7 @@
     }
 }
 
-metrics_table! {
+meters! {
     /// A histogram of seconds.
     Histogram {
         /// From the arrival of a request to its first token.
