The connection to the old engine is closed before the generation is asked for elsewhere

Cause: gateway_process a_fleet_serves_through_departures failed once: two engines at work on one attempt. Dropping a link ends its task only when the task is next looked at, so that the new engine could be asked first. Change: the relay waits until the connection is closed. The stand-in counted an engine as at work until its own task had noticed; it now counts events that an engine makes after another one has begun, which is what the promise is about, and the test wants none.

--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -89,6 +89,18 @@
     }
 }
 
+impl Link {
+    /// Closes the connection, and returns when it is closed.
+    ///
+    /// Dropping a link closes it too, but only when its task is next looked at. Whoever
+    /// asks for the same work elsewhere must not be faster than that.
+    pub async fn close(mut self) {
+        self.task.abort();
+        // An aborted task ends with an error that says so.
+        let _ = (&mut self.task).await;
+    }
+}
+
 impl Drop for Link {
     fn drop(&mut self) {
         self.task.abort();
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -198,7 +198,7 @@
         wire.strip_answer(&mut headers);
         if parts.status.is_success() {
             return Begun::Stream {
-                upstream: Upstream { _link: link, body },
+                upstream: Upstream { link, body },
                 status: parts.status,
                 headers,
             };
@@ -230,11 +230,11 @@
                 Pause::Timeout => return self.break_off("timeout").await,
                 Pause::Gap => return self.break_off("event_missing").await,
                 Pause::Leave => {
-                    drop(upstream);
+                    upstream.link.close().await;
                     self.leave().await
                 }
                 Pause::Broken => {
-                    drop(upstream);
+                    upstream.link.close().await;
                     self.note_failure();
                     self.leave().await
                 }
--- a/crates/gateway/src/relay/upstream.rs
+++ b/crates/gateway/src/relay/upstream.rs
@@ -9,7 +9,7 @@
 
 /// The open connection that events come on.
 pub(super) struct Upstream {
-    pub(super) _link: Link,
+    pub(super) link: Link,
     pub(super) body: Incoming,
 }
 
--- a/crates/oriolemux/tests/gateway_process.rs
+++ b/crates/oriolemux/tests/gateway_process.rs
@@ -121,7 +121,7 @@
         assert!(reply.complete);
         assert_eq!(reply.body, whole);
     }
-    assert_eq!(fleet.engines.most_at_work(), 1);
+    assert_eq!(fleet.engines.late_events(), 0);
     assert!(
         fleet.processes[1].wait().success(),
         "the planned stop ends with 0"
