Silence alone ends no stream

Change: an engine is given up only where a copy may stand, and one that stays only after 0.6 of what callers bear; whether a standing copy is there is not known before. Tests: gateway_relocation silence_alone_ends_no_stream, streams a_generation_without_a_copy_outlives_the_silence_of_its_engine, both failed first.

--- a/crates/core/src/gateway/relocation.rs
+++ b/crates/core/src/gateway/relocation.rs
@@ -7,7 +7,8 @@
 //! Invariants, which `crates/core/tests/gateway_relocation.rs` holds under random
 //! histories:
 //!
-//! - [`Step::Leave`] is returned only while a copy to go on from is there;
+//! - [`Step::Leave`] and [`Step::GiveUp`] are returned only while a copy to go on from
+//!   is there;
 //! - events are passed on with numbers that follow each other, each once;
 //! - a generation goes through at most [`MAX_MOVES`] further engines.
 
@@ -26,10 +27,31 @@
 /// How often a generation that may leave looks whether its target is quiet.
 const QUIET_LOOK: Duration = Duration::from_millis(20);
 
-/// An engine that sent events and is then silent for this long is given up. A
-/// generation that was preempted is read in again in less.
+/// An engine that is known to leave, or whose entry vanished, and is silent for this
+/// long is given up, if there is a copy to go on from.
 pub const SILENCE: Duration = Duration::from_millis(1_200);
 
+/// The shortest gap after which callers leave a stream.
+const CALLERS_PATIENCE: Duration = Duration::from_secs(2);
+
+/// Times the target, and times the wanted pause, after which callers leave a stream.
+const PATIENCE_TARGETS: u32 = 4;
+const PATIENCE_PAUSES: u32 = 8;
+
+/// The share of the callers' patience after which a silent engine is given up.
+const PATIENCE_SHARE: f64 = 0.6;
+
+/// Returns how long an engine that stays may be silent before its generation goes on
+/// from a standing copy. Whether that copy is there is not known before it is asked,
+/// and then the engine's stream is closed; an engine that preempted a generation is
+/// silent, too, and at work. So the silence must be one that callers hardly bear.
+pub fn silence_limit(target: Duration, gap_target: Duration) -> Duration {
+    let patience = CALLERS_PATIENCE
+        .max(target * PATIENCE_TARGETS)
+        .max(gap_target * PATIENCE_PAUSES);
+    patience.mul_f64(PATIENCE_SHARE)
+}
+
 /// How long after an engine's first event a standing copy is believed to be there: the
 /// memory of the prompt takes some 0.4 s on the link, behind that of others.
 pub const COPY_SETTLES: Duration = Duration::from_millis(1_300);
@@ -89,7 +111,7 @@
     CopyAhead,
     /// Close the connection and go on from the copy.
     Leave,
-    /// The engine has fallen silent: go on from the copy, if there is one.
+    /// The engine has fallen silent: go on from the copy.
     GiveUp,
     /// Nothing until this time, unless something happens before.
     Wait(Time),
@@ -111,6 +133,8 @@
     /// also where the generation went on from another engine.
     first_here: Option<Time>,
     heard: Time,
+    /// How long an engine that stays may be silent.
+    silence: Duration,
     has_standing: bool,
     ahead: Ahead,
     ahead_tries: u32,
@@ -119,9 +143,13 @@
 }
 
 impl Relocation {
-    /// Returns a generation that has not begun.
-    pub fn new() -> Self {
-        Relocation::default()
+    /// Returns a generation that has not begun, of which an engine that stays may be
+    /// silent for so long ([`silence_limit`]).
+    pub fn new(silence: Duration) -> Self {
+        Relocation {
+            silence,
+            ..Relocation::default()
+        }
     }
 
     /// Returns the number of the last event that the caller holds.
@@ -220,15 +248,18 @@
         if self.last_event.is_none() {
             return Step::Wait(Time::NEVER);
         }
-        let mut wait = self.heard + SILENCE;
+        let from = self.go_on_from(now, view.standing_takes_work);
+        let mut wait = self.silent_at(from, view.leaves_for.is_some());
         if wait <= now {
-            return Step::GiveUp;
+            match from {
+                Some(_) => return Step::GiveUp,
+                None => wait = Time::NEVER,
+            }
         }
         let leaves_for = view.leaves_for.filter(|_| self.moves < MAX_MOVES);
         let Some(leaves_for) = leaves_for else {
             return Step::Wait(wait);
         };
-        let from = self.go_on_from(now, view.standing_takes_work);
         if from.is_some() {
             let leave = self.leave_at(now, leaves_for, view.target_is_quiet);
             if leave <= now {
@@ -245,6 +276,22 @@
         Step::Wait(wait)
     }
 
+    /// Returns when the engine is given up; never while there is nothing to go on from.
+    /// A standing copy that settles later is looked at then.
+    fn silent_at(&self, from: Option<GoOnFrom>, leaves: bool) -> Time {
+        let silence = if leaves {
+            SILENCE.min(self.silence)
+        } else {
+            self.silence
+        };
+        let silent = self.heard + silence;
+        match (from, self.first_here) {
+            (Some(_), _) => silent,
+            (None, Some(first)) if self.has_standing => silent.max(first + COPY_SETTLES),
+            (None, _) => Time::NEVER,
+        }
+    }
+
     fn leave_at(&self, now: Time, leaves_for: Duration, target_is_quiet: bool) -> Time {
         let early = LEAVE_AFTER - LEAVE_EARLY;
         if leaves_for < early {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -31,7 +31,9 @@
 use oriolemux_core::gateway::Demand;
 use oriolemux_core::gateway::choose::CopyKind;
 use oriolemux_core::gateway::lengths::Length;
-use oriolemux_core::gateway::relocation::{Delivery, GoOnFrom, Relocation, Step, View};
+use oriolemux_core::gateway::relocation::{
+    Delivery, GoOnFrom, Relocation, Step, View, silence_limit,
+};
 use oriolemux_core::gateway::state::Place;
 use pace::Pace;
 use std::net::SocketAddrV4;
@@ -96,6 +98,8 @@
     ) -> Self {
         let tokens = job.expected_memory(length, 0);
         let pace = Pace::new(job.arrived.elapsed());
+        let entry = job.entry();
+        let silence = silence_limit(entry.target, entry.gap_target);
         Relay {
             job,
             engines,
@@ -103,7 +107,7 @@
             in_use,
             length,
             tokens,
-            state: Relocation::new(),
+            state: Relocation::new(silence),
             standing: None,
             ahead: None,
             splitter: EventSplitter::default(),
