A generation that comes after the notice of a planned stop is refused

Change: none is taken from 0.5 s before the end of the notice; no call in the last 1.5 s. What is refused did not run, and says when to come back.

--- a/crates/gateway/src/cx.rs
+++ b/crates/gateway/src/cx.rs
@@ -68,8 +68,18 @@
     pub closing: CancellationToken,
     state: Mutex<Gateway>,
     open: [AtomicUsize; 3],
-    /// When a planned stop must have ended.
-    stop_by: OnceLock<Instant>,
+    stop: OnceLock<StopPlan>,
+}
+
+/// The times of a planned stop.
+#[derive(Clone, Copy, Debug)]
+pub struct StopPlan {
+    /// Generations that come later are refused, not run.
+    pub no_generations_from: Instant,
+    /// All that comes later is refused, not run.
+    pub no_calls_from: Instant,
+    /// What still runs then is cut off.
+    pub ends: Instant,
 }
 
 /// What is counted while it is open.
@@ -98,7 +108,7 @@
             closing: CancellationToken::new(),
             state: Mutex::new(state),
             open: [const { AtomicUsize::new(0) }; 3],
-            stop_by: OnceLock::new(),
+            stop: OnceLock::new(),
         })
     }
 
@@ -139,18 +149,30 @@
         self.open[what as usize].load(Ordering::Relaxed)
     }
 
-    /// Begins a planned stop that must have ended after `grace`.
-    pub fn begin_stop(&self, grace: Duration) {
-        self.stop_by.get_or_init(|| Instant::now() + grace);
+    /// Begins a planned stop.
+    pub fn begin_stop(&self, plan: StopPlan) {
+        self.stop.get_or_init(|| plan);
         self.state().stop();
         self.stopping.cancel();
         self.dirty.notify_one();
     }
 
-    /// Returns whether work that takes so long can end before a planned stop does.
-    pub fn can_finish(&self, work: Duration) -> bool {
-        let stop_by = self.stop_by.get();
-        stop_by.is_none_or(|&stop_by| Instant::now() + work <= stop_by)
+    /// Returns whether a generation that is expected to take so long may begin.
+    ///
+    /// What goes wrong otherwise: a generation that came late in a planned stop, and is
+    /// longer than expected, is cut off when the stop ends. Those that came before
+    /// the balancer can have noticed cannot be refused for that; later ones can.
+    pub fn takes_generation(&self, expected: Duration) -> bool {
+        let now = Instant::now();
+        self.stop
+            .get()
+            .is_none_or(|plan| now < plan.no_generations_from && now + expected <= plan.ends)
+    }
+
+    /// Returns whether a call may begin.
+    pub fn takes_call(&self) -> bool {
+        let now = Instant::now();
+        self.stop.get().is_none_or(|plan| now < plan.no_calls_from)
     }
 
     /// Tells those who wait, and peers, that endpoints began to leave.
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -40,6 +40,9 @@
         note!(RefusedAtFront, attempt = attempt, reason:% = reason);
         refuse(reason, patience)
     };
+    if !cx.takes_call() {
+        return refused(Reason::Stopping);
+    }
     let Some(catalogue) = cx.state().catalogue().cloned() else {
         return refused(Reason::NoCatalogue);
     };
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -1,6 +1,6 @@
 //! Starts all parts of the gateway and ends them in order.
 
-use crate::cx::{Clock, Cx, GatewayLimits, Open};
+use crate::cx::{Clock, Cx, GatewayLimits, Open, StopPlan};
 use crate::note;
 use crate::ports::{EngineCalls, Store, Wire};
 use crate::{front, meters, news, page, store};
@@ -16,9 +16,27 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
-/// How long before the end of a planned stop the last callers are taken. Calls are
-/// answered within it; what still runs then is cut off by the platform.
-const LAST_CALL: Duration = Duration::from_millis(500);
+/// How long before the end of a planned stop the door is closed.
+const DOOR_CLOSES: Duration = Duration::from_millis(500);
+
+/// How long before the end of a planned stop calls are refused: longer than a call
+/// takes, so that none is cut off.
+const NO_CALLS: Duration = Duration::from_millis(1_500);
+
+/// How long before the end of the notice generations are refused. What comes within
+/// the notice may be cut off by the end of the stop; this keeps clear of its edge.
+const NO_GENERATIONS: Duration = Duration::from_millis(500);
+
+fn stop_plan(settings: &RunConfig) -> StopPlan {
+    let now = std::time::Instant::now();
+    let ends = now + settings.grace;
+    let takes_for = settings.notice.saturating_sub(NO_GENERATIONS);
+    StopPlan {
+        no_generations_from: now + takes_for,
+        no_calls_from: ends.checked_sub(NO_CALLS).unwrap_or(now),
+        ends,
+    }
+}
 
 /// Puts settings in force that were read anew, for good.
 async fn follow_reloads<W: Wire>(cx: Arc<Cx<W>>, mut reloads: watch::Receiver<Option<Reloaded>>) {
@@ -220,10 +238,10 @@
     door: &AbortHandle,
 ) {
     let begun = Instant::now();
-    cx.begin_stop(settings.grace);
+    cx.begin_stop(stop_plan(settings));
     sleep(settings.notice).await;
-    let last_call = settings.grace.saturating_sub(LAST_CALL);
-    while cx.open(Open::Generation) > 0 && begun.elapsed() < last_call {
+    let door_closes = settings.grace.saturating_sub(DOOR_CLOSES);
+    while cx.open(Open::Generation) > 0 && begun.elapsed() < door_closes {
         sleep(STOP_LOOK).await;
     }
     door.abort();
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -46,7 +46,7 @@
     let mut tried = Vec::new();
     let length = job.length();
     let expected = TOKEN_TIME * length.rest(0);
-    if !job.cx.can_finish(expected) {
+    if !job.cx.takes_generation(expected) {
         return give_up(&job, Reason::Stopping);
     }
     let tokens = job.expected_memory(length, 0);
