An outage of the store is heard of from those that watch it

Cause, found on reading: an instance that does not watch makes no call of its own, and would take entries that lapsed in an outage for gone, for good, and tell all others so. Change: bulletins say whether entries may be missing; removals count as lapses then.

--- a/crates/core/src/gateway/bulletin.rs
+++ b/crates/core/src/gateway/bulletin.rs
@@ -80,6 +80,9 @@
     pub interval_ms: u32,
     /// Milliseconds since the store last answered the sender.
     pub store_age_ms: u32,
+    /// Whether entries may be missing from the store and come back: it is away for the
+    /// sender, or was until a moment ago.
+    pub unsettled: bool,
     /// Whether the sender is stopping.
     pub stopping: bool,
     /// Peers that the sender heard lately.
@@ -105,6 +108,8 @@
     pub revision: u64,
     /// When the store last answered it, as far as it told.
     pub store_heard: Option<Time>,
+    /// Whether it said that entries may be missing from the store and come back.
+    pub unsettled: bool,
     /// Whether it is stopping.
     pub stopping: bool,
     /// What it runs where.
@@ -137,6 +142,7 @@
             learnt: now,
             revision: 0,
             store_heard: None,
+            unsettled: false,
             stopping: false,
             used: BTreeMap::new(),
             present: false,
@@ -160,6 +166,7 @@
                 .clamp(SHORTEST_INTERVAL, LONGEST_INTERVAL);
             peer.revision = bulletin.revision;
             peer.store_heard = now.before(Duration::from_millis(bulletin.store_age_ms.into()));
+            peer.unsettled = bulletin.unsettled;
             peer.stopping = bulletin.stopping;
             peer.used = bulletin.used.iter().copied().collect();
         }
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -157,10 +157,19 @@
 
     /// Takes in that an endpoint's entry vanished; returns whether it began to leave.
     pub fn endpoint_vanished(&mut self, now: Time, name: &str) -> bool {
-        let unsettled = self.reader.is_unsettled(now);
+        let unsettled = self.is_unsettled(now);
         self.endpoints.vanish(now, name, unsettled)
     }
 
+    /// Returns whether entries may be missing from the store and come back.
+    ///
+    /// An instance that does not watch calls the store rarely, and hears of an outage
+    /// from those that do. Without asking them it would take entries that lapsed for
+    /// gone, for good, and tell so: after an outage no endpoint would be left.
+    pub fn is_unsettled(&self, now: Time) -> bool {
+        self.reader.is_unsettled(now) || self.peers.live(now).any(|(_, peer)| peer.unsettled)
+    }
+
     /// Puts settings in force that may change while an instance runs.
     pub fn reload(&mut self, now: Time, seeds: Vec<SocketAddrV4>, budget: BudgetConfig) {
         for &seed in seeds.iter().filter(|&&seed| seed != self.cfg.address) {
@@ -174,7 +183,7 @@
     pub fn tick(&mut self, now: Time) -> Ticked {
         let silent = self.peers.take_silent(now);
         self.peers.forget_silent(now, &self.cfg.seeds);
-        let unsettled = self.reader.is_unsettled(now);
+        let unsettled = self.is_unsettled(now);
         Ticked {
             leaving: self.endpoints.tick(now, unsettled),
             silent,
@@ -291,6 +300,7 @@
             address: self.cfg.address,
             revision: self.replica.revision(),
             store_age_ms: self.store_age_ms(now),
+            unsettled: self.reader.is_unsettled(now),
             stopping: self.stopping,
             interval_ms: u32::try_from(interval_ms).unwrap_or(u32::MAX),
             peers: named.copied().collect(),
--- a/crates/core/tests/gateway_choose.rs
+++ b/crates/core/tests/gateway_choose.rs
@@ -86,6 +86,7 @@
         revision: 1,
         interval_ms: 200,
         store_age_ms: 0,
+        unsettled: false,
         stopping: false,
         peers: Vec::new(),
         leaving: Vec::new(),
--- a/crates/core/tests/gateway_reader.rs
+++ b/crates/core/tests/gateway_reader.rs
@@ -5,8 +5,8 @@
     BULLETIN_VERSION, SHORTEST_INTERVAL, SILENT_INTERVALS, interval,
 };
 use oriolemux_core::gateway::reader::{CallFailure, READER_FRESH, READERS, Step};
-use oriolemux_core::gateway::{Bulletin, Gateway, GatewayConfig};
-use oriolemux_core::{Incarnation, Time};
+use oriolemux_core::gateway::{Bulletin, EndpointRecord, Gateway, GatewayConfig};
+use oriolemux_core::{EndpointKey, Incarnation, Time};
 use std::net::{Ipv4Addr, SocketAddrV4};
 
 fn address(number: u8) -> SocketAddrV4 {
@@ -34,6 +34,7 @@
         revision: 0,
         interval_ms: 200,
         store_age_ms,
+        unsettled: false,
         stopping: false,
         peers: Vec::new(),
         leaving: Vec::new(),
@@ -152,3 +153,33 @@
     assert!(a_second(75) <= 75.0);
     assert!(a_second(140) <= 75.0);
 }
+
+/// Symptom: after an outage of the store no endpoint is left. Sequence: entries lapse
+/// while the store is away; an instance that does not watch hears of the removals from
+/// one that does. Cause: it had made no call of its own, and took the removals for
+/// those of quiet times.
+#[test]
+fn an_outage_is_heard_of_from_those_that_watch() {
+    let now = Time::from_secs(5);
+    let mut one = gateway(1);
+    let record = EndpointRecord {
+        name: "e-1".to_owned(),
+        service: "desk".to_owned(),
+        address: address(99),
+        data_centre: "north".to_owned(),
+        slots: 6,
+        leaving: false,
+        cold: Duration::ZERO,
+    };
+    one.publish_endpoint(now, record.clone());
+    let unsettled = Bulletin {
+        unsettled: true,
+        ..bulletin(3, 0)
+    };
+
+    one.hear(now, &unsettled);
+    assert!(!one.endpoint_vanished(now, "e-1"));
+    one.publish_endpoint(now, record);
+
+    assert!(one.takes_work(EndpointKey::of("e-1")));
+}
