--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,7 +7,7 @@
 //! judges them by the catalogue in force. [`call`] forwards a call and returns
 //! its answer whole. [`stream`] finds a place for a generation and [`relay`]
 //! passes its events on, and carries it to another engine when its own leaves.
-//! [`page`] answers the balancer and whoever collects [`meters`]. [`news`] tells peers what they need, [`store`] keeps up with what is published,
+//! [`page`] answers the balancer and whoever collects [metrics](mod@meters). [`news`] tells peers what they need, [`store`] keeps up with what is published,
 //! and [`run`] starts all of it and ends it in order.
 //!
 //! Names and formats of the platform are behind the traits of [`ports`]; the
