--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -378,11 +378,21 @@
 
     /// Goes on at another engine. The connection to the present one is closed: the
     /// generation must not run at two engines.
+    ///
+    /// A copy ahead is known to be there, a standing one is not; where the engine of
+    /// one refuses, the other is asked.
     async fn leave(&mut self) -> Option<Begun> {
-        let ahead = self.ahead.take();
-        let Some((target, handle)) = ahead.and_then(CopyAhead::take) else {
-            return self.go_on_from_standing().await;
-        };
+        let standing = self.standing.take();
+        if let Some(begun @ Begun::Stream { .. }) = self.go_on_from_ahead().await {
+            return Some(begun);
+        }
+        self.standing = standing;
+        self.go_on_from_standing().await
+    }
+
+    /// Goes on where a copy was made since the notice, if it is complete.
+    async fn go_on_from_ahead(&mut self) -> Option<Begun> {
+        let (target, handle) = self.ahead.take()?.take()?;
         ByReason::Relocations.add("ahead");
         note!(
             GoesOnFromAhead,
