An instance that listens does not count the store as away; only a long outage lets entries lapse

When the store dropped its history all instances watched for a moment and their calls failed; those that went back to listening made no further call, counted the store as away for good, and now told all others: engines that were gone stayed in use. Change: who listens forgets its failures; a watch that was cut is no outage in which entries lapse; store_regained is told after a read as well. Tests: gateway_reader an_instance_that_listens_does_not_count_the_store_as_away, a_watch_that_was_cut_is_no_outage.

--- a/crates/core/src/gateway/reader.rs
+++ b/crates/core/src/gateway/reader.rs
@@ -33,6 +33,11 @@
 /// a change must be in force.
 const LONGEST_PAUSE: Duration = Duration::from_millis(500);
 
+/// A store that answered nothing for so long may have let entries lapse. They lapse
+/// after three heartbeats of an endpoint, which are longer; a watch that was cut, or
+/// a call that was refused, is no such outage, and what vanishes meanwhile is gone.
+const LAPSING_OUTAGE: Duration = Duration::from_millis(2_000);
+
 /// How long after an outage entries of the store are still incomplete: the
 /// publisher promises about two seconds.
 const SETTLE: Duration = Duration::from_millis(2_500);
@@ -95,16 +100,25 @@
         }
     }
 
-    /// Notes that everything was read.
-    pub fn on_read(&mut self, now: Time) {
+    /// Notes that everything was read; returns whether the store was away before.
+    pub fn on_read(&mut self, now: Time) -> bool {
         self.needs_read = false;
-        self.on_answer(now);
+        self.on_answer(now)
+    }
+
+    /// Notes that this instance makes no calls, because others watch for it.
+    ///
+    /// What goes wrong otherwise: the last call it made failed, it makes no further
+    /// one, and counts the store as away for good; entries that vanish are kept.
+    pub fn stand_by(&mut self) {
+        self.failures = 0;
+        self.pause_until = Time::ZERO;
     }
 
     /// Notes that a call was answered; returns whether the store was away before.
     pub fn on_answer(&mut self, now: Time) -> bool {
         let was_away = self.failures > 0;
-        if was_away {
+        if was_away && self.may_have_lapsed(now) {
             self.recovered = Some(now);
         }
         self.failures = 0;
@@ -138,9 +152,15 @@
     }
 
     /// Returns whether entries that are missing may be back soon: the store is
-    /// away, or was until a moment ago.
+    /// away for long, or was until a moment ago.
     pub fn is_unsettled(&self, now: Time) -> bool {
-        self.is_away() || self.recovered.is_some_and(|at| now.since(at) < SETTLE)
+        let is_away = self.is_away() && self.may_have_lapsed(now);
+        is_away || self.recovered.is_some_and(|at| now.since(at) < SETTLE)
+    }
+
+    fn may_have_lapsed(&self, now: Time) -> bool {
+        let heard = self.heard;
+        heard.is_some_and(|heard| now.since(heard) >= LAPSING_OUTAGE)
     }
 }
 
--- a/crates/core/tests/gateway_reader.rs
+++ b/crates/core/tests/gateway_reader.rs
@@ -125,12 +125,40 @@
 
     assert!(pauses.is_sorted(), "{pauses:?}");
     assert!(pauses[3] <= Duration::from_millis(500));
+}
+
+#[test]
+fn entries_may_be_missing_during_an_outage_and_for_a_while_after_it() {
+    let mut one = gateway(1);
+    let heard = Time::from_secs(1);
+    one.reader.on_read(heard);
+    let now = heard + Duration::from_secs(4);
+
+    one.reader.on_failure(now, CallFailure::NoAnswer, 0.5);
     assert!(one.reader.is_unsettled(now));
     one.reader.on_read(now);
     assert!(one.reader.is_unsettled(now), "entries may still be missing");
     assert!(!one.reader.is_unsettled(now + Duration::from_secs(3)));
 }
 
+/// Symptom: generations are lost with engines whose entries were removed. Sequence:
+/// a watch is cut; an engine's entry vanishes in the second after it. Cause: each
+/// failed call counted as an outage in which entries lapse, and the engine was kept.
+#[test]
+fn a_watch_that_was_cut_is_no_outage() {
+    let mut one = gateway(1);
+    let heard = Time::from_secs(1);
+    one.reader.on_read(heard);
+    let cut = heard + Duration::from_secs(1);
+
+    one.reader.on_failure(cut, CallFailure::NoAnswer, 0.5);
+    let during = one.reader.is_unsettled(cut);
+    one.reader.on_answer(cut + Duration::from_millis(100));
+
+    assert!(!during);
+    assert!(!one.reader.is_unsettled(cut + Duration::from_millis(200)));
+}
+
 #[test]
 fn dropped_history_is_followed_by_a_whole_read_at_once() {
     let mut one = gateway(1);
@@ -183,3 +211,21 @@
 
     assert!(one.takes_work(EndpointKey::of("e-1")));
 }
+
+/// Symptom: engines that are gone are used for minutes. Sequence: all instances watch
+/// for a moment, since the watchers heard nothing, and all their calls fail; then those
+/// that are not meant to watch listen again. Cause: they counted the store as away
+/// from then on, and said so to all others.
+#[test]
+fn an_instance_that_listens_does_not_count_the_store_as_away() {
+    let mut one = gateway(1);
+    let heard = Time::from_secs(1);
+    one.reader.on_read(heard);
+    let failed = heard + Duration::from_secs(3);
+    one.reader.on_failure(failed, CallFailure::NoAnswer, 0.5);
+    assert!(one.is_unsettled(failed));
+
+    one.reader.stand_by();
+
+    assert!(!one.is_unsettled(failed + Duration::from_secs(1)));
+}
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -11,8 +11,9 @@
 use crate::note;
 use crate::ports::{Published, Store, Wire};
 use core::time::Duration;
-use oriolemux_core::gateway::reader::{ANSWER_SLACK, CallFailure, Step, WATCH_WAIT};
+use oriolemux_core::gateway::reader::{ANSWER_SLACK, CallFailure, Step, StoreReader, WATCH_WAIT};
 use oriolemux_core::gateway::replica::{News, Record};
+use oriolemux_core::time::Time;
 use std::collections::BTreeMap;
 use std::net::SocketAddrV4;
 use std::sync::Arc;
@@ -29,21 +30,28 @@
     loop {
         let step = cx.state().next_step(cx.now());
         match step {
-            Step::Pause(pause) | Step::Listen(pause) => {
-                tokio::select! {
-                    () = tokio::time::sleep(pause) => {}
-                    () = cx.behind.notified() => ask_peer(&cx).await,
-                }
+            Step::Pause(pause) => pause_or_ask(&cx, pause).await,
+            Step::Listen(pause) => {
+                cx.state().reader.stand_by();
+                pause_or_ask(&cx, pause).await;
             }
             Step::Read => {
                 let result = read_all(&cx, &store).await;
-                note(&cx, result);
+                note(&cx, result, StoreReader::on_read);
             }
             Step::Watch => watch(&cx, &store).await,
         }
     }
 }
 
+/// Waits, unless a peer knows more meanwhile.
+async fn pause_or_ask<W: Wire>(cx: &Cx<W>, pause: Duration) {
+    tokio::select! {
+        () = tokio::time::sleep(pause) => {}
+        () = cx.behind.notified() => ask_peer(cx).await,
+    }
+}
+
 async fn read_all<W: Wire, S: Store>(cx: &Cx<W>, store: &S) -> Result<(), CallFailure> {
     let mut seen = BTreeMap::new();
     let mut after: Option<String> = None;
@@ -65,7 +73,6 @@
                 let now = cx.now();
                 let mut state = cx.state();
                 state.replica.read_whole(began);
-                state.reader.on_read(now);
                 state.note_behind(now);
                 return Ok(());
             }
@@ -88,7 +95,7 @@
                 state.replica.reached(changes.revision);
                 state.note_behind(now);
             });
-            note(cx, result);
+            note(cx, result, StoreReader::on_answer);
         }
         // A peer knows more than this watch has told: the connection may have
         // fallen silent. The peer is asked, and the next watch begins anew.
@@ -97,12 +104,16 @@
 }
 
 /// Takes the result of a call into account.
-fn note<W: Wire>(cx: &Cx<W>, result: Result<(), CallFailure>) {
+fn note<W: Wire>(
+    cx: &Cx<W>,
+    result: Result<(), CallFailure>,
+    answered: fn(&mut StoreReader, Time) -> bool,
+) {
     let now = cx.now();
     let mut state = cx.state();
     match result {
         Ok(()) => {
-            if state.reader.on_answer(now) {
+            if answered(&mut state.reader, now) {
                 note!(StoreRegained, revision = state.replica.revision());
             }
         }
