Nothing leaves for a standing copy while a copy ahead is under way

Change: what is only believed waits for what will be known; an engine that goes first ends the stream by itself, and the standing copy is asked for then. A line [823] tells when no engine has room for a copy; without it, a copy that was never begun could not be told from one under way. What is lost now is lost with its engine.

--- a/crates/core/src/gateway/relocation.rs
+++ b/crates/core/src/gateway/relocation.rs
@@ -21,8 +21,8 @@
 pub const LEAVE_AFTER: Duration = Duration::from_millis(1_100);
 
 /// How long after the notice a generation leaves for its standing copy, of which
-/// nobody says whether it is there. Until then its copy ahead, which is known to be
-/// there once it is complete, has time to become so.
+/// nobody says whether it is there. A copy ahead, which is known to be there once it is
+/// complete, is tried before that, and while one is under way nothing leaves.
 pub const LEAVE_FOR_STANDING: Duration = Duration::from_millis(1_300);
 
 /// How much sooner a generation may leave, if no prompt waits where it goes on: one
@@ -270,7 +270,9 @@
         let Some(leaves_for) = leaves_for else {
             return Step::Wait(wait);
         };
-        if let Some(from) = from {
+        // What is believed waits for what will be known.
+        let known_comes = from == Some(GoOnFrom::Standing) && self.ahead.under_way;
+        if let Some(from) = from.filter(|_| !known_comes) {
             let leave = leave_at(now, leaves_for, from, view.target_is_quiet);
             if leave <= now {
                 return Step::Leave;
--- a/crates/gateway/src/notes.rs
+++ b/crates/gateway/src/notes.rs
@@ -108,6 +108,8 @@
     PeerHeard = 821, "peer_heard", Info, USUAL;
     /// A peer was silent for so long that it counts as gone.
     PeerSilent = 822, "peer_silent", Info, USUAL;
+    /// No engine has room for a copy of a generation; the line says for which kind of copy.
+    NoRoomForCopy = 823, "no_room_for_copy", Info, USUAL;
 }
 
 /// Lines of one event within the present second.
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -489,7 +489,22 @@
         let now = cx.now();
         let mut state = cx.state();
         let data_centre = state.data_centre().to_owned();
-        state.copy_place(now, &self.demand(&data_centre), self.source.key, kind)
+        let place = state.copy_place(now, &self.demand(&data_centre), self.source.key, kind);
+        drop(state);
+        if place.is_none() {
+            let kind = match kind {
+                CopyKind::Standing => "standing",
+                CopyKind::Ahead => "ahead",
+            };
+            note!(
+                NoRoomForCopy,
+                attempt = self.job.name(),
+                source = self.source.name.as_str(),
+                kind = kind,
+                need = self.tokens
+            );
+        }
+        place
     }
 
     fn demand<'a>(&'a self, data_centre: &'a str) -> Demand<'a> {
