No copies at engines that were last seen failing, here or by a peer

Cause: while the store is away, engines that died keep their entries. An instance knew only its own failures, forgot them by time, and passed an endpoint over only after three. Change: an endpoint whose last sight was a failure keeps no copies until it begins to answer again; instances tell each other which these are (bulletins are of version 2). Ruled out: taking such endpoints for gone, since a cut of one instance's links would empty the fleet; passing them over for requests, too, since a refused connection costs a millisecond and is the probe that clears the doubt. Tests first: choice of a copy's engine by own and by a peer's failure; the first event as the sign that an engine is there.

--- a/crates/core/src/gateway/bulletin.rs
+++ b/crates/core/src/gateway/bulletin.rs
@@ -10,11 +10,11 @@
 use crate::time::Time;
 use core::time::Duration;
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddrV4;
 
 /// The version of this format; bulletins of another are ignored.
-pub const BULLETIN_VERSION: u8 = 1;
+pub const BULLETIN_VERSION: u8 = 2;
 
 /// Intervals of a peer's bulletins after which its silence counts as its going: six
 /// may be lost in a row.
@@ -89,6 +89,8 @@
     pub peers: Vec<SocketAddrV4>,
     /// Endpoints that the sender knows to leave.
     pub leaving: Vec<EndpointKey>,
+    /// Endpoints of which the last that the sender saw was a failure.
+    pub failing: Vec<EndpointKey>,
     /// What the sender runs where.
     pub used: Vec<(EndpointKey, Used)>,
 }
@@ -112,6 +114,8 @@
     pub unsettled: bool,
     /// Whether it is stopping.
     pub stopping: bool,
+    /// Endpoints of which the last that it saw was a failure.
+    pub failing: BTreeSet<EndpointKey>,
     /// What it runs where.
     pub used: BTreeMap<EndpointKey, Used>,
     /// Whether it counts as there, so that its coming and going is told once.
@@ -144,6 +148,7 @@
             store_heard: None,
             unsettled: false,
             stopping: false,
+            failing: BTreeSet::new(),
             used: BTreeMap::new(),
             present: false,
         });
@@ -168,6 +173,7 @@
             peer.store_heard = now.before(Duration::from_millis(bulletin.store_age_ms.into()));
             peer.unsettled = bulletin.unsettled;
             peer.stopping = bulletin.stopping;
+            peer.failing = bulletin.failing.iter().copied().collect();
             peer.used = bulletin.used.iter().copied().collect();
         }
         is_new
@@ -208,6 +214,12 @@
         self.peers.is_empty()
     }
 
+    /// Returns whether a peer saw a failure last at an endpoint.
+    pub fn any_fails(&self, now: Time, endpoint: EndpointKey) -> bool {
+        self.live(now)
+            .any(|(_, peer)| peer.failing.contains(&endpoint))
+    }
+
     /// Returns the peers that were heard lately.
     pub fn live(&self, now: Time) -> impl Iterator<Item = (SocketAddrV4, &Peer)> {
         let peers = self.peers.iter();
--- a/crates/core/src/gateway/choose.rs
+++ b/crates/core/src/gateway/choose.rs
@@ -114,7 +114,8 @@
 ) -> Result<EndpointKey, NoPlace> {
     let mut best: Option<(f64, EndpointKey)> = None;
     let mut full = false;
-    for endpoint in candidates(world, demand) {
+    let trusted = |endpoint: &Endpoint| !endpoint.is_ejected(world.now);
+    for endpoint in candidates(world, demand, trusted) {
         let used = world.usage.of(world.now, endpoint.key, world.peers);
         let cost = match demand.engine {
             Some(limits)
@@ -166,7 +167,7 @@
         CopyKind::Ahead => (MEMORY_SHARE, AWAY_AHEAD_COST, AHEAD_DRAW_WIDTH),
     };
     let mut best: Option<(f64, EndpointKey)> = None;
-    for endpoint in candidates(world, demand) {
+    for endpoint in candidates(world, demand, |endpoint| keeps_copies(world, endpoint)) {
         let used = world.usage.of(world.now, endpoint.key, world.peers);
         if endpoint.key == source.key || !fits(used, demand.tokens, limits, share) {
             continue;
@@ -181,23 +182,29 @@
     best.map(|(_, key)| key)
 }
 
-/// Returns the endpoints that may be chosen; those that failed lately only if
+/// Returns whether an engine is believed to keep a copy.
+///
+/// What goes wrong otherwise: while the store is away, an engine that died still has its
+/// entry. It looks empty, draws all copies to itself, and the generations that lean on
+/// them are lost with their engines. Whoever had work there has seen it fail, and says so.
+fn keeps_copies(world: World<'_>, endpoint: &Endpoint) -> bool {
+    let failing = endpoint.is_failing() || world.peers.any_fails(world.now, endpoint.key);
+    !failing && !endpoint.is_ejected(world.now)
+}
+
+/// Returns the endpoints that may be chosen; those that are not `trusted` only if
 /// there are no others.
 fn candidates<'a>(
     world: World<'a>,
     demand: &'a Demand<'a>,
+    trusted: impl Fn(&Endpoint) -> bool + 'a,
 ) -> impl Iterator<Item = &'a Endpoint> + 'a {
     let fitting = move |endpoint: &&Endpoint| {
         endpoint.takes_work()
             && endpoint.record.service == demand.service
             && !demand.exclude.contains(&endpoint.key)
     };
-    let trusted = move |endpoint: &&Endpoint| !endpoint.is_ejected(world.now);
-    let any_trusted = world
-        .endpoints
-        .iter()
-        .filter(fitting)
-        .any(|endpoint| trusted(&endpoint));
+    let any_trusted = world.endpoints.iter().filter(fitting).any(&trusted);
     world
         .endpoints
         .iter()
--- a/crates/core/src/gateway/endpoints.rs
+++ b/crates/core/src/gateway/endpoints.rs
@@ -98,6 +98,11 @@
         now < self.ejected_until
     }
 
+    /// Returns whether the last that was seen of it here was a failure.
+    pub fn is_failing(&self) -> bool {
+        self.failures > 0
+    }
+
     /// Returns the share of requests that failed lately, from 0 to 1.
     pub fn failure_share(&self) -> f64 {
         self.failure_share
@@ -221,11 +226,27 @@
             .map(|(key, _)| *key)
     }
 
-    /// Notes that a request went well.
-    pub fn on_success(&mut self, key: EndpointKey) {
+    /// Returns the endpoints of which the last that was seen here was a failure, to
+    /// tell peers.
+    pub fn failing(&self) -> impl Iterator<Item = EndpointKey> {
+        let failing = self.endpoints.values();
+        failing
+            .filter(|endpoint| endpoint.takes_work() && endpoint.is_failing())
+            .map(|endpoint| endpoint.key)
+    }
+
+    /// Notes that an endpoint began to answer, so that it is there.
+    pub fn on_answer(&mut self, key: EndpointKey) {
         if let Some(endpoint) = self.endpoints.get_mut(&key) {
             endpoint.failures = 0;
             endpoint.ejected_until = Time::ZERO;
+        }
+    }
+
+    /// Notes that a request went well.
+    pub fn on_success(&mut self, key: EndpointKey) {
+        self.on_answer(key);
+        if let Some(endpoint) = self.endpoints.get_mut(&key) {
             endpoint.failure_share *= 1.0 - FAILURE_WEIGHT;
         }
     }
--- a/crates/core/src/gateway/relocation.rs
+++ b/crates/core/src/gateway/relocation.rs
@@ -172,6 +172,11 @@
         self.events
     }
 
+    /// Returns whether an event of the present engine was passed on.
+    pub fn has_begun_here(&self) -> bool {
+        self.first_here.is_some()
+    }
+
     /// Returns how often the generation went on at another engine.
     pub fn moves(&self) -> u32 {
         self.moves
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -305,6 +305,7 @@
             interval_ms: u32::try_from(interval_ms).unwrap_or(u32::MAX),
             peers: named.copied().collect(),
             leaving: self.endpoints.leaving(now, TELL_LEAVING).collect(),
+            failing: self.endpoints.failing().collect(),
             used: self.usage.own().collect(),
         }
     }
--- a/crates/core/tests/gateway_choose.rs
+++ b/crates/core/tests/gateway_choose.rs
@@ -8,6 +8,7 @@
 use oriolemux_core::gateway::usage::UsageTable;
 use oriolemux_core::gateway::{Bulletin, Demand, EndpointRecord};
 use oriolemux_core::{EndpointKey, Incarnation, Time};
+use rstest::rstest;
 
 const ENGINE: EngineLimits = EngineLimits {
     slots: 24,
@@ -47,6 +48,25 @@
     }
 }
 
+/// What a peer tells that has nothing to say.
+fn bulletin() -> Bulletin {
+    Bulletin {
+        version: BULLETIN_VERSION,
+        deployment: 1,
+        incarnation: Incarnation(2),
+        address: "10.0.0.9:7200".parse().expect("an address"),
+        revision: 1,
+        interval_ms: 200,
+        store_age_ms: 0,
+        unsettled: false,
+        stopping: false,
+        peers: Vec::new(),
+        leaving: Vec::new(),
+        failing: Vec::new(),
+        used: Vec::new(),
+    }
+}
+
 impl Tables {
     fn world(&self) -> World<'_> {
         World {
@@ -78,27 +98,15 @@
 #[test]
 fn what_peers_run_counts() {
     let mut tables = tables(&[("e-1", "north"), ("e-2", "north")]);
+    let used = Used {
+        running: 1,
+        unread: 3_000,
+        tokens: 3_000,
+        copied: 0,
+    };
     let bulletin = Bulletin {
-        version: BULLETIN_VERSION,
-        deployment: 1,
-        incarnation: Incarnation(2),
-        address: "10.0.0.9:7200".parse().expect("an address"),
-        revision: 1,
-        interval_ms: 200,
-        store_age_ms: 0,
-        unsettled: false,
-        stopping: false,
-        peers: Vec::new(),
-        leaving: Vec::new(),
-        used: vec![(
-            key("e-1"),
-            Used {
-                running: 1,
-                unread: 3_000,
-                tokens: 3_000,
-                copied: 0,
-            },
-        )],
+        used: vec![(key("e-1"), used)],
+        ..bulletin()
     };
     tables.peers.hear(Time::from_secs(10), &bulletin);
 
@@ -190,3 +198,32 @@
 
     assert!(chosen.len() >= 3, "{chosen:?}");
 }
+
+/// Symptom: while the store is away, generations are lost with their engines although
+/// each had a standing copy. Sequence: an engine dies and its entry stays; it looks
+/// empty and draws all copies to itself, also those of instances that had no work there.
+/// Cause: an instance knew only its own failures, and passed over an endpoint only after
+/// three of them.
+#[rstest]
+#[case::seen_here(true)]
+#[case::told_by_a_peer(false)]
+fn no_copy_is_put_at_an_engine_that_fails(#[case] seen_here: bool) {
+    let mut tables = tables(&[("e-1", "north"), ("e-2", "north"), ("e-3", "north")]);
+    let now = Time::from_secs(10);
+    tables.usage.begin(key("e-3"), 9_000, 0);
+    if seen_here {
+        tables.endpoints.on_failure(now, key("e-2"));
+    } else {
+        let bulletin = Bulletin {
+            failing: vec![key("e-2")],
+            ..bulletin()
+        };
+        tables.peers.hear(now, &bulletin);
+    }
+    let source = tables.endpoints.get(key("e-1")).expect("an endpoint");
+
+    for kind in [CopyKind::Standing, CopyKind::Ahead] {
+        let chosen = choose_copy(tables.world(), &demand(3_000, &[]), source, kind, no_draw);
+        assert_eq!(chosen, Some(key("e-3")), "{kind:?}");
+    }
+}
--- a/crates/core/tests/gateway_endpoints.rs
+++ b/crates/core/tests/gateway_endpoints.rs
@@ -103,3 +103,27 @@
     table.on_success(key);
     assert!(!table.get(key).expect("it is there").is_ejected(now));
 }
+
+/// An engine answers for many seconds before a generation ends; its first event shows
+/// that it is there.
+#[test]
+fn an_endpoint_that_begins_to_answer_no_longer_fails() {
+    let (mut table, key) = table();
+    let now = Time::from_secs(1);
+    table.on_failure(now, key);
+    assert_eq!(table.failing().collect::<Vec<_>>(), [key]);
+
+    table.on_answer(key);
+
+    assert_eq!(table.failing().count(), 0);
+}
+
+#[test]
+fn peers_are_not_told_of_failures_at_endpoints_that_leave() {
+    let (mut table, key) = table();
+    table.on_failure(Time::from_secs(1), key);
+
+    table.leave(Time::from_secs(2), key);
+
+    assert_eq!(table.failing().count(), 0);
+}
--- a/crates/core/tests/gateway_reader.rs
+++ b/crates/core/tests/gateway_reader.rs
@@ -38,6 +38,7 @@
         stopping: false,
         peers: Vec::new(),
         leaving: Vec::new(),
+        failing: Vec::new(),
         used: Vec::new(),
     }
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -298,12 +298,16 @@
     /// nothing holds the generation up no longer than its time.
     async fn pass_on(&mut self, event: Event) -> Option<Pause> {
         let now = self.job.cx.now();
+        let is_first_here = !self.state.has_begun_here();
         match self.state.on_event(now, event.id) {
             Delivery::Pass => {}
             Delivery::Again => return None,
             Delivery::Gap => return Some(Pause::Gap),
         }
-        self.in_use.first_byte();
+        if is_first_here {
+            self.job.cx.state().endpoints.on_answer(self.source.key);
+            self.in_use.first_byte();
+        }
         self.pace.on_event(Instant::now());
         self.recount();
         let sent = self.tx.send(Ok(event.bytes));
