Gateway: what calls and generations share stands in Job, once

Repeats, failures, replaced endpoints and refusals were written twice, in calls and in the relay of generations; a job looked its service up by name among all at each placement. They are methods of Job now, which keeps the id of its service; a choice takes the instance's own data centre from the world, not from each demand, and both choices share one loop. No change of behaviour; the tests of the core, of platform/ and of the process pass.

--- a/crates/core/src/gateway/choose.rs
+++ b/crates/core/src/gateway/choose.rs
@@ -75,8 +75,6 @@
     pub tokens: u32,
     /// Endpoints that are not to be chosen, because they were tried.
     pub exclude: &'a [EndpointKey],
-    /// The data centre of this instance.
-    pub data_centre: &'a str,
 }
 
 /// The tables that a choice looks at.
@@ -90,6 +88,14 @@
     pub usage: &'a UsageTable,
     /// What peers run.
     pub peers: &'a PeerTable,
+    /// The data centre of this instance.
+    pub data_centre: &'a str,
+}
+
+impl World<'_> {
+    fn used(self, endpoint: &Endpoint) -> Used {
+        self.usage.of(self.now, endpoint.key, self.peers)
+    }
 }
 
 /// Why there is no endpoint for a request.
@@ -112,33 +118,25 @@
     demand: &Demand<'_>,
     mut jitter: impl FnMut() -> f64,
 ) -> Result<EndpointKey, NoPlace> {
-    let mut best: Option<(f64, EndpointKey)> = None;
     let mut full = false;
     let trusted = |endpoint: &Endpoint| !endpoint.is_ejected(world.now);
-    for endpoint in candidates(world, demand, trusted) {
-        let used = world.usage.of(world.now, endpoint.key, world.peers);
-        let cost = match demand.engine {
-            Some(limits)
-                if !fits(used, demand.tokens, limits, MEMORY_SHARE)
-                    || used.unread >= MAX_UNREAD =>
-            {
-                full = true;
-                continue;
+    let chosen = cheapest(candidates(world, demand, trusted), |endpoint| {
+        let used = world.used(endpoint);
+        let (cost, away) = match demand.engine {
+            Some(limits) => {
+                let room = fits(used, demand.tokens, limits, MEMORY_SHARE);
+                if !room || used.unread >= MAX_UNREAD {
+                    full = true;
+                    return None;
+                }
+                (engine_cost(used, limits), AWAY_COST)
             }
-            Some(limits) => engine_cost(used, limits),
-            None => plain_cost(world, endpoint, used),
-        };
-        let away = match demand.engine {
-            Some(_) => AWAY_COST,
-            None => AWAY_PLAIN_COST,
+            None => (plain_cost(world, endpoint, used), AWAY_PLAIN_COST),
         };
-        let cost = cost + state_cost(world.now, endpoint, demand, away) + DRAW_WIDTH * jitter();
-        if best.is_none_or(|(least, _)| cost < least) {
-            best = Some((cost, endpoint.key));
-        }
-    }
-    match best {
-        Some((_, key)) => Ok(key),
+        Some(cost + state_cost(world, endpoint, away) + DRAW_WIDTH * jitter())
+    });
+    match chosen {
+        Some(key) => Ok(key),
         None if full => Err(NoPlace::Full),
         None => Err(NoPlace::NoEndpoint),
     }
@@ -166,15 +164,28 @@
         CopyKind::Standing => (COPY_SHARE, AWAY_COST, DRAW_WIDTH),
         CopyKind::Ahead => (MEMORY_SHARE, AWAY_AHEAD_COST, AHEAD_DRAW_WIDTH),
     };
-    let mut best: Option<(f64, EndpointKey)> = None;
-    for endpoint in candidates(world, demand, |endpoint| keeps_copies(world, endpoint)) {
-        let used = world.usage.of(world.now, endpoint.key, world.peers);
+    let trusted = |endpoint: &Endpoint| keeps_copies(world, endpoint);
+    cheapest(candidates(world, demand, trusted), |endpoint| {
+        let used = world.used(endpoint);
         if endpoint.key == source.key || !fits(used, demand.tokens, limits, share) {
-            continue;
+            return None;
         }
         let away = endpoint.record.data_centre != source.record.data_centre;
         let away = if away { away_cost } else { 0.0 };
-        let cost = engine_cost(used, limits) + away + draw_width * jitter();
+        Some(engine_cost(used, limits) + away + draw_width * jitter())
+    })
+}
+
+/// Returns the endpoint with the least cost; one without a cost cannot be chosen.
+fn cheapest<'a>(
+    endpoints: impl Iterator<Item = &'a Endpoint>,
+    mut cost: impl FnMut(&Endpoint) -> Option<f64>,
+) -> Option<EndpointKey> {
+    let mut best: Option<(f64, EndpointKey)> = None;
+    for endpoint in endpoints {
+        let Some(cost) = cost(endpoint) else {
+            continue;
+        };
         if best.is_none_or(|(least, _)| cost < least) {
             best = Some((cost, endpoint.key));
         }
@@ -232,12 +243,12 @@
     counted.max(told)
 }
 
-fn state_cost(now: Time, endpoint: &Endpoint, demand: &Demand<'_>, away: f64) -> f64 {
+fn state_cost(world: World<'_>, endpoint: &Endpoint, away: f64) -> f64 {
     let mut cost = FAILURE_COST * endpoint.failure_share();
-    if endpoint.record.data_centre != demand.data_centre {
+    if endpoint.record.data_centre != world.data_centre {
         cost += away;
     }
-    if now < endpoint.cold_until {
+    if world.now < endpoint.cold_until {
         cost += COLD_COST;
     }
     if let EndpointState::Lapsed { .. } = endpoint.state {
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -190,11 +190,6 @@
         }
     }
 
-    /// Returns the data centre of this instance.
-    pub fn data_centre(&self) -> &str {
-        &self.cfg.data_centre
-    }
-
     /// Returns whether callers can be served.
     pub fn is_ready(&self) -> bool {
         self.catalogue.is_some() && !self.stopping
@@ -226,13 +221,7 @@
     ///
     /// Returns why there is none.
     pub fn place(&mut self, now: Time, demand: &Demand<'_>) -> Result<Place, NoPlace> {
-        let world = World {
-            now,
-            endpoints: &self.endpoints,
-            usage: &self.usage,
-            peers: &self.peers,
-        };
-        let rng = &mut self.rng;
+        let (world, rng) = self.world(now);
         let key = choose::choose(world, demand, || rng.random())?;
         let endpoint = self.endpoints.get(key).ok_or(NoPlace::NoEndpoint)?;
         Ok(Place::of(endpoint))
@@ -246,16 +235,22 @@
         source: EndpointKey,
         kind: CopyKind,
     ) -> Option<Place> {
+        let (world, rng) = self.world(now);
+        let source = world.endpoints.get(source)?;
+        let key = choose::choose_copy(world, demand, source, kind, || rng.random())?;
+        self.endpoints.get(key).map(Place::of)
+    }
+
+    /// Returns the tables that a choice looks at, and the source of its draws.
+    fn world(&mut self, now: Time) -> (World<'_>, &mut SmallRng) {
         let world = World {
             now,
             endpoints: &self.endpoints,
             usage: &self.usage,
             peers: &self.peers,
+            data_centre: &self.cfg.data_centre,
         };
-        let rng = &mut self.rng;
-        let source = self.endpoints.get(source)?;
-        let key = choose::choose_copy(world, demand, source, kind, || rng.random())?;
-        self.endpoints.get(key).map(Place::of)
+        (world, &mut self.rng)
     }
 
     /// Returns since when an endpoint is known to leave.
--- a/crates/core/tests/gateway_choose.rs
+++ b/crates/core/tests/gateway_choose.rs
@@ -74,6 +74,7 @@
             endpoints: &self.endpoints,
             usage: &self.usage,
             peers: &self.peers,
+            data_centre: "north",
         }
     }
 }
@@ -84,7 +85,6 @@
         engine: Some(ENGINE),
         tokens,
         exclude,
-        data_centre: "north",
     }
 }
 
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -4,7 +4,7 @@
 //! may be repeated can so be repeated after an answer that broke off in the
 //! middle, and nothing that is half an answer ever reaches a caller.
 
-use crate::answer::{AnswerBody, Reason, refuse, whole};
+use crate::answer::{AnswerBody, Reason};
 use crate::job::Job;
 use crate::link::LinkError;
 use crate::meters::{ByReason, Histogram};
@@ -17,7 +17,6 @@
 use oriolemux_core::gateway::choose::NoPlace;
 use oriolemux_core::gateway::state::Place;
 use oriolemux_core::ids::EndpointKey;
-use std::time::Instant;
 
 /// The largest answer of a plain service that is held.
 const MAX_ANSWER: usize = 16 * 1024 * 1024;
@@ -160,10 +159,7 @@
             job.cx.state().told(job.cx.now(), place.key, load);
         }
         if head.replaced {
-            let now = job.cx.now();
-            if job.cx.state().endpoints.leave(now, place.key) {
-                job.cx.tell_leaving(&[place.key]);
-            }
+            job.note_replaced(place);
         }
         if head.not_run {
             return Attempt::NotRun;
@@ -187,20 +183,12 @@
     }
 
     fn note(&mut self, place: &Place, attempt: &Attempt) {
-        let cx = &self.job.cx;
-        let now = cx.now();
-        let passed_over = match attempt {
-            Attempt::Answer(_) => {
-                cx.state().endpoints.on_success(place.key);
-                false
-            }
-            Attempt::NotRun => false,
+        match attempt {
+            Attempt::Answer(_) => self.job.cx.state().endpoints.on_success(place.key),
+            Attempt::NotRun => {}
             Attempt::NoConnection | Attempt::Lost | Attempt::Foreign | Attempt::Timeout => {
-                cx.state().endpoints.on_failure(now, place.key)
+                self.job.note_failure(place);
             }
-        };
-        if passed_over {
-            note!(EndpointPassedOver, endpoint = place.name.as_str());
         }
         match attempt {
             Attempt::NotRun | Attempt::NoConnection => self.refused += 1,
@@ -221,13 +209,7 @@
                 self.is_idempotent() && self.runs < job.entry().max_attempts
             }
         };
-        if !allowed {
-            return false;
-        }
-        let now = job.cx.now();
-        let mut state = job.cx.state();
-        let instances = state.instances(now);
-        state.budget.spend(now, &job.service, instances)
+        allowed && job.spend_repeat()
     }
 
     fn no_place(&self, why: NoPlace) -> Response<AnswerBody> {
@@ -236,14 +218,15 @@
             (0, NoPlace::Full) => Reason::EndpointsFull,
             _ => Reason::AnswerLost,
         };
-        self.refuse(reason)
+        self.job.refuse(reason)
     }
 
     fn finish(&self, attempt: Attempt, place: &Place) -> Response<AnswerBody> {
         let reason = match attempt {
-            Attempt::Answer(answer) => {
+            Attempt::Answer(mut answer) => {
                 Histogram::Call.record(self.job.arrived.elapsed());
-                return self.pass_on(answer);
+                self.job.cx.wire.strip_answer(&mut answer.headers);
+                return answer.into_response();
             }
             // An earlier attempt may have run, so that "not run" would be untrue.
             Attempt::NotRun | Attempt::NoConnection if self.runs > 0 => Reason::AnswerLost,
@@ -256,21 +239,6 @@
         note!(CallFailed, attempt = self.job.name(), entry = self.job.entry().name.as_str(),
             endpoint = place.name.as_str(), reason:% = reason,
             ms = self.job.arrived.elapsed().as_millis() as u64);
-        self.refuse(reason)
-    }
-
-    fn refuse(&self, reason: Reason) -> Response<AnswerBody> {
-        ByReason::Refused.add(&reason.to_string());
-        let patience = self.job.head.deadline.unwrap_or(self.job.entry().timeout);
-        let left = (self.job.arrived + patience).saturating_duration_since(Instant::now());
-        refuse(reason, left)
-    }
-
-    fn pass_on(&self, answer: WholeAnswer) -> Response<AnswerBody> {
-        let mut response = Response::new(whole(answer.body));
-        *response.status_mut() = answer.status;
-        *response.headers_mut() = answer.headers;
-        self.job.cx.wire.strip_answer(response.headers_mut());
-        response
+        self.job.refuse(reason)
     }
 }
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -104,8 +104,8 @@
     let mut state = cx.state();
     let draw = state.draw();
     let service = judged.catalogue.draw_service(judged.entry, draw);
-    let service = judged.catalogue.service(service).name.clone();
-    state.budget.on_request(now, &service);
+    let name = &judged.catalogue.service(service).name;
+    state.budget.on_request(now, name);
     drop(state);
     Ok(Job {
         cx,
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -1,7 +1,9 @@
 //! One request of a caller, judged and read.
 
+use crate::answer::{AnswerBody, Reason, refuse};
 use crate::cx::Cx;
 use crate::link::{Link, LinkError};
+use crate::meters::ByReason;
 use crate::note;
 use crate::ports::{CallerHead, SendHead, Wire};
 use bytes::Bytes;
@@ -9,7 +11,7 @@
 use http::{HeaderMap, Method, Request, Response, Uri, header};
 use http_body_util::Full;
 use hyper::body::Incoming;
-use oriolemux_core::gateway::catalogue::{Catalogue, EngineLimits, HttpEntry, WorkspaceId};
+use oriolemux_core::gateway::catalogue::{Catalogue, HttpEntry, Service, ServiceId, WorkspaceId};
 use oriolemux_core::gateway::choose::NoPlace;
 use oriolemux_core::gateway::lengths::Length;
 use oriolemux_core::gateway::state::Place;
@@ -28,8 +30,8 @@
     pub entry: EntryId,
     /// Its workspace.
     pub workspace: Option<WorkspaceId>,
-    /// The service's name.
-    pub service: String,
+    /// The service that was drawn for it.
+    pub service: ServiceId,
     /// What the caller's headers say.
     pub head: CallerHead,
     /// The method.
@@ -62,10 +64,51 @@
         self.ends.saturating_duration_since(Instant::now())
     }
 
-    /// Returns what the service's engines bear, if they are engines.
-    pub fn engine(&self) -> Option<EngineLimits> {
-        let mut services = self.catalogue.services();
-        services.find(|it| it.name == self.service)?.engine
+    /// Returns the service.
+    pub fn service(&self) -> &Service {
+        self.catalogue.service(self.service)
+    }
+
+    /// Returns what an endpoint must have.
+    pub fn demand<'a>(&'a self, tokens: u32, exclude: &'a [EndpointKey]) -> Demand<'a> {
+        let service = self.service();
+        Demand {
+            service: &service.name,
+            engine: service.engine,
+            tokens,
+            exclude,
+        }
+    }
+
+    /// Spends one of the fleet's repeats; returns whether there was one.
+    pub fn spend_repeat(&self) -> bool {
+        let now = self.cx.now();
+        let mut state = self.cx.state();
+        let instances = state.instances(now);
+        state.budget.spend(now, &self.service().name, instances)
+    }
+
+    /// Notes that a request failed at an endpoint.
+    pub fn note_failure(&self, place: &Place) {
+        let now = self.cx.now();
+        if self.cx.state().endpoints.on_failure(now, place.key) {
+            note!(EndpointPassedOver, endpoint = place.name.as_str());
+        }
+    }
+
+    /// Notes that another process answers at the address of an endpoint.
+    pub fn note_replaced(&self, place: &Place) {
+        let now = self.cx.now();
+        if self.cx.state().endpoints.leave(now, place.key) {
+            self.cx.tell_leaving(&[place.key]);
+        }
+    }
+
+    /// Returns the gateway's own answer, which says when to come back.
+    pub fn refuse(&self, reason: Reason) -> Response<AnswerBody> {
+        ByReason::Refused.add(&reason.to_string());
+        let patience = self.head.deadline.unwrap_or(self.entry().timeout);
+        refuse(reason, patience.saturating_sub(self.arrived.elapsed()))
     }
 
     /// Chooses an endpoint and counts the request there until [`InUse`] is dropped.
@@ -80,15 +123,7 @@
     ) -> Result<(Place, InUse<W>), NoPlace> {
         let now = self.cx.now();
         let mut state = self.cx.state();
-        let data_centre = state.data_centre().to_owned();
-        let demand = Demand {
-            service: &self.service,
-            engine: self.engine(),
-            tokens,
-            exclude,
-            data_centre: &data_centre,
-        };
-        let place = state.place(now, &demand)?;
+        let place = state.place(now, &self.demand(tokens, exclude))?;
         let used = state.usage.of(now, place.key, &state.peers);
         let unread = if tokens > 0 {
             self.head.prompt_tokens
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -3,10 +3,11 @@
 //! An implementation translates and calls; it decides nothing, repeats nothing
 //! and keeps no state beyond a connection.
 
+use crate::answer::{AnswerBody, whole};
 use bytes::Bytes;
 use core::future::Future;
 use core::time::Duration;
-use http::{HeaderMap, StatusCode};
+use http::{HeaderMap, Response, StatusCode};
 use oriolemux_core::gateway::endpoints::EndpointRecord;
 use oriolemux_core::gateway::reader::CallFailure;
 use oriolemux_core::gateway::usage::ToldLoad;
@@ -203,3 +204,13 @@
     /// The body.
     pub body: Bytes,
 }
+
+impl WholeAnswer {
+    /// Returns the answer as the caller gets it.
+    pub fn into_response(self) -> Response<AnswerBody> {
+        let mut response = Response::new(whole(self.body));
+        *response.status_mut() = self.status;
+        *response.headers_mut() = self.headers;
+        response
+    }
+}
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -28,7 +28,6 @@
 use http::{HeaderMap, Response, StatusCode};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use oriolemux_core::gateway::Demand;
 use oriolemux_core::gateway::choose::CopyKind;
 use oriolemux_core::gateway::lengths::Length;
 use oriolemux_core::gateway::relocation::{
@@ -173,7 +172,7 @@
             Ok(Ok((link, answer))) => return self.read_head(link, answer).await,
             Ok(Err(error)) => error,
         };
-        self.note_failure();
+        self.job.note_failure(&self.source);
         if error.never_sent() {
             return Begun::NotRun;
         }
@@ -193,7 +192,7 @@
             return Begun::Failed(Reason::AnswerForeign);
         }
         if head.replaced {
-            self.note_replaced();
+            self.job.note_replaced(&self.source);
         }
         if head.not_run {
             return Begun::NotRun;
@@ -239,7 +238,7 @@
                 }
                 Pause::Broken => {
                     upstream.link.close().await;
-                    self.note_failure();
+                    self.job.note_failure(&self.source);
                     self.leave().await
                 }
             };
@@ -470,10 +469,8 @@
     /// Chooses where the present engine keeps a standing copy, where one pays.
     fn choose_standing(&mut self) {
         self.standing = None;
-        let keeps_copies = self
-            .job
-            .engine()
-            .is_some_and(|engine| engine.standing_copies);
+        let engine = self.job.service().engine;
+        let keeps_copies = engine.is_some_and(|engine| engine.standing_copies);
         let is_long = self.length.rest(self.state.tokens()) >= COPY_MIN_TOKENS;
         if keeps_copies && is_long {
             let cx = &self.job.cx;
@@ -492,8 +489,8 @@
         let cx = &self.job.cx;
         let now = cx.now();
         let mut state = cx.state();
-        let data_centre = state.data_centre().to_owned();
-        let place = state.copy_place(now, &self.demand(&data_centre), self.source.key, kind);
+        let demand = self.job.demand(self.tokens, &[]);
+        let place = state.copy_place(now, &demand, self.source.key, kind);
         drop(state);
         if place.is_none() {
             let kind = match kind {
@@ -511,16 +508,6 @@
         place
     }
 
-    fn demand<'a>(&'a self, data_centre: &'a str) -> Demand<'a> {
-        Demand {
-            service: &self.job.service,
-            engine: self.job.engine(),
-            tokens: self.tokens,
-            exclude: &[],
-            data_centre,
-        }
-    }
-
     async fn send(
         &self,
         resume: Option<Resume<'_>>,
@@ -539,23 +526,8 @@
     fn note_repeat(&self) {
         let cx: &Cx<W> = &self.job.cx;
         let now = cx.now();
-        cx.state().budget.note_repeat(now, &self.job.service);
-    }
-
-    fn note_failure(&self) {
-        let cx = &self.job.cx;
-        let now = cx.now();
-        if cx.state().endpoints.on_failure(now, self.source.key) {
-            note!(EndpointPassedOver, endpoint = self.source.name.as_str());
-        }
-    }
-
-    fn note_replaced(&self) {
-        let cx = &self.job.cx;
-        let now = cx.now();
-        if cx.state().endpoints.leave(now, self.source.key) {
-            cx.tell_leaving(&[self.source.key]);
-        }
+        let service = &self.job.service().name;
+        cx.state().budget.note_repeat(now, service);
     }
 
     /// Counts the memory anew as the generation grows.
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -4,11 +4,10 @@
 //! what waits here can still go to any engine. It is sent with a standing copy
 //! where that pays, and its [`relay`](crate::relay) then has it to its end.
 
-use crate::answer::{AnswerBody, BrokenOff, Reason, refuse};
+use crate::answer::{AnswerBody, BrokenOff, Reason};
 use crate::job::{InUse, Job};
-use crate::meters::ByReason;
 use crate::note;
-use crate::ports::{EngineCalls, WholeAnswer, Wire};
+use crate::ports::{EngineCalls, Wire};
 use crate::relay::{Relay, Started};
 use bytes::Bytes;
 use core::pin::Pin;
@@ -63,7 +62,7 @@
             Start::NotRun(returned) => {
                 job = *returned;
                 tried.push(key);
-                if tried.len() > MAX_REFUSED_SENDS || !spend(&job) {
+                if tried.len() > MAX_REFUSED_SENDS || !job.spend_repeat() {
                     return give_up(&job, Reason::NotRunAtEndpoint);
                 }
             }
@@ -101,7 +100,7 @@
         Ok(Started::Streaming { status, headers }) => {
             Start::Streaming(streamed(status, headers, rx))
         }
-        Ok(Started::Answer(answer)) => Start::Ended(pass_on(answer)),
+        Ok(Started::Answer(answer)) => Start::Ended(answer.into_response()),
         Ok(Started::Refused(answer)) => Start::Ended(answer),
         Ok(Started::NotRun(job)) => Start::NotRun(job),
         Err(_) => Start::Lost,
@@ -121,13 +120,6 @@
     response
 }
 
-fn pass_on(answer: WholeAnswer) -> Response<AnswerBody> {
-    let mut response = Response::new(crate::answer::whole(answer.body));
-    *response.status_mut() = answer.status;
-    *response.headers_mut() = answer.headers;
-    response
-}
-
 async fn wait_for_place<W: Wire>(
     job: &Job<W>,
     tokens: u32,
@@ -153,19 +145,10 @@
     }
 }
 
-fn spend<W: Wire>(job: &Job<W>) -> bool {
-    let now = job.cx.now();
-    let mut state = job.cx.state();
-    let instances = state.instances(now);
-    state.budget.spend(now, &job.service, instances)
-}
-
 fn give_up<W: Wire>(job: &Job<W>, reason: Reason) -> Response<AnswerBody> {
-    ByReason::Refused.add(&reason.to_string());
     note!(GenerationRefused, attempt = job.name(), entry = job.entry().name.as_str(),
         reason:% = reason, ms = job.arrived.elapsed().as_millis() as u64);
-    let patience = job.head.deadline.unwrap_or(job.entry().timeout);
-    refuse(reason, patience.saturating_sub(job.arrived.elapsed()))
+    job.refuse(reason)
 }
 
 /// The body of a streamed answer. When the caller leaves, it is dropped, and the
