--- a/crates/core/src/gateway/choose.rs
+++ b/crates/core/src/gateway/choose.rs
@@ -164,10 +164,14 @@
         CopyKind::Standing => (COPY_SHARE, AWAY_COST, DRAW_WIDTH),
         CopyKind::Ahead => (MEMORY_SHARE, AWAY_AHEAD_COST, AHEAD_DRAW_WIDTH),
     };
+    let elsewhere = Demand {
+        exclude: &[source.key],
+        ..*demand
+    };
     let trusted = |endpoint: &Endpoint| keeps_copies(world, endpoint);
-    cheapest(candidates(world, demand, trusted), |endpoint| {
+    cheapest(candidates(world, &elsewhere, trusted), |endpoint| {
         let used = world.used(endpoint);
-        if endpoint.key == source.key || !fits(used, demand.tokens, limits, share) {
+        if !fits(used, demand.tokens, limits, share) {
             return None;
         }
         let away = endpoint.record.data_centre != source.record.data_centre;
--- a/crates/core/tests/gateway_choose.rs
+++ b/crates/core/tests/gateway_choose.rs
@@ -227,3 +227,23 @@
         assert_eq!(chosen, Some(key("e-3")), "{kind:?}");
     }
 }
+
+/// Symptom: a generation whose engines failed one after the other has no copy at the
+/// last one, and is lost with it. Cause: the engine that it ran at counted as one that
+/// could keep the copy.
+#[test]
+fn an_engine_that_fails_keeps_a_copy_if_there_is_no_other() {
+    let mut tables = tables(&[("e-1", "north"), ("e-2", "north")]);
+    tables.endpoints.on_failure(Time::from_secs(10), key("e-2"));
+    let source = tables.endpoints.get(key("e-1")).expect("an endpoint");
+
+    let chosen = choose_copy(
+        tables.world(),
+        &demand(3_000, &[]),
+        source,
+        CopyKind::Standing,
+        no_draw,
+    );
+
+    assert_eq!(chosen, Some(key("e-2")));
+}
