Core: seven layers, told at the root and held by a test

The modules of the core knew each other in a knot of thirteen. Values that subsystems share (peers, targets, loads, orders, names of values) stand in value, which knows only ids; checkpoints are a leaf; the queue belongs to the cell, tickets to keys, a catalogue's own findings to findings. Events stand above the subsystems. tests/layers.rs reads the list of lib.rs and fails for any module that knows one of its own layer or above, stands in no layer or in two.

--- a/crates/bench/src/decide.rs
+++ b/crates/bench/src/decide.rs
@@ -10,8 +10,9 @@
 use core::time::Duration;
 use oriolemux_core::cell::{
     Cell, CellConfig, CellDecision, CellRequest, ClassRules, EndKind, EndpointInfo, EndpointKind,
-    FIRST_CHECKPOINT, Requirement, next_checkpoint,
+    Requirement,
 };
+use oriolemux_core::checkpoint::{FIRST_CHECKPOINT, next_checkpoint};
 use oriolemux_core::event::LoadReport;
 use oriolemux_core::ids::{
     ClassKey, EndpointKey, EntryKey, Incarnation, InstanceKey, RequestId, WorkspaceKey,
--- a/crates/bench/src/policy/sim.rs
+++ b/crates/bench/src/policy/sim.rs
@@ -9,7 +9,7 @@
 use crate::workload::Workload;
 use core::cmp::Reverse;
 use core::time::Duration;
-use oriolemux_core::cell::is_checkpoint;
+use oriolemux_core::checkpoint::is_checkpoint;
 use oriolemux_core::time::Time;
 use std::collections::BinaryHeap;
 
--- a/crates/core/src/catalogue.rs
+++ b/crates/core/src/catalogue.rs
@@ -23,23 +23,22 @@
 pub mod document;
 pub mod model;
 pub mod parse;
-pub mod problem;
 pub mod resolve;
 pub mod shard;
 pub mod source;
 pub mod sync;
 pub mod verify;
 
+pub use crate::findings::catalogue::Problem;
 pub use digest::{Digest, shard_of};
 pub use model::{
     Catalogue, Class, ClassId, Entry, EntryId, EntryLimits, EntryView, Model, ModelId, Service,
     ServiceId, Target, TargetView,
 };
-pub use problem::Problem;
 pub use shard::{Shard, Workspace, WorkspaceId, WorkspaceLimits};
 
-use crate::event::ValueName;
 use crate::findings::Findings;
+use crate::value::ValueName;
 
 /// The most bytes of one published value. The platform holds no larger value,
 /// so a larger one is damaged or hostile.
--- a/crates/core/src/catalogue/check.rs
+++ b/crates/core/src/catalogue/check.rs
@@ -6,10 +6,10 @@
 //! rights in each of its shards.
 
 use super::digest::Digest;
-use super::problem::{Problem as CatalogueProblem, nearest_of, quoted};
 use super::source::{IndexSource, ShardSource, WorkspaceSource};
 use super::verify::ShardPosition;
 use super::{parse, verify};
+use crate::findings::catalogue::{Problem as CatalogueProblem, nearest_of, quoted};
 use crate::findings::{Findings, Place, Problem};
 use std::collections::{BTreeMap, BTreeSet};
 
--- a/crates/core/src/catalogue/document.rs
+++ b/crates/core/src/catalogue/document.rs
@@ -1,8 +1,8 @@
 //! Typed reading of a TOML document, with a place for every value.
 
 use super::MAX_VALUE_BYTES;
-use super::problem::{Problem as CatalogueProblem, nearest_of, quoted};
 use super::source::{Field, Given};
+use crate::findings::catalogue::{Problem as CatalogueProblem, nearest_of, quoted};
 use crate::findings::{Findings, Place, Problem};
 use core::ops::Range;
 use toml_edit::{Array, Document, Item, TableLike, Value};
--- a/crates/core/src/catalogue/model.rs
+++ b/crates/core/src/catalogue/model.rs
@@ -1,8 +1,8 @@
 //! The verified catalogue as dense entities.
 
 use super::digest::Digest;
-use crate::event::DeliveryMode;
 use crate::ids::{ClassKey, EntryKey, ModelKey};
+use crate::value::DeliveryMode;
 use core::time::Duration;
 use cranelift_entity::{PrimaryMap, entity_impl};
 use std::collections::BTreeMap;
--- a/crates/core/src/catalogue/resolve.rs
+++ b/crates/core/src/catalogue/resolve.rs
@@ -14,8 +14,8 @@
     ClassSource, EntryLimitsSource, EntrySource, Field, Given, IndexSource, ModelSource,
     ShardSource, WorkspaceSource,
 };
-use crate::event::DeliveryMode;
 use crate::ids::{ClassKey, EntryKey, ModelKey, WorkspaceKey};
+use crate::value::DeliveryMode;
 use core::time::Duration;
 use cranelift_entity::PrimaryMap;
 use std::collections::BTreeMap;
--- a/crates/core/src/catalogue/sync.rs
+++ b/crates/core/src/catalogue/sync.rs
@@ -37,10 +37,10 @@
 pub use status::{Rejection, RejectionCause, SyncCounters, SyncStatus};
 
 use super::{Catalogue, Digest, Workspace};
-use crate::event::{PeerId, ValueName};
 use crate::ids::InstanceKey;
 use crate::note::Note;
 use crate::time::Time;
+use crate::value::{PeerId, ValueName};
 use budget::ReadBudget;
 pub use candidate::ACCEPT_LIMIT;
 use candidate::Candidates;
--- a/crates/core/src/catalogue/sync/fetch.rs
+++ b/crates/core/src/catalogue/sync/fetch.rs
@@ -6,9 +6,9 @@
 use super::serve::send_piece;
 use super::{CatalogueSync, SyncAction, SyncChange, shard_id, shard_id_or_other};
 use crate::catalogue::{Digest, parse_shard};
-use crate::event::ValueName;
 use crate::ids::InstanceKey;
 use crate::time::Time;
+use crate::value::ValueName;
 use core::time::Duration;
 use std::collections::BTreeMap;
 
--- a/crates/core/src/catalogue/sync/platform.rs
+++ b/crates/core/src/catalogue/sync/platform.rs
@@ -2,8 +2,8 @@
 
 use super::candidate::Origin;
 use super::{CatalogueSync, SyncAction};
-use crate::event::ValueName;
 use crate::time::Time;
+use crate::value::ValueName;
 use core::time::Duration;
 
 /// First reads of a fleet that starts at once are spread over so long.
--- a/crates/core/src/catalogue/verify.rs
+++ b/crates/core/src/catalogue/verify.rs
@@ -9,12 +9,12 @@
 
 use super::MAX_SHARDS;
 use super::digest::{Digest, shard_of};
-use super::problem::{Problem as CatalogueProblem, quoted};
 use super::resolve::{DELIVERY_STREAM, DELIVERY_WHOLE};
 use super::source::{
     ClassSource, EntryLimitsSource, EntrySource, Field, Given, IndexSource, ModelSource,
     ServiceSource, ShardSource, WorkspaceLimitsSource, WorkspaceSource,
 };
+use crate::findings::catalogue::{Problem as CatalogueProblem, quoted};
 use crate::findings::{Findings, Place, Problem};
 use fields::Fields;
 use references::Names;
--- a/crates/core/src/catalogue/verify/fields.rs
+++ b/crates/core/src/catalogue/verify/fields.rs
@@ -2,8 +2,8 @@
 
 use crate::catalogue::digest::Digest;
 use crate::catalogue::document::full_key;
-use crate::catalogue::problem::Problem as CatalogueProblem;
 use crate::catalogue::source::{Field, Given};
+use crate::findings::catalogue::Problem as CatalogueProblem;
 use crate::findings::{Findings, Place, Problem};
 
 /// The most characters of a name.
--- a/crates/core/src/catalogue/verify/references.rs
+++ b/crates/core/src/catalogue/verify/references.rs
@@ -1,8 +1,8 @@
 //! Checks of names: unique where they are defined, defined where they are used.
 
 use super::fields::Fields;
-use crate::catalogue::problem::{Problem as CatalogueProblem, nearest_of, quoted};
 use crate::catalogue::source::{EntrySource, Field, Given, IndexSource, ModelSource};
+use crate::findings::catalogue::{Problem as CatalogueProblem, nearest_of, quoted};
 use crate::findings::{Findings, Place, Problem};
 use std::collections::BTreeMap;
 
--- a/crates/core/src/cell.rs
+++ b/crates/core/src/cell.rs
@@ -3,7 +3,7 @@
 //! The home of a cell holds its queue, admits requests against the endpoints'
 //! memory and says where each runs. Tokens never pass through it: the entry
 //! instance that holds the caller's connection talks to the endpoint, reports
-//! progress at checkpoints ([`is_checkpoint`]) and the end. The state is soft: a new home
+//! progress at checkpoints ([`crate::checkpoint`]) and the end. The state is soft: a new home
 //! rebuilds it from load reports and from what entries tell ([`Cell::adopt`]).
 //!
 //! # The story of a poll
@@ -15,7 +15,6 @@
 //!
 //! See `docs/design/admission.md` and `docs/design/routing.md`.
 
-pub mod checkpoint;
 mod codec;
 pub mod config;
 pub mod decision;
@@ -25,6 +24,7 @@
 mod learn;
 pub mod message;
 mod place;
+pub mod queue;
 mod refresh;
 mod refuse;
 pub mod request;
@@ -33,7 +33,6 @@
 mod supply;
 
 pub use crate::memory::HORIZONS;
-pub use checkpoint::{CHECKPOINT_STEP, FIRST_CHECKPOINT, is_checkpoint, next_checkpoint};
 pub use config::{CellConfig, CellConfigBuilder};
 pub use decision::{Alternative, CellDecision, GrantRecord, Lost, MAX_ALTERNATIVES};
 pub use message::CellMessage;
@@ -43,14 +42,14 @@
 };
 pub use snapshot::{CellSnapshot, EndpointSnapshot};
 
-use crate::event::LoadReport;
+use crate::cell::queue::{LaneKey, Queue, Waiting};
 use crate::ids::{ClassKey, EndpointKey, Incarnation, InstanceKey, RequestId};
 use crate::length::buckets::bucket_of;
 use crate::length::{LengthModel, LengthNode};
 use crate::memory::{Age, ClassIx, Demand, Forecast, Held};
-use crate::queue::{LaneKey, Queue, Waiting};
 use crate::routing::prefix::{EndpointIx, PrefixMap};
 use crate::time::Time;
+use crate::value::LoadReport;
 use cranelift_entity::PrimaryMap;
 use drain::Drain;
 use endpoint::Endpoint;
--- a/crates/core/src/cell/codec.rs
+++ b/crates/core/src/cell/codec.rs
@@ -7,8 +7,8 @@
 //! `2 * tokens + 1` where they are no multiple. With a variable-length codec
 //! that is two to four bytes in place of eight to ten.
 
-use crate::cell::FIRST_CHECKPOINT;
 use crate::cell::message::Checkpoint;
+use crate::checkpoint::FIRST_CHECKPOINT;
 use core::fmt;
 use serde::de::{Error, SeqAccess, Visitor};
 use serde::ser::SerializeSeq;
--- a/crates/core/src/cell/endpoint.rs
+++ b/crates/core/src/cell/endpoint.rs
@@ -4,13 +4,13 @@
 use crate::cell::decision::Lost;
 use crate::cell::request::{CellRequest, EndpointInfo, EndpointKind, EndpointState, Requirement};
 use crate::cell::snapshot::EndpointSnapshot;
-use crate::event::LoadReport;
 use crate::ids::RequestId;
 use crate::length::LengthModel;
 use crate::memory::{Forecast, Foreign, Ledger, Margins};
 use crate::routing::concurrency::ConcurrencyLimit;
 use crate::routing::health::Health;
 use crate::time::Time;
+use crate::value::LoadReport;
 use core::time::Duration;
 
 /// An endpoint whose last report is older than this is given only half of its
--- a/crates/core/src/cell/message.rs
+++ b/crates/core/src/cell/message.rs
@@ -6,10 +6,10 @@
 
 use crate::cell::decision::GrantRecord;
 use crate::cell::request::{CellRequest, ClassRules, EndKind, Requirement, Running};
-use crate::event::PeerId;
 use crate::ids::{CellKey, EndpointKey, EntryKey, RequestId, WorkspaceKey};
 use crate::reason::Reason;
 use crate::time::Time;
+use crate::value::PeerId;
 use core::time::Duration;
 use serde::{Deserialize, Serialize};
 
--- a/crates/core/src/cell/place.rs
+++ b/crates/core/src/cell/place.rs
@@ -3,10 +3,10 @@
 use crate::cell::Cell;
 use crate::cell::decision::{Alternative, CellDecision, GrantRecord, Lost, MAX_ALTERNATIVES};
 use crate::cell::endpoint::{Endpoint, Fit, Measure};
+use crate::cell::queue::Waiting;
 use crate::cell::request::Distance;
 use crate::ids::RequestId;
 use crate::memory::{Age, Demand, Forecast, Held, Margins};
-use crate::queue::Waiting;
 use crate::routing::Merits;
 use crate::routing::prefix::EndpointIx;
 use crate::time::Time;
--- a/crates/core/src/cell/refuse.rs
+++ b/crates/core/src/cell/refuse.rs
@@ -2,8 +2,8 @@
 
 use crate::cell::Cell;
 use crate::cell::decision::CellDecision;
+use crate::cell::queue::Waiting;
 use crate::ids::RequestId;
-use crate::queue::Waiting;
 use crate::reason::Reason;
 use crate::time::Time;
 use core::time::Duration;
--- a/crates/core/src/delivery/attempt.rs
+++ b/crates/core/src/delivery/attempt.rs
@@ -2,7 +2,7 @@
 
 use super::token_log::Cursor;
 use super::{MAX_RESUMES, MAX_RESUMES_WITHOUT_TOKEN, RESUME_DELAY};
-use crate::cell::next_checkpoint;
+use crate::checkpoint::next_checkpoint;
 use crate::event::{AttemptMode, AttemptUpdate, DeliveryMode, Dispatch};
 use crate::ids::AttemptId;
 use crate::outcome::Sent;
--- a/crates/core/src/explain/render.rs
+++ b/crates/core/src/explain/render.rs
@@ -2,9 +2,9 @@
 
 use super::{Record, Step, Timed};
 use crate::cell::{GrantRecord, Lost};
-use crate::event::AttemptMode;
 use crate::ids::{CellKey, EndpointKey, InstanceKey};
 use crate::reason::{Outcome, Reason};
+use crate::value::AttemptMode;
 use core::fmt::{self, Display, Write};
 use core::time::Duration;
 use serde::{Deserialize, Serialize};
--- a/crates/core/src/explain/step.rs
+++ b/crates/core/src/explain/step.rs
@@ -1,10 +1,10 @@
 //! The decisions that a record is made of.
 
 use crate::cell::GrantRecord;
-use crate::event::AttemptMode;
 use crate::ids::{CellKey, EndpointKey, InstanceKey};
 use crate::keys::ClaimRefusal;
 use crate::reason::{Outcome, Reason};
+use crate::value::AttemptMode;
 use core::time::Duration;
 
 /// One decision about a request.
--- a/crates/core/src/findings.rs
+++ b/crates/core/src/findings.rs
@@ -4,7 +4,8 @@
 //! it pushes each one to [`Findings`] with the place where it stands and goes
 //! on, so that the author mends all of them in one round.
 
-use crate::catalogue;
+pub mod catalogue;
+
 use core::fmt;
 use core::ops::Range;
 use serde::Serialize;
--- a/crates/core/src/catalogue/problem.rs
+++ b/crates/core/src/findings/catalogue.rs
@@ -1,6 +1,6 @@
 //! What only a catalogue can get wrong, and how findings repeat its text.
 
-use crate::findings::{Place, nearest};
+use super::{Place, nearest};
 use core::fmt;
 use serde::Serialize;
 
--- a/crates/core/src/keys.rs
+++ b/crates/core/src/keys.rs
@@ -2,7 +2,7 @@
 //!
 //! A *claim* binds the name to the one request that may run under it. Claims
 //! are granted by one process: a ticket's by the incarnation that issued it
-//! ([`crate::tickets`]), a key's by the key's home. [`Keys`] is both sides of
+//! ([`tickets`]), a key's by the key's home. [`Keys`] is both sides of
 //! that in one process: it grants claims that others ask for, and asks for the
 //! claims of its own requests. A claim comes before the first dispatch; a
 //! request that gets none is never run, and is told "outcome unknown" unless
@@ -16,16 +16,16 @@
 mod holder;
 mod homes;
 pub(crate) mod table;
+pub mod tickets;
 
 pub use claim::{Claim, ClaimId, ClaimRefusal, HolderState, KeyHash};
 pub use homes::KeyHomes;
 
-use crate::event::PeerId;
 use crate::ids::{Incarnation, InstanceKey, RequestId, WorkspaceKey};
 use crate::outcome::Verdict;
 use crate::reason::Reason;
-use crate::tickets;
 use crate::time::Time;
+use crate::value::PeerId;
 use core::time::Duration;
 use holder::Holders;
 use serde::{Deserialize, Serialize};
--- a/crates/core/src/keys/claim.rs
+++ b/crates/core/src/keys/claim.rs
@@ -1,10 +1,10 @@
 //! Claims, and the answers to them.
 
 use super::KeysMessage;
-use crate::event::PeerId;
 use crate::ids::{RequestId, WorkspaceKey};
 use crate::outcome::{Earlier, Verdict};
 use crate::reason::{Outcome, Reason};
+use crate::value::PeerId;
 use core::time::Duration;
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
--- a/crates/core/src/keys/grant.rs
+++ b/crates/core/src/keys/grant.rs
@@ -3,7 +3,7 @@
 use super::claim::{Claim, ClaimId, ClaimRefusal, HolderState, KeyHash};
 use super::table::{ClaimState, Record};
 use super::{Keys, KeysAction};
-use crate::tickets;
+use crate::keys::tickets;
 use crate::time::Time;
 use core::time::Duration;
 
--- a/crates/core/src/keys/holder.rs
+++ b/crates/core/src/keys/holder.rs
@@ -3,7 +3,7 @@
 use super::claim::{Claim, ClaimId, ClaimRefusal, HolderState};
 use super::{Keys, KeysAction, KeysMessage, MAX_CLAIMS};
 use crate::ids::{Incarnation, InstanceKey, RequestId};
-use crate::tickets;
+use crate::keys::tickets;
 use crate::time::Time;
 use core::time::Duration;
 use indexmap::IndexMap;
--- a/crates/core/src/keys/table.rs
+++ b/crates/core/src/keys/table.rs
@@ -2,10 +2,10 @@
 
 use super::MAX_CLAIMS;
 use super::claim::{ClaimId, HolderState, is_of_life};
-use crate::event::PeerId;
 use crate::ids::{RequestId, WorkspaceKey};
 use crate::outcome::Earlier;
 use crate::time::Time;
+use crate::value::PeerId;
 use core::time::Duration;
 use indexmap::IndexMap;
 use std::collections::BTreeSet;
--- a/crates/core/src/tickets.rs
+++ b/crates/core/src/keys/tickets.rs
@@ -9,12 +9,12 @@
 //! [`crate::keys`] carries the claims; `docs/design/at-most-once.md` compares
 //! tickets with bare keys.
 
-use crate::event::PeerId;
 use crate::ids::{Incarnation, RequestId, WorkspaceKey};
 use crate::keys::ClaimId;
 use crate::keys::table::{ClaimState, ClaimTable, Record};
 use crate::reason::Reason;
 use crate::time::Time;
+use crate::value::PeerId;
 
 /// Returns whether the life `peer` issued `ticket`.
 pub fn is_issued_by(ticket: RequestId, peer: PeerId) -> bool {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -17,10 +17,28 @@
 //! carries out its [`Action`]s. Tokens never pass through the node: each
 //! stream owns a small machine of its own in [`delivery`].
 //!
+//! # The layers
+//!
+//! A module knows those of lower layers only, so that each can be read with what
+//! stands above it in this list. `tests/layers.rs` reads the list and holds the
+//! sources to it.
+//!
+//! 0. `ids`, `time`, `reason`, `findings`, `checkpoint`: names, values and rules that
+//!    know nothing else.
+//! 1. `value`, `rendezvous`, `length`, `routing`, `note`: values that subsystems share,
+//!    and arithmetic over them.
+//! 2. `membership`, `memory`, `outcome`, `gateway`: who is there, what fits, what became
+//!    of a request; and all that concerns HTTP entries, which needs none of the rest.
+//! 3. `catalogue`, `cell`, `keys`, `limits`, `retry`: the subsystems of one instance.
+//! 4. `orders`, `explain`, `peer`: what needs several of them, and what they say to peers.
+//! 5. `event`: what a node is told and asks for.
+//! 6. `node`, `delivery`: the node on top, and the machine of each stream beside it.
+//!
 //! See `docs/design/` for why each part is as it is.
 
 pub mod catalogue;
 pub mod cell;
+pub mod checkpoint;
 pub mod delivery;
 pub mod event;
 pub mod explain;
@@ -37,13 +55,12 @@
 pub mod orders;
 pub mod outcome;
 pub mod peer;
-pub mod queue;
 pub mod reason;
 pub mod rendezvous;
 pub mod retry;
 pub mod routing;
-pub mod tickets;
 pub mod time;
+pub mod value;
 
 pub use delivery::Delivery;
 pub use event::{Action, Event};
--- a/crates/core/src/limits/home.rs
+++ b/crates/core/src/limits/home.rs
@@ -4,9 +4,9 @@
 use super::fair::FairLevel;
 use super::message::{LimitAsk, LimitLease, LimitsMessage};
 use super::{Allowance, LEASE_TIME, LimitKey, LimitsAction};
-use crate::event::PeerId;
 use crate::ids::InstanceKey;
 use crate::time::Time;
+use crate::value::PeerId;
 use core::time::Duration;
 use std::collections::BTreeMap;
 
--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -35,10 +35,10 @@
     Cell, CellId, DataCentreId, Endpoint, EndpointId, HOME_RANKS, Instance, InstanceId, View,
 };
 
-use crate::event::{PeerId, PeerTarget};
 use crate::ids::{EndpointKey, Incarnation, InstanceKey};
 use crate::note::Note;
 use crate::time::Time;
+use crate::value::{PeerId, PeerTarget};
 use core::time::Duration;
 use doubt::Doubt;
 use indexmap::IndexMap;
--- a/crates/core/src/membership/links.rs
+++ b/crates/core/src/membership/links.rs
@@ -9,10 +9,10 @@
     InstanceKey, Membership, MembershipAction, MembershipChange, REPLACED_LIVES, SUSPECT_AFTER,
     say_instance_gone,
 };
-use crate::event::{PeerId, PeerTarget};
 use crate::ids::Incarnation;
 use crate::rendezvous;
 use crate::time::Time;
+use crate::value::{PeerId, PeerTarget};
 use core::time::Duration;
 
 /// A link that carried nothing for so long is given up.
--- a/crates/core/src/membership/news.rs
+++ b/crates/core/src/membership/news.rs
@@ -8,9 +8,9 @@
     EndpointKey, Incarnation, InstanceKey, Life, ListedState, Membership, MembershipAction,
     MembershipChange, MembershipMessage, say_instance_gone,
 };
-use crate::event::PeerId;
 use crate::note::Note;
 use crate::time::Time;
+use crate::value::PeerId;
 use core::time::Duration;
 
 /// How long an endpoint's own word that it is leaving outweighs its reports.
--- a/crates/core/src/membership/reads.rs
+++ b/crates/core/src/membership/reads.rs
@@ -8,9 +8,9 @@
 use super::delta::{ListDelta, apply_delta, list_delta};
 use super::list::InstanceList;
 use super::{InstanceKey, Membership, MembershipAction, MembershipMessage};
-use crate::event::PeerId;
 use crate::note::Note;
 use crate::time::Time;
+use crate::value::PeerId;
 use core::time::Duration;
 use rand::Rng;
 
--- a/crates/core/src/membership/view.rs
+++ b/crates/core/src/membership/view.rs
@@ -5,8 +5,8 @@
 
 use super::cells::{CellPlan, plan_cells};
 use super::list::{EndpointRecord, InstanceList, InstanceRecord, ListedState};
-use crate::event::{EndpointTarget, PeerTarget};
 use crate::ids::{CellKey, EndpointKey, InstanceKey};
+use crate::value::{EndpointTarget, PeerTarget};
 use cranelift_entity::{PrimaryMap, entity_impl};
 use indexmap::IndexMap;
 
--- a/crates/core/src/memory.rs
+++ b/crates/core/src/memory.rs
@@ -255,7 +255,7 @@
     /// That is capped just below the next checkpoint, whose report would have come.
     fn age(&self, now: Time, rate: f64) -> Age {
         let more = now.since(self.told_at).as_secs_f64() * rate;
-        let last = crate::cell::next_checkpoint(self.told) - 1;
+        let last = crate::checkpoint::next_checkpoint(self.told) - 1;
         let after = |more: f64| {
             let age = self.told.saturating_add(more as u32);
             age.min(last).min(self.demand.cap)
--- a/crates/core/src/orders.rs
+++ b/crates/core/src/orders.rs
@@ -22,9 +22,9 @@
 pub use goals::{EndpointGoal, ModelGoal, count_givers, plan_goals};
 pub use reconcile::next_change;
 
-use crate::event::{EndpointTarget, OrderKind};
 use crate::note::Note;
 use crate::time::Time;
+use crate::value::{EndpointTarget, OrderKind};
 use core::time::Duration;
 
 /// A giver may order for so long after it asked for the list that confirms it.
--- a/crates/core/src/orders/endpoint.rs
+++ b/crates/core/src/orders/endpoint.rs
@@ -3,9 +3,9 @@
 use super::HAND_OVER_WAIT;
 use super::goals::EndpointGoal;
 use super::reconcile::{next_change, takes_weights};
-use crate::event::{LoadReport, LoadedModel, OrderKind, OrderResult};
 use crate::ids::EndpointKey;
 use crate::time::Time;
+use crate::value::{LoadReport, LoadedModel, OrderKind, OrderResult};
 use core::time::Duration;
 
 /// An order whose answer does not come by then has failed.
--- a/crates/core/src/orders/goals.rs
+++ b/crates/core/src/orders/goals.rs
@@ -1,12 +1,12 @@
 //! What each endpoint should hold.
 
 use crate::catalogue::{Catalogue, Model};
-use crate::event::EndpointTarget;
 use crate::ids::{CellKey, EndpointKey, InstanceKey};
 use crate::membership::{
     Endpoint, EndpointKind, EndpointState, FencingSupport, ListedState, Membership,
 };
 use crate::rendezvous;
+use crate::value::EndpointTarget;
 use std::collections::BTreeSet;
 
 /// A model that an endpoint should hold.
--- a/crates/core/src/orders/reconcile.rs
+++ b/crates/core/src/orders/reconcile.rs
@@ -1,7 +1,7 @@
 //! The one change that brings an endpoint closer to its goal.
 
 use super::goals::{EndpointGoal, ModelGoal};
-use crate::event::{LoadedModel, OrderKind};
+use crate::value::{LoadedModel, OrderKind};
 
 /// Returns the next change for an endpoint that holds `loaded`, or `None` if it
 /// holds what it should.
--- a/crates/core/src/outcome/request.rs
+++ b/crates/core/src/outcome/request.rs
@@ -1,9 +1,9 @@
 //! What may be said about a request, over all of its attempts.
 
 use super::{NotRun, Ran, Verdict};
-use crate::event::RequestArrival;
 use crate::ids::AttemptId;
 use crate::reason::{Outcome, Reason};
+use crate::value::RequestArrival;
 use core::time::Duration;
 
 /// What is known about whether an accepted request ran.
--- a/crates/core/tests/cell_basics.rs
+++ b/crates/core/tests/cell_basics.rs
@@ -2,6 +2,7 @@
 
 use core::time::Duration;
 use oriolemux_core::cell::*;
+use oriolemux_core::checkpoint::{CHECKPOINT_STEP, is_checkpoint, next_checkpoint};
 use oriolemux_core::event::{LoadReport, LoadedModel};
 use oriolemux_core::*;
 use rstest::rstest;
