Nothing leaves a live engine for a standing copy

Change: a generation leaves for a copy ahead only; the standing copy is asked for when the engine is gone or silent. Test: nothing_leaves_a_live_engine_for_a_standing_copy, with a copy ahead that failed, fails with the old time; the random histories now ask for a complete copy ahead at each leaving.

--- a/crates/core/src/gateway/relocation.rs
+++ b/crates/core/src/gateway/relocation.rs
@@ -7,8 +7,8 @@
 //! Invariants, which `crates/core/tests/gateway_relocation.rs` holds under random
 //! histories:
 //!
-//! - [`Step::Leave`] and [`Step::GiveUp`] are returned only while a copy to go on from
-//!   is there;
+//! - [`Step::Leave`] is returned only while a copy ahead is complete, [`Step::GiveUp`]
+//!   only while a copy to go on from is there or believed to be;
 //! - events are passed on with numbers that follow each other, each once;
 //! - a generation goes through at most [`MAX_MOVES`] further engines.
 
@@ -20,11 +20,6 @@
 /// after its notice at the soonest.
 pub const LEAVE_AFTER: Duration = Duration::from_millis(1_100);
 
-/// How long after the notice a generation leaves for its standing copy, of which
-/// nobody says whether it is there. A copy ahead, which is known to be there once it is
-/// complete, is tried before that, and while one is under way nothing leaves.
-pub const LEAVE_FOR_STANDING: Duration = Duration::from_millis(1_300);
-
 /// How much sooner a generation may leave, if no prompt waits where it goes on: one
 /// that is read there at the same time delays it by its whole length.
 pub const LEAVE_EARLY: Duration = Duration::from_millis(400);
@@ -275,10 +270,8 @@
         let Some(leaves_for) = leaves_for else {
             return Step::Wait(wait);
         };
-        // What is believed waits for what will be known.
-        let known_comes = from == Some(GoOnFrom::Standing) && self.ahead.under_way;
-        if let Some(from) = from.filter(|_| !known_comes) {
-            let leave = leave_at(now, leaves_for, from, view.target_is_quiet);
+        if from == Some(GoOnFrom::Ahead) {
+            let leave = leave_at(now, leaves_for, view.target_is_quiet);
             if leave <= now {
                 return Step::Leave;
             }
@@ -324,11 +317,8 @@
     }
 }
 
-fn leave_at(now: Time, leaves_for: Duration, from: GoOnFrom, target_is_quiet: bool) -> Time {
-    let early = match from {
-        GoOnFrom::Ahead => LEAVE_AFTER - LEAVE_EARLY,
-        GoOnFrom::Standing => LEAVE_FOR_STANDING,
-    };
+fn leave_at(now: Time, leaves_for: Duration, target_is_quiet: bool) -> Time {
+    let early = LEAVE_AFTER - LEAVE_EARLY;
     if leaves_for < early {
         return now + (early - leaves_for);
     }
--- a/crates/core/tests/gateway_relocation.rs
+++ b/crates/core/tests/gateway_relocation.rs
@@ -3,8 +3,8 @@
 use core::time::Duration;
 use oriolemux_core::Time;
 use oriolemux_core::gateway::relocation::{
-    COPY_SETTLES, Delivery, GoOnFrom, LEAVE_AFTER, LEAVE_EARLY, LEAVE_FOR_STANDING, MAX_MOVES,
-    REFRESH_AFTER, Relocation, SILENCE, Step, View, silence_limit,
+    COPY_SETTLES, Delivery, GoOnFrom, LEAVE_AFTER, LEAVE_EARLY, MAX_MOVES, REFRESH_AFTER,
+    Relocation, SILENCE, Step, View, silence_limit,
 };
 use proptest::prelude::*;
 use rstest::rstest;
@@ -198,42 +198,34 @@
     assert_eq!(one.go_on_from(later, false), Some(GoOnFrom::Ahead));
 }
 
-/// Symptom: a stream is cut at a planned departure, 1.3 s after its first event.
-/// Sequence: its copy ahead is under way when its standing copy begins to count; it
-/// leaves for that, at once or at the last moment, and there is none. Cause: a copy that
-/// is believed went before one that is about to be known. An engine that goes before the
-/// copy is complete ends the stream by itself, and the standing copy is asked for then.
-#[test]
-fn a_standing_copy_waits_for_the_copy_ahead() {
+/// Symptom: a stream is cut at a planned departure, while its engine is at work on it.
+/// Sequence: the generation leaves for its standing copy, with a copy ahead under way or
+/// without room for one, and the engine of the standing copy has none. Cause: what is
+/// only believed went before an engine that was still there. An engine that goes ends
+/// the stream by itself, and the standing copy is asked for then.
+#[rstest]
+#[case::under_way(true)]
+#[case::failed(false)]
+fn nothing_leaves_a_live_engine_for_a_standing_copy(#[case] under_way: bool) {
     let mut one = begun(true);
     one.ahead_begun(START);
     let now = START + COPY_SETTLES;
     one.on_bytes(now);
+    if !under_way {
+        one.ahead_ended(now, false);
+    }
 
-    for leaves_for in [LEAVE_AFTER, LEAVE_FOR_STANDING, LEAVE_FOR_STANDING * 2] {
+    for leaves_for in [LEAVE_AFTER, LEAVE_AFTER * 2] {
         let step = one.next(now, &leaving(leaves_for));
-        assert!(matches!(step, Step::Wait(_)), "{leaves_for:?}: {step:?}");
+        assert!(
+            matches!(step, Step::Wait(_) | Step::CopyAhead),
+            "{leaves_for:?}: {step:?}"
+        );
     }
     one.ahead_ended(now, true);
     assert_eq!(one.next(now, &leaving(LEAVE_AFTER)), Step::Leave);
 }
 
-/// A copy ahead that could not be made is waited for no longer.
-#[test]
-fn a_generation_leaves_for_its_standing_copy_if_there_is_no_other() {
-    let mut one = begun(true);
-    one.ahead_begun(START);
-    let now = START + COPY_SETTLES;
-    one.on_bytes(now);
-    one.ahead_ended(now, false);
-
-    let early = one.next(now, &leaving(LEAVE_AFTER));
-    let at_the_last = one.next(now, &leaving(LEAVE_FOR_STANDING));
-
-    assert_ne!(early, Step::Leave);
-    assert_eq!(at_the_last, Step::Leave);
-}
-
 #[derive(Clone, Debug)]
 enum Happening {
     Pass(u64),
@@ -305,7 +297,8 @@
                 }
                 Step::Leave => {
                     prop_assert!(notice.is_some());
-                    prop_assert!(one.go_on_from(now, standing_takes_work).is_some());
+                    let from = one.go_on_from(now, standing_takes_work);
+                    prop_assert_eq!(from, Some(GoOnFrom::Ahead));
                     one.moved(now);
                     one.set_standing(true);
                     notice = None;
