Operators of a gateway: status, drain, and explain from log lines

Tests: both commands against real processes, the planned stop refused from another address, a failed generation explained, lines that are none.

--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -190,6 +190,11 @@
         }
     }
 
+    /// Returns this life of the instance.
+    pub fn incarnation(&self) -> Incarnation {
+        self.cfg.incarnation
+    }
+
     /// Returns whether callers can be served.
     pub fn is_ready(&self) -> bool {
         self.catalogue.is_some() && !self.stopping
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,8 +7,9 @@
 //! judges them by the catalogue in force. [`call`] forwards a call and returns
 //! its answer whole. [`stream`] finds a place for a generation and [`relay`]
 //! passes its events on, and carries it to another engine when its own leaves.
-//! [`page`] answers the balancer and whoever collects [metrics](mod@meters). [`news`] tells peers what they need, [`store`] keeps up with what is published,
-//! and [`run`] starts all of it and ends it in order.
+//! [`page`] answers the balancer, operators who ask for the [`status`] and whoever
+//! collects [metrics](mod@meters). [`news`] tells peers what they need, [`store`] keeps
+//! up with what is published, and [`run`] starts all of it and ends it in order.
 //!
 //! Names and formats of the platform are behind the traits of [`ports`]; the
 //! `platform` crate implements them.
@@ -27,8 +28,11 @@
 pub mod ports;
 pub mod relay;
 pub mod run;
+pub mod status;
 pub mod store;
 pub mod stream;
 
 pub use cx::{Clock, Cx, GatewayLimits};
+pub use page::OperatorsPage;
 pub use run::{Bound, BoundAddresses, Page, Reloaded, RunConfig, RunError};
+pub use status::GatewayStatus;
--- a/crates/gateway/src/page.rs
+++ b/crates/gateway/src/page.rs
@@ -1,19 +1,23 @@
-//! Small pages for the balancer and for whoever collects metrics.
+//! Small pages for the balancer, for operators and for whoever collects metrics.
 
 use crate::answer::{AnswerBody, whole};
 use crate::cx::Cx;
+use crate::meters;
 use crate::ports::Wire;
+use crate::status::GatewayStatus;
 use bytes::Bytes;
 use core::convert::Infallible;
 use core::time::Duration;
-use http::{Request, Response, StatusCode};
+use http::header::HeaderValue;
+use http::{Method, Request, Response, StatusCode, header};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use std::sync::Arc;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::time::timeout;
+use tokio_util::sync::CancellationToken;
 
 /// How long one connection is kept. The balancer asks once a second.
 const CONNECTION_LIMIT: Duration = Duration::from_secs(60);
@@ -21,10 +25,21 @@
 /// The pause after an accept that failed, for example for lack of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
+/// What is asked of a page.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Asked {
+    /// The method.
+    pub method: Method,
+    /// The path.
+    pub path: String,
+    /// Whether the question came from this machine, over an address of its own.
+    pub from_here: bool,
+}
+
 /// Answers each request with what `answer` returns, for good.
 pub async fn serve<F>(listener: TcpListener, answer: F)
 where
-    F: Fn() -> Response<AnswerBody> + Clone + Send + Sync + 'static,
+    F: Fn(Asked) -> Response<AnswerBody> + Clone + Send + Sync + 'static,
 {
     loop {
         let stream = match listener.accept().await {
@@ -35,10 +50,15 @@
                 continue;
             }
         };
+        let from_here = is_from_here(&stream);
         let answer = answer.clone();
         tokio::spawn(async move {
-            let service = service_fn(|_: Request<Incoming>| {
-                let answer = answer();
+            let service = service_fn(|req: Request<Incoming>| {
+                let answer = answer(Asked {
+                    method: req.method().clone(),
+                    path: req.uri().path().to_owned(),
+                    from_here,
+                });
                 async move { Ok::<_, Infallible>(answer) }
             });
             let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
@@ -49,16 +69,77 @@
     }
 }
 
+/// Returns whether both ends of a connection have one address. Nobody else can hold a
+/// connection from an address of this machine.
+fn is_from_here(stream: &TcpStream) -> bool {
+    match (stream.local_addr(), stream.peer_addr()) {
+        (Ok(local), Ok(peer)) => local.ip() == peer.ip(),
+        _ => false,
+    }
+}
+
 /// Returns whether this instance takes callers.
-pub fn readiness<W: Wire>(cx: &Arc<Cx<W>>) -> Response<AnswerBody> {
-    let mut response = Response::new(whole(Bytes::new()));
-    if !cx.state().is_ready() {
-        *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+pub fn readiness<W: Wire>(cx: &Cx<W>) -> Response<AnswerBody> {
+    match cx.state().is_ready() {
+        true => plain(StatusCode::OK, ""),
+        false => plain(StatusCode::SERVICE_UNAVAILABLE, ""),
     }
+}
+
+/// What operators ask of an instance: its metrics, its state, and its planned stop.
+///
+/// The planned stop is taken from this machine only: whoever may run programs here could
+/// signal the process as well, while anybody on the network may read the page.
+#[derive(Clone)]
+pub struct OperatorsPage<W> {
+    /// What all tasks share.
+    pub cx: Arc<Cx<W>>,
+    /// The instance's name.
+    pub instance: Arc<str>,
+    /// Returns the metrics as text.
+    pub metrics: fn() -> String,
+    /// Cancelled to begin the planned stop.
+    pub stop: CancellationToken,
+}
+
+impl<W: Wire> OperatorsPage<W> {
+    /// Answers one question.
+    pub fn answer(&self, asked: &Asked) -> Response<AnswerBody> {
+        match (&asked.method, asked.path.as_str()) {
+            (&Method::GET, "/status") => self.status(),
+            (&Method::POST, "/drain") if asked.from_here => {
+                self.stop.cancel();
+                json(br#"{"readiness":"stopping"}"#.to_vec())
+            }
+            (&Method::POST, "/drain") => plain(
+                StatusCode::FORBIDDEN,
+                "the planned stop is taken from the machine of the instance only\n",
+            ),
+            (&Method::GET, _) => {
+                meters::show(&self.cx);
+                Response::new(whole((self.metrics)().into()))
+            }
+            _ => plain(StatusCode::METHOD_NOT_ALLOWED, "GET, or POST /drain\n"),
+        }
+    }
+
+    fn status(&self) -> Response<AnswerBody> {
+        match serde_json::to_vec(&GatewayStatus::of(&self.cx, &self.instance)) {
+            Ok(body) => json(body),
+            Err(error) => plain(StatusCode::INTERNAL_SERVER_ERROR, &error.to_string()),
+        }
+    }
+}
+
+fn json(body: Vec<u8>) -> Response<AnswerBody> {
+    let mut response = Response::new(whole(body.into()));
+    let json = HeaderValue::from_static("application/json");
+    response.headers_mut().insert(header::CONTENT_TYPE, json);
     response
 }
 
-/// Returns a page of text.
-pub fn text(text: String) -> Response<AnswerBody> {
-    Response::new(whole(text.into()))
+fn plain(status: StatusCode, text: &str) -> Response<AnswerBody> {
+    let mut response = Response::new(whole(Bytes::copy_from_slice(text.as_bytes())));
+    *response.status_mut() = status;
+    response
 }
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -171,6 +171,19 @@
     NoAnswer,
 }
 
+impl Moved {
+    /// Returns a word for it, which log lines carry.
+    pub const fn word(&self) -> &'static str {
+        match self {
+            Moved::Done { .. } => "done",
+            Moved::NoRoom { .. } => "no_room",
+            Moved::NotRunning => "not_running",
+            Moved::Busy => "busy",
+            Moved::NoAnswer => "no_answer",
+        }
+    }
+}
+
 /// The calls to engines besides the requests of callers.
 pub trait EngineCalls: Clone + Send + Sync + 'static {
     /// Copies a running generation's memory from `source` to `target`, and stops it
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -358,12 +358,11 @@
     }
 
     fn on_copied_ahead(&mut self, moved: Moved) {
-        let how = format!("{moved:?}");
         note!(
             CopiedAhead,
             attempt = self.job.name(),
             from = self.source.name.as_str(),
-            how = how.as_str(),
+            how = moved.word(),
             event_id = self.state.last_event()
         );
         let now = self.job.cx.now();
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -2,8 +2,9 @@
 
 use crate::cx::{Clock, Cx, GatewayLimits, Open, StopPlan};
 use crate::note;
+use crate::page::OperatorsPage;
 use crate::ports::{EngineCalls, Store, Wire};
-use crate::{front, meters, news, page, store};
+use crate::{front, news, page, store};
 use core::time::Duration;
 use oriolemux_core::gateway::budget::BudgetConfig;
 use oriolemux_core::gateway::{Gateway, GatewayConfig};
@@ -57,13 +58,15 @@
 /// Where an instance listens, and its bounds.
 #[derive(Clone, Debug)]
 pub struct RunConfig {
+    /// The instance's name.
+    pub name: String,
     /// For callers.
     pub front: SocketAddr,
     /// For the balancer.
     pub readiness: SocketAddr,
     /// For peers, over UDP and TCP.
     pub peers: SocketAddrV4,
-    /// The page of metrics, if there is one.
+    /// The page of metrics and for operators, if there is one.
     pub metrics: Option<Page>,
     /// Bounds of the sockets.
     pub limits: GatewayLimits,
@@ -129,6 +132,8 @@
     pub readiness: SocketAddr,
     /// For peers, over UDP and TCP.
     pub peers: SocketAddrV4,
+    /// For operators and metrics, if there is one.
+    pub metrics: Option<SocketAddr>,
 }
 
 impl Bound {
@@ -149,6 +154,7 @@
             front: front.local_addr().unwrap_or(settings.front),
             readiness: readiness.local_addr().unwrap_or(settings.readiness),
             peers: local_v4(&peers).unwrap_or(settings.peers),
+            metrics: metrics.as_ref().and_then(|it| it.local_addr().ok()),
         };
         Ok(Bound {
             front,
@@ -171,7 +177,8 @@
             ("readiness", self.addresses.readiness),
             ("peers", SocketAddr::V4(self.addresses.peers)),
         ];
-        for (listener, address) in listeners {
+        let metrics = self.addresses.metrics.map(|address| ("metrics", address));
+        for (listener, address) in listeners.into_iter().chain(metrics) {
             note!(Listening, listener = listener, address:% = address);
         }
     }
@@ -204,13 +211,17 @@
         parts.spawn(news::hear(Arc::clone(&cx), socket));
         parts.spawn(news::answer(Arc::clone(&cx), self.peers));
         let asked = Arc::clone(&cx);
-        parts.spawn(page::serve(self.readiness, move || page::readiness(&asked)));
+        parts.spawn(page::serve(self.readiness, move |_| {
+            page::readiness(&asked)
+        }));
         if let (Some(listener), Some(shown)) = (self.metrics, settings.metrics) {
-            let collected = Arc::clone(&cx);
-            parts.spawn(page::serve(listener, move || {
-                meters::show(&collected);
-                page::text((shown.render)())
-            }));
+            let operators = OperatorsPage {
+                cx: Arc::clone(&cx),
+                instance: settings.name.as_str().into(),
+                metrics: shown.render,
+                stop: stop.clone(),
+            };
+            parts.spawn(page::serve(listener, move |asked| operators.answer(&asked)));
         }
         parts.spawn(follow_reloads(Arc::clone(&cx), reloads));
         let front = front::serve(Arc::clone(&cx), engines, self.front, callers.clone());
--- /dev/null
+++ b/crates/gateway/src/status.rs
@@ -0,0 +1,193 @@
+//! What an instance believes at the moment, for operators.
+//!
+//! It is the answer of `/status` on the listener for metrics, and what
+//! `oriolemux status` prints. Its fields are stable; new ones may come.
+
+use crate::cx::{Cx, Open};
+use crate::ports::Wire;
+use core::time::Duration;
+use oriolemux_core::gateway::bulletin::Peer;
+use oriolemux_core::gateway::endpoints::Endpoint;
+use oriolemux_core::gateway::{EndpointState, Gateway};
+use oriolemux_core::time::Time;
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddrV4;
+
+/// Whether the balancer may send callers here.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Readiness {
+    /// No: no catalogue is in force yet.
+    Starting,
+    /// Yes.
+    Ready,
+    /// No: a stop was asked for.
+    Stopping,
+}
+
+/// Whether an endpoint takes new work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Takes {
+    /// It does.
+    Work,
+    /// It failed several times in a row and is passed over for a while.
+    PassedOver,
+    /// Its entry vanished around an outage of the store; only if there is no other.
+    Lapsed,
+    /// Nothing, for good.
+    Nothing,
+}
+
+/// What an instance believes.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct GatewayStatus {
+    /// The instance's name.
+    pub instance: String,
+    /// This life of it, in hexadecimal digits.
+    pub incarnation: String,
+    /// Whether it takes callers.
+    pub readiness: Readiness,
+    /// The version of the catalogue in force; none before the first.
+    pub catalogue_version: Option<u64>,
+    /// What it knows of the store.
+    pub store: StoreStatus,
+    /// Connections of callers.
+    pub connections: usize,
+    /// Generations that are passed on.
+    pub generations: usize,
+    /// All endpoints, by name.
+    pub endpoints: Vec<EndpointStatus>,
+    /// Peers that were heard lately, by address.
+    pub peers: Vec<PeerStatus>,
+}
+
+/// What an instance knows of the store.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct StoreStatus {
+    /// The revision up to which everything is known.
+    pub revision: u64,
+    /// Milliseconds since it last answered this instance; none if it never did.
+    pub answered_ms_ago: Option<u64>,
+    /// Whether this instance watches it for all.
+    pub watches: bool,
+    /// Whether entries may be missing and come back.
+    pub unsettled: bool,
+}
+
+/// What an instance believes of an endpoint, with the use of all instances.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct EndpointStatus {
+    /// The published name.
+    pub name: String,
+    /// The service.
+    pub service: String,
+    /// Where it is reached.
+    pub address: SocketAddrV4,
+    /// Its data centre.
+    pub data_centre: String,
+    /// Whether it takes new work.
+    pub takes: Takes,
+    /// Whether the last that was seen of it here was a failure.
+    pub failing: bool,
+    /// Requests that run there.
+    pub running: u16,
+    /// Tokens of memory that they take or are expected to take.
+    pub tokens: u32,
+    /// Tokens of memory that standing copies take.
+    pub copied: u32,
+    /// Prompt tokens that wait to be read.
+    pub unread: u32,
+}
+
+/// What an instance knows of a peer.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct PeerStatus {
+    /// Where it answers peers.
+    pub address: SocketAddrV4,
+    /// Milliseconds since it was heard.
+    pub heard_ms_ago: u64,
+    /// The store's revision that it knows.
+    pub revision: u64,
+    /// Whether it is stopping.
+    pub stopping: bool,
+}
+
+impl GatewayStatus {
+    /// Returns what the instance believes now.
+    pub fn of<W: Wire>(cx: &Cx<W>, instance: &str) -> Self {
+        let now = cx.now();
+        let state = cx.state();
+        let mut endpoints: Vec<EndpointStatus> = state
+            .endpoints
+            .iter()
+            .map(|endpoint| endpoint_status(&state, now, endpoint))
+            .collect();
+        endpoints.sort_by(|one, other| one.name.cmp(&other.name));
+        let peers = state.peers.live(now);
+        GatewayStatus {
+            instance: instance.to_owned(),
+            incarnation: format!("{:016x}", state.incarnation().0),
+            readiness: readiness(&state),
+            catalogue_version: state.catalogue().map(|it| it.version()),
+            store: StoreStatus {
+                revision: state.replica.revision(),
+                answered_ms_ago: state.reader.heard().map(|heard| millis(now.since(heard))),
+                watches: state.watches(now),
+                unsettled: state.is_unsettled(now),
+            },
+            connections: cx.open(Open::Connection),
+            generations: cx.open(Open::Generation),
+            endpoints,
+            peers: peers
+                .map(|(address, peer)| peer_status(now, address, peer))
+                .collect(),
+        }
+    }
+}
+
+fn readiness(state: &Gateway) -> Readiness {
+    if state.is_stopping() {
+        Readiness::Stopping
+    } else if state.is_ready() {
+        Readiness::Ready
+    } else {
+        Readiness::Starting
+    }
+}
+
+fn endpoint_status(state: &Gateway, now: Time, endpoint: &Endpoint) -> EndpointStatus {
+    let used = state.usage.of(now, endpoint.key, &state.peers);
+    let record = &endpoint.record;
+    let takes = match endpoint.state {
+        EndpointState::Leaving { .. } => Takes::Nothing,
+        EndpointState::Lapsed { .. } => Takes::Lapsed,
+        EndpointState::Serving if endpoint.is_ejected(now) => Takes::PassedOver,
+        EndpointState::Serving => Takes::Work,
+    };
+    EndpointStatus {
+        name: record.name.clone(),
+        service: record.service.clone(),
+        address: record.address,
+        data_centre: record.data_centre.clone(),
+        takes,
+        failing: endpoint.is_failing(),
+        running: used.running,
+        tokens: used.tokens,
+        copied: used.copied,
+        unread: used.unread,
+    }
+}
+
+fn peer_status(now: Time, address: SocketAddrV4, peer: &Peer) -> PeerStatus {
+    PeerStatus {
+        address,
+        heard_ms_ago: peer.heard.map_or(0, |heard| millis(now.since(heard))),
+        revision: peer.revision,
+        stopping: peer.stopping,
+    }
+}
+
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/oriolemux/src/cli.rs
+++ b/crates/oriolemux/src/cli.rs
@@ -6,6 +6,7 @@
 mod check;
 mod client;
 mod exit;
+mod explain;
 mod gateway;
 mod operate;
 mod report;
@@ -14,7 +15,6 @@
 pub use exit::ExitStatus;
 
 use clap::{Args, Parser, Subcommand};
-use oriolemux_core::RequestId;
 use std::ffi::OsString;
 use std::io::Write;
 use std::path::PathBuf;
@@ -90,8 +90,13 @@
 
 #[derive(Debug, Args)]
 struct ExplainArgs {
-    /// The request's id, from the header `Oriolemux-Request` of its answer.
-    request: RequestId,
+    /// The request's id, from the header `Oriolemux-Request` of its answer; with `--logs`,
+    /// the caller's name of the attempt.
+    request: String,
+    /// Files with the log lines of gateways, `-` for standard input; they are read instead
+    /// of asking an instance.
+    #[arg(long, value_name = "FILE", num_args = 1.., conflicts_with_all = ["settings", "address"])]
+    logs: Vec<PathBuf>,
     #[command(flatten)]
     target: client::Target,
 }
@@ -129,7 +134,8 @@
         Command::Gateway(args) => gateway::run(&args, output),
         Command::Check(args) => check::run(&args, output),
         Command::Status(target) => operate::status(&target, output),
-        Command::Explain(args) => operate::explain(&args.target, args.request, output),
+        Command::Explain(args) if !args.logs.is_empty() => explain::run(&args, output),
+        Command::Explain(args) => operate::explain(&args.target, &args.request, output),
         Command::Drain(target) => operate::drain(&target, output),
         Command::Version => version(output),
     }
--- a/crates/oriolemux/src/cli/check.rs
+++ b/crates/oriolemux/src/cli/check.rs
@@ -50,19 +50,14 @@
 
 fn check_settings(file: CheckFile<'_>) -> Result<(), Findings> {
     match std::str::from_utf8(file.bytes) {
-        Ok(text) if is_gateway(text) => GatewaySettings::parse(file.name, text).map(|_| ()),
+        Ok(text) if GatewaySettings::is_of_gateway(text) => {
+            GatewaySettings::parse(file.name, text).map(|_| ())
+        }
         Ok(text) => Settings::parse(file.name, text).map(|_| ()),
         Err(error) => Err(unreadable(file.name, &error)),
     }
 }
 
-/// Tells the settings of an instance for HTTP entries by the table that only they have.
-/// A text that is no TOML is left to the reader, which says where it goes wrong.
-fn is_gateway(text: &str) -> bool {
-    let document = toml_edit::Document::parse(text);
-    document.is_ok_and(|document| document.contains_key("store"))
-}
-
 fn unreadable(name: &str, error: &dyn std::error::Error) -> Findings {
     let message = error.to_string();
     let mut findings = Findings::new(name);
--- a/crates/oriolemux/src/cli/client.rs
+++ b/crates/oriolemux/src/cli/client.rs
@@ -1,9 +1,10 @@
 //! Asks the operators' listener of a running instance.
 
 use super::ExitStatus;
-use crate::settings::{Secret, Settings};
+use crate::settings::{GatewaySettings, Secret, Settings};
 use core::time::Duration;
 use oriolemux_core::findings::Findings;
+use oriolemux_core::ids::ParseRequestIdError;
 use reqwest::{Method, Response, StatusCode};
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
@@ -17,7 +18,8 @@
 #[derive(Debug, clap::Args)]
 pub(super) struct Target {
     /// The settings file of the instance, which names its operators' address and key file.
-    #[arg(long, value_name = "FILE", required_unless_present_all = ["address", "key_file"])]
+    /// Those of a gateway name its listener for metrics, which needs no key.
+    #[arg(long, value_name = "FILE")]
     settings: Option<PathBuf>,
     /// The operators' address of the instance; goes before the settings.
     #[arg(long, value_name = "IP:PORT")]
@@ -32,6 +34,12 @@
 pub(super) enum ClientError {
     /// {0}
     Settings(#[source] Findings),
+    /// name the instance: --settings FILE, or --address IP:PORT with --key-file FILE
+    NoTarget,
+    /// a gateway remembers no requests; give its log lines: oriolemux explain REQUEST --logs FILE
+    NoMemory,
+    /// {0}
+    BadRequestId(#[source] ParseRequestIdError),
     /// cannot read the key file {path}: {source}
     Key {
         /// The file.
@@ -61,6 +69,9 @@
     pub(super) const fn exit_status(&self) -> ExitStatus {
         match self {
             ClientError::Settings(_) | ClientError::Key { .. } => ExitStatus::Findings,
+            ClientError::NoTarget | ClientError::NoMemory | ClientError::BadRequestId(_) => {
+                ExitStatus::Usage
+            }
             ClientError::Unreachable { .. }
             | ClientError::Runtime(_)
             | ClientError::NoAnswer(_) => ExitStatus::Unreachable,
@@ -70,15 +81,28 @@
     }
 }
 
+/// Which of the product's two kinds of instance is asked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Kind {
+    /// One of `oriolemux serve`.
+    Node,
+    /// One of `oriolemux gateway`.
+    Gateway,
+}
+
 /// Asks one instance.
 pub(super) struct Client {
     address: SocketAddr,
-    key: Secret,
+    key: Option<Secret>,
+    kind: Kind,
 }
 
 impl Client {
     /// Finds out the address and the key of the instance.
     pub(super) fn new(target: &Target) -> Result<Self, ClientError> {
+        if let Some(client) = Client::of_gateway(target)? {
+            return Ok(client);
+        }
         let settings = target.settings.as_ref().map(Settings::load);
         let settings = settings.transpose().map_err(ClientError::Settings)?;
         let operators = settings.as_ref().map(|settings| &settings.operators);
@@ -86,7 +110,7 @@
         let key_file = operators.map(|it| it.key_file.path().to_owned());
         let key_file = target.key_file.clone().or(key_file);
         let (Some(address), Some(path)) = (address, key_file) else {
-            unreachable!("the command line asks for the settings or for both");
+            return Err(ClientError::NoTarget);
         };
         let key = std::fs::read(&path).map_err(|source| ClientError::Key {
             path: path.display().to_string(),
@@ -94,10 +118,34 @@
         })?;
         Ok(Client {
             address,
-            key: Secret::new(key.trim_ascii()),
+            key: Some(Secret::new(key.trim_ascii())),
+            kind: Kind::Node,
         })
     }
 
+    /// Returns a client of a gateway, if the settings are those of one.
+    fn of_gateway(target: &Target) -> Result<Option<Self>, ClientError> {
+        let Some(path) = &target.settings else {
+            return Ok(None);
+        };
+        // A file that cannot be read becomes a finding of the usual settings.
+        let text = std::fs::read_to_string(path).unwrap_or_default();
+        if !GatewaySettings::is_of_gateway(&text) {
+            return Ok(None);
+        }
+        let settings = GatewaySettings::load(path).map_err(ClientError::Settings)?;
+        Ok(Some(Client {
+            address: target.address.unwrap_or(settings.metrics.listen),
+            key: None,
+            kind: Kind::Gateway,
+        }))
+    }
+
+    /// Returns the kind of the instance.
+    pub(super) fn kind(&self) -> Kind {
+        self.kind
+    }
+
     /// Sends one request and reads its JSON answer.
     pub(super) fn ask<T: DeserializeOwned>(
         &self,
@@ -117,14 +165,15 @@
 
     async fn send(&self, method: Method, path: &str) -> reqwest::Result<Response> {
         let url = format!("http://{}{path}", self.address);
-        reqwest::Client::builder()
+        let client = reqwest::Client::builder()
             .timeout(TIMEOUT)
             .no_proxy()
-            .build()?
-            .request(method, url)
-            .bearer_auth(String::from_utf8_lossy(self.key.as_bytes()))
-            .send()
-            .await
+            .build()?;
+        let mut req = client.request(method, url);
+        if let Some(key) = &self.key {
+            req = req.bearer_auth(String::from_utf8_lossy(key.as_bytes()));
+        }
+        req.send().await
     }
 
     async fn read<T: DeserializeOwned>(&self, answer: Response) -> Result<T, ClientError> {
--- /dev/null
+++ b/crates/oriolemux/src/cli/explain.rs
@@ -0,0 +1,72 @@
+//! `oriolemux explain --logs`: why a request of a gateway went as it did.
+
+use super::{ExitStatus, ExplainArgs, Output, print_error, print_json, print_line};
+use crate::story::{LogLine, Story};
+use std::fs::File;
+use std::io::{self, BufRead, BufReader, Read};
+use std::path::Path;
+
+/// Why there is no story.
+#[derive(Debug, displaydoc::Display, thiserror::Error)]
+enum ExplainError {
+    /// cannot read {file}: {source}
+    File {
+        /// The file.
+        file: String,
+        /// What the operating system said.
+        source: io::Error,
+    },
+    /// no line names attempt {attempt}, of {lines} lines of numbered events
+    Unknown {
+        /// The attempt.
+        attempt: String,
+        /// Lines that were read.
+        lines: usize,
+    },
+}
+
+pub(super) fn run(args: &ExplainArgs, output: Output) -> ExitStatus {
+    let story = match tell(args) {
+        Ok(story) => story,
+        Err(error) => {
+            print_error(&error);
+            return match error {
+                ExplainError::File { .. } => ExitStatus::Findings,
+                ExplainError::Unknown { .. } => ExitStatus::NotFound,
+            };
+        }
+    };
+    match output {
+        Output::Json => print_json(&story),
+        Output::Human => print_line(story.to_string().trim_end()),
+    }
+    ExitStatus::Done
+}
+
+fn tell(args: &ExplainArgs) -> Result<Story, ExplainError> {
+    let mut lines = Vec::new();
+    for file in &args.logs {
+        read(file, &mut lines).map_err(|source| ExplainError::File {
+            file: file.display().to_string(),
+            source,
+        })?;
+    }
+    Story::of(&args.request, &lines).ok_or_else(|| ExplainError::Unknown {
+        attempt: args.request.clone(),
+        lines: lines.len(),
+    })
+}
+
+/// Reads the lines of numbered events; others, and what is no text, are passed over.
+fn read(file: &Path, lines: &mut Vec<LogLine>) -> io::Result<()> {
+    let from: Box<dyn Read> = match file.to_str() {
+        Some("-") => Box::new(io::stdin()),
+        _ => Box::new(File::open(file)?),
+    };
+    let name = file.file_stem().unwrap_or_default().to_string_lossy();
+    for line in BufReader::new(from).split(b'\n') {
+        let line = line?;
+        lines.extend(LogLine::read(&name, &String::from_utf8_lossy(&line)));
+    }
+    Ok(())
+}
--- a/crates/oriolemux/src/cli/gateway.rs
+++ b/crates/oriolemux/src/cli/gateway.rs
@@ -174,6 +174,7 @@
 
 fn run_config(settings: &GatewaySettings, incarnation: Incarnation) -> RunConfig {
     RunConfig {
+        name: settings.name.clone(),
         front: settings.callers.listen,
         readiness: settings.readiness.listen,
         peers: settings.peers.listen,
--- a/crates/oriolemux/src/cli/operate.rs
+++ b/crates/oriolemux/src/cli/operate.rs
@@ -1,12 +1,14 @@
 //! `oriolemux status`, `explain` and `drain`, which ask a running instance.
 
-use super::client::{Client, ClientError, Target};
+use super::client::{Client, ClientError, Kind, Target};
 use super::{ExitStatus, Output, print_error, print_json, print_line};
 use crate::status::{Explanation, NodeStatus, Readiness};
 use oriolemux_core::RequestId;
+use oriolemux_gateway::GatewayStatus;
 use reqwest::Method;
 use serde::{Deserialize, Serialize};
 
+mod gateway_text;
 mod text;
 
 #[derive(Serialize, Deserialize)]
@@ -16,43 +18,49 @@
 
 /// Prints the state of an instance.
 pub(super) fn status(target: &Target, output: Output) -> ExitStatus {
-    ended(
-        ask(target, Method::GET, "/status").map(|status: NodeStatus| {
-            match output {
-                Output::Json => print_json(&status),
-                Output::Human => text::print_status(&status),
-            };
-        }),
-    )
+    ended(Client::new(target).and_then(|client| match client.kind() {
+        Kind::Node => {
+            let status: NodeStatus = client.ask(Method::GET, "/status")?;
+            show(&status, output, text::print_status);
+            Ok(())
+        }
+        Kind::Gateway => {
+            let status: GatewayStatus = client.ask(Method::GET, "/status")?;
+            show(&status, output, gateway_text::print_status);
+            Ok(())
+        }
+    }))
 }
 
 /// Prints why a request went as it did.
-pub(super) fn explain(target: &Target, request: RequestId, output: Output) -> ExitStatus {
-    let path = format!("/explain/{request}");
-    ended(ask(target, Method::GET, &path).map(|it: Explanation| {
-        match output {
-            Output::Json => print_json(&it),
-            Output::Human => text::print_explanation(&it),
-        };
+pub(super) fn explain(target: &Target, request: &str, output: Output) -> ExitStatus {
+    ended(Client::new(target).and_then(|client| {
+        if client.kind() == Kind::Gateway {
+            return Err(ClientError::NoMemory);
+        }
+        let request: RequestId = request.parse().map_err(ClientError::BadRequestId)?;
+        let explanation: Explanation = client.ask(Method::GET, &format!("/explain/{request}"))?;
+        show(&explanation, output, text::print_explanation);
+        Ok(())
     }))
 }
 
 /// Begins a planned stop of an instance.
 pub(super) fn drain(target: &Target, output: Output) -> ExitStatus {
-    ended(ask(target, Method::POST, "/drain").map(|it: DrainAnswer| {
-        match output {
-            Output::Json => print_json(&it),
-            Output::Human => print_line("the instance stops; running streams are finished first"),
-        };
+    ended(Client::new(target).and_then(|client| {
+        let answer: DrainAnswer = client.ask(Method::POST, "/drain")?;
+        show(&answer, output, |_| {
+            print_line("the instance stops; running streams are finished first");
+        });
+        Ok(())
     }))
 }
 
-fn ask<T: serde::de::DeserializeOwned>(
-    target: &Target,
-    method: Method,
-    path: &str,
-) -> Result<T, ClientError> {
-    Client::new(target)?.ask(method, path)
+fn show<T: Serialize>(value: &T, output: Output, print: impl FnOnce(&T)) {
+    match output {
+        Output::Json => print_json(value),
+        Output::Human => print(value),
+    }
 }
 
 fn ended(result: Result<(), ClientError>) -> ExitStatus {
--- /dev/null
+++ b/crates/oriolemux/src/cli/operate/gateway_text.rs
@@ -0,0 +1,65 @@
+//! The state of a gateway as text for people.
+
+use crate::cli::print_line;
+use oriolemux_gateway::GatewayStatus;
+use oriolemux_gateway::status::{EndpointStatus, Readiness, Takes};
+
+pub(super) fn print_status(status: &GatewayStatus) {
+    let readiness = match status.readiness {
+        Readiness::Starting => "starting",
+        Readiness::Ready => "ready",
+        Readiness::Stopping => "stopping",
+    };
+    print_line(format_args!(
+        "{}: {readiness}, incarnation {}",
+        status.instance, status.incarnation
+    ));
+    let version = status.catalogue_version;
+    let version = version.map_or("none in force".to_owned(), |it| format!("version {it}"));
+    print_line(format_args!("catalogue  {version}"));
+    let store = &status.store;
+    let answered = store.answered_ms_ago;
+    let answered = answered.map_or("never".to_owned(), |age| format!("{age} ms ago"));
+    print_line(format_args!(
+        "store      revision {}, answered {answered}{}{}",
+        store.revision,
+        if store.watches { ", watched here" } else { "" },
+        if store.unsettled { ", unsettled" } else { "" },
+    ));
+    print_line(format_args!(
+        "callers    {} connections, {} generations",
+        status.connections, status.generations
+    ));
+    print_line(format_args!("peers      {} heard", status.peers.len()));
+    for peer in &status.peers {
+        let stopping = if peer.stopping { ", stopping" } else { "" };
+        print_line(format_args!(
+            "           {} {} ms ago, revision {}{stopping}",
+            peer.address, peer.heard_ms_ago, peer.revision
+        ));
+    }
+    for endpoint in &status.endpoints {
+        print_endpoint(endpoint);
+    }
+}
+
+fn print_endpoint(endpoint: &EndpointStatus) {
+    let takes = match endpoint.takes {
+        Takes::Work => "takes work",
+        Takes::PassedOver => "passed over",
+        Takes::Lapsed => "entry lapsed",
+        Takes::Nothing => "leaves",
+    };
+    let failing = if endpoint.failing { ", failing" } else { "" };
+    print_line(format_args!(
+        "{} of {} at {} in {}: {takes}{failing}; {} running, {} tokens, {} copied, {} unread",
+        endpoint.name,
+        endpoint.service,
+        endpoint.address,
+        endpoint.data_centre,
+        endpoint.running,
+        endpoint.tokens,
+        endpoint.copied,
+        endpoint.unread
+    ));
+}
--- a/crates/oriolemux/src/lib.rs
+++ b/crates/oriolemux/src/lib.rs
@@ -21,4 +21,5 @@
 pub mod serve;
 pub mod settings;
 pub mod status;
+pub mod story;
 pub mod supervisor;
--- a/crates/oriolemux/src/settings.rs
+++ b/crates/oriolemux/src/settings.rs
@@ -67,6 +67,13 @@
         load(path.as_ref(), Self::parse)
     }
 
+    /// Tells the settings of an instance for HTTP entries by the table that only they have.
+    /// A text that is no TOML is left to the reader, which says where it goes wrong.
+    pub fn is_of_gateway(text: &str) -> bool {
+        let document = toml_edit::Document::parse(text);
+        document.is_ok_and(|document| document.contains_key("store"))
+    }
+
     /// Checks the text of the settings file named `file`.
     ///
     /// # Errors
--- a/crates/oriolemux/src/settings/gateway.rs
+++ b/crates/oriolemux/src/settings/gateway.rs
@@ -72,11 +72,12 @@
         grace_secs: Seconds = default(Seconds(Duration::from_secs(30)));
     }
 
-    /// The listener for whoever collects metrics. It has no key: keep it on a network of your own.
+    /// The listener for whoever collects metrics, and for `oriolemux status` and `oriolemux drain`. It has no
+    /// key: keep it on a network of your own. It takes the planned stop from its own machine only.
     metrics: GatewayMetricsSettings {
         /// Whether metrics are collected and served.
         enabled: bool = default(false);
-        /// Address and port on which every path gives them, in the Prometheus text format.
+        /// Address and port on which every path but `/status` and `/drain` gives them, in the Prometheus text format.
         listen: SocketAddr = default(SocketAddr::from(([127, 0, 0, 1], 9464)));
     }
 
--- a/crates/oriolemux/tests/gateway_process.rs
+++ b/crates/oriolemux/tests/gateway_process.rs
@@ -7,9 +7,16 @@
 use core::time::Duration;
 use http::StatusCode;
 use nix::sys::signal::Signal;
-use oriolemux_platform_standin::{Caller, Deployment, Engine, Engines, Service, readiness, until};
+use oriolemux_gateway::GatewayStatus;
+use oriolemux_gateway::status::Readiness;
+use oriolemux_platform_standin::{
+    Caller, Deployment, Engine, EngineFault, Engines, Service, readiness, until,
+};
 use process::{Process, Reader, Settings, stale_seed};
 use rstest::rstest;
+use std::process::Command;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpSocket;
 
 /// One user's fleet, smaller: engines, plain services, instances in data centres.
 struct Shape {
@@ -192,3 +199,81 @@
         assert_eq!(reply.status, StatusCode::OK, "request {number}");
     }
 }
+
+/// What operators ask of an instance, by the commands that they type.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn operators_see_the_state_of_an_instance_and_stop_it() {
+    let mut fleet = fleet(&QAFSA_LYRICWORKS).await;
+    let process = &mut fleet.processes[0];
+
+    let shown = process.command(&["status"]);
+    let json = process.command(&["status", "--json"]);
+    let drained = process.command(&["drain"]);
+
+    let shown = String::from_utf8_lossy(&shown.stdout);
+    assert!(shown.starts_with("edge-tunis-lac: ready"), "{shown}");
+    assert!(shown.contains("e-0 of"), "{shown}");
+    let status: GatewayStatus = serde_json::from_slice(&json.stdout).expect("JSON");
+    assert_eq!(status.readiness, Readiness::Ready);
+    assert_eq!(status.endpoints.len(), 6);
+    assert!(drained.status.success(), "{drained:?}");
+    assert!(process.wait().success(), "the planned stop ends with 0");
+}
+
+/// Symptom: an instance stops although no operator of it asked. Cause: its page for
+/// metrics, which anybody on the network may read, took the planned stop from anywhere.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn the_planned_stop_is_taken_from_the_own_machine_only() {
+    let fleet = fleet(&QAFSA_LYRICWORKS).await;
+    let process = &fleet.processes[0];
+    let socket = TcpSocket::new_v4().expect("a socket");
+    let elsewhere = "127.0.0.2:0".parse().expect("an address");
+    socket.bind(elsewhere).expect("bound");
+    let mut stream = socket
+        .connect(process.operators)
+        .await
+        .expect("a connection");
+
+    stream
+        .write_all(b"POST /drain HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n")
+        .await
+        .expect("sent");
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).await.expect("an answer");
+
+    assert!(answer.starts_with("HTTP/1.1 403"), "{answer}");
+    assert_eq!(readiness(process.readiness).await, StatusCode::OK);
+}
+
+/// A failed request is explained from the lines of its instance alone.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_failed_request_is_explained_from_the_log() {
+    let fleet = fleet(&QAFSA_LYRICWORKS).await;
+    let process = &fleet.processes[0];
+    for engine in &fleet.all {
+        fleet.engines.fault(engine, EngineFault::NoRoom);
+        fleet.engines.fault(engine, EngineFault::CutAfter(3));
+    }
+    let reply = Caller::generation("g1").send_at(process.front).await;
+    assert!(!reply.complete);
+    until(|| async { !process.lines_of("generation_ended").is_empty() }).await;
+    let log = tempfile::NamedTempFile::new().expect("a file");
+    std::fs::write(log.path(), process.log()).expect("written");
+
+    let explain = |attempt: &str| {
+        Command::new(env!("CARGO_BIN_EXE_oriolemux"))
+            .args(["explain", attempt, "--logs"])
+            .arg(log.path())
+            .output()
+            .expect("the command runs")
+    };
+    let (known, unknown) = (explain("g1"), explain("g2"));
+    let asked = process.command(&["explain", "g1"]);
+
+    let story = String::from_utf8_lossy(&known.stdout);
+    assert!(story.contains("placed [820]"), "{story}");
+    assert!(story.contains("\ncause: its engine e-"), "{story}");
+    assert_eq!(unknown.status.code(), Some(8), "{unknown:?}");
+    let hint = String::from_utf8_lossy(&asked.stderr);
+    assert!(hint.contains("--logs"), "{hint}");
+}
--- a/crates/oriolemux/tests/gateway_support/process.rs
+++ b/crates/oriolemux/tests/gateway_support/process.rs
@@ -6,7 +6,7 @@
 use std::io::{BufRead, BufReader, Lines};
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 use std::path::{Path, PathBuf};
-use std::process::{Child, ChildStdout, Command, ExitStatus, Stdio};
+use std::process::{Child, ChildStdout, Command, ExitStatus, Output, Stdio};
 use std::sync::{Arc, Mutex, PoisonError};
 
 /// What a test sets of a process.
@@ -28,7 +28,8 @@
             "name = \"{}\"\ndata_centre = \"{}\"\n\
              [callers]\nlisten = \"127.0.0.1:0\"\n[readiness]\nlisten = \"127.0.0.1:0\"\n\
              [peers]\nlisten = \"127.0.0.1:0\"\nseeds = [{}]\ndeployment = \"test\"\n\
-             [store]\naddress = \"{}\"\n[stop]\nnotice_ms = 200\ngrace_secs = 20\n",
+             [store]\naddress = \"{}\"\n[stop]\nnotice_ms = 200\ngrace_secs = 20\n\
+             [metrics]\nenabled = true\nlisten = \"127.0.0.1:0\"\n",
             self.name,
             self.data_centre,
             seeds.join(", "),
@@ -55,6 +56,7 @@
     _unread: Option<Lines<BufReader<ChildStdout>>>,
     pub front: SocketAddr,
     pub readiness: SocketAddr,
+    pub operators: SocketAddr,
 }
 
 impl Process {
@@ -70,7 +72,7 @@
         let mut child = child.expect("a process");
         let mut lines = BufReader::new(child.stdout.take().expect("piped")).lines();
         let mut listeners = BTreeMap::new();
-        while listeners.len() < 3 {
+        while listeners.len() < 4 {
             let line = lines
                 .next()
                 .expect("it says where it listens")
@@ -104,6 +106,7 @@
             _unread: unread,
             front: listeners["front"],
             readiness: listeners["readiness"],
+            operators: listeners["metrics"],
         }
     }
 
@@ -129,6 +132,24 @@
         kill(Pid::from_raw(pid), signal).expect("the process is there");
     }
 
+    /// Runs a command of the product against this process, and returns what it printed.
+    pub fn command(&self, words: &[&str]) -> Output {
+        let command = Command::new(env!("CARGO_BIN_EXE_oriolemux"))
+            .args(words)
+            .arg("--settings")
+            .arg(&self.file)
+            .arg("--address")
+            .arg(self.operators.to_string())
+            .output();
+        command.expect("the command runs")
+    }
+
+    /// Returns all lines so far.
+    pub fn log(&self) -> String {
+        let lines = self.lines.lock().unwrap_or_else(PoisonError::into_inner);
+        lines.join("\n")
+    }
+
     /// Waits until the process has ended.
     pub fn wait(&mut self) -> ExitStatus {
         self.child.wait().expect("the process was started")
