A connection that cannot be made costs no repeat, and passes an endpoint over at once

Change: the rule of repeats counts arrivals, and nothing arrives over a connection that was not made: such a send is bounded by its request's own count only. It passes the endpoint over at once, since it is never the request's fault. An engine that cannot be asked to go on counts as failed, too. Ruled out: a higher allowance (not ours to set); taking such endpoints for gone (a cut of one instance's links would empty its fleet).

--- a/crates/core/src/gateway/endpoints.rs
+++ b/crates/core/src/gateway/endpoints.rs
@@ -256,10 +256,20 @@
     /// What goes wrong without it: an endpoint that fails at once is always the
     /// least loaded one, and so draws all requests to itself.
     pub fn on_failure(&mut self, now: Time, key: EndpointKey) -> bool {
+        self.failed(now, key, 1)
+    }
+
+    /// Notes that no connection to the endpoint could be made; returns whether it is now
+    /// passed over. That is never the fault of a request, so that one is enough.
+    pub fn on_unreachable(&mut self, now: Time, key: EndpointKey) -> bool {
+        self.failed(now, key, EJECT_AFTER)
+    }
+
+    fn failed(&mut self, now: Time, key: EndpointKey, at_least: u32) -> bool {
         let Some(endpoint) = self.endpoints.get_mut(&key) else {
             return false;
         };
-        endpoint.failures = endpoint.failures.saturating_add(1);
+        endpoint.failures = endpoint.failures.saturating_add(1).max(at_least);
         endpoint.failure_share += (1.0 - endpoint.failure_share) * FAILURE_WEIGHT;
         if endpoint.failures < EJECT_AFTER {
             return false;
--- a/crates/core/tests/gateway_endpoints.rs
+++ b/crates/core/tests/gateway_endpoints.rs
@@ -127,3 +127,16 @@
 
     assert_eq!(table.failing().count(), 0);
 }
+
+/// An endpoint that takes no connections is passed over at once; one request that fails
+/// there may be the request's own fault.
+#[test]
+fn an_endpoint_that_cannot_be_reached_is_passed_over_at_once() {
+    let (mut table, key) = table();
+    let now = Time::from_secs(1);
+
+    assert!(!table.on_failure(now, key));
+    assert!(table.on_unreachable(now, key));
+
+    assert!(table.get(key).is_some_and(|it| it.is_ejected(now)));
+}
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -186,9 +186,8 @@
         match attempt {
             Attempt::Answer(_) => self.job.cx.state().endpoints.on_success(place.key),
             Attempt::NotRun => {}
-            Attempt::NoConnection | Attempt::Lost | Attempt::Foreign | Attempt::Timeout => {
-                self.job.note_failure(place);
-            }
+            Attempt::NoConnection => self.job.note_unreachable(place),
+            Attempt::Lost | Attempt::Foreign | Attempt::Timeout => self.job.note_failure(place),
         }
         match attempt {
             Attempt::NotRun | Attempt::NoConnection => self.refused += 1,
@@ -203,7 +202,9 @@
             return false;
         }
         let allowed = match attempt {
-            Attempt::NotRun | Attempt::NoConnection => self.refused <= MAX_REFUSED_SENDS,
+            // Nothing arrived anywhere, so that nothing is repeated.
+            Attempt::NoConnection => return self.refused <= MAX_REFUSED_SENDS,
+            Attempt::NotRun => self.refused <= MAX_REFUSED_SENDS,
             Attempt::Answer(answer) if !answer.status.is_server_error() => false,
             Attempt::Answer(_) | Attempt::Lost | Attempt::Foreign | Attempt::Timeout => {
                 self.is_idempotent() && self.runs < job.entry().max_attempts
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -91,9 +91,15 @@
     /// Notes that a request failed at an endpoint.
     pub fn note_failure(&self, place: &Place) {
         let now = self.cx.now();
-        if self.cx.state().endpoints.on_failure(now, place.key) {
-            note!(EndpointPassedOver, endpoint = place.name.as_str());
-        }
+        let passed_over = self.cx.state().endpoints.on_failure(now, place.key);
+        note_passed_over(place, passed_over);
+    }
+
+    /// Notes that no connection to an endpoint could be made.
+    pub fn note_unreachable(&self, place: &Place) {
+        let now = self.cx.now();
+        let passed_over = self.cx.state().endpoints.on_unreachable(now, place.key);
+        note_passed_over(place, passed_over);
     }
 
     /// Notes that another process answers at the address of an endpoint.
@@ -200,6 +206,12 @@
     }
 }
 
+fn note_passed_over(place: &Place, passed_over: bool) {
+    if passed_over {
+        note!(EndpointPassedOver, endpoint = place.name.as_str());
+    }
+}
+
 /// Counts a request at an endpoint until it is dropped.
 pub struct InUse<W: Wire> {
     cx: Arc<Cx<W>>,
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -65,7 +65,13 @@
     /// The gateway gave a final answer.
     Refused(Response<AnswerBody>),
     /// The engine did not run it.
-    NotRun(Box<Job<W>>),
+    NotRun {
+        /// The request.
+        job: Box<Job<W>>,
+        /// Whether it reached the engine, and so counts among the repeats when it is
+        /// sent once more.
+        arrived: bool,
+    },
 }
 
 /// One generation.
@@ -147,8 +153,9 @@
                 let _ = started.send(Started::Answer(answer));
                 return;
             }
-            Begun::NotRun => {
-                let _ = started.send(Started::NotRun(Box::new(self.job)));
+            Begun::NotRun { arrived } => {
+                let job = Box::new(self.job);
+                let _ = started.send(Started::NotRun { job, arrived });
                 return;
             }
             Begun::Failed(reason) => {
@@ -172,10 +179,11 @@
             Ok(Ok((link, answer))) => return self.read_head(link, answer).await,
             Ok(Err(error)) => error,
         };
-        self.job.note_failure(&self.source);
         if error.never_sent() {
-            return Begun::NotRun;
+            self.job.note_unreachable(&self.source);
+            return Begun::NotRun { arrived: false };
         }
+        self.job.note_failure(&self.source);
         log::debug!("a generation was lost before its first event: {error}");
         match self.go_on_from_standing().await {
             Some(begun @ Begun::Stream { .. }) => begun,
@@ -195,7 +203,7 @@
             self.job.note_replaced(&self.source);
         }
         if head.not_run {
-            return Begun::NotRun;
+            return Begun::NotRun { arrived: true };
         }
         let mut headers = parts.headers;
         wire.strip_answer(&mut headers);
@@ -442,6 +450,7 @@
             Ok(Ok((link, answer))) => self.read_head(link, answer).await,
             Ok(Err(error)) => {
                 log::debug!("a generation could not go on: {error}");
+                self.job.note_failure(&self.source);
                 Begun::Failed(Reason::AnswerLost)
             }
             Err(_) => Begun::Failed(Reason::Timeout),
@@ -449,7 +458,7 @@
         match &begun {
             Begun::Stream { .. } => {}
             Begun::Ended(answer) => self.cannot_go_on(answer.status.as_str()),
-            Begun::NotRun => self.cannot_go_on("not_run"),
+            Begun::NotRun { .. } => self.cannot_go_on("not_run"),
             Begun::Failed(reason) => self.cannot_go_on(&reason.to_string()),
         }
         begun
--- a/crates/gateway/src/relay/upstream.rs
+++ b/crates/gateway/src/relay/upstream.rs
@@ -40,7 +40,10 @@
     /// A final answer without events.
     Ended(WholeAnswer),
     /// The engine did not run it.
-    NotRun,
+    NotRun {
+        /// Whether it reached the engine.
+        arrived: bool,
+    },
     /// It failed.
     Failed(Reason),
 }
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -59,10 +59,14 @@
         match start(job, engines.clone(), place, in_use, length).await {
             Start::Streaming(answer) => return answer,
             Start::Ended(answer) => return answer,
-            Start::NotRun(returned) => {
+            Start::NotRun {
+                job: returned,
+                arrived,
+            } => {
                 job = *returned;
                 tried.push(key);
-                if tried.len() > MAX_REFUSED_SENDS || !job.spend_repeat() {
+                let may_repeat = !arrived || job.spend_repeat();
+                if tried.len() > MAX_REFUSED_SENDS || !may_repeat {
                     return give_up(&job, Reason::NotRunAtEndpoint);
                 }
             }
@@ -81,7 +85,7 @@
     /// There was a final answer without events.
     Ended(Response<AnswerBody>),
     /// The engine did not run it.
-    NotRun(Box<Job<W>>),
+    NotRun { job: Box<Job<W>>, arrived: bool },
     /// The relay ended without a word, which only a fault of it can cause.
     Lost,
 }
@@ -102,7 +106,7 @@
         }
         Ok(Started::Answer(answer)) => Start::Ended(answer.into_response()),
         Ok(Started::Refused(answer)) => Start::Ended(answer),
-        Ok(Started::NotRun(job)) => Start::NotRun(job),
+        Ok(Started::NotRun { job, arrived }) => Start::NotRun { job, arrived },
         Err(_) => Start::Lost,
     }
 }
