A frozen instance holds nobody up and goes on when it wakes: a test with real processes

SIGSTOP with a generation under way; peers serve on and a key is taken away meanwhile. The instance wakes, passes its generation on whole, from one engine, and judges by the newer catalogue for good.

--- a/crates/oriolemux/tests/gateway_process.rs
+++ b/crates/oriolemux/tests/gateway_process.rs
@@ -46,9 +46,18 @@
     _dir: tempfile::TempDir,
 }
 
+/// Events of a generation of these engines.
+const EVENTS: u64 = 60;
+
+fn whole_generation(attempt: &str) -> String {
+    (1..=EVENTS)
+        .map(|event| Engines::event(attempt, event))
+        .collect()
+}
+
 async fn fleet(shape: &Shape) -> Fleet {
     let deployment = Deployment::start().await;
-    let engines = Engines::new(60, Duration::from_millis(40));
+    let engines = Engines::new(EVENTS, Duration::from_millis(40));
     let mut all = Vec::new();
     for number in 0..shape.engines {
         let engine = engines.start(&format!("e-{number}")).await;
@@ -122,11 +131,8 @@
 
     for (number, generation) in generations.into_iter().enumerate() {
         let reply = generation.await.expect("no panic");
-        let whole: String = (1..=60)
-            .map(|event| Engines::event(&format!("g{number}"), event))
-            .collect();
         assert!(reply.complete);
-        assert_eq!(reply.body, whole);
+        assert_eq!(reply.body, whole_generation(&format!("g{number}")));
     }
     assert_eq!(fleet.engines.late_events(), 0);
     assert!(
@@ -135,6 +141,39 @@
     );
 }
 
+/// Symptom: callers of other instances wait, or a key that was taken away works again.
+/// Sequence: an instance is frozen with a generation under way; its peers serve on, a
+/// catalogue takes a key away, and the instance wakes. Nobody may have waited for it, its
+/// generation goes on, once, and it comes to judge by the newer catalogue for good.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_frozen_instance_holds_nobody_up_and_goes_on_when_it_wakes() {
+    let fleet = fleet(&SAVANNAH_THREADS).await;
+    let (frozen, other) = (&fleet.processes[0], &fleet.processes[1]);
+    let under_way = tokio::spawn(Caller::generation("g0").send_at(frozen.front));
+    until(|| async { fleet.engines.running() == 1 }).await;
+
+    frozen.signal(Signal::SIGSTOP);
+    let reply = Caller::generation("g1").send_at(other.front).await;
+    assert_eq!(reply.body, whole_generation("g1"));
+    let read = Caller::new("r1", "/read/1").send_at(other.front).await;
+    assert_eq!(read.status, StatusCode::OK);
+    fleet.deployment.publish(&["key-2"], &[]);
+    let refuses = async |process: &Process| {
+        let reply = Caller::new("k1", "/once/1").send_at(process.front).await;
+        reply.status == StatusCode::UNAUTHORIZED
+    };
+    until(|| refuses(other)).await;
+    frozen.signal(Signal::SIGCONT);
+    until(|| refuses(frozen)).await;
+
+    assert!(refuses(frozen).await, "the older catalogue is back");
+    let reply = under_way.await.expect("no panic");
+    assert!(reply.complete);
+    assert_eq!(reply.body, whole_generation("g0"));
+    let starts = fleet.engines.starts();
+    assert_eq!(starts.iter().filter(|(_, name, _)| name == "g0").count(), 1);
+}
+
 /// Symptom: nobody can tell afterwards why a request failed. The line of its attempt
 /// names the reason.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
