--- a/crates/oriolemux/src/cli/explain.rs
+++ b/crates/oriolemux/src/cli/explain.rs
@@ -3,7 +3,7 @@
 use super::{ExitStatus, ExplainArgs, Output, print_error, print_json, print_line};
 use crate::story::{LogLine, Story};
 use std::fs::File;
-use std::io::{self, BufRead, BufReader, Read};
+use std::io::{self, BufRead, BufReader};
 use std::path::Path;
 
 /// Why there is no story.
@@ -59,14 +59,17 @@
 
 /// Reads the lines of numbered events; others, and what is no text, are passed over.
 fn read(file: &Path, lines: &mut Vec<LogLine>) -> io::Result<()> {
-    let from: Box<dyn Read> = match file.to_str() {
-        Some("-") => Box::new(io::stdin()),
-        _ => Box::new(File::open(file)?),
-    };
     let name = file.file_stem().unwrap_or_default().to_string_lossy();
-    for line in BufReader::new(from).split(b'\n') {
+    match file.to_str() {
+        Some("-") => read_lines(io::stdin().lock(), "", lines),
+        _ => read_lines(BufReader::new(File::open(file)?), &name, lines),
+    }
+}
+
+fn read_lines(from: impl BufRead, source: &str, lines: &mut Vec<LogLine>) -> io::Result<()> {
+    for line in from.split(b'\n') {
         let line = line?;
-        lines.extend(LogLine::read(&name, &String::from_utf8_lossy(&line)));
+        lines.extend(LogLine::read(source, &String::from_utf8_lossy(&line)));
     }
     Ok(())
 }
--- a/crates/oriolemux/src/cli/gateway.rs
+++ b/crates/oriolemux/src/cli/gateway.rs
@@ -1,6 +1,6 @@
 //! `oriolemux gateway`.
 
-use super::report::Report;
+use super::report::to_start;
 use super::{ExitStatus, GatewayArgs, Output, print_error};
 use crate::events::{self, ShellNote};
 use crate::logs::{self, LogTarget};
@@ -20,17 +20,11 @@
 use tokio::sync::watch;
 
 pub(super) fn run(args: &GatewayArgs, output: Output) -> ExitStatus {
-    let settings = match GatewaySettings::load(&args.settings) {
+    let loaded = GatewaySettings::load(&args.settings);
+    let settings = match to_start(loaded, args.check, output) {
         Ok(settings) => settings,
-        Err(findings) => {
-            let mut report = Report::of_files(1);
-            report.add(findings);
-            return report.print(output);
-        }
+        Err(ended) => return ended,
     };
-    if args.check {
-        return Report::of_files(1).print(output);
-    }
     match start(&settings) {
         Ok(()) => ExitStatus::Done,
         Err(error) => {
--- a/crates/oriolemux/src/cli/report.rs
+++ b/crates/oriolemux/src/cli/report.rs
@@ -93,3 +93,21 @@
         _ => format!("{count} {many}"),
     }
 }
+
+/// Returns the settings that an instance starts with. Where they have findings, or were
+/// only to be checked, the command ends with the report of that.
+pub(super) fn to_start<T>(
+    loaded: Result<T, Findings>,
+    only_check: bool,
+    output: Output,
+) -> Result<T, ExitStatus> {
+    let mut report = Report::of_files(1);
+    match loaded {
+        Ok(settings) if !only_check => Ok(settings),
+        Ok(_) => Err(report.print(output)),
+        Err(findings) => {
+            report.add(findings);
+            Err(report.print(output))
+        }
+    }
+}
--- a/crates/oriolemux/src/cli/serve.rs
+++ b/crates/oriolemux/src/cli/serve.rs
@@ -1,6 +1,6 @@
 //! `oriolemux serve`.
 
-use super::report::Report;
+use super::report::to_start;
 use super::{ExitStatus, Output, ServeArgs, print_error};
 use crate::events::{self, ShellNote};
 use crate::serve::{self, ServeError};
@@ -9,17 +9,10 @@
 use oriolemux_core::findings::Findings;
 
 pub(super) fn run(args: &ServeArgs, output: Output) -> ExitStatus {
-    let settings = match checked_settings(args) {
+    let settings = match to_start(checked_settings(args), args.check, output) {
         Ok(settings) => settings,
-        Err(findings) => {
-            let mut report = Report::of_files(1);
-            report.add(findings);
-            return report.print(output);
-        }
+        Err(ended) => return ended,
     };
-    if args.check {
-        return Report::of_files(1).print(output);
-    }
     match start(settings) {
         Ok(()) => ExitStatus::Done,
         Err(error) => {
