--- a/crates/bench/src/policy/reclaim/carry.rs
+++ b/crates/bench/src/policy/reclaim/carry.rs
@@ -207,12 +207,7 @@
     fn place_waiting(&mut self, now: Time) {
         for id in self.waiting.clone() {
             let ask = self.generations[id].ask;
-            let tokens = self.memory(id);
-            let soon = self.going_soon(now, ask.output);
-            let key = self
-                .chosen(now, tokens, &soon)
-                .or_else(|| self.chosen(now, tokens, &[]));
-            if let Some(engine) = key.and_then(|key| self.engines.index_of(key)) {
+            if let Some(engine) = self.place_for(now, id) {
                 self.waiting.remove(&id);
                 self.send(now, id, engine, ask.prompt, 0);
             } else if now >= ask.at + ask.kind.target {
@@ -235,6 +230,16 @@
         }
     }
 
+    /// Returns an engine for a generation; one that goes soon only if there is no other.
+    fn place_for(&mut self, now: Time, id: usize) -> Option<usize> {
+        let tokens = self.memory(id);
+        let soon = self.going_soon(now, self.generations[id].ask.output);
+        let key = self
+            .chosen(now, tokens, &soon)
+            .or_else(|| self.chosen(now, tokens, &[]))?;
+        self.engines.index_of(key)
+    }
+
     fn chosen(&mut self, now: Time, tokens: u32, exclude: &[EndpointKey]) -> Option<EndpointKey> {
         let (world, rng) = self.world(now);
         let demand = demand(tokens, exclude);
@@ -252,6 +257,15 @@
         (world, &mut self.rng)
     }
 
+    /// Lets a generation go on at an engine that has `present` tokens of its memory.
+    fn move_to(&mut self, now: Time, id: usize, engine: usize, present: u32) {
+        let one = &mut self.generations[id];
+        one.state.moved(now);
+        one.moving = true;
+        self.counts.summary.relocated += 1;
+        self.send(now, id, engine, 0, present);
+    }
+
     /// Sends a generation to an engine that has `present` tokens of its memory.
     fn send(&mut self, now: Time, id: usize, engine: usize, unread: u32, present: u32) {
         let tokens = self.memory(id);
@@ -458,18 +472,10 @@
     fn engine_gone(&mut self, now: Time, id: usize) {
         if self.way == Way::Oracle {
             self.leave_engine(now, id);
-            let tokens = self.memory(id);
-            let soon = self.going_soon(now, self.generations[id].ask.output);
-            let key = self
-                .chosen(now, tokens, &soon)
-                .or_else(|| self.chosen(now, tokens, &[]));
-            match key.and_then(|key| self.engines.index_of(key)) {
+            match self.place_for(now, id) {
                 Some(engine) => {
                     let present = self.generations[id].ask.prompt + self.generations[id].tokens;
-                    self.generations[id].state.moved(now);
-                    self.generations[id].moving = true;
-                    self.counts.summary.relocated += 1;
-                    self.send(now, id, engine, 0, present);
+                    self.move_to(now, id, engine, present);
                 }
                 None => self.counts.summary.relocation_lost += 1,
             }
--- a/crates/bench/src/policy/reclaim/carry/copies.rs
+++ b/crates/bench/src/policy/reclaim/carry/copies.rs
@@ -52,6 +52,14 @@
         }
     }
 
+    /// Holds room for all that a generation at engine `at` has in memory; returns how many
+    /// tokens that are, if it runs there and there is room.
+    fn hold(&mut self, id: usize, at: usize, copy: Copy) -> Option<u32> {
+        let context = self.engines.all[at].model.context_of(id as u64);
+        let target = &mut self.engines.all[copy.engine];
+        context.filter(|&context| !target.is_gone && target.model.hold(id as u64, context))
+    }
+
     pub(super) fn copy_ahead(&mut self, now: Time, id: usize, at: usize) {
         if self.generations[id].ahead.is_none() {
             let Some(engine) = self.copy_engine(now, id, CopyKind::Ahead) else {
@@ -64,10 +72,7 @@
         let Some(copy) = self.generations[id].ahead else {
             return;
         };
-        let context = self.engines.all[at].model.context_of(id as u64);
-        let target = &mut self.engines.all[copy.engine];
-        let room =
-            context.filter(|&context| !target.is_gone && target.model.hold(id as u64, context));
+        let room = self.hold(id, at, copy);
         let ends = match room {
             Some(context) => {
                 let missing = context.saturating_sub(copy.tokens);
@@ -101,10 +106,7 @@
         let (Some(at), Some(copy), epoch) = (one.at, one.standing, one.epoch) else {
             return;
         };
-        let context = self.engines.all[at].model.context_of(id as u64);
-        let target = &mut self.engines.all[copy.engine];
-        let room =
-            context.filter(|&context| !target.is_gone && target.model.hold(id as u64, context));
+        let room = self.hold(id, at, copy);
         match room {
             Some(context) => {
                 let missing = context.saturating_sub(copy.tokens);
@@ -149,10 +151,6 @@
         }
         let key = self.engines.all[used.engine].key;
         self.usage.end_copy(key, used.counted);
-        let one = &mut self.generations[id];
-        one.state.moved(now);
-        one.moving = true;
-        self.counts.summary.relocated += 1;
-        self.send(now, id, used.engine, 0, used.tokens);
+        self.move_to(now, id, used.engine, used.tokens);
     }
 }
--- a/crates/gateway/src/meters.rs
+++ b/crates/gateway/src/meters.rs
@@ -111,6 +111,11 @@
     }
 }
 
+/// Returns whole milliseconds, as lines and the state show times.
+pub fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
 /// Counts a numbered event.
 pub fn count_event(name: &'static str) {
     metrics::counter!(EVENTS, "event" => name).increment(1);
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -20,7 +20,7 @@
 use crate::events::{Event, EventSplitter};
 use crate::job::{CopyInUse, InUse, Job};
 use crate::link::{Link, LinkError};
-use crate::meters::{ByReason, Histogram};
+use crate::meters::{ByReason, Histogram, millis};
 use crate::note;
 use crate::ports::{EngineCalls, Moved, Resume, SendHead, WholeAnswer, Wire};
 use crate::stream::Piece;
@@ -578,7 +578,7 @@
             wait_ms = seen.waited_ms,
             first_ms = seen.first_ms,
             pause_ms = seen.pause_ms,
-            ms = pace::millis(self.job.arrived.elapsed()),
+            ms = millis(self.job.arrived.elapsed()),
             how = how
         );
     }
--- a/crates/gateway/src/relay/pace.rs
+++ b/crates/gateway/src/relay/pace.rs
@@ -1,6 +1,6 @@
 //! How the events of a generation came, for those who ask later why it was late.
 
-use crate::meters::Histogram;
+use crate::meters::{Histogram, millis};
 use core::time::Duration;
 use oriolemux_core::gateway::HttpEntry;
 use std::time::Instant;
@@ -75,8 +75,3 @@
         slow || self.first.is_none_or(|first| first > entry.target)
     }
 }
-
-/// Returns whole milliseconds.
-pub(super) fn millis(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/gateway/src/status.rs
+++ b/crates/gateway/src/status.rs
@@ -4,8 +4,8 @@
 //! `oriolemux status` prints. Its fields are stable; new ones may come.
 
 use crate::cx::{Cx, Open};
+use crate::meters::millis;
 use crate::ports::Wire;
-use core::time::Duration;
 use oriolemux_core::gateway::bulletin::Peer;
 use oriolemux_core::gateway::endpoints::Endpoint;
 use oriolemux_core::gateway::{EndpointState, Gateway};
@@ -14,10 +14,11 @@
 use std::net::SocketAddrV4;
 
 /// Whether the balancer may send callers here.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Readiness {
-    /// No: no catalogue is in force yet.
+    /// No: no catalogue, or of a node no list of instances, is in force yet.
+    #[default]
     Starting,
     /// Yes.
     Ready,
@@ -25,6 +26,17 @@
     Stopping,
 }
 
+impl Readiness {
+    /// Returns the name used in answers.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Readiness::Starting => "starting",
+            Readiness::Ready => "ready",
+            Readiness::Stopping => "stopping",
+        }
+    }
+}
+
 /// Whether an endpoint takes new work.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -187,7 +199,3 @@
         stopping: peer.stopping,
     }
 }
-
-fn millis(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/oriolemux/src/cli/operate/gateway_text.rs
+++ b/crates/oriolemux/src/cli/operate/gateway_text.rs
@@ -2,14 +2,10 @@
 
 use crate::cli::print_line;
 use oriolemux_gateway::GatewayStatus;
-use oriolemux_gateway::status::{EndpointStatus, Readiness, Takes};
+use oriolemux_gateway::status::{EndpointStatus, Takes};
 
 pub(super) fn print_status(status: &GatewayStatus) {
-    let readiness = match status.readiness {
-        Readiness::Starting => "starting",
-        Readiness::Ready => "ready",
-        Readiness::Stopping => "stopping",
-    };
+    let readiness = status.readiness.as_str();
     print_line(format_args!(
         "{}: {readiness}, incarnation {}",
         status.instance, status.incarnation
--- a/crates/oriolemux/src/status.rs
+++ b/crates/oriolemux/src/status.rs
@@ -7,29 +7,7 @@
 use oriolemux_core::explain::Line;
 use serde::{Deserialize, Serialize};
 
-/// Whether the balancer may send requests here.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum Readiness {
-    /// No: no catalogue or no list of instances is in force yet.
-    #[default]
-    Starting,
-    /// Yes.
-    Ready,
-    /// No: a stop was asked for.
-    Stopping,
-}
-
-impl Readiness {
-    /// Returns the name used in answers.
-    pub const fn as_str(self) -> &'static str {
-        match self {
-            Readiness::Starting => "starting",
-            Readiness::Ready => "ready",
-            Readiness::Stopping => "stopping",
-        }
-    }
-}
+pub use oriolemux_gateway::status::Readiness;
 
 /// The state of an instance.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
