Metrics by a recorder that takes no time at a start

Cause: in the lines of every restart 0.2 s lie between started and gateway_listening. The recorder's library measures the processor's clock for up to 0.2 s when it is built, and the one thread of an instance serves nobody meanwhile; callers whose connections ended with the instance run out of time. Change: metrics-prometheus, which counts and takes no times; samples no longer need folding, so the upkeep goes. Ruled out: installing it after the first catalogue (the same 0.2 s, a little later, while callers wait).

--- a/crates/oriolemux/src/cli/gateway.rs
+++ b/crates/oriolemux/src/cli/gateway.rs
@@ -45,7 +45,7 @@
     /// cannot start the runtime: {0}
     Runtime(#[source] std::io::Error),
     /// cannot start the metrics: {0}
-    Metrics(#[source] metrics_exporter_prometheus::BuildError),
+    Metrics(#[source] metrics::InstallError),
     /// signals cannot be received: {0}
     Signals(#[source] std::io::Error),
     /// {0}
@@ -174,7 +174,7 @@
         peers: settings.peers.listen,
         metrics: settings.metrics.enabled.then_some(Page {
             listen: settings.metrics.listen,
-            render: render_metrics,
+            render: metrics::render,
         }),
         limits: GatewayLimits {
             connect: settings.endpoints.connect_timeout_ms.duration(),
@@ -193,11 +193,6 @@
     }
 }
 
-fn render_metrics() -> String {
-    metrics::upkeep();
-    metrics::render()
-}
-
 /// Seeds name any listener of an instance; peers are heard on the same port everywhere.
 fn seeds(settings: &GatewaySettings) -> Vec<SocketAddrV4> {
     let port = settings.peers.listen.port();
--- a/crates/oriolemux/src/cli/serve.rs
+++ b/crates/oriolemux/src/cli/serve.rs
@@ -28,7 +28,7 @@
     /// cannot start the logs: {0}
     Logs(#[source] log::SetLoggerError),
     /// cannot start the metrics: {0}
-    Metrics(#[source] metrics_exporter_prometheus::BuildError),
+    Metrics(#[source] metrics::InstallError),
     /// cannot start the runtime: {0}
     Runtime(#[source] std::io::Error),
     /// {0}
--- a/crates/oriolemux/src/metrics.rs
+++ b/crates/oriolemux/src/metrics.rs
@@ -9,9 +9,10 @@
 
 use crate::events::LogEvent;
 use ::metrics::Unit;
-use metrics_exporter_prometheus::{BuildError, Matcher, PrometheusBuilder, PrometheusHandle};
+use metrics_prometheus::Recorder;
 use oriolemux_core::reason::{Reason, ReasonGroup};
 use oriolemux_gateway::meters;
+use prometheus::{HistogramOpts, Registry, TextEncoder};
 use std::sync::OnceLock;
 
 /// Counts log events by name.
@@ -154,26 +155,50 @@
     ::metrics::counter!(EVENTS, "event" => name).increment(1);
 }
 
-static HANDLE: OnceLock<PrometheusHandle> = OnceLock::new();
+static REGISTRY: OnceLock<Registry> = OnceLock::new();
+
+/// Why metrics cannot be collected.
+#[derive(Debug, displaydoc::Display, thiserror::Error)]
+pub enum InstallError {
+    /// the histogram `{name}` cannot be registered: {source}
+    Histogram {
+        /// Its name.
+        name: &'static str,
+        /// What the library said.
+        source: prometheus::Error,
+    },
+}
 
 /// Starts to collect metrics in this process and shows every counter at zero.
 /// A second call does nothing.
 ///
+/// The recorder must cost no time at the start of a process. What goes wrong otherwise:
+/// one that measures the processor's clock for up to 0.2 s keeps an instance that
+/// restarts from its callers for so long, seen in the times of `started` and
+/// `gateway_listening`. This one counts and takes no times.
+///
 /// # Errors
 ///
 /// Fails if the recorder cannot be built from the tables above.
-pub fn install() -> Result<(), BuildError> {
-    if HANDLE.get().is_some() {
+pub fn install() -> Result<(), InstallError> {
+    if REGISTRY.get().is_some() {
         return Ok(());
     }
-    let suffix = Matcher::Suffix("_seconds".to_owned());
-    let recorder = PrometheusBuilder::new()
-        .set_buckets_for_metric(suffix, SECONDS_BUCKETS)?
-        .build_recorder();
-    let handle = recorder.handle();
+    let registry = Registry::new();
+    let mut builder = Recorder::builder().with_registry(registry.clone());
+    let own = Histogram::ALL.iter().map(|it| it.name());
+    let of_gateway = meters::Histogram::ALL.iter().map(|it| it.name());
+    for name in own.chain(of_gateway) {
+        let options = HistogramOpts::new(name, name).buckets(SECONDS_BUCKETS.to_vec());
+        let histogram = prometheus::Histogram::with_opts(options);
+        builder = histogram
+            .and_then(|histogram| builder.try_with_metric(histogram))
+            .map_err(|source| InstallError::Histogram { name, source })?;
+    }
+    let recorder = builder.build();
     // A recorder that some other caller installed first keeps its place; ours then shows nothing.
     if ::metrics::set_global_recorder(recorder).is_ok() {
-        let _ = HANDLE.set(handle);
+        let _ = REGISTRY.set(registry);
         describe();
         show_zeros();
     }
@@ -182,20 +207,14 @@
 
 /// Returns all metrics in the Prometheus text format; empty before [`install`].
 pub fn render() -> String {
-    HANDLE
-        .get()
-        .map_or_else(String::new, PrometheusHandle::render)
-}
-
-/// Folds collected samples into the histograms.
-///
-/// Without it samples would pile up in memory for as long as nobody scrapes,
-/// seen as memory that grows with the number of requests; so it is called
-/// every few seconds.
-pub fn upkeep() {
-    if let Some(handle) = HANDLE.get() {
-        handle.run_upkeep();
-    }
+    let Some(registry) = REGISTRY.get() else {
+        return String::new();
+    };
+    let rendered = TextEncoder::new().encode_to_string(&registry.gather());
+    rendered.unwrap_or_else(|error| {
+        log::error!("metrics cannot be rendered: {error}");
+        String::new()
+    })
 }
 
 fn describe() {
--- a/crates/oriolemux/src/operators/server.rs
+++ b/crates/oriolemux/src/operators/server.rs
@@ -3,7 +3,6 @@
 use super::accept::OperatorAcceptor;
 use super::port::OperatorPort;
 use super::routes::routes;
-use crate::metrics;
 use crate::settings::Secret;
 use crate::supervisor::watch_for_pauses;
 use core::time::Duration;
@@ -18,8 +17,6 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 /// A request that is still answered when the listener stops gets this long.
 const STOP_TIMEOUT: Duration = Duration::from_secs(2);
-/// How often samples are folded into histograms; see [`metrics::upkeep`].
-const UPKEEP_INTERVAL: Duration = Duration::from_secs(5);
 
 /// Binds the operators' address.
 ///
@@ -64,16 +61,7 @@
             .run_with_graceful_shutdown(app, stop, Some(STOP_TIMEOUT));
         tokio::select! {
             served = server => served,
-            () = keep_up_metrics() => Ok(()),
             () = watch_for_pauses() => Ok(()),
         }
     }
 }
-
-async fn keep_up_metrics() {
-    let mut ticks = tokio::time::interval(UPKEEP_INTERVAL);
-    loop {
-        ticks.tick().await;
-        metrics::upkeep();
-    }
-}
