Generations that any engine may go on with

Change: one more kind of what may be repeated. A caller's event is decoded once and what cannot be is refused with 400 before anything runs; a generation goes on elsewhere without a copy when its engine dies, fails, or is silent for 1.2 s; one that waits inside an engine for 1.5 targets is taken back, if another engine has room. Attempts of calls and generations are counted by one type. The relay is three files: how it begins, how it passes events on, how it goes on. Not built: a caller that comes back has a new attempt, so that a copy of its former one is not found.

--- a/crates/bench/src/policy/reclaim/carry.rs
+++ b/crates/bench/src/policy/reclaim/carry.rs
@@ -384,6 +384,7 @@
                 leaves_for: leaves.map(|since| now.since(since)),
                 standing_takes_work: takes_work(one.standing),
                 target_is_quiet: quiet,
+                may_go_on_anew: false,
             };
             match one.state.next(now, &view) {
                 Step::CopyAhead => self.copy_ahead(now, id, at),
@@ -391,6 +392,8 @@
                     let from = one.state.go_on_from(now, view.standing_takes_work);
                     self.go_on(now, id, from);
                 }
+                // Nothing here may be read anew, see the view.
+                Step::GoOnAnew => return,
                 Step::Wait(until) => {
                     if until < Time::NEVER {
                         self.due(until, Due::Wake(id, one.epoch));
--- a/crates/core/src/gateway/catalogue.rs
+++ b/crates/core/src/gateway/catalogue.rs
@@ -33,6 +33,22 @@
     Once,
     /// A generation, streamed as events, that runs at most once.
     Stream,
+    /// A generation, streamed as events, that any engine may go on with after the last
+    /// event that its caller holds. It is idempotent: before its first event it may begin
+    /// anew anywhere.
+    ResumableStream,
+}
+
+impl Repeat {
+    /// Returns whether the request may run more than once.
+    pub const fn is_idempotent(self) -> bool {
+        matches!(self, Repeat::Idempotent | Repeat::ResumableStream)
+    }
+
+    /// Returns whether the answer is a stream of events.
+    pub const fn is_stream(self) -> bool {
+        matches!(self, Repeat::Stream | Repeat::ResumableStream)
+    }
 }
 
 /// A share of an entry's requests that goes to one service.
--- a/crates/core/src/gateway/relocation.rs
+++ b/crates/core/src/gateway/relocation.rs
@@ -8,9 +8,10 @@
 //! histories:
 //!
 //! - [`Step::Leave`] is returned only while a copy ahead is complete and not being
-//!   brought up to date, [`Step::GiveUp`] only while a copy to go on from is there or believed to be;
+//!   brought up to date, [`Step::GiveUp`] only while a copy to go on from is there or believed to be,
+//!   [`Step::GoOnAnew`] only where the generation needs no copy;
 //! - events are passed on with numbers that follow each other, each once;
-//! - a generation goes through at most [`MAX_MOVES`] further engines.
+//! - a generation is carried through at most [`MAX_MOVES`] further engines.
 
 use crate::time::Time;
 use core::time::Duration;
@@ -86,6 +87,26 @@
 /// Tokens that an engine puts into one event.
 const TOKENS_PER_EVENT: u32 = 4;
 
+/// An engine that is silent for this long is given up by a generation that any engine may
+/// go on with. Its prompt is read again there in some 0.3 s; a generation that an engine
+/// preempted is silent for about as long.
+pub const RESUMABLE_SILENCE: Duration = Duration::from_millis(1_200);
+
+/// How many times its target a generation waits inside an engine before it is taken back,
+/// if it may run again and another engine has room. One that is taken back sooner loses
+/// its place and waits anew: at half the target, 16 of 240 short generations were taken
+/// back, and late ones rose from 5 to 11.
+const TAKE_BACK_TARGETS: f64 = 1.5;
+
+/// Returns how long a generation with such a target waits inside an engine before it is
+/// taken back. A queue inside an engine is one that nobody can leave.
+pub fn take_back_after(target: Duration) -> Duration {
+    target.mul_f64(TAKE_BACK_TARGETS)
+}
+
+/// The pause before an engine is looked for again that could read a generation anew.
+const ANEW_PAUSE: Duration = Duration::from_millis(100);
+
 /// What is to become of one event.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Delivery {
@@ -115,6 +136,8 @@
     pub standing_takes_work: bool,
     /// Whether no prompt waits where the generation would go on.
     pub target_is_quiet: bool,
+    /// Whether any engine may go on with it without a copy, and attempts are left.
+    pub may_go_on_anew: bool,
 }
 
 /// What to do now.
@@ -126,6 +149,9 @@
     Leave,
     /// The engine has fallen silent: go on from the copy.
     GiveUp,
+    /// The engine has fallen silent and there is no copy: go on at another engine that
+    /// reads prompt and events anew.
+    GoOnAnew,
     /// Nothing until this time, unless something happens before.
     Wait(Time),
 }
@@ -148,6 +174,8 @@
     heard: Time,
     /// How long an engine that stays may be silent.
     silence: Duration,
+    /// Not before this time is another engine looked for that could read it anew.
+    anew_from: Time,
     has_standing: bool,
     ahead: Ahead,
     ahead_tries: u32,
@@ -165,12 +193,19 @@
         }
     }
 
+    /// Begins after the event that the caller holds, if it has come back with one.
+    #[must_use]
+    pub fn after(mut self, held: Option<u64>) -> Self {
+        self.last_event = held;
+        self
+    }
+
     /// Returns the number of the last event that the caller holds.
     pub fn last_event(&self) -> Option<u64> {
         self.last_event
     }
 
-    /// Returns how many events the caller holds.
+    /// Returns how many events were passed on to the caller.
     pub fn events(&self) -> u64 {
         self.events
     }
@@ -231,6 +266,11 @@
         self.ahead_from = now + AHEAD_PAUSE;
     }
 
+    /// Notes that no engine has room to read the generation anew.
+    pub fn anew_impossible(&mut self, now: Time) {
+        self.anew_from = now + ANEW_PAUSE;
+    }
+
     /// Notes how a copy ahead ended; returns whether one is there. One that was
     /// complete stays usable when it could not be brought up to date.
     pub fn ahead_ended(&mut self, now: Time, complete: bool) -> bool {
@@ -263,7 +303,7 @@
 
     /// Returns what to do now.
     pub fn next(&self, now: Time, view: &View) -> Step {
-        if self.last_event.is_none() {
+        if self.events == 0 {
             return Step::Wait(Time::NEVER);
         }
         let from = self.go_on_from(now, view.standing_takes_work);
@@ -274,6 +314,12 @@
                 None => wait = Time::NEVER,
             }
         }
+        if let Some(anew) = self.anew_at(from, view) {
+            if anew <= now {
+                return Step::GoOnAnew;
+            }
+            wait = wait.min(anew);
+        }
         let leaves_for = view.leaves_for.filter(|_| self.moves < MAX_MOVES);
         let Some(leaves_for) = leaves_for else {
             return Step::Wait(wait);
@@ -311,6 +357,13 @@
         }
     }
 
+    /// Returns when a silent engine is left for one that reads the generation anew.
+    fn anew_at(&self, from: Option<GoOnFrom>, view: &View) -> Option<Time> {
+        let silent = self.heard + RESUMABLE_SILENCE.min(self.silence);
+        let needs_it = view.may_go_on_anew && from.is_none();
+        needs_it.then_some(silent.max(self.anew_from))
+    }
+
     fn copy_at(&self, now: Time, leaves_for: Duration, from: Option<GoOnFrom>) -> Option<Time> {
         if self.ahead.under_way || self.ahead_tries >= MAX_AHEAD {
             return None;
--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -41,6 +41,8 @@
     BodyTooLarge,
     /// body_broken
     BodyBroken,
+    /// no_such_event
+    NoSuchEvent,
     /// no_endpoint
     NoEndpoint,
     /// endpoints_full
@@ -68,7 +70,7 @@
             Reason::NoEntry => StatusCode::NOT_FOUND,
             Reason::UnknownKey => StatusCode::UNAUTHORIZED,
             Reason::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
-            Reason::BodyBroken => StatusCode::BAD_REQUEST,
+            Reason::BodyBroken | Reason::NoSuchEvent => StatusCode::BAD_REQUEST,
             Reason::NoCatalogue
             | Reason::NoEndpoint
             | Reason::EndpointsFull
--- /dev/null
+++ b/crates/gateway/src/attempts.rs
@@ -0,0 +1,52 @@
+//! The endpoints that one request was sent to.
+
+use oriolemux_core::gateway::HttpEntry;
+use oriolemux_core::ids::EndpointKey;
+
+/// Where one request was, and what that leaves open.
+#[derive(Clone, Debug, Default)]
+pub struct Attempts {
+    tried: Vec<EndpointKey>,
+    runs: u32,
+    refused: usize,
+}
+
+impl Attempts {
+    /// Notes an endpoint that did not run the request, or was not reached.
+    pub fn note_refused(&mut self, endpoint: EndpointKey) {
+        self.tried.push(endpoint);
+        self.refused += 1;
+    }
+
+    /// Notes an endpoint at which the request may have run.
+    pub fn note_run(&mut self, endpoint: EndpointKey) {
+        self.tried.push(endpoint);
+        self.runs += 1;
+    }
+
+    /// Returns the endpoints that the request is not sent to again.
+    pub fn tried(&self) -> &[EndpointKey] {
+        &self.tried
+    }
+
+    /// Returns whether the request may have run somewhere, so that "not run" would be untrue.
+    pub fn may_have_run(&self) -> bool {
+        self.runs > 0
+    }
+
+    /// Returns how many endpoints did not run the request.
+    pub fn refused(&self) -> usize {
+        self.refused
+    }
+
+    /// Returns whether `entry` lets the request run at one endpoint more.
+    pub fn may_run_again(&self, entry: &HttpEntry) -> bool {
+        let is_first = self.runs == 0;
+        is_first || (entry.repeat.is_idempotent() && self.runs < entry.max_attempts)
+    }
+
+    /// Returns whether the next run, or the one under way, is the last that `entry` allows.
+    pub fn next_is_last(&self, entry: &HttpEntry) -> bool {
+        !entry.repeat.is_idempotent() || self.runs + 1 >= entry.max_attempts
+    }
+}
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -5,6 +5,7 @@
 //! middle, and nothing that is half an answer ever reaches a caller.
 
 use crate::answer::{AnswerBody, Reason};
+use crate::attempts::Attempts;
 use crate::job::Job;
 use crate::link::LinkError;
 use crate::meters::{ByReason, Histogram};
@@ -13,10 +14,8 @@
 use core::time::Duration;
 use http::Response;
 use http_body_util::{BodyExt, Limited};
-use oriolemux_core::gateway::Repeat;
 use oriolemux_core::gateway::choose::NoPlace;
 use oriolemux_core::gateway::state::Place;
-use oriolemux_core::ids::EndpointKey;
 
 /// The largest answer of a plain service that is held.
 const MAX_ANSWER: usize = 16 * 1024 * 1024;
@@ -52,12 +51,10 @@
 pub async fn serve<W: Wire>(job: &Job<W>) -> Response<AnswerBody> {
     let mut calls = Calls {
         job,
-        tried: Vec::new(),
-        runs: 0,
-        refused: 0,
+        attempts: Attempts::default(),
     };
     loop {
-        let (place, in_use) = match job.place(0, &calls.tried) {
+        let (place, in_use) = match job.place(0, calls.attempts.tried()) {
             Ok(chosen) => chosen,
             Err(why) => return calls.no_place(why),
         };
@@ -72,6 +69,7 @@
             entry = job.entry().name.as_str(),
             repeat = repeat,
             what = attempt.word(),
+            status = attempt.status(),
             ms = job.arrived.elapsed().as_millis() as u64
         );
         ByReason::Attempts.add(attempt.word());
@@ -81,11 +79,18 @@
         if !repeat {
             return calls.finish(attempt, &place);
         }
-        calls.tried.push(place.key);
     }
 }
 
 impl Attempt {
+    /// Returns the status of the endpoint's answer; 0 if there was none.
+    fn status(&self) -> u16 {
+        match self {
+            Attempt::Answer(answer) => answer.status.as_u16(),
+            _ => 0,
+        }
+    }
+
     fn word(&self) -> &'static str {
         match self {
             Attempt::Answer(answer) if answer.status.is_server_error() => "failed",
@@ -102,18 +107,10 @@
 /// The attempts of one call.
 struct Calls<'a, W> {
     job: &'a Job<W>,
-    tried: Vec<EndpointKey>,
-    /// Attempts that may have run.
-    runs: u32,
-    /// Attempts that were refused or never sent.
-    refused: usize,
+    attempts: Attempts,
 }
 
 impl<W: Wire> Calls<'_, W> {
-    fn is_idempotent(&self) -> bool {
-        self.job.entry().repeat == Repeat::Idempotent
-    }
-
     async fn attempt(&self, place: &Place) -> Attempt {
         let limit = self.limit();
         match tokio::time::timeout(limit, self.exchange(place)).await {
@@ -126,8 +123,7 @@
     fn limit(&self) -> Duration {
         let left = self.job.left();
         let entry = self.job.entry();
-        let last = self.runs + 1 >= entry.max_attempts;
-        if last || !self.is_idempotent() {
+        if self.attempts.next_is_last(entry) {
             return left;
         }
         entry.target.mul_f64(FIRST_ATTEMPT_TARGETS).min(left)
@@ -190,8 +186,8 @@
             Attempt::Lost | Attempt::Foreign | Attempt::Timeout => self.job.note_failure(place),
         }
         match attempt {
-            Attempt::NotRun | Attempt::NoConnection => self.refused += 1,
-            _ => self.runs += 1,
+            Attempt::NotRun | Attempt::NoConnection => self.attempts.note_refused(place.key),
+            _ => self.attempts.note_run(place.key),
         }
     }
 
@@ -203,21 +199,21 @@
         }
         let allowed = match attempt {
             // Nothing arrived anywhere, so that nothing is repeated.
-            Attempt::NoConnection => return self.refused <= MAX_REFUSED_SENDS,
-            Attempt::NotRun => self.refused <= MAX_REFUSED_SENDS,
+            Attempt::NoConnection => return self.attempts.refused() <= MAX_REFUSED_SENDS,
+            Attempt::NotRun => self.attempts.refused() <= MAX_REFUSED_SENDS,
             Attempt::Answer(answer) if !answer.status.is_server_error() => false,
             Attempt::Answer(_) | Attempt::Lost | Attempt::Foreign | Attempt::Timeout => {
-                self.is_idempotent() && self.runs < job.entry().max_attempts
+                self.attempts.may_run_again(job.entry())
             }
         };
         allowed && job.spend_repeat()
     }
 
     fn no_place(&self, why: NoPlace) -> Response<AnswerBody> {
-        let reason = match (self.runs, why) {
-            (0, NoPlace::NoEndpoint) => Reason::NoEndpoint,
-            (0, NoPlace::Full) => Reason::EndpointsFull,
-            _ => Reason::AnswerLost,
+        let reason = match why {
+            _ if self.attempts.may_have_run() => Reason::AnswerLost,
+            NoPlace::NoEndpoint => Reason::NoEndpoint,
+            NoPlace::Full => Reason::EndpointsFull,
         };
         self.job.refuse(reason)
     }
@@ -230,7 +226,9 @@
                 return answer.into_response();
             }
             // An earlier attempt may have run, so that "not run" would be untrue.
-            Attempt::NotRun | Attempt::NoConnection if self.runs > 0 => Reason::AnswerLost,
+            Attempt::NotRun | Attempt::NoConnection if self.attempts.may_have_run() => {
+                Reason::AnswerLost
+            }
             Attempt::NotRun => Reason::NotRunAtEndpoint,
             Attempt::NoConnection => Reason::NoConnection,
             Attempt::Lost => Reason::AnswerLost,
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -5,7 +5,7 @@
 use crate::link::{Link, LinkError};
 use crate::meters::ByReason;
 use crate::note;
-use crate::ports::{CallerHead, SendHead, Wire};
+use crate::ports::{CallerHead, Held, SendHead, Wire};
 use bytes::Bytes;
 use core::time::Duration;
 use http::{HeaderMap, Method, Request, Response, Uri, header};
@@ -15,7 +15,7 @@
 use oriolemux_core::gateway::choose::NoPlace;
 use oriolemux_core::gateway::lengths::{self, Length};
 use oriolemux_core::gateway::state::Place;
-use oriolemux_core::gateway::{Demand, EntryId};
+use oriolemux_core::gateway::{Demand, EntryId, Repeat};
 use oriolemux_core::ids::EndpointKey;
 use std::sync::Arc;
 use std::time::Instant;
@@ -59,6 +59,14 @@
         self.head.attempt.as_deref().unwrap_or("-")
     }
 
+    /// Returns the last event that the caller holds of a generation that may go on.
+    pub fn held(&self) -> Option<u64> {
+        match (self.entry().repeat, self.head.held) {
+            (Repeat::ResumableStream, Held::Event(number)) => Some(number),
+            _ => None,
+        }
+    }
+
     /// Returns the time that is left.
     pub fn left(&self) -> Duration {
         self.ends.saturating_duration_since(Instant::now())
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,6 +15,7 @@
 //! `platform` crate implements them.
 
 pub mod answer;
+pub mod attempts;
 pub mod call;
 pub mod cx;
 pub mod events;
--- a/crates/gateway/src/notes.rs
+++ b/crates/gateway/src/notes.rs
@@ -110,6 +110,10 @@
     PeerSilent = 822, "peer_silent", Info, USUAL;
     /// No engine has room for a copy of a generation; the line says for which kind of copy.
     NoRoomForCopy = 823, "no_room_for_copy", Info, USUAL;
+    /// A generation that may run again waited inside its engine and is sent to another one.
+    TakenBack = 824, "generation_taken_back", Info, USUAL;
+    /// A resumable generation goes on at an engine that reads prompt and events anew.
+    GoesOnAnew = 825, "generation_goes_on_anew", Info, USUAL;
 }
 
 /// Lines of one event within the present second.
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -29,15 +29,37 @@
     pub max_tokens: u32,
     /// How many tokens the caller expects.
     pub expected_tokens: Option<u32>,
+    /// Where in a generation the caller wants to go on.
+    pub held: Held,
 }
 
-/// A generation that goes on where a copy of its memory is kept.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Resume<'a> {
-    /// The engine that keeps the memory.
+/// What a caller says it holds of a generation.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Held {
+    /// Nothing.
+    #[default]
+    Nothing,
+    /// All events up to this one.
+    Event(u64),
+    /// Something that cannot be read.
+    Unreadable,
+}
+
+/// A copy of a generation's memory.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct KeptCopy<'a> {
+    /// The engine that keeps it.
     pub keeper: SocketAddrV4,
-    /// The name of the copy at that engine.
+    /// Its name at that engine.
     pub handle: &'a str,
+}
+
+/// A generation that goes on after some event.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Resume<'a> {
+    /// The memory that it goes on from. Without one the engine reads prompt and events
+    /// anew, which only a resumable generation may ask for.
+    pub copy: Option<KeptCopy<'a>>,
     /// The last event that the caller holds.
     pub last_event: u64,
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -7,35 +7,38 @@
 //! - One engine at work: the connection to the old engine is closed before the
 //!   generation is asked for elsewhere.
 //! - A generation goes on only from its own memory, never from its beginning:
-//!   two generations of one prompt differ.
+//!   two generations of one prompt differ. Only a resumable one may be read anew by
+//!   another engine, which then goes on after the last event that the caller holds.
+//!
+//! [`begin`] waits for the head of the first answer, `pass_events` reads from one engine,
+//! [`go_on`] carries the generation to the next.
 //!
 //! `docs/design/relocation.md` weighs when a generation leaves its engine.
 
 mod ahead;
+mod begin;
+mod go_on;
 mod pace;
 mod upstream;
 
-use crate::answer::{AnswerBody, BrokenOff, Reason, refuse};
-use crate::cx::{Cx, Open};
+use crate::answer::{AnswerBody, BrokenOff, refuse};
+use crate::attempts::Attempts;
+use crate::cx::Open;
 use crate::events::{Event, EventSplitter};
-use crate::job::{CopyInUse, InUse, Job};
-use crate::link::{Link, LinkError};
+use crate::job::{InUse, Job};
 use crate::meters::{ByReason, Histogram, millis};
 use crate::note;
-use crate::ports::{EngineCalls, Moved, Resume, SendHead, WholeAnswer, Wire};
+use crate::ports::{EngineCalls, WholeAnswer, Wire};
 use crate::stream::Piece;
 use ahead::{CopyAhead, StandingCopy};
 use http::{HeaderMap, Response, StatusCode};
-use http_body_util::{BodyExt, Limited};
-use hyper::body::Incoming;
-use oriolemux_core::gateway::choose::CopyKind;
+use http_body_util::BodyExt;
 use oriolemux_core::gateway::lengths::Length;
 use oriolemux_core::gateway::relocation::{
-    Delivery, GoOnFrom, Relocation, STANDING_MIN_TOKENS, Step, View, silence_limit,
+    Delivery, GoOnFrom, Relocation, Step, View, silence_limit,
 };
 use oriolemux_core::gateway::state::Place;
 use pace::Pace;
-use std::net::SocketAddrV4;
 use std::sync::Arc;
 use std::time::Instant;
 use tokio::sync::{mpsc, oneshot};
@@ -58,12 +61,21 @@
     },
     /// The engine gave a final answer without events.
     Answer(WholeAnswer),
-    /// The gateway gave a final answer.
-    Refused(Response<AnswerBody>),
+    /// It failed and may have run.
+    Failed {
+        /// The request.
+        job: Box<Job<W>>,
+        /// Where it was.
+        attempts: Attempts,
+        /// What the caller gets unless it runs again.
+        answer: Response<AnswerBody>,
+    },
     /// The engine did not run it.
     NotRun {
         /// The request.
         job: Box<Job<W>>,
+        /// Where it was.
+        attempts: Attempts,
         /// Whether it reached the engine, and so counts among the repeats when it is
         /// sent once more.
         arrived: bool,
@@ -74,6 +86,8 @@
 pub struct Relay<W: Wire, E: EngineCalls> {
     job: Job<W>,
     engines: E,
+    /// Where the request was before the present engine.
+    attempts: Attempts,
     source: Place,
     in_use: InUse<W>,
     length: Length,
@@ -92,8 +106,8 @@
     pub fn new(
         job: Job<W>,
         engines: E,
-        source: Place,
-        in_use: InUse<W>,
+        attempts: Attempts,
+        chosen: (Place, InUse<W>),
         length: Length,
         tx: mpsc::Sender<Piece>,
     ) -> Self {
@@ -101,14 +115,17 @@
         let pace = Pace::new(job.arrived.elapsed());
         let entry = job.entry();
         let silence = silence_limit(entry.target, entry.gap_target);
+        let held = job.held();
+        let (source, in_use) = chosen;
         Relay {
             job,
             engines,
+            attempts,
             source,
             in_use,
             length,
             tokens,
-            state: Relocation::new(silence),
+            state: Relocation::new(silence).after(held),
             standing: None,
             ahead: None,
             splitter: EventSplitter::default(),
@@ -145,79 +162,42 @@
                 let _ = started.send(Started::Streaming { status, headers });
                 upstream
             }
+            Begun::Ended(answer) if answer.status.is_server_error() => {
+                let _ = started.send(self.failed(answer.into_response()));
+                return;
+            }
             Begun::Ended(answer) => {
                 let _ = started.send(Started::Answer(answer));
                 return;
             }
             Begun::NotRun { arrived } => {
-                let job = Box::new(self.job);
-                let _ = started.send(Started::NotRun { job, arrived });
+                let mut attempts = self.attempts;
+                attempts.note_refused(self.source.key);
+                let _ = started.send(Started::NotRun {
+                    job: Box::new(self.job),
+                    attempts,
+                    arrived,
+                });
                 return;
             }
             Begun::Failed(reason) => {
                 self.log_end(&reason.to_string());
-                let _ = started.send(Started::Refused(refuse(reason, self.job.left())));
+                let answer = refuse(reason, self.job.left());
+                let _ = started.send(self.failed(answer));
                 return;
             }
         };
         self.follow(upstream).await;
     }
 
-    /// Sends the request and waits for the head of its answer. If its engine breaks
-    /// before that, the generation may go on from its standing copy: where that holds
-    /// nothing, it does not run there, and its outcome stays unknown.
-    async fn begin(&mut self) -> Begun {
-        self.choose_standing();
-        let limit = self.job.left();
-        let sent = tokio::time::timeout(limit, self.send(None)).await;
-        let error = match sent {
-            Err(_) => return Begun::Failed(Reason::Timeout),
-            Ok(Ok((link, answer))) => return self.read_head(link, answer).await,
-            Ok(Err(error)) => error,
-        };
-        if error.never_sent() {
-            self.job.note_unreachable(&self.source);
-            return Begun::NotRun { arrived: false };
-        }
-        self.job.note_failure(&self.source);
-        log::debug!("a generation was lost before its first event: {error}");
-        match self.go_on_from_standing().await {
-            Some(begun @ Begun::Stream { .. }) => begun,
-            _ => Begun::Failed(Reason::AnswerLost),
-        }
-    }
-
-    async fn read_head(&mut self, link: Link, answer: Response<Incoming>) -> Begun {
-        let (parts, body) = answer.into_parts();
-        let attempt = self.job.head.attempt.as_deref();
-        let wire = &self.job.cx.wire;
-        let head = wire.answer_head(parts.status, &parts.headers, attempt);
-        if head.foreign {
-            return Begun::Failed(Reason::AnswerForeign);
-        }
-        if head.replaced {
-            self.job.note_replaced(&self.source);
-        }
-        if head.not_run {
-            return Begun::NotRun { arrived: true };
-        }
-        let mut headers = parts.headers;
-        wire.strip_answer(&mut headers);
-        if parts.status.is_success() {
-            return Begun::Stream {
-                upstream: Upstream { link, body },
-                status: parts.status,
-                headers,
-            };
-        }
-        let collected = Limited::new(body, MAX_ANSWER).collect();
-        match tokio::time::timeout(self.job.left(), collected).await {
-            Ok(Ok(body)) => Begun::Ended(WholeAnswer {
-                status: parts.status,
-                headers,
-                body: body.to_bytes(),
-            }),
-            _ => Begun::Failed(Reason::AnswerLost),
+    /// Gives the request back after it may have run.
+    fn failed(self, answer: Response<AnswerBody>) -> Started<W> {
+        let mut attempts = self.attempts;
+        attempts.note_run(self.source.key);
+        Started::Failed {
+            job: Box::new(self.job),
+            attempts,
+            answer,
         }
     }
 
@@ -240,12 +220,21 @@
                     upstream.link.close().await;
                     self.leave().await
                 }
+                Pause::GoOnAnew(place, in_use) => {
+                    upstream.link.close().await;
+                    self.job.note_failure(&self.source);
+                    Some(self.go_on_anew_at(place, in_use).await)
+                }
                 Pause::Broken => {
                     upstream.link.close().await;
                     self.job.note_failure(&self.source);
                     self.leave().await
                 }
             };
+            let next = match next {
+                Some(begun @ Begun::Stream { .. }) => Some(begun),
+                _ => self.go_on_anew().await,
+            };
             match next {
                 Some(Begun::Stream { upstream: next, .. }) => upstream = next,
                 _ => return self.break_off("no_copy").await,
@@ -253,7 +242,7 @@
         }
     }
 
-    async fn pass_events(&mut self, upstream: &mut Upstream) -> Pause {
+    async fn pass_events(&mut self, upstream: &mut Upstream) -> Pause<W> {
         loop {
             while let Some(event) = self.splitter.next_event() {
                 if let Some(pause) = self.pass_on(event).await {
@@ -270,6 +259,13 @@
                 }
                 Step::Leave => return Pause::Leave,
                 Step::GiveUp => return Pause::Broken,
+                Step::GoOnAnew => match self.engine_with_room() {
+                    Some((place, in_use)) => return Pause::GoOnAnew(place, in_use),
+                    None => {
+                        self.state.anew_impossible(cx.now());
+                        continue;
+                    }
+                },
                 Step::Wait(until) => cx.clock.instant(until),
             };
             tokio::select! {
@@ -299,7 +295,7 @@
 
     /// Passes one event on, unless the caller holds it already. A caller that takes
     /// nothing holds the generation up no longer than its time.
-    async fn pass_on(&mut self, event: Event) -> Option<Pause> {
+    async fn pass_on(&mut self, event: Event) -> Option<Pause<W>> {
         let now = self.job.cx.now();
         let is_first_here = !self.state.has_begun_here();
         match self.state.on_event(now, event.id) {
@@ -338,202 +334,11 @@
             leaves_for: leaving.map(|since| now.since(since)),
             standing_takes_work,
             target_is_quiet: target.is_some_and(|key| state.is_quiet(now, key)),
+            may_go_on_anew: self.may_run_again(),
         };
         self.state.next(now, &view)
     }
 
-    /// Copies the memory to another engine while the generation goes on, or brings
-    /// that copy up to date.
-    fn copy_ahead(&mut self) {
-        let now = self.job.cx.now();
-        if self.ahead.is_none() {
-            let Some(target) = self.another_place(CopyKind::Ahead) else {
-                self.state.ahead_impossible(now);
-                return;
-            };
-            let in_use = CopyInUse::begin(&self.job.cx, target.key, self.tokens);
-            let engines = self.engines.clone();
-            self.ahead = Some(CopyAhead::new(engines, self.source.address, target, in_use));
-        }
-        if let Some(ahead) = &mut self.ahead {
-            ahead.begin(self.job.name());
-            self.state.ahead_begun(now);
-        }
-    }
-
-    fn on_copied_ahead(&mut self, moved: Moved) {
-        note!(
-            CopiedAhead,
-            attempt = self.job.name(),
-            from = self.source.name.as_str(),
-            how = moved.word(),
-            event_id = self.state.last_event()
-        );
-        let now = self.job.cx.now();
-        let complete = match (&mut self.ahead, moved) {
-            (Some(ahead), Moved::Done { handle }) => {
-                ahead.complete(handle);
-                true
-            }
-            _ => false,
-        };
-        if !self.state.ahead_ended(now, complete) {
-            self.ahead = None;
-        }
-    }
-
-    /// Goes on at another engine. The connection to the present one is closed: the
-    /// generation must not run at two engines.
-    ///
-    /// A copy ahead is known to be there, a standing one is not; where the engine of
-    /// one refuses, the other is asked.
-    async fn leave(&mut self) -> Option<Begun> {
-        let standing = self.standing.take();
-        if let Some(begun @ Begun::Stream { .. }) = self.go_on_from_ahead().await {
-            return Some(begun);
-        }
-        self.standing = standing;
-        self.go_on_from_standing().await
-    }
-
-    /// Goes on where a copy was made since the notice, if it is complete.
-    async fn go_on_from_ahead(&mut self) -> Option<Begun> {
-        let (target, handle) = self.ahead.take()?.take()?;
-        ByReason::Relocations.add("ahead");
-        note!(
-            GoesOnFromAhead,
-            attempt = self.job.name(),
-            from = self.source.name.as_str(),
-            to = target.name.as_str(),
-            event_id = self.state.last_event()
-        );
-        let source = self.source.address;
-        Some(self.go_on(target, source, &handle).await)
-    }
-
-    /// Goes on where the standing copy is kept, if there is one.
-    async fn go_on_from_standing(&mut self) -> Option<Begun> {
-        let copy = self.standing.take()?;
-        let attempt = self.job.name().to_owned();
-        let address = copy.place.address;
-        ByReason::Relocations.add("standing");
-        note!(
-            GoesOnFromCopy,
-            attempt = attempt.as_str(),
-            from = self.source.name.as_str(),
-            to = copy.place.name.as_str(),
-            event_id = self.state.last_event()
-        );
-        Some(self.go_on(copy.place.clone(), address, &attempt).await)
-    }
-
-    /// Asks `target` to go on with the generation whose memory `keeper` holds.
-    async fn go_on(&mut self, target: Place, keeper: SocketAddrV4, handle: &str) -> Begun {
-        self.splitter.clear();
-        self.state.moved(self.job.cx.now());
-        self.note_repeat();
-        self.in_use = InUse::go_on(&self.job.cx, target.key, self.tokens);
-        self.source = target;
-        self.choose_standing();
-        let resume = Resume {
-            keeper,
-            handle,
-            last_event: self.state.last_event().unwrap_or(0),
-        };
-        let limit = self.job.left();
-        let sent = tokio::time::timeout(limit, self.send(Some(resume))).await;
-        let begun = match sent {
-            Ok(Ok((link, answer))) => self.read_head(link, answer).await,
-            Ok(Err(error)) => {
-                log::debug!("a generation could not go on: {error}");
-                self.job.note_failure(&self.source);
-                Begun::Failed(Reason::AnswerLost)
-            }
-            Err(_) => Begun::Failed(Reason::Timeout),
-        };
-        match &begun {
-            Begun::Stream { .. } => {}
-            Begun::Ended(answer) => self.cannot_go_on(answer.status.as_str()),
-            Begun::NotRun { .. } => self.cannot_go_on("not_run"),
-            Begun::Failed(reason) => self.cannot_go_on(&reason.to_string()),
-        }
-        begun
-    }
-
-    fn cannot_go_on(&self, why: &str) {
-        ByReason::Relocations.add("failed");
-        note!(
-            CannotGoOn,
-            attempt = self.job.name(),
-            endpoint = self.source.name.as_str(),
-            why = why
-        );
-    }
-
-    /// Chooses where the present engine keeps a standing copy, where one pays.
-    fn choose_standing(&mut self) {
-        self.standing = None;
-        let engine = self.job.service().engine;
-        let keeps_copies = engine.is_some_and(|engine| engine.standing_copies);
-        let is_long = self.length.rest(self.state.tokens()) >= STANDING_MIN_TOKENS;
-        if keeps_copies && is_long {
-            let cx = &self.job.cx;
-            self.standing = self
-                .another_place(CopyKind::Standing)
-                .map(|place| StandingCopy {
-                    _in_use: CopyInUse::begin(cx, place.key, self.tokens),
-                    place,
-                });
-        }
-        self.state.set_standing(self.standing.is_some());
-    }
-
-    /// Returns another engine with room for a copy.
-    fn another_place(&self, kind: CopyKind) -> Option<Place> {
-        let cx = &self.job.cx;
-        let now = cx.now();
-        let mut state = cx.state();
-        let demand = self.job.demand(self.tokens, &[]);
-        let place = state.copy_place(now, &demand, self.source.key, kind);
-        drop(state);
-        if place.is_none() {
-            let kind = match kind {
-                CopyKind::Standing => "standing",
-                CopyKind::Ahead => "ahead",
-            };
-            note!(
-                NoRoomForCopy,
-                attempt = self.job.name(),
-                source = self.source.name.as_str(),
-                kind = kind,
-                need = self.tokens
-            );
-        }
-        place
-    }
-
-    async fn send(
-        &self,
-        resume: Option<Resume<'_>>,
-    ) -> Result<(Link, Response<Incoming>), LinkError> {
-        let send = SendHead {
-            deadline: self.job.left(),
-            endpoint: &self.source.name,
-            workspace: self.job.workspace_name(),
-            priority: Some(self.job.priority()),
-            copy_to: self.standing.as_ref().map(|copy| copy.place.address),
-            resume,
-        };
-        self.job.send(&self.source, &send).await
-    }
-
-    fn note_repeat(&self) {
-        let cx: &Cx<W> = &self.job.cx;
-        let now = cx.now();
-        let service = &self.job.service().name;
-        cx.state().budget.note_repeat(now, service);
-    }
-
     /// Counts the memory anew as the generation grows.
     fn recount(&mut self) {
         if self.state.events().is_multiple_of(RECOUNT_EVENTS) {
--- /dev/null
+++ b/crates/gateway/src/relay/begin.rs
@@ -0,0 +1,168 @@
+//! How a generation begins: until the head of an engine's answer is there.
+
+use super::upstream::{Begun, Upstream, sleep_until};
+use super::{MAX_ANSWER, Relay};
+use crate::answer::Reason;
+use crate::job::InUse;
+use crate::link::{Link, LinkError};
+use crate::note;
+use crate::ports::{EngineCalls, KeptCopy, Resume, SendHead, WholeAnswer, Wire};
+use core::time::Duration;
+use http::Response;
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use oriolemux_core::gateway::relocation::take_back_after;
+use oriolemux_core::gateway::state::Place;
+use std::time::Instant;
+
+/// The pause before an engine with room is looked for again.
+const LOOK_AGAIN: Duration = Duration::from_millis(100);
+
+/// What an engine that was sent the request did.
+enum Asked<W: Wire> {
+    /// It answered, or its connection failed.
+    Sent(Result<(Link, Response<Incoming>), LinkError>),
+    /// The time of the request was over.
+    Timeout,
+    /// It made the request wait, and another engine has room.
+    TakenBack(Place, InUse<W>),
+}
+
+impl<W: Wire, E: EngineCalls> Relay<W, E> {
+    /// Sends the request and waits for the head of its answer. If its engine breaks
+    /// before that, the generation may go on from its standing copy: where that holds
+    /// nothing, it does not run there, and its outcome stays unknown.
+    pub(super) async fn begin(&mut self) -> Begun {
+        self.choose_standing();
+        let error = loop {
+            match self.ask().await {
+                Asked::Timeout => return Begun::Failed(Reason::Timeout),
+                Asked::Sent(Ok((link, answer))) => return self.read_head(link, answer).await,
+                Asked::Sent(Err(error)) => break error,
+                Asked::TakenBack(place, in_use) => self.take_back(place, in_use),
+            }
+        };
+        if error.never_sent() {
+            self.job.note_unreachable(&self.source);
+            return Begun::NotRun { arrived: false };
+        }
+        self.job.note_failure(&self.source);
+        log::debug!("a generation was lost before its first event: {error}");
+        match self.go_on_from_standing().await {
+            Some(begun @ Begun::Stream { .. }) => begun,
+            _ => Begun::Failed(Reason::AnswerLost),
+        }
+    }
+
+    /// Sends the request to the present engine and waits for the head of its answer.
+    ///
+    /// Dropping the wait closes the connection, so that a request that is taken back is
+    /// cancelled before it is sent elsewhere.
+    async fn ask(&self) -> Asked<W> {
+        let mut sent = core::pin::pin!(self.send(None));
+        let mut look = self.may_run_again().then(|| self.take_back_at());
+        loop {
+            tokio::select! {
+                sent = &mut sent => return Asked::Sent(sent),
+                () = tokio::time::sleep_until(self.job.ends.into()) => return Asked::Timeout,
+                () = sleep_until(look) => {
+                    if let Some((place, in_use)) = self.engine_with_room() {
+                        return Asked::TakenBack(place, in_use);
+                    }
+                    look = Some(Instant::now() + LOOK_AGAIN);
+                }
+            }
+        }
+    }
+
+    fn take_back_at(&self) -> Instant {
+        Instant::now() + take_back_after(self.job.entry().target)
+    }
+
+    /// Returns whether the generation may begin, or go on without a copy, at one engine more.
+    pub(super) fn may_run_again(&self) -> bool {
+        !self.attempts.next_is_last(self.job.entry())
+    }
+
+    /// Returns an engine with room that was not tried, if the fleet's repeats allow it.
+    pub(super) fn engine_with_room(&self) -> Option<(Place, InUse<W>)> {
+        let mut tried = self.attempts.tried().to_vec();
+        tried.push(self.source.key);
+        let chosen = self.job.place(self.tokens, &tried).ok()?;
+        self.job.spend_repeat().then_some(chosen)
+    }
+
+    fn take_back(&mut self, place: Place, in_use: InUse<W>) {
+        note!(
+            TakenBack,
+            attempt = self.job.name(),
+            from = self.source.name.as_str(),
+            to = place.name.as_str(),
+            ms = self.job.arrived.elapsed().as_millis() as u64
+        );
+        self.settle_at(place, in_use);
+    }
+
+    /// Makes `place` the present engine; the generation may have run at the one before.
+    pub(super) fn settle_at(&mut self, place: Place, in_use: InUse<W>) {
+        self.attempts.note_run(self.source.key);
+        self.in_use = in_use;
+        self.source = place;
+        self.choose_standing();
+    }
+
+    pub(super) async fn read_head(&mut self, link: Link, answer: Response<Incoming>) -> Begun {
+        let (parts, body) = answer.into_parts();
+        let attempt = self.job.head.attempt.as_deref();
+        let wire = &self.job.cx.wire;
+        let head = wire.answer_head(parts.status, &parts.headers, attempt);
+        if head.foreign {
+            return Begun::Failed(Reason::AnswerForeign);
+        }
+        if head.replaced {
+            self.job.note_replaced(&self.source);
+        }
+        if head.not_run {
+            return Begun::NotRun { arrived: true };
+        }
+        let mut headers = parts.headers;
+        wire.strip_answer(&mut headers);
+        if parts.status.is_success() {
+            return Begun::Stream {
+                upstream: Upstream { link, body },
+                status: parts.status,
+                headers,
+            };
+        }
+        let collected = Limited::new(body, MAX_ANSWER).collect();
+        match tokio::time::timeout(self.job.left(), collected).await {
+            Ok(Ok(body)) => Begun::Ended(WholeAnswer {
+                status: parts.status,
+                headers,
+                body: body.to_bytes(),
+            }),
+            _ => Begun::Failed(Reason::AnswerLost),
+        }
+    }
+
+    /// Sends the request to the present engine, to go on from `copy` if there is one.
+    pub(super) async fn send(
+        &self,
+        copy: Option<KeptCopy<'_>>,
+    ) -> Result<(Link, Response<Incoming>), LinkError> {
+        let last_event = self.state.last_event();
+        let goes_on = copy.is_some() || last_event.is_some();
+        let send = SendHead {
+            deadline: self.job.left(),
+            endpoint: &self.source.name,
+            workspace: self.job.workspace_name(),
+            priority: Some(self.job.priority()),
+            copy_to: self.standing.as_ref().map(|copy| copy.place.address),
+            resume: goes_on.then(|| Resume {
+                copy,
+                last_event: last_event.unwrap_or(0),
+            }),
+        };
+        self.job.send(&self.source, &send).await
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/relay/go_on.rs
@@ -0,0 +1,221 @@
+//! How a generation goes on at another engine.
+
+use super::Relay;
+use super::ahead::{CopyAhead, StandingCopy};
+use super::upstream::Begun;
+use crate::answer::Reason;
+use crate::cx::Cx;
+use crate::job::{CopyInUse, InUse};
+use crate::meters::ByReason;
+use crate::note;
+use crate::ports::{EngineCalls, KeptCopy, Moved, Wire};
+use oriolemux_core::gateway::choose::CopyKind;
+use oriolemux_core::gateway::relocation::STANDING_MIN_TOKENS;
+use oriolemux_core::gateway::state::Place;
+use std::net::SocketAddrV4;
+
+impl<W: Wire, E: EngineCalls> Relay<W, E> {
+    /// Copies the memory to another engine while the generation goes on, or brings
+    /// that copy up to date.
+    pub(super) fn copy_ahead(&mut self) {
+        let now = self.job.cx.now();
+        if self.ahead.is_none() {
+            let Some(target) = self.another_place(CopyKind::Ahead) else {
+                self.state.ahead_impossible(now);
+                return;
+            };
+            let in_use = CopyInUse::begin(&self.job.cx, target.key, self.tokens);
+            let engines = self.engines.clone();
+            self.ahead = Some(CopyAhead::new(engines, self.source.address, target, in_use));
+        }
+        if let Some(ahead) = &mut self.ahead {
+            ahead.begin(self.job.name());
+            self.state.ahead_begun(now);
+        }
+    }
+
+    pub(super) fn on_copied_ahead(&mut self, moved: Moved) {
+        note!(
+            CopiedAhead,
+            attempt = self.job.name(),
+            from = self.source.name.as_str(),
+            how = moved.word(),
+            event_id = self.state.last_event()
+        );
+        let now = self.job.cx.now();
+        let complete = match (&mut self.ahead, moved) {
+            (Some(ahead), Moved::Done { handle }) => {
+                ahead.complete(handle);
+                true
+            }
+            _ => false,
+        };
+        if !self.state.ahead_ended(now, complete) {
+            self.ahead = None;
+        }
+    }
+
+    /// Goes on at another engine. The connection to the present one is closed: the
+    /// generation must not run at two engines.
+    ///
+    /// A copy ahead is known to be there, a standing one is not; where the engine of
+    /// one refuses, the other is asked.
+    pub(super) async fn leave(&mut self) -> Option<Begun> {
+        let standing = self.standing.take();
+        if let Some(begun @ Begun::Stream { .. }) = self.go_on_from_ahead().await {
+            return Some(begun);
+        }
+        self.standing = standing;
+        self.go_on_from_standing().await
+    }
+
+    /// Goes on where a copy was made since the notice, if it is complete.
+    async fn go_on_from_ahead(&mut self) -> Option<Begun> {
+        let (target, handle) = self.ahead.take()?.take()?;
+        ByReason::Relocations.add("ahead");
+        note!(
+            GoesOnFromAhead,
+            attempt = self.job.name(),
+            from = self.source.name.as_str(),
+            to = target.name.as_str(),
+            event_id = self.state.last_event()
+        );
+        let source = self.source.address;
+        Some(self.go_on(target, source, &handle).await)
+    }
+
+    /// Goes on where the standing copy is kept, if there is one.
+    pub(super) async fn go_on_from_standing(&mut self) -> Option<Begun> {
+        let copy = self.standing.take()?;
+        let attempt = self.job.name().to_owned();
+        let address = copy.place.address;
+        ByReason::Relocations.add("standing");
+        note!(
+            GoesOnFromCopy,
+            attempt = attempt.as_str(),
+            from = self.source.name.as_str(),
+            to = copy.place.name.as_str(),
+            event_id = self.state.last_event()
+        );
+        Some(self.go_on(copy.place.clone(), address, &attempt).await)
+    }
+
+    /// Asks `target` to go on with the generation whose memory `keeper` holds.
+    async fn go_on(&mut self, target: Place, keeper: SocketAddrV4, handle: &str) -> Begun {
+        self.splitter.clear();
+        self.state.moved(self.job.cx.now());
+        self.note_repeat();
+        self.in_use = InUse::go_on(&self.job.cx, target.key, self.tokens);
+        self.source = target;
+        self.choose_standing();
+        self.ask_to_go_on(Some(KeptCopy { keeper, handle })).await
+    }
+
+    /// Goes on at an engine that reads prompt and events anew, if the generation is
+    /// resumable and one has room.
+    pub(super) async fn go_on_anew(&mut self) -> Option<Begun> {
+        if !self.may_run_again() {
+            return None;
+        }
+        let (place, in_use) = self.engine_with_room()?;
+        Some(self.go_on_anew_at(place, in_use).await)
+    }
+
+    /// Goes on at `place`, which reads prompt and events anew.
+    pub(super) async fn go_on_anew_at(&mut self, place: Place, in_use: InUse<W>) -> Begun {
+        ByReason::Relocations.add("anew");
+        note!(
+            GoesOnAnew,
+            attempt = self.job.name(),
+            from = self.source.name.as_str(),
+            to = place.name.as_str(),
+            event_id = self.state.last_event()
+        );
+        self.splitter.clear();
+        self.state.moved(self.job.cx.now());
+        self.ahead = None;
+        self.settle_at(place, in_use);
+        self.ask_to_go_on(None).await
+    }
+
+    /// Asks the present engine to go on, from a copy or anew.
+    async fn ask_to_go_on(&mut self, copy: Option<KeptCopy<'_>>) -> Begun {
+        let limit = self.job.left();
+        let sent = tokio::time::timeout(limit, self.send(copy)).await;
+        let begun = match sent {
+            Ok(Ok((link, answer))) => self.read_head(link, answer).await,
+            Ok(Err(error)) => {
+                log::debug!("a generation could not go on: {error}");
+                self.job.note_failure(&self.source);
+                Begun::Failed(Reason::AnswerLost)
+            }
+            Err(_) => Begun::Failed(Reason::Timeout),
+        };
+        match &begun {
+            Begun::Stream { .. } => {}
+            Begun::Ended(answer) => self.cannot_go_on(answer.status.as_str()),
+            Begun::NotRun { .. } => self.cannot_go_on("not_run"),
+            Begun::Failed(reason) => self.cannot_go_on(&reason.to_string()),
+        }
+        begun
+    }
+
+    fn cannot_go_on(&self, why: &str) {
+        ByReason::Relocations.add("failed");
+        note!(
+            CannotGoOn,
+            attempt = self.job.name(),
+            endpoint = self.source.name.as_str(),
+            why = why
+        );
+    }
+
+    /// Chooses where the present engine keeps a standing copy, where one pays.
+    pub(super) fn choose_standing(&mut self) {
+        self.standing = None;
+        let engine = self.job.service().engine;
+        let keeps_copies = engine.is_some_and(|engine| engine.standing_copies);
+        let is_long = self.length.rest(self.state.tokens()) >= STANDING_MIN_TOKENS;
+        if keeps_copies && is_long {
+            let cx = &self.job.cx;
+            self.standing = self
+                .another_place(CopyKind::Standing)
+                .map(|place| StandingCopy {
+                    _in_use: CopyInUse::begin(cx, place.key, self.tokens),
+                    place,
+                });
+        }
+        self.state.set_standing(self.standing.is_some());
+    }
+
+    /// Returns another engine with room for a copy.
+    fn another_place(&self, kind: CopyKind) -> Option<Place> {
+        let cx = &self.job.cx;
+        let now = cx.now();
+        let mut state = cx.state();
+        let demand = self.job.demand(self.tokens, &[]);
+        let place = state.copy_place(now, &demand, self.source.key, kind);
+        drop(state);
+        if place.is_none() {
+            let kind = match kind {
+                CopyKind::Standing => "standing",
+                CopyKind::Ahead => "ahead",
+            };
+            note!(
+                NoRoomForCopy,
+                attempt = self.job.name(),
+                source = self.source.name.as_str(),
+                kind = kind,
+                need = self.tokens
+            );
+        }
+        place
+    }
+
+    fn note_repeat(&self) {
+        let cx: &Cx<W> = &self.job.cx;
+        let now = cx.now();
+        let service = &self.job.service().name;
+        cx.state().budget.note_repeat(now, service);
+    }
+}
--- a/crates/gateway/src/relay/upstream.rs
+++ b/crates/gateway/src/relay/upstream.rs
@@ -1,10 +1,12 @@
 //! The open end of an engine's answer, and how it begins and pauses.
 
 use crate::answer::Reason;
+use crate::job::InUse;
 use crate::link::Link;
-use crate::ports::WholeAnswer;
+use crate::ports::{WholeAnswer, Wire};
 use http::{HeaderMap, StatusCode};
 use hyper::body::Incoming;
+use oriolemux_core::gateway::state::Place;
 use std::time::Instant;
 
 /// The open connection that events come on.
@@ -14,13 +16,15 @@
 }
 
 /// Why the relay stopped to read from an engine.
-pub(super) enum Pause {
+pub(super) enum Pause<W: Wire> {
     /// The stream came to its end.
     End,
     /// The caller left.
     CallerGone,
     /// The engine leaves and it is time to go.
     Leave,
+    /// The engine is silent, and this one can read the generation anew.
+    GoOnAnew(Place, InUse<W>),
     /// The connection broke, the engine fell silent or sent what is no stream.
     Broken,
     /// Time is over.
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -5,6 +5,7 @@
 //! where that pays, and its [`relay`](crate::relay) then has it to its end.
 
 use crate::answer::{AnswerBody, BrokenOff, Reason};
+use crate::attempts::Attempts;
 use crate::job::{InUse, Job};
 use crate::note;
 use crate::ports::{EngineCalls, Wire};
@@ -42,32 +43,41 @@
 
 /// Serves a generation.
 pub async fn serve<W: Wire, E: EngineCalls>(job: Job<W>, engines: E) -> Response<AnswerBody> {
-    let mut tried = Vec::new();
+    let mut attempts = Attempts::default();
     let length = job.length();
     let expected = TOKEN_TIME * length.rest(0);
     if !job.cx.takes_generation(expected) {
-        return give_up(&job, Reason::Stopping);
+        return give_up(&job, &attempts, Reason::Stopping);
     }
     let tokens = job.expected_memory(length, 0);
     let mut job = job;
     loop {
-        let (place, in_use) = match wait_for_place(&job, tokens, &tried).await {
+        let chosen = match wait_for_place(&job, tokens, attempts.tried()).await {
             Ok(chosen) => chosen,
-            Err(reason) => return give_up(&job, reason),
+            Err(reason) => return give_up(&job, &attempts, reason),
         };
-        let key = place.key;
-        match start(job, engines.clone(), place, in_use, length).await {
-            Start::Streaming(answer) => return answer,
+        match start(job, engines.clone(), attempts, chosen, length).await {
             Start::Ended(answer) => return answer,
             Start::NotRun {
                 job: returned,
+                attempts: so_far,
                 arrived,
             } => {
-                job = *returned;
-                tried.push(key);
+                (job, attempts) = (*returned, so_far);
                 let may_repeat = !arrived || job.spend_repeat();
-                if tried.len() > MAX_REFUSED_SENDS || !may_repeat {
-                    return give_up(&job, Reason::NotRunAtEndpoint);
+                if attempts.refused() > MAX_REFUSED_SENDS || !may_repeat {
+                    return give_up(&job, &attempts, Reason::NotRunAtEndpoint);
+                }
+            }
+            Start::Failed {
+                job: returned,
+                attempts: so_far,
+                answer,
+            } => {
+                (job, attempts) = (*returned, so_far);
+                let may_repeat = attempts.may_run_again(job.entry()) && job.left() > MIN_LEFT;
+                if !may_repeat || !job.spend_repeat() {
+                    return answer;
                 }
             }
             Start::Lost => return Response::new(crate::answer::whole(Bytes::new())),
@@ -78,14 +88,26 @@
 /// Engines that may refuse a generation, which ran nothing, before its caller is told.
 const MAX_REFUSED_SENDS: usize = 3;
 
+/// A repeat with less time left than this would only be work in vain: a prompt is read
+/// in some 0.2 s.
+const MIN_LEFT: Duration = Duration::from_millis(250);
+
 /// How a generation began.
 enum Start<W> {
-    /// Events come.
-    Streaming(Response<AnswerBody>),
-    /// There was a final answer without events.
+    /// There is an answer: events that come, or a final one without events.
     Ended(Response<AnswerBody>),
     /// The engine did not run it.
-    NotRun { job: Box<Job<W>>, arrived: bool },
+    NotRun {
+        job: Box<Job<W>>,
+        attempts: Attempts,
+        arrived: bool,
+    },
+    /// It failed and may have run.
+    Failed {
+        job: Box<Job<W>>,
+        attempts: Attempts,
+        answer: Response<AnswerBody>,
+    },
     /// The relay ended without a word, which only a fault of it can cause.
     Lost,
 }
@@ -93,20 +115,34 @@
 async fn start<W: Wire, E: EngineCalls>(
     job: Job<W>,
     engines: E,
-    place: Place,
-    in_use: InUse<W>,
+    attempts: Attempts,
+    chosen: (Place, InUse<W>),
     length: Length,
 ) -> Start<W> {
     let (tx, rx) = mpsc::channel(PIECES);
-    let relay = Relay::new(job, engines, place, in_use, length, tx);
+    let relay = Relay::new(job, engines, attempts, chosen, length, tx);
     let started = relay.spawn();
     match started.await {
-        Ok(Started::Streaming { status, headers }) => {
-            Start::Streaming(streamed(status, headers, rx))
-        }
+        Ok(Started::Streaming { status, headers }) => Start::Ended(streamed(status, headers, rx)),
         Ok(Started::Answer(answer)) => Start::Ended(answer.into_response()),
-        Ok(Started::Refused(answer)) => Start::Ended(answer),
-        Ok(Started::NotRun { job, arrived }) => Start::NotRun { job, arrived },
+        Ok(Started::Failed {
+            job,
+            attempts,
+            answer,
+        }) => Start::Failed {
+            job,
+            attempts,
+            answer,
+        },
+        Ok(Started::NotRun {
+            job,
+            attempts,
+            arrived,
+        }) => Start::NotRun {
+            job,
+            attempts,
+            arrived,
+        },
         Err(_) => Start::Lost,
     }
 }
@@ -149,7 +185,14 @@
     }
 }
 
-fn give_up<W: Wire>(job: &Job<W>, reason: Reason) -> Response<AnswerBody> {
+/// Answers a generation that has no place.
+fn give_up<W: Wire>(job: &Job<W>, attempts: &Attempts, reason: Reason) -> Response<AnswerBody> {
+    // Where it may have run, "not run" would be untrue.
+    let reason = if attempts.may_have_run() {
+        Reason::AnswerLost
+    } else {
+        reason
+    };
     note!(GenerationRefused, attempt = job.name(), entry = job.entry().name.as_str(),
         reason:% = reason, ms = job.arrived.elapsed().as_millis() as u64);
     job.refuse(reason)
