Endpoints that start again under their name, and entries of other writers

Cause: a process may start again under its published name (born tells its lives apart); belief was keyed by the name alone, and leaving was final for it. An entry with fields missing or of another type, or a state that nobody knows, was filled in and used. Change: belief is keyed by name and start, so that load, failures, copies and news of leaving end with a life; an older record brings none back; the life before leaves when a new one is published. An entry that cannot be read names no endpoint until it is written again, the others hold, event 814 says so.

--- a/crates/bench/src/policy/reclaim/fleet.rs
+++ b/crates/bench/src/policy/reclaim/fleet.rs
@@ -93,6 +93,7 @@
             address: SocketAddrV4::new(Ipv4Addr::LOCALHOST, 80),
             data_centre: DATA_CENTRES[index % DATA_CENTRES.len()].to_owned(),
             slots: LIMITS.slots,
+            born: None,
             leaving: false,
             cold: Duration::ZERO,
         };
--- a/crates/core/src/gateway/endpoints.rs
+++ b/crates/core/src/gateway/endpoints.rs
@@ -1,8 +1,9 @@
 //! Which endpoints exist, which of them leave, and which are not trusted.
 //!
-//! An endpoint is one life of a process of a service; its published name is
-//! never used again. That makes leaving final: whoever hears of it first, from
-//! the store, a peer or the endpoint itself, is right for good.
+//! An endpoint is one life of a process of a service. A process may start again under
+//! its published name; it then holds and knows nothing of before, so that belief is keyed
+//! by name and start. That makes leaving final: whoever hears of it first, from the
+//! store, a peer or the endpoint itself, is right for good about that life.
 
 use crate::ids::EndpointKey;
 use crate::time::Time;
@@ -35,8 +36,11 @@
 /// What is published about an endpoint.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct EndpointRecord {
-    /// The published name, which names this life.
+    /// The published name, under which the process may start again.
     pub name: String,
+    /// The Unix millisecond of its start, which tells its lives apart. A process that
+    /// tells none has one life.
+    pub born: Option<u64>,
     /// The service.
     pub service: String,
     /// Where it is reached.
@@ -51,6 +55,16 @@
     pub cold: Duration,
 }
 
+impl EndpointRecord {
+    /// Returns the key of this life.
+    pub fn key(&self) -> EndpointKey {
+        match self.born {
+            Some(born) => EndpointKey::of(&format!("{}@{born}", self.name)),
+            None => EndpointKey::of(&self.name),
+        }
+    }
+}
+
 /// Whether an endpoint takes new work.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum EndpointState {
@@ -61,6 +75,9 @@
         /// Since when.
         since: Time,
     },
+    /// Its entry cannot be read any more, so that it names no endpoint to use. It may be
+    /// written again.
+    Unnamed,
     /// It takes nothing new, for good.
     Leaving {
         /// Since when that is known.
@@ -90,7 +107,10 @@
 impl Endpoint {
     /// Returns whether new work may be sent to it.
     pub fn takes_work(&self) -> bool {
-        !matches!(self.state, EndpointState::Leaving { .. })
+        matches!(
+            self.state,
+            EndpointState::Serving | EndpointState::Lapsed { .. }
+        )
     }
 
     /// Returns whether it is passed over because it failed.
@@ -121,14 +141,38 @@
 #[derive(Clone, Debug, Default)]
 pub struct EndpointTable {
     endpoints: BTreeMap<EndpointKey, Endpoint>,
+    /// The newest life known under each published name, with its start.
+    newest: BTreeMap<String, (Option<u64>, EndpointKey)>,
     /// Endpoints that are known to leave and of which nothing else is known.
     left: BTreeMap<EndpointKey, Time>,
 }
 
 impl EndpointTable {
-    /// Takes in what was published; returns whether the endpoint began to leave.
-    pub fn publish(&mut self, now: Time, record: EndpointRecord) -> bool {
-        let key = EndpointKey::of(&record.name);
+    /// Takes in what was published; returns the endpoints that began to leave: this one, or
+    /// the life before it.
+    ///
+    /// What goes wrong where lives are not told apart: an engine that started again looks
+    /// as full as it was and as broken, copies that it lost are gone on from, and the
+    /// news that its former life left keeps it from its callers for good.
+    pub fn publish(&mut self, now: Time, record: EndpointRecord) -> Vec<EndpointKey> {
+        let key = record.key();
+        let mut began = Vec::new();
+        if let Some(&(born, before)) = self.newest.get(&record.name) {
+            if born > record.born {
+                return began;
+            }
+            if before != key && self.leave(now, before) {
+                began.push(before);
+            }
+        }
+        self.newest.insert(record.name.clone(), (record.born, key));
+        if self.publish_life(now, key, record) {
+            began.push(key);
+        }
+        began
+    }
+
+    fn publish_life(&mut self, now: Time, key: EndpointKey, record: EndpointRecord) -> bool {
         let leaving = record.leaving || self.left.contains_key(&key);
         let cold_until = now + record.cold;
         let endpoint = self.endpoints.entry(key).or_insert_with(|| Endpoint {
@@ -145,7 +189,7 @@
         if leaving {
             return self.leave(now, key);
         }
-        if let EndpointState::Lapsed { .. } = endpoint.state {
+        if let EndpointState::Lapsed { .. } | EndpointState::Unnamed = endpoint.state {
             endpoint.state = EndpointState::Serving;
         }
         false
@@ -154,19 +198,28 @@
     /// Takes in that an entry vanished. Around an outage of the store
     /// (`unsettled`) it may come back.
     ///
-    /// Returns whether the endpoint began to leave.
-    pub fn vanish(&mut self, now: Time, name: &str, unsettled: bool) -> bool {
-        let key = EndpointKey::of(name);
+    /// Returns the endpoint if it began to leave.
+    pub fn vanish(&mut self, now: Time, name: &str, unsettled: bool) -> Option<EndpointKey> {
+        let Some(&(_, key)) = self.newest.get(name) else {
+            self.left.insert(EndpointKey::of(name), now);
+            return None;
+        };
         match self.endpoints.get_mut(&key) {
             Some(endpoint) if unsettled && endpoint.state == EndpointState::Serving => {
                 endpoint.state = EndpointState::Lapsed { since: now };
-                false
-            }
-            Some(_) => self.leave(now, key),
-            None => {
-                self.left.insert(key, now);
-                false
+                None
             }
+            _ => self.leave(now, key).then_some(key),
+        }
+    }
+
+    /// Takes in that an entry cannot be read any more. What runs there goes on; nothing
+    /// new is sent until the entry is written again.
+    pub fn cannot_read(&mut self, name: &str) {
+        let newest = self.newest.get(name);
+        let endpoint = newest.and_then(|(_, key)| self.endpoints.get_mut(key));
+        if let Some(endpoint) = endpoint.filter(|it| it.takes_work()) {
+            endpoint.state = EndpointState::Unnamed;
         }
     }
 
@@ -176,7 +229,7 @@
         let Some(endpoint) = self.endpoints.get_mut(&key) else {
             return false;
         };
-        if !endpoint.takes_work() {
+        if let EndpointState::Leaving { .. } = endpoint.state {
             return false;
         }
         endpoint.state = EndpointState::Leaving { since: now };
@@ -205,7 +258,10 @@
             .retain(|_, since| now.since(*since) < REMEMBER_GONE);
         let left = &self.left;
         self.endpoints
-            .retain(|key, endpoint| endpoint.takes_work() || left.contains_key(key));
+            .retain(|key, endpoint| endpoint.leaving_since().is_none() || left.contains_key(key));
+        let endpoints = &self.endpoints;
+        self.newest
+            .retain(|_, (_, key)| endpoints.contains_key(key));
         gone
     }
 
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -150,13 +150,15 @@
         Ok(true)
     }
 
-    /// Takes in what was published about an endpoint; returns whether it began to leave.
-    pub fn publish_endpoint(&mut self, now: Time, record: EndpointRecord) -> bool {
+    /// Takes in what was published about an endpoint; returns the endpoints that began to
+    /// leave.
+    pub fn publish_endpoint(&mut self, now: Time, record: EndpointRecord) -> Vec<EndpointKey> {
         self.endpoints.publish(now, record)
     }
 
-    /// Takes in that an endpoint's entry vanished; returns whether it began to leave.
-    pub fn endpoint_vanished(&mut self, now: Time, name: &str) -> bool {
+    /// Takes in that an endpoint's entry vanished; returns the endpoint if it began to
+    /// leave.
+    pub fn endpoint_vanished(&mut self, now: Time, name: &str) -> Option<EndpointKey> {
         let unsettled = self.is_unsettled(now);
         self.endpoints.vanish(now, name, unsettled)
     }
--- a/crates/core/tests/gateway_choose.rs
+++ b/crates/core/tests/gateway_choose.rs
@@ -36,6 +36,7 @@
             address: "10.0.0.1:80".parse().expect("an address"),
             data_centre: (*data_centre).to_owned(),
             slots: 24,
+            born: None,
             leaving: false,
             cold: Duration::ZERO,
         };
--- a/crates/core/tests/gateway_endpoints.rs
+++ b/crates/core/tests/gateway_endpoints.rs
@@ -12,6 +12,7 @@
         address: "10.0.0.1:80".parse().expect("an address"),
         data_centre: "north".to_owned(),
         slots: 6,
+        born: None,
         leaving,
         cold: Duration::ZERO,
     }
@@ -82,7 +83,7 @@
 fn an_entry_that_vanishes_in_quiet_times_is_gone_at_once() {
     let (mut table, key) = table();
 
-    assert!(table.vanish(Time::from_secs(1), "e-1", false));
+    assert_eq!(table.vanish(Time::from_secs(1), "e-1", false), Some(key));
 
     assert!(!takes_work(&table, key));
 }
@@ -140,3 +141,88 @@
 
     assert!(table.get(key).is_some_and(|it| it.is_ejected(now)));
 }
+
+/// A life of the endpoint `e-1`.
+fn life(born: u64, leaving: bool) -> EndpointRecord {
+    EndpointRecord {
+        born: Some(born),
+        ..record("e-1", leaving)
+    }
+}
+
+/// Symptom: an engine that started again is passed over, and the news that it left keeps it
+/// away for good. Sequence: it fails, is told to leave, and starts again under its name.
+/// Cause: what was believed was keyed by the name alone.
+#[test]
+fn a_new_life_begins_without_what_is_known_of_the_one_before() {
+    let mut table = EndpointTable::default();
+    let (first, second) = (life(1_000, false), life(2_000, false));
+    let now = Time::from_secs(1);
+    table.publish(now, first.clone());
+    table.on_unreachable(now, first.key());
+    table.leave(now, first.key());
+
+    table.publish(now, second.clone());
+
+    let reborn = table.get(second.key()).expect("it is known");
+    assert!(reborn.takes_work());
+    assert!(!reborn.is_ejected(now) && !reborn.is_failing());
+    assert!(!takes_work(&table, first.key()));
+}
+
+/// Symptom: generations wait for an engine that holds nothing of them. Sequence: it starts
+/// again behind a cut; its new entry is the first that is heard. Cause: the life before
+/// counted as there for as long as its name did.
+#[test]
+fn the_life_before_leaves_when_a_new_one_is_published() {
+    let mut table = EndpointTable::default();
+    let now = Time::from_secs(1);
+    table.publish(now, life(1_000, false));
+
+    let began = table.publish(now, life(2_000, false));
+
+    assert_eq!(began, [life(1_000, false).key()]);
+}
+
+/// Symptom: an old life is used again. Sequence: an entry that was read before the restart
+/// arrives after the one that was written behind it. Cause: what came last was believed.
+#[test]
+fn an_older_record_brings_no_old_life_back() {
+    let mut table = EndpointTable::default();
+    let now = Time::from_secs(1);
+    table.publish(now, life(2_000, false));
+
+    let began = table.publish(now, life(1_000, true));
+
+    assert!(began.is_empty());
+    assert!(takes_work(&table, life(2_000, false).key()));
+    assert!(table.get(life(1_000, false).key()).is_none());
+}
+
+/// A vanished entry means the newest life under its name.
+#[test]
+fn the_newest_life_vanishes_with_the_entry() {
+    let mut table = EndpointTable::default();
+    let now = Time::from_secs(1);
+    table.publish(now, life(1_000, false));
+    table.publish(now, life(2_000, false));
+
+    let gone = table.vanish(now, "e-1", false);
+
+    assert_eq!(gone, Some(life(2_000, false).key()));
+}
+
+/// Around an outage an entry that was written over, and one that vanished, may both be back.
+#[test]
+fn an_entry_that_can_be_read_again_names_its_endpoint_again() {
+    let (mut table, key) = table();
+    let now = Time::from_secs(1);
+
+    table.cannot_read("e-1");
+    let meanwhile = takes_work(&table, key);
+    table.tick(now, false);
+    table.publish(now, record("e-1", false));
+
+    assert!(!meanwhile);
+    assert!(takes_work(&table, key));
+}
--- a/crates/core/tests/gateway_reader.rs
+++ b/crates/core/tests/gateway_reader.rs
@@ -197,6 +197,7 @@
         address: address(99),
         data_centre: "north".to_owned(),
         slots: 6,
+        born: None,
         leaving: false,
         cold: Duration::ZERO,
     };
@@ -207,7 +208,7 @@
     };
 
     one.hear(now, &unsettled);
-    assert!(!one.endpoint_vanished(now, "e-1"));
+    assert_eq!(one.endpoint_vanished(now, "e-1"), None);
     one.publish_endpoint(now, record);
 
     assert!(one.takes_work(EndpointKey::of("e-1")));
--- a/crates/gateway/src/notes.rs
+++ b/crates/gateway/src/notes.rs
@@ -90,7 +90,8 @@
     StoreLost = 812, "store_lost", Warn, USUAL;
     /// A peer told what it knows of the store.
     ToldByPeer = 813, "told_by_peer", Info, USUAL;
-    /// A record of the store cannot be read; what was known before stays.
+    /// A record of the store cannot be read. A catalogue in force stays; an entry of an
+    /// endpoint names none to use until it is written again.
     RecordUnreadable = 814, "record_unreadable", Warn, USUAL;
     /// A catalogue is in force.
     CatalogueInForce = 815, "catalogue_in_force", Info, USUAL;
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -125,6 +125,13 @@
     EndpointGone(String),
     /// Something that does not concern this product.
     Other,
+    /// An endpoint's entry that cannot be read, so that it names none to use.
+    EndpointUnreadable {
+        /// The published name.
+        name: String,
+        /// What is wrong with it.
+        why: String,
+    },
     /// It cannot be read.
     Unreadable(String),
 }
--- a/crates/gateway/src/status.rs
+++ b/crates/gateway/src/status.rs
@@ -172,7 +172,7 @@
     let used = state.usage.of(now, endpoint.key, &state.peers);
     let record = &endpoint.record;
     let takes = match endpoint.state {
-        EndpointState::Leaving { .. } => Takes::Nothing,
+        EndpointState::Leaving { .. } | EndpointState::Unnamed => Takes::Nothing,
         EndpointState::Lapsed { .. } => Takes::Lapsed,
         EndpointState::Serving if endpoint.is_ejected(now) => Takes::PassedOver,
         EndpointState::Serving => Takes::Work,
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -178,25 +178,17 @@
         match cx.wire.decode(&record) {
             Published::Catalogue(source) => put_in_force(cx, source),
             Published::Endpoint(endpoint) => {
-                let key = oriolemux_core::EndpointKey::of(&endpoint.name);
-                if cx.state().publish_endpoint(now, endpoint) {
-                    left.push(key);
-                }
+                left.extend(cx.state().publish_endpoint(now, endpoint));
             }
             Published::EndpointGone(name) => {
-                if cx.state().endpoint_vanished(now, &name) {
-                    left.push(oriolemux_core::EndpointKey::of(&name));
-                }
+                left.extend(cx.state().endpoint_vanished(now, &name));
             }
             Published::Other => {}
-            Published::Unreadable(why) => {
-                note!(
-                    RecordUnreadable,
-                    key = record.key.as_str(),
-                    revision = record.revision,
-                    why = why.as_str()
-                );
+            Published::EndpointUnreadable { name, why } => {
+                cx.state().endpoints.cannot_read(&name);
+                note_unreadable(&record, &why);
             }
+            Published::Unreadable(why) => note_unreadable(&record, &why),
         }
     }
     cx.tell_leaving(&left);
@@ -205,6 +197,15 @@
     }
 }
 
+fn note_unreadable(record: &Record, why: &str) {
+    note!(
+        RecordUnreadable,
+        key = record.key.as_str(),
+        revision = record.revision,
+        why = why
+    );
+}
+
 fn put_in_force<W: Wire>(cx: &Cx<W>, source: oriolemux_core::gateway::CatalogueSource) {
     let version = source.version;
     let published = cx.state().publish_catalogue(source);
