A copy of which nothing can be there is not asked for

A grey engine reset the connection of a generation that may run once, before its first event; the engine that was to keep its copy was asked to go on within 9 to 55 ms, was grey too, and failed by itself, which counts as a run. Change: before the first event nothing is asked for elsewhere, and in the first 0.3 s after it a standing copy is not asked for: memory is copied as it grows. Ruled out: that the copy was there (the engine would have counted the same run).

--- a/crates/core/src/gateway/relocation.rs
+++ b/crates/core/src/gateway/relocation.rs
@@ -57,6 +57,10 @@
 /// memory of the prompt takes some 0.4 s on the link, behind that of others.
 pub const COPY_SETTLES: Duration = Duration::from_millis(1_300);
 
+/// How soon after an engine's first event a standing copy can be there at all: the memory
+/// of a prompt of 3,000 tokens takes some 170 ms on the link, and is sent some times a second.
+const COPY_SOONEST: Duration = Duration::from_millis(300);
+
 /// How old a copy ahead may be before it is brought up to date. What it lacks is
 /// read anew where the generation goes on: some 40 tokens, or 3 ms, for this time.
 pub const REFRESH_AFTER: Duration = Duration::from_millis(300);
@@ -291,6 +295,15 @@
         self.heard = now;
     }
 
+    /// Returns whether a standing copy can be there, though it may not be believed yet.
+    ///
+    /// What goes wrong otherwise: an engine is asked for a copy of which nothing can have
+    /// arrived, fails by itself, and counts as having run the generation a second time.
+    pub fn standing_may_exist(&self, now: Time) -> bool {
+        let first = self.first_here;
+        self.has_standing && first.is_some_and(|first| now.since(first) >= COPY_SOONEST)
+    }
+
     /// Returns what the generation would go on from if it left now.
     pub fn go_on_from(&self, now: Time, standing_takes_work: bool) -> Option<GoOnFrom> {
         if self.ahead.complete_since.is_some() {
--- a/crates/core/tests/gateway_relocation.rs
+++ b/crates/core/tests/gateway_relocation.rs
@@ -181,6 +181,18 @@
     );
 }
 
+/// Symptom: a generation that may run once runs twice. Sequence: its engine dies some
+/// milliseconds after the first event; the engine that is to keep its copy has nothing of
+/// it yet, fails by itself, and counts as having run it. Cause: it was asked nevertheless.
+#[test]
+fn a_copy_of_which_nothing_can_have_arrived_is_not_asked_for() {
+    let young = begun(true);
+
+    assert!(!young.standing_may_exist(START + Duration::from_millis(50)));
+    assert!(young.standing_may_exist(START + COPY_SETTLES));
+    assert!(!Relocation::new(LIMIT).standing_may_exist(START + COPY_SETTLES));
+}
+
 #[test]
 fn a_young_generation_is_copied_ahead_at_the_notice() {
     let one = begun(true);
--- a/crates/gateway/src/relay/begin.rs
+++ b/crates/gateway/src/relay/begin.rs
@@ -29,9 +29,11 @@
 }
 
 impl<W: Wire, E: EngineCalls> Relay<W, E> {
-    /// Sends the request and waits for the head of its answer. If its engine breaks
-    /// before that, the generation may go on from its standing copy: where that holds
-    /// nothing, it does not run there, and its outcome stays unknown.
+    /// Sends the request and waits for the head of its answer.
+    ///
+    /// If its engine breaks before that, nothing is asked of the engine that is to keep its
+    /// copy. Memory is copied as it grows, so that there is none; and an engine that fails by
+    /// itself when it is asked would have run a second time what may run once.
     pub(super) async fn begin(&mut self) -> Begun {
         self.choose_standing();
         let error = loop {
@@ -48,10 +50,7 @@
         }
         self.job.note_failure(&self.source);
         log::debug!("a generation was lost before its first event: {error}");
-        match self.go_on_from_standing().await {
-            Some(begun @ Begun::Stream { .. }) => begun,
-            _ => Begun::Failed(Reason::AnswerLost),
-        }
+        Begun::Failed(Reason::AnswerLost)
     }
 
     /// Sends the request to the present engine and waits for the head of its answer.
--- a/crates/gateway/src/relay/go_on.rs
+++ b/crates/gateway/src/relay/go_on.rs
@@ -61,7 +61,8 @@
     /// A copy ahead is known to be there, a standing one is not; where the engine of
     /// one refuses, the other is asked.
     pub(super) async fn leave(&mut self) -> Option<Begun> {
-        let standing = self.standing.take();
+        let may_exist = self.state.standing_may_exist(self.job.cx.now());
+        let standing = self.standing.take().filter(|_| may_exist);
         if let Some(begun @ Begun::Stream { .. }) = self.go_on_from_ahead().await {
             return Some(begun);
         }
