--- a/crates/core/tests/gateway_choose.rs
+++ b/crates/core/tests/gateway_choose.rs
@@ -1,13 +1,17 @@
 //! Where requests, generations and their copies go.
 
+#[path = "fixtures/bulletin.rs"]
+mod fixture;
+
 use core::time::Duration;
-use oriolemux_core::gateway::bulletin::{BULLETIN_VERSION, PeerTable, Used};
+use fixture::bulletin;
+use oriolemux_core::gateway::bulletin::{PeerTable, Used};
 use oriolemux_core::gateway::catalogue::EngineLimits;
 use oriolemux_core::gateway::choose::{CopyKind, NoPlace, World, choose, choose_copy};
 use oriolemux_core::gateway::endpoints::EndpointTable;
 use oriolemux_core::gateway::usage::UsageTable;
 use oriolemux_core::gateway::{Bulletin, Demand, EndpointRecord};
-use oriolemux_core::{EndpointKey, Incarnation, Time};
+use oriolemux_core::{EndpointKey, Time};
 use rstest::rstest;
 
 const ENGINE: EngineLimits = EngineLimits {
@@ -49,26 +53,6 @@
     }
 }
 
-/// What a peer tells that has nothing to say.
-fn bulletin() -> Bulletin {
-    Bulletin {
-        version: BULLETIN_VERSION,
-        deployment: 1,
-        incarnation: Incarnation(2),
-        address: "10.0.0.9:7200".parse().expect("an address"),
-        revision: 1,
-        interval_ms: 200,
-        store_age_ms: 0,
-        unsettled: false,
-        stopping: false,
-        peers: Vec::new(),
-        leaving: Vec::new(),
-        failing: Vec::new(),
-        used: Vec::new(),
-        waiting: Vec::new(),
-    }
-}
-
 impl Tables {
     fn world(&self) -> World<'_> {
         World {
@@ -108,7 +92,7 @@
     };
     let bulletin = Bulletin {
         used: vec![(key("e-1"), used)],
-        ..bulletin()
+        ..bulletin(9)
     };
     tables.peers.hear(Time::from_secs(10), &bulletin);
 
@@ -218,7 +202,7 @@
     } else {
         let bulletin = Bulletin {
             failing: vec![key("e-2")],
-            ..bulletin()
+            ..bulletin(9)
         };
         tables.peers.hear(now, &bulletin);
     }
--- a/crates/core/tests/gateway_queue.rs
+++ b/crates/core/tests/gateway_queue.rs
@@ -1,14 +1,18 @@
 //! Who is next when room at engines is short.
 
+#[path = "fixtures/bulletin.rs"]
+mod fixture;
+
 use core::time::Duration;
-use oriolemux_core::gateway::bulletin::{BULLETIN_VERSION, PeerTable, Used};
+use fixture::bulletin;
+use oriolemux_core::gateway::bulletin::{PeerTable, Used};
 use oriolemux_core::gateway::catalogue::EngineLimits;
 use oriolemux_core::gateway::choose::{NoPlace, World};
 use oriolemux_core::gateway::endpoints::EndpointTable;
 use oriolemux_core::gateway::queue::{Waiter, WaitingTable, service_hash};
 use oriolemux_core::gateway::usage::UsageTable;
 use oriolemux_core::gateway::{Bulletin, Demand, EndpointRecord};
-use oriolemux_core::{EndpointKey, Incarnation, Time};
+use oriolemux_core::{EndpointKey, Time};
 use proptest::prelude::*;
 
 const NOW: Time = Time::from_secs(100);
@@ -178,20 +182,9 @@
     let me = waiter(1, 600, 3_000);
     let ahead = waiter(2, 10, 3_000);
     let told = Bulletin {
-        version: BULLETIN_VERSION,
-        deployment: 1,
-        incarnation: Incarnation(2),
-        address: "10.0.0.9:7200".parse().expect("an address"),
-        revision: 1,
         interval_ms: 2_000,
-        store_age_ms: 0,
-        unsettled: false,
-        stopping: false,
-        peers: Vec::new(),
-        leaving: Vec::new(),
-        failing: Vec::new(),
-        used: Vec::new(),
         waiting: vec![ahead.to_tell(NOW)],
+        ..bulletin(9)
     };
 
     fleet.peers.hear(NOW, &told);
--- a/crates/core/tests/gateway_reader.rs
+++ b/crates/core/tests/gateway_reader.rs
@@ -1,17 +1,14 @@
 //! Who watches the store, when it is called, and what is known of its state.
 
+#[path = "fixtures/bulletin.rs"]
+mod fixture;
+
 use core::time::Duration;
-use oriolemux_core::gateway::bulletin::{
-    BULLETIN_VERSION, SHORTEST_INTERVAL, SILENT_INTERVALS, interval,
-};
+use fixture::address;
+use oriolemux_core::gateway::bulletin::{SHORTEST_INTERVAL, SILENT_INTERVALS, interval};
 use oriolemux_core::gateway::reader::{CallFailure, READER_FRESH, READERS, Step};
 use oriolemux_core::gateway::{Bulletin, EndpointRecord, Gateway, GatewayConfig};
 use oriolemux_core::{EndpointKey, Incarnation, Time};
-use std::net::{Ipv4Addr, SocketAddrV4};
-
-fn address(number: u8) -> SocketAddrV4 {
-    SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, number), 7200)
-}
 
 fn gateway(number: u8) -> Gateway {
     let cfg = GatewayConfig {
@@ -25,22 +22,12 @@
     Gateway::new(Time::ZERO, cfg)
 }
 
+/// What a peer tells to which the store answered so long ago.
 fn bulletin(number: u8, store_age_ms: u32) -> Bulletin {
     Bulletin {
-        version: BULLETIN_VERSION,
-        deployment: 1,
-        incarnation: Incarnation(number.into()),
-        address: address(number),
         revision: 0,
-        interval_ms: 200,
         store_age_ms,
-        unsettled: false,
-        stopping: false,
-        peers: Vec::new(),
-        leaving: Vec::new(),
-        failing: Vec::new(),
-        used: Vec::new(),
-        waiting: Vec::new(),
+        ..fixture::bulletin(number)
     }
 }
 
