--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -5,8 +5,9 @@
 //! The decisions live in [`oriolemux_core::gateway`]; this crate gives them
 //! callers, endpoints, peers and a store. [`front`] takes callers' requests and
 //! judges them by the catalogue in force. [`call`] forwards a call and returns
-//! its answer whole. [`stream`] finds a place for a generation and [`relay`]
-//! passes its events on, and carries it to another engine when its own leaves.
+//! its answer whole. [`stream`] finds a place for a generation, in its turn where room is
+//! short, and [`relay`] passes its events on, and carries it to another engine when its
+//! own leaves; [`attempts`] says where a request was and what that leaves open.
 //! [`page`] answers the balancer, operators who ask for the [`status`] and whoever
 //! collects [metrics](mod@meters). [`news`] tells peers what they need, [`store`] keeps
 //! up with what is published, and [`run`] starts all of it and ends it in order.
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -10,8 +10,8 @@
 //!   two generations of one prompt differ. Only a resumable one may be read anew by
 //!   another engine, which then goes on after the last event that the caller holds.
 //!
-//! [`begin`] waits for the head of the first answer, `pass_events` reads from one engine,
-//! [`go_on`] carries the generation to the next.
+//! `begin` waits for the head of the first answer, `pass_events` reads from one engine,
+//! `go_on` carries the generation to the next.
 //!
 //! `docs/design/relocation.md` weighs when a generation leaves its engine.
 
