Copies ahead are tried for as long as an engine leaves

Twelve tries of a copy ahead, 60 ms apart, are over 0.7 s after the notice. Change: after eight quick tries one every 0.4 s, 40 at most.

--- a/crates/core/src/gateway/relocation.rs
+++ b/crates/core/src/gateway/relocation.rs
@@ -78,8 +78,16 @@
 /// generation had not begun.
 const AHEAD_PAUSE: Duration = Duration::from_millis(60);
 
-/// Copies ahead that one generation tries at one engine.
-const MAX_AHEAD: u32 = 12;
+/// Copies ahead that are tried one soon after the other. A notice of 1.5 s allows no more.
+const QUICK_AHEAD: u32 = 8;
+
+/// The pause before each further try. An engine that leaves in a planned way stays for
+/// seconds; where nobody had room at first, somebody has it then.
+const AHEAD_LATER_PAUSE: Duration = Duration::from_millis(400);
+
+/// Copies ahead that one generation tries at one engine: with the pauses between them they
+/// last for some 13 s.
+const MAX_AHEAD: u32 = 40;
 
 /// How many further engines one generation may go through.
 pub const MAX_MOVES: u32 = 8;
@@ -262,7 +270,11 @@
         debug_assert!(!self.ahead.under_way, "two copies ahead at once");
         self.ahead.under_way = true;
         self.ahead_tries += 1;
-        self.ahead_from = now + AHEAD_PAUSE;
+        let pause = match self.ahead_tries {
+            0..=QUICK_AHEAD => AHEAD_PAUSE,
+            _ => AHEAD_LATER_PAUSE,
+        };
+        self.ahead_from = now + pause;
     }
 
     /// Notes that no engine has room for a copy ahead.
--- a/crates/core/tests/gateway_relocation.rs
+++ b/crates/core/tests/gateway_relocation.rs
@@ -292,6 +292,36 @@
     assert_eq!(one.next(now, &leaving(LEAVE_AFTER)), Step::Leave);
 }
 
+/// Symptom: a stream is cut at a planned departure of four seconds. Sequence: no engine has
+/// room for its copy in the first second after the notice; it has later, when nobody asks
+/// any more; the engine of its standing copy had no room for that either. Cause: the tries
+/// were spent in a row, within 0.7 s.
+#[test]
+fn copies_ahead_are_tried_for_as_long_as_an_engine_leaves() {
+    let mut one = begun(false);
+    let mut now = START;
+    let ends = START + Duration::from_secs(4);
+    let mut last_try = START;
+    while now < ends {
+        one.on_bytes(now);
+        match one.next(now, &leaving(now.since(START))) {
+            Step::CopyAhead => {
+                last_try = now;
+                one.ahead_begun(now);
+                one.ahead_ended(now, false);
+            }
+            Step::Wait(until) => now = until.min(ends),
+            other => panic!("{other:?}"),
+        }
+    }
+
+    assert!(
+        ends.since(last_try) <= Duration::from_millis(600),
+        "the last try was {:?} before the end",
+        ends.since(last_try)
+    );
+}
+
 /// Symptom: a stream is cut at a planned departure, although its copy ahead was complete
 /// 0.3 s before. Sequence: bringing the copy up to date begins; some milliseconds later
 /// the generation leaves for it, and the engine that keeps it refuses. Cause: a copy that
--- a/crates/gateway/src/meters.rs
+++ b/crates/gateway/src/meters.rs
@@ -46,7 +46,7 @@
         /// Calls that were sent once more, by how the attempt before ended.
         Repeats = "oriolemux_gateway_repeats_total";
         /// Generations that were to go on at another engine: from a copy `ahead`, from a
-        /// `standing` one, or `failed`.
+        /// `standing` one, read `anew`, or `failed`.
         Relocations = "oriolemux_gateway_relocations_total";
         /// Generations, by how they ended.
         Generations = "oriolemux_gateway_generations_total";
