Sight: how much a peer was told, to how many at once, and why a peer did not tell

Cause: when a catalogue change came late, the lines said that a peer "did not answer in time" and nothing of how much was under way to whom. A peer that is overrun could not be told from one that is slow for another reason, nor a catalogue from the store from one told by a peer. Change: [826] told_peer, for large answers and those not read to their end, with bytes, time and how many are told at once; [827] not_told_by_peer with its reason, in place of two lines without a number; [813] carries its time, [815] where the catalogue came from; a counter of answers by how they ended. Nothing is decided otherwise.

--- a/crates/gateway/src/cx.rs
+++ b/crates/gateway/src/cx.rs
@@ -67,7 +67,7 @@
     /// Cancelled when callers' idle connections are to be closed.
     pub closing: CancellationToken,
     state: Mutex<Gateway>,
-    open: [AtomicUsize; 3],
+    open: [AtomicUsize; OPEN_KINDS],
     stop: OnceLock<StopPlan>,
 }
 
@@ -91,8 +91,13 @@
     Request,
     /// A generation, until its last event is passed on.
     Generation,
+    /// A peer that asked what the store published, until it was told.
+    Telling,
 }
 
+/// How many kinds of [`Open`] there are.
+const OPEN_KINDS: usize = 4;
+
 impl<W: Wire> Cx<W> {
     /// Puts the decisions behind what all tasks share.
     pub fn new(wire: W, clock: Clock, limits: GatewayLimits, state: Gateway) -> Arc<Self> {
@@ -107,7 +112,7 @@
             stopping: CancellationToken::new(),
             closing: CancellationToken::new(),
             state: Mutex::new(state),
-            open: [const { AtomicUsize::new(0) }; 3],
+            open: [const { AtomicUsize::new(0) }; OPEN_KINDS],
             stop: OnceLock::new(),
         })
     }
--- a/crates/gateway/src/meters.rs
+++ b/crates/gateway/src/meters.rs
@@ -50,6 +50,8 @@
         Relocations = "oriolemux_gateway_relocations_total";
         /// Generations, by how they ended.
         Generations = "oriolemux_gateway_generations_total";
+        /// Questions to peers about what the store published, by how they ended.
+        PeerAnswers = "oriolemux_gateway_peer_answers_total";
     }
 }
 
--- a/crates/gateway/src/news.rs
+++ b/crates/gateway/src/news.rs
@@ -4,8 +4,9 @@
 //! an interval that grows with the number of peers. A peer that missed what the store published reads
 //! it over TCP on the same port, in one answer.
 
-use crate::cx::Cx;
+use crate::cx::{Cx, Open};
 use crate::link::connect_socket;
+use crate::meters::millis;
 use crate::note;
 use crate::ports::Wire;
 use bincode::config::{Configuration, Limit, standard};
@@ -13,7 +14,7 @@
 use oriolemux_core::gateway::replica::News;
 use oriolemux_core::gateway::state::BULLETIN_DELAY;
 use std::io;
-use std::net::SocketAddrV4;
+use std::net::{SocketAddr, SocketAddrV4};
 use std::sync::Arc;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
@@ -29,6 +30,10 @@
 /// How long a peer may take to read what it asked for.
 const TELL_LIMIT: core::time::Duration = core::time::Duration::from_secs(3);
 
+/// An answer above this size is told in a line of its own. Records of some endpoints
+/// take less, a catalogue takes more.
+const LARGE_ANSWER: usize = 4 * 1024;
+
 /// Why a peer could not be asked.
 #[derive(Debug, displaydoc::Display, thiserror::Error)]
 pub enum FetchError {
@@ -38,6 +43,16 @@
     Format(#[from] bincode::error::DecodeError),
 }
 
+impl FetchError {
+    /// Returns a word for it, which lines and counters carry.
+    pub const fn word(&self) -> &'static str {
+        match self {
+            FetchError::Connection(_) => "connection",
+            FetchError::Format(_) => "format",
+        }
+    }
+}
+
 fn told_format()
 -> Configuration<bincode::config::LittleEndian, bincode::config::Varint, Limit<MAX_TOLD>> {
     standard().with_limit::<MAX_TOLD>()
@@ -132,11 +147,9 @@
             Ok((stream, from)) => {
                 let cx = Arc::clone(&cx);
                 tokio::spawn(async move {
-                    match timeout(TELL_LIMIT, tell_all(&cx, stream)).await {
-                        Ok(Ok(())) => {}
-                        Ok(Err(error)) => log::debug!("{from} was not told: {error}"),
-                        Err(_) => log::debug!("{from} did not read what it asked for"),
-                    }
+                    let telling = cx.count(Open::Telling);
+                    tell_peer(&cx, stream, from).await;
+                    drop(telling);
                 });
             }
             Err(error) => {
@@ -147,13 +160,37 @@
     }
 }
 
-async fn tell_all<W: Wire>(cx: &Cx<W>, mut stream: TcpStream) -> io::Result<()> {
+async fn tell_peer<W: Wire>(cx: &Cx<W>, stream: TcpStream, from: SocketAddr) {
+    let begun = Instant::now();
+    let told = timeout(TELL_LIMIT, tell_all(cx, stream)).await;
+    let (how, bytes) = match told {
+        Ok(Ok(bytes)) if bytes <= LARGE_ANSWER => return,
+        Ok(Ok(bytes)) => ("read", bytes),
+        Ok(Err(error)) => {
+            log::debug!("{from} was not told: {error}");
+            ("broken", 0)
+        }
+        Err(_) => ("unread", 0),
+    };
+    note!(
+        ToldPeer,
+        peer:% = from,
+        how = how,
+        bytes = bytes,
+        ms = millis(begun.elapsed()),
+        at_once = cx.open(Open::Telling)
+    );
+}
+
+/// Tells all that the peer has not; returns how many bytes that took.
+async fn tell_all<W: Wire>(cx: &Cx<W>, mut stream: TcpStream) -> io::Result<usize> {
     let after = stream.read_u64().await?;
     let news = cx.state().replica.news_for(after);
     let bytes = bincode::serde::encode_to_vec(&news, told_format()).map_err(io::Error::other)?;
     drop(news);
     stream.write_all(&bytes).await?;
-    stream.shutdown().await
+    stream.shutdown().await?;
+    Ok(bytes.len())
 }
 
 /// Asks a peer for what it knows of the store above revision `after`.
--- a/crates/gateway/src/notes.rs
+++ b/crates/gateway/src/notes.rs
@@ -115,6 +115,11 @@
     TakenBack = 824, "generation_taken_back", Info, USUAL;
     /// A resumable generation goes on at an engine that reads prompt and events anew.
     GoesOnAnew = 825, "generation_goes_on_anew", Info, USUAL;
+    /// A peer was told what the store published; the line says how much, to how many at
+    /// once, and how it ended. A small answer that was read to its end has no line.
+    ToldPeer = 826, "told_peer", Info, USUAL;
+    /// A peer that knows more of the store did not tell it; the line says why.
+    NotToldByPeer = 827, "not_told_by_peer", Info, USUAL;
 }
 
 /// Lines of one event within the present second.
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -7,15 +7,16 @@
 //! [`StoreReader`]: oriolemux_core::gateway::reader::StoreReader
 
 use crate::cx::Cx;
+use crate::meters::{ByReason, millis};
 use crate::news;
 use crate::note;
 use crate::ports::{Published, Store, Wire};
 use core::time::Duration;
+use oriolemux_core::gateway::CatalogueSource;
 use oriolemux_core::gateway::reader::{ANSWER_SLACK, CallFailure, Step, StoreReader, WATCH_WAIT};
 use oriolemux_core::gateway::replica::{News, Record};
 use oriolemux_core::time::Time;
 use std::collections::BTreeMap;
-use std::net::SocketAddrV4;
 use std::sync::Arc;
 
 /// How long one page may take. A store that is slow takes up to some hundred
@@ -64,12 +65,12 @@
         for record in &page.records {
             seen.insert(record.key.clone(), ());
         }
-        apply(cx, page.records);
+        apply(cx, Source::Store, page.records);
         match page.next {
             Some(next) => after = Some(next),
             None => {
                 let missing = cx.state().replica.missing_from(&seen, began);
-                apply(cx, missing);
+                apply(cx, Source::Store, missing);
                 let now = cx.now();
                 let mut state = cx.state();
                 state.replica.read_whole(began);
@@ -89,7 +90,7 @@
                 if !changes.records.is_empty() {
                     cx.dirty.notify_one();
                 }
-                apply(cx, changes.records);
+                apply(cx, Source::Store, changes.records);
                 let now = cx.now();
                 let mut state = cx.state();
                 state.replica.reached(changes.revision);
@@ -140,33 +141,66 @@
         (state.better_informed(now), state.replica.revision())
     };
     let Some(peer) = peer else { return };
-    match tokio::time::timeout(PEER_LIMIT, news::fetch(peer, after)).await {
-        Ok(Ok(news)) => take_news(cx, peer, news),
-        Ok(Err(error)) => log::warn!("peer {peer} could not be asked: {error}"),
-        Err(_) => log::warn!("peer {peer} did not answer in time"),
+    let begun = cx.now();
+    let fetched = tokio::time::timeout(PEER_LIMIT, news::fetch(peer, after)).await;
+    let ms = millis(cx.now().since(begun));
+    let why = match fetched {
+        Ok(Ok(news)) => {
+            ByReason::PeerAnswers.add("told");
+            note!(ToldByPeer, peer:% = peer, revision = news.revision, whole = news.whole,
+                records = news.records.len(), ms = ms);
+            take_news(cx, news);
+            None
+        }
+        Ok(Err(error)) => {
+            log::debug!("peer {peer} could not be asked: {error}");
+            Some(error.word())
+        }
+        Err(_) => Some("late"),
+    };
+    if let Some(why) = why {
+        ByReason::PeerAnswers.add(why);
+        note!(NotToldByPeer, peer:% = peer, why = why, revision = after, ms = ms);
     }
     cx.state().asked_for_news(cx.now());
 }
 
-fn take_news<W: Wire>(cx: &Cx<W>, peer: SocketAddrV4, news: News) {
-    note!(ToldByPeer, peer:% = peer, revision = news.revision, whole = news.whole,
-        records = news.records.len());
+fn take_news<W: Wire>(cx: &Cx<W>, news: News) {
     let seen: BTreeMap<String, ()> = match news.whole {
         true => news.records.iter().map(|it| (it.key.clone(), ())).collect(),
         false => BTreeMap::new(),
     };
-    apply(cx, news.records);
+    apply(cx, Source::Peer, news.records);
     if news.whole {
         let missing = cx.state().replica.missing_from(&seen, news.revision);
-        apply(cx, missing);
+        apply(cx, Source::Peer, missing);
         cx.state().replica.read_whole(news.revision);
     } else {
         cx.state().replica.reached(news.revision);
     }
 }
 
+/// Where records came from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Source {
+    /// The store itself.
+    Store,
+    /// A peer that had them from the store.
+    Peer,
+}
+
+impl Source {
+    /// Returns a word for it, which lines carry.
+    pub const fn word(self) -> &'static str {
+        match self {
+            Source::Store => "store",
+            Source::Peer => "peer",
+        }
+    }
+}
+
 /// Takes records in and does what follows from those that are news.
-pub fn apply<W: Wire>(cx: &Cx<W>, records: Vec<Record>) {
+pub fn apply<W: Wire>(cx: &Cx<W>, from: Source, records: Vec<Record>) {
     let mut left = Vec::new();
     let mut changed = false;
     for record in records {
@@ -176,7 +210,7 @@
         changed = true;
         let now = cx.now();
         match cx.wire.decode(&record) {
-            Published::Catalogue(source) => put_in_force(cx, source),
+            Published::Catalogue(source) => put_in_force(cx, from, source),
             Published::Endpoint(endpoint) => {
                 left.extend(cx.state().publish_endpoint(now, endpoint));
             }
@@ -206,11 +240,11 @@
     );
 }
 
-fn put_in_force<W: Wire>(cx: &Cx<W>, source: oriolemux_core::gateway::CatalogueSource) {
+fn put_in_force<W: Wire>(cx: &Cx<W>, from: Source, source: CatalogueSource) {
     let version = source.version;
     let published = cx.state().publish_catalogue(source);
     match published {
-        Ok(true) => note!(CatalogueInForce, version = version),
+        Ok(true) => note!(CatalogueInForce, version = version, from = from.word()),
         Ok(false) => note!(CatalogueOlder, version = version),
         Err(findings) => {
             for finding in findings {
