Failing tests: a large change of the store, told by one to all

Cause, as the added lines prove it: an instance that does not watch the store has peers as its only source, all that are behind choose the same peer, and nothing bounds how many large answers are under way. 84 answers at once at one instance, 1 of 168 read to its end; after a second change 33 of 86 instances had it 26 s later. Ruled out: watchers that hear late (they had it before it was acknowledged), and the time that reading the entries takes (23 ms).

--- a/crates/core/tests/gateway_reader.rs
+++ b/crates/core/tests/gateway_reader.rs
@@ -219,3 +219,35 @@
 
     assert!(!one.is_unsettled(failed + Duration::from_secs(1)));
 }
+
+/// Symptom: one of several instances that know more is overrun, the others are asked by
+/// nobody. Sequence: a change is known to four; all others are behind at the same moment.
+/// Cause: each asked the last of those that know most, which is the same one for all.
+#[test]
+fn those_that_are_behind_ask_different_peers() {
+    let now = Time::from_secs(5);
+    let informed = [1, 2, 3, 4];
+    let mut behind: Vec<Gateway> = (5..=44).map(gateway).collect();
+    for one in &mut behind {
+        for peer in informed {
+            let told = Bulletin {
+                revision: 9,
+                ..bulletin(peer, 0)
+            };
+            one.hear(now, &told);
+        }
+    }
+
+    // Some of them watch, and are given time to hear of it by themselves first.
+    let later = now + Duration::from_millis(200);
+    let asking = behind.iter_mut();
+    let asked: Vec<_> = asking
+        .filter_map(|one| one.better_informed(later))
+        .collect();
+
+    assert_eq!(asked.len(), 40, "each asks somebody");
+    for peer in informed {
+        let share = asked.iter().filter(|&&it| it == address(peer)).count();
+        assert!((4..=16).contains(&share), "{share} of 40 ask {peer}");
+    }
+}
