A large change of the store is told to few at once, told on, and read after half a second

Cause: an instance that does not watch had peers as its only source; all that were behind chose the same one; nothing bounded the large answers under way, and each was given up after a second and asked for again. The links of those that watch carried the change to nobody, and their bulletins waited behind it. Change: core::gateway::catch_up. Whom to ask is drawn among those that know most, and who refused or failed is passed over for a while; a large change is told to two at once, counted until it was read, and the others are refused at once; who is behind for 0.5 s reads the store itself. Asking peers is a part of its own and no longer ends a watch whose answer is on the way. In virtual time (gateway_catch_up.rs): 86 instances on 10 Mbit/s links have 0.8 MB within 1.5 s, within 2.5 s where a third is turned away, and from two alone within 8 s.

--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -18,11 +18,13 @@
 //! | [`budget`] | how many repeats this instance may spend |
 //! | [`bulletin`] | what instances tell each other |
 //! | [`reader`] | when to read and watch the store |
+//! | [`catch_up`] | how an instance that missed something gets it |
 //! | [`state`] | all of the above behind one type |
 
 pub mod budget;
 pub mod bulletin;
 pub mod catalogue;
+pub mod catch_up;
 pub mod choose;
 pub mod endpoints;
 pub mod lengths;
--- /dev/null
+++ b/crates/core/src/gateway/catch_up.rs
@@ -0,0 +1,130 @@
+//! How an instance that knows less of the store than its peers gets what it missed.
+//!
+//! Most instances do not watch the store; they hear from bulletins that a peer knows
+//! more, and ask. A change may be large (a catalogue of some thousand entries takes a
+//! megabyte) and the links of instances are small, so that nobody can tell it to all.
+//! What goes wrong otherwise: all ask the same peer, its link carries the change to
+//! nobody in the time that each allows, what arrived is thrown away and asked for
+//! again. The catalogue in force stays old for as long as that lasts, and the bulletins
+//! of the peer that is asked wait behind its answers, so that it counts as gone.
+//!
+//! Three rules prevent it, and each holds alone:
+//!
+//! * each instance draws whom to ask, and passes over who refused or failed;
+//! * a peer tells a large change to few at once ([`MAX_LARGE_TOLD`]) and refuses the
+//!   others at once; those that were told can tell it on;
+//! * who is still behind after [`OWN_READ_AFTER`] reads the store itself.
+//!
+//! `docs/design/platform.md` has the figures.
+
+use super::bulletin::{Peer, PeerTable};
+use crate::time::Time;
+use core::time::Duration;
+use std::collections::BTreeMap;
+use std::net::SocketAddrV4;
+
+/// A peer's revision above the own one is believed to be missing, by an instance that
+/// watches the store itself, after this time.
+const BEHIND_AFTER: Duration = Duration::from_millis(150);
+
+/// An instance that is behind for so long reads the store itself, whatever its peers do.
+/// Small changes take some 10 ms from peer to peer. A quarter of the tightest bound
+/// within which a change must be in force.
+pub const OWN_READ_AFTER: Duration = Duration::from_millis(500);
+
+/// An answer above this many bytes is large. On the smallest links, of 10 Mbit/s, a
+/// hundred peers are told so much in 0.3 s.
+pub const LARGE_NEWS: usize = 4 * 1024;
+
+/// Peers to which one instance tells a large change at once. A megabyte takes 1.6 s to
+/// two of them on the smallest links, and bulletins wait behind no more than the
+/// windows of two connections.
+pub const MAX_LARGE_TOLD: usize = 2;
+
+/// How long a peer that refused is not asked again, on average: longer than it takes to
+/// tell a catalogue of 1,400 entries to one peer on a link of 20 Mbit/s.
+const REFUSED_PAUSE: Duration = Duration::from_millis(150);
+
+/// How long a peer whose answer did not arrive is not asked again, on average.
+const FAILED_PAUSE: Duration = Duration::from_secs(1);
+
+/// Why a peer that knows more did not tell it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NotTold {
+    /// It tells others at the moment.
+    Refused,
+    /// Its answer did not arrive, or cannot be read.
+    Failed,
+}
+
+/// What an instance knows of its being behind.
+#[derive(Clone, Debug, Default)]
+pub struct CatchUp {
+    behind_since: Option<Time>,
+    /// Peers that are not asked until then.
+    passed_over: BTreeMap<SocketAddrV4, Time>,
+}
+
+impl CatchUp {
+    /// Notes whether some peer knows more of the store than this instance.
+    pub fn note(&mut self, now: Time, behind: bool) {
+        if !behind {
+            self.behind_since = None;
+            self.passed_over.clear();
+        } else if self.behind_since.is_none() {
+            self.behind_since = Some(now);
+        }
+    }
+
+    /// Returns whether some peer knows more.
+    pub fn is_behind(&self) -> bool {
+        self.behind_since.is_some()
+    }
+
+    /// Returns whether peers had their time, and the store is to be read instead.
+    pub fn reads_itself(&self, now: Time) -> bool {
+        self.behind_since
+            .is_some_and(|since| now.since(since) >= OWN_READ_AFTER)
+    }
+
+    /// Notes that a peer did not tell what it knows; `draw` is uniform below one.
+    pub fn not_told(&mut self, now: Time, peer: SocketAddrV4, why: NotTold, draw: f64) {
+        let pause = match why {
+            NotTold::Refused => REFUSED_PAUSE,
+            NotTold::Failed => FAILED_PAUSE,
+        };
+        self.passed_over
+            .insert(peer, now + pause.mul_f64(0.5 + draw));
+    }
+
+    /// Returns the peers that may be asked: of those that are not passed over, the ones
+    /// that know most. An instance that watches the store gives it some time first.
+    pub fn may_be_asked(
+        &self,
+        now: Time,
+        peers: &PeerTable,
+        own_revision: u64,
+        watches: bool,
+    ) -> Vec<SocketAddrV4> {
+        let Some(since) = self.behind_since else {
+            return Vec::new();
+        };
+        if watches && now.since(since) < BEHIND_AFTER {
+            return Vec::new();
+        }
+        let passed_over = |address: &SocketAddrV4| {
+            let until = self.passed_over.get(address);
+            until.is_some_and(|&until| now < until)
+        };
+        let able = |(address, peer): &(SocketAddrV4, &Peer)| {
+            peer.revision > own_revision && !passed_over(address)
+        };
+        let best = peers.live(now).filter(able).map(|(_, it)| it.revision);
+        let Some(best) = best.max() else {
+            return Vec::new();
+        };
+        let peers = peers.live(now).filter(able);
+        let peers = peers.filter(|(_, peer)| peer.revision == best);
+        peers.map(|(address, _)| address).collect()
+    }
+}
--- a/crates/core/src/gateway/replica.rs
+++ b/crates/core/src/gateway/replica.rs
@@ -23,6 +23,13 @@
     pub value: Option<Vec<u8>>,
 }
 
+impl Record {
+    /// Returns about how many bytes it takes to tell.
+    pub fn size(&self) -> usize {
+        self.key.len() + self.value.as_ref().map_or(0, Vec::len)
+    }
+}
+
 /// What one instance tells another of the store.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct News {
@@ -68,6 +75,17 @@
         }
     }
 
+    /// Returns about how many bytes [`Replica::news_for`] `after` holds.
+    pub fn news_size(&self, after: u64) -> usize {
+        let floor = if after < self.complete_since {
+            0
+        } else {
+            after
+        };
+        let news = self.records.values().filter(|it| it.revision > floor);
+        news.map(Record::size).sum()
+    }
+
     /// Takes a record in; returns whether it is news.
     pub fn apply(&mut self, record: Record) -> bool {
         if let Some(known) = self.records.get(&record.key) {
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -3,6 +3,7 @@
 use super::budget::{BudgetConfig, SharedBudget};
 use super::bulletin::{self, BULLETIN_VERSION, Bulletin, MAX_NAMED, Peer, PeerTable, TELL_LEAVING};
 use super::catalogue::{Catalogue, CatalogueFinding, CatalogueSource};
+use super::catch_up::{CatchUp, NotTold};
 use super::choose::{self, CopyKind, Demand, NoPlace, World};
 use super::endpoints::{Endpoint, EndpointRecord, EndpointTable};
 use super::lengths::LengthTable;
@@ -22,9 +23,6 @@
 /// Changes within this time go into one bulletin.
 pub const BULLETIN_DELAY: Duration = Duration::from_millis(2);
 
-/// A peer's revision above the own one is believed to be missing here after this time.
-const BEHIND_AFTER: Duration = Duration::from_millis(150);
-
 /// How an instance takes part.
 #[derive(Clone, Debug)]
 pub struct GatewayConfig {
@@ -103,7 +101,7 @@
     /// Output tokens of generations, by entry.
     pub lengths: LengthTable,
     stopping: bool,
-    behind_since: Option<Time>,
+    catch_up: CatchUp,
 }
 
 impl Gateway {
@@ -125,7 +123,7 @@
             catalogue: None,
             lengths: LengthTable::default(),
             stopping: false,
-            behind_since: None,
+            catch_up: CatchUp::default(),
             cfg,
         }
     }
@@ -406,7 +404,8 @@
 
     /// Returns what to do about the store now.
     pub fn next_step(&self, now: Time) -> Step {
-        self.reader.next(now, self.watches(now))
+        let reads = self.watches(now) || self.catch_up.reads_itself(now);
+        self.reader.next(now, reads)
     }
 
     /// Takes in what a peer told.
@@ -428,33 +427,31 @@
         }
     }
 
-    /// Returns a peer that knows more of the store than this instance, and so can tell
-    /// what was missed. One that watches by itself is given the usual delay first.
-    pub fn better_informed(&self, now: Time) -> Option<SocketAddrV4> {
-        let since = self.behind_since?;
-        if now.since(since) < BEHIND_AFTER && self.watches(now) {
-            return None;
-        }
-        let peers = self.peers.live(now);
-        let best = peers.max_by_key(|(_, peer)| peer.revision)?;
-        (best.1.revision > self.replica.revision()).then_some(best.0)
+    /// Returns a peer that knows more of the store than this instance and may be asked
+    /// now, drawn among those that know most.
+    pub fn better_informed(&mut self, now: Time) -> Option<SocketAddrV4> {
+        let watches = self.watches(now);
+        let own = self.replica.revision();
+        let able = self.catch_up.may_be_asked(now, &self.peers, own, watches);
+        able.choose(&mut self.rng).copied()
     }
 
     /// Notes whether a peer knows more of the store than this instance.
     pub fn note_behind(&mut self, now: Time) {
         let own = self.replica.revision();
         let behind = self.peers.live(now).any(|(_, peer)| peer.revision > own);
-        match (behind, self.behind_since) {
-            (true, None) => self.behind_since = Some(now),
-            (false, Some(_)) => self.behind_since = None,
-            _ => {}
-        }
+        self.catch_up.note(now, behind);
     }
 
-    /// Starts the wait for news anew, after the store or a peer was asked.
-    pub fn asked_for_news(&mut self, now: Time) {
-        self.behind_since = None;
-        self.note_behind(now);
+    /// Returns whether a peer knows more of the store than this instance.
+    pub fn is_behind(&self) -> bool {
+        self.catch_up.is_behind()
+    }
+
+    /// Notes that a peer did not tell what it knows.
+    pub fn not_told(&mut self, now: Time, peer: SocketAddrV4, why: NotTold) {
+        let draw = self.rng.random();
+        self.catch_up.not_told(now, peer, why, draw);
     }
 }
 
--- /dev/null
+++ b/crates/core/tests/gateway_catch_up.rs
@@ -0,0 +1,298 @@
+//! How a large change of the store reaches instances that do not watch it.
+//!
+//! A change of most of a megabyte, on links of 10 Mbit/s, in virtual time: bytes flow over
+//! links that those who are told at once share. What the instances decide is their own.
+
+#[path = "fixtures/bulletin.rs"]
+mod fixture;
+
+use core::time::Duration;
+use fixture::address;
+use oriolemux_core::gateway::catch_up::{MAX_LARGE_TOLD, NotTold, OWN_READ_AFTER};
+use oriolemux_core::gateway::reader::Step;
+use oriolemux_core::gateway::{Bulletin, Gateway, GatewayConfig};
+use oriolemux_core::{Incarnation, Time};
+use rstest::rstest;
+use std::net::SocketAddrV4;
+
+const STEP: Duration = Duration::from_millis(5);
+
+/// How often each instance tells the others who it is.
+const BULLETINS_EACH: Duration = Duration::from_millis(200);
+
+/// 10 Mbit/s, the smallest link of an instance.
+const LINK_BYTES_PER_STEP: f64 = 10_000_000.0 / 8.0 * 0.005;
+
+/// A catalogue of some 4,000 entries.
+const CHANGE_BYTES: f64 = 800_000.0;
+
+/// The revision of the change.
+const CHANGED: u64 = 9;
+
+fn gateway(number: u8) -> Gateway {
+    let cfg = GatewayConfig {
+        incarnation: Incarnation(number.into()),
+        data_centre: "north".to_owned(),
+        address: address(number),
+        deployment: 1,
+        seeds: Vec::new(),
+        budget: Default::default(),
+    };
+    let mut gateway = Gateway::new(Time::ZERO, cfg);
+    gateway.reader.on_read(Time::ZERO);
+    gateway.replica.read_whole(1);
+    gateway
+}
+
+fn told(number: u8, revision: u64) -> Bulletin {
+    Bulletin {
+        revision,
+        ..fixture::bulletin(number)
+    }
+}
+
+/// Where an instance gets the change from, and how much is missing.
+#[derive(Clone, Copy, PartialEq)]
+enum Fetch {
+    Nothing,
+    FromPeer { teller: usize, left: f64 },
+    FromStore { left: f64 },
+}
+
+/// Instances of which some can read the store.
+struct Fleet {
+    now: Time,
+    instances: Vec<Gateway>,
+    fetches: Vec<Fetch>,
+    /// Whether the store answers each of them.
+    served: Vec<bool>,
+    most_told_at_once: usize,
+    store_reads: usize,
+}
+
+impl Fleet {
+    fn new(size: u8, served: impl Fn(usize) -> bool) -> Fleet {
+        Fleet {
+            now: Time::from_secs(5),
+            instances: (1..=size).map(gateway).collect(),
+            fetches: vec![Fetch::Nothing; size.into()],
+            served: (0..size.into()).map(served).collect(),
+            most_told_at_once: 0,
+            store_reads: 0,
+        }
+    }
+
+    fn number(index: usize) -> u8 {
+        u8::try_from(index + 1).expect("few instances")
+    }
+
+    fn index(address: SocketAddrV4) -> usize {
+        usize::from(address.ip().octets()[3]) - 1
+    }
+
+    fn revision(&self, index: usize) -> u64 {
+        self.instances[index].replica.revision()
+    }
+
+    fn informed(&self) -> usize {
+        (0..self.instances.len())
+            .filter(|&it| self.revision(it) == CHANGED)
+            .count()
+    }
+
+    /// Lets one instance tell all others how far it is.
+    fn tell(&mut self, from: usize) {
+        let bulletin = told(Fleet::number(from), self.revision(from));
+        for (index, one) in self.instances.iter_mut().enumerate() {
+            if index != from {
+                one.hear(self.now, &bulletin);
+            }
+        }
+    }
+
+    fn inform(&mut self, index: usize) {
+        let one = &mut self.instances[index];
+        one.replica.reached(CHANGED);
+        one.reader.on_answer(self.now);
+        one.note_behind(self.now);
+        self.fetches[index] = Fetch::Nothing;
+        self.tell(index);
+    }
+
+    fn told_by(&self, teller: usize) -> usize {
+        let from = |it: &&Fetch| matches!(it, Fetch::FromPeer { teller: at, .. } if *at == teller);
+        self.fetches.iter().filter(from).count()
+    }
+
+    /// Lets an instance that is behind ask, as its decisions say.
+    fn ask(&mut self, index: usize) {
+        if matches!(self.fetches[index], Fetch::FromStore { .. }) {
+            return;
+        }
+        let now = self.now;
+        let one = &mut self.instances[index];
+        if self.served[index] && one.is_behind() && one.next_step(now) == Step::Watch {
+            self.store_reads += 1;
+            self.fetches[index] = Fetch::FromStore { left: CHANGE_BYTES };
+            return;
+        }
+        if self.fetches[index] != Fetch::Nothing {
+            return;
+        }
+        let Some(peer) = one.better_informed(now) else {
+            return;
+        };
+        let teller = Fleet::index(peer);
+        if self.told_by(teller) >= MAX_LARGE_TOLD {
+            self.instances[index].not_told(now, peer, NotTold::Refused);
+            return;
+        }
+        self.fetches[index] = Fetch::FromPeer {
+            teller,
+            left: CHANGE_BYTES,
+        };
+        self.most_told_at_once = self.most_told_at_once.max(self.told_by(teller));
+    }
+
+    /// Lets bytes flow for one step; returns whether the fetch is complete.
+    fn flow(&mut self, index: usize) -> bool {
+        let share = match self.fetches[index] {
+            Fetch::FromPeer { teller, .. } => LINK_BYTES_PER_STEP / self.told_by(teller) as f64,
+            _ => LINK_BYTES_PER_STEP,
+        };
+        match &mut self.fetches[index] {
+            Fetch::Nothing => false,
+            Fetch::FromPeer { left, .. } | Fetch::FromStore { left } => {
+                *left -= share;
+                *left <= 0.0
+            }
+        }
+    }
+
+    fn step(&mut self) {
+        self.now += STEP;
+        let since = self.now.since(Time::ZERO).as_millis();
+        if since.is_multiple_of(BULLETINS_EACH.as_millis()) {
+            (0..self.instances.len()).for_each(|it| self.tell(it));
+        }
+        for index in 0..self.instances.len() {
+            if self.revision(index) < CHANGED {
+                self.ask(index);
+            }
+        }
+        for index in 0..self.instances.len() {
+            if self.flow(index) {
+                self.inform(index);
+            }
+        }
+    }
+
+    /// Publishes the change and returns how long it takes until all have it.
+    fn spread(&mut self) -> Duration {
+        (0..self.instances.len()).for_each(|it| self.tell(it));
+        let published = self.now;
+        let readers: Vec<usize> = (0..self.instances.len())
+            .filter(|&it| self.served[it] && self.instances[it].watches(self.now))
+            .collect();
+        readers.into_iter().for_each(|it| self.inform(it));
+        while self.informed() < self.instances.len() {
+            self.step();
+            let took = self.now.since(published);
+            assert!(took < Duration::from_secs(10), "it never arrives");
+        }
+        self.now.since(published)
+    }
+}
+
+/// Returns whether an instance watches in a fleet of so many that have heard each other.
+fn watches(size: u8, index: usize) -> bool {
+    let mut fleet = Fleet::new(size, |_| true);
+    (0..size.into()).for_each(|it| fleet.tell(it));
+    fleet.instances[index].watches(fleet.now)
+}
+
+/// Symptom: a large change is in force at the instances that watch the store, and comes to
+/// the others seconds late or never. Sequence: all others ask the same one at once. Cause:
+/// see `core::gateway::catch_up`. A change must be in force within 3 s of its
+/// acknowledgement, here also where the store turns a third or nearly all away.
+#[rstest]
+#[case::the_store_serves_all(86, 0, Duration::from_millis(1_500))]
+#[case::the_store_turns_a_third_away(86, 29, Duration::from_millis(2_500))]
+fn a_large_change_arrives_in_time(
+    #[case] size: u8,
+    #[case] turned_away: usize,
+    #[case] within: Duration,
+) {
+    let served = |index| watches(size, index) || index >= turned_away;
+    let mut fleet = Fleet::new(size, served);
+
+    let took = fleet.spread();
+
+    assert!(took <= within, "{took:?}");
+    assert!(fleet.most_told_at_once <= MAX_LARGE_TOLD);
+}
+
+/// The worst case: two of all instances hear from the store. Those that were told tell it
+/// on, so that the time grows with the logarithm of the fleet.
+#[test]
+fn a_large_change_spreads_from_two_instances_alone() {
+    let mut fleet = Fleet::new(86, |index| watches(86, index));
+
+    let took = fleet.spread();
+
+    assert!(took <= Duration::from_secs(8), "{took:?}");
+    assert!(fleet.most_told_at_once <= MAX_LARGE_TOLD);
+    assert_eq!(fleet.store_reads, 0);
+}
+
+#[test]
+fn a_peer_that_refused_is_passed_over_for_a_while() {
+    let now = Time::from_secs(5);
+    let mut one = gateway(1);
+    one.hear(now, &told(2, CHANGED));
+    let later = now + Duration::from_millis(200);
+    assert_eq!(one.better_informed(later), Some(address(2)));
+
+    one.not_told(later, address(2), NotTold::Refused);
+
+    assert_eq!(one.better_informed(later), None);
+    let after = later + Duration::from_millis(300);
+    assert_eq!(one.better_informed(after), Some(address(2)));
+}
+
+/// Symptom: an instance goes on asking peers that cannot tell it. Cause: its being behind
+/// was counted anew with each question.
+#[test]
+fn who_is_behind_for_long_reads_the_store_however_often_it_asked() {
+    let now = Time::from_secs(5);
+    let number = (1..=9).find(|&it| !watches(9, usize::from(it) - 1));
+    let number = number.expect("two of nine watch");
+    let mut one = gateway(number);
+    for peer in (1..=9).filter(|&it| it != number) {
+        one.hear(now, &told(peer, CHANGED));
+    }
+    assert!(matches!(one.next_step(now), Step::Listen(_)));
+
+    for ask in 1..5 {
+        let at = now + OWN_READ_AFTER / 5 * ask;
+        if let Some(peer) = one.better_informed(at) {
+            one.not_told(at, peer, NotTold::Failed);
+        }
+        one.note_behind(at);
+    }
+
+    assert_eq!(one.next_step(now + OWN_READ_AFTER), Step::Watch);
+}
+
+#[test]
+fn who_has_it_from_a_peer_does_not_read_the_store() {
+    let now = Time::from_secs(5);
+    let mut one = gateway(1);
+    one.hear(now, &told(2, CHANGED));
+    one.replica.reached(CHANGED);
+
+    one.note_behind(now + Duration::from_millis(20));
+
+    assert!(!one.is_behind());
+    assert_eq!(one.better_informed(now + OWN_READ_AFTER), None);
+}
--- /dev/null
+++ b/crates/gateway/src/catch_up.rs
@@ -0,0 +1,239 @@
+//! Records of the store from peer to peer: asked for by who missed them.
+//!
+//! The question is the revision up to which the asker knows everything, over TCP on the
+//! port of the bulletins; the answer is what came after it, in one piece. An answer of no
+//! bytes is a refusal: the peer tells others at the moment. The core says whom to ask and
+//! how many may be told at once ([`core::gateway::catch_up`]).
+//!
+//! [`core::gateway::catch_up`]: oriolemux_core::gateway::catch_up
+
+use crate::cx::{Cx, Open};
+use crate::link::connect_socket;
+use crate::meters::{ByReason, millis};
+use crate::note;
+use crate::ports::Wire;
+use crate::store::{Source, apply};
+use bincode::config::{Configuration, Limit, LittleEndian, Varint, standard};
+use core::time::Duration;
+use oriolemux_core::gateway::catch_up::{LARGE_NEWS, MAX_LARGE_TOLD, NotTold};
+use oriolemux_core::gateway::replica::News;
+use std::collections::BTreeMap;
+use std::io;
+use std::net::{SocketAddr, SocketAddrV4};
+use std::sync::Arc;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::{Instant, sleep, timeout};
+
+/// The largest answer of a peer: a store of the size that is designed for, twice.
+const MAX_TOLD: usize = 64 * 1024 * 1024;
+
+/// How long a peer may take to read what it asked for. One that takes longer holds up
+/// others, and reads the store meanwhile.
+const TELL_LIMIT: Duration = Duration::from_secs(3);
+
+/// An answer of which nothing came for so long does not come.
+const SILENCE_LIMIT: Duration = Duration::from_millis(700);
+
+/// How long to wait before another connection is accepted where one could not be.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(2);
+
+/// Why a peer did not tell what it knows.
+#[derive(Debug, displaydoc::Display, thiserror::Error)]
+pub enum FetchError {
+    /// the connection failed: {0}
+    Connection(#[from] io::Error),
+    /// nothing came for {0:?}
+    Silent(Duration),
+    /// the peer tells others at the moment
+    Refused,
+    /// the answer cannot be read: {0}
+    Format(#[from] bincode::error::DecodeError),
+}
+
+impl FetchError {
+    /// Returns a word for it, which lines and counters carry.
+    pub const fn word(&self) -> &'static str {
+        match self {
+            FetchError::Connection(_) => "connection",
+            FetchError::Silent(_) => "silent",
+            FetchError::Refused => "refused",
+            FetchError::Format(_) => "format",
+        }
+    }
+
+    const fn not_told(&self) -> NotTold {
+        match self {
+            FetchError::Refused => NotTold::Refused,
+            _ => NotTold::Failed,
+        }
+    }
+}
+
+fn told_format() -> Configuration<LittleEndian, Varint, Limit<MAX_TOLD>> {
+    standard().with_limit::<MAX_TOLD>()
+}
+
+/// Asks peers whenever one knows more, for good.
+pub async fn catch_up<W: Wire>(cx: Arc<Cx<W>>) {
+    loop {
+        cx.behind.notified().await;
+        let peer = cx.state().better_informed(cx.now());
+        if let Some(peer) = peer {
+            ask(&cx, peer).await;
+        }
+    }
+}
+
+async fn ask<W: Wire>(cx: &Cx<W>, peer: SocketAddrV4) {
+    let begun = Instant::now();
+    let after = cx.state().replica.revision();
+    let fetched = tokio::select! {
+        fetched = fetch(peer, after) => fetched,
+        // The store, or bulletins, made the question pointless.
+        () = no_longer_behind(cx) => return,
+    };
+    let ms = millis(begun.elapsed());
+    let now = cx.now();
+    match fetched {
+        Ok(news) => {
+            ByReason::PeerAnswers.add("told");
+            note!(ToldByPeer, peer:% = peer, revision = news.revision, whole = news.whole,
+                records = news.records.len(), ms = ms);
+            take_news(cx, news);
+        }
+        Err(error) => {
+            ByReason::PeerAnswers.add(error.word());
+            cx.state().not_told(now, peer, error.not_told());
+            note!(NotToldByPeer, peer:% = peer, why = error.word(), revision = after, ms = ms);
+        }
+    }
+    cx.state().note_behind(cx.now());
+}
+
+async fn no_longer_behind<W: Wire>(cx: &Cx<W>) {
+    loop {
+        let changed = cx.changed.notified();
+        if !cx.state().is_behind() {
+            return;
+        }
+        changed.await;
+    }
+}
+
+fn take_news<W: Wire>(cx: &Cx<W>, news: News) {
+    let size: usize = news.records.iter().map(|it| it.size()).sum();
+    let seen: BTreeMap<String, ()> = match news.whole {
+        true => news.records.iter().map(|it| (it.key.clone(), ())).collect(),
+        false => BTreeMap::new(),
+    };
+    apply(cx, Source::Peer, news.records);
+    if news.whole {
+        let missing = cx.state().replica.missing_from(&seen, news.revision);
+        apply(cx, Source::Peer, missing);
+        cx.state().replica.read_whole(news.revision);
+    } else {
+        cx.state().replica.reached(news.revision);
+    }
+    if size > LARGE_NEWS {
+        // Who was told can tell it on, and the others must hear so at once.
+        cx.dirty.notify_one();
+    }
+}
+
+/// Asks a peer for what it knows of the store above revision `after`.
+///
+/// # Errors
+///
+/// Fails if the peer cannot be reached, falls silent or refuses, or if its answer cannot
+/// be read. How long an answer takes as long as it comes is the caller's to bound.
+pub async fn fetch(peer: SocketAddrV4, after: u64) -> Result<News, FetchError> {
+    let silent = |_| FetchError::Silent(SILENCE_LIMIT);
+    let mut stream = timeout(SILENCE_LIMIT, connect_socket(peer))
+        .await
+        .map_err(silent)??;
+    stream.write_u64(after).await?;
+    let mut bytes = Vec::new();
+    while bytes.len() <= MAX_TOLD {
+        let read = timeout(SILENCE_LIMIT, stream.read_buf(&mut bytes));
+        if read.await.map_err(silent)?? == 0 {
+            break;
+        }
+    }
+    if bytes.is_empty() {
+        return Err(FetchError::Refused);
+    }
+    let (news, _) = bincode::serde::decode_from_slice(&bytes, told_format())?;
+    Ok(news)
+}
+
+/// Answers peers that ask what was published, for good.
+pub async fn answer<W: Wire>(cx: Arc<Cx<W>>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, from)) => {
+                let cx = Arc::clone(&cx);
+                tokio::spawn(async move { tell(&cx, stream, from).await });
+            }
+            Err(error) => {
+                log::warn!("cannot accept a peer: {error}");
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// How the telling of a peer ended.
+enum Told {
+    /// It was told something small, or refused.
+    Little,
+    /// It read all of this many bytes.
+    Large(usize),
+}
+
+async fn tell<W: Wire>(cx: &Arc<Cx<W>>, stream: TcpStream, from: SocketAddr) {
+    let begun = Instant::now();
+    let (how, bytes) = match timeout(TELL_LIMIT, tell_all(cx, stream)).await {
+        Ok(Ok(Told::Little)) => return,
+        Ok(Ok(Told::Large(bytes))) => ("read", bytes),
+        Ok(Err(error)) => {
+            log::debug!("{from} was not told: {error}");
+            ("broken", 0)
+        }
+        Err(_) => ("unread", 0),
+    };
+    note!(
+        ToldPeer,
+        peer:% = from,
+        how = how,
+        bytes = bytes,
+        ms = millis(begun.elapsed()),
+        at_once = cx.open(Open::LargeTelling)
+    );
+}
+
+/// Tells all that the peer has not, unless that is much and others are being told.
+async fn tell_all<W: Wire>(cx: &Arc<Cx<W>>, mut stream: TcpStream) -> io::Result<Told> {
+    let after = stream.read_u64().await?;
+    let size = cx.state().replica.news_size(after);
+    if size <= LARGE_NEWS {
+        let bytes = encode(cx, after)?;
+        stream.write_all(&bytes).await?;
+        stream.shutdown().await?;
+        return Ok(Told::Little);
+    }
+    let Some(_telling) = cx.begin_large_telling(MAX_LARGE_TOLD) else {
+        return Ok(Told::Little);
+    };
+    let bytes = encode(cx, after)?;
+    stream.write_all(&bytes).await?;
+    stream.shutdown().await?;
+    // What is written may still be on the way. The peer closes when it has read it all.
+    stream.read_to_end(&mut Vec::new()).await?;
+    Ok(Told::Large(bytes.len()))
+}
+
+fn encode<W: Wire>(cx: &Cx<W>, after: u64) -> io::Result<Vec<u8>> {
+    let news = cx.state().replica.news_for(after);
+    bincode::serde::encode_to_vec(&news, told_format()).map_err(io::Error::other)
+}
--- a/crates/gateway/src/cx.rs
+++ b/crates/gateway/src/cx.rs
@@ -91,8 +91,8 @@
     Request,
     /// A generation, until its last event is passed on.
     Generation,
-    /// A peer that asked what the store published, until it was told.
-    Telling,
+    /// A peer that is told much of what the store published, until it has read it.
+    LargeTelling,
 }
 
 /// How many kinds of [`Open`] there are.
@@ -149,6 +149,13 @@
         (self.open(Open::Connection) <= self.limits.connections).then_some(guard)
     }
 
+    /// Counts a peer that is told much until what is returned is dropped; nothing if `most`
+    /// are told already.
+    pub fn begin_large_telling(self: &Arc<Self>, most: usize) -> Option<OpenGuard<W>> {
+        let guard = self.count(Open::LargeTelling);
+        (self.open(Open::LargeTelling) <= most).then_some(guard)
+    }
+
     /// Returns how many are open.
     pub fn open(&self, what: Open) -> usize {
         self.open[what as usize].load(Ordering::Relaxed)
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,7 +10,8 @@
 //! own leaves; [`attempts`] says where a request was and what that leaves open.
 //! [`page`] answers the balancer, operators who ask for the [`status`] and whoever
 //! collects [metrics](mod@meters). [`news`] tells peers what they need, [`store`] keeps
-//! up with what is published, and [`run`] starts all of it and ends it in order.
+//! up with what is published, [`catch_up`] asks peers for what was missed, and [`run`]
+//! starts all of it and ends it in order.
 //!
 //! Names and formats of the platform are behind the traits of [`ports`]; the
 //! `platform` crate implements them.
@@ -18,6 +19,7 @@
 pub mod answer;
 pub mod attempts;
 pub mod call;
+pub mod catch_up;
 pub mod cx;
 pub mod events;
 pub mod front;
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -4,7 +4,7 @@
 use crate::note;
 use crate::page::OperatorsPage;
 use crate::ports::{EngineCalls, Store, Wire};
-use crate::{front, news, page, store};
+use crate::{catch_up, front, news, page, store};
 use core::time::Duration;
 use oriolemux_core::gateway::budget::BudgetConfig;
 use oriolemux_core::gateway::{Gateway, GatewayConfig};
@@ -209,7 +209,8 @@
         parts.spawn(store::keep_up(Arc::clone(&cx), store_client));
         parts.spawn(news::tell(Arc::clone(&cx), Arc::clone(&socket)));
         parts.spawn(news::hear(Arc::clone(&cx), socket));
-        parts.spawn(news::answer(Arc::clone(&cx), self.peers));
+        parts.spawn(catch_up::answer(Arc::clone(&cx), self.peers));
+        parts.spawn(catch_up::catch_up(Arc::clone(&cx)));
         let asked = Arc::clone(&cx);
         parts.spawn(page::serve(self.readiness, move |_| {
             page::readiness(&asked)
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -1,40 +1,36 @@
 //! Keeps up with what is published.
 //!
 //! The core says when to read and watch ([`StoreReader`]); here are the calls and
-//! what follows from their answers. While the store does not answer this
-//! instance, or its watch hears nothing, a peer that knows more is asked.
+//! what follows from their answers. Beside them a peer that knows more is asked:
+//! [`catch_up`](crate::catch_up).
 //!
 //! [`StoreReader`]: oriolemux_core::gateway::reader::StoreReader
 
 use crate::cx::Cx;
-use crate::meters::{ByReason, millis};
-use crate::news;
 use crate::note;
 use crate::ports::{Published, Store, Wire};
 use core::time::Duration;
 use oriolemux_core::gateway::CatalogueSource;
 use oriolemux_core::gateway::reader::{ANSWER_SLACK, CallFailure, Step, StoreReader, WATCH_WAIT};
-use oriolemux_core::gateway::replica::{News, Record};
+use oriolemux_core::gateway::replica::Record;
 use oriolemux_core::time::Time;
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use tokio::time::sleep;
 
 /// How long one page may take. A store that is slow takes up to some hundred
 /// milliseconds.
 const PAGE_LIMIT: Duration = Duration::from_millis(1_500);
 
-/// How long a peer may take to tell what it knows.
-const PEER_LIMIT: Duration = Duration::from_millis(1_000);
-
 /// Reads and watches the store for good.
 pub async fn keep_up<W: Wire, S: Store>(cx: Arc<Cx<W>>, store: S) {
     loop {
         let step = cx.state().next_step(cx.now());
         match step {
-            Step::Pause(pause) => pause_or_ask(&cx, pause).await,
+            Step::Pause(pause) => sleep(pause).await,
             Step::Listen(pause) => {
                 cx.state().reader.stand_by();
-                pause_or_ask(&cx, pause).await;
+                sleep(pause).await;
             }
             Step::Read => {
                 let result = read_all(&cx, &store).await;
@@ -45,14 +41,6 @@
     }
 }
 
-/// Waits, unless a peer knows more meanwhile.
-async fn pause_or_ask<W: Wire>(cx: &Cx<W>, pause: Duration) {
-    tokio::select! {
-        () = tokio::time::sleep(pause) => {}
-        () = cx.behind.notified() => ask_peer(cx).await,
-    }
-}
-
 async fn read_all<W: Wire, S: Store>(cx: &Cx<W>, store: &S) -> Result<(), CallFailure> {
     let mut seen = BTreeMap::new();
     let mut after: Option<String> = None;
@@ -81,27 +69,24 @@
     }
 }
 
+/// Waits for changes. What a peer tells meanwhile does not end the watch: its answer may
+/// be large, on the way, and nearly here.
 async fn watch<W: Wire, S: Store>(cx: &Cx<W>, store: &S) {
     let after = cx.state().replica.revision();
-    let watch = store.watch(after, WATCH_WAIT, WATCH_WAIT + ANSWER_SLACK);
-    tokio::select! {
-        result = watch => {
-            let result = result.map(|changes| {
-                if !changes.records.is_empty() {
-                    cx.dirty.notify_one();
-                }
-                apply(cx, Source::Store, changes.records);
-                let now = cx.now();
-                let mut state = cx.state();
-                state.replica.reached(changes.revision);
-                state.note_behind(now);
-            });
-            note(cx, result, StoreReader::on_answer);
+    let answer = store
+        .watch(after, WATCH_WAIT, WATCH_WAIT + ANSWER_SLACK)
+        .await;
+    let result = answer.map(|changes| {
+        if !changes.records.is_empty() {
+            cx.dirty.notify_one();
         }
-        // A peer knows more than this watch has told: the connection may have
-        // fallen silent. The peer is asked, and the next watch begins anew.
-        () = cx.behind.notified() => ask_peer(cx).await,
-    }
+        apply(cx, Source::Store, changes.records);
+        let now = cx.now();
+        let mut state = cx.state();
+        state.replica.reached(changes.revision);
+        state.note_behind(now);
+    });
+    note(cx, result, StoreReader::on_answer);
 }
 
 /// Takes the result of a call into account.
@@ -134,52 +119,6 @@
     }
 }
 
-async fn ask_peer<W: Wire>(cx: &Cx<W>) {
-    let now = cx.now();
-    let (peer, after) = {
-        let state = cx.state();
-        (state.better_informed(now), state.replica.revision())
-    };
-    let Some(peer) = peer else { return };
-    let begun = cx.now();
-    let fetched = tokio::time::timeout(PEER_LIMIT, news::fetch(peer, after)).await;
-    let ms = millis(cx.now().since(begun));
-    let why = match fetched {
-        Ok(Ok(news)) => {
-            ByReason::PeerAnswers.add("told");
-            note!(ToldByPeer, peer:% = peer, revision = news.revision, whole = news.whole,
-                records = news.records.len(), ms = ms);
-            take_news(cx, news);
-            None
-        }
-        Ok(Err(error)) => {
-            log::debug!("peer {peer} could not be asked: {error}");
-            Some(error.word())
-        }
-        Err(_) => Some("late"),
-    };
-    if let Some(why) = why {
-        ByReason::PeerAnswers.add(why);
-        note!(NotToldByPeer, peer:% = peer, why = why, revision = after, ms = ms);
-    }
-    cx.state().asked_for_news(cx.now());
-}
-
-fn take_news<W: Wire>(cx: &Cx<W>, news: News) {
-    let seen: BTreeMap<String, ()> = match news.whole {
-        true => news.records.iter().map(|it| (it.key.clone(), ())).collect(),
-        false => BTreeMap::new(),
-    };
-    apply(cx, Source::Peer, news.records);
-    if news.whole {
-        let missing = cx.state().replica.missing_from(&seen, news.revision);
-        apply(cx, Source::Peer, missing);
-        cx.state().replica.read_whole(news.revision);
-    } else {
-        cx.state().replica.reached(news.revision);
-    }
-}
-
 /// Where records came from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Source {
