What the store answers may take as long as it comes, and a run of large changes is read anew

Cause, kin of the late catalogue: a call to the store was bounded as a whole (1.5 s a page, 1.7 s a watch), whatever its size, so that a megabyte over a small or busy link was given up while it came and asked for again from its beginning, for ever; and a watch whose answer is over 4 MB (several versions of a large catalogue) was taken for unanswered and repeated as it was. Change: the head of an answer has that bound, the rest may take as long as some of it comes within 0.7 s; an answer that is too large leads to a read of all records, whose pages hold the last version only. Ruled out: a larger bound of the size alone; memory of small instances is 88 MB.

--- a/crates/core/src/gateway/reader.rs
+++ b/crates/core/src/gateway/reader.rs
@@ -23,7 +23,7 @@
 /// How often an instance that does not watch looks whether it must.
 const LISTEN_LOOK: Duration = Duration::from_millis(100);
 
-/// How much later than [`WATCH_WAIT`] an answer may come before the call is given up.
+/// How much later than [`WATCH_WAIT`] an answer may begin before the call is given up.
 pub const ANSWER_SLACK: Duration = Duration::from_millis(700);
 
 /// The first pause after a failure.
@@ -64,6 +64,8 @@
     NoAnswer,
     /// The history that a watch asked for is gone.
     HistoryGone,
+    /// The answer is larger than any that is read.
+    TooLarge,
 }
 
 /// The state of the calls to the store.
@@ -133,6 +135,13 @@
             self.needs_read = true;
             return false;
         }
+        if failure == CallFailure::TooLarge {
+            // A watch tells every version that was published since, and several of a large
+            // catalogue are more than is read; the pages of a read hold the last one only.
+            // What goes wrong otherwise: the same watch is repeated in vain until the store
+            // forgets that history.
+            self.needs_read = true;
+        }
         let was_there = self.failures == 0;
         let doublings = self.failures.min(8);
         self.failures = self.failures.saturating_add(1);
--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -8,8 +8,8 @@
 use bytes::Bytes;
 use core::time::Duration;
 use http::{Request, Response};
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
+use http_body_util::{BodyExt, Full};
+pub use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use std::net::SocketAddrV4;
@@ -120,13 +120,39 @@
     Full::new(bytes)
 }
 
-/// Reads a body of at most `limit` bytes; nothing if it is larger or breaks off.
-pub async fn read_bounded(body: Incoming, limit: usize) -> Option<Bytes> {
-    match Limited::new(body, limit).collect().await {
-        Ok(body) => Some(body.to_bytes()),
-        Err(error) => {
-            log::debug!("an answer broke off: {error}");
-            None
+/// Why a body was not read to its end.
+#[derive(Debug, displaydoc::Display, thiserror::Error)]
+pub enum ReadError {
+    /// it broke off: {0}
+    Broken(hyper::Error),
+    /// nothing came for {0:?}
+    Silent(Duration),
+    /// it is larger than {0} bytes
+    TooLarge(usize),
+}
+
+/// Reads a body of at most `most` bytes. It may take as long as some of it comes within
+/// each `silence`; how long in all is the caller's to bound.
+///
+/// # Errors
+///
+/// Says why it was not read to its end.
+pub async fn read_bounded(
+    mut body: Incoming,
+    most: usize,
+    silence: Duration,
+) -> Result<Bytes, ReadError> {
+    let mut bytes = Vec::new();
+    loop {
+        let frame = timeout(silence, body.frame()).await;
+        let Some(frame) = frame.map_err(|_| ReadError::Silent(silence))? else {
+            return Ok(bytes.into());
+        };
+        if let Ok(data) = frame.map_err(ReadError::Broken)?.into_data() {
+            bytes.extend_from_slice(&data);
+        }
+        if bytes.len() > most {
+            return Err(ReadError::TooLarge(most));
         }
     }
 }
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -18,7 +18,7 @@
 use std::sync::Arc;
 use tokio::time::sleep;
 
-/// How long one page may take. A store that is slow takes up to some hundred
+/// How long one page may take to begin. A store that is slow takes up to some hundred
 /// milliseconds.
 const PAGE_LIMIT: Duration = Duration::from_millis(1_500);
 
