Choices draw from a source of their own; one way to build what they look at

The two methods that built the same tables, apart only for the borrow of the draws, are one. Nothing is decided otherwise but for which numbers are drawn.

--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -235,8 +235,8 @@
     ///
     /// Returns why there is none.
     pub fn place(&mut self, now: Time, demand: &Demand<'_>) -> Result<Place, NoPlace> {
-        let (world, rng) = self.world(now);
-        let key = choose::choose(world, demand, || rng.random())?;
+        let mut rng = self.draws();
+        let key = choose::choose(self.world(now), demand, || rng.random())?;
         let endpoint = self.endpoints.get(key).ok_or(NoPlace::NoEndpoint)?;
         Ok(Place::of(endpoint))
     }
@@ -257,7 +257,7 @@
         if demand.engine.is_none() || !others_wait {
             return self.place(now, demand);
         }
-        let key = queue.turn(self.world_now(now), demand, waiter)?;
+        let key = queue.turn(self.world(now), demand, waiter)?;
         let endpoint = self.endpoints.get(key).ok_or(NoPlace::NoEndpoint)?;
         Ok(Place::of(endpoint))
     }
@@ -283,26 +283,20 @@
         source: EndpointKey,
         kind: CopyKind,
     ) -> Option<Place> {
-        let (world, rng) = self.world(now);
+        let mut rng = self.draws();
+        let world = self.world(now);
         let source = world.endpoints.get(source)?;
         let key = choose::choose_copy(world, demand, source, kind, || rng.random())?;
         self.endpoints.get(key).map(Place::of)
     }
 
-    /// Returns the tables that a choice looks at, and the source of its draws.
-    fn world(&mut self, now: Time) -> (World<'_>, &mut SmallRng) {
-        let world = World {
-            now,
-            endpoints: &self.endpoints,
-            usage: &self.usage,
-            peers: &self.peers,
-            data_centre: &self.cfg.data_centre,
-        };
-        (world, &mut self.rng)
+    /// Returns a source of draws of its own, so that a choice draws while it looks at tables.
+    fn draws(&mut self) -> SmallRng {
+        SmallRng::seed_from_u64(self.rng.random())
     }
 
-    /// Returns the tables that a choice without a draw looks at.
-    fn world_now(&self, now: Time) -> World<'_> {
+    /// Returns the tables that a choice looks at.
+    fn world(&self, now: Time) -> World<'_> {
         World {
             now,
             endpoints: &self.endpoints,
