A fault soak of real gateway processes on the platform's stand-in

Change: oriolemux-bench soak starts instances as processes, behind proxies to the store and to plain endpoints; twenty-one kinds of fault strike in series and overlap; callers keep their connections and go on with what broke off; eleven rules are checked from what callers, endpoints and probes saw. Found while testing the checks: the bound of repeats left out the window half a window earlier, which the rule counts; 50 repeats of 100 requests were called too many. Falls short: docs/design/soak.md says what it cannot see.

--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -6,7 +6,9 @@
 //! product, as real processes, with a [`proxy`] in every connection if wanted.
 //! [`demo`] shows one at work; [`faults`] lets failures strike one and hands
 //! what was recorded to the [`checker`]. [`engine_model`] is a model engine in
-//! virtual time, behind both the stand-ins and the experiments.
+//! virtual time, behind both the stand-ins and the experiments. [`soak`] does to
+//! instances of the gateway, on the platform's stand-in, what the other does to a fleet
+//! of the product's own interface.
 
 pub mod checker;
 pub mod decide;
@@ -22,6 +24,7 @@
 pub mod relay_bench;
 pub mod report;
 pub mod slopes;
+pub mod soak;
 pub mod standins;
 pub mod surge;
 pub mod workload;
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -4,7 +4,7 @@
 
 use clap::{Parser, Subcommand};
 use oriolemux_bench::{
-    decide, demo, faults, node, policy, proxy, relay_bench, report, slopes, standins, surge,
+    decide, demo, faults, node, policy, proxy, relay_bench, report, slopes, soak, standins, surge,
 };
 use std::process::ExitCode;
 
@@ -35,6 +35,8 @@
     Faults(faults::FaultsArgs),
     /// Compare policies of placement side by side in virtual time.
     Policy(policy::PolicyArgs),
+    /// Let faults strike gateways on the platform's stand-in, and check every promise.
+    Soak(soak::SoakArgs),
     /// Draw one page of plots from what the experiments wrote.
     Report(report::ReportArgs),
     /// Measure how control costs grow with each driver.
@@ -65,6 +67,7 @@
         Command::Decide(args) => decide::run(args),
         Command::Relay(args) => relay_bench::run(args),
         Command::RelayNode(args) => relay_bench::run_node(args),
+        Command::Soak(args) => soak::run(args),
         Command::Slopes(args) => slopes::run(args),
         Command::Report(args) => report::run(args),
     }
