--- a/crates/bench/src/soak/check.rs
+++ b/crates/bench/src/soak/check.rs
@@ -2,7 +2,7 @@
 //!
 //! Each check is a function of its own over [`Evidence`] and pushes what it finds, so that
 //! one soak reports all rules that were broken. Bounds of time hold only where nothing
-//! disturbed the instances for [`CONTACT`]; the others hold always.
+//! disturbed the instances for three seconds; the others hold always.
 
 use super::record::{Answer, Call, Generation, Happened, Kind, Outcome, Probe, Sent, What};
 use super::world::{EVENTS, REPEAT_ALLOWANCE, REPEAT_RATIO, REPEAT_WINDOW};
--- a/crates/gateway/src/catch_up.rs
+++ b/crates/gateway/src/catch_up.rs
@@ -2,7 +2,7 @@
 //!
 //! The question is the revision up to which the asker knows everything, over TCP on the
 //! port of the bulletins; the answer is what came after it, in one piece, compressed where
-//! it is large ([`format`]). An answer of no bytes is a refusal: the peer tells others at
+//! it is large ([`mod@format`]). An answer of no bytes is a refusal: the peer tells others at
 //! the moment. The core says whom to ask and how many may be told at once
 //! ([`core::gateway::catch_up`]).
 //!
