An engine that refuses to go on from a complete copy is asked again

Cause: a generation left its engine for a copy that was complete; the engine of the copy shed the request (503, not run) 42 ms later, and the stream was closed in the middle 6 ms after that. There was no standing copy. What did not run has used up no copy, so that it still stood there. Change: a definite refusal is borne twice, 40 ms apart, within the pause that callers want between events; each question counts among the repeats.

--- a/crates/gateway/src/relay/go_on.rs
+++ b/crates/gateway/src/relay/go_on.rs
@@ -9,10 +9,23 @@
 use crate::meters::ByReason;
 use crate::note;
 use crate::ports::{EngineCalls, KeptCopy, Moved, Wire};
+use core::time::Duration;
 use oriolemux_core::gateway::choose::CopyKind;
 use oriolemux_core::gateway::relocation::STANDING_MIN_TOKENS;
 use oriolemux_core::gateway::state::Place;
 use std::net::SocketAddrV4;
+use tokio::time::sleep;
+
+/// How often an engine that refuses to go on from a complete copy is asked again.
+///
+/// What goes wrong otherwise: an engine that sheds a part of its requests, or is full for a
+/// moment, refuses the one request that the generation depends on; its stream is closed in
+/// the middle though the copy still stands, since what did not run has used up nothing.
+const REFUSALS_BORNE: usize = 2;
+
+/// The pause before each such question. Both together stay within the pause between events
+/// that entries of generations want kept, 180 ms.
+const REFUSED_PAUSE: Duration = Duration::from_millis(40);
 
 impl<W: Wire, E: EngineCalls> Relay<W, E> {
     /// Copies the memory to another engine while the generation goes on, or brings
@@ -81,8 +94,18 @@
             to = target.name.as_str(),
             event_id = self.state.last_event()
         );
-        let source = self.source.address;
-        Some(self.go_on(target, source, &handle).await)
+        let keeper = self.source.address;
+        let mut begun = self.go_on(target, keeper, &handle).await;
+        for _ in 0..REFUSALS_BORNE {
+            if !matches!(begun, Begun::NotRun { arrived: true }) {
+                break;
+            }
+            sleep(REFUSED_PAUSE).await;
+            self.note_repeat();
+            let handle = &handle;
+            begun = self.ask_to_go_on(Some(KeptCopy { keeper, handle })).await;
+        }
+        Some(begun)
     }
 
     /// Goes on where the standing copy is kept, if there is one.
