--- a/crates/bench/src/soak.rs
+++ b/crates/bench/src/soak.rs
@@ -52,9 +52,9 @@
     /// The bounds of time of rules count so many times: for machines that are busy.
     #[arg(long, default_value_t = 1.0)]
     pub patience: f64,
-    /// Where to keep settings and logs of seeds that failed.
+    /// Keep settings and logs of seeds that failed.
     #[arg(long)]
-    pub keep: Option<PathBuf>,
+    pub keep: bool,
 }
 
 /// What one seed is played with.
@@ -106,7 +106,7 @@
             continue;
         }
         broken += 1;
-        if args.keep.is_some() {
+        if args.keep {
             eprintln!("seed {seed}: logs kept in {}", dir.keep().display());
         }
     }
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -162,14 +162,16 @@
 
 /// The store, which can only be read.
 pub trait Store: Clone + Send + Sync + 'static {
-    /// Reads one page of all records.
+    /// Reads one page of all records. Its answer must begin within `limit`, and may then
+    /// take as long as it comes.
     fn page(
         &self,
         after: Option<&str>,
         limit: Duration,
     ) -> impl Future<Output = Result<Page, CallFailure>> + Send;
 
-    /// Waits at most `wait` for changes above `after`.
+    /// Waits at most `wait` for changes above `after`. The answer must begin within `limit`,
+    /// and may then take as long as it comes.
     fn watch(
         &self,
         after: u64,
