Heartbeats of endpoints are no news; watches of the store are parted by 0.2 s

Believed: each heartbeat of 67 endpoints is a revision, which ends a watch, is told to all and fetched by all.

Change: a record's meaning is decided once, as a mark without what changes with each heartbeat; only news wakes, is told and is fetched, and a digest of all marks says whether two instances know the same. An answered watch that told something is followed by a pause of 0.2 s.

Kept, since what follows needs it: a peer that is told of nothing but heartbeats has nothing to fetch, and its cost no longer grows with endpoints.

Tests: gateway_replica.rs a_heartbeat_alone_is_told_to_nobody and the two after it, gateway_reader.rs the_calls_to_the_store_do_not_grow_with_the_endpoints (at most 5 a second of one that watches). Grows with: changes of meaning; calls with neither instances nor endpoints.

--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -39,5 +39,5 @@
 pub use catalogue::{Catalogue, CatalogueSource, EntryId, HttpEntry, Repeat, ServiceId};
 pub use choose::Demand;
 pub use endpoints::{Endpoint, EndpointRecord, EndpointState};
-pub use replica::{Record, Replica};
+pub use replica::{Applied, Mark, Record, Replica};
 pub use state::{Gateway, GatewayConfig};
--- a/crates/core/src/gateway/bulletin.rs
+++ b/crates/core/src/gateway/bulletin.rs
@@ -7,6 +7,7 @@
 //! next one heals everything; `docs/design/platform.md` says why datagrams.
 
 use super::queue::{MAX_WAITING, Waiter, Waiting};
+use super::replica::Replica;
 use crate::ids::{EndpointKey, Incarnation};
 use crate::time::Time;
 use core::time::Duration;
@@ -16,7 +17,7 @@
 
 /// The version of this format and of that of [`News`](super::replica::News); bulletins of
 /// another are ignored.
-pub const BULLETIN_VERSION: u8 = 4;
+pub const BULLETIN_VERSION: u8 = 5;
 
 /// Intervals of a peer's bulletins after which its silence counts as its going: six
 /// may be lost in a row.
@@ -78,6 +79,8 @@
     pub address: SocketAddrV4,
     /// The store's revision up to which the sender knows everything.
     pub revision: u64,
+    /// What that comes to, see [`Replica::digest`](super::replica::Replica::digest).
+    pub digest: u64,
     /// The next bulletin comes within so many milliseconds.
     pub interval_ms: u32,
     /// Milliseconds since the store last answered the sender.
@@ -112,6 +115,8 @@
     pub learnt: Time,
     /// The revision that it knows.
     pub revision: u64,
+    /// What that comes to.
+    pub digest: u64,
     /// When the store last answered it, as far as it told.
     pub store_heard: Option<Time>,
     /// Whether it said that entries may be missing from the store and come back.
@@ -134,6 +139,12 @@
         let silence = self.interval * SILENT_INTERVALS;
         self.heard.is_some_and(|heard| now.since(heard) < silence)
     }
+
+    /// Returns whether the peer knows something of the store that `replica` does not.
+    /// Revisions alone do not tell: each heartbeat of an endpoint makes one.
+    pub fn knows_more_than(&self, replica: &Replica) -> bool {
+        self.revision > replica.revision() && self.digest != replica.digest()
+    }
 }
 
 /// All peers, by the address at which they answer.
@@ -151,6 +162,7 @@
             interval: SHORTEST_INTERVAL,
             learnt: now,
             revision: 0,
+            digest: 0,
             store_heard: None,
             unsettled: false,
             stopping: false,
@@ -177,6 +189,7 @@
             peer.interval = Duration::from_millis(bulletin.interval_ms.into())
                 .clamp(SHORTEST_INTERVAL, LONGEST_INTERVAL);
             peer.revision = bulletin.revision;
+            peer.digest = bulletin.digest;
             peer.store_heard = now.before(Duration::from_millis(bulletin.store_age_ms.into()));
             peer.unsettled = bulletin.unsettled;
             peer.stopping = bulletin.stopping;
--- a/crates/core/src/gateway/catch_up.rs
+++ b/crates/core/src/gateway/catch_up.rs
@@ -18,6 +18,7 @@
 //! `docs/design/platform.md` has the figures.
 
 use super::bulletin::{Peer, PeerTable};
+use super::replica::Replica;
 use crate::time::Time;
 use core::time::Duration;
 use std::collections::BTreeMap;
@@ -104,7 +105,7 @@
         &self,
         now: Time,
         peers: &PeerTable,
-        own_revision: u64,
+        replica: &Replica,
         watches: bool,
     ) -> Vec<SocketAddrV4> {
         let Some(since) = self.behind_since else {
@@ -118,7 +119,7 @@
             until.is_some_and(|&until| now < until)
         };
         let able = |(address, peer): &(SocketAddrV4, &Peer)| {
-            peer.revision > own_revision && !passed_over(address)
+            peer.knows_more_than(replica) && !passed_over(address)
         };
         let best = peers.live(now).filter(able).map(|(_, it)| it.revision);
         let Some(best) = best.max() else {
--- a/crates/core/src/gateway/endpoints.rs
+++ b/crates/core/src/gateway/endpoints.rs
@@ -63,6 +63,26 @@
             None => EndpointKey::of(&self.name),
         }
     }
+
+    /// Returns what the record means to this product, as the parts of a
+    /// [`Mark`](super::replica::Mark). The time that is left until it is warm falls with
+    /// each heartbeat, so that only whether there is any counts.
+    pub fn meaning(&self) -> String {
+        let EndpointRecord {
+            name,
+            born,
+            service,
+            address,
+            data_centre,
+            slots,
+            leaving,
+            cold,
+        } = self;
+        let is_cold = !cold.is_zero();
+        format!(
+            "{name:?} {born:?} {service:?} {address} {data_centre:?} {slots} {leaving} {is_cold}"
+        )
+    }
 }
 
 /// Whether an endpoint takes new work.
--- a/crates/core/src/gateway/reader.rs
+++ b/crates/core/src/gateway/reader.rs
@@ -20,6 +20,13 @@
 /// seconds within which changes must be in force suffices to read in its place.
 pub const READER_FRESH: Duration = Duration::from_millis(1_350);
 
+/// How long after a watch that told something the next one begins. The endpoints of a
+/// large fleet write a heartbeat every few milliseconds, and a watch that is begun at once
+/// is answered at once: 55 calls a second of two watchers before 67 endpoints. With this
+/// pause two make 10, whatever the number of endpoints, and a change is heard of 0.2 s
+/// late at the most, a tenth of the tightest bound within which one must be in force.
+pub const WATCH_PAUSE: Duration = Duration::from_millis(200);
+
 /// How often an instance that does not watch looks whether it must.
 const LISTEN_LOOK: Duration = Duration::from_millis(100);
 
@@ -117,6 +124,12 @@
         self.pause_until = Time::ZERO;
     }
 
+    /// Notes that a watch told something; returns whether the store was away before.
+    pub fn on_changes(&mut self, now: Time) -> bool {
+        self.pause_until = now + WATCH_PAUSE;
+        self.on_answer(now)
+    }
+
     /// Notes that a call was answered; returns whether the store was away before.
     pub fn on_answer(&mut self, now: Time) -> bool {
         let was_away = self.failures > 0;
--- a/crates/core/src/gateway/replica.rs
+++ b/crates/core/src/gateway/replica.rs
@@ -4,7 +4,14 @@
 //! any order and more than once. Each key keeps the highest revision, so that a
 //! late page, a stale read or a peer that lags never brings back what was
 //! replaced. That is the whole of the rule that a configuration never steps back.
+//!
+//! Endpoints write their entries anew with each heartbeat, 56 times a second where 67
+//! of them do so every 1.2 s. Only what changes the meaning of a record is news: it is
+//! told to peers and wakes whoever waits. What goes wrong otherwise: every instance asks
+//! a peer, over a connection of its own, for records in which nothing changed but their
+//! time, some fifty times a second.
 
+use crate::ids::stable_hash;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
@@ -30,6 +37,35 @@
     }
 }
 
+/// What a record means, as a hash: equal for two records of one key that differ in
+/// nothing but a heartbeat.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Mark(u64);
+
+impl Mark {
+    /// The mark of a record that is removed, or that does not concern this product.
+    pub const NOTHING: Mark = Mark(0);
+
+    /// Returns the mark of a record that means `parts`.
+    pub fn of(key: &str, parts: &[&[u8]]) -> Self {
+        Mark(stable_hash(&[
+            key.as_bytes(),
+            &stable_hash(parts).to_le_bytes(),
+        ]))
+    }
+}
+
+/// What a record that arrives is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Applied {
+    /// Its key is known at this revision or a later one.
+    Old,
+    /// It means what is known already.
+    Heartbeat,
+    /// It means something else than what was known.
+    News,
+}
+
 /// What one instance tells another of the store.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct News {
@@ -41,10 +77,21 @@
     pub records: Vec<Record>,
 }
 
+/// A record as it was written last.
+#[derive(Clone, Debug)]
+struct Known {
+    record: Record,
+    mark: Mark,
+    /// The revision at which its meaning changed last, as far as this replica saw.
+    changed: u64,
+}
+
 /// All records known.
 #[derive(Clone, Debug, Default)]
 pub struct Replica {
-    records: BTreeMap<String, Record>,
+    records: BTreeMap<String, Known>,
+    /// The marks of all records together.
+    digest: u64,
     removed: usize,
     revision: u64,
     /// From here on every change was seen, removals included.
@@ -62,42 +109,72 @@
         self.revision == 0
     }
 
+    /// Returns a hash of the meaning of all records: equal where two replicas say the same,
+    /// however many heartbeats lie between their revisions.
+    pub fn digest(&self) -> u64 {
+        self.digest
+    }
+
     /// Returns what a peer needs that knows everything up to `after`: the changes since,
     /// if this replica saw all of them, and else everything.
     pub fn news_for(&self, after: u64) -> News {
-        let whole = after < self.complete_since;
-        let floor = if whole { 0 } else { after };
-        let records = self.records.values();
         News {
             revision: self.revision,
-            whole,
-            records: records.filter(|it| it.revision > floor).cloned().collect(),
+            whole: after < self.complete_since,
+            records: self.changed_since(after).cloned().collect(),
         }
     }
 
     /// Returns about how many bytes [`Replica::news_for`] `after` holds.
     pub fn news_size(&self, after: u64) -> usize {
-        let floor = if after < self.complete_since {
-            0
-        } else {
-            after
-        };
-        let news = self.records.values().filter(|it| it.revision > floor);
-        news.map(Record::size).sum()
+        self.changed_since(after).map(Record::size).sum()
+    }
+
+    /// Returns the records whose meaning changed above `after`, or all of them if this
+    /// replica may have missed some.
+    fn changed_since(&self, after: u64) -> impl Iterator<Item = &Record> {
+        let whole = after < self.complete_since;
+        let floor = if whole { 0 } else { after };
+        let known = self.records.values();
+        known
+            .filter(move |it| it.changed > floor)
+            .map(|it| &it.record)
     }
 
-    /// Takes a record in; returns whether it is news.
-    pub fn apply(&mut self, record: Record) -> bool {
-        if let Some(known) = self.records.get(&record.key) {
-            if known.revision >= record.revision {
-                return false;
-            }
-            self.removed -= usize::from(known.value.is_none());
+    /// Returns whether a record is newer than what is known of its key.
+    pub fn is_newer(&self, record: &Record) -> bool {
+        let known = self.records.get(&record.key);
+        known.is_none_or(|known| known.record.revision < record.revision)
+    }
+
+    /// Takes a record in, which means `mark`.
+    pub fn apply(&mut self, record: Record, mark: Mark) -> Applied {
+        if !self.is_newer(&record) {
+            return Applied::Old;
         }
+        let before = self.records.get(&record.key);
+        let was_removed = before.is_none_or(|it| it.record.value.is_none());
+        let old_mark = before.map_or(Mark::NOTHING, |it| it.mark);
+        let is_heartbeat = match before {
+            Some(it) => it.mark == mark && it.record.value.is_none() == record.value.is_none(),
+            // It does not concern this product.
+            None => mark == Mark::NOTHING && record.value.is_some(),
+        };
+        let changed = before.filter(|_| is_heartbeat).map(|it| it.changed);
+        self.removed -= usize::from(before.is_some() && was_removed);
         self.removed += usize::from(record.value.is_none());
-        self.records.insert(record.key.clone(), record);
+        self.digest ^= old_mark.0 ^ mark.0;
+        let known = Known {
+            mark,
+            changed: changed.unwrap_or(record.revision),
+            record,
+        };
+        self.records.insert(known.record.key.clone(), known);
         self.forget_old_removals();
-        true
+        match is_heartbeat {
+            true => Applied::Heartbeat,
+            false => Applied::News,
+        }
     }
 
     /// Notes that everything up to `revision` is known.
@@ -113,22 +190,18 @@
 
     /// Ends a read of everything, which began at revision `began`.
     ///
-    /// Returns the removals that follow: keys that were written no later than
-    /// `began` and that `seen` does not name are gone. A key written later may
+    /// Returns the removals that follow: keys that were written before `began` and that
+    /// `seen` does not name are gone. A key written later may
     /// have missed the pages, so it stays; the watch tells what became of it.
     pub fn missing_from(&self, seen: &BTreeMap<String, ()>, began: u64) -> Vec<Record> {
-        let known = self.records.values();
+        let known = self.records.values().map(|it| &it.record);
         known
-            .filter(|it| it.value.is_some() && it.revision <= began && !seen.contains_key(&it.key))
+            .filter(|it| it.value.is_some() && it.revision < began && !seen.contains_key(&it.key))
             .map(|it| Record {
                 key: it.key.clone(),
                 revision: began,
                 value: None,
             })
-            .filter(|removal| {
-                let known = &self.records[&removal.key];
-                known.revision < removal.revision
-            })
             .collect()
     }
 
@@ -136,16 +209,14 @@
         if self.removed <= MAX_REMOVED {
             return;
         }
-        let removed = self.records.values().filter(|it| it.value.is_none());
+        let records = self.records.values().map(|it| &it.record);
+        let removed = records.filter(|it| it.value.is_none());
         let mut revisions: Vec<u64> = removed.map(|it| it.revision).collect();
         revisions.sort_unstable();
         let floor = revisions[revisions.len() / 2];
-        self.records
-            .retain(|_, it| it.value.is_some() || it.revision > floor);
-        self.removed = self
-            .records
-            .values()
-            .filter(|it| it.value.is_none())
-            .count();
+        let is_kept = |it: &Record| it.value.is_some() || it.revision > floor;
+        self.records.retain(|_, it| is_kept(&it.record));
+        let records = self.records.values();
+        self.removed = records.filter(|it| it.record.value.is_none()).count();
     }
 }
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -350,6 +350,7 @@
             incarnation: self.cfg.incarnation,
             address: self.cfg.address,
             revision: self.replica.revision(),
+            digest: self.replica.digest(),
             store_age_ms: self.store_age_ms(now),
             unsettled: self.reader.is_unsettled(now),
             stopping: self.stopping,
@@ -425,15 +426,18 @@
     /// now, drawn among those that know most.
     pub fn better_informed(&mut self, now: Time) -> Option<SocketAddrV4> {
         let watches = self.watches(now);
-        let own = self.replica.revision();
-        let able = self.catch_up.may_be_asked(now, &self.peers, own, watches);
+        let replica = &self.replica;
+        let able = self
+            .catch_up
+            .may_be_asked(now, &self.peers, replica, watches);
         able.choose(&mut self.rng).copied()
     }
 
     /// Notes whether a peer knows more of the store than this instance.
     pub fn note_behind(&mut self, now: Time) {
-        let own = self.replica.revision();
-        let behind = self.peers.live(now).any(|(_, peer)| peer.revision > own);
+        let replica = &self.replica;
+        let mut live = self.peers.live(now);
+        let behind = live.any(|(_, peer)| peer.knows_more_than(replica));
         self.catch_up.note(now, behind);
     }
 
--- a/crates/core/tests/gateway_catch_up.rs
+++ b/crates/core/tests/gateway_catch_up.rs
@@ -14,7 +14,7 @@
 use oriolemux_core::Time;
 use oriolemux_core::gateway::catch_up::{MAX_LARGE_TOLD, NotTold, OWN_READ_AFTER};
 use oriolemux_core::gateway::reader::Step;
-use oriolemux_core::gateway::{Bulletin, Gateway};
+use oriolemux_core::gateway::{Bulletin, Gateway, Mark, Record, Replica};
 use rstest::rstest;
 use std::net::SocketAddrV4;
 
@@ -32,6 +32,34 @@
 /// The revision of the change.
 const CHANGED: u64 = 9;
 
+/// The record that changes.
+fn change() -> (Record, Mark) {
+    let record = Record {
+        key: "catalogue".to_owned(),
+        revision: CHANGED,
+        value: Some(b"new".to_vec()),
+    };
+    let mark = Mark::of(&record.key, &[b"new"]);
+    (record, mark)
+}
+
+/// Lets an instance know the change.
+fn learn(one: &mut Gateway) {
+    let (record, mark) = change();
+    one.replica.apply(record, mark);
+    one.replica.reached(CHANGED);
+}
+
+/// What an instance knows at a revision, as a hash.
+fn digest_at(revision: u64) -> u64 {
+    let mut replica = Replica::default();
+    if revision >= CHANGED {
+        let (record, mark) = change();
+        replica.apply(record, mark);
+    }
+    replica.digest()
+}
+
 fn gateway(number: u8) -> Gateway {
     let mut gateway = gateway_at(number, address(number));
     gateway.reader.on_read(Time::ZERO);
@@ -42,6 +70,7 @@
 fn told(number: u8, revision: u64) -> Bulletin {
     Bulletin {
         revision,
+        digest: digest_at(revision),
         ..fixture::bulletin(number)
     }
 }
@@ -107,7 +136,7 @@
 
     fn inform(&mut self, index: usize) {
         let one = &mut self.instances[index];
-        one.replica.reached(CHANGED);
+        learn(one);
         one.reader.on_answer(self.now);
         one.note_behind(self.now);
         self.fetches[index] = Fetch::Nothing;
@@ -284,7 +313,7 @@
     let now = Time::from_secs(5);
     let mut one = gateway(1);
     one.hear(now, &told(2, CHANGED));
-    one.replica.reached(CHANGED);
+    learn(&mut one);
 
     one.note_behind(now + Duration::from_millis(20));
 
--- a/crates/core/tests/gateway_reader.rs
+++ b/crates/core/tests/gateway_reader.rs
@@ -111,6 +111,36 @@
     assert!(pauses[3] <= Duration::from_millis(500));
 }
 
+/// Symptom: two instances make 55 calls a second to the store before 67 endpoints.
+/// Sequence: each heartbeat of an endpoint ends a watch; the next one is begun at once, and
+/// ends with the next heartbeat. Cause: nothing parted the watches.
+#[test]
+fn the_calls_to_the_store_do_not_grow_with_the_endpoints() {
+    let calls_within_a_second = |heartbeats: u64| {
+        let mut one = gateway(1);
+        let mut now = Time::from_secs(1);
+        let ends = now + Duration::from_secs(1);
+        let gap = Duration::from_secs(1) / u32::try_from(heartbeats).expect("few");
+        one.reader.on_read(now);
+        let mut calls = 0;
+        while now < ends {
+            match one.next_step(now) {
+                Step::Pause(pause) => now += pause,
+                Step::Watch => {
+                    calls += 1;
+                    now += gap;
+                    one.reader.on_changes(now);
+                }
+                other => panic!("{other:?}"),
+            }
+        }
+        calls
+    };
+
+    assert!(calls_within_a_second(56) <= 5);
+    assert!(calls_within_a_second(600) <= 5);
+}
+
 #[test]
 fn entries_may_be_missing_during_an_outage_and_for_a_while_after_it() {
     let mut one = gateway(1);
@@ -227,6 +257,7 @@
         for peer in informed {
             let told = Bulletin {
                 revision: 9,
+                digest: 1,
                 ..bulletin(peer, 0)
             };
             one.hear(now, &told);
--- a/crates/core/tests/gateway_replica.rs
+++ b/crates/core/tests/gateway_replica.rs
@@ -1,6 +1,7 @@
 //! What is known of the store never steps back, however records arrive.
 
-use oriolemux_core::gateway::{Record, Replica};
+use core::time::Duration;
+use oriolemux_core::gateway::{Applied, EndpointRecord, Mark, Record, Replica};
 use proptest::prelude::*;
 use std::collections::BTreeMap;
 
@@ -12,6 +13,47 @@
     }
 }
 
+/// Takes in a record that means what it holds, and returns whether it is news.
+fn apply(replica: &mut Replica, record: Record) -> bool {
+    let mark = match &record.value {
+        Some(value) => Mark::of(&record.key, &[value]),
+        None => Mark::NOTHING,
+    };
+    replica.apply(record, mark) == Applied::News
+}
+
+/// The entry of an endpoint at one of its heartbeats.
+fn heartbeat(revision: u64, leaving: bool) -> (Record, Mark) {
+    let endpoint = EndpointRecord {
+        name: "e-1".to_owned(),
+        service: "model".to_owned(),
+        address: "10.0.0.1:80".parse().expect("an address"),
+        data_centre: "north".to_owned(),
+        slots: 24,
+        born: None,
+        leaving,
+        cold: Duration::ZERO,
+    };
+    let written = format!("{revision} heartbeats, leaving: {leaving}");
+    let record = record("e-1", revision, Some(&written));
+    let mark = Mark::of(&record.key, &[endpoint.meaning().as_bytes()]);
+    (record, mark)
+}
+
+/// Takes in what a peer told, as heartbeats of one endpoint.
+fn take(replica: &mut Replica, from: &Replica) {
+    let news = from.news_for(replica.revision());
+    for record in news.records {
+        let leaving = record
+            .value
+            .as_ref()
+            .is_some_and(|it| it.ends_with(b"true"));
+        let (_, mark) = heartbeat(record.revision, leaving);
+        replica.apply(record, mark);
+    }
+    replica.reached(news.revision);
+}
+
 fn known(replica: &Replica) -> BTreeMap<String, (u64, Option<Vec<u8>>)> {
     let news = replica.news_for(0);
     let records = news.records.into_iter();
@@ -25,11 +67,11 @@
 #[test]
 fn a_late_page_brings_nothing_back() {
     let mut replica = Replica::default();
-    assert!(replica.apply(record("config", 20, Some("new"))));
-    assert!(replica.apply(record("server", 21, None)));
+    assert!(apply(&mut replica, record("config", 20, Some("new"))));
+    assert!(apply(&mut replica, record("server", 21, None)));
 
-    assert!(!replica.apply(record("config", 10, Some("old"))));
-    assert!(!replica.apply(record("server", 11, Some("there"))));
+    assert!(!apply(&mut replica, record("config", 10, Some("old"))));
+    assert!(!apply(&mut replica, record("server", 11, Some("there"))));
 
     assert_eq!(known(&replica)["config"], (20, Some(b"new".to_vec())));
     assert_eq!(known(&replica)["server"], (21, None));
@@ -41,8 +83,8 @@
 #[test]
 fn what_was_written_during_a_read_is_not_missing() {
     let mut replica = Replica::default();
-    replica.apply(record("a", 5, Some("old")));
-    replica.apply(record("b", 12, Some("came during the read")));
+    apply(&mut replica, record("a", 5, Some("old")));
+    apply(&mut replica, record("b", 12, Some("came during the read")));
 
     let missing = replica.missing_from(&BTreeMap::new(), 10);
 
@@ -52,9 +94,9 @@
 #[test]
 fn a_peer_is_told_changes_only_if_all_of_them_were_seen() {
     let mut replica = Replica::default();
-    replica.apply(record("a", 5, Some("1")));
+    apply(&mut replica, record("a", 5, Some("1")));
     replica.read_whole(10);
-    replica.apply(record("b", 12, Some("2")));
+    apply(&mut replica, record("b", 12, Some("2")));
     replica.reached(12);
 
     let seen_all = replica.news_for(10);
@@ -66,6 +108,63 @@
     assert_eq!(too_old.records.len(), 2);
 }
 
+/// Symptom: every instance asks a peer for records some fifty times a second. Sequence:
+/// endpoints write their entries anew with each heartbeat; each is a new revision, which
+/// those that watch tell all others. Cause: a revision was taken for a change.
+#[test]
+fn a_heartbeat_alone_is_told_to_nobody() {
+    let mut watcher = Replica::default();
+    let mut follower = Replica::default();
+    let (record, mark) = heartbeat(1, false);
+    assert_eq!(watcher.apply(record, mark), Applied::News);
+    watcher.read_whole(1);
+    take(&mut follower, &watcher);
+
+    for revision in 2..100 {
+        let (record, mark) = heartbeat(revision, false);
+        assert_eq!(watcher.apply(record, mark), Applied::Heartbeat);
+        watcher.reached(revision);
+    }
+
+    assert!(watcher.revision() > follower.revision());
+    assert_eq!(watcher.digest(), follower.digest());
+    assert_eq!(watcher.news_for(follower.revision()).records, []);
+}
+
+#[test]
+fn what_changed_between_heartbeats_is_told_as_it_was_written_last() {
+    let mut watcher = Replica::default();
+    let mut follower = Replica::default();
+    let writes = (1..=9).map(|revision| heartbeat(revision, revision >= 5));
+    for (record, mark) in writes {
+        let revision = record.revision;
+        watcher.apply(record, mark);
+        watcher.read_whole(1);
+        watcher.reached(revision);
+        if revision == 3 {
+            take(&mut follower, &watcher);
+        }
+    }
+    let told = watcher.news_for(follower.revision());
+
+    take(&mut follower, &watcher);
+
+    assert_eq!(told.records, [heartbeat(9, true).0]);
+    assert_eq!(follower.digest(), watcher.digest());
+}
+
+#[test]
+fn what_was_removed_no_longer_counts() {
+    let mut replica = Replica::default();
+    apply(&mut replica, record("a", 1, Some("1")));
+    let with_one = replica.digest();
+    apply(&mut replica, record("b", 2, Some("2")));
+
+    apply(&mut replica, record("b", 3, None));
+
+    assert_eq!(replica.digest(), with_one);
+}
+
 proptest! {
     /// Whatever order records come in, and however often, the result is the same, and
     /// no key ever falls to a lower revision on the way.
@@ -84,18 +183,19 @@
             .collect();
         let mut straight = Replica::default();
         for record in &records {
-            straight.apply(record.clone());
+            apply(&mut straight, record.clone());
         }
         let mut mixed = Replica::default();
         for index in &order {
             let record = index.get(&records).clone();
             let before = known(&mixed).get(&record.key).map_or(0, |it| it.0);
-            mixed.apply(record.clone());
+            apply(&mut mixed, record.clone());
             prop_assert!(known(&mixed)[&record.key].0 >= before.max(record.revision));
         }
         for record in &records {
-            mixed.apply(record.clone());
+            apply(&mut mixed, record.clone());
         }
         prop_assert_eq!(known(&mixed), known(&straight));
+        prop_assert_eq!(mixed.digest(), straight.digest());
     }
 }
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -11,7 +11,7 @@
 use oriolemux_core::gateway::endpoints::EndpointRecord;
 use oriolemux_core::gateway::reader::CallFailure;
 use oriolemux_core::gateway::usage::ToldLoad;
-use oriolemux_core::gateway::{CatalogueSource, Record};
+use oriolemux_core::gateway::{CatalogueSource, Mark, Record};
 use std::net::SocketAddrV4;
 
 /// What the headers of a caller's request say.
@@ -136,6 +136,24 @@
     Unreadable(String),
 }
 
+impl Published {
+    /// Returns the mark of `record`, which means this.
+    pub fn mark(&self, record: &Record) -> Mark {
+        match self {
+            Published::Endpoint(endpoint) => {
+                Mark::of(&record.key, &[endpoint.meaning().as_bytes()])
+            }
+            Published::EndpointGone(_) | Published::Other => Mark::NOTHING,
+            Published::Catalogue(_)
+            | Published::EndpointUnreadable { .. }
+            | Published::Unreadable(_) => {
+                let value = record.value.as_deref().unwrap_or_default();
+                Mark::of(&record.key, &[value])
+            }
+        }
+    }
+}
+
 /// The names and formats of requests, answers and records.
 pub trait Wire: Clone + Send + Sync + 'static {
     /// Reads what a caller's headers say.
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -12,7 +12,7 @@
 use core::time::Duration;
 use oriolemux_core::gateway::CatalogueSource;
 use oriolemux_core::gateway::reader::{ANSWER_SLACK, CallFailure, Step, StoreReader, WATCH_WAIT};
-use oriolemux_core::gateway::replica::Record;
+use oriolemux_core::gateway::replica::{Applied, Record};
 use oriolemux_core::time::Time;
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -76,17 +76,22 @@
     let answer = store
         .watch(after, WATCH_WAIT, WATCH_WAIT + ANSWER_SLACK)
         .await;
+    let mut answered: fn(&mut StoreReader, Time) -> bool = StoreReader::on_answer;
     let result = answer.map(|changes| {
         if !changes.records.is_empty() {
-            cx.dirty.notify_one();
+            answered = StoreReader::on_changes;
         }
-        apply(cx, Source::Store, changes.records);
+        let has_news = apply(cx, Source::Store, changes.records);
         let now = cx.now();
         let mut state = cx.state();
         state.replica.reached(changes.revision);
         state.note_behind(now);
+        drop(state);
+        if has_news {
+            cx.dirty.notify_one();
+        }
     });
-    note(cx, result, StoreReader::on_answer);
+    note(cx, result, answered);
 }
 
 /// Takes the result of a call into account.
@@ -138,17 +143,22 @@
     }
 }
 
-/// Takes records in and does what follows from those that are news.
-pub fn apply<W: Wire>(cx: &Cx<W>, from: Source, records: Vec<Record>) {
+/// Takes records in and does what follows from those that are news; returns whether any is.
+pub fn apply<W: Wire>(cx: &Cx<W>, from: Source, records: Vec<Record>) -> bool {
     let mut left = Vec::new();
-    let mut changed = false;
+    let mut has_news = false;
     for record in records {
-        if !cx.state().replica.apply(record.clone()) {
+        if !cx.state().replica.is_newer(&record) {
+            continue;
+        }
+        let published = cx.wire.decode(&record);
+        let mark = published.mark(&record);
+        if cx.state().replica.apply(record.clone(), mark) != Applied::News {
             continue;
         }
-        changed = true;
+        has_news = true;
         let now = cx.now();
-        match cx.wire.decode(&record) {
+        match published {
             Published::Catalogue(source) => put_in_force(cx, from, source),
             Published::Endpoint(endpoint) => {
                 left.extend(cx.state().publish_endpoint(now, endpoint));
@@ -165,9 +175,10 @@
         }
     }
     cx.tell_leaving(&left);
-    if changed {
+    if has_news {
         cx.changed.notify_waiters();
     }
+    has_news
 }
 
 fn note_unreadable(record: &Record, why: &str) {
