--- a/crates/bench/src/policy/reclaim/carry.rs
+++ b/crates/bench/src/policy/reclaim/carry.rs
@@ -10,12 +10,11 @@
 use core::cmp::Reverse;
 use core::time::Duration;
 use oriolemux_core::gateway::Demand;
-use oriolemux_core::gateway::bulletin::PeerTable;
 use oriolemux_core::gateway::choose::{World, choose};
 use oriolemux_core::gateway::endpoints::EndpointTable;
 use oriolemux_core::gateway::lengths::{Length, LengthTable, expected_memory};
 use oriolemux_core::gateway::relocation::{GoOnFrom, Relocation, Step, View, silence_limit};
-use oriolemux_core::gateway::usage::UsageTable;
+use oriolemux_core::gateway::usage::{Others, UsageTable};
 use oriolemux_core::ids::EndpointKey;
 use oriolemux_core::time::Time;
 use rand::rngs::StdRng;
@@ -93,7 +92,8 @@
     engines: Engines,
     endpoints: EndpointTable,
     usage: UsageTable,
-    peers: PeerTable,
+    /// One instance serves all, so that there are none.
+    others: Others,
     lengths: LengthTable,
     generations: Vec<Generation>,
     asks: Vec<Ask>,
@@ -113,7 +113,7 @@
             engines: Engines::new(),
             endpoints: EndpointTable::default(),
             usage: UsageTable::default(),
-            peers: PeerTable::default(),
+            others: Others::default(),
             lengths: LengthTable::default(),
             generations: Vec::new(),
             asks,
@@ -251,7 +251,7 @@
             now,
             endpoints: &self.endpoints,
             usage: &self.usage,
-            peers: &self.peers,
+            others: &self.others,
             data_centre: "north",
         };
         (world, &mut self.rng)
@@ -378,7 +378,7 @@
             let target = one.ahead.or(one.standing);
             let quiet = target.is_some_and(|copy| {
                 let key = self.engines.all[copy.engine].key;
-                self.usage.of(now, key, &self.peers).unread == 0
+                self.usage.own(key).unread == 0
             });
             let view = View {
                 leaves_for: leaves.map(|since| now.since(since)),
--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -11,23 +11,31 @@
 //! | [`replica`] | what the store published, merged by revision from reads and peers |
 //! | [`endpoints`] | which endpoints exist, which of them leave, which are not trusted |
 //! | [`lengths`] | how long a generation will still be |
-//! | [`usage`] | what runs at each endpoint, own and told by peers |
+//! | [`usage`] | what this instance runs at each endpoint, and what others run as far as is known |
+//! | [`ask`] | what an entry asks of the home of a service's engines, and does without one |
+//! | [`home`] | what a home knows, and how it gives away the room of its engines |
 //! | [`queue`] | in which order requests that wait get room |
 //! | [`choose`] | the endpoint for a request, and the one that holds its standing copy |
 //! | [`relocation`] | when a generation leaves its engine, and which events its caller gets |
 //! | [`budget`] | how many repeats this instance may spend |
-//! | [`bulletin`] | what instances tell each other |
+//! | [`members`] | which instances there are |
+//! | [`gossip`] | what instances send each other, and how news reaches all |
+//! | [`beacons`] | what those say that watch the store, and who watches |
 //! | [`reader`] | when to read and watch the store |
 //! | [`catch_up`] | how an instance that missed something gets it |
 //! | [`state`] | all of the above behind one type |
 
+pub mod ask;
+pub mod beacons;
 pub mod budget;
-pub mod bulletin;
 pub mod catalogue;
 pub mod catch_up;
 pub mod choose;
 pub mod endpoints;
+pub mod gossip;
+pub mod home;
 pub mod lengths;
+pub mod members;
 pub mod queue;
 pub mod reader;
 pub mod relocation;
@@ -35,9 +43,9 @@
 pub mod state;
 pub mod usage;
 
-pub use bulletin::Bulletin;
 pub use catalogue::{Catalogue, CatalogueSource, EntryId, HttpEntry, Repeat, ServiceId};
 pub use choose::Demand;
 pub use endpoints::{Endpoint, EndpointRecord, EndpointState};
+pub use gossip::{Body, Datagram};
 pub use replica::{Applied, Mark, Record, Replica};
 pub use state::{Gateway, GatewayConfig};
--- /dev/null
+++ b/crates/core/src/gateway/ask.rs
@@ -0,0 +1,212 @@
+//! What an entry asks of the home of a service's engines, and what it does without one.
+//!
+//! A generation is placed by the *home* of its service: one instance, the same for all by
+//! rendezvous hashing, that knows what runs at each engine and who waits. The entry reports
+//! its whole use and all it waits for to the home and to the next in rank, so that a lost or
+//! doubled report does no harm, and the next in rank can decide at once when the home is gone.
+//! One placement costs a handful of datagrams, however many instances there are.
+//!
+//! A home that does not answer holds nobody up: the entry asks the next in rank and places by
+//! its own view meanwhile, from what it runs itself and what a home last told it. Both may
+//! then give away the same room, for as long as a report is under way.
+
+use super::choose::{CopyKind, NoPlace};
+use super::queue::Waiter;
+use super::usage::Others;
+use crate::ids::EndpointKey;
+use crate::time::Time;
+use core::time::Duration;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::net::SocketAddrV4;
+
+/// How long a home may take to answer. A round trip between data centres takes some 3 ms and
+/// the sender gathers changes for 2 ms; of 1,258 answers 4 in 100 took longer than this
+/// (86 instances, an eighth of a processor each).
+pub const HOME_PATIENCE: Duration = Duration::from_millis(25);
+
+/// How often an entry reports while it waits for a home that has not answered.
+pub const REPORT_AGAIN: Duration = Duration::from_millis(10);
+
+/// How often an entry reports while its requests wait for room.
+pub const REPORT_WAITING: Duration = Duration::from_millis(100);
+
+/// How long a home that said "wait" is believed without a word: two of its answers may be
+/// lost.
+const WAITING_PATIENCE: Duration = Duration::from_millis(300);
+
+/// How long a home that did not answer is passed over.
+const PASSED_OVER: Duration = Duration::from_millis(1_000);
+
+/// What a request wants at an engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Want {
+    /// A place; it waits for one.
+    Place,
+    /// A place at once, where nobody waits: it has an engine already.
+    Aside,
+    /// A place for a copy of what runs at `source`, at once.
+    Copy {
+        /// The engine at which the generation runs.
+        source: EndpointKey,
+        /// What the copy is for.
+        kind: CopyKind,
+    },
+}
+
+/// A request for a place.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Wish {
+    /// The request.
+    pub waiter: Waiter,
+    /// What it wants.
+    pub want: Want,
+    /// Endpoints that are not to be chosen, because they were tried.
+    pub exclude: Vec<EndpointKey>,
+}
+
+/// What a home decided about a wish.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Decision {
+    /// It has a place.
+    Granted(EndpointKey),
+    /// It has none and waits.
+    Waits(NoPlace),
+    /// It has none.
+    Denied(NoPlace),
+}
+
+/// What an entry goes by.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// A home decided.
+    Decided(Decision),
+    /// A home may still answer.
+    Asked,
+    /// No home answered in time: the entry decides by itself.
+    Unanswered,
+}
+
+#[derive(Clone, Debug)]
+struct Asked {
+    wish: Wish,
+    /// Since when a home may answer.
+    since: Time,
+    /// What it said last, and when.
+    said: Option<(Time, Decision)>,
+}
+
+/// All wishes of an entry that are open, and what it knows of homes.
+#[derive(Clone, Debug, Default)]
+pub struct AskTable {
+    asked: BTreeMap<u64, Asked>,
+    passed_over: BTreeMap<SocketAddrV4, Time>,
+    /// What others run, as a home told last, by service.
+    views: BTreeMap<u64, (Time, Others)>,
+}
+
+impl AskTable {
+    /// Takes a wish in.
+    pub fn enter(&mut self, now: Time, wish: Wish) {
+        let asked = Asked {
+            wish,
+            since: now,
+            said: None,
+        };
+        self.asked.insert(asked.wish.waiter.id, asked);
+    }
+
+    /// Takes a wish out, because it has what it wants or gave up.
+    pub fn leave(&mut self, id: u64) {
+        self.asked.remove(&id);
+    }
+
+    /// Returns the wishes for `service`.
+    pub fn of(&self, service: u64) -> impl Iterator<Item = &Wish> {
+        let asked = self.asked.values().map(|it| &it.wish);
+        asked.filter(move |it| it.waiter.service == service)
+    }
+
+    /// Returns whether a wish for `service` was not answered yet, if there are any.
+    pub fn is_unanswered(&self, service: u64) -> Option<bool> {
+        let asked = self.asked.values();
+        let mut of = asked
+            .filter(|it| it.wish.waiter.service == service)
+            .peekable();
+        of.peek()?;
+        Some(of.any(|it| it.said.is_none()))
+    }
+
+    /// Returns whether any wish was not answered yet.
+    pub fn any_unanswered(&self) -> bool {
+        self.asked.values().any(|it| it.said.is_none())
+    }
+
+    /// Returns the services for which wishes are open.
+    pub fn services(&self) -> impl Iterator<Item = u64> {
+        self.asked.values().map(|it| it.wish.waiter.service)
+    }
+
+    /// Returns whether a home is passed over at the moment.
+    pub fn is_passed_over(&self, now: Time, home: SocketAddrV4) -> bool {
+        self.passed_over
+            .get(&home)
+            .is_some_and(|&until| now < until)
+    }
+
+    /// Passes over a home that did not answer.
+    pub fn pass_over(&mut self, now: Time, home: SocketAddrV4) {
+        self.passed_over.retain(|_, until| now < *until);
+        self.passed_over.insert(home, now + PASSED_OVER);
+    }
+
+    /// Returns what an open wish goes by.
+    pub fn verdict(&self, now: Time, id: u64) -> Verdict {
+        let Some(asked) = self.asked.get(&id) else {
+            return Verdict::Unanswered;
+        };
+        match asked.said {
+            Some((at, Decision::Waits(_))) if now.since(at) >= WAITING_PATIENCE => {
+                Verdict::Unanswered
+            }
+            Some((_, decision)) => Verdict::Decided(decision),
+            None if now.since(asked.since) >= HOME_PATIENCE => Verdict::Unanswered,
+            None => Verdict::Asked,
+        }
+    }
+
+    /// Asks anew for a wish that was not answered, or was given what cannot be taken.
+    pub fn ask_again(&mut self, now: Time, id: u64) {
+        if let Some(asked) = self.asked.get_mut(&id) {
+            asked.since = now;
+            asked.said = None;
+        }
+    }
+
+    /// Takes in what a home decided about a wish.
+    pub fn hear(&mut self, now: Time, id: u64, decision: Decision) {
+        let Some(asked) = self.asked.get_mut(&id) else {
+            return;
+        };
+        // What was granted stays granted: the home keeps the room until it hears of it.
+        if !matches!(asked.said, Some((_, Decision::Granted(_)))) {
+            asked.said = Some((now, decision));
+        }
+    }
+
+    /// Takes in what others run at the engines of a service.
+    pub fn set_view(&mut self, now: Time, service: u64, others: Others) {
+        self.views.insert(service, (now, others));
+    }
+
+    /// Returns what others run at the engines of a service, as a home told last.
+    pub fn view(&self, service: u64) -> Option<&Others> {
+        self.views.get(&service).map(|(_, others)| others)
+    }
+
+    /// Returns the same if it is at most so old.
+    pub fn fresh_view(&self, now: Time, service: u64, age: Duration) -> Option<&Others> {
+        let (at, others) = self.views.get(&service)?;
+        (now.since(*at) <= age).then_some(others)
+    }
+}
--- a/crates/core/src/gateway/catch_up.rs
+++ b/crates/core/src/gateway/catch_up.rs
@@ -1,11 +1,10 @@
 //! How an instance that knows less of the store than its peers gets what it missed.
 //!
-//! Most instances do not watch the store; they hear from bulletins that a peer knows
-//! more, and ask. A change may be large (a catalogue of some thousand entries takes a
+//! Most instances do not watch the store; they hear that a peer knows more, and ask. A change may be large (a catalogue of some thousand entries takes a
 //! megabyte) and the links of instances are small, so that nobody can tell it to all.
 //! What goes wrong otherwise: all ask the same peer, its link carries the change to
 //! nobody in the time that each allows, what arrived is thrown away and asked for
-//! again. The catalogue in force stays old for as long as that lasts, and the bulletins
+//! again. The catalogue in force stays old for as long as that lasts, and the datagrams
 //! of the peer that is asked wait behind its answers, so that it counts as gone.
 //!
 //! Three rules prevent it, and each holds alone:
@@ -17,8 +16,6 @@
 //!
 //! `docs/design/platform.md` has the figures.
 
-use super::bulletin::{Peer, PeerTable};
-use super::replica::Replica;
 use crate::time::Time;
 use core::time::Duration;
 use std::collections::BTreeMap;
@@ -28,6 +25,10 @@
 /// watches the store itself, after this time.
 const BEHIND_AFTER: Duration = Duration::from_millis(150);
 
+/// An instance that heard of a change only from those that watch gives so much time to a
+/// peer nearer to it, so that two instances are not asked by all others at once.
+const NEAR_FIRST: Duration = Duration::from_millis(60);
+
 /// An instance that is behind for so long reads the store itself, whatever its peers do.
 /// Small changes take some 10 ms from peer to peer. A quarter of the tightest bound
 /// within which a change must be in force.
@@ -50,6 +51,19 @@
 /// How long a peer whose answer did not arrive is not asked again, on average.
 const FAILED_PAUSE: Duration = Duration::from_secs(1);
 
+/// A peer that knows more of the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Teller {
+    /// Where it answers.
+    pub address: SocketAddrV4,
+    /// The revision that it knows.
+    pub revision: u64,
+    /// What that comes to.
+    pub digest: u64,
+    /// Whether it said so itself to this instance, and not to all.
+    pub is_near: bool,
+}
+
 /// Why a peer that knows more did not tell it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum NotTold {
@@ -100,33 +114,26 @@
     }
 
     /// Returns the peers that may be asked: of those that are not passed over, the ones
-    /// that know most. An instance that watches the store gives it some time first.
-    pub fn may_be_asked(
-        &self,
-        now: Time,
-        peers: &PeerTable,
-        replica: &Replica,
-        watches: bool,
-    ) -> Vec<SocketAddrV4> {
+    /// that know what the best of them knows. An instance that watches the store gives it
+    /// some time first.
+    pub fn may_be_asked(&self, now: Time, better: &[Teller], watches: bool) -> Vec<SocketAddrV4> {
         let Some(since) = self.behind_since else {
             return Vec::new();
         };
-        if watches && now.since(since) < BEHIND_AFTER {
+        let behind_for = now.since(since);
+        if watches && behind_for < BEHIND_AFTER {
             return Vec::new();
         }
-        let passed_over = |address: &SocketAddrV4| {
-            let until = self.passed_over.get(address);
-            until.is_some_and(|&until| now < until)
-        };
-        let able = |(address, peer): &(SocketAddrV4, &Peer)| {
-            peer.knows_more_than(replica) && !passed_over(address)
+        let is_able = |it: &&Teller| {
+            let until = self.passed_over.get(&it.address);
+            let is_passed_over = until.is_some_and(|&until| now < until);
+            !is_passed_over && (it.is_near || behind_for >= NEAR_FIRST)
         };
-        let best = peers.live(now).filter(able).map(|(_, it)| it.revision);
-        let Some(best) = best.max() else {
+        let able = || better.iter().filter(is_able);
+        let Some(best) = able().max_by_key(|it| it.revision) else {
             return Vec::new();
         };
-        let peers = peers.live(now).filter(able);
-        let peers = peers.filter(|(_, peer)| peer.revision == best);
-        peers.map(|(address, _)| address).collect()
+        let same = able().filter(|it| it.digest == best.digest);
+        same.map(|it| it.address).collect()
     }
 }
--- a/crates/core/src/gateway/choose.rs
+++ b/crates/core/src/gateway/choose.rs
@@ -1,16 +1,16 @@
 //! The endpoint for a request, and the one that holds its standing copy.
 //!
-//! Every instance chooses by itself, from its own use and from what peers told
-//! some tens of milliseconds ago (`docs/design/platform.md`, "Local choice").
-//! An engine is chosen by the memory and the prompts that wait before it, a
+//! Where a plain endpoint is wanted, or no home answers, each instance chooses by itself, from
+//! its own use and from what it was told; the home of a service chooses engines from what all
+//! of them report (`docs/design/platform.md`). An engine is chosen by the memory and the prompts that wait before it, a
 //! plain endpoint by its queue.
 
-use super::bulletin::{PeerTable, Used};
 use super::catalogue::EngineLimits;
 use super::endpoints::{Endpoint, EndpointState, EndpointTable};
-use super::usage::UsageTable;
+use super::usage::{Others, UsageTable, Used};
 use crate::ids::EndpointKey;
 use crate::time::Time;
+use serde::{Deserialize, Serialize};
 
 /// The share of an engine's memory that is given away. What generations take is
 /// an estimate; an engine that runs out preempts one and reads its prompt again. With 66
@@ -91,22 +91,24 @@
     pub now: Time,
     /// All endpoints.
     pub endpoints: &'a EndpointTable,
-    /// What runs where.
+    /// What this instance runs where.
     pub usage: &'a UsageTable,
-    /// What peers run.
-    pub peers: &'a PeerTable,
+    /// What others run.
+    pub others: &'a Others,
     /// The data centre of this instance.
     pub data_centre: &'a str,
 }
 
 impl World<'_> {
     fn used(self, endpoint: &Endpoint) -> Used {
-        self.usage.of(self.now, endpoint.key, self.peers)
+        self.usage
+            .own(endpoint.key)
+            .and(self.others.of(endpoint.key))
     }
 }
 
 /// Why there is no endpoint for a request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum NoPlace {
     /// There is none, or all that there are fail or leave.
     NoEndpoint,
@@ -151,14 +153,15 @@
 
 /// The room at all engines of a service, as it is given away in turn.
 #[derive(Clone, Debug)]
-pub(super) struct Seats {
+pub(super) struct Seats<'a> {
     limits: EngineLimits,
-    engines: Vec<Seat>,
+    engines: Vec<Seat<'a>>,
 }
 
 #[derive(Clone, Copy, Debug)]
-struct Seat {
+struct Seat<'a> {
     key: EndpointKey,
+    data_centre: &'a str,
     used: Used,
     /// What the state of the engine costs beside its load.
     state_cost: f64,
@@ -166,44 +169,46 @@
     is_kept: bool,
 }
 
-/// Returns the room at the engines that `demand` may go to, those that it has tried
-/// included.
+/// Returns the room at the engines that `demand` may go to.
 ///
 /// # Errors
 ///
 /// Returns why there is no engine.
-pub(super) fn seats(world: World<'_>, demand: &Demand<'_>) -> Result<Seats, NoPlace> {
+pub(super) fn seats<'a>(world: World<'a>, demand: &Demand<'_>) -> Result<Seats<'a>, NoPlace> {
     let limits = demand.engine.ok_or(NoPlace::NoEndpoint)?;
-    let anywhere = Demand {
-        exclude: &[],
-        ..*demand
-    };
     let trusted = |endpoint: &Endpoint| !endpoint.is_ejected(world.now);
-    let engines: Vec<Seat> = candidates(world, &anywhere, trusted)
+    let engines: Vec<Seat<'_>> = candidates(world, demand, trusted)
         .map(|endpoint| Seat {
             key: endpoint.key,
+            data_centre: &endpoint.record.data_centre,
             used: world.used(endpoint),
             state_cost: state_cost(world, endpoint, 0.0),
             is_kept: false,
         })
         .collect();
-    if engines
-        .iter()
-        .all(|seat| demand.exclude.contains(&seat.key))
-    {
+    if engines.is_empty() {
         return Err(NoPlace::NoEndpoint);
     }
     Ok(Seats { limits, engines })
 }
 
-impl Seats {
-    /// Gives room to a request at the engine with the least cost, and returns it.
+impl Seats<'_> {
+    /// Gives room to a request from `data_centre` at the engine with the least cost, and
+    /// returns it.
+    ///
+    /// # Errors
+    ///
+    /// Returns why there is none.
     pub(super) fn give(
         &mut self,
         tokens: u32,
         prompt: u32,
+        data_centre: &str,
         exclude: &[EndpointKey],
-    ) -> Option<EndpointKey> {
+    ) -> Result<EndpointKey, NoPlace> {
+        if self.engines.iter().all(|it| exclude.contains(&it.key)) {
+            return Err(NoPlace::NoEndpoint);
+        }
         let limits = self.limits;
         let fitting = self.engines.iter_mut().filter(|seat| {
             !seat.is_kept
@@ -211,17 +216,25 @@
                 && seat.used.unread < MAX_UNREAD
                 && fits(seat.used, tokens, limits, MEMORY_SHARE)
         });
-        let cost = |seat: &Seat| engine_cost(seat.used, limits) + seat.state_cost;
-        let seat = fitting.min_by(|a, b| cost(a).total_cmp(&cost(b)))?;
+        let cost = |seat: &Seat<'_>| {
+            let away = if seat.data_centre == data_centre {
+                0.0
+            } else {
+                AWAY_COST
+            };
+            engine_cost(seat.used, limits) + seat.state_cost + away
+        };
+        let seat = fitting.min_by(|a, b| cost(a).total_cmp(&cost(b)));
+        let seat = seat.ok_or(NoPlace::Full)?;
         seat.used.running = seat.used.running.saturating_add(1);
         seat.used.tokens = seat.used.tokens.saturating_add(tokens);
         seat.used.unread = seat.used.unread.saturating_add(prompt);
-        Some(seat.key)
+        Ok(seat.key)
     }
 
     /// Keeps the engine with the most room for a request that fits nowhere yet.
     pub(super) fn keep_largest(&mut self) {
-        let taken = |seat: &Seat| seat.used.tokens.saturating_add(seat.used.copied);
+        let taken = |seat: &Seat<'_>| seat.used.tokens.saturating_add(seat.used.copied);
         let free = self.engines.iter_mut().filter(|seat| !seat.is_kept);
         if let Some(seat) = free.min_by_key(|seat| taken(seat)) {
             seat.is_kept = true;
@@ -230,7 +243,7 @@
 }
 
 /// What a copy is for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum CopyKind {
     /// It is kept up to date as the generation grows, in case its engine leaves.
     Standing,
@@ -290,17 +303,17 @@
 /// entry. It looks empty, draws all copies to itself, and the generations that lean on
 /// them are lost with their engines. Whoever had work there has seen it fail, and says so.
 fn keeps_copies(world: World<'_>, endpoint: &Endpoint) -> bool {
-    let failing = endpoint.is_failing() || world.peers.any_fails(world.now, endpoint.key);
+    let failing = endpoint.is_failing() || world.others.failing.contains(&endpoint.key);
     !failing && !endpoint.is_ejected(world.now)
 }
 
 /// Returns the endpoints that may be chosen; those that are not `trusted` only if
 /// there are no others.
-fn candidates<'a>(
-    world: World<'a>,
-    demand: &'a Demand<'a>,
-    trusted: impl Fn(&Endpoint) -> bool + 'a,
-) -> impl Iterator<Item = &'a Endpoint> + 'a {
+fn candidates<'w>(
+    world: World<'w>,
+    demand: &Demand<'_>,
+    trusted: impl Fn(&Endpoint) -> bool,
+) -> impl Iterator<Item = &'w Endpoint> {
     let fitting = move |endpoint: &&Endpoint| {
         endpoint.takes_work()
             && endpoint.record.service == demand.service
--- /dev/null
+++ b/crates/core/src/gateway/gossip.rs
@@ -0,0 +1,260 @@
+//! What instances send each other, and how news reaches all of them.
+//!
+//! News is told at once to a few peers that are drawn, who tell it on when they first hear
+//! it, and again with probes and their answers. Each instance tells each item a bounded
+//! number of times, so that its traffic grows with the number of changes and the logarithm of
+//! the fleet. News that is lost all the same is found by comparing digests. This is the push
+//! part of Plumtree and of SWIM's dissemination; `docs/design/large-fleets.md` has figures.
+
+use super::beacons::Beacon;
+use super::home::{Answer, Report};
+use super::members::Update;
+use crate::ids::EndpointKey;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::net::SocketAddrV4;
+
+/// The version of these messages and of [`News`](super::replica::News). Messages of another
+/// one are dropped and counted: while a fleet is updated, instances of both versions serve
+/// side by side, each with the peers of its own.
+pub const GOSSIP_VERSION: u8 = 6;
+
+/// Peers that are told news at once. With three of them 94 in 100 instances hear it in the
+/// first wave, within as many hops as the logarithm of the fleet.
+pub const FAN_OUT: usize = 3;
+
+/// How often one instance tells an item in all, beside the logarithm of the fleet.
+const TELLS: u32 = 4;
+
+/// How often one instance tells a beacon. The next one comes soon.
+const BEACON_TELLS: u32 = 4;
+
+/// Items of each kind in one datagram, so that it stays within one packet of 1,400 bytes.
+const MAX_ITEMS: usize = 24;
+
+/// News, as it travels.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Items {
+    /// What changed among the instances.
+    pub members: Vec<Update>,
+    /// Endpoints that leave.
+    pub leaving: Vec<EndpointKey>,
+    /// What those say that watch the store.
+    pub beacons: Vec<Beacon>,
+}
+
+impl Items {
+    /// Returns whether there is nothing.
+    pub fn is_empty(&self) -> bool {
+        self.members.is_empty() && self.leaving.is_empty() && self.beacons.is_empty()
+    }
+}
+
+/// One datagram between instances.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Datagram {
+    /// [`GOSSIP_VERSION`].
+    pub version: u8,
+    /// Tells deployments apart that share a network.
+    pub deployment: u64,
+    /// What the sender says of itself.
+    pub from: Update,
+    /// The store's revision up to which the sender knows everything.
+    pub revision: u64,
+    /// What that comes to, see [`Replica::digest`](super::replica::Replica::digest).
+    pub digest: u64,
+    /// What it is about.
+    pub body: Body,
+}
+
+impl Datagram {
+    /// Returns the revisions and digests of the store that it says somebody knows.
+    pub fn claims(&self) -> impl Iterator<Item = (u64, u64)> {
+        let news = match &self.body {
+            Body::Probe { news, .. } | Body::Ack { news, .. } | Body::News(news) => Some(news),
+            _ => None,
+        };
+        let beacons = news.into_iter().flat_map(|it| &it.beacons);
+        let beacons = beacons.map(|it| (it.revision, it.digest));
+        [(self.revision, self.digest)].into_iter().chain(beacons)
+    }
+}
+
+/// What a datagram is about.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Body {
+    /// Asks for an answer.
+    Probe {
+        /// Names the probe.
+        number: u64,
+        /// A hash of who takes part, as the sender believes.
+        members: u64,
+        /// News.
+        news: Items,
+    },
+    /// Answers a probe.
+    Ack {
+        /// The probe's name.
+        number: u64,
+        /// A hash of who takes part, as the sender believes; nothing if the answer is passed
+        /// on for another instance.
+        members: Option<u64>,
+        /// News.
+        news: Items,
+    },
+    /// Asks to probe another instance in the sender's place.
+    ProbeFor {
+        /// The sender's name of its probe.
+        number: u64,
+        /// Whom to probe.
+        target: SocketAddrV4,
+    },
+    /// News.
+    News(Items),
+    /// Asks for all instances.
+    AskMembers,
+    /// Instances that take part.
+    Members(Vec<Update>),
+    /// What an entry tells a home.
+    Report(Report),
+    /// What a home answers.
+    Answer(Answer),
+}
+
+impl Body {
+    /// Returns a probe that tells what is `doubted` of its target.
+    pub fn probe(number: u64, members: u64, doubted: Option<Update>) -> Self {
+        let news = Items {
+            members: doubted.into_iter().collect(),
+            ..Items::default()
+        };
+        Body::Probe {
+            number,
+            members,
+            news,
+        }
+    }
+
+    /// Returns the answer to a probe that was made in another's place.
+    pub fn relayed_ack(number: u64) -> Self {
+        Body::Ack {
+            number,
+            members: None,
+            news: Items::default(),
+        }
+    }
+
+    /// Tells an instance what is believed of it, so that it can refute that.
+    pub fn accuse(believed: Update) -> Self {
+        Body::News(Items {
+            members: vec![believed],
+            ..Items::default()
+        })
+    }
+
+    /// Returns the news that it carries along.
+    pub fn news_mut(&mut self) -> Option<&mut Items> {
+        match self {
+            Body::Probe { news, .. } | Body::Ack { news, .. } => Some(news),
+            _ => None,
+        }
+    }
+
+    /// Returns a word for its purpose, by which bytes are counted.
+    pub const fn purpose(&self) -> &'static str {
+        match self {
+            Body::Probe { .. } | Body::Ack { .. } | Body::ProbeFor { .. } => "probes",
+            Body::News(_) => "news",
+            Body::AskMembers | Body::Members(_) => "members",
+            Body::Report(_) => "placement_reports",
+            Body::Answer(_) => "placement_answers",
+        }
+    }
+}
+
+/// An item, and how often it is still told.
+#[derive(Clone, Copy, Debug)]
+struct Told<T> {
+    item: T,
+    left: u32,
+    is_new: bool,
+}
+
+/// News that this instance still tells.
+#[derive(Clone, Debug, Default)]
+pub struct Outbox {
+    members: BTreeMap<SocketAddrV4, Told<Update>>,
+    leaving: BTreeMap<EndpointKey, Told<EndpointKey>>,
+    beacons: BTreeMap<SocketAddrV4, Told<Beacon>>,
+}
+
+impl Outbox {
+    /// Takes in what changed about an instance, among so many.
+    pub fn add_member(&mut self, update: Update, instances: usize) {
+        let told = Told::new(update, tells(instances));
+        self.members.insert(update.address, told);
+    }
+
+    /// Takes in that an endpoint leaves, among so many instances.
+    pub fn add_leaving(&mut self, endpoint: EndpointKey, instances: usize) {
+        let told = Told::new(endpoint, tells(instances));
+        self.leaving.insert(endpoint, told);
+    }
+
+    /// Takes in what an instance says that watches the store.
+    pub fn add_beacon(&mut self, beacon: Beacon) {
+        let told = Told::new(beacon, BEACON_TELLS);
+        self.beacons.insert(beacon.origin, told);
+    }
+
+    /// Returns whether something was never told.
+    pub fn has_new(&self) -> bool {
+        any_new(&self.members) || any_new(&self.leaving) || any_new(&self.beacons)
+    }
+
+    /// Returns what is told now to so many peers; the newest first.
+    pub fn take(&mut self, peers: u32) -> Items {
+        Items {
+            members: take(&mut self.members, peers),
+            leaving: take(&mut self.leaving, peers),
+            beacons: take(&mut self.beacons, peers),
+        }
+    }
+}
+
+impl<T> Told<T> {
+    fn new(item: T, left: u32) -> Self {
+        Told {
+            item,
+            left,
+            is_new: true,
+        }
+    }
+}
+
+/// Returns how often one of so many instances tells an item.
+fn tells(instances: usize) -> u32 {
+    TELLS + instances.max(1).ilog2()
+}
+
+fn any_new<K, T>(told: &BTreeMap<K, Told<T>>) -> bool {
+    told.values().any(|it| it.is_new)
+}
+
+fn take<K: Ord + Copy, T: Copy>(told: &mut BTreeMap<K, Told<T>>, peers: u32) -> Vec<T> {
+    let mut keys: Vec<(u32, K)> = told.iter().map(|(key, it)| (it.left, *key)).collect();
+    keys.sort_by_key(|(left, _)| core::cmp::Reverse(*left));
+    keys.truncate(MAX_ITEMS);
+    let mut items = Vec::with_capacity(keys.len());
+    for (_, key) in keys {
+        if let Some(it) = told.get_mut(&key) {
+            it.is_new = false;
+            it.left = it.left.saturating_sub(peers);
+            items.push(it.item);
+            if it.left == 0 {
+                told.remove(&key);
+            }
+        }
+    }
+    items
+}
--- /dev/null
+++ b/crates/core/src/gateway/home.rs
@@ -0,0 +1,397 @@
+//! What the home of a service's engines knows, and how it gives away their room.
+//!
+//! Entries report what they run and what they wait for ([`ask`](super::ask)). The home keeps
+//! the last report of each, works out who is next ([`queue`](super::queue)) and reserves what
+//! it grants until the entry's next report shows it. An entry that falls silent is forgotten
+//! after a second, with its use, its wishes and its reservations: a frozen instance must hold
+//! nobody up for longer.
+
+use super::ask::{Decision, Want, Wish};
+use super::catalogue::EngineLimits;
+use super::choose::{CopyKind, Demand, NoPlace, World, choose, choose_copy};
+use super::endpoints::EndpointTable;
+use super::queue::{MAX_WAITING, Waiter, Waiting, assign};
+use super::usage::{Others, UsageTable, Used};
+use crate::ids::{EndpointKey, Incarnation};
+use crate::time::Time;
+use core::time::Duration;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::net::SocketAddrV4;
+
+/// How often an entry reports that has something at the engines of a service, though nothing
+/// changed.
+pub const REPORT_INTERVAL: Duration = Duration::from_millis(400);
+
+/// How long the word of an entry is believed: two reports in a row may be lost.
+pub const REPORT_FRESH: Duration = Duration::from_millis(1_000);
+
+/// How often one entry is told what others run. It goes by that only where no home answers.
+const VIEW_INTERVAL: Duration = Duration::from_millis(250);
+
+/// A wish as it travels.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Wished {
+    /// The request.
+    pub waiting: Waiting,
+    /// What it wants.
+    pub want: Want,
+    /// Endpoints that are not to be chosen.
+    pub exclude: Vec<EndpointKey>,
+}
+
+/// What an entry tells the home of a service and the next in rank.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Report {
+    /// The hash of the service's name.
+    pub service: u64,
+    /// Counts the reports of the entry's life.
+    pub number: u64,
+    /// The data centre of the entry.
+    pub data_centre: String,
+    /// Whether the receiver is to decide.
+    pub decides: bool,
+    /// What the entry runs where.
+    pub used: Vec<(EndpointKey, Used)>,
+    /// Engines of which the last that the entry saw was a failure.
+    pub failing: Vec<EndpointKey>,
+    /// What it waits for.
+    pub wishes: Vec<Wished>,
+}
+
+/// What a home answers.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Answer {
+    /// The hash of the service's name.
+    pub service: u64,
+    /// What it decided.
+    pub decisions: Vec<(u64, Decision)>,
+    /// What others run where, now and then.
+    pub view: Option<Others>,
+}
+
+/// What is known of one entry.
+#[derive(Clone, Debug)]
+struct Entry {
+    life: Incarnation,
+    number: u64,
+    heard: Time,
+    data_centre: String,
+    used: Vec<(EndpointKey, Used)>,
+    failing: Vec<EndpointKey>,
+    wishes: Vec<Wish>,
+    /// Whether this instance is to decide about the wishes.
+    decides: bool,
+    /// Whether an answer is due even if nothing was decided anew.
+    owed: bool,
+    viewed: Option<Time>,
+    /// What was granted and is not in a report yet.
+    reserved: BTreeMap<u64, (EndpointKey, Used)>,
+}
+
+/// The entries that reported about one service.
+#[derive(Clone, Debug, Default)]
+pub struct Home {
+    entries: BTreeMap<SocketAddrV4, Entry>,
+}
+
+/// What a home needs to know of a service to decide.
+#[derive(Clone, Copy, Debug)]
+pub struct Engines<'a> {
+    /// The service's name.
+    pub service: &'a str,
+    /// What its engines bear.
+    pub limits: EngineLimits,
+    /// All endpoints.
+    pub endpoints: &'a EndpointTable,
+}
+
+impl Home {
+    /// Takes a report in. One that is older than the last one changes nothing.
+    pub fn hear(&mut self, now: Time, from: SocketAddrV4, life: Incarnation, report: Report) {
+        let known = self.entries.get_mut(&from).filter(|it| it.life == life);
+        let (viewed, mut reserved) = match known {
+            Some(known) if known.number >= report.number => return,
+            Some(known) => (known.viewed, core::mem::take(&mut known.reserved)),
+            None => (None, BTreeMap::new()),
+        };
+        let wishes = report.wishes.into_iter().take(MAX_WAITING);
+        let wishes: Vec<Wish> = wishes.map(|it| it.at(now)).collect();
+        reserved.retain(|id, _| wishes.iter().any(|it| it.waiter.id == *id));
+        let entry = Entry {
+            life,
+            number: report.number,
+            heard: now,
+            data_centre: report.data_centre,
+            used: report.used,
+            failing: report.failing,
+            decides: report.decides,
+            owed: report.decides && !wishes.is_empty(),
+            wishes,
+            viewed,
+            reserved,
+        };
+        self.entries.insert(from, entry);
+    }
+
+    /// Forgets entries that fell silent.
+    pub fn tick(&mut self, now: Time) {
+        self.entries
+            .retain(|_, it| now.since(it.heard) < REPORT_FRESH);
+    }
+
+    /// Returns whether nobody reports.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// Returns whether somebody waits for a decision of this instance.
+    pub fn is_asked(&self) -> bool {
+        self.entries
+            .values()
+            .any(|it| it.decides && !it.wishes.is_empty())
+    }
+
+    /// Returns how many requests wait here for a place.
+    pub fn waiting(&self) -> usize {
+        let wishes = self.entries.values().flat_map(|it| &it.wishes);
+        wishes.filter(|it| it.want == Want::Place).count()
+    }
+
+    /// Returns what all entries but `except` run.
+    pub fn others(&self, except: Option<SocketAddrV4>) -> Others {
+        let mut others = Others::default();
+        for (_, entry) in self
+            .entries
+            .iter()
+            .filter(|(from, _)| Some(**from) != except)
+        {
+            entry
+                .used
+                .iter()
+                .for_each(|&(key, used)| others.add(key, used));
+            entry
+                .reserved
+                .values()
+                .for_each(|&(key, used)| others.add(key, used));
+            others.failing.extend(&entry.failing);
+        }
+        others
+    }
+
+    /// Decides about all wishes, and returns what entries are to be told.
+    pub fn decide(&mut self, now: Time, engines: Engines<'_>) -> Vec<(SocketAddrV4, Answer)> {
+        let service = super::queue::service_hash(engines.service);
+        let mut others = self.others(None);
+        let mut decided = self.decide_at_once(now, engines, &mut others);
+        decided.extend(self.decide_in_turn(now, engines, &others));
+        let mut answers = Vec::new();
+        for (from, entry) in &mut self.entries {
+            let told = decided.remove(from).unwrap_or_default();
+            let has_grant = told.iter().any(|(_, it)| !matches!(it, Decision::Waits(_)));
+            if told.is_empty() || !(has_grant || entry.owed) {
+                continue;
+            }
+            entry.owed = false;
+            entry.wishes.retain(|wish| {
+                let is_denied = |&(id, it): &(u64, Decision)| {
+                    id == wish.waiter.id && matches!(it, Decision::Denied(_))
+                };
+                !told.iter().any(is_denied)
+            });
+            answers.push((*from, told));
+        }
+        let mut send = Vec::with_capacity(answers.len());
+        for (from, decisions) in answers {
+            let view = self.view_for(now, from);
+            send.push((
+                from,
+                Answer {
+                    service,
+                    decisions,
+                    view,
+                },
+            ));
+        }
+        send
+    }
+
+    /// Returns what others run, if the entry at `from` is to be told now.
+    fn view_for(&mut self, now: Time, from: SocketAddrV4) -> Option<Others> {
+        let entry = self.entries.get_mut(&from)?;
+        let is_due = entry.viewed.is_none_or(|at| now.since(at) >= VIEW_INTERVAL);
+        if !is_due {
+            return None;
+        }
+        entry.viewed = Some(now);
+        Some(self.others(Some(from)))
+    }
+
+    /// Decides about copies and about what is set aside, which wait for nothing. Copies of
+    /// generations whose engine leaves go first: without one they are lost.
+    fn decide_at_once(
+        &mut self,
+        now: Time,
+        engines: Engines<'_>,
+        others: &mut Others,
+    ) -> BTreeMap<SocketAddrV4, Vec<(u64, Decision)>> {
+        let mut decided: BTreeMap<SocketAddrV4, Vec<(u64, Decision)>> = BTreeMap::new();
+        let any_waits = self.entries.values().any(Entry::waits_in_turn);
+        let none = UsageTable::default();
+        for urgent in [true, false] {
+            for (from, entry) in self.entries.iter_mut().filter(|(_, it)| it.decides) {
+                for wish in &entry.wishes {
+                    if wish.want == Want::Place || wish.is_urgent() != urgent {
+                        continue;
+                    }
+                    let id = wish.waiter.id;
+                    let granted = entry.reserved.get(&id).map(|(key, _)| *key);
+                    let world = World {
+                        now,
+                        endpoints: engines.endpoints,
+                        usage: &none,
+                        others,
+                        data_centre: &entry.data_centre,
+                    };
+                    let place = match granted {
+                        Some(key) => Ok(key),
+                        None if wish.want == Want::Aside && any_waits => Err(NoPlace::Full),
+                        None => at_once(world, engines, wish),
+                    };
+                    let decision = match place {
+                        Ok(key) => Decision::Granted(key),
+                        Err(why) => Decision::Denied(why),
+                    };
+                    if let (Ok(key), None) = (place, granted) {
+                        let used = wish.reserves();
+                        others.add(key, used);
+                        entry.reserved.insert(id, (key, used));
+                    }
+                    decided.entry(*from).or_default().push((id, decision));
+                }
+            }
+        }
+        decided
+    }
+
+    /// Gives places to those that wait, each in its turn.
+    fn decide_in_turn(
+        &mut self,
+        now: Time,
+        engines: Engines<'_>,
+        others: &Others,
+    ) -> BTreeMap<SocketAddrV4, Vec<(u64, Decision)>> {
+        let mut decided: BTreeMap<SocketAddrV4, Vec<(u64, Decision)>> = BTreeMap::new();
+        let none = UsageTable::default();
+        let world = World {
+            now,
+            endpoints: engines.endpoints,
+            usage: &none,
+            others,
+            data_centre: "",
+        };
+        let mut waiting = Vec::new();
+        for (from, entry) in self.entries.iter().filter(|(_, it)| it.decides) {
+            for wish in entry.wishes.iter().filter(|it| it.want == Want::Place) {
+                match entry.reserved.get(&wish.waiter.id) {
+                    Some((key, _)) => {
+                        let told = (wish.waiter.id, Decision::Granted(*key));
+                        decided.entry(*from).or_default().push(told);
+                    }
+                    None => waiting.push((*from, wish.clone(), entry.data_centre.clone())),
+                }
+            }
+        }
+        let asked = waiting
+            .iter()
+            .map(|(_, wish, data_centre)| (wish, data_centre.as_str()));
+        let places = assign(world, engines, asked);
+        for ((from, wish, _), place) in waiting.iter().zip(places) {
+            let id = wish.waiter.id;
+            let decision = match place {
+                Ok(key) => Decision::Granted(key),
+                Err(why) => Decision::Waits(why),
+            };
+            if let (Ok(key), Some(entry)) = (place, self.entries.get_mut(from)) {
+                entry.reserved.insert(id, (key, wish.reserves()));
+            }
+            decided.entry(*from).or_default().push((id, decision));
+        }
+        decided
+    }
+}
+
+impl Entry {
+    fn waits_in_turn(&self) -> bool {
+        let mut wishes = self.wishes.iter();
+        wishes.any(|it| it.want == Want::Place && !self.reserved.contains_key(&it.waiter.id))
+    }
+}
+
+/// Chooses for a wish that waits for nothing.
+fn at_once(world: World<'_>, engines: Engines<'_>, wish: &Wish) -> Result<EndpointKey, NoPlace> {
+    let demand = Demand {
+        service: engines.service,
+        engine: Some(engines.limits),
+        tokens: wish.waiter.tokens,
+        exclude: &wish.exclude,
+    };
+    // One instance decides for all, one wish after the other: nothing is to be parted.
+    let no_draw = || 0.0;
+    match wish.want {
+        Want::Place | Want::Aside => choose(world, &demand, no_draw),
+        Want::Copy { source, kind } => {
+            let source = world.endpoints.get(source).ok_or(NoPlace::NoEndpoint)?;
+            choose_copy(world, &demand, source, kind, no_draw).ok_or(NoPlace::Full)
+        }
+    }
+}
+
+impl Wish {
+    /// Returns the wish as it travels.
+    pub fn to_tell(&self, now: Time) -> Wished {
+        Wished {
+            waiting: self.waiter.to_tell(now),
+            want: self.want,
+            exclude: self.exclude.clone(),
+        }
+    }
+
+    /// Returns whether a generation is lost without it.
+    fn is_urgent(&self) -> bool {
+        matches!(
+            self.want,
+            Want::Copy {
+                kind: CopyKind::Ahead,
+                ..
+            }
+        )
+    }
+
+    /// Returns what is kept for it until its entry counts it.
+    fn reserves(&self) -> Used {
+        let Waiter { tokens, prompt, .. } = self.waiter;
+        match self.want {
+            Want::Place | Want::Aside => Used {
+                running: 1,
+                unread: prompt,
+                tokens,
+                copied: 0,
+            },
+            Want::Copy { .. } => Used {
+                copied: tokens,
+                ..Used::default()
+            },
+        }
+    }
+}
+
+impl Wished {
+    fn at(self, now: Time) -> Wish {
+        Wish {
+            waiter: Waiter::told(now, &self.waiting),
+            want: self.want,
+            exclude: self.exclude,
+        }
+    }
+}
--- a/crates/core/src/gateway/queue.rs
+++ b/crates/core/src/gateway/queue.rs
@@ -1,40 +1,32 @@
 //! The order in which requests that wait get room at engines.
 //!
-//! Engines of large fleets are full for seconds, and each instance has a request or two
-//! that wait. Every instance tells its own, so that all know the same queue and work out
-//! the same answer: who is next, and where there is room. A request goes only when it is
-//! its turn in that answer; nobody grants anything, and nobody is asked.
+//! The home of a service ([`home`](super::home)) knows all that wait, and gives away room in
+//! one order, each request at the cheapest engine.
 //!
-//! What goes wrong otherwise: one generation ends, all that wait anywhere hear of the room
-//! within the same few milliseconds and all take it. Of 639 generations that waited inside
-//! an engine for more than 1.5 s (66 instances, 48 engines of 21,932 tokens), 86 in 100 had
-//! come to it within 12 ms of another one, and their engine was 1.28 times as full as its
-//! memory at the median. With the queue 284 waited so long, and 0.93 times.
-
-use super::bulletin::PeerTable;
+//! What goes wrong where each instance decides alone: one generation ends, all that wait
+//! anywhere hear of the room within the same few milliseconds and all take it. Of 639
+//! generations that waited inside an engine for more than 1.5 s (66 instances, 48 engines of
+//! 21,932 tokens), 86 in 100 had come to it within 12 ms of another one, and their engine was
+//! 1.28 times as full as its memory at the median. With one queue 284 waited so long, and 0.93
+//! times.
+
+use super::ask::Wish;
 use super::choose::{Demand, NoPlace, World, seats};
+use super::home::Engines;
 use crate::ids::{EndpointKey, stable_hash};
 use crate::time::Time;
 use core::time::Duration;
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
-
-/// How long a peer's word on what waits there is believed. It is told every
-/// [`TELL_WAITING`]; a frozen instance must hold nobody up for longer than this.
-const WAITING_FRESH: Duration = Duration::from_millis(1_000);
-
-/// How often an instance tells of requests that wait there, when nothing changes.
-pub const TELL_WAITING: Duration = Duration::from_millis(400);
 
 /// The share of its target after which a request that waits counts as late. Its prompt is
 /// still to be read, which takes some 0.7 s at an engine with neighbours.
 const IN_TIME_TARGETS: f64 = 0.6;
 
-/// The most requests that one bulletin names. Those beyond go on waiting unheard, which
-/// costs them their order and nothing else.
+/// The most wishes of one entry that a home takes in. Those beyond are placed by the entry's
+/// own view once nobody answers them.
 pub const MAX_WAITING: usize = 64;
 
-/// A request that waits for room, as peers are told of it.
+/// A request that waits for room, as a home is told of it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Waiting {
     /// Tells requests of one moment apart.
@@ -73,7 +65,7 @@
 }
 
 impl Waiter {
-    /// Returns what a peer told at `now`.
+    /// Returns what an entry told at `now`.
     pub fn told(now: Time, waiting: &Waiting) -> Self {
         let age = Duration::from_millis(waiting.age_ms.into());
         Waiter {
@@ -87,7 +79,7 @@
         }
     }
 
-    /// Returns what peers are told at `now`.
+    /// Returns what a home is told at `now`.
     pub fn to_tell(&self, now: Time) -> Waiting {
         let millis = |time: Duration| u32::try_from(time.as_millis()).unwrap_or(u32::MAX);
         Waiting {
@@ -120,95 +112,38 @@
     stable_hash(&[b"service", name.as_bytes()])
 }
 
-/// The requests that wait here.
-#[derive(Clone, Debug, Default)]
-pub struct WaitingTable {
-    own: BTreeMap<u64, Waiter>,
-}
-
-impl WaitingTable {
-    /// Takes a request in.
-    pub fn enter(&mut self, waiter: Waiter) {
-        self.own.insert(waiter.id, waiter);
-    }
-
-    /// Takes a request out, because it has room or gave up.
-    pub fn leave(&mut self, id: u64) {
-        self.own.remove(&id);
-    }
-
-    /// Returns the requests that wait here.
-    pub fn own(&self) -> impl Iterator<Item = &Waiter> {
-        self.own.values()
-    }
-
-    /// Returns whether none waits here.
-    pub fn is_empty(&self) -> bool {
-        self.own.is_empty()
-    }
-
-    /// Returns all known requests for `service`, here and at peers.
-    fn all<'a>(
-        &'a self,
-        now: Time,
-        peers: &'a PeerTable,
-        service: u64,
-    ) -> impl Iterator<Item = &'a Waiter> {
-        let fresh = peers.live(now).filter(move |(_, peer)| {
-            let heard = peer.heard;
-            heard.is_some_and(|heard| now.since(heard) < WAITING_FRESH)
-        });
-        let of_peers = fresh.flat_map(|(_, peer)| &peer.waiting);
-        self.own()
-            .chain(of_peers)
-            .filter(move |it| it.service == service)
-    }
-
-    /// Returns whether any request for `service` but `except` waits.
-    pub fn any_waits(
-        &self,
-        now: Time,
-        peers: &PeerTable,
-        service: u64,
-        except: Option<u64>,
-    ) -> bool {
-        let mut all = self.all(now, peers, service);
-        all.any(|it| Some(it.id) != except)
-    }
-
-    /// Returns the engine for `me`, if it is its turn.
-    ///
-    /// All that go before it are given room first, each at the cheapest engine. For the
-    /// first that fits nowhere the engine with the most room is kept, so that large
-    /// requests come to their turn and small ones use what is left elsewhere.
-    ///
-    /// # Errors
-    ///
-    /// Returns why there is no room.
-    pub fn turn(
-        &self,
-        world: World<'_>,
-        demand: &Demand<'_>,
-        me: &Waiter,
-    ) -> Result<EndpointKey, NoPlace> {
-        let now = world.now;
-        let own_order = me.order(now);
-        let mut before: Vec<&Waiter> = self
-            .all(now, world.peers, me.service)
-            .filter(|it| it.id != me.id && it.order(now) < own_order)
-            .collect();
-        before.sort_by_key(|it| it.order(now));
-        let mut seats = seats(world, demand)?;
-        let mut is_kept = false;
-        for waiter in before {
-            let is_seated = seats.give(waiter.tokens, waiter.prompt, &[]).is_some();
-            if !is_seated && !is_kept {
-                seats.keep_largest();
-                is_kept = true;
-            }
+/// Returns the place of each of `waiting`, which come with their data centre.
+///
+/// All that go before one are given room first. For the first that fits nowhere the engine
+/// with the most room is kept, so that large requests come to their turn and small ones use
+/// what is left elsewhere.
+pub fn assign<'a>(
+    world: World<'_>,
+    engines: Engines<'_>,
+    waiting: impl Iterator<Item = (&'a Wish, &'a str)>,
+) -> Vec<Result<EndpointKey, NoPlace>> {
+    let all: Vec<(&Wish, &str)> = waiting.collect();
+    let mut order: Vec<usize> = (0..all.len()).collect();
+    order.sort_by_key(|&at| all[at].0.waiter.order(world.now));
+    let mut places = vec![Err(NoPlace::NoEndpoint); all.len()];
+    let demand = Demand {
+        service: engines.service,
+        engine: Some(engines.limits),
+        tokens: 0,
+        exclude: &[],
+    };
+    let Ok(mut seats) = seats(world, &demand) else {
+        return places;
+    };
+    let mut is_kept = false;
+    for at in order {
+        let (wish, data_centre) = all[at];
+        let Waiter { tokens, prompt, .. } = wish.waiter;
+        places[at] = seats.give(tokens, prompt, data_centre, &wish.exclude);
+        if places[at] == Err(NoPlace::Full) && !is_kept {
+            seats.keep_largest();
+            is_kept = true;
         }
-        seats
-            .give(me.tokens, me.prompt, demand.exclude)
-            .ok_or(NoPlace::Full)
     }
+    places
 }
--- a/crates/core/src/gateway/reader.rs
+++ b/crates/core/src/gateway/reader.rs
@@ -9,15 +9,16 @@
 
 /// How long the store may hold a watch. A connection may fall silent for good
 /// without a reset; this bounds how long an instance can be blind because of it.
-pub const WATCH_WAIT: Duration = Duration::from_millis(1_000);
+pub const WATCH_WAIT: Duration = Duration::from_millis(700);
 
 /// Instances that watch the store for all. Calls are paid for and limited, and do
 /// not become fewer when the fleet grows; two, so that one may fail unnoticed.
 pub const READERS: usize = 2;
 
 /// A reader to which the store has answered nothing for so long counts as cut off.
-/// A watch is answered after [`WATCH_WAIT`] at the latest; what is left of the two
-/// seconds within which changes must be in force suffices to read in its place.
+/// A watch is answered after [`WATCH_WAIT`] at the latest, and others hear of it within
+/// [`BEACON_INTERVAL`](super::beacons::BEACON_INTERVAL); what is left of the two seconds
+/// within which changes must be in force suffices to read in its place.
 pub const READER_FRESH: Duration = Duration::from_millis(1_350);
 
 /// How long after a watch that told something the next one begins. The endpoints of a
@@ -83,6 +84,8 @@
     pause_until: Time,
     recovered: Option<Time>,
     heard: Option<Time>,
+    /// When a watch was answered last.
+    watched: Option<Time>,
 }
 
 impl StoreReader {
@@ -94,6 +97,7 @@
             pause_until: Time::ZERO,
             recovered: None,
             heard: None,
+            watched: None,
         }
     }
 
@@ -112,7 +116,7 @@
     /// Notes that everything was read; returns whether the store was away before.
     pub fn on_read(&mut self, now: Time) -> bool {
         self.needs_read = false;
-        self.on_answer(now)
+        self.answered(now)
     }
 
     /// Notes that this instance makes no calls, because others watch for it.
@@ -130,8 +134,13 @@
         self.on_answer(now)
     }
 
-    /// Notes that a call was answered; returns whether the store was away before.
+    /// Notes that a watch was answered; returns whether the store was away before.
     pub fn on_answer(&mut self, now: Time) -> bool {
+        self.watched = Some(now);
+        self.answered(now)
+    }
+
+    fn answered(&mut self, now: Time) -> bool {
         let was_away = self.failures > 0;
         if was_away && self.may_have_lapsed(now) {
             self.recovered = Some(now);
@@ -168,6 +177,11 @@
         self.heard
     }
 
+    /// Returns when the store last answered a watch.
+    pub fn watched(&self) -> Option<Time> {
+        self.watched
+    }
+
     /// Returns whether the store is away.
     pub fn is_away(&self) -> bool {
         self.failures > 0
--- /dev/null
+++ b/crates/core/src/gateway/state/peers.rs
@@ -0,0 +1,387 @@
+//! What an instance sends its peers and does about what they send.
+
+use super::{Gateway, Ticked};
+use crate::gateway::ask::REPORT_AGAIN;
+use crate::gateway::beacons::{BEACON_INTERVAL, Beacon, reader_rank};
+use crate::gateway::catch_up::{NotTold, Teller};
+use crate::gateway::gossip::{Body, Datagram, FAN_OUT, GOSSIP_VERSION, Items};
+use crate::gateway::members::{Change, Member};
+use crate::gateway::reader::{READER_FRESH, READERS, Step};
+use crate::ids::EndpointKey;
+use crate::time::Time;
+use core::time::Duration;
+use std::net::SocketAddrV4;
+
+/// Changes within this time go into one datagram.
+pub const TELL_DELAY: Duration = Duration::from_millis(2);
+
+/// The longest time between two looks at what is due.
+pub const TICK: Duration = Duration::from_millis(50);
+
+/// How long a start waits to hear of others before it watches the store for all. What it
+/// read a moment ago is fresh for as long.
+const JOIN_PATIENCE: Duration = Duration::from_millis(700);
+
+/// Why a datagram is dropped.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ignored {
+    /// It is of another version.
+    Version,
+    /// It is of another deployment.
+    Deployment,
+    /// It came from this instance, or one that uses its address.
+    Own,
+}
+
+impl Ignored {
+    /// Returns a word for it, which counters carry.
+    pub const fn word(self) -> &'static str {
+        match self {
+            Ignored::Version => "version",
+            Ignored::Deployment => "deployment",
+            Ignored::Own => "own_address",
+        }
+    }
+}
+
+/// What a datagram brought.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Heard {
+    /// Endpoints that began to leave.
+    pub leaving: Vec<EndpointKey>,
+    /// Whether the sender was not there before in this life.
+    pub is_new: bool,
+    /// Instances that count as gone now.
+    pub gone: Vec<SocketAddrV4>,
+    /// Whether something is to be told on soon.
+    pub tell_soon: bool,
+    /// Whether a request that waits for a place may have a decision.
+    pub decided: bool,
+    /// What is to be sent at once.
+    pub send: Vec<(SocketAddrV4, Body)>,
+}
+
+impl Gateway {
+    /// Takes in what a peer sent.
+    ///
+    /// # Errors
+    ///
+    /// Returns why it does not concern this instance; then nothing has changed.
+    pub fn hear(&mut self, now: Time, datagram: Datagram) -> Result<Heard, Ignored> {
+        if datagram.version != GOSSIP_VERSION {
+            return Err(Ignored::Version);
+        }
+        if datagram.deployment != self.cfg.deployment {
+            return Err(Ignored::Deployment);
+        }
+        let from = datagram.from.address;
+        if from == self.cfg.address {
+            return Err(Ignored::Own);
+        }
+        let mut heard = Heard::default();
+        let mut change = Change::default();
+        let (revision, digest) = (datagram.revision, datagram.digest);
+        let says_more = datagram.claims().any(|it| self.is_more(it.0, it.1));
+        let said = datagram.from;
+        heard.is_new = self.members.hear(now, said, revision, digest, &mut change);
+        self.hear_body(now, datagram, &mut heard, &mut change);
+        heard.send.append(&mut change.send);
+        heard.gone.append(&mut change.gone);
+        self.tell_updates(change);
+        // All others are looked at with each tick only: a datagram must not cost more where
+        // there are more instances.
+        if says_more {
+            self.catch_up.note(now, true);
+        }
+        heard.tell_soon = self.outbox.has_new();
+        Ok(heard)
+    }
+
+    fn hear_body(&mut self, now: Time, datagram: Datagram, heard: &mut Heard, change: &mut Change) {
+        let from = datagram.from.address;
+        match datagram.body {
+            Body::Probe {
+                number,
+                members,
+                news,
+            } => {
+                self.hear_news(now, news, heard, change);
+                let ack = Body::Ack {
+                    number,
+                    members: Some(self.members.digest()),
+                    news: Items::default(),
+                };
+                heard.send.push((from, ack));
+                self.sync_with(now, from, members, heard);
+            }
+            Body::Ack {
+                number,
+                members,
+                news,
+            } => {
+                self.hear_news(now, news, heard, change);
+                heard.send.extend(self.members.acknowledged(number));
+                if let Some(members) = members {
+                    self.sync_with(now, from, members, heard);
+                }
+            }
+            Body::ProbeFor { number, target } => {
+                let probe = self.members.help(now, from, number, target);
+                heard.send.push((target, probe));
+            }
+            Body::News(news) => self.hear_news(now, news, heard, change),
+            Body::AskMembers => {
+                let lists = self.members.list().into_iter();
+                heard.send.extend(lists.map(|it| (from, Body::Members(it))));
+            }
+            Body::Members(list) => {
+                for update in list {
+                    self.members.hear_of(now, update, change);
+                }
+            }
+            Body::Report(report) => {
+                heard
+                    .send
+                    .extend(self.hear_report(now, datagram.from, report));
+            }
+            Body::Answer(answer) => {
+                self.hear_answer(now, answer);
+                heard.decided = true;
+            }
+        }
+    }
+
+    fn hear_news(&mut self, now: Time, news: Items, heard: &mut Heard, change: &mut Change) {
+        for update in news.members {
+            self.members.hear_of(now, update, change);
+        }
+        for endpoint in news.leaving {
+            if self.endpoints.leave(now, endpoint) {
+                heard.leaving.push(endpoint);
+            }
+        }
+        for beacon in news.beacons {
+            if beacon.origin != self.cfg.address && self.beacons.hear(now, beacon) {
+                self.outbox.add_beacon(beacon);
+            }
+        }
+    }
+
+    fn sync_with(&mut self, now: Time, peer: SocketAddrV4, theirs: u64, heard: &mut Heard) {
+        if self.members.asks_for_all(now, theirs) {
+            heard.send.push((peer, Body::AskMembers));
+        }
+    }
+
+    fn tell_updates(&mut self, change: Change) {
+        let instances = self.instances();
+        for update in change.updates {
+            self.outbox.add_member(update, instances);
+        }
+    }
+
+    /// Tells peers soon that endpoints leave.
+    pub fn tell_leaving(&mut self, endpoints: &[EndpointKey]) {
+        let instances = self.instances();
+        for &endpoint in endpoints {
+            self.outbox.add_leaving(endpoint, instances);
+        }
+    }
+
+    /// Tells a few peers soon that this instance knows more of the store than before.
+    pub fn announce(&mut self) {
+        self.announces = true;
+    }
+
+    /// Returns the longest time until the next look at what is due.
+    pub fn tick_interval(&self) -> Duration {
+        match self.asks_unanswered() {
+            true => REPORT_AGAIN,
+            false => TICK,
+        }
+    }
+
+    /// Does what is due by time alone, and returns what changed and what is to be sent.
+    pub fn tick(&mut self, now: Time) -> Ticked {
+        let mut change = self.members.tick(now, &mut self.rng);
+        let mut ticked = Ticked {
+            silent: core::mem::take(&mut change.gone),
+            send: core::mem::take(&mut change.send),
+            ..Ticked::default()
+        };
+        self.tell_updates(change);
+        self.beacons.tick(now);
+        self.beacon(now);
+        let unsettled = self.is_unsettled(now);
+        ticked.leaving = self.endpoints.tick(now, unsettled);
+        self.note_behind(now);
+        self.tell_news(&mut ticked.send);
+        ticked.decided = self.report(now, &mut ticked.send);
+        ticked
+    }
+
+    fn beacon(&mut self, now: Time) {
+        let is_due = self
+            .beaconed
+            .is_none_or(|at| now.since(at) >= BEACON_INTERVAL);
+        if !is_due || !self.speaks_of_store(now) {
+            return;
+        }
+        self.beaconed = Some(now);
+        self.beacons_sent += 1;
+        let own = Beacon {
+            origin: self.cfg.address,
+            life: self.cfg.incarnation,
+            number: self.beacons_sent,
+            store_age_ms: self.store_age_ms(now),
+            revision: self.replica.revision(),
+            digest: self.replica.digest(),
+            unsettled: self.reader.is_unsettled(now),
+        };
+        self.beacons.hear(now, own);
+        self.outbox.add_beacon(own);
+    }
+
+    /// Returns whether others are to hear how the store answers this instance: it is answered,
+    /// or it ranks among the first and says that the store is away. Of those that watch in
+    /// vain many may do so, and each beacon goes to everybody.
+    fn speaks_of_store(&self, now: Time) -> bool {
+        let watched = self.reader.watched();
+        let is_answered = watched.is_some_and(|at| now.since(at) < READER_FRESH);
+        self.watches(now) && (is_answered || self.rank() < READERS)
+    }
+
+    fn tell_news(&mut self, send: &mut Vec<(SocketAddrV4, Body)>) {
+        let announces = core::mem::take(&mut self.announces);
+        if !announces && !self.outbox.has_new() {
+            return;
+        }
+        let peers = self.members.draw(&mut self.rng, FAN_OUT, &[]);
+        if peers.is_empty() {
+            // What is news now is told to whoever is found first.
+            return;
+        }
+        let items = self.outbox.take(FAN_OUT as u32);
+        send.extend(peers.iter().map(|&it| (it, Body::News(items.clone()))));
+    }
+
+    /// Returns a datagram for one peer, with news where it has room for it.
+    pub fn datagram(&mut self, mut body: Body) -> Datagram {
+        if let Some(news) = body.news_mut() {
+            let mut items = self.outbox.take(1);
+            news.members.append(&mut items.members);
+            news.leaving.append(&mut items.leaving);
+            news.beacons.append(&mut items.beacons);
+        }
+        Datagram {
+            version: GOSSIP_VERSION,
+            deployment: self.cfg.deployment,
+            from: self.members.own(),
+            revision: self.replica.revision(),
+            digest: self.replica.digest(),
+            body,
+        }
+    }
+
+    fn store_age_ms(&self, now: Time) -> u32 {
+        let age = self.reader.heard().map(|heard| now.since(heard));
+        age.map_or(u32::MAX, |age| {
+            u32::try_from(age.as_millis()).unwrap_or(u32::MAX)
+        })
+    }
+
+    /// Returns whether this instance watches the store for all: it ranks among the first
+    /// that the store answers, or those that it answers are too few.
+    pub fn watches(&self, now: Time) -> bool {
+        let own = reader_rank(self.cfg.address);
+        let ahead = |address: SocketAddrV4| reader_rank(address) < own;
+        let steady = |address: SocketAddrV4| {
+            let member = self.members.get(address);
+            member.is_some_and(Member::is_steady)
+        };
+        let fresh = self.beacons.fresh(now).filter(|&it| steady(it));
+        if self.stopping {
+            return fresh.count() == 0;
+        }
+        if fresh.filter(|&it| ahead(it)).count() >= READERS {
+            return false;
+        }
+        // Who is answered goes on, though the others hear from it now and would leave it alone.
+        let is_answered = self
+            .reader
+            .watched()
+            .is_some_and(|at| now.since(at) < READER_FRESH);
+        is_answered || self.rank() < self.beacons.may_watch(now, self.started)
+    }
+
+    /// Returns how many others go before this instance in the order of those that watch.
+    fn rank(&self) -> usize {
+        let own = reader_rank(self.cfg.address);
+        let steady = self.members.live().filter(|(_, it)| it.is_steady());
+        steady
+            .filter(|(address, _)| reader_rank(*address) < own)
+            .count()
+    }
+
+    /// Returns what to do about the store now.
+    pub fn next_step(&self, now: Time) -> Step {
+        let knows_others = self.members.has_joined() || now.since(self.started) >= JOIN_PATIENCE;
+        let reads = (knows_others && self.watches(now)) || self.catch_up.reads_itself(now);
+        self.reader.next(now, reads)
+    }
+
+    /// Returns the peers that know more of the store than this instance.
+    fn better(&self) -> impl Iterator<Item = Teller> {
+        let members = self.members.live().map(|(address, it)| Teller {
+            address,
+            revision: it.revision,
+            digest: it.digest,
+            is_near: true,
+        });
+        let beacons = self
+            .beacons
+            .all()
+            .filter(|it| it.origin != self.cfg.address);
+        let beacons = beacons.map(|it| Teller {
+            address: it.origin,
+            revision: it.revision,
+            digest: it.digest,
+            is_near: false,
+        });
+        let all = members.chain(beacons);
+        all.filter(|it| self.is_more(it.revision, it.digest))
+    }
+
+    /// Returns a peer that knows more of the store than this instance and may be asked
+    /// now, drawn among those that know most.
+    pub fn better_informed(&mut self, now: Time) -> Option<SocketAddrV4> {
+        use rand::seq::IndexedRandom;
+        let watches = self.watches(now);
+        let better: Vec<Teller> = self.better().collect();
+        let able = self.catch_up.may_be_asked(now, &better, watches);
+        able.choose(&mut self.rng).copied()
+    }
+
+    /// Notes whether a peer knows more of the store than this instance.
+    pub fn note_behind(&mut self, now: Time) {
+        let behind = self.better().next().is_some();
+        self.catch_up.note(now, behind);
+    }
+
+    /// Returns whether that is more of the store than this instance knows. Revisions alone
+    /// do not tell: each heartbeat of an endpoint makes one.
+    fn is_more(&self, revision: u64, digest: u64) -> bool {
+        revision > self.replica.revision() && digest != self.replica.digest()
+    }
+
+    /// Returns whether a peer knows more of the store than this instance.
+    pub fn is_behind(&self) -> bool {
+        self.catch_up.is_behind()
+    }
+
+    /// Notes that a peer did not tell what it knows.
+    pub fn not_told(&mut self, now: Time, peer: SocketAddrV4, why: NotTold) {
+        let draw = self.draw();
+        self.catch_up.not_told(now, peer, why, draw);
+    }
+}
--- /dev/null
+++ b/crates/core/src/gateway/state/places.rs
@@ -0,0 +1,343 @@
+//! Where requests go: what this instance asks of homes, and what it decides as one.
+
+use super::{Gateway, Place};
+use crate::gateway::ask::{REPORT_AGAIN, REPORT_WAITING, Verdict, Want, Wish};
+use crate::gateway::choose::{self, Demand, NoPlace, World};
+use crate::gateway::endpoints::Endpoint;
+use crate::gateway::gossip::Body;
+use crate::gateway::home::{Answer, Engines, REPORT_INTERVAL, Report};
+use crate::gateway::members::Update;
+use crate::gateway::queue::service_hash;
+use crate::gateway::usage::{Others, Used};
+use crate::ids::{EndpointKey, stable_hash};
+use crate::rendezvous;
+use crate::time::Time;
+use core::time::Duration;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use std::collections::BTreeSet;
+use std::net::SocketAddrV4;
+
+/// How old what a home told may be to say whether prompts wait at an engine: about as long
+/// as one is read.
+const UNREAD_FRESH: Duration = Duration::from_millis(500);
+
+/// The home of a service and the next in rank.
+type Ranks = [Option<SocketAddrV4>; 2];
+
+/// What was last reported about a service.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Reported {
+    at: Time,
+    /// The changes that it counted.
+    changes: u64,
+    ranks: Ranks,
+    /// Whether there was nothing to say.
+    empty: bool,
+}
+
+impl Gateway {
+    /// Chooses the endpoint for a request by what this instance knows.
+    ///
+    /// # Errors
+    ///
+    /// Returns why there is none.
+    pub fn place(&mut self, now: Time, demand: &Demand<'_>) -> Result<Place, NoPlace> {
+        let mut rng = self.draws();
+        let key = choose::choose(self.world(now, demand.service), demand, || rng.random())?;
+        self.place_at(key).ok_or(NoPlace::NoEndpoint)
+    }
+
+    /// Chooses for `want` by what this instance knows, because no home answers.
+    ///
+    /// # Errors
+    ///
+    /// Returns why there is no place.
+    pub fn place_alone(
+        &mut self,
+        now: Time,
+        demand: &Demand<'_>,
+        want: Want,
+    ) -> Result<Place, NoPlace> {
+        let Want::Copy { source, kind } = want else {
+            return self.place(now, demand);
+        };
+        let mut rng = self.draws();
+        let world = self.world(now, demand.service);
+        let source = world.endpoints.get(source).ok_or(NoPlace::NoEndpoint)?;
+        let key = choose::choose_copy(world, demand, source, kind, || rng.random());
+        key.and_then(|key| self.place_at(key)).ok_or(NoPlace::Full)
+    }
+
+    /// Returns an endpoint that takes work as a place.
+    pub fn place_at(&self, key: EndpointKey) -> Option<Place> {
+        let endpoint = self.endpoints.get(key).filter(|it| it.takes_work());
+        endpoint.map(Place::of)
+    }
+
+    /// Asks for a place.
+    pub fn ask(&mut self, now: Time, wish: Wish) {
+        self.asks.enter(now, wish);
+        self.ask_changes += 1;
+    }
+
+    /// Asks no longer, because the request has its place or gave up.
+    pub fn ask_no_longer(&mut self, id: u64) {
+        self.asks.leave(id);
+        self.ask_changes += 1;
+    }
+
+    /// Returns what a request that asked for a place goes by.
+    pub fn verdict(&self, now: Time, id: u64) -> Verdict {
+        self.asks.verdict(now, id)
+    }
+
+    /// Notes that no home answered a request for a place of `service`: the next in rank is
+    /// asked.
+    pub fn home_unanswered(&mut self, now: Time, service: u64, id: u64) {
+        if let Some(home) = self.acting_home(now, service) {
+            self.asks.pass_over(now, home);
+        }
+        self.ask_again(now, id);
+    }
+
+    /// Asks anew, because what was granted cannot be taken.
+    pub fn ask_again(&mut self, now: Time, id: u64) {
+        self.asks.ask_again(now, id);
+        self.ask_changes += 1;
+    }
+
+    /// Returns whether a request waits for the first answer of a home.
+    pub(super) fn asks_unanswered(&self) -> bool {
+        self.asks.any_unanswered()
+    }
+
+    /// Returns what runs at an endpoint, as far as this instance knows.
+    pub fn used(&self, key: EndpointKey) -> Used {
+        let endpoint = self.endpoints.get(key);
+        let service = endpoint.map(|it| service_hash(&it.record.service));
+        let others = service.and_then(|it| self.asks.view(it));
+        let others = others.map(|it| it.of(key)).unwrap_or_default();
+        self.usage.own(key).and(others)
+    }
+
+    /// Returns whether no prompt waits at an engine, as far as is known. A generation
+    /// that goes on there would wait behind it.
+    pub fn is_quiet(&self, now: Time, key: EndpointKey) -> bool {
+        let endpoint = self.endpoints.get(key);
+        let service = endpoint.map(|it| service_hash(&it.record.service));
+        let others = service.and_then(|it| self.asks.fresh_view(now, it, UNREAD_FRESH));
+        let others = others.map_or(0, |it| it.of(key).unread);
+        self.usage.own(key).unread + others == 0
+    }
+
+    /// Returns the home of a service's engines and the next in rank.
+    pub fn homes(&self, service: u64) -> Ranks {
+        let others = self.members.live().filter(|(_, it)| it.is_steady());
+        let own = (!self.stopping).then_some(self.cfg.address);
+        let all = others.map(|(address, _)| address).chain(own);
+        let mut best: [Option<(u64, SocketAddrV4)>; 2] = [None; 2];
+        for address in all {
+            let ranked = Some((rendezvous::score(service, address_hash(address)), address));
+            if ranked > best[0] {
+                best = [ranked, best[0]];
+            } else if ranked > best[1] {
+                best[1] = ranked;
+            }
+        }
+        if best[0].is_none() {
+            // All others are gone, and this instance serves what it has still to serve.
+            return [Some(self.cfg.address), None];
+        }
+        best.map(|it| it.map(|(_, address)| address))
+    }
+
+    /// Returns the home that is asked about a service now.
+    pub fn acting_home(&self, now: Time, service: u64) -> Option<SocketAddrV4> {
+        let [first, second] = self.homes(service);
+        let answers = |it: &SocketAddrV4| !self.asks.is_passed_over(now, *it);
+        first.filter(answers).or(second.filter(answers)).or(first)
+    }
+
+    /// Returns how many requests wait for a decision of this instance as a home.
+    pub fn waiting_here(&self) -> usize {
+        self.homes.values().map(|it| it.waiting()).sum()
+    }
+
+    /// Takes a report in, and returns what follows from it.
+    pub(super) fn hear_report(
+        &mut self,
+        now: Time,
+        from: Update,
+        report: Report,
+    ) -> Vec<(SocketAddrV4, Body)> {
+        let service = report.service;
+        let home = self.homes.entry(service).or_default();
+        home.hear(now, from.address, from.life, report);
+        let mut send = Vec::new();
+        self.decide(now, service, &mut send);
+        send
+    }
+
+    /// Takes in what a home answered.
+    pub(super) fn hear_answer(&mut self, now: Time, answer: Answer) {
+        for (id, decision) in answer.decisions {
+            self.asks.hear(now, id, decision);
+        }
+        if let Some(view) = answer.view {
+            self.asks.set_view(now, answer.service, view);
+        }
+    }
+
+    /// Reports what is due to homes, and decides as one; returns whether a request of this
+    /// instance may have a decision.
+    pub(super) fn report(&mut self, now: Time, send: &mut Vec<(SocketAddrV4, Body)>) -> bool {
+        for service in self.reported_services() {
+            self.report_about(now, service, send);
+        }
+        let services: Vec<u64> = self.homes.keys().copied().collect();
+        let mut decided = false;
+        for service in services {
+            if let Some(home) = self.homes.get_mut(&service) {
+                home.tick(now);
+                if home.is_empty() {
+                    self.homes.remove(&service);
+                    continue;
+                }
+            }
+            decided |= self.decide(now, service, send);
+        }
+        decided
+    }
+
+    /// Returns the services of whose engines there is something to report.
+    fn reported_services(&self) -> BTreeSet<u64> {
+        let used = self.usage.at_engines();
+        let endpoints = used.filter_map(|(key, _)| self.endpoints.get(key));
+        let used = endpoints.map(|it| service_hash(&it.record.service));
+        let spoken = self.reported.iter().filter(|(_, it)| !it.empty);
+        let spoken = spoken.map(|(service, _)| *service);
+        used.chain(spoken).chain(self.asks.services()).collect()
+    }
+
+    fn report_about(&mut self, now: Time, service: u64, send: &mut Vec<(SocketAddrV4, Body)>) {
+        let changes = self.usage.changes() + self.ask_changes;
+        let ranks = self.homes(service);
+        let interval = match self.asks.is_unanswered(service) {
+            Some(true) => REPORT_AGAIN,
+            Some(false) => REPORT_WAITING,
+            None => REPORT_INTERVAL,
+        };
+        let is_due = self.reported.get(&service).is_none_or(|last| {
+            last.changes != changes || last.ranks != ranks || now.since(last.at) >= interval
+        });
+        if !is_due {
+            return;
+        }
+        let acting = self.acting_home(now, service);
+        let of_service = |key: &EndpointKey| {
+            let endpoint = self.endpoints.get(*key);
+            endpoint.is_some_and(|it| service_hash(&it.record.service) == service)
+        };
+        let report = Report {
+            service,
+            number: self.reports_sent + 1,
+            data_centre: self.cfg.data_centre.clone(),
+            decides: false,
+            used: self
+                .usage
+                .at_engines()
+                .filter(|(key, _)| of_service(key))
+                .collect(),
+            failing: self.endpoints.failing().filter(of_service).collect(),
+            wishes: self.asks.of(service).map(|it| it.to_tell(now)).collect(),
+        };
+        self.reports_sent += 1;
+        let empty = report.used.is_empty() && report.wishes.is_empty();
+        self.reported.insert(
+            service,
+            Reported {
+                at: now,
+                changes,
+                ranks,
+                empty,
+            },
+        );
+        for to in ranks.into_iter().flatten() {
+            let report = Report {
+                decides: acting == Some(to),
+                ..report.clone()
+            };
+            if to == self.cfg.address {
+                let home = self.homes.entry(service).or_default();
+                home.hear(now, to, self.cfg.incarnation, report);
+            } else {
+                send.push((to, Body::Report(report)));
+            }
+        }
+    }
+
+    /// Decides as the home of a service; returns whether a request of this instance may have
+    /// a decision.
+    fn decide(&mut self, now: Time, service: u64, send: &mut Vec<(SocketAddrV4, Body)>) -> bool {
+        let Some(home) = self.homes.get_mut(&service).filter(|it| it.is_asked()) else {
+            return false;
+        };
+        let Some(catalogue) = self.catalogue.clone() else {
+            return false;
+        };
+        let mut services = catalogue.services();
+        let known = services.find(|it| service_hash(&it.name) == service);
+        let Some((name, limits)) = known.and_then(|it| Some((&it.name, it.engine?))) else {
+            return false;
+        };
+        let engines = Engines {
+            service: name,
+            limits,
+            endpoints: &self.endpoints,
+        };
+        let answers = home.decide(now, engines);
+        let mut decided = false;
+        for (to, answer) in answers {
+            if to == self.cfg.address {
+                decided = true;
+                self.hear_answer(now, answer);
+            } else {
+                send.push((to, Body::Answer(answer)));
+            }
+        }
+        decided
+    }
+
+    /// Returns a source of draws of its own, so that a choice draws while it looks at tables.
+    fn draws(&mut self) -> SmallRng {
+        SmallRng::seed_from_u64(self.rng.random())
+    }
+
+    /// Returns the tables that a choice for `service` looks at.
+    fn world(&self, now: Time, service: &str) -> World<'_> {
+        static NOTHING: Others = Others::nothing();
+        let others = self.asks.view(service_hash(service));
+        World {
+            now,
+            endpoints: &self.endpoints,
+            usage: &self.usage,
+            others: others.unwrap_or(&NOTHING),
+            data_centre: &self.cfg.data_centre,
+        }
+    }
+}
+
+impl Place {
+    fn of(endpoint: &Endpoint) -> Self {
+        Place {
+            key: endpoint.key,
+            name: endpoint.record.name.clone(),
+            address: endpoint.record.address,
+        }
+    }
+}
+
+fn address_hash(address: SocketAddrV4) -> u64 {
+    stable_hash(&[&address.ip().octets(), &address.port().to_le_bytes()])
+}
--- a/crates/core/src/gateway/usage.rs
+++ b/crates/core/src/gateway/usage.rs
@@ -1,14 +1,73 @@
 //! What runs at each endpoint, as far as this instance knows.
 //!
-//! Own requests are counted exactly, those of peers as their bulletins tell.
-//! A service may also say in its answers how full it is; that is used where it
-//! says more than the count.
+//! Own requests are counted exactly. What others run at engines is the home's to know
+//! ([`home`](super::home)), which tells it now and then. A service may also say in its
+//! answers how full it is; that is used where it says more than the count.
 
-use super::bulletin::{PeerTable, Used};
 use crate::ids::EndpointKey;
 use crate::time::Time;
 use core::time::Duration;
-use std::collections::BTreeMap;
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// What one instance runs at one endpoint.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Used {
+    /// Requests sent and not ended.
+    pub running: u16,
+    /// Prompt tokens of those that were not answered with a first byte.
+    pub unread: u32,
+    /// Tokens of memory that generations take or are expected to take.
+    pub tokens: u32,
+    /// Tokens of memory that standing copies take.
+    pub copied: u32,
+}
+
+impl Used {
+    /// Returns both together.
+    pub fn and(self, other: Used) -> Used {
+        Used {
+            running: self.running.saturating_add(other.running),
+            unread: self.unread.saturating_add(other.unread),
+            tokens: self.tokens.saturating_add(other.tokens),
+            copied: self.copied.saturating_add(other.copied),
+        }
+    }
+
+    /// Returns whether anything is at an engine: memory of generations or copies.
+    fn takes_memory(self) -> bool {
+        self.tokens > 0 || self.copied > 0
+    }
+}
+
+/// What other instances run at endpoints, and where they saw failures.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Others {
+    used: BTreeMap<EndpointKey, Used>,
+    /// Endpoints of which the last that somebody saw was a failure.
+    pub failing: BTreeSet<EndpointKey>,
+}
+
+impl Others {
+    /// Returns what is known where nothing is.
+    pub const fn nothing() -> Self {
+        Others {
+            used: BTreeMap::new(),
+            failing: BTreeSet::new(),
+        }
+    }
+
+    /// Counts what one more runs at an endpoint.
+    pub fn add(&mut self, endpoint: EndpointKey, used: Used) {
+        let sum = self.used.entry(endpoint).or_default();
+        *sum = sum.and(used);
+    }
+
+    /// Returns what is run at an endpoint.
+    pub fn of(&self, endpoint: EndpointKey) -> Used {
+        self.used.get(&endpoint).copied().unwrap_or_default()
+    }
+}
 
 /// A load that an endpoint told longer ago than this says nothing any more. A
 /// plain call takes some 15 to 60 ms, so that the queue has turned over by then.
@@ -30,6 +89,8 @@
 pub struct UsageTable {
     own: BTreeMap<EndpointKey, Used>,
     told: BTreeMap<EndpointKey, (Time, ToldLoad)>,
+    /// Counts the changes that a home is to hear of.
+    changes: u64,
 }
 
 impl UsageTable {
@@ -39,12 +100,14 @@
         used.running = used.running.saturating_add(1);
         used.unread = used.unread.saturating_add(unread);
         used.tokens = used.tokens.saturating_add(tokens);
+        self.changes += u64::from(tokens > 0);
     }
 
     /// Counts the first byte of a request's answer: its prompt was read.
     pub fn first_byte(&mut self, endpoint: EndpointKey, unread: u32) {
         if let Some(used) = self.own.get_mut(&endpoint) {
             used.unread = used.unread.saturating_sub(unread);
+            self.changes += u64::from(unread > 0);
         }
     }
 
@@ -57,6 +120,7 @@
         used.running = used.running.saturating_sub(1);
         used.tokens = used.tokens.saturating_sub(tokens);
         used.unread = used.unread.saturating_sub(unread);
+        self.changes += u64::from(tokens > 0);
         self.drop_if_unused(endpoint);
     }
 
@@ -71,12 +135,14 @@
     pub fn begin_copy(&mut self, endpoint: EndpointKey, tokens: u32) {
         let used = self.own.entry(endpoint).or_default();
         used.copied = used.copied.saturating_add(tokens);
+        self.changes += 1;
     }
 
     /// Counts the end of a standing copy.
     pub fn end_copy(&mut self, endpoint: EndpointKey, tokens: u32) {
         if let Some(used) = self.own.get_mut(&endpoint) {
             used.copied = used.copied.saturating_sub(tokens);
+            self.changes += 1;
             self.drop_if_unused(endpoint);
         }
     }
@@ -91,23 +157,20 @@
         self.told.remove(&endpoint);
     }
 
-    /// Returns what this instance uses, to tell peers.
-    pub fn own(&self) -> impl Iterator<Item = (EndpointKey, Used)> {
-        self.own.iter().map(|(key, used)| (*key, *used))
+    /// Returns what this instance runs at engines, to tell their home.
+    pub fn at_engines(&self) -> impl Iterator<Item = (EndpointKey, Used)> {
+        let own = self.own.iter().filter(|(_, used)| used.takes_memory());
+        own.map(|(key, used)| (*key, *used))
     }
 
-    /// Returns the use of an endpoint by all instances together.
-    pub fn of(&self, now: Time, endpoint: EndpointKey, peers: &PeerTable) -> Used {
-        let mut sum = self.own.get(&endpoint).copied().unwrap_or_default();
-        for (_, peer) in peers.live(now) {
-            if let Some(used) = peer.used.get(&endpoint) {
-                sum.running = sum.running.saturating_add(used.running);
-                sum.unread = sum.unread.saturating_add(used.unread);
-                sum.tokens = sum.tokens.saturating_add(used.tokens);
-                sum.copied = sum.copied.saturating_add(used.copied);
-            }
-        }
-        sum
+    /// Returns a number that grows with each change that a home is to hear of at once.
+    pub fn changes(&self) -> u64 {
+        self.changes
+    }
+
+    /// Returns what this instance runs at an endpoint.
+    pub fn own(&self, endpoint: EndpointKey) -> Used {
+        self.own.get(&endpoint).copied().unwrap_or_default()
     }
 
     /// Returns what the endpoint told lately.
--- /dev/null
+++ b/crates/core/tests/gateway_home.rs
@@ -0,0 +1,312 @@
+//! What the home of a service's engines grants, and what entries do without one.
+
+#[path = "fixtures/gateway.rs"]
+mod instances;
+
+use core::time::Duration;
+use instances::address;
+use oriolemux_core::gateway::ask::{AskTable, Decision, HOME_PATIENCE, Verdict, Want, Wish};
+use oriolemux_core::gateway::catalogue::EngineLimits;
+use oriolemux_core::gateway::choose::{CopyKind, NoPlace};
+use oriolemux_core::gateway::endpoints::{EndpointRecord, EndpointTable};
+use oriolemux_core::gateway::home::{Answer, Engines, Home, REPORT_FRESH, Report};
+use oriolemux_core::gateway::queue::{Waiter, service_hash};
+use oriolemux_core::gateway::usage::Used;
+use oriolemux_core::{EndpointKey, Incarnation, Time};
+
+const NOW: Time = Time::from_secs(100);
+
+const MODEL: &str = "model";
+
+const ENGINE: EngineLimits = EngineLimits {
+    slots: 24,
+    memory_tokens: 20_000,
+    standing_copies: true,
+};
+
+fn engine(number: usize) -> EndpointKey {
+    EndpointKey::of(&format!("e-{number}"))
+}
+
+/// So many empty engines.
+fn engines(count: usize) -> EndpointTable {
+    let mut table = EndpointTable::default();
+    for number in 0..count {
+        let record = EndpointRecord {
+            name: format!("e-{number}"),
+            service: MODEL.to_owned(),
+            address: "10.0.0.1:80".parse().expect("an address"),
+            data_centre: "north".to_owned(),
+            slots: 24,
+            born: None,
+            leaving: false,
+            cold: Duration::ZERO,
+        };
+        table.publish(Time::ZERO, record);
+    }
+    table
+}
+
+/// A request of 3,000 tokens that arrived so many milliseconds ago.
+fn wish(id: u64, age_ms: u64, want: Want) -> Wish {
+    let age = Duration::from_millis(age_ms);
+    Wish {
+        waiter: Waiter {
+            id,
+            service: service_hash(MODEL),
+            priority: 1,
+            arrived: NOW.before(age).expect("a time"),
+            target: Duration::from_millis(1_800),
+            tokens: 3_000,
+            prompt: 2_000,
+        },
+        want,
+        exclude: Vec::new(),
+    }
+}
+
+fn used(tokens: u32) -> Used {
+    Used {
+        running: 1,
+        tokens,
+        ..Used::default()
+    }
+}
+
+/// A home, and entries that report to it.
+struct Scene {
+    now: Time,
+    endpoints: EndpointTable,
+    home: Home,
+    reports: u64,
+}
+
+impl Scene {
+    fn new(count: usize) -> Self {
+        Scene {
+            now: NOW,
+            endpoints: engines(count),
+            home: Home::default(),
+            reports: 0,
+        }
+    }
+
+    fn report(&mut self, entry: u16, used: &[(EndpointKey, Used)], wishes: &[Wish]) {
+        self.reports += 1;
+        let report = Report {
+            service: service_hash(MODEL),
+            number: self.reports,
+            data_centre: "north".to_owned(),
+            decides: true,
+            used: used.to_vec(),
+            failing: Vec::new(),
+            wishes: wishes.iter().map(|it| it.to_tell(self.now)).collect(),
+        };
+        let life = Incarnation(entry.into());
+        self.home.hear(self.now, address(entry), life, report);
+    }
+
+    fn decide(&mut self) -> Vec<(u16, Answer)> {
+        let engines = Engines {
+            service: MODEL,
+            limits: ENGINE,
+            endpoints: &self.endpoints,
+        };
+        let answers = self.home.decide(self.now, engines);
+        let number = |it: std::net::SocketAddrV4| {
+            let [_, _, high, low] = it.ip().octets();
+            u16::from_be_bytes([high, low])
+        };
+        answers
+            .into_iter()
+            .map(|(to, it)| (number(to), it))
+            .collect()
+    }
+
+    /// Returns what was decided about a wish, if anything was said.
+    fn decision(&mut self, id: u64) -> Option<Decision> {
+        let answers = self.decide();
+        let mut told = answers.iter().flat_map(|(_, it)| &it.decisions);
+        told.find(|it| it.0 == id).map(|it| it.1)
+    }
+}
+
+fn granted(decision: Option<Decision>) -> Option<EndpointKey> {
+    match decision {
+        Some(Decision::Granted(key)) => Some(key),
+        _ => None,
+    }
+}
+
+/// Symptom: an engine gets twice what it holds. Sequence: two entries ask within the time
+/// that a report takes. Cause: what was granted counted only once its entry had reported it.
+#[test]
+fn what_was_granted_is_kept_until_it_is_reported() {
+    let mut scene = Scene::new(1);
+    let taken = [(engine(0), used(15_000))];
+    scene.report(9, &taken, &[]);
+    scene.report(1, &[], &[wish(1, 5, Want::Place)]);
+    assert_eq!(scene.decision(1), Some(Decision::Granted(engine(0))));
+
+    scene.report(2, &[], &[wish(2, 5, Want::Place)]);
+
+    assert_eq!(scene.decision(2), Some(Decision::Waits(NoPlace::Full)));
+}
+
+#[test]
+fn what_was_granted_counts_once_when_it_is_reported() {
+    let mut scene = Scene::new(1);
+    scene.report(1, &[], &[wish(1, 5, Want::Place)]);
+    scene.decide();
+
+    scene.report(1, &[(engine(0), used(3_000))], &[]);
+
+    assert_eq!(scene.home.others(None).of(engine(0)), used(3_000));
+}
+
+/// A grant that is lost on its way is told again, and is the same one.
+#[test]
+fn a_grant_is_repeated_to_who_asks_again() {
+    let mut scene = Scene::new(2);
+    let ask = [wish(1, 5, Want::Place)];
+    scene.report(1, &[], &ask);
+    let first = granted(scene.decision(1));
+
+    scene.report(1, &[], &ask);
+
+    assert!(first.is_some());
+    assert_eq!(granted(scene.decision(1)), first);
+    let kept = scene.home.others(None).of(first.expect("granted"));
+    assert_eq!(kept.running, 1, "room is kept once");
+}
+
+/// Symptom: requests wait although engines have room. Sequence: the entry whose request is
+/// next freezes. Cause: its last word was believed for as long as it counted as there.
+#[test]
+fn an_entry_that_falls_silent_holds_nobody_up() {
+    let mut scene = Scene::new(1);
+    scene.report(9, &[(engine(0), used(16_000))], &[]);
+    scene.report(1, &[], &[wish(1, 10, Want::Place)]);
+    let me = wish(2, 600, Want::Place);
+    scene.report(2, &[], std::slice::from_ref(&me));
+    assert_eq!(scene.decision(2), Some(Decision::Waits(NoPlace::Full)));
+
+    scene.now += REPORT_FRESH;
+    scene.home.tick(scene.now);
+    scene.report(9, &[(engine(0), used(16_000))], &[]);
+    scene.report(2, &[], &[me]);
+
+    assert_eq!(scene.decision(2), Some(Decision::Granted(engine(0))));
+}
+
+#[test]
+fn room_that_comes_is_granted_unasked() {
+    let mut scene = Scene::new(1);
+    scene.report(9, &[(engine(0), used(19_000))], &[]);
+    scene.report(1, &[], &[wish(1, 10, Want::Place)]);
+    assert_eq!(scene.decision(1), Some(Decision::Waits(NoPlace::Full)));
+
+    scene.report(9, &[], &[]);
+
+    assert_eq!(scene.decision(1), Some(Decision::Granted(engine(0))));
+}
+
+/// Symptom: a generation that waits longest is served by an engine that another one was
+/// promised. Sequence: reports arrive in another order than they were sent. Cause: the last
+/// arrival won.
+#[test]
+fn a_report_that_was_overtaken_changes_nothing() {
+    let mut scene = Scene::new(1);
+    scene.report(1, &[(engine(0), used(3_000))], &[]);
+    let late = Report {
+        service: service_hash(MODEL),
+        number: 0,
+        data_centre: "north".to_owned(),
+        decides: true,
+        used: Vec::new(),
+        failing: Vec::new(),
+        wishes: Vec::new(),
+    };
+
+    scene
+        .home
+        .hear(NOW, address(1), Incarnation(1), late.clone());
+    let of_this_life = scene.home.others(None).of(engine(0));
+    scene.home.hear(NOW, address(1), Incarnation(2), late);
+
+    assert_eq!(of_this_life, used(3_000));
+    assert_eq!(scene.home.others(None).of(engine(0)), Used::default());
+}
+
+/// Copies of generations whose engine leaves go to different engines, since each is counted
+/// before the next is chosen, and before what only wants to be safer.
+#[test]
+fn copies_of_one_engine_part() {
+    let mut scene = Scene::new(5);
+    let ahead = Want::Copy {
+        source: engine(0),
+        kind: CopyKind::Ahead,
+    };
+    for entry in 1..=8_u16 {
+        scene.report(entry, &[], &[wish(entry.into(), 5, ahead)]);
+    }
+    let answers = scene.decide();
+
+    let at = |key| {
+        let decisions = answers.iter().flat_map(|(_, it)| &it.decisions);
+        decisions
+            .filter(|it| it.1 == Decision::Granted(key))
+            .count()
+    };
+    assert_eq!(at(engine(0)), 0, "not at the engine that leaves");
+    let counts: Vec<usize> = (1..5).map(|it| at(engine(it))).collect();
+    assert_eq!(counts, [2, 2, 2, 2]);
+}
+
+#[test]
+fn what_has_an_engine_gets_no_other_while_somebody_waits() {
+    let mut scene = Scene::new(2);
+    scene.report(
+        9,
+        &[(engine(0), used(19_000)), (engine(1), used(18_000))],
+        &[],
+    );
+    scene.report(1, &[], &[wish(1, 10, Want::Place)]);
+    scene.decide();
+
+    scene.report(2, &[], &[wish(2, 700, Want::Aside)]);
+
+    assert_eq!(scene.decision(2), Some(Decision::Denied(NoPlace::Full)));
+}
+
+/// Symptom: requests wait for as long as a frozen home does. Sequence: the home freezes before
+/// it answers, or after it said "wait". Cause: nothing bounded the wait for its word.
+#[test]
+fn a_home_that_says_nothing_is_not_waited_for() {
+    let mut asks = AskTable::default();
+    asks.enter(NOW, wish(1, 0, Want::Place));
+    let soon = NOW + Duration::from_millis(5);
+    assert_eq!(asks.verdict(soon, 1), Verdict::Asked);
+    assert_eq!(asks.verdict(NOW + HOME_PATIENCE, 1), Verdict::Unanswered);
+
+    let waits = Decision::Waits(NoPlace::Full);
+    asks.hear(soon, 1, waits);
+
+    let later = NOW + HOME_PATIENCE * 2;
+    assert_eq!(asks.verdict(later, 1), Verdict::Decided(waits));
+    let much_later = NOW + Duration::from_secs(1);
+    assert_eq!(asks.verdict(much_later, 1), Verdict::Unanswered);
+}
+
+/// A "wait" that was sent before a grant and arrives after it takes nothing back.
+#[test]
+fn a_grant_is_not_taken_back_by_an_older_word() {
+    let mut asks = AskTable::default();
+    asks.enter(NOW, wish(1, 0, Want::Place));
+    let grant = Decision::Granted(engine(3));
+
+    asks.hear(NOW, 1, grant);
+    asks.hear(NOW, 1, Decision::Waits(NoPlace::Full));
+
+    assert_eq!(asks.verdict(NOW, 1), Verdict::Decided(grant));
+}
--- /dev/null
+++ b/crates/core/tests/gateway_members.rs
@@ -0,0 +1,193 @@
+//! Who takes part, in fleets of real cores over links with delay and loss, and what that costs.
+
+#[path = "fixtures/gateway_fleet.rs"]
+mod fleet;
+#[path = "fixtures/gateway.rs"]
+mod instances;
+
+use core::time::Duration;
+use fleet::Fleet;
+use instances::engine;
+use oriolemux_core::EndpointKey;
+use rstest::rstest;
+
+const SEEDS: usize = 3;
+
+/// Bytes a second that control may take of an instance at the size that is designed for.
+const CONTROL_BYTES: u64 = 4_096;
+
+/// A fleet that has settled, and loses so many of its datagrams.
+fn settled(size: usize, loss: f64) -> Fleet {
+    let mut fleet = Fleet::start(size, SEEDS, 7);
+    let joined = fleet.until_all_count(size, Duration::from_secs(20));
+    assert!(joined.is_some(), "{:?}", fleet.counts());
+    fleet.run(Duration::from_secs(1));
+    fleet.loss = loss;
+    fleet
+}
+
+/// The fleet's cold start: all are started at once, and know three addresses each.
+#[rstest]
+#[case::few(6, 2)]
+#[case::some(30, 3)]
+#[case::large(195, 5)]
+fn all_that_start_at_once_find_each_other(#[case] size: usize, #[case] within_s: u64) {
+    let mut fleet = Fleet::start(size, SEEDS, 1);
+
+    let took = fleet.until_all_count(size, Duration::from_secs(within_s));
+
+    assert!(took.is_some(), "{:?}", fleet.counts());
+}
+
+/// Symptom: an instance that starts finds nobody. Sequence: the addresses that it was given
+/// are old, and nobody answers at all but one of them.
+#[test]
+fn one_seed_that_answers_is_enough() {
+    let mut fleet = Fleet::start(12, 8, 2);
+    (0..7).for_each(|it| fleet.kill(it));
+
+    let took = fleet.until_all_count(5, Duration::from_secs(5));
+
+    assert!(took.is_some(), "{:?}", fleet.counts());
+}
+
+/// Symptom: what one instance sends grows with the fleet. Sequence: each tells every other
+/// who it is. Cause: membership was all to all.
+#[rstest]
+#[case::some(30, true)]
+#[case::large(195, true)]
+#[case::large_without_a_store(195, false)]
+fn what_one_instance_sends_does_not_grow_with_the_fleet(
+    #[case] size: usize,
+    #[case] store_answers: bool,
+) {
+    let mut fleet = settled(size, 0.0);
+    fleet.store_answers = store_answers;
+    fleet.run(Duration::from_secs(3));
+    fleet.forget_sent();
+
+    fleet.run(Duration::from_secs(3));
+
+    let most = fleet.nodes.iter().map(|it| it.sent.bytes).max();
+    assert!(most <= Some(3 * CONTROL_BYTES), "{most:?} bytes in 3 s");
+}
+
+#[rstest]
+#[case::few(6, 0.0)]
+#[case::some(30, 0.05)]
+fn an_instance_that_was_killed_is_gone_for_all_and_nobody_else_is(
+    #[case] size: usize,
+    #[case] loss: f64,
+) {
+    let mut fleet = settled(size, loss);
+    fleet.kill(1);
+
+    let took = fleet.until_all_count(size - 1, Duration::from_secs(10));
+    fleet.run(Duration::from_secs(20));
+
+    assert!(took.is_some(), "{:?}", fleet.counts());
+    assert!(fleet.all_count(size - 1), "{:?}", fleet.counts());
+    let most = fleet.nodes.iter().map(|it| it.counted_gone).max();
+    assert!(most <= Some(1), "somebody else was counted as gone");
+}
+
+/// Symptom: an instance that was frozen is never counted again. Sequence: all others took it
+/// for gone; it wakes, and says what it said before. Cause: the last word was the highest.
+#[test]
+fn a_frozen_instance_that_wakes_refutes_that_it_is_gone() {
+    let mut fleet = settled(12, 0.0);
+    fleet.nodes[4].frozen = true;
+    fleet.run(Duration::from_secs(8));
+    let others: Vec<usize> = fleet.counts();
+    assert!(
+        others.iter().filter(|&&it| it == 11).count() >= 11,
+        "{others:?}"
+    );
+
+    fleet.nodes[4].frozen = false;
+
+    let took = fleet.until_all_count(12, Duration::from_secs(6));
+    assert!(took.is_some(), "{:?}", fleet.counts());
+}
+
+/// Symptom: after a pause of its own an instance counts its peers as gone. Cause: it held
+/// them to answers that came while it could not hear.
+#[test]
+fn an_instance_that_paused_condemns_nobody() {
+    let mut fleet = settled(12, 0.0);
+    fleet.nodes[4].frozen = true;
+    fleet.run(Duration::from_millis(1_500));
+    fleet.nodes[4].frozen = false;
+
+    fleet.run(Duration::from_secs(10));
+
+    assert_eq!(fleet.nodes[4].counted_gone, 0);
+    assert!(fleet.all_count(12), "{:?}", fleet.counts());
+}
+
+/// One link that is cut, in one direction or both, condemns nobody: others vouch.
+#[rstest]
+#[case::one_way(|from, to| (from, to) != (2, 3))]
+#[case::both_ways(|from, to| (from, to) != (2, 3) && (from, to) != (3, 2))]
+fn one_link_that_is_cut_condemns_nobody(#[case] passes: fn(usize, usize) -> bool) {
+    let mut fleet = settled(12, 0.0);
+    fleet.passes = passes;
+
+    fleet.run(Duration::from_secs(20));
+
+    assert!(fleet.all_count(12), "{:?}", fleet.counts());
+}
+
+/// Two halves that lost each other find each other again, though each took all of the other
+/// for gone.
+#[test]
+fn two_parts_that_lost_each_other_find_each_other() {
+    let mut fleet = settled(24, 0.0);
+    fleet.passes = |from, to| (from < 12) == (to < 12);
+    fleet.run(Duration::from_secs(15));
+    assert!(fleet.all_count(12), "{:?}", fleet.counts());
+
+    fleet.passes = |_, _| true;
+
+    let took = fleet.until_all_count(24, Duration::from_secs(15));
+    assert!(took.is_some(), "{:?}", fleet.counts());
+}
+
+/// A process that starts again at its address is known in its new life, and the word that
+/// its former life is gone does not take it away.
+#[test]
+fn a_new_life_at_an_address_is_known_to_all() {
+    let mut fleet = settled(12, 0.0);
+    fleet.kill(5);
+    fleet.run(Duration::from_millis(700));
+    fleet.start_one(5);
+
+    fleet.run(Duration::from_secs(12));
+
+    assert!(fleet.all_count(12), "{:?}", fleet.counts());
+}
+
+/// Symptom: requests go to an endpoint that leaves, at instances that the store turns away.
+/// The news must be everywhere within half a second, at the size that is designed for.
+#[rstest]
+#[case::few(6, 0.0)]
+#[case::large(195, 0.02)]
+fn a_leaving_endpoint_is_known_everywhere_within_half_a_second(
+    #[case] size: usize,
+    #[case] loss: f64,
+) {
+    let mut fleet = settled(size, loss);
+    fleet.publish(&engine("e-1"));
+    let endpoint = EndpointKey::of("e-1");
+    let told = fleet.now;
+
+    fleet.tell_leaving(0, endpoint);
+    fleet.run(Duration::from_millis(500));
+
+    let heard = fleet
+        .nodes
+        .iter()
+        .filter_map(|it| it.heard_leaving.get(&endpoint));
+    let last = heard.clone().max().map(|at| at.since(told));
+    assert_eq!(heard.count(), size, "the last at {last:?}");
+}
--- /dev/null
+++ b/crates/core/tests/gateway_places.rs
@@ -0,0 +1,323 @@
+//! Places at engines in fleets of real cores: what a request costs, and homes that freeze, are
+//! killed, or stand twice.
+
+#[path = "fixtures/gateway_fleet.rs"]
+mod fleet;
+#[path = "fixtures/gateway.rs"]
+mod instances;
+
+use core::time::Duration;
+use fleet::{Fleet, Sent};
+use instances::{address, engine};
+use oriolemux_core::gateway::ask::{Decision, HOME_PATIENCE, Verdict, Want, Wish};
+use oriolemux_core::gateway::catalogue::{CatalogueSource, EngineLimits, Service};
+use oriolemux_core::gateway::queue::{Waiter, service_hash};
+use oriolemux_core::gateway::{Demand, Gateway};
+use oriolemux_core::{EndpointKey, Time};
+use rstest::rstest;
+use std::collections::BTreeMap;
+
+const SEEDS: usize = 3;
+
+const ENGINES: usize = 12;
+
+const ENGINE: EngineLimits = EngineLimits {
+    slots: 24,
+    memory_tokens: 20_000,
+    standing_copies: true,
+};
+
+/// Tokens of one generation: six of them fill an engine.
+const TOKENS: u32 = 3_000;
+
+/// How long a generation runs.
+const RUNS: Duration = Duration::from_secs(2);
+
+const STEP: Duration = Duration::from_millis(1);
+
+/// A request that asks for a place at one instance.
+struct Asking {
+    entry: usize,
+    id: u64,
+    since: Time,
+}
+
+/// A generation that runs.
+struct Running {
+    entry: usize,
+    at: EndpointKey,
+    ends: Time,
+}
+
+/// A fleet before engines, and the requests that it places.
+struct Scene {
+    fleet: Fleet,
+    asking: Vec<Asking>,
+    running: Vec<Running>,
+    asked: u64,
+    /// The longest time that a request waited for its place.
+    longest: Duration,
+    /// The most memory that generations took at one engine.
+    fullest: u32,
+    /// Requests that were placed without a home.
+    alone: usize,
+}
+
+fn catalogue() -> CatalogueSource {
+    CatalogueSource {
+        version: 1,
+        services: vec![Service {
+            name: "model".to_owned(),
+            engine: Some(ENGINE),
+        }],
+        ..CatalogueSource::default()
+    }
+}
+
+impl Scene {
+    /// A settled fleet that knows the engines.
+    fn new(size: usize) -> Self {
+        let mut fleet = Fleet::start(size, SEEDS, 3);
+        let joined = fleet.until_all_count(size, Duration::from_secs(20));
+        assert!(joined.is_some(), "{:?}", fleet.counts());
+        for number in 0..ENGINES {
+            fleet.publish(&engine(&format!("e-{number}")));
+        }
+        for core in fleet.nodes.iter_mut().filter_map(|it| it.core.as_mut()) {
+            core.publish_catalogue(catalogue()).expect("no findings");
+        }
+        Scene {
+            fleet,
+            asking: Vec::new(),
+            running: Vec::new(),
+            asked: 0,
+            longest: Duration::ZERO,
+            fullest: 0,
+            alone: 0,
+        }
+    }
+
+    fn core(&mut self, index: usize) -> &mut Gateway {
+        self.fleet.nodes[index].core.as_mut().expect("it is there")
+    }
+
+    /// Returns the home of the engines, by the word of one instance.
+    fn home(&mut self, asked: usize) -> usize {
+        let homes = self.core(asked).homes(service_hash("model"));
+        let size = self.fleet.nodes.len();
+        (0..size)
+            .find(|&it| Some(address(it as u16 + 1)) == homes[0])
+            .expect("there is a home")
+    }
+
+    fn ask(&mut self, entry: usize) {
+        self.asked += 1;
+        let (id, now) = (self.asked, self.fleet.now);
+        let waiter = Waiter {
+            id,
+            service: service_hash("model"),
+            priority: 1,
+            arrived: now,
+            target: Duration::from_millis(1_800),
+            tokens: TOKENS,
+            prompt: 2_000,
+        };
+        let wish = Wish {
+            waiter,
+            want: Want::Place,
+            exclude: Vec::new(),
+        };
+        self.core(entry).ask(now, wish);
+        self.fleet.hurry(entry);
+        self.asking.push(Asking {
+            entry,
+            id,
+            since: now,
+        });
+    }
+
+    /// Lets one millisecond pass, and entries act on what they know.
+    fn step(&mut self) {
+        self.fleet.run(STEP);
+        for asking in core::mem::take(&mut self.asking) {
+            if let Some(still) = self.look(asking) {
+                self.asking.push(still);
+            }
+        }
+        let now = self.fleet.now;
+        let (over, running) = core::mem::take(&mut self.running)
+            .into_iter()
+            .partition::<Vec<_>, _>(|it| it.ends <= now);
+        self.running = running;
+        for it in over {
+            if let Some(core) = &mut self.fleet.nodes[it.entry].core {
+                core.usage.end(it.at, TOKENS, 0);
+                self.fleet.hurry(it.entry);
+            }
+        }
+        self.note_fullest();
+    }
+
+    fn look(&mut self, asking: Asking) -> Option<Asking> {
+        let now = self.fleet.now;
+        let core = self.fleet.nodes[asking.entry].core.as_mut()?;
+        let place = match core.verdict(now, asking.id) {
+            Verdict::Decided(Decision::Granted(key)) => Some(key),
+            Verdict::Unanswered => {
+                core.home_unanswered(now, service_hash("model"), asking.id);
+                let demand = Demand {
+                    service: "model",
+                    engine: Some(ENGINE),
+                    tokens: TOKENS,
+                    exclude: &[],
+                };
+                let place = core.place_alone(now, &demand, Want::Place).ok();
+                self.alone += usize::from(place.is_some());
+                place.map(|it| it.key)
+            }
+            _ => None,
+        };
+        let Some(at) = place else {
+            return Some(asking);
+        };
+        core.usage.begin(at, TOKENS, 0);
+        core.ask_no_longer(asking.id);
+        self.fleet.hurry(asking.entry);
+        self.longest = self.longest.max(now.since(asking.since));
+        self.running.push(Running {
+            entry: asking.entry,
+            at,
+            ends: now + RUNS,
+        });
+        None
+    }
+
+    fn note_fullest(&mut self) {
+        let mut taken: BTreeMap<EndpointKey, u32> = BTreeMap::new();
+        for it in &self.running {
+            *taken.entry(it.at).or_default() += TOKENS;
+        }
+        let fullest = taken.values().copied().max().unwrap_or(0);
+        self.fullest = self.fullest.max(fullest);
+    }
+
+    /// Lets requests come at entries in turn, but for `except`, each so many milliseconds.
+    fn play(&mut self, time: Duration, each_ms: u64, except: Option<usize>) {
+        let steps = time.as_millis() as u64;
+        let size = self.fleet.nodes.len();
+        let mut entry = 0;
+        for step in 0..steps {
+            if step.is_multiple_of(each_ms) {
+                entry = (entry + 7) % size;
+                if Some(entry) != except {
+                    self.ask(entry);
+                }
+            }
+            self.step();
+        }
+    }
+
+    fn sent_for_places(&self) -> Sent {
+        let mut sum = Sent::default();
+        for node in &self.fleet.nodes {
+            for purpose in ["placement_reports", "placement_answers"] {
+                let sent = node.by_purpose.get(purpose).copied().unwrap_or_default();
+                sum.datagrams += sent.datagrams;
+                sum.bytes += sent.bytes;
+            }
+        }
+        sum
+    }
+}
+
+/// Symptom: what a request costs grows with the fleet. Sequence: each placement, first event
+/// and end is told to every instance. Cause: each instance decided alone and had to know what
+/// all others run. Control may take 4 KB a second of an instance, at 3.6 requests a second.
+#[rstest]
+#[case::few(6)]
+#[case::some(30)]
+#[case::large(120)]
+fn what_a_request_costs_does_not_grow_with_the_fleet(#[case] size: usize) {
+    let mut scene = Scene::new(size);
+    scene.fleet.forget_sent();
+
+    scene.play(Duration::from_secs(4), 50, None);
+
+    let sent = scene.sent_for_places();
+    let (bytes, datagrams) = (sent.bytes / scene.asked, sent.datagrams / scene.asked);
+    assert!(bytes <= 4_096, "{bytes} bytes in {datagrams} datagrams");
+    assert!(datagrams <= 30, "{bytes} bytes in {datagrams} datagrams");
+}
+
+/// A home knows all it gave away: no engine is given more than it holds, however many entries
+/// ask at once, and who finds no room waits.
+#[test]
+fn no_engine_is_given_more_than_it_holds() {
+    let mut scene = Scene::new(12);
+
+    scene.play(Duration::from_secs(4), 20, None);
+
+    assert_eq!(scene.alone, 0);
+    assert!(scene.fullest <= ENGINE.memory_tokens, "{}", scene.fullest);
+}
+
+/// Symptom: requests stand still for as long as the home does. Sequence: the home freezes, is
+/// killed, or is cut off from the entry; it takes seconds until it counts as gone. Cause: its
+/// answer was waited for.
+#[rstest]
+#[case::frozen(true)]
+#[case::killed(false)]
+fn no_request_waits_for_a_home_that_is_not_there(#[case] frozen: bool) {
+    let mut scene = Scene::new(12);
+    scene.play(Duration::from_secs(2), 50, None);
+    let home = scene.home(0);
+    if frozen {
+        scene.fleet.nodes[home].frozen = true;
+    } else {
+        scene.fleet.kill(home);
+    }
+    scene.longest = Duration::ZERO;
+
+    scene.play(Duration::from_secs(6), 50, Some(home));
+
+    let bound = HOME_PATIENCE + Duration::from_millis(10);
+    assert!(scene.longest <= bound, "{:?}", scene.longest);
+    assert!(scene.fullest <= ENGINE.memory_tokens, "{}", scene.fullest);
+}
+
+/// A home that was frozen and wakes still holds its old view; entries ask the one that took
+/// its place until it is known to be there again, and reports replace what it believed.
+#[test]
+fn a_home_that_wakes_goes_by_new_reports() {
+    let mut scene = Scene::new(12);
+    scene.play(Duration::from_secs(2), 50, None);
+    let home = scene.home(0);
+    scene.fleet.nodes[home].frozen = true;
+    scene.play(Duration::from_secs(5), 50, Some(home));
+
+    scene.fleet.nodes[home].frozen = false;
+    scene.play(Duration::from_secs(5), 50, Some(home));
+
+    assert_eq!(scene.home(0), home, "it is the home again");
+    assert!(scene.fullest <= ENGINE.memory_tokens, "{}", scene.fullest);
+}
+
+/// Two homes at once: some entries cannot reach the first and ask the next. Both know all
+/// reports, so that they give away the same room only while a report is under way.
+#[test]
+fn two_homes_give_away_hardly_more_than_there_is() {
+    let mut scene = Scene::new(12);
+    scene.play(Duration::from_secs(1), 50, None);
+    // Whatever the home is: the entries of even number do not hear it, and it not them.
+    scene.fleet.passes = |from, to| from % 2 == to % 2 || from > 5 || to > 5;
+
+    scene.play(Duration::from_secs(8), 25, None);
+
+    let one_more = ENGINE.memory_tokens + 2 * TOKENS;
+    assert!(scene.fullest <= one_more, "{}", scene.fullest);
+    assert!(
+        scene.longest <= Duration::from_millis(400),
+        "{:?}",
+        scene.longest
+    );
+}
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -54,7 +54,7 @@
         attempts: Attempts::default(),
     };
     loop {
-        let (place, in_use) = match job.place(0, calls.attempts.tried()) {
+        let (place, in_use) = match job.place(calls.attempts.tried()) {
             Ok(chosen) => chosen,
             Err(why) => return calls.no_place(why),
         };
--- a/crates/gateway/src/catch_up.rs
+++ b/crates/gateway/src/catch_up.rs
@@ -1,7 +1,7 @@
 //! Records of the store from peer to peer: asked for by who missed them.
 //!
 //! The question is the revision up to which the asker knows everything, over TCP on the
-//! port of the bulletins; the answer is what came after it, in one piece, compressed where
+//! port of the datagrams; the answer is what came after it, in one piece, compressed where
 //! it is large ([`mod@format`]). An answer of no bytes is a refusal: the peer tells others at
 //! the moment. The core says whom to ask and how many may be told at once
 //! ([`core::gateway::catch_up`]).
@@ -86,7 +86,7 @@
     let after = cx.state().replica.revision();
     let fetched = tokio::select! {
         fetched = fetch(peer, after) => fetched,
-        // The store, or bulletins, made the question pointless.
+        // The store, or another peer, made the question pointless.
         () = no_longer_behind(cx) => return,
     };
     let ms = millis(begun.elapsed());
@@ -118,12 +118,11 @@
 }
 
 fn take_news<W: Wire>(cx: &Cx<W>, news: News) {
-    let size: usize = news.records.iter().map(|it| it.size()).sum();
     let seen: BTreeMap<String, ()> = match news.whole {
         true => news.records.iter().map(|it| (it.key.clone(), ())).collect(),
         false => BTreeMap::new(),
     };
-    apply(cx, Source::Peer, news.records);
+    let has_news = apply(cx, Source::Peer, news.records);
     if news.whole {
         let missing = cx.state().replica.missing_from(&seen, news.revision);
         apply(cx, Source::Peer, missing);
@@ -131,8 +130,9 @@
     } else {
         cx.state().replica.reached(news.revision);
     }
-    if size > LARGE_NEWS {
+    if has_news {
         // Who was told can tell it on, and the others must hear so at once.
+        cx.state().announce();
         cx.dirty.notify_one();
     }
 }
--- a/crates/gateway/src/cx.rs
+++ b/crates/gateway/src/cx.rs
@@ -58,6 +58,8 @@
     pub changed: Notify,
     /// Told when endpoints began to leave.
     pub departures: Notify,
+    /// Told when a home may have decided about a place.
+    pub decided: Notify,
     /// Told when peers should hear of something soon.
     pub dirty: Notify,
     /// Told when a peer knows more of the store.
@@ -107,6 +109,7 @@
             limits,
             changed: Notify::new(),
             departures: Notify::new(),
+            decided: Notify::new(),
             dirty: Notify::new(),
             behind: Notify::new(),
             stopping: CancellationToken::new(),
@@ -194,6 +197,7 @@
             note!(EndpointLeaving, endpoint = name.as_str());
         }
         if !endpoints.is_empty() {
+            self.state().tell_leaving(endpoints);
             self.changed.notify_waiters();
             self.departures.notify_waiters();
             self.dirty.notify_one();
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -1,6 +1,7 @@
 //! One request of a caller, judged and read.
 
 use crate::answer::{AnswerBody, Reason, refuse};
+use crate::ask::{PlaceRequest, ask};
 use crate::cx::Cx;
 use crate::link::{Link, LinkError};
 use crate::meters::ByReason;
@@ -11,17 +12,23 @@
 use http::{HeaderMap, Method, Request, Response, Uri, header};
 use http_body_util::Full;
 use hyper::body::Incoming;
+use oriolemux_core::gateway::ask::{HOME_PATIENCE, Want};
 use oriolemux_core::gateway::catalogue::{Catalogue, HttpEntry, Service, ServiceId, WorkspaceId};
-use oriolemux_core::gateway::choose::NoPlace;
+use oriolemux_core::gateway::choose::{CopyKind, NoPlace};
 use oriolemux_core::gateway::lengths::{self, Length};
 use oriolemux_core::gateway::queue::{Waiter, service_hash};
 use oriolemux_core::gateway::state::Place;
+use oriolemux_core::gateway::usage::Used;
 use oriolemux_core::gateway::{Demand, EntryId, Gateway, Repeat};
 use oriolemux_core::ids::EndpointKey;
 use oriolemux_core::time::Time;
 use std::sync::Arc;
 use std::time::Instant;
 
+/// How long what wants a place at once may wait for a home: for the home and the next in
+/// rank, one after the other.
+pub const AT_ONCE: Duration = HOME_PATIENCE.saturating_mul(3);
+
 /// A request that was judged by one catalogue and read whole.
 pub struct Job<W> {
     /// What all tasks share.
@@ -94,7 +101,7 @@
     pub fn spend_repeat(&self) -> bool {
         let now = self.cx.now();
         let mut state = self.cx.state();
-        let instances = state.instances(now);
+        let instances = state.instances();
         state.budget.spend(now, &self.service().name, instances)
     }
 
@@ -127,41 +134,86 @@
         refuse(reason, patience.saturating_sub(self.arrived.elapsed()))
     }
 
-    /// Chooses an endpoint and counts the request there until [`InUse`] is dropped.
+    /// Chooses an endpoint for a call and counts it there until [`InUse`] is dropped.
     ///
     /// # Errors
     ///
     /// Returns why there is none.
-    pub fn place(
-        &self,
-        tokens: u32,
-        exclude: &[EndpointKey],
-    ) -> Result<(Place, InUse<W>), NoPlace> {
-        self.place_by(tokens, exclude, Gateway::place)
+    pub fn place(&self, exclude: &[EndpointKey]) -> Result<(Place, InUse<W>), NoPlace> {
+        let now = self.cx.now();
+        let mut state = self.cx.state();
+        let place = state.place(now, &self.demand(0, exclude))?;
+        let begun = self.begin_use(&mut state, &place, 0);
+        drop(state);
+        Ok(self.placed(place, 0, begun))
     }
 
-    /// Chooses an endpoint by `choice`, and counts the request there as [`Job::place`] does.
+    /// Asks for an engine until `until`, and counts the generation there as
+    /// [`Job::place`] does.
     ///
     /// # Errors
     ///
     /// Returns why there is none.
-    pub fn place_by(
+    pub async fn ask_place(
         &self,
-        tokens: u32,
-        exclude: &[EndpointKey],
-        choice: impl FnOnce(&mut Gateway, Time, &Demand<'_>) -> Result<Place, NoPlace>,
+        asked: PlaceRequest<'_>,
+        until: Instant,
     ) -> Result<(Place, InUse<W>), NoPlace> {
-        let now = self.cx.now();
-        let mut state = self.cx.state();
-        let place = choice(&mut state, now, &self.demand(tokens, exclude))?;
-        let used = state.usage.of(now, place.key, &state.peers);
-        let unread = if tokens > 0 {
-            self.head.prompt_tokens
-        } else {
-            0
+        let begin = |state: &mut Gateway, place: &Place| self.begin_use(state, place, asked.tokens);
+        let (place, begun) = ask(self, asked, until, begin).await?;
+        self.cx.dirty.notify_one();
+        Ok(self.placed(place, asked.tokens, begun))
+    }
+
+    /// Asks for a place for a copy of what runs at `source`, and counts it there.
+    pub async fn ask_copy(
+        &self,
+        source: EndpointKey,
+        kind: CopyKind,
+        tokens: u32,
+    ) -> Option<(Place, CopyInUse<W>)> {
+        let asked = PlaceRequest {
+            want: Want::Copy { source, kind },
+            tokens,
+            exclude: &[],
+        };
+        let begin = |state: &mut Gateway, place: &Place| {
+            state.usage.begin_copy(place.key, tokens);
+            CopyInUse {
+                cx: Arc::clone(&self.cx),
+                endpoint: place.key,
+                tokens,
+            }
+        };
+        let until = Instant::now() + AT_ONCE;
+        let found = ask(self, asked, until, begin).await.ok();
+        self.cx.dirty.notify_one();
+        found
+    }
+
+    /// Counts a request at an endpoint; returns what was known to run there.
+    fn begin_use(&self, state: &mut Gateway, place: &Place, tokens: u32) -> (Used, InUse<W>) {
+        let used = state.used(place.key);
+        let unread = match tokens {
+            0 => 0,
+            _ => self.head.prompt_tokens,
         };
         state.usage.begin(place.key, tokens, unread);
-        drop(state);
+        let in_use = InUse {
+            cx: Arc::clone(&self.cx),
+            endpoint: place.key,
+            tokens,
+            unread,
+        };
+        (used, in_use)
+    }
+
+    fn placed(
+        &self,
+        place: Place,
+        tokens: u32,
+        (used, in_use): (Used, InUse<W>),
+    ) -> (Place, InUse<W>) {
         note!(
             Placed,
             attempt = self.name(),
@@ -174,16 +226,7 @@
             need = tokens,
             waited_ms = self.arrived.elapsed().as_millis() as u64
         );
-        if tokens > 0 {
-            self.cx.dirty.notify_one();
-        }
-        let in_use = InUse {
-            cx: Arc::clone(&self.cx),
-            endpoint: place.key,
-            tokens,
-            unread,
-        };
-        Ok((place, in_use))
+        (place, in_use)
     }
 
     /// Returns the request as an endpoint is sent it.
@@ -327,32 +370,6 @@
     }
 }
 
-/// Keeps a request in the queue for engines, which peers know of, until it is dropped.
-pub struct InQueue<W: Wire> {
-    cx: Arc<Cx<W>>,
-    id: u64,
-}
-
-impl<W: Wire> InQueue<W> {
-    /// Enters a request.
-    pub fn enter(cx: &Arc<Cx<W>>, waiter: Waiter) -> Self {
-        cx.state().queue.enter(waiter);
-        cx.dirty.notify_one();
-        InQueue {
-            cx: Arc::clone(cx),
-            id: waiter.id,
-        }
-    }
-}
-
-impl<W: Wire> Drop for InQueue<W> {
-    fn drop(&mut self) {
-        self.cx.state().queue.leave(self.id);
-        self.cx.changed.notify_waiters();
-        self.cx.dirty.notify_one();
-    }
-}
-
 /// Counts a standing copy at an endpoint until it is dropped.
 pub struct CopyInUse<W: Wire> {
     cx: Arc<Cx<W>>,
@@ -360,19 +377,6 @@
     tokens: u32,
 }
 
-impl<W: Wire> CopyInUse<W> {
-    /// Counts a copy of `tokens` at `endpoint`.
-    pub fn begin(cx: &Arc<Cx<W>>, endpoint: EndpointKey, tokens: u32) -> Self {
-        cx.state().usage.begin_copy(endpoint, tokens);
-        cx.dirty.notify_one();
-        CopyInUse {
-            cx: Arc::clone(cx),
-            endpoint,
-            tokens,
-        }
-    }
-}
-
 impl<W: Wire> Drop for CopyInUse<W> {
     fn drop(&mut self) {
         self.cx.state().usage.end_copy(self.endpoint, self.tokens);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -6,7 +6,7 @@
 //! callers, endpoints, peers and a store. [`front`] takes callers' requests and
 //! judges them by the catalogue in force. [`call`] forwards a call and returns
 //! its answer whole. [`stream`] finds a place for a generation, in its turn where room is
-//! short, and [`relay`] passes its events on, and carries it to another engine when its
+//! short, [`mod@ask`] waits for what the home of its engines decides, and [`relay`] passes its events on, and carries it to another engine when its
 //! own leaves; [`attempts`] says where a request was and what that leaves open.
 //! [`page`] answers the balancer, operators who ask for the [`status`] and whoever
 //! collects [metrics](mod@meters). [`news`] tells peers what they need, [`store`] keeps
@@ -17,6 +17,7 @@
 //! `platform` crate implements them.
 
 pub mod answer;
+pub mod ask;
 pub mod attempts;
 pub mod call;
 pub mod catch_up;
--- a/crates/gateway/src/meters.rs
+++ b/crates/gateway/src/meters.rs
@@ -52,6 +52,14 @@
         Generations = "oriolemux_gateway_generations_total";
         /// Questions to peers about what the store published, by how they ended.
         PeerAnswers = "oriolemux_gateway_peer_answers_total";
+        /// Bytes of datagrams sent to peers, by their purpose.
+        PeerBytes = "oriolemux_gateway_peer_bytes_total";
+        /// Datagrams sent to peers, by their purpose.
+        PeerDatagrams = "oriolemux_gateway_peer_datagrams_total";
+        /// Datagrams of peers that were dropped, by what is wrong with them.
+        DatagramsDropped = "oriolemux_gateway_datagrams_dropped_total";
+        /// Places at engines and for copies, by who decided: the `home`, or this instance `alone`.
+        Places = "oriolemux_gateway_places_total";
     }
 }
 
@@ -72,7 +80,7 @@
         EndpointsLapsed = "oriolemux_gateway_endpoints_lapsed";
         /// Endpoints that leave.
         EndpointsLeaving = "oriolemux_gateway_endpoints_leaving";
-        /// Peers that were heard lately.
+        /// Other instances that take part.
         Peers = "oriolemux_gateway_peers";
         /// Connections of callers.
         Connections = "oriolemux_gateway_connections";
@@ -102,7 +110,12 @@
 impl ByReason {
     /// Counts one.
     pub fn add(self, reason: &str) {
-        metrics::counter!(self.name(), "reason" => reason.to_owned()).increment(1);
+        self.add_many(reason, 1);
+    }
+
+    /// Counts so many.
+    pub fn add_many(self, reason: &str, count: u64) {
+        metrics::counter!(self.name(), "reason" => reason.to_owned()).increment(count);
     }
 }
 
@@ -150,7 +163,7 @@
             Gauge::EndpointsLeaving,
             endpoints(|it| matches!(it, EndpointState::Leaving { .. })),
         ),
-        (Gauge::Peers, state.peers.live(now).count() as f64),
+        (Gauge::Peers, state.members.live().count() as f64),
         (Gauge::Connections, cx.open(Open::Connection) as f64),
         (Gauge::Running, cx.open(Open::Generation) as f64),
         (Gauge::LinesLeftOut, crate::notes::lines_left_out() as f64),
--- a/crates/gateway/src/news.rs
+++ b/crates/gateway/src/news.rs
@@ -1,67 +1,52 @@
-//! What instances tell each other unasked: bulletins by datagram.
+//! What instances send each other unasked: datagrams.
 //!
-//! Bulletins go to every peer known, at once when something changed, and else after
-//! an interval that grows with the number of peers. What does not fit a bulletin, the
-//! records of the store, is asked for: [`catch_up`](crate::catch_up).
+//! The core says what to send to whom and when ([`Gateway::tick`], [`Gateway::hear`]). What
+//! does not fit a datagram, the records of the store, is asked for: [`catch_up`].
+//!
+//! [`catch_up`]: crate::catch_up
+//! [`Gateway::tick`]: oriolemux_core::gateway::Gateway::tick
+//! [`Gateway::hear`]: oriolemux_core::gateway::Gateway::hear
 
 use crate::cx::Cx;
+use crate::meters::ByReason;
 use crate::note;
 use crate::ports::Wire;
-use bincode::config::{Configuration, Limit, standard};
-use oriolemux_core::gateway::Bulletin;
-use oriolemux_core::gateway::state::BULLETIN_DELAY;
+use bincode::config::{Configuration, Limit, LittleEndian, Varint, standard};
+use oriolemux_core::gateway::state::{TELL_DELAY, TICK};
+use oriolemux_core::gateway::{Body, Datagram};
 use std::net::SocketAddrV4;
 use std::sync::Arc;
 use tokio::net::UdpSocket;
-use tokio::time::{Instant, sleep_until};
+use tokio::time::{sleep, timeout};
 
 /// The largest datagram that is sent and read. More would be cut into fragments,
 /// of which each may be lost.
 const MAX_DATAGRAM: usize = 16 * 1024;
 
-fn datagram_format()
--> Configuration<bincode::config::LittleEndian, bincode::config::Varint, Limit<MAX_DATAGRAM>> {
+fn datagram_format() -> Configuration<LittleEndian, Varint, Limit<MAX_DATAGRAM>> {
     standard().with_limit::<MAX_DATAGRAM>()
 }
 
-/// Tells peers, for good.
+/// Tells peers what is due, for good.
 pub async fn tell<W: Wire>(cx: Arc<Cx<W>>, socket: Arc<UdpSocket>) {
-    let mut buf = Vec::new();
     loop {
-        let interval = cx.state().bulletin_interval(cx.now());
-        let due = Instant::now() + interval;
-        tokio::select! {
-            () = sleep_until(due) => {}
-            () = cx.dirty.notified() => tokio::time::sleep(BULLETIN_DELAY).await,
+        let tick = cx.state().tick_interval();
+        if timeout(tick.min(TICK), cx.dirty.notified()).await.is_ok() {
+            sleep(TELL_DELAY).await;
         }
         let now = cx.now();
-        let (bulletin, peers) = {
-            let mut state = cx.state();
-            let ticked = state.tick(now);
-            if state.is_behind() {
-                cx.behind.notify_one();
-            }
-            let bulletin = state.bulletin(now);
-            let peers: Vec<SocketAddrV4> = state.peers.addresses().collect();
-            drop(state);
-            cx.tell_leaving(&ticked.leaving);
-            for peer in ticked.silent {
-                note!(PeerSilent, peer:% = peer);
-            }
-            (bulletin, peers)
-        };
-        buf.clear();
-        if let Err(error) =
-            bincode::serde::encode_into_std_write(&bulletin, &mut buf, datagram_format())
-        {
-            log::error!("a bulletin cannot be written: {error}");
-            continue;
+        let ticked = cx.state().tick(now);
+        cx.tell_leaving(&ticked.leaving);
+        for peer in ticked.silent {
+            note!(PeerSilent, peer:% = peer);
         }
-        for peer in peers {
-            if let Err(error) = socket.send_to(&buf, peer).await {
-                log::debug!("peer {peer} cannot be told: {error}");
-            }
+        if cx.state().is_behind() {
+            cx.behind.notify_one();
+        }
+        if ticked.decided {
+            cx.decided.notify_waiters();
         }
+        send_all(&cx, &socket, ticked.send).await;
     }
 }
 
@@ -77,26 +62,64 @@
             }
         };
         let decoded =
-            bincode::serde::decode_from_slice::<Bulletin, _>(&buf[..length], datagram_format());
-        let bulletin = match decoded {
-            Ok((bulletin, _)) => bulletin,
+            bincode::serde::decode_from_slice::<Datagram, _>(&buf[..length], datagram_format());
+        match decoded {
+            Ok((datagram, _)) => take_in(&cx, &socket, datagram).await,
             Err(error) => {
-                log::debug!("a datagram from {from} is no bulletin: {error}");
-                continue;
+                log::debug!("a datagram from {from} cannot be read: {error}");
+                note_dropped(from, "unreadable");
             }
-        };
-        let now = cx.now();
-        let mut state = cx.state();
-        let heard = state.hear(now, &bulletin);
-        let behind = state.is_behind();
-        drop(state);
-        cx.tell_leaving(&heard.leaving);
-        if heard.is_new {
-            note!(PeerHeard, peer:% = bulletin.address, incarnation = bulletin.incarnation.0);
         }
-        if behind {
-            cx.behind.notify_one();
+    }
+}
+
+async fn take_in<W: Wire>(cx: &Cx<W>, socket: &UdpSocket, datagram: Datagram) {
+    let now = cx.now();
+    let (from, life) = (datagram.from.address, datagram.from.life);
+    let heard = cx.state().hear(now, datagram);
+    let heard = match heard {
+        Ok(heard) => heard,
+        Err(why) => return note_dropped(from, why.word()),
+    };
+    cx.tell_leaving(&heard.leaving);
+    if heard.is_new {
+        note!(PeerHeard, peer:% = from, incarnation = life.0);
+    }
+    for peer in heard.gone {
+        note!(PeerSilent, peer:% = peer);
+    }
+    if cx.state().is_behind() {
+        cx.behind.notify_one();
+    }
+    if heard.tell_soon {
+        cx.dirty.notify_one();
+    }
+    if heard.decided {
+        cx.decided.notify_waiters();
+    }
+    send_all(cx, socket, heard.send).await;
+}
+
+fn note_dropped(from: impl core::fmt::Display, why: &str) {
+    ByReason::DatagramsDropped.add(why);
+    note!(DatagramDropped, peer:% = from, why = why);
+}
+
+async fn send_all<W: Wire>(cx: &Cx<W>, socket: &UdpSocket, send: Vec<(SocketAddrV4, Body)>) {
+    let mut buf = Vec::new();
+    for (to, body) in send {
+        let purpose = body.purpose();
+        let datagram = cx.state().datagram(body);
+        buf.clear();
+        let written = bincode::serde::encode_into_std_write(&datagram, &mut buf, datagram_format());
+        if let Err(error) = written {
+            log::error!("a datagram for {purpose} cannot be written: {error}");
+            continue;
+        }
+        ByReason::PeerDatagrams.add(purpose);
+        ByReason::PeerBytes.add_many(purpose, buf.len() as u64);
+        if let Err(error) = socket.send_to(&buf, to).await {
+            log::debug!("peer {to} cannot be told: {error}");
         }
-        cx.changed.notify_waiters();
     }
 }
--- a/crates/gateway/src/notes.rs
+++ b/crates/gateway/src/notes.rs
@@ -19,6 +19,9 @@
 /// Lines a second of an event that happens to requests that go well.
 const USUAL: u32 = 200;
 
+/// Lines a second of an event that whoever sends datagrams can cause.
+const FEW: u32 = 5;
+
 /// Lines a second of an event that says why a request failed. An instance that
 /// fails more is explained by the first of them.
 const FAILURES: u32 = 1_000;
@@ -105,9 +108,9 @@
     CopiedAhead = 819, "generation_copied_ahead", Info, USUAL;
     /// An endpoint was chosen; the line shows what was known of it.
     Placed = 820, "placed", Info, USUAL;
-    /// A peer was heard for the first time in its present life.
+    /// A peer was heard for the first time in its present life, or again after it was gone.
     PeerHeard = 821, "peer_heard", Info, USUAL;
-    /// A peer was silent for so long that it counts as gone.
+    /// A peer answered neither this instance nor others, and counts as gone.
     PeerSilent = 822, "peer_silent", Info, USUAL;
     /// No engine has room for a copy of a generation; the line says for which kind of copy.
     NoRoomForCopy = 823, "no_room_for_copy", Info, USUAL;
@@ -120,6 +123,10 @@
     ToldPeer = 826, "told_peer", Info, USUAL;
     /// A peer that knows more of the store did not tell it; the line says why.
     NotToldByPeer = 827, "not_told_by_peer", Info, USUAL;
+    /// A datagram was dropped: it cannot be read, or is of another version or deployment.
+    DatagramDropped = 828, "datagram_dropped", Info, FEW;
+    /// No home answered a request for a place in time, and this instance decided alone.
+    PlacedAlone = 829, "placed_alone", Info, USUAL;
 }
 
 /// Lines of one event within the present second.
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -254,12 +254,12 @@
             departures.as_mut().enable();
             let wait = match self.next_step() {
                 Step::CopyAhead => {
-                    self.copy_ahead();
+                    self.copy_ahead().await;
                     continue;
                 }
                 Step::Leave => return Pause::Leave,
                 Step::GiveUp => return Pause::Broken,
-                Step::GoOnAnew => match self.engine_with_room() {
+                Step::GoOnAnew => match self.engine_with_room().await {
                     Some((place, in_use)) => return Pause::GoOnAnew(place, in_use),
                     None => {
                         self.state.anew_impossible(cx.now());
--- a/crates/gateway/src/relay/begin.rs
+++ b/crates/gateway/src/relay/begin.rs
@@ -3,7 +3,8 @@
 use super::upstream::{Begun, Upstream, sleep_until};
 use super::{MAX_ANSWER, Relay};
 use crate::answer::Reason;
-use crate::job::InUse;
+use crate::ask::PlaceRequest;
+use crate::job::{AT_ONCE, InUse};
 use crate::link::{Link, LinkError};
 use crate::note;
 use crate::ports::{EngineCalls, KeptCopy, Resume, SendHead, WholeAnswer, Wire};
@@ -11,7 +12,7 @@
 use http::Response;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use oriolemux_core::gateway::Gateway;
+use oriolemux_core::gateway::ask::Want;
 use oriolemux_core::gateway::relocation::take_back_after;
 use oriolemux_core::gateway::state::Place;
 use std::time::Instant;
@@ -36,13 +37,13 @@
     /// copy. Memory is copied as it grows, so that there is none; and an engine that fails by
     /// itself when it is asked would have run a second time what may run once.
     pub(super) async fn begin(&mut self) -> Begun {
-        self.choose_standing();
+        self.choose_standing().await;
         let error = loop {
             match self.ask().await {
                 Asked::Timeout => return Begun::Failed(Reason::Timeout),
                 Asked::Sent(Ok((link, answer))) => return self.read_head(link, answer).await,
                 Asked::Sent(Err(error)) => break error,
-                Asked::TakenBack(place, in_use) => self.take_back(place, in_use),
+                Asked::TakenBack(place, in_use) => self.take_back(place, in_use).await,
             }
         };
         if error.never_sent() {
@@ -66,7 +67,7 @@
                 sent = &mut sent => return Asked::Sent(sent),
                 () = tokio::time::sleep_until(self.job.ends.into()) => return Asked::Timeout,
                 () = sleep_until(look) => {
-                    if let Some((place, in_use)) = self.engine_with_room() {
+                    if let Some((place, in_use)) = self.engine_with_room().await {
                         return Asked::TakenBack(place, in_use);
                     }
                     look = Some(Instant::now() + LOOK_AGAIN);
@@ -85,15 +86,20 @@
     }
 
     /// Returns an engine with room that was not tried, if the fleet's repeats allow it.
-    pub(super) fn engine_with_room(&self) -> Option<(Place, InUse<W>)> {
+    pub(super) async fn engine_with_room(&self) -> Option<(Place, InUse<W>)> {
         let mut tried = self.attempts.tried().to_vec();
         tried.push(self.source.key);
-        let choice = Gateway::place_aside;
-        let chosen = self.job.place_by(self.tokens, &tried, choice).ok()?;
+        let asked = PlaceRequest {
+            want: Want::Aside,
+            tokens: self.tokens,
+            exclude: &tried,
+        };
+        let until = Instant::now() + AT_ONCE;
+        let chosen = self.job.ask_place(asked, until).await.ok()?;
         self.job.spend_repeat().then_some(chosen)
     }
 
-    fn take_back(&mut self, place: Place, in_use: InUse<W>) {
+    async fn take_back(&mut self, place: Place, in_use: InUse<W>) {
         note!(
             TakenBack,
             attempt = self.job.name(),
@@ -101,15 +107,15 @@
             to = place.name.as_str(),
             ms = self.job.arrived.elapsed().as_millis() as u64
         );
-        self.settle_at(place, in_use);
+        self.settle_at(place, in_use).await;
     }
 
     /// Makes `place` the present engine; the generation may have run at the one before.
-    pub(super) fn settle_at(&mut self, place: Place, in_use: InUse<W>) {
+    pub(super) async fn settle_at(&mut self, place: Place, in_use: InUse<W>) {
         self.attempts.note_run(self.source.key);
         self.in_use = in_use;
         self.source = place;
-        self.choose_standing();
+        self.choose_standing().await;
     }
 
     pub(super) async fn read_head(&mut self, link: Link, answer: Response<Incoming>) -> Begun {
--- a/crates/gateway/src/relay/go_on.rs
+++ b/crates/gateway/src/relay/go_on.rs
@@ -30,20 +30,18 @@
 impl<W: Wire, E: EngineCalls> Relay<W, E> {
     /// Copies the memory to another engine while the generation goes on, or brings
     /// that copy up to date.
-    pub(super) fn copy_ahead(&mut self) {
-        let now = self.job.cx.now();
+    pub(super) async fn copy_ahead(&mut self) {
         if self.ahead.is_none() {
-            let Some(target) = self.another_place(CopyKind::Ahead) else {
-                self.state.ahead_impossible(now);
+            let Some((target, in_use)) = self.another_place(CopyKind::Ahead).await else {
+                self.state.ahead_impossible(self.job.cx.now());
                 return;
             };
-            let in_use = CopyInUse::begin(&self.job.cx, target.key, self.tokens);
             let engines = self.engines.clone();
             self.ahead = Some(CopyAhead::new(engines, self.source.address, target, in_use));
         }
         if let Some(ahead) = &mut self.ahead {
             ahead.begin(self.job.name());
-            self.state.ahead_begun(now);
+            self.state.ahead_begun(self.job.cx.now());
         }
     }
 
@@ -131,7 +129,7 @@
         self.note_repeat();
         self.in_use = InUse::go_on(&self.job.cx, target.key, self.tokens);
         self.source = target;
-        self.choose_standing();
+        self.choose_standing().await;
         self.ask_to_go_on(Some(KeptCopy { keeper, handle })).await
     }
 
@@ -141,7 +139,7 @@
         if !self.may_run_again() {
             return None;
         }
-        let (place, in_use) = self.engine_with_room()?;
+        let (place, in_use) = self.engine_with_room().await?;
         Some(self.go_on_anew_at(place, in_use).await)
     }
 
@@ -158,7 +156,7 @@
         self.splitter.clear();
         self.state.moved(self.job.cx.now());
         self.ahead = None;
-        self.settle_at(place, in_use);
+        self.settle_at(place, in_use).await;
         self.ask_to_go_on(None).await
     }
 
@@ -195,31 +193,24 @@
     }
 
     /// Chooses where the present engine keeps a standing copy, where one pays.
-    pub(super) fn choose_standing(&mut self) {
+    pub(super) async fn choose_standing(&mut self) {
         self.standing = None;
         let engine = self.job.service().engine;
         let keeps_copies = engine.is_some_and(|engine| engine.standing_copies);
         let is_long = self.length.rest(self.state.tokens()) >= STANDING_MIN_TOKENS;
         if keeps_copies && is_long {
-            let cx = &self.job.cx;
-            self.standing = self
-                .another_place(CopyKind::Standing)
-                .map(|place| StandingCopy {
-                    _in_use: CopyInUse::begin(cx, place.key, self.tokens),
-                    place,
-                });
+            let found = self.another_place(CopyKind::Standing).await;
+            self.standing = found.map(|(place, in_use)| StandingCopy {
+                place,
+                _in_use: in_use,
+            });
         }
         self.state.set_standing(self.standing.is_some());
     }
 
     /// Returns another engine with room for a copy.
-    fn another_place(&self, kind: CopyKind) -> Option<Place> {
-        let cx = &self.job.cx;
-        let now = cx.now();
-        let mut state = cx.state();
-        let demand = self.job.demand(self.tokens, &[]);
-        let place = state.copy_place(now, &demand, self.source.key, kind);
-        drop(state);
+    async fn another_place(&self, kind: CopyKind) -> Option<(Place, CopyInUse<W>)> {
+        let place = self.job.ask_copy(self.source.key, kind, self.tokens).await;
         if place.is_none() {
             let kind = match kind {
                 CopyKind::Standing => "standing",
--- a/crates/gateway/src/status.rs
+++ b/crates/gateway/src/status.rs
@@ -6,8 +6,8 @@
 use crate::cx::{Cx, Open};
 use crate::meters::millis;
 use crate::ports::Wire;
-use oriolemux_core::gateway::bulletin::Peer;
 use oriolemux_core::gateway::endpoints::Endpoint;
+use oriolemux_core::gateway::members::Member;
 use oriolemux_core::gateway::{EndpointState, Gateway};
 use oriolemux_core::time::Time;
 use serde::{Deserialize, Serialize};
@@ -70,7 +70,7 @@
     pub generations: usize,
     /// All endpoints, by name.
     pub endpoints: Vec<EndpointStatus>,
-    /// Peers that were heard lately, by address.
+    /// Other instances that take part, by address.
     pub peers: Vec<PeerStatus>,
 }
 
@@ -117,8 +117,8 @@
 pub struct PeerStatus {
     /// Where it answers peers.
     pub address: SocketAddrV4,
-    /// Milliseconds since it was heard.
-    pub heard_ms_ago: u64,
+    /// Milliseconds since a datagram of its own came; none if only others told of it.
+    pub heard_ms_ago: Option<u64>,
     /// The store's revision that it knows.
     pub revision: u64,
     /// Whether it is stopping.
@@ -136,7 +136,7 @@
             .map(|endpoint| endpoint_status(&state, now, endpoint))
             .collect();
         endpoints.sort_by(|one, other| one.name.cmp(&other.name));
-        let peers = state.peers.live(now);
+        let peers = state.members.live();
         GatewayStatus {
             instance: instance.to_owned(),
             incarnation: format!("{:016x}", state.incarnation().0),
@@ -169,7 +169,7 @@
 }
 
 fn endpoint_status(state: &Gateway, now: Time, endpoint: &Endpoint) -> EndpointStatus {
-    let used = state.usage.of(now, endpoint.key, &state.peers);
+    let used = state.used(endpoint.key);
     let record = &endpoint.record;
     let takes = match endpoint.state {
         EndpointState::Leaving { .. } | EndpointState::Unnamed => Takes::Nothing,
@@ -191,11 +191,11 @@
     }
 }
 
-fn peer_status(now: Time, address: SocketAddrV4, peer: &Peer) -> PeerStatus {
+fn peer_status(now: Time, address: SocketAddrV4, peer: &Member) -> PeerStatus {
     PeerStatus {
         address,
-        heard_ms_ago: peer.heard.map_or(0, |heard| millis(now.since(heard))),
+        heard_ms_ago: peer.heard.map(|heard| millis(now.since(heard))),
         revision: peer.revision,
-        stopping: peer.stopping,
+        stopping: peer.is_stopping(),
     }
 }
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -86,8 +86,9 @@
         let mut state = cx.state();
         state.replica.reached(changes.revision);
         state.note_behind(now);
-        drop(state);
         if has_news {
+            state.announce();
+            drop(state);
             cx.dirty.notify_one();
         }
     });
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -5,8 +5,9 @@
 //! where that pays, and its [`relay`](crate::relay) then has it to its end.
 
 use crate::answer::{AnswerBody, BrokenOff, Reason};
+use crate::ask::PlaceRequest;
 use crate::attempts::Attempts;
-use crate::job::{InQueue, InUse, Job};
+use crate::job::{InUse, Job};
 use crate::note;
 use crate::ports::{EngineCalls, Wire};
 use crate::relay::{Relay, Started};
@@ -17,20 +18,16 @@
 use http::{HeaderMap, Response, StatusCode, header};
 use http_body::Frame;
 use http_body_util::BodyExt;
+use oriolemux_core::gateway::ask::Want;
 use oriolemux_core::gateway::choose::NoPlace;
 use oriolemux_core::gateway::lengths::Length;
 use oriolemux_core::gateway::state::Place;
-use oriolemux_core::gateway::{Demand, Gateway};
 use oriolemux_core::ids::EndpointKey;
-use std::time::Instant;
 use tokio::sync::mpsc;
 
 /// Pieces of a stream that wait for the caller's connection.
 const PIECES: usize = 64;
 
-/// How often a request that waits for room looks again without being told to.
-const LOOK_AGAIN: Duration = Duration::from_millis(50);
-
 /// How many times the target a generation waits for room. Later it could only be
 /// late, and the caller knows better what to do with its time.
 const WAIT_TARGETS: f64 = 1.0;
@@ -168,28 +165,16 @@
 ) -> Result<(Place, InUse<W>), Reason> {
     let limit = job.entry().target.mul_f64(WAIT_TARGETS);
     let until = (job.arrived + limit).min(job.ends);
-    let waiter = job.waiter(tokens);
-    let mut in_queue = None;
-    loop {
-        let mut changed = core::pin::pin!(job.cx.changed.notified());
-        changed.as_mut().enable();
-        let in_turn = |state: &mut Gateway, now, demand: &Demand<'_>| {
-            state.place_in_turn(now, demand, &waiter)
-        };
-        let why = match job.place_by(tokens, tried, in_turn) {
-            Ok(chosen) => return Ok(chosen),
-            Err(why) => why,
-        };
-        if Instant::now() >= until {
-            return Err(match why {
-                NoPlace::Full => Reason::EndpointsFull,
-                NoPlace::NoEndpoint => Reason::NoEndpoint,
-            });
-        }
-        in_queue.get_or_insert_with(|| InQueue::enter(&job.cx, waiter));
-        // Time that is over is not told by anybody, so the wait is bounded.
-        let _ = tokio::time::timeout(LOOK_AGAIN, changed).await;
-    }
+    let asked = PlaceRequest {
+        want: Want::Place,
+        tokens,
+        exclude: tried,
+    };
+    let chosen = job.ask_place(asked, until).await;
+    chosen.map_err(|why| match why {
+        NoPlace::Full => Reason::EndpointsFull,
+        NoPlace::NoEndpoint => Reason::NoEndpoint,
+    })
 }
 
 /// Answers a generation that has no place.
--- a/crates/oriolemux/src/cli/operate/gateway_text.rs
+++ b/crates/oriolemux/src/cli/operate/gateway_text.rs
@@ -26,12 +26,16 @@
         "callers    {} connections, {} generations",
         status.connections, status.generations
     ));
-    print_line(format_args!("peers      {} heard", status.peers.len()));
+    print_line(format_args!("peers      {} take part", status.peers.len()));
     for peer in &status.peers {
         let stopping = if peer.stopping { ", stopping" } else { "" };
+        let heard = match peer.heard_ms_ago {
+            Some(ms) => format!("heard {ms} ms ago, revision {}", peer.revision),
+            None => "known through others".to_owned(),
+        };
         print_line(format_args!(
-            "           {} {} ms ago, revision {}{stopping}",
-            peer.address, peer.heard_ms_ago, peer.revision
+            "           {} {heard}{stopping}",
+            peer.address
         ));
     }
     for endpoint in &status.endpoints {
