Members and homes in files of one job each

Probes, doubts and messages stand in files of their own; a change of an instance's status is written in one place.

--- a/crates/core/src/gateway/home.rs
+++ b/crates/core/src/gateway/home.rs
@@ -6,17 +6,22 @@
 //! after a second, with its use, its wishes and its reservations: a frozen instance must hold
 //! nobody up for longer.
 
+mod doubt;
+mod message;
+
+pub use message::{Answer, Report, Wished};
+
 use super::ask::{Decision, Want, Wish};
 use super::catalogue::EngineLimits;
-use super::choose::{CopyKind, Demand, NoPlace, World, choose, choose_copy};
+use super::choose::{Demand, NoPlace, World, choose, choose_copy};
 use super::endpoints::EndpointTable;
-use super::queue::{Asking, MAX_WAITING, Waiter, Waiting, assign};
+use super::queue::{Asking, MAX_WAITING, assign, service_hash};
 use super::usage::{Others, UsageTable, Used};
 use crate::ids::{EndpointKey, Incarnation};
 use crate::time::Time;
 use core::time::Duration;
-use serde::{Deserialize, Serialize};
-use std::collections::{BTreeMap, BTreeSet};
+use doubt::Doubts;
+use std::collections::BTreeMap;
 use std::net::SocketAddrV4;
 
 /// How often an entry reports that has something at the engines of a service, though nothing
@@ -29,63 +34,6 @@
 /// How often one entry is told what others run. It goes by that only where no home answers.
 const VIEW_INTERVAL: Duration = Duration::from_millis(250);
 
-/// Entries that must find an engine unusable before it is passed over for all.
-const DOUBTERS: usize = 2;
-
-/// The first time for which an engine is passed over for all; it doubles each time that it is
-/// found unusable again.
-const DOUBTED_FIRST: Duration = Duration::from_millis(500);
-
-/// The longest time for which an engine is passed over. One that is back gets work again
-/// within so long.
-const DOUBTED_LONGEST: Duration = Duration::from_secs(4);
-
-/// An engine that nobody found unusable for so long is trusted as any other.
-const DOUBT_FORGOTTEN: Duration = Duration::from_secs(10);
-
-/// A wish as it travels.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Wished {
-    /// The request.
-    pub waiting: Waiting,
-    /// What it wants.
-    pub want: Want,
-    /// Endpoints that are not to be chosen.
-    pub exclude: Vec<EndpointKey>,
-}
-
-/// What an entry tells the home of a service and the next in rank.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Report {
-    /// The hash of the service's name.
-    pub service: u64,
-    /// Counts the reports of the entry's life.
-    pub number: u64,
-    /// The data centre of the entry.
-    pub data_centre: String,
-    /// Whether the receiver is to decide.
-    pub decides: bool,
-    /// What the entry runs where.
-    pub used: Vec<(EndpointKey, Used)>,
-    /// Engines of which the last that the entry saw was a failure.
-    pub failing: Vec<EndpointKey>,
-    /// Engines that it cannot use at the moment.
-    pub passed_over: Vec<EndpointKey>,
-    /// What it waits for.
-    pub wishes: Vec<Wished>,
-}
-
-/// What a home answers.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Answer {
-    /// The hash of the service's name.
-    pub service: u64,
-    /// What it decided.
-    pub decisions: Vec<(u64, Decision)>,
-    /// What others run where, now and then.
-    pub view: Option<Others>,
-}
-
 /// What is known of one entry.
 #[derive(Clone, Debug)]
 struct Entry {
@@ -111,26 +59,7 @@
 pub struct Home {
     entries: BTreeMap<SocketAddrV4, Entry>,
     /// Engines that entries could not use lately.
-    doubted: BTreeMap<EndpointKey, Doubted>,
-}
-
-/// An engine that entries could not use.
-///
-/// What goes wrong without it: while the store is silent, engines that went keep their
-/// entries. They look empty, so that the home sends everybody there; each entry finds out for
-/// itself, is refused by several of them in a row, and gives up its request within
-/// milliseconds while other engines have room (195 instances, 20 engines gone of 62: 120
-/// generations a second). One entry alone may have lost its own link, and is not believed.
-#[derive(Clone, Debug, Default)]
-struct Doubted {
-    /// Who could not use it.
-    by: BTreeSet<SocketAddrV4>,
-    /// How often that was.
-    times: u32,
-    /// When it was last.
-    last: Time,
-    /// It is passed over until then.
-    until: Time,
+    doubts: Doubts,
 }
 
 /// What a home needs to know of a service to decide.
@@ -159,7 +88,7 @@
         for &engine in &report.passed_over {
             let known = self.entries.get(&from);
             if !known.is_some_and(|it| it.passed_over.contains(&engine)) {
-                self.doubted.entry(engine).or_default().note(now, from);
+                self.doubts.note(now, engine, from);
             }
         }
         let entry = Entry {
@@ -183,8 +112,7 @@
     pub fn tick(&mut self, now: Time) {
         self.entries
             .retain(|_, it| now.since(it.heard) < REPORT_FRESH);
-        self.doubted
-            .retain(|_, it| now.since(it.last) < DOUBT_FORGOTTEN);
+        self.doubts.tick(now);
     }
 
     /// Returns whether nobody reports.
@@ -208,11 +136,8 @@
 
     /// Returns what all entries but `except` run.
     pub fn others(&self, now: Time, except: Option<SocketAddrV4>) -> Others {
-        let doubted = self.doubted.iter().filter(|(_, it)| now < it.until);
         let mut others = Others::default();
-        others
-            .passed_over
-            .extend(doubted.map(|(engine, _)| *engine));
+        others.passed_over.extend(self.doubts.passed_over(now));
         for (_, entry) in self
             .entries
             .iter()
@@ -233,7 +158,7 @@
 
     /// Decides about all wishes, and returns what entries are to be told.
     pub fn decide(&mut self, now: Time, engines: Engines<'_>) -> Vec<(SocketAddrV4, Answer)> {
-        let service = super::queue::service_hash(engines.service);
+        let service = service_hash(engines.service);
         let mut others = self.others(now, None);
         let mut decided = self.decide_at_once(now, engines, &mut others);
         decided.extend(self.decide_in_turn(now, engines, &others));
@@ -370,18 +295,6 @@
     }
 }
 
-impl Doubted {
-    fn note(&mut self, now: Time, by: SocketAddrV4) {
-        self.by.insert(by);
-        self.last = now;
-        if self.by.len() >= DOUBTERS {
-            let doublings = self.times.min(8);
-            self.times += 1;
-            self.until = now + (DOUBTED_FIRST * (1 << doublings)).min(DOUBTED_LONGEST);
-        }
-    }
-}
-
 impl Entry {
     fn asking(&self, wish: &Wish) -> Asking {
         Asking {
@@ -415,52 +328,3 @@
         }
     }
 }
-
-impl Wish {
-    /// Returns the wish as it travels.
-    pub fn to_tell(&self, now: Time) -> Wished {
-        Wished {
-            waiting: self.waiter.to_tell(now),
-            want: self.want,
-            exclude: self.exclude.clone(),
-        }
-    }
-
-    /// Returns whether a generation is lost without it.
-    fn is_urgent(&self) -> bool {
-        matches!(
-            self.want,
-            Want::Copy {
-                kind: CopyKind::Ahead,
-                ..
-            }
-        )
-    }
-
-    /// Returns what is kept for it until its entry counts it.
-    fn reserves(&self) -> Used {
-        let Waiter { tokens, prompt, .. } = self.waiter;
-        match self.want {
-            Want::Place | Want::Aside => Used {
-                running: 1,
-                unread: prompt,
-                tokens,
-                copied: 0,
-            },
-            Want::Copy { .. } => Used {
-                copied: tokens,
-                ..Used::default()
-            },
-        }
-    }
-}
-
-impl Wished {
-    fn at(self, now: Time) -> Wish {
-        Wish {
-            waiter: Waiter::told(now, &self.waiting),
-            want: self.want,
-            exclude: self.exclude,
-        }
-    }
-}
--- /dev/null
+++ b/crates/core/src/gateway/home/doubt.rs
@@ -0,0 +1,72 @@
+//! Engines that entries could not use.
+//!
+//! What goes wrong without it: while the store is silent, engines that went keep their
+//! entries. They look empty, so that the home sends everybody there; each entry finds out for
+//! itself, is refused by several of them in a row, and gives up its request within
+//! milliseconds while other engines have room (195 instances, 20 engines gone of 62: 120
+//! generations a second). One entry alone may have lost its own link, and is not believed.
+
+use crate::ids::EndpointKey;
+use crate::time::Time;
+use core::time::Duration;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddrV4;
+
+/// Entries that must find an engine unusable before it is passed over for all.
+const DOUBTERS: usize = 2;
+
+/// The first time for which an engine is passed over for all; it doubles each time that it is
+/// found unusable again.
+const DOUBTED_FIRST: Duration = Duration::from_millis(500);
+
+/// The longest time for which an engine is passed over. One that is back gets work again
+/// within so long.
+const DOUBTED_LONGEST: Duration = Duration::from_secs(4);
+
+/// An engine that nobody found unusable for so long is trusted as any other.
+const DOUBT_FORGOTTEN: Duration = Duration::from_secs(10);
+
+/// An engine that entries could not use.
+#[derive(Clone, Debug, Default)]
+struct Doubted {
+    /// Who could not use it.
+    by: BTreeSet<SocketAddrV4>,
+    /// How often that was.
+    times: u32,
+    /// When it was last.
+    last: Time,
+    /// It is passed over until then.
+    until: Time,
+}
+
+/// All such engines of a service.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Doubts {
+    doubted: BTreeMap<EndpointKey, Doubted>,
+}
+
+impl Doubts {
+    /// Notes that an entry could not use an engine.
+    pub(super) fn note(&mut self, now: Time, engine: EndpointKey, by: SocketAddrV4) {
+        let doubted = self.doubted.entry(engine).or_default();
+        doubted.by.insert(by);
+        doubted.last = now;
+        if doubted.by.len() >= DOUBTERS {
+            let doublings = doubted.times.min(8);
+            doubted.times += 1;
+            doubted.until = now + (DOUBTED_FIRST * (1 << doublings)).min(DOUBTED_LONGEST);
+        }
+    }
+
+    /// Forgets what is long ago.
+    pub(super) fn tick(&mut self, now: Time) {
+        self.doubted
+            .retain(|_, it| now.since(it.last) < DOUBT_FORGOTTEN);
+    }
+
+    /// Returns the engines that are passed over now.
+    pub(super) fn passed_over(&self, now: Time) -> impl Iterator<Item = EndpointKey> {
+        let doubted = self.doubted.iter().filter(move |(_, it)| now < it.until);
+        doubted.map(|(engine, _)| *engine)
+    }
+}
--- /dev/null
+++ b/crates/core/src/gateway/home/message.rs
@@ -0,0 +1,101 @@
+//! What entries and homes tell each other.
+
+use crate::gateway::ask::{Decision, Want, Wish};
+use crate::gateway::choose::CopyKind;
+use crate::gateway::queue::{Waiter, Waiting};
+use crate::gateway::usage::{Others, Used};
+use crate::ids::EndpointKey;
+use crate::time::Time;
+use serde::{Deserialize, Serialize};
+
+/// A wish as it travels.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Wished {
+    /// The request.
+    pub waiting: Waiting,
+    /// What it wants.
+    pub want: Want,
+    /// Endpoints that are not to be chosen.
+    pub exclude: Vec<EndpointKey>,
+}
+
+/// What an entry tells the home of a service and the next in rank.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Report {
+    /// The hash of the service's name.
+    pub service: u64,
+    /// Counts the reports of the entry's life.
+    pub number: u64,
+    /// The data centre of the entry.
+    pub data_centre: String,
+    /// Whether the receiver is to decide.
+    pub decides: bool,
+    /// What the entry runs where.
+    pub used: Vec<(EndpointKey, Used)>,
+    /// Engines of which the last that the entry saw was a failure.
+    pub failing: Vec<EndpointKey>,
+    /// Engines that it cannot use at the moment.
+    pub passed_over: Vec<EndpointKey>,
+    /// What it waits for.
+    pub wishes: Vec<Wished>,
+}
+
+/// What a home answers.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Answer {
+    /// The hash of the service's name.
+    pub service: u64,
+    /// What it decided.
+    pub decisions: Vec<(u64, Decision)>,
+    /// What others run where, now and then.
+    pub view: Option<Others>,
+}
+
+impl Wish {
+    /// Returns the wish as it travels.
+    pub fn to_tell(&self, now: Time) -> Wished {
+        Wished {
+            waiting: self.waiter.to_tell(now),
+            want: self.want,
+            exclude: self.exclude.clone(),
+        }
+    }
+
+    /// Returns whether a generation is lost without it.
+    pub(super) fn is_urgent(&self) -> bool {
+        matches!(
+            self.want,
+            Want::Copy {
+                kind: CopyKind::Ahead,
+                ..
+            }
+        )
+    }
+
+    /// Returns what is kept for it until its entry counts it.
+    pub(super) fn reserves(&self) -> Used {
+        let Waiter { tokens, prompt, .. } = self.waiter;
+        match self.want {
+            Want::Place | Want::Aside => Used {
+                running: 1,
+                unread: prompt,
+                tokens,
+                copied: 0,
+            },
+            Want::Copy { .. } => Used {
+                copied: tokens,
+                ..Used::default()
+            },
+        }
+    }
+}
+
+impl Wished {
+    pub(super) fn at(self, now: Time) -> Wish {
+        Wish {
+            waiter: Waiter::told(now, &self.waiting),
+            want: self.want,
+            exclude: self.exclude,
+        }
+    }
+}
--- a/crates/core/src/gateway/members.rs
+++ b/crates/core/src/gateway/members.rs
@@ -8,52 +8,21 @@
 //! A process that starts again at an address is another life. Lives have no order, so that
 //! what an instance says itself goes before what others say of it.
 
+mod probes;
+
+pub use probes::{PROBE_INTERVAL, SUSPICION};
+
 use super::gossip::Body;
 use crate::ids::{Incarnation, stable_hash};
 use crate::time::Time;
 use core::time::Duration;
+use probes::Probes;
 use rand::rngs::SmallRng;
-use rand::seq::{IteratorRandom, SliceRandom};
+use rand::seq::IteratorRandom;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::net::SocketAddrV4;
 
-/// The time between two probes of one instance. Two and a half a second, each answered,
-/// take some 0.7 KB a second of an instance, whatever the size of the fleet.
-pub const PROBE_INTERVAL: Duration = Duration::from_millis(400);
-
-/// A probe that is not answered within this time is tried through others. A round trip
-/// between data centres takes some 3 ms; the rest is for busy processors.
-const ACK_LIMIT: Duration = Duration::from_millis(150);
-
-/// Others that are asked to probe in one's place, so that one link that is cut condemns
-/// nobody.
-const HELPERS: usize = 3;
-
-/// A probe that nobody has answered by then makes its target suspected.
-const PROBE_LIMIT: Duration = Duration::from_millis(600);
-
-/// How long a suspected instance has to refute it: news takes some 50 ms to it and as long
-/// back, and an instance that gets an eighth of a processor may pause for 100 ms.
-pub const SUSPICION: Duration = Duration::from_millis(1_200);
-
-/// The time between two attempts to find anybody, while nobody is known.
-const JOIN_INTERVAL: Duration = Duration::from_millis(100);
-
-/// Addresses that each such attempt tries.
-const JOIN_TRIES: usize = 2;
-
-/// Each so manieth probe goes to an address where nobody answered lately, so that two parts
-/// of a fleet that lost each other find each other again within seconds.
-const LOST_EVERY: u64 = 3;
-
-/// An instance that is gone is remembered for so long, and probed now and then.
-const REMEMBER_GONE: Duration = Duration::from_secs(60);
-
-/// An instance that did nothing for so long was itself away: what it waits for proves nothing
-/// about others.
-const OWN_PAUSE: Duration = Duration::from_millis(700);
-
 /// The time between two questions for all instances.
 const SYNC_INTERVAL: Duration = Duration::from_secs(5);
 
@@ -125,26 +94,6 @@
     }
 }
 
-/// A probe that is not answered yet.
-#[derive(Clone, Copy, Debug)]
-struct Probe {
-    number: u64,
-    target: SocketAddrV4,
-    /// The life that is probed, if it is known.
-    life: Option<Incarnation>,
-    sent: Time,
-    helped: bool,
-}
-
-/// A probe made in the place of another instance.
-#[derive(Clone, Copy, Debug)]
-struct Help {
-    number: u64,
-    asker: SocketAddrV4,
-    askers_number: u64,
-    sent: Time,
-}
-
 /// What changed among the instances.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Change {
@@ -164,11 +113,7 @@
     others: BTreeMap<SocketAddrV4, Member>,
     /// Whom to probe next, from the end.
     ring: Vec<SocketAddrV4>,
-    probes: Vec<Probe>,
-    helps: Vec<Help>,
-    numbers: u64,
-    next_probe: Time,
-    ticked: Time,
+    probes: Probes,
     synced: Option<Time>,
 }
 
@@ -191,11 +136,7 @@
             seeds: Vec::new(),
             others: BTreeMap::new(),
             ring: Vec::new(),
-            probes: Vec::new(),
-            helps: Vec::new(),
-            numbers: 0,
-            next_probe: now,
-            ticked: now,
+            probes: Probes::new(now),
             synced: None,
         };
         members.set_seeds(now, seeds);
@@ -247,6 +188,15 @@
         all.fold(0, |sum, it| sum ^ hash_of(it.address, it.life))
     }
 
+    /// Notes what an instance is now, and that others are to hear of it.
+    fn set(&mut self, now: Time, update: Update, change: &mut Change) {
+        if let Some(known) = self.others.get_mut(&update.address) {
+            known.update = Some(update);
+            known.since = now;
+            change.updates.push(update);
+        }
+    }
+
     /// Draws some of the others that take part, but for `except`.
     pub fn draw(
         &self,
@@ -348,33 +298,6 @@
         }
     }
 
-    /// Takes in the answer to a probe; returns to whom it is passed on, for whom this
-    /// instance had probed.
-    pub fn acknowledged(&mut self, number: u64) -> Option<(SocketAddrV4, Body)> {
-        self.probes.retain(|it| it.number != number);
-        let at = self.helps.iter().position(|it| it.number == number)?;
-        let help = self.helps.swap_remove(at);
-        Some((help.asker, Body::relayed_ack(help.askers_number)))
-    }
-
-    /// Probes `target` in the place of `asker`.
-    pub fn help(
-        &mut self,
-        now: Time,
-        asker: SocketAddrV4,
-        askers_number: u64,
-        target: SocketAddrV4,
-    ) -> Body {
-        self.numbers += 1;
-        self.helps.push(Help {
-            number: self.numbers,
-            asker,
-            askers_number,
-            sent: now,
-        });
-        self.probe_body(self.numbers, target)
-    }
-
     /// Returns whether to ask `peer`, which believes in other instances, for all of them.
     pub fn asks_for_all(&mut self, now: Time, theirs: u64) -> bool {
         let is_due = self.synced.is_none_or(|at| now.since(at) >= SYNC_INTERVAL);
@@ -391,149 +314,6 @@
         let all: Vec<Update> = live.chain([self.own]).collect();
         all.chunks(LIST_CHUNK).map(<[Update]>::to_vec).collect()
     }
-
-    /// Does what is due by time alone.
-    pub fn tick(&mut self, now: Time, rng: &mut SmallRng) -> Change {
-        let mut change = Change::default();
-        if now.since(self.ticked) >= OWN_PAUSE {
-            self.probes.clear();
-            self.restart_suspicions(now);
-        }
-        self.ticked = now;
-        self.judge_probes(now, rng, &mut change);
-        self.end_suspicions(now, &mut change);
-        self.helps.retain(|it| now.since(it.sent) < PROBE_LIMIT);
-        let seeds = &self.seeds;
-        self.others.retain(|address, it| {
-            it.is_live() || seeds.contains(address) || now.since(it.since) < REMEMBER_GONE
-        });
-        if now >= self.next_probe {
-            self.probe(now, rng, &mut change);
-        }
-        change
-    }
-
-    fn restart_suspicions(&mut self, now: Time) {
-        for it in self.others.values_mut() {
-            if it.update.is_some_and(|it| it.status == Status::Suspect) {
-                it.since = now;
-            }
-        }
-    }
-
-    fn judge_probes(&mut self, now: Time, rng: &mut SmallRng, change: &mut Change) {
-        let (over, open) = core::mem::take(&mut self.probes)
-            .into_iter()
-            .partition::<Vec<_>, _>(|it| now.since(it.sent) >= PROBE_LIMIT);
-        self.probes = open;
-        for probe in over {
-            self.suspect(now, &probe, change);
-        }
-        let late: Vec<usize> = (0..self.probes.len())
-            .filter(|&at| !self.probes[at].helped && now.since(self.probes[at].sent) >= ACK_LIMIT)
-            .collect();
-        for at in late {
-            let (number, target) = (self.probes[at].number, self.probes[at].target);
-            self.probes[at].helped = true;
-            for helper in self.draw(rng, HELPERS, &[target]) {
-                change
-                    .send
-                    .push((helper, Body::ProbeFor { number, target }));
-            }
-        }
-    }
-
-    fn suspect(&mut self, now: Time, probe: &Probe, change: &mut Change) {
-        let Some(known) = self.others.get_mut(&probe.target) else {
-            return;
-        };
-        let Some(update) = known.update.filter(|it| Some(it.life) == probe.life) else {
-            return;
-        };
-        if update.status < Status::Suspect {
-            let update = Update {
-                status: Status::Suspect,
-                ..update
-            };
-            known.update = Some(update);
-            known.since = now;
-            change.updates.push(update);
-        }
-    }
-
-    fn end_suspicions(&mut self, now: Time, change: &mut Change) {
-        for (address, known) in &mut self.others {
-            let Some(update) = known.update.filter(|it| it.status == Status::Suspect) else {
-                continue;
-            };
-            if now.since(known.since) >= SUSPICION {
-                let update = Update {
-                    status: Status::Gone,
-                    ..update
-                };
-                known.update = Some(update);
-                known.since = now;
-                change.updates.push(update);
-                change.gone.push(*address);
-            }
-        }
-    }
-
-    fn probe(&mut self, now: Time, rng: &mut SmallRng, change: &mut Change) {
-        if self.live().next().is_none() {
-            self.next_probe = now + JOIN_INTERVAL;
-            let anybody = self.others.keys().copied();
-            for target in anybody.choose_multiple(rng, JOIN_TRIES) {
-                self.probe_one(now, target, change);
-            }
-            return;
-        }
-        self.next_probe = now + PROBE_INTERVAL;
-        let lost = self
-            .numbers
-            .is_multiple_of(LOST_EVERY)
-            .then(|| self.lost(rng));
-        let target = lost.flatten().or_else(|| self.next_in_ring(rng));
-        if let Some(target) = target {
-            self.probe_one(now, target, change);
-        }
-    }
-
-    fn probe_one(&mut self, now: Time, target: SocketAddrV4, change: &mut Change) {
-        self.numbers += 1;
-        let update = self.others.get(&target).and_then(|it| it.update);
-        self.probes.push(Probe {
-            number: self.numbers,
-            target,
-            life: update.map(|it| it.life),
-            sent: now,
-            helped: false,
-        });
-        change
-            .send
-            .push((target, self.probe_body(self.numbers, target)));
-    }
-
-    /// Returns a probe, which tells its target what is believed of it, so that it can refute
-    /// that.
-    fn probe_body(&self, number: u64, target: SocketAddrV4) -> Body {
-        let update = self.others.get(&target).and_then(|it| it.update);
-        let doubted = update.filter(|it| it.status >= Status::Suspect);
-        Body::probe(number, self.digest(), doubted)
-    }
-
-    fn lost(&self, rng: &mut SmallRng) -> Option<SocketAddrV4> {
-        let lost = self.others.iter().filter(|(_, it)| !it.is_live());
-        lost.map(|(address, _)| *address).choose(rng)
-    }
-
-    fn next_in_ring(&mut self, rng: &mut SmallRng) -> Option<SocketAddrV4> {
-        if self.ring.is_empty() {
-            self.ring = self.live().map(|(address, _)| address).collect();
-            self.ring.shuffle(rng);
-        }
-        self.ring.pop()
-    }
 }
 
 fn unheard(now: Time) -> Member {
--- a/crates/core/src/gateway/state/peers.rs
+++ b/crates/core/src/gateway/state/peers.rs
@@ -10,6 +10,7 @@
 use crate::ids::EndpointKey;
 use crate::time::Time;
 use core::time::Duration;
+use rand::seq::IndexedRandom;
 use std::net::SocketAddrV4;
 
 /// Changes within this time go into one datagram.
@@ -355,7 +356,6 @@
     /// Returns a peer that knows more of the store than this instance and may be asked
     /// now, drawn among those that know most.
     pub fn better_informed(&mut self, now: Time) -> Option<SocketAddrV4> {
-        use rand::seq::IndexedRandom;
         let watches = self.watches(now);
         let better: Vec<Teller> = self.better().collect();
         let able = self.catch_up.may_be_asked(now, &better, watches);
--- a/crates/core/tests/gateway_home.rs
+++ b/crates/core/tests/gateway_home.rs
@@ -8,7 +8,7 @@
 use oriolemux_core::gateway::ask::{AskTable, Decision, HOME_PATIENCE, Verdict, Want, Wish};
 use oriolemux_core::gateway::catalogue::EngineLimits;
 use oriolemux_core::gateway::choose::{CopyKind, NoPlace};
-use oriolemux_core::gateway::endpoints::{EndpointRecord, EndpointTable};
+use oriolemux_core::gateway::endpoints::EndpointTable;
 use oriolemux_core::gateway::home::{Answer, Engines, Home, REPORT_FRESH, Report};
 use oriolemux_core::gateway::queue::{Waiter, service_hash};
 use oriolemux_core::gateway::usage::Used;
@@ -32,17 +32,7 @@
 fn engines(count: usize) -> EndpointTable {
     let mut table = EndpointTable::default();
     for number in 0..count {
-        let record = EndpointRecord {
-            name: format!("e-{number}"),
-            service: MODEL.to_owned(),
-            address: "10.0.0.1:80".parse().expect("an address"),
-            data_centre: "north".to_owned(),
-            slots: 24,
-            born: None,
-            leaving: false,
-            cold: Duration::ZERO,
-        };
-        table.publish(Time::ZERO, record);
+        table.publish(Time::ZERO, instances::engine(&format!("e-{number}")));
     }
     table
 }
--- a/crates/core/tests/gateway_queue.rs
+++ b/crates/core/tests/gateway_queue.rs
@@ -1,7 +1,9 @@
 //! Who is next when room at engines is short.
 
+#[path = "fixtures/gateway.rs"]
+mod instances;
+
 use core::time::Duration;
-use oriolemux_core::gateway::EndpointRecord;
 use oriolemux_core::gateway::ask::{Want, Wish};
 use oriolemux_core::gateway::catalogue::EngineLimits;
 use oriolemux_core::gateway::choose::{NoPlace, World};
@@ -41,17 +43,9 @@
         queue: Vec::new(),
     };
     for (number, &tokens) in taken.iter().enumerate() {
-        let record = EndpointRecord {
-            name: format!("e-{number}"),
-            service: "model".to_owned(),
-            address: "10.0.0.1:80".parse().expect("an address"),
-            data_centre: "north".to_owned(),
-            slots: 24,
-            born: None,
-            leaving: false,
-            cold: Duration::ZERO,
-        };
-        fleet.endpoints.publish(Time::ZERO, record);
+        fleet
+            .endpoints
+            .publish(Time::ZERO, instances::engine(&format!("e-{number}")));
         if tokens > 0 {
             fleet.usage.begin(engine(number), tokens, 0);
         }
