--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -12,7 +12,7 @@
 //! | [`endpoints`] | which endpoints exist, which of them leave, which are not trusted |
 //! | [`lengths`] | how long a generation will still be |
 //! | [`usage`] | what this instance runs at each endpoint, and what others run as far as is known |
-//! | [`ask`] | what an entry asks of the home of a service's engines, and does without one |
+//! | [`ask`] | what an instance asks of the home of a service's engines, and does without one |
 //! | [`home`] | what a home knows, and how it gives away the room of its engines |
 //! | [`queue`] | in which order requests that wait get room |
 //! | [`choose`] | the endpoint for a request, and the one that holds its standing copy |
--- a/crates/core/src/gateway/ask.rs
+++ b/crates/core/src/gateway/ask.rs
@@ -1,12 +1,12 @@
-//! What an entry asks of the home of a service's engines, and what it does without one.
+//! What an instance asks of the home of a service's engines, and what it does without one.
 //!
 //! A generation is placed by the *home* of its service: one instance, the same for all by
-//! rendezvous hashing, that knows what runs at each engine and who waits. The entry reports
+//! rendezvous hashing, that knows what runs at each engine and who waits. The instance reports
 //! its whole use and all it waits for to the home and to the next in rank, so that a lost or
 //! doubled report does no harm, and the next in rank can decide at once when the home is gone.
 //! One placement costs a handful of datagrams, however many instances there are.
 //!
-//! A home that does not answer holds nobody up: the entry asks the next in rank and places by
+//! A home that does not answer holds nobody up: the instance asks the next in rank and places by
 //! its own view meanwhile, from what it runs itself and what a home last told it. Both may
 //! then give away the same room, for as long as a report is under way.
 
@@ -25,10 +25,10 @@
 /// (86 instances, an eighth of a processor each).
 pub const HOME_PATIENCE: Duration = Duration::from_millis(25);
 
-/// How often an entry reports while it waits for a home that has not answered.
+/// How often an instance reports while it waits for a home that has not answered.
 pub const REPORT_AGAIN: Duration = Duration::from_millis(10);
 
-/// How often an entry reports while its requests wait for room.
+/// How often an instance reports while its requests wait for room.
 pub const REPORT_WAITING: Duration = Duration::from_millis(100);
 
 /// How long a home that said "wait" is believed without a word: two of its answers may be
@@ -76,14 +76,14 @@
     Denied(NoPlace),
 }
 
-/// What an entry goes by.
+/// What an instance goes by.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Verdict {
     /// A home decided.
     Decided(Decision),
     /// A home may still answer.
     Asked,
-    /// No home answered in time: the entry decides by itself.
+    /// No home answered in time: the instance decides by itself.
     Unanswered,
 }
 
@@ -96,7 +96,7 @@
     said: Option<(Time, Decision)>,
 }
 
-/// All wishes of an entry that are open, and what it knows of homes.
+/// All wishes of an instance that are open, and what it knows of homes.
 #[derive(Clone, Debug, Default)]
 pub struct AskTable {
     asked: BTreeMap<u64, Asked>,
--- a/crates/core/src/gateway/gossip.rs
+++ b/crates/core/src/gateway/gossip.rs
@@ -115,7 +115,7 @@
     AskMembers,
     /// Instances that take part.
     Members(Vec<Update>),
-    /// What an entry tells a home.
+    /// What an instance tells a home.
     Report(Report),
     /// What a home answers.
     Answer(Answer),
--- a/crates/core/src/gateway/home.rs
+++ b/crates/core/src/gateway/home.rs
@@ -1,8 +1,8 @@
 //! What the home of a service's engines knows, and how it gives away their room.
 //!
-//! Entries report what they run and what they wait for ([`ask`](super::ask)). The home keeps
+//! Instances report what they run and what they wait for ([`ask`](super::ask)). The home keeps
 //! the last report of each, works out who is next ([`queue`](super::queue)) and reserves what
-//! it grants until the entry's next report shows it. An entry that falls silent is forgotten
+//! it grants until the instance's next report shows it. An instance that falls silent is forgotten
 //! after a second, with its use, its wishes and its reservations: a frozen instance must hold
 //! nobody up for longer.
 
@@ -24,19 +24,19 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddrV4;
 
-/// How often an entry reports that has something at the engines of a service, though nothing
+/// How often an instance reports that has something at the engines of a service, though nothing
 /// changed.
 pub const REPORT_INTERVAL: Duration = Duration::from_millis(400);
 
-/// How long the word of an entry is believed: two reports in a row may be lost.
+/// How long the word of an instance is believed: two reports in a row may be lost.
 pub const REPORT_FRESH: Duration = Duration::from_millis(1_000);
 
-/// How often one entry is told what others run. It goes by that only where no home answers.
+/// How often one instance is told what others run. It goes by that only where no home answers.
 const VIEW_INTERVAL: Duration = Duration::from_millis(250);
 
-/// What is known of one entry.
+/// What is known of one instance.
 #[derive(Clone, Debug)]
-struct Entry {
+struct Reporter {
     life: Incarnation,
     number: u64,
     heard: Time,
@@ -54,11 +54,11 @@
     reserved: BTreeMap<u64, (EndpointKey, Used)>,
 }
 
-/// The entries that reported about one service.
+/// The instances that reported about one service.
 #[derive(Clone, Debug, Default)]
 pub struct Home {
-    entries: BTreeMap<SocketAddrV4, Entry>,
-    /// Engines that entries could not use lately.
+    reporters: BTreeMap<SocketAddrV4, Reporter>,
+    /// Engines that instances could not use lately.
     doubts: Doubts,
 }
 
@@ -76,7 +76,7 @@
 impl Home {
     /// Takes a report in. One that is older than the last one changes nothing.
     pub fn hear(&mut self, now: Time, from: SocketAddrV4, life: Incarnation, report: Report) {
-        let known = self.entries.get_mut(&from).filter(|it| it.life == life);
+        let known = self.reporters.get_mut(&from).filter(|it| it.life == life);
         let (viewed, mut reserved) = match known {
             Some(known) if known.number >= report.number => return,
             Some(known) => (known.viewed, core::mem::take(&mut known.reserved)),
@@ -86,12 +86,12 @@
         let wishes: Vec<Wish> = wishes.map(|it| it.at(now)).collect();
         reserved.retain(|id, _| wishes.iter().any(|it| it.waiter.id == *id));
         for &engine in &report.passed_over {
-            let known = self.entries.get(&from);
+            let known = self.reporters.get(&from);
             if !known.is_some_and(|it| it.passed_over.contains(&engine)) {
                 self.doubts.note(now, engine, from);
             }
         }
-        let entry = Entry {
+        let reporter = Reporter {
             life,
             number: report.number,
             heard: now,
@@ -105,72 +105,72 @@
             viewed,
             reserved,
         };
-        self.entries.insert(from, entry);
+        self.reporters.insert(from, reporter);
     }
 
-    /// Forgets entries that fell silent.
+    /// Forgets instances that fell silent.
     pub fn tick(&mut self, now: Time) {
-        self.entries
+        self.reporters
             .retain(|_, it| now.since(it.heard) < REPORT_FRESH);
         self.doubts.tick(now);
     }
 
     /// Returns whether nobody reports.
     pub fn is_empty(&self) -> bool {
-        self.entries.is_empty()
+        self.reporters.is_empty()
     }
 
     /// Returns whether somebody waits for a decision of this instance.
     pub fn is_asked(&self) -> bool {
-        self.entries
+        self.reporters
             .values()
             .any(|it| it.decides && !it.wishes.is_empty())
     }
 
     /// Returns how many requests wait for a place that this instance is to give.
     pub fn waiting(&self) -> usize {
-        let asking = self.entries.values().filter(|it| it.decides);
+        let asking = self.reporters.values().filter(|it| it.decides);
         let wishes = asking.flat_map(|it| &it.wishes);
         wishes.filter(|it| it.want == Want::Place).count()
     }
 
-    /// Returns what all entries but `except` run.
+    /// Returns what all instances but `except` run.
     pub fn others(&self, now: Time, except: Option<SocketAddrV4>) -> Others {
         let mut others = Others::default();
         others.passed_over.extend(self.doubts.passed_over(now));
-        for (_, entry) in self
-            .entries
+        for (_, reporter) in self
+            .reporters
             .iter()
             .filter(|(from, _)| Some(**from) != except)
         {
-            entry
+            reporter
                 .used
                 .iter()
                 .for_each(|&(key, used)| others.add(key, used));
-            entry
+            reporter
                 .reserved
                 .values()
                 .for_each(|&(key, used)| others.add(key, used));
-            others.failing.extend(&entry.failing);
+            others.failing.extend(&reporter.failing);
         }
         others
     }
 
-    /// Decides about all wishes, and returns what entries are to be told.
+    /// Decides about all wishes, and returns what instances are to be told.
     pub fn decide(&mut self, now: Time, engines: Engines<'_>) -> Vec<(SocketAddrV4, Answer)> {
         let service = service_hash(engines.service);
         let mut others = self.others(now, None);
         let mut decided = self.decide_at_once(now, engines, &mut others);
         decided.extend(self.decide_in_turn(now, engines, &others));
         let mut answers = Vec::new();
-        for (from, entry) in &mut self.entries {
+        for (from, reporter) in &mut self.reporters {
             let told = decided.remove(from).unwrap_or_default();
             let has_grant = told.iter().any(|(_, it)| !matches!(it, Decision::Waits(_)));
-            if told.is_empty() || !(has_grant || entry.owed) {
+            if told.is_empty() || !(has_grant || reporter.owed) {
                 continue;
             }
-            entry.owed = false;
-            entry.wishes.retain(|wish| {
+            reporter.owed = false;
+            reporter.wishes.retain(|wish| {
                 let is_denied = |&(id, it): &(u64, Decision)| {
                     id == wish.waiter.id && matches!(it, Decision::Denied(_))
                 };
@@ -193,14 +193,16 @@
         send
     }
 
-    /// Returns what others run, if the entry at `from` is to be told now.
+    /// Returns what others run, if the instance at `from` is to be told now.
     fn view_for(&mut self, now: Time, from: SocketAddrV4) -> Option<Others> {
-        let entry = self.entries.get_mut(&from)?;
-        let is_due = entry.viewed.is_none_or(|at| now.since(at) >= VIEW_INTERVAL);
+        let reporter = self.reporters.get_mut(&from)?;
+        let is_due = reporter
+            .viewed
+            .is_none_or(|at| now.since(at) >= VIEW_INTERVAL);
         if !is_due {
             return None;
         }
-        entry.viewed = Some(now);
+        reporter.viewed = Some(now);
         Some(self.others(now, Some(from)))
     }
 
@@ -213,22 +215,22 @@
         others: &mut Others,
     ) -> BTreeMap<SocketAddrV4, Vec<(u64, Decision)>> {
         let mut decided: BTreeMap<SocketAddrV4, Vec<(u64, Decision)>> = BTreeMap::new();
-        let any_waits = self.entries.values().any(Entry::waits_in_turn);
+        let any_waits = self.reporters.values().any(Reporter::waits_in_turn);
         let none = UsageTable::default();
         for urgent in [true, false] {
-            for (from, entry) in self.entries.iter_mut().filter(|(_, it)| it.decides) {
-                for wish in &entry.wishes {
+            for (from, reporter) in self.reporters.iter_mut().filter(|(_, it)| it.decides) {
+                for wish in &reporter.wishes {
                     if wish.want == Want::Place || wish.is_urgent() != urgent {
                         continue;
                     }
                     let id = wish.waiter.id;
-                    let granted = entry.reserved.get(&id).map(|(key, _)| *key);
+                    let granted = reporter.reserved.get(&id).map(|(key, _)| *key);
                     let world = World {
                         now,
                         endpoints: engines.endpoints,
                         usage: &none,
                         others,
-                        data_centre: &entry.data_centre,
+                        data_centre: &reporter.data_centre,
                     };
                     let place = match granted {
                         Some(key) => Ok(key),
@@ -242,7 +244,7 @@
                     if let (Ok(key), None) = (place, granted) {
                         let used = wish.reserves();
                         others.add(key, used);
-                        entry.reserved.insert(id, (key, used));
+                        reporter.reserved.insert(id, (key, used));
                     }
                     decided.entry(*from).or_default().push((id, decision));
                 }
@@ -268,14 +270,14 @@
             data_centre: "",
         };
         let mut waiting = Vec::new();
-        for (from, entry) in self.entries.iter().filter(|(_, it)| it.decides) {
-            for wish in entry.wishes.iter().filter(|it| it.want == Want::Place) {
-                match entry.reserved.get(&wish.waiter.id) {
+        for (from, reporter) in self.reporters.iter().filter(|(_, it)| it.decides) {
+            for wish in reporter.wishes.iter().filter(|it| it.want == Want::Place) {
+                match reporter.reserved.get(&wish.waiter.id) {
                     Some((key, _)) => {
                         let told = (wish.waiter.id, Decision::Granted(*key));
                         decided.entry(*from).or_default().push(told);
                     }
-                    None => waiting.push((*from, entry.asking(wish))),
+                    None => waiting.push((*from, reporter.asking(wish))),
                 }
             }
         }
@@ -286,8 +288,8 @@
                 Ok(key) => Decision::Granted(key),
                 Err(why) => Decision::Waits(why),
             };
-            if let (Ok(key), Some(entry)) = (place, self.entries.get_mut(from)) {
-                entry.reserved.insert(id, (key, asking.wish.reserves()));
+            if let (Ok(key), Some(reporter)) = (place, self.reporters.get_mut(from)) {
+                reporter.reserved.insert(id, (key, asking.wish.reserves()));
             }
             decided.entry(*from).or_default().push((id, decision));
         }
@@ -295,7 +297,7 @@
     }
 }
 
-impl Entry {
+impl Reporter {
     fn asking(&self, wish: &Wish) -> Asking {
         Asking {
             wish: wish.clone(),
--- a/crates/core/src/gateway/home/doubt.rs
+++ b/crates/core/src/gateway/home/doubt.rs
@@ -1,10 +1,10 @@
-//! Engines that entries could not use.
+//! Engines that instances could not use.
 //!
 //! What goes wrong without it: while the store is silent, engines that went keep their
-//! entries. They look empty, so that the home sends everybody there; each entry finds out for
+//! entries. They look empty, so that the home sends everybody there; each instance finds out for
 //! itself, is refused by several of them in a row, and gives up its request within
 //! milliseconds while other engines have room (195 instances, 20 engines gone of 62: 120
-//! generations a second). One entry alone may have lost its own link, and is not believed.
+//! generations a second). One instance alone may have lost its own link, and is not believed.
 
 use crate::ids::EndpointKey;
 use crate::time::Time;
@@ -12,7 +12,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddrV4;
 
-/// Entries that must find an engine unusable before it is passed over for all.
+/// Instances that must find an engine unusable before it is passed over for all.
 const DOUBTERS: usize = 2;
 
 /// The first time for which an engine is passed over for all; it doubles each time that it is
@@ -26,7 +26,7 @@
 /// An engine that nobody found unusable for so long is trusted as any other.
 const DOUBT_FORGOTTEN: Duration = Duration::from_secs(10);
 
-/// An engine that entries could not use.
+/// An engine that instances could not use.
 #[derive(Clone, Debug, Default)]
 struct Doubted {
     /// Who could not use it.
@@ -46,7 +46,7 @@
 }
 
 impl Doubts {
-    /// Notes that an entry could not use an engine.
+    /// Notes that an instance could not use an engine.
     pub(super) fn note(&mut self, now: Time, engine: EndpointKey, by: SocketAddrV4) {
         let doubted = self.doubted.entry(engine).or_default();
         doubted.by.insert(by);
--- a/crates/core/src/gateway/home/message.rs
+++ b/crates/core/src/gateway/home/message.rs
@@ -1,4 +1,4 @@
-//! What entries and homes tell each other.
+//! What instances and homes tell each other.
 
 use crate::gateway::ask::{Decision, Want, Wish};
 use crate::gateway::choose::CopyKind;
@@ -19,20 +19,20 @@
     pub exclude: Vec<EndpointKey>,
 }
 
-/// What an entry tells the home of a service and the next in rank.
+/// What an instance tells the home of a service and the next in rank.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Report {
     /// The hash of the service's name.
     pub service: u64,
-    /// Counts the reports of the entry's life.
+    /// Counts the reports of the instance's life.
     pub number: u64,
-    /// The data centre of the entry.
+    /// The data centre of the instance.
     pub data_centre: String,
     /// Whether the receiver is to decide.
     pub decides: bool,
-    /// What the entry runs where.
+    /// What the instance runs where.
     pub used: Vec<(EndpointKey, Used)>,
-    /// Engines of which the last that the entry saw was a failure.
+    /// Engines of which the last that the instance saw was a failure.
     pub failing: Vec<EndpointKey>,
     /// Engines that it cannot use at the moment.
     pub passed_over: Vec<EndpointKey>,
@@ -72,7 +72,7 @@
         )
     }
 
-    /// Returns what is kept for it until its entry counts it.
+    /// Returns what is kept for it until its instance counts it.
     pub(super) fn reserves(&self) -> Used {
         let Waiter { tokens, prompt, .. } = self.waiter;
         match self.want {
--- a/crates/core/src/gateway/queue.rs
+++ b/crates/core/src/gateway/queue.rs
@@ -22,7 +22,7 @@
 /// still to be read, which takes some 0.7 s at an engine with neighbours.
 const IN_TIME_TARGETS: f64 = 0.6;
 
-/// The most wishes of one entry that a home takes in. Those beyond are placed by the entry's
+/// The most wishes of one instance that a home takes in. Those beyond are placed by that instance's
 /// own view once nobody answers them.
 pub const MAX_WAITING: usize = 64;
 
@@ -65,7 +65,7 @@
 }
 
 impl Waiter {
-    /// Returns what an entry told at `now`.
+    /// Returns what an instance told at `now`.
     pub fn told(now: Time, waiting: &Waiting) -> Self {
         let age = Duration::from_millis(waiting.age_ms.into());
         Waiter {
@@ -117,9 +117,9 @@
 pub struct Asking {
     /// What it wants.
     pub wish: Wish,
-    /// The data centre of its entry.
+    /// The data centre of its instance.
     pub data_centre: String,
-    /// Engines that its entry cannot use at the moment; they are taken if there is no other.
+    /// Engines that its instance cannot use at the moment; they are taken if there is no other.
     pub avoids: Vec<EndpointKey>,
 }
 
--- a/crates/core/tests/gateway_home.rs
+++ b/crates/core/tests/gateway_home.rs
@@ -1,4 +1,4 @@
-//! What the home of a service's engines grants, and what entries do without one.
+//! What the home of a service's engines grants, and what instances do without one.
 
 #[path = "fixtures/gateway.rs"]
 mod instances;
@@ -63,13 +63,13 @@
     }
 }
 
-/// A home, and entries that report to it.
+/// A home, and instances that report to it.
 struct Scene {
     now: Time,
     endpoints: EndpointTable,
     home: Home,
     reports: u64,
-    /// Engines that the next entry to report cannot use.
+    /// Engines that the next instance to report cannot use.
     passed_over: Vec<EndpointKey>,
 }
 
@@ -84,7 +84,7 @@
         }
     }
 
-    fn report(&mut self, entry: u16, used: &[(EndpointKey, Used)], wishes: &[Wish]) {
+    fn report(&mut self, instance: u16, used: &[(EndpointKey, Used)], wishes: &[Wish]) {
         self.reports += 1;
         let report = Report {
             service: service_hash(MODEL),
@@ -96,8 +96,8 @@
             passed_over: self.passed_over.clone(),
             wishes: wishes.iter().map(|it| it.to_tell(self.now)).collect(),
         };
-        let life = Incarnation(entry.into());
-        self.home.hear(self.now, address(entry), life, report);
+        let life = Incarnation(instance.into());
+        self.home.hear(self.now, address(instance), life, report);
     }
 
     fn decide(&mut self) -> Vec<(u16, Answer)> {
@@ -132,8 +132,8 @@
     }
 }
 
-/// Symptom: an engine gets twice what it holds. Sequence: two entries ask within the time
-/// that a report takes. Cause: what was granted counted only once its entry had reported it.
+/// Symptom: an engine gets twice what it holds. Sequence: two instances ask within the time
+/// that a report takes. Cause: what was granted counted only once its instance had reported it.
 #[test]
 fn what_was_granted_is_kept_until_it_is_reported() {
     let mut scene = Scene::new(1);
@@ -180,10 +180,10 @@
     assert_eq!(kept.running, 1, "room is kept once");
 }
 
-/// Symptom: requests wait although engines have room. Sequence: the entry whose request is
+/// Symptom: requests wait although engines have room. Sequence: the instance whose request is
 /// next freezes. Cause: its last word was believed for as long as it counted as there.
 #[test]
-fn an_entry_that_falls_silent_holds_nobody_up() {
+fn an_instance_that_falls_silent_holds_nobody_up() {
     let mut scene = Scene::new(1);
     scene.report(9, &[(engine(0), used(16_000))], &[]);
     scene.report(1, &[], &[wish(1, 10, Want::Place)]);
@@ -251,8 +251,8 @@
         source: engine(0),
         kind: CopyKind::Ahead,
     };
-    for entry in 1..=8_u16 {
-        scene.report(entry, &[], &[wish(entry.into(), 5, ahead)]);
+    for instance in 1..=8_u16 {
+        scene.report(instance, &[], &[wish(instance.into(), 5, ahead)]);
     }
     let answers = scene.decide();
 
@@ -317,10 +317,10 @@
 
 /// Symptom: 120 generations a second are refused within 50 ms, while engines have room.
 /// Sequence: twenty of 62 engines go while the store is silent, so that their entries stay.
-/// They look empty; the home sends everybody there, and each entry tries several of them
-/// before it knows. Cause: what one entry found out helped only itself.
+/// They look empty; the home sends everybody there, and each instance tries several of them
+/// before it knows. Cause: what one instance found out helped only itself.
 #[test]
-fn an_engine_that_several_entries_cannot_use_is_passed_over_for_all() {
+fn an_engine_that_several_instances_cannot_use_is_passed_over_for_all() {
     let mut scene = Scene::new(2);
     scene.passed_over = vec![engine(0)];
     scene.report(8, &[], &[]);
@@ -335,7 +335,7 @@
 }
 
 #[test]
-fn what_one_entry_alone_cannot_use_is_passed_over_for_it_alone() {
+fn what_one_instance_alone_cannot_use_is_passed_over_for_it_alone() {
     let mut scene = Scene::new(2);
     scene.report(5, &[(engine(1), used(9_000))], &[]);
     scene.passed_over = vec![engine(0)];
--- a/crates/core/tests/gateway_places.rs
+++ b/crates/core/tests/gateway_places.rs
@@ -37,14 +37,14 @@
 
 /// A request that asks for a place at one instance.
 struct Asking {
-    entry: usize,
+    instance: usize,
     id: u64,
     since: Time,
 }
 
 /// A generation that runs.
 struct Running {
-    entry: usize,
+    instance: usize,
     at: EndpointKey,
     ends: Time,
 }
@@ -110,7 +110,7 @@
             .expect("there is a home")
     }
 
-    fn ask(&mut self, entry: usize) {
+    fn ask(&mut self, instance: usize) {
         self.asked += 1;
         let (id, now) = (self.asked, self.fleet.now);
         let waiter = Waiter {
@@ -127,16 +127,16 @@
             want: Want::Place,
             exclude: Vec::new(),
         };
-        self.core(entry).ask(now, wish);
-        self.fleet.hurry(entry);
+        self.core(instance).ask(now, wish);
+        self.fleet.hurry(instance);
         self.asking.push(Asking {
-            entry,
+            instance,
             id,
             since: now,
         });
     }
 
-    /// Lets one millisecond pass, and entries act on what they know.
+    /// Lets one millisecond pass, and instances act on what they know.
     fn step(&mut self) {
         self.fleet.run(STEP);
         for asking in core::mem::take(&mut self.asking) {
@@ -150,9 +150,9 @@
             .partition::<Vec<_>, _>(|it| it.ends <= now);
         self.running = running;
         for it in over {
-            if let Some(core) = &mut self.fleet.nodes[it.entry].core {
+            if let Some(core) = &mut self.fleet.nodes[it.instance].core {
                 core.usage.end(it.at, TOKENS, 0);
-                self.fleet.hurry(it.entry);
+                self.fleet.hurry(it.instance);
             }
         }
         self.note_fullest();
@@ -160,7 +160,7 @@
 
     fn look(&mut self, asking: Asking) -> Option<Asking> {
         let now = self.fleet.now;
-        let core = self.fleet.nodes[asking.entry].core.as_mut()?;
+        let core = self.fleet.nodes[asking.instance].core.as_mut()?;
         let place = match core.verdict(now, asking.id) {
             Verdict::Decided(Decision::Granted(key)) => Some(key),
             Verdict::Unanswered => {
@@ -182,10 +182,10 @@
         };
         core.usage.begin(at, TOKENS, 0);
         core.ask_no_longer(asking.id);
-        self.fleet.hurry(asking.entry);
+        self.fleet.hurry(asking.instance);
         self.longest = self.longest.max(now.since(asking.since));
         self.running.push(Running {
-            entry: asking.entry,
+            instance: asking.instance,
             at,
             ends: now + RUNS,
         });
@@ -201,16 +201,16 @@
         self.fullest = self.fullest.max(fullest);
     }
 
-    /// Lets requests come at entries in turn, but for `except`, each so many milliseconds.
+    /// Lets requests come at instances in turn, but for `except`, each so many milliseconds.
     fn play(&mut self, time: Duration, each_ms: u64, except: Option<usize>) {
         let steps = time.as_millis() as u64;
         let size = self.fleet.nodes.len();
-        let mut entry = 0;
+        let mut instance = 0;
         for step in 0..steps {
             if step.is_multiple_of(each_ms) {
-                entry = (entry + 7) % size;
-                if Some(entry) != except {
-                    self.ask(entry);
+                instance = (instance + 7) % size;
+                if Some(instance) != except {
+                    self.ask(instance);
                 }
             }
             self.step();
@@ -250,7 +250,7 @@
     assert!(datagrams <= 30, "{bytes} bytes in {datagrams} datagrams");
 }
 
-/// A home knows all it gave away: no engine is given more than it holds, however many entries
+/// A home knows all it gave away: no engine is given more than it holds, however many instances
 /// ask at once, and who finds no room waits.
 #[test]
 fn no_engine_is_given_more_than_it_holds() {
@@ -263,7 +263,7 @@
 }
 
 /// Symptom: requests stand still for as long as the home does. Sequence: the home freezes, is
-/// killed, or is cut off from the entry; it takes seconds until it counts as gone. Cause: its
+/// killed, or is cut off from the instance; it takes seconds until it counts as gone. Cause: its
 /// answer was waited for.
 #[rstest]
 #[case::frozen(true)]
@@ -286,7 +286,7 @@
     assert!(scene.fullest <= ENGINE.memory_tokens, "{}", scene.fullest);
 }
 
-/// A home that was frozen and wakes still holds its old view; entries ask the one that took
+/// A home that was frozen and wakes still holds its old view; instances ask the one that took
 /// its place until it is known to be there again, and reports replace what it believed.
 #[test]
 fn a_home_that_wakes_goes_by_new_reports() {
@@ -303,13 +303,13 @@
     assert!(scene.fullest <= ENGINE.memory_tokens, "{}", scene.fullest);
 }
 
-/// Two homes at once: some entries cannot reach the first and ask the next. Both know all
+/// Two homes at once: some instances cannot reach the first and ask the next. Both know all
 /// reports, so that they give away the same room only while a report is under way.
 #[test]
 fn two_homes_give_away_hardly_more_than_there_is() {
     let mut scene = Scene::new(12);
     scene.play(Duration::from_secs(1), 50, None);
-    // Whatever the home is: the entries of even number do not hear it, and it not them.
+    // Whatever the home is: the instances of even number do not hear it, and it not them.
     scene.fleet.passes = |from, to| from % 2 == to % 2 || from > 5 || to > 5;
 
     scene.play(Duration::from_secs(8), 25, None);
