--- a/crates/core/tests/gateway_places.rs
+++ b/crates/core/tests/gateway_places.rs
@@ -217,6 +217,29 @@
         }
     }
 
+    /// Prints what one instance sends a second, by purpose (`-- --nocapture`).
+    fn print_sent(&self, time: Duration) {
+        let size = self.fleet.nodes.len();
+        let seconds = size as f64 * time.as_secs_f64();
+        let mut sum: BTreeMap<&str, Sent> = BTreeMap::new();
+        for (purpose, sent) in self.fleet.nodes.iter().flat_map(|it| &it.by_purpose) {
+            let sum = sum.entry(purpose).or_default();
+            sum.datagrams += sent.datagrams;
+            sum.bytes += sent.bytes;
+        }
+        for (purpose, sent) in sum {
+            let (bytes, count) = (sent.bytes as f64, sent.datagrams as f64);
+            println!(
+                "{size} instances, {purpose}: {:.0} bytes/s in {:.1} datagrams/s",
+                bytes / seconds,
+                count / seconds
+            );
+        }
+        let most = self.fleet.nodes.iter().map(|it| it.sent.bytes).max();
+        let most = most.unwrap_or(0) as f64 / time.as_secs_f64();
+        println!("{size} instances, the busiest: {most:.0} bytes/s");
+    }
+
     fn sent_for_places(&self) -> Sent {
         let mut sum = Sent::default();
         for node in &self.fleet.nodes {
@@ -244,6 +267,7 @@
 
     scene.play(Duration::from_secs(4), 50, None);
 
+    scene.print_sent(Duration::from_secs(4));
     let sent = scene.sent_for_places();
     let (bytes, datagrams) = (sent.bytes / scene.asked, sent.datagrams / scene.asked);
     assert!(bytes <= 4_096, "{bytes} bytes in {datagrams} datagrams");
--- a/crates/gateway/src/catch_up.rs
+++ b/crates/gateway/src/catch_up.rs
@@ -35,6 +35,9 @@
 /// An answer of which nothing came for so long does not come.
 const SILENCE_LIMIT: Duration = Duration::from_millis(700);
 
+/// The purpose under which answers are counted.
+const STORE_NEWS: &str = "store_news";
+
 /// How long to wait before another connection is accepted where one could not be.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(2);
 
@@ -215,6 +218,7 @@
         let bytes = encode(cx, after)?;
         stream.write_all(&bytes).await?;
         stream.shutdown().await?;
+        cx.note_sent(STORE_NEWS, bytes.len());
         return Ok(Told::Little);
     }
     let Some(_telling) = cx.begin_large_telling(MAX_LARGE_TOLD) else {
@@ -223,6 +227,7 @@
     let bytes = encode(cx, after)?;
     stream.write_all(&bytes).await?;
     stream.shutdown().await?;
+    cx.note_sent(STORE_NEWS, bytes.len());
     // What is written may still be on the way. The peer closes when it has read it all.
     stream.read_to_end(&mut Vec::new()).await?;
     Ok(Told::Large(bytes.len()))
--- a/crates/gateway/src/cx.rs
+++ b/crates/gateway/src/cx.rs
@@ -1,11 +1,13 @@
 //! What all tasks of the gateway share.
 
+use crate::meters::ByReason;
 use crate::note;
 use crate::ports::Wire;
 use core::time::Duration;
 use oriolemux_core::gateway::Gateway;
 use oriolemux_core::ids::EndpointKey;
 use oriolemux_core::time::Time;
+use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Instant;
@@ -69,10 +71,20 @@
     /// Cancelled when callers' idle connections are to be closed.
     pub closing: CancellationToken,
     state: Mutex<Gateway>,
+    sent: Mutex<BTreeMap<&'static str, Sent>>,
     open: [AtomicUsize; OPEN_KINDS],
     stop: OnceLock<StopPlan>,
 }
 
+/// What was sent to peers for one purpose.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Sent {
+    /// Datagrams, or answers over a connection.
+    pub messages: u64,
+    /// Their bytes, without those of the transport.
+    pub bytes: u64,
+}
+
 /// The times of a planned stop.
 #[derive(Clone, Copy, Debug)]
 pub struct StopPlan {
@@ -115,6 +127,7 @@
             stopping: CancellationToken::new(),
             closing: CancellationToken::new(),
             state: Mutex::new(state),
+            sent: Mutex::default(),
             open: [const { AtomicUsize::new(0) }; OPEN_KINDS],
             stop: OnceLock::new(),
         })
@@ -164,6 +177,22 @@
         self.open[what as usize].load(Ordering::Relaxed)
     }
 
+    /// Counts what was sent to a peer.
+    pub fn note_sent(&self, purpose: &'static str, bytes: usize) {
+        ByReason::PeerMessages.add(purpose);
+        ByReason::PeerBytes.add_many(purpose, bytes as u64);
+        let mut sent = self.sent.lock().unwrap_or_else(PoisonError::into_inner);
+        let sent = sent.entry(purpose).or_default();
+        sent.messages += 1;
+        sent.bytes += bytes as u64;
+    }
+
+    /// Returns what was sent to peers, by purpose.
+    pub fn sent(&self) -> BTreeMap<&'static str, Sent> {
+        let sent = self.sent.lock().unwrap_or_else(PoisonError::into_inner);
+        sent.clone()
+    }
+
     /// Begins a planned stop.
     pub fn begin_stop(&self, plan: StopPlan) {
         self.stop.get_or_init(|| plan);
--- a/crates/gateway/src/meters.rs
+++ b/crates/gateway/src/meters.rs
@@ -52,10 +52,10 @@
         Generations = "oriolemux_gateway_generations_total";
         /// Questions to peers about what the store published, by how they ended.
         PeerAnswers = "oriolemux_gateway_peer_answers_total";
-        /// Bytes of datagrams sent to peers, by their purpose.
+        /// Bytes sent to peers, by their purpose.
         PeerBytes = "oriolemux_gateway_peer_bytes_total";
-        /// Datagrams sent to peers, by their purpose.
-        PeerDatagrams = "oriolemux_gateway_peer_datagrams_total";
+        /// Datagrams, and answers over connections, sent to peers, by their purpose.
+        PeerMessages = "oriolemux_gateway_peer_messages_total";
         /// Datagrams of peers that were dropped, by what is wrong with them.
         DatagramsDropped = "oriolemux_gateway_datagrams_dropped_total";
         /// Places at engines and for copies, by who decided: the `home`, or this instance `alone`.
--- a/crates/gateway/src/news.rs
+++ b/crates/gateway/src/news.rs
@@ -116,8 +116,7 @@
             log::error!("a datagram for {purpose} cannot be written: {error}");
             continue;
         }
-        ByReason::PeerDatagrams.add(purpose);
-        ByReason::PeerBytes.add_many(purpose, buf.len() as u64);
+        cx.note_sent(purpose, buf.len());
         if let Err(error) = socket.send_to(&buf, to).await {
             log::debug!("peer {to} cannot be told: {error}");
         }
--- a/crates/gateway/src/status.rs
+++ b/crates/gateway/src/status.rs
@@ -76,6 +76,20 @@
     /// The services whose engines have a home, by name.
     #[serde(default)]
     pub homes: Vec<HomeStatus>,
+    /// What was sent to peers since the start, by purpose.
+    #[serde(default)]
+    pub sent: Vec<SentStatus>,
+}
+
+/// What an instance sent to its peers for one purpose.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct SentStatus {
+    /// The purpose.
+    pub purpose: String,
+    /// Datagrams, or answers over a connection.
+    pub messages: u64,
+    /// Their bytes, without those of the transport.
+    pub bytes: u64,
 }
 
 /// Who decides about the engines of a service, as this instance believes.
@@ -174,6 +188,7 @@
                 .map(|(address, peer)| peer_status(now, address, peer))
                 .collect(),
             homes: home_status(&state, now),
+            sent: sent_status(cx),
         }
     }
 }
@@ -188,6 +203,16 @@
     }
 }
 
+fn sent_status<W: Wire>(cx: &Cx<W>) -> Vec<SentStatus> {
+    let sent = cx.sent().into_iter();
+    sent.map(|(purpose, sent)| SentStatus {
+        purpose: purpose.to_owned(),
+        messages: sent.messages,
+        bytes: sent.bytes,
+    })
+    .collect()
+}
+
 fn home_status(state: &Gateway, now: Time) -> Vec<HomeStatus> {
     let services = state.catalogue().into_iter().flat_map(|it| it.services());
     let with_engines = services.filter(|it| it.engine.is_some());
--- a/crates/oriolemux/src/cli/operate/gateway_text.rs
+++ b/crates/oriolemux/src/cli/operate/gateway_text.rs
@@ -39,6 +39,12 @@
             peer.address
         ));
     }
+    for sent in &status.sent {
+        print_line(format_args!(
+            "sent       {}: {} messages, {} bytes",
+            sent.purpose, sent.messages, sent.bytes
+        ));
+    }
     for home in &status.homes {
         print_home(home);
     }
--- a/crates/oriolemux/tests/gateway_process.rs
+++ b/crates/oriolemux/tests/gateway_process.rs
@@ -239,14 +239,27 @@
     }
 }
 
+/// How often a test asks for the state until it shows what must come; only a test that fails
+/// asks so often.
+const STATUS_LOOKS: usize = 200;
+
 /// What operators ask of an instance, by the commands that they type.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn operators_see_the_state_of_an_instance_and_stop_it() {
     let mut fleet = fleet(&QAFSA_LYRICWORKS).await;
     let process = &mut fleet.processes[0];
 
+    // It probes its peers soon after its start.
+    let mut json = process.command(&["status", "--json"]);
+    for _ in 0..STATUS_LOOKS {
+        let status: GatewayStatus = serde_json::from_slice(&json.stdout).expect("JSON");
+        if status.sent.iter().any(|it| it.purpose == "probes") {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        json = process.command(&["status", "--json"]);
+    }
     let shown = process.command(&["status"]);
-    let json = process.command(&["status", "--json"]);
     let drained = process.command(&["drain"]);
 
     let shown = String::from_utf8_lossy(&shown.stdout);
@@ -255,6 +268,14 @@
     let status: GatewayStatus = serde_json::from_slice(&json.stdout).expect("JSON");
     assert_eq!(status.readiness, Readiness::Ready);
     assert_eq!(status.endpoints.len(), 6);
+    assert_eq!(status.homes.len(), 1, "one service has engines");
+    assert!(shown.contains("home       "), "{shown}");
+    assert!(
+        status
+            .sent
+            .iter()
+            .any(|it| it.purpose == "probes" && it.bytes > 0)
+    );
     assert!(drained.status.success(), "{drained:?}");
     assert!(process.wait().success(), "the planned stop ends with 0");
 }
