All that one instance asks of a home is answered at once

Found by reading: what was said of a request that waits in its turn replaced what was said of a copy that the same instance asked for, so that the copy was not answered while the request waited, and the home was passed over as silent. gateway_home.rs all_that_one_instance_asks_is_answered_at_once failed first.

--- a/crates/core/src/gateway/home.rs
+++ b/crates/core/src/gateway/home.rs
@@ -62,6 +62,9 @@
     doubts: Doubts,
 }
 
+/// What was decided, by the instance that is to be told.
+type Decided = BTreeMap<SocketAddrV4, Vec<(u64, Decision)>>;
+
 /// What a home needs to know of a service to decide.
 #[derive(Clone, Copy, Debug)]
 pub struct Engines<'a> {
@@ -138,19 +141,11 @@
     pub fn others(&self, now: Time, except: Option<SocketAddrV4>) -> Others {
         let mut others = Others::default();
         others.passed_over.extend(self.doubts.passed_over(now));
-        for (_, reporter) in self
-            .reporters
-            .iter()
-            .filter(|(from, _)| Some(**from) != except)
-        {
-            reporter
-                .used
-                .iter()
-                .for_each(|&(key, used)| others.add(key, used));
-            reporter
-                .reserved
-                .values()
-                .for_each(|&(key, used)| others.add(key, used));
+        let counted = self.reporters.iter().filter(|it| Some(*it.0) != except);
+        for (_, reporter) in counted {
+            for &(key, used) in reporter.used.iter().chain(reporter.reserved.values()) {
+                others.add(key, used);
+            }
             others.failing.extend(&reporter.failing);
         }
         others
@@ -160,8 +155,9 @@
     pub fn decide(&mut self, now: Time, engines: Engines<'_>) -> Vec<(SocketAddrV4, Answer)> {
         let service = service_hash(engines.service);
         let mut others = self.others(now, None);
-        let mut decided = self.decide_at_once(now, engines, &mut others);
-        decided.extend(self.decide_in_turn(now, engines, &others));
+        let mut decided = Decided::new();
+        self.decide_at_once(now, engines, &mut others, &mut decided);
+        self.decide_in_turn(now, engines, &others, &mut decided);
         let mut answers = Vec::new();
         for (from, reporter) in &mut self.reporters {
             let told = decided.remove(from).unwrap_or_default();
@@ -213,8 +209,8 @@
         now: Time,
         engines: Engines<'_>,
         others: &mut Others,
-    ) -> BTreeMap<SocketAddrV4, Vec<(u64, Decision)>> {
-        let mut decided: BTreeMap<SocketAddrV4, Vec<(u64, Decision)>> = BTreeMap::new();
+        decided: &mut Decided,
+    ) {
         let any_waits = self.reporters.values().any(Reporter::waits_in_turn);
         let none = UsageTable::default();
         for urgent in [true, false] {
@@ -250,7 +246,6 @@
                 }
             }
         }
-        decided
     }
 
     /// Gives places to those that wait, each in its turn.
@@ -259,8 +254,8 @@
         now: Time,
         engines: Engines<'_>,
         others: &Others,
-    ) -> BTreeMap<SocketAddrV4, Vec<(u64, Decision)>> {
-        let mut decided: BTreeMap<SocketAddrV4, Vec<(u64, Decision)>> = BTreeMap::new();
+        decided: &mut Decided,
+    ) {
         let none = UsageTable::default();
         let world = World {
             now,
@@ -293,7 +288,6 @@
             }
             decided.entry(*from).or_default().push((id, decision));
         }
-        decided
     }
 }
 
--- a/crates/core/tests/gateway_home.rs
+++ b/crates/core/tests/gateway_home.rs
@@ -371,3 +371,29 @@
 
     assert!(scene.home.others(scene.now, None).passed_over.is_empty());
 }
+
+/// Symptom: an instance whose request waits for room gets no copy for its other generations,
+/// and passes over its home as silent. Sequence: it asks for a place, which it must wait for,
+/// and for a copy. Cause: what was said of the place replaced what was said of the copy.
+#[test]
+fn all_that_one_instance_asks_is_answered_at_once() {
+    let mut scene = Scene::new(3);
+    let nearly_full = [(engine(1), used(17_500)), (engine(2), used(17_500))];
+    scene.report(9, &nearly_full, &[]);
+    let copy = Want::Copy {
+        source: engine(0),
+        kind: CopyKind::Standing,
+    };
+    let place = Wish {
+        exclude: vec![engine(0)],
+        ..wish(1, 5, Want::Place)
+    };
+
+    scene.report(1, &[], &[place, wish(2, 5, copy)]);
+    let answers = scene.decide();
+
+    let decisions = &answers[0].1.decisions;
+    let about = |id| decisions.iter().find(|it| it.0 == id).map(|it| it.1);
+    assert_eq!(about(1), Some(Decision::Waits(NoPlace::Full)));
+    assert_eq!(about(2), Some(Decision::Denied(NoPlace::Full)));
+}
