--- a/crates/core/tests/gateway_home.rs
+++ b/crates/core/tests/gateway_home.rs
@@ -397,3 +397,21 @@
     assert_eq!(about(1), Some(Decision::Waits(NoPlace::Full)));
     assert_eq!(about(2), Some(Decision::Denied(NoPlace::Full)));
 }
+
+/// Symptom: a request waits until its target is over and is refused, though engines are free.
+/// Sequence: its engine begins to leave while the grant is under way; it asks again, and is
+/// granted the same engine again and again. Cause: what was granted was kept whatever became
+/// of the engine.
+#[test]
+fn an_engine_that_leaves_is_not_granted_again() {
+    let mut scene = Scene::new(2);
+    let ask = [wish(1, 5, Want::Place)];
+    scene.report(1, &[], &ask);
+    let first = granted(scene.decision(1)).expect("there is room");
+    scene.endpoints.leave(scene.now, first);
+
+    scene.report(1, &[], &ask);
+
+    let second = granted(scene.decision(1)).expect("there is room elsewhere");
+    assert_ne!(second, first);
+}
