Fleets of tests: an instance that ended is not ready, whoever answers at its port

Traced by reading: ports are drawn, left and bound again by the instance; where two draw the same one for operators, the second ends, the first answers in its place that it is ready, with the key that all fleets of tests share, and the fleet is not started anew as it is for a port that is taken. Nothing of the product is concerned. Now the process is looked at first, and the answer must name the instance. operators_fleet.rs an_instance_that_ended_is_not_ready_though_another_answers_at_its_port. The draw itself may still meet a port twice; the fleet is then started anew.

--- a/crates/bench/src/fleet.rs
+++ b/crates/bench/src/fleet.rs
@@ -149,15 +149,18 @@
         let deadline = tokio::time::Instant::now() + READY_LIMIT;
         loop {
             let instance = &mut self.instances[index];
-            if self.operators.is_ready(instance.operators).await {
-                return Ok(());
-            }
+            // Looked at first: an instance that found its port taken has ended, and the one
+            // that took it, of this fleet or another, may answer that it is ready.
             if instance.child.ended().is_some() {
                 return Err(FleetError::Ended {
                     name: instance.name.clone(),
                     last_words: instance.child.last_words(),
                 });
             }
+            let operators = &self.operators;
+            if operators.is_ready(instance.operators, &instance.name).await {
+                return Ok(());
+            }
             if tokio::time::Instant::now() >= deadline {
                 return Err(FleetError::NotReady {
                     name: instance.name.clone(),
--- a/crates/bench/src/fleet/operators.rs
+++ b/crates/bench/src/fleet/operators.rs
@@ -28,9 +28,11 @@
     }
 
     /// Returns whether the instance says that it serves.
-    pub async fn is_ready(&self, instance: SocketAddr) -> bool {
+    pub async fn is_ready(&self, instance: SocketAddr, name: &str) -> bool {
         let response = self.get(instance, "readyz").await;
-        response.is_ok_and(|response| response.status().is_success())
+        let is_ready = response.is_ok_and(|response| response.status().is_success());
+        let names_itself = |status: NodeStatus| status.instance == name;
+        is_ready && self.status(instance).await.is_ok_and(names_itself)
     }
 
     /// Returns the text of one of the operators' pages.
--- a/crates/bench/tests/operators_fleet.rs
+++ b/crates/bench/tests/operators_fleet.rs
@@ -115,3 +115,25 @@
         assert!(page.contains(line), "{line} not in {page}");
     }
 }
+
+/// Symptom: a case of faults finds that every request through one instance broke, and that the
+/// instance ended with 3. Sequence: two instances drew the same port for operators; the second
+/// found it taken and ended; the first answered in its place that it was ready, and the fleet
+/// was not started anew. Cause: readiness was asked before the process was looked at, and who
+/// answered was not.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_instance_that_ended_is_not_ready_though_another_answers_at_its_port() {
+    let mut fleet = fleet().await;
+    fleet.instances[1].operators = fleet.instances[0].operators;
+    let (address, name) = (
+        fleet.instances[1].operators,
+        fleet.instances[1].name.clone(),
+    );
+    let other_answers = fleet.operators.is_ready(address, &name).await;
+    fleet.instances[1].child.kill();
+
+    let ready = fleet.ready(1).await;
+
+    assert!(!other_answers, "the answer names another instance");
+    assert!(ready.is_err(), "its process has ended");
+}
