A datagram without news of instances counts none of them; a list and a wrapper without callers go

Found on the last read of the diff: each datagram counted all instances though nearly none brings an update of one, beside a comment that says a datagram must not cost more where there are more. EndpointTable::leaving served bulletins only.

--- a/crates/core/src/gateway/choose.rs
+++ b/crates/core/src/gateway/choose.rs
@@ -2,8 +2,8 @@
 //!
 //! Where a plain endpoint is wanted, or no home answers, each instance chooses by itself, from
 //! its own use and from what it was told; the home of a service chooses engines from what all
-//! of them report (`docs/design/platform.md`). An engine is chosen by the memory and the prompts that wait before it, a
-//! plain endpoint by its queue.
+//! of them report (`docs/design/platform.md`). An engine is chosen by the memory and the
+//! prompts that wait before it, a plain endpoint by its queue.
 
 use super::catalogue::EngineLimits;
 use super::endpoints::{Endpoint, EndpointState, EndpointTable};
--- a/crates/core/src/gateway/endpoints.rs
+++ b/crates/core/src/gateway/endpoints.rs
@@ -295,13 +295,6 @@
         self.endpoints.values()
     }
 
-    /// Returns the endpoints that are known to leave for less than `time`.
-    pub fn leaving(&self, now: Time, time: Duration) -> impl Iterator<Item = EndpointKey> {
-        let left = self.left.iter();
-        left.filter(move |(_, since)| now.since(**since) < time)
-            .map(|(key, _)| *key)
-    }
-
     /// Returns the endpoints of which the last that was seen here was a failure, to
     /// tell peers.
     pub fn failing(&self) -> impl Iterator<Item = EndpointKey> {
--- a/crates/core/src/gateway/state/peers.rs
+++ b/crates/core/src/gateway/state/peers.rs
@@ -173,6 +173,10 @@
     }
 
     fn tell_updates(&mut self, change: Change) {
+        if change.updates.is_empty() {
+            // As with nearly every datagram: counting the instances would be for nothing.
+            return;
+        }
         let instances = self.instances();
         for update in change.updates {
             self.outbox.add_member(update, instances);
@@ -194,7 +198,7 @@
 
     /// Returns the longest time until the next look at what is due.
     pub fn tick_interval(&self) -> Duration {
-        match self.asks_unanswered() {
+        match self.asks.any_unanswered() {
             true => REPORT_AGAIN,
             false => TICK,
         }
--- a/crates/core/src/gateway/state/places.rs
+++ b/crates/core/src/gateway/state/places.rs
@@ -107,11 +107,6 @@
         self.ask_changes += 1;
     }
 
-    /// Returns whether a request waits for the first answer of a home.
-    pub(super) fn asks_unanswered(&self) -> bool {
-        self.asks.any_unanswered()
-    }
-
     /// Returns what runs at an endpoint, as far as this instance knows.
     pub fn used(&self, key: EndpointKey) -> Used {
         let endpoint = self.endpoints.get(key);
