Lines that tell whether one request ended several endpoints

Cause: of eleven generations whose connections ended, the lines could not say whether two of them were the same request, nor whether an engine ended or only its connection. What is silent or sends what is no stream is told apart from a connection that ended; what follows from it is as before. Grows with: one hash a request, one connection a broken run.

--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -196,6 +196,11 @@
         self.cfg.incarnation
     }
 
+    /// Returns what tells this deployment apart.
+    pub fn deployment(&self) -> u64 {
+        self.cfg.deployment
+    }
+
     /// Returns whether callers can be served.
     pub fn is_ready(&self) -> bool {
         self.catalogue.is_some() && !self.stopping
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -25,8 +25,8 @@
 //!
 //! 0. `ids`, `time`, `reason`, `findings`, `checkpoint`: names, values and rules that
 //!    know nothing else.
-//! 1. `value`, `rendezvous`, `length`, `routing`, `note`: values that subsystems share,
-//!    and arithmetic over them.
+//! 1. `value`, `rendezvous`, `length`, `routing`, `note`, `suspects`: values that subsystems
+//!    share, and arithmetic over them.
 //! 2. `membership`, `memory`, `outcome`, `gateway`: who is there, what fits, what became
 //!    of a request; and all that concerns HTTP entries, which needs none of the rest.
 //! 3. `catalogue`, `cell`, `keys`, `limits`, `retry`: the subsystems of one instance.
@@ -59,6 +59,7 @@
 pub mod rendezvous;
 pub mod retry;
 pub mod routing;
+pub mod suspects;
 pub mod time;
 pub mod value;
 
--- /dev/null
+++ b/crates/gateway/src/broken.rs
@@ -0,0 +1,70 @@
+//! What a broken connection says about its endpoint.
+//!
+//! A connection that ends is not yet an endpoint that ended: answers are lost, connections
+//! reset and bytes spoilt by endpoints that live on. Whether it ended decides whether the
+//! request is to blame, so that it is looked at once: a process that is gone refuses a
+//! connection.
+
+use crate::job::Job;
+use crate::link::connect_socket;
+use crate::note;
+use crate::ports::Wire;
+use core::time::Duration;
+use oriolemux_core::gateway::state::Place;
+use std::io::ErrorKind;
+use std::net::SocketAddrV4;
+use std::time::Instant;
+use tokio::time::timeout;
+
+/// How long an endpoint may take to accept the connection that shows that it lives. One round
+/// trip between data centres takes some 3 ms; a packet that is lost comes again after more
+/// than this, and then nothing is known.
+const LOOK_LIMIT: Duration = Duration::from_millis(150);
+
+/// What is found at the address of an endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Found {
+    /// Nobody: the process ended.
+    Nobody,
+    /// Somebody who accepts connections.
+    Somebody,
+    /// Nothing that can be told.
+    Silence,
+}
+
+impl Found {
+    /// Returns a word for it, which log lines carry.
+    const fn word(self) -> &'static str {
+        match self {
+            Found::Nobody => "nobody",
+            Found::Somebody => "somebody",
+            Found::Silence => "silence",
+        }
+    }
+}
+
+/// Looks whether a process is at `address`.
+pub async fn look(address: SocketAddrV4) -> Found {
+    match timeout(LOOK_LIMIT, connect_socket(address)).await {
+        Ok(Ok(_)) => Found::Somebody,
+        Ok(Err(error)) => match error.kind() {
+            ErrorKind::ConnectionRefused | ErrorKind::ConnectionReset => Found::Nobody,
+            _ => Found::Silence,
+        },
+        Err(_) => Found::Silence,
+    }
+}
+
+impl<W: Wire> Job<W> {
+    /// Finds out what became of the endpoint whose connection ended before its answer, which
+    /// had begun at `begun` if it had.
+    pub async fn note_broken(&self, place: &Place, begun: Option<Instant>) -> Found {
+        let begun = begun.map(|at| at.elapsed());
+        let found = look(place.address).await;
+        note!(RunBroke, attempt = self.name(), request:% = self.fingerprint,
+            entry = self.entry().name.as_str(), endpoint = place.name.as_str(),
+            found = found.word(), has_begun = begun.is_some(),
+            begun_ms = begun.unwrap_or_default().as_millis() as u64);
+        found
+    }
+}
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -7,7 +7,6 @@
 use crate::answer::{AnswerBody, Reason};
 use crate::attempts::Attempts;
 use crate::job::Job;
-use crate::link::LinkError;
 use crate::meters::{ByReason, Histogram};
 use crate::note;
 use crate::ports::{SendHead, WholeAnswer, Wire};
@@ -16,6 +15,7 @@
 use http_body_util::{BodyExt, Limited};
 use oriolemux_core::gateway::choose::NoPlace;
 use oriolemux_core::gateway::state::Place;
+use std::time::Instant;
 
 /// The largest answer of a plain service that is held.
 const MAX_ANSWER: usize = 16 * 1024 * 1024;
@@ -40,7 +40,10 @@
     /// No connection could be made.
     NoConnection,
     /// The connection or the answer broke; the call may have run.
-    Lost,
+    Lost {
+        /// When the answer had begun, if it had.
+        begun: Option<Instant>,
+    },
     /// The answer was another request's; the call may have run.
     Foreign,
     /// The time was over.
@@ -60,7 +63,7 @@
         };
         let attempt = calls.attempt(&place).await;
         drop(in_use);
-        calls.note(&place, &attempt);
+        calls.note(&place, &attempt).await;
         let repeat = calls.may_repeat(&attempt);
         note!(
             CallAttempt,
@@ -97,7 +100,7 @@
             Attempt::Answer(_) => "answered",
             Attempt::NotRun => "not_run",
             Attempt::NoConnection => "no_connection",
-            Attempt::Lost => "lost",
+            Attempt::Lost { .. } => "lost",
             Attempt::Foreign => "foreign",
             Attempt::Timeout => "timeout",
         }
@@ -140,8 +143,12 @@
         let (_link, answer) = match job.send(place, &send).await {
             Ok(sent) => sent,
             Err(error) if error.never_sent() => return Attempt::NoConnection,
-            Err(error) => return self.lost(&error),
+            Err(error) => {
+                log::debug!("a call was lost: {error}");
+                return Attempt::Lost { begun: None };
+            }
         };
+        let begun = Some(Instant::now());
         let (parts, body) = answer.into_parts();
         let attempt = job.head.attempt.as_deref();
         let head = job
@@ -168,22 +175,21 @@
             }),
             Err(error) => {
                 log::debug!("an answer of {} broke: {error}", place.name);
-                Attempt::Lost
+                Attempt::Lost { begun }
             }
         }
     }
 
-    fn lost(&self, error: &LinkError) -> Attempt {
-        log::debug!("a call was lost: {error}");
-        Attempt::Lost
-    }
-
-    fn note(&mut self, place: &Place, attempt: &Attempt) {
+    async fn note(&mut self, place: &Place, attempt: &Attempt) {
         match attempt {
             Attempt::Answer(_) => self.job.cx.state().endpoints.on_success(place.key),
             Attempt::NotRun => {}
             Attempt::NoConnection => self.job.note_unreachable(place),
-            Attempt::Lost | Attempt::Foreign | Attempt::Timeout => self.job.note_failure(place),
+            Attempt::Lost { begun } => {
+                self.job.note_failure(place);
+                self.job.note_broken(place, *begun).await;
+            }
+            Attempt::Foreign | Attempt::Timeout => self.job.note_failure(place),
         }
         match attempt {
             Attempt::NotRun | Attempt::NoConnection => self.attempts.note_refused(place.key),
@@ -202,7 +208,7 @@
             Attempt::NoConnection => return self.attempts.refused() <= MAX_REFUSED_SENDS,
             Attempt::NotRun => self.attempts.refused() <= MAX_REFUSED_SENDS,
             Attempt::Answer(answer) if !answer.status.is_server_error() => false,
-            Attempt::Answer(_) | Attempt::Lost | Attempt::Foreign | Attempt::Timeout => {
+            Attempt::Answer(_) | Attempt::Lost { .. } | Attempt::Foreign | Attempt::Timeout => {
                 self.attempts.may_run_again(job.entry())
             }
         };
@@ -231,7 +237,7 @@
             }
             Attempt::NotRun => Reason::NotRunAtEndpoint,
             Attempt::NoConnection => Reason::NoConnection,
-            Attempt::Lost => Reason::AnswerLost,
+            Attempt::Lost { .. } => Reason::AnswerLost,
             Attempt::Foreign => Reason::AnswerForeign,
             Attempt::Timeout => Reason::Timeout,
         };
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -18,6 +18,7 @@
 use hyper::body::Incoming;
 use oriolemux_core::gateway::Repeat;
 use oriolemux_core::gateway::catalogue::{Catalogue, EntryId, Judgement, WorkspaceId};
+use oriolemux_core::suspects::{Fingerprint, Identity};
 use std::sync::Arc;
 use std::time::Instant;
 
@@ -140,6 +141,7 @@
     let entry = judged.catalogue.entry(judged.entry);
     let patience = judged.head.deadline.unwrap_or(entry.timeout);
     let ends = judged.arrived + patience.min(entry.timeout);
+    let host = host_of(&req).to_owned();
     let (parts, body) = req.into_parts();
     let limit = judged.catalogue.limits().max_body_bytes;
     let collected = tokio::time::timeout_at(ends.into(), Limited::new(body, limit).collect()).await;
@@ -149,6 +151,15 @@
         Ok(Err(_)) => return Err(Reason::BodyBroken),
         Err(_) => return Err(Reason::WaitTooLong),
     };
+    let workspace = judged.workspace.map(|id| judged.catalogue.workspace(id));
+    let fingerprint = Fingerprint::of(&Identity {
+        deployment: cx.state().deployment(),
+        workspace: workspace.map(|it| it.name.as_str()),
+        host: &host,
+        method: parts.method.as_str(),
+        path: parts.uri.path_and_query().map_or("", |it| it.as_str()),
+        body: &body,
+    });
     let now = cx.now();
     let mut state = cx.state();
     let draw = state.draw();
@@ -167,6 +178,7 @@
         uri: origin_form(parts.uri),
         headers: parts.headers,
         body,
+        fingerprint,
         arrived: judged.arrived,
         ends,
     })
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -21,6 +21,7 @@
 use oriolemux_core::gateway::usage::Used;
 use oriolemux_core::gateway::{Demand, EntryId, Gateway, Repeat};
 use oriolemux_core::ids::EndpointKey;
+use oriolemux_core::suspects::Fingerprint;
 use oriolemux_core::time::Time;
 use std::sync::Arc;
 use std::time::Instant;
@@ -51,6 +52,8 @@
     pub headers: HeaderMap,
     /// The body.
     pub body: Bytes,
+    /// What makes it the same request as another attempt.
+    pub fingerprint: Fingerprint,
     /// When the request's head was read.
     pub arrived: Instant,
     /// When its time is over.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,7 +7,8 @@
 //! judges them by the catalogue in force. [`call`] forwards a call and returns
 //! its answer whole. [`stream`] finds a place for a generation, in its turn where room is
 //! short, [`mod@ask`] waits for what the home of its engines decides, and [`relay`] passes its events on, and carries it to another engine when its
-//! own leaves; [`attempts`] says where a request was and what that leaves open.
+//! own leaves; [`attempts`] says where a request was and what that leaves open, and
+//! [`broken`] whether an endpoint ended together with a connection to it.
 //! [`page`] answers the balancer, operators who ask for the [`status`] and whoever
 //! collects [metrics](mod@meters). [`news`] tells peers what they need, [`store`] keeps
 //! up with what is published, [`catch_up`] asks peers for what was missed, and [`run`]
@@ -19,6 +20,7 @@
 pub mod answer;
 pub mod ask;
 pub mod attempts;
+pub mod broken;
 pub mod call;
 pub mod catch_up;
 pub mod cx;
--- a/crates/gateway/src/notes.rs
+++ b/crates/gateway/src/notes.rs
@@ -127,6 +127,9 @@
     DatagramDropped = 828, "datagram_dropped", Info, FEW;
     /// No home answered a request for a place in time, and this instance decided alone.
     PlacedAlone = 829, "placed_alone", Info, USUAL;
+    /// The connection to an endpoint ended before its answer did. The line names the request by
+    /// what makes two attempts the same one, and says whether the endpoint ended too.
+    RunBroke = 830, "run_broke", Info, FAILURES;
 }
 
 /// Lines of one event within the present second.
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -96,6 +96,8 @@
     state: Relocation,
     standing: Option<StandingCopy<W>>,
     ahead: Option<CopyAhead<W, E>>,
+    /// When the present engine's answer began.
+    begun: Option<Instant>,
     splitter: EventSplitter,
     pace: Pace,
     tx: mpsc::Sender<Piece>,
@@ -128,6 +130,7 @@
             state: Relocation::new(silence).after(held),
             standing: None,
             ahead: None,
+            begun: None,
             splitter: EventSplitter::default(),
             pace,
             tx,
@@ -229,6 +232,12 @@
                     Some(self.go_on_anew_at(place, in_use).await)
                 }
                 Pause::Broken => {
+                    upstream.link.close().await;
+                    self.job.note_failure(&self.source);
+                    self.job.note_broken(&self.source, self.begun).await;
+                    self.leave().await
+                }
+                Pause::GivenUp => {
                     upstream.link.close().await;
                     self.job.note_failure(&self.source);
                     self.leave().await
@@ -261,7 +270,7 @@
                     continue;
                 }
                 Step::Leave => return Pause::Leave,
-                Step::GiveUp => return Pause::Broken,
+                Step::GiveUp => return Pause::GivenUp,
                 Step::GoOnAnew => match self.engine_with_room().await {
                     Some((place, in_use)) => return Pause::GoOnAnew(place, in_use),
                     None => {
@@ -278,7 +287,7 @@
                         self.state.on_bytes(cx.now());
                         let data = frame.into_data().unwrap_or_default();
                         if !self.splitter.push(&data) {
-                            return Pause::Broken;
+                            return Pause::GivenUp;
                         }
                     }
                     Some(Err(error)) => {
--- a/crates/gateway/src/relay/begin.rs
+++ b/crates/gateway/src/relay/begin.rs
@@ -51,6 +51,7 @@
             return Begun::NotRun { arrived: false };
         }
         self.job.note_failure(&self.source);
+        self.job.note_broken(&self.source, None).await;
         log::debug!("a generation was lost before its first event: {error}");
         Begun::Failed(Reason::AnswerLost)
     }
@@ -135,6 +136,7 @@
         let mut headers = parts.headers;
         wire.strip_answer(&mut headers);
         if parts.status.is_success() {
+            self.begun = Some(Instant::now());
             return Begun::Stream {
                 upstream: Upstream { link, body },
                 status: parts.status,
--- a/crates/gateway/src/relay/go_on.rs
+++ b/crates/gateway/src/relay/go_on.rs
@@ -169,6 +169,9 @@
             Ok(Err(error)) => {
                 log::debug!("a generation could not go on: {error}");
                 self.job.note_failure(&self.source);
+                if !error.never_sent() {
+                    self.job.note_broken(&self.source, None).await;
+                }
                 Begun::Failed(Reason::AnswerLost)
             }
             Err(_) => Begun::Failed(Reason::Timeout),
--- a/crates/gateway/src/relay/upstream.rs
+++ b/crates/gateway/src/relay/upstream.rs
@@ -25,8 +25,10 @@
     Leave,
     /// The engine is silent, and this one can read the generation anew.
     GoOnAnew(Place, InUse<W>),
-    /// The connection broke, the engine fell silent or sent what is no stream.
+    /// The connection broke.
     Broken,
+    /// The engine fell silent or sent what is no stream.
+    GivenUp,
     /// Time is over.
     Timeout,
     /// An event is missing.
