--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -18,6 +18,7 @@
 //! | [`choose`] | the endpoint for a request, and the one that holds its standing copy |
 //! | [`relocation`] | when a generation leaves its engine, and which events its caller gets |
 //! | [`budget`] | how many repeats this instance may spend |
+//! | [`suspects`] | requests that end the endpoints that begin them |
 //! | [`members`] | which instances there are |
 //! | [`gossip`] | what instances send each other, and how news reaches all |
 //! | [`beacons`] | what those say that watch the store, and who watches |
@@ -41,6 +42,7 @@
 pub mod relocation;
 pub mod replica;
 pub mod state;
+pub mod suspects;
 pub mod usage;
 
 pub use catalogue::{Catalogue, CatalogueSource, EntryId, HttpEntry, Repeat, ServiceId};
--- a/crates/core/src/gateway/endpoints.rs
+++ b/crates/core/src/gateway/endpoints.rs
@@ -290,6 +290,11 @@
         self.endpoints.get(&key)
     }
 
+    /// Returns the newest life known under a published name.
+    pub fn newest(&self, name: &str) -> Option<EndpointKey> {
+        self.newest.get(name).map(|(_, key)| *key)
+    }
+
     /// Returns all endpoints.
     pub fn iter(&self) -> impl Iterator<Item = &Endpoint> {
         self.endpoints.values()
--- a/crates/core/src/gateway/gossip.rs
+++ b/crates/core/src/gateway/gossip.rs
@@ -9,7 +9,10 @@
 use super::beacons::Beacon;
 use super::home::{Answer, Report};
 use super::members::Update;
+use super::suspects::{TurnAnswer, TurnReport};
 use crate::ids::EndpointKey;
+use crate::suspects::{Blame, Fingerprint};
+use crate::time::Time;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::net::SocketAddrV4;
@@ -17,7 +20,7 @@
 /// The version of these messages and of [`News`](super::replica::News). Messages of another
 /// one are dropped and counted: while a fleet is updated, instances of both versions serve
 /// side by side, each with the peers of its own.
-pub const GOSSIP_VERSION: u8 = 6;
+pub const GOSSIP_VERSION: u8 = 7;
 
 /// Peers that are told news at once. With three of them 94 in 100 instances hear it in the
 /// first wave, within as many hops as the logarithm of the fleet.
@@ -32,6 +35,16 @@
 /// Items of each kind in one datagram, so that it stays within one packet of 1,400 bytes.
 const MAX_ITEMS: usize = 24;
 
+/// Suspects in one datagram; each takes some 50 bytes.
+const MAX_BLAMES: usize = 8;
+
+/// Suspects that an instance tells of in a second. An engine that ends has a handful of requests
+/// that had just begun; when many end at once, most of what would be told is of no use.
+const BLAMES_A_SECOND: f64 = 8.0;
+
+/// Suspects that wait to be told of at most. Others are found by comparing digests.
+const MAX_BLAMES_WAITING: usize = 256;
+
 /// News, as it travels.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Items {
@@ -41,12 +54,17 @@
     pub leaving: Vec<EndpointKey>,
     /// What those say that watch the store.
     pub beacons: Vec<Beacon>,
+    /// Which requests ended which endpoints.
+    pub blames: Vec<Blame>,
 }
 
 impl Items {
     /// Returns whether there is nothing.
     pub fn is_empty(&self) -> bool {
-        self.members.is_empty() && self.leaving.is_empty() && self.beacons.is_empty()
+        self.members.is_empty()
+            && self.leaving.is_empty()
+            && self.beacons.is_empty()
+            && self.blames.is_empty()
     }
 }
 
@@ -89,6 +107,9 @@
         number: u64,
         /// A hash of who takes part, as the sender believes.
         members: u64,
+        /// A hash of the suspects that the sender would tell of, see
+        /// [`Ledger::digest`](crate::suspects::Ledger::digest); set as it is sent.
+        suspects: u64,
         /// News.
         news: Items,
     },
@@ -115,6 +136,12 @@
     AskMembers,
     /// Instances that take part.
     Members(Vec<Update>),
+    /// The suspects that ended the most endpoints, for an instance that knows others.
+    Suspects(Vec<Blame>),
+    /// What an instance tells the home of suspects.
+    Turns(TurnReport),
+    /// What that home answers.
+    TurnAnswer(TurnAnswer),
     /// What an instance tells a home.
     Report(Report),
     /// What a home answers.
@@ -131,6 +158,7 @@
         Body::Probe {
             number,
             members,
+            suspects: 0,
             news,
         }
     }
@@ -166,6 +194,8 @@
             Body::Probe { .. } | Body::Ack { .. } | Body::ProbeFor { .. } => "probes",
             Body::News(_) => "news",
             Body::AskMembers | Body::Members(_) => "members",
+            Body::Suspects(_) => "suspects",
+            Body::Turns(_) | Body::TurnAnswer(_) => "turns",
             Body::Report(_) => "placement_reports",
             Body::Answer(_) => "placement_answers",
         }
@@ -173,7 +203,7 @@
 }
 
 /// An item, and how often it is still told.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct Told<T> {
     item: T,
     left: u32,
@@ -186,6 +216,10 @@
     members: BTreeMap<SocketAddrV4, Told<Update>>,
     leaving: BTreeMap<EndpointKey, Told<EndpointKey>>,
     beacons: BTreeMap<SocketAddrV4, Told<Beacon>>,
+    blames: BTreeMap<Fingerprint, Told<Blame>>,
+    /// How many of [`Outbox::blames`] may be told now.
+    allowance: f64,
+    refilled: Time,
 }
 
 impl Outbox {
@@ -207,9 +241,27 @@
         self.beacons.insert(beacon.origin, told);
     }
 
-    /// Returns whether something was never told.
+    /// Takes in what is known of a suspect, among so many instances.
+    pub fn add_blame(&mut self, blame: Blame, instances: usize) {
+        if self.blames.len() < MAX_BLAMES_WAITING || self.blames.contains_key(&blame.fingerprint) {
+            let told = Told::new(blame.clone(), tells(instances));
+            self.blames.insert(blame.fingerprint, told);
+        }
+    }
+
+    /// Lets time pass for what may be told.
+    pub fn tick(&mut self, now: Time) {
+        let earned = now.since(self.refilled).as_secs_f64() * BLAMES_A_SECOND;
+        self.allowance = (self.allowance + earned).min(MAX_BLAMES as f64);
+        self.refilled = now;
+    }
+
+    /// Returns whether something was never told and may be told now.
     pub fn has_new(&self) -> bool {
-        any_new(&self.members) || any_new(&self.leaving) || any_new(&self.beacons)
+        any_new(&self.members)
+            || any_new(&self.leaving)
+            || any_new(&self.beacons)
+            || (self.allowance >= 1.0 && any_new(&self.blames))
     }
 
     /// Returns what is told now to so many peers; the newest first.
@@ -218,8 +270,15 @@
             members: take(&mut self.members, peers),
             leaving: take(&mut self.leaving, peers),
             beacons: take(&mut self.beacons, peers),
+            blames: self.take_blames(peers),
         }
     }
+
+    fn take_blames(&mut self, peers: u32) -> Vec<Blame> {
+        let blames = take_most(&mut self.blames, peers, self.allowance as usize);
+        self.allowance -= blames.len() as f64;
+        blames
+    }
 }
 
 impl<T> Told<T> {
@@ -241,16 +300,24 @@
     told.values().any(|it| it.is_new)
 }
 
-fn take<K: Ord + Copy, T: Copy>(told: &mut BTreeMap<K, Told<T>>, peers: u32) -> Vec<T> {
+fn take<K: Ord + Copy, T: Clone>(told: &mut BTreeMap<K, Told<T>>, peers: u32) -> Vec<T> {
+    take_most(told, peers, MAX_ITEMS)
+}
+
+fn take_most<K: Ord + Copy, T: Clone>(
+    told: &mut BTreeMap<K, Told<T>>,
+    peers: u32,
+    most: usize,
+) -> Vec<T> {
     let mut keys: Vec<(u32, K)> = told.iter().map(|(key, it)| (it.left, *key)).collect();
     keys.sort_by_key(|(left, _)| core::cmp::Reverse(*left));
-    keys.truncate(MAX_ITEMS);
+    keys.truncate(most);
     let mut items = Vec::with_capacity(keys.len());
     for (_, key) in keys {
         if let Some(it) = told.get_mut(&key) {
             it.is_new = false;
             it.left = it.left.saturating_sub(peers);
-            items.push(it.item);
+            items.push(it.item.clone());
             if it.left == 0 {
                 told.remove(&key);
             }
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -2,6 +2,7 @@
 
 mod peers;
 mod places;
+mod suspects;
 
 pub use peers::{Heard, Ignored, TELL_DELAY, TICK};
 
@@ -17,6 +18,7 @@
 use super::members::Members;
 use super::reader::StoreReader;
 use super::replica::Replica;
+use super::suspects::Suspects;
 use super::usage::{ToldLoad, UsageTable};
 use crate::ids::{EndpointKey, Incarnation};
 use crate::time::Time;
@@ -51,8 +53,10 @@
     pub leaving: Vec<EndpointKey>,
     /// Instances that count as gone now.
     pub silent: Vec<SocketAddrV4>,
-    /// Whether a request that waits for a place may have a decision.
+    /// Whether a request that waits for a place or its turn may have a decision.
     pub decided: bool,
+    /// Whether there is news of suspects.
+    pub suspected: bool,
     /// What is to be sent.
     pub send: Vec<(SocketAddrV4, Body)>,
 }
@@ -97,6 +101,8 @@
     ask_changes: u64,
     reported: BTreeMap<u64, Reported>,
     reports_sent: u64,
+    /// Requests that end endpoints.
+    pub suspects: Suspects,
     /// Repeats that may be spent.
     pub budget: SharedBudget,
     catalogue: Option<Arc<Catalogue>>,
@@ -128,6 +134,7 @@
             ask_changes: 0,
             reported: BTreeMap::new(),
             reports_sent: 0,
+            suspects: Suspects::new(now),
             budget: SharedBudget::new(cfg.budget),
             catalogue: None,
             lengths: LengthTable::default(),
@@ -172,7 +179,12 @@
     /// leave.
     pub fn endpoint_vanished(&mut self, now: Time, name: &str) -> Option<EndpointKey> {
         let unsettled = self.is_unsettled(now);
-        self.endpoints.vanish(now, name, unsettled)
+        let newest = self.endpoints.newest(name);
+        let gone = self.endpoints.vanish(now, name, unsettled);
+        if !unsettled {
+            self.endpoints_ended(now, newest.as_slice());
+        }
+        gone
     }
 
     /// Returns whether entries may be missing from the store and come back.
--- a/crates/core/src/gateway/state/peers.rs
+++ b/crates/core/src/gateway/state/peers.rs
@@ -56,8 +56,10 @@
     pub gone: Vec<SocketAddrV4>,
     /// Whether something is to be told on soon.
     pub tell_soon: bool,
-    /// Whether a request that waits for a place may have a decision.
+    /// Whether a request that waits for a place or its turn may have a decision.
     pub decided: bool,
+    /// Whether there is news of suspects.
+    pub suspected: bool,
     /// What is to be sent at once.
     pub send: Vec<(SocketAddrV4, Body)>,
 }
@@ -94,6 +96,7 @@
         if says_more {
             self.catch_up.note(now, true);
         }
+        heard.suspected = self.suspects.take_changed();
         heard.tell_soon = self.outbox.has_new();
         Ok(heard)
     }
@@ -104,9 +107,11 @@
             Body::Probe {
                 number,
                 members,
+                suspects,
                 news,
             } => {
                 self.hear_news(now, news, heard, change);
+                self.tell_suspects(now, from, suspects, &mut heard.send);
                 let ack = Body::Ack {
                     number,
                     members: Some(self.members.digest()),
@@ -147,6 +152,17 @@
                 self.hear_answer(now, answer);
                 heard.decided = true;
             }
+            Body::Suspects(blames) => self.hear_blames(now, &blames),
+            Body::Turns(report) => {
+                let answer = self.hear_turns(now, from, &report);
+                if !report.asks.is_empty() {
+                    heard.send.push((from, Body::TurnAnswer(answer)));
+                }
+            }
+            Body::TurnAnswer(answer) => {
+                self.hear_turn_answer(now, &answer);
+                heard.decided = true;
+            }
         }
     }
 
@@ -164,6 +180,7 @@
                 self.outbox.add_beacon(beacon);
             }
         }
+        self.hear_blames(now, &news.blames);
     }
 
     fn sync_with(&mut self, now: Time, peer: SocketAddrV4, theirs: u64, heard: &mut Heard) {
@@ -198,7 +215,7 @@
 
     /// Returns the longest time until the next look at what is due.
     pub fn tick_interval(&self) -> Duration {
-        match self.asks.any_unanswered() {
+        match self.asks.any_unanswered() || self.suspects.runs.any_asks() {
             true => REPORT_AGAIN,
             false => TICK,
         }
@@ -217,9 +234,14 @@
         self.beacon(now);
         let unsettled = self.is_unsettled(now);
         ticked.leaving = self.endpoints.tick(now, unsettled);
+        self.endpoints_ended(now, &ticked.leaving);
+        ticked.suspected = self.suspects.take_changed();
+        self.suspects.tick(now);
+        self.outbox.tick(now);
         self.note_behind(now);
         self.tell_news(&mut ticked.send);
         ticked.decided = self.report(now, &mut ticked.send);
+        ticked.decided |= self.report_turns(now, &mut ticked.send);
         ticked
     }
 
@@ -275,6 +297,10 @@
             news.members.append(&mut items.members);
             news.leaving.append(&mut items.leaving);
             news.beacons.append(&mut items.beacons);
+            news.blames.append(&mut items.blames);
+        }
+        if let Body::Probe { suspects, .. } = &mut body {
+            *suspects = self.suspects.ledger.digest();
         }
         Datagram {
             version: GOSSIP_VERSION,
--- /dev/null
+++ b/crates/core/src/gateway/state/suspects.rs
@@ -0,0 +1,200 @@
+//! What this instance believes of suspects, and what follows for its requests.
+
+use super::{Gateway, Place};
+use crate::gateway::gossip::Body;
+use crate::gateway::suspects::{TELL_INTERVAL, TurnAnswer, TurnReport};
+use crate::ids::EndpointKey;
+use crate::suspects::{Admission, Blame, Fingerprint, Standing, Turn};
+use crate::time::Time;
+use std::collections::BTreeMap;
+use std::net::SocketAddrV4;
+
+impl Gateway {
+    /// Takes in a request that is going to run; it is taken out by [`Gateway::end_run`].
+    pub fn begin_run(&mut self, fingerprint: Fingerprint) -> Turn {
+        let turn = Turn {
+            fingerprint,
+            run: self.draw_id(),
+        };
+        self.suspects.runs.begin(turn);
+        turn
+    }
+
+    /// Takes a request out that runs no longer.
+    pub fn end_run(&mut self, turn: Turn) {
+        self.suspects.runs.end(turn);
+    }
+
+    /// Returns whether a request may be sent to an endpoint now. A suspect that has no turn asks
+    /// for it.
+    pub fn admit_run(&mut self, now: Time, turn: Turn) -> Admission {
+        let standing = self.suspects.ledger.standing(now, turn.fingerprint);
+        self.suspects.runs.admit(now, turn, standing)
+    }
+
+    /// Returns whether a request is refused, so that it must not go on anywhere.
+    pub fn is_refused(&self, now: Time, fingerprint: Fingerprint) -> bool {
+        self.suspects.ledger.standing(now, fingerprint) == Standing::Refused
+    }
+
+    /// Notes that a request ran well.
+    ///
+    /// What goes wrong otherwise: a request that was at three engines when they lost their
+    /// power is refused, though it is none that ends engines.
+    pub fn ran_well(&mut self, now: Time, fingerprint: Fingerprint) {
+        if self.suspects.ledger.clear(now, fingerprint) {
+            self.tell_blame(now, fingerprint);
+        }
+    }
+
+    /// Returns how many endpoints a request is known to have ended.
+    pub fn ended_by(&self, fingerprint: Fingerprint) -> usize {
+        self.suspects.ledger.ended(fingerprint)
+    }
+
+    /// Notes that an endpoint ended together with its connection; returns whether that is
+    /// news of the request.
+    ///
+    /// An endpoint that was known to leave ended as it said it would, and nobody is to blame.
+    pub fn ended_with(&mut self, now: Time, fingerprint: Fingerprint, place: &Place) -> bool {
+        if self.leaving_since(place.key).is_some() {
+            return false;
+        }
+        self.blame(now, fingerprint, place.key)
+    }
+
+    /// Keeps in mind that the connection to an endpoint ended, and that it cannot be told yet
+    /// whether the endpoint did.
+    pub fn may_have_ended_with(&mut self, now: Time, fingerprint: Fingerprint, place: &Place) {
+        if self.leaving_since(place.key).is_none() {
+            self.suspects.keep_open(now, fingerprint, place.key);
+        }
+    }
+
+    /// Notes that endpoints ended, or left without a word; what was kept in mind of them is now
+    /// certain.
+    pub fn endpoints_ended(&mut self, now: Time, endpoints: &[EndpointKey]) {
+        for &endpoint in endpoints {
+            for fingerprint in self.suspects.take_open(endpoint) {
+                self.blame(now, fingerprint, endpoint);
+            }
+        }
+    }
+
+    fn blame(&mut self, now: Time, fingerprint: Fingerprint, endpoint: EndpointKey) -> bool {
+        let is_news = self.suspects.ledger.blame(now, fingerprint, endpoint);
+        if is_news {
+            self.tell_blame(now, fingerprint);
+        }
+        is_news
+    }
+
+    fn tell_blame(&mut self, now: Time, fingerprint: Fingerprint) {
+        self.suspects.note_changed();
+        if let Some(blame) = self.suspects.ledger.told(now, fingerprint) {
+            let instances = self.instances();
+            self.outbox.add_blame(blame, instances);
+        }
+    }
+
+    /// Takes in what another instance knows of suspects.
+    pub(super) fn hear_blames(&mut self, now: Time, blames: &[Blame]) {
+        for blame in blames {
+            if self.suspects.ledger.hear(now, blame) {
+                self.tell_blame(now, blame.fingerprint);
+            }
+        }
+    }
+
+    /// Tells an instance that knows other suspects of those that ended the most endpoints: it
+    /// has just started, or was cut off.
+    pub(super) fn tell_suspects(
+        &mut self,
+        now: Time,
+        peer: SocketAddrV4,
+        theirs: u64,
+        send: &mut Vec<(SocketAddrV4, Body)>,
+    ) {
+        let told_all = self.suspects.told_all;
+        let is_due = told_all.is_none_or(|at| now.since(at) >= TELL_INTERVAL);
+        if !is_due || self.suspects.ledger.digest() == theirs {
+            return;
+        }
+        let worst = self.suspects.ledger.worst(now);
+        if !worst.is_empty() {
+            self.suspects.told_all = Some(now);
+            send.push((peer, Body::Suspects(worst)));
+        }
+    }
+
+    /// Tells the homes of suspects what this instance runs and asks for; returns whether a
+    /// request of this instance may have its turn.
+    pub(super) fn report_turns(&mut self, now: Time, send: &mut Vec<(SocketAddrV4, Body)>) -> bool {
+        if self.suspects.is_quiet() {
+            return false;
+        }
+        let mut reports: BTreeMap<SocketAddrV4, TurnReport> = BTreeMap::new();
+        for fingerprint in self.suspects.runs.fingerprints() {
+            let standing = self.suspects.ledger.standing(now, fingerprint);
+            let due = self.suspects.runs.due(now, fingerprint, standing);
+            if due.is_empty() {
+                continue;
+            }
+            let key = fingerprint.rank_key();
+            if due.is_unanswered
+                && let Some(home) = self.acting_home(now, key)
+            {
+                self.asks.pass_over(now, home);
+            }
+            for home in self.homes(key).into_iter().flatten() {
+                let report = reports.entry(home).or_default();
+                report.holds.extend(&due.holds);
+                report.ends.extend(&due.ends);
+            }
+            if let Some(home) = self.acting_home(now, key) {
+                reports.entry(home).or_default().asks.extend(&due.asks);
+            }
+        }
+        let mut decided = false;
+        for (home, report) in reports {
+            if home == self.cfg.address {
+                let answer = self.hear_turns(now, home, &report);
+                self.hear_turn_answer(now, &answer);
+                decided = true;
+            } else {
+                send.push((home, Body::Turns(report)));
+            }
+        }
+        decided
+    }
+
+    /// Takes in what an instance runs and asks for, as the home of it.
+    pub(super) fn hear_turns(
+        &mut self,
+        now: Time,
+        from: SocketAddrV4,
+        report: &TurnReport,
+    ) -> TurnAnswer {
+        let turns = &mut self.suspects.turns;
+        for it in &report.ends {
+            turns.release(it.fingerprint, from, it.run);
+        }
+        for it in &report.holds {
+            turns.hold(now, it.fingerprint, from, it.run);
+        }
+        let asks = report.asks.iter().copied();
+        let (given, waiting) = asks.partition(|it| turns.ask(now, it.fingerprint, from, it.run));
+        TurnAnswer { given, waiting }
+    }
+
+    /// Takes in what the home of suspects answered.
+    pub(super) fn hear_turn_answer(&mut self, now: Time, answer: &TurnAnswer) {
+        let runs = &mut self.suspects.runs;
+        for &turn in &answer.given {
+            runs.answered(now, turn, true);
+        }
+        for &turn in &answer.waiting {
+            runs.answered(now, turn, false);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/gateway/suspects.rs
@@ -0,0 +1,126 @@
+//! Suspects, as the instances of a fleet tell each other of them.
+//!
+//! The decisions are those of [`crate::suspects`]; here they meet endpoints, members and
+//! messages. News of what a request ended is told as all other news is
+//! ([`gossip`](super::gossip)); the turn of a suspect is asked of its home, which is found as
+//! the home of a service is.
+
+use crate::ids::EndpointKey;
+use crate::suspects::{Fingerprint, Ledger, Runs, Turn, Turns};
+use crate::time::Time;
+use core::time::Duration;
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddrV4;
+
+/// How long a request whose connection ended is kept in mind, when it could not be told whether
+/// its endpoint ended too: the entry of one that did lapses within some 4 s.
+const OPEN_FOR: Duration = Duration::from_secs(10);
+
+/// Such requests that are kept in mind at most.
+const MAX_OPEN: usize = 256;
+
+/// How often an instance that knows other suspects is told at once of those that ended the
+/// most endpoints.
+pub(super) const TELL_INTERVAL: Duration = Duration::from_secs(1);
+
+/// What an instance tells the home of a suspect and the next in rank.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TurnReport {
+    /// Runs that ask the receiver for their turn.
+    pub asks: Vec<Turn>,
+    /// Runs that go on.
+    pub holds: Vec<Turn>,
+    /// Runs that ended.
+    pub ends: Vec<Turn>,
+}
+
+/// What the home of a suspect answers.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TurnAnswer {
+    /// Runs that have the turn now.
+    pub given: Vec<Turn>,
+    /// Runs that have to wait, since another one has it.
+    pub waiting: Vec<Turn>,
+}
+
+/// A request whose connection ended, with its endpoint.
+#[derive(Clone, Copy, Debug)]
+struct Open {
+    at: Time,
+    fingerprint: Fingerprint,
+    endpoint: EndpointKey,
+}
+
+/// All that an instance knows of suspects.
+#[derive(Clone, Debug)]
+pub struct Suspects {
+    /// Which requests ended which endpoints.
+    pub ledger: Ledger,
+    /// What this instance runs.
+    pub(super) runs: Runs,
+    /// What this instance knows as a home.
+    pub(super) turns: Turns<SocketAddrV4>,
+    /// Connections that ended, of which it is not known whether their endpoint did.
+    open: Vec<Open>,
+    /// When an instance was told at once of all suspects.
+    pub(super) told_all: Option<Time>,
+    /// Whether the ledger has changed since those who wait were told.
+    changed: bool,
+}
+
+impl Suspects {
+    /// Returns an instance that knows of none.
+    pub fn new(now: Time) -> Self {
+        Suspects {
+            ledger: Ledger::default(),
+            runs: Runs::default(),
+            turns: Turns::new(now),
+            open: Vec::new(),
+            told_all: None,
+            changed: false,
+        }
+    }
+
+    /// Keeps in mind that a connection ended.
+    pub(super) fn keep_open(&mut self, now: Time, fingerprint: Fingerprint, endpoint: EndpointKey) {
+        if self.open.len() < MAX_OPEN {
+            self.open.push(Open {
+                at: now,
+                fingerprint,
+                endpoint,
+            });
+        }
+    }
+
+    /// Returns the requests whose connection to `endpoint` ended, now that it is known to have
+    /// ended itself.
+    pub(super) fn take_open(&mut self, endpoint: EndpointKey) -> Vec<Fingerprint> {
+        let (of, rest): (Vec<Open>, Vec<Open>) = core::mem::take(&mut self.open)
+            .into_iter()
+            .partition(|it| it.endpoint == endpoint);
+        self.open = rest;
+        of.into_iter().map(|it| it.fingerprint).collect()
+    }
+
+    /// Notes that the ledger has changed.
+    pub(super) fn note_changed(&mut self) {
+        self.changed = true;
+    }
+
+    /// Returns whether the ledger has changed since this was asked last.
+    pub(super) fn take_changed(&mut self) -> bool {
+        core::mem::take(&mut self.changed)
+    }
+
+    /// Returns whether homes have nothing to hear: nobody is suspected.
+    pub(super) fn is_quiet(&self) -> bool {
+        self.ledger.is_empty() && self.runs.none_ended()
+    }
+
+    /// Lets time pass.
+    pub(super) fn tick(&mut self, now: Time) {
+        self.ledger.tick(now);
+        self.turns.tick(now);
+        self.open.retain(|it| now.since(it.at) < OPEN_FOR);
+    }
+}
--- a/crates/core/src/suspects.rs
+++ b/crates/core/src/suspects.rs
@@ -2,7 +2,29 @@
 //!
 //! What goes wrong without it: a request that makes its endpoint crash comes again, through
 //! any instance, and ends one endpoint after the other, each with all that runs there.
+//!
+//! | module | its job |
+//! | --- | --- |
+//! | `fingerprint` | what makes two requests the same |
+//! | `ledger` | which requests ended which endpoints, and whether they may run |
+//! | `runs` | what this instance runs of suspects, and what it asks of their home |
+//! | `turns` | what the home of a suspect knows: who runs it now |
+//!
+//! A request that ended one endpoint is a *suspect*: it runs at one endpoint at a time in the
+//! whole fleet, so that what it does there is known before it is sent to the next. One that
+//! ended [`ENDED_AT_MOST`] of them is refused. One that ran well is no suspect any more.
+//!
+//! Nothing here knows how messages travel; `docs/design/suspects.md` weighs the design and
+//! says how likely it is that an innocent request is refused.
 
 mod fingerprint;
+mod ledger;
+mod runs;
+mod turns;
 
 pub use fingerprint::{Fingerprint, Identity};
+pub use ledger::{
+    Blame, ENDED_AT_MOST, Ledger, MAX_SUSPECTS, RAN_WELL_AFTER, REFUSED_FOR, Standing,
+};
+pub use runs::{Admission, Due, Runs, Turn};
+pub use turns::{HOLD_FRESH, Turns};
--- /dev/null
+++ b/crates/core/src/suspects/runs.rs
@@ -0,0 +1,225 @@
+//! What this instance runs, and what it asks of the homes of suspects.
+
+use super::{Fingerprint, Standing};
+use crate::time::Time;
+use core::time::Duration;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+
+/// How often a home that has not answered, or gave no turn, is asked again.
+const ASK_AGAIN: Duration = Duration::from_millis(10);
+
+/// How often homes are told of a run that goes on.
+const HOLD_AGAIN: Duration = Duration::from_millis(200);
+
+/// How long a home may take to answer before the next in rank is asked.
+const HOME_PATIENCE: Duration = Duration::from_millis(25);
+
+/// Homes that may leave a request unanswered, one after the other, before it is refused: the
+/// first in rank, the next, and the first again.
+const HOMES_ASKED: u32 = 3;
+
+/// A run of a suspect, as instances tell each other.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Turn {
+    /// The request.
+    pub fingerprint: Fingerprint,
+    /// The number of the run at its instance.
+    pub run: u64,
+}
+
+/// What a request goes by before it is sent to an endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Admission {
+    /// It may be sent.
+    Go,
+    /// It is a suspect, and waits for its turn.
+    Wait,
+    /// It is a suspect, and no home answers that could give it a turn.
+    NoHome,
+    /// It is refused.
+    Refused,
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Stage {
+    /// It runs without a turn: it was no suspect when it began.
+    Free,
+    /// It asks for a turn.
+    Asks {
+        /// Since when the present home may answer.
+        since: Time,
+        /// When a home was asked last.
+        asked: Option<Time>,
+        /// Homes that did not answer since one did.
+        missed: u32,
+    },
+    /// It has the turn.
+    Given,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Run {
+    stage: Stage,
+    /// When homes were told last that it runs.
+    told: Option<Time>,
+}
+
+/// What homes are to be told of one request.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Due {
+    /// Runs that ask the present home for the turn.
+    pub asks: Vec<Turn>,
+    /// Runs that go on.
+    pub holds: Vec<Turn>,
+    /// Runs that ended.
+    pub ends: Vec<Turn>,
+    /// Whether the present home did not answer in time.
+    pub is_unanswered: bool,
+}
+
+impl Due {
+    /// Returns whether there is nothing to tell.
+    pub fn is_empty(&self) -> bool {
+        self.asks.is_empty() && self.holds.is_empty() && self.ends.is_empty()
+    }
+}
+
+/// All runs of this instance.
+#[derive(Clone, Debug, Default)]
+pub struct Runs {
+    runs: BTreeMap<Fingerprint, BTreeMap<u64, Run>>,
+    /// Runs that ended and of which homes had been told.
+    ended: Vec<Turn>,
+}
+
+impl Runs {
+    /// Takes in a run that begins.
+    pub fn begin(&mut self, turn: Turn) {
+        let run = Run {
+            stage: Stage::Free,
+            told: None,
+        };
+        let runs = self.runs.entry(turn.fingerprint).or_default();
+        runs.insert(turn.run, run);
+    }
+
+    /// Returns whether a run may be sent to an endpoint now, and asks for its turn where it
+    /// needs one.
+    pub fn admit(&mut self, now: Time, turn: Turn, standing: Standing) -> Admission {
+        let Some(run) = self.get(turn) else {
+            return Admission::Refused;
+        };
+        match (standing, run.stage) {
+            (Standing::Refused, _) => Admission::Refused,
+            (Standing::Free, _) => {
+                run.stage = Stage::Free;
+                Admission::Go
+            }
+            (Standing::Suspect, Stage::Given) => Admission::Go,
+            (Standing::Suspect, Stage::Asks { missed, .. }) if missed >= HOMES_ASKED => {
+                Admission::NoHome
+            }
+            (Standing::Suspect, Stage::Asks { .. }) => Admission::Wait,
+            (Standing::Suspect, Stage::Free) => {
+                run.stage = Stage::Asks {
+                    since: now,
+                    asked: None,
+                    missed: 0,
+                };
+                Admission::Wait
+            }
+        }
+    }
+
+    /// Takes a run out.
+    pub fn end(&mut self, turn: Turn) {
+        let Some(runs) = self.runs.get_mut(&turn.fingerprint) else {
+            return;
+        };
+        let run = runs.remove(&turn.run);
+        if runs.is_empty() {
+            self.runs.remove(&turn.fingerprint);
+        }
+        let homes_know =
+            run.is_some_and(|it| it.told.is_some() || !matches!(it.stage, Stage::Free));
+        if homes_know {
+            self.ended.push(turn);
+        }
+    }
+
+    /// Takes in what a home answered.
+    pub fn answered(&mut self, now: Time, turn: Turn, given: bool) {
+        let Some(run) = self.get(turn) else { return };
+        if let Stage::Asks { since, missed, .. } = &mut run.stage {
+            *since = now;
+            *missed = 0;
+            if given {
+                run.stage = Stage::Given;
+            }
+        }
+    }
+
+    /// Returns whether no home is to be told of the end of a run.
+    pub fn none_ended(&self) -> bool {
+        self.ended.is_empty()
+    }
+
+    /// Returns whether a run waits for a home.
+    pub fn any_asks(&self) -> bool {
+        let mut runs = self.runs.values().flat_map(BTreeMap::values);
+        runs.any(|it| matches!(it.stage, Stage::Asks { .. }))
+    }
+
+    /// Returns the requests of which homes may have to be told.
+    pub fn fingerprints(&self) -> Vec<Fingerprint> {
+        let ended = self.ended.iter().map(|it| it.fingerprint);
+        let mut all: Vec<Fingerprint> = self.runs.keys().copied().chain(ended).collect();
+        all.sort();
+        all.dedup();
+        all
+    }
+
+    /// Returns what homes are to be told of a request now.
+    pub fn due(&mut self, now: Time, fingerprint: Fingerprint, standing: Standing) -> Due {
+        let mut due = Due::default();
+        let is_of = |it: &Turn| it.fingerprint == fingerprint;
+        due.ends.extend(self.ended.iter().copied().filter(is_of));
+        self.ended.retain(|it| !is_of(it));
+        if standing == Standing::Free {
+            return due;
+        }
+        let runs = self.runs.get_mut(&fingerprint).into_iter().flatten();
+        for (&run, state) in runs {
+            let turn = Turn { fingerprint, run };
+            match &mut state.stage {
+                Stage::Asks {
+                    since,
+                    asked,
+                    missed,
+                } => {
+                    if now.since(*since) >= HOME_PATIENCE {
+                        due.is_unanswered = true;
+                        *missed += 1;
+                        *since = now;
+                    }
+                    if asked.is_none_or(|at| now.since(at) >= ASK_AGAIN) {
+                        *asked = Some(now);
+                        due.asks.push(turn);
+                    }
+                }
+                Stage::Free | Stage::Given => {
+                    if state.told.is_none_or(|at| now.since(at) >= HOLD_AGAIN) {
+                        state.told = Some(now);
+                        due.holds.push(turn);
+                    }
+                }
+            }
+        }
+        due
+    }
+
+    fn get(&mut self, turn: Turn) -> Option<&mut Run> {
+        self.runs.get_mut(&turn.fingerprint)?.get_mut(&turn.run)
+    }
+}
--- /dev/null
+++ b/crates/core/src/suspects/turns.rs
@@ -0,0 +1,82 @@
+//! Who runs a suspect now, as the home of the suspect knows it.
+//!
+//! The home is one instance, the same for all by rendezvous hashing. Whoever runs a suspect
+//! says so to the home and to the next in rank, again and again, so that a home that ends is
+//! followed by one that knows. One that has just begun to listen gives no turn until it must
+//! have heard of all who run.
+
+use super::Fingerprint;
+use crate::time::Time;
+use core::time::Duration;
+use std::collections::BTreeMap;
+
+/// How long the word of an instance that runs a suspect is believed: some four of its messages
+/// in a row may be lost.
+pub const HOLD_FRESH: Duration = Duration::from_millis(1_000);
+
+/// Runs of one suspect: by whom, by its number there, and until when that is believed.
+type Holders<I> = BTreeMap<(I, u64), Time>;
+
+/// The runs of all suspects whose home this instance is, or may become.
+#[derive(Clone, Debug)]
+pub struct Turns<I> {
+    holders: BTreeMap<Fingerprint, Holders<I>>,
+    /// Since when it has been listening without a pause.
+    listens_since: Time,
+    ticked: Time,
+}
+
+impl<I: Ord + Copy> Turns<I> {
+    /// Returns a home that listens from now on.
+    pub fn new(now: Time) -> Self {
+        Turns {
+            holders: BTreeMap::new(),
+            listens_since: now,
+            ticked: now,
+        }
+    }
+
+    /// Notes that an instance runs a suspect.
+    pub fn hold(&mut self, now: Time, fingerprint: Fingerprint, by: I, run: u64) {
+        let holders = self.holders.entry(fingerprint).or_default();
+        holders.insert((by, run), now + HOLD_FRESH);
+    }
+
+    /// Notes that a run ended.
+    pub fn release(&mut self, fingerprint: Fingerprint, by: I, run: u64) {
+        if let Some(holders) = self.holders.get_mut(&fingerprint) {
+            holders.remove(&(by, run));
+        }
+    }
+
+    /// Gives a suspect's turn to a run if nobody else has it; returns whether it did.
+    pub fn ask(&mut self, now: Time, fingerprint: Fingerprint, by: I, run: u64) -> bool {
+        if now.since(self.listens_since) < HOLD_FRESH {
+            return false;
+        }
+        let holders = self.holders.entry(fingerprint).or_default();
+        holders.retain(|_, until| now < *until);
+        // Who asks does not run: two that wait must not wait for each other.
+        holders.remove(&(by, run));
+        let is_free = holders.is_empty();
+        if is_free {
+            holders.insert((by, run), now + HOLD_FRESH);
+        }
+        is_free
+    }
+
+    /// Forgets runs of which nothing was heard.
+    ///
+    /// What goes wrong with a home that was frozen: all it knows is over when it wakes, and what
+    /// was said meanwhile may be lost. It begins to listen anew.
+    pub fn tick(&mut self, now: Time) {
+        if now.since(self.ticked) >= HOLD_FRESH {
+            self.listens_since = now;
+        }
+        self.ticked = now;
+        for holders in self.holders.values_mut() {
+            holders.retain(|_, until| now < *until);
+        }
+        self.holders.retain(|_, holders| !holders.is_empty());
+    }
+}
--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -61,22 +61,32 @@
     AnswerForeign,
     /// timeout
     Timeout,
+    /// ends_endpoints
+    EndsEndpoints,
+    /// turn_taken
+    TurnTaken,
 }
 
 impl Reason {
     /// Returns the status. 429 and 503 promise that the request did not run.
+    ///
+    /// A request that ends endpoints is answered as one that is at fault: a caller that is told
+    /// of a failure sends it again, and cannot mend it.
     pub const fn status(self) -> StatusCode {
         match self {
             Reason::NoEntry => StatusCode::NOT_FOUND,
             Reason::UnknownKey => StatusCode::UNAUTHORIZED,
             Reason::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
-            Reason::BodyBroken | Reason::NoSuchEvent => StatusCode::BAD_REQUEST,
+            Reason::BodyBroken | Reason::NoSuchEvent | Reason::EndsEndpoints => {
+                StatusCode::BAD_REQUEST
+            }
             Reason::NoCatalogue
             | Reason::NoEndpoint
             | Reason::EndpointsFull
             | Reason::WaitTooLong
             | Reason::NotRunAtEndpoint
             | Reason::NoConnection
+            | Reason::TurnTaken
             | Reason::Stopping => StatusCode::SERVICE_UNAVAILABLE,
             Reason::AnswerLost | Reason::AnswerForeign => StatusCode::BAD_GATEWAY,
             Reason::Timeout => StatusCode::GATEWAY_TIMEOUT,
--- a/crates/gateway/src/broken.rs
+++ b/crates/gateway/src/broken.rs
@@ -11,6 +11,7 @@
 use crate::ports::Wire;
 use core::time::Duration;
 use oriolemux_core::gateway::state::Place;
+use oriolemux_core::suspects::RAN_WELL_AFTER;
 use std::io::ErrorKind;
 use std::net::SocketAddrV4;
 use std::time::Instant;
@@ -58,13 +59,38 @@
 impl<W: Wire> Job<W> {
     /// Finds out what became of the endpoint whose connection ended before its answer, which
     /// had begun at `begun` if it had.
-    pub async fn note_broken(&self, place: &Place, begun: Option<Instant>) -> Found {
+    pub async fn note_broken(&self, place: &Place, begun: Option<Instant>) {
         let begun = begun.map(|at| at.elapsed());
+        if begun.is_some_and(|it| it >= RAN_WELL_AFTER) {
+            return self.ran_well();
+        }
         let found = look(place.address).await;
         note!(RunBroke, attempt = self.name(), request:% = self.fingerprint,
             entry = self.entry().name.as_str(), endpoint = place.name.as_str(),
             found = found.word(), has_begun = begun.is_some(),
             begun_ms = begun.unwrap_or_default().as_millis() as u64);
-        found
+        match found {
+            Found::Nobody => self.note_ended(place),
+            Found::Silence => {
+                let now = self.cx.now();
+                let mut state = self.cx.state();
+                state.may_have_ended_with(now, self.fingerprint, place);
+            }
+            Found::Somebody => {}
+        }
+    }
+
+    /// Notes that an endpoint ended with the request.
+    fn note_ended(&self, place: &Place) {
+        let now = self.cx.now();
+        let is_news = self.cx.state().ended_with(now, self.fingerprint, place);
+        self.note_unreachable(place);
+        if is_news {
+            let ended = self.cx.state().ended_by(self.fingerprint);
+            note!(EndpointEnded, attempt = self.name(), request:% = self.fingerprint,
+                entry = self.entry().name.as_str(), endpoint = place.name.as_str(),
+                ended = ended);
+            self.cx.tell_suspected();
+        }
     }
 }
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -48,6 +48,8 @@
     Foreign,
     /// The time was over.
     Timeout,
+    /// The call was refused while it was there, because it ended too many endpoints.
+    Refused,
 }
 
 /// Serves a call.
@@ -57,6 +59,9 @@
         attempts: Attempts::default(),
     };
     loop {
+        if let Err(reason) = job.admitted().await {
+            return calls.not_admitted(reason);
+        }
         let (place, in_use) = match job.place(calls.attempts.tried()) {
             Ok(chosen) => chosen,
             Err(why) => return calls.no_place(why),
@@ -103,12 +108,13 @@
             Attempt::Lost { .. } => "lost",
             Attempt::Foreign => "foreign",
             Attempt::Timeout => "timeout",
+            Attempt::Refused => "refused",
         }
     }
 }
 
 /// The attempts of one call.
-struct Calls<'a, W> {
+struct Calls<'a, W: Wire> {
     job: &'a Job<W>,
     attempts: Attempts,
 }
@@ -116,9 +122,10 @@
 impl<W: Wire> Calls<'_, W> {
     async fn attempt(&self, place: &Place) -> Attempt {
         let limit = self.limit();
-        match tokio::time::timeout(limit, self.exchange(place)).await {
-            Ok(attempt) => attempt,
-            Err(_) => Attempt::Timeout,
+        tokio::select! {
+            attempt = self.exchange(place) => attempt,
+            () = tokio::time::sleep(limit) => Attempt::Timeout,
+            () = self.job.refused() => Attempt::Refused,
         }
     }
 
@@ -182,8 +189,13 @@
 
     async fn note(&mut self, place: &Place, attempt: &Attempt) {
         match attempt {
-            Attempt::Answer(_) => self.job.cx.state().endpoints.on_success(place.key),
-            Attempt::NotRun => {}
+            Attempt::Answer(answer) => {
+                self.job.cx.state().endpoints.on_success(place.key);
+                if answer.status.is_success() {
+                    self.job.ran_well();
+                }
+            }
+            Attempt::NotRun | Attempt::Refused => {}
             Attempt::NoConnection => self.job.note_unreachable(place),
             Attempt::Lost { begun } => {
                 self.job.note_failure(place);
@@ -200,7 +212,7 @@
     /// Returns whether the call is sent once more, and spends a repeat if so.
     fn may_repeat(&self, attempt: &Attempt) -> bool {
         let job = self.job;
-        if job.left() < MIN_LEFT {
+        if job.left() < MIN_LEFT || job.is_refused() {
             return false;
         }
         let allowed = match attempt {
@@ -208,6 +220,7 @@
             Attempt::NoConnection => return self.attempts.refused() <= MAX_REFUSED_SENDS,
             Attempt::NotRun => self.attempts.refused() <= MAX_REFUSED_SENDS,
             Attempt::Answer(answer) if !answer.status.is_server_error() => false,
+            Attempt::Refused => false,
             Attempt::Answer(_) | Attempt::Lost { .. } | Attempt::Foreign | Attempt::Timeout => {
                 self.attempts.may_run_again(job.entry())
             }
@@ -215,6 +228,15 @@
         allowed && job.spend_repeat()
     }
 
+    fn not_admitted(&self, reason: Reason) -> Response<AnswerBody> {
+        let reason = match reason {
+            // An earlier attempt may have run, so that "not run" would be untrue.
+            Reason::TurnTaken if self.attempts.may_have_run() => Reason::AnswerLost,
+            reason => reason,
+        };
+        self.job.refuse(reason)
+    }
+
     fn no_place(&self, why: NoPlace) -> Response<AnswerBody> {
         let reason = match why {
             _ if self.attempts.may_have_run() => Reason::AnswerLost,
@@ -231,6 +253,7 @@
                 self.job.cx.wire.strip_answer(&mut answer.headers);
                 return answer.into_response();
             }
+            _ if self.job.is_refused() => self.job.note_refused(),
             // An earlier attempt may have run, so that "not run" would be untrue.
             Attempt::NotRun | Attempt::NoConnection if self.attempts.may_have_run() => {
                 Reason::AnswerLost
@@ -240,6 +263,7 @@
             Attempt::Lost { .. } => Reason::AnswerLost,
             Attempt::Foreign => Reason::AnswerForeign,
             Attempt::Timeout => Reason::Timeout,
+            Attempt::Refused => Reason::EndsEndpoints,
         };
         note!(CallFailed, attempt = self.job.name(), entry = self.job.entry().name.as_str(),
             endpoint = place.name.as_str(), reason:% = reason,
--- a/crates/gateway/src/cx.rs
+++ b/crates/gateway/src/cx.rs
@@ -62,6 +62,8 @@
     pub departures: Notify,
     /// Told when a home may have decided about a place.
     pub decided: Notify,
+    /// Told when there is news of requests that end endpoints.
+    pub suspected: Notify,
     /// Told when peers should hear of something soon.
     pub dirty: Notify,
     /// Told when a peer knows more of the store.
@@ -122,6 +124,7 @@
             changed: Notify::new(),
             departures: Notify::new(),
             decided: Notify::new(),
+            suspected: Notify::new(),
             dirty: Notify::new(),
             behind: Notify::new(),
             stopping: CancellationToken::new(),
@@ -219,6 +222,13 @@
         self.stop.get().is_none_or(|plan| now < plan.no_calls_from)
     }
 
+    /// Tells those who wait, and peers, that there is news of requests that end endpoints.
+    pub fn tell_suspected(&self) {
+        self.suspected.notify_waiters();
+        self.decided.notify_waiters();
+        self.dirty.notify_one();
+    }
+
     /// Tells those who wait, and peers, that endpoints began to leave.
     pub fn tell_leaving(&self, endpoints: &[EndpointKey]) {
         for &endpoint in endpoints {
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -10,6 +10,7 @@
 use crate::meters::ByReason;
 use crate::note;
 use crate::ports::{CallerHead, EngineCalls, Held, Wire};
+use crate::turn::Run;
 use crate::{call, stream};
 use bytes::Bytes;
 use core::time::Duration;
@@ -160,6 +161,7 @@
         path: parts.uri.path_and_query().map_or("", |it| it.as_str()),
         body: &body,
     });
+    let run = Run::begin(&cx, fingerprint);
     let now = cx.now();
     let mut state = cx.state();
     let draw = state.draw();
@@ -179,6 +181,7 @@
         headers: parts.headers,
         body,
         fingerprint,
+        run,
         arrived: judged.arrived,
         ends,
     })
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -7,6 +7,7 @@
 use crate::meters::ByReason;
 use crate::note;
 use crate::ports::{CallerHead, Held, SendHead, Wire};
+use crate::turn::Run;
 use bytes::Bytes;
 use core::time::Duration;
 use http::{HeaderMap, Method, Request, Response, Uri, header};
@@ -31,7 +32,7 @@
 pub const AT_ONCE: Duration = HOME_PATIENCE.saturating_mul(3);
 
 /// A request that was judged by one catalogue and read whole.
-pub struct Job<W> {
+pub struct Job<W: Wire> {
     /// What all tasks share.
     pub cx: Arc<Cx<W>>,
     /// The catalogue that the request is judged by, to its end.
@@ -54,6 +55,8 @@
     pub body: Bytes,
     /// What makes it the same request as another attempt.
     pub fingerprint: Fingerprint,
+    /// It counts as running for as long.
+    pub run: Run<W>,
     /// When the request's head was read.
     pub arrived: Instant,
     /// When its time is over.
@@ -118,7 +121,10 @@
     /// Notes that no connection to an endpoint could be made.
     pub fn note_unreachable(&self, place: &Place) {
         let now = self.cx.now();
-        let passed_over = self.cx.state().endpoints.on_unreachable(now, place.key);
+        let mut state = self.cx.state();
+        state.endpoints_ended(now, &[place.key]);
+        let passed_over = state.endpoints.on_unreachable(now, place.key);
+        drop(state);
         note_passed_over(place, passed_over);
     }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,7 +8,8 @@
 //! its answer whole. [`stream`] finds a place for a generation, in its turn where room is
 //! short, [`mod@ask`] waits for what the home of its engines decides, and [`relay`] passes its events on, and carries it to another engine when its
 //! own leaves; [`attempts`] says where a request was and what that leaves open, and
-//! [`broken`] whether an endpoint ended together with a connection to it.
+//! [`broken`] whether an endpoint ended together with a connection to it. A request that ended
+//! endpoints waits for its [`turn`], or is refused.
 //! [`page`] answers the balancer, operators who ask for the [`status`] and whoever
 //! collects [metrics](mod@meters). [`news`] tells peers what they need, [`store`] keeps
 //! up with what is published, [`catch_up`] asks peers for what was missed, and [`run`]
@@ -38,6 +39,7 @@
 pub mod status;
 pub mod store;
 pub mod stream;
+pub mod turn;
 
 pub use cx::{Clock, Cx, GatewayLimits};
 pub use page::OperatorsPage;
--- a/crates/gateway/src/news.rs
+++ b/crates/gateway/src/news.rs
@@ -46,6 +46,9 @@
         if ticked.decided {
             cx.decided.notify_waiters();
         }
+        if ticked.suspected {
+            cx.tell_suspected();
+        }
         send_all(&cx, &socket, ticked.send).await;
     }
 }
@@ -97,6 +100,9 @@
     if heard.decided {
         cx.decided.notify_waiters();
     }
+    if heard.suspected {
+        cx.tell_suspected();
+    }
     send_all(cx, socket, heard.send).await;
 }
 
--- a/crates/gateway/src/notes.rs
+++ b/crates/gateway/src/notes.rs
@@ -130,6 +130,11 @@
     /// The connection to an endpoint ended before its answer did. The line names the request by
     /// what makes two attempts the same one, and says whether the endpoint ended too.
     RunBroke = 830, "run_broke", Info, FAILURES;
+    /// A request ended an endpoint that began it; the line says how many it is known to have
+    /// ended.
+    EndpointEnded = 831, "endpoint_ended_by_request", Warn, USUAL;
+    /// A request is refused because it ended too many endpoints.
+    SuspectRefused = 832, "suspect_refused", Warn, USUAL;
 }
 
 /// Lines of one event within the present second.
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -21,7 +21,7 @@
 mod pace;
 mod upstream;
 
-use crate::answer::{AnswerBody, BrokenOff, refuse};
+use crate::answer::{AnswerBody, BrokenOff, Reason, refuse};
 use crate::attempts::Attempts;
 use crate::cx::Open;
 use crate::events::{Event, EventSplitter};
@@ -38,6 +38,7 @@
     Delivery, GoOnFrom, Relocation, Step, View, silence_limit,
 };
 use oriolemux_core::gateway::state::Place;
+use oriolemux_core::suspects::RAN_WELL_AFTER;
 use pace::Pace;
 use std::sync::Arc;
 use std::time::Instant;
@@ -51,7 +52,7 @@
 const MAX_ANSWER: usize = 1024 * 1024;
 
 /// How a generation began.
-pub enum Started<W> {
+pub enum Started<W: Wire> {
     /// Events come.
     Streaming {
         /// The status.
@@ -224,6 +225,9 @@
                 Pause::Gap => return self.break_off("event_missing").await,
                 Pause::Leave => {
                     upstream.link.close().await;
+                    if let Err(reason) = self.may_go_on().await {
+                        return self.break_off(&reason.to_string()).await;
+                    }
                     self.leave().await
                 }
                 Pause::GoOnAnew(place, in_use) => {
@@ -235,6 +239,9 @@
                     upstream.link.close().await;
                     self.job.note_failure(&self.source);
                     self.job.note_broken(&self.source, self.begun).await;
+                    if let Err(reason) = self.may_go_on().await {
+                        return self.break_off(&reason.to_string()).await;
+                    }
                     self.leave().await
                 }
                 Pause::GivenUp => {
@@ -254,6 +261,19 @@
         }
     }
 
+    /// Waits until the generation may go on at another engine.
+    ///
+    /// # Errors
+    ///
+    /// Returns why it may not: it ended its engines, or runs elsewhere too.
+    async fn may_go_on(&self) -> Result<(), Reason> {
+        let ran_for = self.begun.map(|at| at.elapsed());
+        if ran_for.is_some_and(|it| it >= RAN_WELL_AFTER) {
+            self.job.ran_well();
+        }
+        self.job.admitted_to_go_on().await
+    }
+
     async fn pass_events(&mut self, upstream: &mut Upstream) -> Pause<W> {
         loop {
             while let Some(event) = self.splitter.next_event() {
@@ -368,6 +388,7 @@
             .lengths
             .learn(&self.job.entry().name, self.state.tokens());
         drop(state);
+        self.job.ran_well();
         self.log_end("complete");
     }
 
--- a/crates/gateway/src/relay/begin.rs
+++ b/crates/gateway/src/relay/begin.rs
@@ -26,6 +26,8 @@
     Sent(Result<(Link, Response<Incoming>), LinkError>),
     /// The time of the request was over.
     Timeout,
+    /// It was refused while it was there, because it ended too many engines.
+    Refused,
     /// It made the request wait, and another engine has room.
     TakenBack(Place, InUse<W>),
 }
@@ -41,6 +43,7 @@
         let error = loop {
             match self.ask().await {
                 Asked::Timeout => return Begun::Failed(Reason::Timeout),
+                Asked::Refused => return Begun::Failed(self.job.note_refused()),
                 Asked::Sent(Ok((link, answer))) => return self.read_head(link, answer).await,
                 Asked::Sent(Err(error)) => break error,
                 Asked::TakenBack(place, in_use) => self.take_back(place, in_use).await,
@@ -53,7 +56,10 @@
         self.job.note_failure(&self.source);
         self.job.note_broken(&self.source, None).await;
         log::debug!("a generation was lost before its first event: {error}");
-        Begun::Failed(Reason::AnswerLost)
+        match self.job.is_refused() {
+            true => Begun::Failed(self.job.note_refused()),
+            false => Begun::Failed(Reason::AnswerLost),
+        }
     }
 
     /// Sends the request to the present engine and waits for the head of its answer.
@@ -67,6 +73,7 @@
             tokio::select! {
                 sent = &mut sent => return Asked::Sent(sent),
                 () = tokio::time::sleep_until(self.job.ends.into()) => return Asked::Timeout,
+                () = self.job.refused() => return Asked::Refused,
                 () = sleep_until(look) => {
                     if let Some((place, in_use)) = self.engine_with_room().await {
                         return Asked::TakenBack(place, in_use);
--- a/crates/gateway/src/relay/go_on.rs
+++ b/crates/gateway/src/relay/go_on.rs
@@ -162,6 +162,9 @@
 
     /// Asks the present engine to go on, from a copy or anew.
     async fn ask_to_go_on(&mut self, copy: Option<KeptCopy<'_>>) -> Begun {
+        if !self.job.is_admitted() {
+            return Begun::Failed(Reason::EndsEndpoints);
+        }
         let limit = self.job.left();
         let sent = tokio::time::timeout(limit, self.send(copy)).await;
         let begun = match sent {
--- a/crates/gateway/src/status.rs
+++ b/crates/gateway/src/status.rs
@@ -76,11 +76,27 @@
     /// The services whose engines have a home, by name.
     #[serde(default)]
     pub homes: Vec<HomeStatus>,
+    /// Requests that ended endpoints, those first that ended the most.
+    #[serde(default)]
+    pub suspects: Vec<SuspectStatus>,
     /// What was sent to peers since the start, by purpose.
     #[serde(default)]
     pub sent: Vec<SentStatus>,
 }
 
+/// A request that ended endpoints.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct SuspectStatus {
+    /// What makes two attempts the same request, as log lines have it.
+    pub request: String,
+    /// How many endpoints it is known to have ended.
+    pub ended: usize,
+    /// Whether it is refused.
+    pub refused: bool,
+    /// Milliseconds since the last of them.
+    pub ended_ms_ago: u32,
+}
+
 /// What an instance sent to its peers for one purpose.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct SentStatus {
@@ -188,6 +204,7 @@
                 .map(|(address, peer)| peer_status(now, address, peer))
                 .collect(),
             homes: home_status(&state, now),
+            suspects: suspect_status(&state, now),
             sent: sent_status(cx),
         }
     }
@@ -213,6 +230,19 @@
     .collect()
 }
 
+fn suspect_status(state: &Gateway, now: Time) -> Vec<SuspectStatus> {
+    let worst = state.suspects.ledger.worst(now).into_iter();
+    let worst = worst.filter(|it| !it.ended.is_empty());
+    worst
+        .map(|it| SuspectStatus {
+            request: it.fingerprint.to_string(),
+            ended: it.ended.len(),
+            refused: state.is_refused(now, it.fingerprint),
+            ended_ms_ago: it.age_ms,
+        })
+        .collect()
+}
+
 fn home_status(state: &Gateway, now: Time) -> Vec<HomeStatus> {
     let services = state.catalogue().into_iter().flat_map(|it| it.services());
     let with_engines = services.filter(|it| it.engine.is_some());
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -50,10 +50,16 @@
     let tokens = job.expected_memory(length, 0);
     let mut job = job;
     loop {
+        if let Err(reason) = job.admitted().await {
+            return give_up(&job, &attempts, reason);
+        }
         let chosen = match wait_for_place(&job, tokens, attempts.tried()).await {
             Ok(chosen) => chosen,
             Err(reason) => return give_up(&job, &attempts, reason),
         };
+        if !job.is_admitted() {
+            continue;
+        }
         match start(job, engines.clone(), attempts, chosen, length).await {
             Start::Ended(answer) => return answer,
             Start::NotRun {
@@ -73,7 +79,9 @@
                 answer,
             } => {
                 (job, attempts) = (*returned, so_far);
-                let may_repeat = attempts.may_run_again(job.entry()) && job.left() > MIN_LEFT;
+                let may_repeat = attempts.may_run_again(job.entry())
+                    && job.left() > MIN_LEFT
+                    && !job.is_refused();
                 if !may_repeat || !job.spend_repeat() {
                     return answer;
                 }
@@ -91,7 +99,7 @@
 const MIN_LEFT: Duration = Duration::from_millis(250);
 
 /// How a generation began.
-enum Start<W> {
+enum Start<W: Wire> {
     /// There is an answer: events that come, or a final one without events.
     Ended(Response<AnswerBody>),
     /// The engine did not run it.
@@ -180,10 +188,10 @@
 /// Answers a generation that has no place.
 fn give_up<W: Wire>(job: &Job<W>, attempts: &Attempts, reason: Reason) -> Response<AnswerBody> {
     // Where it may have run, "not run" would be untrue.
-    let reason = if attempts.may_have_run() {
-        Reason::AnswerLost
-    } else {
-        reason
+    let reason = match reason {
+        Reason::EndsEndpoints => reason,
+        _ if attempts.may_have_run() => Reason::AnswerLost,
+        _ => reason,
     };
     note!(GenerationRefused, attempt = job.name(), entry = job.entry().name.as_str(),
         reason:% = reason, ms = job.arrived.elapsed().as_millis() as u64);
--- /dev/null
+++ b/crates/gateway/src/turn.rs
@@ -0,0 +1,132 @@
+//! Whether a request may be sent to an endpoint, as far as it may end it.
+//!
+//! The core decides ([`core::gateway::suspects`]); here a request waits for its turn, and hears
+//! when it is refused.
+//!
+//! [`core::gateway::suspects`]: oriolemux_core::gateway::suspects
+
+use crate::answer::Reason;
+use crate::cx::Cx;
+use crate::job::Job;
+use crate::note;
+use crate::ports::Wire;
+use core::time::Duration;
+use oriolemux_core::suspects::{Admission, Fingerprint, Turn};
+use std::sync::Arc;
+use std::time::Instant;
+use tokio::time::timeout;
+
+/// How often a request that waits for its turn looks again without being told to.
+const LOOK_AGAIN: Duration = Duration::from_millis(20);
+
+/// How long a generation that lost its engine may wait for its turn at the next one. A caller
+/// bears a pause of some 180 ms between events.
+const GO_ON_PATIENCE: Duration = Duration::from_millis(100);
+
+/// A request that counts as running until it is dropped.
+pub struct Run<W: Wire> {
+    cx: Arc<Cx<W>>,
+    turn: Turn,
+}
+
+impl<W: Wire> Run<W> {
+    /// Counts a request from now on.
+    pub fn begin(cx: &Arc<Cx<W>>, fingerprint: Fingerprint) -> Self {
+        Run {
+            cx: Arc::clone(cx),
+            turn: cx.state().begin_run(fingerprint),
+        }
+    }
+
+    fn admission(&self) -> Admission {
+        let now = self.cx.now();
+        self.cx.state().admit_run(now, self.turn)
+    }
+}
+
+impl<W: Wire> Drop for Run<W> {
+    fn drop(&mut self) {
+        self.cx.state().end_run(self.turn);
+    }
+}
+
+impl<W: Wire> Job<W> {
+    /// Waits until the request may be sent to an endpoint, for as long as its caller waits for
+    /// a place.
+    ///
+    /// # Errors
+    ///
+    /// Returns why it may not.
+    pub async fn admitted(&self) -> Result<(), Reason> {
+        let until = (self.arrived + self.entry().target).min(self.ends);
+        self.admitted_until(until).await
+    }
+
+    /// Waits until a generation may go on at another engine.
+    ///
+    /// # Errors
+    ///
+    /// Returns why it may not.
+    pub async fn admitted_to_go_on(&self) -> Result<(), Reason> {
+        let until = (Instant::now() + GO_ON_PATIENCE).min(self.ends);
+        self.admitted_until(until).await
+    }
+
+    async fn admitted_until(&self, until: Instant) -> Result<(), Reason> {
+        let cx = &self.cx;
+        loop {
+            let mut decided = core::pin::pin!(cx.decided.notified());
+            decided.as_mut().enable();
+            match self.run.admission() {
+                Admission::Go => return Ok(()),
+                Admission::Refused => return Err(self.note_refused()),
+                Admission::NoHome => return Err(Reason::TurnTaken),
+                Admission::Wait if Instant::now() >= until => return Err(Reason::TurnTaken),
+                Admission::Wait => cx.dirty.notify_one(),
+            }
+            // Time that is over is not told by anybody, so the wait is bounded.
+            let _ = timeout(LOOK_AGAIN, decided).await;
+        }
+    }
+
+    /// Returns whether the request may be sent now. It may have become a suspect while it
+    /// waited for a place.
+    pub fn is_admitted(&self) -> bool {
+        self.run.admission() == Admission::Go
+    }
+
+    /// Returns whether the request is refused, because it ended too many endpoints.
+    pub fn is_refused(&self) -> bool {
+        let now = self.cx.now();
+        self.cx.state().is_refused(now, self.fingerprint)
+    }
+
+    /// Waits until the request is refused; for good if it never is.
+    ///
+    /// What goes wrong otherwise: while the third endpoint ends, copies of the request wait
+    /// at others behind prompts that are read, and end these too.
+    pub async fn refused(&self) {
+        loop {
+            let mut news = core::pin::pin!(self.cx.suspected.notified());
+            news.as_mut().enable();
+            if self.is_refused() {
+                return;
+            }
+            news.await;
+        }
+    }
+
+    /// Notes that the request ran well.
+    pub fn ran_well(&self) {
+        let now = self.cx.now();
+        self.cx.state().ran_well(now, self.fingerprint);
+    }
+
+    /// Notes that the request is refused; returns the reason.
+    pub fn note_refused(&self) -> Reason {
+        let ended = self.cx.state().ended_by(self.fingerprint);
+        note!(SuspectRefused, attempt = self.name(), request:% = self.fingerprint,
+            entry = self.entry().name.as_str(), ended = ended);
+        Reason::EndsEndpoints
+    }
+}
--- a/crates/oriolemux/src/cli/operate/gateway_text.rs
+++ b/crates/oriolemux/src/cli/operate/gateway_text.rs
@@ -45,6 +45,15 @@
             sent.purpose, sent.messages, sent.bytes
         ));
     }
+    for suspect in &status.suspects {
+        print_line(format_args!(
+            "suspect    {}: ended {} endpoints, the last {} ms ago{}",
+            suspect.request,
+            suspect.ended,
+            suspect.ended_ms_ago,
+            if suspect.refused { ", refused" } else { "" },
+        ));
+    }
     for home in &status.homes {
         print_home(home);
     }
--- a/crates/oriolemux/src/story/cause.rs
+++ b/crates/oriolemux/src/story/cause.rs
@@ -44,6 +44,22 @@
         /// How often the call was sent.
         attempts: usize,
     },
+    /// refused: the same request {request} had ended {ended} endpoints that began it
+    EndsEndpoints {
+        /// What makes two attempts the same request.
+        request: String,
+        /// How many endpoints it had ended.
+        ended: u64,
+    },
+    /// its endpoint {endpoint} ended with it, as {ended} in all with request {request}
+    EndedEndpoint {
+        /// The endpoint.
+        endpoint: String,
+        /// What makes two attempts the same request.
+        request: String,
+        /// How many endpoints it had ended then.
+        ended: u64,
+    },
     /// its engine {engine} went, and {asked} did not go on with it: {why}
     NotTakenUp {
         /// The engine that it ran at.
@@ -87,6 +103,15 @@
 impl Cause {
     /// Returns the cause that the lines of a request tell.
     pub(super) fn of(steps: &[LogLine], beside: &[LogLine]) -> Self {
+        let cause = Self::of_last(steps, beside);
+        match of_suspect(steps) {
+            Some(suspect) if !matches!(cause, Cause::Well | Cause::Late { .. }) => suspect,
+            _ => cause,
+        }
+    }
+
+    /// Returns the cause that the last line tells by which it ended.
+    fn of_last(steps: &[LogLine], beside: &[LogLine]) -> Self {
         for line in steps.iter().rev() {
             let reason = || line.field("reason").unwrap_or("?").to_owned();
             let ms = line.number("ms");
@@ -125,6 +150,23 @@
     known.find(|event| event.number() == line.event).copied()
 }
 
+/// Returns what the lines say of endpoints that ended with the request.
+fn of_suspect(steps: &[LogLine]) -> Option<Cause> {
+    let last = |event| steps.iter().rfind(|line| event_of(line) == Some(event));
+    let field = |line: &LogLine, name| line.field(name).unwrap_or("-").to_owned();
+    if let Some(line) = last(GatewayEvent::SuspectRefused) {
+        return Some(Cause::EndsEndpoints {
+            request: field(line, "request"),
+            ended: line.number("ended"),
+        });
+    }
+    last(GatewayEvent::EndpointEnded).map(|line| Cause::EndedEndpoint {
+        endpoint: field(line, "endpoint"),
+        request: field(line, "request"),
+        ended: line.number("ended"),
+    })
+}
+
 fn failed_there(line: &LogLine, steps: &[LogLine]) -> Cause {
     let attempts = steps.iter().map(event_of);
     Cause::FailedThere {
