--- a/crates/core/src/gateway/gossip.rs
+++ b/crates/core/src/gateway/gossip.rs
@@ -9,10 +9,9 @@
 use super::beacons::Beacon;
 use super::home::{Answer, Report};
 use super::members::Update;
-use super::suspects::{TurnAnswer, TurnReport};
 use crate::fingerprint::Fingerprint;
 use crate::ids::EndpointKey;
-use crate::suspects::Blame;
+use crate::suspects::{Blame, TurnAnswer, TurnReport};
 use crate::time::Time;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -218,6 +217,8 @@
     leaving: BTreeMap<EndpointKey, Told<EndpointKey>>,
     beacons: BTreeMap<SocketAddrV4, Told<Beacon>>,
     blames: BTreeMap<Fingerprint, Told<Blame>>,
+    /// The order in which they came, from the end.
+    order: Vec<Fingerprint>,
     /// How many of [`Outbox::blames`] may be told now.
     allowance: f64,
     refilled: Time,
@@ -244,10 +245,14 @@
 
     /// Takes in what is known of a suspect, among so many instances.
     pub fn add_blame(&mut self, blame: Blame, instances: usize) {
-        if self.blames.len() < MAX_BLAMES_WAITING || self.blames.contains_key(&blame.fingerprint) {
-            let told = Told::new(blame.clone(), tells(instances));
-            self.blames.insert(blame.fingerprint, told);
+        self.order.retain(|it| *it != blame.fingerprint);
+        if self.order.len() >= MAX_BLAMES_WAITING {
+            let oldest = self.order.remove(0);
+            self.blames.remove(&oldest);
         }
+        self.order.push(blame.fingerprint);
+        let told = Told::new(blame.clone(), tells(instances));
+        self.blames.insert(blame.fingerprint, told);
     }
 
     /// Lets time pass for what may be told.
@@ -275,9 +280,21 @@
         }
     }
 
+    /// Takes those first that ended the most endpoints, and of these the newest.
+    ///
+    /// What goes wrong in any other order: when many endpoints end for a reason of their own, the
+    /// one request that ends the next of them waits behind all that were there, and comes to
+    /// other instances before its news does.
     fn take_blames(&mut self, peers: u32) -> Vec<Blame> {
-        let blames = take_most(&mut self.blames, peers, self.allowance as usize);
-        self.allowance -= blames.len() as f64;
+        let newest = self.order.iter().rev();
+        let mut keys: Vec<Fingerprint> = newest.copied().collect();
+        let ended = |it: &Fingerprint| self.blames.get(it).map_or(0, |it| it.item.ended.len());
+        keys.sort_by_key(|it| core::cmp::Reverse(ended(it)));
+        keys.truncate(self.allowance as usize);
+        self.allowance -= keys.len() as f64;
+        let blames = tell(&mut self.blames, &keys, peers);
+        let left = &self.blames;
+        self.order.retain(|it| left.contains_key(it));
         blames
     }
 }
@@ -302,25 +319,23 @@
 }
 
 fn take<K: Ord + Copy, T: Clone>(told: &mut BTreeMap<K, Told<T>>, peers: u32) -> Vec<T> {
-    take_most(told, peers, MAX_ITEMS)
-}
-
-fn take_most<K: Ord + Copy, T: Clone>(
-    told: &mut BTreeMap<K, Told<T>>,
-    peers: u32,
-    most: usize,
-) -> Vec<T> {
     let mut keys: Vec<(u32, K)> = told.iter().map(|(key, it)| (it.left, *key)).collect();
     keys.sort_by_key(|(left, _)| core::cmp::Reverse(*left));
-    keys.truncate(most);
+    keys.truncate(MAX_ITEMS);
+    let keys: Vec<K> = keys.into_iter().map(|(_, key)| key).collect();
+    tell(told, &keys, peers)
+}
+
+/// Tells items to so many peers.
+fn tell<K: Ord, T: Clone>(told: &mut BTreeMap<K, Told<T>>, keys: &[K], peers: u32) -> Vec<T> {
     let mut items = Vec::with_capacity(keys.len());
-    for (_, key) in keys {
-        if let Some(it) = told.get_mut(&key) {
+    for key in keys {
+        if let Some(it) = told.get_mut(key) {
             it.is_new = false;
             it.left = it.left.saturating_sub(peers);
             items.push(it.item.clone());
             if it.left == 0 {
-                told.remove(&key);
+                told.remove(key);
             }
         }
     }
--- a/crates/core/src/gateway/state/suspects.rs
+++ b/crates/core/src/gateway/state/suspects.rs
@@ -3,9 +3,9 @@
 use super::{Gateway, Place};
 use crate::fingerprint::Fingerprint;
 use crate::gateway::gossip::Body;
-use crate::gateway::suspects::{TELL_INTERVAL, TurnAnswer, TurnReport};
+use crate::gateway::suspects::TELL_INTERVAL;
 use crate::ids::EndpointKey;
-use crate::suspects::{Admission, Blame, Standing, Turn};
+use crate::suspects::{Admission, Blame, Standing, Turn, TurnAnswer, TurnReport};
 use crate::time::Time;
 use std::collections::BTreeMap;
 use std::net::SocketAddrV4;
@@ -147,8 +147,10 @@
             {
                 self.asks.pass_over(now, home);
             }
+            let known = self.suspects.ledger.told(now, fingerprint);
             for home in self.homes(key).into_iter().flatten() {
                 let report = reports.entry(home).or_default();
+                report.blames.extend(known.clone());
                 report.holds.extend(&due.holds);
                 report.ends.extend(&due.ends);
             }
@@ -176,26 +178,17 @@
         from: SocketAddrV4,
         report: &TurnReport,
     ) -> TurnAnswer {
-        let turns = &mut self.suspects.turns;
-        for it in &report.ends {
-            turns.release(it.fingerprint, from, it.run);
+        self.hear_blames(now, &report.blames);
+        let answer = self.suspects.turns.hear(now, from, report);
+        TurnAnswer {
+            blames: self.suspects.ledger.told_of(now, &report.asks),
+            ..answer
         }
-        for it in &report.holds {
-            turns.hold(now, it.fingerprint, from, it.run);
-        }
-        let asks = report.asks.iter().copied();
-        let (given, waiting) = asks.partition(|it| turns.ask(now, it.fingerprint, from, it.run));
-        TurnAnswer { given, waiting }
     }
 
     /// Takes in what the home of suspects answered.
     pub(super) fn hear_turn_answer(&mut self, now: Time, answer: &TurnAnswer) {
-        let runs = &mut self.suspects.runs;
-        for &turn in &answer.given {
-            runs.answered(now, turn, true);
-        }
-        for &turn in &answer.waiting {
-            runs.answered(now, turn, false);
-        }
+        self.hear_blames(now, &answer.blames);
+        self.suspects.runs.hear(now, answer);
     }
 }
--- a/crates/core/src/gateway/suspects.rs
+++ b/crates/core/src/gateway/suspects.rs
@@ -5,12 +5,12 @@
 //! ([`gossip`](super::gossip)); the turn of a suspect is asked of its home, which is found as
 //! the home of a service is.
 
+use super::ask::HOME_PATIENCE;
 use crate::fingerprint::Fingerprint;
 use crate::ids::EndpointKey;
-use crate::suspects::{Ledger, Runs, Turn, Turns};
+use crate::suspects::{HOLD_FRESH, Ledger, Runs, Turns};
 use crate::time::Time;
 use core::time::Duration;
-use serde::{Deserialize, Serialize};
 use std::net::SocketAddrV4;
 
 /// How long a request whose connection ended is kept in mind, when it could not be told whether
@@ -24,26 +24,6 @@
 /// most endpoints.
 pub(super) const TELL_INTERVAL: Duration = Duration::from_secs(1);
 
-/// What an instance tells the home of a suspect and the next in rank.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct TurnReport {
-    /// Runs that ask the receiver for their turn.
-    pub asks: Vec<Turn>,
-    /// Runs that go on.
-    pub holds: Vec<Turn>,
-    /// Runs that ended.
-    pub ends: Vec<Turn>,
-}
-
-/// What the home of a suspect answers.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct TurnAnswer {
-    /// Runs that have the turn now.
-    pub given: Vec<Turn>,
-    /// Runs that have to wait, since another one has it.
-    pub waiting: Vec<Turn>,
-}
-
 /// A request whose connection ended, with its endpoint.
 #[derive(Clone, Copy, Debug)]
 struct Open {
@@ -67,6 +47,7 @@
     pub(super) told_all: Option<Time>,
     /// Whether the ledger has changed since those who wait were told.
     changed: bool,
+    ticked: Time,
 }
 
 impl Suspects {
@@ -74,11 +55,12 @@
     pub fn new(now: Time) -> Self {
         Suspects {
             ledger: Ledger::default(),
-            runs: Runs::default(),
+            runs: Runs::new(HOME_PATIENCE),
             turns: Turns::new(now),
             open: Vec::new(),
             told_all: None,
             changed: false,
+            ticked: now,
         }
     }
 
@@ -120,6 +102,10 @@
 
     /// Lets time pass.
     pub(super) fn tick(&mut self, now: Time) {
+        if now.since(self.ticked) >= HOLD_FRESH {
+            self.turns.listen_anew(now);
+        }
+        self.ticked = now;
         self.ledger.tick(now);
         self.turns.tick(now);
         self.open.retain(|it| now.since(it.at) < OPEN_FOR);
--- a/crates/core/src/membership/news.rs
+++ b/crates/core/src/membership/news.rs
@@ -179,9 +179,21 @@
         now: Time,
         message: &MembershipMessage,
         source: Option<PeerId>,
-        mut extra: Vec<InstanceKey>,
+        extra: Vec<InstanceKey>,
         out: &mut Vec<MembershipAction>,
     ) {
+        for to in self.told_news(source, extra) {
+            self.send(now, to, message.clone(), out);
+        }
+    }
+
+    /// Returns whom this instance tells a piece of news that is new to it: those in `extra`, and
+    /// others along the watchers, so that everybody hears it and nothing circles.
+    pub fn told_news(
+        &self,
+        source: Option<PeerId>,
+        mut extra: Vec<InstanceKey>,
+    ) -> Vec<InstanceKey> {
         let watchers = self.own_watchers();
         let from = source.map(|it| it.instance);
         if source.is_none() {
@@ -196,9 +208,7 @@
         extra.sort_unstable();
         extra.dedup();
         extra.retain(|&it| it != self.me && Some(it) != from);
-        for to in extra {
-            self.send(now, to, message.clone(), out);
-        }
+        extra
     }
 
     /// Returns the instances of the own data centre that can be reached, as far
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -18,6 +18,7 @@
 //! | `orders` | orders to endpoints about what they hold |
 //! | `fleet` | what changes when instances and endpoints come and go |
 //! | `platform` | values read from the platform |
+//! | `suspects` | requests that end the endpoints that begin them |
 //! | `stop` | planned stop |
 
 mod ask;
@@ -34,6 +35,7 @@
 mod request;
 mod snapshot;
 mod stop;
+mod suspects;
 mod timers;
 
 pub use home::POLL_INTERVAL;
@@ -61,6 +63,7 @@
 use request::Request;
 use std::collections::{BTreeMap, VecDeque};
 use stop::Door;
+use suspects::Suspects;
 use timers::{TimerKind, Timers};
 
 /// Keeps the jitter of the catalogue apart from that of membership.
@@ -144,6 +147,7 @@
     /// How many instances give orders, counted once for each list.
     givers: orders::GiverCount,
     budget: RetryBudget,
+    suspects: Suspects,
     /// Checkpoints that wait to be sent, by home.
     progress: BTreeMap<InstanceKey, Vec<Checkpoint>>,
     explain: Explain,
@@ -187,6 +191,7 @@
             orders_looked: Time::ZERO,
             givers: orders::GiverCount::default(),
             budget: RetryBudget::new(),
+            suspects: Suspects::new(Time::ZERO),
             progress: BTreeMap::new(),
             explain: Explain::new(cfg.explain_records),
             timers: Timers::default(),
@@ -204,6 +209,7 @@
         self.now = now;
         self.with_membership(|membership, now, out| membership.start(now, out));
         self.sync.start(now);
+        self.start_suspects();
         self.confirm_all();
         self.settle(actions);
     }
@@ -333,6 +339,8 @@
                 TimerKind::ForgetHolder(instance, incarnation) => {
                     self.forget_holder_if_down(instance, incarnation);
                 }
+                TimerKind::Turns => self.report_turns(),
+                TimerKind::TellSuspects => self.tell_suspects(),
                 TimerKind::CloseDoor => self.close_door(),
             }
         }
@@ -365,6 +373,9 @@
             PeerMessage::Limits(message) => self.on_limits_message(from, message),
             PeerMessage::Keys(message) => self.on_keys_message(from, message),
             PeerMessage::Cell(message) => self.on_cell_message(from, message),
+            PeerMessage::Suspects(blames) => self.on_suspects(from, &blames),
+            PeerMessage::Turns(report) => self.on_turns(from, &report),
+            PeerMessage::TurnAnswer(answer) => self.on_turn_answer(from, &answer),
         }
     }
 
--- a/crates/core/src/node/ask.rs
+++ b/crates/core/src/node/ask.rs
@@ -48,6 +48,9 @@
 
     /// Asks the next cell that has not refused yet, or gives up.
     pub(super) fn ask_next_cell(&mut self, seq: u64) {
+        if !self.may_be_sent(seq) {
+            return;
+        }
         let Some(request) = self.requests.get(&seq) else {
             return;
         };
@@ -224,6 +227,7 @@
             Stage::Judging if self.now >= request.waiting_since + super::judge::JUDGE_LIMIT => {
                 self.refuse(seq, Reason::NoCatalogue);
             }
+            Stage::AwaitingTurn if over => self.refuse(seq, Reason::TurnTaken),
             Stage::Asking { .. } | Stage::Admitting if over => {
                 self.refuse(seq, Reason::HomeSilent);
             }
@@ -295,7 +299,11 @@
                 let message = CellMessage::Ended(vec![ended]);
                 self.send(home, PeerMessage::Cell(message));
             }
-            Stage::Judging | Stage::Claiming | Stage::Admitting | Stage::BackingOff { .. } => {}
+            Stage::Judging
+            | Stage::Claiming
+            | Stage::Admitting
+            | Stage::AwaitingTurn
+            | Stage::BackingOff { .. } => {}
         }
     }
 }
--- a/crates/core/src/node/attempt.rs
+++ b/crates/core/src/node/attempt.rs
@@ -49,6 +49,9 @@
         let Some(endpoint) = self.membership.view().endpoint_target(grant.endpoint) else {
             return self.refuse(seq, Reason::NoEndpoint);
         };
+        if !self.may_be_sent(seq) {
+            return;
+        }
         let stall_limit = self.cfg.stall_limit;
         let Some(request) = self.requests.get_mut(&seq) else {
             return;
@@ -93,6 +96,7 @@
         };
         let id = request.id();
         request.outcome.on_dispatch(attempt);
+        request.begun = None;
         request.refusals.clear();
         request.stage = Stage::Running {
             cell,
@@ -138,6 +142,7 @@
         }
         match update {
             AttemptUpdate::FirstToken => {
+                self.note_begun(seq);
                 let attempt_number = attempt.number;
                 let step = Step::FirstToken {
                     attempt: attempt_number,
@@ -145,7 +150,7 @@
                 self.record(attempt.request, step);
             }
             AttemptUpdate::Progress { tokens } => self.on_progress(seq, tokens),
-            AttemptUpdate::EndpointEnded => {}
+            AttemptUpdate::EndpointEnded => self.on_endpoint_ended(seq),
             AttemptUpdate::Complete {
                 tokens,
                 prompt_tokens,
@@ -205,6 +210,7 @@
             return;
         };
         request.outcome.on_ended(attempt, Ran::Maybe);
+        self.ran_well(request.arrival.fingerprint);
         self.charge(seq, tokens.saturating_sub(request.stage.tokens()));
         let end = Ending {
             end: EndKind::Complete { prompt_tokens },
@@ -338,6 +344,7 @@
     fn let_go(&mut self, request: &Request, ending: Ending<'_>) {
         let id = request.id();
         self.leave_home(id, request.stage, ending.tokens, ending.end);
+        self.end_run(request);
         self.end_admission(id.seq);
         self.end_claim(id, ending.verdict);
         let verdict = ending.verdict;
--- a/crates/core/src/node/fleet.rs
+++ b/crates/core/src/node/fleet.rs
@@ -86,6 +86,7 @@
         self.retell_to(peer.instance);
         self.re_ask_at(peer.instance);
         self.confirm_with(peer);
+        self.tell_suspects_to(peer.instance);
     }
 
     /// The link to a peer is gone.
--- a/crates/core/src/node/judge.rs
+++ b/crates/core/src/node/judge.rs
@@ -79,6 +79,7 @@
                 if let Some(request) = self.requests.get_mut(&seq) {
                     request.facts = Some(facts);
                 }
+                self.begin_run(seq);
                 if !self.begin_claim(seq) {
                     self.begin_admission(seq);
                 }
--- a/crates/core/src/node/request.rs
+++ b/crates/core/src/node/request.rs
@@ -19,6 +19,8 @@
     Claiming,
     /// A place in the limits of its entry and workspace was asked for.
     Admitting,
+    /// It ended an endpoint, and waits until it runs nowhere else.
+    AwaitingTurn,
     /// A home was asked for a grant.
     Asking {
         /// The cell.
@@ -123,6 +125,8 @@
     pub outcome: RequestOutcome,
     /// Attempts so far.
     pub attempts: u32,
+    /// When the answer to the present attempt began.
+    pub begun: Option<Time>,
     /// Tokens that the caller holds.
     pub delivered: u32,
     /// Endpoints where it failed.
@@ -146,6 +150,7 @@
             stage: Stage::Judging,
             outcome,
             attempts: 0,
+            begun: None,
             delivered: 0,
             exclude: Vec::new(),
             refusals: Vec::new(),
--- a/crates/core/src/node/snapshot.rs
+++ b/crates/core/src/node/snapshot.rs
@@ -131,6 +131,7 @@
                 Stage::Judging => counts.judging += 1,
                 Stage::Claiming
                 | Stage::Admitting
+                | Stage::AwaitingTurn
                 | Stage::Asking { .. }
                 | Stage::BackingOff { .. } => counts.waiting += 1,
                 Stage::Running { .. } => counts.running += 1,
--- /dev/null
+++ b/crates/core/src/node/suspects.rs
@@ -0,0 +1,320 @@
+//! Requests that end the endpoints that begin them.
+//!
+//! The decisions are those of [`crate::suspects`]; here they meet requests, peers and timers.
+//! A request asks no home of a cell for a place, and is not sent with one, unless it may run.
+//! What this node learns of suspects it tells along the watchers, as it tells what leaves.
+
+use super::Node;
+use super::request::{Request, Stage};
+use super::timers::TimerKind;
+use crate::cell::EndKind;
+use crate::event::PeerId;
+use crate::fingerprint::Fingerprint;
+use crate::ids::InstanceKey;
+use crate::membership::EndpointState;
+use crate::peer::PeerMessage;
+use crate::reason::Reason;
+use crate::suspects::{
+    Admission, Blame, Ledger, RAN_WELL_AFTER, Runs, Standing, Turn, TurnAnswer, TurnReport, Turns,
+};
+use crate::time::Time;
+use core::time::Duration;
+use std::collections::BTreeMap;
+
+/// How long the home of a suspect may take to answer before the next in rank is asked: long
+/// enough for a link that has to be made first.
+const HOME_PATIENCE: Duration = Duration::from_millis(250);
+
+/// How long a home that did not answer is passed over.
+const PASSED_OVER: Duration = Duration::from_secs(1);
+
+/// How often what waits for a turn is looked at.
+const LOOK_ASKING: Duration = Duration::from_millis(10);
+
+/// How often homes are told of suspects that run.
+const LOOK_RUNNING: Duration = Duration::from_millis(200);
+
+/// Suspects in one message, and the time between two messages: a watcher passes each on to all
+/// of its data centre.
+const MOST_TOLD: usize = 8;
+
+/// See [`MOST_TOLD`].
+const TELL_INTERVAL: Duration = Duration::from_secs(1);
+
+/// All that a node knows of suspects.
+#[derive(Debug)]
+pub(super) struct Suspects {
+    ledger: Ledger,
+    runs: Runs,
+    turns: Turns<InstanceKey>,
+    /// Homes that did not answer, and until when they are passed over.
+    silent: BTreeMap<InstanceKey, Time>,
+    /// Suspects that are to be told of, and who told this node.
+    untold: BTreeMap<Fingerprint, Option<PeerId>>,
+    /// When others were told last.
+    told: Option<Time>,
+    /// Buffer for the homes of a suspect.
+    ranked: Vec<InstanceKey>,
+}
+
+impl Suspects {
+    pub(super) fn new(now: Time) -> Self {
+        Suspects {
+            ledger: Ledger::default(),
+            runs: Runs::new(HOME_PATIENCE),
+            turns: Turns::new(now),
+            silent: BTreeMap::new(),
+            untold: BTreeMap::new(),
+            told: None,
+            ranked: Vec::new(),
+        }
+    }
+}
+
+fn turn_of(request: &Request) -> Turn {
+    Turn {
+        fingerprint: request.arrival.fingerprint,
+        run: request.id().seq,
+    }
+}
+
+impl Node {
+    /// Begins to listen to what others run, as the home of suspects.
+    pub(super) fn start_suspects(&mut self) {
+        self.suspects.turns.listen_anew(self.now);
+    }
+
+    /// Takes in a request that is going to run.
+    pub(super) fn begin_run(&mut self, seq: u64) {
+        if let Some(request) = self.requests.get(&seq) {
+            self.suspects.runs.begin(turn_of(request));
+        }
+    }
+
+    /// Takes out a request that is over.
+    pub(super) fn end_run(&mut self, request: &Request) {
+        self.suspects.runs.end(turn_of(request));
+        if !self.suspects.runs.none_ended() {
+            self.timers.set(self.now, TimerKind::Turns);
+        }
+    }
+
+    /// Returns whether a request may ask for a place, and be sent with it. One that may not
+    /// waits for its turn from now on, or is refused.
+    pub(super) fn may_be_sent(&mut self, seq: u64) -> bool {
+        let Some(request) = self.requests.get(&seq) else {
+            return false;
+        };
+        let turn = turn_of(request);
+        let standing = self.suspects.ledger.standing(self.now, turn.fingerprint);
+        match self.suspects.runs.admit(self.now, turn, standing) {
+            Admission::Go => return true,
+            Admission::Refused => self.refuse(seq, Reason::EndsEndpoints),
+            Admission::NoHome => self.refuse(seq, Reason::TurnTaken),
+            Admission::Wait => self.await_turn(seq),
+        }
+        false
+    }
+
+    fn await_turn(&mut self, seq: u64) {
+        let Some(request) = self.requests.get_mut(&seq) else {
+            return;
+        };
+        if request.stage == Stage::AwaitingTurn {
+            return;
+        }
+        let (id, gives_up) = (request.id(), request.gives_up_at());
+        let stage = core::mem::replace(&mut request.stage, Stage::AwaitingTurn);
+        self.leave_home(id, stage, 0, EndKind::Cancelled);
+        self.timers.set(gives_up, TimerKind::Request(seq));
+        self.timers.set(self.now, TimerKind::Turns);
+    }
+
+    /// Looks again at all requests that wait for their turn.
+    fn look_at_waiting(&mut self) {
+        let waiting = self.requests.iter();
+        let waiting = waiting.filter(|(_, it)| it.stage == Stage::AwaitingTurn);
+        let waiting: Vec<u64> = waiting.map(|(&seq, _)| seq).collect();
+        for seq in waiting {
+            self.ask_next_cell(seq);
+        }
+    }
+
+    /// The answer to an attempt began.
+    pub(super) fn note_begun(&mut self, seq: u64) {
+        if let Some(request) = self.requests.get_mut(&seq) {
+            request.begun.get_or_insert(self.now);
+        }
+    }
+
+    /// The endpoint of an attempt ended with it.
+    pub(super) fn on_endpoint_ended(&mut self, seq: u64) {
+        let Some(request) = self.requests.get(&seq) else {
+            return;
+        };
+        let Stage::Running { endpoint, .. } = request.stage else {
+            return;
+        };
+        let fingerprint = request.arrival.fingerprint;
+        let begun = request.begun;
+        if begun.is_some_and(|at| self.now.since(at) >= RAN_WELL_AFTER) {
+            return self.ran_well(fingerprint);
+        }
+        if self.membership.endpoint_state(endpoint) == EndpointState::Leaving {
+            // It ended as it said it would.
+            return;
+        }
+        if self.suspects.ledger.blame(self.now, fingerprint, endpoint) {
+            self.tell_soon(fingerprint, None);
+        }
+    }
+
+    /// A request ran well, so that it is none that ends endpoints.
+    pub(super) fn ran_well(&mut self, fingerprint: Fingerprint) {
+        if self.suspects.ledger.clear(self.now, fingerprint) {
+            self.tell_soon(fingerprint, None);
+        }
+    }
+
+    fn tell_soon(&mut self, fingerprint: Fingerprint, source: Option<PeerId>) {
+        self.suspects.untold.insert(fingerprint, source);
+        let told = self.suspects.told;
+        let at = told.map_or(self.now, |at| (at + TELL_INTERVAL).max(self.now));
+        self.timers.set(at, TimerKind::TellSuspects);
+        self.timers.set(self.now, TimerKind::Turns);
+    }
+
+    /// Tells others of suspects, as many as one message holds.
+    pub(super) fn tell_suspects(&mut self) {
+        let told = self.suspects.told;
+        if told.is_some_and(|at| self.now.since(at) < TELL_INTERVAL) {
+            return;
+        }
+        let mut by_receiver: BTreeMap<InstanceKey, Vec<Blame>> = BTreeMap::new();
+        for _ in 0..MOST_TOLD {
+            let Some((fingerprint, source)) = self.suspects.untold.pop_first() else {
+                break;
+            };
+            let Some(blame) = self.suspects.ledger.told(self.now, fingerprint) else {
+                continue;
+            };
+            for to in self.membership.told_news(source, Vec::new()) {
+                by_receiver.entry(to).or_default().push(blame.clone());
+            }
+        }
+        self.suspects.told = Some(self.now);
+        if !self.suspects.untold.is_empty() {
+            let at = self.now + TELL_INTERVAL;
+            self.timers.set(at, TimerKind::TellSuspects);
+        }
+        for (to, blames) in by_receiver {
+            self.send(to, PeerMessage::Suspects(blames));
+        }
+    }
+
+    /// Tells a peer whose link has come up of the suspects that ended the most endpoints.
+    pub(super) fn tell_suspects_to(&mut self, to: InstanceKey) {
+        let worst = self.suspects.ledger.worst(self.now);
+        if !worst.is_empty() {
+            self.send(to, PeerMessage::Suspects(worst));
+        }
+    }
+
+    /// A peer told of suspects.
+    pub(super) fn on_suspects(&mut self, from: PeerId, blames: &[Blame]) {
+        self.hear_blames(from, blames);
+        self.look_at_waiting();
+    }
+
+    fn hear_blames(&mut self, from: PeerId, blames: &[Blame]) {
+        for blame in blames {
+            if self.suspects.ledger.hear(self.now, blame) {
+                self.tell_soon(blame.fingerprint, Some(from));
+            }
+        }
+    }
+
+    /// Tells the homes of suspects what runs and waits here.
+    pub(super) fn report_turns(&mut self) {
+        let now = self.now;
+        self.suspects.ledger.tick(now);
+        self.suspects.turns.tick(now);
+        self.suspects.silent.retain(|_, until| now < *until);
+        if self.suspects.ledger.is_empty() && self.suspects.runs.none_ended() {
+            return;
+        }
+        let mut reports: BTreeMap<InstanceKey, TurnReport> = BTreeMap::new();
+        let mut any_runs = false;
+        for fingerprint in self.suspects.runs.fingerprints() {
+            let standing = self.suspects.ledger.standing(now, fingerprint);
+            any_runs |= standing != Standing::Free;
+            self.report_turns_of(fingerprint, standing, &mut reports);
+        }
+        for (home, report) in reports {
+            self.send(home, PeerMessage::Turns(report));
+        }
+        if self.suspects.runs.any_asks() {
+            self.timers.set(now + LOOK_ASKING, TimerKind::Turns);
+            self.look_at_waiting();
+        } else if any_runs {
+            self.timers.set(now + LOOK_RUNNING, TimerKind::Turns);
+        }
+    }
+
+    fn report_turns_of(
+        &mut self,
+        fingerprint: Fingerprint,
+        standing: Standing,
+        reports: &mut BTreeMap<InstanceKey, TurnReport>,
+    ) {
+        let now = self.now;
+        let due = self.suspects.runs.due(now, fingerprint, standing);
+        if due.is_empty() {
+            return;
+        }
+        let mut ranked = core::mem::take(&mut self.suspects.ranked);
+        let key = fingerprint.rank_key();
+        self.membership.ranked_homes(key, 2, &mut ranked);
+        let silent = &mut self.suspects.silent;
+        let acting = |silent: &BTreeMap<InstanceKey, Time>| {
+            let mut answering = ranked.iter().filter(|it| !silent.contains_key(it));
+            answering.next().or(ranked.first()).copied()
+        };
+        if due.is_unanswered
+            && let Some(home) = acting(silent)
+        {
+            silent.insert(home, now + PASSED_OVER);
+        }
+        let known = self.suspects.ledger.told(now, fingerprint);
+        for &home in &ranked {
+            let report = reports.entry(home).or_default();
+            report.blames.extend(known.clone());
+            report.holds.extend(&due.holds);
+            report.ends.extend(&due.ends);
+        }
+        if let Some(home) = acting(silent) {
+            reports.entry(home).or_default().asks.extend(&due.asks);
+        }
+        self.suspects.ranked = ranked;
+    }
+
+    /// A peer told this node, as the home of suspects, what it runs and asks for.
+    pub(super) fn on_turns(&mut self, from: PeerId, report: &TurnReport) {
+        self.hear_blames(from, &report.blames);
+        let answer = self.suspects.turns.hear(self.now, from.instance, report);
+        if !report.asks.is_empty() {
+            let answer = TurnAnswer {
+                blames: self.suspects.ledger.told_of(self.now, &report.asks),
+                ..answer
+            };
+            self.send(from.instance, PeerMessage::TurnAnswer(answer));
+        }
+    }
+
+    /// The home of suspects answered.
+    pub(super) fn on_turn_answer(&mut self, from: PeerId, answer: &TurnAnswer) {
+        self.hear_blames(from, &answer.blames);
+        self.suspects.runs.hear(self.now, answer);
+        self.look_at_waiting();
+    }
+}
--- a/crates/core/src/node/timers.rs
+++ b/crates/core/src/node/timers.rs
@@ -19,6 +19,10 @@
     Confirm,
     /// End the leases of a life whose link has been down for too long.
     ForgetHolder(InstanceKey, Incarnation),
+    /// Tell the homes of suspects what runs and waits here.
+    Turns,
+    /// Tell others of suspects.
+    TellSuspects,
     /// Stop taking new requests, because a planned stop has lasted long enough
     /// for the balancer to notice it.
     CloseDoor,
--- a/crates/core/src/peer.rs
+++ b/crates/core/src/peer.rs
@@ -7,6 +7,7 @@
 use core::fmt;
 use serde::de::{Error, SeqAccess, Visitor};
 use serde::{Deserialize, Deserializer, Serialize};
+use std::borrow::Cow;
 
 /// One frame between two instances.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -21,6 +22,22 @@
     pub messages: Vec<PeerMessage>,
 }
 
+impl PeerEnvelope {
+    /// Returns what a peer that speaks this version can read; nothing if that is no message of
+    /// several. What it cannot read would end its link.
+    pub fn spoken_in(&self, version: u16) -> Option<Cow<'_, PeerEnvelope>> {
+        if self.messages.iter().all(|it| it.since() <= version) {
+            return Some(Cow::Borrowed(self));
+        }
+        let readable = self.messages.iter().filter(|it| it.since() <= version);
+        let messages: Vec<PeerMessage> = readable.cloned().collect();
+        if messages.is_empty() {
+            return None;
+        }
+        Some(Cow::Owned(PeerEnvelope { messages, ..*self }))
+    }
+}
+
 /// The most messages of one envelope.
 ///
 /// One byte of a frame can stand for a whole message, so that without a bound
@@ -71,4 +88,25 @@
     Cell(crate::cell::CellMessage),
     /// Who may run under a ticket or key.
     Keys(crate::keys::KeysMessage),
+    /// Requests that end endpoints: what is known of them.
+    Suspects(Vec<crate::suspects::Blame>),
+    /// What is run and asked for of them.
+    Turns(crate::suspects::TurnReport),
+    /// What their home answers.
+    TurnAnswer(crate::suspects::TurnAnswer),
+}
+
+impl PeerMessage {
+    /// Returns the version of the protocol in which it came.
+    pub const fn since(&self) -> u16 {
+        match self {
+            PeerMessage::Heartbeat
+            | PeerMessage::Membership(_)
+            | PeerMessage::Catalogue(_)
+            | PeerMessage::Limits(_)
+            | PeerMessage::Cell(_)
+            | PeerMessage::Keys(_) => 1,
+            PeerMessage::Suspects(_) | PeerMessage::Turns(_) | PeerMessage::TurnAnswer(_) => 2,
+        }
+    }
 }
--- a/crates/core/src/reason.rs
+++ b/crates/core/src/reason.rs
@@ -110,6 +110,8 @@
     KeyReused = "key_reused", 422, Input;
     /// A ticket is malformed or was never issued.
     BadTicket = "bad_ticket", 400, Input;
+    /// The same request ended several endpoints that had begun it.
+    EndsEndpoints = "ends_endpoints", 400, Input;
 
     /// The entry's limit of concurrent requests is reached.
     EntryConcurrency = "entry_concurrency", 429, Limit;
@@ -125,6 +127,8 @@
     WaitExpired = "wait_expired", 503, Limit;
     /// The instance holds as many connections or requests as its settings allow.
     InstanceFull = "instance_full", 503, Limit;
+    /// The same request ended an endpoint, and runs at another one at the moment.
+    TurnTaken = "turn_taken", 503, Limit;
     /// No live endpoint serves the entry.
     NoEndpoint = "no_endpoint", 503, Limit;
     /// The retry budget is used up.
--- a/crates/core/src/suspects.rs
+++ b/crates/core/src/suspects.rs
@@ -6,6 +6,7 @@
 //! | module | its job |
 //! | --- | --- |
 //! | `ledger` | which requests ended which endpoints, and whether they may run |
+//! | `message` | what instances and homes tell each other |
 //! | `runs` | what this instance runs of suspects, and what it asks of their home |
 //! | `turns` | what the home of a suspect knows: who runs it now |
 //!
@@ -17,11 +18,13 @@
 //! says how likely it is that an innocent request is refused.
 
 mod ledger;
+mod message;
 mod runs;
 mod turns;
 
 pub use ledger::{
     Blame, ENDED_AT_MOST, Ledger, MAX_SUSPECTS, RAN_WELL_AFTER, REFUSED_FOR, Standing,
 };
+pub use message::{TurnAnswer, TurnReport};
 pub use runs::{Admission, Due, Runs, Turn};
 pub use turns::{HOLD_FRESH, Turns};
--- a/crates/core/src/suspects/ledger.rs
+++ b/crates/core/src/suspects/ledger.rs
@@ -5,6 +5,7 @@
 //! nothing. A request that ran well begins a new round with an empty set, which goes before all
 //! sets of earlier rounds.
 
+use super::Turn;
 use crate::fingerprint::Fingerprint;
 use crate::ids::{EndpointKey, stable_hash};
 use crate::time::Time;
@@ -252,6 +253,16 @@
         })
     }
 
+    /// Returns what is to be told of the requests of some runs.
+    pub fn told_of(&self, now: Time, turns: &[Turn]) -> Vec<Blame> {
+        let mut all: Vec<Fingerprint> = turns.iter().map(|it| it.fingerprint).collect();
+        all.sort();
+        all.dedup();
+        all.into_iter()
+            .filter_map(|it| self.told(now, it))
+            .collect()
+    }
+
     /// Returns what is to be told of the suspects that ended the most endpoints, as much as
     /// fits a datagram.
     pub fn worst(&self, now: Time) -> Vec<Blame> {
--- /dev/null
+++ b/crates/core/src/suspects/message.rs
@@ -0,0 +1,32 @@
+//! What instances tell the homes of suspects, and what these answer.
+//!
+//! Both carry what the sender knows of the suspects in question. What goes wrong otherwise:
+//! a run ends its endpoint and gives its turn back; the next one has the turn some milliseconds
+//! later, before it hears by the usual ways that this was the third.
+
+use super::{Blame, Turn};
+use serde::{Deserialize, Serialize};
+
+/// What an instance tells the home of a suspect and the next in rank.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TurnReport {
+    /// Runs that ask the receiver for their turn.
+    pub asks: Vec<Turn>,
+    /// Runs that go on.
+    pub holds: Vec<Turn>,
+    /// Runs that ended.
+    pub ends: Vec<Turn>,
+    /// What the sender knows of these requests.
+    pub blames: Vec<Blame>,
+}
+
+/// What the home of a suspect answers.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TurnAnswer {
+    /// Runs that have the turn now.
+    pub given: Vec<Turn>,
+    /// Runs that have to wait, since another one has it.
+    pub waiting: Vec<Turn>,
+    /// What the home knows of these requests.
+    pub blames: Vec<Blame>,
+}
--- a/crates/core/src/suspects/runs.rs
+++ b/crates/core/src/suspects/runs.rs
@@ -1,6 +1,6 @@
 //! What this instance runs, and what it asks of the homes of suspects.
 
-use super::Standing;
+use super::{Standing, TurnAnswer};
 use crate::fingerprint::Fingerprint;
 use crate::time::Time;
 use core::time::Duration;
@@ -13,9 +13,6 @@
 /// How often homes are told of a run that goes on.
 const HOLD_AGAIN: Duration = Duration::from_millis(200);
 
-/// How long a home may take to answer before the next in rank is asked.
-const HOME_PATIENCE: Duration = Duration::from_millis(25);
-
 /// Homes that may leave a request unanswered, one after the other, before it is refused: the
 /// first in rank, the next, and the first again.
 const HOMES_ASKED: u32 = 3;
@@ -87,14 +84,25 @@
 }
 
 /// All runs of this instance.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Runs {
+    /// How long a home may take to answer before the next in rank is asked.
+    home_patience: Duration,
     runs: BTreeMap<Fingerprint, BTreeMap<u64, Run>>,
     /// Runs that ended and of which homes had been told.
     ended: Vec<Turn>,
 }
 
 impl Runs {
+    /// Returns an instance that runs nothing, whose homes may take so long to answer.
+    pub fn new(home_patience: Duration) -> Self {
+        Runs {
+            home_patience,
+            runs: BTreeMap::new(),
+            ended: Vec::new(),
+        }
+    }
+
     /// Takes in a run that begins.
     pub fn begin(&mut self, turn: Turn) {
         let run = Run {
@@ -150,7 +158,16 @@
     }
 
     /// Takes in what a home answered.
-    pub fn answered(&mut self, now: Time, turn: Turn, given: bool) {
+    pub fn hear(&mut self, now: Time, answer: &TurnAnswer) {
+        for &turn in &answer.given {
+            self.answered(now, turn, true);
+        }
+        for &turn in &answer.waiting {
+            self.answered(now, turn, false);
+        }
+    }
+
+    fn answered(&mut self, now: Time, turn: Turn, given: bool) {
         let Some(run) = self.get(turn) else { return };
         if let Stage::Asks { since, missed, .. } = &mut run.stage {
             *since = now;
@@ -199,7 +216,7 @@
                     asked,
                     missed,
                 } => {
-                    if now.since(*since) >= HOME_PATIENCE {
+                    if now.since(*since) >= self.home_patience {
                         due.is_unanswered = true;
                         *missed += 1;
                         *since = now;
--- a/crates/core/src/suspects/turns.rs
+++ b/crates/core/src/suspects/turns.rs
@@ -5,6 +5,7 @@
 //! followed by one that knows. One that has just begun to listen gives no turn until it must
 //! have heard of all who run.
 
+use super::{TurnAnswer, TurnReport};
 use crate::fingerprint::Fingerprint;
 use crate::time::Time;
 use core::time::Duration;
@@ -23,7 +24,6 @@
     holders: BTreeMap<Fingerprint, Holders<I>>,
     /// Since when it has been listening without a pause.
     listens_since: Time,
-    ticked: Time,
 }
 
 impl<I: Ord + Copy> Turns<I> {
@@ -32,7 +32,24 @@
         Turns {
             holders: BTreeMap::new(),
             listens_since: now,
-            ticked: now,
+        }
+    }
+
+    /// Takes in what an instance runs and asks for. What is known of the suspects goes by the
+    /// [`Ledger`](super::Ledger).
+    pub fn hear(&mut self, now: Time, from: I, report: &TurnReport) -> TurnAnswer {
+        for it in &report.ends {
+            self.release(it.fingerprint, from, it.run);
+        }
+        for it in &report.holds {
+            self.hold(now, it.fingerprint, from, it.run);
+        }
+        let asks = report.asks.iter().copied();
+        let (given, waiting) = asks.partition(|it| self.ask(now, it.fingerprint, from, it.run));
+        TurnAnswer {
+            given,
+            waiting,
+            blames: Vec::new(),
         }
     }
 
@@ -65,15 +82,17 @@
         is_free
     }
 
-    /// Forgets runs of which nothing was heard.
+    /// Begins to listen anew after a pause.
     ///
-    /// What goes wrong with a home that was frozen: all it knows is over when it wakes, and what
-    /// was said meanwhile may be lost. It begins to listen anew.
+    /// What goes wrong otherwise with a home that was frozen: all it knows is over when it
+    /// wakes, and what was said meanwhile may be lost, so that it gives the turn of a suspect
+    /// that runs.
+    pub fn listen_anew(&mut self, now: Time) {
+        self.listens_since = now;
+    }
+
+    /// Forgets runs of which nothing was heard.
     pub fn tick(&mut self, now: Time) {
-        if now.since(self.ticked) >= HOLD_FRESH {
-            self.listens_since = now;
-        }
-        self.ticked = now;
         for holders in self.holders.values_mut() {
             holders.retain(|_, until| now < *until);
         }
--- a/crates/core/tests/gateway_suspects.rs
+++ b/crates/core/tests/gateway_suspects.rs
@@ -390,3 +390,33 @@
     );
     assert!(a_second <= CONTROL_BYTES, "{a_second} bytes a second");
 }
+
+/// Symptom: a fourth engine ends while many others end for another reason. Sequence: hundreds of
+/// requests are told of that were at engines that ended; the third end of one request waits
+/// behind them, and the next copy has its turn before. Cause: who ended the turn and who was
+/// given it knew of the ends by the usual news only.
+#[test]
+fn the_next_in_turn_knows_of_the_third_end() {
+    let mut scene = Scene::new(30, 12);
+    let now = scene.fleet.now;
+    for number in 0..600 {
+        let index = number % 30;
+        let place = Place {
+            key: EndpointKey::of(&format!("gone-{}", number / 8)),
+            name: String::new(),
+            address: address(1),
+        };
+        let core = scene.core(index).expect("it is there");
+        core.ended_with(now, fingerprint(&format!("r-{number}")), &place);
+        scene.fleet.hurry(index);
+    }
+    scene.come(0);
+    for _ in 0..800 {
+        scene.step();
+    }
+
+    scene.play(Duration::from_secs(10), 150);
+
+    assert_eq!(scene.ended.len(), 3);
+    assert!(scene.refused > 40, "{} are refused", scene.refused);
+}
--- /dev/null
+++ b/crates/core/tests/peer_versions.rs
@@ -0,0 +1,38 @@
+//! What a peer of an earlier version is sent.
+
+use oriolemux_core::peer::{PeerEnvelope, PeerMessage};
+use std::borrow::Cow;
+
+fn envelope(messages: Vec<PeerMessage>) -> PeerEnvelope {
+    PeerEnvelope {
+        catalogue_revision: 3,
+        list_revision: 4,
+        messages,
+    }
+}
+
+fn news() -> PeerMessage {
+    PeerMessage::Suspects(Vec::new())
+}
+
+#[test]
+fn a_peer_of_this_version_is_sent_all() {
+    let all = envelope(vec![PeerMessage::Heartbeat, news()]);
+
+    let sent = all.spoken_in(2);
+
+    assert_eq!(sent, Some(Cow::Borrowed(&all)));
+}
+
+/// Symptom: while the product is updated, links between old and new instances break again and
+/// again. Sequence: a new instance tells an old one of a suspect. Cause: a message that the old one
+/// cannot read ends its link.
+#[test]
+fn an_earlier_peer_is_sent_what_it_can_read() {
+    let all = envelope(vec![news(), PeerMessage::Heartbeat]);
+
+    let sent = all.spoken_in(1).expect("some of it").into_owned();
+
+    assert_eq!(sent, envelope(vec![PeerMessage::Heartbeat]));
+    assert_eq!(envelope(vec![news()]).spoken_in(1), None);
+}
--- /dev/null
+++ b/crates/core/tests/suspects_ledger.rs
@@ -0,0 +1,261 @@
+//! What is known of suspects: merged from messages in any order, bounded, and forgotten.
+
+use core::time::Duration;
+use oriolemux_core::fingerprint::{Fingerprint, Identity};
+use oriolemux_core::suspects::{
+    Admission, Blame, HOLD_FRESH, Ledger, MAX_SUSPECTS, REFUSED_FOR, Runs, Standing, Turn,
+    TurnReport, Turns,
+};
+use oriolemux_core::{EndpointKey, Time};
+use proptest::prelude::*;
+use rstest::rstest;
+
+const NOW: Time = Time::from_secs(10_000);
+
+fn request(number: u32) -> Fingerprint {
+    Fingerprint::of(&Identity {
+        deployment: 1,
+        workspace: None,
+        host: "",
+        method: "POST",
+        path: "/",
+        body: &number.to_le_bytes(),
+    })
+}
+
+fn engine(number: u8) -> EndpointKey {
+    EndpointKey::of(&format!("e-{number}"))
+}
+
+/// A ledger in which a request ended so many engines.
+fn ended(request: Fingerprint, engines: u8) -> Ledger {
+    let mut ledger = Ledger::default();
+    for number in 0..engines {
+        assert!(ledger.blame(NOW, request, engine(number)));
+    }
+    ledger
+}
+
+#[rstest]
+#[case(0, Standing::Free)]
+#[case(1, Standing::Suspect)]
+#[case(2, Standing::Suspect)]
+#[case(3, Standing::Refused)]
+#[case(5, Standing::Refused)]
+fn a_request_is_judged_by_the_endpoints_that_it_ended(
+    #[case] engines: u8,
+    #[case] expected: Standing,
+) {
+    let ledger = ended(request(1), engines);
+
+    assert_eq!(ledger.standing(NOW, request(1)), expected);
+    assert_eq!(ledger.standing(NOW, request(2)), Standing::Free);
+}
+
+#[test]
+fn an_end_that_two_saw_counts_once() {
+    let mut ledger = ended(request(1), 2);
+
+    assert!(!ledger.blame(NOW, request(1), engine(1)));
+    assert_eq!(ledger.standing(NOW, request(1)), Standing::Suspect);
+}
+
+#[test]
+fn a_refused_request_is_tried_again_after_a_while_and_refused_at_its_next_end() {
+    let mut ledger = ended(request(1), 3);
+    let later = NOW + REFUSED_FOR;
+    assert_eq!(ledger.standing(later, request(1)), Standing::Suspect);
+
+    ledger.blame(later, request(1), engine(9));
+
+    assert_eq!(ledger.standing(later, request(1)), Standing::Refused);
+}
+
+/// Symptom: a request that was cleared is refused again. Sequence: it ran well; news of what it
+/// was blamed for before arrives late. Cause: old news was counted anew.
+#[test]
+fn late_news_does_not_undo_that_a_request_ran_well() {
+    let mut ledger = ended(request(1), 3);
+    let late = ledger.told(NOW, request(1)).expect("it is known");
+    assert!(ledger.clear(NOW, request(1)));
+
+    assert!(!ledger.hear(NOW, &late));
+
+    assert_eq!(ledger.standing(NOW, request(1)), Standing::Free);
+}
+
+/// Symptom: a suspect is never forgotten. Sequence: two instances forget it at slightly different times, and the
+/// one that still knows it tells the other. Cause: what was heard counted as new.
+#[test]
+fn what_is_heard_is_as_old_as_its_teller_says() {
+    let mut teller = ended(request(1), 3);
+    let later = NOW + Duration::from_secs(3_599);
+    let told = teller.told(later, request(1)).expect("it is known");
+    let mut hearer = Ledger::default();
+    assert!(hearer.hear(later, &told));
+    let after = later + Duration::from_secs(2);
+
+    teller.tick(after);
+    hearer.tick(after);
+
+    assert!(teller.is_empty());
+    assert!(hearer.is_empty());
+}
+
+/// Whatever is told, by whomever, no more is kept than the bound, and those stay that ended the
+/// most.
+#[test]
+fn no_more_is_kept_than_the_bound() {
+    let mut ledger = ended(request(0), 3);
+
+    for number in 1..(MAX_SUSPECTS as u32 * 2) {
+        ledger.blame(NOW, request(number), engine(1));
+    }
+
+    assert_eq!(ledger.count(NOW), (MAX_SUSPECTS, 1));
+    assert_eq!(ledger.standing(NOW, request(0)), Standing::Refused);
+}
+
+#[test]
+fn endpoints_beyond_the_bound_are_not_kept() {
+    let mut ledger = Ledger::default();
+    let blame = Blame {
+        fingerprint: request(1),
+        round: 0,
+        ended: (0..200).map(engine).collect(),
+        age_ms: 0,
+    };
+
+    ledger.hear(NOW, &blame);
+
+    assert_eq!(ledger.ended(request(1)), 8);
+}
+
+proptest! {
+    /// Instances that hear the same, in any order and any number of times, know the same.
+    #[test]
+    fn order_and_repetition_make_no_difference(
+        told in proptest::collection::vec((0u32..4, 0u32..3, 0u8..8), 1..40),
+        seed in any::<prop::sample::Index>(),
+    ) {
+        let blames: Vec<Blame> = told
+            .iter()
+            .map(|&(number, round, endpoint)| Blame {
+                fingerprint: request(number),
+                round,
+                ended: vec![engine(endpoint)],
+                age_ms: 0,
+            })
+            .collect();
+        let mut first = Ledger::default();
+        let mut second = Ledger::default();
+        let turned = seed.index(blames.len());
+
+        for blame in &blames {
+            first.hear(NOW, blame);
+        }
+        for blame in blames[turned..].iter().chain(&blames).rev() {
+            second.hear(NOW, blame);
+        }
+
+        prop_assert_eq!(first.digest(), second.digest());
+        for number in 0..4 {
+            prop_assert_eq!(first.ended(request(number)), second.ended(request(number)));
+        }
+    }
+}
+
+fn turn(run: u64) -> Turn {
+    Turn {
+        fingerprint: request(1),
+        run,
+    }
+}
+
+fn asks(run: u64) -> TurnReport {
+    TurnReport {
+        asks: vec![turn(run)],
+        ..TurnReport::default()
+    }
+}
+
+/// A home that has listened long enough.
+fn home() -> Turns<u16> {
+    Turns::new(Time::ZERO)
+}
+
+#[test]
+fn one_run_has_the_turn_until_it_ends() {
+    let mut home = home();
+    assert_eq!(home.hear(NOW, 1, &asks(7)).given, [turn(7)]);
+    assert_eq!(home.hear(NOW, 2, &asks(8)).waiting, [turn(8)]);
+    let ends = TurnReport {
+        ends: vec![turn(7)],
+        ..TurnReport::default()
+    };
+    home.hear(NOW, 1, &ends);
+
+    assert_eq!(home.hear(NOW, 2, &asks(8)).given, [turn(8)]);
+}
+
+#[test]
+fn an_instance_that_falls_silent_loses_its_turn() {
+    let mut home = home();
+    home.hear(NOW, 1, &asks(7));
+
+    let later = NOW + HOLD_FRESH;
+
+    assert_eq!(home.hear(later, 2, &asks(8)).given, [turn(8)]);
+}
+
+/// Symptom: two copies run at once. Sequence: a home starts anew while a suspect runs, and is asked
+/// before it hears of that. Cause: it took what it had not heard for what is not there.
+#[test]
+fn a_home_that_has_just_begun_gives_no_turn() {
+    let mut home = Turns::new(NOW);
+    assert_eq!(home.hear(NOW, 2, &asks(8)).waiting, [turn(8)]);
+    let holds = TurnReport {
+        holds: vec![turn(7)],
+        ..TurnReport::default()
+    };
+    let later = NOW + HOLD_FRESH;
+    home.hear(later, 1, &holds);
+
+    assert_eq!(home.hear(later, 2, &asks(8)).waiting, [turn(8)]);
+}
+
+/// Symptom: two copies wait for ever. Sequence: both ran when the request became a suspect, and
+/// both ask for the turn before they are sent once more. Cause: each still counted as running.
+#[test]
+fn two_that_ask_do_not_wait_for_each_other() {
+    let mut home = home();
+    for (by, run) in [(1, 7), (2, 8)] {
+        let holds = TurnReport {
+            holds: vec![turn(run)],
+            ..TurnReport::default()
+        };
+        home.hear(NOW, by, &holds);
+    }
+    assert_eq!(home.hear(NOW, 1, &asks(7)).waiting, [turn(7)]);
+
+    assert_eq!(home.hear(NOW, 2, &asks(8)).given, [turn(8)]);
+}
+
+#[test]
+fn a_suspect_is_not_sent_where_no_home_answers() {
+    let patience = Duration::from_millis(25);
+    let mut runs = Runs::new(patience);
+    runs.begin(turn(7));
+    let mut now = NOW;
+    assert_eq!(runs.admit(now, turn(7), Standing::Suspect), Admission::Wait);
+
+    for _ in 0..3 {
+        now += patience;
+        assert!(runs.due(now, request(1), Standing::Suspect).is_unanswered);
+    }
+
+    assert_eq!(
+        runs.admit(now, turn(7), Standing::Suspect),
+        Admission::NoHome
+    );
+}
--- a/crates/oriolemux/src/peers.rs
+++ b/crates/oriolemux/src/peers.rs
@@ -237,9 +237,13 @@
     ///
     /// It goes as several frames if it is too long for one.
     pub fn send(&self, to: InstanceKey, envelope: &PeerEnvelope) -> SendOutcome {
-        let Some(queue) = self.shared.queue(to) else {
+        let Some((queue, version)) = self.shared.queue(to) else {
             return SendOutcome::NoLink;
         };
+        let Some(envelope) = envelope.spoken_in(version) else {
+            return SendOutcome::Queued;
+        };
+        let envelope = &*envelope;
         let mut frames = Vec::with_capacity(1);
         let too_long = encode_frames(envelope, self.shared.cfg().max_frame, &mut frames);
         let mut dropped = too_long;
--- a/crates/oriolemux/src/peers/accept.rs
+++ b/crates/oriolemux/src/peers/accept.rs
@@ -59,9 +59,10 @@
     let _ = io.set_nodelay(true);
     let limit = shared.cfg().connect_timeout;
     let accepted = timeout(limit, auth::accept(&mut io, shared.cfg())).await;
-    let peer = accepted.unwrap_or(Err(Rejection::TooSlow))?;
+    let greeted = accepted.unwrap_or(Err(Rejection::TooSlow))?;
     drop(place);
-    let registration = shared.register(peer, peer.instance).await?;
+    let dialler = greeted.peer.instance;
+    let registration = shared.register(greeted, dialler).await?;
     run_link(shared, registration, io, Role::Accepted).await;
     Ok(())
 }
--- a/crates/oriolemux/src/peers/auth.rs
+++ b/crates/oriolemux/src/peers/auth.rs
@@ -27,7 +27,7 @@
 pub const VERSION_MIN: u16 = 1;
 
 /// The highest version that this build speaks.
-pub const VERSION_MAX: u16 = 1;
+pub const VERSION_MAX: u16 = 2;
 
 const MAGIC: [u8; 8] = *b"oriolmx\0";
 const NONCE_BYTES: usize = 32;
@@ -148,12 +148,20 @@
     io.flush().await.map_err(|_| Rejection::Closed)
 }
 
+/// Who is at the other side of a connection, and what is spoken with it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Greeted {
+    pub peer: PeerId,
+    /// The version that was chosen.
+    pub version: u16,
+}
+
 /// Authenticates the connection that this side dialled to reach `wanted`.
 pub(super) async fn dial<Io: AsyncRead + AsyncWrite + Unpin>(
     io: &mut Io,
     cfg: &PeersConfig,
     wanted: InstanceKey,
-) -> Result<PeerId, Rejection> {
+) -> Result<Greeted, Rejection> {
     let hello = Hello {
         versions: (VERSION_MIN, VERSION_MAX),
         from: cfg.id(),
@@ -181,7 +189,10 @@
     fixed.copy_from_slice(identity);
     let peer = decode_identity(&fixed);
     if peer.instance == wanted {
-        Ok(peer)
+        Ok(Greeted {
+            peer,
+            version: chosen,
+        })
     } else {
         Err(Rejection::WrongInstance)
     }
@@ -191,7 +202,7 @@
 pub(super) async fn accept<Io: AsyncRead + AsyncWrite + Unpin>(
     io: &mut Io,
     cfg: &PeersConfig,
-) -> Result<PeerId, Rejection> {
+) -> Result<Greeted, Rejection> {
     let bytes: [u8; HELLO_BYTES] = read(io).await?;
     let hello = Hello::decode(&bytes).ok_or(Rejection::NotAPeer)?;
     let chosen = common_version((VERSION_MIN, VERSION_MAX), hello.versions);
@@ -215,5 +226,8 @@
     welcome[..IDENTITY_BYTES].copy_from_slice(&identity);
     welcome[IDENTITY_BYTES..].copy_from_slice(&proof);
     write(io, &welcome).await?;
-    Ok(hello.from)
+    Ok(Greeted {
+        peer: hello.from,
+        version: chosen,
+    })
 }
--- a/crates/oriolemux/src/peers/dial.rs
+++ b/crates/oriolemux/src/peers/dial.rs
@@ -1,10 +1,11 @@
 //! Dialling peers, with pauses that grow and differ.
 
+use super::auth::Greeted;
 use super::link::{LinkContext, LinkEnd, Traffic, close_when_idle, run_accepted, run_dialled};
 use super::table::{DialState, Registration, Shared};
 use super::{PeersConfig, Rejection, auth};
 use core::time::Duration;
-use oriolemux_core::event::{PeerId, PeerTarget};
+use oriolemux_core::event::PeerTarget;
 use oriolemux_core::ids::InstanceKey;
 use rand::Rng;
 use std::sync::Arc;
@@ -68,12 +69,15 @@
     }
 }
 
-async fn connect(cfg: &PeersConfig, target: &PeerTarget) -> Result<(TcpStream, PeerId), Rejection> {
+async fn connect(
+    cfg: &PeersConfig,
+    target: &PeerTarget,
+) -> Result<(TcpStream, Greeted), Rejection> {
     let io = TcpStream::connect(target.address).await;
     let mut io = io.map_err(|_| Rejection::Closed)?;
     let _ = io.set_nodelay(true);
-    let peer = auth::dial(&mut io, cfg, target.key).await?;
-    Ok((io, peer))
+    let greeted = auth::dial(&mut io, cfg, target.key).await?;
+    Ok((io, greeted))
 }
 
 /// Which side of a connection this process is.
--- a/crates/oriolemux/src/peers/table.rs
+++ b/crates/oriolemux/src/peers/table.rs
@@ -1,5 +1,6 @@
 //! Which links exist and which are wanted.
 
+use super::auth::{Greeted, VERSION_MIN};
 use super::link::LinkEnd;
 use super::queue::Queue;
 use super::{PeerEvent, PeersConfig, Rejection};
@@ -43,6 +44,8 @@
     queue: Arc<Queue>,
     live: Option<Live>,
     replaced: Vec<Incarnation>,
+    /// The version that is spoken with it, or was last.
+    version: u16,
     changed: Arc<Notify>,
 }
 
@@ -54,6 +57,7 @@
             queue: Arc::new(Queue::new(cfg.max_queued_frames)),
             live: None,
             replaced: Vec::new(),
+            version: VERSION_MIN,
             changed: Arc::default(),
         }
     }
@@ -179,11 +183,12 @@
     }
 
     /// Returns the queue of a peer that is linked or is to be.
-    pub fn queue(&self, key: InstanceKey) -> Option<Arc<Queue>> {
+    /// Returns what waits for a peer, and the version that is spoken with it.
+    pub fn queue(&self, key: InstanceKey) -> Option<(Arc<Queue>, u16)> {
         let table = self.table();
         let entry = table.entries.get(&key)?;
         let usable = entry.live.is_some() || entry.target.is_some();
-        usable.then(|| Arc::clone(&entry.queue))
+        usable.then(|| (Arc::clone(&entry.queue), entry.version))
     }
 
     pub fn links(&self) -> usize {
@@ -223,14 +228,14 @@
     /// Takes an authenticated connection as the link to its peer.
     pub async fn register(
         &self,
-        peer: PeerId,
+        greeted: Greeted,
         dialler: InstanceKey,
     ) -> Result<Registration, Rejection> {
         let _order = self.order.lock().await;
         if self.closing.is_cancelled() {
             return Err(Rejection::Closed);
         }
-        let (registration, told) = self.table().register(&self.cfg, peer, dialler)?;
+        let (registration, told) = self.table().register(&self.cfg, greeted, dialler)?;
         for event in told {
             let _ = self.events.send(event).await;
         }
@@ -293,9 +298,10 @@
     fn register(
         &mut self,
         cfg: &PeersConfig,
-        peer: PeerId,
+        greeted: Greeted,
         dialler: InstanceKey,
     ) -> Result<(Registration, Vec<PeerEvent>), Rejection> {
+        let peer = greeted.peer;
         let entry = self.entries.entry(peer.instance);
         let entry = entry.or_insert_with(|| Entry::new(cfg));
         if entry.replaced.contains(&peer.incarnation) {
@@ -321,6 +327,7 @@
             serial: live.serial,
         };
         entry.live = Some(live);
+        entry.version = greeted.version;
         entry.changed.notify_waiters();
         Ok((registration, told))
     }
--- a/crates/oriolemux/tests/endpoints_send.rs
+++ b/crates/oriolemux/tests/endpoints_send.rs
@@ -255,3 +255,18 @@
          \"attempt_id\":\"r-0000000000000001-0000000000000002-1.1\"}"
     );
 }
+
+/// Symptom: a request that ends its endpoint is sent to the next one. Sequence: the connection ends
+/// with the process. Cause: that looked like an answer that was lost.
+#[tokio::test]
+async fn tells_an_endpoint_that_ended_from_one_that_lives() {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let endpoint = dispatch(attempt(1), plan(address)).endpoint;
+    let lives = !protocol().has_ended(&endpoint).await;
+
+    drop(listener);
+
+    assert!(lives);
+    assert!(protocol().has_ended(&endpoint).await);
+}
