Only a look that finds nobody, a vanished entry or another life prove that an endpoint ended

Cause, found by reading the diff: what could not be told at first became certain with the next connection that could not be made, also one that timed out, so that an instance cut off from engines would have blamed what it had sent them. Change: it becomes certain when the entry vanishes, another life is published, or a later look finds nobody.

Ruled out: that a timed-out connection is worth anything as evidence beside a look at the moment of the end.

--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -172,7 +172,14 @@
     /// Takes in what was published about an endpoint; returns the endpoints that began to
     /// leave.
     pub fn publish_endpoint(&mut self, now: Time, record: EndpointRecord) -> Vec<EndpointKey> {
-        self.endpoints.publish(now, record)
+        let name = record.name.clone();
+        let before = self.endpoints.newest(&name);
+        let began = self.endpoints.publish(now, record);
+        if self.endpoints.newest(&name) != before {
+            // Another life is there now, so that the one before ended.
+            self.endpoints_ended(now, before.as_slice());
+        }
+        began
     }
 
     /// Takes in that an endpoint's entry vanished; returns the endpoint if it began to
--- a/crates/core/src/gateway/state/suspects.rs
+++ b/crates/core/src/gateway/state/suspects.rs
@@ -21,9 +21,9 @@
         turn
     }
 
-    /// Takes a request out that runs no longer.
-    pub fn end_run(&mut self, turn: Turn) {
-        self.suspects.runs.end(turn);
+    /// Takes a request out that runs no longer; returns whether its homes are to be told soon.
+    pub fn end_run(&mut self, turn: Turn) -> bool {
+        self.suspects.runs.end(turn)
     }
 
     /// Returns whether a request may be sent to an endpoint now. A suspect that has no turn asks
@@ -61,6 +61,7 @@
         if self.leaving_since(place.key).is_some() {
             return false;
         }
+        self.endpoints_ended(now, &[place.key]);
         self.blame(now, fingerprint, place.key)
     }
 
@@ -68,7 +69,7 @@
     /// whether the endpoint did.
     pub fn may_have_ended_with(&mut self, now: Time, fingerprint: Fingerprint, place: &Place) {
         if self.leaving_since(place.key).is_none() {
-            self.suspects.keep_open(now, fingerprint, place.key);
+            self.suspects.keep_undecided(now, fingerprint, place.key);
         }
     }
 
@@ -76,7 +77,7 @@
     /// certain.
     pub fn endpoints_ended(&mut self, now: Time, endpoints: &[EndpointKey]) {
         for &endpoint in endpoints {
-            for fingerprint in self.suspects.take_open(endpoint) {
+            for fingerprint in self.suspects.take_undecided(endpoint) {
                 self.blame(now, fingerprint, endpoint);
             }
         }
--- a/crates/core/src/gateway/suspects.rs
+++ b/crates/core/src/gateway/suspects.rs
@@ -15,10 +15,10 @@
 
 /// How long a request whose connection ended is kept in mind, when it could not be told whether
 /// its endpoint ended too: the entry of one that did lapses within some 4 s.
-const OPEN_FOR: Duration = Duration::from_secs(10);
+const UNDECIDED_FOR: Duration = Duration::from_secs(10);
 
 /// Such requests that are kept in mind at most.
-const MAX_OPEN: usize = 256;
+const MAX_UNDECIDED: usize = 256;
 
 /// How often an instance that knows other suspects is told at once of those that ended the
 /// most endpoints.
@@ -26,7 +26,7 @@
 
 /// A request whose connection ended, with its endpoint.
 #[derive(Clone, Copy, Debug)]
-struct Open {
+struct Undecided {
     at: Time,
     fingerprint: Fingerprint,
     endpoint: EndpointKey,
@@ -42,7 +42,7 @@
     /// What this instance knows as a home.
     pub(super) turns: Turns<SocketAddrV4>,
     /// Connections that ended, of which it is not known whether their endpoint did.
-    open: Vec<Open>,
+    undecided: Vec<Undecided>,
     /// When an instance was told at once of all suspects.
     pub(super) told_all: Option<Time>,
     /// Whether the ledger has changed since those who wait were told.
@@ -57,7 +57,7 @@
             ledger: Ledger::default(),
             runs: Runs::new(HOME_PATIENCE),
             turns: Turns::new(now),
-            open: Vec::new(),
+            undecided: Vec::new(),
             told_all: None,
             changed: false,
             ticked: now,
@@ -65,9 +65,14 @@
     }
 
     /// Keeps in mind that a connection ended.
-    pub(super) fn keep_open(&mut self, now: Time, fingerprint: Fingerprint, endpoint: EndpointKey) {
-        if self.open.len() < MAX_OPEN {
-            self.open.push(Open {
+    pub(super) fn keep_undecided(
+        &mut self,
+        now: Time,
+        fingerprint: Fingerprint,
+        endpoint: EndpointKey,
+    ) {
+        if self.undecided.len() < MAX_UNDECIDED {
+            self.undecided.push(Undecided {
                 at: now,
                 fingerprint,
                 endpoint,
@@ -77,11 +82,11 @@
 
     /// Returns the requests whose connection to `endpoint` ended, now that it is known to have
     /// ended itself.
-    pub(super) fn take_open(&mut self, endpoint: EndpointKey) -> Vec<Fingerprint> {
-        let (of, rest): (Vec<Open>, Vec<Open>) = core::mem::take(&mut self.open)
+    pub(super) fn take_undecided(&mut self, endpoint: EndpointKey) -> Vec<Fingerprint> {
+        let (of, rest): (Vec<Undecided>, Vec<Undecided>) = core::mem::take(&mut self.undecided)
             .into_iter()
             .partition(|it| it.endpoint == endpoint);
-        self.open = rest;
+        self.undecided = rest;
         of.into_iter().map(|it| it.fingerprint).collect()
     }
 
@@ -108,6 +113,6 @@
         self.ticked = now;
         self.ledger.tick(now);
         self.turns.tick(now);
-        self.open.retain(|it| now.since(it.at) < OPEN_FOR);
+        self.undecided.retain(|it| now.since(it.at) < UNDECIDED_FOR);
     }
 }
--- a/crates/core/src/node/suspects.rs
+++ b/crates/core/src/node/suspects.rs
@@ -93,8 +93,7 @@
 
     /// Takes out a request that is over.
     pub(super) fn end_run(&mut self, request: &Request) {
-        self.suspects.runs.end(turn_of(request));
-        if !self.suspects.runs.none_ended() {
+        if self.suspects.runs.end(turn_of(request)) {
             self.timers.set(self.now, TimerKind::Turns);
         }
     }
--- a/crates/core/src/suspects/runs.rs
+++ b/crates/core/src/suspects/runs.rs
@@ -141,10 +141,10 @@
         }
     }
 
-    /// Takes a run out.
-    pub fn end(&mut self, turn: Turn) {
+    /// Takes a run out; returns whether homes are to be told.
+    pub fn end(&mut self, turn: Turn) -> bool {
         let Some(runs) = self.runs.get_mut(&turn.fingerprint) else {
-            return;
+            return false;
         };
         let run = runs.remove(&turn.run);
         if runs.is_empty() {
@@ -155,6 +155,7 @@
         if homes_know {
             self.ended.push(turn);
         }
+        homes_know
     }
 
     /// Takes in what a home answered.
--- a/crates/core/tests/gateway_suspects.rs
+++ b/crates/core/tests/gateway_suspects.rs
@@ -7,10 +7,10 @@
 
 use core::time::Duration;
 use fleet::Fleet;
-use instances::address;
+use instances::{address, engine};
 use oriolemux_core::fingerprint::{Fingerprint, Identity};
-use oriolemux_core::gateway::Gateway;
 use oriolemux_core::gateway::state::Place;
+use oriolemux_core::gateway::{EndpointRecord, Gateway};
 use oriolemux_core::suspects::{Admission, REFUSED_FOR, Turn};
 use oriolemux_core::{EndpointKey, Time};
 use rstest::rstest;
@@ -420,3 +420,69 @@
     assert_eq!(scene.ended.len(), 3);
     assert!(scene.refused > 40, "{} are refused", scene.refused);
 }
+
+/// An instance whose connection to an endpoint ended, without knowing whether the endpoint did.
+fn undecided() -> (Gateway, EndpointKey) {
+    let mut gateway = instances::gateway(1);
+    let record = engine("e-1");
+    gateway.publish_endpoint(Time::from_secs(1), record.clone());
+    let key = record.key();
+    let place = gateway.place_at(key).expect("it takes work");
+    gateway.may_have_ended_with(Time::from_secs(2), fingerprint("fatal"), &place);
+    assert_eq!(gateway.ended_by(fingerprint("fatal")), 0);
+    (gateway, key)
+}
+
+#[test]
+fn an_endpoint_whose_entry_vanishes_had_ended() {
+    let (mut gateway, _) = undecided();
+
+    gateway.endpoint_vanished(Time::from_secs(5), "e-1");
+
+    assert_eq!(gateway.ended_by(fingerprint("fatal")), 1);
+}
+
+#[test]
+fn an_endpoint_that_started_again_had_ended() {
+    let (mut gateway, _) = undecided();
+
+    gateway.publish_endpoint(
+        Time::from_secs(4),
+        EndpointRecord {
+            born: Some(7),
+            ..engine("e-1")
+        },
+    );
+
+    assert_eq!(gateway.ended_by(fingerprint("fatal")), 1);
+}
+
+/// Symptom: a sound request counts as one that ended its endpoint. Sequence: its connection is
+/// lost with a link; much later the endpoint is replaced as planned. Cause: what could not be told was kept for good.
+#[test]
+fn what_is_not_decided_soon_blames_nobody() {
+    let (mut gateway, _) = undecided();
+    gateway.tick(Time::from_secs(13));
+
+    gateway.endpoint_vanished(Time::from_secs(14), "e-1");
+
+    assert_eq!(gateway.ended_by(fingerprint("fatal")), 0);
+}
+
+/// What ends as it said it would is nobody's fault.
+#[test]
+fn an_endpoint_that_was_leaving_blames_nobody() {
+    let (mut gateway, key) = undecided();
+    let place = gateway.place_at(key).expect("it takes work");
+    gateway.publish_endpoint(
+        Time::from_secs(4),
+        EndpointRecord {
+            leaving: true,
+            ..engine("e-1")
+        },
+    );
+
+    gateway.ended_with(Time::from_secs(5), fingerprint("other"), &place);
+
+    assert_eq!(gateway.ended_by(fingerprint("other")), 0);
+}
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -234,15 +234,23 @@
             Reason::TurnTaken if self.attempts.may_have_run() => Reason::AnswerLost,
             reason => reason,
         };
+        self.note_failed("-", reason);
         self.job.refuse(reason)
     }
 
+    fn note_failed(&self, endpoint: &str, reason: Reason) {
+        note!(CallFailed, attempt = self.job.name(), entry = self.job.entry().name.as_str(),
+            endpoint = endpoint, reason:% = reason,
+            ms = self.job.arrived.elapsed().as_millis() as u64);
+    }
+
     fn no_place(&self, why: NoPlace) -> Response<AnswerBody> {
         let reason = match why {
             _ if self.attempts.may_have_run() => Reason::AnswerLost,
             NoPlace::NoEndpoint => Reason::NoEndpoint,
             NoPlace::Full => Reason::EndpointsFull,
         };
+        self.note_failed("-", reason);
         self.job.refuse(reason)
     }
 
@@ -265,9 +273,7 @@
             Attempt::Timeout => Reason::Timeout,
             Attempt::Refused => Reason::EndsEndpoints,
         };
-        note!(CallFailed, attempt = self.job.name(), entry = self.job.entry().name.as_str(),
-            endpoint = place.name.as_str(), reason:% = reason,
-            ms = self.job.arrived.elapsed().as_millis() as u64);
+        self.note_failed(&place.name, reason);
         self.job.refuse(reason)
     }
 }
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -121,10 +121,7 @@
     /// Notes that no connection to an endpoint could be made.
     pub fn note_unreachable(&self, place: &Place) {
         let now = self.cx.now();
-        let mut state = self.cx.state();
-        state.endpoints_ended(now, &[place.key]);
-        let passed_over = state.endpoints.on_unreachable(now, place.key);
-        drop(state);
+        let passed_over = self.cx.state().endpoints.on_unreachable(now, place.key);
         note_passed_over(place, passed_over);
     }
 
--- a/crates/gateway/src/turn.rs
+++ b/crates/gateway/src/turn.rs
@@ -47,7 +47,10 @@
 
 impl<W: Wire> Drop for Run<W> {
     fn drop(&mut self) {
-        self.cx.state().end_run(self.turn);
+        let is_awaited = self.cx.state().end_run(self.turn);
+        if is_awaited {
+            self.cx.dirty.notify_one();
+        }
     }
 }
 
--- a/crates/oriolemux/src/story/cause.rs
+++ b/crates/oriolemux/src/story/cause.rs
@@ -44,14 +44,14 @@
         /// How often the call was sent.
         attempts: usize,
     },
-    /// refused: the same request {request} had ended {ended} endpoints that began it
+    /// refused: request {request} had ended {ended} endpoints that began it
     EndsEndpoints {
         /// What makes two attempts the same request.
         request: String,
         /// How many endpoints it had ended.
         ended: u64,
     },
-    /// its endpoint {endpoint} ended with it, as {ended} in all with request {request}
+    /// its endpoint {endpoint} ended while it began; endpoints that ended so with request {request}: {ended}
     EndedEndpoint {
         /// The endpoint.
         endpoint: String,
--- a/crates/oriolemux/tests/story.rs
+++ b/crates/oriolemux/tests/story.rs
@@ -44,6 +44,25 @@
     assert!(told > 0, "no stories");
 }
 
+/// The last line alone would say that it was not run, and not why.
+#[test]
+fn a_request_that_is_refused_for_what_it_did_is_told_so() {
+    let texts = [
+        r#"{"event":832,"time":"2026-03-29T00:52:10.000Z","message":"suspect_refused","attempt":"a","request":"c5","ended":3}"#,
+        r#"{"event":806,"time":"2026-03-29T00:52:10.000Z","message":"generation_refused","attempt":"a","reason":"ends_endpoints","ms":1}"#,
+    ];
+    let lines = texts.iter().filter_map(|text| LogLine::read("log", text));
+    let lines: Vec<LogLine> = lines.collect();
+
+    let story = Story::of("a", &lines).expect("a story");
+
+    let expected = Cause::EndsEndpoints {
+        request: "c5".to_owned(),
+        ended: 3,
+    };
+    assert_eq!(story.cause, expected);
+}
+
 /// Lines that a process cut off, that are no JSON, or that are of no numbered event are
 /// passed over; they end nothing.
 #[test]
