No message about suspects ends the instance that reads it

What was looked for: the same class on our own side, a datagram that ends the process which reads it and is told on to the next. Test: 32 series of up to twelve messages with any rounds, ages and numbers, up to 300 entries each; none ends an instance, no more than the bound is kept or told on. None was found. A comment says the order of a list.

--- a/crates/core/src/gateway/gossip.rs
+++ b/crates/core/src/gateway/gossip.rs
@@ -217,7 +217,7 @@
     leaving: BTreeMap<EndpointKey, Told<EndpointKey>>,
     beacons: BTreeMap<SocketAddrV4, Told<Beacon>>,
     blames: BTreeMap<Fingerprint, Told<Blame>>,
-    /// The order in which they came, from the end.
+    /// [`Outbox::blames`], the newest last.
     order: Vec<Fingerprint>,
     /// How many of [`Outbox::blames`] may be told now.
     allowance: f64,
--- a/crates/core/tests/gateway_suspects.rs
+++ b/crates/core/tests/gateway_suspects.rs
@@ -9,10 +9,14 @@
 use fleet::Fleet;
 use instances::{address, engine};
 use oriolemux_core::fingerprint::{Fingerprint, Identity};
+use oriolemux_core::gateway::gossip::Items;
 use oriolemux_core::gateway::state::Place;
-use oriolemux_core::gateway::{EndpointRecord, Gateway};
-use oriolemux_core::suspects::{Admission, REFUSED_FOR, Turn};
+use oriolemux_core::gateway::{Body, EndpointRecord, Gateway};
+use oriolemux_core::suspects::{
+    Admission, Blame, MAX_SUSPECTS, REFUSED_FOR, Turn, TurnAnswer, TurnReport,
+};
 use oriolemux_core::{EndpointKey, Time};
+use proptest::prelude::*;
 use rstest::rstest;
 use std::collections::BTreeSet;
 
@@ -469,6 +473,69 @@
     assert_eq!(gateway.ended_by(fingerprint("fatal")), 0);
 }
 
+fn told() -> impl Strategy<Value = Body> {
+    let turns = proptest::collection::vec((0u8..4, any::<u64>()), 0..300);
+    let turns = turns.prop_map(|turns| {
+        let turn = |(body, run): (u8, u64)| Turn {
+            fingerprint: fingerprint(&body.to_string()),
+            run,
+        };
+        turns.into_iter().map(turn).collect::<Vec<_>>()
+    });
+    let blame = (any::<u16>(), any::<u32>(), 0u64..20, any::<u32>());
+    let blames = proptest::collection::vec(blame, 0..300).prop_map(|blames| {
+        let blame = |(body, round, ended, age_ms): (u16, u32, u64, u32)| Blame {
+            fingerprint: fingerprint(&body.to_string()),
+            round,
+            ended: (0..ended).map(EndpointKey).collect(),
+            age_ms,
+        };
+        blames.into_iter().map(blame).collect::<Vec<_>>()
+    });
+    (turns, blames, 0u8..4).prop_map(|(turns, blames, kind)| match kind {
+        0 => Body::Suspects(blames),
+        1 => Body::Turns(TurnReport {
+            asks: turns.clone(),
+            holds: turns.clone(),
+            ends: turns,
+            blames,
+        }),
+        2 => Body::TurnAnswer(TurnAnswer {
+            given: turns.clone(),
+            waiting: turns,
+            blames,
+        }),
+        _ => Body::News(Items {
+            blames,
+            ..Items::default()
+        }),
+    })
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(32))]
+
+    /// Whatever is told, no instance ends by it, and what it keeps and tells on stays bounded: a
+    /// message that ends the process which reads it would be told on to the next.
+    #[test]
+    fn nothing_that_is_told_ends_an_instance(bodies in proptest::collection::vec(told(), 1..12)) {
+        let mut gateway = instances::gateway(1);
+        for (number, body) in bodies.into_iter().enumerate() {
+            let now = Time::from_millis(1_000 + 50 * number as u64);
+            let datagram = instances::datagram(2, 0, 0, body);
+            let heard = gateway.hear(now, datagram).expect("it is of the fleet");
+            let ticked = gateway.tick(now);
+            for (_, body) in heard.send.into_iter().chain(ticked.send) {
+                if let Body::News(items) = &body {
+                    prop_assert!(items.blames.len() <= 8);
+                }
+            }
+        }
+        let (suspects, _) = gateway.suspects.ledger.count(Time::from_secs(3));
+        prop_assert!(suspects <= MAX_SUSPECTS);
+    }
+}
+
 /// What ends as it said it would is nobody's fault.
 #[test]
 fn an_endpoint_that_was_leaving_blames_nobody() {
