--- a/crates/bench/src/policy/reclaim/carry.rs
+++ b/crates/bench/src/policy/reclaim/carry.rs
@@ -370,8 +370,7 @@
             let one = &self.generations[id];
             let takes_work = |copy: Option<Copy>| {
                 let key = copy.map(|copy| self.engines.all[copy.engine].key);
-                let endpoint = key.and_then(|key| self.endpoints.get(key));
-                endpoint.is_some_and(|endpoint| endpoint.takes_work())
+                key.is_some_and(|key| self.endpoints.is_usable(key))
             };
             let leaves = self.endpoints.get(self.engines.all[at].key);
             let leaves = leaves.and_then(|endpoint| endpoint.leaving_since());
--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -9,6 +9,7 @@
 //! | --- | --- |
 //! | [`catalogue`] | entries, services, workspaces and bounds of callers; finds the entry of a request |
 //! | [`replica`] | what the store published, merged by revision from reads and peers |
+//! | [`cordons`] | data centres that the operator closed to new work |
 //! | [`endpoints`] | which endpoints exist, which of them leave, which are not trusted |
 //! | [`lengths`] | how long a generation will still be |
 //! | [`usage`] | what this instance runs at each endpoint, and what others run as far as is known |
@@ -32,6 +33,7 @@
 pub mod catalogue;
 pub mod catch_up;
 pub mod choose;
+pub mod cordons;
 pub mod endpoints;
 pub mod gossip;
 pub mod home;
@@ -47,6 +49,7 @@
 
 pub use catalogue::{Catalogue, CatalogueSource, EntryId, HttpEntry, Repeat, ServiceId};
 pub use choose::Demand;
+pub use cordons::{Cordon, CordonEffect};
 pub use endpoints::{Endpoint, EndpointRecord, EndpointState};
 pub use gossip::{Body, Datagram};
 pub use replica::{Applied, Mark, Record, Replica};
--- a/crates/core/src/gateway/choose.rs
+++ b/crates/core/src/gateway/choose.rs
@@ -116,6 +116,8 @@
     NoEndpoint,
     /// All are full.
     Full,
+    /// All that there are lie in data centres that the operator closed to new work.
+    Cordoned,
 }
 
 /// Returns the endpoint with the least cost. `jitter` draws a number below one
@@ -149,7 +151,15 @@
     match chosen {
         Some(key) => Ok(key),
         None if full => Err(NoPlace::Full),
-        None => Err(NoPlace::NoEndpoint),
+        None => Err(why_none(world, demand.service)),
+    }
+}
+
+/// Returns why a service has no endpoint that may be chosen.
+fn why_none(world: World<'_>, service: &str) -> NoPlace {
+    match world.endpoints.is_service_cordoned(service) {
+        true => NoPlace::Cordoned,
+        false => NoPlace::NoEndpoint,
     }
 }
 
@@ -189,7 +199,7 @@
         })
         .collect();
     if engines.is_empty() {
-        return Err(NoPlace::NoEndpoint);
+        return Err(why_none(world, demand.service));
     }
     Ok(Seats { limits, engines })
 }
@@ -329,17 +339,10 @@
     demand: &Demand<'_>,
     trusted: impl Fn(&Endpoint) -> bool,
 ) -> impl Iterator<Item = &'w Endpoint> {
-    let fitting = move |endpoint: &&Endpoint| {
-        endpoint.takes_work()
-            && endpoint.record.service == demand.service
-            && !demand.exclude.contains(&endpoint.key)
-    };
-    let any_trusted = world.endpoints.iter().filter(fitting).any(&trusted);
-    world
-        .endpoints
-        .iter()
-        .filter(fitting)
-        .filter(move |endpoint| !any_trusted || trusted(endpoint))
+    let fitting = move |endpoint: &&Endpoint| !demand.exclude.contains(&endpoint.key);
+    let usable = || world.endpoints.usable_of(demand.service).filter(fitting);
+    let any_trusted = usable().any(&trusted);
+    usable().filter(move |endpoint| !any_trusted || trusted(endpoint))
 }
 
 fn fits(used: Used, tokens: u32, limits: EngineLimits, share: f64) -> bool {
--- a/crates/core/src/gateway/endpoints.rs
+++ b/crates/core/src/gateway/endpoints.rs
@@ -5,6 +5,7 @@
 //! by name and start. That makes leaving final: whoever hears of it first, from the
 //! store, a peer or the endpoint itself, is right for good about that life.
 
+use super::cordons::{Cordon, CordonEffect, Cordons};
 use crate::ids::EndpointKey;
 use crate::time::Time;
 use core::time::Duration;
@@ -125,8 +126,9 @@
 }
 
 impl Endpoint {
-    /// Returns whether new work may be sent to it.
-    pub fn takes_work(&self) -> bool {
+    /// Returns whether it takes new work by its own state. Whether its data centre is closed is
+    /// for the table to say: [`EndpointTable::is_usable`].
+    fn takes_work(&self) -> bool {
         matches!(
             self.state,
             EndpointState::Serving | EndpointState::Lapsed { .. }
@@ -165,6 +167,7 @@
     newest: BTreeMap<String, (Option<u64>, EndpointKey)>,
     /// Endpoints that are known to leave and of which nothing else is known.
     left: BTreeMap<EndpointKey, Time>,
+    cordons: Cordons,
 }
 
 impl EndpointTable {
@@ -285,6 +288,51 @@
         gone
     }
 
+    /// Takes in the operator's word about a data centre.
+    pub fn hear_cordon(&mut self, now: Time, cordon: &Cordon) -> CordonEffect {
+        self.cordons.hear(now, cordon)
+    }
+
+    /// Returns the operator's words about data centres.
+    pub fn cordons(&self) -> &Cordons {
+        &self.cordons
+    }
+
+    /// Returns whether the data centre of an endpoint is closed to new work.
+    pub fn is_cordoned(&self, key: EndpointKey) -> bool {
+        let endpoint = self.endpoints.get(&key);
+        endpoint.is_some_and(|it| self.cordons.is_closed(&it.record.data_centre))
+    }
+
+    /// Returns whether new work may be sent to an endpoint. Whoever sends, reserves or copies
+    /// something asks this, and asks again right before the first byte.
+    pub fn is_usable(&self, key: EndpointKey) -> bool {
+        self.usable(key).is_some()
+    }
+
+    /// Returns an endpoint if new work may be sent to it.
+    pub fn usable(&self, key: EndpointKey) -> Option<&Endpoint> {
+        let endpoint = self.endpoints.get(&key)?;
+        (endpoint.takes_work() && !self.is_cordoned(key)).then_some(endpoint)
+    }
+
+    /// Returns the endpoints of a service to which new work may be sent.
+    pub fn usable_of(&self, service: &str) -> impl Iterator<Item = &Endpoint> {
+        let taking = self.taking_of(service);
+        taking.filter(|it| !self.cordons.is_closed(&it.record.data_centre))
+    }
+
+    /// Returns whether nothing but cordons keeps a service from being used.
+    pub fn is_service_cordoned(&self, service: &str) -> bool {
+        self.taking_of(service).next().is_some() && self.usable_of(service).next().is_none()
+    }
+
+    /// Returns the endpoints of a service that would take new work if no data centre were closed.
+    fn taking_of(&self, service: &str) -> impl Iterator<Item = &Endpoint> {
+        let all = self.endpoints.values();
+        all.filter(move |it| it.record.service == service && it.takes_work())
+    }
+
     /// Returns an endpoint.
     pub fn get(&self, key: EndpointKey) -> Option<&Endpoint> {
         self.endpoints.get(&key)
@@ -300,6 +348,12 @@
         self.endpoints.values()
     }
 
+    /// Returns the endpoints in a data centre.
+    pub fn in_data_centre(&self, data_centre: &str) -> impl Iterator<Item = &Endpoint> {
+        let endpoints = self.endpoints.values();
+        endpoints.filter(move |it| it.record.data_centre == data_centre)
+    }
+
     /// Returns the endpoints of which the last that was seen here was a failure, to
     /// tell peers.
     pub fn failing(&self) -> impl Iterator<Item = EndpointKey> {
--- a/crates/core/src/gateway/gossip.rs
+++ b/crates/core/src/gateway/gossip.rs
@@ -7,6 +7,7 @@
 //! part of Plumtree and of SWIM's dissemination; `docs/design/large-fleets.md` has figures.
 
 use super::beacons::Beacon;
+use super::cordons::Cordon;
 use super::home::{Answer, Report};
 use super::members::Update;
 use crate::fingerprint::Fingerprint;
@@ -20,7 +21,7 @@
 /// The version of these messages and of [`News`](super::replica::News). Messages of another
 /// one are dropped and counted: while a fleet is updated, instances of both versions serve
 /// side by side, each with the peers of its own.
-pub const GOSSIP_VERSION: u8 = 7;
+pub const GOSSIP_VERSION: u8 = 8;
 
 /// Peers that are told news at once. With three of them 94 in 100 instances hear it in the
 /// first wave, within as many hops as the logarithm of the fleet.
@@ -56,6 +57,8 @@
     pub beacons: Vec<Beacon>,
     /// Which requests ended which endpoints.
     pub blames: Vec<Blame>,
+    /// Which data centres are closed to new work, or open again.
+    pub cordons: Vec<Cordon>,
 }
 
 impl Items {
@@ -65,6 +68,7 @@
             && self.leaving.is_empty()
             && self.beacons.is_empty()
             && self.blames.is_empty()
+            && self.cordons.is_empty()
     }
 }
 
@@ -216,6 +220,7 @@
     members: BTreeMap<SocketAddrV4, Told<Update>>,
     leaving: BTreeMap<EndpointKey, Told<EndpointKey>>,
     beacons: BTreeMap<SocketAddrV4, Told<Beacon>>,
+    cordons: BTreeMap<String, Told<Cordon>>,
     blames: BTreeMap<Fingerprint, Told<Blame>>,
     /// [`Outbox::blames`], the newest last.
     order: Vec<Fingerprint>,
@@ -237,6 +242,13 @@
         self.leaving.insert(endpoint, told);
     }
 
+    /// Takes in the operator's word about a data centre, among so many instances.
+    pub fn add_cordon(&mut self, cordon: Cordon, instances: usize) {
+        let name = cordon.data_centre.clone();
+        self.cordons
+            .insert(name, Told::new(cordon, tells(instances)));
+    }
+
     /// Takes in what an instance says that watches the store.
     pub fn add_beacon(&mut self, beacon: Beacon) {
         let told = Told::new(beacon, BEACON_TELLS);
@@ -267,6 +279,7 @@
         any_new(&self.members)
             || any_new(&self.leaving)
             || any_new(&self.beacons)
+            || any_new(&self.cordons)
             || (self.allowance >= 1.0 && any_new(&self.blames))
     }
 
@@ -277,6 +290,7 @@
             leaving: take(&mut self.leaving, peers),
             beacons: take(&mut self.beacons, peers),
             blames: self.take_blames(peers),
+            cordons: take(&mut self.cordons, peers),
         }
     }
 
@@ -318,8 +332,11 @@
     told.values().any(|it| it.is_new)
 }
 
-fn take<K: Ord + Copy, T: Clone>(told: &mut BTreeMap<K, Told<T>>, peers: u32) -> Vec<T> {
-    let mut keys: Vec<(u32, K)> = told.iter().map(|(key, it)| (it.left, *key)).collect();
+fn take<K: Ord + Clone, T: Clone>(told: &mut BTreeMap<K, Told<T>>, peers: u32) -> Vec<T> {
+    let mut keys: Vec<(u32, K)> = told
+        .iter()
+        .map(|(key, it)| (it.left, key.clone()))
+        .collect();
     keys.sort_by_key(|(left, _)| core::cmp::Reverse(*left));
     keys.truncate(MAX_ITEMS);
     let keys: Vec<K> = keys.into_iter().map(|(_, key)| key).collect();
--- a/crates/core/src/gateway/home.rs
+++ b/crates/core/src/gateway/home.rs
@@ -14,7 +14,7 @@
 use super::ask::{Decision, Want, Wish};
 use super::catalogue::EngineLimits;
 use super::choose::{Demand, NoPlace, World, choose, choose_copy};
-use super::endpoints::{Endpoint, EndpointTable};
+use super::endpoints::EndpointTable;
 use super::queue::{Asking, MAX_WAITING, assign, service_hash};
 use super::usage::{Others, UsageTable, Used};
 use crate::ids::{EndpointKey, Incarnation};
@@ -154,7 +154,7 @@
     /// Decides about all wishes, and returns what instances are to be told.
     pub fn decide(&mut self, now: Time, engines: Engines<'_>) -> Vec<(SocketAddrV4, Answer)> {
         let service = service_hash(engines.service);
-        self.release_what_leaves(engines.endpoints);
+        self.release_unusable(engines.endpoints);
         let mut others = self.others(now, None);
         let mut decided = Decided::new();
         self.decide_at_once(now, engines, &mut others, &mut decided);
@@ -190,12 +190,13 @@
         send
     }
 
-    /// Gives up what was granted at engines that leave. A request whose engine began to leave
-    /// while its grant was under way asks again, and must not be granted the same one.
-    fn release_what_leaves(&mut self, endpoints: &EndpointTable) {
-        let takes_work = |key: EndpointKey| endpoints.get(key).is_some_and(Endpoint::takes_work);
+    /// Gives up what was granted at engines that leave or whose data centre was closed. A request
+    /// that cannot take its grant for that asks again, and must not be granted the same one.
+    fn release_unusable(&mut self, endpoints: &EndpointTable) {
         for reporter in self.reporters.values_mut() {
-            reporter.reserved.retain(|_, (key, _)| takes_work(*key));
+            reporter
+                .reserved
+                .retain(|_, (key, _)| endpoints.is_usable(*key));
         }
     }
 
--- a/crates/core/src/gateway/queue.rs
+++ b/crates/core/src/gateway/queue.rs
@@ -136,16 +136,17 @@
     let all: Vec<&Asking> = waiting.collect();
     let mut order: Vec<usize> = (0..all.len()).collect();
     order.sort_by_key(|&at| all[at].wish.waiter.order(world.now));
-    let mut places = vec![Err(NoPlace::NoEndpoint); all.len()];
     let demand = Demand {
         service: engines.service,
         engine: Some(engines.limits),
         tokens: 0,
         exclude: &[],
     };
-    let Ok(mut seats) = seats(world, &demand) else {
-        return places;
+    let mut seats = match seats(world, &demand) {
+        Ok(seats) => seats,
+        Err(why) => return vec![Err(why); all.len()],
     };
+    let mut places = vec![Err(NoPlace::NoEndpoint); all.len()];
     let mut is_kept = false;
     for at in order {
         places[at] = seats.give(all[at]);
--- a/crates/core/src/gateway/relocation.rs
+++ b/crates/core/src/gateway/relocation.rs
@@ -277,6 +277,12 @@
         self.ahead_from = now + pause;
     }
 
+    /// Notes that the copy ahead cannot be used, because its engine was withdrawn.
+    pub fn ahead_withdrawn(&mut self) {
+        self.ahead = Ahead::default();
+        self.ahead_from = Time::ZERO;
+    }
+
     /// Notes that no engine has room for a copy ahead.
     pub fn ahead_impossible(&mut self, now: Time) {
         self.ahead_from = now + AHEAD_PAUSE;
--- a/crates/core/src/gateway/replica.rs
+++ b/crates/core/src/gateway/replica.rs
@@ -109,6 +109,17 @@
         self.revision == 0
     }
 
+    /// Returns whether a key is known to be there.
+    pub fn has(&self, key: &str) -> bool {
+        let known = self.records.get(key);
+        known.is_some_and(|it| it.record.value.is_some())
+    }
+
+    /// Returns whether everything was read once.
+    pub fn is_whole(&self) -> bool {
+        self.complete_since > 0
+    }
+
     /// Returns a hash of the meaning of all records: equal where two replicas say the same,
     /// however many heartbeats lie between their revisions.
     pub fn digest(&self) -> u64 {
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -11,7 +11,8 @@
 use super::budget::{BudgetConfig, SharedBudget};
 use super::catalogue::{Catalogue, CatalogueFinding, CatalogueSource};
 use super::catch_up::CatchUp;
-use super::endpoints::{Endpoint, EndpointRecord, EndpointTable};
+use super::cordons::{Cordon, CordonEffect};
+use super::endpoints::{EndpointRecord, EndpointTable};
 use super::gossip::{Body, Outbox};
 use super::home::Home;
 use super::lengths::LengthTable;
@@ -222,7 +223,16 @@
 
     /// Returns whether callers can be served.
     pub fn is_ready(&self) -> bool {
-        self.catalogue.is_some() && !self.stopping
+        self.servable().is_some() && !self.stopping
+    }
+
+    /// Returns the catalogue in force once everything that the store published was read, by
+    /// this instance or by a peer.
+    ///
+    /// What goes wrong otherwise: an instance that has read the first page serves callers before
+    /// it knows which data centres are closed.
+    pub fn servable(&self) -> Option<&Arc<Catalogue>> {
+        self.catalogue.as_ref().filter(|_| self.replica.is_whole())
     }
 
     /// Begins the planned stop.
@@ -258,9 +268,20 @@
         self.endpoints.get(key)?.leaving_since()
     }
 
-    /// Returns whether an endpoint is there and takes work.
-    pub fn takes_work(&self, key: EndpointKey) -> bool {
-        self.endpoints.get(key).is_some_and(Endpoint::takes_work)
+    /// Returns whether new work may be sent to an endpoint.
+    pub fn is_usable(&self, key: EndpointKey) -> bool {
+        self.endpoints.is_usable(key)
+    }
+
+    /// Takes in what the store says about a data centre; returns what that is to this instance.
+    /// Peers are told of it soon.
+    pub fn publish_cordon(&mut self, now: Time, cordon: Cordon) -> CordonEffect {
+        let heard = self.endpoints.hear_cordon(now, &cordon);
+        if heard != CordonEffect::Outdated {
+            let instances = self.instances();
+            self.outbox.add_cordon(cordon, instances);
+        }
+        heard
     }
 
     /// Notes a load that an endpoint told.
--- a/crates/core/src/gateway/state/peers.rs
+++ b/crates/core/src/gateway/state/peers.rs
@@ -4,6 +4,7 @@
 use crate::gateway::ask::REPORT_AGAIN;
 use crate::gateway::beacons::{BEACON_INTERVAL, Beacon, reader_rank};
 use crate::gateway::catch_up::{NotTold, Teller};
+use crate::gateway::cordons::{Cordon, CordonEffect};
 use crate::gateway::gossip::{Body, Datagram, FAN_OUT, GOSSIP_VERSION, Items};
 use crate::gateway::members::{Change, Member};
 use crate::gateway::reader::{READER_FRESH, READERS, Step};
@@ -50,6 +51,9 @@
 pub struct Heard {
     /// Endpoints that began to leave.
     pub leaving: Vec<EndpointKey>,
+    /// Words of the operator about data centres that were not known, and what they are to this
+    /// instance.
+    pub cordons: Vec<(Cordon, CordonEffect)>,
     /// Whether the sender was not there before in this life.
     pub is_new: bool,
     /// Instances that count as gone now.
@@ -180,6 +184,12 @@
                 self.outbox.add_beacon(beacon);
             }
         }
+        for cordon in news.cordons {
+            let told = self.publish_cordon(now, cordon.clone());
+            if told != CordonEffect::Outdated {
+                heard.cordons.push((cordon, told));
+            }
+        }
         self.hear_blames(now, &news.blames);
     }
 
@@ -298,6 +308,7 @@
             news.leaving.append(&mut items.leaving);
             news.beacons.append(&mut items.beacons);
             news.blames.append(&mut items.blames);
+            news.cordons.append(&mut items.cordons);
         }
         if let Body::Probe { suspects, .. } = &mut body {
             *suspects = self.suspects.ledger.digest();
--- a/crates/core/src/gateway/state/places.rs
+++ b/crates/core/src/gateway/state/places.rs
@@ -69,10 +69,9 @@
         key.and_then(|key| self.place_at(key)).ok_or(NoPlace::Full)
     }
 
-    /// Returns an endpoint that takes work as a place.
+    /// Returns an endpoint to which new work may be sent as a place.
     pub fn place_at(&self, key: EndpointKey) -> Option<Place> {
-        let endpoint = self.endpoints.get(key).filter(|it| it.takes_work());
-        endpoint.map(Place::of)
+        self.endpoints.usable(key).map(Place::of)
     }
 
     /// Asks for a place.
--- /dev/null
+++ b/crates/core/tests/gateway_cordons.rs
@@ -0,0 +1,339 @@
+//! Data centres that the operator closed to new work: how the word spreads, and who obeys it.
+
+#[path = "fixtures/gateway_fleet.rs"]
+mod fleet;
+#[path = "fixtures/gateway.rs"]
+mod instances;
+
+use core::time::Duration;
+use fleet::Fleet;
+use oriolemux_core::gateway::ask::{Decision, Verdict, Want, Wish};
+use oriolemux_core::gateway::catalogue::{CatalogueSource, EngineLimits, Service};
+use oriolemux_core::gateway::choose::{CopyKind, NoPlace};
+use oriolemux_core::gateway::queue::{Waiter, service_hash};
+use oriolemux_core::gateway::reader::WATCH_PAUSE;
+use oriolemux_core::gateway::{Cordon, CordonEffect, Demand, EndpointRecord, Gateway};
+use oriolemux_core::{EndpointKey, Time};
+use proptest::prelude::*;
+use rstest::rstest;
+
+const SEEDS: usize = 3;
+
+/// From the store's acknowledgement until a cordon is in force everywhere.
+const IN_FORCE: Duration = Duration::from_millis(500);
+
+/// The slowest answer of a store that is not in trouble.
+const STORE_ANSWER: Duration = Duration::from_millis(10);
+
+const ENGINE: EngineLimits = EngineLimits {
+    slots: 24,
+    memory_tokens: 20_000,
+    standing_copies: true,
+};
+
+fn cordon(data_centre: &str, revision: u64, is_closed: bool) -> Cordon {
+    Cordon {
+        data_centre: data_centre.to_owned(),
+        revision,
+        is_closed,
+    }
+}
+
+fn engine_in(name: &str, data_centre: &str) -> EndpointRecord {
+    EndpointRecord {
+        data_centre: data_centre.to_owned(),
+        ..instances::engine(name)
+    }
+}
+
+fn settled(size: usize, loss: f64) -> Fleet {
+    let mut fleet = Fleet::start(size, SEEDS, 7);
+    let joined = fleet.until_all_count(size, Duration::from_secs(20));
+    assert!(joined.is_some(), "{:?}", fleet.counts());
+    fleet.run(Duration::from_secs(1));
+    fleet.loss = loss;
+    fleet
+}
+
+/// Returns how many instances believe that a data centre is closed.
+fn believers(fleet: &Fleet, data_centre: &str) -> usize {
+    let cores = fleet.nodes.iter().filter_map(|it| it.core.as_ref());
+    cores
+        .filter(|it| it.endpoints.cordons().is_closed(data_centre))
+        .count()
+}
+
+/// Guards against instances that go on sending to a closed data centre, and against one that
+/// stays closed where it was opened, at the size that is designed for.
+#[rstest]
+#[case::few(6, 0.0)]
+#[case::some(64, 0.02)]
+#[case::large(195, 0.02)]
+#[case::planned(390, 0.02)]
+fn a_cordon_is_in_force_everywhere_within_half_a_second(#[case] size: usize, #[case] loss: f64) {
+    let mut fleet = settled(size, loss);
+    // What watches the store hears of a change that late.
+    let left = IN_FORCE - WATCH_PAUSE - STORE_ANSWER;
+
+    fleet.tell_cordon(0, &cordon("north", 10, true));
+    fleet.run(left);
+    let closed = believers(&fleet, "north");
+    fleet.tell_cordon(0, &cordon("north", 11, false));
+    fleet.run(left);
+    let open = size - believers(&fleet, "north");
+
+    assert_eq!((closed, open), (size, size));
+}
+
+/// Guards against news of a cordon that costs more where there are more instances.
+#[rstest]
+#[case::few(6)]
+#[case::large(195)]
+#[case::planned(390)]
+fn telling_of_a_cordon_is_bounded(#[case] size: usize) {
+    let usual = {
+        let mut fleet = settled(size, 0.0);
+        fleet.forget_sent();
+        fleet.run(Duration::from_secs(2));
+        fleet.nodes.iter().map(|it| it.sent.bytes).max()
+    };
+    let mut fleet = settled(size, 0.0);
+    fleet.forget_sent();
+
+    fleet.tell_cordon(0, &cordon("north", 10, true));
+    fleet.run(Duration::from_secs(2));
+
+    let busiest = fleet.nodes.iter().map(|it| it.sent.bytes).max();
+    let (usual, busiest) = (usual.expect("instances"), busiest.expect("instances"));
+    assert!(busiest <= usual + 2_048, "{usual} bytes, then {busiest}");
+}
+
+/// Guards against an instance that was away while a data centre was closed and opened, and that
+/// old news closes it to for good.
+#[test]
+fn an_older_word_changes_nothing() {
+    let mut one = instances::gateway(1);
+    let now = Time::from_secs(1);
+
+    let said = [
+        one.publish_cordon(now, cordon("north", 12, false)),
+        one.publish_cordon(now, cordon("north", 11, true)),
+        one.publish_cordon(now, cordon("south", 9, true)),
+        one.publish_cordon(now, cordon("south", 9, true)),
+        one.publish_cordon(now, cordon("south", 13, true)),
+        one.publish_cordon(now, cordon("south", 14, false)),
+    ];
+
+    assert_eq!(
+        said,
+        [
+            CordonEffect::Unchanged,
+            CordonEffect::Outdated,
+            CordonEffect::Changed,
+            CordonEffect::Outdated,
+            CordonEffect::Unchanged,
+            CordonEffect::Changed,
+        ]
+    );
+    assert_eq!(one.endpoints.cordons().closed().count(), 0);
+}
+
+proptest! {
+    /// Guards against a belief that depends on the order in which words arrive, or on how often.
+    #[test]
+    fn the_last_word_holds_in_any_order(
+        words in proptest::collection::vec((0u8..3, 1u64..40), 1..30),
+        order in proptest::collection::vec(0usize..1_000, 60),
+    ) {
+        // A revision says one thing: the even ones close, the odd ones open.
+        let words: Vec<Cordon> = words
+            .iter()
+            .map(|(place, revision)| cordon(&format!("dc-{place}"), *revision, revision % 2 == 0))
+            .collect();
+        let mut one = instances::gateway(1);
+        let mut other = instances::gateway(2);
+        for word in &words {
+            one.publish_cordon(Time::ZERO, word.clone());
+        }
+        for at in order {
+            other.publish_cordon(Time::ZERO, words[at % words.len()].clone());
+        }
+        for word in words.iter().rev() {
+            other.publish_cordon(Time::ZERO, word.clone());
+        }
+
+        for place in 0..3 {
+            let name = format!("dc-{place}");
+            let of_place = words.iter().filter(|it| it.data_centre == name);
+            let last = of_place.max_by_key(|it| it.revision);
+            let closed = last.is_some_and(|it| it.is_closed);
+            prop_assert_eq!(one.endpoints.cordons().is_closed(&name), closed);
+            prop_assert_eq!(other.endpoints.cordons().is_closed(&name), closed);
+        }
+    }
+}
+
+/// An instance alone that knows an engine of `model` and an endpoint of `desk` in each of two
+/// data centres.
+fn two_places() -> Gateway {
+    let mut one = instances::gateway(1);
+    let now = Time::from_secs(1);
+    for place in ["north", "south"] {
+        one.publish_endpoint(now, engine_in(&format!("e-{place}"), place));
+        let desk = EndpointRecord {
+            service: "desk".to_owned(),
+            ..engine_in(&format!("d-{place}"), place)
+        };
+        one.publish_endpoint(now, desk);
+    }
+    let source = CatalogueSource {
+        version: 1,
+        services: vec![
+            Service {
+                name: "model".to_owned(),
+                engine: Some(ENGINE),
+            },
+            Service {
+                name: "desk".to_owned(),
+                engine: None,
+            },
+        ],
+        ..CatalogueSource::default()
+    };
+    one.publish_catalogue(source).expect("no findings");
+    one
+}
+
+fn demand(service: &str) -> Demand<'_> {
+    Demand {
+        service,
+        engine: (service == "model").then_some(ENGINE),
+        tokens: 1_000,
+        exclude: &[],
+    }
+}
+
+fn wish(id: u64, want: Want) -> Wish {
+    Wish {
+        waiter: Waiter {
+            id,
+            service: service_hash("model"),
+            priority: 1,
+            arrived: Time::from_secs(1),
+            target: Duration::from_secs(2),
+            tokens: 1_000,
+            prompt: 500,
+        },
+        want,
+        exclude: Vec::new(),
+    }
+}
+
+/// Each way by which something is sent to an engine.
+fn all_wants() -> Vec<Want> {
+    let source = EndpointKey::of("e-south");
+    let copy = |kind| Want::Copy { source, kind };
+    vec![
+        Want::Place,
+        Want::Aside,
+        copy(CopyKind::Standing),
+        copy(CopyKind::Ahead),
+    ]
+}
+
+/// Asks for a place at an instance that is its own home.
+fn granted(one: &mut Gateway, now: Time, want: Want) -> Verdict {
+    one.ask(now, wish(1, want));
+    one.tick(now);
+    let verdict = one.verdict(now, 1);
+    one.ask_no_longer(1);
+    one.tick(now);
+    verdict
+}
+
+/// Guards against a sender that does not ask whether a data centre is closed.
+#[test]
+fn no_sender_chooses_a_closed_data_centre() {
+    let mut one = two_places();
+    let now = Time::from_secs(1);
+    one.publish_cordon(now, cordon("north", 5, true));
+    let closed = [EndpointKey::of("e-north"), EndpointKey::of("d-north")];
+
+    for _ in 0..50 {
+        for service in ["model", "desk"] {
+            let place = one.place(now, &demand(service)).expect("one is open");
+            assert!(!closed.contains(&place.key), "{}", place.name);
+        }
+        for want in all_wants() {
+            let alone = one.place_alone(now, &demand("model"), want);
+            assert!(alone.is_err() || alone.is_ok_and(|it| !closed.contains(&it.key)));
+            let verdict = granted(&mut one, now, want);
+            let is_closed = |it: &EndpointKey| closed.contains(it);
+            assert!(
+                !matches!(verdict, Verdict::Decided(Decision::Granted(it)) if is_closed(&it)),
+                "{want:?}: {verdict:?}"
+            );
+        }
+    }
+    assert!(closed.iter().all(|&it| !one.is_usable(it)));
+    assert!(closed.iter().all(|&it| one.place_at(it).is_none()));
+}
+
+/// Guards against a place that was granted before its data centre was closed and is taken
+/// after it.
+#[test]
+fn a_place_that_was_granted_before_is_not_taken() {
+    let mut one = two_places();
+    let now = Time::from_secs(1);
+    one.ask(now, wish(1, Want::Place));
+    one.tick(now);
+    let Verdict::Decided(Decision::Granted(key)) = one.verdict(now, 1) else {
+        panic!("an empty engine is given");
+    };
+    let place = one
+        .endpoints
+        .get(key)
+        .expect("known")
+        .record
+        .data_centre
+        .clone();
+
+    one.publish_cordon(now, cordon(&place, 5, true));
+    let taken = one.place_at(key);
+    one.ask_again(now, 1);
+    one.tick(now);
+
+    assert_eq!(taken, None);
+    let Verdict::Decided(Decision::Granted(other)) = one.verdict(now, 1) else {
+        panic!("the other engine is given: {:?}", one.verdict(now, 1));
+    };
+    assert_ne!(other, key);
+}
+
+/// Guards against an endpoint that registers after its data centre was closed and is used.
+#[test]
+fn an_endpoint_that_comes_later_is_covered() {
+    let mut one = two_places();
+    let now = Time::from_secs(1);
+    one.publish_cordon(now, cordon("west", 5, true));
+
+    one.publish_endpoint(now, engine_in("e-west", "west"));
+
+    assert!(!one.is_usable(EndpointKey::of("e-west")));
+}
+
+/// Guards against requests that wait for a data centre that nobody will open.
+#[test]
+fn with_all_closed_there_is_no_place_and_the_reason_says_so() {
+    let mut one = two_places();
+    let now = Time::from_secs(1);
+    one.publish_cordon(now, cordon("north", 5, true));
+    one.publish_cordon(now, cordon("south", 6, true));
+
+    assert_eq!(one.place(now, &demand("model")), Err(NoPlace::Cordoned));
+    assert_eq!(one.place(now, &demand("desk")), Err(NoPlace::Cordoned));
+    assert_eq!(one.place(now, &demand("other")), Err(NoPlace::NoEndpoint));
+    let verdict = granted(&mut one, now, Want::Place);
+    let waits = Verdict::Decided(Decision::Waits(NoPlace::Cordoned));
+    assert_eq!(verdict, waits);
+}
--- a/crates/core/tests/gateway_endpoints.rs
+++ b/crates/core/tests/gateway_endpoints.rs
@@ -25,7 +25,7 @@
 }
 
 fn takes_work(table: &EndpointTable, key: EndpointKey) -> bool {
-    table.get(key).is_some_and(|endpoint| endpoint.takes_work())
+    table.is_usable(key)
 }
 
 /// Symptom: an endpoint that leaves is sent new work. Sequence: its entry is written
@@ -165,7 +165,7 @@
     table.publish(now, second.clone());
 
     let reborn = table.get(second.key()).expect("it is known");
-    assert!(reborn.takes_work());
+    assert!(takes_work(&table, second.key()));
     assert!(!reborn.is_ejected(now) && !reborn.is_failing());
     assert!(!takes_work(&table, first.key()));
 }
--- a/crates/core/tests/gateway_reader.rs
+++ b/crates/core/tests/gateway_reader.rs
@@ -276,7 +276,7 @@
     assert_eq!(one.endpoint_vanished(now, "e-1"), None);
     one.publish_endpoint(now, record);
 
-    assert!(one.takes_work(EndpointKey::of("e-1")));
+    assert!(one.is_usable(EndpointKey::of("e-1")));
 }
 
 /// Symptom: engines that are gone are used for minutes. Sequence: all instances watch
--- a/crates/core/tests/outcome_guarantees.rs
+++ b/crates/core/tests/outcome_guarantees.rs
@@ -3,7 +3,13 @@
 use std::fs;
 use std::path::{Path, PathBuf};
 
-const CRATES: [&str; 3] = ["core", "oriolemux", "bench"];
+const CRATES: [&str; 5] = [
+    "crates/core",
+    "crates/gateway",
+    "crates/oriolemux",
+    "crates/bench",
+    "platform",
+];
 
 fn root() -> PathBuf {
     Path::new(env!("CARGO_MANIFEST_DIR")).join("../..")
@@ -22,7 +28,7 @@
 fn exists(file: &str, test: &str) -> bool {
     let file = file.replace("::", "/");
     CRATES.iter().any(|name| {
-        let path = root().join(format!("crates/{name}/tests/{file}.rs"));
+        let path = root().join(format!("{name}/tests/{file}.rs"));
         fs::read_to_string(path).is_ok_and(|source| source.contains(&format!("fn {test}(")))
     })
 }
--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -6,6 +6,7 @@
 use http::{Response, StatusCode, header};
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full};
+use oriolemux_core::gateway::choose::NoPlace;
 
 /// The body of an answer, whole or streamed. It fails when a stream is broken
 /// off, so that the connection ends without the mark of a complete answer.
@@ -45,6 +46,8 @@
     NoSuchEvent,
     /// no_endpoint
     NoEndpoint,
+    /// data_centres_cordoned
+    Cordoned,
     /// endpoints_full
     EndpointsFull,
     /// wait_too_long
@@ -82,6 +85,7 @@
             }
             Reason::NoCatalogue
             | Reason::NoEndpoint
+            | Reason::Cordoned
             | Reason::EndpointsFull
             | Reason::WaitTooLong
             | Reason::NotRunAtEndpoint
@@ -94,6 +98,16 @@
     }
 }
 
+impl From<NoPlace> for Reason {
+    fn from(why: NoPlace) -> Self {
+        match why {
+            NoPlace::NoEndpoint => Reason::NoEndpoint,
+            NoPlace::Full => Reason::EndpointsFull,
+            NoPlace::Cordoned => Reason::Cordoned,
+        }
+    }
+}
+
 /// Returns the answer for `reason` to a caller that waits for `left` more.
 pub fn refuse(reason: Reason, left: Duration) -> Response<AnswerBody> {
     let status = reason.status();
--- a/crates/gateway/src/ask.rs
+++ b/crates/gateway/src/ask.rs
@@ -79,6 +79,13 @@
     loop {
         let mut decided = core::pin::pin!(cx.decided.notified());
         decided.as_mut().enable();
+        if cx
+            .state()
+            .endpoints
+            .is_service_cordoned(&job.service().name)
+        {
+            return Err(NoPlace::Cordoned);
+        }
         let now = cx.now();
         let is_over = Instant::now() >= until;
         let mut look = LOOK_AGAIN;
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -7,6 +7,7 @@
 use crate::answer::{AnswerBody, Reason};
 use crate::attempts::Attempts;
 use crate::job::Job;
+use crate::link::LinkError;
 use crate::meters::{ByReason, Histogram};
 use crate::note;
 use crate::ports::{SendHead, WholeAnswer, Wire};
@@ -39,6 +40,8 @@
     NotRun,
     /// No connection could be made.
     NoConnection,
+    /// The endpoint was withdrawn before anything was sent.
+    Withdrawn,
     /// The connection or the answer broke; the call may have run.
     Lost {
         /// When the answer had begun, if it had.
@@ -105,6 +108,7 @@
             Attempt::Answer(_) => "answered",
             Attempt::NotRun => "not_run",
             Attempt::NoConnection => "no_connection",
+            Attempt::Withdrawn => "withdrawn",
             Attempt::Lost { .. } => "lost",
             Attempt::Foreign => "foreign",
             Attempt::Timeout => "timeout",
@@ -149,6 +153,7 @@
         };
         let (_link, answer) = match job.send(place, &send).await {
             Ok(sent) => sent,
+            Err(LinkError::Withdrawn) => return Attempt::Withdrawn,
             Err(error) if error.never_sent() => return Attempt::NoConnection,
             Err(error) => {
                 log::debug!("a call was lost: {error}");
@@ -195,7 +200,7 @@
                     self.job.ran_well();
                 }
             }
-            Attempt::NotRun | Attempt::Refused => {}
+            Attempt::NotRun | Attempt::Refused | Attempt::Withdrawn => {}
             Attempt::NoConnection => self.job.note_unreachable(place),
             Attempt::Lost { begun } => {
                 self.job.note_failure(place);
@@ -204,7 +209,9 @@
             Attempt::Foreign | Attempt::Timeout => self.job.note_failure(place),
         }
         match attempt {
-            Attempt::NotRun | Attempt::NoConnection => self.attempts.note_refused(place.key),
+            Attempt::NotRun | Attempt::NoConnection | Attempt::Withdrawn => {
+                self.attempts.note_refused(place.key);
+            }
             _ => self.attempts.note_run(place.key),
         }
     }
@@ -217,7 +224,9 @@
         }
         let allowed = match attempt {
             // Nothing arrived anywhere, so that nothing is repeated.
-            Attempt::NoConnection => return self.attempts.refused() <= MAX_REFUSED_SENDS,
+            Attempt::NoConnection | Attempt::Withdrawn => {
+                return self.attempts.refused() <= MAX_REFUSED_SENDS;
+            }
             Attempt::NotRun => self.attempts.refused() <= MAX_REFUSED_SENDS,
             Attempt::Answer(answer) if !answer.status.is_server_error() => false,
             Attempt::Refused => false,
@@ -247,8 +256,7 @@
     fn no_place(&self, why: NoPlace) -> Response<AnswerBody> {
         let reason = match why {
             _ if self.attempts.may_have_run() => Reason::AnswerLost,
-            NoPlace::NoEndpoint => Reason::NoEndpoint,
-            NoPlace::Full => Reason::EndpointsFull,
+            why => Reason::from(why),
         };
         self.note_failed("-", reason);
         self.job.refuse(reason)
@@ -263,11 +271,14 @@
             }
             _ if self.job.is_refused() => self.job.note_refused(),
             // An earlier attempt may have run, so that "not run" would be untrue.
-            Attempt::NotRun | Attempt::NoConnection if self.attempts.may_have_run() => {
+            Attempt::NotRun | Attempt::NoConnection | Attempt::Withdrawn
+                if self.attempts.may_have_run() =>
+            {
                 Reason::AnswerLost
             }
             Attempt::NotRun => Reason::NotRunAtEndpoint,
             Attempt::NoConnection => Reason::NoConnection,
+            Attempt::Withdrawn => Reason::NoEndpoint,
             Attempt::Lost { .. } => Reason::AnswerLost,
             Attempt::Foreign => Reason::AnswerForeign,
             Attempt::Timeout => Reason::Timeout,
--- a/crates/gateway/src/catch_up.rs
+++ b/crates/gateway/src/catch_up.rs
@@ -15,7 +15,7 @@
 use crate::meters::{ByReason, millis};
 use crate::note;
 use crate::ports::Wire;
-use crate::store::{Source, apply};
+use crate::store::{Source, apply, read_whole};
 use core::time::Duration;
 use format::FormatError;
 use oriolemux_core::gateway::catch_up::{LARGE_NEWS, MAX_LARGE_TOLD, NotTold};
@@ -127,9 +127,7 @@
     };
     let has_news = apply(cx, Source::Peer, news.records);
     if news.whole {
-        let missing = cx.state().replica.missing_from(&seen, news.revision);
-        apply(cx, Source::Peer, missing);
-        cx.state().replica.read_whole(news.revision);
+        read_whole(cx, Source::Peer, &seen, news.revision);
     } else {
         cx.state().replica.reached(news.revision);
     }
--- a/crates/gateway/src/cx.rs
+++ b/crates/gateway/src/cx.rs
@@ -3,8 +3,9 @@
 use crate::meters::ByReason;
 use crate::note;
 use crate::ports::Wire;
+use crate::store::Source;
 use core::time::Duration;
-use oriolemux_core::gateway::Gateway;
+use oriolemux_core::gateway::{Cordon, CordonEffect, Gateway};
 use oriolemux_core::ids::EndpointKey;
 use oriolemux_core::time::Time;
 use std::collections::BTreeMap;
@@ -58,7 +59,7 @@
     pub limits: GatewayLimits,
     /// Told when what is known of the store has changed.
     pub changed: Notify,
-    /// Told when endpoints began to leave.
+    /// Told when endpoints began to leave, or their data centre was closed.
     pub departures: Notify,
     /// Told when a home may have decided about a place.
     pub decided: Notify,
@@ -229,6 +230,40 @@
         self.dirty.notify_one();
     }
 
+    /// Tells those who wait, and peers, what the operator said about a data centre.
+    pub fn tell_cordon(&self, cordon: &Cordon, effect: CordonEffect, from: Source) {
+        if effect == CordonEffect::Outdated {
+            return;
+        }
+        let state = self.state();
+        let endpoints = state.endpoints.in_data_centre(&cordon.data_centre).count();
+        drop(state);
+        let data_centre = cordon.data_centre.as_str();
+        let (revision, is_news) = (cordon.revision, effect == CordonEffect::Changed);
+        match cordon.is_closed {
+            true => note!(
+                DataCentreCordoned,
+                data_centre = data_centre,
+                revision = revision,
+                from = from.word(),
+                endpoints = endpoints,
+                is_news = is_news
+            ),
+            false => note!(
+                CordonLifted,
+                data_centre = data_centre,
+                revision = revision,
+                from = from.word(),
+                endpoints = endpoints,
+                is_news = is_news
+            ),
+        }
+        self.changed.notify_waiters();
+        self.departures.notify_waiters();
+        self.decided.notify_waiters();
+        self.dirty.notify_one();
+    }
+
     /// Tells those who wait, and peers, that endpoints began to leave.
     pub fn tell_leaving(&self, endpoints: &[EndpointKey]) {
         for &endpoint in endpoints {
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -262,7 +262,11 @@
         own.unwrap_or(self.entry().priority)
     }
 
-    /// Connects to `place` and sends the request there.
+    /// Connects to `place` and sends the request there, unless it was withdrawn meanwhile.
+    ///
+    /// The time between choosing and sending holds a connection and perhaps a process that was
+    /// frozen. A generation that goes on may still do so at an engine that began to leave: its
+    /// copy is there, and the notice is longer than this takes. No cordon is passed by anything.
     ///
     /// # Errors
     ///
@@ -274,6 +278,16 @@
     ) -> Result<(Link, Response<Incoming>), LinkError> {
         let limit = self.cx.limits.connect.min(self.left());
         let mut link = Link::connect(place.address, limit).await?;
+        let is_withdrawn = {
+            let state = self.cx.state();
+            match send.resume {
+                Some(_) => state.endpoints.is_cordoned(place.key),
+                None => !state.is_usable(place.key),
+            }
+        };
+        if is_withdrawn {
+            return Err(LinkError::Withdrawn);
+        }
         let answer = link.send(self.request(send)).await?;
         Ok((link, answer))
     }
--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -31,6 +31,8 @@
     ConnectTimeout(Duration),
     /// no connection: {0}
     Connect(std::io::Error),
+    /// the endpoint takes no new work any more
+    Withdrawn,
     /// the connection broke: {0}
     Broken(hyper::Error),
 }
@@ -38,7 +40,10 @@
 impl LinkError {
     /// Returns whether nothing of the request can have reached the endpoint.
     pub fn never_sent(&self) -> bool {
-        matches!(self, LinkError::ConnectTimeout(_) | LinkError::Connect(_))
+        match self {
+            LinkError::ConnectTimeout(_) | LinkError::Connect(_) | LinkError::Withdrawn => true,
+            LinkError::Broken(_) => false,
+        }
     }
 }
 
--- a/crates/gateway/src/meters.rs
+++ b/crates/gateway/src/meters.rs
@@ -80,6 +80,8 @@
         EndpointsLapsed = "oriolemux_gateway_endpoints_lapsed";
         /// Endpoints that leave.
         EndpointsLeaving = "oriolemux_gateway_endpoints_leaving";
+        /// Data centres that the operator closed to new work.
+        DataCentresCordoned = "oriolemux_gateway_data_centres_cordoned";
         /// Other instances that take part.
         Peers = "oriolemux_gateway_peers";
         /// Connections of callers.
@@ -163,6 +165,10 @@
             Gauge::EndpointsLeaving,
             endpoints(|it| matches!(it, EndpointState::Leaving { .. })),
         ),
+        (
+            Gauge::DataCentresCordoned,
+            state.endpoints.cordons().closed().count() as f64,
+        ),
         (Gauge::Peers, state.members.live().count() as f64),
         (Gauge::Connections, cx.open(Open::Connection) as f64),
         (Gauge::Running, cx.open(Open::Generation) as f64),
--- a/crates/gateway/src/news.rs
+++ b/crates/gateway/src/news.rs
@@ -11,6 +11,7 @@
 use crate::meters::ByReason;
 use crate::note;
 use crate::ports::Wire;
+use crate::store::Source;
 use bincode::config::{Configuration, Limit, LittleEndian, Varint, standard};
 use oriolemux_core::gateway::state::{TELL_DELAY, TICK};
 use oriolemux_core::gateway::{Body, Datagram};
@@ -85,6 +86,9 @@
         Err(why) => return note_dropped(from, why.word()),
     };
     cx.tell_leaving(&heard.leaving);
+    for (cordon, effect) in &heard.cordons {
+        cx.tell_cordon(cordon, *effect, Source::Peer);
+    }
     if heard.is_new {
         note!(PeerHeard, peer:% = from, incarnation = life.0);
     }
--- a/crates/gateway/src/notes.rs
+++ b/crates/gateway/src/notes.rs
@@ -135,6 +135,11 @@
     EndpointEnded = 831, "endpoint_ended_by_request", Warn, USUAL;
     /// A request is refused because it ended too many endpoints.
     SuspectRefused = 832, "suspect_refused", Warn, USUAL;
+    /// The operator closed a data centre to new work: what runs there goes on, nothing new is
+    /// sent. The line has the store's revision and how many endpoints are there.
+    DataCentreCordoned = 833, "data_centre_cordoned", Info, USUAL;
+    /// The operator's cordon of a data centre was lifted, or was never there.
+    CordonLifted = 834, "cordon_lifted", Info, USUAL;
 }
 
 /// Lines of one event within the present second.
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -11,7 +11,7 @@
 use oriolemux_core::gateway::endpoints::EndpointRecord;
 use oriolemux_core::gateway::reader::CallFailure;
 use oriolemux_core::gateway::usage::ToldLoad;
-use oriolemux_core::gateway::{CatalogueSource, Mark, Record};
+use oriolemux_core::gateway::{CatalogueSource, Cordon, Mark, Record};
 use std::net::SocketAddrV4;
 
 /// What the headers of a caller's request say.
@@ -123,6 +123,13 @@
     Endpoint(EndpointRecord),
     /// An endpoint's entry vanished.
     EndpointGone(String),
+    /// The operator's word about a data centre.
+    Cordon {
+        /// What it says. A value that cannot be read closes the data centre all the same.
+        cordon: Cordon,
+        /// What is wrong with the value, if anything is.
+        why: Option<String>,
+    },
     /// Something that does not concern this product.
     Other,
     /// An endpoint's entry that cannot be read, so that it names none to use.
@@ -143,7 +150,12 @@
             Published::Endpoint(endpoint) => {
                 Mark::of(&record.key, &[endpoint.meaning().as_bytes()])
             }
-            Published::EndpointGone(_) | Published::Other => Mark::NOTHING,
+            Published::Cordon { cordon, .. } if cordon.is_closed => {
+                Mark::of(&record.key, &[b"closed"])
+            }
+            Published::EndpointGone(_) | Published::Cordon { .. } | Published::Other => {
+                Mark::NOTHING
+            }
             Published::Catalogue(_)
             | Published::EndpointUnreadable { .. }
             | Published::Unreadable(_) => {
@@ -176,6 +188,9 @@
 
     /// Reads a record.
     fn decode(&self, record: &Record) -> Published;
+
+    /// Returns the key under which the store keeps the operator's word about a data centre.
+    fn cordon_key(&self, data_centre: &str) -> String;
 }
 
 /// The store, which can only be read.
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -284,6 +284,7 @@
             let cx = Arc::clone(&self.job.cx);
             let mut departures = core::pin::pin!(cx.departures.notified());
             departures.as_mut().enable();
+            self.drop_cordoned_copy();
             let wait = match self.next_step() {
                 Step::CopyAhead => {
                     self.copy_ahead().await;
@@ -355,7 +356,7 @@
         let standing = self.standing.as_ref().map(|copy| copy.place.key);
         let ahead = self.ahead.as_ref().map(|ahead| ahead.target.key);
         let state = cx.state();
-        let standing_takes_work = standing.is_some_and(|key| state.takes_work(key));
+        let standing_takes_work = standing.is_some_and(|key| state.is_usable(key));
         let target = match self.state.go_on_from(now, standing_takes_work) {
             Some(GoOnFrom::Ahead) => ahead,
             Some(GoOnFrom::Standing) => standing,
--- a/crates/gateway/src/relay/begin.rs
+++ b/crates/gateway/src/relay/begin.rs
@@ -15,6 +15,7 @@
 use oriolemux_core::gateway::ask::Want;
 use oriolemux_core::gateway::relocation::take_back_after;
 use oriolemux_core::gateway::state::Place;
+use std::net::SocketAddrV4;
 use std::time::Instant;
 
 /// The pause before an engine with room is looked for again.
@@ -50,7 +51,9 @@
             }
         };
         if error.never_sent() {
-            self.job.note_unreachable(&self.source);
+            if !matches!(error, LinkError::Withdrawn) {
+                self.job.note_unreachable(&self.source);
+            }
             return Begun::NotRun { arrived: false };
         }
         self.job.note_failure(&self.source);
@@ -69,11 +72,20 @@
     async fn ask(&self) -> Asked<W> {
         let mut sent = core::pin::pin!(self.send(None));
         let mut look = self.may_run_again().then(|| self.take_back_at());
+        let cx = &self.job.cx;
+        let mut is_cordoned = false;
         loop {
+            let mut departures = core::pin::pin!(cx.departures.notified());
+            departures.as_mut().enable();
+            if !is_cordoned && cx.state().endpoints.is_cordoned(self.source.key) {
+                is_cordoned = true;
+                look = look.map(|_| Instant::now());
+            }
             tokio::select! {
                 sent = &mut sent => return Asked::Sent(sent),
                 () = tokio::time::sleep_until(self.job.ends.into()) => return Asked::Timeout,
                 () = self.job.refused() => return Asked::Refused,
+                () = departures => {}
                 () = sleep_until(look) => {
                     if let Some((place, in_use)) = self.engine_with_room().await {
                         return Asked::TakenBack(place, in_use);
@@ -161,6 +173,14 @@
         }
     }
 
+    /// Returns where the present engine is to keep a standing copy, unless that engine was
+    /// withdrawn since it was chosen.
+    fn standing_address(&self) -> Option<SocketAddrV4> {
+        let place = &self.standing.as_ref()?.place;
+        let state = self.job.cx.state();
+        state.is_usable(place.key).then_some(place.address)
+    }
+
     /// Sends the request to the present engine, to go on from `copy` if there is one.
     pub(super) async fn send(
         &self,
@@ -173,7 +193,7 @@
             endpoint: &self.source.name,
             workspace: self.job.workspace_name(),
             priority: Some(self.job.priority()),
-            copy_to: self.standing.as_ref().map(|copy| copy.place.address),
+            copy_to: self.standing_address(),
             resume: goes_on.then(|| Resume {
                 copy,
                 last_event: last_event.unwrap_or(0),
--- a/crates/gateway/src/relay/go_on.rs
+++ b/crates/gateway/src/relay/go_on.rs
@@ -6,6 +6,7 @@
 use crate::answer::Reason;
 use crate::cx::Cx;
 use crate::job::{CopyInUse, InUse};
+use crate::link::LinkError;
 use crate::meters::ByReason;
 use crate::note;
 use crate::ports::{EngineCalls, KeptCopy, Moved, Wire};
@@ -45,6 +46,18 @@
         }
     }
 
+    /// Gives up a copy ahead in a data centre that was closed; another one can then be made.
+    pub(super) fn drop_cordoned_copy(&mut self) {
+        let Some(ahead) = &self.ahead else { return };
+        let state = self.job.cx.state();
+        let is_cordoned = state.endpoints.is_cordoned(ahead.target.key);
+        drop(state);
+        if is_cordoned {
+            self.ahead = None;
+            self.state.ahead_withdrawn();
+        }
+    }
+
     pub(super) fn on_copied_ahead(&mut self, moved: Moved) {
         note!(
             CopiedAhead,
@@ -72,8 +85,11 @@
     /// A copy ahead is known to be there, a standing one is not; where the engine of
     /// one refuses, the other is asked.
     pub(super) async fn leave(&mut self) -> Option<Begun> {
+        self.drop_cordoned_copy();
         let may_exist = self.state.standing_may_exist(self.job.cx.now());
-        let standing = self.standing.take().filter(|_| may_exist);
+        let is_cordoned = |key| self.job.cx.state().endpoints.is_cordoned(key);
+        let standing = self.standing.take();
+        let standing = standing.filter(|it| may_exist && !is_cordoned(it.place.key));
         if let Some(begun @ Begun::Stream { .. }) = self.go_on_from_ahead().await {
             return Some(begun);
         }
@@ -171,7 +187,9 @@
             Ok(Ok((link, answer))) => self.read_head(link, answer).await,
             Ok(Err(error)) => {
                 log::debug!("a generation could not go on: {error}");
-                self.job.note_failure(&self.source);
+                if !matches!(error, LinkError::Withdrawn) {
+                    self.job.note_failure(&self.source);
+                }
                 if !error.never_sent() {
                     self.job.note_broken(&self.source, None).await;
                 }
--- a/crates/gateway/src/status.rs
+++ b/crates/gateway/src/status.rs
@@ -46,6 +46,8 @@
     Work,
     /// It failed several times in a row and is passed over for a while.
     PassedOver,
+    /// Nothing while its data centre is closed to new work.
+    Cordoned,
     /// Its entry vanished around an outage of the store; only if there is no other.
     Lapsed,
     /// Nothing, for good.
@@ -76,6 +78,9 @@
     /// The services whose engines have a home, by name.
     #[serde(default)]
     pub homes: Vec<HomeStatus>,
+    /// Data centres that the operator closed to new work, by name.
+    #[serde(default)]
+    pub cordons: Vec<CordonStatus>,
     /// Requests that ended endpoints, those first that ended the most.
     #[serde(default)]
     pub suspects: Vec<SuspectStatus>,
@@ -97,6 +102,19 @@
     pub ended_ms_ago: u32,
 }
 
+/// A data centre that the operator closed to new work.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct CordonStatus {
+    /// The data centre.
+    pub data_centre: String,
+    /// The store's revision that says so.
+    pub revision: u64,
+    /// Milliseconds since this instance heard of it.
+    pub heard_ms_ago: u64,
+    /// Endpoints that are there.
+    pub endpoints: usize,
+}
+
 /// What an instance sent to its peers for one purpose.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct SentStatus {
@@ -204,6 +222,7 @@
                 .map(|(address, peer)| peer_status(now, address, peer))
                 .collect(),
             homes: home_status(&state, now),
+            cordons: cordon_status(&state, now),
             suspects: suspect_status(&state, now),
             sent: sent_status(cx),
         }
@@ -230,6 +249,18 @@
     .collect()
 }
 
+fn cordon_status(state: &Gateway, now: Time) -> Vec<CordonStatus> {
+    let closed = state.endpoints.cordons().closed();
+    closed
+        .map(|(data_centre, revision, since)| CordonStatus {
+            data_centre: data_centre.to_owned(),
+            revision,
+            heard_ms_ago: millis(now.since(since)),
+            endpoints: state.endpoints.in_data_centre(data_centre).count(),
+        })
+        .collect()
+}
+
 fn suspect_status(state: &Gateway, now: Time) -> Vec<SuspectStatus> {
     let worst = state.suspects.ledger.worst(now).into_iter();
     let worst = worst.filter(|it| !it.ended.is_empty());
@@ -268,6 +299,7 @@
     let record = &endpoint.record;
     let takes = match endpoint.state {
         EndpointState::Leaving { .. } | EndpointState::Unnamed => Takes::Nothing,
+        _ if state.endpoints.is_cordoned(endpoint.key) => Takes::Cordoned,
         EndpointState::Lapsed { .. } => Takes::Lapsed,
         EndpointState::Serving if endpoint.is_ejected(now) => Takes::PassedOver,
         EndpointState::Serving => Takes::Work,
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -10,9 +10,9 @@
 use crate::note;
 use crate::ports::{Published, Store, Wire};
 use core::time::Duration;
-use oriolemux_core::gateway::CatalogueSource;
 use oriolemux_core::gateway::reader::{ANSWER_SLACK, CallFailure, Step, StoreReader, WATCH_WAIT};
 use oriolemux_core::gateway::replica::{Applied, Record};
+use oriolemux_core::gateway::{CatalogueSource, Cordon, CordonEffect};
 use oriolemux_core::time::Time;
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -57,18 +57,50 @@
         match page.next {
             Some(next) => after = Some(next),
             None => {
-                let missing = cx.state().replica.missing_from(&seen, began);
-                apply(cx, Source::Store, missing);
+                read_whole(cx, Source::Store, &seen, began);
                 let now = cx.now();
-                let mut state = cx.state();
-                state.replica.read_whole(began);
-                state.note_behind(now);
+                cx.state().note_behind(now);
                 return Ok(());
             }
         }
     }
 }
 
+/// Ends a read of everything as of revision `began`: what `seen` does not name is gone.
+pub fn read_whole<W: Wire>(cx: &Cx<W>, from: Source, seen: &BTreeMap<String, ()>, began: u64) {
+    let missing = cx.state().replica.missing_from(seen, began);
+    apply(cx, from, missing);
+    cx.state().replica.read_whole(began);
+    lift_missing_cordons(cx, from, began);
+    cx.changed.notify_waiters();
+}
+
+/// Lifts cordons that peers told of and that were gone from the store at revision `began`: the
+/// records that closed and opened the data centre may both have been missed.
+fn lift_missing_cordons<W: Wire>(cx: &Cx<W>, from: Source, began: u64) {
+    let now = cx.now();
+    let mut lifted = Vec::new();
+    let mut state = cx.state();
+    for (data_centre, revision, _) in state.endpoints.cordons().closed() {
+        let is_there = state.replica.has(&cx.wire.cordon_key(data_centre));
+        if revision < began && !is_there {
+            lifted.push(Cordon {
+                data_centre: data_centre.to_owned(),
+                revision: began,
+                is_closed: false,
+            });
+        }
+    }
+    let effects: Vec<CordonEffect> = lifted
+        .iter()
+        .map(|it| state.publish_cordon(now, it.clone()))
+        .collect();
+    drop(state);
+    for (cordon, effect) in lifted.iter().zip(effects) {
+        cx.tell_cordon(cordon, effect, from);
+    }
+}
+
 /// Waits for changes. What a peer tells meanwhile does not end the watch: its answer may
 /// be large, on the way, and nearly here.
 async fn watch<W: Wire, S: Store>(cx: &Cx<W>, store: &S) {
@@ -167,6 +199,13 @@
             Published::EndpointGone(name) => {
                 left.extend(cx.state().endpoint_vanished(now, &name));
             }
+            Published::Cordon { cordon, why } => {
+                if let Some(why) = why {
+                    note_unreadable(&record, &why);
+                }
+                let effect = cx.state().publish_cordon(now, cordon.clone());
+                cx.tell_cordon(&cordon, effect, from);
+            }
             Published::Other => {}
             Published::EndpointUnreadable { name, why } => {
                 cx.state().endpoints.cannot_read(&name);
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -19,7 +19,6 @@
 use http_body::Frame;
 use http_body_util::BodyExt;
 use oriolemux_core::gateway::ask::Want;
-use oriolemux_core::gateway::choose::NoPlace;
 use oriolemux_core::gateway::lengths::Length;
 use oriolemux_core::gateway::state::Place;
 use oriolemux_core::ids::EndpointKey;
@@ -178,11 +177,7 @@
         tokens,
         exclude: tried,
     };
-    let chosen = job.ask_place(asked, until).await;
-    chosen.map_err(|why| match why {
-        NoPlace::Full => Reason::EndpointsFull,
-        NoPlace::NoEndpoint => Reason::NoEndpoint,
-    })
+    job.ask_place(asked, until).await.map_err(Reason::from)
 }
 
 /// Answers a generation that has no place.
--- a/crates/oriolemux/src/cli/operate/gateway_text.rs
+++ b/crates/oriolemux/src/cli/operate/gateway_text.rs
@@ -45,6 +45,12 @@
             sent.purpose, sent.messages, sent.bytes
         ));
     }
+    for cordon in &status.cordons {
+        print_line(format_args!(
+            "cordon     {}: {} endpoints get nothing new, heard {} ms ago, revision {}",
+            cordon.data_centre, cordon.endpoints, cordon.heard_ms_ago, cordon.revision,
+        ));
+    }
     for suspect in &status.suspects {
         print_line(format_args!(
             "suspect    {}: ended {} endpoints, the last {} ms ago{}",
@@ -81,6 +87,7 @@
     let takes = match endpoint.takes {
         Takes::Work => "takes work",
         Takes::PassedOver => "passed over",
+        Takes::Cordoned => "data centre cordoned",
         Takes::Lapsed => "entry lapsed",
         Takes::Nothing => "leaves",
     };
--- a/crates/oriolemux/src/story.rs
+++ b/crates/oriolemux/src/story.rs
@@ -123,6 +123,8 @@
         GatewayEvent::StoreLost,
         GatewayEvent::StoreRegained,
         GatewayEvent::CatalogueInForce,
+        GatewayEvent::DataCentreCordoned,
+        GatewayEvent::CordonLifted,
         GatewayEvent::StoppedWithRequests,
     ];
     of_process.iter().any(|known| known.number() == event)
--- a/crates/oriolemux/src/story/cause.rs
+++ b/crates/oriolemux/src/story/cause.rs
@@ -3,6 +3,7 @@
 use super::line::LogLine;
 use oriolemux_gateway::notes::GatewayEvent;
 use serde::Serialize;
+use std::collections::BTreeMap;
 
 use crate::events::LogEvent;
 
@@ -30,6 +31,8 @@
         /// How long it waited.
         ms: u64,
     },
+    /// not run: the operator closed each data centre that serves it: {0}
+    Cordoned(String),
     /// the call failed: {reason}; last tried: {endpoint}
     CallFailed {
         /// The reason.
@@ -116,6 +119,11 @@
             let reason = || line.field("reason").unwrap_or("?").to_owned();
             let ms = line.number("ms");
             match event_of(line) {
+                Some(GatewayEvent::GenerationRefused | GatewayEvent::CallFailed)
+                    if line.field("reason") == Some(CORDONED) =>
+                {
+                    return Cause::Cordoned(closed_before(line, beside));
+                }
                 Some(GatewayEvent::RefusedAtFront) => return Cause::RefusedAtFront(reason()),
                 Some(GatewayEvent::GenerationRefused) => {
                     return Cause::NotRun {
@@ -145,6 +153,31 @@
     }
 }
 
+/// The reason with which callers are refused whose data centres are all closed.
+const CORDONED: &str = "data_centres_cordoned";
+
+/// Returns which data centres were closed when `refused` was written, and by which revision.
+fn closed_before(refused: &LogLine, beside: &[LogLine]) -> String {
+    let mut closed = BTreeMap::new();
+    for line in beside.iter().filter(|it| it.time <= refused.time) {
+        let data_centre = line.field("data_centre").unwrap_or("-").to_owned();
+        match event_of(line) {
+            Some(GatewayEvent::DataCentreCordoned) => {
+                closed.insert(data_centre, line.number("revision"));
+            }
+            Some(GatewayEvent::CordonLifted) => {
+                closed.remove(&data_centre);
+            }
+            _ => {}
+        }
+    }
+    let closed: Vec<String> = closed
+        .into_iter()
+        .map(|(data_centre, revision)| format!("{data_centre} by revision {revision}"))
+        .collect();
+    closed.join(", ")
+}
+
 fn event_of(line: &LogLine) -> Option<GatewayEvent> {
     let mut known = GatewayEvent::ALL.iter();
     known.find(|event| event.number() == line.event).copied()
