Cold endpoints get no more in one second than they bear, summed over all instances

Cause: what a worker bears while it is cold was read nowhere; a cold endpoint was a constant in a cost and bounded nothing.

Change: core::gateway::cold. A home grants at a cold engine at most 0.375 of the rate times the part of all known instances that it hears (home and next in rank, on disjoint sides of a cut); reporters tell how many they know, so that a home that has just started does not take its side for the fleet. The rate of a plain service is divided among all known instances by rendezvous hashing, without a message; who has just started or was paused sends none for 2 s. Copies never go to cold engines; going on at one has its own quarter. Cold is what the entry or an answer says, and for 1 s beyond its usual time an endpoint whose data centre is open again, unless it said something since. The bound is the rate alone; the overshoot and slack that operators allow stay free for requests that were held up.

Ruled out: a share of the rate for each instance (below one request a second at 390); time slots owned by rendezvous (needs clocks that agree); asking a home for each plain call (a round trip for calls of 15 ms).

Falls short: health is not asked, so that an endpoint which becomes cold without a new entry is known with its next heartbeat only. Where all endpoints of a plain service are cold, at 390 instances most callers are refused for that second.

Tests: counts in virtual time at 6, 64 and 390 instances, cut in two beside an instance that has just started, a fleet that starts at once, the last endpoint cold, a data centre taken back, copies.

--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -10,6 +10,7 @@
 //! | [`catalogue`] | entries, services, workspaces and bounds of callers; finds the entry of a request |
 //! | [`replica`] | what the store published, merged by revision from reads and peers |
 //! | [`cordons`] | data centres that the operator closed to new work |
+//! | [`cold`] | endpoints that bear few requests a second, because they are cold |
 //! | [`endpoints`] | which endpoints exist, which of them leave, which are not trusted |
 //! | [`lengths`] | how long a generation will still be |
 //! | [`usage`] | what this instance runs at each endpoint, and what others run as far as is known |
@@ -33,6 +34,7 @@
 pub mod catalogue;
 pub mod catch_up;
 pub mod choose;
+pub mod cold;
 pub mod cordons;
 pub mod endpoints;
 pub mod gossip;
--- a/crates/core/src/gateway/catalogue.rs
+++ b/crates/core/src/gateway/catalogue.rs
@@ -5,6 +5,7 @@
 //! makes the tables by which requests are judged. A catalogue is never changed
 //! after that: a request keeps the one that it was judged by to its end.
 
+use super::cold::ColdLimits;
 use core::time::Duration;
 use cranelift_entity::{PrimaryMap, entity_impl};
 use std::collections::BTreeMap;
@@ -105,6 +106,8 @@
     pub name: String,
     /// Given if its endpoints are engines.
     pub engine: Option<EngineLimits>,
+    /// Given if its endpoints bear less while they are cold.
+    pub cold: Option<ColdLimits>,
 }
 
 /// A workspace and the keys that its callers send.
@@ -330,6 +333,11 @@
         self.services.values()
     }
 
+    /// Returns what the endpoints of a service bear while they are cold, if that is less.
+    pub fn cold_limits(&self, service: &str) -> Option<ColdLimits> {
+        self.services[*self.by_service.get(service)?].cold
+    }
+
     /// Returns a workspace.
     pub fn workspace(&self, id: WorkspaceId) -> &Workspace {
         &self.workspaces[id]
--- a/crates/core/src/gateway/choose.rs
+++ b/crates/core/src/gateway/choose.rs
@@ -179,6 +179,8 @@
     state_cost: f64,
     /// Whether its room is kept for somebody.
     is_kept: bool,
+    /// How many requests it may still get, if it is cold.
+    cold_left: Option<u32>,
 }
 
 /// Returns the room at the engines that `demand` may go to.
@@ -186,7 +188,11 @@
 /// # Errors
 ///
 /// Returns why there is no engine.
-pub(super) fn seats<'a>(world: World<'a>, demand: &Demand<'_>) -> Result<Seats<'a>, NoPlace> {
+pub(super) fn seats<'a>(
+    world: World<'a>,
+    demand: &Demand<'_>,
+    cold_left: impl Fn(EndpointKey) -> Option<u32>,
+) -> Result<Seats<'a>, NoPlace> {
     let limits = demand.engine.ok_or(NoPlace::NoEndpoint)?;
     let trusted = |endpoint: &Endpoint| is_trusted(world, endpoint);
     let engines: Vec<Seat<'_>> = candidates(world, demand, trusted)
@@ -196,6 +202,7 @@
             used: world.used(endpoint),
             state_cost: state_cost(world, endpoint, 0.0),
             is_kept: false,
+            cold_left: cold_left(endpoint.key),
         })
         .collect();
     if engines.is_empty() {
@@ -232,6 +239,7 @@
         let limits = self.limits;
         let fitting = self.engines.iter_mut().filter(|seat| {
             !seat.is_kept
+                && seat.cold_left != Some(0)
                 && !excluded(seat)
                 && seat.used.unread < MAX_UNREAD
                 && fits(seat.used, tokens, limits, MEMORY_SHARE)
@@ -246,6 +254,7 @@
         };
         let seat = fitting.min_by(|a, b| cost(a).total_cmp(&cost(b)));
         let seat = seat.ok_or(NoPlace::Full)?;
+        seat.cold_left = seat.cold_left.map(|it| it.saturating_sub(1));
         seat.used.running = seat.used.running.saturating_add(1);
         seat.used.tokens = seat.used.tokens.saturating_add(tokens);
         seat.used.unread = seat.used.unread.saturating_add(prompt);
@@ -284,8 +293,9 @@
         CopyKind::Standing => (COPY_SHARE, AWAY_COST, DRAW_WIDTH),
         CopyKind::Ahead => (AHEAD_SHARE, AWAY_AHEAD_COST, AHEAD_DRAW_WIDTH),
     };
+    let exclude = [demand.exclude, &[source.key]].concat();
     let elsewhere = Demand {
-        exclude: &[source.key],
+        exclude: &exclude,
         ..*demand
     };
     let trusted = |endpoint: &Endpoint| keeps_copies(world, endpoint);
--- /dev/null
+++ b/crates/core/src/gateway/cold.rs
@@ -0,0 +1,176 @@
+//! Endpoints that have just started, or were taken back, and bear few requests a second.
+//!
+//! A cold endpoint that gets more than its service says crashes, whoever sent them: the bound
+//! holds for the sum over all instances, also while they cannot hear each other. So what each may
+//! send follows from the instances that it knows, those included that it lost lately:
+//!
+//! * the requests that a plain service bears in one second are divided among all known instances,
+//!   by rendezvous hashing, without a message;
+//! * generations are granted by the home of their service, within its part of the bound
+//!   ([`HOME_PART`]) times the part of all known instances that it hears. Homes on two sides of a
+//!   cut hear disjoint parts.
+//!
+//! The bound is the rate itself. What the operator allows above it is left to requests that were
+//! held up on the way, and to instances that do not know each other yet.
+//!
+//! `docs/design/shifted-work.md` weighs the ways and does the arithmetic.
+
+use crate::ids::EndpointKey;
+use crate::rendezvous;
+use crate::time::Time;
+use core::time::Duration;
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddrV4;
+
+/// The part of the bound that a home may grant: the home of a service and the next in rank may
+/// both be asked while one of them is silent to some.
+pub const HOME_PART: f64 = 0.375;
+
+/// The part of the bound of an engine that instances may use without a home, each its share: for
+/// generations that go on there.
+pub const OWN_PART: f64 = 0.25;
+
+/// The window in which requests are counted.
+const WINDOW: Duration = Duration::from_secs(1);
+
+/// The longest window, of rates far below one request a second.
+const MAX_WINDOW: Duration = Duration::from_secs(60);
+
+/// How long an instance that was lost still has its share: as long as regions lose each other.
+const REMEMBER_LOST: Duration = Duration::from_secs(600);
+
+/// An instance that has just started, or was paused, sends nothing without a home for so long:
+/// others do not count it among those that have a share yet.
+const SETTLES_IN: Duration = Duration::from_secs(2);
+
+/// A pause between two looks that is longer than this means that the process was paused.
+const PAUSE: Duration = Duration::from_millis(1_000);
+
+/// How long endpoints of a data centre that is open again count as cold beyond the usual time,
+/// unless they say otherwise: the store's word and theirs arrive one after the other.
+const RETURN_MARGIN: Duration = Duration::from_millis(1_000);
+
+/// What a service's endpoints bear while they are cold.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ColdLimits {
+    /// Requests a second at one endpoint, above zero.
+    pub per_second: f64,
+    /// How long an endpoint is cold after its start.
+    pub lasts: Duration,
+}
+
+impl ColdLimits {
+    /// Returns how long an endpoint of a data centre that is open again counts as cold.
+    pub fn after_return(&self) -> Duration {
+        self.lasts + RETURN_MARGIN
+    }
+}
+
+/// Requests to cold endpoints, counted in a sliding window.
+#[derive(Clone, Debug, Default)]
+pub struct SlidingCount {
+    sent: BTreeMap<EndpointKey, VecDeque<Time>>,
+}
+
+impl SlidingCount {
+    /// Returns how many more requests may be sent now where `rate` a second are allowed. Below
+    /// one a second the window is as long as one request takes.
+    pub fn left(&self, now: Time, endpoint: EndpointKey, rate: f64) -> u32 {
+        if rate <= 0.0 {
+            return 0;
+        }
+        let seconds = (1.0 / rate).clamp(WINDOW.as_secs_f64(), MAX_WINDOW.as_secs_f64());
+        let window = Duration::from_secs_f64(seconds);
+        // A product that is a hair below a whole number is that number.
+        let allowed = (rate * seconds + 1e-9) as u32;
+        let sent = self.sent.get(&endpoint);
+        let within = |at: &&Time| now.since(**at) < window;
+        let used = sent.map_or(0, |it| it.iter().rev().take_while(within).count());
+        allowed.saturating_sub(u32::try_from(used).unwrap_or(u32::MAX))
+    }
+
+    /// Counts a request.
+    pub fn note(&mut self, now: Time, endpoint: EndpointKey) {
+        self.sent.entry(endpoint).or_default().push_back(now);
+    }
+
+    /// Forgets what no window reaches any more.
+    pub fn tick(&mut self, now: Time) {
+        for sent in self.sent.values_mut() {
+            while sent.front().is_some_and(|at| now.since(*at) >= MAX_WINDOW) {
+                sent.pop_front();
+            }
+        }
+        self.sent.retain(|_, it| !it.is_empty());
+    }
+}
+
+/// What this instance may send to cold endpoints, and what it sent.
+#[derive(Clone, Debug)]
+pub struct ColdShares {
+    /// When each other instance was last known to take part.
+    seen: BTreeMap<SocketAddrV4, Time>,
+    looked: Time,
+    /// Since when this instance runs without a pause.
+    runs_since: Time,
+    sent: SlidingCount,
+}
+
+impl ColdShares {
+    /// Returns the shares of an instance that begins now.
+    pub fn new(now: Time) -> Self {
+        ColdShares {
+            seen: BTreeMap::new(),
+            looked: now,
+            runs_since: now,
+            sent: SlidingCount::default(),
+        }
+    }
+
+    /// Takes in who takes part.
+    pub fn tick(&mut self, now: Time, live: impl Iterator<Item = SocketAddrV4>) {
+        if now.since(self.looked) >= PAUSE {
+            self.runs_since = now;
+        }
+        self.looked = now;
+        self.seen.extend(live.map(|it| (it, now)));
+        self.seen.retain(|_, at| now.since(*at) < REMEMBER_LOST);
+        self.sent.tick(now);
+    }
+
+    /// Returns how many instances there are, this one and those that were lost included.
+    pub fn known(&self) -> usize {
+        1 + self.seen.len()
+    }
+
+    /// Returns how many more requests of `rate` a second in all this instance may send to an
+    /// endpoint now without asking anybody.
+    pub fn left(&self, now: Time, own: SocketAddrV4, endpoint: EndpointKey, rate: f64) -> u32 {
+        if now.since(self.runs_since) < SETTLES_IN || now.since(self.looked) >= PAUSE {
+            return 0;
+        }
+        let share = self.share(own, endpoint, rate as u32);
+        self.sent.left(now, endpoint, f64::from(share))
+    }
+
+    /// Counts a request of this instance.
+    pub fn note(&mut self, now: Time, endpoint: EndpointKey) {
+        self.sent.note(now, endpoint);
+    }
+
+    /// Returns this instance's part of `total` requests a second. The parts of all instances that
+    /// know each other add up to it.
+    fn share(&self, own: SocketAddrV4, endpoint: EndpointKey, total: u32) -> u32 {
+        let known = u32::try_from(self.known()).unwrap_or(u32::MAX);
+        let score = |it: SocketAddrV4| (rendezvous::score(endpoint.0, address_key(it)), it);
+        let mine = score(own);
+        let ahead = self.seen.keys().filter(|it| score(**it) > mine).count();
+        let is_ahead = u32::try_from(ahead).is_ok_and(|it| it < total % known);
+        total / known + u32::from(is_ahead)
+    }
+}
+
+/// Returns an address as rendezvous hashing takes it.
+fn address_key(address: SocketAddrV4) -> u64 {
+    crate::ids::stable_hash(&[&address.ip().octets(), &address.port().to_le_bytes()])
+}
--- a/crates/core/src/gateway/endpoints.rs
+++ b/crates/core/src/gateway/endpoints.rs
@@ -5,6 +5,7 @@
 //! by name and start. That makes leaving final: whoever hears of it first, from the
 //! store, a peer or the endpoint itself, is right for good about that life.
 
+use super::cold::ColdLimits;
 use super::cordons::{Cordon, CordonEffect, Cordons};
 use crate::ids::EndpointKey;
 use crate::time::Time;
@@ -117,6 +118,8 @@
     pub state: EndpointState,
     /// Until when it is slow after its start.
     pub cold_until: Time,
+    /// When it said so last.
+    said_at: Time,
     /// Failures since the last success.
     failures: u32,
     /// It is passed over until then.
@@ -203,12 +206,14 @@
             record: record.clone(),
             state: EndpointState::Serving,
             cold_until,
+            said_at: now,
             failures: 0,
             ejected_until: Time::ZERO,
             failure_share: 0.0,
         });
         endpoint.record = record;
         endpoint.cold_until = cold_until;
+        endpoint.said_at = now;
         if leaving {
             return self.leave(now, key);
         }
@@ -304,6 +309,37 @@
         endpoint.is_some_and(|it| self.cordons.is_closed(&it.record.data_centre))
     }
 
+    /// Takes in for how long an endpoint says that it will still be cold.
+    pub fn told_cold(&mut self, now: Time, key: EndpointKey, left: Duration) {
+        if let Some(endpoint) = self.endpoints.get_mut(&key) {
+            endpoint.cold_until = now + left;
+            endpoint.said_at = now;
+        }
+    }
+
+    /// Returns whether an endpoint bears no more than `limits`: it said so, or its data centre is
+    /// open again and it said nothing since.
+    pub fn is_cold(&self, now: Time, key: EndpointKey, limits: &ColdLimits) -> bool {
+        let Some(endpoint) = self.endpoints.get(&key) else {
+            return false;
+        };
+        let lifted = self.cordons.lifted_at(&endpoint.record.data_centre);
+        let may_have_cooled = lifted
+            .is_some_and(|at| endpoint.said_at <= at && now.since(at) < limits.after_return());
+        may_have_cooled || now < endpoint.cold_until
+    }
+
+    /// Returns the endpoints of a service that are usable and cold.
+    pub fn cold_of(
+        &self,
+        now: Time,
+        service: &str,
+        limits: &ColdLimits,
+    ) -> impl Iterator<Item = EndpointKey> {
+        let usable = self.usable_of(service).map(|it| it.key);
+        usable.filter(move |&key| self.is_cold(now, key, limits))
+    }
+
     /// Returns whether new work may be sent to an endpoint. Whoever sends, reserves or copies
     /// something asks this, and asks again right before the first byte.
     pub fn is_usable(&self, key: EndpointKey) -> bool {
--- a/crates/core/src/gateway/home.rs
+++ b/crates/core/src/gateway/home.rs
@@ -14,6 +14,7 @@
 use super::ask::{Decision, Want, Wish};
 use super::catalogue::EngineLimits;
 use super::choose::{Demand, NoPlace, World, choose, choose_copy};
+use super::cold::{ColdLimits, HOME_PART, SlidingCount};
 use super::endpoints::EndpointTable;
 use super::queue::{Asking, MAX_WAITING, assign, service_hash};
 use super::usage::{Others, UsageTable, Used};
@@ -44,6 +45,8 @@
     used: Vec<(EndpointKey, Used)>,
     failing: Vec<EndpointKey>,
     passed_over: Vec<EndpointKey>,
+    /// How many instances it knows, those that were lost included.
+    known: u32,
     wishes: Vec<Wish>,
     /// Whether this instance is to decide about the wishes.
     decides: bool,
@@ -60,6 +63,8 @@
     reporters: BTreeMap<SocketAddrV4, Reporter>,
     /// Engines that instances could not use lately.
     doubts: Doubts,
+    /// Requests that were granted at engines that were cold.
+    cold_granted: SlidingCount,
 }
 
 /// What was decided, by the instance that is to be told.
@@ -74,6 +79,26 @@
     pub limits: EngineLimits,
     /// All endpoints.
     pub endpoints: &'a EndpointTable,
+    /// What its engines bear while they are cold, if that is less.
+    pub cold: Option<ColdLimits>,
+    /// How many instances this one knows, those that were lost included.
+    pub known: usize,
+    /// How many of them take part.
+    pub live: usize,
+}
+
+impl Engines<'_> {
+    fn is_cold(&self, now: Time, engine: EndpointKey) -> bool {
+        let limits = self.cold.as_ref();
+        limits.is_some_and(|it| self.endpoints.is_cold(now, engine, it))
+    }
+
+    fn cold_engines(&self, now: Time) -> Vec<EndpointKey> {
+        let limits = self.cold.as_ref();
+        limits.map_or_else(Vec::new, |it| {
+            self.endpoints.cold_of(now, self.service, it).collect()
+        })
+    }
 }
 
 impl Home {
@@ -102,6 +127,7 @@
             used: report.used,
             failing: report.failing,
             passed_over: report.passed_over,
+            known: report.known,
             decides: report.decides,
             owed: report.decides && !wishes.is_empty(),
             wishes,
@@ -116,6 +142,7 @@
         self.reporters
             .retain(|_, it| now.since(it.heard) < REPORT_FRESH);
         self.doubts.tick(now);
+        self.cold_granted.tick(now);
     }
 
     /// Returns whether nobody reports.
@@ -200,6 +227,18 @@
         }
     }
 
+    /// Returns how many requests a second this home may grant at one cold engine. Each instance of
+    /// the fleet has a part of the bound, and a home disposes of the parts of those that it hears:
+    /// it may be new and not know of those on the other side of a cut, but who reports to it does.
+    fn cold_rate(&self, engines: &Engines<'_>) -> f64 {
+        let told = self.reporters.values().map(|it| it.known as usize).max();
+        let known = engines.known.max(told.unwrap_or(0)).max(engines.live);
+        let part = engines.live as f64 / known.max(1) as f64;
+        engines
+            .cold
+            .map_or(0.0, |it| it.per_second * HOME_PART * part)
+    }
+
     /// Returns what others run, if the instance at `from` is to be told now.
     fn view_for(&mut self, now: Time, from: SocketAddrV4) -> Option<Others> {
         let reporter = self.reporters.get_mut(&from)?;
@@ -287,7 +326,17 @@
                 }
             }
         }
-        let places = assign(world, engines, waiting.iter().map(|(_, asking)| asking));
+        let rate = self.cold_rate(&engines);
+        let cold_left = |engine| {
+            let is_cold = engines.is_cold(now, engine);
+            is_cold.then(|| self.cold_granted.left(now, engine, rate))
+        };
+        let places = assign(
+            world,
+            engines,
+            cold_left,
+            waiting.iter().map(|(_, asking)| asking),
+        );
         for ((from, asking), place) in waiting.iter().zip(places) {
             let id = asking.wish.waiter.id;
             let decision = match place {
@@ -295,6 +344,9 @@
                 Err(why) => Decision::Waits(why),
             };
             if let (Ok(key), Some(reporter)) = (place, self.reporters.get_mut(from)) {
+                if engines.is_cold(now, key) {
+                    self.cold_granted.note(now, key);
+                }
                 reporter.reserved.insert(id, (key, asking.wish.reserves()));
             }
             decided.entry(*from).or_default().push((id, decision));
@@ -319,11 +371,14 @@
 
 /// Chooses for a wish that waits for nothing.
 fn at_once(world: World<'_>, engines: Engines<'_>, wish: &Wish) -> Result<EndpointKey, NoPlace> {
+    // What is cold gets requests in their turn only, within its bound.
+    let mut exclude = wish.exclude.clone();
+    exclude.extend(engines.cold_engines(world.now));
     let demand = Demand {
         service: engines.service,
         engine: Some(engines.limits),
         tokens: wish.waiter.tokens,
-        exclude: &wish.exclude,
+        exclude: &exclude,
     };
     // One instance decides for all, one wish after the other: nothing is to be parted.
     let no_draw = || 0.0;
--- a/crates/core/src/gateway/home/message.rs
+++ b/crates/core/src/gateway/home/message.rs
@@ -36,6 +36,8 @@
     pub failing: Vec<EndpointKey>,
     /// Engines that it cannot use at the moment.
     pub passed_over: Vec<EndpointKey>,
+    /// How many instances it knows, those that it lost included.
+    pub known: u32,
     /// What it waits for.
     pub wishes: Vec<Wished>,
 }
--- a/crates/core/src/gateway/queue.rs
+++ b/crates/core/src/gateway/queue.rs
@@ -127,10 +127,11 @@
 ///
 /// All that go before one are given room first. For the first that fits nowhere the engine
 /// with the most room is kept, so that large requests come to their turn and small ones use
-/// what is left elsewhere.
+/// what is left elsewhere. `cold_left` says how many more requests an engine may get that is cold.
 pub fn assign<'a>(
     world: World<'_>,
     engines: Engines<'_>,
+    cold_left: impl Fn(EndpointKey) -> Option<u32>,
     waiting: impl Iterator<Item = &'a Asking>,
 ) -> Vec<Result<EndpointKey, NoPlace>> {
     let all: Vec<&Asking> = waiting.collect();
@@ -142,7 +143,7 @@
         tokens: 0,
         exclude: &[],
     };
-    let mut seats = match seats(world, &demand) {
+    let mut seats = match seats(world, &demand, cold_left) {
         Ok(seats) => seats,
         Err(why) => return vec![Err(why); all.len()],
     };
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -11,6 +11,7 @@
 use super::budget::{BudgetConfig, SharedBudget};
 use super::catalogue::{Catalogue, CatalogueFinding, CatalogueSource};
 use super::catch_up::CatchUp;
+use super::cold::ColdShares;
 use super::cordons::{Cordon, CordonEffect};
 use super::endpoints::{EndpointRecord, EndpointTable};
 use super::gossip::{Body, Outbox};
@@ -102,6 +103,8 @@
     ask_changes: u64,
     reported: BTreeMap<u64, Reported>,
     reports_sent: u64,
+    /// What may be sent to endpoints that are cold.
+    pub(super) cold: ColdShares,
     /// Requests that end endpoints.
     pub suspects: Suspects,
     /// Repeats that may be spent.
@@ -135,6 +138,7 @@
             ask_changes: 0,
             reported: BTreeMap::new(),
             reports_sent: 0,
+            cold: ColdShares::new(now),
             suspects: Suspects::new(now),
             budget: SharedBudget::new(cfg.budget),
             catalogue: None,
--- a/crates/core/src/gateway/state/peers.rs
+++ b/crates/core/src/gateway/state/peers.rs
@@ -247,6 +247,8 @@
         self.endpoints_ended(now, &ticked.leaving);
         ticked.suspected = self.suspects.take_changed();
         self.suspects.tick(now);
+        self.cold
+            .tick(now, self.members.live().map(|(address, _)| address));
         self.outbox.tick(now);
         self.note_behind(now);
         self.tell_news(&mut ticked.send);
--- a/crates/core/src/gateway/state/places.rs
+++ b/crates/core/src/gateway/state/places.rs
@@ -3,6 +3,7 @@
 use super::{Gateway, Place};
 use crate::gateway::ask::{REPORT_AGAIN, REPORT_WAITING, Verdict, Want, Wish};
 use crate::gateway::choose::{self, Demand, NoPlace, World};
+use crate::gateway::cold::{ColdLimits, OWN_PART};
 use crate::gateway::endpoints::Endpoint;
 use crate::gateway::gossip::Body;
 use crate::gateway::home::{Answer, Engines, REPORT_INTERVAL, Report};
@@ -43,11 +44,68 @@
     ///
     /// Returns why there is none.
     pub fn place(&mut self, now: Time, demand: &Demand<'_>) -> Result<Place, NoPlace> {
+        let limits = self.cold_limits(demand.service);
+        let barred = self.barred(now, demand, limits.as_ref());
+        let both;
+        let exclude = match barred.is_empty() {
+            true => demand.exclude,
+            false => {
+                both = [demand.exclude, &barred].concat();
+                &both
+            }
+        };
+        let demand = Demand { exclude, ..*demand };
         let mut rng = self.draws();
-        let key = choose::choose(self.world(now, demand.service), demand, || rng.random())?;
+        let key = choose::choose(self.world(now, demand.service), &demand, || rng.random());
+        let key = key.map_err(|why| match why {
+            NoPlace::NoEndpoint if !barred.is_empty() => NoPlace::Full,
+            why => why,
+        })?;
+        if limits.is_some_and(|it| self.endpoints.is_cold(now, key, &it)) {
+            self.cold.note(now, key);
+        }
         self.place_at(key).ok_or(NoPlace::NoEndpoint)
     }
 
+    fn cold_limits(&self, service: &str) -> Option<ColdLimits> {
+        self.catalogue.as_ref()?.cold_limits(service)
+    }
+
+    /// Returns the cold endpoints to which this instance may send nothing now. Engines get
+    /// requests through their home alone.
+    fn barred(
+        &self,
+        now: Time,
+        demand: &Demand<'_>,
+        limits: Option<&ColdLimits>,
+    ) -> Vec<EndpointKey> {
+        let Some(limits) = limits else {
+            return Vec::new();
+        };
+        let cold = self.endpoints.cold_of(now, demand.service, limits);
+        let has_share = |key: EndpointKey| {
+            let own = self.cfg.address;
+            demand.engine.is_none() && self.cold.left(now, own, key, limits.per_second) > 0
+        };
+        cold.filter(|&key| !has_share(key)).collect()
+    }
+
+    /// Returns whether a generation may go on at an engine, as far as that may be cold, and
+    /// counts it there.
+    pub fn admit_to_go_on(&mut self, now: Time, key: EndpointKey) -> bool {
+        let endpoint = self.endpoints.get(key);
+        let limits = endpoint.and_then(|it| self.cold_limits(&it.record.service));
+        let Some(limits) = limits.filter(|it| self.endpoints.is_cold(now, key, it)) else {
+            return true;
+        };
+        let rate = limits.per_second * OWN_PART;
+        let is_admitted = self.cold.left(now, self.cfg.address, key, rate) > 0;
+        if is_admitted {
+            self.cold.note(now, key);
+        }
+        is_admitted
+    }
+
     /// Chooses for `want` by what this instance knows, because no home answers.
     ///
     /// # Errors
@@ -65,7 +123,14 @@
         let mut rng = self.draws();
         let world = self.world(now, demand.service);
         let source = world.endpoints.get(source).ok_or(NoPlace::NoEndpoint)?;
-        let key = choose::choose_copy(world, demand, source, kind, || rng.random());
+        let limits = self.cold_limits(demand.service);
+        let barred = self.barred(now, demand, limits.as_ref());
+        let exclude = [demand.exclude, &barred].concat();
+        let demand = Demand {
+            exclude: &exclude,
+            ..*demand
+        };
+        let key = choose::choose_copy(world, &demand, source, kind, || rng.random());
         key.and_then(|key| self.place_at(key)).ok_or(NoPlace::Full)
     }
 
@@ -245,6 +310,7 @@
                 .collect(),
             failing: self.endpoints.failing().filter(of_service).collect(),
             passed_over: self.endpoints.passed_over(now).filter(of_service).collect(),
+            known: u32::try_from(self.cold.known()).unwrap_or(u32::MAX),
             wishes: self.asks.of(service).map(|it| it.to_tell(now)).collect(),
         };
         self.reports_sent += 1;
@@ -283,13 +349,17 @@
         };
         let mut services = catalogue.services();
         let known = services.find(|it| service_hash(&it.name) == service);
-        let Some((name, limits)) = known.and_then(|it| Some((&it.name, it.engine?))) else {
+        let known = known.and_then(|it| Some((&it.name, it.engine?, it.cold)));
+        let Some((name, limits, cold)) = known else {
             return false;
         };
         let engines = Engines {
             service: name,
             limits,
             endpoints: &self.endpoints,
+            cold,
+            known: self.cold.known(),
+            live: 1 + self.members.live().count(),
         };
         let answers = home.decide(now, engines);
         let mut decided = false;
--- a/crates/core/tests/gateway_catalogue.rs
+++ b/crates/core/tests/gateway_catalogue.rs
@@ -36,10 +36,12 @@
             Service {
                 name: "desk".to_owned(),
                 engine: None,
+                cold: None,
             },
             Service {
                 name: "spare".to_owned(),
                 engine: None,
+                cold: None,
             },
         ],
         workspaces: vec![Workspace {
--- /dev/null
+++ b/crates/core/tests/gateway_cold.rs
@@ -0,0 +1,398 @@
+//! Endpoints that bear few requests a second while they are cold: what a fleet sends them in all.
+
+#[path = "fixtures/gateway_fleet.rs"]
+mod fleet;
+#[path = "fixtures/gateway.rs"]
+mod instances;
+
+use core::time::Duration;
+use fleet::Fleet;
+use oriolemux_core::gateway::ask::{Decision, Verdict, Want, Wish};
+use oriolemux_core::gateway::catalogue::{CatalogueSource, EngineLimits, Service};
+use oriolemux_core::gateway::choose::{CopyKind, NoPlace};
+use oriolemux_core::gateway::cold::ColdLimits;
+use oriolemux_core::gateway::queue::{Waiter, service_hash};
+use oriolemux_core::gateway::{Cordon, Demand, EndpointRecord, Gateway};
+use oriolemux_core::{EndpointKey, Time};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use rstest::rstest;
+
+const SEEDS: usize = 3;
+
+/// Engines with room for all that the tests send, so that nothing but the bound holds requests back.
+const ENGINE: EngineLimits = EngineLimits {
+    slots: 10_000,
+    memory_tokens: 10_000_000,
+    standing_copies: true,
+};
+
+const COLD: ColdLimits = ColdLimits {
+    per_second: 31.0,
+    lasts: Duration::from_secs(1),
+};
+
+/// What an operator allows above the rate, as a factor and a number of requests.
+const OVERSHOOT: f64 = 1.5;
+const SLACK: f64 = 5.0;
+
+/// Longer than any test runs.
+const FOR_GOOD: Duration = Duration::from_secs(100);
+
+fn record(name: &str, service: &str, cold: Duration) -> EndpointRecord {
+    EndpointRecord {
+        service: service.to_owned(),
+        cold,
+        ..instances::engine(name)
+    }
+}
+
+fn catalogue() -> CatalogueSource {
+    CatalogueSource {
+        version: 1,
+        services: vec![
+            Service {
+                name: "model".to_owned(),
+                engine: Some(ENGINE),
+                cold: Some(COLD),
+            },
+            Service {
+                name: "desk".to_owned(),
+                engine: None,
+                cold: Some(COLD),
+            },
+        ],
+        ..CatalogueSource::default()
+    }
+}
+
+/// A settled fleet before endpoints, and what it sends them.
+struct Scene {
+    fleet: Fleet,
+    rng: SmallRng,
+    asked: u64,
+    waiting: Vec<(usize, u64)>,
+    sent: Vec<(Time, EndpointKey)>,
+}
+
+impl Scene {
+    fn new(size: usize, endpoints: &[EndpointRecord]) -> Scene {
+        let mut fleet = Fleet::start(size, SEEDS, 5);
+        let joined = fleet.until_all_count(size, Duration::from_secs(20));
+        assert!(joined.is_some(), "{:?}", fleet.counts());
+        fleet.run(Duration::from_secs(3));
+        let mut scene = Scene {
+            fleet,
+            rng: SmallRng::seed_from_u64(9),
+            asked: 0,
+            waiting: Vec::new(),
+            sent: Vec::new(),
+        };
+        for index in 0..size {
+            scene.learn(index, endpoints);
+        }
+        scene
+    }
+
+    fn learn(&mut self, index: usize, endpoints: &[EndpointRecord]) {
+        let now = self.fleet.now;
+        let core = self.core(index);
+        for endpoint in endpoints {
+            core.publish_endpoint(now, endpoint.clone());
+        }
+        core.publish_catalogue(catalogue()).expect("no findings");
+    }
+
+    fn core(&mut self, index: usize) -> &mut Gateway {
+        self.fleet.nodes[index].core.as_mut().expect("it is there")
+    }
+
+    /// Some instance that is there.
+    fn any(&mut self) -> usize {
+        let size = self.fleet.nodes.len();
+        loop {
+            let index = self.rng.random_range(0..size);
+            if self.fleet.nodes[index].core.is_some() {
+                return index;
+            }
+        }
+    }
+
+    /// Lets time pass in which so many calls and generations a second are wanted.
+    fn want(&mut self, time: Duration, calls: f64, generations: f64) {
+        let ends = self.fleet.now + time;
+        while self.fleet.now < ends {
+            self.fleet.run(Duration::from_millis(1));
+            if self.rng.random_bool(calls / 1_000.0) {
+                self.call();
+            }
+            if self.rng.random_bool(generations / 1_000.0) {
+                self.ask();
+            }
+            self.look();
+        }
+    }
+
+    fn call(&mut self) {
+        let (index, now) = (self.any(), self.fleet.now);
+        let demand = Demand {
+            service: "desk",
+            engine: None,
+            tokens: 0,
+            exclude: &[],
+        };
+        if let Ok(place) = self.core(index).place(now, &demand) {
+            self.sent.push((now, place.key));
+        }
+    }
+
+    fn ask(&mut self) {
+        self.asked += 1;
+        let (id, now, index) = (self.asked, self.fleet.now, self.any());
+        let waiter = Waiter {
+            id,
+            service: service_hash("model"),
+            priority: 1,
+            arrived: now,
+            target: Duration::from_secs(2),
+            tokens: 10,
+            prompt: 1,
+        };
+        let wish = Wish {
+            waiter,
+            want: Want::Place,
+            exclude: Vec::new(),
+        };
+        self.core(index).ask(now, wish);
+        self.fleet.hurry(index);
+        self.waiting.push((index, id));
+    }
+
+    fn look(&mut self) {
+        let now = self.fleet.now;
+        let mut still = Vec::new();
+        for (index, id) in core::mem::take(&mut self.waiting) {
+            let Some(core) = self.fleet.nodes[index].core.as_mut() else {
+                continue;
+            };
+            let demand = Demand {
+                service: "model",
+                engine: Some(ENGINE),
+                tokens: 10,
+                exclude: &[],
+            };
+            let place = match core.verdict(now, id) {
+                Verdict::Decided(Decision::Granted(key)) => Some(key),
+                Verdict::Unanswered => {
+                    core.home_unanswered(now, service_hash("model"), id);
+                    let alone = core.place_alone(now, &demand, Want::Place);
+                    alone.ok().map(|it| it.key)
+                }
+                _ => None,
+            };
+            match place {
+                Some(key) => {
+                    core.usage.begin(key, 10, 0);
+                    core.ask_no_longer(id);
+                    self.sent.push((now, key));
+                    self.fleet.hurry(index);
+                }
+                None => still.push((index, id)),
+            }
+        }
+        self.waiting = still;
+    }
+
+    /// Returns the most requests that an endpoint got within a second.
+    fn busiest_second(&self, name: &str) -> usize {
+        let key = EndpointKey::of(name);
+        let sent = self.sent.iter().filter(|it| it.1 == key);
+        let times: Vec<Time> = sent.map(|it| it.0).collect();
+        let within = |at: &Time| {
+            let later = times.iter().filter(|it| *it >= at);
+            later
+                .take_while(|it| it.since(*at) <= Duration::from_secs(1))
+                .count()
+        };
+        times.iter().map(within).max().unwrap_or(0)
+    }
+}
+
+fn bound() -> usize {
+    (COLD.per_second * OVERSHOOT + SLACK) as usize
+}
+
+/// Guards against a cold endpoint that crashes because each instance sends it what it would bear
+/// from one; the others are warm, and take what it may not have.
+#[rstest]
+#[case::few(6)]
+#[case::some(64)]
+#[case::planned(390)]
+fn a_cold_endpoint_gets_no_more_than_its_bound(#[case] size: usize) {
+    let endpoints = [
+        record("e-cold", "model", FOR_GOOD),
+        record("e-warm", "model", Duration::ZERO),
+        record("d-cold", "desk", FOR_GOOD),
+        record("d-warm", "desk", Duration::ZERO),
+    ];
+    let mut scene = Scene::new(size, &endpoints);
+
+    scene.want(Duration::from_secs(3), 400.0, 300.0);
+
+    let (engine, desk) = (
+        scene.busiest_second("e-cold"),
+        scene.busiest_second("d-cold"),
+    );
+    assert!((1..=bound()).contains(&engine), "{engine}");
+    // Calls of one instance are too few to make the warm endpoint look busy.
+    assert!(desk <= bound(), "{desk}");
+    assert!(scene.waiting.len() < 20, "{} wait", scene.waiting.len());
+}
+
+/// Guards against a bound that holds on each side of a cut and not for both together, beside an
+/// instance that has just started and knows one side only.
+#[rstest]
+#[case::few(6)]
+#[case::some(64)]
+#[case::planned(390)]
+fn two_sides_of_a_cut_keep_the_bound_together(#[case] size: usize) {
+    let endpoints = [
+        record("e-cold", "model", FOR_GOOD),
+        record("d-cold", "desk", FOR_GOOD),
+    ];
+    let mut scene = Scene::new(size, &endpoints);
+    scene.fleet.passes = |from, to| from % 2 == to % 2;
+    scene.want(Duration::from_secs(4), 0.0, 0.0);
+    scene.fleet.kill(1);
+    scene.fleet.start_one(1);
+    scene.learn(1, &endpoints);
+
+    scene.want(Duration::from_secs(4), 600.0, 400.0);
+
+    for name in ["e-cold", "d-cold"] {
+        let most = scene.busiest_second(name);
+        assert!((1..=bound()).contains(&most), "{name}: {most}");
+    }
+}
+
+/// Guards against instances that all were paused, or have just started, and send at once what
+/// would be the share of one alone.
+#[test]
+fn a_fleet_that_starts_at_once_keeps_the_bound() {
+    let endpoints = [
+        record("e-cold", "model", FOR_GOOD),
+        record("d-cold", "desk", FOR_GOOD),
+    ];
+    let mut scene = Scene::new(64, &endpoints);
+    for index in 0..64 {
+        scene.fleet.kill(index);
+        scene.fleet.start_one(index);
+        scene.learn(index, &endpoints);
+    }
+
+    scene.want(Duration::from_secs(5), 600.0, 400.0);
+
+    for name in ["e-cold", "d-cold"] {
+        let most = scene.busiest_second(name);
+        assert!(most <= bound(), "{name}: {most}");
+    }
+}
+
+/// Guards against a service that is not used at all because its last endpoint is cold.
+#[test]
+fn the_last_endpoint_is_used_though_it_is_cold() {
+    let endpoints = [
+        record("e-cold", "model", FOR_GOOD),
+        record("d-cold", "desk", FOR_GOOD),
+    ];
+    let mut scene = Scene::new(6, &endpoints);
+
+    scene.want(Duration::from_secs(4), 200.0, 100.0);
+
+    let of = |name| {
+        let key = EndpointKey::of(name);
+        scene.sent.iter().filter(|it| it.1 == key).count()
+    };
+    assert!(of("e-cold") >= 4 * 10, "{}", of("e-cold"));
+    assert!(of("d-cold") >= 4 * 20, "{}", of("d-cold"));
+}
+
+fn one_with(endpoints: &[EndpointRecord]) -> Gateway {
+    let mut one = instances::gateway(1);
+    let now = Time::from_secs(1);
+    for endpoint in endpoints {
+        one.publish_endpoint(now, endpoint.clone());
+    }
+    one.publish_catalogue(catalogue()).expect("no findings");
+    one
+}
+
+fn cordon(revision: u64, is_closed: bool) -> Cordon {
+    Cordon {
+        data_centre: "north".to_owned(),
+        revision,
+        is_closed,
+    }
+}
+
+/// Guards against endpoints that became cold while their data centre was closed, and that are
+/// sent what they bore before.
+#[test]
+fn endpoints_of_a_data_centre_that_is_open_again_count_as_cold() {
+    let mut one = one_with(&[record("d-1", "desk", Duration::ZERO)]);
+    let (closed, open) = (Time::from_secs(5), Time::from_secs(9));
+    let key = EndpointKey::of("d-1");
+    let is_cold = |one: &Gateway, at: Time| one.endpoints.is_cold(at, key, &COLD);
+
+    one.publish_cordon(closed, cordon(7, true));
+    one.publish_cordon(open, cordon(8, false));
+
+    assert!(!is_cold(&one, open + COLD.after_return()));
+    assert!(is_cold(&one, open + COLD.lasts));
+    let word = open + Duration::from_millis(100);
+    one.endpoints.told_cold(word, key, Duration::ZERO);
+    assert!(!is_cold(&one, word), "its own word is fresher");
+}
+
+/// Guards against an endpoint that says it is cold again and is not believed.
+#[test]
+fn an_endpoint_may_become_cold_at_any_moment() {
+    let mut one = one_with(&[record("d-1", "desk", Duration::ZERO)]);
+    let key = EndpointKey::of("d-1");
+    let now = Time::from_secs(50);
+    assert!(!one.endpoints.is_cold(now, key, &COLD));
+
+    one.endpoints.told_cold(now, key, Duration::from_secs(2));
+
+    assert!(
+        one.endpoints
+            .is_cold(now + Duration::from_secs(1), key, &COLD)
+    );
+    assert!(
+        !one.endpoints
+            .is_cold(now + Duration::from_secs(2), key, &COLD)
+    );
+}
+
+/// Guards against copies at an engine that may not be asked to go on with them.
+#[rstest]
+#[case(CopyKind::Standing)]
+#[case(CopyKind::Ahead)]
+fn no_copy_goes_to_a_cold_engine(#[case] kind: CopyKind) {
+    let mut one = one_with(&[
+        record("e-source", "model", Duration::ZERO),
+        record("e-cold", "model", FOR_GOOD),
+    ]);
+    let now = Time::from_secs(20);
+    let demand = Demand {
+        service: "model",
+        engine: Some(ENGINE),
+        tokens: 10,
+        exclude: &[],
+    };
+    let source = EndpointKey::of("e-source");
+
+    let place = one.place_alone(now, &demand, Want::Copy { source, kind });
+
+    assert_eq!(place, Err(NoPlace::Full));
+}
--- a/crates/core/tests/gateway_cordons.rs
+++ b/crates/core/tests/gateway_cordons.rs
@@ -192,10 +192,12 @@
             Service {
                 name: "model".to_owned(),
                 engine: Some(ENGINE),
+                cold: None,
             },
             Service {
                 name: "desk".to_owned(),
                 engine: None,
+                cold: None,
             },
         ],
         ..CatalogueSource::default()
--- a/crates/core/tests/gateway_home.rs
+++ b/crates/core/tests/gateway_home.rs
@@ -94,6 +94,7 @@
             used: used.to_vec(),
             failing: Vec::new(),
             passed_over: self.passed_over.clone(),
+            known: 1,
             wishes: wishes.iter().map(|it| it.to_tell(self.now)).collect(),
         };
         let life = Incarnation(instance.into());
@@ -105,6 +106,9 @@
             service: MODEL,
             limits: ENGINE,
             endpoints: &self.endpoints,
+            cold: None,
+            known: 1,
+            live: 1,
         };
         let answers = self.home.decide(self.now, engines);
         let number = |it: std::net::SocketAddrV4| {
@@ -226,6 +230,7 @@
         used: Vec::new(),
         failing: Vec::new(),
         passed_over: Vec::new(),
+        known: 1,
         wishes: Vec::new(),
     };
 
--- a/crates/core/tests/gateway_places.rs
+++ b/crates/core/tests/gateway_places.rs
@@ -69,6 +69,7 @@
         services: vec![Service {
             name: "model".to_owned(),
             engine: Some(ENGINE),
+            cold: None,
         }],
         ..CatalogueSource::default()
     }
--- a/crates/core/tests/gateway_queue.rs
+++ b/crates/core/tests/gateway_queue.rs
@@ -66,10 +66,13 @@
             service: "model",
             limits: ENGINE,
             endpoints: &self.endpoints,
+            cold: None,
+            known: 1,
+            live: 1,
         };
         let others = self.queue.iter().filter(|it| it.id != me.id);
         let all: Vec<Asking> = others.chain([me]).copied().map(asking).collect();
-        let places = assign(world, engines, all.iter());
+        let places = assign(world, engines, |_| None, all.iter());
         *places.last().expect("its own")
     }
 
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -173,6 +173,10 @@
         if let Some(load) = head.load {
             job.cx.state().told(job.cx.now(), place.key, load);
         }
+        if let Some(left) = head.cold {
+            let now = job.cx.now();
+            job.cx.state().endpoints.told_cold(now, place.key, left);
+        }
         if head.replaced {
             job.note_replaced(place);
         }
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -279,9 +279,12 @@
         let limit = self.cx.limits.connect.min(self.left());
         let mut link = Link::connect(place.address, limit).await?;
         let is_withdrawn = {
-            let state = self.cx.state();
+            let now = self.cx.now();
+            let mut state = self.cx.state();
             match send.resume {
-                Some(_) => state.endpoints.is_cordoned(place.key),
+                Some(_) => {
+                    state.endpoints.is_cordoned(place.key) || !state.admit_to_go_on(now, place.key)
+                }
                 None => !state.is_usable(place.key),
             }
         };
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -92,6 +92,8 @@
     pub foreign: bool,
     /// How full the endpoint says it is.
     pub load: Option<ToldLoad>,
+    /// For how long the endpoint says it will still be cold.
+    pub cold: Option<Duration>,
 }
 
 /// A part of all records of the store.
--- a/crates/gateway/src/relay/begin.rs
+++ b/crates/gateway/src/relay/begin.rs
@@ -146,6 +146,11 @@
         if head.foreign {
             return Begun::Failed(Reason::AnswerForeign);
         }
+        if let Some(left) = head.cold {
+            let now = self.job.cx.now();
+            let mut state = self.job.cx.state();
+            state.endpoints.told_cold(now, self.source.key, left);
+        }
         if head.replaced {
             self.job.note_replaced(&self.source);
         }
