An instance is ready once it knows the cordons, and not only once it knows all endpoints

Cause: since cordons are part of readiness it waited for the whole read of the store.

Change: cordons stand before endpoints in the order of pages; readiness waits for the page that goes beyond them.

Ruled out: a state that is entered and not left.

--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -112,6 +112,8 @@
     catalogue: Option<Arc<Catalogue>>,
     /// Output tokens of generations, by entry.
     pub lengths: LengthTable,
+    /// Whether the cordons that the store has were read once.
+    knows_cordons: bool,
     started: Time,
     stopping: bool,
     catch_up: CatchUp,
@@ -143,6 +145,7 @@
             budget: SharedBudget::new(cfg.budget),
             catalogue: None,
             lengths: LengthTable::default(),
+            knows_cordons: false,
             started: now,
             stopping: false,
             catch_up: CatchUp::default(),
@@ -230,13 +233,19 @@
         self.servable().is_some() && !self.stopping
     }
 
-    /// Returns the catalogue in force once everything that the store published was read, by
-    /// this instance or by a peer.
+    /// Notes that all cordons which the store published were read.
+    pub fn cordons_read(&mut self) {
+        self.knows_cordons = true;
+    }
+
+    /// Returns the catalogue in force once it is known which data centres are closed. Endpoints
+    /// may still be read: those that are known can be used.
     ///
-    /// What goes wrong otherwise: an instance that has read the first page serves callers before
-    /// it knows which data centres are closed.
+    /// What goes wrong otherwise: an instance that has read the first page sends callers to a data
+    /// centre that the operator closed before it began.
     pub fn servable(&self) -> Option<&Arc<Catalogue>> {
-        self.catalogue.as_ref().filter(|_| self.replica.is_whole())
+        let knows_cordons = self.knows_cordons || self.replica.is_whole();
+        self.catalogue.as_ref().filter(|_| knows_cordons)
     }
 
     /// Begins the planned stop.
--- a/crates/core/tests/gateway_cordons.rs
+++ b/crates/core/tests/gateway_cordons.rs
@@ -339,3 +339,16 @@
     let waits = Verdict::Decided(Decision::Waits(NoPlace::Cordoned));
     assert_eq!(verdict, waits);
 }
+
+/// Guards against an instance that serves before it knows which data centres are closed, and
+/// against one that waits for thousands of endpoints though it could serve with those it knows.
+#[test]
+fn an_instance_is_ready_once_it_knows_the_cordons() {
+    let mut one = two_places();
+    let before = one.is_ready();
+
+    one.cordons_read();
+
+    assert!(!before);
+    assert!(one.is_ready() && !one.replica.is_whole());
+}
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -191,6 +191,9 @@
     /// Reads a record.
     fn decode(&self, record: &Record) -> Published;
 
+    /// Returns whether all cordons stand before `key` in the order in which pages are read.
+    fn is_past_cordons(&self, key: &str) -> bool;
+
     /// Returns the key under which the store keeps the operator's word about a data centre.
     fn cordon_key(&self, data_centre: &str) -> String;
 }
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -53,7 +53,12 @@
         for record in &page.records {
             seen.insert(record.key.clone(), ());
         }
+        let last = page.records.last().map(|it| it.key.clone());
         apply(cx, Source::Store, page.records);
+        if page.next.is_none() || last.is_some_and(|key| cx.wire.is_past_cordons(&key)) {
+            cx.state().cordons_read();
+            cx.changed.notify_waiters();
+        }
         match page.next {
             Some(next) => after = Some(next),
             None => {
