Callers that find no room come back after the burst that they were refused in

Cause: the pause was a quarter of the time that the caller has left, one second at the most. A burst lasts for seconds, so that a caller with 39 s left came back into it, was refused again and has no further try.

Change: eight seconds at the most where no endpoint has room or all data centres are closed; other reasons keep one second.

--- a/crates/core/src/gateway/cold.rs
+++ b/crates/core/src/gateway/cold.rs
@@ -15,7 +15,7 @@
 //!
 //! `docs/design/shifted-work.md` weighs the ways and does the arithmetic.
 
-use crate::ids::EndpointKey;
+use crate::ids::{EndpointKey, address_hash};
 use crate::rendezvous;
 use crate::time::Time;
 use core::time::Duration;
@@ -162,15 +162,10 @@
     /// know each other add up to it.
     fn share(&self, own: SocketAddrV4, endpoint: EndpointKey, total: u32) -> u32 {
         let known = u32::try_from(self.known()).unwrap_or(u32::MAX);
-        let score = |it: SocketAddrV4| (rendezvous::score(endpoint.0, address_key(it)), it);
+        let score = |it: SocketAddrV4| (rendezvous::score(endpoint.0, address_hash(it)), it);
         let mine = score(own);
         let ahead = self.seen.keys().filter(|it| score(**it) > mine).count();
         let is_ahead = u32::try_from(ahead).is_ok_and(|it| it < total % known);
         total / known + u32::from(is_ahead)
     }
 }
-
-/// Returns an address as rendezvous hashing takes it.
-fn address_key(address: SocketAddrV4) -> u64 {
-    crate::ids::stable_hash(&[&address.ip().octets(), &address.port().to_le_bytes()])
-}
--- a/crates/core/src/gateway/state/places.rs
+++ b/crates/core/src/gateway/state/places.rs
@@ -10,7 +10,7 @@
 use crate::gateway::members::Update;
 use crate::gateway::queue::service_hash;
 use crate::gateway::usage::{Others, Used};
-use crate::ids::{EndpointKey, stable_hash};
+use crate::ids::{EndpointKey, address_hash};
 use crate::rendezvous;
 use crate::time::Time;
 use core::time::Duration;
@@ -402,7 +402,3 @@
         }
     }
 }
-
-fn address_hash(address: SocketAddrV4) -> u64 {
-    stable_hash(&[&address.ip().octets(), &address.port().to_le_bytes()])
-}
--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -9,12 +9,18 @@
 use core::fmt;
 use serde::{Deserialize, Serialize};
 use std::hash::Hasher;
+use std::net::SocketAddrV4;
 use twox_hash::XxHash64;
 
 /// Seed of all published hashes. Changing it changes every home, so it is part
 /// of the peer protocol's version.
 const KEY_SEED: u64 = 0x6f72_696f_6c65;
 
+/// Returns the stable hash of an address, as rendezvous hashing takes it.
+pub fn address_hash(address: SocketAddrV4) -> u64 {
+    stable_hash(&[&address.ip().octets(), &address.port().to_le_bytes()])
+}
+
 /// Hashes `parts` to the stable 64-bit value that keys are made of.
 ///
 /// A separator goes between the parts, so that `["ab", "c"]` and `["a", "bc"]` differ.
--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -25,10 +25,14 @@
 /// The soonest that a caller is asked to come back.
 const RETRY_MIN: Duration = Duration::from_millis(50);
 
-/// The latest that a caller is asked to come back: an engine's queue turns over in
-/// about as long.
+/// The latest that a caller is asked to come back where another instance, or this one a moment
+/// later, can serve it.
 const RETRY_MAX: Duration = Duration::from_secs(1);
 
+/// The same where no endpoint has room: a burst of callers lasts for seconds, and who comes back
+/// within it is refused again.
+const RETRY_MAX_FULL: Duration = Duration::from_secs(8);
+
 /// Why the gateway answers itself.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, displaydoc::Display)]
 pub enum Reason {
@@ -108,16 +112,22 @@
     }
 }
 
+/// Returns after which time a caller that waits for `left` more should come back.
+pub fn retry_after(reason: Reason, left: Duration) -> Duration {
+    let latest = match reason {
+        Reason::EndpointsFull | Reason::Cordoned => RETRY_MAX_FULL,
+        _ => RETRY_MAX,
+    };
+    let share = left.mul_f64(RETRY_SHARE);
+    share.clamp(RETRY_MIN, latest).min(share)
+}
+
 /// Returns the answer for `reason` to a caller that waits for `left` more.
 pub fn refuse(reason: Reason, left: Duration) -> Response<AnswerBody> {
     let status = reason.status();
     let mut answer = Response::builder().status(status);
     if status == StatusCode::SERVICE_UNAVAILABLE {
-        let seconds = left
-            .mul_f64(RETRY_SHARE)
-            .clamp(RETRY_MIN, RETRY_MAX)
-            .min(left.mul_f64(RETRY_SHARE))
-            .as_secs_f64();
+        let seconds = retry_after(reason, left).as_secs_f64();
         answer = answer.header(header::RETRY_AFTER, format!("{seconds:.3}"));
     }
     let body = format!("{{\"error\":\"{reason}\"}}\n");
