--- a/crates/core/src/gateway/ask.rs
+++ b/crates/core/src/gateway/ask.rs
@@ -21,8 +21,7 @@
 use std::net::SocketAddrV4;
 
 /// How long a home may take to answer. A round trip between data centres takes some 3 ms and
-/// the sender gathers changes for 2 ms; of 1,258 answers 4 in 100 took longer than this
-/// (86 instances, an eighth of a processor each).
+/// the sender gathers changes for 2 ms; the rest is for a home that is short of processor.
 pub const HOME_PATIENCE: Duration = Duration::from_millis(25);
 
 /// How often an instance reports while it waits for a home that has not answered.
@@ -56,7 +55,7 @@
 
 /// A request for a place.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Wish {
+pub struct PlacementRequest {
     /// The request.
     pub waiter: Waiter,
     /// What it wants.
@@ -65,7 +64,7 @@
     pub exclude: Vec<EndpointKey>,
 }
 
-/// What a home decided about a wish.
+/// What a home decided about a placement request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Decision {
     /// It has a place.
@@ -89,14 +88,14 @@
 
 #[derive(Clone, Debug)]
 struct Asked {
-    wish: Wish,
+    request: PlacementRequest,
     /// Since when a home may answer.
     since: Time,
     /// What it said last, and when.
     said: Option<(Time, Decision)>,
 }
 
-/// All wishes of an instance that are open, and what it knows of homes.
+/// All placement requests of an instance that are open, and what it knows of homes.
 #[derive(Clone, Debug, Default)]
 pub struct AskTable {
     asked: BTreeMap<u64, Asked>,
@@ -106,45 +105,45 @@
 }
 
 impl AskTable {
-    /// Takes a wish in.
-    pub fn enter(&mut self, now: Time, wish: Wish) {
+    /// Takes a placement request in.
+    pub fn enter(&mut self, now: Time, request: PlacementRequest) {
         let asked = Asked {
-            wish,
+            request,
             since: now,
             said: None,
         };
-        self.asked.insert(asked.wish.waiter.id, asked);
+        self.asked.insert(asked.request.waiter.id, asked);
     }
 
-    /// Takes a wish out, because it has what it wants or gave up.
+    /// Takes a placement request out, because it has what it wants or gave up.
     pub fn leave(&mut self, id: u64) {
         self.asked.remove(&id);
     }
 
-    /// Returns the wishes for `service`.
-    pub fn of(&self, service: u64) -> impl Iterator<Item = &Wish> {
-        let asked = self.asked.values().map(|it| &it.wish);
+    /// Returns the placement requests for `service`.
+    pub fn of(&self, service: u64) -> impl Iterator<Item = &PlacementRequest> {
+        let asked = self.asked.values().map(|it| &it.request);
         asked.filter(move |it| it.waiter.service == service)
     }
 
-    /// Returns whether a wish for `service` was not answered yet, if there are any.
+    /// Returns whether a placement request for `service` was not answered yet, if there are any.
     pub fn is_unanswered(&self, service: u64) -> Option<bool> {
         let asked = self.asked.values();
         let mut of = asked
-            .filter(|it| it.wish.waiter.service == service)
+            .filter(|it| it.request.waiter.service == service)
             .peekable();
         of.peek()?;
         Some(of.any(|it| it.said.is_none()))
     }
 
-    /// Returns whether any wish was not answered yet.
+    /// Returns whether any placement request was not answered yet.
     pub fn any_unanswered(&self) -> bool {
         self.asked.values().any(|it| it.said.is_none())
     }
 
-    /// Returns the services for which wishes are open.
+    /// Returns the services for which placement requests are open.
     pub fn services(&self) -> impl Iterator<Item = u64> {
-        self.asked.values().map(|it| it.wish.waiter.service)
+        self.asked.values().map(|it| it.request.waiter.service)
     }
 
     /// Returns whether a home is passed over at the moment.
@@ -160,7 +159,7 @@
         self.passed_over.insert(home, now + PASSED_OVER);
     }
 
-    /// Returns what an open wish goes by.
+    /// Returns what an open placement request goes by.
     pub fn verdict(&self, now: Time, id: u64) -> Verdict {
         let Some(asked) = self.asked.get(&id) else {
             return Verdict::Unanswered;
@@ -175,7 +174,7 @@
         }
     }
 
-    /// Asks anew for a wish that was not answered, or was given what cannot be taken.
+    /// Asks anew for a placement request that was not answered, or was given what cannot be taken.
     pub fn ask_again(&mut self, now: Time, id: u64) {
         if let Some(asked) = self.asked.get_mut(&id) {
             asked.since = now;
@@ -183,7 +182,7 @@
         }
     }
 
-    /// Takes in what a home decided about a wish.
+    /// Takes in what a home decided about a placement request.
     pub fn hear(&mut self, now: Time, id: u64, decision: Decision) {
         let Some(asked) = self.asked.get_mut(&id) else {
             return;
--- a/crates/core/src/gateway/catch_up.rs
+++ b/crates/core/src/gateway/catch_up.rs
@@ -53,7 +53,7 @@
 
 /// A peer that knows more of the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Teller {
+pub struct Provider {
     /// Where it answers.
     pub address: SocketAddrV4,
     /// The revision that it knows.
@@ -116,7 +116,7 @@
     /// Returns the peers that may be asked: of those that are not passed over, the ones
     /// that know what the best of them knows. An instance that watches the store gives it
     /// some time first.
-    pub fn may_be_asked(&self, now: Time, better: &[Teller], watches: bool) -> Vec<SocketAddrV4> {
+    pub fn may_be_asked(&self, now: Time, better: &[Provider], watches: bool) -> Vec<SocketAddrV4> {
         let Some(since) = self.behind_since else {
             return Vec::new();
         };
@@ -124,7 +124,7 @@
         if watches && behind_for < BEHIND_AFTER {
             return Vec::new();
         }
-        let is_able = |it: &&Teller| {
+        let is_able = |it: &&Provider| {
             let until = self.passed_over.get(&it.address);
             let is_passed_over = until.is_some_and(|&until| now < until);
             !is_passed_over && (it.is_near || behind_for >= NEAR_FIRST)
--- a/crates/core/src/gateway/choose.rs
+++ b/crates/core/src/gateway/choose.rs
@@ -16,14 +16,12 @@
 /// The share of an engine's memory that is given away. What generations take is an estimate:
 /// where more is given away than there is, an engine preempts one and reads its prompt again,
 /// and first events wait inside engines; where less is, requests wait here though there is
-/// room. Of 0.80 to 1.04, tried with 66 instances and a tenth more load than the memory of 48
-/// engines, callers got most in their target at this one.
+/// room.
 const MEMORY_SHARE: f64 = 0.98;
 
 /// The share of an engine's memory up to which standing copies are put there. What
 /// lies above is left to generations that run: a copy is of use only to those
-/// whose engine leaves, and those can be copied at the notice as well. At 0.75 copies took
-/// room that requests waited for under the load above; at 0.3 no more was gained than at 0.5.
+/// whose engine leaves, and those can be copied at the notice as well.
 const COPY_SHARE: f64 = 0.5;
 
 /// The share of an engine's memory up to which copies of generations whose engine leaves
@@ -165,13 +163,13 @@
 
 /// The room at all engines of a service, as it is given away in turn.
 #[derive(Clone, Debug)]
-pub(super) struct Seats<'a> {
+pub(super) struct EngineCapacities<'a> {
     limits: EngineLimits,
-    engines: Vec<Seat<'a>>,
+    engines: Vec<EngineCapacity<'a>>,
 }
 
 #[derive(Clone, Copy, Debug)]
-struct Seat<'a> {
+struct EngineCapacity<'a> {
     key: EndpointKey,
     data_centre: &'a str,
     used: Used,
@@ -188,15 +186,15 @@
 /// # Errors
 ///
 /// Returns why there is no engine.
-pub(super) fn seats<'a>(
+pub(super) fn capacities<'a>(
     world: World<'a>,
     demand: &Demand<'_>,
     cold_left: impl Fn(EndpointKey) -> Option<u32>,
-) -> Result<Seats<'a>, NoPlace> {
+) -> Result<EngineCapacities<'a>, NoPlace> {
     let limits = demand.engine.ok_or(NoPlace::NoEndpoint)?;
     let trusted = |endpoint: &Endpoint| is_trusted(world, endpoint);
-    let engines: Vec<Seat<'_>> = candidates(world, demand, trusted)
-        .map(|endpoint| Seat {
+    let engines: Vec<EngineCapacity<'_>> = candidates(world, demand, trusted)
+        .map(|endpoint| EngineCapacity {
             key: endpoint.key,
             data_centre: &endpoint.record.data_centre,
             used: world.used(endpoint),
@@ -208,21 +206,23 @@
     if engines.is_empty() {
         return Err(why_none(world, demand.service));
     }
-    Ok(Seats { limits, engines })
+    Ok(EngineCapacities { limits, engines })
 }
 
-impl Seats<'_> {
+impl EngineCapacities<'_> {
     /// Gives room to a request at the engine with the least cost, and returns it.
     ///
     /// # Errors
     ///
     /// Returns why there is none.
     pub(super) fn give(&mut self, asking: &Asking) -> Result<EndpointKey, NoPlace> {
-        let tried = |seat: &Seat<'_>| asking.wish.exclude.contains(&seat.key);
+        let tried = |capacity: &EngineCapacity<'_>| asking.request.exclude.contains(&capacity.key);
         if self.engines.iter().all(tried) {
             return Err(NoPlace::NoEndpoint);
         }
-        let avoided = |seat: &Seat<'_>| tried(seat) || asking.avoids.contains(&seat.key);
+        let avoided = |capacity: &EngineCapacity<'_>| {
+            tried(capacity) || asking.avoids.contains(&capacity.key)
+        };
         match self.engines.iter().all(avoided) {
             true => self.give_unless(asking, tried),
             false => self.give_unless(asking, avoided),
@@ -232,41 +232,43 @@
     fn give_unless(
         &mut self,
         asking: &Asking,
-        excluded: impl Fn(&Seat<'_>) -> bool,
+        excluded: impl Fn(&EngineCapacity<'_>) -> bool,
     ) -> Result<EndpointKey, NoPlace> {
-        let Waiter { tokens, prompt, .. } = asking.wish.waiter;
+        let Waiter { tokens, prompt, .. } = asking.request.waiter;
         let data_centre = asking.data_centre.as_str();
         let limits = self.limits;
-        let fitting = self.engines.iter_mut().filter(|seat| {
-            !seat.is_kept
-                && seat.cold_left != Some(0)
-                && !excluded(seat)
-                && seat.used.unread < MAX_UNREAD
-                && fits(seat.used, tokens, limits, MEMORY_SHARE)
+        let fitting = self.engines.iter_mut().filter(|capacity| {
+            !capacity.is_kept
+                && capacity.cold_left != Some(0)
+                && !excluded(capacity)
+                && capacity.used.unread < MAX_UNREAD
+                && fits(capacity.used, tokens, limits, MEMORY_SHARE)
         });
-        let cost = |seat: &Seat<'_>| {
-            let away = if seat.data_centre == data_centre {
+        let cost = |capacity: &EngineCapacity<'_>| {
+            let away = if capacity.data_centre == data_centre {
                 0.0
             } else {
                 AWAY_COST
             };
-            engine_cost(seat.used, limits) + seat.state_cost + away
+            engine_cost(capacity.used, limits) + capacity.state_cost + away
         };
-        let seat = fitting.min_by(|a, b| cost(a).total_cmp(&cost(b)));
-        let seat = seat.ok_or(NoPlace::Full)?;
-        seat.cold_left = seat.cold_left.map(|it| it.saturating_sub(1));
-        seat.used.running = seat.used.running.saturating_add(1);
-        seat.used.tokens = seat.used.tokens.saturating_add(tokens);
-        seat.used.unread = seat.used.unread.saturating_add(prompt);
-        Ok(seat.key)
+        let capacity = fitting.min_by(|a, b| cost(a).total_cmp(&cost(b)));
+        let capacity = capacity.ok_or(NoPlace::Full)?;
+        capacity.cold_left = capacity.cold_left.map(|it| it.saturating_sub(1));
+        capacity.used.running = capacity.used.running.saturating_add(1);
+        capacity.used.tokens = capacity.used.tokens.saturating_add(tokens);
+        capacity.used.unread = capacity.used.unread.saturating_add(prompt);
+        Ok(capacity.key)
     }
 
     /// Keeps the engine with the most room for a request that fits nowhere yet.
     pub(super) fn keep_largest(&mut self) {
-        let taken = |seat: &Seat<'_>| seat.used.tokens.saturating_add(seat.used.copied);
-        let free = self.engines.iter_mut().filter(|seat| !seat.is_kept);
-        if let Some(seat) = free.min_by_key(|seat| taken(seat)) {
-            seat.is_kept = true;
+        let taken = |capacity: &EngineCapacity<'_>| {
+            capacity.used.tokens.saturating_add(capacity.used.copied)
+        };
+        let free = self.engines.iter_mut().filter(|capacity| !capacity.is_kept);
+        if let Some(capacity) = free.min_by_key(|capacity| taken(capacity)) {
+            capacity.is_kept = true;
         }
     }
 }
--- a/crates/core/src/gateway/gossip.rs
+++ b/crates/core/src/gateway/gossip.rs
@@ -23,8 +23,8 @@
 /// side by side, each with the peers of its own.
 pub const GOSSIP_VERSION: u8 = 8;
 
-/// Peers that are told news at once. With three of them 94 in 100 instances hear it in the
-/// first wave, within as many hops as the logarithm of the fleet.
+/// Peers that are told news at once: most instances then hear it in the first wave, within as
+/// many hops as the logarithm of the fleet.
 pub const FAN_OUT: usize = 3;
 
 /// How often one instance tells an item in all, beside the logarithm of the fleet.
--- a/crates/core/src/gateway/home.rs
+++ b/crates/core/src/gateway/home.rs
@@ -3,15 +3,15 @@
 //! Instances report what they run and what they wait for ([`ask`](super::ask)). The home keeps
 //! the last report of each, works out who is next ([`queue`](super::queue)) and reserves what
 //! it grants until the instance's next report shows it. An instance that falls silent is forgotten
-//! after a second, with its use, its wishes and its reservations: a frozen instance must hold
-//! nobody up for longer.
+//! after a second, with its use, its placement requests and its reservations: a frozen instance
+//! must hold nobody up for longer.
 
 mod doubt;
 mod message;
 
-pub use message::{Answer, Report, Wished};
+pub use message::{Answer, PlacementMessage, Report};
 
-use super::ask::{Decision, Want, Wish};
+use super::ask::{Decision, PlacementRequest, Want};
 use super::catalogue::EngineLimits;
 use super::choose::{Demand, NoPlace, World, choose, choose_copy};
 use super::cold::{ColdLimits, HOME_PART, SlidingCount};
@@ -47,8 +47,8 @@
     passed_over: Vec<EndpointKey>,
     /// How many instances it knows, those that were lost included.
     known: u32,
-    wishes: Vec<Wish>,
-    /// Whether this instance is to decide about the wishes.
+    requests: Vec<PlacementRequest>,
+    /// Whether this instance is to decide about the placement requests.
     decides: bool,
     /// Whether an answer is due even if nothing was decided anew.
     owed: bool,
@@ -110,9 +110,9 @@
             Some(known) => (known.viewed, core::mem::take(&mut known.reserved)),
             None => (None, BTreeMap::new()),
         };
-        let wishes = report.wishes.into_iter().take(MAX_WAITING);
-        let wishes: Vec<Wish> = wishes.map(|it| it.at(now)).collect();
-        reserved.retain(|id, _| wishes.iter().any(|it| it.waiter.id == *id));
+        let requests = report.requests.into_iter().take(MAX_WAITING);
+        let requests: Vec<PlacementRequest> = requests.map(|it| it.at(now)).collect();
+        reserved.retain(|id, _| requests.iter().any(|it| it.waiter.id == *id));
         for &engine in &report.passed_over {
             let known = self.reporters.get(&from);
             if !known.is_some_and(|it| it.passed_over.contains(&engine)) {
@@ -129,8 +129,8 @@
             passed_over: report.passed_over,
             known: report.known,
             decides: report.decides,
-            owed: report.decides && !wishes.is_empty(),
-            wishes,
+            owed: report.decides && !requests.is_empty(),
+            requests,
             viewed,
             reserved,
         };
@@ -154,14 +154,14 @@
     pub fn is_asked(&self) -> bool {
         self.reporters
             .values()
-            .any(|it| it.decides && !it.wishes.is_empty())
+            .any(|it| it.decides && !it.requests.is_empty())
     }
 
     /// Returns how many requests wait for a place that this instance is to give.
     pub fn waiting(&self) -> usize {
         let asking = self.reporters.values().filter(|it| it.decides);
-        let wishes = asking.flat_map(|it| &it.wishes);
-        wishes.filter(|it| it.want == Want::Place).count()
+        let requests = asking.flat_map(|it| &it.requests);
+        requests.filter(|it| it.want == Want::Place).count()
     }
 
     /// Returns what all instances but `except` run.
@@ -178,7 +178,7 @@
         others
     }
 
-    /// Decides about all wishes, and returns what instances are to be told.
+    /// Decides about all placement requests, and returns what instances are to be told.
     pub fn decide(&mut self, now: Time, engines: Engines<'_>) -> Vec<(SocketAddrV4, Answer)> {
         let service = service_hash(engines.service);
         self.release_unusable(engines.endpoints);
@@ -194,9 +194,9 @@
                 continue;
             }
             reporter.owed = false;
-            reporter.wishes.retain(|wish| {
+            reporter.requests.retain(|request| {
                 let is_denied = |&(id, it): &(u64, Decision)| {
-                    id == wish.waiter.id && matches!(it, Decision::Denied(_))
+                    id == request.waiter.id && matches!(it, Decision::Denied(_))
                 };
                 !told.iter().any(is_denied)
             });
@@ -265,11 +265,11 @@
         let none = UsageTable::default();
         for urgent in [true, false] {
             for (from, reporter) in self.reporters.iter_mut().filter(|(_, it)| it.decides) {
-                for wish in &reporter.wishes {
-                    if wish.want == Want::Place || wish.is_urgent() != urgent {
+                for request in &reporter.requests {
+                    if request.want == Want::Place || request.is_urgent() != urgent {
                         continue;
                     }
-                    let id = wish.waiter.id;
+                    let id = request.waiter.id;
                     let granted = reporter.reserved.get(&id).map(|(key, _)| *key);
                     let world = World {
                         now,
@@ -280,15 +280,15 @@
                     };
                     let place = match granted {
                         Some(key) => Ok(key),
-                        None if wish.want == Want::Aside && any_waits => Err(NoPlace::Full),
-                        None => at_once(world, engines, wish),
+                        None if request.want == Want::Aside && any_waits => Err(NoPlace::Full),
+                        None => at_once(world, engines, request),
                     };
                     let decision = match place {
                         Ok(key) => Decision::Granted(key),
                         Err(why) => Decision::Denied(why),
                     };
                     if let (Ok(key), None) = (place, granted) {
-                        let used = wish.reserves();
+                        let used = request.reserves();
                         others.add(key, used);
                         reporter.reserved.insert(id, (key, used));
                     }
@@ -316,13 +316,13 @@
         };
         let mut waiting = Vec::new();
         for (from, reporter) in self.reporters.iter().filter(|(_, it)| it.decides) {
-            for wish in reporter.wishes.iter().filter(|it| it.want == Want::Place) {
-                match reporter.reserved.get(&wish.waiter.id) {
+            for request in reporter.requests.iter().filter(|it| it.want == Want::Place) {
+                match reporter.reserved.get(&request.waiter.id) {
                     Some((key, _)) => {
-                        let told = (wish.waiter.id, Decision::Granted(*key));
+                        let told = (request.waiter.id, Decision::Granted(*key));
                         decided.entry(*from).or_default().push(told);
                     }
-                    None => waiting.push((*from, reporter.asking(wish))),
+                    None => waiting.push((*from, reporter.asking(request))),
                 }
             }
         }
@@ -338,7 +338,7 @@
             waiting.iter().map(|(_, asking)| asking),
         );
         for ((from, asking), place) in waiting.iter().zip(places) {
-            let id = asking.wish.waiter.id;
+            let id = asking.request.waiter.id;
             let decision = match place {
                 Ok(key) => Decision::Granted(key),
                 Err(why) => Decision::Waits(why),
@@ -347,7 +347,9 @@
                 if engines.is_cold(now, key) {
                     self.cold_granted.note(now, key);
                 }
-                reporter.reserved.insert(id, (key, asking.wish.reserves()));
+                reporter
+                    .reserved
+                    .insert(id, (key, asking.request.reserves()));
             }
             decided.entry(*from).or_default().push((id, decision));
         }
@@ -355,34 +357,38 @@
 }
 
 impl Reporter {
-    fn asking(&self, wish: &Wish) -> Asking {
+    fn asking(&self, request: &PlacementRequest) -> Asking {
         Asking {
-            wish: wish.clone(),
+            request: request.clone(),
             data_centre: self.data_centre.clone(),
             avoids: self.passed_over.clone(),
         }
     }
 
     fn waits_in_turn(&self) -> bool {
-        let mut wishes = self.wishes.iter();
-        wishes.any(|it| it.want == Want::Place && !self.reserved.contains_key(&it.waiter.id))
+        let mut requests = self.requests.iter();
+        requests.any(|it| it.want == Want::Place && !self.reserved.contains_key(&it.waiter.id))
     }
 }
 
-/// Chooses for a wish that waits for nothing.
-fn at_once(world: World<'_>, engines: Engines<'_>, wish: &Wish) -> Result<EndpointKey, NoPlace> {
+/// Chooses for a placement request that waits for nothing.
+fn at_once(
+    world: World<'_>,
+    engines: Engines<'_>,
+    request: &PlacementRequest,
+) -> Result<EndpointKey, NoPlace> {
     // What is cold gets requests in their turn only, within its bound.
-    let mut exclude = wish.exclude.clone();
+    let mut exclude = request.exclude.clone();
     exclude.extend(engines.cold_engines(world.now));
     let demand = Demand {
         service: engines.service,
         engine: Some(engines.limits),
-        tokens: wish.waiter.tokens,
+        tokens: request.waiter.tokens,
         exclude: &exclude,
     };
-    // One instance decides for all, one wish after the other: nothing is to be parted.
+    // One instance decides for all, one placement request after the other: nothing is to be parted.
     let no_draw = || 0.0;
-    match wish.want {
+    match request.want {
         Want::Place | Want::Aside => choose(world, &demand, no_draw),
         Want::Copy { source, kind } => {
             let source = world.endpoints.get(source).ok_or(NoPlace::NoEndpoint)?;
--- a/crates/core/src/gateway/home/doubt.rs
+++ b/crates/core/src/gateway/home/doubt.rs
@@ -3,8 +3,7 @@
 //! What goes wrong without it: while the store is silent, engines that went keep their
 //! entries. They look empty, so that the home sends everybody there; each instance finds out for
 //! itself, is refused by several of them in a row, and gives up its request within
-//! milliseconds while other engines have room (195 instances, 20 engines gone of 62: 120
-//! generations a second). One instance alone may have lost its own link, and is not believed.
+//! milliseconds while other engines have room. One instance alone may have lost its own link, and is not believed.
 
 use crate::ids::EndpointKey;
 use crate::time::Time;
--- a/crates/core/src/gateway/home/message.rs
+++ b/crates/core/src/gateway/home/message.rs
@@ -1,6 +1,6 @@
 //! What instances and homes tell each other.
 
-use crate::gateway::ask::{Decision, Want, Wish};
+use crate::gateway::ask::{Decision, PlacementRequest, Want};
 use crate::gateway::choose::CopyKind;
 use crate::gateway::queue::{Waiter, Waiting};
 use crate::gateway::usage::{Others, Used};
@@ -8,9 +8,9 @@
 use crate::time::Time;
 use serde::{Deserialize, Serialize};
 
-/// A wish as it travels.
+/// A placement request as it travels.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Wished {
+pub struct PlacementMessage {
     /// The request.
     pub waiting: Waiting,
     /// What it wants.
@@ -39,7 +39,7 @@
     /// How many instances it knows, those that it lost included.
     pub known: u32,
     /// What it waits for.
-    pub wishes: Vec<Wished>,
+    pub requests: Vec<PlacementMessage>,
 }
 
 /// What a home answers.
@@ -53,10 +53,10 @@
     pub view: Option<Others>,
 }
 
-impl Wish {
-    /// Returns the wish as it travels.
-    pub fn to_tell(&self, now: Time) -> Wished {
-        Wished {
+impl PlacementRequest {
+    /// Returns the placement request as it travels.
+    pub fn to_tell(&self, now: Time) -> PlacementMessage {
+        PlacementMessage {
             waiting: self.waiter.to_tell(now),
             want: self.want,
             exclude: self.exclude.clone(),
@@ -92,9 +92,9 @@
     }
 }
 
-impl Wished {
-    pub(super) fn at(self, now: Time) -> Wish {
-        Wish {
+impl PlacementMessage {
+    pub(super) fn at(self, now: Time) -> PlacementRequest {
+        PlacementRequest {
             waiter: Waiter::told(now, &self.waiting),
             want: self.want,
             exclude: self.exclude,
--- a/crates/core/src/gateway/lengths.rs
+++ b/crates/core/src/gateway/lengths.rs
@@ -8,8 +8,7 @@
 
 use std::collections::BTreeMap;
 
-/// Variance of the logarithm of a hint's error: a spread of a factor of three
-/// either way, as measured on 366 answers of two entries.
+/// Variance of the logarithm of a hint's error: a spread of a factor of three either way.
 const HINT_VARIANCE: f64 = 1.4;
 
 /// Variance of the logarithm before anything was learnt.
--- a/crates/core/src/gateway/queue.rs
+++ b/crates/core/src/gateway/queue.rs
@@ -4,14 +4,11 @@
 //! one order, each request at the cheapest engine.
 //!
 //! What goes wrong where each instance decides alone: one generation ends, all that wait
-//! anywhere hear of the room within the same few milliseconds and all take it. Of 639
-//! generations that waited inside an engine for more than 1.5 s (66 instances, 48 engines of
-//! 21,932 tokens), 86 in 100 had come to it within 12 ms of another one, and their engine was
-//! 1.28 times as full as its memory at the median. With one queue 284 waited so long, and 0.93
-//! times.
+//! anywhere hear of the room within the same few milliseconds, all take it, and all but one wait
+//! inside an engine that is overfull (`docs/design/policy.md`).
 
-use super::ask::Wish;
-use super::choose::{Demand, NoPlace, World, seats};
+use super::ask::PlacementRequest;
+use super::choose::{Demand, NoPlace, World, capacities};
 use super::home::Engines;
 use crate::ids::{EndpointKey, stable_hash};
 use crate::time::Time;
@@ -22,8 +19,8 @@
 /// still to be read, which takes some 0.7 s at an engine with neighbours.
 const IN_TIME_TARGETS: f64 = 0.6;
 
-/// The most wishes of one instance that a home takes in. Those beyond are placed by that instance's
-/// own view once nobody answers them.
+/// The most placement requests of one instance that a home takes in. Those beyond are placed by
+/// that instance's own view once nobody answers them.
 pub const MAX_WAITING: usize = 64;
 
 /// A request that waits for room, as a home is told of it.
@@ -116,7 +113,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Asking {
     /// What it wants.
-    pub wish: Wish,
+    pub request: PlacementRequest,
     /// The data centre of its instance.
     pub data_centre: String,
     /// Engines that its instance cannot use at the moment; they are taken if there is no other.
@@ -136,23 +133,23 @@
 ) -> Vec<Result<EndpointKey, NoPlace>> {
     let all: Vec<&Asking> = waiting.collect();
     let mut order: Vec<usize> = (0..all.len()).collect();
-    order.sort_by_key(|&at| all[at].wish.waiter.order(world.now));
+    order.sort_by_key(|&at| all[at].request.waiter.order(world.now));
     let demand = Demand {
         service: engines.service,
         engine: Some(engines.limits),
         tokens: 0,
         exclude: &[],
     };
-    let mut seats = match seats(world, &demand, cold_left) {
-        Ok(seats) => seats,
+    let mut capacities = match capacities(world, &demand, cold_left) {
+        Ok(capacities) => capacities,
         Err(why) => return vec![Err(why); all.len()],
     };
     let mut places = vec![Err(NoPlace::NoEndpoint); all.len()];
     let mut is_kept = false;
     for at in order {
-        places[at] = seats.give(all[at]);
+        places[at] = capacities.give(all[at]);
         if places[at] == Err(NoPlace::Full) && !is_kept {
-            seats.keep_largest();
+            capacities.keep_largest();
             is_kept = true;
         }
     }
--- a/crates/core/src/gateway/relocation.rs
+++ b/crates/core/src/gateway/relocation.rs
@@ -106,8 +106,7 @@
 
 /// How many times its target a generation waits inside an engine before it is taken back,
 /// if it may run again and another engine has room. One that is taken back sooner loses
-/// its place and waits anew: at half the target, 16 of 240 short generations were taken
-/// back, and late ones rose from 5 to 11.
+/// its place and waits anew.
 const TAKE_BACK_TARGETS: f64 = 1.5;
 
 /// Returns how long a generation with such a target waits inside an engine before it is
--- a/crates/core/src/gateway/state/peers.rs
+++ b/crates/core/src/gateway/state/peers.rs
@@ -3,7 +3,7 @@
 use super::{Gateway, Ticked};
 use crate::gateway::ask::REPORT_AGAIN;
 use crate::gateway::beacons::{BEACON_INTERVAL, Beacon, reader_rank};
-use crate::gateway::catch_up::{NotTold, Teller};
+use crate::gateway::catch_up::{NotTold, Provider};
 use crate::gateway::cordons::{Cordon, CordonEffect};
 use crate::gateway::gossip::{Body, Datagram, FAN_OUT, GOSSIP_VERSION, Items};
 use crate::gateway::members::{Change, Member};
@@ -373,8 +373,8 @@
     }
 
     /// Returns the peers that know more of the store than this instance.
-    fn better(&self) -> impl Iterator<Item = Teller> {
-        let members = self.members.live().map(|(address, it)| Teller {
+    fn better(&self) -> impl Iterator<Item = Provider> {
+        let members = self.members.live().map(|(address, it)| Provider {
             address,
             revision: it.revision,
             digest: it.digest,
@@ -384,7 +384,7 @@
             .beacons
             .all()
             .filter(|it| it.origin != self.cfg.address);
-        let beacons = beacons.map(|it| Teller {
+        let beacons = beacons.map(|it| Provider {
             address: it.origin,
             revision: it.revision,
             digest: it.digest,
@@ -398,7 +398,7 @@
     /// now, drawn among those that know most.
     pub fn better_informed(&mut self, now: Time) -> Option<SocketAddrV4> {
         let watches = self.watches(now);
-        let better: Vec<Teller> = self.better().collect();
+        let better: Vec<Provider> = self.better().collect();
         let able = self.catch_up.may_be_asked(now, &better, watches);
         able.choose(&mut self.rng).copied()
     }
--- a/crates/core/src/gateway/state/places.rs
+++ b/crates/core/src/gateway/state/places.rs
@@ -1,7 +1,7 @@
 //! Where requests go: what this instance asks of homes, and what it decides as one.
 
 use super::{Gateway, Place};
-use crate::gateway::ask::{REPORT_AGAIN, REPORT_WAITING, Verdict, Want, Wish};
+use crate::gateway::ask::{PlacementRequest, REPORT_AGAIN, REPORT_WAITING, Verdict, Want};
 use crate::gateway::choose::{self, Demand, NoPlace, World};
 use crate::gateway::cold::{ColdLimits, OWN_PART};
 use crate::gateway::endpoints::Endpoint;
@@ -140,8 +140,8 @@
     }
 
     /// Asks for a place.
-    pub fn ask(&mut self, now: Time, wish: Wish) {
-        self.asks.enter(now, wish);
+    pub fn ask(&mut self, now: Time, request: PlacementRequest) {
+        self.asks.enter(now, request);
         self.ask_changes += 1;
     }
 
@@ -311,10 +311,10 @@
             failing: self.endpoints.failing().filter(of_service).collect(),
             passed_over: self.endpoints.passed_over(now).filter(of_service).collect(),
             known: u32::try_from(self.cold.known()).unwrap_or(u32::MAX),
-            wishes: self.asks.of(service).map(|it| it.to_tell(now)).collect(),
+            requests: self.asks.of(service).map(|it| it.to_tell(now)).collect(),
         };
         self.reports_sent += 1;
-        let empty = report.used.is_empty() && report.wishes.is_empty();
+        let empty = report.used.is_empty() && report.requests.is_empty();
         self.reported.insert(
             service,
             Reported {
--- a/crates/core/tests/gateway_cold.rs
+++ b/crates/core/tests/gateway_cold.rs
@@ -7,7 +7,7 @@
 
 use core::time::Duration;
 use fleet::Fleet;
-use oriolemux_core::gateway::ask::{Decision, Verdict, Want, Wish};
+use oriolemux_core::gateway::ask::{Decision, PlacementRequest, Verdict, Want};
 use oriolemux_core::gateway::catalogue::{CatalogueSource, EngineLimits, Service};
 use oriolemux_core::gateway::choose::{CopyKind, NoPlace};
 use oriolemux_core::gateway::cold::ColdLimits;
@@ -158,12 +158,12 @@
             tokens: 10,
             prompt: 1,
         };
-        let wish = Wish {
+        let request = PlacementRequest {
             waiter,
             want: Want::Place,
             exclude: Vec::new(),
         };
-        self.core(index).ask(now, wish);
+        self.core(index).ask(now, request);
         self.fleet.hurry(index);
         self.waiting.push((index, id));
     }
--- a/crates/core/tests/gateway_cordons.rs
+++ b/crates/core/tests/gateway_cordons.rs
@@ -7,7 +7,7 @@
 
 use core::time::Duration;
 use fleet::Fleet;
-use oriolemux_core::gateway::ask::{Decision, Verdict, Want, Wish};
+use oriolemux_core::gateway::ask::{Decision, PlacementRequest, Verdict, Want};
 use oriolemux_core::gateway::catalogue::{CatalogueSource, EngineLimits, Service};
 use oriolemux_core::gateway::choose::{CopyKind, NoPlace};
 use oriolemux_core::gateway::queue::{Waiter, service_hash};
@@ -215,8 +215,8 @@
     }
 }
 
-fn wish(id: u64, want: Want) -> Wish {
-    Wish {
+fn request(id: u64, want: Want) -> PlacementRequest {
+    PlacementRequest {
         waiter: Waiter {
             id,
             service: service_hash("model"),
@@ -245,7 +245,7 @@
 
 /// Asks for a place at an instance that is its own home.
 fn granted(one: &mut Gateway, now: Time, want: Want) -> Verdict {
-    one.ask(now, wish(1, want));
+    one.ask(now, request(1, want));
     one.tick(now);
     let verdict = one.verdict(now, 1);
     one.ask_no_longer(1);
@@ -287,7 +287,7 @@
 fn a_place_that_was_granted_before_is_not_taken() {
     let mut one = two_places();
     let now = Time::from_secs(1);
-    one.ask(now, wish(1, Want::Place));
+    one.ask(now, request(1, Want::Place));
     one.tick(now);
     let Verdict::Decided(Decision::Granted(key)) = one.verdict(now, 1) else {
         panic!("an empty engine is given");
--- a/crates/core/tests/gateway_home.rs
+++ b/crates/core/tests/gateway_home.rs
@@ -5,7 +5,9 @@
 
 use core::time::Duration;
 use instances::address;
-use oriolemux_core::gateway::ask::{AskTable, Decision, HOME_PATIENCE, Verdict, Want, Wish};
+use oriolemux_core::gateway::ask::{
+    AskTable, Decision, HOME_PATIENCE, PlacementRequest, Verdict, Want,
+};
 use oriolemux_core::gateway::catalogue::EngineLimits;
 use oriolemux_core::gateway::choose::{CopyKind, NoPlace};
 use oriolemux_core::gateway::endpoints::EndpointTable;
@@ -38,9 +40,9 @@
 }
 
 /// A request of 3,000 tokens that arrived so many milliseconds ago.
-fn wish(id: u64, age_ms: u64, want: Want) -> Wish {
+fn request(id: u64, age_ms: u64, want: Want) -> PlacementRequest {
     let age = Duration::from_millis(age_ms);
-    Wish {
+    PlacementRequest {
         waiter: Waiter {
             id,
             service: service_hash(MODEL),
@@ -84,7 +86,12 @@
         }
     }
 
-    fn report(&mut self, instance: u16, used: &[(EndpointKey, Used)], wishes: &[Wish]) {
+    fn report(
+        &mut self,
+        instance: u16,
+        used: &[(EndpointKey, Used)],
+        requests: &[PlacementRequest],
+    ) {
         self.reports += 1;
         let report = Report {
             service: service_hash(MODEL),
@@ -95,7 +102,7 @@
             failing: Vec::new(),
             passed_over: self.passed_over.clone(),
             known: 1,
-            wishes: wishes.iter().map(|it| it.to_tell(self.now)).collect(),
+            requests: requests.iter().map(|it| it.to_tell(self.now)).collect(),
         };
         let life = Incarnation(instance.into());
         self.home.hear(self.now, address(instance), life, report);
@@ -121,7 +128,7 @@
             .collect()
     }
 
-    /// Returns what was decided about a wish, if anything was said.
+    /// Returns what was decided about a placement request, if anything was said.
     fn decision(&mut self, id: u64) -> Option<Decision> {
         let answers = self.decide();
         let mut told = answers.iter().flat_map(|(_, it)| &it.decisions);
@@ -143,10 +150,10 @@
     let mut scene = Scene::new(1);
     let taken = [(engine(0), used(15_000))];
     scene.report(9, &taken, &[]);
-    scene.report(1, &[], &[wish(1, 5, Want::Place)]);
+    scene.report(1, &[], &[request(1, 5, Want::Place)]);
     assert_eq!(scene.decision(1), Some(Decision::Granted(engine(0))));
 
-    scene.report(2, &[], &[wish(2, 5, Want::Place)]);
+    scene.report(2, &[], &[request(2, 5, Want::Place)]);
 
     assert_eq!(scene.decision(2), Some(Decision::Waits(NoPlace::Full)));
 }
@@ -154,7 +161,7 @@
 #[test]
 fn what_was_granted_counts_once_when_it_is_reported() {
     let mut scene = Scene::new(1);
-    scene.report(1, &[], &[wish(1, 5, Want::Place)]);
+    scene.report(1, &[], &[request(1, 5, Want::Place)]);
     scene.decide();
 
     scene.report(1, &[(engine(0), used(3_000))], &[]);
@@ -169,7 +176,7 @@
 #[test]
 fn a_grant_is_repeated_to_who_asks_again() {
     let mut scene = Scene::new(2);
-    let ask = [wish(1, 5, Want::Place)];
+    let ask = [request(1, 5, Want::Place)];
     scene.report(1, &[], &ask);
     let first = granted(scene.decision(1));
 
@@ -190,8 +197,8 @@
 fn an_instance_that_falls_silent_holds_nobody_up() {
     let mut scene = Scene::new(1);
     scene.report(9, &[(engine(0), used(16_000))], &[]);
-    scene.report(1, &[], &[wish(1, 10, Want::Place)]);
-    let me = wish(2, 600, Want::Place);
+    scene.report(1, &[], &[request(1, 10, Want::Place)]);
+    let me = request(2, 600, Want::Place);
     scene.report(2, &[], std::slice::from_ref(&me));
     assert_eq!(scene.decision(2), Some(Decision::Waits(NoPlace::Full)));
 
@@ -207,7 +214,7 @@
 fn room_that_comes_is_granted_unasked() {
     let mut scene = Scene::new(1);
     scene.report(9, &[(engine(0), used(19_000))], &[]);
-    scene.report(1, &[], &[wish(1, 10, Want::Place)]);
+    scene.report(1, &[], &[request(1, 10, Want::Place)]);
     assert_eq!(scene.decision(1), Some(Decision::Waits(NoPlace::Full)));
 
     scene.report(9, &[], &[]);
@@ -231,7 +238,7 @@
         failing: Vec::new(),
         passed_over: Vec::new(),
         known: 1,
-        wishes: Vec::new(),
+        requests: Vec::new(),
     };
 
     scene
@@ -257,7 +264,7 @@
         kind: CopyKind::Ahead,
     };
     for instance in 1..=8_u16 {
-        scene.report(instance, &[], &[wish(instance.into(), 5, ahead)]);
+        scene.report(instance, &[], &[request(instance.into(), 5, ahead)]);
     }
     let answers = scene.decide();
 
@@ -280,10 +287,10 @@
         &[(engine(0), used(19_000)), (engine(1), used(18_000))],
         &[],
     );
-    scene.report(1, &[], &[wish(1, 10, Want::Place)]);
+    scene.report(1, &[], &[request(1, 10, Want::Place)]);
     scene.decide();
 
-    scene.report(2, &[], &[wish(2, 700, Want::Aside)]);
+    scene.report(2, &[], &[request(2, 700, Want::Aside)]);
 
     assert_eq!(scene.decision(2), Some(Decision::Denied(NoPlace::Full)));
 }
@@ -293,7 +300,7 @@
 #[test]
 fn a_home_that_says_nothing_is_not_waited_for() {
     let mut asks = AskTable::default();
-    asks.enter(NOW, wish(1, 0, Want::Place));
+    asks.enter(NOW, request(1, 0, Want::Place));
     let soon = NOW + Duration::from_millis(5);
     assert_eq!(asks.verdict(soon, 1), Verdict::Asked);
     assert_eq!(asks.verdict(NOW + HOME_PATIENCE, 1), Verdict::Unanswered);
@@ -311,7 +318,7 @@
 #[test]
 fn a_grant_is_not_taken_back_by_an_older_word() {
     let mut asks = AskTable::default();
-    asks.enter(NOW, wish(1, 0, Want::Place));
+    asks.enter(NOW, request(1, 0, Want::Place));
     let grant = Decision::Granted(engine(3));
 
     asks.hear(NOW, 1, grant);
@@ -333,7 +340,7 @@
     scene.passed_over.clear();
 
     for id in 1..=3 {
-        scene.report(id, &[], &[wish(id.into(), 5, Want::Place)]);
+        scene.report(id, &[], &[request(id.into(), 5, Want::Place)]);
         let decision = scene.decision(id.into());
         assert_eq!(decision, Some(Decision::Granted(engine(1))));
     }
@@ -344,11 +351,11 @@
     let mut scene = Scene::new(2);
     scene.report(5, &[(engine(1), used(9_000))], &[]);
     scene.passed_over = vec![engine(0)];
-    scene.report(1, &[], &[wish(1, 5, Want::Place)]);
+    scene.report(1, &[], &[request(1, 5, Want::Place)]);
     assert_eq!(scene.decision(1), Some(Decision::Granted(engine(1))));
 
     scene.passed_over.clear();
-    scene.report(2, &[], &[wish(2, 5, Want::Place)]);
+    scene.report(2, &[], &[request(2, 5, Want::Place)]);
 
     assert_eq!(scene.decision(2), Some(Decision::Granted(engine(0))));
 }
@@ -370,7 +377,7 @@
     );
     scene.passed_over.clear();
 
-    scene.report(1, &[], &[wish(1, 5, Want::Place)]);
+    scene.report(1, &[], &[request(1, 5, Want::Place)]);
     assert_eq!(scene.decision(1), Some(Decision::Granted(engine(0))));
     scene.now += Duration::from_secs(5);
 
@@ -389,12 +396,12 @@
         source: engine(0),
         kind: CopyKind::Standing,
     };
-    let place = Wish {
+    let place = PlacementRequest {
         exclude: vec![engine(0)],
-        ..wish(1, 5, Want::Place)
+        ..request(1, 5, Want::Place)
     };
 
-    scene.report(1, &[], &[place, wish(2, 5, copy)]);
+    scene.report(1, &[], &[place, request(2, 5, copy)]);
     let answers = scene.decide();
 
     let decisions = &answers[0].1.decisions;
@@ -410,7 +417,7 @@
 #[test]
 fn an_engine_that_leaves_is_not_granted_again() {
     let mut scene = Scene::new(2);
-    let ask = [wish(1, 5, Want::Place)];
+    let ask = [request(1, 5, Want::Place)];
     scene.report(1, &[], &ask);
     let first = granted(scene.decision(1)).expect("there is room");
     scene.endpoints.leave(scene.now, first);
--- a/crates/core/tests/gateway_places.rs
+++ b/crates/core/tests/gateway_places.rs
@@ -9,7 +9,7 @@
 use core::time::Duration;
 use fleet::{Fleet, Sent};
 use instances::{address, engine};
-use oriolemux_core::gateway::ask::{Decision, HOME_PATIENCE, Verdict, Want, Wish};
+use oriolemux_core::gateway::ask::{Decision, HOME_PATIENCE, PlacementRequest, Verdict, Want};
 use oriolemux_core::gateway::catalogue::{CatalogueSource, EngineLimits, Service};
 use oriolemux_core::gateway::queue::{Waiter, service_hash};
 use oriolemux_core::gateway::{Demand, Gateway};
@@ -123,12 +123,12 @@
             tokens: TOKENS,
             prompt: 2_000,
         };
-        let wish = Wish {
+        let request = PlacementRequest {
             waiter,
             want: Want::Place,
             exclude: Vec::new(),
         };
-        self.core(instance).ask(now, wish);
+        self.core(instance).ask(now, request);
         self.fleet.hurry(instance);
         self.asking.push(Asking {
             instance,
--- a/crates/core/tests/gateway_queue.rs
+++ b/crates/core/tests/gateway_queue.rs
@@ -4,7 +4,7 @@
 mod instances;
 
 use core::time::Duration;
-use oriolemux_core::gateway::ask::{Want, Wish};
+use oriolemux_core::gateway::ask::{PlacementRequest, Want};
 use oriolemux_core::gateway::catalogue::EngineLimits;
 use oriolemux_core::gateway::choose::{NoPlace, World};
 use oriolemux_core::gateway::endpoints::EndpointTable;
@@ -85,7 +85,7 @@
 
 fn asking(waiter: Waiter) -> Asking {
     Asking {
-        wish: Wish {
+        request: PlacementRequest {
             waiter,
             want: Want::Place,
             exclude: Vec::new(),
--- a/crates/gateway/src/ask.rs
+++ b/crates/gateway/src/ask.rs
@@ -12,7 +12,7 @@
 use crate::ports::Wire;
 use core::time::Duration;
 use oriolemux_core::gateway::Gateway;
-use oriolemux_core::gateway::ask::{Decision, Verdict, Want, Wish};
+use oriolemux_core::gateway::ask::{Decision, PlacementRequest, Verdict, Want};
 use oriolemux_core::gateway::choose::NoPlace;
 use oriolemux_core::gateway::state::Place;
 use oriolemux_core::ids::EndpointKey;
@@ -26,7 +26,7 @@
 /// The same once a home has said that it waits.
 const LOOK_WAITING: Duration = Duration::from_millis(50);
 
-/// A wish that a home knows of until it is dropped.
+/// A placement request that a home knows of until it is dropped.
 struct Open<W: Wire> {
     cx: Arc<Cx<W>>,
     id: u64,
@@ -51,7 +51,7 @@
 }
 
 /// Asks for a place until there is one or `until`, and gives it to `take` in the same moment
-/// in which the wish ends: the home sees either the wish or what became of it.
+/// in which the placement request ends: the home sees either the request or what became of it.
 ///
 /// # Errors
 ///
@@ -65,12 +65,12 @@
     let cx = &job.cx;
     let waiter = job.waiter(asked.tokens);
     let (id, service) = (waiter.id, waiter.service);
-    let wish = Wish {
+    let request = PlacementRequest {
         waiter,
         want: asked.want,
         exclude: asked.exclude.to_vec(),
     };
-    cx.state().ask(cx.now(), wish);
+    cx.state().ask(cx.now(), request);
     cx.dirty.notify_one();
     let _open = Open {
         cx: Arc::clone(cx),
