Waiting requests look at endpoints for cordons only while a data centre is closed

Read in the diff: each look of each request that waits went over all endpoints, 3,000 of them at the size that is designed for. No behaviour changes.

--- a/crates/core/src/gateway/endpoints.rs
+++ b/crates/core/src/gateway/endpoints.rs
@@ -358,9 +358,12 @@
         taking.filter(|it| !self.cordons.is_closed(&it.record.data_centre))
     }
 
-    /// Returns whether nothing but cordons keeps a service from being used.
+    /// Returns whether nothing but cordons keeps a service from being used. Every request that
+    /// waits asks this with each look, so that it costs nothing while no data centre is closed.
     pub fn is_service_cordoned(&self, service: &str) -> bool {
-        self.taking_of(service).next().is_some() && self.usable_of(service).next().is_none()
+        self.cordons.closed().next().is_some()
+            && self.taking_of(service).next().is_some()
+            && self.usable_of(service).next().is_none()
     }
 
     /// Returns the endpoints of a service that would take new work if no data centre were closed.
--- a/crates/core/src/gateway/home.rs
+++ b/crates/core/src/gateway/home.rs
@@ -386,7 +386,7 @@
         tokens: request.waiter.tokens,
         exclude: &exclude,
     };
-    // One instance decides for all, one placement request after the other: nothing is to be parted.
+    // One instance decides for all, one request after the other: nothing is to be parted.
     let no_draw = || 0.0;
     match request.want {
         Want::Place | Want::Aside => choose(world, &demand, no_draw),
