Repeats have lines: who spends or is denied one, for what, and by which share

Seen by callers: nothing yet; the fleet's bound of repeats was broken (645 of 574) and no line said by whom.

Lines [835] and [836] name the kind of repeat, how many instances are heard and known, for how long the instance has run, and what is left. All sends beyond the first go through one question of the core; it answers as before.

--- a/crates/core/src/gateway/budget.rs
+++ b/crates/core/src/gateway/budget.rs
@@ -37,6 +37,34 @@
     }
 }
 
+/// Why a request is sent to one endpoint more.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, displaydoc::Display)]
+pub enum RepeatKind {
+    /// retry
+    Retry,
+    /// read_anew
+    ReadAnew,
+    /// go_on
+    GoOn,
+    /// go_on_again
+    GoOnAgain,
+}
+
+/// Whether a request may be sent to one endpoint more, and what that was decided by.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RepeatDecision {
+    /// Whether it may.
+    pub is_allowed: bool,
+    /// Instances that are heard, this one included.
+    pub heard: usize,
+    /// Instances that are known, this one and those that were lost lately included.
+    pub known: usize,
+    /// For how long this instance has run.
+    pub age: Duration,
+    /// Repeats that are left.
+    pub left: f64,
+}
+
 #[derive(Clone, Debug, Default)]
 struct ServiceCounts {
     requests: VecDeque<Time>,
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -2,6 +2,7 @@
 
 mod peers;
 mod places;
+mod repeats;
 mod suspects;
 
 pub use peers::{Heard, Ignored, TELL_DELAY, TICK};
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -14,6 +14,7 @@
 use core::time::Duration;
 use http::Response;
 use http_body_util::{BodyExt, Limited};
+use oriolemux_core::gateway::budget::RepeatKind;
 use oriolemux_core::gateway::choose::NoPlace;
 use oriolemux_core::gateway::state::Place;
 use std::time::Instant;
@@ -238,7 +239,7 @@
                 self.attempts.may_run_again(job.entry())
             }
         };
-        allowed && job.spend_repeat()
+        allowed && job.spend_repeat(RepeatKind::Retry)
     }
 
     fn not_admitted(&self, reason: Reason) -> Response<AnswerBody> {
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -4,7 +4,7 @@
 use crate::ask::{PlaceRequest, ask};
 use crate::cx::Cx;
 use crate::link::{Link, LinkError};
-use crate::meters::ByReason;
+use crate::meters::{ByReason, millis};
 use crate::note;
 use crate::ports::{CallerHead, Held, SendHead, Wire};
 use crate::turn::Run;
@@ -15,6 +15,7 @@
 use hyper::body::Incoming;
 use oriolemux_core::fingerprint::Fingerprint;
 use oriolemux_core::gateway::ask::{HOME_PATIENCE, Want};
+use oriolemux_core::gateway::budget::RepeatKind;
 use oriolemux_core::gateway::catalogue::{Catalogue, HttpEntry, Service, ServiceId, WorkspaceId};
 use oriolemux_core::gateway::choose::{CopyKind, NoPlace};
 use oriolemux_core::gateway::lengths::{self, Length};
@@ -104,11 +105,33 @@
     }
 
     /// Spends one of the fleet's repeats; returns whether there was one.
-    pub fn spend_repeat(&self) -> bool {
+    pub fn spend_repeat(&self, kind: RepeatKind) -> bool {
+        let service = &self.service().name;
         let now = self.cx.now();
-        let mut state = self.cx.state();
-        let instances = state.instances();
-        state.budget.spend(now, &self.service().name, instances)
+        let spent = self.cx.state().spend_repeat(now, service, kind);
+        match spent.is_allowed {
+            true => note!(
+                RepeatSpent,
+                attempt = self.name(),
+                service = service.as_str(),
+                kind:% = kind,
+                heard = spent.heard,
+                known = spent.known,
+                left = spent.left,
+                age_ms = millis(spent.age)
+            ),
+            false => note!(
+                RepeatDenied,
+                attempt = self.name(),
+                service = service.as_str(),
+                kind:% = kind,
+                heard = spent.heard,
+                known = spent.known,
+                left = spent.left,
+                age_ms = millis(spent.age)
+            ),
+        }
+        spent.is_allowed
     }
 
     /// Notes that a request failed at an endpoint.
--- a/crates/gateway/src/notes.rs
+++ b/crates/gateway/src/notes.rs
@@ -140,6 +140,11 @@
     DataCentreCordoned = 833, "data_centre_cordoned", Info, USUAL;
     /// The operator's cordon of a data centre was lifted, or was never there.
     CordonLifted = 834, "cordon_lifted", Info, USUAL;
+    /// A request is sent to one endpoint more, at the expense of the fleet's budget. The line says
+    /// why, how many instances are heard and known, since when this one runs, and what is left.
+    RepeatSpent = 835, "repeat_spent", Info, USUAL;
+    /// A request is not sent to one endpoint more, because the budget has nothing left for it.
+    RepeatDenied = 836, "repeat_denied", Info, FAILURES;
 }
 
 /// Lines of one event within the present second.
--- a/crates/gateway/src/relay/begin.rs
+++ b/crates/gateway/src/relay/begin.rs
@@ -13,6 +13,7 @@
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use oriolemux_core::gateway::ask::Want;
+use oriolemux_core::gateway::budget::RepeatKind;
 use oriolemux_core::gateway::relocation::take_back_after;
 use oriolemux_core::gateway::state::Place;
 use std::net::SocketAddrV4;
@@ -116,7 +117,9 @@
         };
         let until = Instant::now() + AT_ONCE;
         let chosen = self.job.ask_place(asked, until).await.ok()?;
-        self.job.spend_repeat().then_some(chosen)
+        self.job
+            .spend_repeat(RepeatKind::ReadAnew)
+            .then_some(chosen)
     }
 
     async fn take_back(&mut self, place: Place, in_use: InUse<W>) {
--- a/crates/gateway/src/relay/go_on.rs
+++ b/crates/gateway/src/relay/go_on.rs
@@ -4,13 +4,13 @@
 use super::ahead::{CopyAhead, StandingCopy};
 use super::upstream::Begun;
 use crate::answer::Reason;
-use crate::cx::Cx;
 use crate::job::{CopyInUse, InUse};
 use crate::link::LinkError;
 use crate::meters::ByReason;
 use crate::note;
 use crate::ports::{EngineCalls, KeptCopy, Moved, Wire};
 use core::time::Duration;
+use oriolemux_core::gateway::budget::RepeatKind;
 use oriolemux_core::gateway::choose::CopyKind;
 use oriolemux_core::gateway::relocation::STANDING_MIN_TOKENS;
 use oriolemux_core::gateway::state::Place;
@@ -115,7 +115,7 @@
                 break;
             }
             sleep(REFUSED_PAUSE).await;
-            self.note_repeat();
+            self.job.spend_repeat(RepeatKind::GoOnAgain);
             let handle = &handle;
             begun = self.ask_to_go_on(Some(KeptCopy { keeper, handle })).await;
         }
@@ -142,7 +142,7 @@
     async fn go_on(&mut self, target: Place, keeper: SocketAddrV4, handle: &str) -> Begun {
         self.splitter.clear();
         self.state.moved(self.job.cx.now());
-        self.note_repeat();
+        self.job.spend_repeat(RepeatKind::GoOn);
         self.in_use = InUse::go_on(&self.job.cx, target.key, self.tokens);
         self.source = target;
         self.choose_standing().await;
@@ -250,11 +250,4 @@
         }
         place
     }
-
-    fn note_repeat(&self) {
-        let cx: &Cx<W> = &self.job.cx;
-        let now = cx.now();
-        let service = &self.job.service().name;
-        cx.state().budget.note_repeat(now, service);
-    }
 }
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -19,6 +19,7 @@
 use http_body::Frame;
 use http_body_util::BodyExt;
 use oriolemux_core::gateway::ask::Want;
+use oriolemux_core::gateway::budget::RepeatKind;
 use oriolemux_core::gateway::lengths::Length;
 use oriolemux_core::gateway::state::Place;
 use oriolemux_core::ids::EndpointKey;
@@ -67,7 +68,7 @@
                 arrived,
             } => {
                 (job, attempts) = (*returned, so_far);
-                let may_repeat = !arrived || job.spend_repeat();
+                let may_repeat = !arrived || job.spend_repeat(RepeatKind::Retry);
                 if attempts.refused() > MAX_REFUSED_SENDS || !may_repeat {
                     return give_up(&job, &attempts, Reason::NotRunAtEndpoint);
                 }
@@ -81,7 +82,7 @@
                 let may_repeat = attempts.may_run_again(job.entry())
                     && job.left() > MIN_LEFT
                     && !job.is_refused();
-                if !may_repeat || !job.spend_repeat() {
+                if !may_repeat || !job.spend_repeat(RepeatKind::Retry) {
                     return answer;
                 }
             }
