--- /dev/null
+++ b/crates/core/tests/gateway_budget_fleet.rs
@@ -0,0 +1,284 @@
+//! What a whole fleet spends on repeats, whoever hears whom and whoever starts again.
+
+#[path = "fixtures/gateway_fleet.rs"]
+mod fleet;
+#[path = "fixtures/gateway.rs"]
+mod instances;
+
+use core::time::Duration;
+use fleet::Fleet;
+use oriolemux_core::Time;
+use oriolemux_core::gateway::budget::{BudgetConfig, RepeatKind};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use rstest::rstest;
+
+const SEEDS: usize = 3;
+const SERVICE: &str = "model";
+const RATIO: f64 = 0.2;
+const WINDOW: Duration = Duration::from_secs(10);
+
+/// Repeats allowed on top of the ratio, for each instance.
+const ALLOWANCE_EACH: f64 = 2.6;
+
+/// Requests a second at each instance, all of which fail.
+const REQUESTS_EACH: f64 = 1.5;
+
+/// How many times each request is to be sent again.
+const TRIES: usize = 3;
+
+/// Generations a second at each instance that are to go on at another engine, where many engines
+/// are lost.
+const MOVES_EACH: f64 = 0.8;
+
+/// A fleet whose requests fail all the time.
+struct Scene {
+    fleet: Fleet,
+    budget: BudgetConfig,
+    rng: SmallRng,
+    /// When a request came.
+    requests: Vec<Time>,
+    /// When one was sent to one endpoint more.
+    repeats: Vec<Time>,
+    /// Generations a second at each instance that are to go on at another engine.
+    moves_each: f64,
+    moves: usize,
+}
+
+impl Scene {
+    fn new(size: usize) -> Scene {
+        let mut fleet = Fleet::start(size, SEEDS, 11);
+        let joined = fleet.until_all_count(size, Duration::from_secs(20));
+        assert!(joined.is_some(), "{:?}", fleet.counts());
+        let mut scene = Scene {
+            fleet,
+            budget: BudgetConfig {
+                ratio: RATIO,
+                allowance: ALLOWANCE_EACH * size as f64,
+                window: WINDOW,
+            },
+            rng: SmallRng::seed_from_u64(31),
+            requests: Vec::new(),
+            repeats: Vec::new(),
+            moves_each: 0.0,
+            moves: 0,
+        };
+        for index in 0..size {
+            scene.configure(index);
+        }
+        // What a fleet may spend comes to it over time.
+        scene.fleet.run(Duration::from_secs(15));
+        scene
+    }
+
+    fn configure(&mut self, index: usize) {
+        let (now, budget) = (self.fleet.now, self.budget);
+        if let Some(core) = &mut self.fleet.nodes[index].core {
+            let seeds = (1..=SEEDS as u16).map(instances::address).collect();
+            core.reload(now, seeds, budget);
+        }
+    }
+
+    fn restart(&mut self, index: usize) {
+        self.fleet.kill(index);
+        self.fleet.start_one(index);
+        self.configure(index);
+    }
+
+    /// Lets time pass in which requests fail and generations lose their engines.
+    fn fail(&mut self, time: Duration) {
+        let step = Duration::from_millis(50);
+        let ends = self.fleet.now + time;
+        while self.fleet.now < ends {
+            self.fleet.run(step);
+            for index in 0..self.fleet.nodes.len() {
+                if self.rng.random_bool(REQUESTS_EACH * step.as_secs_f64()) {
+                    self.request(index);
+                }
+                if self.rng.random_bool(self.moves_each * step.as_secs_f64()) {
+                    self.moves += usize::from(self.repeat(index, RepeatKind::GoOn));
+                }
+            }
+        }
+    }
+
+    fn request(&mut self, index: usize) {
+        let now = self.fleet.now;
+        if let Some(core) = &mut self.fleet.nodes[index].core {
+            core.budget.on_request(now, SERVICE);
+        }
+        self.requests.push(now);
+        for _ in 0..TRIES {
+            self.repeat(index, RepeatKind::Retry);
+        }
+    }
+
+    fn repeat(&mut self, index: usize, kind: RepeatKind) -> bool {
+        let now = self.fleet.now;
+        let Some(core) = &mut self.fleet.nodes[index].core else {
+            return false;
+        };
+        let spent = core.spend_repeat(now, SERVICE, kind);
+        if spent.is_allowed {
+            self.repeats.push(now);
+        }
+        spent.is_allowed
+    }
+
+    /// Returns the most repeats that were above the bound in any window, below zero if none were.
+    fn most_above_bound(&self) -> f64 {
+        let above = self.repeats.iter().map(|&from| {
+            let repeats = count(&self.repeats, from, WINDOW);
+            let before = |by: Duration| {
+                let begins = from.before(by).unwrap_or(Time::ZERO);
+                count(&self.requests, begins, WINDOW)
+            };
+            let requests = [Duration::ZERO, WINDOW / 2, WINDOW].map(before);
+            let requests = requests.into_iter().max().unwrap_or(0);
+            repeats as f64 - RATIO * requests as f64 - self.budget.allowance
+        });
+        above.fold(f64::NEG_INFINITY, f64::max)
+    }
+}
+
+fn count(times: &[Time], from: Time, window: Duration) -> usize {
+    let begins = times.partition_point(|it| *it < from);
+    let ends = times.partition_point(|it| *it < from + window);
+    ends - begins
+}
+
+fn nobody(_: usize, _: usize) -> bool {
+    false
+}
+
+fn two_sides(from: usize, to: usize) -> bool {
+    from % 2 == to % 2
+}
+
+/// Guards against parts of the allowance that add up to more than it while instances do not hear
+/// each other.
+#[rstest]
+#[case::few(6, two_sides)]
+#[case::few_alone(6, nobody)]
+#[case::some(64, two_sides)]
+#[case::some_alone(64, nobody)]
+#[case::planned(390, two_sides)]
+fn a_fleet_that_is_cut_keeps_the_bound(
+    #[case] size: usize,
+    #[case] passes: fn(usize, usize) -> bool,
+) {
+    let mut scene = Scene::new(size);
+    scene.fail(Duration::from_secs(4));
+    scene.fleet.passes = passes;
+
+    scene.fail(Duration::from_secs(14));
+
+    let above = scene.most_above_bound();
+    assert!(above <= 0.0, "{above} above the bound");
+}
+
+/// Guards against instances that spend a new part of the allowance each time that they start.
+#[rstest]
+#[case::few(6)]
+#[case::some(64)]
+#[case::planned(390)]
+fn instances_that_start_again_in_series_keep_the_bound(#[case] size: usize) {
+    let mut scene = Scene::new(size);
+    scene.fail(Duration::from_secs(4));
+
+    for _ in 0..4 {
+        for index in (0..size).step_by(3) {
+            scene.restart(index);
+        }
+        scene.fail(Duration::from_secs(2));
+    }
+    scene.fail(Duration::from_secs(4));
+
+    let above = scene.most_above_bound();
+    assert!(above <= 0.0, "{above} above the bound");
+}
+
+/// Guards against instances that start while they hear few others, or none, and take the
+/// allowance of all for their own.
+#[rstest]
+#[case::few(6, two_sides)]
+#[case::few_alone(6, nobody)]
+#[case::some(64, two_sides)]
+#[case::some_alone(64, nobody)]
+#[case::planned(390, two_sides)]
+#[case::planned_alone(390, nobody)]
+fn instances_that_start_while_cut_off_keep_the_bound(
+    #[case] size: usize,
+    #[case] passes: fn(usize, usize) -> bool,
+) {
+    let mut scene = Scene::new(size);
+    scene.fail(Duration::from_secs(4));
+    scene.fleet.passes = passes;
+    scene.fail(Duration::from_secs(4));
+
+    for _ in 0..3 {
+        for index in (0..size).step_by(3) {
+            scene.restart(index);
+        }
+        scene.fail(Duration::from_secs(2));
+    }
+    scene.fail(Duration::from_secs(12));
+
+    let above = scene.most_above_bound();
+    assert!(above <= 0.0, "{above} above the bound");
+}
+
+/// Guards against a fleet that starts on two sides of a cut and spends the allowance on each.
+#[rstest]
+#[case::few(6)]
+#[case::some(64)]
+fn a_fleet_that_starts_while_it_is_cut_keeps_the_bound(#[case] size: usize) {
+    let mut scene = Scene::new(size);
+    scene.fail(Duration::from_secs(4));
+    scene.fleet.passes = two_sides;
+    for index in 0..size {
+        scene.restart(index);
+    }
+
+    scene.fail(Duration::from_secs(16));
+
+    let above = scene.most_above_bound();
+    assert!(above <= 0.0, "{above} above the bound");
+}
+
+/// Guards against generations that go on without asking, however many they are.
+#[rstest]
+#[case::few(6)]
+#[case::some(64)]
+fn generations_that_go_on_keep_the_bound(#[case] size: usize) {
+    let mut scene = Scene::new(size);
+    scene.moves_each = MOVES_EACH;
+
+    scene.fail(Duration::from_secs(14));
+
+    let above = scene.most_above_bound();
+    assert!(above <= 0.0, "{above} above the bound");
+}
+
+/// Guards against a bound that is kept by sending nothing: what it allows is spent, and plain
+/// repeats leave room for generations that go on.
+#[test]
+fn a_whole_fleet_spends_most_of_the_bound() {
+    let mut scene = Scene::new(64);
+    scene.moves_each = 0.1;
+
+    scene.fail(Duration::from_secs(20));
+
+    let bound = RATIO * REQUESTS_EACH * 64.0 * 20.0;
+    assert!(
+        scene.repeats.len() as f64 > 0.7 * bound,
+        "{} repeats, {bound} requests' worth",
+        scene.repeats.len()
+    );
+    let wanted = scene.moves_each * 64.0 * 20.0;
+    assert!(
+        scene.moves as f64 > 0.8 * wanted,
+        "{} moves of {wanted}",
+        scene.moves
+    );
+}
