The allowance of repeats is divided by the instances that are known, not by those that are heard

Cause: each instance divided the fleet's allowance by the instances that it hears. Two sides of a cut, and each instance that starts behind it, take the allowance once more.

Change: gateway::fleet_size counts lost instances for ten minutes (as cold endpoints had it, now one piece), every datagram carries the count, and one that has just started and heard neither somebody who knows nor most of its seeds has no part of the allowance. Why it holds for any split: who knows divides by the whole fleet; of the sides on which everybody started anew one at most has most of the seeds.

Datagrams are of version 9.

--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -22,6 +22,7 @@
 //! | [`budget`] | how many repeats this instance may spend |
 //! | [`suspects`] | requests that end the endpoints that begin them |
 //! | [`members`] | which instances there are |
+//! | [`fleet_size`] | how many there are, those included that were lost lately |
 //! | [`gossip`] | what instances send each other, and how news reaches all |
 //! | [`beacons`] | what those say that watch the store, and who watches |
 //! | [`reader`] | when to read and watch the store |
@@ -37,6 +38,7 @@
 pub mod cold;
 pub mod cordons;
 pub mod endpoints;
+pub mod fleet_size;
 pub mod gossip;
 pub mod home;
 pub mod lengths;
--- a/crates/core/src/gateway/budget.rs
+++ b/crates/core/src/gateway/budget.rs
@@ -57,7 +57,8 @@
     pub is_allowed: bool,
     /// Instances that are heard, this one included.
     pub heard: usize,
-    /// Instances that are known, this one and those that were lost lately included.
+    /// Instances that are known, this one and those that were lost lately included; 0 while this
+    /// instance may know a part of the fleet only.
     pub known: usize,
     /// For how long this instance has run.
     pub age: Duration,
@@ -99,9 +100,9 @@
         forget(&mut counts.requests, now, self.cfg.window);
     }
 
-    /// Spends one repeat if the share of this instance, one of `instances`, allows it.
-    pub fn spend(&mut self, now: Time, service: &str, instances: usize) -> bool {
-        if self.left(now, service, instances) < 1.0 {
+    /// Spends one repeat if the share of this instance, one of `known`, allows it.
+    pub fn spend(&mut self, now: Time, service: &str, known: Option<usize>) -> bool {
+        if self.left(now, service, known) < 1.0 {
             return false;
         }
         self.note_repeat(now, service);
@@ -115,14 +116,15 @@
             .push_back(now);
     }
 
-    /// Returns how many repeats are left.
-    pub fn left(&mut self, now: Time, service: &str, instances: usize) -> f64 {
+    /// Returns how many repeats are left. Who does not know how many instances there are has no
+    /// part of the allowance.
+    pub fn left(&mut self, now: Time, service: &str, known: Option<usize>) -> f64 {
         let window = self.cfg.window;
         let counts = Self::counts(&mut self.services, service);
         forget(&mut counts.requests, now, window);
         forget(&mut counts.repeats, now, window);
         let own = self.cfg.ratio * counts.requests.len() as f64;
-        let allowance = self.cfg.allowance / instances.max(1) as f64;
+        let allowance = known.map_or(0.0, |it| self.cfg.allowance / it.max(1) as f64);
         SPENT_SHARE * (own + allowance) - counts.repeats.len() as f64
     }
 
--- a/crates/core/src/gateway/cold.rs
+++ b/crates/core/src/gateway/cold.rs
@@ -15,6 +15,7 @@
 //!
 //! `docs/design/shifted-work.md` weighs the ways and does the arithmetic.
 
+use super::fleet_size::FleetSize;
 use crate::ids::{EndpointKey, address_hash};
 use crate::rendezvous;
 use crate::time::Time;
@@ -36,9 +37,6 @@
 /// The longest window, of rates far below one request a second.
 const MAX_WINDOW: Duration = Duration::from_secs(60);
 
-/// How long an instance that was lost still has its share: as long as regions lose each other.
-const REMEMBER_LOST: Duration = Duration::from_secs(600);
-
 /// An instance that has just started, or was paused, sends nothing without a home for so long:
 /// others do not count it among those that have a share yet.
 const SETTLES_IN: Duration = Duration::from_secs(2);
@@ -108,8 +106,6 @@
 /// What this instance may send to cold endpoints, and what it sent.
 #[derive(Clone, Debug)]
 pub struct ColdShares {
-    /// When each other instance was last known to take part.
-    seen: BTreeMap<SocketAddrV4, Time>,
     looked: Time,
     /// Since when this instance runs without a pause.
     runs_since: Time,
@@ -120,36 +116,35 @@
     /// Returns the shares of an instance that begins now.
     pub fn new(now: Time) -> Self {
         ColdShares {
-            seen: BTreeMap::new(),
             looked: now,
             runs_since: now,
             sent: SlidingCount::default(),
         }
     }
 
-    /// Takes in who takes part.
-    pub fn tick(&mut self, now: Time, live: impl Iterator<Item = SocketAddrV4>) {
+    /// Lets time pass.
+    pub fn tick(&mut self, now: Time) {
         if now.since(self.looked) >= PAUSE {
             self.runs_since = now;
         }
         self.looked = now;
-        self.seen.extend(live.map(|it| (it, now)));
-        self.seen.retain(|_, at| now.since(*at) < REMEMBER_LOST);
         self.sent.tick(now);
     }
 
-    /// Returns how many instances there are, this one and those that were lost included.
-    pub fn known(&self) -> usize {
-        1 + self.seen.len()
-    }
-
-    /// Returns how many more requests of `rate` a second in all this instance may send to an
-    /// endpoint now without asking anybody.
-    pub fn left(&self, now: Time, own: SocketAddrV4, endpoint: EndpointKey, rate: f64) -> u32 {
+    /// Returns how many more requests of `rate` a second in all the instance at `own` may send to
+    /// an endpoint now without asking anybody.
+    pub fn left(
+        &self,
+        now: Time,
+        own: SocketAddrV4,
+        fleet: &FleetSize,
+        endpoint: EndpointKey,
+        rate: f64,
+    ) -> u32 {
         if now.since(self.runs_since) < SETTLES_IN || now.since(self.looked) >= PAUSE {
             return 0;
         }
-        let share = self.share(own, endpoint, rate as u32);
+        let share = share(own, fleet, endpoint, rate as u32);
         self.sent.left(now, endpoint, f64::from(share))
     }
 
@@ -157,15 +152,15 @@
     pub fn note(&mut self, now: Time, endpoint: EndpointKey) {
         self.sent.note(now, endpoint);
     }
+}
 
-    /// Returns this instance's part of `total` requests a second. The parts of all instances that
-    /// know each other add up to it.
-    fn share(&self, own: SocketAddrV4, endpoint: EndpointKey, total: u32) -> u32 {
-        let known = u32::try_from(self.known()).unwrap_or(u32::MAX);
-        let score = |it: SocketAddrV4| (rendezvous::score(endpoint.0, address_hash(it)), it);
-        let mine = score(own);
-        let ahead = self.seen.keys().filter(|it| score(**it) > mine).count();
-        let is_ahead = u32::try_from(ahead).is_ok_and(|it| it < total % known);
-        total / known + u32::from(is_ahead)
-    }
+/// Returns the part of `total` requests a second of the instance at `own`. The parts of all
+/// instances that know each other add up to it.
+fn share(own: SocketAddrV4, fleet: &FleetSize, endpoint: EndpointKey, total: u32) -> u32 {
+    let known = u32::try_from(fleet.known()).unwrap_or(u32::MAX);
+    let score = |it: SocketAddrV4| (rendezvous::score(endpoint.0, address_hash(it)), it);
+    let mine = score(own);
+    let ahead = fleet.others().filter(|it| score(*it) > mine).count();
+    let is_ahead = u32::try_from(ahead).is_ok_and(|it| it < total % known);
+    total / known + u32::from(is_ahead)
 }
--- a/crates/core/src/gateway/gossip.rs
+++ b/crates/core/src/gateway/gossip.rs
@@ -8,6 +8,7 @@
 
 use super::beacons::Beacon;
 use super::cordons::Cordon;
+use super::fleet_size::ToldSize;
 use super::home::{Answer, Report};
 use super::members::Update;
 use crate::fingerprint::Fingerprint;
@@ -21,7 +22,7 @@
 /// The version of these messages and of [`News`](super::replica::News). Messages of another
 /// one are dropped and counted: while a fleet is updated, instances of both versions serve
 /// side by side, each with the peers of its own.
-pub const GOSSIP_VERSION: u8 = 8;
+pub const GOSSIP_VERSION: u8 = 9;
 
 /// Peers that are told news at once: most instances then hear it in the first wave, within as
 /// many hops as the logarithm of the fleet.
@@ -85,6 +86,8 @@
     pub revision: u64,
     /// What that comes to, see [`Replica::digest`](super::replica::Replica::digest).
     pub digest: u64,
+    /// How many instances there are, as the sender knows.
+    pub fleet: ToldSize,
     /// What it is about.
     pub body: Body,
 }
--- a/crates/core/src/gateway/members.rs
+++ b/crates/core/src/gateway/members.rs
@@ -109,7 +109,9 @@
 #[derive(Clone, Debug)]
 pub struct Members {
     own: Update,
+    /// The seeds, without this instance.
     seeds: Vec<SocketAddrV4>,
+    is_seed: bool,
     others: BTreeMap<SocketAddrV4, Member>,
     /// Whom to probe next, from the end.
     ring: Vec<SocketAddrV4>,
@@ -134,6 +136,7 @@
         let mut members = Members {
             own,
             seeds: Vec::new(),
+            is_seed: false,
             others: BTreeMap::new(),
             ring: Vec::new(),
             probes: Probes::new(now),
@@ -147,6 +150,7 @@
     pub fn set_seeds(&mut self, now: Time, seeds: &[SocketAddrV4]) {
         let others = seeds.iter().filter(|&&seed| seed != self.own.address);
         self.seeds = others.copied().collect();
+        self.is_seed = seeds.contains(&self.own.address);
         for &seed in &self.seeds {
             self.others.entry(seed).or_insert(unheard(now));
         }
@@ -176,6 +180,18 @@
             .map(|(address, it)| (*address, it))
     }
 
+    /// Returns whether this instance has heard most of the seeds; one that is a seed hears itself.
+    pub fn has_heard_most_seeds(&self) -> bool {
+        let is_heard = |it: &&SocketAddrV4| {
+            let known = self.others.get(it);
+            known.is_some_and(|it| it.heard.is_some())
+        };
+        let others = self.seeds.iter().filter(is_heard).count();
+        let own = usize::from(self.is_seed);
+        let all = self.seeds.len() + own;
+        all == 0 || 2 * (others + own) > all
+    }
+
     /// Returns whether anybody ever answered.
     pub fn has_joined(&self) -> bool {
         self.synced.is_some() || self.seeds.is_empty()
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -15,6 +15,7 @@
 use super::cold::ColdShares;
 use super::cordons::{Cordon, CordonEffect};
 use super::endpoints::{EndpointRecord, EndpointTable};
+use super::fleet_size::FleetSize;
 use super::gossip::{Body, Outbox};
 use super::home::Home;
 use super::lengths::LengthTable;
@@ -104,6 +105,8 @@
     ask_changes: u64,
     reported: BTreeMap<u64, Reported>,
     reports_sent: u64,
+    /// How many instances there are, lost ones included.
+    fleet: FleetSize,
     /// What may be sent to endpoints that are cold.
     pub(super) cold: ColdShares,
     /// Requests that end endpoints.
@@ -141,6 +144,7 @@
             ask_changes: 0,
             reported: BTreeMap::new(),
             reports_sent: 0,
+            fleet: FleetSize::default(),
             cold: ColdShares::new(now),
             suspects: Suspects::new(now),
             budget: SharedBudget::new(cfg.budget),
--- a/crates/core/src/gateway/state/peers.rs
+++ b/crates/core/src/gateway/state/peers.rs
@@ -85,6 +85,7 @@
         if from == self.cfg.address {
             return Err(Ignored::Own);
         }
+        self.fleet.hear(now, datagram.fleet);
         let mut heard = Heard::default();
         let mut change = Change::default();
         let (revision, digest) = (datagram.revision, datagram.digest);
@@ -247,8 +248,10 @@
         self.endpoints_ended(now, &ticked.leaving);
         ticked.suspected = self.suspects.take_changed();
         self.suspects.tick(now);
-        self.cold
-            .tick(now, self.members.live().map(|(address, _)| address));
+        let live = self.members.live().map(|(address, _)| address);
+        let heard_most_seeds = self.members.has_heard_most_seeds();
+        self.fleet.tick(now, live, heard_most_seeds);
+        self.cold.tick(now);
         self.outbox.tick(now);
         self.note_behind(now);
         self.tell_news(&mut ticked.send);
@@ -303,7 +306,7 @@
     }
 
     /// Returns a datagram for one peer, with news where it has room for it.
-    pub fn datagram(&mut self, mut body: Body) -> Datagram {
+    pub fn datagram(&mut self, now: Time, mut body: Body) -> Datagram {
         if let Some(news) = body.news_mut() {
             let mut items = self.outbox.take(1);
             news.members.append(&mut items.members);
@@ -321,6 +324,7 @@
             from: self.members.own(),
             revision: self.replica.revision(),
             digest: self.replica.digest(),
+            fleet: self.fleet.to_tell(now),
             body,
         }
     }
--- a/crates/core/src/gateway/state/places.rs
+++ b/crates/core/src/gateway/state/places.rs
@@ -84,12 +84,17 @@
         };
         let cold = self.endpoints.cold_of(now, demand.service, limits);
         let has_share = |key: EndpointKey| {
-            let own = self.cfg.address;
-            demand.engine.is_none() && self.cold.left(now, own, key, limits.per_second) > 0
+            let left = |rate| self.cold_left(now, key, rate);
+            demand.engine.is_none() && left(limits.per_second) > 0
         };
         cold.filter(|&key| !has_share(key)).collect()
     }
 
+    fn cold_left(&self, now: Time, key: EndpointKey, rate: f64) -> u32 {
+        let own = self.cfg.address;
+        self.cold.left(now, own, &self.fleet, key, rate)
+    }
+
     /// Returns whether a generation may go on at an engine, as far as that may be cold, and
     /// counts it there.
     pub fn admit_to_go_on(&mut self, now: Time, key: EndpointKey) -> bool {
@@ -99,7 +104,7 @@
             return true;
         };
         let rate = limits.per_second * OWN_PART;
-        let is_admitted = self.cold.left(now, self.cfg.address, key, rate) > 0;
+        let is_admitted = self.cold_left(now, key, rate) > 0;
         if is_admitted {
             self.cold.note(now, key);
         }
@@ -310,7 +315,7 @@
                 .collect(),
             failing: self.endpoints.failing().filter(of_service).collect(),
             passed_over: self.endpoints.passed_over(now).filter(of_service).collect(),
-            known: u32::try_from(self.cold.known()).unwrap_or(u32::MAX),
+            known: u32::try_from(self.fleet.known()).unwrap_or(u32::MAX),
             requests: self.asks.of(service).map(|it| it.to_tell(now)).collect(),
         };
         self.reports_sent += 1;
@@ -358,7 +363,7 @@
             limits,
             endpoints: &self.endpoints,
             cold,
-            known: self.cold.known(),
+            known: self.fleet.known(),
             live: 1 + self.members.live().count(),
         };
         let answers = home.decide(now, engines);
--- a/crates/core/src/gateway/state/repeats.rs
+++ b/crates/core/src/gateway/state/repeats.rs
@@ -7,20 +7,20 @@
 impl Gateway {
     /// Asks to send a request of `service` to one endpoint more, and spends a repeat if it may.
     pub fn spend_repeat(&mut self, now: Time, service: &str, kind: RepeatKind) -> RepeatDecision {
-        let heard = self.instances();
+        let known = self.fleet.settled();
         let is_allowed = match kind {
             RepeatKind::GoOn | RepeatKind::GoOnAgain => {
                 self.budget.note_repeat(now, service);
                 true
             }
-            RepeatKind::Retry | RepeatKind::ReadAnew => self.budget.spend(now, service, heard),
+            RepeatKind::Retry | RepeatKind::ReadAnew => self.budget.spend(now, service, known),
         };
         RepeatDecision {
             is_allowed,
-            heard,
-            known: self.cold.known(),
+            heard: self.instances(),
+            known: known.unwrap_or(0),
             age: now.since(self.started),
-            left: self.budget.left(now, service, heard),
+            left: self.budget.left(now, service, known),
         }
     }
 }
--- a/crates/core/tests/gateway_budget.rs
+++ b/crates/core/tests/gateway_budget.rs
@@ -26,7 +26,7 @@
         for _ in 0..count {
             budget.on_request(now, "desk");
         }
-        while budget.spend(now, "desk", requests.len()) {
+        while budget.spend(now, "desk", Some(requests.len())) {
             spent += 1;
         }
     }
@@ -40,19 +40,19 @@
 fn the_window_slides() {
     let mut budget = SharedBudget::new(FLEET);
     let now = Time::from_secs(100);
-    while budget.spend(now, "desk", 6) {}
+    while budget.spend(now, "desk", Some(6)) {}
 
-    assert!(!budget.spend(now + Duration::from_secs(9), "desk", 6));
-    assert!(budget.spend(now + Duration::from_secs(10), "desk", 6));
+    assert!(!budget.spend(now + Duration::from_secs(9), "desk", Some(6)));
+    assert!(budget.spend(now + Duration::from_secs(10), "desk", Some(6)));
 }
 
 #[test]
 fn services_have_budgets_of_their_own() {
     let mut budget = SharedBudget::new(FLEET);
     let now = Time::from_secs(100);
-    while budget.spend(now, "desk", 6) {}
+    while budget.spend(now, "desk", Some(6)) {}
 
-    assert!(budget.spend(now, "model", 6));
+    assert!(budget.spend(now, "model", Some(6)));
 }
 
 #[test]
--- a/crates/gateway/src/news.rs
+++ b/crates/gateway/src/news.rs
@@ -119,7 +119,8 @@
     let mut buf = Vec::new();
     for (to, body) in send {
         let purpose = body.purpose();
-        let datagram = cx.state().datagram(body);
+        let now = cx.now();
+        let datagram = cx.state().datagram(now, body);
         buf.clear();
         let written = bincode::serde::encode_into_std_write(&datagram, &mut buf, datagram_format());
         if let Err(error) = written {
