Generations that go on ask the budget, and go before other repeats

Cause: Relay::go_on and the questions after a refusal counted repeats and were never denied one.

Change: one question for all, Gateway::spend_repeat. Other repeats of a service with generations keep one repeat back; a generation without one waits a second for it, and stays at an engine that leaves meanwhile; denied, it ends with budget_spent. An instance without seeds knows its fleet at once.

--- a/crates/bench/src/policy/reclaim/carry.rs
+++ b/crates/bench/src/policy/reclaim/carry.rs
@@ -384,6 +384,7 @@
                 standing_takes_work: takes_work(one.standing),
                 target_is_quiet: quiet,
                 may_go_on_anew: false,
+                is_budget_spent: false,
             };
             match one.state.next(now, &view) {
                 Step::CopyAhead => self.copy_ahead(now, id, at),
--- a/crates/core/src/gateway/budget.rs
+++ b/crates/core/src/gateway/budget.rs
@@ -15,16 +15,20 @@
 use std::collections::{BTreeMap, VecDeque};
 
 /// The part of the ratio that each request earns.
-const EARNED_SHARE: f64 = 0.7;
+const EARNED_SHARE: f64 = 0.75;
 
 /// The part of the ratio, for the requests of the last window, that may be held.
 const HELD_SHARE: f64 = 0.15;
 
 /// The part of the allowance that is earned within each window.
-const ALLOWANCE_EARNED: f64 = 0.2;
+const ALLOWANCE_EARNED: f64 = 0.4;
 
 /// The part of the allowance that may be held.
-const ALLOWANCE_HELD: f64 = 0.6;
+const ALLOWANCE_HELD: f64 = 0.5;
+
+/// Repeats that are kept for generations that go on, where so many may be held: their callers hold
+/// a part of the answer already.
+const KEPT_FOR_MOVES: f64 = 1.0;
 
 /// The fleet's bound.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -37,6 +41,14 @@
     pub window: Duration,
 }
 
+impl BudgetConfig {
+    /// Returns the allowance of one of so many instances. One that does not know how many there
+    /// are has none.
+    fn part(&self, known: Option<usize>) -> f64 {
+        known.map_or(0.0, |it| self.allowance / it.max(1) as f64)
+    }
+}
+
 impl Default for BudgetConfig {
     fn default() -> Self {
         BudgetConfig {
@@ -60,6 +72,13 @@
     GoOnAgain,
 }
 
+impl RepeatKind {
+    /// Returns whether a generation goes on that its caller holds a part of.
+    pub fn is_move(self) -> bool {
+        matches!(self, RepeatKind::GoOn | RepeatKind::GoOnAgain)
+    }
+}
+
 /// Whether a request may be sent to one endpoint more, and what that was decided by.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RepeatDecision {
@@ -79,7 +98,7 @@
 /// What this instance has earned for one service and not spent.
 #[derive(Clone, Debug)]
 struct Account {
-    /// Repeats that may be spent; below zero if more were.
+    /// Repeats that may be spent.
     held: f64,
     /// When what is earned over time was last added.
     earned_at: Time,
@@ -138,18 +157,21 @@
         account.settle(now, &cfg, known);
     }
 
-    /// Spends one repeat if this instance holds one.
-    pub fn spend(&mut self, now: Time, service: &str) -> bool {
-        if self.left(now, service) < 1.0 {
-            return false;
+    /// Spends one repeat if this instance holds one. Where generations may have to go on, other
+    /// repeats leave them a part of what may be held.
+    pub fn spend(&mut self, now: Time, service: &str, kind: RepeatKind, has_moves: bool) -> bool {
+        let (cfg, known) = (self.cfg, self.known);
+        let account = self.account(service);
+        account.settle(now, &cfg, known);
+        let needed = match has_moves && !kind.is_move() {
+            true => (1.0 + KEPT_FOR_MOVES).min(account.limit(&cfg, known).max(1.0)),
+            false => 1.0,
+        };
+        let is_held = account.held >= needed;
+        if is_held {
+            account.held -= 1.0;
         }
-        self.note_repeat(service);
-        true
-    }
-
-    /// Notes a send beyond the first that is made whatever the budget says.
-    pub fn note_repeat(&mut self, service: &str) {
-        self.account(service).held -= 1.0;
+        is_held
     }
 
     /// Returns how many repeats are left.
@@ -182,12 +204,15 @@
         {
             self.requests.pop_front();
         }
-        // Who does not know how many instances there are has no part of the allowance.
-        let part = known.map_or(0.0, |it| cfg.allowance / it.max(1) as f64);
         let windows = now.since(self.earned_at).as_secs_f64() / cfg.window.as_secs_f64();
         self.earned_at = now;
-        self.held += ALLOWANCE_EARNED * part * windows;
+        self.held += ALLOWANCE_EARNED * cfg.part(known) * windows;
+        self.held = self.held.min(self.limit(cfg, known));
+    }
+
+    /// Returns how many repeats may be held.
+    fn limit(&self, cfg: &BudgetConfig, known: Option<usize>) -> f64 {
         let requests = HELD_SHARE * cfg.ratio * self.requests.len() as f64;
-        self.held = self.held.min(requests + ALLOWANCE_HELD * part);
+        requests + ALLOWANCE_HELD * cfg.part(known)
     }
 }
--- a/crates/core/src/gateway/relocation.rs
+++ b/crates/core/src/gateway/relocation.rs
@@ -149,6 +149,8 @@
     pub target_is_quiet: bool,
     /// Whether any engine may go on with it without a copy, and attempts are left.
     pub may_go_on_anew: bool,
+    /// Whether the fleet's budget of repeats has none left for it.
+    pub is_budget_spent: bool,
 }
 
 /// What to do now.
@@ -357,10 +359,12 @@
         // A copy that is being brought up to date is refused by the engine that keeps it.
         if from == Some(GoOnFrom::Ahead) && !self.ahead.under_way {
             let leave = leave_at(now, leaves_for, view.target_is_quiet);
-            if leave <= now {
-                return Step::Leave;
+            match (leave <= now, view.is_budget_spent) {
+                (true, false) => return Step::Leave,
+                // Its engine is there for some time yet.
+                (true, true) => wait = wait.min(now + QUIET_LOOK),
+                (false, _) => wait = wait.min(leave),
             }
-            wait = wait.min(leave);
         }
         if let Some(copy) = self.copy_at(now, leaves_for, from) {
             if copy <= now {
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -127,6 +127,10 @@
     /// Returns an instance that knows nothing but its seeds.
     pub fn new(now: Time, cfg: GatewayConfig) -> Self {
         let members = Members::new(now, cfg.address, cfg.incarnation, &cfg.seeds);
+        let mut fleet = FleetSize::default();
+        fleet.tick(now, core::iter::empty(), members.has_heard_most_seeds());
+        let mut budget = SharedBudget::new(now, cfg.budget);
+        budget.set_known(now, fleet.settled());
         Gateway {
             rng: SmallRng::seed_from_u64(cfg.incarnation.0),
             replica: Replica::default(),
@@ -144,10 +148,10 @@
             ask_changes: 0,
             reported: BTreeMap::new(),
             reports_sent: 0,
-            fleet: FleetSize::default(),
+            fleet,
             cold: ColdShares::new(now),
             suspects: Suspects::new(now),
-            budget: SharedBudget::new(now, cfg.budget),
+            budget,
             catalogue: None,
             lengths: LengthTable::default(),
             knows_cordons: false,
--- a/crates/core/src/gateway/state/repeats.rs
+++ b/crates/core/src/gateway/state/repeats.rs
@@ -6,14 +6,10 @@
 
 impl Gateway {
     /// Asks to send a request of `service` to one endpoint more, and spends a repeat if it may.
+    /// Everything that sends what was sent before asks this.
     pub fn spend_repeat(&mut self, now: Time, service: &str, kind: RepeatKind) -> RepeatDecision {
-        let is_allowed = match kind {
-            RepeatKind::GoOn | RepeatKind::GoOnAgain => {
-                self.budget.note_repeat(service);
-                true
-            }
-            RepeatKind::Retry | RepeatKind::ReadAnew => self.budget.spend(now, service),
-        };
+        let has_moves = self.has_engines(service);
+        let is_allowed = self.budget.spend(now, service, kind, has_moves);
         RepeatDecision {
             is_allowed,
             heard: self.instances(),
@@ -22,4 +18,15 @@
             left: self.budget.left(now, service),
         }
     }
+
+    /// Returns whether a generation of `service` may go on at another engine now.
+    pub fn may_move(&mut self, now: Time, service: &str) -> bool {
+        self.budget.left(now, service) >= 1.0
+    }
+
+    fn has_engines(&self, service: &str) -> bool {
+        let catalogue = self.catalogue.as_ref();
+        let mut services = catalogue.into_iter().flat_map(|it| it.services());
+        services.any(|it| it.name == service && it.engine.is_some())
+    }
 }
--- a/crates/core/tests/gateway_budget.rs
+++ b/crates/core/tests/gateway_budget.rs
@@ -2,7 +2,7 @@
 
 use core::time::Duration;
 use oriolemux_core::Time;
-use oriolemux_core::gateway::budget::{BudgetConfig, SharedBudget};
+use oriolemux_core::gateway::budget::{BudgetConfig, RepeatKind, SharedBudget};
 use oriolemux_core::gateway::lengths::LengthTable;
 use rstest::rstest;
 
@@ -28,7 +28,7 @@
 
 fn spend_all(budget: &mut SharedBudget, now: Time, service: &str) -> u32 {
     let mut spent = 0;
-    while budget.spend(now, service) {
+    while budget.spend(now, service, RepeatKind::Retry, false) {
         spent += 1;
     }
     spent
@@ -93,8 +93,11 @@
     let mut budget = SharedBudget::new(START, FLEET);
     budget.set_known(START, Some(INSTANCES));
 
-    assert!(!budget.spend(START, "desk"));
-    assert!(budget.spend(START + LONG, "desk"), "it earns over time");
+    assert!(!budget.spend(START, "desk", RepeatKind::Retry, false));
+    assert!(
+        budget.spend(START + LONG, "desk", RepeatKind::Retry, false),
+        "it earns over time"
+    );
 }
 
 /// Guards against an allowance that an instance takes whole because it knows nobody else.
@@ -102,11 +105,24 @@
 fn who_does_not_know_the_fleet_has_no_part_of_the_allowance() {
     let mut budget = SharedBudget::new(START, FLEET);
 
-    assert!(!budget.spend(START + LONG, "desk"));
+    assert!(!budget.spend(START + LONG, "desk", RepeatKind::Retry, false));
     for _ in 0..50 {
         budget.on_request(START + LONG, "desk");
     }
-    assert!(budget.spend(START + LONG, "desk"), "requests earn repeats");
+    assert!(
+        budget.spend(START + LONG, "desk", RepeatKind::Retry, false),
+        "requests earn repeats"
+    );
+}
+
+/// Guards against retries that leave nothing to generations whose callers hold half of an answer.
+#[test]
+fn retries_leave_room_for_generations_that_go_on() {
+    let mut budget = rested(INSTANCES);
+    let now = START + LONG;
+    while budget.spend(now, "model", RepeatKind::Retry, true) {}
+
+    assert!(budget.spend(now, "model", RepeatKind::GoOn, true));
 }
 
 #[test]
@@ -115,8 +131,8 @@
     let now = START + LONG;
     spend_all(&mut budget, now, "desk");
 
-    assert!(!budget.spend(now, "desk"));
-    assert!(budget.spend(now, "model"));
+    assert!(!budget.spend(now, "desk", RepeatKind::Retry, false));
+    assert!(budget.spend(now, "model", RepeatKind::Retry, false));
 }
 
 #[test]
--- a/crates/core/tests/gateway_budget_fleet.rs
+++ b/crates/core/tests/gateway_budget_fleet.rs
@@ -9,6 +9,7 @@
 use fleet::Fleet;
 use oriolemux_core::Time;
 use oriolemux_core::gateway::budget::{BudgetConfig, RepeatKind};
+use oriolemux_core::gateway::catalogue::{CatalogueSource, EngineLimits, Service};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use rstest::rstest;
@@ -31,6 +32,9 @@
 /// are lost.
 const MOVES_EACH: f64 = 0.8;
 
+/// How long a generation waits for a repeat.
+const MOVES_WAIT: Duration = Duration::from_secs(1);
+
 /// A fleet whose requests fail all the time.
 struct Scene {
     fleet: Fleet,
@@ -42,6 +46,8 @@
     repeats: Vec<Time>,
     /// Generations a second at each instance that are to go on at another engine.
     moves_each: f64,
+    /// Generations that have still to go on, by instance, and since when.
+    to_move: Vec<(usize, Time)>,
     moves: usize,
 }
 
@@ -61,6 +67,7 @@
             requests: Vec::new(),
             repeats: Vec::new(),
             moves_each: 0.0,
+            to_move: Vec::new(),
             moves: 0,
         };
         for index in 0..size {
@@ -76,6 +83,7 @@
         if let Some(core) = &mut self.fleet.nodes[index].core {
             let seeds = (1..=SEEDS as u16).map(instances::address).collect();
             core.reload(now, seeds, budget);
+            core.publish_catalogue(catalogue()).expect("no findings");
         }
     }
 
@@ -96,7 +104,15 @@
                     self.request(index);
                 }
                 if self.rng.random_bool(self.moves_each * step.as_secs_f64()) {
-                    self.moves += usize::from(self.repeat(index, RepeatKind::GoOn));
+                    self.to_move.push((index, self.fleet.now));
+                }
+            }
+            let now = self.fleet.now;
+            for (index, since) in core::mem::take(&mut self.to_move) {
+                if self.repeat(index, RepeatKind::GoOn) {
+                    self.moves += 1;
+                } else if now.since(since) < MOVES_WAIT {
+                    self.to_move.push((index, since));
                 }
             }
         }
@@ -141,6 +157,23 @@
     }
 }
 
+/// Returns a catalogue in which the service has generations.
+fn catalogue() -> CatalogueSource {
+    CatalogueSource {
+        version: 1,
+        services: vec![Service {
+            name: SERVICE.to_owned(),
+            engine: Some(EngineLimits {
+                slots: 24,
+                memory_tokens: 20_000,
+                standing_copies: true,
+            }),
+            cold: None,
+        }],
+        ..CatalogueSource::default()
+    }
+}
+
 fn count(times: &[Time], from: Time, window: Duration) -> usize {
     let begins = times.partition_point(|it| *it < from);
     let ends = times.partition_point(|it| *it < from + window);
--- a/crates/core/tests/gateway_relocation.rs
+++ b/crates/core/tests/gateway_relocation.rs
@@ -29,6 +29,7 @@
         standing_takes_work: true,
         target_is_quiet: true,
         may_go_on_anew: false,
+        is_budget_spent: false,
     }
 }
 
@@ -250,6 +251,25 @@
     assert_eq!(one.next(START, &view) == Step::Leave, leaves);
 }
 
+/// Guards against a generation that closes its stream before its engine ends, and may not go on.
+#[test]
+fn a_generation_stays_while_it_may_not_be_sent_elsewhere() {
+    let mut one = begun(false);
+    one.ahead_begun(START);
+    one.ahead_ended(START, true);
+    let view = View {
+        is_budget_spent: true,
+        ..leaving(LEAVE_AFTER)
+    };
+
+    let step = one.next(START, &view);
+
+    assert!(
+        matches!(step, Step::Wait(until) if until > START),
+        "{step:?}"
+    );
+}
+
 #[test]
 fn a_copy_ahead_is_brought_up_to_date_and_outlives_a_failure_to_do_so() {
     let mut one = begun(false);
@@ -428,6 +448,7 @@
                 standing_takes_work,
                 target_is_quiet: held % 2 == 0,
                 may_go_on_anew,
+                is_budget_spent: held % 3 == 0,
             };
             match one.next(now, &view) {
                 Step::CopyAhead => {
@@ -437,6 +458,7 @@
                 }
                 Step::Leave => {
                     prop_assert!(notice.is_some());
+                    prop_assert!(!view.is_budget_spent, "left without a repeat to spend");
                     let from = one.go_on_from(now, standing_takes_work);
                     prop_assert_eq!(from, Some(GoOnFrom::Ahead));
                     prop_assert!(!under_way, "left for a copy that is being written");
--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -68,6 +68,8 @@
     AnswerForeign,
     /// timeout
     Timeout,
+    /// budget_spent
+    BudgetSpent,
     /// ends_endpoints
     EndsEndpoints,
     /// turn_taken
@@ -96,7 +98,9 @@
             | Reason::NoConnection
             | Reason::TurnTaken
             | Reason::Stopping => StatusCode::SERVICE_UNAVAILABLE,
-            Reason::AnswerLost | Reason::AnswerForeign => StatusCode::BAD_GATEWAY,
+            Reason::AnswerLost | Reason::AnswerForeign | Reason::BudgetSpent => {
+                StatusCode::BAD_GATEWAY
+            }
             Reason::Timeout => StatusCode::GATEWAY_TIMEOUT,
         }
     }
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -134,6 +134,12 @@
         spent.is_allowed
     }
 
+    /// Returns whether the fleet's budget has a repeat for a generation that goes on.
+    pub fn may_move(&self) -> bool {
+        let now = self.cx.now();
+        self.cx.state().may_move(now, &self.service().name)
+    }
+
     /// Notes that a request failed at an endpoint.
     pub fn note_failure(&self, place: &Place) {
         let now = self.cx.now();
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -252,6 +252,9 @@
             };
             let next = match next {
                 Some(begun @ Begun::Stream { .. }) => Some(begun),
+                Some(Begun::Failed(reason @ Reason::BudgetSpent)) => {
+                    return self.break_off(&reason.to_string()).await;
+                }
                 _ => self.go_on_anew().await,
             };
             match next {
@@ -355,7 +358,7 @@
         let now = cx.now();
         let standing = self.standing.as_ref().map(|copy| copy.place.key);
         let ahead = self.ahead.as_ref().map(|ahead| ahead.target.key);
-        let state = cx.state();
+        let mut state = cx.state();
         let standing_takes_work = standing.is_some_and(|key| state.is_usable(key));
         let target = match self.state.go_on_from(now, standing_takes_work) {
             Some(GoOnFrom::Ahead) => ahead,
@@ -368,6 +371,7 @@
             standing_takes_work,
             target_is_quiet: target.is_some_and(|key| state.is_quiet(now, key)),
             may_go_on_anew: self.may_run_again(),
+            is_budget_spent: !state.may_move(now, &self.job.service().name),
         };
         self.state.next(now, &view)
     }
--- a/crates/gateway/src/relay/go_on.rs
+++ b/crates/gateway/src/relay/go_on.rs
@@ -15,6 +15,7 @@
 use oriolemux_core::gateway::relocation::STANDING_MIN_TOKENS;
 use oriolemux_core::gateway::state::Place;
 use std::net::SocketAddrV4;
+use std::time::Instant;
 use tokio::time::sleep;
 
 /// How often an engine that refuses to go on from a complete copy is asked again.
@@ -28,6 +29,13 @@
 /// that entries of generations want kept, 180 ms.
 const REFUSED_PAUSE: Duration = Duration::from_millis(40);
 
+/// How long a generation waits for a repeat of the fleet's budget before it is broken off. Callers
+/// leave a stream after two seconds without an event.
+const REPEAT_PATIENCE: Duration = Duration::from_secs(1);
+
+/// The pause between two looks at the budget.
+const REPEAT_PAUSE: Duration = Duration::from_millis(50);
+
 impl<W: Wire, E: EngineCalls> Relay<W, E> {
     /// Copies the memory to another engine while the generation goes on, or brings
     /// that copy up to date.
@@ -90,7 +98,9 @@
         let is_cordoned = |key| self.job.cx.state().endpoints.is_cordoned(key);
         let standing = self.standing.take();
         let standing = standing.filter(|it| may_exist && !is_cordoned(it.place.key));
-        if let Some(begun @ Begun::Stream { .. }) = self.go_on_from_ahead().await {
+        if let Some(begun @ (Begun::Stream { .. } | Begun::Failed(Reason::BudgetSpent))) =
+            self.go_on_from_ahead().await
+        {
             return Some(begun);
         }
         self.standing = standing;
@@ -115,7 +125,9 @@
                 break;
             }
             sleep(REFUSED_PAUSE).await;
-            self.job.spend_repeat(RepeatKind::GoOnAgain);
+            if !self.spend_repeat(RepeatKind::GoOnAgain).await {
+                break;
+            }
             let handle = &handle;
             begun = self.ask_to_go_on(Some(KeptCopy { keeper, handle })).await;
         }
@@ -140,9 +152,13 @@
 
     /// Asks `target` to go on with the generation whose memory `keeper` holds.
     async fn go_on(&mut self, target: Place, keeper: SocketAddrV4, handle: &str) -> Begun {
+        if !self.spend_repeat(RepeatKind::GoOn).await {
+            let denied = Reason::BudgetSpent;
+            self.cannot_go_on(&denied.to_string());
+            return Begun::Failed(denied);
+        }
         self.splitter.clear();
         self.state.moved(self.job.cx.now());
-        self.job.spend_repeat(RepeatKind::GoOn);
         self.in_use = InUse::go_on(&self.job.cx, target.key, self.tokens);
         self.source = target;
         self.choose_standing().await;
@@ -206,6 +222,19 @@
         begun
     }
 
+    /// Spends one of the fleet's repeats. If there is none, waits for it as long as callers bear a
+    /// pause: other repeats leave what is earned meanwhile to generations that go on.
+    async fn spend_repeat(&self, kind: RepeatKind) -> bool {
+        let ends = Instant::now() + REPEAT_PATIENCE.min(self.job.left());
+        while !self.job.may_move() {
+            if Instant::now() >= ends {
+                break;
+            }
+            sleep(REPEAT_PAUSE).await;
+        }
+        self.job.spend_repeat(kind)
+    }
+
     fn cannot_go_on(&self, why: &str) {
         ByReason::Relocations.add("failed");
         note!(
