Limits that endpoints name are read, told in lines and shown, and change nothing yet

Seen by callers: an endpoint in need gets more than it can bear; nothing said that it was in need.

A value that is not a number, negative or infinite changes nothing and has a line; zero is a limit, held at one request in ten seconds, since an endpoint that gets nothing cannot say that it is over; what is beyond a million a second is held as that. An answer without it ends a limit only if its request was sent after the limit was last named: answers overtake each other. What an answer's head says about its endpoint is taken in at one place for calls and generations (two twins fewer).

--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -11,6 +11,7 @@
 //! | [`replica`] | what the store published, merged by revision from reads and peers |
 //! | [`cordons`] | data centres that the operator closed to new work |
 //! | [`cold`] | endpoints that bear few requests a second, because they are cold |
+//! | [`rate_limits`] | rates that endpoints named for themselves |
 //! | [`endpoints`] | which endpoints exist, which of them leave, which are not trusted |
 //! | [`lengths`] | how long a generation will still be |
 //! | [`usage`] | what this instance runs at each endpoint, and what others run as far as is known |
@@ -44,6 +45,7 @@
 pub mod lengths;
 pub mod members;
 pub mod queue;
+pub mod rate_limits;
 pub mod reader;
 pub mod relocation;
 pub mod replica;
--- /dev/null
+++ b/crates/core/src/gateway/rate_limits.rs
@@ -0,0 +1,172 @@
+//! Rates that endpoints named for themselves: so many requests a second from all instances.
+//!
+//! An endpoint names its limit in each answer for as long as it needs it. Answers overtake each
+//! other, so that one without a limit ends it only if its request was sent after the limit was
+//! last named. Between instances the later word goes before the earlier one; each carries its age.
+//!
+//! `docs/design/limits-of-endpoints.md` does the arithmetic.
+
+use crate::ids::EndpointKey;
+use crate::time::Time;
+use core::time::Duration;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+
+/// The least rate, in requests a second: an endpoint that gets nothing cannot say that its limit
+/// is over.
+const MIN_PER_SECOND: f64 = 0.1;
+
+/// The largest rate. What an endpoint names beyond it is no limit in practice.
+const MAX_PER_SECOND: f64 = 1_000_000.0;
+
+/// How long the end of a limit is remembered, so that an earlier word that travels slowly does not
+/// bring it back.
+const REMEMBER_ENDED: Duration = Duration::from_secs(60);
+
+/// What the head of an answer says about the endpoint's limit.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub enum ToldLimit {
+    /// It names none.
+    #[default]
+    None,
+    /// Requests a second, zero or more.
+    PerSecond(f64),
+    /// It cannot be read: not a number, negative or infinite. What was said before holds.
+    Unreadable,
+}
+
+/// What is known of an endpoint's limit, as it travels.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct LimitWord {
+    /// The endpoint.
+    pub endpoint: EndpointKey,
+    /// Requests a second; nothing if the limit is over.
+    pub per_second: Option<f64>,
+    /// Milliseconds since the endpoint said so.
+    pub age_ms: u32,
+}
+
+/// What a word changed.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct LimitChange {
+    /// The endpoint.
+    pub endpoint: EndpointKey,
+    /// Its limit until now.
+    pub before: Option<f64>,
+    /// Its limit from now on.
+    pub after: Option<f64>,
+}
+
+/// The last word about an endpoint.
+#[derive(Clone, Copy, Debug)]
+struct Word {
+    per_second: Option<f64>,
+    /// When the endpoint said so.
+    said: Time,
+    /// Since when this instance holds to a limit.
+    since: Time,
+}
+
+/// All limits known.
+#[derive(Clone, Debug, Default)]
+pub struct RateLimits {
+    words: BTreeMap<EndpointKey, Word>,
+}
+
+impl RateLimits {
+    /// Takes in what an answer to a request sent at `sent` says; returns what that changed.
+    pub fn hear_answer(
+        &mut self,
+        now: Time,
+        endpoint: EndpointKey,
+        sent: Time,
+        told: ToldLimit,
+    ) -> Option<LimitChange> {
+        let per_second = match told {
+            ToldLimit::Unreadable => return None,
+            ToldLimit::PerSecond(rate) => Some(rate.clamp(MIN_PER_SECOND, MAX_PER_SECOND)),
+            ToldLimit::None => {
+                let word = self.words.get(&endpoint)?;
+                let was_sent_before = sent <= word.said;
+                if word.per_second.is_none() || was_sent_before {
+                    return None;
+                }
+                None
+            }
+        };
+        self.set(now, endpoint, per_second, now)
+    }
+
+    /// Takes in what a peer tells; returns what that changed.
+    pub fn hear_word(&mut self, now: Time, told: LimitWord) -> Option<LimitChange> {
+        let age = Duration::from_millis(told.age_ms.into());
+        let said = now.before(age).unwrap_or(Time::ZERO);
+        let is_older = |word: &Word| said <= word.said;
+        if self.words.get(&told.endpoint).is_some_and(is_older) {
+            return None;
+        }
+        let per_second = told.per_second.filter(|it| it.is_finite());
+        let per_second = per_second.map(|it| it.clamp(MIN_PER_SECOND, MAX_PER_SECOND));
+        self.set(now, told.endpoint, per_second, said)
+    }
+
+    fn set(
+        &mut self,
+        now: Time,
+        endpoint: EndpointKey,
+        per_second: Option<f64>,
+        said: Time,
+    ) -> Option<LimitChange> {
+        let before = self.words.get(&endpoint).copied();
+        let limit_before = before.and_then(|it| it.per_second);
+        let since = match before {
+            Some(word) if word.per_second.is_some() => word.since,
+            _ => now,
+        };
+        let word = Word {
+            per_second,
+            said,
+            since,
+        };
+        self.words.insert(endpoint, word);
+        (limit_before != per_second).then_some(LimitChange {
+            endpoint,
+            before: limit_before,
+            after: per_second,
+        })
+    }
+
+    /// Returns the limit of an endpoint, in requests a second.
+    pub fn of(&self, endpoint: EndpointKey) -> Option<f64> {
+        self.words.get(&endpoint)?.per_second
+    }
+
+    /// Returns since when this instance holds to a limit of an endpoint.
+    pub fn since(&self, endpoint: EndpointKey) -> Option<Time> {
+        let word = self.words.get(&endpoint)?;
+        word.per_second.is_some().then_some(word.since)
+    }
+
+    /// Returns when the endpoint last spoke of its limit.
+    pub fn said(&self, endpoint: EndpointKey) -> Option<Time> {
+        self.words.get(&endpoint).map(|it| it.said)
+    }
+
+    /// Returns what is told of an endpoint now.
+    pub fn word(&self, now: Time, endpoint: EndpointKey) -> Option<LimitWord> {
+        let word = self.words.get(&endpoint)?;
+        let age = now.since(word.said).as_millis();
+        Some(LimitWord {
+            endpoint,
+            per_second: word.per_second,
+            age_ms: u32::try_from(age).unwrap_or(u32::MAX),
+        })
+    }
+
+    /// Forgets limits of endpoints that are not there any more, and ends that are long ago.
+    pub fn tick(&mut self, now: Time, exists: impl Fn(EndpointKey) -> bool) {
+        self.words.retain(|key, word| {
+            exists(*key) && (word.per_second.is_some() || now.since(word.said) < REMEMBER_ENDED)
+        });
+    }
+}
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -20,6 +20,7 @@
 use super::home::Home;
 use super::lengths::LengthTable;
 use super::members::Members;
+use super::rate_limits::{LimitChange, RateLimits, ToldLimit};
 use super::reader::StoreReader;
 use super::replica::Replica;
 use super::suspects::Suspects;
@@ -109,6 +110,8 @@
     fleet: FleetSize,
     /// What may be sent to endpoints that are cold.
     pub(super) cold: ColdShares,
+    /// Rates that endpoints named for themselves.
+    pub limits: RateLimits,
     /// Requests that end endpoints.
     pub suspects: Suspects,
     /// Repeats that may be spent.
@@ -150,6 +153,7 @@
             reports_sent: 0,
             fleet,
             cold: ColdShares::new(now),
+            limits: RateLimits::default(),
             suspects: Suspects::new(now),
             budget,
             catalogue: None,
@@ -306,6 +310,18 @@
         heard
     }
 
+    /// Takes in what an answer to a request sent at `sent` says about its endpoint's limit;
+    /// returns what that changed.
+    pub fn told_limit(
+        &mut self,
+        now: Time,
+        key: EndpointKey,
+        sent: Time,
+        told: ToldLimit,
+    ) -> Option<LimitChange> {
+        self.limits.hear_answer(now, key, sent, told)
+    }
+
     /// Notes a load that an endpoint told.
     pub fn told(&mut self, now: Time, key: EndpointKey, load: ToldLoad) {
         self.usage.told(now, key, load);
--- a/crates/core/src/gateway/state/peers.rs
+++ b/crates/core/src/gateway/state/peers.rs
@@ -253,6 +253,8 @@
         self.fleet.tick(now, live, heard_most_seeds);
         self.budget.set_known(now, self.fleet.settled());
         self.cold.tick(now);
+        let endpoints = &self.endpoints;
+        self.limits.tick(now, |it| endpoints.get(it).is_some());
         self.outbox.tick(now);
         self.note_behind(now);
         self.tell_news(&mut ticked.send);
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -152,7 +152,7 @@
             workspace: job.workspace_name(),
             ..SendHead::default()
         };
-        let (_link, answer) = match job.send(place, &send).await {
+        let (link, answer) = match job.send(place, &send).await {
             Ok(sent) => sent,
             Err(LinkError::Withdrawn) => return Attempt::Withdrawn,
             Err(error) if error.never_sent() => return Attempt::NoConnection,
@@ -171,16 +171,7 @@
         if head.foreign {
             return Attempt::Foreign;
         }
-        if let Some(load) = head.load {
-            job.cx.state().told(job.cx.now(), place.key, load);
-        }
-        if let Some(left) = head.cold {
-            let now = job.cx.now();
-            job.cx.state().endpoints.told_cold(now, place.key, left);
-        }
-        if head.replaced {
-            job.note_replaced(place);
-        }
+        job.note_head(place, &head, link.sent);
         if head.not_run {
             return Attempt::NotRun;
         }
--- a/crates/gateway/src/cx.rs
+++ b/crates/gateway/src/cx.rs
@@ -5,6 +5,7 @@
 use crate::ports::Wire;
 use crate::store::Source;
 use core::time::Duration;
+use oriolemux_core::gateway::rate_limits::LimitChange;
 use oriolemux_core::gateway::{Cordon, CordonEffect, Gateway};
 use oriolemux_core::ids::EndpointKey;
 use oriolemux_core::time::Time;
@@ -277,6 +278,28 @@
             self.dirty.notify_one();
         }
     }
+
+    /// Tells what an endpoint or a peer said about an endpoint's limit, and lets peers hear it.
+    pub fn note_limit(&self, change: &LimitChange, from: Source) {
+        let name = self.endpoint_name(change.endpoint);
+        let before = change.before.unwrap_or(0.0);
+        match change.after {
+            Some(after) => note!(
+                LimitNamed,
+                endpoint = name.as_str(),
+                before = before,
+                after = after,
+                from = from.word()
+            ),
+            None => note!(
+                LimitEnded,
+                endpoint = name.as_str(),
+                before = before,
+                from = from.word()
+            ),
+        }
+        self.dirty.notify_one();
+    }
 }
 
 /// Something that is open.
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -6,7 +6,8 @@
 use crate::link::{Link, LinkError};
 use crate::meters::{ByReason, millis};
 use crate::note;
-use crate::ports::{CallerHead, Held, SendHead, Wire};
+use crate::ports::{AnswerHead, CallerHead, Held, SendHead, Wire};
+use crate::store::Source;
 use crate::turn::Run;
 use bytes::Bytes;
 use core::time::Duration;
@@ -20,6 +21,7 @@
 use oriolemux_core::gateway::choose::{CopyKind, NoPlace};
 use oriolemux_core::gateway::lengths::{self, Length};
 use oriolemux_core::gateway::queue::{Waiter, service_hash};
+use oriolemux_core::gateway::rate_limits::ToldLimit;
 use oriolemux_core::gateway::state::Place;
 use oriolemux_core::gateway::usage::Used;
 use oriolemux_core::gateway::{Demand, EntryId, Gateway, Repeat};
@@ -140,6 +142,33 @@
         self.cx.state().may_move(now, &self.service().name)
     }
 
+    /// Takes in what the head of an endpoint's answer says about the endpoint.
+    pub fn note_head(&self, place: &Place, head: &AnswerHead, sent: Instant) {
+        let now = self.cx.now();
+        let sent = now.before(sent.elapsed()).unwrap_or(Time::ZERO);
+        let mut state = self.cx.state();
+        if let Some(load) = head.load {
+            state.told(now, place.key, load);
+        }
+        if let Some(left) = head.cold {
+            state.endpoints.told_cold(now, place.key, left);
+        }
+        let limit = match head.replaced {
+            true => None,
+            false => state.told_limit(now, place.key, sent, head.limit),
+        };
+        drop(state);
+        if head.limit == ToldLimit::Unreadable {
+            note!(LimitUnreadable, endpoint = place.name.as_str());
+        }
+        if let Some(change) = limit {
+            self.cx.note_limit(&change, Source::Endpoint);
+        }
+        if head.replaced {
+            self.note_replaced(place);
+        }
+    }
+
     /// Notes that a request failed at an endpoint.
     pub fn note_failure(&self, place: &Place) {
         let now = self.cx.now();
--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -13,6 +13,7 @@
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use std::net::SocketAddrV4;
+use std::time::Instant;
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
@@ -50,6 +51,8 @@
 /// A connection that is used for one request. Dropping it closes the connection,
 /// which cancels the request at the endpoint.
 pub struct Link {
+    /// When the request was sent; before that, when the connection was asked for.
+    pub sent: Instant,
     sender: http1::SendRequest<Full<Bytes>>,
     task: JoinHandle<()>,
 }
@@ -75,7 +78,11 @@
                 log::debug!("a connection to {address} broke: {error}");
             }
         });
-        Ok(Link { sender, task })
+        Ok(Link {
+            sent: Instant::now(),
+            sender,
+            task,
+        })
     }
 
     /// Sends the request and waits for the head of its answer.
@@ -87,6 +94,7 @@
         &mut self,
         req: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, LinkError> {
+        self.sent = Instant::now();
         self.sender
             .send_request(req)
             .await
--- a/crates/gateway/src/notes.rs
+++ b/crates/gateway/src/notes.rs
@@ -145,6 +145,13 @@
     RepeatSpent = 835, "repeat_spent", Info, USUAL;
     /// A request is not sent to one endpoint more, because the budget has nothing left for it.
     RepeatDenied = 836, "repeat_denied", Info, FAILURES;
+    /// An endpoint names how many requests a second it takes from all instances, or names another
+    /// rate; 0 is none.
+    LimitNamed = 837, "endpoint_limit_named", Info, USUAL;
+    /// An endpoint names no limit any more.
+    LimitEnded = 838, "endpoint_limit_ended", Info, USUAL;
+    /// The limit that an endpoint names cannot be read; what it said before holds.
+    LimitUnreadable = 839, "endpoint_limit_unreadable", Warn, FEW;
 }
 
 /// Lines of one event within the present second.
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -9,6 +9,7 @@
 use core::time::Duration;
 use http::{HeaderMap, Response, StatusCode};
 use oriolemux_core::gateway::endpoints::EndpointRecord;
+use oriolemux_core::gateway::rate_limits::ToldLimit;
 use oriolemux_core::gateway::reader::CallFailure;
 use oriolemux_core::gateway::usage::ToldLoad;
 use oriolemux_core::gateway::{CatalogueSource, Cordon, Mark, Record};
@@ -82,7 +83,7 @@
 }
 
 /// What the head of an endpoint's answer says.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct AnswerHead {
     /// The endpoint says that the request did not run.
     pub not_run: bool,
@@ -94,6 +95,8 @@
     pub load: Option<ToldLoad>,
     /// For how long the endpoint says it will still be cold.
     pub cold: Option<Duration>,
+    /// How many requests a second the endpoint says it takes from all instances.
+    pub limit: ToldLimit,
 }
 
 /// A part of all records of the store.
--- a/crates/gateway/src/relay/begin.rs
+++ b/crates/gateway/src/relay/begin.rs
@@ -149,14 +149,7 @@
         if head.foreign {
             return Begun::Failed(Reason::AnswerForeign);
         }
-        if let Some(left) = head.cold {
-            let now = self.job.cx.now();
-            let mut state = self.job.cx.state();
-            state.endpoints.told_cold(now, self.source.key, left);
-        }
-        if head.replaced {
-            self.job.note_replaced(&self.source);
-        }
+        self.job.note_head(&self.source, &head, link.sent);
         if head.not_run {
             return Begun::NotRun { arrived: true };
         }
--- a/crates/gateway/src/status.rs
+++ b/crates/gateway/src/status.rs
@@ -177,6 +177,9 @@
     pub copied: u32,
     /// Prompt tokens that wait to be read.
     pub unread: u32,
+    /// Requests a second that it says it takes from all instances, if it names a limit.
+    #[serde(default)]
+    pub limit: Option<f64>,
 }
 
 /// What an instance knows of a peer.
@@ -315,6 +318,7 @@
         tokens: used.tokens,
         copied: used.copied,
         unread: used.unread,
+        limit: state.limits.of(endpoint.key),
     }
 }
 
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -169,6 +169,8 @@
     Store,
     /// A peer that had them from the store.
     Peer,
+    /// An endpoint itself.
+    Endpoint,
 }
 
 impl Source {
@@ -177,6 +179,7 @@
         match self {
             Source::Store => "store",
             Source::Peer => "peer",
+            Source::Endpoint => "endpoint",
         }
     }
 }
