--- a/crates/core/src/gateway/choose.rs
+++ b/crates/core/src/gateway/choose.rs
@@ -116,6 +116,8 @@
     Full,
     /// All that there are lie in data centres that the operator closed to new work.
     Cordoned,
+    /// All that there are have named a limit, and take no more for now.
+    Limited,
 }
 
 /// Returns the endpoint with the least cost. `jitter` draws a number below one
--- /dev/null
+++ b/crates/core/tests/gateway_limits.rs
@@ -0,0 +1,391 @@
+//! Endpoints that name how many requests a second they take: what a fleet sends them in all.
+
+#[path = "fixtures/gateway_fleet.rs"]
+mod fleet;
+#[path = "fixtures/gateway.rs"]
+mod instances;
+
+use core::time::Duration;
+use fleet::Fleet;
+use oriolemux_core::gateway::catalogue::{CatalogueSource, Service};
+use oriolemux_core::gateway::choose::NoPlace;
+use oriolemux_core::gateway::rate_limits::{RateLimits, ToldLimit};
+use oriolemux_core::gateway::{Demand, EndpointRecord, Gateway};
+use oriolemux_core::{EndpointKey, Time};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use rstest::rstest;
+use std::collections::BTreeMap;
+
+const SEEDS: usize = 3;
+const SERVICE: &str = "desk";
+const IN_NEED: &str = "d-need";
+
+/// The rate that the endpoint in need names, in requests a second.
+const RATE: f64 = 3.3;
+
+/// Calls a second of the whole fleet.
+const CALLS: f64 = 200.0;
+
+/// How long an answer takes.
+const ANSWERS_IN: Duration = Duration::from_millis(15);
+
+/// What an operator allows above the rate: a factor and a number of requests in each window.
+const OVERSHOOT: f64 = 1.5;
+const SLACK: f64 = 5.0;
+const WINDOW: Duration = Duration::from_secs(4);
+
+/// How long after an instance was told its requests count.
+const TOLD_FOR: Duration = Duration::from_millis(500);
+
+fn record(name: &str) -> EndpointRecord {
+    EndpointRecord {
+        service: SERVICE.to_owned(),
+        ..instances::engine(name)
+    }
+}
+
+fn catalogue() -> CatalogueSource {
+    CatalogueSource {
+        version: 1,
+        services: vec![Service {
+            name: SERVICE.to_owned(),
+            engine: None,
+            cold: None,
+        }],
+        ..CatalogueSource::default()
+    }
+}
+
+fn demand() -> Demand<'static> {
+    Demand {
+        service: SERVICE,
+        engine: None,
+        tokens: 0,
+        exclude: &[],
+    }
+}
+
+/// A fleet before endpoints of which some name a limit.
+struct Scene {
+    fleet: Fleet,
+    rng: SmallRng,
+    names: Vec<&'static str>,
+    /// What endpoints name.
+    limits: BTreeMap<EndpointKey, f64>,
+    /// Answers under way: when they arrive, at whom, from whom, and when the call was sent.
+    answers: Vec<(Time, usize, EndpointKey, Time)>,
+    /// When an instance was first told in its present life.
+    told: BTreeMap<usize, Time>,
+    /// Calls that count: sent by an instance that had been told.
+    counted: Vec<(Time, EndpointKey)>,
+    sent: BTreeMap<EndpointKey, usize>,
+    refused: usize,
+}
+
+impl Scene {
+    fn new(size: usize, names: &[&'static str]) -> Scene {
+        let mut fleet = Fleet::start(size, SEEDS, 5);
+        let joined = fleet.until_all_count(size, Duration::from_secs(20));
+        assert!(joined.is_some(), "{:?}", fleet.counts());
+        fleet.run(Duration::from_secs(3));
+        let mut scene = Scene {
+            fleet,
+            rng: SmallRng::seed_from_u64(9),
+            names: names.to_vec(),
+            limits: BTreeMap::new(),
+            answers: Vec::new(),
+            told: BTreeMap::new(),
+            counted: Vec::new(),
+            sent: BTreeMap::new(),
+            refused: 0,
+        };
+        for index in 0..size {
+            scene.learn(index);
+        }
+        scene
+    }
+
+    fn learn(&mut self, index: usize) {
+        let now = self.fleet.now;
+        let records: Vec<EndpointRecord> = self.names.iter().map(|it| record(it)).collect();
+        let core = self.core(index);
+        for record in records {
+            core.publish_endpoint(now, record);
+        }
+        core.publish_catalogue(catalogue()).expect("no findings");
+    }
+
+    fn core(&mut self, index: usize) -> &mut Gateway {
+        self.fleet.nodes[index].core.as_mut().expect("it is there")
+    }
+
+    fn restart(&mut self, index: usize) {
+        self.fleet.kill(index);
+        self.fleet.start_one(index);
+        self.told.remove(&index);
+        self.answers.retain(|it| it.1 != index);
+        self.learn(index);
+    }
+
+    /// Lets time pass in which calls come.
+    fn call_for(&mut self, time: Duration) {
+        let ends = self.fleet.now + time;
+        while self.fleet.now < ends {
+            self.fleet.run(Duration::from_millis(1));
+            if self.rng.random_bool(CALLS / 1_000.0) {
+                self.call();
+            }
+            self.answer();
+        }
+    }
+
+    fn call(&mut self) {
+        let size = self.fleet.nodes.len();
+        let (index, now) = (self.rng.random_range(0..size), self.fleet.now);
+        let Ok(place) = self.core(index).place(now, &demand()) else {
+            self.refused += 1;
+            return;
+        };
+        *self.sent.entry(place.key).or_default() += 1;
+        let told = self.told.get(&index);
+        if told.is_some_and(|at| now.since(*at) >= TOLD_FOR) {
+            self.counted.push((now, place.key));
+        }
+        self.answers.push((now + ANSWERS_IN, index, place.key, now));
+    }
+
+    fn answer(&mut self) {
+        let now = self.fleet.now;
+        let arrived = self.answers.iter().filter(|it| it.0 <= now);
+        let arrived: Vec<_> = arrived.copied().collect();
+        self.answers.retain(|it| it.0 > now);
+        for (_, index, key, sent) in arrived {
+            let limit = self.limits.get(&key).copied();
+            let told = limit.map_or(ToldLimit::None, ToldLimit::PerSecond);
+            if limit.is_some() {
+                self.told.entry(index).or_insert(now);
+            }
+            let change = self.core(index).told_limit(now, key, sent, told);
+            if change.is_some() {
+                self.fleet.hurry(index);
+            }
+        }
+    }
+
+    /// Returns the most counted calls that an endpoint got within any window.
+    fn busiest(&self, name: &str) -> usize {
+        let key = EndpointKey::of(name);
+        let counted = self.counted.iter().filter(|it| it.1 == key);
+        let times: Vec<Time> = counted.map(|it| it.0).collect();
+        let within = |at: &Time| {
+            let later = times.iter().filter(|it| *it >= at);
+            later.take_while(|it| it.since(*at) <= WINDOW).count()
+        };
+        times.iter().map(within).max().unwrap_or(0)
+    }
+
+    fn sent_to(&self, name: &str) -> usize {
+        let sent = self.sent.get(&EndpointKey::of(name));
+        sent.copied().unwrap_or(0)
+    }
+}
+
+fn bound(rate: f64) -> usize {
+    (rate * OVERSHOOT * WINDOW.as_secs_f64() + SLACK) as usize
+}
+
+fn everybody(_: usize, _: usize) -> bool {
+    true
+}
+
+fn two_sides(from: usize, to: usize) -> bool {
+    from % 2 == to % 2
+}
+
+fn nobody(_: usize, _: usize) -> bool {
+    false
+}
+
+/// Guards against an endpoint in need that each instance sends what it takes from all.
+#[rstest]
+#[case::few(6, everybody)]
+#[case::few_cut(6, two_sides)]
+#[case::few_alone(6, nobody)]
+#[case::some(64, everybody)]
+#[case::some_cut(64, two_sides)]
+#[case::some_alone(64, nobody)]
+#[case::planned(390, everybody)]
+#[case::planned_cut(390, two_sides)]
+fn a_named_limit_holds_for_the_whole_fleet(
+    #[case] size: usize,
+    #[case] passes: fn(usize, usize) -> bool,
+) {
+    let mut scene = Scene::new(size, &[IN_NEED, "d-other"]);
+    scene.fleet.passes = passes;
+    scene.call_for(Duration::from_secs(2));
+    scene.limits.insert(EndpointKey::of(IN_NEED), RATE);
+
+    scene.call_for(Duration::from_secs(15));
+
+    let most = scene.busiest(IN_NEED);
+    assert!(most <= bound(RATE), "{most} of {}", bound(RATE));
+    assert_eq!(scene.refused, 0, "the other endpoint takes the rest");
+}
+
+/// Guards against instances that start again beside a limit and know nothing of it.
+#[rstest]
+#[case::few(6)]
+#[case::some(64)]
+fn a_named_limit_holds_while_instances_start_again(#[case] size: usize) {
+    let mut scene = Scene::new(size, &[IN_NEED, "d-other"]);
+    scene.limits.insert(EndpointKey::of(IN_NEED), RATE);
+    scene.call_for(Duration::from_secs(3));
+
+    for _ in 0..4 {
+        for index in (0..size).step_by(3) {
+            scene.restart(index);
+        }
+        scene.call_for(Duration::from_secs(2));
+    }
+
+    let most = scene.busiest(IN_NEED);
+    assert!(most <= bound(RATE), "{most} of {}", bound(RATE));
+}
+
+/// Guards against a rate below one request a second that becomes none, so that the endpoint can
+/// never say that it is over.
+#[rstest]
+#[case::below_one(0.3)]
+#[case::zero(0.0)]
+fn some_requests_reach_an_endpoint_with_the_least_limit(#[case] rate: f64) {
+    let mut scene = Scene::new(6, &[IN_NEED, "d-other"]);
+    scene.limits.insert(EndpointKey::of(IN_NEED), rate);
+    scene.call_for(Duration::from_secs(5));
+    let before = scene.sent_to(IN_NEED);
+
+    scene.call_for(Duration::from_secs(25));
+
+    let after = scene.sent_to(IN_NEED);
+    assert!(after > before, "{after} of {before}");
+    assert!(scene.busiest(IN_NEED) <= bound(rate));
+}
+
+/// Guards against a limit that some instances hold to for good because they send too little to
+/// hear its end.
+#[rstest]
+#[case::few(6)]
+#[case::some(64)]
+#[case::planned(390)]
+fn the_end_of_a_limit_reaches_the_whole_fleet(#[case] size: usize) {
+    let mut scene = Scene::new(size, &[IN_NEED, "d-other"]);
+    let key = EndpointKey::of(IN_NEED);
+    scene.limits.insert(key, RATE);
+    scene.call_for(Duration::from_secs(4));
+    let all_know = |scene: &Scene, limit: Option<f64>| {
+        let cores = scene.fleet.nodes.iter().filter_map(|it| it.core.as_ref());
+        cores.filter(|it| it.limits.of(key) == limit).count()
+    };
+    assert_eq!(all_know(&scene, Some(RATE)), size, "all heard of it");
+
+    scene.limits.clear();
+    scene.call_for(Duration::from_secs(4));
+
+    assert_eq!(all_know(&scene, None), size);
+}
+
+/// Guards against a limit that outlives the process that named it.
+#[test]
+fn another_life_of_an_endpoint_has_no_limit() {
+    let mut one = instances::gateway(1);
+    let (now, key) = (Time::from_secs(10), EndpointKey::of(IN_NEED));
+    one.publish_endpoint(now, record(IN_NEED));
+    one.told_limit(now, key, now, ToldLimit::PerSecond(RATE));
+
+    let later = EndpointRecord {
+        born: Some(5),
+        ..record(IN_NEED)
+    };
+    let new_key = later.key();
+    one.publish_endpoint(now, later);
+
+    assert_eq!(one.limits.of(new_key), None);
+}
+
+/// Guards against callers that wait until their time is over for a service all of whose endpoints
+/// take no more.
+#[test]
+fn callers_are_refused_at_once_where_all_endpoints_are_at_their_limit() {
+    let names = ["d-1", "d-2", "d-3"];
+    let mut scene = Scene::new(6, &names);
+    for name in names {
+        scene.limits.insert(EndpointKey::of(name), RATE);
+    }
+    scene.call_for(Duration::from_secs(3));
+    let now = scene.fleet.now;
+
+    let mut refused = None;
+    for _ in 0..20 {
+        refused = refused.or(scene.core(0).place(now, &demand()).err());
+    }
+
+    assert_eq!(refused, Some(NoPlace::Limited));
+    for name in names {
+        assert!(scene.sent_to(name) >= 3, "{name}: {}", scene.sent_to(name));
+    }
+}
+
+/// Guards against answers that overtake each other: one that was asked for before the limit was
+/// named does not end it.
+#[rstest]
+#[case::sent_before(Duration::from_millis(900), Some(RATE))]
+#[case::sent_after(Duration::from_millis(1_100), None)]
+fn an_answer_without_a_limit_ends_it_only_if_it_was_asked_for_later(
+    #[case] sent: Duration,
+    #[case] expected: Option<f64>,
+) {
+    let mut limits = RateLimits::default();
+    let (start, key) = (Time::from_secs(1), EndpointKey::of(IN_NEED));
+    let named = start + Duration::from_secs(1);
+    limits.hear_answer(named, key, start, ToldLimit::PerSecond(RATE));
+
+    let late = start + Duration::from_secs(2);
+    limits.hear_answer(late, key, start + sent, ToldLimit::None);
+
+    assert_eq!(limits.of(key), expected);
+}
+
+/// Guards against a word of a peer that is older than what is known and brings it back.
+#[test]
+fn the_later_word_about_a_limit_holds() {
+    let mut limits = RateLimits::default();
+    let (now, key) = (Time::from_secs(10), EndpointKey::of(IN_NEED));
+    limits.hear_answer(now, key, now, ToldLimit::PerSecond(RATE));
+    let word = limits.word(now, key).expect("it is known");
+    let ended = now + Duration::from_secs(2);
+    limits.hear_answer(ended, key, now + Duration::from_secs(1), ToldLimit::None);
+
+    let later = ended + Duration::from_millis(10);
+    let stale = oriolemux_core::gateway::rate_limits::LimitWord {
+        age_ms: 2_010,
+        ..word
+    };
+
+    assert_eq!(limits.hear_word(later, stale), None);
+    assert_eq!(limits.of(key), None);
+}
+
+/// Guards against values that no rate can be made of.
+#[rstest]
+#[case::unreadable(ToldLimit::Unreadable, None)]
+#[case::zero(ToldLimit::PerSecond(0.0), Some(0.1))]
+#[case::usual(ToldLimit::PerSecond(2.5), Some(2.5))]
+#[case::beyond_use(ToldLimit::PerSecond(1e12), Some(1e6))]
+fn each_value_has_a_meaning(#[case] told: ToldLimit, #[case] expected: Option<f64>) {
+    let mut limits = RateLimits::default();
+    let (now, key) = (Time::from_secs(10), EndpointKey::of(IN_NEED));
+
+    limits.hear_answer(now, key, now, told);
+
+    assert_eq!(limits.of(key), expected);
+}
--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -54,6 +54,8 @@
     Cordoned,
     /// endpoints_full
     EndpointsFull,
+    /// endpoints_limited
+    EndpointsLimited,
     /// wait_too_long
     WaitTooLong,
     /// not_run_at_endpoint
@@ -93,6 +95,7 @@
             | Reason::NoEndpoint
             | Reason::Cordoned
             | Reason::EndpointsFull
+            | Reason::EndpointsLimited
             | Reason::WaitTooLong
             | Reason::NotRunAtEndpoint
             | Reason::NoConnection
@@ -112,6 +115,7 @@
             NoPlace::NoEndpoint => Reason::NoEndpoint,
             NoPlace::Full => Reason::EndpointsFull,
             NoPlace::Cordoned => Reason::Cordoned,
+            NoPlace::Limited => Reason::EndpointsLimited,
         }
     }
 }
