Limits that endpoints name hold for the whole fleet

What callers saw: an endpoint in need got 31 to 62 requests in four seconds where 19 to 28 were allowed, and served all of its callers worse for it.

Cause: nothing read the word. Class: a bound that an endpoint sets, and that holds for the sum over all instances, known to none of the pieces that choose.

Change: a named limit is a second reason beside coldness for one bound (cold::rate_bound, the lower holds), asked by calls, homes, generations that go on, copies, and again right before the first byte if it was named since the endpoint was chosen. Changes are told to peers with their age, the later word holds. Who has no part asks again after a silence, one after the other. Less than one request a second goes to the first in rank. Ruled out: each instance the whole rate (six times as much); equal parts for all, which at 390 instances is a window of two minutes for each; a random slot for each instance, which does not hold by construction.

Cost: nothing while no endpoint names a limit but one look at an empty table for each place.

--- a/crates/core/src/gateway/cold.rs
+++ b/crates/core/src/gateway/cold.rs
@@ -1,11 +1,12 @@
-//! Endpoints that have just started, or were taken back, and bear few requests a second.
+//! Endpoints that bear few requests a second: they have just started, or were taken back, or named
+//! a limit for themselves ([`rate_limits`](super::rate_limits)). Where both bind, the lower holds.
 //!
 //! A cold endpoint that gets more than its service says crashes, whoever sent them: the bound
 //! holds for the sum over all instances, also while they cannot hear each other. So what each may
 //! send follows from the instances that it knows, those included that it lost lately:
 //!
 //! * the requests that a plain service bears in one second are divided among all known instances,
-//!   by rendezvous hashing, without a message;
+//!   by rendezvous hashing, without a message; of less than one a second the first in rank has all;
 //! * generations are granted by the home of their service, within its part of the bound
 //!   ([`HOME_PART`]) times the part of all known instances that it hears. Homes on two sides of a
 //!   cut hear disjoint parts.
@@ -15,7 +16,9 @@
 //!
 //! `docs/design/shifted-work.md` weighs the ways and does the arithmetic.
 
+use super::endpoints::EndpointTable;
 use super::fleet_size::FleetSize;
+use super::rate_limits::RateLimits;
 use crate::ids::{EndpointKey, address_hash};
 use crate::rendezvous;
 use crate::time::Time;
@@ -103,19 +106,19 @@
     }
 }
 
-/// What this instance may send to cold endpoints, and what it sent.
+/// What this instance may send to endpoints that bear a bounded rate, and what it sent.
 #[derive(Clone, Debug)]
-pub struct ColdShares {
+pub struct RateShares {
     looked: Time,
     /// Since when this instance runs without a pause.
     runs_since: Time,
     sent: SlidingCount,
 }
 
-impl ColdShares {
+impl RateShares {
     /// Returns the shares of an instance that begins now.
     pub fn new(now: Time) -> Self {
-        ColdShares {
+        RateShares {
             looked: now,
             runs_since: now,
             sent: SlidingCount::default(),
@@ -144,8 +147,8 @@
         if now.since(self.runs_since) < SETTLES_IN || now.since(self.looked) >= PAUSE {
             return 0;
         }
-        let share = share(own, fleet, endpoint, rate as u32);
-        self.sent.left(now, endpoint, f64::from(share))
+        self.sent
+            .left(now, endpoint, share(own, fleet, endpoint, rate))
     }
 
     /// Counts a request of this instance.
@@ -154,13 +157,37 @@
     }
 }
 
-/// Returns the part of `total` requests a second of the instance at `own`. The parts of all
-/// instances that know each other add up to it.
-fn share(own: SocketAddrV4, fleet: &FleetSize, endpoint: EndpointKey, total: u32) -> u32 {
-    let known = u32::try_from(fleet.known()).unwrap_or(u32::MAX);
+/// Returns how many requests a second an endpoint bears from all instances, if that is bounded.
+pub fn rate_bound(
+    now: Time,
+    endpoint: EndpointKey,
+    endpoints: &EndpointTable,
+    cold: Option<&ColdLimits>,
+    named: &RateLimits,
+) -> Option<f64> {
+    let cold = cold.filter(|it| endpoints.is_cold(now, endpoint, it));
+    let cold = cold.map(|it| it.per_second);
+    match (cold, named.of(endpoint)) {
+        (Some(cold), Some(named)) => Some(cold.min(named)),
+        (cold, named) => cold.or(named),
+    }
+}
+
+/// Returns how many of the other instances go before the one at `own` at an endpoint.
+pub fn rank(own: SocketAddrV4, fleet: &FleetSize, endpoint: EndpointKey) -> usize {
     let score = |it: SocketAddrV4| (rendezvous::score(endpoint.0, address_hash(it)), it);
     let mine = score(own);
-    let ahead = fleet.others().filter(|it| score(*it) > mine).count();
-    let is_ahead = u32::try_from(ahead).is_ok_and(|it| it < total % known);
-    total / known + u32::from(is_ahead)
+    fleet.others().filter(|it| score(*it) > mine).count()
+}
+
+/// Returns the part of `rate` requests a second of the instance at `own`. The parts of all
+/// instances that know each other add up to it, or to the whole number below it.
+fn share(own: SocketAddrV4, fleet: &FleetSize, endpoint: EndpointKey, rate: f64) -> f64 {
+    let known = u32::try_from(fleet.known()).unwrap_or(u32::MAX);
+    let rank = u32::try_from(rank(own, fleet, endpoint)).unwrap_or(u32::MAX);
+    if rate < 1.0 {
+        return if rank == 0 { rate } else { 0.0 };
+    }
+    let total = rate as u32;
+    f64::from(total / known + u32::from(rank < total % known))
 }
--- a/crates/core/src/gateway/gossip.rs
+++ b/crates/core/src/gateway/gossip.rs
@@ -11,6 +11,7 @@
 use super::fleet_size::ToldSize;
 use super::home::{Answer, Report};
 use super::members::Update;
+use super::rate_limits::LimitWord;
 use crate::fingerprint::Fingerprint;
 use crate::ids::EndpointKey;
 use crate::suspects::{Blame, TurnAnswer, TurnReport};
@@ -60,6 +61,8 @@
     pub blames: Vec<Blame>,
     /// Which data centres are closed to new work, or open again.
     pub cordons: Vec<Cordon>,
+    /// Which endpoints named a limit, or name none any more.
+    pub limits: Vec<LimitWord>,
 }
 
 impl Items {
@@ -70,6 +73,7 @@
             && self.beacons.is_empty()
             && self.blames.is_empty()
             && self.cordons.is_empty()
+            && self.limits.is_empty()
     }
 }
 
@@ -224,6 +228,7 @@
     leaving: BTreeMap<EndpointKey, Told<EndpointKey>>,
     beacons: BTreeMap<SocketAddrV4, Told<Beacon>>,
     cordons: BTreeMap<String, Told<Cordon>>,
+    limits: BTreeMap<EndpointKey, Told<EndpointKey>>,
     blames: BTreeMap<Fingerprint, Told<Blame>>,
     /// [`Outbox::blames`], the newest last.
     order: Vec<Fingerprint>,
@@ -283,6 +288,7 @@
             || any_new(&self.leaving)
             || any_new(&self.beacons)
             || any_new(&self.cordons)
+            || any_new(&self.limits)
             || (self.allowance >= 1.0 && any_new(&self.blames))
     }
 
@@ -294,9 +300,22 @@
             beacons: take(&mut self.beacons, peers),
             blames: self.take_blames(peers),
             cordons: take(&mut self.cordons, peers),
+            // The words are written as they are sent, since each carries its age.
+            limits: Vec::new(),
         }
     }
 
+    /// Takes in that an endpoint's limit changed, among so many instances.
+    pub fn add_limit(&mut self, endpoint: EndpointKey, instances: usize) {
+        let told = Told::new(endpoint, tells(instances));
+        self.limits.insert(endpoint, told);
+    }
+
+    /// Returns the endpoints whose limits are told now to so many peers.
+    pub fn take_limits(&mut self, peers: u32) -> Vec<EndpointKey> {
+        take(&mut self.limits, peers)
+    }
+
     /// Takes those first that ended the most endpoints, and of these the newest.
     ///
     /// What goes wrong in any other order: when many endpoints end for a reason of their own, the
--- a/crates/core/src/gateway/home.rs
+++ b/crates/core/src/gateway/home.rs
@@ -14,9 +14,10 @@
 use super::ask::{Decision, PlacementRequest, Want};
 use super::catalogue::EngineLimits;
 use super::choose::{Demand, NoPlace, World, choose, choose_copy};
-use super::cold::{ColdLimits, HOME_PART, SlidingCount};
+use super::cold::{self, ColdLimits, HOME_PART, SlidingCount};
 use super::endpoints::EndpointTable;
 use super::queue::{Asking, MAX_WAITING, assign, service_hash};
+use super::rate_limits::RateLimits;
 use super::usage::{Others, UsageTable, Used};
 use crate::ids::{EndpointKey, Incarnation};
 use crate::time::Time;
@@ -63,7 +64,7 @@
     reporters: BTreeMap<SocketAddrV4, Reporter>,
     /// Engines that instances could not use lately.
     doubts: Doubts,
-    /// Requests that were granted at engines that were cold.
+    /// Requests that were granted at engines that bear few.
     cold_granted: SlidingCount,
 }
 
@@ -81,6 +82,8 @@
     pub endpoints: &'a EndpointTable,
     /// What its engines bear while they are cold, if that is less.
     pub cold: Option<ColdLimits>,
+    /// The limits that endpoints named.
+    pub named: &'a RateLimits,
     /// How many instances this one knows, those that were lost included.
     pub known: usize,
     /// How many of them take part.
@@ -88,16 +91,18 @@
 }
 
 impl Engines<'_> {
-    fn is_cold(&self, now: Time, engine: EndpointKey) -> bool {
-        let limits = self.cold.as_ref();
-        limits.is_some_and(|it| self.endpoints.is_cold(now, engine, it))
+    /// Returns how many requests a second an engine bears from all instances, if that is bounded.
+    fn rate_bound(&self, now: Time, engine: EndpointKey) -> Option<f64> {
+        cold::rate_bound(now, engine, self.endpoints, self.cold.as_ref(), self.named)
     }
 
-    fn cold_engines(&self, now: Time) -> Vec<EndpointKey> {
-        let limits = self.cold.as_ref();
-        limits.map_or_else(Vec::new, |it| {
-            self.endpoints.cold_of(now, self.service, it).collect()
-        })
+    fn bounded(&self, now: Time) -> Vec<EndpointKey> {
+        if self.cold.is_none() && self.named.is_empty() {
+            return Vec::new();
+        }
+        let usable = self.endpoints.usable_of(self.service).map(|it| it.key);
+        let is_bounded = |key: &EndpointKey| self.rate_bound(now, *key).is_some();
+        usable.filter(is_bounded).collect()
     }
 }
 
@@ -227,16 +232,13 @@
         }
     }
 
-    /// Returns how many requests a second this home may grant at one cold engine. Each instance of
-    /// the fleet has a part of the bound, and a home disposes of the parts of those that it hears:
-    /// it may be new and not know of those on the other side of a cut, but who reports to it does.
-    fn cold_rate(&self, engines: &Engines<'_>) -> f64 {
+    /// Returns the part that this home may grant of what an engine bears. Each instance of the
+    /// fleet has a part of the bound, and a home disposes of the parts of those that it hears: it
+    /// may be new and not know of those on the other side of a cut, but who reports to it does.
+    fn granted_part(&self, engines: &Engines<'_>) -> f64 {
         let told = self.reporters.values().map(|it| it.known as usize).max();
         let known = engines.known.max(told.unwrap_or(0)).max(engines.live);
-        let part = engines.live as f64 / known.max(1) as f64;
-        engines
-            .cold
-            .map_or(0.0, |it| it.per_second * HOME_PART * part)
+        HOME_PART * engines.live as f64 / known.max(1) as f64
     }
 
     /// Returns what others run, if the instance at `from` is to be told now.
@@ -326,10 +328,10 @@
                 }
             }
         }
-        let rate = self.cold_rate(&engines);
+        let part = self.granted_part(&engines);
         let cold_left = |engine| {
-            let is_cold = engines.is_cold(now, engine);
-            is_cold.then(|| self.cold_granted.left(now, engine, rate))
+            let bound = engines.rate_bound(now, engine);
+            bound.map(|rate| self.cold_granted.left(now, engine, rate * part))
         };
         let places = assign(
             world,
@@ -344,7 +346,7 @@
                 Err(why) => Decision::Waits(why),
             };
             if let (Ok(key), Some(reporter)) = (place, self.reporters.get_mut(from)) {
-                if engines.is_cold(now, key) {
+                if engines.rate_bound(now, key).is_some() {
                     self.cold_granted.note(now, key);
                 }
                 reporter
@@ -377,9 +379,9 @@
     engines: Engines<'_>,
     request: &PlacementRequest,
 ) -> Result<EndpointKey, NoPlace> {
-    // What is cold gets requests in their turn only, within its bound.
+    // What bears few requests gets them in their turn only, within its bound.
     let mut exclude = request.exclude.clone();
-    exclude.extend(engines.cold_engines(world.now));
+    exclude.extend(engines.bounded(world.now));
     let demand = Demand {
         service: engines.service,
         engine: Some(engines.limits),
--- a/crates/core/src/gateway/rate_limits.rs
+++ b/crates/core/src/gateway/rate_limits.rs
@@ -23,6 +23,12 @@
 /// bring it back.
 const REMEMBER_ENDED: Duration = Duration::from_secs(60);
 
+/// How long an instance without a part of a limit hears nothing of it before it asks.
+const QUIET: Duration = Duration::from_secs(4);
+
+/// The part of a limit that all such questions take, one instance after the other.
+const ASKED_AGAIN_SHARE: f64 = 0.25;
+
 /// What the head of an answer says about the endpoint's limit.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub enum ToldLimit {
@@ -36,12 +42,12 @@
 }
 
 /// What is known of an endpoint's limit, as it travels.
-#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LimitWord {
     /// The endpoint.
     pub endpoint: EndpointKey,
-    /// Requests a second; nothing if the limit is over.
-    pub per_second: Option<f64>,
+    /// Requests in a thousand seconds; nothing if the limit is over.
+    pub per_1000_s: Option<u32>,
     /// Milliseconds since the endpoint said so.
     pub age_ms: u32,
 }
@@ -65,6 +71,8 @@
     said: Time,
     /// Since when this instance holds to a limit.
     since: Time,
+    /// When this instance last sent a request there.
+    asked: Time,
 }
 
 /// All limits known.
@@ -105,7 +113,7 @@
         if self.words.get(&told.endpoint).is_some_and(is_older) {
             return None;
         }
-        let per_second = told.per_second.filter(|it| it.is_finite());
+        let per_second = told.per_1000_s.map(|it| f64::from(it) / 1_000.0);
         let per_second = per_second.map(|it| it.clamp(MIN_PER_SECOND, MAX_PER_SECOND));
         self.set(now, told.endpoint, per_second, said)
     }
@@ -127,6 +135,7 @@
             per_second,
             said,
             since,
+            asked: before.map_or(Time::ZERO, |it| it.asked),
         };
         self.words.insert(endpoint, word);
         (limit_before != per_second).then_some(LimitChange {
@@ -147,9 +156,32 @@
         word.per_second.is_some().then_some(word.since)
     }
 
-    /// Returns when the endpoint last spoke of its limit.
-    pub fn said(&self, endpoint: EndpointKey) -> Option<Time> {
-        self.words.get(&endpoint).map(|it| it.said)
+    /// Returns whether no endpoint has a limit.
+    pub fn is_empty(&self) -> bool {
+        self.words.values().all(|it| it.per_second.is_none())
+    }
+
+    /// Notes that a request is sent to an endpoint.
+    pub fn note_sent(&mut self, now: Time, endpoint: EndpointKey) {
+        if let Some(word) = self.words.get_mut(&endpoint) {
+            word.asked = now;
+        }
+    }
+
+    /// Returns whether an instance that has no part of an endpoint's limit may ask there whether
+    /// it still holds, with `rank` others before it.
+    ///
+    /// Those that have a part hear each answer and tell when the limit is over. They may be gone,
+    /// or cut off.
+    pub fn may_ask_again(&self, now: Time, endpoint: EndpointKey, rank: usize) -> bool {
+        let Some(word) = self.words.get(&endpoint) else {
+            return false;
+        };
+        word.per_second.is_some_and(|rate| {
+            let turn = rank as f64 / (ASKED_AGAIN_SHARE * rate);
+            let pause = QUIET.as_secs_f64() + turn;
+            now.since(word.said.max(word.asked)).as_secs_f64() >= pause
+        })
     }
 
     /// Returns what is told of an endpoint now.
@@ -158,7 +190,7 @@
         let age = now.since(word.said).as_millis();
         Some(LimitWord {
             endpoint,
-            per_second: word.per_second,
+            per_1000_s: word.per_second.map(|it| (it * 1_000.0) as u32),
             age_ms: u32::try_from(age).unwrap_or(u32::MAX),
         })
     }
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -12,7 +12,7 @@
 use super::budget::{BudgetConfig, SharedBudget};
 use super::catalogue::{Catalogue, CatalogueFinding, CatalogueSource};
 use super::catch_up::CatchUp;
-use super::cold::ColdShares;
+use super::cold::RateShares;
 use super::cordons::{Cordon, CordonEffect};
 use super::endpoints::{EndpointRecord, EndpointTable};
 use super::fleet_size::FleetSize;
@@ -109,7 +109,7 @@
     /// How many instances there are, lost ones included.
     fleet: FleetSize,
     /// What may be sent to endpoints that are cold.
-    pub(super) cold: ColdShares,
+    pub(super) cold: RateShares,
     /// Rates that endpoints named for themselves.
     pub limits: RateLimits,
     /// Requests that end endpoints.
@@ -152,7 +152,7 @@
             reported: BTreeMap::new(),
             reports_sent: 0,
             fleet,
-            cold: ColdShares::new(now),
+            cold: RateShares::new(now),
             limits: RateLimits::default(),
             suspects: Suspects::new(now),
             budget,
@@ -319,7 +319,10 @@
         sent: Time,
         told: ToldLimit,
     ) -> Option<LimitChange> {
-        self.limits.hear_answer(now, key, sent, told)
+        let change = self.limits.hear_answer(now, key, sent, told)?;
+        let instances = self.instances();
+        self.outbox.add_limit(key, instances);
+        Some(change)
     }
 
     /// Notes a load that an endpoint told.
--- a/crates/core/src/gateway/state/peers.rs
+++ b/crates/core/src/gateway/state/peers.rs
@@ -7,6 +7,7 @@
 use crate::gateway::cordons::{Cordon, CordonEffect};
 use crate::gateway::gossip::{Body, Datagram, FAN_OUT, GOSSIP_VERSION, Items};
 use crate::gateway::members::{Change, Member};
+use crate::gateway::rate_limits::LimitChange;
 use crate::gateway::reader::{READER_FRESH, READERS, Step};
 use crate::ids::EndpointKey;
 use crate::time::Time;
@@ -47,13 +48,15 @@
 }
 
 /// What a datagram brought.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Heard {
     /// Endpoints that began to leave.
     pub leaving: Vec<EndpointKey>,
     /// Words of the operator about data centres that were not known, and what they are to this
     /// instance.
     pub cordons: Vec<(Cordon, CordonEffect)>,
+    /// Limits of endpoints that changed.
+    pub limits: Vec<LimitChange>,
     /// Whether the sender was not there before in this life.
     pub is_new: bool,
     /// Instances that count as gone now.
@@ -185,6 +188,13 @@
                 self.outbox.add_beacon(beacon);
             }
         }
+        for word in news.limits {
+            if let Some(change) = self.limits.hear_word(now, word) {
+                let instances = self.instances();
+                self.outbox.add_limit(change.endpoint, instances);
+                heard.limits.push(change);
+            }
+        }
         for cordon in news.cordons {
             let told = self.publish_cordon(now, cordon.clone());
             if told != CordonEffect::Outdated {
@@ -257,7 +267,7 @@
         self.limits.tick(now, |it| endpoints.get(it).is_some());
         self.outbox.tick(now);
         self.note_behind(now);
-        self.tell_news(&mut ticked.send);
+        self.tell_news(now, &mut ticked.send);
         ticked.decided = self.report(now, &mut ticked.send);
         ticked.decided |= self.report_turns(now, &mut ticked.send);
         ticked
@@ -294,7 +304,7 @@
         self.watches(now) && (is_answered || self.rank() < READERS)
     }
 
-    fn tell_news(&mut self, send: &mut Vec<(SocketAddrV4, Body)>) {
+    fn tell_news(&mut self, now: Time, send: &mut Vec<(SocketAddrV4, Body)>) {
         let announces = core::mem::take(&mut self.announces);
         if !announces && !self.outbox.has_new() {
             return;
@@ -304,19 +314,31 @@
             // What is news now is told to whoever is found first.
             return;
         }
-        let items = self.outbox.take(FAN_OUT as u32);
+        let items = self.take_news(now, FAN_OUT as u32);
         send.extend(peers.iter().map(|&it| (it, Body::News(items.clone()))));
     }
 
+    fn take_news(&mut self, now: Time, peers: u32) -> Items {
+        let limits = self.outbox.take_limits(peers);
+        let limits = limits
+            .into_iter()
+            .filter_map(|it| self.limits.word(now, it));
+        Items {
+            limits: limits.collect(),
+            ..self.outbox.take(peers)
+        }
+    }
+
     /// Returns a datagram for one peer, with news where it has room for it.
     pub fn datagram(&mut self, now: Time, mut body: Body) -> Datagram {
         if let Some(news) = body.news_mut() {
-            let mut items = self.outbox.take(1);
+            let mut items = self.take_news(now, 1);
             news.members.append(&mut items.members);
             news.leaving.append(&mut items.leaving);
             news.beacons.append(&mut items.beacons);
             news.blames.append(&mut items.blames);
             news.cordons.append(&mut items.cordons);
+            news.limits.append(&mut items.limits);
         }
         if let Body::Probe { suspects, .. } = &mut body {
             *suspects = self.suspects.ledger.digest();
--- a/crates/core/src/gateway/state/places.rs
+++ b/crates/core/src/gateway/state/places.rs
@@ -3,7 +3,7 @@
 use super::{Gateway, Place};
 use crate::gateway::ask::{PlacementRequest, REPORT_AGAIN, REPORT_WAITING, Verdict, Want};
 use crate::gateway::choose::{self, Demand, NoPlace, World};
-use crate::gateway::cold::{ColdLimits, OWN_PART};
+use crate::gateway::cold::{self, ColdLimits, OWN_PART};
 use crate::gateway::endpoints::Endpoint;
 use crate::gateway::gossip::Body;
 use crate::gateway::home::{Answer, Engines, REPORT_INTERVAL, Report};
@@ -44,8 +44,7 @@
     ///
     /// Returns why there is none.
     pub fn place(&mut self, now: Time, demand: &Demand<'_>) -> Result<Place, NoPlace> {
-        let limits = self.cold_limits(demand.service);
-        let barred = self.barred(now, demand, limits.as_ref());
+        let barred = self.barred(now, demand);
         let both;
         let exclude = match barred.is_empty() {
             true => demand.exclude,
@@ -57,12 +56,14 @@
         let demand = Demand { exclude, ..*demand };
         let mut rng = self.draws();
         let key = choose::choose(self.world(now, demand.service), &demand, || rng.random());
+        let has_limit = |key: &EndpointKey| self.limits.of(*key).is_some();
         let key = key.map_err(|why| match why {
+            NoPlace::NoEndpoint if barred.iter().any(has_limit) => NoPlace::Limited,
             NoPlace::NoEndpoint if !barred.is_empty() => NoPlace::Full,
             why => why,
         })?;
-        if limits.is_some_and(|it| self.endpoints.is_cold(now, key, &it)) {
-            self.cold.note(now, key);
+        if self.rate_bound(now, key).is_some() {
+            self.note_bounded(now, key);
         }
         self.place_at(key).ok_or(NoPlace::NoEndpoint)
     }
@@ -71,23 +72,41 @@
         self.catalogue.as_ref()?.cold_limits(service)
     }
 
-    /// Returns the cold endpoints to which this instance may send nothing now. Engines get
-    /// requests through their home alone.
-    fn barred(
-        &self,
-        now: Time,
-        demand: &Demand<'_>,
-        limits: Option<&ColdLimits>,
-    ) -> Vec<EndpointKey> {
-        let Some(limits) = limits else {
+    /// Returns how many requests a second an endpoint bears from all instances, if that is
+    /// bounded.
+    fn rate_bound(&self, now: Time, key: EndpointKey) -> Option<f64> {
+        let endpoint = self.endpoints.get(key)?;
+        let cold = self.cold_limits(&endpoint.record.service);
+        cold::rate_bound(now, key, &self.endpoints, cold.as_ref(), &self.limits)
+    }
+
+    /// Counts a request to an endpoint that bears a bounded rate.
+    fn note_bounded(&mut self, now: Time, key: EndpointKey) {
+        self.cold.note(now, key);
+        self.limits.note_sent(now, key);
+    }
+
+    /// Returns the endpoints to which this instance may send nothing now, because they bear few
+    /// requests. Engines get requests through their home alone.
+    fn barred(&self, now: Time, demand: &Demand<'_>) -> Vec<EndpointKey> {
+        if self.limits.is_empty() && self.cold_limits(demand.service).is_none() {
             return Vec::new();
+        }
+        let usable = self.endpoints.usable_of(demand.service).map(|it| it.key);
+        let is_barred = |key: &EndpointKey| {
+            let bound = self.rate_bound(now, *key);
+            bound.is_some_and(|rate| demand.engine.is_some() || !self.has_part(now, *key, rate))
         };
-        let cold = self.endpoints.cold_of(now, demand.service, limits);
-        let has_share = |key: EndpointKey| {
-            let left = |rate| self.cold_left(now, key, rate);
-            demand.engine.is_none() && left(limits.per_second) > 0
-        };
-        cold.filter(|&key| !has_share(key)).collect()
+        usable.filter(is_barred).collect()
+    }
+
+    /// Returns whether this instance may send a request to an endpoint that bears `rate` a second
+    /// without asking anybody.
+    fn has_part(&self, now: Time, key: EndpointKey, rate: f64) -> bool {
+        self.cold_left(now, key, rate) > 0 || {
+            let rank = cold::rank(self.cfg.address, &self.fleet, key);
+            self.limits.may_ask_again(now, key, rank)
+        }
     }
 
     fn cold_left(&self, now: Time, key: EndpointKey, rate: f64) -> u32 {
@@ -95,18 +114,29 @@
         self.cold.left(now, own, &self.fleet, key, rate)
     }
 
-    /// Returns whether a generation may go on at an engine, as far as that may be cold, and
+    /// Returns whether a request for which an endpoint was chosen at `chosen` may still be sent
+    /// there, and counts it there if a limit was named since.
+    pub fn admit_to_limit(&mut self, now: Time, key: EndpointKey, chosen: Time) -> bool {
+        let is_new = self.limits.since(key).is_some_and(|at| at > chosen);
+        let Some(rate) = self.rate_bound(now, key).filter(|_| is_new) else {
+            return true;
+        };
+        let is_admitted = self.has_part(now, key, rate);
+        if is_admitted {
+            self.note_bounded(now, key);
+        }
+        is_admitted
+    }
+
+    /// Returns whether a generation may go on at an engine, as far as that bears few requests, and
     /// counts it there.
     pub fn admit_to_go_on(&mut self, now: Time, key: EndpointKey) -> bool {
-        let endpoint = self.endpoints.get(key);
-        let limits = endpoint.and_then(|it| self.cold_limits(&it.record.service));
-        let Some(limits) = limits.filter(|it| self.endpoints.is_cold(now, key, it)) else {
+        let Some(bound) = self.rate_bound(now, key) else {
             return true;
         };
-        let rate = limits.per_second * OWN_PART;
-        let is_admitted = self.cold_left(now, key, rate) > 0;
+        let is_admitted = self.cold_left(now, key, bound * OWN_PART) > 0;
         if is_admitted {
-            self.cold.note(now, key);
+            self.note_bounded(now, key);
         }
         is_admitted
     }
@@ -128,8 +158,7 @@
         let mut rng = self.draws();
         let world = self.world(now, demand.service);
         let source = world.endpoints.get(source).ok_or(NoPlace::NoEndpoint)?;
-        let limits = self.cold_limits(demand.service);
-        let barred = self.barred(now, demand, limits.as_ref());
+        let barred = self.barred(now, demand);
         let exclude = [demand.exclude, &barred].concat();
         let demand = Demand {
             exclude: &exclude,
@@ -363,6 +392,7 @@
             limits,
             endpoints: &self.endpoints,
             cold,
+            named: &self.limits,
             known: self.fleet.known(),
             live: 1 + self.members.live().count(),
         };
--- a/crates/core/tests/gateway_home.rs
+++ b/crates/core/tests/gateway_home.rs
@@ -13,6 +13,7 @@
 use oriolemux_core::gateway::endpoints::EndpointTable;
 use oriolemux_core::gateway::home::{Answer, Engines, Home, REPORT_FRESH, Report};
 use oriolemux_core::gateway::queue::{Waiter, service_hash};
+use oriolemux_core::gateway::rate_limits::{RateLimits, ToldLimit};
 use oriolemux_core::gateway::usage::Used;
 use oriolemux_core::{EndpointKey, Incarnation, Time};
 
@@ -69,6 +70,7 @@
 struct Scene {
     now: Time,
     endpoints: EndpointTable,
+    named: RateLimits,
     home: Home,
     reports: u64,
     /// Engines that the next instance to report cannot use.
@@ -80,6 +82,7 @@
         Scene {
             now: NOW,
             endpoints: engines(count),
+            named: RateLimits::default(),
             home: Home::default(),
             reports: 0,
             passed_over: Vec::new(),
@@ -114,6 +117,7 @@
             limits: ENGINE,
             endpoints: &self.endpoints,
             cold: None,
+            named: &self.named,
             known: 1,
             live: 1,
         };
@@ -427,3 +431,29 @@
     let second = granted(scene.decision(1)).expect("there is room elsewhere");
     assert_ne!(second, first);
 }
+
+/// Guards against a home that grants an engine in need more than the engine takes from all, or
+/// keeps its room for copies.
+#[test]
+fn an_engine_that_named_a_limit_is_granted_within_it() {
+    let mut scene = Scene::new(1);
+    let told = ToldLimit::PerSecond(4.0);
+    scene
+        .named
+        .hear_answer(scene.now, engine(0), scene.now, told);
+    let ask: Vec<PlacementRequest> = (1..=6).map(|id| request(id, 5, Want::Place)).collect();
+
+    let mut grants = 0;
+    for _ in 0..4 {
+        scene.report(1, &[], &ask);
+        for (_, answer) in scene.decide() {
+            let granted = answer.decisions.iter();
+            grants = granted
+                .filter(|it| matches!(it.1, Decision::Granted(_)))
+                .count();
+        }
+        scene.now += Duration::from_millis(50);
+    }
+
+    assert_eq!(grants, 1, "a home grants a part of the limit");
+}
--- a/crates/core/tests/gateway_queue.rs
+++ b/crates/core/tests/gateway_queue.rs
@@ -10,6 +10,7 @@
 use oriolemux_core::gateway::endpoints::EndpointTable;
 use oriolemux_core::gateway::home::Engines;
 use oriolemux_core::gateway::queue::{Asking, Waiter, assign, service_hash};
+use oriolemux_core::gateway::rate_limits::RateLimits;
 use oriolemux_core::gateway::usage::{Others, UsageTable, Used};
 use oriolemux_core::{EndpointKey, Time};
 use proptest::prelude::*;
@@ -67,6 +68,7 @@
             limits: ENGINE,
             endpoints: &self.endpoints,
             cold: None,
+            named: &RateLimits::default(),
             known: 1,
             live: 1,
         };
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -334,6 +334,7 @@
         place: &Place,
         send: &SendHead<'_>,
     ) -> Result<(Link, Response<Incoming>), LinkError> {
+        let chosen = self.cx.now();
         let limit = self.cx.limits.connect.min(self.left());
         let mut link = Link::connect(place.address, limit).await?;
         let is_withdrawn = {
@@ -343,7 +344,9 @@
                 Some(_) => {
                     state.endpoints.is_cordoned(place.key) || !state.admit_to_go_on(now, place.key)
                 }
-                None => !state.is_usable(place.key),
+                None => {
+                    !state.is_usable(place.key) || !state.admit_to_limit(now, place.key, chosen)
+                }
             }
         };
         if is_withdrawn {
--- a/crates/gateway/src/news.rs
+++ b/crates/gateway/src/news.rs
@@ -89,6 +89,9 @@
     for (cordon, effect) in &heard.cordons {
         cx.tell_cordon(cordon, *effect, Source::Peer);
     }
+    for change in &heard.limits {
+        cx.note_limit(change, Source::Peer);
+    }
     if heard.is_new {
         note!(PeerHeard, peer:% = from, incarnation = life.0);
     }
