--- a/crates/core/src/gateway/choose.rs
+++ b/crates/core/src/gateway/choose.rs
@@ -179,8 +179,8 @@
     state_cost: f64,
     /// Whether its room is kept for somebody.
     is_kept: bool,
-    /// How many requests it may still get, if it is cold.
-    cold_left: Option<u32>,
+    /// How many requests it may still get, if it bears a bounded rate.
+    bounded_left: Option<u32>,
 }
 
 /// Returns the room at the engines that `demand` may go to.
@@ -191,7 +191,7 @@
 pub(super) fn capacities<'a>(
     world: World<'a>,
     demand: &Demand<'_>,
-    cold_left: impl Fn(EndpointKey) -> Option<u32>,
+    bounded_left: impl Fn(EndpointKey) -> Option<u32>,
 ) -> Result<EngineCapacities<'a>, NoPlace> {
     let limits = demand.engine.ok_or(NoPlace::NoEndpoint)?;
     let trusted = |endpoint: &Endpoint| is_trusted(world, endpoint);
@@ -202,7 +202,7 @@
             used: world.used(endpoint),
             state_cost: state_cost(world, endpoint, 0.0),
             is_kept: false,
-            cold_left: cold_left(endpoint.key),
+            bounded_left: bounded_left(endpoint.key),
         })
         .collect();
     if engines.is_empty() {
@@ -241,7 +241,7 @@
         let limits = self.limits;
         let fitting = self.engines.iter_mut().filter(|capacity| {
             !capacity.is_kept
-                && capacity.cold_left != Some(0)
+                && capacity.bounded_left != Some(0)
                 && !excluded(capacity)
                 && capacity.used.unread < MAX_UNREAD
                 && fits(capacity.used, tokens, limits, MEMORY_SHARE)
@@ -256,7 +256,7 @@
         };
         let capacity = fitting.min_by(|a, b| cost(a).total_cmp(&cost(b)));
         let capacity = capacity.ok_or(NoPlace::Full)?;
-        capacity.cold_left = capacity.cold_left.map(|it| it.saturating_sub(1));
+        capacity.bounded_left = capacity.bounded_left.map(|it| it.saturating_sub(1));
         capacity.used.running = capacity.used.running.saturating_add(1);
         capacity.used.tokens = capacity.used.tokens.saturating_add(tokens);
         capacity.used.unread = capacity.used.unread.saturating_add(prompt);
--- a/crates/core/src/gateway/home.rs
+++ b/crates/core/src/gateway/home.rs
@@ -65,7 +65,7 @@
     /// Engines that instances could not use lately.
     doubts: Doubts,
     /// Requests that were granted at engines that bear few.
-    cold_granted: SlidingCount,
+    bounded_granted: SlidingCount,
 }
 
 /// What was decided, by the instance that is to be told.
@@ -147,7 +147,7 @@
         self.reporters
             .retain(|_, it| now.since(it.heard) < REPORT_FRESH);
         self.doubts.tick(now);
-        self.cold_granted.tick(now);
+        self.bounded_granted.tick(now);
     }
 
     /// Returns whether nobody reports.
@@ -329,14 +329,14 @@
             }
         }
         let part = self.granted_part(&engines);
-        let cold_left = |engine| {
+        let left = |engine| {
             let bound = engines.rate_bound(now, engine);
-            bound.map(|rate| self.cold_granted.left(now, engine, rate * part))
+            bound.map(|rate| self.bounded_granted.left(now, engine, rate * part))
         };
         let places = assign(
             world,
             engines,
-            cold_left,
+            left,
             waiting.iter().map(|(_, asking)| asking),
         );
         for ((from, asking), place) in waiting.iter().zip(places) {
@@ -347,7 +347,7 @@
             };
             if let (Ok(key), Some(reporter)) = (place, self.reporters.get_mut(from)) {
                 if engines.rate_bound(now, key).is_some() {
-                    self.cold_granted.note(now, key);
+                    self.bounded_granted.note(now, key);
                 }
                 reporter
                     .reserved
--- a/crates/core/src/gateway/queue.rs
+++ b/crates/core/src/gateway/queue.rs
@@ -124,11 +124,11 @@
 ///
 /// All that go before one are given room first. For the first that fits nowhere the engine
 /// with the most room is kept, so that large requests come to their turn and small ones use
-/// what is left elsewhere. `cold_left` says how many more requests an engine may get that is cold.
+/// what is left elsewhere. `bounded_left` says how many more requests an engine may get that bears a bounded rate.
 pub fn assign<'a>(
     world: World<'_>,
     engines: Engines<'_>,
-    cold_left: impl Fn(EndpointKey) -> Option<u32>,
+    bounded_left: impl Fn(EndpointKey) -> Option<u32>,
     waiting: impl Iterator<Item = &'a Asking>,
 ) -> Vec<Result<EndpointKey, NoPlace>> {
     let all: Vec<&Asking> = waiting.collect();
@@ -140,7 +140,7 @@
         tokens: 0,
         exclude: &[],
     };
-    let mut capacities = match capacities(world, &demand, cold_left) {
+    let mut capacities = match capacities(world, &demand, bounded_left) {
         Ok(capacities) => capacities,
         Err(why) => return vec![Err(why); all.len()],
     };
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -108,8 +108,8 @@
     reports_sent: u64,
     /// How many instances there are, lost ones included.
     fleet: FleetSize,
-    /// What may be sent to endpoints that are cold.
-    pub(super) cold: RateShares,
+    /// What may be sent to endpoints that bear a bounded rate.
+    shares: RateShares,
     /// Rates that endpoints named for themselves.
     pub limits: RateLimits,
     /// Requests that end endpoints.
@@ -152,7 +152,7 @@
             reported: BTreeMap::new(),
             reports_sent: 0,
             fleet,
-            cold: RateShares::new(now),
+            shares: RateShares::new(now),
             limits: RateLimits::default(),
             suspects: Suspects::new(now),
             budget,
--- a/crates/core/src/gateway/state/peers.rs
+++ b/crates/core/src/gateway/state/peers.rs
@@ -262,7 +262,7 @@
         let heard_most_seeds = self.members.has_heard_most_seeds();
         self.fleet.tick(now, live, heard_most_seeds);
         self.budget.set_known(now, self.fleet.settled());
-        self.cold.tick(now);
+        self.shares.tick(now);
         let endpoints = &self.endpoints;
         self.limits.tick(now, |it| endpoints.get(it).is_some());
         self.outbox.tick(now);
--- a/crates/core/src/gateway/state/places.rs
+++ b/crates/core/src/gateway/state/places.rs
@@ -82,7 +82,7 @@
 
     /// Counts a request to an endpoint that bears a bounded rate.
     fn note_bounded(&mut self, now: Time, key: EndpointKey) {
-        self.cold.note(now, key);
+        self.shares.note(now, key);
         self.limits.note_sent(now, key);
     }
 
@@ -103,15 +103,15 @@
     /// Returns whether this instance may send a request to an endpoint that bears `rate` a second
     /// without asking anybody.
     fn has_part(&self, now: Time, key: EndpointKey, rate: f64) -> bool {
-        self.cold_left(now, key, rate) > 0 || {
+        self.part_left(now, key, rate) > 0 || {
             let rank = cold::rank(self.cfg.address, &self.fleet, key);
             self.limits.may_ask_again(now, key, rank)
         }
     }
 
-    fn cold_left(&self, now: Time, key: EndpointKey, rate: f64) -> u32 {
+    fn part_left(&self, now: Time, key: EndpointKey, rate: f64) -> u32 {
         let own = self.cfg.address;
-        self.cold.left(now, own, &self.fleet, key, rate)
+        self.shares.left(now, own, &self.fleet, key, rate)
     }
 
     /// Returns whether a request for which an endpoint was chosen at `chosen` may still be sent
@@ -134,7 +134,7 @@
         let Some(bound) = self.rate_bound(now, key) else {
             return true;
         };
-        let is_admitted = self.cold_left(now, key, bound * OWN_PART) > 0;
+        let is_admitted = self.part_left(now, key, bound * OWN_PART) > 0;
         if is_admitted {
             self.note_bounded(now, key);
         }
