--- a/crates/gateway/src/relay/go_on.rs
+++ b/crates/gateway/src/relay/go_on.rs
@@ -230,7 +230,11 @@
             if Instant::now() >= ends {
                 break;
             }
-            sleep(REPEAT_PAUSE).await;
+            tokio::select! {
+                () = sleep(REPEAT_PAUSE) => {}
+                // Nothing is sent for a caller that left.
+                () = self.tx.closed() => return false,
+            }
         }
         self.job.spend_repeat(kind)
     }
