More of what repeats earn may be held, so that generations of one engine go on together

Cause: an instance held 1.6 repeats there, and two generations of one engine that ends need two at once.

Change: 0.35 and 0.55 of the ratio are held and earned, 0.6 and 0.3 of the allowance; the sums stay 0.9.

--- a/crates/core/src/gateway/budget.rs
+++ b/crates/core/src/gateway/budget.rs
@@ -15,16 +15,16 @@
 use std::collections::{BTreeMap, VecDeque};
 
 /// The part of the ratio that each request earns.
-const EARNED_SHARE: f64 = 0.75;
+const EARNED_SHARE: f64 = 0.55;
 
 /// The part of the ratio, for the requests of the last window, that may be held.
-const HELD_SHARE: f64 = 0.15;
+const HELD_SHARE: f64 = 0.35;
 
 /// The part of the allowance that is earned within each window.
-const ALLOWANCE_EARNED: f64 = 0.4;
+const ALLOWANCE_EARNED: f64 = 0.3;
 
 /// The part of the allowance that may be held.
-const ALLOWANCE_HELD: f64 = 0.5;
+const ALLOWANCE_HELD: f64 = 0.6;
 
 /// Repeats that are kept for generations that go on, where so many may be held: their callers hold
 /// a part of the answer already.
