--- a/crates/core/src/gateway/endpoints.rs
+++ b/crates/core/src/gateway/endpoints.rs
@@ -329,17 +329,6 @@
         may_have_cooled || now < endpoint.cold_until
     }
 
-    /// Returns the endpoints of a service that are usable and cold.
-    pub fn cold_of(
-        &self,
-        now: Time,
-        service: &str,
-        limits: &ColdLimits,
-    ) -> impl Iterator<Item = EndpointKey> {
-        let usable = self.usable_of(service).map(|it| it.key);
-        usable.filter(move |&key| self.is_cold(now, key, limits))
-    }
-
     /// Returns whether new work may be sent to an endpoint. Whoever sends, reserves or copies
     /// something asks this, and asks again right before the first byte.
     pub fn is_usable(&self, key: EndpointKey) -> bool {
