What endpoints announce in responses is decoded and logged, without effect yet

Nothing told apart whether an announcement was not read, or read and lost again. The head of each response is decoded for two more values: whether the endpoint is leaving, and the delay that a refusal with 503 asks for. [840], [841] and [842] log them with the attempt. A response of another attempt is read too: its connection belongs to this request, so it is the endpoint that speaks. A response with 421 is not: another process sent it.

Ruled out: reading the replies to orders to copy a generation. They come from engines that are known to leave, and a refusal there speaks of the copy.

No decision changes. Values that cannot be parsed have no effect.

--- a/crates/gateway/src/event_log.rs
+++ b/crates/gateway/src/event_log.rs
@@ -153,6 +153,14 @@
     LimitLifted = 838, "endpoint_limit_ended", Info, USUAL;
     /// The rate limit that an endpoint reported cannot be parsed; the previous one stays in force.
     LimitUnreadable = 839, "endpoint_limit_unreadable", Warn, FEW;
+    /// A response of an endpoint announced that the endpoint is leaving; the line names the attempt
+    /// and says whether this instance knew it already.
+    LeavingAnnounced = 840, "endpoint_leaving_announced", Info, USUAL;
+    /// An endpoint refused a request and wants no new ones from this instance for `ms`.
+    BackoffRequested = 841, "endpoint_backoff_requested", Info, USUAL;
+    /// What an endpoint announced about itself cannot be parsed and has no effect; the line says
+    /// whether it is `leaving` or `backoff`.
+    AnnouncementUnreadable = 842, "endpoint_announcement_unreadable", Warn, FEW;
 }
 
 /// The lines of one event in the current second.
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -5,7 +5,9 @@
 use crate::log_event;
 use crate::meters::{ByReason, millis};
 use crate::placement::{PlacementParams, request_placement};
-use crate::ports::{CallerHead, ForwardHead, LastEventId, ResponseHead, Wire};
+use crate::ports::{
+    Announced, Announcements, CallerHead, ForwardHead, LastEventId, ResponseHead, Wire,
+};
 use crate::response::{Reason, ResponseBody, refuse};
 use crate::run_lease::RunGuard;
 use crate::store::Source;
@@ -164,8 +166,38 @@
         if let Some(change) = limit {
             self.cx.announce_limit(&change, Source::Endpoint);
         }
-        if head.wrong_endpoint {
-            self.record_replaced(place);
+        match head.wrong_endpoint {
+            // Another process responded, which speaks for itself only.
+            true => self.record_replaced(place),
+            false => self.observe_announcements(place, &head.announced),
+        }
+    }
+
+    /// Logs what an endpoint announces about itself in a response.
+    pub fn observe_announcements(&self, place: &Placement, announced: &Announcements) {
+        let endpoint = place.name.as_str();
+        match announced.leaving {
+            Announced::Value(true) => {
+                let was_known = self.cx.state().leaving_since(place.key).is_some();
+                log_event!(
+                    LeavingAnnounced,
+                    attempt = self.name(),
+                    endpoint = endpoint,
+                    was_known = was_known
+                );
+            }
+            Announced::Unreadable => log_unreadable(endpoint, "leaving"),
+            Announced::Value(false) | Announced::Absent => {}
+        }
+        match announced.backoff {
+            Announced::Value(time) => log_event!(
+                BackoffRequested,
+                attempt = self.name(),
+                endpoint = endpoint,
+                ms = millis(time)
+            ),
+            Announced::Unreadable => log_unreadable(endpoint, "backoff"),
+            Announced::Absent => {}
         }
     }
 
@@ -371,6 +403,10 @@
     }
 }
 
+fn log_unreadable(endpoint: &str, what: &str) {
+    log_event!(AnnouncementUnreadable, endpoint = endpoint, what = what);
+}
+
 fn log_ejection(place: &Placement, passed_over: bool) {
     if passed_over {
         log_event!(EndpointEjected, endpoint = place.name.as_str());
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -82,6 +82,29 @@
     pub resume: Option<Resume<'a>>,
 }
 
+/// The value of an optional response header.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Announced<T> {
+    /// The header is absent.
+    #[default]
+    Absent,
+    /// The header has a valid value.
+    Value(T),
+    /// The value cannot be parsed; it has no effect.
+    Unreadable,
+}
+
+/// What an endpoint announces about itself in the head of any response.
+///
+/// See `docs/design/endpoint-announcements.md` for what follows from it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Announcements {
+    /// Whether it is leaving.
+    pub leaving: Announced<bool>,
+    /// For how long it wants no new requests from this instance, in a refusal.
+    pub backoff: Announced<Duration>,
+}
+
 /// The values in the head of an endpoint's response.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct ResponseHead {
@@ -97,6 +120,8 @@
     pub cold_for: Option<Duration>,
     /// The rate limit that the endpoint reports: requests a second from all instances together.
     pub limit: ResponseLimit,
+    /// What the endpoint announces about itself.
+    pub announced: Announcements,
 }
 
 /// One page of the store's records.
--- a/crates/gateway/src/relay/begin.rs
+++ b/crates/gateway/src/relay/begin.rs
@@ -155,6 +155,9 @@
         let wire = &self.job.cx.wire;
         let head = wire.response_head(parts.status, &parts.headers, attempt);
         if head.wrong_attempt {
+            // What an endpoint says about itself holds whichever request the response belongs to.
+            self.job
+                .observe_announcements(&self.engine, &head.announced);
             return AttemptStart::Failed(Reason::WrongAttempt);
         }
         self.job
