--- a/crates/core/tests/gateway_endpoints.rs
+++ b/crates/core/tests/gateway_endpoints.rs
@@ -228,3 +228,46 @@
     assert!(!meanwhile);
     assert!(is_usable(&table, key));
 }
+
+/// Guards against new work for an endpoint that announced to leave minutes ago, and whose record
+/// still stands because the endpoint does not reach the store.
+#[test]
+fn leaving_is_remembered_for_as_long_as_the_record_stands() {
+    let (mut table, key) = table();
+    table.mark_leaving(Time::from_secs(1), key);
+
+    for minute in 1..=10 {
+        let now = Time::from_secs(60 * minute + 5);
+        table.tick(now, false);
+        table.apply_record(now, record("e-1", false));
+
+        assert!(!is_usable(&table, key), "after {minute} minutes");
+    }
+}
+
+/// Guards against a record that is written again after an outage and restores an endpoint that
+/// announced to leave before it.
+#[test]
+fn leaving_is_remembered_for_a_while_after_the_record_is_gone() {
+    let (mut table, key) = table();
+    table.mark_leaving(Time::from_secs(1), key);
+    table.tick(Time::from_secs(300), true);
+    table.remove_record(Time::from_secs(300), "e-1", true);
+
+    table.tick(Time::from_secs(303), false);
+    table.apply_record(Time::from_secs(303), record("e-1", false));
+
+    assert!(!is_usable(&table, key));
+}
+
+/// Guards against memory that grows with every endpoint that ever left.
+#[test]
+fn endpoints_that_left_are_forgotten_once_their_records_are_gone() {
+    let (mut table, key) = table();
+    table.mark_leaving(Time::from_secs(1), key);
+    table.remove_record(Time::from_secs(300), "e-1", false);
+
+    table.tick(Time::from_secs(361), false);
+
+    assert!(table.get(key).is_none());
+}
