An endpoint that announces in a response that it is leaving gets no more requests

Callers saw requests fail at an endpoint that was about to end: it had said so in its responses for seconds, while the store, which would have told all instances, was unavailable. Requests reached it 2.1 to 2.6 s after an instance had passed on such a response; the bound is 2 s.

Cause: the store was the only source of this fact.

Change: the announcement marks the incarnation as leaving, as its record, a peer or a 421 does; the mark is gossiped as those are, once for each endpoint, so that nothing grows with the number of instances. Running generations leave the engine as after a notice. A response without the header takes nothing back.

Ruled out: an announcement that was read and then overwritten by a record (a_later_record_does_not_take_an_announcement_back); requests chosen before the response (the tests send one after the other).

--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -173,18 +173,25 @@
         }
     }
 
-    /// Logs what an endpoint announces about itself in a response.
+    /// Applies what an endpoint announces about itself in a response.
+    ///
+    /// An endpoint that leaves may be unable to say so in the store, which may be unavailable. The
+    /// announcement is then the only notice that instances get.
     pub fn observe_announcements(&self, place: &Placement, announced: &Announcements) {
         let endpoint = place.name.as_str();
         match announced.leaving {
             Announced::Value(true) => {
-                let was_known = self.cx.state().leaving_since(place.key).is_some();
+                let now = self.cx.now();
+                let is_new = self.cx.state().endpoints.mark_leaving(now, place.key);
                 log_event!(
                     LeavingAnnounced,
                     attempt = self.name(),
                     endpoint = endpoint,
-                    was_known = was_known
+                    was_known = !is_new
                 );
+                if is_new {
+                    self.cx.announce_leaving(&[place.key]);
+                }
             }
             Announced::Unreadable => log_unreadable(endpoint, "leaving"),
             Announced::Value(false) | Announced::Absent => {}
