An endpoint that leaves is remembered for as long as its record stands

Callers would have been sent to an endpoint that was about to end: the mark was forgotten a minute after it was set, with the endpoint, and the next heartbeat of an incarnation whose record still said ready made it usable again. Records and marks of peers hid this, since a record that says leaving sets the mark anew; an announcement in a response, a 421 or a report of a peer do so once.

Change: the minute is counted from the moment at which the record was last seen to stand. Memory: marks are bounded by the records of the store and by the endpoints that left in the last minute, as before.

--- a/crates/core/src/gateway/endpoints.rs
+++ b/crates/core/src/gateway/endpoints.rs
@@ -17,7 +17,8 @@
 /// as leaving. The publisher promises to write records again within about two seconds.
 pub const LAPSE_GRACE: Duration = Duration::from_millis(2_200);
 
-/// How long an endpoint that left is remembered, so that a delayed update does not restore it.
+/// How long an endpoint that left is remembered after its record was removed, so that a delayed
+/// update does not restore it.
 const GONE_RETENTION: Duration = Duration::from_secs(60);
 
 /// Consecutive failures after which an endpoint is ejected. A single failure may be caused by the
@@ -113,6 +114,8 @@
     pub record: EndpointRecord,
     /// Whether it accepts new work.
     pub state: EndpointState,
+    /// Whether its record stands, as far as this instance knows.
+    has_record: bool,
     /// Until when it is cold.
     pub cold_until: Time,
     /// When the endpoint last reported its cold time.
@@ -163,7 +166,8 @@
     endpoints: BTreeMap<EndpointKey, Endpoint>,
     /// The newest incarnation known under each published name, with its start time.
     newest: BTreeMap<String, (Option<u64>, EndpointKey)>,
-    /// Endpoints known to be leaving, with or without a known record.
+    /// Endpoints known to be leaving, with or without a known record: when they were marked, or
+    /// when their record was last seen to stand.
     known_leaving: BTreeMap<EndpointKey, Time>,
     cordons: Cordons,
 }
@@ -182,8 +186,11 @@
             if newest_start > record.started_unix_ms {
                 return started_leaving;
             }
-            if previous != key && self.mark_leaving(now, previous) {
-                started_leaving.push(previous);
+            if previous != key {
+                self.withdraw_record(previous);
+                if self.mark_leaving(now, previous) {
+                    started_leaving.push(previous);
+                }
             }
         }
         self.newest
@@ -206,6 +213,7 @@
             key,
             record: record.clone(),
             state: EndpointState::Serving,
+            has_record: true,
             cold_until,
             cold_reported_at: now,
             failures: 0,
@@ -213,6 +221,7 @@
             failure_share: 0.0,
         });
         endpoint.record = record;
+        endpoint.has_record = true;
         endpoint.cold_until = cold_until;
         endpoint.cold_reported_at = now;
         if leaving {
@@ -232,6 +241,7 @@
             self.known_leaving.insert(EndpointKey::of(name), now);
             return None;
         };
+        self.withdraw_record(key);
         match self.endpoints.get_mut(&key) {
             Some(endpoint) if unsettled && endpoint.state == EndpointState::Serving => {
                 endpoint.state = EndpointState::Lapsed { since: now };
@@ -241,6 +251,12 @@
         }
     }
 
+    fn withdraw_record(&mut self, key: EndpointKey) {
+        if let Some(endpoint) = self.endpoints.get_mut(&key) {
+            endpoint.has_record = false;
+        }
+    }
+
     /// Applies a record that can no longer be parsed. Running requests continue; new ones are sent
     /// again once a readable record is written.
     pub fn mark_unreadable(&mut self, name: &str) {
@@ -282,8 +298,9 @@
         for &key in &gone {
             self.mark_leaving(now, key);
         }
+        self.confirm_standing_records(now);
         self.known_leaving
-            .retain(|_, since| now.since(*since) < GONE_RETENTION);
+            .retain(|_, confirmed| now.since(*confirmed) < GONE_RETENTION);
         let known_leaving = &self.known_leaving;
         self.endpoints.retain(|key, endpoint| {
             endpoint.leaving_since().is_none() || known_leaving.contains_key(key)
@@ -294,6 +311,17 @@
         gone
     }
 
+    /// Keeps the marks of leaving endpoints whose record stands. An endpoint that does not reach the
+    /// store cannot withdraw its record, and its next heartbeat would restore it if the mark were
+    /// forgotten.
+    fn confirm_standing_records(&mut self, now: Time) {
+        for endpoint in self.endpoints.values().filter(|it| it.has_record) {
+            if let Some(confirmed) = self.known_leaving.get_mut(&endpoint.key) {
+                *confirmed = now;
+            }
+        }
+    }
+
     /// Applies the operator's cordon of a data centre.
     pub fn apply_cordon(&mut self, now: Time, cordon: &Cordon) -> CordonEffect {
         self.cordons.apply(now, cordon)
