A request that starts at an engine is not sent there once the engine leaves

Change: the question moves into the core (Gateway::admit_send) and is asked with whether there is a copy. The rate limit of the engine follows the same distinction: what starts was counted when its engine was granted, so that it is no longer counted a second time as a generation that resumes.

--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -6,6 +6,7 @@
 mod suspects;
 
 pub use peers::{DatagramOutcome, DropReason, GOSSIP_DELAY, TICK};
+pub use places::SendKind;
 
 use super::beacons::Beacons;
 use super::budget::{BudgetConfig, SharedRetryBudget};
--- a/crates/core/src/gateway/state/places.rs
+++ b/crates/core/src/gateway/state/places.rs
@@ -42,6 +42,15 @@
     is_empty: bool,
 }
 
+/// How a request that is sent to an endpoint runs there.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SendKind {
+    /// From its beginning, or from the last event that its caller has, without a copy.
+    Start,
+    /// From a copy of a generation that ran at another engine.
+    FromCopy,
+}
+
 impl Gateway {
     /// Chooses the endpoint for a request with the knowledge of this instance.
     ///
@@ -122,8 +131,28 @@
     }
 
     /// Returns whether a request for which an endpoint was chosen at `chosen` may still be sent
-    /// there. Counts it if the endpoint has set a rate limit since then.
-    pub fn admit_to_limit(&mut self, now: Time, key: EndpointKey, chosen: Time) -> bool {
+    /// there. To be asked right before the first byte: between choosing and sending, a connection
+    /// is opened and the process may have been suspended.
+    ///
+    /// A generation may resume from a copy at an engine that began to leave meanwhile: the copy is
+    /// there, and the notice is longer than this delay. A request that starts there may not, even
+    /// if its caller already has events of it. Nothing is sent to a cordoned data centre.
+    pub fn admit_send(
+        &mut self,
+        now: Time,
+        key: EndpointKey,
+        chosen: Time,
+        kind: SendKind,
+    ) -> bool {
+        match kind {
+            SendKind::Start => self.is_usable(key) && self.admit_to_limit(now, key, chosen),
+            SendKind::FromCopy => !self.endpoints.is_cordoned(key) && self.admit_resumed(now, key),
+        }
+    }
+
+    /// Returns whether a request for which an endpoint was chosen at `chosen` may still be sent
+    /// there within the endpoint's rate limit. Counts it if the endpoint has set a limit since then.
+    fn admit_to_limit(&mut self, now: Time, key: EndpointKey, chosen: Time) -> bool {
         let is_new = self.limits.since(key).is_some_and(|at| at > chosen);
         let Some(rate) = self.rate_limit(now, key).filter(|_| is_new) else {
             return true;
@@ -137,7 +166,7 @@
 
     /// Returns whether a generation may resume at an engine within the engine's rate limit, and
     /// counts it.
-    pub fn admit_resumed(&mut self, now: Time, key: EndpointKey) -> bool {
+    fn admit_resumed(&mut self, now: Time, key: EndpointKey) -> bool {
         let Some(bound) = self.rate_limit(now, key) else {
             return true;
         };
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -24,7 +24,7 @@
 use oriolemux_core::gateway::placement::{HOME_TIMEOUT, PlacementKind};
 use oriolemux_core::gateway::queue::{QueuedRequest, service_hash};
 use oriolemux_core::gateway::rate_limits::ResponseLimit;
-use oriolemux_core::gateway::state::Placement;
+use oriolemux_core::gateway::state::{Placement, SendKind};
 use oriolemux_core::gateway::usage::Usage;
 use oriolemux_core::gateway::{Demand, EntryId, Gateway, RequestKind};
 use oriolemux_core::ids::EndpointKey;
@@ -372,12 +372,7 @@
     }
 
     /// Connects to `place` and sends the request, unless the endpoint was withdrawn since it was
-    /// chosen.
-    ///
-    /// Between choosing and sending, a connection is opened and the process may have been
-    /// suspended. A generation that resumes may be sent to an engine that began to leave
-    /// meanwhile: its copy is there, and the notice is longer than this delay. Nothing is sent to
-    /// a cordoned data centre.
+    /// chosen ([`Gateway::admit_send`]).
     ///
     /// # Errors
     ///
@@ -390,19 +385,12 @@
         let chosen = self.cx.now();
         let limit = self.cx.limits.connect.min(self.remaining());
         let mut link = Link::connect(place.address, limit).await?;
-        let is_withdrawn = {
-            let now = self.cx.now();
-            let mut state = self.cx.state();
-            match send.resume {
-                Some(_) => {
-                    state.endpoints.is_cordoned(place.key) || !state.admit_resumed(now, place.key)
-                }
-                None => {
-                    !state.is_usable(place.key) || !state.admit_to_limit(now, place.key, chosen)
-                }
-            }
+        let kind = match send.resume.and_then(|it| it.copy) {
+            Some(_) => SendKind::FromCopy,
+            None => SendKind::Start,
         };
-        if is_withdrawn {
+        let now = self.cx.now();
+        if !self.cx.state().admit_send(now, place.key, chosen, kind) {
             return Err(LinkError::Withdrawn);
         }
         let response = link.send(self.request(send)).await?;
