An endpoint that requests a backoff in a refusal gets no requests meanwhile

Callers saw 503 not_run_at_endpoint at three times the usual rate of one endpoint: it refused everything within a millisecond and asked for 3 s.

Cause: no code read the delay of a refusal. A refused request changed nothing in what an instance knows, so that an endpoint that refuses at once has nothing running and is the cheapest one for the next request too. Class: as with the announcement that an endpoint leaves, a statement of an endpoint that the decoder of response heads does not know.

Change: gateway::backoff keeps the end of each backoff by incarnation; it is this instance's own. Calls, generations without a home, standby copies, pre-copies, generations that resume and the check right before the first byte all ask for it. A home cannot know the backoffs of others: each placement request in a report excludes them (at most eight, an existing field), a home releases a grant that its request excludes by now, and an instance uses no such grant. Where nothing is left, callers are refused at once with 503 endpoints_backed_off and the time of the first end, spread; generations are queued if that end comes before they would be refused. [841], [843], a gauge, a counter and status show it.

Ruled out: gossiping it (others may be welcome there, and it would grow with the fleet); the list of ejected engines in reports (a preference, and the home tells it to others).

Cost: without backoffs one look at an empty map for each placement; with them, up to eight keys in each queued placement request.

--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -12,6 +12,7 @@
 //! | [`cordons`] | data centres that the operator closed to new work |
 //! | [`cold`] | rate limits of endpoints, in particular of cold ones |
 //! | [`rate_limits`] | rate limits that endpoints report for themselves |
+//! | [`backoff`] | endpoints that want no requests from this instance for a while |
 //! | [`endpoints`] | which endpoints exist, which are leaving, which are ejected |
 //! | [`lengths`] | the remaining length of a generation |
 //! | [`usage`] | usage of each endpoint by this instance, and by others as far as known |
@@ -30,6 +31,7 @@
 //! | [`catch_up`] | how an instance gets updates that it missed |
 //! | [`state`] | all of the above behind one type |
 
+pub mod backoff;
 pub mod beacons;
 pub mod budget;
 pub mod catalogue;
--- a/crates/core/src/gateway/choose.rs
+++ b/crates/core/src/gateway/choose.rs
@@ -117,6 +117,8 @@
     Cordoned,
     /// All have reached the rate limit that they reported.
     RateLimited,
+    /// All requested a backoff of this instance.
+    BackedOff,
 }
 
 /// Returns the endpoint with the lowest cost. `jitter` returns a random number below one for each
--- a/crates/core/src/gateway/home.rs
+++ b/crates/core/src/gateway/home.rs
@@ -129,7 +129,11 @@
         };
         let requests = report.requests.into_iter().take(MAX_QUEUED_PER_INSTANCE);
         let requests: Vec<PlacementRequest> = requests.map(|it| it.into_request(now)).collect();
-        reserved.retain(|id, _| requests.iter().any(|it| it.queued.id == *id));
+        // A grant of an engine that the request excludes by now cannot be used.
+        reserved.retain(|id, (key, _)| {
+            let mut open = requests.iter();
+            open.any(|it| it.queued.id == *id && !it.exclude.contains(key))
+        });
         for &engine in &report.ejected {
             let known = self.reporters.get(&from);
             if !known.is_some_and(|it| it.ejected.contains(&engine)) {
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -8,6 +8,7 @@
 pub use peers::{DatagramOutcome, DropReason, GOSSIP_DELAY, TICK};
 pub use places::SendKind;
 
+use super::backoff::Backoffs;
 use super::beacons::Beacons;
 use super::budget::{BudgetConfig, SharedRetryBudget};
 use super::catalogue::{Catalogue, CatalogueFinding, CatalogueSource};
@@ -28,6 +29,7 @@
 use super::usage::{ReportedLoad, UsageTable};
 use crate::ids::{EndpointKey, Incarnation};
 use crate::time::Time;
+use core::time::Duration;
 use places::Reported;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -57,6 +59,8 @@
 pub struct TickOutcome {
     /// Endpoints that have begun to leave.
     pub leaving: Vec<EndpointKey>,
+    /// Endpoints whose backoff has ended.
+    pub backoffs_ended: Vec<EndpointKey>,
     /// Instances that are now considered gone.
     pub silent: Vec<SocketAddrV4>,
     /// Whether a request that waits for a placement or a run lease may have a decision.
@@ -117,6 +121,8 @@
     shares: RateShares,
     /// Rate limits that endpoints set for themselves.
     pub limits: RateLimits,
+    /// Backoffs that endpoints requested of this instance.
+    pub backoffs: Backoffs,
     /// Requests that may crash endpoints.
     pub suspects: Suspects,
     /// Retry budget that is shared by the fleet.
@@ -159,6 +165,7 @@
             fleet,
             shares: RateShares::new(now),
             limits: RateLimits::default(),
+            backoffs: Backoffs::default(),
             suspects: Suspects::new(now),
             budget,
             catalogue: None,
@@ -302,6 +309,47 @@
         self.endpoints.is_usable(key)
     }
 
+    /// Returns whether this instance may send new work to an endpoint.
+    pub fn may_send(&self, now: Time, key: EndpointKey) -> bool {
+        self.is_usable(key) && !self.backoffs.is_active(now, key)
+    }
+
+    /// Returns whether this instance may ask an engine to resume a generation from a copy, for
+    /// which the engine may be leaving.
+    pub fn may_resume_at(&self, now: Time, key: EndpointKey) -> bool {
+        !self.endpoints.is_cordoned(key) && !self.backoffs.is_active(now, key)
+    }
+
+    /// Applies the backoff that an endpoint requests of this instance.
+    pub fn request_backoff(&mut self, now: Time, key: EndpointKey, delay: Duration) {
+        self.backoffs.request(now, key, delay);
+        // A home must not grant the endpoint to the requests that are queued there.
+        self.placement_changes += 1;
+    }
+
+    /// Returns whether any endpoint of a service requested a backoff of this instance.
+    pub fn avoids_any(&self, now: Time, service: &str) -> bool {
+        let mut usable = self.endpoints.usable_of(service);
+        usable.any(|it| self.backoffs.is_active(now, it.key))
+    }
+
+    /// Returns when the first backoff ends if backoffs are the only reason why a service has no
+    /// endpoint outside `exclude` to which this instance may send; `None` otherwise.
+    pub fn backed_off_until(
+        &self,
+        now: Time,
+        service: &str,
+        exclude: &[EndpointKey],
+    ) -> Option<Time> {
+        let usable = self.endpoints.usable_of(service).map(|it| it.key);
+        let mut first: Option<Time> = None;
+        for key in usable.filter(|it| !exclude.contains(it)) {
+            let ends = self.backoffs.ends(now, key)?;
+            first = Some(first.map_or(ends, |it| it.min(ends)));
+        }
+        first
+    }
+
     /// Applies the operator's cordon of a data centre, or its end, and queues it as gossip; returns
     /// what it means for this instance.
     pub fn publish_cordon(&mut self, now: Time, cordon: Cordon) -> CordonEffect {
--- a/crates/core/src/gateway/state/peers.rs
+++ b/crates/core/src/gateway/state/peers.rs
@@ -292,6 +292,10 @@
         self.shares.tick(now);
         let endpoints = &self.endpoints;
         self.limits.tick(now, |it| endpoints.get(it).is_some());
+        outcome.backoffs_ended = self.backoffs.tick(now, |it| endpoints.get(it).is_some());
+        if !outcome.backoffs_ended.is_empty() {
+            self.placement_changes += 1;
+        }
         self.outbox.tick(now);
         self.update_behind(now);
         self.send_gossip(now, &mut outcome.send);
--- a/crates/core/src/gateway/state/places.rs
+++ b/crates/core/src/gateway/state/places.rs
@@ -21,6 +21,7 @@
 use core::time::Duration;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
+use std::borrow::Cow;
 use std::collections::BTreeSet;
 use std::net::SocketAddrV4;
 
@@ -28,6 +29,11 @@
 /// engine: about the duration of one prefill.
 const PREFILL_VIEW_TTL: Duration = Duration::from_millis(500);
 
+/// Maximum number of backoffs that each placement request in a report excludes. A report with the
+/// maximum number of requests still fits a datagram. If a home grants an engine with a backoff that
+/// was left out, that backoff is reported next.
+const MAX_REPORTED_BACKOFFS: usize = 8;
+
 /// The home of a service and the next in rank.
 type Ranks = [Option<SocketAddrV4>; 2];
 
@@ -59,15 +65,12 @@
     /// Returns why there is none.
     pub fn place(&mut self, now: Time, demand: &Demand<'_>) -> Result<Placement, PlacementError> {
         let at_limit = self.at_limit(now, demand);
-        let both;
-        let exclude = match at_limit.is_empty() {
-            true => demand.exclude,
-            false => {
-                both = [demand.exclude, &at_limit].concat();
-                &both
-            }
+        let exclude = self.with_unavailable(now, demand.exclude, &at_limit);
+        let backed_off_until = self.backed_off_until(now, demand.service, demand.exclude);
+        let demand = Demand {
+            exclude: &exclude,
+            ..*demand
         };
-        let demand = Demand { exclude, ..*demand };
         let mut rng = self.fork_rng();
         let key = choose::choose(self.context(now, demand.service), &demand, || rng.random());
         let has_limit = |key: &EndpointKey| self.limits.of(*key).is_some();
@@ -75,6 +78,7 @@
             PlacementError::NoEndpoint if at_limit.iter().any(has_limit) => {
                 PlacementError::RateLimited
             }
+            PlacementError::NoEndpoint if backed_off_until.is_some() => PlacementError::BackedOff,
             PlacementError::NoEndpoint if !at_limit.is_empty() => PlacementError::Full,
             why => why,
         })?;
@@ -84,6 +88,22 @@
         self.place_at(key).ok_or(PlacementError::NoEndpoint)
     }
 
+    /// Returns `exclude` with the endpoints in `at_limit` and those that requested a backoff.
+    fn with_unavailable<'a>(
+        &self,
+        now: Time,
+        exclude: &'a [EndpointKey],
+        at_limit: &[EndpointKey],
+    ) -> Cow<'a, [EndpointKey]> {
+        let mut backed_off = self.backoffs.active(now).peekable();
+        if at_limit.is_empty() && backed_off.peek().is_none() {
+            return Cow::Borrowed(exclude);
+        }
+        let mut all = [exclude, at_limit].concat();
+        all.extend(backed_off);
+        Cow::Owned(all)
+    }
+
     fn cold_limits(&self, service: &str) -> Option<ColdLimits> {
         self.catalogue.as_ref()?.cold_limits(service)
     }
@@ -136,7 +156,8 @@
     ///
     /// A generation may resume from a copy at an engine that began to leave meanwhile: the copy is
     /// there, and the notice is longer than this delay. A request that starts there may not, even
-    /// if its caller already has events of it. Nothing is sent to a cordoned data centre.
+    /// if its caller already has events of it. Nothing is sent to a cordoned data centre, or to an
+    /// endpoint that requested a backoff of this instance.
     pub fn admit_send(
         &mut self,
         now: Time,
@@ -145,8 +166,8 @@
         kind: SendKind,
     ) -> bool {
         match kind {
-            SendKind::Start => self.is_usable(key) && self.admit_to_limit(now, key, chosen),
-            SendKind::FromCopy => !self.endpoints.is_cordoned(key) && self.admit_resumed(now, key),
+            SendKind::Start => self.may_send(now, key) && self.admit_to_limit(now, key, chosen),
+            SendKind::FromCopy => self.may_resume_at(now, key) && self.admit_resumed(now, key),
         }
     }
 
@@ -198,7 +219,7 @@
             .get(source)
             .ok_or(PlacementError::NoEndpoint)?;
         let at_limit = self.at_limit(now, demand);
-        let exclude = [demand.exclude, &at_limit].concat();
+        let exclude = self.with_unavailable(now, demand.exclude, &at_limit);
         let demand = Demand {
             exclude: &exclude,
             ..*demand
@@ -208,6 +229,15 @@
             .ok_or(PlacementError::Full)
     }
 
+    /// Returns the placement at an endpoint that a home granted, if this instance may send there.
+    pub fn granted_place(&mut self, now: Time, key: EndpointKey) -> Option<Placement> {
+        if self.backoffs.is_active(now, key) {
+            self.backoffs.on_granted(now, key);
+            return None;
+        }
+        self.place_at(key)
+    }
+
     /// Returns the placement at an endpoint, if new work may be sent there.
     pub fn place_at(&self, key: EndpointKey) -> Option<Placement> {
         self.endpoints.usable(key).map(Placement::of)
@@ -371,6 +401,7 @@
             return;
         }
         let acting = self.acting_home(now, service);
+        let backed_off = self.backoffs.last_noticed(now, MAX_REPORTED_BACKOFFS);
         let of_service = |key: &EndpointKey| {
             let endpoint = self.endpoints.get(*key);
             endpoint.is_some_and(|it| service_hash(&it.record.service) == service)
@@ -391,7 +422,11 @@
             requests: self
                 .placements
                 .of(service)
-                .map(|it| it.to_message(now))
+                .map(|it| {
+                    let mut message = it.to_message(now);
+                    message.exclude.extend(&backed_off);
+                    message
+                })
                 .collect(),
         };
         self.reports_sent += 1;
--- a/crates/gateway/src/event_log.rs
+++ b/crates/gateway/src/event_log.rs
@@ -161,6 +161,8 @@
     /// What an endpoint announced about itself cannot be parsed and has no effect; the line says
     /// whether it is `leaving` or `backoff`.
     AnnouncementUnreadable = 842, "endpoint_announcement_unreadable", Warn, FEW;
+    /// The backoff that an endpoint requested has ended; it gets requests again.
+    BackoffEnded = 843, "endpoint_backoff_ended", Info, USUAL;
 }
 
 /// The lines of one event in the current second.
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -41,6 +41,10 @@
         let now = cx.now();
         let ticked = cx.state().tick(now);
         cx.announce_leaving(&ticked.leaving);
+        for endpoint in ticked.backoffs_ended {
+            let name = cx.endpoint_name(endpoint);
+            log_event!(BackoffEnded, endpoint = name.as_str());
+        }
         for peer in ticked.silent {
             log_event!(PeerGone, peer:% = peer);
         }
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -8,7 +8,7 @@
 use crate::ports::{
     Announced, Announcements, CallerHead, ForwardHead, LastEventId, ResponseHead, Wire,
 };
-use crate::response::{Reason, ResponseBody, refuse};
+use crate::response::{Reason, ResponseBody, refuse_until, retry_after, retry_after_backoff};
 use crate::run_lease::RunGuard;
 use crate::store::Source;
 use bytes::Bytes;
@@ -197,12 +197,17 @@
             Announced::Value(false) | Announced::Absent => {}
         }
         match announced.backoff {
-            Announced::Value(time) => log_event!(
-                BackoffRequested,
-                attempt = self.name(),
-                endpoint = endpoint,
-                ms = millis(time)
-            ),
+            Announced::Value(delay) => {
+                let now = self.cx.now();
+                self.cx.state().request_backoff(now, place.key, delay);
+                self.cx.gossip_due.notify_one();
+                log_event!(
+                    BackoffRequested,
+                    attempt = self.name(),
+                    endpoint = endpoint,
+                    ms = millis(delay)
+                );
+            }
             Announced::Unreadable => log_unreadable(endpoint, "backoff"),
             Announced::Absent => {}
         }
@@ -234,12 +239,22 @@
     pub fn refuse(&self, reason: Reason) -> Response<ResponseBody> {
         ByReason::Refused.add(&reason.to_string());
         let caller_timeout = self.head.timeout.unwrap_or(self.entry().timeout);
-        refuse(
+        let remaining = caller_timeout.saturating_sub(self.arrived.elapsed());
+        let delay = retry_after(reason, remaining);
+        refuse_until(
             reason,
-            caller_timeout.saturating_sub(self.arrived.elapsed()),
+            self.backoff_delay().map_or(delay, |it| it.max(delay)),
         )
     }
 
+    /// Returns when a caller may return if all endpoints requested a backoff.
+    fn backoff_delay(&self) -> Option<Duration> {
+        let now = self.cx.now();
+        let mut state = self.cx.state();
+        let until = state.backed_off_until(now, &self.service().name, &[])?;
+        Some(retry_after_backoff(until.since(now), state.draw()))
+    }
+
     /// Chooses an endpoint for a call and counts the call there until [`UsageGuard`] is dropped.
     ///
     /// # Errors
@@ -249,6 +264,7 @@
         &self,
         exclude: &[EndpointKey],
     ) -> Result<(Placement, UsageGuard<W>), PlacementError> {
+        self.count_avoided();
         let now = self.cx.now();
         let mut state = self.cx.state();
         let place = state.place(now, &self.demand(0, exclude))?;
@@ -257,6 +273,14 @@
         Ok(self.placed(place, 0, usage))
     }
 
+    /// Counts the request if endpoints are left out for a backoff.
+    fn count_avoided(&self) {
+        let now = self.cx.now();
+        if self.cx.state().avoids_any(now, &self.service().name) {
+            ByReason::Avoided.add("backoff");
+        }
+    }
+
     /// Requests an engine until `deadline`, and counts the generation there as
     /// [`Job::place`] does.
     ///
@@ -268,6 +292,7 @@
         params: PlacementParams<'_>,
         deadline: Instant,
     ) -> Result<(Placement, UsageGuard<W>), PlacementError> {
+        self.count_avoided();
         let begin =
             |state: &mut Gateway, place: &Placement| self.begin_use(state, place, params.tokens);
         let (place, usage) = request_placement(self, params, deadline, begin).await?;
--- a/crates/gateway/src/meters.rs
+++ b/crates/gateway/src/meters.rs
@@ -60,6 +60,9 @@
         DatagramsDropped = "oriolemux_gateway_datagrams_dropped_total";
         /// Places at engines and for copies, by who decided: the `home`, or this instance `alone`.
         Places = "oriolemux_gateway_places_total";
+        /// Requests for which endpoints were left out that would have been considered otherwise: for
+        /// a `backoff` that they requested.
+        Avoided = "oriolemux_gateway_endpoints_avoided_total";
     }
 }
 
@@ -80,6 +83,8 @@
         EndpointsLapsed = "oriolemux_gateway_endpoints_lapsed";
         /// Endpoints that leave.
         EndpointsLeaving = "oriolemux_gateway_endpoints_leaving";
+        /// Endpoints that requested a backoff of this instance.
+        EndpointsBackedOff = "oriolemux_gateway_endpoints_backed_off";
         /// Data centres that the operator closed to new work.
         DataCentresCordoned = "oriolemux_gateway_data_centres_cordoned";
         /// Other instances that take part.
@@ -165,6 +170,10 @@
             Gauge::EndpointsLeaving,
             endpoints(|it| matches!(it, EndpointState::Leaving { .. })),
         ),
+        (
+            Gauge::EndpointsBackedOff,
+            state.backoffs.active(now).count() as f64,
+        ),
         (
             Gauge::DataCentresCordoned,
             state.endpoints.cordons().closed().count() as f64,
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -90,19 +90,23 @@
             return Err(PlacementError::Cordoned);
         }
         let now = cx.now();
+        if is_backed_off_beyond(job, params.exclude, deadline) {
+            return Err(PlacementError::BackedOff);
+        }
         let is_past_deadline = Instant::now() >= deadline;
         let mut poll_interval = POLL_INTERVAL;
         let why = {
             let mut state = cx.state();
             match state.verdict(now, id) {
                 PlacementStatus::Decided(PlacementDecision::Granted(key)) => {
-                    if let Some(place) = state.place_at(key) {
+                    if let Some(place) = state.granted_place(now, key) {
                         let granted = on_granted(&mut state, &place);
                         state.withdraw_placement(id);
                         ByReason::Places.add("home");
                         return Ok((place, granted));
                     }
-                    // The engine began to leave while the decision was on its way.
+                    // The engine began to leave, or requested a backoff, while the decision was on
+                    // its way.
                     state.retry_placement(now, id);
                     PlacementError::NoEndpoint
                 }
@@ -137,6 +141,16 @@
     }
 }
 
+/// Returns whether no engine may be asked before `deadline` because all requested a backoff.
+fn is_backed_off_beyond<W: Wire>(job: &Job<W>, tried: &[EndpointKey], deadline: Instant) -> bool {
+    let cx = &job.cx;
+    let until = cx
+        .state()
+        .backed_off_until(cx.now(), &job.service().name, tried);
+    let until = until.and_then(|it| cx.clock.instant(it));
+    until.is_some_and(|it| it >= deadline)
+}
+
 fn log_placed_without_home<W: Wire>(job: &Job<W>, place: &Placement) {
     ByReason::Places.add("alone");
     log_event!(
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -289,7 +289,7 @@
             let cx = Arc::clone(&self.job.cx);
             let mut departures = core::pin::pin!(cx.departures.notified());
             departures.as_mut().enable();
-            self.drop_cordoned_pre_copy();
+            self.drop_unusable_pre_copy();
             let wait = match self.next_step() {
                 Step::PreCopy => {
                     self.start_pre_copy().await;
@@ -361,7 +361,7 @@
         let standby = self.standby.as_ref().map(|copy| copy.place.key);
         let pre_copy = self.pre_copy.as_ref().map(|pre_copy| pre_copy.target.key);
         let mut state = cx.state();
-        let standing_takes_work = standby.is_some_and(|key| state.is_usable(key));
+        let standing_takes_work = standby.is_some_and(|key| state.may_send(now, key));
         let target = match self.state.resume_from(now, standing_takes_work) {
             Some(ResumeFrom::PreCopy) => pre_copy,
             Some(ResumeFrom::Standby) => standby,
--- a/crates/gateway/src/relay/begin.rs
+++ b/crates/gateway/src/relay/begin.rs
@@ -192,8 +192,9 @@
     /// withdrawn since it was chosen.
     fn standby_address(&self) -> Option<SocketAddrV4> {
         let place = &self.standby.as_ref()?.place;
+        let now = self.job.cx.now();
         let state = self.job.cx.state();
-        state.is_usable(place.key).then_some(place.address)
+        state.may_send(now, place.key).then_some(place.address)
     }
 
     /// Sends the request to the current engine, to resume from `copy` if there is one.
--- a/crates/gateway/src/relay/resume.rs
+++ b/crates/gateway/src/relay/resume.rs
@@ -14,6 +14,7 @@
 use oriolemux_core::gateway::choose::CopyKind;
 use oriolemux_core::gateway::relocation::STANDBY_MIN_TOKENS;
 use oriolemux_core::gateway::state::Placement;
+use oriolemux_core::ids::EndpointKey;
 use std::net::SocketAddrV4;
 use std::time::Instant;
 use tokio::time::sleep;
@@ -54,20 +55,23 @@
         }
     }
 
-    /// Drops a pre-copy in a data centre that was cordoned; another one can then be made.
-    pub(super) fn drop_cordoned_pre_copy(&mut self) {
+    /// Drops a pre-copy from which the generation may not resume, because the data centre was
+    /// cordoned or the engine requested a backoff; another one can then be made.
+    pub(super) fn drop_unusable_pre_copy(&mut self) {
         let Some(pre_copy) = &self.pre_copy else {
             return;
         };
-        let state = self.job.cx.state();
-        let is_cordoned = state.endpoints.is_cordoned(pre_copy.target.key);
-        drop(state);
-        if is_cordoned {
+        if !self.may_resume_at(pre_copy.target.key) {
             self.pre_copy = None;
             self.state.pre_copy_lost();
         }
     }
 
+    fn may_resume_at(&self, engine: EndpointKey) -> bool {
+        let cx = &self.job.cx;
+        cx.state().may_resume_at(cx.now(), engine)
+    }
+
     pub(super) fn on_pre_copy_ended(&mut self, moved: CopyOutcome) {
         log_event!(
             PreCopyEnded,
@@ -95,11 +99,10 @@
     /// A pre-copy is known to exist, a standby copy is not; if the engine of one refuses, the
     /// other is tried.
     pub(super) async fn relocate(&mut self) -> Option<AttemptStart> {
-        self.drop_cordoned_pre_copy();
+        self.drop_unusable_pre_copy();
         let may_exist = self.state.standby_may_exist(self.job.cx.now());
-        let is_cordoned = |key| self.job.cx.state().endpoints.is_cordoned(key);
         let standby = self.standby.take();
-        let standby = standby.filter(|it| may_exist && !is_cordoned(it.place.key));
+        let standby = standby.filter(|it| may_exist && self.may_resume_at(it.place.key));
         if let Some(
             start @ (AttemptStart::Stream { .. } | AttemptStart::Failed(Reason::BudgetSpent)),
         ) = self.resume_from_pre_copy().await
@@ -133,6 +136,9 @@
                 break;
             }
             sleep(RESUME_RETRY_DELAY).await;
+            if !self.may_resume_at(self.engine.key) {
+                break;
+            }
             if !self.wait_for_retry_budget(RetryKind::ResumeAgain).await {
                 break;
             }
--- a/crates/gateway/src/response.rs
+++ b/crates/gateway/src/response.rs
@@ -32,6 +32,12 @@
 /// a caller that returns within it is refused again.
 const RETRY_MAX_FULL: Duration = Duration::from_secs(8);
 
+/// Share of a backoff over which callers that are refused because of it are spread.
+const BACKOFF_SPREAD: f64 = 0.25;
+
+/// Upper bound of the time over which these callers are spread.
+const MAX_BACKOFF_SPREAD: Duration = Duration::from_secs(2);
+
 /// Why the gateway responds itself.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, displaydoc::Display)]
 pub enum Reason {
@@ -75,6 +81,8 @@
     CrashesEndpoints,
     /// turn_taken
     NoRunLease,
+    /// endpoints_backed_off
+    EndpointsBackedOff,
 }
 
 impl Reason {
@@ -95,6 +103,7 @@
             | Reason::Cordoned
             | Reason::EndpointsFull
             | Reason::EndpointsLimited
+            | Reason::EndpointsBackedOff
             | Reason::WaitTooLong
             | Reason::NotRunAtEndpoint
             | Reason::NoConnection
@@ -115,6 +124,7 @@
             PlacementError::Full => Reason::EndpointsFull,
             PlacementError::Cordoned => Reason::Cordoned,
             PlacementError::RateLimited => Reason::EndpointsLimited,
+            PlacementError::BackedOff => Reason::EndpointsBackedOff,
         }
     }
 }
@@ -129,12 +139,25 @@
     share.clamp(RETRY_MIN, latest).min(share)
 }
 
+/// Returns the `Retry-After` for a caller that cannot be served for `wait` because all endpoints
+/// requested a backoff. `draw` is a random number below one: without the spread, all callers that
+/// were refused meanwhile would return at the same moment.
+pub fn retry_after_backoff(wait: Duration, draw: f64) -> Duration {
+    let spread = wait.mul_f64(BACKOFF_SPREAD).min(MAX_BACKOFF_SPREAD);
+    wait + spread.mul_f64(draw)
+}
+
 /// Returns the response for `reason` to a caller that waits for `remaining` more.
 pub fn refuse(reason: Reason, remaining: Duration) -> Response<ResponseBody> {
+    refuse_until(reason, retry_after(reason, remaining))
+}
+
+/// Returns the response for `reason` to a caller that may return after `delay`.
+pub fn refuse_until(reason: Reason, delay: Duration) -> Response<ResponseBody> {
     let status = reason.status();
     let mut response = Response::builder().status(status);
     if status == StatusCode::SERVICE_UNAVAILABLE {
-        let seconds = retry_after(reason, remaining).as_secs_f64();
+        let seconds = delay.as_secs_f64();
         response = response.header(header::RETRY_AFTER, format!("{seconds:.3}"));
     }
     let body = format!("{{\"error\":\"{reason}\"}}\n");
--- a/crates/gateway/src/status.rs
+++ b/crates/gateway/src/status.rs
@@ -48,6 +48,8 @@
     PassedOver,
     /// It accepts none while its data centre is cordoned.
     Cordoned,
+    /// It requested a backoff of this instance.
+    BackedOff,
     /// Its record was removed around an outage of the store; it is used only if there is no other.
     Lapsed,
     /// It accepts no more requests.
@@ -181,6 +183,9 @@
     /// The rate limit that it reported, in requests a second from all instances together.
     #[serde(default)]
     pub limit: Option<f64>,
+    /// Milliseconds until the backoff ends that it requested of this instance.
+    #[serde(default)]
+    pub backoff_ms: Option<u64>,
 }
 
 /// What an instance knows of a peer.
@@ -301,9 +306,12 @@
 fn endpoint_status(state: &Gateway, now: Time, endpoint: &Endpoint) -> EndpointStatus {
     let used = state.used(endpoint.key);
     let record = &endpoint.record;
+    let backoff_ends = state.backoffs.ends(now, endpoint.key);
+    let backoff_ms = backoff_ends.map(|it| millis(it.since(now)));
     let takes = match endpoint.state {
         EndpointState::Leaving { .. } | EndpointState::Unreadable => Availability::Nothing,
         _ if state.endpoints.is_cordoned(endpoint.key) => Availability::Cordoned,
+        _ if backoff_ms.is_some() => Availability::BackedOff,
         EndpointState::Lapsed { .. } => Availability::Lapsed,
         EndpointState::Serving if endpoint.is_ejected(now) => Availability::PassedOver,
         EndpointState::Serving => Availability::Work,
@@ -320,6 +328,7 @@
         copied: used.copy_tokens,
         unread: used.pending_prefill,
         limit: state.limits.of(endpoint.key),
+        backoff_ms,
     }
 }
 
--- a/crates/gateway/tests/refusals.rs
+++ b/crates/gateway/tests/refusals.rs
@@ -1,7 +1,7 @@
 //! The `Retry-After` of refused callers, and how they fare when they return.
 
 use core::time::Duration;
-use oriolemux_gateway::response::{Reason, retry_after};
+use oriolemux_gateway::response::{Reason, retry_after, retry_after_backoff};
 use rstest::rstest;
 
 const PLAN: Duration = Duration::from_secs(39);
@@ -93,3 +93,20 @@
         "{served} of {refused}, and with a fixed second {served_soon} of {refused_soon}"
     );
 }
+
+/// Guards against callers that are told a time before any endpoint may be asked, or that all return
+/// at the same moment.
+#[rstest]
+#[case(300, 0.0, 300)]
+#[case(300, 0.5, 337)]
+#[case(3_000, 0.999, 3_749)]
+#[case(120_000, 0.5, 121_000)]
+fn callers_return_after_the_end_of_the_first_backoff(
+    #[case] wait_ms: u64,
+    #[case] draw: f64,
+    #[case] expected_ms: u128,
+) {
+    let delay = retry_after_backoff(Duration::from_millis(wait_ms), draw);
+
+    assert_eq!(delay.as_millis(), expected_ms);
+}
--- a/crates/oriolemux/src/cli/operate/gateway_text.rs
+++ b/crates/oriolemux/src/cli/operate/gateway_text.rs
@@ -87,6 +87,7 @@
     let takes = match endpoint.takes {
         Availability::Work => "takes work",
         Availability::PassedOver => "passed over",
+        Availability::BackedOff => "backed off",
         Availability::Cordoned => "data centre cordoned",
         Availability::Lapsed => "entry lapsed",
         Availability::Nothing => "leaves",
