A home holds no engine for a request that must not be sent there

Seen by reading while home grants were reviewed for backoffs, which make such requests more frequent: if a request fits nowhere, the home held the engine with the most room for it, also if the request excludes that engine because it was tried already or requested a backoff. Other queued requests then got none of its room.

Change: the engine is held among those at which the request may run.

Test: room_is_not_held_at_an_engine_that_the_request_excludes failed before (the second request got Full beside an idle engine) and passes now.

--- a/crates/core/src/gateway/choose.rs
+++ b/crates/core/src/gateway/choose.rs
@@ -268,15 +268,18 @@
         Ok(capacity.key)
     }
 
-    /// Holds the engine with the most free capacity for a request that does not fit anywhere yet.
-    pub(super) fn hold_largest(&mut self) {
+    /// Holds the engine with the most free capacity for a request that does not fit anywhere yet,
+    /// among those at which it may run.
+    pub(super) fn hold_largest(&mut self, placement: &QueuedPlacement) {
         let taken = |capacity: &EngineCapacity<'_>| {
             capacity
                 .used
                 .tokens
                 .saturating_add(capacity.used.copy_tokens)
         };
-        let free = self.engines.iter_mut().filter(|capacity| !capacity.is_held);
+        let free = self.engines.iter_mut().filter(|capacity| {
+            !capacity.is_held && !placement.request.exclude.contains(&capacity.key)
+        });
         if let Some(capacity) = free.min_by_key(|capacity| taken(capacity)) {
             capacity.is_held = true;
         }
--- a/crates/core/src/gateway/queue.rs
+++ b/crates/core/src/gateway/queue.rs
@@ -149,7 +149,7 @@
     for at in order {
         places[at] = capacities.reserve(all[at]);
         if places[at] == Err(PlacementError::Full) && !is_held {
-            capacities.hold_largest();
+            capacities.hold_largest(all[at]);
             is_held = true;
         }
     }
--- a/crates/core/tests/gateway_queue.rs
+++ b/crates/core/tests/gateway_queue.rs
@@ -56,6 +56,13 @@
 
 impl Fleet {
     fn place(&self, own: &QueuedRequest) -> Result<EndpointKey, PlacementError> {
+        let others = self.queue.iter().filter(|it| it.id != own.id);
+        let all: Vec<QueuedPlacement> =
+            others.chain([own]).copied().map(queued_placement).collect();
+        *self.assign(&all).last().expect("its own")
+    }
+
+    fn assign(&self, all: &[QueuedPlacement]) -> Vec<Result<EndpointKey, PlacementError>> {
         let context = PlacementContext {
             now: NOW,
             endpoints: &self.endpoints,
@@ -72,11 +79,7 @@
             known: 1,
             live: 1,
         };
-        let others = self.queue.iter().filter(|it| it.id != own.id);
-        let all: Vec<QueuedPlacement> =
-            others.chain([own]).copied().map(queued_placement).collect();
-        let places = assign(context, engines, |_| None, all.iter());
-        *places.last().expect("its own")
+        assign(context, engines, |_| None, all.iter())
     }
 
     fn enqueue(&mut self, waiters: &[QueuedRequest]) {
@@ -190,6 +193,25 @@
 }
 
 /// Guards against a request whose age is lost in the report to a home.
+/// Guards against idle engines that serve nobody: an engine was held for a request that must not be
+/// sent there.
+#[test]
+fn room_is_not_held_at_an_engine_that_the_request_excludes() {
+    let fleet = fleet(&[19_900, 0]);
+    let excluding = QueuedPlacement {
+        request: PlacementRequest {
+            exclude: vec![engine(1)],
+            ..queued_placement(queued_request(1, 10, 2_000)).request
+        },
+        ..queued_placement(queued_request(1, 10, 2_000))
+    };
+    let other = queued_placement(queued_request(2, 20, 2_000));
+
+    let places = fleet.assign(&[excluding, other]);
+
+    assert_eq!(places, [Err(PlacementError::Full), Ok(engine(1))]);
+}
+
 #[test]
 fn a_report_preserves_the_age_of_a_request() {
     let one = queued_request(7, 1_234, 3_000);
