Soak: endpoints that announce to leave, and endpoints that request backoffs

Four kinds of faults are new: a plain endpoint or an engine announces that it leaves while its record stands, or refuses for a while and requests backoffs. Two rules are new, checked from what endpoints received and callers got: an instance that passed on such a response sends nothing that a caller sent two seconds later, and at most two requests arrive from half a second after a refusal to the end of its backoff. Kills, stops and freezes of the instance excuse it, the store does not.

--- a/crates/bench/src/soak.rs
+++ b/crates/bench/src/soak.rs
@@ -139,6 +139,7 @@
         timeline: world.timeline(),
         calls: world.calls(),
         generations: world.generations(),
+        arrivals: world.arrivals(),
         recovered,
         idle,
     };
--- a/crates/bench/src/soak/fault.rs
+++ b/crates/bench/src/soak/fault.rs
@@ -22,6 +22,12 @@
 /// How long an endpoint that left goes on answering, for what runs there.
 const ENDS_AFTER: Duration = Duration::from_secs(3);
 
+/// How long the record of an endpoint stands that announced in its responses that it leaves.
+const RECORD_STANDS: Duration = Duration::from_secs(5);
+
+/// The backoff in seconds that a refusing endpoint requests.
+const BACKOFF: &str = "1.5";
+
 /// Entries of a large catalogue: some 800 KB.
 const LARGE_CATALOGUE: usize = 4_000;
 
@@ -76,6 +82,14 @@
     CatalogueChange,
     /// The catalogue changes and has thousands of entries.
     LargeCatalogue,
+    /// A plain endpoint announces in its responses that it leaves; its record stays as it is.
+    ServiceAnnounces,
+    /// An engine announces in its responses that it leaves; its record stays as it is.
+    EngineAnnounces,
+    /// A plain endpoint refuses for a while and requests backoffs.
+    ServiceBacksOff,
+    /// An engine refuses for a while and requests backoffs.
+    EngineBacksOff,
 }
 
 impl FaultKind {
@@ -102,6 +116,10 @@
         FaultKind::EngineFails,
         FaultKind::CatalogueChange,
         FaultKind::LargeCatalogue,
+        FaultKind::ServiceAnnounces,
+        FaultKind::EngineAnnounces,
+        FaultKind::ServiceBacksOff,
+        FaultKind::EngineBacksOff,
     ];
 
     /// Returns whether it is planned work, around which nothing may be cut off.
@@ -177,10 +195,14 @@
         FaultKind::ServiceLinkCut
         | FaultKind::ServiceAnswersLost
         | FaultKind::ServiceFails
+        | FaultKind::ServiceAnnounces
+        | FaultKind::ServiceBacksOff
         | FaultKind::ServiceLeaves => service(world, strike).await,
-        FaultKind::EngineLeaves | FaultKind::EngineDies | FaultKind::EngineFails => {
-            engine(world, strike).await;
-        }
+        FaultKind::EngineLeaves
+        | FaultKind::EngineDies
+        | FaultKind::EngineAnnounces
+        | FaultKind::EngineBacksOff
+        | FaultKind::EngineFails => engine(world, strike).await,
         FaultKind::CatalogueChange => world.publish(0),
         FaultKind::LargeCatalogue => world.publish(LARGE_CATALOGUE),
     }
@@ -247,6 +269,21 @@
             Behaviour::Fail,
             Behaviour::Refuse,
         ]),
+        FaultKind::ServiceBacksOff => {
+            service.service.refuse_with_backoff(BACKOFF);
+            sleep(strike.lasts).await;
+            service.service.stop_refusing();
+        }
+        FaultKind::ServiceAnnounces => {
+            world.add_service().await;
+            let name = service.service.name();
+            service.service.announce_leaving();
+            world.note_announces(name);
+            world.retire_service(name);
+            sleep(RECORD_STANDS).await;
+            world.deployment.remove(name);
+            sleep(ENDS_AFTER).await;
+        }
         _ => {
             world.add_service().await;
             let name = service.service.name();
@@ -276,6 +313,21 @@
                 world.engines.fault(&engine, fault);
             }
         }
+        FaultKind::EngineBacksOff => {
+            world.engines.refuse_with_backoff(&engine, BACKOFF);
+            sleep(strike.lasts).await;
+            world.engines.stop_refusing(&engine);
+        }
+        FaultKind::EngineAnnounces => {
+            world.add_engine().await;
+            world.engines.announce_leaving(&engine);
+            world.note_announces(engine.name());
+            world.retire_engine(engine.name());
+            sleep(RECORD_STANDS).await;
+            world.deployment.remove(engine.name());
+            sleep(ENDS_AFTER).await;
+            engine.kill();
+        }
         FaultKind::EngineLeaves => {
             world.add_engine().await;
             world.deployment.add_engine(&engine, "draining");
--- a/crates/bench/src/soak/record.rs
+++ b/crates/bench/src/soak/record.rs
@@ -132,6 +132,19 @@
     pub first: u64,
 }
 
+/// A request as it arrived at an endpoint, whether it ran or not.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    /// The endpoint.
+    pub endpoint: String,
+    /// The attempt that it named.
+    pub attempt: String,
+    /// When it arrived.
+    pub at: Instant,
+    /// The backoff that the endpoint requested with its refusal.
+    pub backoff: Option<Duration>,
+}
+
 /// What the soak did.
 #[derive(Clone, Debug)]
 pub struct Happened {
@@ -157,6 +170,8 @@
     Published(u32),
     /// An endpoint said that it leaves.
     Leaves(String),
+    /// An endpoint announces from now on in its responses, and only there, that it leaves.
+    Announces(String),
 }
 
 impl Happened {
--- a/crates/bench/src/soak/report.rs
+++ b/crates/bench/src/soak/report.rs
@@ -76,6 +76,7 @@
             What::Fault { kind, .. } => format!("{kind:?}"),
             What::Published(_) => "Published".to_owned(),
             What::Leaves(_) => "Leaves".to_owned(),
+            What::Announces(_) => "Announces".to_owned(),
         };
         add_one(&mut counts, word);
     }
--- a/crates/bench/src/soak/world.rs
+++ b/crates/bench/src/soak/world.rs
@@ -2,7 +2,7 @@
 
 use super::SoakConfig;
 use super::fault::{FaultKind, Ongoing};
-use super::record::{Call, Generation, Happened, What};
+use super::record::{Arrival, Call, Generation, Happened, What};
 use crate::process::child::Child;
 use crate::proxy::Proxy;
 use core::time::Duration;
@@ -353,6 +353,11 @@
         self.happened(What::Leaves(name.to_owned()));
     }
 
+    /// Notes that an endpoint announces in its responses that it leaves.
+    pub fn note_announces(&self, name: &str) {
+        self.happened(What::Announces(name.to_owned()));
+    }
+
     fn happened(&self, what: What) {
         let now = Instant::now();
         lock(&self.timeline).push(Happened {
@@ -417,6 +422,30 @@
             .collect()
     }
 
+    /// Returns all requests that arrived at endpoints.
+    pub fn arrivals(&self) -> Vec<Arrival> {
+        let services = lock(&self.all_services);
+        let calls = services.iter().flat_map(|plain| {
+            let name = plain.service.name();
+            let received = plain.service.received().into_iter();
+            received.map(move |seen| Arrival {
+                endpoint: name.to_owned(),
+                attempt: seen.attempt,
+                at: seen.at,
+                backoff: seen.backoff,
+            })
+        });
+        let names = lock(&self.engine_names);
+        let generations = self.engines.arrivals().into_iter();
+        let generations = generations.map(|seen| Arrival {
+            endpoint: names.get(&seen.engine).cloned().unwrap_or_default(),
+            attempt: seen.attempt,
+            at: seen.at,
+            backoff: seen.backoff,
+        });
+        calls.chain(generations).collect()
+    }
+
     async fn until_all_in_rotation(&self) {
         while self.in_rotation().len() < self.instances.len() {
             sleep(LOOK).await;
--- a/crates/bench/tests/soak.rs
+++ b/crates/bench/tests/soak.rs
@@ -6,7 +6,7 @@
 use oriolemux_bench::soak::fault::FaultKind;
 use oriolemux_bench::soak::plan;
 use oriolemux_bench::soak::record::{
-    Answer, Call, Generation, Happened, Kind, Outcome, Probe, Sent, What,
+    Answer, Arrival, Call, Generation, Happened, Kind, Outcome, Probe, Sent, What,
 };
 use oriolemux_bench::soak::{SoakConfig, play};
 use oriolemux_platform_standin::Engines;
@@ -60,6 +60,21 @@
         }
     }
 
+    fn arrival(
+        &self,
+        endpoint: &str,
+        attempt: &str,
+        ms: u64,
+        backoff: Option<Duration>,
+    ) -> Arrival {
+        Arrival {
+            endpoint: endpoint.to_owned(),
+            attempt: attempt.to_owned(),
+            at: self.at(ms),
+            backoff,
+        }
+    }
+
     fn probe(&self, ms: u64, version: u32, taken: bool) -> Probe {
         Probe {
             instance: 0,
@@ -307,6 +322,71 @@
     assert_eq!(rules(&leaves(vec![frozen], 2_500)), []);
 }
 
+#[test]
+fn work_for_an_endpoint_that_announced_to_leave_is_found() {
+    let clock = Clock::start();
+    let seen = |ms: u64, instance: usize, faults: Vec<Happened>| {
+        let first = clock.sent(Kind::Read, 0, Outcome::Answer(answer(200, "done by s-1")));
+        let later = Sent {
+            attempt: "c1-2".to_owned(),
+            instance,
+            ..clock.sent(Kind::Read, ms, Outcome::Left)
+        };
+        let mut timeline = vec![clock.happened(0, 0, What::Announces("s-1".to_owned()))];
+        timeline.extend(faults);
+        Evidence {
+            requests: vec![first, later],
+            calls: vec![clock.call("s-1", 5)],
+            arrivals: vec![
+                clock.arrival("s-1", "c1-1", 5, None),
+                clock.arrival("s-1", "c1-2", ms + 5, None),
+            ],
+            timeline,
+            ..well()
+        }
+    };
+    let kill = clock.fault(1_000, 2_000, FaultKind::Kill);
+    let silence = clock.fault(0, 5_000, FaultKind::StoreSilent);
+
+    assert_eq!(rules(&seen(2_100, 0, Vec::new())), [Rule::Announced]);
+    assert_eq!(rules(&seen(2_100, 0, vec![silence])), [Rule::Announced]);
+    assert_eq!(rules(&seen(1_900, 0, Vec::new())), []);
+    assert_eq!(rules(&seen(2_100, 1, Vec::new())), []);
+    assert_eq!(rules(&seen(2_100, 0, vec![kill])), []);
+}
+
+#[test]
+fn requests_within_a_backoff_are_found() {
+    let clock = Clock::start();
+    let seen = |requests: u64, from: u64, faults: Vec<Happened>| {
+        let times: Vec<u64> = (0..requests).map(|it| from + it * 10).collect();
+        let attempt = |ms: &u64| format!("c1-{ms}");
+        let sent = times.iter().map(|ms| Sent {
+            attempt: attempt(ms),
+            ..clock.sent(Kind::Read, *ms, Outcome::Left)
+        });
+        let later = times
+            .iter()
+            .map(|ms| clock.arrival("s-1", &attempt(ms), *ms, None));
+        let refused = clock.arrival("s-1", "c1-1", 0, Some(Duration::from_secs(3)));
+        Evidence {
+            requests: sent
+                .chain([clock.sent(Kind::Read, 0, Outcome::Left)])
+                .collect(),
+            arrivals: later.chain([refused]).collect(),
+            timeline: faults,
+            ..well()
+        }
+    };
+    let frozen = clock.fault(1_000, 2_000, FaultKind::Freeze);
+
+    assert_eq!(rules(&seen(3, 600, Vec::new())), [Rule::Backoff]);
+    assert_eq!(rules(&seen(2, 600, Vec::new())), []);
+    assert_eq!(rules(&seen(9, 100, Vec::new())), []);
+    assert_eq!(rules(&seen(9, 3_000, Vec::new())), []);
+    assert_eq!(rules(&seen(3, 600, vec![frozen])), []);
+}
+
 #[test]
 fn what_planned_work_cuts_off_is_found() {
     let clock = Clock::start();
@@ -383,6 +463,14 @@
     FaultKind::CatalogueChange,
     FaultKind::LargeCatalogue,
 ])]
+#[case::announcements(3, vec![
+    FaultKind::ServiceAnnounces,
+    FaultKind::EngineAnnounces,
+    FaultKind::ServiceBacksOff,
+    FaultKind::EngineBacksOff,
+    FaultKind::StoreSilent,
+    FaultKind::Kill,
+])]
 #[tokio::test(flavor = "multi_thread")]
 async fn promises_hold_under_faults(#[case] seed: u64, #[case] faults: Vec<FaultKind>) {
     let dir = tempfile::tempdir().expect("a directory");
