--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -329,8 +329,11 @@
 
     /// Returns whether any endpoint of a service requested a backoff of this instance.
     pub fn avoids_any(&self, now: Time, service: &str) -> bool {
-        let mut usable = self.endpoints.usable_of(service);
-        usable.any(|it| self.backoffs.is_active(now, it.key))
+        let mut backed_off = self.backoffs.active(now);
+        backed_off.any(|key| {
+            let endpoint = self.endpoints.usable(key);
+            endpoint.is_some_and(|it| it.record.service == service)
+        })
     }
 
     /// Returns when the first backoff ends if backoffs are the only reason why a service has no
