--- a/crates/core/src/gateway/backoff.rs
+++ b/crates/core/src/gateway/backoff.rs
@@ -71,16 +71,19 @@
         }
     }
 
-    /// Removes the backoffs that have ended, and those of endpoints that no longer exist; returns
-    /// the former.
+    /// Drops the backoffs of endpoints that no longer exist and those that have ended; returns the
+    /// latter.
     pub fn tick(&mut self, now: Time, exists: impl Fn(EndpointKey) -> bool) -> Vec<EndpointKey> {
         let mut ended = Vec::new();
         self.backoffs.retain(|&key, backoff| {
+            if !exists(key) {
+                return false;
+            }
             let has_ended = backoff.ends <= now;
-            if has_ended && exists(key) {
+            if has_ended {
                 ended.push(key);
             }
-            !has_ended && exists(key)
+            !has_ended
         });
         ended
     }
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -247,7 +247,7 @@
         )
     }
 
-    /// Returns when a caller may return if all endpoints requested a backoff.
+    /// Returns how long a caller must wait if all endpoints requested a backoff.
     fn backoff_delay(&self) -> Option<Duration> {
         let now = self.cx.now();
         let mut state = self.cx.state();
