A generation that every engine refused with a delay is refused at once

Callers waited as long as for room, although each engine had refused their request and none may be asked before: the engines that were tried were left out of the question whether backoffs outlast the wait, so that the answer was no.

Change: the question moves into the core (Gateway::is_backed_off_beyond). If all engines were tried and all of them requested backoffs, waiting is in vain.

--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -336,6 +336,24 @@
         })
     }
 
+    /// Returns whether it is certain by now that this instance may send a request to no endpoint of
+    /// a service before `deadline`, because of backoffs. `tried` are endpoints that the request must
+    /// not be sent to again.
+    pub fn is_backed_off_beyond(
+        &self,
+        now: Time,
+        service: &str,
+        tried: &[EndpointKey],
+        deadline: Time,
+    ) -> bool {
+        let mut usable = self.endpoints.usable_of(service);
+        if usable.all(|it| tried.contains(&it.key)) {
+            return self.backed_off_until(now, service, &[]).is_some();
+        }
+        let until = self.backed_off_until(now, service, tried);
+        until.is_some_and(|it| it >= deadline)
+    }
+
     /// Returns when the first backoff ends if backoffs are the only reason why a service has no
     /// endpoint outside `exclude` to which this instance may send; `None` otherwise.
     pub fn backed_off_until(
--- a/crates/core/tests/gateway_announcements.rs
+++ b/crates/core/tests/gateway_announcements.rs
@@ -266,6 +266,32 @@
     );
 }
 
+/// Guards against requests that are queued although no endpoint may be asked before they are given
+/// up, and against ones that are refused although one may.
+#[test]
+fn it_is_known_at_once_that_backoffs_outlast_a_request() {
+    let mut one = home_of(&["e-1", "e-2"], &[]);
+    let [first, second] = ["e-1", "e-2"].map(EndpointKey::of);
+    one.request_backoff(NOW, first, Duration::from_secs(3));
+    let with_one = one.is_backed_off_beyond(NOW, "model", &[], after(1_500));
+    let one_was_tried = one.is_backed_off_beyond(NOW, "model", &[second], after(1_500));
+    one.request_backoff(NOW, second, Duration::from_secs(1));
+
+    let beyond = |tried: &[EndpointKey], millis| {
+        one.is_backed_off_beyond(NOW, "model", tried, after(millis))
+    };
+
+    assert!(!with_one, "the other may be asked");
+    assert!(one_was_tried, "the other refused without a delay");
+    assert!(beyond(&[], 900));
+    assert!(!beyond(&[], 1_500), "the second may be asked in time");
+    assert!(
+        beyond(&[second], 1_500),
+        "only the first may be asked, too late"
+    );
+    assert!(beyond(&[first, second], 60_000), "none may be asked again");
+}
+
 /// The delay that the refusing engine of [`Storm`] asks for.
 const DELAY: Duration = Duration::from_secs(3);
 
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -90,7 +90,11 @@
             return Err(PlacementError::Cordoned);
         }
         let now = cx.now();
-        if is_backed_off_beyond(job, params.exclude, deadline) {
+        let waits_until = now + deadline.saturating_duration_since(Instant::now());
+        let is_backed_off =
+            cx.state()
+                .is_backed_off_beyond(now, &job.service().name, params.exclude, waits_until);
+        if is_backed_off {
             return Err(PlacementError::BackedOff);
         }
         let is_past_deadline = Instant::now() >= deadline;
@@ -141,16 +145,6 @@
     }
 }
 
-/// Returns whether no engine may be asked before `deadline` because all requested a backoff.
-fn is_backed_off_beyond<W: Wire>(job: &Job<W>, tried: &[EndpointKey], deadline: Instant) -> bool {
-    let cx = &job.cx;
-    let until = cx
-        .state()
-        .backed_off_until(cx.now(), &job.service().name, tried);
-    let until = until.and_then(|it| cx.clock.instant(it));
-    until.is_some_and(|it| it >= deadline)
-}
-
 fn log_placed_without_home<W: Wire>(job: &Job<W>, place: &Placement) {
     ByReason::Places.add("alone");
     log_event!(
