Store: the epoch of each answer is decoded and logged

The lines of an instance could not tell a refused watch from other calls, did not name the revision at which the store stands, and the header that names the store's history was read nowhere.

Change: the epoch is decoded from every answer of the store, refusals included. Nothing decides by it yet.

--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -8,6 +8,7 @@
 //! | module | responsibility |
 //! | --- | --- |
 //! | [`catalogue`] | entries, services, workspaces and limits of callers; finds the entry of a request |
+//! | [`revision`] | revisions of the store, and the history that they belong to |
 //! | [`replica`] | the published records, merged by revision from reads and peers |
 //! | [`cordons`] | data centres that the operator closed to new work |
 //! | [`cold`] | rate limits of endpoints, in particular of cold ones |
@@ -51,6 +52,7 @@
 pub mod reader;
 pub mod relocation;
 pub mod replica;
+pub mod revision;
 pub mod state;
 pub mod suspects;
 pub mod usage;
@@ -61,4 +63,5 @@
 pub use endpoints::{Endpoint, EndpointRecord, EndpointState};
 pub use gossip::{Body, Datagram};
 pub use replica::{Applied, ContentHash, Record, Replica};
+pub use revision::Epoch;
 pub use state::{Gateway, GatewayConfig};
--- a/crates/core/src/gateway/reader.rs
+++ b/crates/core/src/gateway/reader.rs
@@ -4,7 +4,9 @@
 //! one ended. A failed call is followed by a growing pause with jitter, so that instances do not
 //! all call a recovering store at once.
 
+use super::revision::Epoch;
 use crate::time::Time;
+use core::cmp::Ordering;
 use core::time::Duration;
 
 /// How long the store may hold a watch. A connection may go silent without a reset; this bounds how
@@ -76,6 +78,45 @@
     TooLarge,
 }
 
+/// The epoch that an answer of the store states.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StatedEpoch {
+    /// It states this one.
+    Known(Epoch),
+    /// It states none.
+    Absent,
+    /// It states one that cannot be parsed.
+    Unreadable,
+}
+
+/// What the epoch of an answer means for this instance.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EpochObservation {
+    /// The answer belongs to the known history.
+    Current,
+    /// The answer is the first that states an epoch.
+    First,
+    /// The store came back from an older copy.
+    Advanced {
+        /// The epoch that was known before.
+        from: Epoch,
+        /// The epoch of the answer.
+        to: Epoch,
+    },
+    /// The answer is of an earlier history.
+    Outdated {
+        /// The epoch of the answer.
+        stated: Epoch,
+        /// The known epoch.
+        known: Epoch,
+    },
+    /// The answer does not state a valid epoch although earlier ones did.
+    Unstated {
+        /// The known epoch.
+        known: Epoch,
+    },
+}
+
 /// The state of the calls to the store.
 #[derive(Clone, Copy, Debug)]
 pub struct StoreReader {
@@ -86,6 +127,8 @@
     last_answer: Option<Time>,
     /// When the store last answered a watch.
     last_watch_answer: Option<Time>,
+    /// The latest epoch that the store stated.
+    epoch: Option<Epoch>,
 }
 
 impl StoreReader {
@@ -98,6 +141,40 @@
             recovered_at: None,
             last_answer: None,
             last_watch_answer: None,
+            epoch: None,
+        }
+    }
+
+    /// Returns the latest epoch that the store stated, if it ever did.
+    pub fn epoch(&self) -> Option<Epoch> {
+        self.epoch
+    }
+
+    /// Records the epoch of an answer; returns what it means.
+    pub fn observe_epoch(&mut self, stated: StatedEpoch) -> EpochObservation {
+        let (known, stated) = match (self.epoch, stated) {
+            (Some(known), StatedEpoch::Known(stated)) => (known, stated),
+            (Some(known), _) => return EpochObservation::Unstated { known },
+            (None, StatedEpoch::Known(stated)) => {
+                self.epoch = Some(stated);
+                return EpochObservation::First;
+            }
+            (None, StatedEpoch::Absent) => return EpochObservation::Current,
+            (None, StatedEpoch::Unreadable) => {
+                let known = Epoch::default();
+                return EpochObservation::Unstated { known };
+            }
+        };
+        match stated.cmp(&known) {
+            Ordering::Equal => EpochObservation::Current,
+            Ordering::Less => EpochObservation::Outdated { stated, known },
+            Ordering::Greater => {
+                self.epoch = Some(stated);
+                EpochObservation::Advanced {
+                    from: known,
+                    to: stated,
+                }
+            }
         }
     }
 
--- a/crates/core/src/gateway/replica.rs
+++ b/crates/core/src/gateway/replica.rs
@@ -150,6 +150,12 @@
             .map(|it| &it.record)
     }
 
+    /// Returns whether a later revision of a record is known.
+    pub fn has_newer(&self, record: &Record) -> bool {
+        let known = self.records.get(&record.key);
+        known.is_some_and(|known| known.record.revision > record.revision)
+    }
+
     /// Returns whether a record is newer than what is known of its key.
     pub fn is_newer(&self, record: &Record) -> bool {
         let known = self.records.get(&record.key);
--- a/crates/gateway/src/event_log.rs
+++ b/crates/gateway/src/event_log.rs
@@ -163,6 +163,19 @@
     AnnouncementUnreadable = 842, "endpoint_announcement_unreadable", Warn, FEW;
     /// The backoff that an endpoint requested has ended; it gets requests again.
     BackoffEnded = 843, "endpoint_backoff_ended", Info, USUAL;
+    /// The store no longer has the history after the known revision, and everything is read.
+    HistoryGone = 844, "store_history_gone", Info, USUAL;
+    /// The store came back from an older copy. The line has the epochs of both histories, the call
+    /// whose answer stated the new one, and the last revision that was known of the old one.
+    EpochChanged = 845, "store_epoch_changed", Warn, USUAL;
+    /// An answer of the store is of an earlier epoch.
+    AnswerOutdated = 846, "store_answer_outdated", Warn, FEW;
+    /// An answer of the store states no epoch although earlier ones did, or one that cannot be
+    /// parsed; the known epoch is assumed.
+    EpochUnstated = 847, "store_epoch_unstated", Warn, FEW;
+    /// The store was read in full. The line has its revision, and how many records it holds and how
+    /// many of them are older than the known ones.
+    StoreRead = 848, "store_read", Info, USUAL;
 }
 
 /// The lines of one event in the current second.
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -10,7 +10,7 @@
 use http::{HeaderMap, Response, StatusCode};
 use oriolemux_core::gateway::endpoints::EndpointRecord;
 use oriolemux_core::gateway::rate_limits::ResponseLimit;
-use oriolemux_core::gateway::reader::CallFailure;
+use oriolemux_core::gateway::reader::{CallFailure, StatedEpoch};
 use oriolemux_core::gateway::usage::ReportedLoad;
 use oriolemux_core::gateway::{CatalogueSource, ContentHash, Cordon, Record};
 use std::net::SocketAddrV4;
@@ -124,6 +124,16 @@
     pub announced: Announcements,
 }
 
+/// The outcome of a call to the store.
+#[derive(Clone, Debug)]
+pub struct StoreAnswer<T> {
+    /// The epoch that the store states in every answer, refusals included; absent if there was no
+    /// answer.
+    pub epoch: StatedEpoch,
+    /// The content of the answer, or why there is none.
+    pub content: Result<T, CallFailure>,
+}
+
 /// One page of the store's records.
 #[derive(Clone, Debug, Default)]
 pub struct Page {
@@ -234,7 +244,7 @@
         &self,
         after: Option<&str>,
         limit: Duration,
-    ) -> impl Future<Output = Result<Page, CallFailure>> + Send;
+    ) -> impl Future<Output = StoreAnswer<Page>> + Send;
 
     /// Waits at most `wait` for changes after revision `after`. The head of the response must
     /// arrive within `limit`; the body may take longer as long as data keeps arriving.
@@ -243,7 +253,7 @@
         after: u64,
         wait: Duration,
         limit: Duration,
-    ) -> impl Future<Output = Result<Changes, CallFailure>> + Send;
+    ) -> impl Future<Output = StoreAnswer<Changes>> + Send;
 }
 
 /// The outcome of a call that copies a running generation's KV cache.
--- a/crates/gateway/src/status.rs
+++ b/crates/gateway/src/status.rs
@@ -149,6 +149,9 @@
 pub struct StoreStatus {
     /// The revision up to which all records are known.
     pub revision: u64,
+    /// The latest epoch that the store stated, `None` if it never did.
+    #[serde(default)]
+    pub epoch: Option<u64>,
     /// Milliseconds since the store last answered this instance, `None` if it never did.
     pub answered_ms_ago: Option<u64>,
     /// Whether this instance watches the store for all others.
@@ -220,6 +223,7 @@
             catalogue_version: state.catalogue().map(|it| it.version()),
             store: StoreStatus {
                 revision: state.replica.revision(),
+                epoch: state.reader.epoch().map(|it| it.0),
                 answered_ms_ago: state.reader.last_answer().map(|at| millis(now.since(at))),
                 watches: state.watches(now),
                 unsettled: state.may_miss_records(now),
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -8,10 +8,10 @@
 
 use crate::cx::Cx;
 use crate::log_event;
-use crate::ports::{Published, Store, Wire};
+use crate::ports::{Published, Store, StoreAnswer, Wire};
 use core::time::Duration;
 use oriolemux_core::gateway::reader::{
-    CallFailure, Step, StoreReader, WATCH_TIMEOUT_MARGIN, WATCH_WAIT,
+    CallFailure, EpochObservation, StatedEpoch, Step, StoreReader, WATCH_TIMEOUT_MARGIN, WATCH_WAIT,
 };
 use oriolemux_core::gateway::replica::{Applied, Record};
 use oriolemux_core::gateway::{CatalogueSource, Cordon, CordonEffect};
@@ -46,12 +46,16 @@
     let mut seen = BTreeMap::new();
     let mut after: Option<String> = None;
     let mut first_revision = None;
+    let mut older = 0;
     loop {
-        let page = store.page(after.as_deref(), PAGE_TIMEOUT).await?;
+        let answer = store.page(after.as_deref(), PAGE_TIMEOUT).await;
+        observe_epoch(cx, "read", &answer);
+        let page = answer.content?;
         // Pages are not a snapshot: later pages may lack what was written after the first one, so
         // only the first page's revision is certain.
         let first_revision = *first_revision.get_or_insert(page.revision);
         for record in &page.records {
+            older += usize::from(cx.state().replica.has_newer(record));
             seen.insert(record.key.clone(), ());
         }
         let last = page.records.last().map(|it| it.key.clone());
@@ -63,6 +67,12 @@
         match page.next {
             Some(next) => after = Some(next),
             None => {
+                log_event!(
+                    StoreRead,
+                    revision = first_revision,
+                    records = seen.len(),
+                    older = older
+                );
                 finish_full_read(cx, Source::Store, &seen, first_revision);
                 let now = cx.now();
                 cx.state().update_behind(now);
@@ -116,11 +126,15 @@
 /// large and nearly complete.
 async fn watch<W: Wire, S: Store>(cx: &Cx<W>, store: &S) {
     let after = cx.state().replica.revision();
-    let response = store
+    let answer = store
         .watch(after, WATCH_WAIT, WATCH_WAIT + WATCH_TIMEOUT_MARGIN)
         .await;
+    observe_epoch(cx, "watch", &answer);
+    if matches!(answer.content, Err(CallFailure::HistoryGone)) {
+        log_event!(HistoryGone, revision = after);
+    }
     let mut answered: fn(&mut StoreReader, Time) -> bool = StoreReader::on_answer;
-    let result = response.map(|changes| {
+    let result = answer.content.map(|changes| {
         if !changes.records.is_empty() {
             answered = StoreReader::on_changes;
         }
@@ -138,6 +152,44 @@
     record_result(cx, result, answered);
 }
 
+/// Reports the epoch of an answer to the store reader.
+fn observe_epoch<W: Wire, T>(cx: &Cx<W>, call: &'static str, answer: &StoreAnswer<T>) {
+    if matches!(answer.content, Err(CallFailure::NoAnswer)) && answer.epoch == StatedEpoch::Absent {
+        return;
+    }
+    let mut state = cx.state();
+    let revision = state.replica.revision();
+    match state.reader.observe_epoch(answer.epoch) {
+        EpochObservation::Current | EpochObservation::First => {}
+        EpochObservation::Advanced { from, to } => {
+            log_event!(
+                EpochChanged,
+                from = from.0,
+                to = to.0,
+                by = call,
+                revision = revision
+            );
+        }
+        EpochObservation::Outdated { stated, known } => {
+            log_event!(
+                AnswerOutdated,
+                stated = stated.0,
+                known = known.0,
+                by = call
+            );
+        }
+        EpochObservation::Unstated { known } => {
+            let is_unreadable = answer.epoch == StatedEpoch::Unreadable;
+            log_event!(
+                EpochUnstated,
+                known = known.0,
+                unreadable = is_unreadable,
+                by = call
+            );
+        }
+    }
+}
+
 /// Reports the result of a call to the store reader.
 fn record_result<W: Wire>(
     cx: &Cx<W>,
