--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -63,5 +63,5 @@
 pub use endpoints::{Endpoint, EndpointRecord, EndpointState};
 pub use gossip::{Body, Datagram};
 pub use replica::{Applied, ContentHash, Record, Replica};
-pub use revision::Epoch;
+pub use revision::{Epoch, Revision};
 pub use state::{Gateway, GatewayConfig};
--- a/crates/core/src/gateway/beacons.rs
+++ b/crates/core/src/gateway/beacons.rs
@@ -7,6 +7,7 @@
 //! not answer, and every call is billed.
 
 use super::reader::{WATCHER_TIMEOUT, WATCHERS};
+use super::revision::Revision;
 use crate::ids::{Incarnation, stable_hash};
 use crate::time::Time;
 use core::time::Duration;
@@ -43,7 +44,7 @@
     /// Milliseconds since the store last answered it.
     pub store_age_ms: u32,
     /// The store revision up to which its replica is complete.
-    pub revision: u64,
+    pub revision: Revision,
     /// The digest of its replica.
     pub digest: u64,
     /// Whether the store may lack records that will come back.
--- a/crates/core/src/gateway/catch_up.rs
+++ b/crates/core/src/gateway/catch_up.rs
@@ -17,6 +17,7 @@
 //!
 //! `docs/design/platform.md` has the figures.
 
+use super::revision::Revision;
 use crate::time::Time;
 use core::time::Duration;
 use std::collections::BTreeMap;
@@ -57,7 +58,7 @@
     /// Its address.
     pub address: SocketAddrV4,
     /// The revision up to which its replica is complete.
-    pub revision: u64,
+    pub revision: Revision,
     /// The digest of its replica.
     pub digest: u64,
     /// Whether its own datagram to this instance shows this, not only its beacon.
@@ -77,6 +78,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct CatchUp {
     behind_since: Option<Time>,
+    /// Whether a peer has a later catalogue in force than this instance.
+    lacks_catalogue: bool,
     /// Peers that are not asked before the given time.
     skipped_until: BTreeMap<SocketAddrV4, Time>,
 }
@@ -86,15 +89,27 @@
     pub fn set_behind(&mut self, now: Time, behind: bool) {
         if !behind {
             self.behind_since = None;
-            self.skipped_until.clear();
+            if !self.lacks_catalogue {
+                self.skipped_until.clear();
+            }
         } else if self.behind_since.is_none() {
             self.behind_since = Some(now);
         }
     }
 
-    /// Returns whether some peer is ahead.
+    /// Sets whether some peer has a later catalogue in force than this instance.
+    pub fn set_lacks_catalogue(&mut self, lacks: bool) {
+        self.lacks_catalogue = lacks;
+    }
+
+    /// Returns whether some peer has a later catalogue in force than this instance.
+    pub fn lacks_catalogue(&self) -> bool {
+        self.lacks_catalogue
+    }
+
+    /// Returns whether some peer is ahead, or has a later catalogue in force.
     pub fn is_behind(&self) -> bool {
-        self.behind_since.is_some()
+        self.behind_since.is_some() || self.lacks_catalogue
     }
 
     /// Returns whether peers had enough time, and the store is to be read instead.
@@ -119,6 +134,12 @@
             .insert(peer, now + pause.mul_f64(0.5 + draw));
     }
 
+    /// Returns whether a peer refused or failed a moment ago.
+    pub fn is_skipped(&self, now: Time, peer: SocketAddrV4) -> bool {
+        let until = self.skipped_until.get(&peer);
+        until.is_some_and(|&until| now < until)
+    }
+
     /// Returns the peers that may be asked now: of those that are not skipped, the ones whose
     /// digest equals that of the peer that is furthest ahead. A watcher waits some time first.
     pub fn candidates(&self, now: Time, ahead: &[Provider], watches: bool) -> Vec<SocketAddrV4> {
@@ -130,9 +151,7 @@
             return Vec::new();
         }
         let is_able = |it: &&Provider| {
-            let until = self.skipped_until.get(&it.address);
-            let is_skipped = until.is_some_and(|&until| now < until);
-            !is_skipped && (it.is_direct || behind_for >= DIRECT_FIRST)
+            !self.is_skipped(now, it.address) && (it.is_direct || behind_for >= DIRECT_FIRST)
         };
         let able = || ahead.iter().filter(is_able);
         let Some(best) = able().max_by_key(|it| it.revision) else {
--- a/crates/core/src/gateway/cordons.rs
+++ b/crates/core/src/gateway/cordons.rs
@@ -7,6 +7,7 @@
 //!
 //! See `docs/design/shifted-work.md` for the design.
 
+use super::revision::{Epoch, Revision};
 use crate::time::Time;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -21,7 +22,7 @@
     /// The name of the data centre.
     pub data_centre: String,
     /// The store's revision at which it was written or removed.
-    pub revision: u64,
+    pub revision: Revision,
     /// Whether the data centre is closed to new work.
     pub is_closed: bool,
 }
@@ -29,7 +30,7 @@
 /// The last known state of one data centre.
 #[derive(Clone, Copy, Debug)]
 struct Known {
-    revision: u64,
+    revision: Revision,
     is_closed: bool,
     since: Time,
 }
@@ -81,6 +82,35 @@
         self.known.get(data_centre).is_some_and(|it| it.is_closed)
     }
 
+    /// Returns whether `cordon` lifts one that is known from an earlier epoch of the store.
+    ///
+    /// The store may only lack the cordon because its copy is older, and the operator's decision is
+    /// written again.
+    pub fn lifts_earlier_epoch(&self, cordon: &Cordon) -> bool {
+        let known = self.known.get(&cordon.data_centre);
+        known.is_some_and(|it| {
+            it.is_closed && !cordon.is_closed && it.revision.epoch < cordon.revision.epoch
+        })
+    }
+
+    /// Returns the cordons in force that are known from an epoch before `epoch`.
+    pub fn closed_before(&self, epoch: Epoch) -> Vec<Cordon> {
+        let mut closed = self.closed_cordons();
+        closed.retain(|it| it.revision.epoch < epoch);
+        closed
+    }
+
+    /// Returns the cordons in force.
+    pub fn closed_cordons(&self) -> Vec<Cordon> {
+        let closed = self.closed();
+        let closed = closed.map(|(name, revision, _)| Cordon {
+            data_centre: name.to_owned(),
+            revision,
+            is_closed: true,
+        });
+        closed.collect()
+    }
+
     /// Returns when the cordon of a data centre was lifted, or `None` if it is closed or never had
     /// one.
     pub fn lifted_at(&self, data_centre: &str) -> Option<Time> {
@@ -89,7 +119,7 @@
     }
 
     /// Returns the closed data centres with the revision and the time since when each is closed.
-    pub fn closed(&self) -> impl Iterator<Item = (&str, u64, Time)> {
+    pub fn closed(&self) -> impl Iterator<Item = (&str, Revision, Time)> {
         let closed = self.known.iter().filter(|(_, it)| it.is_closed);
         closed.map(|(name, it)| (name.as_str(), it.revision, it.since))
     }
--- a/crates/core/src/gateway/endpoints.rs
+++ b/crates/core/src/gateway/endpoints.rs
@@ -322,6 +322,15 @@
         }
     }
 
+    /// Returns the endpoints that are known to leave although their records say that they accept
+    /// work.
+    pub fn leaving_with_ready_record(&self) -> impl Iterator<Item = EndpointKey> {
+        let leaving = self.endpoints.values();
+        leaving
+            .filter(|it| it.has_record && !it.record.leaving && it.leaving_since().is_some())
+            .map(|it| it.key)
+    }
+
     /// Applies the operator's cordon of a data centre.
     pub fn apply_cordon(&mut self, now: Time, cordon: &Cordon) -> CordonEffect {
         self.cordons.apply(now, cordon)
--- a/crates/core/src/gateway/gossip.rs
+++ b/crates/core/src/gateway/gossip.rs
@@ -12,6 +12,7 @@
 use super::home::{PlacementAnswer, PlacementReport};
 use super::members::MemberUpdate;
 use super::rate_limits::LimitReport;
+use super::revision::Revision;
 use crate::fingerprint::Fingerprint;
 use crate::ids::EndpointKey;
 use crate::suspects::{CrashRecord, RunLeaseAnswer, RunLeaseReport};
@@ -23,7 +24,7 @@
 /// The version of these messages and of [`StoreDelta`](super::replica::StoreDelta). Messages of
 /// another version are dropped and counted: while a fleet is updated, instances of both versions
 /// serve side by side, each with the peers of its own version.
-pub const GOSSIP_VERSION: u8 = 9;
+pub const GOSSIP_VERSION: u8 = 10;
 
 /// Peers to which a new item is sent at once. Most instances then receive it in the first wave,
 /// within as many hops as the logarithm of the fleet.
@@ -36,7 +37,7 @@
 const BEACON_SENDS: u32 = 4;
 
 /// Items of each kind in one datagram, so that it fits one packet of 1,400 bytes.
-const MAX_ITEMS: usize = 24;
+pub(super) const MAX_ITEMS: usize = 24;
 
 /// Crash records in one datagram; each takes some 50 bytes.
 const MAX_CRASH_RECORDS: usize = 8;
@@ -87,7 +88,7 @@
     /// The state of the sender.
     pub from: MemberUpdate,
     /// The store revision up to which the sender's replica is complete.
-    pub revision: u64,
+    pub revision: Revision,
     /// The digest of that replica, see [`Replica::digest`](super::replica::Replica::digest).
     pub digest: u64,
     /// The number of instances that the sender knows.
@@ -98,7 +99,7 @@
 
 impl Datagram {
     /// Returns the revisions and digests of the store that the datagram claims some instance has.
-    pub fn claims(&self) -> impl Iterator<Item = (u64, u64)> {
+    pub fn claims(&self) -> impl Iterator<Item = (Revision, u64)> {
         let gossip = match &self.body {
             Body::Probe { gossip, .. } | Body::Ack { gossip, .. } | Body::Gossip(gossip) => {
                 Some(gossip)
@@ -125,6 +126,9 @@
         suspects: u64,
         /// Attached gossip.
         gossip: GossipItems,
+        /// The version of the sender's catalogue in force, 0 if there is none; set when the probe
+        /// is sent. It exceeds that of the store's record while the store holds an older copy.
+        catalogue: u64,
     },
     /// Answers a probe.
     Ack {
@@ -135,6 +139,8 @@
         members: Option<u64>,
         /// Attached gossip.
         gossip: GossipItems,
+        /// The version of the sender's catalogue in force, as in a probe.
+        catalogue: u64,
     },
     /// Asks to probe another instance on behalf of the sender.
     IndirectProbe {
@@ -173,6 +179,7 @@
             members,
             suspects: 0,
             gossip,
+            catalogue: 0,
         }
     }
 
@@ -182,6 +189,7 @@
             number,
             members: None,
             gossip: GossipItems::default(),
+            catalogue: 0,
         }
     }
 
--- a/crates/core/src/gateway/members.rs
+++ b/crates/core/src/gateway/members.rs
@@ -13,6 +13,7 @@
 pub use probes::{PROBE_INTERVAL, SUSPICION_TIMEOUT};
 
 use super::gossip::Body;
+use super::revision::Revision;
 use crate::ids::{Incarnation, stable_hash};
 use crate::time::Time;
 use core::time::Duration;
@@ -62,6 +63,15 @@
     }
 }
 
+/// What an instance states about its replica of the store.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ReplicaClaim {
+    /// The revision up to which it is complete.
+    pub revision: Revision,
+    /// Its digest.
+    pub digest: u64,
+}
+
 /// What is known about another instance.
 #[derive(Clone, Copy, Debug)]
 pub struct Member {
@@ -71,10 +81,10 @@
     since: Time,
     /// Time of its own last datagram.
     pub last_datagram: Option<Time>,
-    /// The store revision up to which it states its replica is complete.
-    pub revision: u64,
-    /// The digest of its replica.
-    pub digest: u64,
+    /// What it last stated about its replica.
+    pub replica: ReplicaClaim,
+    /// The version of its catalogue in force, as this incarnation last stated; 0 if it stated none.
+    pub catalogue: u64,
 }
 
 impl Member {
@@ -172,6 +182,13 @@
         self.others.get(&address)
     }
 
+    /// Records the version of the catalogue in force that an instance stated.
+    pub fn on_catalogue(&mut self, address: SocketAddrV4, version: u64) {
+        if let Some(known) = self.others.get_mut(&address) {
+            known.catalogue = version;
+        }
+    }
+
     /// Returns the other instances that take part.
     pub fn live(&self) -> impl Iterator<Item = (SocketAddrV4, &Member)> {
         let others = self.others.iter();
@@ -232,8 +249,7 @@
         &mut self,
         now: Time,
         stated: MemberUpdate,
-        revision: u64,
-        digest: u64,
+        replica: ReplicaClaim,
         change: &mut Change,
     ) -> bool {
         let known = self
@@ -241,14 +257,14 @@
             .entry(stated.address)
             .or_insert(unknown_member(now));
         known.last_datagram = Some(now);
-        known.revision = revision;
-        known.digest = digest;
+        known.replica = replica;
         let Some(update) = known
             .update
             .filter(|it| it.incarnation == stated.incarnation)
         else {
             known.update = Some(stated);
             known.since = now;
+            known.catalogue = 0;
             change.updates.push(stated);
             return true;
         };
@@ -354,8 +370,8 @@
         update: None,
         since: now,
         last_datagram: None,
-        revision: 0,
-        digest: 0,
+        replica: ReplicaClaim::default(),
+        catalogue: 0,
     }
 }
 
--- a/crates/core/src/gateway/reader.rs
+++ b/crates/core/src/gateway/reader.rs
@@ -43,6 +43,11 @@
 /// in force.
 const MAX_BACKOFF: Duration = Duration::from_millis(500);
 
+/// How long an instance that is not among the first watchers waits before it reads a store that came
+/// back from a copy. By then it has received the beacons of the first ones, if the store answers
+/// them, and need not read at all: after an outage up to 64 instances watch.
+const YIELD_TIME: Duration = Duration::from_millis(300);
+
 /// After an outage of this length records may have expired. They expire after three heartbeats of
 /// an endpoint, which take longer; an interrupted watch or a rejected call is no such outage, and
 /// records that are removed meanwhile are really removed.
@@ -50,7 +55,7 @@
 
 /// How long after an outage the store may still lack records: the publisher promises about two
 /// seconds.
-const SETTLE_TIME: Duration = Duration::from_millis(2_500);
+pub const SETTLE_TIME: Duration = Duration::from_millis(2_500);
 
 /// What to do next.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -74,6 +79,8 @@
     NoAnswer,
     /// The store no longer has the history that the watch asked for.
     HistoryGone,
+    /// The answer belongs to an earlier epoch.
+    OutdatedEpoch,
     /// The response exceeds the size limit.
     TooLarge,
 }
@@ -94,8 +101,6 @@
 pub enum EpochObservation {
     /// The answer belongs to the known history.
     Current,
-    /// The answer is the first that states an epoch.
-    First,
     /// The store came back from an older copy.
     Advanced {
         /// The epoch that was known before.
@@ -103,14 +108,15 @@
         /// The epoch of the answer.
         to: Epoch,
     },
-    /// The answer is of an earlier history.
+    /// The answer is of an earlier history and must have no effect.
     Outdated {
         /// The epoch of the answer.
         stated: Epoch,
         /// The known epoch.
         known: Epoch,
     },
-    /// The answer does not state a valid epoch although earlier ones did.
+    /// The answer does not state a valid epoch although earlier ones did. It counts as one of the
+    /// epoch that was known when the call was made.
     Unstated {
         /// The known epoch.
         known: Epoch,
@@ -127,8 +133,10 @@
     last_answer: Option<Time>,
     /// When the store last answered a watch.
     last_watch_answer: Option<Time>,
-    /// The latest epoch that the store stated.
-    epoch: Option<Epoch>,
+    /// The latest epoch that the store or a peer stated.
+    epoch: Epoch,
+    /// Watches in a row that were refused because their history is gone.
+    history_gone: u32,
 }
 
 impl StoreReader {
@@ -141,50 +149,70 @@
             recovered_at: None,
             last_answer: None,
             last_watch_answer: None,
-            epoch: None,
+            epoch: Epoch::UNSTATED,
+            history_gone: 0,
         }
     }
 
-    /// Returns the latest epoch that the store stated, if it ever did.
-    pub fn epoch(&self) -> Option<Epoch> {
+    /// Returns the latest epoch that the store or a peer stated; the default if none ever did.
+    pub fn epoch(&self) -> Epoch {
         self.epoch
     }
 
-    /// Records the epoch of an answer; returns what it means.
-    pub fn observe_epoch(&mut self, stated: StatedEpoch) -> EpochObservation {
-        let (known, stated) = match (self.epoch, stated) {
-            (Some(known), StatedEpoch::Known(stated)) => (known, stated),
-            (Some(known), _) => return EpochObservation::Unstated { known },
-            (None, StatedEpoch::Known(stated)) => {
-                self.epoch = Some(stated);
-                return EpochObservation::First;
-            }
-            (None, StatedEpoch::Absent) => return EpochObservation::Current,
-            (None, StatedEpoch::Unreadable) => {
-                let known = Epoch::default();
-                return EpochObservation::Unstated { known };
-            }
+    /// Records the epoch of an answer to a call that was made when `known` was the latest epoch;
+    /// returns what it means.
+    pub fn observe_epoch(&mut self, known: Epoch, stated: StatedEpoch) -> EpochObservation {
+        let latest = self.epoch;
+        let (of_answer, is_stated) = match stated {
+            StatedEpoch::Known(stated) => (stated, true),
+            StatedEpoch::Absent | StatedEpoch::Unreadable => (known, false),
         };
-        match stated.cmp(&known) {
-            Ordering::Equal => EpochObservation::Current,
-            Ordering::Less => EpochObservation::Outdated { stated, known },
+        match of_answer.cmp(&latest) {
             Ordering::Greater => {
-                self.epoch = Some(stated);
+                self.epoch = of_answer;
                 EpochObservation::Advanced {
-                    from: known,
-                    to: stated,
+                    from: latest,
+                    to: of_answer,
                 }
             }
+            Ordering::Less => EpochObservation::Outdated {
+                stated: of_answer,
+                known: latest,
+            },
+            Ordering::Equal if is_stated => EpochObservation::Current,
+            Ordering::Equal => match (stated, latest) {
+                (StatedEpoch::Absent, Epoch::UNSTATED) => EpochObservation::Current,
+                _ => EpochObservation::Unstated { known: latest },
+            },
         }
     }
 
-    /// Returns what to do now; `watches` is whether this instance watches for all.
-    pub fn next(&self, now: Time, watches: bool) -> Step {
+    /// Records that a peer knows an epoch; returns whether it is later than the known one.
+    pub fn observe_peer_epoch(&mut self, epoch: Epoch) -> bool {
+        let is_later = epoch > self.epoch;
+        self.epoch = self.epoch.max(epoch);
+        is_later
+    }
+
+    /// Begins the time for which a store that came back from a copy may lack records.
+    pub fn begin_epoch(&mut self, now: Time) {
+        self.recovered_at = Some(now);
+    }
+
+    /// Waits before the next call, so that the instances that watch for all can read first.
+    pub fn yield_to_watchers(&mut self, now: Time) {
+        self.pause_until = self.pause_until.max(now + YIELD_TIME);
+    }
+
+    /// Returns what to do now; `watches` is whether this instance watches for all, and `replica` is
+    /// the epoch of its replica.
+    pub fn next(&self, now: Time, watches: bool, replica: Epoch) -> Step {
         if now < self.pause_until {
             return Step::Pause(self.pause_until.since(now));
         }
         match (self.needs_read, watches) {
             (true, _) => Step::Read,
+            (false, true) if replica < self.epoch => Step::Read,
             (false, true) => Step::Watch,
             (false, false) => Step::StandBy(STANDBY_INTERVAL),
         }
@@ -213,6 +241,7 @@
 
     /// Records that a watch was answered; returns whether the store was unavailable before.
     pub fn on_answer(&mut self, now: Time) -> bool {
+        self.history_gone = 0;
         self.last_watch_answer = Some(now);
         self.answered(now)
     }
@@ -232,6 +261,11 @@
     pub fn on_failure(&mut self, now: Time, failure: CallFailure, draw: f64) -> bool {
         if failure == CallFailure::HistoryGone {
             self.needs_read = true;
+            if self.history_gone > 0 {
+                // A read did not help, so the next one must not follow at once.
+                self.pause_until = now + backoff(self.history_gone - 1, draw);
+            }
+            self.history_gone = self.history_gone.saturating_add(1);
             return false;
         }
         if failure == CallFailure::TooLarge {
@@ -242,10 +276,8 @@
             self.needs_read = true;
         }
         let was_available = self.failures == 0;
-        let doublings = self.failures.min(8);
+        self.pause_until = now + backoff(self.failures, draw);
         self.failures = self.failures.saturating_add(1);
-        let pause = (FIRST_BACKOFF * (1 << doublings)).min(MAX_BACKOFF);
-        self.pause_until = now + pause.mul_f64(0.5 + draw);
         was_available
     }
 
@@ -280,6 +312,12 @@
     }
 }
 
+/// Returns the pause after a failure that follows `before` others; `draw` is uniform below one.
+fn backoff(before: u32, draw: f64) -> Duration {
+    let pause = (FIRST_BACKOFF * (1 << before.min(8))).min(MAX_BACKOFF);
+    pause.mul_f64(0.5 + draw)
+}
+
 impl Default for StoreReader {
     fn default() -> Self {
         Self::new()
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -3,6 +3,7 @@
 mod peers;
 mod places;
 mod retries;
+mod store;
 mod suspects;
 
 pub use peers::{DatagramOutcome, DropReason, GOSSIP_DELAY, TICK};
@@ -24,7 +25,7 @@
 use super::placement::PlacementTable;
 use super::rate_limits::{LimitChange, RateLimits, ResponseLimit};
 use super::reader::StoreReader;
-use super::replica::Replica;
+use super::replica::{Record, Replica};
 use super::suspects::Suspects;
 use super::usage::{ReportedLoad, UsageTable};
 use crate::ids::{EndpointKey, Incarnation};
@@ -130,6 +131,13 @@
     catalogue: Option<Arc<Catalogue>>,
     /// Observed output lengths of generations, by entry.
     pub lengths: LengthTable,
+    /// The record of the catalogue in force, if the replica holds another one: an older one of the
+    /// copy from which the store came back, or one that cannot be used.
+    retained_catalogue: Option<Record>,
+    /// The key of the catalogue's record.
+    catalogue_key: Option<String>,
+    /// Whether a later catalogue of a peer is awaited before the first request.
+    awaits_catalogue: bool,
     /// Whether the store's cordons have been read once.
     knows_cordons: bool,
     started: Time,
@@ -170,6 +178,9 @@
             budget,
             catalogue: None,
             lengths: LengthTable::default(),
+            retained_catalogue: None,
+            catalogue_key: None,
+            awaits_catalogue: true,
             knows_cordons: false,
             started: now,
             stopping: false,
@@ -199,6 +210,7 @@
             return Ok(false);
         }
         self.catalogue = Some(Arc::new(Catalogue::compile(source)?));
+        self.update_lacks_catalogue();
         Ok(true)
     }
 
@@ -265,10 +277,14 @@
     /// endpoints may still be being read: those that are known can be used.
     ///
     /// Without the check, an instance that has read only the first page of records sends requests
-    /// to a data centre that the operator cordoned before the instance started.
+    /// to a data centre that the operator cordoned before the instance started. One that started
+    /// while the store holds an older copy also waits for the catalogue of its peers, if any of
+    /// them has a later one.
     pub fn servable(&self) -> Option<&Arc<Catalogue>> {
         let knows_cordons = self.knows_cordons || self.replica.is_complete();
-        self.catalogue.as_ref().filter(|_| knows_cordons)
+        let awaits_catalogue = self.awaits_catalogue && self.catch_up.lacks_catalogue();
+        let is_servable = knows_cordons && !awaits_catalogue;
+        self.catalogue.as_ref().filter(|_| is_servable)
     }
 
     /// Begins the planned stop.
@@ -373,7 +389,15 @@
 
     /// Applies the operator's cordon of a data centre, or its end, and queues it as gossip; returns
     /// what it means for this instance.
+    ///
+    /// A cordon of an earlier epoch of the store stays until the store no longer lacks records and
+    /// this replica has reached the new epoch; see [`Gateway::overdue_cordons`].
     pub fn publish_cordon(&mut self, now: Time, cordon: Cordon) -> CordonEffect {
+        let may_return =
+            self.may_lack_cordons(now) || self.replica.revision().epoch < cordon.revision.epoch;
+        if may_return && self.endpoints.cordons().lifts_earlier_epoch(&cordon) {
+            return CordonEffect::Outdated;
+        }
         let effect = self.endpoints.apply_cordon(now, &cordon);
         if effect != CordonEffect::Outdated {
             let instances = self.instances();
--- a/crates/core/src/gateway/state/peers.rs
+++ b/crates/core/src/gateway/state/peers.rs
@@ -5,10 +5,11 @@
 use crate::gateway::catch_up::{FetchFailure, Provider};
 use crate::gateway::cordons::{Cordon, CordonEffect};
 use crate::gateway::gossip::{Body, Datagram, FAN_OUT, GOSSIP_VERSION, GossipItems};
-use crate::gateway::members::{Change, Member};
+use crate::gateway::members::{Change, Member, ReplicaClaim};
 use crate::gateway::placement::UNANSWERED_REPORT_INTERVAL;
 use crate::gateway::rate_limits::LimitChange;
 use crate::gateway::reader::{Step, WATCHER_TIMEOUT, WATCHERS};
+use crate::gateway::revision::Revision;
 use crate::ids::EndpointKey;
 use crate::time::Time;
 use core::time::Duration;
@@ -25,6 +26,10 @@
 /// start is recent enough for that long.
 const JOIN_TIMEOUT: Duration = Duration::from_millis(700);
 
+/// How long an instance that has just started waits for a peer's later catalogue before it serves by
+/// the store's.
+const CATALOGUE_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Why a datagram is dropped.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum DropReason {
@@ -94,12 +99,13 @@
         self.fleet.on_report(now, datagram.fleet);
         let mut outcome = DatagramOutcome::default();
         let mut change = Change::default();
-        let (revision, digest) = (datagram.revision, datagram.digest);
+        let replica = ReplicaClaim {
+            revision: datagram.revision,
+            digest: datagram.digest,
+        };
         let claims_more = datagram.claims().any(|it| self.is_ahead(it.0, it.1));
         let sender = datagram.from;
-        outcome.is_new = self
-            .members
-            .on_datagram(now, sender, revision, digest, &mut change);
+        outcome.is_new = self.members.on_datagram(now, sender, replica, &mut change);
         self.on_body(now, datagram, &mut outcome, &mut change);
         outcome.send.append(&mut change.send);
         outcome.gone.append(&mut change.gone);
@@ -128,13 +134,16 @@
                 members,
                 suspects,
                 gossip,
+                catalogue,
             } => {
+                self.on_peer_catalogue(from, catalogue);
                 self.on_gossip(now, gossip, outcome, change);
                 self.send_suspects(now, from, suspects, &mut outcome.send);
                 let ack = Body::Ack {
                     number,
                     members: Some(self.members.digest()),
                     gossip: GossipItems::default(),
+                    catalogue: 0,
                 };
                 outcome.send.push((from, ack));
                 self.sync_with(now, from, members, outcome);
@@ -143,7 +152,9 @@
                 number,
                 members,
                 gossip,
+                catalogue,
             } => {
+                self.on_peer_catalogue(from, catalogue);
                 self.on_gossip(now, gossip, outcome, change);
                 outcome.send.extend(self.members.on_ack(number));
                 if let Some(members) = members {
@@ -160,6 +171,8 @@
                 outcome
                     .send
                     .extend(lists.map(|it| (from, Body::Members(it))));
+                let kept = self.beliefs_beyond_store().into_iter();
+                outcome.send.extend(kept.map(|it| (from, Body::Gossip(it))));
             }
             Body::Members(list) => {
                 for update in list {
@@ -297,6 +310,7 @@
             self.placement_changes += 1;
         }
         self.outbox.tick(now);
+        self.awaits_catalogue &= now.since(self.started) < CATALOGUE_TIMEOUT;
         self.update_behind(now);
         self.send_gossip(now, &mut outcome.send);
         outcome.decided = self.report(now, &mut outcome.send);
@@ -374,6 +388,9 @@
         if let Body::Probe { suspects, .. } = &mut body {
             *suspects = self.suspects.ledger.digest();
         }
+        if let Body::Probe { catalogue, .. } | Body::Ack { catalogue, .. } = &mut body {
+            *catalogue = self.catalogue_version();
+        }
         Datagram {
             version: GOSSIP_VERSION,
             deployment: self.cfg.deployment,
@@ -418,7 +435,7 @@
     }
 
     /// Returns how many other instances precede this one in the order of watchers.
-    fn rank(&self) -> usize {
+    pub(super) fn rank(&self) -> usize {
         let own = watcher_rank(self.cfg.address);
         let steady = self.members.live().filter(|(_, it)| it.is_steady());
         steady
@@ -430,15 +447,15 @@
     pub fn next_step(&self, now: Time) -> Step {
         let knows_others = self.members.has_joined() || now.since(self.started) >= JOIN_TIMEOUT;
         let reads = (knows_others && self.watches(now)) || self.catch_up.needs_direct_read(now);
-        self.reader.next(now, reads)
+        self.reader.next(now, reads, self.replica.revision().epoch)
     }
 
     /// Returns the peers that are ahead of this instance's replica of the store.
     fn providers(&self) -> impl Iterator<Item = Provider> {
         let members = self.members.live().map(|(address, it)| Provider {
             address,
-            revision: it.revision,
-            digest: it.digest,
+            revision: it.replica.revision,
+            digest: it.replica.digest,
             is_direct: true,
         });
         let beacons = self
@@ -460,20 +477,55 @@
     pub fn choose_provider(&mut self, now: Time) -> Option<SocketAddrV4> {
         let watches = self.watches(now);
         let providers: Vec<Provider> = self.providers().collect();
-        let able = self.catch_up.candidates(now, &providers, watches);
+        let mut able = self.catch_up.candidates(now, &providers, watches);
+        if providers.is_empty() {
+            let later = self.members_with_later_catalogue();
+            able = later
+                .filter(|it| !self.catch_up.is_skipped(now, *it))
+                .collect();
+        }
         able.choose(&mut self.rng).copied()
     }
 
+    fn on_peer_catalogue(&mut self, peer: SocketAddrV4, version: u64) {
+        self.members.on_catalogue(peer, version);
+        if version > self.catalogue_version() {
+            self.catch_up.set_lacks_catalogue(true);
+        }
+    }
+
+    /// Returns the live peers that have a later catalogue in force than this instance.
+    fn members_with_later_catalogue(&self) -> impl Iterator<Item = SocketAddrV4> {
+        let own = self.catalogue_version();
+        let live = self.members.live();
+        live.filter(move |(_, it)| it.catalogue > own)
+            .map(|(address, _)| address)
+    }
+
+    /// Returns whether a peer has a later catalogue in force than this instance.
+    pub fn lacks_catalogue_of(&self, peer: SocketAddrV4) -> bool {
+        let member = self.members.get(peer);
+        member.is_some_and(|it| it.catalogue > self.catalogue_version())
+    }
+
+    /// Updates whether a peer has a later catalogue in force than this instance.
+    pub(super) fn update_lacks_catalogue(&mut self) {
+        let lacks_catalogue = self.members_with_later_catalogue().next().is_some();
+        self.catch_up.set_lacks_catalogue(lacks_catalogue);
+    }
+
     /// Updates whether a peer is ahead of this instance.
     pub fn update_behind(&mut self, now: Time) {
+        self.update_lacks_catalogue();
         let behind = self.providers().next().is_some();
         self.catch_up.set_behind(now, behind);
     }
 
-    /// Returns whether this revision and digest are ahead of this replica. Revisions alone do not
-    /// show it: each heartbeat of an endpoint creates one.
-    fn is_ahead(&self, revision: u64, digest: u64) -> bool {
-        revision > self.replica.revision() && digest != self.replica.digest()
+    /// Returns whether this revision and digest are ahead of this replica. Revisions of one epoch
+    /// alone do not show it: each heartbeat of an endpoint creates one.
+    fn is_ahead(&self, revision: Revision, digest: u64) -> bool {
+        let own = self.replica.revision();
+        revision.epoch > own.epoch || (revision > own && digest != self.replica.digest())
     }
 
     /// Returns whether a peer is ahead of this instance.
--- a/crates/core/tests/gateway_catch_up.rs
+++ b/crates/core/tests/gateway_catch_up.rs
@@ -7,7 +7,7 @@
 mod instances;
 
 use core::time::Duration;
-use instances::{address, datagram};
+use instances::{address, datagram, rev};
 use oriolemux_core::Time;
 use oriolemux_core::gateway::catch_up::{DIRECT_READ_AFTER, FetchFailure, MAX_LARGE_TRANSFERS};
 use oriolemux_core::gateway::gossip::GossipItems;
@@ -34,7 +34,7 @@
 fn change() -> (Record, ContentHash) {
     let record = Record {
         key: "catalogue".to_owned(),
-        revision: CHANGED,
+        revision: rev(CHANGED),
         value: Some(b"new".to_vec()),
     };
     let hash = ContentHash::of(&record.key, &[b"new"]);
@@ -45,7 +45,7 @@
 fn apply_change(one: &mut Gateway) {
     let (record, hash) = change();
     one.replica.apply(record, hash);
-    one.replica.advance_to(CHANGED);
+    one.replica.advance_to(rev(CHANGED));
 }
 
 /// The digest of a replica at a revision.
@@ -61,7 +61,7 @@
 fn gateway(number: u16) -> Gateway {
     let mut gateway = instances::gateway(number);
     gateway.reader.on_read(Time::ZERO);
-    gateway.replica.finish_full_read(1);
+    gateway.replica.finish_full_read(rev(1));
     gateway
 }
 
@@ -124,7 +124,7 @@
     }
 
     fn revision(&self, index: usize) -> u64 {
-        self.instances[index].replica.revision()
+        self.instances[index].replica.revision().number
     }
 
     fn informed(&self) -> usize {
--- a/crates/core/tests/gateway_cold.rs
+++ b/crates/core/tests/gateway_cold.rs
@@ -335,7 +335,7 @@
 fn cordon(revision: u64, is_closed: bool) -> Cordon {
     Cordon {
         data_centre: "north".to_owned(),
-        revision,
+        revision: instances::rev(revision),
         is_closed,
     }
 }
--- a/crates/core/tests/gateway_cordons.rs
+++ b/crates/core/tests/gateway_cordons.rs
@@ -37,7 +37,7 @@
 fn cordon(data_centre: &str, revision: u64, is_closed: bool) -> Cordon {
     Cordon {
         data_centre: data_centre.to_owned(),
-        revision,
+        revision: instances::rev(revision),
         is_closed,
     }
 }
--- a/crates/core/tests/gateway_replica.rs
+++ b/crates/core/tests/gateway_replica.rs
@@ -1,14 +1,24 @@
 //! The replica of the store never steps back, in whatever order records arrive.
 
 use core::time::Duration;
-use oriolemux_core::gateway::{Applied, ContentHash, EndpointRecord, Record, Replica};
+use oriolemux_core::gateway::{
+    Applied, ContentHash, EndpointRecord, Epoch, Record, Replica, Revision,
+};
 use proptest::prelude::*;
 use std::collections::BTreeMap;
 
+/// Returns a revision of a store that states no epoch.
+fn rev(number: u64) -> Revision {
+    Revision {
+        epoch: Epoch::UNSTATED,
+        number,
+    }
+}
+
 fn record(key: &str, revision: u64, value: Option<&str>) -> Record {
     Record {
         key: key.to_owned(),
-        revision,
+        revision: rev(revision),
         value: value.map(|value| value.as_bytes().to_vec()),
     }
 }
@@ -48,17 +58,17 @@
             .value
             .as_ref()
             .is_some_and(|it| it.ends_with(b"true"));
-        let (_, hash) = heartbeat(record.revision, leaving);
+        let (_, hash) = heartbeat(record.revision.number, leaving);
         replica.apply(record, hash);
     }
     replica.advance_to(delta.revision);
 }
 
 fn known(replica: &Replica) -> BTreeMap<String, (u64, Option<Vec<u8>>)> {
-    let delta = replica.delta_since(0);
+    let delta = replica.delta_since(rev(0));
     let records = delta.records.into_iter();
     records
-        .map(|it| (it.key, (it.revision, it.value)))
+        .map(|it| (it.key, (it.revision.number, it.value)))
         .collect()
 }
 
@@ -85,7 +95,7 @@
     apply(&mut replica, record("a", 5, Some("old")));
     apply(&mut replica, record("b", 12, Some("came during the read")));
 
-    let missing = replica.removals_after_read(&BTreeMap::new(), 10);
+    let missing = replica.removals_after_read(&BTreeMap::new(), rev(10));
 
     assert_eq!(missing, [record("a", 10, None)]);
 }
@@ -94,12 +104,12 @@
 fn a_delta_is_partial_only_if_all_changes_were_seen() {
     let mut replica = Replica::default();
     apply(&mut replica, record("a", 5, Some("1")));
-    replica.finish_full_read(10);
+    replica.finish_full_read(rev(10));
     apply(&mut replica, record("b", 12, Some("2")));
-    replica.advance_to(12);
+    replica.advance_to(rev(12));
 
-    let seen_all = replica.delta_since(10);
-    let too_old = replica.delta_since(7);
+    let seen_all = replica.delta_since(rev(10));
+    let too_old = replica.delta_since(rev(7));
 
     assert!(!seen_all.is_full);
     assert_eq!(seen_all.records, [record("b", 12, Some("2"))]);
@@ -116,13 +126,13 @@
     let mut follower = Replica::default();
     let (record, hash) = heartbeat(1, false);
     assert_eq!(watcher.apply(record, hash), Applied::Changed);
-    watcher.finish_full_read(1);
+    watcher.finish_full_read(rev(1));
     apply_delta(&mut follower, &watcher);
 
     for revision in 2..100 {
         let (record, hash) = heartbeat(revision, false);
         assert_eq!(watcher.apply(record, hash), Applied::Heartbeat);
-        watcher.advance_to(revision);
+        watcher.advance_to(rev(revision));
     }
 
     assert!(watcher.revision() > follower.revision());
@@ -136,10 +146,10 @@
     let mut follower = Replica::default();
     let writes = (1..=9).map(|revision| heartbeat(revision, revision >= 5));
     for (record, hash) in writes {
-        let revision = record.revision;
+        let revision = record.revision.number;
         watcher.apply(record, hash);
-        watcher.finish_full_read(1);
-        watcher.advance_to(revision);
+        watcher.finish_full_read(rev(1));
+        watcher.advance_to(rev(revision));
         if revision == 3 {
             apply_delta(&mut follower, &watcher);
         }
@@ -189,7 +199,7 @@
             let record = index.get(&records).clone();
             let before = known(&mixed).get(&record.key).map_or(0, |it| it.0);
             apply(&mut mixed, record.clone());
-            prop_assert!(known(&mixed)[&record.key].0 >= before.max(record.revision));
+            prop_assert!(known(&mixed)[&record.key].0 >= before.max(record.revision.number));
         }
         for record in &records {
             apply(&mut mixed, record.clone());
--- a/crates/gateway/src/catch_up.rs
+++ b/crates/gateway/src/catch_up.rs
@@ -1,7 +1,7 @@
 //! Fetches missed records of the store from peers, and serves them.
 //!
-//! The request is the revision up to which the sender has all records, over TCP on the port number
-//! of the datagrams. The reply is a delta with all later records, compressed if it is large
+//! The request is the revision up to which the sender has all records (its number, then its epoch)
+//! and the version of its catalogue, over TCP on the port number of the datagrams. The reply is a delta with all later records, compressed if it is large
 //! ([`mod@format`]). An empty reply is a refusal: the peer serves others at the moment. The core
 //! decides whom to ask and how many may be served at once ([`core::gateway::catch_up`]).
 //!
@@ -13,13 +13,14 @@
 use crate::link::connect_socket;
 use crate::log_event;
 use crate::meters::{ByReason, millis};
+use crate::ports::Published;
 use crate::ports::Wire;
-use crate::store::{Source, apply, finish_full_read};
+use crate::store::{Source, apply, apply_catalogue, finish_full_read, log_epoch_change};
 use core::time::Duration;
 use format::FormatError;
 use oriolemux_core::gateway::catch_up::{FetchFailure, LARGE_DELTA_BYTES, MAX_LARGE_TRANSFERS};
-use oriolemux_core::gateway::replica::StoreDelta;
-use std::collections::BTreeMap;
+use oriolemux_core::gateway::replica::{DeltaRequest, StoreDelta};
+use oriolemux_core::gateway::{Epoch, Record, Revision};
 use std::io;
 use std::net::{SocketAddr, SocketAddrV4};
 use std::sync::Arc;
@@ -85,9 +86,9 @@
 
 async fn fetch_from<W: Wire>(cx: &Cx<W>, peer: SocketAddrV4) {
     let started = Instant::now();
-    let after = cx.state().replica.revision();
+    let request = cx.state().delta_request();
     let fetched = tokio::select! {
-        fetched = fetch(peer, after) => fetched,
+        fetched = fetch(peer, request) => fetched,
         // The store or another peer delivered the records meanwhile.
         () = no_longer_behind(cx) => return,
     };
@@ -96,15 +97,18 @@
     match fetched {
         Ok(delta) => {
             ByReason::PeerAnswers.add("told");
-            log_event!(DeltaReceived, peer:% = peer, revision = delta.revision, whole = delta.is_full,
+            log_event!(DeltaReceived, peer:% = peer, epoch = delta.revision.epoch.0,
+                revision = delta.revision.number, whole = delta.is_full,
                 records = delta.records.len(), ms = ms);
-            apply_delta(cx, delta);
+            apply_delta(cx, request, delta);
+            skip_unless_caught_up(cx, peer);
         }
         Err(error) => {
             ByReason::PeerAnswers.add(error.label());
             cx.state()
                 .on_fetch_failure(now, peer, error.fetch_failure());
-            log_event!(DeltaFetchFailed, peer:% = peer, why = error.label(), revision = after, ms = ms);
+            log_event!(DeltaFetchFailed, peer:% = peer, why = error.label(),
+                revision = request.after.number, ms = ms);
         }
     }
     cx.state().update_behind(cx.now());
@@ -120,40 +124,86 @@
     }
 }
 
-fn apply_delta<W: Wire>(cx: &Cx<W>, delta: StoreDelta) {
-    let seen: BTreeMap<String, ()> = match delta.is_full {
-        true => delta
-            .records
-            .iter()
-            .map(|it| (it.key.clone(), ()))
-            .collect(),
-        false => BTreeMap::new(),
-    };
-    let has_changes = apply(cx, Source::Peer, delta.records);
-    if delta.is_full {
-        finish_full_read(cx, Source::Peer, &seen, delta.revision);
-    } else {
-        cx.state().replica.advance_to(delta.revision);
+/// Asks a peer again only after a pause if what it sent did not bring its catalogue in force here.
+fn skip_unless_caught_up<W: Wire>(cx: &Cx<W>, peer: SocketAddrV4) {
+    let now = cx.now();
+    let mut state = cx.state();
+    state.update_behind(now);
+    if state.lacks_catalogue_of(peer) {
+        state.on_fetch_failure(now, peer, FetchFailure::Failed);
     }
-    if has_changes {
-        // Peers can now fetch the delta from this instance and should learn so at once.
-        cx.state().announce();
-        cx.gossip_due.notify_one();
+}
+
+fn apply_delta<W: Wire>(cx: &Cx<W>, request: DeltaRequest, mut delta: StoreDelta) {
+    let catalogue = delta.catalogue.take();
+    let before = cx.state().replica.revision();
+    let is_new_epoch = delta.revision.epoch > before.epoch;
+    // A partial delta into a new epoch states what differs from the requested revision, and nothing
+    // of what this replica has received since.
+    let is_applicable = delta.is_full || !is_new_epoch || before == request.after;
+    // A peer that has not reached the epoch of this replica knows nothing newer but a catalogue.
+    if is_applicable && delta.revision.epoch >= before.epoch {
+        follow_epoch(cx, before, delta.revision.epoch);
+        let has_changes = apply_records(cx, delta);
+        if has_changes || is_new_epoch {
+            // Peers can now fetch the delta from this instance and should learn so at once.
+            cx.state().announce();
+            cx.gossip_due.notify_one();
+        }
+    }
+    if let Some(record) = catalogue {
+        apply_peer_catalogue(cx, record);
+    }
+}
+
+fn follow_epoch<W: Wire>(cx: &Cx<W>, before: Revision, epoch: Epoch) {
+    let now = cx.now();
+    let from = cx.state().observe_peer_epoch(now, epoch);
+    if let Some(from) = from.filter(|_| before != Revision::ZERO) {
+        log_epoch_change(from, epoch, "peer", before);
     }
 }
 
-/// Fetches a peer's records of the store above revision `after`.
+/// Applies the records of a delta; returns whether any changed.
+fn apply_records<W: Wire>(cx: &Cx<W>, delta: StoreDelta) -> bool {
+    let revision = delta.revision;
+    if !delta.is_full {
+        let has_changes = apply(cx, Source::Peer, delta.records);
+        cx.state().replica.advance_to(revision);
+        return has_changes;
+    }
+    let existing = delta.existing_keys();
+    let has_changes = apply(cx, Source::Peer, delta.records);
+    finish_full_read(cx, Source::Peer, &existing, revision);
+    has_changes
+}
+
+/// Puts a peer's catalogue in force that is newer than the store's.
+fn apply_peer_catalogue<W: Wire>(cx: &Cx<W>, record: Record) {
+    let Published::Catalogue(source) = cx.wire.decode(&record) else {
+        log::warn!("a peer sent a catalogue that cannot be parsed");
+        return;
+    };
+    if apply_catalogue(cx, Source::Peer, source) {
+        cx.state().retain_catalogue(record);
+        cx.replica_changed.notify_waiters();
+    }
+}
+
+/// Fetches the records of the store that a peer knows beyond those of `request`.
 ///
 /// # Errors
 ///
 /// Fails if the peer cannot be reached, falls silent or refuses, or if its reply cannot be decoded.
 /// The total duration is not bounded while data keeps arriving; the caller must bound it.
-pub async fn fetch(peer: SocketAddrV4, after: u64) -> Result<StoreDelta, FetchError> {
+pub async fn fetch(peer: SocketAddrV4, request: DeltaRequest) -> Result<StoreDelta, FetchError> {
     let silent = |_| FetchError::Silent(SILENCE_TIMEOUT);
     let mut stream = timeout(SILENCE_TIMEOUT, connect_socket(peer))
         .await
         .map_err(silent)??;
-    stream.write_u64(after).await?;
+    stream.write_u64(request.after.number).await?;
+    stream.write_u64(request.after.epoch.0).await?;
+    stream.write_u64(request.catalogue).await?;
     let mut bytes = Vec::new();
     while bytes.len() <= format::MAX_DELTA_BYTES {
         let read = timeout(SILENCE_TIMEOUT, stream.read_buf(&mut bytes));
@@ -167,6 +217,15 @@
     Ok(format::decode(&bytes)?)
 }
 
+async fn read_request(stream: &mut TcpStream) -> io::Result<DeltaRequest> {
+    let number = stream.read_u64().await?;
+    let epoch = Epoch(stream.read_u64().await?);
+    Ok(DeltaRequest {
+        after: Revision { epoch, number },
+        catalogue: stream.read_u64().await?,
+    })
+}
+
 /// Serves deltas to peers that request them. Never returns.
 pub async fn serve_deltas<W: Wire>(cx: Arc<Cx<W>>, listener: TcpListener) {
     loop {
@@ -214,10 +273,10 @@
 
 /// Sends the delta, unless it is large and too many large transfers are in progress.
 async fn send_delta<W: Wire>(cx: &Arc<Cx<W>>, mut stream: TcpStream) -> io::Result<DeltaTransfer> {
-    let after = stream.read_u64().await?;
-    let size = cx.state().replica.delta_size(after);
+    let request = read_request(&mut stream).await?;
+    let size = cx.state().delta_size(request);
     if size <= LARGE_DELTA_BYTES {
-        let bytes = encode(cx, after)?;
+        let bytes = encode(cx, request)?;
         stream.write_all(&bytes).await?;
         stream.shutdown().await?;
         cx.record_sent(STORE_DELTA_PURPOSE, bytes.len());
@@ -226,7 +285,7 @@
     let Some(_telling) = cx.begin_large_transfer(MAX_LARGE_TRANSFERS) else {
         return Ok(DeltaTransfer::Small);
     };
-    let bytes = encode(cx, after)?;
+    let bytes = encode(cx, request)?;
     stream.write_all(&bytes).await?;
     stream.shutdown().await?;
     cx.record_sent(STORE_DELTA_PURPOSE, bytes.len());
@@ -235,7 +294,7 @@
     Ok(DeltaTransfer::Large(bytes.len()))
 }
 
-fn encode<W: Wire>(cx: &Cx<W>, after: u64) -> io::Result<Vec<u8>> {
-    let delta = cx.state().replica.delta_since(after);
+fn encode<W: Wire>(cx: &Cx<W>, request: DeltaRequest) -> io::Result<Vec<u8>> {
+    let delta = cx.state().delta_for(request);
     format::encode(&delta).map_err(io::Error::other)
 }
--- a/crates/gateway/src/cx.rs
+++ b/crates/gateway/src/cx.rs
@@ -240,7 +240,7 @@
         let endpoints = state.endpoints.in_data_centre(&cordon.data_centre).count();
         drop(state);
         let data_centre = cordon.data_centre.as_str();
-        let (revision, is_news) = (cordon.revision, effect == CordonEffect::Changed);
+        let (revision, is_news) = (cordon.revision.number, effect == CordonEffect::Changed);
         match cordon.is_closed {
             true => log_event!(
                 DataCentreCordoned,
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -11,7 +11,7 @@
 use crate::log_event;
 use crate::meters::ByReason;
 use crate::ports::Wire;
-use crate::store::Source;
+use crate::store::{Source, lift_missing_cordons};
 use bincode::config::{Configuration, Limit, LittleEndian, Varint, standard};
 use oriolemux_core::gateway::state::{GOSSIP_DELAY, TICK};
 use oriolemux_core::gateway::{Body, Datagram};
@@ -48,6 +48,10 @@
         for peer in ticked.silent {
             log_event!(PeerGone, peer:% = peer);
         }
+        let overdue = cx.state().overdue_cordons(now);
+        if !overdue.is_empty() {
+            lift_missing_cordons(&cx, Source::Store, &overdue);
+        }
         if cx.state().is_behind() {
             cx.catch_up_due.notify_one();
         }
--- a/crates/gateway/src/meters.rs
+++ b/crates/gateway/src/meters.rs
@@ -75,7 +75,7 @@
         CatalogueVersion = "oriolemux_gateway_catalogue_version";
         /// The store's revision up to which everything is known.
         StoreRevision = "oriolemux_gateway_store_revision";
-        /// The latest epoch that the store stated; 0 if it never did.
+        /// The epoch of that revision, which rises when the store comes back from an older copy.
         StoreEpoch = "oriolemux_gateway_store_epoch";
         /// Seconds since the store last answered this instance, if it ever did.
         StoreAge = "oriolemux_gateway_store_age";
@@ -158,11 +158,8 @@
     let values = [
         (Gauge::Ready, f64::from(u8::from(state.is_ready()))),
         (Gauge::CatalogueVersion, version as f64),
-        (Gauge::StoreRevision, state.replica.revision() as f64),
-        (
-            Gauge::StoreEpoch,
-            state.reader.epoch().unwrap_or_default().0 as f64,
-        ),
+        (Gauge::StoreRevision, state.replica.revision().number as f64),
+        (Gauge::StoreEpoch, state.replica.revision().epoch.0 as f64),
         (Gauge::StoreAge, age.unwrap_or_default().as_secs_f64()),
         (
             Gauge::EndpointsServing,
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -12,7 +12,7 @@
 use oriolemux_core::gateway::rate_limits::ResponseLimit;
 use oriolemux_core::gateway::reader::{CallFailure, StatedEpoch};
 use oriolemux_core::gateway::usage::ReportedLoad;
-use oriolemux_core::gateway::{CatalogueSource, ContentHash, Cordon, Record};
+use oriolemux_core::gateway::{CatalogueSource, ContentHash, Cordon, Epoch, Record, Revision};
 use std::net::SocketAddrV4;
 
 /// The values of a caller's headers.
@@ -134,24 +134,47 @@
     pub content: Result<T, CallFailure>,
 }
 
+/// One key of the store in an answer. Its number is a revision of the epoch of the answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StoredRecord {
+    /// The key.
+    pub key: String,
+    /// The store's number of the change that wrote or removed it.
+    pub number: u64,
+    /// The value; `None` if the key was removed.
+    pub value: Option<Vec<u8>>,
+}
+
+impl StoredRecord {
+    /// Returns the record as one of `epoch`.
+    pub fn in_epoch(self, epoch: Epoch) -> Record {
+        let number = self.number;
+        Record {
+            key: self.key,
+            revision: Revision { epoch, number },
+            value: self.value,
+        }
+    }
+}
+
 /// One page of the store's records.
 #[derive(Clone, Debug, Default)]
 pub struct Page {
     /// The records.
-    pub records: Vec<Record>,
+    pub records: Vec<StoredRecord>,
     /// The key after which the next page begins, `None` on the last page.
     pub next: Option<String>,
-    /// The store's revision when the page was read.
-    pub revision: u64,
+    /// The number of the store's last change when the page was read.
+    pub number: u64,
 }
 
 /// Changes of the store.
 #[derive(Clone, Debug, Default)]
 pub struct Changes {
     /// The records that were written or removed.
-    pub records: Vec<Record>,
-    /// All changes up to this revision are included.
-    pub revision: u64,
+    pub records: Vec<StoredRecord>,
+    /// All changes up to the one with this number are included.
+    pub number: u64,
 }
 
 /// The meaning of a record.
@@ -161,6 +184,8 @@
     Catalogue(CatalogueSource),
     /// An endpoint.
     Endpoint(EndpointRecord),
+    /// The record of the catalogue was removed; the one in force stays.
+    CatalogueGone,
     /// The record of an endpoint was removed.
     EndpointGone(String),
     /// A cordon of a data centre that the operator set or lifted.
@@ -179,11 +204,19 @@
         /// What is wrong with the record.
         error: String,
     },
-    /// The record cannot be parsed.
+    /// The record of the catalogue cannot be parsed.
     Unreadable(String),
 }
 
 impl Published {
+    /// Returns whether the record is that of the catalogue.
+    pub const fn is_of_catalogue(&self) -> bool {
+        matches!(
+            self,
+            Published::Catalogue(_) | Published::CatalogueGone | Published::Unreadable(_)
+        )
+    }
+
     /// Returns the content hash of `record`, whose meaning this is.
     pub fn mark(&self, record: &Record) -> ContentHash {
         match self {
@@ -193,9 +226,10 @@
             Published::Cordon { cordon, .. } if cordon.is_closed => {
                 ContentHash::of(&record.key, &[b"closed"])
             }
-            Published::EndpointGone(_) | Published::Cordon { .. } | Published::Other => {
-                ContentHash::NOTHING
-            }
+            Published::CatalogueGone
+            | Published::EndpointGone(_)
+            | Published::Cordon { .. }
+            | Published::Other => ContentHash::NOTHING,
             Published::Catalogue(_)
             | Published::EndpointUnreadable { .. }
             | Published::Unreadable(_) => {
@@ -246,7 +280,7 @@
         limit: Duration,
     ) -> impl Future<Output = StoreAnswer<Page>> + Send;
 
-    /// Waits at most `wait` for changes after revision `after`. The head of the response must
+    /// Waits at most `wait` for changes after the one with number `after`. The head of the response must
     /// arrive within `limit`; the body may take longer as long as data keeps arriving.
     fn watch(
         &self,
--- a/crates/gateway/src/status.rs
+++ b/crates/gateway/src/status.rs
@@ -111,6 +111,9 @@
     pub data_centre: String,
     /// The store's revision of the cordon.
     pub revision: u64,
+    /// The epoch of that revision.
+    #[serde(default)]
+    pub epoch: u64,
     /// Milliseconds since this instance learned of it.
     pub heard_ms_ago: u64,
     /// The number of its endpoints.
@@ -149,9 +152,9 @@
 pub struct StoreStatus {
     /// The revision up to which all records are known.
     pub revision: u64,
-    /// The latest epoch that the store stated, `None` if it never did.
+    /// The epoch of that revision; 0 if the store states none.
     #[serde(default)]
-    pub epoch: Option<u64>,
+    pub epoch: u64,
     /// Milliseconds since the store last answered this instance, `None` if it never did.
     pub answered_ms_ago: Option<u64>,
     /// Whether this instance watches the store for all others.
@@ -200,6 +203,9 @@
     pub heard_ms_ago: Option<u64>,
     /// The store's revision that it has.
     pub revision: u64,
+    /// The epoch of that revision.
+    #[serde(default)]
+    pub epoch: u64,
     /// Whether it is stopping.
     pub stopping: bool,
 }
@@ -222,8 +228,8 @@
             readiness: readiness(&state),
             catalogue_version: state.catalogue().map(|it| it.version()),
             store: StoreStatus {
-                revision: state.replica.revision(),
-                epoch: state.reader.epoch().map(|it| it.0),
+                revision: state.replica.revision().number,
+                epoch: state.replica.revision().epoch.0,
                 answered_ms_ago: state.reader.last_answer().map(|at| millis(now.since(at))),
                 watches: state.watches(now),
                 unsettled: state.may_miss_records(now),
@@ -267,7 +273,8 @@
     closed
         .map(|(data_centre, revision, since)| CordonStatus {
             data_centre: data_centre.to_owned(),
-            revision,
+            revision: revision.number,
+            epoch: revision.epoch.0,
             heard_ms_ago: millis(now.since(since)),
             endpoints: state.endpoints.in_data_centre(data_centre).count(),
         })
@@ -340,7 +347,8 @@
     PeerStatus {
         address,
         heard_ms_ago: peer.last_datagram.map(|at| millis(now.since(at))),
-        revision: peer.revision,
+        revision: peer.replica.revision.number,
+        epoch: peer.replica.revision.epoch.0,
         stopping: peer.is_stopping(),
     }
 }
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -8,13 +8,13 @@
 
 use crate::cx::Cx;
 use crate::log_event;
-use crate::ports::{Published, Store, StoreAnswer, Wire};
+use crate::ports::{Changes, Published, Store, StoreAnswer, Wire};
 use core::time::Duration;
 use oriolemux_core::gateway::reader::{
     CallFailure, EpochObservation, StatedEpoch, Step, StoreReader, WATCH_TIMEOUT_MARGIN, WATCH_WAIT,
 };
 use oriolemux_core::gateway::replica::{Applied, Record};
-use oriolemux_core::gateway::{CatalogueSource, Cordon, CordonEffect};
+use oriolemux_core::gateway::{CatalogueSource, Cordon, CordonEffect, Epoch, Revision};
 use oriolemux_core::time::Time;
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -42,72 +42,123 @@
     }
 }
 
+/// Reads all pages. If the store comes back from a copy meanwhile, the read begins again: pages of
+/// two histories do not complete each other.
 async fn read_all<W: Wire, S: Store>(cx: &Cx<W>, store: &S) -> Result<(), CallFailure> {
-    let mut seen = BTreeMap::new();
-    let mut after: Option<String> = None;
-    let mut first_revision = None;
-    let mut older = 0;
+    let mut read = FullRead::default();
     loop {
-        let answer = store.page(after.as_deref(), PAGE_TIMEOUT).await;
-        observe_epoch(cx, "read", &answer);
+        let known = cx.state().reader.epoch();
+        let answer = store.page(read.after.as_deref(), PAGE_TIMEOUT).await;
+        let epoch = match observe_epoch(cx, "read", known, &answer) {
+            AnswerEpoch::Current(epoch) | AnswerEpoch::Advanced(epoch) => epoch,
+            AnswerEpoch::Outdated => return Err(CallFailure::OutdatedEpoch),
+        };
         let page = answer.content?;
+        let began = read.began.get_or_insert(Revision {
+            epoch,
+            number: page.number,
+        });
+        if began.epoch != epoch {
+            read = FullRead::default();
+            continue;
+        }
         // Pages are not a snapshot: later pages may lack what was written after the first one, so
         // only the first page's revision is certain.
-        let first_revision = *first_revision.get_or_insert(page.revision);
-        for record in &page.records {
-            older += usize::from(cx.state().replica.has_newer(record));
-            seen.insert(record.key.clone(), ());
+        let began = *began;
+        let records: Vec<Record> = page
+            .records
+            .into_iter()
+            .map(|it| it.in_epoch(epoch))
+            .collect();
+        for record in &records {
+            read.older += usize::from(cx.state().replica.has_newer(record));
+            read.seen.insert(record.key.clone(), ());
         }
-        let last = page.records.last().map(|it| it.key.clone());
-        apply(cx, Source::Store, page.records);
+        let last = records.last().map(|it| it.key.clone());
+        apply(cx, Source::Store, records);
         if page.next.is_none() || last.is_some_and(|key| cx.wire.is_past_cordons(&key)) {
             cx.state().cordons_read();
             cx.replica_changed.notify_waiters();
         }
         match page.next {
-            Some(next) => after = Some(next),
+            Some(next) => read.after = Some(next),
             None => {
                 log_event!(
                     StoreRead,
-                    revision = first_revision,
-                    records = seen.len(),
-                    older = older
+                    epoch = began.epoch.0,
+                    revision = began.number,
+                    records = read.seen.len(),
+                    older = read.older
                 );
-                finish_full_read(cx, Source::Store, &seen, first_revision);
-                let now = cx.now();
-                cx.state().update_behind(now);
+                let has_changes = finish_full_read(cx, Source::Store, &read.seen, began);
+                announce_changes(cx, has_changes);
                 return Ok(());
             }
         }
     }
 }
 
-/// Completes a full read as of revision `first_revision`: records that `seen` lacks are removed.
+/// The progress of a full read.
+#[derive(Default)]
+struct FullRead {
+    /// The key after which the next page begins.
+    after: Option<String>,
+    /// The store's revision at the first page.
+    began: Option<Revision>,
+    /// The keys of all pages.
+    seen: BTreeMap<String, ()>,
+    /// How many records were known at a later revision.
+    older: usize,
+}
+
+/// Lets peers know soon what this instance has learned from the store.
+fn announce_changes<W: Wire>(cx: &Cx<W>, has_changes: bool) {
+    let now = cx.now();
+    let mut state = cx.state();
+    state.update_behind(now);
+    if has_changes {
+        state.announce();
+        drop(state);
+        cx.gossip_due.notify_one();
+    }
+}
+
+/// Completes a full read as of revision `began`: records that `seen` lacks are removed. Returns
+/// whether the replica has reached a new epoch.
+///
+/// A read that was overtaken by a new epoch has no effect.
 pub fn finish_full_read<W: Wire>(
     cx: &Cx<W>,
     from: Source,
     seen: &BTreeMap<String, ()>,
-    first_revision: u64,
-) {
-    let missing = cx.state().replica.removals_after_read(seen, first_revision);
+    began: Revision,
+) -> bool {
+    let before = cx.state().replica.revision();
+    if began.epoch < before.epoch {
+        return false;
+    }
+    let missing = cx.state().replica.removals_after_read(seen, began);
     apply(cx, from, missing);
-    cx.state().replica.finish_full_read(first_revision);
-    lift_missing_cordons(cx, from, first_revision);
+    cx.state().replica.finish_full_read(began);
+    let closed = cx.state().endpoints.cordons().closed_cordons();
+    lift_missing_cordons(cx, from, &closed);
     cx.replica_changed.notify_waiters();
+    began.epoch > before.epoch
 }
 
-/// Lifts cordons that came from peers and that the store did not hold at revision
-/// `first_revision`: the records that set and lifted the cordon may both have been missed.
-fn lift_missing_cordons<W: Wire>(cx: &Cx<W>, from: Source, first_revision: u64) {
+/// Lifts those of `cordons` that the replica does not hold although it has passed their revision:
+/// the records that set and lifted the cordon may both have been missed.
+pub fn lift_missing_cordons<W: Wire>(cx: &Cx<W>, from: Source, cordons: &[Cordon]) {
     let now = cx.now();
     let mut lifted = Vec::new();
     let mut state = cx.state();
-    for (data_centre, revision, _) in state.endpoints.cordons().closed() {
-        let is_there = state.replica.has(&cx.wire.cordon_key(data_centre));
-        if revision < first_revision && !is_there {
+    let revision = state.replica.revision();
+    for cordon in cordons {
+        let is_there = state.replica.has(&cx.wire.cordon_key(&cordon.data_centre));
+        if cordon.revision < revision && !is_there {
             lifted.push(Cordon {
-                data_centre: data_centre.to_owned(),
-                revision: first_revision,
+                data_centre: cordon.data_centre.clone(),
+                revision,
                 is_closed: false,
             });
         }
@@ -125,50 +176,75 @@
 /// Waits for changes. A delta from a peer does not end the watch, because the watch response may be
 /// large and nearly complete.
 async fn watch<W: Wire, S: Store>(cx: &Cx<W>, store: &S) {
-    let after = cx.state().replica.revision();
+    let (after, known) = {
+        let state = cx.state();
+        (state.replica.revision(), state.reader.epoch())
+    };
     let answer = store
-        .watch(after, WATCH_WAIT, WATCH_WAIT + WATCH_TIMEOUT_MARGIN)
+        .watch(after.number, WATCH_WAIT, WATCH_WAIT + WATCH_TIMEOUT_MARGIN)
         .await;
-    observe_epoch(cx, "watch", &answer);
-    if matches!(answer.content, Err(CallFailure::HistoryGone)) {
-        log_event!(HistoryGone, revision = after);
-    }
     let mut answered: fn(&mut StoreReader, Time) -> bool = StoreReader::on_answer;
-    let result = answer.content.map(|changes| {
-        if !changes.records.is_empty() {
-            answered = StoreReader::on_changes;
+    let result = match (observe_epoch(cx, "watch", known, &answer), answer.content) {
+        (AnswerEpoch::Outdated, _) => Err(CallFailure::OutdatedEpoch),
+        // A watch from a revision of another epoch shows nothing of what it skipped.
+        (AnswerEpoch::Advanced(_), Ok(_) | Err(CallFailure::HistoryGone)) => Ok(()),
+        (AnswerEpoch::Current(epoch), Ok(_)) if epoch != after.epoch => Ok(()),
+        (AnswerEpoch::Current(epoch), Ok(changes)) => {
+            if !changes.records.is_empty() {
+                answered = StoreReader::on_changes;
+            }
+            apply_changes(cx, epoch, changes);
+            Ok(())
         }
-        let has_changes = apply(cx, Source::Store, changes.records);
-        let now = cx.now();
-        let mut state = cx.state();
-        state.replica.advance_to(changes.revision);
-        state.update_behind(now);
-        if has_changes {
-            state.announce();
-            drop(state);
-            cx.gossip_due.notify_one();
+        (_, Err(failure)) => {
+            if failure == CallFailure::HistoryGone {
+                log_event!(HistoryGone, epoch = after.epoch.0, revision = after.number);
+            }
+            Err(failure)
         }
-    });
+    };
     record_result(cx, result, answered);
 }
 
-/// Reports the epoch of an answer to the store reader.
-fn observe_epoch<W: Wire, T>(cx: &Cx<W>, call: &'static str, answer: &StoreAnswer<T>) {
+fn apply_changes<W: Wire>(cx: &Cx<W>, epoch: Epoch, changes: Changes) {
+    let records = changes.records.into_iter();
+    let records = records.map(|it| it.in_epoch(epoch)).collect();
+    let has_changes = apply(cx, Source::Store, records);
+    let number = changes.number;
+    cx.state().replica.advance_to(Revision { epoch, number });
+    announce_changes(cx, has_changes);
+}
+
+/// The epoch to which an answer of the store belongs.
+enum AnswerEpoch {
+    /// The latest known one.
+    Current(Epoch),
+    /// A later one than any that was known.
+    Advanced(Epoch),
+    /// An earlier one.
+    Outdated,
+}
+
+/// Reports the epoch of an answer to a call that was made when `known` was the latest epoch.
+fn observe_epoch<W: Wire, T>(
+    cx: &Cx<W>,
+    call: &'static str,
+    known: Epoch,
+    answer: &StoreAnswer<T>,
+) -> AnswerEpoch {
     if matches!(answer.content, Err(CallFailure::NoAnswer)) && answer.epoch == StatedEpoch::Absent {
-        return;
+        return AnswerEpoch::Current(known);
     }
+    let now = cx.now();
     let mut state = cx.state();
-    let revision = state.replica.revision();
-    match state.reader.observe_epoch(answer.epoch) {
-        EpochObservation::Current | EpochObservation::First => {}
+    match state.observe_store_epoch(now, known, answer.epoch) {
+        EpochObservation::Current => AnswerEpoch::Current(state.reader.epoch()),
         EpochObservation::Advanced { from, to } => {
-            log_event!(
-                EpochChanged,
-                from = from.0,
-                to = to.0,
-                by = call,
-                revision = revision
-            );
+            // An instance that has read nothing yet knows no other history.
+            if !state.replica.is_empty() {
+                log_epoch_change(from, to, call, state.replica.revision());
+            }
+            AnswerEpoch::Advanced(to)
         }
         EpochObservation::Outdated { stated, known } => {
             log_event!(
@@ -177,6 +253,7 @@
                 known = known.0,
                 by = call
             );
+            AnswerEpoch::Outdated
         }
         EpochObservation::Unstated { known } => {
             let is_unreadable = answer.epoch == StatedEpoch::Unreadable;
@@ -186,10 +263,22 @@
                 unreadable = is_unreadable,
                 by = call
             );
+            AnswerEpoch::Current(known)
         }
     }
 }
 
+/// Logs that the store is in a later epoch; `revision` is the last one known of the one before.
+pub fn log_epoch_change(from: Epoch, to: Epoch, by: &'static str, revision: Revision) {
+    log_event!(
+        EpochChanged,
+        from = from.0,
+        to = to.0,
+        by = by,
+        revision = revision.number
+    );
+}
+
 /// Reports the result of a call to the store reader.
 fn record_result<W: Wire>(
     cx: &Cx<W>,
@@ -201,7 +290,7 @@
     match result {
         Ok(()) => {
             if answered(&mut state.reader, now) {
-                log_event!(StoreRegained, revision = state.replica.revision());
+                log_event!(StoreRegained, revision = state.replica.revision().number);
             }
         }
         Err(failure) => {
@@ -211,7 +300,7 @@
                 log_event!(
                     StoreLost,
                     failure = failure.as_str(),
-                    revision = state.replica.revision()
+                    revision = state.replica.revision().number
                 );
                 // Requests that wait for the first catalogue need not wait any longer.
                 cx.replica_changed.notify_waiters();
@@ -252,13 +341,20 @@
         }
         let published = cx.wire.decode(&record);
         let mark = published.mark(&record);
+        let previous = match published.is_of_catalogue() {
+            true => cx.state().replica.get(&record.key).cloned(),
+            false => None,
+        };
         if cx.state().replica.apply(record.clone(), mark) != Applied::Changed {
             continue;
         }
         has_changes = true;
         let now = cx.now();
+        let mut is_in_force = false;
+        let is_of_catalogue = published.is_of_catalogue();
         match published {
-            Published::Catalogue(source) => apply_catalogue(cx, from, source),
+            Published::Catalogue(source) => is_in_force = apply_catalogue(cx, from, source),
+            Published::CatalogueGone => {}
             Published::Endpoint(endpoint) => {
                 leaving.extend(cx.state().publish_endpoint(now, endpoint));
             }
@@ -279,6 +375,10 @@
             }
             Published::Unreadable(error) => log_unreadable(&record, &error),
         }
+        if is_of_catalogue {
+            cx.state()
+                .on_catalogue_record(&record.key, previous, is_in_force);
+        }
     }
     cx.announce_leaving(&leaving);
     if has_changes {
@@ -291,12 +391,14 @@
     log_event!(
         RecordUnreadable,
         key = record.key.as_str(),
-        revision = record.revision,
+        revision = record.revision.number,
         why = error
     );
 }
 
-fn apply_catalogue<W: Wire>(cx: &Cx<W>, from: Source, source: CatalogueSource) {
+/// Puts a catalogue in force unless it is older or has findings; returns whether the one in force
+/// has its version.
+pub fn apply_catalogue<W: Wire>(cx: &Cx<W>, from: Source, source: CatalogueSource) -> bool {
     let version = source.version;
     let published = cx.state().publish_catalogue(source);
     match published {
@@ -311,6 +413,8 @@
                     finding = finding.as_str()
                 );
             }
+            return false;
         }
     }
+    cx.state().catalogue_version() == version
 }
--- a/crates/gateway/tests/catch_up_format.rs
+++ b/crates/gateway/tests/catch_up_format.rs
@@ -1,15 +1,24 @@
 //! The wire format of a delta of the store's records.
 
-use oriolemux_core::gateway::Record;
 use oriolemux_core::gateway::replica::StoreDelta;
+use oriolemux_core::gateway::{Epoch, Record, Revision};
 use oriolemux_gateway::catch_up::format::{FormatError, MAX_DELTA_BYTES, decode, encode};
 use proptest::prelude::*;
 
+/// Returns a revision of a store that states no epoch.
+fn rev(number: u64) -> Revision {
+    Revision {
+        epoch: Epoch::UNSTATED,
+        number,
+    }
+}
+
 fn delta(records: Vec<Record>) -> StoreDelta {
     StoreDelta {
-        revision: 70,
+        revision: rev(70),
         is_full: false,
         records,
+        catalogue: None,
     }
 }
 
@@ -18,7 +27,7 @@
     let value: Vec<String> = (0..entries).map(entry).collect();
     Record {
         key: "catalogue".to_owned(),
-        revision: 70,
+        revision: rev(70),
         value: Some(value.join(",").into_bytes()),
     }
 }
@@ -60,7 +69,7 @@
     ) {
         let record = |(at, value): (usize, Option<Vec<u8>>)| Record {
             key: format!("key-{at}"),
-            revision: at as u64,
+            revision: rev(at as u64),
             value,
         };
         let sent = delta(values.into_iter().enumerate().map(record).collect());
--- a/crates/oriolemux/src/cli/operate/gateway_text.rs
+++ b/crates/oriolemux/src/cli/operate/gateway_text.rs
@@ -17,11 +17,10 @@
     let store = &status.store;
     let answered = store.answered_ms_ago;
     let answered = answered.map_or("never".to_owned(), |age| format!("{age} ms ago"));
-    let epoch = store.epoch;
-    let epoch = epoch.map_or(String::new(), |it| format!(" of epoch {it}"));
     print_line(format_args!(
-        "store      revision {}{epoch}, answered {answered}{}{}",
+        "store      revision {} of epoch {}, answered {answered}{}{}",
         store.revision,
+        store.epoch,
         if store.watches { ", watched here" } else { "" },
         if store.unsettled { ", unsettled" } else { "" },
     ));
