Soak: a store that comes back from a copy

The stand-in store comes back from the copy of the fault's beginning, up to 2.5 s old, after 0.4 s away, with the next epoch; what it lost is written again key by key within 1.8 s, unless it was written meanwhile. Instances of the soak do not hear of each other, so that it tries the path of one instance alone; several are tried by platform/tests/store_epochs.rs and, in virtual time, by gateway_epochs.rs.

--- a/crates/bench/src/soak/fault.rs
+++ b/crates/bench/src/soak/fault.rs
@@ -28,6 +28,12 @@
 /// The backoff in seconds that a refusing endpoint requests.
 const BACKOFF: &str = "1.5";
 
+/// How long the store is away before it comes back from a copy.
+const STORE_AWAY: Duration = Duration::from_millis(400);
+
+/// Within this time writers write again what the store lost.
+const WRITTEN_AGAIN: Duration = Duration::from_millis(1_800);
+
 /// Entries of a large catalogue: some 800 KB.
 const LARGE_CATALOGUE: usize = 4_000;
 
@@ -90,6 +96,8 @@
     ServiceBacksOff,
     /// An engine refuses for a while and requests backoffs.
     EngineBacksOff,
+    /// The store comes back from an older copy, and what it lost is written again.
+    StoreRestored,
 }
 
 impl FaultKind {
@@ -120,6 +128,7 @@
         FaultKind::EngineAnnounces,
         FaultKind::ServiceBacksOff,
         FaultKind::EngineBacksOff,
+        FaultKind::StoreRestored,
     ];
 
     /// Returns whether it is planned work, around which nothing may be cut off.
@@ -148,6 +157,7 @@
                 | FaultKind::StoreLinkStalls
                 | FaultKind::StoreAnswersLost
                 | FaultKind::StoreLinkCut
+                | FaultKind::StoreRestored
         )
     }
 }
@@ -185,6 +195,7 @@
             let _told = world.begin(strike.kind, None);
             world.deployment.store.compact();
         }
+        FaultKind::StoreRestored => store_restored(world, strike).await,
         FaultKind::StoreLinkStalls => store_link(world, strike, Rules::STALLED).await,
         FaultKind::StoreAnswersLost => store_link(world, strike, Rules::ANSWERS_LOST).await,
         FaultKind::StoreLinkCut => {
@@ -243,6 +254,30 @@
     world.deployment.store.set_mode(Mode::Serving);
 }
 
+/// The store comes back from the copy of the fault's beginning. Writers write again within two
+/// seconds, each at a time of its own.
+async fn store_restored(world: &World, strike: Strike) {
+    let store = &world.deployment.store;
+    let copy = store.copy();
+    sleep(strike.lasts).await;
+    let lost = {
+        let _alone = world.store_mode.lock().await;
+        let _told = world.begin(strike.kind, None);
+        store.set_mode(Mode::Silent);
+        sleep(STORE_AWAY).await;
+        let lost = store.restore(&copy);
+        store.set_mode(Mode::Serving);
+        lost
+    };
+    let _told = world.begin(strike.kind, None);
+    let keys = lost.keys();
+    let pause = WRITTEN_AGAIN / u32::try_from(keys.len() + 1).unwrap_or(u32::MAX);
+    for key in keys {
+        sleep(pause).await;
+        store.write_again(&lost, &key);
+    }
+}
+
 async fn store_link(world: &World, strike: Strike, rules: Rules) {
     let index = world.pick_instance(strike.target);
     let _told = world.begin(strike.kind, Some(index));
--- a/crates/bench/tests/soak.rs
+++ b/crates/bench/tests/soak.rs
@@ -471,6 +471,13 @@
     FaultKind::StoreSilent,
     FaultKind::Kill,
 ])]
+#[case::a_store_from_a_copy(4, vec![
+    FaultKind::StoreRestored,
+    FaultKind::CatalogueChange,
+    FaultKind::ServiceLeaves,
+    FaultKind::EngineLeaves,
+    FaultKind::Kill,
+])]
 #[tokio::test(flavor = "multi_thread")]
 async fn promises_hold_under_faults(#[case] seed: u64, #[case] faults: Vec<FaultKind>) {
     let dir = tempfile::tempdir().expect("a directory");
