An instance that has become ready does not wait for a peer's catalogue

Cause: for the second after its start an instance counted as not servable whenever a peer named a later catalogue, also when it had been ready before and the peer had only heard of an ordinary change first. Callers would have been refused with no_catalogue for some milliseconds.

Change: the wait ends when the instance is servable for the first time.

Evidence: an_instance_that_has_become_ready_stays_so_when_a_peer_is_ahead fails without the change. Three more tests hold what the wait is for.

--- a/crates/core/src/gateway/state/peers.rs
+++ b/crates/core/src/gateway/state/peers.rs
@@ -310,7 +310,9 @@
             self.placement_changes += 1;
         }
         self.outbox.tick(now);
-        self.awaits_catalogue &= now.since(self.started) < CATALOGUE_TIMEOUT;
+        // An instance that has become ready stays so when peers learn of the next version first.
+        self.awaits_catalogue &=
+            self.servable().is_none() && now.since(self.started) < CATALOGUE_TIMEOUT;
         self.update_behind(now);
         self.send_gossip(now, &mut outcome.send);
         outcome.decided = self.report(now, &mut outcome.send);
--- a/crates/core/tests/gateway_epochs.rs
+++ b/crates/core/tests/gateway_epochs.rs
@@ -8,10 +8,13 @@
 use core::time::Duration;
 use fleet::{Fleet, StoreContent, StoreModel};
 use oriolemux_core::Time;
+use oriolemux_core::gateway::catch_up::FetchFailure;
 use oriolemux_core::gateway::reader::{
     CallFailure, EpochObservation, StatedEpoch, Step, StoreReader, WATCHERS,
 };
-use oriolemux_core::gateway::{ContentHash, Epoch, Record, Replica, Revision};
+use oriolemux_core::gateway::{
+    Body, CatalogueSource, ContentHash, Datagram, Epoch, Gateway, Record, Replica, Revision,
+};
 use proptest::prelude::*;
 use rstest::rstest;
 use std::collections::BTreeMap;
@@ -327,3 +330,89 @@
     let reads = fleet.reads - before;
     assert!(reads <= 2 * WATCHERS, "{reads} reads with {size} instances");
 }
+
+fn catalogue(version: u64) -> CatalogueSource {
+    CatalogueSource {
+        version,
+        ..CatalogueSource::default()
+    }
+}
+
+/// A probe of a peer whose catalogue has this version.
+fn probe_with_catalogue(version: u64) -> Datagram {
+    let mut probe = Body::probe(1, 0, None);
+    if let Body::Probe { catalogue, .. } = &mut probe {
+        *catalogue = version;
+    }
+    instances::datagram(2, 0, 0, probe)
+}
+
+/// An instance that started at `now` and has read a store whose catalogue has version 87.
+fn started(now: Time) -> Gateway {
+    let mut one = Gateway::new(now, instances::config(1, &[]));
+    one.publish_catalogue(catalogue(87)).expect("no findings");
+    one.cordons_read();
+    one
+}
+
+/// Guards against a revoked key that works at an instance that started while the store held a copy.
+#[test]
+fn an_instance_that_started_does_not_serve_by_an_older_catalogue_than_a_peer() {
+    let now = Time::from_secs(5);
+    let mut one = started(now);
+
+    one.on_datagram(now, probe_with_catalogue(92))
+        .expect("accepted");
+
+    assert!(one.servable().is_none());
+    assert_eq!(one.choose_provider(now), Some(instances::address(2)));
+    one.publish_catalogue(catalogue(92)).expect("no findings");
+    assert!(one.servable().is_some());
+}
+
+/// Guards against an instance that never serves because a peer's catalogue does not arrive.
+#[test]
+fn an_instance_that_started_waits_for_a_peers_catalogue_for_a_second_at_most() {
+    let now = Time::from_secs(5);
+    let mut one = started(now);
+    one.on_datagram(now, probe_with_catalogue(92))
+        .expect("accepted");
+
+    one.tick(now + Duration::from_millis(900));
+    let before = one.servable().is_some();
+    one.tick(now + Duration::from_millis(1_000));
+
+    assert!(!before);
+    assert!(one.servable().is_some());
+}
+
+/// Guards against refusals by an instance that has just become ready, whenever a peer learns of the
+/// next version first.
+#[test]
+fn an_instance_that_has_become_ready_stays_so_when_a_peer_is_ahead() {
+    let now = Time::from_secs(5);
+    let mut one = started(now);
+    one.tick(now + Duration::from_millis(10));
+
+    one.on_datagram(now + Duration::from_millis(20), probe_with_catalogue(92))
+        .expect("accepted");
+
+    assert!(one.servable().is_some());
+}
+
+/// Guards against an instance that asks without a pause for a catalogue that does not help.
+#[test]
+fn a_peer_whose_catalogue_did_not_arrive_is_skipped_for_a_while() {
+    let now = Time::from_secs(5);
+    let mut one = started(now);
+    one.on_datagram(now, probe_with_catalogue(92))
+        .expect("accepted");
+
+    one.on_fetch_failure(now, instances::address(2), FetchFailure::Failed);
+    one.tick(now + Duration::from_millis(50));
+
+    assert!(one.lacks_catalogue_of(instances::address(2)));
+    assert_eq!(one.choose_provider(now + Duration::from_millis(400)), None);
+    let later = now + Duration::from_secs(2);
+    assert_eq!(one.choose_provider(later), Some(instances::address(2)));
+}
