Endpoints: lines that say why no connection could be opened, and what a home ejects

The record could not tell a connection that timed out from one that was refused, nor whether the reports of instances that reach no endpoint make a home skip engines for all instances. [849] and a counter say the former, [850] the latter.

--- a/crates/core/src/gateway/home.rs
+++ b/crates/core/src/gateway/home.rs
@@ -10,6 +10,7 @@
 mod ejections;
 mod message;
 
+pub use ejections::HomeEjection;
 pub use message::{PlacementAnswer, PlacementMessage, PlacementReport};
 
 use super::catalogue::EngineLimits;
@@ -66,6 +67,8 @@
     reporters: BTreeMap<SocketAddrV4, Reporter>,
     /// Engines that instances recently found unusable.
     ejections: Ejections,
+    /// Ejections that were not taken yet.
+    new_ejections: Vec<HomeEjection>,
     /// Requests granted at engines with a rate limit.
     limited_grants: SlidingWindowCounter,
 }
@@ -137,7 +140,8 @@
         for &engine in &report.ejected {
             let known = self.reporters.get(&from);
             if !known.is_some_and(|it| it.ejected.contains(&engine)) {
-                self.ejections.record(now, engine, from);
+                let ejected = self.ejections.record(now, engine, from);
+                self.new_ejections.extend(ejected);
             }
         }
         let reporter = Reporter {
@@ -166,6 +170,11 @@
         self.limited_grants.tick(now);
     }
 
+    /// Takes the ejections since the last call.
+    pub fn take_ejections(&mut self) -> Vec<HomeEjection> {
+        core::mem::take(&mut self.new_ejections)
+    }
+
     /// Returns whether there are no reports.
     pub fn is_empty(&self) -> bool {
         self.reporters.is_empty()
--- a/crates/core/src/gateway/home/ejections.rs
+++ b/crates/core/src/gateway/home/ejections.rs
@@ -23,6 +23,17 @@
 /// An engine without a new report for this long is no longer tracked.
 const FORGET_AFTER: Duration = Duration::from_secs(10);
 
+/// An engine that a home now skips for all instances.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct HomeEjection {
+    /// The engine.
+    pub engine: EndpointKey,
+    /// How many instances could not use it.
+    pub reporters: usize,
+    /// How long it is skipped.
+    pub duration: Duration,
+}
+
 /// An engine that instances could not use.
 #[derive(Clone, Debug, Default)]
 struct Ejection {
@@ -43,16 +54,28 @@
 }
 
 impl Ejections {
-    /// Records that an instance could not use an engine.
-    pub(super) fn record(&mut self, now: Time, engine: EndpointKey, reporter: SocketAddrV4) {
+    /// Records that an instance could not use an engine; returns the ejection that this causes.
+    pub(super) fn record(
+        &mut self,
+        now: Time,
+        engine: EndpointKey,
+        reporter: SocketAddrV4,
+    ) -> Option<HomeEjection> {
         let ejection = self.by_engine.entry(engine).or_default();
         ejection.reporters.insert(reporter);
         ejection.last_report = now;
-        if ejection.reporters.len() >= MIN_REPORTERS {
-            let doublings = ejection.count.min(8);
-            ejection.count += 1;
-            ejection.until = now + (FIRST_EJECTION * (1 << doublings)).min(MAX_EJECTION);
+        if ejection.reporters.len() < MIN_REPORTERS {
+            return None;
         }
+        let doublings = ejection.count.min(8);
+        let duration = (FIRST_EJECTION * (1 << doublings)).min(MAX_EJECTION);
+        ejection.count += 1;
+        ejection.until = now + duration;
+        Some(HomeEjection {
+            engine,
+            reporters: ejection.reporters.len(),
+            duration,
+        })
     }
 
     /// Removes engines without a recent report.
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -19,7 +19,7 @@
 use super::endpoints::{EndpointRecord, EndpointTable};
 use super::fleet_size::FleetSize;
 use super::gossip::{Body, Outbox};
-use super::home::Home;
+use super::home::{Home, HomeEjection};
 use super::lengths::LengthTable;
 use super::members::Members;
 use super::placement::PlacementTable;
@@ -62,6 +62,8 @@
     pub leaving: Vec<EndpointKey>,
     /// Endpoints whose backoff has ended.
     pub backoffs_ended: Vec<EndpointKey>,
+    /// Engines that this instance, as a home, now skips for all instances.
+    pub home_ejections: Vec<HomeEjection>,
     /// Instances that are now considered gone.
     pub silent: Vec<SocketAddrV4>,
     /// Whether a request that waits for a placement or a run lease may have a decision.
--- a/crates/core/src/gateway/state/peers.rs
+++ b/crates/core/src/gateway/state/peers.rs
@@ -316,6 +316,8 @@
         self.update_behind(now);
         self.send_gossip(now, &mut outcome.send);
         outcome.decided = self.report(now, &mut outcome.send);
+        let homes = self.homes.values_mut();
+        outcome.home_ejections = homes.flat_map(|it| it.take_ejections()).collect();
         outcome.decided |= self.report_runs(now, &mut outcome.send);
         outcome
     }
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -38,8 +38,8 @@
     Response(BufferedResponse),
     /// The endpoint did not run the call.
     NotRun,
-    /// No connection could be opened.
-    NoConnection,
+    /// No connection could be opened; the label says how the attempt to open one ended.
+    NoConnection(&'static str),
     /// The endpoint was withdrawn before anything was sent.
     Withdrawn,
     /// The connection or the response broke; the call may have run.
@@ -107,7 +107,7 @@
             AttemptOutcome::Response(response) if response.status.is_server_error() => "failed",
             AttemptOutcome::Response(_) => "answered",
             AttemptOutcome::NotRun => "not_run",
-            AttemptOutcome::NoConnection => "no_connection",
+            AttemptOutcome::NoConnection(_) => "no_connection",
             AttemptOutcome::Withdrawn => "withdrawn",
             AttemptOutcome::Lost { .. } => "lost",
             AttemptOutcome::WrongAttempt => "foreign",
@@ -157,7 +157,9 @@
         let (link, response) = match job.send(place, &send).await {
             Ok(sent) => sent,
             Err(LinkError::Withdrawn) => return AttemptOutcome::Withdrawn,
-            Err(error) if error.never_sent() => return AttemptOutcome::NoConnection,
+            Err(error) if error.never_sent() => {
+                return AttemptOutcome::NoConnection(error.label());
+            }
             Err(error) => {
                 log::debug!("connection of a call failed after sending: {error}");
                 return AttemptOutcome::Lost {
@@ -203,7 +205,7 @@
                 }
             }
             AttemptOutcome::NotRun | AttemptOutcome::Refused | AttemptOutcome::Withdrawn => {}
-            AttemptOutcome::NoConnection => self.job.record_unreachable(place),
+            AttemptOutcome::NoConnection(why) => self.job.record_unreachable(place, why),
             AttemptOutcome::Lost { response_started } => {
                 self.job.record_failure(place);
                 self.job
@@ -215,7 +217,9 @@
             }
         }
         match attempt {
-            AttemptOutcome::NotRun | AttemptOutcome::NoConnection | AttemptOutcome::Withdrawn => {
+            AttemptOutcome::NotRun
+            | AttemptOutcome::NoConnection(_)
+            | AttemptOutcome::Withdrawn => {
                 self.attempts.record_refused(place.key);
             }
             _ => self.attempts.record_run(place.key),
@@ -230,7 +234,7 @@
         }
         let may_retry = match attempt {
             // Nothing reached any endpoint, so this is not a retry.
-            AttemptOutcome::NoConnection | AttemptOutcome::Withdrawn => {
+            AttemptOutcome::NoConnection(_) | AttemptOutcome::Withdrawn => {
                 return self.attempts.refused() <= MAX_REFUSED_SENDS;
             }
             AttemptOutcome::NotRun => self.attempts.refused() <= MAX_REFUSED_SENDS,
@@ -283,13 +287,15 @@
             _ if self.job.is_refused() => self.job.log_refusal(),
             // An earlier attempt may have run, so the response must not promise that the call did
             // not run.
-            AttemptOutcome::NotRun | AttemptOutcome::NoConnection | AttemptOutcome::Withdrawn
+            AttemptOutcome::NotRun
+            | AttemptOutcome::NoConnection(_)
+            | AttemptOutcome::Withdrawn
                 if self.attempts.may_have_run() =>
             {
                 Reason::ResponseLost
             }
             AttemptOutcome::NotRun => Reason::NotRunAtEndpoint,
-            AttemptOutcome::NoConnection => Reason::NoConnection,
+            AttemptOutcome::NoConnection(_) => Reason::NoConnection,
             AttemptOutcome::Withdrawn => Reason::NoEndpoint,
             AttemptOutcome::Lost { .. } => Reason::ResponseLost,
             AttemptOutcome::WrongAttempt => Reason::WrongAttempt,
--- a/crates/gateway/src/event_log.rs
+++ b/crates/gateway/src/event_log.rs
@@ -176,6 +176,12 @@
     /// The store was read in full. The line has its revision, and how many records it holds and how
     /// many of them are older than the known ones.
     StoreRead = 848, "store_read", Info, USUAL;
+    /// No connection to an endpoint could be opened; the line says whether the attempt timed out,
+    /// was refused or failed otherwise, or nobody listened after a connection had broken.
+    EndpointUnreachable = 849, "endpoint_unreachable", Info, USUAL;
+    /// As the home of a service, this instance skips an engine for all instances, because several
+    /// instances could not use it; the line says how many did and for how long it is skipped.
+    EjectedByHome = 850, "endpoint_passed_over_by_home", Info, USUAL;
 }
 
 /// The lines of one event in the current second.
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -9,7 +9,7 @@
 
 use crate::cx::Cx;
 use crate::log_event;
-use crate::meters::ByReason;
+use crate::meters::{ByReason, millis};
 use crate::ports::Wire;
 use crate::store::{Source, lift_missing_cordons};
 use bincode::config::{Configuration, Limit, LittleEndian, Varint, standard};
@@ -45,6 +45,15 @@
             let name = cx.endpoint_name(endpoint);
             log_event!(BackoffEnded, endpoint = name.as_str());
         }
+        for ejection in ticked.home_ejections {
+            let name = cx.endpoint_name(ejection.engine);
+            log_event!(
+                EjectedByHome,
+                endpoint = name.as_str(),
+                reporters = ejection.reporters,
+                ms = millis(ejection.duration)
+            );
+        }
         for peer in ticked.silent {
             log_event!(PeerGone, peer:% = peer);
         }
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -220,8 +220,15 @@
         log_ejection(place, passed_over);
     }
 
-    /// Records that no connection to an endpoint could be opened.
-    pub fn record_unreachable(&self, place: &Placement) {
+    /// Records that no connection to an endpoint could be opened; `why` says how the attempt ended.
+    pub fn record_unreachable(&self, place: &Placement, why: &'static str) {
+        ByReason::Unreachable.add(why);
+        log_event!(
+            EndpointUnreachable,
+            attempt = self.name(),
+            endpoint = place.name.as_str(),
+            why = why
+        );
         let now = self.cx.now();
         let passed_over = self.cx.state().endpoints.on_unreachable(now, place.key);
         log_ejection(place, passed_over);
--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -11,6 +11,7 @@
 pub use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
+use std::io::ErrorKind;
 use std::net::SocketAddrV4;
 use std::time::Instant;
 use tokio::net::{TcpSocket, TcpStream};
@@ -45,6 +46,17 @@
             LinkError::Broken(_) => false,
         }
     }
+
+    /// Returns the value that log lines and counters carry.
+    pub fn label(&self) -> &'static str {
+        match self {
+            LinkError::ConnectTimeout(_) => "timeout",
+            LinkError::Connect(error) if error.kind() == ErrorKind::ConnectionRefused => "refused",
+            LinkError::Connect(_) => "failed",
+            LinkError::Withdrawn => "withdrawn",
+            LinkError::Broken(_) => "broken",
+        }
+    }
 }
 
 /// A connection that is used for one request. Dropping it closes the connection, which cancels the
--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -68,7 +68,7 @@
             found = found.label(), has_begun = response_started.is_some(),
             begun_ms = response_started.unwrap_or_default().as_millis() as u64);
         match found {
-            ProbeResult::Refused => self.on_endpoint_crash(place),
+            ProbeResult::Refused => self.on_endpoint_crash(place, found),
             ProbeResult::Unknown => {
                 let now = self.cx.now();
                 let mut state = self.cx.state();
@@ -79,13 +79,13 @@
     }
 
     /// Records that the request crashed an endpoint.
-    fn on_endpoint_crash(&self, place: &Placement) {
+    fn on_endpoint_crash(&self, place: &Placement, found: ProbeResult) {
         let now = self.cx.now();
         let is_news = self
             .cx
             .state()
             .on_endpoint_crash(now, self.fingerprint, place);
-        self.record_unreachable(place);
+        self.record_unreachable(place, found.label());
         if is_news {
             let ended = self.cx.state().crash_count(self.fingerprint);
             log_event!(EndpointCrashed, attempt = self.name(), request:% = self.fingerprint,
--- a/crates/gateway/src/relay/begin.rs
+++ b/crates/gateway/src/relay/begin.rs
@@ -55,7 +55,7 @@
         };
         if error.never_sent() {
             if !matches!(error, LinkError::Withdrawn) {
-                self.job.record_unreachable(&self.engine);
+                self.job.record_unreachable(&self.engine, error.label());
             }
             return AttemptStart::NotRun {
                 reached_engine: false,
