--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -416,7 +416,8 @@
     ) -> Result<(Link, Response<Incoming>), LinkError> {
         let chosen = self.cx.now();
         let limit = self.cx.limits.connect.min(self.remaining());
-        let mut link = Link::connect(place.address, limit).await?;
+        let opening = self.cx.wire.connect(place.address);
+        let mut link = Link::connect_by(opening, place.address, limit).await?;
         let kind = match send.resume.and_then(|it| it.copy) {
             Some(_) => SendKind::FromCopy,
             None => SendKind::Start,
--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -75,7 +75,20 @@
     ///
     /// Fails if there is no connection within `limit`; nothing was sent then.
     pub async fn connect(address: SocketAddrV4, limit: Duration) -> Result<Self, LinkError> {
-        let stream = timeout(limit, connect_socket(address))
+        Link::connect_by(connect_socket(address), address, limit).await
+    }
+
+    /// Connects to the endpoint at `address` with the connection that `opening` yields.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is no connection within `limit`; nothing was sent then.
+    pub async fn connect_by(
+        opening: impl Future<Output = std::io::Result<TcpStream>>,
+        address: SocketAddrV4,
+        limit: Duration,
+    ) -> Result<Self, LinkError> {
+        let stream = timeout(limit, opening)
             .await
             .map_err(|_| LinkError::ConnectTimeout(limit))?
             .map_err(LinkError::Connect)?;
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -3,6 +3,7 @@
 //! An implementation translates formats and makes calls. It makes no decisions, does not retry
 //! and keeps no state beyond a connection.
 
+use crate::link::connect_socket;
 use crate::response::{ResponseBody, full_body};
 use bytes::Bytes;
 use core::future::Future;
@@ -13,7 +14,9 @@
 use oriolemux_core::gateway::reader::{CallFailure, StatedEpoch};
 use oriolemux_core::gateway::usage::ReportedLoad;
 use oriolemux_core::gateway::{CatalogueSource, ContentHash, Cordon, Epoch, Record, Revision};
+use std::io;
 use std::net::SocketAddrV4;
+use tokio::net::TcpStream;
 
 /// The values of a caller's headers.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -268,6 +271,12 @@
 
     /// Returns the key of the record that cordons a data centre.
     fn cordon_key(&self, data_centre: &str) -> String;
+
+    /// Opens a connection to an endpoint. An implementation may reach endpoints through something
+    /// else than a direct connection.
+    fn connect(&self, address: SocketAddrV4) -> impl Future<Output = io::Result<TcpStream>> + Send {
+        connect_socket(address)
+    }
 }
 
 /// A read-only client of the store.
--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -10,8 +10,7 @@
 use core::time::Duration;
 use oriolemux_core::gateway::state::Placement;
 use oriolemux_core::suspects::SUCCESS_AFTER;
-use std::io::ErrorKind;
-use std::net::SocketAddr;
+use std::io::{self, ErrorKind};
 use std::time::Instant;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
@@ -42,9 +41,9 @@
     }
 }
 
-/// Checks whether a process listens at `address`.
-pub async fn probe(address: SocketAddr) -> ProbeResult {
-    match timeout(PROBE_TIMEOUT, TcpStream::connect(address)).await {
+/// Checks whether a process listens where `opening` connects to.
+pub async fn probe(opening: impl Future<Output = io::Result<TcpStream>>) -> ProbeResult {
+    match timeout(PROBE_TIMEOUT, opening).await {
         Ok(Ok(_)) => ProbeResult::Accepted,
         Ok(Err(error)) => match error.kind() {
             ErrorKind::ConnectionRefused | ErrorKind::ConnectionReset => ProbeResult::Refused,
@@ -62,7 +61,7 @@
         if response_started.is_some_and(|it| it >= SUCCESS_AFTER) {
             return self.on_run_succeeded();
         }
-        let found = probe(place.address.into()).await;
+        let found = probe(self.cx.wire.connect(place.address)).await;
         log_event!(ConnectionBroken, attempt = self.name(), request:% = self.fingerprint,
             entry = self.entry().name.as_str(), endpoint = place.name.as_str(),
             found = found.label(), has_begun = response_started.is_some(),
--- a/crates/gateway/tests/senders.rs
+++ b/crates/gateway/tests/senders.rs
@@ -35,7 +35,8 @@
 /// whether the endpoint leaves or its data centre is cordoned.
 #[test]
 fn requests_are_sent_in_one_place() {
-    assert_eq!(files_with("Link::connect("), ["job.rs"]);
+    assert!(files_with("Link::connect(").is_empty());
+    assert_eq!(files_with("Link::connect_by("), ["job.rs", "link.rs"]);
     assert_eq!(files_with("link.send("), ["job.rs"]);
 }
 
--- a/crates/oriolemux/src/endpoints/http.rs
+++ b/crates/oriolemux/src/endpoints/http.rs
@@ -18,6 +18,7 @@
 use reqwest::{Client, RequestBuilder, Response};
 use serde::de::DeserializeOwned;
 use std::sync::{Arc, PoisonError, RwLock};
+use tokio::net::TcpStream;
 use tokio::time::timeout;
 
 /// The header by which a plain service names the attempt that it responds to.
@@ -274,7 +275,7 @@
     }
 
     async fn has_ended(&self, endpoint: &EndpointTarget) -> bool {
-        probe(endpoint.address).await == ProbeResult::Refused
+        probe(TcpStream::connect(endpoint.address)).await == ProbeResult::Refused
     }
 
     fn discard_idle_connections(&self) {
