An instance that reaches no endpoint serves its callers through a peer

Cause: the instance that accepted a caller was the only one that could serve it, and each request learned again that nothing answers. Class: a local failure taken for a remote one, and a role given by address.

Change: three endpoints of a service that cannot be reached in a row, none reached in between, are a partition (core::gateway::reachability). Its requests are offered to a peer, which accepts or declines before anything is sent, and then serves them as if the caller had come to it, never passing them on. Attempts made before, the time left and the earned part of a retry go with the request. One connection attempt after the other notices the end. Until an instance has connected to any endpoint again, it reports none as failing or ejected to homes.

Cost when nothing is partitioned: a map look-up for each request and connection, no message. Datagrams are as before. Weighed: not being ready (two misses, open connections stay, a data centre may have nobody else), and a refusal at once (the first attempt has failed).

--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -22,6 +22,8 @@
 //! | [`queue`] | the order in which queued requests get room |
 //! | [`choose`] | the endpoint for a request, and the engine for a standby copy |
 //! | [`relocation`] | when a generation leaves its engine, and which events its caller gets |
+//! | [`reachability`] | whether this instance reaches the endpoints of a service |
+//! | [`proxies`] | the peers through which a partitioned instance serves its callers |
 //! | [`budget`] | how many retries this instance may spend |
 //! | [`suspects`] | requests that crash the endpoints that run them |
 //! | [`members`] | which instances exist |
@@ -47,8 +49,10 @@
 pub mod lengths;
 pub mod members;
 pub mod placement;
+pub mod proxies;
 pub mod queue;
 pub mod rate_limits;
+pub mod reachability;
 pub mod reader;
 pub mod relocation;
 pub mod replica;
--- a/crates/core/src/gateway/budget.rs
+++ b/crates/core/src/gateway/budget.rs
@@ -157,6 +157,21 @@
         account.settle(now, &cfg, known);
     }
 
+    /// Takes back what the last request has earned, because a peer serves it and earns it instead;
+    /// returns whether it was still held. Without this, the peer could retry nothing for requests
+    /// that are passed on to it; if both earned it, the fleet would spend it twice.
+    pub fn hand_over_request(&mut self, now: Time, service: &str) -> bool {
+        let (cfg, known) = (self.cfg, self.known);
+        let account = self.account(service);
+        account.settle(now, &cfg, known);
+        let earned = EARNED_SHARE * cfg.ratio;
+        if account.held < earned || account.requests.pop_back().is_none() {
+            return false;
+        }
+        account.held -= earned;
+        true
+    }
+
     /// Spends one retry if the account holds one. If the service has generations that may need to
     /// resume (`has_generations`), other retries leave a reserve for them.
     pub fn try_spend(
--- a/crates/core/src/gateway/endpoints.rs
+++ b/crates/core/src/gateway/endpoints.rs
@@ -121,6 +121,8 @@
     /// When the endpoint last reported its cold time.
     cold_reported_at: Time,
     failures: u32,
+    /// When a request last failed or no connection could be opened.
+    failed_at: Time,
     ejected_until: Time,
     /// Moving average of failed requests, from 0 to 1.
     failure_share: f64,
@@ -146,6 +148,11 @@
         self.failures > 0
     }
 
+    /// Returns when a request last failed here or no connection could be opened.
+    pub fn failed_at(&self) -> Time {
+        self.failed_at
+    }
+
     /// Returns the moving average of failed requests, from 0 to 1.
     pub fn failure_share(&self) -> f64 {
         self.failure_share
@@ -217,6 +224,7 @@
             cold_until,
             cold_reported_at: now,
             failures: 0,
+            failed_at: Time::ZERO,
             ejected_until: Time::ZERO,
             failure_share: 0.0,
         });
@@ -447,6 +455,13 @@
         }
     }
 
+    /// Ends the ejection of an endpoint that may be reached again.
+    pub fn end_ejection(&mut self, key: EndpointKey) {
+        if let Some(endpoint) = self.endpoints.get_mut(&key) {
+            endpoint.ejected_until = Time::ZERO;
+        }
+    }
+
     /// Records a successful request.
     pub fn on_success(&mut self, key: EndpointKey) {
         self.on_response(key);
@@ -474,6 +489,7 @@
             return false;
         };
         endpoint.failures = endpoint.failures.saturating_add(1).max(at_least);
+        endpoint.failed_at = now;
         endpoint.failure_share += (1.0 - endpoint.failure_share) * FAILURE_WEIGHT;
         if endpoint.failures < EJECT_AFTER {
             return false;
--- /dev/null
+++ b/crates/core/src/gateway/reachability.rs
@@ -0,0 +1,121 @@
+//! Whether this instance reaches the endpoints of a service at all.
+//!
+//! A connection that cannot be opened has two causes that look alike: the endpoint has ended, or
+//! this instance is partitioned from it. What tells them apart is whether this instance connects to
+//! any other endpoint of the service. Until it does, failures say nothing about endpoints and are
+//! not reported to others; and if several endpoints in a row cannot be reached, this instance
+//! counts as partitioned from the service. Its requests then go through peers
+//! ([`proxies`](super::proxies)), and it tries to connect to one endpoint after the other.
+//!
+//! See `docs/design/partitions.md`.
+
+use crate::ids::EndpointKey;
+use crate::time::Time;
+use core::time::Duration;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Different endpoints that must be unreachable in a row before this instance counts as
+/// partitioned. A service with fewer endpoints needs all of them.
+const MIN_UNREACHED: usize = 3;
+
+/// The interval at which a partitioned instance first tries to connect to an endpoint.
+const FIRST_PROBE_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Upper bound of that interval, which doubles with each try. A service whose endpoints have all
+/// ended looks like a partition to every instance.
+const MAX_PROBE_INTERVAL: Duration = Duration::from_millis(1_000);
+
+/// What is known about the connections to one service.
+#[derive(Clone, Debug, Default)]
+struct ServiceState {
+    /// Endpoints that could not be reached since the last connection.
+    unreached: BTreeSet<EndpointKey>,
+    /// When a connection to an endpoint was last opened.
+    connected_at: Option<Time>,
+    /// The schedule of connection attempts while this instance is partitioned.
+    probes: Option<ProbeSchedule>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct ProbeSchedule {
+    next: Time,
+    interval: Duration,
+}
+
+/// The reachability of all services.
+#[derive(Clone, Debug, Default)]
+pub struct Reachability {
+    services: BTreeMap<String, ServiceState>,
+}
+
+impl Reachability {
+    /// Records that a connection to an endpoint of `service` was opened. Returns the endpoints that
+    /// could not be reached before, if that ends a partition.
+    pub fn on_connected(&mut self, now: Time, service: &str) -> Option<BTreeSet<EndpointKey>> {
+        let state = self.state(service);
+        state.connected_at = Some(now);
+        let unreached = core::mem::take(&mut state.unreached);
+        state.probes.take().map(|_| unreached)
+    }
+
+    /// Records that no connection to an endpoint of `service` could be opened; `usable` is the
+    /// number of its endpoints to which work may be sent. Returns whether a partition begins.
+    pub fn on_unreachable(
+        &mut self,
+        now: Time,
+        service: &str,
+        endpoint: EndpointKey,
+        usable: usize,
+    ) -> bool {
+        let state = self.state(service);
+        state.unreached.insert(endpoint);
+        let needed = MIN_UNREACHED.min(usable).max(1);
+        if state.probes.is_some() || state.unreached.len() < needed {
+            return false;
+        }
+        state.probes = Some(ProbeSchedule {
+            next: now + FIRST_PROBE_INTERVAL,
+            interval: FIRST_PROBE_INTERVAL,
+        });
+        true
+    }
+
+    /// Returns whether this instance is partitioned from a service.
+    pub fn is_partitioned(&self, service: &str) -> bool {
+        let state = self.services.get(service);
+        state.is_some_and(|it| it.probes.is_some())
+    }
+
+    /// Returns the services from which this instance is partitioned.
+    pub fn partitioned(&self) -> impl Iterator<Item = &str> {
+        let services = self.services.iter();
+        services
+            .filter(|(_, it)| it.probes.is_some())
+            .map(|(name, _)| name.as_str())
+    }
+
+    /// Returns whether a connection to any endpoint of a service was opened after `at`, so that a
+    /// failure at that time says something about its endpoint.
+    pub fn has_connected_since(&self, service: &str, at: Time) -> bool {
+        let state = self.services.get(service);
+        let connected_at = state.and_then(|it| it.connected_at);
+        connected_at.is_some_and(|it| it > at)
+    }
+
+    /// Returns the services for which a connection attempt is due, and schedules the next ones.
+    pub fn due_probes(&mut self, now: Time) -> Vec<String> {
+        let mut due = Vec::new();
+        for (name, state) in &mut self.services {
+            if let Some(probes) = state.probes.as_mut().filter(|it| now >= it.next) {
+                probes.interval = (probes.interval * 2).min(MAX_PROBE_INTERVAL);
+                probes.next = now + probes.interval;
+                due.push(name.clone());
+            }
+        }
+        due
+    }
+
+    fn state(&mut self, service: &str) -> &mut ServiceState {
+        self.services.entry(service.to_owned()).or_default()
+    }
+}
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -1,11 +1,13 @@
 //! [`Gateway`]: all decisions about HTTP entries of one instance.
 
+mod partitions;
 mod peers;
 mod places;
 mod retries;
 mod store;
 mod suspects;
 
+pub use partitions::UnreachableOutcome;
 pub use peers::{DatagramOutcome, DropReason, GOSSIP_DELAY, TICK};
 pub use places::SendKind;
 
@@ -23,7 +25,9 @@
 use super::lengths::LengthTable;
 use super::members::Members;
 use super::placement::PlacementTable;
+use super::proxies::Proxies;
 use super::rate_limits::{LimitChange, RateLimits, ResponseLimit};
+use super::reachability::Reachability;
 use super::reader::StoreReader;
 use super::replica::{Record, Replica};
 use super::suspects::Suspects;
@@ -126,6 +130,10 @@
     pub limits: RateLimits,
     /// Backoffs that endpoints requested of this instance.
     pub backoffs: Backoffs,
+    /// Whether the endpoints of each service are reached.
+    pub reachability: Reachability,
+    /// Peers that serve requests for this instance while it is partitioned.
+    pub proxies: Proxies,
     /// Requests that may crash endpoints.
     pub suspects: Suspects,
     /// Retry budget that is shared by the fleet.
@@ -176,6 +184,8 @@
             shares: RateShares::new(now),
             limits: RateLimits::default(),
             backoffs: Backoffs::default(),
+            reachability: Reachability::default(),
+            proxies: Proxies::default(),
             suspects: Suspects::new(now),
             budget,
             catalogue: None,
--- /dev/null
+++ b/crates/core/src/gateway/state/partitions.rs
@@ -0,0 +1,108 @@
+//! Partitions between this instance and endpoints, and the peers that serve meanwhile.
+
+use super::{Gateway, Placement};
+use crate::gateway::proxies::ProxyChoice;
+use crate::gateway::queue::service_hash;
+use crate::ids::EndpointKey;
+use crate::time::Time;
+use rand::seq::IteratorRandom;
+use std::net::SocketAddrV4;
+
+/// What follows from a connection that could not be opened.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct UnreachableOutcome {
+    /// Whether the endpoint is now ejected.
+    pub is_ejected: bool,
+    /// Whether this instance now counts as partitioned from the endpoint's service.
+    pub is_partitioned: bool,
+}
+
+impl Gateway {
+    /// Records that a connection to an endpoint was opened; returns whether that ends a partition
+    /// from its service.
+    pub fn on_connected(&mut self, now: Time, key: EndpointKey) -> bool {
+        let Some(endpoint) = self.endpoints.get(key) else {
+            return false;
+        };
+        let unreached = self
+            .reachability
+            .on_connected(now, &endpoint.record.service);
+        let Some(unreached) = unreached else {
+            return false;
+        };
+        // All requests would go to the one endpoint that was reached first.
+        for endpoint in unreached {
+            self.endpoints.end_ejection(endpoint);
+        }
+        true
+    }
+
+    /// Records that no connection to an endpoint could be opened.
+    pub fn on_unreachable(&mut self, now: Time, key: EndpointKey) -> UnreachableOutcome {
+        UnreachableOutcome {
+            is_ejected: self.endpoints.on_unreachable(now, key),
+            is_partitioned: self.on_connect_abandoned(now, key),
+        }
+    }
+
+    /// Records that a connection to an endpoint had not been opened when its request was given up.
+    /// Returns whether this instance now counts as partitioned from the endpoint's service.
+    ///
+    /// The endpoint is not ejected for that: it may only have been slow.
+    pub fn on_connect_abandoned(&mut self, now: Time, key: EndpointKey) -> bool {
+        let Some(endpoint) = self.endpoints.get(key) else {
+            return false;
+        };
+        let service = &endpoint.record.service;
+        let usable = self.endpoints.usable_of(service).count();
+        self.reachability.on_unreachable(now, service, key, usable)
+    }
+
+    /// Returns whether this instance is partitioned from the endpoints of a service and has peers
+    /// that may reach them.
+    pub fn needs_proxy(&self, service: &str) -> bool {
+        self.reachability.is_partitioned(service) && self.members.live().next().is_some()
+    }
+
+    /// Returns endpoints to which a connection is to be opened, to notice the end of a partition.
+    pub fn partition_probes(&mut self, now: Time) -> Vec<Placement> {
+        let services = self.reachability.due_probes(now);
+        let (endpoints, rng) = (&self.endpoints, &mut self.rng);
+        let chosen = services
+            .iter()
+            .filter_map(|it| endpoints.usable_of(it).choose(rng));
+        chosen.map(Placement::of).collect()
+    }
+
+    /// Chooses the peer to which a request of `service` is offered next.
+    pub fn choose_proxy(
+        &mut self,
+        now: Time,
+        service: &str,
+        tried: &[SocketAddrV4],
+    ) -> Option<SocketAddrV4> {
+        let peers: Vec<SocketAddrV4> = self
+            .members
+            .live()
+            .filter(|(_, it)| it.is_steady())
+            .map(|(address, _)| address)
+            .collect();
+        let choice = ProxyChoice {
+            service: service_hash(service),
+            data_centre: &self.cfg.data_centre,
+            peers: &peers,
+            tried,
+        };
+        self.proxies.choose(now, choice, &mut self.rng)
+    }
+
+    /// Returns the address at which peers reach this instance.
+    pub fn address(&self) -> SocketAddrV4 {
+        self.cfg.address
+    }
+
+    /// Returns the data centre of this instance.
+    pub fn data_centre(&self) -> &str {
+        &self.cfg.data_centre
+    }
+}
--- a/crates/core/src/gateway/state/places.rs
+++ b/crates/core/src/gateway/state/places.rs
@@ -406,6 +406,14 @@
             let endpoint = self.endpoints.get(*key);
             endpoint.is_some_and(|it| service_hash(&it.record.service) == service)
         };
+        // A failure says something about an endpoint only if this instance reaches others.
+        let is_confirmed = |key: &EndpointKey| {
+            let endpoint = self.endpoints.get(*key).filter(|_| of_service(key));
+            endpoint.is_some_and(|it| {
+                self.reachability
+                    .has_connected_since(&it.record.service, it.failed_at())
+            })
+        };
         let report = PlacementReport {
             service,
             number: self.reports_sent + 1,
@@ -416,8 +424,8 @@
                 .engine_usage()
                 .filter(|(key, _)| of_service(key))
                 .collect(),
-            failing: self.endpoints.failing().filter(of_service).collect(),
-            ejected: self.endpoints.ejected(now).filter(of_service).collect(),
+            failing: self.endpoints.failing().filter(is_confirmed).collect(),
+            ejected: self.endpoints.ejected(now).filter(is_confirmed).collect(),
             known: u32::try_from(self.fleet.count()).unwrap_or(u32::MAX),
             requests: self
                 .placements
@@ -512,7 +520,7 @@
 }
 
 impl Placement {
-    fn of(endpoint: &Endpoint) -> Self {
+    pub(super) fn of(endpoint: &Endpoint) -> Self {
         Placement {
             key: endpoint.key,
             name: endpoint.record.name.clone(),
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -7,11 +7,24 @@
 #[derive(Clone, Debug, Default)]
 pub struct Attempts {
     tried: Vec<EndpointKey>,
+    /// Those of them that no connection was opened to.
+    unreached: Vec<EndpointKey>,
     runs: u32,
     refused: usize,
 }
 
 impl Attempts {
+    /// Returns the attempts of a request that another instance passes on: the endpoints that it
+    /// reached there, at how many of them it may have run, and how many did not run it.
+    pub fn before(tried: Vec<EndpointKey>, runs: u32, refused: usize) -> Self {
+        Attempts {
+            tried,
+            unreached: Vec::new(),
+            runs,
+            refused,
+        }
+    }
+
     /// Records an endpoint that was not reached, so that no part of the request is there.
     ///
     /// This does not count as a refusal. While the store is unavailable, engines that are gone keep
@@ -19,6 +32,19 @@
     /// although other engines have room.
     pub fn record_unreached(&mut self, endpoint: EndpointKey) {
         self.tried.push(endpoint);
+        self.unreached.push(endpoint);
+    }
+
+    /// Records an endpoint that no connection could be opened to, as one that did not run the
+    /// request.
+    pub fn record_no_connection(&mut self, endpoint: EndpointKey) {
+        self.record_refused(endpoint);
+        self.unreached.push(endpoint);
+    }
+
+    /// Records that a peer to which the request was passed on may have run it at an endpoint.
+    pub fn record_run_at_proxy(&mut self) {
+        self.runs += 1;
     }
 
     /// Records an endpoint that did not run the request.
@@ -38,6 +64,25 @@
         &self.tried
     }
 
+    /// Returns the endpoints that the request reached.
+    pub fn reached(&self) -> Vec<EndpointKey> {
+        let tried = self.tried.iter();
+        let reached = tried.filter(|it| !self.unreached.contains(it));
+        reached.copied().collect()
+    }
+
+    /// Returns at how many endpoints the request may have run.
+    pub fn runs(&self) -> u32 {
+        self.runs
+    }
+
+    /// Returns how many endpoints that the request reached did not run it.
+    pub fn refusals_of_reached(&self) -> u32 {
+        let runs = usize::try_from(self.runs).unwrap_or(usize::MAX);
+        let refusals = self.reached().len().saturating_sub(runs);
+        u32::try_from(refusals).unwrap_or(u32::MAX)
+    }
+
     /// Returns whether the request may have run, so that a response must not promise the contrary.
     pub fn may_have_run(&self) -> bool {
         self.runs > 0
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -5,11 +5,13 @@
 //! receives a partial response.
 
 use crate::attempts::Attempts;
-use crate::job::Job;
+use crate::job::{Job, Origin};
 use crate::link::LinkError;
 use crate::log_event;
 use crate::meters::{ByReason, Histogram};
 use crate::ports::{BufferedResponse, ForwardHead, Wire};
+use crate::proxy;
+use crate::proxy::client::ProxyOutcome;
 use crate::response::{Reason, ResponseBody};
 use core::time::Duration;
 use http::Response;
@@ -59,9 +61,15 @@
 pub async fn serve<W: Wire>(job: &Job<W>) -> Response<ResponseBody> {
     let mut calls = CallAttempts {
         job,
-        attempts: Attempts::default(),
+        attempts: job.attempts_before(),
     };
     loop {
+        if job.needs_proxy() {
+            match calls.pass_on().await {
+                Some(response) => return response,
+                None => continue,
+            }
+        }
         if let Err(reason) = job.wait_until_admitted().await {
             return calls.refuse_unadmitted(reason);
         }
@@ -196,6 +204,44 @@
         }
     }
 
+    /// Returns whether the call can go through a peer.
+    fn may_pass_on(&self) -> bool {
+        matches!(self.job.origin, Origin::Caller) && self.job.needs_proxy()
+    }
+
+    /// Passes the call to a peer, because this instance reaches no endpoint; returns the response
+    /// for the caller, or `None` if the call is retried.
+    async fn pass_on(&mut self) -> Option<Response<ResponseBody>> {
+        let job = self.job;
+        let outcome = match self.may_pass_on() {
+            true => proxy::client::pass_on(job, &self.attempts).await,
+            false => ProxyOutcome::NotServed,
+        };
+        let reason = match outcome {
+            ProxyOutcome::Response(response) => {
+                if let Some(response) = proxy::client::whole(response, job.deadline).await {
+                    Histogram::Call.record(job.arrived.elapsed());
+                    return Some(response);
+                }
+                Reason::ResponseLost
+            }
+            ProxyOutcome::NotServed => {
+                return Some(self.refuse_unadmitted(Reason::NoConnection));
+            }
+            ProxyOutcome::Lost => Reason::ResponseLost,
+            ProxyOutcome::Timeout => Reason::Timeout,
+        };
+        self.attempts.record_run_at_proxy();
+        let may_retry = self.attempts.may_run_again(job.entry())
+            && job.remaining() >= MIN_RETRY_TIME
+            && job.try_spend_retry(RetryKind::Retry);
+        if may_retry {
+            return None;
+        }
+        self.log_failure("-", reason);
+        Some(job.refuse(reason))
+    }
+
     async fn record(&mut self, place: &Placement, attempt: &AttemptOutcome) {
         match attempt {
             AttemptOutcome::Response(response) => {
@@ -217,9 +263,8 @@
             }
         }
         match attempt {
-            AttemptOutcome::NotRun
-            | AttemptOutcome::NoConnection(_)
-            | AttemptOutcome::Withdrawn => {
+            AttemptOutcome::NoConnection(_) => self.attempts.record_no_connection(place.key),
+            AttemptOutcome::NotRun | AttemptOutcome::Withdrawn => {
                 self.attempts.record_refused(place.key);
             }
             _ => self.attempts.record_run(place.key),
@@ -235,7 +280,7 @@
         let may_retry = match attempt {
             // Nothing reached any endpoint, so this is not a retry.
             AttemptOutcome::NoConnection(_) | AttemptOutcome::Withdrawn => {
-                return self.attempts.refused() <= MAX_REFUSED_SENDS;
+                return self.attempts.refused() <= MAX_REFUSED_SENDS || self.may_pass_on();
             }
             AttemptOutcome::NotRun => self.attempts.refused() <= MAX_REFUSED_SENDS,
             AttemptOutcome::Response(response) if !response.status.is_server_error() => false,
@@ -252,7 +297,9 @@
         let reason = match reason {
             // An earlier attempt may have run, so the response must not promise that the call did
             // not run.
-            Reason::NoRunLease if self.attempts.may_have_run() => Reason::ResponseLost,
+            Reason::NoRunLease | Reason::NoConnection if self.attempts.may_have_run() => {
+                Reason::ResponseLost
+            }
             reason => reason,
         };
         self.log_failure("-", reason);
--- a/crates/gateway/src/catch_up.rs
+++ b/crates/gateway/src/catch_up.rs
@@ -13,8 +13,8 @@
 use crate::link::connect_socket;
 use crate::log_event;
 use crate::meters::{ByReason, millis};
-use crate::ports::Published;
-use crate::ports::Wire;
+use crate::ports::{EngineCalls, Published, Wire};
+use crate::proxy::server::{self, PREFACE};
 use crate::store::{Source, apply, apply_catalogue, finish_full_read, log_epoch_change};
 use core::time::Duration;
 use format::FormatError;
@@ -27,6 +27,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{Instant, sleep, timeout};
+use tokio_util::task::TaskTracker;
 
 /// How long a peer may take to read a delta. A slower one would block others; it reads the store
 /// instead.
@@ -217,22 +218,34 @@
     Ok(format::decode(&bytes)?)
 }
 
-async fn read_request(stream: &mut TcpStream) -> io::Result<DeltaRequest> {
-    let number = stream.read_u64().await?;
-    let epoch = Epoch(stream.read_u64().await?);
+/// The bytes that a request for a delta has.
+const REQUEST_BYTES: usize = 24;
+
+// A connection is one for requests if it begins with as many bytes of another protocol.
+const _: () = assert!(PREFACE.len() == REQUEST_BYTES);
+
+async fn read_request(mut bytes: &[u8]) -> io::Result<DeltaRequest> {
+    let number = bytes.read_u64().await?;
+    let epoch = Epoch(bytes.read_u64().await?);
     Ok(DeltaRequest {
         after: Revision { epoch, number },
-        catalogue: stream.read_u64().await?,
+        catalogue: bytes.read_u64().await?,
     })
 }
 
-/// Serves deltas to peers that request them. Never returns.
-pub async fn serve_deltas<W: Wire>(cx: Arc<Cx<W>>, listener: TcpListener) {
+/// Accepts connections of peers: for deltas, and for requests of callers that a peer passes on.
+/// Never returns.
+pub async fn serve_peers<W: Wire, E: EngineCalls>(
+    cx: Arc<Cx<W>>,
+    engines: E,
+    listener: TcpListener,
+    tasks: TaskTracker,
+) {
     loop {
         match listener.accept().await {
             Ok((stream, from)) => {
-                let cx = Arc::clone(&cx);
-                tokio::spawn(async move { serve_peer(&cx, stream, from).await });
+                let (cx, engines, tasks) = (Arc::clone(&cx), engines.clone(), tasks.clone());
+                tokio::spawn(serve_connection(cx, engines, stream, from, tasks));
             }
             Err(error) => {
                 log::warn!("cannot accept a peer connection: {error}");
@@ -250,9 +263,39 @@
     Large(usize),
 }
 
-async fn serve_peer<W: Wire>(cx: &Arc<Cx<W>>, stream: TcpStream, from: SocketAddr) {
+/// Tells by its first bytes what a connection is for.
+async fn serve_connection<W: Wire, E: EngineCalls>(
+    cx: Arc<Cx<W>>,
+    engines: E,
+    mut stream: TcpStream,
+    from: SocketAddr,
+    tasks: TaskTracker,
+) {
+    let mut first = [0; REQUEST_BYTES];
+    match timeout(TRANSFER_TIMEOUT, stream.read_exact(&mut first)).await {
+        Ok(Ok(_)) => {}
+        Ok(Err(error)) => return log::debug!("connection of the peer {from} failed: {error}"),
+        Err(_) => return log::debug!("the peer {from} sent no request"),
+    }
+    if first != *PREFACE {
+        return serve_delta(&cx, &first, stream, from).await;
+    }
+    if let Err(error) = stream.set_nodelay(true) {
+        log::debug!("cannot set TCP_NODELAY on a peer connection: {error}");
+    }
+    let (rx, tx) = stream.into_split();
+    let io = tokio::io::join(PREFACE.as_slice().chain(rx), tx);
+    server::serve(cx, engines, io, from, tasks).await;
+}
+
+async fn serve_delta<W: Wire>(
+    cx: &Arc<Cx<W>>,
+    request: &[u8],
+    stream: TcpStream,
+    from: SocketAddr,
+) {
     let started = Instant::now();
-    let (how, bytes) = match timeout(TRANSFER_TIMEOUT, send_delta(cx, stream)).await {
+    let (how, bytes) = match timeout(TRANSFER_TIMEOUT, send_delta(cx, request, stream)).await {
         Ok(Ok(DeltaTransfer::Small)) => return,
         Ok(Ok(DeltaTransfer::Large(bytes))) => ("read", bytes),
         Ok(Err(error)) => {
@@ -272,8 +315,12 @@
 }
 
 /// Sends the delta, unless it is large and too many large transfers are in progress.
-async fn send_delta<W: Wire>(cx: &Arc<Cx<W>>, mut stream: TcpStream) -> io::Result<DeltaTransfer> {
-    let request = read_request(&mut stream).await?;
+async fn send_delta<W: Wire>(
+    cx: &Arc<Cx<W>>,
+    request: &[u8],
+    mut stream: TcpStream,
+) -> io::Result<DeltaTransfer> {
+    let request = read_request(request).await?;
     let size = cx.state().delta_size(request);
     if size <= LARGE_DELTA_BYTES {
         let bytes = encode(cx, request)?;
--- a/crates/gateway/src/cx.rs
+++ b/crates/gateway/src/cx.rs
@@ -3,9 +3,11 @@
 use crate::log_event;
 use crate::meters::ByReason;
 use crate::ports::Wire;
+use crate::proxy::links::ProxyLinks;
 use crate::store::Source;
 use core::time::Duration;
 use oriolemux_core::gateway::rate_limits::LimitChange;
+use oriolemux_core::gateway::state::Placement;
 use oriolemux_core::gateway::{Cordon, CordonEffect, Gateway};
 use oriolemux_core::ids::EndpointKey;
 use oriolemux_core::time::Time;
@@ -58,6 +60,8 @@
     pub clock: Clock,
     /// Limits of the sockets.
     pub limits: GatewayLimits,
+    /// Connections to peers that serve requests for this instance.
+    pub proxy_links: ProxyLinks,
     /// Notified when the replica of the store has changed.
     pub replica_changed: Notify,
     /// Notified when endpoints begin to leave or a data centre is cordoned.
@@ -111,10 +115,12 @@
     Generation,
     /// A large delta of the store's records, until the peer has read it.
     LargeTransfer,
+    /// A request that is served for a peer.
+    Proxied,
 }
 
 /// The number of variants of [`OpenKind`].
-const OPEN_KINDS: usize = 4;
+const OPEN_KINDS: usize = 5;
 
 impl<W: Wire> Cx<W> {
     /// Creates the shared context around the decision state.
@@ -123,6 +129,7 @@
             wire,
             clock,
             limits,
+            proxy_links: ProxyLinks::default(),
             replica_changed: Notify::new(),
             departures: Notify::new(),
             decided: Notify::new(),
@@ -279,6 +286,22 @@
         }
     }
 
+    /// Records that a connection to an endpoint was opened.
+    pub fn on_connected(&self, place: &Placement) {
+        let now = self.now();
+        if !self.state().on_connected(now, place.key) {
+            return;
+        }
+        let endpoint = self.state().endpoints.get(place.key).cloned();
+        let service = endpoint.as_ref().map_or("-", |it| &it.record.service);
+        log_event!(
+            ServiceReached,
+            service = service,
+            endpoint = place.name.as_str()
+        );
+        self.decided.notify_waiters();
+    }
+
     /// Logs a change of an endpoint's rate limit and schedules gossip.
     pub fn announce_limit(&self, change: &LimitChange, from: Source) {
         let name = self.endpoint_name(change.endpoint);
--- a/crates/gateway/src/event_log.rs
+++ b/crates/gateway/src/event_log.rs
@@ -182,6 +182,18 @@
     /// As the home of a service, this instance skips an engine for all instances, because several
     /// instances could not use it; the line says how many did and for how long it is skipped.
     EjectedByHome = 850, "endpoint_passed_over_by_home", Info, USUAL;
+    /// This instance reaches no endpoint of a service; its requests go through peers. The line names
+    /// the endpoint that could not be reached last.
+    ServicePartitioned = 851, "service_partitioned", Warn, USUAL;
+    /// An endpoint of a service that this instance was partitioned from is reached again.
+    ServiceReached = 852, "service_reached", Info, USUAL;
+    /// A request went through a peer; the line says how that ended and the status of the response.
+    Proxied = 853, "proxied", Info, FAILURES;
+    /// A peer did not accept a request; the line says why. Nothing of the request was sent.
+    ProxyDeclined = 854, "proxy_declined", Info, USUAL;
+    /// A request of a peer that reaches no endpoint ended here; the line says how, and how many
+    /// others are being served.
+    ServedForPeer = 855, "served_for_peer", Info, USUAL;
 }
 
 /// The lines of one event in the current second.
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -4,17 +4,20 @@
 
 pub use connection::serve;
 
+use crate::attempts::Attempts;
 use crate::cx::Cx;
-use crate::job::Job;
+use crate::job::{Job, Origin};
 use crate::log_event;
 use crate::meters::ByReason;
 use crate::ports::{CallerHead, EngineCalls, LastEventId, Wire};
+use crate::proxy::message::ProxiedRequest;
 use crate::response::{Reason, ResponseBody, refuse};
 use crate::run_lease::RunGuard;
 use crate::{call, stream};
 use bytes::Bytes;
 use core::time::Duration;
-use http::{Request, Response, Uri, header};
+use http::request::Parts;
+use http::{HeaderMap, Request, Response, Uri, header};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use oriolemux_core::fingerprint::{Fingerprint, Identity};
@@ -80,7 +83,7 @@
     let Some(catalogue) = first_catalogue(&cx, caller_timeout).await else {
         return refused(Reason::NoCatalogue);
     };
-    let host = host_of(&req);
+    let host = host_of(req.headers(), req.uri());
     match catalogue.match_request(host, req.uri().path(), head.key_digest.as_ref()) {
         RequestMatch::NoEntry => refused(Reason::NoEntry),
         RequestMatch::UnknownKey => refused(Reason::UnknownKey),
@@ -94,6 +97,8 @@
                 workspace,
                 head,
                 arrived,
+                origin: Origin::Caller,
+                earns_retry: true,
             };
             match read_body(cx, matched, req).await {
                 Ok(job) => run(job, engines).await,
@@ -103,6 +108,54 @@
     }
 }
 
+/// Serves a request that a peer passes on because it reaches no endpoint, as if its caller had
+/// connected here.
+pub(crate) async fn handle_proxied<W: Wire, E: EngineCalls>(
+    cx: Arc<Cx<W>>,
+    engines: E,
+    mut received: ProxiedRequest,
+) -> Response<ResponseBody> {
+    let now = Instant::now();
+    let arrived = now.checked_sub(Duration::from_micros(received.elapsed_us));
+    let arrived = arrived.unwrap_or(now);
+    let remaining = Duration::from_micros(received.remaining_us);
+    let refused = |attempt: &str, reason: Reason| {
+        ByReason::Refused.add(&reason.to_string());
+        log_event!(RefusedAtFront, attempt = attempt, reason:% = reason);
+        refuse(reason, remaining)
+    };
+    let Some((parts, body)) = received.take_parts() else {
+        return refused("-", Reason::BodyBroken);
+    };
+    let head = cx.wire.caller_head(&parts.headers);
+    let attempt = head.attempt.clone();
+    let attempt = attempt.as_deref().unwrap_or("-");
+    let servable = cx.state().servable().cloned();
+    let Some(catalogue) = servable else {
+        return refused(attempt, Reason::NoCatalogue);
+    };
+    let host = host_of(&parts.headers, &parts.uri).to_owned();
+    match catalogue.match_request(&host, parts.uri.path(), head.key_digest.as_ref()) {
+        RequestMatch::NoEntry => refused(attempt, Reason::NoEntry),
+        RequestMatch::UnknownKey => refused(attempt, Reason::UnknownKey),
+        RequestMatch::Serve { entry, workspace } => {
+            let refusals = usize::try_from(received.refused).unwrap_or(usize::MAX);
+            let attempts = Attempts::before(received.tried, received.runs, refusals);
+            let matched = MatchedRequest {
+                catalogue,
+                entry,
+                workspace,
+                head,
+                arrived,
+                origin: Origin::Peer(attempts),
+                earns_retry: received.earns_retry,
+            };
+            let deadline = matched.deadline().min(now + remaining);
+            run(job_of(cx, matched, parts, body, deadline), engines).await
+        }
+    }
+}
+
 /// Returns whether the last event that the caller names can be part of its generation. For a
 /// generation that is not resumable, the event is ignored and the caller gets it from the start.
 fn is_valid_last_event_id(kind: RequestKind, head: &CallerHead) -> bool {
@@ -123,12 +176,24 @@
     workspace: Option<WorkspaceId>,
     head: CallerHead,
     arrived: Instant,
+    origin: Origin,
+    /// Whether it earns a part of a retry here.
+    earns_retry: bool,
 }
 
-fn host_of(req: &Request<Incoming>) -> &str {
-    let named = req.headers().get(header::HOST);
+impl MatchedRequest {
+    /// Returns when the request times out.
+    fn deadline(&self) -> Instant {
+        let entry = self.catalogue.entry(self.entry);
+        let caller_timeout = self.head.timeout.unwrap_or(entry.timeout);
+        self.arrived + caller_timeout.min(entry.timeout)
+    }
+}
+
+fn host_of<'a>(headers: &'a HeaderMap, uri: &'a Uri) -> &'a str {
+    let named = headers.get(header::HOST);
     let named = named.and_then(|host| host.to_str().ok());
-    named.or(req.uri().host()).unwrap_or("")
+    named.or(uri.host()).unwrap_or("")
 }
 
 /// Reads the full body. The request is forwarded only after that, so that a caller that stalls
@@ -138,10 +203,7 @@
     matched: MatchedRequest,
     req: Request<Incoming>,
 ) -> Result<Job<W>, Reason> {
-    let entry = matched.catalogue.entry(matched.entry);
-    let caller_timeout = matched.head.timeout.unwrap_or(entry.timeout);
-    let deadline = matched.arrived + caller_timeout.min(entry.timeout);
-    let host = host_of(&req).to_owned();
+    let deadline = matched.deadline();
     let (parts, body) = req.into_parts();
     let limit = matched.catalogue.limits().max_body_bytes;
     let collected =
@@ -152,11 +214,23 @@
         Ok(Err(_)) => return Err(Reason::BodyBroken),
         Err(_) => return Err(Reason::WaitTooLong),
     };
+    Ok(job_of(cx, matched, parts, body, deadline))
+}
+
+/// Returns the job of a request whose body was read.
+fn job_of<W: Wire>(
+    cx: Arc<Cx<W>>,
+    matched: MatchedRequest,
+    parts: Parts,
+    body: Bytes,
+    deadline: Instant,
+) -> Job<W> {
+    let host = host_of(&parts.headers, &parts.uri);
     let workspace = matched.workspace.map(|id| matched.catalogue.workspace(id));
     let fingerprint = Fingerprint::of(&Identity {
         deployment: cx.state().deployment(),
         workspace: workspace.map(|it| it.name.as_str()),
-        host: &host,
+        host,
         method: parts.method.as_str(),
         path: parts.uri.path_and_query().map_or("", |it| it.as_str()),
         body: &body,
@@ -167,9 +241,11 @@
     let draw = state.draw();
     let service = matched.catalogue.pick_service(matched.entry, draw);
     let name = &matched.catalogue.service(service).name;
-    state.budget.on_request(now, name);
+    if matched.earns_retry {
+        state.budget.on_request(now, name);
+    }
     drop(state);
-    Ok(Job {
+    Job {
         cx,
         catalogue: matched.catalogue,
         entry: matched.entry,
@@ -182,9 +258,10 @@
         body,
         fingerprint,
         run,
+        origin: matched.origin,
         arrived: matched.arrived,
         deadline,
-    })
+    }
 }
 
 /// Returns path and query only, as endpoints expect them.
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -1,5 +1,6 @@
 //! One caller request that was matched to an entry and read in full.
 
+use crate::attempts::Attempts;
 use crate::cx::Cx;
 use crate::link::{Link, LinkError};
 use crate::log_event;
@@ -36,6 +37,15 @@
 /// the next in rank, one after the other.
 pub const IMMEDIATE_PLACEMENT_TIMEOUT: Duration = HOME_TIMEOUT.saturating_mul(3);
 
+/// Where a request came from.
+#[derive(Clone, Debug)]
+pub enum Origin {
+    /// A caller connected to this instance.
+    Caller,
+    /// A peer passed it on, after these attempts of its own. It is not passed on again.
+    Peer(Attempts),
+}
+
 /// A request that was matched against one catalogue and read in full.
 pub struct Job<W: Wire> {
     /// The context that all tasks share.
@@ -62,6 +72,8 @@
     pub fingerprint: Fingerprint,
     /// Counts the request as running until the job is dropped.
     pub run: RunGuard<W>,
+    /// Where the request came from.
+    pub origin: Origin,
     /// When the request's head was read.
     pub arrived: Instant,
     /// When the request times out.
@@ -87,6 +99,20 @@
         }
     }
 
+    /// Returns the attempts that another instance made before it passed the request on.
+    pub fn attempts_before(&self) -> Attempts {
+        match &self.origin {
+            Origin::Caller => Attempts::default(),
+            Origin::Peer(attempts) => attempts.clone(),
+        }
+    }
+
+    /// Returns whether this instance is partitioned from the service, so that the request must go
+    /// through a peer.
+    pub fn needs_proxy(&self) -> bool {
+        self.cx.state().needs_proxy(&self.service().name)
+    }
+
     /// Returns the time until the deadline.
     pub fn remaining(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
@@ -230,8 +256,19 @@
             why = why
         );
         let now = self.cx.now();
-        let passed_over = self.cx.state().endpoints.on_unreachable(now, place.key);
-        log_ejection(place, passed_over);
+        let outcome = self.cx.state().on_unreachable(now, place.key);
+        log_ejection(place, outcome.is_ejected);
+        if outcome.is_partitioned {
+            self.log_partition(place);
+        }
+    }
+
+    fn log_partition(&self, place: &Placement) {
+        log_event!(
+            ServicePartitioned,
+            service = self.service().name.as_str(),
+            endpoint = place.name.as_str()
+        );
     }
 
     /// Marks an endpoint as leaving because another process answers at its address.
@@ -417,7 +454,16 @@
         let chosen = self.cx.now();
         let limit = self.cx.limits.connect.min(self.remaining());
         let opening = self.cx.wire.connect(place.address);
-        let mut link = Link::connect_by(opening, place.address, limit).await?;
+        let mut connecting = ConnectGuard {
+            job: self,
+            place,
+            started: Instant::now(),
+            has_ended: false,
+        };
+        let connected = Link::connect_by(opening, place.address, limit).await;
+        connecting.has_ended = true;
+        let mut link = connected?;
+        self.cx.on_connected(place);
         let kind = match send.resume.and_then(|it| it.copy) {
             Some(_) => SendKind::FromCopy,
             None => SendKind::Start,
@@ -431,6 +477,32 @@
     }
 }
 
+/// How long a connection attempt must have taken when its request is given up to count as evidence
+/// of a partition. A round trip between data centres takes some 3 ms.
+const HANGING_CONNECT: Duration = Duration::from_millis(100);
+
+/// Notices a connection attempt that is dropped because the caller left. Without this, callers that
+/// do not wait for the connection timeout would keep a partition from being noticed.
+struct ConnectGuard<'a, W: Wire> {
+    job: &'a Job<W>,
+    place: &'a Placement,
+    started: Instant,
+    has_ended: bool,
+}
+
+impl<W: Wire> Drop for ConnectGuard<'_, W> {
+    fn drop(&mut self) {
+        if self.has_ended || self.started.elapsed() < HANGING_CONNECT {
+            return;
+        }
+        let cx = &self.job.cx;
+        let now = cx.now();
+        if cx.state().on_connect_abandoned(now, self.place.key) {
+            self.job.log_partition(self.place);
+        }
+    }
+}
+
 fn log_unreadable(endpoint: &str, what: &str) {
     log_event!(AnnouncementUnreadable, endpoint = endpoint, what = what);
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 //! - [`attempts`] records which endpoints a request was sent to and which attempts remain.
 //! - [`mod@probe`] checks whether an endpoint crashed when a connection to it broke.
 //! - [`run_lease`] delays or refuses requests that crashed endpoints.
+//! - [`proxy`] serves requests through a peer while no endpoint is reached.
 //! - [`page`] serves the balancer, operators who query the [`status`], and collectors of
 //!   [metrics](mod@meters).
 //! - [`gossip`] exchanges datagrams with peers.
@@ -36,6 +37,7 @@
 pub mod placement;
 pub mod ports;
 pub mod probe;
+pub mod proxy;
 pub mod relay;
 pub mod response;
 pub mod run;
--- a/crates/gateway/src/meters.rs
+++ b/crates/gateway/src/meters.rs
@@ -66,6 +66,9 @@
         /// Connections to endpoints that could not be opened: `timeout`, `refused`, `failed`, or
         /// `nobody` where an endpoint ended together with a connection.
         Unreachable = "oriolemux_gateway_endpoints_unreachable_total";
+        /// Requests that were offered to a peer because no endpoint is reached: `answered`,
+        /// `not_served`, `lost`, `timeout`, or why the peer did not accept them.
+        Proxied = "oriolemux_gateway_proxied_total";
     }
 }
 
@@ -92,6 +95,10 @@
         EndpointsBackedOff = "oriolemux_gateway_endpoints_backed_off";
         /// Data centres that the operator closed to new work.
         DataCentresCordoned = "oriolemux_gateway_data_centres_cordoned";
+        /// Services of which no endpoint is reached.
+        ServicesPartitioned = "oriolemux_gateway_services_partitioned";
+        /// Requests that are being served for peers.
+        ServedForPeers = "oriolemux_gateway_served_for_peers";
         /// Other instances that take part.
         Peers = "oriolemux_gateway_peers";
         /// Connections of callers.
@@ -184,6 +191,14 @@
             Gauge::DataCentresCordoned,
             state.endpoints.cordons().closed().count() as f64,
         ),
+        (
+            Gauge::ServicesPartitioned,
+            state.reachability.partitioned().count() as f64,
+        ),
+        (
+            Gauge::ServedForPeers,
+            cx.open_count(OpenKind::Proxied) as f64,
+        ),
         (Gauge::Peers, state.members.live().count() as f64),
         (
             Gauge::Connections,
--- /dev/null
+++ b/crates/gateway/src/proxy/probe.rs
@@ -0,0 +1,33 @@
+//! Notices that a partition from the endpoints of a service has ended.
+
+use crate::cx::Cx;
+use crate::ports::Wire;
+use core::time::Duration;
+use oriolemux_core::gateway::state::Placement;
+use std::sync::Arc;
+use tokio::time::{sleep, timeout};
+
+/// How often due connection attempts are looked for.
+const POLL_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Opens connections to endpoints while this instance is partitioned from them. Never returns.
+pub async fn probe_endpoints<W: Wire>(cx: Arc<Cx<W>>) {
+    loop {
+        sleep(POLL_INTERVAL).await;
+        let now = cx.now();
+        let targets = cx.state().partition_probes(now);
+        for place in targets {
+            let cx = Arc::clone(&cx);
+            tokio::spawn(async move { probe_endpoint(&cx, &place).await });
+        }
+    }
+}
+
+async fn probe_endpoint<W: Wire>(cx: &Cx<W>, place: &Placement) {
+    let opening = cx.wire.connect(place.address);
+    match timeout(cx.limits.connect, opening).await {
+        Ok(Ok(_)) => cx.on_connected(place),
+        Ok(Err(error)) => log::debug!("{} is not reached: {error}", place.name),
+        Err(_) => log::debug!("{} does not answer", place.name),
+    }
+}
--- a/crates/gateway/src/relay/resume.rs
+++ b/crates/gateway/src/relay/resume.rs
@@ -235,11 +235,11 @@
             Ok(Ok((link, response))) => self.read_head(link, response).await,
             Ok(Err(error)) => {
                 log::debug!("generation could not resume: {error}");
-                if !matches!(error, LinkError::Withdrawn) {
-                    self.job.record_failure(&self.engine);
-                }
                 if !error.never_sent() {
+                    self.job.record_failure(&self.engine);
                     self.job.on_connection_broken(&self.engine, None).await;
+                } else if !matches!(error, LinkError::Withdrawn) {
+                    self.job.record_unreachable(&self.engine, error.label());
                 }
                 AttemptStart::Failed(Reason::ResponseLost)
             }
--- a/crates/gateway/src/response.rs
+++ b/crates/gateway/src/response.rs
@@ -155,7 +155,7 @@
 /// Returns the response for `reason` to a caller that may return after `delay`.
 pub fn refuse_until(reason: Reason, delay: Duration) -> Response<ResponseBody> {
     let status = reason.status();
-    let mut response = Response::builder().status(status);
+    let mut response = Response::builder().status(status).extension(reason);
     if status == StatusCode::SERVICE_UNAVAILABLE {
         let seconds = delay.as_secs_f64();
         response = response.header(header::RETRY_AFTER, format!("{seconds:.3}"));
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -4,7 +4,7 @@
 use crate::log_event;
 use crate::page::OperatorsPage;
 use crate::ports::{EngineCalls, Store, Wire};
-use crate::{catch_up, front, gossip, page, store};
+use crate::{catch_up, front, gossip, page, proxy, store};
 use core::time::Duration;
 use oriolemux_core::gateway::budget::BudgetConfig;
 use oriolemux_core::gateway::{Gateway, GatewayConfig};
@@ -212,7 +212,14 @@
         tasks.spawn(store::follow_store(Arc::clone(&cx), store_client));
         tasks.spawn(gossip::send_loop(Arc::clone(&cx), Arc::clone(&socket)));
         tasks.spawn(gossip::receive_loop(Arc::clone(&cx), socket));
-        tasks.spawn(catch_up::serve_deltas(Arc::clone(&cx), self.peers));
+        let peers = catch_up::serve_peers(
+            Arc::clone(&cx),
+            engines.clone(),
+            self.peers,
+            callers.clone(),
+        );
+        tasks.spawn(peers);
+        tasks.spawn(proxy::probe::probe_endpoints(Arc::clone(&cx)));
         tasks.spawn(catch_up::catch_up(Arc::clone(&cx)));
         let readiness_cx = Arc::clone(&cx);
         tasks.spawn(page::serve(self.readiness, move |_| {
--- a/crates/gateway/src/run_lease.rs
+++ b/crates/gateway/src/run_lease.rs
@@ -39,6 +39,13 @@
         }
     }
 
+    /// Ends the run early, because the request goes through a peer that counts it itself.
+    pub fn release(&self) {
+        if self.cx.state().end_run(self.run) {
+            self.cx.gossip_due.notify_one();
+        }
+    }
+
     fn admission(&self) -> Admission {
         let now = self.cx.now();
         self.cx.state().admit_run(now, self.run)
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -5,10 +5,12 @@
 //! worthwhile; its [`relay`](crate::relay) then handles it to its end.
 
 use crate::attempts::Attempts;
-use crate::job::{Job, UsageGuard};
+use crate::job::{Job, Origin, UsageGuard};
 use crate::log_event;
 use crate::placement::PlacementParams;
 use crate::ports::{EngineCalls, Wire};
+use crate::proxy;
+use crate::proxy::client::ProxyOutcome;
 use crate::relay::{Relay, StartOutcome};
 use crate::response::{Reason, ResponseBody, StreamAborted};
 use bytes::Bytes;
@@ -41,7 +43,7 @@
 
 /// Serves a generation.
 pub async fn serve<W: Wire, E: EngineCalls>(job: Job<W>, engines: E) -> Response<ResponseBody> {
-    let mut attempts = Attempts::default();
+    let mut attempts = job.attempts_before();
     let length = job.length();
     let expected = TOKEN_DURATION * length.remaining(0);
     if !job.cx.accepts_generation(expected) {
@@ -50,6 +52,12 @@
     let tokens = job.expected_memory(length, 0);
     let mut job = job;
     loop {
+        if job.needs_proxy() {
+            match pass_on(&job, &mut attempts).await {
+                Some(response) => return response,
+                None => continue,
+            }
+        }
         if let Err(reason) = job.wait_until_admitted().await {
             return refuse_generation(&job, &attempts, reason);
         }
@@ -93,6 +101,28 @@
     }
 }
 
+/// Passes a generation to a peer, because this instance reaches no engine; returns the response for
+/// the caller, or `None` if the generation is retried.
+async fn pass_on<W: Wire>(job: &Job<W>, attempts: &mut Attempts) -> Option<Response<ResponseBody>> {
+    let outcome = match job.origin {
+        Origin::Caller => proxy::client::pass_on(job, attempts).await,
+        Origin::Peer(_) => ProxyOutcome::NotServed,
+    };
+    let reason = match outcome {
+        ProxyOutcome::Response(response) => return Some(response),
+        ProxyOutcome::NotServed => {
+            return Some(refuse_generation(job, attempts, Reason::NoConnection));
+        }
+        ProxyOutcome::Lost => Reason::ResponseLost,
+        ProxyOutcome::Timeout => Reason::Timeout,
+    };
+    attempts.record_run_at_proxy();
+    let may_retry = attempts.may_run_again(job.entry())
+        && job.remaining() > MIN_RETRY_TIME
+        && job.try_spend_retry(RetryKind::Retry);
+    (!may_retry).then(|| refuse_generation(job, attempts, reason))
+}
+
 /// Engines that may refuse a generation, which then did not run, before the caller is refused.
 const MAX_REFUSED_SENDS: usize = 3;
 
