A partition is no evidence against a request

What callers saw: 400 for a proper request, at all instances, after one instance was partitioned from four endpoints that were running copies of it.

Cause: a broken connection followed by a refused one counted as a crash of the endpoint. Behind a partition every endpoint looks so. Class: a local failure taken for a remote one.

Change: an instance that finds nobody at an endpoint's address first connects to other endpoints (three at once, of the same service where it has others). Only if one accepts, the endpoint has crashed. Otherwise the lost connection is remembered, as after a probe without an answer, and counts if the endpoint's record vanishes.

Evidence: a_partition_is_no_evidence_against_a_request was red (400 at an instance that was never partitioned) and passes; the other six cases of suspects.rs, among them endpoints that do crash, pass as before.

Not covered: a partition from some endpoints only, where others are reached.

--- a/crates/core/src/gateway/state/partitions.rs
+++ b/crates/core/src/gateway/state/partitions.rs
@@ -1,11 +1,12 @@
 //! Partitions between this instance and endpoints, and the peers that serve meanwhile.
 
 use super::{Gateway, Placement};
+use crate::gateway::endpoints::Endpoint;
 use crate::gateway::proxies::ProxyChoice;
 use crate::gateway::queue::service_hash;
 use crate::ids::EndpointKey;
 use crate::time::Time;
-use rand::seq::IteratorRandom;
+use rand::seq::{IteratorRandom, SliceRandom};
 use std::net::SocketAddrV4;
 
 /// What follows from a connection that could not be opened.
@@ -74,6 +75,27 @@
         chosen.map(Placement::of).collect()
     }
 
+    /// Returns up to `most` other endpoints, to find out whether this instance reaches any: those of
+    /// the same service, or others if it has none. Those that did not fail lately come first.
+    pub fn other_endpoints(&mut self, key: EndpointKey, most: usize) -> Vec<Placement> {
+        let Some(endpoint) = self.endpoints.get(key) else {
+            return Vec::new();
+        };
+        let service = &endpoint.record.service;
+        let of_service = self.endpoints.usable_of(service).filter(|it| it.key != key);
+        let mut others: Vec<&Endpoint> = of_service.collect();
+        if others.is_empty() {
+            let all = self.endpoints.iter();
+            others = all
+                .filter(|it| it.key != key && self.is_usable(it.key))
+                .collect();
+        }
+        others.shuffle(&mut self.rng);
+        others.sort_by_key(|it| it.is_failing());
+        others.truncate(most);
+        others.into_iter().map(Placement::of).collect()
+    }
+
     /// Chooses the peer to which a request of `service` is offered next.
     pub fn choose_proxy(
         &mut self,
--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -13,12 +13,17 @@
 use std::io::{self, ErrorKind};
 use std::time::Instant;
 use tokio::net::TcpStream;
+use tokio::task::JoinSet;
 use tokio::time::timeout;
 
 /// The timeout of the probe connection. One round trip between data centres takes some 3 ms; a lost
 /// packet is retransmitted after more than this timeout, and the result is then unknown.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(150);
 
+/// Other endpoints that are probed to tell a crash from a partition. Some of them may have ended as
+/// well.
+const MAX_WITNESSES: usize = 3;
+
 /// The result of probing the address of an endpoint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ProbeResult {
@@ -66,9 +71,13 @@
             entry = self.entry().name.as_str(), endpoint = place.name.as_str(),
             found = found.label(), has_begun = response_started.is_some(),
             begun_ms = response_started.unwrap_or_default().as_millis() as u64);
+        let is_partitioned = found == ProbeResult::Refused && !self.reaches_others(place).await;
         match found {
-            ProbeResult::Refused => self.on_endpoint_crash(place, found),
-            ProbeResult::Unknown => {
+            ProbeResult::Refused if !is_partitioned => self.on_endpoint_crash(place, found),
+            ProbeResult::Refused | ProbeResult::Unknown => {
+                if is_partitioned {
+                    self.record_unreachable(place, found.label());
+                }
                 let now = self.cx.now();
                 let mut state = self.cx.state();
                 state.on_connection_lost(now, self.fingerprint, place);
@@ -77,6 +86,26 @@
         }
     }
 
+    /// Returns whether this instance connects to any other endpoint, so that one that refuses
+    /// connections has ended.
+    ///
+    /// Without this, an instance that is partitioned from all endpoints takes each broken connection
+    /// for a crash, and the whole fleet refuses the requests that were running.
+    async fn reaches_others(&self, place: &Placement) -> bool {
+        let others = self.cx.state().other_endpoints(place.key, MAX_WITNESSES);
+        let mut probes = JoinSet::new();
+        for other in others {
+            let wire = self.cx.wire.clone();
+            probes.spawn(async move { probe(wire.connect(other.address)).await });
+        }
+        while let Some(found) = probes.join_next().await {
+            if matches!(found, Ok(ProbeResult::Accepted)) {
+                return true;
+            }
+        }
+        false
+    }
+
     /// Records that the request crashed an endpoint.
     fn on_endpoint_crash(&self, place: &Placement, found: ProbeResult) {
         let now = self.cx.now();
