--- /dev/null
+++ b/crates/core/tests/gateway_partitions.rs
@@ -0,0 +1,296 @@
+//! When an instance counts as partitioned from the endpoints of a service, what it then reports, and
+//! through whom it serves.
+
+#[path = "fixtures/gateway.rs"]
+mod instances;
+
+use core::time::Duration;
+use instances::{address, engine};
+use oriolemux_core::Time;
+use oriolemux_core::gateway::budget::{BudgetConfig, RetryKind, SharedRetryBudget};
+use oriolemux_core::gateway::proxies::{Proxies, ProxyChoice};
+use oriolemux_core::gateway::reachability::Reachability;
+use oriolemux_core::ids::EndpointKey;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use rstest::rstest;
+use std::collections::BTreeSet;
+use std::net::SocketAddrV4;
+
+const SERVICE: &str = "model";
+
+const HASH: u64 = 7;
+
+const START: Time = Time::from_secs(100);
+
+/// How long an instance may take to be served as well as others.
+const NOTICE: Duration = Duration::from_secs(3);
+
+fn endpoint(number: usize) -> EndpointKey {
+    engine(&format!("e-{number}")).key()
+}
+
+/// Returns the state after `failed` endpoints of `usable` could not be reached.
+fn after(failed: usize, usable: usize) -> Reachability {
+    let mut reachability = Reachability::default();
+    for number in 0..failed {
+        reachability.on_unreachable(START, SERVICE, endpoint(number), usable);
+    }
+    reachability
+}
+
+/// Guards against an endpoint that has ended and is taken for a partition, and against a partition
+/// from a service with few endpoints that is never noticed.
+#[rstest]
+#[case::of_many(2, 48, false)]
+#[case::enough_of_many(3, 48, true)]
+#[case::one_of_two(1, 2, false)]
+#[case::both(2, 2, true)]
+#[case::the_only_one(1, 1, true)]
+fn several_unreachable_endpoints_in_a_row_are_a_partition(
+    #[case] failed: usize,
+    #[case] usable: usize,
+    #[case] is_partitioned: bool,
+) {
+    assert_eq!(
+        after(failed, usable).is_partitioned(SERVICE),
+        is_partitioned
+    );
+}
+
+/// Guards against one broken endpoint that is asked again and again.
+#[test]
+fn the_same_endpoint_counts_once() {
+    let mut reachability = Reachability::default();
+
+    for _ in 0..10 {
+        reachability.on_unreachable(START, SERVICE, endpoint(0), 48);
+    }
+
+    assert!(!reachability.is_partitioned(SERVICE));
+}
+
+/// Guards against a partition from some endpoints that is taken for one from all.
+#[test]
+fn a_connection_between_failures_is_no_partition() {
+    let mut reachability = after(2, 48);
+
+    reachability.on_connected(START, SERVICE);
+    reachability.on_unreachable(START, SERVICE, endpoint(2), 48);
+
+    assert!(!reachability.is_partitioned(SERVICE));
+}
+
+/// Guards against a partition from one service that keeps requests of others from endpoints.
+#[test]
+fn services_are_partitioned_each_for_itself() {
+    let reachability = after(3, 48);
+
+    assert!(!reachability.is_partitioned("desk"));
+    assert_eq!(reachability.partitioned().collect::<Vec<_>>(), [SERVICE]);
+}
+
+/// Guards against a partition whose end is noticed late, and against a connection attempt at every
+/// tick of every instance while all endpoints of a service are down.
+#[test]
+fn connections_are_tried_at_a_bounded_rate() {
+    let mut reachability = after(3, 48);
+    let tick = Duration::from_millis(50);
+    let mut tried = Vec::new();
+
+    let mut now = START;
+    while now < START + Duration::from_secs(10) {
+        now += tick;
+        if !reachability.due_probes(now).is_empty() {
+            tried.push(now);
+        }
+    }
+
+    let gaps = tried.windows(2).map(|it| it[1].since(it[0]));
+    assert!(gaps.max() <= Some(Duration::from_secs(1) + tick));
+    assert!(tried.len() <= 14, "{}", tried.len());
+    assert!(reachability.on_connected(now, SERVICE).is_some());
+    assert!(reachability.due_probes(now + NOTICE).is_empty());
+}
+
+/// Guards against failures that are reported to homes although this instance alone is at fault.
+#[test]
+fn a_failure_is_confirmed_by_a_later_connection() {
+    let mut reachability = Reachability::default();
+    reachability.on_connected(START, SERVICE);
+
+    let before = reachability.has_connected_since(SERVICE, START);
+    reachability.on_connected(START + Duration::from_millis(1), SERVICE);
+
+    assert!(!before);
+    assert!(reachability.has_connected_since(SERVICE, START));
+}
+
+fn peers(count: u16) -> Vec<SocketAddrV4> {
+    (1..=count).map(address).collect()
+}
+
+fn choice<'a>(peers: &'a [SocketAddrV4], tried: &'a [SocketAddrV4]) -> ProxyChoice<'a> {
+    ProxyChoice {
+        service: HASH,
+        data_centre: "north",
+        peers,
+        tried,
+    }
+}
+
+/// Offers a request to at most `offers` peers; returns the one that accepts it.
+fn offer(
+    now: Time,
+    proxies: &mut Proxies,
+    all: &[SocketAddrV4],
+    offers: usize,
+    accepts: impl Fn(SocketAddrV4) -> bool,
+    rng: &mut SmallRng,
+) -> Option<SocketAddrV4> {
+    let mut tried = Vec::new();
+    while tried.len() < offers {
+        let peer = proxies.choose(now, choice(all, &tried), rng)?;
+        tried.push(peer);
+        if accepts(peer) {
+            proxies.on_served(now, HASH, peer);
+            return Some(peer);
+        }
+        proxies.on_unavailable(now, HASH, peer);
+    }
+    None
+}
+
+/// Guards against a request that is offered to the same peer twice, or to nobody although one is
+/// left.
+#[rstest]
+#[case(5)]
+#[case(63)]
+#[case(389)]
+fn each_peer_is_asked_once(#[case] count: u16) {
+    let all = peers(count);
+    let mut rng = SmallRng::seed_from_u64(1);
+    let mut asked = BTreeSet::new();
+    let mut proxies = Proxies::default();
+
+    let served = offer(START, &mut proxies, &all, all.len(), |_| false, &mut rng);
+
+    assert_eq!(served, None);
+    let mut tried = Vec::new();
+    while let Some(peer) = Proxies::default().choose(START, choice(&all, &tried), &mut rng) {
+        assert!(asked.insert(peer));
+        tried.push(peer);
+    }
+    assert_eq!(asked.len(), all.len());
+}
+
+/// Guards against one peer that serves for all: the load of a partitioned instance is spread.
+#[rstest]
+#[case(5)]
+#[case(63)]
+#[case(389)]
+fn load_is_spread_over_peers(#[case] count: u16) {
+    let all = peers(count);
+    let mut rng = SmallRng::seed_from_u64(2);
+    let mut proxies = Proxies::default();
+    let mut served = vec![0_usize; all.len() + 1];
+
+    for number in 0..20 * u64::from(count) {
+        let now = START + Duration::from_millis(number);
+        let peer = offer(now, &mut proxies, &all, 4, |_| true, &mut rng);
+        served[all.iter().position(|it| Some(*it) == peer).expect("one")] += 1;
+    }
+
+    assert!(served.iter().max() <= Some(&60), "{served:?}");
+}
+
+/// Guards against instances that find nobody where most are partitioned: after three seconds with
+/// two requests each second, most requests must find one of the few that are not.
+#[rstest]
+#[case(5, 1)]
+#[case(63, 12)]
+#[case(389, 78)]
+fn few_peers_that_can_serve_are_found(#[case] count: u16, #[case] able: usize) {
+    let all = peers(count);
+    let accepts = |peer| all[..able].contains(&peer);
+    let mut found = 0;
+
+    for seed in 0..20 {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let mut proxies = Proxies::default();
+        for number in 0..6 {
+            let now = START + Duration::from_millis(500 * number);
+            offer(now, &mut proxies, &all, 4, accepts, &mut rng);
+        }
+        for number in 0..20 {
+            let now = START + NOTICE + Duration::from_millis(500 * number);
+            let peer = offer(now, &mut proxies, &all, 4, accepts, &mut rng);
+            found += usize::from(peer.is_some());
+        }
+    }
+
+    assert!(found >= 392, "{found} of 400");
+}
+
+/// Guards against bytes between data centres while peers in the own one can serve.
+#[test]
+fn peers_of_the_own_data_centre_come_first() {
+    let all = peers(6);
+    let mut rng = SmallRng::seed_from_u64(3);
+    let mut proxies = Proxies::default();
+    for (number, peer) in all.iter().enumerate() {
+        let data_centre = if number < 3 { "north" } else { "south" };
+        proxies.on_data_centre(*peer, data_centre);
+    }
+
+    for _ in 0..50 {
+        let peer = proxies.choose(START, choice(&all, &[]), &mut rng);
+        assert!(all[..3].contains(&peer.expect("one")));
+    }
+}
+
+/// Guards against the last instance of a data centre that serves for all others there.
+#[test]
+fn a_data_centre_that_is_mostly_partitioned_asks_others_as_well() {
+    let all = peers(6);
+    let mut rng = SmallRng::seed_from_u64(4);
+    let mut proxies = Proxies::default();
+    for (number, peer) in all.iter().enumerate() {
+        let data_centre = if number < 3 { "north" } else { "south" };
+        proxies.on_data_centre(*peer, data_centre);
+    }
+    for peer in &all[..2] {
+        proxies.on_unavailable(START, HASH, *peer);
+    }
+
+    let chosen: BTreeSet<SocketAddrV4> = (0..50)
+        .filter_map(|_| proxies.choose(START, choice(&all, &[]), &mut rng))
+        .collect();
+
+    assert_eq!(chosen.len(), 4);
+}
+
+/// Guards against a fleet that spends what a request has earned at two instances.
+#[test]
+fn a_request_that_is_passed_on_earns_at_one_instance() {
+    let bound = BudgetConfig {
+        ratio: 2.0,
+        allowance: 0.0,
+        window: Duration::from_secs(10),
+    };
+    let mut own = SharedRetryBudget::new(START, bound);
+    let mut proxy = SharedRetryBudget::new(START, bound);
+    for _ in 0..10 {
+        own.on_request(START, SERVICE);
+    }
+    let before = own.remaining(START, SERVICE);
+
+    let handed_over = own.hand_over_request(START, SERVICE);
+    proxy.on_request(START, SERVICE);
+
+    assert!(handed_over);
+    let sum = own.remaining(START, SERVICE) + proxy.remaining(START, SERVICE);
+    assert!(sum <= before, "{sum} of {before}");
+    while own.try_spend(START, SERVICE, RetryKind::Retry, false) {}
+    assert!(!own.hand_over_request(START, SERVICE));
+}
--- a/crates/gateway/src/status.rs
+++ b/crates/gateway/src/status.rs
@@ -83,6 +83,12 @@
     /// Cordoned data centres, by name.
     #[serde(default)]
     pub cordons: Vec<CordonStatus>,
+    /// Services of which this instance reaches no endpoint, so that peers serve its callers.
+    #[serde(default)]
+    pub partitioned: Vec<String>,
+    /// Requests that are being served for peers that reach no endpoint.
+    #[serde(default)]
+    pub served_for_peers: usize,
     /// Requests that crashed endpoints, those with the most crashes first.
     #[serde(default)]
     pub suspects: Vec<SuspectStatus>,
@@ -242,6 +248,12 @@
                 .collect(),
             homes: home_status(&state, now),
             cordons: cordon_status(&state, now),
+            partitioned: state
+                .reachability
+                .partitioned()
+                .map(str::to_owned)
+                .collect(),
+            served_for_peers: cx.open_count(OpenKind::Proxied),
             suspects: suspect_status(&state, now),
             sent: sent_status(cx),
         }
--- a/crates/oriolemux/src/cli/operate/gateway_text.rs
+++ b/crates/oriolemux/src/cli/operate/gateway_text.rs
@@ -52,6 +52,17 @@
             cordon.data_centre, cordon.endpoints, cordon.heard_ms_ago, cordon.revision,
         ));
     }
+    for service in &status.partitioned {
+        print_line(format_args!(
+            "partition  no endpoint of {service} is reached, peers serve its callers"
+        ));
+    }
+    if status.served_for_peers > 0 {
+        print_line(format_args!(
+            "proxied    {} requests are being served for peers",
+            status.served_for_peers
+        ));
+    }
     for suspect in &status.suspects {
         print_line(format_args!(
             "suspect    {}: ended {} endpoints, the last {} ms ago{}",
