--- a/crates/core/src/gateway/reachability.rs
+++ b/crates/core/src/gateway/reachability.rs
@@ -52,7 +52,14 @@
     /// Records that a connection to an endpoint of `service` was opened. Returns the endpoints that
     /// could not be reached before, if that ends a partition.
     pub fn on_connected(&mut self, now: Time, service: &str) -> Option<BTreeSet<EndpointKey>> {
-        let state = self.state(service);
+        let Some(state) = self.services.get_mut(service) else {
+            let state = ServiceState {
+                connected_at: Some(now),
+                ..ServiceState::default()
+            };
+            self.services.insert(service.to_owned(), state);
+            return None;
+        };
         state.connected_at = Some(now);
         let unreached = core::mem::take(&mut state.unreached);
         state.probes.take().map(|_| unreached)
@@ -67,7 +74,7 @@
         endpoint: EndpointKey,
         usable: usize,
     ) -> bool {
-        let state = self.state(service);
+        let state = self.services.entry(service.to_owned()).or_default();
         state.unreached.insert(endpoint);
         let needed = MIN_UNREACHED.min(usable).max(1);
         if state.probes.is_some() || state.unreached.len() < needed {
@@ -114,8 +121,4 @@
         }
         due
     }
-
-    fn state(&mut self, service: &str) -> &mut ServiceState {
-        self.services.entry(service.to_owned()).or_default()
-    }
 }
