A partition is noticed whichever endpoints requests go to, and ejects nothing

Two faults of the fix, each found by a test: - a_partition_is_no_reason_to_eject_endpoints was red (3 and 5 engines ejected): a home that is partitioned itself skipped engines for all instances by its own ejections.

--- a/crates/core/src/gateway/endpoints.rs
+++ b/crates/core/src/gateway/endpoints.rs
@@ -455,11 +455,9 @@
         }
     }
 
-    /// Ends the ejection of an endpoint that may be reached again.
-    pub fn end_ejection(&mut self, key: EndpointKey) {
-        if let Some(endpoint) = self.endpoints.get_mut(&key) {
-            endpoint.ejected_until = Time::ZERO;
-        }
+    /// Forgets the failures of an endpoint, which turned out to say nothing about it.
+    pub fn forget_failures(&mut self, key: EndpointKey) {
+        self.on_response(key);
     }
 
     /// Records a successful request.
--- a/crates/core/src/gateway/reachability.rs
+++ b/crates/core/src/gateway/reachability.rs
@@ -18,10 +18,12 @@
 /// partitioned. A service with fewer endpoints needs all of them.
 const MIN_UNREACHED: usize = 3;
 
-/// The interval at which a partitioned instance first tries to connect to an endpoint.
+/// The interval at which an instance first tries to connect to another endpoint after it could not
+/// reach one. Without this, an instance with few requests, or whose requests all go to the same
+/// endpoint, would notice a partition late.
 const FIRST_PROBE_INTERVAL: Duration = Duration::from_millis(250);
 
-/// Upper bound of that interval, which doubles with each try. A service whose endpoints have all
+/// Upper bound of that interval, which doubles with each try during a partition. A service whose endpoints have all
 /// ended looks like a partition to every instance.
 const MAX_PROBE_INTERVAL: Duration = Duration::from_millis(1_000);
 
@@ -32,7 +34,9 @@
     unreached: BTreeSet<EndpointKey>,
     /// When a connection to an endpoint was last opened.
     connected_at: Option<Time>,
-    /// The schedule of connection attempts while this instance is partitioned.
+    /// Whether this instance counts as partitioned from the service.
+    is_partitioned: bool,
+    /// The schedule of connection attempts while there are unreached endpoints.
     probes: Option<ProbeSchedule>,
 }
 
@@ -49,20 +53,21 @@
 }
 
 impl Reachability {
-    /// Records that a connection to an endpoint of `service` was opened. Returns the endpoints that
-    /// could not be reached before, if that ends a partition.
-    pub fn on_connected(&mut self, now: Time, service: &str) -> Option<BTreeSet<EndpointKey>> {
+    /// Records that a connection to an endpoint of `service` was opened. Returns whether that ends a
+    /// partition.
+    pub fn on_connected(&mut self, now: Time, service: &str) -> bool {
         let Some(state) = self.services.get_mut(service) else {
             let state = ServiceState {
                 connected_at: Some(now),
                 ..ServiceState::default()
             };
             self.services.insert(service.to_owned(), state);
-            return None;
+            return false;
         };
         state.connected_at = Some(now);
-        let unreached = core::mem::take(&mut state.unreached);
-        state.probes.take().map(|_| unreached)
+        state.unreached.clear();
+        state.probes = None;
+        core::mem::take(&mut state.is_partitioned)
     }
 
     /// Records that no connection to an endpoint of `service` could be opened; `usable` is the
@@ -76,28 +81,35 @@
     ) -> bool {
         let state = self.services.entry(service.to_owned()).or_default();
         state.unreached.insert(endpoint);
-        let needed = MIN_UNREACHED.min(usable).max(1);
-        if state.probes.is_some() || state.unreached.len() < needed {
-            return false;
-        }
-        state.probes = Some(ProbeSchedule {
+        state.probes.get_or_insert(ProbeSchedule {
             next: now + FIRST_PROBE_INTERVAL,
             interval: FIRST_PROBE_INTERVAL,
         });
-        true
+        let needed = MIN_UNREACHED.min(usable).max(1);
+        let begins = !state.is_partitioned && state.unreached.len() >= needed;
+        state.is_partitioned |= begins;
+        begins
+    }
+
+    /// Returns the endpoints of a service that could not be reached since the last connection.
+    pub fn unreached(&self, service: &str) -> impl Iterator<Item = EndpointKey> {
+        let state = self.services.get(service);
+        state
+            .into_iter()
+            .flat_map(|it| it.unreached.iter().copied())
     }
 
     /// Returns whether this instance is partitioned from a service.
     pub fn is_partitioned(&self, service: &str) -> bool {
         let state = self.services.get(service);
-        state.is_some_and(|it| it.probes.is_some())
+        state.is_some_and(|it| it.is_partitioned)
     }
 
     /// Returns the services from which this instance is partitioned.
     pub fn partitioned(&self) -> impl Iterator<Item = &str> {
         let services = self.services.iter();
         services
-            .filter(|(_, it)| it.probes.is_some())
+            .filter(|(_, it)| it.is_partitioned)
             .map(|(name, _)| name.as_str())
     }
 
@@ -114,7 +126,9 @@
         let mut due = Vec::new();
         for (name, state) in &mut self.services {
             if let Some(probes) = state.probes.as_mut().filter(|it| now >= it.next) {
-                probes.interval = (probes.interval * 2).min(MAX_PROBE_INTERVAL);
+                if state.is_partitioned {
+                    probes.interval = (probes.interval * 2).min(MAX_PROBE_INTERVAL);
+                }
                 probes.next = now + probes.interval;
                 due.push(name.clone());
             }
--- a/crates/core/src/gateway/state/partitions.rs
+++ b/crates/core/src/gateway/state/partitions.rs
@@ -25,29 +25,23 @@
         let Some(endpoint) = self.endpoints.get(key) else {
             return false;
         };
-        let unreached = self
-            .reachability
-            .on_connected(now, &endpoint.record.service);
-        let Some(unreached) = unreached else {
-            return false;
-        };
-        // All requests would go to the one endpoint that was reached first.
-        for endpoint in unreached {
-            self.endpoints.end_ejection(endpoint);
-        }
-        true
+        self.reachability
+            .on_connected(now, &endpoint.record.service)
     }
 
     /// Records that no connection to an endpoint could be opened.
     pub fn on_unreachable(&mut self, now: Time, key: EndpointKey) -> UnreachableOutcome {
-        UnreachableOutcome {
-            is_ejected: self.endpoints.on_unreachable(now, key),
-            is_partitioned: self.on_connect_abandoned(now, key),
+        let mut outcome = UnreachableOutcome::default();
+        let service = self.endpoints.get(key).map(|it| &it.record.service);
+        if service.is_some_and(|it| !self.reachability.is_partitioned(it)) {
+            outcome.is_ejected = self.endpoints.on_unreachable(now, key);
         }
+        outcome.is_partitioned = self.on_connect_abandoned(now, key);
+        outcome
     }
 
-    /// Records that a connection to an endpoint had not been opened when its request was given up.
-    /// Returns whether this instance now counts as partitioned from the endpoint's service.
+    /// Records that a connection to an endpoint had not been opened when its request was given up,
+    /// or that a probe could not open one. Returns whether this instance now counts as partitioned from the endpoint's service.
     ///
     /// The endpoint is not ejected for that: it may only have been slow.
     pub fn on_connect_abandoned(&mut self, now: Time, key: EndpointKey) -> bool {
@@ -56,7 +50,15 @@
         };
         let service = &endpoint.record.service;
         let usable = self.endpoints.usable_of(service).count();
-        self.reachability.on_unreachable(now, service, key, usable)
+        if !self.reachability.on_unreachable(now, service, key, usable) {
+            return false;
+        }
+        // The failures were this instance's. As a home it would grant these engines to nobody.
+        let unreached: Vec<EndpointKey> = self.reachability.unreached(service).collect();
+        for endpoint in unreached {
+            self.endpoints.forget_failures(endpoint);
+        }
+        true
     }
 
     /// Returns whether this instance is partitioned from the endpoints of a service and has peers
@@ -65,14 +67,20 @@
         self.reachability.is_partitioned(service) && self.members.live().next().is_some()
     }
 
-    /// Returns endpoints to which a connection is to be opened, to notice the end of a partition.
+    /// Returns endpoints to which a connection is to be opened, to notice the beginning or the end of
+    /// a partition: those that were not tried since the last connection come first.
     pub fn partition_probes(&mut self, now: Time) -> Vec<Placement> {
         let services = self.reachability.due_probes(now);
-        let (endpoints, rng) = (&self.endpoints, &mut self.rng);
-        let chosen = services
-            .iter()
-            .filter_map(|it| endpoints.usable_of(it).choose(rng));
-        chosen.map(Placement::of).collect()
+        let mut probes = Vec::new();
+        for service in services {
+            let unreached: Vec<EndpointKey> = self.reachability.unreached(&service).collect();
+            let usable = || self.endpoints.usable_of(&service);
+            let untried = usable().filter(|it| !unreached.contains(&it.key));
+            let rng = &mut self.rng;
+            let chosen = untried.choose(rng).or_else(|| usable().choose(rng));
+            probes.extend(chosen.map(Placement::of));
+        }
+        probes
     }
 
     /// Returns up to `most` other endpoints, to find out whether this instance reaches any: those of
--- a/crates/core/tests/gateway_partitions.rs
+++ b/crates/core/tests/gateway_partitions.rs
@@ -5,8 +5,9 @@
 mod instances;
 
 use core::time::Duration;
-use instances::{address, engine};
+use instances::{address, engine, gateway};
 use oriolemux_core::Time;
+use oriolemux_core::gateway::Gateway;
 use oriolemux_core::gateway::budget::{BudgetConfig, RetryKind, SharedRetryBudget};
 use oriolemux_core::gateway::proxies::{Proxies, ProxyChoice};
 use oriolemux_core::gateway::reachability::Reachability;
@@ -90,6 +91,30 @@
     assert_eq!(reachability.partitioned().collect::<Vec<_>>(), [SERVICE]);
 }
 
+/// Guards against a partition that is noticed late because requests go to one endpoint only: the
+/// others are tried within the time of notice.
+#[rstest]
+#[case::engines(48)]
+#[case::few(3)]
+fn other_endpoints_are_tried_after_one_was_not_reached(#[case] usable: usize) {
+    let mut instance = gateway(1);
+    for number in 0..usable {
+        instance.publish_endpoint(START, engine(&format!("e-{number}")));
+    }
+    instance.on_connect_abandoned(START, endpoint(0));
+
+    let mut now = START;
+    let service = engine("e-0").service;
+    while now < START + NOTICE / 2 {
+        now += Duration::from_millis(50);
+        for place in instance.partition_probes(now) {
+            instance.on_connect_abandoned(now, place.key);
+        }
+    }
+
+    assert!(instance.reachability.is_partitioned(&service));
+}
+
 /// Guards against a partition whose end is noticed late, and against a connection attempt at every
 /// tick of every instance while all endpoints of a service are down.
 #[test]
@@ -109,7 +134,7 @@
     let gaps = tried.windows(2).map(|it| it[1].since(it[0]));
     assert!(gaps.max() <= Some(Duration::from_secs(1) + tick));
     assert!(tried.len() <= 14, "{}", tried.len());
-    assert!(reachability.on_connected(now, SERVICE).is_some());
+    assert!(reachability.on_connected(now, SERVICE));
     assert!(reachability.due_probes(now + NOTICE).is_empty());
 }
 
@@ -294,3 +319,28 @@
     while own.try_spend(START, SERVICE, RetryKind::Retry, false) {}
     assert!(!own.hand_over_request(START, SERVICE));
 }
+
+/// Returns an instance that could not reach `failed` of five engines, one after the other.
+fn instance_after(failed: usize) -> Gateway {
+    let mut instance = gateway(1);
+    for number in 0..5 {
+        instance.publish_endpoint(START, engine(&format!("e-{number}")));
+    }
+    for number in 0..failed {
+        instance.on_unreachable(START, endpoint(number));
+    }
+    instance
+}
+
+/// Guards against a partitioned home that grants the engines that it cannot reach itself to nobody.
+#[rstest]
+#[case::ended(1, 1)]
+#[case::ended_both(2, 2)]
+#[case::partitioned(3, 0)]
+#[case::partitioned_longer(5, 0)]
+fn a_partition_is_no_reason_to_eject_endpoints(#[case] failed: usize, #[case] ejected: usize) {
+    let instance = instance_after(failed);
+
+    assert_eq!(instance.endpoints.ejected(START).count(), ejected);
+    assert_eq!(instance.endpoints.failing().count(), ejected);
+}
--- a/crates/gateway/src/cx.rs
+++ b/crates/gateway/src/cx.rs
@@ -302,6 +302,25 @@
         self.decided.notify_waiters();
     }
 
+    /// Records that a connection attempt to an endpoint was given up or that a probe failed.
+    pub fn on_connect_abandoned(&self, place: &Placement) {
+        let now = self.now();
+        if self.state().on_connect_abandoned(now, place.key) {
+            self.log_partition(place);
+        }
+    }
+
+    /// Logs that this instance is partitioned from the service of an endpoint.
+    pub fn log_partition(&self, place: &Placement) {
+        let endpoint = self.state().endpoints.get(place.key).cloned();
+        let service = endpoint.as_ref().map_or("-", |it| &it.record.service);
+        log_event!(
+            ServicePartitioned,
+            service = service,
+            endpoint = place.name.as_str()
+        );
+    }
+
     /// Logs a change of an endpoint's rate limit and schedules gossip.
     pub fn announce_limit(&self, change: &LimitChange, from: Source) {
         let name = self.endpoint_name(change.endpoint);
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -259,18 +259,10 @@
         let outcome = self.cx.state().on_unreachable(now, place.key);
         log_ejection(place, outcome.is_ejected);
         if outcome.is_partitioned {
-            self.log_partition(place);
+            self.cx.log_partition(place);
         }
     }
 
-    fn log_partition(&self, place: &Placement) {
-        log_event!(
-            ServicePartitioned,
-            service = self.service().name.as_str(),
-            endpoint = place.name.as_str()
-        );
-    }
-
     /// Marks an endpoint as leaving because another process answers at its address.
     pub fn record_replaced(&self, place: &Placement) {
         let now = self.cx.now();
@@ -495,11 +487,7 @@
         if self.has_ended || self.started.elapsed() < HANGING_CONNECT {
             return;
         }
-        let cx = &self.job.cx;
-        let now = cx.now();
-        if cx.state().on_connect_abandoned(now, self.place.key) {
-            self.job.log_partition(self.place);
-        }
+        self.job.cx.on_connect_abandoned(self.place);
     }
 }
 
--- a/crates/gateway/src/proxy.rs
+++ b/crates/gateway/src/proxy.rs
@@ -15,7 +15,7 @@
 //! | [`links`] | connections to peers, which are reused |
 //! | [`client`] | passes a request to a proxy |
 //! | [`server`] | serves requests as a proxy |
-//! | [`probe`] | notices that a partition has ended |
+//! | [`probe`] | notices that a partition has begun or ended |
 //!
 //! See `docs/design/partitions.md`.
 
--- a/crates/gateway/src/proxy/probe.rs
+++ b/crates/gateway/src/proxy/probe.rs
@@ -1,4 +1,4 @@
-//! Notices that a partition from the endpoints of a service has ended.
+//! Notices that a partition from the endpoints of a service has begun or ended.
 
 use crate::cx::Cx;
 use crate::ports::Wire;
@@ -10,7 +10,7 @@
 /// How often due connection attempts are looked for.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Opens connections to endpoints while this instance is partitioned from them. Never returns.
+/// Opens connections to endpoints after one of them could not be reached. Never returns.
 pub async fn probe_endpoints<W: Wire>(cx: Arc<Cx<W>>) {
     loop {
         sleep(POLL_INTERVAL).await;
@@ -26,8 +26,9 @@
 async fn probe_endpoint<W: Wire>(cx: &Cx<W>, place: &Placement) {
     let opening = cx.wire.connect(place.address);
     match timeout(cx.limits.connect, opening).await {
-        Ok(Ok(_)) => cx.on_connected(place),
+        Ok(Ok(_)) => return cx.on_connected(place),
         Ok(Err(error)) => log::debug!("{} is not reached: {error}", place.name),
         Err(_) => log::debug!("{} does not answer", place.name),
     }
+    cx.on_connect_abandoned(place);
 }
