--- a/crates/gateway/src/proxy/links.rs
+++ b/crates/gateway/src/proxy/links.rs
@@ -1,6 +1,6 @@
 //! HTTP/2 connections to peers, one for each, closed when they are idle.
 
-use super::message::ExchangeError;
+use super::message::{ExchangeError, SMALL_FRAME_BUDGET};
 use crate::link::connect_socket;
 use bytes::Bytes;
 use core::time::Duration;
@@ -82,6 +82,7 @@
         builder
             .initial_window_size(STREAM_WINDOW_BYTES)
             .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
+            .data_frame_budget(SMALL_FRAME_BUDGET)
             .enable_push(false);
         let handshake = builder.handshake::<_, Bytes>(stream).await;
         let (requests, connection) = handshake.map_err(ExchangeError::from)?;
--- a/crates/gateway/src/proxy/message.rs
+++ b/crates/gateway/src/proxy/message.rs
@@ -22,6 +22,11 @@
 /// The largest message in bytes: the largest request with its headers.
 pub const MAX_MESSAGE_BYTES: usize = 16 * 1024 * 1024;
 
+/// The overhead beyond their bytes that queued small DATA frames of a connection may have. The
+/// default is half of the window, which the events of a few generations use up while their callers
+/// read slowly; the connection would then end with all its exchanges.
+pub const SMALL_FRAME_BUDGET: usize = 8 * 1024 * 1024;
+
 /// Bytes of the length that precedes a message.
 const LENGTH_BYTES: usize = 4;
 
--- a/crates/gateway/src/proxy/server.rs
+++ b/crates/gateway/src/proxy/server.rs
@@ -2,7 +2,7 @@
 
 use super::message::{
     DeclineReason, ExchangeError, MessageReader, Offer, OfferReply, ProxiedRequest, ProxyReply,
-    VERSION, encode, send_all, to_message,
+    SMALL_FRAME_BUDGET, VERSION, encode, send_all, to_message,
 };
 use crate::cx::{Cx, OpenKind};
 use crate::front::handle_proxied;
@@ -53,6 +53,8 @@
     builder
         .initial_window_size(STREAM_WINDOW_BYTES)
         .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
+        .data_frame_budget(SMALL_FRAME_BUDGET)
+        .max_pending_accept_reset_streams(MAX_PROXIED)
         .max_concurrent_streams(MAX_PROXIED as u32);
     let mut connection = match builder.handshake::<_, Bytes>(io).await {
         Ok(connection) => connection,
