--- a/crates/core/src/gateway/proxies.rs
+++ b/crates/core/src/gateway/proxies.rs
@@ -23,6 +23,9 @@
 /// How many peers that served requests are remembered.
 const MAX_PREFERRED: usize = 8;
 
+/// Peers whose data centre is remembered.
+const MAX_DATA_CENTRES: usize = 64;
+
 /// What an instance knows of its peers as proxies.
 #[derive(Clone, Debug, Default)]
 pub struct Proxies {
@@ -30,7 +33,7 @@
     skipped: BTreeMap<(u64, SocketAddrV4), Time>,
     /// Peers that served a request for a service, and when.
     served: BTreeMap<(u64, SocketAddrV4), Time>,
-    /// The data centres of peers that have answered.
+    /// The data centres of some peers that have answered.
     data_centres: BTreeMap<SocketAddrV4, String>,
 }
 
@@ -70,9 +73,13 @@
 
     /// Records the data centre of a peer.
     pub fn on_data_centre(&mut self, peer: SocketAddrV4, data_centre: &str) {
-        if self.data_centres.get(&peer).map(String::as_str) != Some(data_centre) {
-            self.data_centres.insert(peer, data_centre.to_owned());
+        if self.data_centres.get(&peer).map(String::as_str) == Some(data_centre) {
+            return;
+        }
+        if self.data_centres.len() >= MAX_DATA_CENTRES {
+            self.data_centres.pop_first();
         }
+        self.data_centres.insert(peer, data_centre.to_owned());
     }
 
     /// Returns a peer that recently served a request of `service`.
