--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -1,6 +1,7 @@
 //! One caller request that was matched to an entry and read in full.
 
 use crate::attempts::Attempts;
+use crate::connect::ConnectGuard;
 use crate::cx::Cx;
 use crate::link::{Link, LinkError};
 use crate::log_event;
@@ -446,14 +447,9 @@
         let chosen = self.cx.now();
         let limit = self.cx.limits.connect.min(self.remaining());
         let opening = self.cx.wire.connect(place.address);
-        let mut connecting = ConnectGuard {
-            job: self,
-            place,
-            started: Instant::now(),
-            has_ended: false,
-        };
+        let connecting = ConnectGuard::new(&self.cx, place);
         let connected = Link::connect_by(opening, place.address, limit).await;
-        connecting.has_ended = true;
+        connecting.end();
         let mut link = connected?;
         self.cx.on_connected(place);
         let kind = match send.resume.and_then(|it| it.copy) {
@@ -469,28 +465,6 @@
     }
 }
 
-/// How long a connection attempt must have taken when its request is given up to count as evidence
-/// of a partition. A round trip between data centres takes some 3 ms.
-const HANGING_CONNECT: Duration = Duration::from_millis(100);
-
-/// Notices a connection attempt that is dropped because the caller left. Without this, callers that
-/// do not wait for the connection timeout would keep a partition from being noticed.
-struct ConnectGuard<'a, W: Wire> {
-    job: &'a Job<W>,
-    place: &'a Placement,
-    started: Instant,
-    has_ended: bool,
-}
-
-impl<W: Wire> Drop for ConnectGuard<'_, W> {
-    fn drop(&mut self) {
-        if self.has_ended || self.started.elapsed() < HANGING_CONNECT {
-            return;
-        }
-        self.job.cx.on_connect_abandoned(self.place);
-    }
-}
-
 fn log_unreadable(endpoint: &str, what: &str) {
     log_event!(AnnouncementUnreadable, endpoint = endpoint, what = what);
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 //! - [`placement`] waits for the decision of the home of the generation's service.
 //! - [`relay`] forwards the events of a generation, and relocates it when its engine leaves.
 //! - [`attempts`] records which endpoints a request was sent to and which attempts remain.
+//! - [`connect`] notices connection attempts that are given up.
 //! - [`mod@probe`] checks whether an endpoint crashed when a connection to it broke.
 //! - [`run_lease`] delays or refuses requests that crashed endpoints.
 //! - [`proxy`] serves requests through a peer while no endpoint is reached.
@@ -26,6 +27,7 @@
 pub mod attempts;
 pub mod call;
 pub mod catch_up;
+pub mod connect;
 pub mod cx;
 pub mod event_log;
 pub mod front;
