Requests for room, order, choice of engines and homes: dependencies in one direction

Cause: choose, home, placement and queue imported types from each other in a circle, and the parts that are to come would double what stands there. Change: types only in gateway::request, what a home needs to know of a service in gateway::engines; decisions about copies and about queued requests in files of their own below home. No behaviour changes.

--- a/crates/bench/src/policy/reclaim/carry/copies.rs
+++ b/crates/bench/src/policy/reclaim/carry/copies.rs
@@ -2,8 +2,9 @@
 
 use super::{CALL_TIME, Carrier, Copy, Due, STANDING_EVERY, demand};
 use crate::policy::reclaim::Way;
-use oriolemux_core::gateway::choose::{CopyKind, choose_copy_target};
+use oriolemux_core::gateway::choose::choose_copy_target;
 use oriolemux_core::gateway::relocation::{ResumeFrom, STANDBY_MIN_TOKENS};
+use oriolemux_core::gateway::request::CopyKind;
 use oriolemux_core::time::Time;
 use rand::Rng;
 
--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -17,6 +17,8 @@
 //! | [`endpoints`] | which endpoints exist, which are leaving, which are ejected |
 //! | [`lengths`] | the remaining length of a generation |
 //! | [`usage`] | usage of each endpoint by this instance, and by others as far as known |
+//! | [`request`] | requests for room at engines, and what homes decide about them: types only |
+//! | [`engines`] | what a home needs to know of a service |
 //! | [`placement`] | placement requests to the home of a service, and the fallback without a home |
 //! | [`home`] | the state of a home, and how it assigns the room of its engines |
 //! | [`queue`] | the order in which queued requests get room |
@@ -43,6 +45,7 @@
 pub mod cold;
 pub mod cordons;
 pub mod endpoints;
+pub mod engines;
 pub mod fleet_size;
 pub mod gossip;
 pub mod home;
@@ -56,16 +59,17 @@
 pub mod reader;
 pub mod relocation;
 pub mod replica;
+pub mod request;
 pub mod revision;
 pub mod state;
 pub mod suspects;
 pub mod usage;
 
 pub use catalogue::{Catalogue, CatalogueSource, EntryId, HttpEntry, RequestKind, ServiceId};
-pub use choose::Demand;
 pub use cordons::{Cordon, CordonEffect};
 pub use endpoints::{Endpoint, EndpointRecord, EndpointState};
 pub use gossip::{Body, Datagram};
 pub use replica::{Applied, ContentHash, Record, Replica};
+pub use request::Demand;
 pub use revision::{Epoch, Revision};
 pub use state::{Gateway, GatewayConfig};
--- a/crates/core/src/gateway/choose.rs
+++ b/crates/core/src/gateway/choose.rs
@@ -7,11 +7,10 @@
 
 use super::catalogue::EngineLimits;
 use super::endpoints::{Endpoint, EndpointState, EndpointTable};
-use super::queue::{QueuedPlacement, QueuedRequest};
+use super::request::{CopyKind, Demand, PlacementError, QueuedPlacement, QueuedRequest};
 use super::usage::{PeerUsage, Usage, UsageTable};
 use crate::ids::EndpointKey;
 use crate::time::Time;
-use serde::{Deserialize, Serialize};
 
 /// Share of an engine's KV cache that may be reserved. The need of a generation is an estimate:
 /// with a larger share an engine preempts a generation and prefills it again, and first events are
@@ -70,19 +69,6 @@
 /// would wait just as long here, where they can still go to another engine.
 const MAX_PENDING_PREFILL: u32 = 6_000;
 
-/// The requirements of a request.
-#[derive(Clone, Copy, Debug)]
-pub struct Demand<'a> {
-    /// The name of the service.
-    pub service: &'a str,
-    /// The limits of its engines; `None` for a plain service.
-    pub engine: Option<EngineLimits>,
-    /// KV cache tokens that the request is expected to need.
-    pub tokens: u32,
-    /// Endpoints that must not be chosen because they were tried already.
-    pub exclude: &'a [EndpointKey],
-}
-
 /// The state from which an endpoint is chosen.
 #[derive(Clone, Copy, Debug)]
 pub struct PlacementContext<'a> {
@@ -106,21 +92,6 @@
     }
 }
 
-/// Why no endpoint was chosen for a request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum PlacementError {
-    /// There is none, or all of them are failing or leaving.
-    NoEndpoint,
-    /// All are full.
-    Full,
-    /// All are in data centres that the operator closed to new work.
-    Cordoned,
-    /// All have reached the rate limit that they reported.
-    RateLimited,
-    /// All requested a backoff of this instance.
-    BackedOff,
-}
-
 /// Returns the endpoint with the lowest cost. `jitter` returns a random number below one for each
 /// candidate, as a tie-break between instances with the same view.
 ///
@@ -286,15 +257,6 @@
     }
 }
 
-/// The purpose of a copy.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum CopyKind {
-    /// Kept up to date while the generation runs, in case its engine leaves.
-    Standby,
-    /// Made after the notice that the engine leaves; the generation will resume from it.
-    PreCopy,
-}
-
 /// Returns the engine with the lowest cost for a copy of a generation that runs at `source`.
 pub fn choose_copy_target(
     context: PlacementContext<'_>,
--- a/crates/core/src/gateway/home.rs
+++ b/crates/core/src/gateway/home.rs
@@ -7,20 +7,22 @@
 //! instance expires after a second, with its usage, its placement requests and its reservations, so
 //! that a frozen instance holds nobody up for longer.
 
+mod copies;
 mod ejections;
 mod message;
+mod queued;
 
 pub use ejections::HomeEjection;
 pub use message::{PlacementAnswer, PlacementMessage, PlacementReport};
 
-use super::catalogue::EngineLimits;
-use super::choose::{Demand, PlacementContext, PlacementError, choose, choose_copy_target};
-use super::cold::{self, ColdLimits, HOME_SHARE, SlidingWindowCounter};
+use super::cold::{HOME_SHARE, SlidingWindowCounter};
 use super::endpoints::EndpointTable;
-use super::placement::{PlacementDecision, PlacementKind, PlacementRequest};
-use super::queue::{MAX_QUEUED_PER_INSTANCE, QueuedPlacement, assign, service_hash};
-use super::rate_limits::RateLimits;
-use super::usage::{PeerUsage, Usage, UsageTable};
+use super::engines::Engines;
+use super::queue::MAX_QUEUED_PER_INSTANCE;
+use super::request::{
+    PlacementDecision, PlacementKind, PlacementRequest, QueuedPlacement, service_hash,
+};
+use super::usage::{PeerUsage, Usage};
 use crate::ids::{EndpointKey, Incarnation};
 use crate::time::Time;
 use core::time::Duration;
@@ -76,42 +78,6 @@
 /// Decisions by the instance to which they are sent.
 type Decisions = BTreeMap<SocketAddrV4, Vec<(u64, PlacementDecision)>>;
 
-/// What a home needs to know of a service to decide.
-#[derive(Clone, Copy, Debug)]
-pub struct Engines<'a> {
-    /// The service's name.
-    pub service: &'a str,
-    /// The capacity of its engines.
-    pub limits: EngineLimits,
-    /// All endpoints.
-    pub endpoints: &'a EndpointTable,
-    /// The capacity of its engines while they are cold, if that is less.
-    pub cold: Option<ColdLimits>,
-    /// The rate limits that endpoints set.
-    pub named: &'a RateLimits,
-    /// How many instances this one knows, recently lost ones included.
-    pub known: usize,
-    /// How many of them are live.
-    pub live: usize,
-}
-
-impl Engines<'_> {
-    /// Returns how many requests per second an engine takes from all instances together, if that is
-    /// limited.
-    fn rate_limit(&self, now: Time, engine: EndpointKey) -> Option<f64> {
-        cold::rate_limit(now, engine, self.endpoints, self.cold.as_ref(), self.named)
-    }
-
-    fn rate_limited(&self, now: Time) -> Vec<EndpointKey> {
-        if self.cold.is_none() && self.named.is_empty() {
-            return Vec::new();
-        }
-        let usable = self.endpoints.usable_of(self.service).map(|it| it.key);
-        let is_limited = |key: &EndpointKey| self.rate_limit(now, *key).is_some();
-        usable.filter(is_limited).collect()
-    }
-}
-
 impl Home {
     /// Stores a report. One that is older than the last one of the same incarnation is ignored.
     pub fn on_report(
@@ -287,115 +253,6 @@
         reporter.view_sent_at = Some(now);
         Some(self.others(now, Some(from)))
     }
-
-    /// Decides about copies and immediate placements, which are never queued. Copies of generations
-    /// whose engine leaves come first: those generations are lost without one.
-    fn decide_immediate(
-        &mut self,
-        now: Time,
-        engines: Engines<'_>,
-        others: &mut PeerUsage,
-        decided: &mut Decisions,
-    ) {
-        let any_queued = self.reporters.values().any(Reporter::has_queued_request);
-        let none = UsageTable::default();
-        for urgent in [true, false] {
-            for (from, reporter) in self.reporters.iter_mut().filter(|(_, it)| it.decides) {
-                for request in &reporter.requests {
-                    if request.kind == PlacementKind::Queued || request.is_urgent() != urgent {
-                        continue;
-                    }
-                    let id = request.queued.id;
-                    let granted = reporter.reserved.get(&id).map(|(key, _)| *key);
-                    let world = PlacementContext {
-                        now,
-                        endpoints: engines.endpoints,
-                        usage: &none,
-                        others,
-                        data_centre: &reporter.data_centre,
-                    };
-                    let place = match granted {
-                        Some(key) => Ok(key),
-                        None if request.kind == PlacementKind::Immediate && any_queued => {
-                            Err(PlacementError::Full)
-                        }
-                        None => choose_immediate(world, engines, request),
-                    };
-                    let decision = match place {
-                        Ok(key) => PlacementDecision::Granted(key),
-                        Err(why) => PlacementDecision::Denied(why),
-                    };
-                    if let (Ok(key), None) = (place, granted) {
-                        let used = request.reserved_usage();
-                        others.add(key, used);
-                        reporter.reserved.insert(id, (key, used));
-                    }
-                    decided.entry(*from).or_default().push((id, decision));
-                }
-            }
-        }
-    }
-
-    /// Grants placements to queued requests in the order of the queue.
-    fn decide_queued(
-        &mut self,
-        now: Time,
-        engines: Engines<'_>,
-        others: &PeerUsage,
-        decided: &mut Decisions,
-    ) {
-        let none = UsageTable::default();
-        let world = PlacementContext {
-            now,
-            endpoints: engines.endpoints,
-            usage: &none,
-            others,
-            data_centre: "",
-        };
-        let mut waiting = Vec::new();
-        for (from, reporter) in self.reporters.iter().filter(|(_, it)| it.decides) {
-            for request in reporter
-                .requests
-                .iter()
-                .filter(|it| it.kind == PlacementKind::Queued)
-            {
-                match reporter.reserved.get(&request.queued.id) {
-                    Some((key, _)) => {
-                        let decision = (request.queued.id, PlacementDecision::Granted(*key));
-                        decided.entry(*from).or_default().push(decision);
-                    }
-                    None => waiting.push((*from, reporter.queued(request))),
-                }
-            }
-        }
-        let share = self.granted_share(&engines);
-        let left = |engine| {
-            let bound = engines.rate_limit(now, engine);
-            bound.map(|rate| self.limited_grants.remaining(now, engine, rate * share))
-        };
-        let places = assign(
-            world,
-            engines,
-            left,
-            waiting.iter().map(|(_, queued)| queued),
-        );
-        for ((from, queued), place) in waiting.iter().zip(places) {
-            let id = queued.request.queued.id;
-            let decision = match place {
-                Ok(key) => PlacementDecision::Granted(key),
-                Err(why) => PlacementDecision::Queued(why),
-            };
-            if let (Ok(key), Some(reporter)) = (place, self.reporters.get_mut(from)) {
-                if engines.rate_limit(now, key).is_some() {
-                    self.limited_grants.record(now, key);
-                }
-                reporter
-                    .reserved
-                    .insert(id, (key, queued.request.reserved_usage()));
-            }
-            decided.entry(*from).or_default().push((id, decision));
-        }
-    }
 }
 
 impl Reporter {
@@ -414,32 +271,3 @@
         })
     }
 }
-
-/// Chooses an engine for a placement request that is not queued.
-fn choose_immediate(
-    world: PlacementContext<'_>,
-    engines: Engines<'_>,
-    request: &PlacementRequest,
-) -> Result<EndpointKey, PlacementError> {
-    // Engines with a rate limit are granted only through the queue, within the limit.
-    let mut exclude = request.exclude.clone();
-    exclude.extend(engines.rate_limited(world.now));
-    let demand = Demand {
-        service: engines.service,
-        engine: Some(engines.limits),
-        tokens: request.queued.tokens,
-        exclude: &exclude,
-    };
-    // One instance decides all requests one after the other: no random spread is needed.
-    let no_draw = || 0.0;
-    match request.kind {
-        PlacementKind::Queued | PlacementKind::Immediate => choose(world, &demand, no_draw),
-        PlacementKind::Copy { source, kind } => {
-            let source = world
-                .endpoints
-                .get(source)
-                .ok_or(PlacementError::NoEndpoint)?;
-            choose_copy_target(world, &demand, source, kind, no_draw).ok_or(PlacementError::Full)
-        }
-    }
-}
--- a/crates/core/src/gateway/home/message.rs
+++ b/crates/core/src/gateway/home/message.rs
@@ -1,8 +1,9 @@
 //! Messages between instances and homes.
 
-use crate::gateway::choose::CopyKind;
-use crate::gateway::placement::{PlacementDecision, PlacementKind, PlacementRequest};
-use crate::gateway::queue::{QueuedRequest, QueuedRequestReport};
+use crate::gateway::request::{
+    CopyKind, PlacementDecision, PlacementKind, PlacementRequest, QueuedRequest,
+    QueuedRequestReport,
+};
 use crate::gateway::usage::{PeerUsage, Usage};
 use crate::ids::EndpointKey;
 use crate::time::Time;
--- /dev/null
+++ b/crates/core/src/gateway/home/queued.rs
@@ -0,0 +1,72 @@
+//! Decisions about queued requests.
+
+use super::{Decisions, Home};
+use crate::gateway::choose::PlacementContext;
+use crate::gateway::engines::Engines;
+use crate::gateway::queue::assign;
+use crate::gateway::request::{PlacementDecision, PlacementKind};
+use crate::gateway::usage::{PeerUsage, UsageTable};
+use crate::time::Time;
+
+impl Home {
+    /// Grants placements to queued requests in the order of the queue.
+    pub(super) fn decide_queued(
+        &mut self,
+        now: Time,
+        engines: Engines<'_>,
+        others: &PeerUsage,
+        decided: &mut Decisions,
+    ) {
+        let none = UsageTable::default();
+        let world = PlacementContext {
+            now,
+            endpoints: engines.endpoints,
+            usage: &none,
+            others,
+            data_centre: "",
+        };
+        let mut waiting = Vec::new();
+        for (from, reporter) in self.reporters.iter().filter(|(_, it)| it.decides) {
+            for request in reporter
+                .requests
+                .iter()
+                .filter(|it| it.kind == PlacementKind::Queued)
+            {
+                match reporter.reserved.get(&request.queued.id) {
+                    Some((key, _)) => {
+                        let decision = (request.queued.id, PlacementDecision::Granted(*key));
+                        decided.entry(*from).or_default().push(decision);
+                    }
+                    None => waiting.push((*from, reporter.queued(request))),
+                }
+            }
+        }
+        let share = self.granted_share(&engines);
+        let left = |engine| {
+            let bound = engines.rate_limit(now, engine);
+            bound.map(|rate| self.limited_grants.remaining(now, engine, rate * share))
+        };
+        let places = assign(
+            world,
+            engines,
+            left,
+            waiting.iter().map(|(_, queued)| queued),
+        );
+        for ((from, queued), place) in waiting.iter().zip(places) {
+            let id = queued.request.queued.id;
+            let decision = match place {
+                Ok(key) => PlacementDecision::Granted(key),
+                Err(why) => PlacementDecision::Queued(why),
+            };
+            if let (Ok(key), Some(reporter)) = (place, self.reporters.get_mut(from)) {
+                if engines.rate_limit(now, key).is_some() {
+                    self.limited_grants.record(now, key);
+                }
+                reporter
+                    .reserved
+                    .insert(id, (key, queued.request.reserved_usage()));
+            }
+            decided.entry(*from).or_default().push((id, decision));
+        }
+    }
+}
--- a/crates/core/src/gateway/placement.rs
+++ b/crates/core/src/gateway/placement.rs
@@ -12,13 +12,10 @@
 //! places them itself from its own usage and the last usage reported by a home. Both may then
 //! assign the same capacity until the next report arrives.
 
-use super::choose::{CopyKind, PlacementError};
-use super::queue::QueuedRequest;
+use super::request::{PlacementDecision, PlacementRequest};
 use super::usage::PeerUsage;
-use crate::ids::EndpointKey;
 use crate::time::Time;
 use core::time::Duration;
-use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::net::SocketAddrV4;
 
@@ -39,44 +36,6 @@
 /// How long a home that did not answer is skipped.
 const UNRESPONSIVE_FOR: Duration = Duration::from_millis(1_000);
 
-/// What kind of placement is requested.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum PlacementKind {
-    /// Room at an engine; the request is queued until there is some.
-    Queued,
-    /// Room at an engine without queueing, for a generation that already runs at another one.
-    Immediate,
-    /// Room for a copy of the generation that runs at `source`, without queueing.
-    Copy {
-        /// The engine at which the generation runs.
-        source: EndpointKey,
-        /// The purpose of the copy.
-        kind: CopyKind,
-    },
-}
-
-/// A request for room at an engine.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct PlacementRequest {
-    /// The request that is to be placed.
-    pub queued: QueuedRequest,
-    /// The kind of placement.
-    pub kind: PlacementKind,
-    /// Endpoints that must not be chosen because they were tried already.
-    pub exclude: Vec<EndpointKey>,
-}
-
-/// The answer of a home to a placement request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum PlacementDecision {
-    /// The request has room at this engine.
-    Granted(EndpointKey),
-    /// There is no room yet; the request is queued.
-    Queued(PlacementError),
-    /// There is no room, and the request is not queued.
-    Denied(PlacementError),
-}
-
 /// The state of a placement request at the instance that sent it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PlacementStatus {
--- a/crates/core/src/gateway/queue.rs
+++ b/crates/core/src/gateway/queue.rs
@@ -7,13 +7,11 @@
 //! same few milliseconds and use its room at once; all but one request would then wait inside an
 //! overfull engine (`docs/design/policy.md`).
 
-use super::choose::{Demand, PlacementContext, PlacementError, capacities};
-use super::home::Engines;
-use super::placement::PlacementRequest;
-use crate::ids::{EndpointKey, stable_hash};
+use super::choose::{PlacementContext, capacities};
+use super::engines::Engines;
+use super::request::{Demand, PlacementError, QueuedPlacement, QueuedRequest};
+use crate::ids::EndpointKey;
 use crate::time::Time;
-use core::time::Duration;
-use serde::{Deserialize, Serialize};
 
 /// Share of its latency target after which a queued request counts as late. Its prompt still has to
 /// be prefilled, which takes about 0.7 s on a shared engine.
@@ -23,73 +21,7 @@
 /// further ones itself once they time out.
 pub const MAX_QUEUED_PER_INSTANCE: usize = 64;
 
-/// A queued request as reported to a home.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct QueuedRequestReport {
-    /// Identifies the request at its instance.
-    pub id: u64,
-    /// The hash of the service name.
-    pub service: u64,
-    /// Its priority; 0 is the most urgent.
-    pub priority: u8,
-    /// Milliseconds since its arrival.
-    pub age_ms: u32,
-    /// Latency target for its first event, in milliseconds from its arrival.
-    pub target_ms: u32,
-    /// KV cache tokens that it is expected to need.
-    pub tokens: u32,
-    /// Number of prompt tokens.
-    pub prompt: u32,
-}
-
-/// A queued request, with times of the local clock.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct QueuedRequest {
-    /// Identifies the request at its instance.
-    pub id: u64,
-    /// The hash of the service name.
-    pub service: u64,
-    /// Its priority; 0 is the most urgent.
-    pub priority: u8,
-    /// When it arrived.
-    pub arrived: Time,
-    /// Latency target for its first event, counted from its arrival.
-    pub target: Duration,
-    /// KV cache tokens that it is expected to need.
-    pub tokens: u32,
-    /// Number of prompt tokens.
-    pub prompt: u32,
-}
-
 impl QueuedRequest {
-    /// Converts a report that was received at `now`.
-    pub fn from_report(now: Time, report: &QueuedRequestReport) -> Self {
-        let age = Duration::from_millis(report.age_ms.into());
-        QueuedRequest {
-            id: report.id,
-            service: report.service,
-            priority: report.priority,
-            arrived: now.before(age).unwrap_or(Time::ZERO),
-            target: Duration::from_millis(report.target_ms.into()),
-            tokens: report.tokens,
-            prompt: report.prompt,
-        }
-    }
-
-    /// Converts to a report that is sent at `now`.
-    pub fn to_report(&self, now: Time) -> QueuedRequestReport {
-        let millis = |time: Duration| u32::try_from(time.as_millis()).unwrap_or(u32::MAX);
-        QueuedRequestReport {
-            id: self.id,
-            service: self.service,
-            priority: self.priority,
-            age_ms: millis(now.since(self.arrived)),
-            target_ms: millis(self.target),
-            tokens: self.tokens,
-            prompt: self.prompt,
-        }
-    }
-
     /// Returns the sort key at `now`; the lowest is served first.
     ///
     /// Late requests yield to all that can still meet their target. Among those in time the newest
@@ -103,22 +35,6 @@
     }
 }
 
-/// Returns the hash that identifies a service in messages between instances.
-pub fn service_hash(name: &str) -> u64 {
-    stable_hash(&[b"service", name.as_bytes()])
-}
-
-/// A placement request with its origin.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct QueuedPlacement {
-    /// The placement request.
-    pub request: PlacementRequest,
-    /// The data centre of the instance that sent it.
-    pub data_centre: String,
-    /// Engines that its instance cannot use at the moment; chosen only if there is no other.
-    pub avoid: Vec<EndpointKey>,
-}
-
 /// Assigns engines to all of `waiting`, and returns the results in the order of `waiting`.
 ///
 /// Requests are served in queue order. For the first one that does not fit anywhere, the engine
--- /dev/null
+++ b/crates/core/src/gateway/request.rs
@@ -0,0 +1,170 @@
+//! Requests for room at engines, and what homes decide about them.
+//!
+//! These are types only. The requesting side ([`placement`](super::placement)), the order of
+//! requests ([`queue`](super::queue)) and the choice of engines ([`choose`](super::choose)) use
+//! them without knowing each other.
+
+use super::catalogue::EngineLimits;
+use crate::ids::{EndpointKey, stable_hash};
+use crate::time::Time;
+use core::time::Duration;
+use serde::{Deserialize, Serialize};
+
+/// The requirements of a request.
+#[derive(Clone, Copy, Debug)]
+pub struct Demand<'a> {
+    /// The name of the service.
+    pub service: &'a str,
+    /// The limits of its engines; `None` for a plain service.
+    pub engine: Option<EngineLimits>,
+    /// KV cache tokens that the request is expected to need.
+    pub tokens: u32,
+    /// Endpoints that must not be chosen because they were tried already.
+    pub exclude: &'a [EndpointKey],
+}
+
+/// Why no endpoint was chosen for a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum PlacementError {
+    /// There is none, or all of them are failing or leaving.
+    NoEndpoint,
+    /// All are full.
+    Full,
+    /// All are in data centres that the operator closed to new work.
+    Cordoned,
+    /// All have reached the rate limit that they reported.
+    RateLimited,
+    /// All requested a backoff of this instance.
+    BackedOff,
+}
+
+/// The purpose of a copy.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum CopyKind {
+    /// Kept up to date while the generation runs, in case its engine leaves.
+    Standby,
+    /// Made after the notice that the engine leaves; the generation will resume from it.
+    PreCopy,
+}
+
+/// What kind of placement is requested.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum PlacementKind {
+    /// Room at an engine; the request is queued until there is some.
+    Queued,
+    /// Room at an engine without queueing, for a generation that already runs at another one.
+    Immediate,
+    /// Room for a copy of the generation that runs at `source`, without queueing.
+    Copy {
+        /// The engine at which the generation runs.
+        source: EndpointKey,
+        /// The purpose of the copy.
+        kind: CopyKind,
+    },
+}
+
+/// A queued request as reported to a home.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct QueuedRequestReport {
+    /// Identifies the request at its instance.
+    pub id: u64,
+    /// The hash of the service name.
+    pub service: u64,
+    /// Its priority; 0 is the most urgent.
+    pub priority: u8,
+    /// Milliseconds since its arrival.
+    pub age_ms: u32,
+    /// Latency target for its first event, in milliseconds from its arrival.
+    pub target_ms: u32,
+    /// KV cache tokens that it is expected to need.
+    pub tokens: u32,
+    /// Number of prompt tokens.
+    pub prompt: u32,
+}
+
+/// A queued request, with times of the local clock.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct QueuedRequest {
+    /// Identifies the request at its instance.
+    pub id: u64,
+    /// The hash of the service name.
+    pub service: u64,
+    /// Its priority; 0 is the most urgent.
+    pub priority: u8,
+    /// When it arrived.
+    pub arrived: Time,
+    /// Latency target for its first event, counted from its arrival.
+    pub target: Duration,
+    /// KV cache tokens that it is expected to need.
+    pub tokens: u32,
+    /// Number of prompt tokens.
+    pub prompt: u32,
+}
+
+impl QueuedRequest {
+    /// Converts a report that was received at `now`.
+    pub fn from_report(now: Time, report: &QueuedRequestReport) -> Self {
+        let age = Duration::from_millis(report.age_ms.into());
+        QueuedRequest {
+            id: report.id,
+            service: report.service,
+            priority: report.priority,
+            arrived: now.before(age).unwrap_or(Time::ZERO),
+            target: Duration::from_millis(report.target_ms.into()),
+            tokens: report.tokens,
+            prompt: report.prompt,
+        }
+    }
+
+    /// Converts to a report that is sent at `now`.
+    pub fn to_report(&self, now: Time) -> QueuedRequestReport {
+        let millis = |time: Duration| u32::try_from(time.as_millis()).unwrap_or(u32::MAX);
+        QueuedRequestReport {
+            id: self.id,
+            service: self.service,
+            priority: self.priority,
+            age_ms: millis(now.since(self.arrived)),
+            target_ms: millis(self.target),
+            tokens: self.tokens,
+            prompt: self.prompt,
+        }
+    }
+}
+
+/// A request for room at an engine.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PlacementRequest {
+    /// The request that is to be placed.
+    pub queued: QueuedRequest,
+    /// The kind of placement.
+    pub kind: PlacementKind,
+    /// Endpoints that must not be chosen because they were tried already.
+    pub exclude: Vec<EndpointKey>,
+}
+
+/// A placement request with its origin.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct QueuedPlacement {
+    /// The placement request.
+    pub request: PlacementRequest,
+    /// The data centre of the instance that sent it.
+    pub data_centre: String,
+    /// Engines that its instance cannot use at the moment; chosen only if there is no other.
+    pub avoid: Vec<EndpointKey>,
+}
+
+/// The answer of a home to a placement request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum PlacementDecision {
+    /// The request has room at this engine.
+    Granted(EndpointKey),
+    /// There is no room yet; the request is queued.
+    Queued(PlacementError),
+    /// There is no room, and the request is not queued.
+    Denied(PlacementError),
+}
+
+/// Returns the hash that identifies a service in messages between instances.
+pub fn service_hash(name: &str) -> u64 {
+    stable_hash(&[b"service", name.as_bytes()])
+}
--- a/crates/core/src/gateway/state/partitions.rs
+++ b/crates/core/src/gateway/state/partitions.rs
@@ -3,7 +3,7 @@
 use super::{Gateway, Placement};
 use crate::gateway::endpoints::Endpoint;
 use crate::gateway::proxies::ProxyChoice;
-use crate::gateway::queue::service_hash;
+use crate::gateway::request::service_hash;
 use crate::ids::EndpointKey;
 use crate::time::Time;
 use rand::seq::{IteratorRandom, SliceRandom};
--- a/crates/core/src/gateway/state/places.rs
+++ b/crates/core/src/gateway/state/places.rs
@@ -3,17 +3,19 @@
 //! The home of a service is the instance that decides for a key, chosen by rendezvous hashing.
 
 use super::{Gateway, Placement};
-use crate::gateway::choose::{self, Demand, PlacementContext, PlacementError};
+use crate::gateway::choose::{self, PlacementContext};
 use crate::gateway::cold::{self, ColdLimits, LOCAL_SHARE};
 use crate::gateway::endpoints::Endpoint;
+use crate::gateway::engines::Engines;
 use crate::gateway::gossip::Body;
-use crate::gateway::home::{Engines, PlacementAnswer, PlacementReport, REPORT_INTERVAL};
+use crate::gateway::home::{PlacementAnswer, PlacementReport, REPORT_INTERVAL};
 use crate::gateway::members::MemberUpdate;
 use crate::gateway::placement::{
-    PlacementKind, PlacementRequest, PlacementStatus, QUEUED_REPORT_INTERVAL,
-    UNANSWERED_REPORT_INTERVAL,
+    PlacementStatus, QUEUED_REPORT_INTERVAL, UNANSWERED_REPORT_INTERVAL,
+};
+use crate::gateway::request::{
+    Demand, PlacementError, PlacementKind, PlacementRequest, service_hash,
 };
-use crate::gateway::queue::service_hash;
 use crate::gateway::usage::{PeerUsage, Usage};
 use crate::ids::{EndpointKey, address_hash};
 use crate::rendezvous;
--- a/crates/core/tests/gateway_choose.rs
+++ b/crates/core/tests/gateway_choose.rs
@@ -2,10 +2,9 @@
 
 use core::time::Duration;
 use oriolemux_core::gateway::catalogue::EngineLimits;
-use oriolemux_core::gateway::choose::{
-    CopyKind, PlacementContext, PlacementError, choose, choose_copy_target,
-};
+use oriolemux_core::gateway::choose::{PlacementContext, choose, choose_copy_target};
 use oriolemux_core::gateway::endpoints::EndpointTable;
+use oriolemux_core::gateway::request::{CopyKind, PlacementError};
 use oriolemux_core::gateway::usage::{PeerUsage, Usage, UsageTable};
 use oriolemux_core::gateway::{Demand, EndpointRecord};
 use oriolemux_core::{EndpointKey, Time};
--- a/crates/core/tests/gateway_cold.rs
+++ b/crates/core/tests/gateway_cold.rs
@@ -8,12 +8,12 @@
 use core::time::Duration;
 use fleet::Fleet;
 use oriolemux_core::gateway::catalogue::{CatalogueSource, EngineLimits, Service};
-use oriolemux_core::gateway::choose::{CopyKind, PlacementError};
 use oriolemux_core::gateway::cold::ColdLimits;
-use oriolemux_core::gateway::placement::{
-    PlacementDecision, PlacementKind, PlacementRequest, PlacementStatus,
+use oriolemux_core::gateway::placement::PlacementStatus;
+use oriolemux_core::gateway::request::{
+    CopyKind, PlacementDecision, PlacementError, PlacementKind, PlacementRequest, QueuedRequest,
+    service_hash,
 };
-use oriolemux_core::gateway::queue::{QueuedRequest, service_hash};
 use oriolemux_core::gateway::{Cordon, Demand, EndpointRecord, Gateway};
 use oriolemux_core::{EndpointKey, Time};
 use rand::rngs::SmallRng;
--- a/crates/core/tests/gateway_home.rs
+++ b/crates/core/tests/gateway_home.rs
@@ -6,15 +6,15 @@
 use core::time::Duration;
 use instances::address;
 use oriolemux_core::gateway::catalogue::EngineLimits;
-use oriolemux_core::gateway::choose::{CopyKind, PlacementError};
 use oriolemux_core::gateway::endpoints::EndpointTable;
-use oriolemux_core::gateway::home::{Engines, Home, PlacementAnswer, PlacementReport, REPORT_TTL};
-use oriolemux_core::gateway::placement::{
-    HOME_TIMEOUT, PlacementDecision, PlacementKind, PlacementRequest, PlacementStatus,
-    PlacementTable,
-};
-use oriolemux_core::gateway::queue::{QueuedRequest, service_hash};
+use oriolemux_core::gateway::engines::Engines;
+use oriolemux_core::gateway::home::{Home, PlacementAnswer, PlacementReport, REPORT_TTL};
+use oriolemux_core::gateway::placement::{HOME_TIMEOUT, PlacementStatus, PlacementTable};
 use oriolemux_core::gateway::rate_limits::{RateLimits, ResponseLimit};
+use oriolemux_core::gateway::request::{
+    CopyKind, PlacementDecision, PlacementError, PlacementKind, PlacementRequest, QueuedRequest,
+    service_hash,
+};
 use oriolemux_core::gateway::usage::Usage;
 use oriolemux_core::{EndpointKey, Incarnation, Time};
 
--- a/crates/core/tests/gateway_places.rs
+++ b/crates/core/tests/gateway_places.rs
@@ -10,10 +10,10 @@
 use fleet::{Fleet, Sent};
 use instances::{address, engine};
 use oriolemux_core::gateway::catalogue::{CatalogueSource, EngineLimits, Service};
-use oriolemux_core::gateway::placement::{
-    HOME_TIMEOUT, PlacementDecision, PlacementKind, PlacementRequest, PlacementStatus,
+use oriolemux_core::gateway::placement::{HOME_TIMEOUT, PlacementStatus};
+use oriolemux_core::gateway::request::{
+    PlacementDecision, PlacementKind, PlacementRequest, QueuedRequest, service_hash,
 };
-use oriolemux_core::gateway::queue::{QueuedRequest, service_hash};
 use oriolemux_core::gateway::{Demand, Gateway};
 use oriolemux_core::{EndpointKey, Time};
 use rstest::rstest;
--- a/crates/core/tests/gateway_queue.rs
+++ b/crates/core/tests/gateway_queue.rs
@@ -5,12 +5,14 @@
 
 use core::time::Duration;
 use oriolemux_core::gateway::catalogue::EngineLimits;
-use oriolemux_core::gateway::choose::{PlacementContext, PlacementError};
+use oriolemux_core::gateway::choose::PlacementContext;
 use oriolemux_core::gateway::endpoints::EndpointTable;
-use oriolemux_core::gateway::home::Engines;
-use oriolemux_core::gateway::placement::{PlacementKind, PlacementRequest};
-use oriolemux_core::gateway::queue::{QueuedPlacement, QueuedRequest, assign, service_hash};
+use oriolemux_core::gateway::engines::Engines;
+use oriolemux_core::gateway::queue::assign;
 use oriolemux_core::gateway::rate_limits::RateLimits;
+use oriolemux_core::gateway::request::{
+    PlacementError, PlacementKind, PlacementRequest, QueuedPlacement, QueuedRequest, service_hash,
+};
 use oriolemux_core::gateway::usage::{PeerUsage, Usage, UsageTable};
 use oriolemux_core::{EndpointKey, Time};
 use proptest::prelude::*;
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -17,7 +17,7 @@
 use http::Response;
 use http_body_util::{BodyExt, Limited};
 use oriolemux_core::gateway::budget::RetryKind;
-use oriolemux_core::gateway::choose::PlacementError;
+use oriolemux_core::gateway::request::PlacementError;
 use oriolemux_core::gateway::state::Placement;
 use std::time::Instant;
 
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -21,11 +21,12 @@
 use oriolemux_core::fingerprint::Fingerprint;
 use oriolemux_core::gateway::budget::RetryKind;
 use oriolemux_core::gateway::catalogue::{Catalogue, HttpEntry, Service, ServiceId, WorkspaceId};
-use oriolemux_core::gateway::choose::{CopyKind, PlacementError};
 use oriolemux_core::gateway::lengths::{self, LengthEstimate};
-use oriolemux_core::gateway::placement::{HOME_TIMEOUT, PlacementKind};
-use oriolemux_core::gateway::queue::{QueuedRequest, service_hash};
+use oriolemux_core::gateway::placement::HOME_TIMEOUT;
 use oriolemux_core::gateway::rate_limits::ResponseLimit;
+use oriolemux_core::gateway::request::{
+    CopyKind, PlacementError, PlacementKind, QueuedRequest, service_hash,
+};
 use oriolemux_core::gateway::state::{Placement, SendKind};
 use oriolemux_core::gateway::usage::Usage;
 use oriolemux_core::gateway::{Demand, EntryId, Gateway, RequestKind};
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -13,9 +13,9 @@
 use crate::ports::Wire;
 use core::time::Duration;
 use oriolemux_core::gateway::Gateway;
-use oriolemux_core::gateway::choose::PlacementError;
-use oriolemux_core::gateway::placement::{
-    PlacementDecision, PlacementKind, PlacementRequest, PlacementStatus,
+use oriolemux_core::gateway::placement::PlacementStatus;
+use oriolemux_core::gateway::request::{
+    PlacementDecision, PlacementError, PlacementKind, PlacementRequest,
 };
 use oriolemux_core::gateway::state::Placement;
 use oriolemux_core::ids::EndpointKey;
--- a/crates/gateway/src/proxy/client.rs
+++ b/crates/gateway/src/proxy/client.rs
@@ -20,7 +20,7 @@
 use http::{Method, Request, Response, StatusCode, Uri};
 use http_body::Frame;
 use http_body_util::BodyExt;
-use oriolemux_core::gateway::queue::service_hash;
+use oriolemux_core::gateway::request::service_hash;
 use std::net::SocketAddrV4;
 use std::time::Instant;
 use tokio::time::timeout;
--- a/crates/gateway/src/proxy/server.rs
+++ b/crates/gateway/src/proxy/server.rs
@@ -134,7 +134,7 @@
     let is_partitioned = state
         .reachability
         .partitioned()
-        .any(|it| oriolemux_core::gateway::queue::service_hash(it) == offer.service);
+        .any(|it| oriolemux_core::gateway::request::service_hash(it) == offer.service);
     let declined = if offer.version != VERSION {
         Some(DeclineReason::Version)
     } else if offer.deployment != state.deployment() {
--- a/crates/gateway/src/response.rs
+++ b/crates/gateway/src/response.rs
@@ -6,7 +6,7 @@
 use http::{Response, StatusCode, header};
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full};
-use oriolemux_core::gateway::choose::PlacementError;
+use oriolemux_core::gateway::request::PlacementError;
 
 /// The body of a response, buffered or streamed. It fails when a stream is aborted, so that the
 /// connection ends without the terminator of a complete response.
--- a/crates/gateway/src/status.rs
+++ b/crates/gateway/src/status.rs
@@ -8,7 +8,7 @@
 use crate::ports::Wire;
 use oriolemux_core::gateway::endpoints::Endpoint;
 use oriolemux_core::gateway::members::Member;
-use oriolemux_core::gateway::queue::service_hash;
+use oriolemux_core::gateway::request::service_hash;
 use oriolemux_core::gateway::{EndpointState, Gateway};
 use oriolemux_core::time::Time;
 use serde::{Deserialize, Serialize};
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -22,7 +22,7 @@
 use http_body_util::BodyExt;
 use oriolemux_core::gateway::budget::RetryKind;
 use oriolemux_core::gateway::lengths::LengthEstimate;
-use oriolemux_core::gateway::placement::PlacementKind;
+use oriolemux_core::gateway::request::PlacementKind;
 use oriolemux_core::gateway::state::Placement;
 use oriolemux_core::ids::EndpointKey;
 use tokio::sync::mpsc;
