Interfaces of the coming parts: fields of messages, the pace of engines, the capacity of instances

Change: queued requests carry gap target, expected output, workspace and deadline; reports carry pace samples and engines without room; homes may reject with a delay; members state a capacity class. All fields are appended, GOSSIP_VERSION is 11. Nothing uses them yet.

--- a/crates/bench/src/policy/reclaim/carry.rs
+++ b/crates/bench/src/policy/reclaim/carry.rs
@@ -13,6 +13,7 @@
 use oriolemux_core::gateway::choose::{PlacementContext, choose};
 use oriolemux_core::gateway::endpoints::EndpointTable;
 use oriolemux_core::gateway::lengths::{LengthEstimate, LengthTable, expected_kv_tokens};
+use oriolemux_core::gateway::pace;
 use oriolemux_core::gateway::relocation::{
     EngineView, Relocation, ResumeFrom, Step, silence_timeout,
 };
@@ -255,6 +256,7 @@
             usage: &self.usage,
             others: &self.others,
             data_centre: "north",
+            pace: &pace::UNKNOWN,
         };
         (world, &mut self.rng)
     }
--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -17,6 +17,7 @@
 //! | [`endpoints`] | which endpoints exist, which are leaving, which are ejected |
 //! | [`lengths`] | the remaining length of a generation |
 //! | [`usage`] | usage of each endpoint by this instance, and by others as far as known |
+//! | [`pace`] | how fast engines are, and how long their gaps become |
 //! | [`request`] | requests for room at engines, and what homes decide about them: types only |
 //! | [`engines`] | what a home needs to know of a service |
 //! | [`placement`] | placement requests to the home of a service, and the fallback without a home |
@@ -51,6 +52,7 @@
 pub mod home;
 pub mod lengths;
 pub mod members;
+pub mod pace;
 pub mod placement;
 pub mod proxies;
 pub mod queue;
--- a/crates/core/src/gateway/choose.rs
+++ b/crates/core/src/gateway/choose.rs
@@ -7,6 +7,7 @@
 
 use super::catalogue::EngineLimits;
 use super::endpoints::{Endpoint, EndpointState, EndpointTable};
+use super::pace::PaceModel;
 use super::request::{CopyKind, Demand, PlacementError, QueuedPlacement, QueuedRequest};
 use super::usage::{PeerUsage, Usage, UsageTable};
 use crate::ids::EndpointKey;
@@ -82,6 +83,8 @@
     pub others: &'a PeerUsage,
     /// The data centre of this instance.
     pub data_centre: &'a str,
+    /// The pace of the service's engines.
+    pub pace: &'a PaceModel,
 }
 
 impl PlacementContext<'_> {
--- a/crates/core/src/gateway/engines.rs
+++ b/crates/core/src/gateway/engines.rs
@@ -3,6 +3,7 @@
 use super::catalogue::EngineLimits;
 use super::cold::{self, ColdLimits};
 use super::endpoints::EndpointTable;
+use super::pace::PaceModel;
 use super::rate_limits::RateLimits;
 use crate::ids::EndpointKey;
 use crate::time::Time;
@@ -24,6 +25,8 @@
     pub known: usize,
     /// How many of them are live.
     pub live: usize,
+    /// The pace of its engines.
+    pub pace: &'a PaceModel,
 }
 
 impl Engines<'_> {
--- a/crates/core/src/gateway/gossip.rs
+++ b/crates/core/src/gateway/gossip.rs
@@ -24,7 +24,7 @@
 /// The version of these messages and of [`StoreDelta`](super::replica::StoreDelta). Messages of
 /// another version are dropped and counted: while a fleet is updated, instances of both versions
 /// serve side by side, each with the peers of its own version.
-pub const GOSSIP_VERSION: u8 = 10;
+pub const GOSSIP_VERSION: u8 = 11;
 
 /// Peers to which a new item is sent at once. Most instances then receive it in the first wave,
 /// within as many hops as the logarithm of the fleet.
--- a/crates/core/src/gateway/home/copies.rs
+++ b/crates/core/src/gateway/home/copies.rs
@@ -36,6 +36,7 @@
                         usage: &none,
                         others,
                         data_centre: &reporter.data_centre,
+                        pace: engines.pace,
                     };
                     let place = match granted {
                         Some(key) => Ok(key),
--- a/crates/core/src/gateway/home/message.rs
+++ b/crates/core/src/gateway/home/message.rs
@@ -1,5 +1,6 @@
 //! Messages between instances and homes.
 
+use crate::gateway::pace::PaceSample;
 use crate::gateway::request::{
     CopyKind, PlacementDecision, PlacementKind, PlacementRequest, QueuedRequest,
     QueuedRequestReport,
@@ -41,6 +42,10 @@
     pub known: u32,
     /// Its open placement requests.
     pub requests: Vec<PlacementMessage>,
+    /// Gaps between events that it relayed since its last report with samples.
+    pub pace: Vec<(EndpointKey, PaceSample)>,
+    /// Engines that recently refused a copy of it for lack of room.
+    pub no_room: Vec<EndpointKey>,
 }
 
 /// A home's answer to a report.
--- a/crates/core/src/gateway/home/queued.rs
+++ b/crates/core/src/gateway/home/queued.rs
@@ -24,6 +24,7 @@
             usage: &none,
             others,
             data_centre: "",
+            pace: engines.pace,
         };
         let mut waiting = Vec::new();
         for (from, reporter) in self.reporters.iter().filter(|(_, it)| it.decides) {
--- a/crates/core/src/gateway/members.rs
+++ b/crates/core/src/gateway/members.rs
@@ -55,6 +55,23 @@
     pub refutations: u32,
     /// Its state.
     pub status: Status,
+    /// Its capacity.
+    pub capacity: CapacityClass,
+}
+
+/// The processor capacity of an instance, in classes of a factor of two. An instance of unknown
+/// capacity has the lowest class.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct CapacityClass(u8);
+
+impl CapacityClass {
+    /// Returns the class of an instance with this share of a core, in percent.
+    pub fn of_percent(percent: u32) -> Self {
+        let class = u32::BITS - percent.leading_zeros();
+        CapacityClass(u8::try_from(class).unwrap_or(u8::MAX))
+    }
 }
 
 impl MemberUpdate {
@@ -136,12 +153,14 @@
         address: SocketAddrV4,
         incarnation: Incarnation,
         seeds: &[SocketAddrV4],
+        capacity: CapacityClass,
     ) -> Self {
         let own = MemberUpdate {
             address,
             incarnation,
             refutations: 0,
             status: Status::Alive,
+            capacity,
         };
         let mut members = Members {
             own,
--- a/crates/core/src/gateway/request.rs
+++ b/crates/core/src/gateway/request.rs
@@ -80,10 +80,18 @@
     pub tokens: u32,
     /// Number of prompt tokens.
     pub prompt: u32,
+    /// Target for the longest gap between events, in milliseconds; 0 if there is none.
+    pub gap_target_ms: u32,
+    /// Number of output tokens that are still expected.
+    pub output: u32,
+    /// A hash of its workspace; 0 if it has none.
+    pub workspace: u32,
+    /// Milliseconds until its caller gives up.
+    pub deadline_ms: u32,
 }
 
 /// A queued request, with times of the local clock.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct QueuedRequest {
     /// Identifies the request at its instance.
     pub id: u64,
@@ -99,6 +107,14 @@
     pub tokens: u32,
     /// Number of prompt tokens.
     pub prompt: u32,
+    /// Target for the longest gap between events; zero if there is none.
+    pub gap_target: Duration,
+    /// Number of output tokens that are still expected.
+    pub output: u32,
+    /// A hash of its workspace; 0 if it has none.
+    pub workspace: u32,
+    /// When its caller gives up.
+    pub deadline: Time,
 }
 
 impl QueuedRequest {
@@ -113,6 +129,10 @@
             target: Duration::from_millis(report.target_ms.into()),
             tokens: report.tokens,
             prompt: report.prompt,
+            gap_target: Duration::from_millis(report.gap_target_ms.into()),
+            output: report.output,
+            workspace: report.workspace,
+            deadline: now + Duration::from_millis(report.deadline_ms.into()),
         }
     }
 
@@ -127,6 +147,10 @@
             target_ms: millis(self.target),
             tokens: self.tokens,
             prompt: self.prompt,
+            gap_target_ms: millis(self.gap_target),
+            output: self.output,
+            workspace: self.workspace,
+            deadline_ms: millis(self.deadline.since(now)),
         }
     }
 }
@@ -162,6 +186,16 @@
     Queued(PlacementError),
     /// There is no room, and the request is not queued.
     Denied(PlacementError),
+    /// The request would get no room in time, and is not queued.
+    Rejected {
+        /// Milliseconds after which there is room, as far as can be predicted.
+        retry_after_ms: u32,
+    },
+}
+
+/// Returns the hash that identifies a workspace in messages between instances; never 0.
+pub fn workspace_hash(name: &str) -> u32 {
+    (stable_hash(&[b"workspace", name.as_bytes()]) as u32).max(1)
 }
 
 /// Returns the hash that identifies a service in messages between instances.
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -23,7 +23,8 @@
 use super::gossip::{Body, Outbox};
 use super::home::{Home, HomeEjection};
 use super::lengths::LengthTable;
-use super::members::Members;
+use super::members::{CapacityClass, Members};
+use super::pace::PaceModel;
 use super::placement::PlacementTable;
 use super::proxies::Proxies;
 use super::rate_limits::{LimitChange, RateLimits, ResponseLimit};
@@ -57,6 +58,8 @@
     pub seeds: Vec<SocketAddrV4>,
     /// Retry budget of the fleet.
     pub budget: BudgetConfig,
+    /// The capacity of this instance.
+    pub capacity: CapacityClass,
 }
 
 /// Result of [`Gateway::tick`].
@@ -120,6 +123,8 @@
     /// Open placement requests of this instance.
     placements: PlacementTable,
     placement_changes: u64,
+    /// The pace of engines, by the hash of the service's name, as reported to this instance as a home.
+    pace: BTreeMap<u64, PaceModel>,
     reported: BTreeMap<u64, Reported>,
     reports_sent: u64,
     /// Number of instances, recently lost ones included.
@@ -158,7 +163,7 @@
 impl Gateway {
     /// Returns an instance that knows nothing but its seeds.
     pub fn new(now: Time, cfg: GatewayConfig) -> Self {
-        let members = Members::new(now, cfg.address, cfg.incarnation, &cfg.seeds);
+        let members = Members::new(now, cfg.address, cfg.incarnation, &cfg.seeds, cfg.capacity);
         let mut fleet = FleetSize::default();
         fleet.tick(now, core::iter::empty(), members.has_reached_most_seeds());
         let mut budget = SharedRetryBudget::new(now, cfg.budget);
@@ -178,6 +183,7 @@
             homes: BTreeMap::new(),
             placements: PlacementTable::default(),
             placement_changes: 0,
+            pace: BTreeMap::new(),
             reported: BTreeMap::new(),
             reports_sent: 0,
             fleet,
--- a/crates/core/src/gateway/state/places.rs
+++ b/crates/core/src/gateway/state/places.rs
@@ -10,6 +10,7 @@
 use crate::gateway::gossip::Body;
 use crate::gateway::home::{PlacementAnswer, PlacementReport, REPORT_INTERVAL};
 use crate::gateway::members::MemberUpdate;
+use crate::gateway::pace;
 use crate::gateway::placement::{
     PlacementStatus, QUEUED_REPORT_INTERVAL, UNANSWERED_REPORT_INTERVAL,
 };
@@ -438,6 +439,8 @@
                     message
                 })
                 .collect(),
+            pace: Vec::new(),
+            no_room: Vec::new(),
         };
         self.reports_sent += 1;
         let is_empty = report.used.is_empty() && report.requests.is_empty();
@@ -487,6 +490,7 @@
             named: &self.limits,
             known: self.fleet.count(),
             live: 1 + self.members.live().count(),
+            pace: self.pace.get(&service).unwrap_or(&pace::UNKNOWN),
         };
         let answers = home.decide(now, engines);
         let mut decided = false;
@@ -517,6 +521,7 @@
             usage: &self.usage,
             others: others.unwrap_or(&NO_PEERS),
             data_centre: &self.cfg.data_centre,
+            pace: &pace::UNKNOWN,
         }
     }
 }
--- a/crates/core/tests/gateway_announcements.rs
+++ b/crates/core/tests/gateway_announcements.rs
@@ -104,6 +104,7 @@
             target: Duration::from_secs(2),
             tokens: 1_000,
             prompt: 500,
+            ..QueuedRequest::default()
         },
         kind,
         exclude: Vec::new(),
--- a/crates/core/tests/gateway_choose.rs
+++ b/crates/core/tests/gateway_choose.rs
@@ -4,6 +4,7 @@
 use oriolemux_core::gateway::catalogue::EngineLimits;
 use oriolemux_core::gateway::choose::{PlacementContext, choose, choose_copy_target};
 use oriolemux_core::gateway::endpoints::EndpointTable;
+use oriolemux_core::gateway::pace;
 use oriolemux_core::gateway::request::{CopyKind, PlacementError};
 use oriolemux_core::gateway::usage::{PeerUsage, Usage, UsageTable};
 use oriolemux_core::gateway::{Demand, EndpointRecord};
@@ -57,6 +58,7 @@
             usage: &self.usage,
             others: &self.others,
             data_centre: "north",
+            pace: &pace::UNKNOWN,
         }
     }
 }
--- a/crates/core/tests/gateway_cold.rs
+++ b/crates/core/tests/gateway_cold.rs
@@ -159,6 +159,7 @@
             target: Duration::from_secs(2),
             tokens: 10,
             prompt: 1,
+            ..QueuedRequest::default()
         };
         let request = PlacementRequest {
             queued,
--- a/crates/core/tests/gateway_cordons.rs
+++ b/crates/core/tests/gateway_cordons.rs
@@ -228,6 +228,7 @@
             target: Duration::from_secs(2),
             tokens: 1_000,
             prompt: 500,
+            ..QueuedRequest::default()
         },
         kind,
         exclude: Vec::new(),
--- a/crates/core/tests/gateway_home.rs
+++ b/crates/core/tests/gateway_home.rs
@@ -9,6 +9,7 @@
 use oriolemux_core::gateway::endpoints::EndpointTable;
 use oriolemux_core::gateway::engines::Engines;
 use oriolemux_core::gateway::home::{Home, PlacementAnswer, PlacementReport, REPORT_TTL};
+use oriolemux_core::gateway::pace;
 use oriolemux_core::gateway::placement::{HOME_TIMEOUT, PlacementStatus, PlacementTable};
 use oriolemux_core::gateway::rate_limits::{RateLimits, ResponseLimit};
 use oriolemux_core::gateway::request::{
@@ -53,6 +54,7 @@
             target: Duration::from_millis(1_800),
             tokens: 3_000,
             prompt: 2_000,
+            ..QueuedRequest::default()
         },
         kind: want,
         exclude: Vec::new(),
@@ -107,6 +109,8 @@
             ejected: self.ejected.clone(),
             known: 1,
             requests: requests.iter().map(|it| it.to_message(self.now)).collect(),
+            pace: Vec::new(),
+            no_room: Vec::new(),
         };
         let incarnation = Incarnation(instance.into());
         self.home
@@ -122,6 +126,7 @@
             named: &self.named,
             known: 1,
             live: 1,
+            pace: &pace::UNKNOWN,
         };
         let answers = self.home.decide(self.now, engines);
         let number = |it: std::net::SocketAddrV4| {
@@ -262,6 +267,8 @@
         ejected: Vec::new(),
         known: 1,
         requests: Vec::new(),
+        pace: Vec::new(),
+        no_room: Vec::new(),
     };
 
     scene
--- a/crates/core/tests/gateway_places.rs
+++ b/crates/core/tests/gateway_places.rs
@@ -127,6 +127,7 @@
             target: Duration::from_millis(1_800),
             tokens: TOKENS,
             prompt: 2_000,
+            ..QueuedRequest::default()
         };
         let request = PlacementRequest {
             queued: waiter,
--- a/crates/core/tests/gateway_queue.rs
+++ b/crates/core/tests/gateway_queue.rs
@@ -8,6 +8,7 @@
 use oriolemux_core::gateway::choose::PlacementContext;
 use oriolemux_core::gateway::endpoints::EndpointTable;
 use oriolemux_core::gateway::engines::Engines;
+use oriolemux_core::gateway::pace;
 use oriolemux_core::gateway::queue::assign;
 use oriolemux_core::gateway::rate_limits::RateLimits;
 use oriolemux_core::gateway::request::{
@@ -71,6 +72,7 @@
             usage: &self.usage,
             others: &self.others,
             data_centre: "north",
+            pace: &pace::UNKNOWN,
         };
         let engines = Engines {
             service: "model",
@@ -80,6 +82,7 @@
             named: &RateLimits::default(),
             known: 1,
             live: 1,
+            pace: &pace::UNKNOWN,
         };
         assign(context, engines, |_| None, all.iter())
     }
@@ -113,6 +116,10 @@
         target: Duration::from_millis(1_800),
         tokens,
         prompt: 2_000,
+        gap_target: Duration::from_millis(180),
+        output: 750,
+        workspace: 1,
+        deadline: NOW + Duration::from_secs(39),
     }
 }
 
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -25,7 +25,7 @@
 use oriolemux_core::gateway::placement::HOME_TIMEOUT;
 use oriolemux_core::gateway::rate_limits::ResponseLimit;
 use oriolemux_core::gateway::request::{
-    CopyKind, PlacementError, PlacementKind, QueuedRequest, service_hash,
+    CopyKind, PlacementError, PlacementKind, QueuedRequest, service_hash, workspace_hash,
 };
 use oriolemux_core::gateway::state::{Placement, SendKind};
 use oriolemux_core::gateway::usage::Usage;
@@ -550,6 +550,7 @@
     /// Returns the request as it is queued for `tokens` of KV cache.
     pub fn queued_request(&self, tokens: u32) -> QueuedRequest {
         let now = self.cx.now();
+        let output = self.length().remaining(0);
         QueuedRequest {
             id: self.cx.state().draw_id(),
             service: service_hash(&self.service().name),
@@ -558,6 +559,10 @@
             target: self.entry().target,
             tokens,
             prompt: self.head.prompt_tokens,
+            gap_target: self.entry().gap_target,
+            output,
+            workspace: self.workspace_name().map_or(0, workspace_hash),
+            deadline: now + self.remaining(),
         }
     }
 
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -115,6 +115,9 @@
                     PlacementError::NoEndpoint
                 }
                 PlacementStatus::Decided(PlacementDecision::Denied(why)) => return Err(why),
+                PlacementStatus::Decided(PlacementDecision::Rejected { .. }) => {
+                    return Err(PlacementError::Full);
+                }
                 PlacementStatus::Decided(PlacementDecision::Queued(why)) => {
                     poll_interval = QUEUED_POLL_INTERVAL;
                     why
--- a/crates/oriolemux/src/cli/gateway.rs
+++ b/crates/oriolemux/src/cli/gateway.rs
@@ -193,6 +193,7 @@
             deployment: stable_hash(&[settings.peers.deployment.as_bytes()]),
             seeds: seeds(settings),
             budget: budget(&settings.repeats),
+            capacity: Default::default(),
         },
     }
 }
