Room for generations that must move is held while they wait

Cause: a home denied a pre-copy that found no room, and the instance asked again 60 ms later; new requests took the room that became free meanwhile.

Change: a request for a pre-copy that fits nowhere stays queued, most tokens first. For each one the home holds the engine that lacks the least room, so that room accumulates there; only more urgent new requests may use it. A pre-copy that fits nowhere within 0.92 of the KV cache may use 0.98, as new requests do. An empty engine takes pre-copies up to its room: none of them runs there yet, so it counted as empty for all of them. No copy is placed at an engine that an instance reports as without room.

Conclusion: whether enough generations survive is for the load test to show.

--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -49,6 +49,7 @@
 pub mod engines;
 pub mod fleet_size;
 pub mod gossip;
+pub mod holds;
 pub mod home;
 pub mod lengths;
 pub mod members;
--- a/crates/core/src/gateway/choose.rs
+++ b/crates/core/src/gateway/choose.rs
@@ -7,6 +7,7 @@
 
 use super::catalogue::EngineLimits;
 use super::endpoints::{Endpoint, EndpointState, EndpointTable};
+use super::holds::Holds;
 use super::pace::PaceModel;
 use super::request::{CopyKind, Demand, PlacementError, QueuedPlacement, QueuedRequest};
 use super::usage::{PeerUsage, Usage, UsageTable};
@@ -23,8 +24,9 @@
 /// be copied after the notice.
 const STANDBY_SHARE: f64 = 0.5;
 
-/// Share of an engine's KV cache up to which pre-copies are placed. They take precedence over new
-/// requests, because a generation without a copy is lost with its engine.
+/// Share of an engine's KV cache up to which pre-copies are placed if any engine allows it. One
+/// that fits nowhere within this share may use as much as a new request: otherwise new requests
+/// would take the rest, and a generation without a copy is lost with its engine.
 const PRE_COPY_SHARE: f64 = 0.92;
 
 /// Cost of a pending prefill token, in running generations. A new request waits for all of them,
@@ -48,6 +50,10 @@
 /// long, and the copies of one engine share its link during the notice period.
 const REMOTE_PRE_COPY_COST: f64 = 3.0;
 
+/// Penalty of an engine without a free slot where room is held for a pre-copy, in KV caches: more
+/// than any difference in usage or location.
+const NO_SLOT_PENALTY: f64 = 4.0;
+
 /// Amplitude of the jitter for pre-copies, in running generations. All generations of a leaving
 /// engine choose at the same moment; without the jitter they would all choose and overfill the same
 /// engine.
@@ -154,6 +160,8 @@
     state_cost: f64,
     /// Whether its free capacity is held for a large request.
     is_held: bool,
+    /// The most urgent priority of the pre-copies for which its free capacity is held.
+    held_for: Option<u8>,
     /// How many more requests it may get if its rate is limited.
     rate_remaining: Option<u32>,
 }
@@ -177,6 +185,7 @@
             used: context.used(endpoint),
             state_cost: state_cost(context, endpoint, 0.0),
             is_held: false,
+            held_for: None,
             rate_remaining: rate_remaining(endpoint.key),
         })
         .collect();
@@ -187,6 +196,17 @@
 }
 
 impl EngineCapacities<'_> {
+    /// Applies the room that is held for pre-copies. Only requests that are more urgent than the
+    /// generations that wait for it may use the engine.
+    pub(super) fn apply_holds(&mut self, holds: &Holds) {
+        if holds.is_empty() {
+            return;
+        }
+        for capacity in &mut self.engines {
+            capacity.held_for = holds.priority_at(capacity.key);
+        }
+    }
+
     /// Reserves capacity for a request at the engine with the lowest cost, and returns the engine.
     ///
     /// # Errors
@@ -215,11 +235,17 @@
         placement: &QueuedPlacement,
         excluded: impl Fn(&EngineCapacity<'_>) -> bool,
     ) -> Result<EndpointKey, PlacementError> {
-        let QueuedRequest { tokens, prompt, .. } = placement.request.queued;
+        let QueuedRequest {
+            tokens,
+            prompt,
+            priority,
+            ..
+        } = placement.request.queued;
         let data_centre = placement.data_centre.as_str();
         let limits = self.limits;
         let fitting = self.engines.iter_mut().filter(|capacity| {
             !capacity.is_held
+                && !capacity.is_held_against(priority)
                 && capacity.rate_remaining != Some(0)
                 && !excluded(capacity)
                 && capacity.used.pending_prefill < MAX_PENDING_PREFILL
@@ -251,8 +277,11 @@
                 .tokens
                 .saturating_add(capacity.used.copy_tokens)
         };
+        let priority = placement.request.queued.priority;
         let free = self.engines.iter_mut().filter(|capacity| {
-            !capacity.is_held && !placement.request.exclude.contains(&capacity.key)
+            !capacity.is_held
+                && !capacity.is_held_against(priority)
+                && !placement.request.exclude.contains(&capacity.key)
         });
         if let Some(capacity) = free.min_by_key(|capacity| taken(capacity)) {
             capacity.is_held = true;
@@ -260,6 +289,14 @@
     }
 }
 
+impl EngineCapacity<'_> {
+    /// Returns whether the engine is held for a pre-copy that a request of this priority does not
+    /// precede.
+    fn is_held_against(&self, priority: u8) -> bool {
+        self.held_for.is_some_and(|held| priority >= held)
+    }
+}
+
 /// Returns the engine with the lowest cost for a copy of a generation that runs at `source`.
 pub fn choose_copy_target(
     context: PlacementContext<'_>,
@@ -269,10 +306,50 @@
     mut jitter: impl FnMut() -> f64,
 ) -> Option<EndpointKey> {
     let limits = demand.engine?;
-    let (share, remote_cost, jitter_width) = match kind {
-        CopyKind::Standby => (STANDBY_SHARE, REMOTE_COST, JITTER_WIDTH),
-        CopyKind::PreCopy => (PRE_COPY_SHARE, REMOTE_PRE_COPY_COST, PRE_COPY_JITTER_WIDTH),
+    let (remote_cost, jitter_width) = match kind {
+        CopyKind::Standby => (REMOTE_COST, JITTER_WIDTH),
+        CopyKind::PreCopy => (REMOTE_PRE_COPY_COST, PRE_COPY_JITTER_WIDTH),
+    };
+    let exclude = [demand.exclude, &[source.key]].concat();
+    let elsewhere = Demand {
+        exclude: &exclude,
+        ..*demand
+    };
+    let trusted = |endpoint: &Endpoint| accepts_copies(context, endpoint);
+    let mut within = |has_room: fn(Usage, u32, EngineLimits) -> bool| {
+        cheapest(candidates(context, &elsewhere, trusted), |endpoint| {
+            let used = context.used(endpoint);
+            if !has_room(used, demand.tokens, limits) {
+                return None;
+            }
+            let away = endpoint.record.data_centre != source.record.data_centre;
+            let away = if away { remote_cost } else { 0.0 };
+            Some(engine_cost(used, limits) + away + jitter_width * jitter())
+        })
     };
+    match kind {
+        CopyKind::Standby => {
+            within(|used, tokens, limits| fits(used, tokens, limits, STANDBY_SHARE))
+        }
+        CopyKind::PreCopy => {
+            let usual =
+                within(|used, tokens, limits| fits_pre_copy(used, tokens, limits, PRE_COPY_SHARE));
+            usual.or_else(|| {
+                within(|used, tokens, limits| fits_pre_copy(used, tokens, limits, KV_CACHE_SHARE))
+            })
+        }
+    }
+}
+
+/// Returns the engine at which a pre-copy that fits nowhere lacks the least room, so that room is
+/// held there. A remote engine counts as if it had less room, in proportion to its cost. Engines
+/// without a free slot come last: a slot becomes free no sooner than room does.
+pub fn choose_hold(
+    context: PlacementContext<'_>,
+    demand: &Demand<'_>,
+    source: &Endpoint,
+) -> Option<EndpointKey> {
+    let limits = demand.engine?;
     let exclude = [demand.exclude, &[source.key]].concat();
     let elsewhere = Demand {
         exclude: &exclude,
@@ -281,12 +358,17 @@
     let trusted = |endpoint: &Endpoint| accepts_copies(context, endpoint);
     cheapest(candidates(context, &elsewhere, trusted), |endpoint| {
         let used = context.used(endpoint);
-        if !fits(used, demand.tokens, limits, share) {
-            return None;
-        }
+        let taken = f64::from(used.tokens) + f64::from(used.copy_tokens);
         let away = endpoint.record.data_centre != source.record.data_centre;
-        let away = if away { remote_cost } else { 0.0 };
-        Some(engine_cost(used, limits) + away + jitter_width * jitter())
+        let has_slot = u32::from(used.running) < limits.slots;
+        let capacity = f64::from(limits.kv_cache_tokens);
+        let away = if away {
+            REMOTE_PRE_COPY_COST / KV_CACHE_COST
+        } else {
+            0.0
+        };
+        let no_slot = if has_slot { 0.0 } else { NO_SLOT_PENALTY };
+        Some(taken + capacity * (away + no_slot))
     })
 }
 
@@ -337,10 +419,22 @@
 }
 
 fn fits(used: Usage, tokens: u32, limits: EngineLimits, share: f64) -> bool {
+    let empty = used.running == 0;
+    u32::from(used.running) < limits.slots && (empty || fits_beside(used, tokens, limits, share))
+}
+
+fn fits_beside(used: Usage, tokens: u32, limits: EngineLimits, share: f64) -> bool {
     let room = f64::from(limits.kv_cache_tokens) * share;
     let taken = f64::from(used.tokens) + f64::from(used.copy_tokens);
-    let empty = used.running == 0;
-    u32::from(used.running) < limits.slots && (empty || taken + f64::from(tokens) <= room)
+    taken + f64::from(tokens) <= room
+}
+
+/// Returns whether a pre-copy fits into an engine. An engine without running generations has room
+/// for a generation of any size, but for one only: several pre-copies are granted before the first
+/// of them resumes, and would overfill an engine that has just started.
+fn fits_pre_copy(used: Usage, tokens: u32, limits: EngineLimits, share: f64) -> bool {
+    let is_empty = used.running == 0 && used.copy_tokens == 0;
+    u32::from(used.running) < limits.slots && (is_empty || fits_beside(used, tokens, limits, share))
 }
 
 fn engine_cost(used: Usage, limits: EngineLimits) -> f64 {
--- a/crates/core/src/gateway/home.rs
+++ b/crates/core/src/gateway/home.rs
@@ -54,6 +54,8 @@
     /// How many instances it knows, recently lost ones included.
     known: u32,
     requests: Vec<PlacementRequest>,
+    /// Engines that recently refused it a copy for lack of room.
+    no_room: Vec<EndpointKey>,
     /// Whether this instance is the one to decide about the placement requests.
     decides: bool,
     /// Whether an answer is due even if all requests stay queued.
@@ -122,6 +124,7 @@
             decides: report.decides,
             owes_answer: report.decides && !requests.is_empty(),
             requests,
+            no_room: report.no_room,
             view_sent_at: viewed,
             reserved,
         };
@@ -186,8 +189,9 @@
         self.release_unusable(engines.endpoints);
         let mut others = self.others(now, None);
         let mut decided = Decisions::new();
-        self.decide_immediate(now, engines, &mut others, &mut decided);
-        self.decide_queued(now, engines, &others, &mut decided);
+        let mut holds = self.decide_pre_copies(now, engines, &mut others, &mut decided);
+        self.decide_immediate(now, engines, &mut holds, &mut others, &mut decided);
+        self.decide_queued(now, engines, &others, &holds, &mut decided);
         let mut answers = Vec::new();
         for (from, reporter) in &mut self.reporters {
             let decisions = decided.remove(from).unwrap_or_default();
--- a/crates/core/src/gateway/home/copies.rs
+++ b/crates/core/src/gateway/home/copies.rs
@@ -1,91 +1,219 @@
 //! Decisions about copies and immediate placements.
 
 use super::{Decisions, Home, Reporter};
-use crate::gateway::choose::{PlacementContext, choose, choose_copy_target};
+use crate::gateway::choose::{PlacementContext, choose, choose_copy_target, choose_hold};
+use crate::gateway::endpoints::Endpoint;
 use crate::gateway::engines::Engines;
+use crate::gateway::holds::Holds;
 use crate::gateway::request::{
     Demand, PlacementDecision, PlacementError, PlacementKind, PlacementRequest,
 };
 use crate::gateway::usage::{PeerUsage, UsageTable};
 use crate::ids::EndpointKey;
 use crate::time::Time;
+use core::cmp::Reverse;
+use std::net::SocketAddrV4;
+
+/// The usage by this instance alone, which is part of the reports.
+static NO_OWN_USAGE: UsageTable = UsageTable::new();
 
 impl Home {
-    /// Decides about copies and immediate placements, which are never queued. Copies of generations
-    /// whose engine leaves come first: those generations are lost without one.
+    /// Decides about copies of generations whose engine leaves, before everything else: those
+    /// generations are lost without one. A copy that fits nowhere stays queued, and room is held
+    /// for it. The one with the most tokens comes first, since most work would be lost with it.
+    pub(super) fn decide_pre_copies(
+        &mut self,
+        now: Time,
+        engines: Engines<'_>,
+        others: &mut PeerUsage,
+        decided: &mut Decisions,
+    ) -> Holds {
+        let mut holds = Holds::default();
+        let mut requests = self.pre_copies();
+        if requests.is_empty() {
+            return holds;
+        }
+        requests.sort_by_key(|(_, request)| Reverse(request.queued.tokens));
+        let no_room = self.without_room();
+        for (from, request) in requests {
+            let Some(reporter) = self.reporters.get_mut(&from) else {
+                continue;
+            };
+            let queued = request.queued;
+            let granted = reporter.reserved.get(&queued.id).map(|(key, _)| *key);
+            let world = reporter.context(now, engines, holds.beside(others));
+            let place = match granted {
+                Some(key) => Ok(key),
+                None => choose_immediate(world, engines, &request, &no_room),
+            };
+            let decision = match place {
+                Ok(key) => PlacementDecision::Granted(key),
+                Err(PlacementError::Full) => PlacementDecision::Queued(PlacementError::Full),
+                Err(why) => PlacementDecision::Denied(why),
+            };
+            match (place, granted) {
+                (Ok(key), None) => {
+                    let used = request.reserved_usage();
+                    holds.grant(others, key, used);
+                    reporter.reserved.insert(queued.id, (key, used));
+                }
+                (Err(PlacementError::Full), _) => {
+                    if let Some(engine) = hold_for(world, engines, &request, &no_room) {
+                        holds.hold(others, engine, queued.priority, queued.tokens);
+                    }
+                }
+                _ => {}
+            }
+            decided.entry(from).or_default().push((queued.id, decision));
+        }
+        holds
+    }
+
+    /// Decides about standby copies and immediate placements, which are never queued.
     pub(super) fn decide_immediate(
         &mut self,
         now: Time,
         engines: Engines<'_>,
+        holds: &mut Holds,
         others: &mut PeerUsage,
         decided: &mut Decisions,
     ) {
         let any_queued = self.reporters.values().any(Reporter::has_queued_request);
-        let none = UsageTable::default();
-        for urgent in [true, false] {
-            for (from, reporter) in self.reporters.iter_mut().filter(|(_, it)| it.decides) {
-                for request in &reporter.requests {
-                    if request.kind == PlacementKind::Queued || request.is_urgent() != urgent {
-                        continue;
-                    }
-                    let id = request.queued.id;
-                    let granted = reporter.reserved.get(&id).map(|(key, _)| *key);
-                    let world = PlacementContext {
-                        now,
-                        endpoints: engines.endpoints,
-                        usage: &none,
-                        others,
-                        data_centre: &reporter.data_centre,
-                        pace: engines.pace,
-                    };
-                    let place = match granted {
-                        Some(key) => Ok(key),
-                        None if request.kind == PlacementKind::Immediate && any_queued => {
-                            Err(PlacementError::Full)
-                        }
-                        None => choose_immediate(world, engines, request),
-                    };
-                    let decision = match place {
-                        Ok(key) => PlacementDecision::Granted(key),
-                        Err(why) => PlacementDecision::Denied(why),
-                    };
-                    if let (Ok(key), None) = (place, granted) {
-                        let used = request.reserved_usage();
-                        others.add(key, used);
-                        reporter.reserved.insert(id, (key, used));
-                    }
-                    decided.entry(*from).or_default().push((id, decision));
+        let no_room = self.without_room();
+        for (from, reporter) in self.reporters.iter_mut().filter(|(_, it)| it.decides) {
+            for request in reporter.requests.iter().filter(|it| !it.kind.is_queued()) {
+                let id = request.queued.id;
+                let granted = reporter.reserved.get(&id).map(|(key, _)| *key);
+                let is_immediate = request.kind == PlacementKind::Immediate;
+                let is_before = |held| is_immediate && request.queued.priority < held;
+                let usage = match holds.most_urgent().is_some_and(is_before) {
+                    true => &*others,
+                    false => holds.beside(others),
+                };
+                let world = reporter.context(now, engines, usage);
+                let place = match granted {
+                    Some(key) => Ok(key),
+                    None if is_immediate && any_queued => Err(PlacementError::Full),
+                    None => choose_immediate(world, engines, request, &no_room),
+                };
+                let decision = match place {
+                    Ok(key) => PlacementDecision::Granted(key),
+                    Err(why) => PlacementDecision::Denied(why),
+                };
+                if let (Ok(key), None) = (place, granted) {
+                    let used = request.reserved_usage();
+                    holds.grant(others, key, used);
+                    reporter.reserved.insert(id, (key, used));
                 }
+                decided.entry(*from).or_default().push((id, decision));
             }
         }
     }
+
+    /// Returns the requests for pre-copies that this instance decides.
+    fn pre_copies(&self) -> Vec<(SocketAddrV4, PlacementRequest)> {
+        let mut requests = Vec::new();
+        for (from, reporter) in self.reporters.iter().filter(|(_, it)| it.decides) {
+            let urgent = reporter.requests.iter().filter(|it| it.is_urgent());
+            requests.extend(urgent.map(|it| (*from, it.clone())));
+        }
+        requests
+    }
+
+    /// Returns the engines that recently refused a copy for lack of room.
+    fn without_room(&self) -> Vec<EndpointKey> {
+        let all = self.reporters.values().flat_map(|it| &it.no_room);
+        all.copied().collect()
+    }
+}
+
+impl Reporter {
+    fn context<'a>(
+        &'a self,
+        now: Time,
+        engines: Engines<'a>,
+        others: &'a PeerUsage,
+    ) -> PlacementContext<'a> {
+        PlacementContext {
+            now,
+            endpoints: engines.endpoints,
+            usage: &NO_OWN_USAGE,
+            others,
+            data_centre: &self.data_centre,
+            pace: engines.pace,
+        }
+    }
 }
 
-/// Chooses an engine for a placement request that is not queued.
+/// Chooses an engine for a copy or an immediate placement. No copy is placed at an engine in
+/// `no_room`.
 fn choose_immediate(
     world: PlacementContext<'_>,
     engines: Engines<'_>,
     request: &PlacementRequest,
+    no_room: &[EndpointKey],
 ) -> Result<EndpointKey, PlacementError> {
-    // Engines with a rate limit are granted only through the queue, within the limit.
-    let mut exclude = request.exclude.clone();
-    exclude.extend(engines.rate_limited(world.now));
-    let demand = Demand {
-        service: engines.service,
-        engine: Some(engines.limits),
-        tokens: request.queued.tokens,
-        exclude: &exclude,
-    };
+    let exclude = excluded(world.now, engines, request, no_room);
+    let demand = demand(engines, request, &exclude);
     // One instance decides all requests one after the other: no random spread is needed.
     let no_draw = || 0.0;
     match request.kind {
         PlacementKind::Queued | PlacementKind::Immediate => choose(world, &demand, no_draw),
-        PlacementKind::Copy { source, kind } => {
-            let source = world
-                .endpoints
-                .get(source)
-                .ok_or(PlacementError::NoEndpoint)?;
+        PlacementKind::Copy { kind, .. } => {
+            let source = source(world, request).ok_or(PlacementError::NoEndpoint)?;
             choose_copy_target(world, &demand, source, kind, no_draw).ok_or(PlacementError::Full)
         }
     }
 }
+
+/// Chooses the engine at which room is held for a pre-copy that fits nowhere.
+fn hold_for(
+    world: PlacementContext<'_>,
+    engines: Engines<'_>,
+    request: &PlacementRequest,
+    no_room: &[EndpointKey],
+) -> Option<EndpointKey> {
+    let exclude = excluded(world.now, engines, request, no_room);
+    choose_hold(
+        world,
+        &demand(engines, request, &exclude),
+        source(world, request)?,
+    )
+}
+
+/// Returns the engine at which the generation runs that is to be copied.
+fn source<'a>(world: PlacementContext<'a>, request: &PlacementRequest) -> Option<&'a Endpoint> {
+    match request.kind {
+        PlacementKind::Queued | PlacementKind::Immediate => None,
+        PlacementKind::Copy { source, .. } => world.endpoints.get(source),
+    }
+}
+
+fn demand<'a>(
+    engines: Engines<'a>,
+    request: &PlacementRequest,
+    exclude: &'a [EndpointKey],
+) -> Demand<'a> {
+    Demand {
+        service: engines.service,
+        engine: Some(engines.limits),
+        tokens: request.queued.tokens,
+        exclude,
+    }
+}
+
+/// Returns the engines at which a request must not be placed. Engines with a rate limit are granted
+/// only through the queue, within the limit.
+fn excluded(
+    now: Time,
+    engines: Engines<'_>,
+    request: &PlacementRequest,
+    no_room: &[EndpointKey],
+) -> Vec<EndpointKey> {
+    let mut exclude = request.exclude.clone();
+    exclude.extend(engines.rate_limited(now));
+    if request.kind != PlacementKind::Immediate {
+        exclude.extend(no_room);
+    }
+    exclude
+}
--- a/crates/core/src/gateway/home/queued.rs
+++ b/crates/core/src/gateway/home/queued.rs
@@ -3,18 +3,21 @@
 use super::{Decisions, Home};
 use crate::gateway::choose::PlacementContext;
 use crate::gateway::engines::Engines;
+use crate::gateway::holds::Holds;
 use crate::gateway::queue::assign;
 use crate::gateway::request::{PlacementDecision, PlacementKind};
 use crate::gateway::usage::{PeerUsage, UsageTable};
 use crate::time::Time;
 
 impl Home {
-    /// Grants placements to queued requests in the order of the queue.
+    /// Grants placements to queued requests in the order of the queue, beside the room that is
+    /// held for pre-copies.
     pub(super) fn decide_queued(
         &mut self,
         now: Time,
         engines: Engines<'_>,
         others: &PeerUsage,
+        holds: &Holds,
         decided: &mut Decisions,
     ) {
         let none = UsageTable::default();
@@ -51,6 +54,7 @@
             world,
             engines,
             left,
+            holds,
             waiting.iter().map(|(_, queued)| queued),
         );
         for ((from, queued), place) in waiting.iter().zip(places) {
--- a/crates/core/src/gateway/queue.rs
+++ b/crates/core/src/gateway/queue.rs
@@ -9,6 +9,7 @@
 
 use super::choose::{PlacementContext, capacities};
 use super::engines::Engines;
+use super::holds::Holds;
 use super::request::{Demand, PlacementError, QueuedPlacement, QueuedRequest};
 use crate::ids::EndpointKey;
 use crate::time::Time;
@@ -40,11 +41,12 @@
 /// Requests are served in queue order. For the first one that does not fit anywhere, the engine
 /// with the most room is held, so that large requests do not starve while small ones use the room
 /// at other engines. `rate_remaining` returns how many more requests an engine with a limited rate
-/// may get; `None` if its rate is not limited.
+/// may get; `None` if its rate is not limited. `holds` is the room that waits for pre-copies.
 pub fn assign<'a>(
     context: PlacementContext<'_>,
     engines: Engines<'_>,
     rate_remaining: impl Fn(EndpointKey) -> Option<u32>,
+    holds: &Holds,
     waiting: impl Iterator<Item = &'a QueuedPlacement>,
 ) -> Vec<Result<EndpointKey, PlacementError>> {
     let all: Vec<&QueuedPlacement> = waiting.collect();
@@ -60,6 +62,7 @@
         Ok(capacities) => capacities,
         Err(why) => return vec![Err(why); all.len()],
     };
+    capacities.apply_holds(holds);
     let mut places = vec![Err(PlacementError::NoEndpoint); all.len()];
     let mut is_held = false;
     for at in order {
--- a/crates/core/src/gateway/request.rs
+++ b/crates/core/src/gateway/request.rs
@@ -63,6 +63,18 @@
     },
 }
 
+impl PlacementKind {
+    /// Returns whether a home queues the request while there is no room. A generation whose engine
+    /// leaves is lost without a copy, so its request waits, unlike one for a standby copy.
+    pub const fn is_queued(self) -> bool {
+        match self {
+            PlacementKind::Queued => true,
+            PlacementKind::Immediate => false,
+            PlacementKind::Copy { kind, .. } => matches!(kind, CopyKind::PreCopy),
+        }
+    }
+}
+
 /// A queued request as reported to a home.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct QueuedRequestReport {
--- a/crates/core/src/gateway/usage.rs
+++ b/crates/core/src/gateway/usage.rs
@@ -97,6 +97,15 @@
 }
 
 impl UsageTable {
+    /// Returns the usage of an instance that runs nothing.
+    pub const fn new() -> Self {
+        UsageTable {
+            own: BTreeMap::new(),
+            reported: BTreeMap::new(),
+            changes: 0,
+        }
+    }
+
     /// Adds a request that is sent with `prompt_tokens` and is expected to use `tokens` of KV
     /// cache.
     pub fn begin(&mut self, endpoint: EndpointKey, tokens: u32, prompt_tokens: u32) {
--- a/crates/core/tests/gateway_queue.rs
+++ b/crates/core/tests/gateway_queue.rs
@@ -8,6 +8,7 @@
 use oriolemux_core::gateway::choose::PlacementContext;
 use oriolemux_core::gateway::endpoints::EndpointTable;
 use oriolemux_core::gateway::engines::Engines;
+use oriolemux_core::gateway::holds::Holds;
 use oriolemux_core::gateway::pace;
 use oriolemux_core::gateway::queue::assign;
 use oriolemux_core::gateway::rate_limits::RateLimits;
@@ -84,7 +85,7 @@
             live: 1,
             pace: &pace::UNKNOWN,
         };
-        assign(context, engines, |_| None, all.iter())
+        assign(context, engines, |_| None, &Holds::default(), all.iter())
     }
 
     fn enqueue(&mut self, waiters: &[QueuedRequest]) {
