The wait for the place of a pre-copy runs beside the events of its generation

Cause: the relay requested the place inside its loop, which forwards no events meanwhile. That is bearable for a denial within milliseconds, but not for a request that waits up to 1.2 s.

Change: a placement request is an object that is checked and dropped (OpenPlacement); the relay checks it after each decision and withdraws it when it stops reading from the engine or 1.2 s after the notice. A generation that is expected to end before it would leave its engine asks for no copy until it lasts longer than expected.

Conclusion: the relay has no test of the wait yet.

--- a/crates/core/src/gateway/relocation.rs
+++ b/crates/core/src/gateway/relocation.rs
@@ -75,6 +75,10 @@
 /// go first, since copies share the link of the engine.
 const PRE_COPY_DELAY: Duration = Duration::from_millis(300);
 
+/// How long after the notice a pre-copy waits for room. An engine stops 1.5 s after its notice at
+/// the earliest, and copying 3,000 tokens takes about 170 ms on a link that other copies share.
+pub const PRE_COPY_DEADLINE: Duration = Duration::from_millis(1_200);
+
 /// Delay before a failed pre-copy is tried again. It fails, for example, if the generation has not
 /// started yet.
 const PRE_COPY_RETRY_DELAY: Duration = Duration::from_millis(60);
@@ -152,6 +156,8 @@
     pub may_recompute: bool,
     /// Whether the retry budget has nothing left for it.
     pub is_budget_spent: bool,
+    /// How long the generation is expected to continue; `None` if that is not known.
+    pub remaining: Option<Duration>,
 }
 
 /// The next step for a generation.
@@ -173,6 +179,8 @@
 /// The state of the pre-copy.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 struct PreCopyState {
+    /// Whether it waits for a place.
+    is_requested: bool,
     in_progress: bool,
     complete_since: Option<Time>,
 }
@@ -241,6 +249,11 @@
         events.saturating_mul(TOKENS_PER_EVENT)
     }
 
+    /// Returns how long generating so many tokens takes with this time between two events.
+    pub fn time_for(&self, tokens: u32, gap: Duration) -> Duration {
+        gap.saturating_mul(tokens.div_ceil(TOKENS_PER_EVENT))
+    }
+
     /// Records that bytes arrived from the engine.
     pub fn on_bytes(&mut self, now: Time) {
         self.last_bytes_at = now;
@@ -267,9 +280,16 @@
         self.has_standby = has_standby;
     }
 
+    /// Records that a place for a pre-copy is requested.
+    pub fn pre_copy_requested(&mut self) {
+        debug_assert!(!self.pre_copy.is_requested, "two requests at once");
+        self.pre_copy.is_requested = true;
+    }
+
     /// Records the start of a pre-copy.
     pub fn pre_copy_started(&mut self, now: Time) {
         debug_assert!(!self.pre_copy.in_progress, "two pre-copies at once");
+        self.pre_copy.is_requested = false;
         self.pre_copy.in_progress = true;
         self.pre_copy_tries += 1;
         let delay = match self.pre_copy_tries {
@@ -285,9 +305,15 @@
         self.pre_copy_not_before = Time::ZERO;
     }
 
-    /// Records that no engine has room for a pre-copy.
-    pub fn pre_copy_refused(&mut self, now: Time) {
-        self.pre_copy_not_before = now + PRE_COPY_RETRY_DELAY;
+    /// Records that there was no place for a pre-copy of a generation whose engine has been leaving
+    /// for `leaving_for`.
+    pub fn pre_copy_refused(&mut self, now: Time, leaving_for: Duration) {
+        self.pre_copy.is_requested = false;
+        let delay = match leaving_for < PRE_COPY_DEADLINE {
+            true => PRE_COPY_RETRY_DELAY,
+            false => LATER_PRE_COPY_RETRY_DELAY,
+        };
+        self.pre_copy_not_before = now + delay;
     }
 
     /// Records that no engine has room to recompute the generation.
@@ -369,7 +395,7 @@
                 (false, _) => wait = wait.min(leave),
             }
         }
-        if let Some(copy) = self.pre_copy_at(now, leaving_for, from) {
+        if let Some(copy) = self.pre_copy_at(now, leaving_for, view.remaining, from) {
             if copy <= now {
                 return Step::PreCopy;
             }
@@ -405,23 +431,37 @@
         &self,
         now: Time,
         leaving_for: Duration,
+        remaining: Option<Duration>,
         from: Option<ResumeFrom>,
     ) -> Option<Time> {
-        if self.pre_copy.in_progress || self.pre_copy_tries >= MAX_PRE_COPIES {
+        let is_open = self.pre_copy.in_progress || self.pre_copy.is_requested;
+        if is_open || self.pre_copy_tries >= MAX_PRE_COPIES {
             return None;
         }
+        let ends_before = remaining.and_then(|it| time_until_copy_is_needed(leaving_for, it));
+        let deferred = now + ends_before.unwrap_or_default();
         match (self.pre_copy.complete_since, from) {
             (Some(_), _) if leaving_for > LAST_REFRESH => None,
             (Some(since), _) => Some((since + REFRESH_AFTER).max(self.pre_copy_not_before)),
             (None, Some(ResumeFrom::Standby)) => {
                 let wait = PRE_COPY_DELAY.saturating_sub(leaving_for);
-                Some((now + wait).max(self.pre_copy_not_before))
+                Some((now + wait).max(self.pre_copy_not_before).max(deferred))
             }
-            (None, _) => Some(self.pre_copy_not_before),
+            (None, _) => Some(self.pre_copy_not_before.max(deferred)),
         }
     }
 }
 
+/// Returns how long a generation that is expected to end after `remaining` needs no pre-copy yet;
+/// `None` if it needs one now.
+///
+/// It needs none as long as it is expected to end before it would leave. If it lasts longer than
+/// expected, the copy is still made in time: the nearer its expected end, the later that is.
+pub fn time_until_copy_is_needed(leaving_for: Duration, remaining: Duration) -> Option<Duration> {
+    let spare = RELOCATE_AFTER.checked_sub(leaving_for + remaining)?;
+    (!spare.is_zero()).then_some(spare)
+}
+
 fn relocate_at(now: Time, leaving_for: Duration, target_is_quiet: bool) -> Time {
     let early = RELOCATE_AFTER - EARLY_RELOCATION;
     if leaving_for < early {
--- a/crates/core/tests/gateway_relocation.rs
+++ b/crates/core/tests/gateway_relocation.rs
@@ -31,6 +31,7 @@
         target_is_quiet: true,
         may_recompute: false,
         is_budget_spent: false,
+        remaining: None,
     }
 }
 
@@ -413,6 +414,7 @@
     Bytes,
     Event(u64),
     PreCopyEnds(bool),
+    PreCopyPlaced(bool),
     Notice,
     StandbyGone,
 }
@@ -423,6 +425,7 @@
         Just(Input::Bytes),
         (0_u64..4).prop_map(Input::Event),
         any::<bool>().prop_map(Input::PreCopyEnds),
+        any::<bool>().prop_map(Input::PreCopyPlaced),
         Just(Input::Notice),
         Just(Input::StandbyGone),
     ]
@@ -435,12 +438,14 @@
     fn histories_keep_the_invariants(
         history in prop::collection::vec(input(), 1..200),
         may_recompute in any::<bool>(),
+        remaining_ms in prop::option::of(0_u64..3_000),
     ) {
         let mut generation = started(true);
         let mut now = START;
         let mut notice: Option<Time> = None;
         let mut standby_is_usable = true;
         let mut in_progress = false;
+        let mut is_requested = false;
         let mut held = 1;
         for input in history {
             match input {
@@ -463,6 +468,16 @@
                     prop_assert!(is_there || !complete);
                 }
                 Input::PreCopyEnds(_) => {}
+                Input::PreCopyPlaced(is_placed) if is_requested => {
+                    is_requested = false;
+                    in_progress = is_placed;
+                    let leaving_for = now.since(notice.expect("only after the notice"));
+                    match is_placed {
+                        true => generation.pre_copy_started(now),
+                        false => generation.pre_copy_refused(now, leaving_for),
+                    }
+                }
+                Input::PreCopyPlaced(_) => {}
                 Input::Notice => {
                     notice.get_or_insert(now);
                 }
@@ -474,12 +489,14 @@
                 target_is_quiet: held % 2 == 0,
                 may_recompute,
                 is_budget_spent: held % 3 == 0,
+                remaining: remaining_ms.map(Duration::from_millis),
             };
             match generation.next(now, &view) {
                 Step::PreCopy => {
                     prop_assert!(!in_progress, "two pre-copies at once");
-                    generation.pre_copy_started(now);
-                    in_progress = true;
+                    prop_assert!(!is_requested, "two requests at once");
+                    generation.pre_copy_requested();
+                    is_requested = true;
                 }
                 Step::Relocate => {
                     prop_assert!(notice.is_some());
@@ -492,12 +509,14 @@
                     notice = None;
                     standby_is_usable = true;
                     in_progress = false;
+                    is_requested = false;
                 }
                 Step::Recompute => {
                     prop_assert!(may_recompute, "recomputed although it is not resumable");
                     prop_assert_eq!(generation.resume_from(now, standby_is_usable), None);
                     generation.on_relocated(now);
                     in_progress = false;
+                    is_requested = false;
                 }
                 Step::FailOver => {
                     prop_assert!(generation.resume_from(now, standby_is_usable).is_some());
@@ -511,3 +530,34 @@
         }
     }
 }
+
+/// Guards against copies that take the room of generations that are lost without one: a generation
+/// that ends before it would leave its engine is copied as well. The copy is still made if the
+/// generation lasts longer than expected.
+#[test]
+fn a_generation_that_is_about_to_end_is_copied_only_if_it_does_not() {
+    let generation = started(false);
+    let about_to_end = |leaving_for: u64| EngineView {
+        remaining: Some(Duration::from_millis(400)),
+        ..leaving(Duration::from_millis(leaving_for))
+    };
+
+    let at_notice = generation.next(START, &about_to_end(0));
+    let later = START + Duration::from_millis(700);
+    let still_running = generation.next(later, &about_to_end(700));
+
+    assert_eq!(at_notice, Step::Wait(later));
+    assert_eq!(still_running, Step::PreCopy);
+}
+
+/// Guards against a second request for a place while the first one waits.
+#[test]
+fn a_pre_copy_that_waits_for_a_place_is_requested_once() {
+    let mut generation = started(false);
+    let view = leaving(Duration::from_millis(100));
+    assert_eq!(generation.next(START, &view), Step::PreCopy);
+
+    generation.pre_copy_requested();
+
+    assert!(matches!(generation.next(START, &view), Step::Wait(_)));
+}
--- a/crates/gateway/src/event_log.rs
+++ b/crates/gateway/src/event_log.rs
@@ -194,6 +194,16 @@
     /// A request of a peer that reaches no endpoint ended here; the line says how, and how many
     /// others are being served.
     ServedForPeer = 855, "served_for_peer", Info, USUAL;
+    /// No engine has room for the pre-copy of a generation whose engine leaves, and its home queues
+    /// the request. The line has the KV cache tokens that it needs, how long its engine has been
+    /// leaving, and how long the generation is expected to continue.
+    PreCopyWaits = 860, "pre_copy_waits", Info, USUAL;
+    /// The request for a pre-copy is withdrawn. The line says why, how long it waited, and how long
+    /// the engine has been leaving.
+    PreCopyWithdrawn = 861, "pre_copy_withdrawn", Info, FAILURES;
+    /// A generation whose engine leaves gets no pre-copy yet, because it is expected to end before
+    /// it would be relocated. The line has the tokens and the time that are expected.
+    PreCopyNotNeeded = 862, "pre_copy_not_needed", Info, USUAL;
 }
 
 /// The lines of one event in the current second.
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -6,7 +6,7 @@
 use crate::link::{Link, LinkError};
 use crate::log_event;
 use crate::meters::{ByReason, millis};
-use crate::placement::{PlacementParams, request_placement};
+use crate::placement::{OpenPlacement, PlacementParams, PlacementProgress, request_placement};
 use crate::ports::{
     Announced, Announcements, CallerHead, ForwardHead, LastEventId, ResponseHead, Wire,
 };
@@ -338,32 +338,68 @@
         Ok(self.placed(place, params.tokens, usage))
     }
 
-    /// Requests a place for a copy of the generation at `source`, and counts the copy there.
-    pub async fn request_copy_placement(
+    /// Requests a place for a standby copy of the generation at `source`, and counts the copy
+    /// there.
+    pub async fn request_standby_placement(
         &self,
         source: EndpointKey,
-        kind: CopyKind,
         tokens: u32,
     ) -> Option<(Placement, CopyUsageGuard<W>)> {
+        let kind = CopyKind::Standby;
         let params = PlacementParams {
             kind: PlacementKind::Copy { source, kind },
             tokens,
             exclude: &[],
         };
-        let begin = |state: &mut Gateway, place: &Placement| {
-            state.usage.begin_copy(place.key, tokens);
-            CopyUsageGuard {
-                cx: Arc::clone(&self.cx),
-                endpoint: place.key,
-                tokens,
-            }
-        };
+        let begin = |state: &mut Gateway, place: &Placement| self.begin_copy(state, place, tokens);
         let deadline = Instant::now() + IMMEDIATE_PLACEMENT_TIMEOUT;
         let found = request_placement(self, params, deadline, begin).await.ok();
         self.cx.gossip_due.notify_one();
         found
     }
 
+    /// Requests a place for a pre-copy of the generation at `source` until `deadline`, without
+    /// waiting for it.
+    pub fn open_pre_copy_placement(
+        &self,
+        source: EndpointKey,
+        tokens: u32,
+        exclude: &[EndpointKey],
+        deadline: Instant,
+    ) -> OpenPlacement<W> {
+        let kind = CopyKind::PreCopy;
+        let params = PlacementParams {
+            kind: PlacementKind::Copy { source, kind },
+            tokens,
+            exclude,
+        };
+        OpenPlacement::new(self, params, deadline)
+    }
+
+    /// Returns whether there is a place for a pre-copy now, and counts the copy there.
+    ///
+    /// # Errors
+    ///
+    /// Returns why there is no place and the request is over.
+    pub fn check_pre_copy_placement(
+        &self,
+        open: &OpenPlacement<W>,
+    ) -> Result<PlacementProgress<CopyUsageGuard<W>>, PlacementError> {
+        open.check(self, |state, place| {
+            self.begin_copy(state, place, open.tokens())
+        })
+    }
+
+    /// Counts a copy at an endpoint.
+    fn begin_copy(&self, state: &mut Gateway, place: &Placement, tokens: u32) -> CopyUsageGuard<W> {
+        state.usage.begin_copy(place.key, tokens);
+        CopyUsageGuard {
+            cx: Arc::clone(&self.cx),
+            endpoint: place.key,
+            tokens,
+        }
+    }
+
     /// Counts a request at an endpoint; returns the endpoint's usage before it.
     fn begin_use(
         &self,
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -53,6 +53,30 @@
     pub exclude: &'a [EndpointKey],
 }
 
+/// The state of an open placement request.
+#[derive(Debug)]
+pub enum PlacementProgress<T> {
+    /// There is a place.
+    Granted(Placement, T),
+    /// There is none yet.
+    Waiting {
+        /// The time after which to check again, if there is no decision before.
+        check_after: Duration,
+        /// Whether a home has queued the request.
+        is_queued: bool,
+    },
+}
+
+/// An open placement request, which is withdrawn when dropped.
+pub struct OpenPlacement<W: Wire> {
+    guard: PlacementGuard<W>,
+    service: u64,
+    kind: PlacementKind,
+    tokens: u32,
+    exclude: Vec<EndpointKey>,
+    deadline: Instant,
+}
+
 /// Requests a place until there is one or `deadline` passes, and passes it to `on_granted` under
 /// the lock that closes the placement request: the home sees either the request or its usage.
 ///
@@ -65,23 +89,63 @@
     deadline: Instant,
     on_granted: impl Fn(&mut Gateway, &Placement) -> T,
 ) -> Result<(Placement, T), PlacementError> {
-    let cx = &job.cx;
-    let waiter = job.queued_request(params.tokens);
-    let (id, service) = (waiter.id, waiter.service);
-    let request = PlacementRequest {
-        queued: waiter,
-        kind: params.kind,
-        exclude: params.exclude.to_vec(),
-    };
-    cx.state().request_placement(cx.now(), request);
-    cx.gossip_due.notify_one();
-    let _open = PlacementGuard {
-        cx: Arc::clone(cx),
-        id,
-    };
+    let open = OpenPlacement::new(job, params, deadline);
     loop {
-        let mut decided = core::pin::pin!(cx.decided.notified());
+        let mut decided = core::pin::pin!(job.cx.decided.notified());
         decided.as_mut().enable();
+        match open.check(job, &on_granted)? {
+            PlacementProgress::Granted(place, granted) => return Ok((place, granted)),
+            PlacementProgress::Waiting { check_after, .. } => {
+                // Nothing notifies when a deadline passes, so the wait is bounded.
+                let _ = tokio::time::timeout(check_after, decided).await;
+            }
+        }
+    }
+}
+
+impl<W: Wire> OpenPlacement<W> {
+    /// Requests a place, until `deadline`.
+    pub fn new(job: &Job<W>, params: PlacementParams<'_>, deadline: Instant) -> Self {
+        let cx = &job.cx;
+        let waiter = job.queued_request(params.tokens);
+        let (id, service) = (waiter.id, waiter.service);
+        let request = PlacementRequest {
+            queued: waiter,
+            kind: params.kind,
+            exclude: params.exclude.to_vec(),
+        };
+        cx.state().request_placement(cx.now(), request);
+        cx.gossip_due.notify_one();
+        OpenPlacement {
+            guard: PlacementGuard {
+                cx: Arc::clone(cx),
+                id,
+            },
+            service,
+            kind: params.kind,
+            tokens: params.tokens,
+            exclude: params.exclude.to_vec(),
+            deadline,
+        }
+    }
+
+    /// Returns the KV tokens that were requested.
+    pub fn tokens(&self) -> u32 {
+        self.tokens
+    }
+
+    /// Returns whether there is a place now, and passes it to `on_granted` under the lock that
+    /// closes the request.
+    ///
+    /// # Errors
+    ///
+    /// Returns why there is no place and the request is over.
+    pub fn check<T>(
+        &self,
+        job: &Job<W>,
+        on_granted: impl Fn(&mut Gateway, &Placement) -> T,
+    ) -> Result<PlacementProgress<T>, PlacementError> {
+        let (cx, id, service) = (&job.cx, self.guard.id, self.service);
         if cx
             .state()
             .endpoints
@@ -90,15 +154,15 @@
             return Err(PlacementError::Cordoned);
         }
         let now = cx.now();
-        let waits_until = now + deadline.saturating_duration_since(Instant::now());
+        let waits_until = now + self.deadline.saturating_duration_since(Instant::now());
         let is_backed_off =
             cx.state()
-                .is_backed_off_beyond(now, &job.service().name, params.exclude, waits_until);
+                .is_backed_off_beyond(now, &job.service().name, &self.exclude, waits_until);
         if is_backed_off {
             return Err(PlacementError::BackedOff);
         }
-        let is_past_deadline = Instant::now() >= deadline;
-        let mut poll_interval = POLL_INTERVAL;
+        let is_past_deadline = Instant::now() >= self.deadline;
+        let mut is_queued = false;
         let why = {
             let mut state = cx.state();
             match state.verdict(now, id) {
@@ -107,7 +171,7 @@
                         let granted = on_granted(&mut state, &place);
                         state.withdraw_placement(id);
                         ByReason::Places.add("home");
-                        return Ok((place, granted));
+                        return Ok(PlacementProgress::Granted(place, granted));
                     }
                     // The engine began to leave, or requested a backoff, while the decision was on
                     // its way.
@@ -119,22 +183,22 @@
                     return Err(PlacementError::Full);
                 }
                 PlacementStatus::Decided(PlacementDecision::Queued(why)) => {
-                    poll_interval = QUEUED_POLL_INTERVAL;
+                    is_queued = true;
                     why
                 }
                 PlacementStatus::Pending => PlacementError::Full,
                 PlacementStatus::TimedOut => {
                     state.on_home_timeout(now, service, id);
-                    let demand = job.demand(params.tokens, params.exclude);
-                    match state.place_without_home(now, &demand, params.kind) {
+                    let demand = job.demand(self.tokens, &self.exclude);
+                    match state.place_without_home(now, &demand, self.kind) {
                         Ok(place) => {
                             let granted = on_granted(&mut state, &place);
                             state.withdraw_placement(id);
                             drop(state);
                             log_placed_without_home(job, &place);
-                            return Ok((place, granted));
+                            return Ok(PlacementProgress::Granted(place, granted));
                         }
-                        Err(why) if params.kind != PlacementKind::Queued => return Err(why),
+                        Err(why) if !self.kind.is_queued() => return Err(why),
                         Err(why) => why,
                     }
                 }
@@ -143,8 +207,14 @@
         if is_past_deadline {
             return Err(why);
         }
-        // Nothing notifies when a deadline passes, so the wait is bounded.
-        let _ = tokio::time::timeout(poll_interval, decided).await;
+        let check_after = match is_queued {
+            true => QUEUED_POLL_INTERVAL,
+            false => POLL_INTERVAL,
+        };
+        Ok(PlacementProgress::Waiting {
+            check_after,
+            is_queued,
+        })
     }
 }
 
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -16,6 +16,7 @@
 //! `docs/design/relocation.md` discusses when a generation leaves its engine.
 
 mod begin;
+mod copy_wait;
 mod pace;
 mod pre_copy;
 mod resume;
@@ -30,6 +31,7 @@
 use crate::response::{Reason, ResponseBody, StreamAborted, refuse};
 use crate::sse::{Event, EventSplitter};
 use crate::stream::Chunk;
+use copy_wait::CopyWait;
 use http::{HeaderMap, Response, StatusCode};
 use http_body_util::BodyExt;
 use oriolemux_core::gateway::lengths::LengthEstimate;
@@ -37,6 +39,7 @@
     EngineView, EventDelivery, Relocation, ResumeFrom, Step, silence_timeout,
 };
 use oriolemux_core::gateway::state::Placement;
+use oriolemux_core::ids::EndpointKey;
 use oriolemux_core::suspects::SUCCESS_AFTER;
 use pace::Pace;
 use pre_copy::{PreCopy, StandbyCopy};
@@ -97,6 +100,10 @@
     state: Relocation,
     standby: Option<StandbyCopy<W>>,
     pre_copy: Option<PreCopy<W, E>>,
+    /// The open request for the place of a pre-copy.
+    copy_wait: Option<CopyWait<W>>,
+    /// The engine for which it was logged that no pre-copy is needed.
+    deferred_at: Option<EndpointKey>,
     /// When the response of the current engine started.
     response_started: Option<Instant>,
     splitter: EventSplitter,
@@ -131,6 +138,8 @@
             state: Relocation::new(silence).after(last_event),
             standby: None,
             pre_copy: None,
+            copy_wait: None,
+            deferred_at: None,
             response_started: None,
             splitter: EventSplitter::default(),
             pace,
@@ -212,6 +221,7 @@
     async fn forward_stream(mut self, mut upstream: Upstream) {
         loop {
             let pause = self.forward_events(&mut upstream).await;
+            self.withdraw_pre_copy(copy_wait::withdrawn_because(&pause));
             let next = match pause {
                 StopReason::End => {
                     self.finish();
@@ -289,10 +299,15 @@
             let cx = Arc::clone(&self.job.cx);
             let mut departures = core::pin::pin!(cx.departures.notified());
             departures.as_mut().enable();
+            let mut decided = core::pin::pin!(cx.decided.notified());
+            if self.copy_wait.is_some() {
+                decided.as_mut().enable();
+            }
             self.drop_unusable_pre_copy();
+            let check_place = self.check_copy_wait();
             let wait = match self.next_step() {
                 Step::PreCopy => {
-                    self.start_pre_copy().await;
+                    self.start_pre_copy();
                     continue;
                 }
                 Step::Relocate => return StopReason::Relocate,
@@ -327,6 +342,8 @@
                 () = tokio::time::sleep_until(self.job.deadline.into()) => return StopReason::Timeout,
                 () = sleep_until(wait) => {}
                 () = departures => {}
+                () = decided, if check_place.is_some() => {}
+                () = sleep_until(check_place) => {}
             }
         }
     }
@@ -355,7 +372,13 @@
         }
     }
 
-    fn next_step(&self) -> Step {
+    fn next_step(&mut self) -> Step {
+        let view = self.engine_view();
+        self.log_deferred_copy(&view);
+        self.state.next(self.job.cx.now(), &view)
+    }
+
+    fn engine_view(&self) -> EngineView {
         let cx = &self.job.cx;
         let now = cx.now();
         let standby = self.standby.as_ref().map(|copy| copy.place.key);
@@ -368,15 +391,15 @@
             None => None,
         };
         let leaving = state.leaving_since(self.engine.key);
-        let view = EngineView {
+        EngineView {
             leaving_for: leaving.map(|since| now.since(since)),
             standby_is_usable: standing_takes_work,
             target_is_quiet: target.is_some_and(|key| state.has_no_pending_prefill(now, key)),
             may_recompute: self.may_run_again(),
             is_budget_spent: leaving.is_some()
                 && !state.may_relocate(now, &self.job.service().name),
-        };
-        self.state.next(now, &view)
+            remaining: leaving.and_then(|_| self.expected_remaining()),
+        }
     }
 
     /// Updates the expected KV usage as the generation grows.
--- a/crates/gateway/src/relay/pace.rs
+++ b/crates/gateway/src/relay/pace.rs
@@ -5,6 +5,10 @@
 use oriolemux_core::gateway::HttpEntry;
 use std::time::Instant;
 
+/// Number of gaps between events from which their mean is known well enough to predict when a
+/// generation ends. Fewer may all fall into a pause.
+const MIN_GAPS: u32 = 8;
+
 /// The times of one generation's events.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Pace {
@@ -13,6 +17,8 @@
     first: Option<Instant>,
     last: Option<Instant>,
     longest_pause: Duration,
+    /// Number of gaps between events.
+    gaps: u32,
 }
 
 impl Pace {
@@ -23,6 +29,7 @@
             first: None,
             last: None,
             longest_pause: Duration::ZERO,
+            gaps: 0,
         }
     }
 
@@ -31,10 +38,17 @@
         self.first.get_or_insert(now);
         if let Some(last) = self.last {
             self.longest_pause = self.longest_pause.max(now - last);
+            self.gaps += 1;
         }
         self.last = Some(now);
     }
 
+    /// Returns the mean time between events; `None` until enough of them have been seen.
+    pub(super) fn mean_gap(&self) -> Option<Duration> {
+        let (first, last) = (self.first?, self.last?);
+        (self.gaps >= MIN_GAPS).then(|| (last - first) / self.gaps)
+    }
+
     /// Returns the timing as seen by a caller that arrived at `arrived`.
     pub(super) fn summary(&self, arrived: Instant) -> PaceSummary {
         let first = self.first.map(|first| first - arrived);
--- a/crates/gateway/src/relay/resume.rs
+++ b/crates/gateway/src/relay/resume.rs
@@ -1,9 +1,9 @@
 //! Resuming a generation at another engine.
 
 use super::Relay;
-use super::pre_copy::{PreCopy, StandbyCopy};
+use super::pre_copy::StandbyCopy;
 use super::upstream::AttemptStart;
-use crate::job::{CopyUsageGuard, UsageGuard};
+use crate::job::UsageGuard;
 use crate::link::LinkError;
 use crate::log_event;
 use crate::meters::ByReason;
@@ -12,7 +12,6 @@
 use core::time::Duration;
 use oriolemux_core::gateway::budget::RetryKind;
 use oriolemux_core::gateway::relocation::STANDBY_MIN_TOKENS;
-use oriolemux_core::gateway::request::CopyKind;
 use oriolemux_core::gateway::state::Placement;
 use oriolemux_core::ids::EndpointKey;
 use std::net::SocketAddrV4;
@@ -38,23 +37,6 @@
 const RETRY_BUDGET_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
 impl<W: Wire, E: EngineCalls> Relay<W, E> {
-    /// Copies the KV cache to another engine while the generation continues, or refreshes that
-    /// copy.
-    pub(super) async fn start_pre_copy(&mut self) {
-        if self.pre_copy.is_none() {
-            let Some((target, in_use)) = self.request_copy_target(CopyKind::PreCopy).await else {
-                self.state.pre_copy_refused(self.job.cx.now());
-                return;
-            };
-            let engines = self.engine_calls.clone();
-            self.pre_copy = Some(PreCopy::new(engines, self.engine.address, target, in_use));
-        }
-        if let Some(pre_copy) = &mut self.pre_copy {
-            pre_copy.start(self.job.name());
-            self.state.pre_copy_started(self.job.cx.now());
-        }
-    }
-
     /// Drops a pre-copy from which the generation may not resume, because the data centre was
     /// cordoned or the engine requested a backoff; another one can then be made.
     pub(super) fn drop_unusable_pre_copy(&mut self) {
@@ -291,7 +273,13 @@
         let keeps_copies = engine.is_some_and(|engine| engine.standby_copies);
         let is_long = self.length.remaining(self.state.tokens()) >= STANDBY_MIN_TOKENS;
         if keeps_copies && is_long {
-            let found = self.request_copy_target(CopyKind::Standby).await;
+            let found = self
+                .job
+                .request_standby_placement(self.engine.key, self.reserved_tokens)
+                .await;
+            if found.is_none() {
+                self.log_no_room("standing");
+            }
             self.standby = found.map(|(place, in_use)| StandbyCopy {
                 place,
                 _usage: in_use,
@@ -300,25 +288,14 @@
         self.state.set_standby(self.standby.is_some());
     }
 
-    /// Returns another engine with room for a copy.
-    async fn request_copy_target(&self, kind: CopyKind) -> Option<(Placement, CopyUsageGuard<W>)> {
-        let place = self
-            .job
-            .request_copy_placement(self.engine.key, kind, self.reserved_tokens)
-            .await;
-        if place.is_none() {
-            let kind = match kind {
-                CopyKind::Standby => "standing",
-                CopyKind::PreCopy => "ahead",
-            };
-            log_event!(
-                NoRoomForCopy,
-                attempt = self.job.name(),
-                source = self.engine.name.as_str(),
-                kind = kind,
-                need = self.reserved_tokens
-            );
-        }
-        place
+    /// Logs that no engine has room for a copy.
+    pub(super) fn log_no_room(&self, kind: &'static str) {
+        log_event!(
+            NoRoomForCopy,
+            attempt = self.job.name(),
+            source = self.engine.name.as_str(),
+            kind = kind,
+            need = self.reserved_tokens
+        );
     }
 }
