State of a member: status and capacity share one byte

Cause: every datagram carries the state of its sender, and the capacity class added one byte to it. With it, traffic_for_suspects_does_not_grow_with_the_fleet::case_3_planned (gateway_suspects, 390 instances) failed on: 4182 bytes per second at the busiest instance, bound 4096. Change: the status takes two bits and the class six of the same byte, so that a member's state is as long as before there were classes. Conclusion: the capacity costs no bytes.

--- a/crates/core/src/gateway/members.rs
+++ b/crates/core/src/gateway/members.rs
@@ -46,6 +46,7 @@
 
 /// The state of one instance, as sent between instances.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "EncodedUpdate", into = "EncodedUpdate")]
 pub struct MemberUpdate {
     /// Address at which it receives datagrams.
     pub address: SocketAddrV4,
@@ -61,16 +62,67 @@
 
 /// The processor capacity of an instance, in classes of a factor of two. An instance of unknown
 /// capacity has the lowest class.
-#[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct CapacityClass(u8);
 
 impl CapacityClass {
-    /// Returns the class of an instance with this share of a core, in percent.
+    /// The highest class, which fits the bits that [`EncodedUpdate`] has for it.
+    const MAX: u8 = u32::BITS as u8;
+
+    /// Returns the class of an instance with this share of a core, in percent; 0 if it is unknown.
     pub fn of_percent(percent: u32) -> Self {
         let class = u32::BITS - percent.leading_zeros();
-        CapacityClass(u8::try_from(class).unwrap_or(u8::MAX))
+        CapacityClass(u8::try_from(class).unwrap_or(Self::MAX))
+    }
+}
+
+/// A [`MemberUpdate`] as it is encoded. Every datagram carries at least one, and most of the
+/// control traffic of a large fleet is small datagrams, so status and capacity share one byte.
+#[derive(Serialize, Deserialize)]
+struct EncodedUpdate {
+    address: SocketAddrV4,
+    incarnation: Incarnation,
+    refutations: u32,
+    /// The status in the [`STATUS_BITS`] lowest bits, and the capacity class above.
+    status_and_capacity: u8,
+}
+
+/// Bits that the four variants of [`Status`] take.
+const STATUS_BITS: u32 = 2;
+
+impl From<MemberUpdate> for EncodedUpdate {
+    fn from(update: MemberUpdate) -> Self {
+        let status = match update.status {
+            Status::Alive => 0,
+            Status::Stopping => 1,
+            Status::Suspect => 2,
+            Status::Gone => 3,
+        };
+        EncodedUpdate {
+            address: update.address,
+            incarnation: update.incarnation,
+            refutations: update.refutations,
+            status_and_capacity: status | update.capacity.0 << STATUS_BITS,
+        }
+    }
+}
+
+impl From<EncodedUpdate> for MemberUpdate {
+    fn from(encoded: EncodedUpdate) -> Self {
+        let status = match encoded.status_and_capacity % (1 << STATUS_BITS) {
+            0 => Status::Alive,
+            1 => Status::Stopping,
+            2 => Status::Suspect,
+            _ => Status::Gone,
+        };
+        let class = encoded.status_and_capacity >> STATUS_BITS;
+        MemberUpdate {
+            address: encoded.address,
+            incarnation: encoded.incarnation,
+            refutations: encoded.refutations,
+            status,
+            capacity: CapacityClass(class.min(CapacityClass::MAX)),
+        }
     }
 }
 
