Homes of services are instances of the highest capacity class

Cause: with processor time charged, the home of a service had 0.12 of a core and answered later than instances wait, while six of ninety instances have 0.5 of a core (docs/design/crowded-engines.md). Change: Gateway::homes ranks by capacity class and then by the rendezvous score. A second home of the next class is chosen where only one instance has the highest. The homes of suspects ignore the class: there are many of them, and a few instances have no bandwidth for all. Conclusion: nothing changes where all capacities are equal or unknown.

--- a/crates/core/src/gateway/members.rs
+++ b/crates/core/src/gateway/members.rs
@@ -167,6 +167,11 @@
         self.update.is_some_and(|it| it.status == Status::Alive)
     }
 
+    /// Returns its capacity, the lowest class if it is unknown.
+    pub fn capacity(&self) -> CapacityClass {
+        self.update.map(|it| it.capacity).unwrap_or_default()
+    }
+
     /// Returns whether it has announced that it stops.
     pub fn is_stopping(&self) -> bool {
         self.update.is_some_and(|it| it.status == Status::Stopping)
--- a/crates/core/src/gateway/state/places.rs
+++ b/crates/core/src/gateway/state/places.rs
@@ -9,7 +9,7 @@
 use crate::gateway::engines::Engines;
 use crate::gateway::gossip::Body;
 use crate::gateway::home::{PlacementAnswer, PlacementReport, REPORT_INTERVAL};
-use crate::gateway::members::MemberUpdate;
+use crate::gateway::members::{CapacityClass, MemberUpdate};
 use crate::gateway::pace;
 use crate::gateway::placement::{
     PlacementStatus, QUEUED_REPORT_INTERVAL, UNANSWERED_REPORT_INTERVAL,
@@ -38,7 +38,7 @@
 const MAX_REPORTED_BACKOFFS: usize = 8;
 
 /// The home of a service and the next in rank.
-type Ranks = [Option<SocketAddrV4>; 2];
+pub(super) type Ranks = [Option<SocketAddrV4>; 2];
 
 /// The last report about a service.
 #[derive(Clone, Copy, Debug)]
@@ -297,14 +297,33 @@
         self.usage.own(key).pending_prefill + others == 0
     }
 
-    /// Returns the home of a service's engines and the next in rank.
+    /// Returns the home of a service's engines and the next in rank: the first two in rendezvous
+    /// order among the instances of the highest capacity class.
+    ///
+    /// The decisions for a service need more processor time than everything else that an instance
+    /// does. On the instances with the least, reports wait longer than the instances that sent them
+    /// wait for the answer. Where only one instance has the highest class, the second is of the
+    /// next class.
     pub fn homes(&self, service: u64) -> Ranks {
+        self.ranked(service, |capacity| capacity)
+    }
+
+    /// Returns the home of a key and the next in rank, of all instances regardless of their
+    /// capacity. It is for keys that are many and cost little, which a few instances alone would
+    /// not have the bandwidth for.
+    pub(super) fn homes_of_any_capacity(&self, key: u64) -> Ranks {
+        self.ranked(key, |_| CapacityClass::default())
+    }
+
+    /// Returns the first two instances for a key, ordered by `class` and then by score.
+    fn ranked(&self, key: u64, class: impl Fn(CapacityClass) -> CapacityClass) -> Ranks {
         let others = self.members.live().filter(|(_, it)| it.is_steady());
-        let own = (!self.stopping).then_some(self.cfg.address);
-        let all = others.map(|(address, _)| address).chain(own);
-        let mut best: [Option<(u64, SocketAddrV4)>; 2] = [None; 2];
-        for address in all {
-            let ranked = Some((rendezvous::score(service, address_hash(address)), address));
+        let others = others.map(|(address, it)| (it.capacity(), address));
+        let own = (!self.stopping).then_some((self.cfg.capacity, self.cfg.address));
+        let mut best: [Option<(CapacityClass, u64, SocketAddrV4)>; 2] = [None; 2];
+        for (capacity, address) in others.chain(own) {
+            let score = rendezvous::score(key, address_hash(address));
+            let ranked = Some((class(capacity), score, address));
             if ranked > best[0] {
                 best = [ranked, best[0]];
             } else if ranked > best[1] {
@@ -315,12 +334,17 @@
             // All other instances are gone, and this one serves the requests that are left.
             return [Some(self.cfg.address), None];
         }
-        best.map(|it| it.map(|(_, address)| address))
+        best.map(|it| it.map(|(_, _, address)| address))
     }
 
     /// Returns the home to ask about a service now.
     pub fn acting_home(&self, now: Time, service: u64) -> Option<SocketAddrV4> {
-        let [first, second] = self.homes(service);
+        self.acting(now, self.homes(service))
+    }
+
+    /// Returns which of the two homes of a key to ask now.
+    pub(super) fn acting(&self, now: Time, ranks: Ranks) -> Option<SocketAddrV4> {
+        let [first, second] = ranks;
         let answers = |it: &SocketAddrV4| !self.placements.is_unresponsive(now, *it);
         first.filter(answers).or(second.filter(answers)).or(first)
     }
--- a/crates/core/src/gateway/state/suspects.rs
+++ b/crates/core/src/gateway/state/suspects.rs
@@ -153,20 +153,20 @@
             if due.is_empty() {
                 continue;
             }
-            let key = fingerprint.rank_key();
+            let ranks = self.homes_of_any_capacity(fingerprint.rank_key());
             if due.is_unanswered
-                && let Some(home) = self.acting_home(now, key)
+                && let Some(home) = self.acting(now, ranks)
             {
                 self.placements.mark_unresponsive(now, home);
             }
             let known = self.suspects.ledger.record(now, fingerprint);
-            for home in self.homes(key).into_iter().flatten() {
+            for home in ranks.into_iter().flatten() {
                 let report = reports.entry(home).or_default();
                 report.records.extend(known.clone());
                 report.renew.extend(&due.renew);
                 report.release.extend(&due.release);
             }
-            if let Some(home) = self.acting_home(now, key) {
+            if let Some(home) = self.acting(now, ranks) {
                 reports
                     .entry(home)
                     .or_default()
