A home decides once for all datagrams that arrived together

Cause: each report triggered a decision over all requests of the service, so that a burst of reports took a decision each, and the last of them waited for all. Change: Gateway::on_datagram applies a report and remembers the service; Gateway::decide_pending decides. The receive loop applies up to 64 datagrams that are already in the socket's buffer before it decides; a single datagram is still decided at once. After a full batch, other tasks get a turn. Conclusion: the cost of a burst grows with the number of batches; not measured under load here.

--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -9,7 +9,7 @@
 
 pub use partitions::UnreachableOutcome;
 pub use peers::{DatagramOutcome, DropReason, GOSSIP_DELAY, TICK};
-pub use places::SendKind;
+pub use places::{HomeDecisions, SendKind};
 
 use super::backoff::Backoffs;
 use super::beacons::Beacons;
@@ -39,7 +39,7 @@
 use places::Reported;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddrV4;
 use std::sync::Arc;
 
@@ -120,6 +120,8 @@
     announce_soon: bool,
     /// What is known as the home of a service's engines, by the hash of the service's name.
     homes: BTreeMap<u64, Home>,
+    /// Services about which this instance received a report since it last decided as their home.
+    undecided: BTreeSet<u64>,
     /// Open placement requests of this instance.
     placements: PlacementTable,
     placement_changes: u64,
@@ -181,6 +183,7 @@
             outbox: Outbox::default(),
             announce_soon: false,
             homes: BTreeMap::new(),
+            undecided: BTreeSet::new(),
             placements: PlacementTable::default(),
             placement_changes: 0,
             pace: BTreeMap::new(),
--- a/crates/core/src/gateway/state/peers.rs
+++ b/crates/core/src/gateway/state/peers.rs
@@ -76,7 +76,8 @@
 }
 
 impl Gateway {
-    /// Handles a datagram of a peer.
+    /// Handles a datagram of a peer. [`Gateway::decide_pending`] must be called afterwards, once
+    /// for all datagrams that were received together.
     ///
     /// # Errors
     ///
@@ -180,8 +181,7 @@
                 }
             }
             Body::PlacementReport(report) => {
-                outcome.decided =
-                    self.on_placement_report(now, datagram.from, report, &mut outcome.send);
+                self.on_placement_report(now, datagram.from, report);
             }
             Body::PlacementAnswer(answer) => {
                 self.on_placement_answer(now, answer);
--- a/crates/core/src/gateway/state/places.rs
+++ b/crates/core/src/gateway/state/places.rs
@@ -51,6 +51,15 @@
     is_empty: bool,
 }
 
+/// Result of [`Gateway::decide_pending`].
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct HomeDecisions {
+    /// Whether a request of this instance may have a decision.
+    pub decided: bool,
+    /// Messages to send at once.
+    pub send: Vec<(SocketAddrV4, Body)>,
+}
+
 /// How a request that is sent to an endpoint runs there.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SendKind {
@@ -355,19 +364,31 @@
         self.homes.get(&service).map_or(0, |it| it.queued_count())
     }
 
-    /// Handles a report as a home, and decides the requests that it makes possible; returns whether
-    /// a request of this instance may have a decision.
+    /// Handles a report as a home. [`Gateway::decide_pending`] decides the requests that it makes
+    /// possible.
     pub(super) fn on_placement_report(
         &mut self,
         now: Time,
         from: MemberUpdate,
         report: PlacementReport,
-        send: &mut Vec<(SocketAddrV4, Body)>,
-    ) -> bool {
+    ) {
         let service = report.service;
         let home = self.homes.entry(service).or_default();
         home.on_report(now, from.address, from.incarnation, report);
-        self.decide(now, service, send)
+        self.undecided.insert(service);
+    }
+
+    /// Decides as the home of all services about which reports were received. To be called after
+    /// [`Gateway::on_datagram`], once for all datagrams that have arrived by then.
+    ///
+    /// A decision is over all requests of a service. Made after each datagram of a burst, decisions
+    /// take so much of the home's processor time that it answers later than instances wait.
+    pub fn decide_pending(&mut self, now: Time) -> HomeDecisions {
+        let mut outcome = HomeDecisions::default();
+        for service in core::mem::take(&mut self.undecided) {
+            outcome.decided |= self.decide(now, service, &mut outcome.send);
+        }
+        outcome
     }
 
     /// Handles a home's answer.
@@ -387,6 +408,7 @@
             self.report_service(now, service, send);
         }
         let services: Vec<u64> = self.homes.keys().copied().collect();
+        self.undecided.clear();
         let mut decided = false;
         for service in services {
             if let Some(home) = self.homes.get_mut(&service) {
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -15,7 +15,7 @@
 use bincode::config::{Configuration, Limit, LittleEndian, Varint, standard};
 use oriolemux_core::gateway::state::{GOSSIP_DELAY, TICK};
 use oriolemux_core::gateway::{Body, Datagram};
-use std::net::SocketAddrV4;
+use std::net::{SocketAddr, SocketAddrV4};
 use std::sync::Arc;
 use tokio::net::UdpSocket;
 use tokio::time::{sleep, timeout};
@@ -24,6 +24,11 @@
 /// each of which may be lost.
 const MAX_DATAGRAM: usize = 16 * 1024;
 
+/// How many datagrams are applied before the home of a service decides about its requests. Its
+/// decisions take longer than applying a report; a burst of reports that is decided one by one
+/// fills the socket's buffer. The bound keeps the time short within which callers are not served.
+const MAX_BATCH: usize = 64;
+
 fn datagram_format() -> Configuration<LittleEndian, Varint, Limit<MAX_DATAGRAM>> {
     standard().with_limit::<MAX_DATAGRAM>()
 }
@@ -75,6 +80,8 @@
 }
 
 /// Receives datagrams of peers. Never returns.
+///
+/// All datagrams that the socket's buffer holds are applied before this instance decides as a home.
 pub async fn receive_loop<W: Wire>(cx: Arc<Cx<W>>, socket: Arc<UdpSocket>) {
     let mut buf = vec![0; MAX_DATAGRAM];
     loop {
@@ -85,25 +92,50 @@
                 continue;
             }
         };
-        let decoded =
-            bincode::serde::decode_from_slice::<Datagram, _>(&buf[..length], datagram_format());
-        match decoded {
-            Ok((datagram, _)) => on_datagram(&cx, &socket, datagram).await,
-            Err(error) => {
-                log::debug!("cannot decode a datagram from {from}: {error}");
-                log_dropped(from, "unreadable");
-            }
+        let mut send = on_bytes(&cx, &buf[..length], from);
+        let mut batch = 1;
+        while batch < MAX_BATCH
+            && let Ok((length, from)) = socket.try_recv_from(&mut buf)
+        {
+            send.append(&mut on_bytes(&cx, &buf[..length], from));
+            batch += 1;
+        }
+        let now = cx.now();
+        let mut decisions = cx.state().decide_pending(now);
+        if decisions.decided {
+            cx.decided.notify_waiters();
+        }
+        send.append(&mut decisions.send);
+        send_all(&cx, &socket, send).await;
+        if batch == MAX_BATCH {
+            // More are waiting, and requests of callers must not wait for all of them.
+            tokio::task::yield_now().await;
+        }
+    }
+}
+
+/// Applies a datagram; returns the messages to send.
+fn on_bytes<W: Wire>(cx: &Cx<W>, bytes: &[u8], from: SocketAddr) -> Vec<(SocketAddrV4, Body)> {
+    match bincode::serde::decode_from_slice::<Datagram, _>(bytes, datagram_format()) {
+        Ok((datagram, _)) => on_datagram(cx, datagram),
+        Err(error) => {
+            log::debug!("cannot decode a datagram from {from}: {error}");
+            log_dropped(from, "unreadable");
+            Vec::new()
         }
     }
 }
 
-async fn on_datagram<W: Wire>(cx: &Cx<W>, socket: &UdpSocket, datagram: Datagram) {
+fn on_datagram<W: Wire>(cx: &Cx<W>, datagram: Datagram) -> Vec<(SocketAddrV4, Body)> {
     let now = cx.now();
     let (from, incarnation) = (datagram.from.address, datagram.from.incarnation);
     let received = cx.state().on_datagram(now, datagram);
     let received = match received {
         Ok(received) => received,
-        Err(why) => return log_dropped(from, why.label()),
+        Err(why) => {
+            log_dropped(from, why.label());
+            return Vec::new();
+        }
     };
     cx.announce_leaving(&received.leaving);
     for (cordon, effect) in &received.cordons {
@@ -130,7 +162,7 @@
     if received.suspects_changed {
         cx.announce_suspects();
     }
-    send_all(cx, socket, received.send).await;
+    received.send
 }
 
 fn log_dropped(from: impl core::fmt::Display, why: &str) {
