A home keeps the usage over all instances as running sums

Cause: each decision added up the reports and reservations of all instances. Change: UsageSums is updated when a report replaces another, expires, or a grant is reserved or released. Reservations can only be changed together with the sums. Conclusion: a decision reads one entry for each engine, however many instances report.

--- a/crates/core/src/gateway/home.rs
+++ b/crates/core/src/gateway/home.rs
@@ -11,6 +11,7 @@
 mod ejections;
 mod message;
 mod queued;
+mod sums;
 
 pub use ejections::HomeEjection;
 pub use message::{PlacementAnswer, PlacementMessage, PlacementReport};
@@ -29,6 +30,7 @@
 use ejections::Ejections;
 use std::collections::BTreeMap;
 use std::net::SocketAddrV4;
+use sums::{Reservations, UsageSums};
 
 /// Interval at which an instance that uses or requests engines of a service reports, even if
 /// nothing changed.
@@ -60,13 +62,15 @@
     owes_answer: bool,
     view_sent_at: Option<Time>,
     /// Grants that no report includes yet.
-    reserved: BTreeMap<u64, (EndpointKey, Usage)>,
+    reserved: Reservations,
 }
 
 /// The instances that report about one service.
 #[derive(Clone, Debug, Default)]
 pub struct Home {
     reporters: BTreeMap<SocketAddrV4, Reporter>,
+    /// What the reports and reservations of all reporters add up to.
+    sums: UsageSums,
     /// Engines that instances recently found unusable.
     ejections: Ejections,
     /// Ejections that were not taken yet.
@@ -87,21 +91,19 @@
         incarnation: Incarnation,
         report: PlacementReport,
     ) {
-        let known = self
-            .reporters
-            .get_mut(&from)
-            .filter(|it| it.incarnation == incarnation);
+        let known = self.reporters.get_mut(&from);
         let (viewed, mut reserved) = match known {
+            Some(known) if known.incarnation != incarnation => (None, Reservations::default()),
             Some(known) if known.number >= report.number => return,
             Some(known) => (known.view_sent_at, core::mem::take(&mut known.reserved)),
-            None => (None, BTreeMap::new()),
+            None => (None, Reservations::default()),
         };
         let requests = report.requests.into_iter().take(MAX_QUEUED_PER_INSTANCE);
         let requests: Vec<PlacementRequest> = requests.map(|it| it.into_request(now)).collect();
         // A grant of an engine that the request excludes by now cannot be used.
-        reserved.retain(|id, (key, _)| {
+        reserved.retain(&mut self.sums, |id, key| {
             let mut open = requests.iter();
-            open.any(|it| it.queued.id == *id && !it.exclude.contains(key))
+            open.any(|it| it.queued.id == id && !it.exclude.contains(&key))
         });
         for &engine in &report.ejected {
             let known = self.reporters.get(&from);
@@ -125,13 +127,21 @@
             view_sent_at: viewed,
             reserved,
         };
-        self.reporters.insert(from, reporter);
+        reporter.add_report_to(&mut self.sums);
+        if let Some(replaced) = self.reporters.insert(from, reporter) {
+            replaced.subtract_from(&mut self.sums);
+        }
     }
 
     /// Removes expired reports.
     pub fn tick(&mut self, now: Time) {
-        self.reporters
-            .retain(|_, it| now.since(it.received_at) < REPORT_TTL);
+        self.reporters.retain(|_, it| {
+            let is_kept = now.since(it.received_at) < REPORT_TTL;
+            if !is_kept {
+                it.subtract_from(&mut self.sums);
+            }
+            is_kept
+        });
         self.ejections.tick(now);
         self.limited_grants.tick(now);
     }
@@ -164,15 +174,16 @@
 
     /// Returns what all instances except `except` run.
     pub fn others(&self, now: Time, except: Option<SocketAddrV4>) -> PeerUsage {
-        let mut others = PeerUsage::default();
-        others.ejected.extend(self.ejections.ejected(now));
-        let counted = self.reporters.iter().filter(|it| Some(*it.0) != except);
-        for (_, reporter) in counted {
-            for &(key, used) in reporter.used.iter().chain(reporter.reserved.values()) {
-                others.add(key, used);
+        let excepted = except.and_then(|it| self.reporters.get(&it));
+        let mut others = match excepted {
+            Some(reporter) => {
+                let mut sums = self.sums.clone();
+                reporter.subtract_from(&mut sums);
+                sums.total()
             }
-            others.failing.extend(&reporter.failing);
-        }
+            None => self.sums.total(),
+        };
+        others.ejected.extend(self.ejections.ejected(now));
         others
     }
 
@@ -225,9 +236,8 @@
     /// for that reason asks again, and must not be granted the same engine.
     fn release_unusable(&mut self, endpoints: &EndpointTable) {
         for reporter in self.reporters.values_mut() {
-            reporter
-                .reserved
-                .retain(|_, (key, _)| endpoints.is_usable(*key));
+            let reserved = &mut reporter.reserved;
+            reserved.retain(&mut self.sums, |_, key| endpoints.is_usable(key));
         }
     }
 
@@ -256,6 +266,26 @@
 }
 
 impl Reporter {
+    /// Adds what the instance reported to the sums. Its reservations are part of them already.
+    fn add_report_to(&self, sums: &mut UsageSums) {
+        for &(key, used) in &self.used {
+            sums.add(key, used);
+        }
+        for &key in &self.failing {
+            sums.add_failing(key);
+        }
+    }
+
+    /// Subtracts the report and the reservations of the instance from the sums.
+    fn subtract_from(&self, sums: &mut UsageSums) {
+        for (key, used) in self.used.iter().copied().chain(self.reserved.all()) {
+            sums.subtract(key, used);
+        }
+        for &key in &self.failing {
+            sums.subtract_failing(key);
+        }
+    }
+
     fn queued(&self, request: &PlacementRequest) -> QueuedPlacement {
         QueuedPlacement {
             request: request.clone(),
@@ -267,7 +297,7 @@
     fn has_queued_request(&self) -> bool {
         let mut requests = self.requests.iter();
         requests.any(|it| {
-            it.kind == PlacementKind::Queued && !self.reserved.contains_key(&it.queued.id)
+            it.kind == PlacementKind::Queued && self.reserved.engine(it.queued.id).is_none()
         })
     }
 }
--- a/crates/core/src/gateway/home/copies.rs
+++ b/crates/core/src/gateway/home/copies.rs
@@ -29,7 +29,7 @@
                         continue;
                     }
                     let id = request.queued.id;
-                    let granted = reporter.reserved.get(&id).map(|(key, _)| *key);
+                    let granted = reporter.reserved.engine(id);
                     let world = PlacementContext {
                         now,
                         endpoints: engines.endpoints,
@@ -52,7 +52,7 @@
                     if let (Ok(key), None) = (place, granted) {
                         let used = request.reserved_usage();
                         others.add(key, used);
-                        reporter.reserved.insert(id, (key, used));
+                        reporter.reserved.insert(&mut self.sums, id, key, used);
                     }
                     decided.entry(*from).or_default().push((id, decision));
                 }
--- a/crates/core/src/gateway/home/queued.rs
+++ b/crates/core/src/gateway/home/queued.rs
@@ -33,9 +33,9 @@
                 .iter()
                 .filter(|it| it.kind == PlacementKind::Queued)
             {
-                match reporter.reserved.get(&request.queued.id) {
-                    Some((key, _)) => {
-                        let decision = (request.queued.id, PlacementDecision::Granted(*key));
+                match reporter.reserved.engine(request.queued.id) {
+                    Some(key) => {
+                        let decision = (request.queued.id, PlacementDecision::Granted(key));
                         decided.entry(*from).or_default().push(decision);
                     }
                     None => waiting.push((*from, reporter.queued(request))),
@@ -63,9 +63,8 @@
                 if engines.rate_limit(now, key).is_some() {
                     self.limited_grants.record(now, key);
                 }
-                reporter
-                    .reserved
-                    .insert(id, (key, queued.request.reserved_usage()));
+                let used = queued.request.reserved_usage();
+                reporter.reserved.insert(&mut self.sums, id, key, used);
             }
             decided.entry(*from).or_default().push((id, decision));
         }
