--- a/crates/core/src/gateway/home/copies.rs
+++ b/crates/core/src/gateway/home/copies.rs
@@ -40,7 +40,7 @@
                 continue;
             };
             let queued = request.queued;
-            let granted = reporter.reserved.get(&queued.id).map(|(key, _)| *key);
+            let granted = reporter.reserved.engine(queued.id);
             let world = reporter.context(now, engines, holds.beside(others));
             let place = match granted {
                 Some(key) => Ok(key),
@@ -55,7 +55,7 @@
                 (Ok(key), None) => {
                     let used = request.reserved_usage();
                     holds.grant(others, key, used);
-                    reporter.reserved.insert(queued.id, (key, used));
+                    reporter.reserved.insert(&mut self.sums, queued.id, key, used);
                 }
                 (Err(PlacementError::Full), _) => {
                     if let Some(engine) = hold_for(world, engines, &request, &no_room) {
@@ -83,7 +83,7 @@
         for (from, reporter) in self.reporters.iter_mut().filter(|(_, it)| it.decides) {
             for request in reporter.requests.iter().filter(|it| !it.kind.is_queued()) {
                 let id = request.queued.id;
-                let granted = reporter.reserved.get(&id).map(|(key, _)| *key);
+                let granted = reporter.reserved.engine(id);
                 let is_immediate = request.kind == PlacementKind::Immediate;
                 let is_before = |held| is_immediate && request.queued.priority < held;
                 let usage = match holds.most_urgent().is_some_and(is_before) {
@@ -103,7 +103,7 @@
                 if let (Ok(key), None) = (place, granted) {
                     let used = request.reserved_usage();
                     holds.grant(others, key, used);
-                    reporter.reserved.insert(id, (key, used));
+                    reporter.reserved.insert(&mut self.sums, id, key, used);
                 }
                 decided.entry(*from).or_default().push((id, decision));
             }
