Queue of a home: cheap requests first under overload, and headroom for urgent ones

Cause: while more is requested than the engines hold, the queue was ordered by age only. A long generation took the KV cache of several short answers, and urgent requests waited for the end of less urgent generations that held all memory for seconds.

Change: if not every queued request can be placed at once, requests in time are ordered by priority, then by class of expected cost (KV cache tokens times output and prefill, classes of a factor of two relative to the cheapest of the priority), then newest first as before. A request that has waited for half of the time in which it is in time is promoted by one class for each further tenth, at most to the class of the cheapest. Less urgent requests leave free the share of the engines that more urgent ones needed in the last two seconds, at most 0.15.

A property test compares the decisions for one workspace, one priority and equal costs with the previous order, and they are the same.

Conclusion: deployments without overload, or with equal requests, decide as before.

--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -22,6 +22,7 @@
 //! | [`engines`] | what a home needs to know of a service |
 //! | [`placement`] | placement requests to the home of a service, and the fallback without a home |
 //! | [`home`] | the state of a home, and how it assigns the room of its engines |
+//! | [`headroom`] | capacity that is kept free for urgent requests |
 //! | [`queue`] | the order in which queued requests get room |
 //! | [`choose`] | the endpoint for a request, and the engine for a standby copy |
 //! | [`relocation`] | when a generation leaves its engine, and which events its caller gets |
@@ -49,6 +50,7 @@
 pub mod engines;
 pub mod fleet_size;
 pub mod gossip;
+pub mod headroom;
 pub mod home;
 pub mod lengths;
 pub mod members;
--- a/crates/core/src/gateway/choose.rs
+++ b/crates/core/src/gateway/choose.rs
@@ -142,6 +142,8 @@
 #[derive(Clone, Debug)]
 pub(super) struct EngineCapacities<'a> {
     limits: EngineLimits,
+    /// Share of each engine's KV cache that may be reserved.
+    share: f64,
     engines: Vec<EngineCapacity<'a>>,
 }
 
@@ -183,10 +185,24 @@
     if engines.is_empty() {
         return Err(why_none(context, demand.service));
     }
-    Ok(EngineCapacities { limits, engines })
+    Ok(EngineCapacities {
+        limits,
+        share: KV_CACHE_SHARE,
+        engines,
+    })
 }
 
 impl EngineCapacities<'_> {
+    /// Returns the KV cache of all engines together.
+    pub(super) fn total_kv_cache_tokens(&self) -> u64 {
+        u64::from(self.limits.kv_cache_tokens) * self.engines.len() as u64
+    }
+
+    /// Leaves a share of each engine's KV cache free in further reservations.
+    pub(super) fn leave_free(&mut self, headroom: f64) {
+        self.share = KV_CACHE_SHARE - headroom;
+    }
+
     /// Reserves capacity for a request at the engine with the lowest cost, and returns the engine.
     ///
     /// # Errors
@@ -217,13 +233,13 @@
     ) -> Result<EndpointKey, PlacementError> {
         let QueuedRequest { tokens, prompt, .. } = placement.request.queued;
         let data_centre = placement.data_centre.as_str();
-        let limits = self.limits;
+        let (limits, share) = (self.limits, self.share);
         let fitting = self.engines.iter_mut().filter(|capacity| {
             !capacity.is_held
                 && capacity.rate_remaining != Some(0)
                 && !excluded(capacity)
                 && capacity.used.pending_prefill < MAX_PENDING_PREFILL
-                && fits(capacity.used, tokens, limits, KV_CACHE_SHARE)
+                && fits(capacity.used, tokens, limits, share)
         });
         let cost = |capacity: &EngineCapacity<'_>| {
             let away = if capacity.data_centre == data_centre {
--- a/crates/core/src/gateway/home.rs
+++ b/crates/core/src/gateway/home.rs
@@ -18,7 +18,7 @@
 use super::cold::{HOME_SHARE, SlidingWindowCounter};
 use super::endpoints::EndpointTable;
 use super::engines::Engines;
-use super::queue::MAX_QUEUED_PER_INSTANCE;
+use super::queue::{MAX_QUEUED_PER_INSTANCE, RecentGrants};
 use super::request::{
     PlacementDecision, PlacementKind, PlacementRequest, QueuedPlacement, service_hash,
 };
@@ -73,6 +73,8 @@
     new_ejections: Vec<HomeEjection>,
     /// Requests granted at engines with a rate limit.
     limited_grants: SlidingWindowCounter,
+    /// Requests granted recently, which decide the order of the queue under overload.
+    recent_grants: RecentGrants,
 }
 
 /// Decisions by the instance to which they are sent.
@@ -134,6 +136,7 @@
             .retain(|_, it| now.since(it.received_at) < REPORT_TTL);
         self.ejections.tick(now);
         self.limited_grants.tick(now);
+        self.recent_grants.tick(now);
     }
 
     /// Takes the ejections since the last call.
--- a/crates/core/src/gateway/home/queued.rs
+++ b/crates/core/src/gateway/home/queued.rs
@@ -51,6 +51,7 @@
             world,
             engines,
             left,
+            &self.recent_grants,
             waiting.iter().map(|(_, queued)| queued),
         );
         for ((from, queued), place) in waiting.iter().zip(places) {
@@ -63,6 +64,7 @@
                 if engines.rate_limit(now, key).is_some() {
                     self.limited_grants.record(now, key);
                 }
+                self.recent_grants.record(now, &queued.request.queued);
                 reporter
                     .reserved
                     .insert(id, (key, queued.request.reserved_usage()));
--- a/crates/core/src/gateway/queue.rs
+++ b/crates/core/src/gateway/queue.rs
@@ -7,11 +7,14 @@
 //! same few milliseconds and use its room at once; all but one request would then wait inside an
 //! overfull engine (`docs/design/policy.md`).
 
-use super::choose::{PlacementContext, capacities};
+use super::choose::{EngineCapacities, PlacementContext, capacities};
 use super::engines::Engines;
+use super::headroom::{Headroom, RecentDemand};
 use super::request::{Demand, PlacementError, QueuedPlacement, QueuedRequest};
 use crate::ids::EndpointKey;
 use crate::time::Time;
+use core::time::Duration;
+use std::collections::BTreeMap;
 
 /// Share of its latency target after which a queued request counts as late. Its prompt still has to
 /// be prefilled, which takes about 0.7 s on a shared engine.
@@ -21,20 +24,136 @@
 /// further ones itself once they time out.
 pub const MAX_QUEUED_PER_INSTANCE: usize = 64;
 
+/// The cost of a prefill, in output tokens: it takes about as long as this many of them.
+const PREFILL_OUTPUT: f64 = 50.0;
+
+/// Share of the time in which a request counts as in time after which it is promoted.
+const AGEING_START: f64 = 0.5;
+
+/// Share of that time after which it is promoted by one more cost class.
+const AGEING_STEP: f64 = 0.1;
+
 impl QueuedRequest {
-    /// Returns the sort key at `now`; the lowest is served first.
+    fn in_time_for(&self) -> Duration {
+        self.target.mul_f64(LATE_AFTER_TARGETS)
+    }
+
+    fn is_late(&self, now: Time) -> bool {
+        now.since(self.arrived) >= self.in_time_for()
+    }
+
+    /// Returns its rank at `now` among requests of its kind; the lowest is served first.
     ///
     /// Late requests yield to all that can still meet their target. Among those in time the newest
     /// is served first: under overload, an order by age or deadline would make all of them late,
     /// one after the other. Among the late ones the oldest is served first, so that none starves.
-    fn sort_key(&self, now: Time) -> (bool, u8, u64, u64) {
-        let is_late = now.since(self.arrived) >= self.target.mul_f64(LATE_AFTER_TARGETS);
+    fn rank(&self, now: Time) -> Rank {
+        let is_late = self.is_late(now);
         let arrived = self.arrived.as_micros();
-        let rank = if is_late { arrived } else { u64::MAX - arrived };
-        (is_late, self.priority, rank, self.id)
+        Rank {
+            is_late,
+            priority: self.priority,
+            cost_class: 0,
+            by_age: if is_late { arrived } else { u64::MAX - arrived },
+            id: self.id,
+        }
     }
+
+    /// Returns its expected use of capacity: KV cache tokens times output tokens.
+    fn cost(&self) -> f64 {
+        f64::from(self.tokens.max(1)) * (f64::from(self.output) + PREFILL_OUTPUT)
+    }
+
+    /// Returns by how many cost classes it is promoted because it has waited for long.
+    fn promotion(&self, now: Time) -> u32 {
+        let in_time = self.in_time_for().as_secs_f64();
+        let waited = now.since(self.arrived).as_secs_f64();
+        // Late requests have no cost class, and the share is below one for all others.
+        let share = (waited / in_time.max(f64::MIN_POSITIVE)).min(1.0);
+        ((share - AGEING_START).max(0.0) / AGEING_STEP) as u32
+    }
+}
+
+/// The sort key of a queued request; the lowest is served first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Rank {
+    is_late: bool,
+    priority: u8,
+    cost_class: u32,
+    by_age: u64,
+    id: u64,
+}
+
+/// The order in which requests are served while not all of them can be placed.
+///
+/// Cheap requests precede expensive ones, because the same capacity then serves more callers in
+/// time. Costs are compared in classes of a factor of two, relative to the cheapest request of the
+/// same priority, so that estimates that differ by little do not change the order. A request is
+/// promoted at most to the class of the cheapest one: among equal costs, age changes nothing.
+fn contended_order(now: Time, all: &[&QueuedPlacement]) -> Vec<usize> {
+    let requests = || all.iter().map(|it| &it.request.queued);
+    let mut cheapest: BTreeMap<u8, f64> = BTreeMap::new();
+    for request in requests().filter(|it| !it.is_late(now)) {
+        let least = cheapest.entry(request.priority).or_insert(f64::INFINITY);
+        *least = least.min(request.cost());
+    }
+    let ranks: Vec<Rank> = requests()
+        .map(|request| {
+            let rank = request.rank(now);
+            match cheapest.get(&request.priority) {
+                Some(least) if !rank.is_late => {
+                    let class = cost_class(request.cost() / least);
+                    let cost_class = class.saturating_sub(request.promotion(now));
+                    Rank { cost_class, ..rank }
+                }
+                _ => rank,
+            }
+        })
+        .collect();
+    sorted(&ranks)
 }
 
+/// Returns the class of a cost that is `ratio` times the lowest one: 0 up to twice as much, 1 up to
+/// four times, and so on.
+fn cost_class(ratio: f64) -> u32 {
+    (ratio.max(1.0).log2().ceil() as u32).saturating_sub(1)
+}
+
+/// Returns the order in which requests are served while all of them can be placed.
+fn usual_order(now: Time, all: &[&QueuedPlacement]) -> Vec<usize> {
+    let requests = all.iter().map(|it| &it.request.queued);
+    let ranks: Vec<Rank> = requests.map(|it| it.rank(now)).collect();
+    sorted(&ranks)
+}
+
+fn sorted(ranks: &[Rank]) -> Vec<usize> {
+    let mut order: Vec<usize> = (0..ranks.len()).collect();
+    order.sort_by_key(|&at| ranks[at]);
+    order
+}
+
+/// What a home remembers of its recent grants. A new home starts without and observes its own.
+#[derive(Clone, Debug, Default)]
+pub struct RecentGrants {
+    /// Grants by priority.
+    pub by_priority: RecentDemand,
+}
+
+impl RecentGrants {
+    /// Records a grant.
+    pub fn record(&mut self, now: Time, request: &QueuedRequest) {
+        self.by_priority.record(now, request);
+    }
+
+    /// Removes what is too old to matter.
+    pub fn tick(&mut self, now: Time) {
+        self.by_priority.tick(now);
+    }
+}
+
+/// The results for all requests, in the order in which they were given.
+type Places = Vec<Result<EndpointKey, PlacementError>>;
+
 /// Assigns engines to all of `waiting`, and returns the results in the order of `waiting`.
 ///
 /// Requests are served in queue order. For the first one that does not fit anywhere, the engine
@@ -45,24 +164,62 @@
     context: PlacementContext<'_>,
     engines: Engines<'_>,
     rate_remaining: impl Fn(EndpointKey) -> Option<u32>,
+    recent: &RecentGrants,
     waiting: impl Iterator<Item = &'a QueuedPlacement>,
-) -> Vec<Result<EndpointKey, PlacementError>> {
+) -> Places {
     let all: Vec<&QueuedPlacement> = waiting.collect();
-    let mut order: Vec<usize> = (0..all.len()).collect();
-    order.sort_by_key(|&at| all[at].request.queued.sort_key(context.now));
     let demand = Demand {
         service: engines.service,
         engine: Some(engines.limits),
         tokens: 0,
         exclude: &[],
     };
-    let mut capacities = match capacities(context, &demand, rate_remaining) {
+    let capacities = match capacities(context, &demand, rate_remaining) {
         Ok(capacities) => capacities,
         Err(why) => return vec![Err(why); all.len()],
     };
+    let now = context.now;
+    let requests = all.iter().map(|it| &it.request.queued);
+    let total = capacities.total_kv_cache_tokens();
+    let headroom = recent.by_priority.headroom(now, requests, total);
+    let usual = usual_order(now, &all);
+    let contended = contended_order(now, &all);
+    let placed = match usual == contended {
+        true => None,
+        false => place_all(capacities.clone(), &headroom, &all, &usual),
+    };
+    placed.unwrap_or_else(|| place_most(capacities, &headroom, &all, &contended))
+}
+
+/// Places all requests in `order`; `None` if one of them finds all engines full.
+fn place_all(
+    mut capacities: EngineCapacities<'_>,
+    headroom: &Headroom,
+    all: &[&QueuedPlacement],
+    order: &[usize],
+) -> Option<Places> {
+    let mut places = vec![Err(PlacementError::NoEndpoint); all.len()];
+    for &at in order {
+        capacities.leave_free(headroom.below(all[at].request.queued.priority));
+        places[at] = capacities.reserve(all[at]);
+        if places[at] == Err(PlacementError::Full) {
+            return None;
+        }
+    }
+    Some(places)
+}
+
+/// Places as many requests as fit in `order`.
+fn place_most(
+    mut capacities: EngineCapacities<'_>,
+    headroom: &Headroom,
+    all: &[&QueuedPlacement],
+    order: &[usize],
+) -> Places {
     let mut places = vec![Err(PlacementError::NoEndpoint); all.len()];
     let mut is_held = false;
-    for at in order {
+    for &at in order {
+        capacities.leave_free(headroom.below(all[at].request.queued.priority));
         places[at] = capacities.reserve(all[at]);
         if places[at] == Err(PlacementError::Full) && !is_held {
             capacities.hold_largest(all[at]);
--- a/crates/core/tests/gateway_queue.rs
+++ b/crates/core/tests/gateway_queue.rs
@@ -9,7 +9,7 @@
 use oriolemux_core::gateway::endpoints::EndpointTable;
 use oriolemux_core::gateway::engines::Engines;
 use oriolemux_core::gateway::pace;
-use oriolemux_core::gateway::queue::assign;
+use oriolemux_core::gateway::queue::{RecentGrants, assign};
 use oriolemux_core::gateway::rate_limits::RateLimits;
 use oriolemux_core::gateway::request::{
     PlacementError, PlacementKind, PlacementRequest, QueuedPlacement, QueuedRequest, service_hash,
@@ -17,6 +17,7 @@
 use oriolemux_core::gateway::usage::{PeerUsage, Usage, UsageTable};
 use oriolemux_core::{EndpointKey, Time};
 use proptest::prelude::*;
+use rstest::rstest;
 
 const NOW: Time = Time::from_secs(100);
 
@@ -32,6 +33,7 @@
     usage: UsageTable,
     others: PeerUsage,
     queue: Vec<QueuedRequest>,
+    recent: RecentGrants,
 }
 
 fn engine(number: usize) -> EndpointKey {
@@ -45,6 +47,7 @@
         usage: UsageTable::default(),
         others: PeerUsage::default(),
         queue: Vec::new(),
+        recent: RecentGrants::default(),
     };
     for (number, &tokens) in taken.iter().enumerate() {
         fleet
@@ -84,7 +87,7 @@
             live: 1,
             pace: &pace::UNKNOWN,
         };
-        assign(context, engines, |_| None, all.iter())
+        assign(context, engines, |_| None, &self.recent, all.iter())
     }
 
     fn enqueue(&mut self, waiters: &[QueuedRequest]) {
@@ -228,11 +231,182 @@
     assert_eq!(QueuedRequest::from_report(NOW, &one.to_report(NOW)), one);
 }
 
+/// Returns a request for this many tokens of KV cache and output.
+fn costing(id: u64, age_ms: u64, tokens: u32, output: u32) -> QueuedRequest {
+    QueuedRequest {
+        output,
+        ..queued_request(id, age_ms, tokens)
+    }
+}
+
+/// Guards against few callers being served under overload: a long generation took the room of
+/// several short ones because it was newer.
+#[test]
+fn cheap_requests_precede_expensive_ones_while_room_is_short() {
+    let mut fleet = fleet(&[16_000]);
+    let (long, short) = (costing(1, 10, 3_400, 750), costing(2, 400, 3_000, 40));
+    fleet.enqueue(&[long, short]);
+
+    assert_eq!(fleet.place(&long), Err(PlacementError::Full));
+    assert_eq!(fleet.place(&short), Ok(engine(0)));
+}
+
+/// Guards against estimates that differ by little turning the order from newest to oldest first.
+#[test]
+fn nearly_equal_costs_are_served_newest_first() {
+    let mut fleet = fleet(&[16_000]);
+    let (newer, older) = (costing(1, 10, 3_400, 800), costing(2, 400, 3_000, 750));
+    fleet.enqueue(&[newer, older]);
+
+    assert_eq!(fleet.place(&newer), Ok(engine(0)));
+    assert_eq!(fleet.place(&older), Err(PlacementError::Full));
+}
+
+/// Guards against starvation of long generations: while short ones keep arriving, each of them
+/// would precede a long one until it is late.
+#[test]
+fn requests_that_wait_for_long_are_promoted() {
+    let place_long = |age_ms| {
+        let mut fleet = fleet(&[16_000]);
+        let (long, short) = (costing(1, age_ms, 3_400, 350), costing(2, 1_020, 3_400, 50));
+        fleet.enqueue(&[long, short]);
+        fleet.place(&long)
+    };
+
+    assert_eq!(place_long(600), Err(PlacementError::Full), "no promotion");
+    assert_eq!(place_long(870), Ok(engine(0)), "by three classes");
+}
+
+/// Guards against a different choice of engines while there is room for all.
+#[test]
+fn costs_do_not_matter_while_there_is_room_for_all() {
+    let mut fleet = fleet(&[10_000, 16_000]);
+    let (long, short) = (costing(1, 10, 3_400, 750), costing(2, 400, 3_000, 40));
+    fleet.enqueue(&[long, short]);
+
+    assert_eq!(fleet.place(&long), Ok(engine(0)), "the newest goes first");
+    assert!(fleet.place(&short).is_ok());
+}
+
+fn urgent(id: u64, tokens: u32) -> QueuedRequest {
+    QueuedRequest {
+        priority: 0,
+        ..costing(id, 10, tokens, 50)
+    }
+}
+
+/// Guards against urgent requests that wait for the end of a long generation, because less urgent
+/// ones took all room between two bursts.
+#[test]
+fn less_urgent_requests_leave_room_for_urgent_ones() {
+    let mut fleet = fleet(&[16_000]);
+    for id in 10..13 {
+        fleet.recent.record(NOW, &urgent(id, 2_000));
+    }
+    let usual = queued_request(1, 10, 3_000);
+    let late_urgent = urgent(2, 3_000);
+
+    assert_eq!(fleet.place(&usual), Err(PlacementError::Full));
+    assert_eq!(fleet.place(&late_urgent), Ok(engine(0)));
+}
+
+/// Guards against idle capacity: room was kept for urgent requests that no longer arrive, or for
+/// requests that are not more urgent than the ones that wait.
+#[rstest]
+#[case::two_seconds_ago(0, 2_200)]
+#[case::of_the_same_priority(1, 0)]
+fn no_room_is_left_without_urgent_requests(#[case] priority: u8, #[case] ago_ms: u64) {
+    let mut fleet = fleet(&[16_000]);
+    let at = NOW.before(Duration::from_millis(ago_ms)).expect("a time");
+    for id in 10..13 {
+        let granted = QueuedRequest {
+            priority,
+            ..urgent(id, 2_000)
+        };
+        fleet.recent.record(at, &granted);
+    }
+
+    let placed = fleet.place(&queued_request(1, 10, 3_000));
+
+    assert_eq!(placed, Ok(engine(0)));
+}
+
+/// Guards against starvation of less urgent requests by a flood of urgent ones.
+#[test]
+fn at_most_a_limited_share_is_left_for_urgent_requests() {
+    let mut fleet = fleet(&[13_000]);
+    for id in 10..200 {
+        fleet.recent.record(NOW, &urgent(id, 6_000));
+    }
+
+    let placed = fleet.place(&queued_request(1, 10, 3_000));
+
+    assert_eq!(placed, Ok(engine(0)));
+}
+
+/// Places requests one after the other, the newest of those in time first and then the oldest of
+/// the late ones.
+fn place_newest_first(
+    taken: &[u32],
+    all: &[QueuedRequest],
+) -> Vec<Result<EndpointKey, PlacementError>> {
+    let mut fleet = fleet(taken);
+    let late = Duration::from_millis(1_080);
+    let mut order: Vec<usize> = (0..all.len()).collect();
+    order.sort_by_key(|&at| {
+        let is_late = NOW.since(all[at].arrived) >= late;
+        let arrived = all[at].arrived.as_micros();
+        let age = if is_late { arrived } else { u64::MAX - arrived };
+        (is_late, age, all[at].id)
+    });
+    let mut places = vec![Err(PlacementError::Full); all.len()];
+    let mut held = None;
+    for at in order {
+        let mut one = queued_placement(all[at]);
+        one.request.exclude.extend(held);
+        places[at] = match fleet.assign(&[one])[0] {
+            Err(PlacementError::NoEndpoint) => Err(PlacementError::Full),
+            place => place,
+        };
+        match places[at] {
+            Ok(key) => fleet.usage.begin(key, all[at].tokens, all[at].prompt),
+            Err(_) if held.is_none() => {
+                let keys = (0..taken.len()).map(engine);
+                // The table of endpoints is ordered by key, and the first of equal engines is held.
+                let mut keys: Vec<EndpointKey> = keys.collect();
+                keys.sort();
+                held = keys
+                    .into_iter()
+                    .min_by_key(|it| fleet.usage.own(*it).tokens);
+            }
+            Err(_) => {}
+        }
+    }
+    places
+}
+
 fn any_queued_request() -> impl Strategy<Value = (u64, u32)> {
     (0_u64..2_500, 500_u32..7_000)
 }
 
 proptest! {
+    /// Guards against changes for deployments that need none: with one workspace, one priority and
+    /// equal costs, all decisions are those of the order by age, for any queue and any load.
+    #[test]
+    fn equal_requests_are_served_newest_first(
+        taken in prop::collection::vec(0_u32..20_000, 1..8),
+        ages in prop::collection::vec(0_u64..2_500, 1..30),
+    ) {
+        let fleet = fleet(&taken);
+        let ids = ages.iter().zip(1_u64..);
+        let all: Vec<QueuedRequest> = ids.map(|(&age, id)| queued_request(id, age, 3_000)).collect();
+        let waiting: Vec<QueuedPlacement> = all.iter().copied().map(queued_placement).collect();
+
+        let placed = fleet.assign(&waiting);
+
+        prop_assert_eq!(placed, place_newest_first(&taken, &all));
+    }
+
     /// For any queue: all requests that are placed at once fit into their engines.
     #[test]
     fn placed_requests_fit_into_their_engines(
