--- a/crates/core/src/gateway/home/copies.rs
+++ b/crates/core/src/gateway/home/copies.rs
@@ -14,6 +14,11 @@
 use core::cmp::Reverse;
 use std::net::SocketAddrV4;
 
+/// Share of what a home may grant at an engine with a rate limit that pre-copies may use. A
+/// generation resumes up to 1.1 s after the grant, so the resumes of two windows may arrive within
+/// one second; with this share they stay within the overshoot that a cold engine tolerates.
+const COLD_COPY_SHARE: f64 = 0.67;
+
 /// The usage by this instance alone, which is part of the reports.
 static NO_OWN_USAGE: UsageTable = UsageTable::new();
 
@@ -35,6 +40,7 @@
         }
         requests.sort_by_key(|(_, request)| Reverse(request.queued.tokens));
         let no_room = self.without_room();
+        let share = COLD_COPY_SHARE * self.granted_share(&engines);
         for (from, request) in requests {
             let Some(reporter) = self.reporters.get_mut(&from) else {
                 continue;
@@ -42,9 +48,16 @@
             let queued = request.queued;
             let granted = reporter.reserved.engine(queued.id);
             let world = reporter.context(now, engines, holds.beside(others));
+            let is_at_limit = |key: &EndpointKey| {
+                let rate = engines.rate_limit(now, *key);
+                rate.is_some_and(|it| self.limited_grants.remaining(now, *key, it * share) == 0)
+            };
+            let mut unusable = engines.rate_limited(now);
+            unusable.retain(is_at_limit);
+            unusable.extend(&no_room);
             let place = match granted {
                 Some(key) => Ok(key),
-                None => choose_immediate(world, engines, &request, &no_room),
+                None => choose_immediate(world, engines, &request, &unusable),
             };
             let decision = match place {
                 Ok(key) => PlacementDecision::Granted(key),
@@ -55,10 +68,12 @@
                 (Ok(key), None) => {
                     let used = request.reserved_usage();
                     holds.grant(others, key, used);
-                    reporter.reserved.insert(&mut self.sums, queued.id, key, used);
+                    reporter
+                        .reserved
+                        .insert(&mut self.sums, queued.id, key, used);
                 }
                 (Err(PlacementError::Full), _) => {
-                    if let Some(engine) = hold_for(world, engines, &request, &no_room) {
+                    if let Some(engine) = hold_for(world, engines, &request, &unusable) {
                         holds.hold(others, engine, queued.priority, queued.tokens);
                     }
                 }
@@ -79,7 +94,8 @@
         decided: &mut Decisions,
     ) {
         let any_queued = self.reporters.values().any(Reporter::has_queued_request);
-        let no_room = self.without_room();
+        let limited = engines.rate_limited(now);
+        let unusable_for_copies = [limited.as_slice(), &self.without_room()].concat();
         for (from, reporter) in self.reporters.iter_mut().filter(|(_, it)| it.decides) {
             for request in reporter.requests.iter().filter(|it| !it.kind.is_queued()) {
                 let id = request.queued.id;
@@ -94,7 +110,8 @@
                 let place = match granted {
                     Some(key) => Ok(key),
                     None if is_immediate && any_queued => Err(PlacementError::Full),
-                    None => choose_immediate(world, engines, request, &no_room),
+                    None if is_immediate => choose_immediate(world, engines, request, &limited),
+                    None => choose_immediate(world, engines, request, &unusable_for_copies),
                 };
                 let decision = match place {
                     Ok(key) => PlacementDecision::Granted(key),
@@ -145,15 +162,14 @@
     }
 }
 
-/// Chooses an engine for a copy or an immediate placement. No copy is placed at an engine in
-/// `no_room`.
+/// Chooses an engine for a copy or an immediate placement, but none in `unusable`.
 fn choose_immediate(
     world: PlacementContext<'_>,
     engines: Engines<'_>,
     request: &PlacementRequest,
-    no_room: &[EndpointKey],
+    unusable: &[EndpointKey],
 ) -> Result<EndpointKey, PlacementError> {
-    let exclude = excluded(world.now, engines, request, no_room);
+    let exclude = [&request.exclude, unusable].concat();
     let demand = demand(engines, request, &exclude);
     // One instance decides all requests one after the other: no random spread is needed.
     let no_draw = || 0.0;
@@ -171,9 +187,9 @@
     world: PlacementContext<'_>,
     engines: Engines<'_>,
     request: &PlacementRequest,
-    no_room: &[EndpointKey],
+    unusable: &[EndpointKey],
 ) -> Option<EndpointKey> {
-    let exclude = excluded(world.now, engines, request, no_room);
+    let exclude = [&request.exclude, unusable].concat();
     choose_hold(
         world,
         &demand(engines, request, &exclude),
@@ -201,19 +217,3 @@
         exclude,
     }
 }
-
-/// Returns the engines at which a request must not be placed. Engines with a rate limit are granted
-/// only through the queue, within the limit.
-fn excluded(
-    now: Time,
-    engines: Engines<'_>,
-    request: &PlacementRequest,
-    no_room: &[EndpointKey],
-) -> Vec<EndpointKey> {
-    let mut exclude = request.exclude.clone();
-    exclude.extend(engines.rate_limited(now));
-    if request.kind != PlacementKind::Immediate {
-        exclude.extend(no_room);
-    }
-    exclude
-}
--- a/crates/core/src/gateway/home/queued.rs
+++ b/crates/core/src/gateway/home/queued.rs
@@ -55,6 +55,7 @@
             engines,
             left,
             holds,
+            &self.recent_grants,
             waiting.iter().map(|(_, queued)| queued),
         );
         for ((from, queued), place) in waiting.iter().zip(places) {
@@ -67,6 +68,7 @@
                 if engines.rate_limit(now, key).is_some() {
                     self.limited_grants.record(now, key);
                 }
+                self.recent_grants.record(now, &queued.request.queued);
                 let used = queued.request.reserved_usage();
                 reporter.reserved.insert(&mut self.sums, id, key, used);
             }
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -125,6 +125,8 @@
     /// Open placement requests of this instance.
     placements: PlacementTable,
     placement_changes: u64,
+    /// Pre-copies that homes granted at engines with a rate limit, and when.
+    granted_resumes: Vec<(EndpointKey, Time)>,
     /// The pace of engines, by the hash of the service's name, as reported to this instance as a home.
     pace: BTreeMap<u64, PaceModel>,
     reported: BTreeMap<u64, Reported>,
@@ -186,6 +188,7 @@
             undecided: BTreeSet::new(),
             placements: PlacementTable::default(),
             placement_changes: 0,
+            granted_resumes: Vec::new(),
             pace: BTreeMap::new(),
             reported: BTreeMap::new(),
             reports_sent: 0,
--- a/crates/core/src/gateway/state/places.rs
+++ b/crates/core/src/gateway/state/places.rs
@@ -37,6 +37,10 @@
 /// was left out, that backoff is reported next.
 const MAX_REPORTED_BACKOFFS: usize = 8;
 
+/// How long a generation may resume at an engine with a rate limit after a home granted its
+/// pre-copy there: it resumes at most 1.1 s after the notice, and retries take 0.1 s.
+const GRANTED_RESUME_TTL: Duration = Duration::from_millis(1_300);
+
 /// The home of a service and the next in rank.
 pub(super) type Ranks = [Option<SocketAddrV4>; 2];
 
@@ -203,6 +207,10 @@
         let Some(bound) = self.rate_limit(now, key) else {
             return true;
         };
+        if self.take_granted_resume(now, key) {
+            self.count_limited_request(now, key);
+            return true;
+        }
         let is_admitted = self.share_left(now, key, bound * LOCAL_SHARE) > 0;
         if is_admitted {
             self.count_limited_request(now, key);
@@ -210,6 +218,24 @@
         is_admitted
     }
 
+    /// Records that a home granted a pre-copy. If the engine has a rate limit, the home has counted
+    /// the request with which the generation will resume there, so that this instance need not
+    /// have a share of the limit for it.
+    pub fn on_pre_copy_granted(&mut self, now: Time, key: EndpointKey) {
+        if self.rate_limit(now, key).is_some() {
+            self.granted_resumes.push((key, now));
+        }
+    }
+
+    /// Uses a grant for a generation that resumes at an engine with a rate limit; returns whether
+    /// there was one.
+    fn take_granted_resume(&mut self, now: Time, key: EndpointKey) -> bool {
+        self.granted_resumes
+            .retain(|(_, at)| now.since(*at) < GRANTED_RESUME_TTL);
+        let found = self.granted_resumes.iter().position(|(it, _)| *it == key);
+        found.map(|at| self.granted_resumes.remove(at)).is_some()
+    }
+
     /// Chooses for `want` with the knowledge of this instance, because no home answers.
     ///
     /// # Errors
--- a/crates/core/tests/gateway_copies.rs
+++ b/crates/core/tests/gateway_copies.rs
@@ -13,7 +13,7 @@
 use oriolemux_core::gateway::holds::Holds;
 use oriolemux_core::gateway::home::{Home, PlacementReport, REPORT_TTL};
 use oriolemux_core::gateway::pace;
-use oriolemux_core::gateway::queue::assign;
+use oriolemux_core::gateway::queue::{RecentGrants, assign};
 use oriolemux_core::gateway::rate_limits::RateLimits;
 use oriolemux_core::gateway::request::{
     CopyKind, Demand, PlacementDecision, PlacementError, PlacementKind, PlacementRequest,
@@ -430,6 +430,7 @@
         engines(&scene.endpoints, &named),
         |_| None,
         &Holds::default(),
+        &RecentGrants::default(),
         queue.iter(),
     );
     for (queued, place) in queue.iter().zip(places) {
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -385,7 +385,9 @@
         &self,
         open: &OpenPlacement<W>,
     ) -> Result<PlacementProgress<CopyUsageGuard<W>>, PlacementError> {
+        let now = self.cx.now();
         open.check(self, |state, place| {
+            state.on_pre_copy_granted(now, place.key);
             self.begin_copy(state, place, open.tokens())
         })
     }
