Waiting pre-copies use room that is too small for larger ones

Cause: each waiting pre-copy respected what was held for larger ones, so that gaps in which a smaller one fits stayed idle until the engine had ended.

Change: holds apply to new requests, standby copies and immediate placements; among pre-copies only the order counts.

The order alone favours the copies with the most tokens.

--- a/crates/core/src/gateway/home/copies.rs
+++ b/crates/core/src/gateway/home/copies.rs
@@ -20,7 +20,8 @@
 impl Home {
     /// Decides about copies of generations whose engine leaves, before everything else: those
     /// generations are lost without one. A copy that fits nowhere stays queued, and room is held
-    /// for it. The one with the most tokens comes first, since most work would be lost with it.
+    /// for it against new requests. The one with the most tokens comes first, since most work would
+    /// be lost with it.
     pub(super) fn decide_pre_copies(
         &mut self,
         now: Time,
@@ -41,7 +42,9 @@
             };
             let queued = request.queued;
             let granted = reporter.reserved.get(&queued.id).map(|(key, _)| *key);
-            let world = reporter.context(now, engines, holds.beside(others));
+            // A smaller pre-copy may use room that is held for a larger one: that room is too small
+            // for the larger one yet, and the engines end before much more becomes free.
+            let world = reporter.context(now, engines, others);
             let place = match granted {
                 Some(key) => Ok(key),
                 None => choose_immediate(world, engines, &request, &no_room),
@@ -58,6 +61,7 @@
                     reporter.reserved.insert(queued.id, (key, used));
                 }
                 (Err(PlacementError::Full), _) => {
+                    let world = reporter.context(now, engines, holds.beside(others));
                     if let Some(engine) = hold_for(world, engines, &request, &no_room) {
                         holds.hold(others, engine, queued.priority, queued.tokens);
                     }
