An engine that refuses a pre-copy for lack of room is excluded and reported

Cause: homes estimate the KV cache of engines, and an engine can be full although its home granted room there. Each try of a generation then went to the same engine, and those of all others as well.

Change: the generation excludes the engine until it runs elsewhere, unless no other engine is left; the instance reports it in PlacementReport::no_room for 300 ms, and homes place no copy there meanwhile. The place of a copy is counted until the resumed generation is: while it waited for the retry budget, its room was granted to others.

--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -53,6 +53,7 @@
 pub mod home;
 pub mod lengths;
 pub mod members;
+pub mod no_room;
 pub mod pace;
 pub mod placement;
 pub mod proxies;
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -24,6 +24,7 @@
 use super::home::{Home, HomeEjection};
 use super::lengths::LengthTable;
 use super::members::{CapacityClass, Members};
+use super::no_room::NoRoom;
 use super::pace::PaceModel;
 use super::placement::PlacementTable;
 use super::proxies::Proxies;
@@ -123,6 +124,8 @@
     /// Open placement requests of this instance.
     placements: PlacementTable,
     placement_changes: u64,
+    /// Engines that recently refused a copy of this instance for lack of room.
+    no_room: NoRoom,
     /// The pace of engines, by the hash of the service's name, as reported to this instance as a home.
     pace: BTreeMap<u64, PaceModel>,
     reported: BTreeMap<u64, Reported>,
@@ -183,6 +186,7 @@
             homes: BTreeMap::new(),
             placements: PlacementTable::default(),
             placement_changes: 0,
+            no_room: NoRoom::default(),
             pace: BTreeMap::new(),
             reported: BTreeMap::new(),
             reports_sent: 0,
--- a/crates/core/src/gateway/state/places.rs
+++ b/crates/core/src/gateway/state/places.rs
@@ -222,7 +222,11 @@
             .get(source)
             .ok_or(PlacementError::NoEndpoint)?;
         let at_limit = self.at_limit(now, demand);
-        let exclude = self.with_unavailable(now, demand.exclude, &at_limit);
+        let unavailable: Vec<EndpointKey> = at_limit
+            .into_iter()
+            .chain(self.no_room.active(now))
+            .collect();
+        let exclude = self.with_unavailable(now, demand.exclude, &unavailable);
         let demand = Demand {
             exclude: &exclude,
             ..*demand
@@ -258,6 +262,12 @@
         self.placement_changes += 1;
     }
 
+    /// Records that an engine refused a copy for lack of room, although it was granted.
+    pub fn record_no_room(&mut self, now: Time, engine: EndpointKey) {
+        self.no_room.record(now, engine);
+        self.placement_changes += 1;
+    }
+
     /// Returns the state of a placement request.
     pub fn verdict(&self, now: Time, id: u64) -> PlacementStatus {
         self.placements.status(now, id)
@@ -359,6 +369,7 @@
     /// Sends the reports that are due to homes, and decides as a home; returns whether a request of
     /// this instance may have a decision.
     pub(super) fn report(&mut self, now: Time, send: &mut Vec<(SocketAddrV4, Body)>) -> bool {
+        self.placement_changes += u64::from(self.no_room.expire(now));
         for service in self.reported_services() {
             self.report_service(now, service, send);
         }
@@ -440,7 +451,7 @@
                 })
                 .collect(),
             pace: Vec::new(),
-            no_room: Vec::new(),
+            no_room: self.no_room.active(now).filter(of_service).collect(),
         };
         self.reports_sent += 1;
         let is_empty = report.used.is_empty() && report.requests.is_empty();
--- a/crates/gateway/src/event_log.rs
+++ b/crates/gateway/src/event_log.rs
@@ -204,6 +204,10 @@
     /// A generation whose engine leaves gets no pre-copy yet, because it is expected to end before
     /// it would be relocated. The line has the tokens and the time that are expected.
     PreCopyNotNeeded = 862, "pre_copy_not_needed", Info, USUAL;
+    /// An engine refused a pre-copy for lack of room although a place there was granted. This
+    /// generation does not try it again, and homes place no copy there for 300 ms. The line shows
+    /// the usage of the engine as known here.
+    PreCopyRefused = 863, "pre_copy_refused", Info, USUAL;
 }
 
 /// The lines of one event in the current second.
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -102,6 +102,8 @@
     pre_copy: Option<PreCopy<W, E>>,
     /// The open request for the place of a pre-copy.
     copy_wait: Option<CopyWait<W>>,
+    /// Engines that refused a pre-copy since the generation runs at the current engine.
+    no_room: Vec<EndpointKey>,
     /// The engine for which it was logged that no pre-copy is needed.
     deferred_at: Option<EndpointKey>,
     /// When the response of the current engine started.
@@ -139,6 +141,7 @@
             standby: None,
             pre_copy: None,
             copy_wait: None,
+            no_room: Vec::new(),
             deferred_at: None,
             response_started: None,
             splitter: EventSplitter::default(),
--- a/crates/gateway/src/relay/copy_wait.rs
+++ b/crates/gateway/src/relay/copy_wait.rs
@@ -17,6 +17,7 @@
 };
 use oriolemux_core::gateway::request::PlacementError;
 use oriolemux_core::gateway::state::Placement;
+use oriolemux_core::ids::EndpointKey;
 use std::time::Instant;
 
 /// An open request for the place of a pre-copy.
@@ -36,12 +37,13 @@
             self.state.pre_copy_started(self.job.cx.now());
             return;
         }
+        self.forget_refusals_of_all();
         let left = PRE_COPY_DEADLINE.saturating_sub(self.leaving_for());
         let now = Instant::now();
         let open = self.job.open_pre_copy_placement(
             self.engine.key,
             self.reserved_tokens,
-            &[],
+            &self.no_room,
             now + left.max(IMMEDIATE_PLACEMENT_TIMEOUT),
         );
         self.copy_wait = Some(CopyWait {
@@ -92,6 +94,46 @@
         self.state.pre_copy_started(self.job.cx.now());
     }
 
+    /// Excludes an engine that refused the pre-copy for lack of room from the further tries of this
+    /// generation, and reports it to homes.
+    pub(super) fn on_no_room(&mut self) {
+        let Some(target) = self.pre_copy.as_ref().map(|it| &it.target) else {
+            return;
+        };
+        let cx = &self.job.cx;
+        let now = cx.now();
+        let mut state = cx.state();
+        let used = state.used(target.key);
+        state.record_no_room(now, target.key);
+        drop(state);
+        cx.gossip_due.notify_one();
+        ByReason::PreCopies.add("refused");
+        log_event!(
+            PreCopyRefused,
+            attempt = self.job.name(),
+            endpoint = target.name.as_str(),
+            running = used.running,
+            tokens = used.tokens,
+            copied = used.copy_tokens,
+            need = self.reserved_tokens
+        );
+        self.no_room.push(target.key);
+    }
+
+    /// Tries engines again that refused the pre-copy if no other is left.
+    fn forget_refusals_of_all(&mut self) {
+        let is_other =
+            |engine: &EndpointKey| *engine != self.engine.key && !self.no_room.contains(engine);
+        let is_any_left = {
+            let state = self.job.cx.state();
+            let mut usable = state.endpoints.usable_of(&self.job.service().name);
+            usable.any(|it| is_other(&it.key))
+        };
+        if !is_any_left {
+            self.no_room.clear();
+        }
+    }
+
     /// Withdraws the request for a pre-copy, if one is open.
     pub(super) fn withdraw_pre_copy(&mut self, why: &'static str) {
         let Some(wait) = self.copy_wait.take() else {
--- a/crates/gateway/src/relay/pre_copy.rs
+++ b/crates/gateway/src/relay/pre_copy.rs
@@ -17,7 +17,7 @@
 /// The place at which the engine of a generation keeps a copy up to date.
 pub(super) struct StandbyCopy<W: Wire> {
     pub(super) place: Placement,
-    pub(super) _usage: CopyUsageGuard<W>,
+    pub(super) usage: CopyUsageGuard<W>,
 }
 
 /// A copy that is made while the generation still runs at an engine that leaves.
@@ -33,7 +33,8 @@
     task: Option<JoinHandle<CopyOutcome>>,
     /// The handle of the copy at the source, once the copy is complete.
     handle: Option<String>,
-    _in_use: CopyUsageGuard<W>,
+    /// Counts the copy at the target; `None` once it was taken.
+    usage: Option<CopyUsageGuard<W>>,
 }
 
 impl<W: Wire, E: EngineCalls> PreCopy<W, E> {
@@ -42,7 +43,7 @@
         engines: E,
         source: SocketAddrV4,
         target: Placement,
-        in_use: CopyUsageGuard<W>,
+        usage: CopyUsageGuard<W>,
     ) -> Self {
         PreCopy {
             engines,
@@ -50,7 +51,7 @@
             target,
             task: None,
             handle: None,
-            _in_use: in_use,
+            usage: Some(usage),
         }
     }
 
@@ -70,12 +71,14 @@
         self.handle = Some(handle);
     }
 
-    /// Returns the place and the handle of the copy to resume from, `None` if it is not complete.
-    pub(super) fn take(mut self) -> Option<(Placement, String)> {
+    /// Returns the place, the handle and the usage of the copy to resume from, `None` if it is not
+    /// complete.
+    pub(super) fn take(mut self) -> Option<(Placement, String, CopyUsageGuard<W>)> {
         let handle = self.handle.take()?;
+        let usage = self.usage.take()?;
         // The result of a call that refreshes the copy does not matter any more.
         self.task = None;
-        Some((self.target.clone(), handle))
+        Some((self.target.clone(), handle, usage))
     }
 }
 
--- a/crates/gateway/src/relay/resume.rs
+++ b/crates/gateway/src/relay/resume.rs
@@ -3,7 +3,7 @@
 use super::Relay;
 use super::pre_copy::StandbyCopy;
 use super::upstream::AttemptStart;
-use crate::job::UsageGuard;
+use crate::job::{CopyUsageGuard, UsageGuard};
 use crate::link::LinkError;
 use crate::log_event;
 use crate::meters::ByReason;
@@ -62,6 +62,9 @@
             how = moved.label(),
             event_id = self.state.last_event()
         );
+        if matches!(moved, CopyOutcome::NoRoom { .. }) {
+            self.on_no_room();
+        }
         let now = self.job.cx.now();
         let complete = match (&mut self.pre_copy, moved) {
             (Some(pre_copy), CopyOutcome::Complete { handle }) => {
@@ -97,7 +100,7 @@
 
     /// Resumes from the pre-copy, if it is complete.
     async fn resume_from_pre_copy(&mut self) -> Option<AttemptStart> {
-        let (target, handle) = self.pre_copy.take()?.take()?;
+        let (target, handle, copy_usage) = self.pre_copy.take()?.take()?;
         ByReason::Relocations.add("ahead");
         log_event!(
             ResumedFromPreCopy,
@@ -107,7 +110,7 @@
             event_id = self.state.last_event()
         );
         let holder = self.engine.address;
-        let mut start = self.resume_at(target, holder, &handle).await;
+        let mut start = self.resume_at(target, holder, &handle, copy_usage).await;
         for _ in 0..MAX_RESUME_RETRIES {
             if !matches!(
                 start,
@@ -148,15 +151,19 @@
             to = copy.place.name.as_str(),
             event_id = self.state.last_event()
         );
-        Some(self.resume_at(copy.place.clone(), address, &attempt).await)
+        let StandbyCopy { place, usage } = copy;
+        Some(self.resume_at(place, address, &attempt, usage).await)
     }
 
-    /// Asks `target` to resume the generation whose copy `holder` holds.
+    /// Asks `target` to resume the generation whose copy `holder` holds. The copy is counted there
+    /// with `copy_usage` until the generation is: otherwise its room would be granted to others
+    /// while it waits for the retry budget.
     async fn resume_at(
         &mut self,
         target: Placement,
         holder: SocketAddrV4,
         handle: &str,
+        copy_usage: CopyUsageGuard<W>,
     ) -> AttemptStart {
         if !self.wait_for_retry_budget(RetryKind::Resume).await {
             let denied = Reason::BudgetSpent;
@@ -164,8 +171,10 @@
             return AttemptStart::Failed(denied);
         }
         self.splitter.clear();
+        self.no_room.clear();
         self.state.on_relocated(self.job.cx.now());
         self.usage = UsageGuard::for_resumed(&self.job.cx, target.key, self.reserved_tokens);
+        drop(copy_usage);
         self.engine = target;
         self.choose_standby().await;
         self.send_resume(Some(CopyLocation {
@@ -200,6 +209,7 @@
             event_id = self.state.last_event()
         );
         self.splitter.clear();
+        self.no_room.clear();
         self.state.on_relocated(self.job.cx.now());
         self.pre_copy = None;
         self.switch_to(place, in_use).await;
@@ -280,10 +290,7 @@
             if found.is_none() {
                 self.log_no_room("standing");
             }
-            self.standby = found.map(|(place, in_use)| StandbyCopy {
-                place,
-                _usage: in_use,
-            });
+            self.standby = found.map(|(place, usage)| StandbyCopy { place, usage });
         }
         self.state.set_standby(self.standby.is_some());
     }
