--- a/crates/core/src/gateway/home/copies.rs
+++ b/crates/core/src/gateway/home/copies.rs
@@ -25,7 +25,8 @@
 impl Home {
     /// Decides about copies of generations whose engine leaves, before everything else: those
     /// generations are lost without one. A copy that fits nowhere stays queued, and room is held
-    /// for it. The one with the most tokens comes first, since most work would be lost with it.
+    /// for it against new requests. The one with the most tokens comes first, since most work would
+    /// be lost with it.
     pub(super) fn decide_pre_copies(
         &mut self,
         now: Time,
@@ -47,7 +48,9 @@
             };
             let queued = request.queued;
             let granted = reporter.reserved.engine(queued.id);
-            let world = reporter.context(now, engines, holds.beside(others));
+            // A smaller pre-copy may use room that is held for a larger one: that room is too small
+            // for the larger one yet, and the engines end before much more becomes free.
+            let world = reporter.context(now, engines, others);
             let is_at_limit = |key: &EndpointKey| {
                 let rate = engines.rate_limit(now, *key);
                 rate.is_some_and(|it| self.limited_grants.remaining(now, *key, it * share) == 0)
@@ -66,6 +69,9 @@
             };
             match (place, granted) {
                 (Ok(key), None) => {
+                    if engines.rate_limit(now, key).is_some() {
+                        self.limited_grants.record(now, key);
+                    }
                     let used = request.reserved_usage();
                     holds.grant(others, key, used);
                     reporter
@@ -73,6 +79,7 @@
                         .insert(&mut self.sums, queued.id, key, used);
                 }
                 (Err(PlacementError::Full), _) => {
+                    let world = reporter.context(now, engines, holds.beside(others));
                     if let Some(engine) = hold_for(world, engines, &request, &unusable) {
                         holds.hold(others, engine, queued.priority, queued.tokens);
                     }
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -24,6 +24,7 @@
 use super::home::{Home, HomeEjection};
 use super::lengths::LengthTable;
 use super::members::{CapacityClass, Members};
+use super::no_room::NoRoom;
 use super::pace::PaceModel;
 use super::placement::PlacementTable;
 use super::proxies::Proxies;
@@ -127,6 +128,8 @@
     placement_changes: u64,
     /// Pre-copies that homes granted at engines with a rate limit, and when.
     granted_resumes: Vec<(EndpointKey, Time)>,
+    /// Engines that recently refused a copy of this instance for lack of room.
+    no_room: NoRoom,
     /// The pace of engines, by the hash of the service's name, as reported to this instance as a home.
     pace: BTreeMap<u64, PaceModel>,
     reported: BTreeMap<u64, Reported>,
@@ -189,6 +192,7 @@
             placements: PlacementTable::default(),
             placement_changes: 0,
             granted_resumes: Vec::new(),
+            no_room: NoRoom::default(),
             pace: BTreeMap::new(),
             reported: BTreeMap::new(),
             reports_sent: 0,
