Engines are chosen by the gaps that are predicted for a generation

Cause: engines of one service differ in speed, and a prefill on a slow host lengthens a step to five times. On slow engines that exceeds the target between two events, on fast ones it does not, and placement did not distinguish them.

Change: instances measure the gaps between events that they relay from one engine and report them to the home and the next in rank. The home estimates the step time of each engine and the ratio of stalled to usual gaps, and adds the risk to the cost of an engine: for a long generation its own, for a long prompt that of the generations there; a short answer leaves risk-free engines to long generations. Risks count relative to the least risk among the candidates, so that nothing changes where no choice helps. A repeated report counts once.

--- a/crates/core/src/gateway/choose.rs
+++ b/crates/core/src/gateway/choose.rs
@@ -3,11 +3,12 @@
 //! For plain endpoints, and for engines while no home answers, each instance chooses on its own,
 //! from its own usage and the last reported usage of its peers. Otherwise the home of a service
 //! chooses engines, from the reports of all instances (`docs/design/platform.md`). An engine is
-//! chosen by its KV cache usage and pending prefill, a plain endpoint by its queue.
+//! chosen by its KV cache usage, its pending prefill and the stalls predicted for it
+//! ([`pace`](super::pace)), a plain endpoint by its queue.
 
 use super::catalogue::EngineLimits;
 use super::endpoints::{Endpoint, EndpointState, EndpointTable};
-use super::pace::PaceModel;
+use super::pace::{PaceModel, StallCosts, StallRange};
 use super::request::{CopyKind, Demand, PlacementError, QueuedPlacement, QueuedRequest};
 use super::usage::{PeerUsage, Usage, UsageTable};
 use crate::ids::EndpointKey;
@@ -108,6 +109,7 @@
 ) -> Result<EndpointKey, PlacementError> {
     let mut full = false;
     let trusted = |endpoint: &Endpoint| is_trusted(context, endpoint);
+    let stalls = stall_costs(context, demand, candidates(context, demand, trusted));
     let chosen = cheapest(candidates(context, demand, trusted), |endpoint| {
         let used = context.used(endpoint);
         let (cost, away) = match demand.engine {
@@ -117,7 +119,8 @@
                     full = true;
                     return None;
                 }
-                (engine_cost(used, limits), REMOTE_COST)
+                let stalled = stalls.cost(context.pace.stalled_ms(endpoint.key), used.running);
+                (engine_cost(used, limits) + stalled, REMOTE_COST)
             }
             None => (plain_cost(context, endpoint, used), REMOTE_PLAIN_COST),
         };
@@ -143,6 +146,8 @@
 pub(super) struct EngineCapacities<'a> {
     limits: EngineLimits,
     engines: Vec<EngineCapacity<'a>>,
+    /// The range of predicted gaps of the engines.
+    stalls: StallRange,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -152,6 +157,8 @@
     used: Usage,
     /// The part of the cost that does not depend on load.
     state_cost: f64,
+    /// The predicted stalled gap in milliseconds.
+    stalled_ms: f64,
     /// Whether its free capacity is held for a large request.
     is_held: bool,
     /// How many more requests it may get if its rate is limited.
@@ -176,6 +183,7 @@
             data_centre: &endpoint.record.data_centre,
             used: context.used(endpoint),
             state_cost: state_cost(context, endpoint, 0.0),
+            stalled_ms: context.pace.stalled_ms(endpoint.key),
             is_held: false,
             rate_remaining: rate_remaining(endpoint.key),
         })
@@ -183,7 +191,13 @@
     if engines.is_empty() {
         return Err(why_none(context, demand.service));
     }
-    Ok(EngineCapacities { limits, engines })
+    let keys = engines.iter().map(|it| it.key);
+    let stalls = StallRange::of(context.pace, context.now, keys);
+    Ok(EngineCapacities {
+        limits,
+        engines,
+        stalls,
+    })
 }
 
 impl EngineCapacities<'_> {
@@ -218,6 +232,7 @@
         let QueuedRequest { tokens, prompt, .. } = placement.request.queued;
         let data_centre = placement.data_centre.as_str();
         let limits = self.limits;
+        let stalls = StallCosts::new(self.stalls, placement.request.queued.pace_demand());
         let fitting = self.engines.iter_mut().filter(|capacity| {
             !capacity.is_held
                 && capacity.rate_remaining != Some(0)
@@ -231,7 +246,8 @@
             } else {
                 REMOTE_COST
             };
-            engine_cost(capacity.used, limits) + capacity.state_cost + away
+            let stalled = stalls.cost(capacity.stalled_ms, capacity.used.running);
+            engine_cost(capacity.used, limits) + capacity.state_cost + away + stalled
         };
         let capacity = fitting.min_by(|a, b| cost(a).total_cmp(&cost(b)));
         let capacity = capacity.ok_or(PlacementError::Full)?;
@@ -279,6 +295,7 @@
         ..*demand
     };
     let trusted = |endpoint: &Endpoint| accepts_copies(context, endpoint);
+    let stalls = stall_costs(context, demand, candidates(context, &elsewhere, trusted));
     cheapest(candidates(context, &elsewhere, trusted), |endpoint| {
         let used = context.used(endpoint);
         if !fits(used, demand.tokens, limits, share) {
@@ -286,7 +303,8 @@
         }
         let away = endpoint.record.data_centre != source.record.data_centre;
         let away = if away { remote_cost } else { 0.0 };
-        Some(engine_cost(used, limits) + away + jitter_width * jitter())
+        let stalled = stalls.cost(context.pace.stalled_ms(endpoint.key), used.running);
+        Some(engine_cost(used, limits) + away + stalled + jitter_width * jitter())
     })
 }
 
@@ -351,6 +369,16 @@
         + KV_CACHE_COST * memory
 }
 
+/// Returns the costs of predicted stalls of a request at these candidates.
+fn stall_costs<'a>(
+    context: PlacementContext<'_>,
+    demand: &Demand<'_>,
+    candidates: impl Iterator<Item = &'a Endpoint>,
+) -> StallCosts {
+    let keys = candidates.map(|endpoint| endpoint.key);
+    StallCosts::new(StallRange::of(context.pace, context.now, keys), demand.pace)
+}
+
 fn plain_cost(context: PlacementContext<'_>, endpoint: &Endpoint, used: Usage) -> f64 {
     let counted = f64::from(used.running);
     let reported = context.usage.recent_load(context.now, endpoint.key);
--- a/crates/core/src/gateway/home.rs
+++ b/crates/core/src/gateway/home.rs
@@ -79,20 +79,21 @@
 type Decisions = BTreeMap<SocketAddrV4, Vec<(u64, PlacementDecision)>>;
 
 impl Home {
-    /// Stores a report. One that is older than the last one of the same incarnation is ignored.
+    /// Stores a report. One that is older than the last one of the same incarnation is ignored;
+    /// returns whether the report was stored.
     pub fn on_report(
         &mut self,
         now: Time,
         from: SocketAddrV4,
         incarnation: Incarnation,
         report: PlacementReport,
-    ) {
+    ) -> bool {
         let known = self
             .reporters
             .get_mut(&from)
             .filter(|it| it.incarnation == incarnation);
         let (viewed, mut reserved) = match known {
-            Some(known) if known.number >= report.number => return,
+            Some(known) if known.number >= report.number => return false,
             Some(known) => (known.view_sent_at, core::mem::take(&mut known.reserved)),
             None => (None, BTreeMap::new()),
         };
@@ -126,6 +127,7 @@
             reserved,
         };
         self.reporters.insert(from, reporter);
+        true
     }
 
     /// Removes expired reports.
--- a/crates/core/src/gateway/home/copies.rs
+++ b/crates/core/src/gateway/home/copies.rs
@@ -70,17 +70,20 @@
     // Engines with a rate limit are granted only through the queue, within the limit.
     let mut exclude = request.exclude.clone();
     exclude.extend(engines.rate_limited(world.now));
-    let demand = Demand {
+    let mut demand = Demand {
         service: engines.service,
         engine: Some(engines.limits),
         tokens: request.queued.tokens,
         exclude: &exclude,
+        pace: request.queued.pace_demand(),
     };
     // One instance decides all requests one after the other: no random spread is needed.
     let no_draw = || 0.0;
     match request.kind {
         PlacementKind::Queued | PlacementKind::Immediate => choose(world, &demand, no_draw),
         PlacementKind::Copy { source, kind } => {
+            // A generation that resumes from a copy prefills nothing.
+            demand.pace.prompt = 0;
             let source = world
                 .endpoints
                 .get(source)
--- a/crates/core/src/gateway/queue.rs
+++ b/crates/core/src/gateway/queue.rs
@@ -9,7 +9,7 @@
 
 use super::choose::{PlacementContext, capacities};
 use super::engines::Engines;
-use super::request::{Demand, PlacementError, QueuedPlacement, QueuedRequest};
+use super::request::{Demand, PaceDemand, PlacementError, QueuedPlacement, QueuedRequest};
 use crate::ids::EndpointKey;
 use crate::time::Time;
 
@@ -55,6 +55,7 @@
         engine: Some(engines.limits),
         tokens: 0,
         exclude: &[],
+        pace: PaceDemand::default(),
     };
     let mut capacities = match capacities(context, &demand, rate_remaining) {
         Ok(capacities) => capacities,
--- a/crates/core/src/gateway/request.rs
+++ b/crates/core/src/gateway/request.rs
@@ -21,6 +21,19 @@
     pub tokens: u32,
     /// Endpoints that must not be chosen because they were tried already.
     pub exclude: &'a [EndpointKey],
+    /// The properties that matter for stalls.
+    pub pace: PaceDemand,
+}
+
+/// The properties of a request that matter for stalls.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct PaceDemand {
+    /// Target for the longest gap between its events; zero if there is none.
+    pub gap_target: Duration,
+    /// Number of output tokens that are expected.
+    pub output: u32,
+    /// Number of prompt tokens that are prefilled.
+    pub prompt: u32,
 }
 
 /// Why no endpoint was chosen for a request.
@@ -136,6 +149,15 @@
         }
     }
 
+    /// Returns the properties of the request that matter for stalls.
+    pub(super) fn pace_demand(&self) -> PaceDemand {
+        PaceDemand {
+            gap_target: self.gap_target,
+            output: self.output,
+            prompt: self.prompt,
+        }
+    }
+
     /// Converts to a report that is sent at `now`.
     pub fn to_report(&self, now: Time) -> QueuedRequestReport {
         let millis = |time: Duration| u32::try_from(time.as_millis()).unwrap_or(u32::MAX);
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -24,7 +24,7 @@
 use super::home::{Home, HomeEjection};
 use super::lengths::LengthTable;
 use super::members::{CapacityClass, Members};
-use super::pace::PaceModel;
+use super::pace::{PaceModel, PaceSamples};
 use super::placement::PlacementTable;
 use super::proxies::Proxies;
 use super::rate_limits::{LimitChange, RateLimits, ResponseLimit};
@@ -125,6 +125,8 @@
     placement_changes: u64,
     /// The pace of engines, by the hash of the service's name, as reported to this instance as a home.
     pace: BTreeMap<u64, PaceModel>,
+    /// The gaps between events that this instance has not reported yet.
+    pace_samples: PaceSamples,
     reported: BTreeMap<u64, Reported>,
     reports_sent: u64,
     /// Number of instances, recently lost ones included.
@@ -184,6 +186,7 @@
             placements: PlacementTable::default(),
             placement_changes: 0,
             pace: BTreeMap::new(),
+            pace_samples: PaceSamples::default(),
             reported: BTreeMap::new(),
             reports_sent: 0,
             fleet,
--- a/crates/core/src/gateway/state/places.rs
+++ b/crates/core/src/gateway/state/places.rs
@@ -10,7 +10,7 @@
 use crate::gateway::gossip::Body;
 use crate::gateway::home::{PlacementAnswer, PlacementReport, REPORT_INTERVAL};
 use crate::gateway::members::MemberUpdate;
-use crate::gateway::pace;
+use crate::gateway::pace::{self, PaceModel};
 use crate::gateway::placement::{
     PlacementStatus, QUEUED_REPORT_INTERVAL, UNANSWERED_REPORT_INTERVAL,
 };
@@ -18,7 +18,7 @@
     Demand, PlacementError, PlacementKind, PlacementRequest, service_hash,
 };
 use crate::gateway::usage::{PeerUsage, Usage};
-use crate::ids::{EndpointKey, address_hash};
+use crate::ids::{EndpointKey, Incarnation, address_hash};
 use crate::rendezvous;
 use crate::time::Time;
 use core::time::Duration;
@@ -341,11 +341,53 @@
         send: &mut Vec<(SocketAddrV4, Body)>,
     ) -> bool {
         let service = report.service;
-        let home = self.homes.entry(service).or_default();
-        home.on_report(now, from.address, from.incarnation, report);
+        self.store_report(now, (from.address, from.incarnation), report);
         self.decide(now, service, send)
     }
 
+    /// Stores a report as a home. The gaps in a report that arrives twice count once.
+    fn store_report(
+        &mut self,
+        now: Time,
+        (from, incarnation): (SocketAddrV4, Incarnation),
+        mut report: PlacementReport,
+    ) {
+        let service = report.service;
+        let samples = core::mem::take(&mut report.pace);
+        let targets = report.requests.iter().map(|it| it.waiting.gap_target_ms);
+        let target = targets.filter(|it| *it > 0).min();
+        let home = self.homes.entry(service).or_default();
+        if !home.on_report(now, from, incarnation, report) {
+            return;
+        }
+        let target = target.map(|it| Duration::from_millis(it.into()));
+        if samples.is_empty() && target.is_none() {
+            return;
+        }
+        let model = self.pace.entry(service).or_default();
+        model.observe_target(now, target.unwrap_or_default());
+        model.merge(now, &samples);
+    }
+
+    /// Records the gap between two consecutive events of a generation at an engine.
+    pub fn observe_gap(&mut self, now: Time, engine: EndpointKey, gap: Duration) {
+        self.pace_samples.record(now, engine, gap);
+    }
+
+    /// Returns the pace of a service's engines, as reported to this instance as a home.
+    pub fn pace_of(&self, service: &str) -> Option<&PaceModel> {
+        self.pace.get(&service_hash(service))
+    }
+
+    /// Drops what is known of the pace of engines that are gone.
+    fn tick_pace(&mut self, now: Time) {
+        let endpoints = &self.endpoints;
+        for model in self.pace.values_mut() {
+            model.tick(now, |key| endpoints.get(key).is_some());
+        }
+        self.pace.retain(|_, model| !model.is_empty());
+    }
+
     /// Handles a home's answer.
     pub(super) fn on_placement_answer(&mut self, now: Time, answer: PlacementAnswer) {
         for (id, decision) in answer.decisions {
@@ -362,6 +404,7 @@
         for service in self.reported_services() {
             self.report_service(now, service, send);
         }
+        self.tick_pace(now);
         let services: Vec<u64> = self.homes.keys().copied().collect();
         let mut decided = false;
         for service in services {
@@ -417,6 +460,7 @@
                     .has_connected_since(&it.record.service, it.failed_at())
             })
         };
+        let pace = self.pace_samples.take(now, service, of_service);
         let report = PlacementReport {
             service,
             number: self.reports_sent + 1,
@@ -439,7 +483,7 @@
                     message
                 })
                 .collect(),
-            pace: Vec::new(),
+            pace,
             no_room: Vec::new(),
         };
         self.reports_sent += 1;
@@ -459,8 +503,7 @@
                 ..report.clone()
             };
             if to == self.cfg.address {
-                let home = self.homes.entry(service).or_default();
-                home.on_report(now, to, self.cfg.incarnation, report);
+                self.store_report(now, (to, self.cfg.incarnation), report);
             } else {
                 send.push((to, Body::PlacementReport(report)));
             }
--- a/crates/core/tests/gateway_announcements.rs
+++ b/crates/core/tests/gateway_announcements.rs
@@ -10,8 +10,8 @@
 use oriolemux_core::gateway::catalogue::{CatalogueSource, EngineLimits, Service};
 use oriolemux_core::gateway::placement::PlacementStatus;
 use oriolemux_core::gateway::request::{
-    CopyKind, PlacementDecision, PlacementError, PlacementKind, PlacementRequest, QueuedRequest,
-    service_hash,
+    CopyKind, PaceDemand, PlacementDecision, PlacementError, PlacementKind, PlacementRequest,
+    QueuedRequest, service_hash,
 };
 use oriolemux_core::gateway::state::SendKind;
 use oriolemux_core::gateway::{Demand, EndpointRecord, Gateway};
@@ -91,6 +91,7 @@
         engine: (service == "model").then_some(ENGINE),
         tokens: 1_000,
         exclude: &[],
+        pace: PaceDemand::default(),
     }
 }
 
--- a/crates/core/tests/gateway_choose.rs
+++ b/crates/core/tests/gateway_choose.rs
@@ -5,7 +5,7 @@
 use oriolemux_core::gateway::choose::{PlacementContext, choose, choose_copy_target};
 use oriolemux_core::gateway::endpoints::EndpointTable;
 use oriolemux_core::gateway::pace;
-use oriolemux_core::gateway::request::{CopyKind, PlacementError};
+use oriolemux_core::gateway::request::{CopyKind, PaceDemand, PlacementError};
 use oriolemux_core::gateway::usage::{PeerUsage, Usage, UsageTable};
 use oriolemux_core::gateway::{Demand, EndpointRecord};
 use oriolemux_core::{EndpointKey, Time};
@@ -69,6 +69,7 @@
         engine: Some(ENGINE),
         tokens,
         exclude,
+        pace: PaceDemand::default(),
     }
 }
 
--- a/crates/core/tests/gateway_cold.rs
+++ b/crates/core/tests/gateway_cold.rs
@@ -11,8 +11,8 @@
 use oriolemux_core::gateway::cold::ColdLimits;
 use oriolemux_core::gateway::placement::PlacementStatus;
 use oriolemux_core::gateway::request::{
-    CopyKind, PlacementDecision, PlacementError, PlacementKind, PlacementRequest, QueuedRequest,
-    service_hash,
+    CopyKind, PaceDemand, PlacementDecision, PlacementError, PlacementKind, PlacementRequest,
+    QueuedRequest, service_hash,
 };
 use oriolemux_core::gateway::{Cordon, Demand, EndpointRecord, Gateway};
 use oriolemux_core::{EndpointKey, Time};
@@ -142,6 +142,7 @@
             engine: None,
             tokens: 0,
             exclude: &[],
+            pace: PaceDemand::default(),
         };
         if let Ok(place) = self.core(index).place(now, &demand) {
             self.sent.push((now, place.key));
@@ -183,6 +184,7 @@
                 engine: Some(ENGINE),
                 tokens: 10,
                 exclude: &[],
+                pace: PaceDemand::default(),
             };
             let place = match core.verdict(now, id) {
                 PlacementStatus::Decided(PlacementDecision::Granted(key)) => Some(key),
@@ -394,6 +396,7 @@
         engine: Some(ENGINE),
         tokens: 10,
         exclude: &[],
+        pace: PaceDemand::default(),
     };
     let source = EndpointKey::of("e-source");
 
--- a/crates/core/tests/gateway_cordons.rs
+++ b/crates/core/tests/gateway_cordons.rs
@@ -12,8 +12,8 @@
 use oriolemux_core::gateway::placement::PlacementStatus;
 use oriolemux_core::gateway::reader::WATCH_PAUSE;
 use oriolemux_core::gateway::request::{
-    CopyKind, PlacementDecision, PlacementError, PlacementKind, PlacementRequest, QueuedRequest,
-    service_hash,
+    CopyKind, PaceDemand, PlacementDecision, PlacementError, PlacementKind, PlacementRequest,
+    QueuedRequest, service_hash,
 };
 use oriolemux_core::gateway::{Cordon, CordonEffect, Demand, EndpointRecord, Gateway};
 use oriolemux_core::{EndpointKey, Time};
@@ -215,6 +215,7 @@
         engine: (service == "model").then_some(ENGINE),
         tokens: 1_000,
         exclude: &[],
+        pace: PaceDemand::default(),
     }
 }
 
--- a/crates/core/tests/gateway_limits.rs
+++ b/crates/core/tests/gateway_limits.rs
@@ -9,7 +9,7 @@
 use fleet::Fleet;
 use oriolemux_core::gateway::catalogue::{CatalogueSource, Service};
 use oriolemux_core::gateway::rate_limits::{RateLimits, ResponseLimit};
-use oriolemux_core::gateway::request::PlacementError;
+use oriolemux_core::gateway::request::{PaceDemand, PlacementError};
 use oriolemux_core::gateway::{Demand, EndpointRecord, Gateway};
 use oriolemux_core::{EndpointKey, Time};
 use rand::rngs::SmallRng;
@@ -63,6 +63,7 @@
         engine: None,
         tokens: 0,
         exclude: &[],
+        pace: PaceDemand::default(),
     }
 }
 
--- a/crates/core/tests/gateway_places.rs
+++ b/crates/core/tests/gateway_places.rs
@@ -12,7 +12,7 @@
 use oriolemux_core::gateway::catalogue::{CatalogueSource, EngineLimits, Service};
 use oriolemux_core::gateway::placement::{HOME_TIMEOUT, PlacementStatus};
 use oriolemux_core::gateway::request::{
-    PlacementDecision, PlacementKind, PlacementRequest, QueuedRequest, service_hash,
+    PaceDemand, PlacementDecision, PlacementKind, PlacementRequest, QueuedRequest, service_hash,
 };
 use oriolemux_core::gateway::{Demand, Gateway};
 use oriolemux_core::{EndpointKey, Time};
@@ -177,6 +177,7 @@
                     engine: Some(ENGINE),
                     tokens: TOKENS,
                     exclude: &[],
+                    pace: PaceDemand::default(),
                 };
                 let place = core
                     .place_without_home(now, &demand, PlacementKind::Queued)
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -25,7 +25,8 @@
 use oriolemux_core::gateway::placement::HOME_TIMEOUT;
 use oriolemux_core::gateway::rate_limits::ResponseLimit;
 use oriolemux_core::gateway::request::{
-    CopyKind, PlacementError, PlacementKind, QueuedRequest, service_hash, workspace_hash,
+    CopyKind, PaceDemand, PlacementError, PlacementKind, QueuedRequest, service_hash,
+    workspace_hash,
 };
 use oriolemux_core::gateway::state::{Placement, SendKind};
 use oriolemux_core::gateway::usage::Usage;
@@ -133,6 +134,7 @@
             engine: service.engine,
             tokens,
             exclude,
+            pace: PaceDemand::default(),
         }
     }
 
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -345,7 +345,13 @@
             self.job.cx.state().endpoints.on_response(self.engine.key);
             self.usage.on_first_byte();
         }
-        self.pace.on_event(Instant::now());
+        let is_blocked = self.tx.capacity() == 0;
+        let relocations = self.state.relocations();
+        let gap = self.pace.on_event(Instant::now(), relocations, is_blocked);
+        if let Some(gap) = gap {
+            let mut state = self.job.cx.state();
+            state.observe_gap(now, self.engine.key, gap);
+        }
         self.recount();
         let sent = self.tx.send(Ok(event.bytes));
         match tokio::time::timeout_at(self.job.deadline.into(), sent).await {
--- a/crates/gateway/src/relay/pace.rs
+++ b/crates/gateway/src/relay/pace.rs
@@ -5,13 +5,23 @@
 use oriolemux_core::gateway::HttpEntry;
 use std::time::Instant;
 
+/// The last event that was forwarded.
+#[derive(Clone, Copy, Debug)]
+struct LastEvent {
+    at: Instant,
+    /// How often the generation had been relocated.
+    relocations: u32,
+    /// Whether the caller's buffer was full, so that the next event is read late.
+    was_blocked: bool,
+}
+
 /// The times of one generation's events.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Pace {
     /// How long the request waited in this instance for room at an engine.
     waited: Duration,
     first: Option<Instant>,
-    last: Option<Instant>,
+    last: Option<LastEvent>,
     longest_pause: Duration,
 }
 
@@ -26,13 +36,24 @@
         }
     }
 
-    /// Records an event that is forwarded.
-    pub(super) fn on_event(&mut self, now: Instant) {
+    /// Records an event that is forwarded; `is_blocked` is whether the caller's buffer is full.
+    /// Returns the gap since the last event if both came from the current engine and the gap is
+    /// the engine's: not the time of a relocation, and not that of a caller that reads slowly.
+    pub(super) fn on_event(
+        &mut self,
+        now: Instant,
+        relocations: u32,
+        is_blocked: bool,
+    ) -> Option<Duration> {
         self.first.get_or_insert(now);
-        if let Some(last) = self.last {
-            self.longest_pause = self.longest_pause.max(now - last);
-        }
-        self.last = Some(now);
+        let last = self.last.replace(LastEvent {
+            at: now,
+            relocations,
+            was_blocked: is_blocked,
+        })?;
+        let gap = now - last.at;
+        self.longest_pause = self.longest_pause.max(gap);
+        (last.relocations == relocations && !last.was_blocked).then_some(gap)
     }
 
     /// Returns the timing as seen by a caller that arrived at `arrived`.
