--- a/crates/core/src/gateway/home.rs
+++ b/crates/core/src/gateway/home.rs
@@ -87,18 +87,19 @@
 type Decisions = BTreeMap<SocketAddrV4, Vec<(u64, PlacementDecision)>>;
 
 impl Home {
-    /// Stores a report. One that is older than the last one of the same incarnation is ignored.
+    /// Stores a report. One that is older than the last one of the same incarnation is ignored;
+    /// returns whether the report was stored.
     pub fn on_report(
         &mut self,
         now: Time,
         from: SocketAddrV4,
         incarnation: Incarnation,
         report: PlacementReport,
-    ) {
+    ) -> bool {
         let known = self.reporters.get_mut(&from);
         let (viewed, mut reserved) = match known {
             Some(known) if known.incarnation != incarnation => (None, Reservations::default()),
-            Some(known) if known.number >= report.number => return,
+            Some(known) if known.number >= report.number => return false,
             Some(known) => (known.view_sent_at, core::mem::take(&mut known.reserved)),
             None => (None, Reservations::default()),
         };
@@ -136,6 +137,7 @@
         if let Some(replaced) = self.reporters.insert(from, reporter) {
             replaced.subtract_from(&mut self.sums);
         }
+        true
     }
 
     /// Removes expired reports.
--- a/crates/core/src/gateway/home/copies.rs
+++ b/crates/core/src/gateway/home/copies.rs
@@ -177,12 +177,14 @@
     unusable: &[EndpointKey],
 ) -> Result<EndpointKey, PlacementError> {
     let exclude = [&request.exclude, unusable].concat();
-    let demand = demand(engines, request, &exclude);
+    let mut demand = demand(engines, request, &exclude);
     // One instance decides all requests one after the other: no random spread is needed.
     let no_draw = || 0.0;
     match request.kind {
         PlacementKind::Queued | PlacementKind::Immediate => choose(world, &demand, no_draw),
         PlacementKind::Copy { kind, .. } => {
+            // A generation that resumes from a copy prefills nothing.
+            demand.pace.prompt = 0;
             let source = source(world, request).ok_or(PlacementError::NoEndpoint)?;
             choose_copy_target(world, &demand, source, kind, no_draw).ok_or(PlacementError::Full)
         }
@@ -222,5 +224,6 @@
         engine: Some(engines.limits),
         tokens: request.queued.tokens,
         exclude,
+        pace: request.queued.pace_demand(),
     }
 }
--- a/crates/core/src/gateway/queue.rs
+++ b/crates/core/src/gateway/queue.rs
@@ -11,7 +11,7 @@
 use super::engines::Engines;
 use super::headroom::{Headroom, RecentDemand};
 use super::holds::Holds;
-use super::request::{Demand, PlacementError, QueuedPlacement, QueuedRequest};
+use super::request::{Demand, PaceDemand, PlacementError, QueuedPlacement, QueuedRequest};
 use crate::ids::EndpointKey;
 use crate::time::Time;
 use core::time::Duration;
@@ -175,6 +175,7 @@
         engine: Some(engines.limits),
         tokens: 0,
         exclude: &[],
+        pace: PaceDemand::default(),
     };
     let mut capacities = match capacities(context, &demand, rate_remaining) {
         Ok(capacities) => capacities,
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -25,7 +25,7 @@
 use super::lengths::LengthTable;
 use super::members::{CapacityClass, Members};
 use super::no_room::NoRoom;
-use super::pace::PaceModel;
+use super::pace::{PaceModel, PaceSamples};
 use super::placement::PlacementTable;
 use super::proxies::Proxies;
 use super::rate_limits::{LimitChange, RateLimits, ResponseLimit};
@@ -132,6 +132,8 @@
     no_room: NoRoom,
     /// The pace of engines, by the hash of the service's name, as reported to this instance as a home.
     pace: BTreeMap<u64, PaceModel>,
+    /// The gaps between events that this instance has not reported yet.
+    pace_samples: PaceSamples,
     reported: BTreeMap<u64, Reported>,
     reports_sent: u64,
     /// Number of instances, recently lost ones included.
@@ -194,6 +196,7 @@
             granted_resumes: Vec::new(),
             no_room: NoRoom::default(),
             pace: BTreeMap::new(),
+            pace_samples: PaceSamples::default(),
             reported: BTreeMap::new(),
             reports_sent: 0,
             fleet,
--- a/crates/gateway/src/relay/pace.rs
+++ b/crates/gateway/src/relay/pace.rs
@@ -8,6 +8,15 @@
 /// Number of gaps between events from which their mean is known well enough to predict when a
 /// generation ends. Fewer may all fall into a pause.
 const MIN_GAPS: u32 = 8;
+/// The last event that was forwarded.
+#[derive(Clone, Copy, Debug)]
+struct LastEvent {
+    at: Instant,
+    /// How often the generation had been relocated.
+    relocations: u32,
+    /// Whether the caller's buffer was full, so that the next event is read late.
+    was_blocked: bool,
+}
 
 /// The times of one generation's events.
 #[derive(Clone, Copy, Debug)]
@@ -15,7 +24,7 @@
     /// How long the request waited in this instance for room at an engine.
     waited: Duration,
     first: Option<Instant>,
-    last: Option<Instant>,
+    last: Option<LastEvent>,
     longest_pause: Duration,
     /// Number of gaps between events.
     gaps: u32,
@@ -33,20 +42,31 @@
         }
     }
 
-    /// Records an event that is forwarded.
-    pub(super) fn on_event(&mut self, now: Instant) {
+    /// Records an event that is forwarded; `is_blocked` is whether the caller's buffer is full.
+    /// Returns the gap since the last event if both came from the current engine and the gap is
+    /// the engine's: not the time of a relocation, and not that of a caller that reads slowly.
+    pub(super) fn on_event(
+        &mut self,
+        now: Instant,
+        relocations: u32,
+        is_blocked: bool,
+    ) -> Option<Duration> {
         self.first.get_or_insert(now);
-        if let Some(last) = self.last {
-            self.longest_pause = self.longest_pause.max(now - last);
-            self.gaps += 1;
-        }
-        self.last = Some(now);
+        let last = self.last.replace(LastEvent {
+            at: now,
+            relocations,
+            was_blocked: is_blocked,
+        })?;
+        let gap = now - last.at;
+        self.gaps += 1;
+        self.longest_pause = self.longest_pause.max(gap);
+        (last.relocations == relocations && !last.was_blocked).then_some(gap)
     }
 
     /// Returns the mean time between events; `None` until enough of them have been seen.
     pub(super) fn mean_gap(&self) -> Option<Duration> {
         let (first, last) = (self.first?, self.last?);
-        (self.gaps >= MIN_GAPS).then(|| (last - first) / self.gaps)
+        (self.gaps >= MIN_GAPS).then(|| (last.at - first) / self.gaps)
     }
 
     /// Returns the timing as seen by a caller that arrived at `arrived`.
