Setting instance.cpu_share: the processor share of an instance

Cause: homes are chosen by capacity, and an instance did not know its own. Change: section [instance] with cpu_share, a fraction of a core, 0 for unknown. The template of the platform fills it in from limits.cpu-share; the instance gossips its class. Conclusion: limits.cores is not taken into account; where instances differ in it, cpu_share must be given as the product.

--- a/crates/oriolemux/src/cli/gateway.rs
+++ b/crates/oriolemux/src/cli/gateway.rs
@@ -5,12 +5,13 @@
 use crate::events::{self, ShellNote};
 use crate::logs::{self, LogTarget};
 use crate::metrics;
-use crate::settings::{GatewaySettings, RepeatsSettings};
+use crate::settings::{GatewaySettings, InstanceSettings, RepeatsSettings};
 use crate::supervisor::StopTokens;
 use core::time::Duration;
 use oriolemux_core::Incarnation;
 use oriolemux_core::gateway::GatewayConfig;
 use oriolemux_core::gateway::budget::BudgetConfig;
+use oriolemux_core::gateway::members::CapacityClass;
 use oriolemux_core::ids::stable_hash;
 use oriolemux_gateway::{
     BoundListeners, GatewayLimits, MetricsPage, ReloadedSettings, RunConfig, RunError,
@@ -193,7 +194,7 @@
             deployment: stable_hash(&[settings.peers.deployment.as_bytes()]),
             seeds: seeds(settings),
             budget: budget(&settings.repeats),
-            capacity: Default::default(),
+            capacity: capacity(&settings.instance),
         },
     }
 }
@@ -211,6 +212,12 @@
         .collect()
 }
 
+fn capacity(instance: &InstanceSettings) -> CapacityClass {
+    const PERCENT: f64 = 100.0;
+    // A share beyond the range of the integer becomes its largest value.
+    CapacityClass::of_percent((instance.cpu_share.0 * PERCENT).round() as u32)
+}
+
 fn budget(repeats: &RepeatsSettings) -> BudgetConfig {
     BudgetConfig {
         ratio: repeats.ratio.0,
--- a/crates/oriolemux/src/settings.rs
+++ b/crates/oriolemux/src/settings.rs
@@ -18,7 +18,7 @@
 mod value;
 
 pub use docs::render as render_docs;
-pub use gateway::{GatewaySettings, RepeatsSettings};
+pub use gateway::{GatewaySettings, InstanceSettings, RepeatsSettings};
 pub use secret::{Secret, SecretFile, Secrets};
 pub use spec::Description;
 pub use table::{
--- a/crates/oriolemux/src/settings/gateway.rs
+++ b/crates/oriolemux/src/settings/gateway.rs
@@ -17,6 +17,14 @@
         data_centre: String = required();
     }
 
+    /// What the platform gives this instance.
+    instance: InstanceSettings {
+        /// The share of a core that this instance may use, such as 0.12; 0 means unknown. Engines
+        /// are placed by the instances with the largest share; an instance of unknown share is one
+        /// of the smallest.
+        cpu_share: Number = default(Number(0.0));
+    }
+
     /// The listener for callers. The catalogue says what they may send.
     callers: GatewayCallersSettings {
         /// Address and port on which callers are served.
--- a/crates/oriolemux/tests/settings_reading.rs
+++ b/crates/oriolemux/tests/settings_reading.rs
@@ -1,6 +1,8 @@
 //! Tests that settings are read completely and every mistake is reported with its line and column.
 
-use oriolemux::settings::{LogFormat, LogLevel, Millis, Secret, Secrets, Settings};
+use oriolemux::settings::{
+    GatewaySettings, LogFormat, LogLevel, Millis, Number, Secret, Secrets, Settings,
+};
 use rstest::rstest;
 
 /// Settings that contain only the required keys.
@@ -34,6 +36,41 @@
     }
 }
 
+/// What the platform writes in place of each field of `deploy/gateway.toml`.
+const PLATFORM_FIELDS: &[(&str, &str)] = &[
+    ("{{node-name}}", "edge-1"),
+    ("{{zone}}", "north"),
+    ("{{limits.cpu-share}}", "0.12"),
+    ("{{listen.frontend}}", "10.0.0.7:8080"),
+    ("{{listen.readiness}}", "10.0.0.7:8081"),
+    ("{{ip}}", "10.0.0.7"),
+    ("{{internal-ports.0}}", "7200"),
+    (
+        "{{#seeds}}\"{{.}}\"{{,}}{{/seeds}}",
+        "\"10.0.0.8:7200\",\"10.0.0.9:7200\"",
+    ),
+    ("{{platform.address}}", "10.0.1.1:7000"),
+    ("{{bounds.retry-budget-ratio}}", "0.1"),
+    ("{{bounds.budget-slack}}", "10"),
+    ("{{bounds.budget-window-s}}", "10"),
+    ("{{bounds.grace-s}}", "30"),
+];
+
+/// Guards against a template from which the platform generates settings that an instance refuses.
+#[test]
+fn the_template_of_an_instance_is_valid() {
+    let template =
+        std::path::Path::new(env!("CARGO_MANIFEST_DIR")).join("../../deploy/gateway.toml");
+    let template = std::fs::read_to_string(template).expect("the template");
+    let fill = |text: String, (field, value): &(&str, &str)| text.replace(field, value);
+    let text = PLATFORM_FIELDS.iter().fold(template, fill);
+    assert!(!text.contains("{{"), "a field has no value: {text}");
+
+    let settings = GatewaySettings::parse("gateway.toml", &text).expect("no findings");
+
+    assert_eq!(settings.instance.cpu_share, Number(0.12));
+}
+
 #[test]
 fn required_keys_alone_use_defaults() {
     let settings = Settings::parse("dir/settings.toml", MINIMAL).expect("no findings");
