Without a home, an instance takes only its share of the engines' room

Cause: an instance that no home answered placed requests by its last view, and so did all others, at the same few engines. Change: gateway::fallback. Half of the free room of each engine, as the last view of a home shows it, is divided among the live instances by their order; what an instance took counts until the next view or for 5 s. Beyond its share a request waits for a home, and event 870 says so, at most five lines a second. An instance that is alone, or that no home has answered yet, is bounded as before. When all homes come back after more than the lifetime of a report, they still grant up to 24,000, because reports of instances that request nothing have expired: not changed here.

--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -47,6 +47,7 @@
 pub mod cordons;
 pub mod endpoints;
 pub mod engines;
+pub mod fallback;
 pub mod fleet_size;
 pub mod gossip;
 pub mod home;
--- a/crates/core/src/gateway/home/message.rs
+++ b/crates/core/src/gateway/home/message.rs
@@ -81,7 +81,7 @@
     }
 
     /// Returns the usage to reserve until a report of the instance includes it.
-    pub(super) fn reserved_usage(&self) -> Usage {
+    pub(in crate::gateway) fn reserved_usage(&self) -> Usage {
         let QueuedRequest { tokens, prompt, .. } = self.queued;
         match self.kind {
             PlacementKind::Queued | PlacementKind::Immediate => Usage {
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -19,6 +19,7 @@
 use super::cold::RateShares;
 use super::cordons::{Cordon, CordonEffect};
 use super::endpoints::{EndpointRecord, EndpointTable};
+use super::fallback::FallbackShares;
 use super::fleet_size::FleetSize;
 use super::gossip::{Body, Outbox};
 use super::home::{Home, HomeEjection};
@@ -125,6 +126,8 @@
     /// Open placement requests of this instance.
     placements: PlacementTable,
     placement_changes: u64,
+    /// What this instance took of engines without a home.
+    fallback: FallbackShares,
     /// The pace of engines, by the hash of the service's name, as reported to this instance as a home.
     pace: BTreeMap<u64, PaceModel>,
     reported: BTreeMap<u64, Reported>,
@@ -186,6 +189,7 @@
             undecided: BTreeSet::new(),
             placements: PlacementTable::default(),
             placement_changes: 0,
+            fallback: FallbackShares::default(),
             pace: BTreeMap::new(),
             reported: BTreeMap::new(),
             reports_sent: 0,
--- a/crates/core/src/gateway/state/places.rs
+++ b/crates/core/src/gateway/state/places.rs
@@ -7,6 +7,7 @@
 use crate::gateway::cold::{self, ColdLimits, LOCAL_SHARE};
 use crate::gateway::endpoints::Endpoint;
 use crate::gateway::engines::Engines;
+use crate::gateway::fallback::EnginePart;
 use crate::gateway::gossip::Body;
 use crate::gateway::home::{PlacementAnswer, PlacementReport, REPORT_INTERVAL};
 use crate::gateway::members::{CapacityClass, MemberUpdate};
@@ -15,7 +16,7 @@
     PlacementStatus, QUEUED_REPORT_INTERVAL, UNANSWERED_REPORT_INTERVAL,
 };
 use crate::gateway::request::{
-    Demand, PlacementError, PlacementKind, PlacementRequest, service_hash,
+    CopyKind, Demand, PlacementError, PlacementKind, PlacementRequest, QueuedRequest, service_hash,
 };
 use crate::gateway::usage::{PeerUsage, Usage};
 use crate::ids::{EndpointKey, address_hash};
@@ -210,20 +211,109 @@
         is_admitted
     }
 
-    /// Chooses for `want` with the knowledge of this instance, because no home answers.
+    /// Chooses for `want` with the knowledge of this instance, because no home answers. Once a home
+    /// has sent what others run, the choice is within this instance's share of the room that was
+    /// free then, see [`fallback`](crate::gateway::fallback).
     ///
     /// # Errors
     ///
-    /// Returns why there is no placement.
+    /// Returns why there is no placement; [`PlacementError::Full`] also if the share is used up.
     pub fn place_without_home(
         &mut self,
         now: Time,
         demand: &Demand<'_>,
         want: PlacementKind,
     ) -> Result<Placement, PlacementError> {
-        let PlacementKind::Copy { source, kind } = want else {
-            return self.place(now, demand);
+        let beyond_share = self.beyond_share(now, demand);
+        let exclude = [demand.exclude, &beyond_share].concat();
+        let within_share = Demand {
+            exclude: &exclude,
+            ..*demand
+        };
+        let placed = match want {
+            PlacementKind::Copy { source, kind } => {
+                self.place_copy(now, &within_share, source, kind)
+            }
+            PlacementKind::Queued | PlacementKind::Immediate => self.place(now, &within_share),
+        };
+        let placed = placed.map_err(|why| match why {
+            PlacementError::NoEndpoint if !beyond_share.is_empty() => PlacementError::Full,
+            why => why,
+        })?;
+        let request = PlacementRequest {
+            queued: QueuedRequest {
+                tokens: demand.tokens,
+                ..QueuedRequest::default()
+            },
+            kind: want,
+            exclude: Vec::new(),
+        };
+        let (service, used) = (service_hash(demand.service), request.reserved_usage());
+        self.fallback.record(now, service, placed.key, used);
+        Ok(placed)
+    }
+
+    /// Returns whether an engine has room for a request that this instance may not place there
+    /// without a home, because that exceeds its share.
+    pub fn is_beyond_share(&self, now: Time, demand: &Demand<'_>) -> bool {
+        let Some(limits) = demand.engine else {
+            return false;
         };
+        let beyond_share = self.beyond_share(now, demand);
+        let mut open = beyond_share
+            .iter()
+            .filter(|it| !demand.exclude.contains(it));
+        open.any(|key| {
+            let used = self.used(*key);
+            let held = used.tokens.saturating_add(used.copy_tokens);
+            held.saturating_add(demand.tokens) <= limits.kv_cache_tokens
+        })
+    }
+
+    /// Returns the engines of which a request may not be given room without a home, because that
+    /// exceeds the share of this instance. An instance that is alone, or that no home has sent a
+    /// view yet, is not bounded.
+    fn beyond_share(&self, now: Time, demand: &Demand<'_>) -> Vec<EndpointKey> {
+        let service = service_hash(demand.service);
+        let view = self.placements.view(service);
+        let (Some(limits), Some(view)) = (demand.engine, view) else {
+            return Vec::new();
+        };
+        let instances = self.instances();
+        if instances == 1 {
+            return Vec::new();
+        }
+        let live = self.members.live();
+        let position = live.filter(|(it, _)| *it < self.cfg.address).count();
+        let usable = || self.endpoints.usable_of(demand.service);
+        let is_trusted = |it: &Endpoint| !it.is_ejected(now) && !view.ejected.contains(&it.key);
+        let any_trusted = usable().any(is_trusted);
+        let mut engines: Vec<(EndpointKey, bool)> = usable()
+            .map(|it| (it.key, is_trusted(it) || !any_trusted))
+            .collect();
+        engines.sort_unstable();
+        let taken = self.fallback.taken(now, service);
+        let is_allowed = |number: usize, key: EndpointKey| {
+            let part = EnginePart::of(position, instances, number, engines.len());
+            let used = self.usage.own(key).plus(view.of(key));
+            let taken = taken.get(&key).copied().unwrap_or_default();
+            part.is_some_and(|it| it.allows(limits, used, taken, demand.tokens))
+        };
+        let numbered = engines.iter().enumerate();
+        numbered
+            .filter(|(number, (key, trusted))| !trusted || !is_allowed(*number, *key))
+            .map(|(_, (key, _))| *key)
+            .collect()
+    }
+
+    /// Chooses the engine for a copy with the knowledge of this instance.
+    fn place_copy(
+        &mut self,
+        now: Time,
+        demand: &Demand<'_>,
+        source: EndpointKey,
+        kind: CopyKind,
+    ) -> Result<Placement, PlacementError> {
         let mut rng = self.fork_rng();
         let world = self.context(now, demand.service);
         let source = world
@@ -397,6 +487,7 @@
             self.placements.on_decision(now, id, decision);
         }
         if let Some(view) = answer.view {
+            self.fallback.refill(answer.service);
             self.placements.set_view(now, answer.service, view);
         }
     }
--- a/crates/gateway/src/event_log.rs
+++ b/crates/gateway/src/event_log.rs
@@ -194,6 +194,10 @@
     /// A request of a peer that reaches no endpoint ended here; the line says how, and how many
     /// others are being served.
     ServedForPeer = 855, "served_for_peer", Info, USUAL;
+    /// No home answered a placement request in time, and this instance has used up its share of the
+    /// room that may be taken without a home. A request waits until a home answers; a copy is
+    /// requested again. The line has the tokens and how many live instances share the room.
+    FallbackShareUsedUp = 870, "fallback_share_used_up", Info, FEW;
 }
 
 /// The lines of one event in the current second.
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -79,6 +79,7 @@
         cx: Arc::clone(cx),
         id,
     };
+    let mut is_share_logged = false;
     loop {
         let mut decided = core::pin::pin!(cx.decided.notified());
         decided.as_mut().enable();
@@ -134,8 +135,16 @@
                             log_placed_without_home(job, &place);
                             return Ok((place, granted));
                         }
-                        Err(why) if params.kind != PlacementKind::Queued => return Err(why),
-                        Err(why) => why,
+                        Err(why) => {
+                            if !is_share_logged && state.is_beyond_share(now, &demand) {
+                                is_share_logged = true;
+                                log_share_used_up(job, params, state.instances());
+                            }
+                            if params.kind != PlacementKind::Queued {
+                                return Err(why);
+                            }
+                            why
+                        }
                     }
                 }
             }
@@ -148,6 +157,16 @@
     }
 }
 
+fn log_share_used_up<W: Wire>(job: &Job<W>, params: PlacementParams<'_>, instances: usize) {
+    log_event!(
+        FallbackShareUsedUp,
+        attempt = job.name(),
+        tokens = params.tokens,
+        instances = instances,
+        ms = job.arrived.elapsed().as_millis() as u64
+    );
+}
+
 fn log_placed_without_home<W: Wire>(job: &Job<W>, place: &Placement) {
     ByReason::Places.add("alone");
     log_event!(
