--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -19,6 +19,7 @@
 use super::cold::RateShares;
 use super::cordons::{Cordon, CordonEffect};
 use super::endpoints::{EndpointRecord, EndpointTable};
+use super::fallback::FallbackShares;
 use super::fleet_size::FleetSize;
 use super::gossip::{Body, Outbox};
 use super::home::{Home, HomeEjection};
@@ -130,6 +131,8 @@
     granted_resumes: Vec<(EndpointKey, Time)>,
     /// Engines that recently refused a copy of this instance for lack of room.
     no_room: NoRoom,
+    /// What this instance took of engines without a home.
+    fallback: FallbackShares,
     /// The pace of engines, by the hash of the service's name, as reported to this instance as a home.
     pace: BTreeMap<u64, PaceModel>,
     /// The gaps between events that this instance has not reported yet.
@@ -195,6 +198,7 @@
             placement_changes: 0,
             granted_resumes: Vec::new(),
             no_room: NoRoom::default(),
+            fallback: FallbackShares::default(),
             pace: BTreeMap::new(),
             pace_samples: PaceSamples::default(),
             reported: BTreeMap::new(),
--- a/crates/gateway/src/event_log.rs
+++ b/crates/gateway/src/event_log.rs
@@ -208,6 +208,10 @@
     /// generation does not try it again, and homes place no copy there for 300 ms. The line shows
     /// the usage of the engine as known here.
     PreCopyRefused = 863, "pre_copy_refused", Info, USUAL;
+    /// No home answered a placement request in time, and this instance has used up its share of the
+    /// room that may be taken without a home. A request waits until a home answers; a copy is
+    /// requested again. The line has the tokens and how many live instances share the room.
+    FallbackShareUsedUp = 870, "fallback_share_used_up", Info, FEW;
 }
 
 /// The lines of one event in the current second.
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -11,6 +11,7 @@
 use crate::log_event;
 use crate::meters::ByReason;
 use crate::ports::Wire;
+use core::sync::atomic::{AtomicBool, Ordering};
 use core::time::Duration;
 use oriolemux_core::gateway::Gateway;
 use oriolemux_core::gateway::placement::PlacementStatus;
@@ -75,6 +76,8 @@
     tokens: u32,
     exclude: Vec<EndpointKey>,
     deadline: Instant,
+    /// Whether it was logged that the request waits because the share of this instance is used up.
+    is_share_logged: AtomicBool,
 }
 
 /// Requests a place until there is one or `deadline` passes, and passes it to `on_granted` under
@@ -126,6 +129,7 @@
             tokens: params.tokens,
             exclude: params.exclude.to_vec(),
             deadline,
+            is_share_logged: AtomicBool::new(false),
         }
     }
 
@@ -198,8 +202,17 @@
                             log_placed_without_home(job, &place);
                             return Ok(PlacementProgress::Granted(place, granted));
                         }
-                        Err(why) if !self.kind.is_queued() => return Err(why),
-                        Err(why) => why,
+                        Err(why) => {
+                            if state.is_beyond_share(now, &demand)
+                                && !self.is_share_logged.swap(true, Ordering::Relaxed)
+                            {
+                                log_share_used_up(job, self.tokens, state.instances());
+                            }
+                            if !self.kind.is_queued() {
+                                return Err(why);
+                            }
+                            why
+                        }
                     }
                 }
             }
@@ -218,6 +231,16 @@
     }
 }
 
+fn log_share_used_up<W: Wire>(job: &Job<W>, tokens: u32, instances: usize) {
+    log_event!(
+        FallbackShareUsedUp,
+        attempt = job.name(),
+        tokens = tokens,
+        instances = instances,
+        ms = job.arrived.elapsed().as_millis() as u64
+    );
+}
+
 fn log_placed_without_home<W: Wire>(job: &Job<W>, place: &Placement) {
     ByReason::Places.add("alone");
     log_event!(
