Load test of generations that must move, against the real home

Cause: whether waiting pre-copies find room in time depends on how fast room becomes free, on the links and on what new requests take meanwhile.

Change: sixty engines of which ten leave every 3.3 s with 1.6 s of notice, at 2.5 times the demand, played as arithmetic.

--- a/crates/core/tests/gateway_copies.rs
+++ b/crates/core/tests/gateway_copies.rs
@@ -12,9 +12,13 @@
 use oriolemux_core::gateway::engines::Engines;
 use oriolemux_core::gateway::holds::Holds;
 use oriolemux_core::gateway::home::{Home, PlacementReport, REPORT_TTL};
+use oriolemux_core::gateway::lengths::{LengthEstimate, LengthTable, expected_kv_tokens};
 use oriolemux_core::gateway::pace;
 use oriolemux_core::gateway::queue::assign;
 use oriolemux_core::gateway::rate_limits::RateLimits;
+use oriolemux_core::gateway::relocation::{
+    PRE_COPY_DEADLINE, RELOCATE_AFTER, time_until_copy_is_needed,
+};
 use oriolemux_core::gateway::request::{
     CopyKind, Demand, PlacementDecision, PlacementError, PlacementKind, PlacementRequest,
     QueuedPlacement, QueuedRequest, service_hash,
@@ -22,6 +26,8 @@
 use oriolemux_core::gateway::usage::{PeerUsage, Usage, UsageTable};
 use oriolemux_core::{EndpointKey, Incarnation, Time};
 use proptest::prelude::*;
+use rand::rngs::SmallRng;
+use rand::{Rng as _, SeedableRng};
 use std::collections::BTreeMap;
 
 const NOW: Time = Time::from_secs(100);
@@ -499,3 +505,366 @@
         prop_assert_eq!(scene.decide(), expected);
     }
 }
+
+/// Time of one step of the load, about as often as a home decides under load.
+const STEP: Duration = Duration::from_millis(20);
+
+/// Time per token at an engine with seven generations.
+const TOKEN_TIME: Duration = Duration::from_micros(10_700);
+
+/// Time for prefilling a prompt.
+const PREFILL: Duration = Duration::from_millis(400);
+
+/// Time per token of a copy on the link of the engine that leaves: 170 ms for 3,000 tokens.
+const COPY_TIME: Duration = Duration::from_micros(57);
+
+/// Time between two departures, notice of an engine that leaves, and time until it is back.
+const DEPARTURES: Duration = Duration::from_millis(3_300);
+const NOTICE: Duration = Duration::from_millis(1_600);
+const ABSENCE: Duration = Duration::from_millis(4_000);
+
+/// Steps before the first departure. All generations begin within the first seconds, so that none
+/// ends for a while; after 12 s they end evenly.
+const WARM_UP_STEPS: u128 = 600;
+
+const PROMPT: u32 = 2_000;
+
+/// Generations that arrive in each second: 2.5 times what 50 engines serve at 0.8 of their capacity.
+const ARRIVALS: f64 = 100.0;
+
+/// How long a generation waits for its first engine.
+const PATIENCE: Duration = Duration::from_millis(1_800);
+
+/// One generation of the load.
+struct Generation {
+    id: u64,
+    instance: u16,
+    arrived: Time,
+    /// Tokens that it will have produced in the end.
+    output: u32,
+    /// Its engine, once it has one, and when its first token is produced.
+    runs: Option<(EndpointKey, Time)>,
+    /// The request for a pre-copy that waits.
+    asks: Option<PlacementRequest>,
+    /// The target of the pre-copy, its size, and when it is complete.
+    copy: Option<(EndpointKey, u32, Time)>,
+}
+
+impl Generation {
+    fn made(&self, now: Time) -> u32 {
+        let runs_for = self
+            .runs
+            .map_or(Duration::ZERO, |(_, first)| now.since(first));
+        (runs_for.as_micros() / TOKEN_TIME.as_micros()) as u32
+    }
+
+    fn expected(&self, now: Time, length: LengthEstimate) -> u32 {
+        expected_kv_tokens(PROMPT, length, self.made(now))
+    }
+
+    /// Returns what its instance reports of it.
+    fn usage(&self, now: Time, length: LengthEstimate) -> Vec<(EndpointKey, Usage)> {
+        let runs = self.runs.map(|(engine, first)| {
+            let pending_prefill = if now < first { PROMPT } else { 0 };
+            let used = used(self.expected(now, length));
+            (
+                engine,
+                Usage {
+                    pending_prefill,
+                    ..used
+                },
+            )
+        });
+        let copy = self.copy.map(|(engine, copy_tokens, _)| {
+            let usage = Usage {
+                copy_tokens,
+                ..Usage::default()
+            };
+            (engine, usage)
+        });
+        runs.into_iter().chain(copy).collect()
+    }
+}
+
+/// Overload while engines leave, played against a real home.
+struct Load {
+    scene: Scene,
+    rng: SmallRng,
+    /// Whether engines leave.
+    has_departures: bool,
+    lengths: LengthTable,
+    all: Vec<Generation>,
+    /// Notices by engine.
+    notices: BTreeMap<EndpointKey, Time>,
+    /// When the link of an engine that leaves is free again.
+    links: BTreeMap<EndpointKey, Time>,
+    /// The incarnations of the engines.
+    keys: Vec<EndpointKey>,
+    arrivals: f64,
+    next_id: u64,
+    served: usize,
+    interrupted: usize,
+    preempted: usize,
+}
+
+impl Load {
+    fn new(seed: u64, has_departures: bool) -> Self {
+        let mut scene = Scene::new(&[]);
+        scene.endpoints = EndpointTable::default();
+        let mut load = Load {
+            scene,
+            rng: SmallRng::seed_from_u64(seed),
+            has_departures,
+            lengths: LengthTable::default(),
+            all: Vec::new(),
+            notices: BTreeMap::new(),
+            links: BTreeMap::new(),
+            keys: Vec::new(),
+            arrivals: 0.0,
+            next_id: 0,
+            served: 0,
+            interrupted: 0,
+            preempted: 0,
+        };
+        for number in 0..60 {
+            let key = load.start_engine(number, 0);
+            load.keys.push(key);
+        }
+        for _ in 0..400 {
+            let output = load.draw_output();
+            load.lengths.record("plan", output);
+        }
+        load
+    }
+
+    fn start_engine(&mut self, number: usize, incarnation: u64) -> EndpointKey {
+        let record = EndpointRecord {
+            started_unix_ms: Some(incarnation),
+            ..record(number, "north")
+        };
+        let key = record.key();
+        self.scene.endpoints.apply_record(self.scene.now, record);
+        key
+    }
+
+    /// Draws an output length that spreads by a factor of two around 700 tokens.
+    fn draw_output(&mut self) -> u32 {
+        let normal: f64 = (0..12).map(|_| self.rng.random::<f64>()).sum::<f64>() - 6.0;
+        (700.0 * (0.6 * normal).exp()).clamp(64.0, 2_000.0) as u32
+    }
+
+    fn length(&self) -> LengthEstimate {
+        self.lengths.estimate("plan", 2_000, None)
+    }
+
+    fn run(&mut self, time: Duration) {
+        let steps = time.as_millis() / STEP.as_millis();
+        for step in 0..steps {
+            self.scene.now += STEP;
+            let interval = DEPARTURES.as_millis() / STEP.as_millis();
+            let is_due = self.has_departures && step > WARM_UP_STEPS && step % interval == 0;
+            if is_due {
+                self.give_notice((step / interval) as usize);
+            }
+            self.end_engines();
+            self.arrive();
+            self.advance();
+            self.request_copies();
+            self.report_and_decide();
+            self.preempt();
+        }
+    }
+
+    fn give_notice(&mut self, round: usize) {
+        for number in (0..10).map(|it| (round * 10 + it) % 60) {
+            let key = self.keys[number];
+            self.scene.endpoints.mark_leaving(self.scene.now, key);
+            self.notices.insert(key, self.scene.now);
+        }
+    }
+
+    fn end_engines(&mut self) {
+        let now = self.scene.now;
+        for number in 0..self.keys.len() {
+            let key = self.keys[number];
+            let Some(&notice) = self.notices.get(&key) else {
+                continue;
+            };
+            if now.since(notice) >= NOTICE {
+                let at = |it: &Generation| it.runs.is_some_and(|(engine, _)| engine == key);
+                let before = self.all.len();
+                self.all.retain(|it| !at(it));
+                self.interrupted += before - self.all.len();
+                self.all.iter_mut().for_each(|it| {
+                    it.copy = it.copy.filter(|(target, _, _)| *target != key);
+                });
+            }
+            if now.since(notice) >= ABSENCE {
+                self.notices.remove(&key);
+                self.keys[number] = self.start_engine(number, now.as_micros());
+            }
+        }
+    }
+
+    fn arrive(&mut self) {
+        self.arrivals += ARRIVALS * STEP.as_secs_f64();
+        while self.arrivals >= 1.0 {
+            self.arrivals -= 1.0;
+            self.next_id += 1;
+            let generation = Generation {
+                id: self.next_id,
+                instance: 1 + (self.next_id % 20) as u16,
+                arrived: self.scene.now,
+                output: self.draw_output(),
+                runs: None,
+                asks: None,
+                copy: None,
+            };
+            self.all.push(generation);
+        }
+    }
+
+    /// Ends generations that are complete or gave up, and moves those that may leave.
+    fn advance(&mut self) {
+        let now = self.scene.now;
+        let before = self.all.iter().filter(|it| it.runs.is_some()).count();
+        self.all.retain(|it| match it.runs {
+            Some(_) => it.made(now) < it.output,
+            None => now.since(it.arrived) < PATIENCE,
+        });
+        self.served += before - self.all.iter().filter(|it| it.runs.is_some()).count();
+        for it in &mut self.all {
+            let Some((engine, first)) = it.runs else {
+                continue;
+            };
+            let leaving_for = self.notices.get(&engine).map(|&at| now.since(at));
+            let leaves = leaving_for.is_some_and(|it| it >= RELOCATE_AFTER);
+            let copy = it.copy.filter(|(_, _, ready)| leaves && *ready <= now);
+            if let Some((target, _, _)) = copy {
+                it.runs = Some((target, first));
+                it.copy = None;
+            }
+        }
+    }
+
+    fn request_copies(&mut self) {
+        let (now, length) = (self.scene.now, self.length());
+        for it in &mut self.all {
+            let Some((engine, _)) = it.runs else {
+                continue;
+            };
+            let leaving_for = self.notices.get(&engine).map(|&at| now.since(at));
+            let Some(leaving_for) = leaving_for.filter(|it| *it < PRE_COPY_DEADLINE) else {
+                it.asks = None;
+                continue;
+            };
+            let remaining = TOKEN_TIME * length.remaining(it.made(now));
+            let is_needed = time_until_copy_is_needed(leaving_for, remaining).is_none();
+            if it.copy.is_none() && it.asks.is_none() && is_needed {
+                let kind = CopyKind::PreCopy;
+                let kind = PlacementKind::Copy {
+                    source: engine,
+                    kind,
+                };
+                // The id differs from that of the generation's first request.
+                let id = it.id + (1 << 32);
+                it.asks = Some(request(id, it.expected(now, length), kind));
+            }
+        }
+    }
+
+    fn report_and_decide(&mut self) {
+        let (now, length) = (self.scene.now, self.length());
+        for instance in 1..=20 {
+            let own = || self.all.iter().filter(|it| it.instance == instance);
+            let mut used: BTreeMap<EndpointKey, Usage> = BTreeMap::new();
+            for (engine, usage) in own().flat_map(|it| it.usage(now, length)) {
+                let sum = used.entry(engine).or_default();
+                *sum = sum.plus(usage);
+            }
+            let queued = own().filter(|it| it.runs.is_none()).map(|it| {
+                let mut request = new_request(it.id, it.expected(now, length));
+                request.queued.arrived = it.arrived;
+                request
+            });
+            let copies = own().filter_map(|it| it.asks.clone());
+            let requests: Vec<PlacementRequest> = copies.chain(queued).collect();
+            let used: Vec<(EndpointKey, Usage)> = used.into_iter().collect();
+            self.scene.report_used(instance, &used, &requests);
+        }
+        self.scene.home.tick(now);
+        for (id, engine) in self.scene.grants() {
+            self.on_grant(id, engine);
+        }
+    }
+
+    fn on_grant(&mut self, id: u64, engine: EndpointKey) {
+        let now = self.scene.now;
+        let mut all = self.all.iter_mut();
+        let found = all
+            .find(|it| it.id == id & u64::from(u32::MAX))
+            .expect("it is open");
+        match (found.runs, found.asks.take()) {
+            (Some((source, _)), Some(asked)) => {
+                let link = self.links.entry(source).or_insert(now);
+                *link = (*link).max(now) + COPY_TIME * (PROMPT + found.made(now));
+                found.copy = Some((engine, asked.queued.tokens, *link));
+            }
+            _ => found.runs = Some((engine, now + PREFILL)),
+        }
+    }
+
+    /// Drops the newest generation of an engine whose KV cache is full.
+    fn preempt(&mut self) {
+        let now = self.scene.now;
+        for &key in &self.keys {
+            let uses = |it: &Generation| {
+                let runs = it.runs.is_some_and(|(engine, _)| engine == key);
+                let copied = it.copy.is_some_and(|(engine, _, _)| engine == key);
+                (PROMPT + it.made(now)) * u32::from(runs || copied)
+            };
+            let total: u32 = self.all.iter().map(uses).sum();
+            if total > ENGINE.kv_cache_tokens {
+                let at = |it: &Generation| it.runs.is_some_and(|(engine, _)| engine == key);
+                if let Some(newest) = self.all.iter().rposition(at) {
+                    self.all.remove(newest);
+                    self.preempted += 1;
+                }
+            }
+        }
+    }
+}
+
+/// Plays the load with two seeds; returns how many generations ended, were interrupted and were
+/// preempted.
+fn play(has_departures: bool) -> (usize, usize, usize) {
+    let mut sum = (0, 0, 0);
+    for seed in 1..=2 {
+        let mut load = Load::new(seed, has_departures);
+        load.run(Duration::from_secs(75));
+        sum.0 += load.served + load.interrupted + load.preempted;
+        sum.1 += load.interrupted;
+        sum.2 += load.preempted;
+    }
+    println!("departures: {has_departures}; ended, interrupted, preempted: {sum:?}");
+    sum
+}
+
+/// Guards against generations that are interrupted under overload: ten of sixty engines leave every
+/// 3.3 s, and 138 of 1,392 generations were lost with them because no engine had room for a copy;
+/// and against copies that overfill their targets. Some generations are preempted even while no
+/// engine leaves, because the need of each is an estimate; moves may add 10 of 2,600.
+#[test]
+fn few_generations_are_interrupted_while_engines_leave_under_overload() {
+    let (ended, interrupted, preempted) = play(true);
+    let (all_stay, _, unavoidable) = play(false);
+
+    assert!(ended > 5_000, "{ended} ended");
+    assert!(
+        interrupted * 50 < ended,
+        "{interrupted} of {ended} interrupted"
+    );
+    let share = |count: usize, of: usize| count as f64 / of as f64;
+    let by_moves = share(preempted, ended) - share(unavoidable, all_stay);
+    assert!(by_moves < 10.0 / 2_600.0, "{by_moves} preempted by moves");
+}
