Other retries leave one of the budget to each generation with a pre-copy

Cause: 14 generations were interrupted with a complete pre-copy because their instance had no retry left. An instance of a large fleet may hold about one, and the reserve for generations that resume is bounded by what may be held, so that other retries spent it between the notice and the move.

Change: the budget counts the generations that have a pre-copy, made or being made; retries that do not resume a generation need one more than these. This only denies retries, so that the fleet's bound is untouched.

It does not help an instance that may hold less than one retry; that would need retries of other instances.

--- a/crates/core/src/gateway/budget.rs
+++ b/crates/core/src/gateway/budget.rs
@@ -105,6 +105,8 @@
     earned_at: Time,
     /// The service's requests within the last window.
     requests: VecDeque<Time>,
+    /// Generations with a pre-copy from which they are about to resume.
+    pending_moves: u32,
 }
 
 /// The retry budget of this instance, by service.
@@ -172,8 +174,24 @@
         true
     }
 
+    /// Counts a generation that is about to resume from a pre-copy, until
+    /// [`end_move`](Self::end_move).
+    pub fn begin_move(&mut self, service: &str) {
+        let account = self.account(service);
+        account.pending_moves = account.pending_moves.saturating_add(1);
+    }
+
+    /// Records that a generation has resumed from its pre-copy, or will not.
+    pub fn end_move(&mut self, service: &str) {
+        let account = self.account(service);
+        debug_assert!(account.pending_moves > 0, "a move ended that did not begin");
+        account.pending_moves = account.pending_moves.saturating_sub(1);
+    }
+
     /// Spends one retry if the account holds one. If the service has generations that may need to
-    /// resume (`has_generations`), other retries leave a reserve for them.
+    /// resume (`has_generations`), other retries leave a reserve for them, and one retry for each
+    /// generation that is about to: it is lost with its engine, and other requests are not. As this
+    /// only denies retries, the fleet's bound holds regardless.
     pub fn try_spend(
         &mut self,
         now: Time,
@@ -185,7 +203,10 @@
         let account = self.account(service);
         account.settle(now, &cfg, known);
         let needed = match has_generations && !kind.is_resume() {
-            true => (1.0 + RESERVED_FOR_RESUMES).min(account.limit(&cfg, known).max(1.0)),
+            true => {
+                let usual = (1.0 + RESERVED_FOR_RESUMES).min(account.limit(&cfg, known).max(1.0));
+                usual.max(1.0 + f64::from(account.pending_moves))
+            }
             false => 1.0,
         };
         let is_held = account.held >= needed;
@@ -211,6 +232,7 @@
                 held: 0.0,
                 earned_at,
                 requests: VecDeque::new(),
+                pending_moves: 0,
             })
     }
 }
--- a/crates/core/tests/gateway_budget.rs
+++ b/crates/core/tests/gateway_budget.rs
@@ -160,3 +160,25 @@
         "nothing beyond the most allowed"
     );
 }
+
+/// Guards against a generation that is lost although its copy is complete: other requests spend the
+/// only retry that its instance may hold, between the notice of its engine and its end.
+#[test]
+fn a_generation_that_is_about_to_move_precedes_other_retries() {
+    let now = START + TIME_TO_FILL;
+    let mut budget = full_budget(30);
+    assert!(budget.remaining(now, "plans") < 2.0, "one retry is held");
+    let mut others_without_move = budget.clone();
+    budget.begin_move("plans");
+
+    let other = budget.try_spend(now, "plans", RetryKind::Retry, true);
+    let recompute = budget.try_spend(now, "plans", RetryKind::Recompute, true);
+    let resume = budget.try_spend(now, "plans", RetryKind::Resume, true);
+    budget.end_move("plans");
+    let later = now + TIME_TO_FILL;
+    let afterwards = budget.try_spend(later, "plans", RetryKind::Retry, true);
+
+    assert!(others_without_move.try_spend(now, "plans", RetryKind::Retry, true));
+    assert!(!other && !recompute && resume);
+    assert!(afterwards, "only while a move is pending");
+}
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -609,6 +609,31 @@
     }
 }
 
+/// Counts a generation that is about to resume from a pre-copy until dropped. Meanwhile other
+/// retries leave it one of the retry budget.
+pub struct PendingMove<W: Wire> {
+    cx: Arc<Cx<W>>,
+    service: String,
+}
+
+impl<W: Wire> PendingMove<W> {
+    /// Begins to count the generation of `job`.
+    pub fn new(job: &Job<W>) -> Self {
+        let service = job.service().name.clone();
+        job.cx.state().budget.begin_move(&service);
+        PendingMove {
+            cx: Arc::clone(&job.cx),
+            service,
+        }
+    }
+}
+
+impl<W: Wire> Drop for PendingMove<W> {
+    fn drop(&mut self) {
+        self.cx.state().budget.end_move(&self.service);
+    }
+}
+
 /// Counts a copy at an endpoint until dropped.
 pub struct CopyUsageGuard<W: Wire> {
     cx: Arc<Cx<W>>,
--- a/crates/gateway/src/meters.rs
+++ b/crates/gateway/src/meters.rs
@@ -61,7 +61,7 @@
         /// Places at engines and for copies, by who decided: the `home`, or this instance `alone`.
         Places = "oriolemux_gateway_places_total";
         /// Pre-copies of generations whose engine leaves: `requested`, `waited` for room, `placed`,
-        /// `not_needed`, or why the request was withdrawn.
+        /// `refused` by the engine, `not_needed`, or why the request was withdrawn.
         PreCopies = "oriolemux_gateway_pre_copies_total";
         /// Requests for which endpoints were left out that would have been considered otherwise: for
         /// a `backoff` that they requested.
--- a/crates/gateway/src/relay/copy_wait.rs
+++ b/crates/gateway/src/relay/copy_wait.rs
@@ -4,9 +4,9 @@
 //! meanwhile, and the request is withdrawn once a copy would come too late or is not needed.
 
 use super::Relay;
-use super::pre_copy::PreCopy;
+use super::pre_copy::{CopyGuards, PreCopy};
 use super::upstream::StopReason;
-use crate::job::{CopyUsageGuard, IMMEDIATE_PLACEMENT_TIMEOUT};
+use crate::job::{CopyUsageGuard, IMMEDIATE_PLACEMENT_TIMEOUT, PendingMove};
 use crate::log_event;
 use crate::meters::{ByReason, millis};
 use crate::placement::{OpenPlacement, PlacementProgress};
@@ -88,7 +88,11 @@
         ByReason::PreCopies.add("placed");
         self.job.cx.gossip_due.notify_one();
         let engines = self.engine_calls.clone();
-        let mut pre_copy = PreCopy::new(engines, self.engine.address, target, in_use);
+        let guards = CopyGuards {
+            usage: in_use,
+            pending: PendingMove::new(&self.job),
+        };
+        let mut pre_copy = PreCopy::new(engines, self.engine.address, target, guards);
         pre_copy.start(self.job.name());
         self.pre_copy = Some(pre_copy);
         self.state.pre_copy_started(self.job.cx.now());
--- a/crates/gateway/src/relay/pre_copy.rs
+++ b/crates/gateway/src/relay/pre_copy.rs
@@ -1,6 +1,6 @@
 //! The copies of one generation's KV cache at other engines.
 
-use crate::job::CopyUsageGuard;
+use crate::job::{CopyUsageGuard, PendingMove};
 use crate::ports::{CopyOutcome, EngineCalls, Wire};
 use core::time::Duration;
 use oriolemux_core::gateway::state::Placement;
@@ -33,8 +33,14 @@
     task: Option<JoinHandle<CopyOutcome>>,
     /// The handle of the copy at the source, once the copy is complete.
     handle: Option<String>,
-    /// Counts the copy at the target; `None` once it was taken.
-    usage: Option<CopyUsageGuard<W>>,
+    /// What counts the copy and the move; `None` once it was taken.
+    guards: Option<CopyGuards<W>>,
+}
+
+/// Counts a pre-copy at its target, and the generation as one that is about to resume.
+pub(super) struct CopyGuards<W: Wire> {
+    pub(super) usage: CopyUsageGuard<W>,
+    pub(super) pending: PendingMove<W>,
 }
 
 impl<W: Wire, E: EngineCalls> PreCopy<W, E> {
@@ -43,7 +49,7 @@
         engines: E,
         source: SocketAddrV4,
         target: Placement,
-        usage: CopyUsageGuard<W>,
+        guards: CopyGuards<W>,
     ) -> Self {
         PreCopy {
             engines,
@@ -51,7 +57,7 @@
             target,
             task: None,
             handle: None,
-            usage: Some(usage),
+            guards: Some(guards),
         }
     }
 
@@ -71,14 +77,14 @@
         self.handle = Some(handle);
     }
 
-    /// Returns the place, the handle and the usage of the copy to resume from, `None` if it is not
+    /// Returns the place, the handle and the guards of the copy to resume from, `None` if it is not
     /// complete.
-    pub(super) fn take(mut self) -> Option<(Placement, String, CopyUsageGuard<W>)> {
+    pub(super) fn take(mut self) -> Option<(Placement, String, CopyGuards<W>)> {
         let handle = self.handle.take()?;
-        let usage = self.usage.take()?;
+        let guards = self.guards.take()?;
         // The result of a call that refreshes the copy does not matter any more.
         self.task = None;
-        Some((self.target.clone(), handle, usage))
+        Some((self.target.clone(), handle, guards))
     }
 }
 
--- a/crates/gateway/src/relay/resume.rs
+++ b/crates/gateway/src/relay/resume.rs
@@ -1,7 +1,7 @@
 //! Resuming a generation at another engine.
 
 use super::Relay;
-use super::pre_copy::StandbyCopy;
+use super::pre_copy::{CopyGuards, StandbyCopy};
 use super::upstream::AttemptStart;
 use crate::job::{CopyUsageGuard, UsageGuard};
 use crate::link::LinkError;
@@ -100,7 +100,7 @@
 
     /// Resumes from the pre-copy, if it is complete.
     async fn resume_from_pre_copy(&mut self) -> Option<AttemptStart> {
-        let (target, handle, copy_usage) = self.pre_copy.take()?.take()?;
+        let (target, handle, CopyGuards { usage, pending }) = self.pre_copy.take()?.take()?;
         ByReason::Relocations.add("ahead");
         log_event!(
             ResumedFromPreCopy,
@@ -110,7 +110,8 @@
             event_id = self.state.last_event()
         );
         let holder = self.engine.address;
-        let mut start = self.resume_at(target, holder, &handle, copy_usage).await;
+        let mut start = self.resume_at(target, holder, &handle, usage).await;
+        drop(pending);
         for _ in 0..MAX_RESUME_RETRIES {
             if !matches!(
                 start,
