Queue of a home: shares of workspaces while not all requests can be placed

Cause: under overload the newest requests go first, whoever sent them. A workspace that sends ten times its share took nearly all of what became free, and the requests of the others expired.

Change: a home keeps the KV cache tokens times time that it granted to each workspace, decayed over 8 s. While not all queued requests can be placed, those with which their workspace is within its max-min share precede those above it, in classes of a factor of two, within a priority. With one workspace in the queue the order does not change. The catalogue states no weights, so all workspaces have the same one; a new home starts without grants and observes its own.

--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -23,6 +23,7 @@
 //! | [`placement`] | placement requests to the home of a service, and the fallback without a home |
 //! | [`home`] | the state of a home, and how it assigns the room of its engines |
 //! | [`headroom`] | capacity that is kept free for urgent requests |
+//! | [`shares`] | the shares of workspaces in what a home grants |
 //! | [`queue`] | the order in which queued requests get room |
 //! | [`choose`] | the endpoint for a request, and the engine for a standby copy |
 //! | [`relocation`] | when a generation leaves its engine, and which events its caller gets |
@@ -65,6 +66,7 @@
 pub mod replica;
 pub mod request;
 pub mod revision;
+pub mod shares;
 pub mod state;
 pub mod suspects;
 pub mod usage;
--- a/crates/core/src/gateway/queue.rs
+++ b/crates/core/src/gateway/queue.rs
@@ -11,6 +11,7 @@
 use super::engines::Engines;
 use super::headroom::{Headroom, RecentDemand};
 use super::request::{Demand, PlacementError, QueuedPlacement, QueuedRequest};
+use super::shares::WorkspaceGrants;
 use crate::ids::EndpointKey;
 use crate::time::Time;
 use core::time::Duration;
@@ -33,6 +34,9 @@
 /// Share of that time after which it is promoted by one more cost class.
 const AGEING_STEP: f64 = 0.1;
 
+/// The weight of each workspace. The catalogue states none, so all of them are due the same share.
+const WORKSPACE_WEIGHT: f64 = 1.0;
+
 impl QueuedRequest {
     fn in_time_for(&self) -> Duration {
         self.target.mul_f64(LATE_AFTER_TARGETS)
@@ -53,6 +57,7 @@
         Rank {
             is_late,
             priority: self.priority,
+            share_excess: 0,
             cost_class: 0,
             by_age: if is_late { arrived } else { u64::MAX - arrived },
             id: self.id,
@@ -79,6 +84,8 @@
 struct Rank {
     is_late: bool,
     priority: u8,
+    /// How far its workspace is above its share.
+    share_excess: u32,
     cost_class: u32,
     by_age: u64,
     id: u64,
@@ -90,14 +97,17 @@
 /// time. Costs are compared in classes of a factor of two, relative to the cheapest request of the
 /// same priority, so that estimates that differ by little do not change the order. A request is
 /// promoted at most to the class of the cheapest one: among equal costs, age changes nothing.
-fn contended_order(now: Time, all: &[&QueuedPlacement]) -> Vec<usize> {
+///
+/// Requests with which their workspace is within its share precede those above it, so that a
+/// workspace that sends more than its share delays only itself.
+fn contended_order(now: Time, all: &[&QueuedPlacement], recent: &RecentGrants) -> Vec<usize> {
     let requests = || all.iter().map(|it| &it.request.queued);
     let mut cheapest: BTreeMap<u8, f64> = BTreeMap::new();
     for request in requests().filter(|it| !it.is_late(now)) {
         let least = cheapest.entry(request.priority).or_insert(f64::INFINITY);
         *least = least.min(request.cost());
     }
-    let ranks: Vec<Rank> = requests()
+    let mut ranks: Vec<Rank> = requests()
         .map(|request| {
             let rank = request.rank(now);
             match cheapest.get(&request.priority) {
@@ -110,6 +120,22 @@
             }
         })
         .collect();
+    let order = sorted(&ranks);
+    let in_time = order.iter().copied().filter(|&at| !ranks[at].is_late);
+    let in_time: Vec<usize> = in_time.collect();
+    let request = |at: &usize| &all[*at].request.queued;
+    let mut workspaces = in_time.iter().map(|at| request(at).workspace);
+    let first = workspaces.next();
+    if workspaces.all(|it| Some(it) == first) {
+        return order;
+    }
+    let in_order = in_time.iter().map(request);
+    let excess = recent
+        .by_workspace
+        .excess(now, in_order, |_| WORKSPACE_WEIGHT);
+    for (at, excess) in in_time.into_iter().zip(excess) {
+        ranks[at].share_excess = excess;
+    }
     sorted(&ranks)
 }
 
@@ -137,17 +163,21 @@
 pub struct RecentGrants {
     /// Grants by priority.
     pub by_priority: RecentDemand,
+    /// Grants by workspace.
+    pub by_workspace: WorkspaceGrants,
 }
 
 impl RecentGrants {
     /// Records a grant.
     pub fn record(&mut self, now: Time, request: &QueuedRequest) {
         self.by_priority.record(now, request);
+        self.by_workspace.record(now, request);
     }
 
     /// Removes what is too old to matter.
     pub fn tick(&mut self, now: Time) {
         self.by_priority.tick(now);
+        self.by_workspace.tick(now);
     }
 }
 
@@ -183,7 +213,7 @@
     let total = capacities.total_kv_cache_tokens();
     let headroom = recent.by_priority.headroom(now, requests, total);
     let usual = usual_order(now, &all);
-    let contended = contended_order(now, &all);
+    let contended = contended_order(now, &all, recent);
     let placed = match usual == contended {
         true => None,
         false => place_all(capacities.clone(), &headroom, &all, &usual),
