Home: forecast of free room, and rejection of requests that would get it too late

Cause: a request that cannot be served waited for its whole target and was refused then, with a time to come back that had nothing to do with the load.

Change: a home measures the rate at which room becomes available to its queue (grants plus the change of the room left, averaged over 3 s) and predicts in queue order when each request gets room. With the new setting placement.reject_by_forecast, a request that gets none before its caller gives up, or none in time while others do, is rejected at once; its caller gets 503 endpoints_full with the predicted time and a random part of it as Retry-After. Promised places count as taken in later predictions and lapse. Nothing is rejected within the first second of observation or while an engine has room. Events 864 and 865 have the inputs and link the caller's request to the home's decision; metrics count rejections by reason and by priority and record the error of predictions, which are made whether the setting is on or off; status shows rate, promised places and workspace shares.

--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -24,6 +24,7 @@
 //! | [`home`] | the state of a home, and how it assigns the room of its engines |
 //! | [`headroom`] | capacity that is kept free for urgent requests |
 //! | [`shares`] | the shares of workspaces in what a home grants |
+//! | [`forecast`] | when queued requests will get room |
 //! | [`queue`] | the order in which queued requests get room |
 //! | [`choose`] | the endpoint for a request, and the engine for a standby copy |
 //! | [`relocation`] | when a generation leaves its engine, and which events its caller gets |
@@ -50,6 +51,7 @@
 pub mod endpoints;
 pub mod engines;
 pub mod fleet_size;
+pub mod forecast;
 pub mod gossip;
 pub mod headroom;
 pub mod home;
--- a/crates/core/src/gateway/catalogue.rs
+++ b/crates/core/src/gateway/catalogue.rs
@@ -337,6 +337,11 @@
         self.services[*self.by_service.get(service)?].cold
     }
 
+    /// Returns all workspaces.
+    pub fn workspaces(&self) -> impl Iterator<Item = &Workspace> {
+        self.workspaces.values()
+    }
+
     /// Returns a workspace.
     pub fn workspace(&self, id: WorkspaceId) -> &Workspace {
         &self.workspaces[id]
--- a/crates/core/src/gateway/choose.rs
+++ b/crates/core/src/gateway/choose.rs
@@ -198,6 +198,27 @@
         u64::from(self.limits.kv_cache_tokens) * self.engines.len() as u64
     }
 
+    /// Returns the KV cache tokens that may still be reserved at all engines together.
+    pub(super) fn room(&self) -> f64 {
+        let share = f64::from(self.limits.kv_cache_tokens) * KV_CACHE_SHARE;
+        let free = self.engines.iter().map(|capacity| {
+            let taken = f64::from(capacity.used.tokens) + f64::from(capacity.used.copy_tokens);
+            (share - taken).max(0.0)
+        });
+        free.sum()
+    }
+
+    /// Returns whether any engine that a request may use has room for it, also room that is held
+    /// for others or left free for more urgent ones.
+    pub(super) fn has_room(&self, placement: &QueuedPlacement) -> bool {
+        let tokens = placement.request.queued.tokens;
+        let mut engines = self.engines.iter();
+        engines.any(|capacity| {
+            !placement.request.exclude.contains(&capacity.key)
+                && fits(capacity.used, tokens, self.limits, KV_CACHE_SHARE)
+        })
+    }
+
     /// Leaves a share of each engine's KV cache free in further reservations.
     pub(super) fn leave_free(&mut self, headroom: f64) {
         self.share = KV_CACHE_SHARE - headroom;
--- a/crates/core/src/gateway/headroom.rs
+++ b/crates/core/src/gateway/headroom.rs
@@ -24,7 +24,7 @@
 const TOKEN_DURATION: Duration = Duration::from_millis(10);
 
 /// The duration of the prefill of a usual prompt.
-const PREFILL_DURATION: Duration = Duration::from_millis(500);
+pub(super) const PREFILL_DURATION: Duration = Duration::from_millis(500);
 
 impl QueuedRequest {
     /// Returns how long its generation is expected to keep its KV cache.
--- a/crates/core/src/gateway/home.rs
+++ b/crates/core/src/gateway/home.rs
@@ -11,13 +11,16 @@
 mod ejections;
 mod message;
 mod queued;
+mod rejections;
 
 pub use ejections::HomeEjection;
 pub use message::{PlacementAnswer, PlacementMessage, PlacementReport};
+pub use rejections::{HomeRejection, RejectionReason};
 
 use super::cold::{HOME_SHARE, SlidingWindowCounter};
 use super::endpoints::EndpointTable;
 use super::engines::Engines;
+use super::forecast::Forecast;
 use super::queue::{MAX_QUEUED_PER_INSTANCE, RecentGrants};
 use super::request::{
     PlacementDecision, PlacementKind, PlacementRequest, QueuedPlacement, service_hash,
@@ -75,6 +78,12 @@
     limited_grants: SlidingWindowCounter,
     /// Requests granted recently, which decide the order of the queue under overload.
     recent_grants: RecentGrants,
+    /// When queued requests will get room.
+    forecast: Forecast,
+    /// Whether requests that would get room too late are rejected at once.
+    pub rejects_by_forecast: bool,
+    /// Rejections that were not taken yet.
+    new_rejections: Vec<HomeRejection>,
 }
 
 /// Decisions by the instance to which they are sent.
@@ -203,7 +212,11 @@
             reporter.owes_answer = false;
             reporter.requests.retain(|request| {
                 let is_denied = |&(id, it): &(u64, PlacementDecision)| {
-                    id == request.queued.id && matches!(it, PlacementDecision::Denied(_))
+                    let is_final = matches!(
+                        it,
+                        PlacementDecision::Denied(_) | PlacementDecision::Rejected { .. }
+                    );
+                    id == request.queued.id && is_final
                 };
                 !decisions.iter().any(is_denied)
             });
--- a/crates/core/src/gateway/home/queued.rs
+++ b/crates/core/src/gateway/home/queued.rs
@@ -47,24 +47,32 @@
             let bound = engines.rate_limit(now, engine);
             bound.map(|rate| self.limited_grants.remaining(now, engine, rate * share))
         };
-        let places = assign(
+        let assigned = assign(
             world,
             engines,
             left,
             &self.recent_grants,
             waiting.iter().map(|(_, queued)| queued),
         );
-        for ((from, queued), place) in waiting.iter().zip(places) {
+        self.forecast.observe(now, assigned.room);
+        let mut rejected = self.reject_late(now, &waiting, &assigned);
+        let places = assigned.places.into_iter();
+        for (at, ((from, queued), place)) in waiting.iter().zip(places).enumerate() {
             let id = queued.request.queued.id;
             let decision = match place {
                 Ok(key) => PlacementDecision::Granted(key),
-                Err(why) => PlacementDecision::Queued(why),
+                Err(why) => match rejected.remove(&at) {
+                    Some(retry_after_ms) => PlacementDecision::Rejected { retry_after_ms },
+                    None => PlacementDecision::Queued(why),
+                },
             };
             if let (Ok(key), Some(reporter)) = (place, self.reporters.get_mut(from)) {
                 if engines.rate_limit(now, key).is_some() {
                     self.limited_grants.record(now, key);
                 }
-                self.recent_grants.record(now, &queued.request.queued);
+                let request = &queued.request.queued;
+                self.recent_grants.record(now, request);
+                self.forecast.on_placed(now, (*from, id), request.tokens);
                 reporter
                     .reserved
                     .insert(id, (key, queued.request.reserved_usage()));
--- a/crates/core/src/gateway/queue.rs
+++ b/crates/core/src/gateway/queue.rs
@@ -184,19 +184,40 @@
 /// The results for all requests, in the order in which they were given.
 type Places = Vec<Result<EndpointKey, PlacementError>>;
 
+/// The result of [`assign`].
+#[derive(Clone, Debug)]
+pub struct Assigned<'a> {
+    /// The engines, or why there is none, in the order in which the requests were given.
+    pub places: Places,
+    /// The requests in the order in which they are served while not all can be placed.
+    pub order: Vec<usize>,
+    /// KV cache tokens that could be reserved before.
+    pub room: f64,
+    /// What is left.
+    left: Option<EngineCapacities<'a>>,
+}
+
+impl Assigned<'_> {
+    /// Returns whether any engine has room for a request now.
+    pub fn has_room(&self, placement: &QueuedPlacement) -> bool {
+        let left = self.left.as_ref();
+        left.is_some_and(|it| it.has_room(placement))
+    }
+}
+
 /// Assigns engines to all of `waiting`, and returns the results in the order of `waiting`.
 ///
 /// Requests are served in queue order. For the first one that does not fit anywhere, the engine
 /// with the most room is held, so that large requests do not starve while small ones use the room
 /// at other engines. `rate_remaining` returns how many more requests an engine with a limited rate
 /// may get; `None` if its rate is not limited.
-pub fn assign<'a>(
-    context: PlacementContext<'_>,
+pub fn assign<'a, 'w>(
+    context: PlacementContext<'w>,
     engines: Engines<'_>,
     rate_remaining: impl Fn(EndpointKey) -> Option<u32>,
     recent: &RecentGrants,
     waiting: impl Iterator<Item = &'a QueuedPlacement>,
-) -> Places {
+) -> Assigned<'w> {
     let all: Vec<&QueuedPlacement> = waiting.collect();
     let demand = Demand {
         service: engines.service,
@@ -206,7 +227,14 @@
     };
     let capacities = match capacities(context, &demand, rate_remaining) {
         Ok(capacities) => capacities,
-        Err(why) => return vec![Err(why); all.len()],
+        Err(why) => {
+            return Assigned {
+                places: vec![Err(why); all.len()],
+                order: Vec::new(),
+                room: 0.0,
+                left: None,
+            };
+        }
     };
     let now = context.now;
     let requests = all.iter().map(|it| &it.request.queued);
@@ -214,20 +242,28 @@
     let headroom = recent.by_priority.headroom(now, requests, total);
     let usual = usual_order(now, &all);
     let contended = contended_order(now, &all, recent);
+    let room = capacities.room();
     let placed = match usual == contended {
         true => None,
         false => place_all(capacities.clone(), &headroom, &all, &usual),
     };
-    placed.unwrap_or_else(|| place_most(capacities, &headroom, &all, &contended))
+    let (places, left) =
+        placed.unwrap_or_else(|| place_most(capacities, &headroom, &all, &contended));
+    Assigned {
+        places,
+        order: contended,
+        room,
+        left: Some(left),
+    }
 }
 
 /// Places all requests in `order`; `None` if one of them finds all engines full.
-fn place_all(
-    mut capacities: EngineCapacities<'_>,
+fn place_all<'w>(
+    mut capacities: EngineCapacities<'w>,
     headroom: &Headroom,
     all: &[&QueuedPlacement],
     order: &[usize],
-) -> Option<Places> {
+) -> Option<(Places, EngineCapacities<'w>)> {
     let mut places = vec![Err(PlacementError::NoEndpoint); all.len()];
     for &at in order {
         capacities.leave_free(headroom.below(all[at].request.queued.priority));
@@ -236,16 +272,16 @@
             return None;
         }
     }
-    Some(places)
+    Some((places, capacities))
 }
 
 /// Places as many requests as fit in `order`.
-fn place_most(
-    mut capacities: EngineCapacities<'_>,
+fn place_most<'w>(
+    mut capacities: EngineCapacities<'w>,
     headroom: &Headroom,
     all: &[&QueuedPlacement],
     order: &[usize],
-) -> Places {
+) -> (Places, EngineCapacities<'w>) {
     let mut places = vec![Err(PlacementError::NoEndpoint); all.len()];
     let mut is_held = false;
     for &at in order {
@@ -256,5 +292,5 @@
             is_held = true;
         }
     }
-    places
+    (places, capacities)
 }
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -21,7 +21,7 @@
 use super::endpoints::{EndpointRecord, EndpointTable};
 use super::fleet_size::FleetSize;
 use super::gossip::{Body, Outbox};
-use super::home::{Home, HomeEjection};
+use super::home::{Home, HomeEjection, HomeRejection};
 use super::lengths::LengthTable;
 use super::members::{CapacityClass, Members};
 use super::pace::PaceModel;
@@ -60,6 +60,8 @@
     pub budget: BudgetConfig,
     /// The capacity of this instance.
     pub capacity: CapacityClass,
+    /// Whether this instance, as a home, rejects requests that would get room too late.
+    pub reject_by_forecast: bool,
 }
 
 /// Result of [`Gateway::tick`].
@@ -71,6 +73,10 @@
     pub backoffs_ended: Vec<EndpointKey>,
     /// Engines that this instance, as a home, now skips for all instances.
     pub home_ejections: Vec<HomeEjection>,
+    /// Requests that this instance, as a home, rejected by forecast.
+    pub home_rejections: Vec<HomeRejection>,
+    /// Differences between predicted and observed times at which requests got room.
+    pub forecast_errors: Vec<Duration>,
     /// Instances that are now considered gone.
     pub silent: Vec<SocketAddrV4>,
     /// Whether a request that waits for a placement or a run lease may have a decision.
--- a/crates/core/src/gateway/state/peers.rs
+++ b/crates/core/src/gateway/state/peers.rs
@@ -317,7 +317,11 @@
         self.send_gossip(now, &mut outcome.send);
         outcome.decided = self.report(now, &mut outcome.send);
         let homes = self.homes.values_mut();
-        outcome.home_ejections = homes.flat_map(|it| it.take_ejections()).collect();
+        for home in homes {
+            outcome.home_ejections.extend(home.take_ejections());
+            outcome.home_rejections.extend(home.take_rejections());
+            outcome.forecast_errors.extend(home.take_forecast_errors());
+        }
         outcome.decided |= self.report_runs(now, &mut outcome.send);
         outcome
     }
--- a/crates/core/src/gateway/state/places.rs
+++ b/crates/core/src/gateway/state/places.rs
@@ -8,7 +8,7 @@
 use crate::gateway::endpoints::Endpoint;
 use crate::gateway::engines::Engines;
 use crate::gateway::gossip::Body;
-use crate::gateway::home::{PlacementAnswer, PlacementReport, REPORT_INTERVAL};
+use crate::gateway::home::{Home, PlacementAnswer, PlacementReport, REPORT_INTERVAL};
 use crate::gateway::members::MemberUpdate;
 use crate::gateway::pace;
 use crate::gateway::placement::{
@@ -331,6 +331,11 @@
         self.homes.get(&service).map_or(0, |it| it.queued_count())
     }
 
+    /// Returns what this instance knows as the home of a service.
+    pub fn home(&self, service: u64) -> Option<&Home> {
+        self.homes.get(&service)
+    }
+
     /// Handles a report as a home, and decides the requests that it makes possible; returns whether
     /// a request of this instance may have a decision.
     pub(super) fn on_placement_report(
@@ -492,6 +497,7 @@
             live: 1 + self.members.live().count(),
             pace: self.pace.get(&service).unwrap_or(&pace::UNKNOWN),
         };
+        home.rejects_by_forecast = self.cfg.reject_by_forecast;
         let answers = home.decide(now, engines);
         let mut decided = false;
         for (to, answer) in answers {
--- a/crates/core/tests/gateway_queue.rs
+++ b/crates/core/tests/gateway_queue.rs
@@ -87,7 +87,7 @@
             live: 1,
             pace: &pace::UNKNOWN,
         };
-        assign(context, engines, |_| None, &self.recent, all.iter())
+        assign(context, engines, |_| None, &self.recent, all.iter()).places
     }
 
     fn enqueue(&mut self, waiters: &[QueuedRequest]) {
--- a/crates/gateway/src/event_log.rs
+++ b/crates/gateway/src/event_log.rs
@@ -194,6 +194,14 @@
     /// A request of a peer that reaches no endpoint ended here; the line says how, and how many
     /// others are being served.
     ServedForPeer = 855, "served_for_peer", Info, USUAL;
+    /// As the home of a service, this instance rejected a queued request because it would get room
+    /// at an engine too late. The line names the instance that has the request and the request's id
+    /// there, and has the inputs: the predicted wait, the tokens that are needed until then, and the
+    /// tokens per second that become available.
+    RejectedByForecast = 864, "rejected_by_forecast", Info, USUAL;
+    /// The home of a service rejected a request of this instance by forecast; the line has the id by
+    /// which the home's line names it, and the time at which the home expects room.
+    PlacementRejected = 865, "placement_rejected", Info, FAILURES;
 }
 
 /// The lines of one event in the current second.
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -9,10 +9,11 @@
 
 use crate::cx::Cx;
 use crate::log_event;
-use crate::meters::{ByReason, millis};
+use crate::meters::{ByReason, Histogram, millis};
 use crate::ports::Wire;
 use crate::store::{Source, lift_missing_cordons};
 use bincode::config::{Configuration, Limit, LittleEndian, Varint, standard};
+use oriolemux_core::gateway::home::HomeRejection;
 use oriolemux_core::gateway::state::{GOSSIP_DELAY, TICK};
 use oriolemux_core::gateway::{Body, Datagram};
 use std::net::SocketAddrV4;
@@ -54,6 +55,12 @@
                 ms = millis(ejection.duration)
             );
         }
+        for rejection in ticked.home_rejections {
+            log_rejection(&rejection);
+        }
+        for error in ticked.forecast_errors {
+            Histogram::ForecastError.record(error);
+        }
         for peer in ticked.silent {
             log_event!(PeerGone, peer:% = peer);
         }
@@ -74,6 +81,24 @@
     }
 }
 
+fn log_rejection(rejection: &HomeRejection) {
+    ByReason::HomeRejections.add(&rejection.reason.to_string());
+    ByReason::HomeRejectionPriorities.add(&rejection.priority.to_string());
+    log_event!(
+        RejectedByForecast,
+        instance:% = rejection.instance,
+        request = rejection.request,
+        reason:% = rejection.reason,
+        workspace = rejection.workspace,
+        priority = rejection.priority,
+        need = rejection.tokens,
+        waited_ms = millis(rejection.waited),
+        wait_ms = millis(rejection.prediction.wait),
+        ahead = rejection.prediction.ahead,
+        per_second = rejection.prediction.rate
+    );
+}
+
 /// Receives datagrams of peers. Never returns.
 pub async fn receive_loop<W: Wire>(cx: Arc<Cx<W>>, socket: Arc<UdpSocket>) {
     let mut buf = vec![0; MAX_DATAGRAM];
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -6,7 +6,7 @@
 use crate::link::{Link, LinkError};
 use crate::log_event;
 use crate::meters::{ByReason, millis};
-use crate::placement::{PlacementParams, request_placement};
+use crate::placement::{PlacementFailure, PlacementParams, request_placement};
 use crate::ports::{
     Announced, Announcements, CallerHead, ForwardHead, LastEventId, ResponseHead, Wire,
 };
@@ -285,6 +285,13 @@
         )
     }
 
+    /// Returns the gateway's own error response to a request for which there is room after `wait`.
+    pub fn refuse_until_room(&self, reason: Reason, wait: Duration) -> Response<ResponseBody> {
+        ByReason::Refused.add(&reason.to_string());
+        let draw = self.cx.state().draw();
+        refuse_until(reason, retry_after_backoff(wait, draw))
+    }
+
     /// Returns how long a caller must wait if all endpoints requested a backoff.
     fn backoff_delay(&self) -> Option<Duration> {
         let now = self.cx.now();
@@ -329,7 +336,7 @@
         &self,
         params: PlacementParams<'_>,
         deadline: Instant,
-    ) -> Result<(Placement, UsageGuard<W>), PlacementError> {
+    ) -> Result<(Placement, UsageGuard<W>), PlacementFailure> {
         self.count_avoided();
         let begin =
             |state: &mut Gateway, place: &Placement| self.begin_use(state, place, params.tokens);
--- a/crates/gateway/src/meters.rs
+++ b/crates/gateway/src/meters.rs
@@ -69,6 +69,11 @@
         /// Requests that were offered to a peer because no endpoint is reached: `answered`,
         /// `not_served`, `lost`, `timeout`, or why the peer did not accept them.
         Proxied = "oriolemux_gateway_proxied_total";
+        /// Requests that this instance, as a home, rejected by forecast: no room `after_deadline`, or
+        /// none for a first event in time (`after_target`).
+        HomeRejections = "oriolemux_gateway_home_rejections_total";
+        /// The same, by the priority of the request.
+        HomeRejectionPriorities = "oriolemux_gateway_home_rejection_priorities_total";
     }
 }
 
@@ -119,6 +124,9 @@
         LongestPause = "oriolemux_gateway_longest_pause_seconds";
         /// How long a generation waited here for room at an engine.
         Wait = "oriolemux_gateway_wait_seconds";
+        /// The difference between the time at which a home predicted room for a queued request and
+        /// the time at which there was room.
+        ForecastError = "oriolemux_gateway_forecast_error_seconds";
         /// From a generation's arrival to its end.
         Generation = "oriolemux_gateway_generation_seconds";
         /// From a call's arrival to its answer.
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -19,6 +19,7 @@
 };
 use oriolemux_core::gateway::state::Placement;
 use oriolemux_core::ids::EndpointKey;
+use std::net::SocketAddrV4;
 use std::sync::Arc;
 use std::time::Instant;
 
@@ -53,6 +54,24 @@
     pub exclude: &'a [EndpointKey],
 }
 
+/// Why there is no place.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PlacementFailure {
+    /// No endpoint could be chosen.
+    Unplaced(PlacementError),
+    /// A home expects no room in time, but after this delay.
+    Rejected {
+        /// The time until there is room.
+        retry_after: Duration,
+    },
+}
+
+impl From<PlacementError> for PlacementFailure {
+    fn from(why: PlacementError) -> Self {
+        PlacementFailure::Unplaced(why)
+    }
+}
+
 /// Requests a place until there is one or `deadline` passes, and passes it to `on_granted` under
 /// the lock that closes the placement request: the home sees either the request or its usage.
 ///
@@ -64,7 +83,7 @@
     params: PlacementParams<'_>,
     deadline: Instant,
     on_granted: impl Fn(&mut Gateway, &Placement) -> T,
-) -> Result<(Placement, T), PlacementError> {
+) -> Result<(Placement, T), PlacementFailure> {
     let cx = &job.cx;
     let waiter = job.queued_request(params.tokens);
     let (id, service) = (waiter.id, waiter.service);
@@ -87,7 +106,7 @@
             .endpoints
             .is_service_cordoned(&job.service().name)
         {
-            return Err(PlacementError::Cordoned);
+            return Err(PlacementError::Cordoned.into());
         }
         let now = cx.now();
         let waits_until = now + deadline.saturating_duration_since(Instant::now());
@@ -95,7 +114,7 @@
             cx.state()
                 .is_backed_off_beyond(now, &job.service().name, params.exclude, waits_until);
         if is_backed_off {
-            return Err(PlacementError::BackedOff);
+            return Err(PlacementError::BackedOff.into());
         }
         let is_past_deadline = Instant::now() >= deadline;
         let mut poll_interval = POLL_INTERVAL;
@@ -114,9 +133,11 @@
                     state.retry_placement(now, id);
                     PlacementError::NoEndpoint
                 }
-                PlacementStatus::Decided(PlacementDecision::Denied(why)) => return Err(why),
-                PlacementStatus::Decided(PlacementDecision::Rejected { .. }) => {
-                    return Err(PlacementError::Full);
+                PlacementStatus::Decided(PlacementDecision::Denied(why)) => return Err(why.into()),
+                PlacementStatus::Decided(PlacementDecision::Rejected { retry_after_ms }) => {
+                    let home = state.acting_home(now, service);
+                    drop(state);
+                    return Err(rejected(job, id, home, retry_after_ms));
                 }
                 PlacementStatus::Decided(PlacementDecision::Queued(why)) => {
                     poll_interval = QUEUED_POLL_INTERVAL;
@@ -134,20 +155,40 @@
                             log_placed_without_home(job, &place);
                             return Ok((place, granted));
                         }
-                        Err(why) if params.kind != PlacementKind::Queued => return Err(why),
+                        Err(why) if params.kind != PlacementKind::Queued => return Err(why.into()),
                         Err(why) => why,
                     }
                 }
             }
         };
         if is_past_deadline {
-            return Err(why);
+            return Err(why.into());
         }
         // Nothing notifies when a deadline passes, so the wait is bounded.
         let _ = tokio::time::timeout(poll_interval, decided).await;
     }
 }
 
+/// Logs that a home rejected a request, and returns the failure.
+fn rejected<W: Wire>(
+    job: &Job<W>,
+    id: u64,
+    home: Option<SocketAddrV4>,
+    retry_after_ms: u32,
+) -> PlacementFailure {
+    let home = home.map_or_else(|| "-".to_owned(), |it| it.to_string());
+    log_event!(
+        PlacementRejected,
+        attempt = job.name(),
+        request = id,
+        home = home.as_str(),
+        retry_after_ms = retry_after_ms
+    );
+    PlacementFailure::Rejected {
+        retry_after: Duration::from_millis(retry_after_ms.into()),
+    }
+}
+
 fn log_placed_without_home<W: Wire>(job: &Job<W>, place: &Placement) {
     ByReason::Places.add("alone");
     log_event!(
--- a/crates/gateway/src/response.rs
+++ b/crates/gateway/src/response.rs
@@ -32,7 +32,7 @@
 /// a caller that returns within it is refused again.
 const RETRY_MAX_FULL: Duration = Duration::from_secs(8);
 
-/// Share of a backoff over which callers that are refused because of it are spread.
+/// Share of a known wait over which callers that are refused because of it are spread.
 const BACKOFF_SPREAD: f64 = 0.25;
 
 /// Upper bound of the time over which these callers are spread.
@@ -139,8 +139,8 @@
     share.clamp(RETRY_MIN, latest).min(share)
 }
 
-/// Returns the `Retry-After` for a caller that cannot be served for `wait` because all endpoints
-/// requested a backoff. `draw` is a random number below one: without the spread, all callers that
+/// Returns the `Retry-After` for a caller that cannot be served for `wait`, because all endpoints
+/// requested a backoff or have no room until then. `draw` is a random number below one: without the spread, all callers that
 /// were refused meanwhile would return at the same moment.
 pub fn retry_after_backoff(wait: Duration, draw: f64) -> Duration {
     let spread = wait.mul_f64(BACKOFF_SPREAD).min(MAX_BACKOFF_SPREAD);
--- a/crates/gateway/src/status.rs
+++ b/crates/gateway/src/status.rs
@@ -8,7 +8,7 @@
 use crate::ports::Wire;
 use oriolemux_core::gateway::endpoints::Endpoint;
 use oriolemux_core::gateway::members::Member;
-use oriolemux_core::gateway::request::service_hash;
+use oriolemux_core::gateway::request::{service_hash, workspace_hash};
 use oriolemux_core::gateway::{EndpointState, Gateway};
 use oriolemux_core::time::Time;
 use serde::{Deserialize, Serialize};
@@ -151,6 +151,25 @@
     pub passed_over: bool,
     /// Requests that wait for a decision of this instance; nonzero at one instance only.
     pub waiting_here: usize,
+    /// KV cache tokens per second that become available, if this instance decides and has observed
+    /// it for long enough.
+    #[serde(default)]
+    pub freed_per_second: Option<u64>,
+    /// Places that this instance promised to callers that it rejected by forecast.
+    #[serde(default)]
+    pub promised: usize,
+    /// The parts of workspaces in what this instance recently granted.
+    #[serde(default)]
+    pub shares: Vec<ShareStatus>,
+}
+
+/// The part of a workspace in what a home recently granted.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ShareStatus {
+    /// The workspace's name; `-` for requests without one.
+    pub workspace: String,
+    /// Its part in percent.
+    pub percent: u32,
 }
 
 /// What an instance knows of the store.
@@ -319,6 +338,9 @@
                 next,
                 passed_over: state.acting_home(now, service) != home,
                 waiting_here: state.queued_at_home(service),
+                freed_per_second: freed_per_second(state, service),
+                promised: state.home(service).map_or(0, |it| it.forecast().promised()),
+                shares: share_status(state, service),
             }
         })
         .collect();
@@ -326,6 +348,27 @@
     homes
 }
 
+fn freed_per_second(state: &Gateway, service: u64) -> Option<u64> {
+    let forecast = state.home(service)?.forecast();
+    forecast.is_reliable().then(|| forecast.rate() as u64)
+}
+
+fn share_status(state: &Gateway, service: u64) -> Vec<ShareStatus> {
+    let parts = state.home(service).into_iter();
+    let parts = parts.flat_map(|it| it.workspace_parts());
+    let name = |hash: u32| {
+        let mut all = state.catalogue().into_iter().flat_map(|it| it.workspaces());
+        let known = all.find(|it| workspace_hash(&it.name) == hash);
+        known.map_or_else(|| "-".to_owned(), |it| it.name.clone())
+    };
+    parts
+        .map(|(workspace, part)| ShareStatus {
+            workspace: name(workspace),
+            percent: (part * 100.0).round() as u32,
+        })
+        .collect()
+}
+
 fn endpoint_status(state: &Gateway, now: Time, endpoint: &Endpoint) -> EndpointStatus {
     let used = state.used(endpoint.key);
     let record = &endpoint.record;
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -7,7 +7,7 @@
 use crate::attempts::Attempts;
 use crate::job::{Job, Origin, UsageGuard};
 use crate::log_event;
-use crate::placement::PlacementParams;
+use crate::placement::{PlacementFailure, PlacementParams};
 use crate::ports::{EngineCalls, Wire};
 use crate::proxy;
 use crate::proxy::client::ProxyOutcome;
@@ -63,7 +63,7 @@
         }
         let chosen = match wait_for_placement(&job, tokens, attempts.tried()).await {
             Ok(chosen) => chosen,
-            Err(reason) => return refuse_generation(&job, &attempts, reason),
+            Err(refusal) => return refuse_generation(&job, &attempts, refusal),
         };
         if !job.is_admitted() {
             continue;
@@ -204,7 +204,7 @@
     job: &Job<W>,
     tokens: u32,
     tried: &[EndpointKey],
-) -> Result<(Placement, UsageGuard<W>), Reason> {
+) -> Result<(Placement, UsageGuard<W>), Refusal> {
     let limit = job.entry().target.mul_f64(WAIT_TARGET_FACTOR);
     let deadline = (job.arrived + limit).min(job.deadline);
     let params = PlacementParams {
@@ -214,15 +214,44 @@
     };
     job.request_placement(params, deadline)
         .await
-        .map_err(Reason::from)
+        .map_err(Refusal::from)
+}
+
+/// Why a generation is refused.
+struct Refusal {
+    reason: Reason,
+    /// The time until there is room, if a home predicted it.
+    room_after: Option<Duration>,
+}
+
+impl From<Reason> for Refusal {
+    fn from(reason: Reason) -> Self {
+        Refusal {
+            reason,
+            room_after: None,
+        }
+    }
+}
+
+impl From<PlacementFailure> for Refusal {
+    fn from(why: PlacementFailure) -> Self {
+        match why {
+            PlacementFailure::Unplaced(why) => Reason::from(why).into(),
+            PlacementFailure::Rejected { retry_after } => Refusal {
+                reason: Reason::EndpointsFull,
+                room_after: Some(retry_after),
+            },
+        }
+    }
 }
 
 /// Refuses a generation.
 fn refuse_generation<W: Wire>(
     job: &Job<W>,
     attempts: &Attempts,
-    reason: Reason,
+    refusal: impl Into<Refusal>,
 ) -> Response<ResponseBody> {
+    let Refusal { reason, room_after } = refusal.into();
     // The generation may have run, so the response must not promise that it did not.
     let reason = match reason {
         Reason::CrashesEndpoints => reason,
@@ -231,7 +260,10 @@
     };
     log_event!(GenerationRefused, attempt = job.name(), entry = job.entry().name.as_str(),
         reason:% = reason, ms = job.arrived.elapsed().as_millis() as u64);
-    job.refuse(reason)
+    match room_after {
+        Some(wait) if reason == Reason::EndpointsFull => job.refuse_until_room(reason, wait),
+        _ => job.refuse(reason),
+    }
 }
 
 /// The body of a streamed response. It is dropped when the caller disconnects, which closes the
--- a/crates/oriolemux/src/cli/gateway.rs
+++ b/crates/oriolemux/src/cli/gateway.rs
@@ -194,6 +194,7 @@
             seeds: seeds(settings),
             budget: budget(&settings.repeats),
             capacity: Default::default(),
+            reject_by_forecast: settings.placement.reject_by_forecast,
         },
     }
 }
--- a/crates/oriolemux/src/cli/operate/gateway_text.rs
+++ b/crates/oriolemux/src/cli/operate/gateway_text.rs
@@ -93,6 +93,18 @@
         shown(home.next),
         home.waiting_here,
     ));
+    if let Some(rate) = home.freed_per_second {
+        print_line(format_args!(
+            "forecast   {}: {rate} tokens a second become free, {} places promised",
+            home.service, home.promised
+        ));
+    }
+    for share in &home.shares {
+        print_line(format_args!(
+            "share      {} of {}: {} in 100 of recent grants",
+            share.workspace, home.service, share.percent
+        ));
+    }
 }
 
 fn print_endpoint(endpoint: &EndpointStatus) {
--- a/crates/oriolemux/src/settings/gateway.rs
+++ b/crates/oriolemux/src/settings/gateway.rs
@@ -54,6 +54,12 @@
         connect_timeout_ms: Millis = default(Millis(250)).range(1, 60_000);
     }
 
+    /// How requests for engines are placed.
+    placement: PlacementSettings {
+        /// Whether a request that would get room at an engine too late is rejected at once, with the time at which there is room.
+        reject_by_forecast: bool = default(false);
+    }
+
     /// The retry budget of the whole fleet, of which each instance spends its share.
     repeats: RepeatsSettings {
         /// Retries allowed for each request of a service.
