--- a/crates/core/tests/gateway_overload.rs
+++ b/crates/core/tests/gateway_overload.rs
@@ -69,12 +69,20 @@
 /// long generations hold all memory for seconds.
 #[test]
 fn urgent_requests_are_in_time_under_overload() {
+    let urgent = Kind {
+        tokens: 2_400,
+        ..URGENT
+    };
     let mut play = Play::new(12);
 
-    play.run(Duration::from_secs(8), &[(URGENT, 12.0), (LONG, 35.0)]);
+    play.warm_up(WARM_UP, &[(urgent, 16.0), (LONG, 35.0)]);
+    play.run(Duration::from_secs(20), &[(urgent, 16.0), (LONG, 35.0)]);
 
-    let (urgent, long) = (play.outcome(URGENT), play.outcome(LONG));
+    let (urgent, long) = (play.outcome(urgent), play.outcome(LONG));
     assert!(urgent.in_time_share() > 0.97, "{urgent:?}, {long:?}");
+    // By priority alone, they wait for up to 0.5 s until a generation ends.
+    let waited = urgent.longest_wait;
+    assert!(waited < Duration::from_millis(100), "{urgent:?}, {long:?}");
     assert!(long.in_time_share() > 0.25, "{urgent:?}, {long:?}");
 }
 
