--- a/crates/core/src/gateway/queue.rs
+++ b/crates/core/src/gateway/queue.rs
@@ -12,6 +12,7 @@
 use super::headroom::{Headroom, RecentDemand};
 use super::holds::Holds;
 use super::request::{Demand, PaceDemand, PlacementError, QueuedPlacement, QueuedRequest};
+use super::shares::WorkspaceGrants;
 use crate::ids::EndpointKey;
 use crate::time::Time;
 use core::time::Duration;
@@ -34,6 +35,9 @@
 /// Share of that time after which it is promoted by one more cost class.
 const AGEING_STEP: f64 = 0.1;
 
+/// The weight of each workspace. The catalogue states none, so all of them are due the same share.
+const WORKSPACE_WEIGHT: f64 = 1.0;
+
 impl QueuedRequest {
     fn in_time_for(&self) -> Duration {
         self.target.mul_f64(LATE_AFTER_TARGETS)
@@ -54,6 +58,7 @@
         Rank {
             is_late,
             priority: self.priority,
+            share_excess: 0,
             cost_class: 0,
             by_age: if is_late { arrived } else { u64::MAX - arrived },
             id: self.id,
@@ -80,6 +85,8 @@
 struct Rank {
     is_late: bool,
     priority: u8,
+    /// How far its workspace is above its share.
+    share_excess: u32,
     cost_class: u32,
     by_age: u64,
     id: u64,
@@ -91,14 +98,17 @@
 /// time. Costs are compared in classes of a factor of two, relative to the cheapest request of the
 /// same priority, so that estimates that differ by little do not change the order. A request is
 /// promoted at most to the class of the cheapest one: among equal costs, age changes nothing.
-fn contended_order(now: Time, all: &[&QueuedPlacement]) -> Vec<usize> {
+///
+/// Requests with which their workspace is within its share precede those above it, so that a
+/// workspace that sends more than its share delays only itself.
+fn contended_order(now: Time, all: &[&QueuedPlacement], recent: &RecentGrants) -> Vec<usize> {
     let requests = || all.iter().map(|it| &it.request.queued);
     let mut cheapest: BTreeMap<u8, f64> = BTreeMap::new();
     for request in requests().filter(|it| !it.is_late(now)) {
         let least = cheapest.entry(request.priority).or_insert(f64::INFINITY);
         *least = least.min(request.cost());
     }
-    let ranks: Vec<Rank> = requests()
+    let mut ranks: Vec<Rank> = requests()
         .map(|request| {
             let rank = request.rank(now);
             match cheapest.get(&request.priority) {
@@ -111,6 +121,22 @@
             }
         })
         .collect();
+    let order = sorted(&ranks);
+    let in_time = order.iter().copied().filter(|&at| !ranks[at].is_late);
+    let in_time: Vec<usize> = in_time.collect();
+    let request = |at: &usize| &all[*at].request.queued;
+    let mut workspaces = in_time.iter().map(|at| request(at).workspace);
+    let first = workspaces.next();
+    if workspaces.all(|it| Some(it) == first) {
+        return order;
+    }
+    let in_order = in_time.iter().map(request);
+    let excess = recent
+        .by_workspace
+        .excess(now, in_order, |_| WORKSPACE_WEIGHT);
+    for (at, excess) in in_time.into_iter().zip(excess) {
+        ranks[at].share_excess = excess;
+    }
     sorted(&ranks)
 }
 
@@ -138,37 +164,62 @@
 pub struct RecentGrants {
     /// Grants by priority.
     pub by_priority: RecentDemand,
+    /// Grants by workspace.
+    pub by_workspace: WorkspaceGrants,
 }
 
 impl RecentGrants {
     /// Records a grant.
     pub fn record(&mut self, now: Time, request: &QueuedRequest) {
         self.by_priority.record(now, request);
+        self.by_workspace.record(now, request);
     }
 
     /// Removes what is too old to matter.
     pub fn tick(&mut self, now: Time) {
         self.by_priority.tick(now);
+        self.by_workspace.tick(now);
     }
 }
 
 /// The results for all requests, in the order in which they were given.
 type Places = Vec<Result<EndpointKey, PlacementError>>;
 
+/// The result of [`assign`].
+#[derive(Clone, Debug)]
+pub struct Assigned<'a> {
+    /// The engines, or why there is none, in the order in which the requests were given.
+    pub places: Places,
+    /// The requests in the order in which they are served while not all can be placed.
+    pub order: Vec<usize>,
+    /// KV cache tokens that could be reserved before.
+    pub room: f64,
+    /// What is left.
+    left: Option<EngineCapacities<'a>>,
+}
+
+impl Assigned<'_> {
+    /// Returns whether any engine has room for a request now.
+    pub fn has_room(&self, placement: &QueuedPlacement) -> bool {
+        let left = self.left.as_ref();
+        left.is_some_and(|it| it.has_room(placement))
+    }
+}
+
 /// Assigns engines to all of `waiting`, and returns the results in the order of `waiting`.
 ///
 /// Requests are served in queue order. For the first one that does not fit anywhere, the engine
 /// with the most room is held, so that large requests do not starve while small ones use the room
 /// at other engines. `rate_remaining` returns how many more requests an engine with a limited rate
 /// may get; `None` if its rate is not limited. `holds` is the room that waits for pre-copies.
-pub fn assign<'a>(
-    context: PlacementContext<'_>,
+pub fn assign<'a, 'w>(
+    context: PlacementContext<'w>,
     engines: Engines<'_>,
     rate_remaining: impl Fn(EndpointKey) -> Option<u32>,
     holds: &Holds,
     recent: &RecentGrants,
     waiting: impl Iterator<Item = &'a QueuedPlacement>,
-) -> Places {
+) -> Assigned<'w> {
     let all: Vec<&QueuedPlacement> = waiting.collect();
     let demand = Demand {
         service: engines.service,
@@ -179,7 +230,14 @@
     };
     let mut capacities = match capacities(context, &demand, rate_remaining) {
         Ok(capacities) => capacities,
-        Err(why) => return vec![Err(why); all.len()],
+        Err(why) => {
+            return Assigned {
+                places: vec![Err(why); all.len()],
+                order: Vec::new(),
+                room: 0.0,
+                left: None,
+            };
+        }
     };
     capacities.apply_holds(holds);
     let now = context.now;
@@ -187,21 +245,29 @@
     let total = capacities.total_kv_cache_tokens();
     let headroom = recent.by_priority.headroom(now, requests, total);
     let usual = usual_order(now, &all);
-    let contended = contended_order(now, &all);
+    let contended = contended_order(now, &all, recent);
+    let room = capacities.room();
     let placed = match usual == contended {
         true => None,
         false => place_all(capacities.clone(), &headroom, &all, &usual),
     };
-    placed.unwrap_or_else(|| place_most(capacities, &headroom, &all, &contended))
+    let (places, left) =
+        placed.unwrap_or_else(|| place_most(capacities, &headroom, &all, &contended));
+    Assigned {
+        places,
+        order: contended,
+        room,
+        left: Some(left),
+    }
 }
 
 /// Places all requests in `order`; `None` if one of them finds all engines full.
-fn place_all(
-    mut capacities: EngineCapacities<'_>,
+fn place_all<'w>(
+    mut capacities: EngineCapacities<'w>,
     headroom: &Headroom,
     all: &[&QueuedPlacement],
     order: &[usize],
-) -> Option<Places> {
+) -> Option<(Places, EngineCapacities<'w>)> {
     let mut places = vec![Err(PlacementError::NoEndpoint); all.len()];
     for &at in order {
         capacities.leave_free(headroom.below(all[at].request.queued.priority));
@@ -210,16 +276,16 @@
             return None;
         }
     }
-    Some(places)
+    Some((places, capacities))
 }
 
 /// Places as many requests as fit in `order`.
-fn place_most(
-    mut capacities: EngineCapacities<'_>,
+fn place_most<'w>(
+    mut capacities: EngineCapacities<'w>,
     headroom: &Headroom,
     all: &[&QueuedPlacement],
     order: &[usize],
-) -> Places {
+) -> (Places, EngineCapacities<'w>) {
     let mut places = vec![Err(PlacementError::NoEndpoint); all.len()];
     let mut is_held = false;
     for &at in order {
@@ -230,5 +296,5 @@
             is_held = true;
         }
     }
-    places
+    (places, capacities)
 }
--- a/crates/core/src/gateway/state/places.rs
+++ b/crates/core/src/gateway/state/places.rs
@@ -9,7 +9,7 @@
 use crate::gateway::engines::Engines;
 use crate::gateway::fallback::EnginePart;
 use crate::gateway::gossip::Body;
-use crate::gateway::home::{PlacementAnswer, PlacementReport, REPORT_INTERVAL};
+use crate::gateway::home::{Home, PlacementAnswer, PlacementReport, REPORT_INTERVAL};
 use crate::gateway::members::{CapacityClass, MemberUpdate};
 use crate::gateway::pace::{self, PaceModel};
 use crate::gateway::placement::{
@@ -490,6 +490,11 @@
         self.homes.get(&service).map_or(0, |it| it.queued_count())
     }
 
+    /// Returns what this instance knows as the home of a service.
+    pub fn home(&self, service: u64) -> Option<&Home> {
+        self.homes.get(&service)
+    }
+
     /// Handles a report as a home. [`Gateway::decide_pending`] decides the requests that it makes
     /// possible.
     pub(super) fn on_placement_report(
@@ -709,6 +714,7 @@
             live: 1 + self.members.live().count(),
             pace: self.pace.get(&service).unwrap_or(&pace::UNKNOWN),
         };
+        home.rejects_by_forecast = self.cfg.reject_by_forecast;
         let answers = home.decide(now, engines);
         let mut decided = false;
         for (to, answer) in answers {
--- a/crates/core/tests/gateway_queue.rs
+++ b/crates/core/tests/gateway_queue.rs
@@ -89,7 +89,7 @@
             pace: &pace::UNKNOWN,
         };
         let holds = Holds::default();
-        assign(context, engines, |_| None, &holds, &self.recent, all.iter())
+        assign(context, engines, |_| None, &holds, &self.recent, all.iter()).places
     }
 
     fn enqueue(&mut self, waiters: &[QueuedRequest]) {
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -6,7 +6,9 @@
 use crate::link::{Link, LinkError};
 use crate::log_event;
 use crate::meters::{ByReason, millis};
-use crate::placement::{OpenPlacement, PlacementParams, PlacementProgress, request_placement};
+use crate::placement::{
+    OpenPlacement, PlacementFailure, PlacementParams, PlacementProgress, request_placement,
+};
 use crate::ports::{
     Announced, Announcements, CallerHead, ForwardHead, LastEventId, ResponseHead, Wire,
 };
@@ -287,6 +289,13 @@
         )
     }
 
+    /// Returns the gateway's own error response to a request for which there is room after `wait`.
+    pub fn refuse_until_room(&self, reason: Reason, wait: Duration) -> Response<ResponseBody> {
+        ByReason::Refused.add(&reason.to_string());
+        let draw = self.cx.state().draw();
+        refuse_until(reason, retry_after_backoff(wait, draw))
+    }
+
     /// Returns how long a caller must wait if all endpoints requested a backoff.
     fn backoff_delay(&self) -> Option<Duration> {
         let now = self.cx.now();
@@ -331,7 +340,7 @@
         &self,
         params: PlacementParams<'_>,
         deadline: Instant,
-    ) -> Result<(Placement, UsageGuard<W>), PlacementError> {
+    ) -> Result<(Placement, UsageGuard<W>), PlacementFailure> {
         self.count_avoided();
         let begin =
             |state: &mut Gateway, place: &Placement| self.begin_use(state, place, params.tokens);
@@ -388,9 +397,13 @@
         open: &OpenPlacement<W>,
     ) -> Result<PlacementProgress<CopyUsageGuard<W>>, PlacementError> {
         let now = self.cx.now();
-        open.check(self, |state, place| {
+        let progress = open.check(self, |state, place| {
             state.on_pre_copy_granted(now, place.key);
             self.begin_copy(state, place, open.tokens())
+        });
+        progress.map_err(|why| match why {
+            PlacementFailure::Unplaced(why) => why,
+            PlacementFailure::Rejected { .. } => PlacementError::Full,
         })
     }
 
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -20,6 +20,7 @@
 };
 use oriolemux_core::gateway::state::Placement;
 use oriolemux_core::ids::EndpointKey;
+use std::net::SocketAddrV4;
 use std::sync::Arc;
 use std::time::Instant;
 
@@ -80,6 +81,24 @@
     is_share_logged: AtomicBool,
 }
 
+/// Why there is no place.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PlacementFailure {
+    /// No endpoint could be chosen.
+    Unplaced(PlacementError),
+    /// A home expects no room in time, but after this delay.
+    Rejected {
+        /// The time until there is room.
+        retry_after: Duration,
+    },
+}
+
+impl From<PlacementError> for PlacementFailure {
+    fn from(why: PlacementError) -> Self {
+        PlacementFailure::Unplaced(why)
+    }
+}
+
 /// Requests a place until there is one or `deadline` passes, and passes it to `on_granted` under
 /// the lock that closes the placement request: the home sees either the request or its usage.
 ///
@@ -91,7 +110,7 @@
     params: PlacementParams<'_>,
     deadline: Instant,
     on_granted: impl Fn(&mut Gateway, &Placement) -> T,
-) -> Result<(Placement, T), PlacementError> {
+) -> Result<(Placement, T), PlacementFailure> {
     let open = OpenPlacement::new(job, params, deadline);
     loop {
         let mut decided = core::pin::pin!(job.cx.decided.notified());
@@ -148,14 +167,14 @@
         &self,
         job: &Job<W>,
         on_granted: impl Fn(&mut Gateway, &Placement) -> T,
-    ) -> Result<PlacementProgress<T>, PlacementError> {
+    ) -> Result<PlacementProgress<T>, PlacementFailure> {
         let (cx, id, service) = (&job.cx, self.guard.id, self.service);
         if cx
             .state()
             .endpoints
             .is_service_cordoned(&job.service().name)
         {
-            return Err(PlacementError::Cordoned);
+            return Err(PlacementError::Cordoned.into());
         }
         let now = cx.now();
         let waits_until = now + self.deadline.saturating_duration_since(Instant::now());
@@ -163,7 +182,7 @@
             cx.state()
                 .is_backed_off_beyond(now, &job.service().name, &self.exclude, waits_until);
         if is_backed_off {
-            return Err(PlacementError::BackedOff);
+            return Err(PlacementError::BackedOff.into());
         }
         let is_past_deadline = Instant::now() >= self.deadline;
         let mut is_queued = false;
@@ -182,9 +201,11 @@
                     state.retry_placement(now, id);
                     PlacementError::NoEndpoint
                 }
-                PlacementStatus::Decided(PlacementDecision::Denied(why)) => return Err(why),
-                PlacementStatus::Decided(PlacementDecision::Rejected { .. }) => {
-                    return Err(PlacementError::Full);
+                PlacementStatus::Decided(PlacementDecision::Denied(why)) => return Err(why.into()),
+                PlacementStatus::Decided(PlacementDecision::Rejected { retry_after_ms }) => {
+                    let home = state.acting_home(now, service);
+                    drop(state);
+                    return Err(rejected(job, id, home, retry_after_ms));
                 }
                 PlacementStatus::Decided(PlacementDecision::Queued(why)) => {
                     is_queued = true;
@@ -209,7 +230,7 @@
                                 log_share_used_up(job, self.tokens, state.instances());
                             }
                             if !self.kind.is_queued() {
-                                return Err(why);
+                                return Err(why.into());
                             }
                             why
                         }
@@ -218,7 +239,7 @@
             }
         };
         if is_past_deadline {
-            return Err(why);
+            return Err(why.into());
         }
         let check_after = match is_queued {
             true => QUEUED_POLL_INTERVAL,
@@ -241,6 +262,26 @@
     );
 }
 
+/// Logs that a home rejected a request, and returns the failure.
+fn rejected<W: Wire>(
+    job: &Job<W>,
+    id: u64,
+    home: Option<SocketAddrV4>,
+    retry_after_ms: u32,
+) -> PlacementFailure {
+    let home = home.map_or_else(|| "-".to_owned(), |it| it.to_string());
+    log_event!(
+        PlacementRejected,
+        attempt = job.name(),
+        request = id,
+        home = home.as_str(),
+        retry_after_ms = retry_after_ms
+    );
+    PlacementFailure::Rejected {
+        retry_after: Duration::from_millis(retry_after_ms.into()),
+    }
+}
+
 fn log_placed_without_home<W: Wire>(job: &Job<W>, place: &Placement) {
     ByReason::Places.add("alone");
     log_event!(
--- a/crates/oriolemux/src/cli/gateway.rs
+++ b/crates/oriolemux/src/cli/gateway.rs
@@ -195,6 +195,7 @@
             seeds: seeds(settings),
             budget: budget(&settings.repeats),
             capacity: capacity(&settings.instance),
+            reject_by_forecast: settings.placement.reject_by_forecast,
         },
     }
 }
