Notice a partition while the first connections to endpoints hang

Cause: a request whose connection hung waited for the connect timeout at one endpoint after the other. With connections to all endpoints hanging, the partition was noticed after three of them, and the request was refused after 3.0 s (docs/design/crowded-engines.md).

Change: an attempt that is pending for 30 ms opens connections to three other endpoints of the service, one round at a time. An attempt that is pending for 0.4 s counts as an endpoint that is not reached, unless a connection to the service was opened since the attempt began, so that one endpoint that hangs while others answer is no partition. When the partition begins, requests that wait for a connection are woken and passed to a peer, or refused with 503 no_connection if there is none; later requests without a peer wait for one attempt of 0.4 s. A service with a single endpoint counts as partitioned after 0.4 s, as it does when that endpoint refuses connections.

Conclusion: the bound of 0.5 s follows from the constants; a measurement on an idle machine with the release build is left.

--- a/crates/core/src/gateway/reachability.rs
+++ b/crates/core/src/gateway/reachability.rs
@@ -27,6 +27,20 @@
 /// ended looks like a partition to every instance.
 const MAX_PROBE_INTERVAL: Duration = Duration::from_millis(1_000);
 
+/// A connection attempt that is pending for this long makes this instance connect to other endpoints
+/// of the service. It is some ten round trips between data centres. Without these attempts, a
+/// single request would wait for one endpoint after the other until the partition is noticed.
+pub const SLOW_CONNECT: Duration = Duration::from_millis(30);
+
+/// A connection attempt that is pending for this long counts as a failure to reach its endpoint.
+/// Callers whose instance reaches no endpoint get an answer within 0.5 s, of which
+/// [`SLOW_CONNECT`] and the choice of an endpoint take a part.
+pub const HANGING_CONNECT: Duration = Duration::from_millis(400);
+
+/// Other endpoints to which connections are opened because of a slow attempt. One more than a
+/// partition needs, so that single endpoints that have failed are not taken for one.
+pub const CROSS_CHECKS: usize = MIN_UNREACHED;
+
 /// What is known about the connections to one service.
 #[derive(Clone, Debug, Default)]
 struct ServiceState {
@@ -34,6 +48,8 @@
     unreached: BTreeSet<EndpointKey>,
     /// When a connection to an endpoint was last opened.
     connected_at: Option<Time>,
+    /// When connections to other endpoints were last opened because an attempt was slow.
+    cross_checked_at: Option<Time>,
     /// Whether this instance counts as partitioned from the service.
     is_partitioned: bool,
     /// The schedule of connection attempts while there are unreached endpoints.
@@ -91,6 +107,43 @@
         begins
     }
 
+    /// Records that a connection attempt that began at `began` is pending for [`HANGING_CONNECT`].
+    /// Returns whether a partition begins.
+    ///
+    /// It says nothing if a connection to another endpoint was opened since the attempt began: its
+    /// endpoint alone hangs then.
+    pub fn on_hanging(
+        &mut self,
+        now: Time,
+        began: Time,
+        service: &str,
+        endpoint: EndpointKey,
+        usable: usize,
+    ) -> bool {
+        if self.has_connected_since(service, began) {
+            return false;
+        }
+        self.on_unreachable(now, service, endpoint, usable)
+    }
+
+    /// Returns whether connections to other endpoints of `service` are to be opened now, because an
+    /// attempt that began at `began` is slow. It returns false while earlier ones are pending, so
+    /// that many slow requests open no more connections than one.
+    pub fn begin_cross_check(&mut self, now: Time, began: Time, service: &str) -> bool {
+        if self.has_connected_since(service, began) {
+            return false;
+        }
+        let state = self.services.entry(service.to_owned()).or_default();
+        let is_pending = state.cross_checked_at.is_some_and(|at| {
+            now.since(at) < HANGING_CONNECT && state.connected_at.is_none_or(|it| it < at)
+        });
+        if is_pending || state.is_partitioned {
+            return false;
+        }
+        state.cross_checked_at = Some(now);
+        true
+    }
+
     /// Returns the endpoints of a service that could not be reached since the last connection.
     pub fn unreached(&self, service: &str) -> impl Iterator<Item = EndpointKey> {
         let state = self.services.get(service);
--- a/crates/core/src/gateway/state/partitions.rs
+++ b/crates/core/src/gateway/state/partitions.rs
@@ -3,6 +3,7 @@
 use super::{Gateway, Placement};
 use crate::gateway::endpoints::Endpoint;
 use crate::gateway::proxies::ProxyChoice;
+use crate::gateway::reachability::{CROSS_CHECKS, Reachability};
 use crate::gateway::request::service_hash;
 use crate::ids::EndpointKey;
 use crate::time::Time;
@@ -45,12 +46,31 @@
     ///
     /// The endpoint is not ejected for that: it may only have been slow.
     pub fn on_connect_abandoned(&mut self, now: Time, key: EndpointKey) -> bool {
+        self.record_unreached(key, |reachability, service, usable| {
+            reachability.on_unreachable(now, service, key, usable)
+        })
+    }
+
+    /// Records that a connection attempt that began at `began` is pending for
+    /// [`HANGING_CONNECT`](crate::gateway::reachability::HANGING_CONNECT). Returns whether this
+    /// instance now counts as partitioned from the endpoint's service.
+    pub fn on_connect_hanging(&mut self, now: Time, began: Time, key: EndpointKey) -> bool {
+        self.record_unreached(key, |reachability, service, usable| {
+            reachability.on_hanging(now, began, service, key, usable)
+        })
+    }
+
+    fn record_unreached(
+        &mut self,
+        key: EndpointKey,
+        record: impl FnOnce(&mut Reachability, &str, usize) -> bool,
+    ) -> bool {
         let Some(endpoint) = self.endpoints.get(key) else {
             return false;
         };
         let service = &endpoint.record.service;
         let usable = self.endpoints.usable_of(service).count();
-        if !self.reachability.on_unreachable(now, service, key, usable) {
+        if !record(&mut self.reachability, service, usable) {
             return false;
         }
         // The failures were this instance's. As a home it would grant these engines to nobody.
@@ -61,6 +81,30 @@
         true
     }
 
+    /// Returns the other endpoints to which connections are to be opened because an attempt to reach
+    /// `key` that began at `began` is slow; they tell an endpoint that hangs from a partition.
+    pub fn cross_checks(&mut self, now: Time, began: Time, key: EndpointKey) -> Vec<Placement> {
+        let Some(endpoint) = self.endpoints.get(key) else {
+            return Vec::new();
+        };
+        let service = &endpoint.record.service;
+        if !self.reachability.begin_cross_check(now, began, service) {
+            return Vec::new();
+        }
+        let others = self.endpoints.usable_of(service).filter(|it| it.key != key);
+        let mut others: Vec<&Endpoint> = others.collect();
+        others.shuffle(&mut self.rng);
+        others.sort_by_key(|it| it.is_failing());
+        others.truncate(CROSS_CHECKS);
+        others.into_iter().map(Placement::of).collect()
+    }
+
+    /// Returns whether this instance is partitioned from the service of an endpoint.
+    pub fn is_partitioned_from(&self, key: EndpointKey) -> bool {
+        let endpoint = self.endpoints.get(key);
+        endpoint.is_some_and(|it| self.reachability.is_partitioned(&it.record.service))
+    }
+
     /// Returns whether this instance is partitioned from the endpoints of a service and has peers
     /// that may reach them.
     pub fn needs_proxy(&self, service: &str) -> bool {
--- a/crates/core/tests/gateway_partitions.rs
+++ b/crates/core/tests/gateway_partitions.rs
@@ -10,7 +10,9 @@
 use oriolemux_core::gateway::Gateway;
 use oriolemux_core::gateway::budget::{BudgetConfig, RetryKind, SharedRetryBudget};
 use oriolemux_core::gateway::proxies::{Proxies, ProxyChoice};
-use oriolemux_core::gateway::reachability::Reachability;
+use oriolemux_core::gateway::reachability::{
+    CROSS_CHECKS, HANGING_CONNECT, Reachability, SLOW_CONNECT,
+};
 use oriolemux_core::ids::EndpointKey;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -82,6 +84,93 @@
     assert!(!reachability.is_partitioned(SERVICE));
 }
 
+/// Returns the state after attempts to reach `hanging` endpoints of `usable`, which all began at
+/// the start, have hung.
+fn after_hanging(hanging: usize, usable: usize) -> Reachability {
+    let mut reachability = Reachability::default();
+    for number in 0..hanging {
+        let now = START + HANGING_CONNECT;
+        reachability.on_hanging(now, START, SERVICE, endpoint(number), usable);
+    }
+    reachability
+}
+
+/// Guards against a partition that is noticed only when attempts time out, against one endpoint
+/// that hangs and is taken for a partition, and against a single endpoint whose service is never
+/// passed to peers.
+#[rstest]
+#[case::one_of_many(1, 48, false)]
+#[case::enough_of_many(3, 48, true)]
+#[case::one_of_two(1, 2, false)]
+#[case::the_only_one(1, 1, true)]
+fn attempts_that_hang_together_are_a_partition(
+    #[case] hanging: usize,
+    #[case] usable: usize,
+    #[case] is_partitioned: bool,
+) {
+    let reachability = after_hanging(hanging, usable);
+
+    assert_eq!(reachability.is_partitioned(SERVICE), is_partitioned);
+}
+
+/// Guards against endpoints that hang and are taken for a partition although another endpoint was
+/// reached while their attempts were pending.
+#[test]
+fn attempts_that_hang_beside_a_connection_are_no_partition() {
+    let mut reachability = Reachability::default();
+    reachability.on_connected(START + SLOW_CONNECT, SERVICE);
+
+    for number in 0..10 {
+        let now = START + HANGING_CONNECT;
+        reachability.on_hanging(now, START, SERVICE, endpoint(number), 48);
+    }
+
+    assert!(!reachability.is_partitioned(SERVICE));
+}
+
+/// Guards against many slow requests that each open connections to other endpoints, and against
+/// one that opens none because earlier ones were answered before the partition.
+#[test]
+fn slow_attempts_share_one_cross_check() {
+    let mut reachability = Reachability::default();
+    let step = Duration::from_millis(10);
+
+    let first = reachability.begin_cross_check(START + step, START, SERVICE);
+    let beside = reachability.begin_cross_check(START + step * 2, START, SERVICE);
+    reachability.on_connected(START + step * 3, SERVICE);
+    let answered = reachability.begin_cross_check(START + step * 4, START, SERVICE);
+    let later = reachability.begin_cross_check(START + step * 5, START + step * 4, SERVICE);
+
+    assert_eq!([first, beside, answered, later], [true, false, false, true]);
+}
+
+/// Guards against a request that waits for one endpoint after the other: others are tried while
+/// its first attempt is pending, and together they are enough for a partition.
+#[rstest]
+#[case::many(48)]
+#[case::few(3)]
+#[case::two(2)]
+#[case::the_only_one(1)]
+fn one_slow_attempt_is_enough_to_notice_a_partition(#[case] usable: usize) {
+    let mut instance = gateway(1);
+    for number in 0..usable {
+        instance.publish_endpoint(START, engine(&format!("e-{number}")));
+    }
+    let service = engine("e-0").service;
+    let checked_at = START + SLOW_CONNECT;
+
+    let others = instance.cross_checks(checked_at, START, endpoint(0));
+    instance.on_connect_hanging(START + HANGING_CONNECT, START, endpoint(0));
+    let hang_at = checked_at + HANGING_CONNECT;
+    for other in &others {
+        instance.on_connect_hanging(hang_at, checked_at, other.key);
+    }
+
+    assert!(others.len() <= CROSS_CHECKS, "{}", others.len());
+    assert!(instance.reachability.is_partitioned(&service));
+    assert!(hang_at.since(START) < Duration::from_millis(500));
+}
+
 /// Guards against a partition from one service that keeps requests of others from endpoints.
 #[test]
 fn services_are_partitioned_each_for_itself() {
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -11,6 +11,8 @@
     unreached: Vec<EndpointKey>,
     runs: u32,
     refused: usize,
+    /// Whether a connection attempt hung while no endpoint of the service was reached.
+    is_partitioned: bool,
 }
 
 impl Attempts {
@@ -22,6 +24,7 @@
             unreached: Vec::new(),
             runs,
             refused,
+            is_partitioned: false,
         }
     }
 
@@ -42,6 +45,17 @@
         self.unreached.push(endpoint);
     }
 
+    /// Records that a connection attempt hung while no endpoint of the service was reached, so that
+    /// the next one would hang as well.
+    pub fn record_partition(&mut self) {
+        self.is_partitioned = true;
+    }
+
+    /// Returns whether a connection attempt hung while no endpoint of the service was reached.
+    pub fn is_partitioned(&self) -> bool {
+        self.is_partitioned
+    }
+
     /// Records that a peer to which the request was passed on may have run it at an endpoint.
     pub fn record_run_at_proxy(&mut self) {
         self.runs += 1;
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -40,8 +40,8 @@
     Response(BufferedResponse),
     /// The endpoint did not run the call.
     NotRun,
-    /// No connection could be opened; the label says how the attempt to open one ended.
-    NoConnection(&'static str),
+    /// No connection could be opened.
+    NoConnection(LinkError),
     /// The endpoint was withdrawn before anything was sent.
     Withdrawn,
     /// The connection or the response broke; the call may have run.
@@ -166,7 +166,7 @@
             Ok(sent) => sent,
             Err(LinkError::Withdrawn) => return AttemptOutcome::Withdrawn,
             Err(error) if error.never_sent() => {
-                return AttemptOutcome::NoConnection(error.label());
+                return AttemptOutcome::NoConnection(error);
             }
             Err(error) => {
                 log::debug!("connection of a call failed after sending: {error}");
@@ -251,7 +251,9 @@
                 }
             }
             AttemptOutcome::NotRun | AttemptOutcome::Refused | AttemptOutcome::Withdrawn => {}
-            AttemptOutcome::NoConnection(why) => self.job.record_unreachable(place, why),
+            AttemptOutcome::NoConnection(error) => {
+                self.job.record_unreachable(place, error.label());
+            }
             AttemptOutcome::Lost { response_started } => {
                 self.job.record_failure(place);
                 self.job
@@ -278,6 +280,8 @@
             return false;
         }
         let may_retry = match attempt {
+            // The next connection would hang as well.
+            AttemptOutcome::NoConnection(LinkError::Partitioned) => return self.may_pass_on(),
             // Nothing reached any endpoint, so this is not a retry.
             AttemptOutcome::NoConnection(_) | AttemptOutcome::Withdrawn => {
                 return self.attempts.refused() <= MAX_REFUSED_SENDS || self.may_pass_on();
--- a/crates/gateway/src/cx.rs
+++ b/crates/gateway/src/cx.rs
@@ -1,7 +1,7 @@
 //! The context that all tasks of the gateway share.
 
 use crate::log_event;
-use crate::meters::ByReason;
+use crate::meters::{ByReason, millis};
 use crate::ports::Wire;
 use crate::proxy::links::ProxyLinks;
 use crate::store::Source;
@@ -68,6 +68,8 @@
     pub departures: Notify,
     /// Notified when a home may have decided a placement.
     pub decided: Notify,
+    /// Notified when this instance is partitioned from a service.
+    pub partitioned: Notify,
     /// Notified when crash records of suspects have changed.
     pub suspects_changed: Notify,
     /// Notified when gossip should be sent soon.
@@ -133,6 +135,7 @@
             replica_changed: Notify::new(),
             departures: Notify::new(),
             decided: Notify::new(),
+            partitioned: Notify::new(),
             suspects_changed: Notify::new(),
             gossip_due: Notify::new(),
             catch_up_due: Notify::new(),
@@ -310,8 +313,25 @@
         }
     }
 
-    /// Logs that this instance is partitioned from the service of an endpoint.
+    /// Records that a connection attempt that began at `began` hangs.
+    pub fn on_connect_hanging(&self, place: &Placement, began: Time) {
+        let now = self.now();
+        let is_partitioned = self.state().on_connect_hanging(now, began, place.key);
+        log_event!(
+            ConnectHangs,
+            endpoint = place.name.as_str(),
+            ms = millis(now.since(began)),
+            begins = is_partitioned
+        );
+        if is_partitioned {
+            self.log_partition(place);
+        }
+    }
+
+    /// Logs that this instance is partitioned from the service of an endpoint, and wakes requests
+    /// that wait for a connection to it.
     pub fn log_partition(&self, place: &Placement) {
+        self.partitioned.notify_waiters();
         let endpoint = self.state().endpoints.get(place.key).cloned();
         let service = endpoint.as_ref().map_or("-", |it| &it.record.service);
         log_event!(
--- a/crates/gateway/src/event_log.rs
+++ b/crates/gateway/src/event_log.rs
@@ -194,6 +194,9 @@
     /// A request of a peer that reaches no endpoint ended here; the line says how, and how many
     /// others are being served.
     ServedForPeer = 855, "served_for_peer", Info, USUAL;
+    /// A connection attempt to an endpoint has had no answer for 0.4 s; the line says whether a
+    /// partition from the endpoint's service begins.
+    ConnectHangs = 873, "connect_hangs", Info, USUAL;
 }
 
 /// The lines of one event in the current second.
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -1,7 +1,7 @@
 //! One caller request that was matched to an entry and read in full.
 
 use crate::attempts::Attempts;
-use crate::connect::ConnectGuard;
+use crate::connect::{ConnectGuard, until_partitioned};
 use crate::cx::Cx;
 use crate::link::{Link, LinkError};
 use crate::log_event;
@@ -449,7 +449,10 @@
         let limit = self.cx.limits.connect.min(self.remaining());
         let opening = self.cx.wire.connect(place.address);
         let connecting = ConnectGuard::new(&self.cx, place);
-        let connected = Link::connect_by(opening, place.address, limit).await;
+        let connected = tokio::select! {
+            connected = Link::connect_by(opening, place.address, limit) => connected,
+            () = until_partitioned(&self.cx, place) => Err(LinkError::Partitioned),
+        };
         connecting.end();
         let mut link = connected?;
         self.cx.on_connected(place);
--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -32,6 +32,8 @@
     ConnectTimeout(Duration),
     /// no connection: {0}
     Connect(std::io::Error),
+    /// no connection, and no endpoint of the service is reached
+    Partitioned,
     /// the endpoint accepts no new requests
     Withdrawn,
     /// the connection broke: {0}
@@ -42,7 +44,10 @@
     /// Returns whether no part of the request can have reached the endpoint.
     pub fn never_sent(&self) -> bool {
         match self {
-            LinkError::ConnectTimeout(_) | LinkError::Connect(_) | LinkError::Withdrawn => true,
+            LinkError::ConnectTimeout(_)
+            | LinkError::Connect(_)
+            | LinkError::Partitioned
+            | LinkError::Withdrawn => true,
             LinkError::Broken(_) => false,
         }
     }
@@ -53,6 +58,7 @@
             LinkError::ConnectTimeout(_) => "timeout",
             LinkError::Connect(error) if error.kind() == ErrorKind::ConnectionRefused => "refused",
             LinkError::Connect(_) => "failed",
+            LinkError::Partitioned => "partitioned",
             LinkError::Withdrawn => "withdrawn",
             LinkError::Broken(_) => "broken",
         }
--- a/crates/gateway/src/meters.rs
+++ b/crates/gateway/src/meters.rs
@@ -63,8 +63,9 @@
         /// Requests for which endpoints were left out that would have been considered otherwise: for
         /// a `backoff` that they requested.
         Avoided = "oriolemux_gateway_endpoints_avoided_total";
-        /// Connections to endpoints that could not be opened: `timeout`, `refused`, `failed`, or
-        /// `nobody` where an endpoint ended together with a connection.
+        /// Connections to endpoints that could not be opened: `timeout`, `refused`, `failed`,
+        /// `partitioned` where no endpoint of the service was reached meanwhile, or `nobody` where
+        /// an endpoint ended together with a connection.
         Unreachable = "oriolemux_gateway_endpoints_unreachable_total";
         /// Requests that were offered to a peer because no endpoint is reached: `answered`,
         /// `not_served`, `lost`, `timeout`, or why the peer did not accept them.
--- a/crates/gateway/src/proxy/probe.rs
+++ b/crates/gateway/src/proxy/probe.rs
@@ -3,6 +3,7 @@
 use crate::cx::Cx;
 use crate::ports::Wire;
 use core::time::Duration;
+use oriolemux_core::gateway::reachability::HANGING_CONNECT;
 use oriolemux_core::gateway::state::Placement;
 use std::sync::Arc;
 use tokio::time::{sleep, timeout};
@@ -23,12 +24,16 @@
     }
 }
 
-async fn probe_endpoint<W: Wire>(cx: &Cx<W>, place: &Placement) {
+/// Opens a connection to an endpoint and records whether the endpoint is reached.
+pub async fn probe_endpoint<W: Wire>(cx: &Cx<W>, place: &Placement) {
+    let began = cx.now();
     let opening = cx.wire.connect(place.address);
-    match timeout(cx.limits.connect, opening).await {
-        Ok(Ok(_)) => return cx.on_connected(place),
-        Ok(Err(error)) => log::debug!("{} is not reached: {error}", place.name),
-        Err(_) => log::debug!("{} does not answer", place.name),
+    match timeout(cx.limits.connect.min(HANGING_CONNECT), opening).await {
+        Ok(Ok(_)) => cx.on_connected(place),
+        Ok(Err(error)) => {
+            log::debug!("{} is not reached: {error}", place.name);
+            cx.on_connect_abandoned(place);
+        }
+        Err(_) => cx.on_connect_hanging(place, began),
     }
-    cx.on_connect_abandoned(place);
 }
--- a/crates/gateway/src/relay/begin.rs
+++ b/crates/gateway/src/relay/begin.rs
@@ -57,6 +57,9 @@
             if !matches!(error, LinkError::Withdrawn) {
                 self.job.record_unreachable(&self.engine, error.label());
             }
+            if matches!(error, LinkError::Partitioned) {
+                self.attempts.record_partition();
+            }
             return AttemptStart::NotRun {
                 reached_engine: false,
             };
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -76,6 +76,9 @@
                 reached_engine,
             } => {
                 (job, attempts) = (*returned_job, returned_attempts);
+                if attempts.is_partitioned() && !job.needs_proxy() {
+                    return refuse_generation(&job, &attempts, Reason::NoConnection);
+                }
                 let may_retry = !reached_engine || job.try_spend_retry(RetryKind::Retry);
                 if attempts.refused() > MAX_REFUSED_SENDS || !may_retry {
                     return refuse_generation(&job, &attempts, Reason::NotRunAtEndpoint);
