Keep rejections of endpoints below the number that they tolerate

Cause: an endpoint that states `Server-Brittle: N` ends if it has to reject more than N requests per second for lack of capacity, from all instances together. The header was not read, and 77 rejected requests per second were sent to an endpoint that tolerates 3 (docs/design/crowded-engines.md).

Change: gateway::brittle divides both the slots and the tolerated rejections among the instances, in the order of the rendezvous hashes. A request within the part of the slots is sent; one beyond it uses the share of the rejections, and is held back once the share is used or while a load report shows no free slot. Rejections lower the part. A held call waits within its target and is then refused with 503 `endpoints_brittle` and Retry-After. For an engine, whose home knows its usage, an instance backs off once its share is used. Values that are negative, no number, or 10,000 and more only write a line.

Conclusion: the bound holds where instances know each other and the stated slots are true. In fleets of more instances than slots it holds on average only (docs/design/limits-of-endpoints.md); that case was not tested as a fleet.

--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -39,6 +39,7 @@
 
 pub mod backoff;
 pub mod beacons;
+pub mod brittle;
 pub mod budget;
 pub mod catalogue;
 pub mod catch_up;
--- a/crates/core/src/gateway/cold.rs
+++ b/crates/core/src/gateway/cold.rs
@@ -136,6 +136,13 @@
         self.sent.tick(now);
     }
 
+    /// Returns whether this instance started or resumed so recently that others may not count it yet
+    /// when they compute their shares.
+    pub fn is_settling(&self, now: Time) -> bool {
+        now.since(self.running_since) < SETTLING_TIME
+            || now.since(self.ticked_at) >= PAUSE_THRESHOLD
+    }
+
     /// Returns how many more requests the instance at `own` may send to an endpoint now without a
     /// home, if all instances together may send `rate` requests per second.
     pub fn remaining(
@@ -146,9 +153,7 @@
         endpoint: EndpointKey,
         rate: f64,
     ) -> u32 {
-        if now.since(self.running_since) < SETTLING_TIME
-            || now.since(self.ticked_at) >= PAUSE_THRESHOLD
-        {
+        if self.is_settling(now) {
             return 0;
         }
         self.sent
--- a/crates/core/src/gateway/gossip.rs
+++ b/crates/core/src/gateway/gossip.rs
@@ -7,6 +7,7 @@
 //! dissemination; `docs/design/large-fleets.md` has figures.
 
 use super::beacons::Beacon;
+use super::brittle::BrittleReport;
 use super::cordons::Cordon;
 use super::fleet_size::FleetSizeReport;
 use super::home::{PlacementAnswer, PlacementReport};
@@ -64,6 +65,8 @@
     pub cordons: Vec<Cordon>,
     /// Rate limits that endpoints set or lifted.
     pub limits: Vec<LimitReport>,
+    /// How many rejections per second endpoints tolerate.
+    pub brittle: Vec<BrittleReport>,
 }
 
 impl GossipItems {
@@ -75,6 +78,7 @@
             && self.crash_records.is_empty()
             && self.cordons.is_empty()
             && self.limits.is_empty()
+            && self.brittle.is_empty()
     }
 }
 
@@ -239,6 +243,7 @@
     beacons: BTreeMap<SocketAddrV4, QueuedItem<Beacon>>,
     cordons: BTreeMap<String, QueuedItem<Cordon>>,
     limits: BTreeMap<EndpointKey, QueuedItem<EndpointKey>>,
+    brittle: BTreeMap<EndpointKey, QueuedItem<EndpointKey>>,
     crash_records: BTreeMap<Fingerprint, QueuedItem<CrashRecord>>,
     /// The keys of [`Outbox::crash_records`], the newest last.
     crash_record_order: Vec<Fingerprint>,
@@ -301,6 +306,7 @@
             || any_new(&self.beacons)
             || any_new(&self.cordons)
             || any_new(&self.limits)
+            || any_new(&self.brittle)
             || (self.crash_record_tokens >= 1.0 && any_new(&self.crash_records))
     }
 
@@ -312,11 +318,23 @@
             beacons: take(&mut self.beacons, peers),
             crash_records: self.take_crash_records(peers),
             cordons: take(&mut self.cordons, peers),
-            // Reports of rate limits are built when they are sent, since each carries its age.
+            // These reports are built when they are sent, since each carries its age.
             limits: Vec::new(),
+            brittle: Vec::new(),
         }
     }
 
+    /// Queues a change of an endpoint's tolerance of rejections in a fleet of `instances`.
+    pub fn add_brittle(&mut self, endpoint: EndpointKey, instances: usize) {
+        let queued = QueuedItem::new(endpoint, send_count(instances));
+        self.brittle.insert(endpoint, queued);
+    }
+
+    /// Returns the endpoints whose tolerance is to be sent now to `peers` peers.
+    pub fn take_brittle(&mut self, peers: u32) -> Vec<EndpointKey> {
+        take(&mut self.brittle, peers)
+    }
+
     /// Queues a change of an endpoint's rate limit in a fleet of `instances`.
     pub fn add_limit(&mut self, endpoint: EndpointKey, instances: usize) {
         let queued = QueuedItem::new(endpoint, send_count(instances));
--- a/crates/core/src/gateway/request.rs
+++ b/crates/core/src/gateway/request.rs
@@ -36,6 +36,8 @@
     RateLimited,
     /// All requested a backoff of this instance.
     BackedOff,
+    /// All that are left are likely to be full, and terminate if they reject too many requests.
+    Brittle,
 }
 
 /// The purpose of a copy.
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -1,5 +1,6 @@
 //! [`Gateway`]: all decisions about HTTP entries of one instance.
 
+mod brittle;
 mod partitions;
 mod peers;
 mod places;
@@ -13,6 +14,7 @@
 
 use super::backoff::Backoffs;
 use super::beacons::Beacons;
+use super::brittle::BrittleEndpoints;
 use super::budget::{BudgetConfig, SharedRetryBudget};
 use super::catalogue::{Catalogue, CatalogueFinding, CatalogueSource};
 use super::catch_up::CatchUp;
@@ -133,6 +135,8 @@
     shares: RateShares,
     /// Rate limits that endpoints set for themselves.
     pub limits: RateLimits,
+    /// Endpoints that terminate if they have to reject too many requests.
+    pub brittle: BrittleEndpoints,
     /// Backoffs that endpoints requested of this instance.
     pub backoffs: Backoffs,
     /// Whether the endpoints of each service are reached.
@@ -189,6 +193,7 @@
             fleet,
             shares: RateShares::new(now),
             limits: RateLimits::default(),
+            brittle: BrittleEndpoints::default(),
             backoffs: Backoffs::default(),
             reachability: Reachability::default(),
             proxies: Proxies::default(),
@@ -441,5 +446,7 @@
     /// Records the load that an endpoint reported.
     pub fn observe_load(&mut self, now: Time, key: EndpointKey, load: ReportedLoad) {
         self.usage.observe_load(now, key, load);
+        let running = self.usage.own(key).running.into();
+        self.brittle.on_load(now, key, load, running);
     }
 }
--- a/crates/core/src/gateway/state/peers.rs
+++ b/crates/core/src/gateway/state/peers.rs
@@ -2,6 +2,7 @@
 
 use super::{Gateway, TickOutcome};
 use crate::gateway::beacons::{BEACON_INTERVAL, Beacon, watcher_rank};
+use crate::gateway::brittle::BrittleChange;
 use crate::gateway::catch_up::{FetchFailure, Provider};
 use crate::gateway::cordons::{Cordon, CordonEffect};
 use crate::gateway::gossip::{Body, Datagram, FAN_OUT, GOSSIP_VERSION, GossipItems};
@@ -61,6 +62,8 @@
     pub cordons: Vec<(Cordon, CordonEffect)>,
     /// Rate limits of endpoints that changed.
     pub limits: Vec<LimitChange>,
+    /// Endpoints whose tolerance of rejections changed.
+    pub brittle: Vec<BrittleChange>,
     /// Whether the sender's incarnation was unknown or considered gone.
     pub is_new: bool,
     /// Instances that are now considered gone.
@@ -228,6 +231,12 @@
                 outcome.limits.push(change);
             }
         }
+        for report in gossip.brittle {
+            if let Some(change) = self.brittle.on_report(now, report) {
+                self.on_brittle_change(now, change);
+                outcome.brittle.push(change);
+            }
+        }
         for cordon in gossip.cordons {
             let effect = self.publish_cordon(now, cordon.clone());
             if effect != CordonEffect::Outdated {
@@ -306,6 +315,7 @@
         let endpoints = &self.endpoints;
         self.limits.tick(now, |it| endpoints.get(it).is_some());
         outcome.backoffs_ended = self.backoffs.tick(now, |it| endpoints.get(it).is_some());
+        self.tick_brittle(now);
         if !outcome.backoffs_ended.is_empty() {
             self.placement_changes += 1;
         }
@@ -372,8 +382,11 @@
         let limits = limits
             .into_iter()
             .filter_map(|it| self.limits.report(now, it));
+        let brittle = self.outbox.take_brittle(peers).into_iter();
+        let brittle = brittle.filter_map(|it| self.brittle.report(now, it));
         GossipItems {
             limits: limits.collect(),
+            brittle: brittle.collect(),
             ..self.outbox.take(peers)
         }
     }
@@ -388,6 +401,7 @@
             gossip.crash_records.append(&mut items.crash_records);
             gossip.cordons.append(&mut items.cordons);
             gossip.limits.append(&mut items.limits);
+            gossip.brittle.append(&mut items.brittle);
         }
         if let Body::Probe { suspects, .. } = &mut body {
             *suspects = self.suspects.ledger.digest();
--- a/crates/core/src/gateway/state/places.rs
+++ b/crates/core/src/gateway/state/places.rs
@@ -67,7 +67,9 @@
     ///
     /// Returns why there is none.
     pub fn place(&mut self, now: Time, demand: &Demand<'_>) -> Result<Placement, PlacementError> {
-        let at_limit = self.at_limit(now, demand);
+        let mut at_limit = self.at_limit(now, demand);
+        let held = self.held(now, demand);
+        at_limit.extend(&held);
         let exclude = self.with_unavailable(now, demand.exclude, &at_limit);
         let backed_off_until = self.backed_off_until(now, demand.service, demand.exclude);
         let demand = Demand {
@@ -81,6 +83,7 @@
             PlacementError::NoEndpoint if at_limit.iter().any(has_limit) => {
                 PlacementError::RateLimited
             }
+            PlacementError::NoEndpoint if !held.is_empty() => PlacementError::Brittle,
             PlacementError::NoEndpoint if backed_off_until.is_some() => PlacementError::BackedOff,
             PlacementError::NoEndpoint if !at_limit.is_empty() => PlacementError::Full,
             why => why,
@@ -88,6 +91,9 @@
         if self.rate_limit(now, key).is_some() {
             self.count_limited_request(now, key);
         }
+        if demand.engine.is_none() {
+            self.on_sent_to_brittle(now, key);
+        }
         self.place_at(key).ok_or(PlacementError::NoEndpoint)
     }
 
--- a/crates/core/src/gateway/usage.rs
+++ b/crates/core/src/gateway/usage.rs
@@ -74,7 +74,7 @@
 
 /// Lifetime of a load report from an endpoint. A plain call takes about 15 to 60 ms, so the queue
 /// has been replaced completely by then.
-const REPORTED_LOAD_TTL: Duration = Duration::from_millis(250);
+pub const REPORTED_LOAD_TTL: Duration = Duration::from_millis(250);
 
 /// The load that an endpoint reported.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -73,7 +73,7 @@
         if let Err(reason) = job.wait_until_admitted().await {
             return calls.refuse_unadmitted(reason);
         }
-        let (place, in_use) = match job.place(calls.attempts.tried()) {
+        let (place, in_use) = match job.wait_for_place(calls.attempts.tried()).await {
             Ok(chosen) => chosen,
             Err(why) => return calls.refuse_unplaced(why),
         };
--- a/crates/gateway/src/cx.rs
+++ b/crates/gateway/src/cx.rs
@@ -6,6 +6,7 @@
 use crate::proxy::links::ProxyLinks;
 use crate::store::Source;
 use core::time::Duration;
+use oriolemux_core::gateway::brittle::BrittleChange;
 use oriolemux_core::gateway::rate_limits::LimitChange;
 use oriolemux_core::gateway::state::Placement;
 use oriolemux_core::gateway::{Cordon, CordonEffect, Gateway};
@@ -341,6 +342,19 @@
         );
     }
 
+    /// Logs how many rejections an endpoint tolerates and schedules gossip.
+    pub fn announce_brittle(&self, change: &BrittleChange, from: Source) {
+        let name = self.endpoint_name(change.endpoint);
+        log_event!(
+            BrittleStated,
+            endpoint = name.as_str(),
+            before:? = change.before,
+            after = change.after,
+            from = from.label()
+        );
+        self.gossip_due.notify_one();
+    }
+
     /// Logs a change of an endpoint's rate limit and schedules gossip.
     pub fn announce_limit(&self, change: &LimitChange, from: Source) {
         let name = self.endpoint_name(change.endpoint);
--- a/crates/gateway/src/event_log.rs
+++ b/crates/gateway/src/event_log.rs
@@ -197,6 +197,16 @@
     /// A connection attempt to an endpoint has had no answer for 0.4 s; the line says whether a
     /// partition from the endpoint's service begins.
     ConnectHangs = 873, "connect_hangs", Info, USUAL;
+    /// An endpoint stated how many rejections a second for lack of capacity it tolerates from all
+    /// instances together; it terminates if there are more.
+    BrittleStated = 874, "endpoint_brittle", Info, USUAL;
+    /// How many rejections an endpoint tolerates cannot be parsed, or is negative or huge; it has no
+    /// effect.
+    BrittleUnreadable = 875, "endpoint_brittle_unreadable", Warn, FEW;
+    /// A request was held back from endpoints that are likely to be full and tolerate no more
+    /// rejections now; the line says for how long, and whether it found a place then. For an engine
+    /// it names the endpoint, to which nothing is sent for that time.
+    BrittleHeld = 876, "held_from_brittle", Info, USUAL;
 }
 
 /// The lines of one event in the current second.
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -112,6 +112,9 @@
     for change in &received.limits {
         cx.announce_limit(change, Source::Peer);
     }
+    for change in &received.brittle {
+        cx.announce_brittle(change, Source::Peer);
+    }
     if received.is_new {
         log_event!(PeerJoined, peer:% = from, incarnation = incarnation.0);
     }
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -39,6 +39,10 @@
 /// the next in rank, one after the other.
 pub const IMMEDIATE_PLACEMENT_TIMEOUT: Duration = HOME_TIMEOUT.saturating_mul(3);
 
+/// The interval at which a call that is held back from endpoints looks for a free slot. Calls take
+/// 15 ms and more, and many may be held at once.
+const BRITTLE_POLL_INTERVAL: Duration = Duration::from_millis(20);
+
 /// Where a request came from.
 #[derive(Clone, Debug)]
 pub enum Origin {
@@ -177,9 +181,22 @@
         let now = self.cx.now();
         let sent = now.before(sent.elapsed()).unwrap_or(Time::ZERO);
         let mut state = self.cx.state();
+        let brittle = match head.brittle {
+            Announced::Value(tolerated) if !head.wrong_endpoint => {
+                state.observe_brittle(now, place.key, tolerated)
+            }
+            _ => None,
+        };
         if let Some(load) = head.load {
             state.observe_load(now, place.key, load);
         }
+        let held_for = match head.rejected {
+            true => state.on_rejected(now, place.key),
+            false => None,
+        };
+        if !head.not_run {
+            state.on_accepted(now, place.key);
+        }
         if let Some(cold_for) = head.cold_for {
             state.endpoints.observe_cold(now, place.key, cold_for);
         }
@@ -188,6 +205,16 @@
             false => state.observe_limit(now, place.key, sent, head.limit),
         };
         drop(state);
+        if let Some(change) = brittle {
+            self.cx.announce_brittle(&change, Source::Endpoint);
+        }
+        if head.brittle == Announced::Unreadable {
+            log_event!(BrittleUnreadable, endpoint = place.name.as_str());
+        }
+        if let Some(time) = held_for {
+            self.cx.gossip_due.notify_one();
+            self.log_held(&place.name, time, false);
+        }
         if head.limit == ResponseLimit::Unreadable {
             log_event!(LimitUnreadable, endpoint = place.name.as_str());
         }
@@ -311,6 +338,47 @@
         Ok(self.placed(place, 0, usage))
     }
 
+    /// Chooses an endpoint for a call as [`Job::place`] does. Where all that are left are likely to
+    /// be full and tolerate no more rejections, waits until one has a free slot, for as long as the
+    /// call can be in time.
+    ///
+    /// # Errors
+    ///
+    /// Returns why no endpoint is available.
+    pub async fn wait_for_place(
+        &self,
+        exclude: &[EndpointKey],
+    ) -> Result<(Placement, UsageGuard<W>), PlacementError> {
+        let ends = (self.arrived + self.entry().target).min(self.deadline);
+        let started = Instant::now();
+        loop {
+            let chosen = self.place(exclude);
+            let is_held = matches!(chosen, Err(PlacementError::Brittle));
+            let may_wait = is_held && Instant::now() < ends && !self.needs_proxy();
+            if may_wait {
+                tokio::time::sleep(BRITTLE_POLL_INTERVAL).await;
+                continue;
+            }
+            let waited = started.elapsed();
+            if is_held || waited >= BRITTLE_POLL_INTERVAL {
+                ByReason::Avoided.add("brittle");
+                self.log_held("-", waited, chosen.is_ok());
+            }
+            return chosen;
+        }
+    }
+
+    fn log_held(&self, endpoint: &str, time: Duration, is_placed: bool) {
+        log_event!(
+            BrittleHeld,
+            attempt = self.name(),
+            entry = self.entry().name.as_str(),
+            endpoint = endpoint,
+            ms = millis(time),
+            placed = is_placed
+        );
+    }
+
     /// Counts the request if endpoints are left out for a backoff.
     fn count_avoided(&self) {
         let now = self.cx.now();
--- a/crates/gateway/src/meters.rs
+++ b/crates/gateway/src/meters.rs
@@ -61,7 +61,8 @@
         /// Places at engines and for copies, by who decided: the `home`, or this instance `alone`.
         Places = "oriolemux_gateway_places_total";
         /// Requests for which endpoints were left out that would have been considered otherwise: for
-        /// a `backoff` that they requested.
+        /// a `backoff` that they requested, or as `brittle` if they tolerated no more rejections and
+        /// there was no other.
         Avoided = "oriolemux_gateway_endpoints_avoided_total";
         /// Connections to endpoints that could not be opened: `timeout`, `refused`, `failed`,
         /// `partitioned` where no endpoint of the service was reached meanwhile, or `nobody` where
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -113,6 +113,8 @@
 pub struct ResponseHead {
     /// The endpoint reports that the request did not run.
     pub not_run: bool,
+    /// The endpoint rejected the request for lack of capacity.
+    pub rejected: bool,
     /// Another endpoint than the expected one responded.
     pub wrong_endpoint: bool,
     /// The response echoes the id of another attempt.
@@ -123,6 +125,9 @@
     pub cold_for: Option<Duration>,
     /// The rate limit that the endpoint reports: requests a second from all instances together.
     pub limit: ResponseLimit,
+    /// How many rejections per second for lack of capacity, over all instances, the endpoint
+    /// tolerates; it terminates if there are more.
+    pub brittle: Announced<u32>,
     /// What the endpoint announces about itself.
     pub announced: Announcements,
 }
--- a/crates/gateway/src/response.rs
+++ b/crates/gateway/src/response.rs
@@ -83,6 +83,8 @@
     NoRunLease,
     /// endpoints_backed_off
     EndpointsBackedOff,
+    /// endpoints_brittle
+    EndpointsBrittle,
 }
 
 impl Reason {
@@ -104,6 +106,7 @@
             | Reason::EndpointsFull
             | Reason::EndpointsLimited
             | Reason::EndpointsBackedOff
+            | Reason::EndpointsBrittle
             | Reason::WaitTooLong
             | Reason::NotRunAtEndpoint
             | Reason::NoConnection
@@ -125,6 +128,7 @@
             PlacementError::Cordoned => Reason::Cordoned,
             PlacementError::RateLimited => Reason::EndpointsLimited,
             PlacementError::BackedOff => Reason::EndpointsBackedOff,
+            PlacementError::Brittle => Reason::EndpointsBrittle,
         }
     }
 }
@@ -132,7 +136,7 @@
 /// Returns the `Retry-After` for a caller that waits for `remaining` more.
 pub fn retry_after(reason: Reason, remaining: Duration) -> Duration {
     let latest = match reason {
-        Reason::EndpointsFull | Reason::Cordoned => RETRY_MAX_FULL,
+        Reason::EndpointsFull | Reason::EndpointsBrittle | Reason::Cordoned => RETRY_MAX_FULL,
         _ => RETRY_MAX,
     };
     let share = remaining.mul_f64(RETRY_SHARE);
