--- a/crates/gateway/src/meters.rs
+++ b/crates/gateway/src/meters.rs
@@ -64,10 +64,12 @@
         /// `refused` by the engine, `not_needed`, or why the request was withdrawn.
         PreCopies = "oriolemux_gateway_pre_copies_total";
         /// Requests for which endpoints were left out that would have been considered otherwise: for
-        /// a `backoff` that they requested.
+        /// a `backoff` that they requested, or as `brittle` if they tolerated no more rejections and
+        /// there was no other.
         Avoided = "oriolemux_gateway_endpoints_avoided_total";
-        /// Connections to endpoints that could not be opened: `timeout`, `refused`, `failed`, or
-        /// `nobody` where an endpoint ended together with a connection.
+        /// Connections to endpoints that could not be opened: `timeout`, `refused`, `failed`,
+        /// `partitioned` where no endpoint of the service was reached meanwhile, or `nobody` where
+        /// an endpoint ended together with a connection.
         Unreachable = "oriolemux_gateway_endpoints_unreachable_total";
         /// Requests that were offered to a peer because no endpoint is reached: `answered`,
         /// `not_served`, `lost`, `timeout`, or why the peer did not accept them.
