The queue of a plain endpoint counts by how slow its host is

Cause: hosts that share their machine with other work take up to 2.5 times as long for periods of 0.6 s, and the same queue then means a longer wait.

A sum of reported values no longer overflows.

Conclusion: a false header makes an endpoint look at most four times as fast or ten times as slow.

--- a/crates/core/src/gateway/choose.rs
+++ b/crates/core/src/gateway/choose.rs
@@ -382,8 +382,11 @@
 fn plain_cost(context: PlacementContext<'_>, endpoint: &Endpoint, used: Usage) -> f64 {
     let counted = f64::from(used.running);
     let reported = context.usage.recent_load(context.now, endpoint.key);
-    let reported = reported.map_or(0.0, |load| f64::from(load.running + load.waiting));
-    counted.max(reported)
+    let Some(load) = reported else { return counted };
+    let queue = counted.max(f64::from(load.running.saturating_add(load.waiting)));
+    // The request counts as part of the queue: an empty endpoint on a slow host must not look as
+    // good as an empty one on a usual host.
+    (queue + 1.0) * load.slowdown.factor() - 1.0
 }
 
 fn state_cost(context: PlacementContext<'_>, endpoint: &Endpoint, away: f64) -> f64 {
--- a/crates/core/src/gateway/usage.rs
+++ b/crates/core/src/gateway/usage.rs
@@ -76,6 +76,30 @@
 /// has been replaced completely by then.
 const REPORTED_LOAD_TTL: Duration = Duration::from_millis(250);
 
+/// How long work takes on the host of an endpoint, in percent of the usual duration.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Slowdown(u16);
+
+impl Slowdown {
+    /// Work takes its usual time.
+    pub const USUAL: Slowdown = Slowdown(100);
+
+    /// Bounds of what is believed, in percent. A false statement of an endpoint then attracts or
+    /// repels no more work than a queue that is four times shorter or ten times longer.
+    const BOUNDS: (u32, u32) = (25, 1_000);
+
+    /// Returns the slowdown that an endpoint stated, within bounds.
+    pub fn from_percent(percent: u32) -> Self {
+        let (least, most) = Self::BOUNDS;
+        Slowdown(percent.clamp(least, most) as u16)
+    }
+
+    /// Returns the factor by which work takes longer than usual.
+    pub fn factor(self) -> f64 {
+        f64::from(self.0) / 100.0
+    }
+}
+
 /// The load that an endpoint reported.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ReportedLoad {
@@ -85,6 +109,8 @@
     pub waiting: u32,
     /// Requests that can run at once.
     pub slots: u32,
+    /// How long work takes on its host.
+    pub slowdown: Slowdown,
 }
 
 /// The usage of all endpoints by this instance, and the loads that endpoints reported.
--- a/crates/core/tests/gateway_choose.rs
+++ b/crates/core/tests/gateway_choose.rs
@@ -6,7 +6,7 @@
 use oriolemux_core::gateway::endpoints::EndpointTable;
 use oriolemux_core::gateway::pace;
 use oriolemux_core::gateway::request::{CopyKind, PaceDemand, PlacementError};
-use oriolemux_core::gateway::usage::{PeerUsage, Usage, UsageTable};
+use oriolemux_core::gateway::usage::{PeerUsage, ReportedLoad, Slowdown, Usage, UsageTable};
 use oriolemux_core::gateway::{Demand, EndpointRecord};
 use oriolemux_core::{EndpointKey, Time};
 use rstest::rstest;
@@ -239,3 +239,64 @@
 
     assert_eq!(chosen, Some(key("e-2")));
 }
+
+fn plain_demand() -> Demand<'static> {
+    Demand {
+        engine: None,
+        ..demand(0, &[])
+    }
+}
+
+/// Returns two plain endpoints of which the first reports a queue and a slowdown `age_ms` ago, and
+/// the second a queue of five.
+fn plain_tables(running: u32, percent: u32, age_ms: u64) -> Tables {
+    let mut tables = tables(&[("e-1", "north"), ("e-2", "north")]);
+    let load = |running, percent| ReportedLoad {
+        running,
+        waiting: 0,
+        slots: 8,
+        slowdown: Slowdown::from_percent(percent),
+    };
+    let age = Duration::from_millis(age_ms);
+    let reported_at = Time::from_secs(10).before(age).expect("a time");
+    tables
+        .usage
+        .observe_load(reported_at, key("e-1"), load(running, percent));
+    tables
+        .usage
+        .observe_load(Time::from_secs(10), key("e-2"), load(5, 100));
+    tables
+}
+
+/// Guards against calls that queue at endpoints whose host is slow, and against endpoints that
+/// decide by a false header: one that always says 1 % counts as four times as fast at most, one
+/// that always says 10,000 % as ten times as slow.
+#[rstest]
+#[case::usual(4, 100, "e-1")]
+#[case::slow(4, 250, "e-2")]
+#[case::empty_but_slow(0, 1_000, "e-2")]
+#[case::always_one(24, 1, "e-2")]
+#[case::always_one_with_a_short_queue(22, 1, "e-1")]
+#[case::always_ten_thousand(0, 10_000, "e-2")]
+fn the_queue_of_a_slow_host_counts_more(
+    #[case] running: u32,
+    #[case] percent: u32,
+    #[case] expected: &str,
+) {
+    let tables = plain_tables(running, percent, 0);
+
+    let chosen = choose(tables.context(), &plain_demand(), no_jitter);
+
+    assert_eq!(chosen, Ok(key(expected)));
+}
+
+/// Guards against an endpoint that stays avoided after its slow period, because nothing is sent to
+/// it that could report otherwise.
+#[test]
+fn an_old_statement_of_a_slow_host_has_no_effect() {
+    let tables = plain_tables(4, 1_000, 250);
+
+    let chosen = choose(tables.context(), &plain_demand(), no_jitter);
+
+    assert_eq!(chosen, Ok(key("e-1")));
+}
