A home logs when the predicted risk of an engine changes

Cause: an operator could not see why a home prefers some engines.

Change: event 856, engine_risk_changed, at most every 3 s for each service, names an engine whose class changed, with typical gap, stall ratio, predicted gap, gap target and the gaps behind the estimate, and how many engines changed and are risky.

Conclusion: metrics and the model in `oriolemux status` are still to do.

--- a/crates/core/src/gateway/pace.rs
+++ b/crates/core/src/gateway/pace.rs
@@ -110,6 +110,70 @@
 /// one costs a long generation. Long ones find capacity there, and no short one is queued for it.
 const SHORT_AT_RISK_FREE_COST: f64 = 6.0;
 
+/// Minimum interval at which changes of risk classes in a service are reported, so that an engine
+/// at the edge of a class does not fill the log.
+const CHANGE_INTERVAL: Duration = Duration::from_secs(3);
+
+/// How an engine counts for generations with the shortest gap target of its service.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum RiskClass {
+    /// A generation is in time there, or nothing is known.
+    #[default]
+    RiskFree,
+    /// Between the other two.
+    Uncertain,
+    /// A generation is probably late there.
+    Risky,
+}
+
+impl RiskClass {
+    fn of(risk: f64) -> Self {
+        if risk > RISKY {
+            RiskClass::Risky
+        } else if risk < RISK_FREE {
+            RiskClass::RiskFree
+        } else {
+            RiskClass::Uncertain
+        }
+    }
+
+    /// Returns the name of the class in logs.
+    pub fn label(self) -> &'static str {
+        match self {
+            RiskClass::RiskFree => "risk_free",
+            RiskClass::Uncertain => "uncertain",
+            RiskClass::Risky => "risky",
+        }
+    }
+}
+
+/// An engine whose risk class changed, with the inputs of the prediction.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RiskChange {
+    /// The engine.
+    pub engine: EndpointKey,
+    /// Its class as last reported.
+    pub before: RiskClass,
+    /// Its class now.
+    pub after: RiskClass,
+    /// Its typical gap in milliseconds.
+    pub typical_ms: u32,
+    /// Its predicted gap in milliseconds.
+    pub stalled_ms: u32,
+    /// The decayed number of gaps that the estimate stands on.
+    pub gaps: u32,
+    /// The stall ratio of the service, in percent.
+    pub stall_percent: u32,
+    /// The gap target by which it was classified, in milliseconds.
+    pub target_ms: u32,
+    /// How many engines changed their class since the last report.
+    pub changed: usize,
+    /// How many engines are risky now.
+    pub risky: usize,
+    /// How many engines are known.
+    pub engines: usize,
+}
+
 /// Gaps between events that one instance relayed from one engine.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PaceSample {
@@ -207,6 +271,8 @@
     window_start: Time,
     /// The predicted stalled gap in milliseconds, as of the last refresh; 0 if none is predicted.
     stalled_ms: f64,
+    /// The risk class as last reported.
+    class: RiskClass,
 }
 
 impl Observed {
@@ -296,6 +362,8 @@
     /// `None` while too few engines are well observed.
     prediction: Option<Prediction>,
     refreshed_at: Option<Time>,
+    /// When a change of risk classes was last reported.
+    change_reported_at: Option<Time>,
     /// The shortest gap target of recent requests, and when one with it was last seen.
     target: Option<(Duration, Time)>,
 }
@@ -307,6 +375,7 @@
             engines: BTreeMap::new(),
             prediction: None,
             refreshed_at: None,
+            change_reported_at: None,
             target: None,
         }
     }
@@ -324,6 +393,7 @@
                 stall_ratios: [1.0; 2],
                 window_start: now,
                 stalled_ms: 0.0,
+                class: RiskClass::default(),
             });
             observed.add(sample, prior_log);
             self.engines.insert(engine, observed);
@@ -366,6 +436,49 @@
         }
     }
 
+    /// Takes the changes of risk classes since the last call that returned any: the one of the first
+    /// engine, and how many there are. Returns nothing within the minimum interval.
+    pub fn take_change(&mut self, now: Time) -> Option<RiskChange> {
+        let last = self.change_reported_at;
+        if last.is_some_and(|at| now.since(at) < CHANGE_INTERVAL) {
+            return None;
+        }
+        let target = self.gap_target(now).unwrap_or_default();
+        let prediction = self.prediction;
+        let prior_log = prediction.map(|it| it.log_median);
+        let (mut change, mut changed, mut risky) = (None, 0, 0);
+        for (&engine, observed) in &mut self.engines {
+            let after = RiskClass::of(risk(observed.stalled_ms, target));
+            risky += usize::from(after == RiskClass::Risky);
+            let before = core::mem::replace(&mut observed.class, after);
+            if before == after {
+                continue;
+            }
+            changed += 1;
+            change.get_or_insert(RiskChange {
+                engine,
+                before,
+                after,
+                typical_ms: observed.log_typical(prior_log).exp2() as u32,
+                stalled_ms: observed.stalled_ms as u32,
+                gaps: observed.seen as u32,
+                stall_percent: prediction.map_or(0, |it| (it.stall_ratio * 100.0) as u32),
+                target_ms: target.as_millis() as u32,
+                changed: 0,
+                risky: 0,
+                engines: 0,
+            });
+        }
+        let change = change?;
+        self.change_reported_at = Some(now);
+        Some(RiskChange {
+            changed,
+            risky,
+            engines: self.engines.len(),
+            ..change
+        })
+    }
+
     /// Returns whether nothing is known.
     pub fn is_empty(&self) -> bool {
         self.engines.is_empty() && self.target.is_none()
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -24,7 +24,7 @@
 use super::home::{Home, HomeEjection};
 use super::lengths::LengthTable;
 use super::members::{CapacityClass, Members};
-use super::pace::{PaceModel, PaceSamples};
+use super::pace::{PaceModel, PaceSamples, RiskChange};
 use super::placement::PlacementTable;
 use super::proxies::Proxies;
 use super::rate_limits::{LimitChange, RateLimits, ResponseLimit};
@@ -71,6 +71,8 @@
     pub backoffs_ended: Vec<EndpointKey>,
     /// Engines that this instance, as a home, now skips for all instances.
     pub home_ejections: Vec<HomeEjection>,
+    /// Engines whose risk class changed, as this instance found as a home.
+    pub risk_changes: Vec<RiskChange>,
     /// Instances that are now considered gone.
     pub silent: Vec<SocketAddrV4>,
     /// Whether a request that waits for a placement or a run lease may have a decision.
--- a/crates/core/src/gateway/state/peers.rs
+++ b/crates/core/src/gateway/state/peers.rs
@@ -318,6 +318,7 @@
         outcome.decided = self.report(now, &mut outcome.send);
         let homes = self.homes.values_mut();
         outcome.home_ejections = homes.flat_map(|it| it.take_ejections()).collect();
+        outcome.risk_changes = self.take_risk_changes(now);
         outcome.decided |= self.report_runs(now, &mut outcome.send);
         outcome
     }
--- a/crates/core/src/gateway/state/places.rs
+++ b/crates/core/src/gateway/state/places.rs
@@ -10,7 +10,7 @@
 use crate::gateway::gossip::Body;
 use crate::gateway::home::{PlacementAnswer, PlacementReport, REPORT_INTERVAL};
 use crate::gateway::members::MemberUpdate;
-use crate::gateway::pace::{self, PaceModel};
+use crate::gateway::pace::{self, PaceModel, RiskChange};
 use crate::gateway::placement::{
     PlacementStatus, QUEUED_REPORT_INTERVAL, UNANSWERED_REPORT_INTERVAL,
 };
@@ -379,6 +379,13 @@
         self.pace.get(&service_hash(service))
     }
 
+    /// Takes the changes of risk classes that this instance, as a home, found; at most one for each
+    /// service every few seconds.
+    pub(super) fn take_risk_changes(&mut self, now: Time) -> Vec<RiskChange> {
+        let models = self.pace.values_mut();
+        models.filter_map(|it| it.take_change(now)).collect()
+    }
+
     /// Drops what is known of the pace of engines that are gone.
     fn tick_pace(&mut self, now: Time) {
         let endpoints = &self.endpoints;
--- a/crates/core/tests/gateway_pace.rs
+++ b/crates/core/tests/gateway_pace.rs
@@ -11,7 +11,7 @@
 use core::time::Duration;
 use fleet::Fleet;
 use instances::{address, engine};
-use oriolemux_core::gateway::pace::{PaceModel, PaceSample, PaceSamples, UNKNOWN};
+use oriolemux_core::gateway::pace::{PaceModel, PaceSample, PaceSamples, RiskClass, UNKNOWN};
 use oriolemux_core::gateway::request::service_hash;
 use oriolemux_core::gateway::usage::UsageTable;
 use oriolemux_core::{EndpointKey, Time};
@@ -275,6 +275,24 @@
     }
 }
 
+/// Guards against a log that is filled by an engine at the edge of a class.
+#[test]
+fn a_change_of_risk_is_reported_once_with_its_inputs() {
+    let mut model = model(&[FAST_MS, SLOW_MS, SLOW_MS, SLOW_MS]);
+
+    let first = model.take_change(NOW).expect("engines became risky");
+    let repeated = model.take_change(NOW + Duration::from_secs(4));
+
+    assert_eq!(
+        (first.before, first.after),
+        (RiskClass::RiskFree, RiskClass::Risky)
+    );
+    assert_eq!((first.changed, first.risky, first.engines), (3, 3, 4));
+    assert_eq!(first.target_ms, 180);
+    assert!((190..=210).contains(&first.stalled_ms), "{first:?}");
+    assert_eq!(repeated, None);
+}
+
 /// Guards against reports that grow with the number of events or engines.
 #[test]
 fn samples_are_taken_at_intervals_and_in_bounded_numbers() {
--- a/crates/gateway/src/event_log.rs
+++ b/crates/gateway/src/event_log.rs
@@ -194,6 +194,10 @@
     /// A request of a peer that reaches no endpoint ended here; the line says how, and how many
     /// others are being served.
     ServedForPeer = 855, "served_for_peer", Info, USUAL;
+    /// As the home of a service, this instance predicts stalls of an engine differently than before.
+    /// The line has the inputs, and how many engines changed and are risky; at most one line for each
+    /// service every 3 s.
+    EngineRiskChanged = 856, "engine_risk_changed", Info, FEW;
 }
 
 /// The lines of one event in the current second.
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -54,6 +54,23 @@
                 ms = millis(ejection.duration)
             );
         }
+        for change in ticked.risk_changes {
+            let name = cx.endpoint_name(change.engine);
+            log_event!(
+                EngineRiskChanged,
+                endpoint = name.as_str(),
+                before = change.before.label(),
+                after = change.after.label(),
+                typical_ms = change.typical_ms,
+                stall_percent = change.stall_percent,
+                stalled_ms = change.stalled_ms,
+                target_ms = change.target_ms,
+                gaps = change.gaps,
+                changed = change.changed,
+                risky = change.risky,
+                engines = change.engines
+            );
+        }
         for peer in ticked.silent {
             log_event!(PeerGone, peer:% = peer);
         }
