--- a/crates/bench/src/policy/reclaim/carry.rs
+++ b/crates/bench/src/policy/reclaim/carry.rs
@@ -17,6 +17,7 @@
 use oriolemux_core::gateway::relocation::{
     EngineView, Relocation, ResumeFrom, Step, silence_timeout,
 };
+use oriolemux_core::gateway::request::PaceDemand;
 use oriolemux_core::gateway::usage::{PeerUsage, UsageTable};
 use oriolemux_core::ids::EndpointKey;
 use oriolemux_core::time::Time;
@@ -389,6 +390,7 @@
                 target_is_quiet: quiet,
                 may_recompute: false,
                 is_budget_spent: false,
+                remaining: None,
             };
             match one.state.next(now, &view) {
                 Step::PreCopy => self.copy_ahead(now, id, at),
@@ -521,5 +523,6 @@
         engine: Some(LIMITS),
         tokens,
         exclude,
+        pace: PaceDemand::default(),
     }
 }
--- a/crates/bench/src/policy/reclaim/carry/copies.rs
+++ b/crates/bench/src/policy/reclaim/carry/copies.rs
@@ -64,7 +64,11 @@
     pub(super) fn copy_ahead(&mut self, now: Time, id: usize, at: usize) {
         if self.generations[id].ahead.is_none() {
             let Some(engine) = self.copy_engine(now, id, CopyKind::PreCopy) else {
-                self.generations[id].state.pre_copy_refused(now);
+                let leaving = self.endpoints.get(self.engines.all[at].key);
+                let leaving = leaving.and_then(|it| it.leaving_since());
+                let leaving_for = leaving.map(|since| now.since(since)).unwrap_or_default();
+                let state = &mut self.generations[id].state;
+                state.pre_copy_refused(now, leaving_for);
                 return;
             };
             let copy = self.count_copy(id, engine);
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -28,7 +28,7 @@
 use super::lengths::LengthTable;
 use super::members::{CapacityClass, Members};
 use super::no_room::NoRoom;
-use super::pace::{PaceModel, PaceSamples};
+use super::pace::{PaceModel, PaceSamples, RiskChange};
 use super::placement::PlacementTable;
 use super::proxies::Proxies;
 use super::rate_limits::{LimitChange, RateLimits, ResponseLimit};
@@ -81,6 +81,8 @@
     pub home_rejections: Vec<HomeRejection>,
     /// Differences between predicted and observed times at which requests got room.
     pub forecast_errors: Vec<Duration>,
+    /// Engines whose risk class changed, as this instance found as a home.
+    pub risk_changes: Vec<RiskChange>,
     /// Instances that are now considered gone.
     pub silent: Vec<SocketAddrV4>,
     /// Whether a request that waits for a placement or a run lease may have a decision.
--- a/crates/core/src/gateway/state/peers.rs
+++ b/crates/core/src/gateway/state/peers.rs
@@ -332,6 +332,7 @@
             outcome.home_rejections.extend(home.take_rejections());
             outcome.forecast_errors.extend(home.take_forecast_errors());
         }
+        outcome.risk_changes = self.take_risk_changes(now);
         outcome.decided |= self.report_runs(now, &mut outcome.send);
         outcome
     }
--- a/crates/core/tests/gateway_brittle.rs
+++ b/crates/core/tests/gateway_brittle.rs
@@ -8,7 +8,7 @@
 use oriolemux_core::gateway::brittle::{
     BrittleEndpoints, BrittleReport, FleetPosition, MAX_TOLERATED,
 };
-use oriolemux_core::gateway::usage::ReportedLoad;
+use oriolemux_core::gateway::usage::{ReportedLoad, Slowdown};
 use oriolemux_core::gateway::{Body, Gateway};
 use oriolemux_core::{EndpointKey, Time};
 use rand::rngs::SmallRng;
@@ -128,6 +128,7 @@
                 running: self.running,
                 waiting: 0,
                 slots: self.load.capacity,
+                slowdown: Slowdown::USUAL,
             };
             let (brittle, running) = &mut self.instances[index];
             match event {
--- a/crates/core/tests/gateway_copies.rs
+++ b/crates/core/tests/gateway_copies.rs
@@ -20,8 +20,8 @@
     PRE_COPY_DEADLINE, RELOCATE_AFTER, time_until_copy_is_needed,
 };
 use oriolemux_core::gateway::request::{
-    CopyKind, Demand, PlacementDecision, PlacementError, PlacementKind, PlacementRequest,
-    QueuedPlacement, QueuedRequest, service_hash,
+    CopyKind, Demand, PaceDemand, PlacementDecision, PlacementError, PlacementKind,
+    PlacementRequest, QueuedPlacement, QueuedRequest, service_hash,
 };
 use oriolemux_core::gateway::usage::{PeerUsage, Usage, UsageTable};
 use oriolemux_core::{EndpointKey, Incarnation, Time};
@@ -410,6 +410,7 @@
             engine: Some(ENGINE),
             tokens: request.queued.tokens,
             exclude: &[],
+            pace: PaceDemand::default(),
         };
         let PlacementKind::Copy { source, kind } = request.kind else {
             unreachable!("a copy")
@@ -438,7 +439,8 @@
         &Holds::default(),
         &RecentGrants::default(),
         queue.iter(),
-    );
+    )
+    .places;
     for (queued, place) in queue.iter().zip(places) {
         let decision = match place {
             Ok(key) => PlacementDecision::Granted(key),
--- a/crates/core/tests/gateway_homes.rs
+++ b/crates/core/tests/gateway_homes.rs
@@ -20,7 +20,7 @@
 use oriolemux_core::gateway::placement::PlacementStatus;
 use oriolemux_core::gateway::rate_limits::RateLimits;
 use oriolemux_core::gateway::request::{
-    PlacementDecision, PlacementKind, PlacementRequest, QueuedRequest, service_hash,
+    PaceDemand, PlacementDecision, PlacementKind, PlacementRequest, QueuedRequest, service_hash,
 };
 use oriolemux_core::gateway::usage::{PeerUsage, Usage};
 use oriolemux_core::gateway::{Body, Demand, Gateway, GatewayConfig};
@@ -686,6 +686,7 @@
                     engine: Some(ENGINE),
                     tokens: TOKENS,
                     exclude: &[],
+                    pace: PaceDemand::default(),
                 };
                 let placed = core.place_without_home(now, &demand, PlacementKind::Queued);
                 self.without_home += usize::from(placed.is_ok());
@@ -830,6 +831,7 @@
         engine: Some(ENGINE),
         tokens: TOKENS,
         exclude: &[],
+        pace: PaceDemand::default(),
     };
 
     let placed = (0..6).filter(|_| {
--- a/crates/gateway/src/event_log.rs
+++ b/crates/gateway/src/event_log.rs
@@ -233,6 +233,10 @@
     /// rejections now; the line says for how long, and whether it found a place then. For an engine
     /// it names the endpoint, to which nothing is sent for that time.
     BrittleHeld = 876, "held_from_brittle", Info, USUAL;
+    /// As the home of a service, this instance predicts stalls of an engine differently than before.
+    /// The line has the inputs, and how many engines changed and are risky; at most one line for each
+    /// service every 3 s.
+    EngineRiskChanged = 856, "engine_risk_changed", Info, FEW;
 }
 
 /// The lines of one event in the current second.
--- a/crates/gateway/src/relay/copy_wait.rs
+++ b/crates/gateway/src/relay/copy_wait.rs
@@ -218,6 +218,7 @@
         PlacementError::Cordoned => "cordoned",
         PlacementError::RateLimited => "rate_limited",
         PlacementError::BackedOff => "backed_off",
+        PlacementError::Brittle => "brittle",
     }
 }
 
