--- a/crates/core/src/gateway/fallback.rs
+++ b/crates/core/src/gateway/fallback.rs
@@ -8,7 +8,7 @@
 //! them as can each place a generation there.
 //!
 //! What an instance took counts against its share until a home sends a new view, which includes it,
-//! or until [`REFILL_TIME`] has passed.
+//! or until `REFILL_TIME` has passed.
 
 use super::catalogue::EngineLimits;
 use super::usage::Usage;
--- a/crates/core/src/gateway/pace.rs
+++ b/crates/core/src/gateway/pace.rs
@@ -3,7 +3,7 @@
 //!
 //! Every instance measures the gaps of the generations that it relays ([`PaceSamples`]) and reports
 //! them to the home of the service, which merges them ([`PaceModel`]) and adds the predicted stalls
-//! to the cost of an engine ([`StallCosts`]). See `docs/design/engine-pace.md`.
+//! to the cost of an engine (`StallCosts`). See `docs/design/engine-pace.md`.
 
 use super::request::PaceDemand;
 use crate::ids::EndpointKey;
