Pace: larger costs of stalls

Cause: at a risky engine half of the long generations were late, and a risk-free engine with two prompts to prefill cost more than the risk. Change: own risk 32 instead of 12, harm 6 instead of 4, short generations at risk-free engines 10 instead of 6.

--- a/crates/core/src/gateway/pace.rs
+++ b/crates/core/src/gateway/pace.rs
@@ -98,17 +98,19 @@
 /// than one event of a generation.
 const LONG_PROMPT: u32 = 256;
 
-/// Cost of an engine where a long generation will be late, in running generations: as much as the
-/// rest of its cost when its KV cache is full, so that it is chosen only if the others are fuller.
-const OWN_RISK_COST: f64 = 12.0;
+/// Cost of an engine where a long generation will be late, in running generations: as much as a
+/// risk-free engine costs that has a full KV cache and two prompts to prefill, behind which a
+/// generation still gets its first event in time.
+const OWN_RISK_COST: f64 = 32.0;
 
 /// Cost for each generation that a prefill would make late, in running generations. It exceeds 1,
 /// the cost of sharing an engine, because a late generation is worse than a slower one.
-const HARM_COST: f64 = 4.0;
+const HARM_COST: f64 = 6.0;
 
-/// Cost of a risk-free engine for a short generation, in running generations: half of what a risky
-/// one costs a long generation. Long ones find capacity there, and no short one is queued for it.
-const SHORT_AT_RISK_FREE_COST: f64 = 6.0;
+/// Cost of a risk-free engine for a short generation, in running generations: more than the harm at
+/// an engine with one long generation. Long ones find capacity there, and no short one is queued
+/// for it.
+const SHORT_AT_RISK_FREE_COST: f64 = 10.0;
 
 /// Minimum interval at which changes of risk classes in a service are reported, so that an engine
 /// at the edge of a class does not fill the log.
