--- a/crates/gateway/src/event_log.rs
+++ b/crates/gateway/src/event_log.rs
@@ -194,6 +194,10 @@
     /// A request of a peer that reaches no endpoint ended here; the line says how, and how many
     /// others are being served.
     ServedForPeer = 855, "served_for_peer", Info, USUAL;
+    /// As the home of a service, this instance predicts stalls of an engine differently than before.
+    /// The line has the inputs, and how many engines changed and are risky; at most one line for each
+    /// service every 3 s.
+    EngineRiskChanged = 856, "engine_risk_changed", Info, FEW;
     /// No engine has room for the pre-copy of a generation whose engine leaves, and its home queues
     /// the request. The line has the KV cache tokens that it needs, how long its engine has been
     /// leaving, and how long the generation is expected to continue.
@@ -208,10 +212,6 @@
     /// generation does not try it again, and homes place no copy there for 300 ms. The line shows
     /// the usage of the engine as known here.
     PreCopyRefused = 863, "pre_copy_refused", Info, USUAL;
-    /// No home answered a placement request in time, and this instance has used up its share of the
-    /// room that may be taken without a home. A request waits until a home answers; a copy is
-    /// requested again. The line has the tokens and how many live instances share the room.
-    FallbackShareUsedUp = 870, "fallback_share_used_up", Info, FEW;
     /// As the home of a service, this instance rejected a queued request because it would get room
     /// at an engine too late. The line names the instance that has the request and the request's id
     /// there, and has the inputs: the predicted wait, the tokens that are needed until then, and the
@@ -220,6 +220,10 @@
     /// The home of a service rejected a request of this instance by forecast; the line has the id by
     /// which the home's line names it, and the time at which the home expects room.
     PlacementRejected = 865, "placement_rejected", Info, FAILURES;
+    /// No home answered a placement request in time, and this instance has used up its share of the
+    /// room that may be taken without a home. A request waits until a home answers; a copy is
+    /// requested again. The line has the tokens and how many live instances share the room.
+    FallbackShareUsedUp = 870, "fallback_share_used_up", Info, FEW;
     /// A connection attempt to an endpoint has had no answer for 0.4 s; the line says whether a
     /// partition from the endpoint's service begins.
     ConnectHangs = 873, "connect_hangs", Info, USUAL;
@@ -233,10 +237,6 @@
     /// rejections now; the line says for how long, and whether it found a place then. For an engine
     /// it names the endpoint, to which nothing is sent for that time.
     BrittleHeld = 876, "held_from_brittle", Info, USUAL;
-    /// As the home of a service, this instance predicts stalls of an engine differently than before.
-    /// The line has the inputs, and how many engines changed and are risky; at most one line for each
-    /// service every 3 s.
-    EngineRiskChanged = 856, "engine_risk_changed", Info, FEW;
 }
 
 /// The lines of one event in the current second.
