--- a/crates/core/tests/gateway_copies.rs
+++ b/crates/core/tests/gateway_copies.rs
@@ -871,3 +871,15 @@
     let by_moves = share(preempted, ended) - share(unavoidable, all_stay);
     assert!(by_moves < 10.0 / 2_600.0, "{by_moves} preempted by moves");
 }
+
+/// Guards against engines that are granted more than they hold: under the same load less than 10 of
+/// 2,600 generations may be preempted, whether or not a move is the cause.
+#[test]
+fn fewer_than_ten_of_2600_generations_are_preempted_under_overload() {
+    let (ended, _, preempted) = play(true);
+
+    assert!(
+        preempted * 2_600 < ended * 10,
+        "{preempted} of {ended} preempted"
+    );
+}
