Refused connections are a partition only if many endpoints refuse

Change: refused connections count from a quarter of the service's endpoints on (three where there are few); connections that hang or fail otherwise count as before. What it is worth is not measured.

--- a/crates/core/src/gateway/reachability.rs
+++ b/crates/core/src/gateway/reachability.rs
@@ -18,6 +18,12 @@
 /// partitioned. A service with fewer endpoints needs all of them.
 const MIN_UNREACHED: usize = 3;
 
+/// Part of a service's endpoints that must refuse connections in a row, one in so many, before this
+/// instance counts as partitioned for that. A refusal is an answer: several endpoints that ended
+/// together refuse connections until their records are removed, and they look empty, so that
+/// requests of all instances go to them.
+const REFUSING_PART: usize = 4;
+
 /// The interval at which an instance first tries to connect to another endpoint after it could not
 /// reach one. Without this, an instance with few requests, or whose requests all go to the same
 /// endpoint, would notice a partition late.
@@ -46,6 +52,8 @@
 struct ServiceState {
     /// Endpoints that could not be reached since the last connection.
     unreached: BTreeSet<EndpointKey>,
+    /// Those of them that refused the connection.
+    refusing: BTreeSet<EndpointKey>,
     /// When a connection to an endpoint was last opened.
     connected_at: Option<Time>,
     /// When connections to other endpoints were last opened because an attempt was slow.
@@ -56,6 +64,24 @@
     probes: Option<ProbeSchedule>,
 }
 
+impl ServiceState {
+    /// Adds an endpoint that could not be reached; returns whether a partition begins.
+    fn add_unreached(&mut self, now: Time, endpoint: EndpointKey, usable: usize) -> bool {
+        self.unreached.insert(endpoint);
+        self.probes.get_or_insert(ProbeSchedule {
+            next: now + FIRST_PROBE_INTERVAL,
+            interval: FIRST_PROBE_INTERVAL,
+        });
+        let silent = self.unreached.len() - self.refusing.len();
+        let needed = |least: usize| least.min(usable).max(1);
+        let is_enough = silent >= needed(MIN_UNREACHED)
+            || self.unreached.len() >= needed(MIN_UNREACHED.max(usable / REFUSING_PART));
+        let begins = !self.is_partitioned && is_enough;
+        self.is_partitioned |= begins;
+        begins
+    }
+}
+
 #[derive(Clone, Copy, Debug)]
 struct ProbeSchedule {
     next: Time,
@@ -82,6 +108,7 @@
         };
         state.connected_at = Some(now);
         state.unreached.clear();
+        state.refusing.clear();
         state.probes = None;
         core::mem::take(&mut state.is_partitioned)
     }
@@ -96,15 +123,24 @@
         usable: usize,
     ) -> bool {
         let state = self.services.entry(service.to_owned()).or_default();
-        state.unreached.insert(endpoint);
-        state.probes.get_or_insert(ProbeSchedule {
-            next: now + FIRST_PROBE_INTERVAL,
-            interval: FIRST_PROBE_INTERVAL,
-        });
-        let needed = MIN_UNREACHED.min(usable).max(1);
-        let begins = !state.is_partitioned && state.unreached.len() >= needed;
-        state.is_partitioned |= begins;
-        begins
+        state.refusing.remove(&endpoint);
+        state.add_unreached(now, endpoint, usable)
+    }
+
+    /// Records that an endpoint of `service` refused a connection; the rest is as for
+    /// [`Reachability::on_unreachable`].
+    pub fn on_refused(
+        &mut self,
+        now: Time,
+        service: &str,
+        endpoint: EndpointKey,
+        usable: usize,
+    ) -> bool {
+        let state = self.services.entry(service.to_owned()).or_default();
+        if !state.unreached.contains(&endpoint) {
+            state.refusing.insert(endpoint);
+        }
+        state.add_unreached(now, endpoint, usable)
     }
 
     /// Records that a connection attempt that began at `began` is pending for [`HANGING_CONNECT`].
--- a/crates/core/src/gateway/state/partitions.rs
+++ b/crates/core/src/gateway/state/partitions.rs
@@ -32,13 +32,28 @@
 
     /// Records that no connection to an endpoint could be opened.
     pub fn on_unreachable(&mut self, now: Time, key: EndpointKey) -> UnreachableOutcome {
-        let mut outcome = UnreachableOutcome::default();
-        let service = self.endpoints.get(key).map(|it| &it.record.service);
-        if service.is_some_and(|it| !self.reachability.is_partitioned(it)) {
-            outcome.is_ejected = self.endpoints.on_unreachable(now, key);
+        UnreachableOutcome {
+            is_ejected: self.eject_unreachable(now, key),
+            is_partitioned: self.on_connect_abandoned(now, key),
+        }
+    }
+
+    /// Records that an endpoint refused a connection.
+    pub fn on_refused(&mut self, now: Time, key: EndpointKey) -> UnreachableOutcome {
+        UnreachableOutcome {
+            is_ejected: self.eject_unreachable(now, key),
+            is_partitioned: self.record_unreached(key, |reachability, service, usable| {
+                reachability.on_refused(now, service, key, usable)
+            }),
         }
-        outcome.is_partitioned = self.on_connect_abandoned(now, key);
-        outcome
+    }
+
+    /// Ejects an endpoint that could not be reached, unless that may be due to a partition; returns
+    /// whether it is now ejected.
+    fn eject_unreachable(&mut self, now: Time, key: EndpointKey) -> bool {
+        let service = self.endpoints.get(key).map(|it| &it.record.service);
+        let says_something = service.is_some_and(|it| !self.reachability.is_partitioned(it));
+        says_something && self.endpoints.on_unreachable(now, key)
     }
 
     /// Records that a connection to an endpoint had not been opened when its request was given up,
--- a/crates/core/tests/gateway_partitions.rs
+++ b/crates/core/tests/gateway_partitions.rs
@@ -61,6 +61,43 @@
     );
 }
 
+/// Guards against a partition that is noticed by 38 instances at once, which then refuse requests,
+/// because a sixth of the engines ended together before the store removed their records.
+#[rstest]
+#[case::a_sixth(10, 60, false)]
+#[case::a_quarter(15, 60, true)]
+#[case::few_endpoints(3, 9, true)]
+#[case::the_only_one(1, 1, true)]
+fn endpoints_that_refuse_connections_are_a_partition_only_if_they_are_many(
+    #[case] refusing: usize,
+    #[case] usable: usize,
+    #[case] is_partitioned: bool,
+) {
+    let mut reachability = Reachability::default();
+
+    for number in 0..refusing {
+        reachability.on_refused(START, SERVICE, endpoint(number), usable);
+    }
+
+    assert_eq!(reachability.is_partitioned(SERVICE), is_partitioned);
+}
+
+/// Guards against a partition that is noticed late because some endpoints refused connections
+/// before the others fell silent.
+#[test]
+fn silent_endpoints_count_beside_refusing_ones() {
+    let mut reachability = Reachability::default();
+    for number in 0..5 {
+        reachability.on_refused(START, SERVICE, endpoint(number), 60);
+    }
+
+    for number in 3..6 {
+        reachability.on_unreachable(START, SERVICE, endpoint(number), 60);
+    }
+
+    assert!(reachability.is_partitioned(SERVICE));
+}
+
 /// Guards against one broken endpoint that is asked again and again.
 #[test]
 fn the_same_endpoint_counts_once() {
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -3,7 +3,7 @@
 use crate::attempts::Attempts;
 use crate::connect::{ConnectGuard, until_partitioned};
 use crate::cx::Cx;
-use crate::link::{Link, LinkError};
+use crate::link::{Link, LinkError, REFUSED};
 use crate::log_event;
 use crate::meters::{ByReason, millis};
 use crate::placement::{
@@ -289,7 +289,10 @@
             why = why
         );
         let now = self.cx.now();
-        let outcome = self.cx.state().on_unreachable(now, place.key);
+        let outcome = match why {
+            REFUSED => self.cx.state().on_refused(now, place.key),
+            _ => self.cx.state().on_unreachable(now, place.key),
+        };
         log_ejection(place, outcome.is_ejected);
         if outcome.is_partitioned {
             self.cx.log_partition(place);
--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -40,6 +40,9 @@
     Broken(hyper::Error),
 }
 
+/// The label of a connection that the endpoint refused.
+pub const REFUSED: &str = "refused";
+
 impl LinkError {
     /// Returns whether no part of the request can have reached the endpoint.
     pub fn never_sent(&self) -> bool {
@@ -56,7 +59,7 @@
     pub fn label(&self) -> &'static str {
         match self {
             LinkError::ConnectTimeout(_) => "timeout",
-            LinkError::Connect(error) if error.kind() == ErrorKind::ConnectionRefused => "refused",
+            LinkError::Connect(error) if error.kind() == ErrorKind::ConnectionRefused => REFUSED,
             LinkError::Connect(_) => "failed",
             LinkError::Partitioned => "partitioned",
             LinkError::Withdrawn => "withdrawn",
