Grants of pre-copies at cold engines are dropped when they are old

Cause: by reading, grants of generations that end before they move were kept until the next resume at a cold engine. Change: they are dropped with each new grant, too.

--- a/crates/core/src/gateway/state/places.rs
+++ b/crates/core/src/gateway/state/places.rs
@@ -229,6 +229,7 @@
     /// the request with which the generation will resume there, so that this instance need not
     /// have a share of the limit for it.
     pub fn on_pre_copy_granted(&mut self, now: Time, key: EndpointKey) {
+        self.drop_old_grants(now);
         if self.rate_limit(now, key).is_some() {
             self.granted_resumes.push((key, now));
         }
@@ -237,12 +238,16 @@
     /// Uses a grant for a generation that resumes at an engine with a rate limit; returns whether
     /// there was one.
     fn take_granted_resume(&mut self, now: Time, key: EndpointKey) -> bool {
-        self.granted_resumes
-            .retain(|(_, at)| now.since(*at) < GRANTED_RESUME_TTL);
+        self.drop_old_grants(now);
         let found = self.granted_resumes.iter().position(|(it, _)| *it == key);
         found.map(|at| self.granted_resumes.remove(at)).is_some()
     }
 
+    fn drop_old_grants(&mut self, now: Time) {
+        self.granted_resumes
+            .retain(|(_, at)| now.since(*at) < GRANTED_RESUME_TTL);
+    }
+
     /// Chooses for `want` with the knowledge of this instance, because no home answers. Once a home
     /// has sent what others run, the choice is within this instance's share of the room that was
     /// free then, see [`fallback`](crate::gateway::fallback).
