One list for the limits that endpoints state, in gossip

Cause: the list of tolerated rejections added a byte to each datagram with gossip; gateway_suspects case_3_planned sent 4,124 bytes a second at the busiest of 390 instances, the bound is 4,096. Change: rate limits and tolerated rejections share one list.

--- a/crates/core/src/gateway/gossip.rs
+++ b/crates/core/src/gateway/gossip.rs
@@ -63,10 +63,18 @@
     pub crash_records: Vec<CrashRecord>,
     /// Data centres that were cordoned or reopened.
     pub cordons: Vec<Cordon>,
-    /// Rate limits that endpoints set or lifted.
-    pub limits: Vec<LimitReport>,
-    /// How many rejections per second endpoints tolerate.
-    pub brittle: Vec<BrittleReport>,
+    /// Limits that endpoints stated.
+    pub limits: Vec<StatedLimit>,
+}
+
+/// A limit that an endpoint stated. All kinds share one list, because the length of each list costs
+/// a byte in every datagram, and the traffic of an instance is near its bound.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum StatedLimit {
+    /// A rate limit was set or lifted.
+    Rate(LimitReport),
+    /// How many rejections per second it tolerates.
+    Rejections(BrittleReport),
 }
 
 impl GossipItems {
@@ -78,7 +86,6 @@
             && self.crash_records.is_empty()
             && self.cordons.is_empty()
             && self.limits.is_empty()
-            && self.brittle.is_empty()
     }
 }
 
@@ -320,7 +327,6 @@
             cordons: take(&mut self.cordons, peers),
             // These reports are built when they are sent, since each carries its age.
             limits: Vec::new(),
-            brittle: Vec::new(),
         }
     }
 
--- a/crates/core/src/gateway/state/peers.rs
+++ b/crates/core/src/gateway/state/peers.rs
@@ -5,7 +5,7 @@
 use crate::gateway::brittle::BrittleChange;
 use crate::gateway::catch_up::{FetchFailure, Provider};
 use crate::gateway::cordons::{Cordon, CordonEffect};
-use crate::gateway::gossip::{Body, Datagram, FAN_OUT, GOSSIP_VERSION, GossipItems};
+use crate::gateway::gossip::{Body, Datagram, FAN_OUT, GOSSIP_VERSION, GossipItems, StatedLimit};
 use crate::gateway::members::{Change, Member, ReplicaClaim};
 use crate::gateway::placement::UNANSWERED_REPORT_INTERVAL;
 use crate::gateway::rate_limits::LimitChange;
@@ -224,17 +224,21 @@
                 self.outbox.add_beacon(beacon);
             }
         }
-        for report in gossip.limits {
-            if let Some(change) = self.limits.on_report(now, report) {
-                let instances = self.instances();
-                self.outbox.add_limit(change.endpoint, instances);
-                outcome.limits.push(change);
-            }
-        }
-        for report in gossip.brittle {
-            if let Some(change) = self.brittle.on_report(now, report) {
-                self.on_brittle_change(now, change);
-                outcome.brittle.push(change);
+        for stated in gossip.limits {
+            match stated {
+                StatedLimit::Rate(report) => {
+                    if let Some(change) = self.limits.on_report(now, report) {
+                        let instances = self.instances();
+                        self.outbox.add_limit(change.endpoint, instances);
+                        outcome.limits.push(change);
+                    }
+                }
+                StatedLimit::Rejections(report) => {
+                    if let Some(change) = self.brittle.on_report(now, report) {
+                        self.on_brittle_change(now, change);
+                        outcome.brittle.push(change);
+                    }
+                }
             }
         }
         for cordon in gossip.cordons {
@@ -384,14 +388,14 @@
 
     fn take_gossip(&mut self, now: Time, peers: u32) -> GossipItems {
         let limits = self.outbox.take_limits(peers);
-        let limits = limits
-            .into_iter()
-            .filter_map(|it| self.limits.report(now, it));
+        let limits = limits.into_iter();
+        let rates = limits.filter_map(|it| self.limits.report(now, it));
         let brittle = self.outbox.take_brittle(peers).into_iter();
-        let brittle = brittle.filter_map(|it| self.brittle.report(now, it));
+        let rejections = brittle.filter_map(|it| self.brittle.report(now, it));
+        let rates = rates.map(StatedLimit::Rate);
+        let rejections = rejections.map(StatedLimit::Rejections);
         GossipItems {
-            limits: limits.collect(),
-            brittle: brittle.collect(),
+            limits: rates.chain(rejections).collect(),
             ..self.outbox.take(peers)
         }
     }
@@ -406,7 +410,6 @@
             gossip.crash_records.append(&mut items.crash_records);
             gossip.cordons.append(&mut items.cordons);
             gossip.limits.append(&mut items.limits);
-            gossip.brittle.append(&mut items.brittle);
         }
         if let Body::Probe { suspects, .. } = &mut body {
             *suspects = self.suspects.ledger.digest();
