Log and count requests that are withheld right before their first byte

Nothing told apart whether a request that reached a leaving endpoint was admitted there by the last check, or was sent without one. [877] and a counter by reason say what the last check withheld, [878] which generations it lets resume at an engine that leaves, and for how long the engine has been leaving. No decision changes.

--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -10,7 +10,7 @@
 
 pub use partitions::UnreachableOutcome;
 pub use peers::{DatagramOutcome, DropReason, GOSSIP_DELAY, TICK};
-pub use places::{HomeDecisions, SendKind};
+pub use places::{HomeDecisions, SendKind, WithheldReason};
 
 use super::backoff::Backoffs;
 use super::beacons::Beacons;
--- a/crates/core/src/gateway/state/places.rs
+++ b/crates/core/src/gateway/state/places.rs
@@ -5,7 +5,7 @@
 use super::{Gateway, Placement};
 use crate::gateway::choose::{self, PlacementContext};
 use crate::gateway::cold::{self, ColdLimits, LOCAL_SHARE};
-use crate::gateway::endpoints::Endpoint;
+use crate::gateway::endpoints::{Endpoint, EndpointState};
 use crate::gateway::engines::Engines;
 use crate::gateway::fallback::EnginePart;
 use crate::gateway::gossip::Body;
@@ -74,6 +74,21 @@
     FromCopy,
 }
 
+/// Why a request is not sent to the endpoint that was chosen for it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, displaydoc::Display)]
+pub enum WithheldReason {
+    /// leaving
+    Leaving,
+    /// cordoned
+    Cordoned,
+    /// backoff
+    Backoff,
+    /// unknown
+    Unknown,
+    /// limit
+    Limit,
+}
+
 impl Gateway {
     /// Chooses the endpoint for a request with the knowledge of this instance.
     ///
@@ -194,6 +209,24 @@
         }
     }
 
+    /// Returns why [`Gateway::admit_send`] has just refused to send a request to an endpoint.
+    pub fn withheld_reason(&self, now: Time, key: EndpointKey, kind: SendKind) -> WithheldReason {
+        if self.endpoints.is_cordoned(key) {
+            return WithheldReason::Cordoned;
+        }
+        if self.backoffs.is_active(now, key) {
+            return WithheldReason::Backoff;
+        }
+        if kind == SendKind::FromCopy && self.may_resume_at(now, key) {
+            return WithheldReason::Limit;
+        }
+        match self.endpoints.get(key).map(|it| it.state) {
+            Some(EndpointState::Leaving { .. }) => WithheldReason::Leaving,
+            Some(EndpointState::Serving | EndpointState::Lapsed { .. }) => WithheldReason::Limit,
+            Some(EndpointState::Unreadable) | None => WithheldReason::Unknown,
+        }
+    }
+
     /// Returns whether a request for which an endpoint was chosen at `chosen` may still be sent
     /// there within the endpoint's rate limit. Counts it if the endpoint has set a limit since then.
     fn admit_to_limit(&mut self, now: Time, key: EndpointKey, chosen: Time) -> bool {
--- a/crates/gateway/src/event_log.rs
+++ b/crates/gateway/src/event_log.rs
@@ -237,6 +237,13 @@
     /// rejections now; the line says for how long, and whether it found a place then. For an engine
     /// it names the endpoint, to which nothing is sent for that time.
     BrittleHeld = 876, "held_from_brittle", Info, USUAL;
+    /// A request was withheld right before its first byte, because the endpoint that was chosen for
+    /// it no longer takes it; the line says why, how long the endpoint has been leaving, and whether
+    /// a generation was to resume from a copy there.
+    SendWithheld = 877, "send_withheld", Info, FAILURES;
+    /// A generation resumes from a copy at an engine that is leaving; the line says how long the
+    /// engine has been leaving.
+    ResumesAtLeaving = 878, "resumes_at_leaving", Info, FAILURES;
 }
 
 /// The lines of one event in the current second.
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -584,13 +584,42 @@
             Some(_) => SendKind::FromCopy,
             None => SendKind::Start,
         };
-        let now = self.cx.now();
-        if !self.cx.state().admit_send(now, place.key, chosen, kind) {
+        if !self.admit_send(place, chosen, kind) {
             return Err(LinkError::Withdrawn);
         }
         let response = link.send(self.request(send)).await?;
         Ok((link, response))
     }
+
+    /// Returns whether the request may still be sent to `place`, which was chosen at `chosen`.
+    fn admit_send(&self, place: &Placement, chosen: Time, kind: SendKind) -> bool {
+        let now = self.cx.now();
+        let mut state = self.cx.state();
+        let is_admitted = state.admit_send(now, place.key, chosen, kind);
+        let why = state.withheld_reason(now, place.key, kind);
+        let leaving = state.leaving_since(place.key);
+        drop(state);
+        let leaving_for = leaving.map_or(Duration::ZERO, |since| now.since(since));
+        if !is_admitted {
+            ByReason::Withheld.add(&why.to_string());
+            log_event!(
+                SendWithheld,
+                attempt = self.name(),
+                endpoint = place.name.as_str(),
+                why:% = why,
+                leaving_ms = millis(leaving_for),
+                from_copy = kind == SendKind::FromCopy
+            );
+        } else if leaving.is_some() {
+            log_event!(
+                ResumesAtLeaving,
+                attempt = self.name(),
+                endpoint = place.name.as_str(),
+                leaving_ms = millis(leaving_for)
+            );
+        }
+        is_admitted
+    }
 }
 
 fn log_unreadable(endpoint: &str, what: &str) {
--- a/crates/gateway/src/meters.rs
+++ b/crates/gateway/src/meters.rs
@@ -74,6 +74,9 @@
         /// Requests that were offered to a peer because no endpoint is reached: `answered`,
         /// `not_served`, `lost`, `timeout`, or why the peer did not accept them.
         Proxied = "oriolemux_gateway_proxied_total";
+        /// Requests that were withheld right before their first byte, because the endpoint that was
+        /// chosen for them no longer takes them: `leaving`, `cordoned`, `backoff`, `unknown`, `limit`.
+        Withheld = "oriolemux_gateway_sends_withheld_total";
         /// Requests that this instance, as a home, rejected by forecast: no room `after_deadline`, or
         /// none for a first event in time (`after_target`).
         HomeRejections = "oriolemux_gateway_home_rejections_total";
