--- a/crates/core/src/gateway/endpoints.rs
+++ b/crates/core/src/gateway/endpoints.rs
@@ -330,6 +330,11 @@
         }
     }
 
+    /// Returns how many endpoints are known to leave, including those without a record.
+    pub fn known_leaving(&self) -> usize {
+        self.known_leaving.len()
+    }
+
     /// Returns the endpoints that are known to leave although their records say that they accept
     /// work.
     pub fn leaving_with_ready_record(&self) -> impl Iterator<Item = EndpointKey> {
