No generation resumes at an engine that has been leaving for a second

What callers and operators saw: a request reached an endpoint after it had said that it leaves. Cause: the last check before the first byte exempts generations that resume from a copy, without a bound in time. A standby copy stays for as long as its generation runs, so that its engine may have announced seconds before that it leaves; when the engine of the generation breaks off then, the generation resumes there. Class: an exemption that assumes a delay of milliseconds and states none.

Ruled out: admitting none at all. The engine lives for 1.5 s after its notice at least, and the copy is often the only one.

--- a/crates/core/src/gateway/endpoints.rs
+++ b/crates/core/src/gateway/endpoints.rs
@@ -21,6 +21,10 @@
 /// update does not restore it.
 const GONE_RETENTION: Duration = Duration::from_secs(60);
 
+/// How long after an engine began to leave a generation may still resume from a copy there. A later
+/// request could arrive after the time in which a leaving endpoint must get its last one.
+pub const RESUME_AT_LEAVING: Duration = Duration::from_secs(1);
+
 /// Consecutive failures after which an endpoint is ejected. A single failure may be caused by the
 /// request; three in a row rarely are.
 const EJECT_AFTER: u32 = 3;
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -20,7 +20,7 @@
 use super::catch_up::CatchUp;
 use super::cold::RateShares;
 use super::cordons::{Cordon, CordonEffect};
-use super::endpoints::{EndpointRecord, EndpointTable};
+use super::endpoints::{EndpointRecord, EndpointTable, RESUME_AT_LEAVING};
 use super::fallback::FallbackShares;
 use super::fleet_size::FleetSize;
 use super::gossip::{Body, Outbox};
@@ -379,9 +379,14 @@
     }
 
     /// Returns whether this instance may ask an engine to resume a generation from a copy, for
-    /// which the engine may be leaving.
+    /// which the engine may have begun to leave no longer than [`RESUME_AT_LEAVING`] ago.
     pub fn may_resume_at(&self, now: Time, key: EndpointKey) -> bool {
-        !self.endpoints.is_cordoned(key) && !self.backoffs.is_active(now, key)
+        let Some(engine) = self.endpoints.get(key) else {
+            return false;
+        };
+        let since = engine.leaving_since();
+        let left_recently = since.is_none_or(|it| now.since(it) < RESUME_AT_LEAVING);
+        left_recently && !self.endpoints.is_cordoned(key) && !self.backoffs.is_active(now, key)
     }
 
     /// Applies the backoff that an endpoint requests of this instance.
--- a/crates/core/src/gateway/state/places.rs
+++ b/crates/core/src/gateway/state/places.rs
@@ -192,9 +192,9 @@
     /// there. To be asked right before the first byte: between choosing and sending, a connection
     /// is opened and the process may have been suspended.
     ///
-    /// A generation may resume from a copy at an engine that began to leave meanwhile: the copy is
-    /// there, and the notice is longer than this delay. A request that starts there may not, even
-    /// if its caller already has events of it. Nothing is sent to a cordoned data centre, or to an
+    /// A generation may resume from a copy at an engine that began to leave a moment ago
+    /// ([`RESUME_AT_LEAVING`](crate::gateway::endpoints::RESUME_AT_LEAVING)): the copy is there. A
+    /// request that starts there may not, even if its caller already has events of it. Nothing is sent to a cordoned data centre, or to an
     /// endpoint that requested a backoff of this instance.
     pub fn admit_send(
         &mut self,
