An endpoint that left is remembered for an hour after its record is gone

Cause: the mark of a leaving endpoint was dropped a minute after its record was removed, while the endpoint may live on and an older record may come back: from a store that returns from a copy, or from a peer that is behind. Then the endpoint took new requests again. The number of marks was not bounded either. Class: a retention that is shorter than what it guards against.

Change: marks stay for an hour, 8,192 of them (some 0.4 MB), those whose record was removed first are forgotten first; the state of the endpoint itself still goes after a minute. A mark keeps the time at which it was set, also if the record is read later.

Memory does not grow with the number of instances.

--- a/crates/core/src/gateway/endpoints.rs
+++ b/crates/core/src/gateway/endpoints.rs
@@ -17,10 +17,18 @@
 /// as leaving. The publisher promises to write records again within about two seconds.
 pub const LAPSE_GRACE: Duration = Duration::from_millis(2_200);
 
-/// How long an endpoint that left is remembered after its record was removed, so that a delayed
-/// update does not restore it.
+/// How long the state of an endpoint that left is kept after its record was removed.
 const GONE_RETENTION: Duration = Duration::from_secs(60);
 
+/// How long it is remembered that an endpoint left, after its record was removed. An endpoint may
+/// live on for long, and a store that comes back from a copy, or a delayed update, may hold a record
+/// that still says ready.
+const MARK_RETENTION: Duration = Duration::from_secs(3_600);
+
+/// Bound on the endpoints that are known to leave; each takes some 50 bytes. The ones whose record
+/// was removed first are forgotten first.
+const MAX_MARKS: usize = 8_192;
+
 /// How long after an engine began to leave a generation may still resume from a copy there. A later
 /// request could arrive after the time in which a leaving endpoint must get its last one.
 pub const RESUME_AT_LEAVING: Duration = Duration::from_secs(1);
@@ -177,12 +185,20 @@
     endpoints: BTreeMap<EndpointKey, Endpoint>,
     /// The newest incarnation known under each published name, with its start time.
     newest: BTreeMap<String, (Option<u64>, EndpointKey)>,
-    /// Endpoints known to be leaving, with or without a known record: when they were marked, or
-    /// when their record was last seen to stand.
-    known_leaving: BTreeMap<EndpointKey, Time>,
+    /// Endpoints known to be leaving, with or without a known record.
+    known_leaving: BTreeMap<EndpointKey, LeavingMark>,
     cordons: Cordons,
 }
 
+/// What is remembered of an endpoint that is leaving.
+#[derive(Clone, Copy, Debug)]
+struct LeavingMark {
+    /// When this instance learned that it is leaving.
+    since: Time,
+    /// When its record was last seen to stand; before that, when it was marked.
+    confirmed: Time,
+}
+
 impl EndpointTable {
     /// Applies a published record. Returns the endpoints that started leaving: this one, or its
     /// previous incarnation.
@@ -250,7 +266,7 @@
     /// Returns the endpoint if it started leaving.
     pub fn remove_record(&mut self, now: Time, name: &str, unsettled: bool) -> Option<EndpointKey> {
         let Some(&(_, key)) = self.newest.get(name) else {
-            self.known_leaving.insert(EndpointKey::of(name), now);
+            self.mark_leaving(now, EndpointKey::of(name));
             return None;
         };
         self.withdraw_record(key);
@@ -281,14 +297,17 @@
 
     /// Marks an endpoint as leaving; returns whether that was new for a known endpoint.
     pub fn mark_leaving(&mut self, now: Time, key: EndpointKey) -> bool {
-        self.known_leaving.entry(key).or_insert(now);
+        let mark = self.known_leaving.entry(key).or_insert(LeavingMark {
+            since: now,
+            confirmed: now,
+        });
         let Some(endpoint) = self.endpoints.get_mut(&key) else {
             return false;
         };
         if let EndpointState::Leaving { .. } = endpoint.state {
             return false;
         }
-        endpoint.state = EndpointState::Leaving { since: now };
+        endpoint.state = EndpointState::Leaving { since: mark.since };
         true
     }
 
@@ -312,10 +331,13 @@
         }
         self.confirm_standing_records(now);
         self.known_leaving
-            .retain(|_, confirmed| now.since(*confirmed) < GONE_RETENTION);
+            .retain(|_, mark| now.since(mark.confirmed) < MARK_RETENTION);
+        self.forget_oldest_marks();
         let known_leaving = &self.known_leaving;
         self.endpoints.retain(|key, endpoint| {
-            endpoint.leaving_since().is_none() || known_leaving.contains_key(key)
+            let mark = known_leaving.get(key);
+            let is_recent = mark.is_some_and(|it| now.since(it.confirmed) < GONE_RETENTION);
+            endpoint.leaving_since().is_none() || is_recent
         });
         let endpoints = &self.endpoints;
         self.newest
@@ -328,12 +350,26 @@
     /// forgotten.
     fn confirm_standing_records(&mut self, now: Time) {
         for endpoint in self.endpoints.values().filter(|it| it.has_record) {
-            if let Some(confirmed) = self.known_leaving.get_mut(&endpoint.key) {
-                *confirmed = now;
+            if let Some(mark) = self.known_leaving.get_mut(&endpoint.key) {
+                mark.confirmed = now;
             }
         }
     }
 
+    fn forget_oldest_marks(&mut self) {
+        let excess = self.known_leaving.len().saturating_sub(MAX_MARKS);
+        if excess == 0 {
+            return;
+        }
+        let marks = self.known_leaving.iter();
+        let mut oldest: Vec<(Time, EndpointKey)> =
+            marks.map(|(key, it)| (it.confirmed, *key)).collect();
+        oldest.sort_unstable();
+        for (_, key) in oldest.into_iter().take(excess) {
+            self.known_leaving.remove(&key);
+        }
+    }
+
     /// Returns how many endpoints are known to leave, including those without a record.
     pub fn known_leaving(&self) -> usize {
         self.known_leaving.len()
