Instances that believe different endpoints to leave tell each other

Cause: that an endpoint announced to leave is gossiped a bounded number of times and stands in no digest. An instance that was frozen for a second or more while it spread learns it from the endpoint's record only, which may go on saying ready: the endpoint may not reach the store, or the store came back from a copy. Class: a fact that converges by chance.

Change: the digest that probes carry for the worst suspects covers the endpoints that are known to leave and whose records say ready, too, and an instance that differs is sent them, once a second, 96 at most. No message gains a field.

--- a/crates/core/src/gateway/gossip.rs
+++ b/crates/core/src/gateway/gossip.rs
@@ -133,7 +133,8 @@
         /// A hash of the live members that the sender knows.
         members: u64,
         /// A hash of the sender's worst suspects, see
-        /// [`Ledger::digest`](crate::suspects::Ledger::digest); set when the probe is sent.
+        /// [`Ledger::digest`](crate::suspects::Ledger::digest), and of the endpoints that it knows
+        /// to leave although their records say that they do not; set when the probe is sent.
         suspects: u64,
         /// Attached gossip.
         gossip: GossipItems,
--- a/crates/core/src/gateway/state/peers.rs
+++ b/crates/core/src/gateway/state/peers.rs
@@ -142,7 +142,7 @@
             } => {
                 self.on_peer_catalogue(from, catalogue);
                 self.on_gossip(now, gossip, outcome, change);
-                self.send_suspects(now, from, suspects, &mut outcome.send);
+                self.send_beliefs(now, from, suspects, &mut outcome.send);
                 let ack = Body::Ack {
                     number,
                     members: Some(self.members.digest()),
@@ -412,7 +412,7 @@
             gossip.limits.append(&mut items.limits);
         }
         if let Body::Probe { suspects, .. } = &mut body {
-            *suspects = self.suspects.ledger.digest();
+            *suspects = self.beliefs_digest();
         }
         if let Body::Probe { catalogue, .. } | Body::Ack { catalogue, .. } = &mut body {
             *catalogue = self.catalogue_version();
--- a/crates/core/src/gateway/state/suspects.rs
+++ b/crates/core/src/gateway/state/suspects.rs
@@ -2,7 +2,7 @@
 
 use super::{Gateway, Placement};
 use crate::fingerprint::Fingerprint;
-use crate::gateway::gossip::Body;
+use crate::gateway::gossip::{Body, GossipItems, MAX_ITEMS};
 use crate::gateway::suspects::SEND_ALL_INTERVAL;
 use crate::ids::EndpointKey;
 use crate::suspects::{
@@ -12,6 +12,9 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddrV4;
 
+/// Bound on the leaving endpoints that are sent to an instance that believes something else.
+const MAX_LEAVING_SENT: usize = 4 * MAX_ITEMS;
+
 impl Gateway {
     /// Registers a request that is about to run; [`Gateway::end_run`] removes it.
     pub fn begin_run(&mut self, fingerprint: Fingerprint) -> SuspectRun {
@@ -119,9 +122,9 @@
         }
     }
 
-    /// Sends the worst suspects to an instance whose ledger differs: it has just started, or was
-    /// partitioned.
-    pub(super) fn send_suspects(
+    /// Sends what is believed of endpoints to an instance that believes something else: it has just
+    /// started, was frozen or was partitioned while the gossip about it spread.
+    pub(super) fn send_beliefs(
         &mut self,
         now: Time,
         peer: SocketAddrV4,
@@ -130,7 +133,7 @@
     ) {
         let all_sent_at = self.suspects.all_sent_at;
         let is_due = all_sent_at.is_none_or(|at| now.since(at) >= SEND_ALL_INTERVAL);
-        if !is_due || self.suspects.ledger.digest() == theirs {
+        if !is_due || self.beliefs_digest() == theirs {
             return;
         }
         let worst = self.suspects.ledger.worst(now);
@@ -138,6 +141,28 @@
             self.suspects.all_sent_at = Some(now);
             send.push((peer, Body::Suspects(worst)));
         }
+        let leaving: Vec<EndpointKey> = self.unpublished_leaving().collect();
+        for some in leaving.chunks(MAX_ITEMS) {
+            self.suspects.all_sent_at = Some(now);
+            let gossip = GossipItems {
+                leaving: some.to_vec(),
+                ..GossipItems::default()
+            };
+            send.push((peer, Body::Gossip(gossip)));
+        }
+    }
+
+    /// Returns a hash of what [`Gateway::send_beliefs`] sends.
+    pub(super) fn beliefs_digest(&mut self) -> u64 {
+        let leaving = self.unpublished_leaving().fold(0, |sum, it| sum ^ it.0);
+        self.suspects.ledger.digest() ^ leaving
+    }
+
+    /// Returns the endpoints that are known to leave and whose records do not say so, as many as are
+    /// sent to one instance at once. Everybody learns of the others from the store.
+    fn unpublished_leaving(&self) -> impl Iterator<Item = EndpointKey> {
+        let leaving = self.endpoints.leaving_with_ready_record();
+        leaving.take(MAX_LEAVING_SENT)
     }
 
     /// Sends the homes of suspects the runs of this instance and its lease requests; returns
--- a/crates/core/tests/gateway_leaving.rs
+++ b/crates/core/tests/gateway_leaving.rs
@@ -236,3 +236,29 @@
         processes[index].known_leaving.get_or_insert(now);
     }
 }
+
+/// Guards against traffic that goes on for as long as an endpoint is leaving and its record says
+/// ready.
+#[rstest]
+#[case::few(6)]
+#[case::many(100)]
+fn instances_that_agree_who_is_leaving_send_nothing_about_it(#[case] size: usize) {
+    let sent_with = |leaving: usize| {
+        let mut fleet = Fleet::start(size, 3, 1);
+        fleet.run(Duration::from_secs(4));
+        for number in 0..leaving {
+            let record = instances::engine(&format!("e-{number}"));
+            fleet.publish(&record);
+            fleet.observe_leaving(1, record.key());
+        }
+        fleet.run(Duration::from_secs(4));
+        fleet.reset_sent();
+        fleet.run(Duration::from_secs(4));
+        let by_news = |it: &fleet::Node| it.by_purpose.get("news").map_or(0, |it| it.bytes);
+        fleet.nodes.iter().map(by_news).sum::<u64>()
+    };
+
+    let with_marks = sent_with(30);
+
+    assert!(with_marks <= sent_with(0), "{with_marks} bytes");
+}
