--- a/crates/core/tests/gateway_leaving.rs
+++ b/crates/core/tests/gateway_leaving.rs
@@ -86,7 +86,7 @@
     let back = NOW + away;
     let mut now = NOW;
     while now < back {
-        now = now + Duration::from_secs(1);
+        now += Duration::from_secs(1);
         one.tick(now);
     }
 
@@ -176,7 +176,7 @@
         let mut now = NOW;
         let mut processes: Vec<Process> = Vec::new();
         for step in 0..STEPS {
-            now = now + Duration::from_millis(rng.random_range(5..1_500));
+            now += Duration::from_millis(rng.random_range(5..1_500));
             one.tick(now);
             play_step(&mut rng, &mut one, now, &mut processes);
             for process in &processes {
