Decode the parts of a prompt and log those of requests that crash engines

Nothing named what different requests share, so that the lines could not tell whether one part is behind many crashes. The parts that prompts may share, all but the last, are decoded (16 of a prompt at most), and [880] names each with the crashes known under it, none yet. No decision changes.

--- a/crates/core/src/fingerprint.rs
+++ b/crates/core/src/fingerprint.rs
@@ -24,6 +24,24 @@
     pub body: &'a [u8],
 }
 
+/// The name of a part of a prompt, as its caller states it. Prompts share a part if they state the
+/// same name for it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct PromptPartId(pub u128);
+
+impl fmt::Display for PromptPartId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:x}", self.0)
+    }
+}
+
+/// The bits that are set in the fingerprints of all prompt parts. One in four billion requests has
+/// them as well; what such a request crashes must then be seen in separate crashes, as for a part.
+const PART_MARK: u128 = 0xffff_ffff << 96;
+
+/// Keeps what is hashed for a part apart from what is hashed for a request.
+const PART_DOMAIN: &[u8] = b"prompt part";
+
 /// A hash that identifies a request between instances without containing any of its text.
 ///
 /// It is the first half of a SHA-256 digest. With a hash that is not collision resistant, a caller
@@ -50,12 +68,24 @@
             hash.update(part);
         }
         hash.update(identity.body);
-        let digest: [u8; 32] = hash.finalize().into();
-        let (half, _) = digest.split_at(16);
-        Fingerprint(
-            half.iter()
-                .fold(0, |sum, byte| sum << 8 | u128::from(*byte)),
-        )
+        Fingerprint(half_of(hash))
+    }
+
+    /// Returns the fingerprint of a part that prompts for one service share. It never equals that of
+    /// a request.
+    pub fn of_prompt_part(deployment: u64, service: &str, part: PromptPartId) -> Self {
+        let mut hash = Sha256::new();
+        hash.update(PART_DOMAIN);
+        hash.update(deployment.to_le_bytes());
+        hash.update((service.len() as u64).to_le_bytes());
+        hash.update(service);
+        hash.update(part.0.to_le_bytes());
+        Fingerprint(half_of(hash) | PART_MARK)
+    }
+
+    /// Returns whether this is the fingerprint of a part of a prompt.
+    pub const fn is_prompt_part(self) -> bool {
+        self.0 & PART_MARK == PART_MARK
     }
 
     /// Returns the key for rendezvous hashing of this request.
@@ -64,6 +94,14 @@
     }
 }
 
+/// Returns the first half of a digest.
+fn half_of(hash: Sha256) -> u128 {
+    let digest: [u8; 32] = hash.finalize().into();
+    let (half, _) = digest.split_at(16);
+    half.iter()
+        .fold(0, |sum, byte| sum << 8 | u128::from(*byte))
+}
+
 impl fmt::Display for Fingerprint {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{:032x}", self.0)
--- a/crates/core/src/suspects.rs
+++ b/crates/core/src/suspects.rs
@@ -7,6 +7,7 @@
 //! | --- | --- |
 //! | `ledger` | which requests crashed which endpoints, and whether they may run |
 //! | `message` | messages between instances and homes |
+//! | `parts` | the parts of a prompt that other prompts may share |
 //! | `run_leases` | what the home of a suspect knows: which run holds the lease |
 //! | `runs` | the runs of this instance, and the leases that it requests |
 //!
@@ -21,6 +22,7 @@
 
 mod ledger;
 mod message;
+mod parts;
 mod run_leases;
 mod runs;
 
@@ -28,5 +30,6 @@
     CrashRecord, Ledger, MAX_CRASHES, MAX_SUSPECTS, REFUSAL_DURATION, SUCCESS_AFTER, Standing,
 };
 pub use message::{RunLeaseAnswer, RunLeaseReport};
+pub use parts::{MAX_PARTS, PromptParts};
 pub use run_leases::{RUN_LEASE_TTL, RunLeases};
 pub use runs::{Admission, Due, Runs, SuspectRun};
--- a/crates/gateway/src/event_log.rs
+++ b/crates/gateway/src/event_log.rs
@@ -244,6 +244,10 @@
     /// A generation resumes from a copy at an engine that is leaving; the line says how long the
     /// engine has been leaving.
     ResumesAtLeaving = 878, "resumes_at_leaving", Info, FAILURES;
+    /// A request that crashed an endpoint has this part in its prompt, which other prompts may
+    /// share; one line for each part. The line has the part's fingerprint and the name that the
+    /// caller gives it, and how many endpoints crashed under prompts with it.
+    PartOfCrash = 880, "prompt_part_of_crash", Info, FAILURES;
 }
 
 /// The lines of one event in the current second.
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -23,6 +23,7 @@
 use oriolemux_core::fingerprint::{Fingerprint, Identity};
 use oriolemux_core::gateway::RequestKind;
 use oriolemux_core::gateway::catalogue::{Catalogue, EntryId, RequestMatch, WorkspaceId};
+use oriolemux_core::suspects::PromptParts;
 use std::sync::Arc;
 use std::time::Instant;
 
@@ -244,6 +245,7 @@
     if matched.earns_retry {
         state.budget.on_request(now, name);
     }
+    let prompt_parts = PromptParts::new(state.deployment(), name, &matched.head.shared_parts);
     drop(state);
     Job {
         cx,
@@ -257,6 +259,7 @@
         headers: parts.headers,
         body,
         fingerprint,
+        parts: prompt_parts,
         run,
         origin: matched.origin,
         arrived: matched.arrived,
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -9,6 +9,7 @@
 use core::future::Future;
 use core::time::Duration;
 use http::{HeaderMap, Response, StatusCode};
+use oriolemux_core::fingerprint::PromptPartId;
 use oriolemux_core::gateway::endpoints::EndpointRecord;
 use oriolemux_core::gateway::rate_limits::ResponseLimit;
 use oriolemux_core::gateway::reader::{CallFailure, StatedEpoch};
@@ -35,6 +36,9 @@
     pub expected_tokens: Option<u32>,
     /// The event after which the caller wants a generation to continue.
     pub last_event_id: LastEventId,
+    /// The parts of a generation's prompt that other prompts may share, in order: all but the last,
+    /// which is the request's or its session's own.
+    pub shared_parts: Vec<PromptPartId>,
 }
 
 /// The last event of a generation that a caller says it has received.
--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -106,6 +106,20 @@
         false
     }
 
+    fn log_parts(&self, place: &Placement) {
+        for (part, name) in self.parts.named() {
+            let ended = self.cx.state().crash_count(part);
+            log_event!(
+                PartOfCrash,
+                attempt = self.name(),
+                endpoint = place.name.as_str(),
+                part:% = part,
+                name:% = name,
+                ended = ended
+            );
+        }
+    }
+
     /// Records that the request crashed an endpoint.
     fn on_endpoint_crash(&self, place: &Placement, found: ProbeResult) {
         let now = self.cx.now();
@@ -119,6 +133,7 @@
             log_event!(EndpointCrashed, attempt = self.name(), request:% = self.fingerprint,
                 entry = self.entry().name.as_str(), endpoint = place.name.as_str(),
                 ended = ended);
+            self.log_parts(place);
             self.cx.announce_suspects();
         }
     }
