A suspect that crashed eight endpoints stays refused

Cause: a record keeps eight crashed endpoints, and a ninth crash changed nothing, not even the time of the last one. Five minutes after the eighth crash the request was admitted again, one run at a time and without an end: each crash left it admitted. Class: a bounded set whose overflow loses the event.

Change: a later crash renews the time of a full record, here and at the instances that are told of it. Evidence: the new test fails without it; suspects_ledger passes.

--- a/crates/core/src/suspects/ledger.rs
+++ b/crates/core/src/suspects/ledger.rs
@@ -34,6 +34,10 @@
 /// gossip about the previous one is still spreading count too.
 const MAX_CRASHES_KEPT: usize = 8;
 
+/// How much newer the last crash of a full record must be for the record to count as changed. Times
+/// of one crash differ between instances by what the messages about it took.
+const MIN_RENEWAL: Duration = Duration::from_secs(1);
+
 /// How long a response must have been streaming for its request to count as successful, even if it
 /// breaks off then. A request that crashes its endpoint does so when it begins.
 pub const SUCCESS_AFTER: Duration = Duration::from_secs(1);
@@ -206,7 +210,9 @@
         let known = suspect.crashed.clone();
         let new = crashed.iter().filter(|it| !known.contains(it));
         suspect.crashed.extend(new.take(room));
-        if before == Some((suspect.round, suspect.crashed.len())) {
+        let is_renewed = suspect.crashed.len() >= MAX_CRASHES_KEPT
+            && changed.since(suspect.changed) >= MIN_RENEWAL;
+        if before == Some((suspect.round, suspect.crashed.len())) && !is_renewed {
             return false;
         }
         suspect.changed = suspect.changed.max(changed);
--- a/crates/core/tests/suspects_ledger.rs
+++ b/crates/core/tests/suspects_ledger.rs
@@ -129,6 +129,25 @@
     assert_eq!(ledger.crash_count(request(1)), 8);
 }
 
+/// Guards against an instance that learns of a full record's last crash from others only, and tries
+/// the request again at once.
+#[test]
+fn the_last_crash_of_a_full_record_reaches_other_instances() {
+    let mut first = Ledger::default();
+    for number in 0..8 {
+        first.record_crash(NOW, request(1), engine(number));
+    }
+    let mut second = first.clone();
+    let later = NOW + REFUSAL_DURATION;
+    assert!(first.record_crash(later, request(1), engine(9)));
+
+    let record = first.record(later, request(1)).expect("it is known");
+    assert!(second.on_record(later, &record));
+
+    assert_eq!(second.standing(later, request(1)), Standing::Refused);
+    assert!(!first.on_record(later, &record));
+}
+
 proptest! {
     /// Instances that receive the same records, in any order and any number of times, have the same
     /// ledger.
