Parts of prompts that crash engines are found and refused

What callers saw: engine after engine ended under requests that share one part of their prompts, no two alike, and cut off everything else that ran there. Cause: evidence was kept for a hash of the whole request, so that each had one crash and none was a repeat. Class: evidence is bound to the identity of a request, while the cause may be anything that requests share. Covered now: the request as such, and the first 16 parts of its prompt but the last. Not covered: a path, a header, a size, other parts.

Change: a crash blames each part under which no request recently succeeded, in the same ledger, gossip and leases as requests. Requests with a suspect part run one at a time; a success (300 ms of events, or a complete answer) clears it, also where another instance saw it. A part with three separate crashes is refused with 400, unless other suspects explain them that the request does not have; one run is tried after 10 s, 60 s, then every 5 minutes. No message gains a field; a record's set says by a reserved key that its crashes were separate.

--- a/crates/core/src/gateway/relocation.rs
+++ b/crates/core/src/gateway/relocation.rs
@@ -237,6 +237,11 @@
         self.first_event_here.is_some()
     }
 
+    /// Returns how long the current engine has been producing events; `None` before the first.
+    pub fn runs_here_for(&self, now: Time) -> Option<Duration> {
+        self.first_event_here.map(|first| now.since(first))
+    }
+
     /// Returns how often the generation was relocated.
     pub fn relocations(&self) -> u32 {
         self.relocations
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -4,6 +4,7 @@
 mod partitions;
 mod peers;
 mod places;
+mod prompt_parts;
 mod retries;
 mod store;
 mod suspects;
--- a/crates/core/src/gateway/state/suspects.rs
+++ b/crates/core/src/gateway/state/suspects.rs
@@ -48,9 +48,16 @@
     /// Without this, a popular request that was running at three engines when they lost power is
     /// refused, although it crashes no engines.
     pub fn on_run_succeeded(&mut self, now: Time, fingerprint: Fingerprint) {
-        if self.suspects.ledger.clear(now, fingerprint) {
+        self.clear_suspect(now, fingerprint);
+    }
+
+    /// Clears a suspect; returns whether it was one.
+    pub(super) fn clear_suspect(&mut self, now: Time, fingerprint: Fingerprint) -> bool {
+        let is_news = self.suspects.ledger.clear(now, fingerprint);
+        if is_news {
             self.gossip_crash_record(now, fingerprint);
         }
+        is_news
     }
 
     /// Returns how many endpoints a request is known to have crashed.
@@ -105,7 +112,7 @@
         is_news
     }
 
-    fn gossip_crash_record(&mut self, now: Time, fingerprint: Fingerprint) {
+    pub(super) fn gossip_crash_record(&mut self, now: Time, fingerprint: Fingerprint) {
         self.suspects.note_changed();
         if let Some(record) = self.suspects.ledger.record(now, fingerprint) {
             let instances = self.instances();
@@ -118,6 +125,7 @@
         for record in records {
             if self.suspects.ledger.on_record(now, record) {
                 self.gossip_crash_record(now, record.fingerprint);
+                self.clear_if_proven(now, record.fingerprint);
             }
         }
     }
--- a/crates/core/src/gateway/suspects.rs
+++ b/crates/core/src/gateway/suspects.rs
@@ -8,7 +8,7 @@
 use super::placement::HOME_TIMEOUT;
 use crate::fingerprint::Fingerprint;
 use crate::ids::EndpointKey;
-use crate::suspects::{Ledger, RUN_LEASE_TTL, RunLeases, Runs};
+use crate::suspects::{Ledger, ProvenParts, RUN_LEASE_TTL, RunLeases, Runs};
 use crate::time::Time;
 use core::time::Duration;
 use std::net::SocketAddrV4;
@@ -37,6 +37,8 @@
 pub struct Suspects {
     /// Which requests crashed which endpoints.
     pub ledger: Ledger,
+    /// The parts of prompts under which requests of this instance recently succeeded.
+    pub(super) proven: ProvenParts,
     /// The runs of this instance.
     pub(super) runs: Runs,
     /// The leases that this instance grants as a home.
@@ -55,6 +57,7 @@
     pub fn new(now: Time) -> Self {
         Suspects {
             ledger: Ledger::default(),
+            proven: ProvenParts::default(),
             runs: Runs::new(HOME_TIMEOUT),
             run_leases: RunLeases::new(now),
             lost_connections: Vec::new(),
--- a/crates/core/src/suspects/ledger.rs
+++ b/crates/core/src/suspects/ledger.rs
@@ -3,8 +3,12 @@
 //! A record holds a set of endpoints and is merged as a set union: two instances that saw the same
 //! crash count it once, and lost or duplicate messages do no harm. A request that succeeds begins a
 //! new round with an empty set, which replaces all sets of earlier rounds.
+//!
+//! Records are kept for requests and for the parts that prompts share. A part of many prompts is in
+//! its first second at several endpoints at any moment, so that one event that ends them all, such
+//! as a power cut, would blame it: a part is refused only if its crashes were separate events.
 
-use super::SuspectRun;
+use super::{PromptParts, SuspectRun};
 use crate::fingerprint::Fingerprint;
 use crate::ids::{EndpointKey, stable_hash};
 use crate::time::Time;
@@ -20,6 +24,27 @@
 /// admitted again, since a later release of the endpoint may withstand it.
 pub const REFUSAL_DURATION: Duration = Duration::from_secs(300);
 
+/// How long a prompt part is refused after its third crash and after its fourth, before one request
+/// is admitted again. Later crashes refuse it for [`REFUSAL_DURATION`]. A part that is blamed for
+/// what others did is cleared then; one that crashes endpoints crashes few of them in a minute.
+const PART_REFUSAL_DURATIONS: [Duration; 2] = [Duration::from_secs(10), Duration::from_secs(60)];
+
+/// How many crashes of a refused part must remain that no suspect explains which a request does not
+/// have, for the request to be refused because of the part. One may be coincidence.
+const MIN_UNEXPLAINED: usize = 2;
+
+/// Crashes from which on a part is refused whatever else may explain them, but only for as long as
+/// after its third. Each of those beyond cost an endpoint.
+const MAX_EXPLAINED_CRASHES: usize = 5;
+
+/// How many parts together may explain the crashes of another one. A part that all prompts share is
+/// in the prompts of each part that crashes endpoints, and there are rarely more than two of these; a
+/// part that crashes endpoints may be beside any number of others.
+const MAX_EXPLAINING: usize = 2;
+
+/// Crashes from which on a part may explain some of those of another one.
+const MIN_EXPLAINING_CRASHES: usize = 2;
+
 /// How long a suspect is remembered after its last endpoint crash.
 const SUSPECT_TTL: Duration = Duration::from_secs(3_600);
 
@@ -34,6 +59,13 @@
 /// gossip about the previous one is still spreading count too.
 const MAX_CRASHES_KEPT: usize = 8;
 
+/// Time between two crashes from which on they are separate events.
+pub const SEPARATE_AFTER: Duration = Duration::from_millis(500);
+
+/// What stands in the record of a prompt part, besides endpoints, if its crashes were separate
+/// events. Sets of endpoints are merged, so that all instances agree on it.
+const SEPARATE_CRASHES: EndpointKey = EndpointKey(u64::MAX);
+
 /// How much newer the last crash of a full record must be for the record to count as changed. Times
 /// of one crash differ between instances by what the messages about it took.
 const MIN_RENEWAL: Duration = Duration::from_secs(1);
@@ -42,12 +74,26 @@
 /// breaks off then. A request that crashes its endpoint does so when it begins.
 pub const SUCCESS_AFTER: Duration = Duration::from_secs(1);
 
+/// How long an engine must have been producing events for the parts of the prompt to count as ones
+/// that crash no engine. A part that does so crashes it before the first event or with it; until
+/// this time, sound requests may wait for the one that runs.
+pub const PARTS_PROVEN_AFTER: Duration = Duration::from_millis(300);
+
 /// Suspects that are sent to an instance whose ledger differs: they fit one datagram.
 const MAX_SENT: usize = 24;
 
 /// Interval at which expired suspects are removed.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Returns how long a suspect is refused after the last of so many crashes.
+fn refusal_duration(fingerprint: Fingerprint, crashes: usize) -> Duration {
+    let earlier = crashes.saturating_sub(MAX_CRASHES);
+    let of_part = PART_REFUSAL_DURATIONS.get(earlier).copied();
+    of_part
+        .filter(|_| fingerprint.is_prompt_part())
+        .unwrap_or(REFUSAL_DURATION)
+}
+
 /// What is known about one request, as sent between instances.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CrashRecord {
@@ -72,17 +118,33 @@
     Refused,
 }
 
+/// Whether a request may run because of the parts of its prompt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PartStanding {
+    /// It may run.
+    Free,
+    /// It may run if no other request with this part runs under a lease.
+    Suspect(Fingerprint),
+    /// It may not run because of this part.
+    Refused(Fingerprint),
+}
+
 #[derive(Clone, Debug)]
 struct Suspect {
     round: u32,
     crashed: BTreeSet<EndpointKey>,
+    /// Whether the crashes are known to be separate events.
+    is_separate: bool,
+    /// When the first of them happened.
+    first: Time,
     /// When the record last changed.
     changed: Time,
 }
 
 impl Suspect {
     fn hash(&self, fingerprint: Fingerprint) -> u64 {
-        let crashed = self.crashed.iter().fold(0, |sum, it| sum ^ it.0);
+        let separate = u64::from(self.is_separate);
+        let crashed = self.crashed.iter().fold(separate, |sum, it| sum ^ it.0);
         let round = self.round.to_le_bytes();
         stable_hash(&[
             &fingerprint.rank_key().to_le_bytes(),
@@ -91,6 +153,27 @@
         ])
     }
 
+    /// Adds crashes of which the last happened at `changed`.
+    fn add(&mut self, fingerprint: Fingerprint, changed: Time, crashed: &[EndpointKey]) {
+        let was_empty = self.crashed.is_empty();
+        let room = MAX_CRASHES_KEPT.saturating_sub(self.crashed.len());
+        let known = self.crashed.clone();
+        let new = crashed.iter().filter(|it| **it != SEPARATE_CRASHES);
+        let new = new.filter(|it| !known.contains(it));
+        self.crashed.extend(new.take(room));
+        self.first = match was_empty {
+            true => changed,
+            false => self.first.min(changed),
+        };
+        if fingerprint.is_prompt_part() {
+            let last = self.changed.max(changed);
+            let is_later = last.since(self.first) >= SEPARATE_AFTER;
+            let has_grown = self.crashed.len() > known.len();
+            self.is_separate |= crashed.contains(&SEPARATE_CRASHES);
+            self.is_separate |= !was_empty && has_grown && is_later;
+        }
+    }
+
     fn ttl(&self) -> Duration {
         match self.crashed.is_empty() {
             true => CLEARED_TTL,
@@ -114,14 +197,92 @@
         let Some(suspect) = self.suspects.get(&fingerprint) else {
             return Standing::Free;
         };
+        let is_certain = !fingerprint.is_prompt_part() || suspect.is_separate;
         match suspect.crashed.len() {
             0 => Standing::Free,
-            crashes if crashes < MAX_CRASHES => Standing::Suspect,
-            _ if now.since(suspect.changed) < REFUSAL_DURATION => Standing::Refused,
+            crashes if crashes < MAX_CRASHES || !is_certain => Standing::Suspect,
+            crashes if now.since(suspect.changed) < refusal_duration(fingerprint, crashes) => {
+                Standing::Refused
+            }
             _ => Standing::Suspect,
         }
     }
 
+    /// Returns whether a request may run because of the parts of its prompt.
+    ///
+    /// A part is not to blame for crashes that another suspect, which the request does not have,
+    /// explains. While too few are left, the request runs alone: if it succeeds, the part is cleared,
+    /// and if it crashes its endpoint, the other suspect does not explain that. Without this, a part
+    /// that all prompts share would be refused together with the one that crashes endpoints, and no
+    /// request could succeed to clear it.
+    pub fn standing_of_parts(
+        &self,
+        now: Time,
+        request: Fingerprint,
+        parts: &PromptParts,
+    ) -> PartStanding {
+        if self.suspects.is_empty() {
+            return PartStanding::Free;
+        }
+        let suspect = parts.iter().filter(|it| self.crash_count(*it) > 0);
+        let is_refused = |part: &Fingerprint| {
+            self.standing(now, *part) == Standing::Refused
+                && (self.unexplained_crashes(*part, request, parts) >= MIN_UNEXPLAINED
+                    || self.has_crashed_enough(now, *part))
+        };
+        if let Some(part) = suspect.clone().find(is_refused) {
+            return PartStanding::Refused(part);
+        }
+        // Of equal ones the last, which fewer prompts share: the others need not wait for it.
+        let worst = suspect.max_by_key(|it| self.crash_count(*it));
+        worst.map_or(PartStanding::Free, PartStanding::Suspect)
+    }
+
+    /// Returns whether a part is refused for a while although others may explain its crashes.
+    fn has_crashed_enough(&self, now: Time, part: Fingerprint) -> bool {
+        let [for_a_while, _] = PART_REFUSAL_DURATIONS;
+        let suspect = self.suspects.get(&part);
+        suspect.is_some_and(|it| {
+            it.crashed.len() >= MAX_EXPLAINED_CRASHES && now.since(it.changed) < for_a_while
+        })
+    }
+
+    /// Returns how many crashes of a part no other suspect explains that the request does not have:
+    /// a suspect that crashed all of these endpoints, or [`MAX_EXPLAINING`] parts that crashed
+    /// several of them. A request that ran beside the part at two endpoints by chance explains
+    /// nothing.
+    fn unexplained_crashes(
+        &self,
+        part: Fingerprint,
+        request: Fingerprint,
+        parts: &PromptParts,
+    ) -> usize {
+        let Some(blamed) = self.suspects.get(&part) else {
+            return 0;
+        };
+        let others = self.suspects.iter();
+        let others = others.filter(|(other, _)| **other != request && !parts.contains(**other));
+        let others: Vec<(&Fingerprint, &Suspect)> = others.collect();
+        if others
+            .iter()
+            .any(|(_, it)| blamed.crashed.is_subset(&it.crashed))
+        {
+            return 0;
+        }
+        let is_explaining = |other: &Fingerprint, it: &Suspect| {
+            other.is_prompt_part() && it.crashed.len() >= MIN_EXPLAINING_CRASHES
+        };
+        let mut left = blamed.crashed.clone();
+        for _ in 0..MAX_EXPLAINING {
+            let explaining = others.iter().filter(|(other, it)| is_explaining(other, it));
+            let best = explaining.max_by_key(|(_, it)| it.crashed.intersection(&left).count());
+            if let Some((_, it)) = best {
+                left.retain(|endpoint| !it.crashed.contains(endpoint));
+            }
+        }
+        left.len()
+    }
+
     /// Returns whether no request is known.
     pub fn is_empty(&self) -> bool {
         self.suspects.is_empty()
@@ -168,6 +329,19 @@
         self.merge(now, fingerprint, round, &[endpoint])
     }
 
+    /// Records that a request crashed an endpoint while it ran under the lease of a part of its
+    /// prompt; returns whether that was unknown. The lease was granted after the crashes before were
+    /// known, so that this one is a separate event.
+    pub fn record_crash_under_lease(
+        &mut self,
+        now: Time,
+        part: Fingerprint,
+        endpoint: EndpointKey,
+    ) -> bool {
+        let round = self.suspects.get(&part).map_or(0, |it| it.round);
+        self.merge(now, part, round, &[endpoint, SEPARATE_CRASHES])
+    }
+
     /// Records that a request succeeded; returns whether that changed its record.
     pub fn clear(&mut self, now: Time, fingerprint: Fingerprint) -> bool {
         let known = self.suspects.get(&fingerprint);
@@ -201,18 +375,18 @@
             _ => Suspect {
                 round,
                 crashed: BTreeSet::new(),
+                is_separate: false,
+                first: changed,
                 changed,
             },
         };
         let before = self.suspects.get(&fingerprint);
-        let before = before.map(|it| (it.round, it.crashed.len()));
-        let room = MAX_CRASHES_KEPT.saturating_sub(suspect.crashed.len());
-        let known = suspect.crashed.clone();
-        let new = crashed.iter().filter(|it| !known.contains(it));
-        suspect.crashed.extend(new.take(room));
+        let before = before.map(|it| (it.round, it.crashed.len(), it.is_separate));
+        suspect.add(fingerprint, changed, crashed);
+        let after = (suspect.round, suspect.crashed.len(), suspect.is_separate);
         let is_renewed = suspect.crashed.len() >= MAX_CRASHES_KEPT
             && changed.since(suspect.changed) >= MIN_RENEWAL;
-        if before == Some((suspect.round, suspect.crashed.len())) && !is_renewed {
+        if before == Some(after) && !is_renewed {
             return false;
         }
         suspect.changed = suspect.changed.max(changed);
@@ -255,10 +429,11 @@
     /// Returns the record of a request, to be sent to other instances.
     pub fn record(&self, now: Time, fingerprint: Fingerprint) -> Option<CrashRecord> {
         let suspect = self.suspects.get(&fingerprint)?;
+        let separate = suspect.is_separate.then_some(SEPARATE_CRASHES);
         Some(CrashRecord {
             fingerprint,
             round: suspect.round,
-            crashed: suspect.crashed.iter().copied().collect(),
+            crashed: suspect.crashed.iter().copied().chain(separate).collect(),
             age_ms: u32::try_from(now.since(suspect.changed).as_millis()).unwrap_or(u32::MAX),
         })
     }
--- a/crates/core/src/suspects/runs.rs
+++ b/crates/core/src/suspects/runs.rs
@@ -113,9 +113,27 @@
         runs.insert(suspect_run.run, run);
     }
 
+    /// Adds a run unless it is known.
+    pub fn begin_once(&mut self, suspect_run: SuspectRun) {
+        if self.get(suspect_run).is_none() {
+            self.begin(suspect_run);
+        }
+    }
+
     /// Returns whether a run may be sent to an endpoint now, and begins to request a lease if it
     /// needs one.
     pub fn admit(&mut self, now: Time, suspect_run: SuspectRun, standing: Standing) -> Admission {
+        self.admit_later(now, suspect_run, standing, Duration::ZERO)
+    }
+
+    /// As [`Runs::admit`], but begins to request the lease after `delay` only.
+    pub fn admit_later(
+        &mut self,
+        now: Time,
+        suspect_run: SuspectRun,
+        standing: Standing,
+        delay: Duration,
+    ) -> Admission {
         let Some(run) = self.get(suspect_run) else {
             return Admission::Refused;
         };
@@ -134,8 +152,8 @@
             (Standing::Suspect, Stage::Requesting { .. }) => Admission::Wait,
             (Standing::Suspect, Stage::Free) => {
                 run.stage = Stage::Requesting {
-                    since: now,
-                    requested_at: None,
+                    since: now + delay,
+                    requested_at: (!delay.is_zero()).then_some(now + delay),
                     timeouts: 0,
                 };
                 Admission::Wait
@@ -143,6 +161,13 @@
         }
     }
 
+    /// Returns whether a run holds its lease.
+    pub fn holds_lease(&self, suspect_run: SuspectRun) -> bool {
+        let runs = self.runs.get(&suspect_run.fingerprint);
+        let run = runs.and_then(|runs| runs.get(&suspect_run.run));
+        run.is_some_and(|it| matches!(it.stage, Stage::Granted))
+    }
+
     /// Removes a run; returns whether homes must be notified.
     pub fn end(&mut self, suspect_run: SuspectRun) -> bool {
         let Some(runs) = self.runs.get_mut(&suspect_run.fingerprint) else {
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -248,6 +248,7 @@
                 self.job.cx.state().endpoints.on_success(place.key);
                 if response.status.is_success() {
                     self.job.on_run_succeeded();
+                    self.job.on_parts_succeeded();
                 }
             }
             AttemptOutcome::NotRun | AttemptOutcome::Refused | AttemptOutcome::Withdrawn => {}
@@ -351,7 +352,7 @@
             AttemptOutcome::Lost { .. } => Reason::ResponseLost,
             AttemptOutcome::WrongAttempt => Reason::WrongAttempt,
             AttemptOutcome::Timeout => Reason::Timeout,
-            AttemptOutcome::Refused => Reason::CrashesEndpoints,
+            AttemptOutcome::Refused => self.job.log_refusal(),
         };
         self.log_failure(&place.name, reason);
         self.job.refuse(reason)
--- a/crates/gateway/src/event_log.rs
+++ b/crates/gateway/src/event_log.rs
@@ -246,8 +246,16 @@
     ResumesAtLeaving = 878, "resumes_at_leaving", Info, FAILURES;
     /// A request that crashed an endpoint has this part in its prompt, which other prompts may
     /// share; one line for each part. The line has the part's fingerprint and the name that the
-    /// caller gives it, and how many endpoints crashed under prompts with it.
+    /// caller gives it, how many endpoints crashed under prompts with it, and whether it is a suspect
+    /// because of this crash. A part under which a request recently succeeded is not.
     PartOfCrash = 880, "prompt_part_of_crash", Info, FAILURES;
+    /// A request succeeded with a part of a prompt that was suspected, which clears the part.
+    PartCleared = 881, "prompt_part_cleared", Info, FAILURES;
+    /// A request is refused because of a part of its prompt, under which so many endpoints crashed.
+    PartRefused = 882, "prompt_part_refused", Warn, FAILURES;
+    /// A request with a suspect part in its prompt is sent under the lease of that part, so that no
+    /// other one runs beside it.
+    PartTried = 883, "prompt_part_tried", Info, FAILURES;
 }
 
 /// The lines of one event in the current second.
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -236,7 +236,6 @@
         path: parts.uri.path_and_query().map_or("", |it| it.as_str()),
         body: &body,
     });
-    let run = RunGuard::begin(&cx, fingerprint);
     let now = cx.now();
     let mut state = cx.state();
     let draw = state.draw();
@@ -247,6 +246,7 @@
     }
     let prompt_parts = PromptParts::new(state.deployment(), name, &matched.head.shared_parts);
     drop(state);
+    let run = RunGuard::begin(&cx, fingerprint, prompt_parts);
     Job {
         cx,
         catalogue: matched.catalogue,
@@ -259,7 +259,6 @@
         headers: parts.headers,
         body,
         fingerprint,
-        parts: prompt_parts,
         run,
         origin: matched.origin,
         arrived: matched.arrived,
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -34,7 +34,6 @@
 use oriolemux_core::gateway::usage::Usage;
 use oriolemux_core::gateway::{Demand, EntryId, Gateway, RequestKind};
 use oriolemux_core::ids::EndpointKey;
-use oriolemux_core::suspects::PromptParts;
 use oriolemux_core::time::Time;
 use std::sync::Arc;
 use std::time::Instant;
@@ -80,8 +79,6 @@
     pub body: Bytes,
     /// Identifies the request across attempts and instances.
     pub fingerprint: Fingerprint,
-    /// The parts of its prompt that other prompts may share.
-    pub parts: PromptParts,
     /// Counts the request as running until the job is dropped.
     pub run: RunGuard<W>,
     /// Where the request came from.
--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -8,6 +8,7 @@
 use crate::log_event;
 use crate::ports::Wire;
 use core::time::Duration;
+use oriolemux_core::fingerprint::Fingerprint;
 use oriolemux_core::gateway::state::Placement;
 use oriolemux_core::suspects::SUCCESS_AFTER;
 use std::io::{self, ErrorKind};
@@ -106,8 +107,8 @@
         false
     }
 
-    fn log_parts(&self, place: &Placement) {
-        for (part, name) in self.parts.named() {
+    fn log_parts(&self, place: &Placement, suspected: &[Fingerprint]) {
+        for (part, name) in self.run.parts().named() {
             let ended = self.cx.state().crash_count(part);
             log_event!(
                 PartOfCrash,
@@ -115,7 +116,8 @@
                 endpoint = place.name.as_str(),
                 part:% = part,
                 name:% = name,
-                ended = ended
+                ended = ended,
+                suspected = suspected.contains(&part)
             );
         }
     }
@@ -123,17 +125,19 @@
     /// Records that the request crashed an endpoint.
     fn on_endpoint_crash(&self, place: &Placement, found: ProbeResult) {
         let now = self.cx.now();
-        let is_news = self
-            .cx
-            .state()
-            .on_endpoint_crash(now, self.fingerprint, place);
+        let mut state = self.cx.state();
+        let is_news = state.on_endpoint_crash(now, self.fingerprint, place);
+        let suspected = state.on_parts_crash(now, self.run.id(), self.run.parts(), place);
+        drop(state);
         self.record_unreachable(place, found.label());
         if is_news {
             let ended = self.cx.state().crash_count(self.fingerprint);
             log_event!(EndpointCrashed, attempt = self.name(), request:% = self.fingerprint,
                 entry = self.entry().name.as_str(), endpoint = place.name.as_str(),
                 ended = ended);
-            self.log_parts(place);
+        }
+        self.log_parts(place, &suspected);
+        if is_news || !suspected.is_empty() {
             self.cx.announce_suspects();
         }
     }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -40,7 +40,7 @@
 };
 use oriolemux_core::gateway::state::Placement;
 use oriolemux_core::ids::EndpointKey;
-use oriolemux_core::suspects::SUCCESS_AFTER;
+use oriolemux_core::suspects::{PARTS_PROVEN_AFTER, SUCCESS_AFTER};
 use pace::Pace;
 use pre_copy::{PreCopy, StandbyCopy};
 use std::sync::Arc;
@@ -108,6 +108,8 @@
     deferred_at: Option<EndpointKey>,
     /// When the response of the current engine started.
     response_started: Option<Instant>,
+    /// Whether the parts of the prompt were recorded as ones that crash no engine.
+    is_proven: bool,
     splitter: EventSplitter,
     pace: Pace,
     tx: mpsc::Sender<Chunk>,
@@ -144,6 +146,7 @@
             no_room: Vec::new(),
             deferred_at: None,
             response_started: None,
+            is_proven: false,
             splitter: EventSplitter::default(),
             pace,
             tx,
@@ -365,6 +368,10 @@
             self.job.cx.state().endpoints.on_response(self.engine.key);
             self.usage.on_first_byte();
         }
+        let ran_for = self.state.runs_here_for(now);
+        if !self.is_proven && ran_for.is_some_and(|it| it >= PARTS_PROVEN_AFTER) {
+            self.prove_parts();
+        }
         let is_blocked = self.tx.capacity() == 0;
         let relocations = self.state.relocations();
         let gap = self.pace.on_event(Instant::now(), relocations, is_blocked);
@@ -429,9 +436,18 @@
             .record(&self.job.entry().name, self.state.tokens());
         drop(state);
         self.job.on_run_succeeded();
+        if self.state.events() > 0 {
+            self.prove_parts();
+        }
         self.log_end("complete");
     }
 
+    /// Records that no part of the prompt crashes the engine that begins it.
+    fn prove_parts(&mut self) {
+        self.is_proven = true;
+        self.job.on_parts_succeeded();
+    }
+
     /// Aborts the caller's stream, so that it does not look complete.
     async fn abort_stream(&mut self, why: &str) {
         self.log_end(why);
--- a/crates/gateway/src/relay/resume.rs
+++ b/crates/gateway/src/relay/resume.rs
@@ -220,7 +220,10 @@
     /// Asks the current engine to resume, from `copy` or by recomputing.
     async fn send_resume(&mut self, copy: Option<CopyLocation<'_>>) -> AttemptStart {
         if !self.job.is_admitted() {
-            return AttemptStart::Failed(Reason::CrashesEndpoints);
+            return AttemptStart::Failed(match self.job.is_refused() {
+                true => self.job.log_refusal(),
+                false => Reason::NoRunLease,
+            });
         }
         let limit = self.job.remaining();
         let sent = tokio::time::timeout(limit, self.send(copy)).await;
--- a/crates/gateway/src/response.rs
+++ b/crates/gateway/src/response.rs
@@ -79,6 +79,8 @@
     BudgetSpent,
     /// ends_endpoints
     CrashesEndpoints,
+    /// prompt_part_ends_endpoints
+    PartCrashesEndpoints,
     /// turn_taken
     NoRunLease,
     /// endpoints_backed_off
@@ -97,9 +99,10 @@
             Reason::NoEntry => StatusCode::NOT_FOUND,
             Reason::UnknownKey => StatusCode::UNAUTHORIZED,
             Reason::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
-            Reason::BodyBroken | Reason::NoSuchEvent | Reason::CrashesEndpoints => {
-                StatusCode::BAD_REQUEST
-            }
+            Reason::BodyBroken
+            | Reason::NoSuchEvent
+            | Reason::CrashesEndpoints
+            | Reason::PartCrashesEndpoints => StatusCode::BAD_REQUEST,
             Reason::NoCatalogue
             | Reason::NoEndpoint
             | Reason::Cordoned
--- a/crates/gateway/src/run_lease.rs
+++ b/crates/gateway/src/run_lease.rs
@@ -1,7 +1,7 @@
 //! Whether a request that may crash endpoints may be sent to one.
 //!
 //! The core decides ([`core::gateway::suspects`]): a suspect needs a run lease, so that its
-//! attempts run one at a time. This module makes a request wait for that or be refused.
+//! attempts run one at a time. The same holds for requests with a suspect part in their prompts. This module makes a request wait for that or be refused.
 //!
 //! [`core::gateway::suspects`]: oriolemux_core::gateway::suspects
 
@@ -12,7 +12,7 @@
 use crate::response::Reason;
 use core::time::Duration;
 use oriolemux_core::fingerprint::Fingerprint;
-use oriolemux_core::suspects::{Admission, SuspectRun};
+use oriolemux_core::suspects::{Admission, PartStanding, PromptParts, SuspectRun};
 use std::sync::Arc;
 use std::time::Instant;
 use tokio::time::timeout;
@@ -28,36 +28,70 @@
 pub struct RunGuard<W: Wire> {
     cx: Arc<Cx<W>>,
     run: SuspectRun,
+    /// The parts of its prompt that other prompts may share.
+    parts: PromptParts,
 }
 
 impl<W: Wire> RunGuard<W> {
-    /// Starts to count a request.
-    pub fn begin(cx: &Arc<Cx<W>>, fingerprint: Fingerprint) -> Self {
+    /// Starts to count a request with these parts in its prompt.
+    pub fn begin(cx: &Arc<Cx<W>>, fingerprint: Fingerprint, parts: PromptParts) -> Self {
         RunGuard {
             cx: Arc::clone(cx),
             run: cx.state().begin_run(fingerprint),
+            parts,
         }
     }
 
+    /// Returns the run.
+    pub fn id(&self) -> SuspectRun {
+        self.run
+    }
+
+    /// Returns the parts of the request's prompt that other prompts may share.
+    pub fn parts(&self) -> &PromptParts {
+        &self.parts
+    }
+
     /// Ends the run early, because the request goes through a peer that counts it itself.
     pub fn release(&self) {
-        if self.cx.state().end_run(self.run) {
+        let mut state = self.cx.state();
+        let mut is_awaited = state.end_run(self.run);
+        is_awaited |= state.end_part_runs(self.run, self.parts.iter());
+        drop(state);
+        if is_awaited {
             self.cx.gossip_due.notify_one();
         }
     }
 
+    /// Returns whether the request may be sent: for itself first, then for the parts of its prompt.
+    /// All instances keep this order, so that no two requests wait for each other's lease.
     fn admission(&self) -> Admission {
         let now = self.cx.now();
-        self.cx.state().admit_run(now, self.run)
+        let mut state = self.cx.state();
+        match state.admit_run(now, self.run) {
+            Admission::Go => state.admit_parts(now, self.run, &self.parts),
+            other => other,
+        }
+    }
+
+    fn standing_of_parts(&self) -> PartStanding {
+        let now = self.cx.now();
+        let state = self.cx.state();
+        state.standing_of_parts(now, self.run.fingerprint, &self.parts)
+    }
+
+    /// Returns the part of the prompt because of which the request must not run, if there is one.
+    fn refused_part(&self) -> Option<Fingerprint> {
+        match self.standing_of_parts() {
+            PartStanding::Refused(part) => Some(part),
+            PartStanding::Free | PartStanding::Suspect(_) => None,
+        }
     }
 }
 
 impl<W: Wire> Drop for RunGuard<W> {
     fn drop(&mut self) {
-        let is_awaited = self.cx.state().end_run(self.run);
-        if is_awaited {
-            self.cx.gossip_due.notify_one();
-        }
+        self.release();
     }
 }
 
@@ -88,7 +122,10 @@
             let mut decided = core::pin::pin!(cx.decided.notified());
             decided.as_mut().enable();
             match self.run.admission() {
-                Admission::Go => return Ok(()),
+                Admission::Go => {
+                    self.log_tried_part();
+                    return Ok(());
+                }
                 Admission::Refused => return Err(self.log_refusal()),
                 Admission::NoHome => return Err(Reason::NoRunLease),
                 Admission::Wait if Instant::now() >= deadline => return Err(Reason::NoRunLease),
@@ -99,14 +136,26 @@
         }
     }
 
+    fn log_tried_part(&self) {
+        if let PartStanding::Suspect(part) = self.run.standing_of_parts() {
+            let ended = self.cx.state().crash_count(part);
+            log_event!(PartTried, attempt = self.name(), part:% = part, ended = ended);
+        }
+    }
+
     /// Returns whether the request may be sent now. It may have become a suspect while it was
     /// queued.
     pub fn is_admitted(&self) -> bool {
         self.run.admission() == Admission::Go
     }
 
-    /// Returns whether the request is refused because it crashed too many endpoints.
+    /// Returns whether the request is refused, because it or a part of its prompt crashed too many
+    /// endpoints.
     pub fn is_refused(&self) -> bool {
+        self.is_refused_itself() || self.run.refused_part().is_some()
+    }
+
+    fn is_refused_itself(&self) -> bool {
         let now = self.cx.now();
         self.cx.state().is_refused(now, self.fingerprint)
     }
@@ -132,8 +181,29 @@
         self.cx.state().on_run_succeeded(now, self.fingerprint);
     }
 
+    /// Records that the request was answered past the point at which prompts with a part that
+    /// crashes endpoints break off.
+    pub fn on_parts_succeeded(&self) {
+        let now = self.cx.now();
+        let parts = self.run.parts();
+        let cleared = self.cx.state().on_parts_succeeded(now, parts);
+        for part in &cleared {
+            log_event!(PartCleared, attempt = self.name(), part:% = part);
+        }
+        if !cleared.is_empty() {
+            self.cx.announce_suspects();
+        }
+    }
+
     /// Logs the refusal of the request and returns its reason.
     pub fn log_refusal(&self) -> Reason {
+        let part = self.run.refused_part();
+        if let Some(part) = part.filter(|_| !self.is_refused_itself()) {
+            let ended = self.cx.state().crash_count(part);
+            log_event!(PartRefused, attempt = self.name(), part:% = part,
+                entry = self.entry().name.as_str(), ended = ended);
+            return Reason::PartCrashesEndpoints;
+        }
         let ended = self.cx.state().crash_count(self.fingerprint);
         log_event!(SuspectRefused, attempt = self.name(), request:% = self.fingerprint,
             entry = self.entry().name.as_str(), ended = ended);
--- a/crates/gateway/src/status.rs
+++ b/crates/gateway/src/status.rs
@@ -102,6 +102,9 @@
 pub struct SuspectStatus {
     /// The request's fingerprint, which is the same for all its attempts, as in log lines.
     pub request: String,
+    /// Whether it is the fingerprint of a part that prompts share, instead of that of a request.
+    #[serde(default)]
+    pub is_prompt_part: bool,
     /// How many endpoints it is known to have crashed.
     pub ended: usize,
     /// Whether it is refused.
@@ -318,7 +321,8 @@
     worst
         .map(|it| SuspectStatus {
             request: it.fingerprint.to_string(),
-            ended: it.crashed.len(),
+            is_prompt_part: it.fingerprint.is_prompt_part(),
+            ended: state.crash_count(it.fingerprint),
             refused: state.is_refused(now, it.fingerprint),
             ended_ms_ago: it.age_ms,
         })
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -257,7 +257,7 @@
     let Refusal { reason, room_after } = refusal.into();
     // The generation may have run, so the response must not promise that it did not.
     let reason = match reason {
-        Reason::CrashesEndpoints => reason,
+        Reason::CrashesEndpoints | Reason::PartCrashesEndpoints => reason,
         _ if attempts.may_have_run() => Reason::ResponseLost,
         _ => reason,
     };
--- a/crates/oriolemux/src/story/cause.rs
+++ b/crates/oriolemux/src/story/cause.rs
@@ -56,6 +56,14 @@
         /// How many endpoints it had crashed.
         ended: u64,
     },
+    /// refused: {ended} endpoints had ended under requests with the part {part} in their prompts
+    #[serde(rename = "prompt_part_ends_endpoints")]
+    PartCrashesEndpoints {
+        /// The fingerprint of the part.
+        part: String,
+        /// How many endpoints had crashed.
+        ended: u64,
+    },
     /// its endpoint {endpoint} ended while it began; endpoints that ended so with request {request}: {ended}
     #[serde(rename = "ended_endpoint")]
     CrashedEndpoint {
@@ -199,6 +207,12 @@
             ended: line.number("ended"),
         });
     }
+    if let Some(line) = last(GatewayEvent::PartRefused) {
+        return Some(Cause::PartCrashesEndpoints {
+            part: field(line, "part"),
+            ended: line.number("ended"),
+        });
+    }
     last(GatewayEvent::EndpointCrashed).map(|line| Cause::CrashedEndpoint {
         endpoint: field(line, "endpoint"),
         request: field(line, "request"),
