Requests that wait for the lease of a part ask its home less and less often

Cause: a home is asked every 10 ms by each request that waits. That is for one request and its copies; a part may be waited for at all instances at once, 39,000 questions a second at one home of 390 by arithmetic. Change: for parts the interval doubles with each refusal, up to 160 ms. A home counts as unresponsive only while a question to it is open: it would otherwise after 25 ms of not being asked.

--- a/crates/core/src/suspects/runs.rs
+++ b/crates/core/src/suspects/runs.rs
@@ -10,6 +10,13 @@
 /// Interval at which a home that has not answered, or granted no lease, is asked again.
 const REQUEST_INTERVAL: Duration = Duration::from_millis(10);
 
+/// Upper bound of the interval at which the home of a prompt part is asked again. It doubles with
+/// each answer that grants no lease: requests at all instances may wait for one part.
+const MAX_PART_REQUEST_INTERVAL: Duration = Duration::from_millis(160);
+
+/// Doublings of [`REQUEST_INTERVAL`] until then.
+const MAX_DOUBLINGS: u32 = 4;
+
 /// Interval at which homes are notified that a run continues.
 const RENEW_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -47,6 +54,10 @@
     Requesting {
         /// Start of the timeout of the current home.
         since: Time,
+        /// Whether the home has not answered the last request.
+        is_unanswered: bool,
+        /// How often a home answered that the lease is not free.
+        refusals: u32,
         /// When a home was last sent the request.
         requested_at: Option<Time>,
         /// Homes that timed out in a row.
@@ -83,6 +94,15 @@
     }
 }
 
+/// Returns after which time a home that granted no lease so often is asked again.
+fn request_interval(fingerprint: Fingerprint, refusals: u32) -> Duration {
+    if !fingerprint.is_prompt_part() {
+        return REQUEST_INTERVAL;
+    }
+    let doubled = REQUEST_INTERVAL * (1 << refusals.min(MAX_DOUBLINGS));
+    doubled.min(MAX_PART_REQUEST_INTERVAL)
+}
+
 /// All runs of this instance.
 #[derive(Clone, Debug)]
 pub struct Runs {
@@ -153,6 +173,8 @@
             (Standing::Suspect, Stage::Free) => {
                 run.stage = Stage::Requesting {
                     since: now + delay,
+                    is_unanswered: true,
+                    refusals: 0,
                     requested_at: (!delay.is_zero()).then_some(now + delay),
                     timeouts: 0,
                 };
@@ -200,10 +222,16 @@
             return;
         };
         if let Stage::Requesting {
-            since, timeouts, ..
+            since,
+            is_unanswered,
+            refusals,
+            timeouts,
+            ..
         } = &mut run.stage
         {
             *since = now;
+            *is_unanswered = false;
+            *refusals += 1;
             *timeouts = 0;
             if granted {
                 run.stage = Stage::Granted;
@@ -246,15 +274,24 @@
             match &mut state.stage {
                 Stage::Requesting {
                     since,
+                    is_unanswered,
+                    refusals,
                     requested_at,
                     timeouts,
                 } => {
-                    if now.since(*since) >= self.home_timeout {
+                    if *is_unanswered && now.since(*since) >= self.home_timeout {
                         due.is_unanswered = true;
                         *timeouts += 1;
                         *since = now;
                     }
-                    if requested_at.is_none_or(|at| now.since(at) >= REQUEST_INTERVAL) {
+                    let interval = match *is_unanswered {
+                        true => REQUEST_INTERVAL,
+                        false => request_interval(fingerprint, *refusals),
+                    };
+                    if requested_at.is_none_or(|at| now.since(at) >= interval) {
+                        if !core::mem::replace(is_unanswered, true) {
+                            *since = now;
+                        }
                         *requested_at = Some(now);
                         due.acquire.push(suspect_run);
                     }
--- a/crates/core/tests/suspects_parts.rs
+++ b/crates/core/tests/suspects_parts.rs
@@ -11,7 +11,7 @@
 use oriolemux_core::gateway::state::Placement;
 use oriolemux_core::suspects::{
     Admission, CrashRecord, Ledger, MAX_PARTS, PartStanding, PromptParts, REFUSAL_DURATION,
-    SEPARATE_AFTER, Standing,
+    RunLeaseAnswer, Runs, SEPARATE_AFTER, Standing, SuspectRun,
 };
 use oriolemux_core::{EndpointKey, Time};
 use proptest::prelude::*;
@@ -382,3 +382,34 @@
     assert_eq!(one.admit_parts(now, with_other, &of_both), Admission::Wait);
     assert_eq!(one.admit_parts(now, alone, &of_one), Admission::Go);
 }
+
+/// Guards against homes that are asked a hundred times a second by each instance while requests with
+/// one part wait at all of them, and against homes that count as unresponsive between two questions.
+#[test]
+fn the_home_of_a_part_is_asked_less_and_less_often() {
+    let run = SuspectRun {
+        fingerprint: part(COMMON),
+        run: 1,
+    };
+    let mut runs = Runs::new(Duration::from_millis(25));
+    runs.begin(run);
+    runs.admit(NOW, run, Standing::Suspect);
+    let refusal = RunLeaseAnswer {
+        waiting: vec![run],
+        ..RunLeaseAnswer::default()
+    };
+
+    let (mut asked, mut now) = (0, NOW);
+    while now.since(NOW) < Duration::from_secs(1) {
+        let due = runs.due(now, part(COMMON), Standing::Suspect);
+        assert!(!due.is_unanswered);
+        if !due.acquire.is_empty() {
+            asked += 1;
+            runs.on_answer(now, &refusal);
+        }
+        now += Duration::from_millis(5);
+    }
+
+    assert!((5..=12).contains(&asked), "{asked}");
+    assert_eq!(runs.admit(now, run, Standing::Suspect), Admission::Wait);
+}
