--- a/crates/core/src/fingerprint.rs
+++ b/crates/core/src/fingerprint.rs
@@ -35,8 +35,9 @@
     }
 }
 
-/// The bits that are set in the fingerprints of all prompt parts. One in four billion requests has
-/// them as well; what such a request crashes must then be seen in separate crashes, as for a part.
+/// The bits that are set in the fingerprints of all prompt parts, by which they differ from those of
+/// requests. One in four billion requests has them as well; it is then refused only after separate
+/// crashes, as a part is.
 const PART_MARK: u128 = 0xffff_ffff << 96;
 
 /// Keeps what is hashed for a part apart from what is hashed for a request.
@@ -71,8 +72,7 @@
         Fingerprint(half_of(hash))
     }
 
-    /// Returns the fingerprint of a part that prompts for one service share. It never equals that of
-    /// a request.
+    /// Returns the fingerprint of a part that prompts for one service share.
     pub fn of_prompt_part(deployment: u64, service: &str, part: PromptPartId) -> Self {
         let mut hash = Sha256::new();
         hash.update(PART_DOMAIN);
--- a/crates/core/src/gateway/state/places.rs
+++ b/crates/core/src/gateway/state/places.rs
@@ -194,8 +194,8 @@
     ///
     /// A generation may resume from a copy at an engine that began to leave a moment ago
     /// ([`RESUME_AT_LEAVING`](crate::gateway::endpoints::RESUME_AT_LEAVING)): the copy is there. A
-    /// request that starts there may not, even if its caller already has events of it. Nothing is sent to a cordoned data centre, or to an
-    /// endpoint that requested a backoff of this instance.
+    /// request that starts there may not, even if its caller already has events of it. Nothing is
+    /// sent to a cordoned data centre, or to an endpoint that requested a backoff of this instance.
     pub fn admit_send(
         &mut self,
         now: Time,
--- a/crates/core/src/suspects/ledger.rs
+++ b/crates/core/src/suspects/ledger.rs
@@ -101,7 +101,8 @@
     pub fingerprint: Fingerprint,
     /// How often the request succeeded after it had become a suspect.
     pub round: u32,
-    /// The endpoints that it crashed since then.
+    /// The endpoints that it crashed since then. A reserved key among those of a prompt part says that
+    /// the crashes were separate events.
     pub crashed: Vec<EndpointKey>,
     /// Milliseconds since the record last changed, as the sender knows it.
     pub age_ms: u32,
--- a/crates/gateway/src/run_lease.rs
+++ b/crates/gateway/src/run_lease.rs
@@ -1,7 +1,8 @@
 //! Whether a request that may crash endpoints may be sent to one.
 //!
 //! The core decides ([`core::gateway::suspects`]): a suspect needs a run lease, so that its
-//! attempts run one at a time. The same holds for requests with a suspect part in their prompts. This module makes a request wait for that or be refused.
+//! attempts run one at a time. The same holds for requests with a suspect part in their prompts.
+//! This module makes a request wait for that or be refused.
 //!
 //! [`core::gateway::suspects`]: oriolemux_core::gateway::suspects
 
