Generations are estimated longer, so that fewer of them are preempted

Cause: a home counts 0.6 of the output that is still expected of each generation, and fills engines to 0.98 by that. Where several of an engine's generations become longer than expected, its memory does not suffice.

Change: 0.7 of it.

--- a/crates/core/src/gateway/lengths.rs
+++ b/crates/core/src/gateway/lengths.rs
@@ -66,8 +66,9 @@
 }
 
 /// Share of the expected remaining output that counts as KV cache usage: a generation uses space
-/// for its prompt from the start, but for all of its output only at the end.
-const OUTPUT_SHARE: f64 = 0.6;
+/// for its prompt from the start, but for all of its output only at the end. Much less than this, and
+/// engines preempt generations because several of them become longer than expected.
+const OUTPUT_SHARE: f64 = 0.7;
 
 /// Returns the KV cache tokens that a generation is expected to use, with a prompt of `prompt`
 /// tokens and `generated` output tokens so far.
