A tick looks at the endpoints for which something is due, and at no other

Cause: an instance ticks some twenty times a second and with each change, and each tick made four passes over all endpoints and one over all marks of leaving ones.

Change: lapsed endpoints and marks stand in the order in which they are due; failing endpoints have a set of their own; the endpoints that accept work are indexed by service and data centre, since decisions went over those of all services and compared names. Marks of endpoints whose record stands are no longer bounded by 8,192: such a mark was forgotten although its record still said ready, and the next heartbeat made the endpoint usable. They are bounded by the records.

Tests: endpoints looked at by a tick with nothing due are none, at 60 and at 12,000 endpoints; on the passes before, with the same counter in them, 3,600 and 720,000 in twenty ticks. A property test compares the indices with a scan of all after each of 200 random changes.

Grows with: endpoints that are due. Memory: two sets of keys, some 25 bytes an endpoint.

--- a/crates/core/src/gateway/endpoints.rs
+++ b/crates/core/src/gateway/endpoints.rs
@@ -5,30 +5,23 @@
 //! and start time. Leaving is therefore final for an incarnation, whether the store, a peer or the
 //! endpoint itself reported it first.
 
+mod marks;
+mod services;
+
 use super::cold::ColdLimits;
 use super::cordons::{Cordon, CordonEffect, Cordons};
 use crate::ids::EndpointKey;
 use crate::time::Time;
 use core::time::Duration;
-use std::collections::BTreeMap;
+use marks::LeavingMarks;
+use services::ServiceIndex;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddrV4;
 
 /// How long a record that disappeared around a store outage may return before its endpoint counts
 /// as leaving. The publisher promises to write records again within about two seconds.
 pub const LAPSE_GRACE: Duration = Duration::from_millis(2_200);
 
-/// How long the state of an endpoint that left is kept after its record was removed.
-const GONE_RETENTION: Duration = Duration::from_secs(60);
-
-/// How long it is remembered that an endpoint left, after its record was removed. An endpoint may
-/// live on for long, and a store that comes back from a copy, or a delayed update, may hold a record
-/// that still says ready.
-const MARK_RETENTION: Duration = Duration::from_secs(3_600);
-
-/// Bound on the endpoints that are known to leave; each takes some 50 bytes. The ones whose record
-/// was removed first are forgotten first.
-const MAX_MARKS: usize = 8_192;
-
 /// How long after an engine began to leave a generation may still resume from a copy there. A later
 /// request could arrive after the time in which a leaving endpoint must get its last one.
 pub const RESUME_AT_LEAVING: Duration = Duration::from_secs(1);
@@ -185,18 +178,17 @@
     endpoints: BTreeMap<EndpointKey, Endpoint>,
     /// The newest incarnation known under each published name, with its start time.
     newest: BTreeMap<String, (Option<u64>, EndpointKey)>,
+    /// The endpoints that accept new work.
+    services: ServiceIndex,
+    /// Lapsed endpoints, by when their record disappeared.
+    lapsed: BTreeSet<(Time, EndpointKey)>,
+    /// Endpoints whose last result observed by this instance was a failure.
+    failing: BTreeSet<EndpointKey>,
     /// Endpoints known to be leaving, with or without a known record.
-    known_leaving: BTreeMap<EndpointKey, LeavingMark>,
+    known_leaving: LeavingMarks,
     cordons: Cordons,
-}
-
-/// What is remembered of an endpoint that is leaving.
-#[derive(Clone, Copy, Debug)]
-struct LeavingMark {
-    /// When this instance learned that it is leaving.
-    since: Time,
-    /// When its record was last seen to stand; before that, when it was marked.
-    confirmed: Time,
+    /// How many endpoints [`EndpointTable::tick`] has looked at.
+    looked_at: u64,
 }
 
 impl EndpointTable {
@@ -214,7 +206,7 @@
                 return started_leaving;
             }
             if previous != key {
-                self.withdraw_record(previous);
+                self.withdraw_record(now, previous);
                 if self.mark_leaving(now, previous) {
                     started_leaving.push(previous);
                 }
@@ -234,8 +226,16 @@
         key: EndpointKey,
         record: EndpointRecord,
     ) -> bool {
-        let leaving = record.leaving || self.known_leaving.contains_key(&key);
+        let leaving = record.leaving || self.known_leaving.contains(key);
         let cold_until = now + record.cold_for;
+        let moved = self.endpoints.get(&key).filter(|it| {
+            let known = &it.record;
+            known.service != record.service || known.data_centre != record.data_centre
+        });
+        if let Some(moved) = moved {
+            let (service, data_centre) = (&moved.record.service, &moved.record.data_centre);
+            self.services.remove(service, data_centre, key);
+        }
         let endpoint = self.endpoints.entry(key).or_insert_with(|| Endpoint {
             key,
             record: record.clone(),
@@ -252,13 +252,34 @@
         endpoint.has_record = true;
         endpoint.cold_until = cold_until;
         endpoint.cold_reported_at = now;
-        if leaving {
-            return self.mark_leaving(now, key);
+        let state = match endpoint.state {
+            EndpointState::Lapsed { .. } | EndpointState::Unreadable if !leaving => {
+                EndpointState::Serving
+            }
+            state => state,
+        };
+        self.known_leaving.on_record(key);
+        self.set_state(key, state);
+        leaving && self.mark_leaving(now, key)
+    }
+
+    /// Sets the state of an endpoint, and keeps the indices by state.
+    fn set_state(&mut self, key: EndpointKey, state: EndpointState) {
+        let Some(endpoint) = self.endpoints.get_mut(&key) else {
+            return;
+        };
+        if let EndpointState::Lapsed { since } = endpoint.state {
+            self.lapsed.remove(&(since, key));
         }
-        if let EndpointState::Lapsed { .. } | EndpointState::Unreadable = endpoint.state {
-            endpoint.state = EndpointState::Serving;
+        endpoint.state = state;
+        if let EndpointState::Lapsed { since } = state {
+            self.lapsed.insert((since, key));
+        }
+        let (service, data_centre) = (&endpoint.record.service, &endpoint.record.data_centre);
+        match endpoint.accepts_work() {
+            true => self.services.insert(service, data_centre, key),
+            false => self.services.remove(service, data_centre, key),
         }
-        false
     }
 
     /// Applies the removal of a record. Around a store outage (`unsettled`) the record may return.
@@ -269,105 +290,89 @@
             self.mark_leaving(now, EndpointKey::of(name));
             return None;
         };
-        self.withdraw_record(key);
-        match self.endpoints.get_mut(&key) {
-            Some(endpoint) if unsettled && endpoint.state == EndpointState::Serving => {
-                endpoint.state = EndpointState::Lapsed { since: now };
-                None
-            }
-            _ => self.mark_leaving(now, key).then_some(key),
+        self.withdraw_record(now, key);
+        let is_serving = self
+            .endpoints
+            .get(&key)
+            .is_some_and(|it| it.state == EndpointState::Serving);
+        if unsettled && is_serving {
+            self.set_state(key, EndpointState::Lapsed { since: now });
+            return None;
         }
+        self.mark_leaving(now, key).then_some(key)
     }
 
-    fn withdraw_record(&mut self, key: EndpointKey) {
+    fn withdraw_record(&mut self, now: Time, key: EndpointKey) {
         if let Some(endpoint) = self.endpoints.get_mut(&key) {
             endpoint.has_record = false;
         }
+        self.known_leaving.on_record_removed(now, key);
     }
 
     /// Applies a record that can no longer be parsed. Running requests continue; new ones are sent
     /// again once a readable record is written.
     pub fn mark_unreadable(&mut self, name: &str) {
-        let newest = self.newest.get(name);
-        let endpoint = newest.and_then(|(_, key)| self.endpoints.get_mut(key));
-        if let Some(endpoint) = endpoint.filter(|it| it.accepts_work()) {
-            endpoint.state = EndpointState::Unreadable;
+        let Some(&(_, key)) = self.newest.get(name) else {
+            return;
+        };
+        if self.endpoints.get(&key).is_some_and(Endpoint::accepts_work) {
+            self.set_state(key, EndpointState::Unreadable);
         }
     }
 
     /// Marks an endpoint as leaving; returns whether that was new for a known endpoint.
     pub fn mark_leaving(&mut self, now: Time, key: EndpointKey) -> bool {
-        let mark = self.known_leaving.entry(key).or_insert(LeavingMark {
-            since: now,
-            confirmed: now,
-        });
-        let Some(endpoint) = self.endpoints.get_mut(&key) else {
-            return false;
-        };
-        if let EndpointState::Leaving { .. } = endpoint.state {
-            return false;
+        let endpoint = self.endpoints.get(&key);
+        let has_record = endpoint.is_some_and(|it| it.has_record);
+        let is_new = endpoint.is_some_and(|it| it.leaving_since().is_none());
+        let since = self.known_leaving.add(now, key, has_record);
+        if is_new {
+            self.set_state(key, EndpointState::Leaving { since });
         }
-        endpoint.state = EndpointState::Leaving { since: mark.since };
-        true
+        is_new
     }
 
     /// Marks lapsed endpoints as leaving after [`LAPSE_GRACE`], unless the store is still
-    /// unsettled, and drops endpoints that left long ago.
+    /// unsettled, and drops endpoints that left long ago. Endpoints for which nothing is due are not
+    /// looked at.
     ///
     /// Returns the endpoints that started leaving.
     pub fn tick(&mut self, now: Time, unsettled: bool) -> Vec<EndpointKey> {
-        let lapsed = |endpoint: &&Endpoint| match endpoint.state {
-            EndpointState::Lapsed { since } => !unsettled && now.since(since) >= LAPSE_GRACE,
-            _ => false,
-        };
-        let gone: Vec<EndpointKey> = self
-            .endpoints
-            .values()
-            .filter(lapsed)
-            .map(|it| it.key)
-            .collect();
-        for &key in &gone {
+        let mut gone = Vec::new();
+        while let Some(&(since, key)) = self.lapsed.first()
+            && !unsettled
+            && now.since(since) >= LAPSE_GRACE
+        {
+            self.lapsed.pop_first();
             self.mark_leaving(now, key);
+            gone.push(key);
+        }
+        gone.sort_unstable();
+        let expired = self.known_leaving.take_expired(now);
+        self.looked_at += (gone.len() + expired.len()) as u64;
+        for key in expired {
+            self.forget(key);
         }
-        self.confirm_standing_records(now);
-        self.known_leaving
-            .retain(|_, mark| now.since(mark.confirmed) < MARK_RETENTION);
-        self.forget_oldest_marks();
-        let known_leaving = &self.known_leaving;
-        self.endpoints.retain(|key, endpoint| {
-            let mark = known_leaving.get(key);
-            let is_recent = mark.is_some_and(|it| now.since(it.confirmed) < GONE_RETENTION);
-            endpoint.leaving_since().is_none() || is_recent
-        });
-        let endpoints = &self.endpoints;
-        self.newest
-            .retain(|_, (_, key)| endpoints.contains_key(key));
         gone
     }
 
-    /// Keeps the marks of leaving endpoints whose record stands. An endpoint that does not reach the
-    /// store cannot withdraw its record, and its next heartbeat would restore it if the mark were
-    /// forgotten.
-    fn confirm_standing_records(&mut self, now: Time) {
-        for endpoint in self.endpoints.values().filter(|it| it.has_record) {
-            if let Some(mark) = self.known_leaving.get_mut(&endpoint.key) {
-                mark.confirmed = now;
-            }
+    /// Drops everything that is known of an endpoint that left.
+    fn forget(&mut self, key: EndpointKey) {
+        let Some(endpoint) = self.endpoints.remove(&key) else {
+            return;
+        };
+        let record = &endpoint.record;
+        self.services
+            .remove(&record.service, &record.data_centre, key);
+        self.failing.remove(&key);
+        if self.newest(&record.name) == Some(key) {
+            self.newest.remove(&record.name);
         }
     }
 
-    fn forget_oldest_marks(&mut self) {
-        let excess = self.known_leaving.len().saturating_sub(MAX_MARKS);
-        if excess == 0 {
-            return;
-        }
-        let marks = self.known_leaving.iter();
-        let mut oldest: Vec<(Time, EndpointKey)> =
-            marks.map(|(key, it)| (it.confirmed, *key)).collect();
-        oldest.sort_unstable();
-        for (_, key) in oldest.into_iter().take(excess) {
-            self.known_leaving.remove(&key);
-        }
+    /// Returns how many endpoints all calls of [`EndpointTable::tick`] have looked at.
+    pub fn looked_at(&self) -> u64 {
+        self.looked_at
     }
 
     /// Returns how many endpoints are known to leave, including those without a record.
@@ -378,10 +383,11 @@
     /// Returns the endpoints that are known to leave although their records say that they accept
     /// work.
     pub fn leaving_with_ready_record(&self) -> impl Iterator<Item = EndpointKey> {
-        let leaving = self.endpoints.values();
-        leaving
-            .filter(|it| it.has_record && !it.record.leaving && it.leaving_since().is_some())
-            .map(|it| it.key)
+        let standing = self.known_leaving.standing();
+        standing.filter(|key| {
+            let endpoint = self.endpoints.get(key);
+            endpoint.is_some_and(|it| !it.record.leaving)
+        })
     }
 
     /// Applies the operator's cordon of a data centre.
@@ -450,8 +456,20 @@
 
     /// Returns the endpoints of a service that accept new work, without regard to cordons.
     fn accepting_of(&self, service: &str) -> impl Iterator<Item = &Endpoint> {
-        let all = self.endpoints.values();
-        all.filter(move |it| it.record.service == service && it.accepts_work())
+        let keys = self.services.of(service);
+        keys.filter_map(|key| self.endpoints.get(&key))
+    }
+
+    /// Returns the endpoints of a service to which new work may be sent, by data centre.
+    fn usable_by_data_centre(&self, service: &str) -> impl Iterator<Item = &BTreeSet<EndpointKey>> {
+        let data_centres = self.services.by_data_centre(service);
+        let open = data_centres.filter(|(name, _)| !self.cordons.is_closed(name));
+        open.map(|(_, keys)| keys)
+    }
+
+    /// Returns how many endpoints of a service new work may be sent to.
+    pub fn usable_count(&self, service: &str) -> usize {
+        self.usable_by_data_centre(service).map(BTreeSet::len).sum()
     }
 
     /// Returns an endpoint.
@@ -478,16 +496,17 @@
     /// Returns the endpoints whose last result observed here was a failure; peers are notified of
     /// them.
     pub fn failing(&self) -> impl Iterator<Item = EndpointKey> {
-        let failing = self.endpoints.values();
+        let failing = self.failing.iter().filter_map(|it| self.endpoints.get(it));
         failing
-            .filter(|endpoint| endpoint.accepts_work() && endpoint.is_failing())
+            .filter(|endpoint| endpoint.accepts_work())
             .map(|endpoint| endpoint.key)
     }
 
     /// Returns the endpoints that are ejected here; the home of their service is notified of them.
     pub fn ejected(&self, now: Time) -> impl Iterator<Item = EndpointKey> {
-        let endpoints = self.endpoints.values();
-        endpoints
+        // Whatever ends an ejection also ends the failing state.
+        let failing = self.failing.iter().filter_map(|it| self.endpoints.get(it));
+        failing
             .filter(move |endpoint| endpoint.accepts_work() && endpoint.is_ejected(now))
             .map(|endpoint| endpoint.key)
     }
@@ -497,6 +516,7 @@
         if let Some(endpoint) = self.endpoints.get_mut(&key) {
             endpoint.failures = 0;
             endpoint.ejected_until = Time::ZERO;
+            self.failing.remove(&key);
         }
     }
 
@@ -531,6 +551,7 @@
         let Some(endpoint) = self.endpoints.get_mut(&key) else {
             return false;
         };
+        self.failing.insert(key);
         endpoint.failures = endpoint.failures.saturating_add(1).max(at_least);
         endpoint.failed_at = now;
         endpoint.failure_share += (1.0 - endpoint.failure_share) * FAILURE_WEIGHT;
--- a/crates/core/src/gateway/state/partitions.rs
+++ b/crates/core/src/gateway/state/partitions.rs
@@ -84,7 +84,7 @@
             return false;
         };
         let service = &endpoint.record.service;
-        let usable = self.endpoints.usable_of(service).count();
+        let usable = self.endpoints.usable_count(service);
         if !record(&mut self.reachability, service, usable) {
             return false;
         }
