A home looks at the engines that differ, and at few of those that idle

Cause: each decision of a home went over all engines of the service: once to find those that are trusted, once for predicted stalls, once for costs, and a batch of requests once more for each. An instance without a home compared each of 5,775 engines with a list of all engines that it may not use: 33 million comparisons.

Change: engines of one data centre that run nothing, are trusted, serve as usual and have the usual pace are interchangeable; the one with the lowest key is chosen. A home looks at those that differ and at no more of the others than it places requests (core::gateway::shortlist). Services with fewer than 128 endpoints are looked at as a whole as before. An instance without a home chooses among its share, and not among all but the rest.

Tests: with 300 engines in use a batch of ten looks at 330 engines, whether there are 1,200 or 12,000 (all of them before). Copies may differ at equal cost: the home then takes an engine that is neither cold nor lapsed.

Grows with: engines in use and requests of a batch. A crowded data centre, in which fewer engines idle than requests wait, is looked at as a whole; so is the choice of an engine at which room is held, which is made only where all are full.

--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -26,6 +26,7 @@
 //! | [`shares`] | the shares of workspaces in what a home grants |
 //! | [`forecast`] | when queued requests will get room |
 //! | [`queue`] | the order in which queued requests get room |
+//! | `shortlist` | which engines a home looks at |
 //! | [`choose`] | the endpoint for a request, and the engine for a standby copy |
 //! | [`relocation`] | when a generation leaves its engine, and which events its caller gets |
 //! | [`reachability`] | whether this instance reaches the endpoints of a service |
@@ -73,6 +74,7 @@
 pub mod request;
 pub mod revision;
 pub mod shares;
+mod shortlist;
 pub mod state;
 pub mod suspects;
 pub mod usage;
--- a/crates/core/src/gateway/choose.rs
+++ b/crates/core/src/gateway/choose.rs
@@ -11,9 +11,11 @@
 use super::holds::Holds;
 use super::pace::{PaceModel, StallCosts, StallRange};
 use super::request::{CopyKind, Demand, PlacementError, QueuedPlacement, QueuedRequest};
+use super::shortlist::shortlist;
 use super::usage::{PeerUsage, Usage, UsageTable};
 use crate::ids::EndpointKey;
 use crate::time::Time;
+use std::collections::BTreeSet;
 
 /// Share of an engine's KV cache that may be reserved. The need of a generation is an estimate:
 /// with a larger share an engine preempts a generation and prefills it again, and first events are
@@ -94,12 +96,82 @@
     pub pace: &'a PaceModel,
 }
 
-impl PlacementContext<'_> {
+impl<'a> PlacementContext<'a> {
     fn used(self, endpoint: &Endpoint) -> Usage {
         self.usage
             .own(endpoint.key)
             .plus(self.others.of(endpoint.key))
     }
+
+    /// Returns the engines that a home has to look at to place `requests` requests, some of which
+    /// may not be placed at `excluded` ones.
+    fn shortlist(
+        self,
+        service: &str,
+        requests: usize,
+        excluded: impl Iterator<Item = EndpointKey>,
+        trusted: impl Fn(&Endpoint) -> bool,
+    ) -> Vec<&'a Endpoint> {
+        let used = self.usage.endpoints().chain(self.others.endpoints());
+        let differing = used.chain(self.pace.deviating()).chain(excluded).collect();
+        let is_spare =
+            |endpoint: &Endpoint| state_cost(self, endpoint, 0.0) <= 0.0 && trusted(endpoint);
+        shortlist(self.endpoints, service, requests, &differing, is_spare)
+    }
+}
+
+/// Who chooses an endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Chooser<'a> {
+    /// The home of the service, which chooses for all instances: it looks at those engines only
+    /// among which the best one is.
+    Home,
+    /// An instance for itself, among all endpoints of the service.
+    Instance,
+    /// An instance for itself, among these endpoints.
+    InstanceAmong(&'a [EndpointKey]),
+}
+
+impl<'a> Chooser<'_> {
+    /// Returns the candidates for a demand, in the order of their keys. Endpoints that are not
+    /// `trusted` are included only if there are no others.
+    fn candidates(
+        self,
+        context: PlacementContext<'a>,
+        demand: &Demand<'_>,
+        trusted: impl Fn(&Endpoint) -> bool,
+    ) -> Vec<&'a Endpoint> {
+        let exclude: BTreeSet<EndpointKey> = demand.exclude.iter().copied().collect();
+        let listed: Vec<&Endpoint> = match self {
+            Chooser::Home => {
+                let excluded = demand.exclude.iter().copied();
+                context.shortlist(demand.service, 1, excluded, &trusted)
+            }
+            Chooser::Instance => context.endpoints.usable_of(demand.service).collect(),
+            Chooser::InstanceAmong(keys) => {
+                let usable = keys.iter().filter_map(|it| context.endpoints.usable(*it));
+                usable.collect()
+            }
+        };
+        trusted_if_any(
+            listed
+                .into_iter()
+                .filter(|it| !exclude.contains(&it.key))
+                .collect(),
+            trusted,
+        )
+    }
+}
+
+/// Drops the endpoints that are not trusted, unless there are no others.
+fn trusted_if_any(
+    mut endpoints: Vec<&Endpoint>,
+    trusted: impl Fn(&Endpoint) -> bool,
+) -> Vec<&Endpoint> {
+    if endpoints.iter().any(|it| trusted(it)) {
+        endpoints.retain(|it| trusted(it));
+    }
+    endpoints
 }
 
 /// Returns the endpoint with the lowest cost. `jitter` returns a random number below one for each
@@ -109,14 +181,29 @@
 ///
 /// Returns why no endpoint can be chosen.
 pub fn choose(
+    context: PlacementContext<'_>,
+    demand: &Demand<'_>,
+    jitter: impl FnMut() -> f64,
+) -> Result<EndpointKey, PlacementError> {
+    choose_by(Chooser::Instance, context, demand, jitter)
+}
+
+/// Returns the endpoint with the lowest cost among those at which `chooser` looks; see [`choose`].
+///
+/// # Errors
+///
+/// Returns why no endpoint can be chosen.
+pub fn choose_by(
+    chooser: Chooser<'_>,
     context: PlacementContext<'_>,
     demand: &Demand<'_>,
     mut jitter: impl FnMut() -> f64,
 ) -> Result<EndpointKey, PlacementError> {
     let mut full = false;
     let trusted = |endpoint: &Endpoint| is_trusted(context, endpoint);
-    let stalls = stall_costs(context, demand, candidates(context, demand, trusted));
-    let chosen = cheapest(candidates(context, demand, trusted), |endpoint| {
+    let candidates = chooser.candidates(context, demand, trusted);
+    let stalls = stall_costs(context, demand, &candidates);
+    let chosen = cheapest(&candidates, |endpoint| {
         let used = context.used(endpoint);
         let (cost, away) = match demand.engine {
             Some(limits) => {
@@ -154,6 +241,9 @@
     /// Share of each engine's KV cache that may be reserved.
     share: f64,
     engines: Vec<EngineCapacity<'a>>,
+    /// How many engines run nothing and are not among `engines`, because each request would rather
+    /// be placed at one of those.
+    left_out: usize,
     /// The range of predicted gaps of the engines.
     stalls: StallRange,
 }
@@ -175,7 +265,7 @@
     rate_remaining: Option<u32>,
 }
 
-/// Returns the capacities of the engines that can serve `demand`.
+/// Returns the capacities of the engines at which `waiting` can be placed.
 ///
 /// # Errors
 ///
@@ -183,11 +273,18 @@
 pub(super) fn capacities<'a>(
     context: PlacementContext<'a>,
     demand: &Demand<'_>,
+    waiting: &[&QueuedPlacement],
     rate_remaining: impl Fn(EndpointKey) -> Option<u32>,
 ) -> Result<EngineCapacities<'a>, PlacementError> {
     let limits = demand.engine.ok_or(PlacementError::NoEndpoint)?;
     let trusted = |endpoint: &Endpoint| is_trusted(context, endpoint);
-    let engines: Vec<EngineCapacity<'_>> = candidates(context, demand, trusted)
+    let excluded = waiting.iter().flat_map(|it| &it.request.exclude);
+    let excluded = excluded.chain(waiting.iter().flat_map(|it| &it.avoid));
+    let is_spare = |it: &Endpoint| trusted(it) && rate_remaining(it.key).is_none();
+    let requests = waiting.len().max(1);
+    let listed = context.shortlist(demand.service, requests, excluded.copied(), is_spare);
+    let engines: Vec<EngineCapacity<'_>> = trusted_if_any(listed, trusted)
+        .into_iter()
         .map(|endpoint| EngineCapacity {
             key: endpoint.key,
             data_centre: &endpoint.record.data_centre,
@@ -207,11 +304,29 @@
     Ok(EngineCapacities {
         limits,
         share: KV_CACHE_SHARE,
+        left_out: trusted_count(context, demand.service).saturating_sub(engines.len()),
         engines,
         stalls,
     })
 }
 
+/// Returns how many usable endpoints of a service are trusted; if none is, how many are usable.
+fn trusted_count(context: PlacementContext<'_>, service: &str) -> usize {
+    let ejected = context.endpoints.ejected(context.now);
+    let ejected: BTreeSet<EndpointKey> = ejected
+        .chain(context.others.ejected.iter().copied())
+        .collect();
+    let ejected = ejected.into_iter().filter(|key| {
+        let endpoint = context.endpoints.usable(*key);
+        endpoint.is_some_and(|it| it.record.service == service)
+    });
+    let usable = context.endpoints.usable_count(service);
+    match usable.saturating_sub(ejected.count()) {
+        0 => usable,
+        trusted => trusted,
+    }
+}
+
 impl EngineCapacities<'_> {
     /// Applies the room that is held for pre-copies. Only requests that are more urgent than the
     /// generations that wait for it may use the engine.
@@ -224,9 +339,15 @@
         }
     }
 
+    /// Returns how many engines are looked at for each request.
+    pub(super) fn looked_at(&self) -> usize {
+        self.engines.len()
+    }
+
     /// Returns the KV cache of all engines together.
     pub(super) fn total_kv_cache_tokens(&self) -> u64 {
-        u64::from(self.limits.kv_cache_tokens) * self.engines.len() as u64
+        let engines = self.engines.len() + self.left_out;
+        u64::from(self.limits.kv_cache_tokens) * engines as u64
     }
 
     /// Returns the KV cache tokens that may still be reserved at all engines together.
@@ -236,7 +357,7 @@
             let taken = f64::from(capacity.used.tokens) + f64::from(capacity.used.copy_tokens);
             (share - taken).max(0.0)
         });
-        free.sum()
+        free.sum::<f64>() + share * self.left_out as f64
     }
 
     /// Returns whether any engine that a request may use has room for it, also room that is held
@@ -244,10 +365,12 @@
     pub(super) fn has_room(&self, placement: &QueuedPlacement) -> bool {
         let tokens = placement.request.queued.tokens;
         let mut engines = self.engines.iter();
-        engines.any(|capacity| {
-            !placement.request.exclude.contains(&capacity.key)
-                && fits(capacity.used, tokens, self.limits, KV_CACHE_SHARE)
-        })
+        // An engine that runs nothing has room for any request.
+        self.left_out > 0
+            || engines.any(|capacity| {
+                !placement.request.exclude.contains(&capacity.key)
+                    && fits(capacity.used, tokens, self.limits, KV_CACHE_SHARE)
+            })
     }
 
     /// Leaves a share of each engine's KV cache free in further reservations.
@@ -349,6 +472,19 @@
 
 /// Returns the engine with the lowest cost for a copy of a generation that runs at `source`.
 pub fn choose_copy_target(
+    context: PlacementContext<'_>,
+    demand: &Demand<'_>,
+    source: &Endpoint,
+    kind: CopyKind,
+    jitter: impl FnMut() -> f64,
+) -> Option<EndpointKey> {
+    choose_copy_target_by(Chooser::Instance, context, demand, source, kind, jitter)
+}
+
+/// Returns the engine with the lowest cost for a copy among those at which `chooser` looks; see
+/// [`choose_copy_target`].
+pub fn choose_copy_target_by(
+    chooser: Chooser<'_>,
     context: PlacementContext<'_>,
     demand: &Demand<'_>,
     source: &Endpoint,
@@ -366,9 +502,10 @@
         ..*demand
     };
     let trusted = |endpoint: &Endpoint| accepts_copies(context, endpoint);
-    let stalls = stall_costs(context, demand, candidates(context, &elsewhere, trusted));
+    let candidates = chooser.candidates(context, &elsewhere, trusted);
+    let stalls = stall_costs(context, demand, &candidates);
     let mut within = |has_room: fn(Usage, u32, EngineLimits) -> bool| {
-        cheapest(candidates(context, &elsewhere, trusted), |endpoint| {
+        cheapest(&candidates, |endpoint| {
             let used = context.used(endpoint);
             if !has_room(used, demand.tokens, limits) {
                 return None;
@@ -408,7 +545,8 @@
         ..*demand
     };
     let trusted = |endpoint: &Endpoint| accepts_copies(context, endpoint);
-    cheapest(candidates(context, &elsewhere, trusted), |endpoint| {
+    let candidates = Chooser::Instance.candidates(context, &elsewhere, trusted);
+    cheapest(&candidates, |endpoint| {
         let used = context.used(endpoint);
         let taken = f64::from(used.tokens) + f64::from(used.copy_tokens);
         let away = endpoint.record.data_centre != source.record.data_centre;
@@ -425,8 +563,8 @@
 }
 
 /// Returns the endpoint with the lowest cost; an endpoint whose cost is `None` is never chosen.
-fn cheapest<'a>(
-    endpoints: impl Iterator<Item = &'a Endpoint>,
+fn cheapest(
+    endpoints: &[&Endpoint],
     mut cost: impl FnMut(&Endpoint) -> Option<f64>,
 ) -> Option<EndpointKey> {
     let mut best: Option<(f64, EndpointKey)> = None;
@@ -457,19 +595,6 @@
     !failing && is_trusted(context, endpoint)
 }
 
-/// Returns the candidates for a demand. Endpoints that are not `trusted` are included only if there
-/// are no others.
-fn candidates<'w>(
-    context: PlacementContext<'w>,
-    demand: &Demand<'_>,
-    trusted: impl Fn(&Endpoint) -> bool,
-) -> impl Iterator<Item = &'w Endpoint> {
-    let fitting = move |endpoint: &&Endpoint| !demand.exclude.contains(&endpoint.key);
-    let usable = || context.endpoints.usable_of(demand.service).filter(fitting);
-    let any_trusted = usable().any(&trusted);
-    usable().filter(move |endpoint| !any_trusted || trusted(endpoint))
-}
-
 fn fits(used: Usage, tokens: u32, limits: EngineLimits, share: f64) -> bool {
     let empty = used.running == 0;
     u32::from(used.running) < limits.slots && (empty || fits_beside(used, tokens, limits, share))
@@ -498,12 +623,12 @@
 }
 
 /// Returns the costs of predicted stalls of a request at these candidates.
-fn stall_costs<'a>(
+fn stall_costs(
     context: PlacementContext<'_>,
     demand: &Demand<'_>,
-    candidates: impl Iterator<Item = &'a Endpoint>,
+    candidates: &[&Endpoint],
 ) -> StallCosts {
-    let keys = candidates.map(|endpoint| endpoint.key);
+    let keys = candidates.iter().map(|endpoint| endpoint.key);
     StallCosts::new(StallRange::of(context.pace, context.now, keys), demand.pace)
 }
 
--- a/crates/core/src/gateway/endpoints.rs
+++ b/crates/core/src/gateway/endpoints.rs
@@ -461,12 +461,22 @@
     }
 
     /// Returns the endpoints of a service to which new work may be sent, by data centre.
-    fn usable_by_data_centre(&self, service: &str) -> impl Iterator<Item = &BTreeSet<EndpointKey>> {
+    pub(super) fn usable_by_data_centre(
+        &self,
+        service: &str,
+    ) -> impl Iterator<Item = &BTreeSet<EndpointKey>> {
         let data_centres = self.services.by_data_centre(service);
         let open = data_centres.filter(|(name, _)| !self.cordons.is_closed(name));
         open.map(|(_, keys)| keys)
     }
 
+    /// Returns the endpoints of a service to which new work may be sent, in the order of their keys.
+    pub(super) fn usable_keys(&self, service: &str) -> impl Iterator<Item = EndpointKey> {
+        let any_closed = self.cordons.closed().next().is_some();
+        let keys = self.services.of(service);
+        keys.filter(move |key| !any_closed || self.is_usable(*key))
+    }
+
     /// Returns how many endpoints of a service new work may be sent to.
     pub fn usable_count(&self, service: &str) -> usize {
         self.usable_by_data_centre(service).map(BTreeSet::len).sum()
--- a/crates/core/src/gateway/home/copies.rs
+++ b/crates/core/src/gateway/home/copies.rs
@@ -1,7 +1,9 @@
 //! Decisions about copies and immediate placements.
 
 use super::{Decisions, Home, Reporter};
-use crate::gateway::choose::{PlacementContext, choose, choose_copy_target, choose_hold};
+use crate::gateway::choose::{
+    Chooser, PlacementContext, choose_by, choose_copy_target_by, choose_hold,
+};
 use crate::gateway::endpoints::Endpoint;
 use crate::gateway::engines::Engines;
 use crate::gateway::holds::Holds;
@@ -181,12 +183,15 @@
     // One instance decides all requests one after the other: no random spread is needed.
     let no_draw = || 0.0;
     match request.kind {
-        PlacementKind::Queued | PlacementKind::Immediate => choose(world, &demand, no_draw),
+        PlacementKind::Queued | PlacementKind::Immediate => {
+            choose_by(Chooser::Home, world, &demand, no_draw)
+        }
         PlacementKind::Copy { kind, .. } => {
             // A generation that resumes from a copy prefills nothing.
             demand.pace.prompt = 0;
             let source = source(world, request).ok_or(PlacementError::NoEndpoint)?;
-            choose_copy_target(world, &demand, source, kind, no_draw).ok_or(PlacementError::Full)
+            choose_copy_target_by(Chooser::Home, world, &demand, source, kind, no_draw)
+                .ok_or(PlacementError::Full)
         }
     }
 }
--- a/crates/core/src/gateway/pace.rs
+++ b/crates/core/src/gateway/pace.rs
@@ -515,11 +515,22 @@
     /// Returns the gap in milliseconds that is predicted for `engine` once a prompt is prefilled
     /// beside a generation; 0 if none is predicted.
     pub fn stalled_ms(&self, engine: EndpointKey) -> f64 {
-        match (self.engines.get(&engine), &self.prediction) {
-            (Some(observed), _) => observed.stalled_ms,
-            (None, Some(prediction)) => prediction.stalled_ms(prediction.log_median),
-            (None, None) => 0.0,
-        }
+        let observed = self.engines.get(&engine);
+        observed.map_or_else(|| self.usual_stalled_ms(), |it| it.stalled_ms)
+    }
+
+    /// Returns the gap in milliseconds that is predicted for an engine that was not observed.
+    fn usual_stalled_ms(&self) -> f64 {
+        let prediction = self.prediction.as_ref();
+        prediction.map_or(0.0, |it| it.stalled_ms(it.log_median))
+    }
+
+    /// Returns the engines for which another gap is predicted than for one that was not observed.
+    pub(super) fn deviating(&self) -> impl Iterator<Item = EndpointKey> {
+        let usual = self.usual_stalled_ms();
+        let observed = self.engines.iter();
+        let deviating = observed.filter(move |(_, it)| it.stalled_ms != usual);
+        deviating.map(|(engine, _)| *engine)
     }
 
     /// Returns how likely a generation at `engine` exceeds `gap_target` between two events once a
--- a/crates/core/src/gateway/queue.rs
+++ b/crates/core/src/gateway/queue.rs
@@ -194,6 +194,8 @@
     pub order: Vec<usize>,
     /// KV cache tokens that could be reserved before.
     pub room: f64,
+    /// How many engines were looked at.
+    pub looked_at: usize,
     /// What is left.
     left: Option<EngineCapacities<'a>>,
 }
@@ -228,13 +230,14 @@
         exclude: &[],
         pace: PaceDemand::default(),
     };
-    let mut capacities = match capacities(context, &demand, rate_remaining) {
+    let mut capacities = match capacities(context, &demand, &all, rate_remaining) {
         Ok(capacities) => capacities,
         Err(why) => {
             return Assigned {
                 places: vec![Err(why); all.len()],
                 order: Vec::new(),
                 room: 0.0,
+                looked_at: 0,
                 left: None,
             };
         }
@@ -247,6 +250,7 @@
     let usual = usual_order(now, &all);
     let contended = contended_order(now, &all, recent);
     let room = capacities.room();
+    let looked_at = capacities.looked_at();
     let placed = match usual == contended {
         true => None,
         false => place_all(capacities.clone(), &headroom, &all, &usual),
@@ -257,6 +261,7 @@
         places,
         order: contended,
         room,
+        looked_at,
         left: Some(left),
     }
 }
--- a/crates/core/src/gateway/state/places.rs
+++ b/crates/core/src/gateway/state/places.rs
@@ -3,7 +3,7 @@
 //! The home of a service is the instance that decides for a key, chosen by rendezvous hashing.
 
 use super::{Gateway, Placement};
-use crate::gateway::choose::{self, PlacementContext};
+use crate::gateway::choose::{self, Chooser, PlacementContext};
 use crate::gateway::cold::{self, ColdLimits, LOCAL_SHARE};
 use crate::gateway::endpoints::{Endpoint, EndpointState};
 use crate::gateway::engines::Engines;
@@ -96,6 +96,15 @@
     ///
     /// Returns why there is none.
     pub fn place(&mut self, now: Time, demand: &Demand<'_>) -> Result<Placement, PlacementError> {
+        self.place_by(Chooser::Instance, now, demand)
+    }
+
+    fn place_by(
+        &mut self,
+        chooser: Chooser<'_>,
+        now: Time,
+        demand: &Demand<'_>,
+    ) -> Result<Placement, PlacementError> {
         let mut at_limit = self.at_limit(now, demand);
         let held = self.held(now, demand);
         at_limit.extend(&held);
@@ -106,7 +115,8 @@
             ..*demand
         };
         let mut rng = self.fork_rng();
-        let key = choose::choose(self.context(now, demand.service), &demand, || rng.random());
+        let context = self.context(now, demand.service);
+        let key = choose::choose_by(chooser, context, &demand, || rng.random());
         let has_limit = |key: &EndpointKey| self.limits.of(*key).is_some();
         let key = key.map_err(|why| match why {
             PlacementError::NoEndpoint if at_limit.iter().any(has_limit) => {
@@ -294,20 +304,20 @@
         demand: &Demand<'_>,
         want: PlacementKind,
     ) -> Result<Placement, PlacementError> {
-        let beyond_share = self.beyond_share(now, demand);
-        let exclude = [demand.exclude, &beyond_share].concat();
-        let within_share = Demand {
-            exclude: &exclude,
-            ..*demand
-        };
+        let share = self.own_share(now, demand);
+        let chooser = share
+            .as_deref()
+            .map_or(Chooser::Instance, Chooser::InstanceAmong);
         let placed = match want {
             PlacementKind::Copy { source, kind } => {
-                self.place_copy(now, &within_share, source, kind)
+                self.place_copy(chooser, now, demand, source, kind)
             }
-            PlacementKind::Queued | PlacementKind::Immediate => self.place(now, &within_share),
+            PlacementKind::Queued | PlacementKind::Immediate => self.place_by(chooser, now, demand),
         };
+        let engines = self.endpoints.usable_count(demand.service);
+        let is_bounded = share.as_ref().is_some_and(|it| it.len() < engines);
         let placed = placed.map_err(|why| match why {
-            PlacementError::NoEndpoint if !beyond_share.is_empty() => PlacementError::Full,
+            PlacementError::NoEndpoint if is_bounded => PlacementError::Full,
             why => why,
         })?;
         let request = PlacementRequest {
@@ -329,56 +339,55 @@
         let Some(limits) = demand.engine else {
             return false;
         };
-        let beyond_share = self.beyond_share(now, demand);
-        let mut open = beyond_share
-            .iter()
-            .filter(|it| !demand.exclude.contains(it));
-        open.any(|key| {
-            let used = self.used(*key);
+        let Some(share) = self.own_share(now, demand) else {
+            return false;
+        };
+        let mut beyond_share = self
+            .endpoints
+            .usable_keys(demand.service)
+            .filter(|key| share.binary_search(key).is_err() && !demand.exclude.contains(key));
+        beyond_share.any(|key| {
+            let used = self.used(key);
             let held = used.tokens.saturating_add(used.copy_tokens);
             held.saturating_add(demand.tokens) <= limits.kv_cache_tokens
         })
     }
 
-    /// Returns the engines of which a request may not be given room without a home, because that
-    /// exceeds the share of this instance. An instance that is alone, or that no home has sent a
-    /// view yet, is not bounded.
-    fn beyond_share(&self, now: Time, demand: &Demand<'_>) -> Vec<EndpointKey> {
+    /// Returns the engines of which a request may be given room without a home, in the order of
+    /// their keys: the share of this instance. `None` if it may be given room at any: an instance
+    /// that is alone, or that no home has sent a view yet, is not bounded.
+    fn own_share(&self, now: Time, demand: &Demand<'_>) -> Option<Vec<EndpointKey>> {
         let service = service_hash(demand.service);
-        let view = self.placements.view(service);
-        let (Some(limits), Some(view)) = (demand.engine, view) else {
-            return Vec::new();
-        };
+        let (limits, view) = (demand.engine?, self.placements.view(service)?);
         let instances = self.instances();
         if instances == 1 {
-            return Vec::new();
+            return None;
         }
         let live = self.members.live();
         let position = live.filter(|(it, _)| *it < self.cfg.address).count();
-        let usable = || self.endpoints.usable_of(demand.service);
         let is_trusted = |it: &Endpoint| !it.is_ejected(now) && !view.ejected.contains(&it.key);
-        let any_trusted = usable().any(is_trusted);
-        let mut engines: Vec<(EndpointKey, bool)> = usable()
-            .map(|it| (it.key, is_trusted(it) || !any_trusted))
-            .collect();
-        engines.sort_unstable();
+        let any_trusted = self.endpoints.usable_of(demand.service).any(is_trusted);
+        let engines = self.endpoints.usable_count(demand.service);
         let taken = self.fallback.taken(now, service);
         let is_allowed = |number: usize, key: EndpointKey| {
-            let part = EnginePart::of(position, instances, number, engines.len());
+            let Some(part) = EnginePart::of(position, instances, number, engines) else {
+                return false;
+            };
+            let endpoint = self.endpoints.get(key);
             let used = self.usage.own(key).plus(view.of(key));
             let taken = taken.get(&key).copied().unwrap_or_default();
-            part.is_some_and(|it| it.allows(limits, used, taken, demand.tokens))
+            endpoint.is_some_and(|it| is_trusted(it) || !any_trusted)
+                && part.allows(limits, used, taken, demand.tokens)
         };
-        let numbered = engines.iter().enumerate();
-        numbered
-            .filter(|(number, (key, trusted))| !trusted || !is_allowed(*number, *key))
-            .map(|(_, (key, _))| *key)
-            .collect()
+        let numbered = self.endpoints.usable_keys(demand.service).enumerate();
+        let share = numbered.filter(|(number, key)| is_allowed(*number, *key));
+        Some(share.map(|(_, key)| key).collect())
     }
 
     /// Chooses the engine for a copy with the knowledge of this instance.
     fn place_copy(
         &mut self,
+        chooser: Chooser<'_>,
         now: Time,
         demand: &Demand<'_>,
         source: EndpointKey,
@@ -400,7 +409,8 @@
             exclude: &exclude,
             ..*demand
         };
-        let key = choose::choose_copy_target(world, &demand, source, kind, || rng.random());
+        let draw = || rng.random();
+        let key = choose::choose_copy_target_by(chooser, world, &demand, source, kind, draw);
         key.and_then(|key| self.place_at(key))
             .ok_or(PlacementError::Full)
     }
--- a/crates/core/src/gateway/usage.rs
+++ b/crates/core/src/gateway/usage.rs
@@ -66,6 +66,11 @@
         *sum = sum.plus(used);
     }
 
+    /// Returns the endpoints that are used.
+    pub(super) fn endpoints(&self) -> impl Iterator<Item = EndpointKey> {
+        self.used.keys().copied()
+    }
+
     /// Returns the usage of an endpoint.
     pub fn of(&self, endpoint: EndpointKey) -> Usage {
         self.used.get(&endpoint).copied().unwrap_or_default()
@@ -202,6 +207,11 @@
         own.map(|(key, used)| (*key, *used))
     }
 
+    /// Returns the endpoints that this instance uses.
+    pub(super) fn endpoints(&self) -> impl Iterator<Item = EndpointKey> {
+        self.own.keys().copied()
+    }
+
     /// Returns a counter that increases with each change that is reported to a home immediately.
     pub fn changes(&self) -> u64 {
         self.changes
