Answers of a home are bounded, however many engines are in use

Cause: with each answer, at most each 0.25 s to one instance, a home sent what all others use of all engines, some 18 bytes for each engine in use. An instance of the fleet asks about once a second, so that all its answers carry it. Beyond some 900 engines in use the answer exceeds the largest datagram of 16 KB, is not sent at all (an error in the log), and the instance places its requests without a home.

Change: an answer lists the 128 engines that are used most, those with pending prompts first, and as many failing and ejected ones. An instance takes an engine that a full list lacks for as used as the least used one of the list, so that it does not overfill it without a home. The list is made from the sums directly instead of from a copy of them.

Messages keep their fields.

--- a/crates/core/src/gateway/home.rs
+++ b/crates/core/src/gateway/home.rs
@@ -283,7 +283,11 @@
             return None;
         }
         reporter.view_sent_at = Some(now);
-        Some(self.others(now, Some(from)))
+        let reporter = self.reporters.get(&from)?;
+        let used = self.sums.without(reporter.all_usage());
+        let failing = self.sums.failing_without(&reporter.failing);
+        let ejected = self.ejections.ejected(now);
+        Some(PeerUsage::to_message(used, failing, ejected))
     }
 }
 
@@ -298,9 +302,14 @@
         }
     }
 
+    /// Returns what the instance uses, and what is reserved for it.
+    fn all_usage(&self) -> impl Iterator<Item = (EndpointKey, Usage)> {
+        self.used.iter().copied().chain(self.reserved.all())
+    }
+
     /// Subtracts the report and the reservations of the instance from the sums.
     fn subtract_from(&self, sums: &mut UsageSums) {
-        for (key, used) in self.used.iter().copied().chain(self.reserved.all()) {
+        for (key, used) in self.all_usage() {
             sums.subtract(key, used);
         }
         for &key in &self.failing {
--- a/crates/core/src/gateway/home/sums.rs
+++ b/crates/core/src/gateway/home/sums.rs
@@ -5,7 +5,7 @@
 
 use crate::gateway::usage::{PeerUsage, Usage};
 use crate::ids::EndpointKey;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// What all reports and reservations add up to.
 #[derive(Clone, Debug, Default)]
@@ -65,6 +65,33 @@
         total.failing.extend(self.failing.keys());
         total
     }
+
+    /// Returns the sums without `own`, which is part of them.
+    pub(super) fn without(
+        &self,
+        own: impl Iterator<Item = (EndpointKey, Usage)>,
+    ) -> Vec<(EndpointKey, Usage)> {
+        let mut parts: BTreeMap<EndpointKey, UsageSum> = BTreeMap::new();
+        for (engine, used) in own {
+            parts.entry(engine).or_default().add(used);
+        }
+        let others = self.used.iter().map(|(engine, sum)| {
+            let part = parts.get(engine).copied().unwrap_or_default();
+            (*engine, sum.less(part).usage())
+        });
+        others.filter(|(_, used)| *used != Usage::NONE).collect()
+    }
+
+    /// Returns the engines that instances report as failing, without those that only the instance
+    /// with these reports.
+    pub(super) fn failing_without(&self, own: &[EndpointKey]) -> impl Iterator<Item = EndpointKey> {
+        let own: BTreeSet<EndpointKey> = own.iter().copied().collect();
+        let others = self
+            .failing
+            .iter()
+            .filter(move |(engine, count)| **count > usize::from(own.contains(engine)));
+        others.map(|(engine, _)| *engine)
+    }
 }
 
 impl UsageSum {
@@ -76,11 +103,18 @@
     }
 
     fn subtract(&mut self, used: Usage) {
-        let subtract = |sum: &mut u64, value: u64| *sum = sum.saturating_sub(value);
-        subtract(&mut self.running, used.running.into());
-        subtract(&mut self.pending_prefill, used.pending_prefill.into());
-        subtract(&mut self.tokens, used.tokens.into());
-        subtract(&mut self.copy_tokens, used.copy_tokens.into());
+        let mut part = UsageSum::default();
+        part.add(used);
+        *self = self.less(part);
+    }
+
+    fn less(self, part: UsageSum) -> UsageSum {
+        UsageSum {
+            running: self.running.saturating_sub(part.running),
+            pending_prefill: self.pending_prefill.saturating_sub(part.pending_prefill),
+            tokens: self.tokens.saturating_sub(part.tokens),
+            copy_tokens: self.copy_tokens.saturating_sub(part.copy_tokens),
+        }
     }
 
     fn usage(self) -> Usage {
--- a/crates/core/src/gateway/placement.rs
+++ b/crates/core/src/gateway/placement.rs
@@ -158,7 +158,8 @@
 
     /// Records the usage of a service's engines by other instances, as reported by a home.
     pub fn set_view(&mut self, now: Time, service: u64, others: PeerUsage) {
-        self.views.insert(service, (now, others));
+        let view = PeerUsage::from_message(others);
+        self.views.insert(service, (now, view));
     }
 
     /// Returns the usage of a service's engines by other instances, as last reported by a home.
--- a/crates/core/src/gateway/usage.rs
+++ b/crates/core/src/gateway/usage.rs
@@ -6,6 +6,7 @@
 
 use crate::ids::EndpointKey;
 use crate::time::Time;
+use core::cmp::Reverse;
 use core::time::Duration;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
@@ -24,6 +25,21 @@
 }
 
 impl Usage {
+    /// An endpoint that is not used.
+    pub const NONE: Usage = Usage {
+        running: 0,
+        pending_prefill: 0,
+        tokens: 0,
+        copy_tokens: 0,
+    };
+
+    /// Returns the order of endpoints by usage: those with pending prompts come first, because a
+    /// generation may resume where none is pending.
+    fn weight(self) -> (bool, u32, u16) {
+        let held = self.tokens.saturating_add(self.copy_tokens);
+        (self.pending_prefill > 0, held, self.running)
+    }
+
     /// Returns the sum of both.
     pub fn plus(self, other: Usage) -> Usage {
         Usage {
@@ -40,6 +56,10 @@
     }
 }
 
+/// Bound on the endpoints that a message lists as used, so that it fits a datagram however many are
+/// used, and on those that it lists as failing or ejected. A used one takes some 18 bytes.
+pub const MAX_LISTED: usize = 128;
+
 /// Usage by other instances, and the endpoints at which they saw failures.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PeerUsage {
@@ -48,6 +68,9 @@
     pub failing: BTreeSet<EndpointKey>,
     /// Endpoints that several other instances have ejected.
     pub ejected: BTreeSet<EndpointKey>,
+    /// What an endpoint that is not listed may be used at most.
+    #[serde(skip)]
+    unlisted: Usage,
 }
 
 impl PeerUsage {
@@ -57,9 +80,41 @@
             used: BTreeMap::new(),
             failing: BTreeSet::new(),
             ejected: BTreeSet::new(),
+            unlisted: Usage::NONE,
+        }
+    }
+
+    /// Returns the usage as it is sent: of the endpoints that are used, the [`MAX_LISTED`] ones with
+    /// the most usage, and as many of those that failed.
+    pub(super) fn to_message(
+        used: Vec<(EndpointKey, Usage)>,
+        failing: impl Iterator<Item = EndpointKey>,
+        ejected: impl Iterator<Item = EndpointKey>,
+    ) -> Self {
+        let mut listed = used;
+        if listed.len() > MAX_LISTED {
+            let by_usage = |(key, used): &(EndpointKey, Usage)| Reverse((used.weight(), *key));
+            listed.select_nth_unstable_by_key(MAX_LISTED, by_usage);
+            listed.truncate(MAX_LISTED);
+        }
+        PeerUsage {
+            used: listed.into_iter().collect(),
+            failing: failing.take(MAX_LISTED).collect(),
+            ejected: ejected.take(MAX_LISTED).collect(),
+            unlisted: Usage::NONE,
         }
     }
 
+    /// Returns the usage that a message states. If it lists as many endpoints as it may, others may
+    /// be used as well, but none more than the least used of the listed ones. Where an endpoint that
+    /// is not listed counted as empty, an instance without a home would overfill it.
+    pub(super) fn from_message(mut message: PeerUsage) -> Self {
+        let least = message.used.values().min_by_key(|it| it.weight());
+        let is_truncated = message.used.len() >= MAX_LISTED;
+        message.unlisted = least.copied().filter(|_| is_truncated).unwrap_or_default();
+        message
+    }
+
     /// Adds the usage of an endpoint by one more instance.
     pub fn add(&mut self, endpoint: EndpointKey, used: Usage) {
         let sum = self.used.entry(endpoint).or_default();
@@ -73,7 +128,7 @@
 
     /// Returns the usage of an endpoint.
     pub fn of(&self, endpoint: EndpointKey) -> Usage {
-        self.used.get(&endpoint).copied().unwrap_or_default()
+        self.used.get(&endpoint).copied().unwrap_or(self.unlisted)
     }
 }
 
