An instance that starts beside others reads one page of the store, and the rest from a peer

Cause: each start reads the store page by page to its end, also when a peer has sent all records meanwhile.

Change: after each page that is not the last, an instance whose records are incomplete waits for as long as a peer that is ahead has time to send them (0.5 s), and for its first peer (0.15 s); once a peer has sent them the read ends. A read of an instance that was complete before (its history is gone, a new epoch) is as before.

--- a/crates/core/src/gateway/catch_up.rs
+++ b/crates/core/src/gateway/catch_up.rs
@@ -118,6 +118,11 @@
             .is_some_and(|since| now.since(since) >= DIRECT_READ_AFTER)
     }
 
+    /// Returns whether some peer is ahead and still has time to send what it knows.
+    pub fn awaits_peer(&self, now: Time) -> bool {
+        self.behind_since.is_some() && !self.needs_direct_read(now)
+    }
+
     /// Records that a peer did not send its delta; `draw` is uniform below one.
     pub fn on_fetch_failure(
         &mut self,
--- a/crates/core/src/gateway/reader.rs
+++ b/crates/core/src/gateway/reader.rs
@@ -70,6 +70,20 @@
     StandBy(Duration),
 }
 
+/// What to do after a page of a full read that has further pages.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NextPage {
+    /// Request the next one.
+    Read,
+    /// Wait for this time: a peer that knows all records may send them.
+    Wait(Duration),
+    /// Read no further: a peer has sent all records.
+    Complete,
+}
+
+/// Interval at which an instance that waits for a peer's records checks whether it has them.
+pub(super) const PEER_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+
 /// How a call failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CallFailure {
--- a/crates/core/src/gateway/state/store.rs
+++ b/crates/core/src/gateway/state/store.rs
@@ -9,11 +9,18 @@
 use super::Gateway;
 use crate::gateway::cordons::Cordon;
 use crate::gateway::gossip::{GossipItems, MAX_ITEMS};
-use crate::gateway::reader::{EpochObservation, SETTLE_TIME, StatedEpoch, WATCHERS};
+use crate::gateway::reader::{
+    EpochObservation, NextPage, PEER_CHECK_INTERVAL, SETTLE_TIME, StatedEpoch, WATCHERS,
+};
 use crate::gateway::replica::{DeltaRequest, Record, StoreDelta};
 use crate::gateway::revision::Epoch;
 use crate::ids::EndpointKey;
 use crate::time::Time;
+use core::time::Duration;
+
+/// How long an instance that has just started waits for its first peer before it reads further
+/// pages: several round trips to one of its seeds, also on a machine with little processor time.
+const JOIN_TIME: Duration = Duration::from_millis(150);
 
 impl Gateway {
     /// Records the epoch of an answer to a call that was made when `known` was the latest epoch;
@@ -38,6 +45,26 @@
         observed
     }
 
+    /// Returns what to do after a page of a full read that began when this replica was complete or
+    /// not.
+    ///
+    /// The pages of a large deployment are dozens of calls, which are billed and rate-limited. An
+    /// instance that starts beside others gets its records from one of them, and reads on only if
+    /// they do not send them in time.
+    pub fn next_page(&self, now: Time, was_complete: bool) -> NextPage {
+        if was_complete {
+            return NextPage::Read;
+        }
+        if self.replica.is_complete() {
+            return NextPage::Complete;
+        }
+        let may_join = !self.members.has_joined() && now.since(self.started) < JOIN_TIME;
+        match may_join || self.catch_up.awaits_peer(now) {
+            true => NextPage::Wait(PEER_CHECK_INTERVAL),
+            false => NextPage::Read,
+        }
+    }
+
     /// Records the epoch of a peer's records; returns the epoch that was known before if it is
     /// later.
     pub fn observe_peer_epoch(&mut self, now: Time, epoch: Epoch) -> Option<Epoch> {
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -11,14 +11,15 @@
 use crate::ports::{Changes, Published, Store, StoreAnswer, Wire};
 use core::time::Duration;
 use oriolemux_core::gateway::reader::{
-    CallFailure, EpochObservation, StatedEpoch, Step, StoreReader, WATCH_TIMEOUT_MARGIN, WATCH_WAIT,
+    CallFailure, EpochObservation, NextPage, StatedEpoch, Step, StoreReader, WATCH_TIMEOUT_MARGIN,
+    WATCH_WAIT,
 };
 use oriolemux_core::gateway::replica::{Applied, Record};
 use oriolemux_core::gateway::{CatalogueSource, Cordon, CordonEffect, Epoch, Revision};
 use oriolemux_core::time::Time;
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 /// The timeout for the head of one page. A slow store takes up to some hundred milliseconds.
 const PAGE_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -46,6 +47,7 @@
 /// two histories do not complete each other.
 async fn read_all<W: Wire, S: Store>(cx: &Cx<W>, store: &S) -> Result<(), CallFailure> {
     let mut read = FullRead::default();
+    let was_complete = cx.state().replica.is_complete();
     loop {
         let known = cx.state().reader.epoch();
         let answer = store.page(read.after.as_deref(), PAGE_TIMEOUT).await;
@@ -81,7 +83,12 @@
             cx.replica_changed.notify_waiters();
         }
         match page.next {
-            Some(next) => read.after = Some(next),
+            Some(next) => {
+                read.after = Some(next);
+                if is_completed_by_peer(cx, was_complete).await {
+                    return Ok(());
+                }
+            }
             None => {
                 log_event!(
                     StoreRead,
@@ -98,6 +105,20 @@
     }
 }
 
+/// Waits for as long as a peer may send all records; returns whether one has.
+async fn is_completed_by_peer<W: Wire>(cx: &Cx<W>, was_complete: bool) -> bool {
+    loop {
+        let changed = cx.replica_changed.notified();
+        let next = cx.state().next_page(cx.now(), was_complete);
+        match next {
+            NextPage::Read => return false,
+            NextPage::Complete => return true,
+            // What a peer sends ends the wait at once.
+            NextPage::Wait(pause) => drop(timeout(pause, changed).await),
+        }
+    }
+}
+
 /// The progress of a full read.
 #[derive(Default)]
 struct FullRead {
