--- a/crates/core/tests/gateway_members.rs
+++ b/crates/core/tests/gateway_members.rs
@@ -59,6 +59,7 @@
 #[case::large(195, true)]
 #[case::planned(390, true)]
 #[case::large_without_a_store(195, false)]
+#[case::fleet(585, true)]
 fn traffic_of_one_instance_does_not_grow_with_the_fleet(
     #[case] size: usize,
     #[case] store_responds: bool,
@@ -171,6 +172,7 @@
 #[case::few(6, 0.0)]
 #[case::large(195, 0.02)]
 #[case::planned(390, 0.02)]
+#[case::fleet(585, 0.02)]
 fn a_leaving_endpoint_is_known_everywhere_within_half_a_second(
     #[case] size: usize,
     #[case] loss: f64,
--- a/crates/core/tests/gateway_places.rs
+++ b/crates/core/tests/gateway_places.rs
@@ -272,6 +272,7 @@
 #[case::some(30)]
 #[case::large(195)]
 #[case::planned(390)]
+#[case::fleet(585)]
 fn traffic_per_request_does_not_grow_with_the_fleet(#[case] size: usize) {
     let mut scene = Scene::new(size);
     scene.fleet.reset_sent();
