Read the response of a request that is given up if it has arrived

What callers saw: requests reached an endpoint long after it had announced in a response that it leaves (DRAIN). Cause: the head of a response is read by the future that waits for it; where the caller leaves or the timeout passes the future is dropped, also if the response had arrived. After a process did not run for half a second that is so for each of its requests, and the announcement is lost.

Evidence: a real process is paused by a signal while an endpoint runs its request. Ruled out: a send without the last check, by the test of senders; marks by key, by gateway_announcements and gateway_endpoints, which pass.

The connection of such a request stays open for 5 ms, and the head is applied to its endpoint. Requests are cancelled 5 ms later than before; only requests that may run more than once are sent elsewhere meanwhile. The functions that apply a head moved from Job to Cx, unchanged. That this is what the users saw is likely and not shown.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -182,12 +182,10 @@
             .cx
             .wire
             .response_head(parts.status, &parts.headers, attempt);
+        job.observe_response_head(place, &head, link.sent);
         if head.wrong_attempt {
-            // What an endpoint says about itself holds whichever request the response belongs to.
-            job.observe_announcements(place, &head.announced);
             return AttemptOutcome::WrongAttempt;
         }
-        job.observe_response_head(place, &head, link.sent);
         if head.not_run {
             return AttemptOutcome::NotRun;
         }
--- a/crates/gateway/src/event_log.rs
+++ b/crates/gateway/src/event_log.rs
@@ -256,6 +256,9 @@
     /// A request with a suspect part in its prompt is sent under the lease of that part, so that no
     /// other one runs beside it.
     PartTried = 883, "prompt_part_tried", Info, FAILURES;
+    /// The response to a request that was given up had arrived: what its head says about the endpoint
+    /// is applied, and the rest is dropped.
+    LateHeadRead = 884, "late_head_read", Info, USUAL;
 }
 
 /// The lines of one event in the current second.
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -1,20 +1,19 @@
 //! One caller request that was matched to an entry and read in full.
 
 use crate::attempts::Attempts;
+use crate::awaited_head::AwaitedHead;
 use crate::connect::{ConnectGuard, until_partitioned};
 use crate::cx::Cx;
 use crate::link::{Link, LinkError, REFUSED};
 use crate::log_event;
 use crate::meters::{ByReason, millis};
+use crate::observe::{ResponseOrigin, log_held};
 use crate::placement::{
     OpenPlacement, PlacementFailure, PlacementParams, PlacementProgress, request_placement,
 };
-use crate::ports::{
-    Announced, Announcements, CallerHead, ForwardHead, LastEventId, ResponseHead, Wire,
-};
+use crate::ports::{CallerHead, ForwardHead, LastEventId, ResponseHead, Wire};
 use crate::response::{Reason, ResponseBody, refuse_until, retry_after, retry_after_backoff};
 use crate::run_lease::RunGuard;
-use crate::store::Source;
 use bytes::Bytes;
 use core::time::Duration;
 use http::{HeaderMap, Method, Request, Response, Uri, header};
@@ -25,7 +24,6 @@
 use oriolemux_core::gateway::catalogue::{Catalogue, HttpEntry, Service, ServiceId, WorkspaceId};
 use oriolemux_core::gateway::lengths::{self, LengthEstimate};
 use oriolemux_core::gateway::placement::HOME_TIMEOUT;
-use oriolemux_core::gateway::rate_limits::ResponseLimit;
 use oriolemux_core::gateway::request::{
     CopyKind, PaceDemand, PlacementError, PlacementKind, QueuedRequest, service_hash,
     workspace_hash,
@@ -184,91 +182,16 @@
     pub fn observe_response_head(&self, place: &Placement, head: &ResponseHead, sent: Instant) {
         let now = self.cx.now();
         let sent = now.before(sent.elapsed()).unwrap_or(Time::ZERO);
-        let mut state = self.cx.state();
-        let brittle = match head.brittle {
-            Announced::Value(tolerated) if !head.wrong_endpoint => {
-                state.observe_brittle(now, place.key, tolerated)
-            }
-            _ => None,
-        };
-        if let Some(load) = head.load {
-            state.observe_load(now, place.key, load);
-        }
-        let held_for = match head.rejected {
-            true => state.on_rejected(now, place.key),
-            false => None,
-        };
-        if !head.not_run {
-            state.on_accepted(now, place.key);
-        }
-        if let Some(cold_for) = head.cold_for {
-            state.endpoints.observe_cold(now, place.key, cold_for);
-        }
-        let limit = match head.wrong_endpoint {
-            true => None,
-            false => state.observe_limit(now, place.key, sent, head.limit),
-        };
-        drop(state);
-        if let Some(change) = brittle {
-            self.cx.announce_brittle(&change, Source::Endpoint);
-        }
-        if head.brittle == Announced::Unreadable {
-            log_event!(BrittleUnreadable, endpoint = place.name.as_str());
-        }
-        if let Some(time) = held_for {
-            self.cx.gossip_due.notify_one();
-            self.log_held(&place.name, time, false);
-        }
-        if head.limit == ResponseLimit::Unreadable {
-            log_event!(LimitUnreadable, endpoint = place.name.as_str());
-        }
-        if let Some(change) = limit {
-            self.cx.announce_limit(&change, Source::Endpoint);
-        }
-        match head.wrong_endpoint {
-            // Another process responded, which speaks for itself only.
-            true => self.record_replaced(place),
-            false => self.observe_announcements(place, &head.announced),
-        }
+        self.cx
+            .observe_response_head(&self.response_origin(place), head, sent);
     }
 
-    /// Applies what an endpoint announces about itself in a response.
-    ///
-    /// An endpoint that leaves may be unable to say so in the store, which may be unavailable. The
-    /// announcement is then the only notice that instances get.
-    pub fn observe_announcements(&self, place: &Placement, announced: &Announcements) {
-        let endpoint = place.name.as_str();
-        match announced.leaving {
-            Announced::Value(true) => {
-                let now = self.cx.now();
-                let is_new = self.cx.state().endpoints.mark_leaving(now, place.key);
-                log_event!(
-                    LeavingAnnounced,
-                    attempt = self.name(),
-                    endpoint = endpoint,
-                    was_known = !is_new
-                );
-                if is_new {
-                    self.cx.announce_leaving(&[place.key]);
-                }
-            }
-            Announced::Unreadable => log_unreadable(endpoint, "leaving"),
-            Announced::Value(false) | Announced::Absent => {}
-        }
-        match announced.backoff {
-            Announced::Value(delay) => {
-                let now = self.cx.now();
-                self.cx.state().request_backoff(now, place.key, delay);
-                self.cx.gossip_due.notify_one();
-                log_event!(
-                    BackoffRequested,
-                    attempt = self.name(),
-                    endpoint = endpoint,
-                    ms = millis(delay)
-                );
-            }
-            Announced::Unreadable => log_unreadable(endpoint, "backoff"),
-            Announced::Absent => {}
+    /// Returns where a response of `place` comes from.
+    fn response_origin<'a>(&'a self, place: &'a Placement) -> ResponseOrigin<'a> {
+        ResponseOrigin {
+            attempt: self.name(),
+            entry: &self.entry().name,
+            place,
         }
     }
 
@@ -299,14 +222,6 @@
         }
     }
 
-    /// Marks an endpoint as leaving because another process answers at its address.
-    pub fn record_replaced(&self, place: &Placement) {
-        let now = self.cx.now();
-        if self.cx.state().endpoints.mark_leaving(now, place.key) {
-            self.cx.announce_leaving(&[place.key]);
-        }
-    }
-
     /// Returns the gateway's own error response; a 503 carries a `Retry-After` header.
     pub fn refuse(&self, reason: Reason) -> Response<ResponseBody> {
         ByReason::Refused.add(&reason.to_string());
@@ -376,23 +291,13 @@
             let waited = started.elapsed();
             if is_held || waited >= BRITTLE_POLL_INTERVAL {
                 ByReason::Avoided.add("brittle");
-                self.log_held("-", waited, chosen.is_ok());
+                let (attempt, entry) = (self.name(), &self.entry().name);
+                log_held(attempt, entry, "-", waited, chosen.is_ok());
             }
             return chosen;
         }
     }
 
-    fn log_held(&self, endpoint: &str, time: Duration, is_placed: bool) {
-        log_event!(
-            BrittleHeld,
-            attempt = self.name(),
-            entry = self.entry().name.as_str(),
-            endpoint = endpoint,
-            ms = millis(time),
-            placed = is_placed
-        );
-    }
-
     /// Counts the request if endpoints are left out for a backoff.
     fn count_avoided(&self) {
         let now = self.cx.now();
@@ -587,8 +492,8 @@
         if !self.admit_send(place, chosen, kind) {
             return Err(LinkError::Withdrawn);
         }
-        let response = link.send(self.request(send)).await?;
-        Ok((link, response))
+        let response = link.send(self.request(send));
+        AwaitedHead::new(self, place, link, response).wait().await
     }
 
     /// Returns whether the request may still be sent to `place`, which was chosen at `chosen`.
@@ -622,10 +527,6 @@
     }
 }
 
-fn log_unreadable(endpoint: &str, what: &str) {
-    log_event!(AnnouncementUnreadable, endpoint = endpoint, what = what);
-}
-
 fn log_ejection(place: &Placement, passed_over: bool) {
     if passed_over {
         log_event!(EndpointEjected, endpoint = place.name.as_str());
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,6 +11,8 @@
 //! - [`placement`] waits for the decision of the home of the generation's service.
 //! - [`relay`] forwards the events of a generation, and relocates it when its engine leaves.
 //! - [`attempts`] records which endpoints a request was sent to and which attempts remain.
+//! - [`awaited_head`] waits for the head of a response, and reads it even if its request is given up;
+//!   [`observe`] applies what it says about the endpoint.
 //! - [`connect`] notices connection attempts that are given up.
 //! - [`mod@probe`] checks whether an endpoint crashed when a connection to it broke.
 //! - [`run_lease`] delays or refuses requests that crashed endpoints.
@@ -25,6 +27,7 @@
 //! implements them.
 
 pub mod attempts;
+pub mod awaited_head;
 pub mod call;
 pub mod catch_up;
 pub mod connect;
@@ -35,6 +38,7 @@
 pub mod job;
 pub mod link;
 pub mod meters;
+pub mod observe;
 pub mod page;
 pub mod placement;
 pub mod ports;
--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -118,20 +118,17 @@
         })
     }
 
-    /// Sends the request and waits for the head of the response.
+    /// Sends the request; the future waits for the head of the response.
     ///
-    /// # Errors
-    ///
-    /// Fails if the connection breaks; the request may have run then.
-    pub async fn send(
+    /// It fails if the connection breaks; the request may have run then. It does not borrow the
+    /// link, so that both can outlive the request.
+    pub fn send(
         &mut self,
         req: Request<Full<Bytes>>,
-    ) -> Result<Response<Incoming>, LinkError> {
+    ) -> impl Future<Output = Result<Response<Incoming>, LinkError>> + Send + use<> {
         self.sent = Instant::now();
-        self.sender
-            .send_request(req)
-            .await
-            .map_err(LinkError::Broken)
+        let response = self.sender.send_request(req);
+        async move { response.await.map_err(LinkError::Broken) }
     }
 }
 
--- a/crates/gateway/src/relay/begin.rs
+++ b/crates/gateway/src/relay/begin.rs
@@ -75,8 +75,8 @@
 
     /// Sends the request to the current engine and waits for the head of the response.
     ///
-    /// Dropping the future closes the connection, so that a request that is reassigned is
-    /// cancelled before it is sent elsewhere.
+    /// Dropping the future closes the connection within some milliseconds. Only a request that may
+    /// run more than once is reassigned.
     async fn send_and_wait(&self) -> SendOutcome<W> {
         let mut sent = core::pin::pin!(self.send(None));
         let mut next_check = self.may_run_again().then(|| self.reassign_at());
@@ -157,14 +157,11 @@
         let attempt = self.job.head.attempt.as_deref();
         let wire = &self.job.cx.wire;
         let head = wire.response_head(parts.status, &parts.headers, attempt);
+        self.job
+            .observe_response_head(&self.engine, &head, link.sent);
         if head.wrong_attempt {
-            // What an endpoint says about itself holds whichever request the response belongs to.
-            self.job
-                .observe_announcements(&self.engine, &head.announced);
             return AttemptStart::Failed(Reason::WrongAttempt);
         }
-        self.job
-            .observe_response_head(&self.engine, &head, link.sent);
         if head.not_run {
             return AttemptStart::NotRun {
                 reached_engine: true,
--- a/crates/oriolemux/tests/gateway_process.rs
+++ b/crates/oriolemux/tests/gateway_process.rs
@@ -1,6 +1,8 @@
 //! Real processes of `oriolemux gateway` in front of the platform's stand-in, in the fleet shapes of
 //! both users.
 
+#[path = "gateway_support/paused.rs"]
+mod paused;
 #[path = "gateway_support/process.rs"]
 mod process;
 
