An overloaded instance sheds connections unread and blames no endpoint

Ruled out: its processor (timers), endpoints (others' callers were served by them), memory and descriptors (24 MB).

The own delay of an instance is the least lateness of its timers, or of connections to several endpoints, in 250 ms. While it is 40 ms or more, a share of new connections is closed unread, connections that open late say nothing about their endpoints, and readiness is withdrawn by at most an eighth of the instances, which tell 16 random peers: 2 KB a second while it lasts, whatever the size of the fleet.

Known: an instance that opens no connection does not notice a queue.

--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -31,6 +31,7 @@
 //! | [`relocation`] | when a generation leaves its engine, and which events its caller gets |
 //! | [`reachability`] | whether this instance reaches the endpoints of a service |
 //! | [`proxies`] | the peers through which a partitioned instance serves its callers |
+//! | [`overload`] | whether this instance itself is late, and which new connections it sheds |
 //! | [`budget`] | how many retries this instance may spend |
 //! | [`suspects`] | requests that crash the endpoints that run them |
 //! | [`members`] | which instances exist |
@@ -39,6 +40,7 @@
 //! | [`beacons`] | beacons of the instances that watch the store, and who watches |
 //! | [`reader`] | when to read and watch the store |
 //! | [`catch_up`] | how an instance gets updates that it missed |
+//! | [`withdrawal`] | whether an overloaded instance withdraws its readiness |
 //! | [`state`] | all of the above behind one type |
 
 pub mod backoff;
@@ -62,6 +64,7 @@
 pub mod lengths;
 pub mod members;
 pub mod no_room;
+pub mod overload;
 pub mod pace;
 pub mod placement;
 pub mod proxies;
@@ -78,6 +81,7 @@
 pub mod state;
 pub mod suspects;
 pub mod usage;
+pub mod withdrawal;
 
 pub use catalogue::{Catalogue, CatalogueSource, EntryId, HttpEntry, RequestKind, ServiceId};
 pub use cordons::{Cordon, CordonEffect};
--- a/crates/core/src/gateway/gossip.rs
+++ b/crates/core/src/gateway/gossip.rs
@@ -177,6 +177,8 @@
     PlacementReport(PlacementReport),
     /// The answer of that home.
     PlacementAnswer(PlacementAnswer),
+    /// The sender is overloaded, see [`withdrawal`](super::withdrawal).
+    Overloaded,
 }
 
 impl Body {
@@ -229,6 +231,7 @@
             Body::RequestMembers | Body::Members(_) => "members",
             Body::Suspects(_) => "suspects",
             Body::RunLeaseReport(_) | Body::RunLeaseAnswer(_) => "turns",
+            Body::Overloaded => "overload",
             Body::PlacementReport(_) => "placement_reports",
             Body::PlacementAnswer(_) => "placement_answers",
         }
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -29,6 +29,7 @@
 use super::lengths::LengthTable;
 use super::members::{CapacityClass, Members};
 use super::no_room::NoRoom;
+use super::overload::Overload;
 use super::pace::{PaceModel, PaceSamples, RiskChange};
 use super::placement::PlacementTable;
 use super::proxies::Proxies;
@@ -38,6 +39,7 @@
 use super::replica::{Record, Replica};
 use super::suspects::Suspects;
 use super::usage::{ReportedLoad, UsageTable};
+use super::withdrawal::Withdrawal;
 use crate::ids::{EndpointKey, Incarnation};
 use crate::time::Time;
 use core::time::Duration;
@@ -160,6 +162,9 @@
     pub brittle: BrittleEndpoints,
     /// Backoffs that endpoints requested of this instance.
     pub backoffs: Backoffs,
+    /// Whether this instance is late, and which connections of callers it sheds.
+    pub overload: Overload,
+    withdrawal: Withdrawal,
     /// Whether the endpoints of each service are reached.
     pub reachability: Reachability,
     /// Peers that serve requests for this instance while it is partitioned.
@@ -221,6 +226,8 @@
             limits: RateLimits::default(),
             brittle: BrittleEndpoints::default(),
             backoffs: Backoffs::default(),
+            overload: Overload::default(),
+            withdrawal: Withdrawal::default(),
             reachability: Reachability::default(),
             proxies: Proxies::default(),
             suspects: Suspects::new(now),
@@ -314,7 +321,12 @@
 
     /// Returns whether callers can be served.
     pub fn is_ready(&self) -> bool {
-        self.servable().is_some() && !self.stopping
+        self.servable().is_some() && !self.stopping && !self.is_withdrawn()
+    }
+
+    /// Returns whether this instance is overloaded and says that it is not ready.
+    pub fn is_withdrawn(&self) -> bool {
+        self.withdrawal.is_withdrawn()
     }
 
     /// Records that all cordons in the store have been read.
--- a/crates/core/src/gateway/state/partitions.rs
+++ b/crates/core/src/gateway/state/partitions.rs
@@ -7,6 +7,7 @@
 use crate::gateway::request::service_hash;
 use crate::ids::EndpointKey;
 use crate::time::Time;
+use core::time::Duration;
 use rand::seq::{IteratorRandom, SliceRandom};
 use std::net::SocketAddrV4;
 
@@ -20,12 +21,14 @@
 }
 
 impl Gateway {
-    /// Records that a connection to an endpoint was opened; returns whether that ends a partition
-    /// from its service.
-    pub fn on_connected(&mut self, now: Time, key: EndpointKey) -> bool {
+    /// Records that a connection to an endpoint was opened in `time`; returns whether that ends a
+    /// partition from its service.
+    pub fn on_connected(&mut self, now: Time, key: EndpointKey, time: Duration) -> bool {
         let Some(endpoint) = self.endpoints.get(key) else {
             return false;
         };
+        let data_centre = &endpoint.record.data_centre;
+        self.overload.on_connect_time(now, key, data_centre, time);
         self.reachability
             .on_connected(now, &endpoint.record.service)
     }
@@ -103,7 +106,8 @@
             return Vec::new();
         };
         let service = &endpoint.record.service;
-        if !self.reachability.begin_cross_check(now, began, service) {
+        let is_evidence = self.overload.is_evidence(now, began);
+        if !is_evidence || !self.reachability.begin_cross_check(now, began, service) {
             return Vec::new();
         }
         let others = self.endpoints.usable_of(service).filter(|it| it.key != key);
--- a/crates/core/src/gateway/state/peers.rs
+++ b/crates/core/src/gateway/state/peers.rs
@@ -11,6 +11,7 @@
 use crate::gateway::rate_limits::LimitChange;
 use crate::gateway::reader::{Step, WATCHER_TIMEOUT, WATCHERS};
 use crate::gateway::revision::Revision;
+use crate::gateway::withdrawal::NOTICE_PEERS;
 use crate::ids::EndpointKey;
 use crate::time::Time;
 use core::time::Duration;
@@ -197,6 +198,7 @@
                     outcome.send.push((from, Body::RunLeaseAnswer(answer)));
                 }
             }
+            Body::Overloaded => self.withdrawal.on_notice(now, from),
             Body::RunLeaseAnswer(answer) => {
                 self.on_run_lease_answer(now, &answer);
                 outcome.decided = true;
@@ -297,6 +299,9 @@
 
     /// Does what is due at `now`; returns what changed and what to send.
     pub fn tick(&mut self, now: Time) -> TickOutcome {
+        if !self.overload.is_evidence(now, now) {
+            self.members.forgive_silence(now);
+        }
         let mut change = self.members.tick(now, &mut self.rng);
         let mut outcome = TickOutcome {
             silent: core::mem::take(&mut change.gone),
@@ -324,6 +329,7 @@
             self.placement_changes += 1;
         }
         self.outbox.tick(now);
+        self.tick_withdrawal(now, &mut outcome.send);
         // An instance that has become ready stays so when peers learn of the next version first.
         self.awaits_catalogue &=
             self.servable().is_none() && now.since(self.started) < CATALOGUE_TIMEOUT;
@@ -341,6 +347,19 @@
         outcome
     }
 
+    fn tick_withdrawal(&mut self, now: Time, send: &mut Vec<(SocketAddrV4, Body)>) {
+        let is_overloaded = self.overload.is_shedding();
+        let peers = match is_overloaded {
+            true => self.members.live().count(),
+            false => 0,
+        };
+        let own = self.cfg.address;
+        if self.withdrawal.tick(now, own, is_overloaded, peers) {
+            let told = self.members.sample(&mut self.rng, NOTICE_PEERS, &[]);
+            send.extend(told.into_iter().map(|it| (it, Body::Overloaded)));
+        }
+    }
+
     fn send_beacon(&mut self, now: Time) {
         let is_due = self
             .last_beacon
--- a/crates/gateway/src/connect.rs
+++ b/crates/gateway/src/connect.rs
@@ -9,7 +9,6 @@
 use oriolemux_core::gateway::state::Placement;
 use oriolemux_core::time::Time;
 use std::sync::Arc;
-use std::time::Instant;
 use tokio::time::sleep;
 
 /// How long a connection attempt must have taken when its request is given up to count as evidence
@@ -70,7 +69,7 @@
 pub struct ConnectGuard<'a, W: Wire> {
     cx: &'a Cx<W>,
     place: &'a Placement,
-    started: Instant,
+    began: Time,
     has_ended: bool,
 }
 
@@ -80,7 +79,7 @@
         ConnectGuard {
             cx,
             place,
-            started: Instant::now(),
+            began: cx.now(),
             has_ended: false,
         }
     }
@@ -93,8 +92,9 @@
 
 impl<W: Wire> Drop for ConnectGuard<'_, W> {
     fn drop(&mut self) {
-        if !self.has_ended && self.started.elapsed() >= ABANDONED_CONNECT {
-            self.cx.on_connect_abandoned(self.place);
+        let pending = self.cx.now().since(self.began);
+        if !self.has_ended && pending >= ABANDONED_CONNECT {
+            self.cx.on_connect_abandoned(self.place, self.began);
         }
     }
 }
--- a/crates/gateway/src/cx.rs
+++ b/crates/gateway/src/cx.rs
@@ -290,10 +290,21 @@
         }
     }
 
-    /// Records that a connection to an endpoint was opened.
-    pub fn on_connected(&self, place: &Placement) {
+    /// Returns whether a timeout that passes now says something about the endpoint or peer that was
+    /// waited for since `began`. It does not if this instance itself was late meanwhile.
+    pub fn is_evidence(&self, what: &'static str, began: Time) -> bool {
         let now = self.now();
-        if !self.state().on_connected(now, place.key) {
+        let is_evidence = self.state().overload.is_evidence(now, began);
+        if !is_evidence {
+            ByReason::IgnoredTimeouts.add(what);
+        }
+        is_evidence
+    }
+
+    /// Records that a connection to an endpoint was opened in `time`.
+    pub fn on_connected(&self, place: &Placement, time: Duration) {
+        let now = self.now();
+        if !self.state().on_connected(now, place.key, time) {
             return;
         }
         let endpoint = self.state().endpoints.get(place.key).cloned();
@@ -306,10 +317,11 @@
         self.decided.notify_waiters();
     }
 
-    /// Records that a connection attempt to an endpoint was given up or that a probe failed.
-    pub fn on_connect_abandoned(&self, place: &Placement) {
+    /// Records that a connection attempt to an endpoint that began at `began` was given up or that a
+    /// probe failed.
+    pub fn on_connect_abandoned(&self, place: &Placement, began: Time) {
         let now = self.now();
-        if self.state().on_connect_abandoned(now, place.key) {
+        if self.is_evidence("connect", began) && self.state().on_connect_abandoned(now, place.key) {
             self.log_partition(place);
         }
     }
@@ -317,7 +329,8 @@
     /// Records that a connection attempt that began at `began` hangs.
     pub fn on_connect_hanging(&self, place: &Placement, began: Time) {
         let now = self.now();
-        let is_partitioned = self.state().on_connect_hanging(now, began, place.key);
+        let is_partitioned = self.is_evidence("connect", began)
+            && self.state().on_connect_hanging(now, began, place.key);
         log_event!(
             ConnectHangs,
             endpoint = place.name.as_str(),
--- a/crates/gateway/src/front/connection.rs
+++ b/crates/gateway/src/front/connection.rs
@@ -2,6 +2,7 @@
 
 use super::handle;
 use crate::cx::{Cx, OpenKind};
+use crate::meters::ByReason;
 use crate::ports::{EngineCalls, Wire};
 use core::convert::Infallible;
 use core::pin::Pin;
@@ -31,6 +32,11 @@
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
+                if !cx.state().overload.admit_connection() {
+                    // The caller may send its request elsewhere: nothing of it was read.
+                    ByReason::Shed.add("overload");
+                    continue;
+                }
                 tasks.spawn(serve_connection(Arc::clone(&cx), engines.clone(), stream));
             }
             Err(error) => {
@@ -43,6 +49,7 @@
 
 async fn serve_connection<W: Wire, E: EngineCalls>(cx: Arc<Cx<W>>, engines: E, stream: TcpStream) {
     let Some(_open) = cx.open_connection() else {
+        ByReason::Shed.add("limit");
         log::warn!("caller connection closed: connection limit reached");
         return;
     };
@@ -67,7 +74,8 @@
             activity.begin_request();
             let mut response = response.await;
             activity.end_request();
-            if cx.stopping.is_cancelled() {
+            // A caller that connects again may reach another instance.
+            if cx.stopping.is_cancelled() || cx.state().overload.is_shedding() {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(header::CONNECTION, close);
             }
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -4,7 +4,7 @@
 use crate::awaited_head::AwaitedHead;
 use crate::connect::{ConnectGuard, until_partitioned};
 use crate::cx::Cx;
-use crate::link::{Link, LinkError, REFUSED};
+use crate::link::{Link, LinkError, PARTITIONED, REFUSED, TIMED_OUT};
 use crate::log_event;
 use crate::meters::{ByReason, millis};
 use crate::observe::{ResponseOrigin, log_held};
@@ -212,6 +212,12 @@
             why = why
         );
         let now = self.cx.now();
+        if matches!(why, TIMED_OUT | PARTITIONED) {
+            let began = now.before(self.cx.limits.connect).unwrap_or(Time::ZERO);
+            if !self.cx.is_evidence("connect", began) {
+                return;
+            }
+        }
         let outcome = match why {
             REFUSED => self.cx.state().on_refused(now, place.key),
             _ => self.cx.state().on_unreachable(now, place.key),
@@ -475,16 +481,20 @@
         send: &ForwardHead<'_>,
     ) -> Result<(Link, Response<Incoming>), LinkError> {
         let chosen = self.cx.now();
-        let limit = self.cx.limits.connect.min(self.remaining());
+        let patience = self.cx.state().overload.patience(chosen);
+        let limit = (self.cx.limits.connect + patience).min(self.remaining());
         let opening = self.cx.wire.connect(place.address);
         let connecting = ConnectGuard::new(&self.cx, place);
+        let began = Instant::now();
         let connected = tokio::select! {
+            // After a pause of this process the connection and the timers are ready together.
+            biased;
             connected = Link::connect_by(opening, place.address, limit) => connected,
             () = until_partitioned(&self.cx, place) => Err(LinkError::Partitioned),
         };
         connecting.end();
         let mut link = connected?;
-        self.cx.on_connected(place);
+        self.cx.on_connected(place, began.elapsed());
         let kind = match send.resume.and_then(|it| it.copy) {
             Some(_) => SendKind::FromCopy,
             None => SendKind::Start,
--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -43,6 +43,12 @@
 /// The label of a connection that the endpoint refused.
 pub const REFUSED: &str = "refused";
 
+/// The label of a connection that did not open in time.
+pub const TIMED_OUT: &str = "timeout";
+
+/// The label of a connection that was given up because no endpoint of the service is reached.
+pub const PARTITIONED: &str = "partitioned";
+
 impl LinkError {
     /// Returns whether no part of the request can have reached the endpoint.
     pub fn never_sent(&self) -> bool {
@@ -58,10 +64,10 @@
     /// Returns the value that log lines and counters carry.
     pub fn label(&self) -> &'static str {
         match self {
-            LinkError::ConnectTimeout(_) => "timeout",
+            LinkError::ConnectTimeout(_) => TIMED_OUT,
             LinkError::Connect(error) if error.kind() == ErrorKind::ConnectionRefused => REFUSED,
             LinkError::Connect(_) => "failed",
-            LinkError::Partitioned => "partitioned",
+            LinkError::Partitioned => PARTITIONED,
             LinkError::Withdrawn => "withdrawn",
             LinkError::Broken(_) => "broken",
         }
--- a/crates/gateway/src/meters.rs
+++ b/crates/gateway/src/meters.rs
@@ -77,6 +77,12 @@
         /// Requests that were withheld right before their first byte, because the endpoint that was
         /// chosen for them no longer takes them: `leaving`, `cordoned`, `backoff`, `unknown`, `limit`.
         Withheld = "oriolemux_gateway_sends_withheld_total";
+        /// Timeouts from which nothing was concluded, because this instance itself was late: of a
+        /// `connect`, a `call`, or a `home` that was asked for a placement.
+        IgnoredTimeouts = "oriolemux_gateway_timeouts_ignored_total";
+        /// Connections of callers that were closed before anything was read from them, because this
+        /// instance was in `overload` or at its connection `limit`.
+        Shed = "oriolemux_gateway_connections_shed_total";
         /// Requests that this instance, as a home, rejected by forecast: no room `after_deadline`, or
         /// none for a first event in time (`after_target`).
         HomeRejections = "oriolemux_gateway_home_rejections_total";
@@ -118,6 +124,12 @@
         Connections = "oriolemux_gateway_connections";
         /// Generations that are passed on.
         Running = "oriolemux_gateway_generations_running";
+        /// Seconds by which this instance itself lately delayed what it does: timers that fire late.
+        TimerDelay = "oriolemux_gateway_timer_delay";
+        /// Seconds by which the fastest of the last connections to endpoints was slower than usual.
+        ConnectDelay = "oriolemux_gateway_connect_delay";
+        /// The share of callers' new connections that is admitted; 1 unless this instance is late.
+        AdmittedShare = "oriolemux_gateway_admitted_share";
         /// Log lines that were above an event's bound, since the start.
         LinesLeftOut = "oriolemux_gateway_log_lines_left_out";
     }
@@ -221,6 +233,15 @@
             cx.open_count(OpenKind::Connection) as f64,
         ),
         (Gauge::Running, cx.open_count(OpenKind::Generation) as f64),
+        (
+            Gauge::TimerDelay,
+            state.overload.timer_delay().as_secs_f64(),
+        ),
+        (
+            Gauge::ConnectDelay,
+            state.overload.connect_delay(now).as_secs_f64(),
+        ),
+        (Gauge::AdmittedShare, state.overload.admitted_share()),
         (
             Gauge::LinesLeftOut,
             crate::event_log::lines_left_out() as f64,
--- a/crates/gateway/src/proxy/probe.rs
+++ b/crates/gateway/src/proxy/probe.rs
@@ -29,10 +29,10 @@
     let began = cx.now();
     let opening = cx.wire.connect(place.address);
     match timeout(cx.limits.connect.min(HANGING_CONNECT), opening).await {
-        Ok(Ok(_)) => cx.on_connected(place),
+        Ok(Ok(_)) => cx.on_connected(place, cx.now().since(began)),
         Ok(Err(error)) => {
             log::debug!("{} is not reached: {error}", place.name);
-            cx.on_connect_abandoned(place);
+            cx.on_connect_abandoned(place, began);
         }
         Err(_) => cx.on_connect_hanging(place, began),
     }
--- a/crates/gateway/src/status.rs
+++ b/crates/gateway/src/status.rs
@@ -25,6 +25,8 @@
     Ready,
     /// No: a stop was requested.
     Stopping,
+    /// No: more callers connect than this instance can serve, and others have room.
+    Overloaded,
 }
 
 impl Readiness {
@@ -32,6 +34,7 @@
     pub const fn as_str(self) -> &'static str {
         match self {
             Readiness::Starting => "starting",
+            Readiness::Overloaded => "overloaded",
             Readiness::Ready => "ready",
             Readiness::Stopping => "stopping",
         }
@@ -287,6 +290,8 @@
         Readiness::Stopping
     } else if state.is_ready() {
         Readiness::Ready
+    } else if state.is_withdrawn() {
+        Readiness::Overloaded
     } else {
         Readiness::Starting
     }
--- a/crates/oriolemux/src/operators/routes.rs
+++ b/crates/oriolemux/src/operators/routes.rs
@@ -85,7 +85,9 @@
     let readiness = port.readiness();
     let status = match readiness {
         Readiness::Ready => StatusCode::OK,
-        Readiness::Starting | Readiness::Stopping => StatusCode::SERVICE_UNAVAILABLE,
+        Readiness::Starting | Readiness::Stopping | Readiness::Overloaded => {
+            StatusCode::SERVICE_UNAVAILABLE
+        }
     };
     Response::builder()
         .status(status)
--- a/crates/oriolemux/tests/gateway_support/paused.rs
+++ b/crates/oriolemux/tests/gateway_support/paused.rs
@@ -3,9 +3,14 @@
 use super::process::{Process, Reader, Settings};
 use core::time::Duration;
 use http::StatusCode;
-use nix::sys::signal::Signal;
+use nix::sys::signal::{Signal, kill};
 use oriolemux_platform_standin::{Caller, Deployment, Service, readiness, until};
 use rstest::rstest;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 use tokio::time::sleep;
 
 /// How long an endpoint runs a request.
@@ -108,3 +113,85 @@
         until(|| async { one.call("none").await == StatusCode::SERVICE_UNAVAILABLE }).await;
     }
 }
+
+/// How long a slowed process is stopped and continued in turn: it gets a tenth of the time.
+const STOPPED: Duration = Duration::from_millis(90);
+const CONTINUED: Duration = Duration::from_millis(10);
+
+/// Stops and continues a process in turn until it is dropped.
+struct Slowed {
+    ends: Arc<AtomicBool>,
+    thread: Option<std::thread::JoinHandle<()>>,
+}
+
+impl Slowed {
+    fn begin(process: &Process) -> Slowed {
+        let ends = Arc::new(AtomicBool::new(false));
+        let (pid, until) = (process.pid(), Arc::clone(&ends));
+        let thread = std::thread::spawn(move || {
+            while !until.load(Ordering::Relaxed) {
+                kill(pid, Signal::SIGSTOP).expect("the process is there");
+                std::thread::sleep(STOPPED);
+                kill(pid, Signal::SIGCONT).expect("the process is there");
+                std::thread::sleep(CONTINUED);
+            }
+        });
+        Slowed {
+            ends,
+            thread: Some(thread),
+        }
+    }
+}
+
+impl Drop for Slowed {
+    fn drop(&mut self) {
+        self.ends.store(true, Ordering::Relaxed);
+        if let Some(thread) = self.thread.take() {
+            thread.join().expect("no panic");
+        }
+    }
+}
+
+/// Sends a call over a connection of its own; returns the head and body, empty if the connection was
+/// closed without a response.
+async fn raw_call(front: SocketAddr) -> String {
+    let mut stream = TcpStream::connect(front).await.expect("a connection");
+    let call = "GET /read/1 HTTP/1.1\r\nhost: desk.example\r\nauthorization: Bearer key-1\r\n\
+                x-attempt-id: a1\r\nx-deadline-ms: 15000\r\nconnection: close\r\n\r\n";
+    let mut response = String::new();
+    if stream.write_all(call.as_bytes()).await.is_ok() {
+        // A connection that is closed unread is reset.
+        let _ = stream.read_to_string(&mut response).await;
+    }
+    response
+}
+
+/// Guards against an instance that is late and reads more than it serves, and that takes its own
+/// delay for the failure of endpoints.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_slowed_instance_sheds_connections_unread_and_blames_nobody() {
+    let one = OneInstance::start().await;
+    let _services = (one.add_endpoint("s-1").await, one.add_endpoint("s-2").await);
+    let lines = |event| one.process.lines_of(event).len();
+
+    let slowed = Slowed::begin(&one.process);
+    until(|| async { lines("overload_begins") > 0 }).await;
+    until(|| async {
+        let response = raw_call(one.process.front).await;
+        assert!(
+            response.is_empty() || response.starts_with("HTTP/1.1 200"),
+            "{response}"
+        );
+        response.is_empty()
+    })
+    .await;
+    drop(slowed);
+    until(|| async { lines("overload_ends") > 0 }).await;
+
+    for _ in 0..CALLS {
+        let response = raw_call(one.process.front).await;
+        assert!(response.starts_with("HTTP/1.1 200"), "{response}");
+    }
+    assert_eq!(lines("endpoint_passed_over"), 0);
+    assert_eq!(lines("service_partitioned"), 0);
+}
--- a/crates/oriolemux/tests/gateway_support/process.rs
+++ b/crates/oriolemux/tests/gateway_support/process.rs
@@ -126,10 +126,14 @@
         std::fs::write(&self.file, text).expect("settings written");
     }
 
+    /// Returns its process id.
+    pub fn pid(&self) -> Pid {
+        Pid::from_raw(i32::try_from(self.child.id()).expect("a pid"))
+    }
+
     /// Sends a signal.
     pub fn signal(&self, signal: Signal) {
-        let pid = i32::try_from(self.child.id()).expect("a pid");
-        kill(Pid::from_raw(pid), signal).expect("the process is there");
+        kill(self.pid(), signal).expect("the process is there");
     }
 
     /// Runs a command of the binary against this process, and returns its output.
