A late instance concludes nothing from calls, homes and peers

Cause: a timeout is evidence only if whoever waits is in time.

Open: silence of engines, the store, offers to peers and run leases.

--- a/crates/core/src/gateway/members/probes.rs
+++ b/crates/core/src/gateway/members/probes.rs
@@ -123,8 +123,7 @@
     pub fn tick(&mut self, now: Time, rng: &mut SmallRng) -> Change {
         let mut change = Change::default();
         if now.since(self.probes.last_tick) >= OWN_PAUSE {
-            self.probes.open.clear();
-            self.restart_suspicions(now);
+            self.forgive_silence(now);
         }
         self.probes.last_tick = now;
         self.check_probes(now, rng, &mut change);
@@ -142,6 +141,13 @@
         change
     }
 
+    /// Draws no conclusion from probes that are unanswered so far, because this instance itself was
+    /// late; suspected instances get their full time to refute.
+    pub fn forgive_silence(&mut self, now: Time) {
+        self.probes.open.clear();
+        self.restart_suspicions(now);
+    }
+
     fn restart_suspicions(&mut self, now: Time) {
         for it in self.others.values_mut() {
             if it.update.is_some_and(|it| it.status == Status::Suspect) {
--- a/crates/core/src/gateway/placement.rs
+++ b/crates/core/src/gateway/placement.rs
@@ -123,15 +123,23 @@
 
     /// Returns the state of a placement request.
     pub fn status(&self, now: Time, id: u64) -> PlacementStatus {
+        self.status_within(now, id, Duration::ZERO)
+    }
+
+    /// Returns the state of a placement request; `patience` is how much longer than usual its home
+    /// may take.
+    pub fn status_within(&self, now: Time, id: u64, patience: Duration) -> PlacementStatus {
         let Some(open) = self.open.get(&id) else {
             return PlacementStatus::TimedOut;
         };
         match open.decided {
-            Some((at, PlacementDecision::Queued(_))) if now.since(at) >= QUEUED_TIMEOUT => {
+            Some((at, PlacementDecision::Queued(_)))
+                if now.since(at) >= QUEUED_TIMEOUT + patience =>
+            {
                 PlacementStatus::TimedOut
             }
             Some((_, decision)) => PlacementStatus::Decided(decision),
-            None if now.since(open.since) >= HOME_TIMEOUT => PlacementStatus::TimedOut,
+            None if now.since(open.since) >= HOME_TIMEOUT + patience => PlacementStatus::TimedOut,
             None => PlacementStatus::Pending,
         }
     }
--- a/crates/core/src/gateway/state/places.rs
+++ b/crates/core/src/gateway/state/places.rs
@@ -13,7 +13,7 @@
 use crate::gateway::members::{CapacityClass, MemberUpdate};
 use crate::gateway::pace::{self, PaceModel, RiskChange};
 use crate::gateway::placement::{
-    PlacementStatus, QUEUED_REPORT_INTERVAL, UNANSWERED_REPORT_INTERVAL,
+    HOME_TIMEOUT, PlacementStatus, QUEUED_REPORT_INTERVAL, UNANSWERED_REPORT_INTERVAL,
 };
 use crate::gateway::request::{
     CopyKind, Demand, PlacementError, PlacementKind, PlacementRequest, QueuedRequest, service_hash,
@@ -449,13 +449,18 @@
 
     /// Returns the state of a placement request.
     pub fn verdict(&self, now: Time, id: u64) -> PlacementStatus {
-        self.placements.status(now, id)
+        let patience = self.overload.patience(now);
+        self.placements.status_within(now, id, patience)
     }
 
     /// Records that the home of `service` did not answer a placement request: the next in rank is
     /// asked.
+    ///
+    /// A home is not skipped if this instance itself was late meanwhile.
     pub fn on_home_timeout(&mut self, now: Time, service: u64, id: u64) {
-        if let Some(home) = self.acting_home(now, service) {
+        let asked_at = now.before(HOME_TIMEOUT).unwrap_or(Time::ZERO);
+        let is_evidence = self.overload.is_evidence(now, asked_at);
+        if let Some(home) = self.acting_home(now, service).filter(|_| is_evidence) {
             self.placements.mark_unresponsive(now, home);
         }
         self.retry_placement(now, id);
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -19,6 +19,7 @@
 use oriolemux_core::gateway::budget::RetryKind;
 use oriolemux_core::gateway::request::PlacementError;
 use oriolemux_core::gateway::state::Placement;
+use oriolemux_core::time::Time;
 use std::time::Instant;
 
 /// The largest response of a plain service that is buffered.
@@ -135,6 +136,8 @@
     async fn attempt(&self, place: &Placement) -> AttemptOutcome {
         let limit = self.attempt_timeout();
         tokio::select! {
+            // After a pause of this process the response and the timer are ready together.
+            biased;
             attempt = self.exchange(place) => attempt,
             () = tokio::time::sleep(limit) => AttemptOutcome::Timeout,
             () = self.job.wait_until_refused() => AttemptOutcome::Refused,
@@ -145,7 +148,9 @@
     fn attempt_timeout(&self) -> Duration {
         let remaining = self.job.remaining();
         let entry = self.job.entry();
-        if self.attempts.next_is_last(entry) {
+        // While this instance is late, the next endpoint would respond as late as this one.
+        let is_late = self.job.cx.state().overload.is_shedding();
+        if is_late || self.attempts.next_is_last(entry) {
             return remaining;
         }
         entry
@@ -259,8 +264,12 @@
                     .on_connection_broken(place, *response_started)
                     .await;
             }
-            AttemptOutcome::WrongAttempt | AttemptOutcome::Timeout => {
-                self.job.record_failure(place)
+            AttemptOutcome::WrongAttempt => self.job.record_failure(place),
+            AttemptOutcome::Timeout => {
+                let began = self.job.cx.now().before(self.attempt_timeout());
+                if self.job.cx.is_evidence("call", began.unwrap_or(Time::ZERO)) {
+                    self.job.record_failure(place);
+                }
             }
         }
         match attempt {
--- a/crates/gateway/src/relay/begin.rs
+++ b/crates/gateway/src/relay/begin.rs
@@ -90,6 +90,8 @@
                 next_check = next_check.map(|_| Instant::now());
             }
             tokio::select! {
+                // After a pause of this process the response and the timers are ready together.
+                biased;
                 sent = &mut sent => return SendOutcome::Sent(sent),
                 () = tokio::time::sleep_until(self.job.deadline.into()) => return SendOutcome::Timeout,
                 () = self.job.wait_until_refused() => return SendOutcome::Refused,
