All responses that are read to their end share one bound of memory

Together they are bounded to 32 MB; beyond it, responses of 512 KB or more are given up, as if they had broken off. Ordinary ones are not affected. Open: responses that a peer passes on are bounded by that peer only.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -5,6 +5,7 @@
 //! receives a partial response.
 
 use crate::attempts::Attempts;
+use crate::buffered;
 use crate::job::{Job, Origin};
 use crate::link::LinkError;
 use crate::log_event;
@@ -15,16 +16,12 @@
 use crate::response::{Reason, ResponseBody};
 use core::time::Duration;
 use http::Response;
-use http_body_util::{BodyExt, Limited};
 use oriolemux_core::gateway::budget::RetryKind;
 use oriolemux_core::gateway::request::PlacementError;
 use oriolemux_core::gateway::state::Placement;
 use oriolemux_core::time::Time;
 use std::time::Instant;
 
-/// The largest response of a plain service that is buffered.
-const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
-
 /// How many times the entry's target the first attempt of an idempotent call may take. A hanging
 /// endpoint is abandoned while there is time for another one.
 const FIRST_ATTEMPT_TARGET_FACTOR: f64 = 3.0;
@@ -194,11 +191,11 @@
         if head.not_run {
             return AttemptOutcome::NotRun;
         }
-        match Limited::new(body, MAX_RESPONSE_BYTES).collect().await {
+        match buffered::collect(&job.cx, body).await {
             Ok(body) => AttemptOutcome::Response(BufferedResponse {
                 status: parts.status,
                 headers: parts.headers,
-                body: body.to_bytes(),
+                body,
             }),
             Err(error) => {
                 log::debug!("response of {} broke off: {error}", place.name);
--- a/crates/gateway/src/cx.rs
+++ b/crates/gateway/src/cx.rs
@@ -84,6 +84,8 @@
     state: Mutex<Gateway>,
     sent: Mutex<BTreeMap<&'static str, SentTotals>>,
     open: [AtomicUsize; OPEN_KINDS],
+    /// Bytes of responses that are being read to their end.
+    buffered: AtomicUsize,
     stop: OnceLock<StopPlan>,
 }
 
@@ -145,6 +147,7 @@
             state: Mutex::new(state),
             sent: Mutex::default(),
             open: [const { AtomicUsize::new(0) }; OPEN_KINDS],
+            buffered: AtomicUsize::new(0),
             stop: OnceLock::new(),
         })
     }
@@ -391,6 +394,18 @@
     }
 }
 
+impl<W> Cx<W> {
+    /// Counts more bytes as buffered; returns all that are.
+    pub(crate) fn add_buffered(&self, bytes: usize) -> usize {
+        self.buffered.fetch_add(bytes, Ordering::Relaxed) + bytes
+    }
+
+    /// Counts bytes as no longer buffered.
+    pub(crate) fn remove_buffered(&self, bytes: usize) {
+        self.buffered.fetch_sub(bytes, Ordering::Relaxed);
+    }
+}
+
 /// Counts something as open until dropped.
 pub struct OpenGuard<W> {
     cx: Arc<Cx<W>>,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -6,7 +6,7 @@
 //! endpoints, peers and a store.
 //!
 //! - [`front`] accepts callers' requests and matches them against the catalogue in force.
-//! - [`call`] forwards a call and returns the buffered response.
+//! - [`call`] forwards a call and returns the buffered response; [`buffered`] bounds what is read.
 //! - [`stream`] finds a place for a generation and queues it while no engine has room.
 //! - [`placement`] waits for the decision of the home of the generation's service.
 //! - [`relay`] forwards the events of a generation, and relocates it when its engine leaves.
@@ -29,6 +29,7 @@
 
 pub mod attempts;
 pub mod awaited_head;
+pub mod buffered;
 pub mod call;
 pub mod catch_up;
 pub mod connect;
