The tests of homes under overload are back; what an instance measures is named own delay

The time at which a call's attempt began is kept, so that a pause during the last attempt is considered too.

--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -31,7 +31,7 @@
 //! | [`relocation`] | when a generation leaves its engine, and which events its caller gets |
 //! | [`reachability`] | whether this instance reaches the endpoints of a service |
 //! | [`proxies`] | the peers through which a partitioned instance serves its callers |
-//! | [`overload`] | whether this instance itself is late, and which new connections it sheds |
+//! | [`own_delay`] | whether this instance itself is late, and which new connections it sheds |
 //! | [`budget`] | how many retries this instance may spend |
 //! | [`suspects`] | requests that crash the endpoints that run them |
 //! | [`members`] | which instances exist |
@@ -64,7 +64,7 @@
 pub mod lengths;
 pub mod members;
 pub mod no_room;
-pub mod overload;
+pub mod own_delay;
 pub mod pace;
 pub mod placement;
 pub mod proxies;
--- a/crates/core/src/gateway/overload.rs
+++ b/crates/core/src/gateway/own_delay.rs
@@ -18,7 +18,7 @@
 use core::time::Duration;
 use std::collections::{BTreeMap, VecDeque};
 
-/// The interval at which the timer of [`Overload::on_timer`] is due.
+/// The interval at which the timer of [`OwnDelay::on_timer`] is due.
 pub const TIMER_INTERVAL: Duration = Duration::from_millis(50);
 
 /// The window of which the least delay counts.
@@ -59,7 +59,7 @@
 
 /// What changed with an observation.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum OverloadChange {
+pub enum SheddingChange {
     /// This instance begins to shed connections.
     Begins,
     /// It admits all connections again.
@@ -113,7 +113,7 @@
 
 /// The delays that this instance causes itself, and the connections that it sheds.
 #[derive(Clone, Debug)]
-pub struct Overload {
+pub struct OwnDelay {
     /// How late the last timers fired.
     timers: VecDeque<(Time, Duration)>,
     /// The last connections to endpoints.
@@ -130,9 +130,9 @@
     high: Option<(Time, Duration)>,
 }
 
-impl Default for Overload {
+impl Default for OwnDelay {
     fn default() -> Self {
-        Overload {
+        OwnDelay {
             timers: VecDeque::new(),
             connects: VecDeque::new(),
             baselines: BTreeMap::new(),
@@ -144,16 +144,16 @@
     }
 }
 
-impl Overload {
+impl OwnDelay {
     /// Records that the periodic timer fired, and adjusts the admitted share. Returns whether this
     /// instance begins or ends to shed connections.
-    pub fn on_timer(&mut self, now: Time) -> Option<OverloadChange> {
+    pub fn on_timer(&mut self, now: Time) -> Option<SheddingChange> {
         let due = self.due.replace(now + TIMER_INTERVAL);
         let late = due.map_or(Duration::ZERO, |it| now.since(it));
         self.timers.push_back((now, late));
         self.drop_old(now);
         let was_shedding = self.is_shedding();
-        let own_delay = self.own_delay(now);
+        let own_delay = self.current(now);
         if own_delay >= SHED_FROM {
             self.high = Some((now, own_delay));
             let intervals = 1.0 + late.div_duration_f64(TIMER_INTERVAL).min(MAX_INTERVALS);
@@ -162,8 +162,8 @@
             self.share = (self.share + INCREASE).min(1.0);
         }
         match (was_shedding, self.is_shedding()) {
-            (false, true) => Some(OverloadChange::Begins),
-            (true, false) => Some(OverloadChange::Ends),
+            (false, true) => Some(SheddingChange::Begins),
+            (true, false) => Some(SheddingChange::Ends),
             _ => None,
         }
     }
@@ -208,7 +208,7 @@
     }
 
     /// Returns by how much this instance itself has lately delayed what it does.
-    pub fn own_delay(&self, now: Time) -> Duration {
+    pub fn current(&self, now: Time) -> Duration {
         self.timer_delay().max(self.connect_delay(now))
     }
 
@@ -263,7 +263,7 @@
     pub fn patience(&self, now: Time) -> Duration {
         let high = self.high.filter(|(at, _)| now.since(*at) < EVIDENCE_MARGIN);
         let lately = high.map_or(Duration::ZERO, |(_, delay)| delay);
-        self.own_delay(now).max(lately) * 2
+        self.current(now).max(lately) * 2
     }
 
     /// Returns whether a timeout of something that began at `began` and passes now says something
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -29,7 +29,7 @@
 use super::lengths::LengthTable;
 use super::members::{CapacityClass, Members};
 use super::no_room::NoRoom;
-use super::overload::Overload;
+use super::own_delay::OwnDelay;
 use super::pace::{PaceModel, PaceSamples, RiskChange};
 use super::placement::PlacementTable;
 use super::proxies::Proxies;
@@ -163,7 +163,7 @@
     /// Backoffs that endpoints requested of this instance.
     pub backoffs: Backoffs,
     /// Whether this instance is late, and which connections of callers it sheds.
-    pub overload: Overload,
+    pub own_delay: OwnDelay,
     withdrawal: Withdrawal,
     /// Whether the endpoints of each service are reached.
     pub reachability: Reachability,
@@ -226,7 +226,7 @@
             limits: RateLimits::default(),
             brittle: BrittleEndpoints::default(),
             backoffs: Backoffs::default(),
-            overload: Overload::default(),
+            own_delay: OwnDelay::default(),
             withdrawal: Withdrawal::default(),
             reachability: Reachability::default(),
             proxies: Proxies::default(),
--- a/crates/core/src/gateway/state/partitions.rs
+++ b/crates/core/src/gateway/state/partitions.rs
@@ -28,7 +28,7 @@
             return false;
         };
         let data_centre = &endpoint.record.data_centre;
-        self.overload.on_connect_time(now, key, data_centre, time);
+        self.own_delay.on_connect_time(now, key, data_centre, time);
         self.reachability
             .on_connected(now, &endpoint.record.service)
     }
@@ -106,7 +106,7 @@
             return Vec::new();
         };
         let service = &endpoint.record.service;
-        let is_evidence = self.overload.is_evidence(now, began);
+        let is_evidence = self.own_delay.is_evidence(now, began);
         if !is_evidence || !self.reachability.begin_cross_check(now, began, service) {
             return Vec::new();
         }
--- a/crates/core/src/gateway/state/peers.rs
+++ b/crates/core/src/gateway/state/peers.rs
@@ -299,7 +299,7 @@
 
     /// Does what is due at `now`; returns what changed and what to send.
     pub fn tick(&mut self, now: Time) -> TickOutcome {
-        if !self.overload.is_evidence(now, now) {
+        if !self.own_delay.is_evidence(now, now) {
             self.members.forgive_silence(now);
         }
         let mut change = self.members.tick(now, &mut self.rng);
@@ -348,7 +348,7 @@
     }
 
     fn tick_withdrawal(&mut self, now: Time, send: &mut Vec<(SocketAddrV4, Body)>) {
-        let is_overloaded = self.overload.is_shedding();
+        let is_overloaded = self.own_delay.is_shedding();
         let peers = match is_overloaded {
             true => self.members.live().count(),
             false => 0,
--- a/crates/core/src/gateway/state/places.rs
+++ b/crates/core/src/gateway/state/places.rs
@@ -449,7 +449,7 @@
 
     /// Returns the state of a placement request.
     pub fn verdict(&self, now: Time, id: u64) -> PlacementStatus {
-        let patience = self.overload.patience(now);
+        let patience = self.own_delay.patience(now);
         self.placements.status_within(now, id, patience)
     }
 
@@ -459,7 +459,7 @@
     /// A home is not skipped if this instance itself was late meanwhile.
     pub fn on_home_timeout(&mut self, now: Time, service: u64, id: u64) {
         let asked_at = now.before(HOME_TIMEOUT).unwrap_or(Time::ZERO);
-        let is_evidence = self.overload.is_evidence(now, asked_at);
+        let is_evidence = self.own_delay.is_evidence(now, asked_at);
         if let Some(home) = self.acting_home(now, service).filter(|_| is_evidence) {
             self.placements.mark_unresponsive(now, home);
         }
--- a/crates/core/tests/gateway_overload.rs
+++ b/crates/core/tests/gateway_overload.rs
@@ -1,293 +1,351 @@
-//! An instance that gets more work than it can do: what it sheds, and what it concludes meanwhile.
+//! What a home decides while more is requested than its engines can hold.
+//!
+//! The load is arithmetic: requests arrive at instances, instances report to a home every 10 ms,
+//! and a granted request keeps its KV cache until its prefill and output are done.
 
-#[path = "fixtures/gateway_fleet.rs"]
-mod fleet;
-#[path = "fixtures/gateway.rs"]
-mod instances;
+#[path = "fixtures/overload.rs"]
+mod overload;
 
 use core::time::Duration;
-use fleet::Fleet;
-use oriolemux_core::gateway::overload::{Overload, OverloadChange, TIMER_INTERVAL};
+use oriolemux_core::gateway::forecast::Forecast;
+use oriolemux_core::gateway::home::Home;
+use oriolemux_core::gateway::placement::{PlacementStatus, PlacementTable};
+use oriolemux_core::gateway::request::{
+    PlacementDecision, PlacementKind, PlacementRequest, QueuedRequest,
+};
+use oriolemux_core::gateway::shares::WorkspaceGrants;
 use oriolemux_core::{EndpointKey, Time};
+use overload::{Kind, Play};
 use rstest::rstest;
 
-const START: Time = Time::from_secs(10);
+/// A period after which engines are as full as the load makes them.
+const WARM_UP: Duration = Duration::from_secs(6);
+
+const SHORT: Kind = Kind {
+    workspace: 1,
+    priority: 1,
+    tokens: 1_200,
+    output: 40,
+    target: Duration::from_millis(1_800),
+};
+
+const LONG: Kind = Kind {
+    workspace: 1,
+    priority: 1,
+    tokens: 3_600,
+    output: 400,
+    target: Duration::from_millis(1_800),
+};
+
+/// An answer that needs as much memory as a long generation, for a shorter time.
+const BRIEF: Kind = Kind {
+    tokens: 3_600,
+    output: 40,
+    ..SHORT
+};
+
+const URGENT: Kind = Kind {
+    priority: 0,
+    target: Duration::from_millis(900),
+    ..SHORT
+};
+
+/// Guards against overload that hits all callers: long generations at 2.5 times the rate that the
+/// engines bear made short answers late, although these need little of the capacity.
+#[test]
+fn short_answers_are_in_time_while_long_generations_overload_the_engines() {
+    let mut play = Play::new(12);
+
+    // The engines bear some 13 long generations per second.
+    play.warm_up(WARM_UP, &[(LONG, 12.0)]);
+    play.run(Duration::from_secs(8), &[(BRIEF, 20.0), (LONG, 35.0)]);
+
+    let (brief, long) = (play.outcome(BRIEF), play.outcome(LONG));
+    assert!(brief.in_time_share() > 0.95, "{brief:?}, {long:?}");
+    assert!(long.in_time_share() > 0.20, "{brief:?}, {long:?}");
+}
 
-const LOCAL: &str = "north";
-const REMOTE: &str = "south";
+/// Guards against urgent requests that are refused after their whole target, because less urgent
+/// long generations hold all memory for seconds.
+#[test]
+fn urgent_requests_are_in_time_under_overload() {
+    let urgent = Kind {
+        tokens: 2_400,
+        ..URGENT
+    };
+    let mut play = Play::new(12);
 
-/// The time of a connection within the data centre, and of one to another.
-const LOCAL_CONNECT: Duration = Duration::from_millis(3);
-const REMOTE_CONNECT: Duration = Duration::from_millis(90);
+    play.warm_up(WARM_UP, &[(urgent, 16.0), (LONG, 35.0)]);
+    play.run(Duration::from_secs(20), &[(urgent, 16.0), (LONG, 35.0)]);
 
-fn endpoint(number: usize) -> EndpointKey {
-    EndpointKey::of(&format!("i-{number}"))
+    let (urgent, long) = (play.outcome(urgent), play.outcome(LONG));
+    assert!(urgent.in_time_share() > 0.97, "{urgent:?}, {long:?}");
+    // By priority alone, they wait for up to 0.5 s until a generation ends.
+    let waited = urgent.longest_wait;
+    assert!(waited < Duration::from_millis(100), "{urgent:?}, {long:?}");
+    assert!(long.in_time_share() > 0.25, "{urgent:?}, {long:?}");
 }
 
-/// Fires the timer in time until `ends`; returns the changes with their times.
-fn run_timers(
-    overload: &mut Overload,
-    starts: Time,
-    ends: Time,
-    mut each: impl FnMut(&mut Overload, Time),
-) -> Vec<(Time, OverloadChange)> {
-    let mut changes = Vec::new();
-    let mut now = starts;
-    while now < ends {
-        each(overload, now);
-        changes.extend(overload.on_timer(now).map(|it| (now, it)));
-        now += TIMER_INTERVAL;
+/// Guards against refusals and delays while there is room: without overload, each request is
+/// placed at the first decision.
+#[test]
+fn nothing_waits_while_there_is_room() {
+    let mut play = Play::new(12);
+
+    play.run(Duration::from_secs(4), &[(SHORT, 8.0), (LONG, 5.0)]);
+
+    for kind in [SHORT, LONG] {
+        let outcome = play.outcome(kind);
+        assert_eq!(outcome.in_time, outcome.arrived, "{outcome:?}");
+        assert_eq!(outcome.longest_wait, Duration::ZERO, "{outcome:?}");
     }
-    changes
 }
 
-/// Returns an instance that has run in time until [`START`] and knows how long connections take.
-fn settled() -> Overload {
-    let mut overload = Overload::default();
-    let begin = Time::from_secs(5);
-    let changes = run_timers(&mut overload, begin, START, |overload, now| {
-        for number in 0..2 {
-            overload.on_connect_time(now, endpoint(number), LOCAL, LOCAL_CONNECT);
-            overload.on_connect_time(now, endpoint(number + 2), REMOTE, REMOTE_CONNECT);
-        }
-    });
-    assert_eq!(changes, []);
-    overload
+/// Returns long generations of a workspace.
+fn of_workspace(workspace: u32) -> Kind {
+    Kind { workspace, ..LONG }
 }
 
-fn admitted(overload: &mut Overload, connections: usize) -> usize {
-    (0..connections)
-        .filter(|_| overload.admit_connection())
-        .count()
+/// Plays two usual workspaces at two thirds of their share each, beside a third one at a rate, and
+/// returns the served shares of the usual ones. The home is lost after `home_lost_after`.
+fn served_beside(rate: f64, home_lost_after: Option<Duration>) -> [f64; 2] {
+    let mut play = Play::new(12);
+    let load = [2, 3].map(|it| (of_workspace(it), 3.0));
+    let load = [&load[..], &[(of_workspace(9), rate)]].concat();
+    let total = Duration::from_secs(60);
+    let before = home_lost_after.unwrap_or(total);
+    play.warm_up(WARM_UP, &load);
+    play.run_through(before, &load);
+    if home_lost_after.is_some() {
+        play.home = Default::default();
+    }
+    play.run(total - before, &load);
+    [2, 3].map(|it| play.outcome(of_workspace(it)).in_time_share())
 }
 
-/// Guards against endpoints, homes and peers that are taken for failed because this process did not
-/// run.
+/// Guards against a workspace that takes the capacity of all others: it sends ten times its share,
+/// and its newest requests would precede theirs.
 #[rstest]
-#[case::short(Duration::from_millis(400))]
-#[case::of_a_second(Duration::from_secs(1))]
-#[case::long(Duration::from_secs(3))]
-fn a_timeout_that_passes_during_a_pause_is_no_evidence(#[case] pause: Duration) {
-    let mut overload = settled();
-    let began = START;
-    let wakes = START + pause;
-
-    assert!(!overload.is_evidence(wakes, began), "before the timer");
-    assert_eq!(
-        overload.on_timer(wakes),
-        None,
-        "one late timer sheds nothing"
+#[case::one_home(None)]
+#[case::the_home_is_lost(Some(Duration::from_secs(8)))]
+fn a_workspace_that_sends_ten_times_its_share_delays_only_itself(
+    #[case] home_lost_after: Option<Duration>,
+) {
+    let usual = served_beside(3.0, home_lost_after);
+
+    let beside_flood = served_beside(44.0, home_lost_after);
+
+    for (usual, beside_flood) in usual.into_iter().zip(beside_flood) {
+        assert!(
+            beside_flood > usual - 0.05,
+            "{usual} fell to {beside_flood}"
+        );
+    }
+}
+
+/// Guards against idle engines: a share that a workspace does not use was kept for it.
+#[test]
+fn unused_shares_go_to_others() {
+    let served = |load: &[_]| {
+        let mut play = Play::new(12);
+        play.warm_up(WARM_UP, load);
+        play.run(Duration::from_secs(16), load);
+        let outcomes = load.iter().map(|(kind, _)| play.outcome(*kind).in_time);
+        outcomes.sum::<u32>()
+    };
+
+    let alone = served(&[(of_workspace(9), 40.0)]);
+    let beside_idle = served(&[(of_workspace(9), 39.0), (of_workspace(2), 1.0)]);
+
+    assert!(
+        f64::from(beside_idle) > 0.95 * f64::from(alone),
+        "{beside_idle} of {alone}"
     );
-    assert!(!overload.is_evidence(wakes, began), "after the timer");
+}
 
-    let later = wakes + Duration::from_secs(1);
-    run_timers(&mut overload, wakes + TIMER_INTERVAL, later, |_, _| {});
-    assert!(overload.is_evidence(later, wakes + TIMER_INTERVAL));
+/// Plays a burst of 6 s at 2.5 times the rate that the engines bear, whose callers return once, and
+/// returns what became of it.
+fn burst(rejects_by_forecast: bool) -> overload::Outcome {
+    let mut play = Play::new(12);
+    play.callers_return = true;
+    play.home.rejects_by_forecast = rejects_by_forecast;
+    play.warm_up(WARM_UP, &[(LONG, 10.0)]);
+    play.run_through(Duration::from_secs(6), &[(LONG, 33.0)]);
+    play.run(Duration::from_secs(10), &[(LONG, 8.0)]);
+    play.outcome(LONG)
 }
 
-/// Guards against real failures that are never noticed.
+/// Guards against rejections that leave engines idle, so that fewer callers are served in time than
+/// by waiting, and against requests that wait for their whole target although none can be served.
 #[test]
-fn a_timeout_of_a_process_that_runs_in_time_is_evidence() {
-    let mut overload = settled();
-    let ends = START + Duration::from_millis(250);
+fn rejection_by_forecast_serves_as_many_callers_as_waiting() {
+    let (waiting, rejecting) = (burst(false), burst(true));
 
-    run_timers(&mut overload, START, ends, |_, _| {});
+    let served = |it: &overload::Outcome| f64::from(it.in_time + it.returned_in_time);
+    assert!(
+        served(&rejecting) > 0.95 * served(&waiting),
+        "{waiting:?}, {rejecting:?}"
+    );
+    assert_eq!(waiting.rejected, 0, "{waiting:?}");
+    assert!(
+        rejecting.rejected > 0 && rejecting.expired == 0,
+        "{rejecting:?}"
+    );
+}
 
-    assert!(overload.is_evidence(ends, START));
+/// Returns a home whose engines are full, with a setting, after this time of steady overload.
+fn overloaded(time: Duration, rejects_by_forecast: bool) -> Play {
+    let mut play = Play::new(12);
+    play.home.rejects_by_forecast = rejects_by_forecast;
+    play.warm_up(time, &[(LONG, 60.0)]);
+    play
 }
 
-/// Guards against callers that are turned away because some endpoints, or only one, answer late.
+/// Guards against rejections by a home that does not know the rate at which room becomes available:
+/// it was just started, or took over from one that died with promised places outstanding.
 #[rstest]
-#[case::one_slow_endpoint(&[(0, 200), (0, 200), (0, 200), (0, 200)])]
-#[case::one_fast_endpoint(&[(0, 200), (1, 3), (0, 200), (0, 200)])]
-#[case::few_connections(&[(0, 200), (1, 200)])]
-fn slow_endpoints_are_no_overload(#[case] connects: &[(usize, u64)]) {
-    let mut overload = settled();
-    let ends = START + Duration::from_secs(2);
-
-    let changes = run_timers(&mut overload, START, ends, |overload, now| {
-        if now.since(START).as_millis() % 500 != 0 {
-            return;
-        }
-        for &(number, millis) in connects {
-            let time = Duration::from_millis(millis);
-            overload.on_connect_time(now, endpoint(number), LOCAL, time);
-        }
-    });
-
-    assert_eq!(changes, []);
+#[case::of_a_new_home(900, 0)]
+#[case::of_a_home_that_took_over(900, 1)]
+#[case::after_observation(1_600, 6_000)]
+fn nothing_is_rejected_before_the_rate_is_known(#[case] observed_ms: u64, #[case] before_ms: u64) {
+    let mut play = overloaded(Duration::from_millis(before_ms.max(6_000)), true);
+    if before_ms < 6_000 {
+        play.home = Default::default();
+        play.home.rejects_by_forecast = true;
+    }
+
+    play.run_through(Duration::from_millis(observed_ms), &[(LONG, 60.0)]);
+
+    let rejected = play.outcome(LONG).rejected;
+    assert_eq!(rejected > 0, before_ms >= 6_000, "{rejected}");
+    assert_eq!(play.home.forecast().promised() > 0, before_ms >= 6_000);
 }
 
-/// Guards against an instance that sheds connections because all its requests go to a data centre
-/// that is farther away.
+/// Guards against rejections while an engine has room that is only kept for urgent requests or held
+/// for a large one; the play asserts this for each rejection.
 #[test]
-fn a_longer_path_is_no_overload() {
-    let mut overload = settled();
-    let ends = START + Duration::from_secs(2);
+fn nothing_is_rejected_while_an_engine_has_room() {
+    let mut play = Play::new(3);
+    play.home.rejects_by_forecast = true;
+    let large = Kind {
+        tokens: 9_000,
+        ..LONG
+    };
 
-    let changes = run_timers(&mut overload, START, ends, |overload, now| {
-        for number in 2..6 {
-            overload.on_connect_time(now, endpoint(number), REMOTE, REMOTE_CONNECT);
-        }
-    });
+    play.run(
+        Duration::from_secs(12),
+        &[(URGENT, 6.0), (LONG, 9.0), (large, 1.0)],
+    );
 
-    assert_eq!(changes, []);
+    assert!(play.outcome(LONG).rejected > 0, "rejections are possible");
 }
 
-/// Guards against an instance that sheds connections for good after the path to endpoints became
-/// longer.
+/// Guards against requests that are rejected although the setting is off.
 #[test]
-fn a_path_that_has_become_longer_is_accepted() {
-    let mut overload = settled();
-    let ends = START + Duration::from_secs(120);
-
-    let changes = run_timers(&mut overload, START, ends, |overload, now| {
-        for number in 0..4 {
-            overload.on_connect_time(now, endpoint(number), LOCAL, REMOTE_CONNECT);
-        }
-    });
-
-    let last = changes.last().map(|(_, change)| *change);
-    assert_eq!(last, Some(OverloadChange::Ends), "{changes:?}");
-}
+fn nothing_is_rejected_by_default() {
+    let mut play = overloaded(Duration::from_secs(6), Home::default().rejects_by_forecast);
 
-/// What delays an instance: its processor or its link.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Bottleneck {
-    Processor,
-    Link,
-}
+    play.run_through(Duration::from_secs(2), &[(LONG, 60.0)]);
 
-/// A server that works on one thing at a time: what it is asked for waits behind all that was asked
-/// for before.
-struct Queue {
-    /// How long one request takes.
-    work: Duration,
-    free_at: Time,
+    assert_eq!(play.outcome(LONG).rejected, 0);
 }
 
-impl Queue {
-    /// Takes on a request; returns when it is done.
-    fn push(&mut self, now: Time) -> Time {
-        self.free_at = self.free_at.max(now) + self.work;
-        self.free_at
-    }
-
-    fn wait(&self, now: Time) -> Duration {
-        self.free_at.since(now)
+/// Returns a forecast that observed 10,000 tokens per second for two seconds, and the time.
+fn observed() -> (Forecast, Time) {
+    let mut forecast = Forecast::default();
+    let mut now = Time::from_secs(100);
+    for step in 0..=20 {
+        forecast.observe(now, f64::from(step) * 1_000.0);
+        now += Duration::from_millis(100);
     }
+    (forecast, now)
 }
 
-/// What became of the requests of callers.
-#[derive(Debug, Default)]
-struct Outcome {
-    read: usize,
-    /// Those of them that were served within [`CALLER_TIMEOUT`].
-    served: usize,
-    shed: usize,
+fn requests(count: u64) -> Vec<QueuedRequest> {
+    let request = |id| QueuedRequest {
+        id,
+        tokens: 5_000,
+        ..QueuedRequest::default()
+    };
+    (0..count).map(request).collect()
 }
 
-const CALLER_TIMEOUT: Duration = Duration::from_millis(1_500);
-
-/// Plays `time` in which callers send `per_second` requests to an instance that can serve 80.
-fn play(
-    overload: &mut Overload,
-    queue: &mut Queue,
-    bottleneck: Bottleneck,
-    starts: Time,
-    (time, per_second): (Duration, u32),
-) -> Outcome {
-    let mut outcome = Outcome::default();
-    let interval = Duration::from_secs(1) / per_second;
-    let (mut timer_due, mut now) = (starts, starts);
-    // A timer that is due waits behind all work before it.
-    let mut fires_at = None;
-    while now < starts + time {
-        if now >= timer_due && fires_at.is_none() {
-            fires_at = Some(match bottleneck {
-                Bottleneck::Processor => queue.free_at.max(timer_due),
-                Bottleneck::Link => timer_due,
-            });
-        }
-        if fires_at.is_some_and(|at| now >= at) {
-            overload.on_timer(now);
-            fires_at = None;
-            timer_due = now + TIMER_INTERVAL;
-        }
-        if overload.admit_connection() {
-            outcome.read += 1;
-            let connect = queue.wait(now) + LOCAL_CONNECT;
-            overload.on_connect_time(now, endpoint(outcome.read % 3), LOCAL, connect);
-            let done = queue.push(now);
-            outcome.served += usize::from(done.since(now) <= CALLER_TIMEOUT);
-        } else {
-            outcome.shed += 1;
-        }
-        now += interval;
+/// Guards against callers that all return at the moment that each of them was told: promised places
+/// count as taken, once for each request although its report is repeated.
+#[test]
+fn promised_places_delay_later_predictions() {
+    let (mut forecast, now) = observed();
+    let caller = (overload::instances::address(1), 7);
+    let waits = |forecast: &Forecast| {
+        let predicted = forecast.predict(now, requests(2).iter());
+        predicted
+            .iter()
+            .map(|it| it.wait.as_millis())
+            .collect::<Vec<_>>()
+    };
+    assert_eq!(waits(&forecast), [500, 1_000]);
+
+    for _ in 0..2 {
+        forecast.promise(now + Duration::from_millis(700), 5_000, caller);
     }
-    outcome
+
+    assert_eq!(waits(&forecast), [500, 1_500]);
 }
 
-/// Guards against an instance that reads all requests of a crowd and serves few of them in time.
-#[rstest]
-#[case::of_its_processor(Bottleneck::Processor)]
-#[case::of_its_link(Bottleneck::Link)]
-fn an_overloaded_instance_serves_what_it_reads(#[case] bottleneck: Bottleneck) {
-    let mut overload = settled();
-    let mut queue = Queue {
-        work: Duration::from_micros(12_500),
-        free_at: START,
-    };
+/// Guards against capacity that stays reserved for callers that gave up: a promise lapses.
+#[test]
+fn a_promise_lapses() {
+    let (mut forecast, now) = observed();
+    forecast.promise(now, 5_000, (overload::instances::address(1), 7));
 
-    let crowd = (Duration::from_secs(10), 240);
-    let during = play(&mut overload, &mut queue, bottleneck, START, crowd);
-
-    assert!(during.served * 10 >= during.read * 9, "{during:?}");
-    // It takes on at least half of what it could do: 800.
-    assert!(during.served >= 400, "{during:?}");
-
-    let after_crowd = START + Duration::from_secs(12);
-    let usual = (Duration::from_secs(2), 40);
-    play(
-        &mut overload,
-        &mut queue,
-        bottleneck,
-        START + crowd.0,
-        usual,
-    );
-    let after = play(&mut overload, &mut queue, bottleneck, after_crowd, usual);
+    forecast.observe(now + Duration::from_millis(1_100), 0.0);
 
-    assert_eq!((after.shed, after.served), (0, after.read), "{after:?}");
+    assert_eq!(forecast.promised(), 0);
 }
 
-/// Guards against an instance that says it is ready and takes no connection at all.
+/// Guards against a request that two homes decide differently: one rejects it while the other has
+/// granted it. What arrives first holds.
 #[test]
-fn some_connections_are_admitted_however_late_the_instance_is() {
-    let mut overload = settled();
-    let mut now = START;
-    for _ in 0..100 {
-        now += Duration::from_secs(1);
-        overload.on_timer(now);
-    }
+fn a_rejection_does_not_revoke_a_grant() {
+    let mut table = PlacementTable::default();
+    let now = Time::from_secs(100);
+    let request = PlacementRequest {
+        queued: requests(1)[0],
+        kind: PlacementKind::Queued,
+        exclude: Vec::new(),
+    };
+    let granted = PlacementDecision::Granted(EndpointKey::of("e-1"));
+    table.insert(now, request);
+    table.on_decision(now, 0, granted);
+
+    table.on_decision(
+        now,
+        0,
+        PlacementDecision::Rejected {
+            retry_after_ms: 900,
+        },
+    );
 
-    assert!((1..=10).contains(&admitted(&mut overload, 100)));
+    assert_eq!(table.status(now, 0), PlacementStatus::Decided(granted));
 }
 
-/// Guards against peers that are counted as gone because this instance handles their answers late.
+/// Guards against a home that grows with each workspace it ever served: one is removed while its
+/// requests are queued.
 #[test]
-fn an_overloaded_instance_counts_no_peer_as_gone() {
-    let mut fleet = Fleet::start(24, 3, 7);
-    assert!(fleet.until_all_count(24, Duration::from_secs(5)).is_some());
-    let before = fleet.nodes[0].peers_counted_gone;
-
-    fleet.loss = 0.1;
-    fleet.nodes[0].lag = Duration::from_millis(1_500);
-    for _ in 0..60 {
-        fleet.run(TIMER_INTERVAL * 3);
-        let now = fleet.now;
-        let late = fleet.nodes[0].core.as_mut().expect("it runs");
-        late.overload.on_timer(now);
+fn a_removed_workspace_is_no_longer_tracked() {
+    let mut grants = WorkspaceGrants::default();
+    let start = Time::from_secs(100);
+    for workspace in 1..=500 {
+        let request = QueuedRequest {
+            tokens: 3_600,
+            output: 400,
+            workspace,
+            ..QueuedRequest::default()
+        };
+        grants.record(start, &request);
     }
 
-    assert_eq!(fleet.nodes[0].peers_counted_gone, before);
+    grants.tick(start + Duration::from_secs(60));
+
+    assert!(grants.is_empty());
 }
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -60,6 +60,7 @@
     let mut calls = CallAttempts {
         job,
         attempts: job.attempts_before(),
+        began: job.cx.now(),
     };
     loop {
         if job.needs_proxy() {
@@ -75,6 +76,7 @@
             Ok(chosen) => chosen,
             Err(why) => return calls.refuse_unplaced(why),
         };
+        calls.began = job.cx.now();
         let attempt = calls.attempt(&place).await;
         drop(in_use);
         calls.record(&place, &attempt).await;
@@ -127,6 +129,8 @@
 struct CallAttempts<'a, W: Wire> {
     job: &'a Job<W>,
     attempts: Attempts,
+    /// When the last one began.
+    began: Time,
 }
 
 impl<W: Wire> CallAttempts<'_, W> {
@@ -146,7 +150,7 @@
         let remaining = self.job.remaining();
         let entry = self.job.entry();
         // While this instance is late, the next endpoint would respond as late as this one.
-        let is_late = self.job.cx.state().overload.is_shedding();
+        let is_late = self.job.cx.state().own_delay.is_shedding();
         if is_late || self.attempts.next_is_last(entry) {
             return remaining;
         }
@@ -263,8 +267,7 @@
             }
             AttemptOutcome::WrongAttempt => self.job.record_failure(place),
             AttemptOutcome::Timeout => {
-                let began = self.job.cx.now().before(self.attempt_timeout());
-                if self.job.cx.is_evidence("call", began.unwrap_or(Time::ZERO)) {
+                if self.job.cx.is_evidence("call", self.began) {
                     self.job.record_failure(place);
                 }
             }
--- a/crates/gateway/src/cx.rs
+++ b/crates/gateway/src/cx.rs
@@ -297,7 +297,7 @@
     /// waited for since `began`. It does not if this instance itself was late meanwhile.
     pub fn is_evidence(&self, what: &'static str, began: Time) -> bool {
         let now = self.now();
-        let is_evidence = self.state().overload.is_evidence(now, began);
+        let is_evidence = self.state().own_delay.is_evidence(now, began);
         if !is_evidence {
             ByReason::IgnoredTimeouts.add(what);
         }
--- a/crates/gateway/src/event_log.rs
+++ b/crates/gateway/src/event_log.rs
@@ -259,11 +259,11 @@
     /// The response to a request that was given up had arrived: what its head says about the endpoint
     /// is applied, and the rest is dropped.
     LateHeadRead = 884, "late_head_read", Info, USUAL;
-    /// This instance itself is late: by how much its timers fire late, and by how much all connections
-    /// to endpoints open more slowly than usual.
-    OverloadBegins = 885, "overload_begins", Warn, USUAL;
-    /// This instance is no longer late.
-    OverloadEnds = 886, "overload_ends", Info, USUAL;
+    /// The own delay of this instance is high, and it sheds new connections: by how much its timers
+    /// fire late, and by how much all connections to endpoints open more slowly than usual.
+    SheddingBegins = 885, "shedding_begins", Warn, USUAL;
+    /// This instance admits all new connections again.
+    SheddingEnds = 886, "shedding_ends", Info, USUAL;
 }
 
 /// The lines of one event in the current second.
--- a/crates/gateway/src/front/connection.rs
+++ b/crates/gateway/src/front/connection.rs
@@ -32,7 +32,7 @@
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                if !cx.state().overload.admit_connection() {
+                if !cx.state().own_delay.admit_connection() {
                     // The caller may send its request elsewhere: nothing of it was read.
                     ByReason::Shed.add("overload");
                     continue;
@@ -75,7 +75,7 @@
             let mut response = response.await;
             activity.end_request();
             // A caller that connects again may reach another instance.
-            if cx.stopping.is_cancelled() || cx.state().overload.is_shedding() {
+            if cx.stopping.is_cancelled() || cx.state().own_delay.is_shedding() {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(header::CONNECTION, close);
             }
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -481,7 +481,7 @@
         send: &ForwardHead<'_>,
     ) -> Result<(Link, Response<Incoming>), LinkError> {
         let chosen = self.cx.now();
-        let patience = self.cx.state().overload.patience(chosen);
+        let patience = self.cx.state().own_delay.patience(chosen);
         let limit = (self.cx.limits.connect + patience).min(self.remaining());
         let opening = self.cx.wire.connect(place.address);
         let connecting = ConnectGuard::new(&self.cx, place);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -17,7 +17,7 @@
 //! - [`mod@probe`] checks whether an endpoint crashed when a connection to it broke.
 //! - [`run_lease`] delays or refuses requests that crashed endpoints.
 //! - [`proxy`] serves requests through a peer while no endpoint is reached.
-//! - [`overload`] measures whether this process is late.
+//! - [`own_delay`] measures whether this process is late.
 //! - [`page`] serves the balancer, operators who query the [`status`], and collectors of
 //!   [metrics](mod@meters).
 //! - [`gossip`] exchanges datagrams with peers.
@@ -41,7 +41,7 @@
 pub mod link;
 pub mod meters;
 pub mod observe;
-pub mod overload;
+pub mod own_delay;
 pub mod page;
 pub mod placement;
 pub mod ports;
--- a/crates/gateway/src/meters.rs
+++ b/crates/gateway/src/meters.rs
@@ -235,13 +235,13 @@
         (Gauge::Running, cx.open_count(OpenKind::Generation) as f64),
         (
             Gauge::TimerDelay,
-            state.overload.timer_delay().as_secs_f64(),
+            state.own_delay.timer_delay().as_secs_f64(),
         ),
         (
             Gauge::ConnectDelay,
-            state.overload.connect_delay(now).as_secs_f64(),
+            state.own_delay.connect_delay(now).as_secs_f64(),
         ),
-        (Gauge::AdmittedShare, state.overload.admitted_share()),
+        (Gauge::AdmittedShare, state.own_delay.admitted_share()),
         (
             Gauge::LinesLeftOut,
             crate::event_log::lines_left_out() as f64,
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -4,7 +4,7 @@
 use crate::log_event;
 use crate::page::OperatorsPage;
 use crate::ports::{EngineCalls, Store, Wire};
-use crate::{catch_up, front, gossip, overload, page, proxy, store};
+use crate::{catch_up, front, gossip, own_delay, page, proxy, store};
 use core::time::Duration;
 use oriolemux_core::gateway::budget::BudgetConfig;
 use oriolemux_core::gateway::{Gateway, GatewayConfig};
@@ -220,7 +220,7 @@
         );
         tasks.spawn(peers);
         tasks.spawn(proxy::probe::probe_endpoints(Arc::clone(&cx)));
-        tasks.spawn(overload::watch(Arc::clone(&cx)));
+        tasks.spawn(own_delay::watch(Arc::clone(&cx)));
         tasks.spawn(catch_up::catch_up(Arc::clone(&cx)));
         let readiness_cx = Arc::clone(&cx);
         tasks.spawn(page::serve(self.readiness, move |_| {
--- a/crates/oriolemux/tests/gateway_support/paused.rs
+++ b/crates/oriolemux/tests/gateway_support/paused.rs
@@ -175,7 +175,7 @@
     let lines = |event| one.process.lines_of(event).len();
 
     let slowed = Slowed::begin(&one.process);
-    until(|| async { lines("overload_begins") > 0 }).await;
+    until(|| async { lines("shedding_begins") > 0 }).await;
     until(|| async {
         let response = raw_call(one.process.front).await;
         assert!(
@@ -186,7 +186,7 @@
     })
     .await;
     drop(slowed);
-    until(|| async { lines("overload_ends") > 0 }).await;
+    until(|| async { lines("shedding_ends") > 0 }).await;
 
     for _ in 0..CALLS {
         let response = raw_call(one.process.front).await;
