--- a/review/build.sh
+++ b/review/build.sh
@@ -3,7 +3,6 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-for source in review/[0-9]*/*.rs; do
-  [ -e "$source" ] || continue
+for source in review/standins/entries.rs review/3/relocation.rs; do
   rustc --edition 2024 -O -D warnings -o "target/review/$(basename "$source" .rs)" "$source"
 done
--- a/review/standins/common.rs
+++ b/review/standins/common.rs
@@ -7,6 +7,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -139,6 +140,8 @@
 #[derive(Clone)]
 pub struct Store {
     pub address: SocketAddr,
+    /// While set, the store takes connections and answers nothing.
+    pub silent: Arc<AtomicBool>,
     state: Arc<(Mutex<StoreState>, Condvar)>,
 }
 
@@ -151,6 +154,7 @@
         };
         let store = Store {
             address: listener.local_addr()?,
+            silent: Arc::default(),
             state: Arc::new((Mutex::new(state), Condvar::new())),
         };
         let serving = store.clone();
@@ -208,6 +212,13 @@
                     continue;
                 }
             };
+            if self.silent.load(Ordering::SeqCst) {
+                // A connection on which an answer is lost returns nothing further.
+                while self.silent.load(Ordering::SeqCst) {
+                    thread::sleep(Duration::from_millis(20));
+                }
+                return Ok(());
+            }
             answer(
                 &mut stream,
                 "200 OK",
@@ -357,6 +368,17 @@
     }
 }
 
+impl Instance {
+    /// Sends a signal by its name.
+    pub fn signal(&self, name: &str) -> io::Result<()> {
+        let id = self.child.id().to_string();
+        Command::new("kill")
+            .args([&format!("-{name}"), &id])
+            .status()?;
+        Ok(())
+    }
+}
+
 impl Drop for Instance {
     fn drop(&mut self) {
         let _ = self.child.kill();
