Log removed records that are held back, and on whose statement

Observability for the DRAIN incident: no line said that an endpoint was still used although its record was gone, nor why. [887] names the endpoint, whether this instance concludes from its own calls that records may be missing, and which watcher states so. No decision changes.

--- a/crates/core/src/gateway/beacons.rs
+++ b/crates/core/src/gateway/beacons.rs
@@ -93,8 +93,15 @@
 
     /// Returns whether the store may lack records, as any watcher states.
     pub fn any_may_miss_records(&self, now: Time) -> bool {
+        self.states_missing_records(now).is_some()
+    }
+
+    /// Returns a watcher that states that the store may lack records.
+    pub fn states_missing_records(&self, now: Time) -> Option<SocketAddrV4> {
         let mut received = self.received.values();
-        received.any(|it| it.beacon.may_miss_records && now.since(it.at) < MAY_MISS_TTL)
+        let stating =
+            received.find(|it| it.beacon.may_miss_records && now.since(it.at) < MAY_MISS_TTL);
+        stating.map(|it| it.beacon.origin)
     }
 
     /// Returns the last beacons.
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -302,6 +302,11 @@
         self.reader.may_miss_records(now) || self.beacons.any_may_miss_records(now)
     }
 
+    /// Returns a watcher that states that the store may lack records.
+    pub fn states_missing_records(&self, now: Time) -> Option<SocketAddrV4> {
+        self.beacons.states_missing_records(now)
+    }
+
     /// Applies settings that may change while an instance runs.
     pub fn reload(&mut self, now: Time, seeds: Vec<SocketAddrV4>, budget: BudgetConfig) {
         self.members.set_seeds(now, &seeds);
--- a/crates/gateway/src/event_log.rs
+++ b/crates/gateway/src/event_log.rs
@@ -264,6 +264,10 @@
     SheddingBegins = 885, "shedding_begins", Warn, USUAL;
     /// This instance admits all new connections again.
     SheddingEnds = 886, "shedding_ends", Info, USUAL;
+    /// The record of an endpoint was removed while the store may lack records, so that the endpoint is
+    /// used for as long as its record may return; the line says whether this instance concludes that
+    /// from its own calls, and which watcher states it, if any.
+    RemovalHeldBack = 887, "removal_held_back", Info, USUAL;
 }
 
 /// The lines of one event in the current second.
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -15,7 +15,9 @@
     WATCH_WAIT,
 };
 use oriolemux_core::gateway::replica::{Applied, Record};
-use oriolemux_core::gateway::{CatalogueSource, Cordon, CordonEffect, Epoch, Revision};
+use oriolemux_core::gateway::{
+    CatalogueSource, Cordon, CordonEffect, EndpointState, Epoch, Revision,
+};
 use oriolemux_core::time::Time;
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -380,7 +382,9 @@
                 leaving.extend(cx.state().publish_endpoint(now, endpoint));
             }
             Published::EndpointGone(name) => {
-                leaving.extend(cx.state().endpoint_vanished(now, &name));
+                let gone = cx.state().endpoint_vanished(now, &name);
+                log_if_held_back(cx, now, &name);
+                leaving.extend(gone);
             }
             Published::Cordon { cordon, error } => {
                 if let Some(error) = error {
@@ -408,6 +412,26 @@
     has_changes
 }
 
+/// Logs a removed record that may return, and on whose statement.
+fn log_if_held_back<W: Wire>(cx: &Cx<W>, now: Time, name: &str) {
+    let state = cx.state();
+    let key = state.endpoints.newest(name);
+    let endpoint = key.and_then(|it| state.endpoints.get(it));
+    if !endpoint.is_some_and(|it| matches!(it.state, EndpointState::Lapsed { .. })) {
+        return;
+    }
+    let own = state.reader.may_miss_records(now);
+    let watcher = state.states_missing_records(now);
+    drop(state);
+    let watcher = watcher.map_or_else(|| "-".to_owned(), |it| it.to_string());
+    log_event!(
+        RemovalHeldBack,
+        endpoint = name,
+        own = own,
+        watcher = watcher.as_str()
+    );
+}
+
 fn log_unreadable(record: &Record, error: &str) {
     log_event!(
         RecordUnreadable,
