What one instance cannot read says nothing about removed records

Callers: requests reached endpoints up to 3,296 ms after the store had acknowledged that their records were removed; 2,000 ms are allowed. For endpoints that leave without a word the removal is the only notice.

Cause: an instance concluded from the time since the store had answered itself that records may have expired, held back each removal for that time and 2.5 s after it, and told all others in its beacons, for which it held 1.5 s longer; the endpoint was used 2.2 s more. A watcher that the store rejects, or that has just begun to watch and fails once, is enough. Class: a conclusion about others from what one process could not read.

Change: the time counts since the store answered any instance, which beacons say. An instance that heard of the store all along ignores what a watcher states, and one that did not believes a watcher that is answered and denies. Lapsed endpoints end when the store is settled, not 2.2 s after it. The beacons are as they were; nothing new is sent.

Two tests set a clock to the removed constant; they now require the same 50 ms after the removal.

--- a/crates/core/src/gateway/beacons.rs
+++ b/crates/core/src/gateway/beacons.rs
@@ -7,7 +7,7 @@
 //! not answer, and every call is billed.
 
 use super::reader::{WATCHER_TIMEOUT, WATCHERS};
-use super::revision::Revision;
+use super::revision::{Epoch, Revision};
 use crate::ids::{Incarnation, stable_hash};
 use crate::time::Time;
 use core::time::Duration;
@@ -85,15 +85,19 @@
 
     /// Returns the instances that the store answered recently.
     pub fn recently_answered(&self, now: Time) -> impl Iterator<Item = SocketAddrV4> {
+        self.answered(now).map(|it| it.beacon.origin)
+    }
+
+    fn answered(&self, now: Time) -> impl Iterator<Item = &ReceivedBeacon> {
         let received = self.received.values();
-        received
-            .filter(move |it| now.since(it.store_answered_at()) < WATCHER_TIMEOUT)
-            .map(|it| it.beacon.origin)
+        received.filter(move |it| now.since(it.store_answered_at()) < WATCHER_TIMEOUT)
     }
 
-    /// Returns whether the store may lack records, as any watcher states.
-    pub fn any_may_miss_records(&self, now: Time) -> bool {
-        self.states_missing_records(now).is_some()
+    /// Returns whether a watcher that the store answers, in `epoch` or a later one, states that no
+    /// records are missing.
+    pub fn any_denies_missing_records(&self, now: Time, epoch: Epoch) -> bool {
+        let mut answered = self.answered(now);
+        answered.any(|it| !it.beacon.may_miss_records && it.beacon.revision.epoch >= epoch)
     }
 
     /// Returns a watcher that states that the store may lack records.
@@ -129,10 +133,17 @@
     }
 }
 
+impl Beacon {
+    /// Returns when the store last answered the sender of a beacon that was received at `at`; `None`
+    /// if it never did.
+    pub(super) fn store_answered_at(&self, at: Time) -> Option<Time> {
+        at.before(Duration::from_millis(self.store_age_ms.into()))
+    }
+}
+
 impl ReceivedBeacon {
     fn store_answered_at(&self) -> Time {
-        let age = Duration::from_millis(self.beacon.store_age_ms.into());
-        self.at.before(age).unwrap_or(Time::ZERO)
+        self.beacon.store_answered_at(self.at).unwrap_or(Time::ZERO)
     }
 }
 
--- a/crates/core/src/gateway/endpoints.rs
+++ b/crates/core/src/gateway/endpoints.rs
@@ -18,10 +18,6 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddrV4;
 
-/// How long a record that disappeared around a store outage may return before its endpoint counts
-/// as leaving. The publisher promises to write records again within about two seconds.
-pub const LAPSE_GRACE: Duration = Duration::from_millis(2_200);
-
 /// How long after an engine began to leave a generation may still resume from a copy there. A later
 /// request could arrive after the time in which a leaving endpoint must get its last one.
 pub const RESUME_AT_LEAVING: Duration = Duration::from_secs(1);
@@ -332,18 +328,14 @@
         is_new
     }
 
-    /// Marks lapsed endpoints as leaving after [`LAPSE_GRACE`], unless the store is still
-    /// unsettled, and drops endpoints that left long ago. Endpoints for which nothing is due are not
+    /// Marks lapsed endpoints as leaving once the store is settled, and drops endpoints that left
+    /// long ago. Endpoints for which nothing is due are not
     /// looked at.
     ///
     /// Returns the endpoints that started leaving.
     pub fn tick(&mut self, now: Time, unsettled: bool) -> Vec<EndpointKey> {
         let mut gone = Vec::new();
-        while let Some(&(since, key)) = self.lapsed.first()
-            && !unsettled
-            && now.since(since) >= LAPSE_GRACE
-        {
-            self.lapsed.pop_first();
+        while !unsettled && let Some((_, key)) = self.lapsed.pop_first() {
             self.mark_leaving(now, key);
             gone.push(key);
         }
--- a/crates/core/src/gateway/reader.rs
+++ b/crates/core/src/gateway/reader.rs
@@ -48,9 +48,9 @@
 /// them, and need not read at all: after an outage up to 64 instances watch.
 const YIELD_TIME: Duration = Duration::from_millis(300);
 
-/// After an outage of this length records may have expired. They expire after three heartbeats of
-/// an endpoint, which take longer; an interrupted watch or a rejected call is no such outage, and
-/// records that are removed meanwhile are really removed.
+/// After the store has answered no instance for this long, records may have expired. They expire
+/// after three heartbeats of an endpoint, which take longer; an interrupted watch or a rejected call
+/// is no such outage, and records that are removed meanwhile are really removed.
 const EXPIRY_OUTAGE: Duration = Duration::from_millis(2_000);
 
 /// How long after an outage the store may still lack records: the publisher promises about two
@@ -137,6 +137,17 @@
     },
 }
 
+/// Whether the store may lack records that will come back, as far as one instance knows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum MissingRecords {
+    /// The store answered some instance all along, so that a record that is gone was removed.
+    No,
+    /// The store answers nobody, or did not until a moment ago, or came back from a copy.
+    Possible,
+    /// This instance has not heard of the store for long, or never, and makes no calls.
+    Unknown,
+}
+
 /// The state of the calls to the store.
 #[derive(Clone, Copy, Debug)]
 pub struct StoreReader {
@@ -145,6 +156,8 @@
     pause_until: Time,
     recovered_at: Option<Time>,
     last_answer: Option<Time>,
+    /// When the store last answered any instance, as far as this one knows.
+    heard_at: Option<Time>,
     /// When the store last answered a watch.
     last_watch_answer: Option<Time>,
     /// The latest epoch that the store or a peer stated.
@@ -162,6 +175,7 @@
             pause_until: Time::ZERO,
             recovered_at: None,
             last_answer: None,
+            heard_at: None,
             last_watch_answer: None,
             epoch: Epoch::UNSTATED,
             history_gone: 0,
@@ -262,14 +276,34 @@
 
     fn answered(&mut self, now: Time) -> bool {
         let was_unavailable = self.failures > 0;
-        if was_unavailable && self.may_have_expired(now) {
+        if was_unavailable && self.is_unheard(now) {
             self.recovered_at = Some(now);
         }
         self.failures = 0;
         self.last_answer = Some(now);
+        self.heard_at = Some(now);
         was_unavailable
     }
 
+    /// Records that the store answered another instance at `answered`, in this epoch, and whether
+    /// that instance states that records may be missing.
+    ///
+    /// Without this, the trouble of one instance with the store, or the time for which it made no
+    /// calls, would count as an outage in which records expire.
+    pub fn on_peer_answer(&mut self, now: Time, answered: Time, epoch: Epoch, may_miss: bool) {
+        if epoch < self.epoch || self.heard_at.is_some_and(|at| answered <= at) {
+            return;
+        }
+        // Who has heard of the store all along knows better than the sender.
+        let was_unheard = self.heard_at.is_none() || self.is_unheard(answered);
+        self.heard_at = Some(answered);
+        match may_miss {
+            true if was_unheard => self.recovered_at = Some(now),
+            true => {}
+            false => self.recovered_at = None,
+        }
+    }
+
     /// Records that a call failed; `draw` is uniform below one. Returns whether the store was
     /// available before.
     pub fn on_failure(&mut self, now: Time, failure: CallFailure, draw: f64) -> bool {
@@ -310,19 +344,31 @@
         self.failures > 0
     }
 
-    /// Returns whether records that are missing may come back soon: the store has been unavailable
-    /// for long, or was until a moment ago.
+    /// Returns whether this instance knows that records that are missing may come back soon.
     pub fn may_miss_records(&self, now: Time) -> bool {
-        let is_unavailable = self.is_unavailable() && self.may_have_expired(now);
-        is_unavailable
-            || self
-                .recovered_at
-                .is_some_and(|at| now.since(at) < SETTLE_TIME)
+        self.missing_records(now) == MissingRecords::Possible
+    }
+
+    /// Returns whether records that are missing may come back soon. That the store does not answer
+    /// this instance says nothing about records while it answers another one.
+    pub fn missing_records(&self, now: Time) -> MissingRecords {
+        let is_settling = self
+            .recovered_at
+            .is_some_and(|at| now.since(at) < SETTLE_TIME);
+        match self.heard_at {
+            _ if is_settling => MissingRecords::Possible,
+            None => MissingRecords::Unknown,
+            Some(_) if !self.is_unheard(now) => MissingRecords::No,
+            Some(_) if self.is_unavailable() => MissingRecords::Possible,
+            Some(_) => MissingRecords::Unknown,
+        }
     }
 
-    fn may_have_expired(&self, now: Time) -> bool {
-        let last_answer = self.last_answer;
-        last_answer.is_some_and(|at| now.since(at) >= EXPIRY_OUTAGE)
+    /// Returns whether the store answered no known instance for so long before `now` that records
+    /// may have expired.
+    fn is_unheard(&self, now: Time) -> bool {
+        self.heard_at
+            .is_some_and(|at| now.since(at) >= EXPIRY_OUTAGE)
     }
 }
 
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -35,7 +35,7 @@
 use super::proxies::Proxies;
 use super::rate_limits::{LimitChange, RateLimits, ResponseLimit};
 use super::reachability::Reachability;
-use super::reader::StoreReader;
+use super::reader::{MissingRecords, StoreReader};
 use super::replica::{Record, Replica};
 use super::suspects::Suspects;
 use super::usage::{ReportedLoad, UsageTable};
@@ -296,10 +296,19 @@
     /// Returns whether the store may lack records that will come back after an outage.
     ///
     /// An instance that is not a watcher rarely calls the store and learns of an outage from the
-    /// watchers' beacons. Without them it would take endpoints whose records expired for gone for
-    /// good, and gossip that: after an outage no endpoint would be left.
+    /// watchers' beacons. Without them it would take endpoints whose records expired for gone. But
+    /// a watcher's own trouble with the store is no outage: as long as the store answers another
+    /// one, what is missing was removed.
     pub fn may_miss_records(&self, now: Time) -> bool {
-        self.reader.may_miss_records(now) || self.beacons.any_may_miss_records(now)
+        let is_possible = match self.reader.missing_records(now) {
+            MissingRecords::No => false,
+            MissingRecords::Possible => true,
+            MissingRecords::Unknown => self.states_missing_records(now).is_some(),
+        };
+        is_possible
+            && !self
+                .beacons
+                .any_denies_missing_records(now, self.reader.epoch())
     }
 
     /// Returns a watcher that states that the store may lack records.
--- a/crates/core/src/gateway/state/peers.rs
+++ b/crates/core/src/gateway/state/peers.rs
@@ -223,6 +223,10 @@
         }
         for beacon in gossip.beacons {
             if beacon.origin != self.cfg.address && self.beacons.on_beacon(now, beacon) {
+                if let Some(answered) = beacon.store_answered_at(now) {
+                    let (epoch, may_miss) = (beacon.revision.epoch, beacon.may_miss_records);
+                    self.reader.on_peer_answer(now, answered, epoch, may_miss);
+                }
                 self.outbox.add_beacon(beacon);
             }
         }
--- a/crates/core/tests/gateway_endpoint_index.rs
+++ b/crates/core/tests/gateway_endpoint_index.rs
@@ -6,7 +6,6 @@
 mod service;
 
 use core::time::Duration;
-use oriolemux_core::gateway::endpoints::LAPSE_GRACE;
 use oriolemux_core::gateway::{Cordon, Endpoint, EndpointRecord, EndpointState};
 use oriolemux_core::{EndpointKey, Time};
 use proptest::prelude::*;
@@ -42,7 +41,7 @@
     table.remove_record(removed, "e-1", true);
     table.remove_record(removed, "e-2", false);
 
-    let lapsed = table.tick(removed + LAPSE_GRACE, false);
+    let lapsed = table.tick(removed + Duration::from_millis(50), false);
     table.tick(removed + Duration::from_secs(70), false);
 
     assert_eq!(lapsed, [key(1)]);
@@ -117,9 +116,7 @@
                     now += Duration::from_secs(seconds);
                     let lapsed: BTreeSet<EndpointKey> = table
                         .iter()
-                        .filter(|it| matches!(it.state,
-                            EndpointState::Lapsed { since }
-                                if now.since(since) >= LAPSE_GRACE))
+                        .filter(|it| matches!(it.state, EndpointState::Lapsed { .. }))
                         .map(|it| it.key)
                         .collect();
                     let gone = table.tick(now, false);
--- a/crates/core/tests/gateway_endpoints.rs
+++ b/crates/core/tests/gateway_endpoints.rs
@@ -2,7 +2,7 @@
 
 use core::time::Duration;
 use oriolemux_core::gateway::EndpointRecord;
-use oriolemux_core::gateway::endpoints::{EndpointTable, LAPSE_GRACE};
+use oriolemux_core::gateway::endpoints::EndpointTable;
 use oriolemux_core::{EndpointKey, Time};
 
 fn record(name: &str, leaving: bool) -> EndpointRecord {
@@ -75,7 +75,7 @@
     let (mut table, key) = table();
 
     table.remove_record(Time::from_secs(1), "e-1", true);
-    let gone = table.tick(Time::from_secs(1) + LAPSE_GRACE, false);
+    let gone = table.tick(Time::from_secs(1) + Duration::from_millis(50), false);
 
     assert_eq!(gone, [key]);
     assert!(!is_usable(&table, key));
