Only what an endpoint said of itself is final

An endpoint that did not reach the store for a few seconds was never used again; instances that were restarted during an outage of the store took all endpoints from all instances.

Cause, one class: a missing record was taken for a word of the endpoint. The removal made a final mark, gossip told it to all, and a peer's mark was applied without a look at its source. A process that had just started knew of no outage, so that at the store's return every expired record was such a removal to it.

Change: an endpoint whose record is gone is absent: it gets nothing, its generations move, and it is used again when its record is written again. Marks are made, and gossiped, for words only. A service without usable endpoints is no partition. [888], [889] and a gauge.

Messages are as they were.

--- a/crates/core/src/gateway/endpoints.rs
+++ b/crates/core/src/gateway/endpoints.rs
@@ -2,8 +2,12 @@
 //!
 //! An endpoint is one incarnation of a process of a service. A process may restart under its
 //! published name and then has none of its former state, so everything known here is keyed by name
-//! and start time. Leaving is therefore final for an incarnation, whether the store, a peer or the
-//! endpoint itself reported it first.
+//! and start time.
+//!
+//! Only what an endpoint said of itself is final for an incarnation: its record says that it leaves,
+//! a response does, or another process answers at its address, whoever reported it first. That its
+//! record is gone is no such word: an endpoint that could not reach the store for a while writes it
+//! again. `docs/design/endpoint-announcements.md` lists the evidence.
 
 mod marks;
 mod services;
@@ -13,7 +17,7 @@
 use crate::ids::EndpointKey;
 use crate::time::Time;
 use core::time::Duration;
-use marks::LeavingMarks;
+use marks::{GONE_RETENTION, LeavingMarks};
 use services::ServiceIndex;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddrV4;
@@ -87,6 +91,15 @@
     }
 }
 
+/// How it is known that a record is gone.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Removal {
+    /// The store states that it was removed.
+    Stated,
+    /// A full read lacks it.
+    Missing,
+}
+
 /// Whether an endpoint accepts new work.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum EndpointState {
@@ -99,7 +112,13 @@
     },
     /// Its record can no longer be parsed. It gets no new work until a readable record is written.
     Unreadable,
-    /// It never accepts new work again.
+    /// Its record was removed and it said nothing. It gets no new work until its record is written
+    /// again.
+    Absent {
+        /// When this instance learned that the record is gone.
+        since: Time,
+    },
+    /// It said that it leaves, and never accepts new work again.
     Leaving {
         /// When this instance learned that it is leaving.
         since: Time,
@@ -159,13 +178,19 @@
         self.failure_share
     }
 
-    /// Returns when it was first known to be leaving.
+    /// Returns since when it has been known to leave, or its record has been gone. It may end soon
+    /// in both cases, and what runs there must move.
     pub fn leaving_since(&self) -> Option<Time> {
         match self.state {
-            EndpointState::Leaving { since } => Some(since),
+            EndpointState::Leaving { since } | EndpointState::Absent { since } => Some(since),
             _ => None,
         }
     }
+
+    /// Returns whether its record is gone although it said nothing.
+    pub fn is_absent(&self) -> bool {
+        matches!(self.state, EndpointState::Absent { .. })
+    }
 }
 
 /// All known endpoints.
@@ -178,6 +203,8 @@
     services: ServiceIndex,
     /// Lapsed endpoints, by when their record disappeared.
     lapsed: BTreeSet<(Time, EndpointKey)>,
+    /// Absent endpoints, by when their record was found to be gone.
+    absent: BTreeSet<(Time, EndpointKey)>,
     /// Endpoints whose last result observed by this instance was a failure.
     failing: BTreeSet<EndpointKey>,
     /// Endpoints known to be leaving, with or without a known record.
@@ -249,7 +276,11 @@
         endpoint.cold_until = cold_until;
         endpoint.cold_reported_at = now;
         let state = match endpoint.state {
-            EndpointState::Lapsed { .. } | EndpointState::Unreadable if !leaving => {
+            EndpointState::Lapsed { .. }
+            | EndpointState::Unreadable
+            | EndpointState::Absent { .. }
+                if !leaving =>
+            {
                 EndpointState::Serving
             }
             state => state,
@@ -264,13 +295,17 @@
         let Some(endpoint) = self.endpoints.get_mut(&key) else {
             return;
         };
-        if let EndpointState::Lapsed { since } = endpoint.state {
-            self.lapsed.remove(&(since, key));
-        }
+        match endpoint.state {
+            EndpointState::Lapsed { since } => self.lapsed.remove(&(since, key)),
+            EndpointState::Absent { since } => self.absent.remove(&(since, key)),
+            _ => false,
+        };
         endpoint.state = state;
-        if let EndpointState::Lapsed { since } = state {
-            self.lapsed.insert((since, key));
-        }
+        match state {
+            EndpointState::Lapsed { since } => self.lapsed.insert((since, key)),
+            EndpointState::Absent { since } => self.absent.insert((since, key)),
+            _ => false,
+        };
         let (service, data_centre) = (&endpoint.record.service, &endpoint.record.data_centre);
         match endpoint.accepts_work() {
             true => self.services.insert(service, data_centre, key),
@@ -278,24 +313,24 @@
         }
     }
 
-    /// Applies the removal of a record. Around a store outage (`unsettled`) the record may return.
+    /// Applies the removal of a record. Around a store outage (`unsettled`) the endpoint is used on,
+    /// since its record may return.
     ///
-    /// Returns the endpoint if it started leaving.
+    /// Returns the endpoint if it gets no new work from now on.
     pub fn remove_record(&mut self, now: Time, name: &str, unsettled: bool) -> Option<EndpointKey> {
-        let Some(&(_, key)) = self.newest.get(name) else {
-            self.mark_leaving(now, EndpointKey::of(name));
-            return None;
-        };
+        let &(_, key) = self.newest.get(name)?;
         self.withdraw_record(now, key);
-        let is_serving = self
-            .endpoints
-            .get(&key)
-            .is_some_and(|it| it.state == EndpointState::Serving);
-        if unsettled && is_serving {
-            self.set_state(key, EndpointState::Lapsed { since: now });
-            return None;
+        match self.endpoints.get(&key)?.state {
+            EndpointState::Serving if unsettled => {
+                self.set_state(key, EndpointState::Lapsed { since: now });
+                None
+            }
+            EndpointState::Serving | EndpointState::Lapsed { .. } | EndpointState::Unreadable => {
+                self.set_state(key, EndpointState::Absent { since: now });
+                Some(key)
+            }
+            EndpointState::Absent { .. } | EndpointState::Leaving { .. } => None,
         }
-        self.mark_leaving(now, key).then_some(key)
     }
 
     fn withdraw_record(&mut self, now: Time, key: EndpointKey) {
@@ -320,7 +355,8 @@
     pub fn mark_leaving(&mut self, now: Time, key: EndpointKey) -> bool {
         let endpoint = self.endpoints.get(&key);
         let has_record = endpoint.is_some_and(|it| it.has_record);
-        let is_new = endpoint.is_some_and(|it| it.leaving_since().is_none());
+        let is_leaving = |it: &Endpoint| matches!(it.state, EndpointState::Leaving { .. });
+        let is_new = endpoint.is_some_and(|it| !is_leaving(it));
         let since = self.known_leaving.add(now, key, has_record);
         if is_new {
             self.set_state(key, EndpointState::Leaving { since });
@@ -328,19 +364,24 @@
         is_new
     }
 
-    /// Marks lapsed endpoints as leaving once the store is settled, and drops endpoints that left
-    /// long ago. Endpoints for which nothing is due are not
-    /// looked at.
+    /// Makes lapsed endpoints absent once the store is settled, and drops endpoints that left or went
+    /// absent long ago. Endpoints for which nothing is due are not looked at.
     ///
-    /// Returns the endpoints that started leaving.
+    /// Returns the endpoints that get no new work from now on.
     pub fn tick(&mut self, now: Time, unsettled: bool) -> Vec<EndpointKey> {
         let mut gone = Vec::new();
-        while !unsettled && let Some((_, key)) = self.lapsed.pop_first() {
-            self.mark_leaving(now, key);
+        while !unsettled && let Some(&(_, key)) = self.lapsed.first() {
+            self.set_state(key, EndpointState::Absent { since: now });
             gone.push(key);
         }
         gone.sort_unstable();
-        let expired = self.known_leaving.take_expired(now);
+        let mut expired = self.known_leaving.take_expired(now);
+        while let Some(&(since, key)) = self.absent.first()
+            && now.since(since) >= GONE_RETENTION
+        {
+            self.absent.pop_first();
+            expired.push(key);
+        }
         self.looked_at += (gone.len() + expired.len()) as u64;
         for key in expired {
             self.forget(key);
@@ -357,6 +398,9 @@
         self.services
             .remove(&record.service, &record.data_centre, key);
         self.failing.remove(&key);
+        if let EndpointState::Absent { since } = endpoint.state {
+            self.absent.remove(&(since, key));
+        }
         if self.newest(&record.name) == Some(key) {
             self.newest.remove(&record.name);
         }
--- a/crates/core/src/gateway/endpoints/marks.rs
+++ b/crates/core/src/gateway/endpoints/marks.rs
@@ -10,8 +10,8 @@
 use core::time::Duration;
 use std::collections::{BTreeMap, BTreeSet};
 
-/// How long the state of an endpoint that left is kept after its record was removed.
-const GONE_RETENTION: Duration = Duration::from_secs(60);
+/// How long the state of an endpoint that left or is absent is kept after its record was removed.
+pub(super) const GONE_RETENTION: Duration = Duration::from_secs(60);
 
 /// How long it is remembered that an endpoint left, after its record was removed. An endpoint may
 /// live on for long, and a store that comes back from a copy, or a delayed update, may hold a record
--- a/crates/core/src/gateway/reachability.rs
+++ b/crates/core/src/gateway/reachability.rs
@@ -76,7 +76,8 @@
         let needed = |least: usize| least.min(usable).max(1);
         let is_enough = silent >= needed(MIN_UNREACHED)
             || self.unreached.len() >= needed(MIN_UNREACHED.max(usable / REFUSING_PART));
-        let begins = !self.is_partitioned && is_enough;
+        // A service without usable endpoints is not out of reach: no peer reaches any either.
+        let begins = !self.is_partitioned && is_enough && usable > 0;
         self.is_partitioned |= begins;
         begins
     }
@@ -113,6 +114,17 @@
         core::mem::take(&mut state.is_partitioned)
     }
 
+    /// Records that a service has no endpoint to which work may be sent, which ends a partition from
+    /// it: no connection could show its end.
+    pub fn on_no_endpoint(&mut self, service: &str) {
+        if let Some(state) = self.services.get_mut(service) {
+            state.unreached.clear();
+            state.refusing.clear();
+            state.probes = None;
+            state.is_partitioned = false;
+        }
+    }
+
     /// Records that no connection to an endpoint of `service` could be opened; `usable` is the
     /// number of its endpoints to which work may be sent. Returns whether a partition begins.
     pub fn on_unreachable(
--- a/crates/core/src/gateway/reader.rs
+++ b/crates/core/src/gateway/reader.rs
@@ -158,6 +158,10 @@
     last_answer: Option<Time>,
     /// When the store last answered any instance, as far as this one knows.
     heard_at: Option<Time>,
+    /// From when on this instance knows whether the store was away in the last moments.
+    knows_from: Option<Time>,
+    /// When the store came back from a copy, as far as this instance noticed.
+    epoch_began_at: Option<Time>,
     /// When the store last answered a watch.
     last_watch_answer: Option<Time>,
     /// The latest epoch that the store or a peer stated.
@@ -176,6 +180,8 @@
             recovered_at: None,
             last_answer: None,
             heard_at: None,
+            knows_from: None,
+            epoch_began_at: None,
             last_watch_answer: None,
             epoch: Epoch::UNSTATED,
             history_gone: 0,
@@ -225,6 +231,20 @@
     /// Begins the time for which a store that came back from a copy may lack records.
     pub fn begin_epoch(&mut self, now: Time) {
         self.recovered_at = Some(now);
+        self.epoch_began_at = Some(now);
+    }
+
+    /// Returns when the epoch began, while the store may still hold records of the copy from which
+    /// it came back that will be written or removed again.
+    pub fn epoch_began(&self, now: Time) -> Option<Time> {
+        self.epoch_began_at
+            .filter(|at| now.since(*at) < SETTLE_TIME)
+    }
+
+    /// Returns whether this instance knows if the store was away in the last moments: it has heard
+    /// of the store for long enough, or an instance that had told it so.
+    pub fn knows_recent_past(&self, now: Time) -> bool {
+        self.knows_from.is_some_and(|from| now >= from)
     }
 
     /// Waits before the next call, so that the instances that watch for all can read first.
@@ -276,9 +296,10 @@
 
     fn answered(&mut self, now: Time) -> bool {
         let was_unavailable = self.failures > 0;
-        if was_unavailable && self.is_unheard(now) {
+        if was_unavailable && (self.heard_at.is_none() || self.is_unheard(now)) {
             self.recovered_at = Some(now);
         }
+        self.knows_from.get_or_insert(now + SETTLE_TIME);
         self.failures = 0;
         self.last_answer = Some(now);
         self.heard_at = Some(now);
@@ -291,16 +312,19 @@
     /// Without this, the trouble of one instance with the store, or the time for which it made no
     /// calls, would count as an outage in which records expire.
     pub fn on_peer_answer(&mut self, now: Time, answered: Time, epoch: Epoch, may_miss: bool) {
-        if epoch < self.epoch || self.heard_at.is_some_and(|at| answered <= at) {
+        if epoch < self.epoch {
             return;
         }
         // Who has heard of the store all along knows better than the sender.
         let was_unheard = self.heard_at.is_none() || self.is_unheard(answered);
-        self.heard_at = Some(answered);
-        match may_miss {
-            true if was_unheard => self.recovered_at = Some(now),
-            true => {}
-            false => self.recovered_at = None,
+        self.heard_at = self.heard_at.max(Some(answered));
+        let is_recent = now.since(answered) < WATCHER_TIMEOUT;
+        if may_miss && was_unheard {
+            self.recovered_at = Some(now);
+        }
+        if !may_miss && is_recent {
+            self.recovered_at = None;
+            self.knows_from = Some(self.knows_from.map_or(now, |it| it.min(now)));
         }
     }
 
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -21,7 +21,7 @@
 use super::catch_up::CatchUp;
 use super::cold::RateShares;
 use super::cordons::{Cordon, CordonEffect};
-use super::endpoints::{EndpointRecord, EndpointTable, RESUME_AT_LEAVING};
+use super::endpoints::{Endpoint, EndpointRecord, EndpointTable, RESUME_AT_LEAVING, Removal};
 use super::fallback::FallbackShares;
 use super::fleet_size::FleetSize;
 use super::gossip::{Body, Outbox};
@@ -35,7 +35,7 @@
 use super::proxies::Proxies;
 use super::rate_limits::{LimitChange, RateLimits, ResponseLimit};
 use super::reachability::Reachability;
-use super::reader::{MissingRecords, StoreReader};
+use super::reader::{MissingRecords, SETTLE_TIME, StoreReader};
 use super::replica::{Record, Replica};
 use super::suspects::Suspects;
 use super::usage::{ReportedLoad, UsageTable};
@@ -74,8 +74,10 @@
 /// Result of [`Gateway::tick`].
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct TickOutcome {
-    /// Endpoints that have begun to leave.
-    pub leaving: Vec<EndpointKey>,
+    /// Endpoints whose record is gone, and that get no new work from now on.
+    pub absent: Vec<EndpointKey>,
+    /// Endpoints whose record is back, and that get new work again.
+    pub returned: Vec<EndpointKey>,
     /// Endpoints whose backoff has ended.
     pub backoffs_ended: Vec<EndpointKey>,
     /// Engines that this instance, as a home, now skips for all instances.
@@ -181,6 +183,8 @@
     retained_catalogue: Option<Record>,
     /// The key of the catalogue's record.
     catalogue_key: Option<String>,
+    /// Records of absent endpoints that may be of an older copy of the store, by name.
+    returning: BTreeMap<String, EndpointRecord>,
     /// Whether a later catalogue of a peer is awaited before the first request.
     awaits_catalogue: bool,
     /// Whether the store's cordons have been read once.
@@ -236,6 +240,7 @@
             lengths: LengthTable::default(),
             retained_catalogue: None,
             catalogue_key: None,
+            returning: BTreeMap::new(),
             awaits_catalogue: true,
             knows_cordons: false,
             started: now,
@@ -274,6 +279,11 @@
     pub fn publish_endpoint(&mut self, now: Time, record: EndpointRecord) -> Vec<EndpointKey> {
         let name = record.name.clone();
         let before = self.endpoints.newest(&name);
+        if self.may_be_of_copy(now, &record) {
+            self.returning.insert(name, record);
+            return Vec::new();
+        }
+        self.returning.remove(&name);
         let began = self.endpoints.apply_record(now, record);
         if self.endpoints.newest(&name) != before {
             // A new incarnation is registered, so the previous one has ended.
@@ -282,17 +292,66 @@
         began
     }
 
-    /// Handles the removal of an endpoint's record; returns the endpoint if it has begun to leave.
-    pub fn endpoint_vanished(&mut self, now: Time, name: &str) -> Option<EndpointKey> {
-        let may_miss_records = self.may_miss_records(now);
+    /// Returns whether a record of an endpoint that was gone may be one of the older copy from which
+    /// the store came back, so that the endpoint is not used by it: its removal was acknowledged and
+    /// will be written again.
+    fn may_be_of_copy(&self, now: Time, record: &EndpointRecord) -> bool {
+        let endpoint = self.endpoints.get(record.key());
+        let absent = endpoint.filter(|it| it.is_absent() && !record.leaving);
+        let since = absent.and_then(Endpoint::leaving_since);
+        let began = self.reader.epoch_began(now);
+        since.is_some_and(|since| began.is_some_and(|began| since <= began))
+    }
+
+    /// Applies the records that might have been of an older copy and stand although the writers had
+    /// time to write again.
+    ///
+    /// Returns their endpoints.
+    fn apply_returning(&mut self, now: Time) -> Vec<EndpointKey> {
+        if self.returning.is_empty() || self.reader.epoch_began(now).is_some() {
+            return Vec::new();
+        }
+        let records = core::mem::take(&mut self.returning).into_values();
+        let apply = |record: EndpointRecord| {
+            let key = record.key();
+            self.publish_endpoint(now, record);
+            key
+        };
+        records.map(apply).collect()
+    }
+
+    /// Handles the removal of an endpoint's record; returns the endpoint if it gets no new work from
+    /// now on.
+    pub fn endpoint_vanished(
+        &mut self,
+        now: Time,
+        name: &str,
+        removal: Removal,
+    ) -> Option<EndpointKey> {
+        self.returning.remove(name);
+        let unsettled = match removal {
+            Removal::Stated => self.may_miss_records(now),
+            Removal::Missing => self.is_unsettled(now),
+        };
         let newest = self.endpoints.newest(name);
-        let gone = self.endpoints.remove_record(now, name, may_miss_records);
-        if !may_miss_records {
+        let gone = self.endpoints.remove_record(now, name, unsettled);
+        if !unsettled {
             self.on_endpoints_lost(now, newest.as_slice());
         }
         gone
     }
 
+    /// Returns whether records may be missing, or this instance has not been running for long enough
+    /// to know.
+    pub(super) fn is_unsettled(&self, now: Time) -> bool {
+        let knows = self.reader.knows_recent_past(now);
+        self.may_miss_records(now)
+            || !knows
+                && !self
+                    .beacons
+                    .any_denies_missing_records(now, self.reader.epoch())
+    }
+
     /// Returns whether the store may lack records that will come back after an outage.
     ///
     /// An instance that is not a watcher rarely calls the store and learns of an outage from the
@@ -303,7 +362,10 @@
         let is_possible = match self.reader.missing_records(now) {
             MissingRecords::No => false,
             MissingRecords::Possible => true,
-            MissingRecords::Unknown => self.states_missing_records(now).is_some(),
+            MissingRecords::Unknown => {
+                let has_just_started = now.since(self.started) < SETTLE_TIME;
+                has_just_started || self.states_missing_records(now).is_some()
+            }
         };
         is_possible
             && !self
--- a/crates/core/src/gateway/state/partitions.rs
+++ b/crates/core/src/gateway/state/partitions.rs
@@ -136,6 +136,10 @@
         let services = self.reachability.due_probes(now);
         let mut probes = Vec::new();
         for service in services {
+            if self.endpoints.usable_count(&service) == 0 {
+                self.reachability.on_no_endpoint(&service);
+                continue;
+            }
             let unreached: Vec<EndpointKey> = self.reachability.unreached(&service).collect();
             let usable = || self.endpoints.usable_of(&service);
             let untried = usable().filter(|it| !unreached.contains(&it.key));
--- a/crates/core/src/gateway/state/peers.rs
+++ b/crates/core/src/gateway/state/peers.rs
@@ -315,9 +315,10 @@
         self.gossip_updates(change);
         self.beacons.tick(now);
         self.send_beacon(now);
-        let may_miss_records = self.may_miss_records(now);
-        outcome.leaving = self.endpoints.tick(now, may_miss_records);
-        self.on_endpoints_lost(now, &outcome.leaving);
+        outcome.returned = self.apply_returning(now);
+        let is_unsettled = self.is_unsettled(now);
+        outcome.absent = self.endpoints.tick(now, is_unsettled);
+        self.on_endpoints_lost(now, &outcome.absent);
         outcome.suspects_changed = self.suspects.take_changed();
         self.suspects.tick(now);
         let live = self.members.live().map(|(address, _)| address);
@@ -380,7 +381,8 @@
             store_age_ms: self.store_age_ms(now),
             revision: self.replica.revision(),
             digest: self.replica.digest(),
-            may_miss_records: self.reader.may_miss_records(now),
+            may_miss_records: self.reader.may_miss_records(now)
+                || !self.reader.knows_recent_past(now),
         };
         self.beacons.on_beacon(now, beacon);
         self.outbox.add_beacon(beacon);
--- a/crates/core/src/gateway/state/places.rs
+++ b/crates/core/src/gateway/state/places.rs
@@ -233,7 +233,9 @@
         match self.endpoints.get(key).map(|it| it.state) {
             Some(EndpointState::Leaving { .. }) => WithheldReason::Leaving,
             Some(EndpointState::Serving | EndpointState::Lapsed { .. }) => WithheldReason::Limit,
-            Some(EndpointState::Unreadable) | None => WithheldReason::Unknown,
+            Some(EndpointState::Unreadable | EndpointState::Absent { .. }) | None => {
+                WithheldReason::Unknown
+            }
         }
     }
 
--- a/crates/core/tests/gateway_absence.rs
+++ b/crates/core/tests/gateway_absence.rs
@@ -5,10 +5,12 @@
 #[path = "fixtures/gateway.rs"]
 mod instances;
 
+use bincode::config::standard;
 use core::time::Duration;
 use fleet::{ENDPOINT_PREFIX, Fleet, StoreContent, StoreModel};
+use oriolemux_core::gateway::endpoints::Removal;
 use oriolemux_core::gateway::reader::CallFailure;
-use oriolemux_core::gateway::{Gateway, Record, Revision};
+use oriolemux_core::gateway::{Datagram, Gateway, Record, Revision};
 use oriolemux_core::{EndpointKey, Time};
 use rstest::rstest;
 
@@ -117,9 +119,152 @@
     one.reader.on_failure(failed, CallFailure::Refused, 0.5);
     let answered = failed + Duration::from_millis(100);
     one.reader.on_answer(answered);
-    one.endpoint_vanished(answered + Duration::from_millis(10), "e-1");
+    one.endpoint_vanished(answered + Duration::from_millis(10), "e-1", Removal::Stated);
 
     let late = answered + (BOUND - SENDING);
     one.tick(late);
     assert!(!one.is_usable(engine));
 }
+
+/// How long after its record is back a sound endpoint may stay unused.
+const USED_AGAIN: Duration = Duration::from_secs(2);
+
+/// How long the store is away: long enough for records to expire.
+const OUTAGE: Duration = Duration::from_secs(8);
+
+/// Guards against an endpoint that is lost for good because its record expired for silence, at
+/// instances that saw it and at those that started meanwhile.
+#[rstest]
+fn an_endpoint_whose_record_expired_is_used_again(#[values(1, 2, 3)] seed: u64) {
+    let mut fleet = fleet_with_store(6, seed);
+
+    fleet.content = Some(content(2, false));
+    fleet.run(BOUND - SENDING);
+    let meanwhile = users_of(&fleet, "e-1");
+    fleet.kill(5);
+    fleet.start_one(5);
+    fleet.run(Duration::from_secs(3));
+    fleet.content = Some(content(3, true));
+    fleet.run(USED_AGAIN);
+
+    assert_eq!(meanwhile, Vec::<usize>::new());
+    assert_eq!(users_of(&fleet, "e-1"), [0, 1, 2, 3, 4, 5]);
+}
+
+/// Guards against a fleet that loses its endpoints because instances which start during an outage of
+/// the store take expired records for removed ones and tell all others.
+#[rstest]
+fn restarts_during_an_outage_lose_no_endpoint(#[values(1, 2, 3)] seed: u64) {
+    let mut fleet = fleet_with_store(6, seed);
+
+    fleet.store = Some(StoreModel {
+        calls_per_second: 0,
+        ..STORE
+    });
+    for index in 0..6 {
+        fleet.run(OUTAGE / 6);
+        fleet.kill(index);
+        fleet.run(Duration::from_millis(200));
+        fleet.start_one(index);
+    }
+    fleet.content = Some(content(2, false));
+    fleet.store = Some(STORE);
+    fleet.run(Duration::from_millis(1_500));
+    let before = users_of(&fleet, "e-1");
+    fleet.content = Some(content(3, true));
+    fleet.run(USED_AGAIN);
+
+    assert!(!before.is_empty(), "no instance uses an expired endpoint");
+    assert_eq!(users_of(&fleet, "e-1"), [0, 1, 2, 3, 4, 5]);
+}
+
+/// Guards against an endpoint that announced to leave and is used again because its record went and
+/// came back, at instances that knew and at those that started meanwhile.
+#[rstest]
+fn an_endpoint_that_announced_to_leave_stays_unused(#[values(1, 2, 3)] seed: u64) {
+    let mut fleet = fleet_with_store(6, seed);
+    fleet.observe_leaving(1, EndpointKey::of("e-1"));
+    fleet.run(Duration::from_secs(1));
+
+    fleet.content = Some(content(2, false));
+    fleet.run(Duration::from_secs(3));
+    fleet.content = Some(content(3, true));
+    fleet.run(Duration::from_secs(1));
+    fleet.kill(5);
+    fleet.start_one(5);
+    fleet.run(Duration::from_secs(4));
+
+    assert_eq!(users_of(&fleet, "e-1"), Vec::<usize>::new());
+}
+
+/// Guards against an instance that tells others that an endpoint leaves, although only its record
+/// is gone.
+#[test]
+fn a_removed_record_is_not_gossiped_as_leaving() {
+    let mut one = Gateway::new(Time::ZERO, instances::config(1, &[]));
+    let now = Time::from_secs(10);
+    one.reader.on_answer(now);
+    one.publish_endpoint(now, instances::engine("e-1"));
+
+    one.endpoint_vanished(now, "e-1", Removal::Stated);
+    one.publish_endpoint(now + Duration::from_millis(5), instances::engine("e-1"));
+
+    assert_eq!(one.endpoints.known_leaving(), 0);
+    assert!(one.is_usable(EndpointKey::of("e-1")));
+}
+
+/// Guards against requests to an endpoint whose removal was acknowledged, because the store came
+/// back from a copy that is older, and against a sound endpoint that is lost for the same reason.
+#[test]
+fn a_copy_restores_an_absent_endpoint_only_once_writers_had_time() {
+    let mut one = Gateway::new(Time::ZERO, instances::config(1, &[]));
+    let engine = EndpointKey::of("e-1");
+    let now = Time::from_secs(10);
+    one.reader.on_answer(now);
+    one.publish_endpoint(now, instances::engine("e-1"));
+    one.endpoint_vanished(now, "e-1", Removal::Stated);
+    one.publish_endpoint(now, instances::engine("e-2"));
+    one.endpoint_vanished(now, "e-2", Removal::Stated);
+
+    let back = now + Duration::from_secs(1);
+    one.reader.begin_epoch(back);
+    one.publish_endpoint(back, instances::engine("e-1"));
+    one.publish_endpoint(back, instances::engine("e-2"));
+    let at_once = one.is_usable(engine);
+    let removed_again = back + Duration::from_secs(1);
+    one.endpoint_vanished(removed_again, "e-2", Removal::Stated);
+    let settled = back + Duration::from_secs(3);
+    let returned = one.tick(settled).returned;
+
+    assert!(!at_once);
+    assert_eq!(returned, [engine]);
+    assert!(one.is_usable(engine));
+    assert!(!one.is_usable(EndpointKey::of("e-2")));
+}
+
+/// A datagram of the former version, encoded by it: the instance 2 says that `e-1` leaves. It says so
+/// for a word of the endpoint and for a removed record alike.
+const FORMER_MARK: [u8; 33] = [
+    11, 1, 10, 0, 0, 2, 251, 32, 28, 2, 0, 0, 0, 7, 9, 0, 0, 3, 0, 1, 253, 175, 136, 152, 125, 217,
+    229, 97, 186, 0, 0, 0, 0,
+];
+
+/// Guards against requests to an endpoint that announced to leave to an instance of the former
+/// version alone, whose mark does not tell that from a removed record.
+#[test]
+fn a_mark_of_the_former_version_is_final() {
+    let mut one = Gateway::new(Time::ZERO, instances::config(1, &[]));
+    let now = Time::from_secs(10);
+    one.reader.on_answer(now);
+    one.publish_endpoint(now, instances::engine("e-1"));
+
+    let (datagram, _): (Datagram, usize) =
+        bincode::serde::decode_from_slice(&FORMER_MARK, standard()).expect("a datagram");
+    one.on_datagram(now, datagram.clone()).expect("accepted");
+    one.endpoint_vanished(now, "e-1", Removal::Stated);
+    one.publish_endpoint(now, instances::engine("e-1"));
+
+    assert!(!one.is_usable(EndpointKey::of("e-1")));
+    let bytes = bincode::serde::encode_to_vec(&datagram, standard()).expect("encodable");
+    assert_eq!(bytes, FORMER_MARK, "the former version reads it as before");
+}
--- a/crates/core/tests/gateway_announcements.rs
+++ b/crates/core/tests/gateway_announcements.rs
@@ -8,6 +8,7 @@
 use core::time::Duration;
 use fleet::Fleet;
 use oriolemux_core::gateway::catalogue::{CatalogueSource, EngineLimits, Service};
+use oriolemux_core::gateway::endpoints::Removal;
 use oriolemux_core::gateway::placement::PlacementStatus;
 use oriolemux_core::gateway::request::{
     CopyKind, PaceDemand, PlacementDecision, PlacementError, PlacementKind, PlacementRequest,
@@ -162,7 +163,7 @@
     let engine = EndpointKey::of("e-1");
     one.request_backoff(NOW, engine, Duration::from_secs(86_400));
 
-    one.endpoint_vanished(NOW, "e-1");
+    one.endpoint_vanished(NOW, "e-1", Removal::Stated);
     one.tick(NOW + Duration::from_secs(61));
 
     assert_eq!(one.backoffs.active(NOW).count(), 0);
--- a/crates/core/tests/gateway_leaving.rs
+++ b/crates/core/tests/gateway_leaving.rs
@@ -7,6 +7,7 @@
 
 use core::time::Duration;
 use fleet::Fleet;
+use oriolemux_core::gateway::endpoints::Removal;
 use oriolemux_core::gateway::state::SendKind;
 use oriolemux_core::gateway::{Body, EndpointRecord, EndpointState, Gateway};
 use oriolemux_core::{EndpointKey, Time};
@@ -45,7 +46,7 @@
                 ..record
             },
         )),
-        Notice::Removal => drop(one.endpoint_vanished(now, "e-1")),
+        Notice::Removal => drop(one.endpoint_vanished(now, "e-1", Removal::Stated)),
     }
 }
 
--- a/crates/core/tests/gateway_partitions.rs
+++ b/crates/core/tests/gateway_partitions.rs
@@ -9,6 +9,7 @@
 use oriolemux_core::Time;
 use oriolemux_core::gateway::Gateway;
 use oriolemux_core::gateway::budget::{BudgetConfig, RetryKind, SharedRetryBudget};
+use oriolemux_core::gateway::endpoints::Removal;
 use oriolemux_core::gateway::proxies::{Proxies, ProxyChoice};
 use oriolemux_core::gateway::reachability::{
     CROSS_CHECKS, HANGING_CONNECT, Reachability, SLOW_CONNECT,
@@ -61,6 +62,27 @@
     );
 }
 
+/// Guards against an instance that counts as partitioned from a service because the records of all
+/// its endpoints are gone, and goes on doing so when they are back.
+#[test]
+fn a_service_without_usable_endpoints_is_no_partition() {
+    let mut one = gateway(1);
+    one.reader.on_answer(START);
+    one.publish_endpoint(START, engine("e-1"));
+    one.publish_endpoint(START, engine("e-2"));
+    one.on_unreachable(START, endpoint(1));
+    let before = one.on_unreachable(START, endpoint(2)).is_partitioned;
+
+    one.endpoint_vanished(START, "e-1", Removal::Stated);
+    one.endpoint_vanished(START, "e-2", Removal::Stated);
+    one.partition_probes(START + NOTICE);
+    let after = one.is_partitioned_from(endpoint(1));
+    let again = one.on_unreachable(START + NOTICE, endpoint(2));
+
+    assert!(before);
+    assert!(!after && !again.is_partitioned);
+}
+
 /// Guards against a partition that is noticed by 38 instances at once, which then refuse requests,
 /// because a sixth of the engines ended together before the store removed their records.
 #[rstest]
--- a/crates/core/tests/gateway_reader.rs
+++ b/crates/core/tests/gateway_reader.rs
@@ -5,6 +5,7 @@
 
 use core::time::Duration;
 use instances::{address, alive, beacon, datagram, gateway, heartbeat};
+use oriolemux_core::gateway::endpoints::Removal;
 use oriolemux_core::gateway::members::{MemberUpdate, Status};
 use oriolemux_core::gateway::reader::{CallFailure, Step, WATCHER_TIMEOUT, WATCHERS};
 use oriolemux_core::gateway::state::DropReason;
@@ -278,7 +279,7 @@
     }
 
     receive(&mut one, now, announced);
-    assert_eq!(one.endpoint_vanished(now, "e-1"), None);
+    assert_eq!(one.endpoint_vanished(now, "e-1", Removal::Stated), None);
     one.publish_endpoint(now, record);
 
     assert!(one.is_usable(EndpointKey::of("e-1")));
--- a/crates/core/tests/gateway_suspects.rs
+++ b/crates/core/tests/gateway_suspects.rs
@@ -9,6 +9,7 @@
 use fleet::Fleet;
 use instances::{address, engine};
 use oriolemux_core::fingerprint::{Fingerprint, Identity};
+use oriolemux_core::gateway::endpoints::Removal;
 use oriolemux_core::gateway::gossip::GossipItems;
 use oriolemux_core::gateway::state::Placement;
 use oriolemux_core::gateway::{Body, EndpointRecord, Gateway};
@@ -445,7 +446,7 @@
 fn a_removed_endpoint_record_counts_as_a_crash() {
     let (mut gateway, _) = with_lost_connection();
 
-    gateway.endpoint_vanished(Time::from_secs(5), "e-1");
+    gateway.endpoint_vanished(Time::from_secs(5), "e-1", Removal::Stated);
 
     assert_eq!(gateway.crash_count(fingerprint("fatal")), 1);
 }
@@ -472,7 +473,7 @@
     let (mut gateway, _) = with_lost_connection();
     gateway.tick(Time::from_secs(13));
 
-    gateway.endpoint_vanished(Time::from_secs(14), "e-1");
+    gateway.endpoint_vanished(Time::from_secs(14), "e-1", Removal::Stated);
 
     assert_eq!(gateway.crash_count(fingerprint("fatal")), 0);
 }
--- a/crates/gateway/src/cx.rs
+++ b/crates/gateway/src/cx.rs
@@ -293,6 +293,25 @@
         }
     }
 
+    /// Logs endpoints whose record is gone, and wakes waiting requests and generations there.
+    pub fn announce_absent(&self, endpoints: &[EndpointKey]) {
+        for &endpoint in endpoints {
+            let name = self.endpoint_name(endpoint);
+            log_event!(EndpointAbsent, endpoint = name.as_str());
+        }
+        if !endpoints.is_empty() {
+            self.replica_changed.notify_waiters();
+            self.departures.notify_waiters();
+        }
+    }
+
+    /// Logs an endpoint whose record is back, and wakes waiting requests.
+    pub fn announce_returned(&self, endpoint: EndpointKey) {
+        let name = self.endpoint_name(endpoint);
+        log_event!(EndpointReturned, endpoint = name.as_str());
+        self.replica_changed.notify_waiters();
+    }
+
     /// Returns whether a timeout that passes now says something about the endpoint or peer that was
     /// waited for since `began`. It does not if this instance itself was late meanwhile.
     pub fn is_evidence(&self, what: &'static str, began: Time) -> bool {
--- a/crates/gateway/src/event_log.rs
+++ b/crates/gateway/src/event_log.rs
@@ -268,6 +268,11 @@
     /// used for as long as its record may return; the line says whether this instance concludes that
     /// from its own calls, and which watcher states it, if any.
     RemovalHeldBack = 887, "removal_held_back", Info, USUAL;
+    /// The record of an endpoint is gone although the endpoint did not say that it leaves. It gets no
+    /// new work until its record is written again.
+    EndpointAbsent = 888, "endpoint_absent", Info, USUAL;
+    /// The record of an absent endpoint is back, and the endpoint gets new work again.
+    EndpointReturned = 889, "endpoint_returned", Info, USUAL;
 }
 
 /// The lines of one event in the current second.
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -46,7 +46,10 @@
         }
         let now = cx.now();
         let ticked = cx.state().tick(now);
-        cx.announce_leaving(&ticked.leaving);
+        cx.announce_absent(&ticked.absent);
+        for endpoint in ticked.returned {
+            cx.announce_returned(endpoint);
+        }
         for endpoint in ticked.backoffs_ended {
             let name = cx.endpoint_name(endpoint);
             log_event!(BackoffEnded, endpoint = name.as_str());
--- a/crates/gateway/src/meters.rs
+++ b/crates/gateway/src/meters.rs
@@ -108,6 +108,8 @@
         EndpointsServing = "oriolemux_gateway_endpoints_serving";
         /// Endpoints whose entry vanished around an outage of the store.
         EndpointsLapsed = "oriolemux_gateway_endpoints_lapsed";
+        /// Endpoints whose entry is gone although they did not say that they leave.
+        EndpointsAbsent = "oriolemux_gateway_endpoints_absent";
         /// Endpoints that leave.
         EndpointsLeaving = "oriolemux_gateway_endpoints_leaving";
         /// Endpoints that requested a backoff of this instance.
@@ -207,6 +209,10 @@
             Gauge::EndpointsLapsed,
             endpoints(|it| matches!(it, EndpointState::Lapsed { .. })),
         ),
+        (
+            Gauge::EndpointsAbsent,
+            endpoints(|it| matches!(it, EndpointState::Absent { .. })),
+        ),
         (
             Gauge::EndpointsLeaving,
             endpoints(|it| matches!(it, EndpointState::Leaving { .. })),
--- a/crates/gateway/src/status.rs
+++ b/crates/gateway/src/status.rs
@@ -55,6 +55,8 @@
     BackedOff,
     /// Its record was removed around an outage of the store; it is used only if there is no other.
     Lapsed,
+    /// Its record is gone, and it accepts no requests until the record is written again.
+    Absent,
     /// It accepts no more requests.
     Nothing,
 }
@@ -385,6 +387,7 @@
     let backoff_ms = backoff_ends.map(|it| millis(it.since(now)));
     let takes = match endpoint.state {
         EndpointState::Leaving { .. } | EndpointState::Unreadable => Availability::Nothing,
+        EndpointState::Absent { .. } => Availability::Absent,
         _ if state.endpoints.is_cordoned(endpoint.key) => Availability::Cordoned,
         _ if backoff_ms.is_some() => Availability::BackedOff,
         EndpointState::Lapsed { .. } => Availability::Lapsed,
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -10,13 +10,15 @@
 use crate::log_event;
 use crate::ports::{Changes, Published, Store, StoreAnswer, Wire};
 use core::time::Duration;
+use oriolemux_core::EndpointKey;
+use oriolemux_core::gateway::endpoints::Removal;
 use oriolemux_core::gateway::reader::{
     CallFailure, EpochObservation, NextPage, StatedEpoch, Step, StoreReader, WATCH_TIMEOUT_MARGIN,
     WATCH_WAIT,
 };
 use oriolemux_core::gateway::replica::{Applied, Record};
 use oriolemux_core::gateway::{
-    CatalogueSource, Cordon, CordonEffect, EndpointState, Epoch, Revision,
+    CatalogueSource, Cordon, CordonEffect, Endpoint, EndpointRecord, EndpointState, Epoch, Revision,
 };
 use oriolemux_core::time::Time;
 use std::collections::BTreeMap;
@@ -161,7 +163,7 @@
         return false;
     }
     let missing = cx.state().replica.removals_after_read(seen, began);
-    apply(cx, from, missing);
+    apply_as(cx, from, Removal::Missing, missing);
     cx.state().replica.finish_full_read(began);
     let closed = cx.state().endpoints.cordons().closed_cordons();
     lift_missing_cordons(cx, from, &closed);
@@ -356,7 +358,13 @@
 
 /// Applies records and the consequences of those that changed; returns whether any changed.
 pub fn apply<W: Wire>(cx: &Cx<W>, from: Source, records: Vec<Record>) -> bool {
+    apply_as(cx, from, Removal::Stated, records)
+}
+
+/// Applies records as [`apply`] does; `removal` is how it is known that the removed ones are gone.
+fn apply_as<W: Wire>(cx: &Cx<W>, from: Source, removal: Removal, records: Vec<Record>) -> bool {
     let mut leaving = Vec::new();
+    let mut absent = Vec::new();
     let mut has_changes = false;
     for record in records {
         if !cx.state().replica.is_newer(&record) {
@@ -379,12 +387,12 @@
             Published::Catalogue(source) => is_in_force = apply_catalogue(cx, from, source),
             Published::CatalogueGone => {}
             Published::Endpoint(endpoint) => {
-                leaving.extend(cx.state().publish_endpoint(now, endpoint));
+                leaving.extend(publish_endpoint(cx, now, endpoint));
             }
             Published::EndpointGone(name) => {
-                let gone = cx.state().endpoint_vanished(now, &name);
+                let gone = cx.state().endpoint_vanished(now, &name, removal);
                 log_if_held_back(cx, now, &name);
-                leaving.extend(gone);
+                absent.extend(gone);
             }
             Published::Cordon { cordon, error } => {
                 if let Some(error) = error {
@@ -406,12 +414,27 @@
         }
     }
     cx.announce_leaving(&leaving);
+    cx.announce_absent(&absent);
     if has_changes {
         cx.replica_changed.notify_waiters();
     }
     has_changes
 }
 
+/// Applies the record of an endpoint; returns the endpoints that have begun to leave.
+fn publish_endpoint<W: Wire>(cx: &Cx<W>, now: Time, record: EndpointRecord) -> Vec<EndpointKey> {
+    let key = record.key();
+    let mut state = cx.state();
+    let was_absent = state.endpoints.get(key).is_some_and(Endpoint::is_absent);
+    let leaving = state.publish_endpoint(now, record);
+    let has_returned = was_absent && state.is_usable(key);
+    drop(state);
+    if has_returned {
+        cx.announce_returned(key);
+    }
+    leaving
+}
+
 /// Logs a removed record that may return, and on whose statement.
 fn log_if_held_back<W: Wire>(cx: &Cx<W>, now: Time, name: &str) {
     let state = cx.state();
--- a/crates/oriolemux/src/cli/operate/gateway_text.rs
+++ b/crates/oriolemux/src/cli/operate/gateway_text.rs
@@ -114,6 +114,7 @@
         Availability::BackedOff => "backed off",
         Availability::Cordoned => "data centre cordoned",
         Availability::Lapsed => "entry lapsed",
+        Availability::Absent => "entry gone",
         Availability::Nothing => "leaves",
     };
     let failing = if endpoint.failing { ", failing" } else { "" };
