A generation leaves its engine only with a retry in hand

Generations of one engine leave at the same moment; all but one closed their connection for a retry that was gone, waited a second and ended.

Change: the retry is spent where the relocation is decided; who gets none stays and asks again. Nothing is spent that was not spent before, some milliseconds earlier. Ruled out: a budget that was empty all along, which the check would have seen.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -34,6 +34,7 @@
 use copy_wait::CopyWait;
 use http::{HeaderMap, Response, StatusCode};
 use http_body_util::BodyExt;
+use oriolemux_core::gateway::budget::RetryKind;
 use oriolemux_core::gateway::lengths::LengthEstimate;
 use oriolemux_core::gateway::relocation::{
     EngineView, EventDelivery, Relocation, ResumeFrom, Step, silence_timeout,
@@ -106,6 +107,8 @@
     no_room: Vec<EndpointKey>,
     /// The engine for which it was logged that no pre-copy is needed.
     deferred_at: Option<EndpointKey>,
+    /// Whether a retry was spent for the next engine while the current one was still running.
+    has_retry: bool,
     /// When the response of the current engine started.
     response_started: Option<Instant>,
     /// Whether the parts of the prompt were recorded as ones that crash no engine.
@@ -145,6 +148,7 @@
             copy_wait: None,
             no_room: Vec::new(),
             deferred_at: None,
+            has_retry: false,
             response_started: None,
             is_proven: false,
             splitter: EventSplitter::default(),
@@ -316,7 +320,15 @@
                     self.start_pre_copy();
                     continue;
                 }
-                Step::Relocate => return StopReason::Relocate,
+                // Several generations may leave for the same retry. The one that does not get it
+                // stays where it runs.
+                Step::Relocate => match self.job.try_spend_retry(RetryKind::Resume) {
+                    true => {
+                        self.has_retry = true;
+                        return StopReason::Relocate;
+                    }
+                    false => continue,
+                },
                 Step::FailOver => return StopReason::EngineFailed,
                 Step::Recompute => match self.engine_with_room().await {
                     Some((place, in_use)) => return StopReason::Recompute(place, in_use),
--- a/crates/gateway/src/relay/resume.rs
+++ b/crates/gateway/src/relay/resume.rs
@@ -252,10 +252,13 @@
         start
     }
 
-    /// Spends one retry of the fleet's budget. If none is available, waits for one as long as
-    /// callers tolerate a pause: other retries leave what accrues meanwhile to generations that
-    /// resume.
-    async fn wait_for_retry_budget(&self, kind: RetryKind) -> bool {
+    /// Spends one retry of the fleet's budget, unless one is in hand. If none is available, waits for
+    /// one as long as callers tolerate a pause: other retries leave what accrues meanwhile to
+    /// generations that resume.
+    async fn wait_for_retry_budget(&mut self, kind: RetryKind) -> bool {
+        if core::mem::take(&mut self.has_retry) {
+            return true;
+        }
         let ends = Instant::now() + RETRY_BUDGET_TIMEOUT.min(self.job.remaining());
         while !self.job.may_resume() {
             if Instant::now() >= ends {
