A generation ends at its engine before it resumes at another one

Cause: closing the connection was all that ended the run; nothing asked the engine to stop it, and nothing waited for the end.

Change: after the close and before the resume the engine is ordered to stop the generation. One that dropped it answers 404 within an exchange; one that did not stops it. Without such an answer within 1.5 s, or with one that says it was not done, the generation does not resume: not_stopped, [890], a counter. An order whose answer is lost is repeated.

--- a/crates/gateway/src/event_log.rs
+++ b/crates/gateway/src/event_log.rs
@@ -273,6 +273,10 @@
     EndpointAbsent = 888, "endpoint_absent", Info, USUAL;
     /// The record of an absent endpoint is back, and the endpoint gets new work again.
     EndpointReturned = 889, "endpoint_returned", Info, USUAL;
+    /// An engine was ordered to stop a generation that it may still run, before the generation resumes
+    /// at another one: how the order was answered, and how long that took. `not_running` says that the
+    /// engine had dropped it, `done` and `no_room` that it stopped it now.
+    RunStopped = 890, "run_stopped", Info, FAILURES;
 }
 
 /// The lines of one event in the current second.
--- a/crates/gateway/src/meters.rs
+++ b/crates/gateway/src/meters.rs
@@ -45,6 +45,8 @@
         Attempts = "oriolemux_gateway_attempts_total";
         /// Calls that were sent once more, by how the attempt before ended.
         Repeats = "oriolemux_gateway_repeats_total";
+        /// Orders to stop a generation at an engine that it leaves, by how they were answered.
+        RunStops = "oriolemux_gateway_run_stops_total";
         /// Generations that were to go on at another engine: from a copy `ahead`, from a
         /// `standing` one, read `anew`, or `failed`.
         Relocations = "oriolemux_gateway_relocations_total";
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -326,6 +326,8 @@
     NotRunning,
     /// Another call for the same generation is in progress.
     Busy,
+    /// No connection to the engine could be opened.
+    Unreachable,
     /// There was no response, or one that cannot be parsed.
     NoAnswer,
 }
@@ -338,6 +340,7 @@
             CopyOutcome::NoRoom { .. } => "no_room",
             CopyOutcome::NotRunning => "not_running",
             CopyOutcome::Busy => "busy",
+            CopyOutcome::Unreachable => "unreachable",
             CopyOutcome::NoAnswer => "no_answer",
         }
     }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -20,6 +20,7 @@
 mod pace;
 mod pre_copy;
 mod resume;
+mod stop_run;
 mod upstream;
 
 use crate::attempts::Attempts;
@@ -245,6 +246,9 @@
                 StopReason::Gap => return self.abort_stream("event_missing").await,
                 StopReason::Relocate => {
                     upstream.link.close().await;
+                    if let Err(reason) = self.stop_run().await {
+                        return self.abort_stream(&reason.to_string()).await;
+                    }
                     if let Err(reason) = self.wait_until_admitted().await {
                         return self.abort_stream(&reason.to_string()).await;
                     }
--- a/crates/gateway/src/relay/copy_wait.rs
+++ b/crates/gateway/src/relay/copy_wait.rs
@@ -33,7 +33,7 @@
     /// copy. The place for a new copy is requested, and [`Relay::check_copy_wait`] starts the copy.
     pub(super) fn start_pre_copy(&mut self) {
         if let Some(pre_copy) = &mut self.pre_copy {
-            pre_copy.start(self.job.name());
+            pre_copy.start(self.job.name(), false);
             self.state.pre_copy_started(self.job.cx.now());
             return;
         }
@@ -93,7 +93,7 @@
             pending: PendingMove::new(&self.job),
         };
         let mut pre_copy = PreCopy::new(engines, self.engine.address, target, guards);
-        pre_copy.start(self.job.name());
+        pre_copy.start(self.job.name(), false);
         self.pre_copy = Some(pre_copy);
         self.state.pre_copy_started(self.job.cx.now());
     }
--- a/crates/gateway/src/relay/pre_copy.rs
+++ b/crates/gateway/src/relay/pre_copy.rs
@@ -61,17 +61,23 @@
         }
     }
 
-    /// Starts the copy, or brings it up to date.
-    pub(super) fn start(&mut self, attempt: &str) {
+    /// Starts the copy, or brings it up to date. If `stop` is set, the engine stops the generation
+    /// first.
+    pub(super) fn start(&mut self, attempt: &str, stop: bool) {
         let (engines, source) = (self.engines.clone(), self.source);
         let (attempt, target) = (attempt.to_owned(), self.target.address);
         self.task = Some(tokio::spawn(async move {
             engines
-                .copy_generation(source, &attempt, target, false, PRE_COPY_TIMEOUT)
+                .copy_generation(source, &attempt, target, stop, PRE_COPY_TIMEOUT)
                 .await
         }));
     }
 
+    /// Returns what makes the calls, and the addresses of the source and the target.
+    pub(super) fn route(&self) -> (E, SocketAddrV4, SocketAddrV4) {
+        (self.engines.clone(), self.source, self.target.address)
+    }
+
     /// Stores the handle of a complete copy.
     pub(super) fn complete(&mut self, handle: String) {
         self.handle = Some(handle);
--- a/crates/gateway/src/response.rs
+++ b/crates/gateway/src/response.rs
@@ -77,6 +77,8 @@
     Timeout,
     /// budget_spent
     BudgetSpent,
+    /// not_stopped
+    NotStopped,
     /// ends_endpoints
     CrashesEndpoints,
     /// prompt_part_ends_endpoints
@@ -115,9 +117,10 @@
             | Reason::NoConnection
             | Reason::NoRunLease
             | Reason::Stopping => StatusCode::SERVICE_UNAVAILABLE,
-            Reason::ResponseLost | Reason::WrongAttempt | Reason::BudgetSpent => {
-                StatusCode::BAD_GATEWAY
-            }
+            Reason::ResponseLost
+            | Reason::WrongAttempt
+            | Reason::BudgetSpent
+            | Reason::NotStopped => StatusCode::BAD_GATEWAY,
             Reason::Timeout => StatusCode::GATEWAY_TIMEOUT,
         }
     }
