--- a/crates/gateway/src/relay/pre_copy.rs
+++ b/crates/gateway/src/relay/pre_copy.rs
@@ -37,6 +37,23 @@
     guards: Option<CopyGuards<W>>,
 }
 
+/// A call that copies a generation.
+pub(super) struct CopyCall<E> {
+    engines: E,
+    source: SocketAddrV4,
+    target: SocketAddrV4,
+    /// Whether the engine stops the generation first.
+    stop: bool,
+}
+
+impl<E: EngineCalls> CopyCall<E> {
+    pub(super) async fn send(&self, attempt: &str, limit: Duration) -> CopyOutcome {
+        self.engines
+            .copy_generation(self.source, attempt, self.target, self.stop, limit)
+            .await
+    }
+}
+
 /// Counts a pre-copy at its target, and the generation as one that is about to resume.
 pub(super) struct CopyGuards<W: Wire> {
     pub(super) usage: CopyUsageGuard<W>,
@@ -64,18 +81,26 @@
     /// Starts the copy, or brings it up to date. If `stop` is set, the engine stops the generation
     /// first.
     pub(super) fn start(&mut self, attempt: &str, stop: bool) {
-        let (engines, source) = (self.engines.clone(), self.source);
-        let (attempt, target) = (attempt.to_owned(), self.target.address);
+        let attempt = attempt.to_owned();
+        let call = CopyCall {
+            engines: self.engines.clone(),
+            source: self.source,
+            target: self.target.address,
+            stop,
+        };
         self.task = Some(tokio::spawn(async move {
-            engines
-                .copy_generation(source, &attempt, target, stop, PRE_COPY_TIMEOUT)
-                .await
+            call.send(&attempt, PRE_COPY_TIMEOUT).await
         }));
     }
 
-    /// Returns what makes the calls, and the addresses of the source and the target.
-    pub(super) fn route(&self) -> (E, SocketAddrV4, SocketAddrV4) {
-        (self.engines.clone(), self.source, self.target.address)
+    /// Returns the order that stops the generation, to be repeated while the first one is open.
+    pub(super) fn stop_order(&self) -> CopyCall<E> {
+        CopyCall {
+            engines: self.engines.clone(),
+            source: self.source,
+            target: self.target.address,
+            stop: true,
+        }
     }
 
     /// Stores the handle of a complete copy.
--- a/crates/gateway/src/relay/stop_run.rs
+++ b/crates/gateway/src/relay/stop_run.rs
@@ -63,17 +63,16 @@
         let Some(pre_copy) = &mut self.pre_copy else {
             return CopyOutcome::NoAnswer;
         };
-        let (engines, source, target) = pre_copy.route();
+        let order = pre_copy.stop_order();
         let attempt = self.job.name();
         pre_copy.start(attempt, true);
         loop {
             let until = ends.min(Instant::now() + REPEAT_AFTER);
-            let order = pre_copy::wait_for_end(&mut self.pre_copy);
-            if let Ok(answer) = timeout_at(until.into(), order).await {
+            let first = pre_copy::wait_for_end(&mut self.pre_copy);
+            if let Ok(answer) = timeout_at(until.into(), first).await {
                 return answer;
             }
-            let repeated = engines.copy_generation(source, attempt, target, true, REPEAT_AFTER);
-            let answer = repeated.await;
+            let answer = order.send(attempt, REPEAT_AFTER).await;
             if shows_end(&answer) || Instant::now() >= ends {
                 return answer;
             }
