A refusal does not show that an engine stopped a generation

Cause: any 503 to the order to stop a generation became "no room", and that counted as a stop whether or not the engine named the handle of the KV cache that it keeps. Change: what an answer shows is decided in one place, core::gateway::run_end. Answers are decoded into what they say: refused, unreadable (no JSON, a handle that is missing, empty, too long or not sendable, another request's attempt id), with a line.

--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -29,6 +29,7 @@
 //! | `shortlist` | which engines a home looks at |
 //! | [`choose`] | the endpoint for a request, and the engine for a standby copy |
 //! | [`relocation`] | when a generation leaves its engine, and which events its caller gets |
+//! | [`run_end`] | whether the run of a generation has ended at an engine that it leaves |
 //! | [`reachability`] | whether this instance reaches the endpoints of a service |
 //! | [`proxies`] | the peers through which a partitioned instance serves its callers |
 //! | [`own_delay`] | whether this instance itself is late, and which new connections it sheds |
@@ -76,6 +77,7 @@
 pub mod replica;
 pub mod request;
 pub mod revision;
+pub mod run_end;
 pub mod shares;
 mod shortlist;
 pub mod state;
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -13,6 +13,7 @@
 use oriolemux_core::gateway::endpoints::EndpointRecord;
 use oriolemux_core::gateway::rate_limits::ResponseLimit;
 use oriolemux_core::gateway::reader::{CallFailure, StatedEpoch};
+use oriolemux_core::gateway::run_end::StopAnswer;
 use oriolemux_core::gateway::usage::ReportedLoad;
 use oriolemux_core::gateway::{CatalogueSource, ContentHash, Cordon, Epoch, Record, Revision};
 use std::io;
@@ -328,8 +329,12 @@
     Busy,
     /// No connection to the engine could be opened.
     Unreachable,
-    /// There was no response, or one that cannot be parsed.
+    /// There was no response.
     NoAnswer,
+    /// The engine answered with another status than those of this call, and did nothing.
+    Refused,
+    /// The response cannot be parsed, belongs to another request or names no valid handle.
+    Unreadable,
 }
 
 impl CopyOutcome {
@@ -342,6 +347,34 @@
             CopyOutcome::Busy => "busy",
             CopyOutcome::Unreachable => "unreachable",
             CopyOutcome::NoAnswer => "no_answer",
+            CopyOutcome::Refused => "refused",
+            CopyOutcome::Unreadable => "unreadable",
+        }
+    }
+
+    /// Returns what the outcome is as the answer to an order to stop the generation.
+    ///
+    /// An engine that stopped a generation and found no room for its copy names the handle under which
+    /// it keeps the KV cache. Without one, the engine refused the order as it may refuse any request.
+    pub const fn stop_answer(&self) -> StopAnswer {
+        match self {
+            CopyOutcome::Complete { .. } => StopAnswer::Stopped,
+            CopyOutcome::NoRoom { handle: Some(_) } => StopAnswer::StoppedWithoutRoom,
+            CopyOutcome::NoRoom { handle: None } | CopyOutcome::Refused => StopAnswer::Refused,
+            CopyOutcome::NotRunning => StopAnswer::NotRunning,
+            CopyOutcome::Busy => StopAnswer::Busy,
+            CopyOutcome::Unreachable => StopAnswer::Unreached,
+            CopyOutcome::NoAnswer => StopAnswer::Unanswered,
+            CopyOutcome::Unreadable => StopAnswer::Unreadable,
+        }
+    }
+
+    /// Returns the handle of a copy, or of the KV cache that a stopped generation left at its engine.
+    pub fn into_handle(self) -> Option<String> {
+        match self {
+            CopyOutcome::Complete { handle } => Some(handle),
+            CopyOutcome::NoRoom { handle } => handle,
+            _ => None,
         }
     }
 }
--- a/crates/gateway/src/relay/stop_run.rs
+++ b/crates/gateway/src/relay/stop_run.rs
@@ -11,6 +11,7 @@
 use crate::ports::{CopyOutcome, EngineCalls, Wire};
 use crate::response::Reason;
 use core::time::Duration;
+use oriolemux_core::gateway::run_end::Evidence;
 use std::time::Instant;
 use tokio::time::{sleep, timeout_at};
 
@@ -80,15 +81,9 @@
     }
 }
 
-/// Returns whether an answer shows that a generation does not run at its engine any more. One that
-/// has no room for the copy has stopped the generation all the same; one to which no connection opens
-/// is not reached.
+/// Returns whether an answer shows that a generation does not run at its engine any more. One to which
+/// no connection opens is not reached.
 fn shows_end(answer: &CopyOutcome) -> bool {
-    match answer {
-        CopyOutcome::Complete { .. }
-        | CopyOutcome::NotRunning
-        | CopyOutcome::NoRoom { .. }
-        | CopyOutcome::Unreachable => true,
-        CopyOutcome::Busy | CopyOutcome::NoAnswer => false,
-    }
+    let evidence = answer.stop_answer().evidence();
+    matches!(evidence, Evidence::Ended | Evidence::Unreached)
 }
