--- a/crates/core/src/gateway/relocation.rs
+++ b/crates/core/src/gateway/relocation.rs
@@ -13,6 +13,7 @@
 //! - Events are forwarded with consecutive numbers, each one once.
 //! - A generation is relocated at most [`MAX_RELOCATIONS`] times.
 
+use crate::gateway::run_end::STOP_LEAD;
 use crate::time::Time;
 use core::time::Duration;
 
@@ -409,6 +410,21 @@
         Step::Wait(wait)
     }
 
+    /// Returns when a silent engine is ordered to stop the generation: some time before it would be
+    /// abandoned, so that the order costs the caller no wait. `None` if silence does not make the
+    /// generation leave, or a copy is in progress, beside which the engine takes no order.
+    pub fn stop_order_at(&self, now: Time, view: &EngineView) -> Option<Time> {
+        if self.events == 0 || self.pre_copy.in_progress {
+            return None;
+        }
+        let from = self.resume_from(now, view.standby_is_usable);
+        let is_leaving = view.leaving_for.is_some();
+        let fails_over = from.map(|_| self.fail_over_at(from, is_leaving));
+        let recomputes = self.recompute_at(from, view);
+        let leaves = fails_over.into_iter().chain(recomputes).min()?;
+        Some(leaves.before(STOP_LEAD).unwrap_or(Time::ZERO))
+    }
+
     /// Returns when a silent engine is abandoned; never if there is no copy to resume from. If the
     /// standby copy is only assumed to exist later, the result is not before that time.
     fn fail_over_at(&self, from: Option<ResumeFrom>, is_leaving: bool) -> Time {
--- a/crates/core/src/gateway/run_end.rs
+++ b/crates/core/src/gateway/run_end.rs
@@ -4,10 +4,56 @@
 //! engine is not reached. A closed connection, silence and a refusal show neither: an engine may go on
 //! with a request whose connection closed, preempt it for seconds, or refuse an order because it sheds
 //! load. Only the answer to an order to stop the run does. [`StopAnswer::evidence`] is the one place
-//! that says what an answer shows.
+//! that says what an answer shows, and every way out of an engine goes through [`RunStop`].
+//!
+//! [`RunStop`] is the state of the orders to stop one run. It receives their answers and returns the
+//! next step; the relay in the shell sends the orders. `docs/design/relocation.md` lists the ways out
+//! of an engine with their evidence and bounds.
 
+use crate::time::Time;
+use core::time::Duration;
 use displaydoc::Display;
 
+/// How long an engine that is reached may take to show that a run has ended. Callers abandon a stream
+/// after two seconds without an event.
+pub const STOP_TIMEOUT: Duration = Duration::from_millis(1_500);
+
+/// How long an engine may leave all orders unanswered before it counts as not reached, unless it
+/// produced events until the generation left it. A silent engine has [`STOP_LEAD`].
+pub const UNANSWERED_TIMEOUT: Duration = Duration::from_millis(600);
+
+/// How long one order may stay unanswered before it is repeated. Its answer may be lost, or wait for
+/// the copy; the repeated one shows whether the generation still runs.
+pub const REPEAT_AFTER: Duration = Duration::from_millis(300);
+
+/// The pause before an order that the engine did not carry out is repeated.
+const RETRY_DELAY: Duration = Duration::from_millis(40);
+
+/// How much earlier than it is abandoned a silent engine is ordered to stop a run. An engine that
+/// cannot be reached shows it within this time, so that its callers wait no longer.
+pub const STOP_LEAD: Duration = Duration::from_millis(300);
+
+/// The first and the longest pause between two orders to an engine that was not reached when the
+/// generation resumed elsewhere. A machine that is reached again has this long before the run counts
+/// as one that works beside another.
+const FIRST_FOLLOW_UP: Duration = Duration::from_millis(100);
+const LAST_FOLLOW_UP: Duration = Duration::from_secs(1);
+
+/// Why a generation leaves an engine.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum LeaveReason {
+    /// engine_leaves
+    EngineLeaves,
+    /// connection_broken
+    ConnectionBroken,
+    /// silent
+    Silent,
+    /// resume_failed
+    ResumeFailed,
+    /// caller_left
+    CallerLeft,
+}
+
 /// How an order to stop a run ended.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
 pub enum StopAnswer {
@@ -59,3 +105,112 @@
         }
     }
 }
+
+/// The next step while a run is being stopped.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StopStep {
+    /// Order the engine to stop the run.
+    Order,
+    /// Do nothing until this time.
+    Wait(Time),
+    /// The run has ended: the generation may resume.
+    Resume,
+    /// The engine is not reached: the generation may resume, and the order is repeated until the engine
+    /// shows that the run has ended.
+    ResumeAndFollowUp,
+    /// The engine is reached, and the run may go on: the generation must not resume.
+    GiveUp,
+}
+
+/// The orders to stop one run.
+#[derive(Clone, Debug)]
+pub struct RunStop {
+    reason: LeaveReason,
+    began: Time,
+    last: Option<(Time, StopAnswer)>,
+    /// Whether any answer showed that the engine is reached.
+    is_reached: bool,
+    orders: u32,
+}
+
+impl RunStop {
+    /// Returns the state before the first order.
+    pub const fn new(now: Time, reason: LeaveReason) -> Self {
+        RunStop {
+            reason,
+            began: now,
+            last: None,
+            is_reached: matches!(reason, LeaveReason::EngineLeaves),
+            orders: 0,
+        }
+    }
+
+    /// Records the end of an order.
+    pub fn on_answer(&mut self, now: Time, answer: StopAnswer) {
+        self.orders += 1;
+        self.is_reached |= matches!(answer.evidence(), Evidence::MayRun);
+        // A later order says nothing against the end that an earlier one showed.
+        if !self.has_ended() {
+            self.last = Some((now, answer));
+        }
+    }
+
+    /// Returns the last answer.
+    pub fn last_answer(&self) -> Option<StopAnswer> {
+        self.last.map(|(_, answer)| answer)
+    }
+
+    /// Returns whether the run has ended.
+    pub fn has_ended(&self) -> bool {
+        self.last_answer().map(StopAnswer::evidence) == Some(Evidence::Ended)
+    }
+
+    /// Returns when the attempts to stop the run end, whatever they show.
+    pub fn ends(&self) -> Time {
+        self.began + STOP_TIMEOUT
+    }
+
+    /// Returns the next step.
+    pub fn next(&self, now: Time) -> StopStep {
+        let Some((at, answer)) = self.last else {
+            return StopStep::Order;
+        };
+        match answer.evidence() {
+            Evidence::Ended => return StopStep::Resume,
+            Evidence::Unreached => return StopStep::ResumeAndFollowUp,
+            Evidence::MayRun | Evidence::Sent => {}
+        }
+        match self.is_reached {
+            false if now >= self.began + self.unanswered_timeout() => {
+                return StopStep::ResumeAndFollowUp;
+            }
+            true if now >= self.ends() => return StopStep::GiveUp,
+            _ => {}
+        }
+        let repeat = at + RETRY_DELAY;
+        match repeat <= now {
+            true => StopStep::Order,
+            false => StopStep::Wait(repeat),
+        }
+    }
+
+    const fn unanswered_timeout(&self) -> Duration {
+        match self.reason {
+            LeaveReason::Silent => STOP_LEAD,
+            _ => UNANSWERED_TIMEOUT,
+        }
+    }
+
+    /// Returns when the order is repeated after the generation has resumed elsewhere; `None` once
+    /// the run has ended or `deadline` has passed, after which no engine works on the request.
+    pub fn follow_up_at(&self, deadline: Time) -> Option<Time> {
+        if self.has_ended() {
+            return None;
+        }
+        let (at, _) = self.last.unwrap_or((self.began, StopAnswer::Unreached));
+        let doublings = self.orders.saturating_sub(1).min(8);
+        let pause = FIRST_FOLLOW_UP.saturating_mul(1 << doublings);
+        let next = at + pause.min(LAST_FOLLOW_UP);
+        (next < deadline).then_some(next)
+    }
+}
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -13,6 +13,8 @@
     refused: usize,
     /// Whether a connection attempt hung while no endpoint of the service was reached.
     is_partitioned: bool,
+    /// Whether an endpoint at which the request may still run did not stop it.
+    may_still_run: bool,
 }
 
 impl Attempts {
@@ -25,6 +27,7 @@
             runs,
             refused,
             is_partitioned: false,
+            may_still_run: false,
         }
     }
 
@@ -73,6 +76,12 @@
         self.runs += 1;
     }
 
+    /// Records that an endpoint which may still run the request did not stop it, so that the request
+    /// must not run at another one.
+    pub fn record_not_stopped(&mut self) {
+        self.may_still_run = true;
+    }
+
     /// Returns the endpoints that the request must not be sent to again.
     pub fn tried(&self) -> &[EndpointKey] {
         &self.tried
@@ -110,7 +119,8 @@
     /// Returns whether `entry` allows the request to run at one more endpoint.
     pub fn may_run_again(&self, entry: &HttpEntry) -> bool {
         let is_first = self.runs == 0;
-        is_first || (entry.kind.is_idempotent() && self.runs < entry.max_attempts)
+        let is_allowed = is_first || (entry.kind.is_idempotent() && self.runs < entry.max_attempts);
+        is_allowed && !self.may_still_run
     }
 
     /// Returns whether the current or next run is the last that `entry` allows.
--- a/crates/gateway/src/event_log.rs
+++ b/crates/gateway/src/event_log.rs
@@ -273,10 +273,19 @@
     EndpointAbsent = 888, "endpoint_absent", Info, USUAL;
     /// The record of an absent endpoint is back, and the endpoint gets new work again.
     EndpointReturned = 889, "endpoint_returned", Info, USUAL;
-    /// An engine was ordered to stop a generation that it may still run, before the generation resumes
-    /// at another one: how the order was answered, and how long that took. `not_running` says that the
-    /// engine had dropped it, `done` and `no_room` that it stopped it now.
+    /// A generation left an engine at which it may have run on, and the engine was ordered to stop it
+    /// before it resumes at another one: how the last order was answered, how long that took, why the
+    /// generation left, and the outcome. `not_running` says that the engine had dropped it, `done` and
+    /// `no_room` that it stopped it now. The outcome is `ended`, `unreached` if the generation resumes
+    /// and the order is repeated, or `not_stopped` if it does not resume.
     RunStopped = 890, "run_stopped", Info, FAILURES;
+    /// The order to stop a generation was repeated because the engine was not reached when the
+    /// generation resumed elsewhere, or because a caller left that may return: whether the engine
+    /// showed that the run has ended before the request's deadline, and its last answer.
+    RunStopFollowedUp = 891, "run_stop_followed_up", Info, FAILURES;
+    /// A generation resumes at the engine that stopped it, from the KV cache that it kept, because no
+    /// other engine resumed it.
+    ResumedAtSource = 892, "resumed_at_source", Info, FAILURES;
 }
 
 /// The lines of one event in the current second.
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -339,10 +339,33 @@
         tokens: u32,
     ) -> Option<(Placement, CopyUsageGuard<W>)> {
         let kind = CopyKind::Standby;
+        self.request_copy_placement(source, tokens, &[], kind).await
+    }
+
+    /// Requests a place for a pre-copy of the generation at `source` that is needed at once, and
+    /// counts the copy there.
+    pub async fn request_pre_copy_placement(
+        &self,
+        source: EndpointKey,
+        tokens: u32,
+        exclude: &[EndpointKey],
+    ) -> Option<(Placement, CopyUsageGuard<W>)> {
+        let kind = CopyKind::PreCopy;
+        self.request_copy_placement(source, tokens, exclude, kind)
+            .await
+    }
+
+    async fn request_copy_placement(
+        &self,
+        source: EndpointKey,
+        tokens: u32,
+        exclude: &[EndpointKey],
+        kind: CopyKind,
+    ) -> Option<(Placement, CopyUsageGuard<W>)> {
         let params = PlacementParams {
             kind: PlacementKind::Copy { source, kind },
             tokens,
-            exclude: &[],
+            exclude,
         };
         let begin = |state: &mut Gateway, place: &Placement| self.begin_copy(state, place, tokens);
         let deadline = Instant::now() + IMMEDIATE_PLACEMENT_TIMEOUT;
@@ -351,6 +374,12 @@
         found
     }
 
+    /// Counts a copy at an endpoint that was chosen before.
+    pub fn count_copy(&self, place: &Placement, tokens: u32) -> CopyUsageGuard<W> {
+        let mut state = self.cx.state();
+        self.begin_copy(&mut state, place, tokens)
+    }
+
     /// Requests a place for a pre-copy of the generation at `source` until `deadline`, without
     /// waiting for it.
     pub fn open_pre_copy_placement(
--- a/crates/gateway/src/meters.rs
+++ b/crates/gateway/src/meters.rs
@@ -47,8 +47,14 @@
         Repeats = "oriolemux_gateway_repeats_total";
         /// Orders to stop a generation at an engine that it leaves, by how they were answered.
         RunStops = "oriolemux_gateway_run_stops_total";
+        /// Generations that left an engine at which they may have run on, by what showed that the run
+        /// there has ended: `ended` by the engine's word, `unreached` if the engine was not reached, so
+        /// that the order is repeated beside the resumed generation, and `not_stopped` if it did not
+        /// stop the run, so that the generation does not resume. What became of repeated orders is
+        /// counted as `ended_later` or `never_shown`.
+        RunEnds = "oriolemux_gateway_run_ends_total";
         /// Generations that were to go on at another engine: from a copy `ahead`, from a
-        /// `standing` one, read `anew`, or `failed`.
+        /// `standing` one, read `anew`, or `failed`; or to go `back` to the engine that stopped them.
         Relocations = "oriolemux_gateway_relocations_total";
         /// Generations, by how they ended.
         Generations = "oriolemux_gateway_generations_total";
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -4,8 +4,9 @@
 //!
 //! - Only complete events are forwarded, and their numbers are consecutive. Events that a second
 //!   engine sends again are dropped; a missing event ends the stream.
-//! - One engine works on the generation at a time: the connection to the old engine is closed
-//!   before the generation is requested elsewhere.
+//! - One engine works on the generation at a time: it resumes elsewhere once its run at the old
+//!   engine has ended, or while that engine is not reached. `stop_run` makes sure of that for every
+//!   way out of an engine; a closed connection shows nothing.
 //! - A generation resumes only from a copy of its own KV cache, never from its beginning,
 //!   because two generations of one prompt differ. Only a resumable generation may be recomputed
 //!   by another engine, which then continues after the last event that the caller has received.
@@ -40,13 +41,16 @@
 use oriolemux_core::gateway::relocation::{
     EngineView, EventDelivery, Relocation, ResumeFrom, Step, silence_timeout,
 };
+use oriolemux_core::gateway::run_end::{LeaveReason, RunStop};
 use oriolemux_core::gateway::state::Placement;
 use oriolemux_core::ids::EndpointKey;
 use oriolemux_core::suspects::{PARTS_PROVEN_AFTER, SUCCESS_AFTER};
+use oriolemux_core::time::Time;
 use pace::Pace;
 use pre_copy::{PreCopy, StandbyCopy};
 use std::sync::Arc;
 use std::time::Instant;
+use stop_run::{KeptRun, LastStop};
 use tokio::sync::{mpsc, oneshot};
 use upstream::{AttemptStart, StopReason, Upstream, sleep_until};
 
@@ -88,6 +92,21 @@
     },
 }
 
+/// Why a generation does not resume at any engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, displaydoc::Display)]
+enum NoResume {
+    /// {0}
+    Refused(Reason),
+    /// no_copy
+    NoCopy,
+}
+
+impl From<Reason> for NoResume {
+    fn from(why: Reason) -> Self {
+        NoResume::Refused(why)
+    }
+}
+
 /// Forwards one generation.
 pub struct Relay<W: Wire, E: EngineCalls> {
     job: Job<W>,
@@ -110,6 +129,16 @@
     deferred_at: Option<EndpointKey>,
     /// Whether a retry was spent for the next engine while the current one was still running.
     has_retry: bool,
+    /// Whether the generation may run at the current engine.
+    may_run_here: bool,
+    /// The answer that showed the end of the run at the current engine.
+    last_stop: Option<LastStop>,
+    /// The orders to a silent engine to stop the generation, if it was ordered to.
+    silent_stop: Option<RunStop>,
+    /// The engine that stopped the generation last.
+    stopped_at: Option<Placement>,
+    /// The KV cache that it keeps, if there is no copy of it elsewhere.
+    kept: Option<KeptRun<E>>,
     /// When the response of the current engine started.
     response_started: Option<Instant>,
     /// Whether the parts of the prompt were recorded as ones that crash no engine.
@@ -150,6 +179,11 @@
             no_room: Vec::new(),
             deferred_at: None,
             has_retry: false,
+            may_run_here: false,
+            last_stop: None,
+            silent_stop: None,
+            stopped_at: None,
+            kept: None,
             response_started: None,
             is_proven: false,
             splitter: EventSplitter::default(),
@@ -209,6 +243,7 @@
             }
             AttemptStart::Failed(reason) => {
                 self.log_end(&reason.to_string());
+                self.end_failed_start(reason).await;
                 let response = refuse(reason, self.job.remaining());
                 let _ = started.send(self.failed(response));
                 return;
@@ -217,6 +252,18 @@
         self.forward_stream(upstream).await;
     }
 
+    /// Makes sure that an attempt without a usable response does not go on if the request may be sent to
+    /// another engine.
+    async fn end_failed_start(&mut self, why: Reason) {
+        let is_lost = matches!(why, Reason::ResponseLost | Reason::WrongAttempt);
+        if is_lost && self.may_run_again() {
+            let ended = self.end_run(LeaveReason::ConnectionBroken).await;
+            if ended.is_err() || self.may_run_here {
+                self.attempts.record_not_stopped();
+            }
+        }
+    }
+
     /// Returns the request to its sender after an attempt that may have run.
     fn failed(self, response: Response<ResponseBody>) -> StartOutcome<W> {
         let mut attempts = self.attempts;
@@ -233,60 +280,86 @@
         loop {
             let pause = self.forward_events(&mut upstream).await;
             self.withdraw_pre_copy(copy_wait::withdrawn_because(&pause));
-            let next = match pause {
+            let is_broken = matches!(pause, StopReason::Broken);
+            let mut place = None;
+            let why = match pause {
+                StopReason::End if self.ended_by_order(&upstream).await => LeaveReason::Silent,
                 StopReason::End => {
                     self.finish();
                     return;
                 }
                 StopReason::CallerGone => {
+                    upstream.link.close().await;
+                    self.end_run_of_caller();
                     self.log_end("caller_left");
                     return;
                 }
                 StopReason::Timeout => return self.abort_stream("timeout").await,
                 StopReason::Gap => return self.abort_stream("event_missing").await,
-                StopReason::Relocate => {
-                    upstream.link.close().await;
-                    if let Err(reason) = self.stop_run().await {
-                        return self.abort_stream(&reason.to_string()).await;
-                    }
-                    if let Err(reason) = self.wait_until_admitted().await {
-                        return self.abort_stream(&reason.to_string()).await;
-                    }
-                    self.relocate().await
-                }
-                StopReason::Recompute(place, in_use) => {
-                    upstream.link.close().await;
+                StopReason::Relocate => LeaveReason::EngineLeaves,
+                StopReason::Broken | StopReason::EngineFailed => {
                     self.job.record_failure(&self.engine);
-                    Some(self.recompute_at(place, in_use).await)
+                    LeaveReason::ConnectionBroken
                 }
-                StopReason::Broken => {
-                    upstream.link.close().await;
-                    self.job.record_failure(&self.engine);
-                    self.job
-                        .on_connection_broken(&self.engine, self.response_started)
-                        .await;
-                    if let Err(reason) = self.wait_until_admitted().await {
-                        return self.abort_stream(&reason.to_string()).await;
+                StopReason::Silent => {
+                    if !self.end_silent_run(&mut upstream).await {
+                        continue;
                     }
-                    self.relocate().await
-                }
-                StopReason::EngineFailed => {
-                    upstream.link.close().await;
                     self.job.record_failure(&self.engine);
-                    self.relocate().await
+                    LeaveReason::Silent
                 }
-            };
-            let next = match next {
-                Some(start @ AttemptStart::Stream { .. }) => Some(start),
-                Some(AttemptStart::Failed(reason @ Reason::BudgetSpent)) => {
-                    return self.abort_stream(&reason.to_string()).await;
+                StopReason::Recompute(target, in_use) => {
+                    if self.pre_copy.is_none() {
+                        let usage = self.job.count_copy(&target, self.reserved_tokens);
+                        self.set_stop_target(target.clone(), usage);
+                    }
+                    if !self.end_silent_run(&mut upstream).await {
+                        continue;
+                    }
+                    self.job.record_failure(&self.engine);
+                    self.has_retry = true;
+                    place = Some((target, in_use));
+                    LeaveReason::Silent
                 }
-                _ => self.recompute().await,
             };
-            match next {
-                Some(AttemptStart::Stream { upstream: next, .. }) => upstream = next,
-                _ => return self.abort_stream("no_copy").await,
+            upstream.link.close().await;
+            if is_broken {
+                let started = self.response_started;
+                self.job.on_connection_broken(&self.engine, started).await;
+            }
+            match self.resume_elsewhere(why, place).await {
+                Ok(next) => upstream = next,
+                Err(why) => return self.abort_stream(&why.to_string()).await,
+            }
+        }
+    }
+
+    /// Resumes at another engine once the generation has ended at the current one, whose connection is
+    /// closed. `place` has room to recompute it.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the generation does not resume.
+    async fn resume_elsewhere(
+        &mut self,
+        why: LeaveReason,
+        place: Option<(Placement, UsageGuard<W>)>,
+    ) -> Result<Upstream, NoResume> {
+        self.end_run(why).await?;
+        if why != LeaveReason::Silent {
+            self.wait_until_admitted().await?;
+        }
+        let start = match self.relocate().await {
+            Some(start @ AttemptStart::Stream { .. }) => Some(start),
+            Some(AttemptStart::Failed(reason @ (Reason::BudgetSpent | Reason::NotStopped))) => {
+                return Err(reason.into());
             }
+            _ => self.recompute(place).await,
+        };
+        match start {
+            Some(AttemptStart::Stream { upstream, .. }) => Ok(upstream),
+            Some(AttemptStart::Failed(reason @ Reason::NotStopped)) => Err(reason.into()),
+            _ => Err(NoResume::NoCopy),
         }
     }
 
@@ -319,7 +392,11 @@
             }
             self.drop_unusable_pre_copy();
             let check_place = self.check_copy_wait();
-            let wait = match self.next_step() {
+            if self.silent_run_has_ended() {
+                return StopReason::Silent;
+            }
+            let (step, stop_at) = self.next_step();
+            let wait = match step {
                 Step::PreCopy => {
                     self.start_pre_copy();
                     continue;
@@ -333,7 +410,7 @@
                     }
                     false => continue,
                 },
-                Step::FailOver => return StopReason::EngineFailed,
+                Step::FailOver => return StopReason::Silent,
                 Step::Recompute => match self.engine_with_room().await {
                     Some((place, in_use)) => return StopReason::Recompute(place, in_use),
                     None => {
@@ -341,13 +418,24 @@
                         continue;
                     }
                 },
-                Step::Wait(until) => cx.clock.instant(until),
+                Step::Wait(_) if stop_at.is_some_and(|at| at <= cx.now()) => {
+                    self.order_silent_stop().await;
+                    continue;
+                }
+                Step::Wait(until) => cx.clock.instant(stop_at.map_or(until, |at| at.min(until))),
             };
+            let is_stopping = self.pre_copy.as_ref().is_some_and(PreCopy::is_stopping);
             tokio::select! {
-                moved = pre_copy::wait_for_end(&mut self.pre_copy) => self.on_pre_copy_ended(moved),
+                moved = pre_copy::wait_for_end(&mut self.pre_copy) => match is_stopping {
+                    true => self.on_silent_stop_answer(moved),
+                    false => self.on_pre_copy_ended(moved),
+                },
                 frame = upstream.body.frame() => match frame {
                     Some(Ok(frame)) => {
                         self.state.on_bytes(cx.now());
+                        if !is_stopping {
+                            self.silent_stop = None;
+                        }
                         let data = frame.into_data().unwrap_or_default();
                         if !self.splitter.push(&data) {
                             return StopReason::EngineFailed;
@@ -404,10 +492,16 @@
         }
     }
 
-    fn next_step(&mut self) -> Step {
+    /// Returns the next step, and when a silent engine is to be ordered to stop the generation, unless
+    /// it was already.
+    fn next_step(&mut self) -> (Step, Option<Time>) {
         let view = self.engine_view();
         self.log_deferred_copy(&view);
-        self.state.next(self.job.cx.now(), &view)
+        let now = self.job.cx.now();
+        let step = self.state.next(now, &view);
+        let is_ordered = self.silent_stop.is_some();
+        let stop_at = (!is_ordered).then(|| self.state.stop_order_at(now, &view));
+        (step, stop_at.flatten())
     }
 
     fn engine_view(&self) -> EngineView {
--- a/crates/gateway/src/relay/begin.rs
+++ b/crates/gateway/src/relay/begin.rs
@@ -9,7 +9,7 @@
 use crate::ports::{BufferedResponse, CopyLocation, EngineCalls, ForwardHead, Resume, Wire};
 use crate::response::Reason;
 use core::time::Duration;
-use http::Response;
+use http::{Response, header};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use oriolemux_core::gateway::budget::RetryKind;
@@ -42,6 +42,7 @@
     /// being asked, a request that may run only once would have run twice.
     pub(super) async fn start(&mut self) -> AttemptStart {
         self.choose_standby().await;
+        self.may_run_here = true;
         let error = loop {
             match self.send_and_wait().await {
                 SendOutcome::Timeout => return AttemptStart::Failed(Reason::Timeout),
@@ -54,6 +55,7 @@
             }
         };
         if error.never_sent() {
+            self.may_run_here = false;
             if !matches!(error, LinkError::Withdrawn) {
                 self.job.record_unreachable(&self.engine, error.label());
             }
@@ -147,14 +149,27 @@
         self.attempts.record_run(self.engine.key);
         self.usage = in_use;
         self.engine = place;
+        self.last_stop = None;
         self.choose_standby().await;
     }
 
+    /// Reads the head of a response, and the whole response if it is not a stream.
     pub(super) async fn read_head(
         &mut self,
         link: Link,
         response: Response<Incoming>,
     ) -> AttemptStart {
+        let start = self.decode_head(link, response).await;
+        // A final response, a refusal included, is the engine's word that nothing runs.
+        let is_final = matches!(
+            start,
+            AttemptStart::FinalResponse(_) | AttemptStart::NotRun { .. }
+        );
+        self.may_run_here = !is_final;
+        start
+    }
+
+    async fn decode_head(&mut self, link: Link, response: Response<Incoming>) -> AttemptStart {
         let (parts, body) = response.into_parts();
         let attempt = self.job.head.attempt.as_deref();
         let wire = &self.job.cx.wire;
@@ -170,11 +185,17 @@
             };
         }
         let mut headers = parts.headers;
+        let is_delimited = headers.contains_key(header::CONTENT_LENGTH)
+            || headers.contains_key(header::TRANSFER_ENCODING);
         wire.strip_response_headers(&mut headers);
         if parts.status.is_success() {
             self.response_started = Some(Instant::now());
             return AttemptStart::Stream {
-                upstream: Upstream { link, body },
+                upstream: Upstream {
+                    link,
+                    body,
+                    is_delimited,
+                },
                 status: parts.status,
                 headers,
             };
--- a/crates/gateway/src/relay/copy_wait.rs
+++ b/crates/gateway/src/relay/copy_wait.rs
@@ -229,7 +229,7 @@
         StopReason::CallerGone => "caller_left",
         StopReason::Relocate | StopReason::Recompute(..) => "left",
         StopReason::Broken => "engine_ended",
-        StopReason::EngineFailed => "engine_silent",
+        StopReason::Silent | StopReason::EngineFailed => "engine_silent",
         StopReason::Timeout => "timeout",
         StopReason::Gap => "event_missing",
     }
--- a/crates/gateway/src/relay/pre_copy.rs
+++ b/crates/gateway/src/relay/pre_copy.rs
@@ -20,30 +20,55 @@
     pub(super) usage: CopyUsageGuard<W>,
 }
 
-/// A copy that is made while the generation still runs at an engine that leaves.
+/// A handle of KV cache at the engine that made it, and of its copy if there is one. Dropping it frees
+/// both.
 ///
-/// Dropping it frees the copy. Without that, a generation that ends before it relocates would
-/// hold KV cache at an engine for seconds that nobody uses: prompts would queue at engines with
-/// few generations.
-pub(super) struct PreCopy<W: Wire, E: EngineCalls> {
+/// Without that, a generation that ends before it resumes would hold KV cache for seconds that nobody
+/// uses: prompts would queue at engines with few generations.
+pub(super) struct CopyHandle<E: EngineCalls> {
     engines: E,
     source: SocketAddrV4,
-    pub(super) target: Placement,
-    /// The call in progress.
-    task: Option<JoinHandle<CopyOutcome>>,
-    /// The handle of the copy at the source, once the copy is complete.
-    handle: Option<String>,
-    /// What counts the copy and the move; `None` once it was taken.
-    guards: Option<CopyGuards<W>>,
+    /// `None` once a generation has resumed with it.
+    text: Option<String>,
+}
+
+impl<E: EngineCalls> CopyHandle<E> {
+    pub(super) fn new(engines: E, source: SocketAddrV4, text: String) -> Self {
+        CopyHandle {
+            engines,
+            source,
+            text: Some(text),
+        }
+    }
+
+    pub(super) fn text(&self) -> &str {
+        self.text.as_deref().unwrap_or_default()
+    }
+
+    /// Records that a generation has resumed with the handle, which frees it.
+    pub(super) fn mark_used(mut self) {
+        self.text = None;
+    }
+}
+
+impl<E: EngineCalls> Drop for CopyHandle<E> {
+    fn drop(&mut self) {
+        let Some(text) = self.text.take() else { return };
+        let (engines, source) = (self.engines.clone(), self.source);
+        tokio::spawn(async move {
+            engines.free_copy(source, &text, FREE_COPY_TIMEOUT).await;
+        });
+    }
 }
 
 /// A call that copies a generation.
+#[derive(Clone)]
 pub(super) struct CopyCall<E> {
-    engines: E,
-    source: SocketAddrV4,
-    target: SocketAddrV4,
+    pub(super) engines: E,
+    pub(super) source: SocketAddrV4,
+    pub(super) target: SocketAddrV4,
     /// Whether the engine stops the generation first.
-    stop: bool,
+    pub(super) stop: bool,
 }
 
 impl<E: EngineCalls> CopyCall<E> {
@@ -52,6 +77,12 @@
             .copy_generation(self.source, attempt, self.target, self.stop, limit)
             .await
     }
+
+    /// Returns the handle in the outcome of the call, which is freed when dropped.
+    pub(super) fn handle(&self, outcome: CopyOutcome) -> Option<CopyHandle<E>> {
+        let text = outcome.into_handle()?;
+        Some(CopyHandle::new(self.engines.clone(), self.source, text))
+    }
 }
 
 /// Counts a pre-copy at its target, and the generation as one that is about to resume.
@@ -60,6 +91,32 @@
     pub(super) pending: PendingMove<W>,
 }
 
+/// A copy call in progress.
+struct RunningCall {
+    task: JoinHandle<CopyOutcome>,
+    /// Whether it stops the generation.
+    is_stop: bool,
+}
+
+/// A copy that is made while the generation still runs at an engine that leaves, or as that engine
+/// stops it. Dropping it frees the copy, also one whose call is still in progress.
+pub(super) struct PreCopy<W: Wire, E: EngineCalls> {
+    call: CopyCall<E>,
+    pub(super) target: Placement,
+    running: Option<RunningCall>,
+    /// The handle of the copy at the source, once the copy is complete.
+    handle: Option<CopyHandle<E>>,
+    /// What counts the copy and the move; `None` once it was taken.
+    guards: Option<CopyGuards<W>>,
+}
+
+/// A complete copy to resume from.
+pub(super) struct CompleteCopy<W: Wire, E: EngineCalls> {
+    pub(super) target: Placement,
+    pub(super) handle: CopyHandle<E>,
+    pub(super) guards: CopyGuards<W>,
+}
+
 impl<W: Wire, E: EngineCalls> PreCopy<W, E> {
     /// Returns a copy from `source` to `target` that is not started yet.
     pub(super) fn new(
@@ -69,10 +126,14 @@
         guards: CopyGuards<W>,
     ) -> Self {
         PreCopy {
-            engines,
-            source,
+            call: CopyCall {
+                engines,
+                source,
+                target: target.address,
+                stop: false,
+            },
             target,
-            task: None,
+            running: None,
             handle: None,
             guards: Some(guards),
         }
@@ -83,60 +144,91 @@
     pub(super) fn start(&mut self, attempt: &str, stop: bool) {
         let attempt = attempt.to_owned();
         let call = CopyCall {
-            engines: self.engines.clone(),
-            source: self.source,
-            target: self.target.address,
             stop,
+            ..self.call.clone()
         };
-        self.task = Some(tokio::spawn(async move {
-            call.send(&attempt, PRE_COPY_TIMEOUT).await
-        }));
+        let task = tokio::spawn(async move { call.send(&attempt, PRE_COPY_TIMEOUT).await });
+        self.free_outcome_of_call();
+        self.running = Some(RunningCall {
+            task,
+            is_stop: stop,
+        });
     }
 
-    /// Returns the order that stops the generation, to be repeated while the first one is open.
+    /// Returns the order that stops the generation.
     pub(super) fn stop_order(&self) -> CopyCall<E> {
         CopyCall {
-            engines: self.engines.clone(),
-            source: self.source,
-            target: self.target.address,
             stop: true,
+            ..self.call.clone()
         }
     }
 
+    /// Returns whether a call is in progress.
+    pub(super) fn is_running(&self) -> bool {
+        self.running.is_some()
+    }
+
+    /// Returns whether an order to stop the generation is in progress.
+    pub(super) fn is_stopping(&self) -> bool {
+        self.running.as_ref().is_some_and(|it| it.is_stop)
+    }
+
     /// Stores the handle of a complete copy.
-    pub(super) fn complete(&mut self, handle: String) {
-        self.handle = Some(handle);
+    pub(super) fn complete(&mut self, text: String) {
+        // An engine that brings a copy up to date may name the same handle.
+        if self.handle.as_ref().is_none_or(|it| it.text() != text) {
+            let CopyCall {
+                engines, source, ..
+            } = &self.call;
+            self.handle = Some(CopyHandle::new(engines.clone(), *source, text));
+        }
     }
 
-    /// Returns the place, the handle and the guards of the copy to resume from, `None` if it is not
-    /// complete.
-    pub(super) fn take(mut self) -> Option<(Placement, String, CopyGuards<W>)> {
-        let handle = self.handle.take()?;
-        let guards = self.guards.take()?;
-        // The result of a call that refreshes the copy does not matter any more.
-        self.task = None;
-        Some((self.target.clone(), handle, guards))
+    /// Returns the copy to resume from, `None` if it is not complete.
+    pub(super) fn take(mut self) -> Option<CompleteCopy<W, E>> {
+        // While the handle is stored, a call that names it again does not free it.
+        self.free_outcome_of_call();
+        Some(CompleteCopy {
+            target: self.target.clone(),
+            handle: self.handle.take()?,
+            guards: self.guards.take()?,
+        })
+    }
+
+    /// Frees what a call in progress may still make, unless it is the copy that is in use.
+    fn free_outcome_of_call(&mut self) {
+        let Some(RunningCall { task, .. }) = self.running.take() else {
+            return;
+        };
+        let call = self.call.clone();
+        let in_use = self.handle.as_ref().map(|it| it.text().to_owned());
+        tokio::spawn(async move {
+            let outcome = task.await.unwrap_or(CopyOutcome::NoAnswer);
+            if let Some(handle) = call.handle(outcome) {
+                match in_use.as_deref() == Some(handle.text()) {
+                    true => handle.mark_used(),
+                    false => drop(handle),
+                }
+            }
+        });
     }
 }
 
 impl<W: Wire, E: EngineCalls> Drop for PreCopy<W, E> {
     fn drop(&mut self) {
-        let (task, handle) = (self.task.take(), self.handle.take());
-        if task.is_none() && handle.is_none() {
+        let handle = self.handle.take();
+        let Some(RunningCall { task, .. }) = self.running.take() else {
             return;
-        }
-        let (engines, source) = (self.engines.clone(), self.source);
+        };
+        let call = self.call.clone();
+        // An engine frees a copy only once it is complete.
         tokio::spawn(async move {
-            let moved = match task {
-                Some(task) => task.await.unwrap_or(CopyOutcome::NoAnswer),
-                None => CopyOutcome::NoAnswer,
-            };
-            let name = match moved {
-                CopyOutcome::Complete { handle } => Some(handle),
-                _ => handle,
-            };
-            if let Some(name) = name {
-                engines.free_copy(source, &name, FREE_COPY_TIMEOUT).await;
+            let outcome = task.await.unwrap_or(CopyOutcome::NoAnswer);
+            let last = call.handle(outcome);
+            if let (Some(handle), Some(last)) = (handle, &last)
+                && handle.text() == last.text()
+            {
+                handle.mark_used();
             }
         });
     }
@@ -147,14 +239,15 @@
     pre_copy: &mut Option<PreCopy<W, E>>,
 ) -> CopyOutcome {
     let Some(PreCopy {
-        task: Some(task), ..
+        running: Some(running),
+        ..
     }) = pre_copy
     else {
         return core::future::pending().await;
     };
-    let moved = task.await.unwrap_or(CopyOutcome::NoAnswer);
+    let outcome = (&mut running.task).await.unwrap_or(CopyOutcome::NoAnswer);
     if let Some(pre_copy) = pre_copy {
-        pre_copy.task = None;
+        pre_copy.running = None;
     }
-    moved
+    outcome
 }
--- a/crates/gateway/src/relay/resume.rs
+++ b/crates/gateway/src/relay/resume.rs
@@ -1,7 +1,8 @@
 //! Resuming a generation at another engine.
 
 use super::Relay;
-use super::pre_copy::{CopyGuards, StandbyCopy};
+use super::pre_copy::{CompleteCopy, CopyGuards, CopyHandle, StandbyCopy};
+use super::stop_run::KeptRun;
 use super::upstream::AttemptStart;
 use crate::job::{CopyUsageGuard, UsageGuard};
 use crate::link::LinkError;
@@ -12,6 +13,7 @@
 use core::time::Duration;
 use oriolemux_core::gateway::budget::RetryKind;
 use oriolemux_core::gateway::relocation::STANDBY_MIN_TOKENS;
+use oriolemux_core::gateway::run_end::LeaveReason;
 use oriolemux_core::gateway::state::Placement;
 use oriolemux_core::ids::EndpointKey;
 use std::net::SocketAddrV4;
@@ -29,6 +31,10 @@
 /// gap between events of typical entries.
 const RESUME_RETRY_DELAY: Duration = Duration::from_millis(40);
 
+/// How many copies a generation tries to resume from when it leaves an engine: a pre-copy, a standby
+/// copy, one that was made as an engine in between stopped it, and the KV cache at its source.
+const MAX_RESUME_SOURCES: usize = 4;
+
 /// How long a generation waits for the fleet's retry budget before its stream is aborted. Callers
 /// abandon a stream after two seconds without an event.
 const RETRY_BUDGET_TIMEOUT: Duration = Duration::from_secs(1);
@@ -49,7 +55,7 @@
         }
     }
 
-    fn may_resume_at(&self, engine: EndpointKey) -> bool {
+    pub(super) fn may_resume_at(&self, engine: EndpointKey) -> bool {
         let cx = &self.job.cx;
         cx.state().may_resume_at(cx.now(), engine)
     }
@@ -78,29 +84,56 @@
         }
     }
 
-    /// Resumes at another engine. The connection to the current one must be closed, so that the
-    /// generation does not run at two engines.
+    /// Resumes at another engine, at which there is a copy. The generation must have ended at the
+    /// current one.
     ///
     /// A pre-copy is known to exist, a standby copy is not; if the engine of one refuses, the
-    /// other is tried.
+    /// other is tried. An engine that stopped the generation keeps its KV cache and is asked last.
     pub(super) async fn relocate(&mut self) -> Option<AttemptStart> {
         self.drop_unusable_pre_copy();
         let may_exist = self.state.standby_may_exist(self.job.cx.now());
         let standby = self.standby.take();
-        let standby = standby.filter(|it| may_exist && self.may_resume_at(it.place.key));
-        if let Some(
-            start @ (AttemptStart::Stream { .. } | AttemptStart::Failed(Reason::BudgetSpent)),
-        ) = self.resume_from_pre_copy().await
-        {
-            return Some(start);
+        let mut standby = standby.filter(|it| may_exist && self.may_resume_at(it.place.key));
+        let mut last = None;
+        for _ in 0..MAX_RESUME_SOURCES {
+            let start = match self.resume_from_pre_copy().await {
+                Some(start) => Some(start),
+                None if standby.is_some() => self.resume_from_standby(standby.take()).await,
+                None => self.resume_at_source().await,
+            };
+            let Some(start) = start else { break };
+            let is_over = matches!(
+                start,
+                AttemptStart::Stream { .. } | AttemptStart::Failed(Reason::BudgetSpent)
+            );
+            if is_over {
+                self.kept = None;
+                return Some(start);
+            }
+            // The engine that was asked may have begun to run the generation. The copy that it was to
+            // keep up to date is of no use; its order names the place of the other one.
+            let is_left = standby.is_some();
+            if is_left {
+                self.standby = standby;
+            }
+            let ended = self.end_run(LeaveReason::ResumeFailed).await;
+            standby = self.standby.take().filter(|_| is_left);
+            if let Err(reason) = ended {
+                return Some(AttemptStart::Failed(reason));
+            }
+            last = Some(start);
         }
-        self.standby = standby;
-        self.resume_from_standby().await
+        last
     }
 
     /// Resumes from the pre-copy, if it is complete.
     async fn resume_from_pre_copy(&mut self) -> Option<AttemptStart> {
-        let (target, handle, CopyGuards { usage, pending }) = self.pre_copy.take()?.take()?;
+        let copy = self.pre_copy.take()?.take()?;
+        let CompleteCopy {
+            target,
+            handle,
+            guards: CopyGuards { usage, pending },
+        } = copy;
         ByReason::Relocations.add("ahead");
         log_event!(
             ResumedFromPreCopy,
@@ -109,9 +142,39 @@
             to = target.name.as_str(),
             event_id = self.state.last_event()
         );
-        let holder = self.engine.address;
-        let mut start = self.resume_at(target, holder, &handle, usage).await;
+        let source = self.engine.clone();
+        let start = self
+            .resume_at(target, source.address, handle.text(), usage)
+            .await;
         drop(pending);
+        let start = self.resume_again(start, source.address, &handle).await;
+        let has_kept = self.stopped_at.as_ref().map(|it| it.key) == Some(source.key);
+        match start {
+            AttemptStart::Stream { .. } => {
+                let kept = self.kept.take().map(|it| it.handle);
+                if let Some(kept) = kept.filter(|it| it.text() == handle.text()) {
+                    kept.mark_used();
+                }
+                handle.mark_used();
+            }
+            _ if has_kept => {
+                self.kept = Some(KeptRun {
+                    place: source,
+                    handle,
+                });
+            }
+            _ => {}
+        }
+        Some(start)
+    }
+
+    /// Repeats a request to resume from a copy that the engine did not run.
+    async fn resume_again(
+        &mut self,
+        mut start: AttemptStart,
+        holder: SocketAddrV4,
+        handle: &CopyHandle<E>,
+    ) -> AttemptStart {
         for _ in 0..MAX_RESUME_RETRIES {
             if !matches!(
                 start,
@@ -128,34 +191,55 @@
             if !self.wait_for_retry_budget(RetryKind::ResumeAgain).await {
                 break;
             }
-            let handle = &handle;
-            start = self
-                .send_resume(Some(CopyLocation {
-                    engine: holder,
-                    handle,
-                }))
-                .await;
+            let copy = CopyLocation {
+                engine: holder,
+                handle: handle.text(),
+            };
+            start = self.send_resume(Some(copy)).await;
         }
-        Some(start)
+        start
     }
 
-    /// Resumes from the standby copy, if there is one.
-    pub(super) async fn resume_from_standby(&mut self) -> Option<AttemptStart> {
-        let copy = self.standby.take()?;
+    /// Resumes from a standby copy, if there is one.
+    async fn resume_from_standby(&mut self, copy: Option<StandbyCopy<W>>) -> Option<AttemptStart> {
+        let StandbyCopy { place, usage } = copy?;
         let attempt = self.job.name().to_owned();
-        let address = copy.place.address;
+        let address = place.address;
         ByReason::Relocations.add("standing");
         log_event!(
             ResumedFromStandby,
             attempt = attempt.as_str(),
             from = self.engine.name.as_str(),
-            to = copy.place.name.as_str(),
+            to = place.name.as_str(),
             event_id = self.state.last_event()
         );
-        let StandbyCopy { place, usage } = copy;
         Some(self.resume_at(place, address, &attempt, usage).await)
     }
 
+    /// Resumes at the engine that stopped the generation, from the KV cache that it kept, if it may be
+    /// used.
+    async fn resume_at_source(&mut self) -> Option<AttemptStart> {
+        let KeptRun { place, handle } = self.kept.take()?;
+        if !self.may_resume_at(place.key) {
+            return None;
+        }
+        ByReason::Relocations.add("back");
+        log_event!(
+            ResumedAtSource,
+            attempt = self.job.name(),
+            endpoint = place.name.as_str(),
+            event_id = self.state.last_event()
+        );
+        let usage = self.job.count_copy(&place, self.reserved_tokens);
+        let source = place.address;
+        let start = self.resume_at(place, source, handle.text(), usage).await;
+        let start = self.resume_again(start, source, &handle).await;
+        if let AttemptStart::Stream { .. } = start {
+            handle.mark_used();
+        }
+        Some(start)
+    }
+
     /// Asks `target` to resume the generation whose copy `holder` holds. The copy is counted there
     /// with `copy_usage` until the generation is: otherwise its room would be granted to others
     /// while it waits for the retry budget.
@@ -166,14 +250,15 @@
         handle: &str,
         copy_usage: CopyUsageGuard<W>,
     ) -> AttemptStart {
+        if self.may_run_here {
+            return AttemptStart::Failed(Reason::NotStopped);
+        }
         if !self.wait_for_retry_budget(RetryKind::Resume).await {
             let denied = Reason::BudgetSpent;
             self.log_resume_failure(&denied.to_string());
             return AttemptStart::Failed(denied);
         }
-        self.splitter.clear();
-        self.no_room.clear();
-        self.state.on_relocated(self.job.cx.now());
+        self.on_left();
         self.usage = UsageGuard::for_resumed(&self.job.cx, target.key, self.reserved_tokens);
         drop(copy_usage);
         self.engine = target;
@@ -185,22 +270,45 @@
         .await
     }
 
+    /// Resets what is known of the generation at the engine that it leaves.
+    fn on_left(&mut self) {
+        self.splitter.clear();
+        self.no_room.clear();
+        self.last_stop = None;
+        self.silent_stop = None;
+        self.state.on_relocated(self.job.cx.now());
+    }
+
     /// Resumes without a copy, if the generation is resumable and an engine has room: the engine
-    /// prefills the prompt and the events.
-    pub(super) async fn recompute(&mut self) -> Option<AttemptStart> {
+    /// prefills the prompt and the events. `place` is an engine with room for which a retry was spent.
+    pub(super) async fn recompute(
+        &mut self,
+        place: Option<(Placement, UsageGuard<W>)>,
+    ) -> Option<AttemptStart> {
         if !self.may_run_again() {
             return None;
         }
-        let (place, in_use) = self.engine_with_room().await?;
+        let (place, in_use) = match place {
+            // The retry may have been used for a copy.
+            Some(place) if self.has_retry || self.job.try_spend_retry(RetryKind::Recompute) => {
+                place
+            }
+            Some(_) => return None,
+            None => self.engine_with_room().await?,
+        };
+        self.has_retry = false;
+        if self.may_run_here {
+            let usage = self.job.count_copy(&place, self.reserved_tokens);
+            self.set_stop_target(place.clone(), usage);
+            if let Err(reason) = self.end_run(LeaveReason::ConnectionBroken).await {
+                return Some(AttemptStart::Failed(reason));
+            }
+        }
         Some(self.recompute_at(place, in_use).await)
     }
 
     /// Resumes at `place` without a copy, which prefills the prompt and the events.
-    pub(super) async fn recompute_at(
-        &mut self,
-        place: Placement,
-        in_use: UsageGuard<W>,
-    ) -> AttemptStart {
+    async fn recompute_at(&mut self, place: Placement, in_use: UsageGuard<W>) -> AttemptStart {
         ByReason::Relocations.add("anew");
         log_event!(
             Recomputed,
@@ -209,9 +317,7 @@
             to = place.name.as_str(),
             event_id = self.state.last_event()
         );
-        self.splitter.clear();
-        self.no_room.clear();
-        self.state.on_relocated(self.job.cx.now());
+        self.on_left();
         self.pre_copy = None;
         self.switch_to(place, in_use).await;
         self.send_resume(None).await
@@ -226,6 +332,7 @@
             });
         }
         let limit = self.job.remaining();
+        self.may_run_here = true;
         let sent = tokio::time::timeout(limit, self.send(copy)).await;
         let start = match sent {
             Ok(Ok((link, response))) => self.read_head(link, response).await,
@@ -234,8 +341,11 @@
                 if !error.never_sent() {
                     self.job.record_failure(&self.engine);
                     self.job.on_connection_broken(&self.engine, None).await;
-                } else if !matches!(error, LinkError::Withdrawn) {
-                    self.job.record_unreachable(&self.engine, error.label());
+                } else {
+                    self.may_run_here = false;
+                    if !matches!(error, LinkError::Withdrawn) {
+                        self.job.record_unreachable(&self.engine, error.label());
+                    }
                 }
                 AttemptStart::Failed(Reason::ResponseLost)
             }
--- a/crates/gateway/src/relay/stop_run.rs
+++ b/crates/gateway/src/relay/stop_run.rs
@@ -2,88 +2,335 @@
 //!
 //! Not every engine drops a request when its connection closes. The order to copy the generation with
 //! a stop tells: an engine that dropped it does not know it any more, and one that did not stops it
-//! first. An order before the connection is closed would copy the last part of each generation, which
-//! queues behind other copies; `docs/design/relocation.md` has the figures.
+//! first. What the answers show, and for how long an engine is asked, is decided in
+//! [`run_end`](oriolemux_core::gateway::run_end); this module sends the orders.
+//!
+//! The connection to an engine is closed before the order, since an order to a generation that is
+//! still connected copies its last part, which queues behind other copies. A silent engine is ordered
+//! first: its connection shows whether the run goes on.
+//! `docs/design/relocation.md` has the figures.
 
-use super::{Relay, pre_copy};
+use super::Relay;
+use super::pre_copy::{CopyCall, CopyGuards, CopyHandle, PreCopy, wait_for_end};
+use super::upstream::{Upstream, sleep_until};
+use crate::job::{CopyUsageGuard, PendingMove};
 use crate::log_event;
 use crate::meters::{ByReason, millis};
 use crate::ports::{CopyOutcome, EngineCalls, Wire};
 use crate::response::Reason;
-use core::time::Duration;
-use oriolemux_core::gateway::run_end::Evidence;
+use http_body_util::BodyExt;
+use oriolemux_core::gateway::RequestKind;
+use oriolemux_core::gateway::run_end::{
+    Evidence, LeaveReason, REPEAT_AFTER, RunStop, StopAnswer, StopStep,
+};
+use oriolemux_core::gateway::state::Placement;
+use oriolemux_core::time::Time;
+use std::sync::Arc;
 use std::time::Instant;
-use tokio::time::{sleep, timeout_at};
+use tokio::time::timeout_at;
 
-/// How long an engine may take to answer that a generation has ended there. Callers abandon a stream
-/// after two seconds without an event.
-const STOP_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// What became of the orders to stop a run.
+#[derive(Clone, Copy, Debug, displaydoc::Display, PartialEq, Eq)]
+enum RunOutcome {
+    /// ended
+    Ended,
+    /// unreached
+    Unreached,
+    /// not_stopped
+    NotStopped,
+    /// ended_later
+    EndedLater,
+    /// never_shown
+    NeverShown,
+}
 
-/// How long an order may stay unanswered before it is repeated: its answer may be lost, or wait for
-/// the copy. The repeated one shows whether the generation still runs.
-const REPEAT_AFTER: Duration = Duration::from_millis(300);
+/// The answer that showed the end of a run.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct LastStop {
+    pub(super) answer: StopAnswer,
+    /// When the attempts to stop the run would have ended.
+    pub(super) ends: Time,
+}
 
-/// The pause before an order that the engine did not carry out is repeated.
-const STOP_RETRY_DELAY: Duration = Duration::from_millis(40);
+/// The KV cache of a stopped generation that its engine keeps.
+pub(super) struct KeptRun<E: EngineCalls> {
+    /// The engine.
+    pub(super) place: Placement,
+    /// The handle to resume with.
+    pub(super) handle: CopyHandle<E>,
+}
 
 impl<W: Wire, E: EngineCalls> Relay<W, E> {
-    /// Waits until the generation has ended at the current engine, whose connection is closed. The
-    /// engine stops it if it still runs there.
+    /// Makes sure that the generation does not run at the current engine any more, or that the engine
+    /// is not reached. Unless the engine was silent, its connection must be closed.
+    ///
+    /// Without an engine that could hold a copy there is no order to give. The generation then cannot
+    /// resume anywhere, and [`Relay::may_run_here`] stays set.
     ///
     /// # Errors
     ///
-    /// Returns [`Reason::NotStopped`] if the engine is reached and does not say so in time.
-    pub(super) async fn stop_run(&mut self) -> Result<(), Reason> {
+    /// Returns [`Reason::NotStopped`] if the engine is reached and does not stop the generation in time.
+    pub(super) async fn end_run(&mut self, why: LeaveReason) -> Result<(), Reason> {
+        if !self.may_run_here || !self.choose_stop_target().await {
+            return Ok(());
+        }
+        let cx = Arc::clone(&self.job.cx);
         let began = Instant::now();
-        let ends = began + STOP_TIMEOUT;
-        let mut answer = self.order_stop(ends).await;
-        while !shows_end(&answer) && Instant::now() < ends {
-            sleep(STOP_RETRY_DELAY).await;
-            answer = self.order_stop(ends).await;
+        let pending = self.silent_stop.take();
+        let mut stop = pending.unwrap_or_else(|| RunStop::new(cx.now(), why));
+        let outcome = loop {
+            match stop.next(cx.now()) {
+                StopStep::Order => {
+                    let ends = cx.clock.instant(stop.ends()).unwrap_or(began);
+                    let answer = self.order_stop(ends).await;
+                    self.on_stop_answer(&mut stop, answer);
+                }
+                StopStep::Wait(until) => sleep_until(cx.clock.instant(until)).await,
+                StopStep::Resume => break RunOutcome::Ended,
+                StopStep::ResumeAndFollowUp => break RunOutcome::Unreached,
+                StopStep::GiveUp => break RunOutcome::NotStopped,
+            }
+        };
+        self.log_stop(&stop, outcome, why, began);
+        if outcome == RunOutcome::NotStopped {
+            return Err(Reason::NotStopped);
         }
-        if let (CopyOutcome::Complete { handle }, Some(pre_copy)) = (&answer, &mut self.pre_copy) {
-            pre_copy.complete(handle.clone());
+        self.may_run_here = false;
+        if outcome == RunOutcome::Unreached {
+            self.follow_up(stop);
         }
-        ByReason::RunStops.add(answer.label());
-        log_event!(
-            RunStopped,
-            attempt = self.job.name(),
-            endpoint = self.engine.name.as_str(),
-            how = answer.label(),
-            ms = millis(began.elapsed())
-        );
-        match shows_end(&answer) {
-            true => Ok(()),
-            false => Err(Reason::NotStopped),
+        Ok(())
+    }
+
+    /// Ends the run at a silent engine whose connection is still open. Returns whether the generation
+    /// leaves: an engine that is reached and does not stop it goes on with it.
+    pub(super) async fn end_silent_run(&mut self, upstream: &mut Upstream) -> bool {
+        if self.end_run(LeaveReason::Silent).await.is_err() {
+            // Its answer is a sign of life, as events are.
+            self.state.on_bytes(self.job.cx.now());
+            return false;
+        }
+        // An engine that stopped a run closes its stream. One that says that it stopped the run and
+        // does not close it may be about to.
+        if let Some(ends) = self.stopped_run_closes_by() {
+            let closed = async { while let Some(Ok(_)) = upstream.body.frame().await {} };
+            if timeout_at(ends.into(), closed).await.is_err() {
+                log::debug!("the stream of a stopped generation is still open");
+            }
+        }
+        true
+    }
+
+    /// Returns how long to wait for the end of the stream of a generation that the engine stopped.
+    fn stopped_run_closes_by(&self) -> Option<Instant> {
+        let LastStop { answer, ends } = self.last_stop?;
+        let is_stopped = matches!(answer, StopAnswer::Stopped | StopAnswer::StoppedWithoutRoom);
+        is_stopped
+            .then(|| self.job.cx.clock.instant(ends))
+            .flatten()
+    }
+
+    /// Orders a silent engine to stop the generation, while its events are still waited for. Its
+    /// answer, or that there is none, is known by the time at which the engine is abandoned.
+    pub(super) async fn order_silent_stop(&mut self) {
+        let now = self.job.cx.now();
+        self.silent_stop = Some(RunStop::new(now, LeaveReason::Silent));
+        if self.choose_stop_target().await
+            && let Some(pre_copy) = &mut self.pre_copy
+            && !pre_copy.is_running()
+        {
+            pre_copy.start(self.job.name(), true);
+        }
+    }
+
+    /// Applies the answer to an order that was given while events are waited for.
+    pub(super) fn on_silent_stop_answer(&mut self, answer: CopyOutcome) {
+        let Some(mut stop) = self.silent_stop.take() else {
+            return;
+        };
+        self.on_stop_answer(&mut stop, answer);
+        self.silent_stop = Some(stop);
+    }
+
+    /// Returns whether a silent engine was ordered to stop the generation and has.
+    pub(super) fn silent_run_has_ended(&self) -> bool {
+        self.silent_stop.as_ref().is_some_and(RunStop::has_ended)
+    }
+
+    /// Returns whether the stream ended because the engine carried out an order to stop the generation.
+    /// Only a stream of unknown length then looks complete.
+    pub(super) async fn ended_by_order(&mut self, upstream: &Upstream) -> bool {
+        if self.silent_stop.is_none() || upstream.is_delimited {
+            return false;
+        }
+        match self.end_run(LeaveReason::Silent).await {
+            Ok(()) => self
+                .last_stop
+                .is_none_or(|it| it.answer != StopAnswer::NotRunning),
+            Err(_) => false,
+        }
+    }
+
+    /// Chooses the engine that gets the copy of an order to stop the generation, if none holds one
+    /// yet. Returns whether there is one.
+    async fn choose_stop_target(&mut self) -> bool {
+        if self.pre_copy.is_some() {
+            return true;
         }
+        let standby = self.standby.as_ref().map(|it| it.place.clone());
+        let standby = standby.filter(|it| self.may_resume_at(it.key));
+        let place = match standby {
+            Some(place) => {
+                let usage = self.job.count_copy(&place, self.reserved_tokens);
+                Some((place, usage))
+            }
+            None => {
+                let (source, tokens) = (self.engine.key, self.reserved_tokens);
+                self.job
+                    .request_pre_copy_placement(source, tokens, &self.no_room)
+                    .await
+            }
+        };
+        let Some((target, usage)) = place else {
+            return false;
+        };
+        self.set_stop_target(target, usage);
+        true
+    }
+
+    /// Makes `target` the engine that gets the copy of an order to stop the generation.
+    pub(super) fn set_stop_target(&mut self, target: Placement, usage: CopyUsageGuard<W>) {
+        let guards = CopyGuards {
+            usage,
+            pending: PendingMove::new(&self.job),
+        };
+        let engines = self.engine_calls.clone();
+        self.pre_copy = Some(PreCopy::new(engines, self.engine.address, target, guards));
     }
 
-    /// Orders the engine to stop the generation; returns its answer, or that of a repeated order which
-    /// shows that the generation has ended.
+    /// Orders the engine to stop the generation; returns its answer, or that of a repeated order.
     async fn order_stop(&mut self, ends: Instant) -> CopyOutcome {
         let Some(pre_copy) = &mut self.pre_copy else {
             return CopyOutcome::NoAnswer;
         };
         let order = pre_copy.stop_order();
         let attempt = self.job.name();
-        pre_copy.start(attempt, true);
-        loop {
-            let until = ends.min(Instant::now() + REPEAT_AFTER);
-            let first = pre_copy::wait_for_end(&mut self.pre_copy);
-            if let Ok(answer) = timeout_at(until.into(), first).await {
-                return answer;
+        if !pre_copy.is_stopping() {
+            pre_copy.start(attempt, true);
+        }
+        let until = ends.min(Instant::now() + REPEAT_AFTER);
+        let first = wait_for_end(&mut self.pre_copy);
+        if let Ok(answer) = timeout_at(until.into(), first).await {
+            return answer;
+        }
+        order.send(attempt, REPEAT_AFTER).await
+    }
+
+    fn on_stop_answer(&mut self, stop: &mut RunStop, answer: CopyOutcome) {
+        let meaning = answer.stop_answer();
+        ByReason::RunStops.add(&meaning.to_string());
+        stop.on_answer(self.job.cx.now(), meaning);
+        if meaning.evidence() == Evidence::Ended {
+            self.last_stop = Some(LastStop {
+                answer: meaning,
+                ends: stop.ends(),
+            });
+        }
+        match answer {
+            CopyOutcome::Complete { handle } => {
+                self.stopped_at = Some(self.engine.clone());
+                if let Some(pre_copy) = &mut self.pre_copy {
+                    pre_copy.complete(handle);
+                }
             }
-            let answer = order.send(attempt, REPEAT_AFTER).await;
-            if shows_end(&answer) || Instant::now() >= ends {
-                return answer;
+            CopyOutcome::NoRoom {
+                handle: Some(handle),
+            } => {
+                let engines = self.engine_calls.clone();
+                self.kept = Some(KeptRun {
+                    place: self.engine.clone(),
+                    handle: CopyHandle::new(engines, self.engine.address, handle),
+                });
+                self.on_no_room();
             }
+            _ => {}
         }
     }
-}
 
-/// Returns whether an answer shows that a generation does not run at its engine any more. One to which
-/// no connection opens is not reached.
-fn shows_end(answer: &CopyOutcome) -> bool {
-    let evidence = answer.stop_answer().evidence();
-    matches!(evidence, Evidence::Ended | Evidence::Unreached)
+    /// Ends the run of a resumable generation whose caller left: it may return, and continue the
+    /// generation at any engine.
+    pub(super) fn end_run_of_caller(&self) {
+        if self.may_run_here && self.job.entry().kind == RequestKind::ResumableStream {
+            self.follow_up(RunStop::new(self.job.cx.now(), LeaveReason::CallerLeft));
+        }
+    }
+
+    /// Repeats the order to stop the generation in the background until the engine shows that the run
+    /// has ended, or the deadline of the request passes.
+    fn follow_up(&self, mut stop: RunStop) {
+        let Some(call) = self.stop_call() else {
+            return;
+        };
+        let cx = Arc::clone(&self.job.cx);
+        let deadline = cx.now() + self.job.remaining();
+        let (attempt, endpoint) = (self.job.name().to_owned(), self.engine.name.clone());
+        let began = Instant::now();
+        tokio::spawn(async move {
+            while let Some(at) = stop.follow_up_at(deadline) {
+                sleep_until(cx.clock.instant(at)).await;
+                let answer = call.send(&attempt, REPEAT_AFTER).await;
+                stop.on_answer(cx.now(), answer.stop_answer());
+                drop(call.handle(answer));
+            }
+            let outcome = match stop.has_ended() {
+                true => RunOutcome::EndedLater,
+                false => RunOutcome::NeverShown,
+            };
+            ByReason::RunEnds.add(&outcome.to_string());
+            let answer = stop.last_answer().unwrap_or(StopAnswer::Unreached);
+            log_event!(
+                RunStopFollowedUp,
+                attempt = attempt.as_str(),
+                endpoint = endpoint.as_str(),
+                how:% = outcome,
+                answer:% = answer,
+                ms = millis(began.elapsed())
+            );
+        });
+    }
+
+    /// Returns the order that stops the generation at the current engine, `None` if there is no other
+    /// engine that it could name.
+    fn stop_call(&self) -> Option<CopyCall<E>> {
+        if let Some(pre_copy) = &self.pre_copy {
+            return Some(pre_copy.stop_order());
+        }
+        let standby = self.standby.as_ref().map(|it| it.place.address);
+        let target = standby.or_else(|| {
+            let state = self.job.cx.state();
+            let mut others = state.endpoints.usable_of(&self.job.service().name);
+            let other = others.find(|it| it.key != self.engine.key)?;
+            Some(other.record.address)
+        })?;
+        Some(CopyCall {
+            engines: self.engine_calls.clone(),
+            source: self.engine.address,
+            target,
+            stop: true,
+        })
+    }
+
+    fn log_stop(&self, stop: &RunStop, outcome: RunOutcome, why: LeaveReason, began: Instant) {
+        ByReason::RunEnds.add(&outcome.to_string());
+        let answer = stop.last_answer().unwrap_or(StopAnswer::Unreached);
+        log_event!(
+            RunStopped,
+            attempt = self.job.name(),
+            endpoint = self.engine.name.as_str(),
+            how:% = answer,
+            ms = millis(began.elapsed()),
+            why:% = why,
+            outcome:% = outcome
+        );
+    }
 }
--- a/crates/gateway/src/relay/upstream.rs
+++ b/crates/gateway/src/relay/upstream.rs
@@ -13,6 +13,9 @@
 pub(super) struct Upstream {
     pub(super) link: Link,
     pub(super) body: Incoming,
+    /// Whether the response states its length or comes in chunks, so that its end is not just that of
+    /// the connection.
+    pub(super) is_delimited: bool,
 }
 
 /// Why the relay stopped reading from an engine.
@@ -27,7 +30,9 @@
     Recompute(Placement, UsageGuard<W>),
     /// The connection broke.
     Broken,
-    /// The engine fell silent or sent data that is not an event stream.
+    /// The engine fell silent.
+    Silent,
+    /// The engine sent data that is not an event stream.
     EngineFailed,
     /// The deadline of the request passed.
     Timeout,
