A copy in progress does not delay the order to a silent engine

Cause: no order was given ahead of time while a pre-copy was in progress, and to a dark engine one always is. Change: the order takes the place of the copy in progress; a request for a place of one is withdrawn.

--- a/crates/core/src/gateway/relocation.rs
+++ b/crates/core/src/gateway/relocation.rs
@@ -412,9 +412,9 @@
 
     /// Returns when a silent engine is ordered to stop the generation: some time before it would be
     /// abandoned, so that the order costs the caller no wait. `None` if silence does not make the
-    /// generation leave, or a copy is in progress, beside which the engine takes no order.
+    /// generation leave.
     pub fn stop_order_at(&self, now: Time, view: &EngineView) -> Option<Time> {
-        if self.events == 0 || self.pre_copy.in_progress {
+        if self.events == 0 {
             return None;
         }
         let from = self.resume_from(now, view.standby_is_usable);
--- a/crates/gateway/src/relay/copy_wait.rs
+++ b/crates/gateway/src/relay/copy_wait.rs
@@ -200,7 +200,7 @@
     }
 
     /// Returns how long the current engine has been leaving; zero if it is not.
-    fn leaving_for(&self) -> Duration {
+    pub(super) fn leaving_for(&self) -> Duration {
         let cx = &self.job.cx;
         let now = cx.now();
         let since = cx.state().leaving_since(self.engine.key);
--- a/crates/gateway/src/relay/stop_run.rs
+++ b/crates/gateway/src/relay/stop_run.rs
@@ -107,7 +107,11 @@
     pub(super) async fn end_silent_run(&mut self, upstream: &mut Upstream) -> bool {
         if self.end_run(LeaveReason::Silent).await.is_err() {
             // Its answer is a sign of life, as events are.
-            self.state.on_bytes(self.job.cx.now());
+            let now = self.job.cx.now();
+            self.state.on_bytes(now);
+            if !self.state.pre_copy_ended(now, false) {
+                self.pre_copy = None;
+            }
             return false;
         }
         // An engine that stopped a run closes its stream. One that says that it stopped the run and
@@ -135,12 +139,23 @@
     pub(super) async fn order_silent_stop(&mut self) {
         let now = self.job.cx.now();
         self.silent_stop = Some(RunStop::new(now, LeaveReason::Silent));
-        if self.choose_stop_target().await
-            && let Some(pre_copy) = &mut self.pre_copy
-            && !pre_copy.is_running()
-        {
-            pre_copy.start(self.job.name(), true);
+        if self.copy_wait.is_some() {
+            self.withdraw_pre_copy("engine_silent");
+            let leaving_for = self.leaving_for();
+            self.state.pre_copy_refused(now, leaving_for);
+        }
+        if !self.choose_stop_target().await {
+            return;
+        }
+        let Some(pre_copy) = &mut self.pre_copy else {
+            return;
+        };
+        // A copy in progress is given up: an engine that is reached refuses the order until the copy
+        // is complete, and the order is repeated.
+        if !pre_copy.is_running() {
+            self.state.pre_copy_started(now);
         }
+        pre_copy.start(self.job.name(), true);
     }
 
     /// Applies the answer to an order that was given while events are waited for.
@@ -148,8 +163,11 @@
         let Some(mut stop) = self.silent_stop.take() else {
             return;
         };
+        let is_complete = matches!(answer, CopyOutcome::Complete { .. });
         self.on_stop_answer(&mut stop, answer);
         self.silent_stop = Some(stop);
+        // The target stays: it is named again if the order is repeated.
+        self.state.pre_copy_ended(self.job.cx.now(), is_complete);
     }
 
     /// Returns whether a silent engine was ordered to stop the generation and has.
