The soak has engines that go on with runs, and checks that one engine works at a time

Every second engine keeps requests whose connections close. New faults: streams that break off while the run goes on, preempted generations, orders to stop that are shed, busy, lost or late at an engine that leaves. New rule: beside, the platform's bound of 400 ms, from what engines see; only a kill, stop or freeze of an instance excuses it. Test: case_5_runs_that_go_on, an_engine_that_works_beside_another_one_is_found.

--- a/crates/bench/src/soak.rs
+++ b/crates/bench/src/soak.rs
@@ -140,6 +140,7 @@
         calls: world.calls(),
         generations: world.generations(),
         arrivals: world.arrivals(),
+        overlaps: world.overlaps(),
         recovered,
         idle,
     };
--- a/crates/bench/src/soak/check.rs
+++ b/crates/bench/src/soak/check.rs
@@ -6,8 +6,9 @@
 
 mod announcements;
 
+use super::fault::FaultKind;
 use super::record::{
-    Answer, Arrival, Call, Generation, Happened, Kind, Outcome, Probe, Sent, What,
+    Answer, Arrival, Beside, Call, Generation, Happened, Kind, Outcome, Probe, Sent, What,
 };
 use super::world::{EVENTS, REPEAT_ALLOWANCE, REPEAT_RATIO, REPEAT_WINDOW};
 use core::time::Duration;
@@ -24,6 +25,9 @@
 /// A probe that was sent so much later than another one saw a catalogue must see it too.
 const REGRESS_SLACK: Duration = Duration::from_millis(250);
 
+/// How long an engine may work on a generation that has gone on at another one.
+const WORK_BESIDE: Duration = Duration::from_millis(400);
+
 /// Statuses that promise that a request has not run and never will.
 const NOT_RUN: [u16; 4] = [408, 421, 429, 503];
 
@@ -42,6 +46,8 @@
     pub generations: Vec<Generation>,
     /// All requests that arrived at endpoints.
     pub arrivals: Vec<Arrival>,
+    /// Work of engines beside others.
+    pub overlaps: Vec<Beside>,
     /// Whether all instances served again after the last fault.
     pub recovered: bool,
     /// Whether engines were idle when all callers were gone.
@@ -77,11 +83,13 @@
     Announced,
     /// An endpoint that requested a backoff gets next to nothing meanwhile.
     Backoff,
+    /// One engine works on a generation at a time.
+    Beside,
 }
 
 impl Rule {
     /// Every rule.
-    pub const ALL: [Rule; 13] = [
+    pub const ALL: [Rule; 14] = [
         Rule::Twice,
         Rule::Untrue,
         Rule::Mixed,
@@ -95,6 +103,7 @@
         Rule::Idle,
         Rule::Announced,
         Rule::Backoff,
+        Rule::Beside,
     ];
 
     /// Returns a word for it, which reports carry.
@@ -113,6 +122,7 @@
             Rule::Idle => "idle",
             Rule::Announced => "announced",
             Rule::Backoff => "backoff",
+            Rule::Beside => "beside",
         }
     }
 }
@@ -204,6 +214,15 @@
     },
     /// recovery: not all instances served again
     Recovery,
+    /// beside: {endpoint} worked on {attempt} for {lasted:?} after it went on elsewhere
+    Beside {
+        /// The engine.
+        endpoint: String,
+        /// The attempt.
+        attempt: String,
+        /// For how long.
+        lasted: Duration,
+    },
     /// idle: engines were at work when all callers had gone
     Idle,
     /// announced: {attempt} came to {endpoint} from instance {instance}, which had passed on {late_ms} ms before that it leaves
@@ -245,6 +264,7 @@
             Violation::Idle => Rule::Idle,
             Violation::Announced { .. } => Rule::Announced,
             Violation::Backoff { .. } => Rule::Backoff,
+            Violation::Beside { .. } => Rule::Beside,
         }
     }
 }
@@ -261,6 +281,7 @@
     leaving_gets_nothing_new(seen, IN_FORCE.mul_f64(patience), &mut found);
     announcements::check(seen, patience, &mut found);
     planned_work_cuts_nothing(seen, &mut found);
+    one_engine_works(seen, WORK_BESIDE.mul_f64(patience), &mut found);
     repeats_are_bounded(seen, &mut found);
     if !seen.recovered {
         found.push(Violation::Recovery);
@@ -271,6 +292,31 @@
     found
 }
 
+/// Only what happens to the process that sent a generation excuses work beside another engine: nothing
+/// keeps instances from engines here.
+fn one_engine_works(seen: &Evidence, bound: Duration, found: &mut Vec<Violation>) {
+    for beside in seen.overlaps.iter().filter(|it| it.lasted > bound) {
+        let (from, to) = (beside.from, beside.from + beside.lasted);
+        let is_excused = seen.timeline.iter().any(|it| {
+            let is_of_process = matches!(
+                it.what,
+                What::Fault {
+                    kind: FaultKind::Kill | FaultKind::Stop | FaultKind::Freeze,
+                    ..
+                }
+            );
+            is_of_process && it.overlaps(from, to, CONTACT)
+        });
+        if !is_excused {
+            found.push(Violation::Beside {
+                endpoint: beside.endpoint.clone(),
+                attempt: beside.attempt.clone(),
+                lasted: beside.lasted,
+            });
+        }
+    }
+}
+
 fn runs_at_most_once(seen: &Evidence, found: &mut Vec<Violation>) {
     let once = seen.requests.iter().filter(|it| !it.kind.is_idempotent());
     let kinds: BTreeMap<&str, Kind> = once.map(|it| (it.attempt.as_str(), it.kind)).collect();
--- a/crates/bench/src/soak/fault.rs
+++ b/crates/bench/src/soak/fault.rs
@@ -5,7 +5,7 @@
 use crate::proxy::Rules;
 use core::time::Duration;
 use nix::sys::signal::Signal;
-use oriolemux_platform_standin::{Behaviour, EngineFault, Mode};
+use oriolemux_platform_standin::{Behaviour, Engine, EngineFault, Mode};
 use std::sync::Arc;
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep, sleep_until};
@@ -98,6 +98,12 @@
     EngineBacksOff,
     /// The store comes back from an older copy, and what it lost is written again.
     StoreRestored,
+    /// The streams of an engine break off, and their runs go on.
+    EngineBreaksOff,
+    /// An engine preempts generations, and goes on with them later.
+    EnginePreempts,
+    /// An engine refuses, loses or delays orders to stop generations, and leaves.
+    EngineOrdersFail,
 }
 
 impl FaultKind {
@@ -129,6 +135,9 @@
         FaultKind::ServiceBacksOff,
         FaultKind::EngineBacksOff,
         FaultKind::StoreRestored,
+        FaultKind::EngineBreaksOff,
+        FaultKind::EnginePreempts,
+        FaultKind::EngineOrdersFail,
     ];
 
     /// Returns whether it is planned work, around which nothing may be cut off.
@@ -213,6 +222,9 @@
         | FaultKind::EngineDies
         | FaultKind::EngineAnnounces
         | FaultKind::EngineBacksOff
+        | FaultKind::EngineBreaksOff
+        | FaultKind::EnginePreempts
+        | FaultKind::EngineOrdersFail
         | FaultKind::EngineFails => engine(world, strike).await,
         FaultKind::CatalogueChange => world.publish(0),
         FaultKind::LargeCatalogue => world.publish(LARGE_CATALOGUE),
@@ -348,6 +360,27 @@
                 world.engines.fault(&engine, fault);
             }
         }
+        FaultKind::EngineBreaksOff => {
+            world.engines.fault(&engine, EngineFault::BreakAfter(20));
+            world.engines.fault(&engine, EngineFault::BreakAfter(35));
+        }
+        FaultKind::EnginePreempts => {
+            world.engines.fault(&engine, EngineFault::PreemptAfter(12));
+            world.engines.fault(&engine, EngineFault::PreemptAfter(30));
+        }
+        FaultKind::EngineOrdersFail => {
+            for fault in [
+                EngineFault::ShedStop,
+                EngineFault::BusyStop,
+                EngineFault::LoseStop,
+                EngineFault::LateStopAnswer,
+                EngineFault::LoseStopAnswer,
+                EngineFault::BreakAfter(25),
+            ] {
+                world.engines.fault(&engine, fault);
+            }
+            engine_leaves(world, &engine).await;
+        }
         FaultKind::EngineBacksOff => {
             world.engines.refuse_with_backoff(&engine, BACKOFF);
             sleep(strike.lasts).await;
@@ -363,16 +396,7 @@
             sleep(ENDS_AFTER).await;
             engine.kill();
         }
-        FaultKind::EngineLeaves => {
-            world.add_engine().await;
-            world.deployment.add_engine(&engine, "draining");
-            world.note_leaves(engine.name());
-            sleep(NOTICE).await;
-            world.deployment.remove(engine.name());
-            world.retire_engine(engine.name());
-            sleep(ENDS_AFTER).await;
-            engine.kill();
-        }
+        FaultKind::EngineLeaves => engine_leaves(world, &engine).await,
         _ => {
             engine.kill();
             world.retire_engine(engine.name());
@@ -383,6 +407,17 @@
     }
 }
 
+async fn engine_leaves(world: &World, engine: &Engine) {
+    world.add_engine().await;
+    world.deployment.add_engine(engine, "draining");
+    world.note_leaves(engine.name());
+    sleep(NOTICE).await;
+    world.deployment.remove(engine.name());
+    world.retire_engine(engine.name());
+    sleep(ENDS_AFTER).await;
+    engine.kill();
+}
+
 /// A fault that is going on; it is over when this is dropped.
 pub struct Ongoing<'a> {
     pub(super) world: &'a World,
--- a/crates/bench/src/soak/record.rs
+++ b/crates/bench/src/soak/record.rs
@@ -132,6 +132,20 @@
     pub first: u64,
 }
 
+/// Work of an engine on a generation that had gone on at another one, for longer than the platform
+/// allows.
+#[derive(Clone, Debug)]
+pub struct Beside {
+    /// The engine.
+    pub endpoint: String,
+    /// The attempt.
+    pub attempt: String,
+    /// When the generation went on at the other one.
+    pub from: Instant,
+    /// For how long both worked on it.
+    pub lasted: Duration,
+}
+
 /// A request as it arrived at an endpoint, whether it ran or not.
 #[derive(Clone, Debug)]
 pub struct Arrival {
--- a/crates/bench/src/soak/world.rs
+++ b/crates/bench/src/soak/world.rs
@@ -2,7 +2,7 @@
 
 use super::SoakConfig;
 use super::fault::{FaultKind, Ongoing};
-use super::record::{Arrival, Call, Generation, Happened, What};
+use super::record::{Arrival, Beside, Call, Generation, Happened, What};
 use crate::process::child::Child;
 use crate::proxy::Proxy;
 use core::time::Duration;
@@ -305,7 +305,13 @@
     pub async fn add_engine(&self) {
         let engine = self.engines.start(&self.next_name("e")).await;
         let name = engine.name().to_owned();
-        lock(&self.engine_names).insert(engine.address(), name);
+        let mut names = lock(&self.engine_names);
+        names.insert(engine.address(), name);
+        // Every second engine goes on with a request whose connection closes.
+        if names.len().is_multiple_of(2) {
+            self.engines.keep_requests(&engine);
+        }
+        drop(names);
         self.deployment.add_engine(&engine, "ready");
         lock(&self.live_engines).push(Arc::new(engine));
     }
@@ -422,6 +428,20 @@
             .collect()
     }
 
+    /// Returns the work that engines did beside others.
+    pub fn overlaps(&self) -> Vec<Beside> {
+        let names = lock(&self.engine_names);
+        let overlaps = self.engines.overlaps().into_iter();
+        overlaps
+            .map(|it| Beside {
+                endpoint: names.get(&it.engine).cloned().unwrap_or_default(),
+                attempt: it.attempt,
+                from: it.from,
+                lasted: it.lasted,
+            })
+            .collect()
+    }
+
     /// Returns all requests that arrived at endpoints.
     pub fn arrivals(&self) -> Vec<Arrival> {
         let services = lock(&self.all_services);
--- a/crates/bench/tests/soak.rs
+++ b/crates/bench/tests/soak.rs
@@ -6,7 +6,7 @@
 use oriolemux_bench::soak::fault::FaultKind;
 use oriolemux_bench::soak::plan;
 use oriolemux_bench::soak::record::{
-    Answer, Arrival, Call, Generation, Happened, Kind, Outcome, Probe, Sent, What,
+    Answer, Arrival, Beside, Call, Generation, Happened, Kind, Outcome, Probe, Sent, What,
 };
 use oriolemux_bench::soak::{SoakConfig, play};
 use oriolemux_platform_standin::Engines;
@@ -428,6 +428,29 @@
     assert_eq!(rules(&calls(51)), [Rule::Repeats]);
 }
 
+#[test]
+fn an_engine_that_works_beside_another_one_is_found() {
+    let clock = Clock::start();
+    let beside = |lasted_ms| Beside {
+        endpoint: "e-1".to_owned(),
+        attempt: "c1-1".to_owned(),
+        from: clock.at(1_000),
+        lasted: Duration::from_millis(lasted_ms),
+    };
+    let seen = |lasted_ms, kind| Evidence {
+        overlaps: vec![beside(lasted_ms)],
+        timeline: vec![clock.fault(900, 1_100, kind)],
+        ..well()
+    };
+
+    assert_eq!(
+        rules(&seen(401, FaultKind::EngineBreaksOff)),
+        [Rule::Beside]
+    );
+    assert_eq!(rules(&seen(400, FaultKind::EngineBreaksOff)), []);
+    assert_eq!(rules(&seen(401, FaultKind::Freeze)), []);
+}
+
 #[test]
 fn a_fleet_that_does_not_come_back_and_work_for_nobody_are_found() {
     assert_eq!(rules(&Evidence::default()), [Rule::Recovery, Rule::Idle]);
@@ -478,6 +501,13 @@
     FaultKind::EngineLeaves,
     FaultKind::Kill,
 ])]
+#[case::runs_that_go_on(5, vec![
+    FaultKind::EngineBreaksOff,
+    FaultKind::EnginePreempts,
+    FaultKind::EngineOrdersFail,
+    FaultKind::EngineLeaves,
+    FaultKind::EngineDies,
+])]
 #[tokio::test(flavor = "multi_thread")]
 async fn promises_hold_under_faults(#[case] seed: u64, #[case] faults: Vec<FaultKind>) {
     let dir = tempfile::tempdir().expect("a directory");
