Orders name the engine that they are for, and crashed engines cost no request for a place

An order that is repeated for a while may reach another process that got the address: it carries the expected name now, and a refusal by another process shows that the run has ended with the one before. A resumable generation without a copy gives its order to the engine that recomputes it, rather than looking for another place first.

--- a/crates/core/src/gateway/run_end.rs
+++ b/crates/core/src/gateway/run_end.rs
@@ -63,6 +63,8 @@
     StoppedWithoutRoom,
     /// not_running
     NotRunning,
+    /// replaced
+    Replaced,
     /// busy
     Busy,
     /// refused
@@ -93,12 +95,14 @@
     ///
     /// An engine that was ordered to stop a run stops it before it copies it, so that a copy that
     /// found no room shows the end as well, provided that the engine names the KV cache that it keeps.
-    /// A refusal without that is one that any request may get.
+    /// A refusal without that is one that any request may get. If another process answers at the
+    /// address, the one that ran the generation is gone.
     pub const fn evidence(self) -> Evidence {
         match self {
-            StopAnswer::Stopped | StopAnswer::StoppedWithoutRoom | StopAnswer::NotRunning => {
-                Evidence::Ended
-            }
+            StopAnswer::Stopped
+            | StopAnswer::StoppedWithoutRoom
+            | StopAnswer::NotRunning
+            | StopAnswer::Replaced => Evidence::Ended,
             StopAnswer::Busy | StopAnswer::Refused => Evidence::MayRun,
             StopAnswer::Unreadable | StopAnswer::Unanswered => Evidence::Sent,
             StopAnswer::Unreached => Evidence::Unreached,
--- a/crates/core/tests/gateway_run_end.rs
+++ b/crates/core/tests/gateway_run_end.rs
@@ -14,10 +14,11 @@
 
 const START: Time = Time::from_secs(10);
 
-const ANSWERS: [StopAnswer; 8] = [
+const ANSWERS: [StopAnswer; 9] = [
     StopAnswer::Stopped,
     StopAnswer::StoppedWithoutRoom,
     StopAnswer::NotRunning,
+    StopAnswer::Replaced,
     StopAnswer::Busy,
     StopAnswer::Refused,
     StopAnswer::Unreadable,
@@ -43,6 +44,7 @@
 #[case::stopped(StopAnswer::Stopped, Evidence::Ended)]
 #[case::no_room(StopAnswer::StoppedWithoutRoom, Evidence::Ended)]
 #[case::not_running(StopAnswer::NotRunning, Evidence::Ended)]
+#[case::replaced(StopAnswer::Replaced, Evidence::Ended)]
 #[case::busy(StopAnswer::Busy, Evidence::MayRun)]
 #[case::refused(StopAnswer::Refused, Evidence::MayRun)]
 #[case::unreadable(StopAnswer::Unreadable, Evidence::Sent)]
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -325,6 +325,8 @@
     },
     /// The engine does not run the generation, or not yet.
     NotRunning,
+    /// Another process than the expected engine answers at the address.
+    Replaced,
     /// Another call for the same generation is in progress.
     Busy,
     /// No connection to the engine could be opened.
@@ -344,6 +346,7 @@
             CopyOutcome::Complete { .. } => "done",
             CopyOutcome::NoRoom { .. } => "no_room",
             CopyOutcome::NotRunning => "not_running",
+            CopyOutcome::Replaced => "replaced",
             CopyOutcome::Busy => "busy",
             CopyOutcome::Unreachable => "unreachable",
             CopyOutcome::NoAnswer => "no_answer",
@@ -362,6 +365,7 @@
             CopyOutcome::NoRoom { handle: Some(_) } => StopAnswer::StoppedWithoutRoom,
             CopyOutcome::NoRoom { handle: None } | CopyOutcome::Refused => StopAnswer::Refused,
             CopyOutcome::NotRunning => StopAnswer::NotRunning,
+            CopyOutcome::Replaced => StopAnswer::Replaced,
             CopyOutcome::Busy => StopAnswer::Busy,
             CopyOutcome::Unreachable => StopAnswer::Unreached,
             CopyOutcome::NoAnswer => StopAnswer::Unanswered,
@@ -379,16 +383,27 @@
     }
 }
 
+/// An order to copy a running generation's KV cache.
+#[derive(Clone, Copy, Debug)]
+pub struct CopyOrder<'a> {
+    /// The address of the engine that runs the generation.
+    pub source: SocketAddrV4,
+    /// The name of that engine; another one at its address refuses the order.
+    pub endpoint: &'a str,
+    /// The attempt that runs there.
+    pub attempt: &'a str,
+    /// The engine that gets the copy.
+    pub target: SocketAddrV4,
+    /// Whether the generation is stopped first.
+    pub stop: bool,
+}
+
 /// The calls to engines other than forwarded requests.
 pub trait EngineCalls: Clone + Send + Sync + 'static {
-    /// Copies a running generation's KV cache from `source` to `target`. If `stop` is set, the
-    /// generation is stopped first.
+    /// Copies a running generation's KV cache.
     fn copy_generation(
         &self,
-        source: SocketAddrV4,
-        attempt: &str,
-        target: SocketAddrV4,
-        stop: bool,
+        order: CopyOrder<'_>,
         limit: Duration,
     ) -> impl Future<Output = CopyOutcome> + Send;
 
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -345,7 +345,12 @@
         why: LeaveReason,
         place: Option<(Placement, UsageGuard<W>)>,
     ) -> Result<Upstream, NoResume> {
-        self.end_run(why).await?;
+        // A generation without a copy that may be recomputed names the engine that recomputes it in the
+        // order; looking for another one would cost its caller the time.
+        let has_target = self.pre_copy.is_some() || self.standby.is_some();
+        if has_target || !self.may_run_again() {
+            self.end_run(why).await?;
+        }
         if why != LeaveReason::Silent {
             self.wait_until_admitted().await?;
         }
--- a/crates/gateway/src/relay/copy_wait.rs
+++ b/crates/gateway/src/relay/copy_wait.rs
@@ -92,7 +92,7 @@
             usage: in_use,
             pending: PendingMove::new(&self.job),
         };
-        let mut pre_copy = PreCopy::new(engines, self.engine.address, target, guards);
+        let mut pre_copy = PreCopy::new(engines, self.engine.clone(), target, guards);
         pre_copy.start(self.job.name(), false);
         self.pre_copy = Some(pre_copy);
         self.state.pre_copy_started(self.job.cx.now());
--- a/crates/gateway/src/relay/pre_copy.rs
+++ b/crates/gateway/src/relay/pre_copy.rs
@@ -1,7 +1,7 @@
 //! The copies of one generation's KV cache at other engines.
 
 use crate::job::{CopyUsageGuard, PendingMove};
-use crate::ports::{CopyOutcome, EngineCalls, Wire};
+use crate::ports::{CopyOrder, CopyOutcome, EngineCalls, Wire};
 use core::time::Duration;
 use oriolemux_core::gateway::state::Placement;
 use std::net::SocketAddrV4;
@@ -65,7 +65,7 @@
 #[derive(Clone)]
 pub(super) struct CopyCall<E> {
     pub(super) engines: E,
-    pub(super) source: SocketAddrV4,
+    pub(super) source: Placement,
     pub(super) target: SocketAddrV4,
     /// Whether the engine stops the generation first.
     pub(super) stop: bool,
@@ -73,15 +73,21 @@
 
 impl<E: EngineCalls> CopyCall<E> {
     pub(super) async fn send(&self, attempt: &str, limit: Duration) -> CopyOutcome {
-        self.engines
-            .copy_generation(self.source, attempt, self.target, self.stop, limit)
-            .await
+        let order = CopyOrder {
+            source: self.source.address,
+            endpoint: &self.source.name,
+            attempt,
+            target: self.target,
+            stop: self.stop,
+        };
+        self.engines.copy_generation(order, limit).await
     }
 
     /// Returns the handle in the outcome of the call, which is freed when dropped.
     pub(super) fn handle(&self, outcome: CopyOutcome) -> Option<CopyHandle<E>> {
         let text = outcome.into_handle()?;
-        Some(CopyHandle::new(self.engines.clone(), self.source, text))
+        let source = self.source.address;
+        Some(CopyHandle::new(self.engines.clone(), source, text))
     }
 }
 
@@ -121,7 +127,7 @@
     /// Returns a copy from `source` to `target` that is not started yet.
     pub(super) fn new(
         engines: E,
-        source: SocketAddrV4,
+        source: Placement,
         target: Placement,
         guards: CopyGuards<W>,
     ) -> Self {
@@ -180,7 +186,7 @@
             let CopyCall {
                 engines, source, ..
             } = &self.call;
-            self.handle = Some(CopyHandle::new(engines.clone(), *source, text));
+            self.handle = Some(CopyHandle::new(engines.clone(), source.address, text));
         }
     }
 
--- a/crates/gateway/src/relay/stop_run.rs
+++ b/crates/gateway/src/relay/stop_run.rs
@@ -223,7 +223,7 @@
             pending: PendingMove::new(&self.job),
         };
         let engines = self.engine_calls.clone();
-        self.pre_copy = Some(PreCopy::new(engines, self.engine.address, target, guards));
+        self.pre_copy = Some(PreCopy::new(engines, self.engine.clone(), target, guards));
     }
 
     /// Orders the engine to stop the generation; returns its answer, or that of a repeated order.
@@ -332,7 +332,7 @@
         })?;
         Some(CopyCall {
             engines: self.engine_calls.clone(),
-            source: self.engine.address,
+            source: self.engine.clone(),
             target,
             stop: true,
         })
