A copy that an order replaces is not freed under the handle of the order

If the engine names the same handle for both, freeing the outcome of the first one would free the copy that the generation resumes from. Outcomes of replaced calls are freed when the copy is dropped or taken, unless they name the handle in use. The soak's new check has a file of its own.

--- a/crates/bench/src/soak/check.rs
+++ b/crates/bench/src/soak/check.rs
@@ -5,8 +5,8 @@
 //! disturbed the instances for three seconds; the others hold always.
 
 mod announcements;
+mod beside;
 
-use super::fault::FaultKind;
 use super::record::{
     Answer, Arrival, Beside, Call, Generation, Happened, Kind, Outcome, Probe, Sent, What,
 };
@@ -25,9 +25,6 @@
 /// A probe that was sent so much later than another one saw a catalogue must see it too.
 const REGRESS_SLACK: Duration = Duration::from_millis(250);
 
-/// How long an engine may work on a generation that has gone on at another one.
-const WORK_BESIDE: Duration = Duration::from_millis(400);
-
 /// Statuses that promise that a request has not run and never will.
 const NOT_RUN: [u16; 4] = [408, 421, 429, 503];
 
@@ -281,7 +278,7 @@
     leaving_gets_nothing_new(seen, IN_FORCE.mul_f64(patience), &mut found);
     announcements::check(seen, patience, &mut found);
     planned_work_cuts_nothing(seen, &mut found);
-    one_engine_works(seen, WORK_BESIDE.mul_f64(patience), &mut found);
+    beside::check(seen, patience, &mut found);
     repeats_are_bounded(seen, &mut found);
     if !seen.recovered {
         found.push(Violation::Recovery);
@@ -292,31 +289,6 @@
     found
 }
 
-/// Only what happens to the process that sent a generation excuses work beside another engine: nothing
-/// keeps instances from engines here.
-fn one_engine_works(seen: &Evidence, bound: Duration, found: &mut Vec<Violation>) {
-    for beside in seen.overlaps.iter().filter(|it| it.lasted > bound) {
-        let (from, to) = (beside.from, beside.from + beside.lasted);
-        let is_excused = seen.timeline.iter().any(|it| {
-            let is_of_process = matches!(
-                it.what,
-                What::Fault {
-                    kind: FaultKind::Kill | FaultKind::Stop | FaultKind::Freeze,
-                    ..
-                }
-            );
-            is_of_process && it.overlaps(from, to, CONTACT)
-        });
-        if !is_excused {
-            found.push(Violation::Beside {
-                endpoint: beside.endpoint.clone(),
-                attempt: beside.attempt.clone(),
-                lasted: beside.lasted,
-            });
-        }
-    }
-}
-
 fn runs_at_most_once(seen: &Evidence, found: &mut Vec<Violation>) {
     let once = seen.requests.iter().filter(|it| !it.kind.is_idempotent());
     let kinds: BTreeMap<&str, Kind> = once.map(|it| (it.attempt.as_str(), it.kind)).collect();
--- a/crates/gateway/src/relay/pre_copy.rs
+++ b/crates/gateway/src/relay/pre_copy.rs
@@ -110,6 +110,9 @@
     call: CopyCall<E>,
     pub(super) target: Placement,
     running: Option<RunningCall>,
+    /// Calls that another one replaced before they ended. Each may still make the copy, under the handle
+    /// that the other one names.
+    replaced: Vec<JoinHandle<CopyOutcome>>,
     /// The handle of the copy at the source, once the copy is complete.
     handle: Option<CopyHandle<E>>,
     /// What counts the copy and the move; `None` once it was taken.
@@ -140,6 +143,7 @@
             },
             target,
             running: None,
+            replaced: Vec::new(),
             handle: None,
             guards: Some(guards),
         }
@@ -154,11 +158,12 @@
             ..self.call.clone()
         };
         let task = tokio::spawn(async move { call.send(&attempt, PRE_COPY_TIMEOUT).await });
-        self.free_outcome_of_call();
-        self.running = Some(RunningCall {
+        let running = RunningCall {
             task,
             is_stop: stop,
-        });
+        };
+        let replaced = self.running.replace(running);
+        self.replaced.extend(replaced.map(|it| it.task));
     }
 
     /// Returns the order that stops the generation.
@@ -192,28 +197,35 @@
 
     /// Returns the copy to resume from, `None` if it is not complete.
     pub(super) fn take(mut self) -> Option<CompleteCopy<W, E>> {
-        // While the handle is stored, a call that names it again does not free it.
-        self.free_outcome_of_call();
+        let handle = self.handle.take()?;
+        let in_use = handle.text().to_owned();
+        self.free_outcomes(move |it| it.text() != in_use);
         Some(CompleteCopy {
             target: self.target.clone(),
-            handle: self.handle.take()?,
+            handle,
             guards: self.guards.take()?,
         })
     }
 
-    /// Frees what a call in progress may still make, unless it is the copy that is in use.
-    fn free_outcome_of_call(&mut self) {
-        let Some(RunningCall { task, .. }) = self.running.take() else {
+    /// Frees what the calls that have not ended may still make, if `is_unused` says so of its handle.
+    fn free_outcomes(&mut self, is_unused: impl Fn(&CopyHandle<E>) -> bool + Send + 'static) {
+        let running = self.running.take().map(|it| it.task);
+        let tasks: Vec<_> = self.replaced.drain(..).chain(running).collect();
+        if tasks.is_empty() {
             return;
-        };
+        }
         let call = self.call.clone();
-        let in_use = self.handle.as_ref().map(|it| it.text().to_owned());
         tokio::spawn(async move {
-            let outcome = task.await.unwrap_or(CopyOutcome::NoAnswer);
-            if let Some(handle) = call.handle(outcome) {
-                match in_use.as_deref() == Some(handle.text()) {
-                    true => handle.mark_used(),
-                    false => drop(handle),
+            let mut last: Option<CopyHandle<E>> = None;
+            for task in tasks {
+                let outcome = task.await.unwrap_or(CopyOutcome::NoAnswer);
+                let Some(handle) = call.handle(outcome) else {
+                    continue;
+                };
+                let is_known = last.as_ref().is_some_and(|it| it.text() == handle.text());
+                match is_unused(&handle) && !is_known {
+                    true => last = Some(handle),
+                    false => handle.mark_used(),
                 }
             }
         });
@@ -222,21 +234,22 @@
 
 impl<W: Wire, E: EngineCalls> Drop for PreCopy<W, E> {
     fn drop(&mut self) {
+        // An engine frees a copy only once it is complete.
         let handle = self.handle.take();
-        let Some(RunningCall { task, .. }) = self.running.take() else {
+        if self.running.is_none() && self.replaced.is_empty() {
             return;
-        };
-        let call = self.call.clone();
-        // An engine frees a copy only once it is complete.
-        tokio::spawn(async move {
-            let outcome = task.await.unwrap_or(CopyOutcome::NoAnswer);
-            let last = call.handle(outcome);
-            if let (Some(handle), Some(last)) = (handle, &last)
-                && handle.text() == last.text()
-            {
-                handle.mark_used();
+        }
+        match handle {
+            None => self.free_outcomes(|_| true),
+            Some(handle) => {
+                let text = handle.text().to_owned();
+                // The handle is freed with the closure, once all calls have ended.
+                self.free_outcomes(move |it| {
+                    let _freed_later = &handle;
+                    it.text() != text
+                });
             }
-        });
+        }
     }
 }
 
