Histories of complete nodes are checked in the order of what happened

Cause: the check, not the product. Trace of the failing input: the first request is granted its ticket, the home of its cell restarts and refuses it at 3 ms (no_endpoint, truly not run); only then the repeat is granted the ticket, at 3 ms, and dispatched at 9 ms. The check looked at nodes one after the other every 250 ms, so that it saw the dispatch of node 1 before the earlier verdict of node 2; a tick in between hid it, so that the result depended on the tick. Change: dispatches and verdicts are checked in the order in which they were made. Each verdict "not run" is still held against all dispatches before it, each dispatch against all before it and against the end of its request. Test: the failing input as a test of its own, unchanged; red with the check before.

--- a/crates/core/tests/node/histories.rs
+++ b/crates/core/tests/node/histories.rs
@@ -3,7 +3,7 @@
 
 mod steps;
 
-use crate::world::{Name, World};
+use crate::world::{Done, Name, World};
 use oriolemux_core::event::{AttemptUpdate, Event};
 use oriolemux_core::keys::KeysConfig;
 use oriolemux_core::{
@@ -69,8 +69,8 @@
     sent: BTreeMap<RequestId, Sent>,
     sendings: Vec<Sending>,
     tickets: [Option<RequestId>; 2],
-    /// Number of dispatches and verdicts of each node's current incarnation that were checked.
-    seen: [(usize, usize); NODES],
+    /// Number of dispatches and verdicts that were checked.
+    seen: usize,
     incarnations: u64,
     list: u64,
     fault_since: Option<Time>,
@@ -86,7 +86,7 @@
             sent: BTreeMap::new(),
             sendings: Vec::new(),
             tickets: [None; 2],
-            seen: [(0, 0); NODES],
+            seen: 0,
             incarnations: 100,
             list: 1,
             fault_since: None,
@@ -261,7 +261,6 @@
         self.kill(n);
         self.incarnations += 1;
         self.world.start_node(n, Incarnation(self.incarnations));
-        self.seen[n] = (0, 0);
     }
 
     fn heal(&mut self) {
@@ -300,25 +299,22 @@
         }
     }
 
-    /// Checks the dispatches and verdicts of the nodes since the last call.
+    /// Checks the dispatches and verdicts of the nodes since the last call, in the order in which they
+    /// were made: a request may run once another one under its name has truthfully not run.
     fn observe(&mut self) {
-        for n in 0..NODES {
-            let seat = self.world.seat(n);
-            let (dispatches, answers) = self.seen[n];
-            let new: Vec<_> = seat.dispatched[dispatches..].to_vec();
-            let verdicts: Vec<_> = seat.finished[answers..].to_vec();
-            self.seen[n] = (seat.dispatched.len(), seat.finished.len());
-            for order in &new {
-                self.on_dispatch(order.attempt, order.send_before);
-            }
-            for (id, verdict) in verdicts {
-                self.end(id);
-                if verdict.outcome() == Outcome::NotRun {
-                    self.check_not_run(id, verdict.reason());
+        while let Some(done) = self.world.done.get(self.seen).cloned() {
+            self.seen += 1;
+            match done {
+                Done::Dispatched(order) => self.on_dispatch(order.attempt, order.send_before),
+                Done::Finished(id, verdict) => {
+                    self.end(id);
+                    if verdict.outcome() == Outcome::NotRun {
+                        self.check_not_run(id, verdict.reason());
+                    }
                 }
             }
-            self.check_stop(n);
         }
+        (0..NODES).for_each(|n| self.check_stop(n));
     }
 
     fn check_stop(&mut self, n: usize) {
@@ -436,6 +432,24 @@
     Ran::No(RequestOutcome::new().proof().expect("nothing was sent"))
 }
 
+/// Guards against a repeat that runs while the first request under its ticket is reported as not run
+/// although it may have run. Here the first one is refused before the repeat is granted the ticket.
+#[test]
+fn a_repeat_may_run_after_the_first_request_was_refused() {
+    let mut history = History::new();
+
+    for step in [
+        Step::Order(2, Some(4)),
+        Step::Order(1, Some(4)),
+        Step::Restart(3),
+        Step::Heal,
+    ] {
+        history.apply(step);
+    }
+
+    assert_eq!(history.heal_and_check(), Vec::<String>::new());
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 150, failure_persistence: None, ..ProptestConfig::default() })]
 
--- a/crates/core/tests/node/world.rs
+++ b/crates/core/tests/node/world.rs
@@ -61,6 +61,15 @@
     pub tickets: Vec<RequestId>,
 }
 
+/// What a node did to a request.
+#[derive(Clone)]
+pub enum Done {
+    /// It dispatched an attempt.
+    Dispatched(Dispatch),
+    /// It reported how the request ended.
+    Finished(RequestId, Verdict),
+}
+
 /// An order as a simulated engine received it.
 pub struct ReceivedOrder {
     pub at: Time,
@@ -94,6 +103,8 @@
     pub loaded: BTreeMap<EndpointKey, Vec<LoadedModel>>,
     /// All orders that engines received.
     pub orders: Vec<ReceivedOrder>,
+    /// What all nodes did to requests, in order.
+    pub done: Vec<Done>,
     /// Concurrency limit of the workspace in the next published catalogue.
     pub workspace_concurrent: u32,
     keys: KeysConfig,
@@ -126,6 +137,7 @@
             model_version: 1,
             loaded: BTreeMap::new(),
             orders: Vec::new(),
+            done: Vec::new(),
         };
         world.publish_list(1, engines);
         world.publish_catalogue(1);
--- a/crates/core/tests/node/world/outside.rs
+++ b/crates/core/tests/node/world/outside.rs
@@ -1,6 +1,6 @@
 //! The platform and the engines: carries out the actions of nodes.
 
-use super::{HOP, KV_TOKENS, Later, ReceivedOrder, World, loom, pair};
+use super::{Done, HOP, KV_TOKENS, Later, ReceivedOrder, World, loom, pair};
 use oriolemux_core::event::{Action, Event, LoadReport, OrderKind, OrderResult, ValueName};
 use oriolemux_core::{EndpointKey, Incarnation, InstanceKey};
 
@@ -79,8 +79,14 @@
             return;
         };
         match action {
-            Action::Dispatch(order) => seat.dispatched.push(*order),
-            Action::Finish { request, verdict } => seat.finished.push((request, verdict)),
+            Action::Dispatch(order) => {
+                self.done.push(Done::Dispatched((*order).clone()));
+                seat.dispatched.push(*order);
+            }
+            Action::Finish { request, verdict } => {
+                self.done.push(Done::Finished(request, verdict.clone()));
+                seat.finished.push((request, verdict));
+            }
             Action::Links(targets) => seat.wants = targets.iter().map(|it| it.key).collect(),
             Action::WakeAt(at) => seat.wake = at,
             Action::Ticket {
