A request that went through a lost peer is not refused as one that crashes endpoints

Cause: a request that is passed to a peer gives up its run; if the peer is lost and this instance reaches endpoints by then, the request is admitted again, and an unknown run counted as a refused one. The review had seen it by reading. Change: a run that has ended begins again when it is admitted, free or as the suspect that it is. Test: suspects_ledger.rs a_run_that_ended_begins_again, red before in 2 of 3 cases.

--- a/crates/core/src/suspects/runs.rs
+++ b/crates/core/src/suspects/runs.rs
@@ -46,9 +46,10 @@
     Refused,
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 enum Stage {
     /// It runs without a lease: it was no suspect when it began.
+    #[default]
     Free,
     /// It requests a lease.
     Requesting {
@@ -67,7 +68,7 @@
     Granted,
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 struct Run {
     stage: Stage,
     /// When homes were last notified that it runs.
@@ -125,10 +126,7 @@
 
     /// Adds a run that begins.
     pub fn begin(&mut self, suspect_run: SuspectRun) {
-        let run = Run {
-            stage: Stage::Free,
-            reported_at: None,
-        };
+        let run = Run::default();
         let runs = self.runs.entry(suspect_run.fingerprint).or_default();
         runs.insert(suspect_run.run, run);
     }
@@ -141,7 +139,7 @@
     }
 
     /// Returns whether a run may be sent to an endpoint now, and begins to request a lease if it
-    /// needs one.
+    /// needs one. A run that has ended begins again: its request went through a peer that was lost.
     pub fn admit(&mut self, now: Time, suspect_run: SuspectRun, standing: Standing) -> Admission {
         self.admit_later(now, suspect_run, standing, Duration::ZERO)
     }
@@ -154,9 +152,12 @@
         standing: Standing,
         delay: Duration,
     ) -> Admission {
-        let Some(run) = self.get(suspect_run) else {
-            return Admission::Refused;
-        };
+        let runs = self.runs.entry(suspect_run.fingerprint).or_default();
+        let run = runs.entry(suspect_run.run).or_insert_with(|| {
+            // Homes must not be told any more that it has ended.
+            self.ended.retain(|it| *it != suspect_run);
+            Run::default()
+        });
         match (standing, run.stage) {
             (Standing::Refused, _) => Admission::Refused,
             (Standing::Free, _) => {
--- a/crates/core/tests/suspects_ledger.rs
+++ b/crates/core/tests/suspects_ledger.rs
@@ -284,6 +284,20 @@
     );
 }
 
+/// Guards against a sound request that is refused as one that crashes endpoints: it went through a peer
+/// that was lost, so that it had ended here, and is sent from here after all.
+#[rstest]
+#[case::sound(Standing::Free, Admission::Go)]
+#[case::suspect(Standing::Suspect, Admission::Wait)]
+#[case::refused(Standing::Refused, Admission::Refused)]
+fn a_run_that_ended_begins_again(#[case] standing: Standing, #[case] expected: Admission) {
+    let mut runs = Runs::new(Duration::from_millis(25));
+    runs.begin(suspect_run(1));
+    runs.end(suspect_run(1));
+
+    assert_eq!(runs.admit(NOW, suspect_run(1), standing), expected);
+}
+
 #[test]
 fn a_suspect_is_not_sent_without_a_home() {
     let timeout = Duration::from_millis(25);
