An answer that cannot be read shows that the engine is reached

Seen: by reading, then run_ends.rs case_3_garbles, red before (the generation resumed at the second engine while the first worked on it). An engine that keeps requests, or a proxy in front of it, answers each order with 503 and a page; the connection of the generation had broken. Cause: such an answer counted like a lost one. After 0.6 s without any answer an engine counts as not reached, and the generation resumes. Change: StopAnswer::Unreadable shows Evidence::MayRun: somebody answered at the engine's address. The order is repeated as before; if no answer shows the end for 1.5 s, the generation ends with not_stopped.

--- a/crates/core/src/gateway/run_end.rs
+++ b/crates/core/src/gateway/run_end.rs
@@ -103,8 +103,8 @@
             | StopAnswer::StoppedWithoutRoom
             | StopAnswer::NotRunning
             | StopAnswer::Replaced => Evidence::Ended,
-            StopAnswer::Busy | StopAnswer::Refused => Evidence::MayRun,
-            StopAnswer::Unreadable | StopAnswer::Unanswered => Evidence::Sent,
+            StopAnswer::Busy | StopAnswer::Refused | StopAnswer::Unreadable => Evidence::MayRun,
+            StopAnswer::Unanswered => Evidence::Sent,
             StopAnswer::Unreached => Evidence::Unreached,
         }
     }
--- a/crates/core/tests/gateway_run_end.rs
+++ b/crates/core/tests/gateway_run_end.rs
@@ -47,7 +47,7 @@
 #[case::replaced(StopAnswer::Replaced, Evidence::Ended)]
 #[case::busy(StopAnswer::Busy, Evidence::MayRun)]
 #[case::refused(StopAnswer::Refused, Evidence::MayRun)]
-#[case::unreadable(StopAnswer::Unreadable, Evidence::Sent)]
+#[case::unreadable(StopAnswer::Unreadable, Evidence::MayRun)]
 #[case::unanswered(StopAnswer::Unanswered, Evidence::Sent)]
 #[case::unreached(StopAnswer::Unreached, Evidence::Unreached)]
 fn an_answer_shows_no_more_than_it_says(#[case] answer: StopAnswer, #[case] shows: Evidence) {
@@ -68,6 +68,7 @@
 #[rstest]
 #[case::refused(StopAnswer::Refused)]
 #[case::busy(StopAnswer::Busy)]
+#[case::unreadable(StopAnswer::Unreadable)]
 fn an_engine_that_does_not_stop_a_run_keeps_its_generation(#[case] answer: StopAnswer) {
     for reason in REASONS {
         let stop = answered(reason, answer);
