A run is stopped although no engine has room for its copy

Seen: by reading, then run_ends.rs a_failed_start_is_stopped_although_no_engine_has_room, red before: 502 for a resumable generation whose start failed at an engine that keeps requests while the only other engine was full. It waited for no room there either. Cause: the order to stop a run names the engine that gets the copy. With no place for a copy there was no order, so that the run may have gone on, and the generation was neither retried nor resumed. Change: the order of a broken connection or a failed start then names a full engine. The one that runs the generation stops it before it copies it, answers 503 with a handle, and the handle is freed or resumed from. A silent or leaving engine gets no such order: without a successor it goes on with the generation.

--- a/crates/core/src/gateway/state/places.rs
+++ b/crates/core/src/gateway/state/places.rs
@@ -817,6 +817,14 @@
     }
 }
 
+impl Gateway {
+    /// Returns a usable endpoint of `service` other than `key`, whether or not it has room.
+    pub fn another_endpoint(&self, service: &str, key: EndpointKey) -> Option<Placement> {
+        let mut others = self.endpoints.usable_of(service);
+        others.find(|it| it.key != key).map(Placement::of)
+    }
+}
+
 impl Placement {
     pub(super) fn of(endpoint: &Endpoint) -> Self {
         Placement {
--- a/crates/gateway/src/relay/stop_run.rs
+++ b/crates/gateway/src/relay/stop_run.rs
@@ -64,14 +64,15 @@
     /// Makes sure that the generation does not run at the current engine any more, or that the engine
     /// is not reached. Unless the engine was silent, its connection must be closed.
     ///
-    /// Without an engine that could hold a copy there is no order to give. The generation then cannot
-    /// resume anywhere, and [`Relay::may_run_here`] stays set.
+    /// Without another engine there is no order to give. The generation then cannot resume anywhere, and
+    /// [`Relay::may_run_here`] stays set.
     ///
     /// # Errors
     ///
     /// Returns [`Reason::NotStopped`] if the engine is reached and does not stop the generation in time.
     pub(super) async fn end_run(&mut self, why: LeaveReason) -> Result<(), Reason> {
-        if !self.may_run_here || !self.choose_stop_target().await {
+        if !self.may_run_here || !(self.choose_stop_target().await || self.choose_full_target(why))
+        {
             return Ok(());
         }
         let cx = Arc::clone(&self.job.cx);
@@ -216,6 +217,22 @@
         true
     }
 
+    /// Chooses an engine without room as the one that an order names. Returns whether there is one.
+    ///
+    /// The engine that runs the generation stops it all the same, and keeps its KV cache. One that
+    /// is silent or leaves and has no successor goes on with the generation instead.
+    fn choose_full_target(&mut self, why: LeaveReason) -> bool {
+        if matches!(why, LeaveReason::Silent | LeaveReason::EngineLeaves) {
+            return false;
+        }
+        let Some(place) = self.another_engine() else {
+            return false;
+        };
+        let usage = self.job.count_copy(&place, self.reserved_tokens);
+        self.set_stop_target(place, usage);
+        true
+    }
+
     /// Makes `target` the engine that gets the copy of an order to stop the generation.
     pub(super) fn set_stop_target(&mut self, target: Placement, usage: CopyUsageGuard<W>) {
         let guards = CopyGuards {
@@ -323,21 +340,22 @@
         if let Some(pre_copy) = &self.pre_copy {
             return Some(pre_copy.stop_order());
         }
-        let standby = self.standby.as_ref().map(|it| it.place.address);
-        let target = standby.or_else(|| {
-            let state = self.job.cx.state();
-            let mut others = state.endpoints.usable_of(&self.job.service().name);
-            let other = others.find(|it| it.key != self.engine.key)?;
-            Some(other.record.address)
-        })?;
+        let standby = self.standby.as_ref().map(|it| it.place.clone());
+        let target = standby.or_else(|| self.another_engine())?;
         Some(CopyCall {
             engines: self.engine_calls.clone(),
             source: self.engine.clone(),
-            target,
+            target: target.address,
             stop: true,
         })
     }
 
+    /// Returns an engine that an order can name, whether or not it has room.
+    fn another_engine(&self) -> Option<Placement> {
+        let state = self.job.cx.state();
+        state.another_endpoint(&self.job.service().name, self.engine.key)
+    }
+
     fn log_stop(&self, stop: &RunStop, outcome: RunOutcome, why: LeaveReason, began: Instant) {
         ByReason::RunEnds.add(&outcome.to_string());
         let answer = stop.last_answer().unwrap_or(StopAnswer::Unreached);
