A run lease is granted by both homes of a suspect

Cause: lateness of one home was taken for its end, and one home's grant was enough. The order is the same for all, so that no two wait for each other. Messages and their fields are unchanged; instances of both versions understand each other. Left: rows in docs/design/suspects.md; oriolemux serve keeps one grant, not looked into.

--- a/crates/core/src/gateway/state/peers.rs
+++ b/crates/core/src/gateway/state/peers.rs
@@ -200,7 +200,7 @@
             }
             Body::Overloaded => self.withdrawal.on_notice(now, from),
             Body::RunLeaseAnswer(answer) => {
-                self.on_run_lease_answer(now, &answer);
+                self.on_run_lease_answer(now, from, &answer);
                 outcome.decided = true;
             }
         }
--- a/crates/core/src/gateway/state/suspects.rs
+++ b/crates/core/src/gateway/state/suspects.rs
@@ -9,7 +9,7 @@
     Admission, CrashRecord, RunLeaseAnswer, RunLeaseReport, Standing, SuspectRun,
 };
 use crate::time::Time;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddrV4;
 
 /// Bound on the leaving endpoints that are sent to an instance that believes something else.
@@ -180,6 +180,7 @@
             return false;
         }
         let mut reports: BTreeMap<SocketAddrV4, RunLeaseReport> = BTreeMap::new();
+        let mut decided = false;
         for fingerprint in self.suspects.runs.fingerprints() {
             let standing = self.suspects.ledger.standing(now, fingerprint);
             let due = self.suspects.runs.due(now, fingerprint, standing);
@@ -199,19 +200,22 @@
                 report.renew.extend(&due.renew);
                 report.release.extend(&due.release);
             }
-            if let Some(home) = self.acting(now, ranks) {
-                reports
-                    .entry(home)
-                    .or_default()
-                    .acquire
-                    .extend(&due.acquire);
+            let [_, second] = ranks;
+            decided |= due.is_unconfirmed;
+            let asked = [
+                (self.acting(now, ranks), &due.acquire),
+                (second, &due.confirm),
+            ];
+            for (home, runs) in asked {
+                if let Some(home) = home {
+                    reports.entry(home).or_default().acquire.extend(runs);
+                }
             }
         }
-        let mut decided = false;
         for (home, report) in reports {
             if home == self.cfg.address {
                 let answer = self.on_run_lease_report(now, home, &report);
-                self.on_run_lease_answer(now, &answer);
+                self.on_run_lease_answer(now, home, &answer);
                 decided = true;
             } else {
                 send.push((home, Body::RunLeaseReport(report)));
@@ -236,8 +240,24 @@
     }
 
     /// Handles the answer of a suspect's home.
-    pub(super) fn on_run_lease_answer(&mut self, now: Time, answer: &RunLeaseAnswer) {
+    pub(super) fn on_run_lease_answer(
+        &mut self,
+        now: Time,
+        from: SocketAddrV4,
+        answer: &RunLeaseAnswer,
+    ) {
         self.on_crash_records(now, &answer.records);
-        self.suspects.runs.on_answer(now, answer);
+        let runs = answer.granted.iter().chain(&answer.waiting);
+        let fingerprints = runs.map(|it| it.fingerprint);
+        // A second home that was late before is asked all the same: it may have granted the lease to
+        // one that took the first home for lost.
+        let unconfirmed: BTreeSet<Fingerprint> = fingerprints
+            .filter(|it| {
+                let [_, second] = self.homes_of_any_capacity(it.rank_key());
+                second.is_some_and(|second| second != from)
+            })
+            .collect();
+        let runs = &mut self.suspects.runs;
+        runs.on_answer(now, answer, |it| unconfirmed.contains(&it));
     }
 }
--- a/crates/core/src/node/suspects.rs
+++ b/crates/core/src/node/suspects.rs
@@ -327,7 +327,7 @@
     /// Handles the answer of a home of suspects.
     pub(super) fn on_run_lease_answer(&mut self, from: PeerId, answer: &RunLeaseAnswer) {
         self.apply_crash_records(from, &answer.records);
-        self.suspects.runs.on_answer(self.now, answer);
+        self.suspects.runs.on_answer(self.now, answer, |_| false);
         self.retry_waiting();
     }
 }
--- a/crates/core/src/suspects/runs.rs
+++ b/crates/core/src/suspects/runs.rs
@@ -63,6 +63,8 @@
         requested_at: Option<Time>,
         /// Homes that timed out in a row.
         timeouts: u32,
+        /// Whether the first home granted the lease, and the second one is asked.
+        is_granted_once: bool,
     },
     /// It holds the lease.
     Granted,
@@ -80,18 +82,26 @@
 pub struct Due {
     /// Runs that request a lease from the current home.
     pub acquire: Vec<SuspectRun>,
+    /// Runs whose lease the first home granted, and which request it from the second one too.
+    pub confirm: Vec<SuspectRun>,
     /// Runs that continue.
     pub renew: Vec<SuspectRun>,
     /// Runs that ended.
     pub release: Vec<SuspectRun>,
     /// Whether the current home did not answer in time.
     pub is_unanswered: bool,
+    /// Whether the second home did not answer in time, so that a run holds its lease without it.
+    pub is_unconfirmed: bool,
 }
 
 impl Due {
     /// Returns whether there is nothing to send.
     pub fn is_empty(&self) -> bool {
-        self.acquire.is_empty() && self.renew.is_empty() && self.release.is_empty()
+        self.acquire.is_empty()
+            && self.confirm.is_empty()
+            && self.renew.is_empty()
+            && self.release.is_empty()
+            && !self.is_unconfirmed
     }
 }
 
@@ -178,6 +188,7 @@
                     refusals: 0,
                     requested_at: (!delay.is_zero()).then_some(now + delay),
                     timeouts: 0,
+                    is_granted_once: false,
                 };
                 Admission::Wait
             }
@@ -208,17 +219,35 @@
         homes_know
     }
 
-    /// Applies the answer of a home.
-    pub fn on_answer(&mut self, now: Time, answer: &RunLeaseAnswer) {
+    /// Applies the answer of a home. `needs_second` tells for which requests a second home must grant
+    /// the lease as well.
+    ///
+    /// Without that, two runs hold one lease where a home is late: one instance has it from the first
+    /// home, and another one, which took that home for lost, has it from the second one, which does
+    /// not know of the first run yet.
+    pub fn on_answer(
+        &mut self,
+        now: Time,
+        answer: &RunLeaseAnswer,
+        needs_second: impl Fn(Fingerprint) -> bool,
+    ) {
         for &suspect_run in &answer.granted {
-            self.on_home_answer(now, suspect_run, true);
+            let is_enough = !needs_second(suspect_run.fingerprint);
+            self.on_home_answer(now, suspect_run, true, is_enough);
         }
         for &suspect_run in &answer.waiting {
-            self.on_home_answer(now, suspect_run, false);
+            let is_enough = !needs_second(suspect_run.fingerprint);
+            self.on_home_answer(now, suspect_run, false, is_enough);
         }
     }
 
-    fn on_home_answer(&mut self, now: Time, suspect_run: SuspectRun, granted: bool) {
+    fn on_home_answer(
+        &mut self,
+        now: Time,
+        suspect_run: SuspectRun,
+        granted: bool,
+        is_enough: bool,
+    ) {
         let Some(run) = self.get(suspect_run) else {
             return;
         };
@@ -226,16 +255,26 @@
             since,
             is_unanswered,
             refusals,
+            requested_at,
             timeouts,
-            ..
+            is_granted_once,
         } = &mut run.stage
         {
+            if *is_granted_once && !is_enough {
+                // The first home answers once more.
+                return;
+            }
             *since = now;
             *is_unanswered = false;
             *refusals += 1;
             *timeouts = 0;
-            if granted {
-                run.stage = Stage::Granted;
+            match granted {
+                true if is_enough => run.stage = Stage::Granted,
+                true => {
+                    *is_granted_once = true;
+                    *requested_at = None;
+                }
+                false => {}
             }
         }
     }
@@ -279,12 +318,18 @@
                     refusals,
                     requested_at,
                     timeouts,
+                    is_granted_once,
                 } => {
                     if *is_unanswered && now.since(*since) >= self.home_timeout {
-                        due.is_unanswered = true;
+                        due.is_unanswered |= !*is_granted_once;
                         *timeouts += 1;
                         *since = now;
                     }
+                    if *is_granted_once && *timeouts >= MAX_HOME_TIMEOUTS {
+                        due.is_unconfirmed = true;
+                        state.stage = Stage::Granted;
+                        continue;
+                    }
                     let interval = match *is_unanswered {
                         true => REQUEST_INTERVAL,
                         false => request_interval(fingerprint, *refusals),
@@ -294,7 +339,10 @@
                             *since = now;
                         }
                         *requested_at = Some(now);
-                        due.acquire.push(suspect_run);
+                        match *is_granted_once {
+                            false => due.acquire.push(suspect_run),
+                            true => due.confirm.push(suspect_run),
+                        }
                     }
                 }
                 Stage::Free | Stage::Granted => {
--- a/crates/core/tests/suspects_parts.rs
+++ b/crates/core/tests/suspects_parts.rs
@@ -405,7 +405,7 @@
         assert!(!due.is_unanswered);
         if !due.acquire.is_empty() {
             asked += 1;
-            runs.on_answer(now, &refusal);
+            runs.on_answer(now, &refusal, |_| false);
         }
         now += Duration::from_millis(5);
     }
