--- a/crates/core/src/suspects.rs
+++ b/crates/core/src/suspects.rs
@@ -14,7 +14,7 @@
 //!
 //! A request that crashed one endpoint is a *suspect*: it runs at one endpoint at a time in the
 //! entire fleet, so that its effect there is known before it is sent to the next. The permission to
-//! run is a lease, which the suspect's home grants: the instance that decides for a key, chosen by
+//! run is a lease, which the suspect's homes grant: the two instances that decide for a key, chosen by
 //! rendezvous hashing. A request that crashed [`MAX_CRASHES`] endpoints is refused. One that
 //! completed a run successfully is no longer a suspect.
 //!
--- a/crates/core/src/suspects/runs.rs
+++ b/crates/core/src/suspects/runs.rs
@@ -21,7 +21,7 @@
 const RENEW_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Home timeouts in a row after which a request is refused: the first home in rank, the next, and
-/// the first again.
+/// the first again. After as many timeouts of the second home, the first one's grant is enough.
 const MAX_HOME_TIMEOUTS: u32 = 3;
 
 /// A run of a suspect, as sent between instances.
