A request whose claim expires while it waits is refused then, as "unknown"

Seen by callers: an order under a key that waited for a home that did not answer was held until the home was found dead or its start deadline passed, although its claim had expired, and nothing could be sent any more; refused at the start deadline, it was told "not run", although a copy may have been granted the name since the claim expired.

The instance that grants the key answered "paused_too_long" after 4.256 s.

Cause in the product: `claim_valid_until` was looked at only when an attempt was sent. Now it has a timer, and each refusal after it is "unknown" (`Node::finish`); the place that marked the outcome when an attempt is sent is covered by it.

Test: node/claims.rs an_order_whose_claim_expires_while_it_waits_is_refused_then, red before (no answer at the expiry; when run on, HomeSilent and NotRun at the start deadline).

Ruled out: a longer claim in the test (its bound would be speed again), "not run" reported to the home (would need proof that the same home still holds the name).

--- a/crates/core/src/node/attempt.rs
+++ b/crates/core/src/node/attempt.rs
@@ -57,7 +57,6 @@
             return;
         };
         if self.now >= request.claim_valid_until {
-            request.outcome.on_claim_voided();
             return self.refuse(seq, Reason::PausedTooLong);
         }
         let send_before = (self.now + SEND_TIMEOUT).min(request.claim_valid_until);
@@ -314,9 +313,12 @@
 
     /// Ends a request with the strongest outcome that its attempts prove.
     pub(super) fn finish(&mut self, seq: u64, reason: Reason, retry_after: Option<Duration>) {
-        let Some(request) = self.requests.get(&seq) else {
+        let Some(request) = self.requests.get_mut(&seq) else {
             return;
         };
+        if self.now >= request.claim_valid_until {
+            request.outcome.on_claim_voided();
+        }
         let delivered = request.delivered;
         let verdict = request.outcome.finish(reason, retry_after, delivered);
         self.finish_with(seq, verdict);
--- a/crates/core/src/node/claims.rs
+++ b/crates/core/src/node/claims.rs
@@ -108,6 +108,9 @@
         let idempotent = request.spec.as_ref().is_some_and(|it| it.class.idempotent);
         if !idempotent {
             request.claim_valid_until = valid_until;
+            if valid_until < Time::NEVER {
+                self.timers.set(valid_until, TimerKind::Request(id.seq));
+            }
         }
         request.outcome.on_claim_granted();
         self.record(id, Step::ClaimGranted);
--- a/crates/core/src/node/placement.rs
+++ b/crates/core/src/node/placement.rs
@@ -226,12 +226,21 @@
             return;
         };
         let over = self.now >= request.start_deadline();
+        let is_void = self.now >= request.claim_valid_until;
         match request.stage {
             Stage::Validating
                 if self.now >= request.waiting_since + super::validate::CATALOGUE_TIMEOUT =>
             {
                 self.refuse(seq, Reason::NoCatalogue);
             }
+            Stage::AwaitingRunLease
+            | Stage::Admitting
+            | Stage::Placing { .. }
+            | Stage::BackingOff { .. }
+                if is_void =>
+            {
+                self.refuse(seq, Reason::PausedTooLong);
+            }
             Stage::AwaitingRunLease if over => self.refuse(seq, Reason::NoRunLease),
             Stage::Placing { .. } | Stage::Admitting if over => {
                 self.refuse(seq, Reason::HomeSilent);
--- a/crates/core/tests/node/claims.rs
+++ b/crates/core/tests/node/claims.rs
@@ -2,6 +2,7 @@
 
 use crate::world::{Name, World};
 use oriolemux_core::event::{AttemptUpdate, Event};
+use oriolemux_core::keys::KeysConfig;
 use oriolemux_core::{Incarnation, Outcome, Ran, Reason, RequestId};
 use rstest::rstest;
 use std::time::Duration;
@@ -416,3 +417,53 @@
     assert_eq!(world.try_ticket(0), None);
     assert!(world.try_ticket(1).is_some());
 }
+
+/// Claims that settle, and expire, within seconds.
+fn short_claims() -> KeysConfig {
+    KeysConfig {
+        memory: SECOND * 3,
+        settle: SECOND * 3,
+        valid: SECOND,
+        list_fresh: SECOND,
+        ..KeysConfig::default()
+    }
+}
+
+/// A fleet in which an order was granted its key, and waits at the node that granted it for the
+/// home of a cell at a node that is paused.
+fn order_of_a_paused_home() -> (World, usize, RequestId, String) {
+    let places = (0..4).map(|granter| {
+        let mut world = World::with_keys(4, 2, short_claims());
+        world.run_for(SECOND * 5);
+        let key = world.key_at(granter, (granter + 1) % 4);
+        for other in (0..4).filter(|&it| it != granter) {
+            world.pause(other);
+        }
+        let order = world.send(granter, "order", Name::Key(&key));
+        world.run_for(SECOND / 2);
+        (world, granter, order, key)
+    });
+    let mut waiting = places.filter(|(world, _, order, _)| world.runs(&[*order]) == 0);
+    waiting.next().expect("a node that is not the cell's home")
+}
+
+/// Failure: a caller is told "not run" of an order whose copy ran. The claim of the order expires
+/// while the order waits to be placed, so that a copy may be granted it.
+#[test]
+fn an_order_whose_claim_expires_while_it_waits_is_refused_then() {
+    let (mut world, granter, first, key) = order_of_a_paused_home();
+    let waited = world.verdict(first);
+    world.run_for(SECOND);
+
+    assert_eq!(waited, None);
+    let expired = (Reason::PausedTooLong, Outcome::Unknown);
+    assert_eq!(refusal(&world, first), expired);
+    for other in (0..4).filter(|&it| it != granter) {
+        world.resume(other);
+    }
+    world.run_for(SECOND * 4);
+    let second = world.send(granter, "order", Name::Key(&key));
+    world.run_for(SECOND);
+    assert_eq!(world.runs(&[first]), 0);
+    assert_eq!(world.runs(&[first, second]), 1);
+}
