Instances of tests shed no connections: they are late with the thread of their test

Store, endpoints, callers and instance of such a test share one thread, so that the instance sheds what the machine makes late.

Change: `GatewayConfig::sheds_connections`, true for each process that is started and false for the stand-in's instances. Shedding is checked where it is the subject: gateway_own_delay.rs, and with a real process in crates/oriolemux/tests. Ruled out: callers that try again after a connection without a response, which would hide a request that was read and dropped.

--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -69,6 +69,8 @@
     pub capacity: CapacityClass,
     /// Whether this instance, as a home, rejects requests that would get room too late.
     pub reject_by_forecast: bool,
+    /// Whether this instance closes a share of new connections unread while it is late.
+    pub sheds_connections: bool,
 }
 
 /// Result of [`Gateway::tick`].
@@ -250,6 +252,11 @@
         }
     }
 
+    /// Returns whether a new connection of a caller may be read.
+    pub fn admit_connection(&mut self) -> bool {
+        !self.cfg.sheds_connections || self.own_delay.admit_connection()
+    }
+
     /// Returns the catalogue in force. A request keeps the catalogue under which it was accepted.
     pub fn catalogue(&self) -> Option<&Arc<Catalogue>> {
         self.catalogue.as_ref()
--- a/crates/gateway/src/front/connection.rs
+++ b/crates/gateway/src/front/connection.rs
@@ -32,7 +32,7 @@
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                if !cx.state().own_delay.admit_connection() {
+                if !cx.state().admit_connection() {
                     // The caller may send its request elsewhere: nothing of it was read.
                     ByReason::Shed.add("overload");
                     continue;
--- a/crates/oriolemux/src/cli/gateway.rs
+++ b/crates/oriolemux/src/cli/gateway.rs
@@ -196,6 +196,7 @@
             budget: budget(&settings.repeats),
             capacity: capacity(&settings.instance),
             reject_by_forecast: settings.placement.reject_by_forecast,
+            sheds_connections: true,
         },
     }
 }
