A generation whose caller left resumes nowhere, and its orders end

Seen by engines: after a caller had left while its engine was ordered to stop the generation, the order was repeated for up to 1.5 s, and then another engine got the request to resume, for nobody (GONE: a request reaches a worker over half a second after the client closed its connection).

Cause: while a generation leaves an engine nothing watches the caller. Now the orders end with the caller (`caller_left` in oriolemux_gateway_run_ends_total), and nothing is sent to resume once the caller has disconnected. A resumable generation gets the background order, as when its caller leaves between events.

Ruled out: ending the whole way out with the caller, since that would cut off the probe after a broken connection, whose result says whether the request crashed the engine. Still open: while a resumed engine has not answered yet, its caller is not watched, as before.

--- a/crates/gateway/src/meters.rs
+++ b/crates/gateway/src/meters.rs
@@ -51,7 +51,7 @@
         /// there has ended: `ended` by the engine's word, `unreached` if the engine was not reached, so
         /// that the order is repeated beside the resumed generation, and `not_stopped` if it did not
         /// stop the run, so that the generation does not resume. What became of repeated orders is
-        /// counted as `ended_later` or `never_shown`.
+        /// counted as `ended_later` or `never_shown`. `caller_left`: the caller disconnected meanwhile.
         RunEnds = "oriolemux_gateway_run_ends_total";
         /// Generations that were to go on at another engine: from a copy `ahead`, from a
         /// `standing` one, read `anew`, or `failed`; or to go `back` to the engine that stopped them.
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -290,9 +290,7 @@
                 }
                 StopReason::CallerGone => {
                     upstream.link.close().await;
-                    self.end_run_of_caller();
-                    self.log_end("caller_left");
-                    return;
+                    return self.end_for_caller();
                 }
                 StopReason::Timeout => return self.abort_stream("timeout").await,
                 StopReason::Gap => return self.abort_stream("event_missing").await,
@@ -329,11 +327,18 @@
             }
             match self.resume_elsewhere(why, place).await {
                 Ok(next) => upstream = next,
+                Err(_) if self.tx.is_closed() => return self.end_for_caller(),
                 Err(why) => return self.abort_stream(&why.to_string()).await,
             }
         }
     }
 
+    /// Ends a generation whose caller has disconnected.
+    fn end_for_caller(&self) {
+        self.end_run_of_caller();
+        self.log_end("caller_left");
+    }
+
     /// Resumes at another engine once the generation has ended at the current one, whose connection is
     /// closed. `place` has room to recompute it.
     ///
--- a/crates/gateway/src/relay/resume.rs
+++ b/crates/gateway/src/relay/resume.rs
@@ -331,6 +331,12 @@
                 false => Reason::NoRunLease,
             });
         }
+        if self.tx.is_closed() {
+            // Nothing is sent for a caller that has disconnected.
+            return AttemptStart::NotRun {
+                reached_engine: false,
+            };
+        }
         let limit = self.job.remaining();
         self.may_run_here = true;
         let sent = tokio::time::timeout(limit, self.send(copy)).await;
--- a/crates/gateway/src/relay/stop_run.rs
+++ b/crates/gateway/src/relay/stop_run.rs
@@ -38,6 +38,8 @@
     Unreached,
     /// not_stopped
     NotStopped,
+    /// caller_left
+    CallerLeft,
     /// ended_later
     EndedLater,
     /// never_shown
@@ -69,7 +71,8 @@
     ///
     /// # Errors
     ///
-    /// Returns [`Reason::NotStopped`] if the engine is reached and does not stop the generation in time.
+    /// Returns [`Reason::NotStopped`] if the engine is reached and does not stop the generation in time,
+    /// or if the caller disconnects: the generation then resumes nowhere.
     pub(super) async fn end_run(&mut self, why: LeaveReason) -> Result<(), Reason> {
         if !self.may_run_here || !(self.choose_stop_target().await || self.choose_full_target(why))
         {
@@ -79,21 +82,29 @@
         let began = Instant::now();
         let pending = self.silent_stop.take();
         let mut stop = pending.unwrap_or_else(|| RunStop::new(cx.now(), why));
+        let caller = self.tx.clone();
         let outcome = loop {
             match stop.next(cx.now()) {
                 StopStep::Order => {
                     let ends = cx.clock.instant(stop.ends()).unwrap_or(began);
-                    let answer = self.order_stop(ends).await;
+                    let answer = tokio::select! {
+                        biased;
+                        answer = self.order_stop(ends) => answer,
+                        () = caller.closed() => break RunOutcome::CallerLeft,
+                    };
                     self.on_stop_answer(&mut stop, answer);
                 }
-                StopStep::Wait(until) => sleep_until(cx.clock.instant(until)).await,
+                StopStep::Wait(until) => tokio::select! {
+                    () = sleep_until(cx.clock.instant(until)) => {}
+                    () = caller.closed() => break RunOutcome::CallerLeft,
+                },
                 StopStep::Resume => break RunOutcome::Ended,
                 StopStep::ResumeAndFollowUp => break RunOutcome::Unreached,
                 StopStep::GiveUp => break RunOutcome::NotStopped,
             }
         };
         self.log_stop(&stop, outcome, why, began);
-        if outcome == RunOutcome::NotStopped {
+        if matches!(outcome, RunOutcome::NotStopped | RunOutcome::CallerLeft) {
             return Err(Reason::NotStopped);
         }
         self.may_run_here = false;
