A silent engine is ordered to stop a generation only with a retry in hand

Seen by callers: a preempted generation, whose engine would have gone on with it a second later, ended in its middle with "budget_spent". Found on the way to another test, from its lines: run_stopped how=done why=silent, then repeat_denied kind=go_on.

Cause: a silent engine is ordered to stop the generation before a retry is spent for the next engine. An engine that is alive stops it; if the fleet's retry budget then denies the resumption, the generation is lost. The way out of an engine that leaves has had its retry in hand since; silence, and silence of one that leaves, had not. (A broken connection has nothing to lose.)

Change: `hold_retry` takes the retry before the order and before the engine is left, for all three; without one the generation waits for its events and the budget is looked at each 50 ms. The retry stays in hand if the engine answers without stopping, so that such an engine costs one retry and not one at each silence (by reading; a test of that was green before and is left out).

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -48,6 +48,7 @@
 use oriolemux_core::time::Time;
 use pace::Pace;
 use pre_copy::{PreCopy, StandbyCopy};
+use resume::RETRY_BUDGET_POLL_INTERVAL;
 use std::sync::Arc;
 use std::time::Instant;
 use stop_run::{KeptRun, LastStop};
@@ -315,7 +316,6 @@
                         continue;
                     }
                     self.job.record_failure(&self.engine);
-                    self.has_retry = true;
                     place = Some((target, in_use));
                     LeaveReason::Silent
                 }
@@ -413,25 +413,30 @@
                 }
                 // Several generations may leave for the same retry. The one that does not get it
                 // stays where it runs.
-                Step::Relocate => match self.job.try_spend_retry(RetryKind::Resume) {
-                    true => {
-                        self.has_retry = true;
-                        return StopReason::Relocate;
-                    }
+                Step::Relocate => match self.hold_retry() {
+                    true => return StopReason::Relocate,
                     false => continue,
                 },
-                Step::FailOver => return StopReason::Silent,
+                Step::FailOver if self.hold_retry() => return StopReason::Silent,
+                Step::FailOver => cx.clock.instant(cx.now() + RETRY_BUDGET_POLL_INTERVAL),
                 Step::Recompute => match self.engine_with_room().await {
-                    Some((place, in_use)) => return StopReason::Recompute(place, in_use),
+                    Some((place, in_use)) => {
+                        self.has_retry = true;
+                        return StopReason::Recompute(place, in_use);
+                    }
                     None => {
                         self.state.recompute_refused(cx.now());
                         continue;
                     }
                 },
-                Step::Wait(_) if stop_at.is_some_and(|at| at <= cx.now()) => {
+                Step::Wait(_) if stop_at.is_some_and(|at| at <= cx.now()) && self.hold_retry() => {
                     self.order_silent_stop().await;
                     continue;
                 }
+                Step::Wait(until) if stop_at.is_some_and(|at| at <= cx.now()) => {
+                    let poll = cx.now() + RETRY_BUDGET_POLL_INTERVAL;
+                    cx.clock.instant(until.min(poll))
+                }
                 Step::Wait(until) => cx.clock.instant(stop_at.map_or(until, |at| at.min(until))),
             };
             let is_stopping = self.pre_copy.as_ref().is_some_and(PreCopy::is_stopping);
@@ -468,6 +473,15 @@
         }
     }
 
+    /// Takes a retry for the next engine, unless one is in hand. Returns whether there is one: a
+    /// generation whose engine stops it, and which then may not resume, would be lost.
+    fn hold_retry(&mut self) -> bool {
+        if !self.has_retry && self.job.may_resume() {
+            self.has_retry = self.job.try_spend_retry(RetryKind::Resume);
+        }
+        self.has_retry
+    }
+
     /// Forwards one event, unless the caller has it already. A caller that reads nothing blocks
     /// the generation until the request's deadline at most.
     async fn forward_event(&mut self, event: Event) -> Option<StopReason<W>> {
@@ -533,6 +547,7 @@
             target_is_quiet: target.is_some_and(|key| state.has_no_pending_prefill(now, key)),
             may_recompute: self.may_run_again(),
             is_budget_spent: leaving.is_some()
+                && !self.has_retry
                 && !state.may_relocate(now, &self.job.service().name),
             remaining: leaving.and_then(|_| self.expected_remaining()),
         }
--- a/crates/gateway/src/relay/begin.rs
+++ b/crates/gateway/src/relay/begin.rs
@@ -117,7 +117,8 @@
         !self.attempts.next_is_last(self.job.entry())
     }
 
-    /// Returns an untried engine with room, if the fleet's retry budget allows the attempt.
+    /// Returns an untried engine with room, if a retry is in hand or the fleet's retry budget allows
+    /// the attempt.
     pub(super) async fn engine_with_room(&self) -> Option<(Placement, UsageGuard<W>)> {
         let mut tried = self.attempts.tried().to_vec();
         tried.push(self.engine.key);
@@ -128,9 +129,8 @@
         };
         let deadline = Instant::now() + IMMEDIATE_PLACEMENT_TIMEOUT;
         let chosen = self.job.request_placement(params, deadline).await.ok()?;
-        self.job
-            .try_spend_retry(RetryKind::Recompute)
-            .then_some(chosen)
+        let may_send = self.has_retry || self.job.try_spend_retry(RetryKind::Recompute);
+        may_send.then_some(chosen)
     }
 
     async fn reassign(&mut self, place: Placement, in_use: UsageGuard<W>) {
--- a/crates/gateway/src/relay/resume.rs
+++ b/crates/gateway/src/relay/resume.rs
@@ -40,7 +40,7 @@
 const RETRY_BUDGET_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// The interval at which the retry budget is checked.
-const RETRY_BUDGET_POLL_INTERVAL: Duration = Duration::from_millis(50);
+pub(super) const RETRY_BUDGET_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
 impl<W: Wire, E: EngineCalls> Relay<W, E> {
     /// Drops a pre-copy from which the generation may not resume, because the data centre was
