--- a/crates/core/tests/suspects_parts.rs
+++ b/crates/core/tests/suspects_parts.rs
@@ -117,6 +117,28 @@
     assert_eq!(standing, PartStanding::Free);
 }
 
+/// Guards against a common part that is refused after one event, because the news of its crashes took
+/// long on their way.
+#[test]
+fn crashes_at_the_same_moment_refuse_no_part_however_late_their_news() {
+    let mut here = Ledger::default();
+    here.record_crash(NOW, part(COMMON), engine(0));
+    let mut there = Ledger::default();
+    for number in [1, 2] {
+        there.record_crash(NOW, part(COMMON), engine(number));
+    }
+    let mut between = Ledger::default();
+    let hop = SEPARATE_AFTER * 3 / 5;
+
+    let record = there.record(NOW, part(COMMON)).expect("a record");
+    between.on_record(NOW + hop, &record);
+    let record = between.record(NOW + hop, part(COMMON));
+    here.on_record(NOW + hop * 2, &record.expect("a record"));
+
+    let standing = here.standing(NOW + hop * 2, part(COMMON));
+    assert_eq!(standing, Standing::Suspect);
+}
+
 /// Guards against a part that is refused because one event ended many endpoints, at each of which a
 /// request with it had just begun.
 #[test]
