A generation resumes once an engine takes its copy, until its caller would leave

What callers saw: a stream that ended in its middle although its engine worked, as it left, and although the engine with the copy existed. The run at the engine that leaves is ended first; the target was then asked three times within 80 ms, and the copy was freed. A retry budget that was empty ended a stream after a second, while the caller bears two seconds or four latency targets.

Cause: what works is given up for what has not been taken yet, and then the way on is given up before the caller is lost.

Change: the engines that hold copies are asked in turn, with growing pauses, until the caller would leave (`ResumePauses`, `Relay::resume_by`); a request that did not run, or was answered with a server error, has used up no copy, so that its handle is kept. The retry budget is waited for as long. All but the first request of a generation to resume leave a retry for each other that is about to. A resumable one is recomputed after three requests. A generation that would not be admitted elsewhere does not leave. A silent engine without a retry: [896] says so, and a deadline that passes then is `budget_spent`. [895] says that an engine is asked again; a stream that no engine took ends as `copy_not_taken`.

Asking the target before the run has ended would have two engines at work.

--- a/crates/core/src/gateway/budget.rs
+++ b/crates/core/src/gateway/budget.rs
@@ -189,31 +189,47 @@
     }
 
     /// Spends one retry if the account holds one. If the service has generations that may need to
-    /// resume (`has_generations`), other retries leave a reserve for them, and one retry for each
-    /// generation that is about to: it is lost with its engine, and other requests are not. As this
-    /// only denies retries, the fleet's bound holds regardless.
+    /// resume (`has_generations`), other retries leave a reserve for them, and all but the first
+    /// request of a generation to resume leave one retry for each generation that is about to: it is
+    /// lost with its engine, and other requests are not. As this only denies retries, the fleet's bound
+    /// holds regardless.
     pub fn try_spend(
         &mut self,
         now: Time,
         service: &str,
         kind: RetryKind,
         has_generations: bool,
+    ) -> bool {
+        let may_spend = self.may_spend(now, service, kind, has_generations);
+        if may_spend {
+            self.account(service).held -= 1.0;
+        }
+        may_spend
+    }
+
+    /// Returns whether [`try_spend`](Self::try_spend) would spend a retry now.
+    pub fn may_spend(
+        &mut self,
+        now: Time,
+        service: &str,
+        kind: RetryKind,
+        has_generations: bool,
     ) -> bool {
         let (cfg, known) = (self.cfg, self.known);
         let account = self.account(service);
         account.settle(now, &cfg, known);
-        let needed = match has_generations && !kind.is_resume() {
-            true => {
+        let for_moves = 1.0 + f64::from(account.pending_moves);
+        let needed = match kind {
+            _ if !has_generations => 1.0,
+            RetryKind::Resume => 1.0,
+            // The engines that refuse one generation would otherwise cost the first request of others.
+            RetryKind::ResumeAgain => for_moves,
+            RetryKind::Retry | RetryKind::Recompute => {
                 let usual = (1.0 + RESERVED_FOR_RESUMES).min(account.limit(&cfg, known).max(1.0));
-                usual.max(1.0 + f64::from(account.pending_moves))
+                usual.max(for_moves)
             }
-            false => 1.0,
         };
-        let is_held = account.held >= needed;
-        if is_held {
-            account.held -= 1.0;
-        }
-        is_held
+        account.held >= needed
     }
 
     /// Returns how many retries remain.
--- a/crates/core/src/gateway/relocation.rs
+++ b/crates/core/src/gateway/relocation.rs
@@ -48,10 +48,51 @@
 /// stream of the first engine; yet an engine that preempted a generation is silent as well although
 /// it still works on it. The silence must therefore be one that callers would hardly tolerate.
 pub fn silence_timeout(target: Duration, gap_target: Duration) -> Duration {
-    let tolerated_gap = MIN_TOLERATED_GAP
+    tolerated_gap(target, gap_target).mul_f64(TOLERATED_GAP_SHARE)
+}
+
+/// Returns the gap after which callers abandon a stream.
+pub fn tolerated_gap(target: Duration, gap_target: Duration) -> Duration {
+    MIN_TOLERATED_GAP
         .max(target * TOLERATED_TARGETS)
-        .max(gap_target * TOLERATED_GAP_TARGETS);
-    tolerated_gap.mul_f64(TOLERATED_GAP_SHARE)
+        .max(gap_target * TOLERATED_GAP_TARGETS)
+}
+
+/// The first pause before an engine that did not resume a generation from its copy is asked again.
+const FIRST_RESUME_PAUSE: Duration = Duration::from_millis(40);
+
+/// How much longer each further pause is.
+const RESUME_PAUSE_GROWTH: f64 = 1.5;
+
+/// Share of the gap that callers tolerate which the longest pause takes.
+const LONGEST_RESUME_PAUSE_SHARE: f64 = 0.1;
+
+/// The pauses before the engines that hold copies of a generation are asked again to resume it.
+///
+/// A request that did not run has not used up the copy, so that the generation is lost only once its
+/// caller has left. Each request spends a retry of the fleet's budget, which is why the pauses grow.
+#[derive(Clone, Copy, Debug)]
+pub struct ResumePauses {
+    next: Duration,
+    longest: Duration,
+}
+
+impl ResumePauses {
+    /// Returns the pauses of a generation whose caller tolerates this gap.
+    pub fn new(tolerated_gap: Duration) -> Self {
+        let longest = tolerated_gap.mul_f64(LONGEST_RESUME_PAUSE_SHARE);
+        ResumePauses {
+            next: FIRST_RESUME_PAUSE,
+            longest: longest.max(FIRST_RESUME_PAUSE),
+        }
+    }
+
+    /// Returns the next pause.
+    pub fn advance(&mut self) -> Duration {
+        let pause = self.next;
+        self.next = pause.mul_f64(RESUME_PAUSE_GROWTH).min(self.longest);
+        pause
+    }
 }
 
 /// How long after the first event of an engine a standby copy is assumed to exist: the KV cache of
@@ -356,14 +397,19 @@
         self.has_standby && first.is_some_and(|first| now.since(first) >= STANDBY_EARLIEST)
     }
 
+    /// Returns whether the standby copy is assumed to exist.
+    pub fn standby_is_assumed(&self, now: Time) -> bool {
+        let first = self.first_event_here;
+        self.has_standby && first.is_some_and(|first| now.since(first) >= STANDBY_READY_AFTER)
+    }
+
     /// Returns the copy from which the generation would resume now.
     pub fn resume_from(&self, now: Time, standby_is_usable: bool) -> Option<ResumeFrom> {
         if self.pre_copy.complete_since.is_some() {
             return Some(ResumeFrom::PreCopy);
         }
-        let first = self.first_event_here?;
-        let ready = now.since(first) >= STANDBY_READY_AFTER;
-        (self.has_standby && ready && standby_is_usable).then_some(ResumeFrom::Standby)
+        let is_usable = standby_is_usable && self.standby_is_assumed(now);
+        is_usable.then_some(ResumeFrom::Standby)
     }
 
     /// Returns the next step.
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -477,12 +477,17 @@
     /// Returns whether this instance may ask an engine to resume a generation from a copy, for
     /// which the engine may have begun to leave no longer than [`RESUME_AT_LEAVING`] ago.
     pub fn may_resume_at(&self, now: Time, key: EndpointKey) -> bool {
+        self.may_resume_later_at(now, key) && !self.backoffs.is_active(now, key)
+    }
+
+    /// Returns whether [`Gateway::may_resume_at`] holds once the engine wants requests again.
+    pub fn may_resume_later_at(&self, now: Time, key: EndpointKey) -> bool {
         let Some(engine) = self.endpoints.get(key) else {
             return false;
         };
         let since = engine.leaving_since();
         let left_recently = since.is_none_or(|it| now.since(it) < RESUME_AT_LEAVING);
-        left_recently && !self.endpoints.is_cordoned(key) && !self.backoffs.is_active(now, key)
+        left_recently && !self.endpoints.is_cordoned(key)
     }
 
     /// Applies the backoff that an endpoint requests of this instance.
--- a/crates/core/src/gateway/state/retries.rs
+++ b/crates/core/src/gateway/state/retries.rs
@@ -24,6 +24,12 @@
         self.budget.remaining(now, service) >= 1.0
     }
 
+    /// Returns whether [`Gateway::try_spend_retry`] would allow the retry now.
+    pub fn may_spend_retry(&mut self, now: Time, service: &str, kind: RetryKind) -> bool {
+        let has_moves = self.has_engines(service);
+        self.budget.may_spend(now, service, kind, has_moves)
+    }
+
     fn has_engines(&self, service: &str) -> bool {
         let catalogue = self.catalogue.as_ref();
         let mut services = catalogue.into_iter().flat_map(|it| it.services());
--- a/crates/gateway/src/event_log.rs
+++ b/crates/gateway/src/event_log.rs
@@ -286,6 +286,12 @@
     /// A generation resumes at the engine that stopped it, from the KV cache that it kept, because no
     /// other engine resumed it.
     ResumedAtSource = 892, "resumed_at_source", Info, FAILURES;
+    /// An engine that did not resume a generation from its copy is asked again: how often it was asked
+    /// until now, this time included, and for how long the caller tolerates the pause.
+    ResumeRepeated = 895, "resume_repeated", Info, FAILURES;
+    /// A generation waits for the retry budget before it resumes at another engine: its engine has ended
+    /// it, or is silent and may still produce events.
+    RetryAwaited = 896, "retry_awaited", Info, FAILURES;
 }
 
 /// The lines of one event in the current second.
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -178,6 +178,13 @@
         self.cx.state().may_relocate(now, &self.service().name)
     }
 
+    /// Returns whether the fleet's retry budget allows a retry of this kind now.
+    pub fn may_retry(&self, kind: RetryKind) -> bool {
+        let now = self.cx.now();
+        let mut state = self.cx.state();
+        state.may_spend_retry(now, &self.service().name, kind)
+    }
+
     /// Applies what the head of a response says about the endpoint.
     pub fn observe_response_head(&self, place: &Placement, head: &ResponseHead, sent: Instant) {
         let now = self.cx.now();
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -100,6 +100,8 @@
     Refused(Reason),
     /// no_copy
     NoCopy,
+    /// copy_not_taken
+    NotTaken,
 }
 
 impl From<Reason> for NoResume {
@@ -130,6 +132,8 @@
     deferred_at: Option<EndpointKey>,
     /// Whether a retry was spent for the next engine while the current one was still running.
     has_retry: bool,
+    /// Whether it waits for a retry because the current engine is silent.
+    awaits_retry: bool,
     /// Whether the generation may run at the current engine.
     may_run_here: bool,
     /// The answer that showed the end of the run at the current engine.
@@ -180,6 +184,7 @@
             no_room: Vec::new(),
             deferred_at: None,
             has_retry: false,
+            awaits_retry: false,
             may_run_here: false,
             last_stop: None,
             silent_stop: None,
@@ -293,6 +298,10 @@
                     upstream.link.close().await;
                     return self.end_for_caller();
                 }
+                StopReason::Timeout if self.awaits_retry => {
+                    let why = Reason::BudgetSpent.to_string();
+                    return self.abort_stream(&why).await;
+                }
                 StopReason::Timeout => return self.abort_stream("timeout").await,
                 StopReason::Gap => return self.abort_stream("event_missing").await,
                 StopReason::Relocate => LeaveReason::EngineLeaves,
@@ -359,7 +368,10 @@
         if why != LeaveReason::Silent {
             self.wait_until_admitted().await?;
         }
-        let start = match self.relocate().await {
+        let mut place = place;
+        let asked = self.relocate(&mut place).await;
+        let had_copy = asked.is_some();
+        let start = match asked {
             Some(start @ AttemptStart::Stream { .. }) => Some(start),
             Some(AttemptStart::Failed(reason @ (Reason::BudgetSpent | Reason::NotStopped))) => {
                 return Err(reason.into());
@@ -369,6 +381,7 @@
         match start {
             Some(AttemptStart::Stream { upstream, .. }) => Ok(upstream),
             Some(AttemptStart::Failed(reason @ Reason::NotStopped)) => Err(reason.into()),
+            _ if had_copy => Err(NoResume::NotTaken),
             _ => Err(NoResume::NoCopy),
         }
     }
@@ -379,11 +392,22 @@
     ///
     /// Returns why it may not: it crashed engines, or it is a suspect that runs elsewhere.
     async fn wait_until_admitted(&self) -> Result<(), Reason> {
+        self.record_success();
+        self.job.wait_until_admitted_to_resume().await
+    }
+
+    /// Returns whether the generation would be admitted at another engine.
+    fn may_leave(&self) -> bool {
+        self.record_success();
+        self.job.is_admitted()
+    }
+
+    /// Records that the request crashes no engine, if it has run for long enough.
+    fn record_success(&self) {
         let ran_for = self.response_started.map(|at| at.elapsed());
         if ran_for.is_some_and(|it| it >= SUCCESS_AFTER) {
             self.job.on_run_succeeded();
         }
-        self.job.wait_until_admitted_to_resume().await
     }
 
     async fn forward_events(&mut self, upstream: &mut Upstream) -> StopReason<W> {
@@ -411,6 +435,10 @@
                     self.start_pre_copy();
                     continue;
                 }
+                // A suspect that runs elsewhere may not resume, and stays where it runs.
+                Step::Relocate if !self.may_leave() => {
+                    cx.clock.instant(cx.now() + RETRY_BUDGET_POLL_INTERVAL)
+                }
                 // Several generations may leave for the same retry. The one that does not get it
                 // stays where it runs.
                 Step::Relocate => match self.hold_retry() {
@@ -418,7 +446,10 @@
                     false => continue,
                 },
                 Step::FailOver if self.hold_retry() => return StopReason::Silent,
-                Step::FailOver => cx.clock.instant(cx.now() + RETRY_BUDGET_POLL_INTERVAL),
+                Step::FailOver => {
+                    self.await_retry();
+                    cx.clock.instant(cx.now() + RETRY_BUDGET_POLL_INTERVAL)
+                }
                 Step::Recompute => match self.engine_with_room().await {
                     Some((place, in_use)) => {
                         self.has_retry = true;
@@ -434,6 +465,7 @@
                     continue;
                 }
                 Step::Wait(until) if stop_at.is_some_and(|at| at <= cx.now()) => {
+                    self.await_retry();
                     let poll = cx.now() + RETRY_BUDGET_POLL_INTERVAL;
                     cx.clock.instant(until.min(poll))
                 }
@@ -448,6 +480,7 @@
                 frame = upstream.body.frame() => match frame {
                     Some(Ok(frame)) => {
                         self.state.on_bytes(cx.now());
+                        self.awaits_retry = false;
                         if !is_stopping {
                             self.silent_stop = None;
                         }
@@ -473,6 +506,14 @@
         }
     }
 
+    /// Records that the engine is silent and that the generation has no retry to leave it with: it waits
+    /// for its events or for a retry, whichever comes first.
+    fn await_retry(&mut self) {
+        if !core::mem::replace(&mut self.awaits_retry, true) {
+            self.log_retry_awaited();
+        }
+    }
+
     /// Takes a retry for the next engine, unless one is in hand. Returns whether there is one: a
     /// generation whose engine stops it, and which then may not resume, would be lost.
     fn hold_retry(&mut self) -> bool {
--- a/crates/gateway/src/relay/pace.rs
+++ b/crates/gateway/src/relay/pace.rs
@@ -63,6 +63,11 @@
         (last.relocations == relocations && !last.was_blocked).then_some(gap)
     }
 
+    /// Returns when the last event was forwarded.
+    pub(super) fn last_event_at(&self) -> Option<Instant> {
+        self.last.map(|it| it.at)
+    }
+
     /// Returns the mean time between events; `None` until enough of them have been seen.
     pub(super) fn mean_gap(&self) -> Option<Duration> {
         let (first, last) = (self.first?, self.last?);
--- a/crates/gateway/src/relay/resume.rs
+++ b/crates/gateway/src/relay/resume.rs
@@ -1,46 +1,103 @@
 //! Resuming a generation at another engine.
 
 use super::Relay;
-use super::pre_copy::{CompleteCopy, CopyGuards, CopyHandle, StandbyCopy};
+use super::pre_copy::{CompleteCopy, CopyGuards, CopyHandle, PreCopy, StandbyCopy};
 use super::stop_run::KeptRun;
 use super::upstream::AttemptStart;
-use crate::job::{CopyUsageGuard, UsageGuard};
+use crate::job::{CopyUsageGuard, PendingMove, UsageGuard};
 use crate::link::LinkError;
 use crate::log_event;
-use crate::meters::ByReason;
+use crate::meters::{ByReason, millis};
 use crate::ports::{CopyLocation, CopyOutcome, EngineCalls, Wire};
 use crate::response::Reason;
 use core::time::Duration;
 use oriolemux_core::gateway::budget::RetryKind;
-use oriolemux_core::gateway::relocation::STANDBY_MIN_TOKENS;
+use oriolemux_core::gateway::relocation::{ResumePauses, STANDBY_MIN_TOKENS, tolerated_gap};
 use oriolemux_core::gateway::run_end::LeaveReason;
 use oriolemux_core::gateway::state::Placement;
 use oriolemux_core::ids::EndpointKey;
+use std::collections::VecDeque;
 use std::net::SocketAddrV4;
 use std::time::Instant;
 use tokio::time::sleep;
 
-/// How often an engine that refuses to resume from a complete copy is asked again.
-///
-/// Without retries, an engine that sheds a part of its requests, or is full for a moment, could
-/// refuse the one request that the generation depends on. Its stream would end in the middle
-/// although the copy still exists, because a request that did not run has not consumed it.
+/// How often a copy is asked for again before a generation that any engine can resume is recomputed,
+/// and before the engine that stopped the generation is asked instead of the one that got the copy.
 const MAX_RESUME_RETRIES: usize = 2;
 
-/// The pause before each of these retries. Both together stay within 180 ms, the target for the
-/// gap between events of typical entries.
-const RESUME_RETRY_DELAY: Duration = Duration::from_millis(40);
+/// The interval at which the retry budget is checked.
+pub(super) const RETRY_BUDGET_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
-/// How many copies a generation tries to resume from when it leaves an engine: a pre-copy, a standby
-/// copy, one that was made as an engine in between stopped it, and the KV cache at its source.
-const MAX_RESUME_SOURCES: usize = 4;
+/// Which copy of a generation a request to resume uses.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum CopyKind {
+    /// The one that was made since its engine leaves, or as its engine stopped the generation.
+    PreCopy,
+    /// The one that its engine kept up to date. Nothing confirms that it exists.
+    Standby {
+        /// Whether it is assumed to.
+        is_known: bool,
+    },
+    /// The KV cache at the engine that stopped the generation.
+    AtSource,
+}
 
-/// How long a generation waits for the fleet's retry budget before its stream is aborted. Callers
-/// abandon a stream after two seconds without an event.
-const RETRY_BUDGET_TIMEOUT: Duration = Duration::from_secs(1);
+/// A copy that no engine has resumed from yet. Its handle is freed when it is dropped.
+struct HeldCopy<W: Wire, E: EngineCalls> {
+    kind: CopyKind,
+    /// The engine that requests to resume name as the holder.
+    holder: SocketAddrV4,
+    /// The engines that can resume from it. The first one got the copy.
+    places: Vec<Placement>,
+    /// `None` for a standby copy, which the attempt names.
+    handle: Option<CopyHandle<E>>,
+    /// Counts the copy until an engine is asked.
+    usage: Option<CopyUsageGuard<W>>,
+    pending: Option<PendingMove<W>>,
+    /// How often an engine was asked, or could not be.
+    asked: usize,
+}
 
-/// The interval at which the retry budget is checked.
-pub(super) const RETRY_BUDGET_POLL_INTERVAL: Duration = Duration::from_millis(50);
+impl<W: Wire, E: EngineCalls> HeldCopy<W, E> {
+    /// Returns the engine that is asked next.
+    fn place(&self) -> &Placement {
+        match self.asked > MAX_RESUME_RETRIES {
+            true => &self.places[self.asked % self.places.len()],
+            false => &self.places[0],
+        }
+    }
+
+    fn kind_at(&self, place: &Placement) -> CopyKind {
+        match place.key == self.places[0].key {
+            true => self.kind,
+            false => CopyKind::AtSource,
+        }
+    }
+
+    /// Returns whether the copy is known, or assumed, to exist after a request that did not run.
+    fn is_known(&self) -> bool {
+        self.kind != CopyKind::Standby { is_known: false }
+    }
+
+    /// Returns whether any of its engines may be asked, now or after a backoff.
+    fn can_resume(&self, relay: &Relay<W, E>) -> bool {
+        let cx = &relay.job.cx;
+        let (now, state) = (cx.now(), cx.state());
+        let mut places = self.places.iter();
+        places.any(|it| state.may_resume_later_at(now, it.key))
+    }
+}
+
+/// Records that a generation has resumed from `copy`, and frees the others.
+fn mark_used<W: Wire, E: EngineCalls>(copy: HeldCopy<W, E>, others: VecDeque<HeldCopy<W, E>>) {
+    let Some(used) = copy.handle else { return };
+    // The engine that stopped the generation may name its own KV cache and the copy alike.
+    let others = others.into_iter().filter_map(|it| it.handle);
+    let (same, freed): (Vec<_>, Vec<_>) = others.partition(|it| it.text() == used.text());
+    drop(freed);
+    same.into_iter().for_each(CopyHandle::mark_used);
+    used.mark_used();
+}
 
 impl<W: Wire, E: EngineCalls> Relay<W, E> {
     /// Drops a pre-copy from which the generation may not resume, because the data centre was
@@ -87,157 +144,270 @@
     /// Resumes at another engine, at which there is a copy. The generation must have ended at the
     /// current one.
     ///
-    /// A pre-copy is known to exist, a standby copy is not; if the engine of one refuses, the
-    /// other is tried. An engine that stopped the generation keeps its KV cache and is asked last.
-    pub(super) async fn relocate(&mut self) -> Option<AttemptStart> {
+    /// The engines that hold copies are asked in turn until one resumes the generation, or until its
+    /// caller would not wait any longer: a request that did not run has used up no copy. `place` has room
+    /// to recompute the generation, which is done once each copy was asked for a few times.
+    pub(super) async fn relocate(
+        &mut self,
+        place: &mut Option<(Placement, UsageGuard<W>)>,
+    ) -> Option<AttemptStart> {
         self.drop_unusable_pre_copy();
-        let may_exist = self.state.standby_may_exist(self.job.cx.now());
-        let standby = self.standby.take();
-        let mut standby = standby.filter(|it| may_exist && self.may_resume_at(it.place.key));
+        let mut copies = self.standby_source().into_iter().collect::<VecDeque<_>>();
+        let mut pauses = ResumePauses::new(self.tolerated_gap());
         let mut last = None;
-        for _ in 0..MAX_RESUME_SOURCES {
-            let start = match self.resume_from_pre_copy().await {
-                Some(start) => Some(start),
-                None if standby.is_some() => self.resume_from_standby(standby.take()).await,
-                None => self.resume_at_source().await,
+        loop {
+            self.collect_copies(&mut copies);
+            copies.retain(|it| it.can_resume(self));
+            let Some(mut copy) = copies.pop_front() else {
+                break;
             };
-            let Some(start) = start else { break };
-            let is_over = matches!(
-                start,
-                AttemptStart::Stream { .. } | AttemptStart::Failed(Reason::BudgetSpent)
-            );
-            if is_over {
-                self.kept = None;
-                return Some(start);
+            if copy.asked > MAX_RESUME_RETRIES && self.may_run_again() {
+                match self.recompute(place.take()).await {
+                    Some(start) => return Some(start),
+                    None if self.tx.is_closed() => break,
+                    None => {}
+                }
             }
-            // The engine that was asked may have begun to run the generation. The copy that it was to
-            // keep up to date is of no use; its order names the place of the other one.
-            let is_left = standby.is_some();
-            if is_left {
-                self.standby = standby;
+            if copy.asked > 0 && !self.pause_resumption(pauses.advance()).await {
+                break;
             }
-            let ended = self.end_run(LeaveReason::ResumeFailed).await;
-            standby = self.standby.take().filter(|_| is_left);
-            if let Err(reason) = ended {
-                return Some(AttemptStart::Failed(reason));
+            if !self.may_resume_at(copy.place().key) {
+                copy.asked += 1;
+                copies.push_back(copy);
+                continue;
+            }
+            let start = self.ask_to_resume(&mut copy).await;
+            match &start {
+                AttemptStart::Stream { .. } => {
+                    mark_used(copy, copies);
+                    return Some(start);
+                }
+                AttemptStart::Failed(
+                    Reason::BudgetSpent | Reason::Timeout | Reason::NotStopped,
+                ) => return Some(start),
+                _ if self.tx.is_closed() => break,
+                _ if self.has_taken_nothing(&start) => {
+                    if copy.is_known() {
+                        copies.push_back(copy);
+                    }
+                }
+                // The engine that was asked may have begun to run the generation.
+                _ => {
+                    if let Err(reason) = self.end_run_of_resumed(&mut copies).await {
+                        return Some(AttemptStart::Failed(reason));
+                    }
+                }
             }
             last = Some(start);
         }
         last
     }
 
-    /// Resumes from the pre-copy, if it is complete.
-    async fn resume_from_pre_copy(&mut self) -> Option<AttemptStart> {
-        let copy = self.pre_copy.take()?.take()?;
-        let CompleteCopy {
-            target,
+    /// Returns the standby copy as a source, if it may exist and may be used.
+    fn standby_source(&mut self) -> Option<HeldCopy<W, E>> {
+        let now = self.job.cx.now();
+        let may_exist = self.state.standby_may_exist(now);
+        let is_known = self.state.standby_is_assumed(now);
+        let StandbyCopy { place, usage } = self.standby.take()?;
+        let is_usable = may_exist && self.may_resume_at(place.key);
+        is_usable.then(|| HeldCopy {
+            kind: CopyKind::Standby { is_known },
+            holder: place.address,
+            places: vec![place],
+            handle: None,
+            usage: Some(usage),
+            pending: None,
+            asked: 0,
+        })
+    }
+
+    /// Adds the copies that were made since the last call: a pre-copy is asked for first, and an engine
+    /// that stopped the generation last.
+    fn collect_copies(&mut self, copies: &mut VecDeque<HeldCopy<W, E>>) {
+        if let Some(copy) = self.pre_copy.take().and_then(PreCopy::take) {
+            let CompleteCopy {
+                target,
+                handle,
+                guards: CopyGuards { usage, pending },
+            } = copy;
+            let source = self.engine.clone();
+            let holder = source.address;
+            let has_kept = self.stopped_at.as_ref().map(|it| it.key) == Some(source.key);
+            let places = match has_kept {
+                true => vec![target, source],
+                false => vec![target],
+            };
+            copies.push_front(HeldCopy {
+                kind: CopyKind::PreCopy,
+                holder,
+                places,
+                handle: Some(handle),
+                usage: Some(usage),
+                pending: Some(pending),
+                asked: 0,
+            });
+        }
+        if let Some(KeptRun { place, handle }) = self.kept.take() {
+            copies.push_back(HeldCopy {
+                kind: CopyKind::AtSource,
+                holder: place.address,
+                places: vec![place],
+                handle: Some(handle),
+                usage: None,
+                pending: None,
+                asked: 0,
+            });
+        }
+    }
+
+    /// Asks an engine to resume from a copy.
+    async fn ask_to_resume(&mut self, copy: &mut HeldCopy<W, E>) -> AttemptStart {
+        let place = copy.place().clone();
+        let attempt = self.job.name().to_owned();
+        let handle = copy.handle.as_ref().map(|it| it.text().to_owned());
+        let handle = handle.unwrap_or(attempt);
+        copy.asked += 1;
+        if copy.asked > 1 && self.engine.key == place.key {
+            self.log_repeated_resume(copy.asked);
+            return self.resume_again(copy.holder, &handle).await;
+        }
+        self.log_resumption(copy.kind_at(&place), &place);
+        let usage = copy.usage.take();
+        let usage = usage.unwrap_or_else(|| self.job.count_copy(&place, self.reserved_tokens));
+        let start = self.resume_at(place, copy.holder, &handle, usage).await;
+        copy.pending = None;
+        start
+    }
+
+    /// Asks the current engine, which did not resume the generation, once more.
+    async fn resume_again(&mut self, holder: SocketAddrV4, handle: &str) -> AttemptStart {
+        if self.may_run_here {
+            return AttemptStart::Failed(Reason::NotStopped);
+        }
+        if !self.wait_for_retry_budget(RetryKind::ResumeAgain).await {
+            return self.retry_denied();
+        }
+        let copy = CopyLocation {
+            engine: holder,
             handle,
-            guards: CopyGuards { usage, pending },
-        } = copy;
-        ByReason::Relocations.add("ahead");
-        log_event!(
-            ResumedFromPreCopy,
-            attempt = self.job.name(),
-            from = self.engine.name.as_str(),
-            to = target.name.as_str(),
-            event_id = self.state.last_event()
-        );
-        let source = self.engine.clone();
-        let start = self
-            .resume_at(target, source.address, handle.text(), usage)
-            .await;
-        drop(pending);
-        let start = self.resume_again(start, source.address, &handle).await;
-        let has_kept = self.stopped_at.as_ref().map(|it| it.key) == Some(source.key);
+        };
+        self.send_resume(Some(copy)).await
+    }
+
+    /// Makes sure that the generation has ended at the engine that was asked to resume it.
+    ///
+    /// # Errors
+    ///
+    /// Returns why it has not.
+    async fn end_run_of_resumed(
+        &mut self,
+        copies: &mut VecDeque<HeldCopy<W, E>>,
+    ) -> Result<(), Reason> {
+        // The copy that the engine was to keep up to date is of no use; its order names the place of
+        // the other one.
+        let standby = copies.iter().position(|it| it.handle.is_none());
+        let mut standby = standby.and_then(|at| copies.remove(at));
+        if let Some(HeldCopy { places, usage, .. }) = &mut standby {
+            let place = places[0].clone();
+            let usage = usage.take();
+            let usage = usage.unwrap_or_else(|| self.job.count_copy(&place, self.reserved_tokens));
+            self.standby = Some(StandbyCopy { place, usage });
+        }
+        let ended = self.end_run(LeaveReason::ResumeFailed).await;
+        let left = self.standby.take();
+        if let (Some(mut copy), Some(left)) = (standby, left) {
+            copy.usage = Some(left.usage);
+            copies.push_back(copy);
+        }
+        ended
+    }
+
+    /// Returns whether a request to resume that started so has run nothing.
+    fn has_taken_nothing(&self, start: &AttemptStart) -> bool {
         match start {
-            AttemptStart::Stream { .. } => {
-                let kept = self.kept.take().map(|it| it.handle);
-                if let Some(kept) = kept.filter(|it| it.text() == handle.text()) {
-                    kept.mark_used();
-                }
-                handle.mark_used();
-            }
-            _ if has_kept => {
-                self.kept = Some(KeptRun {
-                    place: source,
-                    handle,
-                });
-            }
-            _ => {}
+            AttemptStart::NotRun { .. } => true,
+            AttemptStart::FinalResponse(response) => response.status.is_server_error(),
+            AttemptStart::Failed(Reason::ResponseLost) => !self.may_run_here,
+            _ => false,
         }
-        Some(start)
     }
 
-    /// Repeats a request to resume from a copy that the engine did not run.
-    async fn resume_again(
-        &mut self,
-        mut start: AttemptStart,
-        holder: SocketAddrV4,
-        handle: &CopyHandle<E>,
-    ) -> AttemptStart {
-        for _ in 0..MAX_RESUME_RETRIES {
-            if !matches!(
-                start,
-                AttemptStart::NotRun {
-                    reached_engine: true
-                }
-            ) {
-                break;
+    /// Waits before an engine is asked again. Returns whether the caller still waits then.
+    async fn pause_resumption(&self, pause: Duration) -> bool {
+        let until = Instant::now() + pause;
+        if until >= self.resume_by() {
+            return false;
+        }
+        tokio::select! {
+            () = tokio::time::sleep_until(until.into()) => true,
+            () = self.tx.closed() => false,
+        }
+    }
+
+    /// Returns the gap after which the caller abandons the stream.
+    fn tolerated_gap(&self) -> Duration {
+        let entry = self.job.entry();
+        tolerated_gap(entry.target, entry.gap_target)
+    }
+
+    /// Returns when the caller abandons the stream if it gets no further event.
+    fn resume_by(&self) -> Instant {
+        let last = self.pace.last_event_at().unwrap_or(self.job.arrived);
+        (last + self.tolerated_gap()).min(self.job.deadline)
+    }
+
+    fn log_resumption(&self, kind: CopyKind, place: &Placement) {
+        let (attempt, from) = (self.job.name(), self.engine.name.as_str());
+        let event_id = self.state.last_event();
+        match kind {
+            CopyKind::PreCopy => {
+                ByReason::Relocations.add("ahead");
+                log_event!(
+                    ResumedFromPreCopy,
+                    attempt = attempt,
+                    from = from,
+                    to = place.name.as_str(),
+                    event_id = event_id
+                );
             }
-            sleep(RESUME_RETRY_DELAY).await;
-            if !self.may_resume_at(self.engine.key) {
-                break;
+            CopyKind::Standby { .. } => {
+                ByReason::Relocations.add("standing");
+                log_event!(
+                    ResumedFromStandby,
+                    attempt = attempt,
+                    from = from,
+                    to = place.name.as_str(),
+                    event_id = event_id
+                );
             }
-            if !self.wait_for_retry_budget(RetryKind::ResumeAgain).await {
-                break;
+            CopyKind::AtSource => {
+                ByReason::Relocations.add("back");
+                log_event!(
+                    ResumedAtSource,
+                    attempt = attempt,
+                    endpoint = place.name.as_str(),
+                    event_id = event_id
+                );
             }
-            let copy = CopyLocation {
-                engine: holder,
-                handle: handle.text(),
-            };
-            start = self.send_resume(Some(copy)).await;
         }
-        start
     }
 
-    /// Resumes from a standby copy, if there is one.
-    async fn resume_from_standby(&mut self, copy: Option<StandbyCopy<W>>) -> Option<AttemptStart> {
-        let StandbyCopy { place, usage } = copy?;
-        let attempt = self.job.name().to_owned();
-        let address = place.address;
-        ByReason::Relocations.add("standing");
+    fn log_repeated_resume(&self, asked: usize) {
+        ByReason::Relocations.add("again");
+        let left = self.resume_by().saturating_duration_since(Instant::now());
         log_event!(
-            ResumedFromStandby,
-            attempt = attempt.as_str(),
-            from = self.engine.name.as_str(),
-            to = place.name.as_str(),
-            event_id = self.state.last_event()
+            ResumeRepeated,
+            attempt = self.job.name(),
+            endpoint = self.engine.name.as_str(),
+            asked = asked,
+            left_ms = millis(left)
         );
-        Some(self.resume_at(place, address, &attempt, usage).await)
     }
 
-    /// Resumes at the engine that stopped the generation, from the KV cache that it kept, if it may be
-    /// used.
-    async fn resume_at_source(&mut self) -> Option<AttemptStart> {
-        let KeptRun { place, handle } = self.kept.take()?;
-        if !self.may_resume_at(place.key) {
-            return None;
-        }
-        ByReason::Relocations.add("back");
-        log_event!(
-            ResumedAtSource,
-            attempt = self.job.name(),
-            endpoint = place.name.as_str(),
-            event_id = self.state.last_event()
-        );
-        let usage = self.job.count_copy(&place, self.reserved_tokens);
-        let source = place.address;
-        let start = self.resume_at(place, source, handle.text(), usage).await;
-        let start = self.resume_again(start, source, &handle).await;
-        if let AttemptStart::Stream { .. } = start {
-            handle.mark_used();
-        }
-        Some(start)
+    fn retry_denied(&self) -> AttemptStart {
+        let denied = Reason::BudgetSpent;
+        self.log_resume_failure(&denied.to_string());
+        AttemptStart::Failed(denied)
     }
 
     /// Asks `target` to resume the generation whose copy `holder` holds. The copy is counted there
@@ -254,9 +424,7 @@
             return AttemptStart::Failed(Reason::NotStopped);
         }
         if !self.wait_for_retry_budget(RetryKind::Resume).await {
-            let denied = Reason::BudgetSpent;
-            self.log_resume_failure(&denied.to_string());
-            return AttemptStart::Failed(denied);
+            return self.retry_denied();
         }
         self.on_left();
         self.usage = UsageGuard::for_resumed(&self.job.cx, target.key, self.reserved_tokens);
@@ -276,6 +444,7 @@
         self.no_room.clear();
         self.last_stop = None;
         self.silent_stop = None;
+        self.awaits_retry = false;
         self.state.on_relocated(self.job.cx.now());
     }
 
@@ -369,14 +538,17 @@
     }
 
     /// Spends one retry of the fleet's budget, unless one is in hand. If none is available, waits for
-    /// one as long as callers tolerate a pause: other retries leave what accrues meanwhile to
+    /// one as long as the caller tolerates a pause: other retries leave what accrues meanwhile to
     /// generations that resume.
     async fn wait_for_retry_budget(&mut self, kind: RetryKind) -> bool {
         if core::mem::take(&mut self.has_retry) {
             return true;
         }
-        let ends = Instant::now() + RETRY_BUDGET_TIMEOUT.min(self.job.remaining());
-        while !self.job.may_resume() {
+        if !self.job.may_retry(kind) {
+            self.log_retry_awaited();
+        }
+        let ends = self.resume_by();
+        while !self.job.may_retry(kind) {
             if Instant::now() >= ends {
                 break;
             }
@@ -389,6 +561,16 @@
         self.job.try_spend_retry(kind)
     }
 
+    /// Logs that a generation waits for the retry budget.
+    pub(super) fn log_retry_awaited(&self) {
+        log_event!(
+            RetryAwaited,
+            attempt = self.job.name(),
+            endpoint = self.engine.name.as_str(),
+            event_id = self.state.last_event()
+        );
+    }
+
     fn log_resume_failure(&self, why: &str) {
         ByReason::Relocations.add("failed");
         log_event!(
