A line and a counter for each response that is cut with its connection

A caller's connection that ended while its response was in progress left no line: a failure of the connection was a debug message, a slow head and the end of a planned stop were silent, and the generation logged `caller_left` also where this instance had dropped the connection.

The connection now keeps the requests whose response is not fully written (head to last byte flushed), and reports those that remain when it ends: 893 `response_abandoned` if the caller or the network ended it, 894 `response_cut` if this instance did, both with attempt, how and how long, and the counter oriolemux_gateway_unwritten_responses_total. The report is made on drop, so that no return and no dropped task can pass it by. At the end of a planned stop the connections that remain are ended 50 ms before the process, so that they can log; nothing else behaves differently.

The idle timeout and the connection limit need no value of `how`: the first only asks for a graceful shutdown, which ends no response, and the second closes connections of which nothing was read.

--- a/crates/gateway/src/cx.rs
+++ b/crates/gateway/src/cx.rs
@@ -81,6 +81,8 @@
     pub stopping: CancellationToken,
     /// Cancelled when idle caller connections should be closed.
     pub closing: CancellationToken,
+    /// Cancelled at the end of a planned stop, when caller connections are ended with their requests.
+    pub aborting: CancellationToken,
     state: Mutex<Gateway>,
     sent: Mutex<BTreeMap<&'static str, SentTotals>>,
     open: [AtomicUsize; OPEN_KINDS],
@@ -144,6 +146,7 @@
             catch_up_due: Notify::new(),
             stopping: CancellationToken::new(),
             closing: CancellationToken::new(),
+            aborting: CancellationToken::new(),
             state: Mutex::new(state),
             sent: Mutex::default(),
             open: [const { AtomicUsize::new(0) }; OPEN_KINDS],
--- a/crates/gateway/src/event_log.rs
+++ b/crates/gateway/src/event_log.rs
@@ -286,6 +286,15 @@
     /// A generation resumes at the engine that stopped it, from the KV cache that it kept, because no
     /// other engine resumed it.
     ResumedAtSource = 892, "resumed_at_source", Info, FAILURES;
+    /// The connection of a caller ended before its response was written, and this instance did not end
+    /// it: `caller_left`, or `timed_out` if the network delivers nothing. The line says whether the
+    /// head of the response was ready, for how long its body was sent, and how long the request took.
+    ResponseAbandoned = 893, "response_abandoned", Info, FAILURES;
+    /// This instance ended the connection of a caller before its response was written: `body_failed`
+    /// if the response was aborted so that it does not look complete, `slow_head`, `stop_deadline`,
+    /// `dropped` if the process ends at once, and `failed` or `closed` by the HTTP server. The fields
+    /// are those of the event before.
+    ResponseCut = 894, "response_cut", Warn, FAILURES;
     /// An engine that did not resume a generation from its copy is asked again: how often it was asked
     /// until now, this time included, and for how long the caller tolerates the pause.
     ResumeRepeated = 895, "resume_repeated", Info, FAILURES;
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -1,5 +1,6 @@
 //! The front for callers: accepts requests and matches them against the catalogue in force.
 
+mod activity;
 mod connection;
 mod flushed_body;
 
@@ -64,14 +65,14 @@
     }
 }
 
-/// Serves one request.
+/// Serves one request with a parsed head.
 async fn handle<W: Wire, E: EngineCalls>(
     cx: Arc<Cx<W>>,
     engines: E,
+    head: CallerHead,
     req: Request<Incoming>,
 ) -> Response<ResponseBody> {
     let arrived = Instant::now();
-    let head = cx.wire.caller_head(req.headers());
     let caller_timeout = head.timeout.unwrap_or(DEFAULT_CALLER_TIMEOUT);
     let attempt = head.attempt.clone();
     let refused = |reason: Reason| {
--- /dev/null
+++ b/crates/gateway/src/front/activity.rs
@@ -0,0 +1,338 @@
+//! What a caller's connection is doing, and the responses that are not written to it yet.
+
+use super::connection::ConnectionEnd;
+use crate::log_event;
+use crate::meters::{ByReason, millis};
+use bytes::Bytes;
+use core::pin::Pin;
+use core::task::{Context, Poll};
+use core::time::Duration;
+use http_body::{Body, Frame, SizeHint};
+use oriolemux_core::gateway::catalogue::CallerLimits;
+use std::io;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Instant;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+
+/// The minimum time between two checks of a connection, whatever its timeouts are.
+const MIN_CHECK_INTERVAL: Duration = Duration::from_millis(10);
+
+/// What a connection is doing.
+#[derive(Debug)]
+pub(super) struct Activity {
+    state: Mutex<ActivityState>,
+}
+
+#[derive(Debug)]
+struct ActivityState {
+    /// Whether a request is being processed.
+    busy: bool,
+    /// When the head of the last response was ready, data was last written, or the connection was
+    /// accepted.
+    idle_since: Instant,
+    /// When the first byte of an incomplete request head arrived.
+    head_since: Option<Instant>,
+    /// The requests whose responses are not fully written, in their order. There are several if the
+    /// caller pipelines requests and reads slowly.
+    unwritten: Vec<UnwrittenResponse>,
+    /// The number of requests so far.
+    requests: u64,
+}
+
+/// A response that is not fully written to the connection.
+#[derive(Debug)]
+struct UnwrittenResponse {
+    request: u64,
+    attempt: Option<String>,
+    began: Instant,
+    /// When the head was ready.
+    head_ready: Option<Instant>,
+    /// Whether the HTTP server has taken the last byte of the body. It may still buffer some.
+    is_body_taken: bool,
+}
+
+pub(super) enum Verdict {
+    Keep,
+    Idle,
+    SlowHead,
+}
+
+impl Activity {
+    pub(super) fn new() -> Self {
+        Activity {
+            state: Mutex::new(ActivityState {
+                busy: false,
+                idle_since: Instant::now(),
+                head_since: None,
+                unwritten: Vec::new(),
+                requests: 0,
+            }),
+        }
+    }
+
+    fn state(&self) -> MutexGuard<'_, ActivityState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn on_bytes(&self) {
+        let mut state = self.state();
+        if !state.busy && state.head_since.is_none() {
+            state.head_since = Some(Instant::now());
+        }
+    }
+
+    fn on_written(&self) {
+        self.state().idle_since = Instant::now();
+    }
+
+    /// Records that the HTTP server has written all that it buffered.
+    fn on_flushed(&self) {
+        self.state().unwritten.retain(|it| !it.is_body_taken);
+    }
+
+    /// Records a request whose head was read; returns its number.
+    pub(super) fn begin_request(&self, attempt: Option<String>) -> u64 {
+        let mut state = self.state();
+        state.busy = true;
+        state.head_since = None;
+        state.requests += 1;
+        let request = state.requests;
+        state.unwritten.push(UnwrittenResponse {
+            request,
+            attempt,
+            began: Instant::now(),
+            head_ready: None,
+            is_body_taken: false,
+        });
+        request
+    }
+
+    /// Records that the head of the response is ready.
+    pub(super) fn on_response_head(&self, request: u64) {
+        let now = Instant::now();
+        let mut state = self.state();
+        state.busy = false;
+        state.idle_since = now;
+        if let Some(response) = state.unwritten_of(request) {
+            response.head_ready = Some(now);
+        }
+    }
+
+    fn on_body_taken(&self, request: u64) {
+        if let Some(response) = self.state().unwritten_of(request) {
+            response.is_body_taken = true;
+        }
+    }
+
+    /// Returns when the connection is checked next. The first byte of a head wakes nobody, so a
+    /// stalled head is noticed at most half a timeout late.
+    pub(super) fn next_check(&self, limits: CallerLimits) -> Instant {
+        let state = self.state();
+        let now = Instant::now();
+        let bound = match (state.busy, state.head_since) {
+            (true, _) => now + limits.idle_timeout,
+            (false, Some(since)) => since + limits.head_timeout,
+            (false, None) => state.idle_since + limits.idle_timeout,
+        };
+        bound
+            .min(now + limits.head_timeout / 2)
+            .max(now + MIN_CHECK_INTERVAL)
+    }
+
+    pub(super) fn verdict(&self, limits: CallerLimits) -> Verdict {
+        let state = self.state();
+        match (state.busy, state.head_since) {
+            (true, _) => Verdict::Keep,
+            (false, Some(since)) if since.elapsed() >= limits.head_timeout => Verdict::SlowHead,
+            (false, None) if state.idle_since.elapsed() >= limits.idle_timeout => Verdict::Idle,
+            _ => Verdict::Keep,
+        }
+    }
+}
+
+impl ActivityState {
+    fn unwritten_of(&mut self, request: u64) -> Option<&mut UnwrittenResponse> {
+        self.unwritten.iter_mut().find(|it| it.request == request)
+    }
+}
+
+/// Logs and counts the responses that a connection leaves unwritten when it ends.
+///
+/// It must be dropped before the connection, because dropping the connection drops the bodies.
+pub(super) struct EndReport {
+    activity: Arc<Activity>,
+    end: ConnectionEnd,
+}
+
+impl EndReport {
+    /// Returns the report of a connection that is dropped unless [`EndReport::set`] says more.
+    pub(super) fn new(activity: Arc<Activity>) -> Self {
+        EndReport {
+            activity,
+            end: ConnectionEnd::Dropped,
+        }
+    }
+
+    /// Sets how the connection ends.
+    pub(super) fn set(&mut self, end: ConnectionEnd) {
+        self.end = end;
+    }
+}
+
+impl Drop for EndReport {
+    fn drop(&mut self) {
+        for response in self.activity.state().unwritten.drain(..) {
+            log_unwritten(&response, self.end);
+        }
+    }
+}
+
+fn log_unwritten(response: &UnwrittenResponse, end: ConnectionEnd) {
+    let how = end.label();
+    let attempt = response.attempt.as_deref().unwrap_or("-");
+    let has_head = response.head_ready.is_some();
+    let streamed_ms = response.head_ready.map_or(0, |it| millis(it.elapsed()));
+    let ms = millis(response.began.elapsed());
+    ByReason::UnwrittenResponses.add(how);
+    match end.is_by_instance() {
+        true => log_event!(
+            ResponseCut,
+            attempt = attempt,
+            how = how,
+            has_head = has_head,
+            streamed_ms = streamed_ms,
+            ms = ms
+        ),
+        false => log_event!(
+            ResponseAbandoned,
+            attempt = attempt,
+            how = how,
+            has_head = has_head,
+            streamed_ms = streamed_ms,
+            ms = ms
+        ),
+    }
+}
+
+/// The body of a response, which records when the HTTP server has taken its last byte.
+pub(super) struct TrackedBody<B> {
+    body: B,
+    activity: Arc<Activity>,
+    request: u64,
+    is_broken: bool,
+}
+
+impl<B> TrackedBody<B> {
+    pub(super) fn new(body: B, activity: Arc<Activity>, request: u64) -> Self {
+        TrackedBody {
+            body,
+            activity,
+            request,
+            is_broken: false,
+        }
+    }
+}
+
+impl<B: Body<Data = Bytes> + Unpin> Body for TrackedBody<B> {
+    type Data = Bytes;
+    type Error = B::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, B::Error>>> {
+        let frame = Pin::new(&mut self.body).poll_frame(cx);
+        if let Poll::Ready(Some(Err(_))) = frame {
+            self.is_broken = true;
+        }
+        frame
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+impl<B> Drop for TrackedBody<B> {
+    fn drop(&mut self) {
+        // The server drops a body as soon as it needs nothing more of it, which for a stated length
+        // or a response without a body is before the end of the stream is seen.
+        if !self.is_broken {
+            self.activity.on_body_taken(self.request);
+        }
+    }
+}
+
+/// A caller's stream that records reads and writes.
+pub(super) struct WatchedStream {
+    stream: TcpStream,
+    activity: Arc<Activity>,
+}
+
+impl WatchedStream {
+    pub(super) fn new(stream: TcpStream, activity: Arc<Activity>) -> Self {
+        WatchedStream { stream, activity }
+    }
+}
+
+impl AsyncRead for WatchedStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        let read = Pin::new(&mut self.stream).poll_read(cx, buf);
+        if buf.filled().len() > before {
+            self.activity.on_bytes();
+        }
+        read
+    }
+}
+
+impl AsyncWrite for WatchedStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut self.stream).poll_write(cx, buf);
+        if let Poll::Ready(Ok(_)) = written {
+            self.activity.on_written();
+        }
+        written
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let flushed = Pin::new(&mut self.stream).poll_flush(cx);
+        if let Poll::Ready(Ok(())) = flushed {
+            self.activity.on_flushed();
+        }
+        flushed
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        if let Poll::Ready(Ok(_)) = written {
+            self.activity.on_written();
+        }
+        written
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+}
--- a/crates/gateway/src/meters.rs
+++ b/crates/gateway/src/meters.rs
@@ -91,6 +91,9 @@
         /// Connections of callers that were closed before anything was read from them, because this
         /// instance was in `overload` or at its connection `limit`.
         Shed = "oriolemux_gateway_connections_shed_total";
+        /// Responses that were not fully written when the connection of their caller ended, by how it
+        /// ended: `caller_left`, `timed_out`, or by this instance.
+        UnwrittenResponses = "oriolemux_gateway_unwritten_responses_total";
         /// Requests that this instance, as a home, rejected by forecast: no room `after_deadline`, or
         /// none for a first event in time (`after_target`).
         HomeRejections = "oriolemux_gateway_home_rejections_total";
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -20,6 +20,10 @@
 /// How long before the end of a planned stop the listener for callers is closed.
 const LISTENER_CLOSE_MARGIN: Duration = Duration::from_millis(500);
 
+/// How long before the end of a planned stop the last caller connections are ended, so that each can
+/// log the request that it leaves without a response.
+const ABORT_MARGIN: Duration = Duration::from_millis(50);
+
 /// How long before the end of a planned stop calls are refused: longer than a call takes, so
 /// that none is aborted.
 const CALL_CUTOFF: Duration = Duration::from_millis(1_500);
@@ -271,13 +275,17 @@
     acceptor.abort();
     cx.closing.cancel();
     callers.close();
-    let remaining = settings.grace.saturating_sub(started.elapsed());
+    let remaining = settings
+        .grace
+        .saturating_sub(started.elapsed() + ABORT_MARGIN);
     if tokio::time::timeout(remaining, callers.wait())
         .await
         .is_err()
     {
         let requests = cx.open_count(OpenKind::Request) + cx.open_count(OpenKind::Generation);
         log_event!(StoppedWithRequests, requests = requests);
+        cx.aborting.cancel();
+        let _ = tokio::time::timeout(ABORT_MARGIN, callers.wait()).await;
     }
 }
 
