The end of a response, not its head, decides when its connection ends

What callers saw: a stream that was cut because its caller sent the next request, or a part of it, while the stream ran: 1.2 s into a stream of 3 s with a head timeout of 0.8 s; and a next request without an answer on a connection whose stream had paused for longer than the idle timeout.

Cause: a request counted as served once the head of its response was ready, so that later bytes began "a head" and idle time ran while the body was sent. Timeouts stayed those of the catalogue at the accept.

Change: a connection is in use until its last response is flushed; the time for a pipelined head begins then. The timeouts are those of the catalogue in force.

Open: a part of the next head that arrives in one read with the request before it has only the idle timeout; the listener of `oriolemux serve` re-arms its head and idle timers in a similar way (by reading, not played).

--- a/crates/gateway/src/front/activity.rs
+++ b/crates/gateway/src/front/activity.rs
@@ -26,13 +26,13 @@
 
 #[derive(Debug)]
 struct ActivityState {
-    /// Whether a request is being processed.
-    busy: bool,
-    /// When the head of the last response was ready, data was last written, or the connection was
-    /// accepted.
+    /// When the last response was fully written, data was last written, or the connection was accepted.
     idle_since: Instant,
-    /// When the first byte of an incomplete request head arrived.
+    /// When the first byte of an incomplete request head arrived, or the response before it was fully
+    /// written, whichever was later.
     head_since: Option<Instant>,
+    /// Whether bytes arrived while a response was not fully written.
+    has_pipelined_bytes: bool,
     /// The requests whose responses are not fully written, in their order. There are several if the
     /// caller pipelines requests and reads slowly.
     unwritten: Vec<UnwrittenResponse>,
@@ -62,9 +62,9 @@
     pub(super) fn new() -> Self {
         Activity {
             state: Mutex::new(ActivityState {
-                busy: false,
                 idle_since: Instant::now(),
                 head_since: None,
+                has_pipelined_bytes: false,
                 unwritten: Vec::new(),
                 requests: 0,
             }),
@@ -77,7 +77,9 @@
 
     fn on_bytes(&self) {
         let mut state = self.state();
-        if !state.busy && state.head_since.is_none() {
+        if state.is_busy() {
+            state.has_pipelined_bytes = true;
+        } else if state.head_since.is_none() {
             state.head_since = Some(Instant::now());
         }
     }
@@ -88,14 +90,22 @@
 
     /// Records that the HTTP server has written all that it buffered.
     fn on_flushed(&self) {
-        self.state().unwritten.retain(|it| !it.is_body_taken);
+        let mut state = self.state();
+        let was_busy = state.is_busy();
+        state.unwritten.retain(|it| !it.is_body_taken);
+        if was_busy && !state.is_busy() {
+            let now = Instant::now();
+            state.idle_since = now;
+            // The caller could not know before that its next head is waited for.
+            state.head_since = state.has_pipelined_bytes.then_some(now);
+        }
     }
 
     /// Records a request whose head was read; returns its number.
     pub(super) fn begin_request(&self, attempt: Option<String>) -> u64 {
         let mut state = self.state();
-        state.busy = true;
         state.head_since = None;
+        state.has_pipelined_bytes = false;
         state.requests += 1;
         let request = state.requests;
         state.unwritten.push(UnwrittenResponse {
@@ -111,10 +121,7 @@
     /// Records that the head of the response is ready.
     pub(super) fn on_response_head(&self, request: u64) {
         let now = Instant::now();
-        let mut state = self.state();
-        state.busy = false;
-        state.idle_since = now;
-        if let Some(response) = state.unwritten_of(request) {
+        if let Some(response) = self.state().unwritten_of(request) {
             response.head_ready = Some(now);
         }
     }
@@ -130,7 +137,7 @@
     pub(super) fn next_check(&self, limits: CallerLimits) -> Instant {
         let state = self.state();
         let now = Instant::now();
-        let bound = match (state.busy, state.head_since) {
+        let bound = match (state.is_busy(), state.head_since) {
             (true, _) => now + limits.idle_timeout,
             (false, Some(since)) => since + limits.head_timeout,
             (false, None) => state.idle_since + limits.idle_timeout,
@@ -142,7 +149,7 @@
 
     pub(super) fn verdict(&self, limits: CallerLimits) -> Verdict {
         let state = self.state();
-        match (state.busy, state.head_since) {
+        match (state.is_busy(), state.head_since) {
             (true, _) => Verdict::Keep,
             (false, Some(since)) if since.elapsed() >= limits.head_timeout => Verdict::SlowHead,
             (false, None) if state.idle_since.elapsed() >= limits.idle_timeout => Verdict::Idle,
@@ -152,6 +159,11 @@
 }
 
 impl ActivityState {
+    /// Returns whether a response is not fully written.
+    fn is_busy(&self) -> bool {
+        !self.unwritten.is_empty()
+    }
+
     fn unwritten_of(&mut self, request: u64) -> Option<&mut UnwrittenResponse> {
         self.unwritten.iter_mut().find(|it| it.request == request)
     }
--- a/crates/gateway/src/front/connection.rs
+++ b/crates/gateway/src/front/connection.rs
@@ -11,6 +11,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
+use oriolemux_core::gateway::catalogue::CallerLimits;
 use std::error::Error;
 use std::io;
 use std::sync::Arc;
@@ -55,11 +56,9 @@
         log::debug!("cannot set TCP_NODELAY on a caller connection: {error}");
     }
     let activity = Arc::new(Activity::new());
-    let limits = cx
-        .state()
-        .catalogue()
-        .map(|it| it.limits())
-        .unwrap_or_default();
+    // The buffer keeps the size that it has when the connection is accepted; timeouts are those of the
+    // catalogue in force.
+    let max_head_bytes = caller_limits(&cx).max_head_bytes;
     let io = TokioIo::new(WatchedStream::new(stream, Arc::clone(&activity)));
     let service = service_fn(|req: Request<Incoming>| {
         let head = cx.wire.caller_head(req.headers());
@@ -82,12 +81,12 @@
         }
     });
     let mut builder = http1::Builder::new();
-    builder.max_buf_size(limits.max_head_bytes.max(MIN_BUFFER_BYTES));
+    builder.max_buf_size(max_head_bytes.max(MIN_BUFFER_BYTES));
     let mut connection = core::pin::pin!(builder.serve_connection(io, service));
     let mut report = EndReport::new(Arc::clone(&activity));
     let mut closing = false;
     loop {
-        let check = activity.next_check(limits);
+        let check = activity.next_check(caller_limits(&cx));
         tokio::select! {
             ended = connection.as_mut() => {
                 if let Err(error) = &ended {
@@ -104,7 +103,7 @@
                 closing = true;
                 connection.as_mut().graceful_shutdown();
             }
-            () = tokio::time::sleep_until(check.into()) => match activity.verdict(limits) {
+            () = tokio::time::sleep_until(check.into()) => match activity.verdict(caller_limits(&cx)) {
                 Verdict::Keep => {}
                 Verdict::Idle => connection.as_mut().graceful_shutdown(),
                 Verdict::SlowHead => {
@@ -116,6 +115,11 @@
     }
 }
 
+fn caller_limits<W: Wire>(cx: &Cx<W>) -> CallerLimits {
+    let state = cx.state();
+    state.catalogue().map(|it| it.limits()).unwrap_or_default()
+}
+
 /// The minimum buffer size that the HTTP library accepts.
 const MIN_BUFFER_BYTES: usize = 8 * 1024;
 
