A response without its end, or without a result, is a failure

By reading, three places could do so here: a relay that ends without a result answered an unsigned 200 with an empty body; a relay that ends by a bug after its first event closed its channel, which ended the caller's stream as a complete one; and the fallback of a refusal that cannot be built was a 200.

Change: only `Chunk::End` completes a streamed body, and a channel that closes without it fails the body. A relay without a result is a 502 with its reason, counted and logged. A refusal is built without a fallback.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -30,7 +30,7 @@
 use crate::log_event;
 use crate::meters::{ByReason, Histogram, millis};
 use crate::ports::{BufferedResponse, EngineCalls, Wire};
-use crate::response::{Reason, ResponseBody, StreamAborted, refuse};
+use crate::response::{Reason, ResponseBody, refuse};
 use crate::sse::{Event, EventSplitter};
 use crate::stream::Chunk;
 use copy_wait::CopyWait;
@@ -292,6 +292,8 @@
                 StopReason::End if self.ended_by_order(&upstream).await => LeaveReason::Silent,
                 StopReason::End => {
                     self.finish();
+                    // Fails only if the caller has disconnected.
+                    let _ = self.tx.send(Chunk::End).await;
                     return;
                 }
                 StopReason::CallerGone => {
@@ -300,10 +302,10 @@
                 }
                 StopReason::Timeout if self.awaits_retry => {
                     let why = Reason::BudgetSpent.to_string();
-                    return self.abort_stream(&why).await;
+                    return self.abort_stream(&why);
                 }
-                StopReason::Timeout => return self.abort_stream("timeout").await,
-                StopReason::Gap => return self.abort_stream("event_missing").await,
+                StopReason::Timeout => return self.abort_stream("timeout"),
+                StopReason::Gap => return self.abort_stream("event_missing"),
                 StopReason::Relocate => LeaveReason::EngineLeaves,
                 StopReason::Broken | StopReason::EngineFailed => {
                     self.job.record_failure(&self.engine);
@@ -337,7 +339,7 @@
             match self.resume_elsewhere(why, place).await {
                 Ok(next) => upstream = next,
                 Err(_) if self.tx.is_closed() => return self.end_for_caller(),
-                Err(why) => return self.abort_stream(&why.to_string()).await,
+                Err(why) => return self.abort_stream(&why.to_string()),
             }
         }
     }
@@ -549,7 +551,7 @@
             state.observe_gap(now, self.engine.key, gap);
         }
         self.recount();
-        let sent = self.tx.send(Ok(event.bytes));
+        let sent = self.tx.send(Chunk::Data(event.bytes));
         match tokio::time::timeout_at(self.job.deadline.into(), sent).await {
             Ok(Ok(())) => None,
             Ok(Err(_)) => Some(StopReason::CallerGone),
@@ -624,11 +626,9 @@
         self.job.on_parts_succeeded();
     }
 
-    /// Aborts the caller's stream, so that it does not look complete.
-    async fn abort_stream(&mut self, why: &str) {
+    /// Aborts the caller's stream: without its end it does not look complete.
+    fn abort_stream(self, why: &str) {
         self.log_end(why);
-        // Fails only if the caller has disconnected.
-        let _ = self.tx.send(Err(StreamAborted)).await;
     }
 
     fn log_end(&self, how: &str) {
--- a/crates/gateway/src/response.rs
+++ b/crates/gateway/src/response.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use core::convert::Infallible;
 use core::time::Duration;
-use http::{Response, StatusCode, header};
+use http::{HeaderValue, Response, StatusCode, header};
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full};
 use oriolemux_core::gateway::request::PlacementError;
@@ -164,17 +164,20 @@
 
 /// Returns the response for `reason` to a caller that may return after `delay`.
 pub fn refuse_until(reason: Reason, delay: Duration) -> Response<ResponseBody> {
-    let status = reason.status();
-    let mut response = Response::builder().status(status).extension(reason);
-    if status == StatusCode::SERVICE_UNAVAILABLE {
-        let seconds = delay.as_secs_f64();
-        response = response.header(header::RETRY_AFTER, format!("{seconds:.3}"));
-    }
     let body = format!("{{\"error\":\"{reason}\"}}\n");
+    let mut response = Response::new(full_body(body.into()));
+    *response.status_mut() = reason.status();
+    response.extensions_mut().insert(reason);
+    let json = HeaderValue::from_static("application/json");
+    response.headers_mut().insert(header::CONTENT_TYPE, json);
+    if reason.status() == StatusCode::SERVICE_UNAVAILABLE {
+        let seconds = format!("{:.3}", delay.as_secs_f64());
+        match HeaderValue::try_from(seconds) {
+            Ok(seconds) => drop(response.headers_mut().insert(header::RETRY_AFTER, seconds)),
+            Err(error) => log::error!("cannot state a delay of {delay:?}: {error}"),
+        }
+    }
     response
-        .header(header::CONTENT_TYPE, "application/json")
-        .body(full_body(body.into()))
-        .unwrap_or_else(|_| Response::new(full_body(Bytes::new())))
 }
 
 /// Returns a buffered body.
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -7,12 +7,13 @@
 use crate::attempts::Attempts;
 use crate::job::{Job, Origin, UsageGuard};
 use crate::log_event;
+use crate::meters::ByReason;
 use crate::placement::{PlacementFailure, PlacementParams};
 use crate::ports::{EngineCalls, Wire};
 use crate::proxy;
 use crate::proxy::client::ProxyOutcome;
 use crate::relay::{Relay, StartOutcome};
-use crate::response::{Reason, ResponseBody, StreamAborted};
+use crate::response::{Reason, ResponseBody, StreamAborted, refuse};
 use bytes::Bytes;
 use core::pin::Pin;
 use core::task::{Context, Poll};
@@ -25,6 +26,7 @@
 use oriolemux_core::gateway::request::PlacementKind;
 use oriolemux_core::gateway::state::Placement;
 use oriolemux_core::ids::EndpointKey;
+use std::time::Instant;
 use tokio::sync::mpsc;
 
 /// Chunks of a stream that may be buffered for the caller's connection.
@@ -39,7 +41,13 @@
 const TOKEN_DURATION: Duration = Duration::from_millis(10);
 
 /// A part of a streamed response.
-pub type Chunk = Result<Bytes, StreamAborted>;
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Chunk {
+    /// Bytes of the body.
+    Data(Bytes),
+    /// The body is complete.
+    End,
+}
 
 /// Serves a generation.
 pub async fn serve<W: Wire, E: EngineCalls>(job: Job<W>, engines: E) -> Response<ResponseBody> {
@@ -97,9 +105,6 @@
                     return response;
                 }
             }
-            GenerationStart::Lost => {
-                return Response::new(crate::response::full_body(Bytes::new()));
-            }
         }
     }
 }
@@ -149,8 +154,6 @@
         attempts: Attempts,
         response: Response<ResponseBody>,
     },
-    /// The relay ended without a result, which only a bug can cause.
-    Lost,
 }
 
 async fn start<W: Wire, E: EngineCalls>(
@@ -161,6 +164,7 @@
     length: LengthEstimate,
 ) -> GenerationStart<W> {
     let (tx, rx) = mpsc::channel(STREAM_BUFFER_CHUNKS);
+    let (attempt, deadline) = (job.name().to_owned(), job.deadline);
     let relay = Relay::new(job, engines, attempts, chosen, length, tx);
     let started = relay.spawn();
     match started.await {
@@ -186,7 +190,13 @@
             attempts,
             reached_engine,
         },
-        Err(_) => GenerationStart::Lost,
+        // Only a bug ends a relay without a result.
+        Err(_) => {
+            log::error!("the relay of generation {attempt} ended without a result");
+            ByReason::Generations.add(&Reason::ResponseLost.to_string());
+            let remaining = deadline.saturating_duration_since(Instant::now());
+            GenerationStart::Ended(refuse(Reason::ResponseLost, remaining))
+        }
     }
 }
 
@@ -197,7 +207,7 @@
 ) -> Response<ResponseBody> {
     // The length that one engine stated does not hold when another engine continues.
     headers.remove(header::CONTENT_LENGTH);
-    let mut response = Response::new(ChunkBody { chunks }.boxed_unsync());
+    let mut response = Response::new(ChunkBody::new(chunks).boxed_unsync());
     *response.status_mut() = status;
     *response.headers_mut() = headers;
     response
@@ -271,8 +281,23 @@
 
 /// The body of a streamed response. It is dropped when the caller disconnects, which closes the
 /// relay's channel.
-struct ChunkBody {
+///
+/// Only [`Chunk::End`] completes it: a channel that closes without that fails the body, so that a
+/// relay that is aborted, or ends by a bug, leaves no response that looks complete.
+#[derive(Debug)]
+pub struct ChunkBody {
     chunks: mpsc::Receiver<Chunk>,
+    is_complete: bool,
+}
+
+impl ChunkBody {
+    /// Returns the body of these chunks.
+    pub fn new(chunks: mpsc::Receiver<Chunk>) -> Self {
+        ChunkBody {
+            chunks,
+            is_complete: false,
+        }
+    }
 }
 
 impl http_body::Body for ChunkBody {
@@ -283,7 +308,16 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, StreamAborted>>> {
-        let chunk = core::task::ready!(self.chunks.poll_recv(cx));
-        Poll::Ready(chunk.map(|chunk| chunk.map(Frame::data)))
+        if self.is_complete {
+            return Poll::Ready(None);
+        }
+        Poll::Ready(match core::task::ready!(self.chunks.poll_recv(cx)) {
+            Some(Chunk::Data(bytes)) => Some(Ok(Frame::data(bytes))),
+            Some(Chunk::End) => {
+                self.is_complete = true;
+                None
+            }
+            None => Some(Err(StreamAborted)),
+        })
     }
 }
