Streams that end before their first event, and aborted ones over HTTP/1.0, do not look complete

What callers saw: an engine that stated neither a length nor chunks and closed before its first event gave a signed 200 with an empty body, framed as whole; a relay that panicked before its first event an unsigned one; and a caller of HTTP/1.0, whose responses end with their connection, could not tell an aborted stream from a whole one.

Cause: the end of a connection was taken for the end of a body, in three places.

Change: an unframed stream without any event counts as broken, unless its caller returned for the rest of a generation. The response of a relay without a result has its own reason, `relay_failed`. A connection on which an unframed response is not whole is reset.

--- a/crates/gateway/src/front/activity.rs
+++ b/crates/gateway/src/front/activity.rs
@@ -38,6 +38,8 @@
     unwritten: Vec<UnwrittenResponse>,
     /// The number of requests so far.
     requests: u64,
+    /// Whether the connection is reset, since its end would complete a response that is not whole.
+    must_reset: bool,
 }
 
 /// A response that is not fully written to the connection.
@@ -48,6 +50,8 @@
     began: Instant,
     /// When the head was ready.
     head_ready: Option<Instant>,
+    /// Whether only the end of the connection ends the body.
+    is_unframed: bool,
     /// Whether the HTTP server has taken the last byte of the body. It may still buffer some.
     is_body_taken: bool,
 }
@@ -67,6 +71,7 @@
                 has_pipelined_bytes: false,
                 unwritten: Vec::new(),
                 requests: 0,
+                must_reset: false,
             }),
         }
     }
@@ -113,6 +118,7 @@
             attempt,
             began: Instant::now(),
             head_ready: None,
+            is_unframed: false,
             is_body_taken: false,
         });
         request
@@ -126,6 +132,13 @@
         }
     }
 
+    /// Records that only the end of the connection ends the body of a response.
+    pub(super) fn on_unframed(&self, request: u64) {
+        if let Some(response) = self.state().unwritten_of(request) {
+            response.is_unframed = true;
+        }
+    }
+
     fn on_body_taken(&self, request: u64) {
         if let Some(response) = self.state().unwritten_of(request) {
             response.is_body_taken = true;
@@ -194,7 +207,9 @@
 
 impl Drop for EndReport {
     fn drop(&mut self) {
-        for response in self.activity.state().unwritten.drain(..) {
+        let mut state = self.activity.state();
+        state.must_reset = state.unwritten.iter().any(|it| it.is_unframed);
+        for response in state.unwritten.drain(..) {
             log_unwritten(&response, self.end);
         }
     }
@@ -292,6 +307,16 @@
     }
 }
 
+impl Drop for WatchedStream {
+    fn drop(&mut self) {
+        if self.activity.state().must_reset
+            && let Err(error) = self.stream.set_zero_linger()
+        {
+            log::debug!("cannot reset a caller connection: {error}");
+        }
+    }
+}
+
 impl AsyncRead for WatchedStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
--- a/crates/gateway/src/front/connection.rs
+++ b/crates/gateway/src/front/connection.rs
@@ -6,7 +6,8 @@
 use crate::meters::ByReason;
 use crate::ports::{EngineCalls, Wire};
 use core::convert::Infallible;
-use http::{HeaderValue, Request, header};
+use http::{HeaderValue, Request, Version, header};
+use http_body::Body;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -63,12 +64,16 @@
     let service = service_fn(|req: Request<Incoming>| {
         let head = cx.wire.caller_head(req.headers());
         let request = activity.begin_request(head.attempt.clone());
+        let has_chunks = req.version() != Version::HTTP_10;
         let response = handle(Arc::clone(&cx), engines.clone(), head, req);
         let (activity, cx) = (Arc::clone(&activity), Arc::clone(&cx));
         async move {
             let open = cx.count(OpenKind::Request);
             let mut response = response.await;
             activity.on_response_head(request);
+            if !has_chunks && response.body().size_hint().exact().is_none() {
+                activity.on_unframed(request);
+            }
             // A caller that connects again may reach another instance.
             if cx.stopping.is_cancelled() || cx.state().own_delay.is_shedding() {
                 let close = HeaderValue::from_static("close");
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -496,6 +496,10 @@
                         return StopReason::Broken;
                     }
                     None if self.splitter.has_partial_event() => return StopReason::Broken,
+                    None if !upstream.is_delimited && self.state.last_event().is_none() => {
+                        // The engine may have closed its connection before its first event.
+                        return StopReason::Broken;
+                    }
                     None => return StopReason::End,
                 },
                 () = self.tx.closed() => return StopReason::CallerGone,
--- a/crates/gateway/src/response.rs
+++ b/crates/gateway/src/response.rs
@@ -89,6 +89,8 @@
     EndpointsBackedOff,
     /// endpoints_brittle
     EndpointsBrittle,
+    /// relay_failed
+    RelayFailed,
 }
 
 impl Reason {
@@ -120,7 +122,8 @@
             Reason::ResponseLost
             | Reason::WrongAttempt
             | Reason::BudgetSpent
-            | Reason::NotStopped => StatusCode::BAD_GATEWAY,
+            | Reason::NotStopped
+            | Reason::RelayFailed => StatusCode::BAD_GATEWAY,
             Reason::Timeout => StatusCode::GATEWAY_TIMEOUT,
         }
     }
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -193,9 +193,9 @@
         // Only a bug ends a relay without a result.
         Err(_) => {
             log::error!("the relay of generation {attempt} ended without a result");
-            ByReason::Generations.add(&Reason::ResponseLost.to_string());
+            ByReason::Generations.add(&Reason::RelayFailed.to_string());
             let remaining = deadline.saturating_duration_since(Instant::now());
-            GenerationStart::Ended(refuse(Reason::ResponseLost, remaining))
+            GenerationStart::Ended(refuse(Reason::RelayFailed, remaining))
         }
     }
 }
