An order's outcome is stated in one place, which looks at its claim

Cause: whether a claim has expired was looked at in `Node::finish` alone. Two ends of an order go round it. The record of an order whose caller left said "not run" after the expiry. The verdict on an attempt that proves that it did not run was told to the caller as "not run" after the expiry, although a copy may have been granted the name and have run.

Change: `Request::outcome` is private. `outcome_at` and `verdict_at` take the time and look at the claim; the retry decision, `finish` and `on_caller_gone` use them. The home of the claim is told what became of this order alone: it compares claimants, so that an order of which nothing was sent frees its name. An order that was refused at the expiry held its name as "unknown" for the memory of claims before. No message grows, and nothing is added for each instance.

Ruled out: a check in `on_caller_gone` alone, which would leave the verdict of the retry decision; to report "unknown" to the home, which would refuse repeats of an order of which nothing was sent.

The rest of the workspace was not run.

--- a/crates/core/src/node/attempt.rs
+++ b/crates/core/src/node/attempt.rs
@@ -8,6 +8,7 @@
 use crate::event::{Action, AttemptMode, AttemptUpdate, Dispatch};
 use crate::explain::Step;
 use crate::ids::{AttemptId, CellKey, InstanceKey, RequestId};
+use crate::keys::HolderState;
 use crate::note::Note;
 use crate::outcome::{Ran, Verdict};
 use crate::peer::PeerMessage;
@@ -94,7 +95,7 @@
             stall_limit,
         };
         let id = request.id();
-        request.outcome.on_dispatch(attempt);
+        request.on_dispatch(attempt);
         request.response_started_at = None;
         request.refusals.clear();
         request.stage = Stage::Running {
@@ -208,7 +209,7 @@
         let Some(mut request) = self.requests.remove(&seq) else {
             return;
         };
-        request.outcome.on_ended(attempt, Ran::Maybe);
+        request.on_ended(attempt, Ran::Maybe);
         self.on_run_succeeded(request.arrival.fingerprint);
         self.charge(seq, tokens.saturating_sub(request.stage.tokens()));
         let end = Ending {
@@ -231,7 +232,7 @@
         else {
             return;
         };
-        request.outcome.on_ended(failed.attempt, failed.ran);
+        request.on_ended(failed.attempt, failed.ran);
         request.delivered = request.delivered.max(failed.delivered);
         request.exclude.push(endpoint);
         let id = request.id();
@@ -266,7 +267,7 @@
         let idempotent = request.spec.as_ref().is_some_and(|it| it.class.idempotent);
         let failure = AttemptFailure {
             reason: failed.reason,
-            outcome: &request.outcome,
+            outcome: &request.outcome_at(self.now),
             idempotent,
             delivered: request.delivered,
             attempts: request.attempts,
@@ -301,8 +302,7 @@
         let Some(request) = self.requests.remove(&id.seq) else {
             return;
         };
-        let outcome = &request.outcome;
-        let verdict = outcome.finish(Reason::CallerGone, None, request.delivered);
+        let verdict = request.verdict_at(self.now, Reason::CallerGone, None);
         let end = Ending {
             end: EndKind::Cancelled,
             tokens: request.stage.tokens(),
@@ -313,14 +313,10 @@
 
     /// Ends a request with the strongest outcome that its attempts prove.
     pub(super) fn finish(&mut self, seq: u64, reason: Reason, retry_after: Option<Duration>) {
-        let Some(request) = self.requests.get_mut(&seq) else {
+        let Some(request) = self.requests.get(&seq) else {
             return;
         };
-        if self.now >= request.claim_valid_until {
-            request.outcome.on_claim_voided();
-        }
-        let delivered = request.delivered;
-        let verdict = request.outcome.finish(reason, retry_after, delivered);
+        let verdict = request.verdict_at(self.now, reason, retry_after);
         self.finish_with(seq, verdict);
     }
 
@@ -348,8 +344,9 @@
         self.release_at_home(id, request.stage, ending.tokens, ending.end);
         self.end_run(request);
         self.end_admission(id.seq);
-        self.end_claim(id, ending.verdict);
         let verdict = ending.verdict;
+        let claim = verdict.map_or(HolderState::of(None), |it| request.claim_state(it.reason()));
+        self.end_claim(id, claim);
         let step = Step::Ended {
             outcome: verdict.map_or(Outcome::Complete, Verdict::outcome),
             reason: verdict.map(Verdict::reason),
--- a/crates/core/src/node/claims.rs
+++ b/crates/core/src/node/claims.rs
@@ -112,7 +112,7 @@
                 self.timers.set(valid_until, TimerKind::Request(id.seq));
             }
         }
-        request.outcome.on_claim_granted();
+        request.on_claim_granted();
         self.record(id, Step::ClaimGranted);
         self.begin_admission(id.seq);
     }
@@ -126,10 +126,8 @@
         }
     }
 
-    /// Reports to the home of a request's claim how the request ended; `None` means with a complete
-    /// response.
-    pub(super) fn end_claim(&mut self, id: RequestId, verdict: Option<&Verdict>) {
-        let state = HolderState::of(verdict);
+    /// Reports to the home of a request's claim how the request ended.
+    pub(super) fn end_claim(&mut self, id: RequestId, state: HolderState) {
         self.with_keys(|keys, now, out| keys.on_request_ended(now, id, state, out));
     }
 
--- a/crates/core/src/node/request.rs
+++ b/crates/core/src/node/request.rs
@@ -4,7 +4,8 @@
 use crate::cell::{CellRequest, ClassRules, Requirement, Running};
 use crate::event::RequestArrival;
 use crate::ids::{AttemptId, CellKey, EndpointKey, InstanceKey, RequestId, WorkspaceKey};
-use crate::outcome::RequestOutcome;
+use crate::keys::HolderState;
+use crate::outcome::{Ran, RequestOutcome, Verdict};
 use crate::reason::Reason;
 use crate::time::Time;
 use core::time::Duration;
@@ -121,8 +122,9 @@
     pub claim_valid_until: Time,
     /// The current stage.
     pub stage: Stage,
-    /// What is known about whether it ran.
-    pub outcome: RequestOutcome,
+    /// What is known about whether it ran. Private, so that no outcome is stated without looking at
+    /// [`claim_valid_until`](Self::claim_valid_until).
+    outcome: RequestOutcome,
     /// Number of attempts so far.
     pub attempts: u32,
     /// When the response to the current attempt started.
@@ -163,6 +165,44 @@
         self.arrival.id
     }
 
+    /// Records that the claim was granted: no earlier request under the name ran.
+    pub fn on_claim_granted(&mut self) {
+        self.outcome.on_claim_granted();
+    }
+
+    /// Records that an attempt is handed to the shell.
+    pub fn on_dispatch(&mut self, attempt: AttemptId) {
+        self.outcome.on_dispatch(attempt);
+    }
+
+    /// Records the end of an attempt.
+    pub fn on_ended(&mut self, attempt: AttemptId, ran: Ran) {
+        self.outcome.on_ended(attempt, ran);
+    }
+
+    /// Returns what is known at `now` about whether the request, or another one under its name, ran.
+    /// Once its claim has expired another one may have been granted the name.
+    pub fn outcome_at(&self, now: Time) -> RequestOutcome {
+        let mut outcome = self.outcome.clone();
+        if now >= self.claim_valid_until {
+            outcome.on_claim_voided();
+        }
+        outcome
+    }
+
+    /// Returns the final response with the strongest outcome that is proven at `now`.
+    pub fn verdict_at(&self, now: Time, reason: Reason, retry_after: Option<Duration>) -> Verdict {
+        let outcome = self.outcome_at(now);
+        outcome.finish(reason, retry_after, self.delivered)
+    }
+
+    /// Returns what the home of its claim is told about an incomplete request. That concerns this
+    /// request alone, so that one of which nothing was sent frees its name, expired or not.
+    pub fn claim_state(&self, reason: Reason) -> HolderState {
+        let verdict = self.outcome.finish(reason, None, self.delivered);
+        HolderState::of(Some(&verdict))
+    }
+
     /// Returns when the request is given up unless it has started.
     pub fn start_deadline(&self) -> Time {
         self.waiting_since + self.longest_wait() + HOME_GRACE
--- a/crates/core/tests/node/claims.rs
+++ b/crates/core/tests/node/claims.rs
@@ -3,7 +3,7 @@
 use crate::world::{Name, World};
 use oriolemux_core::event::{AttemptUpdate, Event};
 use oriolemux_core::keys::KeysConfig;
-use oriolemux_core::{Incarnation, Outcome, Ran, Reason, RequestId};
+use oriolemux_core::{Incarnation, Outcome, Ran, Reason, RequestId, RequestOutcome};
 use rstest::rstest;
 use std::time::Duration;
 
@@ -467,3 +467,60 @@
     assert_eq!(world.runs(&[first]), 0);
     assert_eq!(world.runs(&[first, second]), 1);
 }
+
+/// Returns what is recorded of how a request ended.
+fn recorded_end(world: &World, n: usize, id: RequestId) -> String {
+    let steps = world.seat(n).node.explain(id).expect("a record");
+    let last = steps.last().expect("a step");
+    assert_eq!(last.step, "ended");
+    last.detail.clone()
+}
+
+/// Failure: the record of an order says "not run" although its copy may have run. Its process was
+/// paused, and learns that the caller left before it sees that the claim has expired.
+#[test]
+fn an_order_whose_caller_leaves_after_its_claim_expired_is_recorded_as_unknown() {
+    let (mut world, granter, order, key) = order_of_a_paused_home();
+    world.pause(granter);
+    world.feed(world.key(granter), Event::CallerGone(order));
+    world.run_for(SECOND);
+
+    world.resume(granter);
+
+    assert_eq!(recorded_end(&world, granter, order), "unknown, caller_gone");
+    for other in (0..4).filter(|&it| it != granter) {
+        world.resume(other);
+    }
+    world.run_for(SECOND);
+    let repeat = world.send(granter, "order", Name::Key(&key));
+    world.run_for(SECOND);
+    assert_eq!(world.runs(&[order]), 0);
+    assert_eq!(world.runs(&[repeat]), 1);
+}
+
+/// Failure: a caller is told "not run" of an order whose copy may have run. The attempt proves that it
+/// did not run, but the claim has expired meanwhile.
+#[rstest]
+#[case::after(SECOND * 2, Outcome::Unknown)]
+#[case::before(SECOND / 2, Outcome::NotRun)]
+fn an_attempt_that_did_not_run_proves_nothing_after_the_claim_expired(
+    #[case] age: Duration,
+    #[case] outcome: Outcome,
+) {
+    let mut world = World::with_keys(4, 2, short_claims());
+    world.run_for(SECOND * 5);
+    let key = world.key_at(0, 1);
+    let order = world.send(0, "order", Name::Key(&key));
+    world.run_for(age);
+    let attempt = world.dispatches(order)[0].attempt;
+
+    let update = AttemptUpdate::Failed {
+        reason: Reason::StoppedNow,
+        ran: Ran::No(RequestOutcome::new().proof().expect("nothing was sent")),
+        delivered: 0,
+        retry_after: None,
+    };
+    world.update(attempt, update);
+
+    assert_eq!(refusal(&world, order), (Reason::StoppedNow, outcome));
+}
