A resumption keeps its copies through backoffs and failures; mends of a review

An independent review of the commits before found, by reading: - a request whose body arrives after its head began "a pipelined head", so that its kept connection was closed after the head timeout (red: pipelined_requests.rs, a_body_that_arrives_after_its_head_begins_no_head was written with the fix; not run on the code before); - a target that asked for a backoff between the order and the resumption still cost the copy; a turn without a request counted as one, so that a first request skipped the reset of what was known of the engine that was left; - a resumed stream without length and chunks that ends before its first event looked complete; - the end of a stream was sent while the place at its engine was held; - a suspect left a silent engine before it was admitted elsewhere, and its copy was freed although nothing was sent; - a failed recomputation gave up the copies; a server error was taken for "nothing ran" without a limit: it is repeated once; - requests to another holder counted as first ones in the reserve of the retry budget.

Also: a silent generation without a copy takes its retry as one that recomputes, and leaves what is reserved for those with a copy (run_ends.rs, a_silent_generation_without_a_copy_leaves_the_reserve_of_those_with_one, red before: it was ordered to stop).

Open from the review: each change between two holders counts as a relocation, of which there are eight; the wait for a repeated request blocks the other holders; a copy is not counted at an engine while another one is asked.

--- a/crates/gateway/src/front/activity.rs
+++ b/crates/gateway/src/front/activity.rs
@@ -31,7 +31,7 @@
     /// When the first byte of an incomplete request head arrived, or the response before it was fully
     /// written, whichever was later.
     head_since: Option<Instant>,
-    /// Whether bytes arrived while a response was not fully written.
+    /// Whether bytes arrived while the last response was being written.
     has_pipelined_bytes: bool,
     /// The requests whose responses are not fully written, in their order. There are several if the
     /// caller pipelines requests and reads slowly.
@@ -82,8 +82,9 @@
 
     fn on_bytes(&self) {
         let mut state = self.state();
-        if state.is_busy() {
-            state.has_pipelined_bytes = true;
+        if let Some(last) = state.unwritten.last() {
+            // Until the response begins, they are the body of its request.
+            state.has_pipelined_bytes |= last.head_ready.is_some();
         } else if state.head_since.is_none() {
             state.head_since = Some(Instant::now());
         }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -53,6 +53,7 @@
 use std::time::Instant;
 use stop_run::{KeptRun, LastStop};
 use tokio::sync::{mpsc, oneshot};
+use tokio::time::timeout_at;
 use upstream::{AttemptStart, StopReason, Upstream, sleep_until};
 
 /// Events between two updates of a generation's expected KV usage: about every half second.
@@ -292,8 +293,14 @@
                 StopReason::End if self.ended_by_order(&upstream).await => LeaveReason::Silent,
                 StopReason::End => {
                     self.finish();
-                    // Fails only if the caller has disconnected.
-                    let _ = self.tx.send(Chunk::End).await;
+                    let (tx, deadline) = (self.tx.clone(), self.job.deadline);
+                    // A caller that reads slowly occupies no place at the engine.
+                    drop(upstream);
+                    drop(self);
+                    let sent = timeout_at(deadline.into(), tx.send(Chunk::End)).await;
+                    if sent.is_err() {
+                        log::debug!("a caller did not read a generation by its deadline");
+                    }
                     return;
                 }
                 StopReason::CallerGone => {
@@ -426,7 +433,9 @@
             if self.copy_wait.is_some() {
                 decided.as_mut().enable();
             }
-            self.drop_unusable_pre_copy();
+            if self.silent_stop.is_none() {
+                self.drop_unusable_pre_copy();
+            }
             let check_place = self.check_copy_wait();
             if self.silent_run_has_ended() {
                 return StopReason::Silent;
@@ -438,7 +447,7 @@
                     continue;
                 }
                 // A suspect that runs elsewhere may not resume, and stays where it runs.
-                Step::Relocate if !self.may_leave() => {
+                Step::Relocate | Step::FailOver if !self.may_leave() => {
                     cx.clock.instant(cx.now() + RETRY_BUDGET_POLL_INTERVAL)
                 }
                 // Several generations may leave for the same retry. The one that does not get it
@@ -462,7 +471,11 @@
                         continue;
                     }
                 },
-                Step::Wait(_) if stop_at.is_some_and(|at| at <= cx.now()) && self.hold_retry() => {
+                Step::Wait(_)
+                    if stop_at.is_some_and(|at| at <= cx.now())
+                        && self.may_leave()
+                        && self.hold_retry() =>
+                {
                     self.order_silent_stop().await;
                     continue;
                 }
@@ -496,7 +509,7 @@
                         return StopReason::Broken;
                     }
                     None if self.splitter.has_partial_event() => return StopReason::Broken,
-                    None if !upstream.is_delimited && self.state.last_event().is_none() => {
+                    None if !upstream.is_delimited && !self.state.has_event_here() => {
                         // The engine may have closed its connection before its first event.
                         return StopReason::Broken;
                     }
@@ -522,10 +535,17 @@
 
     /// Takes a retry for the next engine, unless one is in hand. Returns whether there is one: a
     /// generation whose engine stops it, and which then may not resume, would be lost.
+    ///
+    /// Without a copy the generation is recomputed, and leaves what is reserved for those with one.
     fn hold_retry(&mut self) -> bool {
-        if !self.has_retry && self.job.may_resume() {
-            self.has_retry = self.job.try_spend_retry(RetryKind::Resume);
+        let kind = match self.state.resume_from(self.job.cx.now(), true) {
+            Some(_) => RetryKind::Resume,
+            None => RetryKind::Recompute,
+        };
+        if !self.has_retry && self.job.may_retry(kind) {
+            self.has_retry = self.job.try_spend_retry(kind);
         }
+        self.awaits_retry &= !self.has_retry;
         self.has_retry
     }
 
--- a/crates/gateway/src/relay/resume.rs
+++ b/crates/gateway/src/relay/resume.rs
@@ -25,6 +25,10 @@
 /// and before the engine that stopped the generation is asked instead of the one that got the copy.
 const MAX_RESUME_RETRIES: usize = 2;
 
+/// How often a copy is asked for again after a server error: one that does not say that nothing ran may
+/// have used the copy.
+const MAX_RESUME_FAILURES: usize = 1;
+
 /// The interval at which the retry budget is checked.
 pub(super) const RETRY_BUDGET_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -55,14 +59,18 @@
     usage: Option<CopyUsageGuard<W>>,
     pending: Option<PendingMove<W>>,
     /// How often an engine was asked, or could not be.
-    asked: usize,
+    turns: usize,
+    /// The engine that was asked last.
+    last_asked: Option<EndpointKey>,
+    /// How often an engine failed, so that it may have used the copy.
+    failures: usize,
 }
 
 impl<W: Wire, E: EngineCalls> HeldCopy<W, E> {
     /// Returns the engine that is asked next.
     fn place(&self) -> &Placement {
-        match self.asked > MAX_RESUME_RETRIES {
-            true => &self.places[self.asked % self.places.len()],
+        match self.turns > MAX_RESUME_RETRIES {
+            true => &self.places[self.turns % self.places.len()],
             false => &self.places[0],
         }
     }
@@ -151,7 +159,6 @@
         &mut self,
         place: &mut Option<(Placement, UsageGuard<W>)>,
     ) -> Option<AttemptStart> {
-        self.drop_unusable_pre_copy();
         let mut copies = self.standby_source().into_iter().collect::<VecDeque<_>>();
         let mut pauses = ResumePauses::new(self.tolerated_gap());
         let mut last = None;
@@ -161,18 +168,22 @@
             let Some(mut copy) = copies.pop_front() else {
                 break;
             };
-            if copy.asked > MAX_RESUME_RETRIES && self.may_run_again() {
+            if copy.turns > MAX_RESUME_RETRIES && self.may_run_again() {
                 match self.recompute(place.take()).await {
-                    Some(start) => return Some(start),
-                    None if self.tx.is_closed() => break,
+                    Some(start @ AttemptStart::Stream { .. }) => return Some(start),
+                    Some(start) if self.may_run_here => return Some(start),
+                    Some(start) => last = Some(start),
                     None => {}
                 }
             }
-            if copy.asked > 0 && !self.pause_resumption(pauses.advance()).await {
+            if copy.turns > 0 && !self.pause_resumption(pauses.advance()).await {
+                break;
+            }
+            if self.tx.is_closed() {
                 break;
             }
             if !self.may_resume_at(copy.place().key) {
-                copy.asked += 1;
+                copy.turns += 1;
                 copies.push_back(copy);
                 continue;
             }
@@ -187,7 +198,8 @@
                 ) => return Some(start),
                 _ if self.tx.is_closed() => break,
                 _ if self.has_taken_nothing(&start) => {
-                    if copy.is_known() {
+                    copy.failures += usize::from(matches!(start, AttemptStart::FinalResponse(_)));
+                    if copy.is_known() && copy.failures <= MAX_RESUME_FAILURES {
                         copies.push_back(copy);
                     }
                 }
@@ -209,15 +221,17 @@
         let may_exist = self.state.standby_may_exist(now);
         let is_known = self.state.standby_is_assumed(now);
         let StandbyCopy { place, usage } = self.standby.take()?;
-        let is_usable = may_exist && self.may_resume_at(place.key);
-        is_usable.then(|| HeldCopy {
+        let may_resume = self.job.cx.state().may_resume_later_at(now, place.key);
+        (may_exist && may_resume).then(|| HeldCopy {
             kind: CopyKind::Standby { is_known },
             holder: place.address,
             places: vec![place],
             handle: None,
             usage: Some(usage),
             pending: None,
-            asked: 0,
+            turns: 0,
+            last_asked: None,
+            failures: 0,
         })
     }
 
@@ -244,7 +258,9 @@
                 handle: Some(handle),
                 usage: Some(usage),
                 pending: Some(pending),
-                asked: 0,
+                turns: 0,
+                last_asked: None,
+                failures: 0,
             });
         }
         if let Some(KeptRun { place, handle }) = self.kept.take() {
@@ -255,7 +271,9 @@
                 handle: Some(handle),
                 usage: None,
                 pending: None,
-                asked: 0,
+                turns: 0,
+                last_asked: None,
+                failures: 0,
             });
         }
     }
@@ -266,17 +284,23 @@
         let attempt = self.job.name().to_owned();
         let handle = copy.handle.as_ref().map(|it| it.text().to_owned());
         let handle = handle.unwrap_or(attempt);
-        copy.asked += 1;
-        if copy.asked > 1 && self.engine.key == place.key {
-            self.log_repeated_resume(copy.asked);
+        copy.turns += 1;
+        // Retries that are kept for this generation must not delay it.
+        copy.pending = None;
+        let last_asked = copy.last_asked.replace(place.key);
+        if last_asked == Some(place.key) && self.engine.key == place.key {
+            self.log_repeated_resume(copy.turns);
             return self.resume_again(copy.holder, &handle).await;
         }
+        let kind = match last_asked {
+            Some(_) => RetryKind::ResumeAgain,
+            None => RetryKind::Resume,
+        };
         self.log_resumption(copy.kind_at(&place), &place);
         let usage = copy.usage.take();
         let usage = usage.unwrap_or_else(|| self.job.count_copy(&place, self.reserved_tokens));
-        let start = self.resume_at(place, copy.holder, &handle, usage).await;
-        copy.pending = None;
-        start
+        self.resume_at(place, (copy.holder, &handle), usage, kind)
+            .await
     }
 
     /// Asks the current engine, which did not resume the generation, once more.
@@ -327,7 +351,7 @@
         match start {
             AttemptStart::NotRun { .. } => true,
             AttemptStart::FinalResponse(response) => response.status.is_server_error(),
-            AttemptStart::Failed(Reason::ResponseLost) => !self.may_run_here,
+            AttemptStart::Failed(Reason::ResponseLost | Reason::NoRunLease) => !self.may_run_here,
             _ => false,
         }
     }
@@ -416,14 +440,14 @@
     async fn resume_at(
         &mut self,
         target: Placement,
-        holder: SocketAddrV4,
-        handle: &str,
+        (holder, handle): (SocketAddrV4, &str),
         copy_usage: CopyUsageGuard<W>,
+        kind: RetryKind,
     ) -> AttemptStart {
         if self.may_run_here {
             return AttemptStart::Failed(Reason::NotStopped);
         }
-        if !self.wait_for_retry_budget(RetryKind::Resume).await {
+        if !self.wait_for_retry_budget(kind).await {
             return self.retry_denied();
         }
         self.on_left();
