An engine that may not be asked to resume a generation takes no turn of its copy

Callers lost streams in the middle (LOST).

Cause: a copy is at the engine that got it, and at the one that stopped the generation. They are asked in turn after the third request, with a pause before each turn. An engine that has been leaving for a second, or whose data centre is cordoned, was not asked, but its turn cost a pause: the generation was asked for half as often as it could be, and the time its caller waits ran out.

Change: the next engine is chosen among those that may be asked. A copy takes a turn without a request only if none may be.

--- a/crates/gateway/src/relay/resume.rs
+++ b/crates/gateway/src/relay/resume.rs
@@ -67,12 +67,15 @@
 }
 
 impl<W: Wire, E: EngineCalls> HeldCopy<W, E> {
-    /// Returns the engine that is asked next.
-    fn place(&self) -> &Placement {
-        match self.turns > MAX_RESUME_RETRIES {
-            true => &self.places[self.turns % self.places.len()],
-            false => &self.places[0],
-        }
+    /// Returns the engine that is asked next, `None` if none may be asked now. An engine that may not be
+    /// asked takes no turn.
+    fn next_place(&self, relay: &Relay<W, E>) -> Option<&Placement> {
+        let count = match self.turns > MAX_RESUME_RETRIES {
+            true => self.places.len(),
+            false => 1,
+        };
+        let turns = (0..count).map(|it| &self.places[(self.turns + it) % count]);
+        turns.into_iter().find(|it| relay.may_resume_at(it.key))
     }
 
     fn kind_at(&self, place: &Placement) -> CopyKind {
@@ -182,12 +185,12 @@
             if self.tx.is_closed() {
                 break;
             }
-            if !self.may_resume_at(copy.place().key) {
+            let Some(place) = copy.next_place(self).cloned() else {
                 copy.turns += 1;
                 copies.push_back(copy);
                 continue;
-            }
-            let start = self.ask_to_resume(&mut copy).await;
+            };
+            let start = self.ask_to_resume(&mut copy, place).await;
             match &start {
                 AttemptStart::Stream { .. } => {
                     mark_used(copy, copies);
@@ -278,9 +281,8 @@
         }
     }
 
-    /// Asks an engine to resume from a copy.
-    async fn ask_to_resume(&mut self, copy: &mut HeldCopy<W, E>) -> AttemptStart {
-        let place = copy.place().clone();
+    /// Asks the engine at `place` to resume from a copy.
+    async fn ask_to_resume(&mut self, copy: &mut HeldCopy<W, E>, place: Placement) -> AttemptStart {
         let attempt = self.job.name().to_owned();
         let handle = copy.handle.as_ref().map(|it| it.text().to_owned());
         let handle = handle.unwrap_or(attempt);
