A generation is asked for until its caller leaves, not until it is assumed to leave

Callers lost streams in the middle (LOST): the instance aborted them ([894] body_failed) while they waited.

Cause: a generation that no engine resumes, or that waits for the retry budget, was given up once the gap had passed after which callers usually abandon a stream, in fact up to a tenth of it earlier, as a pause that would end later was not begun. That gap is an assumption of this process about its callers. It fits the incident: 7,841 ms of body where callers abandon a stream after 7.2 s without an event. The record does not show it.

Change: the caller's connection and the request's deadline end the wait. The pauses grow as before, so that a generation asks for at most some ten retries in the time that callers usually wait.

Ruled out: a longer assumed gap, which would be the same fault later.

Whether it is what the incident's caller saw is not known.

--- a/crates/gateway/src/relay/resume.rs
+++ b/crates/gateway/src/relay/resume.rs
@@ -155,8 +155,8 @@
     /// Resumes at another engine, at which there is a copy. The generation must have ended at the
     /// current one.
     ///
-    /// The engines that hold copies are asked in turn until one resumes the generation, or until its
-    /// caller would not wait any longer: a request that did not run has used up no copy. `place` has room
+    /// The engines that hold copies are asked in turn until one resumes the generation, its caller
+    /// leaves, or the deadline passes: a request that did not run has used up no copy. `place` has room
     /// to recompute the generation, which is done once each copy was asked for a few times.
     pub(super) async fn relocate(
         &mut self,
@@ -361,7 +361,7 @@
     /// Waits before an engine is asked again. Returns whether the caller still waits then.
     async fn pause_resumption(&self, pause: Duration) -> bool {
         let until = Instant::now() + pause;
-        if until >= self.resume_by() {
+        if until >= self.job.deadline {
             return false;
         }
         tokio::select! {
@@ -376,8 +376,9 @@
         tolerated_gap(entry.target, entry.gap_target)
     }
 
-    /// Returns when the caller abandons the stream if it gets no further event.
-    fn resume_by(&self) -> Instant {
+    /// Returns when the caller is expected to abandon the stream if it gets no further event. Nothing
+    /// ends then: only its connection shows whether it has.
+    fn expected_until(&self) -> Instant {
         let last = self.pace.last_event_at().unwrap_or(self.job.arrived);
         (last + self.tolerated_gap()).min(self.job.deadline)
     }
@@ -420,7 +421,9 @@
 
     fn log_repeated_resume(&self, asked: usize) {
         ByReason::Relocations.add("again");
-        let left = self.resume_by().saturating_duration_since(Instant::now());
+        let left = self
+            .expected_until()
+            .saturating_duration_since(Instant::now());
         log_event!(
             ResumeRepeated,
             attempt = self.job.name(),
@@ -564,8 +567,8 @@
     }
 
     /// Spends one retry of the fleet's budget, unless one is in hand. If none is available, waits for
-    /// one as long as the caller tolerates a pause: other retries leave what accrues meanwhile to
-    /// generations that resume.
+    /// one until the caller leaves or the deadline passes: other retries leave what accrues meanwhile
+    /// to generations that resume.
     async fn wait_for_retry_budget(&mut self, kind: RetryKind) -> bool {
         if core::mem::take(&mut self.has_retry) {
             return true;
@@ -573,9 +576,8 @@
         if !self.job.may_retry(kind) {
             self.log_retry_awaited();
         }
-        let ends = self.resume_by();
         while !self.job.may_retry(kind) {
-            if Instant::now() >= ends {
+            if self.job.remaining().is_zero() {
                 break;
             }
             tokio::select! {
