Conclude from own observations only that crashes were separate events

Callers saw 32 proper requests answered 400 (DENIED) after one fault that ended 20 engines: a part of many prompts was refused with three crashes, all of them within 13 ms.

Cause: the age in a crash record does not cover its transit, nor the time for which it was queued. An instance that received a record late took its crashes for later ones, and crashes of one event for separate events. Class: from a message that is late it is concluded that what it tells of happened late.

Change, without a change of the wire format: - The time derived from a record is an upper bound. Only an instance that saw a crash itself concludes that it was separate, half a second after the upper bound of the first one, and compares again when a record lowers that bound. The marker in the record tells others, as before. A crash under a run lease is separate at once, as before. - A crash that another instance saw as well counts at the earliest time that either knows; a success that arrives late does not lower the time of the first crash. - `Outbox` queues suspects, and their records are built when they are sent. - A crash beyond the eight that are kept begins a new round of the record. Before, an arrival renewed a full record if it looked a second newer, so that hops of that length made instances send it on without end.

Run: the suspects tests of the core and gateway_prompt_parts green; gateway_suspects green; clippy of core, gateway and platform clean.

Open, in the incident: an instance that is itself late sees crashes late; reports of limits and tolerated rejections have the same class; older instances still conclude from late records during a rolling update.

--- a/crates/core/src/gateway/gossip.rs
+++ b/crates/core/src/gateway/gossip.rs
@@ -255,7 +255,8 @@
     cordons: BTreeMap<String, QueuedItem<Cordon>>,
     limits: BTreeMap<EndpointKey, QueuedItem<EndpointKey>>,
     brittle: BTreeMap<EndpointKey, QueuedItem<EndpointKey>>,
-    crash_records: BTreeMap<Fingerprint, QueuedItem<CrashRecord>>,
+    /// How many endpoints each of these suspects crashed.
+    crash_records: BTreeMap<Fingerprint, QueuedItem<usize>>,
     /// The keys of [`Outbox::crash_records`], the newest last.
     crash_record_order: Vec<Fingerprint>,
     /// How many of [`Outbox::crash_records`] may be sent now: a token bucket.
@@ -289,17 +290,16 @@
         self.beacons.insert(beacon.origin, queued);
     }
 
-    /// Queues a crash record in a fleet of `instances`.
-    pub fn add_crash_record(&mut self, record: CrashRecord, instances: usize) {
-        self.crash_record_order
-            .retain(|it| *it != record.fingerprint);
+    /// Queues the record of a suspect that crashed so many endpoints, in a fleet of `instances`.
+    pub fn add_crash_record(&mut self, suspect: Fingerprint, crashes: usize, instances: usize) {
+        self.crash_record_order.retain(|it| *it != suspect);
         if self.crash_record_order.len() >= MAX_QUEUED_CRASH_RECORDS {
             let oldest = self.crash_record_order.remove(0);
             self.crash_records.remove(&oldest);
         }
-        self.crash_record_order.push(record.fingerprint);
-        let queued = QueuedItem::new(record.clone(), send_count(instances));
-        self.crash_records.insert(record.fingerprint, queued);
+        self.crash_record_order.push(suspect);
+        let queued = QueuedItem::new(crashes, send_count(instances));
+        self.crash_records.insert(suspect, queued);
     }
 
     /// Refills the allowance for crash records.
@@ -327,9 +327,9 @@
             members: take(&mut self.members, peers),
             leaving: take(&mut self.leaving, peers),
             beacons: take(&mut self.beacons, peers),
-            crash_records: self.take_crash_records(peers),
             cordons: take(&mut self.cordons, peers),
-            // These reports are built when they are sent, since each carries its age.
+            // These are built when they are sent, since each carries its age.
+            crash_records: Vec::new(),
             limits: Vec::new(),
         }
     }
@@ -356,26 +356,23 @@
         take(&mut self.limits, peers)
     }
 
-    /// Takes the records with the most crashes first, and of these the newest.
+    /// Returns the suspects whose records are to be sent now to `peers` peers: those with the most
+    /// crashes first, and of these the newest.
     ///
     /// In any other order, when many endpoints end for unrelated reasons, the one request that
     /// crashes the next of them waits behind all other records, and reaches other instances before
     /// its record does.
-    fn take_crash_records(&mut self, peers: u32) -> Vec<CrashRecord> {
+    pub fn take_crash_records(&mut self, peers: u32) -> Vec<Fingerprint> {
         let newest = self.crash_record_order.iter().rev();
         let mut keys: Vec<Fingerprint> = newest.copied().collect();
-        let ended = |it: &Fingerprint| {
-            self.crash_records
-                .get(it)
-                .map_or(0, |it| it.item.crashed.len())
-        };
-        keys.sort_by_key(|it| core::cmp::Reverse(ended(it)));
+        let crashes = |it: &Fingerprint| self.crash_records.get(it).map_or(0, |it| it.item);
+        keys.sort_by_key(|it| core::cmp::Reverse(crashes(it)));
         keys.truncate(self.crash_record_tokens as usize);
         self.crash_record_tokens -= keys.len() as f64;
-        let records = take_keys(&mut self.crash_records, &keys, peers);
+        take_keys(&mut self.crash_records, &keys, peers);
         let left = &self.crash_records;
         self.crash_record_order.retain(|it| left.contains_key(it));
-        records
+        keys
     }
 }
 
--- a/crates/core/src/gateway/state/prompt_parts.rs
+++ b/crates/core/src/gateway/state/prompt_parts.rs
@@ -98,7 +98,7 @@
                 false => ledger.record_crash(now, part, place.key),
             };
             if is_news {
-                self.gossip_crash_record(now, part);
+                self.gossip_crash_record(part);
                 suspected.push(part);
             }
         }
--- a/crates/core/src/gateway/state/suspects.rs
+++ b/crates/core/src/gateway/state/suspects.rs
@@ -55,7 +55,7 @@
     pub(super) fn clear_suspect(&mut self, now: Time, fingerprint: Fingerprint) -> bool {
         let is_news = self.suspects.ledger.clear(now, fingerprint);
         if is_news {
-            self.gossip_crash_record(now, fingerprint);
+            self.gossip_crash_record(fingerprint);
         }
         is_news
     }
@@ -107,24 +107,24 @@
             .ledger
             .record_crash(now, fingerprint, endpoint);
         if is_news {
-            self.gossip_crash_record(now, fingerprint);
+            self.gossip_crash_record(fingerprint);
         }
         is_news
     }
 
-    pub(super) fn gossip_crash_record(&mut self, now: Time, fingerprint: Fingerprint) {
+    pub(super) fn gossip_crash_record(&mut self, fingerprint: Fingerprint) {
         self.suspects.note_changed();
-        if let Some(record) = self.suspects.ledger.record(now, fingerprint) {
-            let instances = self.instances();
-            self.outbox.add_crash_record(record, instances);
-        }
+        let crashes = self.suspects.ledger.crash_count(fingerprint);
+        let instances = self.instances();
+        self.outbox
+            .add_crash_record(fingerprint, crashes, instances);
     }
 
     /// Merges the crash records of another instance.
     pub(super) fn on_crash_records(&mut self, now: Time, records: &[CrashRecord]) {
         for record in records {
             if self.suspects.ledger.on_record(now, record) {
-                self.gossip_crash_record(now, record.fingerprint);
+                self.gossip_crash_record(record.fingerprint);
                 self.clear_if_proven(now, record.fingerprint);
             }
         }
--- a/crates/core/src/suspects/ledger.rs
+++ b/crates/core/src/suspects/ledger.rs
@@ -7,6 +7,11 @@
 //! Records are kept for requests and for the parts that prompts share. A part of many prompts is in
 //! its first second at several endpoints at any moment, so that one event that ends them all, such
 //! as a power cut, would blame it: a part is refused only if its crashes were separate events.
+//!
+//! The age in a record does not cover its transit, so that the time which an instance derives from it
+//! is an upper bound: the crashes happened then or earlier. It may show that the first crash was
+//! earlier than known, never that another one was later. Only an instance that saw a crash itself
+//! concludes that it was a separate event, and tells the others with a marker in the record.
 
 use super::{PromptParts, SuspectRun};
 use crate::fingerprint::Fingerprint;
@@ -66,8 +71,8 @@
 /// events. Sets of endpoints are merged, so that all instances agree on it.
 const SEPARATE_CRASHES: EndpointKey = EndpointKey(u64::MAX);
 
-/// How much newer the last crash of a full record must be for the record to count as changed. Times
-/// of one crash differ between instances by what the messages about it took.
+/// How much later than the last crash of a full record another one must be seen to begin a new round.
+/// Several requests may have run at the endpoint that crashed.
 const MIN_RENEWAL: Duration = Duration::from_secs(1);
 
 /// How long a response must have been streaming for its request to count as successful, even if it
@@ -99,12 +104,14 @@
 pub struct CrashRecord {
     /// The request.
     pub fingerprint: Fingerprint,
-    /// How often the request succeeded after it had become a suspect.
+    /// How often the request succeeded after it had become a suspect, or crashed another endpoint
+    /// although its record was full.
     pub round: u32,
-    /// The endpoints that it crashed since then. A reserved key among those of a prompt part says that
+    /// The endpoints that it crashed since it last succeeded. A reserved key among those of a prompt part says that
     /// the crashes were separate events.
     pub crashed: Vec<EndpointKey>,
-    /// Milliseconds since the record last changed, as the sender knows it.
+    /// Milliseconds since the record last changed, as the sender knows it: all these crashes
+    /// happened no later. The transit of the record is not included.
     pub age_ms: u32,
 }
 
@@ -136,12 +143,24 @@
     crashed: BTreeSet<EndpointKey>,
     /// Whether the crashes are known to be separate events.
     is_separate: bool,
-    /// When the first of them happened.
+    /// When the first of them happened, or later.
     first: Time,
-    /// When the record last changed.
+    /// Of a prompt part, the crashes that this instance saw itself, and when they happened, or
+    /// later. Empty once the crashes are known to be separate.
+    seen: BTreeMap<EndpointKey, Time>,
+    /// When the record last changed; all crashes happened no later.
     changed: Time,
 }
 
+/// Who saw a crash.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Source {
+    /// This instance.
+    Own,
+    /// Another instance, whose record may have been in transit for any time.
+    Record,
+}
+
 impl Suspect {
     fn hash(&self, fingerprint: Fingerprint) -> u64 {
         let separate = u64::from(self.is_separate);
@@ -154,24 +173,44 @@
         ])
     }
 
-    /// Adds crashes of which the last happened at `changed`.
-    fn add(&mut self, fingerprint: Fingerprint, changed: Time, crashed: &[EndpointKey]) {
-        let was_empty = self.crashed.is_empty();
-        let room = MAX_CRASHES_KEPT.saturating_sub(self.crashed.len());
+    /// Adds crashes of which the last happened at `changed`, or earlier.
+    fn add(
+        &mut self,
+        fingerprint: Fingerprint,
+        changed: Time,
+        crashed: &[EndpointKey],
+        source: Source,
+    ) {
+        let endpoints = crashed.iter().copied();
+        let endpoints = endpoints.filter(|it| *it != SEPARATE_CRASHES);
         let known = self.crashed.clone();
-        let new = crashed.iter().filter(|it| **it != SEPARATE_CRASHES);
-        let new = new.filter(|it| !known.contains(it));
-        self.crashed.extend(new.take(room));
-        self.first = match was_empty {
-            true => changed,
-            false => self.first.min(changed),
-        };
-        if fingerprint.is_prompt_part() {
-            let last = self.changed.max(changed);
-            let is_later = last.since(self.first) >= SEPARATE_AFTER;
-            let has_grown = self.crashed.len() > known.len();
-            self.is_separate |= crashed.contains(&SEPARATE_CRASHES);
-            self.is_separate |= !was_empty && has_grown && is_later;
+        let new: Vec<EndpointKey> = endpoints.clone().filter(|it| !known.contains(it)).collect();
+        let room = MAX_CRASHES_KEPT.saturating_sub(known.len());
+        self.crashed.extend(new.iter().take(room));
+        if known.is_empty() {
+            self.first = changed;
+        } else if endpoints.clone().next().is_some() {
+            // A success, which names no endpoints, is no crash.
+            self.first = self.first.min(changed);
+        }
+        if self.crashed.len() > known.len() {
+            self.changed = self.changed.max(changed);
+        }
+        if fingerprint.is_prompt_part() && !self.is_separate {
+            for endpoint in endpoints {
+                if let Some(at) = self.seen.get_mut(&endpoint) {
+                    *at = (*at).min(changed);
+                }
+            }
+            if source == Source::Own {
+                self.seen.extend(new.iter().map(|it| (*it, changed)));
+            }
+            let mut seen = self.seen.values();
+            self.is_separate = crashed.contains(&SEPARATE_CRASHES)
+                || seen.any(|it| it.since(self.first) >= SEPARATE_AFTER);
+        }
+        if self.is_separate {
+            self.seen.clear();
         }
     }
 
@@ -327,7 +366,7 @@
         endpoint: EndpointKey,
     ) -> bool {
         let round = self.suspects.get(&fingerprint).map_or(0, |it| it.round);
-        self.merge(now, fingerprint, round, &[endpoint])
+        self.merge(now, fingerprint, round, &[endpoint], Source::Own)
     }
 
     /// Records that a request crashed an endpoint while it ran under the lease of a part of its
@@ -340,7 +379,8 @@
         endpoint: EndpointKey,
     ) -> bool {
         let round = self.suspects.get(&part).map_or(0, |it| it.round);
-        self.merge(now, part, round, &[endpoint, SEPARATE_CRASHES])
+        let crashed = [endpoint, SEPARATE_CRASHES];
+        self.merge(now, part, round, &crashed, Source::Own)
     }
 
     /// Records that a request succeeded; returns whether that changed its record.
@@ -349,7 +389,7 @@
         let Some(round) = known.filter(|it| !it.crashed.is_empty()).map(|it| it.round) else {
             return false;
         };
-        self.merge(now, fingerprint, round.saturating_add(1), &[])
+        self.merge(now, fingerprint, round.saturating_add(1), &[], Source::Own)
     }
 
     /// Merges a record of another instance; returns whether it changed anything.
@@ -360,7 +400,14 @@
             true => CLEARED_TTL,
             false => SUSPECT_TTL,
         };
-        age < ttl && self.merge(changed, record.fingerprint, record.round, &record.crashed)
+        age < ttl
+            && self.merge(
+                changed,
+                record.fingerprint,
+                record.round,
+                &record.crashed,
+                Source::Record,
+            )
     }
 
     fn merge(
@@ -369,6 +416,7 @@
         fingerprint: Fingerprint,
         round: u32,
         crashed: &[EndpointKey],
+        source: Source,
     ) -> bool {
         let mut suspect = match self.suspects.get(&fingerprint) {
             Some(known) if known.round > round => return false,
@@ -378,19 +426,30 @@
                 crashed: BTreeSet::new(),
                 is_separate: false,
                 first: changed,
+                seen: BTreeMap::new(),
                 changed,
             },
         };
         let before = self.suspects.get(&fingerprint);
         let before = before.map(|it| (it.round, it.crashed.len(), it.is_separate));
-        suspect.add(fingerprint, changed, crashed);
+        // A crash beyond those kept changes no set. A new round tells it to others; its time would not
+        // do, since each record that was in transit for long would look like a later crash, and
+        // instances would send the record to each other without end.
+        let is_full = suspect.crashed.len() >= MAX_CRASHES_KEPT;
+        let is_later = changed.since(suspect.changed) >= MIN_RENEWAL;
+        if source == Source::Own && is_full && is_later {
+            suspect.round = suspect.round.saturating_add(1);
+            suspect.changed = changed;
+        }
+        suspect.add(fingerprint, changed, crashed, source);
         let after = (suspect.round, suspect.crashed.len(), suspect.is_separate);
-        let is_renewed = suspect.crashed.len() >= MAX_CRASHES_KEPT
-            && changed.since(suspect.changed) >= MIN_RENEWAL;
-        if before == Some(after) && !is_renewed {
+        if before == Some(after) {
+            // The first crash may be known to be earlier, which is nothing to tell others.
+            if let Some(known) = self.suspects.get_mut(&fingerprint) {
+                *known = suspect;
+            }
             return false;
         }
-        suspect.changed = suspect.changed.max(changed);
         self.remove(fingerprint);
         if self.suspects.len() >= MAX_SUSPECTS {
             self.remove_least();
