Close callers' connections only after their callers have received the response (LOST)

Cause: a connection was closed as soon as its last response was handed to the system. If bytes of the caller were unread then, or still came, the system reset the connection and dropped what was not delivered.

Now the sending side is shut down and the caller's bytes are read and dropped until it closes its side, up to 1 MiB and for at most the head timeout of the catalogue (250 ms during a planned stop). A response that only the end of the connection ends and that is not whole is reset as before.

--- a/crates/gateway/src/front/activity.rs
+++ b/crates/gateway/src/front/activity.rs
@@ -146,6 +146,11 @@
         }
     }
 
+    /// Returns whether the connection is reset when it ends.
+    pub(super) fn must_reset(&self) -> bool {
+        self.state().must_reset
+    }
+
     /// Returns when the connection is checked next. The first byte of a head wakes nobody, so a
     /// stalled head is noticed at most half a timeout late.
     pub(super) fn next_check(&self, limits: CallerLimits) -> Instant {
@@ -310,7 +315,7 @@
 
 impl Drop for WatchedStream {
     fn drop(&mut self) {
-        if self.activity.state().must_reset
+        if self.activity.must_reset()
             && let Err(error) = self.stream.set_zero_linger()
         {
             log::debug!("cannot reset a caller connection: {error}");
--- a/crates/gateway/src/front/connection.rs
+++ b/crates/gateway/src/front/connection.rs
@@ -6,21 +6,24 @@
 use crate::meters::ByReason;
 use crate::ports::{EngineCalls, Wire};
 use core::convert::Infallible;
+use core::pin::Pin;
+use core::time::Duration;
 use http::{HeaderValue, Request, Version, header};
 use http_body::Body;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
-use hyper::service::service_fn;
+use hyper::service::{HttpService, service_fn};
 use hyper_util::rt::TokioIo;
 use oriolemux_core::gateway::catalogue::CallerLimits;
 use std::error::Error;
 use std::io;
 use std::sync::Arc;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::task::TaskTracker;
 
 /// The pause after a failed accept, for example when file descriptors run out.
-const ACCEPT_PAUSE: core::time::Duration = core::time::Duration::from_millis(20);
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
 /// Accepts connections until the task is aborted, which drops the listener.
 pub async fn serve<W: Wire, E: EngineCalls>(
@@ -47,6 +50,14 @@
     }
 }
 
+/// How many bytes of a caller are dropped before its connection is closed: several times the usual
+/// limit of a body, so that a caller that sends a body that is too large receives its refusal.
+const MAX_DROPPED_BYTES: usize = 1024 * 1024;
+
+/// For how long a connection lingers once a planned stop closes idle connections. The process waits
+/// for it, and callers that keep a connection until they use it again would delay each stop.
+const STOP_LINGER_TIMEOUT: Duration = Duration::from_millis(250);
+
 async fn serve_connection<W: Wire, E: EngineCalls>(cx: Arc<Cx<W>>, engines: E, stream: TcpStream) {
     let Some(_open) = cx.open_connection() else {
         ByReason::Shed.add("limit");
@@ -87,39 +98,90 @@
     });
     let mut builder = http1::Builder::new();
     builder.max_buf_size(max_head_bytes.max(MIN_BUFFER_BYTES));
-    let mut connection = core::pin::pin!(builder.serve_connection(io, service));
+    let mut connection = builder.serve_connection(io, service);
     let mut report = EndReport::new(Arc::clone(&activity));
+    let end = serve_requests(&cx, &activity, &mut connection).await;
+    report.set(end);
+    drop(report);
+    let stream = connection.into_parts().io.into_inner();
+    if end.is_by_instance() && !activity.must_reset() {
+        linger(&cx, stream).await;
+    }
+}
+
+/// Serves the requests of a connection until it ends; returns how it ends.
+async fn serve_requests<W, S, B>(
+    cx: &Cx<W>,
+    activity: &Activity,
+    connection: &mut http1::Connection<TokioIo<WatchedStream>, S>,
+) -> ConnectionEnd
+where
+    W: Wire,
+    S: HttpService<Incoming, ResBody = B>,
+    S::Error: Into<Box<dyn Error + Send + Sync>>,
+    B: Body + 'static,
+    B::Error: Into<Box<dyn Error + Send + Sync>>,
+{
+    let mut connection = Pin::new(connection);
     let mut closing = false;
     loop {
-        let check = activity.next_check(caller_limits(&cx));
+        let check = activity.next_check(caller_limits(cx));
         tokio::select! {
             ended = connection.as_mut() => {
                 if let Err(error) = &ended {
                     log::debug!("caller connection failed: {error}");
                 }
-                report.set(ended.map_or_else(ConnectionEnd::of, |()| ConnectionEnd::Closed));
-                return;
-            }
-            () = cx.aborting.cancelled() => {
-                report.set(ConnectionEnd::StopDeadline);
-                return;
+                return ended.map_or_else(ConnectionEnd::of, |()| ConnectionEnd::Closed);
             }
+            () = cx.aborting.cancelled() => return ConnectionEnd::StopDeadline,
             () = cx.closing.cancelled(), if !closing => {
                 closing = true;
                 connection.as_mut().graceful_shutdown();
             }
-            () = tokio::time::sleep_until(check.into()) => match activity.verdict(caller_limits(&cx)) {
+            () = tokio::time::sleep_until(check.into()) => match activity.verdict(caller_limits(cx)) {
                 Verdict::Keep => {}
                 Verdict::Idle => connection.as_mut().graceful_shutdown(),
-                Verdict::SlowHead => {
-                    report.set(ConnectionEnd::SlowHead);
-                    return;
-                }
+                Verdict::SlowHead => return ConnectionEnd::SlowHead,
             }
         }
     }
 }
 
+/// Closes a connection after its caller has received what was written to it.
+///
+/// A connection that is closed while bytes of the caller are unread, or to which the caller still
+/// sends, is reset by the system, which drops the part of the response that is not delivered. So the
+/// caller's bytes are read and dropped until it has closed its side.
+async fn linger<W: Wire>(cx: &Cx<W>, mut stream: WatchedStream) {
+    // Fails only on a connection that has ended.
+    let _ = stream.shutdown().await;
+    let limit = caller_limits(cx).head_timeout;
+    tokio::select! {
+        // What has arrived is read in any case.
+        biased;
+        () = drop_bytes(&mut stream) => {}
+        () = tokio::time::sleep(limit) => {}
+        () = async {
+            cx.closing.cancelled().await;
+            tokio::time::sleep(STOP_LINGER_TIMEOUT).await;
+        } => {}
+        () = cx.aborting.cancelled() => {}
+    }
+}
+
+/// Reads until the end of a connection, or until too much has arrived.
+async fn drop_bytes(stream: &mut WatchedStream) {
+    // On the heap, since each connection would have room for it otherwise.
+    let mut buf = vec![0; 4 * 1024];
+    let mut dropped = 0;
+    while dropped < MAX_DROPPED_BYTES {
+        match stream.read(&mut buf).await {
+            Ok(0) | Err(_) => return,
+            Ok(length) => dropped += length,
+        }
+    }
+}
+
 fn caller_limits<W: Wire>(cx: &Cx<W>) -> CallerLimits {
     let state = cx.state();
     state.catalogue().map(|it| it.limits()).unwrap_or_default()
