Line breaks after a body begin no request head (LOST)

Cause: a line break that a caller sends after a body counted as the first byte of the next head when it arrived after the response had begun. The connection was closed as a slow head after the head timeout, where the idle timeout applies, and the request that the caller sent then was lost.

--- a/crates/gateway/src/front/activity.rs
+++ b/crates/gateway/src/front/activity.rs
@@ -80,7 +80,11 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn on_bytes(&self) {
+    fn on_bytes(&self, bytes: &[u8]) {
+        // Line breaks before a head are ignored. Some callers send one after a body.
+        if bytes.iter().all(|it| matches!(it, b'\r' | b'\n')) {
+            return;
+        }
         let mut state = self.state();
         if let Some(last) = state.unwritten.last() {
             // Until the response begins, they are the body of its request.
@@ -331,8 +335,9 @@
     ) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
         let read = Pin::new(&mut self.stream).poll_read(cx, buf);
-        if buf.filled().len() > before {
-            self.activity.on_bytes();
+        let bytes = &buf.filled()[before..];
+        if !bytes.is_empty() {
+            self.activity.on_bytes(bytes);
         }
         read
     }
