--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -14,6 +14,7 @@
 use crate::proxy;
 use crate::proxy::client::ProxyOutcome;
 use crate::response::{Reason, ResponseBody};
+use crate::signature::is_unsigned;
 use core::time::Duration;
 use http::Response;
 use oriolemux_core::gateway::budget::RetryKind;
@@ -49,6 +50,8 @@
     },
     /// The response belonged to another request; the call may have run.
     WrongAttempt,
+    /// The response was a success without the endpoint's signature; the call may have run.
+    Unsigned,
     /// The attempt timed out.
     Timeout,
     /// The call was refused during the attempt because it crashed too many endpoints.
@@ -119,6 +122,7 @@
             AttemptOutcome::Withdrawn => "withdrawn",
             AttemptOutcome::Lost { .. } => "lost",
             AttemptOutcome::WrongAttempt => "foreign",
+            AttemptOutcome::Unsigned => "unsigned",
             AttemptOutcome::Timeout => "timeout",
             AttemptOutcome::Refused => "refused",
         }
@@ -195,6 +199,10 @@
         if head.not_run {
             return AttemptOutcome::NotRun;
         }
+        if parts.status.is_success() && !head.is_signed {
+            job.log_unsigned(&place.name, parts.status);
+            return AttemptOutcome::Unsigned;
+        }
         match buffered::collect(&job.cx, body).await {
             Ok(body) => AttemptOutcome::Response(BufferedResponse {
                 status: parts.status,
@@ -223,11 +231,19 @@
         };
         let reason = match outcome {
             ProxyOutcome::Response(response) => {
-                if let Some(response) = proxy::client::whole(response, job.deadline).await {
-                    Histogram::Call.record(job.arrived.elapsed());
-                    return Some(response);
+                match proxy::client::whole(response, job.deadline).await {
+                    Some(response)
+                        if is_unsigned(&job.cx.wire, response.status(), response.headers()) =>
+                    {
+                        job.log_unsigned("-", response.status());
+                        Reason::Unsigned
+                    }
+                    Some(response) => {
+                        Histogram::Call.record(job.arrived.elapsed());
+                        return Some(response);
+                    }
+                    None => Reason::ResponseLost,
                 }
-                Reason::ResponseLost
             }
             ProxyOutcome::NotServed => {
                 return Some(self.refuse_unadmitted(Reason::NoConnection));
@@ -265,7 +281,9 @@
                     .on_connection_broken(place, *response_started)
                     .await;
             }
-            AttemptOutcome::WrongAttempt => self.job.record_failure(place),
+            AttemptOutcome::WrongAttempt | AttemptOutcome::Unsigned => {
+                self.job.record_failure(place);
+            }
             AttemptOutcome::Timeout => {
                 if self.job.cx.is_evidence("call", self.began) {
                     self.job.record_failure(place);
@@ -300,6 +318,7 @@
             AttemptOutcome::Response(_)
             | AttemptOutcome::Lost { .. }
             | AttemptOutcome::WrongAttempt
+            | AttemptOutcome::Unsigned
             | AttemptOutcome::Timeout => self.attempts.may_run_again(job.entry()),
         };
         may_retry && job.try_spend_retry(RetryKind::Retry)
@@ -358,6 +377,7 @@
             AttemptOutcome::Withdrawn => Reason::NoEndpoint,
             AttemptOutcome::Lost { .. } => Reason::ResponseLost,
             AttemptOutcome::WrongAttempt => Reason::WrongAttempt,
+            AttemptOutcome::Unsigned => Reason::Unsigned,
             AttemptOutcome::Timeout => Reason::Timeout,
             AttemptOutcome::Refused => self.job.log_refusal(),
         };
--- a/crates/gateway/src/event_log.rs
+++ b/crates/gateway/src/event_log.rs
@@ -301,6 +301,10 @@
     /// A generation waits for the retry budget before it resumes at another engine: its engine has ended
     /// it, or is silent and may still produce events.
     RetryAwaited = 896, "retry_awaited", Info, FAILURES;
+    /// A success bore no signature of its endpoint. The caller does not get it; it gets 502, unless the
+    /// request may run again. The endpoint is `-` if it is not known: the request went through a peer, or
+    /// it is a generation, for which the event of its start names the engine.
+    ResponseUnsigned = 905, "response_unsigned", Warn, FAILURES;
 }
 
 /// The lines of one event in the current second.
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -14,9 +14,10 @@
 use crate::ports::{CallerHead, ForwardHead, LastEventId, ResponseHead, Wire};
 use crate::response::{Reason, ResponseBody, refuse_until, retry_after, retry_after_backoff};
 use crate::run_lease::RunGuard;
+use crate::signature::UnsignedResponse;
 use bytes::Bytes;
 use core::time::Duration;
-use http::{HeaderMap, Method, Request, Response, Uri, header};
+use http::{HeaderMap, Method, Request, Response, StatusCode, Uri, header};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use oriolemux_core::fingerprint::Fingerprint;
@@ -247,6 +248,18 @@
         )
     }
 
+    /// Logs a success without the signature of `endpoint`.
+    pub fn log_unsigned(&self, endpoint: &str, status: StatusCode) {
+        let response = UnsignedResponse {
+            attempt: self.name(),
+            entry: &self.entry().name,
+            endpoint,
+            status,
+            arrived: self.arrived,
+        };
+        response.log();
+    }
+
     /// Returns the gateway's own error response to a request for which there is room after `wait`.
     pub fn refuse_until_room(&self, reason: Reason, wait: Duration) -> Response<ResponseBody> {
         ByReason::Refused.add(&reason.to_string());
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,6 +15,7 @@
 //!   [`observe`] applies what it says about the endpoint.
 //! - [`connect`] notices connection attempts that are given up.
 //! - [`mod@probe`] checks whether an endpoint crashed when a connection to it broke.
+//! - [`signature`] keeps successes that their endpoints did not sign from callers.
 //! - [`run_lease`] delays or refuses requests that crashed endpoints.
 //! - [`proxy`] serves requests through a peer while no endpoint is reached.
 //! - [`own_delay`] measures whether this process is late.
@@ -51,6 +52,7 @@
 pub mod response;
 pub mod run;
 pub mod run_lease;
+pub mod signature;
 pub mod sse;
 pub mod status;
 pub mod store;
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -124,6 +124,8 @@
     pub wrong_endpoint: bool,
     /// The response echoes the id of another attempt.
     pub wrong_attempt: bool,
+    /// The response bears the endpoint's signature.
+    pub is_signed: bool,
     /// The load that the endpoint reports.
     pub load: Option<ReportedLoad>,
     /// For how long the endpoint will still be cold, as it reports.
--- a/crates/gateway/src/response.rs
+++ b/crates/gateway/src/response.rs
@@ -73,6 +73,8 @@
     ResponseLost,
     /// answer_foreign
     WrongAttempt,
+    /// answer_unsigned
+    Unsigned,
     /// timeout
     Timeout,
     /// budget_spent
@@ -121,6 +123,7 @@
             | Reason::Stopping => StatusCode::SERVICE_UNAVAILABLE,
             Reason::ResponseLost
             | Reason::WrongAttempt
+            | Reason::Unsigned
             | Reason::BudgetSpent
             | Reason::NotStopped
             | Reason::RelayFailed => StatusCode::BAD_GATEWAY,
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -14,6 +14,7 @@
 use crate::proxy::client::ProxyOutcome;
 use crate::relay::{Relay, StartOutcome};
 use crate::response::{Reason, ResponseBody, StreamAborted, refuse};
+use crate::signature::{UnsignedResponse, is_unsigned};
 use bytes::Bytes;
 use core::pin::Pin;
 use core::task::{Context, Poll};
@@ -26,6 +27,7 @@
 use oriolemux_core::gateway::request::PlacementKind;
 use oriolemux_core::gateway::state::Placement;
 use oriolemux_core::ids::EndpointKey;
+use std::sync::Arc;
 use std::time::Instant;
 use tokio::sync::mpsc;
 
@@ -117,6 +119,14 @@
         Origin::Peer(_) => ProxyOutcome::NotServed,
     };
     let reason = match outcome {
+        ProxyOutcome::Response(response)
+            if is_unsigned(&job.cx.wire, response.status(), response.headers()) =>
+        {
+            job.log_unsigned("-", response.status());
+            attempts.record_run_at_proxy();
+            // A stream must not run twice because of it.
+            return Some(job.refuse(Reason::Unsigned));
+        }
         ProxyOutcome::Response(response) => return Some(response),
         ProxyOutcome::NotServed => {
             return Some(refuse_generation(job, attempts, Reason::NoConnection));
@@ -165,9 +175,26 @@
 ) -> GenerationStart<W> {
     let (tx, rx) = mpsc::channel(STREAM_BUFFER_CHUNKS);
     let (attempt, deadline) = (job.name().to_owned(), job.deadline);
+    let (cx, entry, arrived) = (Arc::clone(&job.cx), job.entry().name.clone(), job.arrived);
     let relay = Relay::new(job, engines, attempts, chosen, length, tx);
     let started = relay.spawn();
     match started.await {
+        Ok(StartOutcome::Streaming { status, headers })
+            if is_unsigned(&cx.wire, status, &headers) =>
+        {
+            let response = UnsignedResponse {
+                attempt: &attempt,
+                entry: &entry,
+                endpoint: "-",
+                status,
+                arrived,
+            };
+            response.log();
+            ByReason::Refused.add(&Reason::Unsigned.to_string());
+            let remaining = deadline.saturating_duration_since(Instant::now());
+            // The channel of the relay closes, which cancels the request at the engine.
+            GenerationStart::Ended(refuse(Reason::Unsigned, remaining))
+        }
         Ok(StartOutcome::Streaming { status, headers }) => {
             GenerationStart::Ended(streamed(status, headers, rx))
         }
