A relay that a panic ends has a line and a counter that name its request

Cause: a panic in a relay leaves no [810], and after the first event only [894] body_failed of its connection, which reads as a stream that was aborted on purpose. Before the first event there was a line without a number.

[906] relay_failed names attempt and entry; oriolemux_gateway_generations_total counts relay_failed in both cases. The refusal before the first event now counts under refusals too.

--- a/crates/gateway/src/event_log.rs
+++ b/crates/gateway/src/event_log.rs
@@ -305,6 +305,9 @@
     /// request may run again. The endpoint is `-` if it is not known: the request went through a peer, or
     /// it is a generation, for which the event of its start names the engine.
     ResponseUnsigned = 905, "response_unsigned", Warn, FAILURES;
+    /// A bug ended the relay of a generation, which has no event of its end: its caller got 502, or its
+    /// stream was aborted. The process goes on.
+    RelayFailed = 906, "relay_failed", Error, FAILURES;
 }
 
 /// The lines of one event in the current second.
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -204,6 +204,11 @@
         let (started, rx) = oneshot::channel();
         tokio::spawn(async move {
             let _open = self.job.cx.count(OpenKind::Generation);
+            let _report = PanicReport {
+                attempt: self.job.name().to_owned(),
+                entry: self.job.entry().name.clone(),
+                arrived: self.job.arrived,
+            };
             self.run(started).await;
         });
         rx
@@ -677,3 +682,27 @@
         );
     }
 }
+
+/// Logs and counts a relay that a panic ends, which has no [`GenerationEnded`] line.
+///
+/// [`GenerationEnded`]: crate::event_log::GatewayEvent::GenerationEnded
+struct PanicReport {
+    attempt: String,
+    entry: String,
+    arrived: Instant,
+}
+
+impl Drop for PanicReport {
+    fn drop(&mut self) {
+        if !std::thread::panicking() {
+            return;
+        }
+        ByReason::Generations.add(&Reason::RelayFailed.to_string());
+        log_event!(
+            RelayFailed,
+            attempt = self.attempt.as_str(),
+            entry = self.entry.as_str(),
+            ms = millis(self.arrived.elapsed())
+        );
+    }
+}
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -217,10 +217,9 @@
             attempts,
             reached_engine,
         },
-        // Only a bug ends a relay without a result.
+        // Only a bug ends a relay without a result. The relay logs and counts it.
         Err(_) => {
-            log::error!("the relay of generation {attempt} ended without a result");
-            ByReason::Generations.add(&Reason::RelayFailed.to_string());
+            ByReason::Refused.add(&Reason::RelayFailed.to_string());
             let remaining = deadline.saturating_duration_since(Instant::now());
             GenerationStart::Ended(refuse(Reason::RelayFailed, remaining))
         }
