A head that begins in one read with the request before it has the head timeout

Cause: the HTTP server reads it together with that request, and bytes that arrive before the response begins count as its body. So a caller that stalled in that head occupied its connection until the idle timeout.

A request without a body, or with one in chunks, ends with a blank line. If other bytes were the last to arrive when its response begins, they begin the next head, whose time runs from the end of the response. After a body with a stated length that cannot be told, and only the idle timeout applies, as before.

--- a/crates/gateway/src/front/activity.rs
+++ b/crates/gateway/src/front/activity.rs
@@ -18,6 +18,9 @@
 /// The minimum time between two checks of a connection, whatever its timeouts are.
 const MIN_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 
+/// How many of the last bytes show whether a blank line was the last that arrived.
+const TAIL_BYTES: usize = 3;
+
 /// What a connection is doing.
 #[derive(Debug)]
 pub(super) struct Activity {
@@ -31,8 +34,10 @@
     /// When the first byte of an incomplete request head arrived, or the response before it was fully
     /// written, whichever was later.
     head_since: Option<Instant>,
-    /// Whether bytes arrived while the last response was being written.
+    /// Whether bytes of a next request arrived before the last response was fully written.
     has_pipelined_bytes: bool,
+    /// The last bytes that arrived.
+    tail: [u8; TAIL_BYTES],
     /// The requests whose responses are not fully written, in their order. There are several if the
     /// caller pipelines requests and reads slowly.
     unwritten: Vec<UnwrittenResponse>,
@@ -69,6 +74,7 @@
                 idle_since: Instant::now(),
                 head_since: None,
                 has_pipelined_bytes: false,
+                tail: [0; TAIL_BYTES],
                 unwritten: Vec::new(),
                 requests: 0,
                 must_reset: false,
@@ -81,6 +87,7 @@
     }
 
     fn on_bytes(&self, bytes: &[u8]) {
+        self.state().append_to_tail(bytes);
         // Line breaks before a head are ignored. Some callers send one after a body.
         if bytes.iter().all(|it| matches!(it, b'\r' | b'\n')) {
             return;
@@ -129,10 +136,15 @@
         request
     }
 
-    /// Records that the head of the response is ready.
-    pub(super) fn on_response_head(&self, request: u64) {
+    /// Records that the head of the response is ready. A request whose body has no stated length ends
+    /// with a blank line: other bytes after it are the head of the next one.
+    pub(super) fn on_response_head(&self, request: u64, ends_with_blank_line: bool) {
         let now = Instant::now();
-        if let Some(response) = self.state().unwritten_of(request) {
+        let mut state = self.state();
+        if ends_with_blank_line && !state.has_blank_line_at_end() {
+            state.has_pipelined_bytes = true;
+        }
+        if let Some(response) = state.unwritten_of(request) {
             response.head_ready = Some(now);
         }
     }
@@ -187,6 +199,17 @@
         !self.unwritten.is_empty()
     }
 
+    fn append_to_tail(&mut self, bytes: &[u8]) {
+        let kept = bytes.len().min(TAIL_BYTES);
+        self.tail.rotate_left(kept);
+        self.tail[TAIL_BYTES - kept..].copy_from_slice(&bytes[bytes.len() - kept..]);
+    }
+
+    /// Returns whether a blank line, or the begin of one more line break, was the last that arrived.
+    fn has_blank_line_at_end(&self) -> bool {
+        matches!(self.tail, [_, b'\n', b'\n' | b'\r'] | [b'\n', b'\r', b'\n'])
+    }
+
     fn unwritten_of(&mut self, request: u64) -> Option<&mut UnwrittenResponse> {
         self.unwritten.iter_mut().find(|it| it.request == request)
     }
--- a/crates/gateway/src/front/connection.rs
+++ b/crates/gateway/src/front/connection.rs
@@ -75,13 +75,14 @@
     let service = service_fn(|req: Request<Incoming>| {
         let head = cx.wire.caller_head(req.headers());
         let request = activity.begin_request(head.attempt.clone());
+        let has_stated_length = req.body().size_hint().exact().is_some_and(|it| it > 0);
         let has_chunks = req.version() != Version::HTTP_10;
         let response = handle(Arc::clone(&cx), engines.clone(), head, req);
         let (activity, cx) = (Arc::clone(&activity), Arc::clone(&cx));
         async move {
             let open = cx.count(OpenKind::Request);
             let mut response = response.await;
-            activity.on_response_head(request);
+            activity.on_response_head(request, !has_stated_length);
             if !has_chunks && response.body().size_hint().exact().is_none() {
                 activity.on_unframed(request);
             }
