An odd item of the store costs no other item

Cause: a response of the store was parsed as a whole. One item with a value that is a number, an array, an object or null, a revision past 64 bits, a fraction, `1e999`, a missing key or a lone surrogate in it made the whole page or watch `NoAnswer`, with [812]: an instance that started beside it never got ready, and one that ran followed nothing more. A value that is not base64 was left out, so that a full read took its key for removed. An item without a value was a removal, though nothing says so.

Key and revision are kept as far as they can be read; a record whose value cannot be read is passed on with an empty value, which counts as one that cannot be decoded ([814]) and as present in a full read. [900] names the item, its key and the reason, at most 8 of a response.

A full read with an item whose key cannot be read removes nothing and lifts no cordon: any record that it lacks may be that item. Such a replica also does not state to peers that its records are all, except to one that has none. The doc comment of `finish_read_with_unreadable_key` gives the reason.

Only a body whose outer form cannot be read is a failed call, with a variant of its own (`Unreadable`, [901] instead of [812]). The store answered, so that it does not count as away: serving continues with the known records, and everything is read again after a pause that grows over reads and watches in turn.

Messages between instances are unchanged. What an instance keeps grows by nothing but such records; unreadable items without a key are counted and not kept.

Ruled out: concluding that only keys between the neighbours of the unreadable item may be it. It removes more, but rests on the order of keys within a page, which an odd item need not keep.

--- a/crates/core/src/gateway/reader.rs
+++ b/crates/core/src/gateway/reader.rs
@@ -97,6 +97,8 @@
     OutdatedEpoch,
     /// The response exceeds the size limit.
     TooLarge,
+    /// The store answered, but its response is not of the agreed form.
+    Unreadable,
 }
 
 /// The epoch that an answer of the store states.
@@ -168,6 +170,8 @@
     epoch: Epoch,
     /// Watches in a row that were refused because their history is gone.
     history_gone: u32,
+    /// Responses that could not be read since a watch was last answered.
+    unreadable: u32,
 }
 
 impl StoreReader {
@@ -185,6 +189,7 @@
             last_watch_answer: None,
             epoch: Epoch::UNSTATED,
             history_gone: 0,
+            unreadable: 0,
         }
     }
 
@@ -290,6 +295,7 @@
     /// Records that a watch was answered; returns whether the store was unavailable before.
     pub fn on_answer(&mut self, now: Time) -> bool {
         self.history_gone = 0;
+        self.unreadable = 0;
         self.last_watch_answer = Some(now);
         self.answered(now)
     }
@@ -347,8 +353,19 @@
             // that history.
             self.needs_read = true;
         }
+        let mut failures = self.failures;
+        if failure == CallFailure::Unreadable {
+            // The same watch would be answered with the same history, which a read does not hold. If
+            // reads succeed and the watches after them do not, the pauses must grow all the same.
+            self.needs_read = true;
+            failures = failures.max(self.unreadable);
+            self.unreadable = self.unreadable.saturating_add(1);
+            // A store that answers lets endpoints write their records, which therefore do not expire
+            // as they do in an outage.
+            self.heard_at = self.heard_at.max(Some(now));
+        }
         let was_available = self.failures == 0;
-        self.pause_until = now + backoff(self.failures, draw);
+        self.pause_until = now + backoff(failures, draw);
         self.failures = self.failures.saturating_add(1);
         was_available
     }
--- a/crates/core/src/gateway/replica.rs
+++ b/crates/core/src/gateway/replica.rs
@@ -123,6 +123,9 @@
     /// The last revision that was known of the epoch before that of `revision`. The changes from
     /// any revision up to it are known; later ones of that epoch may be lost in the store's copy.
     last_of_previous_epoch: Option<Revision>,
+    /// Whether the last full read held an item whose key could not be read, so that a record may be
+    /// missing here that exists.
+    may_lack_record: bool,
 }
 
 impl Replica {
@@ -160,10 +163,15 @@
 
     /// Returns what a peer needs that is complete up to `after`: the changes since then if this
     /// replica saw all of them, and otherwise all records.
+    ///
+    /// If this replica may lack a record that exists, all records do not count as such: the peer would
+    /// remove what it knows of that one. A peer that knows nothing has nothing to remove, and needs them
+    /// to become ready.
     pub fn delta_since(&self, after: Revision) -> StoreDelta {
+        let may_remove_existing = self.may_lack_record && after > Revision::ZERO;
         StoreDelta {
             revision: self.revision,
-            is_full: self.may_have_missed_since(after),
+            is_full: self.may_have_missed_since(after) && !may_remove_existing,
             records: self.changed_since(after).cloned().collect(),
             catalogue: None,
         }
@@ -267,6 +275,23 @@
     /// What changed since the last known revision shows in the read, so that a replica that was
     /// complete before still has all changes since then.
     pub fn finish_full_read(&mut self, began: Revision) {
+        self.may_lack_record = false;
+        self.complete_read(began);
+    }
+
+    /// Records that the store was read in full, beginning at revision `began`, and held an item whose
+    /// key could not be read.
+    ///
+    /// Any record that the read lacks may be that item, and which one is unknown. A removal that is
+    /// concluded wrongly takes a working endpoint out of use and moves what runs there, or lifts a
+    /// cordon; one that is missed keeps a record until a later full read, and an endpoint that is gone
+    /// is ejected as soon as it cannot be reached. So nothing is removed.
+    pub fn finish_read_with_unreadable_key(&mut self, began: Revision) {
+        self.may_lack_record = true;
+        self.complete_read(began);
+    }
+
+    fn complete_read(&mut self, began: Revision) {
         if !self.is_complete() {
             self.complete_since = began;
         }
--- a/crates/core/tests/gateway_reader.rs
+++ b/crates/core/tests/gateway_reader.rs
@@ -255,6 +255,49 @@
     assert_eq!(one.next_step(now), Step::Read);
 }
 
+/// Guards against a watch that is repeated for as long as the store has an event that cannot be read,
+/// and against reads and watches that alternate without a growing pause.
+#[test]
+fn unreadable_answers_are_followed_by_reads_with_a_growing_pause() {
+    let mut one = gateway(1);
+    let mut now = Time::from_secs(1);
+    one.reader.on_read(now);
+    let mut pauses = Vec::new();
+
+    for _ in 0..4 {
+        assert_eq!(one.next_step(now), Step::Watch);
+        one.reader.on_failure(now, CallFailure::Unreadable, 0.5);
+        let Step::Pause(pause) = one.next_step(now) else {
+            panic!("no pause");
+        };
+        pauses.push(pause.as_millis());
+        now += pause;
+        assert_eq!(one.next_step(now), Step::Read);
+        assert!(one.reader.on_read(now));
+    }
+
+    assert_eq!(pauses, [100, 200, 400, 500]);
+}
+
+/// Guards against removals that are taken for expired records, because a store whose answers cannot
+/// be read counts as one that was away.
+#[test]
+fn a_store_with_unreadable_answers_loses_no_records() {
+    let mut one = gateway(1);
+    let mut now = Time::from_secs(1);
+    one.reader.on_read(now);
+
+    for _ in 0..6 {
+        now += Duration::from_millis(750);
+        one.reader.on_failure(now, CallFailure::Unreadable, 0.5);
+    }
+    let while_unreadable = one.reader.may_miss_records(now);
+    one.reader.on_read(now);
+
+    assert!(!while_unreadable);
+    assert!(!one.reader.may_miss_records(now));
+}
+
 /// Guards against the loss of all endpoints after an outage of the store: records expire during the
 /// outage, and an instance that does not watch learns of the removals from a watcher. Without calls
 /// of its own it took them for real removals.
--- a/crates/core/tests/gateway_replica.rs
+++ b/crates/core/tests/gateway_replica.rs
@@ -117,6 +117,25 @@
     assert_eq!(too_old.records.len(), 2);
 }
 
+/// Guards against an endpoint that a peer removes because this replica could not read the key of its
+/// item: the delta must not count as all records, except for a peer that knows none.
+#[test]
+fn a_delta_is_not_full_if_a_key_could_not_be_read() {
+    let mut replica = Replica::default();
+    apply(&mut replica, record("a", 5, Some("1")));
+    replica.finish_read_with_unreadable_key(rev(10));
+
+    let behind = replica.delta_since(rev(7));
+    let empty = replica.delta_since(Revision::ZERO);
+    replica.finish_full_read(rev(20));
+    let read_again = replica.delta_since(rev(7));
+
+    assert!(!behind.is_full);
+    assert_eq!(behind.records, [record("a", 5, Some("1"))]);
+    assert!(empty.is_full);
+    assert!(read_again.is_full);
+}
+
 /// Guards against every instance fetching records from a peer some fifty times a second: endpoints
 /// write their records again with each heartbeat, each write is a new revision, and the watchers
 /// announced it as a change.
--- a/crates/gateway/src/catch_up.rs
+++ b/crates/gateway/src/catch_up.rs
@@ -175,7 +175,7 @@
     }
     let existing = delta.existing_keys();
     let has_changes = apply(cx, Source::Peer, delta.records);
-    finish_full_read(cx, Source::Peer, &existing, revision);
+    finish_full_read(cx, Source::Peer, Some(&existing), revision);
     has_changes
 }
 
--- a/crates/gateway/src/event_log.rs
+++ b/crates/gateway/src/event_log.rs
@@ -301,6 +301,14 @@
     /// A generation waits for the retry budget before it resumes at another engine: its engine has ended
     /// it, or is silent and may still produce events.
     RetryAwaited = 896, "retry_awaited", Info, FAILURES;
+    /// An item in an answer of the store does not parse as one: its key, `-` if that cannot be read
+    /// either, what is wrong with it, and how many such items the answer holds. All others are used. A
+    /// record with such a key counts as one that cannot be parsed; a full read with a key that cannot be
+    /// read removes no record that it lacks.
+    StoreItemUnreadable = 900, "store_item_unreadable", Warn, FEW;
+    /// The store answers this instance with responses that are not of the agreed form; serving continues
+    /// with the known records, and the store is read again after a pause.
+    StoreAnswerUnreadable = 901, "store_answer_unreadable", Warn, USUAL;
     /// A success bore no signature of its endpoint. The caller does not get it; it gets 502, unless the
     /// request may run again. The endpoint is `-` if it is not known: the request went through a peer, or
     /// it is a generation, for which the event of its start names the engine.
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -156,11 +156,16 @@
     pub key: String,
     /// The store's number of the change that wrote or removed it.
     pub number: u64,
-    /// The value; `None` if the key was removed.
+    /// The value, [`StoredRecord::UNREADABLE`] if it cannot be read; `None` if the key was removed.
     pub value: Option<Vec<u8>>,
 }
 
 impl StoredRecord {
+    /// The value of a record of which no more than the key can be read. It is no value of any record
+    /// that can be used, so that the record counts as one that cannot be decoded, here and at the peers
+    /// that get it.
+    pub const UNREADABLE: &[u8] = &[];
+
     /// Returns the record as one of `epoch`.
     pub fn in_epoch(self, epoch: Epoch) -> Record {
         let number = self.number;
@@ -172,11 +177,33 @@
     }
 }
 
+/// An item of the store that does not parse as one.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct UnreadableItem {
+    /// Its key, if that can be read.
+    pub key: Option<String>,
+    /// What is wrong with it.
+    pub why: String,
+}
+
+/// The items of an answer that do not parse as such. Those with a readable key are among its records.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct UnreadableItems {
+    /// The first of them.
+    pub named: Vec<UnreadableItem>,
+    /// How many there are.
+    pub count: usize,
+    /// How many of them have no readable key.
+    pub without_key: usize,
+}
+
 /// One page of the store's records.
 #[derive(Clone, Debug, Default)]
 pub struct Page {
     /// The records.
     pub records: Vec<StoredRecord>,
+    /// What else the page holds.
+    pub unreadable: UnreadableItems,
     /// The key after which the next page begins, `None` on the last page.
     pub next: Option<String>,
     /// The number of the store's last change when the page was read.
@@ -188,6 +215,8 @@
 pub struct Changes {
     /// The records that were written or removed.
     pub records: Vec<StoredRecord>,
+    /// What else the answer holds.
+    pub unreadable: UnreadableItems,
     /// All changes up to the one with this number are included.
     pub number: u64,
 }
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -8,7 +8,7 @@
 
 use crate::cx::Cx;
 use crate::log_event;
-use crate::ports::{Changes, Published, Store, StoreAnswer, Wire};
+use crate::ports::{Changes, Published, Store, StoreAnswer, UnreadableItems, Wire};
 use core::time::Duration;
 use oriolemux_core::EndpointKey;
 use oriolemux_core::gateway::endpoints::Removal;
@@ -71,6 +71,8 @@
         // Pages are not a snapshot: later pages may lack what was written after the first one, so
         // only the first page's revision is certain.
         let began = *began;
+        log_unreadable_items(&page.unreadable);
+        read.has_unreadable_key |= page.unreadable.without_key > 0;
         let records: Vec<Record> = page
             .records
             .into_iter()
@@ -101,7 +103,8 @@
                     records = read.seen.len(),
                     older = read.older
                 );
-                let has_changes = finish_full_read(cx, Source::Store, &read.seen, began);
+                let seen = (!read.has_unreadable_key).then_some(&read.seen);
+                let has_changes = finish_full_read(cx, Source::Store, seen, began);
                 announce_changes(cx, has_changes);
                 return Ok(());
             }
@@ -132,10 +135,23 @@
     began: Option<Revision>,
     /// The keys of all pages.
     seen: BTreeMap<String, ()>,
+    /// Whether the key of some item could not be read.
+    has_unreadable_key: bool,
     /// How many records were known at a later revision.
     older: usize,
 }
 
+fn log_unreadable_items(items: &UnreadableItems) {
+    for item in &items.named {
+        log_event!(
+            StoreItemUnreadable,
+            key = item.key.as_deref().unwrap_or("-"),
+            why = item.why.as_str(),
+            items = items.count
+        );
+    }
+}
+
 /// Lets peers know soon what this instance has learned from the store.
 fn announce_changes<W: Wire>(cx: &Cx<W>, has_changes: bool) {
     let now = cx.now();
@@ -151,22 +167,33 @@
 /// Completes a full read as of revision `began`: records that `seen` lacks are removed. Returns
 /// whether the replica has reached a new epoch.
 ///
+/// `seen` is `None` if the key of some item could not be read. Nothing is removed then, as
+/// [`Replica::finish_read_with_unreadable_key`] explains.
+///
+/// [`Replica::finish_read_with_unreadable_key`]:
+/// oriolemux_core::gateway::replica::Replica::finish_read_with_unreadable_key
+///
 /// A read that was overtaken by a new epoch has no effect.
 pub fn finish_full_read<W: Wire>(
     cx: &Cx<W>,
     from: Source,
-    seen: &BTreeMap<String, ()>,
+    seen: Option<&BTreeMap<String, ()>>,
     began: Revision,
 ) -> bool {
     let before = cx.state().replica.revision();
     if began.epoch < before.epoch {
         return false;
     }
-    let missing = cx.state().replica.removals_after_read(seen, began);
-    apply_as(cx, from, Removal::Missing, missing);
-    cx.state().replica.finish_full_read(began);
-    let closed = cx.state().endpoints.cordons().closed_cordons();
-    lift_missing_cordons(cx, from, &closed);
+    match seen {
+        Some(seen) => {
+            let missing = cx.state().replica.removals_after_read(seen, began);
+            apply_as(cx, from, Removal::Missing, missing);
+            cx.state().replica.finish_full_read(began);
+            let closed = cx.state().endpoints.cordons().closed_cordons();
+            lift_missing_cordons(cx, from, &closed);
+        }
+        None => cx.state().replica.finish_read_with_unreadable_key(began),
+    }
     cx.replica_changed.notify_waiters();
     began.epoch > before.epoch
 }
@@ -215,7 +242,7 @@
         (AnswerEpoch::Advanced(_), Ok(_) | Err(CallFailure::HistoryGone)) => Ok(()),
         (AnswerEpoch::Current(epoch), Ok(_)) if epoch != after.epoch => Ok(()),
         (AnswerEpoch::Current(epoch), Ok(changes)) => {
-            if !changes.records.is_empty() {
+            if !changes.records.is_empty() || changes.unreadable.count > 0 {
                 answered = StoreReader::on_changes;
             }
             apply_changes(cx, epoch, changes);
@@ -232,6 +259,7 @@
 }
 
 fn apply_changes<W: Wire>(cx: &Cx<W>, epoch: Epoch, changes: Changes) {
+    log_unreadable_items(&changes.unreadable);
     let records = changes.records.into_iter();
     let records = records.map(|it| it.in_epoch(epoch)).collect();
     let has_changes = apply(cx, Source::Store, records);
@@ -257,7 +285,11 @@
     known: Epoch,
     answer: &StoreAnswer<T>,
 ) -> AnswerEpoch {
-    if matches!(answer.content, Err(CallFailure::NoAnswer)) && answer.epoch == StatedEpoch::Absent {
+    let is_unread = matches!(
+        answer.content,
+        Err(CallFailure::NoAnswer | CallFailure::Unreadable)
+    );
+    if is_unread && answer.epoch == StatedEpoch::Absent {
         return AnswerEpoch::Current(known);
     }
     let now = cx.now();
@@ -321,12 +353,13 @@
         Err(failure) => {
             let draw = state.draw();
             if state.reader.on_failure(now, failure, draw) {
-                let failure = format!("{failure:?}");
-                log_event!(
-                    StoreLost,
-                    failure = failure.as_str(),
-                    revision = state.replica.revision().number
-                );
+                let revision = state.replica.revision().number;
+                if failure == CallFailure::Unreadable {
+                    log_event!(StoreAnswerUnreadable, revision = revision);
+                } else {
+                    let failure = format!("{failure:?}");
+                    log_event!(StoreLost, failure = failure.as_str(), revision = revision);
+                }
                 // Requests that wait for the first catalogue need not wait any longer.
                 cx.replica_changed.notify_waiters();
             }
