An entry of the list that cannot be read hides no other entry

Cause: `on_list` parsed the published list as one value. One endpoint or instance with a port of 70,000, a `null`, an array or `1e999` made the whole list an error, told as [504] `platform_down`. The old list stayed for as long as the entry did, a new instance had no list, and no line named the entry.

Bytes that are no UTF-8 spoil only the entry that holds them. Port 0 counts as unreadable: nothing can be connected to there. - A record of the list in force whose entry cannot be read is kept as leaving, as [814] does for the records of workers: it gets no new work, keeps what runs there and is not taken as removed. A readable entry of the same name wins. Of entries without a readable name there may be as many missing records as there are such entries; the choice is a function of both lists, so that instances with the same lists agree on homes and cells. - What cannot be read counts as missing for the quarantine, so that a writer that spoils most entries gets [402] and takes nothing out of use. - [405] `list_entry_unreadable` names place, name and reason, once for each change, at most 16 lines a list; gauge `oriolemux_list_entries_unreadable`, `list.unreadable` in the status. - Only a list whose outer form cannot be read is a failure: [406] `list_unreadable` with the reason. [504] and [505] are told of calls without an answer only.

Growth: nothing is sent that was not sent before. An instance keeps at most 16 descriptions of bounded length, and no more held records than odd entries.

Ruled out: that nesting of 60,000 overflows a stack (the tests run on 256 KB); that the same odd entry in each later list repeats the line, or that one `null` keeps every endpoint that is replaced (30 replacements: one is kept).

Open: an instance that starts beside such an entry does not know the record, so that its cells may differ from its peers' until the next list that can be read. A list that is sound again under the same revision is not read again.

--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -16,6 +16,7 @@
 mod links;
 mod list;
 mod message;
+mod parse;
 mod quarantine;
 mod reads;
 mod view;
@@ -29,6 +30,7 @@
     EndpointKind, EndpointRecord, FencingSupport, InstanceList, InstanceRecord, ListedState,
 };
 pub use message::MembershipMessage;
+pub use parse::{MAX_DESCRIBED, ParsedList};
 pub use quarantine::{QUARANTINE_CONFIRM, QUARANTINE_TIMEOUT};
 pub use reads::{LIST_STALE, START_SPREAD, WATCHERS};
 pub use view::{
--- a/crates/core/src/membership/quarantine.rs
+++ b/crates/core/src/membership/quarantine.rs
@@ -6,6 +6,7 @@
 
 use super::links::Link;
 use super::list::{InstanceList, ListedState};
+use super::parse::ParsedList;
 use super::{Membership, MembershipAction, View};
 use crate::ids::InstanceKey;
 use crate::note::Note;
@@ -22,7 +23,7 @@
 /// A list in quarantine.
 #[derive(Clone, Debug)]
 pub(super) struct Quarantine {
-    list: InstanceList,
+    parsed: ParsedList,
     since: Time,
     /// Live instances that the list no longer contains.
     missing: Vec<InstanceKey>,
@@ -46,9 +47,10 @@
     pub(super) fn consider_list(
         &mut self,
         now: Time,
-        mut list: InstanceList,
+        mut parsed: ParsedList,
         out: &mut Vec<MembershipAction>,
     ) -> bool {
+        let list = &mut parsed.list;
         if list.revision < self.view.revision() {
             return false;
         }
@@ -56,48 +58,58 @@
             return true;
         }
         list.normalise();
-        if !loses_most(&self.view, &list) {
-            self.accept_list(now, list, out);
+        // What cannot be read counts as missing here: a writer that makes most entries unreadable
+        // must not take most of the fleet out of use.
+        if !loses_most(&self.view, list) {
+            self.accept_parsed(now, parsed, out);
             return true;
         }
-        self.quarantine_list(now, list, out);
+        self.quarantine_list(now, parsed, out);
         true
     }
 
-    fn quarantine_list(&mut self, now: Time, list: InstanceList, out: &mut Vec<MembershipAction>) {
-        let missing = missing_instances(&self.view, &list);
+    fn accept_parsed(&mut self, now: Time, parsed: ParsedList, out: &mut Vec<MembershipAction>) {
+        let list = parsed.with_unreadable_of(self.view.list());
+        self.accept_list(now, list, out);
+    }
+
+    fn quarantine_list(&mut self, now: Time, parsed: ParsedList, out: &mut Vec<MembershipAction>) {
+        let missing = missing_instances(&self.view, &parsed.list);
         let Some(quarantine) = &mut self.quarantine else {
             out.push(MembershipAction::Note(Note::ListQuarantined {
-                named: count(list.instances.len()),
+                named: count(parsed.list.instances.len()),
                 known: count(self.view.list().instances.len()),
             }));
             self.quarantine = Some(Quarantine {
-                list,
+                parsed,
                 since: now,
                 missing,
             });
             return;
         };
-        if list.revision <= quarantine.list.revision {
+        if parsed.list.revision <= quarantine.parsed.list.revision {
             return;
         }
-        quarantine.list = list;
+        quarantine.parsed = parsed;
         quarantine.missing = missing;
         let confirmed = now >= quarantine.since + QUARANTINE_CONFIRM;
-        if confirmed && !quarantine.list.instances.is_empty() {
+        if confirmed && !quarantine.parsed.list.instances.is_empty() {
             self.accept_quarantined(now, out);
         }
     }
 
     fn accept_quarantined(&mut self, now: Time, out: &mut Vec<MembershipAction>) {
         if let Some(quarantine) = self.quarantine.take() {
-            self.accept_list(now, quarantine.list, out);
+            self.accept_parsed(now, quarantine.parsed, out);
         }
     }
 
     /// Returns the highest revision seen, including that of a quarantined list.
     pub(super) fn seen_revision(&self) -> u64 {
-        let quarantined = self.quarantine.as_ref().map_or(0, |it| it.list.revision);
+        let quarantined = self
+            .quarantine
+            .as_ref()
+            .map_or(0, |it| it.parsed.list.revision);
         self.view.revision().max(quarantined)
     }
 
@@ -105,7 +117,7 @@
         let Some(quarantine) = &self.quarantine else {
             return Time::NEVER;
         };
-        if quarantine.list.instances.is_empty() {
+        if quarantine.parsed.list.instances.is_empty() {
             return Time::NEVER;
         }
         match self.evidence(quarantine) {
--- a/crates/core/src/membership/reads.rs
+++ b/crates/core/src/membership/reads.rs
@@ -6,8 +6,9 @@
 
 use super::delta::{ListDelta, apply_delta, list_delta};
 use super::list::InstanceList;
+use super::parse::{ParsedList, is_same};
 use super::{InstanceKey, Membership, MembershipAction, MembershipMessage};
-use crate::note::Note;
+use crate::note::{Note, UnreadableEntry};
 use crate::time::Time;
 use crate::value::PeerId;
 use core::time::Duration;
@@ -52,6 +53,14 @@
     watch_sent: Option<Time>,
     /// Consecutive failures.
     failures: u32,
+    /// Whether the last call got no answer, which was reported.
+    is_down: bool,
+    /// Why the last answer could not be read as a list, which was reported.
+    unreadable: Option<String>,
+    /// The unreadable entries of the last list that were reported.
+    unreadable_entries: Vec<UnreadableEntry>,
+    /// Number of unreadable entries of the last list.
+    unreadable_count: usize,
     /// Latest time at which the list in force is known to have been current.
     confirmed_at: Option<Time>,
     /// When to report that the list is stale.
@@ -131,12 +140,18 @@
         }
     }
 
-    /// Handles a list from the platform.
+    /// Handles a list from the platform of which every entry was read.
     pub fn list(&mut self, now: Time, list: InstanceList, out: &mut Vec<MembershipAction>) {
-        let revision = list.revision;
+        self.parsed_list(now, list.into(), out);
+    }
+
+    /// Handles a list from the platform.
+    pub fn parsed_list(&mut self, now: Time, parsed: ParsedList, out: &mut Vec<MembershipAction>) {
+        let revision = parsed.list.revision;
         let asked_at = self.take_pending(now, revision);
         self.platform_answered(out);
-        self.consider_list(now, list, out);
+        self.note_unreadable(&parsed, out);
+        self.consider_list(now, parsed, out);
         // A platform replica that serves an old revision must not make the list look current.
         let current = revision == self.view.revision() && revision >= self.reads.highest_announced;
         if current {
@@ -170,12 +185,51 @@
         self.schedule_next(now);
     }
 
-    /// Handles a failed call to the platform or a response that is not a list.
+    /// Reports the unreadable entries that the last list did not have.
+    fn note_unreadable(&mut self, parsed: &ParsedList, out: &mut Vec<MembershipAction>) {
+        if parsed.list.revision < self.seen_revision() {
+            return;
+        }
+        let known = core::mem::take(&mut self.reads.unreadable_entries);
+        self.reads.unreadable_count = parsed.unreadable_count();
+        for entry in parsed.described() {
+            if !known.iter().any(|it| is_same(it, entry)) {
+                out.push(MembershipAction::Note(Note::ListEntryUnreadable {
+                    revision: parsed.list.revision,
+                    entry: entry.clone(),
+                    unreadable: parsed.unreadable_count(),
+                }));
+            }
+            self.reads.unreadable_entries.push(entry.clone());
+        }
+    }
+
+    /// Returns the number of entries of the platform's last list that could not be read.
+    pub fn unreadable_entries(&self) -> usize {
+        self.reads.unreadable_count
+    }
+
+    /// Handles a failed call to the platform.
     pub fn list_failed(&mut self, now: Time, out: &mut Vec<MembershipAction>) {
-        self.reads.clear_pending();
-        if self.reads.failures == 0 {
+        if !self.reads.is_down {
+            self.reads.is_down = true;
             out.push(MembershipAction::Note(Note::PlatformDown));
         }
+        self.read_again_later(now);
+    }
+
+    /// Handles an answer of the platform whose outer form is not that of a list.
+    pub fn list_unreadable(&mut self, now: Time, reason: String, out: &mut Vec<MembershipAction>) {
+        self.platform_is_up(out);
+        if self.reads.unreadable.as_ref() != Some(&reason) {
+            self.reads.unreadable = Some(reason.clone());
+            out.push(MembershipAction::Note(Note::ListUnreadable { reason }));
+        }
+        self.read_again_later(now);
+    }
+
+    fn read_again_later(&mut self, now: Time) {
+        self.reads.clear_pending();
         let doubled = RETRY_MIN * (1 << self.reads.failures.min(6));
         self.reads.failures = self.reads.failures.saturating_add(1);
         let max = doubled.min(RETRY_MAX);
@@ -184,10 +238,15 @@
     }
 
     fn platform_answered(&mut self, out: &mut Vec<MembershipAction>) {
-        if self.reads.failures > 0 {
+        self.platform_is_up(out);
+        self.reads.failures = 0;
+        self.reads.unreadable = None;
+    }
+
+    fn platform_is_up(&mut self, out: &mut Vec<MembershipAction>) {
+        if core::mem::take(&mut self.reads.is_down) {
             out.push(MembershipAction::Note(Note::PlatformUp));
         }
-        self.reads.failures = 0;
     }
 
     fn confirm(&mut self, now: Time, asked_at: Time) {
@@ -294,7 +353,7 @@
         out: &mut Vec<MembershipAction>,
     ) {
         self.reads.pull_sent = None;
-        self.consider_list(now, list, out);
+        self.consider_list(now, list.into(), out);
     }
 
     /// Announces a new list to the instances that depend on this one.
--- a/crates/core/src/node/platform.rs
+++ b/crates/core/src/node/platform.rs
@@ -3,7 +3,7 @@
 use super::Node;
 use crate::catalogue::sync::{CatalogueSync, Lookup, Roles, SyncAction, SyncChange};
 use crate::event::{Action, ValueName};
-use crate::membership::InstanceList;
+use crate::membership::ParsedList;
 use crate::peer::PeerMessage;
 use crate::reason::Reason;
 use crate::time::Time;
@@ -107,9 +107,11 @@
     }
 
     fn on_list(&mut self, bytes: &[u8]) {
-        match serde_json::from_slice::<InstanceList>(bytes) {
-            Ok(list) => self.with_membership(|it, now, out| it.list(now, list, out)),
-            Err(_) => self.on_list_failed(),
+        match ParsedList::parse(bytes) {
+            Ok(parsed) => self.with_membership(|it, now, out| it.parsed_list(now, parsed, out)),
+            Err(reason) => {
+                self.with_membership(|it, now, out| it.list_unreadable(now, reason, out));
+            }
         }
     }
 }
--- a/crates/core/src/node/snapshot.rs
+++ b/crates/core/src/node/snapshot.rs
@@ -36,6 +36,8 @@
     pub list_revision: u64,
     /// Time since the list was last confirmed; `None` before the first confirmation.
     pub list_age: Option<Duration>,
+    /// Number of entries of the platform's last list that could not be read.
+    pub list_unreadable: usize,
     /// Instances that may be homes.
     pub live_instances: u32,
     /// Names of the other instances in the list, and whether the link to each is up.
@@ -81,6 +83,7 @@
             rejection: self.sync.rejection().cloned(),
             list_revision: self.membership.view().revision(),
             list_age: self.membership.list_age(self.now),
+            list_unreadable: self.membership.unreadable_entries(),
             live_instances: self.membership.live_count(),
             links: self.links(),
             requests: self.request_counts(),
--- a/crates/core/src/note.rs
+++ b/crates/core/src/note.rs
@@ -6,6 +6,17 @@
 use crate::ids::{EndpointKey, InstanceKey, RequestId};
 use crate::reason::Reason;
 
+/// An entry of the published list that cannot be read.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct UnreadableEntry {
+    /// The list's field and the index in it, such as `endpoints[3]`.
+    pub place: String,
+    /// The start of its name, if that can be read.
+    pub name: Option<String>,
+    /// Why it cannot be read.
+    pub reason: String,
+}
+
 /// An event that is logged and counted for operators.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Note {
@@ -60,6 +71,20 @@
         /// Time since the last confirmation, in seconds.
         age_secs: u64,
     },
+    /// An entry of a published list cannot be read. The rest of the list is used.
+    ListEntryUnreadable {
+        /// The revision of the list.
+        revision: u64,
+        /// Which entry, and why.
+        entry: UnreadableEntry,
+        /// Number of unreadable entries of the list; only the first ones are reported.
+        unreadable: usize,
+    },
+    /// The outer form of a published list cannot be read; the one in force stays.
+    ListUnreadable {
+        /// Why.
+        reason: String,
+    },
     /// A catalogue revision is in force.
     CatalogueAccepted {
         /// Its revision.
--- a/crates/oriolemux/src/events.rs
+++ b/crates/oriolemux/src/events.rs
@@ -100,6 +100,24 @@
         Note::ListStale { age_secs } => {
             record(LogEvent::ListStale, &[display("age_secs", age_secs)]);
         }
+        Note::ListEntryUnreadable {
+            revision,
+            entry,
+            unreadable,
+        } => {
+            let name = entry.name.as_deref().unwrap_or("-");
+            let fields = [
+                display("revision", revision),
+                display("entry", &entry.place),
+                display("name", &name),
+                display("error", &entry.reason),
+                display("unreadable", unreadable),
+            ];
+            record(LogEvent::ListEntryUnreadable, &fields);
+        }
+        Note::ListUnreadable { reason } => {
+            record(LogEvent::ListUnreadable, &[display("error", reason)]);
+        }
         Note::CatalogueAccepted { revision } => {
             record(
                 LogEvent::CatalogueAccepted,
--- a/crates/oriolemux/src/events/table.rs
+++ b/crates/oriolemux/src/events/table.rs
@@ -104,6 +104,11 @@
     /// The list in force was not confirmed for a long time; serving continues with it, but
     /// operations that need a fresh list stop.
     ListStale = 404, "list_stale", Warn;
+    /// An entry of the published list cannot be read; the others are used. What it described gets
+    /// no new work until the entry can be read again. The line names its place and the reason.
+    ListEntryUnreadable = 405, "list_entry_unreadable", Warn;
+    /// The published list cannot be read as a whole; the line says why. The list in force stays.
+    ListUnreadable = 406, "list_unreadable", Warn;
 
     /// A newer catalogue is in force.
     CatalogueAccepted = 501, "catalogue_accepted", Info;
--- a/crates/oriolemux/src/metrics.rs
+++ b/crates/oriolemux/src/metrics.rs
@@ -86,6 +86,8 @@
         ListRevision = "oriolemux_list_revision";
         /// Seconds since the list of instances was last confirmed.
         ListAge = "oriolemux_list_age_seconds";
+        /// Entries of the platform's last list that could not be read.
+        ListEntriesUnreadable = "oriolemux_list_entries_unreadable";
         /// 1 while the balancer may send requests here, else 0.
         Ready = "oriolemux_ready";
     }
--- a/crates/oriolemux/src/node_task/view.rs
+++ b/crates/oriolemux/src/node_task/view.rs
@@ -47,6 +47,7 @@
             revision: snapshot.list_revision,
             age_ms: snapshot.list_age.map(millis),
             live_instances: snapshot.live_instances,
+            unreadable: snapshot.list_unreadable,
         },
         requests: RequestsStatus {
             judging: snapshot.requests.validating,
--- a/crates/oriolemux/src/operators/gauges.rs
+++ b/crates/oriolemux/src/operators/gauges.rs
@@ -15,5 +15,6 @@
     Gauge::CatalogueRevision.set(status.catalogue.revision as f64);
     Gauge::ListRevision.set(status.list.revision as f64);
     Gauge::ListAge.set(status.list.age_ms.unwrap_or(0) as f64 / 1000.0);
+    Gauge::ListEntriesUnreadable.set(status.list.unreadable as f64);
     Gauge::Ready.set(f64::from(u8::from(status.readiness == Readiness::Ready)));
 }
--- a/crates/oriolemux/src/status.rs
+++ b/crates/oriolemux/src/status.rs
@@ -63,6 +63,9 @@
     pub age_ms: Option<u64>,
     /// Instances that may be homes, which are the instances that decide for a key.
     pub live_instances: u32,
+    /// Entries of the platform's last list that could not be read.
+    #[serde(default)]
+    pub unreadable: usize,
 }
 
 /// The number of requests in each state.
