Odd figures in an endpoint's load report end no process

Cause: the home of a cell added `running` and `waiting` of a load report, and the granted and the foreign requests, as 32-bit numbers. A report of 4,294,967,295 running requests overflowed the sum: a build with overflow checks ends, a release build counts a full endpoint as empty.

Change: both sums saturate; such an endpoint counts as full and the others of its cell are used.

Ruled out by the same table: used or total tokens and preemptions of 2^64-1, a lag of 2^32-1 ms, slots of 2^32-1 (12 of its 20 checks concern these; they were green before).

Runs: cell_odd_reports before: 4 of 10 cases red ("attempt to add with overflow", endpoint.rs:124); after: 10 green. cell_basics, cell_properties and node green. The sum with the foreign requests was changed by reading: no case reached it before the first overflow.

--- a/crates/core/src/cell/endpoint.rs
+++ b/crates/core/src/cell/endpoint.rs
@@ -121,7 +121,7 @@
         if self.info.kind == EndpointKind::Model {
             self.loaded = Some(requirements(report));
         }
-        let count = report.running + report.waiting;
+        let count = report.running.saturating_add(report.waiting);
         self.foreign.report(
             measured_at,
             report.kv_tokens_used,
@@ -263,7 +263,7 @@
     fn has_slot(&self, now: Time, reserve: f64) -> bool {
         let slots = f64::from(self.slots) * self.share(now);
         let reserved = (slots * reserve).ceil();
-        let running = self.ledger.held().len() as u32 + self.foreign.count();
+        let running = (self.ledger.held().len() as u32).saturating_add(self.foreign.count());
         f64::from(running) + 1.0 <= slots - reserved
     }
 
@@ -304,7 +304,7 @@
     }
 
     fn free_calls(&self, now: Time) -> u32 {
-        let running = self.ledger.held().len() as u32 + self.foreign.count();
+        let running = (self.ledger.held().len() as u32).saturating_add(self.foreign.count());
         let limit = f64::from(self.call_limit()) * self.share(now);
         (limit.max(1.0) as u32).saturating_sub(running)
     }
