The line of a rejected catalogue names its first finding

Change: the line has the new field `first`: value, line, column and problem of the first finding, at most 300 characters. The catalogue is accepted or rejected whole as before.

Runs: catalogue_sync, rejected_index_changes_nothing_and_is_reported_once with the added check: red before ("no place: CatalogueRejected { revision: 6, findings: 1 }"), green after; it still demands exactly one note.

--- a/crates/core/src/catalogue/sync/candidate.rs
+++ b/crates/core/src/catalogue/sync/candidate.rs
@@ -332,6 +332,7 @@
         out.push(SyncAction::Note(Note::CatalogueRejected {
             revision: rejection.revision,
             findings: rejection.cause.findings(),
+            first: rejection.cause.first(),
         }));
         self.rejected.insert(rejection);
     }
--- a/crates/core/src/catalogue/sync/status.rs
+++ b/crates/core/src/catalogue/sync/status.rs
@@ -12,6 +12,9 @@
 /// repeatedly.
 const MAX_REJECTED: usize = 16;
 
+/// Maximum number of characters of the finding that is logged with a rejection.
+const MAX_FIRST_CHARS: usize = 300;
+
 /// Counters since the start of the process.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct SyncCounters {
@@ -53,6 +56,20 @@
             RejectionCause::RevisionReused => 1,
         }
     }
+
+    /// Returns the first finding, with its place, as text of bounded length.
+    pub(super) fn first(&self) -> String {
+        match self {
+            RejectionCause::Findings(findings) => {
+                let text = findings.to_string();
+                let first = text.lines().next().unwrap_or_default();
+                first.chars().take(MAX_FIRST_CHARS).collect()
+            }
+            RejectionCause::RevisionReused => {
+                "another catalogue of this revision is in force".to_owned()
+            }
+        }
+    }
 }
 
 /// An index that was rejected.
--- a/crates/core/src/note.rs
+++ b/crates/core/src/note.rs
@@ -96,6 +96,8 @@
         revision: u64,
         /// Number of findings.
         findings: u32,
+        /// The first finding, with its place; the status shows the others.
+        first: String,
     },
     /// A catalogue revision lower than the one in force arrived and was ignored.
     CatalogueStale {
--- a/crates/core/tests/catalogue_sync.rs
+++ b/crates/core/tests/catalogue_sync.rs
@@ -199,8 +199,10 @@
     assert!(fleet.all_at(5));
     for watcher in fleet.watchers(0) {
         let notes = fleet.notes(watcher).iter();
-        let rejected = notes.filter(|note| matches!(note, Note::CatalogueRejected { .. }));
-        assert_eq!(rejected.count(), 1);
+        let mut rejected = notes.filter(|note| matches!(note, Note::CatalogueRejected { .. }));
+        let first = format!("{:?}", rejected.next());
+        assert!(first.contains("catalogue-index:"), "no place: {first}");
+        assert_eq!(rejected.count(), 0);
         let status = fleet.sync(watcher).status(fleet.now);
         let cause = status.rejection.unwrap().cause;
         assert!(matches!(cause, RejectionCause::Findings(findings) if findings.len() == 1));
--- a/crates/oriolemux/src/events.rs
+++ b/crates/oriolemux/src/events.rs
@@ -124,8 +124,16 @@
                 &[display("revision", revision)],
             );
         }
-        Note::CatalogueRejected { revision, findings } => {
-            let fields = [display("revision", revision), display("findings", findings)];
+        Note::CatalogueRejected {
+            revision,
+            findings,
+            first,
+        } => {
+            let fields = [
+                display("revision", revision),
+                display("findings", findings),
+                display("first", first),
+            ];
             record(LogEvent::CatalogueRejected, &fields);
         }
         Note::CatalogueStale { revision } => {
