Stay with a leaving engine that does not carry out the order to stop

Callers saw a stream that ended in its middle although they waited and the engine worked: the engine left, its connection was closed, and it did not carry out the order to stop the generation for 1.5 s. The stream was aborted as not_stopped.

Cause: the connection to an engine that works was closed before anything showed that the generation could go on elsewhere, and the time for orders was a constant beside the gap that the caller tolerates.

Change: an instance first asks an engine that leaves, once for all its generations, whether it carries out orders, by one for an attempt that the engine does not run. If it does not, or was seen to keep requests, the order goes out on the open stream and the generation leaves once it is carried out ([897]). Orders after a close are repeated, 40 to 250 ms apart, for as long as the caller waits. An engine that left an order unanswered on the open stream counts as reached until no connection opens, so that silence does not let the generation run twice.

Ruled out: ordering first for every generation (pauses of 300 to 440 ms, measured before), and a larger constant.

Pauses and worth were not measured.

--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -30,6 +30,7 @@
 //! | [`choose`] | the endpoint for a request, and the engine for a standby copy |
 //! | [`relocation`] | when a generation leaves its engine, and which events its caller gets |
 //! | [`run_end`] | whether the run of a generation has ended at an engine that it leaves |
+//! | [`stop_conduct`] | whether engines carry out orders to stop runs, and how a generation leaves them |
 //! | [`reachability`] | whether this instance reaches the endpoints of a service |
 //! | [`proxies`] | the peers through which a partitioned instance serves its callers |
 //! | [`own_delay`] | whether this instance itself is late, and which new connections it sheds |
@@ -81,6 +82,7 @@
 pub mod shares;
 mod shortlist;
 pub mod state;
+pub mod stop_conduct;
 pub mod suspects;
 pub mod usage;
 pub mod withdrawal;
--- a/crates/core/src/gateway/relocation.rs
+++ b/crates/core/src/gateway/relocation.rs
@@ -346,6 +346,11 @@
         self.pre_copy_not_before = now + delay;
     }
 
+    /// Records that the engine was ordered to stop the generation, which brings the pre-copy up to date.
+    pub fn stop_ordered(&mut self) {
+        self.pre_copy.in_progress = true;
+    }
+
     /// Records that the pre-copy is lost because its engine was withdrawn.
     pub fn pre_copy_lost(&mut self) {
         self.pre_copy = PreCopyState::default();
--- a/crates/core/src/gateway/run_end.rs
+++ b/crates/core/src/gateway/run_end.rs
@@ -14,8 +14,9 @@
 use core::time::Duration;
 use displaydoc::Display;
 
-/// How long an engine that is reached may take to show that a run has ended. Callers abandon a stream
-/// after two seconds without an event.
+/// How long a silent engine that is reached may take to stop a run before it goes on with it, and how
+/// long the stream of a run that was stopped may stay open. Callers abandon a stream after two seconds
+/// without an event at the earliest.
 pub const STOP_TIMEOUT: Duration = Duration::from_millis(1_500);
 
 /// How long an engine may leave all orders unanswered before it counts as not reached, unless it
@@ -26,8 +27,13 @@
 /// the copy; the repeated one shows whether the generation still runs.
 pub const REPEAT_AFTER: Duration = Duration::from_millis(300);
 
-/// The pause before an order that the engine did not carry out is repeated.
-const RETRY_DELAY: Duration = Duration::from_millis(40);
+/// The first and the longest pause before an order that the engine did not carry out is repeated.
+/// An engine may refuse orders for seconds, and the generations that it runs repeat them side by side.
+const FIRST_RETRY_DELAY: Duration = Duration::from_millis(40);
+const LAST_RETRY_DELAY: Duration = Duration::from_millis(250);
+
+/// How much longer each further pause is.
+const RETRY_DELAY_GROWTH: f64 = 1.5;
 
 /// How much earlier than it is abandoned a silent engine is ordered to stop a run. An engine that
 /// cannot be reached shows it within this time, so that its callers wait no longer.
@@ -131,28 +137,84 @@
 pub struct RunStop {
     reason: LeaveReason,
     began: Time,
+    /// The deadline of the request.
+    deadline: Time,
+    ordered: Time,
     last: Option<(Time, StopAnswer)>,
     /// Whether any answer showed that the engine is reached.
     is_reached: bool,
+    /// Whether the engine left an order on the open stream unanswered while it counted as alive.
+    works_without_answers: bool,
     orders: u32,
+    is_outstanding: bool,
+    retry_delay: Duration,
 }
 
 impl RunStop {
-    /// Returns the state before the first order.
-    pub const fn new(now: Time, reason: LeaveReason) -> Self {
+    /// Returns the state before the first order for a request with this deadline.
+    pub const fn new(now: Time, reason: LeaveReason, deadline: Time) -> Self {
         RunStop {
             reason,
             began: now,
+            deadline,
+            ordered: now,
             last: None,
             is_reached: matches!(reason, LeaveReason::EngineLeaves),
+            works_without_answers: false,
             orders: 0,
+            is_outstanding: false,
+            retry_delay: FIRST_RETRY_DELAY,
         }
     }
 
+    /// Returns why the generation leaves.
+    pub const fn reason(&self) -> LeaveReason {
+        self.reason
+    }
+
+    /// Returns the state of orders that were given on the open stream for another reason, once the
+    /// generation leaves for `reason`. Answers from before show nothing of an engine whose connection has
+    /// broken or that has fallen silent since, except the end of the run. An engine that
+    /// leaves and left an order unanswered may work on without answering the next ones.
+    #[must_use]
+    pub fn continued(self, now: Time, reason: LeaveReason, deadline: Time) -> Self {
+        if self.reason == reason {
+            return self;
+        }
+        RunStop {
+            last: self.last.filter(|_| self.has_ended()),
+            ordered: self.ordered,
+            orders: self.orders,
+            works_without_answers: self.works_without_answers,
+            is_reached: self.works_without_answers || matches!(reason, LeaveReason::EngineLeaves),
+            ..RunStop::new(now, reason, deadline)
+        }
+    }
+
+    /// Records that an order is sent.
+    pub fn on_order(&mut self, now: Time) {
+        self.ordered = now;
+        self.is_outstanding = true;
+    }
+
+    /// Returns when an order that was given on the open stream of an engine which leaves counts as not
+    /// answered; `None` if none is outstanding.
+    pub fn unanswered_at(&self) -> Option<Time> {
+        let is_awaited = self.is_outstanding && matches!(self.reason, LeaveReason::EngineLeaves);
+        is_awaited.then(|| self.ordered + REPEAT_AFTER)
+    }
+
     /// Records the end of an order.
     pub fn on_answer(&mut self, now: Time, answer: StopAnswer) {
+        if self.orders > 0 {
+            let longer = self.retry_delay.mul_f64(RETRY_DELAY_GROWTH);
+            self.retry_delay = longer.min(LAST_RETRY_DELAY);
+        }
         self.orders += 1;
+        self.is_outstanding = false;
         self.is_reached |= matches!(answer.evidence(), Evidence::MayRun);
+        self.works_without_answers |= matches!(self.reason, LeaveReason::EngineLeaves)
+            && matches!(answer.evidence(), Evidence::Sent);
         // A later order says nothing against the end that an earlier one showed.
         if !self.has_ended() {
             self.last = Some((now, answer));
@@ -170,8 +232,25 @@
     }
 
     /// Returns when the attempts to stop the run end, whatever they show.
+    ///
+    /// Once the connection is closed they last as long as the caller waits: the generation has nowhere
+    /// else to go on. A silent engine whose stream is open goes on with it.
     pub fn ends(&self) -> Time {
-        self.began + STOP_TIMEOUT
+        match self.reason {
+            LeaveReason::Silent => self.began + STOP_TIMEOUT,
+            _ => self.deadline,
+        }
+    }
+
+    /// Returns by when an engine that carried out the last order closes the stream.
+    pub fn closes_by(&self) -> Time {
+        self.ordered + STOP_TIMEOUT
+    }
+
+    /// Returns when the order may be repeated on a stream that stays open until it is carried out.
+    pub fn repeat_at(&self) -> Time {
+        self.last
+            .map_or(self.began, |(at, _)| at + self.retry_delay)
     }
 
     /// Returns the next step.
@@ -184,14 +263,17 @@
             Evidence::Unreached => return StopStep::ResumeAndFollowUp,
             Evidence::MayRun | Evidence::Sent => {}
         }
-        match self.is_reached {
-            false if now >= self.began + self.unanswered_timeout() => {
-                return StopStep::ResumeAndFollowUp;
-            }
-            true if now >= self.ends() => return StopStep::GiveUp,
-            _ => {}
+        let (ends, step) = match self.is_reached {
+            false => (
+                self.began + self.unanswered_timeout(),
+                StopStep::ResumeAndFollowUp,
+            ),
+            true => (self.ends(), StopStep::GiveUp),
+        };
+        if now >= ends {
+            return step;
         }
-        let repeat = at + RETRY_DELAY;
+        let repeat = (at + self.retry_delay).min(ends);
         match repeat <= now {
             true => StopStep::Order,
             false => StopStep::Wait(repeat),
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -37,6 +37,7 @@
 use super::reachability::Reachability;
 use super::reader::{MissingRecords, SETTLE_TIME, StoreReader};
 use super::replica::{Record, Replica};
+use super::stop_conduct::StopConduct;
 use super::suspects::Suspects;
 use super::usage::{ReportedLoad, UsageTable};
 use super::withdrawal::Withdrawal;
@@ -148,6 +149,8 @@
     granted_resumes: Vec<(EndpointKey, Time)>,
     /// Engines that recently refused a copy of this instance for lack of room.
     no_room: NoRoom,
+    /// What engines did with orders of this instance to stop runs.
+    pub stop_conduct: StopConduct,
     /// What this instance took of engines without a home.
     fallback: FallbackShares,
     /// The pace of engines, by the hash of the service's name, as reported to this instance as a home.
@@ -222,6 +225,7 @@
             placement_changes: 0,
             granted_resumes: Vec::new(),
             no_room: NoRoom::default(),
+            stop_conduct: StopConduct::default(),
             fallback: FallbackShares::default(),
             pace: BTreeMap::new(),
             pace_samples: PaceSamples::default(),
--- a/crates/core/src/gateway/state/places.rs
+++ b/crates/core/src/gateway/state/places.rs
@@ -647,6 +647,8 @@
     /// this instance may have a decision.
     pub(super) fn report(&mut self, now: Time, send: &mut Vec<(SocketAddrV4, Body)>) -> bool {
         self.placement_changes += u64::from(self.no_room.expire(now));
+        let endpoints = &self.endpoints;
+        self.stop_conduct.retain(|key| endpoints.get(key).is_some());
         for service in self.reported_services() {
             self.report_service(now, service, send);
         }
--- a/crates/gateway/src/event_log.rs
+++ b/crates/gateway/src/event_log.rs
@@ -301,6 +301,9 @@
     /// A generation waits for the retry budget before it resumes at another engine: its engine has ended
     /// it, or is silent and may still produce events.
     RetryAwaited = 896, "retry_awaited", Info, FAILURES;
+    /// An engine that leaves did not carry out the first order to stop a generation. The generation stays
+    /// with it, and the order is repeated until it is carried out or the stream ends.
+    StopNotCarriedOut = 897, "stop_not_carried_out", Info, FAILURES;
     /// An item in an answer of the store does not parse as one: its key, `-` if that cannot be read
     /// either, what is wrong with it, and how many such items the answer holds. All others are used. A
     /// record with such a key counts as one that cannot be parsed; a full read with a key that cannot be
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -18,6 +18,7 @@
 
 mod begin;
 mod copy_wait;
+mod open_stop;
 mod pace;
 mod pre_copy;
 mod resume;
@@ -36,6 +37,7 @@
 use copy_wait::CopyWait;
 use http::{HeaderMap, Response, StatusCode};
 use http_body_util::BodyExt;
+use open_stop::Departure;
 use oriolemux_core::gateway::budget::RetryKind;
 use oriolemux_core::gateway::lengths::LengthEstimate;
 use oriolemux_core::gateway::relocation::{
@@ -139,8 +141,8 @@
     may_run_here: bool,
     /// The answer that showed the end of the run at the current engine.
     last_stop: Option<LastStop>,
-    /// The orders to a silent engine to stop the generation, if it was ordered to.
-    silent_stop: Option<RunStop>,
+    /// The orders to stop the generation that were given on the open stream of the current engine.
+    open_stop: Option<RunStop>,
     /// The engine that stopped the generation last.
     stopped_at: Option<Placement>,
     /// The KV cache that it keeps, if there is no copy of it elsewhere.
@@ -188,7 +190,7 @@
             awaits_retry: false,
             may_run_here: false,
             last_stop: None,
-            silent_stop: None,
+            open_stop: None,
             stopped_at: None,
             kept: None,
             response_started: None,
@@ -292,7 +294,7 @@
         loop {
             let pause = self.forward_events(&mut upstream).await;
             self.withdraw_pre_copy(copy_wait::withdrawn_because(&pause));
-            let is_broken = matches!(pause, StopReason::Broken);
+            let is_broken = matches!(pause, StopReason::Broken) && !self.is_ordered_to_leave();
             let mut place = None;
             let why = match pause {
                 StopReason::End if self.ended_by_order(&upstream).await => LeaveReason::Silent,
@@ -319,12 +321,23 @@
                 StopReason::Timeout => return self.abort_stream("timeout"),
                 StopReason::Gap => return self.abort_stream("event_missing"),
                 StopReason::Relocate => LeaveReason::EngineLeaves,
+                StopReason::Stopped => {
+                    if !self
+                        .end_open_run(&mut upstream, LeaveReason::EngineLeaves)
+                        .await
+                    {
+                        continue;
+                    }
+                    LeaveReason::EngineLeaves
+                }
+                // An engine closes the stream of a generation that it stops.
+                StopReason::Broken if self.is_ordered_to_leave() => LeaveReason::ConnectionBroken,
                 StopReason::Broken | StopReason::EngineFailed => {
                     self.job.record_failure(&self.engine);
                     LeaveReason::ConnectionBroken
                 }
                 StopReason::Silent => {
-                    if !self.end_silent_run(&mut upstream).await {
+                    if !self.end_open_run(&mut upstream, LeaveReason::Silent).await {
                         continue;
                     }
                     self.job.record_failure(&self.engine);
@@ -335,7 +348,7 @@
                         let usage = self.job.count_copy(&target, self.reserved_tokens);
                         self.set_stop_target(target.clone(), usage);
                     }
-                    if !self.end_silent_run(&mut upstream).await {
+                    if !self.end_open_run(&mut upstream, LeaveReason::Silent).await {
                         continue;
                     }
                     self.job.record_failure(&self.engine);
@@ -438,12 +451,15 @@
             if self.copy_wait.is_some() {
                 decided.as_mut().enable();
             }
-            if self.silent_stop.is_none() {
+            let is_silent = |it: &RunStop| it.reason() == LeaveReason::Silent;
+            if !self.open_stop.as_ref().is_some_and(is_silent) && !self.is_ordered_to_leave() {
                 self.drop_unusable_pre_copy();
             }
             let check_place = self.check_copy_wait();
-            if self.silent_run_has_ended() {
-                return StopReason::Silent;
+            match self.left_by_order() {
+                Some(LeaveReason::Silent) => return StopReason::Silent,
+                Some(_) => return StopReason::Stopped,
+                None => {}
             }
             let (step, stop_at) = self.next_step();
             let wait = match step {
@@ -457,9 +473,14 @@
                 }
                 // Several generations may leave for the same retry. The one that does not get it
                 // stays where it runs.
-                Step::Relocate => match self.hold_retry() {
-                    true => return StopReason::Relocate,
-                    false => continue,
+                Step::Relocate if !self.hold_retry() => continue,
+                Step::Relocate => match self.departure(upstream) {
+                    Departure::Leave => return StopReason::Relocate,
+                    Departure::Order => {
+                        self.order_leaving_stop();
+                        continue;
+                    }
+                    Departure::Stay(until) => cx.clock.instant(until),
                 },
                 Step::FailOver if self.hold_retry() => return StopReason::Silent,
                 Step::FailOver => {
@@ -492,17 +513,18 @@
                 Step::Wait(until) => cx.clock.instant(stop_at.map_or(until, |at| at.min(until))),
             };
             let is_stopping = self.pre_copy.as_ref().is_some_and(PreCopy::is_stopping);
+            let unanswered_at = self.stop_unanswered_at();
             tokio::select! {
                 moved = pre_copy::wait_for_end(&mut self.pre_copy) => match is_stopping {
-                    true => self.on_silent_stop_answer(moved),
+                    true => self.on_open_stop_answer(moved),
                     false => self.on_pre_copy_ended(moved),
                 },
                 frame = upstream.body.frame() => match frame {
                     Some(Ok(frame)) => {
                         self.state.on_bytes(cx.now());
                         self.awaits_retry = false;
-                        if !is_stopping {
-                            self.silent_stop = None;
+                        if !is_stopping && self.open_stop.as_ref().is_some_and(is_silent) {
+                            self.open_stop = None;
                         }
                         let data = frame.into_data().unwrap_or_default();
                         if !self.splitter.push(&data) {
@@ -523,6 +545,9 @@
                 () = self.tx.closed() => return StopReason::CallerGone,
                 () = tokio::time::sleep_until(self.job.deadline.into()) => return StopReason::Timeout,
                 () = sleep_until(wait) => {}
+                () = sleep_until(unanswered_at), if unanswered_at.is_some() => {
+                    self.on_stop_unanswered();
+                }
                 () = departures => {}
                 () = decided, if check_place.is_some() => {}
                 () = sleep_until(check_place) => {}
@@ -595,7 +620,8 @@
         self.log_deferred_copy(&view);
         let now = self.job.cx.now();
         let step = self.state.next(now, &view);
-        let is_ordered = self.silent_stop.is_some();
+        let reason = self.open_stop.as_ref().map(RunStop::reason);
+        let is_ordered = reason == Some(LeaveReason::Silent);
         let stop_at = (!is_ordered).then(|| self.state.stop_order_at(now, &view));
         (step, stop_at.flatten())
     }
--- a/crates/gateway/src/relay/copy_wait.rs
+++ b/crates/gateway/src/relay/copy_wait.rs
@@ -227,7 +227,7 @@
     match stop {
         StopReason::End => "ended",
         StopReason::CallerGone => "caller_left",
-        StopReason::Relocate | StopReason::Recompute(..) => "left",
+        StopReason::Relocate | StopReason::Stopped | StopReason::Recompute(..) => "left",
         StopReason::Broken => "engine_ended",
         StopReason::Silent | StopReason::EngineFailed => "engine_silent",
         StopReason::Timeout => "timeout",
--- a/crates/gateway/src/relay/resume.rs
+++ b/crates/gateway/src/relay/resume.rs
@@ -472,7 +472,7 @@
         self.splitter.clear();
         self.no_room.clear();
         self.last_stop = None;
-        self.silent_stop = None;
+        self.open_stop = None;
         self.awaits_retry = false;
         self.state.on_relocated(self.job.cx.now());
     }
--- a/crates/gateway/src/relay/stop_run.rs
+++ b/crates/gateway/src/relay/stop_run.rs
@@ -6,24 +6,24 @@
 //! [`run_end`](oriolemux_core::gateway::run_end); this module sends the orders.
 //!
 //! The connection to an engine is closed before the order, since an order to a generation that is
-//! still connected copies its last part, which queues behind other copies. A silent engine is ordered
-//! first: its connection shows whether the run goes on.
+//! still connected copies its last part, which queues behind other copies. A silent engine, and one
+//! that leaves and may not carry out the order, is ordered first, by `open_stop`.
 //! `docs/design/relocation.md` has the figures.
 
 use super::Relay;
 use super::pre_copy::{CopyCall, CopyGuards, CopyHandle, PreCopy, wait_for_end};
-use super::upstream::{Upstream, sleep_until};
+use super::upstream::sleep_until;
 use crate::job::{CopyUsageGuard, PendingMove};
 use crate::log_event;
 use crate::meters::{ByReason, millis};
 use crate::ports::{CopyOutcome, EngineCalls, Wire};
 use crate::response::Reason;
-use http_body_util::BodyExt;
 use oriolemux_core::gateway::RequestKind;
 use oriolemux_core::gateway::run_end::{
     Evidence, LeaveReason, REPEAT_AFTER, RunStop, StopAnswer, StopStep,
 };
 use oriolemux_core::gateway::state::Placement;
+use oriolemux_core::gateway::stop_conduct::OrderedOn;
 use oriolemux_core::time::Time;
 use std::sync::Arc;
 use std::time::Instant;
@@ -50,8 +50,8 @@
 #[derive(Clone, Copy, Debug)]
 pub(super) struct LastStop {
     pub(super) answer: StopAnswer,
-    /// When the attempts to stop the run would have ended.
-    pub(super) ends: Time,
+    /// By when the engine closes a stream that is still open.
+    pub(super) closes_by: Time,
 }
 
 /// The KV cache of a stopped generation that its engine keeps.
@@ -80,19 +80,27 @@
         }
         let cx = Arc::clone(&self.job.cx);
         let began = Instant::now();
-        let pending = self.silent_stop.take();
-        let mut stop = pending.unwrap_or_else(|| RunStop::new(cx.now(), why));
+        let (now, deadline) = (cx.now(), self.deadline());
+        let mut stop = match self.open_stop.take() {
+            Some(pending) => pending.continued(now, why, deadline),
+            None => RunStop::new(now, why, deadline),
+        };
         let caller = self.tx.clone();
         let outcome = loop {
             match stop.next(cx.now()) {
                 StopStep::Order => {
+                    stop.on_order(cx.now());
                     let ends = cx.clock.instant(stop.ends()).unwrap_or(began);
                     let answer = tokio::select! {
                         biased;
                         answer = self.order_stop(ends) => answer,
                         () = caller.closed() => break RunOutcome::CallerLeft,
                     };
-                    self.on_stop_answer(&mut stop, answer);
+                    let ordered_on = match why {
+                        LeaveReason::Silent => OrderedOn::OpenStream,
+                        _ => OrderedOn::ClosedStream,
+                    };
+                    self.on_stop_answer(&mut stop, answer, ordered_on);
                 }
                 StopStep::Wait(until) => tokio::select! {
                     () = sleep_until(cx.clock.instant(until)) => {}
@@ -114,96 +122,9 @@
         Ok(())
     }
 
-    /// Ends the run at a silent engine whose connection is still open. Returns whether the generation
-    /// leaves: an engine that is reached and does not stop it goes on with it.
-    pub(super) async fn end_silent_run(&mut self, upstream: &mut Upstream) -> bool {
-        if self.end_run(LeaveReason::Silent).await.is_err() {
-            // Its answer is a sign of life, as events are.
-            let now = self.job.cx.now();
-            self.state.on_bytes(now);
-            if !self.state.pre_copy_ended(now, false) {
-                self.pre_copy = None;
-            }
-            return false;
-        }
-        // An engine that stopped a run closes its stream. One that says that it stopped the run and
-        // does not close it may be about to.
-        if let Some(ends) = self.stopped_run_closes_by() {
-            let closed = async { while let Some(Ok(_)) = upstream.body.frame().await {} };
-            if timeout_at(ends.into(), closed).await.is_err() {
-                log::debug!("the stream of a stopped generation is still open");
-            }
-        }
-        true
-    }
-
-    /// Returns how long to wait for the end of the stream of a generation that the engine stopped.
-    fn stopped_run_closes_by(&self) -> Option<Instant> {
-        let LastStop { answer, ends } = self.last_stop?;
-        let is_stopped = matches!(answer, StopAnswer::Stopped | StopAnswer::StoppedWithoutRoom);
-        is_stopped
-            .then(|| self.job.cx.clock.instant(ends))
-            .flatten()
-    }
-
-    /// Orders a silent engine to stop the generation, while its events are still waited for. Its
-    /// answer, or that there is none, is known by the time at which the engine is abandoned.
-    pub(super) async fn order_silent_stop(&mut self) {
-        let now = self.job.cx.now();
-        self.silent_stop = Some(RunStop::new(now, LeaveReason::Silent));
-        if self.copy_wait.is_some() {
-            self.withdraw_pre_copy("engine_silent");
-            let leaving_for = self.leaving_for();
-            self.state.pre_copy_refused(now, leaving_for);
-        }
-        if !self.choose_stop_target().await {
-            return;
-        }
-        let Some(pre_copy) = &mut self.pre_copy else {
-            return;
-        };
-        // A copy in progress is given up: an engine that is reached refuses the order until the copy
-        // is complete, and the order is repeated.
-        if !pre_copy.is_running() {
-            self.state.pre_copy_started(now);
-        }
-        pre_copy.start(self.job.name(), true);
-    }
-
-    /// Applies the answer to an order that was given while events are waited for.
-    pub(super) fn on_silent_stop_answer(&mut self, answer: CopyOutcome) {
-        let Some(mut stop) = self.silent_stop.take() else {
-            return;
-        };
-        let is_complete = matches!(answer, CopyOutcome::Complete { .. });
-        self.on_stop_answer(&mut stop, answer);
-        self.silent_stop = Some(stop);
-        // The target stays: it is named again if the order is repeated.
-        self.state.pre_copy_ended(self.job.cx.now(), is_complete);
-    }
-
-    /// Returns whether a silent engine was ordered to stop the generation and has.
-    pub(super) fn silent_run_has_ended(&self) -> bool {
-        self.silent_stop.as_ref().is_some_and(RunStop::has_ended)
-    }
-
-    /// Returns whether the stream ended because the engine carried out an order to stop the generation.
-    /// Only a stream of unknown length then looks complete.
-    pub(super) async fn ended_by_order(&mut self, upstream: &Upstream) -> bool {
-        if self.silent_stop.is_none() || upstream.is_delimited {
-            return false;
-        }
-        match self.end_run(LeaveReason::Silent).await {
-            Ok(()) => self
-                .last_stop
-                .is_none_or(|it| it.answer != StopAnswer::NotRunning),
-            Err(_) => false,
-        }
-    }
-
     /// Chooses the engine that gets the copy of an order to stop the generation, if none holds one
     /// yet. Returns whether there is one.
-    async fn choose_stop_target(&mut self) -> bool {
+    pub(super) async fn choose_stop_target(&mut self) -> bool {
         if self.pre_copy.is_some() {
             return true;
         }
@@ -272,14 +193,25 @@
         order.send(attempt, REPEAT_AFTER).await
     }
 
-    fn on_stop_answer(&mut self, stop: &mut RunStop, answer: CopyOutcome) {
+    pub(super) fn on_stop_answer(
+        &mut self,
+        stop: &mut RunStop,
+        answer: CopyOutcome,
+        ordered_on: OrderedOn,
+    ) {
         let meaning = answer.stop_answer();
         ByReason::RunStops.add(&meaning.to_string());
-        stop.on_answer(self.job.cx.now(), meaning);
+        let cx = &self.job.cx;
+        let now = cx.now();
+        stop.on_answer(now, meaning);
+        let mut state = cx.state();
+        let conduct = &mut state.stop_conduct;
+        conduct.on_answer(now, self.engine.key, meaning, ordered_on);
+        drop(state);
         if meaning.evidence() == Evidence::Ended {
             self.last_stop = Some(LastStop {
                 answer: meaning,
-                ends: stop.ends(),
+                closes_by: stop.closes_by(),
             });
         }
         match answer {
@@ -307,7 +239,8 @@
     /// generation at any engine.
     pub(super) fn end_run_of_caller(&self) {
         if self.may_run_here && self.job.entry().kind == RequestKind::ResumableStream {
-            self.follow_up(RunStop::new(self.job.cx.now(), LeaveReason::CallerLeft));
+            let (now, deadline) = (self.job.cx.now(), self.deadline());
+            self.follow_up(RunStop::new(now, LeaveReason::CallerLeft, deadline));
         }
     }
 
@@ -318,7 +251,7 @@
             return;
         };
         let cx = Arc::clone(&self.job.cx);
-        let deadline = cx.now() + self.job.remaining();
+        let deadline = self.deadline();
         let (attempt, endpoint) = (self.job.name().to_owned(), self.engine.name.clone());
         let began = Instant::now();
         tokio::spawn(async move {
@@ -361,6 +294,10 @@
         })
     }
 
+    fn deadline(&self) -> Time {
+        self.job.cx.now() + self.job.remaining()
+    }
+
     /// Returns an engine that an order can name, whether or not it has room.
     fn another_engine(&self) -> Option<Placement> {
         let state = self.job.cx.state();
--- a/crates/gateway/src/relay/upstream.rs
+++ b/crates/gateway/src/relay/upstream.rs
@@ -26,6 +26,8 @@
     CallerGone,
     /// The engine leaves, and it is time to relocate.
     Relocate,
+    /// The engine leaves, and was ordered to stop the generation and has.
+    Stopped,
     /// The engine is silent, and the given engine can recompute the generation.
     Recompute(Placement, UsageGuard<W>),
     /// The connection broke.
