The question whether an engine carries out orders names no caller's attempt, and is asked with pauses

By an independent review, by reading; each shown by a test.

An instance asks an engine that leaves with an order to stop an attempt that it does not run. The attempt was a caller's with a suffix. If another caller uses that id, its generation would be stopped and its KV cache freed. It is a name of its own form now.

An engine whose stream works while new connections to it are refused, as one that leaves may do, was asked every 5 ms by each of its generations for as long as it stayed, a connection each time. Red before: Ask instead of AwaitAnswer.

--- a/crates/core/src/gateway/stop_conduct.rs
+++ b/crates/core/src/gateway/stop_conduct.rs
@@ -91,9 +91,12 @@
         ordered_on: OrderedOn,
     ) {
         let conduct = self.engines.entry(engine).or_default();
-        conduct.asked = None;
+        if answer.evidence() != Evidence::Unreached {
+            conduct.asked = None;
+        }
         match answer.evidence() {
-            // Whether an engine that cannot be reached carries out orders is not known.
+            // Whether an engine that cannot be reached carries out orders is not known. It is asked
+            // again as late as one that does not answer, or its generations would ask without a pause.
             Evidence::Unreached => {}
             Evidence::Ended => {
                 conduct.is_known = true;
--- a/crates/core/tests/gateway_stop_conduct.rs
+++ b/crates/core/tests/gateway_stop_conduct.rs
@@ -78,6 +78,20 @@
     assert_eq!(conduct.way_out(later, engine()), WayOut::Ask);
 }
 
+/// Guards against an engine that refuses connections and is asked without a pause for as long as it leaves.
+#[test]
+fn an_engine_that_is_not_reached_is_asked_again_later() {
+    let mut conduct = StopConduct::default();
+    conduct.on_asked(NOW, engine());
+
+    let (unreached, ordered_on) = (StopAnswer::Unreached, OrderedOn::OpenStream);
+    conduct.on_answer(NOW, engine(), unreached, ordered_on);
+
+    assert_eq!(conduct.way_out(NOW, engine()), WayOut::AwaitAnswer);
+    let later = NOW + Duration::from_secs(1);
+    assert_eq!(conduct.way_out(later, engine()), WayOut::Ask);
+}
+
 /// Guards against what is known of engines growing with all engines that ever were.
 #[test]
 fn what_is_known_of_engines_that_are_gone_is_dropped() {
--- a/crates/gateway/src/relay/open_stop.rs
+++ b/crates/gateway/src/relay/open_stop.rs
@@ -26,8 +26,9 @@
 /// takes some milliseconds.
 const ANSWER_POLL_INTERVAL: Duration = Duration::from_millis(5);
 
-/// What follows the attempt id of a generation in an order that stops nothing.
-const NO_ATTEMPT_SUFFIX: &str = "-0";
+/// The attempt id in an order that stops nothing. It is of another form than callers' ids, and not
+/// derived from one, so that no generation has it.
+const NO_ATTEMPT: &str = "order-without-attempt";
 
 /// What a generation does whose engine leaves.
 pub(super) enum Departure {
@@ -74,11 +75,10 @@
             return;
         };
         let (call, engine) = (pre_copy.stop_order(), self.engine.key);
-        let attempt = format!("{}{NO_ATTEMPT_SUFFIX}", self.job.name());
         let cx = Arc::clone(&self.job.cx);
         cx.state().stop_conduct.on_asked(cx.now(), engine);
         tokio::spawn(async move {
-            let answer = call.send(&attempt, REPEAT_AFTER).await;
+            let answer = call.send(NO_ATTEMPT, REPEAT_AFTER).await;
             let meaning = answer.stop_answer();
             ByReason::RunStops.add(&meaning.to_string());
             let mut state = cx.state();
