An instance knows its memory and descriptors

Bounds of what callers hold follow from what the process may use, and the process did not know it. Two settings name it, which the deployment fills in; where they are 0, the system is asked. Nothing acts on them yet.

--- a/crates/gateway/src/cx.rs
+++ b/crates/gateway/src/cx.rs
@@ -52,6 +52,10 @@
     pub connect: Duration,
     /// The maximum number of caller connections.
     pub connections: usize,
+    /// The memory that the process may use, in bytes.
+    pub memory: usize,
+    /// The file descriptors that the process may have open.
+    pub descriptors: usize,
 }
 
 /// The context that all tasks of the gateway share.
--- a/crates/oriolemux/src/cli/gateway.rs
+++ b/crates/oriolemux/src/cli/gateway.rs
@@ -5,6 +5,7 @@
 use crate::events::{self, ShellNote};
 use crate::logs::{self, LogTarget};
 use crate::metrics;
+use crate::resources::Resources;
 use crate::settings::{GatewaySettings, InstanceSettings, RepeatsSettings};
 use crate::supervisor::{RepeatedTerminate, StopTokens};
 use core::time::Duration;
@@ -173,6 +174,8 @@
 }
 
 fn run_config(settings: &GatewaySettings, incarnation: Incarnation) -> RunConfig {
+    let instance = &settings.instance;
+    let resources = Resources::new(instance.memory_mb, instance.max_descriptors);
     RunConfig {
         name: settings.name.clone(),
         front: settings.callers.listen,
@@ -185,6 +188,8 @@
         limits: GatewayLimits {
             connect: settings.endpoints.connect_timeout_ms.duration(),
             connections: settings.callers.max_connections as usize,
+            memory: resources.memory,
+            descriptors: resources.descriptors,
         },
         notice: settings.stop.notice_ms.duration(),
         grace: settings.stop.grace_secs.0,
--- a/crates/oriolemux/src/lib.rs
+++ b/crates/oriolemux/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod peers;
 pub mod platform;
 pub mod relay;
+pub mod resources;
 pub mod serve;
 pub mod settings;
 pub mod status;
--- a/crates/oriolemux/src/settings/gateway.rs
+++ b/crates/oriolemux/src/settings/gateway.rs
@@ -23,6 +23,11 @@
         /// are placed by the instances with the largest share; an instance of unknown share is one
         /// of the smallest.
         cpu_share: Number = default(Number(0.0));
+        /// The memory that the process may use, in MB; 0 takes the memory that the system reports. What
+        /// callers may hold of it is a share (docs/design/caller-bounds.md).
+        memory_mb: u32 = default(0).range(0, 16_000_000);
+        /// The file descriptors that the process may have open; 0 takes the limit that the system sets.
+        max_descriptors: u32 = default(0).range(0, 10_000_000);
     }
 
     /// The listener for callers. The catalogue says what they may send.
--- a/crates/oriolemux/tests/settings_reading.rs
+++ b/crates/oriolemux/tests/settings_reading.rs
@@ -41,6 +41,8 @@
     ("{{node-name}}", "edge-1"),
     ("{{zone}}", "north"),
     ("{{limits.cpu-share}}", "0.12"),
+    ("{{limits.memory-mb}}", "88"),
+    ("{{limits.max-fds}}", "4100"),
     ("{{listen.frontend}}", "10.0.0.7:8080"),
     ("{{listen.readiness}}", "10.0.0.7:8081"),
     ("{{ip}}", "10.0.0.7"),
@@ -69,6 +71,8 @@
     let settings = GatewaySettings::parse("gateway.toml", &text).expect("no findings");
 
     assert_eq!(settings.instance.cpu_share, Number(0.12));
+    assert_eq!(settings.instance.memory_mb, 88);
+    assert_eq!(settings.instance.max_descriptors, 4_100);
 }
 
 #[test]
