--- a/crates/oriolemux/tests/gateway_process.rs
+++ b/crates/oriolemux/tests/gateway_process.rs
@@ -4,6 +4,7 @@
 #[path = "gateway_support/paused.rs"]
 mod paused;
 #[path = "gateway_support/process.rs"]
+#[allow(dead_code, reason = "each test file uses a part of it")]
 mod process;
 
 use core::time::Duration;
@@ -14,7 +15,7 @@
 use oriolemux_platform_standin::{
     Caller, Deployment, Engine, EngineFault, Engines, Service, readiness, until,
 };
-use process::{Process, Reader, Settings, stale_seed};
+use process::{Limits, Process, Reader, Settings, stale_seed};
 use rstest::rstest;
 use std::process::Command;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -80,6 +81,7 @@
             data_centre,
             store: deployment.store.address(),
             seeds: vec![stale_seed()],
+            limits: Limits::default(),
         };
         processes.push(Process::start(dir.path(), &settings, Reader::Follows));
     }
@@ -266,6 +268,7 @@
         data_centre: "arima",
         store: deployment.store.address(),
         seeds: Vec::new(),
+        limits: Limits::default(),
     };
     let process = Process::start(dir.path(), &settings, Reader::Stops);
     until(|| async { readiness(process.readiness).await == StatusCode::OK }).await;
--- a/crates/oriolemux/tests/gateway_support/paused.rs
+++ b/crates/oriolemux/tests/gateway_support/paused.rs
@@ -1,6 +1,6 @@
 //! A real process of `oriolemux gateway` that does not run for some time while the world goes on.
 
-use super::process::{Process, Reader, Settings};
+use super::process::{Limits, Process, Reader, Settings};
 use core::time::Duration;
 use http::StatusCode;
 use nix::sys::signal::{Signal, kill};
@@ -49,6 +49,7 @@
             data_centre: "north",
             store: deployment.store.address(),
             seeds: Vec::new(),
+            limits: Limits::default(),
         };
         let process = Process::start(dir.path(), &settings, Reader::Follows);
         until(|| async { readiness(process.readiness).await == StatusCode::OK }).await;
--- a/crates/oriolemux/tests/gateway_support/process.rs
+++ b/crates/oriolemux/tests/gateway_support/process.rs
@@ -15,6 +15,29 @@
     pub data_centre: &'a str,
     pub store: SocketAddrV4,
     pub seeds: Vec<SocketAddr>,
+    pub limits: Limits,
+}
+
+/// The limits of a process; its defaults where there is none.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Limits {
+    pub memory_mb: Option<u32>,
+    pub max_descriptors: Option<u32>,
+    pub max_connections: Option<u32>,
+}
+
+impl Limits {
+    fn instance(&self) -> String {
+        setting("memory_mb", self.memory_mb) + &setting("max_descriptors", self.max_descriptors)
+    }
+
+    fn callers(&self) -> String {
+        setting("max_connections", self.max_connections)
+    }
+}
+
+fn setting(key: &str, value: Option<u32>) -> String {
+    value.map_or_else(String::new, |value| format!("{key} = {value}\n"))
 }
 
 impl Settings<'_> {
@@ -26,12 +49,14 @@
             .collect();
         format!(
             "name = \"{}\"\ndata_centre = \"{}\"\n\
-             [callers]\nlisten = \"127.0.0.1:0\"\n[readiness]\nlisten = \"127.0.0.1:0\"\n\
+             [instance]\n{}[callers]\nlisten = \"127.0.0.1:0\"\n{}[readiness]\nlisten = \"127.0.0.1:0\"\n\
              [peers]\nlisten = \"127.0.0.1:0\"\nseeds = [{}]\ndeployment = \"test\"\n\
              [store]\naddress = \"{}\"\n[stop]\nnotice_ms = 200\ngrace_secs = 20\n\
              [metrics]\nenabled = true\nlisten = \"127.0.0.1:0\"\n",
             self.name,
             self.data_centre,
+            self.limits.instance(),
+            self.limits.callers(),
             seeds.join(", "),
             self.store
         )
@@ -57,6 +82,7 @@
     pub front: SocketAddr,
     pub readiness: SocketAddr,
     pub operators: SocketAddr,
+    pub peers: SocketAddr,
 }
 
 impl Process {
@@ -107,6 +133,7 @@
             front: listeners["front"],
             readiness: listeners["readiness"],
             operators: listeners["metrics"],
+            peers: listeners["peers"],
         }
     }
 
@@ -136,6 +163,28 @@
         kill(self.pid(), signal).expect("the process is there");
     }
 
+    /// Returns whether it runs.
+    pub fn is_alive(&mut self) -> bool {
+        let ended = self.child.try_wait().expect("a status");
+        ended.is_none()
+    }
+
+    /// Returns the largest memory that it has occupied so far, in bytes.
+    pub fn peak_memory(&self) -> usize {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.pid()));
+        let status = status.expect("the process is there");
+        let line = status.lines().find(|it| it.starts_with("VmHWM:"));
+        let kib = line.and_then(|it| it.split_whitespace().nth(1));
+        let kib: usize = kib.and_then(|it| it.parse().ok()).expect("a peak");
+        kib * 1_024
+    }
+
+    /// Returns how many descriptors it has open.
+    pub fn descriptors(&self) -> usize {
+        let open = std::fs::read_dir(format!("/proc/{}/fd", self.pid()));
+        open.expect("the process is there").count()
+    }
+
     /// Runs a command of the binary against this process, and returns its output.
     pub fn command(&self, words: &[&str]) -> Output {
         let command = Command::new(env!("CARGO_BIN_EXE_oriolemux"))
