The bodies of all callers' requests share a bound that follows the memory

Callers saw an instance end: 100 bodies of 1 MiB or less took 129 to 219 MB of an 88 MB instance. Cause: a body had a bound and all together had none; frames were kept as a list, over 30 bytes for each byte in chunks of one byte, and copied into a second buffer at the end.

A body is copied into one buffer as it arrives, and counts until the last copy of it is gone. What yields is the incomplete body that has made no progress for the longest time (503 instance_full, not sent to an endpoint); small bodies have room of their own. A length over the limit is refused unread.

Not counted yet: copies on their way to a peer.

--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -12,6 +12,7 @@
 //! | [`replica`] | the published records, merged by revision from reads and peers |
 //! | [`cordons`] | data centres that the operator closed to new work |
 //! | [`cold`] | rate limits of endpoints, in particular of cold ones |
+//! | [`body_memory`] | whose request bodies are kept, where all together are bounded |
 //! | [`rate_limits`] | rate limits that endpoints report for themselves |
 //! | [`backoff`] | endpoints that want no requests from this instance for a while |
 //! | [`endpoints`] | which endpoints exist, which are leaving, which are ejected |
@@ -47,6 +48,7 @@
 
 pub mod backoff;
 pub mod beacons;
+pub mod body_memory;
 pub mod brittle;
 pub mod budget;
 pub mod catalogue;
--- a/crates/gateway/src/cx.rs
+++ b/crates/gateway/src/cx.rs
@@ -1,5 +1,6 @@
 //! The context that all tasks of the gateway share.
 
+use crate::front::KeptBodies;
 use crate::log_event;
 use crate::meters::{ByReason, millis};
 use crate::ports::Wire;
@@ -7,6 +8,7 @@
 use crate::stop_plan::{CallDemand, StopPlan};
 use crate::store::Source;
 use core::time::Duration;
+use oriolemux_core::gateway::body_memory::BodyBounds;
 use oriolemux_core::gateway::brittle::BrittleChange;
 use oriolemux_core::gateway::rate_limits::LimitChange;
 use oriolemux_core::gateway::state::Placement;
@@ -66,6 +68,8 @@
     pub clock: Clock,
     /// Limits of the sockets.
     pub limits: GatewayLimits,
+    /// The bodies of callers' requests.
+    pub bodies: Arc<KeptBodies>,
     /// Connections to peers that serve requests for this instance.
     pub proxy_links: ProxyLinks,
     /// Notified when the replica of the store has changed.
@@ -133,6 +137,7 @@
             wire,
             clock,
             limits,
+            bodies: KeptBodies::new(BodyBounds::of_memory(limits.memory)),
             proxy_links: ProxyLinks::default(),
             replica_changed: Notify::new(),
             departures: Notify::new(),
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -1,10 +1,12 @@
 //! The front for callers: accepts requests and matches them against the catalogue in force.
 
 mod activity;
+mod bodies;
 mod connection;
 mod flushed_body;
 mod request_framing;
 
+pub use bodies::KeptBodies;
 pub use connection::serve;
 pub use flushed_body::FlushedBody;
 
@@ -21,11 +23,11 @@
 use crate::run_lease::RunGuard;
 use crate::sent_mark::SentMark;
 use crate::{call, stream};
+use bodies::BodyError;
 use bytes::Bytes;
 use core::time::Duration;
 use http::request::Parts;
 use http::{HeaderMap, Request, Response, Uri, header};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use oriolemux_core::fingerprint::{Fingerprint, Identity};
 use oriolemux_core::gateway::RequestKind;
@@ -107,15 +109,14 @@
                 earns_retry: true,
             };
             let target = matched.catalogue.entry(entry).target;
-            let refused_as_stopping = || {
-                let reason = Reason::Stopping;
+            let refused_here = |reason: Reason| {
                 refused_until(
                     reason,
                     retry_after_elsewhere(reason, caller_timeout, target),
                 )
             };
             if !matched.is_admitted(&cx) {
-                return refused_as_stopping();
+                return refused_here(Reason::Stopping);
             }
             let ending = cx.ending.clone();
             let read = tokio::select! {
@@ -125,7 +126,7 @@
             };
             match read {
                 Ok(job) => run(job, engines).await,
-                Err(Reason::Stopping) => refused_as_stopping(),
+                Err(reason @ (Reason::Stopping | Reason::InstanceFull)) => refused_here(reason),
                 Err(reason) => refused(reason),
             }
         }
@@ -244,12 +245,12 @@
     let deadline = matched.deadline();
     let (parts, body) = req.into_parts();
     let limit = matched.catalogue.limits().max_body_bytes;
-    let collected =
-        tokio::time::timeout_at(deadline.into(), Limited::new(body, limit).collect()).await;
-    let body: Bytes = match collected {
-        Ok(Ok(body)) => body.to_bytes(),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => return Err(Reason::BodyTooLarge),
-        Ok(Err(_)) => return Err(Reason::BodyBroken),
+    let reading = cx.bodies.read(body, limit);
+    let body = match tokio::time::timeout_at(deadline.into(), reading).await {
+        Ok(Ok(body)) => body,
+        Ok(Err(BodyError::TooLarge(_))) => return Err(Reason::BodyTooLarge),
+        Ok(Err(BodyError::NoRoom(_) | BodyError::Evicted)) => return Err(Reason::InstanceFull),
+        Ok(Err(BodyError::Broken(_))) => return Err(Reason::BodyBroken),
         Err(_) => return Err(Reason::WaitTooLong),
     };
     Ok(job_of(cx, matched, parts, body, deadline))
--- /dev/null
+++ b/crates/gateway/src/front/bodies.rs
@@ -0,0 +1,221 @@
+//! The bodies of requests that are kept until their requests end.
+//!
+//! [`body_memory`] decides which of them there is room for.
+//!
+//! [`body_memory`]: oriolemux_core::gateway::body_memory
+
+use crate::meters::ByReason;
+use bytes::Bytes;
+use core::future::poll_fn;
+use core::task::{Context, Poll, Waker};
+use cranelift_entity::SecondaryMap;
+use http_body::Body;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use oriolemux_core::gateway::body_memory::{BodyBounds, BodyId, BodyMemory, NoBodyRoom};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+/// The least bytes by which the buffer of a body grows.
+const MIN_GROWTH_BYTES: usize = 1024;
+
+/// The inverse of the share of its bytes by which the buffer of a body grows at least.
+const GROWTH_SHARE: usize = 4;
+
+/// Why a body was not read in full.
+#[derive(Debug, displaydoc::Display, thiserror::Error)]
+pub enum BodyError {
+    /// it is larger than {0} bytes
+    TooLarge(usize),
+    /// there is no room for it: {0}
+    NoRoom(#[from] NoBodyRoom),
+    /// it has yielded to another body
+    Evicted,
+    /// it broke off: {0}
+    Broken(#[from] hyper::Error),
+}
+
+/// The bodies that are kept.
+#[derive(Debug)]
+pub struct KeptBodies {
+    kept: Mutex<Kept>,
+}
+
+#[derive(Debug)]
+struct Kept {
+    memory: BodyMemory,
+    buffers: SecondaryMap<BodyId, Buffer>,
+    /// Bodies that yield to the one that grows; empty between two calls.
+    evicted: Vec<BodyId>,
+}
+
+/// The bytes of an incomplete body.
+#[derive(Clone, Debug, Default)]
+struct Buffer {
+    bytes: Vec<u8>,
+    is_evicted: bool,
+    /// Wakes the reader when the body is evicted.
+    waker: Option<Waker>,
+}
+
+impl KeptBodies {
+    /// Returns an empty store with these bounds.
+    pub fn new(bounds: BodyBounds) -> Arc<Self> {
+        Arc::new(KeptBodies {
+            kept: Mutex::new(Kept {
+                memory: BodyMemory::new(bounds),
+                buffers: SecondaryMap::new(),
+                evicted: Vec::new(),
+            }),
+        })
+    }
+
+    /// Returns the bytes that all bodies take.
+    pub fn used(&self) -> usize {
+        self.lock().memory.used()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Kept> {
+        self.kept.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Reads a full body of at most `limit` bytes.
+    ///
+    /// # Errors
+    ///
+    /// Returns why it was not read in full. A length over the limit is refused before anything is read.
+    pub async fn read(
+        self: &Arc<Self>,
+        mut body: Incoming,
+        limit: usize,
+    ) -> Result<Bytes, BodyError> {
+        if body.is_end_stream() {
+            return Ok(Bytes::new());
+        }
+        let announced = body.size_hint().exact();
+        let announced = announced.map(|it| usize::try_from(it).unwrap_or(usize::MAX));
+        if announced.is_some_and(|it| it > limit) {
+            return Err(BodyError::TooLarge(limit));
+        }
+        let kept = KeptBody::open(self);
+        loop {
+            let frame = tokio::select! {
+                biased;
+                () = kept.evicted() => return Err(BodyError::Evicted),
+                frame = body.frame() => frame,
+            };
+            let Some(frame) = frame else {
+                return Ok(kept.complete());
+            };
+            // Trailers are not forwarded.
+            if let Ok(data) = frame?.into_data() {
+                kept.append(&data, announced.unwrap_or(limit), limit)?;
+            }
+        }
+    }
+}
+
+/// A body that takes room until it is dropped.
+struct KeptBody {
+    bodies: Arc<KeptBodies>,
+    id: BodyId,
+}
+
+impl KeptBody {
+    fn open(bodies: &Arc<KeptBodies>) -> Self {
+        KeptBody {
+            bodies: Arc::clone(bodies),
+            id: bodies.lock().memory.open(),
+        }
+    }
+
+    /// Waits until the body is evicted.
+    async fn evicted(&self) {
+        poll_fn(|cx| self.poll_evicted(cx)).await;
+    }
+
+    fn poll_evicted(&self, cx: &Context<'_>) -> Poll<()> {
+        let mut kept = self.bodies.lock();
+        let buffer = &mut kept.buffers[self.id];
+        if buffer.is_evicted {
+            return Poll::Ready(());
+        }
+        match &mut buffer.waker {
+            Some(waker) => waker.clone_from(cx.waker()),
+            None => buffer.waker = Some(cx.waker().clone()),
+        }
+        Poll::Pending
+    }
+
+    /// Appends bytes of the body, which has `expected` bytes in total as far as known and `limit` at
+    /// most.
+    fn append(&self, data: &[u8], expected: usize, limit: usize) -> Result<(), BodyError> {
+        let mut kept = self.bodies.lock();
+        let kept = &mut *kept;
+        let buffer = &mut kept.buffers[self.id];
+        if buffer.is_evicted {
+            return Err(BodyError::Evicted);
+        }
+        let length = buffer.bytes.len() + data.len();
+        if length > limit {
+            return Err(BodyError::TooLarge(limit));
+        }
+        if length > buffer.bytes.capacity() {
+            let more = (length / GROWTH_SHARE).max(MIN_GROWTH_BYTES);
+            let capacity = (length + more).min(expected).max(length);
+            let room = kept.memory.grow(self.id, capacity, &mut kept.evicted);
+            room.inspect_err(|_| ByReason::BodiesGivenUp.add("no_room"))?;
+            buffer.bytes.reserve_exact(capacity - buffer.bytes.len());
+        }
+        buffer.bytes.extend_from_slice(data);
+        for id in kept.evicted.drain(..) {
+            kept.buffers[id].evict();
+        }
+        Ok(())
+    }
+
+    /// Returns the body, which takes room until its last copy is dropped.
+    fn complete(self) -> Bytes {
+        let mut kept = self.bodies.lock();
+        let bytes = core::mem::take(&mut kept.buffers[self.id]).bytes;
+        let bytes = bytes.into_boxed_slice();
+        if !bytes.is_empty() {
+            kept.memory.complete(self.id, bytes.len());
+        }
+        drop(kept);
+        if bytes.is_empty() {
+            return Bytes::new();
+        }
+        Bytes::from_owner(CompleteBody { bytes, _kept: self })
+    }
+}
+
+impl Drop for KeptBody {
+    fn drop(&mut self) {
+        let mut kept = self.bodies.lock();
+        kept.buffers[self.id] = Buffer::default();
+        kept.memory.close(self.id);
+    }
+}
+
+impl Buffer {
+    fn evict(&mut self) {
+        ByReason::BodiesGivenUp.add("evicted");
+        self.bytes = Vec::new();
+        self.is_evicted = true;
+        if let Some(waker) = self.waker.take() {
+            waker.wake();
+        }
+    }
+}
+
+/// The bytes of a body that was read in full.
+struct CompleteBody {
+    bytes: Box<[u8]>,
+    _kept: KeptBody,
+}
+
+impl AsRef<[u8]> for CompleteBody {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
--- a/crates/gateway/src/meters.rs
+++ b/crates/gateway/src/meters.rs
@@ -91,6 +91,9 @@
         /// Connections of callers that were closed before anything was read from them, because this
         /// instance was in `overload` or at its connection `limit`.
         Shed = "oriolemux_gateway_connections_shed_total";
+        /// Request bodies that were given up for want of memory: `no_room`, or `evicted` in the middle,
+        /// because another body made progress.
+        BodiesGivenUp = "oriolemux_gateway_bodies_given_up_total";
         /// Responses that were not fully written when the connection of their caller ended, by how it
         /// ended: `caller_left`, `timed_out`, or by this instance.
         UnwrittenResponses = "oriolemux_gateway_unwritten_responses_total";
@@ -135,6 +138,8 @@
         Peers = "oriolemux_gateway_peers";
         /// Connections of callers.
         Connections = "oriolemux_gateway_connections";
+        /// Bytes that the bodies of callers' requests take.
+        BodyBytes = "oriolemux_gateway_body_bytes";
         /// Generations that are passed on.
         Running = "oriolemux_gateway_generations_running";
         /// Seconds by which this instance itself lately delayed what it does: timers that fire late.
@@ -249,6 +254,7 @@
             Gauge::Connections,
             cx.open_count(OpenKind::Connection) as f64,
         ),
+        (Gauge::BodyBytes, cx.bodies.used() as f64),
         (Gauge::Running, cx.open_count(OpenKind::Generation) as f64),
         (
             Gauge::TimerDelay,
--- a/crates/gateway/src/response.rs
+++ b/crates/gateway/src/response.rs
@@ -94,6 +94,7 @@
         EndpointsBackedOff = "endpoints_backed_off",
         EndpointsBrittle = "endpoints_brittle",
         RelayFailed = "relay_failed",
+        InstanceFull = "instance_full",
     }
 }
 
@@ -174,6 +175,7 @@
             | Reason::NotRunAtEndpoint
             | Reason::NoConnection
             | Reason::NoRunLease
+            | Reason::InstanceFull
             | Reason::Stopping => StatusCode::SERVICE_UNAVAILABLE,
             Reason::ResponseLost
             | Reason::WrongAttempt
--- a/crates/oriolemux/src/story/reasons.rs
+++ b/crates/oriolemux/src/story/reasons.rs
@@ -69,5 +69,8 @@
             "all endpoints were likely to be full, and crash if they reject too many requests"
         }
         Reason::RelayFailed => "a bug ended its handling; report it as a fault",
+        Reason::InstanceFull => {
+            "its instance had no memory for its body beside those of other requests"
+        }
     }
 }
