Connections of callers that wait the longest yield at a bound of memory and descriptors

Callers saw their connections reset where others kept all of them, whatever those did: nothing, a head or a body without its end, or an idle connection. 300 connections took 317 of 256 descriptors, and the system held up to 105 MB that callers had sent behind requests that ran. Cause: the number of connections was a constant that knew neither memory nor descriptors, whoever came next was refused, nothing bounded receive buffers, and nothing ended a connection whose caller does not read.

The bound follows memory and descriptors. At it, connections yield whose callers have been waited for the longest; an incomplete body gets 503 instance_full. Receive buffers have a bound; callers.write_timeout_ms (60 s) ends unread responses. [894] has two more values, evicted and not_read.

--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -13,6 +13,7 @@
 //! | [`cordons`] | data centres that the operator closed to new work |
 //! | [`cold`] | rate limits of endpoints, in particular of cold ones |
 //! | [`body_memory`] | whose request bodies are kept, where all together are bounded |
+//! | [`connection_bounds`] | how many connections are held, and which yield |
 //! | [`rate_limits`] | rate limits that endpoints report for themselves |
 //! | [`backoff`] | endpoints that want no requests from this instance for a while |
 //! | [`endpoints`] | which endpoints exist, which are leaving, which are ejected |
@@ -55,6 +56,7 @@
 pub mod catch_up;
 pub mod choose;
 pub mod cold;
+pub mod connection_bounds;
 pub mod cordons;
 pub mod endpoints;
 pub mod engines;
--- a/crates/gateway/src/cx.rs
+++ b/crates/gateway/src/cx.rs
@@ -10,6 +10,7 @@
 use core::time::Duration;
 use oriolemux_core::gateway::body_memory::BodyBounds;
 use oriolemux_core::gateway::brittle::BrittleChange;
+use oriolemux_core::gateway::connection_bounds::ConnectionBounds;
 use oriolemux_core::gateway::rate_limits::LimitChange;
 use oriolemux_core::gateway::state::Placement;
 use oriolemux_core::gateway::{Cordon, CordonEffect, Gateway};
@@ -52,12 +53,12 @@
 pub struct GatewayLimits {
     /// The timeout for connecting to an endpoint.
     pub connect: Duration,
-    /// The maximum number of caller connections.
-    pub connections: usize,
+    /// The connections that each listener may hold.
+    pub connections: ConnectionBounds,
+    /// A caller that accepts no data for this long counts as disconnected.
+    pub write: Duration,
     /// The memory that the process may use, in bytes.
     pub memory: usize,
-    /// The file descriptors that the process may have open.
-    pub descriptors: usize,
 }
 
 /// The context that all tasks of the gateway share.
@@ -184,12 +185,6 @@
         }
     }
 
-    /// Counts a caller's connection until the guard is dropped; `None` at the connection limit.
-    pub fn open_connection(self: &Arc<Self>) -> Option<OpenGuard<W>> {
-        let guard = self.count(OpenKind::Connection);
-        (self.open_count(OpenKind::Connection) <= self.limits.connections).then_some(guard)
-    }
-
     /// Counts a large transfer to a peer until the guard is dropped; `None` if `most` transfers
     /// are in progress already.
     pub fn begin_large_transfer(self: &Arc<Self>, most: usize) -> Option<OpenGuard<W>> {
--- a/crates/gateway/src/event_log.rs
+++ b/crates/gateway/src/event_log.rs
@@ -292,7 +292,7 @@
     ResponseAbandoned = 893, "response_abandoned", Info, FAILURES;
     /// This instance ended the connection of a caller before its response was written: `body_failed`
     /// if the response was aborted so that it does not look complete, `slow_head`, `stop_deadline`,
-    /// `dropped` if the process ends at once, and `failed` or `closed` by the HTTP server. The fields
+    /// `not_read` if the caller accepted no data for too long, `evicted` if the connection yielded to others, `dropped` if the process ends at once, and `failed` or `closed` by the HTTP server. The fields
     /// are those of the event before.
     ResponseCut = 894, "response_cut", Warn, FAILURES;
     /// An engine that did not resume a generation from its copy is asked again: how often it was asked
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -71,12 +71,13 @@
     }
 }
 
-/// Serves one request with a parsed head.
+/// Serves one request with a parsed head. Its body is given up once `body_evicted` resolves.
 async fn handle<W: Wire, E: EngineCalls>(
     cx: Arc<Cx<W>>,
     engines: E,
     head: CallerHead,
     req: Request<Incoming>,
+    body_evicted: impl Future<Output = ()>,
 ) -> Response<ResponseBody> {
     let arrived = Instant::now();
     let caller_timeout = head.timeout.unwrap_or(DEFAULT_CALLER_TIMEOUT);
@@ -123,6 +124,7 @@
                 biased;
                 read = read_body(cx, matched, req) => read,
                 () = ending.cancelled() => Err(Reason::Stopping),
+                () = body_evicted => Err(Reason::InstanceFull),
             };
             match read {
                 Ok(job) => run(job, engines).await,
--- a/crates/gateway/src/front/activity.rs
+++ b/crates/gateway/src/front/activity.rs
@@ -2,6 +2,7 @@
 
 use super::connection::ConnectionEnd;
 use super::request_framing::RequestReader;
+use crate::connections::Connection;
 use crate::log_event;
 use crate::meters::{ByReason, millis};
 use bytes::Bytes;
@@ -15,6 +16,8 @@
 use std::time::Instant;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
+use tokio_util::sync::CancellationToken;
 
 /// The minimum time between two checks of a connection, whatever its timeouts are.
 const MIN_CHECK_INTERVAL: Duration = Duration::from_millis(10);
@@ -23,6 +26,10 @@
 #[derive(Debug)]
 pub(super) struct Activity {
     state: Mutex<ActivityState>,
+    /// Notified when the connection should yield to others.
+    evicted: Notify,
+    /// Cancelled when the request whose body is incomplete is given up for that.
+    body_evicted: CancellationToken,
 }
 
 #[derive(Debug)]
@@ -43,6 +50,16 @@
     requests: u64,
     /// Whether the connection is reset, since its end would complete a response that is not whole.
     must_reset: bool,
+    /// When bytes were last read.
+    read_at: Instant,
+    /// Since when the caller has accepted no data that is to be written.
+    blocked_since: Option<Instant>,
+    /// Whether the connection only waits for its caller to read the end.
+    is_lingering: bool,
+    /// Whether it was evicted and its task has not run since.
+    is_evicting: bool,
+    /// Whether it closes with the next response.
+    closes: bool,
 }
 
 /// A response that is not fully written to the connection.
@@ -63,6 +80,16 @@
     Keep,
     Idle,
     SlowHead,
+    NotRead,
+}
+
+/// What a connection does that should yield to others.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Yield {
+    /// It ends at once: nothing of a request would be lost that is not refused so far.
+    Now,
+    /// It ends with the response to the current request.
+    AfterResponse,
 }
 
 impl Activity {
@@ -76,7 +103,14 @@
                 unwritten: Vec::new(),
                 requests: 0,
                 must_reset: false,
+                read_at: Instant::now(),
+                blocked_since: None,
+                is_lingering: false,
+                is_evicting: false,
+                closes: false,
             }),
+            evicted: Notify::new(),
+            body_evicted: CancellationToken::new(),
         }
     }
 
@@ -103,13 +137,62 @@
     /// except for those of a next request.
     fn poll_bytes(&self, cx: &Context<'_>, buf: &mut ReadBuf<'_>, before: usize) -> Poll<()> {
         let mut state = self.state();
+        state.read_at = Instant::now();
         let passed = state.reader.on_bytes(&buf.filled()[before..]);
         buf.set_filled(before + passed);
         state.passed(cx, passed)
     }
 
-    fn on_written(&self) {
-        self.state().idle_since = Instant::now();
+    /// Records the result of a write to the socket.
+    fn on_write<T>(&self, written: &Poll<io::Result<T>>) {
+        let now = Instant::now();
+        let mut state = self.state();
+        match written {
+            Poll::Pending => {
+                state.blocked_since.get_or_insert(now);
+            }
+            Poll::Ready(Ok(_)) => {
+                state.blocked_since = None;
+                state.idle_since = now;
+            }
+            Poll::Ready(Err(_)) => {}
+        }
+    }
+
+    /// Waits until the connection should yield to others.
+    pub(super) async fn evicted(&self) {
+        self.evicted.notified().await;
+    }
+
+    /// Waits until the request whose body is incomplete is given up, because its connection yields.
+    pub(super) async fn body_evicted(&self) {
+        self.body_evicted.cancelled().await;
+    }
+
+    /// Returns what the connection does to yield. An incomplete body is given up.
+    pub(super) fn on_evicted(&self) -> Yield {
+        let mut state = self.state();
+        state.is_evicting = false;
+        if state.is_in_body() {
+            self.body_evicted.cancel();
+        }
+        match state.waits_since() {
+            Some(_) if !state.is_in_body() => Yield::Now,
+            _ => {
+                state.closes = true;
+                Yield::AfterResponse
+            }
+        }
+    }
+
+    /// Returns whether the connection closes with the next response.
+    pub(super) fn closes(&self) -> bool {
+        self.state().closes
+    }
+
+    /// Records that the connection only waits for its caller to read the end.
+    pub(super) fn begin_lingering(&self) {
+        self.state().is_lingering = true;
     }
 
     /// Records that the HTTP server has written all that it buffered.
@@ -198,21 +281,28 @@
 
     /// Returns when the connection is checked next. The first byte of a head wakes nobody, so a
     /// stalled head is noticed at most half a timeout late.
-    pub(super) fn next_check(&self, limits: CallerLimits) -> Instant {
+    pub(super) fn next_check(&self, limits: CallerLimits, write: Duration) -> Instant {
         let state = self.state();
         let now = Instant::now();
+        let write_bound = state
+            .blocked_since
+            .map_or(now + write, |since| since + write);
         let bound = match (state.is_busy(), state.head_since) {
             (true, _) => now + limits.idle_timeout,
             (false, Some(since)) => since + limits.head_timeout,
             (false, None) => state.idle_since + limits.idle_timeout,
         };
         bound
+            .min(write_bound)
             .min(now + limits.head_timeout / 2)
             .max(now + MIN_CHECK_INTERVAL)
     }
 
-    pub(super) fn verdict(&self, limits: CallerLimits) -> Verdict {
+    pub(super) fn verdict(&self, limits: CallerLimits, write: Duration) -> Verdict {
         let state = self.state();
+        if state.blocked_since.is_some_and(|it| it.elapsed() >= write) {
+            return Verdict::NotRead;
+        }
         match (state.is_busy(), state.head_since) {
             (true, _) => Verdict::Keep,
             (false, Some(since)) if since.elapsed() >= limits.head_timeout => Verdict::SlowHead,
@@ -222,7 +312,43 @@
     }
 }
 
+impl Connection for Activity {
+    fn waiting(&self, now: Instant) -> Option<Duration> {
+        let state = self.state();
+        if state.is_evicting {
+            return None;
+        }
+        if state.is_lingering {
+            return Some(Duration::MAX);
+        }
+        let since = state.waits_since()?;
+        Some(now.saturating_duration_since(since))
+    }
+
+    fn evict(&self) {
+        self.state().is_evicting = true;
+        self.evicted.notify_one();
+    }
+}
+
 impl ActivityState {
+    /// Returns since when the connection has waited for its caller; `None` while a request is served.
+    fn waits_since(&self) -> Option<Instant> {
+        if self.blocked_since.is_some() {
+            return self.blocked_since;
+        }
+        if !self.is_busy() {
+            return Some(self.head_since.unwrap_or(self.idle_since));
+        }
+        self.is_in_body().then_some(self.read_at)
+    }
+
+    /// Returns whether the body of a request that has begun is incomplete.
+    fn is_in_body(&self) -> bool {
+        let has_response = self.unwritten.iter().any(|it| it.head_ready.is_some());
+        self.is_busy() && !has_response && self.reader.is_in_body()
+    }
+
     /// Returns whether a response is not fully written.
     fn is_busy(&self) -> bool {
         !self.unwritten.is_empty()
@@ -277,7 +403,9 @@
 impl Drop for EndReport {
     fn drop(&mut self) {
         let mut state = self.activity.state();
-        state.must_reset = state.unwritten.iter().any(|it| it.is_unframed);
+        // What a caller does not read would stay with the system otherwise.
+        let is_unread = matches!(self.end, ConnectionEnd::NotRead | ConnectionEnd::Evicted);
+        state.must_reset = state.unwritten.iter().any(|it| it.is_unframed || is_unread);
         for response in state.unwritten.drain(..) {
             log_unwritten(&response, self.end);
         }
@@ -412,9 +540,7 @@
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
         let written = Pin::new(&mut self.stream).poll_write(cx, buf);
-        if let Poll::Ready(Ok(_)) = written {
-            self.activity.on_written();
-        }
+        self.activity.on_write(&written);
         written
     }
 
@@ -436,9 +562,7 @@
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         let written = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
-        if let Poll::Ready(Ok(_)) = written {
-            self.activity.on_written();
-        }
+        self.activity.on_write(&written);
         written
     }
 
--- a/crates/gateway/src/front/connection.rs
+++ b/crates/gateway/src/front/connection.rs
@@ -1,7 +1,8 @@
 //! Connections of callers: idle and head timeouts, and closing.
 
-use super::activity::{Activity, EndReport, TrackedBody, Verdict, WatchedStream};
+use super::activity::{Activity, EndReport, TrackedBody, Verdict, WatchedStream, Yield};
 use super::{FlushedBody, handle};
+use crate::connections::{Connections, OpenConnection};
 use crate::cx::{Cx, OpenKind};
 use crate::meters::ByReason;
 use crate::ports::{EngineCalls, Wire};
@@ -15,6 +16,7 @@
 use hyper::service::{HttpService, service_fn};
 use hyper_util::rt::TokioIo;
 use oriolemux_core::gateway::catalogue::CallerLimits;
+use socket2::SockRef;
 use std::error::Error;
 use std::io;
 use std::sync::Arc;
@@ -32,6 +34,12 @@
     listener: TcpListener,
     tasks: TaskTracker,
 ) {
+    let bounds = cx.limits.connections;
+    // Accepted connections inherit it. What is not read would be held without a bound of ours otherwise.
+    if let Err(error) = SockRef::from(&listener).set_recv_buffer_size(bounds.receive_buffer) {
+        log::warn!("cannot bound the receive buffers of callers: {error}");
+    }
+    let connections = Connections::new("callers", bounds.callers);
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
@@ -40,7 +48,21 @@
                     ByReason::Shed.add("overload");
                     continue;
                 }
-                tasks.spawn(serve_connection(Arc::clone(&cx), engines.clone(), stream));
+                let activity = Arc::new(Activity::new());
+                let Some(open) = connections.open(Arc::clone(&activity)) else {
+                    ByReason::Shed.add("limit");
+                    continue;
+                };
+                let accepted = AcceptedStream {
+                    stream,
+                    activity,
+                    _open: open,
+                };
+                tasks.spawn(serve_connection(Arc::clone(&cx), engines.clone(), accepted));
+                if connections.is_full() {
+                    // Evicted connections end before others are accepted.
+                    tokio::task::yield_now().await;
+                }
             }
             Err(error) => {
                 log::warn!("cannot accept a caller connection: {error}");
@@ -58,16 +80,27 @@
 /// for it, and callers that keep a connection until they use it again would delay each stop.
 const STOP_LINGER_TIMEOUT: Duration = Duration::from_millis(250);
 
-async fn serve_connection<W: Wire, E: EngineCalls>(cx: Arc<Cx<W>>, engines: E, stream: TcpStream) {
-    let Some(_open) = cx.open_connection() else {
-        ByReason::Shed.add("limit");
-        log::warn!("caller connection closed: connection limit reached");
-        return;
-    };
+/// A connection of a caller that was accepted.
+struct AcceptedStream {
+    stream: TcpStream,
+    activity: Arc<Activity>,
+    _open: OpenConnection<Activity>,
+}
+
+async fn serve_connection<W: Wire, E: EngineCalls>(
+    cx: Arc<Cx<W>>,
+    engines: E,
+    accepted: AcceptedStream,
+) {
+    let AcceptedStream {
+        stream,
+        activity,
+        _open,
+    } = accepted;
+    let _counted = cx.count(OpenKind::Connection);
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!("cannot set TCP_NODELAY on a caller connection: {error}");
     }
-    let activity = Arc::new(Activity::new());
     // The buffer keeps the size that it has when the connection is accepted; timeouts are those of the
     // catalogue in force.
     let max_head_bytes = caller_limits(&cx).max_head_bytes;
@@ -77,8 +110,11 @@
         let body_length = req.body().size_hint().exact();
         let request = activity.begin_request(head.attempt.clone(), body_length);
         let has_chunks = req.version() != Version::HTTP_10;
-        let response = handle(Arc::clone(&cx), engines.clone(), head, req);
         let (activity, cx) = (Arc::clone(&activity), Arc::clone(&cx));
+        let (evicted, engines) = (Arc::clone(&activity), engines.clone());
+        let response = handle(Arc::clone(&cx), engines, head, req, async move {
+            evicted.body_evicted().await;
+        });
         async move {
             let open = cx.count(OpenKind::Request);
             let mut response = response.await;
@@ -88,7 +124,9 @@
             }
             // A caller that connects again may reach another instance. A request that was read behind
             // this one would be dropped, so the close is announced with the last response.
-            let should_close = cx.stopping.is_cancelled() || cx.state().own_delay.is_shedding();
+            let should_close = cx.stopping.is_cancelled()
+                || activity.closes()
+                || cx.state().own_delay.is_shedding();
             if should_close && !activity.has_next_request() {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(header::CONNECTION, close);
@@ -110,9 +148,13 @@
     report.set(end);
     drop(report);
     let stream = connection.into_parts().io.into_inner();
-    if end.is_by_instance() && !activity.must_reset() {
+    if end.lingers() && !activity.must_reset() {
         activity.pass_all();
-        linger(&cx, stream).await;
+        activity.begin_lingering();
+        tokio::select! {
+            () = linger(&cx, stream) => {}
+            () = activity.evicted() => {}
+        }
     }
 }
 
@@ -137,7 +179,8 @@
             limits.head_timeout = limits.head_timeout.min(STOP_LINGER_TIMEOUT);
             limits.idle_timeout = limits.idle_timeout.min(STOP_LINGER_TIMEOUT);
         }
-        let check = activity.next_check(limits);
+        let write = cx.limits.write;
+        let check = activity.next_check(limits, write);
         tokio::select! {
             // After a pause of this process a response and the end of a planned stop are ready together.
             biased;
@@ -156,8 +199,13 @@
                     connection.as_mut().graceful_shutdown();
                 }
             }
-            () = tokio::time::sleep_until(check.into()) => match activity.verdict(limits) {
+            () = activity.evicted() => match activity.on_evicted() {
+                Yield::Now => return ConnectionEnd::Evicted,
+                Yield::AfterResponse => {}
+            },
+            () = tokio::time::sleep_until(check.into()) => match activity.verdict(limits, write) {
                 Verdict::Keep => {}
+                Verdict::NotRead => return ConnectionEnd::NotRead,
                 Verdict::Idle => connection.as_mut().graceful_shutdown(),
                 Verdict::SlowHead => return ConnectionEnd::SlowHead,
             }
@@ -223,6 +271,10 @@
     Closed,
     /// A request head did not arrive in time.
     SlowHead,
+    /// The caller has accepted no data for too long.
+    NotRead,
+    /// It has yielded to other connections.
+    Evicted,
     /// It was still in use at the end of a planned stop.
     StopDeadline,
     /// Its task was dropped, because the process ends at once.
@@ -264,6 +316,8 @@
             ConnectionEnd::Failed => "failed",
             ConnectionEnd::Closed => "closed",
             ConnectionEnd::SlowHead => "slow_head",
+            ConnectionEnd::NotRead => "not_read",
+            ConnectionEnd::Evicted => "evicted",
             ConnectionEnd::StopDeadline => "stop_deadline",
             ConnectionEnd::Dropped => "dropped",
         }
@@ -273,4 +327,9 @@
     pub(super) const fn is_by_instance(self) -> bool {
         !matches!(self, ConnectionEnd::CallerLeft | ConnectionEnd::TimedOut)
     }
+
+    /// Returns whether the caller is given time to read what was written.
+    const fn lingers(self) -> bool {
+        self.is_by_instance() && !matches!(self, ConnectionEnd::NotRead | ConnectionEnd::Evicted)
+    }
 }
--- a/crates/gateway/src/front/request_framing.rs
+++ b/crates/gateway/src/front/request_framing.rs
@@ -229,4 +229,12 @@
     pub(super) fn is_in_head(&self) -> bool {
         self.framing.is_in_head()
     }
+
+    /// Returns whether the body of the request that is being read is incomplete.
+    pub(super) fn is_in_body(&self) -> bool {
+        !matches!(
+            self.framing.part,
+            Part::Head { .. } | Part::HeadRead | Part::Read
+        )
+    }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,6 +14,7 @@
 //! - [`sent_mark`] tells whether an attempt may have reached an endpoint, and prevents it from being sent.
 //! - [`awaited_head`] waits for the head of a response, and reads it even if its request is given up;
 //!   [`observe`] applies what it says about the endpoint.
+//! - [`connections`] bounds the connections of a listener.
 //! - [`connect`] notices connection attempts that are given up.
 //! - [`mod@probe`] checks whether an endpoint crashed when a connection to it broke.
 //! - [`signature`] keeps successes that their endpoints did not sign from callers.
@@ -35,6 +36,7 @@
 pub mod call;
 pub mod catch_up;
 pub mod connect;
+pub mod connections;
 pub mod cx;
 pub mod event_log;
 pub mod front;
--- a/crates/gateway/src/meters.rs
+++ b/crates/gateway/src/meters.rs
@@ -91,6 +91,9 @@
         /// Connections of callers that were closed before anything was read from them, because this
         /// instance was in `overload` or at its connection `limit`.
         Shed = "oriolemux_gateway_connections_shed_total";
+        /// Connections that were closed because others needed their descriptors or memory, by listener:
+        /// of `callers`, of the `readiness` check, of `operators` or of `peers`.
+        ConnectionsEvicted = "oriolemux_gateway_connections_evicted_total";
         /// Request bodies that were given up for want of memory: `no_room`, or `evicted` in the middle,
         /// because another body made progress.
         BodiesGivenUp = "oriolemux_gateway_bodies_given_up_total";
--- a/crates/oriolemux/src/cli/gateway.rs
+++ b/crates/oriolemux/src/cli/gateway.rs
@@ -12,6 +12,7 @@
 use oriolemux_core::Incarnation;
 use oriolemux_core::gateway::GatewayConfig;
 use oriolemux_core::gateway::budget::BudgetConfig;
+use oriolemux_core::gateway::connection_bounds::ConnectionBounds;
 use oriolemux_core::gateway::members::CapacityClass;
 use oriolemux_core::ids::stable_hash;
 use oriolemux_gateway::{
@@ -187,9 +188,13 @@
         }),
         limits: GatewayLimits {
             connect: settings.endpoints.connect_timeout_ms.duration(),
-            connections: settings.callers.max_connections as usize,
+            connections: ConnectionBounds::new(
+                resources.memory,
+                resources.descriptors,
+                settings.callers.max_connections as usize,
+            ),
             memory: resources.memory,
-            descriptors: resources.descriptors,
+            write: settings.callers.write_timeout_ms.duration(),
         },
         notice: settings.stop.notice_ms.duration(),
         grace: settings.stop.grace_secs.0,
--- a/crates/oriolemux/src/settings/gateway.rs
+++ b/crates/oriolemux/src/settings/gateway.rs
@@ -34,8 +34,12 @@
     callers: GatewayCallersSettings {
         /// Address and port on which callers are served.
         listen: SocketAddr = required();
-        /// The maximum number of open connections; further ones are closed.
+        /// The maximum number of open connections. It is less where memory or descriptors of the process
+        /// hold fewer (docs/design/caller-bounds.md). A further connection is accepted in place of one whose caller has
+        /// been waited for the longest, or closed if all are being served.
         max_connections: u32 = default(2048).range(1, 1_000_000);
+        /// A caller that accepts no data for this long counts as disconnected.
+        write_timeout_ms: Millis = default(Millis(60_000)).range(100, DAY_MS);
     }
 
     /// The listener for the balancer.
