Pages and connections of peers have bounds; heads of pages are buffered to 16 KiB

300 connections that sent nothing took 317 of 256 descriptors at the readiness check, the operators' page and the listener of peers, for up to 60 s: a process without descriptors reads neither the store nor its callers. 300 heads of 400 KiB without an end took 145 MB of 88 MB at both pages: the HTTP library buffers that much of a head by default.

Each of these listeners has a bound, at which the connections yield that have been idle the longest; a peer yields only while none of its requests is being served. Heads of pages are buffered to 16 KiB.

--- a/crates/gateway/src/catch_up.rs
+++ b/crates/gateway/src/catch_up.rs
@@ -9,6 +9,7 @@
 
 pub mod format;
 
+use crate::connections::{Connections, SimpleConnection};
 use crate::cx::{Cx, OpenKind};
 use crate::link::connect_socket;
 use crate::log_event;
@@ -241,11 +242,27 @@
     listener: TcpListener,
     tasks: TaskTracker,
 ) {
+    let connections = Connections::new("peers", cx.limits.connections.peers);
     loop {
         match listener.accept().await {
             Ok((stream, from)) => {
+                let used = SimpleConnection::new();
+                let Some(open) = connections.open(Arc::clone(&used)) else {
+                    // Its peer asks another one.
+                    continue;
+                };
                 let (cx, engines, tasks) = (Arc::clone(&cx), engines.clone(), tasks.clone());
-                tokio::spawn(serve_connection(cx, engines, stream, from, tasks));
+                tokio::spawn(async move {
+                    let _open = open;
+                    tokio::select! {
+                        () = serve_connection(cx, engines, stream, from, tasks, &used) => {}
+                        () = used.evicted() => {}
+                    }
+                });
+                if connections.is_full() {
+                    // Evicted connections end before others are accepted.
+                    tokio::task::yield_now().await;
+                }
             }
             Err(error) => {
                 log::warn!("cannot accept a peer connection: {error}");
@@ -270,6 +287,7 @@
     mut stream: TcpStream,
     from: SocketAddr,
     tasks: TaskTracker,
+    used: &Arc<SimpleConnection>,
 ) {
     let mut first = [0; REQUEST_BYTES];
     match timeout(TRANSFER_TIMEOUT, stream.read_exact(&mut first)).await {
@@ -278,6 +296,7 @@
         Err(_) => return log::debug!("the peer {from} sent no request"),
     }
     if first != *PREFACE {
+        let _served = used.begin_request();
         return serve_delta(&cx, &first, stream, from).await;
     }
     if let Err(error) = stream.set_nodelay(true) {
@@ -285,7 +304,7 @@
     }
     let (rx, tx) = stream.into_split();
     let io = tokio::io::join(PREFACE.as_slice().chain(rx), tx);
-    server::serve(cx, engines, io, from, tasks).await;
+    server::serve(cx, engines, io, from, tasks, used).await;
 }
 
 async fn serve_delta<W: Wire>(
--- a/crates/gateway/src/page.rs
+++ b/crates/gateway/src/page.rs
@@ -1,5 +1,6 @@
 //! The HTTP pages for the balancer, for operators and for metrics collectors.
 
+use crate::connections::{Connections, SimpleConnection};
 use crate::cx::Cx;
 use crate::meters;
 use crate::ports::Wire;
@@ -22,6 +23,9 @@
 /// The maximum lifetime of a connection. The balancer sends one request a second.
 const CONNECTION_LIMIT: Duration = Duration::from_secs(60);
 
+/// The largest head of a request in bytes, and what of it is buffered.
+const MAX_HEAD_BYTES: usize = 16 * 1024;
+
 /// The pause after a failed accept, for example when file descriptors run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -36,9 +40,13 @@
     pub is_local: bool,
 }
 
-/// Serves each request with what `handler` returns. Never returns.
-pub async fn serve<F>(listener: TcpListener, handler: F)
-where
+/// Serves each request with what `handler` returns, over the `connections` of the listener. Never
+/// returns.
+pub async fn serve<F>(
+    listener: TcpListener,
+    connections: Arc<Connections<SimpleConnection>>,
+    handler: F,
+) where
     F: Fn(PageRequest) -> Response<ResponseBody> + Clone + Send + Sync + 'static,
 {
     loop {
@@ -52,8 +60,14 @@
         };
         let from_here = is_local(&stream);
         let handler = handler.clone();
+        let used = SimpleConnection::new();
+        let Some(open) = connections.open(Arc::clone(&used)) else {
+            continue;
+        };
         tokio::spawn(async move {
+            let _open = open;
             let service = service_fn(|req: Request<Incoming>| {
+                let _served = used.begin_request();
                 let response = handler(PageRequest {
                     method: req.method().clone(),
                     path: req.uri().path().to_owned(),
@@ -61,11 +75,20 @@
                 });
                 async move { Ok::<_, Infallible>(response) }
             });
-            let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
-            if let Ok(Err(error)) = timeout(CONNECTION_LIMIT, connection).await {
-                log::debug!("page connection failed: {error}");
+            let mut builder = http1::Builder::new();
+            builder.max_buf_size(MAX_HEAD_BYTES);
+            let connection = builder.serve_connection(TokioIo::new(stream), service);
+            tokio::select! {
+                ended = timeout(CONNECTION_LIMIT, connection) => if let Ok(Err(error)) = ended {
+                    log::debug!("page connection failed: {error}");
+                },
+                () = used.evicted() => {}
             }
         });
+        if connections.is_full() {
+            // Evicted connections end before others are accepted.
+            tokio::task::yield_now().await;
+        }
     }
 }
 
--- a/crates/gateway/src/proxy/server.rs
+++ b/crates/gateway/src/proxy/server.rs
@@ -5,6 +5,7 @@
     OfferReply, ProxiedRequest, ProxyReply, SMALL_FRAME_BUDGET, VERSION, encode, send_all,
     to_message,
 };
+use crate::connections::SimpleConnection;
 use crate::cx::{Cx, OpenKind};
 use crate::front::handle_proxied;
 use crate::log_event;
@@ -42,13 +43,14 @@
 const CONFIRM_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Serves the requests of one connection of a peer. Each request is a task of `tasks`, which a
-/// planned stop waits for.
+/// planned stop waits for. `used` says whether any of them is being served.
 pub async fn serve<W: Wire, E: EngineCalls>(
     cx: Arc<Cx<W>>,
     engines: E,
     io: impl AsyncRead + AsyncWrite + Unpin,
     from: SocketAddr,
     tasks: TaskTracker,
+    used: &Arc<SimpleConnection>,
 ) {
     let mut builder = Builder::new();
     builder
@@ -68,7 +70,9 @@
         match accepted {
             Ok((request, respond)) => {
                 let (cx, engines) = (Arc::clone(&cx), engines.clone());
+                let served = used.begin_request();
                 tasks.spawn(async move {
+                    let _served = served;
                     if let Err(error) = serve_exchange(&cx, engines, request, respond, from).await {
                         log::debug!("exchange with the peer {from} failed: {error}");
                     }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -1,5 +1,6 @@
 //! Starts all tasks of the gateway and stops them in order.
 
+use crate::connections::Connections;
 use crate::cx::{Clock, Cx, GatewayLimits, OpenKind};
 use crate::log_event;
 use crate::page::OperatorsPage;
@@ -202,7 +203,9 @@
         tasks.spawn(own_delay::watch(Arc::clone(&cx)));
         tasks.spawn(catch_up::catch_up(Arc::clone(&cx)));
         let readiness_cx = Arc::clone(&cx);
-        tasks.spawn(page::serve(self.readiness, move |_| {
+        let bounds = settings.limits.connections;
+        let connections = Connections::new("readiness", bounds.readiness);
+        tasks.spawn(page::serve(self.readiness, connections, move |_| {
             page::readiness(&readiness_cx)
         }));
         if let (Some(listener), Some(page)) = (self.metrics, settings.metrics) {
@@ -212,7 +215,8 @@
                 metrics: page.render,
                 stop: stop.clone(),
             };
-            tasks.spawn(page::serve(listener, move |request| {
+            let connections = Connections::new("operators", bounds.operators);
+            tasks.spawn(page::serve(listener, connections, move |request| {
                 operators.handle(&request)
             }));
         }
