Responses count until they are written, and callers that do not read them yield

Callers saw an instance end: 100 of them asked for 12 MiB and did not read it, which took 112 to 125 MB of 88 MB. Cause: the joint bound counted a response while it was read from its endpoint, and no longer while its caller read it; it was a constant of 32 MiB, and responses below 512 KiB had no joint bound. A buffer that doubles took up to twice that.

Large responses (over 16 KiB) take an eighth of the memory from their first byte until they are written; one without others may take a quarter. Where there is no room, connections yield whose callers have accepted no data for the longest time. The same holds for the whole responses of proxies and for the final responses of engines.

--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -14,6 +14,7 @@
 //! | [`cold`] | rate limits of endpoints, in particular of cold ones |
 //! | [`body_memory`] | whose request bodies are kept, where all together are bounded |
 //! | [`connection_bounds`] | how many connections are held, and which yield |
+//! | [`response_memory`] | whether there is room for a buffered response |
 //! | [`rate_limits`] | rate limits that endpoints report for themselves |
 //! | [`backoff`] | endpoints that want no requests from this instance for a while |
 //! | [`endpoints`] | which endpoints exist, which are leaving, which are ejected |
@@ -81,6 +82,7 @@
 pub mod relocation;
 pub mod replica;
 pub mod request;
+pub mod response_memory;
 pub mod revision;
 pub mod run_end;
 pub mod shares;
--- a/crates/core/src/gateway/connection_bounds.rs
+++ b/crates/core/src/gateway/connection_bounds.rs
@@ -78,6 +78,34 @@
     }
 }
 
+/// A connection whose caller does not read its response.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct UnreadResponse<I> {
+    /// The connection.
+    pub id: I,
+    /// For how long the caller has accepted no data.
+    pub blocked: Duration,
+    /// The memory that the response takes, in bytes.
+    pub bytes: usize,
+}
+
+/// Returns which connections yield so that their responses release `bytes`: those whose callers have
+/// accepted no data for the longest time, as many as are necessary.
+pub fn yielding_unread<I: Copy>(
+    unread: impl Iterator<Item = UnreadResponse<I>>,
+    bytes: usize,
+) -> Vec<I> {
+    let mut unread: Vec<UnreadResponse<I>> = unread.collect();
+    unread.sort_unstable_by_key(|it| Reverse(it.blocked));
+    let mut released = 0;
+    let necessary = unread.iter().take_while(|it| {
+        let is_necessary = released < bytes;
+        released += it.bytes;
+        is_necessary
+    });
+    necessary.map(|it| it.id).collect()
+}
+
 /// The inverse of the share of a listener's connections that yield together, so that a flood of new
 /// ones does not look at all of them for each.
 const YIELD_SHARE: usize = 32;
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -5,7 +5,7 @@
 //! receives a partial response.
 
 use crate::attempts::Attempts;
-use crate::buffered;
+use crate::buffered::{self, MAX_RESPONSE_BYTES};
 use crate::job::{Job, Origin};
 use crate::link::LinkError;
 use crate::log_event;
@@ -252,7 +252,7 @@
             job.log_unsigned(&place.name, parts.status);
             return AttemptOutcome::Unsigned;
         }
-        match buffered::collect(&job.cx, body).await {
+        match buffered::collect(&job.cx.responses, body, MAX_RESPONSE_BYTES).await {
             Ok(body) => AttemptOutcome::Response(BufferedResponse {
                 status: parts.status,
                 headers: parts.headers,
@@ -280,7 +280,7 @@
         };
         let reason = match outcome {
             ProxyOutcome::Response(response) => {
-                match proxy::client::whole(response, job.deadline).await {
+                match proxy::client::whole(&job.cx.responses, response, job.deadline).await {
                     Some(response)
                         if is_unsigned(&job.cx.wire, response.status(), response.headers()) =>
                     {
--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -2,7 +2,7 @@
 
 use crate::meters::ByReason;
 use core::time::Duration;
-use oriolemux_core::gateway::connection_bounds::yielding;
+use oriolemux_core::gateway::connection_bounds::{UnreadResponse, yielding, yielding_unread};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Instant;
@@ -15,6 +15,12 @@
 
     /// Ends the connection soon.
     fn evict(&self);
+
+    /// Returns for how long the caller has not read a large response, and what that takes; `None` if
+    /// there is none.
+    fn unread_response(&self, _now: Instant) -> Option<(Duration, usize)> {
+        None
+    }
 }
 
 /// A connection that waits for its caller unless a request of it is being served.
@@ -123,6 +129,23 @@
         })
     }
 
+    /// Evicts connections whose callers do not read their responses, so that these release `bytes`;
+    /// returns whether there was one.
+    pub fn evict_unread(&self, bytes: usize) -> bool {
+        let open = self.lock();
+        let now = Instant::now();
+        let unread = open.iter().enumerate().filter_map(|(id, it)| {
+            let (blocked, bytes) = it.unread_response(now)?;
+            Some(UnreadResponse { id, blocked, bytes })
+        });
+        let yielding = yielding_unread(unread, bytes);
+        ByReason::ConnectionsEvicted.add_many(self.listener, yielding.len() as u64);
+        for &id in &yielding {
+            open[id].evict();
+        }
+        !yielding.is_empty()
+    }
+
     /// Returns whether evicted connections should be given time to end before others are accepted.
     pub fn is_full(&self) -> bool {
         self.lock().len() >= self.limit
--- a/crates/gateway/src/cx.rs
+++ b/crates/gateway/src/cx.rs
@@ -1,6 +1,8 @@
 //! The context that all tasks of the gateway share.
 
-use crate::front::KeptBodies;
+use crate::buffered::KeptResponses;
+use crate::connections::Connections;
+use crate::front::{Activity, KeptBodies};
 use crate::log_event;
 use crate::meters::{ByReason, millis};
 use crate::ports::Wire;
@@ -71,6 +73,10 @@
     pub limits: GatewayLimits,
     /// The bodies of callers' requests.
     pub bodies: Arc<KeptBodies>,
+    /// The responses that are read to their end.
+    pub responses: Arc<KeptResponses>,
+    /// The connections of callers.
+    pub(crate) callers: Arc<Connections<Activity>>,
     /// Connections to peers that serve requests for this instance.
     pub proxy_links: ProxyLinks,
     /// Notified when the replica of the store has changed.
@@ -99,8 +105,6 @@
     state: Mutex<Gateway>,
     sent: Mutex<BTreeMap<&'static str, SentTotals>>,
     open: [AtomicUsize; OPEN_KINDS],
-    /// Bytes of responses that are being read to their end.
-    buffered: AtomicUsize,
     stop: OnceLock<StopPlan>,
 }
 
@@ -134,11 +138,14 @@
 impl<W: Wire> Cx<W> {
     /// Creates the shared context around the decision state.
     pub fn new(wire: W, clock: Clock, limits: GatewayLimits, state: Gateway) -> Arc<Self> {
+        let callers = Connections::new("callers", limits.connections.callers);
         Arc::new(Cx {
             wire,
             clock,
             limits,
             bodies: KeptBodies::new(BodyBounds::of_memory(limits.memory)),
+            responses: KeptResponses::of_callers(limits.memory, Arc::clone(&callers)),
+            callers,
             proxy_links: ProxyLinks::default(),
             replica_changed: Notify::new(),
             departures: Notify::new(),
@@ -154,7 +161,6 @@
             state: Mutex::new(state),
             sent: Mutex::default(),
             open: [const { AtomicUsize::new(0) }; OPEN_KINDS],
-            buffered: AtomicUsize::new(0),
             stop: OnceLock::new(),
         })
     }
@@ -430,18 +436,6 @@
     }
 }
 
-impl<W> Cx<W> {
-    /// Counts more bytes as buffered; returns all that are.
-    pub(crate) fn add_buffered(&self, bytes: usize) -> usize {
-        self.buffered.fetch_add(bytes, Ordering::Relaxed) + bytes
-    }
-
-    /// Counts bytes as no longer buffered.
-    pub(crate) fn remove_buffered(&self, bytes: usize) {
-        self.buffered.fetch_sub(bytes, Ordering::Relaxed);
-    }
-}
-
 /// Counts something as open until dropped.
 pub struct OpenGuard<W> {
     cx: Arc<Cx<W>>,
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -6,6 +6,7 @@
 mod flushed_body;
 mod request_framing;
 
+pub(crate) use activity::Activity;
 pub use bodies::KeptBodies;
 pub use connection::serve;
 pub use flushed_body::FlushedBody;
--- a/crates/gateway/src/front/activity.rs
+++ b/crates/gateway/src/front/activity.rs
@@ -11,6 +11,7 @@
 use core::time::Duration;
 use http_body::{Body, Frame, SizeHint};
 use oriolemux_core::gateway::catalogue::CallerLimits;
+use oriolemux_core::gateway::response_memory::SMALL_RESPONSE_BYTES;
 use std::io;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Instant;
@@ -24,7 +25,7 @@
 
 /// What a connection is doing.
 #[derive(Debug)]
-pub(super) struct Activity {
+pub(crate) struct Activity {
     state: Mutex<ActivityState>,
     /// Notified when the connection should yield to others.
     evicted: Notify,
@@ -70,6 +71,8 @@
     began: Instant,
     /// When the head was ready.
     head_ready: Option<Instant>,
+    /// The bytes of its body, if it is buffered.
+    bytes: Option<u64>,
     /// Whether only the end of the connection ends the body.
     is_unframed: bool,
     /// Whether the HTTP server has taken the last byte of the body. It may still buffer some.
@@ -222,18 +225,20 @@
             attempt,
             began: Instant::now(),
             head_ready: None,
+            bytes: None,
             is_unframed: false,
             is_body_taken: false,
         });
         request
     }
 
-    /// Records that the head of the response is ready.
-    pub(super) fn on_response_head(&self, request: u64) {
+    /// Records that the head of the response is ready, and the length of a buffered body.
+    pub(super) fn on_response_head(&self, request: u64, bytes: Option<u64>) {
         let now = Instant::now();
         let mut state = self.state();
         if let Some(response) = state.unwritten_of(request) {
             response.head_ready = Some(now);
+            response.bytes = bytes;
         }
     }
 
@@ -329,6 +334,15 @@
         self.state().is_evicting = true;
         self.evicted.notify_one();
     }
+
+    fn unread_response(&self, now: Instant) -> Option<(Duration, usize)> {
+        let state = self.state();
+        let since = state.blocked_since.filter(|_| !state.is_evicting)?;
+        let bytes = state.unwritten.iter().filter_map(|it| it.bytes).max()?;
+        let bytes = usize::try_from(bytes).unwrap_or(usize::MAX);
+        let is_large = bytes > SMALL_RESPONSE_BYTES;
+        is_large.then(|| (now.saturating_duration_since(since), bytes))
+    }
 }
 
 impl ActivityState {
--- a/crates/gateway/src/front/bodies.rs
+++ b/crates/gateway/src/front/bodies.rs
@@ -4,6 +4,7 @@
 //!
 //! [`body_memory`]: oriolemux_core::gateway::body_memory
 
+use crate::buffered::next_capacity;
 use crate::meters::ByReason;
 use bytes::Bytes;
 use core::future::poll_fn;
@@ -15,12 +16,6 @@
 use oriolemux_core::gateway::body_memory::{BodyBounds, BodyId, BodyMemory, NoBodyRoom};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-/// The least bytes by which the buffer of a body grows.
-const MIN_GROWTH_BYTES: usize = 1024;
-
-/// The inverse of the share of its bytes by which the buffer of a body grows at least.
-const GROWTH_SHARE: usize = 4;
-
 /// Why a body was not read in full.
 #[derive(Debug, displaydoc::Display, thiserror::Error)]
 pub enum BodyError {
@@ -160,8 +155,7 @@
             return Err(BodyError::TooLarge(limit));
         }
         if length > buffer.bytes.capacity() {
-            let more = (length / GROWTH_SHARE).max(MIN_GROWTH_BYTES);
-            let capacity = (length + more).min(expected).max(length);
+            let capacity = next_capacity(length, expected);
             let room = kept.memory.grow(self.id, capacity, &mut kept.evicted);
             room.inspect_err(|_| ByReason::BodiesGivenUp.add("no_room"))?;
             buffer.bytes.reserve_exact(capacity - buffer.bytes.len());
--- a/crates/gateway/src/front/connection.rs
+++ b/crates/gateway/src/front/connection.rs
@@ -2,7 +2,7 @@
 
 use super::activity::{Activity, EndReport, TrackedBody, Verdict, WatchedStream, Yield};
 use super::{FlushedBody, handle};
-use crate::connections::{Connections, OpenConnection};
+use crate::connections::OpenConnection;
 use crate::cx::{Cx, OpenKind};
 use crate::meters::ByReason;
 use crate::ports::{EngineCalls, Wire};
@@ -39,7 +39,7 @@
     if let Err(error) = SockRef::from(&listener).set_recv_buffer_size(bounds.receive_buffer) {
         log::warn!("cannot bound the receive buffers of callers: {error}");
     }
-    let connections = Connections::new("callers", bounds.callers);
+    let connections = Arc::clone(&cx.callers);
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
@@ -118,8 +118,9 @@
         async move {
             let open = cx.count(OpenKind::Request);
             let mut response = response.await;
-            activity.on_response_head(request);
-            if !has_chunks && response.body().size_hint().exact().is_none() {
+            let bytes = response.body().size_hint().exact();
+            activity.on_response_head(request, bytes);
+            if !has_chunks && bytes.is_none() {
                 activity.on_unframed(request);
             }
             // A caller that connects again may reach another instance. A request that was read behind
--- a/crates/gateway/src/meters.rs
+++ b/crates/gateway/src/meters.rs
@@ -143,6 +143,9 @@
         Connections = "oriolemux_gateway_connections";
         /// Bytes that the bodies of callers' requests take.
         BodyBytes = "oriolemux_gateway_body_bytes";
+        /// Bytes that responses take that are read to their end before their callers get them, except
+        /// for small ones.
+        ResponseBytes = "oriolemux_gateway_response_bytes";
         /// Generations that are passed on.
         Running = "oriolemux_gateway_generations_running";
         /// Seconds by which this instance itself lately delayed what it does: timers that fire late.
@@ -258,6 +261,7 @@
             cx.open_count(OpenKind::Connection) as f64,
         ),
         (Gauge::BodyBytes, cx.bodies.used() as f64),
+        (Gauge::ResponseBytes, cx.responses.used() as f64),
         (Gauge::Running, cx.open_count(OpenKind::Generation) as f64),
         (
             Gauge::TimerDelay,
--- a/crates/gateway/src/proxy/client.rs
+++ b/crates/gateway/src/proxy/client.rs
@@ -6,7 +6,7 @@
     ProxiedRequest, ProxyReply, VERSION, encode, from_message, send_all, to_message,
 };
 use crate::attempts::Attempts;
-use crate::buffered::MAX_RESPONSE_BYTES;
+use crate::buffered::{self, KeptResponses, MAX_RESPONSE_BYTES};
 use crate::cx::{OpenGuard, OpenKind};
 use crate::job::Job;
 use crate::log_event;
@@ -20,9 +20,10 @@
 use h2::SendStream;
 use http::{Method, Request, Response, StatusCode, Uri};
 use http_body::Frame;
-use http_body_util::{BodyExt, Limited};
+use http_body_util::BodyExt;
 use oriolemux_core::gateway::request::service_hash;
 use std::net::SocketAddrV4;
+use std::sync::Arc;
 use std::time::Instant;
 use tokio::time::timeout;
 
@@ -306,13 +307,14 @@
 /// Returns the whole response of a call, so that a caller never receives a part of it; `None` if it
 /// breaks off, is larger than an endpoint's may be, or `ends` passes.
 pub async fn whole(
+    responses: &Arc<KeptResponses>,
     response: Response<ResponseBody>,
     ends: Instant,
 ) -> Option<Response<ResponseBody>> {
     let (parts, body) = response.into_parts();
-    let body = Limited::new(body, MAX_RESPONSE_BYTES);
-    let body = tokio::time::timeout_at(ends.into(), body.collect()).await;
-    let body = body.ok()?.ok()?.to_bytes();
+    let body = buffered::collect(responses, body, MAX_RESPONSE_BYTES);
+    let body = tokio::time::timeout_at(ends.into(), body).await;
+    let body = body.ok()?.ok()?;
     Some(Response::from_parts(
         parts,
         crate::response::full_body(body),
--- a/crates/gateway/src/relay/begin.rs
+++ b/crates/gateway/src/relay/begin.rs
@@ -2,6 +2,7 @@
 
 use super::upstream::{AttemptStart, Upstream, sleep_until};
 use super::{MAX_RESPONSE_BYTES, Relay};
+use crate::buffered;
 use crate::job::{IMMEDIATE_PLACEMENT_TIMEOUT, UsageGuard};
 use crate::link::{Link, LinkError};
 use crate::log_event;
@@ -10,7 +11,6 @@
 use crate::response::Reason;
 use core::time::Duration;
 use http::{Response, header};
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use oriolemux_core::gateway::budget::RetryKind;
 use oriolemux_core::gateway::relocation::reassign_after;
@@ -200,12 +200,12 @@
                 headers,
             };
         }
-        let collected = Limited::new(body, MAX_RESPONSE_BYTES).collect();
+        let collected = buffered::collect(&self.job.cx.responses, body, MAX_RESPONSE_BYTES);
         match tokio::time::timeout(self.job.remaining(), collected).await {
             Ok(Ok(body)) => AttemptStart::FinalResponse(BufferedResponse {
                 status: parts.status,
                 headers,
-                body: body.to_bytes(),
+                body,
             }),
             _ => AttemptStart::Failed(Reason::ResponseLost),
         }
