oriolemux serve: bodies of requests share a bound that follows the memory

Bodies are kept by the store that the HTTP entries use, which moves out of the front. limits.memory_mb names the memory; half of it counts, since a body exists as received and as parsed. Connections are bounded by memory too; further ones are refused as before.

Open: its responses and tokens keep a joint bound that is a constant; connections of callers do not yield there.

--- a/crates/gateway/src/front/bodies.rs
+++ b/crates/gateway/src/bodies.rs
@@ -12,13 +12,12 @@
 use cranelift_entity::SecondaryMap;
 use http_body::Body;
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
 use oriolemux_core::gateway::body_memory::{BodyBounds, BodyId, BodyMemory, NoBodyRoom};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 /// Why a body was not read in full.
 #[derive(Debug, displaydoc::Display, thiserror::Error)]
-pub enum BodyError {
+pub enum BodyError<E> {
     /// it is larger than {0} bytes
     TooLarge(usize),
     /// there is no room for it: {0}
@@ -26,7 +25,7 @@
     /// it has yielded to another body
     Evicted,
     /// it broke off: {0}
-    Broken(#[from] hyper::Error),
+    Broken(E),
 }
 
 /// The bodies that are kept.
@@ -73,16 +72,27 @@
         self.kept.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Adds a body without bytes.
+    pub fn open(self: &Arc<Self>) -> KeptBody {
+        KeptBody {
+            bodies: Arc::clone(self),
+            id: self.lock().memory.open(),
+        }
+    }
+
     /// Reads a full body of at most `limit` bytes.
     ///
     /// # Errors
     ///
     /// Returns why it was not read in full. A length over the limit is refused before anything is read.
-    pub async fn read(
+    pub async fn read<B>(
         self: &Arc<Self>,
-        mut body: Incoming,
+        mut body: B,
         limit: usize,
-    ) -> Result<Bytes, BodyError> {
+    ) -> Result<Bytes, BodyError<B::Error>>
+    where
+        B: Body<Data = Bytes> + Unpin,
+    {
         if body.is_end_stream() {
             return Ok(Bytes::new());
         }
@@ -91,7 +101,7 @@
         if announced.is_some_and(|it| it > limit) {
             return Err(BodyError::TooLarge(limit));
         }
-        let kept = KeptBody::open(self);
+        let kept = self.open();
         loop {
             let frame = tokio::select! {
                 biased;
@@ -99,10 +109,14 @@
                 frame = body.frame() => frame,
             };
             let Some(frame) = frame else {
-                return Ok(kept.complete());
+                let (bytes, kept) = kept.complete();
+                return Ok(match bytes.is_empty() {
+                    true => Bytes::new(),
+                    false => Bytes::from_owner(CompleteBody { bytes, _kept: kept }),
+                });
             };
             // Trailers are not forwarded.
-            if let Ok(data) = frame?.into_data() {
+            if let Ok(data) = frame.map_err(BodyError::Broken)?.into_data() {
                 kept.append(&data, announced.unwrap_or(limit), limit)?;
             }
         }
@@ -110,21 +124,15 @@
 }
 
 /// A body that takes room until it is dropped.
-struct KeptBody {
+#[derive(Debug)]
+pub struct KeptBody {
     bodies: Arc<KeptBodies>,
     id: BodyId,
 }
 
 impl KeptBody {
-    fn open(bodies: &Arc<KeptBodies>) -> Self {
-        KeptBody {
-            bodies: Arc::clone(bodies),
-            id: bodies.lock().memory.open(),
-        }
-    }
-
     /// Waits until the body is evicted.
-    async fn evicted(&self) {
+    pub async fn evicted(&self) {
         poll_fn(|cx| self.poll_evicted(cx)).await;
     }
 
@@ -143,7 +151,16 @@
 
     /// Appends bytes of the body, which has `expected` bytes in total as far as known and `limit` at
     /// most.
-    fn append(&self, data: &[u8], expected: usize, limit: usize) -> Result<(), BodyError> {
+    ///
+    /// # Errors
+    ///
+    /// Fails if the body is larger, was evicted, or has no room.
+    pub fn append<E>(
+        &self,
+        data: &[u8],
+        expected: usize,
+        limit: usize,
+    ) -> Result<(), BodyError<E>> {
         let mut kept = self.bodies.lock();
         let kept = &mut *kept;
         let buffer = &mut kept.buffers[self.id];
@@ -167,8 +184,8 @@
         Ok(())
     }
 
-    /// Returns the body, which takes room until its last copy is dropped.
-    fn complete(self) -> Bytes {
+    /// Returns the bytes of the body, and what takes their room.
+    pub fn complete(self) -> (Box<[u8]>, KeptBody) {
         let mut kept = self.bodies.lock();
         let bytes = core::mem::take(&mut kept.buffers[self.id]).bytes;
         let bytes = bytes.into_boxed_slice();
@@ -176,10 +193,7 @@
             kept.memory.complete(self.id, bytes.len());
         }
         drop(kept);
-        if bytes.is_empty() {
-            return Bytes::new();
-        }
-        Bytes::from_owner(CompleteBody { bytes, _kept: self })
+        (bytes, self)
     }
 }
 
--- a/crates/gateway/src/cx.rs
+++ b/crates/gateway/src/cx.rs
@@ -1,8 +1,9 @@
 //! The context that all tasks of the gateway share.
 
+use crate::bodies::KeptBodies;
 use crate::buffered::KeptResponses;
 use crate::connections::Connections;
-use crate::front::{Activity, KeptBodies};
+use crate::front::Activity;
 use crate::log_event;
 use crate::meters::{ByReason, millis};
 use crate::ports::Wire;
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -1,17 +1,16 @@
 //! The front for callers: accepts requests and matches them against the catalogue in force.
 
 mod activity;
-mod bodies;
 mod connection;
 mod flushed_body;
 mod request_framing;
 
 pub(crate) use activity::Activity;
-pub use bodies::KeptBodies;
 pub use connection::serve;
 pub use flushed_body::FlushedBody;
 
 use crate::attempts::Attempts;
+use crate::bodies::BodyError;
 use crate::cx::Cx;
 use crate::job::{Job, Origin};
 use crate::log_event;
@@ -24,7 +23,6 @@
 use crate::run_lease::RunGuard;
 use crate::sent_mark::SentMark;
 use crate::{call, stream};
-use bodies::BodyError;
 use bytes::Bytes;
 use core::time::Duration;
 use http::request::Parts;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,6 +14,7 @@
 //! - [`sent_mark`] tells whether an attempt may have reached an endpoint, and prevents it from being sent.
 //! - [`awaited_head`] waits for the head of a response, and reads it even if its request is given up;
 //!   [`observe`] applies what it says about the endpoint.
+//! - [`bodies`] keeps the bodies of requests within their joint bound.
 //! - [`connections`] bounds the connections of a listener.
 //! - [`connect`] notices connection attempts that are given up.
 //! - [`mod@probe`] checks whether an endpoint crashed when a connection to it broke.
@@ -32,6 +33,7 @@
 
 pub mod attempts;
 pub mod awaited_head;
+pub mod bodies;
 pub mod buffered;
 pub mod call;
 pub mod catch_up;
--- a/crates/oriolemux/src/callers/body.rs
+++ b/crates/oriolemux/src/callers/body.rs
@@ -1,13 +1,14 @@
 //! Reads the body of a caller's request, with limits on size and time.
 
-use crate::buffered::{BufferBudget, BufferError, BufferedBody};
 use core::time::Duration;
 use futures_util::StreamExt;
 use http::HeaderMap;
 use http::header::CONTENT_LENGTH;
 use oriolemux_core::Reason;
+use oriolemux_gateway::bodies::{self, KeptBodies, KeptBody};
 use poem::Body;
 use std::io;
+use std::sync::Arc;
 use tokio::time::timeout;
 
 /// Why a body was rejected.
@@ -18,7 +19,7 @@
         /// The limit.
         limit: usize,
     },
-    /// the bodies of all requests together are as large as they may be
+    /// the bodies of other requests have taken the memory
     Full,
     /// it was not sent within {limit:?}
     TooSlow {
@@ -53,13 +54,13 @@
 ///
 /// # Errors
 ///
-/// Fails if the body exceeds a limit, or all bodies theirs. No more bytes than the limit are held in memory.
+/// Fails if the body exceeds a limit, or yields to those of others. No more bytes than the limit are held in memory.
 pub async fn read(
     body: Body,
     headers: &HeaderMap,
     limits: BodyLimits,
-    budget: &BufferBudget,
-) -> Result<BufferedBody, BodyError> {
+    kept: &Arc<KeptBodies>,
+) -> Result<(Vec<u8>, KeptBody), BodyError> {
     let declared = headers.get(CONTENT_LENGTH);
     let declared = declared.and_then(|value| value.to_str().ok()?.parse::<usize>().ok());
     if declared.is_some_and(|bytes| bytes > limits.bytes) {
@@ -67,7 +68,8 @@
             limit: limits.bytes,
         });
     }
-    let reading = read_bounded(body, limits.bytes, budget);
+    let expected = declared.unwrap_or(limits.bytes);
+    let reading = read_bounded(body, expected, limits.bytes, kept.open());
     timeout(limits.time, reading)
         .await
         .unwrap_or(Err(BodyError::TooSlow { limit: limits.time }))
@@ -75,17 +77,32 @@
 
 async fn read_bounded(
     body: Body,
+    expected: usize,
     limit: usize,
-    budget: &BufferBudget,
-) -> Result<BufferedBody, BodyError> {
-    let mut bytes = BufferedBody::new(budget);
+    kept: KeptBody,
+) -> Result<(Vec<u8>, KeptBody), BodyError> {
     let mut chunks = body.into_bytes_stream();
-    while let Some(chunk) = chunks.next().await {
+    loop {
+        let chunk = tokio::select! {
+            biased;
+            () = kept.evicted() => return Err(BodyError::Full),
+            chunk = chunks.next() => chunk,
+        };
+        let Some(chunk) = chunk else {
+            let (bytes, kept) = kept.complete();
+            return Ok((bytes.into_vec(), kept));
+        };
         let chunk = chunk.map_err(BodyError::Broken)?;
-        bytes.push(&chunk).map_err(|err| match err {
-            BufferError::TooLarge(_) => BodyError::TooLarge { limit },
-            BufferError::TooManyBytes(_) => BodyError::Full,
-        })?;
+        kept.append(&chunk, expected, limit)?;
+    }
+}
+
+impl From<bodies::BodyError<io::Error>> for BodyError {
+    fn from(error: bodies::BodyError<io::Error>) -> Self {
+        match error {
+            bodies::BodyError::TooLarge(limit) => BodyError::TooLarge { limit },
+            bodies::BodyError::NoRoom(_) | bodies::BodyError::Evicted => BodyError::Full,
+            bodies::BodyError::Broken(error) => BodyError::Broken(error),
+        }
     }
-    Ok(bytes)
 }
--- a/crates/oriolemux/src/callers/routes.rs
+++ b/crates/oriolemux/src/callers/routes.rs
@@ -15,6 +15,7 @@
 use core::time::Duration;
 use http::StatusCode;
 use oriolemux_core::Reason;
+use oriolemux_gateway::bodies::KeptBodies;
 use poem::{Endpoint, Request, Response, Route, get, post};
 use std::sync::Arc;
 use work::Work;
@@ -30,8 +31,8 @@
     pub body: BodyLimits,
     /// The open connections of callers.
     pub connections: Connections,
-    /// Counts the bytes of requests that are kept.
-    pub bodies: BufferBudget,
+    /// The bodies of requests that are kept.
+    pub bodies: Arc<KeptBodies>,
     /// Counts the bytes of responses that are kept.
     pub buffers: BufferBudget,
     /// How long a caller may read nothing of a stream.
--- a/crates/oriolemux/src/callers/routes/work.rs
+++ b/crates/oriolemux/src/callers/routes/work.rs
@@ -1,13 +1,13 @@
 //! The handler of requests for work of all kinds: reads and submits them.
 
 use super::CallerCx;
-use crate::buffered::CountedBytes;
 use crate::callers::body;
 use crate::callers::errors::ErrorResponse;
 use crate::callers::submit::{Headers, Submission, submit};
 use crate::endpoints::EndpointProtocol;
 use core::marker::PhantomData;
 use oriolemux_core::RequestId;
+use oriolemux_gateway::bodies::KeptBody;
 use poem::{Endpoint, Request, Response};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -20,7 +20,7 @@
     /// The unparsed headers.
     pub(super) raw_headers: http::HeaderMap,
     pub(super) bytes: Vec<u8>,
-    pub(super) counted: CountedBytes,
+    pub(super) counted: KeptBody,
     pub(super) remote: Option<SocketAddr>,
 }
 
@@ -74,13 +74,12 @@
     let remote = req.remote_addr().as_socket_addr().copied();
     let path = K::path(id, &req)?;
     let (parts, body) = req.into_parts();
-    let body = body::read(body, &parts.headers, cx.body, &cx.bodies)
+    let (bytes, counted) = body::read(body, &parts.headers, cx.body, &cx.bodies)
         .await
         .map_err(|err| {
             let error = ErrorResponse::not_submitted(id, err.reason());
             headers.qualify_outcome(error.with_detail(err.to_string()))
         })?;
-    let (bytes, counted) = body.into_parts();
     let received = Received {
         id,
         headers,
--- a/crates/oriolemux/src/callers/server.rs
+++ b/crates/oriolemux/src/callers/server.rs
@@ -11,6 +11,8 @@
 use core::time::Duration;
 use http::header::CONNECTION;
 use http::{HeaderValue, Version};
+use oriolemux_core::gateway::body_memory::BodyBounds;
+use oriolemux_gateway::bodies::KeptBodies;
 use poem::{Endpoint, IntoResponse, Request, Response, Server};
 use std::io;
 use tokio::net::TcpListener;
@@ -19,6 +21,9 @@
 /// The most concurrent requests on one HTTP/2 connection.
 const MAX_HTTP2_STREAMS: u32 = 128;
 
+/// How often the bytes of a body may be kept: as they were received, and in the parsed request.
+const COPIES: usize = 2;
+
 /// How long open connections are read after the listener was closed. Requests that are on their way
 /// then are refused with a response, and not by a connection that is closed unread.
 const CLOSE_DELAY: Duration = Duration::from_millis(250);
@@ -29,6 +34,7 @@
     port: NodePort,
     protocol: E,
     body: BodyLimits,
+    memory: usize,
     accept: AcceptLimits,
     stopping: CancellationToken,
     close_delay: Duration,
@@ -42,6 +48,13 @@
         self
     }
 
+    /// Sets the memory of the process in bytes, of which bodies may take a share; 512 MB unless set.
+    #[must_use]
+    pub fn memory(mut self, bytes: usize) -> Self {
+        self.memory = bytes;
+        self
+    }
+
     /// Sets the longest time for a body to arrive; 30 s unless set.
     #[must_use]
     pub fn body_timeout(mut self, timeout: Duration) -> Self {
@@ -116,6 +129,7 @@
                 bytes: 1 << 20,
                 time: Duration::from_secs(30),
             },
+            memory: 512_000_000,
             accept: AcceptLimits {
                 connections: 4_096,
                 head: Duration::from_secs(30),
@@ -153,7 +167,7 @@
             protocol: settings.protocol,
             body: settings.body,
             connections,
-            bodies: BufferBudget::new(settings.body.bytes),
+            bodies: KeptBodies::new(BodyBounds::of_memory(settings.memory / COPIES)),
             buffers: BufferBudget::new(MAX_RESPONSE_BYTES),
             write_timeout: settings.accept.write,
         };
--- a/crates/oriolemux/src/callers/submit.rs
+++ b/crates/oriolemux/src/callers/submit.rs
@@ -5,7 +5,6 @@
 use super::errors::{ErrorResponse, REQUEST_HEADER};
 use super::port::NodeGone;
 use super::routes::CallerCx;
-use crate::buffered::CountedBytes;
 use crate::endpoints::{EndpointProtocol, WorkBody};
 use crate::relay::caller::{Caller, Piece, Reply, ResponseFormat};
 use crate::relay::chunk::ChunkWriter;
@@ -21,6 +20,7 @@
 use oriolemux_core::ids::stable_hash;
 use oriolemux_core::outcome::RequestOutcome;
 use oriolemux_core::{Reason, RequestId};
+use oriolemux_gateway::bodies::KeptBody;
 use poem::{Body, Response};
 use std::io;
 use std::net::SocketAddr;
@@ -141,7 +141,7 @@
     /// another.
     pub body_bytes: Vec<u8>,
     /// Counts the body as long as the request runs.
-    pub counted: CountedBytes,
+    pub counted: KeptBody,
     /// What is sent to the endpoint.
     pub body: WorkBody,
     /// The format of the response.
--- a/crates/oriolemux/src/relay.rs
+++ b/crates/oriolemux/src/relay.rs
@@ -23,13 +23,14 @@
 use oriolemux_core::event::AttemptUpdate;
 use oriolemux_core::outcome::RequestOutcome;
 use oriolemux_core::{AttemptId, Event, Reason, RequestId, Verdict};
+use oriolemux_gateway::bodies::KeptBody;
 use tokio::sync::mpsc;
 
 /// Counts of the bytes that a request keeps.
 #[derive(Debug)]
 pub struct KeptBytes {
     /// Its body, which is sent with each attempt.
-    pub request: CountedBytes,
+    pub request: KeptBody,
     /// Tokens, which are kept for a replay or for the end of the response.
     pub tokens: CountedBytes,
 }
--- a/crates/oriolemux/src/serve.rs
+++ b/crates/oriolemux/src/serve.rs
@@ -10,10 +10,12 @@
 use crate::operators::{self, OperatorPort, OperatorServer};
 use crate::peers::{PeerEvent, Peers, PeersConfig, PeersHandle};
 use crate::platform::{self, PlatformClient, PlatformLimits};
+use crate::resources::Resources;
 use crate::settings::{ClaimsSettings, Secret, Secrets, Settings};
 use crate::status::Readiness;
 use crate::supervisor::{Intensity, RepeatedTerminate, StopTokens, Supervisor, SupervisorError};
 use oriolemux_core::findings::Findings;
+use oriolemux_core::gateway::connection_bounds::ConnectionBounds;
 use oriolemux_core::keys::KeysConfig;
 use oriolemux_core::{Event, Incarnation, InstanceKey, Node, NodeConfig};
 use rand::Rng;
@@ -237,10 +239,14 @@
 
     fn caller_server(&self) -> CallerServer<HttpProtocol> {
         let callers = &self.settings.callers;
+        let memory = Resources::new(self.settings.limits.memory_mb, 0).memory;
+        let connections = callers.max_connections as usize;
+        let connections = ConnectionBounds::new(memory, usize::MAX, connections).callers;
         CallerServer::builder(self.port.clone(), self.protocol.clone())
             .max_body_bytes(callers.max_body_bytes)
+            .memory(memory)
             .body_timeout(callers.read_timeout_ms.duration())
-            .max_connections(callers.max_connections as usize)
+            .max_connections(connections)
             .write_timeout(callers.write_timeout_ms.duration())
             .idle_timeout(callers.idle_timeout_ms.duration())
             .stopping(self.stop.planned.clone())
--- a/crates/oriolemux/src/settings/table.rs
+++ b/crates/oriolemux/src/settings/table.rs
@@ -112,6 +112,9 @@
 
     /// Bounds of the instance itself; the limits of workspaces are in the catalogue.
     limits: LimitsSettings {
+        /// The memory that the process may use, in MB; 0 takes the memory that the system reports. The
+        /// bodies of callers' requests may take a share of it (docs/design/caller-bounds.md).
+        memory_mb: u32 = default(0).range(0, 16_000_000);
         /// The maximum number of loads of models, versions and adapters from the weight store
         /// per minute. All instances share it, so it is the same on all of them.
         loads_per_minute: u32 = default(30).range(1, 100_000);
--- a/crates/oriolemux/tests/gateway_support/crowd.rs
+++ b/crates/oriolemux/tests/gateway_support/crowd.rs
@@ -29,14 +29,24 @@
     };
     format!(
         "{method} {path} HTTP/1.1\r\nhost: desk.example\r\nauthorization: Bearer key-1\r\n\
-         x-attempt-id: crowd-{NUMBER}\r\nx-deadline-ms: 120000\r\n{framing}\r\n\r\n"
+         x-attempt-id: crowd-{NUMBER}\r\nx-deadline-ms: 120000\r\n{framing}{HEAD_END}"
     )
 }
 
+/// The end of a head.
+const HEAD_END: &str = "\r\n\r\n";
+
+/// Returns the head of a call without its framing.
+fn call_start() -> String {
+    call_head("/once/1", "").trim_end().to_owned() + "\r\n"
+}
+
 /// What each caller sends.
 #[derive(Clone, Debug)]
 pub struct Shape {
-    head: String,
+    /// The head without its framing; empty for bytes without a head.
+    start: String,
+    framing: String,
     body: Arc<Vec<u8>>,
     /// How many bytes of the body its end has.
     end: usize,
@@ -49,7 +59,8 @@
     pub fn announced(length: usize, piece: usize) -> Shape {
         const MOST: usize = 16 * 1024 * 1024;
         Shape {
-            head: call_head("/once/1", &format!("content-length: {length}")),
+            start: call_start(),
+            framing: format!("content-length: {length}{HEAD_END}"),
             body: Arc::new(vec![b'x'; length.min(MOST)]),
             end: 1,
             piece,
@@ -73,7 +84,8 @@
             .into_bytes();
         body.extend_from_slice(LAST_CHUNK);
         Shape {
-            head: call_head("/once/1", "transfer-encoding: chunked"),
+            start: call_start(),
+            framing: format!("transfer-encoding: chunked{HEAD_END}"),
             body: Arc::new(body),
             end: LAST_CHUNK.len(),
             piece: 64 * 1024,
@@ -83,13 +95,21 @@
     /// Bytes as they are.
     pub fn raw(bytes: Vec<u8>) -> Shape {
         Shape {
-            head: String::new(),
+            start: String::new(),
+            framing: String::new(),
             piece: bytes.len().max(1),
             body: Arc::new(bytes),
             end: 0,
         }
     }
 
+    /// Sends the body behind a head that begins with `start`.
+    #[allow(dead_code, reason = "each test file uses a part of this")]
+    pub fn behind(mut self, start: &str) -> Shape {
+        self.start = start.to_owned();
+        self
+    }
+
     /// Sends at most this many bytes of the body.
     pub fn cut_after(mut self, bytes: usize) -> Shape {
         let body = &self.body[..bytes.min(self.body.len())];
@@ -105,7 +125,8 @@
     }
 
     async fn write(self, number: usize, stream: &mut TcpStream) -> std::io::Result<()> {
-        let head = self.head.replace(NUMBER, &number.to_string());
+        let head = self.start + &self.framing;
+        let head = head.replace(NUMBER, &number.to_string());
         stream.set_nodelay(true)?;
         stream.write_all(head.as_bytes()).await?;
         for piece in self.body.chunks(self.piece) {
--- a/crates/oriolemux/tests/serve_support/instance.rs
+++ b/crates/oriolemux/tests/serve_support/instance.rs
@@ -21,7 +21,7 @@
 
 /// Writes settings whose listeners take any free port. Callers may take longer for a body than the
 /// tests run.
-fn write_settings(dir: &Path, notice_ms: u32, platform: SocketAddr) {
+fn write_settings(dir: &Path, notice_ms: u32, platform: SocketAddr, more: &str) {
     let text = format!(
         "name = \"arima-1\"\ndata_centre = \"arima\"\n\
          [callers]\nlisten = \"127.0.0.1:0\"\nread_timeout_ms = 120000\n\
@@ -29,7 +29,7 @@
          [operators]\nlisten = \"127.0.0.1:0\"\nkey_file = \"key\"\n\
          [platform]\naddresses = [\"{platform}\"]\n\
          [logs]\nformat = \"json\"\nlevel = \"debug\"\n\
-         [stop]\nnotice_ms = {notice_ms}\n"
+         [stop]\nnotice_ms = {notice_ms}\n{more}"
     );
     std::fs::write(dir.join("settings.toml"), text).expect("settings written");
     std::fs::write(dir.join("secret"), "a secret of all instances").expect("secret written");
@@ -47,8 +47,13 @@
 impl Instance {
     /// Starts an instance and waits until it listens.
     pub fn start(notice_ms: u32, platform: SocketAddr) -> Self {
+        Instance::start_with(notice_ms, platform, "")
+    }
+
+    /// Starts an instance with more sections of settings, and waits until it listens.
+    pub fn start_with(notice_ms: u32, platform: SocketAddr, more: &str) -> Self {
         let dir = tempfile::tempdir().expect("a directory");
-        write_settings(dir.path(), notice_ms, platform);
+        write_settings(dir.path(), notice_ms, platform, more);
         let mut child = Command::new(env!("CARGO_BIN_EXE_oriolemux"))
             .args(["serve", "--settings", "settings.toml"])
             .current_dir(dir.path())
@@ -71,6 +76,16 @@
         }
     }
 
+    /// Returns the largest memory that it has occupied so far, in bytes.
+    pub fn peak_memory(&self) -> usize {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()));
+        let status = status.expect("the process is there");
+        let line = status.lines().find(|it| it.starts_with("VmHWM:"));
+        let kib = line.and_then(|it| it.split_whitespace().nth(1));
+        let kib: usize = kib.and_then(|it| it.parse().ok()).expect("a peak");
+        kib * 1_024
+    }
+
     /// Sends SIGTERM and waits until the stop has begun.
     pub fn stop(&mut self) {
         let pid = i32::try_from(self.child.id()).expect("a pid");
