--- a/crates/core/src/gateway/body_memory.rs
+++ b/crates/core/src/gateway/body_memory.rs
@@ -36,8 +36,9 @@
     const SHARE: usize = 4;
     /// The inverse of the share of that which small bodies have for themselves.
     const SMALL_SHARE: usize = 4;
-    /// The inverse of the share of the memory that a single body may take.
-    const SINGLE_SHARE: usize = 2;
+    /// The inverse of the share of the memory that a single body may take. It takes twice that while it
+    /// is joined from what was read.
+    const SINGLE_SHARE: usize = 3;
 
     /// Returns the bounds of a process that may use `memory` bytes.
     pub fn of_memory(memory: usize) -> Self {
--- a/crates/gateway/src/bodies.rs
+++ b/crates/gateway/src/bodies.rs
@@ -12,7 +12,9 @@
 use cranelift_entity::SecondaryMap;
 use http_body::Body;
 use http_body_util::BodyExt;
-use oriolemux_core::gateway::body_memory::{BodyBounds, BodyId, BodyMemory, NoBodyRoom};
+use oriolemux_core::gateway::body_memory::{
+    BodyBounds, BodyId, BodyMemory, NoBodyRoom, SMALL_BODY_BYTES,
+};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 /// Why a body was not read in full.
@@ -42,10 +44,18 @@
     evicted: Vec<BodyId>,
 }
 
+/// The bytes of a block. Buffers that grow leave gaps of all sizes between them, which take as much
+/// memory again; a block that is dropped leaves room for the next one.
+const BLOCK_BYTES: usize = SMALL_BODY_BYTES;
+
 /// The bytes of an incomplete body.
 #[derive(Clone, Debug, Default)]
 struct Buffer {
-    bytes: Vec<u8>,
+    /// All but the last are full.
+    blocks: Vec<Vec<u8>>,
+    length: usize,
+    /// The room of all blocks.
+    capacity: usize,
     is_evicted: bool,
     /// Wakes the reader when the body is evicted.
     waker: Option<Waker>,
@@ -170,17 +180,17 @@
         if buffer.is_evicted {
             return Err(BodyError::Evicted);
         }
-        let length = buffer.bytes.len() + data.len();
+        let length = buffer.length + data.len();
         if length > limit {
             return Err(BodyError::TooLarge(limit));
         }
-        if length > buffer.bytes.capacity() {
-            let capacity = next_capacity(length, expected);
+        let capacity = capacity_for(length, expected);
+        if capacity > buffer.capacity {
             let room = kept.memory.grow(self.id, capacity, &mut kept.evicted);
             room.inspect_err(|_| ByReason::BodiesGivenUp.add("no_room"))?;
-            buffer.bytes.reserve_exact(capacity - buffer.bytes.len());
+            buffer.capacity = capacity;
         }
-        buffer.bytes.extend_from_slice(data);
+        buffer.append(data);
         kept.evict_others();
         Ok(())
     }
@@ -213,8 +223,7 @@
     /// Returns the bytes of the body, and what takes their room.
     pub fn complete(self) -> (Box<[u8]>, KeptBody) {
         let mut kept = self.bodies.lock();
-        let bytes = core::mem::take(&mut kept.buffers[self.id]).bytes;
-        let bytes = bytes.into_boxed_slice();
+        let bytes = core::mem::take(&mut kept.buffers[self.id]).join();
         if !bytes.is_empty() {
             kept.memory.complete(self.id, bytes.len());
         }
@@ -240,10 +249,52 @@
     }
 }
 
+/// Returns the room that a body of `length` bytes takes: of one block what is necessary, and then whole
+/// blocks.
+fn capacity_for(length: usize, expected: usize) -> usize {
+    match length <= BLOCK_BYTES {
+        true => next_capacity(length, expected.min(BLOCK_BYTES)),
+        false => length.next_multiple_of(BLOCK_BYTES),
+    }
+}
+
 impl Buffer {
+    /// Appends bytes for which there is room.
+    fn append(&mut self, mut data: &[u8]) {
+        self.length += data.len();
+        while !data.is_empty() {
+            let block = match self.blocks.last_mut() {
+                Some(block) if block.len() < BLOCK_BYTES => block,
+                _ => {
+                    self.blocks.push(Vec::new());
+                    continue;
+                }
+            };
+            let (part, rest) = data.split_at(data.len().min(BLOCK_BYTES - block.len()));
+            if block.len() + part.len() > block.capacity() {
+                let capacity = self.capacity.min(BLOCK_BYTES);
+                block.reserve_exact(capacity - block.len());
+            }
+            block.extend_from_slice(part);
+            data = rest;
+        }
+    }
+
+    /// Returns the body in one piece.
+    fn join(mut self) -> Box<[u8]> {
+        if self.blocks.len() <= 1 {
+            return self.blocks.pop().unwrap_or_default().into_boxed_slice();
+        }
+        let mut bytes = Vec::with_capacity(self.length);
+        for block in self.blocks {
+            bytes.extend_from_slice(&block);
+        }
+        bytes.into_boxed_slice()
+    }
+
     fn evict(&mut self) {
         ByReason::BodiesGivenUp.add("evicted");
-        self.bytes = Vec::new();
+        self.blocks = Vec::new();
         self.is_evicted = true;
         if let Some(waker) = self.waker.take() {
             waker.wake();
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -126,7 +126,8 @@
                 () = body_evicted => Err(Reason::InstanceFull),
             };
             match read {
-                Ok(job) => run(job, engines).await,
+                // On the heap, since each body that is read would have room for it otherwise.
+                Ok(job) => Box::pin(run(job, engines)).await,
                 Err(reason @ (Reason::Stopping | Reason::InstanceFull)) => refused_here(reason),
                 Err(reason) => refused(reason),
             }
--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -7,6 +7,8 @@
 mod framing;
 
 use bytes::Bytes;
+use core::pin::Pin;
+use core::task::{Context, Poll, ready};
 use core::time::Duration;
 use framing::FramedStream;
 use http::{Request, Response};
@@ -17,6 +19,7 @@
 use std::io::ErrorKind;
 use std::net::SocketAddrV4;
 use std::time::Instant;
+use tokio::io::{AsyncRead, ReadBuf};
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
@@ -167,6 +170,25 @@
     Ok(stream)
 }
 
+/// The most bytes of one read. The HTTP library starts with a buffer of 8 KiB and doubles it with each
+/// read that fills it; large buffers of many connections would take more memory than the bodies that
+/// are kept.
+const MAX_READ_BYTES: usize = 8 * 1024 - 1;
+
+/// Reads at most [`MAX_READ_BYTES`].
+pub(crate) fn poll_read_part(
+    stream: Pin<&mut TcpStream>,
+    cx: &mut Context<'_>,
+    buf: &mut ReadBuf<'_>,
+) -> Poll<std::io::Result<()>> {
+    let most = buf.remaining().min(MAX_READ_BYTES);
+    let mut part = ReadBuf::new(buf.initialize_unfilled_to(most));
+    ready!(stream.poll_read(cx, &mut part))?;
+    let length = part.filled().len();
+    buf.advance(length);
+    Poll::Ready(Ok(()))
+}
+
 /// Returns a buffered body.
 pub fn full_body(bytes: Bytes) -> Full<Bytes> {
     Full::new(bytes)
--- a/crates/gateway/src/link/framing.rs
+++ b/crates/gateway/src/link/framing.rs
@@ -6,6 +6,7 @@
 //!
 //! Validity is left to the HTTP library: what cannot be followed here is no longer counted.
 
+use super::poll_read_part;
 use core::pin::Pin;
 use core::task::{Context, Poll, ready};
 use std::io;
@@ -187,7 +188,7 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
-        ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
+        ready!(poll_read_part(Pin::new(&mut self.stream), cx, buf))?;
         let counted = self.count.count(&buf.filled()[before..]);
         Poll::Ready(counted.map_err(|error| io::Error::new(io::ErrorKind::InvalidData, error)))
     }
--- a/crates/oriolemux/tests/gateway_crowds.rs
+++ b/crates/oriolemux/tests/gateway_crowds.rs
@@ -135,6 +135,19 @@
         exchange.await.is_ok() && response.starts_with(b"HTTP/1.1 200 ")
     }
 
+    /// Adds an endpoint whose responses are long, and waits until requests reach it.
+    async fn add_long_endpoint(&self) {
+        let address = long_endpoint(LONG_RESPONSE).await.to_string();
+        let record = json!({ "service": "files", "address": address, "zone": "north",
+            "version": "v1", "slots": 24, "state": "ready", "cold-left-ms": 0, "sequence": 1 });
+        self.deployment.store.put("servers/files-1", &record);
+        let is_served = || async {
+            let reply = Caller::new("file", "/files/1").send_at(self.front()).await;
+            reply.status == StatusCode::OK
+        };
+        until(is_served).await;
+    }
+
     /// Checks that the process lives within `memory` bytes and answers an ordinary request.
     async fn is_sound(&mut self, memory: usize) {
         assert!(self.process.is_alive(), "the process has ended");
@@ -257,15 +270,7 @@
 async fn responses_that_nobody_reads_fit_into_memory() {
     let _alone = MEASURING.lock().await;
     let mut one = One::start(SMALLEST, MAX_BODY).await;
-    let address = long_endpoint(LONG_RESPONSE).await.to_string();
-    let record = json!({ "service": "files", "address": address, "zone": "north", "version": "v1",
-        "slots": 24, "state": "ready", "cold-left-ms": 0, "sequence": 1 });
-    one.deployment.store.put("servers/files-1", &record);
-    let is_served = || async {
-        let reply = Caller::new("file", "/files/1").send_at(one.front()).await;
-        reply.status == StatusCode::OK
-    };
-    until(is_served).await;
+    one.add_long_endpoint().await;
     let request = Shape::raw(call_head("/files/1", "x-nothing: 0").into_bytes());
 
     let crowd = Crowd::send(one.front(), CALLERS, &request).await;
@@ -275,6 +280,32 @@
     drop(crowd);
 }
 
+/// Guards against bounds that hold one by one and exceed the memory together.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn crowds_of_all_kinds_at_once_fit_into_memory() {
+    let _alone = MEASURING.lock().await;
+    let mut one = One::start(SMALLEST, MAX_BODY).await;
+    one.add_long_endpoint().await;
+    one.service.behave(&[Behaviour::Hang; 3 * CALLERS]);
+    let stalled = Shape::announced(MAX_BODY, 64 * KIB).without_end();
+    let small_chunks = Shape::chunked(MAX_BODY / 20, 1).without_end();
+    let whole = Shape::chunked(MAX_BODY / 4, 16 * KIB);
+    let unread = Shape::raw(call_head("/files/1", "x-nothing: 0").into_bytes());
+    let idle = Shape::raw(Vec::new());
+
+    let mut crowds = Vec::new();
+    for shape in [&whole, &unread, &stalled, &small_chunks, &idle] {
+        crowds.push(Crowd::send(one.front(), CALLERS, shape).await);
+    }
+    for crowd in &crowds {
+        crowd.is_read(one.front()).await;
+    }
+    one.service.behave_as_usual();
+
+    one.is_sound(MEMORY).await;
+    drop(crowds);
+}
+
 /// What callers do that occupy all connections.
 #[derive(Clone, Copy, Debug)]
 enum Occupation {
