--- a/crates/oriolemux/tests/gateway_crowds.rs
+++ b/crates/oriolemux/tests/gateway_crowds.rs
@@ -164,6 +164,7 @@
     memory_mb: Some(MEMORY_MB),
     max_descriptors: None,
     max_connections: None,
+    write_timeout_ms: None,
 };
 
 /// Guards against a process that ends for want of memory: many bodies of legal size stop just short of
@@ -280,6 +281,30 @@
     drop(crowd);
 }
 
+/// Guards against responses that are kept for as long as their callers like: each has a request, a
+/// connection and memory.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_caller_that_does_not_read_its_response_is_given_up() {
+    let _alone = MEASURING.lock().await;
+    let limits = Limits {
+        write_timeout_ms: Some(200),
+        ..SMALLEST
+    };
+    let mut one = One::start(limits, MAX_BODY).await;
+    one.add_long_endpoint().await;
+    let request = Shape::raw(call_head("/files/1", "x-nothing: 0").into_bytes());
+
+    let crowd = Crowd::send(one.front(), 1, &request).await;
+
+    let given_up = || {
+        let cuts = one.process.lines_of("response_cut");
+        cuts.iter().any(|it| it["how"] == "not_read")
+    };
+    until(|| async { given_up() }).await;
+    one.is_sound(MEMORY).await;
+    drop(crowd);
+}
+
 /// Guards against bounds that hold one by one and exceed the memory together.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn crowds_of_all_kinds_at_once_fit_into_memory() {
--- a/crates/oriolemux/tests/gateway_support/process.rs
+++ b/crates/oriolemux/tests/gateway_support/process.rs
@@ -24,6 +24,7 @@
     pub memory_mb: Option<u32>,
     pub max_descriptors: Option<u32>,
     pub max_connections: Option<u32>,
+    pub write_timeout_ms: Option<u32>,
 }
 
 impl Limits {
@@ -33,6 +34,7 @@
 
     fn callers(&self) -> String {
         setting("max_connections", self.max_connections)
+            + &setting("write_timeout_ms", self.write_timeout_ms)
     }
 }
 
