A caller that is blocked for a moment does not yield to others

Found by reading: at the bound of connections any stream whose socket took no byte at that moment could yield, and a 32nd of all connections did so together, however short they had waited. A stream over a slow link would have been cut for a new connection.

A response yields only once its caller has accepted nothing for 5 s, for connections and for memory; beside the connection that has waited the longest, others yield only after a second. Until then a new connection is closed unread where all others are served, and a large response without room is given up, as before.

--- a/crates/core/src/gateway/connection_bounds.rs
+++ b/crates/core/src/gateway/connection_bounds.rs
@@ -90,11 +90,12 @@
 }
 
 /// Returns which connections yield so that their responses release `bytes`: those whose callers have
-/// accepted no data for the longest time, as many as are necessary.
+/// accepted no data for the longest time, [`MIN_UNREAD`] at least, as many as are necessary.
 pub fn yielding_unread<I: Copy>(
     unread: impl Iterator<Item = UnreadResponse<I>>,
     bytes: usize,
 ) -> Vec<I> {
+    let unread = unread.filter(|it| it.blocked >= MIN_UNREAD);
     let mut unread: Vec<UnreadResponse<I>> = unread.collect();
     unread.sort_unstable_by_key(|it| Reverse(it.blocked));
     let mut released = 0;
@@ -110,8 +111,16 @@
 /// ones does not look at all of them for each.
 const YIELD_SHARE: usize = 32;
 
+/// How long a connection has waited at least that yields beside another one.
+const MIN_JOINT_WAIT: Duration = Duration::from_secs(1);
+
+/// How long a caller has accepted no data at least whose response may yield. One that reads accepts some
+/// after each round trip; being blocked for a moment is how a slow link looks.
+pub const MIN_UNREAD: Duration = Duration::from_secs(5);
+
 /// Returns which connections yield at a bound of `limit`: those that have waited for their callers the
-/// longest. Connections that are being served are not in `waiting`.
+/// longest, and more than one only if they have waited for [`MIN_JOINT_WAIT`]. Connections that are
+/// being served are not in `waiting`.
 pub fn yielding<I: Copy>(waiting: impl Iterator<Item = (I, Duration)>, limit: usize) -> Vec<I> {
     let count = (limit / YIELD_SHARE).max(1);
     let mut waiting: Vec<(I, Duration)> = waiting.collect();
@@ -119,5 +128,9 @@
         waiting.select_nth_unstable_by_key(count - 1, |(_, time)| Reverse(*time));
         waiting.truncate(count);
     }
-    waiting.into_iter().map(|(id, _)| id).collect()
+    waiting.sort_unstable_by_key(|(_, time)| Reverse(*time));
+    let yields = |index: usize, time: Duration| index == 0 || time >= MIN_JOINT_WAIT;
+    let yielding = waiting.into_iter().enumerate();
+    let yielding = yielding.filter(|&(index, (_, time))| yields(index, time));
+    yielding.map(|(_, (id, _))| id).collect()
 }
--- a/crates/core/tests/gateway_connection_bounds.rs
+++ b/crates/core/tests/gateway_connection_bounds.rs
@@ -67,6 +67,8 @@
 #[rstest]
 #[case::one_of_few(&[3, 9, 1], 8, &[1])]
 #[case::several_of_many(&[5, 1, 7, 2], 64, &[0, 2])]
+#[case::one_that_has_hardly_waited(&[0, 0, 0], 96, &[0])]
+#[case::others_that_have_hardly_waited(&[0, 5, 0], 96, &[1])]
 #[case::all(&[5, 1], 96, &[0, 1])]
 #[case::none(&[], 64, &[])]
 fn those_that_wait_the_longest_yield(
--- a/crates/gateway/src/front/activity.rs
+++ b/crates/gateway/src/front/activity.rs
@@ -12,6 +12,7 @@
 use core::time::Duration;
 use http_body::{Body, Frame, SizeHint};
 use oriolemux_core::gateway::catalogue::CallerLimits;
+use oriolemux_core::gateway::connection_bounds::MIN_UNREAD;
 use oriolemux_core::gateway::response_memory::SMALL_RESPONSE_BYTES;
 use std::io;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -349,8 +350,8 @@
 impl ActivityState {
     /// Returns since when the connection has waited for its caller; `None` while a request is served.
     fn waits_since(&self) -> Option<Instant> {
-        if self.blocked_since.is_some() {
-            return self.blocked_since;
+        if let Some(since) = self.blocked_since {
+            return (since.elapsed() >= MIN_UNREAD).then_some(since);
         }
         if !self.is_busy() {
             return Some(self.head_since.unwrap_or(self.idle_since));
