--- a/crates/core/src/gateway/connection_bounds.rs
+++ b/crates/core/src/gateway/connection_bounds.rs
@@ -119,7 +119,7 @@
 pub const MIN_UNREAD: Duration = Duration::from_secs(5);
 
 /// Returns which connections yield at a bound of `limit`: those that have waited for their callers the
-/// longest, and more than one only if they have waited for [`MIN_JOINT_WAIT`]. Connections that are
+/// longest, and more than one only if they have waited for a second. Connections that are
 /// being served are not in `waiting`.
 pub fn yielding<I: Copy>(waiting: impl Iterator<Item = (I, Duration)>, limit: usize) -> Vec<I> {
     let count = (limit / YIELD_SHARE).max(1);
