A response whose framing cannot be followed is not used

Seen by callers: a worker's head whose transfer coding was not `chunked` (a letter lost or too many, empty, another coding, a parameter) gave a signed, complete 200 whose body held the sizes of the chunks; a stream had them between its events. A length beside chunks was passed on with a body of another length, or as a field that no HTTP library reads; a debug build panicked on it.

Cause: the HTTP library takes a coding that is not `chunked` for a body that ends with its connection, and ignores a length beside one. This instance then removes the coding as hop-by-hop, and keeps the length. So the head that frames the connection to the endpoint is followed by the library in one way and stated to the caller in another.

Change: `Link::send`, through which calls, generations, resumptions, orders and the store read heads, fails unless the head has one `chunked`, one length, or neither. A call or generation gets 502 `answer_lost`, or runs again where it may; the attempt may have run. Both framings are an error whatever the length is (RFC 9112, section 6.3), and so is `chunked` twice, since nothing tells whether the body was encoded once or twice.

A misspelt name of either field is a valid head without a length, which is allowed.

--- a/crates/gateway/src/event_log.rs
+++ b/crates/gateway/src/event_log.rs
@@ -319,6 +319,9 @@
     /// A bug ended the relay of a generation, which has no event of its end: its caller got 502, or its
     /// stream was aborted. The process goes on.
     RelayFailed = 906, "relay_failed", Error, FAILURES;
+    /// The head of an endpoint's response is invalid: what is wrong with it. Nothing of the response is
+    /// used; the request may have run, and its caller gets 502, unless it may run again.
+    ResponseInvalid = 907, "response_invalid", Warn, FAILURES;
 }
 
 /// The lines of one event in the current second.
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -537,7 +537,7 @@
     ///
     /// # Errors
     ///
-    /// Returns how the connection failed, or that the endpoint was withdrawn.
+    /// Returns how the connection failed, that the endpoint was withdrawn, or what is wrong with its response.
     pub async fn send(
         &self,
         place: &Placement,
@@ -569,7 +569,20 @@
             return Err(LinkError::Withdrawn);
         }
         let response = link.send(self.request(send));
-        AwaitedHead::new(self, place, link, response).wait().await
+        let answered = AwaitedHead::new(self, place, link, response).wait().await;
+        if let Err(error) = &answered
+            && error.is_invalid_response()
+        {
+            log_event!(
+                ResponseInvalid,
+                attempt = self.name(),
+                entry = self.entry().name.as_str(),
+                endpoint = place.name.as_str(),
+                why:% = error,
+                ms = millis(self.arrived.elapsed())
+            );
+        }
+        answered
     }
 
     /// Returns whether the request may still be sent to `place`, which was chosen at `chosen`.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,6 +18,7 @@
 //! - [`connections`] bounds the connections of a listener.
 //! - [`connect`] notices connection attempts that are given up.
 //! - [`mod@probe`] checks whether an endpoint crashed when a connection to it broke.
+//! - [`link`] connects to endpoints and refuses responses whose heads are [invalid](link::head).
 //! - [`signature`] keeps successes that their endpoints did not sign from callers.
 //! - [`run_lease`] delays or refuses requests that crashed endpoints.
 //! - [`proxy`] serves requests through a peer while no endpoint is reached.
--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -5,13 +5,16 @@
 //! one round trip within a data centre.
 
 mod framing;
+pub mod head;
 
 use bytes::Bytes;
 use core::pin::Pin;
 use core::task::{Context, Poll, ready};
 use core::time::Duration;
 use framing::FramedStream;
-use http::{Request, Response};
+use head::{Framing, InvalidHead};
+use http::header::CONTENT_LENGTH;
+use http::{HeaderValue, Request, Response};
 use http_body_util::{BodyExt, Full};
 pub use hyper::body::Incoming;
 use hyper::client::conn::http1;
@@ -44,6 +47,8 @@
     Withdrawn,
     /// the connection broke: {0}
     Broken(hyper::Error),
+    /// the head of the response is invalid: {0}
+    InvalidHead(InvalidHead),
 }
 
 /// The label of a connection that the endpoint refused.
@@ -63,7 +68,7 @@
             | LinkError::Connect(_)
             | LinkError::Partitioned
             | LinkError::Withdrawn => true,
-            LinkError::Broken(_) => false,
+            LinkError::Broken(_) | LinkError::InvalidHead(_) => false,
         }
     }
 
@@ -76,6 +81,16 @@
             LinkError::Partitioned => PARTITIONED,
             LinkError::Withdrawn => "withdrawn",
             LinkError::Broken(_) => "broken",
+            LinkError::InvalidHead(_) => "invalid_head",
+        }
+    }
+
+    /// Returns whether the endpoint sent bytes that are no response.
+    pub fn is_invalid_response(&self) -> bool {
+        match self {
+            LinkError::Broken(error) => error.is_parse(),
+            LinkError::InvalidHead(_) => true,
+            _ => false,
         }
     }
 }
@@ -132,15 +147,18 @@
 
     /// Sends the request; the future waits for the head of the response.
     ///
-    /// It fails if the connection breaks; the request may have run then. It does not borrow the
-    /// link, so that both can outlive the request.
+    /// It fails if the connection breaks or the head is invalid; the request may have run then. It does
+    /// not borrow the link, so that both can outlive the request.
     pub fn send(
         &mut self,
         req: Request<Full<Bytes>>,
     ) -> impl Future<Output = Result<Response<Incoming>, LinkError>> + Send + use<> {
         self.sent = Instant::now();
         let response = self.sender.send_request(req);
-        async move { response.await.map_err(LinkError::Broken) }
+        async move {
+            let response = response.await.map_err(LinkError::Broken)?;
+            framed(response).map_err(LinkError::InvalidHead)
+        }
     }
 }
 
@@ -162,6 +180,17 @@
     }
 }
 
+/// Returns a response whose framing can be followed. Its length is stated once and in its usual form, since
+/// callers get that field.
+fn framed(mut response: Response<Incoming>) -> Result<Response<Incoming>, InvalidHead> {
+    let framing = Framing::of_response(response.headers())?;
+    if let Framing::Length(length) = framing {
+        let length = HeaderValue::from(length);
+        response.headers_mut().insert(CONTENT_LENGTH, length);
+    }
+    Ok(response)
+}
+
 /// Opens a TCP connection that fails if the peer stops acknowledging data.
 pub async fn connect_socket(address: SocketAddrV4) -> std::io::Result<TcpStream> {
     let stream = TcpSocket::new_v4()?.connect(address.into()).await?;
