A response with a status that HTTP does not define is not used

Seen by callers: a worker's 600 to 999, and a 101 although no request asked for an upgrade, were passed on with its signature.

Cause: the HTTP library checks a status for three digits whose first is not 0, and returns a 101 as a final response.

Change: `Framing::of_response` accepts 100 to 599 without 101. Interim responses are taken by the library before.

--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -183,7 +183,7 @@
 /// Returns a response whose framing can be followed. Its length is stated once and in its usual form, since
 /// callers get that field.
 fn framed(mut response: Response<Incoming>) -> Result<Response<Incoming>, InvalidHead> {
-    let framing = Framing::of_response(response.headers())?;
+    let framing = Framing::of_response(response.status(), response.headers())?;
     if let Framing::Length(length) = framing {
         let length = HeaderValue::from(length);
         response.headers_mut().insert(CONTENT_LENGTH, length);
--- a/crates/gateway/src/link/head.rs
+++ b/crates/gateway/src/link/head.rs
@@ -1,13 +1,16 @@
 //! How a response is framed, and heads that cannot be followed.
 //!
 //! The HTTP library checks the syntax of a head, but takes a response whose transfer coding is not
-//! `chunked` for one that ends with its connection, and ignores a length beside a coding. A proxy must
-//! not: the fields that frame a connection do not reach its callers, who would get the sizes of chunks as a
-//! part of the body. RFC 9112, section 6, has the rules; `docs/incidents/broken-heads.md` lists the places
-//! that read responses.
+//! `chunked` for one that ends with its connection, ignores a length beside a coding, and accepts any
+//! three digits as a status. A proxy must not: the fields that frame a connection do not reach its
+//! callers, who would get the sizes of chunks as a part of the body. RFC 9112, section 6, has the rules;
+//! `docs/incidents/broken-heads.md` lists the places that read responses.
 
 use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
-use http::{HeaderMap, HeaderName, HeaderValue};
+use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
+
+/// The statuses that HTTP defines.
+const STATUSES: core::ops::Range<u16> = 100..600;
 
 /// Bytes of a field's value that an error quotes.
 const MAX_QUOTED_BYTES: usize = 64;
@@ -26,6 +29,10 @@
 /// Why a head cannot be followed, so that the response must not be used.
 #[derive(Clone, Debug, PartialEq, Eq, displaydoc::Display, thiserror::Error)]
 pub enum InvalidHead {
+    /// the status {0} is not defined
+    Status(u16),
+    /// the status 101 answers no request to upgrade
+    UnrequestedUpgrade,
     /// the transfer coding "{0}" is not `chunked`
     Coding(String),
     /// a length stands beside the transfer coding
@@ -39,8 +46,14 @@
     ///
     /// # Errors
     ///
-    /// Fails if that cannot be known.
-    pub fn of_response(headers: &HeaderMap) -> Result<Self, InvalidHead> {
+    /// Fails if that cannot be known, or if no response to a request without an upgrade has the status.
+    pub fn of_response(status: StatusCode, headers: &HeaderMap) -> Result<Self, InvalidHead> {
+        if status == StatusCode::SWITCHING_PROTOCOLS {
+            return Err(InvalidHead::UnrequestedUpgrade);
+        }
+        if !STATUSES.contains(&status.as_u16()) {
+            return Err(InvalidHead::Status(status.as_u16()));
+        }
         let has_length = headers.contains_key(CONTENT_LENGTH);
         if !headers.contains_key(TRANSFER_ENCODING) {
             return match has_length {
