A peer's length does not frame the body that it passes on

Seen in tests: where an instance serves a request through a peer, a length in the peer's head went to the caller beside a body that the exchange delimits. With "3" for a body of 16 bytes a caller got the first three as a complete, signed 404; a debug build panicked on it with a 200. A status that is none became 500 with the worker's signature; 101 and 600 to 999 were passed on.

Cause: the head that a peer sends was taken as it is.

Change: such a head is checked like that of an endpoint (`message::response_head`), and its length is dropped unless the request is a HEAD, which has no body. A head that is invalid ends the exchange: 502 `answer_lost`, or another attempt.

The format of the messages is unchanged.

--- a/crates/gateway/src/proxy/client.rs
+++ b/crates/gateway/src/proxy/client.rs
@@ -3,7 +3,8 @@
 use super::links::DialError;
 use super::message::{
     ExchangeError, MAX_OFFER_BYTES, MAX_REPLY_BYTES, MessageReader, Offer, OfferReply,
-    ProxiedRequest, ProxyReply, VERSION, encode, encode_within, from_message, send_all, to_message,
+    ProxiedRequest, ProxyReply, VERSION, encode, encode_within, response_head, send_all,
+    to_message,
 };
 use crate::attempts::Attempts;
 use crate::buffered::{self, KeptResponses, MAX_RESPONSE_BYTES};
@@ -18,7 +19,7 @@
 use core::task::{Context, Poll, ready};
 use core::time::Duration;
 use h2::SendStream;
-use http::{Method, Request, Response, StatusCode, Uri};
+use http::{Method, Request, Response, Uri, header};
 use http_body::Frame;
 use http_body_util::BodyExt;
 use oriolemux_core::gateway::request::service_hash;
@@ -250,19 +251,22 @@
         return Ok(ProxyOutcome::NotServed);
     }
     send_all(&mut tx, request).await?;
-    let (status, headers) = match rx.message(MAX_REPLY_BYTES).await? {
+    let (status, mut headers) = match rx.message(MAX_REPLY_BYTES).await? {
         ProxyReply::NotServed => return Ok(ProxyOutcome::NotServed),
-        ProxyReply::Response { status, headers } => (status, headers),
+        ProxyReply::Response { status, headers } => response_head(status, &headers)?,
     };
+    if job.method != Method::HEAD {
+        // The exchange delimits the body.
+        headers.remove(header::CONTENT_LENGTH);
+    }
     let body = ProxiedBody {
         rx,
         tx,
         _open: job.cx.count(OpenKind::Generation),
     };
     let mut response = Response::new(body.boxed_unsync());
-    *response.status_mut() =
-        StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
-    *response.headers_mut() = from_message(&headers);
+    *response.status_mut() = status;
+    *response.headers_mut() = headers;
     Ok(ProxyOutcome::Response(response))
 }
 
--- a/crates/gateway/src/proxy/message.rs
+++ b/crates/gateway/src/proxy/message.rs
@@ -4,13 +4,14 @@
 //! follow the last message unframed. The end of the HTTP/2 stream is the end of the body; a response
 //! that breaks off resets the stream instead.
 
+use crate::link::head::{Framing, InvalidHead};
 use bincode::config::{Configuration, Limit, LittleEndian, Varint, standard};
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use core::future::poll_fn;
 use core::task::{Context, Poll, ready};
 use h2::{RecvStream, SendStream};
 use http::request::Parts;
-use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Uri};
+use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, StatusCode, Uri};
 use oriolemux_core::ids::EndpointKey;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -49,6 +50,8 @@
     Decode(#[from] bincode::error::DecodeError),
     /// a message cannot be encoded: {0}
     Encode(#[from] bincode::error::EncodeError),
+    /// the head of a response is invalid: {0}
+    InvalidHead(#[from] InvalidHead),
 }
 
 /// Asks a peer whether it can be the proxy of a request.
@@ -187,6 +190,21 @@
     },
 }
 
+/// Returns the head of a response that a proxy sends.
+///
+/// # Errors
+///
+/// Fails if the head is invalid.
+pub fn response_head(
+    status: u16,
+    headers: &[Header],
+) -> Result<(StatusCode, HeaderMap), ExchangeError> {
+    let headers = from_message(headers);
+    let status = StatusCode::from_u16(status).map_err(|_| InvalidHead::Status(status))?;
+    Framing::of_response(status, &headers)?;
+    Ok((status, headers))
+}
+
 /// Returns headers as they are sent.
 pub fn to_message(headers: &HeaderMap) -> Vec<Header> {
     let headers = headers.iter().map(|(name, value)| Header {
--- a/crates/gateway/tests/proxy_messages.rs
+++ b/crates/gateway/tests/proxy_messages.rs
@@ -5,8 +5,9 @@
 use http::{HeaderMap, HeaderValue, Request};
 use oriolemux_gateway::proxy::message::{
     ExchangeError, MAX_MESSAGE_BYTES, MAX_OFFER_BYTES, MAX_REPLY_BYTES, MessageReader, Offer,
-    ProxiedRequest, ProxyReply, VERSION, decode, encode, from_message, to_message,
+    ProxiedRequest, ProxyReply, VERSION, decode, encode, from_message, response_head, to_message,
 };
+use rstest::rstest;
 
 fn offer() -> Offer {
     Offer {
@@ -93,6 +94,53 @@
     assert_eq!(from_message(&to_message(&headers)), headers);
 }
 
+/// Guards against a response whose status a proxy's head does not have, or has although no response may.
+#[rstest]
+#[case::zero(0)]
+#[case::below_100(99)]
+#[case::upgrade(101)]
+#[case::above_599(600)]
+#[case::largest(999)]
+#[case::four_digits(2_000)]
+fn a_status_that_is_none_is_an_error(#[case] status: u16) {
+    let head = response_head(status, &[]);
+
+    assert!(
+        matches!(head, Err(ExchangeError::InvalidHead(_))),
+        "{head:?}"
+    );
+}
+
+/// Guards against a length that no caller can read.
+#[rstest]
+#[case::letters("16x")]
+#[case::a_sign("+16")]
+#[case::two("16, 17")]
+fn a_length_that_is_none_is_an_error(#[case] length: &'static str) {
+    let mut headers = HeaderMap::new();
+    headers.insert("content-length", HeaderValue::from_static(length));
+
+    let head = response_head(200, &to_message(&headers));
+
+    assert!(
+        matches!(head, Err(ExchangeError::InvalidHead(_))),
+        "{head:?}"
+    );
+}
+
+/// Guards against a response that is refused although its head is sound.
+#[rstest]
+fn a_sound_head_is_returned(#[values(200, 204, 299, 404, 503, 599)] status: u16) {
+    let mut headers = HeaderMap::new();
+    headers.insert("content-length", HeaderValue::from_static("16"));
+    headers.insert("x-note", HeaderValue::from_static("1"));
+
+    let (of_head, all) = response_head(status, &to_message(&headers)).expect("a sound head");
+
+    assert_eq!(of_head.as_u16(), status);
+    assert_eq!(all, headers);
+}
+
 /// Guards against a request whose head cannot be sent and that runs in another form.
 #[test]
 fn an_invalid_head_yields_no_request() {
