The own interface uses no response whose head is invalid

Seen in tests, as for HTTP entries: `oriolemux serve` handed on a body that held the sizes of chunks, as a whole answer; took an order for accepted, a generation for lost, a cancellation for done and a value of the platform for unchanged by such heads; and passed on a value whose bytes held the sizes of chunks, which the catalogue's parser then refuses. With both framings it took a refusal's "not run" from such a head.

Change: `response_head::check` asks `Framing::of_response` before a response is used, for work, resumptions, load reports, cache events, orders, cancellations and values. The reason is `garbage`, which says nothing about whether the work ran; [208] says what is wrong. A head that the HTTP library cannot parse is `connection_lost`, as it was.

The client of the operators' commands parses JSON of an instance of its own and was left.

--- a/crates/oriolemux/src/endpoints/http.rs
+++ b/crates/oriolemux/src/endpoints/http.rs
@@ -6,6 +6,7 @@
     ResumePoint, WorkBody, wire,
 };
 use crate::callers::port::Clock;
+use crate::response_head;
 use bytes::Bytes;
 use core::time::Duration;
 use futures_util::FutureExt;
@@ -146,6 +147,7 @@
     ) -> Result<(StatusCode, Vec<u8>), EndpointFailure> {
         let exchange = async {
             let response = request.send().await.map_err(|_| connection_lost())?;
+            check_head(&response)?;
             let status = response.status();
             let body = read_bounded(response, MAX_CONTROL_RESPONSE_BYTES).await?;
             Ok((status, body))
@@ -215,6 +217,7 @@
             Ok(Err(_)) => return Err(connection_lost()),
             Err(_) => return Err(EndpointFailure::Broken(Reason::Stalled)),
         };
+        check_head(&response)?;
         if response.status() == StatusCode::NOT_FOUND {
             return Err(EndpointFailure::Broken(Reason::GenerationLost));
         }
@@ -328,6 +331,10 @@
     format!("http://{}{path}", endpoint.address)
 }
 
+fn check_head(response: &Response) -> Result<(), EndpointFailure> {
+    response_head::check(response).map_err(|_| EndpointFailure::Broken(Reason::Garbage))
+}
+
 fn connection_lost() -> EndpointFailure {
     EndpointFailure::Broken(Reason::ConnectionLost)
 }
@@ -352,6 +359,7 @@
     response: Response,
     limit: Duration,
 ) -> Result<EndpointResponse<HttpBody>, EndpointFailure> {
+    check_head(&response)?;
     if response.status() == StatusCode::OK {
         return Ok(to_response(response));
     }
--- a/crates/oriolemux/src/events/shell_note.rs
+++ b/crates/oriolemux/src/events/shell_note.rs
@@ -3,6 +3,7 @@
 use super::{Field, LogEvent, display};
 use core::time::Duration;
 use oriolemux_core::ids::Incarnation;
+use oriolemux_gateway::link::head::InvalidHead;
 use std::net::{IpAddr, SocketAddr};
 
 /// An event in the shell that is reported to operators.
@@ -85,6 +86,13 @@
         /// Why.
         why: &'a str,
     },
+    /// A response has an invalid head.
+    ResponseInvalid {
+        /// The address that it came from.
+        from: &'a str,
+        /// What is wrong with it.
+        why: &'a InvalidHead,
+    },
     /// A request on the operators' port carried no key or a wrong one.
     OperatorRefused {
         /// Where it came from.
@@ -144,6 +152,10 @@
             ShellNote::PeerUp { peer } => f(LogEvent::PeerUp, &[display("peer", peer)]),
             ShellNote::PeerDown { peer } => f(LogEvent::PeerDown, &[display("peer", peer)]),
             ShellNote::PeerRefused { why } => f(LogEvent::PeerRefused, &[display("why", why)]),
+            ShellNote::ResponseInvalid { from, why } => {
+                let fields = [display("from", from), display("why", why)];
+                f(LogEvent::ResponseInvalid, &fields);
+            }
             ShellNote::OperatorRefused { from } => {
                 f(LogEvent::OperatorRefused, &[display("from", from)]);
             }
--- a/crates/oriolemux/src/events/table.rs
+++ b/crates/oriolemux/src/events/table.rs
@@ -86,6 +86,9 @@
     /// A response arrived that belongs to another attempt; it was dropped and its connection is
     /// not reused. No caller received it, but an endpoint or proxy mixes up its responses.
     AnswerCrossed = 207, "answer_crossed", Warn;
+    /// The head of a response of an endpoint or of the platform's service is invalid; the line says what
+    /// is wrong. Nothing of the response is used, and work that it answers may have run.
+    ResponseInvalid = 208, "response_head_invalid", Warn;
 
     /// An endpoint is leaving and receives no new requests.
     EndpointLeaving = 301, "endpoint_leaving", Info;
--- a/crates/oriolemux/src/lib.rs
+++ b/crates/oriolemux/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod platform;
 pub mod relay;
 pub mod resources;
+mod response_head;
 pub mod serve;
 pub mod settings;
 pub mod status;
--- a/crates/oriolemux/src/platform.rs
+++ b/crates/oriolemux/src/platform.rs
@@ -14,6 +14,7 @@
 use core::future::Future;
 use oriolemux_core::Event;
 use oriolemux_core::event::ValueName;
+use oriolemux_gateway::link::head::InvalidHead;
 
 /// A response of the service.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -36,6 +37,8 @@
     Timeout(core::time::Duration),
     /// the connection failed: {0}
     Connection(#[source] reqwest::Error),
+    /// the head of the answer is invalid: {0}
+    InvalidHead(#[from] InvalidHead),
     /// the service answered with status {0}
     Status(u16),
     /// the answer does not say which revision it is
--- a/crates/oriolemux/src/platform/http.rs
+++ b/crates/oriolemux/src/platform/http.rs
@@ -1,6 +1,7 @@
 //! The platform's configuration service over HTTP/1.1.
 
 use super::{Platform, PlatformError, ValueResponse};
+use crate::response_head;
 use core::time::Duration;
 use http::StatusCode;
 use oriolemux_core::catalogue::MAX_VALUE_BYTES;
@@ -118,6 +119,7 @@
         }
         let response = self.client.get(url).send().await;
         let response = response.map_err(PlatformError::Connection)?;
+        response_head::check(&response)?;
         match response.status() {
             StatusCode::OK => value(response).await,
             StatusCode::NO_CONTENT => Ok(ValueResponse::Unchanged),
