A call's success is checked for its signature after the connection's headers are removed

Seen in a test: a worker's `Connection: x-server-signature` made the caller of a call get its 200 without the signature.

Cause: a call was checked before the headers that `Connection` names were removed, a generation and a response through a peer after that.

Change: the call is checked on what its caller would get: 502 `answer_unsigned`, or another attempt.

A 204 with a length was handled already: its test is kept.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -248,14 +248,16 @@
         if head.not_run {
             return AttemptOutcome::NotRun;
         }
-        if parts.status.is_success() && !head.is_signed {
+        let mut headers = parts.headers;
+        job.cx.wire.strip_response_headers(&mut headers);
+        if is_unsigned(&job.cx.wire, parts.status, &headers) {
             job.log_unsigned(&place.name, parts.status);
             return AttemptOutcome::Unsigned;
         }
         match buffered::collect(&job.cx.responses, body, MAX_RESPONSE_BYTES).await {
             Ok(body) => AttemptOutcome::Response(BufferedResponse {
                 status: parts.status,
-                headers: parts.headers,
+                headers,
                 body,
             }),
             Err(error) => {
@@ -409,12 +411,8 @@
 
     fn finish(&self, attempt: AttemptOutcome, place: &Placement) -> Response<ResponseBody> {
         let reason = match attempt {
-            AttemptOutcome::Response(mut response) => {
+            AttemptOutcome::Response(response) => {
                 Histogram::Call.record(self.job.arrived.elapsed());
-                self.job
-                    .cx
-                    .wire
-                    .strip_response_headers(&mut response.headers);
                 return response.into_response();
             }
             _ if self.job.is_refused() => self.job.log_refusal(),
--- a/crates/gateway/src/link/head.rs
+++ b/crates/gateway/src/link/head.rs
@@ -9,7 +9,7 @@
 use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
 
-/// The statuses that HTTP defines.
+/// The valid statuses, by RFC 9110, section 15.
 const STATUSES: core::ops::Range<u16> = 100..600;
 
 /// Bytes of a field's value that an error quotes.
@@ -29,7 +29,7 @@
 /// Why a head cannot be followed, so that the response must not be used.
 #[derive(Clone, Debug, PartialEq, Eq, displaydoc::Display, thiserror::Error)]
 pub enum InvalidHead {
-    /// the status {0} is not defined
+    /// the status {0} is outside 100 to 599
     Status(u16),
     /// the status 101 answers no request to upgrade
     UnrequestedUpgrade,
