The system receives little of a stream that is not read

What callers would see: an instance that ends for want of memory. Bytes that were received and are not read count as memory of a process (the users' pages on how it is run).

Change: connections for streams get the bound of the receive buffers of callers (`receive_buffer`, 16 KiB on the smallest instance), set before the connection opens. Calls keep the system's buffers: they are read at once.

The tests of the crowds count what is received and unread.

--- a/crates/gateway/src/catch_up.rs
+++ b/crates/gateway/src/catch_up.rs
@@ -200,7 +200,7 @@
 /// The total duration is not bounded while data keeps arriving; the caller must bound it.
 pub async fn fetch(peer: SocketAddrV4, request: DeltaRequest) -> Result<StoreDelta, FetchError> {
     let silent = |_| FetchError::Silent(SILENCE_TIMEOUT);
-    let mut stream = timeout(SILENCE_TIMEOUT, connect_socket(peer))
+    let mut stream = timeout(SILENCE_TIMEOUT, connect_socket(peer, None))
         .await
         .map_err(silent)??;
     stream.write_u64(request.after.number).await?;
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -547,13 +547,14 @@
         let chosen = self.cx.now();
         let patience = self.cx.state().own_delay.patience(chosen);
         let limit = (self.cx.limits.connect + patience).min(self.remaining());
-        // Events are short.
+        // A stream is not read while its caller reads slowly, and events are short.
         let is_stream = self.entry().kind.is_stream();
+        let receive_buffer = is_stream.then_some(self.cx.limits.connections.receive_buffer);
         let read_bytes = match is_stream {
             true => READ_BYTES,
             false => MAX_READ_BYTES,
         };
-        let opening = self.cx.wire.connect(place.address);
+        let opening = self.cx.wire.connect(place.address, receive_buffer);
         let connecting = ConnectGuard::new(&self.cx, place);
         let began = Instant::now();
         let connected = tokio::select! {
--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -111,7 +111,7 @@
     ///
     /// Fails if there is no connection within `limit`; nothing was sent then.
     pub async fn connect(address: SocketAddrV4, limit: Duration) -> Result<Self, LinkError> {
-        let opening = connect_socket(address);
+        let opening = connect_socket(address, None);
         Link::connect_by(opening, address, limit, MAX_READ_BYTES).await
     }
 
@@ -197,9 +197,20 @@
     Ok(response)
 }
 
-/// Opens a TCP connection that fails if the peer stops acknowledging data.
-pub async fn connect_socket(address: SocketAddrV4) -> std::io::Result<TcpStream> {
-    let stream = TcpSocket::new_v4()?.connect(address.into()).await?;
+/// Opens a TCP connection that fails if the peer stops acknowledging data. `receive_buffer` bounds how
+/// many bytes the system holds that are not read, which count as memory of the process.
+pub async fn connect_socket(
+    address: SocketAddrV4,
+    receive_buffer: Option<usize>,
+) -> std::io::Result<TcpStream> {
+    let socket = TcpSocket::new_v4()?;
+    if let Some(bytes) = receive_buffer {
+        let bytes = u32::try_from(bytes).unwrap_or(u32::MAX);
+        if let Err(error) = socket.set_recv_buffer_size(bytes) {
+            log::debug!("cannot bound the receive buffer of a connection: {error}");
+        }
+    }
+    let stream = socket.connect(address.into()).await?;
     stream.set_nodelay(true)?;
     socket2::SockRef::from(&stream).set_tcp_user_timeout(Some(USER_TIMEOUT))?;
     Ok(stream)
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -314,9 +314,13 @@
     fn cordon_key(&self, data_centre: &str) -> String;
 
     /// Opens a connection to an endpoint. An implementation may reach endpoints through something
-    /// else than a direct connection.
-    fn connect(&self, address: SocketAddrV4) -> impl Future<Output = io::Result<TcpStream>> + Send {
-        connect_socket(address)
+    /// else than a direct connection. `receive_buffer` is that of [`connect_socket`].
+    fn connect(
+        &self,
+        address: SocketAddrV4,
+        receive_buffer: Option<usize>,
+    ) -> impl Future<Output = io::Result<TcpStream>> + Send {
+        connect_socket(address, receive_buffer)
     }
 }
 
--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -67,7 +67,7 @@
         if response_started.is_some_and(|it| it >= SUCCESS_AFTER) {
             return self.on_run_succeeded();
         }
-        let found = probe(self.cx.wire.connect(place.address)).await;
+        let found = probe(self.cx.wire.connect(place.address, None)).await;
         log_event!(ConnectionBroken, attempt = self.name(), request:% = self.fingerprint,
             entry = self.entry().name.as_str(), endpoint = place.name.as_str(),
             found = found.label(), has_begun = response_started.is_some(),
@@ -97,7 +97,7 @@
         let mut probes = JoinSet::new();
         for other in others {
             let wire = self.cx.wire.clone();
-            probes.spawn(async move { probe(wire.connect(other.address)).await });
+            probes.spawn(async move { probe(wire.connect(other.address, None)).await });
         }
         while let Some(found) = probes.join_next().await {
             if matches!(found, Ok(ProbeResult::Accepted)) {
--- a/crates/gateway/src/proxy/links.rs
+++ b/crates/gateway/src/proxy/links.rs
@@ -77,7 +77,7 @@
     }
 
     async fn dial(&self, peer: SocketAddrV4) -> Result<SendRequest<Bytes>, DialError> {
-        let stream = connect_socket(peer).await?;
+        let stream = connect_socket(peer, None).await?;
         let mut builder = Builder::new();
         builder
             .initial_window_size(STREAM_WINDOW_BYTES)
--- a/crates/gateway/src/proxy/probe.rs
+++ b/crates/gateway/src/proxy/probe.rs
@@ -29,7 +29,7 @@
 /// Opens a connection to an endpoint and records whether the endpoint is reached.
 pub async fn probe_endpoint<W: Wire>(cx: &Cx<W>, place: &Placement) {
     let began = cx.now();
-    let opening = cx.wire.connect(place.address);
+    let opening = cx.wire.connect(place.address, None);
     match timeout(cx.limits.connect.min(HANGING_CONNECT), opening).await {
         Ok(Ok(_)) => cx.on_connected(place, cx.now().since(began)),
         Ok(Err(error)) => {
--- a/crates/oriolemux/tests/gateway_streams.rs
+++ b/crates/oriolemux/tests/gateway_streams.rs
@@ -12,7 +12,7 @@
 #[path = "gateway_support/raw_engine.rs"]
 mod raw_engine;
 
-use crowd::{Crowd, Shape, call_head};
+use crowd::{Crowd, Shape, call_head, unread_from};
 use http::StatusCode;
 use nix::sys::signal::Signal;
 use nix::unistd::Pid;
@@ -168,7 +168,7 @@
     crowd.has_begun().await;
     one.is_settled(&engine).await;
 
-    one.is_sound(0);
+    one.is_sound(unread_from(engine.address));
     drop(crowd);
 }
 
