An empty list of workspaces admits nobody

Cause: the configuration was read with a default for `tenants`, so that an empty list and none were the same, and the catalogue took "no workspaces" for "no key is required".

Change: the list is an option from the decoder to the compiled catalogue, which keeps whether a key is required. No list: open, as before. An empty list: only public entries are open.

Instances pass the stored bytes on, and each decodes them itself: one of the build before, beside a new one, neither refuses nor misreads the version, but still opens it at its own front.

--- a/crates/core/src/gateway/catalogue.rs
+++ b/crates/core/src/gateway/catalogue.rs
@@ -153,8 +153,8 @@
     pub entries: Vec<HttpEntry<String>>,
     /// The services.
     pub services: Vec<Service>,
-    /// The workspaces; if there are none, no key is required.
-    pub workspaces: Vec<Workspace>,
+    /// The workspaces. If there is no list of them, no key is required; an empty list admits nobody.
+    pub workspaces: Option<Vec<Workspace>>,
     /// Limits of requests and connections of callers.
     pub limits: CallerLimits,
 }
@@ -206,6 +206,8 @@
     version: u64,
     entries: PrimaryMap<EntryId, HttpEntry>,
     services: PrimaryMap<ServiceId, Service>,
+    /// Whether requests need the key of a workspace, unless their entry is public.
+    requires_key: bool,
     workspaces: PrimaryMap<WorkspaceId, Workspace>,
     by_host: BTreeMap<String, BTreeMap<String, EntryId>>,
     by_key: BTreeMap<[u8; 32], WorkspaceId>,
@@ -224,10 +226,11 @@
         let mut catalogue = Catalogue {
             version: source.version,
             limits: source.limits,
+            requires_key: source.workspaces.is_some(),
             ..Catalogue::default()
         };
         catalogue.add_services(source.services, &mut findings);
-        catalogue.add_workspaces(source.workspaces, &mut findings);
+        catalogue.add_workspaces(source.workspaces.unwrap_or_default(), &mut findings);
         for entry in source.entries {
             catalogue.add_entry(entry, &mut findings);
         }
@@ -360,8 +363,8 @@
         let workspace = key_digest
             .and_then(|digest| self.by_key.get(digest))
             .copied();
-        let open = self.workspaces.is_empty() || self.entries[entry].public;
-        if workspace.is_none() && !open {
+        let needs_key = self.requires_key && !self.entries[entry].public;
+        if workspace.is_none() && needs_key {
             return RequestMatch::UnknownKey;
         }
         RequestMatch::Serve { entry, workspace }
--- a/crates/core/tests/gateway_catalogue.rs
+++ b/crates/core/tests/gateway_catalogue.rs
@@ -44,11 +44,11 @@
                 cold: None,
             },
         ],
-        workspaces: vec![Workspace {
+        workspaces: Some(vec![Workspace {
             name: "north".to_owned(),
             key_digests: vec![KEY],
             priority: Some(4),
-        }],
+        }]),
         ..CatalogueSource::default()
     }
 }
@@ -116,6 +116,27 @@
     ));
 }
 
+/// Guards against a catalogue without workspaces that is open to everybody: it admits nobody, while one
+/// that states no list of them requires no key.
+#[rstest]
+#[case::none_listed(Some(Vec::new()), false)]
+#[case::no_list(None, true)]
+fn a_list_without_workspaces_is_not_the_same_as_no_list(
+    #[case] workspaces: Option<Vec<Workspace>>,
+    #[case] is_open: bool,
+    #[values(None, Some(&KEY))] key: Option<&[u8; 32]>,
+) {
+    let source = CatalogueSource {
+        workspaces,
+        ..source(vec![entry("a", "/a/", "desk")])
+    };
+    let catalogue = Catalogue::compile(source).expect("no findings");
+
+    let matched = catalogue.match_request("desk.example", "/a/1", key);
+
+    assert_eq!(matched != RequestMatch::UnknownKey, is_open);
+}
+
 #[test]
 fn all_findings_are_reported_together() {
     let no_service = HttpEntry {
