--- a/crates/gateway/src/meters.rs
+++ b/crates/gateway/src/meters.rs
@@ -146,6 +146,9 @@
         /// Bytes that responses take that are read to their end before their callers get them, except
         /// for small ones.
         ResponseBytes = "oriolemux_gateway_response_bytes";
+        /// Bytes of events that are not written to their callers, beyond those that each stream may always
+        /// have.
+        StreamBytes = "oriolemux_gateway_stream_bytes";
         /// Generations that are passed on.
         Running = "oriolemux_gateway_generations_running";
         /// Seconds by which this instance itself lately delayed what it does: timers that fire late.
@@ -262,6 +265,7 @@
         ),
         (Gauge::BodyBytes, cx.bodies.used() as f64),
         (Gauge::ResponseBytes, cx.responses.used() as f64),
+        (Gauge::StreamBytes, cx.streams.used() as f64),
         (Gauge::Running, cx.open_count(OpenKind::Generation) as f64),
         (
             Gauge::TimerDelay,
