A stream that leaves its engine releases the room of its incomplete event at once

By reading, before the landing: a relay that leaves its engine kept the bytes of an incomplete event, and with them the exemption from the bounds, until another engine was asked; other streams with large events wait for that. They are dropped when the connection is closed. No test of its own; gateway_stream_memory tests that a stream that stops reading wakes the next.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -362,6 +362,9 @@
                 }
             };
             upstream.link.close().await;
+            // Others may wait for the room of an incomplete event.
+            self.splitter.clear();
+            self.room.stop_reading();
             if is_broken {
                 let started = self.response_started;
                 self.job.on_connection_broken(&self.engine, started).await;
--- a/crates/gateway/src/relay/resume.rs
+++ b/crates/gateway/src/relay/resume.rs
@@ -473,8 +473,6 @@
 
     /// Resets what is known of the generation at the engine that it leaves.
     fn on_left(&mut self) {
-        self.splitter.clear();
-        self.room.stop_reading();
         self.no_room.clear();
         self.last_stop = None;
         self.open_stop = None;
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -33,7 +33,7 @@
 use std::time::Instant;
 use tokio::sync::mpsc;
 
-/// Chunks of a stream that may be buffered for the caller's connection before one more event is.
+/// Chunks of a stream that may be buffered for the caller's connection when one more event is forwarded.
 const STREAM_BUFFER_CHUNKS: usize = 64;
 
 /// How many times the entry's target a generation may be queued. Later it could only be late, and
