--- a/crates/oriolemux/tests/gateway_streams.rs
+++ b/crates/oriolemux/tests/gateway_streams.rs
@@ -233,6 +233,9 @@
 
     assert!(body(&received) == whole, "the stream is not whole");
     assert_eq!(first.answered() + second.answered(), 1);
+    let looked_elsewhere = one.process.lines_of("placed").len() > 1;
+    assert!(!looked_elsewhere, "another engine was looked for");
+    assert!(one.process.lines_of("repeat_denied").is_empty());
     one.is_sound(0);
 }
 
