The end of a long line is looked at

What callers would have seen since: a stream with carriage returns and a line of more than 256 bytes is never split, and ends after 1 MiB or with its engine; with line feeds, an event may be split at a carriage return 256 bytes into a line.

Cause: the splitter keeps 256 bytes of a line and took the last of these for the end of the line. Now it keeps the last byte.

--- a/crates/gateway/src/sse.rs
+++ b/crates/gateway/src/sse.rs
@@ -75,6 +75,8 @@
 struct Lines {
     /// The beginning of the current line.
     line: Vec<u8>,
+    /// The last byte of the current line, which may be longer than what is kept of it.
+    last_byte: Option<u8>,
     last_end: LastEnd,
     /// Whether a line states an `id`.
     has_id: bool,
@@ -100,6 +102,7 @@
     fn extend(&mut self, part: &[u8]) {
         let room = MAX_LINE_BYTES - self.line.len();
         self.line.extend_from_slice(&part[..part.len().min(room)]);
+        self.last_byte = part.last().copied().or(self.last_byte);
     }
 
     /// Ends the current line. Returns whether it ends the event.
@@ -115,7 +118,7 @@
                 false
             }
         };
-        self.last_end = match self.line.last() {
+        self.last_end = match self.last_byte.take() {
             Some(b'\r') => LastEnd::CrLf,
             _ => LastEnd::Lf,
         };
--- a/crates/gateway/tests/event_splitter.rs
+++ b/crates/gateway/tests/event_splitter.rs
@@ -42,6 +42,34 @@
     assert_eq!(splitter.has_partial_event(), split.len() < bytes.len());
 }
 
+/// Guards against a stream that is never split, or split inside an event, because the end of a long line
+/// is not looked at.
+#[rstest]
+#[case::carriage_returns("\r\n", "\r\n\r\n", 1)]
+#[case::line_feeds("\n", "\n\n", 1)]
+#[case::a_carriage_return_inside("\n", "\n\r\nx\n\n", 1)]
+fn long_lines_end_as_short_ones_do(
+    #[case] line_end: &str,
+    #[case] event_end: &str,
+    #[case] expected: usize,
+    #[values(250, 255, 256, 257, 5_000)] length: usize,
+    #[values(1, 7, 4_096)] piece: usize,
+) {
+    let data = "x".repeat(length - 1) + "\r";
+    let data = match line_end {
+        "\n" => data + "y",
+        _ => data.replace('\r', "y"),
+    };
+    let event = format!("id: 7{line_end}data: {data}{event_end}");
+
+    let (events, splitter) = split(event.as_bytes(), piece);
+
+    assert_eq!(events.len(), expected);
+    assert_eq!(events[0].id, Some(7));
+    assert_eq!(events[0].blocks.concat(), event.as_bytes());
+    assert!(!splitter.has_partial_event());
+}
+
 /// Guards against events that take much more memory than their bytes.
 #[rstest]
 #[case::short_events(b"\n\n".repeat(2_000))]
